--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -39,7 +39,7 @@
 address = "$PLATFORM"
 SETTINGS
   "$CLUSTER_BIN/pollenringd" --settings "$CLUSTER_DIR/node-$1.toml" \
-    2>>"$CLUSTER_DIR/node-$1.log" &
+    >>"$CLUSTER_DIR/node-$1.log" 2>&1 &
   CLUSTER_PIDS+=($!)
   eval "NODE_PID_$1=$!"
 }
--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -57,6 +57,14 @@
   return actions;
 }
 
+AdmissionActions Admission::Close() {
+  AdmissionActions actions;
+  for (const auto &waiting : this->queue.RemoveExpired(Time::max())) {
+    actions.shed.push_back({waiting.id, Reason::kLeaving});
+  }
+  return actions;
+}
+
 AdmissionActions Admission::Tick() {
   AdmissionActions actions;
   this->Fill(actions);
--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -95,6 +95,9 @@
    */
   [[nodiscard]] AdmissionActions Cancel(std::uint64_t id);
 
+  /*! @brief Sheds all that wait, as the target takes no more. @return Them. */
+  [[nodiscard]] AdmissionActions Close();
+
   /*! @brief Sheds what can't finish in time. @return What to shed and start. */
   [[nodiscard]] AdmissionActions Tick();
 
--- a/src/pollenring/admission/concurrency_limit.cc
+++ b/src/pollenring/admission/concurrency_limit.cc
@@ -67,7 +67,9 @@
     this->typical =
         Span{static_cast<std::int64_t>(this->whole_us / this->samples)};
   }
-  if (this->refused > this->samples * kRefusedPart) {
+  if (this->options.fixed) {
+    // The announced slots hold.
+  } else if (this->refused > this->samples * kRefusedPart) {
     this->trial = Trial::kNone;
     this->SetLimit(this->limit * this->options.decrease);
   } else if (this->trial != Trial::kNone) {
--- a/src/pollenring/admission/concurrency_limit.h
+++ b/src/pollenring/admission/concurrency_limit.h
@@ -21,6 +21,8 @@
   double most_over_announced{4};
   int windows_before_lower{16};
   int windows_before_higher{4};
+  bool fixed{
+      false}; /*!< Keeps to the announced slots; only times are learned. */
 };
 
 /**
--- a/src/pollenring/config/publisher.cc
+++ b/src/pollenring/config/publisher.cc
@@ -58,8 +58,8 @@
           this->Recheck(attempt);
           return;
         }
-        const auto error = std::get<PlatformError>(written);
-        if (error == PlatformError::kUnavailable) {
+        const auto error = std::get<StorageError>(written);
+        if (error == StorageError::kUnavailable) {
           attempt->Report(attempt->uncertain ? CommitResult::kUnknown
                                              : CommitResult::kUnavailable);
           return;
--- a/src/pollenring/config/publisher.h
+++ b/src/pollenring/config/publisher.h
@@ -8,7 +8,7 @@
 
 #include "pollenring/config/change.h"
 #include "pollenring/core/clock.h"
-#include "pollenring/platform/platform.h"
+#include "pollenring/storage/storage.h"
 
 namespace pollenring {
 
--- a/src/pollenring/config/store_reader.h
+++ b/src/pollenring/config/store_reader.h
@@ -4,7 +4,7 @@
 #include <functional>
 
 #include "pollenring/config/ledger.h"
-#include "pollenring/platform/platform.h"
+#include "pollenring/storage/storage.h"
 
 namespace pollenring {
 
--- /dev/null
+++ b/src/pollenring/contract/host_policy.h
@@ -0,0 +1,104 @@
+#ifndef POLLENRING_CONTRACT_HOST_POLICY_H_
+#define POLLENRING_CONTRACT_HOST_POLICY_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "pollenring/contract/contract.h"
+#include "pollenring/core/clock.h"
+
+namespace pollenring {
+
+/*! @brief A service that takes part of a route's requests. */
+struct RoutePart {
+  std::string service;
+  double weight{1};
+};
+
+/*! @brief A kind of request that is found by host and path prefix. */
+struct HostRoute {
+  std::string name;
+  std::string host;
+  std::string path_prefix;
+  std::vector<RoutePart> parts;
+  int rank{};            /*!< 0 is served first. */
+  int attempts{1};       /*!< Most targets that one request is sent to. */
+  Span timeout{};        /*!< Longest wait of its caller. */
+  Span target_latency{}; /*!< Time within which an answer is worth most. */
+  bool idempotent{};     /*!< Whether it may run more than once. */
+  bool open{};           /*!< Whether it needs no key. */
+};
+
+/*! @brief A workspace with its keys. */
+struct KeyedWorkspace {
+  WorkspaceShare share;
+  int rank{}; /*!< Goes before the route's rank; 0 is served first. */
+  std::vector<std::string> keys;
+};
+
+/*! @brief All that one version of an operator's document declares. */
+struct HostPolicy {
+  std::uint64_t version{};
+  std::vector<HostRoute> routes;
+  std::vector<KeyedWorkspace> workspaces;
+};
+
+/*! @brief A host policy made ready for look-ups on the path of a call. */
+class HostTable {
+ public:
+  /*! @brief An empty table: no route, no workspace. */
+  HostTable() = default;
+
+  /**
+   * @brief Indexes a policy.
+   * @param policy The policy.
+   */
+  explicit HostTable(HostPolicy policy);
+
+  [[nodiscard]] std::uint64_t Version() const noexcept {
+    return this->policy.version;
+  }
+
+  /**
+   * @brief Finds the route of a request, the longest prefix first.
+   * @param host Its host.
+   * @param path Its path.
+   * @return The route, or null.
+   */
+  [[nodiscard]] const HostRoute *Find(const std::string &host,
+                                      std::string_view path) const;
+
+  /**
+   * @brief Finds the workspace that holds a key.
+   * @param key The key.
+   * @return The workspace, or null.
+   */
+  [[nodiscard]] const KeyedWorkspace *WorkspaceOf(const std::string &key) const;
+
+  /**
+   * @brief Finds a workspace's rate and burst.
+   * @param workspace Its name.
+   * @return The share, or null when there is none or it has no limit.
+   */
+  [[nodiscard]] const WorkspaceShare *ShareOf(
+      const std::string &workspace) const;
+
+  /*! @brief Whether requests need keys at all. @return So. */
+  [[nodiscard]] bool NeedsKeys() const noexcept {
+    return !this->policy.workspaces.empty();
+  }
+
+ private:
+  HostPolicy policy;
+  /*! @brief Indices of a host's routes, the longest prefix first. */
+  std::unordered_map<std::string, std::vector<std::size_t>> by_host;
+  std::unordered_map<std::string, std::size_t> by_key;
+  std::unordered_map<std::string, std::size_t> by_name;
+};
+
+}  // namespace pollenring
+
+#endif  // POLLENRING_CONTRACT_HOST_POLICY_H_
--- a/src/pollenring/core/outcome.h
+++ b/src/pollenring/core/outcome.h
@@ -39,11 +39,12 @@
   kRepeated,
   kInProgress,
   kIdExpired,
-  kCancelled
+  kCancelled,
+  kTargetBusy
 };
 
 /*! @brief Names of the reasons, as callers and logs see them. */
-inline constexpr EnumTable<Reason, 19> kReasonNames{{{
+inline constexpr EnumTable<Reason, 20> kReasonNames{{{
     {Reason::kNone, "none"},
     {Reason::kMalformed, "malformed"},
     {Reason::kNoRoute, "no-route"},
@@ -63,6 +64,7 @@
     {Reason::kInProgress, "in-progress"},
     {Reason::kIdExpired, "id-expired"},
     {Reason::kCancelled, "cancelled"},
+    {Reason::kTargetBusy, "target-busy"},
 }}};
 
 }  // namespace pollenring
--- a/src/pollenring/log/log.cc
+++ b/src/pollenring/log/log.cc
@@ -1,9 +1,14 @@
 #include "pollenring/log/log.h"
 
-#include <spdlog/sinks/stdout_sinks.h>
+#include <poll.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <climits>
 
 #include "pollenring/core/clock.h"
 #include "pollenring/core/enum_table.h"
@@ -11,6 +16,14 @@
 namespace pollenring {
 namespace {
 
+/*! @brief Lines that wait for a slow reader; minutes at the usual rate. */
+constexpr std::size_t kBufferBytes = std::size_t{1} << 20U;
+/*! @brief Lines on requests a second, which cost 0.1 % of a core. */
+constexpr int kRequestLinesPerSecond = 40;
+/*! @brief The same for failures and refusals. */
+constexpr int kFailureLinesPerSecond = 120;
+constexpr Span kBudgetWindow = std::chrono::seconds{1};
+
 constexpr EnumTable<LogLevel, 4> kLogLevelNames{{{
     {LogLevel::kDebug, "debug"},
     {LogLevel::kInfo, "info"},
@@ -25,19 +38,82 @@
   return kLevels[static_cast<std::size_t>(level)];
 }
 
-[[nodiscard]] std::string &Program() {
-  static std::string program{"pollenring"};
-  return program;
+/*! @brief Keeps lines until standard output takes them without waiting. */
+class BufferSink final
+    : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+ public:
+  void Write() {
+    while (this->written < this->buffer.size()) {
+      pollfd state{STDOUT_FILENO, POLLOUT, 0};
+      // A pipe that is ready takes this many bytes at once.
+      const std::size_t size =
+          std::min<std::size_t>(this->buffer.size() - this->written, PIPE_BUF);
+      if (poll(&state, 1, 0) <= 0 || (state.revents & POLLOUT) == 0) return;
+      const auto sent =
+          write(STDOUT_FILENO, this->buffer.data() + this->written, size);
+      if (sent <= 0) return;
+      this->written += static_cast<std::size_t>(sent);
+    }
+    this->buffer.clear();
+    this->written = 0;
+  }
+
+  [[nodiscard]] std::uint64_t TakeDropped() noexcept {
+    return std::exchange(this->dropped, 0);
+  }
+
+ protected:
+  void sink_it_(const spdlog::details::log_msg &message) override {
+    if (this->buffer.size() + message.payload.size() > kBufferBytes) {
+      ++this->dropped;
+      return;
+    }
+    this->buffer.append(message.payload.data(), message.payload.size());
+    this->buffer += '\n';
+  }
+
+  void flush_() override { this->Write(); }
+
+ private:
+  std::string buffer;
+  std::size_t written{};
+  std::uint64_t dropped{};
+};
+
+/*! @brief The process's log; there is one standard output. */
+struct LogState {
+  std::string program{"pollenring"};
+  std::shared_ptr<BufferSink> sink;
+  Time window{};
+  int requests{};
+  int failures{};
+  std::uint64_t left_out{};
+};
+
+[[nodiscard]] LogState &State() {
+  static LogState state;
+  return state;
+}
+
+void OpenWindow(LogState &state, Time now) {
+  state.window = now;
+  state.requests = 0;
+  state.failures = 0;
+  const std::uint64_t left_out = std::exchange(state.left_out, 0);
+  const std::uint64_t dropped = state.sink ? state.sink->TakeDropped() : 0;
+  if (left_out == 0 && dropped == 0) return;
+  LogEvent(LogLevel::kInfo, "lines left out",
+           {{"over_budget", left_out}, {"buffer_full", dropped}});
 }
 
 }  // namespace
 
 void SetUpLog(const std::string &program, LogLevel level) {
-  Program() = program;
-  auto logger = spdlog::stderr_logger_st("pollenring");
-  logger->set_pattern("%v");
+  LogState &state = State();
+  state.program = program;
+  state.sink = std::make_shared<BufferSink>();
+  auto logger = std::make_shared<spdlog::logger>("pollenring", state.sink);
   logger->set_level(ToSpdlog(level));
-  logger->flush_on(spdlog::level::info);
   spdlog::set_default_logger(std::move(logger));
 }
 
@@ -46,10 +122,31 @@
   if (!spdlog::should_log(native)) return;
   fields["ts_ms"] = SystemClock{}.Wall().count();
   fields["level"] = kLogLevelNames.Name(level);
-  fields["program"] = Program();
+  fields["program"] = State().program;
   fields["event"] = event;
   constexpr auto kReplace = nlohmann::json::error_handler_t::replace;
-  spdlog::log(native, "{}", fields.dump(-1, ' ', false, kReplace));
+  spdlog::default_logger_raw()->log(native,
+                                    fields.dump(-1, ' ', false, kReplace));
+}
+
+bool MayLogRequest(LogLevel level) {
+  if (!spdlog::should_log(ToSpdlog(level))) return false;
+  LogState &state = State();
+  const Time now = SystemClock{}.Now();
+  if (now - state.window >= kBudgetWindow) OpenWindow(state, now);
+  const bool failure = level >= LogLevel::kWarning;
+  int &used = failure ? state.failures : state.requests;
+  const int most = failure ? kFailureLinesPerSecond : kRequestLinesPerSecond;
+  if (used < most) {
+    ++used;
+    return true;
+  }
+  ++state.left_out;
+  return false;
+}
+
+void FlushLog() {
+  if (State().sink) State().sink->Write();
 }
 
 }  // namespace pollenring
--- a/src/pollenring/log/log.h
+++ b/src/pollenring/log/log.h
@@ -11,7 +11,10 @@
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
 /**
- * @brief Sets up the process's log: JSON lines on standard error.
+ * @brief Sets up the process's log: JSON lines on standard output.
+ *
+ * Lines are kept in a bounded buffer until `FlushLog`; nothing ever waits for
+ * the reader.
  * @param program Name that each line carries.
  * @param level Events below it are left out.
  */
@@ -26,6 +29,19 @@
 void LogEvent(LogLevel level, std::string_view event,
               nlohmann::json fields = nlohmann::json::object());
 
+/**
+ * @brief Tells whether an event that comes with each request may be written.
+ *
+ * Failures have a budget of their own, so that successes never displace them.
+ * What is refused is counted and reported once a second.
+ * @param level How much it matters.
+ * @return Whether to call `LogEvent`; counts as one line when true.
+ */
+[[nodiscard]] bool MayLogRequest(LogLevel level);
+
+/*! @brief Writes what the reader takes at once; call it often. */
+void FlushLog();
+
 }  // namespace pollenring
 
 #endif  // POLLENRING_LOG_LOG_H_
--- /dev/null
+++ b/src/pollenring/mesh/heartbeat_filter.h
@@ -0,0 +1,53 @@
+#ifndef POLLENRING_MESH_HEARTBEAT_FILTER_H_
+#define POLLENRING_MESH_HEARTBEAT_FILTER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "pollenring/core/enum_table.h"
+#include "pollenring/mesh/dialects.h"
+
+namespace pollenring {
+
+/*! @brief What becomes of a heartbeat. */
+enum class HeartbeatVerdict {
+  kTaken,
+  kStale, /*!< Older than one already taken, or of a target that has left. */
+};
+
+/*! @brief Names of the verdicts. */
+inline constexpr EnumTable<HeartbeatVerdict, 2> kHeartbeatVerdictNames{{{
+    {HeartbeatVerdict::kTaken, "taken"},
+    {HeartbeatVerdict::kStale, "stale"},
+}}};
+
+/**
+ * @brief Leaves out heartbeats that arrive late or out of order.
+ *
+ * A start is told by its time of birth, since a target may start again under
+ * the identifier that it had and then counts anew.
+ */
+class HeartbeatFilter {
+ public:
+  /**
+   * @brief Judges a heartbeat and remembers it when it is taken.
+   * @param heartbeat The heartbeat; a departure is taken once per start.
+   * @return Whether it says something new.
+   */
+  [[nodiscard]] HeartbeatVerdict Judge(const Heartbeat &heartbeat);
+
+ private:
+  struct Start {
+    std::uint64_t born{};
+    std::uint64_t sequence{};
+    bool departed{};
+  };
+
+  std::map<std::string, Start> starts;
+  std::string current; /*!< Instance that was born last. */
+};
+
+}  // namespace pollenring
+
+#endif  // POLLENRING_MESH_HEARTBEAT_FILTER_H_
--- /dev/null
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -0,0 +1,301 @@
+#include "pollenring/mesh/mesh_node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "pollenring/log/log.h"
+#include "pollenring/node/headers.h"
+#include "pollenring/node/limits.h"
+#include "pollenring/retry/backoff.h"
+
+namespace pollenring {
+namespace {
+
+constexpr Span kServingTick = std::chrono::milliseconds{20};
+constexpr Span kRingTick = std::chrono::milliseconds{100};
+constexpr Span kLogFlush = std::chrono::milliseconds{100};
+constexpr Span kLeaveCheck = std::chrono::milliseconds{50};
+/*! @brief Time for peers to learn that a node leaves; gossip takes one second
+ * in a few hundred nodes. */
+constexpr Span kLeaveServesPeers = std::chrono::milliseconds{1200};
+/*! @brief Time for clients to go elsewhere: they are told after two questions
+ * without a 200, one second apart. */
+constexpr Span kLeaveAccepts = std::chrono::milliseconds{2800};
+/*! @brief Most that a node takes to leave; the platform kills it after six. */
+constexpr Span kLeaveLongest = std::chrono::milliseconds{5700};
+/*! @brief Longest silence between two requests of a client connection; above
+ * any limit that operators set for their clients. */
+constexpr Span kCallerIdle = std::chrono::minutes{5};
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+[[nodiscard]] HttpServerLimits CallerLimits() {
+  HttpServerLimits limits;
+  limits.max_body_bytes = kMaxBodyBytes;
+  limits.request_timeout = kCallerIdle;
+  limits.idle_timeout = kCallerIdle;
+  return limits;
+}
+
+[[nodiscard]] AdmissionOptions TargetLimits() {
+  AdmissionOptions options;
+  // Targets say how many slots they have; some never answer what exceeds them.
+  options.limit.fixed = true;
+  return options;
+}
+
+}  // namespace
+
+Member MeshNode::MakeSelf(const Settings &settings, const MeshParts &parts) {
+  Member self;
+  self.id = settings.nodes.Packed();
+  self.process = parts.random.Bits();
+  self.incarnation =
+      static_cast<std::uint64_t>(parts.loop.GetClock().Wall().count());
+  self.version = 1;
+  self.zone = settings.zone;
+  self.region = settings.region;
+  return self;
+}
+
+MeshNode::MeshNode(const Settings &given, const MeshParts &parts)
+    : settings{given},
+      parts{parts},
+      loop{parts.loop},
+      metrics{parts.loop.GetClock()},
+      link{parts.loop, given.node_secret, kMaxFrameBytes},
+      bus{parts.loop, given.nodes, given.node_secret},
+      members{MakeSelf(given, parts),
+              given.seeds,
+              parts.loop,
+              this->bus,
+              this->link,
+              parts.table,
+              parts.random},
+      policy{parts.loop,   this->members,  this->link,
+             parts.source, parts.policies, parts.random},
+      ring{this->members.Get(), parts.loop.GetClock(), given.first_start},
+      shares{parts.loop, this->bus, this->ring, this->policy,
+             this->members.Get().Self().process},
+      router{given.zone, given.region, RouterOptions{}, parts.loop.GetClock(),
+             parts.random},
+      serving{parts.loop,
+              parts.client,
+              parts.targets,
+              TargetLimits(),
+              parts.random,
+              this->metrics,
+              [this](std::vector<Target> targets) {
+                this->members.Get().Announce(std::move(targets));
+              }},
+      retry_budget{FleetRetryOptions{},
+                   [this] { return this->members.Get().Members().size() + 1; }},
+      dispatcher{given.nodes.Packed(),  parts.loop,    this->link,
+                 this->router,          this->serving, this->retry_budget,
+                 DispatchOptions{true}, parts.random,  this->metrics},
+      outbound{parts.loop, given.target_service,
+               OutboundParts{this->policy, parts.callers, this->shares,
+                             this->dispatcher, this->serving, parts.random,
+                             this->metrics}},
+      link_server{parts.loop, given.nodes, given.node_secret, kMaxFrameBytes,
+                  [this](const std::string &path, std::string body,
+                         std::shared_ptr<LinkResponder> responder) {
+                    this->HandleLink(path, std::move(body), responder);
+                  }},
+      caller_server{
+          parts.loop, given.callers, CallerLimits(),
+          [this](HttpRequest request, std::shared_ptr<Responder> responder) {
+            this->outbound.Handle(std::move(request), std::move(responder));
+          }},
+      heartbeat_server{
+          parts.loop, given.targets, HttpServerLimits{},
+          [this](HttpRequest request, std::shared_ptr<Responder> responder) {
+            this->HandleHeartbeat(request, responder);
+          }},
+      ready_server{parts.loop, given.ready, HttpServerLimits{},
+                   [this](HttpRequest /*request*/,
+                          std::shared_ptr<Responder> responder) {
+                     this->HandleReady(responder);
+                   }},
+      operator_server{
+          parts.loop, given.operators, HttpServerLimits{},
+          [this](HttpRequest request, std::shared_ptr<Responder> responder) {
+            this->HandleOperator(request, responder);
+          }} {
+  this->Start();
+}
+
+void MeshNode::Start() {
+  this->ready_server.Open();
+  this->heartbeat_server.Open();
+  this->operator_server.Open();
+  this->caller_server.Open();
+  this->members.OnMember(
+      [this](const Member &member) { this->router.Update(member); });
+  this->shares.Start();
+  this->policy.Start();
+  this->members.Start();
+  this->ring.Update(this->shares);
+  this->loop.Every(kRingTick, [this] { this->ring.Update(this->shares); });
+  this->loop.Every(kServingTick, [this] { this->serving.Tick(); });
+  this->loop.Every(kLogFlush, [] { FlushLog(); });
+  this->CountFigures();
+}
+
+void MeshNode::CountFigures() {
+  this->metrics.Gauge("pollenring_in_progress", [this] {
+    return static_cast<double>(this->InProgress());
+  });
+  this->metrics.Gauge("pollenring_config_version", [this] {
+    return static_cast<double>(this->policy.InForce().Version());
+  });
+  this->metrics.Gauge("pollenring_store_silence_seconds", [this] {
+    return std::chrono::duration<double>{this->policy.StoreSilence()}.count();
+  });
+  this->metrics.Gauge("pollenring_target_running", [this] {
+    return static_cast<double>(this->serving.RunningCount());
+  });
+  this->metrics.Gauge("pollenring_connects", [this] {
+    return static_cast<double>(this->parts.client.Connects());
+  });
+  this->metrics.Gauge("pollenring_control_bytes_sent", [this] {
+    return static_cast<double>(this->bus.BytesSent());
+  });
+}
+
+void MeshNode::HandleLink(const std::string &path, std::string body,
+                          const std::shared_ptr<LinkResponder> &responder) {
+  if (path == "call") {
+    this->HandleCall(std::move(body), responder);
+    return;
+  }
+  std::string answer;
+  if (path == "members") {
+    answer = this->members.AnswerJoin(body);
+  } else if (path == "members-differ") {
+    answer = this->members.AnswerDiffering(body);
+  } else if (path == "members-merge") {
+    this->members.TakeRecords(body);
+  } else if (path == "document") {
+    answer = this->policy.Document();
+  }
+  responder->Send(std::move(answer));
+}
+
+void MeshNode::HandleCall(std::string body,
+                          const std::shared_ptr<LinkResponder> &responder) {
+  auto framed = Unframe<CallEnvelope>(std::move(body));
+  const bool late = this->Leaving() > kLeaveServesPeers;
+  // What a process reads after it stood still may have been given up long ago.
+  if (!framed || late || this->loop.WokeFromPause()) {
+    const Reason reason = late ? Reason::kLeaving : Reason::kLinkLost;
+    const Span come_back = SpreadAround(kComeBack, this->parts.random);
+    CallReply reply = Refusal(Outcome::kNotRun, reason, come_back);
+    if (framed) reply.retries_unspent = framed->head.retries;
+    responder->Send(Frame(reply, {}));
+    return;
+  }
+  const std::uint64_t id = this->serving.Serve(
+      std::move(framed->head), std::move(framed->body),
+      [responder](const CallReply &reply, const std::string &answer) {
+        responder->Send(Frame(reply, answer));
+      });
+  responder->OnCancel([this, id] { this->serving.CallerGone(id); });
+}
+
+void MeshNode::HandleHeartbeat(const HttpRequest &request,
+                               const std::shared_ptr<Responder> &responder) {
+  auto heartbeat = this->parts.heartbeats.Decode(request);
+  if (!heartbeat) {
+    LogEvent(LogLevel::kWarning, "heartbeat unreadable",
+             {{"path", request.path}, {"bytes", request.body.size()}});
+    responder->Send({kBadRequest, {}, {}});
+    return;
+  }
+  Announcement &announcement = heartbeat->announcement;
+  if (heartbeat->departs) {
+    announcement.target.service = this->settings.target_service;
+    announcement.target.state = TargetState::kDraining;
+  }
+  if (announcement.target.service != this->settings.target_service) {
+    LogEvent(LogLevel::kWarning, "heartbeat of another service",
+             {{"instance", announcement.instance},
+              {"service", announcement.target.service}});
+    responder->Send({kBadRequest, {}, {}});
+    return;
+  }
+  const HeartbeatVerdict verdict = this->heartbeats.Judge(*heartbeat);
+  if (verdict == HeartbeatVerdict::kTaken) {
+    this->serving.Announce(announcement);
+  } else {
+    LogEvent(LogLevel::kInfo, "heartbeat left out",
+             {{"instance", announcement.instance},
+              {"sequence", heartbeat->sequence},
+              {"born", heartbeat->born}});
+  }
+  responder->Send({kOk, {{"content-type", "application/json"}}, "{}"});
+}
+
+bool MeshNode::Ready() const {
+  return !this->leaving && this->members.Joined() &&
+         this->policy.InForce().Version() > 0;
+}
+
+void MeshNode::HandleReady(const std::shared_ptr<Responder> &responder) {
+  const bool ready = this->Ready();
+  if (std::exchange(this->was_ready, ready) != ready) {
+    LogEvent(LogLevel::kInfo, ready ? "ready" : "not ready",
+             {{"version", this->policy.InForce().Version()},
+              {"joined", this->members.Joined()},
+              {"leaving", this->leaving}});
+  }
+  responder->Send({ready ? kOk : kUnavailable, {}, {}});
+}
+
+void MeshNode::HandleOperator(
+    const HttpRequest &request,
+    const std::shared_ptr<Responder> &responder) const {
+  if (request.path != "/metrics") {
+    responder->Send({kNotFound, {}, "only /metrics is here\n"});
+    return;
+  }
+  responder->Send({kOk,
+                   {{"content-type", "text/plain; version=0.0.4"}},
+                   this->metrics.Expose()});
+}
+
+Span MeshNode::Leaving() const {
+  if (!this->leaving) return Span{0};
+  return this->loop.GetClock().Now() - this->left_at;
+}
+
+void MeshNode::Leave() {
+  if (std::exchange(this->leaving, true)) return;
+  this->left_at = this->loop.GetClock().Now();
+  LogEvent(LogLevel::kInfo, "leaving", {{"in_progress", this->InProgress()}});
+  this->members.Get().Leave();
+  this->caller_server.Drain();
+  this->CheckLeft();
+}
+
+void MeshNode::CheckLeft() {
+  const Span since = this->Leaving();
+  const bool accepts = since < kLeaveAccepts;
+  const bool over = since >= kLeaveLongest;
+  if (!accepts) this->caller_server.Close();
+  if (over || (!accepts && this->InProgress() == 0)) {
+    LogEvent(LogLevel::kInfo, "left", {{"in_progress", this->InProgress()}});
+    this->loop.After(kLeaveCheck, [this] { this->loop.Stop(); });
+    return;
+  }
+  this->loop.After(kLeaveCheck, [this] { this->CheckLeft(); });
+}
+
+std::size_t MeshNode::InProgress() const {
+  return this->caller_server.InProgress() + this->dispatcher.InProgress() +
+         this->serving.InProgress();
+}
+
+}  // namespace pollenring
--- /dev/null
+++ b/src/pollenring/mesh/mesh_node.h
@@ -0,0 +1,109 @@
+#ifndef POLLENRING_MESH_MESH_NODE_H_
+#define POLLENRING_MESH_MESH_NODE_H_
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "pollenring/link/link_client.h"
+#include "pollenring/link/link_server.h"
+#include "pollenring/mesh/dialects.h"
+#include "pollenring/mesh/heartbeat_filter.h"
+#include "pollenring/mesh/outbound.h"
+#include "pollenring/mesh/policy_follower.h"
+#include "pollenring/mesh/slot_ring.h"
+#include "pollenring/metrics/metrics.h"
+#include "pollenring/net/http_client.h"
+#include "pollenring/net/http_server.h"
+#include "pollenring/net/loop.h"
+#include "pollenring/node/bus.h"
+#include "pollenring/node/dispatcher.h"
+#include "pollenring/node/member_service.h"
+#include "pollenring/node/serving.h"
+#include "pollenring/node/settings.h"
+#include "pollenring/node/share_service.h"
+#include "pollenring/node/target_dialect.h"
+#include "pollenring/routing/router.h"
+
+namespace pollenring {
+
+/*! @brief The surroundings of a node whose routes are found by host. */
+struct MeshParts {
+  Loop &loop;
+  HttpClient &client;
+  Table &table;
+  PolicySource &source;
+  const PolicyDialect &policies;
+  const CallerDialect &callers;
+  const TargetDialect &targets;
+  const HeartbeatDialect &heartbeats;
+  Random &random;
+};
+
+/**
+ * @brief The process beside one target, for routes that are found by host.
+ *
+ * Clients and the target of this VM enter at one port. Nobody but this node
+ * reaches the target, so it alone guards its slots, its identity and its end.
+ */
+class MeshNode final {
+ public:
+  /**
+   * @brief Binds all ports and joins the other nodes.
+   * @param settings Settings.
+   * @param parts Surroundings.
+   * @throws std::runtime_error when a port can't be bound.
+   */
+  MeshNode(const Settings &settings, const MeshParts &parts);
+
+  /*! @brief Leaves; ends the loop once nothing is in progress. */
+  void Leave();
+
+ private:
+  [[nodiscard]] static Member MakeSelf(const Settings &settings,
+                                       const MeshParts &parts);
+  void Start();
+  void CountFigures();
+  void HandleLink(const std::string &path, std::string body,
+                  const std::shared_ptr<LinkResponder> &responder);
+  void HandleCall(std::string body,
+                  const std::shared_ptr<LinkResponder> &responder);
+  void HandleHeartbeat(const HttpRequest &request,
+                       const std::shared_ptr<Responder> &responder);
+  void HandleReady(const std::shared_ptr<Responder> &responder);
+  void HandleOperator(const HttpRequest &request,
+                      const std::shared_ptr<Responder> &responder) const;
+  void CheckLeft();
+  [[nodiscard]] bool Ready() const;
+  [[nodiscard]] Span Leaving() const;
+  [[nodiscard]] std::size_t InProgress() const;
+
+  Settings settings;
+  MeshParts parts;
+  Loop &loop;
+  Metrics metrics;
+  LinkClient link;
+  Bus bus;
+  MemberService members;
+  PolicyFollower policy;
+  SlotRing ring;
+  ShareService shares;
+  Router router;
+  Serving serving;
+  FleetRetryBudget retry_budget;
+  Dispatcher dispatcher;
+  Outbound outbound;
+  HeartbeatFilter heartbeats;
+  LinkServer link_server;
+  HttpServer caller_server;
+  HttpServer heartbeat_server;
+  HttpServer ready_server;
+  HttpServer operator_server;
+  Time left_at{};
+  bool leaving{};
+  bool was_ready{};
+};
+
+}  // namespace pollenring
+
+#endif  // POLLENRING_MESH_MESH_NODE_H_
--- /dev/null
+++ b/src/pollenring/mesh/outbound.cc
@@ -0,0 +1,256 @@
+#include "pollenring/mesh/outbound.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "pollenring/admission/shed_levels.h"
+#include "pollenring/core/hash.h"
+#include "pollenring/core/request_id.h"
+#include "pollenring/log/log.h"
+#include "pollenring/node/headers.h"
+#include "pollenring/node/limits.h"
+#include "pollenring/retry/backoff.h"
+
+namespace pollenring {
+namespace {
+
+constexpr double kLotScale = 1.0 / 9007199254740992.0;
+/*! @brief Steps of the golden ratio spread over [0, 1) more evenly than random
+ * numbers, so that a split holds over short stretches too. */
+constexpr double kGoldenStep = 0.6180339887498949;
+/*! @brief Retries of a call that its route and the budget bound anyway. */
+constexpr int kAllowance = 8;
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
+constexpr int kBadGateway = 502;
+constexpr int kFirstFailure = 400;
+/*! @brief Longest wait of a request whose caller and route name none. */
+constexpr Span kDefaultTimeout = std::chrono::seconds{10};
+
+[[nodiscard]] double LotOf(const std::string &id) noexcept {
+  return static_cast<double>(Hash64(id) >> 11U) * kLotScale;
+}
+
+/*! @brief Calls of targets go first: work was done above them already. */
+[[nodiscard]] Importance ImportanceOf(const HostRoute &route) noexcept {
+  if (route.open) return Importance::kCritical;
+  if (route.rank <= 0) return Importance::kHigh;
+  return route.rank == 1 ? Importance::kNormal : Importance::kLow;
+}
+
+/*! @brief Chooses a status that promises no more than is known. */
+[[nodiscard]] int HonestStatus(const CallReply &reply) noexcept {
+  if (reply.outcome == Outcome::kNotRun && reply.reason == Reason::kDeadline) {
+    return kServiceUnavailable;
+  }
+  const bool promises =
+      reply.status == kTooManyRequests || reply.status == kServiceUnavailable;
+  if (!promises || reply.outcome == Outcome::kNotRun) return reply.status;
+  return kBadGateway;
+}
+
+}  // namespace
+
+/*! @brief A request and what is known of it. */
+struct Outbound::Entry {
+  Entry(std::size_t &held, std::size_t size) : held{held}, size{size} {
+    this->held += this->size;
+  }
+  Entry(const Entry &) = delete;
+  Entry &operator=(const Entry &) = delete;
+  ~Entry() { this->held -= this->size; }
+
+  std::size_t &held;
+  std::size_t size;
+  CallEnvelope envelope;
+  std::string body;
+  std::string id;
+  std::string route;
+  std::string service;
+  std::string level_key;
+  std::uint64_t version{};
+  Time started{};
+  Time deadline{};
+  int attempts{1};
+  bool idempotent{};
+  bool gone{};
+  std::shared_ptr<Responder> responder;
+};
+
+Outbound::Outbound(Loop &loop, std::string service, const OutboundParts &parts)
+    : loop{loop},
+      service{std::move(service)},
+      parts{parts},
+      levels{loop.GetClock()} {}
+
+void Outbound::Handle(HttpRequest request,
+                      std::shared_ptr<Responder> responder) {
+  auto entry = std::make_shared<Entry>(this->body_bytes, request.body.size());
+  entry->responder = std::move(responder);
+  entry->started = this->loop.GetClock().Now();
+  this->parts.metrics.Count("pollenring_requests_total");
+  CallerRequest caller = this->parts.dialect.Decode(request.headers);
+  entry->id = caller.id;
+  if (this->body_bytes > kBodyBudgetBytes) {
+    this->Refuse(entry, Reason::kOverload, kComeBack);
+    return;
+  }
+  const Reason refused = this->Admit(request, caller, *entry);
+  if (refused != Reason::kNone) {
+    this->Refuse(entry, refused,
+                 refused == Reason::kNotFresh ? kComeBack : Span{0});
+    return;
+  }
+  entry->envelope.headers = std::move(caller.headers);
+  entry->body = std::move(request.body);
+  entry->responder->OnCancel([entry] { entry->gone = true; });
+  this->Charge(entry);
+}
+
+Reason Outbound::Admit(const HttpRequest &request, CallerRequest &caller,
+                       Entry &entry) {
+  const HostTable &table = this->parts.policy.InForce();
+  entry.version = table.Version();
+  // Without a configuration nothing can be said of routes and keys.
+  if (entry.version == 0) return Reason::kNotFresh;
+  const HostRoute *route = table.Find(request.host, request.path);
+  if (route == nullptr) return Reason::kNoRoute;
+  entry.route = route->name;
+  CallEnvelope &envelope = entry.envelope;
+  if (!route->open && table.NeedsKeys()) {
+    const KeyedWorkspace *workspace = table.WorkspaceOf(caller.key);
+    if (workspace == nullptr) return Reason::kKeyRefused;
+    envelope.workspace = workspace->share.name;
+    if (workspace->share.rate > 0) envelope.weight = workspace->share.rate;
+  }
+  if (entry.id.empty()) {
+    entry.id = MintRequestId(this->loop.GetClock().Wall(), this->parts.random);
+  }
+  envelope.root_id = entry.id;
+  entry.service = this->ChoosePart(*route);
+  envelope.service = entry.service;
+  envelope.method = request.method;
+  envelope.path = request.path;
+  envelope.host = request.host;
+  envelope.caller = this->service;
+  envelope.importance = ImportanceOf(*route);
+  envelope.idempotent = route->idempotent;
+  envelope.lot = LotOf(entry.id);
+  envelope.depth = route->open ? 1 : 0;
+  envelope.retries = kAllowance;
+  entry.idempotent = route->idempotent;
+  entry.attempts = route->attempts;
+  entry.level_key = envelope.workspace + ' ' + route->name;
+  Span left = route->timeout > Span{0} ? route->timeout : kDefaultTimeout;
+  if (caller.remaining) left = std::min(left, *caller.remaining);
+  entry.deadline = entry.started + left;
+  return Reason::kNone;
+}
+
+const std::string &Outbound::ChoosePart(const HostRoute &route) {
+  if (route.parts.size() == 1) return route.parts.front().service;
+  const auto [found, fresh] =
+      this->split_positions.try_emplace(route.name, 0.0);
+  if (fresh) found->second = this->parts.random.Fraction();
+  double &position = found->second;
+  position += kGoldenStep;
+  position -= std::floor(position);
+  double total = 0;
+  for (const auto &part : route.parts) total += part.weight;
+  double left = position * total;
+  for (const auto &part : route.parts) {
+    left -= part.weight;
+    if (left < 0) return part.service;
+  }
+  return route.parts.back().service;
+}
+
+bool Outbound::ShedsEarly(const Entry &entry) const {
+  const CallEnvelope &envelope = entry.envelope;
+  if (envelope.depth > 0) return false;
+  return PriorityOf(envelope.importance, envelope.lot) <
+         this->levels.LevelOf(entry.level_key);
+}
+
+void Outbound::Charge(const EntryPtr &entry) {
+  if (this->ShedsEarly(*entry)) {
+    this->parts.metrics.Count("pollenring_early_refusals_total");
+    this->Refuse(entry, Reason::kOverload, kComeBack);
+    return;
+  }
+  const std::string &workspace = entry->envelope.workspace;
+  const bool limited =
+      !workspace.empty() && this->parts.policy.RateOf(workspace).has_value();
+  if (!limited) {
+    this->Send(entry);
+    return;
+  }
+  this->parts.shares.Charge(
+      workspace, entry->deadline, [this, entry](ShareAnswer answer) {
+        if (answer.granted) {
+          this->Send(entry);
+          return;
+        }
+        this->Refuse(entry, answer.reason, answer.retry_after);
+      });
+}
+
+void Outbound::Send(const EntryPtr &entry) {
+  if (entry->gone) return;
+  const auto call = this->parts.dispatcher.Call(
+      std::move(entry->envelope), std::move(entry->body), entry->deadline,
+      [this, entry](CallReply reply, std::string body) {
+        this->levels.Learn(entry->level_key, reply.levels);
+        this->Answer(entry, std::move(reply), std::move(body));
+      },
+      entry->attempts);
+  entry->responder->OnCancel([this, call] {
+    this->parts.metrics.Count("pollenring_gone_callers_total");
+    this->parts.dispatcher.Cancel(call);
+  });
+}
+
+void Outbound::Refuse(const EntryPtr &entry, Reason reason, Span retry_after) {
+  const Span come_back = retry_after > Span{0}
+                             ? SpreadAround(retry_after, this->parts.random)
+                             : Span{0};
+  this->Answer(entry, Refusal(Outcome::kNotRun, reason, come_back), {});
+}
+
+void Outbound::Answer(const EntryPtr &entry, CallReply reply,
+                      std::string body) {
+  reply.status = HonestStatus(reply);
+  this->Record(*entry, reply);
+  entry->responder->Send(
+      this->parts.dialect.Encode(reply, std::move(body), entry->id));
+}
+
+void Outbound::Record(const Entry &entry, const CallReply &reply) {
+  Metrics &metrics = this->parts.metrics;
+  const Span took = this->loop.GetClock().Now() - entry.started;
+  metrics.Observe("pollenring_request_seconds",
+                  std::chrono::duration<double>{took}.count());
+  metrics.Count("pollenring_outcomes_total",
+                {"outcome", std::string{kOutcomeNames.Name(reply.outcome)}});
+  if (reply.reason != Reason::kNone) {
+    metrics.Count("pollenring_refusals_total",
+                  {"reason", std::string{kReasonNames.Name(reply.reason)}});
+  }
+  const bool failed = reply.status >= kFirstFailure;
+  const LogLevel level = failed ? LogLevel::kWarning : LogLevel::kInfo;
+  if (!MayLogRequest(level)) return;
+  LogEvent(level, "request",
+           {{"id", entry.id},
+            {"route", entry.route},
+            {"service", entry.service},
+            {"status", reply.status},
+            {"outcome", kOutcomeNames.Name(reply.outcome)},
+            {"reason", kReasonNames.Name(reply.reason)},
+            {"took_ms", took.count() / 1000},
+            {"left_ms", (entry.deadline - entry.started - took).count() / 1000},
+            {"version", entry.version},
+            {"retry_after_ms", reply.retry_after_us / 1000}});
+}
+
+}  // namespace pollenring
--- /dev/null
+++ b/src/pollenring/mesh/outbound.h
@@ -0,0 +1,84 @@
+#ifndef POLLENRING_MESH_OUTBOUND_H_
+#define POLLENRING_MESH_OUTBOUND_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "pollenring/core/random.h"
+#include "pollenring/mesh/dialects.h"
+#include "pollenring/mesh/policy_follower.h"
+#include "pollenring/metrics/metrics.h"
+#include "pollenring/net/http_server.h"
+#include "pollenring/net/loop.h"
+#include "pollenring/node/dispatcher.h"
+#include "pollenring/node/gates.h"
+#include "pollenring/node/route_levels.h"
+
+namespace pollenring {
+
+/*! @brief The parts that a request passes through. */
+struct OutboundParts {
+  const PolicyFollower &policy;
+  const CallerDialect &dialect;
+  ShareGate &shares;
+  Dispatcher &dispatcher;
+  Serving &serving;
+  Random &random;
+  Metrics &metrics;
+};
+
+/**
+ * @brief Takes requests of the clients and of the target on this VM.
+ *
+ * Host and path name the route. Route, key, early refusal and share are checked
+ * in this order, the cheapest first; only then is the request sent.
+ */
+class Outbound {
+ public:
+  /**
+   * @brief Creates the entry.
+   * @param loop The loop.
+   * @param service Service of the target on this VM.
+   * @param parts What requests pass through.
+   */
+  Outbound(Loop &loop, std::string service, const OutboundParts &parts);
+
+  /**
+   * @brief Takes one request.
+   * @param request The request.
+   * @param responder Receives its answer.
+   */
+  void Handle(HttpRequest request, std::shared_ptr<Responder> responder);
+
+  /*! @brief Bytes of bodies of requests in progress. @return The sum. */
+  [[nodiscard]] std::size_t BodyBytes() const noexcept {
+    return this->body_bytes;
+  }
+
+ private:
+  struct Entry;
+  using EntryPtr = std::shared_ptr<Entry>;
+
+  [[nodiscard]] Reason Admit(const HttpRequest &request, CallerRequest &caller,
+                             Entry &entry);
+  [[nodiscard]] const std::string &ChoosePart(const HostRoute &route);
+  [[nodiscard]] bool ShedsEarly(const Entry &entry) const;
+  void Charge(const EntryPtr &entry);
+  void Send(const EntryPtr &entry);
+  void Refuse(const EntryPtr &entry, Reason reason, Span retry_after);
+  void Answer(const EntryPtr &entry, CallReply reply, std::string body);
+  void Record(const Entry &entry, const CallReply &reply);
+
+  Loop &loop;
+  std::string service;
+  OutboundParts parts;
+  RouteLevels levels;
+  std::unordered_map<std::string, double> split_positions;
+  std::size_t body_bytes{};
+};
+
+}  // namespace pollenring
+
+#endif  // POLLENRING_MESH_OUTBOUND_H_
--- /dev/null
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -0,0 +1,160 @@
+#include "pollenring/mesh/policy_follower.h"
+
+#include <algorithm>
+
+#include "pollenring/log/log.h"
+#include "pollenring/retry/backoff.h"
+
+namespace pollenring {
+namespace {
+
+/*! @brief Longest wait of one watch. A change must be in force within 2 s on a
+ * node that was undisturbed for 3 s; a connection may fall silent unnoticed. */
+constexpr Span kWatch = std::chrono::milliseconds{2200};
+constexpr Span kFirstPause = std::chrono::milliseconds{100};
+/*! @brief All nodes together then ask a store that is down some ten times a
+ * second each second, well below its rate. */
+constexpr Span kLongestPause = std::chrono::milliseconds{800};
+constexpr Span kPullTimeout = std::chrono::milliseconds{800};
+/*! @brief Peers told at once of a new version; they tell others. */
+constexpr std::size_t kSpreadTo = 3;
+
+}  // namespace
+
+PolicyFollower::PolicyFollower(Loop &loop, MemberService &members,
+                               LinkClient &link, PolicySource &source,
+                               const PolicyDialect &dialect, Random &random)
+    : loop{loop},
+      members{members},
+      link{link},
+      source{source},
+      dialect{dialect},
+      random{random},
+      store_heard{loop.GetClock().Now()} {}
+
+void PolicyFollower::Start() {
+  this->members.OnVersion([this](NodeId peer, std::uint64_t version) {
+    this->PeerVersion(peer, version);
+  });
+  this->Read();
+}
+
+std::optional<WorkspaceShare> PolicyFollower::RateOf(
+    const std::string &workspace) const {
+  const WorkspaceShare *share = this->table.ShareOf(workspace);
+  if (share == nullptr) return std::nullopt;
+  return *share;
+}
+
+void PolicyFollower::Read() {
+  this->source.Read([this](PolicySource::Reply reply) {
+    if (const auto *error = std::get_if<StorageError>(&reply)) {
+      this->Failed(*error);
+      return;
+    }
+    this->Heard();
+    auto &stored = std::get<StoredDocument>(reply);
+    this->position = stored.position;
+    if (stored.text) {
+      this->Take(std::move(*stored.text), "store");
+      this->Await();
+      return;
+    }
+    this->Await();
+  });
+}
+
+void PolicyFollower::Await() {
+  this->source.Await(this->position, kWatch, [this](PolicySource::Reply reply) {
+    if (const auto *error = std::get_if<StorageError>(&reply)) {
+      this->Failed(*error);
+      return;
+    }
+    this->Heard();
+    auto &stored = std::get<StoredDocument>(reply);
+    this->position = std::max(this->position, stored.position);
+    if (stored.text) this->Take(std::move(*stored.text), "store");
+    this->Await();
+  });
+}
+
+void PolicyFollower::Heard() {
+  this->store_heard = this->loop.GetClock().Now();
+  this->pause = Span{0};
+  if (!std::exchange(this->store_lost, false)) return;
+  LogEvent(LogLevel::kInfo, "store regained",
+           {{"version", this->table.Version()}});
+}
+
+void PolicyFollower::Failed(StorageError error) {
+  const bool first = !std::exchange(this->store_lost, true);
+  if (first) {
+    LogEvent(LogLevel::kWarning, "store lost",
+             {{"error", kStorageErrorNames.Name(error)},
+              {"silent_ms", this->StoreSilence().count() / 1000},
+              {"version", this->table.Version()}});
+  }
+  this->pause = std::clamp(this->pause * 2, kFirstPause, kLongestPause);
+  // Changes may have been missed meanwhile, so the document is read anew.
+  this->loop.After(SpreadAround(this->pause, this->random),
+                   [this] { this->Read(); });
+}
+
+void PolicyFollower::Take(std::string text, std::string_view origin) {
+  auto policy = this->dialect.Decode(text);
+  if (!policy) {
+    LogEvent(LogLevel::kError, "configuration unreadable",
+             {{"origin", origin},
+              {"bytes", text.size()},
+              {"in_force", this->table.Version()}});
+    return;
+  }
+  if (policy->version <= this->table.Version()) return;
+  const std::uint64_t before = this->table.Version();
+  this->table = HostTable{std::move(*policy)};
+  this->document = std::move(text);
+  LogEvent(LogLevel::kInfo, "configuration in force",
+           {{"version", this->table.Version()},
+            {"before", before},
+            {"origin", origin}});
+  this->members.Get().SetConfigVersion(this->table.Version());
+  this->loop.Post([this] { this->Spread(); });
+}
+
+void PolicyFollower::PeerVersion(NodeId peer, std::uint64_t version) {
+  std::uint64_t &known = this->peer_versions[peer];
+  known = std::max(known, version);
+  if (version > this->table.Version()) this->Pull(peer);
+}
+
+void PolicyFollower::Pull(NodeId peer) {
+  if (std::exchange(this->pulling, true)) return;
+  this->link.Call(AddressOf(peer), "document", {}, kPullTimeout,
+                  [this](LinkClient::Reply reply) {
+                    this->pulling = false;
+                    auto *text = std::get_if<std::string>(&reply);
+                    // The next gossip of a newer version asks again.
+                    if (text == nullptr || text->empty()) return;
+                    this->Take(std::move(*text), "peer");
+                  });
+}
+
+void PolicyFollower::Spread() {
+  Membership &membership = this->members.Get();
+  std::vector<NodeId> behind;
+  for (const auto &[id, member] : membership.Members()) {
+    if (member.state == MemberState::kDead) continue;
+    const auto known = this->peer_versions.find(id);
+    const bool has_it = known != this->peer_versions.end() &&
+                        known->second >= this->table.Version();
+    if (!has_it) behind.push_back(id);
+  }
+  if (behind.empty()) return;
+  const std::size_t count = std::min(kSpreadTo, behind.size());
+  const std::size_t first = this->random.Index(behind.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    membership.Contact(behind[(first + i) % behind.size()]);
+  }
+}
+
+}  // namespace pollenring
--- /dev/null
+++ b/src/pollenring/mesh/policy_follower.h
@@ -0,0 +1,89 @@
+#ifndef POLLENRING_MESH_POLICY_FOLLOWER_H_
+#define POLLENRING_MESH_POLICY_FOLLOWER_H_
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "pollenring/contract/host_policy.h"
+#include "pollenring/core/random.h"
+#include "pollenring/link/link_client.h"
+#include "pollenring/mesh/dialects.h"
+#include "pollenring/net/loop.h"
+#include "pollenring/node/gates.h"
+#include "pollenring/node/member_service.h"
+
+namespace pollenring {
+
+/**
+ * @brief Keeps the operator's newest document in force.
+ *
+ * Each node watches the store; versions also travel between nodes, so that one
+ * that the store does not answer follows as well. A version never goes back.
+ */
+class PolicyFollower final : public WorkspaceRates {
+ public:
+  /**
+   * @brief Starts without a document.
+   * @param loop The loop.
+   * @param members Membership; it tells peers' versions.
+   * @param link Streams to peers.
+   * @param source Where the document lies.
+   * @param dialect How it is written.
+   * @param random Randomness.
+   */
+  PolicyFollower(Loop &loop, MemberService &members, LinkClient &link,
+                 PolicySource &source, const PolicyDialect &dialect,
+                 Random &random);
+
+  /*! @brief Starts to watch. */
+  void Start();
+
+  /*! @brief The configuration in force; version 0 declares nothing. */
+  [[nodiscard]] const HostTable &InForce() const noexcept {
+    return this->table;
+  }
+
+  /*! @brief The document in force, for a peer. @return Its text. */
+  [[nodiscard]] const std::string &Document() const noexcept {
+    return this->document;
+  }
+
+  /*! @brief Time since the store last answered. @return The age. */
+  [[nodiscard]] Span StoreSilence() const noexcept {
+    return this->loop.GetClock().Now() - this->store_heard;
+  }
+
+  [[nodiscard]] std::optional<WorkspaceShare> RateOf(
+      const std::string &workspace) const override;
+
+ private:
+  void Read();
+  void Await();
+  void Failed(StorageError error);
+  void Heard();
+  void Take(std::string text, std::string_view origin);
+  void PeerVersion(NodeId peer, std::uint64_t version);
+  void Pull(NodeId peer);
+  void Spread();
+
+  Loop &loop;
+  MemberService &members;
+  LinkClient &link;
+  PolicySource &source;
+  const PolicyDialect &dialect;
+  Random &random;
+  HostTable table;
+  std::string document;
+  std::unordered_map<NodeId, std::uint64_t> peer_versions;
+  std::uint64_t position{};
+  Time store_heard{};
+  Span pause{};
+  bool store_lost{};
+  bool pulling{};
+};
+
+}  // namespace pollenring
+
+#endif  // POLLENRING_MESH_POLICY_FOLLOWER_H_
--- /dev/null
+++ b/src/pollenring/mesh/slot_ring.cc
@@ -0,0 +1,82 @@
+#include "pollenring/mesh/slot_ring.h"
+
+#include <string>
+
+#include "pollenring/core/hash.h"
+
+namespace pollenring {
+namespace {
+
+/*! @brief Slots in all; several times what workspaces of one deployment need,
+ * and each costs a hash per member on a change. */
+constexpr SlotId kSlots = 32;
+/*! @brief Longest loan; the ring is dealt anew much more often. */
+constexpr Span kValidity = std::chrono::seconds{2};
+
+[[nodiscard]] bool Lends(const Member &member) noexcept {
+  return member.state == MemberState::kAlive ||
+         member.state == MemberState::kSuspect;
+}
+
+[[nodiscard]] std::uint64_t WeightOf(SlotId slot, NodeId node) {
+  return Hash64(std::to_string(slot) + '@' + std::to_string(node));
+}
+
+}  // namespace
+
+SlotRing::SlotRing(const Membership &membership, const Clock &clock, bool fresh)
+    : membership{membership}, clock{clock}, fresh{fresh}, holders(kSlots) {}
+
+void SlotRing::Update(SlotUser &user) {
+  const NodeId self = this->membership.Self().id;
+  for (SlotId slot = 0; slot < kSlots; ++slot) {
+    NodeId best = 0;
+    std::uint64_t weight = 0;
+    const auto consider = [&](const Member &member) {
+      if (!Lends(member)) return;
+      const std::uint64_t own = WeightOf(slot, member.id);
+      if (best != 0 && own <= weight) return;
+      best = member.id;
+      weight = own;
+    };
+    consider(this->membership.Self());
+    for (const auto &[id, member] : this->membership.Members()) {
+      consider(member);
+    }
+    const NodeId before = std::exchange(this->holders[slot], best);
+    if (before == best) continue;
+    if (before == self) user.SlotLost(slot);
+    if (best != self) continue;
+    SlotRow last;
+    last.epoch = this->fresh ? 0 : 1;
+    user.SlotGained(slot, {}, SlotOrigin::kTakenOver, last);
+  }
+}
+
+double SlotRing::Part() const {
+  std::size_t lending = 1;
+  std::size_t silent = 0;
+  for (const auto &[id, member] : this->membership.Members()) {
+    if (Lends(member)) ++lending;
+    if (member.state == MemberState::kDead) ++silent;
+  }
+  return static_cast<double>(lending) / static_cast<double>(lending + silent);
+}
+
+SlotId SlotRing::Count() const noexcept { return kSlots; }
+
+std::optional<NodeId> SlotRing::HolderOf(SlotId slot) const {
+  const NodeId holder = this->holders.at(slot);
+  if (holder == 0) return std::nullopt;
+  return holder;
+}
+
+bool SlotRing::Holds(SlotId slot) const {
+  return this->holders.at(slot) == this->membership.Self().id;
+}
+
+Time SlotRing::ValidUntil(SlotId slot) const {
+  return this->Holds(slot) ? this->clock.Now() + kValidity : Time{};
+}
+
+}  // namespace pollenring
--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -1,37 +1,42 @@
 #include "pollenring/net/http_client.h"
 
 #include <algorithm>
-#include <cctype>
 #include <cstring>
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
+#include "pollenring/net/answer_parser.h"
 #include "pollenring/net/h2o_api.h"
 #include "pollenring/net/loop.h"
 
 namespace pollenring {
 namespace {
 
+using internal::AnswerParser;
+using internal::AnswerState;
+
+/*! @brief Idle connections kept per peer; above any target's slots. */
 constexpr std::size_t kPoolCapacity = 1024;
-constexpr std::uint64_t kPoolIdleMs = 30'000;
-constexpr std::uint64_t kIoTimeoutMs = 600'000;
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
-
-[[nodiscard]] bool IsFraming(std::string_view name) noexcept {
-  return name == "connection" || name == "transfer-encoding" ||
-         name == "content-length" || name == "keep-alive" || name == "host" ||
-         name == "expect" || name == "upgrade" || name == "te" ||
-         name == "trailer" || name == "proxy-connection";
-}
+/*! @brief How long an idle connection is kept when its peer says nothing; most
+ * servers close after five seconds. */
+constexpr Span kPoolIdle = std::chrono::seconds{4};
+/*! @brief Part of the peer's idle time-out during which a connection is used;
+ * the rest covers the way there and a late timer. */
+constexpr double kIdleFraction = 0.8;
+constexpr Span kIdleSweep = std::chrono::seconds{1};
+/*! @brief Longest wait for a connection; peers are milliseconds away, and a
+ * lost opening packet is sent again after one second. */
+constexpr Span kConnectTimeout = std::chrono::milliseconds{1500};
 
 [[nodiscard]] std::string Serialize(const Address &to,
                                     const HttpRequest &request) {
   std::string head = request.method + " " + request.path + " HTTP/1.1\r\n";
-  head += "host: " + to.Format() + "\r\n";
+  head += "host: " + (request.host.empty() ? to.Format() : request.host);
+  head += "\r\n";
   for (const auto &header : request.headers) {
-    if (IsFraming(header.name)) continue;
+    if (internal::IsFraming(header.name)) continue;
     head += header.name + ": " + header.value + "\r\n";
   }
   const bool has_body = !request.body.empty() || request.method == "POST" ||
@@ -48,177 +53,274 @@
  public:
   Impl(Loop &loop, std::size_t max_body_bytes)
       : loop{loop}, max_body_bytes{max_body_bytes} {
-    h2o_timeout_init(loop.Native(), &this->io_timeout, kIoTimeoutMs);
-    this->context.loop = loop.Native();
-    this->context.io_timeout = &this->io_timeout;
+    const std::weak_ptr<bool> still = this->alive;
+    loop.Every(kIdleSweep, [this, still] {
+      if (!still.expired()) this->DropIdle();
+    });
   }
 
   CallId Start(const Address &to, const HttpRequest &request, Span timeout,
-               Done done) {
+               Done done, AnswerMark mark) {
     const CallId id = ++this->last_id;
-    auto call = std::make_unique<Pending>();
-    call->owner = this;
-    call->id = id;
-    call->out = Serialize(to, request);
-    call->head_only = request.method == "HEAD";
-    call->done = std::move(done);
-    call->timer = this->loop.After(timeout, [this, id] { this->Expire(id); });
-    this->calls.emplace(id, std::move(call));
-    this->loop.Post([this, id, to] { this->Connect(id, to); });
+    Pending &call = this->calls[id];
+    call.to = to;
+    call.out = Serialize(to, request);
+    call.head_only = request.method == "HEAD";
+    call.mark = std::move(mark);
+    call.done = std::move(done);
+    call.timer = this->loop.After(timeout, [this, id] { this->Expire(id); });
+    if (!this->Reuse(id, call)) this->Connect(id, call);
     return id;
   }
 
   void Cancel(CallId id) {
     const auto found = this->calls.find(id);
     if (found == this->calls.end()) return;
-    const auto call = std::move(found->second);
+    this->loop.Cancel(found->second.timer);
+    Connection *connection = found->second.connection;
     this->calls.erase(found);
-    this->loop.Cancel(call->timer);
-    if (call->client != nullptr) h2o_http1client_cancel(call->client);
+    if (connection != nullptr) this->Drop(*connection);
+  }
+
+  [[nodiscard]] std::uint64_t Connects() const noexcept {
+    return this->connects;
   }
 
  private:
-  struct Pending {
+  struct Connection {
     Impl *owner{};
-    CallId id{};
+    Address to;
+    h2o_socket_t *sock{};
+    std::optional<AnswerParser> parser;
+    CallId call{}; /*!< 0 while idle. */
+    Time idle_until{};
+    Loop::TimerId connect_timer{};
+    bool writing{};
+    bool spoiled{}; /*!< Has carried an answer of another request. */
+  };
+
+  struct Pending {
+    Address to;
     std::string out;
-    h2o_iovec_t out_vector{};
-    h2o_http1client_t *client{};
-    HttpResponse response;
-    std::optional<std::size_t> length;
-    bool chunked{};
+    AnswerMark mark;
     bool head_only{};
     bool sent{};
     Done done;
     Loop::TimerId timer{};
+    Connection *connection{};
+  };
 
-    void TakeHeaders(const h2o_header_t *headers, std::size_t count) {
-      for (std::size_t i = 0; i < count; ++i) {
-        std::string name{headers[i].name->base, headers[i].name->len};
-        std::string value{headers[i].value.base, headers[i].value.len};
-        if (name == "content-length") this->length = std::stoull(value);
-        if (name == "transfer-encoding") this->chunked = true;
-        if (IsFraming(name)) continue;
-        this->response.headers.push_back({std::move(name), std::move(value)});
+  bool Reuse(CallId id, Pending &call) {
+    const auto found = this->idle.find(call.to);
+    if (found == this->idle.end()) return false;
+    auto &pool = found->second;
+    const Time now = this->loop.GetClock().Now();
+    while (!pool.empty()) {
+      Connection *connection = pool.back();
+      pool.pop_back();
+      if (connection->idle_until <= now) {
+        this->Destroy(*connection);
+        continue;
       }
+      this->Send(id, call, *connection);
+      return true;
     }
-  };
+    return false;
+  }
 
-  void Connect(CallId id, const Address &to) {
-    const auto found = this->calls.find(id);
-    if (found == this->calls.end()) return;
-    Pending *call = found->second.get();
-    h2o_http1client_connect_with_pool(&call->client, call, &this->context,
-                                      this->PoolOf(to), &Impl::OnConnect);
+  void Connect(CallId id, Pending &call) {
+    auto owned = std::make_unique<Connection>();
+    Connection &connection = *owned;
+    connection.owner = this;
+    connection.to = call.to;
+    connection.call = id;
+    call.connection = &connection;
+    sockaddr_in native = call.to.Native();
+    connection.sock = h2o_socket_connect(this->loop.Native(),
+                                         reinterpret_cast<sockaddr *>(&native),
+                                         sizeof(native), &Impl::OnConnect);
+    if (connection.sock == nullptr) {
+      call.connection = nullptr;
+      this->Finish(id, CallError::kNotConnected);
+      return;
+    }
+    ++this->connects;
+    connection.sock->data = &connection;
+    connection.connect_timer = this->loop.After(kConnectTimeout, [this, id] {
+      const auto found = this->calls.find(id);
+      if (found == this->calls.end() || found->second.sent) return;
+      this->Fail(*found->second.connection, CallError::kNotConnected);
+    });
+    this->connections.emplace(&connection, std::move(owned));
+  }
+
+  static void OnConnect(h2o_socket_t *sock, const char *error) {
+    auto *connection = static_cast<Connection *>(sock->data);
+    Impl *self = connection->owner;
+    self->loop.Cancel(connection->connect_timer);
+    if (error != nullptr) {
+      self->Fail(*connection, CallError::kNotConnected);
+      return;
+    }
+    self->Send(connection->call, self->calls.at(connection->call), *connection);
+  }
+
+  void Send(CallId id, Pending &call, Connection &connection) {
+    connection.call = id;
+    connection.parser.emplace(call.head_only, this->max_body_bytes);
+    connection.writing = true;
+    call.connection = &connection;
+    call.sent = true;
+    h2o_iovec_t out = h2o_iovec_init(call.out.data(), call.out.size());
+    h2o_socket_read_start(connection.sock, &Impl::OnRead);
+    h2o_socket_write(connection.sock, &out, 1, &Impl::OnWritten);
+  }
+
+  static void OnWritten(h2o_socket_t *sock, const char *error) {
+    auto *connection = static_cast<Connection *>(sock->data);
+    connection->writing = false;
+    // What the peer may still have answered is read first.
+    if (error != nullptr) connection->spoiled = true;
+  }
+
+  static void OnRead(h2o_socket_t *sock, const char *error) {
+    auto *connection = static_cast<Connection *>(sock->data);
+    connection->owner->Read(*connection, error);
+  }
+
+  void Read(Connection &connection, const char *error) {
+    if (connection.call == 0) {
+      // An end, or bytes that belong to no request.
+      this->RemoveIdle(connection);
+      this->Destroy(connection);
+      return;
+    }
+    h2o_buffer_t **input = &connection.sock->input;
+    std::size_t used = 0;
+    while (used < (*input)->size) {
+      used += connection.parser->Feed((*input)->bytes + used,
+                                      (*input)->size - used);
+      if (connection.parser->State() == AnswerState::kPartial) continue;
+      if (!this->SkipForeign(connection)) break;
+    }
+    const bool stray = used < (*input)->size;
+    h2o_buffer_consume(input, (*input)->size);
+    if (error == h2o_socket_error_closed) connection.parser->End();
+    switch (connection.parser->State()) {
+      case AnswerState::kWhole:
+        this->Complete(connection, stray || error != nullptr);
+        return;
+      case AnswerState::kTooLarge:
+        this->Fail(connection, CallError::kTooLarge);
+        return;
+      case AnswerState::kBroken:
+        this->Fail(connection, CallError::kBroken);
+        return;
+      case AnswerState::kPartial:
+        if (error != nullptr) this->Fail(connection, CallError::kBroken);
+    }
+  }
+
+  /*! @brief Leaves out an answer that names another request. */
+  bool SkipForeign(Connection &connection) {
+    if (connection.parser->State() != AnswerState::kWhole) return false;
+    const Pending &call = this->calls.at(connection.call);
+    if (call.mark.name.empty()) return false;
+    const auto given =
+        FindHeader(connection.parser->Answer().headers, call.mark.name);
+    if (given.empty() || given == call.mark.value) return false;
+    connection.spoiled = true;
+    connection.parser.emplace(call.head_only, this->max_body_bytes);
+    return true;
+  }
+
+  void Complete(Connection &connection, bool ended) {
+    const CallId id = connection.call;
+    AnswerParser &parser = *connection.parser;
+    const bool reusable = !ended && !connection.spoiled &&
+                          !connection.writing && parser.KeepsAlive();
+    HttpResponse answer = std::move(parser.Answer());
+    const Span stated = parser.IdleTimeout();
+    this->calls.at(id).connection = nullptr;
+    connection.call = 0;
+    auto &pool = this->idle[connection.to];
+    if (reusable && pool.size() < kPoolCapacity) {
+      const Span kept =
+          stated > Span{0}
+              ? Span{static_cast<std::int64_t>(
+                    static_cast<double>(stated.count()) * kIdleFraction)}
+              : kPoolIdle;
+      connection.idle_until = this->loop.GetClock().Now() + kept;
+      pool.push_back(&connection);
+    } else {
+      this->Destroy(connection);
+    }
+    this->Finish(id, std::move(answer));
   }
 
-  [[nodiscard]] h2o_socketpool_t *PoolOf(const Address &to) {
-    auto &pool = this->pools[to];
-    if (pool) return pool.get();
-    pool = std::make_unique<h2o_socketpool_t>();
-    sockaddr_in native = to.Native();
-    h2o_socketpool_init_by_address(pool.get(),
-                                   reinterpret_cast<sockaddr *>(&native),
-                                   sizeof(native), 0, kPoolCapacity);
-    h2o_socketpool_set_timeout(pool.get(), this->loop.Native(), kPoolIdleMs);
-    return pool.get();
+  void Fail(Connection &connection, CallError error) {
+    const CallId id = connection.call;
+    this->calls.at(id).connection = nullptr;
+    this->Destroy(connection);
+    this->Finish(id, error);
   }
 
   void Expire(CallId id) {
     const auto found = this->calls.find(id);
     if (found == this->calls.end()) return;
-    const bool sent = found->second->sent;
-    Done done = std::move(found->second->done);
+    const bool sent = found->second.sent;
+    Done done = std::move(found->second.done);
     this->Cancel(id);
     done(sent ? CallError::kTimedOut : CallError::kNotConnected);
   }
 
-  void Finish(Pending *call, Reply reply) {
-    const auto found = this->calls.find(call->id);
-    const auto owned = std::move(found->second);
+  void Finish(CallId id, Reply reply) {
+    const auto found = this->calls.find(id);
+    Done done = std::move(found->second.done);
+    this->loop.Cancel(found->second.timer);
     this->calls.erase(found);
-    this->loop.Cancel(owned->timer);
     this->loop.Post(
-        [done = std::move(owned->done), reply = std::move(reply)]() mutable {
+        [done = std::move(done), reply = std::move(reply)]() mutable {
           done(std::move(reply));
         });
   }
 
-  static h2o_http1client_head_cb OnConnect(h2o_http1client_t *client,
-                                           const char *error,
-                                           h2o_iovec_t **buffers,
-                                           std::size_t *count, int *is_head) {
-    auto *call = static_cast<Pending *>(client->data);
-    if (error != nullptr) {
-      call->owner->Finish(call, CallError::kNotConnected);
-      return nullptr;
-    }
-    call->sent = true;
-    call->out_vector = h2o_iovec_init(call->out.data(), call->out.size());
-    *buffers = &call->out_vector;
-    *count = 1;
-    *is_head = call->head_only ? 1 : 0;
-    return &Impl::OnHead;
-  }
-
-  static h2o_http1client_body_cb OnHead(h2o_http1client_t *client,
-                                        const char *error, int /*minor*/,
-                                        int status, h2o_iovec_t /*message*/,
-                                        h2o_header_t *headers,
-                                        std::size_t count, int /*length*/) {
-    auto *call = static_cast<Pending *>(client->data);
-    const bool ended = error == h2o_http1client_error_is_eos;
-    if (error != nullptr && !ended) {
-      call->owner->Finish(call, CallError::kBroken);
-      return nullptr;
+  void DropIdle() {
+    const Time now = this->loop.GetClock().Now();
+    for (auto &[to, pool] : this->idle) {
+      const auto over = std::partition(
+          pool.begin(), pool.end(),
+          [now](const Connection *kept) { return kept->idle_until > now; });
+      for (auto it = over; it != pool.end(); ++it) this->Destroy(**it);
+      pool.erase(over, pool.end());
     }
-    call->response.status = status;
-    call->TakeHeaders(headers, count);
-    if (!ended) return &Impl::OnBody;
-    call->owner->Complete(call);
-    return nullptr;
-  }
-
-  static int OnBody(h2o_http1client_t *client, const char *error) {
-    auto *call = static_cast<Pending *>(client->data);
-    const bool ended = error == h2o_http1client_error_is_eos;
-    if (error != nullptr && !ended) {
-      call->owner->Finish(call, CallError::kBroken);
-      return -1;
-    }
-    h2o_buffer_t **input = &client->sock->input;
-    call->response.body.append((*input)->bytes, (*input)->size);
-    h2o_buffer_consume(input, (*input)->size);
-    if (call->response.body.size() > call->owner->max_body_bytes) {
-      call->owner->Finish(call, CallError::kTooLarge);
-      return -1;
-    }
-    if (ended) call->owner->Complete(call);
-    return 0;
-  }
-
-  void Complete(Pending *call) {
-    const int status = call->response.status;
-    const bool bodiless =
-        call->head_only || status == kNoContent || status == kNotModified;
-    const bool whole =
-        bodiless || call->chunked ||
-        (call->length && *call->length == call->response.body.size());
-    if (!whole) {
-      this->Finish(call, CallError::kBroken);
-      return;
-    }
-    HttpResponse response = std::move(call->response);
-    this->Finish(call, std::move(response));
+  }
+
+  void RemoveIdle(Connection &connection) {
+    auto &pool = this->idle[connection.to];
+    pool.erase(std::remove(pool.begin(), pool.end(), &connection), pool.end());
+  }
+
+  void Drop(Connection &connection) {
+    this->loop.Cancel(connection.connect_timer);
+    this->Destroy(connection);
+  }
+
+  void Destroy(Connection &connection) {
+    this->loop.Cancel(connection.connect_timer);
+    h2o_socket_close(connection.sock);
+    this->connections.erase(&connection);
   }
 
   Loop &loop;
   std::size_t max_body_bytes;
-  h2o_timeout_t io_timeout{};
-  h2o_http1client_ctx_t context{};
-  std::map<Address, std::unique_ptr<h2o_socketpool_t>> pools;
-  std::unordered_map<CallId, std::unique_ptr<Pending>> calls;
+  std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
+  std::unordered_map<const Connection *, std::unique_ptr<Connection>>
+      connections;
+  std::map<Address, std::vector<Connection *>> idle;
+  std::unordered_map<CallId, Pending> calls;
   CallId last_id{};
+  std::uint64_t connects{};
 };
 
 HttpClient::HttpClient(Loop &loop, std::size_t max_body_bytes)
@@ -228,10 +330,15 @@
 
 HttpClient::CallId HttpClient::Call(const Address &to,
                                     const HttpRequest &request, Span timeout,
-                                    Done done) {
-  return this->impl->Start(to, request, timeout, std::move(done));
+                                    Done done, AnswerMark mark) {
+  return this->impl->Start(to, request, timeout, std::move(done),
+                           std::move(mark));
 }
 
 void HttpClient::Cancel(CallId id) { this->impl->Cancel(id); }
 
+std::uint64_t HttpClient::Connects() const noexcept {
+  return this->impl->Connects();
+}
+
 }  // namespace pollenring
--- a/src/pollenring/net/http_client.h
+++ b/src/pollenring/net/http_client.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "pollenring/core/clock.h"
 #include "pollenring/core/enum_table.h"
@@ -32,7 +33,19 @@
     {CallError::kTimedOut, "timed out"},
 }}};
 
-/*! @brief An HTTP/1.1 client for whole messages, with pooled connections. */
+/*! @brief A header that an answer repeats from its request; an answer with
+ * another value belongs to another request. */
+struct AnswerMark {
+  std::string name; /*!< In lower case; empty for no check. */
+  std::string value;
+};
+
+/**
+ * @brief An HTTP/1.1 client for whole messages, with pooled connections.
+ *
+ * A connection that has carried bytes beyond its one answer is not used again.
+ * An answer without a length is whole only when its connection ends orderly.
+ */
 class HttpClient {
  public:
   using Reply = Result<HttpResponse, CallError>;
@@ -56,10 +69,11 @@
    * @param timeout Longest wait for the whole answer.
    * @param done Called exactly once unless the call is cancelled; never from
    * within `Call`.
+   * @param mark What the answer must repeat, if it says anything of it.
    * @return Handle for `Cancel`.
    */
   CallId Call(const Address &to, const HttpRequest &request, Span timeout,
-              Done done);
+              Done done, AnswerMark mark = {});
 
   /**
    * @brief Drops a call and its connection; `done` is not called.
@@ -67,6 +81,9 @@
    */
   void Cancel(CallId id);
 
+  /*! @brief Connections opened so far. @return The count. */
+  [[nodiscard]] std::uint64_t Connects() const noexcept;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl;
--- a/src/pollenring/net/http_message.h
+++ b/src/pollenring/net/http_message.h
@@ -36,6 +36,7 @@
   std::string path;
   HttpHeaders headers;
   std::string body;
+  std::string host{}; /*!< What the `host` header says. */
 };
 
 /*! @brief A whole response. */
--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -36,6 +36,7 @@
     request.headers.push_back({ToString(*header.name), ToString(header.value)});
   }
   if (req.entity.base != nullptr) request.body = ToString(req.entity);
+  request.host = ToString(req.authority);
   return request;
 }
 
--- a/src/pollenring/node/config_service.cc
+++ b/src/pollenring/node/config_service.cc
@@ -44,6 +44,13 @@
   return membership.Members().empty();
 }
 
+std::optional<WorkspaceShare> ConfigService::RateOf(
+    const std::string &workspace) const {
+  const WorkspaceShare *share = this->ledger.InForce().ShareOf(workspace);
+  if (share == nullptr) return std::nullopt;
+  return *share;
+}
+
 void ConfigService::Start() {
   this->members.OnVersion([this](NodeId peer, std::uint64_t version) {
     this->PeerVersion(peer, version);
--- a/src/pollenring/node/config_service.h
+++ b/src/pollenring/node/config_service.h
@@ -11,9 +11,10 @@
 #include "pollenring/config/store_reader.h"
 #include "pollenring/link/link_client.h"
 #include "pollenring/net/loop.h"
+#include "pollenring/node/gates.h"
 #include "pollenring/node/ingress.h"
 #include "pollenring/node/member_service.h"
-#include "pollenring/platform/platform.h"
+#include "pollenring/storage/storage.h"
 
 namespace pollenring {
 
@@ -34,7 +35,7 @@
  *
  * Versions spread from node to node. One node per zone also asks the platform.
  */
-class ConfigService final : public Freshness {
+class ConfigService final : public Freshness, public WorkspaceRates {
  public:
   using Done = std::function<void(PublishReport)>;
 
@@ -54,6 +55,8 @@
     return this->ledger;
   }
   [[nodiscard]] bool Fresh() const override;
+  [[nodiscard]] std::optional<WorkspaceShare> RateOf(
+      const std::string &workspace) const override;
 
   /*! @brief Starts to follow versions. */
   void Start();
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -13,6 +13,7 @@
 
 /*! @brief Nodes tried in place of one that has not seen the call. */
 constexpr int kMostRedirects = 3;
+constexpr int kFirstServerError = 500;
 /*! @brief Pause before nodes that were tried are tried again. */
 constexpr Span kTryAgainPause = std::chrono::milliseconds{60};
 
@@ -26,6 +27,7 @@
       return reply.outcome == Outcome::kUnknown ? CallVerdict::kFailed
                                                 : CallVerdict::kShed;
     case Reason::kOverload:
+    case Reason::kTargetBusy:
       return CallVerdict::kShed;
     default:
       return CallVerdict::kAnswered;
@@ -44,18 +46,21 @@
 }  // namespace
 
 Dispatcher::Dispatcher(NodeId self, Loop &loop, LinkClient &link,
-                       Router &router, Serving &serving, Random &random,
+                       Router &router, Serving &serving, RetryBudget &budget,
+                       const DispatchOptions &options, Random &random,
                        Metrics &metrics)
     : self{self},
       loop{loop},
       link{link},
       router{router},
       serving{serving},
+      budget{budget},
+      options{options},
       random{random},
       metrics{metrics} {}
 
 std::uint64_t Dispatcher::Call(CallEnvelope envelope, std::string body,
-                               Time deadline, Done done) {
+                               Time deadline, Done done, int targets) {
   const std::uint64_t id = ++this->last_id;
   Job &job = this->jobs[id];
   job.allowance = RetryAllowance{envelope.retries};
@@ -64,6 +69,7 @@
   job.body = std::move(body);
   job.deadline = deadline;
   job.redirects_left = kMostRedirects;
+  job.targets_left = targets;
   job.done = std::move(done);
   this->Attempt(id);
   return id;
@@ -172,11 +178,16 @@
   this->router.Finished(job.envelope.service, job.node, VerdictOf(reply), load);
   job.allowance.Return(job.slice,
                        std::clamp(reply.retries_unspent, 0, job.slice));
-  RetryCeiling &ceiling = this->ceilings[job.envelope.service];
-  if (reply.outcome == Outcome::kRan) ceiling.Succeeded();
+  const bool ran = reply.outcome == Outcome::kRan;
+  if (ran) this->budget.Succeeded(job.envelope.service);
+  if (reply.outcome != Outcome::kNotRun) --job.targets_left;
   job.may_have_run = job.may_have_run || reply.outcome == Outcome::kUnknown;
   if (this->MayTryAgain(job, reply)) {
     job.tried.push_back(job.node);
+    if (ran) {
+      job.failure = std::move(reply);
+      job.failure_body = std::move(body);
+    }
     this->Attempt(id);
     return;
   }
@@ -184,7 +195,12 @@
 }
 
 bool Dispatcher::MayTryAgain(Job &job, const CallReply &reply) {
-  if (reply.outcome == Outcome::kRan) return false;
+  if (reply.outcome == Outcome::kRan) {
+    const bool failed = this->options.retries_failures &&
+                        job.envelope.idempotent &&
+                        reply.status >= kFirstServerError;
+    return failed && this->PaysForRetry(job);
+  }
   const bool safe =
       reply.outcome == Outcome::kNotRun || job.envelope.idempotent;
   if (!safe) return false;
@@ -194,20 +210,29 @@
     return true;
   }
   const bool transient = reply.reason == Reason::kOverload ||
+                         reply.reason == Reason::kTargetBusy ||
                          reply.reason == Reason::kLinkLost ||
                          reply.reason == Reason::kTargetFailed ||
                          reply.reason == Reason::kNoTarget;
-  if (!transient) return false;
-  RetryCeiling &ceiling = this->ceilings[job.envelope.service];
-  if (!ceiling.Allows() || !job.allowance.Spend()) return false;
-  const bool spent = ceiling.Spend();
-  Require(spent, "a retry is paid from the service's ceiling");
+  return transient && this->PaysForRetry(job);
+}
+
+bool Dispatcher::PaysForRetry(Job &job) {
+  if (job.targets_left <= 0) return false;
+  const std::string &service = job.envelope.service;
+  if (!this->budget.Allows(service) || !job.allowance.Spend()) return false;
+  const bool spent = this->budget.Spend(service);
+  Require(spent, "a retry is paid from the service's budget");
   this->metrics.Count("pollenring_retries_total");
   return true;
 }
 
 void Dispatcher::Finish(std::uint64_t id, CallReply reply, std::string body) {
   const auto found = this->jobs.find(id);
+  if (reply.outcome != Outcome::kRan && found->second.failure) {
+    reply = std::move(*found->second.failure);
+    body = std::move(found->second.failure_body);
+  }
   reply.retries_unspent = found->second.allowance.Left();
   // An earlier attempt may have reached a target though the last did not.
   const bool hides_run =
@@ -230,7 +255,7 @@
     return;
   }
   if (job.node == this->self) {
-    this->serving.Cancel(job.call);
+    this->serving.CallerGone(job.call);
   } else {
     this->link.Cancel(job.call);
   }
--- a/src/pollenring/node/dispatcher.h
+++ b/src/pollenring/node/dispatcher.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -15,11 +16,16 @@
 #include "pollenring/node/serving.h"
 #include "pollenring/node/wire.h"
 #include "pollenring/retry/allowance.h"
-#include "pollenring/retry/ceiling.h"
+#include "pollenring/retry/budget.h"
 #include "pollenring/routing/router.h"
 
 namespace pollenring {
 
+/*! @brief What may be tried again. */
+struct DispatchOptions {
+  bool retries_failures{}; /*!< Also after a target's own 5xx answer. */
+};
+
 /**
  * @brief Sends a call to a chosen target and tries again where that is safe.
  */
@@ -34,11 +40,14 @@
    * @param link Client towards other nodes.
    * @param router Chooses targets.
    * @param serving Runs calls for the target beside this node.
+   * @param budget Bounds retries.
+   * @param options What may be tried again.
    * @param random Randomness.
    * @param metrics Figures.
    */
   Dispatcher(NodeId self, Loop &loop, LinkClient &link, Router &router,
-             Serving &serving, Random &random, Metrics &metrics);
+             Serving &serving, RetryBudget &budget,
+             const DispatchOptions &options, Random &random, Metrics &metrics);
 
   /**
    * @brief Performs a call.
@@ -46,10 +55,11 @@
    * @param body Its body.
    * @param deadline When the caller needs the answer.
    * @param done Called exactly once unless cancelled; never from in here.
+   * @param targets Most targets that the call may reach.
    * @return Handle for `Cancel`.
    */
   std::uint64_t Call(CallEnvelope envelope, std::string body, Time deadline,
-                     Done done);
+                     Done done, int targets = kMostTargets);
 
   /**
    * @brief Drops a call whose caller has gone.
@@ -63,6 +73,9 @@
   }
 
  private:
+  /*! @brief Bounds a call that names no bound; its allowance ends it sooner. */
+  static constexpr int kMostTargets = 16;
+
   struct Job {
     CallEnvelope envelope;
     std::string body;
@@ -71,8 +84,12 @@
     RetryAllowance allowance;
     int slice{};
     int redirects_left{};
-    bool waiting{}; /*!< No node is trying; one will be chosen again. */
+    int targets_left{}; /*!< Targets that the call may still reach. */
+    bool waiting{};     /*!< No node is trying; one will be chosen again. */
     bool may_have_run{};
+    std::optional<CallReply>
+        failure; /*!< A target's, while another is tried. */
+    std::string failure_body;
     std::vector<NodeId> tried;
     NodeId node{};
     std::uint64_t attempt{};
@@ -90,6 +107,7 @@
   void Failed(std::uint64_t id, std::uint64_t attempt, Outcome outcome,
               Reason reason);
   [[nodiscard]] bool MayTryAgain(Job &job, const CallReply &reply);
+  [[nodiscard]] bool PaysForRetry(Job &job);
   void Finish(std::uint64_t id, CallReply reply, std::string body);
 
   NodeId self;
@@ -97,10 +115,11 @@
   LinkClient &link;
   Router &router;
   Serving &serving;
+  RetryBudget &budget;
+  DispatchOptions options;
   Random &random;
   Metrics &metrics;
   std::unordered_map<std::uint64_t, Job> jobs;
-  std::unordered_map<std::string, RetryCeiling> ceilings;
   std::uint64_t last_id{};
 };
 
--- a/src/pollenring/node/gates.h
+++ b/src/pollenring/node/gates.h
@@ -2,14 +2,61 @@
 #define POLLENRING_NODE_GATES_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 
+#include "pollenring/contract/contract.h"
 #include "pollenring/core/clock.h"
 #include "pollenring/core/outcome.h"
+#include "pollenring/lease/slot_row.h"
+#include "pollenring/membership/member.h"
 #include "pollenring/node/wire.h"
 
 namespace pollenring {
 
+/*! @brief Which node lends the share of a slot. */
+class SlotHolders {
+ public:
+  SlotHolders() = default;
+  SlotHolders(const SlotHolders &) = delete;
+  SlotHolders &operator=(const SlotHolders &) = delete;
+  virtual ~SlotHolders() = default;
+
+  /*! @brief Number of slots in all. @return The count. */
+  [[nodiscard]] virtual SlotId Count() const noexcept = 0;
+
+  /**
+   * @brief Finds who holds a slot, as far as this node has heard.
+   * @param slot The slot.
+   * @return The holder, or nothing.
+   */
+  [[nodiscard]] virtual std::optional<NodeId> HolderOf(SlotId slot) const = 0;
+
+  /*! @brief Whether this node holds it. @param slot Slot. @return So. */
+  [[nodiscard]] virtual bool Holds(SlotId slot) const = 0;
+
+  /*! @brief Until when this node may lend it. @param slot Slot. @return Time.
+   */
+  [[nodiscard]] virtual Time ValidUntil(SlotId slot) const = 0;
+};
+
+/*! @brief Rates and bursts of workspaces, as they are in force. */
+class WorkspaceRates {
+ public:
+  WorkspaceRates() = default;
+  WorkspaceRates(const WorkspaceRates &) = delete;
+  WorkspaceRates &operator=(const WorkspaceRates &) = delete;
+  virtual ~WorkspaceRates() = default;
+
+  /**
+   * @brief Finds what a workspace may consume in all.
+   * @param workspace The workspace.
+   * @return Rate and burst, or nothing when it has none.
+   */
+  [[nodiscard]] virtual std::optional<WorkspaceShare> RateOf(
+      const std::string &workspace) const = 0;
+};
+
 /*! @brief Whether a workspace may start one more whole request. */
 struct ShareAnswer {
   bool granted{};
--- a/src/pollenring/node/member_service.h
+++ b/src/pollenring/node/member_service.h
@@ -9,7 +9,7 @@
 #include "pollenring/membership/membership.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/bus.h"
-#include "pollenring/platform/platform.h"
+#include "pollenring/storage/storage.h"
 
 namespace pollenring {
 
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -55,17 +55,23 @@
       config{loop,        this->members, this->link,
              this->table, this->objects, random},
       slots{given.slots, loop, this->bus, this->members, this->table, random},
-      shares{loop, this->bus, this->slots, this->config.Ledger(),
+      shares{loop, this->bus, this->slots, this->config,
              this->members.Get().Self().process},
       once{loop, this->bus, this->link, this->slots, random},
       router{given.zone, given.region, RouterOptions{}, loop.GetClock(),
              random},
-      serving{loop, this->client, random, this->metrics,
+      serving{loop,
+              this->client,
+              this->dialect,
+              AdmissionOptions{},
+              random,
+              this->metrics,
               [this](std::vector<Target> targets) {
                 this->members.Get().Announce(std::move(targets));
               }},
-      dispatcher{given.nodes.Packed(), loop,   this->link,   this->router,
-                 this->serving,        random, this->metrics},
+      dispatcher{given.nodes.Packed(), loop,          this->link,
+                 this->router,         this->serving, this->retry_budget,
+                 DispatchOptions{},    random,        this->metrics},
       ingress{loop,
               {this->config.Ledger(), this->config, this->shares, this->once,
                this->dispatcher, random, this->metrics}},
@@ -199,12 +205,7 @@
       [responder](const CallReply &reply, const std::string &answer) {
         responder->Send(Frame(reply, answer));
       });
-  responder->OnCancel([this, id] {
-    const ServedCall *call = this->serving.Find(id);
-    // What may run only once goes on, so that its outcome gets known.
-    if (call == nullptr || !call->envelope.idempotent) return;
-    this->serving.Cancel(id);
-  });
+  responder->OnCancel([this, id] { this->serving.CallerGone(id); });
 }
 
 void Node::SlotGained(SlotId /*slot*/, const SlotRow & /*row*/,
--- a/src/pollenring/node/node.h
+++ b/src/pollenring/node/node.h
@@ -22,9 +22,10 @@
 #include "pollenring/node/settings.h"
 #include "pollenring/node/share_service.h"
 #include "pollenring/node/slot_service.h"
+#include "pollenring/node/target_dialect.h"
 #include "pollenring/node/target_port.h"
-#include "pollenring/platform/http_platform.h"
 #include "pollenring/routing/router.h"
+#include "pollenring/storage/http_storage.h"
 
 namespace pollenring {
 
@@ -78,7 +79,9 @@
   ShareService shares;
   OnceService once;
   Router router;
+  ContextDialect dialect;
   Serving serving;
+  NodeRetryBudget retry_budget;
   Dispatcher dispatcher;
   Ingress ingress;
   TargetPort target_port;
--- a/src/pollenring/node/operator_port.h
+++ b/src/pollenring/node/operator_port.h
@@ -9,7 +9,7 @@
 #include "pollenring/metrics/metrics.h"
 #include "pollenring/net/http_server.h"
 #include "pollenring/node/config_service.h"
-#include "pollenring/platform/platform.h"
+#include "pollenring/storage/storage.h"
 
 namespace pollenring {
 
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -11,11 +11,11 @@
 namespace pollenring {
 namespace {
 
-constexpr Span kAnnouncementLifetime = std::chrono::seconds{4};
+/*! @brief Silence after which a target is taken as gone; four of the slowest
+ * announcements, which come every 1.5 s. */
+constexpr Span kAnnouncementLifetime = std::chrono::seconds{6};
 constexpr std::size_t kContextBytes = 16;
 constexpr std::size_t kMostLevels = 8;
-constexpr int kTooManyRequests = 429;
-constexpr int kServiceUnavailable = 503;
 
 }  // namespace
 
@@ -35,10 +35,13 @@
   }
 }
 
-Serving::Serving(Loop &loop, HttpClient &client, Random &random,
+Serving::Serving(Loop &loop, HttpClient &client, const TargetDialect &dialect,
+                 const AdmissionOptions &options, Random &random,
                  Metrics &metrics, TargetsChanged changed)
     : loop{loop},
       client{client},
+      dialect{dialect},
+      options{options},
       random{random},
       metrics{metrics},
       changed{std::move(changed)} {}
@@ -48,15 +51,19 @@
   auto found = this->bindings.find(service);
   const bool fresh =
       found == this->bindings.end() ||
-      !(found->second.announcement.address == announcement.address);
+      !(found->second.announcement.address == announcement.address) ||
+      found->second.announcement.instance != announcement.instance;
   if (fresh) {
     Binding binding;
     binding.admission = std::make_unique<Admission>(
-        announcement.target.slots, AdmissionOptions{}, this->loop.GetClock());
+        announcement.target.slots, this->options, this->loop.GetClock());
     found = this->bindings.insert_or_assign(service, std::move(binding)).first;
   }
   found->second.announcement = announcement;
   found->second.last_seen = this->loop.GetClock().Now();
+  if (announcement.target.state == TargetState::kDraining) {
+    this->Perform(found->second.admission->Close());
+  }
   this->Report();
 }
 
@@ -86,6 +93,10 @@
     this->Refuse(id, Outcome::kNotRun, Reason::kNoTarget);
     return id;
   }
+  if (found->second.announcement.target.state == TargetState::kDraining) {
+    this->Refuse(id, Outcome::kNotRun, Reason::kLeaving);
+    return id;
+  }
   Ticket ticket;
   ticket.id = id;
   ticket.importance = kept.importance;
@@ -119,29 +130,27 @@
   this->contexts.emplace(call.served.context, id);
   const Span left = call.served.deadline - this->loop.GetClock().Now();
   const Binding &binding = this->bindings.at(call.served.envelope.service);
-  call.http =
-      this->client.Call(binding.announcement.address, this->ToRequest(call),
-                        left, [this, id](HttpClient::Reply reply) {
-                          this->Answered(id, std::move(reply));
-                        });
+  call.http = this->client.Call(
+      binding.announcement.address,
+      this->ToRequest(call, binding.announcement.instance), left,
+      [this, id](HttpClient::Reply reply) {
+        this->Answered(id, std::move(reply));
+      },
+      this->dialect.MarkOf(call.served.envelope));
 }
 
-HttpRequest Serving::ToRequest(Call &call) const {
+HttpRequest Serving::ToRequest(Call &call, const std::string &instance) const {
   const CallEnvelope &envelope = call.served.envelope;
   HttpRequest request;
   request.method = envelope.method;
   request.path = envelope.path;
+  request.host = envelope.host;
   for (const auto &header : envelope.headers) {
     request.headers.push_back({header.name, header.value});
   }
   const Span left = call.served.deadline - this->loop.GetClock().Now();
-  const auto add = [&request](std::string_view name, std::string value) {
-    request.headers.push_back({std::string{name}, std::move(value)});
-  };
-  add(kContextHeader, call.served.context);
-  add(kRequestIdHeader, envelope.root_id);
-  add(kWorkspaceHeader, envelope.workspace);
-  add(kDeadlineHeader, std::to_string(left.count() / 1000));
+  this->dialect.AddHeaders({envelope, call.served.context, instance, left},
+                           request);
   request.body = std::move(call.body);
   return request;
 }
@@ -164,14 +173,19 @@
     return;
   }
   auto &response = std::get<HttpResponse>(reply);
-  const bool refused = response.status == kServiceUnavailable ||
-                       response.status == kTooManyRequests;
-  const AdmissionActions next =
-      admission.Finish(id, found->second.served.time_in_sub_calls, refused);
+  const TargetVerdict verdict =
+      this->dialect.Judge(found->second.served.envelope, response);
+  const AdmissionActions next = admission.Finish(
+      id, found->second.served.time_in_sub_calls, verdict.shed);
+  if (verdict.reason != Reason::kNone) {
+    this->Refuse(id, verdict.outcome, verdict.reason);
+    this->Perform(next);
+    return;
+  }
   CallReply answer;
-  answer.outcome = Outcome::kRan;
+  answer.outcome = verdict.outcome;
   answer.status = response.status;
-  answer.headers = PassableHeaders(response.headers);
+  answer.headers = this->dialect.PassAnswerHeaders(response.headers);
   this->Finish(id, std::move(answer), std::move(response.body));
   this->Perform(next);
 }
@@ -226,6 +240,14 @@
   this->CancelSubCalls(cancels);
 }
 
+void Serving::CallerGone(std::uint64_t id) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end()) return;
+  const bool once = !found->second.served.envelope.idempotent;
+  if (once && found->second.running) return;
+  this->Cancel(id);
+}
+
 void Serving::CancelSubCalls(const SubCallCancels &cancels) {
   // What was asked for on behalf of a call that has gone is of no use.
   for (const auto &[call, cancel] : cancels) {
@@ -244,6 +266,14 @@
   return found == this->calls.end() ? nullptr : &found->second.served;
 }
 
+std::size_t Serving::RunningCount() const noexcept {
+  std::size_t count = 0;
+  for (const auto &[service, binding] : this->bindings) {
+    count += binding.admission->Running();
+  }
+  return count;
+}
+
 void Serving::Tick() {
   const Time now = this->loop.GetClock().Now();
   for (auto &[service, binding] : this->bindings) {
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -16,6 +16,7 @@
 #include "pollenring/metrics/metrics.h"
 #include "pollenring/net/http_client.h"
 #include "pollenring/net/loop.h"
+#include "pollenring/node/target_dialect.h"
 #include "pollenring/node/wire.h"
 #include "pollenring/retry/allowance.h"
 
@@ -25,6 +26,7 @@
 struct Announcement {
   Target target;
   Address address;
+  std::string instance; /*!< Differs after each start; may be empty. */
 };
 
 /*! @brief What ends each sub-call in progress, by the sub-call's handle. */
@@ -69,11 +71,14 @@
    * @brief Starts without a target.
    * @param loop The loop.
    * @param client Client towards the target.
+   * @param dialect How calls and answers are written.
+   * @param options Limits of admission.
    * @param random Randomness.
    * @param metrics Figures.
    * @param changed Called when the announced targets change.
    */
-  Serving(Loop &loop, HttpClient &client, Random &random, Metrics &metrics,
+  Serving(Loop &loop, HttpClient &client, const TargetDialect &dialect,
+          const AdmissionOptions &options, Random &random, Metrics &metrics,
           TargetsChanged changed);
 
   /**
@@ -97,6 +102,13 @@
    */
   void Cancel(std::uint64_t id);
 
+  /**
+   * @brief Drops a call whose caller has gone, unless it may run only once and
+   * has been sent.
+   * @param id The call's handle; one that has ended is ignored.
+   */
+  void CallerGone(std::uint64_t id);
+
   /**
    * @brief Finds the request that a context header points to.
    * @param context The header's value.
@@ -111,6 +123,9 @@
    */
   [[nodiscard]] ServedCall *Find(std::uint64_t id);
 
+  /*! @brief Requests that the announced targets run at once. @return Sum. */
+  [[nodiscard]] std::size_t RunningCount() const noexcept;
+
   /*! @brief Requests waiting or running. @return The count. */
   [[nodiscard]] std::size_t InProgress() const noexcept {
     return this->calls.size();
@@ -139,12 +154,15 @@
   void Finish(std::uint64_t id, CallReply reply, std::string body);
   void Refuse(std::uint64_t id, Outcome outcome, Reason reason);
   void Report();
-  [[nodiscard]] HttpRequest ToRequest(Call &call) const;
+  [[nodiscard]] HttpRequest ToRequest(Call &call,
+                                      const std::string &instance) const;
   void CancelSubCalls(const SubCallCancels &cancels);
   void AttachLoad(const ServedCall &served, CallReply &reply) const;
 
   Loop &loop;
   HttpClient &client;
+  const TargetDialect &dialect;
+  AdmissionOptions options;
   Random &random;
   Metrics &metrics;
   TargetsChanged changed;
--- a/src/pollenring/node/settings.cc
+++ b/src/pollenring/node/settings.cc
@@ -3,6 +3,7 @@
 #include <toml++/toml.h>
 
 #include <algorithm>
+#include <array>
 #include <initializer_list>
 #include <optional>
 
@@ -74,6 +75,29 @@
     return addresses;
   }
 
+  [[nodiscard]] RouteForm Form() {
+    const toml::table *table = this->Section("node");
+    const toml::node *node = table == nullptr ? nullptr : table->get("routes");
+    if (node == nullptr) return RouteForm::kServicePath;
+    const auto form =
+        kRouteFormNames.Parse(node->value_exact<std::string>().value_or(""));
+    if (form) return *form;
+    this->Report(*node, "'routes' must be \"service-path\" or \"host\"");
+    return RouteForm::kServicePath;
+  }
+
+  [[nodiscard]] bool Flag(std::string_view section, std::string_view key) {
+    const toml::table *table = this->Section(section);
+    const toml::node *node = table == nullptr ? nullptr : table->get(key);
+    if (node == nullptr) return false;
+    const auto value = node->value_exact<bool>();
+    if (!value)
+      this->Report(*node, "'" + std::string{key} +
+                              "' must be true "
+                              "or false");
+    return value.value_or(false);
+  }
+
   void Slots(std::uint32_t &slots) {
     const toml::table *table = this->Section("node");
     const toml::node *node = table == nullptr ? nullptr : table->get("slots");
@@ -139,8 +163,8 @@
     return settings;
   }
   for (const auto &[key, value] : root) {
-    constexpr std::array<std::string_view, 4> kSections{"node", "listen",
-                                                        "secrets", "platform"};
+    constexpr std::array<std::string_view, 5> kSections{
+        "node", "listen", "secrets", "platform", "target"};
     const bool known = std::find(kSections.begin(), kSections.end(),
                                  key.str()) != kSections.end();
     if (known && value.is_table()) continue;
@@ -149,10 +173,14 @@
                         "unknown section '" + std::string{key.str()} + "'"});
   }
   SettingsReader reader{root, file.name, findings};
-  reader.KnownKeys("node", {"zone", "region", "seeds", "slots"});
-  reader.KnownKeys("listen", {"callers", "targets", "nodes", "operators"});
+  reader.KnownKeys(
+      "node", {"zone", "region", "seeds", "slots", "routes", "first_start"});
+  reader.KnownKeys("listen",
+                   {"callers", "targets", "nodes", "operators", "ready"});
+  reader.KnownKeys("target", {"service"});
   reader.KnownKeys("secrets", {"nodes", "operators", "targets"});
   reader.KnownKeys("platform", {"address"});
+  settings.routes = reader.Form();
   settings.zone = reader.Text("node", "zone");
   settings.region = reader.Text("node", "region");
   settings.seeds = reader.Addresses("node", "seeds");
@@ -162,8 +190,14 @@
   settings.nodes = reader.Where("listen", "nodes");
   settings.operators = reader.Where("listen", "operators");
   settings.node_secret = reader.Secret("nodes");
-  settings.operator_secret = reader.Secret("operators");
-  settings.target_secret = reader.Secret("targets");
+  if (settings.routes == RouteForm::kHost) {
+    settings.ready = reader.Where("listen", "ready");
+    settings.target_service = reader.Text("target", "service");
+    settings.first_start = reader.Flag("node", "first_start");
+  } else {
+    settings.operator_secret = reader.Secret("operators");
+    settings.target_secret = reader.Secret("targets");
+  }
   settings.platform = reader.Where("platform", "address");
   return settings;
 }
--- a/src/pollenring/node/settings.h
+++ b/src/pollenring/node/settings.h
@@ -5,13 +5,27 @@
 #include <vector>
 
 #include "pollenring/contract/parse.h"
+#include "pollenring/core/enum_table.h"
 #include "pollenring/core/finding.h"
 #include "pollenring/net/address.h"
 
 namespace pollenring {
 
+/*! @brief How a node's routes are found. */
+enum class RouteForm {
+  kServicePath, /*!< By `/service/path`, from contracts. */
+  kHost         /*!< By host and path prefix, from the operator's document. */
+};
+
+/*! @brief Names of the forms, as settings spell them. */
+inline constexpr EnumTable<RouteForm, 2> kRouteFormNames{{{
+    {RouteForm::kServicePath, "service-path"},
+    {RouteForm::kHost, "host"},
+}}};
+
 /*! @brief Settings of one node. */
 struct Settings {
+  RouteForm routes{RouteForm::kServicePath};
   std::string zone;
   std::string region;
   Address callers;   /*!< Where callers connect. */
@@ -23,7 +37,10 @@
   std::string target_secret;
   Address platform;
   std::vector<Address> seeds;
-  std::uint32_t slots{64}; /*!< Lease slots; the same on every node. */
+  std::uint32_t slots{64};    /*!< Lease slots; the same on every node. */
+  Address ready;              /*!< Where readiness is asked; host form only. */
+  std::string target_service; /*!< Of the target on this VM; host form only. */
+  bool first_start{}; /*!< The whole system starts for the first time. */
 };
 
 /**
--- a/src/pollenring/node/share_service.cc
+++ b/src/pollenring/node/share_service.cc
@@ -12,14 +12,14 @@
 
 }  // namespace
 
-ShareService::ShareService(Loop &loop, Bus &bus, SlotService &slots,
-                           const ConfigLedger &config, std::uint64_t process)
+ShareService::ShareService(Loop &loop, Bus &bus, const SlotHolders &holders,
+                           const WorkspaceRates &rates, std::uint64_t process)
     : loop{loop},
       bus{bus},
-      slots{slots},
-      config{config},
-      borrower{process, slots.Count(), LeaseOptions{}, loop.GetClock(), *this} {
-}
+      holders{holders},
+      rates{rates},
+      borrower{process, holders.Count(), LeaseOptions{}, loop.GetClock(),
+               *this} {}
 
 void ShareService::Start() {
   this->bus.On<BorrowRequest>(
@@ -45,9 +45,9 @@
 }
 
 bool ShareService::SendBorrow(const BorrowRequest &request) {
-  const auto holder = this->slots.HolderOf(request.slot);
+  const auto holder = this->holders.HolderOf(request.slot);
   if (!holder) return false;
-  if (this->slots.Keeper().Held(request.slot) != nullptr) {
+  if (this->holders.Holds(request.slot)) {
     this->loop.Post(
         [this, reply = this->Lend(request)] { this->borrower.Receive(reply); });
     return true;
@@ -62,13 +62,12 @@
   refusal.workspace = request.workspace;
   refusal.loan = request.loan;
   const auto lender = this->lenders.find(request.slot);
-  const WorkspaceShare *share =
-      this->config.InForce().ShareOf(request.workspace);
-  if (lender == this->lenders.end() || share == nullptr) return refusal;
+  const auto share = this->rates.RateOf(request.workspace);
+  if (lender == this->lenders.end() || !share) return refusal;
   const auto part =
-      PartOf(request.workspace, request.slot, this->slots.Count());
+      PartOf(request.workspace, request.slot, this->holders.Count());
   if (!part) return refusal;
-  const Time valid_until = this->slots.Keeper().ValidUntil(request.slot);
+  const Time valid_until = this->holders.ValidUntil(request.slot);
   return lender->second.Lend(request, *share, *part, valid_until);
 }
 
--- a/src/pollenring/node/share_service.h
+++ b/src/pollenring/node/share_service.h
@@ -25,12 +25,12 @@
    * @brief Creates the service.
    * @param loop The loop.
    * @param bus Datagrams.
-   * @param slots Who holds which slot.
-   * @param config Rates and bursts.
+   * @param holders Who holds which slot.
+   * @param rates Rates and bursts.
    * @param process This process.
    */
-  ShareService(Loop &loop, Bus &bus, SlotService &slots,
-               const ConfigLedger &config, std::uint64_t process);
+  ShareService(Loop &loop, Bus &bus, const SlotHolders &holders,
+               const WorkspaceRates &rates, std::uint64_t process);
 
   /*! @brief Starts to lend and borrow. */
   void Start();
@@ -62,8 +62,8 @@
 
   Loop &loop;
   Bus &bus;
-  SlotService &slots;
-  const ConfigLedger &config;
+  const SlotHolders &holders;
+  const WorkspaceRates &rates;
   ShareBorrower borrower;
   std::unordered_map<SlotId, ShareLender> lenders;
   std::unordered_map<SlotId, Handover> expected;
--- a/src/pollenring/node/slot_service.cc
+++ b/src/pollenring/node/slot_service.cc
@@ -187,7 +187,7 @@
           return;
         }
         const bool unavailable =
-            std::get<PlatformError>(written) == PlatformError::kUnavailable;
+            std::get<StorageError>(written) == StorageError::kUnavailable;
         this->keeper.RowWritten(
             slot, unavailable ? RowWrite::kUnavailable : RowWrite::kUnknown);
       });
--- a/src/pollenring/node/slot_service.h
+++ b/src/pollenring/node/slot_service.h
@@ -11,8 +11,9 @@
 #include "pollenring/lease/witness.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/bus.h"
+#include "pollenring/node/gates.h"
 #include "pollenring/node/member_service.h"
-#include "pollenring/platform/platform.h"
+#include "pollenring/storage/storage.h"
 
 namespace pollenring {
 
@@ -41,7 +42,9 @@
 };
 
 /*! @brief Connects slot leases to datagrams, the platform and their users. */
-class SlotService final : public SlotDirectory, public SlotObserver {
+class SlotService final : public SlotDirectory,
+                          public SlotObserver,
+                          public SlotHolders {
  public:
   /**
    * @brief Creates the service.
@@ -59,15 +62,16 @@
   [[nodiscard]] const SlotKeeper &Keeper() const noexcept {
     return this->keeper;
   }
-  [[nodiscard]] SlotId Count() const noexcept { return this->count; }
+  [[nodiscard]] SlotId Count() const noexcept override { return this->count; }
   [[nodiscard]] const WitnessRef &Self() const noexcept { return this->self; }
 
-  /**
-   * @brief Finds who holds a slot, as far as this node has heard.
-   * @param slot The slot.
-   * @return The holder, or nothing.
-   */
-  [[nodiscard]] std::optional<NodeId> HolderOf(SlotId slot) const;
+  [[nodiscard]] std::optional<NodeId> HolderOf(SlotId slot) const override;
+  [[nodiscard]] bool Holds(SlotId slot) const override {
+    return this->keeper.Held(slot) != nullptr;
+  }
+  [[nodiscard]] Time ValidUntil(SlotId slot) const override {
+    return this->keeper.ValidUntil(slot);
+  }
 
   /*! @brief Adds a user. @param user Told of slots. */
   void AddUser(SlotUser &user) { this->users.push_back(&user); }
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -34,6 +34,8 @@
   std::string service;
   std::string method;
   std::string path;
+  std::string host;   /*!< Empty where routes are found by path alone. */
+  std::string caller; /*!< Service on whose VM the call began; may be empty. */
   std::vector<WireHeader> headers;
   Importance importance{Importance::kNormal};
   bool idempotent{true};
@@ -43,9 +45,9 @@
   std::int64_t remaining_us{};
   std::int64_t root_age_us{};
   std::int32_t retries{};
-  MSGPACK_DEFINE(root_id, workspace, service, method, path, headers, importance,
-                 idempotent, lot, weight, depth, remaining_us, root_age_us,
-                 retries)
+  MSGPACK_DEFINE(root_id, workspace, service, method, path, host, caller,
+                 headers, importance, idempotent, lot, weight, depth,
+                 remaining_us, root_age_us, retries)
 };
 
 /*! @brief Priority below which a service refuses roots early. */
--- a/src/pollenring/platform/fwd.h
+++ b/src/pollenring/storage/fwd.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_PLATFORM_FWD_H_
-#define POLLENRING_PLATFORM_FWD_H_
+#ifndef POLLENRING_STORAGE_FWD_H_
+#define POLLENRING_STORAGE_FWD_H_
 
 namespace pollenring {
 
@@ -15,4 +15,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_PLATFORM_FWD_H_
+#endif  // POLLENRING_STORAGE_FWD_H_
--- a/src/pollenring/platform/http_platform.cc
+++ b/src/pollenring/storage/http_storage.cc
@@ -1,4 +1,4 @@
-#include "pollenring/platform/http_platform.h"
+#include "pollenring/storage/http_storage.h"
 
 #include <nlohmann/json.hpp>
 
@@ -19,7 +19,7 @@
 
 [[nodiscard]] Table::Rows ParseRows(const std::string &body) {
   const Json json = Json::parse(body, nullptr, false);
-  if (!json.is_array()) return PlatformError::kUnavailable;
+  if (!json.is_array()) return StorageError::kUnavailable;
   std::vector<Row> rows;
   for (const auto &item : json) {
     rows.push_back({item.value("key", ""), item.value("version", 0ULL),
@@ -28,9 +28,9 @@
   return rows;
 }
 
-[[nodiscard]] PlatformError WriteError(CallError error) noexcept {
-  return error == CallError::kNotConnected ? PlatformError::kUnavailable
-                                           : PlatformError::kUnknown;
+[[nodiscard]] StorageError WriteError(CallError error) noexcept {
+  return error == CallError::kNotConnected ? StorageError::kUnavailable
+                                           : StorageError::kUnknown;
 }
 
 }  // namespace
@@ -41,7 +41,7 @@
                     [done = std::move(done)](HttpClient::Reply reply) {
                       const auto *response = std::get_if<HttpResponse>(&reply);
                       if (response == nullptr || response->status != kOk) {
-                        done(PlatformError::kUnavailable);
+                        done(StorageError::kUnavailable);
                         return;
                       }
                       done(ParseRows(response->body));
@@ -84,7 +84,7 @@
                         done(WriteResult::kConflict);
                         return;
                       }
-                      done(PlatformError::kUnavailable);
+                      done(StorageError::kUnavailable);
                     });
 }
 
@@ -102,7 +102,7 @@
                         done(std::monostate{});
                         return;
                       }
-                      done(PlatformError::kUnavailable);
+                      done(StorageError::kUnavailable);
                     });
 }
 
@@ -113,7 +113,7 @@
                     [done = std::move(done)](HttpClient::Reply reply) {
                       auto *response = std::get_if<HttpResponse>(&reply);
                       if (response == nullptr) {
-                        done(PlatformError::kUnavailable);
+                        done(StorageError::kUnavailable);
                         return;
                       }
                       if (response->status == kOk) {
@@ -121,8 +121,8 @@
                         return;
                       }
                       done(response->status == kMissing
-                               ? PlatformError::kNotFound
-                               : PlatformError::kUnavailable);
+                               ? StorageError::kNotFound
+                               : StorageError::kUnavailable);
                     });
 }
 
--- a/src/pollenring/platform/http_platform.h
+++ b/src/pollenring/storage/http_storage.h
@@ -1,12 +1,12 @@
-#ifndef POLLENRING_PLATFORM_HTTP_PLATFORM_H_
-#define POLLENRING_PLATFORM_HTTP_PLATFORM_H_
+#ifndef POLLENRING_STORAGE_HTTP_STORAGE_H_
+#define POLLENRING_STORAGE_HTTP_STORAGE_H_
 
 #include <string>
 #include <vector>
 
 #include "pollenring/net/address.h"
 #include "pollenring/net/http_client.h"
-#include "pollenring/platform/platform.h"
+#include "pollenring/storage/storage.h"
 
 namespace pollenring {
 
@@ -58,4 +58,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_PLATFORM_HTTP_PLATFORM_H_
+#endif  // POLLENRING_STORAGE_HTTP_STORAGE_H_
--- a/src/pollenring/platform/memory_platform.cc
+++ b/src/pollenring/storage/memory_storage.cc
@@ -1,4 +1,4 @@
-#include "pollenring/platform/memory_platform.h"
+#include "pollenring/storage/memory_storage.h"
 
 #include <algorithm>
 
@@ -14,7 +14,7 @@
                        std::function<void(Rows)> done) {
   ++this->reads;
   if (this->faults.down) {
-    done(PlatformError::kUnavailable);
+    done(StorageError::kUnavailable);
     return;
   }
   std::vector<Row> found;
@@ -27,7 +27,7 @@
                        std::function<void(Rows)> done) {
   ++this->reads;
   if (this->faults.down) {
-    done(PlatformError::kUnavailable);
+    done(StorageError::kUnavailable);
     return;
   }
   std::vector<Row> found;
@@ -43,7 +43,7 @@
                         std::function<void(Written)> done) {
   ++this->writes;
   if (this->faults.down) {
-    done(PlatformError::kUnavailable);
+    done(StorageError::kUnavailable);
     return;
   }
   const bool holds = std::all_of(
@@ -59,7 +59,7 @@
     }
   }
   if (this->faults.lose_write_answers) {
-    done(PlatformError::kUnknown);
+    done(StorageError::kUnknown);
     return;
   }
   done(holds ? WriteResult::kWritten : WriteResult::kConflict);
@@ -68,12 +68,12 @@
 void MemoryObjectStore::Put(const std::string &name, std::string content,
                             std::function<void(Stored)> done) {
   if (this->faults.down) {
-    done(PlatformError::kUnavailable);
+    done(StorageError::kUnavailable);
     return;
   }
   this->objects[name] = std::move(content);
   if (this->faults.lose_write_answers) {
-    done(PlatformError::kUnknown);
+    done(StorageError::kUnknown);
     return;
   }
   done(std::monostate{});
@@ -82,12 +82,12 @@
 void MemoryObjectStore::Get(const std::string &name,
                             std::function<void(Object)> done) {
   if (this->faults.down) {
-    done(PlatformError::kUnavailable);
+    done(StorageError::kUnavailable);
     return;
   }
   const auto found = this->objects.find(name);
   if (found == this->objects.end()) {
-    done(PlatformError::kNotFound);
+    done(StorageError::kNotFound);
     return;
   }
   done(found->second);
--- a/src/pollenring/platform/memory_platform.h
+++ b/src/pollenring/storage/memory_storage.h
@@ -1,16 +1,16 @@
-#ifndef POLLENRING_PLATFORM_MEMORY_PLATFORM_H_
-#define POLLENRING_PLATFORM_MEMORY_PLATFORM_H_
+#ifndef POLLENRING_STORAGE_MEMORY_STORAGE_H_
+#define POLLENRING_STORAGE_MEMORY_STORAGE_H_
 
 #include <map>
 #include <string>
 #include <vector>
 
-#include "pollenring/platform/platform.h"
+#include "pollenring/storage/storage.h"
 
 namespace pollenring {
 
 /*! @brief Faults that a stand-in brings about on request. */
-struct PlatformFaults {
+struct StorageFaults {
   bool down{};
   bool lose_write_answers{};
 };
@@ -18,7 +18,7 @@
 /*! @brief A table in memory; answers before the call returns. */
 class MemoryTable final : public Table {
  public:
-  [[nodiscard]] PlatformFaults &Faults() noexcept { return this->faults; }
+  [[nodiscard]] StorageFaults &Faults() noexcept { return this->faults; }
   [[nodiscard]] std::uint64_t Reads() const noexcept { return this->reads; }
   [[nodiscard]] std::uint64_t Writes() const noexcept { return this->writes; }
 
@@ -33,7 +33,7 @@
   [[nodiscard]] Row RowOf(const std::string &key) const;
 
   std::map<std::string, Row> rows;
-  PlatformFaults faults;
+  StorageFaults faults;
   std::uint64_t reads{};
   std::uint64_t writes{};
 };
@@ -41,7 +41,7 @@
 /*! @brief An object store in memory; answers before the call returns. */
 class MemoryObjectStore final : public ObjectStore {
  public:
-  [[nodiscard]] PlatformFaults &Faults() noexcept { return this->faults; }
+  [[nodiscard]] StorageFaults &Faults() noexcept { return this->faults; }
 
   void Put(const std::string &name, std::string content,
            std::function<void(Stored)> done) override;
@@ -49,9 +49,9 @@
 
  private:
   std::map<std::string, std::string> objects;
-  PlatformFaults faults;
+  StorageFaults faults;
 };
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_PLATFORM_MEMORY_PLATFORM_H_
+#endif  // POLLENRING_STORAGE_MEMORY_STORAGE_H_
--- a/src/pollenring/platform/platform.h
+++ b/src/pollenring/storage/storage.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_PLATFORM_PLATFORM_H_
-#define POLLENRING_PLATFORM_PLATFORM_H_
+#ifndef POLLENRING_STORAGE_STORAGE_H_
+#define POLLENRING_STORAGE_STORAGE_H_
 
 #include <cstdint>
 #include <functional>
@@ -30,18 +30,18 @@
   std::string value;
 };
 
-/*! @brief Why the platform gave no result. */
-enum class PlatformError {
+/*! @brief Why the storage gave no result. */
+enum class StorageError {
   kUnavailable, /*!< Nothing was written. */
   kUnknown,     /*!< A write may have happened. */
   kNotFound     /*!< There is no such object. */
 };
 
-/*! @brief Names of platform errors. */
-inline constexpr EnumTable<PlatformError, 3> kPlatformErrorNames{{{
-    {PlatformError::kUnavailable, "unavailable"},
-    {PlatformError::kUnknown, "unknown"},
-    {PlatformError::kNotFound, "not found"},
+/*! @brief Names of storage errors. */
+inline constexpr EnumTable<StorageError, 3> kStorageErrorNames{{{
+    {StorageError::kUnavailable, "unavailable"},
+    {StorageError::kUnknown, "unknown"},
+    {StorageError::kNotFound, "not found"},
 }}};
 
 /*! @brief What became of a conditional write. */
@@ -50,8 +50,8 @@
 /*! @brief The platform's transactional table. */
 class Table {
  public:
-  using Rows = Result<std::vector<Row>, PlatformError>;
-  using Written = Result<WriteResult, PlatformError>;
+  using Rows = Result<std::vector<Row>, StorageError>;
+  using Written = Result<WriteResult, StorageError>;
 
   Table() = default;
   Table(const Table &) = delete;
@@ -88,8 +88,8 @@
 /*! @brief The platform's object store. */
 class ObjectStore {
  public:
-  using Object = Result<std::string, PlatformError>;
-  using Stored = Result<std::monostate, PlatformError>;
+  using Object = Result<std::string, StorageError>;
+  using Stored = Result<std::monostate, StorageError>;
 
   ObjectStore() = default;
   ObjectStore(const ObjectStore &) = delete;
@@ -116,4 +116,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_PLATFORM_PLATFORM_H_
+#endif  // POLLENRING_STORAGE_STORAGE_H_
--- /dev/null
+++ b/src/pollenring/storage/store_client.cc
@@ -0,0 +1,40 @@
+#include "pollenring/storage/store_client.h"
+
+#include <utility>
+
+namespace pollenring {
+namespace {
+
+/*! @brief Longest wait beyond what the store holds a call; it takes some
+ * milliseconds, and a few hundred when it is slow. */
+constexpr Span kTimeout = std::chrono::milliseconds{800};
+constexpr int kTooManyRequests = 429;
+constexpr int kFirstServerError = 500;
+constexpr int kUnavailable = 503;
+
+}  // namespace
+
+void StoreClient::Call(const HttpRequest &request, Span wait, Done done) {
+  this->client.Call(this->address, request, wait + kTimeout,
+                    [done = std::move(done)](HttpClient::Reply reply) {
+                      if (const auto *error = std::get_if<CallError>(&reply)) {
+                        done(*error == CallError::kNotConnected
+                                 ? StorageError::kUnavailable
+                                 : StorageError::kUnknown);
+                        return;
+                      }
+                      auto &response = std::get<HttpResponse>(reply);
+                      if (response.status == kUnavailable ||
+                          response.status == kTooManyRequests) {
+                        done(StorageError::kUnavailable);
+                        return;
+                      }
+                      if (response.status >= kFirstServerError) {
+                        done(StorageError::kUnknown);
+                        return;
+                      }
+                      done(std::move(response));
+                    });
+}
+
+}  // namespace pollenring
--- a/test/pollenring/config/config_test.cc
+++ b/test/pollenring/config/config_test.cc
@@ -5,7 +5,7 @@
 
 #include "pollenring/config/config_all.h"
 #include "pollenring/core/random.h"
-#include "pollenring/platform/memory_platform.h"
+#include "pollenring/storage/memory_storage.h"
 #include "support/seeds.h"
 
 namespace {
--- a/test/support/lease_node.h
+++ b/test/support/lease_node.h
@@ -179,8 +179,8 @@
               result = *ok == pollenring::WriteResult::kWritten
                            ? pollenring::RowWrite::kWritten
                            : pollenring::RowWrite::kConflict;
-            } else if (std::get<pollenring::PlatformError>(written) ==
-                       pollenring::PlatformError::kUnavailable) {
+            } else if (std::get<pollenring::StorageError>(written) ==
+                       pollenring::StorageError::kUnavailable) {
               result = pollenring::RowWrite::kUnavailable;
             }
             if (unanswered) return;
--- a/test/support/lease_world.h
+++ b/test/support/lease_world.h
@@ -12,8 +12,8 @@
 #include "fake_network.h"
 #include "pollenring/core/invariant.h"
 #include "pollenring/lease/lease_all.h"
-#include "pollenring/platform/memory_platform.h"
 #include "pollenring/share/share_all.h"
+#include "pollenring/storage/memory_storage.h"
 
 namespace support {
 
--- a/tools/pollenring-standin/platform.h
+++ b/tools/pollenring-standin/platform.h
@@ -5,7 +5,7 @@
 
 #include "pollenring/net/http_server.h"
 #include "pollenring/net/loop.h"
-#include "pollenring/platform/memory_platform.h"
+#include "pollenring/storage/memory_storage.h"
 
 namespace standin {
 
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -6,9 +6,13 @@
 #include <random>
 #include <sstream>
 
+#include "platform/dialects.h"
+#include "platform/store.h"
 #include "pollenring/core/random.h"
 #include "pollenring/log/log.h"
+#include "pollenring/mesh/mesh_node.h"
 #include "pollenring/net/loop.h"
+#include "pollenring/node/limits.h"
 #include "pollenring/node/node.h"
 
 namespace {
@@ -32,6 +36,50 @@
   return text.str();
 }
 
+void LogStart(const Settings &settings) {
+  LogEvent(pollenring::LogLevel::kInfo, "started",
+           {{"zone", settings.zone},
+            {"routes", pollenring::kRouteFormNames.Name(settings.routes)},
+            {"callers", settings.callers.Format()},
+            {"nodes", settings.nodes.Format()}});
+}
+
+/*! @brief Runs a node until it has left. */
+template <typename Node>
+void RunLoop(pollenring::Loop &loop, Node &node, const Settings &settings) {
+  loop.Every(kSignalCheck, [&node] {
+    if (stop_requested != 0) node.Leave();
+    pollenring::FlushLog();
+  });
+  LogStart(settings);
+  loop.Run();
+  LogEvent(pollenring::LogLevel::kInfo, "stopped");
+  pollenring::FlushLog();
+  // Parts refer to each other; the process's end takes them all together.
+  std::_Exit(EXIT_SUCCESS);
+}
+
+void RunByContracts(const Settings &settings, pollenring::Loop &loop,
+                    pollenring::Random &random) {
+  pollenring::Node node{settings, loop, random};
+  RunLoop(loop, node, settings);
+}
+
+void RunByHosts(const Settings &settings, pollenring::Loop &loop,
+                pollenring::Random &random) {
+  pollenring::HttpClient client{loop, pollenring::kMaxBodyBytes};
+  pollenring::StoreClient store_client{client, settings.platform};
+  pollenring::platform::Store store{store_client};
+  const pollenring::platform::Policies policies;
+  const pollenring::platform::Callers callers;
+  const pollenring::platform::Targets targets;
+  const pollenring::platform::Heartbeats heartbeats;
+  pollenring::MeshNode node{settings,
+                            {loop, client, store, store, policies, callers,
+                             targets, heartbeats, random}};
+  RunLoop(loop, node, settings);
+}
+
 [[nodiscard]] int Run(const Settings &settings) {
   const pollenring::SystemClock clock;
   pollenring::Loop loop{clock};
@@ -41,22 +89,16 @@
   std::signal(SIGTERM, OnSignal);
   std::signal(SIGINT, OnSignal);
   try {
-    pollenring::Node node{settings, loop, random};
-    loop.Every(kSignalCheck, [&node] {
-      if (stop_requested != 0) node.Leave();
-    });
-    LogEvent(pollenring::LogLevel::kInfo, "started",
-             {{"zone", settings.zone},
-              {"callers", settings.callers.Format()},
-              {"nodes", settings.nodes.Format()}});
-    loop.Run();
-    // Parts refer to each other; the process's end takes them all together.
-    std::_Exit(EXIT_SUCCESS);
+    if (settings.routes == pollenring::RouteForm::kHost) {
+      RunByHosts(settings, loop, random);
+    }
+    RunByContracts(settings, loop, random);
   } catch (const std::runtime_error &error) {
     LogEvent(pollenring::LogLevel::kError, "can't start",
              {{"why", error.what()}});
-    return kCantStart;
+    pollenring::FlushLog();
   }
+  return kCantStart;
 }
 
 }  // namespace
