--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -2,36 +2,57 @@
 
 #include <algorithm>
 
+#include "pollenring/admission/aim_queue.h"
+#include "pollenring/admission/fair_queue.h"
+#include "pollenring/admission/shed_levels.h"
 #include "pollenring/core/invariant.h"
 
 namespace pollenring {
+namespace {
+
+[[nodiscard]] std::unique_ptr<LevelControl> MakeLevels(
+    const AdmissionOptions &options, const Clock &clock) {
+  if (options.level_cause == LevelCause::kFit) {
+    return std::make_unique<FitLevel>(options.fit, clock);
+  }
+  return std::make_unique<ShedLevels>(options.level_window, clock);
+}
+
+[[nodiscard]] std::unique_ptr<TicketQueue> MakeQueue(QueueOrder order) {
+  if (order == QueueOrder::kAim) return std::make_unique<AimQueue>();
+  return std::make_unique<FairQueue>();
+}
+
+}  // namespace
 
 Admission::Admission(std::uint32_t slots, const AdmissionOptions &options,
                      const Clock &clock)
     : options{options},
       clock{clock},
       limit{slots, options.limit, clock},
-      levels{options.level_window, clock} {}
+      levels{MakeLevels(options, clock)},
+      queue{MakeQueue(options.order)} {}
 
 LoadReport Admission::Report() const noexcept {
-  return {static_cast<std::uint32_t>(this->running.size() + this->queue.Size()),
-          static_cast<std::uint32_t>(this->limit.Current())};
+  return {
+      static_cast<std::uint32_t>(this->running.size() + this->queue->Size()),
+      static_cast<std::uint32_t>(this->limit.Current())};
 }
 
 AdmissionActions Admission::Offer(const Ticket &ticket) {
   AdmissionActions actions;
-  this->levels.Offered(ticket);
-  this->queue.Push(ticket);
+  this->levels->Offered(ticket);
+  this->queue->Push(ticket);
   this->Fill(actions);
   // One comes, at most one goes: a shrinking limit sheds nobody who waits.
   if (this->Overfull()) {
-    const auto worst = this->queue.PopWorst();
-    Require(worst->importance <= ticket.importance,
-            "nothing more important is shed for a request");
-    this->levels.Shed();
+    const auto worst = this->queue->PopWorst();
+    Require(worst->importance <= ticket.importance || ticket.Invested(),
+            "nothing more important is shed for a root");
+    this->levels->Shed();
     actions.shed.push_back({worst->id, Reason::kOverload});
   }
-  this->levels.Tick();
+  this->levels->Tick(this->State());
   return actions;
 }
 
@@ -51,7 +72,7 @@
 
 AdmissionActions Admission::Cancel(std::uint64_t id) {
   AdmissionActions actions;
-  if (this->queue.Remove(id)) return actions;
+  if (this->queue->Remove(id)) return actions;
   this->running.erase(id);
   this->Fill(actions);
   return actions;
@@ -59,7 +80,7 @@
 
 AdmissionActions Admission::Close() {
   AdmissionActions actions;
-  for (const auto &waiting : this->queue.RemoveExpired(Time::max())) {
+  for (const auto &waiting : this->queue->RemoveExpired(Time::max())) {
     actions.shed.push_back({waiting.id, Reason::kLeaving});
   }
   return actions;
@@ -68,14 +89,14 @@
 AdmissionActions Admission::Tick() {
   AdmissionActions actions;
   this->Fill(actions);
-  this->levels.Tick();
+  this->levels->Tick(this->State());
   return actions;
 }
 
 void Admission::Fill(AdmissionActions &actions) {
   this->DropLate(actions);
   while (static_cast<int>(this->running.size()) < this->limit.Current()) {
-    const auto next = this->queue.Pop();
+    const auto next = this->queue->Pop();
     if (!next) return;
     this->Start(*next, actions);
   }
@@ -83,8 +104,8 @@
 
 void Admission::DropLate(AdmissionActions &actions) {
   const Time needed = this->clock.Now() + this->limit.TypicalTime() / 2;
-  for (const auto &late : this->queue.RemoveExpired(needed)) {
-    this->levels.Shed();
+  for (const auto &late : this->queue->RemoveExpired(needed)) {
+    this->levels->Shed();
     actions.shed.push_back({late.id, Reason::kDeadline});
   }
 }
@@ -98,11 +119,24 @@
 
 bool Admission::Overfull() const {
   const std::size_t capacity = this->QueueCapacity();
-  if (this->queue.Size() <= capacity) return false;
+  if (this->queue->Size() <= capacity) return false;
   // The most important wait longer, as far as their deadlines allow.
-  const bool can_shed_others = this->queue.Lowest() < Importance::kCritical;
+  const bool can_shed_others = this->queue->Lowest() < Importance::kCritical;
   return can_shed_others ||
-         this->queue.Size() > capacity * this->options.critical_queue_factor;
+         this->queue->Size() > capacity * this->options.critical_queue_factor;
+}
+
+QueueState Admission::State() const {
+  QueueState state;
+  const Span typical = this->limit.TypicalTime();
+  if (typical <= Span{0}) return state;
+  const double seconds = std::chrono::duration<double>{typical}.count();
+  state.capacity = static_cast<double>(this->limit.Current()) / seconds;
+  const double delay =
+      static_cast<double>(this->queue->Size()) / state.capacity;
+  state.delay =
+      std::chrono::duration_cast<Span>(std::chrono::duration<double>{delay});
+  return state;
 }
 
 std::size_t Admission::QueueCapacity() const noexcept {
--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -2,13 +2,15 @@
 #define POLLENRING_ADMISSION_ADMISSION_H_
 
 #include <cstdint>
+#include <memory>
 #include <unordered_map>
 #include <vector>
 
 #include "pollenring/admission/concurrency_limit.h"
-#include "pollenring/admission/fair_queue.h"
-#include "pollenring/admission/shed_levels.h"
+#include "pollenring/admission/fit_level.h"
+#include "pollenring/admission/level_control.h"
 #include "pollenring/admission/ticket.h"
+#include "pollenring/admission/ticket_queue.h"
 #include "pollenring/core/outcome.h"
 #include "pollenring/routing/load_report.h"
 
@@ -26,9 +28,24 @@
   std::vector<ShedTicket> shed;     /*!< Requests to refuse at once. */
 };
 
+/*! @brief What makes a service refuse roots early. */
+enum class LevelCause {
+  kShed, /*!< Requests are shed. */
+  kFit   /*!< More is offered than fits. */
+};
+
+/*! @brief Which waiting request is next. */
+enum class QueueOrder {
+  kFair, /*!< By importance, then by workspaces' weights. */
+  kAim   /*!< The one whose aim is nearest. */
+};
+
 /*! @brief Limits of admission. */
 struct AdmissionOptions {
   ConcurrencyLimitOptions limit;
+  LevelCause level_cause{LevelCause::kShed};
+  QueueOrder order{QueueOrder::kFair};
+  FitLevelOptions fit;
   Span level_window{std::chrono::milliseconds{100}};
   Span queue_time{std::chrono::milliseconds{100}};
   std::size_t shortest_queue{4};
@@ -62,7 +79,7 @@
    * @return The level, 0 for none.
    */
   [[nodiscard]] double LevelOf(const std::string &workspace) const {
-    return this->levels.LevelOf(workspace);
+    return this->levels->LevelOf(workspace);
   }
 
   /*! @brief Requests at the target now. @return The count. */
@@ -70,6 +87,14 @@
     return this->running.size();
   }
 
+  /*! @brief The queue, as it is now. @return Its delay and capacity. */
+  [[nodiscard]] QueueState State() const;
+
+  /*! @brief Requests that wait. @return The count. */
+  [[nodiscard]] std::size_t Waiting() const noexcept {
+    return this->queue->Size();
+  }
+
   /**
    * @brief Offers a request.
    * @param ticket The request.
@@ -117,8 +142,8 @@
   AdmissionOptions options;
   const Clock &clock;
   ConcurrencyLimit limit;
-  ShedLevels levels;
-  FairQueue queue;
+  std::unique_ptr<LevelControl> levels;
+  std::unique_ptr<TicketQueue> queue;
   std::unordered_map<std::uint64_t, RunningRequest> running;
 };
 
--- /dev/null
+++ b/src/pollenring/admission/aim_queue.cc
@@ -0,0 +1,58 @@
+#include "pollenring/admission/aim_queue.h"
+
+namespace pollenring {
+
+AimQueue::WorthKey AimQueue::WorthOf(const Ticket &ticket) noexcept {
+  return {ticket.Invested(), ticket.importance, -ticket.aim, ticket.id};
+}
+
+Importance AimQueue::Lowest() const noexcept {
+  if (this->by_worth.empty()) return Importance::kCritical;
+  const auto &[invested, importance, aim, id] = *this->by_worth.begin();
+  return invested ? Importance::kCritical : importance;
+}
+
+void AimQueue::Push(const Ticket &ticket) {
+  this->by_id.emplace(ticket.id, ticket);
+  this->by_aim.emplace(ticket.aim, ticket.id);
+  this->by_deadline.emplace(ticket.deadline, ticket.id);
+  this->by_worth.insert(WorthOf(ticket));
+}
+
+std::optional<Ticket> AimQueue::Pop() {
+  if (this->by_aim.empty()) return std::nullopt;
+  Ticket ticket = this->by_id.at(this->by_aim.begin()->second);
+  this->Remove(ticket.id);
+  return ticket;
+}
+
+std::optional<Ticket> AimQueue::PopWorst() {
+  if (this->by_worth.empty()) return std::nullopt;
+  Ticket ticket = this->by_id.at(std::get<3>(*this->by_worth.begin()));
+  this->Remove(ticket.id);
+  return ticket;
+}
+
+bool AimQueue::Remove(std::uint64_t id) {
+  const auto found = this->by_id.find(id);
+  if (found == this->by_id.end()) return false;
+  const Ticket &ticket = found->second;
+  this->by_aim.erase({ticket.aim, id});
+  this->by_deadline.erase({ticket.deadline, id});
+  this->by_worth.erase(WorthOf(ticket));
+  this->by_id.erase(found);
+  return true;
+}
+
+std::vector<Ticket> AimQueue::RemoveExpired(Time before) {
+  std::vector<Ticket> expired;
+  while (!this->by_deadline.empty()) {
+    const auto [deadline, id] = *this->by_deadline.begin();
+    if (deadline >= before) break;
+    expired.push_back(this->by_id.at(id));
+    this->Remove(id);
+  }
+  return expired;
+}
+
+}  // namespace pollenring
--- a/src/pollenring/admission/fair_queue.h
+++ b/src/pollenring/admission/fair_queue.h
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "pollenring/admission/ticket.h"
+#include "pollenring/admission/ticket_queue.h"
 
 namespace pollenring {
 
@@ -21,43 +21,18 @@
  * The first to be shed is of the lowest class, of the workspace with most
  * waiting for its weight, and of the youngest root.
  */
-class FairQueue {
+class FairQueue final : public TicketQueue {
  public:
-  [[nodiscard]] std::size_t Size() const noexcept { return this->by_id.size(); }
+  [[nodiscard]] std::size_t Size() const noexcept override {
+    return this->by_id.size();
+  }
   [[nodiscard]] bool Empty() const noexcept { return this->by_id.empty(); }
-
-  /*! @brief Importance of the first to be shed. @return It; highest if empty.
-   */
-  [[nodiscard]] Importance Lowest() const noexcept;
-
-  /**
-   * @brief Adds a request.
-   * @param ticket The request.
-   */
-  void Push(const Ticket &ticket);
-
-  /*! @brief Takes the next request to run. @return It, or nothing. */
-  [[nodiscard]] std::optional<Ticket> Pop();
-
-  /**
-   * @brief Takes the first request to shed.
-   * @return It, or nothing.
-   */
-  [[nodiscard]] std::optional<Ticket> PopWorst();
-
-  /**
-   * @brief Takes out one request.
-   * @param id The request.
-   * @return Whether it was waiting.
-   */
-  bool Remove(std::uint64_t id);
-
-  /**
-   * @brief Takes out all whose deadline is too near.
-   * @param before Deadlines earlier than this are too near.
-   * @return The requests taken out.
-   */
-  [[nodiscard]] std::vector<Ticket> RemoveExpired(Time before);
+  [[nodiscard]] Importance Lowest() const noexcept override;
+  void Push(const Ticket &ticket) override;
+  [[nodiscard]] std::optional<Ticket> Pop() override;
+  [[nodiscard]] std::optional<Ticket> PopWorst() override;
+  bool Remove(std::uint64_t id) override;
+  [[nodiscard]] std::vector<Ticket> RemoveExpired(Time before) override;
 
  private:
   struct Older {
--- a/src/pollenring/admission/shed_levels.cc
+++ b/src/pollenring/admission/shed_levels.cc
@@ -46,7 +46,7 @@
   this->shed_now += 1;
 }
 
-void ShedLevels::Tick() {
+void ShedLevels::Tick(const QueueState & /*queue*/) {
   const Time now = this->clock.Now();
   if (now - this->window_start < this->window) return;
   this->window_start = now;
--- a/src/pollenring/admission/shed_levels.h
+++ b/src/pollenring/admission/shed_levels.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "pollenring/admission/level_control.h"
 #include "pollenring/admission/ticket.h"
 #include "pollenring/core/clock.h"
 #include "pollenring/core/importance.h"
@@ -30,7 +31,7 @@
  * what one does not use goes to the others. All parts of a root share its lot,
  * so that services agree on which roots to refuse.
  */
-class ShedLevels {
+class ShedLevels final : public LevelControl {
  public:
   /**
    * @brief Starts by admitting everything.
@@ -39,24 +40,10 @@
    */
   ShedLevels(Span window, const Clock &clock);
 
-  /**
-   * @brief Priority below which a workspace's roots are to be refused.
-   * @param workspace The workspace.
-   * @return Its level, 0 to admit everything.
-   */
-  [[nodiscard]] double LevelOf(const std::string &workspace) const;
-
-  /**
-   * @brief Counts a request that was offered.
-   * @param ticket The request.
-   */
-  void Offered(const Ticket &ticket);
-
-  /*! @brief Counts a request that was shed. */
-  void Shed();
-
-  /*! @brief Closes the window when it is over. */
-  void Tick();
+  [[nodiscard]] double LevelOf(const std::string &workspace) const override;
+  void Offered(const Ticket &ticket) override;
+  void Shed() override;
+  void Tick(const QueueState &queue) override;
 
  private:
   struct Workspace {
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -26,11 +26,17 @@
 /*! @brief Longest silence between two requests of a client connection; above
  * any limit that operators set for their clients. */
 constexpr Span kCallerIdle = std::chrono::minutes{5};
+/*! @brief Pause between two lines with all counters. */
+constexpr Span kFiguresPeriod = std::chrono::seconds{10};
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
+/*! @brief Longest queue beside a target, as the time that it takes to run. What
+ * is in it was let in above; the level ends the overload before it is full. */
+constexpr Span kQueueTime = std::chrono::milliseconds{400};
+
 [[nodiscard]] HttpServerLimits CallerLimits() {
   HttpServerLimits limits;
   limits.max_body_bytes = kMaxBodyBytes;
@@ -43,6 +49,9 @@
   AdmissionOptions options;
   // Targets say how many slots they have; some never answer what exceeds them.
   options.limit.fixed = true;
+  options.level_cause = LevelCause::kFit;
+  options.order = QueueOrder::kAim;
+  options.queue_time = kQueueTime;
   return options;
 }
 
@@ -141,6 +150,9 @@
   this->loop.Every(kRingTick, [this] { this->ring.Update(this->shares); });
   this->loop.Every(kServingTick, [this] { this->serving.Tick(); });
   this->loop.Every(kLogFlush, [] { FlushLog(); });
+  this->loop.Every(kFiguresPeriod, [this] {
+    LogEvent(LogLevel::kInfo, "figures", this->metrics.Counters());
+  });
   this->CountFigures();
 }
 
@@ -284,7 +296,10 @@
   const Span since = this->Leaving();
   const bool accepts = since < kLeaveAccepts;
   const bool over = since >= kLeaveLongest;
-  if (!accepts) this->caller_server.Close();
+  if (!accepts) {
+    this->caller_server.Close();
+    this->outbound.Close();
+  }
   if (over || (!accepts && this->InProgress() == 0)) {
     LogEvent(LogLevel::kInfo, "left", {{"in_progress", this->InProgress()}});
     this->loop.After(kLeaveCheck, [this] { this->loop.Stop(); });
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -15,6 +15,8 @@
 namespace pollenring {
 namespace {
 
+/*! @brief Answers of a deep request take the better part of a second. */
+constexpr Span kLevelLifetime = std::chrono::milliseconds{1000};
 constexpr double kLotScale = 1.0 / 9007199254740992.0;
 /*! @brief Steps of the golden ratio spread over [0, 1) more evenly than random
  * numbers, so that a split holds over short stretches too. */
@@ -32,9 +34,7 @@
   return static_cast<double>(Hash64(id) >> 11U) * kLotScale;
 }
 
-/*! @brief Calls of targets go first: work was done above them already. */
 [[nodiscard]] Importance ImportanceOf(const HostRoute &route) noexcept {
-  if (route.open) return Importance::kCritical;
   if (route.rank <= 0) return Importance::kHigh;
   return route.rank == 1 ? Importance::kNormal : Importance::kLow;
 }
@@ -68,13 +68,15 @@
   std::string id;
   std::string route;
   std::string service;
+  std::string workspace;
   std::string level_key;
   std::uint64_t version{};
   Time started{};
   Time deadline{};
   int attempts{1};
-  bool idempotent{};
   bool gone{};
+  std::uint64_t parent{}; /*!< Request of the local target; 0 for none. */
+  std::string parent_id;  /*!< Its identifier, for the log. */
   std::shared_ptr<Responder> responder;
 };
 
@@ -82,7 +84,7 @@
     : loop{loop},
       service{std::move(service)},
       parts{parts},
-      levels{loop.GetClock()} {}
+      levels{kLevelLifetime, loop.GetClock()} {}
 
 void Outbound::Handle(HttpRequest request,
                       std::shared_ptr<Responder> responder) {
@@ -92,6 +94,10 @@
   this->parts.metrics.Count("pollenring_requests_total");
   CallerRequest caller = this->parts.dialect.Decode(request.headers);
   entry->id = caller.id;
+  if (this->closed) {
+    this->Refuse(entry, Reason::kLeaving, kComeBack);
+    return;
+  }
   if (this->body_bytes > kBodyBudgetBytes) {
     this->Refuse(entry, Reason::kOverload, kComeBack);
     return;
@@ -121,7 +127,8 @@
   if (!route->open && table.NeedsKeys()) {
     const KeyedWorkspace *workspace = table.WorkspaceOf(caller.key);
     if (workspace == nullptr) return Reason::kKeyRefused;
-    envelope.workspace = workspace->share.name;
+    entry.workspace = workspace->share.name;
+    envelope.workspace = entry.workspace;
     if (workspace->share.rate > 0) envelope.weight = workspace->share.rate;
   }
   if (entry.id.empty()) {
@@ -133,21 +140,46 @@
   envelope.method = request.method;
   envelope.path = request.path;
   envelope.host = request.host;
+  envelope.route = route->name;
   envelope.caller = this->service;
+  envelope.aim_us = route->target_latency.count();
   envelope.importance = ImportanceOf(*route);
   envelope.idempotent = route->idempotent;
   envelope.lot = LotOf(entry.id);
-  envelope.depth = route->open ? 1 : 0;
   envelope.retries = kAllowance;
-  entry.idempotent = route->idempotent;
   entry.attempts = route->attempts;
   entry.level_key = envelope.workspace + ' ' + route->name;
   Span left = route->timeout > Span{0} ? route->timeout : kDefaultTimeout;
   if (caller.remaining) left = std::min(left, *caller.remaining);
   entry.deadline = entry.started + left;
+  if (route->open) this->Inherit(caller, entry);
   return Reason::kNone;
 }
 
+void Outbound::Inherit(const CallerRequest &caller, Entry &entry) {
+  CallEnvelope &envelope = entry.envelope;
+  envelope.keyed = false;
+  // Work was done above a target's call, whoever its parent is.
+  envelope.depth = 1;
+  envelope.importance = Importance::kHigh;
+  if (!caller.remaining) return;
+  ServedCall *parent =
+      this->parts.serving.FindParent(entry.started + *caller.remaining);
+  this->parts.metrics.Count(
+      "pollenring_sub_calls_total",
+      {"parent", parent == nullptr ? "unknown" : "found"});
+  if (parent == nullptr) return;
+  entry.parent = parent->id;
+  entry.parent_id = parent->envelope.root_id;
+  this->parts.serving.BeginSubCall(parent->id);
+  envelope.importance = parent->envelope.importance;
+  envelope.lot = parent->envelope.lot;
+  envelope.workspace = parent->envelope.workspace;
+  envelope.weight = parent->envelope.weight;
+  envelope.depth = std::min(parent->envelope.depth + 1, kMaxDepth);
+  envelope.root_age_us = (entry.started - parent->root_started).count();
+}
+
 const std::string &Outbound::ChoosePart(const HostRoute &route) {
   if (route.parts.size() == 1) return route.parts.front().service;
   const auto [found, fresh] =
@@ -179,7 +211,7 @@
     this->Refuse(entry, Reason::kOverload, kComeBack);
     return;
   }
-  const std::string &workspace = entry->envelope.workspace;
+  const std::string &workspace = entry->workspace;
   const bool limited =
       !workspace.empty() && this->parts.policy.RateOf(workspace).has_value();
   if (!limited) {
@@ -202,10 +234,12 @@
       std::move(entry->envelope), std::move(entry->body), entry->deadline,
       [this, entry](CallReply reply, std::string body) {
         this->levels.Learn(entry->level_key, reply.levels);
+        this->parts.serving.EndSubCall(entry->parent, reply.levels);
         this->Answer(entry, std::move(reply), std::move(body));
       },
       entry->attempts);
-  entry->responder->OnCancel([this, call] {
+  entry->responder->OnCancel([this, call, entry] {
+    this->parts.serving.EndSubCall(entry->parent, {});
     this->parts.metrics.Count("pollenring_gone_callers_total");
     this->parts.dispatcher.Cancel(call);
   });
@@ -242,8 +276,10 @@
   if (!MayLogRequest(level)) return;
   LogEvent(level, "request",
            {{"id", entry.id},
+            {"parent", entry.parent_id},
             {"route", entry.route},
             {"service", entry.service},
+            {"workspace", entry.workspace},
             {"status", reply.status},
             {"outcome", kOutcomeNames.Name(reply.outcome)},
             {"reason", kReasonNames.Name(reply.reason)},
--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -52,6 +52,9 @@
    */
   void Handle(HttpRequest request, std::shared_ptr<Responder> responder);
 
+  /*! @brief Refuses what comes from now on; the process ends soon. */
+  void Close() noexcept { this->closed = true; }
+
   /*! @brief Bytes of bodies of requests in progress. @return The sum. */
   [[nodiscard]] std::size_t BodyBytes() const noexcept {
     return this->body_bytes;
@@ -63,6 +66,7 @@
 
   [[nodiscard]] Reason Admit(const HttpRequest &request, CallerRequest &caller,
                              Entry &entry);
+  void Inherit(const CallerRequest &caller, Entry &entry);
   [[nodiscard]] const std::string &ChoosePart(const HostRoute &route);
   [[nodiscard]] bool ShedsEarly(const Entry &entry) const;
   void Charge(const EntryPtr &entry);
@@ -77,6 +81,7 @@
   RouteLevels levels;
   std::unordered_map<std::string, double> split_positions;
   std::size_t body_bytes{};
+  bool closed{};
 };
 
 }  // namespace pollenring
--- a/src/pollenring/metrics/metrics.cc
+++ b/src/pollenring/metrics/metrics.cc
@@ -92,6 +92,14 @@
   return sum;
 }
 
+std::map<std::string, std::uint64_t> Metrics::Counters() const {
+  std::map<std::string, std::uint64_t> values;
+  for (const auto &[name, series] : this->counters) {
+    for (const auto &[label, value] : series) values[name + label] = value;
+  }
+  return values;
+}
+
 std::string Metrics::Expose() const {
   std::ostringstream out;
   for (const auto &[name, series] : this->counters) {
--- a/src/pollenring/metrics/metrics.h
+++ b/src/pollenring/metrics/metrics.h
@@ -116,6 +116,12 @@
    */
   [[nodiscard]] std::uint64_t Read(const std::string &name) const;
 
+  /**
+   * @brief Reads all counters.
+   * @return Values by name, labels added in braces.
+   */
+  [[nodiscard]] std::map<std::string, std::uint64_t> Counters() const;
+
   /*! @brief Formats everything. @return Lines of the exposition format. */
   [[nodiscard]] std::string Expose() const;
 
--- a/src/pollenring/node/dispatcher.h
+++ b/src/pollenring/node/dispatcher.h
@@ -81,6 +81,7 @@
     std::string body;
     Time deadline{};
     Time root_started{};
+    Time aim{};
     RetryAllowance allowance;
     int slice{};
     int redirects_left{};
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -13,6 +13,8 @@
 namespace pollenring {
 namespace {
 
+/*! @brief Several answers a route come within it under load. */
+constexpr Span kLevelLifetime = std::chrono::milliseconds{300};
 constexpr std::size_t kLongestRequestId = 64;
 constexpr std::size_t kShortestKeySearched = 8;
 constexpr double kLotScale = 1.0 / 9007199254740992.0;
@@ -64,7 +66,7 @@
 };
 
 Ingress::Ingress(Loop &loop, const IngressParts &parts)
-    : loop{loop}, parts{parts}, levels{loop.GetClock()} {}
+    : loop{loop}, parts{parts}, levels{kLevelLifetime, loop.GetClock()} {}
 
 void Ingress::Handle(HttpRequest request,
                      std::shared_ptr<Responder> responder) {
--- a/src/pollenring/node/route_levels.cc
+++ b/src/pollenring/node/route_levels.cc
@@ -5,7 +5,6 @@
 namespace pollenring {
 namespace {
 
-constexpr Span kLevelLifetime = std::chrono::milliseconds{300};
 /*! @brief Weight of a level that a single answer brings. */
 constexpr double kWeight = 0.3;
 /*! @brief Time between two looks for routes that nobody asks for. */
@@ -38,7 +37,7 @@
 }
 
 bool RouteLevels::Stale(const Known &known) const noexcept {
-  return this->clock.Now() - known.seen > kLevelLifetime;
+  return this->clock.Now() - known.seen > this->lifetime;
 }
 
 void RouteLevels::Forget() {
--- a/src/pollenring/node/route_levels.h
+++ b/src/pollenring/node/route_levels.h
@@ -22,9 +22,11 @@
  public:
   /**
    * @brief Starts without levels.
+   * @param lifetime Time for which a level holds that no answer confirms.
    * @param clock Clock.
    */
-  explicit RouteLevels(const Clock &clock) : clock{clock}, swept{clock.Now()} {}
+  RouteLevels(Span lifetime, const Clock &clock)
+      : lifetime{lifetime}, clock{clock}, swept{clock.Now()} {}
 
   /*! @brief Routes that are remembered, by workspace. @return The count. */
   [[nodiscard]] std::size_t Count() const noexcept {
@@ -56,6 +58,7 @@
   [[nodiscard]] bool Stale(const Known &known) const noexcept;
   void Forget();
 
+  Span lifetime;
   const Clock &clock;
   Time swept{};
   std::unordered_map<std::string, Services> routes;
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -1,9 +1,11 @@
 #include "pollenring/node/serving.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "pollenring/core/hash.h"
+#include "pollenring/log/log.h"
 #include "pollenring/node/headers.h"
 #include "pollenring/node/limits.h"
 #include "pollenring/retry/backoff.h"
@@ -14,6 +16,8 @@
 /*! @brief Silence after which a target is taken as gone; four of the slowest
  * announcements, which come every 1.5 s. */
 constexpr Span kAnnouncementLifetime = std::chrono::seconds{6};
+/*! @brief Pause between two lines on a busy target. */
+constexpr Span kLoadLogPeriod = std::chrono::seconds{1};
 constexpr std::size_t kContextBytes = 16;
 constexpr std::size_t kMostLevels = 8;
 
@@ -44,7 +48,8 @@
       options{options},
       random{random},
       metrics{metrics},
-      changed{std::move(changed)} {}
+      changed{std::move(changed)},
+      parents{random} {}
 
 void Serving::Announce(const Announcement &announcement) {
   const std::string &service = announcement.target.service;
@@ -106,6 +111,7 @@
   ticket.root_started = call.served.root_started;
   ticket.workspace = kept.workspace;
   ticket.deadline = call.served.deadline;
+  ticket.aim = now + Span{kept.aim_us};
   const std::string service = kept.service;
   this->Perform(found->second.admission->Offer(ticket));
   return id;
@@ -128,7 +134,11 @@
   call.running = true;
   call.served.context = RandomHex(kContextBytes);
   this->contexts.emplace(call.served.context, id);
-  const Span left = call.served.deadline - this->loop.GetClock().Now();
+  const Time now = this->loop.GetClock().Now();
+  const Span left = call.served.deadline - now;
+  // Targets are told whole milliseconds.
+  const auto told = std::chrono::floor<std::chrono::milliseconds>(left);
+  this->parents.Add(id, call.served.envelope.route, now + told, now);
   const Binding &binding = this->bindings.at(call.served.envelope.service);
   call.http = this->client.Call(
       binding.announcement.address,
@@ -202,6 +212,7 @@
   reply.retries_unspent = served.allowance.Left();
   this->AttachLoad(served, reply);
   this->contexts.erase(served.context);
+  this->parents.Remove(id, this->loop.GetClock().Now());
   Done done = std::move(found->second.done);
   this->calls.erase(found);
   this->loop.Post([done = std::move(done), reply = std::move(reply),
@@ -232,6 +243,7 @@
   const SubCallCancels cancels =
       std::exchange(found->second.served.sub_call_cancels, {});
   this->contexts.erase(found->second.served.context);
+  this->parents.Remove(id, this->loop.GetClock().Now());
   this->calls.erase(found);
   const auto binding = this->bindings.find(service);
   if (binding != this->bindings.end()) {
@@ -261,6 +273,29 @@
   return found == this->contexts.end() ? nullptr : this->Find(found->second);
 }
 
+ServedCall *Serving::FindParent(Time deadline) {
+  const auto id = this->parents.Find(deadline);
+  return id ? this->Find(*id) : nullptr;
+}
+
+void Serving::BeginSubCall(std::uint64_t id) {
+  ServedCall *parent = this->Find(id);
+  if (parent == nullptr) return;
+  const Time now = this->loop.GetClock().Now();
+  parent->BeginSubCall(now);
+  this->parents.CallBegun(id, now);
+}
+
+void Serving::EndSubCall(std::uint64_t id,
+                         const std::vector<ServiceLevel> &levels) {
+  ServedCall *parent = this->Find(id);
+  if (parent == nullptr) return;
+  const Time now = this->loop.GetClock().Now();
+  parent->EndSubCall(now);
+  parent->MergeLevels(levels);
+  this->parents.CallEnded(id, now);
+}
+
 ServedCall *Serving::Find(std::uint64_t id) {
   const auto found = this->calls.find(id);
   return found == this->calls.end() ? nullptr : &found->second.served;
@@ -274,7 +309,27 @@
   return count;
 }
 
+void Serving::LogLoad() {
+  const Time now = this->loop.GetClock().Now();
+  if (now - this->load_logged < kLoadLogPeriod) return;
+  this->load_logged = now;
+  for (const auto &[service, binding] : this->bindings) {
+    const Admission &admission = *binding.admission;
+    const double level = admission.LevelOf({});
+    if (admission.Waiting() == 0 && level <= 0) continue;
+    const QueueState state = admission.State();
+    LogEvent(LogLevel::kInfo, "target busy",
+             {{"service", service},
+              {"running", admission.Running()},
+              {"waiting", admission.Waiting()},
+              {"delay_ms", state.delay.count() / 1000},
+              {"capacity_per_s", std::llround(state.capacity)},
+              {"refuses_below", level}});
+  }
+}
+
 void Serving::Tick() {
+  this->LogLoad();
   const Time now = this->loop.GetClock().Now();
   for (auto &[service, binding] : this->bindings) {
     this->Perform(binding.admission->Tick());
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -16,6 +16,7 @@
 #include "pollenring/metrics/metrics.h"
 #include "pollenring/net/http_client.h"
 #include "pollenring/net/loop.h"
+#include "pollenring/node/parent_finder.h"
 #include "pollenring/node/target_dialect.h"
 #include "pollenring/node/wire.h"
 #include "pollenring/retry/allowance.h"
@@ -116,6 +117,21 @@
    */
   [[nodiscard]] ServedCall *FindContext(const std::string &context);
 
+  /**
+   * @brief Finds the request on whose behalf the target makes a call without a
+   * context.
+   * @param deadline When the call says that it ends.
+   * @return The request, or null when none ends near that time.
+   */
+  [[nodiscard]] ServedCall *FindParent(Time deadline);
+
+  /*! @brief A call on behalf of a request begins. @param id The request. */
+  void BeginSubCall(std::uint64_t id);
+
+  /*! @brief It has ended. @param id The request, which may have ended too.
+   * @param levels Levels that came with its answer. */
+  void EndSubCall(std::uint64_t id, const std::vector<ServiceLevel> &levels);
+
   /**
    * @brief Finds a request in progress.
    * @param id Its handle.
@@ -157,6 +173,7 @@
   [[nodiscard]] HttpRequest ToRequest(Call &call,
                                       const std::string &instance) const;
   void CancelSubCalls(const SubCallCancels &cancels);
+  void LogLoad();
   void AttachLoad(const ServedCall &served, CallReply &reply) const;
 
   Loop &loop;
@@ -169,7 +186,9 @@
   std::map<std::string, Binding> bindings;
   std::unordered_map<std::uint64_t, Call> calls;
   std::unordered_map<std::string, std::uint64_t> contexts;
+  ParentFinder parents;
   std::uint64_t last_id{};
+  Time load_logged{};
 };
 
 }  // namespace pollenring
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -35,19 +35,22 @@
   std::string method;
   std::string path;
   std::string host;   /*!< Empty where routes are found by path alone. */
+  std::string route;  /*!< Its name; empty where routes have none. */
   std::string caller; /*!< Service on whose VM the call began; may be empty. */
   std::vector<WireHeader> headers;
   Importance importance{Importance::kNormal};
   bool idempotent{true};
+  bool keyed{true}; /*!< The caller itself has shown the workspace's key. */
   double lot{};
   double weight{1}; /*!< The workspace's part of what is left. */
   std::int32_t depth{};
   std::int64_t remaining_us{};
   std::int64_t root_age_us{};
+  std::int64_t aim_us{}; /*!< Until the aim of the call itself. */
   std::int32_t retries{};
-  MSGPACK_DEFINE(root_id, workspace, service, method, path, host, caller,
-                 headers, importance, idempotent, lot, weight, depth,
-                 remaining_us, root_age_us, retries)
+  MSGPACK_DEFINE(root_id, workspace, service, method, path, host, route, caller,
+                 headers, importance, idempotent, keyed, lot, weight, depth,
+                 remaining_us, root_age_us, aim_us, retries)
 };
 
 /*! @brief Priority below which a service refuses roots early. */
--- a/test/pollenring/node/route_levels_test.cc
+++ b/test/pollenring/node/route_levels_test.cc
@@ -12,7 +12,7 @@
 
 TEST_CASE("route levels: what is heard counts for a moment, then goes") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{clock};
+  RouteLevels levels{std::chrono::milliseconds{300}, clock};
   levels.Learn("club front GET /", {{"back", 1.0}, {"middle", 0.5}});
   const double first = levels.LevelOf("club front GET /");
   CHECK(first > 0);
@@ -25,7 +25,7 @@
 
 TEST_CASE("route levels: routes that nobody asks for are forgotten") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{clock};
+  RouteLevels levels{std::chrono::milliseconds{300}, clock};
   // Workspaces times routes, each seen once: an hour of them.
   for (int i = 0; i < 360'000; ++i) {
     levels.Learn("workspace" + std::to_string(i) + " front GET /",
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <random>
 #include <sstream>
+#include <utility>
 
 #include "platform/dialects.h"
 #include "platform/store.h"
@@ -25,8 +26,15 @@
 constexpr pollenring::Span kSignalCheck = std::chrono::milliseconds{50};
 
 volatile std::sig_atomic_t stop_requested = 0;
+volatile std::sig_atomic_t reload_requested = 0;
 
-void OnSignal(int /*number*/) { stop_requested = 1; }
+void OnSignal(int number) {
+  if (number == SIGHUP) {
+    reload_requested = 1;
+    return;
+  }
+  stop_requested = 1;
+}
 
 [[nodiscard]] std::optional<std::string> ReadFile(const std::string &path) {
   std::ifstream file{path};
@@ -44,11 +52,32 @@
             {"nodes", settings.nodes.Format()}});
 }
 
+/*! @brief Reads the settings again and tells what became of them; all of them
+ * name sockets, so a change takes effect at the next start. */
+void CheckReload(const std::string &path, const Settings &in_force) {
+  const auto text = ReadFile(path);
+  Findings findings;
+  Settings settings;
+  if (text) settings = pollenring::ReadSettings({path, *text}, findings);
+  const bool readable = text && findings.empty();
+  const bool same = readable && settings.callers == in_force.callers &&
+                    settings.nodes == in_force.nodes &&
+                    settings.platform == in_force.platform;
+  LogEvent(
+      readable ? pollenring::LogLevel::kInfo : pollenring::LogLevel::kWarning,
+      "reload",
+      {{"readable", readable},
+       {"findings", findings.size()},
+       {"same_addresses", same}});
+}
+
 /*! @brief Runs a node until it has left. */
 template <typename Node>
-void RunLoop(pollenring::Loop &loop, Node &node, const Settings &settings) {
-  loop.Every(kSignalCheck, [&node] {
+void RunLoop(pollenring::Loop &loop, Node &node, const Settings &settings,
+             const std::string &path) {
+  loop.Every(kSignalCheck, [&] {
     if (stop_requested != 0) node.Leave();
+    if (std::exchange(reload_requested, 0) != 0) CheckReload(path, settings);
     pollenring::FlushLog();
   });
   LogStart(settings);
@@ -59,14 +88,14 @@
   std::_Exit(EXIT_SUCCESS);
 }
 
-void RunByContracts(const Settings &settings, pollenring::Loop &loop,
-                    pollenring::Random &random) {
+void RunByContracts(const Settings &settings, const std::string &path,
+                    pollenring::Loop &loop, pollenring::Random &random) {
   pollenring::Node node{settings, loop, random};
-  RunLoop(loop, node, settings);
+  RunLoop(loop, node, settings, path);
 }
 
-void RunByHosts(const Settings &settings, pollenring::Loop &loop,
-                pollenring::Random &random) {
+void RunByHosts(const Settings &settings, const std::string &path,
+                pollenring::Loop &loop, pollenring::Random &random) {
   pollenring::HttpClient client{loop, pollenring::kMaxBodyBytes};
   pollenring::StoreClient store_client{client, settings.platform};
   pollenring::platform::Store store{store_client};
@@ -77,10 +106,10 @@
   pollenring::MeshNode node{settings,
                             {loop, client, store, store, policies, callers,
                              targets, heartbeats, random}};
-  RunLoop(loop, node, settings);
+  RunLoop(loop, node, settings, path);
 }
 
-[[nodiscard]] int Run(const Settings &settings) {
+[[nodiscard]] int Run(const Settings &settings, const std::string &path) {
   const pollenring::SystemClock clock;
   pollenring::Loop loop{clock};
   pollenring::SeededRandom random{
@@ -88,11 +117,12 @@
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGTERM, OnSignal);
   std::signal(SIGINT, OnSignal);
+  std::signal(SIGHUP, OnSignal);
   try {
     if (settings.routes == pollenring::RouteForm::kHost) {
-      RunByHosts(settings, loop, random);
+      RunByHosts(settings, path, loop, random);
     }
-    RunByContracts(settings, loop, random);
+    RunByContracts(settings, path, loop, random);
   } catch (const std::runtime_error &error) {
     LogEvent(pollenring::LogLevel::kError, "can't start",
              {{"why", error.what()}});
@@ -140,5 +170,5 @@
   const bool verbose = arguments.count("verbose") > 0;
   pollenring::SetUpLog("pollenringd", verbose ? pollenring::LogLevel::kDebug
                                               : pollenring::LogLevel::kInfo);
-  return Run(settings);
+  return Run(settings, path);
 }
