--- a/src/pollenring/node/route_levels.cc
+++ b/src/pollenring/node/route_levels.cc
@@ -26,6 +26,17 @@
   }
 }
 
+std::vector<ServiceLevel> RouteLevels::LevelsOn(
+    const std::string &route) const {
+  std::vector<ServiceLevel> levels;
+  const auto found = this->routes.find(route);
+  if (found == this->routes.end()) return levels;
+  for (const auto &[service, known] : found->second) {
+    if (!this->Stale(known)) levels.push_back({service, known.level});
+  }
+  return levels;
+}
+
 double RouteLevels::LevelOf(const std::string &route) const {
   const auto found = this->routes.find(route);
   if (found == this->routes.end()) return 0;
--- a/src/pollenring/node/route_levels.h
+++ b/src/pollenring/node/route_levels.h
@@ -40,6 +40,14 @@
    */
   void Learn(const std::string &route, const std::vector<ServiceLevel> &levels);
 
+  /**
+   * @brief Reads the levels of all services on a route's way.
+   * @param route The route.
+   * @return Levels that are not out of date.
+   */
+  [[nodiscard]] std::vector<ServiceLevel> LevelsOn(
+      const std::string &route) const;
+
   /**
    * @brief Finds the priority below which roots would be shed.
    * @param route The route.
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -18,6 +18,8 @@
 constexpr Span kAnnouncementLifetime = std::chrono::seconds{6};
 /*! @brief Pause between two lines on a busy target. */
 constexpr Span kLoadLogPeriod = std::chrono::seconds{1};
+/*! @brief Calls of one kind of request end many times a second under load. */
+constexpr Span kDownstreamLifetime = std::chrono::milliseconds{1000};
 constexpr std::size_t kContextBytes = 16;
 constexpr std::size_t kMostLevels = 8;
 
@@ -49,7 +51,8 @@
       random{random},
       metrics{metrics},
       changed{std::move(changed)},
-      parents{random} {}
+      parents{random},
+      downstream{kDownstreamLifetime, loop.GetClock()} {}
 
 void Serving::Announce(const Announcement &announcement) {
   const std::string &service = announcement.target.service;
@@ -226,6 +229,7 @@
     if (level <= 0 || reply.levels.size() >= kMostLevels) continue;
     reply.levels.push_back({service, level});
   }
+  this->AttachDownstream(served, reply);
   const auto found = this->bindings.find(served.envelope.service);
   if (found == this->bindings.end()) return;
   const Admission &admission = *found->second.admission;
@@ -235,6 +239,14 @@
   reply.levels.push_back({served.envelope.service, level});
 }
 
+void Serving::AttachDownstream(const ServedCall &served,
+                               CallReply &reply) const {
+  for (const auto &entry : this->downstream.LevelsOn(served.envelope.route)) {
+    if (reply.levels.size() >= kMostLevels) return;
+    reply.levels.push_back(entry);
+  }
+}
+
 void Serving::Cancel(std::uint64_t id) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) return;
@@ -292,7 +304,8 @@
   if (parent == nullptr) return;
   const Time now = this->loop.GetClock().Now();
   parent->EndSubCall(now);
-  parent->MergeLevels(levels);
+  // Later answers tell them, which are sooner than the parent's own.
+  this->downstream.Learn(parent->envelope.route, levels);
   this->parents.CallEnded(id, now);
 }
 
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -17,6 +17,7 @@
 #include "pollenring/net/http_client.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/parent_finder.h"
+#include "pollenring/node/route_levels.h"
 #include "pollenring/node/target_dialect.h"
 #include "pollenring/node/wire.h"
 #include "pollenring/retry/allowance.h"
@@ -174,6 +175,7 @@
                                       const std::string &instance) const;
   void CancelSubCalls(const SubCallCancels &cancels);
   void LogLoad();
+  void AttachDownstream(const ServedCall &served, CallReply &reply) const;
   void AttachLoad(const ServedCall &served, CallReply &reply) const;
 
   Loop &loop;
@@ -187,6 +189,7 @@
   std::unordered_map<std::uint64_t, Call> calls;
   std::unordered_map<std::string, std::uint64_t> contexts;
   ParentFinder parents;
+  RouteLevels downstream; /*!< By route of the requests that make calls. */
   std::uint64_t last_id{};
   Time load_logged{};
 };
