--- a/src/pollenring/admission/concurrency_limit.cc
+++ b/src/pollenring/admission/concurrency_limit.cc
@@ -20,6 +20,16 @@
 /*! @brief Limit up to which a lower one would cost much. */
 constexpr double kSmallLimit = 8;
 
+/*! @brief Part of the slots beyond which a target is nearly full. */
+constexpr double kNearlyFull = 0.95;
+/*! @brief Part of the slots from which a target is busy. */
+constexpr double kBusy = 0.7;
+/*! @brief Samples of either kind; the mean of times that vary by half of it is
+ * then known to within 5 %. */
+constexpr int kCrowdingSamples = 150;
+/*! @brief Slots below which the last ones are too great a part. */
+constexpr double kFewSlots = 10;
+
 }  // namespace
 
 ConcurrencyLimit::ConcurrencyLimit(std::uint32_t slots,
@@ -41,6 +51,7 @@
     this->own_us += static_cast<double>(own_time.count());
     this->whole_us += static_cast<double>(whole_time.count());
     ++this->samples;
+    if (this->options.fixed) this->LearnCrowding(own_time, running);
     if (running >= this->Current()) ++this->full_samples;
   }
   const Span age = this->clock.Now() - this->window_start;
@@ -59,6 +70,25 @@
                : this->options.enough_samples;
 }
 
+void ConcurrencyLimit::LearnCrowding(Span own_time, int running) {
+  const double used = running / this->announced;
+  if (used < kBusy || this->announced < kFewSlots) return;
+  MeanTime &mean = used > kNearlyFull ? this->crowded : this->busy;
+  mean.sum_us += static_cast<double>(own_time.count());
+  ++mean.count;
+  const bool known = this->crowded.count >= kCrowdingSamples &&
+                     this->busy.count >= kCrowdingSamples;
+  if (!known) return;
+  const double spared = std::floor(this->announced * kNearlyFull);
+  // With the last slots free the target does more in the same time.
+  const double gain = this->crowded.Mean() / this->busy.Mean();
+  if (gain > this->announced / spared) {
+    this->limit = spared;
+  }
+  this->crowded = {};
+  this->busy = {};
+}
+
 void ConcurrencyLimit::CloseWindow() {
   const bool many = this->samples >= this->EnoughSamples();
   const bool full = this->full_samples > this->samples * kFullPart;
--- a/src/pollenring/admission/concurrency_limit.h
+++ b/src/pollenring/admission/concurrency_limit.h
@@ -70,6 +70,17 @@
   };
 
   [[nodiscard]] int EnoughSamples() const noexcept;
+  /*! @brief Mean time of requests that started at one degree of use. */
+  struct MeanTime {
+    double sum_us{};
+    int count{};
+
+    [[nodiscard]] double Mean() const noexcept {
+      return this->sum_us / std::max(1, this->count);
+    }
+  };
+
+  void LearnCrowding(Span own_time, int running);
   void CloseWindow();
   void LearnBaseline(double own_us_each);
   [[nodiscard]] bool MayTryLower(double own_us_each) const noexcept;
@@ -103,6 +114,8 @@
   int full_samples{};
   int refused{};
   Span typical{};
+  MeanTime crowded; /*!< The last slots were in use. */
+  MeanTime busy;    /*!< Most were, but not the last. */
 };
 
 }  // namespace pollenring
--- a/src/pollenring/admission/fit_level.h
+++ b/src/pollenring/admission/fit_level.h
@@ -17,8 +17,8 @@
   /*! @brief Memory of what was offered; a deep request takes about as long from
    * its first call here to its last. */
   Span memory{std::chrono::milliseconds{500}};
-  /*! @brief Delay up to which a queue is a burst and no overload; a deep request
-   * waits that long several times. */
+  /*! @brief Delay up to which a queue is a burst and no overload; a deep
+   * request waits that long several times. */
   Span tolerated{std::chrono::milliseconds{6}};
   /*! @brief Delay that takes all of the reserve below. */
   Span longest{std::chrono::milliseconds{100}};
--- a/src/pollenring/link/link_client.cc
+++ b/src/pollenring/link/link_client.cc
@@ -8,6 +8,19 @@
 #include "pollenring/net/loop.h"
 
 namespace pollenring {
+namespace {
+
+constexpr Span kAliveCheck = std::chrono::milliseconds{100};
+/*! @brief Longest wait for a connection; a lost opening packet is sent again
+ * after a second, by then another node has been asked. */
+constexpr Span kConnectTimeout = std::chrono::milliseconds{800};
+/*! @brief Silence, while calls are open, after which a ping is sent. */
+constexpr Span kQuiet = std::chrono::milliseconds{300};
+/*! @brief Longest wait for any sign of life then; a node that has used up its
+ * share of processor stands still for a tenth of a second. */
+constexpr Span kSignOfLife = std::chrono::milliseconds{800};
+
+}  // namespace
 
 /*! @brief The client's end of the connection to one peer. */
 class LinkClient::Connection final : public Session {
@@ -18,6 +31,7 @@
         peer{peer} {}
 
   void Connect() {
+    this->opened = this->GetLoop().GetClock().Now();
     sockaddr_in native = this->peer.Native();
     this->connecting = h2o_socket_connect(
         this->GetLoop().Native(), reinterpret_cast<sockaddr *>(&native),
@@ -50,6 +64,24 @@
     return false;
   }
 
+  /*! @brief Closes a connection whose peer gives no sign of life. */
+  void CheckAlive() {
+    const Time now = this->GetLoop().GetClock().Now();
+    if (!this->connected) {
+      if (now - this->opened > kConnectTimeout) this->Close();
+      return;
+    }
+    if (this->ids.empty()) return;
+    if (this->LastHeard() >= this->pinged) this->pinged = Time{};
+    if (this->pinged == Time{}) {
+      if (now - this->LastHeard() < kQuiet) return;
+      this->pinged = now;
+      this->Ping();
+      return;
+    }
+    if (now - this->pinged > kSignOfLife) this->Close();
+  }
+
   void Drop(std::int32_t stream_id) {
     this->ids.erase(stream_id);
     this->Reset(stream_id, NGHTTP2_CANCEL);
@@ -130,13 +162,30 @@
   Address peer;
   h2o_socket_t *connecting{};
   bool connected{};
+  Time opened{};
+  Time pinged{}; /*!< Zero unless an answer is awaited. */
   std::vector<Waiting> waiting;
   std::unordered_map<std::int32_t, CallId> ids;
 };
 
 LinkClient::LinkClient(Loop &loop, std::string secret,
                        std::size_t max_body_bytes)
-    : loop{loop}, secret{std::move(secret)}, max_body_bytes{max_body_bytes} {}
+    : loop{loop}, secret{std::move(secret)}, max_body_bytes{max_body_bytes} {
+  const std::weak_ptr<bool> still = this->alive;
+  loop.Every(kAliveCheck, [this, still] {
+    if (!still.expired()) this->CheckAlive();
+  });
+}
+
+void LinkClient::CheckAlive() {
+  // Closing a connection changes the map.
+  std::vector<std::shared_ptr<Connection>> open;
+  open.reserve(this->connections.size());
+  for (const auto &[peer, connection] : this->connections) {
+    open.push_back(connection);
+  }
+  for (const auto &connection : open) connection->CheckAlive();
+}
 
 LinkClient::~LinkClient() = default;
 
--- a/src/pollenring/link/link_client.h
+++ b/src/pollenring/link/link_client.h
@@ -62,9 +62,11 @@
     std::uint64_t timer{};
   };
 
+  void CheckAlive();
   void Finish(CallId id, Reply reply);
   void Abandon(CallId id, bool timed_out);
 
+  std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
   Loop &loop;
   std::string secret;
   std::size_t max_body_bytes;
--- a/src/pollenring/link/session.cc
+++ b/src/pollenring/link/session.cc
@@ -169,6 +169,11 @@
   this->ScheduleFlush();
 }
 
+void Session::Ping() {
+  nghttp2_submit_ping(this->native, NGHTTP2_FLAG_NONE, nullptr);
+  this->ScheduleFlush();
+}
+
 void Session::ScheduleFlush() {
   if (this->flush_scheduled) return;
   this->flush_scheduled = true;
@@ -201,6 +206,7 @@
     this->Close();
     return;
   }
+  this->last_heard = this->loop.GetClock().Now();
   const auto self = this->shared_from_this();
   h2o_buffer_t **input = &this->socket->input;
   const ssize_t used = nghttp2_session_mem_recv(
--- a/src/pollenring/link/session.h
+++ b/src/pollenring/link/session.h
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "pollenring/core/clock.h"
+
 struct st_h2o_socket_t;
 
 namespace pollenring {
@@ -72,6 +74,12 @@
   void Reset(std::int32_t stream_id, std::uint32_t code);
   void ScheduleFlush();
 
+  /*! @brief Asks the peer for a sign of life. */
+  void Ping();
+
+  /*! @brief When the peer was heard last. @return The time. */
+  [[nodiscard]] Time LastHeard() const noexcept { return this->last_heard; }
+
   [[nodiscard]] Loop &GetLoop() const noexcept { return this->loop; }
   [[nodiscard]] nghttp2_session *Native() const noexcept {
     return this->native;
@@ -93,6 +101,7 @@
   bool writing{};
   bool flush_scheduled{};
   bool closed{};
+  Time last_heard{};
 };
 
 }  // namespace pollenring
--- /dev/null
+++ b/test/platform/dialects_test.cc
@@ -0,0 +1,133 @@
+#include "platform/dialects.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace std::chrono_literals;
+using pollenring::CallEnvelope;
+using pollenring::CallReply;
+using pollenring::HttpRequest;
+using pollenring::HttpResponse;
+using pollenring::Outcome;
+using pollenring::Reason;
+using pollenring::TargetState;
+using pollenring::platform::Callers;
+using pollenring::platform::Heartbeats;
+using pollenring::platform::Policies;
+using pollenring::platform::Targets;
+
+[[nodiscard]] HttpRequest Beat(const std::string &body) {
+  return {"POST", "/Instances.Heartbeat/i-1", {}, body, {}};
+}
+
+[[nodiscard]] Outcome Judged(const HttpResponse &answer) {
+  CallEnvelope envelope;
+  envelope.root_id = "id1";
+  return Targets{}.Judge(envelope, answer).outcome;
+}
+
+}  // namespace
+
+TEST_CASE("platform: a heartbeat is read") {
+  const auto beat = Heartbeats{}.Decode(
+      Beat(R"({"address":"10.0.0.9:80","born":5,"info":{"service":"s",
+      "slots":8},"status":{"state":"ready","sequence":4,"cold_left_ms":9}})"));
+  REQUIRE(beat);
+  CHECK(beat->announcement.instance == "i-1");
+  CHECK(beat->announcement.target.slots == 8);
+  CHECK(beat->announcement.target.state == TargetState::kCold);
+  CHECK(beat->born == 5);
+  CHECK(beat->sequence == 4);
+  const auto leave =
+      Heartbeats{}.Decode({"POST", "/Instances.Deregister/i-1", {}, {}, {}});
+  REQUIRE(leave);
+  CHECK(leave->departs);
+}
+
+TEST_CASE("platform: a heartbeat of another writer names no target") {
+  const std::string body = GENERATE(
+      std::string{"\xff\xfe"}, std::string{"[]"}, std::string{"{}"},
+      std::string{R"({"address":"10.0.0.9:80","info":{"service":"s"},
+        "status":{"state":"ready","sequence":1}})"},
+      std::string{R"({"address":7,"info":{"service":"s","slots":8},
+        "status":{"state":"ready","sequence":1}})"},
+      std::string{R"({"address":"10.0.0.9:80","info":{"service":"s","slots":8},
+        "status":{"state":"asleep","sequence":1}})"},
+      std::string{R"({"address":"10.0.0.9:80","info":{"service":"s","slots":0},
+        "status":{"state":"ready","sequence":1}})"},
+      std::string{R"({"address":"10.0.0.9:80","info":{"service":"s",
+        "slots":"8"},"status":{"state":"ready","sequence":1}})"});
+  CAPTURE(body);
+  CHECK_FALSE(Heartbeats{}.Decode(Beat(body)));
+}
+
+TEST_CASE("platform: a configuration is read whole or not at all") {
+  const auto policy = Policies{}.Decode(R"({"version":"r12","routes":[
+    {"name":"a","host":"h","prefix":"/p/","kind":"download","timeout_ms":800,
+     "target_latency_ms":400,"priority":2,"attempts":2,"service":"s",
+     "allow_anonymous":true},
+    {"name":"b","host":"h","prefix":"/q/","kind":"non_idempotent",
+     "split":[{"service":"s","weight":90},{"service":"t","weight":10}]}],
+    "tenants":[{"name":"w","api_keys":["k"],"rate_per_s":4,"burst":9}]})");
+  REQUIRE(policy);
+  CHECK(policy->version == 12);
+  REQUIRE(policy->routes.size() == 2);
+  CHECK(policy->routes[0].idempotent);
+  CHECK(policy->routes[0].open);
+  CHECK(policy->routes[0].timeout == 800ms);
+  CHECK_FALSE(policy->routes[1].idempotent);
+  REQUIRE(policy->routes[1].parts.size() == 2);
+  CHECK(policy->routes[1].parts[0].weight == 90);
+  REQUIRE(policy->workspaces.size() == 1);
+  CHECK(policy->workspaces[0].share.burst == 9);
+  const std::string bad =
+      GENERATE(std::string{"{"}, std::string{R"({"routes":[]})"},
+               std::string{R"({"version":12,"routes":[]})"},
+               std::string{R"({"version":"r","routes":[]})"},
+               std::string{R"({"version":"r1","routes":[{"name":"a"}]})"});
+  CHECK_FALSE(Policies{}.Decode(bad));
+}
+
+TEST_CASE("platform: only an answer that says so has not run") {
+  const auto answer = [](int status, pollenring::HttpHeaders headers) {
+    headers.push_back({"x-pollenring-attempt-id", "id1"});
+    return HttpResponse{status, std::move(headers), {}};
+  };
+  const pollenring::HttpHeader stamp{"x-pollenring-response-stamp", "s"};
+  CHECK(Judged(answer(200, {stamp})) == Outcome::kRan);
+  CHECK(Judged(answer(500, {stamp})) == Outcome::kRan);
+  CHECK(Judged(answer(200, {})) == Outcome::kUnknown);
+  CHECK(Judged(answer(200, {stamp, {"content-encoding", "gzip"}})) ==
+        Outcome::kUnknown);
+  CHECK(Judged(answer(503, {stamp})) == Outcome::kUnknown);
+  CHECK(Judged(answer(503, {{"x-pollenring-not-executed", "1"}})) ==
+        Outcome::kNotRun);
+  CHECK(Judged(answer(421, {})) == Outcome::kNotRun);
+  CHECK(Judged({200, {stamp, {"x-pollenring-attempt-id", "id2"}}, {}}) ==
+        Outcome::kUnknown);
+}
+
+TEST_CASE("platform: a target sees no key and nothing that a client forged") {
+  const auto caller = Callers{}.Decode({{"authorization", "Token secret"},
+                                        {"x-pollenring-tenant", "forged"},
+                                        {"x-pollenring-caller-service", "f"},
+                                        {"x-pollenring-attempt-id", "id1"},
+                                        {"x-pollenring-deadline-ms", "250"},
+                                        {"accept", "text/plain"}});
+  CHECK(caller.key == "secret");
+  CHECK(caller.id == "id1");
+  CHECK(caller.remaining == pollenring::Span{250ms});
+  REQUIRE(caller.headers.size() == 1);
+  CHECK(caller.headers[0].name == "accept");
+}
+
+TEST_CASE("platform: a refusal says when to come back, in seconds") {
+  CallReply reply;
+  reply.status = 503;
+  reply.reason = Reason::kOverload;
+  reply.retry_after_us = 450'000;
+  const HttpResponse response = Callers{}.Encode(reply, {}, "id1");
+  CHECK(FindHeader(response.headers, "retry-after") == "0.450");
+  CHECK(FindHeader(response.headers, "x-pollenring-response-stamp").empty());
+}
--- /dev/null
+++ b/test/pollenring/admission/aim_queue_test.cc
@@ -0,0 +1,59 @@
+#include "pollenring/admission/aim_queue.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace std::chrono_literals;
+using pollenring::AimQueue;
+using pollenring::Importance;
+using pollenring::Ticket;
+
+[[nodiscard]] Ticket Waiting(std::uint64_t id, pollenring::Time aim,
+                             Importance importance, int depth) {
+  Ticket ticket;
+  ticket.id = id;
+  ticket.aim = aim;
+  ticket.deadline = aim + 1s;
+  ticket.importance = importance;
+  ticket.depth = depth;
+  return ticket;
+}
+
+}  // namespace
+
+TEST_CASE("aim queue: a short request passes those that have time") {
+  AimQueue queue;
+  queue.Push(Waiting(1, 300ms, Importance::kHigh, 2));
+  queue.Push(Waiting(2, 320ms, Importance::kLow, 2));
+  queue.Push(Waiting(3, 120ms, Importance::kNormal, 0));
+  CHECK(queue.Pop()->id == 3);
+  CHECK(queue.Pop()->id == 1);
+  CHECK(queue.Pop()->id == 2);
+  CHECK_FALSE(queue.Pop());
+}
+
+TEST_CASE("aim queue: calls for requests let in above are shed last") {
+  AimQueue queue;
+  queue.Push(Waiting(1, 100ms, Importance::kLow, 1));
+  queue.Push(Waiting(2, 100ms, Importance::kHigh, 0));
+  queue.Push(Waiting(3, 100ms, Importance::kLow, 0));
+  queue.Push(Waiting(4, 200ms, Importance::kLow, 0));
+  CHECK(queue.Lowest() == Importance::kLow);
+  CHECK(queue.PopWorst()->id == 4);
+  CHECK(queue.PopWorst()->id == 3);
+  CHECK(queue.PopWorst()->id == 2);
+  CHECK(queue.Lowest() == Importance::kCritical);
+  CHECK(queue.PopWorst()->id == 1);
+}
+
+TEST_CASE("aim queue: what can't end in time leaves at once") {
+  AimQueue queue;
+  queue.Push(Waiting(1, 100ms, Importance::kLow, 0));
+  queue.Push(Waiting(2, 900ms, Importance::kLow, 0));
+  const auto expired = queue.RemoveExpired(1200ms);
+  REQUIRE(expired.size() == 1);
+  CHECK(expired.front().id == 1);
+  CHECK(queue.Size() == 1);
+  CHECK_FALSE(queue.Remove(1));
+}
--- /dev/null
+++ b/test/pollenring/admission/fit_level_test.cc
@@ -0,0 +1,104 @@
+#include "pollenring/admission/fit_level.h"
+
+#include <catch2/catch.hpp>
+
+#include "pollenring/core/random.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using pollenring::FitLevel;
+using pollenring::FitLevelOptions;
+using pollenring::Importance;
+using pollenring::ManualClock;
+using pollenring::QueueState;
+using pollenring::SeededRandom;
+using pollenring::Span;
+using pollenring::Ticket;
+
+/*! @brief A service whose roots arrive some time after they are let in. */
+class DeepService {
+ public:
+  explicit DeepService(Span way) : way{way} {}
+
+  /*! @brief Runs for a while at an offered rate. @return Mean part kept. */
+  double Run(Span length, double offered_per_second) {
+    const Span step = 10ms;
+    double kept = 0;
+    double all = 0;
+    for (Span t{0}; t < length; t += step) {
+      this->clock.Advance(step);
+      const double count = offered_per_second * 0.01;
+      for (int i = 0; i < static_cast<int>(count); ++i) this->Offer(kept, all);
+      this->Arrive();
+      const double done = kCapacity * 0.01;
+      this->queue = std::max(0.0, this->queue - done);
+      const auto delay_us = this->queue / kCapacity * 1e6;
+      this->level.Tick({Span{static_cast<std::int64_t>(delay_us)}, kCapacity});
+      this->longest = std::max(this->longest, this->queue / kCapacity);
+    }
+    return kept / all;
+  }
+
+  [[nodiscard]] double Level() const { return this->level.LevelOf({}); }
+
+  static constexpr double kCapacity = 1000;
+  double longest{}; /*!< Longest queue, in seconds. */
+
+ private:
+  void Offer(double &kept, double &all) {
+    all += 1;
+    const double lot = this->random.Fraction();
+    if (lot < this->level.LevelOf({})) return;
+    kept += 1;
+    Ticket ticket;
+    ticket.importance = Importance::kLow;
+    ticket.lot = lot;
+    this->under_way.push_back({this->clock.Now() + this->way, ticket});
+  }
+
+  void Arrive() {
+    while (!this->under_way.empty() &&
+           this->under_way.front().first <= this->clock.Now()) {
+      this->level.Offered(this->under_way.front().second);
+      this->queue += 1;
+      this->under_way.erase(this->under_way.begin());
+    }
+  }
+
+  Span way;
+  ManualClock clock{std::chrono::hours{1}};
+  SeededRandom random{7};
+  FitLevel level{FitLevelOptions{}, clock};
+  std::vector<std::pair<pollenring::Time, Ticket>> under_way;
+  double queue{};
+};
+
+}  // namespace
+
+TEST_CASE("fit level: nothing is refused below the capacity") {
+  DeepService service{500ms};
+  CHECK(service.Run(10s, 900) == 1.0);
+  CHECK(service.Level() == 0);
+}
+
+TEST_CASE("fit level: twice the capacity is halved, however deep it is felt") {
+  const Span way = GENERATE(Span{0}, Span{200ms}, Span{500ms});
+  CAPTURE(way.count());
+  DeepService service{way};
+  static_cast<void>(service.Run(10s, 2000));
+  // Steady by now: what is let in fits and slots don't idle.
+  service.longest = 0;
+  const double kept = service.Run(20s, 2000);
+  CHECK(kept * 2000 > 0.8 * DeepService::kCapacity);
+  CHECK(kept * 2000 < 1.05 * DeepService::kCapacity);
+  CHECK(service.longest < 0.4);
+}
+
+TEST_CASE("fit level: it goes when the overload does") {
+  DeepService service{200ms};
+  static_cast<void>(service.Run(10s, 2000));
+  REQUIRE(service.Level() > 0.3);
+  static_cast<void>(service.Run(3s, 500));
+  CHECK(service.Level() == 0);
+}
--- /dev/null
+++ b/test/pollenring/mesh/heartbeat_filter_test.cc
@@ -0,0 +1,58 @@
+#include "pollenring/mesh/heartbeat_filter.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using pollenring::Heartbeat;
+using pollenring::HeartbeatFilter;
+using pollenring::HeartbeatVerdict;
+
+[[nodiscard]] Heartbeat Beat(const std::string &instance, std::uint64_t born,
+                             std::uint64_t sequence) {
+  Heartbeat heartbeat;
+  heartbeat.announcement.instance = instance;
+  heartbeat.born = born;
+  heartbeat.sequence = sequence;
+  return heartbeat;
+}
+
+[[nodiscard]] Heartbeat Departure(const std::string &instance) {
+  Heartbeat heartbeat = Beat(instance, 0, 0);
+  heartbeat.departs = true;
+  return heartbeat;
+}
+
+}  // namespace
+
+TEST_CASE("heartbeat filter: an older sequence is left out") {
+  HeartbeatFilter filter;
+  CHECK(filter.Judge(Beat("a", 10, 4)) == HeartbeatVerdict::kTaken);
+  CHECK(filter.Judge(Beat("a", 10, 3)) == HeartbeatVerdict::kStale);
+  CHECK(filter.Judge(Beat("a", 10, 4)) == HeartbeatVerdict::kStale);
+  CHECK(filter.Judge(Beat("a", 10, 5)) == HeartbeatVerdict::kTaken);
+}
+
+TEST_CASE("heartbeat filter: a start under the old name counts anew") {
+  HeartbeatFilter filter;
+  CHECK(filter.Judge(Beat("a", 10, 90)) == HeartbeatVerdict::kTaken);
+  CHECK(filter.Judge(Beat("a", 20, 1)) == HeartbeatVerdict::kTaken);
+  CHECK(filter.Judge(Beat("a", 10, 91)) == HeartbeatVerdict::kStale);
+}
+
+TEST_CASE("heartbeat filter: nothing follows a departure but a new start") {
+  HeartbeatFilter filter;
+  CHECK(filter.Judge(Beat("a", 10, 1)) == HeartbeatVerdict::kTaken);
+  CHECK(filter.Judge(Departure("a")) == HeartbeatVerdict::kTaken);
+  CHECK(filter.Judge(Departure("a")) == HeartbeatVerdict::kStale);
+  CHECK(filter.Judge(Beat("a", 10, 2)) == HeartbeatVerdict::kStale);
+  CHECK(filter.Judge(Beat("a", 30, 1)) == HeartbeatVerdict::kTaken);
+}
+
+TEST_CASE("heartbeat filter: an earlier target's late word is left out") {
+  HeartbeatFilter filter;
+  CHECK(filter.Judge(Beat("new", 20, 1)) == HeartbeatVerdict::kTaken);
+  CHECK(filter.Judge(Beat("old", 10, 7)) == HeartbeatVerdict::kStale);
+  CHECK(filter.Judge(Beat("old", 10, 8)) == HeartbeatVerdict::kStale);
+  CHECK(filter.Judge(Beat("new", 20, 2)) == HeartbeatVerdict::kTaken);
+}
--- /dev/null
+++ b/test/pollenring/mesh/mesh_node_test.cc
@@ -0,0 +1,193 @@
+#include "pollenring/mesh/mesh_node.h"
+
+#include <catch2/catch.hpp>
+
+#include "support/mesh_world.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using pollenring::HttpRequest;
+using pollenring::HttpResponse;
+using support::MeshWorld;
+
+constexpr const char *kConfig = R"({"version":"r3","routes":[
+  {"name":"read","host":"a.example","prefix":"/read/","kind":"idempotent",
+   "timeout_ms":1500,"target_latency_ms":500,"priority":1,"attempts":2,
+   "service":"deep","allow_anonymous":false},
+  {"name":"write","host":"a.example","prefix":"/write/",
+   "kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":500,
+   "priority":0,"attempts":2,"service":"deep","allow_anonymous":false}],
+  "tenants":[{"name":"club","api_keys":["key-of-the-club"],
+  "rate_per_s":1000,"burst":1000}]})";
+
+[[nodiscard]] std::string Replaced(std::string text, const std::string &what,
+                                   const std::string &by) {
+  return text.replace(text.find(what), what.size(), by);
+}
+
+[[nodiscard]] pollenring::HttpHeaders Headers(const std::string &id) {
+  return {{"x-pollenring-attempt-id", id},
+          {"x-pollenring-deadline-ms", "1400"},
+          {"authorization", "Token key-of-the-club"}};
+}
+
+[[nodiscard]] HttpResponse Signed(const HttpRequest &request, int status) {
+  return {
+      status,
+      {{"x-pollenring-attempt-id",
+        std::string{FindHeader(request.headers, "x-pollenring-attempt-id")}},
+       {"x-pollenring-response-stamp", "stamp"}},
+      "from " +
+          std::string{
+              FindHeader(request.headers, "x-pollenring-caller-service")} +
+          " for " +
+          std::string{FindHeader(request.headers, "x-pollenring-tenant")}};
+}
+
+/*! @brief A front and two deep targets, once requests are served. */
+struct World : MeshWorld {
+  World(int net, const Endpoint &deep) : MeshWorld{net} {
+    this->Store().PutConfig(kConfig);
+    this->Start("front", [](const HttpRequest &request) {
+      return Signed(request, 200);
+    });
+    this->Start("deep", deep);
+    this->Start("deep", deep);
+    for (int i = 1; i <= 3; ++i) {
+      REQUIRE(this->Await([&] { return this->Ready(i) == 200; }, 8s));
+      REQUIRE(this->Beat(i) == 200);
+    }
+    REQUIRE(this->Await(
+        [&] {
+          return this->Call(1, "GET", "/read/0", Headers("warm")).status == 200;
+        },
+        5s));
+  }
+};
+
+}  // namespace
+
+TEST_CASE("mesh: a request passes two nodes to its target") {
+  World world{1, [](const HttpRequest &r) { return Signed(r, 200); }};
+  const auto answer = world.Call(1, "GET", "/read/1", Headers("id1"));
+  CHECK(answer.status == 200);
+  CHECK(answer.body == "from front for club");
+  CHECK(FindHeader(answer.headers, "x-pollenring-response-stamp") == "stamp");
+  CHECK(FindHeader(answer.headers, "x-pollenring-attempt-id") == "id1");
+  auto unknown = Headers("id2");
+  unknown[2].value = "Token other";
+  CHECK(world.Call(1, "GET", "/read/1", unknown).status == 401);
+  CHECK(world.Call(1, "GET", "/none/1", Headers("id3")).status == 404);
+  CHECK(world.Call(1, "GET", "/read/1", Headers("id4"), "b.example").status ==
+        404);
+}
+
+TEST_CASE("mesh: a node without configuration says nothing of routes") {
+  MeshWorld world{2};
+  world.Store().SetDown(true);
+  world.Start("front", [](const HttpRequest &r) { return Signed(r, 200); });
+  world.Run(200ms);
+  CHECK(world.Ready(1) == 503);
+  const auto answer = world.Call(1, "GET", "/read/1", Headers("id1"));
+  CHECK(answer.status == 503);
+  CHECK_FALSE(FindHeader(answer.headers, "retry-after").empty());
+  world.Store().PutConfig(kConfig);
+  world.Store().SetDown(false);
+  CHECK(world.Await([&] { return world.Ready(1) == 200; }, 5s));
+}
+
+TEST_CASE("mesh: what may have run is not sent again, nor said not to have") {
+  int runs = 0;
+  // A success without the target's stamp: nobody knows what ran.
+  World world{3, [&runs](const HttpRequest &request) {
+                if (request.method == "GET") return Signed(request, 200);
+                ++runs;
+                return HttpResponse{200, {}, "garbled"};
+              }};
+  for (int i = 0; i < 20; ++i) {
+    const auto answer =
+        world.Call(1, "POST", "/write/1", Headers("write" + std::to_string(i)));
+    CHECK(answer.status == 502);
+    CHECK(runs == i + 1);
+  }
+}
+
+TEST_CASE("mesh: an idempotent request is tried at another target") {
+  int failures = 0;
+  World world{4, [&failures](const HttpRequest &request) {
+                const bool fails =
+                    request.path == "/read/fails" && failures++ == 0;
+                return Signed(request, fails ? 500 : 200);
+              }};
+  // Answers earn what a retry costs.
+  for (int i = 0; i < 30; ++i) {
+    CHECK(world.Call(1, "GET", "/read/1", Headers("r" + std::to_string(i)))
+              .status == 200);
+  }
+  CHECK(world.Call(1, "GET", "/read/fails", Headers("again")).status == 200);
+  CHECK(failures == 2);
+}
+
+TEST_CASE("mesh: a draining target gets nothing once that is acknowledged") {
+  std::map<std::string, int> served;
+  World world{5, [&served](const HttpRequest &request) {
+                ++served[std::string{FindHeader(
+                    request.headers, "x-pollenring-expect-instance")}];
+                return Signed(request, 200);
+              }};
+  REQUIRE(world.Beat(2, "draining") == 200);
+  const int before = served["i-2"];
+  for (int i = 0; i < 40; ++i) {
+    CHECK(world.Call(1, "GET", "/read/1", Headers("d" + std::to_string(i)))
+              .status == 200);
+  }
+  CHECK(served["i-2"] == before);
+  CHECK(served["i-3"] >= 40);
+}
+
+TEST_CASE("mesh: a new version is in force within two seconds") {
+  const bool silent = GENERATE(false, true);
+  CAPTURE(silent);
+  World world{silent ? 9 : 6,
+              [](const HttpRequest &r) { return Signed(r, 200); }};
+  const std::string next =
+      Replaced(Replaced(kConfig, "r3", "r9"), "/read/", "/moved/");
+  // A watch that is never answered ends by a time-out of the node's own.
+  world.Store().SetSilent(silent);
+  world.Run(50ms);
+  world.Store().PutConfig(next);
+  if (silent) world.Run(1500ms);
+  world.Store().SetSilent(false);
+  CHECK(world.Await(
+      [&] {
+        return world.Call(1, "GET", "/moved/1", Headers("m")).status == 200;
+      },
+      2s));
+  // An older version, read late, is not put into force.
+  world.Store().PutConfig(kConfig);
+  world.Run(300ms);
+  CHECK(world.Call(1, "GET", "/moved/1", Headers("n")).status == 200);
+}
+
+TEST_CASE("mesh: a dropped history is read anew") {
+  World world{7, [](const HttpRequest &r) { return Signed(r, 200); }};
+  world.Store().PutConfig(Replaced(kConfig, "r3", "r4"));
+  world.Store().DropHistory();
+  world.Run(100ms);
+  world.Store().PutConfig(
+      Replaced(Replaced(kConfig, "r3", "r9"), "/read/", "/moved/"));
+  CHECK(world.Await(
+      [&] {
+        return world.Call(1, "GET", "/moved/1", Headers("m")).status == 200;
+      },
+      4s));
+}
+
+TEST_CASE("mesh: a leaving node is not ready, serves on, then refuses") {
+  World world{8, [](const HttpRequest &r) { return Signed(r, 200); }};
+  world.Node(1).Leave();
+  CHECK(world.Ready(1) == 503);
+  const auto answer = world.Call(1, "GET", "/read/1", Headers("l1"));
+  CHECK(answer.status == 200);
+}
--- /dev/null
+++ b/test/pollenring/net/http_client_test.cc
@@ -0,0 +1,161 @@
+#include "pollenring/net/http_client.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "pollenring/net/loop.h"
+#include "support/raw_peer.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using pollenring::AnswerMark;
+using pollenring::CallError;
+using pollenring::HttpClient;
+using pollenring::HttpRequest;
+using pollenring::HttpResponse;
+using support::PeerEnd;
+using support::PeerScript;
+using support::RawPeer;
+
+constexpr std::size_t kMaxBody = std::size_t{1} << 20U;
+
+/*! @brief A client whose calls are waited for. */
+class Caller {
+ public:
+  HttpClient::Reply Call(const RawPeer &peer, const std::string &id = "own",
+                         const std::string &body = {}) {
+    std::optional<HttpClient::Reply> reply;
+    const HttpRequest request{
+        body.empty() ? "GET" : "POST", "/x", {{"mark", id}}, body, {}};
+    this->client.Call(
+        peer.Where(), request, 2s,
+        [&](HttpClient::Reply given) {
+          reply = std::move(given);
+          this->loop.Stop();
+        },
+        AnswerMark{"mark", id});
+    this->loop.Resume();
+    this->loop.Run();
+    return std::move(*reply);
+  }
+
+  void Run(pollenring::Span length) {
+    this->loop.After(length, [this] { this->loop.Stop(); });
+    this->loop.Resume();
+    this->loop.Run();
+  }
+
+ private:
+  pollenring::SystemClock clock;
+  pollenring::Loop loop{clock};
+  HttpClient client{loop, kMaxBody};
+};
+
+[[nodiscard]] std::string Answer(const std::string &id,
+                                 const std::string &body) {
+  return "HTTP/1.1 200 OK\r\nmark: " + id +
+         "\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+[[nodiscard]] std::string BodyOf(const HttpClient::Reply &reply) {
+  const auto *response = std::get_if<HttpResponse>(&reply);
+  return response == nullptr ? "no answer" : response->body;
+}
+
+[[nodiscard]] bool IsBroken(const HttpClient::Reply &reply) {
+  const auto *error = std::get_if<CallError>(&reply);
+  return error != nullptr && *error == CallError::kBroken;
+}
+
+}  // namespace
+
+TEST_CASE("http client: an answer that is cut is never whole") {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nmark: own\r\ntransfer-encoding: chunked\r\n\r\n";
+  const std::string head = "HTTP/1.1 200 OK\r\nmark: own\r\n";
+  const auto [name, bytes] = GENERATE_COPY(table<std::string, std::string>(
+      {{"in the head", head},
+       {"in a length", head + "content-length: 9\r\n\r\nfour"},
+       {"in a chunk", chunked + "9\r\nfour"},
+       {"before the last chunk", chunked + "4\r\nfour\r\n"},
+       {"with a broken chunk", chunked + "zz\r\nfour\r\n0\r\n\r\n"},
+       {"not HTTP", "hello there\r\n\r\n"},
+       {"nothing", ""}}));
+  const PeerEnd end = GENERATE(PeerEnd::kClose, PeerEnd::kReset);
+  CAPTURE(name);
+  RawPeer peer{{{{bytes}, end}}};
+  Caller caller;
+  CHECK(IsBroken(caller.Call(peer)));
+}
+
+TEST_CASE("http client: without a length, only an orderly end is one") {
+  const std::string bytes = "HTTP/1.1 200 OK\r\nmark: own\r\n\r\nall of it";
+  Caller caller;
+  RawPeer orderly{{{{bytes}, PeerEnd::kClose}}};
+  CHECK(BodyOf(caller.Call(orderly)) == "all of it");
+  RawPeer broken{{{{bytes}, PeerEnd::kReset}}};
+  CHECK(IsBroken(caller.Call(broken)));
+}
+
+TEST_CASE("http client: a second answer at once is nobody's") {
+  RawPeer peer{{{{Answer("own", "first") + Answer("own", "second")}, {}},
+                {{Answer("own", "third")}, {}}}};
+  Caller caller;
+  CHECK(BodyOf(caller.Call(peer)) == "first");
+  CHECK(BodyOf(caller.Call(peer)) == "third");
+  CHECK(peer.Accepted() == 2);
+}
+
+TEST_CASE("http client: another request's answer is left out") {
+  RawPeer peer{{{{Answer("own", "first"),
+                  Answer("own", "late") + Answer("next", "second")},
+                 {}},
+                {{Answer("last", "third")}, {}}}};
+  Caller caller;
+  CHECK(BodyOf(caller.Call(peer)) == "first");
+  CHECK(BodyOf(caller.Call(peer, "next")) == "second");
+  // Its connection has carried bytes that nobody asked for.
+  CHECK(BodyOf(caller.Call(peer, "last")) == "third");
+  CHECK(peer.Accepted() == 2);
+}
+
+TEST_CASE("http client: a kept connection is used again") {
+  RawPeer peer{{{{Answer("own", "first"), Answer("own", "second")}, {}}}};
+  Caller caller;
+  CHECK(BodyOf(caller.Call(peer)) == "first");
+  CHECK(BodyOf(caller.Call(peer)) == "second");
+  CHECK(peer.Accepted() == 1);
+}
+
+TEST_CASE("http client: a connection is not used beyond its idle time-out") {
+  const std::string brief =
+      "HTTP/1.1 200 OK\r\nmark: own\r\nkeep-alive: timeout=1\r\n"
+      "content-length: 2\r\n\r\nok";
+  RawPeer peer{{{{brief}, {}}, {{brief}, {}}}};
+  Caller caller;
+  CHECK(BodyOf(caller.Call(peer)) == "ok");
+  caller.Run(900ms);
+  CHECK(BodyOf(caller.Call(peer)) == "ok");
+  CHECK(peer.Accepted() == 2);
+}
+
+TEST_CASE("http client: interim answers come before the final one") {
+  RawPeer peer{{{{"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" +
+                  Answer("own", "final")},
+                 {}}}};
+  Caller caller;
+  CHECK(BodyOf(caller.Call(peer)) == "final");
+}
+
+TEST_CASE("http client: an answer before the body is in is delivered") {
+  // More than the kernel's buffers hold, and a peer that reads the head only.
+  const std::string body(std::size_t{24} << 20U, 'b');
+  RawPeer peer{{{{Answer("own", "early")}, {}}, {{Answer("own", "next")}, {}}}};
+  Caller caller;
+  CHECK(BodyOf(caller.Call(peer, "own", body)) == "early");
+  // The rest of the body is due there; no other bytes may take its place.
+  CHECK(BodyOf(caller.Call(peer)) == "next");
+  CHECK(peer.Accepted() == 2);
+}
--- /dev/null
+++ b/test/support/mesh_world.cc
@@ -0,0 +1,264 @@
+#include "support/mesh_world.h"
+
+#include <openssl/evp.h>
+
+#include <nlohmann/json.hpp>
+
+namespace support {
+namespace {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+using pollenring::Address;
+using pollenring::HttpRequest;
+using pollenring::HttpResponse;
+
+[[nodiscard]] std::string Base64(const std::string &bytes) {
+  std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+  text.resize(static_cast<std::size_t>(
+      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                      reinterpret_cast<const unsigned char *>(bytes.data()),
+                      static_cast<int>(bytes.size()))));
+  return text;
+}
+
+/*! @brief A field of the path's query; keys here need no escapes. */
+[[nodiscard]] std::string Query(const std::string &path,
+                                const std::string &name) {
+  const auto at = path.find(name + '=');
+  if (at == std::string::npos) return {};
+  const auto begin = at + name.size() + 1;
+  return path.substr(begin, path.find('&', begin) - begin);
+}
+
+}  // namespace
+
+StoreStandIn::StoreStandIn(pollenring::Loop &loop, const Address &address)
+    : loop{loop},
+      server{loop, address, pollenring::HttpServerLimits{},
+             [this](const HttpRequest &request,
+                    const std::shared_ptr<pollenring::Responder> &responder) {
+               this->Handle(request, responder);
+             }} {
+  this->server.Open();
+}
+
+void StoreStandIn::PutConfig(const std::string &json) {
+  this->rows[{"op", "config"}] = {++this->version, Base64(json)};
+  this->Notify();
+}
+
+void StoreStandIn::Handle(
+    const HttpRequest &request,
+    const std::shared_ptr<pollenring::Responder> &responder) {
+  if (this->down) {
+    responder->Send({503, {}, {}});
+    return;
+  }
+  if (request.path.rfind("/rows-get", 0) == 0) this->Get(request, *responder);
+  if (request.path == "/rows-tx") this->Transact(request, *responder);
+  if (request.path.rfind("/rows-feed", 0) == 0) this->Feed(request, responder);
+}
+
+std::string StoreStandIn::Rows(const std::string &table, std::uint64_t after,
+                               const std::string &from,
+                               const std::string &to) const {
+  Json found = Json::array();
+  for (const auto &[key, row] : this->rows) {
+    const bool inside = key.first == table && row.version > after &&
+                        key.second >= from && (to.empty() || key.second < to);
+    if (!inside) continue;
+    found.push_back({{"table_name", key.first},
+                     {"part", ""},
+                     {"key", key.second},
+                     {"value", row.value},
+                     {"row_version", row.version}});
+  }
+  if (after > 0 && found.empty()) return {};
+  return Json{{"rows", found},
+              {"has_more", false},
+              {"row_version", this->version},
+              {"now_ms", 1}}
+      .dump();
+}
+
+void StoreStandIn::Get(const HttpRequest &request,
+                       pollenring::Responder &responder) const {
+  const std::string &path = request.path;
+  responder.Send({200,
+                  {},
+                  this->Rows(Query(path, "table_name"), 0, Query(path, "from"),
+                             Query(path, "target"))});
+}
+
+void StoreStandIn::Transact(const HttpRequest &request,
+                            pollenring::Responder &responder) {
+  const Json body = Json::parse(request.body);
+  for (const auto &item : body["precondition"]) {
+    const auto found = this->rows.find({item["table_name"], item["key"]});
+    const std::uint64_t there =
+        found == this->rows.end() ? 0 : found->second.version;
+    if (there != item["row_version"].get<std::uint64_t>()) {
+      responder.Send({412, {}, "{}"});
+      return;
+    }
+  }
+  ++this->version;
+  for (const auto &item : body["writes"]) {
+    this->rows[{item["table_name"], item["key"]}] = {this->version,
+                                                     item["value"]};
+  }
+  responder.Send({200, {}, "{}"});
+  this->Notify();
+}
+
+void StoreStandIn::Feed(
+    const HttpRequest &request,
+    const std::shared_ptr<pollenring::Responder> &responder) {
+  const std::uint64_t after = std::stoull(Query(request.path, "after"));
+  if (after < this->oldest) {
+    responder->Send({410, {}, {}});
+    return;
+  }
+  this->watches.push_back(
+      {Query(request.path, "table_name"), after, responder, responder});
+  const pollenring::Span wait =
+      std::chrono::milliseconds{std::stoll(Query(request.path, "wait_ms"))};
+  this->loop.After(wait, [this, weak = std::weak_ptr{responder}] {
+    const auto held = weak.lock();
+    if (!held || this->silent) return;
+    held->Send(
+        {200,
+         {},
+         R"({"rows":[],"row_version":)" + std::to_string(this->version) + "}"});
+  });
+  this->Notify();
+}
+
+void StoreStandIn::Notify() {
+  if (this->silent) return;
+  std::vector<Watch> kept;
+  for (auto &watch : this->watches) {
+    const std::string found = this->Rows(watch.table, watch.after, {}, {});
+    if (found.empty()) {
+      kept.push_back(std::move(watch));
+      continue;
+    }
+    watch.held->Send({200, {}, found});
+  }
+  this->watches = std::move(kept);
+}
+
+MeshWorld::MeshWorld(int net) : net{net} {
+  this->store = std::make_unique<StoreStandIn>(this->loop, this->At(250, 7900));
+}
+
+Address MeshWorld::At(int index, int port) const {
+  return *Address::Parse("127.41." + std::to_string(this->net) + "." +
+                         std::to_string(index) + ":" + std::to_string(port));
+}
+
+int MeshWorld::Start(const std::string &service, Endpoint endpoint) {
+  const int index = static_cast<int>(this->nodes.size()) + 1;
+  auto member = std::make_unique<Member>();
+  member->service = service;
+  pollenring::Settings &settings = member->settings;
+  settings.routes = pollenring::RouteForm::kHost;
+  settings.zone = "z" + std::to_string(index % 2);
+  settings.region = "r";
+  settings.callers = this->At(index, 7000);
+  settings.targets = this->At(index, 7001);
+  settings.nodes = this->At(index, 7002);
+  settings.operators = this->At(index, 7003);
+  settings.ready = this->At(index, 7004);
+  settings.platform = this->At(250, 7900);
+  settings.node_secret = "secret-of-the-mesh-world";
+  settings.target_service = service;
+  settings.first_start = true;
+  member->target = std::make_unique<pollenring::HttpServer>(
+      this->loop, this->At(index, 8000), pollenring::HttpServerLimits{},
+      [endpoint = std::move(endpoint)](
+          const HttpRequest &request,
+          const std::shared_ptr<pollenring::Responder> &responder) {
+        responder->Send(endpoint(request));
+      });
+  member->target->Open();
+  member->client = std::make_unique<pollenring::HttpClient>(
+      this->loop, std::size_t{1} << 24U);
+  member->store_client = std::make_unique<pollenring::StoreClient>(
+      *member->client, settings.platform);
+  member->store =
+      std::make_unique<pollenring::platform::Store>(*member->store_client);
+  member->node = std::make_unique<pollenring::MeshNode>(
+      settings,
+      pollenring::MeshParts{this->loop, *member->client, *member->store,
+                            *member->store, this->policies, this->callers,
+                            this->targets, this->heartbeats, this->random});
+  this->nodes.push_back(std::move(member));
+  return index;
+}
+
+int MeshWorld::Beat(int index, const std::string &state) {
+  Member &member = *this->nodes.at(static_cast<std::size_t>(index - 1));
+  const Json body{{"address", this->At(index, 8000).Format()},
+                  {"born", 5},
+                  {"info", {{"service", member.service}, {"slots", 4}}},
+                  {"status",
+                   {{"state", state},
+                    {"sequence", ++member.sequence},
+                    {"cold_left_ms", 0}}}};
+  const auto answer = this->Ask(
+      this->At(index, 7001), {"POST",
+                              "/Instances.Heartbeat/i-" + std::to_string(index),
+                              {},
+                              body.dump(),
+                              {}});
+  return answer ? answer->status : 0;
+}
+
+HttpResponse MeshWorld::Call(int index, const std::string &method,
+                             const std::string &path,
+                             pollenring::HttpHeaders headers,
+                             const std::string &host) {
+  const auto answer = this->Ask(this->At(index, 7000),
+                                {method, path, std::move(headers), {}, host});
+  return answer.value_or(HttpResponse{});
+}
+
+int MeshWorld::Ready(int index) {
+  const auto answer =
+      this->Ask(this->At(index, 7004), {"GET", "/readiness", {}, {}, {}});
+  return answer ? answer->status : 0;
+}
+
+std::optional<HttpResponse> MeshWorld::Ask(const Address &to,
+                                           const HttpRequest &request) {
+  std::optional<HttpResponse> answer;
+  bool done = false;
+  this->client.Call(to, request, 3s, [&](pollenring::HttpClient::Reply reply) {
+    if (auto *response = std::get_if<HttpResponse>(&reply)) {
+      answer = std::move(*response);
+    }
+    done = true;
+  });
+  static_cast<void>(this->Await([&done] { return done; }, 4s));
+  return answer;
+}
+
+bool MeshWorld::Await(const std::function<bool()> &condition,
+                      pollenring::Span limit) {
+  const pollenring::Time until = this->clock.Now() + limit;
+  while (!condition()) {
+    if (this->clock.Now() >= until) return false;
+    this->Run(2ms);
+  }
+  return true;
+}
+
+void MeshWorld::Run(pollenring::Span length) {
+  this->loop.After(length, [this] { this->loop.Stop(); });
+  this->loop.Resume();
+  this->loop.Run();
+}
+
+}  // namespace support
--- /dev/null
+++ b/test/support/mesh_world.h
@@ -0,0 +1,139 @@
+#ifndef POLLENRING_TEST_SUPPORT_MESH_WORLD_H_
+#define POLLENRING_TEST_SUPPORT_MESH_WORLD_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "platform/dialects.h"
+#include "platform/store.h"
+#include "pollenring/core/random.h"
+#include "pollenring/mesh/mesh_node.h"
+#include "pollenring/net/http_client.h"
+#include "pollenring/net/http_server.h"
+#include "pollenring/net/loop.h"
+#include "pollenring/storage/store_client.h"
+
+namespace support {
+
+/*! @brief A stand-in of the users' store, as their protocol describes it. */
+class StoreStandIn {
+ public:
+  StoreStandIn(pollenring::Loop &loop, const pollenring::Address &address);
+
+  /*! @brief Writes the operator's document. @param json Its text. */
+  void PutConfig(const std::string &json);
+
+  /*! @brief Whether calls are answered with 503. @param down So. */
+  void SetDown(bool down) { this->down = down; }
+
+  /*! @brief Whether watches are never answered. @param silent So. */
+  void SetSilent(bool silent) { this->silent = silent; }
+
+  /*! @brief Forgets all changes up to now. */
+  void DropHistory() { this->oldest = this->version; }
+
+ private:
+  struct StoredRow {
+    std::uint64_t version{};
+    std::string value; /*!< In base64, as it was sent. */
+  };
+  using Key = std::pair<std::string, std::string>;
+  struct Watch {
+    std::string table;
+    std::uint64_t after{};
+    std::weak_ptr<pollenring::Responder> responder;
+    std::shared_ptr<pollenring::Responder> held;
+  };
+
+  void Handle(const pollenring::HttpRequest &request,
+              const std::shared_ptr<pollenring::Responder> &responder);
+  void Get(const pollenring::HttpRequest &request,
+           pollenring::Responder &responder) const;
+  void Transact(const pollenring::HttpRequest &request,
+                pollenring::Responder &responder);
+  void Feed(const pollenring::HttpRequest &request,
+            const std::shared_ptr<pollenring::Responder> &responder);
+  void Notify();
+  [[nodiscard]] std::string Rows(const std::string &table, std::uint64_t after,
+                                 const std::string &from,
+                                 const std::string &to) const;
+
+  std::map<Key, StoredRow> rows;
+  std::vector<Watch> watches;
+  std::uint64_t version{1};
+  std::uint64_t oldest{};
+  bool down{};
+  bool silent{};
+  pollenring::Loop &loop;
+  pollenring::HttpServer server;
+};
+
+/*! @brief Nodes, targets and a store in one process, on loopback. */
+class MeshWorld {
+ public:
+  using Endpoint =
+      std::function<pollenring::HttpResponse(const pollenring::HttpRequest &)>;
+
+  /*! @brief Starts the store. @param net Third number of the addresses. */
+  explicit MeshWorld(int net);
+
+  /*! @brief Starts a node and its target. @return Its number, from 1. */
+  int Start(const std::string &service, Endpoint endpoint);
+
+  /*! @brief Sends the heartbeat of a node's target. @param state Its state.
+   * @return The answer's status. */
+  int Beat(int index, const std::string &state = "ready");
+
+  /*! @brief Performs a request at a node's port for callers. */
+  [[nodiscard]] pollenring::HttpResponse Call(
+      int index, const std::string &method, const std::string &path,
+      pollenring::HttpHeaders headers, const std::string &host = "a.example");
+
+  /*! @brief Status of a node's ready address. */
+  [[nodiscard]] int Ready(int index);
+
+  [[nodiscard]] bool Await(const std::function<bool()> &condition,
+                           pollenring::Span limit);
+  void Run(pollenring::Span length);
+
+  [[nodiscard]] StoreStandIn &Store() { return *this->store; }
+  [[nodiscard]] pollenring::MeshNode &Node(int index) {
+    return *this->nodes.at(static_cast<std::size_t>(index - 1))->node;
+  }
+
+ private:
+  struct Member {
+    pollenring::Settings settings;
+    std::unique_ptr<pollenring::HttpClient> client;
+    std::unique_ptr<pollenring::StoreClient> store_client;
+    std::unique_ptr<pollenring::platform::Store> store;
+    std::unique_ptr<pollenring::MeshNode> node;
+    std::unique_ptr<pollenring::HttpServer> target;
+    std::string service;
+    int sequence{};
+  };
+
+  [[nodiscard]] pollenring::Address At(int index, int port) const;
+  [[nodiscard]] std::optional<pollenring::HttpResponse> Ask(
+      const pollenring::Address &to, const pollenring::HttpRequest &request);
+
+  int net;
+  pollenring::SystemClock clock;
+  pollenring::Loop loop{clock};
+  pollenring::SeededRandom random{11};
+  pollenring::HttpClient client{loop, std::size_t{1} << 20U};
+  pollenring::platform::Policies policies;
+  pollenring::platform::Callers callers;
+  pollenring::platform::Targets targets;
+  pollenring::platform::Heartbeats heartbeats;
+  std::unique_ptr<StoreStandIn> store;
+  std::vector<std::unique_ptr<Member>> nodes;
+};
+
+}  // namespace support
+
+#endif  // POLLENRING_TEST_SUPPORT_MESH_WORLD_H_
--- /dev/null
+++ b/test/support/raw_peer.h
@@ -0,0 +1,107 @@
+#ifndef POLLENRING_TEST_SUPPORT_RAW_PEER_H_
+#define POLLENRING_TEST_SUPPORT_RAW_PEER_H_
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "pollenring/net/address.h"
+
+namespace support {
+
+/*! @brief How a peer ends a connection. */
+enum class PeerEnd { kKeep, kClose, kReset };
+
+/*! @brief What a peer does with one connection. */
+struct PeerScript {
+  /*! @brief Sent in turn, each after one more request's head has arrived. */
+  std::vector<std::string> answers;
+  PeerEnd end{PeerEnd::kKeep};
+};
+
+/*! @brief A server of raw bytes; plays one script a connection, in order. */
+class RawPeer {
+ public:
+  explicit RawPeer(std::vector<PeerScript> scripts)
+      : scripts{std::move(scripts)},
+        listener{socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)} {
+    sockaddr_in native{};
+    native.sin_family = AF_INET;
+    native.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(native);
+    bind(this->listener, reinterpret_cast<sockaddr *>(&native), size);
+    listen(this->listener, 8);
+    getsockname(this->listener, reinterpret_cast<sockaddr *>(&native), &size);
+    this->address = pollenring::Address::From(native);
+    this->thread = std::thread{[this] { this->Play(); }};
+  }
+  RawPeer(const RawPeer &) = delete;
+  RawPeer &operator=(const RawPeer &) = delete;
+  ~RawPeer() {
+    shutdown(this->listener, SHUT_RDWR);
+    this->thread.join();
+    close(this->listener);
+    for (const int fd : this->kept) close(fd);
+  }
+
+  [[nodiscard]] const pollenring::Address &Where() const noexcept {
+    return this->address;
+  }
+
+  /*! @brief Connections accepted so far. @return The count. */
+  [[nodiscard]] int Accepted() const noexcept { return this->accepted; }
+
+ private:
+  void Play() {
+    for (const auto &script : this->scripts) {
+      const int fd = accept(this->listener, nullptr, nullptr);
+      if (fd < 0) return;
+      ++this->accepted;
+      std::string seen;
+      for (const auto &answer : script.answers) {
+        if (!ReadHead(fd, seen)) break;
+        send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
+      }
+      End(fd, script.end);
+    }
+  }
+
+  static bool ReadHead(int fd, std::string &seen) {
+    while (seen.find("\r\n\r\n") == std::string::npos) {
+      char buffer[4096];
+      const auto size = recv(fd, buffer, sizeof(buffer), 0);
+      if (size <= 0) return false;
+      seen.append(buffer, static_cast<std::size_t>(size));
+    }
+    seen.erase(0, seen.find("\r\n\r\n") + 4);
+    return true;
+  }
+
+  void End(int fd, PeerEnd end) {
+    if (end == PeerEnd::kKeep) {
+      this->kept.push_back(fd);
+      return;
+    }
+    if (end == PeerEnd::kReset) {
+      const linger now{1, 0};
+      setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    }
+    close(fd);
+  }
+
+  std::vector<PeerScript> scripts;
+  int listener;
+  pollenring::Address address;
+  std::atomic<int> accepted{0};
+  std::vector<int> kept;
+  std::thread thread;
+};
+
+}  // namespace support
+
+#endif  // POLLENRING_TEST_SUPPORT_RAW_PEER_H_
