--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -22,7 +22,7 @@
  * without a 200, one second apart. */
 constexpr Span kLeaveAccepts = std::chrono::milliseconds{2800};
 /*! @brief Most that a node takes to leave; the platform kills it after six. */
-constexpr Span kLeaveLongest = std::chrono::milliseconds{5700};
+constexpr Span kLeaveLongest = std::chrono::milliseconds{5400};
 /*! @brief Longest silence between two requests of a client connection; above
  * any limit that operators set for their clients. */
 constexpr Span kCallerIdle = std::chrono::minutes{5};
@@ -45,6 +45,12 @@
   return limits;
 }
 
+[[nodiscard]] RouterOptions Routing() {
+  RouterOptions options;
+  options.order = RouteOrder::kSoonest;
+  return options;
+}
+
 [[nodiscard]] AdmissionOptions TargetLimits() {
   AdmissionOptions options;
   // Targets say how many slots they have; some never answer what exceeds them.
@@ -88,7 +94,7 @@
       ring{this->members.Get(), parts.loop.GetClock(), given.first_start},
       shares{parts.loop, this->bus, this->ring, this->policy,
              this->members.Get().Self().process},
-      router{given.zone, given.region, RouterOptions{}, parts.loop.GetClock(),
+      router{given.zone, given.region, Routing(), parts.loop.GetClock(),
              parts.random},
       serving{parts.loop,
               parts.client,
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -119,6 +119,7 @@
 void Dispatcher::Send(std::uint64_t id, Job &job) {
   const Time now = this->loop.GetClock().Now();
   const Span left = job.deadline - now;
+  job.sent = now;
   job.envelope.remaining_us = left.count();
   job.envelope.root_age_us = (now - job.root_started).count();
   job.envelope.aim_us = (job.aim - now).count();
@@ -177,7 +178,11 @@
   const bool from_node = reply.load.limit > 0;
   std::optional<LoadReport> load;
   if (from_node) load = reply.load;
-  this->router.Finished(job.envelope.service, job.node, VerdictOf(reply), load);
+  const Span took = reply.outcome == Outcome::kRan
+                        ? this->loop.GetClock().Now() - job.sent
+                        : Span{0};
+  this->router.Finished(job.envelope.service, job.node, VerdictOf(reply), load,
+                        took);
   job.allowance.Return(job.slice,
                        std::clamp(reply.retries_unspent, 0, job.slice));
   const bool ran = reply.outcome == Outcome::kRan;
--- a/src/pollenring/node/dispatcher.h
+++ b/src/pollenring/node/dispatcher.h
@@ -82,6 +82,7 @@
     Time deadline{};
     Time root_started{};
     Time aim{};
+    Time sent{};
     RetryAllowance allowance;
     int slice{};
     int redirects_left{};
--- a/src/pollenring/routing/router.cc
+++ b/src/pollenring/routing/router.cc
@@ -4,6 +4,15 @@
 #include <utility>
 
 namespace pollenring {
+namespace {
+
+/*! @brief Weight of one answer's time; some ten answers make the mean. */
+constexpr double kTimeWeight = 0.1;
+/*! @brief Targets of a service among which all are compared; beyond, so many
+ * are drawn. */
+constexpr std::size_t kMostCompared = 8;
+
+}  // namespace
 
 Router::Router(std::string zone, std::string region,
                const RouterOptions &options, const Clock &clock, Random &random)
@@ -42,6 +51,11 @@
   if (const Endpoint *trial = this->DueTrial(service, avoid)) {
     return trial->node;
   }
+  if (this->options.order == RouteOrder::kSoonest) {
+    const Endpoint *soonest = this->Soonest(service, avoid);
+    if (soonest != nullptr) return soonest->node;
+    return SetAsideLongest(service, avoid);
+  }
   const Endpoint *best = nullptr;
   for (const auto &level : service.usable) {
     const Endpoint *candidate = this->Sample(level, avoid);
@@ -79,7 +93,7 @@
 }
 
 void Router::Finished(const std::string &name, NodeId node, CallVerdict verdict,
-                      const std::optional<LoadReport> &report) {
+                      const std::optional<LoadReport> &report, Span took) {
   const auto found = this->services.find(name);
   if (found == this->services.end()) return;
   Service &service = found->second;
@@ -92,6 +106,11 @@
     endpoint.reported = report->in_progress;
     endpoint.in_progress_at_report = endpoint.in_progress;
   }
+  if (took > Span{0}) {
+    const auto us = static_cast<double>(took.count());
+    if (endpoint.time_us == 0) endpoint.time_us = us;
+    endpoint.time_us += kTimeWeight * (us - endpoint.time_us);
+  }
   if (verdict == CallVerdict::kFailed) {
     ++endpoint.failures;
     const bool eject = endpoint.ejected ||
@@ -132,6 +151,52 @@
   return load / room;
 }
 
+double Router::Cost(const Endpoint &endpoint,
+                    double unknown_us) const noexcept {
+  const double time = endpoint.time_us > 0 ? endpoint.time_us : unknown_us;
+  const double beyond = std::max(0.0, this->Utilisation(endpoint) - 1);
+  const double far = endpoint.nearness == Nearness::kZone
+                         ? 0
+                         : static_cast<double>(this->options.zone_cost.count());
+  // Own calls under way there are known at once, its reported load later.
+  return time * (1 + endpoint.in_progress / std::max(1.0, endpoint.limit)) *
+             (1 + 2 * beyond) / this->RampFraction(endpoint) +
+         far;
+}
+
+const Router::Endpoint *Router::Soonest(const Service &service,
+                                        const std::vector<NodeId> &avoid) {
+  std::vector<const Endpoint *> compared;
+  for (const auto &level : service.usable) {
+    for (const Endpoint *endpoint : level) {
+      const bool tried =
+          std::find(avoid.begin(), avoid.end(), endpoint->node) != avoid.end();
+      if (!tried) compared.push_back(endpoint);
+    }
+  }
+  while (compared.size() > kMostCompared) {
+    compared[this->random.Index(compared.size())] = compared.back();
+    compared.pop_back();
+  }
+  // One that has not answered yet is taken for as good as the best.
+  double shortest = 0;
+  for (const Endpoint *endpoint : compared) {
+    const double time = endpoint->time_us;
+    if (time > 0 && (shortest == 0 || time < shortest)) shortest = time;
+  }
+  const Endpoint *best = nullptr;
+  double least = 0;
+  for (const Endpoint *endpoint : compared) {
+    // Many nodes choose at once: near equals are to be told apart at random.
+    const double cost =
+        this->Cost(*endpoint, shortest) * (1 + 0.2 * this->random.Fraction());
+    if (best != nullptr && cost >= least) continue;
+    best = endpoint;
+    least = cost;
+  }
+  return best;
+}
+
 Router::Endpoint *Router::Sample(const std::vector<Endpoint *> &from,
                                  const std::vector<NodeId> &avoid) {
   if (from.empty()) return nullptr;
--- a/src/pollenring/routing/router.h
+++ b/src/pollenring/routing/router.h
@@ -20,6 +20,12 @@
 /*! @brief How a call to a target's node ended, as far as routing cares. */
 enum class CallVerdict { kAnswered, kShed, kFailed };
 
+/*! @brief Which target is chosen while several have room. */
+enum class RouteOrder {
+  kNearest, /*!< One of the nearest availability zone. */
+  kSoonest  /*!< The one that is likely to answer first. */
+};
+
 /*! @brief Limits of routing. */
 struct RouterOptions {
   Span first_ejection{std::chrono::milliseconds{500}};
@@ -28,6 +34,9 @@
   Span ramp{std::chrono::seconds{3}};
   double ramp_floor{0.1};
   std::size_t choices{2};
+  RouteOrder order{RouteOrder::kNearest};
+  /*! @brief What another zone must be sooner by, for the bytes between them. */
+  Span zone_cost{std::chrono::milliseconds{3}};
 };
 
 /**
@@ -78,9 +87,10 @@
    * @param node The node.
    * @param verdict How it ended.
    * @param report Load that came with the answer, if one came.
+   * @param took Time to the target's answer; 0 when it gave none.
    */
   void Finished(const std::string &service, NodeId node, CallVerdict verdict,
-                const std::optional<LoadReport> &report);
+                const std::optional<LoadReport> &report, Span took = Span{0});
 
   /**
    * @brief Counts a service's targets that take new work.
@@ -106,6 +116,7 @@
     bool ejected{};
     bool cold{};
     Time ramp_from{};
+    double time_us{}; /*!< Smoothed time to an answer; 0 while unknown. */
     std::size_t position{};
   };
 
@@ -117,6 +128,10 @@
 
   [[nodiscard]] Nearness NearnessOf(const Member &member) const noexcept;
   [[nodiscard]] double Utilisation(const Endpoint &endpoint) const noexcept;
+  [[nodiscard]] double Cost(const Endpoint &endpoint,
+                            double unknown_us) const noexcept;
+  [[nodiscard]] const Endpoint *Soonest(const Service &service,
+                                        const std::vector<NodeId> &avoid);
   [[nodiscard]] double RampFraction(const Endpoint &endpoint) const noexcept;
   [[nodiscard]] Endpoint *Sample(const std::vector<Endpoint *> &from,
                                  const std::vector<NodeId> &avoid);
--- a/test/pollenring/routing/router_test.cc
+++ b/test/pollenring/routing/router_test.cc
@@ -146,3 +146,46 @@
   CHECK(this->Start() == 4);
   CHECK_FALSE(this->router.Choose("s", {4}));
 }
+
+TEST_CASE(
+    "router: the target that answers soonest gets most, until it is full") {
+  ManualClock clock{std::chrono::hours{1}};
+  SeededRandom random{9};
+  pollenring::RouterOptions options;
+  options.order = pollenring::RouteOrder::kSoonest;
+  Router router{"a", "r", options, clock, random};
+  std::map<pollenring::NodeId, int> started;
+  for (pollenring::NodeId id = 1; id <= 3; ++id) {
+    Member member;
+    member.id = id;
+    member.zone = id == 3 ? "a" : "b";
+    member.region = "r";
+    member.targets = {{"s", 20, pollenring::TargetState::kWarm}};
+    router.Update(member);
+  }
+  // The third is in this zone and takes three times as long.
+  const auto took = [](pollenring::NodeId id) {
+    return pollenring::Span{id == 3 ? 90'000 : 30'000};
+  };
+  for (int i = 0; i < 400; ++i) {
+    const auto node = router.Choose("s", {});
+    REQUIRE(node);
+    router.Started("s", *node);
+    ++started[*node];
+    clock.Advance(std::chrono::milliseconds{5});
+    router.Finished("s", *node, pollenring::CallVerdict::kAnswered,
+                    std::nullopt, took(*node));
+  }
+  CHECK(started[3] < 40);
+  CHECK(started[1] > 100);
+  CHECK(started[2] > 100);
+  // With the sooner ones overfull it takes its part.
+  started.clear();
+  for (int i = 0; i < 80; ++i) {
+    const auto node = router.Choose("s", {});
+    REQUIRE(node);
+    router.Started("s", *node);
+    ++started[*node];
+  }
+  CHECK(started[3] > 8);
+}
