Levels of services are known at every node from any answer

Ruled out: the level itself too low (it stood at 2.4 of 3 all the while), the capacity wrongly measured (363/s, what its 22 slots give).

Change: RouteLevels keeps a level per node beside a target, with its age, for all workspaces where the level does not differ between them; answers pass on all services that shed, those on the way first; which services lie on a route's way is kept apart, and is a share of its requests, so that one call taken for another's puts nothing on a way. Both forms of the node use it.

--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -96,10 +96,12 @@
              this->members.Get().Self().process},
       router{given.zone, given.region, Routing(), parts.loop.GetClock(),
              parts.random},
+      levels{RouteLevelOptions{}, parts.loop.GetClock()},
       serving{parts.loop,
               parts.client,
               parts.targets,
               TargetLimits(),
+              this->levels,
               parts.random,
               this->metrics,
               [this](std::vector<Target> targets) {
@@ -112,8 +114,8 @@
                  DispatchOptions{true}, parts.random,  this->metrics},
       outbound{parts.loop, given.target_service,
                OutboundParts{this->policy, parts.callers, this->shares,
-                             this->dispatcher, this->serving, parts.random,
-                             this->metrics}},
+                             this->dispatcher, this->serving, this->levels,
+                             parts.random, this->metrics}},
       link_server{parts.loop, given.nodes, given.node_secret, kMaxFrameBytes,
                   [this](const std::string &path, std::string body,
                          std::shared_ptr<LinkResponder> responder) {
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -89,6 +89,7 @@
   SlotRing ring;
   ShareService shares;
   Router router;
+  RouteLevels levels;
   Serving serving;
   FleetRetryBudget retry_budget;
   Dispatcher dispatcher;
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -15,8 +15,6 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Answers of a deep request take the better part of a second. */
-constexpr Span kLevelLifetime = std::chrono::milliseconds{1000};
 constexpr double kLotScale = 1.0 / 9007199254740992.0;
 /*! @brief Steps of the golden ratio spread over [0, 1) more evenly than random
  * numbers, so that a split holds over short stretches too. */
@@ -69,7 +67,6 @@
   std::string route;
   std::string service;
   std::string workspace;
-  std::string level_key;
   std::uint64_t version{};
   Time started{};
   Time deadline{};
@@ -81,10 +78,7 @@
 };
 
 Outbound::Outbound(Loop &loop, std::string service, const OutboundParts &parts)
-    : loop{loop},
-      service{std::move(service)},
-      parts{parts},
-      levels{kLevelLifetime, loop.GetClock()} {}
+    : loop{loop}, service{std::move(service)}, parts{parts} {}
 
 void Outbound::Handle(HttpRequest request,
                       std::shared_ptr<Responder> responder) {
@@ -148,7 +142,6 @@
   envelope.lot = LotOf(entry.id);
   envelope.retries = kAllowance;
   entry.attempts = route->attempts;
-  entry.level_key = envelope.workspace + ' ' + route->name;
   Span left = route->timeout > Span{0} ? route->timeout : kDefaultTimeout;
   if (caller.remaining) left = std::min(left, *caller.remaining);
   entry.deadline = entry.started + left;
@@ -202,7 +195,7 @@
   const CallEnvelope &envelope = entry.envelope;
   if (envelope.depth > 0) return false;
   return PriorityOf(envelope.importance, envelope.lot) <
-         this->levels.LevelOf(entry.level_key);
+         this->parts.levels.LevelOf(entry.workspace, entry.route);
 }
 
 void Outbound::Charge(const EntryPtr &entry) {
@@ -233,7 +226,7 @@
   const auto call = this->parts.dispatcher.Call(
       std::move(entry->envelope), std::move(entry->body), entry->deadline,
       [this, entry](CallReply reply, std::string body) {
-        this->levels.Learn(entry->level_key, reply.levels);
+        this->parts.levels.Learn(entry->workspace, entry->route, reply.levels);
         this->parts.serving.EndSubCall(entry->parent, reply.levels);
         this->Answer(entry, std::move(reply), std::move(body));
       },
--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -25,6 +25,7 @@
   ShareGate &shares;
   Dispatcher &dispatcher;
   Serving &serving;
+  RouteLevels &levels;
   Random &random;
   Metrics &metrics;
 };
@@ -78,7 +79,6 @@
   Loop &loop;
   std::string service;
   OutboundParts parts;
-  RouteLevels levels;
   std::unordered_map<std::string, double> split_positions;
   std::size_t body_bytes{};
   bool closed{};
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -185,6 +185,11 @@
                         took);
   job.allowance.Return(job.slice,
                        std::clamp(reply.retries_unspent, 0, job.slice));
+  for (auto &entry : reply.levels) {
+    if (!entry.service.empty()) continue;
+    entry.service = job.envelope.service;
+    entry.node = job.node;
+  }
   const bool ran = reply.outcome == Outcome::kRan;
   if (ran) this->budget.Succeeded(job.envelope.service);
   if (reply.outcome != Outcome::kNotRun) --job.targets_left;
--- a/src/pollenring/node/headers.cc
+++ b/src/pollenring/node/headers.cc
@@ -72,6 +72,10 @@
   return {std::string{service}, std::string{rest}};
 }
 
+std::string RouteName(const std::string &service, const Route &route) {
+  return service + ' ' + route.method + ' ' + route.path_prefix;
+}
+
 HttpResponse ToResponse(const CallReply &reply, std::string body,
                         const std::string &request_id) {
   HttpResponse response;
--- a/src/pollenring/node/headers.h
+++ b/src/pollenring/node/headers.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "pollenring/contract/contract.h"
 #include "pollenring/core/clock.h"
 #include "pollenring/net/http_message.h"
 #include "pollenring/node/wire.h"
@@ -52,6 +53,15 @@
  */
 [[nodiscard]] ServicePath SplitServicePath(std::string_view path);
 
+/**
+ * @brief Names a route among all services' routes.
+ * @param service The service.
+ * @param route Its route.
+ * @return The name.
+ */
+[[nodiscard]] std::string RouteName(const std::string &service,
+                                    const Route &route);
+
 /**
  * @brief Builds the answer to a caller or a target.
  * @param reply The reply.
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -13,8 +13,6 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Several answers a route come within it under load. */
-constexpr Span kLevelLifetime = std::chrono::milliseconds{300};
 constexpr std::size_t kLongestRequestId = 64;
 constexpr std::size_t kShortestKeySearched = 8;
 constexpr double kLotScale = 1.0 / 9007199254740992.0;
@@ -52,6 +50,7 @@
   std::size_t size;
   CallEnvelope envelope;
   std::string body;
+  std::string workspace;
   std::string route_name;
   std::string id;
   std::string once_key;
@@ -66,7 +65,7 @@
 };
 
 Ingress::Ingress(Loop &loop, const IngressParts &parts)
-    : loop{loop}, parts{parts}, levels{kLevelLifetime, loop.GetClock()} {}
+    : loop{loop}, parts{parts} {}
 
 void Ingress::Handle(HttpRequest request,
                      std::shared_ptr<Responder> responder) {
@@ -127,8 +126,9 @@
     if (root.envelope.workspace.empty()) return Reason::kKeyRefused;
   }
   if (LeaksKey(request, key)) return Reason::kMalformed;
-  root.route_name = root.envelope.workspace + ' ' + service + ' ' +
-                    route->method + ' ' + route->path_prefix;
+  root.workspace = root.envelope.workspace;
+  root.route_name = RouteName(service, *route);
+  root.envelope.route = root.route_name;
   root.envelope.service = std::move(service);
   root.envelope.method = request.method;
   root.envelope.path = std::move(path);
@@ -156,7 +156,8 @@
 }
 
 bool Ingress::ShedsEarly(const Root &root) const {
-  const double level = this->levels.LevelOf(root.route_name);
+  const double level =
+      this->parts.levels.LevelOf(root.envelope.workspace, root.route_name);
   return PriorityOf(root.envelope.importance, root.envelope.lot) < level;
 }
 
@@ -232,7 +233,8 @@
   const auto call = this->parts.dispatcher.Call(
       std::move(root->envelope), std::move(root->body), root->deadline,
       [this, root](CallReply reply, std::string body) {
-        this->levels.Learn(root->route_name, reply.levels);
+        this->parts.levels.Learn(root->workspace, root->route_name,
+                                 reply.levels);
         this->Answer(root, std::move(reply), std::move(body));
       });
   // A non-idempotent run goes on, so that repeats can be told its outcome.
--- a/src/pollenring/node/ingress.h
+++ b/src/pollenring/node/ingress.h
@@ -35,6 +35,7 @@
   ShareGate &shares;
   OnceGate &once;
   Dispatcher &dispatcher;
+  RouteLevels &levels;
   Random &random;
   Metrics &metrics;
 };
@@ -78,7 +79,6 @@
 
   Loop &loop;
   IngressParts parts;
-  RouteLevels levels;
   std::size_t body_bytes{};
 };
 
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -21,6 +21,14 @@
 constexpr Span kLeaveSlots = std::chrono::seconds{6};
 constexpr Span kHandoverTimeout = std::chrono::seconds{1};
 
+[[nodiscard]] RouteLevelOptions Levels() {
+  RouteLevelOptions options;
+  options.per_workspace = true;
+  // Ingresses of this form see several answers of a service in that time.
+  options.lifetime = std::chrono::milliseconds{300};
+  return options;
+}
+
 }  // namespace
 
 Member Node::MakeSelf(const Settings &settings, const Clock &clock,
@@ -60,10 +68,12 @@
       once{loop, this->bus, this->link, this->slots, random},
       router{given.zone, given.region, RouterOptions{}, loop.GetClock(),
              random},
+      levels{Levels(), loop.GetClock()},
       serving{loop,
               this->client,
               this->dialect,
               AdmissionOptions{},
+              this->levels,
               random,
               this->metrics,
               [this](std::vector<Target> targets) {
@@ -74,9 +84,10 @@
                  DispatchOptions{},    random,        this->metrics},
       ingress{loop,
               {this->config.Ledger(), this->config, this->shares, this->once,
-               this->dispatcher, random, this->metrics}},
+               this->dispatcher, this->levels, random, this->metrics}},
       target_port{loop,          given.target_secret, this->config.Ledger(),
-                  this->serving, this->dispatcher,    random},
+                  this->serving, this->dispatcher,    this->levels,
+                  random},
       operator_port{
           given.operator_secret,
           this->config,
--- a/src/pollenring/node/node.h
+++ b/src/pollenring/node/node.h
@@ -80,6 +80,7 @@
   OnceService once;
   Router router;
   ContextDialect dialect;
+  RouteLevels levels;
   Serving serving;
   NodeRetryBudget retry_budget;
   Dispatcher dispatcher;
--- a/src/pollenring/node/route_levels.cc
+++ b/src/pollenring/node/route_levels.cc
@@ -1,64 +1,164 @@
 #include "pollenring/node/route_levels.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace pollenring {
 namespace {
 
-/*! @brief Weight of a level that a single answer brings. */
-constexpr double kWeight = 0.3;
-/*! @brief Time between two looks for routes that nobody asks for. */
+/*! @brief Time between two looks for what nobody asks for; a way that no answer
+ * confirms is forgotten too, so that a route that leads elsewhere by now is
+ * tried again though all its roots are refused. */
 constexpr Span kSweepPeriod = std::chrono::seconds{10};
+/*! @brief Requests after which those before count half; a service that begins
+ * to shed is then on the way after two of them. */
+constexpr double kRemembered = 20;
+/*! @brief Part of a route's requests that meet a service on its way; less comes
+ * from calls that were taken for another request's. */
+constexpr double kMeets = 0.1;
+/*! @brief Levels travel in thousandths. */
+constexpr double kThousand = 1000;
 
 }  // namespace
 
-void RouteLevels::Learn(const std::string &route,
+const std::string &RouteLevels::ScopeOf(
+    const std::string &workspace) const noexcept {
+  static const std::string all;
+  return this->options.per_workspace ? workspace : all;
+}
+
+void RouteLevels::Learn(const std::string &workspace, const std::string &route,
                         const std::vector<ServiceLevel> &levels) {
-  if (levels.empty()) return;
+  this->Take(workspace, levels);
+  this->Served(route);
+  this->Meet(route, levels);
+}
+
+void RouteLevels::LearnBelow(const std::string &workspace,
+                             const std::string &route,
+                             const std::vector<ServiceLevel> &levels) {
+  this->Take(workspace, levels);
+  this->Meet(route, levels);
+}
+
+void RouteLevels::Served(const std::string &route) {
+  const auto found = this->ways.find(route);
+  if (found == this->ways.end()) return;
+  Way &way = found->second;
+  way.used = this->clock.Now();
+  way.requests += 1;
+  if (way.requests <= kRemembered) return;
+  way.requests /= 2;
+  for (auto &[service, count] : way.met) count /= 2;
+}
+
+void RouteLevels::Meet(const std::string &route,
+                       const std::vector<ServiceLevel> &levels) {
+  for (const auto &entry : levels) {
+    if (!entry.on_way || entry.level_milli <= 0) continue;
+    Way &way = this->ways[route];
+    way.used = this->clock.Now();
+    way.met[entry.service] += 1;
+  }
+}
+
+void RouteLevels::Take(const std::string &workspace,
+                       const std::vector<ServiceLevel> &levels) {
   const Time now = this->clock.Now();
   if (now - this->swept >= kSweepPeriod) this->Forget();
-  auto &services = this->routes[route];
   for (const auto &entry : levels) {
-    Known &known = services[entry.service];
-    const double before = this->Stale(known) ? 0 : known.level;
-    known.level = before + kWeight * (entry.level - before);
-    known.seen = now;
+    const Time measured = now - std::chrono::milliseconds{entry.age_ms};
+    Services &services = this->scopes[this->ScopeOf(workspace)];
+    const auto found = services.find(entry.service);
+    // A level of zero tells something only beside others of the service.
+    if (found == services.end() && entry.level_milli <= 0) continue;
+    Known &known = services[entry.service][entry.node];
+    if (measured <= known.measured) continue;
+    known = {entry.level_milli / kThousand, measured};
   }
 }
 
-std::vector<ServiceLevel> RouteLevels::LevelsOn(
-    const std::string &route) const {
+bool RouteLevels::Stale(const Known &known) const noexcept {
+  return this->clock.Now() - known.measured > this->options.lifetime;
+}
+
+bool RouteLevels::Sheds(const Service &service) const noexcept {
+  return std::any_of(service.begin(), service.end(), [this](const auto &entry) {
+    return entry.second.level > 0 && !this->Stale(entry.second);
+  });
+}
+
+double RouteLevels::MeanOf(const Service &service) const noexcept {
+  double sum = 0;
+  int count = 0;
+  for (const auto &[node, known] : service) {
+    if (this->Stale(known)) continue;
+    sum += known.level;
+    ++count;
+  }
+  return count > 0 ? sum / count : 0;
+}
+
+bool RouteLevels::Meets(const Way &way, const std::string &service) {
+  const auto found = way.met.find(service);
+  return found != way.met.end() && found->second >= kMeets * way.requests;
+}
+
+std::vector<ServiceLevel> RouteLevels::Shedding(const std::string &workspace,
+                                                const std::string &route,
+                                                std::size_t most) const {
   std::vector<ServiceLevel> levels;
-  const auto found = this->routes.find(route);
-  if (found == this->routes.end()) return levels;
-  for (const auto &[service, known] : found->second) {
-    if (!this->Stale(known)) levels.push_back({service, known.level});
+  const auto scope = this->scopes.find(this->ScopeOf(workspace));
+  if (scope == this->scopes.end()) return levels;
+  const Time now = this->clock.Now();
+  const auto way = this->ways.find(route);
+  for (const auto &[name, service] : scope->second) {
+    if (!this->Sheds(service)) continue;
+    const bool on_way = way != this->ways.end() && Meets(way->second, name);
+    for (const auto &[node, known] : service) {
+      if (this->Stale(known)) continue;
+      const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+          now - known.measured);
+      levels.push_back({name, node,
+                        static_cast<std::int32_t>(known.level * kThousand),
+                        static_cast<std::int32_t>(age.count()), on_way});
+    }
   }
+  if (levels.size() <= most) return levels;
+  std::stable_partition(levels.begin(), levels.end(),
+                        [](const auto &entry) { return entry.on_way; });
+  levels.resize(most);
   return levels;
 }
 
-double RouteLevels::LevelOf(const std::string &route) const {
-  const auto found = this->routes.find(route);
-  if (found == this->routes.end()) return 0;
+double RouteLevels::LevelOf(const std::string &workspace,
+                            const std::string &route) const {
+  const auto way = this->ways.find(route);
+  if (way == this->ways.end()) return 0;
+  const auto scope = this->scopes.find(this->ScopeOf(workspace));
+  if (scope == this->scopes.end()) return 0;
   double highest = 0;
-  for (const auto &[service, known] : found->second) {
-    if (!this->Stale(known)) highest = std::max(highest, known.level);
+  for (const auto &[name, count] : way->second.met) {
+    if (!Meets(way->second, name)) continue;
+    const auto service = scope->second.find(name);
+    if (service == scope->second.end()) continue;
+    highest = std::max(highest, this->MeanOf(service->second));
   }
   return highest;
 }
 
-bool RouteLevels::Stale(const Known &known) const noexcept {
-  return this->clock.Now() - known.seen > this->lifetime;
-}
-
 void RouteLevels::Forget() {
   this->swept = this->clock.Now();
-  for (auto it = this->routes.begin(); it != this->routes.end();) {
-    const Services &services = it->second;
-    const bool stale = std::all_of(
-        services.begin(), services.end(),
-        [this](const auto &entry) { return this->Stale(entry.second); });
-    it = stale ? this->routes.erase(it) : std::next(it);
+  for (auto way = this->ways.begin(); way != this->ways.end();) {
+    const bool unused = this->swept - way->second.used > kSweepPeriod;
+    way = unused ? this->ways.erase(way) : std::next(way);
+  }
+  for (auto scope = this->scopes.begin(); scope != this->scopes.end();) {
+    Services &services = scope->second;
+    for (auto it = services.begin(); it != services.end();) {
+      it = this->Sheds(it->second) ? std::next(it) : services.erase(it);
+    }
+    scope = services.empty() ? this->scopes.erase(scope) : std::next(scope);
   }
 }
 
--- a/src/pollenring/node/route_levels.h
+++ b/src/pollenring/node/route_levels.h
@@ -7,69 +7,117 @@
 #include <vector>
 
 #include "pollenring/core/clock.h"
+#include "pollenring/membership/member.h"
 #include "pollenring/node/wire.h"
 
 namespace pollenring {
 
+/*! @brief How levels are kept. */
+struct RouteLevelOptions {
+  /*! @brief Time for which a level holds that nothing confirms. */
+  Span lifetime{std::chrono::milliseconds{1500}};
+  /*! @brief Whether a service has a level for each workspace. */
+  bool per_workspace{};
+};
+
 /**
- * @brief Remembers, per workspace and route, the levels of all services on the
- * way.
+ * @brief Remembers the levels of services, and which services lie on the way of
+ * which route.
  *
- * Levels come back with answers. A root below the highest of them would be
- * shed by some service on its way, after work was done for it elsewhere.
+ * Levels come back with answers and are passed on with others, with their age:
+ * whatever answer reaches a node tells it of all services that shed. A root
+ * below the level of any service on its way would be shed there, after work
+ * was done for it elsewhere.
  */
 class RouteLevels {
  public:
   /**
    * @brief Starts without levels.
-   * @param lifetime Time for which a level holds that no answer confirms.
+   * @param options How levels are kept.
    * @param clock Clock.
    */
-  RouteLevels(Span lifetime, const Clock &clock)
-      : lifetime{lifetime}, clock{clock}, swept{clock.Now()} {}
+  RouteLevels(const RouteLevelOptions &options, const Clock &clock)
+      : options{options}, clock{clock}, swept{clock.Now()} {}
+
+  /*! @brief Routes that are remembered. @return The count. */
+  [[nodiscard]] std::size_t Count() const noexcept { return this->ways.size(); }
 
-  /*! @brief Routes that are remembered, by workspace. @return The count. */
-  [[nodiscard]] std::size_t Count() const noexcept {
-    return this->routes.size();
-  }
+  /**
+   * @brief Takes in an answer to a request.
+   * @param workspace Its workspace.
+   * @param route Its route.
+   * @param levels Levels that came with the answer.
+   */
+  void Learn(const std::string &workspace, const std::string &route,
+             const std::vector<ServiceLevel> &levels);
 
   /**
-   * @brief Takes in the levels that an answer brought.
-   * @param route The route.
-   * @param levels Levels of services that shed; an absent one sheds nothing.
+   * @brief Takes in an answer to a call made on behalf of a request.
+   * @param workspace The request's workspace.
+   * @param route The request's route.
+   * @param levels Levels that came with the answer.
    */
-  void Learn(const std::string &route, const std::vector<ServiceLevel> &levels);
+  void LearnBelow(const std::string &workspace, const std::string &route,
+                  const std::vector<ServiceLevel> &levels);
 
   /**
-   * @brief Reads the levels of all services on a route's way.
-   * @param route The route.
-   * @return Levels that are not out of date.
+   * @brief Counts a request that the local target has answered.
+   * @param route Its route.
    */
-  [[nodiscard]] std::vector<ServiceLevel> LevelsOn(
-      const std::string &route) const;
+  void Served(const std::string &route);
+
+  /**
+   * @brief Lists the services that shed, for an answer to a request.
+   * @param workspace Its workspace.
+   * @param route Its route.
+   * @param most Most levels to list; those on the route's way come first.
+   * @return Levels with their age.
+   */
+  [[nodiscard]] std::vector<ServiceLevel> Shedding(const std::string &workspace,
+                                                   const std::string &route,
+                                                   std::size_t most) const;
 
   /**
    * @brief Finds the priority below which roots would be shed.
-   * @param route The route.
-   * @return The highest level that is not out of date, 0 for none.
+   * @param workspace Their workspace.
+   * @param route Their route.
+   * @return The highest level on the way, 0 for none.
    */
-  [[nodiscard]] double LevelOf(const std::string &route) const;
+  [[nodiscard]] double LevelOf(const std::string &workspace,
+                               const std::string &route) const;
 
  private:
   struct Known {
     double level{};
-    Time seen{};
+    Time measured{};
   };
+  /*! @brief Levels of one service, by the node beside each target. */
+  using Service = std::unordered_map<NodeId, Known>;
+  using Services = std::unordered_map<std::string, Service>;
 
-  using Services = std::unordered_map<std::string, Known>;
+  /*! @brief How many of a route's requests met each service that shed. */
+  struct Way {
+    double requests{};
+    Time used{};
+    std::unordered_map<std::string, double> met;
+  };
 
+  [[nodiscard]] const std::string &ScopeOf(
+      const std::string &workspace) const noexcept;
   [[nodiscard]] bool Stale(const Known &known) const noexcept;
+  [[nodiscard]] bool Sheds(const Service &service) const noexcept;
+  [[nodiscard]] double MeanOf(const Service &service) const noexcept;
+  [[nodiscard]] static bool Meets(const Way &way, const std::string &service);
+  void Meet(const std::string &route, const std::vector<ServiceLevel> &levels);
+  void Take(const std::string &workspace,
+            const std::vector<ServiceLevel> &levels);
   void Forget();
 
-  Span lifetime;
+  RouteLevelOptions options;
   const Clock &clock;
   Time swept{};
-  std::unordered_map<std::string, Services> routes;
+  std::unordered_map<std::string, Services> scopes;
+  std::unordered_map<std::string, Way> ways;
 };
 
 }  // namespace pollenring
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -18,10 +18,11 @@
 constexpr Span kAnnouncementLifetime = std::chrono::seconds{6};
 /*! @brief Pause between two lines on a busy target. */
 constexpr Span kLoadLogPeriod = std::chrono::seconds{1};
-/*! @brief Calls of one kind of request end many times a second under load. */
-constexpr Span kDownstreamLifetime = std::chrono::milliseconds{1000};
 constexpr std::size_t kContextBytes = 16;
-constexpr std::size_t kMostLevels = 8;
+/*! @brief Levels of other targets that an answer passes on; some 25 bytes each,
+ * and none while nothing sheds. */
+constexpr std::size_t kMostLevels = 16;
+constexpr double kThousand = 1000;
 
 }  // namespace
 
@@ -34,25 +35,18 @@
   this->time_in_sub_calls += now - this->sub_calls_since;
 }
 
-void ServedCall::MergeLevels(const std::vector<ServiceLevel> &seen) {
-  for (const auto &entry : seen) {
-    double &level = this->levels[entry.service];
-    level = std::max(level, entry.level);
-  }
-}
-
 Serving::Serving(Loop &loop, HttpClient &client, const TargetDialect &dialect,
-                 const AdmissionOptions &options, Random &random,
-                 Metrics &metrics, TargetsChanged changed)
+                 const AdmissionOptions &options, RouteLevels &levels,
+                 Random &random, Metrics &metrics, TargetsChanged changed)
     : loop{loop},
       client{client},
       dialect{dialect},
       options{options},
+      levels{levels},
       random{random},
       metrics{metrics},
       changed{std::move(changed)},
-      parents{random},
-      downstream{kDownstreamLifetime, loop.GetClock()} {}
+      parents{random} {}
 
 void Serving::Announce(const Announcement &announcement) {
   const std::string &service = announcement.target.service;
@@ -213,6 +207,7 @@
   if (found == this->calls.end()) return;
   ServedCall &served = found->second.served;
   reply.retries_unspent = served.allowance.Left();
+  this->levels.Served(served.envelope.route);
   this->AttachLoad(served, reply);
   this->contexts.erase(served.context);
   this->parents.Remove(id, this->loop.GetClock().Now());
@@ -225,26 +220,16 @@
 }
 
 void Serving::AttachLoad(const ServedCall &served, CallReply &reply) const {
-  for (const auto &[service, level] : served.levels) {
-    if (level <= 0 || reply.levels.size() >= kMostLevels) continue;
-    reply.levels.push_back({service, level});
-  }
-  this->AttachDownstream(served, reply);
-  const auto found = this->bindings.find(served.envelope.service);
+  const CallEnvelope &envelope = served.envelope;
+  reply.levels =
+      this->levels.Shedding(envelope.workspace, envelope.route, kMostLevels);
+  const auto found = this->bindings.find(envelope.service);
   if (found == this->bindings.end()) return;
   const Admission &admission = *found->second.admission;
   reply.load = admission.Report();
-  const double level = admission.LevelOf(served.envelope.workspace);
-  if (level <= 0) return;
-  reply.levels.push_back({served.envelope.service, level});
-}
-
-void Serving::AttachDownstream(const ServedCall &served,
-                               CallReply &reply) const {
-  for (const auto &entry : this->downstream.LevelsOn(served.envelope.route)) {
-    if (reply.levels.size() >= kMostLevels) return;
-    reply.levels.push_back(entry);
-  }
+  const double level = admission.LevelOf(envelope.workspace);
+  reply.levels.push_back(
+      {{}, 0, static_cast<std::int32_t>(level * kThousand), 0, true});
 }
 
 void Serving::Cancel(std::uint64_t id) {
@@ -305,7 +290,8 @@
   const Time now = this->loop.GetClock().Now();
   parent->EndSubCall(now);
   // Later answers tell them, which are sooner than the parent's own.
-  this->downstream.Learn(parent->envelope.route, levels);
+  this->levels.LearnBelow(parent->envelope.workspace, parent->envelope.route,
+                          levels);
   this->parents.CallEnded(id, now);
 }
 
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -45,7 +45,6 @@
   int sub_calls{};
   Time sub_calls_since{};
   Span time_in_sub_calls{};
-  std::map<std::string, double> levels;
   SubCallCancels sub_call_cancels;
 
   /*! @brief Counts a sub-call in. @param now Time. */
@@ -53,9 +52,6 @@
 
   /*! @brief Counts a sub-call out. @param now Time. */
   void EndSubCall(Time now) noexcept;
-
-  /*! @brief Keeps the highest level of each service. @param seen Levels. */
-  void MergeLevels(const std::vector<ServiceLevel> &seen);
 };
 
 /**
@@ -75,13 +71,14 @@
    * @param client Client towards the target.
    * @param dialect How calls and answers are written.
    * @param options Limits of admission.
+   * @param levels Levels of services, which answers bring and pass on.
    * @param random Randomness.
    * @param metrics Figures.
    * @param changed Called when the announced targets change.
    */
   Serving(Loop &loop, HttpClient &client, const TargetDialect &dialect,
-          const AdmissionOptions &options, Random &random, Metrics &metrics,
-          TargetsChanged changed);
+          const AdmissionOptions &options, RouteLevels &levels, Random &random,
+          Metrics &metrics, TargetsChanged changed);
 
   /**
    * @brief Takes in an announcement of the target.
@@ -175,13 +172,13 @@
                                       const std::string &instance) const;
   void CancelSubCalls(const SubCallCancels &cancels);
   void LogLoad();
-  void AttachDownstream(const ServedCall &served, CallReply &reply) const;
   void AttachLoad(const ServedCall &served, CallReply &reply) const;
 
   Loop &loop;
   HttpClient &client;
   const TargetDialect &dialect;
   AdmissionOptions options;
+  RouteLevels &levels;
   Random &random;
   Metrics &metrics;
   TargetsChanged changed;
@@ -189,7 +186,6 @@
   std::unordered_map<std::uint64_t, Call> calls;
   std::unordered_map<std::string, std::uint64_t> contexts;
   ParentFinder parents;
-  RouteLevels downstream; /*!< By route of the requests that make calls. */
   std::uint64_t last_id{};
   Time load_logged{};
 };
--- a/src/pollenring/node/target_port.cc
+++ b/src/pollenring/node/target_port.cc
@@ -24,12 +24,14 @@
 
 TargetPort::TargetPort(Loop &loop, std::string secret,
                        const ConfigLedger &config, Serving &serving,
-                       Dispatcher &dispatcher, Random &random)
+                       Dispatcher &dispatcher, RouteLevels &levels,
+                       Random &random)
     : loop{loop},
       secret{std::move(secret)},
       config{config},
       serving{serving},
       dispatcher{dispatcher},
+      levels{levels},
       random{random} {}
 
 void TargetPort::Handle(HttpRequest request,
@@ -94,6 +96,7 @@
   envelope.service = std::move(service);
   envelope.path = std::move(path);
   envelope.method = request.method;
+  envelope.route = RouteName(envelope.service, *route);
   envelope.headers = PassableHeaders(request.headers);
   envelope.importance = parent.envelope.importance;
   envelope.idempotent = route->idempotent;
@@ -141,8 +144,11 @@
                                                            std::string body) {
         ended(reply.retries_unspent);
         ServedCall *still = this->serving.Find(parent_id);
-        if (still != nullptr) still->MergeLevels(reply.levels);
-        if (still != nullptr) still->sub_call_cancels.erase(*handle);
+        if (still != nullptr) {
+          this->levels.LearnBelow(still->envelope.workspace,
+                                  still->envelope.route, reply.levels);
+          still->sub_call_cancels.erase(*handle);
+        }
         responder->Send(ToResponse(reply, std::move(body), root_id));
       });
   responder->OnCancel([this, call = *handle, parent_id, ended] {
--- a/src/pollenring/node/target_port.h
+++ b/src/pollenring/node/target_port.h
@@ -26,10 +26,12 @@
    * @param config Configuration in force.
    * @param serving Requests in progress.
    * @param dispatcher Sends sub-calls.
+   * @param levels Learns from sub-calls' answers.
    * @param random Randomness.
    */
   TargetPort(Loop &loop, std::string secret, const ConfigLedger &config,
-             Serving &serving, Dispatcher &dispatcher, Random &random);
+             Serving &serving, Dispatcher &dispatcher, RouteLevels &levels,
+             Random &random);
 
   /**
    * @brief Takes one request of the target.
@@ -51,6 +53,7 @@
   const ConfigLedger &config;
   Serving &serving;
   Dispatcher &dispatcher;
+  RouteLevels &levels;
   Random &random;
 };
 
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -11,6 +11,7 @@
 
 #include "pollenring/core/importance.h"
 #include "pollenring/core/outcome.h"
+#include "pollenring/membership/member.h"
 #include "pollenring/net/http_message.h"
 #include "pollenring/routing/load_report.h"
 
@@ -53,11 +54,14 @@
                  remaining_us, root_age_us, aim_us, retries)
 };
 
-/*! @brief Priority below which a service refuses roots early. */
+/*! @brief Priority below which a target would have roots refused early. */
 struct ServiceLevel {
-  std::string service;
-  double level{};
-  MSGPACK_DEFINE(service, level)
+  std::string service; /*!< Empty for the one that was called. */
+  NodeId node{};       /*!< Beside the target; 0 for the one that answers. */
+  std::int32_t level_milli{}; /*!< In thousandths. */
+  std::int32_t age_ms{};      /*!< Since the target's node found it. */
+  bool on_way{true}; /*!< Whether the answered request's way leads there. */
+  MSGPACK_DEFINE(service, node, level_milli, age_ms, on_way)
 };
 
 /*! @brief What travels with an answer from node to node, before its body. */
--- a/test/pollenring/node/route_levels_test.cc
+++ b/test/pollenring/node/route_levels_test.cc
@@ -1,40 +1,143 @@
 #include "pollenring/node/route_levels.h"
 
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <string>
+#include <vector>
 
 namespace {
 
 using pollenring::ManualClock;
+using pollenring::NodeId;
+using pollenring::RouteLevelOptions;
 using pollenring::RouteLevels;
+using pollenring::ServiceLevel;
+using pollenring::Span;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kMost = 16;
+
+[[nodiscard]] RouteLevelOptions PerWorkspace() {
+  RouteLevelOptions options;
+  options.lifetime = milliseconds{300};
+  options.per_workspace = true;
+  return options;
+}
+
+[[nodiscard]] ServiceLevel Of(const std::string &service, NodeId node,
+                              int level_milli) {
+  return {service, node, level_milli, 0, true};
+}
 
 }  // namespace
 
 TEST_CASE("route levels: what is heard counts for a moment, then goes") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{std::chrono::milliseconds{300}, clock};
-  levels.Learn("club front GET /", {{"back", 1.0}, {"middle", 0.5}});
-  const double first = levels.LevelOf("club front GET /");
-  CHECK(first > 0);
-  levels.Learn("club front GET /", {{"back", 1.0}});
-  CHECK(levels.LevelOf("club front GET /") > first);
-  CHECK(levels.LevelOf("other front GET /") == 0);
+  RouteLevels levels{PerWorkspace(), clock};
+  levels.Learn("club", "front GET /",
+               {Of("back", 1, 1000), Of("middle", 2, 500)});
+  CHECK(levels.LevelOf("club", "front GET /") == Approx(1.0));
+  CHECK(levels.LevelOf("other", "front GET /") == 0);
+  CHECK(levels.LevelOf("club", "side GET /") == 0);
   clock.Advance(std::chrono::seconds{1});
-  CHECK(levels.LevelOf("club front GET /") == 0);
+  CHECK(levels.LevelOf("club", "front GET /") == 0);
 }
 
 TEST_CASE("route levels: routes that nobody asks for are forgotten") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{std::chrono::milliseconds{300}, clock};
+  RouteLevels levels{PerWorkspace(), clock};
   // Workspaces times routes, each seen once: an hour of them.
   for (int i = 0; i < 360'000; ++i) {
-    levels.Learn("workspace" + std::to_string(i) + " front GET /",
-                 {{"back", 0.5}});
-    clock.Advance(std::chrono::milliseconds{10});
+    const std::string name = std::to_string(i);
+    levels.Learn("workspace" + name, "front GET /" + name,
+                 {Of("back", 1, 500)});
+    clock.Advance(milliseconds{10});
   }
   CHECK(levels.Count() < 10'000);
-  // Answers without levels leave nothing behind.
+  // Answers without levels leave nothing behind; the first may sweep.
+  levels.Learn("quiet", "quiet GET /", {});
   const std::size_t before = levels.Count();
-  levels.Learn("quiet front GET /", {});
+  levels.Learn("quiet", "quiet GET /", {});
   CHECK(levels.Count() == before);
 }
+
+TEST_CASE(
+    "route levels: a route with few answers learns from others' answers") {
+  ManualClock clock{std::chrono::hours{1}};
+  RouteLevels levels{RouteLevelOptions{}, clock};
+  // A VM that takes one request of a route in two seconds, of eight workspaces
+  // in turn, and fifteen others a second; the deepest service sheds all along.
+  levels.Learn("workspace0", "deep", {Of("deepest", 7, 2400)});
+  int refused = 0;
+  for (int i = 1; i <= 20; ++i) {
+    for (int other = 0; other < 30; ++other) {
+      clock.Advance(milliseconds{66});
+      ServiceLevel heard = Of("deepest", 7, 2400);
+      heard.on_way = false;
+      heard.age_ms = 150;
+      levels.Learn("workspace1", "shallow", {heard});
+    }
+    const std::string workspace = "workspace" + std::to_string(i % 8);
+    if (levels.LevelOf(workspace, "deep") > 2) {
+      ++refused;
+      continue;
+    }
+    levels.Learn(workspace, "deep", {Of("deepest", 7, 2400)});
+  }
+  // A way that no answer confirms is tried anew every ten seconds.
+  CHECK(refused >= 16);
+  CHECK(levels.LevelOf("workspace1", "shallow") == 0);
+}
+
+TEST_CASE("route levels: nodes that repeat each other keep no level alive") {
+  ManualClock clock{std::chrono::hours{1}};
+  RouteLevels one{RouteLevelOptions{}, clock};
+  RouteLevels other{RouteLevelOptions{}, clock};
+  one.Learn({}, "deep", {Of("deepest", 7, 1000)});
+  for (int i = 0; i < 40; ++i) {
+    clock.Advance(milliseconds{50});
+    other.Learn({}, "deep", one.Shedding({}, "deep", kMost));
+    one.Learn({}, "deep", other.Shedding({}, "deep", kMost));
+  }
+  CHECK(one.LevelOf({}, "deep") == 0);
+  CHECK(other.Shedding({}, "deep", kMost).empty());
+}
+
+TEST_CASE("route levels: one busy target among idle ones refuses its part") {
+  ManualClock clock{std::chrono::hours{1}};
+  RouteLevels levels{RouteLevelOptions{}, clock};
+  levels.Learn({}, "deep", {Of("deepest", 1, 900)});
+  levels.Learn({}, "deep", {Of("deepest", 2, 0)});
+  levels.Learn({}, "deep", {Of("deepest", 3, 0)});
+  CHECK(levels.LevelOf({}, "deep") == Approx(0.3));
+}
+
+TEST_CASE("route levels: a call taken for another's puts nothing on a way") {
+  ManualClock clock{std::chrono::hours{1}};
+  RouteLevels levels{RouteLevelOptions{}, clock};
+  for (int i = 0; i < 200; ++i) {
+    clock.Advance(milliseconds{10});
+    levels.Served("shallow");
+    levels.Served("deep");
+    levels.LearnBelow({}, i % 20 == 0 ? "shallow" : "deep",
+                      {Of("deepest", 7, 1500)});
+  }
+  CHECK(levels.LevelOf({}, "deep") == Approx(1.5));
+  CHECK(levels.LevelOf({}, "shallow") == 0);
+}
+
+TEST_CASE("route levels: of many that shed, those on the way are passed on") {
+  ManualClock clock{std::chrono::hours{1}};
+  RouteLevels levels{RouteLevelOptions{}, clock};
+  std::vector<ServiceLevel> many;
+  for (NodeId node = 1; node <= 40; ++node) {
+    ServiceLevel entry = Of("service" + std::to_string(node), node, 700);
+    entry.on_way = node == 40;
+    many.push_back(entry);
+  }
+  levels.Learn({}, "deep", many);
+  const auto passed = levels.Shedding({}, "deep", kMost);
+  REQUIRE(passed.size() == kMost);
+  CHECK(passed.front().service == "service40");
+  CHECK(passed.front().on_way);
+}
