Which routes make a call is estimated; levels weigh targets by their calls

(2) The mean of a service's levels counted a target that gets no calls like a busy one: 1.6 at the entries while both busy planners stood at 2.4, and the queue stood at 200 ms for four seconds.

Ruled out: drawing by learnt rates (expectation maximisation, the former way): it tends to the right kinds too slowly to be used for refusals. Windows of one second in the estimate: requests held up for a second hide in their own mean.

Change: CallShares. A call is made while its request runs, so the mean number of running requests of a kind at calls, less its mean over time, is its part of the calls. Ways follow from it, and so do the draws of parents. Levels carry how many calls their target is offered and are weighed by them. The log line of a refused root names the service that sheds, its level and its age.

--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -1,6 +1,8 @@
 #include "pollenring/admission/admission.h"
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 
 #include "pollenring/admission/aim_queue.h"
 #include "pollenring/admission/fair_queue.h"
@@ -10,6 +12,9 @@
 namespace pollenring {
 namespace {
 
+/*! @brief Memory of how many requests are offered; as long as a level's. */
+constexpr Span kOfferedMemory = std::chrono::milliseconds{500};
+
 [[nodiscard]] std::unique_ptr<LevelControl> MakeLevels(
     const AdmissionOptions &options, const Clock &clock) {
   if (options.level_cause == LevelCause::kFit) {
@@ -39,8 +44,21 @@
       static_cast<std::uint32_t>(this->limit.Current())};
 }
 
+double Admission::OfferedNow() const {
+  const Span since = this->clock.Now() - this->offered_at;
+  return this->offered * std::exp(-static_cast<double>(since.count()) /
+                                  static_cast<double>(kOfferedMemory.count()));
+}
+
+double Admission::OfferedPerSecond() const {
+  return this->OfferedNow() /
+         std::chrono::duration<double>{kOfferedMemory}.count();
+}
+
 AdmissionActions Admission::Offer(const Ticket &ticket) {
   AdmissionActions actions;
+  this->offered = this->OfferedNow() + 1;
+  this->offered_at = this->clock.Now();
   this->levels->Offered(ticket);
   this->queue->Push(ticket);
   this->Fill(actions);
--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -90,6 +90,9 @@
   /*! @brief The queue, as it is now. @return Its delay and capacity. */
   [[nodiscard]] QueueState State() const;
 
+  /*! @brief Requests offered of late. @return A second. */
+  [[nodiscard]] double OfferedPerSecond() const;
+
   /*! @brief Requests that wait. @return The count. */
   [[nodiscard]] std::size_t Waiting() const noexcept {
     return this->queue->Size();
@@ -133,6 +136,7 @@
     Importance importance;
   };
 
+  [[nodiscard]] double OfferedNow() const;
   void Fill(AdmissionActions &actions);
   void DropLate(AdmissionActions &actions);
   void Start(const Ticket &ticket, AdmissionActions &actions);
@@ -145,6 +149,8 @@
   std::unique_ptr<LevelControl> levels;
   std::unique_ptr<TicketQueue> queue;
   std::unordered_map<std::uint64_t, RunningRequest> running;
+  double offered{}; /*!< Requests, faded. */
+  Time offered_at{};
 };
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -71,7 +71,10 @@
   Time started{};
   Time deadline{};
   int attempts{1};
+  double priority{};
   bool gone{};
+  WayLevel refused_at;    /*!< What had it refused early. */
+  bool open{};            /*!< Of the local target; other callers show keys. */
   std::uint64_t parent{}; /*!< Request of the local target; 0 for none. */
   std::string parent_id;  /*!< Its identifier, for the log. */
   std::shared_ptr<Responder> responder;
@@ -117,6 +120,7 @@
   const HostRoute *route = table.Find(request.host, request.path);
   if (route == nullptr) return Reason::kNoRoute;
   entry.route = route->name;
+  entry.open = route->open;
   CallEnvelope &envelope = entry.envelope;
   if (!route->open && table.NeedsKeys()) {
     const KeyedWorkspace *workspace = table.WorkspaceOf(caller.key);
@@ -156,8 +160,8 @@
   envelope.depth = 1;
   envelope.importance = Importance::kHigh;
   if (!caller.remaining) return;
-  ServedCall *parent =
-      this->parts.serving.FindParent(entry.started + *caller.remaining);
+  ServedCall *parent = this->parts.serving.FindParent(
+      entry.started + *caller.remaining, entry.route);
   this->parts.metrics.Count(
       "pollenring_sub_calls_total",
       {"parent", parent == nullptr ? "unknown" : "found"});
@@ -191,11 +195,14 @@
   return route.parts.back().service;
 }
 
-bool Outbound::ShedsEarly(const Entry &entry) const {
+bool Outbound::ShedsEarly(Entry &entry) const {
   const CallEnvelope &envelope = entry.envelope;
+  entry.priority = PriorityOf(envelope.importance, envelope.lot);
   if (envelope.depth > 0) return false;
-  return PriorityOf(envelope.importance, envelope.lot) <
-         this->parts.levels.LevelOf(entry.workspace, entry.route);
+  WayLevel highest = this->parts.levels.HighestOn(entry.workspace, entry.route);
+  if (entry.priority >= highest.level) return false;
+  entry.refused_at = std::move(highest);
+  return true;
 }
 
 void Outbound::Charge(const EntryPtr &entry) {
@@ -227,12 +234,16 @@
       std::move(entry->envelope), std::move(entry->body), entry->deadline,
       [this, entry](CallReply reply, std::string body) {
         this->parts.levels.Learn(entry->workspace, entry->route, reply.levels);
-        this->parts.serving.EndSubCall(entry->parent, reply.levels);
+        if (entry->open) {
+          this->parts.serving.LearnFrom(entry->route, entry->workspace,
+                                        reply.levels);
+        }
+        this->parts.serving.EndSubCall(entry->parent);
         this->Answer(entry, std::move(reply), std::move(body));
       },
       entry->attempts);
   entry->responder->OnCancel([this, call, entry] {
-    this->parts.serving.EndSubCall(entry->parent, {});
+    this->parts.serving.EndSubCall(entry->parent);
     this->parts.metrics.Count("pollenring_gone_callers_total");
     this->parts.dispatcher.Cancel(call);
   });
@@ -279,6 +290,10 @@
             {"took_ms", took.count() / 1000},
             {"left_ms", (entry.deadline - entry.started - took).count() / 1000},
             {"version", entry.version},
+            {"priority", entry.priority},
+            {"shedding", entry.refused_at.service},
+            {"refuses_below", entry.refused_at.level},
+            {"heard_ms_ago", entry.refused_at.age.count() / 1000},
             {"retry_after_ms", reply.retry_after_us / 1000}});
 }
 
--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -69,7 +69,7 @@
                              Entry &entry);
   void Inherit(const CallerRequest &caller, Entry &entry);
   [[nodiscard]] const std::string &ChoosePart(const HostRoute &route);
-  [[nodiscard]] bool ShedsEarly(const Entry &entry) const;
+  [[nodiscard]] bool ShedsEarly(Entry &entry) const;
   void Charge(const EntryPtr &entry);
   void Send(const EntryPtr &entry);
   void Refuse(const EntryPtr &entry, Reason reason, Span retry_after);
--- /dev/null
+++ b/src/pollenring/node/call_shares.cc
@@ -0,0 +1,128 @@
+#include "pollenring/node/call_shares.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+
+namespace pollenring {
+namespace {
+
+/*! @brief The first window, so that something is known soon after a start. */
+constexpr Span kFirstWindow = std::chrono::milliseconds{200};
+/*! @brief Later windows: long beside a request, which raises the mean of its
+ * own window, and short beside the waves of load, which raise all numbers. */
+constexpr Span kWindow = std::chrono::milliseconds{2500};
+/*! @brief Calls that tell anything: of ten running requests, one caller more or
+ * less is then seen. Others than the target may call a few times. */
+constexpr double kFewCalls = 30;
+/*! @brief Calls after which those before count half. */
+constexpr double kRemembered = 4000;
+/*! @brief Weight of a window in the mean of running requests. */
+constexpr double kMeanWeight = 0.2;
+/*! @brief Mean below which requests of a kind are as good as never there. */
+constexpr double kLeastMean = 0.01;
+/*! @brief Kinds and callees that were not seen for so long are forgotten. */
+constexpr Span kForgotten = std::chrono::minutes{1};
+
+}  // namespace
+
+CallShares::CallShares(Time now) noexcept
+    : window_start{now}, window{kFirstWindow} {}
+
+void CallShares::Count(Kind &kind, int change, Time now) {
+  const double held = std::chrono::duration<double>{now - kind.since}.count();
+  kind.seconds += held * kind.running;
+  kind.running = std::max(0, kind.running + change);
+  kind.since = now;
+  kind.used = now;
+}
+
+void CallShares::Begin(const std::string &kind, Time now) {
+  if (now - this->window_start >= this->window) this->CloseWindow(now);
+  Kind &entry = this->kinds[kind];
+  if (entry.used == Time{}) entry.since = now;
+  Count(entry, 1, now);
+}
+
+void CallShares::End(const std::string &kind, Time now) {
+  const auto found = this->kinds.find(kind);
+  if (found != this->kinds.end()) Count(found->second, -1, now);
+}
+
+void CallShares::Called(const std::string &callee, Time now) {
+  if (now - this->window_start >= this->window) this->CloseWindow(now);
+  Callee &entry = this->callees[callee];
+  entry.calls += 1;
+  entry.used = now;
+  for (const auto &[name, kind] : this->kinds) {
+    if (kind.running > 0) entry.seen[name] += kind.running;
+  }
+}
+
+void CallShares::CloseWindow(Time now) {
+  const double seconds =
+      std::chrono::duration<double>{now - this->window_start}.count();
+  this->window_start = now;
+  this->window = std::min(kWindow, this->window * 2);
+  std::unordered_map<std::string, double> means;
+  for (auto it = this->kinds.begin(); it != this->kinds.end();) {
+    auto &[name, kind] = *it;
+    if (kind.running > 0) Count(kind, 0, now);
+    const double mean = kind.seconds / seconds;
+    means[name] = mean;
+    kind.mean += kMeanWeight * (mean - kind.mean);
+    kind.seconds = 0;
+    kind.since = now;
+    const bool forgotten = now - kind.used > kForgotten;
+    it = forgotten ? this->kinds.erase(it) : std::next(it);
+  }
+  for (auto it = this->callees.begin(); it != this->callees.end();) {
+    const bool forgotten = now - it->second.used > kForgotten;
+    it = forgotten ? this->callees.erase(it) : std::next(it);
+  }
+  for (auto &[name, callee] : this->callees) {
+    if (callee.calls <= 0) continue;
+    for (const auto &[kind, mean] : means) {
+      callee.excess[kind] += callee.seen[kind] - callee.calls * mean;
+    }
+    callee.all_calls += callee.calls;
+    callee.calls = 0;
+    callee.seen.clear();
+    if (callee.all_calls <= kRemembered) continue;
+    callee.all_calls /= 2;
+    for (auto &[kind, excess] : callee.excess) excess /= 2;
+  }
+}
+
+std::optional<double> CallShares::ShareOf(const std::string &kind,
+                                          const std::string &callee) const {
+  const auto found = this->callees.find(callee);
+  if (found == this->callees.end()) return std::nullopt;
+  if (found->second.all_calls < kFewCalls) return std::nullopt;
+  // What raises all numbers at once is in each excess alike.
+  double sum = 0;
+  for (const auto &[name, excess] : found->second.excess) {
+    sum += std::max(0.0, excess);
+  }
+  const auto own = found->second.excess.find(kind);
+  if (own == found->second.excess.end() || sum <= 0) return 0.0;
+  return std::max(0.0, own->second) / sum;
+}
+
+std::vector<std::string> CallShares::CallersOf(const std::string &callee,
+                                               double least) const {
+  std::vector<std::string> callers;
+  for (const auto &[name, kind] : this->kinds) {
+    const auto share = this->ShareOf(name, callee);
+    if (share && *share >= least) callers.push_back(name);
+  }
+  return callers;
+}
+
+double CallShares::MeanRunning(const std::string &kind) const {
+  const auto found = this->kinds.find(kind);
+  if (found == this->kinds.end()) return kLeastMean;
+  return std::max(kLeastMean, found->second.mean);
+}
+
+}  // namespace pollenring
--- a/src/pollenring/node/parent_finder.cc
+++ b/src/pollenring/node/parent_finder.cc
@@ -11,18 +11,13 @@
 constexpr Span kTolerance = std::chrono::milliseconds{4};
 /*! @brief Candidates of a draw; a target works on a few dozen at once. */
 constexpr std::size_t kMostCandidates = 64;
-/*! @brief Calls after which what was learnt before counts half. */
-constexpr double kRemembered = 400;
-/*! @brief Kinds that are remembered; routes of one service are fewer. */
-constexpr std::size_t kMostKinds = 1024;
 
 }  // namespace
 
 void ParentFinder::Add(std::uint64_t id, const std::string &kind, Time deadline,
                        Time now) {
-  const bool full = this->kinds.size() >= kMostKinds;
-  if (full && this->running.empty()) this->kinds.clear();
-  this->running[id] = {deadline, now, 0, &this->kinds[kind]};
+  this->shares.Begin(kind, now);
+  this->running[id] = {deadline, now, 0, kind};
   this->by_deadline.emplace(deadline, id);
   this->working.emplace(now, id);
 }
@@ -31,22 +26,15 @@
   return request.calls > 0 ? this->waiting : this->working;
 }
 
-void ParentFinder::Worked(Kind &kind, Span time) {
-  kind.seconds += std::chrono::duration<double>{time}.count();
-  if (kind.calls < kRemembered) return;
-  kind.calls /= 2;
-  kind.seconds /= 2;
-}
-
-void ParentFinder::Leave(std::uint64_t id, const Running &request, Time now) {
+void ParentFinder::Leave(std::uint64_t id, const Running &request) {
   this->PlaceOf(request).erase({request.since, id});
-  if (request.calls == 0) Worked(*request.kind, now - request.since);
 }
 
 void ParentFinder::Remove(std::uint64_t id, Time now) {
   const auto found = this->running.find(id);
   if (found == this->running.end()) return;
-  this->Leave(id, found->second, now);
+  this->shares.End(found->second.kind, now);
+  this->Leave(id, found->second);
   this->by_deadline.erase({found->second.deadline, id});
   this->running.erase(found);
 }
@@ -55,7 +43,7 @@
   const auto found = this->running.find(id);
   if (found == this->running.end()) return;
   Running &request = found->second;
-  this->Leave(id, request, now);
+  this->Leave(id, request);
   ++request.calls;
   request.since = now;
   this->waiting.emplace(now, id);
@@ -65,7 +53,7 @@
   const auto found = this->running.find(id);
   if (found == this->running.end() || found->second.calls == 0) return;
   Running &request = found->second;
-  this->Leave(id, request, now);
+  this->Leave(id, request);
   --request.calls;
   request.since = now;
   this->PlaceOf(request).emplace(now, id);
@@ -85,10 +73,16 @@
   return nearest;
 }
 
-std::optional<std::uint64_t> ParentFinder::Draw(Time deadline) {
+double ParentFinder::WeightOf(const std::string &kind,
+                              const std::string &callee) const {
+  const auto share = this->shares.ShareOf(kind, callee);
+  return share ? *share / this->shares.MeanRunning(kind) : 1;
+}
+
+std::optional<std::uint64_t> ParentFinder::Draw(Time deadline,
+                                                const std::string &callee) {
   struct Candidate {
     std::uint64_t id;
-    Kind *kind;
     double weight;
   };
   std::vector<Candidate> candidates;
@@ -96,32 +90,26 @@
   for (auto it = this->working.rbegin(); it != this->working.rend(); ++it) {
     const Running &request = this->running.at(it->second);
     if (request.deadline + kTolerance < deadline) continue;
-    const double weight = request.kind->Rate();
-    candidates.push_back({it->second, request.kind, weight});
+    const double weight = this->WeightOf(request.kind, callee);
+    candidates.push_back({it->second, weight});
     total += weight;
     if (candidates.size() >= kMostCandidates) break;
   }
   if (candidates.empty()) return std::nullopt;
   double left = this->random.Fraction() * total;
-  std::uint64_t drawn = candidates.back().id;
-  bool found = false;
   for (const auto &candidate : candidates) {
-    // Each takes its part of the call, however the draw ends.
-    candidate.kind->calls += candidate.weight / total;
     left -= candidate.weight;
-    if (found || left >= 0) continue;
-    drawn = candidate.id;
-    found = true;
+    if (left < 0) return candidate.id;
   }
-  return drawn;
+  return candidates.back().id;
 }
 
-std::optional<std::uint64_t> ParentFinder::Find(Time deadline) {
-  if (const auto nearest = this->Nearest(deadline)) {
-    this->running.at(*nearest).kind->calls += 1;
-    return nearest;
-  }
-  if (const auto drawn = this->Draw(deadline)) return drawn;
+std::optional<std::uint64_t> ParentFinder::Find(Time deadline,
+                                                const std::string &callee,
+                                                Time now) {
+  this->shares.Called(callee, now);
+  if (const auto nearest = this->Nearest(deadline)) return nearest;
+  if (const auto drawn = this->Draw(deadline, callee)) return drawn;
   // One that makes several calls at once has just begun the first of them.
   if (this->waiting.empty()) return std::nullopt;
   return this->waiting.rbegin()->second;
--- a/src/pollenring/node/parent_finder.h
+++ b/src/pollenring/node/parent_finder.h
@@ -10,6 +10,7 @@
 
 #include "pollenring/core/clock.h"
 #include "pollenring/core/random.h"
+#include "pollenring/node/call_shares.h"
 
 namespace pollenring {
 
@@ -19,18 +20,18 @@
  *
  * Such a call ends when its parent does, unless its own time is shorter. So a
  * deadline that equals a request's points to it. Otherwise one is drawn among
- * those that work and wait for no call, by how often requests of their kind
- * make calls, as learnt from the calls seen so far. The draw is mostly wrong
- * about the request and right about shares: of all calls, each kind gets as
- * many as it makes.
+ * those that work and wait for no call, by the part of such calls that requests
+ * of its kind make. The draw is mostly wrong about the request and right about
+ * shares: of all calls, each kind gets as many as it makes.
  */
 class ParentFinder {
  public:
   /**
    * @brief Starts without requests.
    * @param random Draws.
+   * @param now Time.
    */
-  explicit ParentFinder(Random &random) : random{random} {}
+  ParentFinder(Random &random, Time now) : random{random}, shares{now} {}
 
   /**
    * @brief Adds a request that the target has been given.
@@ -57,38 +58,39 @@
   /**
    * @brief Finds the parent of a call.
    * @param deadline When the call says that it ends.
+   * @param callee What it calls.
+   * @param now Time.
    * @return The request, or nothing when none can have made the call.
    */
-  [[nodiscard]] std::optional<std::uint64_t> Find(Time deadline);
+  [[nodiscard]] std::optional<std::uint64_t> Find(Time deadline,
+                                                  const std::string &callee,
+                                                  Time now);
+
+  /*! @brief Which kinds make the calls. @return The estimate. */
+  [[nodiscard]] const CallShares &Shares() const noexcept {
+    return this->shares;
+  }
 
  private:
   using Ordered = std::set<std::pair<Time, std::uint64_t>>;
 
-  /*! @brief How often requests of one kind make calls. */
-  struct Kind {
-    double calls{1};      /*!< One, so that a kind not seen yet may be drawn. */
-    double seconds{0.05}; /*!< Spent at work, waiting for no call. */
-
-    [[nodiscard]] double Rate() const noexcept {
-      return this->calls / this->seconds;
-    }
-  };
-
   struct Running {
     Time deadline{};
     Time since{}; /*!< Of its place among those that work or wait. */
     int calls{};
-    Kind *kind{};
+    std::string kind;
   };
 
   [[nodiscard]] std::optional<std::uint64_t> Nearest(Time deadline) const;
-  [[nodiscard]] std::optional<std::uint64_t> Draw(Time deadline);
+  [[nodiscard]] std::optional<std::uint64_t> Draw(Time deadline,
+                                                  const std::string &callee);
+  [[nodiscard]] double WeightOf(const std::string &kind,
+                                const std::string &callee) const;
   [[nodiscard]] Ordered &PlaceOf(const Running &request);
-  void Leave(std::uint64_t id, const Running &request, Time now);
-  static void Worked(Kind &kind, Span time);
+  void Leave(std::uint64_t id, const Running &request);
 
   Random &random;
-  std::unordered_map<std::string, Kind> kinds;
+  CallShares shares;
   std::unordered_map<std::uint64_t, Running> running;
   Ordered by_deadline;
   Ordered working; /*!< Without a call, by the time since when. */
--- a/src/pollenring/node/route_levels.cc
+++ b/src/pollenring/node/route_levels.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace pollenring {
 namespace {
@@ -74,7 +75,7 @@
     if (found == services.end() && entry.level_milli <= 0) continue;
     Known &known = services[entry.service][entry.node];
     if (measured <= known.measured) continue;
-    known = {entry.level_milli / kThousand, measured};
+    known = {entry.level_milli / kThousand, entry.per_second, measured};
   }
 }
 
@@ -88,15 +89,20 @@
   });
 }
 
-double RouteLevels::MeanOf(const Service &service) const noexcept {
-  double sum = 0;
-  int count = 0;
+WayLevel RouteLevels::MeanOf(const Service &service) const noexcept {
+  WayLevel mean;
+  mean.age = this->options.lifetime;
+  // A target that hardly gets calls tells little of where most of them end.
+  double weights = 0;
   for (const auto &[node, known] : service) {
     if (this->Stale(known)) continue;
-    sum += known.level;
-    ++count;
+    const double weight = 1 + known.per_second;
+    mean.level += known.level * weight;
+    mean.age = std::min(mean.age, this->clock.Now() - known.measured);
+    weights += weight;
   }
-  return count > 0 ? sum / count : 0;
+  if (weights > 0) mean.level /= weights;
+  return mean;
 }
 
 bool RouteLevels::Meets(const Way &way, const std::string &service) {
@@ -119,9 +125,9 @@
       if (this->Stale(known)) continue;
       const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
           now - known.measured);
-      levels.push_back({name, node,
-                        static_cast<std::int32_t>(known.level * kThousand),
-                        static_cast<std::int32_t>(age.count()), on_way});
+      levels.push_back(
+          {name, node, static_cast<std::int32_t>(known.level * kThousand),
+           known.per_second, static_cast<std::int32_t>(age.count()), on_way});
     }
   }
   if (levels.size() <= most) return levels;
@@ -131,18 +137,21 @@
   return levels;
 }
 
-double RouteLevels::LevelOf(const std::string &workspace,
-                            const std::string &route) const {
+WayLevel RouteLevels::HighestOn(const std::string &workspace,
+                                const std::string &route) const {
+  WayLevel highest;
   const auto way = this->ways.find(route);
-  if (way == this->ways.end()) return 0;
+  if (way == this->ways.end()) return highest;
   const auto scope = this->scopes.find(this->ScopeOf(workspace));
-  if (scope == this->scopes.end()) return 0;
-  double highest = 0;
+  if (scope == this->scopes.end()) return highest;
   for (const auto &[name, count] : way->second.met) {
     if (!Meets(way->second, name)) continue;
     const auto service = scope->second.find(name);
     if (service == scope->second.end()) continue;
-    highest = std::max(highest, this->MeanOf(service->second));
+    WayLevel mean = this->MeanOf(service->second);
+    if (mean.level <= highest.level) continue;
+    highest = std::move(mean);
+    highest.service = name;
   }
   return highest;
 }
--- a/src/pollenring/node/route_levels.h
+++ b/src/pollenring/node/route_levels.h
@@ -20,6 +20,13 @@
   bool per_workspace{};
 };
 
+/*! @brief The service on a route's way that sheds most. */
+struct WayLevel {
+  double level{};      /*!< 0 when none sheds. */
+  std::string service; /*!< Empty when none sheds. */
+  Span age{};          /*!< Of its newest level. */
+};
+
 /**
  * @brief Remembers the levels of services, and which services lie on the way of
  * which route.
@@ -78,17 +85,18 @@
                                                    std::size_t most) const;
 
   /**
-   * @brief Finds the priority below which roots would be shed.
-   * @param workspace Their workspace.
+   * @brief Finds what sheds most on a route's way.
+   * @param workspace Workspace of the roots.
    * @param route Their route.
-   * @return The highest level on the way, 0 for none.
+   * @return Its level, below which roots would be shed.
    */
-  [[nodiscard]] double LevelOf(const std::string &workspace,
-                               const std::string &route) const;
+  [[nodiscard]] WayLevel HighestOn(const std::string &workspace,
+                                   const std::string &route) const;
 
  private:
   struct Known {
     double level{};
+    int per_second{};
     Time measured{};
   };
   /*! @brief Levels of one service, by the node beside each target. */
@@ -106,7 +114,7 @@
       const std::string &workspace) const noexcept;
   [[nodiscard]] bool Stale(const Known &known) const noexcept;
   [[nodiscard]] bool Sheds(const Service &service) const noexcept;
-  [[nodiscard]] double MeanOf(const Service &service) const noexcept;
+  [[nodiscard]] WayLevel MeanOf(const Service &service) const noexcept;
   [[nodiscard]] static bool Meets(const Way &way, const std::string &service);
   void Meet(const std::string &route, const std::vector<ServiceLevel> &levels);
   void Take(const std::string &workspace,
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -23,6 +23,9 @@
  * and none while nothing sheds. */
 constexpr std::size_t kMostLevels = 16;
 constexpr double kThousand = 1000;
+/*! @brief Part of the calls to a route that another must make to count as one
+ * that leads there; estimates of a few hundred calls are off by half of it. */
+constexpr double kLeastShare = 0.1;
 
 }  // namespace
 
@@ -46,7 +49,7 @@
       random{random},
       metrics{metrics},
       changed{std::move(changed)},
-      parents{random} {}
+      parents{random, loop.GetClock().Now()} {}
 
 void Serving::Announce(const Announcement &announcement) {
   const std::string &service = announcement.target.service;
@@ -229,7 +232,12 @@
   reply.load = admission.Report();
   const double level = admission.LevelOf(envelope.workspace);
   reply.levels.push_back(
-      {{}, 0, static_cast<std::int32_t>(level * kThousand), 0, true});
+      {{},
+       0,
+       static_cast<std::int32_t>(level * kThousand),
+       static_cast<std::int32_t>(admission.OfferedPerSecond()),
+       0,
+       true});
 }
 
 void Serving::Cancel(std::uint64_t id) {
@@ -270,8 +278,9 @@
   return found == this->contexts.end() ? nullptr : this->Find(found->second);
 }
 
-ServedCall *Serving::FindParent(Time deadline) {
-  const auto id = this->parents.Find(deadline);
+ServedCall *Serving::FindParent(Time deadline, const std::string &callee) {
+  const auto id =
+      this->parents.Find(deadline, callee, this->loop.GetClock().Now());
   return id ? this->Find(*id) : nullptr;
 }
 
@@ -283,18 +292,23 @@
   this->parents.CallBegun(id, now);
 }
 
-void Serving::EndSubCall(std::uint64_t id,
-                         const std::vector<ServiceLevel> &levels) {
+void Serving::EndSubCall(std::uint64_t id) {
   ServedCall *parent = this->Find(id);
   if (parent == nullptr) return;
   const Time now = this->loop.GetClock().Now();
   parent->EndSubCall(now);
-  // Later answers tell them, which are sooner than the parent's own.
-  this->levels.LearnBelow(parent->envelope.workspace, parent->envelope.route,
-                          levels);
   this->parents.CallEnded(id, now);
 }
 
+void Serving::LearnFrom(const std::string &callee, const std::string &workspace,
+                        const std::vector<ServiceLevel> &levels) {
+  // A parent is mostly a guess; which routes make such calls is known better.
+  for (const auto &route :
+       this->parents.Shares().CallersOf(callee, kLeastShare)) {
+    this->levels.LearnBelow(workspace, route, levels);
+  }
+}
+
 ServedCall *Serving::Find(std::uint64_t id) {
   const auto found = this->calls.find(id);
   return found == this->calls.end() ? nullptr : &found->second.served;
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -119,16 +119,26 @@
    * @brief Finds the request on whose behalf the target makes a call without a
    * context.
    * @param deadline When the call says that it ends.
+   * @param callee Route of the call.
    * @return The request, or null when none ends near that time.
    */
-  [[nodiscard]] ServedCall *FindParent(Time deadline);
+  [[nodiscard]] ServedCall *FindParent(Time deadline,
+                                       const std::string &callee);
 
   /*! @brief A call on behalf of a request begins. @param id The request. */
   void BeginSubCall(std::uint64_t id);
 
-  /*! @brief It has ended. @param id The request, which may have ended too.
-   * @param levels Levels that came with its answer. */
-  void EndSubCall(std::uint64_t id, const std::vector<ServiceLevel> &levels);
+  /*! @brief It has ended. @param id The request, which may have ended too. */
+  void EndSubCall(std::uint64_t id);
+
+  /**
+   * @brief Learns from the answer to a call of the target.
+   * @param callee Route of the call.
+   * @param workspace Workspace of the request on whose behalf it was made.
+   * @param levels Levels that came with the answer.
+   */
+  void LearnFrom(const std::string &callee, const std::string &workspace,
+                 const std::vector<ServiceLevel> &levels);
 
   /**
    * @brief Finds a request in progress.
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -59,9 +59,10 @@
   std::string service; /*!< Empty for the one that was called. */
   NodeId node{};       /*!< Beside the target; 0 for the one that answers. */
   std::int32_t level_milli{}; /*!< In thousandths. */
+  std::int32_t per_second{};  /*!< Calls that the target is offered. */
   std::int32_t age_ms{};      /*!< Since the target's node found it. */
   bool on_way{true}; /*!< Whether the answered request's way leads there. */
-  MSGPACK_DEFINE(service, node, level_milli, age_ms, on_way)
+  MSGPACK_DEFINE(service, node, level_milli, per_second, age_ms, on_way)
 };
 
 /*! @brief What travels with an answer from node to node, before its body. */
--- /dev/null
+++ b/test/pollenring/node/call_shares_test.cc
@@ -0,0 +1,138 @@
+#include "pollenring/node/call_shares.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "pollenring/core/random.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using pollenring::CallShares;
+using pollenring::SeededRandom;
+using pollenring::Time;
+
+/*! @brief A kind of requests: how many come, how long they run, when they
+ * call. */
+struct Kind {
+  std::string name;
+  double per_ms;
+  int length_ms;
+  std::vector<int> calls_at_ms;
+};
+
+/*! @brief Plays kinds together for a while. @return What was estimated. */
+[[nodiscard]] CallShares Play(const std::vector<Kind> &kinds, int length_ms,
+                              bool waves) {
+  SeededRandom random{7};
+  Time now = 1h;
+  CallShares shares{now};
+  struct Run {
+    const Kind *kind;
+    int age_ms;
+  };
+  std::vector<Run> runs;
+  for (int step = 0; step < length_ms; ++step) {
+    now += 1ms;
+    // Load that comes and goes raises all kinds together.
+    const double load = waves && step / 5'000 % 2 == 1 ? 2.0 : 1.0;
+    for (const auto &kind : kinds) {
+      if (!random.Chance(kind.per_ms * load)) continue;
+      runs.push_back({&kind, 0});
+      shares.Begin(kind.name, now);
+    }
+    for (auto it = runs.begin(); it != runs.end();) {
+      ++it->age_ms;
+      for (const int at : it->kind->calls_at_ms) {
+        if (it->age_ms == at) shares.Called("callee", now);
+      }
+      if (it->age_ms < it->kind->length_ms) {
+        ++it;
+        continue;
+      }
+      shares.End(it->kind->name, now);
+      it = runs.erase(it);
+    }
+  }
+  return shares;
+}
+
+[[nodiscard]] double Share(const CallShares &shares, const std::string &kind) {
+  const auto share = shares.ShareOf(kind, "callee");
+  REQUIRE(share);
+  return *share;
+}
+
+}  // namespace
+
+TEST_CASE(
+    "call shares: a kind that makes no calls is told from one that does") {
+  // Downloads beside lookups that call four times, as at one edition target.
+  const CallShares shares = Play(
+      {{"download", 0.008, 96, {}}, {"lookup", 0.045, 120, {9, 35, 61, 90}}},
+      30'000, false);
+  CHECK(Share(shares, "lookup") > 0.9);
+  CHECK(Share(shares, "download") < 0.1);
+  CHECK(shares.CallersOf("callee", 0.1) == std::vector<std::string>{"lookup"});
+}
+
+TEST_CASE("call shares: two kinds that call get their parts") {
+  const CallShares shares = Play({{"often", 0.09, 110, {30, 70}},
+                                  {"seldom", 0.06, 110, {50}},
+                                  {"never", 0.15, 110, {}}},
+                                 60'000, false);
+  CHECK(Share(shares, "often") == Approx(0.75).margin(0.12));
+  CHECK(Share(shares, "seldom") == Approx(0.25).margin(0.12));
+  CHECK(Share(shares, "never") < 0.1);
+}
+
+TEST_CASE("call shares: waves of load make nobody a caller") {
+  const CallShares shares = Play(
+      {{"download", 0.02, 96, {}}, {"lookup", 0.045, 120, {9, 35, 61, 90}}},
+      60'000, true);
+  CHECK(Share(shares, "download") < 0.1);
+}
+
+TEST_CASE(
+    "call shares: requests that are held up for a second are told apart") {
+  // A busy target: its requests wait long between their calls.
+  const CallShares shares = Play(
+      {{"download", 0.02, 96, {}}, {"lookup", 0.04, 900, {9, 220, 450, 690}}},
+      30'000, false);
+  CHECK(Share(shares, "download") < 0.1);
+}
+
+TEST_CASE("call shares: two seconds after a start the callers are known") {
+  const CallShares shares = Play(
+      {{"download", 0.008, 96, {}}, {"lookup", 0.045, 120, {9, 35, 61, 90}}},
+      2'000, false);
+  CHECK(Share(shares, "lookup") > 0.7);
+}
+
+TEST_CASE("call shares: a few calls of somebody else make nobody a caller") {
+  // Whoever tries a route sends a request now and then, like a target's call.
+  CallShares shares{1h};
+  Time now = 1h;
+  shares.Begin("download", now);
+  for (int i = 0; i < 25; ++i) {
+    now += 700ms;
+    shares.Called("tried", now);
+  }
+  CHECK_FALSE(shares.ShareOf("download", "tried"));
+  CHECK(shares.CallersOf("tried", 0.1).empty());
+}
+
+TEST_CASE("call shares: what is not seen any more is forgotten") {
+  CallShares shares{1h};
+  Time now = 1h;
+  for (int i = 0; i < 100; ++i) {
+    const std::string kind = "kind" + std::to_string(i);
+    shares.Begin(kind, now);
+    shares.End(kind, now);
+    now += 2s;
+  }
+  CHECK(shares.MeanRunning("kind0") == Approx(0.01));
+  CHECK(shares.CallersOf("callee", 0.1).empty());
+}
--- a/test/pollenring/node/parent_finder_test.cc
+++ b/test/pollenring/node/parent_finder_test.cc
@@ -15,31 +15,32 @@
 
 TEST_CASE("parent finder: an equal deadline points to its request") {
   SeededRandom random{1};
-  ParentFinder finder{random};
+  ParentFinder finder{random, 0ms};
   for (std::uint64_t id = 1; id <= 50; ++id) {
     finder.Add(id, "kind", 1s + id * 20ms, 0ms);
   }
   for (std::uint64_t id = 1; id <= 50; ++id) {
     // Both are told whole milliseconds.
-    CHECK(finder.Find(1s + id * 20ms - 1ms) == id);
+    CHECK(finder.Find(1s + id * 20ms - 1ms, "callee", 0ms) == id);
   }
   finder.Remove(7, 1ms);
-  CHECK(finder.Find(1s + 7 * 20ms) != std::uint64_t{7});
+  CHECK(finder.Find(1s + 7 * 20ms, "callee", 0ms) != std::uint64_t{7});
 }
 
 TEST_CASE("parent finder: a call does not outlive its parent") {
   SeededRandom random{1};
-  ParentFinder finder{random};
+  ParentFinder finder{random, 0ms};
   finder.Add(1, "kind", 500ms, 0ms);
   finder.Add(2, "kind", 3s, 0ms);
-  for (int i = 0; i < 20; ++i) CHECK(finder.Find(2s) == std::uint64_t{2});
-  CHECK_FALSE(ParentFinder{random}.Find(2s));
+  for (int i = 0; i < 20; ++i)
+    CHECK(finder.Find(2s, "callee", 0ms) == std::uint64_t{2});
+  CHECK_FALSE((ParentFinder{random, 0ms}.Find(2s, "callee", 0ms)));
 }
 
 TEST_CASE("parent finder: calls are shared out as the kinds make them") {
   // One kind makes five calls, the other none; deadlines tell nothing.
   SeededRandom random{3};
-  ParentFinder finder{random};
+  ParentFinder finder{random, 0ms};
   std::map<std::uint64_t, bool> calls;
   std::uint64_t next = 0;
   int to_silent = 0;
@@ -64,7 +65,7 @@
     for (auto &run : runs) {
       if (!run.talks || run.call > now || run.ends <= now) continue;
       run.call = now + 3ms;
-      const auto found = finder.Find(now + 700ms);
+      const auto found = finder.Find(now + 700ms, "callee", now);
       REQUIRE(found);
       if (step < 5'000) continue;
       ++all;
--- a/test/pollenring/node/route_levels_test.cc
+++ b/test/pollenring/node/route_levels_test.cc
@@ -25,8 +25,8 @@
 }
 
 [[nodiscard]] ServiceLevel Of(const std::string &service, NodeId node,
-                              int level_milli) {
-  return {service, node, level_milli, 0, true};
+                              int level_milli, int per_second = 100) {
+  return {service, node, level_milli, per_second, 0, true};
 }
 
 }  // namespace
@@ -36,11 +36,11 @@
   RouteLevels levels{PerWorkspace(), clock};
   levels.Learn("club", "front GET /",
                {Of("back", 1, 1000), Of("middle", 2, 500)});
-  CHECK(levels.LevelOf("club", "front GET /") == Approx(1.0));
-  CHECK(levels.LevelOf("other", "front GET /") == 0);
-  CHECK(levels.LevelOf("club", "side GET /") == 0);
+  CHECK(levels.HighestOn("club", "front GET /").level == Approx(1.0));
+  CHECK(levels.HighestOn("other", "front GET /").level == 0);
+  CHECK(levels.HighestOn("club", "side GET /").level == 0);
   clock.Advance(std::chrono::seconds{1});
-  CHECK(levels.LevelOf("club", "front GET /") == 0);
+  CHECK(levels.HighestOn("club", "front GET /").level == 0);
 }
 
 TEST_CASE("route levels: routes that nobody asks for are forgotten") {
@@ -78,7 +78,7 @@
       levels.Learn("workspace1", "shallow", {heard});
     }
     const std::string workspace = "workspace" + std::to_string(i % 8);
-    if (levels.LevelOf(workspace, "deep") > 2) {
+    if (levels.HighestOn(workspace, "deep").level > 2) {
       ++refused;
       continue;
     }
@@ -86,7 +86,7 @@
   }
   // A way that no answer confirms is tried anew every ten seconds.
   CHECK(refused >= 16);
-  CHECK(levels.LevelOf("workspace1", "shallow") == 0);
+  CHECK(levels.HighestOn("workspace1", "shallow").level == 0);
 }
 
 TEST_CASE("route levels: nodes that repeat each other keep no level alive") {
@@ -99,7 +99,7 @@
     other.Learn({}, "deep", one.Shedding({}, "deep", kMost));
     one.Learn({}, "deep", other.Shedding({}, "deep", kMost));
   }
-  CHECK(one.LevelOf({}, "deep") == 0);
+  CHECK(one.HighestOn({}, "deep").level == 0);
   CHECK(other.Shedding({}, "deep", kMost).empty());
 }
 
@@ -109,7 +109,17 @@
   levels.Learn({}, "deep", {Of("deepest", 1, 900)});
   levels.Learn({}, "deep", {Of("deepest", 2, 0)});
   levels.Learn({}, "deep", {Of("deepest", 3, 0)});
-  CHECK(levels.LevelOf({}, "deep") == Approx(0.3));
+  CHECK(levels.HighestOn({}, "deep").level == Approx(0.3));
+}
+
+TEST_CASE(
+    "route levels: a target that gets no calls does not hide the others") {
+  ManualClock clock{std::chrono::hours{1}};
+  RouteLevels levels{RouteLevelOptions{}, clock};
+  levels.Learn({}, "deep", {Of("deepest", 1, 2400, 560)});
+  levels.Learn({}, "deep", {Of("deepest", 2, 2400, 560)});
+  levels.Learn({}, "deep", {Of("deepest", 3, 0, 3)});
+  CHECK(levels.HighestOn({}, "deep").level > 2.3);
 }
 
 TEST_CASE("route levels: a call taken for another's puts nothing on a way") {
@@ -122,8 +132,8 @@
     levels.LearnBelow({}, i % 20 == 0 ? "shallow" : "deep",
                       {Of("deepest", 7, 1500)});
   }
-  CHECK(levels.LevelOf({}, "deep") == Approx(1.5));
-  CHECK(levels.LevelOf({}, "shallow") == 0);
+  CHECK(levels.HighestOn({}, "deep").level == Approx(1.5));
+  CHECK(levels.HighestOn({}, "shallow").level == 0);
 }
 
 TEST_CASE("route levels: of many that shed, those on the way are passed on") {
