Requests wait 25 ms for the next share, not half a second

Ruled out: an eighth of each route's aim as the longest wait.

Change: a charge says how long it waits for share that is sure to come, apart from how long it waits for a holder that is not to be found; the holder grants early only what comes within that time, since a grant that nobody waits for is lost to all. The entry of the mesh waits 25 ms, a quarter of the aim at most; the other form as before.

Tests of shares and borrowers pass; two new ones ask for nothing that nobody waits for.

--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -21,6 +21,12 @@
 constexpr double kGoldenStep = 0.6180339887498949;
 /*! @brief Retries of a call that its route and the budget bound anyway. */
 constexpr int kAllowance = 8;
+/*! @brief Longest wait for the next share. While more is asked than the share,
+ * all would wait and no more be served; alike for all routes, as those that
+ * wait longer would take it from those that need their answers soon. */
+constexpr Span kShareWait = std::chrono::milliseconds{25};
+/*! @brief Divides a request's aim: the most of it that may be spent so. */
+constexpr int kShareWaitPart = 4;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 constexpr int kBadGateway = 502;
@@ -218,14 +224,18 @@
     this->Send(entry);
     return;
   }
-  this->parts.shares.Charge(
-      workspace, entry->deadline, [this, entry](ShareAnswer answer) {
-        if (answer.granted) {
-          this->Send(entry);
-          return;
-        }
-        this->Refuse(entry, answer.reason, answer.retry_after);
-      });
+  const Span aim{entry->envelope.aim_us};
+  const Span wait = std::min(kShareWait, aim / kShareWaitPart);
+  const Time next_share = std::min(entry->deadline, entry->started + wait);
+  this->parts.shares.Charge(workspace, {entry->deadline, next_share},
+                            [this, entry](ShareAnswer answer) {
+                              if (answer.granted) {
+                                this->Send(entry);
+                                return;
+                              }
+                              this->Refuse(entry, answer.reason,
+                                           answer.retry_after);
+                            });
 }
 
 void Outbound::Send(const EntryPtr &entry) {
--- a/src/pollenring/node/gates.h
+++ b/src/pollenring/node/gates.h
@@ -11,6 +11,7 @@
 #include "pollenring/lease/slot_row.h"
 #include "pollenring/membership/member.h"
 #include "pollenring/node/wire.h"
+#include "pollenring/share/borrow.h"
 
 namespace pollenring {
 
@@ -77,10 +78,10 @@
   /**
    * @brief Charges one request, now or once a loan of share has arrived.
    * @param workspace The workspace.
-   * @param deadline When the request's caller needs its answer.
+   * @param patience How long the request waits.
    * @param done Called exactly once, possibly from in here.
    */
-  virtual void Charge(const std::string &workspace, Time deadline,
+  virtual void Charge(const std::string &workspace, Patience patience,
                       Done done) = 0;
 };
 
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -174,7 +174,7 @@
     return;
   }
   this->parts.shares.Charge(
-      root->envelope.workspace, root->deadline,
+      root->envelope.workspace, Patience::Until(root->deadline),
       [this, root](ShareAnswer answer) {
         if (answer.granted) {
           this->Next(root);
--- a/src/pollenring/node/share_service.cc
+++ b/src/pollenring/node/share_service.cc
@@ -35,10 +35,10 @@
   this->loop.Every(kTick, [this] { this->borrower.Tick(); });
 }
 
-void ShareService::Charge(const std::string &workspace, Time deadline,
+void ShareService::Charge(const std::string &workspace, Patience patience,
                           Done done) {
   this->borrower.Charge(
-      workspace, deadline,
+      workspace, patience,
       [done = std::move(done)](const ChargeResult &result) {
         done({result.granted, result.reason, result.retry_after});
       });
--- a/src/pollenring/node/share_service.h
+++ b/src/pollenring/node/share_service.h
@@ -48,7 +48,8 @@
    */
   void Expect(const Handover &handover);
 
-  void Charge(const std::string &workspace, Time deadline, Done done) override;
+  void Charge(const std::string &workspace, Patience patience,
+              Done done) override;
   bool SendBorrow(const BorrowRequest &request) override;
   void SlotGained(SlotId slot, const SlotRow &row, SlotOrigin origin,
                   const SlotRow &before) override;
--- a/src/pollenring/share/borrow.h
+++ b/src/pollenring/share/borrow.h
@@ -20,6 +20,21 @@
 /*! @brief Longest wait for a slot's next share. */
 inline constexpr Span kLongestEarly = std::chrono::milliseconds{500};
 
+/*! @brief How long a request waits for share. */
+struct Patience {
+  Time deadline{};   /*!< While holders are not to be found. */
+  Time next_share{}; /*!< For share that is sure to come then. */
+
+  /**
+   * @brief The same patience for both.
+   * @param deadline Latest time for the answer.
+   * @return It.
+   */
+  [[nodiscard]] static Patience Until(Time deadline) noexcept {
+    return {deadline, deadline};
+  }
+};
+
 /*! @brief A loan that its borrower has ended. */
 struct LoanReturn {
   std::uint64_t loan{};
@@ -36,8 +51,10 @@
   std::uint32_t want{};
   std::uint32_t urgent{}; /*!< Requests that wait for it. */
   std::uint32_t early{};  /*!< Requests that would wait for the next refill. */
+  std::int64_t early_within_us{}; /*!< For so long at most. */
   std::vector<LoanReturn> returns;
-  MSGPACK_DEFINE(slot, workspace, borrower, loan, want, urgent, early, returns)
+  MSGPACK_DEFINE(slot, workspace, borrower, loan, want, urgent, early,
+                 early_within_us, returns)
 };
 
 /*! @brief Requests that may go when the slot's next share has come. */
--- a/src/pollenring/share/borrower.cc
+++ b/src/pollenring/share/borrower.cc
@@ -49,7 +49,7 @@
       observer{observer} {}
 
 // The name is a copy: what is called back may change the caller's text.
-void ShareBorrower::Charge(std::string name, Time deadline, Done done) {
+void ShareBorrower::Charge(std::string name, Patience patience, Done done) {
   Workspace &workspace = this->WorkspaceOf(name);
   this->Measure(workspace);
   ++workspace.charges;
@@ -69,7 +69,7 @@
     done({false, Reason::kNoShare, kNoShareRetry});
     return;
   }
-  workspace.waiters.push_back({now, deadline, std::move(done)});
+  workspace.waiters.push_back({now, patience, std::move(done)});
   this->Ask(name, workspace);
 }
 
@@ -183,9 +183,15 @@
 bool ShareBorrower::AskEarly(const std::string &name, Workspace &workspace) {
   if (workspace.waiters.empty()) return false;
   auto &next_share = workspace.round.next_share;
+  // What is granted to those who don't wait for it is lost to all.
+  Span longest{0};
+  for (const auto &waiter : workspace.waiters) {
+    const Span left = waiter.patience.next_share - this->clock.Now();
+    longest = std::max(longest, std::min(left, kLongestEarly));
+  }
   std::optional<std::size_t> soonest;
   for (std::size_t i = 0; i < next_share.size(); ++i) {
-    if (next_share[i] <= Span{0} || next_share[i] > kLongestEarly) continue;
+    if (next_share[i] <= Span{0} || next_share[i] >= longest) continue;
     if (!soonest || next_share[i] < next_share[*soonest]) soonest = i;
   }
   if (!soonest) return false;
@@ -196,6 +202,7 @@
   request.want = static_cast<std::uint32_t>(workspace.waiters.size());
   request.urgent = request.want;
   request.early = request.want;
+  request.early_within_us = longest.count();
   workspace.round.early = true;
   workspace.asking = true;
   workspace.asked = {request.loan, request.slot, this->clock.Now()};
@@ -214,8 +221,8 @@
     Waiter waiter = std::move(workspace.waiters.front());
     workspace.waiters.pop_front();
     const Time ready = this->clock.Now() + wait;
-    if (ready >= waiter.deadline) {
-      waiter.done({false, Reason::kNoShare, kNoShareRetry});
+    if (ready >= waiter.patience.next_share) {
+      waiter.done({false, Reason::kOverRate, std::max(wait, Span{1000})});
       continue;
     }
     const Time expires = workspace.asked.sent + wait + kUrgentValidity;
@@ -283,7 +290,8 @@
   std::deque<Waiter> late;
   std::deque<Waiter> rest;
   for (auto &waiter : workspace.waiters) {
-    const bool over = now - waiter.since >= longest || now >= waiter.deadline;
+    const bool over =
+        now - waiter.since >= longest || now >= waiter.patience.deadline;
     (over ? late : rest).push_back(std::move(waiter));
   }
   workspace.waiters = std::move(rest);
--- a/src/pollenring/share/lender.cc
+++ b/src/pollenring/share/lender.cc
@@ -84,12 +84,15 @@
   reply.retry_after_us = first.count();
   // What the burst was cut by for transit, and a part of a request.
   const double most = std::floor(bucket.level + MostOwed(bucket));
-  const auto count = static_cast<std::uint32_t>(
-      std::clamp(most, 0.0, static_cast<double>(request.early)));
+  const Span within = std::min(Span{request.early_within_us}, kLongestEarly);
+  if (first > within) return;
+  const auto in_time = static_cast<double>((within - first) / every + 1);
+  const auto count = static_cast<std::uint32_t>(std::clamp(
+      std::min(most, in_time), 0.0, static_cast<double>(request.early)));
   if (count == 0) return;
   const Span last = first + every * (count - 1);
   const Time expires = now + last + kUrgentValidity;
-  if (last > kLongestEarly || expires >= valid_until) return;
+  if (expires >= valid_until) return;
   const LoanKey key{request.borrower, request.loan};
   this->Grant(bucket, key, Loan{count, expires, now + first});
   reply.early = {count, first.count(), every.count()};
--- a/test/pollenring/share/borrower_test.cc
+++ b/test/pollenring/share/borrower_test.cc
@@ -10,6 +10,7 @@
 using pollenring::BorrowReply;
 using pollenring::BorrowRequest;
 using pollenring::ChargeResult;
+using pollenring::Patience;
 using pollenring::Span;
 using pollenring::Time;
 
@@ -48,10 +49,11 @@
   int granted = 0;
   const auto charge = [&] {
     workspace = "club";
-    borrower.Charge(workspace, Time::max(), [&](const ChargeResult &result) {
-      if (result.granted) ++granted;
-      workspace.clear();
-    });
+    borrower.Charge(workspace, Patience::Until(Time::max()),
+                    [&](const ChargeResult &result) {
+                      if (result.granted) ++granted;
+                      workspace.clear();
+                    });
   };
   for (int i = 0; i < 400; ++i) {
     charge();
@@ -70,9 +72,10 @@
   pollenring::ShareBorrower borrower{1, 9, {}, clock, recorder};
   int granted = 0;
   const auto charge = [&] {
-    borrower.Charge("club", Time::max(), [&](const ChargeResult &result) {
-      if (result.granted) ++granted;
-    });
+    borrower.Charge("club", Patience::Until(Time::max()),
+                    [&](const ChargeResult &result) {
+                      if (result.granted) ++granted;
+                    });
   };
   charge();
   borrower.Receive(Granting(recorder.requests.back(), 5));
@@ -89,9 +92,9 @@
   pollenring::ShareBorrower borrower{1, 9, {}, clock, recorder};
   std::vector<ChargeResult> results;
   const auto charge = [&] {
-    borrower.Charge("club", Time::max(), [&](const ChargeResult &result) {
-      results.push_back(result);
-    });
+    borrower.Charge(
+        "club", Patience::Until(Time::max()),
+        [&](const ChargeResult &result) { results.push_back(result); });
   };
   const auto pass = [&](Span length) {
     for (Span passed{0}; passed < length; passed += kTick) {
@@ -151,7 +154,7 @@
   SECTION("no answer comes after the request's deadline") {
     recorder.holders_known = false;
     borrower.Charge(
-        "club", clock.Now() + std::chrono::milliseconds{100},
+        "club", Patience::Until(clock.Now() + std::chrono::milliseconds{100}),
         [&](const ChargeResult &result) { results.push_back(result); });
     pass(std::chrono::milliseconds{110});
     CHECK(results.size() == 1);
@@ -209,13 +212,47 @@
 
   SECTION("nobody waits past a deadline for what comes next") {
     borrower.Charge(
-        "club", clock.Now() + std::chrono::milliseconds{30},
+        "club", Patience::Until(clock.Now() + std::chrono::milliseconds{30}),
         [&](const ChargeResult &result) { results.push_back(result); });
     grant_next();
     REQUIRE(results.size() == 1);
     CHECK_FALSE(results.front().granted);
   }
 
+  SECTION("share that comes too late for its answer is left to others") {
+    const Time now = clock.Now();
+    borrower.Charge(
+        "club",
+        {now + std::chrono::seconds{1}, now + std::chrono::milliseconds{30}},
+        [&](const ChargeResult &result) { results.push_back(result); });
+    const std::size_t asked = recorder.requests.size();
+    for (int i = 0; i < 3; ++i) {
+      BorrowReply nothing = Granting(recorder.requests.back(), 0);
+      nothing.retry_after_us = 50'000;
+      borrower.Receive(nothing);
+    }
+    REQUIRE(results.size() == 1);
+    CHECK_FALSE(results.front().granted);
+    CHECK(results.front().reason == pollenring::Reason::kOverRate);
+    // Nobody was asked for what comes next: it would have been lost.
+    CHECK(recorder.requests.size() == asked + 2);
+  }
+
+  SECTION("what comes next is asked for as long as somebody waits") {
+    const Time now = clock.Now();
+    borrower.Charge(
+        "club",
+        {now + std::chrono::seconds{1}, now + std::chrono::milliseconds{80}},
+        [&](const ChargeResult &result) { results.push_back(result); });
+    for (int i = 0; i < 3; ++i) {
+      BorrowReply nothing = Granting(recorder.requests.back(), 0);
+      nothing.retry_after_us = 50'000;
+      borrower.Receive(nothing);
+    }
+    CHECK(recorder.requests.back().early == 1);
+    CHECK(recorder.requests.back().early_within_us == 80'000);
+  }
+
   SECTION("no more wait than a second's worth of a large workspace") {
     recorder.holders_known = false;
     for (int i = 0; i < 3000; ++i) charge();
@@ -233,7 +270,8 @@
   // Each refusal brings callers of workspaces that were not seen before.
   std::function<void(int)> charge = [&](int generation) {
     ++charges;
-    borrower.Charge("workspace" + std::to_string(charges), Time::max(),
+    borrower.Charge("workspace" + std::to_string(charges),
+                    Patience::Until(Time::max()),
                     [&, generation](const ChargeResult &) {
                       ++answers;
                       if (generation == 0) return;
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -111,7 +111,8 @@
   const auto workspaces = static_cast<std::size_t>(state.range(0));
   std::size_t i = 0;
   for (auto _ : state) {
-    borrower.Charge(Name(++i % workspaces), pollenring::Time::max(),
+    borrower.Charge(Name(++i % workspaces),
+                    pollenring::Patience::Until(pollenring::Time::max()),
                     [](const pollenring::ChargeResult &) {});
     if (lender.waiting) {
       lender.waiting = false;
