Faults count in routing; a standing queue pushes its level; both are logged

Change: the router keeps the part of each target's calls that fail (no answer, error, rejection by the target), faded in three seconds, and weighs it against the best of those it compares; what fails alike everywhere changes nothing. A level rises 0.12 a second while the longest delay stays. Log lines: a target is set aside or used again; each request names the node beside its target.

--- a/src/pollenring/admission/fit_level.cc
+++ b/src/pollenring/admission/fit_level.cc
@@ -66,7 +66,9 @@
     const bool waits = queue.delay > this->options.tolerated;
     if (waits && fit > this->level) {
       this->level += this->options.rise * (fit - this->level);
-    } else if (!waits) {
+    } else if (waits) {
+      this->level += this->options.push * backlog * seconds;
+    } else {
       const double spare = std::max(0.0, 1 - total / allowed);
       this->level -=
           seconds * (this->options.fall + this->options.fall_spare * spare);
--- a/src/pollenring/admission/fit_level.h
+++ b/src/pollenring/admission/fit_level.h
@@ -22,9 +22,13 @@
   Span tolerated{std::chrono::milliseconds{6}};
   /*! @brief Delay that takes all of the reserve below. */
   Span longest{std::chrono::milliseconds{100}};
-  double load{0.95};      /*!< Part of the capacity that is given away. */
-  double reserve{0.25};   /*!< Part of it kept back while a queue is drained. */
-  double rise{0.5};       /*!< Part of the way to a higher level, a window. */
+  double load{0.95};    /*!< Part of the capacity that is given away. */
+  double reserve{0.25}; /*!< Part of it kept back while a queue is drained. */
+  double rise{0.5};     /*!< Part of the way to a higher level, a window. */
+  /*! @brief Rise a second while the longest delay stays though what is offered
+   * seems to fit: callers that have not heard of the level send what is below
+   * it. */
+  double push{0.12};
   double fall{0.06};      /*!< Least fall a second while nothing waits. */
   double fall_spare{1.2}; /*!< Further fall a second if all were idle. */
 };
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -288,23 +288,26 @@
   const bool failed = reply.status >= kFirstFailure;
   const LogLevel level = failed ? LogLevel::kWarning : LogLevel::kInfo;
   if (!MayLogRequest(level)) return;
-  LogEvent(level, "request",
-           {{"id", entry.id},
-            {"parent", entry.parent_id},
-            {"route", entry.route},
-            {"service", entry.service},
-            {"workspace", entry.workspace},
-            {"status", reply.status},
-            {"outcome", kOutcomeNames.Name(reply.outcome)},
-            {"reason", kReasonNames.Name(reply.reason)},
-            {"took_ms", took.count() / 1000},
-            {"left_ms", (entry.deadline - entry.started - took).count() / 1000},
-            {"version", entry.version},
-            {"priority", entry.priority},
-            {"shedding", entry.refused_at.service},
-            {"refuses_below", entry.refused_at.level},
-            {"heard_ms_ago", entry.refused_at.age.count() / 1000},
-            {"retry_after_ms", reply.retry_after_us / 1000}});
+  LogEvent(
+      level, "request",
+      {{"id", entry.id},
+       {"parent", entry.parent_id},
+       {"route", entry.route},
+       {"service", entry.service},
+       {"node", reply.served_by == 0 ? std::string{}
+                                     : AddressOf(reply.served_by).Format()},
+       {"workspace", entry.workspace},
+       {"status", reply.status},
+       {"outcome", kOutcomeNames.Name(reply.outcome)},
+       {"reason", kReasonNames.Name(reply.reason)},
+       {"took_ms", took.count() / 1000},
+       {"left_ms", (entry.deadline - entry.started - took).count() / 1000},
+       {"version", entry.version},
+       {"priority", entry.priority},
+       {"shedding", entry.refused_at.service},
+       {"refuses_below", entry.refused_at.level},
+       {"heard_ms_ago", entry.refused_at.age.count() / 1000},
+       {"retry_after_ms", reply.retry_after_us / 1000}});
 }
 
 }  // namespace pollenring
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "pollenring/core/invariant.h"
+#include "pollenring/log/log.h"
 #include "pollenring/node/headers.h"
 #include "pollenring/node/limits.h"
 #include "pollenring/retry/backoff.h"
@@ -27,10 +28,12 @@
       return reply.outcome == Outcome::kUnknown ? CallVerdict::kFailed
                                                 : CallVerdict::kShed;
     case Reason::kOverload:
-    case Reason::kTargetBusy:
       return CallVerdict::kShed;
+    case Reason::kTargetBusy:
+      return CallVerdict::kFaulty;
     default:
-      return CallVerdict::kAnswered;
+      return reply.status >= kFirstServerError ? CallVerdict::kFaulty
+                                               : CallVerdict::kAnswered;
   }
 }
 
@@ -183,6 +186,8 @@
                         : Span{0};
   this->router.Finished(job.envelope.service, job.node, VerdictOf(reply), load,
                         took);
+  this->LogRouting();
+  reply.served_by = job.node;
   job.allowance.Return(job.slice,
                        std::clamp(reply.retries_unspent, 0, job.slice));
   for (auto &entry : reply.levels) {
@@ -206,6 +211,20 @@
   this->Finish(id, std::move(reply), std::move(body));
 }
 
+void Dispatcher::LogRouting() {
+  for (const auto &change : this->router.TakeChanges()) {
+    this->metrics.Count("pollenring_set_aside_total",
+                        {"change", change.set_aside ? "aside" : "again"});
+    if (!MayLogRequest(LogLevel::kWarning)) continue;
+    LogEvent(LogLevel::kWarning,
+             change.set_aside ? "target set aside" : "target used again",
+             {{"service", change.service},
+              {"node", AddressOf(change.node).Format()},
+              {"failures_in_row", change.failures},
+              {"pause_ms", change.pause.count() / 1000}});
+  }
+}
+
 bool Dispatcher::MayTryAgain(Job &job, const CallReply &reply) {
   if (reply.outcome == Outcome::kRan) {
     const bool failed = this->options.retries_failures &&
--- a/src/pollenring/node/dispatcher.h
+++ b/src/pollenring/node/dispatcher.h
@@ -108,6 +108,7 @@
                 std::string body);
   void Failed(std::uint64_t id, std::uint64_t attempt, Outcome outcome,
               Reason reason);
+  void LogRouting();
   [[nodiscard]] bool MayTryAgain(Job &job, const CallReply &reply);
   [[nodiscard]] bool PaysForRetry(Job &job);
   void Finish(std::uint64_t id, CallReply reply, std::string body);
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -75,6 +75,7 @@
   std::int64_t retry_after_us{};
   LoadReport load;
   std::vector<ServiceLevel> levels;
+  NodeId served_by{}; /*!< Does not travel; known where the call was sent. */
   MSGPACK_DEFINE(outcome, reason, status, headers, retries_unspent,
                  retry_after_us, load, levels)
 };
--- a/src/pollenring/routing/router.cc
+++ b/src/pollenring/routing/router.cc
@@ -1,6 +1,7 @@
 #include "pollenring/routing/router.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace pollenring {
@@ -8,6 +9,14 @@
 
 /*! @brief Weight of one answer's time; some ten answers make the mean. */
 constexpr double kTimeWeight = 0.1;
+/*! @brief Weight of one call's end in the part that fails. */
+constexpr double kFaultWeight = 0.1;
+/*! @brief Time after which a share of faults that nothing confirms counts as a
+ * third of it, so that a target that is well again is tried again. */
+constexpr Span kFaultMemory = std::chrono::seconds{3};
+/*! @brief Calls' times that one failed call costs; a request makes some ten
+ * calls, and one that fails wastes all of them. */
+constexpr double kFaultCost = 12;
 /*! @brief Targets of a service among which all are compared; beyond, so many
  * are drawn. */
 constexpr std::size_t kMostCompared = 8;
@@ -111,15 +120,21 @@
     if (endpoint.time_us == 0) endpoint.time_us = us;
     endpoint.time_us += kTimeWeight * (us - endpoint.time_us);
   }
+  if (verdict != CallVerdict::kShed) {
+    const bool fault = verdict != CallVerdict::kAnswered;
+    const double share = this->FaultShare(endpoint);
+    endpoint.fault_share = share + kFaultWeight * ((fault ? 1 : 0) - share);
+    endpoint.fault_seen = this->clock.Now();
+  }
   if (verdict == CallVerdict::kFailed) {
     ++endpoint.failures;
     const bool eject = endpoint.ejected ||
                        endpoint.failures >= this->options.failures_to_eject;
-    if (eject) this->Eject(service, endpoint);
+    if (eject) this->Eject(name, service, endpoint);
     return;
   }
   endpoint.failures = 0;
-  if (endpoint.ejected) this->Restore(service, endpoint);
+  if (endpoint.ejected) this->Restore(name, service, endpoint);
 }
 
 std::size_t Router::Count(const std::string &service) const {
@@ -151,16 +166,26 @@
   return load / room;
 }
 
+double Router::FaultShare(const Endpoint &endpoint) const noexcept {
+  const auto age =
+      static_cast<double>((this->clock.Now() - endpoint.fault_seen).count());
+  return endpoint.fault_share *
+         std::exp(-age / static_cast<double>(kFaultMemory.count()));
+}
+
 double Router::Cost(const Endpoint &endpoint,
-                    double unknown_us) const noexcept {
-  const double time = endpoint.time_us > 0 ? endpoint.time_us : unknown_us;
+                    const Least &least) const noexcept {
+  const double time = endpoint.time_us > 0 ? endpoint.time_us : least.time_us;
+  // What fails alike at all of them is no reason to prefer one.
+  const double faults = this->FaultShare(endpoint) - least.fault_share;
   const double beyond = std::max(0.0, this->Utilisation(endpoint) - 1);
   const double far = endpoint.nearness == Nearness::kZone
                          ? 0
                          : static_cast<double>(this->options.zone_cost.count());
   // Own calls under way there are known at once, its reported load later.
   return time * (1 + endpoint.in_progress / std::max(1.0, endpoint.limit)) *
-             (1 + 2 * beyond) / this->RampFraction(endpoint) +
+             (1 + 2 * beyond) * (1 + kFaultCost * faults) /
+             this->RampFraction(endpoint) +
          far;
 }
 
@@ -179,17 +204,20 @@
     compared.pop_back();
   }
   // One that has not answered yet is taken for as good as the best.
-  double shortest = 0;
+  Least floor;
   for (const Endpoint *endpoint : compared) {
     const double time = endpoint->time_us;
-    if (time > 0 && (shortest == 0 || time < shortest)) shortest = time;
+    const bool shorter = floor.time_us == 0 || time < floor.time_us;
+    if (time > 0 && shorter) floor.time_us = time;
+    floor.fault_share =
+        std::min(floor.fault_share, this->FaultShare(*endpoint));
   }
   const Endpoint *best = nullptr;
   double least = 0;
   for (const Endpoint *endpoint : compared) {
     // Many nodes choose at once: near equals are to be told apart at random.
     const double cost =
-        this->Cost(*endpoint, shortest) * (1 + 0.2 * this->random.Fraction());
+        this->Cost(*endpoint, floor) * (1 + 0.2 * this->random.Fraction());
     if (best != nullptr && cost >= least) continue;
     best = endpoint;
     least = cost;
@@ -261,7 +289,8 @@
   service.endpoints.erase(held);
 }
 
-void Router::Eject(Service &service, Endpoint &endpoint) {
+void Router::Eject(const std::string &name, Service &service,
+                   Endpoint &endpoint) {
   if (!endpoint.ejected) Unlink(service, endpoint);
   DropTrials(service, endpoint.node);
   endpoint.ejected = true;
@@ -269,12 +298,15 @@
   const Span wait{static_cast<std::int64_t>(
       static_cast<double>(endpoint.ejection.count()) * jitter)};
   endpoint.ejected_until = this->clock.Now() + wait;
+  this->changes.push_back({name, endpoint.node, true, endpoint.failures, wait});
   service.ejected.emplace(endpoint.ejected_until, endpoint.node);
   endpoint.ejection =
       std::min(endpoint.ejection * 2, this->options.longest_ejection);
 }
 
-void Router::Restore(Service &service, Endpoint &endpoint) {
+void Router::Restore(const std::string &name, Service &service,
+                     Endpoint &endpoint) {
+  this->changes.push_back({name, endpoint.node, false, 0, Span{0}});
   DropTrials(service, endpoint.node);
   endpoint.ejected = false;
   endpoint.ejection = this->options.first_ejection;
--- a/src/pollenring/routing/router.h
+++ b/src/pollenring/routing/router.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "pollenring/core/clock.h"
@@ -18,7 +19,12 @@
 namespace pollenring {
 
 /*! @brief How a call to a target's node ended, as far as routing cares. */
-enum class CallVerdict { kAnswered, kShed, kFailed };
+enum class CallVerdict {
+  kAnswered,
+  kShed,   /*!< By its node; the target is full. */
+  kFaulty, /*!< The target answers, but with an error or a rejection. */
+  kFailed  /*!< No answer that can be used. */
+};
 
 /*! @brief Which target is chosen while several have room. */
 enum class RouteOrder {
@@ -26,6 +32,15 @@
   kSoonest  /*!< The one that is likely to answer first. */
 };
 
+/*! @brief A target that is set aside, or used again. */
+struct RouteChange {
+  std::string service;
+  NodeId node{};
+  bool set_aside{};
+  int failures{}; /*!< In a row. */
+  Span pause{};   /*!< Until it is tried again; 0 when it is used again. */
+};
+
 /*! @brief Limits of routing. */
 struct RouterOptions {
   Span first_ejection{std::chrono::milliseconds{500}};
@@ -92,6 +107,11 @@
   void Finished(const std::string &service, NodeId node, CallVerdict verdict,
                 const std::optional<LoadReport> &report, Span took = Span{0});
 
+  /*! @brief Takes what has changed since the last time. @return Changes. */
+  [[nodiscard]] std::vector<RouteChange> TakeChanges() {
+    return std::exchange(this->changes, {});
+  }
+
   /**
    * @brief Counts a service's targets that take new work.
    * @param service The service.
@@ -116,7 +136,9 @@
     bool ejected{};
     bool cold{};
     Time ramp_from{};
-    double time_us{}; /*!< Smoothed time to an answer; 0 while unknown. */
+    double time_us{};     /*!< Smoothed time to an answer; 0 while unknown. */
+    double fault_share{}; /*!< Smoothed part of its calls that fail. */
+    Time fault_seen{};    /*!< When it last changed. */
     std::size_t position{};
   };
 
@@ -128,8 +150,15 @@
 
   [[nodiscard]] Nearness NearnessOf(const Member &member) const noexcept;
   [[nodiscard]] double Utilisation(const Endpoint &endpoint) const noexcept;
+  /*! @brief What is the least among those that are compared. */
+  struct Least {
+    double time_us{};
+    double fault_share{1};
+  };
+
+  [[nodiscard]] double FaultShare(const Endpoint &endpoint) const noexcept;
   [[nodiscard]] double Cost(const Endpoint &endpoint,
-                            double unknown_us) const noexcept;
+                            const Least &least) const noexcept;
   [[nodiscard]] const Endpoint *Soonest(const Service &service,
                                         const std::vector<NodeId> &avoid);
   [[nodiscard]] double RampFraction(const Endpoint &endpoint) const noexcept;
@@ -142,8 +171,8 @@
                                    const std::vector<NodeId> &avoid);
   void Add(Service &service, const Member &member, const Target &target);
   void Remove(const std::string &name, NodeId node);
-  void Eject(Service &service, Endpoint &endpoint);
-  void Restore(Service &service, Endpoint &endpoint);
+  void Eject(const std::string &name, Service &service, Endpoint &endpoint);
+  void Restore(const std::string &name, Service &service, Endpoint &endpoint);
   static void Link(Service &service, Endpoint &endpoint);
   static void Unlink(Service &service, Endpoint &endpoint);
   static void DropTrials(Service &service, NodeId node);
@@ -155,6 +184,7 @@
   Random &random;
   std::unordered_map<std::string, Service> services;
   std::unordered_map<NodeId, std::vector<std::string>> served_by;
+  std::vector<RouteChange> changes;
 };
 
 }  // namespace pollenring
--- a/test/pollenring/admission/fit_level_test.cc
+++ b/test/pollenring/admission/fit_level_test.cc
@@ -19,7 +19,8 @@
 /*! @brief A service whose roots arrive some time after they are let in. */
 class DeepService {
  public:
-  explicit DeepService(Span way) : way{way} {}
+  /*! @brief Callers refuse below that part of the level. */
+  explicit DeepService(Span way, double heard = 1) : way{way}, heard{heard} {}
 
   /*! @brief Runs for a while at an offered rate. @return Mean part kept. */
   double Run(Span length, double offered_per_second) {
@@ -49,7 +50,7 @@
   void Offer(double &kept, double &all) {
     all += 1;
     const double lot = this->random.Fraction();
-    if (lot < this->level.LevelOf({})) return;
+    if (lot < this->level.LevelOf({}) * this->heard) return;
     kept += 1;
     Ticket ticket;
     ticket.importance = Importance::kLow;
@@ -67,6 +68,7 @@
   }
 
   Span way;
+  double heard;
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{7};
   FitLevel level{FitLevelOptions{}, clock};
@@ -95,6 +97,16 @@
   CHECK(service.longest < 0.4);
 }
 
+TEST_CASE("fit level: a queue is drained though callers heard half the level") {
+  // As where a second target of the service has room that nobody uses.
+  DeepService service{200ms, 0.5};
+  static_cast<void>(service.Run(15s, 2000));
+  service.longest = 0;
+  const double kept = service.Run(20s, 2000);
+  CHECK(kept * 2000 > 0.75 * DeepService::kCapacity);
+  CHECK(service.longest < 0.4);
+}
+
 TEST_CASE("fit level: it goes when the overload does") {
   DeepService service{200ms};
   static_cast<void>(service.Run(10s, 2000));
--- a/test/pollenring/routing/router_test.cc
+++ b/test/pollenring/routing/router_test.cc
@@ -189,3 +189,72 @@
   }
   CHECK(started[3] > 8);
 }
+
+TEST_CASE(
+    "router: a target that breaks off half of its answers is left alone") {
+  ManualClock clock{std::chrono::hours{1}};
+  SeededRandom random{5};
+  pollenring::RouterOptions options;
+  options.order = pollenring::RouteOrder::kSoonest;
+  Router router{"a", "r", options, clock, random};
+  for (pollenring::NodeId id = 1; id <= 2; ++id) {
+    Member member;
+    member.id = id;
+    member.zone = "a";
+    member.region = "r";
+    member.targets = {{"s", 20, pollenring::TargetState::kWarm}};
+    router.Update(member);
+  }
+  const auto play = [&](int calls, double broken) {
+    int to_second = 0;
+    for (int i = 0; i < calls; ++i) {
+      const auto node = router.Choose("s", {});
+      REQUIRE(node);
+      router.Started("s", *node);
+      clock.Advance(std::chrono::milliseconds{5});
+      if (*node == 2) ++to_second;
+      const bool fails = *node == 2 && random.Chance(broken);
+      router.Finished("s", *node,
+                      fails ? pollenring::CallVerdict::kFailed
+                            : pollenring::CallVerdict::kAnswered,
+                      std::nullopt,
+                      fails ? pollenring::Span{0} : pollenring::Span{30'000});
+    }
+    return to_second;
+  };
+  CHECK(play(1000, 0) > 350);
+  // Every other good answer would clear a count of failures in a row.
+  CHECK(play(4000, 0.5) < 200);
+  CHECK(play(2000, 0) > 400);
+  CHECK(play(1000, 0) > 350);
+}
+
+TEST_CASE("router: what fails at all targets alike leaves them all in use") {
+  ManualClock clock{std::chrono::hours{1}};
+  SeededRandom random{5};
+  pollenring::RouterOptions options;
+  options.order = pollenring::RouteOrder::kSoonest;
+  Router router{"a", "r", options, clock, random};
+  for (pollenring::NodeId id = 1; id <= 2; ++id) {
+    Member member;
+    member.id = id;
+    member.zone = "a";
+    member.region = "r";
+    member.targets = {{"s", 20, pollenring::TargetState::kWarm}};
+    router.Update(member);
+  }
+  std::map<pollenring::NodeId, int> started;
+  for (int i = 0; i < 2000; ++i) {
+    const auto node = router.Choose("s", {});
+    REQUIRE(node);
+    router.Started("s", *node);
+    ++started[*node];
+    clock.Advance(std::chrono::milliseconds{5});
+    router.Finished("s", *node,
+                    random.Chance(0.4) ? pollenring::CallVerdict::kFaulty
+                                       : pollenring::CallVerdict::kAnswered,
+                    std::nullopt, pollenring::Span{30'000});
+  }
+  CHECK(started[1] > 600);
+  CHECK(started[2] > 600);
+}
