Callers are listed in one pass; how much a target is offered is in its line

On reading the change anew: the list of routes that make calls summed the estimates once per route, on each answer to a call, which grows with the square of a service's routes; routes that are gone stayed in the estimates; levels had two copies of their scale. The line "target busy" lacked what the target is offered, which the level follows from. Ruled out: a cache of the list, as one pass over a dozen numbers costs less than keeping it right.

--- a/src/pollenring/node/call_shares.cc
+++ b/src/pollenring/node/call_shares.cc
@@ -73,8 +73,12 @@
     kind.mean += kMeanWeight * (mean - kind.mean);
     kind.seconds = 0;
     kind.since = now;
-    const bool forgotten = now - kind.used > kForgotten;
-    it = forgotten ? this->kinds.erase(it) : std::next(it);
+    if (now - kind.used <= kForgotten) {
+      ++it;
+      continue;
+    }
+    for (auto &[callee, seen] : this->callees) seen.excess.erase(name);
+    it = this->kinds.erase(it);
   }
   for (auto it = this->callees.begin(); it != this->callees.end();) {
     const bool forgotten = now - it->second.used > kForgotten;
@@ -94,27 +98,41 @@
   }
 }
 
-std::optional<double> CallShares::ShareOf(const std::string &kind,
-                                          const std::string &callee) const {
+const CallShares::Callee *CallShares::Known(const std::string &callee) const {
   const auto found = this->callees.find(callee);
-  if (found == this->callees.end()) return std::nullopt;
-  if (found->second.all_calls < kFewCalls) return std::nullopt;
-  // What raises all numbers at once is in each excess alike.
+  if (found == this->callees.end()) return nullptr;
+  return found->second.all_calls < kFewCalls ? nullptr : &found->second;
+}
+
+double CallShares::SumOf(const Callee &callee) noexcept {
   double sum = 0;
-  for (const auto &[name, excess] : found->second.excess) {
+  for (const auto &[name, excess] : callee.excess) {
     sum += std::max(0.0, excess);
   }
-  const auto own = found->second.excess.find(kind);
-  if (own == found->second.excess.end() || sum <= 0) return 0.0;
+  return sum;
+}
+
+std::optional<double> CallShares::ShareOf(const std::string &kind,
+                                          const std::string &callee) const {
+  const Callee *known = this->Known(callee);
+  if (known == nullptr) return std::nullopt;
+  const auto own = known->excess.find(kind);
+  // What raises all numbers at once is in each excess alike, so parts of their
+  // sum are taken.
+  const double sum = SumOf(*known);
+  if (own == known->excess.end() || sum <= 0) return 0.0;
   return std::max(0.0, own->second) / sum;
 }
 
 std::vector<std::string> CallShares::CallersOf(const std::string &callee,
                                                double least) const {
   std::vector<std::string> callers;
-  for (const auto &[name, kind] : this->kinds) {
-    const auto share = this->ShareOf(name, callee);
-    if (share && *share >= least) callers.push_back(name);
+  const Callee *known = this->Known(callee);
+  if (known == nullptr) return callers;
+  const double sum = SumOf(*known);
+  if (sum <= 0) return callers;
+  for (const auto &[name, excess] : known->excess) {
+    if (excess >= least * sum) callers.push_back(name);
   }
   return callers;
 }
--- a/src/pollenring/node/call_shares.h
+++ b/src/pollenring/node/call_shares.h
@@ -80,6 +80,9 @@
     std::unordered_map<std::string, double> excess; /*!< In all, faded. */
   };
 
+  /*! @brief Finds a callee of which enough was seen, or null. */
+  [[nodiscard]] const Callee *Known(const std::string &callee) const;
+  [[nodiscard]] static double SumOf(const Callee &callee) noexcept;
   void CloseWindow(Time now);
   static void Count(Kind &kind, int change, Time now);
 
--- a/src/pollenring/node/route_levels.cc
+++ b/src/pollenring/node/route_levels.cc
@@ -17,8 +17,6 @@
 /*! @brief Part of a route's requests that meet a service on its way; less comes
  * from calls that were taken for another request's. */
 constexpr double kMeets = 0.1;
-/*! @brief Levels travel in thousandths. */
-constexpr double kThousand = 1000;
 
 }  // namespace
 
@@ -75,7 +73,7 @@
     if (found == services.end() && entry.level_milli <= 0) continue;
     Known &known = services[entry.service][entry.node];
     if (measured <= known.measured) continue;
-    known = {entry.level_milli / kThousand, entry.per_second, measured};
+    known = {entry.level_milli / kLevelScale, entry.per_second, measured};
   }
 }
 
@@ -126,7 +124,7 @@
       const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
           now - known.measured);
       levels.push_back(
-          {name, node, static_cast<std::int32_t>(known.level * kThousand),
+          {name, node, static_cast<std::int32_t>(known.level * kLevelScale),
            known.per_second, static_cast<std::int32_t>(age.count()), on_way});
     }
   }
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -22,7 +22,6 @@
 /*! @brief Levels of other targets that an answer passes on; some 25 bytes each,
  * and none while nothing sheds. */
 constexpr std::size_t kMostLevels = 16;
-constexpr double kThousand = 1000;
 /*! @brief Part of the calls to a route that another must make to count as one
  * that leads there; estimates of a few hundred calls are off by half of it. */
 constexpr double kLeastShare = 0.1;
@@ -234,7 +233,7 @@
   reply.levels.push_back(
       {{},
        0,
-       static_cast<std::int32_t>(level * kThousand),
+       static_cast<std::int32_t>(level * kLevelScale),
        static_cast<std::int32_t>(admission.OfferedPerSecond()),
        0,
        true});
@@ -337,6 +336,7 @@
               {"waiting", admission.Waiting()},
               {"delay_ms", state.delay.count() / 1000},
               {"capacity_per_s", std::llround(state.capacity)},
+              {"offered_per_s", std::llround(admission.OfferedPerSecond())},
               {"refuses_below", level}});
   }
 }
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -54,6 +54,9 @@
                  remaining_us, root_age_us, aim_us, retries)
 };
 
+/*! @brief Levels travel in thousandths. */
+inline constexpr double kLevelScale = 1000;
+
 /*! @brief Priority below which a target would have roots refused early. */
 struct ServiceLevel {
   std::string service; /*!< Empty for the one that was called. */
