What follows from a target's answer is decided in the product

Cause: read anew, one function of the adapter decided: from status and headers it chose whether a call had run and whether its answer is passed on. Ruled out: moving the promises' statuses as well; which they are is the platform's word.

--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -183,7 +183,8 @@
   }
   auto &response = std::get<HttpResponse>(reply);
   const TargetVerdict verdict =
-      this->dialect.Judge(found->second.served.envelope, response);
+      JudgeAnswer(this->dialect.Read(found->second.served.envelope, response),
+                  response.status);
   const AdmissionActions next = admission.Finish(
       id, found->second.served.time_in_sub_calls, verdict.shed);
   if (verdict.reason != Reason::kNone) {
--- a/src/pollenring/node/target_dialect.cc
+++ b/src/pollenring/node/target_dialect.cc
@@ -7,9 +7,22 @@
 
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
+constexpr int kFirstOk = 200;
+constexpr int kFirstRedirect = 300;
 
 }  // namespace
 
+TargetVerdict JudgeAnswer(const AnswerSigns &signs, int status) noexcept {
+  if (signs.elsewhere) return {Outcome::kNotRun, Reason::kNoTarget, false};
+  if (signs.not_run) return {Outcome::kNotRun, Reason::kTargetBusy, true};
+  const bool ok = status >= kFirstOk && status < kFirstRedirect;
+  // The call may have run, whatever the answer would make its caller believe.
+  if ((ok && !signs.genuine) || signs.promises) {
+    return {Outcome::kUnknown, Reason::kTargetFailed, false};
+  }
+  return {Outcome::kRan, Reason::kNone, signs.busy};
+}
+
 void ContextDialect::AddHeaders(const TargetCall &call,
                                 HttpRequest &request) const {
   const auto add = [&request](std::string_view name, std::string value) {
@@ -25,12 +38,12 @@
   return {};
 }
 
-TargetVerdict ContextDialect::Judge(const CallEnvelope & /*envelope*/,
-                                    const HttpResponse &answer) const {
-  TargetVerdict verdict;
-  verdict.shed =
+AnswerSigns ContextDialect::Read(const CallEnvelope & /*envelope*/,
+                                 const HttpResponse &answer) const {
+  AnswerSigns signs;
+  signs.busy =
       answer.status == kServiceUnavailable || answer.status == kTooManyRequests;
-  return verdict;
+  return signs;
 }
 
 std::vector<WireHeader> ContextDialect::PassAnswerHeaders(
--- a/src/pollenring/node/target_dialect.h
+++ b/src/pollenring/node/target_dialect.h
@@ -18,13 +18,31 @@
   Span left{};                 /*!< Time until the call's deadline. */
 };
 
-/*! @brief What an answer of a target says of the call. */
+/*! @brief What an answer says by its status and headers. */
+struct AnswerSigns {
+  bool elsewhere{};   /*!< It comes from another start than was meant. */
+  bool not_run{};     /*!< The target says that it has not run the call. */
+  bool promises{};    /*!< Passed on, it would say that to the caller. */
+  bool genuine{true}; /*!< It is the target's own, whole, for this call. */
+  bool busy{};        /*!< The target has too much to do. */
+};
+
+/*! @brief What follows from an answer of a target. */
 struct TargetVerdict {
   Outcome outcome{Outcome::kRan};
   Reason reason{Reason::kNone}; /*!< Unless the answer may be passed on. */
   bool shed{};                  /*!< Whether the target was too busy. */
 };
 
+/**
+ * @brief Decides what is known of a call after its answer.
+ * @param signs What the answer says.
+ * @param status Its status.
+ * @return Whether the call has run, and whether the answer is passed on.
+ */
+[[nodiscard]] TargetVerdict JudgeAnswer(const AnswerSigns &signs,
+                                        int status) noexcept;
+
 /*! @brief How calls and answers are written between a node and its target. */
 class TargetDialect {
  public:
@@ -55,8 +73,8 @@
    * @param answer The whole answer.
    * @return What it says.
    */
-  [[nodiscard]] virtual TargetVerdict Judge(
-      const CallEnvelope &envelope, const HttpResponse &answer) const = 0;
+  [[nodiscard]] virtual AnswerSigns Read(const CallEnvelope &envelope,
+                                         const HttpResponse &answer) const = 0;
 
   /**
    * @brief Chooses the headers of an answer that its caller may see.
@@ -72,8 +90,8 @@
  public:
   void AddHeaders(const TargetCall &call, HttpRequest &request) const override;
   [[nodiscard]] AnswerMark MarkOf(const CallEnvelope &envelope) const override;
-  [[nodiscard]] TargetVerdict Judge(const CallEnvelope &envelope,
-                                    const HttpResponse &answer) const override;
+  [[nodiscard]] AnswerSigns Read(const CallEnvelope &envelope,
+                                 const HttpResponse &answer) const override;
   [[nodiscard]] std::vector<WireHeader> PassAnswerHeaders(
       const HttpHeaders &headers) const override;
 };
--- a/test/platform/dialects_test.cc
+++ b/test/platform/dialects_test.cc
@@ -24,7 +24,9 @@
 [[nodiscard]] Outcome Judged(const HttpResponse &answer) {
   CallEnvelope envelope;
   envelope.root_id = "id1";
-  return Targets{}.Judge(envelope, answer).outcome;
+  return pollenring::JudgeAnswer(Targets{}.Read(envelope, answer),
+                                 answer.status)
+      .outcome;
 }
 
 }  // namespace
--- a/test/pollenring/routing/router_test.cc
+++ b/test/pollenring/routing/router_test.cc
@@ -147,34 +147,58 @@
   CHECK_FALSE(this->router.Choose("s", {4}));
 }
 
+namespace {
+
+/*! @brief A router in zone "a" that prefers the soonest answer. */
+struct SoonestWorld {
+  SoonestWorld(std::uint64_t seed, const std::vector<std::string> &zones)
+      : random{seed}, router{"a", "r", Options(), this->clock, this->random} {
+    for (const auto &zone : zones) {
+      Member member;
+      member.id = ++this->nodes;
+      member.zone = zone;
+      member.region = "r";
+      member.targets = {{"s", 20, pollenring::TargetState::kWarm}};
+      this->router.Update(member);
+    }
+  }
+
+  /*! @brief Starts a call. @return The node that was chosen. */
+  pollenring::NodeId Start() {
+    const auto node = this->router.Choose("s", {});
+    REQUIRE(node);
+    this->router.Started("s", *node);
+    return *node;
+  }
+
+  static pollenring::RouterOptions Options() {
+    pollenring::RouterOptions options;
+    options.order = pollenring::RouteOrder::kSoonest;
+    return options;
+  }
+
+  ManualClock clock{std::chrono::hours{1}};
+  SeededRandom random;
+  Router router;
+  pollenring::NodeId nodes{};
+};
+
+}  // namespace
+
 TEST_CASE(
     "router: the target that answers soonest gets most, until it is full") {
-  ManualClock clock{std::chrono::hours{1}};
-  SeededRandom random{9};
-  pollenring::RouterOptions options;
-  options.order = pollenring::RouteOrder::kSoonest;
-  Router router{"a", "r", options, clock, random};
+  SoonestWorld world{9, {"b", "b", "a"}};
   std::map<pollenring::NodeId, int> started;
-  for (pollenring::NodeId id = 1; id <= 3; ++id) {
-    Member member;
-    member.id = id;
-    member.zone = id == 3 ? "a" : "b";
-    member.region = "r";
-    member.targets = {{"s", 20, pollenring::TargetState::kWarm}};
-    router.Update(member);
-  }
   // The third is in this zone and takes three times as long.
   const auto took = [](pollenring::NodeId id) {
     return pollenring::Span{id == 3 ? 90'000 : 30'000};
   };
   for (int i = 0; i < 400; ++i) {
-    const auto node = router.Choose("s", {});
-    REQUIRE(node);
-    router.Started("s", *node);
-    ++started[*node];
-    clock.Advance(std::chrono::milliseconds{5});
-    router.Finished("s", *node, pollenring::CallVerdict::kAnswered,
-                    std::nullopt, took(*node));
+    const pollenring::NodeId node = world.Start();
+    ++started[node];
+    world.clock.Advance(std::chrono::milliseconds{5});
+    world.router.Finished("s", node, pollenring::CallVerdict::kAnswered,
+                          std::nullopt, took(node));
   }
   CHECK(started[3] < 40);
   CHECK(started[1] > 100);
@@ -182,43 +206,27 @@
   // With the sooner ones overfull it takes its part.
   started.clear();
   for (int i = 0; i < 80; ++i) {
-    const auto node = router.Choose("s", {});
-    REQUIRE(node);
-    router.Started("s", *node);
-    ++started[*node];
+    const pollenring::NodeId node = world.Start();
+    ++started[node];
   }
   CHECK(started[3] > 8);
 }
 
 TEST_CASE(
     "router: a target that breaks off a fifth of its answers is left alone") {
-  ManualClock clock{std::chrono::hours{1}};
-  SeededRandom random{5};
-  pollenring::RouterOptions options;
-  options.order = pollenring::RouteOrder::kSoonest;
-  Router router{"a", "r", options, clock, random};
-  for (pollenring::NodeId id = 1; id <= 2; ++id) {
-    Member member;
-    member.id = id;
-    member.zone = "a";
-    member.region = "r";
-    member.targets = {{"s", 20, pollenring::TargetState::kWarm}};
-    router.Update(member);
-  }
+  SoonestWorld world{5, {"a", "a"}};
   const auto play = [&](int calls, double broken) {
     int to_second = 0;
     for (int i = 0; i < calls; ++i) {
-      const auto node = router.Choose("s", {});
-      REQUIRE(node);
-      router.Started("s", *node);
-      clock.Advance(std::chrono::milliseconds{5});
-      if (*node == 2) ++to_second;
-      const bool fails = *node == 2 && random.Chance(broken);
-      router.Finished("s", *node,
-                      fails ? pollenring::CallVerdict::kFailed
-                            : pollenring::CallVerdict::kAnswered,
-                      std::nullopt,
-                      fails ? pollenring::Span{0} : pollenring::Span{30'000});
+      const pollenring::NodeId node = world.Start();
+      world.clock.Advance(std::chrono::milliseconds{5});
+      if (node == 2) ++to_second;
+      const bool fails = node == 2 && world.random.Chance(broken);
+      world.router.Finished(
+          "s", node,
+          fails ? pollenring::CallVerdict::kFailed
+                : pollenring::CallVerdict::kAnswered,
+          std::nullopt, fails ? pollenring::Span{0} : pollenring::Span{30'000});
     }
     return to_second;
   };
@@ -230,30 +238,17 @@
 }
 
 TEST_CASE("router: what fails at all targets alike leaves them all in use") {
-  ManualClock clock{std::chrono::hours{1}};
-  SeededRandom random{5};
-  pollenring::RouterOptions options;
-  options.order = pollenring::RouteOrder::kSoonest;
-  Router router{"a", "r", options, clock, random};
-  for (pollenring::NodeId id = 1; id <= 2; ++id) {
-    Member member;
-    member.id = id;
-    member.zone = "a";
-    member.region = "r";
-    member.targets = {{"s", 20, pollenring::TargetState::kWarm}};
-    router.Update(member);
-  }
+  SoonestWorld world{5, {"a", "a"}};
   std::map<pollenring::NodeId, int> started;
   for (int i = 0; i < 2000; ++i) {
-    const auto node = router.Choose("s", {});
-    REQUIRE(node);
-    router.Started("s", *node);
-    ++started[*node];
-    clock.Advance(std::chrono::milliseconds{5});
-    router.Finished("s", *node,
-                    random.Chance(0.4) ? pollenring::CallVerdict::kFaulty
-                                       : pollenring::CallVerdict::kAnswered,
-                    std::nullopt, pollenring::Span{30'000});
+    const pollenring::NodeId node = world.Start();
+    ++started[node];
+    world.clock.Advance(std::chrono::milliseconds{5});
+    world.router.Finished("s", node,
+                          world.random.Chance(0.4)
+                              ? pollenring::CallVerdict::kFaulty
+                              : pollenring::CallVerdict::kAnswered,
+                          std::nullopt, pollenring::Span{30'000});
   }
   CHECK(started[1] > 600);
   CHECK(started[2] > 600);
