The store is asked by few nodes; retries are bound by traffic; young nodes catch up

The retry reserve gave each node one at least, so its sum was the number of nodes. SlotRing hashed 6,200 texts a tick, and Part was computed and never used.

Change: StoreDuty draws two nodes of a zone, six at least, that ask the store; the age of its newest word travels with gossip, others step in one by one where it grows old. The bootstrap row is read by a node that knows nobody and by those on duty. A young node exchanges differing records each 0.4 s. TrafficRetryBudget replaces FleetRetryBudget: earned by a node's own calls, fading, calls of a run that was itself a retry are charged. Slots are dealt when membership changed, by number hashes; rates are lent times Part.

Ruled out: the store's calls as the cause of failures; those went with the faster exchange of records.

--- a/src/pollenring/core/hash.cc
+++ b/src/pollenring/core/hash.cc
@@ -31,6 +31,10 @@
   return XXH64(text.data(), text.size(), seed);
 }
 
+std::uint64_t HashNumber(std::uint64_t value, std::uint64_t seed) noexcept {
+  return XXH64(&value, sizeof(value), seed);
+}
+
 std::string Sha256Hex(std::string_view secret) {
   std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
   unsigned int size = 0;
--- a/src/pollenring/core/hash.h
+++ b/src/pollenring/core/hash.h
@@ -16,6 +16,15 @@
 [[nodiscard]] std::uint64_t Hash64(std::string_view text,
                                    std::uint64_t seed = 0) noexcept;
 
+/**
+ * @brief Hashes a number to 64 bits, the same on every VM.
+ * @param value The number.
+ * @param seed Selects one hash function of the family.
+ * @return The hash.
+ */
+[[nodiscard]] std::uint64_t HashNumber(std::uint64_t value,
+                                       std::uint64_t seed = 0) noexcept;
+
 /**
  * @brief Computes the SHA-256 digest of a secret.
  * @param secret The secret.
--- a/src/pollenring/link/link_server.cc
+++ b/src/pollenring/link/link_server.cc
@@ -57,6 +57,9 @@
     this->cancelled = std::move(callback);
   }
 
+  /*! @brief Whether an answer is still awaited. @return So. */
+  [[nodiscard]] bool Open() const noexcept { return this->open; }
+
   void Ended() {
     this->open = false;
     if (auto callback = std::exchange(this->cancelled, nullptr)) callback();
@@ -109,8 +112,13 @@
     const auto self = std::static_pointer_cast<Connection>(shared_from_this());
     auto responder = std::make_shared<StreamResponder>(self, stream_id);
     this->responders.emplace(stream_id, responder);
-    this->owner.handler(stream.path, std::move(stream.received),
-                        std::move(responder));
+    // The same read may hold the peer's cancellation, which then goes first.
+    this->owner.loop.Post([&owner = this->owner, path = stream.path,
+                           body = std::move(stream.received),
+                           responder = std::move(responder)]() mutable {
+      if (!responder->Open()) return;
+      owner.handler(path, std::move(body), std::move(responder));
+    });
   }
 
   void OnStreamEnd(std::int32_t stream_id, Stream & /*stream*/,
--- a/src/pollenring/membership/membership.cc
+++ b/src/pollenring/membership/membership.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <string>
-#include <string_view>
 #include <utility>
 
 #include "pollenring/core/hash.h"
@@ -18,7 +18,8 @@
       clock{clock},
       random{random},
       observer{observer},
-      last_heard{clock.Now()} {
+      started{clock.Now()},
+      last_heard{this->started} {
   this->Touch(this->self);
 }
 
@@ -83,6 +84,12 @@
     this->Send(gossip.from, GossipKind::kAck, gossip.sequence);
   }
   this->observer.PeerConfigVersion(gossip.from, gossip.config_version);
+  // Only one that holds as new a version is as sure of it.
+  const bool as_new = gossip.config_version <= this->config_version;
+  if (as_new && gossip.store_age_ms >= 0) {
+    const Span age = std::chrono::milliseconds{gossip.store_age_ms};
+    this->store_heard = std::max(this->store_heard, this->clock.Now() - age);
+  }
   this->CompareDigest(gossip);
 }
 
@@ -142,10 +149,18 @@
   } else {
     this->suspected_at.emplace(record.id, this->clock.Now());
   }
+  if (record.state == MemberState::kLeaving) {
+    this->left[record.id] = record.incarnation;
+  }
   if (record.state == MemberState::kDead) {
     this->died_at.emplace(record.id, this->clock.Now());
+    const auto left = this->left.find(record.id);
+    const bool announced =
+        left != this->left.end() && left->second == record.incarnation;
+    if (!announced) this->silent_since.emplace(record.id, this->clock.Now());
   } else {
     this->died_at.erase(record.id);
+    this->silent_since.erase(record.id);
   }
   this->Enqueue(record.id);
   this->observer.MemberChanged(record);
@@ -161,8 +176,7 @@
 }
 
 std::size_t Membership::PartOfNode(NodeId id) noexcept {
-  const std::string_view bytes{reinterpret_cast<const char *>(&id), sizeof(id)};
-  return static_cast<std::size_t>(Hash64(bytes) % kDigestParts);
+  return static_cast<std::size_t>(HashNumber(id) % kDigestParts);
 }
 
 std::uint64_t Membership::WholeDigest() const noexcept {
@@ -174,14 +188,18 @@
 void Membership::Touch(const Member &record) {
   this->digests[PartOfNode(record.id)] ^= DigestOf(record);
   this->last_change = this->clock.Now();
+  ++this->changes;
 }
 
 void Membership::CompareDigest(const Gossip &gossip) {
   if (gossip.digest == this->WholeDigest()) return;
   const Time now = this->clock.Now();
   const Span quiet = this->options.quiet_before_exchange;
-  if (now - this->last_change < quiet) return;
-  if (now - this->last_exchange < quiet) return;
+  // A young node lacks most records; waiting for gossip would take seconds.
+  const bool young = now - this->started < this->options.young_for;
+  if (!young && now - this->last_change < quiet) return;
+  const Span pause = young ? this->options.young_pause : quiet;
+  if (now - this->last_exchange < pause) return;
   this->last_exchange = now;
   this->observer.RecordsDiffer(gossip.from);
 }
@@ -232,6 +250,11 @@
   gossip.from = this->self.id;
   gossip.sequence = number;
   gossip.config_version = this->config_version;
+  if (this->store_heard > Time{}) {
+    const Span age = this->clock.Now() - this->store_heard;
+    gossip.store_age_ms =
+        std::chrono::ceil<std::chrono::milliseconds>(age).count();
+  }
   gossip.digest = this->WholeDigest();
   gossip.updates = this->TakeUpdates();
   this->observer.SendGossip(to, gossip);
@@ -258,6 +281,11 @@
     dead.state = MemberState::kDead;
     this->Apply(dead);
   }
+  for (auto it = this->silent_since.begin(); it != this->silent_since.end();) {
+    const bool recent = now - it->second < this->options.silent_age;
+    it = recent ? std::next(it) : this->silent_since.erase(it);
+    if (!recent) ++this->changes;
+  }
   for (auto it = this->died_at.begin(); it != this->died_at.end();) {
     const bool old = now - it->second >= this->options.tombstone_age;
     if (!old) {
@@ -266,6 +294,7 @@
     }
     this->Touch(this->members.at(it->first));
     this->members.erase(it->first);
+    this->left.erase(it->first);
     this->order.erase(
         std::remove(this->order.begin(), this->order.end(), it->first),
         this->order.end());
--- a/src/pollenring/membership/membership.h
+++ b/src/pollenring/membership/membership.h
@@ -23,9 +23,11 @@
   NodeId from{};
   std::uint64_t sequence{};
   std::uint64_t config_version{};
-  std::uint64_t digest{}; /*!< Of all records that the sender holds. */
+  std::int64_t store_age_ms{-1}; /*!< Of the store's newest word; -1: none. */
+  std::uint64_t digest{};        /*!< Of all records that the sender holds. */
   std::vector<Member> updates;
-  MSGPACK_DEFINE(kind, from, sequence, config_version, digest, updates)
+  MSGPACK_DEFINE(kind, from, sequence, config_version, store_age_ms, digest,
+                 updates)
 };
 
 /*! @brief Parts into which records are sorted to find those that differ. */
@@ -71,7 +73,12 @@
   int probe_tries{3};
   Span suspicion_timeout{std::chrono::milliseconds{1500}};
   Span tombstone_age{std::chrono::minutes{10}};
+  /*! @brief Time for which a silent member may be behind a cut; cuts last for
+   * seconds, and one that has ended for good never comes back. */
+  Span silent_age{std::chrono::minutes{1}};
   Span quiet_before_exchange{std::chrono::seconds{2}};
+  Span young_for{std::chrono::seconds{6}};
+  Span young_pause{std::chrono::milliseconds{400}};
   std::size_t updates_per_gossip{8};
   std::size_t spread_factor{3}; /*!< Sends per update, times log2 of members. */
 };
@@ -126,11 +133,34 @@
     return this->digests;
   }
 
+  /*! @brief Changes of any record so far. @return The count, 1 or more. */
+  [[nodiscard]] std::uint64_t Changes() const noexcept { return this->changes; }
+
+  /**
+   * @brief Members that fell silent of late without having said that they
+   * leave.
+   * @return The count.
+   */
+  [[nodiscard]] std::size_t Silent() const noexcept {
+    return this->silent_since.size();
+  }
+
   /*! @brief Time since any other node was heard. @return The age. */
   [[nodiscard]] Span Silence() const noexcept {
     return this->clock.Now() - this->last_heard;
   }
 
+  /**
+   * @brief Tells when the store last answered any node, as far as is known.
+   *
+   * What the store held then has been told together with it.
+   * @return The time; 0 when nothing was ever heard.
+   */
+  [[nodiscard]] Time StoreHeard() const noexcept { return this->store_heard; }
+
+  /*! @brief The store has answered this node. */
+  void HearStore() noexcept { this->store_heard = this->clock.Now(); }
+
   /*! @brief Advances probes and suspicions; call it often. */
   void Tick();
 
@@ -210,16 +240,22 @@
   std::size_t next_in_order{};
   std::unordered_map<NodeId, Time> suspected_at;
   std::unordered_map<NodeId, Time> died_at;
+  std::unordered_map<NodeId, Time> silent_since;
+  std::unordered_map<NodeId, std::uint64_t> left; /*!< Incarnations that said
+                                                     they leave. */
   std::map<NodeId, Spread> spreading;
   NodeId last_spread{};
   std::optional<Probe> probe;
   Time next_probe{};
+  Time started{};
   Time last_heard{};
   Time last_change{};
   Time last_exchange{};
+  std::uint64_t changes{};
   PartDigests digests{}; /*!< Exclusive or over the records of each part. */
   std::uint64_t sequence{};
   std::uint64_t config_version{};
+  Time store_heard{};
 };
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -88,7 +88,8 @@
               this->bus,
               this->link,
               parts.table,
-              parts.random},
+              parts.random,
+              given.first_start},
       policy{parts.loop,   this->members,  this->link,
              parts.source, parts.policies, parts.random},
       ring{this->members.Get(), parts.loop.GetClock(), given.first_start},
@@ -107,8 +108,7 @@
               [this](std::vector<Target> targets) {
                 this->members.Get().Announce(std::move(targets));
               }},
-      retry_budget{FleetRetryOptions{},
-                   [this] { return this->members.Get().Members().size() + 1; }},
+      retry_budget{TrafficRetryOptions{}, parts.loop.GetClock(), parts.random},
       dispatcher{given.nodes.Packed(),  parts.loop,    this->link,
                  this->router,          this->serving, this->retry_budget,
                  DispatchOptions{true}, parts.random,  this->metrics},
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -91,7 +91,7 @@
   Router router;
   RouteLevels levels;
   Serving serving;
-  FleetRetryBudget retry_budget;
+  TrafficRetryBudget retry_budget;
   Dispatcher dispatcher;
   Outbound outbound;
   HeartbeatFilter heartbeats;
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -177,6 +177,7 @@
   this->parts.serving.BeginSubCall(parent->id);
   envelope.importance = parent->envelope.importance;
   envelope.lot = parent->envelope.lot;
+  envelope.repeat = parent->envelope.repeat;
   envelope.workspace = parent->envelope.workspace;
   envelope.weight = parent->envelope.weight;
   envelope.depth = std::min(parent->envelope.depth + 1, kMaxDepth);
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -8,16 +8,22 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Longest wait of one watch. A change must be in force within 2 s on a
- * node that was undisturbed for 3 s; a connection may fall silent unnoticed. */
-constexpr Span kWatch = std::chrono::milliseconds{2200};
+/*! @brief Time between two looks at whether this node is to ask the store. */
+constexpr Span kDutyCheck = std::chrono::milliseconds{100};
+/*! @brief How long a node that starts waits for a peer's document, which comes
+ * within three messages if there is one. */
+constexpr Span kPeersFirst = std::chrono::milliseconds{1500};
 constexpr Span kFirstPause = std::chrono::milliseconds{100};
 /*! @brief All nodes together then ask a store that is down some ten times a
  * second each second, well below its rate. */
 constexpr Span kLongestPause = std::chrono::milliseconds{800};
 constexpr Span kPullTimeout = std::chrono::milliseconds{800};
-/*! @brief Peers told at once of a new version; they tell others. */
-constexpr std::size_t kSpreadTo = 3;
+/*! @brief Peers of the own availability zone told at once of a new version;
+ * they tell others. */
+constexpr std::size_t kSpreadInZone = 3;
+/*! @brief Peers of other zones told at once; each fetches the document over a
+ * link between zones, and nodes on duty there read it themselves. */
+constexpr std::size_t kSpreadAfar = 1;
 
 }  // namespace
 
@@ -36,6 +42,24 @@
   this->members.OnVersion([this](NodeId peer, std::uint64_t version) {
     this->PeerVersion(peer, version);
   });
+  this->first_read = this->loop.GetClock().Now() + kPeersFirst;
+  this->loop.Every(kDutyCheck, [this] { this->Check(); });
+}
+
+void PolicyFollower::Check() {
+  if (this->asking) return;
+  const bool lacks = this->table.Version() == 0 &&
+                     this->loop.GetClock().Now() >= this->first_read;
+  const bool joined = this->members.Joined();
+  if (!lacks && !(joined && this->members.Duty().Asks())) {
+    this->watching = false;
+    return;
+  }
+  this->asking = true;
+  if (this->watching) {
+    this->Await();
+    return;
+  }
   this->Read();
 }
 
@@ -55,17 +79,17 @@
     this->Heard();
     auto &stored = std::get<StoredDocument>(reply);
     this->position = stored.position;
-    if (stored.text) {
-      this->Take(std::move(*stored.text), "store");
-      this->Await();
-      return;
-    }
-    this->Await();
+    this->watching = true;
+    // Where the store has none yet, peers will tell of the first one.
+    this->first_read = Time::max();
+    if (stored.text) this->Take(std::move(*stored.text), "store");
+    this->Check();
   });
 }
 
 void PolicyFollower::Await() {
-  this->source.Await(this->position, kWatch, [this](PolicySource::Reply reply) {
+  const Span wait = this->members.Duty().NextWatch(this->random);
+  this->source.Await(this->position, wait, [this](PolicySource::Reply reply) {
     if (const auto *error = std::get_if<StorageError>(&reply)) {
       this->Failed(*error);
       return;
@@ -74,12 +98,14 @@
     auto &stored = std::get<StoredDocument>(reply);
     this->position = std::max(this->position, stored.position);
     if (stored.text) this->Take(std::move(*stored.text), "store");
-    this->Await();
+    this->Check();
   });
 }
 
 void PolicyFollower::Heard() {
   this->store_heard = this->loop.GetClock().Now();
+  this->members.Get().HearStore();
+  this->asking = false;
   this->pause = Span{0};
   if (!std::exchange(this->store_lost, false)) return;
   LogEvent(LogLevel::kInfo, "store regained",
@@ -96,8 +122,11 @@
   }
   this->pause = std::clamp(this->pause * 2, kFirstPause, kLongestPause);
   // Changes may have been missed meanwhile, so the document is read anew.
-  this->loop.After(SpreadAround(this->pause, this->random),
-                   [this] { this->Read(); });
+  this->watching = false;
+  this->loop.After(SpreadAround(this->pause, this->random), [this] {
+    this->asking = false;
+    this->Check();
+  });
 }
 
 void PolicyFollower::Take(std::string text, std::string_view origin) {
@@ -141,20 +170,26 @@
 
 void PolicyFollower::Spread() {
   Membership &membership = this->members.Get();
-  std::vector<NodeId> behind;
+  std::vector<NodeId> near;
+  std::vector<NodeId> afar;
   for (const auto &[id, member] : membership.Members()) {
     if (member.state == MemberState::kDead) continue;
     const auto known = this->peer_versions.find(id);
     const bool has_it = known != this->peer_versions.end() &&
                         known->second >= this->table.Version();
-    if (!has_it) behind.push_back(id);
-  }
-  if (behind.empty()) return;
-  const std::size_t count = std::min(kSpreadTo, behind.size());
-  const std::size_t first = this->random.Index(behind.size());
-  for (std::size_t i = 0; i < count; ++i) {
-    membership.Contact(behind[(first + i) % behind.size()]);
+    if (has_it) continue;
+    (member.zone == membership.Self().zone ? near : afar).push_back(id);
   }
+  const auto contact = [&](std::vector<NodeId> &peers, std::size_t most) {
+    for (std::size_t i = 0; i < most && !peers.empty(); ++i) {
+      const std::size_t drawn = this->random.Index(peers.size());
+      membership.Contact(peers[drawn]);
+      peers[drawn] = peers.back();
+      peers.pop_back();
+    }
+  };
+  contact(near, kSpreadInZone);
+  contact(afar, kSpreadAfar);
 }
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/policy_follower.h
+++ b/src/pollenring/mesh/policy_follower.h
@@ -1,6 +1,7 @@
 #ifndef POLLENRING_MESH_POLICY_FOLLOWER_H_
 #define POLLENRING_MESH_POLICY_FOLLOWER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
@@ -19,8 +20,9 @@
 /**
  * @brief Keeps the operator's newest document in force.
  *
- * Each node watches the store; versions also travel between nodes, so that one
- * that the store does not answer follows as well. A version never goes back.
+ * The nodes on duty watch the store; all others hear of versions from peers,
+ * and watch it themselves while no word of it reaches them. A version never
+ * goes back.
  */
 class PolicyFollower final : public WorkspaceRates {
  public:
@@ -50,15 +52,18 @@
     return this->document;
   }
 
-  /*! @brief Time since the store last answered. @return The age. */
+  /*! @brief Time since the store last answered this node or, as it heard, any
+   * other. @return The age. */
   [[nodiscard]] Span StoreSilence() const noexcept {
-    return this->loop.GetClock().Now() - this->store_heard;
+    return this->loop.GetClock().Now() -
+           std::max(this->store_heard, this->members.Get().StoreHeard());
   }
 
   [[nodiscard]] std::optional<WorkspaceShare> RateOf(
       const std::string &workspace) const override;
 
  private:
+  void Check();
   void Read();
   void Await();
   void Failed(StorageError error);
@@ -80,6 +85,9 @@
   std::uint64_t position{};
   Time store_heard{};
   Span pause{};
+  Time first_read{}; /*!< When a node without a document reads the store. */
+  bool asking{};     /*!< A call to the store, or a pause after one, is on. */
+  bool watching{};   /*!< No change since `position` was missed. */
   bool store_lost{};
   bool pulling{};
 };
--- a/src/pollenring/mesh/slot_ring.cc
+++ b/src/pollenring/mesh/slot_ring.cc
@@ -1,6 +1,6 @@
 #include "pollenring/mesh/slot_ring.h"
 
-#include <string>
+#include <utility>
 
 #include "pollenring/core/hash.h"
 
@@ -18,8 +18,8 @@
          member.state == MemberState::kSuspect;
 }
 
-[[nodiscard]] std::uint64_t WeightOf(SlotId slot, NodeId node) {
-  return Hash64(std::to_string(slot) + '@' + std::to_string(node));
+[[nodiscard]] std::uint64_t WeightOf(SlotId slot, NodeId node) noexcept {
+  return HashNumber(node, slot);
 }
 
 }  // namespace
@@ -28,6 +28,15 @@
     : membership{membership}, clock{clock}, fresh{fresh}, holders(kSlots) {}
 
 void SlotRing::Update(SlotUser &user) {
+  if (this->dealt_for == this->membership.Changes()) return;
+  this->dealt_for = this->membership.Changes();
+  std::size_t lending = 1;
+  for (const auto &[id, member] : this->membership.Members()) {
+    if (Lends(member)) ++lending;
+  }
+  const std::size_t silent = this->membership.Silent();
+  this->part =
+      static_cast<double>(lending) / static_cast<double>(lending + silent);
   const NodeId self = this->membership.Self().id;
   for (SlotId slot = 0; slot < kSlots; ++slot) {
     NodeId best = 0;
@@ -53,16 +62,6 @@
   }
 }
 
-double SlotRing::Part() const {
-  std::size_t lending = 1;
-  std::size_t silent = 0;
-  for (const auto &[id, member] : this->membership.Members()) {
-    if (Lends(member)) ++lending;
-    if (member.state == MemberState::kDead) ++silent;
-  }
-  return static_cast<double>(lending) / static_cast<double>(lending + silent);
-}
-
 SlotId SlotRing::Count() const noexcept { return kSlots; }
 
 std::optional<NodeId> SlotRing::HolderOf(SlotId slot) const {
--- a/src/pollenring/mesh/slot_ring.h
+++ b/src/pollenring/mesh/slot_ring.h
@@ -15,7 +15,8 @@
  * @brief Deals slots to the living members by rendezvous hashing.
  *
  * No lease is taken: during a change of membership two nodes may hold one slot
- * for as long as gossip takes. What they lend together is bounded by `Part`.
+ * for as long as gossip takes; the later one starts empty. Behind a cut each
+ * side lends the part of the rates that its nodes stand for.
  */
 class SlotRing final : public SlotHolders {
  public:
@@ -37,11 +38,11 @@
   /**
    * @brief Part of each workspace's rate that the nodes seen here may lend.
    *
-   * Members that have fallen silent may be on the other side of a cut, where
-   * they lend their own part.
+   * Members that have fallen silent without leaving may be on the other side of
+   * a cut, where they lend their own part.
    * @return From 0 to 1.
    */
-  [[nodiscard]] double Part() const;
+  [[nodiscard]] double Part() const noexcept override { return this->part; }
 
   [[nodiscard]] SlotId Count() const noexcept override;
   [[nodiscard]] std::optional<NodeId> HolderOf(SlotId slot) const override;
@@ -52,6 +53,8 @@
   const Membership &membership;
   const Clock &clock;
   bool fresh;
+  std::uint64_t dealt_for{}; /*!< Changes of membership when last dealt. */
+  double part{1};
   std::vector<NodeId> holders;
 };
 
--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -236,6 +236,11 @@
           held->~shared_ptr();
         });
     new (memory) std::shared_ptr<H2oResponder>{responder};
+    // A process that is behind accepts connections whose callers have given up.
+    if (req->version < kHttp2 && responder->HungUp()) {
+      responder->Abandon();
+      return 0;
+    }
     self->Watch(*req, responder);
     self->handler(CopyRequest(*req), std::move(responder));
     return 0;
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -75,6 +75,7 @@
   job.redirects_left = kMostRedirects;
   job.targets_left = targets;
   job.done = std::move(done);
+  if (job.envelope.repeat) this->budget.Repeated(job.envelope.service);
   this->Attempt(id);
   return id;
 }
@@ -196,7 +197,9 @@
     entry.node = job.node;
   }
   const bool ran = reply.outcome == Outcome::kRan;
-  if (ran) this->budget.Succeeded(job.envelope.service);
+  if (ran && !job.envelope.repeat) {
+    this->budget.Succeeded(job.envelope.service);
+  }
   if (reply.outcome != Outcome::kNotRun) --job.targets_left;
   job.may_have_run = job.may_have_run || reply.outcome == Outcome::kUnknown;
   if (this->MayTryAgain(job, reply)) {
@@ -250,10 +253,11 @@
 
 bool Dispatcher::PaysForRetry(Job &job) {
   if (job.targets_left <= 0) return false;
-  const std::string &service = job.envelope.service;
-  if (!this->budget.Allows(service) || !job.allowance.Spend()) return false;
-  const bool spent = this->budget.Spend(service);
-  Require(spent, "a retry is paid from the service's budget");
+  if (job.allowance.Left() == 0) return false;
+  if (!this->budget.Spend(job.envelope.service)) return false;
+  const bool spent = job.allowance.Spend();
+  Require(spent, "a retry is paid from the request's allowance");
+  job.envelope.repeat = true;
   this->metrics.Count("pollenring_retries_total");
   return true;
 }
--- a/src/pollenring/node/gates.h
+++ b/src/pollenring/node/gates.h
@@ -36,6 +36,12 @@
   /*! @brief Whether this node holds it. @param slot Slot. @return So. */
   [[nodiscard]] virtual bool Holds(SlotId slot) const = 0;
 
+  /**
+   * @brief Part of each rate and burst that all holders seen here may lend.
+   * @return From 0 to 1; less while others may lend unseen.
+   */
+  [[nodiscard]] virtual double Part() const noexcept { return 1; }
+
   /*! @brief Until when this node may lend it. @param slot Slot. @return Time.
    */
   [[nodiscard]] virtual Time ValidUntil(SlotId slot) const = 0;
--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -12,10 +12,22 @@
 
 constexpr const char *kBootstrapRow = "bootstrap";
 constexpr std::size_t kMostListed = 16;
+/*! @brief Nodes listed before only those on duty for the store list themselves;
+ * with all nodes writing at a first start most writes would conflict. */
+constexpr std::size_t kFewListed = 4;
+/*! @brief Peers asked at a time for all records; some may be gone. */
+constexpr std::size_t kJoinsAtOnce = 2;
+/*! @brief Time over which the nodes of a first start read the row, so that
+ * most of them find a few others in it. */
+constexpr Span kFirstReads = std::chrono::milliseconds{400};
+/*! @brief Pause around which a write that came second is tried again. */
+constexpr Span kConflictPause = std::chrono::milliseconds{60};
 constexpr Span kTick = std::chrono::milliseconds{50};
 constexpr Span kBootstrapPeriod = std::chrono::seconds{2};
-/*! @brief Time per known member between two reads of the bootstrap row. */
-constexpr Span kBootstrapPerMember = std::chrono::milliseconds{50};
+/*! @brief Pause until one that knows nobody tries again. */
+constexpr Span kJoinPause = std::chrono::milliseconds{500};
+/*! @brief Time between two looks of a node on duty at the bootstrap row. */
+constexpr Span kUpkeepPeriod = std::chrono::seconds{10};
 constexpr Span kAloneAfter = std::chrono::milliseconds{1500};
 constexpr Span kJoinTimeout = std::chrono::seconds{1};
 
@@ -23,7 +35,7 @@
 
 MemberService::MemberService(Member self, std::vector<Address> seeds,
                              Loop &loop, Bus &bus, LinkClient &link,
-                             Table &table, Random &random)
+                             Table &table, Random &random, bool first_start)
     : seeds{std::move(seeds)},
       loop{loop},
       bus{bus},
@@ -32,6 +44,8 @@
       random{random},
       membership{std::move(self), MembershipOptions{}, loop.GetClock(), random,
                  *this},
+      duty{this->membership, StoreDutyOptions{}, loop.GetClock()},
+      first_start{first_start},
       started{loop.GetClock().Now()} {}
 
 void MemberService::OnMember(MemberListener listener) {
@@ -48,7 +62,14 @@
                          this->membership.Receive(gossip);
                        });
   this->loop.Every(kTick, [this] { this->membership.Tick(); });
-  this->Bootstrap();
+  if (!this->first_start) {
+    this->Bootstrap();
+    return;
+  }
+  const double part = this->random.Fraction();
+  const Span wait{static_cast<std::int64_t>(
+      part * static_cast<double>(kFirstReads.count()))};
+  this->loop.After(wait, [this] { this->Bootstrap(); });
 }
 
 bool MemberService::Alone() const {
@@ -60,15 +81,23 @@
 
 void MemberService::Bootstrap() {
   const Time age = this->loop.GetClock().Now() - this->started;
-  if (this->Alone()) {
+  const bool alone = this->Alone();
+  if (alone) {
     if (age >= kAloneAfter) this->joined = true;
     for (const auto &seed : this->seeds) this->JoinThrough(seed.Packed());
   } else if (!this->joined) {
     // Some peer has probed this node; it knows all the others.
+    std::vector<NodeId> alive;
     for (const auto &[id, member] : this->membership.Members()) {
-      if (member.state == MemberState::kAlive) this->JoinThrough(id);
+      if (member.state == MemberState::kAlive) alive.push_back(id);
     }
+    this->JoinThroughSome(std::move(alive));
   }
+  if (alone || (this->joined && this->duty.OnDuty())) this->ReadBootstrapRow();
+  this->loop.After(this->BootstrapPause(), [this] { this->Bootstrap(); });
+}
+
+void MemberService::ReadBootstrapRow() {
   this->table.Read({kBootstrapRow}, [this](Table::Rows rows) {
     const auto *found = std::get_if<std::vector<Row>>(&rows);
     if (found == nullptr) return;
@@ -80,23 +109,26 @@
         if (item.is_number_unsigned()) listed.push_back(item.get<NodeId>());
       }
     }
-    if (this->Alone()) {
-      for (const NodeId peer : listed) this->JoinThrough(peer);
-    }
+    if (this->Alone()) this->JoinThroughSome(listed);
     this->Register(found->front().version, std::move(listed));
   });
-  this->loop.After(this->BootstrapPause(), [this] { this->Bootstrap(); });
+}
+
+void MemberService::JoinThroughSome(std::vector<NodeId> peers) {
+  const NodeId self = this->membership.Self().id;
+  peers.erase(std::remove(peers.begin(), peers.end(), self), peers.end());
+  for (std::size_t i = 0; i < kJoinsAtOnce && !peers.empty(); ++i) {
+    const std::size_t drawn = this->random.Index(peers.size());
+    this->JoinThrough(peers[drawn]);
+    peers[drawn] = peers.back();
+    peers.pop_back();
+  }
 }
 
 Span MemberService::BootstrapPause() {
-  if (!this->joined) return kBootstrapPeriod / 4;
+  if (!this->joined) return kJoinPause;
   if (this->Alone()) return kBootstrapPeriod;
-  // All nodes together read it some twenty times a second, however many.
-  const auto members =
-      static_cast<std::int64_t>(this->membership.Members().size());
-  const Span pause =
-      std::max(kBootstrapPeriod * 5, kBootstrapPerMember * members);
-  return SpreadAround(pause, this->random);
+  return SpreadAround(kUpkeepPeriod, this->random);
 }
 
 void MemberService::Register(std::uint64_t version,
@@ -113,12 +145,23 @@
   const bool there =
       std::find(listed.begin(), listed.end(), self) != listed.end();
   const bool leaving = this->membership.Self().state != MemberState::kAlive;
-  const bool joins = !there && !leaving && listed.size() < kMostListed;
+  const std::size_t most =
+      this->duty.OnDuty() && this->joined ? kMostListed : kFewListed;
+  const bool joins = !there && !leaving && listed.size() < most;
   if (joins) listed.push_back(self);
   if (!joins && !shrunk) return;
-  this->table.Write({{kBootstrapRow, version}},
-                    {{kBootstrapRow, nlohmann::json(listed).dump()}},
-                    [](Table::Written) {});
+  this->table.Write(
+      {{kBootstrapRow, version}},
+      {{kBootstrapRow, nlohmann::json(listed).dump()}},
+      [this](Table::Written written) {
+        const auto *result = std::get_if<WriteResult>(&written);
+        const bool conflict =
+            result != nullptr && *result == WriteResult::kConflict;
+        if (!conflict || this->joined) return;
+        // Whoever came first is in the row now.
+        this->loop.After(SpreadAround(kConflictPause, this->random),
+                         [this] { this->ReadBootstrapRow(); });
+      });
 }
 
 void MemberService::JoinThrough(NodeId peer) {
@@ -126,7 +169,7 @@
   const std::string records = Pack(this->membership.Snapshot());
   this->link.Call(
       AddressOf(peer), "members", records, kJoinTimeout,
-      [this](LinkClient::Reply reply) {
+      [this, peer](LinkClient::Reply reply) {
         const auto *body = std::get_if<std::string>(&reply);
         if (body == nullptr) return;
         const auto records = Unpack<std::vector<Member>>(*body);
@@ -135,6 +178,8 @@
         if (this->joined) return;
         this->joined = true;
         LogEvent(LogLevel::kInfo, "joined", {{"members", records->size()}});
+        // Its answer tells the version in force.
+        this->membership.Contact(peer);
       });
 }
 
--- a/src/pollenring/node/member_service.h
+++ b/src/pollenring/node/member_service.h
@@ -7,6 +7,7 @@
 
 #include "pollenring/link/link_client.h"
 #include "pollenring/membership/membership.h"
+#include "pollenring/membership/store_duty.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/bus.h"
 #include "pollenring/storage/storage.h"
@@ -28,15 +29,20 @@
    * @param link Streams.
    * @param table The platform's table.
    * @param random Randomness.
+   * @param first_start Whether all nodes start for the first time, together.
    */
   MemberService(Member self, std::vector<Address> seeds, Loop &loop, Bus &bus,
-                LinkClient &link, Table &table, Random &random);
+                LinkClient &link, Table &table, Random &random,
+                bool first_start = false);
 
   [[nodiscard]] Membership &Get() noexcept { return this->membership; }
   [[nodiscard]] const Membership &Get() const noexcept {
     return this->membership;
   }
 
+  /*! @brief Who asks the store on behalf of all. @return The decision. */
+  [[nodiscard]] const StoreDuty &Duty() const noexcept { return this->duty; }
+
   /*! @brief Whether this node knows the others, or that there are none. */
   [[nodiscard]] bool Joined() const noexcept { return this->joined; }
 
@@ -73,7 +79,9 @@
 
  private:
   void Bootstrap();
+  void ReadBootstrapRow();
   void JoinThrough(NodeId peer);
+  void JoinThroughSome(std::vector<NodeId> peers);
   [[nodiscard]] Span BootstrapPause();
   void Register(std::uint64_t version, std::vector<NodeId> listed);
   [[nodiscard]] bool Alone() const;
@@ -85,6 +93,8 @@
   Table &table;
   Random &random;
   Membership membership;
+  StoreDuty duty;
+  bool first_start;
   std::vector<MemberListener> member_listeners;
   std::vector<VersionListener> version_listeners;
   Time started{};
--- a/src/pollenring/node/share_service.cc
+++ b/src/pollenring/node/share_service.cc
@@ -62,11 +62,13 @@
   refusal.workspace = request.workspace;
   refusal.loan = request.loan;
   const auto lender = this->lenders.find(request.slot);
-  const auto share = this->rates.RateOf(request.workspace);
+  auto share = this->rates.RateOf(request.workspace);
   if (lender == this->lenders.end() || !share) return refusal;
   const auto part =
       PartOf(request.workspace, request.slot, this->holders.Count());
   if (!part) return refusal;
+  share->rate *= this->holders.Part();
+  share->burst *= this->holders.Part();
   const Time valid_until = this->holders.ValidUntil(request.slot);
   return lender->second.Lend(request, *share, *part, valid_until);
 }
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -41,6 +41,7 @@
   std::vector<WireHeader> headers;
   Importance importance{Importance::kNormal};
   bool idempotent{true};
+  bool repeat{};    /*!< A retry, or a call on behalf of one. */
   bool keyed{true}; /*!< The caller itself has shown the workspace's key. */
   double lot{};
   double weight{1}; /*!< The workspace's part of what is left. */
@@ -50,8 +51,8 @@
   std::int64_t aim_us{}; /*!< Until the aim of the call itself. */
   std::int32_t retries{};
   MSGPACK_DEFINE(root_id, workspace, service, method, path, host, route, caller,
-                 headers, importance, idempotent, keyed, lot, weight, depth,
-                 remaining_us, root_age_us, aim_us, retries)
+                 headers, importance, idempotent, repeat, keyed, lot, weight,
+                 depth, remaining_us, root_age_us, aim_us, retries)
 };
 
 /*! @brief Levels travel in thousandths. */
--- a/src/pollenring/retry/budget.h
+++ b/src/pollenring/retry/budget.h
@@ -1,12 +1,12 @@
 #ifndef POLLENRING_RETRY_BUDGET_H_
 #define POLLENRING_RETRY_BUDGET_H_
 
-#include <algorithm>
-#include <cstddef>
-#include <functional>
+#include <chrono>
 #include <string>
 #include <unordered_map>
 
+#include "pollenring/core/clock.h"
+#include "pollenring/core/random.h"
 #include "pollenring/retry/ceiling.h"
 
 namespace pollenring {
@@ -22,9 +22,11 @@
   /*! @brief Counts a call that its target answered. @param service Service. */
   virtual void Succeeded(const std::string &service) = 0;
 
-  /*! @brief Whether a retry would be allowed. @param service Service.
-   * @return So. */
-  [[nodiscard]] virtual bool Allows(const std::string &service) = 0;
+  /**
+   * @brief Counts a call on behalf of a run that was itself a retry.
+   * @param service The service that is called.
+   */
+  virtual void Repeated(const std::string &service) = 0;
 
   /*! @brief Spends a retry. @param service Service. @return If allowed. */
   [[nodiscard]] virtual bool Spend(const std::string &service) = 0;
@@ -36,8 +38,8 @@
   void Succeeded(const std::string &service) override {
     this->ceilings[service].Succeeded();
   }
-  [[nodiscard]] bool Allows(const std::string &service) override {
-    return this->ceilings[service].Allows();
+  void Repeated(const std::string & /*service*/) override {
+    // The allowance of the request bounds what its retries cause below.
   }
   [[nodiscard]] bool Spend(const std::string &service) override {
     return this->ceilings[service].Spend();
@@ -48,53 +50,54 @@
 };
 
 /*! @brief What all nodes together may spend on retries. */
-struct FleetRetryOptions {
-  double share{0.08}; /*!< Retries earned by each answered call. */
-  double reserve{24}; /*!< Most that all nodes together save up. */
+struct TrafficRetryOptions {
+  double share{0.06}; /*!< Retries earned by each answered call. */
+  /*! @brief Time after which what was earned counts a third: in a chain of four
+   * services that begin to fail at once each level spends its savings. */
+  Span savings_last{std::chrono::seconds{3}};
+  /*! @brief Time after which what is owed counts a third; the users' window. */
+  Span debt_lasts{std::chrono::seconds{10}};
+  double most_owed{50}; /*!< Debt beyond which nothing more is added. */
 };
 
 /**
- * @brief One budget per service for all nodes together.
+ * @brief A budget per service that all nodes keep to without a word.
  *
- * Each node keeps its part of the reserve, so that the sum holds without a word
- * between them. It starts with nothing, since what the process before it spent
- * is not known.
+ * Each node spends what its own calls have earned of late, so the sum is bound
+ * by the traffic of all nodes, however many they are and whomever they see. A
+ * node that has earned a part of a retry draws for a whole one. Calls made by a
+ * run that was itself a retry are charged as retries, so that a chain of
+ * services stays within the bound of one. A process starts with nothing, since
+ * what the one before it spent is not known.
  */
-class FleetRetryBudget final : public RetryBudget {
+class TrafficRetryBudget final : public RetryBudget {
  public:
   /**
    * @brief Starts with nothing saved.
    * @param options Limits.
-   * @param nodes Tells how many nodes share the budget; 1 or more.
+   * @param clock Clock.
+   * @param random Draws for parts of a retry.
    */
-  FleetRetryBudget(const FleetRetryOptions &options,
-                   std::function<std::size_t()> nodes)
-      : options{options}, nodes{std::move(nodes)} {}
-
-  void Succeeded(const std::string &service) override {
-    double &saved = this->saved[service];
-    saved = std::min(this->Most(), saved + this->options.share);
-  }
+  TrafficRetryBudget(const TrafficRetryOptions &options, const Clock &clock,
+                     Random &random)
+      : options{options}, clock{clock}, random{random} {}
 
-  [[nodiscard]] bool Allows(const std::string &service) override {
-    return this->saved[service] >= 1;
-  }
-
-  [[nodiscard]] bool Spend(const std::string &service) override {
-    if (!this->Allows(service)) return false;
-    this->saved[service] -= 1;
-    return true;
-  }
+  void Succeeded(const std::string &service) override;
+  void Repeated(const std::string &service) override;
+  [[nodiscard]] bool Spend(const std::string &service) override;
 
  private:
-  [[nodiscard]] double Most() const {
-    const auto count = static_cast<double>(this->nodes());
-    return std::max(1.0, this->options.reserve / count);
-  }
+  struct Account {
+    double saved{}; /*!< Retries; below 0 when owed. */
+    Time as_of{};
+  };
+
+  [[nodiscard]] Account &AccountOf(const std::string &service);
 
-  FleetRetryOptions options;
-  std::function<std::size_t()> nodes;
-  std::unordered_map<std::string, double> saved;
+  TrafficRetryOptions options;
+  const Clock &clock;
+  Random &random;
+  std::unordered_map<std::string, Account> accounts;
 };
 
 }  // namespace pollenring
--- /dev/null
+++ b/test/pollenring/membership/store_duty_test.cc
@@ -0,0 +1,138 @@
+#include "pollenring/membership/store_duty.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "support/member_fleet.h"
+#include "support/seeds.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using pollenring::Span;
+using pollenring::StoreDuty;
+using pollenring::StoreDutyOptions;
+using pollenring::Time;
+using support::MemberFleet;
+
+/*! @brief Nodes that ask a store, as often as their duty says. */
+class Watchers {
+ public:
+  explicit Watchers(MemberFleet &fleet) : fleet{fleet} {}
+
+  /*! @brief Whether the store answers a node. */
+  std::function<bool(int)> reaches = [](int) { return true; };
+
+  /*! @brief Runs; a change of version is written at the given time. */
+  void Run(std::chrono::milliseconds length) {
+    constexpr auto kStep = 100ms;
+    for (auto passed = 0ms; passed < length; passed += kStep) {
+      this->fleet.Run(kStep);
+      this->now += kStep;
+      for (int i = 0; i < this->fleet.Size(); ++i) this->Look(i);
+    }
+  }
+
+  /*! @brief Highest age of the store's word at a node that lives. */
+  [[nodiscard]] Span Oldest() const {
+    Span oldest{0};
+    for (int i = 0; i < this->fleet.Size(); ++i) {
+      const auto *membership = this->fleet.At(i);
+      if (membership == nullptr) continue;
+      oldest =
+          std::max(oldest, this->fleet.clock.Now() - membership->StoreHeard());
+    }
+    return oldest;
+  }
+
+  int calls{};
+
+ private:
+  void Look(int index) {
+    auto *membership = this->fleet.At(index);
+    if (membership == nullptr) return;
+    const StoreDuty duty{*membership, StoreDutyOptions{}, this->fleet.clock};
+    Time &due = this->due[index];
+    if (!duty.Asks() || this->now < due) return;
+    ++this->calls;
+    const bool heard = this->reaches(index);
+    due =
+        this->now + (heard ? duty.NextWatch(this->fleet.random) : Span{800ms});
+    if (heard) membership->HearStore();
+  }
+
+  MemberFleet &fleet;
+  Time now{};
+  std::map<int, Time> due;
+};
+
+}  // namespace
+
+TEST_CASE("store duty: calls do not grow with the nodes, word reaches all") {
+  for (const int size : {30, 100, 300}) {
+    MemberFleet fleet{size, 4};
+    Watchers watchers{fleet};
+    watchers.Run(20s);
+    watchers.calls = 0;
+    Span oldest{0};
+    for (int i = 0; i < 20; ++i) {
+      watchers.Run(1s);
+      oldest = std::max(oldest, watchers.Oldest());
+    }
+    INFO("nodes " << size << ", calls " << watchers.calls << ", oldest "
+                  << oldest.count());
+    // Six nodes on duty, a call each 1.1 to 2.2 s, seen each 100 ms.
+    CHECK(watchers.calls < 6 * 20);
+    CHECK(watchers.calls > 6 * 20 / 3);
+    CHECK(oldest < 2500ms);
+  }
+}
+
+TEST_CASE("store duty: others step in for lost, cut off or refused nodes") {
+  for (const auto seed : support::Seeds(4)) {
+    INFO("seed " << seed);
+    MemberFleet fleet{100, seed};
+    Watchers watchers{fleet};
+    watchers.Run(20s);
+    // The store turns away all that are on duty now, and a third of the rest.
+    std::set<int> refused;
+    for (int i = 0; i < fleet.Size(); ++i) {
+      const StoreDuty duty{*fleet.At(i), StoreDutyOptions{}, fleet.clock};
+      if (duty.OnDuty() || i % 3 == 0) refused.insert(i);
+    }
+    watchers.reaches = [&refused](int node) {
+      return refused.count(node) == 0;
+    };
+    watchers.Run(4s);
+    CHECK(watchers.Oldest() < 4s);
+    watchers.calls = 0;
+    watchers.Run(10s);
+    CHECK(watchers.Oldest() < 4500ms);
+    // Far from one call a second for each of 100 nodes.
+    CHECK(watchers.calls < 300);
+    watchers.reaches = [](int) { return true; };
+    // All nodes on duty are killed at once; word of the store is old by then.
+    std::vector<int> on_duty;
+    for (int i = 0; i < fleet.Size(); ++i) {
+      const StoreDuty duty{*fleet.At(i), StoreDutyOptions{}, fleet.clock};
+      if (duty.OnDuty()) on_duty.push_back(i);
+    }
+    for (const int node : on_duty) fleet.Kill(node);
+    watchers.Run(4s);
+    CHECK(watchers.Oldest() < 3500ms);
+  }
+}
+
+TEST_CASE("store duty: a node by itself asks") {
+  MemberFleet fleet{12, 2};
+  Watchers watchers{fleet};
+  watchers.Run(10s);
+  for (int i = 1; i < 12; ++i) fleet.network.cuts.insert({0, i});
+  watchers.Run(4s);
+  const StoreDuty duty{*fleet.At(0), StoreDutyOptions{}, fleet.clock};
+  CHECK(duty.Asks());
+}
--- a/test/pollenring/retry/budget_test.cc
+++ b/test/pollenring/retry/budget_test.cc
@@ -1,43 +1,193 @@
 #include "pollenring/retry/budget.h"
 
+#include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <memory>
+#include <string>
 #include <vector>
 
+#include "support/seeds.h"
+
 namespace {
 
-using pollenring::FleetRetryBudget;
-using pollenring::FleetRetryOptions;
+using namespace std::chrono_literals;
+using pollenring::ManualClock;
+using pollenring::SeededRandom;
+using pollenring::Time;
+using pollenring::TrafficRetryBudget;
+using pollenring::TrafficRetryOptions;
+
+/*! @brief The users' bound: a fifth of the requests in a window, or in the one
+ * before or half before it, and a slack that does not grow with the nodes. */
+constexpr double kRatio = 0.2;
+constexpr double kSlack = 50;
+constexpr auto kWindow = 10s;
+
+/*! @brief Services in a chain, and how often each calls the next. */
+constexpr std::array<const char *, 4> kChain{"top", "second", "third", "deep"};
+constexpr std::array<int, 3> kTimes{2, 1, 4};
+
+/*! @brief Nodes with a budget each, and what arrives at each service. */
+class Fleet {
+ public:
+  Fleet(std::size_t size, std::uint64_t seed) : random{seed} {
+    for (std::size_t i = 0; i < size; ++i) this->Restart(i);
+  }
+
+  /*! @brief A process that starts anew. */
+  void Restart(std::size_t index) {
+    if (this->budgets.size() <= index) this->budgets.resize(index + 1);
+    this->budgets[index] = std::make_unique<TrafficRetryBudget>(
+        TrafficRetryOptions{}, this->clock, this->random);
+  }
+
+  /*! @brief Runs one request of a service at a random node, with its calls. */
+  bool Call(std::size_t level, bool repeat) {
+    TrafficRetryBudget &budget =
+        *this->budgets[this->random.Index(this->budgets.size())];
+    const std::string service = kChain[level];
+    this->Count(level, repeat);
+    if (repeat) budget.Repeated(service);
+    for (int attempt = 0;; ++attempt) {
+      const bool again = repeat || attempt > 0;
+      bool good = !this->random.Chance(this->failing[level]);
+      for (int i = 0; good && level < kTimes.size() && i < kTimes[level]; ++i) {
+        good = this->Call(level + 1, again);
+      }
+      if (!again) budget.Succeeded(service);
+      if (good) return true;
+      if (attempt > 0 || !budget.Spend(service)) return false;
+      ++this->retries;
+      this->Count(level, true);
+    }
+  }
+
+  /*! @brief Lets requests come, and checks every window. */
+  void Run(std::chrono::milliseconds length, int per_second) {
+    const auto gap = std::chrono::microseconds{1'000'000 / per_second};
+    for (Time passed{}; passed < length; passed += gap) {
+      this->clock.Advance(gap);
+      this->Call(0, false);
+      this->Check();
+    }
+  }
+
+  SeededRandom random;
+  ManualClock clock{1h};
+  std::array<double, 4> failing{};
+  int retries{};
+  int requests{};
+  int worst{}; /*!< Highest part of the bound that was used, in percent. */
+
+ private:
+  struct Seen {
+    std::deque<Time> first;
+    std::deque<Time> again;
+  };
+
+  void Count(std::size_t level, bool repeat) {
+    Seen &seen = this->seen[level];
+    (repeat ? seen.again : seen.first).push_back(this->clock.Now());
+    if (level == 0 && !repeat) ++this->requests;
+  }
+
+  void Check() {
+    const Time now = this->clock.Now();
+    const auto drop = [](std::deque<Time> &times, Time before) {
+      while (!times.empty() && times.front() < before) times.pop_front();
+    };
+    for (auto &at : this->seen) {
+      drop(at.again, now - kWindow);
+      drop(at.first, now - 2 * kWindow);
+      std::size_t requests = 0;
+      for (const Time end : {now, now - kWindow / 2, now - kWindow}) {
+        const auto from =
+            std::lower_bound(at.first.begin(), at.first.end(), end - kWindow);
+        const auto to = std::upper_bound(from, at.first.end(), end);
+        requests = std::max(requests, static_cast<std::size_t>(to - from));
+      }
+      const double bound = kRatio * static_cast<double>(requests) + kSlack;
+      const auto used =
+          static_cast<int>(100 * static_cast<double>(at.again.size()) / bound);
+      this->worst = std::max(this->worst, used);
+    }
+  }
+
+  std::vector<std::unique_ptr<TrafficRetryBudget>> budgets;
+  std::array<Seen, 4> seen;
+};
 
 }  // namespace
 
-TEST_CASE("fleet retry budget: all nodes together stay within the bound") {
-  // A service fails on every node at once; what they may send again in ten
-  // seconds is bounded by a fifth of the requests and fifty.
+TEST_CASE("traffic retry budget: a chain stays within the bound of a fleet") {
+  // All services of a chain fail a part of their calls at once, after a quiet
+  // time in which nodes saved up; on a small and on a large fleet, with much
+  // and with little traffic.
   const std::size_t nodes =
-      GENERATE(std::size_t{1}, std::size_t{16}, std::size_t{48});
-  const int requests = 6000;
-  std::vector<std::unique_ptr<FleetRetryBudget>> budgets;
-  for (std::size_t i = 0; i < nodes; ++i) {
-    budgets.push_back(std::make_unique<FleetRetryBudget>(
-        FleetRetryOptions{}, [nodes] { return nodes; }));
-  }
-  int retries = 0;
-  for (int i = 0; i < requests; ++i) {
-    FleetRetryBudget &budget = *budgets[static_cast<std::size_t>(i) % nodes];
-    budget.Succeeded("deep");
+      GENERATE(std::size_t{10}, std::size_t{100}, std::size_t{300});
+  const int per_second = GENERATE(20, 300);
+  for (const auto seed : support::Seeds(2)) {
+    INFO("seed " << seed << ", nodes " << nodes);
+    Fleet fleet{nodes, seed};
+    fleet.Run(10s, per_second);
+    fleet.failing = {0.4, 0.4, 0.4, 0.4};
+    fleet.Run(12s, per_second);
+    CHECK(fleet.worst <= 100);
+    CHECK(fleet.retries > 0);
+    fleet.failing = {};
+    fleet.Run(5s, per_second);
+    fleet.failing = {0, 0, 0.2, 0.2};
+    fleet.Run(10s, per_second);
+    CHECK(fleet.worst <= 100);
   }
-  for (int i = 0; i < requests; ++i) {
-    FleetRetryBudget &budget = *budgets[static_cast<std::size_t>(i) % nodes];
-    if (i % 2 == 0) budget.Succeeded("deep");
-    while (budget.Spend("deep")) ++retries;
+}
+
+TEST_CASE("traffic retry budget: restarts of all nodes add nothing") {
+  constexpr std::size_t kNodes = 200;
+  for (const auto seed : support::Seeds(3)) {
+    INFO("seed " << seed);
+    Fleet fleet{kNodes, seed};
+    fleet.failing = {0.3, 0.3, 0.3, 0.3};
+    for (int round = 0; round < 4; ++round) {
+      fleet.Run(3s, 100);
+      for (std::size_t i = 0; i < kNodes; ++i) fleet.Restart(i);
+    }
+    CHECK(fleet.worst <= 100);
   }
-  CHECK(retries > 0);
-  CHECK(retries < requests / 5 + 50);
 }
 
-TEST_CASE("fleet retry budget: a process that starts has nothing to spend") {
-  FleetRetryBudget budget{FleetRetryOptions{}, [] { return std::size_t{1}; }};
-  CHECK_FALSE(budget.Allows("deep"));
+TEST_CASE("traffic retry budget: a few failures are mostly tried again") {
+  // One target of many breaks off two of a hundred answers.
+  Fleet fleet{100, 7};
+  fleet.Run(10s, 300);
+  fleet.failing = {0, 0, 0, 0.02};
+  fleet.retries = 0;
+  fleet.requests = 0;
+  fleet.Run(10s, 300);
+  const double failures = fleet.requests * 8 * 0.02;
+  CHECK(fleet.retries > 0.8 * failures);
+}
+
+TEST_CASE("traffic retry budget: a process that starts has nothing to spend") {
+  const ManualClock clock{1h};
+  SeededRandom random{1};
+  TrafficRetryBudget budget{TrafficRetryOptions{}, clock, random};
   CHECK_FALSE(budget.Spend("deep"));
 }
+
+TEST_CASE("traffic retry budget: asking often gains nothing") {
+  const ManualClock clock{1h};
+  SeededRandom random{1};
+  TrafficRetryBudget budget{TrafficRetryOptions{}, clock, random};
+  int granted = 0;
+  for (int i = 0; i < 1000; ++i) {
+    budget.Succeeded("deep");
+    for (int ask = 0; ask < 10; ++ask) {
+      if (budget.Spend("deep")) ++granted;
+    }
+  }
+  CHECK(granted > 40);
+  CHECK(granted < 120);
+}
