--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -245,6 +245,7 @@
       std::move(entry->envelope), std::move(entry->body), entry->deadline,
       [this, entry](CallReply reply, std::string body) {
         this->parts.levels.Learn(entry->workspace, entry->route, reply.levels);
+        this->parts.levels.LearnMarks(reply.marks);
         if (entry->open) {
           this->parts.serving.LearnFrom(entry->route, entry->workspace,
                                         reply.levels);
--- a/src/pollenring/node/call_shares.cc
+++ b/src/pollenring/node/call_shares.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <iterator>
 
 namespace pollenring {
@@ -15,6 +16,11 @@
 /*! @brief Calls that tell anything: of ten running requests, one caller more or
  * less is then seen. Others than the target may call a few times. */
 constexpr double kFewCalls = 30;
+/*! @brief Calls a second from which a target is taken to make them itself. */
+constexpr double kFrequent = 3;
+constexpr double kFrequentMemorySeconds = 1;
+/*! @brief Part of the early calls at which a caller has to be running. */
+constexpr double kMostlyPresent = 0.5;
 /*! @brief Calls after which those before count half. */
 constexpr double kRemembered = 4000;
 /*! @brief Weight of a window in the mean of running requests. */
@@ -52,10 +58,17 @@
 void CallShares::Called(const std::string &callee, Time now) {
   if (now - this->window_start >= this->window) this->CloseWindow(now);
   Callee &entry = this->callees[callee];
+  const double pause = std::chrono::duration<double>{now - entry.used}.count();
+  entry.frequent =
+      entry.frequent * std::exp(-pause / kFrequentMemorySeconds) + 1;
   entry.calls += 1;
   entry.used = now;
+  const bool early = entry.all_calls < kFewCalls;
+  if (early) entry.total += 1;
   for (const auto &[name, kind] : this->kinds) {
-    if (kind.running > 0) entry.seen[name] += kind.running;
+    if (kind.running <= 0) continue;
+    entry.seen[name] += kind.running;
+    if (early) entry.present[name] += 1;
   }
 }
 
@@ -128,7 +141,7 @@
                                                double least) const {
   std::vector<std::string> callers;
   const Callee *known = this->Known(callee);
-  if (known == nullptr) return callers;
+  if (known == nullptr) return this->EarlyCallersOf(callee);
   const double sum = SumOf(*known);
   if (sum <= 0) return callers;
   for (const auto &[name, excess] : known->excess) {
@@ -137,6 +150,19 @@
   return callers;
 }
 
+std::vector<std::string> CallShares::EarlyCallersOf(
+    const std::string &callee) const {
+  std::vector<std::string> callers;
+  const auto found = this->callees.find(callee);
+  if (found == this->callees.end()) return callers;
+  const Callee &entry = found->second;
+  if (entry.frequent < kFrequent) return callers;
+  for (const auto &[name, calls] : entry.present) {
+    if (calls >= kMostlyPresent * entry.total) callers.push_back(name);
+  }
+  return callers;
+}
+
 double CallShares::MeanRunning(const std::string &kind) const {
   const auto found = this->kinds.find(kind);
   if (found == this->kinds.end()) return kLeastMean;
--- a/src/pollenring/node/call_shares.h
+++ b/src/pollenring/node/call_shares.h
@@ -49,9 +49,12 @@
 
   /**
    * @brief Lists the kinds that make calls to a callee.
+   *
+   * While too few calls were seen to tell kinds apart, those are taken that
+   * mostly run when it is called, if it is called often.
    * @param callee What is called.
    * @param least Least share.
-   * @return Their names; none while too few calls were seen.
+   * @return Their names; none when nothing is known.
    */
   [[nodiscard]] std::vector<std::string> CallersOf(const std::string &callee,
                                                    double least) const;
@@ -75,13 +78,19 @@
   struct Callee {
     double calls{};     /*!< In this window. */
     double all_calls{}; /*!< In all windows, faded. */
+    double frequent{};  /*!< Of late, faded over a second. */
+    double total{};     /*!< Until enough was seen. */
     Time used{};
-    std::unordered_map<std::string, double> seen;   /*!< In this window. */
-    std::unordered_map<std::string, double> excess; /*!< In all, faded. */
+    std::unordered_map<std::string, double> seen;    /*!< In this window. */
+    std::unordered_map<std::string, double> excess;  /*!< In all, faded. */
+    std::unordered_map<std::string, double> present; /*!< Calls while it ran,
+                                                        of the total. */
   };
 
   /*! @brief Finds a callee of which enough was seen, or null. */
   [[nodiscard]] const Callee *Known(const std::string &callee) const;
+  [[nodiscard]] std::vector<std::string> EarlyCallersOf(
+      const std::string &callee) const;
   [[nodiscard]] static double SumOf(const Callee &callee) noexcept;
   void CloseWindow(Time now);
   static void Count(Kind &kind, int change, Time now);
--- a/src/pollenring/node/route_levels.cc
+++ b/src/pollenring/node/route_levels.cc
@@ -14,9 +14,18 @@
 /*! @brief Requests after which those before count half; a service that begins
  * to shed is then on the way after two of them. */
 constexpr double kRemembered = 20;
-/*! @brief Part of a route's requests that meet a service on its way; less comes
- * from calls that were taken for another request's. */
-constexpr double kMeets = 0.1;
+/*! @brief Part of a route's answers that must name a service on its way. Which
+ * routes make calls is an estimate at each node: less comes from few of them
+ * that are wrong. */
+constexpr double kMeets = 0.4;
+/*! @brief Own requests of a route from which others' word is not needed. */
+constexpr double kFewRequests = 5;
+/*! @brief Weight of one node's word beside those before. */
+constexpr double kWordWeight = 0.2;
+/*! @brief What the first word counts: enough to act on until others differ. */
+constexpr double kFirstWord = 0.5;
+/*! @brief Time for which a word counts that nobody repeats. */
+constexpr Span kWordLifetime = std::chrono::seconds{3};
 
 }  // namespace
 
@@ -103,11 +112,54 @@
   return mean;
 }
 
-bool RouteLevels::Meets(const Way &way, const std::string &service) {
+bool RouteLevels::Met(const Way &way, const std::string &service) {
   const auto found = way.met.find(service);
   return found != way.met.end() && found->second >= kMeets * way.requests;
 }
 
+bool RouteLevels::Meets(const Way &way, const std::string &service) const {
+  if (Met(way, service)) return true;
+  if (way.requests >= kFewRequests) return false;
+  const auto told = way.told.find(service);
+  if (told == way.told.end()) return false;
+  const bool recent = this->clock.Now() - told->second.at <= kWordLifetime;
+  return recent && told->second.meets >= kMeets;
+}
+
+std::vector<WayMark> RouteLevels::Marks(std::size_t most) const {
+  std::vector<WayMark> marks;
+  const auto scope = this->scopes.find(this->ScopeOf({}));
+  if (scope == this->scopes.end()) return marks;
+  for (const auto &[service, levels] : scope->second) {
+    if (!this->Sheds(levels)) continue;
+    for (const auto &[route, way] : this->ways) {
+      const bool seen = way.requests >= 1 || way.met.count(service) > 0;
+      if (!seen) continue;
+      if (marks.size() >= most) return marks;
+      marks.push_back({route, service, Met(way, service)});
+    }
+  }
+  return marks;
+}
+
+void RouteLevels::LearnMarks(const std::vector<WayMark> &marks) {
+  const Time now = this->clock.Now();
+  for (const auto &mark : marks) {
+    const auto known = this->ways.find(mark.route);
+    if (known == this->ways.end() && !mark.meets) continue;
+    Way &way = this->ways[mark.route];
+    if (way.used == Time{}) way.used = now;
+    const auto [told, fresh] = way.told.try_emplace(mark.service);
+    if (fresh || now - told->second.at > kWordLifetime) {
+      told->second.meets = mark.meets ? kFirstWord : 0;
+    } else {
+      const double word = mark.meets ? 1 : 0;
+      told->second.meets += kWordWeight * (word - told->second.meets);
+    }
+    told->second.at = now;
+  }
+}
+
 std::vector<ServiceLevel> RouteLevels::Shedding(const std::string &workspace,
                                                 const std::string &route,
                                                 std::size_t most) const {
@@ -118,7 +170,8 @@
   const auto way = this->ways.find(route);
   for (const auto &[name, service] : scope->second) {
     if (!this->Sheds(service)) continue;
-    const bool on_way = way != this->ways.end() && Meets(way->second, name);
+    // Only what was seen here; word of others would come back as evidence.
+    const bool on_way = way != this->ways.end() && Met(way->second, name);
     for (const auto &[node, known] : service) {
       if (this->Stale(known)) continue;
       const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -142,11 +195,9 @@
   if (way == this->ways.end()) return highest;
   const auto scope = this->scopes.find(this->ScopeOf(workspace));
   if (scope == this->scopes.end()) return highest;
-  for (const auto &[name, count] : way->second.met) {
-    if (!Meets(way->second, name)) continue;
-    const auto service = scope->second.find(name);
-    if (service == scope->second.end()) continue;
-    WayLevel mean = this->MeanOf(service->second);
+  for (const auto &[name, service] : scope->second) {
+    if (!this->Meets(way->second, name)) continue;
+    WayLevel mean = this->MeanOf(service);
     if (mean.level <= highest.level) continue;
     highest = std::move(mean);
     highest.service = name;
--- a/src/pollenring/node/route_levels.h
+++ b/src/pollenring/node/route_levels.h
@@ -84,6 +84,21 @@
                                                    const std::string &route,
                                                    std::size_t most) const;
 
+  /**
+   * @brief Lists what this node has seen of the ways of routes.
+   * @param most Most marks to list.
+   * @return Which routes meet a service that sheds, and which do not.
+   */
+  [[nodiscard]] std::vector<WayMark> Marks(std::size_t most) const;
+
+  /**
+   * @brief Takes in what another node has seen.
+   *
+   * Its word counts for routes of which this node has seen few requests.
+   * @param marks What it has seen.
+   */
+  void LearnMarks(const std::vector<WayMark> &marks);
+
   /**
    * @brief Finds what sheds most on a route's way.
    * @param workspace Workspace of the roots.
@@ -103,11 +118,18 @@
   using Service = std::unordered_map<NodeId, Known>;
   using Services = std::unordered_map<std::string, Service>;
 
+  /*! @brief What other nodes say of a route and a service. */
+  struct Told {
+    double meets{}; /*!< Part of them that say so. */
+    Time at{};
+  };
+
   /*! @brief How many of a route's requests met each service that shed. */
   struct Way {
     double requests{};
     Time used{};
     std::unordered_map<std::string, double> met;
+    std::unordered_map<std::string, Told> told;
   };
 
   [[nodiscard]] const std::string &ScopeOf(
@@ -115,7 +137,8 @@
   [[nodiscard]] bool Stale(const Known &known) const noexcept;
   [[nodiscard]] bool Sheds(const Service &service) const noexcept;
   [[nodiscard]] WayLevel MeanOf(const Service &service) const noexcept;
-  [[nodiscard]] static bool Meets(const Way &way, const std::string &service);
+  [[nodiscard]] static bool Met(const Way &way, const std::string &service);
+  [[nodiscard]] bool Meets(const Way &way, const std::string &service) const;
   void Meet(const std::string &route, const std::vector<ServiceLevel> &levels);
   void Take(const std::string &workspace,
             const std::vector<ServiceLevel> &levels);
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -24,7 +24,10 @@
 constexpr std::size_t kMostLevels = 16;
 /*! @brief Part of the calls to a route that another must make to count as one
  * that leads there; estimates of a few hundred calls are off by half of it. */
-constexpr double kLeastShare = 0.1;
+constexpr double kLeastShare = 0.15;
+/*! @brief Marks of other routes that an answer passes on; some 25 bytes each,
+ * and none while nothing sheds. */
+constexpr std::size_t kMostMarks = 8;
 
 }  // namespace
 
@@ -226,6 +229,7 @@
   const CallEnvelope &envelope = served.envelope;
   reply.levels =
       this->levels.Shedding(envelope.workspace, envelope.route, kMostLevels);
+  reply.marks = this->levels.Marks(kMostMarks);
   const auto found = this->bindings.find(envelope.service);
   if (found == this->bindings.end()) return;
   const Admission &admission = *found->second.admission;
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -69,6 +69,14 @@
   MSGPACK_DEFINE(service, node, level_milli, per_second, age_ms, on_way)
 };
 
+/*! @brief Whether requests of a route meet a service that sheds. */
+struct WayMark {
+  std::string route;
+  std::string service;
+  bool meets{};
+  MSGPACK_DEFINE(route, service, meets)
+};
+
 /*! @brief What travels with an answer from node to node, before its body. */
 struct CallReply {
   Outcome outcome{Outcome::kUnknown};
@@ -79,9 +87,10 @@
   std::int64_t retry_after_us{};
   LoadReport load;
   std::vector<ServiceLevel> levels;
+  std::vector<WayMark> marks; /*!< Of other requests that the node has seen. */
   NodeId served_by{}; /*!< Does not travel; known where the call was sent. */
   MSGPACK_DEFINE(outcome, reason, status, headers, retries_unspent,
-                 retry_after_us, load, levels)
+                 retry_after_us, load, levels, marks)
 };
 
 /*! @brief A message between nodes: fields, then raw bytes. */
--- a/test/pollenring/node/call_shares_test.cc
+++ b/test/pollenring/node/call_shares_test.cc
@@ -136,3 +136,19 @@
   CHECK(shares.MeanRunning("kind0") == Approx(0.01));
   CHECK(shares.CallersOf("callee", 0.1).empty());
 }
+
+TEST_CASE("call shares: a target's only kind is known from its first calls") {
+  // One of many targets of a service: three requests a second, all alike.
+  CallShares shares{1h};
+  Time now = 1h;
+  for (int i = 0; i < 2; ++i) {
+    shares.Begin("lookup", now);
+    for (int call = 0; call < 2; ++call) {
+      now += 150ms;
+      shares.Called("callee", now);
+    }
+    now += 50ms;
+    shares.End("lookup", now);
+  }
+  CHECK(shares.CallersOf("callee", 0.1) == std::vector<std::string>{"lookup"});
+}
--- a/test/pollenring/node/route_levels_test.cc
+++ b/test/pollenring/node/route_levels_test.cc
@@ -151,3 +151,40 @@
   CHECK(passed.front().service == "service40");
   CHECK(passed.front().on_way);
 }
+
+TEST_CASE("route levels: a young node goes by what others have seen") {
+  // One of hundreds of entries: it has seen no answer of the route yet, others
+  // pass on what they have seen with answers of other routes.
+  ManualClock clock{std::chrono::hours{1}};
+  RouteLevels seen{RouteLevelOptions{}, clock};
+  RouteLevels young{RouteLevelOptions{}, clock};
+  for (int i = 0; i < 10; ++i) {
+    seen.Learn({}, "deep", {Of("deepest", 7, 1500)});
+    seen.Learn({}, "shallow", {});
+  }
+  ServiceLevel heard = Of("deepest", 7, 1500);
+  heard.on_way = false;
+  young.Learn({}, "shallow", {heard});
+  CHECK(young.HighestOn({}, "deep").level == 0);
+  young.LearnMarks(seen.Marks(kMost));
+  CHECK(young.HighestOn({}, "deep").level == Approx(1.5));
+  CHECK(young.HighestOn({}, "shallow").level == 0);
+  // What it has heard is no evidence of its own.
+  for (const auto &mark : young.Marks(kMost)) CHECK_FALSE(mark.meets);
+}
+
+TEST_CASE("route levels: a few nodes that are wrong convince nobody") {
+  // Which routes make calls is estimated at each node; one in four is wrong.
+  ManualClock clock{std::chrono::hours{1}};
+  RouteLevels levels{RouteLevelOptions{}, clock};
+  int refused = 0;
+  for (int i = 0; i < 200; ++i) {
+    clock.Advance(milliseconds{10});
+    ServiceLevel heard = Of("deepest", 7, 1500);
+    heard.on_way = false;
+    levels.Learn({}, "other", {heard});
+    levels.LearnMarks({{"download", "deepest", i % 4 == 0}});
+    if (levels.HighestOn({}, "download").level > 0) ++refused;
+  }
+  CHECK(refused < 50);
+}
