--- a/test/pollenring/node/call_shares_test.cc
+++ b/test/pollenring/node/call_shares_test.cc
@@ -152,3 +152,51 @@
   }
   CHECK(shares.CallersOf("callee", 0.1) == std::vector<std::string>{"lookup"});
 }
+
+TEST_CASE("call shares: a kind quicker than the calls makes none, in a ramp") {
+  // An overload begins at the service below: all numbers rise together, calls
+  // take 250 to 400 ms each, downloads 100 as ever.
+  for (const std::uint64_t seed : {1U, 2U, 3U, 4U, 5U, 6U}) {
+    SeededRandom random{seed};
+    Time now = 1h;
+    CallShares shares{now};
+    struct Run {
+      bool lookup;
+      Time ends;
+      Time calls;
+      Time began;
+    };
+    std::vector<Run> runs;
+    for (int ms = 0; ms < 5000; ++ms) {
+      now += 1ms;
+      const double ramp = 1 + ms / 1000.0;
+      if (random.Chance(0.02 * ramp)) {
+        runs.push_back({true, now + 1300ms, now, now});
+        shares.Begin("lookup", now);
+      }
+      if (random.Chance(0.004 * ramp)) {
+        runs.push_back({false, now + 100ms, Time::max(), now});
+        shares.Begin("download", now);
+      }
+      for (auto it = runs.begin(); it != runs.end();) {
+        if (it->calls <= now) {
+          const pollenring::Span took{250'000 + random.Index(150'000)};
+          shares.Called("callee", now);
+          shares.CallAnswered("callee", took);
+          it->calls = now + took;
+        }
+        if (it->ends > now) {
+          ++it;
+          continue;
+        }
+        const std::string kind = it->lookup ? "lookup" : "download";
+        shares.Answered(kind, now - it->began);
+        shares.End(kind, now);
+        it = runs.erase(it);
+      }
+    }
+    INFO("seed " << seed);
+    CHECK(shares.CallersOf("callee", 0.15) ==
+          std::vector<std::string>{"lookup"});
+  }
+}
