--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -247,10 +247,8 @@
         this->parts.levels.Learn(entry->workspace, entry->route, reply.levels);
         this->parts.levels.LearnMarks(reply.marks);
         if (entry->open) {
-          const bool ran = reply.outcome == Outcome::kRan;
-          const Span took = this->loop.GetClock().Now() - entry->started;
           this->parts.serving.LearnFrom(entry->route, entry->workspace,
-                                        reply.levels, ran ? took : Span{0});
+                                        reply.levels);
         }
         this->parts.serving.EndSubCall(entry->parent);
         this->Answer(entry, std::move(reply), std::move(body));
--- a/src/pollenring/node/call_shares.cc
+++ b/src/pollenring/node/call_shares.cc
@@ -21,12 +21,6 @@
 constexpr double kFrequentMemorySeconds = 1;
 /*! @brief Part of the early calls at which a caller has to be running. */
 constexpr double kMostlyPresent = 0.5;
-/*! @brief Part of the calls that are taken as quick: a caller's request lasts
- * as long as its slowest call, so at most so many of its requests are. */
-constexpr std::size_t kQuickDivisor = 4;
-/*! @brief Part of quick requests above which a kind makes no such calls. */
-constexpr double kTooManyQuick = 0.35;
-constexpr double kQuickWeight = 0.1;
 /*! @brief Calls after which those before count half. */
 constexpr double kRemembered = 4000;
 /*! @brief Weight of a window in the mean of running requests. */
@@ -78,29 +72,6 @@
   }
 }
 
-void CallShares::CallAnswered(const std::string &callee, Span took) {
-  const auto found = this->callees.find(callee);
-  if (found == this->callees.end()) return;
-  Callee &entry = found->second;
-  entry.times[entry.answered++ % entry.times.size()] = took;
-}
-
-void CallShares::Answered(const std::string &kind, Span took) {
-  for (auto &[name, callee] : this->callees) {
-    if (callee.answered < callee.times.size()) continue;
-    auto times = callee.times;
-    const auto quick = times.begin() + times.size() / kQuickDivisor;
-    std::nth_element(times.begin(), quick, times.end());
-    double &brief = callee.brief[kind];
-    brief += kQuickWeight * ((took < *quick ? 1 : 0) - brief);
-  }
-}
-
-bool CallShares::TooBrief(const Callee &callee, const std::string &kind) {
-  const auto found = callee.brief.find(kind);
-  return found != callee.brief.end() && found->second > kTooManyQuick;
-}
-
 void CallShares::CloseWindow(Time now) {
   const double seconds =
       std::chrono::duration<double>{now - this->window_start}.count();
@@ -119,10 +90,7 @@
       ++it;
       continue;
     }
-    for (auto &[callee, seen] : this->callees) {
-      seen.excess.erase(name);
-      seen.brief.erase(name);
-    }
+    for (auto &[callee, seen] : this->callees) seen.excess.erase(name);
     it = this->kinds.erase(it);
   }
   for (auto it = this->callees.begin(); it != this->callees.end();) {
@@ -166,7 +134,6 @@
   // sum are taken.
   const double sum = SumOf(*known);
   if (own == known->excess.end() || sum <= 0) return 0.0;
-  if (TooBrief(*known, kind)) return 0.0;
   return std::max(0.0, own->second) / sum;
 }
 
@@ -178,8 +145,7 @@
   const double sum = SumOf(*known);
   if (sum <= 0) return callers;
   for (const auto &[name, excess] : known->excess) {
-    if (excess < least * sum || TooBrief(*known, name)) continue;
-    callers.push_back(name);
+    if (excess >= least * sum) callers.push_back(name);
   }
   return callers;
 }
@@ -192,8 +158,7 @@
   const Callee &entry = found->second;
   if (entry.frequent < kFrequent) return callers;
   for (const auto &[name, calls] : entry.present) {
-    const bool present = calls >= kMostlyPresent * entry.total;
-    if (present && !TooBrief(entry, name)) callers.push_back(name);
+    if (calls >= kMostlyPresent * entry.total) callers.push_back(name);
   }
   return callers;
 }
--- a/src/pollenring/node/call_shares.h
+++ b/src/pollenring/node/call_shares.h
@@ -1,7 +1,6 @@
 #ifndef POLLENRING_NODE_CALL_SHARES_H_
 #define POLLENRING_NODE_CALL_SHARES_H_
 
-#include <array>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -20,9 +19,7 @@
  * is running: one more than on average, if requests come independently. So the
  * mean number of running requests of a kind at the moments of calls, less its
  * mean over time, is the part of the calls that this kind makes. Kinds that
- * make none are as many then as at any time. Beside others that make hundreds
- * of calls a second this tells little for long; a kind whose requests often
- * take less time than most calls can't be the one that makes them.
+ * make none are as many then as at any time.
  */
 class CallShares {
  public:
@@ -41,13 +38,6 @@
   /*! @brief A call is made. @param callee What is called. @param now Time. */
   void Called(const std::string &callee, Time now);
 
-  /*! @brief A call was answered. @param callee It. @param took Its time. */
-  void CallAnswered(const std::string &callee, Span took);
-
-  /*! @brief A request was answered. @param kind Its kind. @param took Its time
-   * at the target. */
-  void Answered(const std::string &kind, Span took);
-
   /**
    * @brief Estimates the part of the calls to a callee that a kind makes.
    * @param kind The kind.
@@ -91,12 +81,8 @@
     double frequent{};  /*!< Of late, faded over a second. */
     double total{};     /*!< Until enough was seen. */
     Time used{};
-    std::unordered_map<std::string, double> seen;   /*!< In this window. */
-    std::unordered_map<std::string, double> excess; /*!< In all, faded. */
-    std::array<Span, 32> times{}; /*!< Of the latest answered calls. */
-    std::size_t answered{};
-    /*! @brief Part of each kind's requests that took less than most calls. */
-    std::unordered_map<std::string, double> brief;
+    std::unordered_map<std::string, double> seen;    /*!< In this window. */
+    std::unordered_map<std::string, double> excess;  /*!< In all, faded. */
     std::unordered_map<std::string, double> present; /*!< Calls while it ran,
                                                         of the total. */
   };
@@ -105,8 +91,6 @@
   [[nodiscard]] const Callee *Known(const std::string &callee) const;
   [[nodiscard]] std::vector<std::string> EarlyCallersOf(
       const std::string &callee) const;
-  [[nodiscard]] static bool TooBrief(const Callee &callee,
-                                     const std::string &kind);
   [[nodiscard]] static double SumOf(const Callee &callee) noexcept;
   void CloseWindow(Time now);
   static void Count(Kind &kind, int change, Time now);
--- a/src/pollenring/node/parent_finder.cc
+++ b/src/pollenring/node/parent_finder.cc
@@ -17,7 +17,7 @@
 void ParentFinder::Add(std::uint64_t id, const std::string &kind, Time deadline,
                        Time now) {
   this->shares.Begin(kind, now);
-  this->running[id] = {deadline, now, 0, kind, now};
+  this->running[id] = {deadline, now, 0, kind};
   this->by_deadline.emplace(deadline, id);
   this->working.emplace(now, id);
 }
@@ -39,12 +39,6 @@
   this->running.erase(found);
 }
 
-void ParentFinder::Answered(std::uint64_t id, Time now) {
-  const auto found = this->running.find(id);
-  if (found == this->running.end()) return;
-  this->shares.Answered(found->second.kind, now - found->second.began);
-}
-
 void ParentFinder::CallBegun(std::uint64_t id, Time now) {
   const auto found = this->running.find(id);
   if (found == this->running.end()) return;
--- a/src/pollenring/node/parent_finder.h
+++ b/src/pollenring/node/parent_finder.h
@@ -49,15 +49,6 @@
    */
   void Remove(std::uint64_t id, Time now);
 
-  /*! @brief The target has answered a request. @param id Request. @param now
-   * Time. */
-  void Answered(std::uint64_t id, Time now);
-
-  /*! @brief A call was answered. @param callee It. @param took Its time. */
-  void CallAnswered(const std::string &callee, Span took) {
-    this->shares.CallAnswered(callee, took);
-  }
-
   /*! @brief A request waits for a call. @param id Request. @param now Time. */
   void CallBegun(std::uint64_t id, Time now);
 
@@ -88,7 +79,6 @@
     Time since{}; /*!< Of its place among those that work or wait. */
     int calls{};
     std::string kind;
-    Time began{};
   };
 
   [[nodiscard]] std::optional<std::uint64_t> Nearest(Time deadline) const;
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -19,7 +19,6 @@
 /*! @brief Pause between two lines on a busy target. */
 constexpr Span kLoadLogPeriod = std::chrono::seconds{1};
 constexpr std::size_t kContextBytes = 16;
-constexpr int kFirstFailure = 400;
 /*! @brief Levels of other targets that an answer passes on; some 25 bytes each,
  * and none while nothing sheds. */
 constexpr std::size_t kMostLevels = 16;
@@ -196,9 +195,6 @@
     this->Perform(next);
     return;
   }
-  if (response.status < kFirstFailure) {
-    this->parents.Answered(id, this->loop.GetClock().Now());
-  }
   CallReply answer;
   answer.outcome = verdict.outcome;
   answer.status = response.status;
@@ -309,8 +305,7 @@
 }
 
 void Serving::LearnFrom(const std::string &callee, const std::string &workspace,
-                        const std::vector<ServiceLevel> &levels, Span took) {
-  if (took > Span{0}) this->parents.CallAnswered(callee, took);
+                        const std::vector<ServiceLevel> &levels) {
   // A parent is mostly a guess; which routes make such calls is known better.
   for (const auto &route :
        this->parents.Shares().CallersOf(callee, kLeastShare)) {
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -136,10 +136,9 @@
    * @param callee Route of the call.
    * @param workspace Workspace of the request on whose behalf it was made.
    * @param levels Levels that came with the answer.
-   * @param took Time to a target's answer; 0 when none gave one.
    */
   void LearnFrom(const std::string &callee, const std::string &workspace,
-                 const std::vector<ServiceLevel> &levels, Span took);
+                 const std::vector<ServiceLevel> &levels);
 
   /**
    * @brief Finds a request in progress.
