A node that hears nobody lends its own part; the ring's test over cuts

Cause: Part counted members as lending until each was found silent, one probe at a time: 20 of 60 nodes, cut off one by one, together with the others still lent 2.3 times a slot's part of the rates after 8 s. Ruled out: shorter suspicion (the isolated node probes one peer at a time).

--- a/src/pollenring/mesh/slot_ring.cc
+++ b/src/pollenring/mesh/slot_ring.cc
@@ -10,6 +10,9 @@
 /*! @brief Slots in all; several times what workspaces of one deployment need,
  * and each costs a hash per member on a change. */
 constexpr SlotId kSlots = 32;
+/*! @brief Silence of all others after which a node is cut off; it hears answers
+ * to its probes several times a second. */
+constexpr Span kAloneAfter = std::chrono::milliseconds{1200};
 /*! @brief Longest loan; the ring is dealt anew much more often. */
 constexpr Span kValidity = std::chrono::seconds{2};
 
@@ -30,13 +33,11 @@
 void SlotRing::Update(SlotUser &user) {
   if (this->dealt_for == this->membership.Changes()) return;
   this->dealt_for = this->membership.Changes();
-  std::size_t lending = 1;
+  this->lending = 1;
   for (const auto &[id, member] : this->membership.Members()) {
-    if (Lends(member)) ++lending;
+    if (Lends(member)) ++this->lending;
   }
-  const std::size_t silent = this->membership.Silent();
-  this->part =
-      static_cast<double>(lending) / static_cast<double>(lending + silent);
+  this->silent = this->membership.Silent();
   const NodeId self = this->membership.Self().id;
   for (SlotId slot = 0; slot < kSlots; ++slot) {
     NodeId best = 0;
@@ -62,6 +63,12 @@
   }
 }
 
+double SlotRing::Part() const noexcept {
+  const bool alone = this->membership.Silence() > kAloneAfter;
+  const auto all = static_cast<double>(this->lending + this->silent);
+  return (alone ? 1.0 : static_cast<double>(this->lending)) / all;
+}
+
 SlotId SlotRing::Count() const noexcept { return kSlots; }
 
 std::optional<NodeId> SlotRing::HolderOf(SlotId slot) const {
--- a/src/pollenring/mesh/slot_ring.h
+++ b/src/pollenring/mesh/slot_ring.h
@@ -39,10 +39,11 @@
    * @brief Part of each workspace's rate that the nodes seen here may lend.
    *
    * Members that have fallen silent without leaving may be on the other side of
-   * a cut, where they lend their own part.
+   * a cut, where they lend their own part. A node that hears nobody stands for
+   * itself alone, before it has found each of the others silent.
    * @return From 0 to 1.
    */
-  [[nodiscard]] double Part() const noexcept override { return this->part; }
+  [[nodiscard]] double Part() const noexcept override;
 
   [[nodiscard]] SlotId Count() const noexcept override;
   [[nodiscard]] std::optional<NodeId> HolderOf(SlotId slot) const override;
@@ -54,7 +55,8 @@
   const Clock &clock;
   bool fresh;
   std::uint64_t dealt_for{}; /*!< Changes of membership when last dealt. */
-  double part{1};
+  std::size_t lending{1};
+  std::size_t silent{};
   std::vector<NodeId> holders;
 };
 
