--- a/src/pollenring/membership/fwd.h
+++ b/src/pollenring/membership/fwd.h
@@ -5,6 +5,7 @@
 
 class Membership;
 class MembershipObserver;
+class StoreDuty;
 struct Member;
 struct Target;
 struct Gossip;
--- a/src/pollenring/membership/membership.h
+++ b/src/pollenring/membership/membership.h
@@ -77,7 +77,10 @@
    * seconds, and one that has ended for good never comes back. */
   Span silent_age{std::chrono::minutes{1}};
   Span quiet_before_exchange{std::chrono::seconds{2}};
+  /*! @brief Time after its start in which a node fetches what differs without
+   * waiting for quiet; hundreds that start together never are quiet. */
   Span young_for{std::chrono::seconds{6}};
+  /*! @brief Pause between two such exchanges; one takes some milliseconds. */
   Span young_pause{std::chrono::milliseconds{400}};
   std::size_t updates_per_gossip{8};
   std::size_t spread_factor{3}; /*!< Sends per update, times log2 of members. */
@@ -241,8 +244,8 @@
   std::unordered_map<NodeId, Time> suspected_at;
   std::unordered_map<NodeId, Time> died_at;
   std::unordered_map<NodeId, Time> silent_since;
-  std::unordered_map<NodeId, std::uint64_t> left; /*!< Incarnations that said
-                                                     they leave. */
+  /*! @brief Incarnations that have said that they leave. */
+  std::unordered_map<NodeId, std::uint64_t> left;
   std::map<NodeId, Spread> spreading;
   NodeId last_spread{};
   std::optional<Probe> probe;
--- a/src/pollenring/membership/store_duty.h
+++ b/src/pollenring/membership/store_duty.h
@@ -13,8 +13,8 @@
 struct StoreDutyOptions {
   std::size_t per_zone{2}; /*!< So that one lost node leaves another. */
   std::size_t fewest{6};   /*!< In all zones; a third may be cut off at once. */
-  /*! @brief Silence of all nodes on duty after which others step in. Word of
-   * the store reaches a thousand nodes in 2 s. */
+  /*! @brief Age of the newest word from the store at which others step in;
+   * with nodes on duty at work it reaches 300 nodes sooner. */
   Span stale_after{std::chrono::milliseconds{2500}};
   /*! @brief Time between two nodes of a zone that step in. */
   Span step_in{std::chrono::milliseconds{40}};
--- a/src/pollenring/retry/fwd.h
+++ b/src/pollenring/retry/fwd.h
@@ -3,8 +3,11 @@
 
 namespace pollenring {
 
+class NodeRetryBudget;
 class RetryAllowance;
+class RetryBudget;
 class RetryCeiling;
+class TrafficRetryBudget;
 
 }  // namespace pollenring
 
--- a/src/pollenring/retry/retry_all.h
+++ b/src/pollenring/retry/retry_all.h
@@ -3,6 +3,7 @@
 
 #include "pollenring/retry/allowance.h"
 #include "pollenring/retry/backoff.h"
+#include "pollenring/retry/budget.h"
 #include "pollenring/retry/ceiling.h"
 
 #endif  // POLLENRING_RETRY_RETRY_ALL_H_
