Answers without end are bounded; an answer that names no call is nobody's

Cause: an answer may hold 17 MB, so targets that send bytes without end on all their slots at once could fill a VM of 160 MB; and a late failure without an identifier, on a connection in use again, was passed on as the next call's. Ruled out by tests: heads are bounded by the parser, foreign answers are skipped, stray bytes on an idle connection close it, a body cut off is no success. Change: all answers that are not whole yet hold 32 MB at most, the one that holds most is given up; four foreign answers end a connection; a failure that does not name its call says nothing of it. A refused connection is told from one that was not made in time. Before: the three endless tests' bound did not exist (MostHeld 6 MB with six peers, each up to its own limit); the late failure test was red. After: 12 cases of http client and both of target answers green, 83 and 12 assertions.

--- a/src/pollenring/net/answer_parser.h
+++ b/src/pollenring/net/answer_parser.h
@@ -57,6 +57,11 @@
   /*! @brief Whether the peer keeps the connection after this answer. */
   [[nodiscard]] bool KeepsAlive() const noexcept { return this->keeps_alive; }
 
+  /*! @brief Bytes of the answer that are held so far. */
+  [[nodiscard]] std::size_t Held() const noexcept {
+    return this->answer.body.size();
+  }
+
   /*! @brief How long the peer keeps an idle connection; 0 when unsaid. */
   [[nodiscard]] Span IdleTimeout() const noexcept { return this->idle_timeout; }
 
--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -25,6 +25,9 @@
 /*! @brief Part of the peer's idle time-out during which a connection is used;
  * the rest covers the way there and a late timer. */
 constexpr double kIdleFraction = 0.8;
+/*! @brief Answers of other calls that one call skips; a peer that sends more
+ * has lost count. */
+constexpr int kMostForeign = 4;
 constexpr Span kIdleSweep = std::chrono::seconds{1};
 /*! @brief Longest wait for a connection; peers are milliseconds away, and a
  * lost opening packet is sent again after one second. */
@@ -51,8 +54,8 @@
 
 class HttpClient::Impl {
  public:
-  Impl(Loop &loop, std::size_t max_body_bytes)
-      : loop{loop}, max_body_bytes{max_body_bytes} {
+  Impl(Loop &loop, const HttpClientLimits &limits)
+      : loop{loop}, limits{limits} {
     const std::weak_ptr<bool> still = this->alive;
     loop.Every(kIdleSweep, [this, still] {
       if (!still.expired()) this->DropIdle();
@@ -86,6 +89,8 @@
     return this->connects;
   }
 
+  [[nodiscard]] std::size_t HeldBytes() const noexcept { return this->held; }
+
  private:
   struct Connection {
     Impl *owner{};
@@ -96,7 +101,9 @@
     Time idle_until{};
     Loop::TimerId connect_timer{};
     bool writing{};
-    bool spoiled{}; /*!< Has carried an answer of another request. */
+    bool spoiled{};     /*!< Has carried an answer of another request. */
+    int foreign{};      /*!< Answers of others in place of the current one. */
+    std::size_t held{}; /*!< Bytes of the current answer. */
   };
 
   struct Pending {
@@ -159,7 +166,7 @@
     Impl *self = connection->owner;
     self->loop.Cancel(connection->connect_timer);
     if (error != nullptr) {
-      self->Fail(*connection, CallError::kNotConnected);
+      self->Fail(*connection, CallError::kConnectRefused);
       return;
     }
     self->Send(connection->call, self->calls.at(connection->call), *connection);
@@ -167,8 +174,9 @@
 
   void Send(CallId id, Pending &call, Connection &connection) {
     connection.call = id;
-    connection.parser.emplace(call.head_only, this->max_body_bytes);
+    connection.parser.emplace(call.head_only, this->limits.max_body_bytes);
     connection.writing = true;
+    connection.foreign = 0;
     call.connection = &connection;
     call.sent = true;
     h2o_iovec_t out = h2o_iovec_init(call.out.data(), call.out.size());
@@ -206,6 +214,11 @@
     const bool stray = used < (*input)->size;
     h2o_buffer_consume(input, (*input)->size);
     if (error == h2o_socket_error_closed) connection.parser->End();
+    this->Hold(connection, connection.parser->Held());
+    if (connection.foreign > kMostForeign) {
+      this->Fail(connection, CallError::kBroken);
+      return;
+    }
     switch (connection.parser->State()) {
       case AnswerState::kWhole:
         this->Complete(connection, stray || error != nullptr);
@@ -217,7 +230,11 @@
         this->Fail(connection, CallError::kBroken);
         return;
       case AnswerState::kPartial:
-        if (error != nullptr) this->Fail(connection, CallError::kBroken);
+        if (error != nullptr) {
+          this->Fail(connection, CallError::kBroken);
+          return;
+        }
+        this->ShedHeld();
     }
   }
 
@@ -230,10 +247,29 @@
         FindHeader(connection.parser->Answer().headers, call.mark.name);
     if (given.empty() || given == call.mark.value) return false;
     connection.spoiled = true;
-    connection.parser.emplace(call.head_only, this->max_body_bytes);
+    if (++connection.foreign > kMostForeign) return false;
+    connection.parser.emplace(call.head_only, this->limits.max_body_bytes);
     return true;
   }
 
+  /*! @brief Counts what the connection's answer holds by now. */
+  void Hold(Connection &connection, std::size_t bytes) {
+    this->held += bytes;
+    this->held -= connection.held;
+    connection.held = bytes;
+  }
+
+  /*! @brief Fails the call whose answer holds most, while all hold too much. */
+  void ShedHeld() {
+    if (this->held <= this->limits.max_held_bytes) return;
+    const auto most =
+        std::max_element(this->connections.begin(), this->connections.end(),
+                         [](const auto &left, const auto &right) {
+                           return left.second->held < right.second->held;
+                         });
+    this->Fail(*most->second, CallError::kTooLarge);
+  }
+
   void Complete(Connection &connection, bool ended) {
     const CallId id = connection.call;
     AnswerParser &parser = *connection.parser;
@@ -243,6 +279,7 @@
     const Span stated = parser.IdleTimeout();
     this->calls.at(id).connection = nullptr;
     connection.call = 0;
+    this->Hold(connection, 0);
     auto &pool = this->idle[connection.to];
     if (reusable && pool.size() < kPoolCapacity) {
       const Span kept =
@@ -308,12 +345,14 @@
 
   void Destroy(Connection &connection) {
     this->loop.Cancel(connection.connect_timer);
+    this->Hold(connection, 0);
     h2o_socket_close(connection.sock);
     this->connections.erase(&connection);
   }
 
   Loop &loop;
-  std::size_t max_body_bytes;
+  HttpClientLimits limits;
+  std::size_t held{};
   std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
   std::unordered_map<const Connection *, std::unique_ptr<Connection>>
       connections;
@@ -323,8 +362,8 @@
   std::uint64_t connects{};
 };
 
-HttpClient::HttpClient(Loop &loop, std::size_t max_body_bytes)
-    : impl{std::make_unique<Impl>(loop, max_body_bytes)} {}
+HttpClient::HttpClient(Loop &loop, const HttpClientLimits &limits)
+    : impl{std::make_unique<Impl>(loop, limits)} {}
 
 HttpClient::~HttpClient() = default;
 
@@ -335,6 +374,10 @@
                            std::move(mark));
 }
 
+std::size_t HttpClient::HeldBytes() const noexcept {
+  return this->impl->HeldBytes();
+}
+
 void HttpClient::Cancel(CallId id) { this->impl->Cancel(id); }
 
 std::uint64_t HttpClient::Connects() const noexcept {
--- a/src/pollenring/net/http_client.h
+++ b/src/pollenring/net/http_client.h
@@ -19,20 +19,37 @@
 
 /*! @brief Why a call brought no whole answer. */
 enum class CallError {
-  kNotConnected, /*!< Nothing was sent. */
-  kBroken,       /*!< Sent, but the answer is missing or incomplete. */
-  kTooLarge,     /*!< The answer exceeds the limit. */
-  kTimedOut      /*!< Sent, but no answer came in time. */
+  kNotConnected,   /*!< Nothing was sent. */
+  kConnectRefused, /*!< Nothing was sent; nobody listens there. */
+  kBroken,         /*!< Sent, but the answer is missing or incomplete. */
+  kTooLarge,       /*!< The answer exceeds the limit. */
+  kTimedOut        /*!< Sent, but no answer came in time. */
 };
 
 /*! @brief Names of call errors. */
-inline constexpr EnumTable<CallError, 4> kCallErrorNames{{{
+inline constexpr EnumTable<CallError, 5> kCallErrorNames{{{
     {CallError::kNotConnected, "not connected"},
+    {CallError::kConnectRefused, "connection refused"},
     {CallError::kBroken, "broken answer"},
     {CallError::kTooLarge, "answer too large"},
     {CallError::kTimedOut, "timed out"},
 }}};
 
+/*! @brief Whether a call ended before anything of it was sent. @param error
+ * How it ended. @return So. */
+[[nodiscard]] constexpr bool WasNotSent(CallError error) noexcept {
+  return error == CallError::kNotConnected ||
+         error == CallError::kConnectRefused;
+}
+
+/*! @brief Bounds on what a client holds of its peers' answers. */
+struct HttpClientLimits {
+  std::size_t max_body_bytes{}; /*!< Of one answer. */
+  /*! @brief Of all answers that are not whole yet; beyond it, the call whose
+   * answer holds most fails. */
+  std::size_t max_held_bytes{std::size_t{32} * 1024 * 1024};
+};
+
 /*! @brief A header that an answer repeats from its request; an answer with
  * another value belongs to another request. */
 struct AnswerMark {
@@ -55,9 +72,9 @@
   /**
    * @brief Creates a client.
    * @param loop The loop.
-   * @param max_body_bytes Largest answer that is accepted.
+   * @param limits Bounds on answers.
    */
-  HttpClient(Loop &loop, std::size_t max_body_bytes);
+  HttpClient(Loop &loop, const HttpClientLimits &limits);
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
   ~HttpClient();
@@ -81,6 +98,9 @@
    */
   void Cancel(CallId id);
 
+  /*! @brief Bytes held of answers that are not whole yet. @return The sum. */
+  [[nodiscard]] std::size_t HeldBytes() const noexcept;
+
   /*! @brief Connections opened so far. @return The count. */
   [[nodiscard]] std::uint64_t Connects() const noexcept;
 
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -48,7 +48,7 @@
       loop{loop},
       random{random},
       metrics{loop.GetClock()},
-      client{loop, kMaxBodyBytes},
+      client{loop, {kMaxBodyBytes}},
       link{loop, given.node_secret, kMaxFrameBytes},
       table{this->client, given.platform},
       objects{this->client, given.platform},
--- a/src/pollenring/node/target_dialect.cc
+++ b/src/pollenring/node/target_dialect.cc
@@ -17,7 +17,7 @@
   if (signs.not_run) return {Outcome::kNotRun, Reason::kTargetBusy, true};
   const bool ok = status >= kFirstOk && status < kFirstRedirect;
   // The call may have run, whatever the answer would make its caller believe.
-  if ((ok && !signs.genuine) || signs.promises) {
+  if ((ok && !signs.genuine) || signs.unnamed || signs.promises) {
     return {Outcome::kUnknown, Reason::kTargetFailed, false};
   }
   return {Outcome::kRan, Reason::kNone, signs.busy};
--- a/src/pollenring/node/target_dialect.h
+++ b/src/pollenring/node/target_dialect.h
@@ -24,6 +24,7 @@
   bool not_run{};     /*!< The target says that it has not run the call. */
   bool promises{};    /*!< Passed on, it would say that to the caller. */
   bool genuine{true}; /*!< It is the target's own, whole, for this call. */
+  bool unnamed{};     /*!< It does not name this call, as targets do. */
   bool busy{};        /*!< The target has too much to do. */
 };
 
--- a/src/pollenring/storage/http_storage.cc
+++ b/src/pollenring/storage/http_storage.cc
@@ -29,8 +29,8 @@
 }
 
 [[nodiscard]] StorageError WriteError(CallError error) noexcept {
-  return error == CallError::kNotConnected ? StorageError::kUnavailable
-                                           : StorageError::kUnknown;
+  return WasNotSent(error) ? StorageError::kUnavailable
+                           : StorageError::kUnknown;
 }
 
 }  // namespace
--- a/src/pollenring/storage/store_client.cc
+++ b/src/pollenring/storage/store_client.cc
@@ -18,9 +18,8 @@
   this->client.Call(this->address, request, wait + kTimeout,
                     [done = std::move(done)](HttpClient::Reply reply) {
                       if (const auto *error = std::get_if<CallError>(&reply)) {
-                        done(*error == CallError::kNotConnected
-                                 ? StorageError::kUnavailable
-                                 : StorageError::kUnknown);
+                        done(WasNotSent(*error) ? StorageError::kUnavailable
+                                                : StorageError::kUnknown);
                         return;
                       }
                       auto &response = std::get<HttpResponse>(reply);
--- a/test/pollenring/net/http_client_test.cc
+++ b/test/pollenring/net/http_client_test.cc
@@ -1,9 +1,12 @@
 #include "pollenring/net/http_client.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <memory>
 #include <optional>
 
 #include "pollenring/net/loop.h"
+#include "support/endless_peer.h"
 #include "support/late_reader.h"
 #include "support/raw_peer.h"
 
@@ -20,10 +23,17 @@
 using support::RawPeer;
 
 constexpr std::size_t kMaxBody = std::size_t{1} << 20U;
+constexpr std::size_t kMaxHeld = 2 * kMaxBody;
 
 /*! @brief A client whose calls are waited for. */
 class Caller {
  public:
+  Caller() {
+    this->loop.Every(1ms, [this] {
+      this->most_held = std::max(this->most_held, this->client.HeldBytes());
+    });
+  }
+
   HttpClient::Reply Call(const RawPeer &peer, const std::string &id = "own",
                          const std::string &body = {}) {
     return this->Call(peer.Where(), id, body);
@@ -53,6 +63,11 @@
                       [](const HttpClient::Reply & /*reply*/) {});
   }
 
+  [[nodiscard]] std::size_t Held() const { return this->client.HeldBytes(); }
+
+  /*! @brief Most bytes held of answers at once, looked at each millisecond. */
+  [[nodiscard]] std::size_t MostHeld() const { return this->most_held; }
+
   void Run(pollenring::Span length) {
     this->loop.After(length, [this] { this->loop.Stop(); });
     this->loop.Resume();
@@ -62,7 +77,8 @@
  private:
   pollenring::SystemClock clock;
   pollenring::Loop loop{clock};
-  HttpClient client{loop, kMaxBody};
+  HttpClient client{loop, {kMaxBody, kMaxHeld}};
+  std::size_t most_held{};
 };
 
 [[nodiscard]] std::string Answer(const std::string &id,
@@ -185,3 +201,57 @@
   }
   SUCCEED();
 }
+
+TEST_CASE("http client: bytes without end cost bounded memory and time") {
+  const std::string piece = GENERATE(
+      // In a status line, a header's name and value, and between headers.
+      std::string{"x"}, std::string{"HTTP/1.1 200 "} + std::string(4000, 'x'),
+      std::string{"HTTP/1.1 200 OK\r\nmark: own\r\nx-"},
+      std::string{"HTTP/1.1 100 Continue\r\n\r\n"},
+      // Answers to nobody.
+      std::string{"HTTP/1.1 200 OK\r\nmark: other\r\ncontent-length: 0\r\n"
+                  "\r\n"});
+  CAPTURE(piece.substr(0, 40));
+  support::EndlessPeer peer{{}, piece};
+  Caller caller;
+  const auto reply = caller.Call(peer.Where());
+  CHECK(std::holds_alternative<CallError>(reply));
+  CHECK(caller.MostHeld() <= kMaxBody);
+  CHECK(peer.Closed());
+}
+
+TEST_CASE("http client: a body without end is given up, with any framing") {
+  const std::string head =
+      GENERATE(std::string{"HTTP/1.1 200 OK\r\nmark: own\r\n\r\n"},
+               std::string{"HTTP/1.1 200 OK\r\nmark: own\r\n"
+                           "content-length: 99999999999\r\n\r\n"},
+               std::string{"HTTP/1.1 200 OK\r\nmark: own\r\n"
+                           "transfer-encoding: chunked\r\n\r\n"});
+  const bool chunked = head.find("chunked") != std::string::npos;
+  const bool trailers = chunked && GENERATE(false, true);
+  const std::string piece = chunked
+                                ? "400\r\n" + std::string(0x400, 'b') + "\r\n"
+                                : std::string(1000, 'b');
+  CAPTURE(head, trailers);
+  support::EndlessPeer peer{trailers ? head + "0\r\n" : head,
+                            trailers ? std::string{"x-t: 1\r\n"} : piece};
+  Caller caller;
+  const auto reply = caller.Call(peer.Where());
+  CHECK(std::holds_alternative<CallError>(reply));
+  CHECK(caller.MostHeld() <= 2 * kMaxBody);
+  CHECK(peer.Closed());
+}
+
+TEST_CASE("http client: many endless bodies together stay within the bound") {
+  std::vector<std::unique_ptr<support::EndlessPeer>> peers;
+  Caller caller;
+  for (int i = 0; i < 6; ++i) {
+    peers.push_back(std::make_unique<support::EndlessPeer>(
+        "HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'b')));
+    caller.Start(peers.back()->Where(), "x");
+  }
+  caller.Run(1s);
+  CHECK(caller.MostHeld() <= kMaxHeld + kMaxBody);
+  CHECK(caller.MostHeld() > 0);
+  CHECK(caller.Held() <= kMaxHeld);
+}
--- a/test/pollenring/node/target_dialect_test.cc
+++ b/test/pollenring/node/target_dialect_test.cc
@@ -31,6 +31,10 @@
   CHECK(JudgeAnswer(signs, 200).outcome == Outcome::kUnknown);
   // A failure is passed on as it is.
   CHECK(JudgeAnswer(signs, 500).reason == Reason::kNone);
+  // Unless it may be a late one, to another call.
+  signs.unnamed = true;
+  CHECK(JudgeAnswer(signs, 500).outcome == Outcome::kUnknown);
+  CHECK(JudgeAnswer(signs, 500).reason == Reason::kTargetFailed);
   signs.elsewhere = true;
   CHECK(JudgeAnswer(signs, 421).outcome == Outcome::kNotRun);
   CHECK(JudgeAnswer(signs, 421).reason == Reason::kNoTarget);
--- a/test/support/cluster.cc
+++ b/test/support/cluster.cc
@@ -35,7 +35,7 @@
 }  // namespace
 
 Cluster::Cluster(int net)
-    : loop{clock}, client{loop, kMaxAnswer}, random{7}, net{net} {
+    : loop{clock}, client{loop, {kMaxAnswer}}, random{7}, net{net} {
   std::signal(SIGPIPE, SIG_IGN);
   std::string pattern =
       (std::filesystem::temp_directory_path() / "pollenring-XXXXXX").string();
--- a/test/support/mesh_world.cc
+++ b/test/support/mesh_world.cc
@@ -184,7 +184,7 @@
       });
   member->target->Open();
   member->client = std::make_unique<pollenring::HttpClient>(
-      this->loop, std::size_t{1} << 24U);
+      this->loop, pollenring::HttpClientLimits{std::size_t{1} << 24U});
   member->store_client = std::make_unique<pollenring::StoreClient>(
       *member->client, settings.platform);
   member->store =
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -125,7 +125,7 @@
   pollenring::SystemClock clock;
   pollenring::Loop loop{clock};
   pollenring::SeededRandom random{11};
-  pollenring::HttpClient client{loop, std::size_t{1} << 20U};
+  pollenring::HttpClient client{loop, {std::size_t{1} << 20U}};
   pollenring::platform::Policies policies;
   pollenring::platform::Callers callers;
   pollenring::platform::Targets targets;
--- a/test/support/stream.h
+++ b/test/support/stream.h
@@ -68,8 +68,7 @@
           }
           const auto error = std::get<pollenring::CallError>(reply);
           // A node that has left refuses connections: callers take the next.
-          if (error == pollenring::CallError::kNotConnected &&
-              connects_left > 0) {
+          if (pollenring::WasNotSent(error) && connects_left > 0) {
             this->Try(connects_left - 1);
             return;
           }
--- a/tools/pollenring-load/main.cc
+++ b/tools/pollenring-load/main.cc
@@ -66,7 +66,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     const pollenring::SystemClock clock;
     pollenring::Loop loop{clock};
-    pollenring::HttpClient client{loop, kMaxAnswerBytes};
+    pollenring::HttpClient client{loop, {kMaxAnswerBytes}};
     load::Driver driver{scenario, loop, client};
     std::cout << "seed " << scenario.seed << '\n';
     driver.Start();
--- a/tools/pollenring-standin/main.cc
+++ b/tools/pollenring-standin/main.cc
@@ -85,7 +85,7 @@
 [[nodiscard]] int RunTarget(const standin::TargetOptions &options) {
   const pollenring::SystemClock clock;
   pollenring::Loop loop{clock};
-  pollenring::HttpClient client{loop, kMaxAnswerBytes};
+  pollenring::HttpClient client{loop, {kMaxAnswerBytes}};
   standin::Target target{options, loop, client};
   pollenring::HttpServerLimits limits;
   limits.max_body_bytes = kMaxAnswerBytes;
--- a/tools/pollenring/operator_client.cc
+++ b/tools/pollenring/operator_client.cc
@@ -16,7 +16,7 @@
     const nlohmann::json &body) const {
   const pollenring::SystemClock clock;
   pollenring::Loop loop{clock};
-  pollenring::HttpClient client{loop, kMaxAnswerBytes};
+  pollenring::HttpClient client{loop, {kMaxAnswerBytes}};
   pollenring::HttpRequest request;
   request.method = method;
   request.path = path;
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -96,7 +96,7 @@
 
 void RunByHosts(const Settings &settings, const std::string &path,
                 pollenring::Loop &loop, pollenring::Random &random) {
-  pollenring::HttpClient client{loop, pollenring::kMaxBodyBytes};
+  pollenring::HttpClient client{loop, {pollenring::kMaxBodyBytes}};
   pollenring::StoreClient store_client{client, settings.platform};
   pollenring::platform::Store store{store_client};
   const pollenring::platform::Policies policies;
