--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <utility>
 
 #include "pollenring/admission/aim_queue.h"
 #include "pollenring/admission/fair_queue.h"
@@ -35,6 +36,7 @@
     : options{options},
       clock{clock},
       limit{slots, options.limit, clock},
+      cold{clock},
       levels{MakeLevels(options, clock)},
       queue{MakeQueue(options.order)} {}
 
@@ -44,6 +46,23 @@
       static_cast<std::uint32_t>(this->limit.Current())};
 }
 
+void Admission::SetColdTolerance(const ColdTolerance &tolerance) {
+  this->cold.SetTolerance(tolerance);
+  this->FollowCold();
+}
+
+void Admission::SetColdUntil(Time until) {
+  this->cold.SetColdUntil(until);
+  this->FollowCold();
+}
+
+void Admission::FollowCold() {
+  const bool closed = this->cold.Closed();
+  if (std::exchange(this->was_cold, closed) == closed) return;
+  this->levels = MakeLevels(this->options, this->clock);
+  this->cold_shed_at = Time{};
+}
+
 double Admission::OfferedNow() const {
   const Span since = this->clock.Now() - this->offered_at;
   return this->offered * std::exp(-static_cast<double>(since.count()) /
@@ -57,11 +76,13 @@
 
 AdmissionActions Admission::Offer(const Ticket &ticket) {
   AdmissionActions actions;
+  this->FollowCold();
   this->offered = this->OfferedNow() + 1;
   this->offered_at = this->clock.Now();
   this->levels->Offered(ticket);
   this->queue->Push(ticket);
   this->Fill(actions);
+  this->ShedBeyondCold(actions);
   // One comes, at most one goes: a shrinking limit sheds nobody who waits.
   if (this->Overfull()) {
     const auto worst = this->queue->PopWorst();
@@ -96,30 +117,42 @@
   return actions;
 }
 
-AdmissionActions Admission::Close() {
+AdmissionActions Admission::Close(Reason why) {
   AdmissionActions actions;
   for (const auto &waiting : this->queue->RemoveExpired(Time::max())) {
-    actions.shed.push_back({waiting.id, Reason::kLeaving});
+    actions.shed.push_back({waiting.id, why});
   }
   return actions;
 }
 
 AdmissionActions Admission::Tick() {
   AdmissionActions actions;
+  this->FollowCold();
   this->Fill(actions);
+  this->ShedBeyondCold(actions);
   this->levels->Tick(this->State());
   return actions;
 }
 
 void Admission::Fill(AdmissionActions &actions) {
   this->DropLate(actions);
-  while (static_cast<int>(this->running.size()) < this->limit.Current()) {
+  while (static_cast<int>(this->running.size()) < this->limit.Current() &&
+         this->cold.HasRoom()) {
     const auto next = this->queue->Pop();
     if (!next) return;
     this->Start(*next, actions);
   }
 }
 
+void Admission::ShedBeyondCold(AdmissionActions &actions) {
+  if (!this->cold.Closed() || this->cold.HasRoom()) return;
+  for (const auto &waiting : this->queue->RemoveExpired(Time::max())) {
+    this->levels->Shed();
+    this->cold_shed_at = this->clock.Now();
+    actions.shed.push_back({waiting.id, Reason::kWarmingUp});
+  }
+}
+
 void Admission::DropLate(AdmissionActions &actions) {
   const Time needed = this->clock.Now() + this->limit.TypicalTime() / 2;
   for (const auto &late : this->queue->RemoveExpired(needed)) {
@@ -132,6 +165,7 @@
   const int running_now = static_cast<int>(this->running.size()) + 1;
   this->running[ticket.id] = {this->clock.Now(), running_now,
                               ticket.importance};
+  this->cold.Sent(ticket.id);
   actions.start.push_back(ticket.id);
 }
 
@@ -146,6 +180,15 @@
 
 QueueState Admission::State() const {
   QueueState state;
+  if (this->cold.Closed()) {
+    state.capacity = this->cold.PerSecond();
+    // What doesn't fit is shed at once, so no queue tells of it.
+    const Span since = this->clock.Now() - this->cold_shed_at;
+    if (since < this->options.level_window) {
+      state.delay = this->options.fit.longest;
+    }
+    return state;
+  }
   const Span typical = this->limit.TypicalTime();
   if (typical <= Span{0}) return state;
   const double seconds = std::chrono::duration<double>{typical}.count();
--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "pollenring/admission/cold_gate.h"
 #include "pollenring/admission/concurrency_limit.h"
 #include "pollenring/admission/fit_level.h"
 #include "pollenring/admission/level_control.h"
@@ -82,6 +83,24 @@
     return this->levels->LevelOf(workspace);
   }
 
+  /**
+   * @brief Bounds what is sent while the target is cold.
+   * @param tolerance The bound.
+   */
+  void SetColdTolerance(const ColdTolerance &tolerance);
+
+  /**
+   * @brief The target is cold until a time.
+   *
+   * Levels of a cold target say nothing of it once it is warm, nor the other
+   * way round; they begin anew at each change.
+   * @param until The end; one that has passed means warm.
+   */
+  void SetColdUntil(Time until);
+
+  /*! @brief How long the target stays cold. @return The span, or 0. */
+  [[nodiscard]] Span ColdFor() const noexcept { return this->cold.ColdFor(); }
+
   /*! @brief Requests at the target now. @return The count. */
   [[nodiscard]] std::size_t Running() const noexcept {
     return this->running.size();
@@ -116,6 +135,13 @@
                                         Span time_in_sub_calls,
                                         bool refused_by_target);
 
+  /**
+   * @brief A request that was started has not reached the target, or was
+   * turned away by it.
+   * @param id The request, sent before.
+   */
+  void TurnedAway(std::uint64_t id) { this->cold.GiveBack(id); }
+
   /**
    * @brief Drops a request whose caller has gone.
    * @param id The request, waiting or running.
@@ -123,8 +149,12 @@
    */
   [[nodiscard]] AdmissionActions Cancel(std::uint64_t id);
 
-  /*! @brief Sheds all that wait, as the target takes no more. @return Them. */
-  [[nodiscard]] AdmissionActions Close();
+  /**
+   * @brief Sheds all that wait, as the target takes no more.
+   * @param why What they are told.
+   * @return Them.
+   */
+  [[nodiscard]] AdmissionActions Close(Reason why = Reason::kLeaving);
 
   /*! @brief Sheds what can't finish in time. @return What to shed and start. */
   [[nodiscard]] AdmissionActions Tick();
@@ -139,6 +169,8 @@
   [[nodiscard]] double OfferedNow() const;
   void Fill(AdmissionActions &actions);
   void DropLate(AdmissionActions &actions);
+  void ShedBeyondCold(AdmissionActions &actions);
+  void FollowCold();
   void Start(const Ticket &ticket, AdmissionActions &actions);
   [[nodiscard]] std::size_t QueueCapacity() const noexcept;
   [[nodiscard]] bool Overfull() const;
@@ -146,6 +178,9 @@
   AdmissionOptions options;
   const Clock &clock;
   ConcurrencyLimit limit;
+  ColdGate cold;
+  bool was_cold{};
+  Time cold_shed_at{}; /*!< When a request beyond the bound came last. */
   std::unique_ptr<LevelControl> levels;
   std::unique_ptr<TicketQueue> queue;
   std::unordered_map<std::uint64_t, RunningRequest> running;
--- /dev/null
+++ b/src/pollenring/admission/cold_gate.cc
@@ -0,0 +1,41 @@
+#include "pollenring/admission/cold_gate.h"
+
+#include <algorithm>
+
+namespace pollenring {
+
+double ColdTolerance::PerSecond() const noexcept {
+  const double seconds = std::chrono::duration<double>{this->window}.count();
+  return seconds > 0 ? this->requests / seconds : 0;
+}
+
+Span ColdGate::ColdFor() const noexcept {
+  return std::max(Span{0}, this->cold_until - this->clock.Now());
+}
+
+void ColdGate::DropOld() {
+  const Time oldest = this->clock.Now() - this->tolerance.window;
+  while (!this->sent.empty() && this->sent.front().first <= oldest) {
+    this->sent.pop_front();
+  }
+}
+
+bool ColdGate::HasRoom() {
+  if (!this->Closed()) return true;
+  this->DropOld();
+  return this->sent.size() < static_cast<std::size_t>(this->tolerance.requests);
+}
+
+void ColdGate::Sent(std::uint64_t id) {
+  if (!this->Closed()) return;
+  this->sent.emplace_back(this->clock.Now(), id);
+}
+
+void ColdGate::GiveBack(std::uint64_t id) {
+  const auto found =
+      std::find_if(this->sent.begin(), this->sent.end(),
+                   [id](const auto &entry) { return entry.second == id; });
+  if (found != this->sent.end()) this->sent.erase(found);
+}
+
+}  // namespace pollenring
--- a/src/pollenring/admission/fwd.h
+++ b/src/pollenring/admission/fwd.h
@@ -4,9 +4,11 @@
 namespace pollenring {
 
 class Admission;
+class ColdGate;
 class ConcurrencyLimit;
 class FairQueue;
 class ShedLevels;
+struct ColdTolerance;
 struct Ticket;
 
 }  // namespace pollenring
--- /dev/null
+++ b/src/pollenring/config/withdrawn_zones.h
@@ -0,0 +1,70 @@
+#ifndef POLLENRING_CONFIG_WITHDRAWN_ZONES_H_
+#define POLLENRING_CONFIG_WITHDRAWN_ZONES_H_
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+namespace pollenring {
+
+/*! @brief One availability zone that the operator withdraws or gives back. */
+struct ZoneChange {
+  std::string zone;
+  bool withdrawn{};
+};
+
+/*! @brief Which availability zones were withdrawn at one moment of the store.
+ */
+struct ZonesWord {
+  std::uint64_t position{}; /*!< Of the store's history; 0: nothing is known. */
+  std::vector<std::string> zones; /*!< In order. */
+  MSGPACK_DEFINE(position, zones)
+};
+
+/**
+ * @brief Which availability zones are to get nothing, by the newest word.
+ *
+ * Words come from the store and from peers, late or out of order. Each tells
+ * all zones at one position of the store's history, so the newest replaces all
+ * others and an older one is never in force again.
+ */
+class WithdrawnZones {
+ public:
+  /**
+   * @brief Takes in a word.
+   * @param word The word.
+   * @return Whether other zones are withdrawn now, or it is the first one.
+   */
+  bool Take(const ZonesWord &word);
+
+  /*! @brief The newest word. @return It. */
+  [[nodiscard]] const ZonesWord &Newest() const noexcept { return this->word; }
+
+  /*! @brief Whether anything is known. @return So. */
+  [[nodiscard]] bool Known() const noexcept { return this->word.position > 0; }
+
+  /**
+   * @brief Tells whether a zone is to get nothing.
+   * @param zone The zone.
+   * @return So; never before anything is known.
+   */
+  [[nodiscard]] bool Contains(const std::string &zone) const;
+
+ private:
+  ZonesWord word;
+};
+
+/**
+ * @brief Applies changes to a word, in their order.
+ * @param before The word before them.
+ * @param position Position up to which the changes are whole.
+ * @param changes The changes.
+ * @return The word at that position.
+ */
+[[nodiscard]] ZonesWord After(const ZonesWord &before, std::uint64_t position,
+                              const std::vector<ZoneChange> &changes);
+
+}  // namespace pollenring
+
+#endif  // POLLENRING_CONFIG_WITHDRAWN_ZONES_H_
--- a/src/pollenring/contract/host_policy.cc
+++ b/src/pollenring/contract/host_policy.cc
@@ -42,6 +42,14 @@
   return &this->policy.workspaces[found->second];
 }
 
+const ColdStart *HostTable::ColdStartOf(const std::string &service) const {
+  const auto &starts = this->policy.cold_starts;
+  const auto found = std::find_if(
+      starts.begin(), starts.end(),
+      [&service](const ColdStart &entry) { return entry.service == service; });
+  return found == starts.end() ? nullptr : &*found;
+}
+
 const WorkspaceShare *HostTable::ShareOf(const std::string &workspace) const {
   const auto found = this->by_name.find(workspace);
   if (found == this->by_name.end()) return nullptr;
--- a/src/pollenring/contract/host_policy.h
+++ b/src/pollenring/contract/host_policy.h
@@ -28,8 +28,9 @@
   int attempts{1};       /*!< Most targets that one request is sent to. */
   Span timeout{};        /*!< Longest wait of its caller. */
   Span target_latency{}; /*!< Time within which an answer is worth most. */
-  bool idempotent{};     /*!< Whether it may run more than once. */
-  bool open{};           /*!< Whether it needs no key. */
+  std::vector<std::string> regions; /*!< Where it may run; empty: anywhere. */
+  bool idempotent{};                /*!< Whether it may run more than once. */
+  bool open{};                      /*!< Whether it needs no key. */
 };
 
 /*! @brief A workspace with its keys. */
@@ -37,6 +38,16 @@
   WorkspaceShare share;
   int rank{}; /*!< Goes before the route's rank; 0 is served first. */
   std::vector<std::string> keys;
+  std::vector<std::string> regions; /*!< Where its requests may run; empty:
+                                       anywhere. */
+};
+
+/*! @brief How long targets are cold after a start, and what they bear then. */
+struct ColdStart {
+  std::string service;
+  Span cold_for{};
+  double
+      per_second{}; /*!< 0 where a cold target bears as much as a warm one. */
 };
 
 /*! @brief All that one version of an operator's document declares. */
@@ -44,6 +55,7 @@
   std::uint64_t version{};
   std::vector<HostRoute> routes;
   std::vector<KeyedWorkspace> workspaces;
+  std::vector<ColdStart> cold_starts;
 };
 
 /*! @brief A host policy made ready for look-ups on the path of a call. */
@@ -86,6 +98,13 @@
   [[nodiscard]] const WorkspaceShare *ShareOf(
       const std::string &workspace) const;
 
+  /**
+   * @brief Finds how a service's targets start.
+   * @param service Its name.
+   * @return What is declared, or null.
+   */
+  [[nodiscard]] const ColdStart *ColdStartOf(const std::string &service) const;
+
   /*! @brief Whether requests need keys at all. @return So. */
   [[nodiscard]] bool NeedsKeys() const noexcept {
     return !this->policy.workspaces.empty();
--- a/src/pollenring/core/outcome.h
+++ b/src/pollenring/core/outcome.h
@@ -40,11 +40,13 @@
   kInProgress,
   kIdExpired,
   kCancelled,
-  kTargetBusy
+  kTargetBusy,
+  kWarmingUp,    /*!< The target is cold and bears no more now. */
+  kZoneWithdrawn /*!< The target's zone is to get nothing. */
 };
 
 /*! @brief Names of the reasons, as callers and logs see them. */
-inline constexpr EnumTable<Reason, 20> kReasonNames{{{
+inline constexpr EnumTable<Reason, 22> kReasonNames{{{
     {Reason::kNone, "none"},
     {Reason::kMalformed, "malformed"},
     {Reason::kNoRoute, "no-route"},
@@ -65,6 +67,8 @@
     {Reason::kIdExpired, "id-expired"},
     {Reason::kCancelled, "cancelled"},
     {Reason::kTargetBusy, "target-busy"},
+    {Reason::kWarmingUp, "warming-up"},
+    {Reason::kZoneWithdrawn, "zone-withdrawn"},
 }}};
 
 }  // namespace pollenring
--- a/src/pollenring/membership/membership.cc
+++ b/src/pollenring/membership/membership.cc
@@ -84,6 +84,7 @@
     this->Send(gossip.from, GossipKind::kAck, gossip.sequence);
   }
   this->observer.PeerConfigVersion(gossip.from, gossip.config_version);
+  this->observer.PeerZones(gossip.zones);
   // Only one that holds as new a version is as sure of it.
   const bool as_new = gossip.config_version <= this->config_version;
   if (as_new && gossip.store_age_ms >= 0) {
@@ -256,6 +257,7 @@
         std::chrono::ceil<std::chrono::milliseconds>(age).count();
   }
   gossip.digest = this->WholeDigest();
+  gossip.zones = this->zones;
   gossip.updates = this->TakeUpdates();
   this->observer.SendGossip(to, gossip);
 }
--- a/src/pollenring/membership/membership.h
+++ b/src/pollenring/membership/membership.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "pollenring/config/withdrawn_zones.h"
 #include "pollenring/core/clock.h"
 #include "pollenring/core/random.h"
 #include "pollenring/membership/member.h"
@@ -25,9 +26,10 @@
   std::uint64_t config_version{};
   std::int64_t store_age_ms{-1}; /*!< Of the store's newest word; -1: none. */
   std::uint64_t digest{};        /*!< Of all records that the sender holds. */
+  ZonesWord zones;               /*!< The newest that the sender has heard. */
   std::vector<Member> updates;
   MSGPACK_DEFINE(kind, from, sequence, config_version, store_age_ms, digest,
-                 updates)
+                 zones, updates)
 };
 
 /*! @brief Parts into which records are sorted to find those that differ. */
@@ -64,6 +66,9 @@
   /*! @brief A peer has told its version. @param peer Peer. @param version It.
    */
   virtual void PeerConfigVersion(NodeId peer, std::uint64_t version) = 0;
+
+  /*! @brief A peer has told which zones are withdrawn. @param word Its word. */
+  virtual void PeerZones(const ZonesWord &word) = 0;
 };
 
 /*! @brief Timing of failure detection. */
@@ -206,6 +211,12 @@
    */
   void SetConfigVersion(std::uint64_t version);
 
+  /**
+   * @brief Sets the word of withdrawn zones that datagrams carry.
+   * @param word The newest word here.
+   */
+  void SetZones(const ZonesWord &word) { this->zones = word; }
+
  private:
   struct Probe {
     NodeId to;
@@ -258,6 +269,7 @@
   PartDigests digests{}; /*!< Exclusive or over the records of each part. */
   std::uint64_t sequence{};
   std::uint64_t config_version{};
+  ZonesWord zones;
   Time store_heard{};
 };
 
--- /dev/null
+++ b/src/pollenring/mesh/cold_policy.cc
@@ -0,0 +1,31 @@
+#include "pollenring/mesh/cold_policy.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pollenring {
+namespace {
+
+/*! @brief Part of what is tolerated that is used: requests that wait for their
+ * connections reach the target later than they were counted. */
+constexpr double kUsedPart = 0.8;
+/*! @brief Bounds hold for each second; the rest covers late timers. */
+constexpr Span kWindow = std::chrono::milliseconds{1100};
+
+}  // namespace
+
+ColdTolerance ColdPolicy::ToleranceOf(const std::string &service) const {
+  const ColdStart *start = this->policy.InForce().ColdStartOf(service);
+  if (start == nullptr || start->per_second <= 0) return {};
+  const double borne =
+      start->per_second * this->margin.over + this->margin.slack;
+  return {std::max(1, static_cast<int>(std::floor(borne * kUsedPart))),
+          kWindow};
+}
+
+Span ColdPolicy::ColdAfterStart(const std::string &service) const {
+  const ColdStart *start = this->policy.InForce().ColdStartOf(service);
+  return start == nullptr ? Span{0} : start->cold_for;
+}
+
+}  // namespace pollenring
--- /dev/null
+++ b/src/pollenring/mesh/cold_policy.h
@@ -0,0 +1,33 @@
+#ifndef POLLENRING_MESH_COLD_POLICY_H_
+#define POLLENRING_MESH_COLD_POLICY_H_
+
+#include <string>
+
+#include "pollenring/mesh/policy_follower.h"
+#include "pollenring/node/serving.h"
+
+namespace pollenring {
+
+/*! @brief Bounds for cold targets, from the configuration in force. */
+class ColdPolicy final : public ColdBounds {
+ public:
+  /**
+   * @brief Creates the bounds.
+   * @param policy The configuration.
+   * @param margin What is tolerated.
+   */
+  ColdPolicy(const PolicyFollower &policy, const ColdMargin &margin)
+      : policy{policy}, margin{margin} {}
+
+  [[nodiscard]] ColdTolerance ToleranceOf(
+      const std::string &service) const override;
+  [[nodiscard]] Span ColdAfterStart(const std::string &service) const override;
+
+ private:
+  const PolicyFollower &policy;
+  ColdMargin margin;
+};
+
+}  // namespace pollenring
+
+#endif  // POLLENRING_MESH_COLD_POLICY_H_
--- a/src/pollenring/mesh/dialects.h
+++ b/src/pollenring/mesh/dialects.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "pollenring/config/withdrawn_zones.h"
 #include "pollenring/contract/host_policy.h"
 #include "pollenring/core/result.h"
 #include "pollenring/net/http_message.h"
@@ -98,6 +99,8 @@
 struct StoredDocument {
   std::uint64_t position{};        /*!< Of the store's history. */
   std::optional<std::string> text; /*!< Nothing when it has not changed. */
+  /*! @brief Zones that have changed; after a read, all that are withdrawn. */
+  std::vector<ZoneChange> zones;
 };
 
 /*! @brief Where the operator's document lies. */
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -98,10 +98,12 @@
       router{given.zone, given.region, Routing(), parts.loop.GetClock(),
              parts.random},
       levels{RouteLevelOptions{}, parts.loop.GetClock()},
+      cold_policy{this->policy, given.cold_margin},
       serving{parts.loop,
               parts.client,
               parts.targets,
               TargetLimits(),
+              this->cold_policy,
               this->levels,
               parts.random,
               this->metrics,
@@ -152,7 +154,8 @@
   this->members.OnMember(
       [this](const Member &member) { this->router.Update(member); });
   this->shares.Start();
-  this->policy.Start();
+  this->serving.SetUse(TargetUse::kUnknown);
+  this->policy.Start([this] { this->FollowPolicy(); });
   this->members.Start();
   this->ring.Update(this->shares);
   this->loop.Every(kRingTick, [this] { this->ring.Update(this->shares); });
@@ -164,6 +167,19 @@
   this->CountFigures();
 }
 
+void MeshNode::FollowPolicy() {
+  const WithdrawnZones &zones = this->policy.Zones();
+  // What a cold target bears is not known before the configuration either.
+  if (!zones.Known() || this->policy.InForce().Version() == 0) return;
+  this->serving.FollowColdBounds();
+  const bool withdrawn = zones.Contains(this->settings.zone);
+  this->serving.SetUse(withdrawn ? TargetUse::kWithdrawn : TargetUse::kInUse);
+  if (!this->router.Withdraw(zones.Newest().zones)) return;
+  for (const auto &member : this->members.Get().Snapshot()) {
+    this->router.Update(member);
+  }
+}
+
 void MeshNode::CountFigures() {
   this->metrics.Gauge("pollenring_in_progress", [this] {
     return static_cast<double>(this->InProgress());
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -7,6 +7,7 @@
 
 #include "pollenring/link/link_client.h"
 #include "pollenring/link/link_server.h"
+#include "pollenring/mesh/cold_policy.h"
 #include "pollenring/mesh/dialects.h"
 #include "pollenring/mesh/heartbeat_filter.h"
 #include "pollenring/mesh/outbound.h"
@@ -64,6 +65,7 @@
                                        const MeshParts &parts);
   void Start();
   void CountFigures();
+  void FollowPolicy();
   void HandleLink(const std::string &path, std::string body,
                   const std::shared_ptr<LinkResponder> &responder);
   void HandleCall(std::string body,
@@ -90,6 +92,7 @@
   ShareService shares;
   Router router;
   RouteLevels levels;
+  ColdPolicy cold_policy;
   Serving serving;
   TrafficRetryBudget retry_budget;
   Dispatcher dispatcher;
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -30,6 +30,7 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 constexpr int kBadGateway = 502;
+constexpr int kTimedOut = 504;
 constexpr int kFirstFailure = 400;
 /*! @brief Longest wait of a request whose caller and route name none. */
 constexpr Span kDefaultTimeout = std::chrono::seconds{10};
@@ -43,11 +44,26 @@
   return route.rank == 1 ? Importance::kNormal : Importance::kLow;
 }
 
+/*! @brief Regions that both lists allow; an empty list allows all of them. */
+[[nodiscard]] std::optional<std::vector<std::string>> BothAllow(
+    const std::vector<std::string> &first,
+    const std::vector<std::string> &second) {
+  if (first.empty()) return second;
+  if (second.empty()) return first;
+  std::vector<std::string> both;
+  for (const auto &region : first) {
+    const bool shared =
+        std::find(second.begin(), second.end(), region) != second.end();
+    if (shared) both.push_back(region);
+  }
+  if (both.empty()) return std::nullopt;
+  return both;
+}
+
 /*! @brief Chooses a status that promises no more than is known. */
 [[nodiscard]] int HonestStatus(const CallReply &reply) noexcept {
-  if (reply.outcome == Outcome::kNotRun && reply.reason == Reason::kDeadline) {
-    return kServiceUnavailable;
-  }
+  const bool vague = reply.status == kBadGateway || reply.status == kTimedOut;
+  if (reply.outcome == Outcome::kNotRun && vague) return kServiceUnavailable;
   const bool promises =
       reply.status == kTooManyRequests || reply.status == kServiceUnavailable;
   if (!promises || reply.outcome == Outcome::kNotRun) return reply.status;
@@ -134,6 +150,11 @@
     entry.workspace = workspace->share.name;
     envelope.workspace = entry.workspace;
     if (workspace->share.rate > 0) envelope.weight = workspace->share.rate;
+    auto regions = BothAllow(route->regions, workspace->regions);
+    if (!regions) return Reason::kNoTarget;
+    envelope.regions = std::move(*regions);
+  } else {
+    envelope.regions = route->regions;
   }
   if (entry.id.empty()) {
     entry.id = MintRequestId(this->loop.GetClock().Wall(), this->parts.random);
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -38,7 +38,10 @@
       random{random},
       store_heard{loop.GetClock().Now()} {}
 
-void PolicyFollower::Start() {
+void PolicyFollower::Start(std::function<void()> given) {
+  this->changed = std::move(given);
+  this->members.OnZones(
+      [this](const ZonesWord &word) { this->TakeZones(word, "peer"); });
   this->members.OnVersion([this](NodeId peer, std::uint64_t version) {
     this->PeerVersion(peer, version);
   });
@@ -79,6 +82,8 @@
     this->Heard();
     auto &stored = std::get<StoredDocument>(reply);
     this->position = stored.position;
+    this->watched = After({}, stored.position, stored.zones);
+    this->TakeZones(this->watched, "store");
     this->watching = true;
     // Where the store has none yet, peers will tell of the first one.
     this->first_read = Time::max();
@@ -97,11 +102,28 @@
     this->Heard();
     auto &stored = std::get<StoredDocument>(reply);
     this->position = std::max(this->position, stored.position);
+    this->watched = After(this->watched, this->position, stored.zones);
+    this->TakeZones(this->watched, "store");
     if (stored.text) this->Take(std::move(*stored.text), "store");
     this->Check();
   });
 }
 
+void PolicyFollower::TakeZones(const ZonesWord &word, std::string_view origin) {
+  const std::uint64_t before = this->zones.Newest().position;
+  const bool other = this->zones.Take(word);
+  if (this->zones.Newest().position == before) return;
+  this->members.Get().SetZones(this->zones.Newest());
+  if (!other) return;
+  LogEvent(LogLevel::kInfo, "zones withdrawn",
+           {{"zones", this->zones.Newest().zones},
+            {"position", this->zones.Newest().position},
+            {"before", before},
+            {"origin", origin}});
+  this->changed();
+  this->loop.Post([this] { this->Spread(); });
+}
+
 void PolicyFollower::Heard() {
   this->store_heard = this->loop.GetClock().Now();
   this->members.Get().HearStore();
@@ -147,6 +169,7 @@
             {"before", before},
             {"origin", origin}});
   this->members.Get().SetConfigVersion(this->table.Version());
+  this->changed();
   this->loop.Post([this] { this->Spread(); });
 }
 
--- a/src/pollenring/mesh/policy_follower.h
+++ b/src/pollenring/mesh/policy_follower.h
@@ -3,10 +3,12 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <unordered_map>
 #include <utility>
 
+#include "pollenring/config/withdrawn_zones.h"
 #include "pollenring/contract/host_policy.h"
 #include "pollenring/core/random.h"
 #include "pollenring/link/link_client.h"
@@ -18,7 +20,8 @@
 namespace pollenring {
 
 /**
- * @brief Keeps the operator's newest document in force.
+ * @brief Keeps the operator's newest document in force, and which availability
+ * zones are withdrawn.
  *
  * The nodes on duty watch the store; all others hear of versions from peers,
  * and watch it themselves while no word of it reaches them. A version never
@@ -39,8 +42,14 @@
                  PolicySource &source, const PolicyDialect &dialect,
                  Random &random);
 
-  /*! @brief Starts to watch. */
-  void Start();
+  /*! @brief Starts to watch. @param changed Called when what is in force has
+   * changed: the configuration, or which zones are withdrawn. */
+  void Start(std::function<void()> changed);
+
+  /*! @brief Which availability zones are to get nothing. @return Them. */
+  [[nodiscard]] const WithdrawnZones &Zones() const noexcept {
+    return this->zones;
+  }
 
   /*! @brief The configuration in force; version 0 declares nothing. */
   [[nodiscard]] const HostTable &InForce() const noexcept {
@@ -69,6 +78,7 @@
   void Failed(StorageError error);
   void Heard();
   void Take(std::string text, std::string_view origin);
+  void TakeZones(const ZonesWord &word, std::string_view origin);
   void PeerVersion(NodeId peer, std::uint64_t version);
   void Pull(NodeId peer);
   void Spread();
@@ -82,6 +92,9 @@
   HostTable table;
   std::string document;
   std::unordered_map<NodeId, std::uint64_t> peer_versions;
+  WithdrawnZones zones;
+  ZonesWord watched; /*!< What this node's own watch has told so far. */
+  std::function<void()> changed;
   std::uint64_t position{};
   Time store_heard{};
   Span pause{};
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -28,6 +28,8 @@
       return reply.outcome == Outcome::kUnknown ? CallVerdict::kFailed
                                                 : CallVerdict::kShed;
     case Reason::kOverload:
+    case Reason::kWarmingUp:
+    case Reason::kZoneWithdrawn:
       return CallVerdict::kShed;
     case Reason::kTargetBusy:
       return CallVerdict::kFaulty;
@@ -43,7 +45,9 @@
   return reply.reason == Reason::kLinkLost ||
          reply.reason == Reason::kNoTarget ||
          reply.reason == Reason::kTargetFailed ||
-         reply.reason == Reason::kLeaving;
+         reply.reason == Reason::kLeaving ||
+         reply.reason == Reason::kWarmingUp ||
+         reply.reason == Reason::kZoneWithdrawn;
 }
 
 }  // namespace
@@ -88,7 +92,8 @@
                  {});
     return;
   }
-  const auto node = this->router.Choose(job.envelope.service, job.tried);
+  const auto node = this->router.Choose(job.envelope.service, job.tried,
+                                        job.envelope.regions);
   const bool known = this->router.Count(job.envelope.service) > 0;
   if (!node && known && job.redirects_left > 0) {
     this->AttemptLater(id, job);
@@ -238,6 +243,10 @@
   const bool safe =
       reply.outcome == Outcome::kNotRun || job.envelope.idempotent;
   if (!safe) return false;
+  // With all targets cold, another bears no more either.
+  const bool all_cold = reply.reason == Reason::kWarmingUp &&
+                        !this->router.HasWarm(job.envelope.service);
+  if (all_cold) return false;
   if (CostNothing(reply) && job.redirects_left > 0) {
     --job.redirects_left;
     this->metrics.Count("pollenring_redirects_total");
--- a/src/pollenring/node/headers.cc
+++ b/src/pollenring/node/headers.cc
@@ -16,17 +16,18 @@
   int status;
 };
 
-constexpr std::array<ReasonStatus, 19> kStatuses{{
-    {Reason::kMalformed, 400},  {Reason::kNoRoute, 404},
-    {Reason::kKeyRefused, 401}, {Reason::kCallerRefused, 403},
-    {Reason::kOverRate, 429},   {Reason::kNoShare, 503},
-    {Reason::kOverload, 503},   {Reason::kDeadline, 504},
-    {Reason::kNoTarget, 503},   {Reason::kTargetFailed, 502},
-    {Reason::kLinkLost, 502},   {Reason::kTooLarge, 413},
-    {Reason::kLeaving, 503},    {Reason::kNotFresh, 503},
-    {Reason::kRepeated, 409},   {Reason::kInProgress, 409},
-    {Reason::kIdExpired, 409},  {Reason::kCancelled, 503},
-    {Reason::kTargetBusy, 503},
+constexpr std::array<ReasonStatus, 21> kStatuses{{
+    {Reason::kMalformed, 400},     {Reason::kNoRoute, 404},
+    {Reason::kKeyRefused, 401},    {Reason::kCallerRefused, 403},
+    {Reason::kOverRate, 429},      {Reason::kNoShare, 503},
+    {Reason::kOverload, 503},      {Reason::kDeadline, 504},
+    {Reason::kNoTarget, 503},      {Reason::kTargetFailed, 502},
+    {Reason::kLinkLost, 502},      {Reason::kTooLarge, 413},
+    {Reason::kLeaving, 503},       {Reason::kNotFresh, 503},
+    {Reason::kRepeated, 409},      {Reason::kInProgress, 409},
+    {Reason::kIdExpired, 409},     {Reason::kCancelled, 503},
+    {Reason::kTargetBusy, 503},    {Reason::kWarmingUp, 503},
+    {Reason::kZoneWithdrawn, 503},
 }};
 
 [[nodiscard]] int StatusOf(Reason reason) noexcept {
--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -56,6 +56,10 @@
   this->version_listeners.push_back(std::move(listener));
 }
 
+void MemberService::OnZones(ZonesListener listener) {
+  this->zones_listeners.push_back(std::move(listener));
+}
+
 void MemberService::Start() {
   this->bus.On<Gossip>(MessageKind::kGossip,
                        [this](NodeId /*from*/, const Gossip &gossip) {
@@ -226,4 +230,8 @@
   for (const auto &listener : this->version_listeners) listener(peer, version);
 }
 
+void MemberService::PeerZones(const ZonesWord &word) {
+  for (const auto &listener : this->zones_listeners) listener(word);
+}
+
 }  // namespace pollenring
--- a/src/pollenring/node/member_service.h
+++ b/src/pollenring/node/member_service.h
@@ -19,6 +19,7 @@
  public:
   using MemberListener = std::function<void(const Member &)>;
   using VersionListener = std::function<void(NodeId, std::uint64_t)>;
+  using ZonesListener = std::function<void(const ZonesWord &)>;
 
   /**
    * @brief Creates the service.
@@ -52,6 +53,10 @@
   /*! @brief Adds a listener for peers' versions. @param listener It. */
   void OnVersion(VersionListener listener);
 
+  /*! @brief Adds a listener for peers' words of withdrawn zones. @param
+   * listener It. */
+  void OnZones(ZonesListener listener);
+
   /*! @brief Looks for other nodes and starts to probe. */
   void Start();
 
@@ -75,6 +80,7 @@
   void SendGossip(NodeId to, const Gossip &gossip) override;
   void MemberChanged(const Member &member) override;
   void PeerConfigVersion(NodeId peer, std::uint64_t version) override;
+  void PeerZones(const ZonesWord &word) override;
   void RecordsDiffer(NodeId peer) override;
 
  private:
@@ -97,6 +103,7 @@
   bool first_start;
   std::vector<MemberListener> member_listeners;
   std::vector<VersionListener> version_listeners;
+  std::vector<ZonesListener> zones_listeners;
   Time started{};
   bool joined{};
 };
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -73,6 +73,7 @@
               this->client,
               this->dialect,
               AdmissionOptions{},
+              this->cold_bounds,
               this->levels,
               random,
               this->metrics,
--- a/src/pollenring/node/node.h
+++ b/src/pollenring/node/node.h
@@ -81,6 +81,7 @@
   Router router;
   ContextDialect dialect;
   RouteLevels levels;
+  NoColdBounds cold_bounds;
   Serving serving;
   NodeRetryBudget retry_budget;
   Dispatcher dispatcher;
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -18,6 +18,11 @@
 constexpr Span kAnnouncementLifetime = std::chrono::seconds{6};
 /*! @brief Pause between two lines on a busy target. */
 constexpr Span kLoadLogPeriod = std::chrono::seconds{1};
+/*! @brief How long an announcement may be on its way that was sent before
+ * something pointed to a restart. */
+constexpr Span kBeatUnderWay = std::chrono::milliseconds{300};
+/*! @brief Time around which callers come back after a target is warm. */
+constexpr Span kWarmSpread = std::chrono::milliseconds{100};
 constexpr std::size_t kContextBytes = 16;
 /*! @brief Levels of other targets that an answer passes on; some 25 bytes each,
  * and none while nothing sheds. */
@@ -41,12 +46,14 @@
 }
 
 Serving::Serving(Loop &loop, HttpClient &client, const TargetDialect &dialect,
-                 const AdmissionOptions &options, RouteLevels &levels,
-                 Random &random, Metrics &metrics, TargetsChanged changed)
+                 const AdmissionOptions &options, const ColdBounds &cold_bounds,
+                 RouteLevels &levels, Random &random, Metrics &metrics,
+                 TargetsChanged changed)
     : loop{loop},
       client{client},
       dialect{dialect},
       options{options},
+      cold_bounds{cold_bounds},
       levels{levels},
       random{random},
       metrics{metrics},
@@ -68,12 +75,75 @@
   }
   found->second.announcement = announcement;
   found->second.last_seen = this->loop.GetClock().Now();
+  this->TakeColdness(found->second);
   if (announcement.target.state == TargetState::kDraining) {
     this->Perform(found->second.admission->Close());
   }
   this->Report();
 }
 
+void Serving::TakeColdness(Binding &binding) {
+  const Time now = this->loop.GetClock().Now();
+  const std::string &service = binding.announcement.target.service;
+  binding.admission->SetColdTolerance(this->cold_bounds.ToleranceOf(service));
+  const Span cold_for = binding.announcement.cold_for;
+  // What it says now may have been sent before it started again.
+  const bool recent = binding.suspected_cold != Time{} &&
+                      now - binding.suspected_cold < kBeatUnderWay;
+  TargetState &state = binding.announcement.target.state;
+  if (recent && cold_for < binding.admission->ColdFor()) {
+    if (state == TargetState::kWarm) state = TargetState::kCold;
+    return;
+  }
+  binding.cold_timed = cold_for > Span{0};
+  binding.admission->SetColdUntil(now + cold_for);
+}
+
+void Serving::SuspectCold(Binding &binding) {
+  const Time now = this->loop.GetClock().Now();
+  const std::string &service = binding.announcement.target.service;
+  const Span cold_for = this->cold_bounds.ColdAfterStart(service);
+  binding.suspected_cold = now;
+  const bool news = binding.admission->ColdFor() <= Span{0};
+  if (cold_for <= binding.admission->ColdFor()) return;
+  binding.admission->SetColdTolerance(this->cold_bounds.ToleranceOf(service));
+  binding.admission->SetColdUntil(now + cold_for);
+  binding.cold_timed = true;
+  TargetState &state = binding.announcement.target.state;
+  if (state == TargetState::kWarm) state = TargetState::kCold;
+  if (!news) return;
+  LogEvent(LogLevel::kInfo, "target taken as cold",
+           {{"service", service},
+            {"instance", binding.announcement.instance},
+            {"cold_ms", cold_for.count() / 1000}});
+  this->Report();
+}
+
+void Serving::FollowColdBounds() {
+  for (auto &[service, binding] : this->bindings) {
+    binding.admission->SetColdTolerance(this->cold_bounds.ToleranceOf(service));
+  }
+}
+
+void Serving::SetUse(TargetUse given) {
+  const TargetUse before = std::exchange(this->use, given);
+  if (before == given) return;
+  for (auto &[service, binding] : this->bindings) {
+    if (given != TargetUse::kInUse) {
+      this->Perform(binding.admission->Close(Reason::kZoneWithdrawn));
+      continue;
+    }
+    if (before == TargetUse::kWithdrawn) this->SuspectCold(binding);
+  }
+}
+
+Reason Serving::RefusalOf(const Binding &binding) const noexcept {
+  if (this->use != TargetUse::kInUse) return Reason::kZoneWithdrawn;
+  const bool drains =
+      binding.announcement.target.state == TargetState::kDraining;
+  return drains ? Reason::kLeaving : Reason::kNone;
+}
+
 void Serving::Report() {
   std::vector<Target> targets;
   for (const auto &[service, binding] : this->bindings) {
@@ -100,8 +170,9 @@
     this->Refuse(id, Outcome::kNotRun, Reason::kNoTarget);
     return id;
   }
-  if (found->second.announcement.target.state == TargetState::kDraining) {
-    this->Refuse(id, Outcome::kNotRun, Reason::kLeaving);
+  const Reason refused = RefusalOf(found->second);
+  if (refused != Reason::kNone) {
+    this->Refuse(id, Outcome::kNotRun, refused);
     return id;
   }
   Ticket ticket;
@@ -124,6 +195,10 @@
     this->metrics.Count(
         "pollenring_shed_total",
         {"reason", std::string{kReasonNames.Name(shed.reason)}});
+    if (shed.reason == Reason::kWarmingUp) {
+      this->RefuseUntilWarm(shed.id);
+      continue;
+    }
     this->Refuse(shed.id, Outcome::kNotRun, shed.reason);
   }
   for (const std::uint64_t id : actions.start) this->Start(id);
@@ -173,10 +248,14 @@
   const std::string service = found->second.served.envelope.service;
   Admission &admission = *this->bindings.at(service).admission;
   if (const auto *error = std::get_if<CallError>(&reply)) {
-    const AdmissionActions next = admission.Cancel(id);
     const bool late = *error == CallError::kTimedOut;
     const Reason reason = late ? Reason::kDeadline : Reason::kTargetFailed;
-    const bool not_sent = *error == CallError::kNotConnected;
+    const bool refused = *error == CallError::kConnectRefused;
+    const bool not_sent = refused || *error == CallError::kNotConnected;
+    if (not_sent) admission.TurnedAway(id);
+    // Its process is gone; what listens there next will have started anew.
+    if (refused) this->SuspectCold(this->bindings.at(service));
+    const AdmissionActions next = admission.Cancel(id);
     const SubCallCancels cancels =
         std::exchange(found->second.served.sub_call_cancels, {});
     this->Refuse(id, not_sent ? Outcome::kNotRun : Outcome::kUnknown, reason);
@@ -188,6 +267,10 @@
   const TargetVerdict verdict =
       JudgeAnswer(this->dialect.Read(found->second.served.envelope, response),
                   response.status);
+  if (verdict.outcome == Outcome::kNotRun &&
+      verdict.reason == Reason::kNoTarget) {
+    admission.TurnedAway(id);
+  }
   const AdmissionActions next = admission.Finish(
       id, found->second.served.time_in_sub_calls, verdict.shed);
   if (verdict.reason != Reason::kNone) {
@@ -204,8 +287,24 @@
 }
 
 void Serving::Refuse(std::uint64_t id, Outcome outcome, Reason reason) {
-  this->Finish(
-      id, Refusal(outcome, reason, SpreadAround(kComeBack, this->random)), {});
+  this->Refuse(id, outcome, reason, SpreadAround(kComeBack, this->random));
+}
+
+void Serving::Refuse(std::uint64_t id, Outcome outcome, Reason reason,
+                     Span come_back) {
+  this->Finish(id, Refusal(outcome, reason, come_back), {});
+}
+
+void Serving::RefuseUntilWarm(std::uint64_t id) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end()) return;
+  const auto binding =
+      this->bindings.find(found->second.served.envelope.service);
+  const Span cold_for = binding == this->bindings.end()
+                            ? Span{0}
+                            : binding->second.admission->ColdFor();
+  const Span spread = SpreadAround(kWarmSpread, this->random);
+  this->Refuse(id, Outcome::kNotRun, Reason::kWarmingUp, cold_for + spread);
 }
 
 void Serving::Finish(std::uint64_t id, CallReply reply, std::string body) {
@@ -234,6 +333,9 @@
   if (found == this->bindings.end()) return;
   const Admission &admission = *found->second.admission;
   reply.load = admission.Report();
+  reply.load.cold_ms = static_cast<std::uint32_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(admission.ColdFor())
+          .count());
   const double level = admission.LevelOf(envelope.workspace);
   reply.levels.push_back(
       {{},
@@ -349,10 +451,17 @@
 void Serving::Tick() {
   this->LogLoad();
   const Time now = this->loop.GetClock().Now();
+  bool changed = false;
   for (auto &[service, binding] : this->bindings) {
     this->Perform(binding.admission->Tick());
+    TargetState &state = binding.announcement.target.state;
+    const bool warm = binding.admission->ColdFor() <= Span{0};
+    if (state == TargetState::kCold && binding.cold_timed && warm) {
+      binding.cold_timed = false;
+      state = TargetState::kWarm;
+      changed = true;
+    }
   }
-  bool dropped = false;
   for (auto it = this->bindings.begin(); it != this->bindings.end();) {
     const bool silent = now - it->second.last_seen > kAnnouncementLifetime;
     const bool idle = it->second.admission->Running() == 0;
@@ -361,9 +470,9 @@
       continue;
     }
     it = this->bindings.erase(it);
-    dropped = true;
+    changed = true;
   }
-  if (dropped) this->Report();
+  if (changed) this->Report();
 }
 
 }  // namespace pollenring
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -10,7 +10,9 @@
 #include <vector>
 
 #include "pollenring/admission/admission.h"
+#include "pollenring/admission/cold_gate.h"
 #include "pollenring/core/clock.h"
+#include "pollenring/core/enum_table.h"
 #include "pollenring/core/random.h"
 #include "pollenring/membership/member.h"
 #include "pollenring/metrics/metrics.h"
@@ -29,6 +31,59 @@
   Target target;
   Address address;
   std::string instance; /*!< Differs after each start; may be empty. */
+  Span cold_for{};      /*!< How long it says that it stays cold. */
+};
+
+/*! @brief Whether the operator lets the targets of a zone be used. */
+enum class TargetUse {
+  kUnknown, /*!< Nothing was heard of it yet. */
+  kInUse,
+  kWithdrawn
+};
+
+/*! @brief Names of the uses, as logs spell them. */
+inline constexpr EnumTable<TargetUse, 3> kTargetUseNames{{{
+    {TargetUse::kUnknown, "unknown"},
+    {TargetUse::kInUse, "in use"},
+    {TargetUse::kWithdrawn, "withdrawn"},
+}}};
+
+/*! @brief How much cold targets bear, by service. */
+class ColdBounds {
+ public:
+  ColdBounds() = default;
+  ColdBounds(const ColdBounds &) = delete;
+  ColdBounds &operator=(const ColdBounds &) = delete;
+  virtual ~ColdBounds() = default;
+
+  /**
+   * @brief Finds what a service's targets bear while they are cold.
+   * @param service The service.
+   * @return The bound; without requests where none is needed.
+   */
+  [[nodiscard]] virtual ColdTolerance ToleranceOf(
+      const std::string &service) const = 0;
+
+  /**
+   * @brief Finds how long a service's targets are cold after a start.
+   * @param service The service.
+   * @return The span; 0 where they are not.
+   */
+  [[nodiscard]] virtual Span ColdAfterStart(
+      const std::string &service) const = 0;
+};
+
+/*! @brief Targets that bear as much cold as warm. */
+class NoColdBounds final : public ColdBounds {
+ public:
+  [[nodiscard]] ColdTolerance ToleranceOf(
+      const std::string & /*service*/) const override {
+    return {};
+  }
+  [[nodiscard]] Span ColdAfterStart(
+      const std::string & /*service*/) const override {
+    return Span{0};
+  }
 };
 
 /*! @brief What ends each sub-call in progress, by the sub-call's handle. */
@@ -71,14 +126,16 @@
    * @param client Client towards the target.
    * @param dialect How calls and answers are written.
    * @param options Limits of admission.
+   * @param cold_bounds What cold targets bear.
    * @param levels Levels of services, which answers bring and pass on.
    * @param random Randomness.
    * @param metrics Figures.
    * @param changed Called when the announced targets change.
    */
   Serving(Loop &loop, HttpClient &client, const TargetDialect &dialect,
-          const AdmissionOptions &options, RouteLevels &levels, Random &random,
-          Metrics &metrics, TargetsChanged changed);
+          const AdmissionOptions &options, const ColdBounds &cold_bounds,
+          RouteLevels &levels, Random &random, Metrics &metrics,
+          TargetsChanged changed);
 
   /**
    * @brief Takes in an announcement of the target.
@@ -86,6 +143,18 @@
    */
   void Announce(const Announcement &announcement);
 
+  /**
+   * @brief Takes targets out of use, or back into it.
+   *
+   * What is not in use gets nothing, also nothing of what waits already. One
+   * that was withdrawn is taken as cold until it says otherwise.
+   * @param given Whether targets here may be used.
+   */
+  void SetUse(TargetUse given);
+
+  /*! @brief The bounds of cold targets may have changed. */
+  void FollowColdBounds();
+
   /**
    * @brief Runs a call, now or when the target has room.
    * @param envelope The call.
@@ -163,6 +232,8 @@
     Announcement announcement;
     std::unique_ptr<Admission> admission;
     Time last_seen;
+    Time suspected_cold{}; /*!< When something pointed to a restart last. */
+    bool cold_timed{};     /*!< The end of its coldness is known. */
   };
   struct Call {
     ServedCall served;
@@ -173,10 +244,15 @@
   };
 
   void Perform(const AdmissionActions &actions);
+  void SuspectCold(Binding &binding);
+  void TakeColdness(Binding &binding);
+  [[nodiscard]] Reason RefusalOf(const Binding &binding) const noexcept;
   void Start(std::uint64_t id);
   void Answered(std::uint64_t id, HttpClient::Reply reply);
   void Finish(std::uint64_t id, CallReply reply, std::string body);
   void Refuse(std::uint64_t id, Outcome outcome, Reason reason);
+  void Refuse(std::uint64_t id, Outcome outcome, Reason reason, Span come_back);
+  void RefuseUntilWarm(std::uint64_t id);
   void Report();
   [[nodiscard]] HttpRequest ToRequest(Call &call,
                                       const std::string &instance) const;
@@ -188,10 +264,12 @@
   HttpClient &client;
   const TargetDialect &dialect;
   AdmissionOptions options;
+  const ColdBounds &cold_bounds;
   RouteLevels &levels;
   Random &random;
   Metrics &metrics;
   TargetsChanged changed;
+  TargetUse use{TargetUse::kInUse};
   std::map<std::string, Binding> bindings;
   std::unordered_map<std::uint64_t, Call> calls;
   std::unordered_map<std::string, std::uint64_t> contexts;
--- a/src/pollenring/node/settings.cc
+++ b/src/pollenring/node/settings.cc
@@ -75,6 +75,18 @@
     return addresses;
   }
 
+  /*! @brief Reads a number of 0 or more. @return It, or the default. */
+  [[nodiscard]] double Number(std::string_view section, std::string_view key,
+                              double otherwise) {
+    const toml::table *table = this->Section(section);
+    const toml::node *node = table == nullptr ? nullptr : table->get(key);
+    if (node == nullptr) return otherwise;
+    const auto value = node->value<double>();
+    if (value && *value >= 0) return *value;
+    this->Report(*node, "'" + std::string{key} + "' must be 0 or more");
+    return otherwise;
+  }
+
   [[nodiscard]] RouteForm Form() {
     const toml::table *table = this->Section("node");
     const toml::node *node = table == nullptr ? nullptr : table->get("routes");
@@ -177,7 +189,7 @@
       "node", {"zone", "region", "seeds", "slots", "routes", "first_start"});
   reader.KnownKeys("listen",
                    {"callers", "targets", "nodes", "operators", "ready"});
-  reader.KnownKeys("target", {"service"});
+  reader.KnownKeys("target", {"service", "cold_over", "cold_slack"});
   reader.KnownKeys("secrets", {"nodes", "operators", "targets"});
   reader.KnownKeys("platform", {"address"});
   settings.routes = reader.Form();
@@ -194,6 +206,9 @@
     settings.ready = reader.Where("listen", "ready");
     settings.target_service = reader.Text("target", "service");
     settings.first_start = reader.Flag("node", "first_start");
+    ColdMargin &margin = settings.cold_margin;
+    margin.over = reader.Number("target", "cold_over", margin.over);
+    margin.slack = reader.Number("target", "cold_slack", margin.slack);
   } else {
     settings.operator_secret = reader.Secret("operators");
     settings.target_secret = reader.Secret("targets");
--- a/src/pollenring/node/settings.h
+++ b/src/pollenring/node/settings.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "pollenring/admission/cold_gate.h"
 #include "pollenring/contract/parse.h"
 #include "pollenring/core/enum_table.h"
 #include "pollenring/core/finding.h"
@@ -40,6 +41,7 @@
   std::uint32_t slots{64};    /*!< Lease slots; the same on every node. */
   Address ready;              /*!< Where readiness is asked; host form only. */
   std::string target_service; /*!< Of the target on this VM; host form only. */
+  ColdMargin cold_margin;     /*!< At the target on this VM; host form only. */
   bool first_start{}; /*!< The whole system starts for the first time. */
 };
 
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -39,6 +39,7 @@
   std::string route;  /*!< Its name; empty where routes have none. */
   std::string caller; /*!< Service on whose VM the call began; may be empty. */
   std::vector<WireHeader> headers;
+  std::vector<std::string> regions; /*!< Where it may run; empty: anywhere. */
   Importance importance{Importance::kNormal};
   bool idempotent{true};
   bool repeat{};    /*!< A retry, or a call on behalf of one. */
@@ -51,8 +52,8 @@
   std::int64_t aim_us{}; /*!< Until the aim of the call itself. */
   std::int32_t retries{};
   MSGPACK_DEFINE(root_id, workspace, service, method, path, host, route, caller,
-                 headers, importance, idempotent, repeat, keyed, lot, weight,
-                 depth, remaining_us, root_age_us, aim_us, retries)
+                 headers, regions, importance, idempotent, repeat, keyed, lot,
+                 weight, depth, remaining_us, root_age_us, aim_us, retries)
 };
 
 /*! @brief Levels travel in thousandths. */
--- a/src/pollenring/routing/load_report.h
+++ b/src/pollenring/routing/load_report.h
@@ -10,7 +10,8 @@
 struct LoadReport {
   std::uint32_t in_progress{}; /*!< Running and queued requests. */
   std::uint32_t limit{};       /*!< Requests that may run at once. */
-  MSGPACK_DEFINE(in_progress, limit)
+  std::uint32_t cold_ms{};     /*!< How long the target stays cold. */
+  MSGPACK_DEFINE(in_progress, limit, cold_ms)
 };
 
 }  // namespace pollenring
--- a/src/pollenring/routing/router.cc
+++ b/src/pollenring/routing/router.cc
@@ -17,6 +17,9 @@
 /*! @brief Calls' times that one failed call costs; a request makes some ten
  * calls, and one that fails wastes all of them. */
 constexpr double kFaultCost = 12;
+/*! @brief How long a target that is said to be cold is taken as such; its
+ * answers tell the end of it. */
+constexpr Span kColdUntold = std::chrono::seconds{3};
 /*! @brief Targets of a service among which all are compared; beyond, so many
  * are drawn. */
 constexpr std::size_t kMostCompared = 8;
@@ -31,9 +34,41 @@
       clock{clock},
       random{random} {}
 
+bool Router::Withdraw(std::vector<std::string> given) {
+  if (given == this->withdrawn) return false;
+  this->withdrawn = std::move(given);
+  return true;
+}
+
+bool Router::Choice::Allows(const Endpoint &endpoint) const {
+  const bool tried = std::find(this->avoid.begin(), this->avoid.end(),
+                               endpoint.node) != this->avoid.end();
+  if (tried) return false;
+  return this->regions.empty() ||
+         std::find(this->regions.begin(), this->regions.end(),
+                   endpoint.region) != this->regions.end();
+}
+
+bool Router::Cold(const Endpoint &endpoint) const noexcept {
+  return endpoint.cold_until > this->clock.Now();
+}
+
+bool Router::HasWarm(const std::string &service) const {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) return false;
+  const auto &usable = found->second.usable;
+  return std::any_of(usable.begin(), usable.end(), [this](const auto &level) {
+    return std::any_of(
+        level.begin(), level.end(),
+        [this](const Endpoint *endpoint) { return !this->Cold(*endpoint); });
+  });
+}
+
 void Router::Update(const Member &member) {
   std::vector<std::string> wanted;
-  if (member.state == MemberState::kAlive) {
+  const bool used = std::find(this->withdrawn.begin(), this->withdrawn.end(),
+                              member.zone) == this->withdrawn.end();
+  if (member.state == MemberState::kAlive && used) {
     for (const auto &target : member.targets) {
       if (target.state == TargetState::kDraining) continue;
       wanted.push_back(target.service);
@@ -53,42 +88,49 @@
 }
 
 std::optional<NodeId> Router::Choose(const std::string &name,
-                                     const std::vector<NodeId> &avoid) {
+                                     const std::vector<NodeId> &avoid,
+                                     const std::vector<std::string> &regions) {
   const auto found = this->services.find(name);
   if (found == this->services.end()) return std::nullopt;
   Service &service = found->second;
-  if (const Endpoint *trial = this->DueTrial(service, avoid)) {
+  const Choice choice{avoid, regions};
+  if (const Endpoint *trial = this->DueTrial(service, choice)) {
     return trial->node;
   }
   if (this->options.order == RouteOrder::kSoonest) {
-    const Endpoint *soonest = this->Soonest(service, avoid);
+    const Endpoint *soonest = this->Soonest(service, choice);
     if (soonest != nullptr) return soonest->node;
-    return SetAsideLongest(service, avoid);
+    return SetAsideLongest(service, choice);
   }
   const Endpoint *best = nullptr;
   for (const auto &level : service.usable) {
-    const Endpoint *candidate = this->Sample(level, avoid);
+    const Endpoint *candidate = this->Sample(level, choice);
     if (candidate == nullptr) continue;
     if (this->Utilisation(*candidate) < 1.0) return candidate->node;
     const bool better = best == nullptr || this->Utilisation(*candidate) <
                                                this->Utilisation(*best);
     if (better) best = candidate;
   }
-  if (best == nullptr) return SetAsideLongest(service, avoid);
+  if (best == nullptr) return SetAsideLongest(service, choice);
   return best->node;
 }
 
-std::optional<NodeId> Router::SetAsideLongest(
-    const Service &service, const std::vector<NodeId> &avoid) {
+std::optional<NodeId> Router::SetAsideLongest(const Service &service,
+                                              const Choice &choice) {
+  const std::vector<NodeId> none;
+  const Choice untried{none, choice.regions};
   const bool any_usable =
       std::any_of(service.usable.begin(), service.usable.end(),
-                  [](const auto &level) { return !level.empty(); });
+                  [&untried](const auto &level) {
+                    return std::any_of(level.begin(), level.end(),
+                                       [&untried](const Endpoint *endpoint) {
+                                         return untried.Allows(*endpoint);
+                                       });
+                  });
   // While another target is usable, those set aside get trials only.
   if (any_usable) return std::nullopt;
   for (const auto &[until, node] : service.ejected) {
-    const bool tried =
-        std::find(avoid.begin(), avoid.end(), node) != avoid.end();
-    if (!tried) return node;
+    if (choice.Allows(*service.endpoints.at(node))) return node;
   }
   return std::nullopt;
 }
@@ -114,6 +156,11 @@
     endpoint.limit = std::max<double>(1.0, report->limit);
     endpoint.reported = report->in_progress;
     endpoint.in_progress_at_report = endpoint.in_progress;
+    const bool was_cold = this->Cold(endpoint);
+    endpoint.cold_until =
+        this->clock.Now() + std::chrono::milliseconds{report->cold_ms};
+    // Times of a cold target say nothing of it once it is warm.
+    if (was_cold && report->cold_ms == 0) endpoint.time_us = 0;
   }
   if (took > Span{0}) {
     const auto us = static_cast<double>(took.count());
@@ -148,7 +195,7 @@
 }
 
 double Router::RampFraction(const Endpoint &endpoint) const noexcept {
-  if (endpoint.cold) return this->options.ramp_floor;
+  if (this->Cold(endpoint)) return this->options.ramp_floor;
   if (endpoint.ramp_from == Time{}) return 1.0;
   const double age =
       static_cast<double>((this->clock.Now() - endpoint.ramp_from).count()) /
@@ -188,13 +235,11 @@
 }
 
 const Router::Endpoint *Router::Soonest(const Service &service,
-                                        const std::vector<NodeId> &avoid) {
+                                        const Choice &choice) {
   std::vector<const Endpoint *> compared;
   for (const auto &level : service.usable) {
     for (const Endpoint *endpoint : level) {
-      const bool tried =
-          std::find(avoid.begin(), avoid.end(), endpoint->node) != avoid.end();
-      if (!tried) compared.push_back(endpoint);
+      if (choice.Allows(*endpoint)) compared.push_back(endpoint);
     }
   }
   while (compared.size() > kMostCompared) {
@@ -221,19 +266,17 @@
 }
 
 Router::Endpoint *Router::Sample(const std::vector<Endpoint *> &from,
-                                 const std::vector<NodeId> &avoid) {
+                                 const Choice &choice) {
   if (from.empty()) return nullptr;
   const std::size_t draws =
-      std::min(from.size(), this->options.choices + avoid.size());
+      std::min(from.size(), this->options.choices + choice.avoid.size());
   const std::size_t start = this->random.Index(from.size());
   const std::size_t step =
       from.size() > 1 ? 1 + this->random.Index(from.size() - 1) : 1;
   Endpoint *best = nullptr;
   for (std::size_t i = 0; i < draws; ++i) {
     Endpoint *candidate = from[(start + i * step) % from.size()];
-    const bool tried =
-        std::find(avoid.begin(), avoid.end(), candidate->node) != avoid.end();
-    if (tried) continue;
+    if (!choice.Allows(*candidate)) continue;
     const bool better = best == nullptr || this->Utilisation(*candidate) <
                                                this->Utilisation(*best);
     if (better) best = candidate;
@@ -241,15 +284,12 @@
   return best;
 }
 
-Router::Endpoint *Router::DueTrial(Service &service,
-                                   const std::vector<NodeId> &avoid) {
+Router::Endpoint *Router::DueTrial(Service &service, const Choice &choice) {
   if (service.ejected.empty()) return nullptr;
   const auto first = service.ejected.begin();
   if (first->first > this->clock.Now()) return nullptr;
   Endpoint *endpoint = service.endpoints.at(first->second).get();
-  const bool tried =
-      std::find(avoid.begin(), avoid.end(), endpoint->node) != avoid.end();
-  if (tried) return nullptr;
+  if (!choice.Allows(*endpoint)) return nullptr;
   // One call goes there; the next trial waits for its end or a full ejection.
   service.ejected.erase(first);
   endpoint->ejected_until = this->clock.Now() + endpoint->ejection;
@@ -264,13 +304,15 @@
     slot = std::make_unique<Endpoint>();
     slot->node = member.id;
     slot->nearness = this->NearnessOf(member);
+    slot->region = member.region;
     slot->limit = std::max<double>(1.0, target.slots);
     slot->ejection = this->options.first_ejection;
     Link(service, *slot);
   }
   const bool cold = target.state == TargetState::kCold;
-  if (slot->cold && !cold) slot->ramp_from = this->clock.Now();
-  slot->cold = cold;
+  const Time now = this->clock.Now();
+  if (!cold) slot->cold_until = std::min(slot->cold_until, now);
+  if (cold && !this->Cold(*slot)) slot->cold_until = now + kColdUntold;
 }
 
 void Router::Remove(const std::string &name, NodeId node) {
--- a/src/pollenring/routing/router.h
+++ b/src/pollenring/routing/router.h
@@ -80,14 +80,30 @@
    */
   void Update(const Member &member);
 
+  /**
+   * @brief Sets which zones' targets get nothing; update all members after.
+   * @param given The zones.
+   * @return Whether they are others than before.
+   */
+  bool Withdraw(std::vector<std::string> given);
+
   /**
    * @brief Chooses a target; call `Started` when it is used.
    * @param service The service.
    * @param avoid Nodes that this request has tried already.
+   * @param regions Where it may run; empty for anywhere.
    * @return The node beside the target, or nothing when none is left.
    */
-  [[nodiscard]] std::optional<NodeId> Choose(const std::string &service,
-                                             const std::vector<NodeId> &avoid);
+  [[nodiscard]] std::optional<NodeId> Choose(
+      const std::string &service, const std::vector<NodeId> &avoid,
+      const std::vector<std::string> &regions = {});
+
+  /**
+   * @brief Tells whether a target is known that is not cold.
+   * @param service The service.
+   * @return So; one that is set aside does not count.
+   */
+  [[nodiscard]] bool HasWarm(const std::string &service) const;
 
   /**
    * @brief Counts a call as in progress.
@@ -134,7 +150,8 @@
     Span ejection{};
     Time ejected_until{};
     bool ejected{};
-    bool cold{};
+    Time cold_until{};
+    std::string region;
     Time ramp_from{};
     double time_us{};     /*!< Smoothed time to an answer; 0 while unknown. */
     double fault_share{}; /*!< Smoothed part of its calls that fail. */
@@ -142,6 +159,14 @@
     std::size_t position{};
   };
 
+  /*! @brief What a request leaves out. */
+  struct Choice {
+    const std::vector<NodeId> &avoid;
+    const std::vector<std::string> &regions;
+
+    [[nodiscard]] bool Allows(const Endpoint &endpoint) const;
+  };
+
   struct Service {
     std::unordered_map<NodeId, std::unique_ptr<Endpoint>> endpoints;
     std::array<std::vector<Endpoint *>, kNearnessLevels> usable;
@@ -154,15 +179,15 @@
   [[nodiscard]] double Cost(const Endpoint &endpoint,
                             double unknown_us) const noexcept;
   [[nodiscard]] const Endpoint *Soonest(const Service &service,
-                                        const std::vector<NodeId> &avoid);
+                                        const Choice &choice);
   [[nodiscard]] double RampFraction(const Endpoint &endpoint) const noexcept;
   [[nodiscard]] Endpoint *Sample(const std::vector<Endpoint *> &from,
-                                 const std::vector<NodeId> &avoid);
+                                 const Choice &choice);
   /*! @brief When every target is set aside, the one due next. */
   [[nodiscard]] static std::optional<NodeId> SetAsideLongest(
-      const Service &service, const std::vector<NodeId> &avoid);
-  [[nodiscard]] Endpoint *DueTrial(Service &service,
-                                   const std::vector<NodeId> &avoid);
+      const Service &service, const Choice &choice);
+  [[nodiscard]] Endpoint *DueTrial(Service &service, const Choice &choice);
+  [[nodiscard]] bool Cold(const Endpoint &endpoint) const noexcept;
   void Add(Service &service, const Member &member, const Target &target);
   void Remove(const std::string &name, NodeId node);
   void Eject(const std::string &name, Service &service, Endpoint &endpoint);
@@ -176,6 +201,7 @@
   RouterOptions options;
   const Clock &clock;
   Random &random;
+  std::vector<std::string> withdrawn;
   std::unordered_map<std::string, Service> services;
   std::unordered_map<NodeId, std::vector<std::string>> served_by;
   std::vector<RouteChange> changes;
--- a/test/pollenring/routing/router_test.cc
+++ b/test/pollenring/routing/router_test.cc
@@ -171,6 +171,19 @@
     return *node;
   }
 
+  /*! @brief Starts calls that all take 30 ms. @return How many each got. */
+  std::map<NodeId, int> Spread(int calls) {
+    std::map<NodeId, int> started;
+    for (int i = 0; i < calls; ++i) {
+      const NodeId node = this->Start();
+      ++started[node];
+      this->clock.Advance(std::chrono::milliseconds{5});
+      this->router.Finished("s", node, CallVerdict::kAnswered, std::nullopt,
+                            pollenring::Span{30'000});
+    }
+    return started;
+  }
+
   static pollenring::RouterOptions Options() {
     pollenring::RouterOptions options;
     options.order = pollenring::RouteOrder::kSoonest;
@@ -253,3 +266,64 @@
   CHECK(started[1] > 600);
   CHECK(started[2] > 600);
 }
+
+TEST_CASE("router: targets of withdrawn zones get nothing until given back") {
+  SoonestWorld world{4, {"a", "b", "c"}};
+  std::vector<Member> members;
+  for (NodeId id = 1; id <= 3; ++id) {
+    Member member = Make(id, std::string(1, static_cast<char>('a' + id - 1)));
+    members.push_back(member);
+  }
+  const auto follow = [&](const std::vector<std::string> &zones) {
+    REQUIRE(world.router.Withdraw(zones));
+    for (const auto &member : members) world.router.Update(member);
+  };
+  follow({"a", "c"});
+  for (int i = 0; i < 50; ++i) CHECK(world.Start() == 2);
+  follow({"a", "b", "c"});
+  CHECK_FALSE(world.router.Choose("s", {}));
+  CHECK(world.router.Count("s") == 0);
+  follow({});
+  CHECK(world.Spread(90).size() == 3);
+  CHECK_FALSE(world.router.Withdraw({}));
+}
+
+TEST_CASE("router: a request stays in the regions that it names") {
+  SoonestWorld world{6, {"a", "a", "a"}};
+  Member away = Make(4, "far");
+  away.region = "q";
+  world.router.Update(away);
+  for (int i = 0; i < 60; ++i) {
+    const auto there = world.router.Choose("s", {}, {"q"});
+    REQUIRE(there);
+    CHECK(*there == 4);
+    const auto here = world.router.Choose("s", {}, {"r"});
+    REQUIRE(here);
+    CHECK(*here != 4);
+  }
+  CHECK_FALSE(world.router.Choose("s", {4}, {"q"}));
+  CHECK_FALSE(world.router.Choose("s", {}, {"none"}));
+  // Also when all targets there are set aside, and others are not.
+  for (int i = 0; i < 3; ++i) {
+    world.router.Started("s", 4);
+    world.router.Finished("s", 4, CallVerdict::kFailed, std::nullopt);
+  }
+  CHECK(world.router.Choose("s", {}, {"q"}) == NodeId{4});
+}
+
+TEST_CASE("router: a target is warm again when it said that it would be") {
+  SoonestWorld world{8, {"a", "a"}};
+  world.router.Started("s", 1);
+  pollenring::LoadReport cold{1, 20};
+  cold.cold_ms = 2000;
+  world.router.Finished("s", 1, CallVerdict::kShed, cold);
+  CHECK(world.router.HasWarm("s"));
+  world.router.Started("s", 2);
+  world.router.Finished("s", 2, CallVerdict::kShed, cold);
+  CHECK_FALSE(world.router.HasWarm("s"));
+  world.clock.Advance(std::chrono::milliseconds{2001});
+  CHECK(world.router.HasWarm("s"));
+  const auto started = world.Spread(90);
+  CHECK(started.at(1) > 20);
+  CHECK(started.at(2) > 20);
+}
--- a/test/support/member_fleet.h
+++ b/test/support/member_fleet.h
@@ -55,6 +55,9 @@
     void MemberChanged(const Member & /*member*/) override {}
     void PeerConfigVersion(NodeId /*peer*/,
                            std::uint64_t /*version*/) override {}
+    void PeerZones(const pollenring::ZonesWord &word) override {
+      if (this->zones.Take(word)) this->membership.SetZones(word);
+    }
 
     void RecordsDiffer(NodeId peer) override {
       ++this->fleet.exchanges;
@@ -82,6 +85,7 @@
     MemberFleet &fleet;
     int index;
     Membership membership;
+    pollenring::WithdrawnZones zones;
     bool frozen{};
     std::vector<Gossip> held;
   };
--- a/test/support/mesh_world.cc
+++ b/test/support/mesh_world.cc
@@ -2,6 +2,7 @@
 
 #include <openssl/evp.h>
 
+#include <csignal>
 #include <nlohmann/json.hpp>
 
 namespace support {
@@ -48,6 +49,12 @@
   this->Notify();
 }
 
+void StoreStandIn::Withdraw(const std::string &zone, bool withdrawn) {
+  this->rows[{"op", "evacuate/" + zone}] = {++this->version, Base64("{}"),
+                                            !withdrawn};
+  this->Notify();
+}
+
 void StoreStandIn::Handle(
     const HttpRequest &request,
     const std::shared_ptr<pollenring::Responder> &responder) {
@@ -55,6 +62,10 @@
     responder->Send({503, {}, {}});
     return;
   }
+  if (this->nonsense) {
+    responder->Send({200, {}, *this->nonsense});
+    return;
+  }
   if (request.path.rfind("/rows-get", 0) == 0) this->Get(request, *responder);
   if (request.path == "/rows-tx") this->Transact(request, *responder);
   if (request.path.rfind("/rows-feed", 0) == 0) this->Feed(request, responder);
@@ -67,12 +78,15 @@
   for (const auto &[key, row] : this->rows) {
     const bool inside = key.first == table && row.version > after &&
                         key.second >= from && (to.empty() || key.second < to);
-    if (!inside) continue;
-    found.push_back({{"table_name", key.first},
-                     {"part", ""},
-                     {"key", key.second},
-                     {"value", row.value},
-                     {"row_version", row.version}});
+    // Only a feed tells of rows that are gone.
+    if (!inside || (row.dropped && after == 0)) continue;
+    Json item{{"table_name", key.first},
+              {"part", ""},
+              {"key", key.second},
+              {"row_version", row.version}};
+    if (row.dropped) item["is_deleted"] = true;
+    if (!row.dropped) item["value"] = row.value;
+    found.push_back(std::move(item));
   }
   if (after > 0 && found.empty()) return {};
   return Json{{"rows", found},
@@ -150,6 +164,8 @@
 }
 
 MeshWorld::MeshWorld(int net) : net{net} {
+  // As the daemon does: a write to a closed connection is an error, no end.
+  std::signal(SIGPIPE, SIG_IGN);
   this->store = std::make_unique<StoreStandIn>(this->loop, this->At(250, 7900));
 }
 
@@ -198,7 +214,8 @@
   return index;
 }
 
-int MeshWorld::Beat(int index, const std::string &state) {
+int MeshWorld::Beat(int index, const std::string &state,
+                    std::chrono::milliseconds cold_left) {
   Member &member = *this->nodes.at(static_cast<std::size_t>(index - 1));
   const Json body{{"address", this->At(index, 8000).Format()},
                   {"born", 5},
@@ -206,7 +223,7 @@
                   {"status",
                    {{"state", state},
                     {"sequence", ++member.sequence},
-                    {"cold_left_ms", 0}}}};
+                    {"cold_left_ms", cold_left.count()}}}};
   const auto answer = this->Ask(
       this->At(index, 7001), {"POST",
                               "/Instances.Heartbeat/i-" + std::to_string(index),
@@ -216,6 +233,10 @@
   return answer ? answer->status : 0;
 }
 
+void MeshWorld::StopTarget(int index) {
+  this->nodes.at(static_cast<std::size_t>(index - 1))->target->Close();
+}
+
 HttpResponse MeshWorld::Call(int index, const std::string &method,
                              const std::string &path,
                              pollenring::HttpHeaders headers,
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -27,9 +27,17 @@
   /*! @brief Writes the operator's document. @param json Its text. */
   void PutConfig(const std::string &json);
 
+  /*! @brief Withdraws a zone, or gives it back. */
+  void Withdraw(const std::string &zone, bool withdrawn);
+
   /*! @brief Whether calls are answered with 503. @param down So. */
   void SetDown(bool down) { this->down = down; }
 
+  /*! @brief Answers all calls with a text; with nothing, as it should. */
+  void SetNonsense(std::optional<std::string> text) {
+    this->nonsense = std::move(text);
+  }
+
   /*! @brief Whether watches are never answered. @param silent So. */
   void SetSilent(bool silent) { this->silent = silent; }
 
@@ -40,6 +48,7 @@
   struct StoredRow {
     std::uint64_t version{};
     std::string value; /*!< In base64, as it was sent. */
+    bool dropped{};
   };
   using Key = std::pair<std::string, std::string>;
   struct Watch {
@@ -68,6 +77,7 @@
   std::uint64_t oldest{};
   bool down{};
   bool silent{};
+  std::optional<std::string> nonsense;
   pollenring::Loop &loop;
   pollenring::HttpServer server;
 };
@@ -85,8 +95,12 @@
   int Start(const std::string &service, Endpoint endpoint);
 
   /*! @brief Sends the heartbeat of a node's target. @param state Its state.
-   * @return The answer's status. */
-  int Beat(int index, const std::string &state = "ready");
+   * @param cold_left How long it stays cold. @return The answer's status. */
+  int Beat(int index, const std::string &state = "ready",
+           std::chrono::milliseconds cold_left = {});
+
+  /*! @brief Stops a node's target; its connections are refused. */
+  void StopTarget(int index);
 
   /*! @brief Performs a request at a node's port for callers. */
   [[nodiscard]] pollenring::HttpResponse Call(
@@ -100,6 +114,9 @@
                            pollenring::Span limit);
   void Run(pollenring::Span length);
 
+  /*! @brief Address of one of a node's ports. */
+  [[nodiscard]] pollenring::Address At(int index, int port) const;
+
   [[nodiscard]] StoreStandIn &Store() { return *this->store; }
   [[nodiscard]] pollenring::MeshNode &Node(int index) {
     return *this->nodes.at(static_cast<std::size_t>(index - 1))->node;
@@ -117,7 +134,6 @@
     int sequence{};
   };
 
-  [[nodiscard]] pollenring::Address At(int index, int port) const;
   [[nodiscard]] std::optional<pollenring::HttpResponse> Ask(
       const pollenring::Address &to, const pollenring::HttpRequest &request);
 
