--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -1,7 +1,6 @@
 #include "pollenring/mesh/policy_follower.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "pollenring/log/log.h"
 #include "pollenring/retry/backoff.h"
@@ -18,9 +17,6 @@
 /*! @brief All nodes together then ask a store that is down some ten times a
  * second each second, well below its rate. */
 constexpr Span kLongestPause = std::chrono::milliseconds{800};
-/*! @brief Part of the tolerated slack that is lent; the rest covers slots that
- * change hands. */
-constexpr double kSlackLent = 0.4;
 constexpr Span kPullTimeout = std::chrono::milliseconds{800};
 /*! @brief Peers of the own availability zone told at once of a new version;
  * they tell others. */
@@ -33,15 +29,13 @@
 
 PolicyFollower::PolicyFollower(Loop &loop, MemberService &members,
                                LinkClient &link, PolicySource &source,
-                               const PolicyDialect &dialect, Random &random,
-                               double rate_slack)
+                               const PolicyDialect &dialect, Random &random)
     : loop{loop},
       members{members},
       link{link},
       source{source},
       dialect{dialect},
       random{random},
-      rate_slack{rate_slack},
       store_heard{loop.GetClock().Now()} {}
 
 void PolicyFollower::Start(std::function<void()> given) {
@@ -76,11 +70,7 @@
     const std::string &workspace) const {
   const WorkspaceShare *share = this->table.ShareOf(workspace);
   if (share == nullptr) return std::nullopt;
-  WorkspaceShare lent = *share;
-  // Nodes hold parts of it apart, so that some of it is never where it is
-  // asked for.
-  lent.burst += std::floor(this->rate_slack * kSlackLent);
-  return lent;
+  return *share;
 }
 
 void PolicyFollower::Read() {
--- a/src/pollenring/mesh/policy_follower.h
+++ b/src/pollenring/mesh/policy_follower.h
@@ -37,12 +37,10 @@
    * @param source Where the document lies.
    * @param dialect How it is written.
    * @param random Randomness.
-   * @param rate_slack Requests that operators tolerate beyond a workspace's
-   * rate and burst.
    */
   PolicyFollower(Loop &loop, MemberService &members, LinkClient &link,
                  PolicySource &source, const PolicyDialect &dialect,
-                 Random &random, double rate_slack);
+                 Random &random);
 
   /*! @brief Starts to watch. @param changed Called when what is in force has
    * changed: the configuration, or which zones are withdrawn. */
@@ -91,7 +89,6 @@
   PolicySource &source;
   const PolicyDialect &dialect;
   Random &random;
-  double rate_slack;
   HostTable table;
   std::string document;
   std::unordered_map<NodeId, std::uint64_t> peer_versions;
--- a/src/pollenring/node/settings.cc
+++ b/src/pollenring/node/settings.cc
@@ -189,8 +189,7 @@
       "node", {"zone", "region", "seeds", "slots", "routes", "first_start"});
   reader.KnownKeys("listen",
                    {"callers", "targets", "nodes", "operators", "ready"});
-  reader.KnownKeys("target",
-                   {"service", "cold_over", "cold_slack", "rate_slack"});
+  reader.KnownKeys("target", {"service", "cold_over", "cold_slack"});
   reader.KnownKeys("secrets", {"nodes", "operators", "targets"});
   reader.KnownKeys("platform", {"address"});
   settings.routes = reader.Form();
@@ -210,7 +209,6 @@
     ColdMargin &margin = settings.cold_margin;
     margin.over = reader.Number("target", "cold_over", margin.over);
     margin.slack = reader.Number("target", "cold_slack", margin.slack);
-    settings.rate_slack = reader.Number("target", "rate_slack", 0);
   } else {
     settings.operator_secret = reader.Secret("operators");
     settings.target_secret = reader.Secret("targets");
--- a/src/pollenring/node/settings.h
+++ b/src/pollenring/node/settings.h
@@ -42,9 +42,6 @@
   Address ready;              /*!< Where readiness is asked; host form only. */
   std::string target_service; /*!< Of the target on this VM; host form only. */
   ColdMargin cold_margin;     /*!< At the target on this VM; host form only. */
-  /*! @brief Requests of a workspace that operators tolerate beyond its rate
-   * and burst, over all nodes; host form only. */
-  double rate_slack{};
   bool first_start{}; /*!< The whole system starts for the first time. */
 };
 
