A target that has left is not used again after its node's restart

Ruled out: peers' records, which a restarted node's own new record replaces first. Change: DepartureLog keeps the latest departure at a node's address in a row of the platform's table; a node that starts reads it before its target is used, and HeartbeatFilter leaves out what that start still says. One read a start, one write a departure.

--- /dev/null
+++ b/src/pollenring/mesh/departure_log.h
@@ -0,0 +1,55 @@
+#ifndef POLLENRING_MESH_DEPARTURE_LOG_H_
+#define POLLENRING_MESH_DEPARTURE_LOG_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "pollenring/membership/member.h"
+#include "pollenring/storage/storage.h"
+
+namespace pollenring {
+
+/*! @brief One start of a target that has said that it leaves. */
+struct Departure {
+  std::string instance;
+  std::uint64_t born{}; /*!< Unix milliseconds of its start; 0 if unsaid. */
+};
+
+/**
+ * @brief Remembers beyond this process which target here said that it leaves.
+ *
+ * A node that starts again beside a leaving target may get an announcement that
+ * was sent before; the row tells it not to use that target again. Only the
+ * latest departure is kept, as one target at a time stands beside a node.
+ */
+class DepartureLog {
+ public:
+  using Done = std::function<void(std::optional<Departure>)>;
+
+  /**
+   * @brief Creates the log.
+   * @param self This node; it keeps its address over a restart.
+   * @param table Where the row lies.
+   */
+  DepartureLog(NodeId self, Table &table);
+
+  /*! @brief Keeps a departure. @param departure It. */
+  void Record(const Departure &departure);
+
+  /**
+   * @brief Reads the latest departure.
+   * @param done Called once; without one where none is kept, or the table does
+   * not answer.
+   */
+  void Read(const Done &done);
+
+ private:
+  std::string key;
+  Table &table;
+};
+
+}  // namespace pollenring
+
+#endif  // POLLENRING_MESH_DEPARTURE_LOG_H_
--- a/src/pollenring/mesh/heartbeat_filter.cc
+++ b/src/pollenring/mesh/heartbeat_filter.cc
@@ -42,4 +42,18 @@
   return HeartbeatVerdict::kTaken;
 }
 
+std::uint64_t HeartbeatFilter::BornOf(const std::string &instance) const {
+  const auto known = this->starts.find(instance);
+  return known == this->starts.end() ? 0 : known->second.born;
+}
+
+bool HeartbeatFilter::Forbid(const std::string &instance, std::uint64_t born) {
+  const auto [known, fresh] = this->starts.try_emplace(instance);
+  Start &start = known->second;
+  if (!fresh && start.born > born) return false;
+  start.born = born;
+  start.departed = true;
+  return !fresh;
+}
+
 }  // namespace pollenring
--- a/src/pollenring/mesh/heartbeat_filter.h
+++ b/src/pollenring/mesh/heartbeat_filter.h
@@ -37,6 +37,18 @@
    */
   [[nodiscard]] HeartbeatVerdict Judge(const Heartbeat &heartbeat);
 
+  /*! @brief When a target's latest start was. @param instance The target.
+   * @return Unix milliseconds; 0 if unsaid. */
+  [[nodiscard]] std::uint64_t BornOf(const std::string &instance) const;
+
+  /**
+   * @brief Takes in that a start has left, as an earlier process was told.
+   * @param instance The target.
+   * @param born Unix milliseconds of that start; 0 if unsaid.
+   * @return Whether a heartbeat of that start was taken before.
+   */
+  bool Forbid(const std::string &instance, std::uint64_t born);
+
  private:
   struct Start {
     std::uint64_t born{};
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -118,6 +118,7 @@
                OutboundParts{this->policy, parts.callers, this->shares,
                              this->dispatcher, this->serving, this->levels,
                              parts.random, this->metrics}},
+      departures{given.nodes.Packed(), parts.table},
       link_server{parts.loop, given.nodes, given.node_secret, kMaxFrameBytes,
                   [this](const std::string &path, std::string body,
                          std::shared_ptr<LinkResponder> responder) {
@@ -155,6 +156,9 @@
       [this](const Member &member) { this->router.Update(member); });
   this->shares.Start();
   this->serving.SetUse(TargetUse::kUnknown);
+  this->departures.Read([this](const std::optional<Departure> &departure) {
+    this->TakeDeparture(departure);
+  });
   this->policy.Start([this] { this->FollowPolicy(); });
   this->members.Start();
   this->ring.Update(this->shares);
@@ -167,7 +171,17 @@
   this->CountFigures();
 }
 
+void MeshNode::TakeDeparture(const std::optional<Departure> &departure) {
+  this->departures_known = true;
+  if (departure &&
+      this->heartbeats.Forbid(departure->instance, departure->born)) {
+    this->serving.Drain(departure->instance);
+  }
+  this->FollowPolicy();
+}
+
 void MeshNode::FollowPolicy() {
+  if (!this->departures_known) return;
   const WithdrawnZones &zones = this->policy.Zones();
   // What a cold target bears is not known before the configuration either.
   if (!zones.Known() || this->policy.InForce().Version() == 0) return;
@@ -264,6 +278,13 @@
   }
   const HeartbeatVerdict verdict = this->heartbeats.Judge(*heartbeat);
   if (verdict == HeartbeatVerdict::kTaken) {
+    const bool leaves = announcement.target.state == TargetState::kDraining &&
+                        std::exchange(this->departed, announcement.instance) !=
+                            announcement.instance;
+    if (leaves) {
+      this->departures.Record({announcement.instance,
+                               this->heartbeats.BornOf(announcement.instance)});
+    }
     this->serving.Announce(announcement);
   } else {
     LogEvent(LogLevel::kInfo, "heartbeat left out",
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -3,11 +3,13 @@
 
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 #include "pollenring/link/link_client.h"
 #include "pollenring/link/link_server.h"
 #include "pollenring/mesh/cold_policy.h"
+#include "pollenring/mesh/departure_log.h"
 #include "pollenring/mesh/dialects.h"
 #include "pollenring/mesh/heartbeat_filter.h"
 #include "pollenring/mesh/outbound.h"
@@ -66,6 +68,7 @@
   void Start();
   void CountFigures();
   void FollowPolicy();
+  void TakeDeparture(const std::optional<Departure> &departure);
   void HandleLink(const std::string &path, std::string body,
                   const std::shared_ptr<LinkResponder> &responder);
   void HandleCall(std::string body,
@@ -98,11 +101,14 @@
   Dispatcher dispatcher;
   Outbound outbound;
   HeartbeatFilter heartbeats;
+  DepartureLog departures;
+  bool departures_known{};
   LinkServer link_server;
   HttpServer caller_server;
   HttpServer heartbeat_server;
   HttpServer ready_server;
   HttpServer operator_server;
+  std::string departed; /*!< Latest instance that was recorded. */
   Time left_at{};
   bool leaving{};
   bool was_ready{};
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -119,6 +119,15 @@
   this->Report();
 }
 
+void Serving::Drain(const std::string &instance) {
+  for (auto &[service, binding] : this->bindings) {
+    if (binding.announcement.instance != instance) continue;
+    binding.announcement.target.state = TargetState::kDraining;
+    this->Perform(binding.admission->Close());
+  }
+  this->Report();
+}
+
 void Serving::FollowColdBounds() {
   for (auto &[service, binding] : this->bindings) {
     binding.admission->SetColdTolerance(this->cold_bounds.ToleranceOf(service));
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -152,6 +152,9 @@
    */
   void SetUse(TargetUse given);
 
+  /*! @brief A target has left, as was learned late. @param instance It. */
+  void Drain(const std::string &instance);
+
   /*! @brief The bounds of cold targets may have changed. */
   void FollowColdBounds();
 
--- a/test/pollenring/mesh/heartbeat_filter_test.cc
+++ b/test/pollenring/mesh/heartbeat_filter_test.cc
@@ -56,3 +56,16 @@
   CHECK(filter.Judge(Beat("old", 10, 8)) == HeartbeatVerdict::kStale);
   CHECK(filter.Judge(Beat("new", 20, 2)) == HeartbeatVerdict::kTaken);
 }
+
+TEST_CASE("heartbeat filter: what an earlier process was told holds") {
+  HeartbeatFilter filter;
+  CHECK_FALSE(filter.Forbid("a", 10));
+  CHECK(filter.Judge(Beat("a", 10, 7)) == HeartbeatVerdict::kStale);
+  CHECK(filter.Judge(Beat("a", 11, 1)) == HeartbeatVerdict::kTaken);
+  CHECK(filter.BornOf("a") == 11);
+  // The row is read late, and names an older start or the one in use.
+  CHECK_FALSE(filter.Forbid("a", 10));
+  CHECK(filter.Judge(Beat("a", 11, 2)) == HeartbeatVerdict::kTaken);
+  CHECK(filter.Forbid("a", 11));
+  CHECK(filter.Judge(Beat("a", 11, 3)) == HeartbeatVerdict::kStale);
+}
--- a/test/pollenring/mesh/mesh_node_test.cc
+++ b/test/pollenring/mesh/mesh_node_test.cc
@@ -344,3 +344,37 @@
   }
   CHECK(served > 100);
 }
+
+TEST_CASE("mesh: after a restart a target that has left is not used again") {
+  World world{17, [](const HttpRequest &r) { return Signed(r, 200); }};
+  REQUIRE(world.Beat(2, "draining") == 200);
+  REQUIRE(world.Await([&] { return world.Store().Has("departed/"); }, 2s));
+  // The node that starts next beside the fourth target was told before.
+  world.Store().Put("departed/" + world.At(4, 7002).Format(),
+                    R"({"instance":"i-4","born":5})");
+  int served = 0;
+  world.Start("left", [&served](const HttpRequest &r) {
+    ++served;
+    return Signed(r, 200);
+  });
+  const std::string next =
+      Replaced(Replaced(kConfig, "r3", "r9"), "\"service\":\"deep\"",
+               "\"service\":\"left\"");
+  world.Store().PutConfig(next);
+  REQUIRE(world.Await([&] { return world.Ready(4) == 200; }, 8s));
+  // Late news from before.
+  REQUIRE(world.Beat(4) == 200);
+  world.Run(500ms);
+  for (int i = 0; i < 10; ++i) {
+    CHECK(world.Call(4, "GET", "/read/1", Headers("l" + std::to_string(i)))
+              .status == 503);
+  }
+  CHECK(served == 0);
+  // What starts there anew is used, under the same name too.
+  REQUIRE(world.Beat(4, "ready", {}, 6) == 200);
+  CHECK(world.Await(
+      [&] {
+        return world.Call(4, "GET", "/read/1", Headers("new")).status == 200;
+      },
+      4s));
+}
--- a/test/support/mesh_world.cc
+++ b/test/support/mesh_world.cc
@@ -2,6 +2,7 @@
 
 #include <openssl/evp.h>
 
+#include <algorithm>
 #include <csignal>
 #include <nlohmann/json.hpp>
 
@@ -49,6 +50,19 @@
   this->Notify();
 }
 
+void StoreStandIn::Put(const std::string &key, const std::string &value) {
+  this->rows[{"pollenring", key}] = {++this->version, Base64(value)};
+  this->Notify();
+}
+
+bool StoreStandIn::Has(const std::string &prefix) const {
+  return std::any_of(this->rows.begin(), this->rows.end(),
+                     [&prefix](const auto &entry) {
+                       return entry.first.first == "pollenring" &&
+                              entry.first.second.rfind(prefix, 0) == 0;
+                     });
+}
+
 void StoreStandIn::Withdraw(const std::string &zone, bool withdrawn) {
   this->rows[{"op", "evacuate/" + zone}] = {++this->version, Base64("{}"),
                                             !withdrawn};
@@ -215,10 +229,10 @@
 }
 
 int MeshWorld::Beat(int index, const std::string &state,
-                    std::chrono::milliseconds cold_left) {
+                    std::chrono::milliseconds cold_left, int born) {
   Member &member = *this->nodes.at(static_cast<std::size_t>(index - 1));
   const Json body{{"address", this->At(index, 8000).Format()},
-                  {"born", 5},
+                  {"born", born},
                   {"info", {{"service", member.service}, {"slots", 4}}},
                   {"status",
                    {{"state", state},
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -27,6 +27,12 @@
   /*! @brief Writes the operator's document. @param json Its text. */
   void PutConfig(const std::string &json);
 
+  /*! @brief Writes a row of the product's own. */
+  void Put(const std::string &key, const std::string &value);
+
+  /*! @brief Whether a row of the product's own has a key that begins so. */
+  [[nodiscard]] bool Has(const std::string &prefix) const;
+
   /*! @brief Withdraws a zone, or gives it back. */
   void Withdraw(const std::string &zone, bool withdrawn);
 
@@ -95,9 +101,10 @@
   int Start(const std::string &service, Endpoint endpoint);
 
   /*! @brief Sends the heartbeat of a node's target. @param state Its state.
-   * @param cold_left How long it stays cold. @return The answer's status. */
+   * @param cold_left How long it stays cold. @param born Its start. @return The
+   * answer's status. */
   int Beat(int index, const std::string &state = "ready",
-           std::chrono::milliseconds cold_left = {});
+           std::chrono::milliseconds cold_left = {}, int born = 5);
 
   /*! @brief Stops a node's target; its connections are refused. */
   void StopTarget(int index);
