Status and figures of a mesh node: zones withdrawn, coldness, answers held

Cause: an operator could not see at a node which zones it takes as withdrawn, nor since when; only the log told. Ruled out: a command of its own, since `pollenring status` asks every node already. Change: the operator port of a node by host answers /status; both forms share DescribeMembers; gauges pollenring_zones_withdrawn, pollenring_target_cold_seconds and pollenring_answers_held_bytes. No decision is changed. Test: the mesh test of withdrawn zones reads both. Before: 404 for /status. After: the zone with its seconds.

--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "pollenring/log/log.h"
+#include "pollenring/node/describe_members.h"
 #include "pollenring/node/headers.h"
 #include "pollenring/node/limits.h"
 #include "pollenring/retry/backoff.h"
@@ -207,6 +208,15 @@
   this->metrics.Gauge("pollenring_target_running", [this] {
     return static_cast<double>(this->serving.RunningCount());
   });
+  this->metrics.Gauge("pollenring_zones_withdrawn", [this] {
+    return static_cast<double>(this->policy.Zones().Newest().zones.size());
+  });
+  this->metrics.Gauge("pollenring_target_cold_seconds", [this] {
+    return std::chrono::duration<double>{this->serving.ColdFor()}.count();
+  });
+  this->metrics.Gauge("pollenring_answers_held_bytes", [this] {
+    return static_cast<double>(this->parts.client.HeldBytes());
+  });
   this->metrics.Gauge("pollenring_connects", [this] {
     return static_cast<double>(this->parts.client.Connects());
   });
@@ -314,8 +324,14 @@
 void MeshNode::HandleOperator(
     const HttpRequest &request,
     const std::shared_ptr<Responder> &responder) const {
+  if (request.path == "/status") {
+    responder->Send({kOk,
+                     {{"content-type", "application/json"}},
+                     this->Status().dump() + "\n"});
+    return;
+  }
   if (request.path != "/metrics") {
-    responder->Send({kNotFound, {}, "only /metrics is here\n"});
+    responder->Send({kNotFound, {}, "only /metrics and /status are here\n"});
     return;
   }
   responder->Send({kOk,
@@ -323,6 +339,26 @@
                    this->metrics.Expose()});
 }
 
+nlohmann::json MeshNode::Status() const {
+  nlohmann::json zones = nlohmann::json::array();
+  for (const auto &[zone, since] : this->policy.WithdrawnSince()) {
+    const Span age = this->loop.GetClock().Now() - since;
+    zones.push_back({{"zone", zone},
+                     {"for_s", std::chrono::duration<double>{age}.count()}});
+  }
+  return {{"node", this->settings.nodes.Format()},
+          {"zone", this->settings.zone},
+          {"config_version", this->policy.InForce().Version()},
+          {"fresh", this->policy.InForce().Version() > 0},
+          {"leaving", this->leaving},
+          {"open_for_callers", this->Ready()},
+          {"in_progress", this->InProgress()},
+          {"requests", this->metrics.Read("pollenring_requests_total")},
+          {"refusals", this->metrics.Read("pollenring_refusals_total")},
+          {"zones_withdrawn", std::move(zones)},
+          {"members", DescribeMembers(this->members.Get())}};
+}
+
 Span MeshNode::Leaving() const {
   if (!this->leaving) return Span{0};
   return this->loop.GetClock().Now() - this->left_at;
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -78,6 +78,7 @@
   void HandleReady(const std::shared_ptr<Responder> &responder);
   void HandleOperator(const HttpRequest &request,
                       const std::shared_ptr<Responder> &responder) const;
+  [[nodiscard]] nlohmann::json Status() const;
   void CheckLeft();
   [[nodiscard]] bool Ready() const;
   [[nodiscard]] Span Leaving() const;
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -115,6 +115,13 @@
   if (this->zones.Newest().position == before) return;
   this->members.Get().SetZones(this->zones.Newest());
   if (!other) return;
+  std::map<std::string, Time> since;
+  for (const auto &zone : this->zones.Newest().zones) {
+    const auto known = this->withdrawn_since.find(zone);
+    const bool fresh = known == this->withdrawn_since.end();
+    since[zone] = fresh ? this->loop.GetClock().Now() : known->second;
+  }
+  this->withdrawn_since = std::move(since);
   LogEvent(LogLevel::kInfo, "zones withdrawn",
            {{"zones", this->zones.Newest().zones},
             {"position", this->zones.Newest().position},
--- a/src/pollenring/mesh/policy_follower.h
+++ b/src/pollenring/mesh/policy_follower.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -56,6 +57,13 @@
     return this->table;
   }
 
+  /*! @brief Since when this node knows that a zone is withdrawn. @return By
+   * zone. */
+  [[nodiscard]] const std::map<std::string, Time> &WithdrawnSince()
+      const noexcept {
+    return this->withdrawn_since;
+  }
+
   /*! @brief The document in force, for a peer. @return Its text. */
   [[nodiscard]] const std::string &Document() const noexcept {
     return this->document;
@@ -93,6 +101,7 @@
   std::string document;
   std::unordered_map<NodeId, std::uint64_t> peer_versions;
   WithdrawnZones zones;
+  std::map<std::string, Time> withdrawn_since;
   ZonesWord watched; /*!< What this node's own watch has told so far. */
   std::function<void()> changed;
   std::uint64_t position{};
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "pollenring/log/log.h"
+#include "pollenring/node/describe_members.h"
 #include "pollenring/node/handover.h"
 #include "pollenring/node/headers.h"
 #include "pollenring/node/limits.h"
@@ -276,25 +277,6 @@
 }
 
 nlohmann::json Node::Status() const {
-  using Json = nlohmann::json;
-  const Membership &membership = this->members.Get();
-  Json members = Json::array();
-  const auto add = [&members](const Member &member) {
-    Json targets = Json::array();
-    for (const auto &target : member.targets) {
-      targets.push_back({{"service", target.service},
-                         {"slots", target.slots},
-                         {"state", kTargetStateNames.Name(target.state)}});
-    }
-    members.push_back({{"node", AddressOf(member.id).Format()},
-                       {"zone", member.zone},
-                       {"region", member.region},
-                       {"state", kMemberStateNames.Name(member.state)},
-                       {"slots_held", member.slots.size()},
-                       {"targets", std::move(targets)}});
-  };
-  add(membership.Self());
-  for (const auto &[id, member] : membership.Members()) add(member);
   std::size_t orphans = 0;
   for (SlotId slot = 0; slot < this->slots.Count(); ++slot) {
     if (!this->slots.HolderOf(slot)) ++orphans;
@@ -310,7 +292,7 @@
           {"slots_without_witness", this->slots.Keeper().Fragile()},
           {"requests", this->metrics.Read("pollenring_requests_total")},
           {"refusals", this->metrics.Read("pollenring_refusals_total")},
-          {"members", std::move(members)}};
+          {"members", DescribeMembers(this->members.Get())}};
 }
 
 }  // namespace pollenring
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -437,6 +437,14 @@
   return count;
 }
 
+Span Serving::ColdFor() const noexcept {
+  Span longest{0};
+  for (const auto &[service, binding] : this->bindings) {
+    longest = std::max(longest, binding.admission->ColdFor());
+  }
+  return longest;
+}
+
 void Serving::LogLoad() {
   const Time now = this->loop.GetClock().Now();
   if (now - this->load_logged < kLoadLogPeriod) return;
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -222,6 +222,9 @@
   /*! @brief Requests that the announced targets run at once. @return Sum. */
   [[nodiscard]] std::size_t RunningCount() const noexcept;
 
+  /*! @brief How long targets here stay cold. @return The longest, or 0. */
+  [[nodiscard]] Span ColdFor() const noexcept;
+
   /*! @brief Requests waiting or running. @return The count. */
   [[nodiscard]] std::size_t InProgress() const noexcept {
     return this->calls.size();
--- a/test/pollenring/mesh/mesh_node_test.cc
+++ b/test/pollenring/mesh/mesh_node_test.cc
@@ -212,6 +212,11 @@
               .status == 200);
   }
   CHECK(served["i-3"] == before);
+  const auto status = world.Operate(1, "/status");
+  CHECK(status.find(R"("zone":"z1"}])") != std::string::npos);
+  CHECK(status.find(R"("zones_withdrawn":[{"for_s":)") != std::string::npos);
+  CHECK(world.Operate(1, "/metrics").find("pollenring_zones_withdrawn 1") !=
+        std::string::npos);
   // With both zones withdrawn nobody is served, nor told that it may have run.
   world.Store().Withdraw("z0", true);
   world.Run(500ms);
--- a/test/support/mesh_world.cc
+++ b/test/support/mesh_world.cc
@@ -266,6 +266,12 @@
   return answer ? answer->status : 0;
 }
 
+std::string MeshWorld::Operate(int index, const std::string &path) {
+  const auto answer =
+      this->Ask(this->At(index, 7003), {"GET", path, {}, {}, {}});
+  return answer ? answer->body : std::string{};
+}
+
 std::optional<HttpResponse> MeshWorld::Ask(const Address &to,
                                            const HttpRequest &request) {
   std::optional<HttpResponse> answer;
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -117,6 +117,9 @@
   /*! @brief Status of a node's ready address. */
   [[nodiscard]] int Ready(int index);
 
+  /*! @brief What a node's operator port answers. @param path Its path. */
+  [[nodiscard]] std::string Operate(int index, const std::string &path);
+
   [[nodiscard]] bool Await(const std::function<bool()> &condition,
                            pollenring::Span limit);
   void Run(pollenring::Span length);
--- a/tools/pollenring/commands.cc
+++ b/tools/pollenring/commands.cc
@@ -1,6 +1,7 @@
 #include "commands.h"
 
 #include <algorithm>
+#include <cmath>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -264,6 +265,10 @@
             << body.value("refusals", 0ULL) << ", in progress "
             << body.value("in_progress", 0ULL) << ", slots without holder "
             << body.value("slots_without_holder", 0ULL) << '\n';
+  for (const auto &zone : body.value("zones_withdrawn", Json::array())) {
+    std::cout << "zone " << zone.value("zone", "") << " withdrawn for "
+              << std::lround(zone.value("for_s", 0.0)) << " s\n";
+  }
   for (const auto &member : body.value("members", Json::array())) {
     std::cout << "  " << member.value("node", "") << "  "
               << member.value("zone", "") << "  " << member.value("state", "")
