--- a/test/pollenring/admission/cold_gate_test.cc
+++ b/test/pollenring/admission/cold_gate_test.cc
@@ -171,6 +171,23 @@
   }
 }
 
+TEST_CASE("cold gate: what was turned away gives its place back") {
+  ManualClock clock{std::chrono::hours{1}};
+  ColdGate gate{clock};
+  gate.SetTolerance({2, 1s});
+  gate.SetColdUntil(clock.Now() + 1h);
+  gate.Sent(1);
+  gate.Sent(2);
+  CHECK_FALSE(gate.HasRoom());
+  gate.GiveBack(1);
+  CHECK(gate.HasRoom());
+  // Once, and only what was sent.
+  gate.GiveBack(1);
+  gate.GiveBack(7);
+  gate.Sent(3);
+  CHECK_FALSE(gate.HasRoom());
+}
+
 TEST_CASE("cold gate: it opens at the end of the coldness, not later") {
   ManualClock clock{std::chrono::hours{1}};
   ColdGate gate{clock};
