Serving's targets and the mesh tests' fleet in files of their own; two gaps of tests

Change: serving_targets.cc holds what concerns announced targets, moved as it was; support/mesh_fleet.h holds the world that two test files share; a call straight to the node beside a withdrawn target, and a peer that answers others, are tested. No decision is changed. Ruled out by mutations, each red: gate always has room, older word taken, held bytes unbounded, unnamed failure passed on, departure forgotten, not run said as 502, has_more of any type, regions ignored, no suspicion after a withdrawal.

--- /dev/null
+++ b/src/pollenring/node/serving_targets.cc
@@ -0,0 +1,186 @@
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "pollenring/log/log.h"
+#include "pollenring/node/serving.h"
+
+namespace pollenring {
+namespace {
+
+/*! @brief Silence after which a target is taken as gone; four of the slowest
+ * announcements, which come every 1.5 s. */
+constexpr Span kAnnouncementLifetime = std::chrono::seconds{6};
+/*! @brief Pause between two lines on a busy target. */
+constexpr Span kLoadLogPeriod = std::chrono::seconds{1};
+/*! @brief How long an announcement may be on its way that was sent before
+ * something pointed to a restart. */
+constexpr Span kBeatUnderWay = std::chrono::milliseconds{300};
+
+}  // namespace
+
+void Serving::Announce(const Announcement &announcement) {
+  const std::string &service = announcement.target.service;
+  auto found = this->bindings.find(service);
+  const bool fresh =
+      found == this->bindings.end() ||
+      !(found->second.announcement.address == announcement.address) ||
+      found->second.announcement.instance != announcement.instance;
+  if (fresh) {
+    Binding binding;
+    binding.admission = std::make_unique<Admission>(
+        announcement.target.slots, this->options, this->loop.GetClock());
+    found = this->bindings.insert_or_assign(service, std::move(binding)).first;
+  }
+  found->second.announcement = announcement;
+  found->second.last_seen = this->loop.GetClock().Now();
+  this->TakeColdness(found->second);
+  if (announcement.target.state == TargetState::kDraining) {
+    this->Perform(found->second.admission->Close());
+  }
+  this->Report();
+}
+
+void Serving::TakeColdness(Binding &binding) {
+  const Time now = this->loop.GetClock().Now();
+  const std::string &service = binding.announcement.target.service;
+  binding.admission->SetColdTolerance(this->cold_bounds.ToleranceOf(service));
+  const Span cold_for = binding.announcement.cold_for;
+  // What it says now may have been sent before it started again.
+  const bool recent = binding.suspected_cold != Time{} &&
+                      now - binding.suspected_cold < kBeatUnderWay;
+  TargetState &state = binding.announcement.target.state;
+  if (recent && cold_for < binding.admission->ColdFor()) {
+    if (state == TargetState::kWarm) state = TargetState::kCold;
+    return;
+  }
+  binding.cold_timed = cold_for > Span{0};
+  binding.admission->SetColdUntil(now + cold_for);
+}
+
+void Serving::SuspectCold(Binding &binding) {
+  const Time now = this->loop.GetClock().Now();
+  const std::string &service = binding.announcement.target.service;
+  const Span cold_for = this->cold_bounds.ColdAfterStart(service);
+  binding.suspected_cold = now;
+  const bool news = binding.admission->ColdFor() <= Span{0};
+  if (cold_for <= binding.admission->ColdFor()) return;
+  binding.admission->SetColdTolerance(this->cold_bounds.ToleranceOf(service));
+  binding.admission->SetColdUntil(now + cold_for);
+  binding.cold_timed = true;
+  TargetState &state = binding.announcement.target.state;
+  if (state == TargetState::kWarm) state = TargetState::kCold;
+  if (!news) return;
+  LogEvent(LogLevel::kInfo, "target taken as cold",
+           {{"service", service},
+            {"instance", binding.announcement.instance},
+            {"cold_ms", cold_for.count() / 1000}});
+  this->Report();
+}
+
+void Serving::Drain(const std::string &instance) {
+  for (auto &[service, binding] : this->bindings) {
+    if (binding.announcement.instance != instance) continue;
+    binding.announcement.target.state = TargetState::kDraining;
+    this->Perform(binding.admission->Close());
+  }
+  this->Report();
+}
+
+void Serving::FollowColdBounds() {
+  for (auto &[service, binding] : this->bindings) {
+    binding.admission->SetColdTolerance(this->cold_bounds.ToleranceOf(service));
+  }
+}
+
+void Serving::SetUse(TargetUse given) {
+  const TargetUse before = std::exchange(this->use, given);
+  if (before == given) return;
+  for (auto &[service, binding] : this->bindings) {
+    if (given != TargetUse::kInUse) {
+      this->Perform(binding.admission->Close(Reason::kZoneWithdrawn));
+      continue;
+    }
+    if (before == TargetUse::kWithdrawn) this->SuspectCold(binding);
+  }
+}
+
+Reason Serving::RefusalOf(const Binding &binding) const noexcept {
+  if (this->use != TargetUse::kInUse) return Reason::kZoneWithdrawn;
+  const bool drains =
+      binding.announcement.target.state == TargetState::kDraining;
+  return drains ? Reason::kLeaving : Reason::kNone;
+}
+
+void Serving::Report() {
+  std::vector<Target> targets;
+  for (const auto &[service, binding] : this->bindings) {
+    targets.push_back(binding.announcement.target);
+  }
+  this->changed(std::move(targets));
+}
+
+std::size_t Serving::RunningCount() const noexcept {
+  std::size_t count = 0;
+  for (const auto &[service, binding] : this->bindings) {
+    count += binding.admission->Running();
+  }
+  return count;
+}
+
+Span Serving::ColdFor() const noexcept {
+  Span longest{0};
+  for (const auto &[service, binding] : this->bindings) {
+    longest = std::max(longest, binding.admission->ColdFor());
+  }
+  return longest;
+}
+
+void Serving::LogLoad() {
+  const Time now = this->loop.GetClock().Now();
+  if (now - this->load_logged < kLoadLogPeriod) return;
+  this->load_logged = now;
+  for (const auto &[service, binding] : this->bindings) {
+    const Admission &admission = *binding.admission;
+    const double level = admission.LevelOf({});
+    if (admission.Waiting() == 0 && level <= 0) continue;
+    const QueueState state = admission.State();
+    LogEvent(LogLevel::kInfo, "target busy",
+             {{"service", service},
+              {"running", admission.Running()},
+              {"waiting", admission.Waiting()},
+              {"delay_ms", state.delay.count() / 1000},
+              {"capacity_per_s", std::llround(state.capacity)},
+              {"offered_per_s", std::llround(admission.OfferedPerSecond())},
+              {"refuses_below", level}});
+  }
+}
+
+void Serving::Tick() {
+  this->LogLoad();
+  const Time now = this->loop.GetClock().Now();
+  bool changed = false;
+  for (auto &[service, binding] : this->bindings) {
+    this->Perform(binding.admission->Tick());
+    TargetState &state = binding.announcement.target.state;
+    const bool warm = binding.admission->ColdFor() <= Span{0};
+    if (state == TargetState::kCold && binding.cold_timed && warm) {
+      binding.cold_timed = false;
+      state = TargetState::kWarm;
+      changed = true;
+    }
+  }
+  for (auto it = this->bindings.begin(); it != this->bindings.end();) {
+    const bool silent = now - it->second.last_seen > kAnnouncementLifetime;
+    const bool idle = it->second.admission->Running() == 0;
+    if (!silent || !idle) {
+      ++it;
+      continue;
+    }
+    it = this->bindings.erase(it);
+    changed = true;
+  }
+  if (changed) this->Report();
+}
+
+}  // namespace pollenring
--- /dev/null
+++ b/test/pollenring/mesh/mesh_node_faults_test.cc
@@ -0,0 +1,220 @@
+#include <catch2/catch.hpp>
+
+#include "pollenring/core/random.h"
+#include "pollenring/mesh/mesh_node.h"
+#include "support/mesh_fleet.h"
+#include "support/raw_bytes.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using pollenring::HttpRequest;
+using pollenring::HttpResponse;
+using support::Headers;
+using support::kConfig;
+using support::Replaced;
+using support::Signed;
+using World = support::MeshFleet;
+
+}  // namespace
+
+TEST_CASE(
+    "mesh: a withdrawn zone's target gets nothing, its callers are served") {
+  std::map<std::string, int> served;
+  World world{10, [&served](const HttpRequest &request) {
+                ++served[std::string{FindHeader(
+                    request.headers, "x-pollenring-expect-instance")}];
+                return Signed(request, 200);
+              }};
+  // Nodes of odd numbers are in z1; the third has one of two deep targets.
+  world.Store().Withdraw("z1", true);
+  world.Run(500ms);
+  const int before = served["i-3"];
+  for (int i = 0; i < 30; ++i) {
+    CHECK(world.Call(1, "GET", "/read/1", Headers("e" + std::to_string(i)))
+              .status == 200);
+  }
+  CHECK(served["i-3"] == before);
+  // Also for an entry that has not heard of it.
+  pollenring::CallEnvelope envelope;
+  envelope.root_id = "direct";
+  envelope.service = "deep";
+  envelope.method = "GET";
+  envelope.path = "/read/1";
+  envelope.remaining_us = 1'000'000;
+  const auto direct = world.CallNode(3, envelope);
+  REQUIRE(direct);
+  CHECK(direct->outcome == pollenring::Outcome::kNotRun);
+  CHECK(direct->reason == pollenring::Reason::kZoneWithdrawn);
+  CHECK(served["i-3"] == before);
+  const auto status = world.Operate(1, "/status");
+  CHECK(status.find(R"("zone":"z1"}])") != std::string::npos);
+  CHECK(status.find(R"("zones_withdrawn":[{"for_s":)") != std::string::npos);
+  CHECK(world.Operate(1, "/metrics").find("pollenring_zones_withdrawn 1") !=
+        std::string::npos);
+  // With both zones withdrawn nobody is served, nor told that it may have run.
+  world.Store().Withdraw("z0", true);
+  world.Run(500ms);
+  const auto refused = world.Call(1, "GET", "/read/1", Headers("none"));
+  CHECK(refused.status == 503);
+  CHECK_FALSE(FindHeader(refused.headers, "retry-after").empty());
+  // History is dropped and the store is away while a zone is given back.
+  world.Store().SetDown(true);
+  world.Run(300ms);
+  world.Store().Withdraw("z1", false);
+  world.Store().DropHistory();
+  world.Store().SetDown(false);
+  CHECK(world.Await(
+      [&] {
+        return world.Call(1, "GET", "/read/1", Headers("back")).status == 200;
+      },
+      4s));
+  CHECK(served["i-3"] > before);
+}
+
+TEST_CASE("mesh: a cold target gets no more than it bears, then everything") {
+  const bool said = GENERATE(true, false);
+  CAPTURE(said);
+  int served = 0;
+  World world{said ? 11 : 12, [&served](const HttpRequest &request) {
+                ++served;
+                return Signed(request, 200);
+              }};
+  REQUIRE(world.Beat(2, "draining") == 200);
+  if (said) {
+    REQUIRE(world.Beat(3, "ready", 1500ms) == 200);
+  } else {
+    // Given back after a withdrawal it may be cold, whatever it said before.
+    world.Store().Withdraw("z1", true);
+    world.Run(400ms);
+    world.Store().Withdraw("z1", false);
+    world.Run(400ms);
+  }
+  served = 0;
+  int refused = 0;
+  for (int i = 0; i < 40; ++i) {
+    const auto answer =
+        world.Call(1, "GET", "/read/1", Headers("c" + std::to_string(i)));
+    if (answer.status == 200) continue;
+    CHECK(answer.status == 503);
+    CHECK_FALSE(FindHeader(answer.headers, "retry-after").empty());
+    ++refused;
+  }
+  CHECK(served <= 5);
+  CHECK(refused >= 35);
+  world.Run(1600ms);
+  served = 0;
+  for (int i = 0; i < 20; ++i) {
+    static_cast<void>(
+        world.Call(1, "GET", "/read/1", Headers("w" + std::to_string(i))));
+  }
+  CHECK(served >= 18);
+}
+
+TEST_CASE(
+    "mesh: what reached no target is refused as not run, also if unsafe") {
+  World world{13, [](const HttpRequest &r) { return Signed(r, 200); }};
+  world.StopTarget(2);
+  world.StopTarget(3);
+  for (int i = 0; i < 6; ++i) {
+    const auto answer =
+        world.Call(1, "POST", "/write/1", Headers("n" + std::to_string(i)));
+    // A connection that was kept serves once more.
+    if (i == 0 && answer.status == 200) continue;
+    CHECK(answer.status == 503);
+    CHECK_FALSE(FindHeader(answer.headers, "retry-after").empty());
+  }
+}
+
+TEST_CASE("mesh: a store that answers nonsense changes nothing") {
+  World world{14, [](const HttpRequest &r) { return Signed(r, 200); }};
+  for (
+      const std::string text :
+      {"", "[]", "{", "7", R"({"rows":7})", R"({"rows":[7],"row_version":9})",
+       R"({"rows":[],"row_version":9,"has_more":"no"})",
+       R"({"rows":[],"row_version":"9"})",
+       R"({"rows":[{"key":7,"row_version":1,"value":"e30="}],"row_version":9})",
+       R"({"rows":[{"key":"config","row_version":99,"value":"====",
+           "is_deleted":7}],"row_version":99})",
+       R"({"rows":[{"key":"config","row_version":99,"value":"e30="}],
+           "row_version":99})"}) {
+    CAPTURE(text);
+    world.Store().SetNonsense(text);
+    world.Run(700ms);
+    for (int i = 1; i <= 3; ++i) REQUIRE(world.Beat(i) == 200);
+    CHECK(world.Call(1, "GET", "/read/1", Headers("n")).status == 200);
+  }
+  world.Store().SetNonsense(std::nullopt);
+}
+
+TEST_CASE("mesh: nonsense at any port ends no node") {
+  World world{15, [](const HttpRequest &r) { return Signed(r, 200); }};
+  pollenring::SeededRandom random{21};
+  const std::string preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+  for (int i = 0; i < 200; ++i) {
+    std::string bytes = i % 3 == 0 ? preface : std::string{};
+    if (i % 5 == 0) bytes = "POST /Instances.Heartbeat/i-2 HTTP/1.1\r\n";
+    const std::size_t size = random.Index(300);
+    for (std::size_t at = 0; at < size; ++at) {
+      bytes.push_back(static_cast<char>(random.Index(256)));
+    }
+    for (const int port : {7000, 7001, 7002, 7003, 7004}) {
+      support::SendBytes(world.At(2, port), SOCK_STREAM, bytes);
+    }
+    support::SendBytes(world.At(2, 7002), SOCK_DGRAM, bytes);
+    if (i % 20 == 0) world.Run(10ms);
+  }
+  world.Run(300ms);
+  CHECK(world.Call(2, "GET", "/read/1", Headers("after")).status == 200);
+  CHECK(world.Ready(2) == 200);
+}
+
+TEST_CASE("mesh: what was accepted before a planned stop is answered") {
+  World world{16, [](const HttpRequest &r) { return Signed(r, 200); }};
+  world.Node(1).Leave();
+  int served = 0;
+  // Callers are told after two seconds, and some go on until the end.
+  for (int i = 0; i < 600; ++i) {
+    const auto answer =
+        world.Call(1, "GET", "/read/1", Headers("s" + std::to_string(i)));
+    if (answer.status == 0) break;
+    CHECK((answer.status == 200 || answer.status == 503));
+    if (answer.status == 200) ++served;
+    world.Run(5ms);
+  }
+  CHECK(served > 100);
+}
+
+TEST_CASE("mesh: after a restart a target that has left is not used again") {
+  World world{17, [](const HttpRequest &r) { return Signed(r, 200); }};
+  REQUIRE(world.Beat(2, "draining") == 200);
+  REQUIRE(world.Await([&] { return world.Store().Has("departed/"); }, 2s));
+  // The node that starts next beside the fourth target was told before.
+  world.Store().Put("departed/" + world.At(4, 7002).Format(),
+                    R"({"instance":"i-4","born":5})");
+  int served = 0;
+  world.Start("left", [&served](const HttpRequest &r) {
+    ++served;
+    return Signed(r, 200);
+  });
+  const std::string next =
+      Replaced(Replaced(kConfig, "r3", "r9"), "\"service\":\"deep\"",
+               "\"service\":\"left\"");
+  world.Store().PutConfig(next);
+  REQUIRE(world.Await([&] { return world.Ready(4) == 200; }, 8s));
+  // Late news from before.
+  REQUIRE(world.Beat(4) == 200);
+  world.Run(500ms);
+  for (int i = 0; i < 10; ++i) {
+    CHECK(world.Call(4, "GET", "/read/1", Headers("l" + std::to_string(i)))
+              .status == 503);
+  }
+  CHECK(served == 0);
+  // What starts there anew is used, under the same name too.
+  REQUIRE(world.Beat(4, "ready", {}, 6) == 200);
+  CHECK(world.Await(
+      [&] {
+        return world.Call(4, "GET", "/read/1", Headers("new")).status == 200;
+      },
+      4s));
+}
--- a/test/pollenring/net/http_client_test.cc
+++ b/test/pollenring/net/http_client_test.cc
@@ -220,6 +220,17 @@
   CHECK(peer.Closed());
 }
 
+TEST_CASE("http client: a peer that answers others is given up soon") {
+  support::EndlessPeer peer{{},
+                            "HTTP/1.1 200 OK\r\nmark: other\r\n"
+                            "content-length: 0\r\n\r\n"};
+  Caller caller;
+  const auto reply = caller.Call(peer.Where());
+  // Not by its time-out only.
+  REQUIRE(std::holds_alternative<CallError>(reply));
+  CHECK(std::get<CallError>(reply) == CallError::kBroken);
+}
+
 TEST_CASE("http client: a body without end is given up, with any framing") {
   const std::string head =
       GENERATE(std::string{"HTTP/1.1 200 OK\r\nmark: own\r\n\r\n"},
--- a/test/support/mesh_world.cc
+++ b/test/support/mesh_world.cc
@@ -202,7 +202,7 @@
   settings.operators = this->At(index, 7003);
   settings.ready = this->At(index, 7004);
   settings.platform = this->At(250, 7900);
-  settings.node_secret = "secret-of-the-mesh-world";
+  settings.node_secret = kSecret;
   settings.target_service = service;
   settings.first_start = true;
   member->target = std::make_unique<pollenring::HttpServer>(
@@ -260,6 +260,24 @@
   return answer.value_or(HttpResponse{});
 }
 
+std::optional<pollenring::CallReply> MeshWorld::CallNode(
+    int index, const pollenring::CallEnvelope &envelope) {
+  std::optional<pollenring::CallReply> reply;
+  bool done = false;
+  this->link.Call(
+      this->At(index, 7002), "call", pollenring::Frame(envelope, {}), 3s,
+      [&](pollenring::LinkClient::Reply given) {
+        if (auto *text = std::get_if<std::string>(&given)) {
+          auto framed =
+              pollenring::Unframe<pollenring::CallReply>(std::move(*text));
+          if (framed) reply = std::move(framed->head);
+        }
+        done = true;
+      });
+  static_cast<void>(this->Await([&done] { return done; }, 4s));
+  return reply;
+}
+
 int MeshWorld::Ready(int index) {
   const auto answer =
       this->Ask(this->At(index, 7004), {"GET", "/readiness", {}, {}, {}});
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -11,6 +11,7 @@
 #include "platform/dialects.h"
 #include "platform/store.h"
 #include "pollenring/core/random.h"
+#include "pollenring/link/link_client.h"
 #include "pollenring/mesh/mesh_node.h"
 #include "pollenring/net/http_client.h"
 #include "pollenring/net/http_server.h"
@@ -114,6 +115,11 @@
       int index, const std::string &method, const std::string &path,
       pollenring::HttpHeaders headers, const std::string &host = "a.example");
 
+  /*! @brief Sends a call to the node beside a target, as another node does.
+   * @return Its reply, or nothing when none came. */
+  [[nodiscard]] std::optional<pollenring::CallReply> CallNode(
+      int index, const pollenring::CallEnvelope &envelope);
+
   /*! @brief Status of a node's ready address. */
   [[nodiscard]] int Ready(int index);
 
@@ -133,6 +139,8 @@
   }
 
  private:
+  static constexpr const char *kSecret = "secret-of-the-mesh-world";
+
   struct Member {
     pollenring::Settings settings;
     std::unique_ptr<pollenring::HttpClient> client;
@@ -152,6 +160,7 @@
   pollenring::Loop loop{clock};
   pollenring::SeededRandom random{11};
   pollenring::HttpClient client{loop, {std::size_t{1} << 20U}};
+  pollenring::LinkClient link{loop, kSecret, std::size_t{1} << 20U};
   pollenring::platform::Policies policies;
   pollenring::platform::Callers callers;
   pollenring::platform::Targets targets;
