--- a/src/pollenring/admission/fwd.h
+++ b/src/pollenring/admission/fwd.h
@@ -8,6 +8,7 @@
 class ConcurrencyLimit;
 class FairQueue;
 class ShedLevels;
+struct ColdMargin;
 struct ColdTolerance;
 struct Ticket;
 
--- a/src/pollenring/config/fwd.h
+++ b/src/pollenring/config/fwd.h
@@ -5,8 +5,11 @@
 
 class ConfigLedger;
 class Publisher;
+class WithdrawnZones;
 struct ConfigChange;
 struct ConfigSnapshot;
+struct ZoneChange;
+struct ZonesWord;
 
 }  // namespace pollenring
 
--- a/src/pollenring/net/fwd.h
+++ b/src/pollenring/net/fwd.h
@@ -9,6 +9,7 @@
 class Responder;
 class UdpSocket;
 struct Address;
+struct HttpClientLimits;
 struct HttpRequest;
 struct HttpResponse;
 
--- a/src/pollenring/node/fwd.h
+++ b/src/pollenring/node/fwd.h
@@ -3,6 +3,7 @@
 
 namespace pollenring {
 
+class ColdBounds;
 class Dispatcher;
 class Ingress;
 class Node;
