What waits goes on to the target that follows; late answers end no process

Cause: when a target with another identifier or address announced itself at a node, its entry was replaced together with the queue of the one before: what waited there was never answered.

Ruled out: refusing what waits. It has not run and the new target may have room; only where that target is leaving is it sent on.

An entry stays while any call of its service waits or runs.

--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -119,7 +119,7 @@
 
 AdmissionActions Admission::Close(Reason why) {
   AdmissionActions actions;
-  for (const auto &waiting : this->queue->RemoveExpired(Time::max())) {
+  for (const auto &waiting : this->TakeWaiting()) {
     actions.shed.push_back({waiting.id, why});
   }
   return actions;
--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -149,6 +149,11 @@
    */
   [[nodiscard]] AdmissionActions Cancel(std::uint64_t id);
 
+  /*! @brief Takes out all that wait, for another target. @return Them. */
+  [[nodiscard]] std::vector<Ticket> TakeWaiting() {
+    return this->queue->RemoveExpired(Time::max());
+  }
+
   /**
    * @brief Sheds all that wait, as the target takes no more.
    * @param why What they are told.
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -70,11 +70,6 @@
     this->Refuse(id, Outcome::kNotRun, Reason::kNoTarget);
     return id;
   }
-  const Reason refused = RefusalOf(found->second);
-  if (refused != Reason::kNone) {
-    this->Refuse(id, Outcome::kNotRun, refused);
-    return id;
-  }
   Ticket ticket;
   ticket.id = id;
   ticket.importance = kept.importance;
@@ -85,8 +80,7 @@
   ticket.workspace = kept.workspace;
   ticket.deadline = call.served.deadline;
   ticket.aim = now + Span{kept.aim_us};
-  const std::string service = kept.service;
-  this->Perform(found->second.admission->Offer(ticket));
+  this->Offer(found->second, ticket);
   return id;
 }
 
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -249,9 +249,11 @@
     bool running{};
   };
 
+  void Offer(Binding &binding, const Ticket &ticket);
   void Perform(const AdmissionActions &actions);
   void SuspectCold(Binding &binding);
   void TakeColdness(Binding &binding);
+  [[nodiscard]] bool IsServing(const std::string &service) const noexcept;
   [[nodiscard]] Reason RefusalOf(const Binding &binding) const noexcept;
   void Start(std::uint64_t id);
   void Answered(std::uint64_t id, HttpClient::Reply reply);
--- a/src/pollenring/node/serving_targets.cc
+++ b/src/pollenring/node/serving_targets.cc
@@ -26,7 +26,11 @@
       found == this->bindings.end() ||
       !(found->second.announcement.address == announcement.address) ||
       found->second.announcement.instance != announcement.instance;
+  std::vector<Ticket> waiting;
   if (fresh) {
+    if (found != this->bindings.end()) {
+      waiting = found->second.admission->TakeWaiting();
+    }
     Binding binding;
     binding.admission = std::make_unique<Admission>(
         announcement.target.slots, this->options, this->loop.GetClock());
@@ -35,12 +39,23 @@
   found->second.announcement = announcement;
   found->second.last_seen = this->loop.GetClock().Now();
   this->TakeColdness(found->second);
+  // What waited for the target before has not run anywhere.
+  for (const auto &ticket : waiting) this->Offer(found->second, ticket);
   if (announcement.target.state == TargetState::kDraining) {
     this->Perform(found->second.admission->Close());
   }
   this->Report();
 }
 
+void Serving::Offer(Binding &binding, const Ticket &ticket) {
+  const Reason refused = RefusalOf(binding);
+  if (refused != Reason::kNone) {
+    this->Refuse(ticket.id, Outcome::kNotRun, refused);
+    return;
+  }
+  this->Perform(binding.admission->Offer(ticket));
+}
+
 void Serving::TakeColdness(Binding &binding) {
   const Time now = this->loop.GetClock().Now();
   const std::string &service = binding.announcement.target.service;
@@ -136,6 +151,14 @@
   return longest;
 }
 
+bool Serving::IsServing(const std::string &service) const noexcept {
+  // Calls may wait, or run at a target that was here before.
+  return std::any_of(this->calls.begin(), this->calls.end(),
+                     [&service](const auto &entry) {
+                       return entry.second.served.envelope.service == service;
+                     });
+}
+
 void Serving::LogLoad() {
   const Time now = this->loop.GetClock().Now();
   if (now - this->load_logged < kLoadLogPeriod) return;
@@ -172,8 +195,7 @@
   }
   for (auto it = this->bindings.begin(); it != this->bindings.end();) {
     const bool silent = now - it->second.last_seen > kAnnouncementLifetime;
-    const bool idle = it->second.admission->Running() == 0;
-    if (!silent || !idle) {
+    if (!silent || this->IsServing(it->first)) {
       ++it;
       continue;
     }
--- /dev/null
+++ b/test/pollenring/node/serving_test.cc
@@ -0,0 +1,151 @@
+#include "pollenring/node/serving.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "pollenring/core/random.h"
+#include "pollenring/metrics/metrics.h"
+#include "pollenring/net/http_client.h"
+#include "pollenring/net/loop.h"
+#include "pollenring/node/route_levels.h"
+#include "support/raw_peer.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using pollenring::CallReply;
+using pollenring::Outcome;
+using pollenring::Reason;
+using support::RawPeer;
+
+/*! @brief The machine's clock, which the test can put forward. */
+class SteppedClock final : public pollenring::Clock {
+ public:
+  [[nodiscard]] pollenring::Time Now() const noexcept override {
+    return this->system.Now() + this->ahead;
+  }
+  [[nodiscard]] pollenring::WallTime Wall() const noexcept override {
+    return this->system.Wall();
+  }
+  void Step(pollenring::Span by) noexcept { this->ahead += by; }
+
+ private:
+  pollenring::SystemClock system;
+  pollenring::Span ahead{};
+};
+
+/*! @brief Runs one call at a time. */
+[[nodiscard]] pollenring::AdmissionOptions OneAtATime() {
+  pollenring::AdmissionOptions options;
+  options.limit.fixed = true;
+  options.queue_time = 10s;
+  return options;
+}
+
+/*! @brief The calls beside one target, and what became of them. */
+struct Bench {
+  Bench() { std::signal(SIGPIPE, SIG_IGN); }
+
+  void Announce(const RawPeer &at, const std::string &instance,
+                pollenring::TargetState state = pollenring::TargetState::kWarm,
+                pollenring::Span cold_for = {}) {
+    this->serving.Announce(
+        {{"deep", 1, state}, at.Where(), instance, cold_for});
+  }
+
+  void Serve() {
+    pollenring::CallEnvelope envelope;
+    envelope.service = "deep";
+    envelope.method = "GET";
+    envelope.path = "/";
+    envelope.remaining_us = 30'000'000;
+    envelope.aim_us = 30'000'000;
+    this->serving.Serve(envelope, {}, [this](CallReply reply, std::string) {
+      this->replies.push_back(std::move(reply));
+    });
+  }
+
+  void Run(pollenring::Span length) {
+    this->loop.After(length, [this] { this->loop.Stop(); });
+    this->loop.Resume();
+    this->loop.Run();
+  }
+
+  SteppedClock clock;
+  pollenring::Loop loop{clock};
+  pollenring::HttpClient client{loop, {std::size_t{1} << 20U}};
+  pollenring::ContextDialect dialect;
+  pollenring::NoColdBounds cold_bounds;
+  pollenring::RouteLevels levels{{}, clock};
+  pollenring::SeededRandom random{5};
+  pollenring::Metrics metrics{clock};
+  pollenring::Serving serving{loop,
+                              client,
+                              dialect,
+                              OneAtATime(),
+                              cold_bounds,
+                              levels,
+                              random,
+                              metrics,
+                              [](const std::vector<pollenring::Target> &) {}};
+  std::vector<CallReply> replies;
+};
+
+constexpr const char *kAnswer =
+    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+}  // namespace
+
+TEST_CASE("serving: what waits goes to the target that follows") {
+  RawPeer silent{{{{}, support::PeerEnd::kKeep}}};
+  RawPeer next{{{{kAnswer, kAnswer}, support::PeerEnd::kKeep}}};
+  Bench bench;
+  bench.Announce(silent, "i-1");
+  for (int i = 0; i < 3; ++i) bench.Serve();
+  bench.Run(50ms);
+  REQUIRE(bench.replies.empty());
+  bench.Announce(next, "i-2");
+  bench.Run(100ms);
+  REQUIRE(bench.replies.size() == 2);
+  for (const auto &reply : bench.replies) CHECK(reply.status == 200);
+  // What runs at the first one may still be answered.
+  CHECK(bench.serving.InProgress() == 1);
+}
+
+TEST_CASE("serving: what waits is sent on when the next target is leaving") {
+  RawPeer silent{{{{}, support::PeerEnd::kKeep}}};
+  RawPeer next{{}};
+  Bench bench;
+  bench.Announce(silent, "i-1");
+  for (int i = 0; i < 3; ++i) bench.Serve();
+  bench.Run(50ms);
+  bench.Announce(next, "i-2", pollenring::TargetState::kDraining);
+  bench.Run(50ms);
+  REQUIRE(bench.replies.size() == 2);
+  for (const auto &reply : bench.replies) {
+    CHECK(reply.outcome == Outcome::kNotRun);
+    CHECK(reply.reason == Reason::kLeaving);
+  }
+  CHECK(next.Accepted() == 0);
+}
+
+TEST_CASE("serving: a call outlives the silence of the target that followed") {
+  auto silent = std::make_unique<RawPeer>(
+      std::vector<support::PeerScript>{{{}, support::PeerEnd::kKeep}});
+  RawPeer next{{}};
+  Bench bench;
+  bench.Announce(*silent, "i-1");
+  bench.Serve();
+  bench.Run(50ms);
+  bench.Announce(next, "i-2");
+  bench.clock.Step(7s);
+  bench.serving.Tick();
+  REQUIRE(bench.replies.empty());
+  silent.reset();  // Its connections end.
+  bench.Run(100ms);
+  REQUIRE(bench.replies.size() == 1);
+  CHECK(bench.replies[0].outcome == Outcome::kUnknown);
+}
