A workspace's rank goes before its route's

Ruled out: letting it replace the route's rank. Where all workspaces have one rank, as in the examples of messages of three sites, routes would lose all order among each other.

Change: HostTable::StandingOf. Where workspaces differ in rank, that gives the importance and the route's rank the upper part of the lot; where they don't, nothing changes. One without a rank has its route's. The log line of a new configuration says whether workspaces are ranked.

--- a/src/pollenring/contract/host_policy.cc
+++ b/src/pollenring/contract/host_policy.cc
@@ -4,6 +4,14 @@
 #include <utility>
 
 namespace pollenring {
+namespace {
+
+[[nodiscard]] Importance ImportanceOf(int rank) noexcept {
+  if (rank <= 0) return Importance::kHigh;
+  return rank == 1 ? Importance::kNormal : Importance::kLow;
+}
+
+}  // namespace
 
 HostTable::HostTable(HostPolicy given) : policy{std::move(given)} {
   const auto &routes = this->policy.routes;
@@ -21,6 +29,9 @@
   for (std::size_t i = 0; i < workspaces.size(); ++i) {
     this->by_name.emplace(workspaces[i].share.name, i);
     for (const auto &key : workspaces[i].keys) this->by_key.emplace(key, i);
+    if (workspaces[i].rank != workspaces[0].rank) {
+      this->workspaces_ranked = true;
+    }
   }
 }
 
@@ -42,6 +53,16 @@
   return &this->policy.workspaces[found->second];
 }
 
+Standing HostTable::StandingOf(const HostRoute &route,
+                               const KeyedWorkspace *workspace,
+                               double lot) const noexcept {
+  const Importance by_route = ImportanceOf(route.rank);
+  if (!this->workspaces_ranked || workspace == nullptr) return {by_route, lot};
+  constexpr int kRouteLevels = static_cast<int>(Importance::kHigh) + 1;
+  return {ImportanceOf(workspace->rank.value_or(route.rank)),
+          (static_cast<int>(by_route) + lot) / kRouteLevels};
+}
+
 const ColdStart *HostTable::ColdStartOf(const std::string &service) const {
   const auto &starts = this->policy.cold_starts;
   const auto found = std::find_if(
--- a/src/pollenring/contract/host_policy.h
+++ b/src/pollenring/contract/host_policy.h
@@ -2,6 +2,7 @@
 #define POLLENRING_CONTRACT_HOST_POLICY_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -9,6 +10,7 @@
 
 #include "pollenring/contract/contract.h"
 #include "pollenring/core/clock.h"
+#include "pollenring/core/importance.h"
 
 namespace pollenring {
 
@@ -36,12 +38,18 @@
 /*! @brief A workspace with its keys. */
 struct KeyedWorkspace {
   WorkspaceShare share;
-  int rank{}; /*!< Goes before the route's rank; 0 is served first. */
+  std::optional<int> rank; /*!< Goes before the route's; 0 is served first. */
   std::vector<std::string> keys;
   std::vector<std::string> regions; /*!< Where its requests may run; empty:
                                        anywhere. */
 };
 
+/*! @brief A request's place among all others, see `PriorityOf`. */
+struct Standing {
+  Importance importance{Importance::kNormal};
+  double lot{}; /*!< In [0, 1). */
+};
+
 /*! @brief How long targets are cold after a start, and what they bear then. */
 struct ColdStart {
   std::string service;
@@ -98,6 +106,20 @@
   [[nodiscard]] const WorkspaceShare *ShareOf(
       const std::string &workspace) const;
 
+  /**
+   * @brief Places a request by ranks.
+   *
+   * A workspace's rank goes first, and its route's orders what is alike then.
+   * Where no two workspaces differ in rank, the routes' ranks have all the say.
+   * @param route The request's route.
+   * @param workspace Its workspace, or null.
+   * @param lot The request's lot.
+   * @return The place.
+   */
+  [[nodiscard]] Standing StandingOf(const HostRoute &route,
+                                    const KeyedWorkspace *workspace,
+                                    double lot) const noexcept;
+
   /**
    * @brief Finds how a service's targets start.
    * @param service Its name.
@@ -105,6 +127,11 @@
    */
   [[nodiscard]] const ColdStart *ColdStartOf(const std::string &service) const;
 
+  /*! @brief Whether workspaces differ in rank. @return So. */
+  [[nodiscard]] bool WorkspacesRanked() const noexcept {
+    return this->workspaces_ranked;
+  }
+
   /*! @brief Whether requests need keys at all. @return So. */
   [[nodiscard]] bool NeedsKeys() const noexcept {
     return !this->policy.workspaces.empty();
@@ -112,6 +139,7 @@
 
  private:
   HostPolicy policy;
+  bool workspaces_ranked{}; /*!< Not all of them have the same rank. */
   /*! @brief Indices of a host's routes, the longest prefix first. */
   std::unordered_map<std::string, std::vector<std::size_t>> by_host;
   std::unordered_map<std::string, std::size_t> by_key;
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -39,11 +39,6 @@
   return static_cast<double>(Hash64(id) >> 11U) * kLotScale;
 }
 
-[[nodiscard]] Importance ImportanceOf(const HostRoute &route) noexcept {
-  if (route.rank <= 0) return Importance::kHigh;
-  return route.rank == 1 ? Importance::kNormal : Importance::kLow;
-}
-
 /*! @brief Regions that both lists allow; an empty list allows all of them. */
 [[nodiscard]] std::optional<std::vector<std::string>> BothAllow(
     const std::vector<std::string> &first,
@@ -144,8 +139,9 @@
   entry.route = route->name;
   entry.open = route->open;
   CallEnvelope &envelope = entry.envelope;
+  const KeyedWorkspace *workspace = nullptr;
   if (!route->open && table.NeedsKeys()) {
-    const KeyedWorkspace *workspace = table.WorkspaceOf(caller.key);
+    workspace = table.WorkspaceOf(caller.key);
     if (workspace == nullptr) return Reason::kKeyRefused;
     entry.workspace = workspace->share.name;
     envelope.workspace = entry.workspace;
@@ -168,9 +164,11 @@
   envelope.route = route->name;
   envelope.caller = this->service;
   envelope.aim_us = route->target_latency.count();
-  envelope.importance = ImportanceOf(*route);
+  const Standing standing =
+      table.StandingOf(*route, workspace, LotOf(entry.id));
+  envelope.importance = standing.importance;
+  envelope.lot = standing.lot;
   envelope.idempotent = route->idempotent;
-  envelope.lot = LotOf(entry.id);
   envelope.retries = kAllowance;
   entry.attempts = route->attempts;
   Span left = route->timeout > Span{0} ? route->timeout : kDefaultTimeout;
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -174,7 +174,8 @@
   LogEvent(LogLevel::kInfo, "configuration in force",
            {{"version", this->table.Version()},
             {"before", before},
-            {"origin", origin}});
+            {"origin", origin},
+            {"workspaces_ranked", this->table.WorkspacesRanked()}});
   this->members.Get().SetConfigVersion(this->table.Version());
   this->changed();
   this->loop.Post([this] { this->Spread(); });
--- a/test/pollenring/contract/host_policy_test.cc
+++ b/test/pollenring/contract/host_policy_test.cc
@@ -2,11 +2,16 @@
 
 #include <catch2/catch.hpp>
 
+#include "pollenring/admission/shed_levels.h"
+
 namespace {
 
 using pollenring::HostPolicy;
 using pollenring::HostRoute;
 using pollenring::HostTable;
+using pollenring::Importance;
+using pollenring::KeyedWorkspace;
+using pollenring::PriorityOf;
 
 [[nodiscard]] HostRoute Route(const std::string &name, const std::string &host,
                               const std::string &prefix) {
@@ -17,8 +22,47 @@
   return route;
 }
 
+/*! @brief Priority of a workspace's request on a route of a rank. */
+[[nodiscard]] double Place(const HostTable &table, const std::string &key,
+                           int route_rank, double lot) {
+  HostRoute route;
+  route.rank = route_rank;
+  const auto place = table.StandingOf(route, table.WorkspaceOf(key), lot);
+  CHECK(place.lot >= 0);
+  CHECK(place.lot < 1);
+  return PriorityOf(place.importance, place.lot);
+}
+
 }  // namespace
 
+TEST_CASE("host table: a workspace's rank goes before its route's") {
+  HostPolicy policy;
+  policy.workspaces = {{{"first", 5, 7, {}}, 0, {"k0"}},
+                       {{"second", 5, 7, {}}, 1, {"k1"}},
+                       {{"plain", 5, 7, {}}, std::nullopt, {"k2"}}};
+  const HostTable table{policy};
+  CHECK(Place(table, "k0", 2, 0) > Place(table, "k1", 0, 0.99));
+  // Alike in that, their routes decide, and the lot after them.
+  CHECK(Place(table, "k1", 0, 0) > Place(table, "k1", 1, 0.99));
+  CHECK(Place(table, "k1", 1, 0) > Place(table, "k1", 2, 0.99));
+  CHECK(Place(table, "k1", 1, 0.6) > Place(table, "k1", 1, 0.5));
+  // One without a rank has its routes'.
+  CHECK(Place(table, "k2", 0, 0) > Place(table, "k1", 0, 0.99));
+  CHECK(Place(table, "k2", 2, 0.99) < Place(table, "k1", 2, 0));
+}
+
+TEST_CASE("host table: without different workspaces the routes' ranks decide") {
+  HostPolicy policy;
+  policy.workspaces = {{{"one", 5, 7, {}}, 1, {"k0"}},
+                       {{"two", 5, 7, {}}, 1, {"k1"}}};
+  const HostTable table{policy};
+  const auto place =
+      table.StandingOf(Route("r", "a", "/"), table.WorkspaceOf("k0"), 0.25);
+  CHECK(place.importance == Importance::kHigh);
+  CHECK(place.lot == 0.25);
+  CHECK(Place(table, "k0", 0, 0) > Place(table, "k1", 1, 0.99));
+}
+
 TEST_CASE("host table: the longest prefix of the host wins") {
   HostPolicy policy;
   policy.routes = {Route("short", "a.example", "/x/"),
