Tests: a planned stop under concurrent load; two regions with homes of a route and a workspace

Change: MeshWorld's targets can take their time, calls can be begun side by side, and nodes be in regions. Stop: an entry and the node beside one of two targets leave with work under way, 800 calls, none broken off, no 502 or 504. Homes: a route's and a workspace's lists bind together; without targets there a request is refused, never run elsewhere.

Ruled out: offering 400 calls a second to targets that take 150 ms; most were refused, 94 served, which shows nothing.

--- a/test/pollenring/mesh/mesh_node_faults_test.cc
+++ b/test/pollenring/mesh/mesh_node_faults_test.cc
@@ -185,6 +185,72 @@
   CHECK(served > 100);
 }
 
+TEST_CASE("mesh: a planned stop under load breaks off nothing") {
+  World world{18, [](const HttpRequest &r) { return Signed(r, 200); }};
+  world.SetAnswerDelay(15ms);
+  std::map<int, int> statuses;
+  int open = 0;
+  const auto send = [&](int node, int number) {
+    ++open;
+    world.BeginCall(node, "/read/1", Headers("n" + std::to_string(number)),
+                    [&](const HttpResponse &answer) {
+                      --open;
+                      ++statuses[answer.status];
+                    });
+  };
+  // An entry, and the node beside one of two targets, both with work under way.
+  for (int i = 0; i < 400; ++i) {
+    if (i == 100) world.Node(2).Leave();
+    if (i == 150) world.Node(1).Leave();
+    send(1, 2 * i);
+    send(3, 2 * i + 1);
+    world.Run(10ms);
+  }
+  REQUIRE(world.Await([&open] { return open == 0; }, 4s));
+  CAPTURE(statuses[200], statuses[503], statuses[502], statuses[0]);
+  // Over its slots a target may refuse; what it was given it finishes.
+  CHECK(statuses[200] + statuses[503] == 800);
+  CHECK(statuses[200] > 600);
+}
+
+TEST_CASE("mesh: a request stays in its homes, and is refused without them") {
+  support::MeshWorld world{19};
+  std::map<std::string, int> served;
+  const std::string homes =
+      R"("service":"deep","allowed_regions":["east","north"],)";
+  world.Store().PutConfig(Replaced(
+      Replaced(kConfig, R"("service":"deep",)", homes), R"("burst":1000}])",
+      R"("burst":1000,"allowed_regions":["east","west"]}])"));
+  const auto endpoint = [&served](const std::string &region) {
+    return [&served, region](const HttpRequest &request) {
+      ++served[region];
+      return Signed(request, 200);
+    };
+  };
+  world.Start("front", endpoint("front"), "west");
+  for (const std::string region : {"west", "north", "east"}) {
+    world.Start("deep", endpoint(region), region);
+  }
+  for (int i = 1; i <= 4; ++i) {
+    REQUIRE(world.Await([&] { return world.Ready(i) == 200; }, 8s));
+    REQUIRE(world.Beat(i) == 200);
+  }
+  const auto call = [&world](const std::string &id) {
+    return world.Call(1, "GET", "/read/1", Headers(id)).status;
+  };
+  REQUIRE(world.Await([&] { return call("first") == 200; }, 5s));
+  for (int i = 0; i < 30; ++i) CHECK(call("h" + std::to_string(i)) == 200);
+  // East is the one region that the route and the workspace both allow.
+  CHECK(served["east"] >= 31);
+  world.StopTarget(4);  // It serves the connections that it has.
+  REQUIRE(world.Await([&] { return call("last") == 503; }, 2s));
+  for (int i = 0; i < 10; ++i) CHECK(call("s" + std::to_string(i)) == 503);
+  CHECK(served["west"] + served["north"] + served["front"] == 0);
+  // The other route has the workspace's homes alone.
+  REQUIRE(world.Call(1, "GET", "/write/1", Headers("w")).status == 200);
+  CHECK(served["west"] == 1);
+}
+
 TEST_CASE("mesh: after a restart a target that has left is not used again") {
   World world{17, [](const HttpRequest &r) { return Signed(r, 200); }};
   REQUIRE(world.Beat(2, "draining") == 200);
--- a/test/support/mesh_world.cc
+++ b/test/support/mesh_world.cc
@@ -188,14 +188,15 @@
                          std::to_string(index) + ":" + std::to_string(port));
 }
 
-int MeshWorld::Start(const std::string &service, Endpoint endpoint) {
+int MeshWorld::Start(const std::string &service, Endpoint endpoint,
+                     const std::string &region) {
   const int index = static_cast<int>(this->nodes.size()) + 1;
   auto member = std::make_unique<Member>();
   member->service = service;
   pollenring::Settings &settings = member->settings;
   settings.routes = pollenring::RouteForm::kHost;
   settings.zone = "z" + std::to_string(index % 2);
-  settings.region = "r";
+  settings.region = region;
   settings.callers = this->At(index, 7000);
   settings.targets = this->At(index, 7001);
   settings.nodes = this->At(index, 7002);
@@ -207,10 +208,18 @@
   settings.first_start = true;
   member->target = std::make_unique<pollenring::HttpServer>(
       this->loop, this->At(index, 8000), pollenring::HttpServerLimits{},
-      [endpoint = std::move(endpoint)](
+      [this, endpoint = std::move(endpoint)](
           const HttpRequest &request,
           const std::shared_ptr<pollenring::Responder> &responder) {
-        responder->Send(endpoint(request));
+        HttpResponse answer = endpoint(request);
+        if (this->answer_delay <= pollenring::Span{0}) {
+          responder->Send(std::move(answer));
+          return;
+        }
+        this->loop.After(this->answer_delay,
+                         [responder, answer = std::move(answer)]() mutable {
+                           responder->Send(std::move(answer));
+                         });
       });
   member->target->Open();
   member->client = std::make_unique<pollenring::HttpClient>(
@@ -260,6 +269,17 @@
   return answer.value_or(HttpResponse{});
 }
 
+void MeshWorld::BeginCall(int index, const std::string &path,
+                          pollenring::HttpHeaders headers,
+                          std::function<void(HttpResponse)> done) {
+  this->client.Call(
+      this->At(index, 7000), {"GET", path, std::move(headers), {}, "a.example"},
+      3s, [done = std::move(done)](pollenring::HttpClient::Reply reply) {
+        auto *response = std::get_if<HttpResponse>(&reply);
+        done(response == nullptr ? HttpResponse{} : std::move(*response));
+      });
+}
+
 std::optional<pollenring::CallReply> MeshWorld::CallNode(
     int index, const pollenring::CallEnvelope &envelope) {
   std::optional<pollenring::CallReply> reply;
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -99,7 +99,11 @@
   explicit MeshWorld(int net);
 
   /*! @brief Starts a node and its target. @return Its number, from 1. */
-  int Start(const std::string &service, Endpoint endpoint);
+  int Start(const std::string &service, Endpoint endpoint,
+            const std::string &region = "r");
+
+  /*! @brief How long each target takes from now on. @param delay It. */
+  void SetAnswerDelay(pollenring::Span delay) { this->answer_delay = delay; }
 
   /*! @brief Sends the heartbeat of a node's target. @param state Its state.
    * @param cold_left How long it stays cold. @param born Its start. @return The
@@ -115,6 +119,12 @@
       int index, const std::string &method, const std::string &path,
       pollenring::HttpHeaders headers, const std::string &host = "a.example");
 
+  /*! @brief Performs one among others. @param done Given the answer, or status
+   * 0 when there is none. */
+  void BeginCall(int index, const std::string &path,
+                 pollenring::HttpHeaders headers,
+                 std::function<void(pollenring::HttpResponse)> done);
+
   /*! @brief Sends a call to the node beside a target, as another node does.
    * @return Its reply, or nothing when none came. */
   [[nodiscard]] std::optional<pollenring::CallReply> CallNode(
@@ -156,6 +166,7 @@
       const pollenring::Address &to, const pollenring::HttpRequest &request);
 
   int net;
+  pollenring::Span answer_delay{};
   pollenring::SystemClock clock;
   pollenring::Loop loop{clock};
   pollenring::SeededRandom random{11};
