Workspaces above the lowest rank are critical; levels reach them

The queue sheds by importance, so routes' ranks were lost there, and a level had a third of its scale.

Ruled out: leaving it and ordering the queue by lot as well; the level's rise and fall are tuned on the routes' scale.

Change: only workspaces above the lowest rank move, to critical, in their order; all others keep their routes' ranks as they were. They go on to 4 now, where critical requests are offered at all. A critical root in the queue counts as a root, not as a call that work was done for.

--- a/src/pollenring/admission/aim_queue.cc
+++ b/src/pollenring/admission/aim_queue.cc
@@ -1,5 +1,7 @@
 #include "pollenring/admission/aim_queue.h"
 
+#include <algorithm>
+
 namespace pollenring {
 
 AimQueue::WorthKey AimQueue::WorthOf(const Ticket &ticket) noexcept {
@@ -9,7 +11,9 @@
 Importance AimQueue::Lowest() const noexcept {
   if (this->by_worth.empty()) return Importance::kCritical;
   const auto &[invested, importance, aim, id] = *this->by_worth.begin();
-  return invested ? Importance::kCritical : importance;
+  // Any root may be turned away without loss.
+  return invested ? Importance::kCritical
+                  : std::min(importance, Importance::kHigh);
 }
 
 void AimQueue::Push(const Ticket &ticket) {
--- a/src/pollenring/admission/fit_level.cc
+++ b/src/pollenring/admission/fit_level.cc
@@ -9,8 +9,8 @@
 namespace pollenring {
 namespace {
 
-/*! @brief The most important requests are never refused early. */
-constexpr double kHighestLevel = static_cast<double>(kImportanceLevels - 1);
+/*! @brief Faded count of critical requests from which there are any. */
+constexpr double kAnyCritical = 1;
 
 [[nodiscard]] double Seconds(Span span) noexcept {
   return std::chrono::duration<double>{span}.count();
@@ -46,6 +46,15 @@
   return 0;
 }
 
+double FitLevel::HighestLevel() const {
+  // Where few workspaces go before all others, a level that must come down to
+  // them first would refuse these for longer than needed.
+  constexpr int kBelow = kImportanceLevels - 1;
+  const auto first = this->offered.begin() + kBelow * kBinsPerImportance;
+  const double critical = std::accumulate(first, this->offered.end(), 0.0);
+  return critical < kAnyCritical ? kBelow : kImportanceLevels;
+}
+
 void FitLevel::Tick(const QueueState &queue) {
   const Time now = this->clock.Now();
   const Span elapsed = now - this->window_start;
@@ -73,7 +82,7 @@
       this->level -=
           seconds * (this->options.fall + this->options.fall_spare * spare);
     }
-    this->level = std::clamp(this->level, 0.0, kHighestLevel);
+    this->level = std::clamp(this->level, 0.0, this->HighestLevel());
   }
   for (double &count : this->offered) count *= kept;
 }
--- a/src/pollenring/admission/fit_level.h
+++ b/src/pollenring/admission/fit_level.h
@@ -60,6 +60,7 @@
   static constexpr std::size_t kBins = kBinsPerImportance * kImportanceLevels;
 
   [[nodiscard]] double Fit(double allowed, double per_second) const;
+  [[nodiscard]] double HighestLevel() const;
 
   FitLevelOptions options;
   const Clock &clock;
--- a/src/pollenring/contract/host_policy.cc
+++ b/src/pollenring/contract/host_policy.cc
@@ -1,6 +1,8 @@
 #include "pollenring/contract/host_policy.h"
 
 #include <algorithm>
+#include <functional>
+#include <set>
 #include <utility>
 
 namespace pollenring {
@@ -29,10 +31,8 @@
   for (std::size_t i = 0; i < workspaces.size(); ++i) {
     this->by_name.emplace(workspaces[i].share.name, i);
     for (const auto &key : workspaces[i].keys) this->by_key.emplace(key, i);
-    if (workspaces[i].rank != workspaces[0].rank) {
-      this->workspaces_ranked = true;
-    }
   }
+  this->RankWorkspaces();
 }
 
 const HostRoute *HostTable::Find(const std::string &host,
@@ -56,11 +56,29 @@
 Standing HostTable::StandingOf(const HostRoute &route,
                                const KeyedWorkspace *workspace,
                                double lot) const noexcept {
-  const Importance by_route = ImportanceOf(route.rank);
-  if (!this->workspaces_ranked || workspace == nullptr) return {by_route, lot};
+  const int by_route = static_cast<int>(ImportanceOf(route.rank));
+  const auto &upper = this->upper_ranks;
+  const auto found =
+      workspace == nullptr || !workspace->rank
+          ? upper.end()
+          : std::find(upper.begin(), upper.end(), *workspace->rank);
+  if (found == upper.end()) return {static_cast<Importance>(by_route), lot};
   constexpr int kRouteLevels = static_cast<int>(Importance::kHigh) + 1;
-  return {ImportanceOf(workspace->rank.value_or(route.rank)),
-          (static_cast<int>(by_route) + lot) / kRouteLevels};
+  const auto above = static_cast<double>(found - upper.begin());
+  const double place = above + (by_route + lot) / kRouteLevels;
+  return {Importance::kCritical, place / static_cast<double>(upper.size())};
+}
+
+void HostTable::RankWorkspaces() {
+  bool unranked = false;
+  std::set<int, std::greater<>> ranks;
+  for (const auto &workspace : this->policy.workspaces) {
+    if (workspace.rank) ranks.insert(*workspace.rank);
+    unranked = unranked || !workspace.rank;
+  }
+  // One without a rank is below all that have one.
+  if (!unranked && !ranks.empty()) ranks.erase(ranks.begin());
+  this->upper_ranks.assign(ranks.begin(), ranks.end());
 }
 
 const ColdStart *HostTable::ColdStartOf(const std::string &service) const {
--- a/src/pollenring/contract/host_policy.h
+++ b/src/pollenring/contract/host_policy.h
@@ -109,8 +109,9 @@
   /**
    * @brief Places a request by ranks.
    *
-   * A workspace's rank goes first, and its route's orders what is alike then.
-   * Where no two workspaces differ in rank, the routes' ranks have all the say.
+   * A workspace's rank goes first: those above the lowest are critical, by
+   * their order, and routes' ranks order what is alike. The others, mostly
+   * nearly all of them, have their routes' ranks alone.
    * @param route The request's route.
    * @param workspace Its workspace, or null.
    * @param lot The request's lot.
@@ -129,7 +130,7 @@
 
   /*! @brief Whether workspaces differ in rank. @return So. */
   [[nodiscard]] bool WorkspacesRanked() const noexcept {
-    return this->workspaces_ranked;
+    return !this->upper_ranks.empty();
   }
 
   /*! @brief Whether requests need keys at all. @return So. */
@@ -138,8 +139,11 @@
   }
 
  private:
+  void RankWorkspaces();
+
   HostPolicy policy;
-  bool workspaces_ranked{}; /*!< Not all of them have the same rank. */
+  /*! @brief Ranks of workspaces but the lowest, the lower ones first. */
+  std::vector<int> upper_ranks;
   /*! @brief Indices of a host's routes, the longest prefix first. */
   std::unordered_map<std::string, std::vector<std::size_t>> by_host;
   std::unordered_map<std::string, std::size_t> by_key;
--- a/test/pollenring/admission/fit_level_test.cc
+++ b/test/pollenring/admission/fit_level_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "pollenring/admission/shed_levels.h"
 #include "pollenring/core/random.h"
 
 namespace {
@@ -20,7 +21,9 @@
 class DeepService {
  public:
   /*! @brief Callers refuse below that part of the level. */
-  explicit DeepService(Span way, double heard = 1) : way{way}, heard{heard} {}
+  explicit DeepService(Span way, double heard = 1,
+                       Importance importance = Importance::kLow)
+      : way{way}, heard{heard}, importance{importance} {}
 
   /*! @brief Runs for a while at an offered rate. @return Mean part kept. */
   double Run(Span length, double offered_per_second) {
@@ -50,10 +53,11 @@
   void Offer(double &kept, double &all) {
     all += 1;
     const double lot = this->random.Fraction();
-    if (lot < this->level.LevelOf({}) * this->heard) return;
+    const double priority = pollenring::PriorityOf(this->importance, lot);
+    if (priority < this->level.LevelOf({}) * this->heard) return;
     kept += 1;
     Ticket ticket;
-    ticket.importance = Importance::kLow;
+    ticket.importance = this->importance;
     ticket.lot = lot;
     this->under_way.push_back({this->clock.Now() + this->way, ticket});
   }
@@ -69,6 +73,7 @@
 
   Span way;
   double heard;
+  Importance importance;
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{7};
   FitLevel level{FitLevelOptions{}, clock};
@@ -97,6 +102,24 @@
   CHECK(service.longest < 0.4);
 }
 
+TEST_CASE("fit level: too many of the first workspaces are refused as well") {
+  DeepService service{200ms, 1, Importance::kCritical};
+  static_cast<void>(service.Run(10s, 2000));
+  service.longest = 0;
+  const double kept = service.Run(20s, 2000);
+  CHECK(kept * 2000 > 0.8 * DeepService::kCapacity);
+  CHECK(kept * 2000 < 1.05 * DeepService::kCapacity);
+  CHECK(service.longest < 0.4);
+  CHECK(service.Level() > 3);
+}
+
+TEST_CASE("fit level: without first workspaces it stays below them") {
+  DeepService service{200ms, 1, Importance::kHigh};
+  static_cast<void>(service.Run(20s, 4000));
+  CHECK(service.Level() > 2.5);
+  CHECK(service.Level() <= 3);
+}
+
 TEST_CASE("fit level: a queue is drained though callers heard half the level") {
   // As where a second target of the service has room that nobody uses.
   DeepService service{200ms, 0.5};
--- a/test/pollenring/contract/host_policy_test.cc
+++ b/test/pollenring/contract/host_policy_test.cc
@@ -39,16 +39,26 @@
   HostPolicy policy;
   policy.workspaces = {{{"first", 5, 7, {}}, 0, {"k0"}},
                        {{"second", 5, 7, {}}, 1, {"k1"}},
-                       {{"plain", 5, 7, {}}, std::nullopt, {"k2"}}};
+                       {{"third", 5, 7, {}}, 4, {"k4"}},
+                       {{"plain", 5, 7, {}}, std::nullopt, {"k"}}};
+  const bool some_unranked = GENERATE(true, false);
+  if (!some_unranked) policy.workspaces.pop_back();
   const HostTable table{policy};
+  CHECK(table.WorkspacesRanked());
   CHECK(Place(table, "k0", 2, 0) > Place(table, "k1", 0, 0.99));
+  CHECK(Place(table, "k1", 2, 0) > Place(table, "k4", 0, 0.99));
   // Alike in that, their routes decide, and the lot after them.
-  CHECK(Place(table, "k1", 0, 0) > Place(table, "k1", 1, 0.99));
-  CHECK(Place(table, "k1", 1, 0) > Place(table, "k1", 2, 0.99));
-  CHECK(Place(table, "k1", 1, 0.6) > Place(table, "k1", 1, 0.5));
-  // One without a rank has its routes'.
-  CHECK(Place(table, "k2", 0, 0) > Place(table, "k1", 0, 0.99));
-  CHECK(Place(table, "k2", 2, 0.99) < Place(table, "k1", 2, 0));
+  for (const std::string key : {"k0", "k1", "k4"}) {
+    CHECK(Place(table, key, 0, 0) > Place(table, key, 1, 0.99));
+    CHECK(Place(table, key, 1, 0) > Place(table, key, 2, 0.99));
+    CHECK(Place(table, key, 1, 0.6) > Place(table, key, 1, 0.5));
+  }
+  // The lowest have their routes' ranks, as they are.
+  const std::string lowest = some_unranked ? "k" : "k4";
+  CHECK(Place(table, lowest, 0, 0.5) == 2.5);
+  CHECK(Place(table, lowest, 2, 0.25) == 0.25);
+  if (!some_unranked) return;
+  CHECK(Place(table, "k4", 2, 0) > Place(table, "k", 0, 0.99));
 }
 
 TEST_CASE("host table: without different workspaces the routes' ranks decide") {
@@ -58,6 +68,7 @@
   const HostTable table{policy};
   const auto place =
       table.StandingOf(Route("r", "a", "/"), table.WorkspaceOf("k0"), 0.25);
+  CHECK_FALSE(table.WorkspacesRanked());
   CHECK(place.importance == Importance::kHigh);
   CHECK(place.lot == 0.25);
   CHECK(Place(table, "k0", 0, 0) > Place(table, "k1", 1, 0.99));
