--- a/test/pollenring/node/serving_test.cc
+++ b/test/pollenring/node/serving_test.cc
@@ -45,6 +45,19 @@
   return options;
 }
 
+/*! @brief Targets that bear three requests while they are cold. */
+class FewWhenCold final : public pollenring::ColdBounds {
+ public:
+  [[nodiscard]] pollenring::ColdTolerance ToleranceOf(
+      const std::string & /*service*/) const override {
+    return {3, 1100ms};
+  }
+  [[nodiscard]] pollenring::Span ColdAfterStart(
+      const std::string & /*service*/) const override {
+    return 10s;
+  }
+};
+
 /*! @brief The calls beside one target, and what became of them. */
 struct Bench {
   Bench() { std::signal(SIGPIPE, SIG_IGN); }
@@ -78,7 +91,7 @@
   pollenring::Loop loop{clock};
   pollenring::HttpClient client{loop, {std::size_t{1} << 20U}};
   pollenring::ContextDialect dialect;
-  pollenring::NoColdBounds cold_bounds;
+  FewWhenCold cold_bounds;
   pollenring::RouteLevels levels{{}, clock};
   pollenring::SeededRandom random{5};
   pollenring::Metrics metrics{clock};
@@ -149,3 +162,39 @@
   REQUIRE(bench.replies.size() == 1);
   CHECK(bench.replies[0].outcome == Outcome::kUnknown);
 }
+
+TEST_CASE("serving: what a cold target has not taken costs it no place") {
+  auto gone = std::make_unique<RawPeer>(std::vector<support::PeerScript>{});
+  Bench bench;
+  bench.Announce(*gone, "i-1", pollenring::TargetState::kCold, 10s);
+  gone.reset();  // Its connections are refused.
+  for (int i = 0; i < 8; ++i) {
+    bench.Serve();
+    bench.Run(20ms);
+  }
+  REQUIRE(bench.replies.size() == 8);
+  for (const auto &reply : bench.replies) {
+    CHECK(reply.outcome == Outcome::kNotRun);
+    CHECK(reply.reason == Reason::kTargetFailed);
+  }
+}
+
+TEST_CASE("serving: a cold target gets what it bears, the others are told") {
+  RawPeer target{
+      {{std::vector<std::string>(3, kAnswer), support::PeerEnd::kKeep}}};
+  Bench bench;
+  bench.Announce(target, "i-1", pollenring::TargetState::kCold, 10s);
+  for (int i = 0; i < 8; ++i) {
+    bench.Serve();
+    bench.Run(20ms);
+  }
+  REQUIRE(bench.replies.size() == 8);
+  for (std::size_t i = 0; i < 8; ++i) {
+    if (i < 3) {
+      CHECK(bench.replies[i].status == 200);
+      continue;
+    }
+    CHECK(bench.replies[i].reason == Reason::kWarmingUp);
+    CHECK(bench.replies[i].retry_after_us > 0);
+  }
+}
