A request that is dropped or started at once sheds nobody else

Looking for what can end one: Admission::Offer drops what has too little time left, and then still turned one of the others away, where the queue had become too long as requests got slower. If that was more important than the one dropped, an invariant was broken and the process ended.

Ruled out: AimQueue's order (the one turned away is the first of it).

Change: somebody goes for a request only if that request waits.

--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -80,11 +80,13 @@
   this->offered = this->OfferedNow() + 1;
   this->offered_at = this->clock.Now();
   this->levels->Offered(ticket);
+  const std::size_t waiting_before = this->queue->Size();
   this->queue->Push(ticket);
   this->Fill(actions);
   this->ShedBeyondCold(actions);
-  // One comes, at most one goes: a shrinking limit sheds nobody who waits.
-  if (this->Overfull()) {
+  // One comes, at most one goes: a shrinking limit sheds nobody who waits, nor
+  // does a request that runs or was dropped already.
+  if (this->queue->Size() > waiting_before && this->Overfull()) {
     const auto worst = this->queue->PopWorst();
     Require(worst->importance <= ticket.importance || ticket.Invested(),
             "nothing more important is shed for a root");
--- a/test/pollenring/admission/admission_test.cc
+++ b/test/pollenring/admission/admission_test.cc
@@ -209,6 +209,103 @@
   CHECK(bench.shed[Importance::kNormal] == 1);
 }
 
+TEST_CASE("admission: one that is dropped at once takes no other with it") {
+  // A queue that grew while requests were quick is too long once they are slow;
+  // what comes then, with little time left, does not wait at all.
+  pollenring::ManualClock clock{std::chrono::hours{1}};
+  pollenring::AdmissionOptions options;
+  options.limit.fixed = true;
+  options.order = pollenring::QueueOrder::kAim;
+  options.queue_time = std::chrono::seconds{1};
+  Admission admission{1, options, clock};
+  std::uint64_t id = 0;
+  const auto offer = [&](Importance importance, Span left) {
+    Ticket ticket = Make(importance, "w");
+    ticket.id = ++id;
+    ticket.aim = clock.Now() + left;
+    ticket.deadline = ticket.aim;
+    return admission.Offer(ticket);
+  };
+  const auto finish = [&](std::uint64_t which, Span after) {
+    clock.Advance(after);
+    return admission.Finish(which, Span{0}, false);
+  };
+  REQUIRE(offer(Importance::kHigh, std::chrono::seconds{30}).start.size() == 1);
+  std::uint64_t running = 1;
+  for (int i = 0; i < 1000; ++i) {
+    REQUIRE(offer(Importance::kHigh, std::chrono::seconds{30}).shed.empty());
+    const auto next = finish(running, std::chrono::milliseconds{1});
+    REQUIRE(next.start.size() == 1);
+    running = next.start[0];
+  }
+  for (int i = 0; i < 120; ++i) {
+    REQUIRE(offer(Importance::kHigh, std::chrono::seconds{30}).shed.empty());
+  }
+  for (int i = 0; i < 80; ++i) {
+    const auto next = finish(running, std::chrono::milliseconds{60});
+    REQUIRE(next.start.size() == 1);
+    running = next.start[0];
+  }
+  AdmissionActions actions;
+  REQUIRE_NOTHROW(actions =
+                      offer(Importance::kLow, std::chrono::milliseconds{1}));
+  REQUIRE(actions.shed.size() == 1);
+  CHECK(actions.shed[0].id == id);
+  // One that waits still takes the place of the least important.
+  actions = offer(Importance::kHigh, std::chrono::seconds{30});
+  CHECK(actions.shed.size() == 1);
+}
+
+TEST_CASE("admission: whatever comes, the least important goes for it") {
+  for (const auto seed : support::Seeds(30)) {
+    CAPTURE(seed);
+    SeededRandom random{seed};
+    pollenring::ManualClock clock{std::chrono::hours{1}};
+    pollenring::AdmissionOptions options;
+    options.order = pollenring::QueueOrder::kAim;
+    options.queue_time = std::chrono::seconds{1};
+    options.critical_queue_factor = 2;
+    Admission admission{4, options, clock};
+    std::map<std::uint64_t, pollenring::Time> running;
+    for (std::uint64_t id = 1; id <= 4000; ++id) {
+      clock.Advance(std::chrono::microseconds{100 + random.Index(4000)});
+      // Requests are quick and slow by turns of a second.
+      const bool slow = clock.Now().count() / 1'000'000 % 2 == 1;
+      const auto start = [&](const AdmissionActions &actions) {
+        for (const auto started : actions.start) {
+          running[started] =
+              clock.Now() + std::chrono::milliseconds{slow ? 80 : 2};
+        }
+      };
+      for (auto it = running.begin(); it != running.end();) {
+        if (it->second > clock.Now()) {
+          ++it;
+          continue;
+        }
+        const auto done = it->first;
+        it = running.erase(it);
+        start(admission.Finish(done, Span{0}, false));
+        it = running.begin();
+      }
+      Ticket ticket = Make(static_cast<Importance>(random.Index(4)), "w");
+      ticket.id = id;
+      ticket.depth = static_cast<int>(random.Index(2));
+      ticket.aim = clock.Now() + std::chrono::milliseconds{random.Index(900)};
+      ticket.deadline =
+          ticket.aim + std::chrono::milliseconds{random.Index(900)};
+      AdmissionActions actions;
+      REQUIRE_NOTHROW(actions = admission.Offer(ticket));
+      const auto shed =
+          std::count_if(actions.shed.begin(), actions.shed.end(),
+                        [](const pollenring::ShedTicket &out) {
+                          return out.reason == pollenring::Reason::kOverload;
+                        });
+      CHECK(shed <= 1);
+      start(actions);
+    }
+  }
+}
+
 TEST_CASE("concurrency limit: a slow moment before a trial lowers nothing") {
   pollenring::ManualClock clock{std::chrono::hours{1}};
   pollenring::ConcurrencyLimit limit{4, {}, clock};
