--- a/src/pollenring/node/dispatcher.h
+++ b/src/pollenring/node/dispatcher.h
@@ -36,12 +36,16 @@
  */
 using RenewCharge = std::function<void(ShareGate::Done)>;
 
+/*! @brief Targets that a call may reach which names no bound; its allowance
+ * ends it sooner. */
+inline constexpr int kMostTargets = 16;
+
 /*! @brief Bounds of one call. */
 struct CallBounds {
-  Time deadline{}; /*!< When the caller needs the answer. */
-  int targets{16}; /*!< Most that it may reach; its allowance ends it sooner. */
-  Time charged{};  /*!< When its workspace was charged for it. */
-  RenewCharge renew; /*!< Empty when nothing is charged for it. */
+  Time deadline{};           /*!< When the caller needs the answer. */
+  int targets{kMostTargets}; /*!< Most that it may reach. */
+  Time charged{};            /*!< When its workspace was charged for it. */
+  RenewCharge renew;         /*!< Empty when nothing is charged for it. */
 };
 
 /**
