Revert the estimate of callers without windows that account for few calls

With all nodes young no window accounts for its calls, so nobody is known as a caller, levels reach no entry, and requests fail inside: 5,241 answers 500.

Change: CallShares as it was before.

Conclusion: reverted.

--- a/src/pollenring/node/call_shares.cc
+++ b/src/pollenring/node/call_shares.cc
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <cmath>
 #include <iterator>
-#include <utility>
 
 namespace pollenring {
 namespace {
@@ -24,10 +23,6 @@
 constexpr double kMostlyPresent = 0.5;
 /*! @brief Calls after which those before count half. */
 constexpr double kRemembered = 4000;
-/*! @brief Part of a window's calls for which it must account: where a callee is
- * short, requests pile up while none calls, few run when they do, and chance
- * would make other kinds the callers. */
-constexpr double kLeastExplained = 0.5;
 /*! @brief Weight of a window in the mean of running requests. */
 constexpr double kMeanWeight = 0.2;
 /*! @brief Mean below which requests of a kind are as good as never there. */
@@ -104,15 +99,12 @@
   }
   for (auto &[name, callee] : this->callees) {
     if (callee.calls <= 0) continue;
-    const double calls = std::exchange(callee.calls, 0);
-    std::unordered_map<std::string, double> excess;
     for (const auto &[kind, mean] : means) {
-      excess[kind] = callee.seen[kind] - calls * mean;
+      callee.excess[kind] += callee.seen[kind] - callee.calls * mean;
     }
+    callee.all_calls += callee.calls;
+    callee.calls = 0;
     callee.seen.clear();
-    if (SumOf(excess) < kLeastExplained * calls) continue;
-    for (const auto &[kind, more] : excess) callee.excess[kind] += more;
-    callee.all_calls += calls;
     if (callee.all_calls <= kRemembered) continue;
     callee.all_calls /= 2;
     for (auto &[kind, excess] : callee.excess) excess /= 2;
@@ -125,10 +117,11 @@
   return found->second.all_calls < kFewCalls ? nullptr : &found->second;
 }
 
-double CallShares::SumOf(
-    const std::unordered_map<std::string, double> &excess) noexcept {
+double CallShares::SumOf(const Callee &callee) noexcept {
   double sum = 0;
-  for (const auto &[name, more] : excess) sum += std::max(0.0, more);
+  for (const auto &[name, excess] : callee.excess) {
+    sum += std::max(0.0, excess);
+  }
   return sum;
 }
 
@@ -139,7 +132,7 @@
   const auto own = known->excess.find(kind);
   // What raises all numbers at once is in each excess alike, so parts of their
   // sum are taken.
-  const double sum = SumOf(known->excess);
+  const double sum = SumOf(*known);
   if (own == known->excess.end() || sum <= 0) return 0.0;
   return std::max(0.0, own->second) / sum;
 }
@@ -149,7 +142,7 @@
   std::vector<std::string> callers;
   const Callee *known = this->Known(callee);
   if (known == nullptr) return this->EarlyCallersOf(callee);
-  const double sum = SumOf(known->excess);
+  const double sum = SumOf(*known);
   if (sum <= 0) return callers;
   for (const auto &[name, excess] : known->excess) {
     if (excess >= least * sum) callers.push_back(name);
--- a/src/pollenring/node/call_shares.h
+++ b/src/pollenring/node/call_shares.h
@@ -91,9 +91,7 @@
   [[nodiscard]] const Callee *Known(const std::string &callee) const;
   [[nodiscard]] std::vector<std::string> EarlyCallersOf(
       const std::string &callee) const;
-  /*! @brief Adds up what is above 0. */
-  [[nodiscard]] static double SumOf(
-      const std::unordered_map<std::string, double> &excess) noexcept;
+  [[nodiscard]] static double SumOf(const Callee &callee) noexcept;
   void CloseWindow(Time now);
   static void Count(Kind &kind, int change, Time now);
 
