Groups of nodes that started without word of each other become one fleet

After a loss of all power 14 nodes start within 0.2 s; each joins whoever of two listed peers is up, or has asked it.

Ruled out: the estimate of callers (the state comes with and without its change); targets that don't announce themselves (the other group uses them).

Change: nodes on duty for the store join through listed peers of whom they have never heard; before, only a node that was alone joined through the listed.

Figures: mesh: groups that started without word of each other become one, red without the first part.

--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -28,6 +28,9 @@
 constexpr Span kJoinPause = std::chrono::milliseconds{500};
 /*! @brief Time between two looks of a node on duty at the bootstrap row. */
 constexpr Span kUpkeepPeriod = std::chrono::seconds{10};
+/*! @brief Age until which they look more often: nodes that all start at once
+ * may have found each other in groups that don't know of one another. */
+constexpr Span kYoung = std::chrono::seconds{15};
 constexpr Span kAloneAfter = std::chrono::milliseconds{1500};
 constexpr Span kJoinTimeout = std::chrono::seconds{1};
 
@@ -113,11 +116,20 @@
         if (item.is_number_unsigned()) listed.push_back(item.get<NodeId>());
       }
     }
-    if (this->Alone()) this->JoinThroughSome(listed);
+    this->JoinThroughSome(this->Alone() ? listed : this->UnknownOf(listed));
     this->Register(found->front().version, std::move(listed));
   });
 }
 
+std::vector<NodeId> MemberService::UnknownOf(
+    const std::vector<NodeId> &listed) const {
+  std::vector<NodeId> unknown;
+  for (const NodeId id : listed) {
+    if (this->membership.Find(id) == nullptr) unknown.push_back(id);
+  }
+  return unknown;
+}
+
 void MemberService::JoinThroughSome(std::vector<NodeId> peers) {
   const NodeId self = this->membership.Self().id;
   peers.erase(std::remove(peers.begin(), peers.end(), self), peers.end());
@@ -132,6 +144,8 @@
 Span MemberService::BootstrapPause() {
   if (!this->joined) return kJoinPause;
   if (this->Alone()) return kBootstrapPeriod;
+  const Time age = this->loop.GetClock().Now() - this->started;
+  if (age < kYoung) return SpreadAround(kBootstrapPeriod, this->random);
   return SpreadAround(kUpkeepPeriod, this->random);
 }
 
--- a/src/pollenring/node/member_service.h
+++ b/src/pollenring/node/member_service.h
@@ -87,6 +87,9 @@
   void Bootstrap();
   void ReadBootstrapRow();
   void JoinThrough(NodeId peer);
+  /*! @brief Those of whom this node has never heard. */
+  [[nodiscard]] std::vector<NodeId> UnknownOf(
+      const std::vector<NodeId> &listed) const;
   void JoinThroughSome(std::vector<NodeId> peers);
   [[nodiscard]] Span BootstrapPause();
   void Register(std::uint64_t version, std::vector<NodeId> listed);
--- a/test/pollenring/mesh/mesh_node_faults_test.cc
+++ b/test/pollenring/mesh/mesh_node_faults_test.cc
@@ -284,3 +284,31 @@
       },
       4s));
 }
+
+TEST_CASE("mesh: groups that started without word of each other become one") {
+  // After a loss of all power nodes find the few that are up already, and no
+  // others while the store is away.
+  support::MeshWorld world{20};
+  world.Store().PutConfig(kConfig);
+  world.Store().SetDown(true);
+  const auto answer = [](const HttpRequest &r) { return Signed(r, 200); };
+  world.Start("front", answer, "r", {2});
+  world.Start("back", answer, "r", {1});
+  world.Start("front", answer, "r", {4});
+  world.Start("back", answer, "r", {3});
+  const auto known = [&world](int index) {
+    const auto status = nlohmann::json::parse(world.Operate(index, "/status"));
+    return status.at("members").size();
+  };
+  REQUIRE(world.Await([&] { return known(1) == 2 && known(3) == 2; }, 3s));
+  world.Run(1s);
+  REQUIRE(known(2) == 2);
+  world.Store().SetDown(false);
+  const auto all = [&known] {
+    for (int index = 1; index <= 4; ++index) {
+      if (known(index) != 4) return false;
+    }
+    return true;
+  };
+  CHECK(world.Await(all, 6s));
+}
--- a/test/support/mesh_world.cc
+++ b/test/support/mesh_world.cc
@@ -189,7 +189,7 @@
 }
 
 int MeshWorld::Start(const std::string &service, Endpoint endpoint,
-                     const std::string &region) {
+                     const std::string &region, const std::vector<int> &seeds) {
   const int index = static_cast<int>(this->nodes.size()) + 1;
   auto member = std::make_unique<Member>();
   member->service = service;
@@ -206,6 +206,7 @@
   settings.node_secret = kSecret;
   settings.target_service = service;
   settings.first_start = true;
+  for (const int seed : seeds) settings.seeds.push_back(this->At(seed, 7002));
   member->target = std::make_unique<pollenring::HttpServer>(
       this->loop, this->At(index, 8000), pollenring::HttpServerLimits{},
       [this, endpoint = std::move(endpoint)](
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -98,9 +98,11 @@
   /*! @brief Starts the store. @param net Third number of the addresses. */
   explicit MeshWorld(int net);
 
-  /*! @brief Starts a node and its target. @return Its number, from 1. */
+  /*! @brief Starts a node and its target. @param seeds Numbers of the nodes
+   * that it is told of. @return Its number, from 1. */
   int Start(const std::string &service, Endpoint endpoint,
-            const std::string &region = "r");
+            const std::string &region = "r",
+            const std::vector<int> &seeds = {});
 
   /*! @brief How long each target takes from now on. @param delay It. */
   void SetAnswerDelay(pollenring::Span delay) { this->answer_delay = delay; }
