A process that ends by itself says why; callers that go leave a line

Cause: an uncaught error ended the process with the log's buffer unwritten and without a word of its own; a std::runtime_error thrown while the node ran was logged as 'can't start'. A request whose caller had gone was counted and left no line.

Change: the terminate handler writes the error's type and text, and the buffer; SIGABRT (failed assertions of libraries) writes the buffer. RunLoop is noexcept, so an error at run time is one. Responders pass on what told that the caller had gone; the entry logs it with the request's identifier, whether it was passed on, and its age.

No decision changes.

--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -124,7 +124,10 @@
   }
   entry->envelope.headers = std::move(caller.headers);
   entry->body = std::move(request.body);
-  entry->responder->OnCancel([entry] { entry->gone = true; });
+  entry->responder->OnCancel([this, entry](CallerLoss loss) {
+    entry->gone = true;
+    this->RecordLoss(*entry, loss, false);
+  });
   this->Charge(entry);
 }
 
@@ -277,9 +280,9 @@
         this->parts.serving.EndSubCall(entry->parent);
         this->Answer(entry, std::move(reply), std::move(body));
       });
-  entry->responder->OnCancel([this, call, entry] {
+  entry->responder->OnCancel([this, call, entry](CallerLoss loss) {
     this->parts.serving.EndSubCall(entry->parent);
-    this->parts.metrics.Count("pollenring_gone_callers_total");
+    this->RecordLoss(*entry, loss, true);
     this->parts.dispatcher.Cancel(call);
   });
 }
@@ -299,6 +302,22 @@
       this->parts.dialect.Encode(reply, std::move(body), entry->id));
 }
 
+void Outbound::RecordLoss(const Entry &entry, CallerLoss loss, bool passed_on) {
+  const std::string cause{kCallerLossNames.Name(loss)};
+  this->parts.metrics.Count("pollenring_gone_callers_total", {"cause", cause});
+  if (!MayLogRequest(LogLevel::kWarning)) return;
+  const Span took = this->loop.GetClock().Now() - entry.started;
+  LogEvent(
+      LogLevel::kWarning, "caller gone",
+      {{"id", entry.id},
+       {"route", entry.route},
+       {"service", entry.service},
+       {"cause", cause},
+       {"passed_on", passed_on},
+       {"took_ms", took.count() / 1000},
+       {"left_ms", (entry.deadline - entry.started - took).count() / 1000}});
+}
+
 void Outbound::Record(const Entry &entry, const CallReply &reply) {
   Metrics &metrics = this->parts.metrics;
   const Span took = this->loop.GetClock().Now() - entry.started;
--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -77,6 +77,7 @@
   void Refuse(const EntryPtr &entry, Reason reason, Span retry_after);
   void Answer(const EntryPtr &entry, CallReply reply, std::string body);
   void Record(const Entry &entry, const CallReply &reply);
+  void RecordLoss(const Entry &entry, CallerLoss loss, bool passed_on);
 
   Loop &loop;
   std::string service;
--- a/src/pollenring/net/fwd.h
+++ b/src/pollenring/net/fwd.h
@@ -3,6 +3,7 @@
 
 namespace pollenring {
 
+enum class CallerLoss;
 class Loop;
 class HttpServer;
 class HttpClient;
--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -86,7 +86,7 @@
     auto callback = std::move(this->cancelled);
     this->req->http1_is_persistent = 0;
     this->Send({kServiceUnavailable, {}, {}});
-    if (callback) callback();
+    if (callback) callback(CallerLoss::kHungUp);
   }
 
   /*! @brief Called by h2o when the request is disposed of. */
@@ -96,7 +96,7 @@
     if (!this->cancelled) return;
     auto callback = std::move(this->cancelled);
     this->cancelled = nullptr;
-    callback();
+    callback(CallerLoss::kConnectionEnded);
   }
 
  private:
--- a/src/pollenring/net/http_server.h
+++ b/src/pollenring/net/http_server.h
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "pollenring/core/clock.h"
+#include "pollenring/core/enum_table.h"
 #include "pollenring/net/address.h"
 #include "pollenring/net/http_message.h"
 
@@ -13,11 +14,23 @@
 
 class Loop;
 
+/*! @brief What told that a caller has gone before its answer. */
+enum class CallerLoss {
+  kHungUp,         /*!< The caller has closed or reset its connection. */
+  kConnectionEnded /*!< The server's connection or stream has ended. */
+};
+
+/*! @brief Names of caller losses, for logs. */
+inline constexpr EnumTable<CallerLoss, 2> kCallerLossNames{{{
+    {CallerLoss::kHungUp, "hung-up"},
+    {CallerLoss::kConnectionEnded, "connection-ended"},
+}}};
+
 /*! @brief Answers one request, at most once, from anywhere on the loop. */
 class Responder {
  public:
   /*! @brief Called when the caller has gone away before its answer. */
-  using Cancelled = std::function<void()>;
+  using Cancelled = std::function<void(CallerLoss)>;
 
   Responder() = default;
   Responder(const Responder &) = delete;
--- a/src/pollenring/node/target_port.cc
+++ b/src/pollenring/node/target_port.cc
@@ -153,7 +153,7 @@
         }
         responder->Send(ToResponse(reply, std::move(body), root_id));
       });
-  responder->OnCancel([this, call = *handle, parent_id, ended] {
+  responder->OnCancel([this, call = *handle, parent_id, ended](CallerLoss) {
     this->dispatcher.Cancel(call);
     ended(0);
     ServedCall *still = this->serving.Find(parent_id);
--- a/test/pollenring/net/http_server_test.cc
+++ b/test/pollenring/net/http_server_test.cc
@@ -66,3 +66,29 @@
   }
   for (const int fd : waiting) close(fd);
 }
+
+TEST_CASE("http server: what told that a caller has gone is passed on") {
+  const pollenring::SystemClock clock;
+  Loop loop{clock};
+  const Address address = *Address::Parse("127.42.1.2:7100");
+  std::vector<std::shared_ptr<pollenring::Responder>> held;
+  std::vector<pollenring::CallerLoss> losses;
+  HttpServer server{
+      loop, address, HttpServerLimits{},
+      [&](const HttpRequest & /*request*/,
+          const std::shared_ptr<pollenring::Responder> &responder) {
+        responder->OnCancel(
+            [&losses](pollenring::CallerLoss loss) { losses.push_back(loss); });
+        held.push_back(responder);
+      }};
+  server.Open();
+  const int leaves = SendRequest(address, "/leaves");
+  const int waits = SendRequest(address, "/waits");
+  loop.After(50ms, [leaves] { close(leaves); });
+  loop.After(400ms, [&loop] { loop.Stop(); });
+  loop.Run();
+  CHECK(held.size() == 2);
+  REQUIRE(losses.size() == 1);
+  CHECK(losses[0] == pollenring::CallerLoss::kHungUp);
+  close(waits);
+}
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -11,6 +11,7 @@
 #include "platform/store.h"
 #include "pollenring/core/random.h"
 #include "pollenring/log/log.h"
+#include "pollenring/log/process_end.h"
 #include "pollenring/mesh/mesh_node.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/limits.h"
@@ -71,10 +72,12 @@
        {"same_addresses", same}});
 }
 
-/*! @brief Runs a node until it has left. */
+/*! @brief Runs a node until it has left; an error that nothing has caught by
+ * then ends the process. */
 template <typename Node>
-void RunLoop(pollenring::Loop &loop, Node &node, const Settings &settings,
-             const std::string &path) {
+[[noreturn]] void RunLoop(pollenring::Loop &loop, Node &node,
+                          const Settings &settings,
+                          const std::string &path) noexcept {
   loop.Every(kSignalCheck, [&] {
     if (stop_requested != 0) node.Leave();
     if (std::exchange(reload_requested, 0) != 0) CheckReload(path, settings);
@@ -170,5 +173,6 @@
   const bool verbose = arguments.count("verbose") > 0;
   pollenring::SetUpLog("pollenringd", verbose ? pollenring::LogLevel::kDebug
                                               : pollenring::LogLevel::kInfo);
+  pollenring::LogProcessEnd();
   return Run(settings, path);
 }
