A loan that comes back to a part that has shrunk ends no process

Cause: the lender of a slot puts the unspent rest of a loan back into the bucket and then requires that bucket and loans stay within the slot's part of the burst. The part shrinks when the operator lowers a workspace's burst, and when members fall silent (SlotRing::Part). While more is lent than the new part, the first loan that comes back broke the invariant, which nobody catches: terminate, all connections gone. Borrowers return loans 250 ms old in the ordinary course.

The invariant itself is right: what was put back was more than the part.

Change: what comes back fills the bucket up to the part that is in force, less what is still lent; the rest is gone, as it is when a contract changes.

--- a/src/pollenring/share/lender.cc
+++ b/src/pollenring/share/lender.cc
@@ -215,7 +215,10 @@
   bucket.by_expiry.erase({found->second.expires, key});
   bucket.loans.erase(found);
   bucket.lent -= amount;
-  bucket.level += std::min(returned.unspent, amount);
+  // The part may have shrunk meanwhile; what lies beyond it is gone.
+  const double room = std::max(0.0, bucket.cap - bucket.lent);
+  const double unspent = std::min(returned.unspent, amount);
+  bucket.level = std::min(bucket.level + unspent, room);
   CheckBound(bucket);
 }
 
--- /dev/null
+++ b/test/support/daemon.h
@@ -0,0 +1,84 @@
+#ifndef POLLENRING_TEST_SUPPORT_DAEMON_H_
+#define POLLENRING_TEST_SUPPORT_DAEMON_H_
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <string>
+
+#include "pollenring/node/settings.h"
+
+namespace support {
+
+/*! @brief One daemon as its own process, for routes that are found by host. */
+class Daemon {
+ public:
+  /*! @brief Starts it. @param settings Its settings. */
+  explicit Daemon(const pollenring::Settings &settings) {
+    std::string pattern =
+        (std::filesystem::temp_directory_path() / "pollenring-XXXXXX").string();
+    this->folder = mkdtemp(pattern.data());
+    const std::string path = this->folder + "/settings.toml";
+    const std::string log = this->folder + "/log";
+    std::ofstream{path} << "[node]\nroutes = \"host\"\nzone = \""
+                        << settings.zone << "\"\nregion = \"" << settings.region
+                        << "\"\nfirst_start = true\n[listen]\ncallers = \""
+                        << settings.callers.Format() << "\"\ntargets = \""
+                        << settings.targets.Format() << "\"\nready = \""
+                        << settings.ready.Format() << "\"\nnodes = \""
+                        << settings.nodes.Format() << "\"\noperators = \""
+                        << settings.operators.Format()
+                        << "\"\n[target]\nservice = \""
+                        << settings.target_service
+                        << "\"\n[secrets]\nnodes = \"" << settings.node_secret
+                        << "\"\n[platform]\naddress = \""
+                        << settings.platform.Format() << "\"\n";
+    const std::string program =
+        std::filesystem::read_symlink("/proc/self/exe").parent_path() /
+        "pollenringd";
+    this->pid = fork();
+    if (this->pid != 0) return;
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    dup2(fd, STDOUT_FILENO);
+    dup2(fd, STDERR_FILENO);
+    execl(program.c_str(), program.c_str(), "--settings", path.c_str(),
+          static_cast<char *>(nullptr));
+    _exit(127);
+  }
+  Daemon(const Daemon &) = delete;
+  Daemon &operator=(const Daemon &) = delete;
+  ~Daemon() {
+    if (!this->Ended()) {
+      kill(this->pid, SIGKILL);
+      waitpid(this->pid, nullptr, 0);
+    }
+    std::filesystem::remove_all(this->folder);
+  }
+
+  /*! @brief Whether its process has ended. @return So. */
+  [[nodiscard]] bool Ended() {
+    if (!this->ended) this->ended = waitpid(this->pid, nullptr, WNOHANG) != 0;
+    return this->ended;
+  }
+
+  /*! @brief What it has printed so far. @return The lines. */
+  [[nodiscard]] std::string Log() const {
+    std::ifstream file{this->folder + "/log"};
+    return {std::istreambuf_iterator<char>{file}, {}};
+  }
+
+ private:
+  std::string folder;
+  pid_t pid{};
+  bool ended{};
+};
+
+}  // namespace support
+
+#endif  // POLLENRING_TEST_SUPPORT_DAEMON_H_
