An error in handling one event is kept from all others

Cause: nobody caught what a handler, timer, deferred task, datagram, answer or cancellation threw. It passed through the C frames of h2o and nghttp2 up to main, which knows only errors of a start: std::terminate. So one message that hits one mistake anywhere ended thousands of others.

Ruled out: catching in main and running the loop again: h2o and nghttp2 would have been left in the middle of a callback, and timers that repeat would stop. Catching at each mistake: they are not known.

Change: Loop::Contain handles one event, catches, logs "error contained" (what, while what, how many; one line a second after the first 20) and tells who asked. All deferred tasks and timers run in it, one that repeats goes on, and so does whatever C code calls back: requests, streams, datagrams, answers, cancellations. The request concerned is answered 502, which promises nothing; a stream between nodes is broken off, so its peer need not wait.

--- a/src/pollenring/link/link_server.cc
+++ b/src/pollenring/link/link_server.cc
@@ -61,11 +61,16 @@
   /*! @brief Whether an answer is still awaited. @return So. */
   [[nodiscard]] bool Open() const noexcept { return this->open; }
 
-  void Ended() {
+  void Ended(Loop &loop) {
     this->open = false;
-    if (auto callback = std::exchange(this->cancelled, nullptr)) callback();
+    if (auto callback = std::exchange(this->cancelled, nullptr)) {
+      loop.Contain("cancellation", callback);
+    }
   }
 
+  /*! @brief Breaks the stream off without an answer. */
+  void Fail();
+
  private:
   std::weak_ptr<Connection> connection;
   std::int32_t stream_id;
@@ -97,6 +102,11 @@
     this->SubmitResponse(stream_id, std::move(body));
   }
 
+  void BreakOff(std::int32_t stream_id) {
+    this->responders.erase(stream_id);
+    this->Reset(stream_id, NGHTTP2_INTERNAL_ERROR);
+  }
+
  private:
   [[nodiscard]] bool Trusts(const Stream &stream) const override {
     return EqualConstantTime(stream.secret, this->owner.secret);
@@ -121,7 +131,9 @@
                            responder = std::move(responder)]() mutable {
       if (!self->Closed() && HungUp(*self->accepted)) self->Close();
       if (!responder->Open()) return;
-      owner.handler(path, std::move(body), std::move(responder));
+      const bool handled = owner.loop.Contain(
+          "message", [&] { owner.handler(path, std::move(body), responder); });
+      if (!handled) responder->Fail();
     });
   }
 
@@ -131,7 +143,7 @@
     if (found == this->responders.end()) return;
     const auto responder = found->second.lock();
     this->responders.erase(found);
-    if (responder) responder->Ended();
+    if (responder) responder->Ended(this->owner.loop);
   }
 
   void OnClosed() override {
@@ -153,6 +165,14 @@
   held->Answer(this->stream_id, std::move(body));
 }
 
+void LinkServer::Impl::StreamResponder::Fail() {
+  if (!std::exchange(this->open, false)) return;
+  this->cancelled = nullptr;
+  const auto held = this->connection.lock();
+  if (!held || held->Closed()) return;
+  held->BreakOff(this->stream_id);
+}
+
 void LinkServer::Impl::OnAccept(h2o_socket_t *listener, const char *error) {
   if (error != nullptr) return;
   auto *self = static_cast<Impl *>(listener->data);
--- a/src/pollenring/link/session.cc
+++ b/src/pollenring/link/session.cc
@@ -118,7 +118,10 @@
   this->socket = attached;
   this->socket->data = this;
   h2o_socket_read_start(this->socket, [](h2o_socket_t *sock, const char *err) {
-    static_cast<Session *>(sock->data)->OnRead(err);
+    const auto self = static_cast<Session *>(sock->data)->shared_from_this();
+    const bool read = self->loop.Contain("stream", [&] { self->OnRead(err); });
+    // What was read up to where is not known.
+    if (!read) self->Close();
   });
 }
 
--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -169,7 +169,10 @@
       self->Fail(*connection, CallError::kConnectRefused);
       return;
     }
-    self->Send(connection->call, self->calls.at(connection->call), *connection);
+    self->loop.Contain("connect", [&] {
+      self->Send(connection->call, self->calls.at(connection->call),
+                 *connection);
+    });
   }
 
   void Send(CallId id, Pending &call, Connection &connection) {
@@ -193,7 +196,9 @@
 
   static void OnRead(h2o_socket_t *sock, const char *error) {
     auto *connection = static_cast<Connection *>(sock->data);
-    connection->owner->Read(*connection, error);
+    Impl *self = connection->owner;
+    // A call whose answer can't be handled ends at its time-out.
+    self->loop.Contain("answer", [&] { self->Read(*connection, error); });
   }
 
   void Read(Connection &connection, const char *error) {
--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -19,6 +19,7 @@
 constexpr int kAcceptsPerTurn = 16;
 constexpr int kHttp2 = 0x200;
 constexpr int kServiceUnavailable = 503;
+constexpr int kBadGateway = 502;
 /*! @brief Age from which a request's connection is looked at. */
 constexpr Span kHangUpCheck = std::chrono::milliseconds{100};
 
@@ -43,8 +44,9 @@
 /*! @brief A request of h2o waiting for its answer. */
 class H2oResponder final : public Responder {
  public:
-  H2oResponder(h2o_req_t *req, std::size_t *in_progress, const bool *draining)
-      : req{req}, in_progress{in_progress}, draining{draining} {
+  H2oResponder(h2o_req_t *req, Loop &loop, std::size_t *in_progress,
+               const bool *draining)
+      : req{req}, loop{loop}, in_progress{in_progress}, draining{draining} {
     ++*this->in_progress;
   }
 
@@ -86,7 +88,7 @@
     auto callback = std::move(this->cancelled);
     this->req->http1_is_persistent = 0;
     this->Send({kServiceUnavailable, {}, {}});
-    if (callback) callback();
+    if (callback) this->loop.Contain("hang-up", callback);
   }
 
   /*! @brief Called by h2o when the request is disposed of. */
@@ -96,7 +98,7 @@
     if (!this->cancelled) return;
     auto callback = std::move(this->cancelled);
     this->cancelled = nullptr;
-    callback();
+    this->loop.Contain("hang-up", callback);
   }
 
  private:
@@ -116,6 +118,7 @@
   }
 
   h2o_req_t *req;
+  Loop &loop;
   std::size_t *in_progress;
   const bool *draining;
   Cancelled cancelled;
@@ -224,8 +227,8 @@
 
   static int OnRequest(h2o_handler_t *handler, h2o_req_t *req) {
     Impl *self = reinterpret_cast<HandlerSlot *>(handler)->owner;
-    auto responder = std::make_shared<H2oResponder>(req, &self->in_progress,
-                                                    &self->draining);
+    auto responder = std::make_shared<H2oResponder>(
+        req, self->loop, &self->in_progress, &self->draining);
     void *memory = h2o_mem_alloc_shared(
         &req->pool, sizeof(std::shared_ptr<H2oResponder>), [](void *slot) {
           auto *held = static_cast<std::shared_ptr<H2oResponder> *>(slot);
@@ -239,7 +242,11 @@
       return 0;
     }
     self->Watch(*req, responder);
-    self->handler(CopyRequest(*req), std::move(responder));
+    const bool handled = self->loop.Contain("request", [self, req, responder] {
+      self->handler(CopyRequest(*req), responder);
+    });
+    // What it had come to is not known; this status promises nothing.
+    if (!handled) responder->Send({kBadGateway, {}, {}});
     return 0;
   }
 
--- a/src/pollenring/net/loop.cc
+++ b/src/pollenring/net/loop.cc
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <memory>
+#include <utility>
 
+#include "pollenring/core/invariant.h"
+#include "pollenring/log/log.h"
 #include "pollenring/net/h2o_api.h"
 
 namespace pollenring {
@@ -12,6 +15,10 @@
 constexpr Span kPause = std::chrono::milliseconds{1000};
 /*! @brief Rounds of deferred tasks in one turn; a call takes four. */
 constexpr int kMostRounds = 8;
+/*! @brief Pause between two lines on errors, after the first few. */
+constexpr Span kErrorPause = std::chrono::seconds{1};
+/*! @brief Errors that have a line each. */
+constexpr std::uint64_t kErrorsToldAll = 20;
 
 }  // namespace
 
@@ -27,7 +34,8 @@
 
 void Loop::Every(Span period, Task task) {
   this->After(period, [this, period, task = std::move(task)] {
-    task();
+    // One run that fails is no reason to leave out the next.
+    this->Contain("timer", task);
     this->Every(period, task);
   });
 }
@@ -57,6 +65,30 @@
 
 void Loop::EndWrites() { h2o_timeout__do_post_callback(this->native); }
 
+void Loop::OnError(ErrorListener listener) {
+  this->error_listeners.push_back(std::move(listener));
+}
+
+void Loop::Report(std::string_view event, const std::exception &error) {
+  const bool rule = dynamic_cast<const InvariantError *>(&error) != nullptr;
+  ++this->errors;
+  const Time now = this->clock.Now();
+  const bool told = this->errors <= kErrorsToldAll ||
+                    now - this->error_told_at >= kErrorPause;
+  if (told) {
+    this->error_told_at = now;
+    LogEvent(LogLevel::kError, "error contained",
+             {{"while", event},
+              {"what", error.what()},
+              {"rule", rule},
+              {"errors", this->errors},
+              {"since_last_line",
+               this->errors - std::exchange(this->errors_told, this->errors)}});
+  }
+  const ContainedError contained{std::string{event}, error.what(), rule};
+  for (const auto &listener : this->error_listeners) listener(contained);
+}
+
 bool Loop::WokeFromPause() const noexcept {
   return this->clock.Now() - this->turn_started > kPause;
 }
@@ -64,7 +96,7 @@
 void Loop::RunPosted() {
   std::vector<Task> tasks;
   tasks.swap(this->posted);
-  for (auto &task : tasks) task();
+  for (auto &task : tasks) this->Contain("task", task);
 }
 
 void Loop::RunDueTimers() {
@@ -72,7 +104,7 @@
   while (!this->timers.empty() && this->timers.begin()->first.first <= now) {
     auto node = this->timers.extract(this->timers.begin());
     this->due_times.erase(node.key().second);
-    node.mapped()();
+    this->Contain("timer", node.mapped());
   }
 }
 
--- a/src/pollenring/net/loop.h
+++ b/src/pollenring/net/loop.h
@@ -2,8 +2,11 @@
 #define POLLENRING_NET_LOOP_H_
 
 #include <cstdint>
+#include <exception>
 #include <functional>
 #include <map>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -13,11 +16,24 @@
 
 namespace pollenring {
 
-/*! @brief The one event loop of a process, with timers and deferred tasks. */
+/*! @brief An error that escaped from the handling of one event. */
+struct ContainedError {
+  std::string event; /*!< Kind of what was handled. */
+  std::string what;  /*!< The error's own words. */
+  bool rule{};       /*!< A rule that must always hold was found broken. */
+};
+
+/**
+ * @brief The one event loop of a process, with timers and deferred tasks.
+ *
+ * An error in one task or event ends neither the others nor the process; it is
+ * logged, and those who asked for it are told.
+ */
 class Loop {
  public:
   using Task = std::function<void()>;
   using TimerId = std::uint64_t;
+  using ErrorListener = std::function<void(const ContainedError &)>;
 
   /**
    * @brief Creates the loop.
@@ -60,6 +76,35 @@
    */
   void Post(Task task);
 
+  /**
+   * @brief Handles one event; an error in it is kept from all others.
+   *
+   * Whatever C code calls back has to be handled in here: an error must not
+   * pass through that code.
+   * @param event Kind of the event, for the log.
+   * @param handling Handles it.
+   * @return Whether no error escaped.
+   */
+  template <typename Handling>
+  bool Contain(std::string_view event, Handling &&handling) {
+    try {
+      handling();
+      return true;
+    } catch (const std::exception &error) {
+      this->Report(event, error);
+      return false;
+    }
+  }
+
+  /**
+   * @brief Asks to be told of errors that were contained.
+   * @param listener Called with each, in the turn in which it came up.
+   */
+  void OnError(ErrorListener listener);
+
+  /*! @brief Errors that were contained so far. @return The count. */
+  [[nodiscard]] std::uint64_t Errors() const noexcept { return this->errors; }
+
   /**
    * @brief Tells whether the process stood still before this turn.
    * @return Whether what this turn reads may be long out of date.
@@ -85,6 +130,7 @@
    * becomes writable after its write was reported.
    */
   void EndWrites();
+  void Report(std::string_view event, const std::exception &error);
   void RunPosted();
   void RunDueTimers();
   [[nodiscard]] std::int32_t WaitMs() const;
@@ -94,6 +140,10 @@
   std::map<DueKey, Task> timers;
   std::unordered_map<TimerId, Time> due_times;
   std::vector<Task> posted;
+  std::vector<ErrorListener> error_listeners;
+  std::uint64_t errors{};
+  std::uint64_t errors_told{};
+  Time error_told_at{};
   TimerId last_timer{};
   Time turn_started{};
   bool stopped{};
--- a/src/pollenring/net/udp_socket.cc
+++ b/src/pollenring/net/udp_socket.cc
@@ -21,7 +21,8 @@
 
 UdpSocket::UdpSocket(Loop &loop, const Address &address, std::string secret,
                      Receive receive)
-    : secret{std::move(secret)},
+    : loop{loop},
+      secret{std::move(secret)},
       receive{std::move(receive)},
       fd{socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)} {
   const sockaddr_in native = address.Native();
@@ -64,7 +65,8 @@
     const auto content = datagram.substr(kTagBytes);
     const auto tag = MessageTag(this->secret, content);
     if (!EqualConstantTime(tag, datagram.substr(0, kTagBytes))) continue;
-    this->receive(Address::From(from), content);
+    this->loop.Contain("datagram",
+                       [&] { this->receive(Address::From(from), content); });
   }
 }
 
--- a/src/pollenring/net/udp_socket.h
+++ b/src/pollenring/net/udp_socket.h
@@ -47,6 +47,7 @@
  private:
   void ReadAll();
 
+  Loop &loop;
   std::string secret;
   Receive receive;
   int fd;
--- a/test/pollenring/link/link_server_test.cc
+++ b/test/pollenring/link/link_server_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -93,3 +94,44 @@
   run(behind, 50ms);
   CHECK(handled == expected);
 }
+
+TEST_CASE("link server: an error in handling one message ends no other") {
+  const pollenring::SystemClock clock;
+  Loop loop{clock};
+  const Address address = *Address::Parse("127.42.2.3:7100");
+  std::vector<std::shared_ptr<LinkResponder>> held;
+  const LinkServer server{
+      loop, address, "secret", kMostBytes,
+      [&held](const std::string &path, const std::string & /*body*/,
+              const std::shared_ptr<LinkResponder> &responder) {
+        if (path == "broken") throw std::out_of_range{"in a handler"};
+        responder->OnCancel([] { throw std::out_of_range{"in a hang-up"}; });
+        held.push_back(responder);
+      }};
+  LinkClient client{loop, "secret", kMostBytes};
+  const auto run = [&loop] {
+    loop.After(50ms, [&loop] { loop.Stop(); });
+    loop.Resume();
+    loop.Run();
+  };
+  int answered = 0;
+  int lost = 0;
+  const auto count = [&](const LinkClient::Reply &reply) {
+    const auto *error = std::get_if<pollenring::LinkError>(&reply);
+    if (error == nullptr) ++answered;
+    if (error != nullptr && *error == pollenring::LinkError::kLost) ++lost;
+  };
+  for (int i = 0; i < 3; ++i) client.Call(address, "held", "x", 5s, count);
+  const auto given_up = client.Call(address, "held", "x", 5s, count);
+  client.Call(address, "broken", "x", 5s, count);
+  run();
+  REQUIRE(held.size() == 4);
+  // Its peer need not wait for an answer that will not come.
+  CHECK(lost == 1);
+  client.Cancel(given_up);
+  run();
+  for (const auto &responder : held) responder->Send("answer");
+  run();
+  CHECK(answered == 3);
+  CHECK(lost == 1);
+}
--- a/test/pollenring/net/http_server_test.cc
+++ b/test/pollenring/net/http_server_test.cc
@@ -6,9 +6,11 @@
 
 #include <catch2/catch.hpp>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
+#include "pollenring/net/http_client.h"
 #include "pollenring/net/loop.h"
 
 namespace {
@@ -66,3 +68,53 @@
   }
   for (const int fd : waiting) close(fd);
 }
+
+TEST_CASE("http server: an error in handling one request ends no other") {
+  const pollenring::SystemClock clock;
+  Loop loop{clock};
+  const Address address = *Address::Parse("127.42.1.2:7100");
+  std::vector<std::shared_ptr<pollenring::Responder>> held;
+  HttpServer server{
+      loop, address, HttpServerLimits{},
+      [&held](const HttpRequest &request,
+              const std::shared_ptr<pollenring::Responder> &responder) {
+        if (request.path == "/broken") {
+          // What may be left of it keeps nobody from being answered.
+          responder->OnCancel([responder] {});
+          throw std::out_of_range{"in a handler"};
+        }
+        held.push_back(responder);
+      }};
+  server.Open();
+  pollenring::HttpClient client{loop, {std::size_t{1} << 20U}};
+  std::vector<int> statuses;
+  const auto ask = [&](const std::string &path) {
+    client.Call(address, {"GET", path, {}, {}, {}}, 3s,
+                [&](const pollenring::HttpClient::Reply &reply) {
+                  const auto *got =
+                      std::get_if<pollenring::HttpResponse>(&reply);
+                  statuses.push_back(got == nullptr ? 0 : got->status);
+                });
+  };
+  const auto run = [&loop] {
+    loop.After(50ms, [&loop] { loop.Stop(); });
+    loop.Resume();
+    loop.Run();
+  };
+  // Kept connections, each with a second request in progress.
+  for (int round = 0; round < 2; ++round) {
+    for (int i = 0; i < 4; ++i) ask("/held");
+    run();
+    REQUIRE(held.size() == 4);
+    if (round == 1) ask("/broken");
+    run();
+    for (const auto &responder : std::exchange(held, {})) {
+      responder->Send({200, {}, {}});
+    }
+    run();
+  }
+  // What had become of the broken one is not known; nothing is promised.
+  CHECK(statuses ==
+        std::vector<int>{200, 200, 200, 200, 502, 200, 200, 200, 200});
+  CHECK(server.InProgress() == 0);
+}
