What is lost inside a node is answered all the same

What callers would see: a request that hangs until they give it up, as nothing says that it has failed.

Cause: an error between a target's answer and the caller's left the call in the tables of serving or dispatcher. A call of the target beside the node has no time-out but the HTTP client's, which has ended by then, so its caller waited for ever; slots of the target stayed taken.

Ruled out: a time-out in the dispatcher; shares, encoding and whatever comes later would stay outside of it.

Change: Serving gives up a call whose answer could not be handled: its slot is freed and it counts as unknown, so an idempotent one may go elsewhere. The line on a request is written once its answer could be.

Tests, red before by the exception itself: mesh: an error while one answer is handled ends no other request ("an answer that can't be handled"); mesh: a request that is lost inside a node is answered in time ("an answer that can't be written"). Both check that nothing is in progress afterwards. Cost: a timer a request; not measured.

--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -32,6 +32,9 @@
 constexpr int kBadGateway = 502;
 constexpr int kTimedOut = 504;
 constexpr int kFirstFailure = 400;
+/*! @brief Time past its deadline after which a request is answered whatever
+ * has become of it; above the waits of nodes for each other. */
+constexpr Span kLateAnswer = 10 * kAnswerSlack;
 /*! @brief Longest wait of a request whose caller and route name none. */
 constexpr Span kDefaultTimeout = std::chrono::seconds{10};
 
@@ -90,6 +93,10 @@
   int attempts{1};
   double priority{};
   bool gone{};
+  bool answered{};
+  std::uint64_t call{};   /*!< Of the dispatcher; 0 until it is sent. */
+  Loop::TimerId late{};   /*!< Ends what has got no answer. */
+  Time late_at{};         /*!< When that is due. */
   WayLevel refused_at;    /*!< What had it refused early. */
   bool open{};            /*!< Of the local target; other callers show keys. */
   std::uint64_t parent{}; /*!< Request of the local target; 0 for none. */
@@ -124,7 +131,11 @@
   }
   entry->envelope.headers = std::move(caller.headers);
   entry->body = std::move(request.body);
-  entry->responder->OnCancel([entry] { entry->gone = true; });
+  entry->responder->OnCancel([this, entry] {
+    entry->gone = true;
+    this->loop.Cancel(entry->late);
+  });
+  this->AwaitAnswer(entry, entry->deadline + kLateAnswer);
   this->Charge(entry);
 }
 
@@ -264,7 +275,7 @@
 
 void Outbound::Send(const EntryPtr &entry, const RenewCharge &renew) {
   if (entry->gone) return;
-  const auto call = this->parts.dispatcher.Call(
+  entry->call = this->parts.dispatcher.Call(
       std::move(entry->envelope), std::move(entry->body),
       {entry->deadline, entry->attempts, this->loop.GetClock().Now(), renew},
       [this, entry](CallReply reply, std::string body) {
@@ -277,10 +288,11 @@
         this->parts.serving.EndSubCall(entry->parent);
         this->Answer(entry, std::move(reply), std::move(body));
       });
-  entry->responder->OnCancel([this, call, entry] {
+  entry->responder->OnCancel([this, entry] {
+    this->loop.Cancel(entry->late);
     this->parts.serving.EndSubCall(entry->parent);
     this->parts.metrics.Count("pollenring_gone_callers_total");
-    this->parts.dispatcher.Cancel(call);
+    this->parts.dispatcher.Cancel(entry->call);
   });
 }
 
@@ -291,12 +303,40 @@
   this->Answer(entry, Refusal(Outcome::kNotRun, reason, come_back), {});
 }
 
+void Outbound::AwaitAnswer(const EntryPtr &entry, Time until) {
+  entry->late_at = until;
+  entry->late = this->loop.After(until - this->loop.GetClock().Now(),
+                                 [this, entry] { this->AnswerLate(entry); });
+}
+
+void Outbound::AnswerLate(const EntryPtr &entry) {
+  // A process that is behind has not taken in yet what has come.
+  const Time now = this->loop.GetClock().Now();
+  if (now - entry->late_at > kLateAnswer / 2) {
+    this->AwaitAnswer(entry, now + kLateAnswer);
+    return;
+  }
+  LogEvent(
+      LogLevel::kError, "request left without an answer",
+      {{"id", entry->id}, {"route", entry->route}, {"sent", entry->call != 0}});
+  this->parts.metrics.Count("pollenring_unanswered_total");
+  this->loop.Contain("late request", [this, &entry] {
+    this->parts.serving.EndSubCall(entry->parent);
+    this->parts.dispatcher.Cancel(entry->call);
+  });
+  this->Answer(entry, Refusal(Outcome::kUnknown, Reason::kDeadline, {}), {});
+}
+
 void Outbound::Answer(const EntryPtr &entry, CallReply reply,
                       std::string body) {
+  if (entry->answered) return;
   reply.status = HonestStatus(reply);
+  HttpResponse response =
+      this->parts.dialect.Encode(reply, std::move(body), entry->id);
   this->Record(*entry, reply);
-  entry->responder->Send(
-      this->parts.dialect.Encode(reply, std::move(body), entry->id));
+  entry->responder->Send(std::move(response));
+  entry->answered = true;
+  this->loop.Cancel(entry->late);
 }
 
 void Outbound::Record(const Entry &entry, const CallReply &reply) {
--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -75,6 +75,9 @@
    * it again; empty when its workspace has no rate. */
   void Send(const EntryPtr &entry, const RenewCharge &renew);
   void Refuse(const EntryPtr &entry, Reason reason, Span retry_after);
+  /*! @brief Sees to it that a request is answered, whatever becomes of it. */
+  void AwaitAnswer(const EntryPtr &entry, Time until);
+  void AnswerLate(const EntryPtr &entry);
   void Answer(const EntryPtr &entry, CallReply reply, std::string body);
   void Record(const Entry &entry, const CallReply &reply);
 
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -115,7 +115,10 @@
       binding.announcement.address,
       this->ToRequest(call, binding.announcement.instance), left,
       [this, id](HttpClient::Reply reply) {
-        this->Answered(id, std::move(reply));
+        const bool handled = this->loop.Contain("answer of a target", [&] {
+          this->Answered(id, std::move(reply));
+        });
+        if (!handled) this->GiveUp(id);
       },
       this->dialect.MarkOf(call.served.envelope));
 }
@@ -180,6 +183,20 @@
   this->Perform(next);
 }
 
+void Serving::GiveUp(std::uint64_t id) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end()) return;
+  const auto binding =
+      this->bindings.find(found->second.served.envelope.service);
+  const SubCallCancels cancels =
+      std::exchange(found->second.served.sub_call_cancels, {});
+  this->Refuse(id, Outcome::kUnknown, Reason::kTargetFailed);
+  if (binding != this->bindings.end()) {
+    this->Perform(binding->second.admission->Cancel(id));
+  }
+  this->CancelSubCalls(cancels);
+}
+
 void Serving::Refuse(std::uint64_t id, Outcome outcome, Reason reason) {
   this->Refuse(id, outcome, reason, SpreadAround(kComeBack, this->random));
 }
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -257,6 +257,8 @@
   [[nodiscard]] Reason RefusalOf(const Binding &binding) const noexcept;
   void Start(std::uint64_t id);
   void Answered(std::uint64_t id, HttpClient::Reply reply);
+  /*! @brief Ends a call whose answer could not be handled. */
+  void GiveUp(std::uint64_t id);
   void Finish(std::uint64_t id, CallReply reply, std::string body);
   void Refuse(std::uint64_t id, Outcome outcome, Reason reason);
   void Refuse(std::uint64_t id, Outcome outcome, Reason reason, Span come_back);
--- /dev/null
+++ b/test/pollenring/mesh/mesh_node_errors_test.cc
@@ -0,0 +1,76 @@
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "support/mesh_fleet.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using pollenring::HttpRequest;
+using pollenring::HttpResponse;
+using support::Headers;
+using support::kFailsInside;
+using support::Signed;
+
+/*! @brief One node beside the only target, once requests are served. */
+struct LoneNode : support::MeshWorld {
+  explicit LoneNode(int net) : MeshWorld{net} {
+    this->Store().PutConfig(support::kConfig);
+    this->Start("deep", [](const HttpRequest &r) { return Signed(r, 200); });
+    REQUIRE(this->Await([&] { return this->Ready(1) == 200; }, 8s));
+    REQUIRE(this->Beat(1) == 200);
+    this->SetAnswerDelay(60ms);
+  }
+
+  void Begin(const std::string &id) {
+    ++this->open;
+    this->BeginCall(1, "/read/1", Headers(id),
+                    [this, id](const HttpResponse &answer) {
+                      --this->open;
+                      this->statuses[id] = answer.status;
+                    });
+  }
+
+  [[nodiscard]] bool AllEnded() {
+    return this->Await([this] { return this->open == 0; }, 4s);
+  }
+
+  std::map<std::string, int> statuses;
+  int open{};
+};
+
+}  // namespace
+
+TEST_CASE("mesh: an error while one answer is handled ends no other request") {
+  LoneNode world{62};
+  for (const std::string round : {"a", "b", "c"}) {
+    world.Begin(kFailsInside);
+    world.Run(30ms);
+    // Their answers come after the one that can't be handled.
+    for (int i = 0; i < 3; ++i) world.Begin(round + std::to_string(i));
+    REQUIRE(world.AllEnded());
+    // Whether it has run is not known, so nothing is promised.
+    CHECK(world.statuses[kFailsInside] == 502);
+    for (int i = 0; i < 3; ++i) {
+      CHECK(world.statuses[round + std::to_string(i)] == 200);
+    }
+  }
+  CHECK(world.Ready(1) == 200);
+  // Nothing is held for it any more, nor a slot of the target.
+  const auto status = nlohmann::json::parse(world.Operate(1, "/status"));
+  CHECK(status.at("in_progress") == 0);
+  CHECK(world.Operate(1, "/metrics").find("pollenring_target_running 0") !=
+        std::string::npos);
+}
+
+TEST_CASE("mesh: a request that is lost inside a node is answered in time") {
+  LoneNode world{64};
+  world.Begin(support::kUnwritable);
+  world.Begin("sound");
+  REQUIRE(world.AllEnded());
+  CHECK(world.statuses["sound"] == 200);
+  // It says that it has 1.4 s.
+  CHECK(world.statuses[support::kUnwritable] == 504);
+  const auto status = nlohmann::json::parse(world.Operate(1, "/status"));
+  CHECK(status.at("in_progress") == 0);
+}
--- /dev/null
+++ b/test/support/faulty_dialects.h
@@ -0,0 +1,73 @@
+#ifndef POLLENRING_TEST_SUPPORT_FAULTY_DIALECTS_H_
+#define POLLENRING_TEST_SUPPORT_FAULTY_DIALECTS_H_
+
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "platform/dialects.h"
+#include "pollenring/core/invariant.h"
+
+namespace support {
+
+/*! @brief Identifier of a request whose answer can't be handled. */
+inline constexpr const char *kFailsInside = "fails-inside";
+/*! @brief Identifier of a request whose answer shows a rule broken. */
+inline constexpr const char *kBreaksRule = "breaks-rule";
+
+/*! @brief Identifier of a request whose answer can't be written. */
+inline constexpr const char *kUnwritable = "unwritable";
+
+/*! @brief The platform's dialect, with errors in reading some answers. */
+class FaultyTargets final : public pollenring::TargetDialect {
+ public:
+  void AddHeaders(const pollenring::TargetCall &call,
+                  pollenring::HttpRequest &request) const override {
+    this->sound.AddHeaders(call, request);
+  }
+  [[nodiscard]] pollenring::AnswerMark MarkOf(
+      const pollenring::CallEnvelope &envelope) const override {
+    return this->sound.MarkOf(envelope);
+  }
+  [[nodiscard]] pollenring::AnswerSigns Read(
+      const pollenring::CallEnvelope &envelope,
+      const pollenring::HttpResponse &answer) const override {
+    if (envelope.root_id == kFailsInside) {
+      throw std::out_of_range{"an answer that can't be handled"};
+    }
+    pollenring::Require(envelope.root_id != kBreaksRule, "a rule of the test");
+    return this->sound.Read(envelope, answer);
+  }
+  [[nodiscard]] std::vector<pollenring::WireHeader> PassAnswerHeaders(
+      const pollenring::HttpHeaders &headers) const override {
+    return this->sound.PassAnswerHeaders(headers);
+  }
+
+ private:
+  pollenring::platform::Targets sound;
+};
+
+/*! @brief The platform's dialect, unable to write some answers. */
+class FaultyCallers final : public pollenring::CallerDialect {
+ public:
+  [[nodiscard]] pollenring::CallerRequest Decode(
+      const pollenring::HttpHeaders &headers) const override {
+    return this->sound.Decode(headers);
+  }
+  [[nodiscard]] pollenring::HttpResponse Encode(
+      const pollenring::CallReply &reply, std::string body,
+      const std::string &id) const override {
+    if (id == kUnwritable && reply.reason == pollenring::Reason::kNone) {
+      throw std::out_of_range{"an answer that can't be written"};
+    }
+    return this->sound.Encode(reply, std::move(body), id);
+  }
+
+ private:
+  pollenring::platform::Callers sound;
+};
+
+}  // namespace support
+
+#endif  // POLLENRING_TEST_SUPPORT_FAULTY_DIALECTS_H_
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -17,6 +17,7 @@
 #include "pollenring/net/http_server.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/storage/store_client.h"
+#include "support/faulty_dialects.h"
 
 namespace support {
 
@@ -175,8 +176,8 @@
   pollenring::HttpClient client{loop, {std::size_t{1} << 20U}};
   pollenring::LinkClient link{loop, kSecret, std::size_t{1} << 20U};
   pollenring::platform::Policies policies;
-  pollenring::platform::Callers callers;
-  pollenring::platform::Targets targets;
+  FaultyCallers callers;
+  FaultyTargets targets;
   pollenring::platform::Heartbeats heartbeats;
   std::unique_ptr<StoreStandIn> store;
   std::vector<std::unique_ptr<Member>> nodes;
