A broken rule ends a node in order, after its answers

What callers saw: Require throws where a rule that must always hold is broken, and the process ended at once with all that it had taken.

Cause: nothing told a broken rule, which may mean that a rate or a promise is not kept, from any other error; both ended the process.

Ruled out: going on as if nothing was; what has broken a rule once may break it again. Ending at once: what was taken before has nothing to do with it.

Change: a node that learns of a broken rule leaves as on a SIGTERM: not ready, other nodes take over its slots, what it has is answered, then it ends. Other errors are contained only.

Test, red before by the exception ("invariant broken: a rule of the test"): mesh: a broken rule ends a node in order, its requests answered: three requests in progress get 200, the one concerned 502, the node is not ready.

--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -159,6 +159,11 @@
   this->policy.Start([this] { this->FollowPolicy(); });
   this->members.Start();
   this->ring.Update(this->shares);
+  // What goes on after a broken rule may break it again; what was taken is
+  // still answered.
+  this->loop.OnError([this](const ContainedError &error) {
+    if (error.rule) this->Leave();
+  });
   this->loop.Every(kRingTick, [this] { this->ring.Update(this->shares); });
   this->loop.Every(kServingTick, [this] { this->serving.Tick(); });
   this->loop.Every(kLogFlush, [] { FlushLog(); });
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -134,6 +134,11 @@
   this->once.Start();
   this->config.Start();
   this->members.Start();
+  // What goes on after a broken rule may break it again; what was taken is
+  // still answered.
+  this->loop.OnError([this](const ContainedError &error) {
+    if (error.rule) this->Leave();
+  });
   this->loop.Every(kServingTick, [this] { this->serving.Tick(); });
   this->OpenWhenReady();
   this->metrics.Gauge("pollenring_in_progress", [this] {
--- a/test/pollenring/mesh/mesh_node_errors_test.cc
+++ b/test/pollenring/mesh/mesh_node_errors_test.cc
@@ -9,6 +9,7 @@
 using pollenring::HttpRequest;
 using pollenring::HttpResponse;
 using support::Headers;
+using support::kBreaksRule;
 using support::kFailsInside;
 using support::Signed;
 
@@ -63,6 +64,19 @@
         std::string::npos);
 }
 
+TEST_CASE("mesh: a broken rule ends a node in order, its requests answered") {
+  LoneNode world{63};
+  world.Begin(kBreaksRule);
+  world.Run(30ms);
+  for (int i = 0; i < 3; ++i) world.Begin("r" + std::to_string(i));
+  REQUIRE(world.AllEnded());
+  for (int i = 0; i < 3; ++i) {
+    CHECK(world.statuses["r" + std::to_string(i)] == 200);
+  }
+  CHECK(world.statuses[kBreaksRule] == 502);
+  CHECK(world.Ready(1) == 503);
+}
+
 TEST_CASE("mesh: a request that is lost inside a node is answered in time") {
   LoneNode world{64};
   world.Begin(support::kUnwritable);
