Who closes one side of a connection is promised nothing of what was handled

What callers would see: a caller that closes its sending side after a request and goes on reading got 503, which promises that the request has not run and never will; it had been handed on 100 ms or more before and may have run (REFUSED).

Cause: a caller that has closed one side can't be told from one that has gone, so its request is given up, and the answer that nobody was thought to read was 503.

Ruled out: going on for it. GONE asks that what callers gave up stops, and nothing tells the two apart before something is written.

Change: 502, which promises nothing, once the request was handled; 503 still where it was not.

Test, red before: http server: who closes one side is promised nothing of a request, "HTTP/1.1 503" == "HTTP/1.1 502".

--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -83,11 +83,12 @@
     return pollenring::HungUp(*connection->callbacks->get_socket(connection));
   }
 
-  /*! @brief Ends a request whose caller has gone. */
-  void Abandon() {
+  /*! @brief Ends a request whose caller has gone. @param status What one that
+   * still reads is told. */
+  void Abandon(int status) {
     auto callback = std::move(this->cancelled);
     this->req->http1_is_persistent = 0;
-    this->Send({kServiceUnavailable, {}, {}});
+    this->Send({status, {}, {}});
     if (callback) this->loop.Contain("hang-up", callback);
   }
 
@@ -238,7 +239,7 @@
     new (memory) std::shared_ptr<H2oResponder>{responder};
     // A process that is behind accepts connections whose callers have given up.
     if (req->version < kHttp2 && responder->HungUp()) {
-      responder->Abandon();
+      responder->Abandon(kServiceUnavailable);
       return 0;
     }
     self->Watch(*req, responder);
@@ -267,7 +268,8 @@
         kept.push_back(std::move(entry));
         continue;
       }
-      responder->Abandon();
+      // It may have run.
+      responder->Abandon(kBadGateway);
     }
     // What came meanwhile is younger.
     for (auto &entry : this->waiting) kept.push_back(std::move(entry));
--- a/test/pollenring/net/http_server_test.cc
+++ b/test/pollenring/net/http_server_test.cc
@@ -21,6 +21,7 @@
 using pollenring::HttpServer;
 using pollenring::HttpServerLimits;
 using pollenring::Loop;
+using pollenring::Span;
 
 /*! @brief Connects and sends a request that nobody has accepted yet. */
 [[nodiscard]] int SendRequest(const Address &to, const std::string &path) {
@@ -118,3 +119,37 @@
         std::vector<int>{200, 200, 200, 200, 502, 200, 200, 200, 200});
   CHECK(server.InProgress() == 0);
 }
+
+TEST_CASE("http server: who closes one side is promised nothing of a request") {
+  // The other side may still be read; what was handled may have run.
+  const pollenring::SystemClock clock;
+  Loop loop{clock};
+  const Address address = *Address::Parse("127.42.1.3:7100");
+  std::vector<std::shared_ptr<pollenring::Responder>> held;
+  int cancelled = 0;
+  HttpServer server{
+      loop, address, HttpServerLimits{},
+      [&](const HttpRequest & /*request*/,
+          const std::shared_ptr<pollenring::Responder> &responder) {
+        responder->OnCancel([&cancelled] { ++cancelled; });
+        held.push_back(responder);
+      }};
+  server.Open();
+  const int fd = SendRequest(address, "/held");
+  const auto run = [&loop](Span length) {
+    loop.After(length, [&loop] { loop.Stop(); });
+    loop.Resume();
+    loop.Run();
+  };
+  run(20ms);
+  REQUIRE(held.size() == 1);
+  REQUIRE(shutdown(fd, SHUT_WR) == 0);
+  run(350ms);
+  CHECK(cancelled == 1);
+  std::string answer(4096, '\0');
+  const auto size = recv(fd, answer.data(), answer.size(), MSG_DONTWAIT);
+  REQUIRE(size > 0);
+  answer.resize(static_cast<std::size_t>(size));
+  CHECK(answer.substr(0, 12) == "HTTP/1.1 502");
+  close(fd);
+}
