A target's identifier that is no text is left out

Cause: a target that deregisters is written to the store's row as JSON, under the identifier in its path. The JSON library throws for bytes that are not UTF-8, out of the request's handler.

Ruled out: writing the row with such bytes replaced; the row would then name another target than the one that has left.

Test: mesh daemon: a target's identifier that is no text is left out.

--- a/test/pollenring/mesh/mesh_daemon_test.cc
+++ b/test/pollenring/mesh/mesh_daemon_test.cc
@@ -183,8 +183,9 @@
   world.Store().PutConfig(Replaced(Replaced(kConfig, "r3", "r4"),
                                    "\"burst\":1000", "\"burst\":60"));
   REQUIRE(world.Await([&] {
-    const auto status = world.Ask(7003, {"GET", "/status", {}, {}, {}});
-    return status.body.find("\"config_version\":4") != std::string::npos;
+    const auto figures = world.Ask(7003, {"GET", "/metrics", {}, {}, {}});
+    return figures.body.find("pollenring_config_version 4") !=
+           std::string::npos;
   }));
   BorrowRequest back = Asking(77);
   back.loan = 2;
@@ -201,3 +202,22 @@
   CHECK(statuses == std::vector<int>(8, 200));
   CHECK_FALSE(world.Process().Ended());
 }
+
+TEST_CASE("mesh daemon: a target's identifier that is no text is left out") {
+  DaemonWorld world{65};
+  std::vector<int> statuses;
+  world.Hold(true);
+  world.Begin("open", statuses);
+  REQUIRE(world.Await([&] { return world.Held() == 1; }));
+  for (const std::string kind : {"Heartbeat", "Deregister"}) {
+    const auto answer = world.Ask(
+        7001, {"POST", "/Instances." + kind + "/i-\xff\xfe", {}, "{}", {}});
+    CHECK(answer.status == 400);
+  }
+  world.Release();
+  REQUIRE(world.Await([&] { return statuses.size() == 1; }));
+  INFO(world.Process().Log());
+  CHECK(statuses.front() == 200);
+  CHECK_FALSE(world.Process().Ended());
+  CHECK(world.Process().Log().find("error contained") == std::string::npos);
+}
