An answer survives what its caller has sent behind it

What callers would see: from a node that is leaving, an answer that breaks off, to a caller that sends its next request before it has the answer (pipelining).

Cause: a server that drains closes after each answer. The next request lies unread in the socket, and a close with unread bytes resets the connection: what the caller has not got yet of the answer is thrown away.

Ruled out: reading on for a while before the close; h2o 2.2 closes by itself and offers no place for it.

Change: while draining, an answer asks to close only if nothing has been sent behind its request; else the next answer does. Not covered: bytes that arrive between the answer and the close, and the time after HttpServer::Close, when h2o itself closes after each answer.

Test, red before (6 of 6 runs): http server: an answer survives what its caller has sent behind, 3997 of 1048576 bytes arrive.

--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -59,7 +59,7 @@
     this->cancelled = nullptr;
     target->res.status = response.status;
     target->res.reason = "-";
-    if (*this->draining) target->http1_is_persistent = 0;
+    if (*this->draining && !MoreSent(*target)) target->http1_is_persistent = 0;
     target->res.content_length = response.body.size();
     for (const auto &header : response.headers) AddHeader(target, header);
     static h2o_generator_t done{nullptr, nullptr};
@@ -103,6 +103,12 @@
   }
 
  private:
+  /*! @brief Whether the caller has sent a next request behind this one. */
+  [[nodiscard]] static bool MoreSent(const h2o_req_t &req) {
+    if (req.version >= kHttp2) return false;
+    return HasUnread(*req.conn->callbacks->get_socket(req.conn));
+  }
+
   static void AddHeader(h2o_req_t *req, const HttpHeader &header) {
     const h2o_iovec_t name =
         h2o_strdup(&req->pool, header.name.data(), header.name.size());
--- a/test/pollenring/net/http_server_test.cc
+++ b/test/pollenring/net/http_server_test.cc
@@ -24,8 +24,13 @@
 using pollenring::Span;
 
 /*! @brief Connects and sends a request that nobody has accepted yet. */
-[[nodiscard]] int SendRequest(const Address &to, const std::string &path) {
+[[nodiscard]] int SendRequest(const Address &to, const std::string &path,
+                              int receive_bytes = 0) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (receive_bytes > 0) {
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+               sizeof(receive_bytes));
+  }
   const sockaddr_in native = to.Native();
   REQUIRE(connect(fd, reinterpret_cast<const sockaddr *>(&native),
                   sizeof(native)) == 0);
@@ -153,3 +158,52 @@
   CHECK(answer.substr(0, 12) == "HTTP/1.1 502");
   close(fd);
 }
+
+TEST_CASE("http server: an answer survives what its caller has sent behind") {
+  // A server that drains closes after each answer. Closed with bytes unread, a
+  // connection is reset, and with it what the caller has not yet got.
+  const pollenring::SystemClock clock;
+  Loop loop{clock};
+  const Address address = *Address::Parse("127.42.1.4:7100");
+  std::vector<std::shared_ptr<pollenring::Responder>> held;
+  HttpServer server{
+      loop, address, HttpServerLimits{},
+      [&held](const HttpRequest & /*request*/,
+              const std::shared_ptr<pollenring::Responder> &responder) {
+        held.push_back(responder);
+      }};
+  server.Open();
+  const auto run = [&loop](Span length) {
+    loop.After(length, [&loop] { loop.Stop(); });
+    loop.Resume();
+    loop.Run();
+  };
+  // Most of the answer is still on its way when the server has written it.
+  const int fd = SendRequest(address, "/first", 4096);
+  run(20ms);
+  REQUIRE(held.size() == 1);
+  const std::string next = "GET /next HTTP/1.1\r\nhost: a\r\n\r\n";
+  REQUIRE(send(fd, next.data(), next.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(next.size()));
+  run(300ms);
+  server.Drain();
+  const std::string body(std::size_t{1} << 20U, 'x');
+  held.front()->Send({200, {}, body});
+  std::string got;
+  std::vector<char> buffer(std::size_t{1} << 16U);
+  // What is handled behind it is answered at once.
+  for (int i = 0; i < 600; ++i) {
+    run(1ms);
+    if (held.size() == 2) held[1]->Send({200, {}, "second"});
+    while (true) {
+      const auto size = recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+      if (size <= 0) break;
+      got.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+  }
+  const auto head = got.find("\r\n\r\n");
+  REQUIRE(head != std::string::npos);
+  CHECK(got.substr(0, 12) == "HTTP/1.1 200");
+  CHECK(got.size() - head - 4 >= body.size());
+  close(fd);
+}
