--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -89,7 +89,8 @@
     auto callback = std::move(this->cancelled);
     this->req->http1_is_persistent = 0;
     this->Send({status, {}, {}});
-    if (callback) this->loop.Contain("hang-up", callback);
+    if (!callback) return;
+    this->loop.Contain("hang-up", [&] { callback(CallerLoss::kHungUp); });
   }
 
   /*! @brief Called by h2o when the request is disposed of. */
@@ -99,7 +100,8 @@
     if (!this->cancelled) return;
     auto callback = std::move(this->cancelled);
     this->cancelled = nullptr;
-    this->loop.Contain("hang-up", callback);
+    this->loop.Contain("hang-up",
+                       [&] { callback(CallerLoss::kConnectionEnded); });
   }
 
  private:
