--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -1,8 +1,12 @@
 #!/usr/bin/env bash
 # Runs each test case by itself. Failures that KNOWN-RED.txt lists are printed
-# and passed over; all others fail the run.
+# and passed over; all others fail the run. Landed builds that tests run beside
+# the new one are built first.
 set -uo pipefail
 cd "$(dirname "$0")/.."
+while read -r version; do
+  scripts/build_version.sh "$version" || exit 1
+done <test/landed_versions.txt
 passed=0
 failed=0
 known_failed=0
--- /dev/null
+++ b/test/pollenring/mesh/mixed_builds_test.cc
@@ -0,0 +1,218 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <map>
+#include <utility>
+
+#include "support/mixed_fleet.h"
+#include "support/seeds.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using support::Breach;
+using support::Build;
+using support::FleetJournal;
+using support::MixedFleet;
+
+/*! @brief Length of a stretch in which nothing is disturbed, past contact. */
+constexpr pollenring::Span kCalm = 2500ms;
+constexpr pollenring::Span kBetweenSteps = 300ms;
+constexpr pollenring::Span kPaused = 4s;
+constexpr pollenring::Span kDeadFor = 1s;
+constexpr pollenring::Span kWithdrawnLonger = 1500ms;
+/*! @brief Breaches of one rule that are printed. */
+constexpr std::size_t kMostPrinted = 6;
+
+/*! @brief A fleet whose nodes are replaced by nodes of another build. */
+class Replacement {
+ public:
+  Replacement(int net, std::uint64_t seed, Build before, Build after,
+              std::set<std::string> blind_builds)
+      : fleet{net, seed, std::move(blind_builds)},
+        before{std::move(before)},
+        after{std::move(after)} {}
+
+  /*! @brief Starts all nodes of the build before, under load. */
+  void Begin() {
+    for (int i = 1; i <= MixedFleet::kNodes; ++i) {
+      this->fleet.Start(i, this->before, true);
+      this->builds[i] = this->before;
+    }
+    for (int i = 1; i <= MixedFleet::kNodes; ++i) this->fleet.AwaitReady(i);
+    this->fleet.BeginLoad();
+    this->RestInCalm();
+  }
+
+  /*! @brief Replaces the nodes of one service, then those of the other.
+   * @param halfway Done between, when each service has one build. */
+  template <typename Halfway>
+  void ReplaceByService(const Build &by, const Halfway &halfway) {
+    auto [first, second] = this->Halves();
+    for (const int node : first) this->Replace(node, by);
+    this->RestInCalm();
+    halfway();
+    for (const int node : second) this->Replace(node, by);
+    this->RestInCalm();
+  }
+
+  /*! @brief Replaces a node of each service in turn.
+   * @param halfway Done between, when both services have both builds. */
+  template <typename Halfway>
+  void ReplaceByTurns(const Build &by, const Halfway &halfway) {
+    const auto [first, second] = this->Halves();
+    int replaced = 0;
+    for (std::size_t i = 0; i < first.size(); ++i) {
+      for (const int node : {first[i], second[i]}) {
+        this->Replace(node, by);
+        if (++replaced != MixedFleet::kNodes / 2) continue;
+        this->RestInCalm();
+        halfway();
+      }
+    }
+    this->RestInCalm();
+  }
+
+  /*! @brief A kill, a pause, a change of configuration and a withdrawn zone, in
+   * an order of the seed's. */
+  void Disturb() {
+    for (const int what : this->Shuffled({0, 1, 2, 3})) {
+      if (what == 0) this->KillOne();
+      if (what == 1) this->PauseOne();
+      if (what == 2) this->fleet.ChangeConfig();
+      if (what == 3) this->WithdrawOne();
+    }
+    this->RestInCalm();
+  }
+
+  void ChangeConfig() {
+    this->fleet.ChangeConfig();
+    this->RestInCalm();
+  }
+
+  /*! @brief What broke the rules, as text, some of each kind. */
+  [[nodiscard]] std::string Report() {
+    std::map<std::string_view, std::size_t> counts;
+    std::string text;
+    for (const Breach &breach : this->fleet.Journal().Judge()) {
+      const auto name = support::kFleetRuleNames.Name(breach.rule);
+      if (++counts[name] > kMostPrinted) continue;
+      text += std::to_string(this->fleet.SinceBegin(breach.at)) + " ms " +
+              std::string{name} + ": " + breach.what + "\n";
+    }
+    for (const auto &[name, count] : counts) {
+      text += std::string{name} + " " + std::to_string(count) + " times\n";
+    }
+    return text;
+  }
+
+  /*! @brief Checks that calls passed between the builds, both ways. */
+  void CheckCrossings() {
+    auto crossings = this->fleet.Journal().Crossings();
+    for (const auto &[from, to] : {std::pair{this->before, this->after},
+                                   std::pair{this->after, this->before}}) {
+      CAPTURE(from.name, to.name);
+      const int count = crossings[{from.name, to.name}];
+      CHECK(count > 0);
+    }
+  }
+
+  [[nodiscard]] std::size_t Calls() { return this->fleet.Journal().Calls(); }
+
+ private:
+  [[nodiscard]] pollenring::Random &Random() { return this->fleet.GetRandom(); }
+
+  [[nodiscard]] std::vector<int> Shuffled(std::vector<int> items) {
+    for (std::size_t i = items.size(); i > 1; --i) {
+      std::swap(items[i - 1], items[this->Random().Index(i)]);
+    }
+    return items;
+  }
+
+  /*! @brief The nodes of each service, in an order of the seed's. */
+  [[nodiscard]] std::pair<std::vector<int>, std::vector<int>> Halves() {
+    std::vector<int> first;
+    std::vector<int> second;
+    for (int i = 1; i <= MixedFleet::kNodes; ++i) {
+      (i <= MixedFleet::kNodes / 2 ? first : second).push_back(i);
+    }
+    if (this->Random().Chance(0.5)) std::swap(first, second);
+    first = this->Shuffled(std::move(first));
+    return {std::move(first), this->Shuffled(std::move(second))};
+  }
+
+  [[nodiscard]] int AnyNode() {
+    return 1 + static_cast<int>(this->Random().Index(MixedFleet::kNodes));
+  }
+
+  void RestInCalm() { this->fleet.Run(FleetJournal::kContact + kCalm); }
+
+  void Replace(int node, const Build &by) {
+    this->fleet.Stop(node);
+    if (this->Random().Chance(0.5)) this->fleet.RestartTarget(node);
+    this->fleet.Start(node, by, false);
+    this->builds[node] = by;
+    this->fleet.AwaitReady(node);
+    this->fleet.Run(kBetweenSteps);
+  }
+
+  void KillOne() {
+    const int node = this->AnyNode();
+    this->fleet.Kill(node);
+    this->fleet.Run(kDeadFor);
+    this->fleet.Start(node, this->builds.at(node), false);
+    this->fleet.AwaitReady(node);
+    this->RestInCalm();
+  }
+
+  void PauseOne() {
+    const int node = this->AnyNode();
+    this->fleet.Pause(node);
+    this->fleet.Run(kPaused);
+    this->fleet.Resume(node);
+    this->RestInCalm();
+  }
+
+  void WithdrawOne() {
+    const int zone = static_cast<int>(this->Random().Index(MixedFleet::kZones));
+    this->fleet.Withdraw(zone, true);
+    this->fleet.Run(FleetJournal::kEvacuation + kWithdrawnLonger);
+    this->fleet.Withdraw(zone, false);
+    this->RestInCalm();
+  }
+
+  MixedFleet fleet;
+  Build before;
+  Build after;
+  std::map<int, Build> builds;
+};
+
+/*! @brief Replaces a landed build by the new one, and back. */
+void CheckUpgrade(int net, const std::string &commit,
+                  const std::set<std::string> &blind_builds) {
+  const Build landed = support::LandedBuild(commit);
+  INFO("needs scripts/build_version.sh " << commit);
+  REQUIRE(std::filesystem::exists(landed.program));
+  for (const std::uint64_t seed : support::Seeds(1)) {
+    WARN("seed " << seed);
+    Replacement run{net, seed, landed, support::NewBuild(), blind_builds};
+    run.Begin();
+    run.ReplaceByService(support::NewBuild(), [&run] { run.Disturb(); });
+    run.ReplaceByTurns(landed, [&run] { run.ChangeConfig(); });
+    INFO("seed " << seed << ", " << run.Calls() << " calls");
+    run.CheckCrossings();
+    const std::string report = run.Report();
+    CHECK(report == "");
+  }
+}
+
+}  // namespace
+
+TEST_CASE("mixed builds: 33161f2 is replaced and put back, all rules kept") {
+  // That build knows nothing of withdrawn zones.
+  CheckUpgrade(1, "33161f2", {"33161f2"});
+}
+
+TEST_CASE("mixed builds: 0e01c9f is replaced and put back, all rules kept") {
+  CheckUpgrade(2, "0e01c9f", {});
+}
--- /dev/null
+++ b/test/support/fleet_journal.cc
@@ -0,0 +1,255 @@
+#include "support/fleet_journal.h"
+
+#include <algorithm>
+
+namespace support {
+namespace {
+
+using namespace std::chrono_literals;
+using pollenring::CallError;
+using pollenring::Span;
+using pollenring::Time;
+
+constexpr Time kOpen = Time::max();
+constexpr Span kLossSlack = 200ms;
+constexpr Span kQuotaWindow = 5s;
+constexpr double kQuotaOver = 0.1;
+constexpr double kQuotaSlack = 20;
+constexpr std::int64_t kDeadlineSlackMs = 500;
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+
+/*! @brief Whether a status promises that a request never runs. */
+[[nodiscard]] bool IsPromise(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+[[nodiscard]] std::string Describe(const std::string &id,
+                                   const FleetCall &call) {
+  const std::string outcome =
+      call.error ? std::string{pollenring::kCallErrorNames.Name(*call.error)}
+                 : std::to_string(call.status);
+  return call.service + " " + id + " at node " + std::to_string(call.entry) +
+         " (" + call.build + "): " + outcome + " after " +
+         std::to_string((call.ended - call.sent) / 1ms) + " ms" +
+         (call.body.empty() || call.status == kOk ? "" : ", " + call.body);
+}
+
+}  // namespace
+
+FleetJournal::FleetJournal(FleetQuota quota, std::set<std::string> blind_builds)
+    : quota{std::move(quota)}, blind_builds{std::move(blind_builds)} {}
+
+void FleetJournal::Disturbed(int node, Trouble why, Time at) {
+  this->disturbances.push_back({node, why, at, kOpen});
+}
+
+void FleetJournal::Settled(int node, Time at) {
+  for (auto &disturbance : this->disturbances) {
+    if (disturbance.node != node || disturbance.to != kOpen) continue;
+    disturbance.to = at;
+  }
+}
+
+void FleetJournal::Withdrawn(const std::set<int> &nodes, bool withdrawn,
+                             Time at) {
+  if (withdrawn) {
+    this->withdrawals.push_back({nodes, at, kOpen});
+    return;
+  }
+  this->withdrawals.back().to = at;
+}
+
+void FleetJournal::Begin(const std::string &id, FleetCall call) {
+  this->calls.emplace(id, std::move(call));
+}
+
+void FleetJournal::Broke(FleetRule rule, Time at, std::string what) {
+  this->breaches.push_back({rule, at, std::move(what)});
+}
+
+bool FleetJournal::Calm(int node, Time from, Time to) const {
+  return std::none_of(this->disturbances.begin(), this->disturbances.end(),
+                      [&](const Disturbance &d) {
+                        return d.node == node && d.from <= to && d.to >= from;
+                      });
+}
+
+bool FleetJournal::AllCalm(Time from, Time to) const {
+  const auto overlaps = [&](const auto &span) {
+    return span.from <= to && span.to >= from;
+  };
+  return std::none_of(this->disturbances.begin(), this->disturbances.end(),
+                      overlaps) &&
+         std::none_of(this->withdrawals.begin(), this->withdrawals.end(),
+                      overlaps) &&
+         std::none_of(this->changes.begin(), this->changes.end(),
+                      [&](Time at) { return at >= from && at <= to; });
+}
+
+std::vector<Breach> FleetJournal::Judge() const {
+  std::vector<Breach> found = this->breaches;
+  RunsById by_id;
+  for (const auto &run : this->runs) by_id[run.id].push_back(&run);
+  for (const auto &[id, call] : this->calls) {
+    // The last ones are still waiting when the run ends.
+    if (call.ended == Time{}) continue;
+    this->JudgeAnswer(id, call, by_id, found);
+    this->JudgeRoute(id, call, found);
+  }
+  for (const auto &run : this->runs) this->JudgeRun(run, found);
+  this->JudgeQuota(found);
+  std::sort(
+      found.begin(), found.end(),
+      [](const auto &left, const auto &right) { return left.at < right.at; });
+  return found;
+}
+
+bool FleetJournal::Excused(const FleetCall &call) const {
+  return std::any_of(this->disturbances.begin(), this->disturbances.end(),
+                     [&call](const Disturbance &d) {
+                       const bool unplanned =
+                           d.why == Trouble::kKill || d.why == Trouble::kPause;
+                       return unplanned && d.node == call.entry &&
+                              d.from <= call.ended &&
+                              (d.to == kOpen || d.to + kContact >= call.sent);
+                     });
+}
+
+void FleetJournal::JudgeAnswer(const std::string &id, const FleetCall &call,
+                               const RunsById &by_id,
+                               std::vector<Breach> &found) const {
+  const auto at = by_id.find(id);
+  const std::size_t ran = at == by_id.end() ? 0 : at->second.size();
+  const std::string told = Describe(id, call);
+  if (call.unsafe && ran > 1) {
+    found.push_back({FleetRule::kTwice, call.sent,
+                     told + ", ran " + std::to_string(ran) + " times"});
+  }
+  if (call.unsafe && ran > 0 && IsPromise(call.status)) {
+    found.push_back({FleetRule::kRefused, call.sent, told});
+  }
+  if (call.error && !pollenring::WasNotSent(*call.error)) {
+    // A request that crosses the node's close and is not passed on may be lost.
+    const bool read = ran > 0 || call.ended - call.sent > kLossSlack;
+    if (read && !this->Excused(call)) {
+      found.push_back({FleetRule::kLost, call.sent,
+                       told + ", ran " + std::to_string(ran) + " times"});
+    }
+  }
+  if (call.status == kOk && call.body != id) {
+    found.push_back({FleetRule::kMixed, call.sent, told});
+  }
+  const bool calm = this->AllCalm(call.sent - kContact, call.ended);
+  if (calm && call.expected == Expected::kServed && call.status != kOk) {
+    found.push_back({FleetRule::kCall, call.sent, told});
+  }
+}
+
+void FleetJournal::JudgeRoute(const std::string &id, const FleetCall &call,
+                              std::vector<Breach> &found) const {
+  if (!this->Calm(call.entry, call.sent - kContact, call.ended)) return;
+  if (call.status == 0) return;
+  const bool missing =
+      call.expected == Expected::kRouteThere && call.status == kNotFound;
+  const bool kept =
+      call.expected == Expected::kRouteGone && call.status != kNotFound;
+  if (missing || kept) {
+    found.push_back({FleetRule::kConfig, call.sent, Describe(id, call)});
+  }
+}
+
+void FleetJournal::JudgeRun(const FleetRun &run,
+                            std::vector<Breach> &found) const {
+  const std::string where =
+      " beside node " + std::to_string(run.node) + " (" + run.build + ")";
+  const auto sent = this->calls.find(run.id);
+  if (sent == this->calls.end()) {
+    found.push_back(
+        {FleetRule::kUnasked, run.at, "no caller sent " + run.id + where});
+    return;
+  }
+  const FleetCall &call = sent->second;
+  const std::string from = " from node " + std::to_string(call.entry) + " (" +
+                           call.build + ")" + where;
+  if (run.workspace != call.workspace) {
+    found.push_back({FleetRule::kUnasked, run.at,
+                     run.id + " as workspace '" + run.workspace + "'" + from});
+  }
+  if (run.caller_service != call.caller_service) {
+    found.push_back({FleetRule::kUnasked, run.at,
+                     run.id + " as from '" + run.caller_service + "'" + from});
+  }
+  if (run.deadline_ms <= 0 ||
+      run.deadline_ms > kDeadline / 1ms + kDeadlineSlackMs) {
+    found.push_back(
+        {FleetRule::kUnasked, run.at,
+         run.id + " with " + std::to_string(run.deadline_ms) + " ms" + from});
+  }
+  for (const auto &withdrawal : this->withdrawals) {
+    if (withdrawal.nodes.count(run.node) == 0) continue;
+    if (run.at <= withdrawal.from + kEvacuation || run.at >= withdrawal.to) {
+      continue;
+    }
+    const bool told = (this->KnowsZones(call.build) &&
+                       this->Calm(call.entry, run.at - kContact, run.at)) ||
+                      (this->KnowsZones(run.build) &&
+                       this->Calm(run.node, run.at - kContact, run.at));
+    if (told) found.push_back({FleetRule::kEvac, run.at, run.id + from});
+  }
+}
+
+void FleetJournal::JudgeQuota(std::vector<Breach> &found) const {
+  const double window = std::chrono::duration<double>{kQuotaWindow}.count();
+  const double most =
+      (this->quota.rate_per_s * window + this->quota.burst) * (1 + kQuotaOver) +
+      kQuotaSlack;
+  struct Arrival {
+    Time at{};
+    Time sent{};
+  };
+  std::vector<Arrival> arrivals;
+  for (const auto &run : this->runs) {
+    const auto sent = this->calls.find(run.id);
+    if (run.workspace != this->quota.workspace || sent == this->calls.end()) {
+      continue;
+    }
+    arrivals.push_back({run.at, sent->second.sent});
+  }
+  std::sort(
+      arrivals.begin(), arrivals.end(),
+      [](const auto &left, const auto &right) { return left.at < right.at; });
+  std::size_t first = 0;
+  std::int64_t worst = 0;
+  Time worst_at{};
+  for (std::size_t last = 0; last < arrivals.size(); ++last) {
+    const Time begin = arrivals[last].at - kQuotaWindow;
+    while (arrivals[first].at < begin) ++first;
+    const auto from = arrivals.begin() + static_cast<std::ptrdiff_t>(first);
+    const auto to = arrivals.begin() + static_cast<std::ptrdiff_t>(last) + 1;
+    const auto inside = std::count_if(
+        from, to, [begin](const Arrival &a) { return a.sent >= begin; });
+    if (inside <= worst) continue;
+    worst = inside;
+    worst_at = arrivals[last].at;
+  }
+  if (static_cast<double>(worst) <= most) return;
+  found.push_back({FleetRule::kQuota, worst_at,
+                   this->quota.workspace + " got " + std::to_string(worst) +
+                       " in 5 s, at most " + std::to_string(most)});
+}
+
+std::map<std::pair<std::string, std::string>, int> FleetJournal::Crossings()
+    const {
+  std::map<std::pair<std::string, std::string>, int> counts;
+  for (const auto &run : this->runs) {
+    const auto sent = this->calls.find(run.id);
+    if (sent == this->calls.end() || sent->second.status != kOk) continue;
+    const FleetCall &call = sent->second;
+    if (!this->AllCalm(call.sent - kContact, call.ended)) continue;
+    ++counts[{call.build, run.build}];
+  }
+  return counts;
+}
+
+}  // namespace support
