The mixed run reaches each target from each node, and stops under a full queue

Change: halfway each service keeps one target in turn, the others leaving as planned, so that every node's calls must reach it; a pair of nodes that never did in calm counts as MEMBER. Before each planned stop a burst of slow calls, twice the slots of the service, runs and waits.

Ruled out: counting such pairs without leaving one target.

--- a/test/pollenring/mesh/mixed_builds_test.cc
+++ b/test/pollenring/mesh/mixed_builds_test.cc
@@ -17,6 +17,7 @@
 
 /*! @brief Length of a stretch in which nothing is disturbed, past contact. */
 constexpr pollenring::Span kCalm = 2500ms;
+constexpr pollenring::Span kBurstArrives = 100ms;
 constexpr pollenring::Span kBetweenSteps = 300ms;
 constexpr pollenring::Span kPaused = 4s;
 constexpr pollenring::Span kDeadFor = 1s;
@@ -76,6 +77,7 @@
   /*! @brief A kill, a pause, a change of configuration and a withdrawn zone, in
    * an order of the seed's. */
   void Disturb() {
+    const pollenring::Time from = this->fleet.Now();
     for (const int what : this->Shuffled({0, 1, 2, 3})) {
       if (what == 0) this->KillOne();
       if (what == 1) this->PauseOne();
@@ -83,6 +85,8 @@
       if (what == 3) this->WithdrawOne();
     }
     this->RestInCalm();
+    this->fleet.LeaveOneInTurn();
+    this->fleet.CheckReached(from);
   }
 
   void ChangeConfig() {
@@ -148,6 +152,9 @@
   void RestInCalm() { this->fleet.Run(FleetJournal::kContact + kCalm); }
 
   void Replace(int node, const Build &by) {
+    // Its target has running and waiting requests when it is told to stop.
+    this->fleet.Burst(node);
+    this->fleet.Run(kBurstArrives);
     this->fleet.Stop(node);
     if (this->Random().Chance(0.5)) this->fleet.RestartTarget(node);
     this->fleet.Start(node, by, false);
--- a/test/support/fleet_journal.cc
+++ b/test/support/fleet_journal.cc
@@ -239,17 +239,31 @@
                        " in 5 s, at most " + std::to_string(most)});
 }
 
+const FleetCall *FleetJournal::ServedInCalm(const FleetRun &run) const {
+  const auto sent = this->calls.find(run.id);
+  if (sent == this->calls.end() || sent->second.status != kOk) return nullptr;
+  const FleetCall &call = sent->second;
+  return this->AllCalm(call.sent - kContact, call.ended) ? &call : nullptr;
+}
+
 std::map<std::pair<std::string, std::string>, int> FleetJournal::Crossings()
     const {
   std::map<std::pair<std::string, std::string>, int> counts;
   for (const auto &run : this->runs) {
-    const auto sent = this->calls.find(run.id);
-    if (sent == this->calls.end() || sent->second.status != kOk) continue;
-    const FleetCall &call = sent->second;
-    if (!this->AllCalm(call.sent - kContact, call.ended)) continue;
-    ++counts[{call.build, run.build}];
+    const FleetCall *call = this->ServedInCalm(run);
+    if (call != nullptr) ++counts[{call->build, run.build}];
   }
   return counts;
 }
 
+std::set<std::pair<int, int>> FleetJournal::Reached(Time from) const {
+  std::set<std::pair<int, int>> pairs;
+  for (const auto &run : this->runs) {
+    if (run.at < from) continue;
+    const FleetCall *call = this->ServedInCalm(run);
+    if (call != nullptr) pairs.insert({call->entry, run.node});
+  }
+  return pairs;
+}
+
 }  // namespace support
--- a/test/support/fleet_journal.h
+++ b/test/support/fleet_journal.h
@@ -135,6 +135,12 @@
   [[nodiscard]] std::map<std::pair<std::string, std::string>, int> Crossings()
       const;
 
+  /*! @brief Nodes whose callers were served in calm, and the nodes beside
+   * whose targets they were. @param from Calls sent since then count. @return
+   * Pairs of numbers. */
+  [[nodiscard]] std::set<std::pair<int, int>> Reached(
+      pollenring::Time from) const;
+
   [[nodiscard]] std::size_t Calls() const { return this->calls.size(); }
 
  private:
@@ -157,6 +163,8 @@
                   std::vector<Breach> &found) const;
   void JudgeRun(const FleetRun &run, std::vector<Breach> &found) const;
   void JudgeQuota(std::vector<Breach> &found) const;
+  /*! @brief The call of a run that was served in calm. @return It, or null. */
+  [[nodiscard]] const FleetCall *ServedInCalm(const FleetRun &run) const;
   [[nodiscard]] bool Excused(const FleetCall &call) const;
   [[nodiscard]] bool KnowsZones(const std::string &build) const {
     return this->blind_builds.count(build) == 0;
--- a/test/support/mixed_fleet.cc
+++ b/test/support/mixed_fleet.cc
@@ -28,6 +28,9 @@
 constexpr Span kWatch = 50ms;
 constexpr Span kLoadTick = 20ms;
 constexpr Span kGrace = 6s;
+/*! @brief How long a target stays the only one of its service. */
+constexpr Span kAlone = 1500ms;
+constexpr Span kBack = 1s;
 constexpr Span kMostToStart = 10s;
 constexpr int kStore = 250;
 constexpr const char *kHost = "a.example";
@@ -260,6 +263,22 @@
   FleetNode &node = this->At(number);
   ++node.incarnation;
   node.sequence = 0;
+  node.draining = false;
+  node.ready_since = this->Now();
+}
+
+void MixedFleet::LeaveOneInTurn() {
+  for (int zone = 0; zone < kZones; ++zone) {
+    const std::string stays = "z" + std::to_string(zone);
+    for (auto &node : this->nodes) node.draining = node.zone != stays;
+    this->journal.Changed(this->Now());
+    this->Run(FleetJournal::kContact + kAlone);
+    for (auto &node : this->nodes) {
+      if (node.draining) this->RestartTarget(node.number);
+    }
+    this->journal.Changed(this->Now());
+    this->Run(kBack);
+  }
 }
 
 void MixedFleet::BeginLoad() { this->loaded = true; }
@@ -309,4 +328,18 @@
   this->journal.Withdrawn(inside, withdrawn, this->Now());
 }
 
+void MixedFleet::CheckReached(Time from) {
+  const auto pairs = this->journal.Reached(from);
+  for (const auto &entry : this->nodes) {
+    for (const auto &other : this->nodes) {
+      if (pairs.count({entry.number, other.number}) > 0) continue;
+      this->journal.Broke(
+          FleetRule::kMember, this->Now(),
+          fmt::format("no call of node {} ({}) reached the target of node {} "
+                      "({}) in calm",
+                      entry.number, entry.build, other.number, other.build));
+    }
+  }
+}
+
 }  // namespace support
--- a/test/support/mixed_fleet.h
+++ b/test/support/mixed_fleet.h
@@ -59,9 +59,15 @@
   void Resume(int node);
   /*! @brief Gives the target beside a node a new incarnation. */
   void RestartTarget(int node);
+  /*! @brief Leaves each service one target in turn, so that all calls must
+   * reach it; the others leave as planned and start again. */
+  void LeaveOneInTurn();
 
   /*! @brief Begins the callers' load. */
   void BeginLoad();
+  /*! @brief Sends more slow calls at once than the targets of a node's service
+   * have slots, a third of them to the node itself. */
+  void Burst(int node);
   void Run(pollenring::Span length);
 
   /*! @brief Writes the next configuration, waits for it and asks all nodes. */
@@ -69,6 +75,11 @@
   /*! @brief Withdraws a zone or gives it back. @param zone From 0. */
   void Withdraw(int zone, bool withdrawn);
 
+  /*! @brief Checks that each node's callers reach each target in calm; landed
+   * builds don't tell what members they see. @param from Since then. */
+  void CheckReached(pollenring::Time from);
+
+  [[nodiscard]] pollenring::Time Now() const { return this->clock.Now(); }
   [[nodiscard]] FleetJournal &Journal() { return this->journal; }
   [[nodiscard]] pollenring::Random &GetRandom() { return this->random; }
   /*! @brief Time since the fleet was made. @return It in milliseconds. */
@@ -87,6 +98,8 @@
     int misses{};    /*!< Questions for readiness in a row without a 200. */
     std::unique_ptr<pollenring::HttpServer> target;
     int incarnation{1};
+    bool draining{};                /*!< What its target says of itself. */
+    pollenring::Time ready_since{}; /*!< Its target, if it isn't. */
     int sequence{};
   };
 
@@ -121,7 +134,6 @@
   void Send(const Load &load, int node);
   [[nodiscard]] bool Await(const std::function<bool()> &condition,
                            pollenring::Span limit);
-  [[nodiscard]] pollenring::Time Now() const { return this->clock.Now(); }
 
   int net;
   std::string folder;
--- a/test/support/mixed_fleet_load.cc
+++ b/test/support/mixed_fleet_load.cc
@@ -28,6 +28,8 @@
 constexpr Span kCallerWaits = 3s;
 constexpr Span kPlatformWaits = 1s;
 constexpr int kMostMisses = 2;
+constexpr int kSlots = 16;
+constexpr int kBurst = 2 * kSlots * MixedFleet::kZones;
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr const char *kSlowEnd = "slow";
@@ -79,9 +81,9 @@
                    {{"service", ServiceOf(node.number)},
                     {"zone", node.zone},
                     {"version", "v1"},
-                    {"slots", 32}}},
+                    {"slots", kSlots}}},
                   {"status",
-                   {{"state", "ready"},
+                   {{"state", node.draining ? "draining" : "ready"},
                     {"sequence", ++node.sequence},
                     {"cold_left_ms", 0}}}};
   // One that isn't acknowledged is followed by the next.
@@ -137,7 +139,8 @@
     for (const auto &member : status.at("members")) {
       if (member.at("node") != address) continue;
       seen = member.at("state").get<std::string>();
-      if (member.at("targets").empty()) seen += " without its target";
+      const bool ready = !other.draining && other.ready_since <= from;
+      if (ready && member.at("targets").empty()) seen += " without its target";
     }
     if (seen == "alive") continue;
     this->journal.Broke(
@@ -165,7 +168,7 @@
   const std::array<Load, 5> loads{{
       {"GET", "/read/1", "deep", "club", 8, Expected::kServed},
       {"GET", "/read/slow", "deep", "club", 1, Expected::kServed},
-      {"POST", "/write/1", "orders", "club", 4, Expected::kServed},
+      {"POST", "/write/1", "orders", "club", 8, Expected::kServed},
       {"POST", "/write/slow", "orders", "club", 1, Expected::kServed},
       {"GET", "/read/2", "deep", "tiny", 18, Expected::kMayBeRefused},
   }};
@@ -179,6 +182,22 @@
   }
 }
 
+void MixedFleet::Burst(int number) {
+  const std::string service = ServiceOf(number);
+  const bool unsafe = service == "orders";
+  const Load load{unsafe ? "POST" : "GET",
+                  unsafe ? "/write/slow" : "/read/slow",
+                  service,
+                  "club",
+                  0,
+                  Expected::kMayBeRefused};
+  for (int i = 0; i < kBurst; ++i) {
+    const int any = 1 + static_cast<int>(this->random.Index(kNodes));
+    const int entry = i % 3 == 0 ? number : any;
+    if (this->At(entry).taken_in) this->Send(load, entry);
+  }
+}
+
 void MixedFleet::Send(const Load &load, int number) {
   const std::string id = fmt::format("{:016x}", this->random.Bits());
   FleetCall call;
