--- a/src/pollenring/membership/store_duty.h
+++ b/src/pollenring/membership/store_duty.h
@@ -6,6 +6,7 @@
 #include "pollenring/core/clock.h"
 #include "pollenring/core/random.h"
 #include "pollenring/membership/membership.h"
+#include "pollenring/wire/peer_versions.h"
 
 namespace pollenring {
 
@@ -38,12 +39,16 @@
   /**
    * @brief Creates the decision.
    * @param membership Who is there, and how old the word of the store is.
+   * @param versions What the builds of other nodes can tell.
    * @param options Limits.
    * @param clock Clock.
    */
-  StoreDuty(const Membership &membership, const StoreDutyOptions &options,
-            const Clock &clock)
-      : membership{membership}, options{options}, clock{clock} {}
+  StoreDuty(const Membership &membership, const PeerVersions &versions,
+            const StoreDutyOptions &options, const Clock &clock)
+      : membership{membership},
+        versions{versions},
+        options{options},
+        clock{clock} {}
 
   /*! @brief Whether this node is one of those of its zone. @return So. */
   [[nodiscard]] bool OnDuty() const { return this->Rank() < this->Needed(); }
@@ -62,12 +67,14 @@
   [[nodiscard]] Span NextWatch(Random &random) const;
 
  private:
-  /*! @brief Nodes of the own zone that go before this one. */
+  /*! @brief Nodes of the own zone that go before this one, and tell all that
+   * the store says. */
   [[nodiscard]] std::size_t Rank() const;
   /*! @brief Nodes on duty in each zone. */
   [[nodiscard]] std::size_t Needed() const;
 
   const Membership &membership;
+  const PeerVersions &versions;
   StoreDutyOptions options;
   const Clock &clock;
 };
--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -47,7 +47,8 @@
       random{random},
       membership{std::move(self), MembershipOptions{}, loop.GetClock(), random,
                  *this},
-      duty{this->membership, StoreDutyOptions{}, loop.GetClock()},
+      duty{this->membership, bus.Wire().versions, StoreDutyOptions{},
+           loop.GetClock()},
       first_start{first_start},
       started{loop.GetClock().Now()} {}
 
@@ -235,8 +236,12 @@
 
 void MemberService::Receive(NodeId from, const Gossip &gossip,
                             WireVersion version) {
+  Gossip heard = gossip;
+  // The store has told V1 nothing of zones, however lately it was asked.
+  const bool first = version == WireVersion::kV1 && gossip.wire == 0;
+  if (first) heard.store_age_ms = -1;
   this->answers = version;
-  this->membership.Receive(gossip);
+  this->membership.Receive(heard);
   this->answers.reset();
   PeerVersions &versions = this->bus.Wire().versions;
   versions.Heard(from, version);
--- a/src/pollenring/wire/peer_versions.h
+++ b/src/pollenring/wire/peer_versions.h
@@ -26,6 +26,15 @@
    */
   [[nodiscard]] std::optional<WireVersion> Of(NodeId peer) const;
 
+  /**
+   * @brief Tells whether a peer hears and tells which zones are withdrawn.
+   * @param peer The peer.
+   * @return So, unless it is known to run V1.
+   */
+  [[nodiscard]] bool TellsZones(NodeId peer) const {
+    return this->Of(peer) != WireVersion::kV1;
+  }
+
   /**
    * @brief A message of a peer has been read.
    * @param peer The peer.
--- a/test/pollenring/membership/store_duty_test.cc
+++ b/test/pollenring/membership/store_duty_test.cc
@@ -55,7 +55,8 @@
   void Look(int index) {
     auto *membership = this->fleet.At(index);
     if (membership == nullptr) return;
-    const StoreDuty duty{*membership, StoreDutyOptions{}, this->fleet.clock};
+    const StoreDuty duty{*membership, this->versions, StoreDutyOptions{},
+                         this->fleet.clock};
     Time &due = this->due[index];
     if (!duty.Asks() || this->now < due) return;
     ++this->calls;
@@ -66,6 +67,7 @@
   }
 
   MemberFleet &fleet;
+  pollenring::PeerVersions versions; /*!< All run the same build. */
   Time now{};
   std::map<int, Time> due;
 };
@@ -93,6 +95,7 @@
 }
 
 TEST_CASE("store duty: others step in for lost, cut off or refused nodes") {
+  const pollenring::PeerVersions versions;
   for (const auto seed : support::Seeds(4)) {
     INFO("seed " << seed);
     MemberFleet fleet{100, seed};
@@ -101,7 +104,8 @@
     // The store turns away all that are on duty now, and a third of the rest.
     std::set<int> refused;
     for (int i = 0; i < fleet.Size(); ++i) {
-      const StoreDuty duty{*fleet.At(i), StoreDutyOptions{}, fleet.clock};
+      const StoreDuty duty{*fleet.At(i), versions, StoreDutyOptions{},
+                           fleet.clock};
       if (duty.OnDuty() || i % 3 == 0) refused.insert(i);
     }
     watchers.reaches = [&refused](int node) {
@@ -118,7 +122,8 @@
     // All nodes on duty are killed at once; word of the store is old by then.
     std::vector<int> on_duty;
     for (int i = 0; i < fleet.Size(); ++i) {
-      const StoreDuty duty{*fleet.At(i), StoreDutyOptions{}, fleet.clock};
+      const StoreDuty duty{*fleet.At(i), versions, StoreDutyOptions{},
+                           fleet.clock};
       if (duty.OnDuty()) on_duty.push_back(i);
     }
     for (const int node : on_duty) fleet.Kill(node);
@@ -133,6 +138,25 @@
   watchers.Run(10s);
   for (int i = 1; i < 12; ++i) fleet.network.cuts.insert({0, i});
   watchers.Run(4s);
-  const StoreDuty duty{*fleet.At(0), StoreDutyOptions{}, fleet.clock};
+  const pollenring::PeerVersions versions;
+  const StoreDuty duty{*fleet.At(0), versions, StoreDutyOptions{}, fleet.clock};
   CHECK(duty.Asks());
 }
+
+TEST_CASE("store duty: nodes that tell nothing of zones don't count") {
+  // Of 30 nodes the first ten run today's build, the others V1.
+  MemberFleet fleet{30, 5};
+  fleet.Run(10s);
+  pollenring::PeerVersions versions;
+  for (int i = 10; i < fleet.Size(); ++i) {
+    versions.Heard(fleet.At(i)->Self().id, pollenring::WireVersion::kV1);
+  }
+  std::map<std::string, int> on_duty;
+  for (int i = 0; i < 10; ++i) {
+    const StoreDuty duty{*fleet.At(i), versions, StoreDutyOptions{},
+                         fleet.clock};
+    if (duty.OnDuty()) ++on_duty[fleet.At(i)->Self().zone];
+  }
+  REQUIRE(on_duty.size() == 3);
+  for (const auto &[zone, nodes] : on_duty) CHECK(nodes == 2);
+}
