An error of one who is told of errors is contained as well

What callers would see: all requests of a process lost, as by any uncaught error.

Cause: Loop::Contain tells its listeners from within its catch block; what one of them throws leaves Contain, passes through h2o's C frames and ends the process. A node that is told of a broken rule leaves at once, and in the composition with slots that gives slots away, through the very keeper whose rule may have broken.

Test, red before: loop: an error of one who is told of errors ends no other, "due to unexpected exception with message: in a listener". Why it works: each listener's error is caught and logged beside the call, and the next listener is told all the same.

--- a/src/pollenring/net/loop.cc
+++ b/src/pollenring/net/loop.cc
@@ -86,7 +86,14 @@
                this->errors - std::exchange(this->errors_told, this->errors)}});
   }
   const ContainedError contained{std::string{event}, error.what(), rule};
-  for (const auto &listener : this->error_listeners) listener(contained);
+  for (const auto &listener : this->error_listeners) {
+    try {
+      listener(contained);
+    } catch (const std::exception &failure) {
+      LogEvent(LogLevel::kError, "error not passed on",
+               {{"what", failure.what()}});
+    }
+  }
 }
 
 bool Loop::WokeFromPause() const noexcept {
--- a/test/pollenring/net/loop_test.cc
+++ b/test/pollenring/net/loop_test.cc
@@ -49,3 +49,23 @@
   CHECK(errors[1].rule);
   CHECK(loop.Errors() == 2);
 }
+
+TEST_CASE("loop: an error of one who is told of errors ends no other") {
+  const pollenring::SystemClock clock;
+  Loop loop{clock};
+  int told = 0;
+  int posted = 0;
+  loop.OnError([](const pollenring::ContainedError & /*error*/) {
+    throw std::out_of_range{"in a listener"};
+  });
+  loop.OnError([&told](const pollenring::ContainedError &error) {
+    CHECK(error.what == "in a task");
+    ++told;
+  });
+  loop.Post([] { throw std::out_of_range{"in a task"}; });
+  loop.Post([&posted] { ++posted; });
+  loop.Post([&loop] { loop.Stop(); });
+  REQUIRE_NOTHROW(loop.Run());
+  CHECK(told == 1);
+  CHECK(posted == 1);
+}
