A late answer that can't be written is sent without a body

What callers would see: a request that hangs until they give it up, though the entry promises an answer 0.2 s past the deadline.

Cause: the answer at the deadline is written by the same dialect whose error may have kept the first one back. Its second error was contained by the timer, after which nothing was left to answer; responder and entry hold each other, so the request counted as in progress for ever (a planned stop would wait for it until the end of its grace).

Why it works: 504 alone needs no dialect and promises nothing.

--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -325,7 +325,10 @@
     this->parts.serving.EndSubCall(entry->parent);
     this->parts.dispatcher.Cancel(entry->call);
   });
-  this->Answer(entry, Refusal(Outcome::kUnknown, Reason::kDeadline, {}), {});
+  const bool answered = this->loop.Contain("late answer", [this, &entry] {
+    this->Answer(entry, Refusal(Outcome::kUnknown, Reason::kDeadline, {}), {});
+  });
+  if (!answered) entry->responder->Send({kTimedOut, {}, {}});
 }
 
 void Outbound::Answer(const EntryPtr &entry, CallReply reply,
--- a/test/pollenring/mesh/mesh_node_errors_test.cc
+++ b/test/pollenring/mesh/mesh_node_errors_test.cc
@@ -88,3 +88,12 @@
   const auto status = nlohmann::json::parse(world.Operate(1, "/status"));
   CHECK(status.at("in_progress") == 0);
 }
+
+TEST_CASE("mesh: a request whose answers all fail is answered in time") {
+  LoneNode world{66};
+  world.Begin(support::kUnanswerable);
+  REQUIRE(world.AllEnded());
+  CHECK(world.statuses[support::kUnanswerable] == 504);
+  const auto status = nlohmann::json::parse(world.Operate(1, "/status"));
+  CHECK(status.at("in_progress") == 0);
+}
--- a/test/support/faulty_dialects.h
+++ b/test/support/faulty_dialects.h
@@ -18,6 +18,8 @@
 
 /*! @brief Identifier of a request whose answer can't be written. */
 inline constexpr const char *kUnwritable = "unwritable";
+/*! @brief Identifier of a request that can't be answered in any way. */
+inline constexpr const char *kUnanswerable = "unanswerable";
 
 /*! @brief The platform's dialect, with errors in reading some answers. */
 class FaultyTargets final : public pollenring::TargetDialect {
@@ -61,6 +63,9 @@
     if (id == kUnwritable && reply.reason == pollenring::Reason::kNone) {
       throw std::out_of_range{"an answer that can't be written"};
     }
+    if (id == kUnanswerable) {
+      throw std::out_of_range{"no answer can be written"};
+    }
     return this->sound.Encode(reply, std::move(body), id);
   }
 
