A call that can't be sent to its target gives its slot back

What callers would see: a target that serves less with each such error, until its node refuses everything and still says that it is ready.

Cause: admission counts a call as running before Serving sends it. An error in sending it left it in the tables of serving and admission. Where it came up inside Dispatcher::Call the entry had no handle to cancel by, and from another node the cancellation was not registered yet, so nothing freed the slot, also not at the deadline; calls that were to start with it were left out.

Why it works: each start is contained by itself and given up, which frees slot and entry and answers "unknown".

--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -95,7 +95,12 @@
     }
     this->Refuse(shed.id, Outcome::kNotRun, shed.reason);
   }
-  for (const std::uint64_t id : actions.start) this->Start(id);
+  for (const std::uint64_t id : actions.start) {
+    const bool started =
+        this->loop.Contain("call of a target", [this, id] { this->Start(id); });
+    // Its slot goes to another, which may not start within this one.
+    if (!started) this->loop.Post([this, id] { this->GiveUp(id); });
+  }
 }
 
 void Serving::Start(std::uint64_t id) {
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -257,7 +257,7 @@
   [[nodiscard]] Reason RefusalOf(const Binding &binding) const noexcept;
   void Start(std::uint64_t id);
   void Answered(std::uint64_t id, HttpClient::Reply reply);
-  /*! @brief Ends a call whose answer could not be handled. */
+  /*! @brief Ends a call that could not be sent, or its answer not handled. */
   void GiveUp(std::uint64_t id);
   void Finish(std::uint64_t id, CallReply reply, std::string body);
   void Refuse(std::uint64_t id, Outcome outcome, Reason reason);
--- a/test/pollenring/mesh/mesh_node_errors_test.cc
+++ b/test/pollenring/mesh/mesh_node_errors_test.cc
@@ -11,6 +11,7 @@
 using support::Headers;
 using support::kBreaksRule;
 using support::kFailsInside;
+using support::kUnsendable;
 using support::Signed;
 
 /*! @brief One node beside the only target, once requests are served. */
@@ -64,6 +65,35 @@
         std::string::npos);
 }
 
+TEST_CASE("mesh: a call that can't be sent to its target gives its slot back") {
+  LoneNode world{65};
+  const auto held = [&world] {
+    const auto status = nlohmann::json::parse(world.Operate(1, "/status"));
+    return status.at("in_progress").get<int>();
+  };
+  world.Begin(kUnsendable);
+  REQUIRE(world.AllEnded());
+  CHECK(world.statuses[kUnsendable] == 502);
+  CHECK(held() == 0);
+  CHECK(world.Operate(1, "/metrics").find("pollenring_target_running 0") !=
+        std::string::npos);
+  // The same, asked by another node.
+  pollenring::CallEnvelope envelope;
+  envelope.service = "deep";
+  envelope.root_id = kUnsendable;
+  envelope.remaining_us = 1'000'000;
+  envelope.aim_us = 1'000'000;
+  const auto reply = world.CallNode(1, envelope);
+  REQUIRE(reply);
+  CHECK(reply->outcome == pollenring::Outcome::kUnknown);
+  CHECK(held() == 0);
+  CHECK(world.Operate(1, "/metrics").find("pollenring_target_running 0") !=
+        std::string::npos);
+  world.Begin("sound");
+  REQUIRE(world.AllEnded());
+  CHECK(world.statuses["sound"] == 200);
+}
+
 TEST_CASE("mesh: a broken rule ends a node in order, its requests answered") {
   LoneNode world{63};
   world.Begin(kBreaksRule);
--- a/test/support/faulty_dialects.h
+++ b/test/support/faulty_dialects.h
@@ -20,12 +20,17 @@
 inline constexpr const char *kUnwritable = "unwritable";
 /*! @brief Identifier of a request that can't be answered in any way. */
 inline constexpr const char *kUnanswerable = "unanswerable";
+/*! @brief Identifier of a request that can't be written for a target. */
+inline constexpr const char *kUnsendable = "unsendable";
 
 /*! @brief The platform's dialect, with errors in reading some answers. */
 class FaultyTargets final : public pollenring::TargetDialect {
  public:
   void AddHeaders(const pollenring::TargetCall &call,
                   pollenring::HttpRequest &request) const override {
+    if (call.envelope.root_id == kUnsendable) {
+      throw std::out_of_range{"a request that can't be written"};
+    }
     this->sound.AddHeaders(call, request);
   }
   [[nodiscard]] pollenring::AnswerMark MarkOf(
