An answer that can't be passed on leaves out no waiting call

What callers would see: 504 for calls that waited for a slot of the target beside an answer that could not be handled, though the target was free.

Cause: Serving::Answered frees the slot and learns which calls start next, then reads the answer's headers.

Test, red before: mesh: an answer that can't be passed on leaves out no waiting call, 504 == 200 four times. Why it works: the headers are read first, while giving up still frees the slot and starts the next.

--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -173,6 +173,11 @@
       verdict.reason == Reason::kNoTarget) {
     admission.TurnedAway(id);
   }
+  CallReply answer;
+  answer.outcome = verdict.outcome;
+  answer.status = response.status;
+  // First what may fail: an error after it leaves out those that start next.
+  answer.headers = this->dialect.PassAnswerHeaders(response.headers);
   const AdmissionActions next = admission.Finish(
       id, found->second.served.time_in_sub_calls, verdict.shed);
   if (verdict.reason != Reason::kNone) {
@@ -180,10 +185,6 @@
     this->Perform(next);
     return;
   }
-  CallReply answer;
-  answer.outcome = verdict.outcome;
-  answer.status = response.status;
-  answer.headers = this->dialect.PassAnswerHeaders(response.headers);
   this->Finish(id, std::move(answer), std::move(response.body));
   this->Perform(next);
 }
--- a/test/pollenring/mesh/mesh_node_errors_test.cc
+++ b/test/pollenring/mesh/mesh_node_errors_test.cc
@@ -94,6 +94,21 @@
   CHECK(world.statuses["sound"] == 200);
 }
 
+TEST_CASE(
+    "mesh: an answer that can't be passed on leaves out no waiting call") {
+  LoneNode world{67};
+  // As many as the target has slots; those that come then wait for them.
+  for (int i = 0; i < 4; ++i) {
+    world.Begin(std::string{support::kUnpassable} + std::to_string(i));
+  }
+  world.Run(30ms);
+  for (int i = 0; i < 4; ++i) world.Begin("w" + std::to_string(i));
+  REQUIRE(world.AllEnded());
+  for (int i = 0; i < 4; ++i) {
+    CHECK(world.statuses["w" + std::to_string(i)] == 200);
+  }
+}
+
 TEST_CASE("mesh: a broken rule ends a node in order, its requests answered") {
   LoneNode world{63};
   world.Begin(kBreaksRule);
--- a/test/support/faulty_dialects.h
+++ b/test/support/faulty_dialects.h
@@ -3,11 +3,13 @@
 
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "platform/dialects.h"
 #include "pollenring/core/invariant.h"
+#include "pollenring/net/http_message.h"
 
 namespace support {
 
@@ -22,6 +24,8 @@
 inline constexpr const char *kUnanswerable = "unanswerable";
 /*! @brief Identifier of a request that can't be written for a target. */
 inline constexpr const char *kUnsendable = "unsendable";
+/*! @brief Begins identifiers of requests whose answers can't be passed on. */
+inline constexpr std::string_view kUnpassable = "unpassable";
 
 /*! @brief The platform's dialect, with errors in reading some answers. */
 class FaultyTargets final : public pollenring::TargetDialect {
@@ -48,6 +52,10 @@
   }
   [[nodiscard]] std::vector<pollenring::WireHeader> PassAnswerHeaders(
       const pollenring::HttpHeaders &headers) const override {
+    const auto id = pollenring::FindHeader(headers, "x-pollenring-attempt-id");
+    if (id.substr(0, kUnpassable.size()) == kUnpassable) {
+      throw std::out_of_range{"an answer that can't be passed on"};
+    }
     return this->sound.PassAnswerHeaders(headers);
   }
 
