--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -95,7 +95,12 @@
     }
     this->Refuse(shed.id, Outcome::kNotRun, shed.reason);
   }
-  for (const std::uint64_t id : actions.start) this->Start(id);
+  for (const std::uint64_t id : actions.start) {
+    const bool started =
+        this->loop.Contain("call of a target", [this, id] { this->Start(id); });
+    // Its slot goes to another, which may not start within this one.
+    if (!started) this->loop.Post([this, id] { this->GiveUp(id); });
+  }
 }
 
 void Serving::Start(std::uint64_t id) {
@@ -168,6 +173,11 @@
       verdict.reason == Reason::kNoTarget) {
     admission.TurnedAway(id);
   }
+  CallReply answer;
+  answer.outcome = verdict.outcome;
+  answer.status = response.status;
+  // First what may fail: an error after it leaves out those that start next.
+  answer.headers = this->dialect.PassAnswerHeaders(response.headers);
   const AdmissionActions next = admission.Finish(
       id, found->second.served.time_in_sub_calls, verdict.shed);
   if (verdict.reason != Reason::kNone) {
@@ -175,10 +185,6 @@
     this->Perform(next);
     return;
   }
-  CallReply answer;
-  answer.outcome = verdict.outcome;
-  answer.status = response.status;
-  answer.headers = this->dialect.PassAnswerHeaders(response.headers);
   this->Finish(id, std::move(answer), std::move(response.body));
   this->Perform(next);
 }
--- a/test/pollenring/mesh/mesh_node_errors_test.cc
+++ b/test/pollenring/mesh/mesh_node_errors_test.cc
@@ -11,6 +11,7 @@
 using support::Headers;
 using support::kBreaksRule;
 using support::kFailsInside;
+using support::kUnsendable;
 using support::Signed;
 
 /*! @brief One node beside the only target, once requests are served. */
@@ -64,6 +65,50 @@
         std::string::npos);
 }
 
+TEST_CASE("mesh: a call that can't be sent to its target gives its slot back") {
+  LoneNode world{65};
+  const auto held = [&world] {
+    const auto status = nlohmann::json::parse(world.Operate(1, "/status"));
+    return status.at("in_progress").get<int>();
+  };
+  world.Begin(kUnsendable);
+  REQUIRE(world.AllEnded());
+  CHECK(world.statuses[kUnsendable] == 502);
+  CHECK(held() == 0);
+  CHECK(world.Operate(1, "/metrics").find("pollenring_target_running 0") !=
+        std::string::npos);
+  // The same, asked by another node.
+  pollenring::CallEnvelope envelope;
+  envelope.service = "deep";
+  envelope.root_id = kUnsendable;
+  envelope.remaining_us = 1'000'000;
+  envelope.aim_us = 1'000'000;
+  const auto reply = world.CallNode(1, envelope);
+  REQUIRE(reply);
+  CHECK(reply->outcome == pollenring::Outcome::kUnknown);
+  CHECK(held() == 0);
+  CHECK(world.Operate(1, "/metrics").find("pollenring_target_running 0") !=
+        std::string::npos);
+  world.Begin("sound");
+  REQUIRE(world.AllEnded());
+  CHECK(world.statuses["sound"] == 200);
+}
+
+TEST_CASE(
+    "mesh: an answer that can't be passed on leaves out no waiting call") {
+  LoneNode world{67};
+  // As many as the target has slots; those that come then wait for them.
+  for (int i = 0; i < 4; ++i) {
+    world.Begin(std::string{support::kUnpassable} + std::to_string(i));
+  }
+  world.Run(30ms);
+  for (int i = 0; i < 4; ++i) world.Begin("w" + std::to_string(i));
+  REQUIRE(world.AllEnded());
+  for (int i = 0; i < 4; ++i) {
+    CHECK(world.statuses["w" + std::to_string(i)] == 200);
+  }
+}
+
 TEST_CASE("mesh: a broken rule ends a node in order, its requests answered") {
   LoneNode world{63};
   world.Begin(kBreaksRule);
@@ -88,3 +133,12 @@
   const auto status = nlohmann::json::parse(world.Operate(1, "/status"));
   CHECK(status.at("in_progress") == 0);
 }
+
+TEST_CASE("mesh: a request whose answers all fail is answered in time") {
+  LoneNode world{66};
+  world.Begin(support::kUnanswerable);
+  REQUIRE(world.AllEnded());
+  CHECK(world.statuses[support::kUnanswerable] == 504);
+  const auto status = nlohmann::json::parse(world.Operate(1, "/status"));
+  CHECK(status.at("in_progress") == 0);
+}
