A target that leaves before it was heard of is not taken for a new start

Cause: a departure tells no time of birth on the wire. Where it is the first that a new process hears of the target, the filter kept a departed start born at 0, and the next heartbeat, sent before the departure or after it, was taken for a later start: the target was in use again. The row for the next process held the same 0.

Ruled out: the order of heartbeats (sequence) and the reading of the row; a heartbeat that comes first carries its birth, and such departures held.

Change: a departure of a target that was not heard of binds all that was born until it came, by the wall clock; the row says so too. A departure no longer stands in for the target's announcement, so one of another target puts no living one aside; and it leaves a line of its own.

--- a/src/pollenring/mesh/heartbeat_filter.cc
+++ b/src/pollenring/mesh/heartbeat_filter.cc
@@ -1,5 +1,7 @@
 #include "pollenring/mesh/heartbeat_filter.h"
 
+#include <algorithm>
+
 namespace pollenring {
 namespace {
 
@@ -13,12 +15,17 @@
   const auto known = this->starts.find(instance);
   if (known == this->starts.end()) {
     if (this->starts.size() >= kMostStarts) this->starts.clear();
+    if (heartbeat.departs) {
+      // It tells no time of birth; whatever was born until now has left.
+      const auto now = static_cast<std::uint64_t>(this->clock.Wall().count());
+      this->starts[instance] = {std::max(heartbeat.born, now), 0, true};
+      return HeartbeatVerdict::kTaken;
+    }
     // An older start's heartbeat may come after the newer start's first one.
     const auto latest = this->starts.find(this->current);
     const bool older = latest != this->starts.end() && heartbeat.born != 0 &&
                        heartbeat.born < latest->second.born;
-    this->starts[instance] = {heartbeat.born, heartbeat.sequence,
-                              heartbeat.departs};
+    this->starts[instance] = {heartbeat.born, heartbeat.sequence, false};
     if (older) return HeartbeatVerdict::kStale;
     this->current = instance;
     return HeartbeatVerdict::kTaken;
--- a/src/pollenring/mesh/heartbeat_filter.h
+++ b/src/pollenring/mesh/heartbeat_filter.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "pollenring/core/clock.h"
 #include "pollenring/core/enum_table.h"
 #include "pollenring/mesh/dialects.h"
 
@@ -30,6 +31,12 @@
  */
 class HeartbeatFilter {
  public:
+  /**
+   * @brief Starts without any heartbeat.
+   * @param clock Its wall clock tells what was born before a departure.
+   */
+  explicit HeartbeatFilter(const Clock &clock) : clock{clock} {}
+
   /**
    * @brief Judges a heartbeat and remembers it when it is taken.
    * @param heartbeat The heartbeat; a departure is taken once per start.
@@ -38,7 +45,7 @@
   [[nodiscard]] HeartbeatVerdict Judge(const Heartbeat &heartbeat);
 
   /*! @brief When a target's latest start was. @param instance The target.
-   * @return Unix milliseconds; 0 if unsaid. */
+   * @return Unix milliseconds, or an upper bound; 0 if unsaid. */
   [[nodiscard]] std::uint64_t BornOf(const std::string &instance) const;
 
   /**
@@ -56,6 +63,7 @@
     bool departed{};
   };
 
+  const Clock &clock;
   std::map<std::string, Start> starts;
   std::string current; /*!< Instance that was born last. */
 };
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -119,6 +119,7 @@
                OutboundParts{this->policy, parts.callers, this->shares,
                              this->dispatcher, this->serving, this->levels,
                              parts.random, this->metrics}},
+      heartbeats{parts.loop.GetClock()},
       departures{given.nodes.Packed(), parts.table},
       link_server{parts.loop, given.nodes, given.node_secret, kMaxFrameBytes,
                   [this](const std::string &path, std::string body,
@@ -279,12 +280,10 @@
     responder->Send({kBadRequest, {}, {}});
     return;
   }
-  Announcement &announcement = heartbeat->announcement;
-  if (heartbeat->departs) {
-    announcement.target.service = this->settings.target_service;
-    announcement.target.state = TargetState::kDraining;
-  }
-  if (announcement.target.service != this->settings.target_service) {
+  const Announcement &announcement = heartbeat->announcement;
+  const bool departs = heartbeat->departs;
+  if (!departs &&
+      announcement.target.service != this->settings.target_service) {
     LogEvent(LogLevel::kWarning, "heartbeat of another service",
              {{"instance", announcement.instance},
               {"service", announcement.target.service}});
@@ -293,14 +292,21 @@
   }
   const HeartbeatVerdict verdict = this->heartbeats.Judge(*heartbeat);
   if (verdict == HeartbeatVerdict::kTaken) {
-    const bool leaves = announcement.target.state == TargetState::kDraining &&
-                        std::exchange(this->departed, announcement.instance) !=
-                            announcement.instance;
-    if (leaves) {
+    const bool leaves =
+        departs || announcement.target.state == TargetState::kDraining;
+    if (leaves && std::exchange(this->departed, announcement.instance) !=
+                      announcement.instance) {
+      LogEvent(
+          LogLevel::kInfo, "target leaves",
+          {{"instance", announcement.instance}, {"deregistered", departs}});
       this->departures.Record({announcement.instance,
                                this->heartbeats.BornOf(announcement.instance)});
     }
-    this->serving.Announce(announcement);
+    if (departs) {
+      this->serving.Drain(announcement.instance);
+    } else {
+      this->serving.Announce(announcement);
+    }
   } else {
     LogEvent(LogLevel::kInfo, "heartbeat left out",
              {{"instance", announcement.instance},
--- a/test/pollenring/mesh/heartbeat_filter_test.cc
+++ b/test/pollenring/mesh/heartbeat_filter_test.cc
@@ -1,6 +1,9 @@
 #include "pollenring/mesh/heartbeat_filter.h"
 
 #include <catch2/catch.hpp>
+#include <chrono>
+
+#include "pollenring/core/clock.h"
 
 namespace {
 
@@ -26,7 +29,8 @@
 }  // namespace
 
 TEST_CASE("heartbeat filter: an older sequence is left out") {
-  HeartbeatFilter filter;
+  const pollenring::ManualClock clock;
+  HeartbeatFilter filter{clock};
   CHECK(filter.Judge(Beat("a", 10, 4)) == HeartbeatVerdict::kTaken);
   CHECK(filter.Judge(Beat("a", 10, 3)) == HeartbeatVerdict::kStale);
   CHECK(filter.Judge(Beat("a", 10, 4)) == HeartbeatVerdict::kStale);
@@ -34,14 +38,16 @@
 }
 
 TEST_CASE("heartbeat filter: a start under the old name counts anew") {
-  HeartbeatFilter filter;
+  const pollenring::ManualClock clock;
+  HeartbeatFilter filter{clock};
   CHECK(filter.Judge(Beat("a", 10, 90)) == HeartbeatVerdict::kTaken);
   CHECK(filter.Judge(Beat("a", 20, 1)) == HeartbeatVerdict::kTaken);
   CHECK(filter.Judge(Beat("a", 10, 91)) == HeartbeatVerdict::kStale);
 }
 
 TEST_CASE("heartbeat filter: nothing follows a departure but a new start") {
-  HeartbeatFilter filter;
+  const pollenring::ManualClock clock;
+  HeartbeatFilter filter{clock};
   CHECK(filter.Judge(Beat("a", 10, 1)) == HeartbeatVerdict::kTaken);
   CHECK(filter.Judge(Departure("a")) == HeartbeatVerdict::kTaken);
   CHECK(filter.Judge(Departure("a")) == HeartbeatVerdict::kStale);
@@ -50,7 +56,8 @@
 }
 
 TEST_CASE("heartbeat filter: an earlier target's late word is left out") {
-  HeartbeatFilter filter;
+  const pollenring::ManualClock clock;
+  HeartbeatFilter filter{clock};
   CHECK(filter.Judge(Beat("new", 20, 1)) == HeartbeatVerdict::kTaken);
   CHECK(filter.Judge(Beat("old", 10, 7)) == HeartbeatVerdict::kStale);
   CHECK(filter.Judge(Beat("old", 10, 8)) == HeartbeatVerdict::kStale);
@@ -58,7 +65,8 @@
 }
 
 TEST_CASE("heartbeat filter: what an earlier process was told holds") {
-  HeartbeatFilter filter;
+  const pollenring::ManualClock clock;
+  HeartbeatFilter filter{clock};
   CHECK_FALSE(filter.Forbid("a", 10));
   CHECK(filter.Judge(Beat("a", 10, 7)) == HeartbeatVerdict::kStale);
   CHECK(filter.Judge(Beat("a", 11, 1)) == HeartbeatVerdict::kTaken);
@@ -69,3 +77,22 @@
   CHECK(filter.Forbid("a", 11));
   CHECK(filter.Judge(Beat("a", 11, 3)) == HeartbeatVerdict::kStale);
 }
+
+TEST_CASE(
+    "heartbeat filter: what leaves unheard is not taken for a new start") {
+  pollenring::ManualClock clock;
+  HeartbeatFilter filter{clock};
+  const auto now = static_cast<std::uint64_t>(clock.Wall().count());
+  CHECK(filter.Judge(Beat("other", now - 9000, 1)) == HeartbeatVerdict::kTaken);
+  CHECK(filter.Judge(Departure("a")) == HeartbeatVerdict::kTaken);
+  CHECK(filter.Judge(Departure("a")) == HeartbeatVerdict::kStale);
+  clock.Advance(std::chrono::seconds{2});
+  CHECK(filter.Judge(Beat("a", now - 5000, 8)) == HeartbeatVerdict::kStale);
+  // Who stays is not put aside by another's departure.
+  CHECK(filter.Judge(Beat("other", now - 9000, 2)) == HeartbeatVerdict::kTaken);
+  // The next process is told as much.
+  HeartbeatFilter next{clock};
+  CHECK_FALSE(next.Forbid("a", filter.BornOf("a")));
+  CHECK(next.Judge(Beat("a", now - 5000, 9)) == HeartbeatVerdict::kStale);
+  CHECK(filter.Judge(Beat("a", now + 1500, 1)) == HeartbeatVerdict::kTaken);
+}
--- a/test/pollenring/mesh/mesh_node_faults_test.cc
+++ b/test/pollenring/mesh/mesh_node_faults_test.cc
@@ -293,6 +293,29 @@
       4s));
 }
 
+TEST_CASE("mesh: a target leaves a node that had not heard of it yet") {
+  // A node that has just started; the departure tells no time of birth.
+  World world{38, [](const HttpRequest &r) { return Signed(r, 200); }};
+  int served = 0;
+  world.Start("left", [&served](const HttpRequest &r) {
+    ++served;
+    return Signed(r, 200);
+  });
+  world.Store().PutConfig(Replaced(Replaced(kConfig, "r3", "r9"),
+                                   "\"service\":\"deep\"",
+                                   "\"service\":\"left\""));
+  REQUIRE(world.Await([&] { return world.Ready(4) == 200; }, 8s));
+  REQUIRE(world.Depart(4) == 200);
+  // On its way since before the departure.
+  REQUIRE(world.Beat(4) == 200);
+  world.Run(500ms);
+  for (int i = 0; i < 10; ++i) {
+    CHECK(world.Call(4, "GET", "/read/1", Headers("l" + std::to_string(i)))
+              .status == 503);
+  }
+  CHECK(served == 0);
+}
+
 TEST_CASE("mesh: groups that started without word of each other become one") {
   // After a loss of all power nodes find the few that are up already, and no
   // others while the store is away.
--- a/test/support/mesh_world.cc
+++ b/test/support/mesh_world.cc
@@ -257,6 +257,13 @@
   return answer ? answer->status : 0;
 }
 
+int MeshWorld::Depart(int index) {
+  const auto answer = this->Ask(
+      this->At(index, 7001),
+      {"POST", "/Instances.Deregister/i-" + std::to_string(index), {}, {}, {}});
+  return answer ? answer->status : 0;
+}
+
 void MeshWorld::StopTarget(int index) {
   this->nodes.at(static_cast<std::size_t>(index - 1))->target->Close();
 }
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -114,6 +114,10 @@
   int Beat(int index, const std::string &state = "ready",
            std::chrono::milliseconds cold_left = {}, int born = 5);
 
+  /*! @brief Tells a node that its target leaves, as targets do that report
+   * nothing before. @return The answer's status. */
+  int Depart(int index);
+
   /*! @brief Stops a node's target; its connections are refused. */
   void StopTarget(int index);
 
