--- a/src/pollenring/link/link_server.cc
+++ b/src/pollenring/link/link_server.cc
@@ -49,8 +49,9 @@
 /*! @brief The answer to one stream. */
 class LinkServer::Impl::StreamResponder final : public LinkResponder {
  public:
-  StreamResponder(std::weak_ptr<Connection> connection, std::int32_t stream_id)
-      : connection{std::move(connection)}, stream_id{stream_id} {}
+  StreamResponder(std::weak_ptr<Connection> connection, std::int32_t stream_id,
+                  const Address &peer)
+      : connection{std::move(connection)}, stream_id{stream_id}, peer{peer} {}
 
   void Send(std::string body) override;
 
@@ -58,17 +59,25 @@
     this->cancelled = std::move(callback);
   }
 
+  [[nodiscard]] Address Peer() const override { return this->peer; }
+
   /*! @brief Whether an answer is still awaited. @return So. */
   [[nodiscard]] bool Open() const noexcept { return this->open; }
 
-  void Ended() {
+  void Ended(Loop &loop) {
     this->open = false;
-    if (auto callback = std::exchange(this->cancelled, nullptr)) callback();
+    if (auto callback = std::exchange(this->cancelled, nullptr)) {
+      loop.Contain("cancellation", callback);
+    }
   }
 
+  /*! @brief Breaks the stream off without an answer. */
+  void Fail();
+
  private:
   std::weak_ptr<Connection> connection;
   std::int32_t stream_id;
+  Address peer;
   Cancelled cancelled;
   bool open{true};
 };
@@ -79,7 +88,12 @@
   Connection(Impl &owner, h2o_socket_t *sock)
       : Session{owner.loop, Side::kServer, owner.max_body_bytes},
         owner{owner},
-        accepted{sock} {}
+        accepted{sock} {
+    sockaddr_in native{};
+    const auto size =
+        h2o_socket_getpeername(sock, reinterpret_cast<sockaddr *>(&native));
+    if (size == sizeof(native)) this->peer = Address::From(native);
+  }
 
   void Start() {
     this->Attach(this->accepted);
@@ -97,6 +111,11 @@
     this->SubmitResponse(stream_id, std::move(body));
   }
 
+  void BreakOff(std::int32_t stream_id) {
+    this->responders.erase(stream_id);
+    this->Reset(stream_id, NGHTTP2_INTERNAL_ERROR);
+  }
+
  private:
   [[nodiscard]] bool Trusts(const Stream &stream) const override {
     return EqualConstantTime(stream.secret, this->owner.secret);
@@ -111,7 +130,8 @@
     }
     this->trusted = true;
     const auto self = std::static_pointer_cast<Connection>(shared_from_this());
-    auto responder = std::make_shared<StreamResponder>(self, stream_id);
+    auto responder =
+        std::make_shared<StreamResponder>(self, stream_id, this->peer);
     this->responders.emplace(stream_id, responder);
     // The same read may hold the peer's cancellation, which then goes first. To
     // a process that stood still its peers may also have hung up meanwhile, and
@@ -121,7 +141,9 @@
                            responder = std::move(responder)]() mutable {
       if (!self->Closed() && HungUp(*self->accepted)) self->Close();
       if (!responder->Open()) return;
-      owner.handler(path, std::move(body), std::move(responder));
+      const bool handled = owner.loop.Contain(
+          "message", [&] { owner.handler(path, std::move(body), responder); });
+      if (!handled) responder->Fail();
     });
   }
 
@@ -131,7 +153,7 @@
     if (found == this->responders.end()) return;
     const auto responder = found->second.lock();
     this->responders.erase(found);
-    if (responder) responder->Ended();
+    if (responder) responder->Ended(this->owner.loop);
   }
 
   void OnClosed() override {
@@ -141,6 +163,7 @@
 
   Impl &owner;
   h2o_socket_t *accepted;
+  Address peer;
   bool trusted{};
   std::unordered_map<std::int32_t, std::weak_ptr<StreamResponder>> responders;
 };
@@ -153,6 +176,14 @@
   held->Answer(this->stream_id, std::move(body));
 }
 
+void LinkServer::Impl::StreamResponder::Fail() {
+  if (!std::exchange(this->open, false)) return;
+  this->cancelled = nullptr;
+  const auto held = this->connection.lock();
+  if (!held || held->Closed()) return;
+  held->BreakOff(this->stream_id);
+}
+
 void LinkServer::Impl::OnAccept(h2o_socket_t *listener, const char *error) {
   if (error != nullptr) return;
   auto *self = static_cast<Impl *>(listener->data);
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -95,7 +95,12 @@
     }
     this->Refuse(shed.id, Outcome::kNotRun, shed.reason);
   }
-  for (const std::uint64_t id : actions.start) this->Start(id);
+  for (const std::uint64_t id : actions.start) {
+    const bool started =
+        this->loop.Contain("call of a target", [this, id] { this->Start(id); });
+    // Its slot goes to another, which may not start within this one.
+    if (!started) this->loop.Post([this, id] { this->GiveUp(id); });
+  }
 }
 
 void Serving::Start(std::uint64_t id) {
@@ -115,7 +120,10 @@
       binding.announcement.address,
       this->ToRequest(call, binding.announcement.instance), left,
       [this, id](HttpClient::Reply reply) {
-        this->Answered(id, std::move(reply));
+        const bool handled = this->loop.Contain("answer of a target", [&] {
+          this->Answered(id, std::move(reply));
+        });
+        if (!handled) this->GiveUp(id);
       },
       this->dialect.MarkOf(call.served.envelope));
 }
@@ -165,6 +173,11 @@
       verdict.reason == Reason::kNoTarget) {
     admission.TurnedAway(id);
   }
+  CallReply answer;
+  answer.outcome = verdict.outcome;
+  answer.status = response.status;
+  // First what may fail: an error after it leaves out those that start next.
+  answer.headers = this->dialect.PassAnswerHeaders(response.headers);
   const AdmissionActions next = admission.Finish(
       id, found->second.served.time_in_sub_calls, verdict.shed);
   if (verdict.reason != Reason::kNone) {
@@ -172,14 +185,24 @@
     this->Perform(next);
     return;
   }
-  CallReply answer;
-  answer.outcome = verdict.outcome;
-  answer.status = response.status;
-  answer.headers = this->dialect.PassAnswerHeaders(response.headers);
   this->Finish(id, std::move(answer), std::move(response.body));
   this->Perform(next);
 }
 
+void Serving::GiveUp(std::uint64_t id) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end()) return;
+  const auto binding =
+      this->bindings.find(found->second.served.envelope.service);
+  const SubCallCancels cancels =
+      std::exchange(found->second.served.sub_call_cancels, {});
+  this->Refuse(id, Outcome::kUnknown, Reason::kTargetFailed);
+  if (binding != this->bindings.end()) {
+    this->Perform(binding->second.admission->Cancel(id));
+  }
+  this->CancelSubCalls(cancels);
+}
+
 void Serving::Refuse(std::uint64_t id, Outcome outcome, Reason reason) {
   this->Refuse(id, outcome, reason, SpreadAround(kComeBack, this->random));
 }
--- a/test/pollenring/net/http_server_test.cc
+++ b/test/pollenring/net/http_server_test.cc
@@ -6,9 +6,11 @@
 
 #include <catch2/catch.hpp>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
+#include "pollenring/net/http_client.h"
 #include "pollenring/net/loop.h"
 
 namespace {
@@ -19,10 +21,16 @@
 using pollenring::HttpServer;
 using pollenring::HttpServerLimits;
 using pollenring::Loop;
+using pollenring::Span;
 
 /*! @brief Connects and sends a request that nobody has accepted yet. */
-[[nodiscard]] int SendRequest(const Address &to, const std::string &path) {
+[[nodiscard]] int SendRequest(const Address &to, const std::string &path,
+                              int receive_bytes = 0) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (receive_bytes > 0) {
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+               sizeof(receive_bytes));
+  }
   const sockaddr_in native = to.Native();
   REQUIRE(connect(fd, reinterpret_cast<const sockaddr *>(&native),
                   sizeof(native)) == 0);
@@ -67,11 +75,96 @@
   for (const int fd : waiting) close(fd);
 }
 
-TEST_CASE("http server: what told that a caller has gone is passed on") {
+TEST_CASE("http server: an error in handling one request ends no other") {
   const pollenring::SystemClock clock;
   Loop loop{clock};
   const Address address = *Address::Parse("127.42.1.2:7100");
   std::vector<std::shared_ptr<pollenring::Responder>> held;
+  HttpServer server{
+      loop, address, HttpServerLimits{},
+      [&held](const HttpRequest &request,
+              const std::shared_ptr<pollenring::Responder> &responder) {
+        if (request.path == "/broken") {
+          // What may be left of it keeps nobody from being answered.
+          responder->OnCancel([responder](pollenring::CallerLoss) {});
+          throw std::out_of_range{"in a handler"};
+        }
+        held.push_back(responder);
+      }};
+  server.Open();
+  pollenring::HttpClient client{loop, {std::size_t{1} << 20U}};
+  std::vector<int> statuses;
+  const auto ask = [&](const std::string &path) {
+    client.Call(address, {"GET", path, {}, {}, {}}, 3s,
+                [&](const pollenring::HttpClient::Reply &reply) {
+                  const auto *got =
+                      std::get_if<pollenring::HttpResponse>(&reply);
+                  statuses.push_back(got == nullptr ? 0 : got->status);
+                });
+  };
+  const auto run = [&loop] {
+    loop.After(50ms, [&loop] { loop.Stop(); });
+    loop.Resume();
+    loop.Run();
+  };
+  // Kept connections, each with a second request in progress.
+  for (int round = 0; round < 2; ++round) {
+    for (int i = 0; i < 4; ++i) ask("/held");
+    run();
+    REQUIRE(held.size() == 4);
+    if (round == 1) ask("/broken");
+    run();
+    for (const auto &responder : std::exchange(held, {})) {
+      responder->Send({200, {}, {}});
+    }
+    run();
+  }
+  // What had become of the broken one is not known; nothing is promised.
+  CHECK(statuses ==
+        std::vector<int>{200, 200, 200, 200, 502, 200, 200, 200, 200});
+  CHECK(server.InProgress() == 0);
+}
+
+TEST_CASE("http server: who closes one side is promised nothing of a request") {
+  // The other side may still be read; what was handled may have run.
+  const pollenring::SystemClock clock;
+  Loop loop{clock};
+  const Address address = *Address::Parse("127.42.1.3:7100");
+  std::vector<std::shared_ptr<pollenring::Responder>> held;
+  int cancelled = 0;
+  HttpServer server{
+      loop, address, HttpServerLimits{},
+      [&](const HttpRequest & /*request*/,
+          const std::shared_ptr<pollenring::Responder> &responder) {
+        responder->OnCancel(
+            [&cancelled](pollenring::CallerLoss) { ++cancelled; });
+        held.push_back(responder);
+      }};
+  server.Open();
+  const int fd = SendRequest(address, "/held");
+  const auto run = [&loop](Span length) {
+    loop.After(length, [&loop] { loop.Stop(); });
+    loop.Resume();
+    loop.Run();
+  };
+  run(20ms);
+  REQUIRE(held.size() == 1);
+  REQUIRE(shutdown(fd, SHUT_WR) == 0);
+  run(350ms);
+  CHECK(cancelled == 1);
+  std::string answer(4096, '\0');
+  const auto size = recv(fd, answer.data(), answer.size(), MSG_DONTWAIT);
+  REQUIRE(size > 0);
+  answer.resize(static_cast<std::size_t>(size));
+  CHECK(answer.substr(0, 12) == "HTTP/1.1 502");
+  close(fd);
+}
+
+TEST_CASE("http server: what told that a caller has gone is passed on") {
+  const pollenring::SystemClock clock;
+  Loop loop{clock};
+  const Address address = *Address::Parse("127.42.1.4:7100");
+  std::vector<std::shared_ptr<pollenring::Responder>> held;
   std::vector<pollenring::CallerLoss> losses;
   HttpServer server{
       loop, address, HttpServerLimits{},
@@ -92,3 +185,52 @@
   CHECK(losses[0] == pollenring::CallerLoss::kHungUp);
   close(waits);
 }
+
+TEST_CASE("http server: an answer survives what its caller has sent behind") {
+  // A server that drains closes after each answer. Closed with bytes unread, a
+  // connection is reset, and with it what the caller has not yet got.
+  const pollenring::SystemClock clock;
+  Loop loop{clock};
+  const Address address = *Address::Parse("127.42.1.5:7100");
+  std::vector<std::shared_ptr<pollenring::Responder>> held;
+  HttpServer server{
+      loop, address, HttpServerLimits{},
+      [&held](const HttpRequest & /*request*/,
+              const std::shared_ptr<pollenring::Responder> &responder) {
+        held.push_back(responder);
+      }};
+  server.Open();
+  const auto run = [&loop](Span length) {
+    loop.After(length, [&loop] { loop.Stop(); });
+    loop.Resume();
+    loop.Run();
+  };
+  // Most of the answer is still on its way when the server has written it.
+  const int fd = SendRequest(address, "/first", 4096);
+  run(20ms);
+  REQUIRE(held.size() == 1);
+  const std::string next = "GET /next HTTP/1.1\r\nhost: a\r\n\r\n";
+  REQUIRE(send(fd, next.data(), next.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(next.size()));
+  run(300ms);
+  server.Drain();
+  const std::string body(std::size_t{1} << 20U, 'x');
+  held.front()->Send({200, {}, body});
+  std::string got;
+  std::vector<char> buffer(std::size_t{1} << 16U);
+  // What is handled behind it is answered at once.
+  for (int i = 0; i < 600; ++i) {
+    run(1ms);
+    if (held.size() == 2) held[1]->Send({200, {}, "second"});
+    while (true) {
+      const auto size = recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+      if (size <= 0) break;
+      got.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+  }
+  const auto head = got.find("\r\n\r\n");
+  REQUIRE(head != std::string::npos);
+  CHECK(got.substr(0, 12) == "HTTP/1.1 200");
+  CHECK(got.size() - head - 4 >= body.size());
+  close(fd);
+}
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -17,6 +17,7 @@
 #include "pollenring/net/http_server.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/storage/store_client.h"
+#include "support/faulty_dialects.h"
 
 namespace support {
 
@@ -128,9 +129,11 @@
                  std::function<void(pollenring::HttpResponse)> done);
 
   /*! @brief Sends a call to the node beside a target, as another node does.
-   * @return Its reply, or nothing when none came. */
+   * @param version Form of the call. @return Its reply, or nothing when none
+   * came in that form. */
   [[nodiscard]] std::optional<pollenring::CallReply> CallNode(
-      int index, const pollenring::CallEnvelope &envelope);
+      int index, const pollenring::CallEnvelope &envelope,
+      pollenring::WireVersion version = pollenring::kNewestWire);
 
   /*! @brief Status of a node's ready address. */
   [[nodiscard]] int Ready(int index);
@@ -175,8 +178,8 @@
   pollenring::HttpClient client{loop, {std::size_t{1} << 20U}};
   pollenring::LinkClient link{loop, kSecret, std::size_t{1} << 20U};
   pollenring::platform::Policies policies;
-  pollenring::platform::Callers callers;
-  pollenring::platform::Targets targets;
+  FaultyCallers callers;
+  FaultyTargets targets;
   pollenring::platform::Heartbeats heartbeats;
   std::unique_ptr<StoreStandIn> store;
   std::vector<std::unique_ptr<Member>> nodes;
