--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -5,7 +5,6 @@
 
 #include "pollenring/log/log.h"
 #include "pollenring/mesh/leave_times.h"
-#include "pollenring/node/describe_members.h"
 #include "pollenring/node/headers.h"
 #include "pollenring/node/limits.h"
 #include "pollenring/retry/backoff.h"
@@ -27,7 +26,6 @@
 constexpr Span kFiguresPeriod = std::chrono::seconds{10};
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
 /*! @brief Longest queue beside a target, as the time that it takes to run. What
@@ -201,36 +199,6 @@
   }
 }
 
-void MeshNode::CountFigures() {
-  this->metrics.Gauge("pollenring_in_progress", [this] {
-    return static_cast<double>(this->InProgress());
-  });
-  this->metrics.Gauge("pollenring_config_version", [this] {
-    return static_cast<double>(this->policy.InForce().Version());
-  });
-  this->metrics.Gauge("pollenring_store_silence_seconds", [this] {
-    return std::chrono::duration<double>{this->policy.StoreSilence()}.count();
-  });
-  this->metrics.Gauge("pollenring_target_running", [this] {
-    return static_cast<double>(this->serving.RunningCount());
-  });
-  this->metrics.Gauge("pollenring_zones_withdrawn", [this] {
-    return static_cast<double>(this->policy.Zones().Newest().zones.size());
-  });
-  this->metrics.Gauge("pollenring_target_cold_seconds", [this] {
-    return std::chrono::duration<double>{this->serving.ColdFor()}.count();
-  });
-  this->metrics.Gauge("pollenring_answers_held_bytes", [this] {
-    return static_cast<double>(this->parts.client.HeldBytes());
-  });
-  this->metrics.Gauge("pollenring_connects", [this] {
-    return static_cast<double>(this->parts.client.Connects());
-  });
-  this->metrics.Gauge("pollenring_control_bytes_sent", [this] {
-    return static_cast<double>(this->bus.BytesSent());
-  });
-}
-
 void MeshNode::HandleLink(const std::string &path, std::string body,
                           const std::shared_ptr<LinkResponder> &responder) {
   if (path == "call") {
@@ -332,45 +300,6 @@
   responder->Send({ready ? kOk : kUnavailable, {}, {}});
 }
 
-void MeshNode::HandleOperator(
-    const HttpRequest &request,
-    const std::shared_ptr<Responder> &responder) const {
-  if (request.path == "/status") {
-    responder->Send({kOk,
-                     {{"content-type", "application/json"}},
-                     this->Status().dump() + "\n"});
-    return;
-  }
-  if (request.path != "/metrics") {
-    responder->Send({kNotFound, {}, "only /metrics and /status are here\n"});
-    return;
-  }
-  responder->Send({kOk,
-                   {{"content-type", "text/plain; version=0.0.4"}},
-                   this->metrics.Expose()});
-}
-
-nlohmann::json MeshNode::Status() const {
-  nlohmann::json zones = nlohmann::json::array();
-  for (const auto &[zone, since] : this->policy.WithdrawnSince()) {
-    const Span age = this->loop.GetClock().Now() - since;
-    zones.push_back({{"zone", zone},
-                     {"for_s", std::chrono::duration<double>{age}.count()}});
-  }
-  return {
-      {"node", this->settings.nodes.Format()},
-      {"zone", this->settings.zone},
-      {"config_version", this->policy.InForce().Version()},
-      {"fresh", this->policy.InForce().Version() > 0},
-      {"leaving", this->leaving},
-      {"open_for_callers", this->Ready()},
-      {"in_progress", this->InProgress()},
-      {"requests", this->metrics.Read("pollenring_requests_total")},
-      {"refusals", this->metrics.Read("pollenring_refusals_total")},
-      {"zones_withdrawn", std::move(zones)},
-      {"members", DescribeMembers(this->members.Get(), this->wire.versions)}};
-}
-
 Span MeshNode::Leaving() const {
   if (!this->leaving) return Span{0};
   return this->loop.GetClock().Now() - this->left_at;
