Reword comments of admission

Comments spoke of lots, aims, bounds and tickets let in, words that a reader had to learn here first. They use sub-priority, soft deadline, cold-start limit and admission level instead, and say settings where options are meant. Only comments differ; comparing the code tokens of all changed files lists no difference.

--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -13,7 +13,7 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Memory of how many requests are offered; as long as a level's. */
+/*! @brief Decay time of the offered rate; equal to that of the levels. */
 constexpr Span kOfferedMemory = std::chrono::milliseconds{500};
 
 [[nodiscard]] std::unique_ptr<LevelControl> MakeLevels(
@@ -84,8 +84,8 @@
   this->queue->Push(ticket);
   this->Fill(actions);
   this->ShedBeyondCold(actions);
-  // One comes, at most one goes: a shrinking limit sheds nobody who waits, nor
-  // does a request that runs or was dropped already.
+  // Sheds at most one waiting request per arrival, and none if the arrival was
+  // started or dropped at once. A shrinking limit alone sheds nothing.
   if (this->queue->Size() > waiting_before && this->Overfull()) {
     const auto worst = this->queue->PopWorst();
     Require(worst->importance <= ticket.importance || ticket.Invested(),
@@ -174,7 +174,7 @@
 bool Admission::Overfull() const {
   const std::size_t capacity = this->QueueCapacity();
   if (this->queue->Size() <= capacity) return false;
-  // The most important wait longer, as far as their deadlines allow.
+  // Critical requests may wait longer, as far as their deadlines allow.
   const bool can_shed_others = this->queue->Lowest() < Importance::kCritical;
   return can_shed_others ||
          this->queue->Size() > capacity * this->options.critical_queue_factor;
@@ -184,7 +184,7 @@
   QueueState state;
   if (this->cold.Closed()) {
     state.capacity = this->cold.PerSecond();
-    // What doesn't fit is shed at once, so no queue tells of it.
+    // Excess requests are shed at once, so the queue length shows no overload.
     const Span since = this->clock.Now() - this->cold_shed_at;
     if (since < this->options.level_window) {
       state.delay = this->options.fit.longest;
--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -17,31 +17,31 @@
 
 namespace pollenring {
 
-/*! @brief A waiting request that is given up on, and why. */
+/*! @brief A waiting request to refuse, and the reason. */
 struct ShedTicket {
   std::uint64_t id{};
   Reason reason{Reason::kOverload};
 };
 
-/*! @brief What is to be done after an event. */
+/*! @brief Actions that the caller has to perform after an event. */
 struct AdmissionActions {
   std::vector<std::uint64_t> start; /*!< Requests to send to the target. */
-  std::vector<ShedTicket> shed;     /*!< Requests to refuse at once. */
+  std::vector<ShedTicket> shed;     /*!< Requests to refuse now. */
 };
 
-/*! @brief What makes a service refuse roots early. */
+/*! @brief Trigger of the early refusal of root requests. */
 enum class LevelCause {
-  kShed, /*!< Requests are shed. */
-  kFit   /*!< More is offered than fits. */
+  kShed, /*!< Requests have been shed. */
+  kFit   /*!< The offered load exceeds the capacity. */
 };
 
-/*! @brief Which waiting request is next. */
+/*! @brief Order in which waiting requests start. */
 enum class QueueOrder {
-  kFair, /*!< By importance, then by workspaces' weights. */
-  kAim   /*!< The one whose aim is nearest. */
+  kFair, /*!< By importance, then by workspace weight. */
+  kAim   /*!< Earliest soft deadline first. */
 };
 
-/*! @brief Limits of admission. */
+/*! @brief Settings of admission. */
 struct AdmissionOptions {
   ConcurrencyLimitOptions limit;
   LevelCause level_cause{LevelCause::kShed};
@@ -55,64 +55,64 @@
 };
 
 /**
- * @brief Which requests the target beside this node runs, and when.
+ * @brief Decides which requests the local target runs, and when.
  *
- * A request that finds the target full waits in a short queue; when the queue
- * is full as well, the least important waiting request is shed, at once.
+ * While the target is full, requests wait in a short queue. When the queue is
+ * full as well, the least important waiting request is shed immediately.
  */
 class Admission {
  public:
   /**
-   * @brief Starts idle.
-   * @param slots Announced slots of the target.
-   * @param options Limits.
+   * @brief Creates an idle admission.
+   * @param slots Slots announced by the target.
+   * @param options Settings.
    * @param clock Clock.
    */
   Admission(std::uint32_t slots, const AdmissionOptions &options,
             const Clock &clock);
 
-  /*! @brief Load for callers' routing. @return The report. */
+  /*! @brief Load, for the routing of callers. @return The report. */
   [[nodiscard]] LoadReport Report() const noexcept;
 
   /**
    * @brief Priority below which a workspace's roots are to be refused early.
    * @param workspace The workspace.
-   * @return The level, 0 for none.
+   * @return The admission level; 0 admits everything.
    */
   [[nodiscard]] double LevelOf(const std::string &workspace) const {
     return this->levels->LevelOf(workspace);
   }
 
   /**
-   * @brief Bounds what is sent while the target is cold.
-   * @param tolerance The bound.
+   * @brief Limits what is sent while the target is cold.
+   * @param tolerance The cold-start limit.
    */
   void SetColdTolerance(const ColdTolerance &tolerance);
 
   /**
-   * @brief The target is cold until a time.
+   * @brief Sets until when the target is cold.
    *
-   * Levels of a cold target say nothing of it once it is warm, nor the other
-   * way round; they begin anew at each change.
-   * @param until The end; one that has passed means warm.
+   * Admission levels of a cold target don't apply to a warm one, nor the other
+   * way round, so they are reset at each change.
+   * @param until End of the cold period; a past time means warm.
    */
   void SetColdUntil(Time until);
 
-  /*! @brief How long the target stays cold. @return The span, or 0. */
+  /*! @brief Remaining cold time of the target. @return It, 0 if warm. */
   [[nodiscard]] Span ColdFor() const noexcept { return this->cold.ColdFor(); }
 
-  /*! @brief Requests at the target now. @return The count. */
+  /*! @brief Requests in progress at the target. @return The count. */
   [[nodiscard]] std::size_t Running() const noexcept {
     return this->running.size();
   }
 
-  /*! @brief The queue, as it is now. @return Its delay and capacity. */
+  /*! @brief Current state of the queue. @return Delay and capacity. */
   [[nodiscard]] QueueState State() const;
 
-  /*! @brief Requests offered of late. @return A second. */
+  /*! @brief Rate of recently offered requests. @return Per second. */
   [[nodiscard]] double OfferedPerSecond() const;
 
-  /*! @brief Requests that wait. @return The count. */
+  /*! @brief Waiting requests. @return The count. */
   [[nodiscard]] std::size_t Waiting() const noexcept {
     return this->queue->Size();
   }
@@ -120,15 +120,15 @@
   /**
    * @brief Offers a request.
    * @param ticket The request.
-   * @return What to start and what to shed; may name the request itself.
+   * @return What to start and shed; may include the request itself.
    */
   [[nodiscard]] AdmissionActions Offer(const Ticket &ticket);
 
   /**
-   * @brief Ends a request that ran.
+   * @brief Records the end of a running request.
    * @param id The request.
    * @param time_in_sub_calls Part of its time spent waiting for sub-calls.
-   * @param refused_by_target Whether the target itself shed it.
+   * @param refused_by_target True if the target itself shed it.
    * @return What to start and what to shed.
    */
   [[nodiscard]] AdmissionActions Finish(std::uint64_t id,
@@ -136,32 +136,34 @@
                                         bool refused_by_target);
 
   /**
-   * @brief A request that was started has not reached the target, or was
-   * turned away by it.
+   * @brief Records that a started request did not reach the target or was
+   * rejected by it.
    * @param id The request, sent before.
    */
   void TurnedAway(std::uint64_t id) { this->cold.GiveBack(id); }
 
   /**
-   * @brief Drops a request whose caller has gone.
+   * @brief Drops a request whose caller has disconnected.
    * @param id The request, waiting or running.
    * @return What to start and what to shed.
    */
   [[nodiscard]] AdmissionActions Cancel(std::uint64_t id);
 
-  /*! @brief Takes out all that wait, for another target. @return Them. */
+  /*! @brief Removes all waiting requests, for another target.
+   * @return The requests. */
   [[nodiscard]] std::vector<Ticket> TakeWaiting() {
     return this->queue->RemoveExpired(Time::max());
   }
 
   /**
-   * @brief Sheds all that wait, as the target takes no more.
-   * @param why What they are told.
-   * @return Them.
+   * @brief Sheds all waiting requests when the target stops accepting.
+   * @param why Reason to report.
+   * @return What to shed.
    */
   [[nodiscard]] AdmissionActions Close(Reason why = Reason::kLeaving);
 
-  /*! @brief Sheds what can't finish in time. @return What to shed and start. */
+  /*! @brief Sheds requests that can't finish in time.
+   * @return What to start and what to shed. */
   [[nodiscard]] AdmissionActions Tick();
 
  private:
@@ -185,11 +187,11 @@
   ConcurrencyLimit limit;
   ColdGate cold;
   bool was_cold{};
-  Time cold_shed_at{}; /*!< When a request beyond the bound came last. */
+  Time cold_shed_at{}; /*!< Last shed by the cold-start limit. */
   std::unique_ptr<LevelControl> levels;
   std::unique_ptr<TicketQueue> queue;
   std::unordered_map<std::uint64_t, RunningRequest> running;
-  double offered{}; /*!< Requests, faded. */
+  double offered{}; /*!< Requests, exponentially decayed. */
   Time offered_at{};
 };
 
--- a/src/pollenring/admission/aim_queue.cc
+++ b/src/pollenring/admission/aim_queue.cc
@@ -11,7 +11,7 @@
 Importance AimQueue::Lowest() const noexcept {
   if (this->by_worth.empty()) return Importance::kCritical;
   const auto &[invested, importance, aim, id] = *this->by_worth.begin();
-  // Any root may be turned away without loss.
+  // Any root may be rejected: no work has been invested in it.
   return invested ? Importance::kCritical
                   : std::min(importance, Importance::kHigh);
 }
--- a/src/pollenring/admission/cold_gate.h
+++ b/src/pollenring/admission/cold_gate.h
@@ -9,65 +9,65 @@
 
 namespace pollenring {
 
-/*! @brief What operators tolerate beyond the declared rate of a cold target. */
+/*! @brief Headroom that operators allow above a cold target's declared rate. */
 struct ColdMargin {
-  double over{1};  /*!< Factor on the declared rate. */
-  double slack{0}; /*!< Requests beyond it in one second. */
+  double over{1};  /*!< Factor applied to the declared rate. */
+  double slack{0}; /*!< Additional requests in one second. */
 };
 
-/*! @brief How many requests a cold target bears. */
+/*! @brief Cold-start limit: requests that a cold target can handle. */
 struct ColdTolerance {
-  int requests{}; /*!< In any window; 0 where coldness needs no bound. */
+  int requests{}; /*!< In any window; 0 for no limit. */
   Span window{};
 
-  /*! @brief Requests borne over time. @return A second. */
+  /*! @brief The limit as a rate. @return Requests per second. */
   [[nodiscard]] double PerSecond() const noexcept;
 };
 
 /**
- * @brief Bounds what is sent to a target while it is cold.
+ * @brief Limits the requests sent to a target while it is cold.
  *
- * The node beside a target is the only way to it, so a sliding window here
- * bounds what all nodes together send. A request counts from the moment at
- * which it is sent; one that the target turned away gives its place back.
+ * All requests to a target pass through its local node, so a sliding window
+ * here limits what all nodes together send. A request counts from the moment it
+ * is sent; one that the target rejects is removed from the window.
  */
 class ColdGate {
  public:
   /**
-   * @brief Starts warm, without a bound.
+   * @brief Starts warm and without a limit.
    * @param clock Clock.
    */
   explicit ColdGate(const Clock &clock) : clock{clock} {}
 
-  /*! @brief Sets the bound. @param given It. */
+  /*! @brief Sets the limit. @param given The limit. */
   void SetTolerance(const ColdTolerance &given) { this->tolerance = given; }
 
   /**
-   * @brief The target is cold until a time.
-   * @param until The end; one that has passed means warm.
+   * @brief Sets until when the target is cold.
+   * @param until End of the cold period; a past time means warm.
    */
   void SetColdUntil(Time until) noexcept { this->cold_until = until; }
 
-  /*! @brief Whether the bound applies now. @return So. */
+  /*! @brief Checks if the limit applies now. @return True if it does. */
   [[nodiscard]] bool Closed() const noexcept {
     return this->tolerance.requests > 0 && this->ColdFor() > Span{0};
   }
 
-  /*! @brief How long the target stays cold. @return The span, or 0. */
+  /*! @brief Remaining cold time of the target. @return It, 0 if warm. */
   [[nodiscard]] Span ColdFor() const noexcept;
 
-  /*! @brief Requests borne over time while it is cold. @return A second. */
+  /*! @brief The limit as a rate. @return Requests per second. */
   [[nodiscard]] double PerSecond() const noexcept {
     return this->tolerance.PerSecond();
   }
 
-  /*! @brief Whether one more request may be sent now. @return So. */
+  /*! @brief Checks for room in the window. @return True if one may be sent. */
   [[nodiscard]] bool HasRoom();
 
   /*! @brief Counts a request as sent. @param id The request. */
   void Sent(std::uint64_t id);
 
-  /*! @brief Uncounts one that the target turned away. @param id The request. */
+  /*! @brief Uncounts a rejected request. @param id The request. */
   void GiveBack(std::uint64_t id);
 
  private:
--- a/src/pollenring/admission/concurrency_limit.cc
+++ b/src/pollenring/admission/concurrency_limit.cc
@@ -5,29 +5,29 @@
 namespace pollenring {
 namespace {
 
-/*! @brief A lower limit is kept when requests take less than this part. */
+/*! @brief A lower limit is kept if times fall below this fraction. */
 constexpr double kShorter = 0.85;
-/*! @brief A higher limit is kept when requests take less than this part. */
+/*! @brief A higher limit is kept if times stay below this multiple. */
 constexpr double kNoLonger = 1.12;
-/*! @brief Part of refusals by the target itself at which the limit is cut. */
+/*! @brief Ratio of refusals by the target above which the limit is cut. */
 constexpr double kRefusedPart = 0.1;
-/*! @brief Part of samples that must have met a full target. */
+/*! @brief Fraction of samples at the full limit that a trial requires. */
 constexpr double kFullPart = 0.5;
-/*! @brief Growth of the baseline in each window, so that it is learnt anew. */
+/*! @brief Growth of the baseline per window, so that it is relearned. */
 constexpr double kBaselineDrift = 1.01;
-/*! @brief Time, in baselines, that is a sign of crowding. */
+/*! @brief Multiple of the baseline time that indicates contention. */
 constexpr double kCrowded = 1.3;
-/*! @brief Limit up to which a lower one would cost much. */
+/*! @brief Limit up to which a lower one would cost much capacity. */
 constexpr double kSmallLimit = 8;
 
-/*! @brief Part of the slots beyond which a target is nearly full. */
+/*! @brief Fraction of the slots above which a target is nearly full. */
 constexpr double kNearlyFull = 0.95;
-/*! @brief Part of the slots from which a target is busy. */
+/*! @brief Fraction of the slots from which a target is busy. */
 constexpr double kBusy = 0.7;
-/*! @brief Samples of either kind; the mean of times that vary by half of it is
- * then known to within 5 %. */
+/*! @brief Samples needed of each kind; with a deviation of half the mean, the
+ * mean is then known to within 5 %. */
 constexpr int kCrowdingSamples = 150;
-/*! @brief Slots below which the last ones are too great a part. */
+/*! @brief Slots below which keeping the last ones free costs too much. */
 constexpr double kFewSlots = 10;
 
 }  // namespace
@@ -43,7 +43,7 @@
 
 void ConcurrencyLimit::Sample(Span own_time, Span whole_time, int running,
                               bool refused_by_target) {
-  // What started under another limit tells nothing about this one.
+  // Requests started under another limit say nothing about this one.
   if (this->clock.Now() - whole_time < this->changed_at) return;
   if (refused_by_target) {
     ++this->refused;
@@ -80,7 +80,7 @@
                      this->busy.count >= kCrowdingSamples;
   if (!known) return;
   const double spared = std::floor(this->announced * kNearlyFull);
-  // With the last slots free the target does more in the same time.
+  // Throughput is higher with the last slots left free.
   const double gain = this->crowded.Mean() / this->busy.Mean();
   if (gain > this->announced / spared) {
     this->limit = spared;
@@ -98,7 +98,7 @@
         Span{static_cast<std::int64_t>(this->whole_us / this->samples)};
   }
   if (this->options.fixed) {
-    // The announced slots hold.
+    // The limit is derived from the announced slots only.
   } else if (this->refused > this->samples * kRefusedPart) {
     this->trial = Trial::kNone;
     this->SetLimit(this->limit * this->options.decrease);
@@ -125,7 +125,7 @@
 }
 
 bool ConcurrencyLimit::MayTryLower(double own_us_each) const noexcept {
-  // A trial costs capacity: without a sign of crowding it is made once only.
+  // A trial costs capacity; without signs of contention it is made only once.
   const bool unknown = !this->tried_lower && this->limit > kSmallLimit;
   return unknown || this->lower_helped ||
          own_us_each > this->baseline_us * kCrowded;
@@ -172,7 +172,7 @@
     this->RejectLower(own_us_each);
     return;
   }
-  // It may have taken longer before for another reason that has gone.
+  // The earlier slowness may have had a temporary cause; measure it again.
   this->trial = Trial::kBack;
 }
 
@@ -182,14 +182,14 @@
     return;
   }
   this->SetLimit(this->lower_limit);
-  // What helped is tried again at once.
+  // A step that helped is repeated after the next full window.
   this->trial = Trial::kNone;
   this->pause = 1;
   this->lower_helped = true;
 }
 
 void ConcurrencyLimit::RejectLower(double own_us_each) {
-  // The target is slow, not crowded.
+  // The target is slow for another reason than contention.
   this->trial = Trial::kNone;
   this->lower_helped = false;
   this->baseline_us = own_us_each;
--- a/src/pollenring/admission/concurrency_limit.h
+++ b/src/pollenring/admission/concurrency_limit.h
@@ -9,36 +9,35 @@
 
 namespace pollenring {
 
-/*! @brief Limits of the concurrency limit. */
+/*! @brief Settings of the concurrency limit. */
 struct ConcurrencyLimitOptions {
   Span shortest_window{std::chrono::milliseconds{200}};
   Span longest_window{std::chrono::seconds{2}};
   int enough_samples{100};
-  int lower_trial_samples{30}; /*!< A lower limit costs capacity meanwhile. */
+  int lower_trial_samples{30}; /*!< Few, as the trial costs capacity. */
   int fewest_samples{8};
   double decrease{0.7};
   double increase{1.3};
   double most_over_announced{4};
   int windows_before_lower{16};
   int windows_before_higher{4};
-  bool fixed{
-      false}; /*!< Keeps to the announced slots; only times are learned. */
+  bool fixed{false}; /*!< No trials; spares the last slots at most. */
 };
 
 /**
- * @brief How many requests a target runs at once, from measured times.
+ * @brief Adapts the number of concurrent requests to measured times.
  *
- * Announced slots are only the start. While the limit is used up, it is tried
- * lower and higher in turn. A lower limit is kept when requests then take less
- * time than before and after it, since they had waited for each other inside
- * the target; a higher one is kept when they take no longer.
+ * The announced slots are only the initial value. While the limit is reached,
+ * lower and higher limits are tried in turn. A lower one is kept if requests
+ * take less time than before and after the trial, which shows that they contend
+ * inside the target; a higher one is kept if they take no longer.
  */
 class ConcurrencyLimit {
  public:
   /**
-   * @brief Starts from what the target announces.
-   * @param slots Announced slots.
-   * @param options Limits.
+   * @brief Starts from the announced slots.
+   * @param slots Slots announced by the target.
+   * @param options Settings.
    * @param clock Clock.
    */
   ConcurrencyLimit(std::uint32_t slots, const ConcurrencyLimitOptions &options,
@@ -48,15 +47,15 @@
     return std::max(1, static_cast<int>(std::lround(this->limit)));
   }
 
-  /*! @brief Typical time of one request at the target. @return The time. */
+  /*! @brief Mean time of a request at the target. @return The time. */
   [[nodiscard]] Span TypicalTime() const noexcept { return this->typical; }
 
   /**
-   * @brief Takes in one finished request.
-   * @param own_time Time at the target less time in its sub-calls.
+   * @brief Records a finished request.
+   * @param own_time Time at the target, without sub-calls.
    * @param whole_time Time at the target.
-   * @param running Requests that ran when it started.
-   * @param refused_by_target Whether the target shed it.
+   * @param running Requests in progress when it started.
+   * @param refused_by_target True if the target shed it.
    */
   void Sample(Span own_time, Span whole_time, int running,
               bool refused_by_target);
@@ -65,12 +64,12 @@
   enum class Trial {
     kNone,
     kLower,
-    kBack, /*!< The limit before a lower one that seems to help, once more. */
+    kBack, /*!< Repeats the limit before a lower one that seems to help. */
     kHigher,
   };
 
   [[nodiscard]] int EnoughSamples() const noexcept;
-  /*! @brief Mean time of requests that started at one degree of use. */
+  /*! @brief Mean time of requests started at one degree of utilization. */
   struct MeanTime {
     double sum_us{};
     int count{};
@@ -114,8 +113,8 @@
   int full_samples{};
   int refused{};
   Span typical{};
-  MeanTime crowded; /*!< The last slots were in use. */
-  MeanTime busy;    /*!< Most were, but not the last. */
+  MeanTime crowded; /*!< With the last slots in use. */
+  MeanTime busy;    /*!< With most slots in use, but not the last. */
 };
 
 }  // namespace pollenring
--- a/src/pollenring/admission/fair_queue.cc
+++ b/src/pollenring/admission/fair_queue.cc
@@ -5,10 +5,10 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Workspaces per class whose past is remembered. */
+/*! @brief Workspaces per class from which idle ones are dropped. */
 constexpr std::size_t kMostRemembered = 8192;
-/*! @brief Requests that a workspace may be behind when it comes back; those
- * of a small one come one at a time, at random moments. */
+/*! @brief Credit, in requests, of a workspace that becomes active again;
+ * requests of a small one arrive one at a time, at random moments. */
 constexpr double kCreditRequests = 4;
 
 }  // namespace
@@ -30,7 +30,7 @@
   Unrank(group, workspace);
   workspace.weight = ticket.weight;
   if (workspace.waiting.empty()) {
-    // One that was away keeps some credit, not all of its absence.
+    // An idle workspace keeps limited credit, not that of its whole idle time.
     const double credit = kCreditRequests / workspace.weight;
     workspace.served = std::max(workspace.served, group.floor - credit);
   }
--- a/src/pollenring/admission/fair_queue.h
+++ b/src/pollenring/admission/fair_queue.h
@@ -16,10 +16,10 @@
 /**
  * @brief Waiting requests, by importance, invested work and workspace.
  *
- * The next to run is of the highest class; within a class, of the workspace
- * that was served least for its weight; within a workspace, of the oldest root.
- * The first to be shed is of the lowest class, of the workspace with most
- * waiting for its weight, and of the youngest root.
+ * The next to run comes from the highest class; within a class, from the
+ * workspace served least relative to its weight; within that, from the oldest
+ * root. The first to shed comes from the lowest class, from the workspace with
+ * most service and backlog relative to its weight, and from the youngest root.
  */
 class FairQueue final : public TicketQueue {
  public:
@@ -50,16 +50,16 @@
   struct Workspace {
     Waiting waiting;
     double weight{1};
-    double served{};  /*!< Requests run, for its weight. */
-    Ranked next_key;  /*!< Its place among those to run. */
-    Ranked worst_key; /*!< Its place among those to shed. */
+    double served{};  /*!< Requests run, divided by the weight. */
+    Ranked next_key;  /*!< Its rank among those to run. */
+    Ranked worst_key; /*!< Its rank among those to shed. */
   };
 
   struct Class {
     std::unordered_map<std::string, Workspace> workspaces;
     std::set<Ranked> least_served;
     std::set<Ranked> most_ahead;
-    double floor{}; /*!< What the workspace run last had been served. */
+    double floor{}; /*!< `served` of the workspace run last. */
   };
   using ClassKey = int;
 
--- a/src/pollenring/admission/fit_level.cc
+++ b/src/pollenring/admission/fit_level.cc
@@ -9,7 +9,7 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Faded count of critical requests from which there are any. */
+/*! @brief Decayed count from which critical requests count as present. */
 constexpr double kAnyCritical = 1;
 
 [[nodiscard]] double Seconds(Span span) noexcept {
@@ -47,8 +47,8 @@
 }
 
 double FitLevel::HighestLevel() const {
-  // Where few workspaces go before all others, a level that must come down to
-  // them first would refuse these for longer than needed.
+  // Without critical requests the level stays below their range; it would have
+  // to fall through it first and refuse all others for longer than needed.
   constexpr int kBelow = kImportanceLevels - 1;
   const auto first = this->offered.begin() + kBelow * kBinsPerImportance;
   const double critical = std::accumulate(first, this->offered.end(), 0.0);
--- a/src/pollenring/admission/fit_level.h
+++ b/src/pollenring/admission/fit_level.h
@@ -11,41 +11,40 @@
 
 namespace pollenring {
 
-/*! @brief Limits of the level that makes the offered load fit. */
+/*! @brief Settings of the level derived from the offered load. */
 struct FitLevelOptions {
   Span window{std::chrono::milliseconds{100}};
-  /*! @brief Memory of what was offered; a deep request takes about as long from
-   * its first call here to its last. */
+  /*! @brief Decay time of the offered load; about the time between the first
+   * and the last call of a deep request to this service. */
   Span memory{std::chrono::milliseconds{500}};
-  /*! @brief Delay up to which a queue is a burst and no overload; a deep
-   * request waits that long several times. */
+  /*! @brief Delay up to which a queue is a burst, not overload; a deep request
+   * incurs it several times. */
   Span tolerated{std::chrono::milliseconds{6}};
-  /*! @brief Delay that takes all of the reserve below. */
+  /*! @brief Delay at which all of `reserve` is withheld. */
   Span longest{std::chrono::milliseconds{100}};
-  double load{0.95};    /*!< Part of the capacity that is given away. */
-  double reserve{0.25}; /*!< Part of it kept back while a queue is drained. */
-  double rise{0.5};     /*!< Part of the way to a higher level, a window. */
-  /*! @brief Rise a second while the longest delay stays though what is offered
-   * seems to fit: callers that have not heard of the level send what is below
-   * it. */
+  double load{0.95};    /*!< Fraction of the capacity that is allotted. */
+  double reserve{0.25}; /*!< Fraction withheld to drain a queue. */
+  double rise{0.5};     /*!< Fraction of a rise applied per window. */
+  /*! @brief Rise per second at the longest delay though the offered load seems
+   * to fit: callers not yet notified of the level send requests below it. */
   double push{0.12};
-  double fall{0.06};      /*!< Least fall a second while nothing waits. */
-  double fall_spare{1.2}; /*!< Further fall a second if all were idle. */
+  double fall{0.06};      /*!< Minimum fall per second while not overloaded. */
+  double fall_spare{1.2}; /*!< Additional fall per second at no load. */
 };
 
 /**
- * @brief Finds the level above which what is offered fits the target.
+ * @brief Computes the level above which the offered load fits the target.
  *
- * Calls bring their root's priority, so the level follows from their
- * distribution and the target's speed at once. It does not depend on when the
- * roots below it cease to arrive, so a long way between them and this service
- * does not make it swing.
+ * Calls carry their root's priority, so the level follows directly from the
+ * distribution of priorities and the target's capacity. It does not depend on
+ * when roots below it stop arriving, so a long call path to this service does
+ * not make it oscillate.
  */
 class FitLevel final : public LevelControl {
  public:
   /**
    * @brief Starts by admitting everything.
-   * @param options Limits.
+   * @param options Settings.
    * @param clock Clock.
    */
   FitLevel(const FitLevelOptions &options, const Clock &clock);
--- a/src/pollenring/admission/level_control.h
+++ b/src/pollenring/admission/level_control.h
@@ -8,13 +8,13 @@
 
 namespace pollenring {
 
-/*! @brief The queue beside a target, as it is now. */
+/*! @brief Current state of a target's queue. */
 struct QueueState {
-  Span delay{};      /*!< Until all that wait now will have been started. */
-  double capacity{}; /*!< Requests a second; 0 while it is not known. */
+  Span delay{};      /*!< Until all that wait now have started. */
+  double capacity{}; /*!< Requests per second; 0 while unknown. */
 };
 
-/*! @brief Decides below which priority a service's roots are refused early. */
+/*! @brief Decides below which priority root requests are refused early. */
 class LevelControl {
  public:
   LevelControl() = default;
@@ -25,19 +25,19 @@
   /**
    * @brief Priority below which a workspace's roots are to be refused.
    * @param workspace The workspace.
-   * @return Its level, 0 to admit everything.
+   * @return The admission level; 0 admits everything.
    */
   [[nodiscard]] virtual double LevelOf(const std::string &workspace) const = 0;
 
-  /*! @brief Counts a request that was offered. @param ticket The request. */
+  /*! @brief Counts an offered request. @param ticket The request. */
   virtual void Offered(const Ticket &ticket) = 0;
 
-  /*! @brief Counts a request that was shed. */
+  /*! @brief Counts a shed request. */
   virtual void Shed() = 0;
 
   /**
-   * @brief Closes a window when it is over.
-   * @param queue The queue.
+   * @brief Updates the levels at the end of each window.
+   * @param queue State of the queue.
    */
   virtual void Tick(const QueueState &queue) = 0;
 };
--- a/src/pollenring/admission/shed_levels.cc
+++ b/src/pollenring/admission/shed_levels.cc
@@ -5,20 +5,20 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Part of older windows' totals that is kept. */
+/*! @brief Fraction of earlier windows' totals kept per window. */
 constexpr double kMemory = 0.7;
-/*! @brief The same for one workspace's counts, which are small. */
+/*! @brief As kMemory, for the small counts of a single workspace. */
 constexpr double kLongMemory = 0.96;
-/*! @brief Part of requests that may be shed before levels rise. */
+/*! @brief Fraction of requests that may be shed before levels rise. */
 constexpr double kToleratedShed = 0.01;
-/*! @brief First release after shedding ends; it doubles with each window. */
+/*! @brief First decrease after shedding ends; doubles with each window. */
 constexpr double kFirstRelease = 0.01;
 constexpr double kLargestRelease = 0.5;
-/*! @brief Part of the way that a level moves in one window. */
+/*! @brief Fraction of the wanted change that one window applies. */
 constexpr double kSteering = 0.4;
 /*! @brief The most important requests are never refused early. */
 constexpr double kHighestLevel = static_cast<double>(kImportanceLevels - 1);
-/*! @brief Counts below which a workspace is forgotten. */
+/*! @brief Decayed request count below which a workspace is dropped. */
 constexpr double kForgotten = 0.01;
 
 }  // namespace
@@ -85,7 +85,7 @@
 }
 
 void ShedLevels::Steer(const Claim &claim, int importance) {
-  // Lots are spread evenly above the level that is in force already.
+  // Offered sub-priorities are spread evenly above the active level.
   const double base = static_cast<double>(importance);
   const double cut = std::clamp(claim.workspace->level - base, 0.0, 1.0);
   const double kept = std::min(1.0, (1 - cut) * claim.due / claim.offered);
--- a/src/pollenring/admission/shed_levels.h
+++ b/src/pollenring/admission/shed_levels.h
@@ -13,9 +13,9 @@
 
 namespace pollenring {
 
-/*! @brief Places a request on one scale: importance first, then its lot.
+/*! @brief Priority of a request: importance first, then its sub-priority.
  * @param importance Importance.
- * @param lot The root's lot, in [0, 1).
+ * @param sub_priority Sub-priority of the root, in [0, 1).
  * @return A value from 0 to below 4; lower values are shed first. */
 [[nodiscard]] inline double PriorityOf(Importance importance,
                                        double lot) noexcept {
@@ -23,19 +23,19 @@
 }
 
 /**
- * @brief Below which priority a service would shed each workspace's requests,
- * for callers to know early.
+ * @brief Per-workspace priority below which a service would shed requests, so
+ * that callers can refuse early.
  *
- * When a service sheds, what it can serve is given to the most important
- * requests first and, within one importance, to workspaces by their weights;
- * what one does not use goes to the others. All parts of a root share its lot,
- * so that services agree on which roots to refuse.
+ * When a service sheds, its capacity goes to the most important requests first
+ * and, within one importance, to workspaces by weight; what one does not use
+ * goes to the others. All calls of a root have the same sub-priority, so that
+ * services agree on which roots to refuse.
  */
 class ShedLevels final : public LevelControl {
  public:
   /**
    * @brief Starts by admitting everything.
-   * @param window Time between changes of the levels.
+   * @param window Interval between updates of the levels.
    * @param clock Clock.
    */
   ShedLevels(Span window, const Clock &clock);
--- a/src/pollenring/admission/ticket.h
+++ b/src/pollenring/admission/ticket.h
@@ -9,19 +9,19 @@
 
 namespace pollenring {
 
-/*! @brief What admission needs to know of a request. */
+/*! @brief Properties of a request that admission depends on. */
 struct Ticket {
   std::uint64_t id{};
   Importance importance{Importance::kNormal};
-  double lot{};        /*!< Same for all parts of one root, in [0, 1). */
-  double weight{1};    /*!< The workspace's part, by its contracted rate. */
+  double lot{};        /*!< Same for all calls of one root, in [0, 1). */
+  double weight{1};    /*!< Of the workspace, by its contracted rate. */
   int depth{};         /*!< 0 for a root request. */
   Time root_started{}; /*!< Earlier roots have more work invested. */
   std::string workspace;
   Time deadline{};
-  Time aim{}; /*!< By when an answer is worth most. */
+  Time aim{}; /*!< Time by which a response is worth most. */
 
-  /*! @brief Whether work was done above this request already. */
+  /*! @brief Checks if callers upstream have done work. @return True if so. */
   [[nodiscard]] bool Invested() const noexcept { return this->depth > 0; }
 };
 
--- a/src/pollenring/admission/ticket_queue.h
+++ b/src/pollenring/admission/ticket_queue.h
@@ -11,7 +11,7 @@
 
 namespace pollenring {
 
-/*! @brief Requests that wait for a target, in the order of a policy. */
+/*! @brief Queue of requests that wait for a target, ordered by a policy. */
 class TicketQueue {
  public:
   TicketQueue() = default;
@@ -21,8 +21,8 @@
 
   [[nodiscard]] virtual std::size_t Size() const noexcept = 0;
 
-  /*! @brief Importance of the first to be shed. @return It; highest if empty.
-   */
+  /*! @brief Importance of the request to shed first.
+   * @return It; the highest if the queue is empty. */
   [[nodiscard]] virtual Importance Lowest() const noexcept = 0;
 
   /**
@@ -31,26 +31,26 @@
    */
   virtual void Push(const Ticket &ticket) = 0;
 
-  /*! @brief Takes the next request to run. @return It, or nothing. */
+  /*! @brief Removes the next request to run. @return It, or nothing. */
   [[nodiscard]] virtual std::optional<Ticket> Pop() = 0;
 
   /**
-   * @brief Takes the first request to shed.
+   * @brief Removes the first request to shed.
    * @return It, or nothing.
    */
   [[nodiscard]] virtual std::optional<Ticket> PopWorst() = 0;
 
   /**
-   * @brief Takes out one request.
+   * @brief Removes a request.
    * @param id The request.
-   * @return Whether it was waiting.
+   * @return True if it was waiting.
    */
   virtual bool Remove(std::uint64_t id) = 0;
 
   /**
-   * @brief Takes out all whose deadline is too near.
-   * @param before Deadlines earlier than this are too near.
-   * @return The requests taken out.
+   * @brief Removes all requests that can't finish in time.
+   * @param before Requests with an earlier deadline are removed.
+   * @return The removed requests.
    */
   [[nodiscard]] virtual std::vector<Ticket> RemoveExpired(Time before) = 0;
 };
--- a/test/pollenring/admission/admission_test.cc
+++ b/test/pollenring/admission/admission_test.cc
@@ -18,7 +18,7 @@
 using pollenring::Span;
 using pollenring::Ticket;
 
-/*! @brief A target with real slots behind an admission under test. */
+/*! @brief An admission under test with a simulated target of fixed slots. */
 class Bench {
  public:
   Bench(std::uint32_t announced, int real_slots, Span service,
@@ -29,7 +29,7 @@
         real_slots{real_slots},
         service{service} {}
 
-  /*! @brief Offers a request; checks what is shed for it. */
+  /*! @brief Offers a request and performs the resulting actions. */
   void Offer(Ticket ticket) {
     ticket.id = ++this->last_id;
     if (ticket.deadline == pollenring::Time{}) {
@@ -40,7 +40,7 @@
     this->Perform(this->admission.Offer(ticket));
   }
 
-  /*! @brief Moves time on and ends what is done. */
+  /*! @brief Advances the clock and ends finished requests. */
   void Step(Span step) {
     this->clock.Advance(step);
     const auto now = this->clock.Now();
@@ -78,12 +78,12 @@
     for (const auto id : actions.start) {
       const Ticket ticket = this->waiting.at(id);
       for (const auto &[other, waits] : this->waiting) {
-        // Nothing less important starts while something more important waits.
+        // No request starts while a more important one waits.
         CHECK(waits.importance <= ticket.importance);
       }
       this->waiting.erase(id);
       ++this->started_by[ticket.workspace];
-      // A target with more requests than slots serves them all more slowly.
+      // With more requests than slots, the target serves all more slowly.
       const auto over = static_cast<std::int64_t>(
           this->running.size() + 1 > static_cast<std::size_t>(this->real_slots)
               ? this->running.size() + 1
@@ -110,7 +110,7 @@
     INFO("seed " << seed);
     Bench bench{10, 10, std::chrono::milliseconds{20}, seed};
     for (std::uint64_t i = 0; i < support::Steps(20'000); ++i) {
-      // 1,500 a second against 500; a fifth of it is critical.
+      // 1,500 requests per second for a capacity of 500; 20 % are critical.
       const int count = bench.random.Chance(0.5) ? 2 : 1;
       for (int j = 0; j < count; ++j) {
         const auto draw = bench.random.Index(10);
@@ -142,8 +142,8 @@
     }
     bench.Step(std::chrono::milliseconds{1});
   }
-  // 500 a second for weights 300 and 100: 375 and 125, of which the small one
-  // asks for 200.
+  // A capacity of 500 per second at weights 300 and 100 gives 375 and 125; the
+  // small workspace offers 200.
   const double part = static_cast<double>(bench.started_by["small"]) /
                       static_cast<double>(bench.started_by["large"] +
                                           bench.started_by["small"]);
@@ -210,8 +210,9 @@
 }
 
 TEST_CASE("admission: one that is dropped at once takes no other with it") {
-  // A queue that grew while requests were quick is too long once they are slow;
-  // what comes then, with little time left, does not wait at all.
+  // A queue that grew while requests were fast is too long once they are slow.
+  // A request with little time left is then dropped on arrival and must not
+  // cause another one to be shed.
   pollenring::ManualClock clock{std::chrono::hours{1}};
   pollenring::AdmissionOptions options;
   options.limit.fixed = true;
@@ -251,7 +252,7 @@
                       offer(Importance::kLow, std::chrono::milliseconds{1}));
   REQUIRE(actions.shed.size() == 1);
   CHECK(actions.shed[0].id == id);
-  // One that waits still takes the place of the least important.
+  // A request that can wait still replaces the least important one.
   actions = offer(Importance::kHigh, std::chrono::seconds{30});
   CHECK(actions.shed.size() == 1);
 }
@@ -269,7 +270,7 @@
     std::map<std::uint64_t, pollenring::Time> running;
     for (std::uint64_t id = 1; id <= 4000; ++id) {
       clock.Advance(std::chrono::microseconds{100 + random.Index(4000)});
-      // Requests are quick and slow by turns of a second.
+      // Requests alternate between fast and slow every second.
       const bool slow = clock.Now().count() / 1'000'000 % 2 == 1;
       const auto start = [&](const AdmissionActions &actions) {
         for (const auto started : actions.start) {
@@ -316,7 +317,7 @@
     }
   };
   run(std::chrono::milliseconds{20}, false, 200);
-  // Twice as slow from now on; at first something else slows it down as well.
+  // Twice as slow from here on; at first, another cause slows it further.
   run(std::chrono::milliseconds{50}, true, 100);
   run(std::chrono::milliseconds{40}, true, 300);
   CHECK(limit.Current() == 4);
--- a/test/pollenring/admission/cold_gate_test.cc
+++ b/test/pollenring/admission/cold_gate_test.cc
@@ -35,15 +35,15 @@
   return options;
 }
 
-/*! @brief A target that crashes when it gets more than it bears while cold, and
- * comes back cold. */
+/*! @brief A target that crashes above its cold-start limit and restarts cold.
+ */
 class FragileTarget {
  public:
   explicit FragileTarget(const ManualClock &clock) : clock{clock} {
     this->Restart();
   }
 
-  /*! @brief A request arrives. @return Whether it is served. */
+  /*! @brief Receives a request. @return True if it is served. */
   bool Receive() {
     if (this->Down()) return false;
     const Time now = this->clock.Now();
@@ -62,7 +62,7 @@
   [[nodiscard]] bool Cold() const { return this->clock.Now() < this->warm_at; }
   [[nodiscard]] Time WarmAt() const { return this->warm_at; }
 
-  /*! @brief It turns cold without a crash, as after an evacuation. */
+  /*! @brief Turns cold without a crash, as after an evacuation. */
   void TurnCold() { this->warm_at = this->clock.Now() + 3s; }
 
   static constexpr std::size_t kBears = 26;
@@ -81,7 +81,7 @@
   Time warm_at{};
 };
 
-/*! @brief One target under load, with its admission and its heartbeats. */
+/*! @brief A target under load, with its admission and heartbeats. */
 struct ColdWorld {
   ColdWorld(std::uint64_t seed, const ColdTolerance &tolerance)
       : random{seed}, admission{45, Options(), clock}, target{clock} {
@@ -160,7 +160,7 @@
     clock.Advance(Span{static_cast<std::int64_t>(random.Index(1000))});
     if (!gate.HasRoom()) continue;
     gate.Sent(++id);
-    // Those that the target turned away don't count.
+    // Requests that the target rejected don't count.
     if (random.Chance(0.3)) {
       gate.GiveBack(id);
       continue;
@@ -181,7 +181,7 @@
   CHECK_FALSE(gate.HasRoom());
   gate.GiveBack(1);
   CHECK(gate.HasRoom());
-  // Once, and only what was sent.
+  // Only once, and only for a request that was sent.
   gate.GiveBack(1);
   gate.GiveBack(7);
   gate.Sent(3);
@@ -200,7 +200,7 @@
   clock.Advance(300ms);
   CHECK(gate.HasRoom());
   CHECK(gate.ColdFor() == Span{0});
-  // Word that it is warm already counts at once.
+  // A report that the target is warm takes effect immediately.
   gate.SetColdUntil(clock.Now() + 3s);
   gate.Sent(2);
   CHECK_FALSE(gate.HasRoom());
@@ -246,7 +246,7 @@
 TEST_CASE("cold gate: levels of a cold target end with its coldness") {
   ColdWorld world{3, kTolerance};
   world.Run(2s, 900);
-  // It bears a fiftieth of what is offered.
+  // The cold-start limit is 2 % of the offered load.
   CHECK(world.admission.LevelOf({}) > 1.5);
   world.Run(1200ms, 900);
   CHECK(world.admission.LevelOf({}) < 0.2);
--- a/test/pollenring/admission/concurrency_limit_test.cc
+++ b/test/pollenring/admission/concurrency_limit_test.cc
@@ -13,7 +13,8 @@
 using pollenring::SeededRandom;
 using pollenring::Span;
 
-/*! @brief Runs a target that always has work; its last slots may slow it. */
+/*! @brief Limit after a run in which a full target slows down.
+ * @param slower_when_full Factor on times while the last slots are used. */
 [[nodiscard]] int LimitAfter(int slots, double slower_when_full) {
   ManualClock clock{std::chrono::hours{1}};
   ConcurrencyLimitOptions options;
@@ -21,7 +22,7 @@
   ConcurrencyLimit limit{static_cast<std::uint32_t>(slots), options, clock};
   SeededRandom random{5};
   for (int i = 0; i < 3000; ++i) {
-    // Use rises and falls with the load.
+    // Utilization varies with the load.
     const int running = 1 + (i % limit.Current());
     const bool full = running > slots * 0.95;
     const double ms =
--- a/test/pollenring/admission/fair_queue_test.cc
+++ b/test/pollenring/admission/fair_queue_test.cc
@@ -15,14 +15,14 @@
 using pollenring::Ticket;
 using pollenring::Time;
 
-/*! @brief Least part of its due that a workspace may be served. */
+/*! @brief Minimum fraction of its due that a workspace must be served. */
 constexpr double kLeastOfDue = 0.95;
 
-/*! @brief A workspace that asks for more than its due all the time. */
+/*! @brief A workspace that always requests more than its due. */
 struct Asker {
   std::string name;
   double weight{};
-  double asked_per_turn{}; /*!< Requests while one request is served. */
+  double asked_per_turn{}; /*!< Requests per served request. */
   std::uint64_t served{};
 };
 
@@ -38,7 +38,7 @@
       askers.push_back({"small" + std::to_string(i), 10, 0, 0});
       weights += 10;
     }
-    // Twice its due, one request at a time and at random moments.
+    // Twice its due, one request at a time, at random moments.
     for (auto &asker : askers) {
       if (asker.weight > 10) continue;
       asker.asked_per_turn = 2 * asker.weight / weights;
@@ -49,7 +49,7 @@
     constexpr std::size_t kRoom = 16;
     for (int turn = 0; turn < kTurns; ++turn) {
       for (auto &asker : askers) {
-        // A hundred moments in each turn, so that arrivals are random.
+        // 100 steps per turn, so that arrivals are random.
         for (int moment = 0; moment < 100; ++moment) {
           if (!random.Chance(asker.asked_per_turn / 100)) continue;
           Ticket ticket;
--- a/test/pollenring/admission/fit_level_test.cc
+++ b/test/pollenring/admission/fit_level_test.cc
@@ -17,15 +17,15 @@
 using pollenring::Span;
 using pollenring::Ticket;
 
-/*! @brief A service whose roots arrive some time after they are let in. */
+/*! @brief A service that requests reach some time after their admission. */
 class DeepService {
  public:
-  /*! @brief Callers refuse below that part of the level. */
+  /*! @brief Callers refuse below the fraction `heard` of the level. */
   explicit DeepService(Span way, double heard = 1,
                        Importance importance = Importance::kLow)
       : way{way}, heard{heard}, importance{importance} {}
 
-  /*! @brief Runs for a while at an offered rate. @return Mean part kept. */
+  /*! @brief Runs at an offered rate. @return Fraction of requests admitted. */
   double Run(Span length, double offered_per_second) {
     const Span step = 10ms;
     double kept = 0;
@@ -94,7 +94,7 @@
   CAPTURE(way.count());
   DeepService service{way};
   static_cast<void>(service.Run(10s, 2000));
-  // Steady by now: what is let in fits and slots don't idle.
+  // In the steady state admitted requests fit and slots don't idle.
   service.longest = 0;
   const double kept = service.Run(20s, 2000);
   CHECK(kept * 2000 > 0.8 * DeepService::kCapacity);
@@ -121,7 +121,7 @@
 }
 
 TEST_CASE("fit level: a queue is drained though callers heard half the level") {
-  // As where a second target of the service has room that nobody uses.
+  // As if a second target of the service had unused capacity.
   DeepService service{200ms, 0.5};
   static_cast<void>(service.Run(15s, 2000));
   service.longest = 0;
