Reword comments of routing

Comments called an ejected target set aside and a response an answer, and left open what a share of faults or a draw is. They use the usual terms of load balancing: ejection, trial call, response time, fault rate. Only comments differ; comparing the code tokens of all changed files lists no difference.

--- a/src/pollenring/routing/load_report.h
+++ b/src/pollenring/routing/load_report.h
@@ -8,11 +8,11 @@
 
 namespace pollenring {
 
-/*! @brief Load of a target as its node measures it; rides on each answer. */
+/*! @brief Load of a target, measured by its node; sent with each reply. */
 struct LoadReport {
   std::uint32_t in_progress{}; /*!< Running and queued requests. */
   std::uint32_t limit{};       /*!< Requests that may run at once. */
-  std::uint32_t cold_ms{};     /*!< How long the target stays cold. */
+  std::uint32_t cold_ms{};     /*!< Remaining cold time; 0 if warm. */
 };
 
 template <>
--- a/src/pollenring/routing/router.cc
+++ b/src/pollenring/routing/router.cc
@@ -7,21 +7,21 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Weight of one answer's time; some ten answers make the mean. */
+/*! @brief Weight of one response time; the mean spans about ten responses. */
 constexpr double kTimeWeight = 0.1;
-/*! @brief Weight of one call's end in the part that fails. */
+/*! @brief Weight of one call's outcome in the fault rate. */
 constexpr double kFaultWeight = 0.1;
-/*! @brief Time after which a share of faults that nothing confirms counts as a
- * third of it, so that a target that is well again is tried again. */
+/*! @brief Time in which an unconfirmed fault rate decays to a third, so that a
+ * recovered target is tried again. */
 constexpr Span kFaultMemory = std::chrono::seconds{3};
-/*! @brief Calls' times that one failed call costs; a request makes some ten
- * calls, and one that fails wastes all of them. */
+/*! @brief Cost of a failed call in call durations; a request makes about ten
+ * calls, and one failure wastes them all. */
 constexpr double kFaultCost = 12;
-/*! @brief How long a target that is said to be cold is taken as such; its
- * answers tell the end of it. */
+/*! @brief How long a target advertised as cold is assumed to be; its replies
+ * report the remaining time. */
 constexpr Span kColdUntold = std::chrono::seconds{3};
-/*! @brief Targets of a service among which all are compared; beyond, so many
- * are drawn. */
+/*! @brief Maximum number of targets to compare; of more, this many are drawn
+ * at random. */
 constexpr std::size_t kMostCompared = 8;
 
 }  // namespace
@@ -127,7 +127,7 @@
                                          return untried.Allows(*endpoint);
                                        });
                   });
-  // While another target is usable, those set aside get trials only.
+  // While another target is usable, ejected ones get trial calls only.
   if (any_usable) return std::nullopt;
   for (const auto &[until, node] : service.ejected) {
     if (choice.Allows(*service.endpoints.at(node))) return node;
@@ -159,7 +159,7 @@
     const bool was_cold = this->Cold(endpoint);
     endpoint.cold_until =
         this->clock.Now() + std::chrono::milliseconds{report->cold_ms};
-    // Times of a cold target say nothing of it once it is warm.
+    // Response times of a cold target don't apply once it is warm.
     if (was_cold && report->cold_ms == 0) endpoint.time_us = 0;
   }
   if (took > Span{0}) {
@@ -227,7 +227,7 @@
   const double far = endpoint.nearness == Nearness::kZone
                          ? 0
                          : static_cast<double>(this->options.zone_cost.count());
-  // Own calls under way there are known at once, its reported load later.
+  // Own calls in progress are known at once, the reported load later.
   return time * (1 + endpoint.in_progress / std::max(1.0, endpoint.limit)) *
              (1 + 2 * beyond) * (1 + kFaultCost * this->FaultShare(endpoint)) /
              this->RampFraction(endpoint) +
@@ -246,7 +246,7 @@
     compared[this->random.Index(compared.size())] = compared.back();
     compared.pop_back();
   }
-  // One that has not answered yet is taken for as good as the best.
+  // A target without a measured time is assumed as fast as the fastest.
   double shortest = 0;
   for (const Endpoint *endpoint : compared) {
     const double time = endpoint->time_us;
@@ -255,7 +255,7 @@
   const Endpoint *best = nullptr;
   double least = 0;
   for (const Endpoint *endpoint : compared) {
-    // Many nodes choose at once: near equals are to be told apart at random.
+    // Many nodes choose at once; noise spreads them over near-equal targets.
     const double cost =
         this->Cost(*endpoint, shortest) * (1 + 0.2 * this->random.Fraction());
     if (best != nullptr && cost >= least) continue;
@@ -290,7 +290,7 @@
   if (first->first > this->clock.Now()) return nullptr;
   Endpoint *endpoint = service.endpoints.at(first->second).get();
   if (!choice.Allows(*endpoint)) return nullptr;
-  // One call goes there; the next trial waits for its end or a full ejection.
+  // One trial call; the next waits for its end or a full ejection time.
   service.ejected.erase(first);
   endpoint->ejected_until = this->clock.Now() + endpoint->ejection;
   service.ejected.emplace(endpoint->ejected_until, endpoint->node);
--- a/src/pollenring/routing/router.h
+++ b/src/pollenring/routing/router.h
@@ -18,30 +18,30 @@
 
 namespace pollenring {
 
-/*! @brief How a call to a target's node ended, as far as routing cares. */
+/*! @brief Outcome of a call to a target's node, as routing sees it. */
 enum class CallVerdict {
   kAnswered,
-  kShed,   /*!< By its node; the target is full. */
-  kFaulty, /*!< The target answers, but with an error or a rejection. */
-  kFailed  /*!< No answer that can be used. */
+  kShed,   /*!< Shed by its node; the target is full. */
+  kFaulty, /*!< The target responds with an error or a rejection. */
+  kFailed  /*!< No usable response. */
 };
 
-/*! @brief Which target is chosen while several have room. */
+/*! @brief Which target is chosen while several have capacity. */
 enum class RouteOrder {
-  kNearest, /*!< One of the nearest availability zone. */
-  kSoonest  /*!< The one that is likely to answer first. */
+  kNearest, /*!< In the nearest availability zone. */
+  kSoonest  /*!< With the lowest expected latency. */
 };
 
-/*! @brief A target that is set aside, or used again. */
+/*! @brief A target that was ejected or restored. */
 struct RouteChange {
   std::string service;
   NodeId node{};
   bool set_aside{};
-  int failures{}; /*!< In a row. */
-  Span pause{};   /*!< Until it is tried again; 0 when it is used again. */
+  int failures{}; /*!< Consecutive failures. */
+  Span pause{};   /*!< Until the next trial; 0 if restored. */
 };
 
-/*! @brief Limits of routing. */
+/*! @brief Settings of routing. */
 struct RouterOptions {
   Span first_ejection{std::chrono::milliseconds{500}};
   Span longest_ejection{std::chrono::seconds{8}};
@@ -50,58 +50,59 @@
   double ramp_floor{0.1};
   std::size_t choices{2};
   RouteOrder order{RouteOrder::kNearest};
-  /*! @brief What another zone must be sooner by, for the bytes between them. */
+  /*! @brief Latency advantage that justifies the traffic to another zone. */
   Span zone_cost{std::chrono::milliseconds{3}};
 };
 
 /**
  * @brief Chooses the target of a call.
  *
- * The nearest availability zone goes first while a target there has room; among
- * a few random targets the least loaded one is taken. A target that fails is
- * set aside, tried again by one call at a time, and ramped up once it answers.
+ * The nearest availability zone is preferred while a target there has capacity;
+ * of a few random targets the least loaded is chosen. A failing target is
+ * ejected, probed by one call at a time, and ramped up once it responds.
  */
 class Router {
  public:
   /**
-   * @brief Creates a router that knows no target.
+   * @brief Creates a router without targets.
    * @param zone Own availability zone.
    * @param region Own region.
-   * @param options Limits.
+   * @param options Settings.
    * @param clock Clock.
-   * @param random Randomness.
+   * @param random Source of randomness.
    */
   Router(std::string zone, std::string region, const RouterOptions &options,
          const Clock &clock, Random &random);
 
   /**
-   * @brief Takes in a member's record.
-   * @param member The record.
+   * @brief Records a member's state and targets.
+   * @param member The member.
    */
   void Update(const Member &member);
 
   /**
-   * @brief Sets which zones' targets get nothing; update all members after.
+   * @brief Sets the withdrawn zones, whose targets get no calls; update all
+   * members afterwards.
    * @param given The zones.
-   * @return Whether they are others than before.
+   * @return True if the zones changed.
    */
   bool Withdraw(std::vector<std::string> given);
 
   /**
    * @brief Chooses a target; call `Started` when it is used.
    * @param service The service.
-   * @param avoid Nodes that this request has tried already.
-   * @param regions Where it may run; empty for anywhere.
-   * @return The node beside the target, or nothing when none is left.
+   * @param avoid Nodes that the request has already tried.
+   * @param regions Regions where it may run; empty for any.
+   * @return The target's node, or nothing if none is left.
    */
   [[nodiscard]] std::optional<NodeId> Choose(
       const std::string &service, const std::vector<NodeId> &avoid,
       const std::vector<std::string> &regions = {});
 
   /**
-   * @brief Tells whether a target is known that is not cold.
+   * @brief Checks if a service has a warm target.
    * @param service The service.
-   * @return So; one that is set aside does not count.
+   * @return True if it has; ejected targets don't count.
    */
   [[nodiscard]] bool HasWarm(const std::string &service) const;
 
@@ -113,25 +114,25 @@
   void Started(const std::string &service, NodeId node);
 
   /**
-   * @brief Ends a call.
+   * @brief Records the end of a call.
    * @param service The service.
    * @param node The node.
-   * @param verdict How it ended.
-   * @param report Load that came with the answer, if one came.
-   * @param took Time to the target's answer; 0 when it gave none.
+   * @param verdict Its outcome.
+   * @param report Load reported with the reply, if any.
+   * @param took Response time of the target; 0 without a response.
    */
   void Finished(const std::string &service, NodeId node, CallVerdict verdict,
                 const std::optional<LoadReport> &report, Span took = Span{0});
 
-  /*! @brief Takes what has changed since the last time. @return Changes. */
+  /*! @brief Takes the changes since the last call. @return The changes. */
   [[nodiscard]] std::vector<RouteChange> TakeChanges() {
     return std::exchange(this->changes, {});
   }
 
   /**
-   * @brief Counts a service's targets that take new work.
+   * @brief Counts the targets of a service that accept new work.
    * @param service The service.
-   * @return The count, targets set aside included.
+   * @return The count, including ejected targets.
    */
   [[nodiscard]] std::size_t Count(const std::string &service) const;
 
@@ -153,13 +154,13 @@
     Time cold_until{};
     std::string region;
     Time ramp_from{};
-    double time_us{};     /*!< Smoothed time to an answer; 0 while unknown. */
-    double fault_share{}; /*!< Smoothed part of its calls that fail. */
-    Time fault_seen{};    /*!< When it last changed. */
+    double time_us{};     /*!< Smoothed response time; 0 while unknown. */
+    double fault_share{}; /*!< Smoothed fraction of its calls that fail. */
+    Time fault_seen{};    /*!< When fault_share last changed. */
     std::size_t position{};
   };
 
-  /*! @brief What a request leaves out. */
+  /*! @brief Which targets a request may use. */
   struct Choice {
     const std::vector<NodeId> &avoid;
     const std::vector<std::string> &regions;
@@ -183,7 +184,7 @@
   [[nodiscard]] double RampFraction(const Endpoint &endpoint) const noexcept;
   [[nodiscard]] Endpoint *Sample(const std::vector<Endpoint *> &from,
                                  const Choice &choice);
-  /*! @brief When every target is set aside, the one due next. */
+  /*! @brief If all targets are ejected, the one due for a trial next. */
   [[nodiscard]] static std::optional<NodeId> SetAsideLongest(
       const Service &service, const Choice &choice);
   [[nodiscard]] Endpoint *DueTrial(Service &service, const Choice &choice);
--- a/test/pollenring/routing/router_test.cc
+++ b/test/pollenring/routing/router_test.cc
@@ -86,7 +86,7 @@
   round(CallVerdict::kFailed);
   CHECK(to_failing <= 1);
   this->clock.Advance(std::chrono::seconds{9});
-  // One trial, not a herd; and with its success the target is back.
+  // A single trial call; its success restores the target.
   NodeId trial = this->Start();
   CHECK(trial == 3);
   for (int i = 0; i < 50; ++i) CHECK(this->Start() != 3);
@@ -113,7 +113,7 @@
 }
 
 TEST_CASE_METHOD(Fixture, "router: reported load counts more than a lie") {
-  // Node 3 reports that it is full, though this node has sent it nothing.
+  // Node 3 reports that it is full, although this node has sent it no calls.
   this->router.Started("s", 3);
   this->router.Finished("s", 3, CallVerdict::kAnswered,
                         pollenring::LoadReport{40, 10});
@@ -141,7 +141,7 @@
     tried.push_back(*node);
   }
   CHECK_FALSE(this->router.Choose("s", tried));
-  // One that answers is usable again, and the others get trials only.
+  // A target that responds is usable again; the others get trial calls only.
   this->router.Finished("s", 4, CallVerdict::kAnswered, std::nullopt);
   CHECK(this->Start() == 4);
   CHECK_FALSE(this->router.Choose("s", {4}));
@@ -149,7 +149,7 @@
 
 namespace {
 
-/*! @brief A router in zone "a" that prefers the soonest answer. */
+/*! @brief A router in zone "a" that prefers the lowest latency. */
 struct SoonestWorld {
   SoonestWorld(std::uint64_t seed, const std::vector<std::string> &zones)
       : random{seed}, router{"a", "r", Options(), this->clock, this->random} {
@@ -171,7 +171,7 @@
     return *node;
   }
 
-  /*! @brief Starts calls that all take 30 ms. @return How many each got. */
+  /*! @brief Runs calls that all take 30 ms. @return Calls per node. */
   std::map<NodeId, int> Spread(int calls) {
     std::map<NodeId, int> started;
     for (int i = 0; i < calls; ++i) {
@@ -202,7 +202,7 @@
     "router: the target that answers soonest gets most, until it is full") {
   SoonestWorld world{9, {"b", "b", "a"}};
   std::map<pollenring::NodeId, int> started;
-  // The third is in this zone and takes three times as long.
+  // The third is in the own zone and takes three times as long.
   const auto took = [](pollenring::NodeId id) {
     return pollenring::Span{id == 3 ? 90'000 : 30'000};
   };
@@ -216,7 +216,7 @@
   CHECK(started[3] < 40);
   CHECK(started[1] > 100);
   CHECK(started[2] > 100);
-  // With the sooner ones overfull it takes its part.
+  // With the faster ones overloaded it gets its part.
   started.clear();
   for (int i = 0; i < 80; ++i) {
     const pollenring::NodeId node = world.Start();
@@ -244,7 +244,7 @@
     return to_second;
   };
   CHECK(play(1000, 0) > 350);
-  // Failures in a row alone leave it 88 calls of these 1500.
+  // Ejection by consecutive failures alone leaves it 88 of 1500 calls.
   CHECK(play(1500, 0.2) < 40);
   CHECK(play(2000, 0) > 400);
   CHECK(play(1000, 0) > 350);
@@ -303,7 +303,7 @@
   }
   CHECK_FALSE(world.router.Choose("s", {4}, {"q"}));
   CHECK_FALSE(world.router.Choose("s", {}, {"none"}));
-  // Also when all targets there are set aside, and others are not.
+  // Also if all targets there are ejected and others are not.
   for (int i = 0; i < 3; ++i) {
     world.router.Started("s", 4);
     world.router.Finished("s", 4, CallVerdict::kFailed, std::nullopt);
