Rename the scenario reader's Duration to ReadDuration

A reader took Span for the unit of work of a trace, while it is a length of time. Duration becomes ReadDuration.

--- a/tools/pollenring-load/scenario.cc
+++ b/tools/pollenring-load/scenario.cc
@@ -36,7 +36,7 @@
     if (!given) this->Report(key, "must be a number");
   }
 
-  void Duration(std::string_view key, Span &value) {
+  void ReadDuration(std::string_view key, Span &value) {
     std::string text;
     this->Text(key, text);
     if (text.empty()) return;
@@ -112,11 +112,11 @@
     }
   }
   if (scenario.nodes.empty()) reader.Report("nodes", "must list addresses");
-  reader.Duration("length", scenario.length);
-  reader.Duration("trigger_from", scenario.trigger_from);
-  reader.Duration("trigger_to", scenario.trigger_to);
-  reader.Duration("timeout", scenario.timeout);
-  reader.Duration("retry_pause", scenario.retry_pause);
+  reader.ReadDuration("length", scenario.length);
+  reader.ReadDuration("trigger_from", scenario.trigger_from);
+  reader.ReadDuration("trigger_to", scenario.trigger_to);
+  reader.ReadDuration("timeout", scenario.timeout);
+  reader.ReadDuration("retry_pause", scenario.retry_pause);
   reader.Rate("capacity", scenario.capacity);
   double number = scenario.retries;
   reader.Number("retries", number);
