--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -14,7 +14,7 @@
 namespace {
 
 /*! @brief Memory of how many requests are offered; as long as a level's. */
-constexpr Span kOfferedMemory = std::chrono::milliseconds{500};
+constexpr Duration kOfferedMemory = std::chrono::milliseconds{500};
 
 [[nodiscard]] std::unique_ptr<LevelControl> MakeLevels(
     const AdmissionOptions &options, const Clock &clock) {
@@ -64,7 +64,7 @@
 }
 
 double Admission::OfferedNow() const {
-  const Span since = this->clock.Now() - this->offered_at;
+  const Duration since = this->clock.Now() - this->offered_at;
   return this->offered * std::exp(-static_cast<double>(since.count()) /
                                   static_cast<double>(kOfferedMemory.count()));
 }
@@ -97,13 +97,13 @@
   return actions;
 }
 
-AdmissionActions Admission::Finish(std::uint64_t id, Span time_in_sub_calls,
+AdmissionActions Admission::Finish(std::uint64_t id, Duration time_in_sub_calls,
                                    bool refused_by_target) {
   AdmissionActions actions;
   const auto found = this->running.find(id);
   if (found == this->running.end()) return actions;
-  const Span whole = this->clock.Now() - found->second.started;
-  const Span own = std::max(Span{0}, whole - time_in_sub_calls);
+  const Duration whole = this->clock.Now() - found->second.started;
+  const Duration own = std::max(Duration{0}, whole - time_in_sub_calls);
   this->limit.Sample(own, whole, found->second.running_at_start,
                      refused_by_target);
   this->running.erase(found);
@@ -185,26 +185,26 @@
   if (this->cold.Closed()) {
     state.capacity = this->cold.PerSecond();
     // What doesn't fit is shed at once, so no queue tells of it.
-    const Span since = this->clock.Now() - this->cold_shed_at;
+    const Duration since = this->clock.Now() - this->cold_shed_at;
     if (since < this->options.level_window) {
       state.delay = this->options.fit.longest;
     }
     return state;
   }
-  const Span typical = this->limit.TypicalTime();
-  if (typical <= Span{0}) return state;
+  const Duration typical = this->limit.TypicalTime();
+  if (typical <= Duration{0}) return state;
   const double seconds = std::chrono::duration<double>{typical}.count();
   state.capacity = static_cast<double>(this->limit.Current()) / seconds;
   const double delay =
       static_cast<double>(this->queue->Size()) / state.capacity;
-  state.delay =
-      std::chrono::duration_cast<Span>(std::chrono::duration<double>{delay});
+  state.delay = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>{delay});
   return state;
 }
 
 std::size_t Admission::QueueCapacity() const noexcept {
-  const Span typical = this->limit.TypicalTime();
-  if (typical <= Span{0}) {
+  const Duration typical = this->limit.TypicalTime();
+  if (typical <= Duration{0}) {
     return std::max(this->options.shortest_queue,
                     static_cast<std::size_t>(this->limit.Current()));
   }
--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -47,8 +47,8 @@
   LevelCause level_cause{LevelCause::kShed};
   QueueOrder order{QueueOrder::kFair};
   FitLevelOptions fit;
-  Span level_window{std::chrono::milliseconds{100}};
-  Span queue_time{std::chrono::milliseconds{100}};
+  Duration level_window{std::chrono::milliseconds{100}};
+  Duration queue_time{std::chrono::milliseconds{100}};
   std::size_t shortest_queue{4};
   std::size_t longest_queue{1024};
   std::size_t critical_queue_factor{16};
@@ -99,7 +99,9 @@
   void SetColdUntil(Time until);
 
   /*! @brief How long the target stays cold. @return The span, or 0. */
-  [[nodiscard]] Span ColdFor() const noexcept { return this->cold.ColdFor(); }
+  [[nodiscard]] Duration ColdFor() const noexcept {
+    return this->cold.ColdFor();
+  }
 
   /*! @brief Requests at the target now. @return The count. */
   [[nodiscard]] std::size_t Running() const noexcept {
@@ -132,7 +134,7 @@
    * @return What to start and what to shed.
    */
   [[nodiscard]] AdmissionActions Finish(std::uint64_t id,
-                                        Span time_in_sub_calls,
+                                        Duration time_in_sub_calls,
                                         bool refused_by_target);
 
   /**
--- a/src/pollenring/admission/cold_gate.cc
+++ b/src/pollenring/admission/cold_gate.cc
@@ -9,8 +9,8 @@
   return seconds > 0 ? this->requests / seconds : 0;
 }
 
-Span ColdGate::ColdFor() const noexcept {
-  return std::max(Span{0}, this->cold_until - this->clock.Now());
+Duration ColdGate::ColdFor() const noexcept {
+  return std::max(Duration{0}, this->cold_until - this->clock.Now());
 }
 
 void ColdGate::DropOld() {
--- a/src/pollenring/admission/cold_gate.h
+++ b/src/pollenring/admission/cold_gate.h
@@ -18,7 +18,7 @@
 /*! @brief How many requests a cold target bears. */
 struct ColdTolerance {
   int requests{}; /*!< In any window; 0 where coldness needs no bound. */
-  Span window{};
+  Duration window{};
 
   /*! @brief Requests borne over time. @return A second. */
   [[nodiscard]] double PerSecond() const noexcept;
@@ -50,11 +50,11 @@
 
   /*! @brief Whether the bound applies now. @return So. */
   [[nodiscard]] bool Closed() const noexcept {
-    return this->tolerance.requests > 0 && this->ColdFor() > Span{0};
+    return this->tolerance.requests > 0 && this->ColdFor() > Duration{0};
   }
 
   /*! @brief How long the target stays cold. @return The span, or 0. */
-  [[nodiscard]] Span ColdFor() const noexcept;
+  [[nodiscard]] Duration ColdFor() const noexcept;
 
   /*! @brief Requests borne over time while it is cold. @return A second. */
   [[nodiscard]] double PerSecond() const noexcept {
--- a/src/pollenring/admission/concurrency_limit.cc
+++ b/src/pollenring/admission/concurrency_limit.cc
@@ -41,8 +41,8 @@
       limit{this->announced},
       window_start{clock.Now()} {}
 
-void ConcurrencyLimit::Sample(Span own_time, Span whole_time, int running,
-                              bool refused_by_target) {
+void ConcurrencyLimit::Sample(Duration own_time, Duration whole_time,
+                              int running, bool refused_by_target) {
   // What started under another limit tells nothing about this one.
   if (this->clock.Now() - whole_time < this->changed_at) return;
   if (refused_by_target) {
@@ -54,7 +54,7 @@
     if (this->options.fixed) this->LearnCrowding(own_time, running);
     if (running >= this->Current()) ++this->full_samples;
   }
-  const Span age = this->clock.Now() - this->window_start;
+  const Duration age = this->clock.Now() - this->window_start;
   const int count = this->samples + this->refused;
   const bool enough =
       count >= this->EnoughSamples() && age >= this->options.shortest_window;
@@ -70,7 +70,7 @@
                : this->options.enough_samples;
 }
 
-void ConcurrencyLimit::LearnCrowding(Span own_time, int running) {
+void ConcurrencyLimit::LearnCrowding(Duration own_time, int running) {
   const double used = running / this->announced;
   if (used < kBusy || this->announced < kFewSlots) return;
   MeanTime &mean = used > kNearlyFull ? this->crowded : this->busy;
@@ -95,7 +95,7 @@
   const double own_us_each = this->own_us / std::max(1, this->samples);
   if (this->samples > 0) {
     this->typical =
-        Span{static_cast<std::int64_t>(this->whole_us / this->samples)};
+        Duration{static_cast<std::int64_t>(this->whole_us / this->samples)};
   }
   if (this->options.fixed) {
     // The announced slots hold.
--- a/src/pollenring/admission/concurrency_limit.h
+++ b/src/pollenring/admission/concurrency_limit.h
@@ -11,8 +11,8 @@
 
 /*! @brief Limits of the concurrency limit. */
 struct ConcurrencyLimitOptions {
-  Span shortest_window{std::chrono::milliseconds{200}};
-  Span longest_window{std::chrono::seconds{2}};
+  Duration shortest_window{std::chrono::milliseconds{200}};
+  Duration longest_window{std::chrono::seconds{2}};
   int enough_samples{100};
   int lower_trial_samples{30}; /*!< A lower limit costs capacity meanwhile. */
   int fewest_samples{8};
@@ -49,7 +49,7 @@
   }
 
   /*! @brief Typical time of one request at the target. @return The time. */
-  [[nodiscard]] Span TypicalTime() const noexcept { return this->typical; }
+  [[nodiscard]] Duration TypicalTime() const noexcept { return this->typical; }
 
   /**
    * @brief Takes in one finished request.
@@ -58,7 +58,7 @@
    * @param running Requests that ran when it started.
    * @param refused_by_target Whether the target shed it.
    */
-  void Sample(Span own_time, Span whole_time, int running,
+  void Sample(Duration own_time, Duration whole_time, int running,
               bool refused_by_target);
 
  private:
@@ -80,7 +80,7 @@
     }
   };
 
-  void LearnCrowding(Span own_time, int running);
+  void LearnCrowding(Duration own_time, int running);
   void CloseWindow();
   void LearnBaseline(double own_us_each);
   [[nodiscard]] bool MayTryLower(double own_us_each) const noexcept;
@@ -113,7 +113,7 @@
   int samples{};
   int full_samples{};
   int refused{};
-  Span typical{};
+  Duration typical{};
   MeanTime crowded; /*!< The last slots were in use. */
   MeanTime busy;    /*!< Most were, but not the last. */
 };
--- a/src/pollenring/admission/fit_level.cc
+++ b/src/pollenring/admission/fit_level.cc
@@ -12,7 +12,7 @@
 /*! @brief Faded count of critical requests from which there are any. */
 constexpr double kAnyCritical = 1;
 
-[[nodiscard]] double Seconds(Span span) noexcept {
+[[nodiscard]] double Seconds(Duration span) noexcept {
   return std::chrono::duration<double>{span}.count();
 }
 
@@ -57,7 +57,7 @@
 
 void FitLevel::Tick(const QueueState &queue) {
   const Time now = this->clock.Now();
-  const Span elapsed = now - this->window_start;
+  const Duration elapsed = now - this->window_start;
   if (elapsed < this->options.window) return;
   this->window_start = now;
   const double seconds = std::min(1.0, Seconds(elapsed));
--- a/src/pollenring/admission/fit_level.h
+++ b/src/pollenring/admission/fit_level.h
@@ -13,15 +13,15 @@
 
 /*! @brief Limits of the level that makes the offered load fit. */
 struct FitLevelOptions {
-  Span window{std::chrono::milliseconds{100}};
+  Duration window{std::chrono::milliseconds{100}};
   /*! @brief Memory of what was offered; a deep request takes about as long from
    * its first call here to its last. */
-  Span memory{std::chrono::milliseconds{500}};
+  Duration memory{std::chrono::milliseconds{500}};
   /*! @brief Delay up to which a queue is a burst and no overload; a deep
    * request waits that long several times. */
-  Span tolerated{std::chrono::milliseconds{6}};
+  Duration tolerated{std::chrono::milliseconds{6}};
   /*! @brief Delay that takes all of the reserve below. */
-  Span longest{std::chrono::milliseconds{100}};
+  Duration longest{std::chrono::milliseconds{100}};
   double load{0.95};    /*!< Part of the capacity that is given away. */
   double reserve{0.25}; /*!< Part of it kept back while a queue is drained. */
   double rise{0.5};     /*!< Part of the way to a higher level, a window. */
--- a/src/pollenring/admission/level_control.h
+++ b/src/pollenring/admission/level_control.h
@@ -10,7 +10,7 @@
 
 /*! @brief The queue beside a target, as it is now. */
 struct QueueState {
-  Span delay{};      /*!< Until all that wait now will have been started. */
+  Duration delay{};  /*!< Until all that wait now will have been started. */
   double capacity{}; /*!< Requests a second; 0 while it is not known. */
 };
 
--- a/src/pollenring/admission/shed_levels.cc
+++ b/src/pollenring/admission/shed_levels.cc
@@ -23,7 +23,7 @@
 
 }  // namespace
 
-ShedLevels::ShedLevels(Span window, const Clock &clock)
+ShedLevels::ShedLevels(Duration window, const Clock &clock)
     : window{window},
       clock{clock},
       window_start{clock.Now()},
--- a/src/pollenring/admission/shed_levels.h
+++ b/src/pollenring/admission/shed_levels.h
@@ -38,7 +38,7 @@
    * @param window Time between changes of the levels.
    * @param clock Clock.
    */
-  ShedLevels(Span window, const Clock &clock);
+  ShedLevels(Duration window, const Clock &clock);
 
   [[nodiscard]] double LevelOf(const std::string &workspace) const override;
   void Offered(const Ticket &ticket) override;
@@ -63,7 +63,7 @@
   void Release();
   void Decay();
 
-  Span window;
+  Duration window;
   const Clock &clock;
   Time window_start;
   std::unordered_map<std::string, Workspace> workspaces;
--- a/src/pollenring/contract/check.h
+++ b/src/pollenring/contract/check.h
@@ -9,7 +9,7 @@
 namespace pollenring {
 
 /*! @brief Shortest time that a workspace's burst must cover at its rate. */
-inline constexpr Span kShortestBurst = std::chrono::milliseconds{250};
+inline constexpr Duration kShortestBurst = std::chrono::milliseconds{250};
 
 /*! @brief Smallest burst that can be split over a workspace's slots. */
 inline constexpr double kSmallestBurst = 6;
--- a/src/pollenring/contract/contract.h
+++ b/src/pollenring/contract/contract.h
@@ -20,7 +20,7 @@
   Importance importance{Importance::kNormal};
   bool idempotent{true};
   bool open{false};
-  Span deadline{std::chrono::seconds{2}};
+  Duration deadline{std::chrono::seconds{2}};
   int retries{2};
 };
 
--- a/src/pollenring/contract/host_policy.h
+++ b/src/pollenring/contract/host_policy.h
@@ -26,10 +26,10 @@
   std::string host;
   std::string path_prefix;
   std::vector<RoutePart> parts;
-  int rank{};            /*!< 0 is served first. */
-  int attempts{1};       /*!< Most targets that one request is sent to. */
-  Span timeout{};        /*!< Longest wait of its caller. */
-  Span target_latency{}; /*!< Time within which an answer is worth most. */
+  int rank{};                /*!< 0 is served first. */
+  int attempts{1};           /*!< Most targets that one request is sent to. */
+  Duration timeout{};        /*!< Longest wait of its caller. */
+  Duration target_latency{}; /*!< Time within which an answer is worth most. */
   std::vector<std::string> regions; /*!< Where it may run; empty: anywhere. */
   bool idempotent{};                /*!< Whether it may run more than once. */
   bool open{};                      /*!< Whether it needs no key. */
@@ -53,7 +53,7 @@
 /*! @brief How long targets are cold after a start, and what they bear then. */
 struct ColdStart {
   std::string service;
-  Span cold_for{};
+  Duration cold_for{};
   double
       per_second{}; /*!< 0 where a cold target bears as much as a warm one. */
 };
--- a/src/pollenring/contract/json.cc
+++ b/src/pollenring/contract/json.cc
@@ -26,7 +26,7 @@
           .value_or(Importance::kNormal);
   route.idempotent = json.at("idempotent").get<bool>();
   route.open = json.at("open").get<bool>();
-  route.deadline = Span{json.at("deadline_us").get<std::int64_t>()};
+  route.deadline = Duration{json.at("deadline_us").get<std::int64_t>()};
   route.retries = json.at("retries").get<int>();
   return route;
 }
--- a/src/pollenring/contract/parse.cc
+++ b/src/pollenring/contract/parse.cc
@@ -105,7 +105,7 @@
   const auto text = reader.Text("deadline", false);
   if (!text) return;
   const auto span = ParseSpan(*text);
-  if (span && *span > Span{0}) {
+  if (span && *span > Duration{0}) {
     route.deadline = *span;
     return;
   }
@@ -209,7 +209,7 @@
 
 }  // namespace
 
-std::optional<Span> ParseSpan(std::string_view text) {
+std::optional<Duration> ParseSpan(std::string_view text) {
   struct Unit {
     std::string_view name;
     double micros;
@@ -220,7 +220,7 @@
   if (!number) return std::nullopt;
   for (const auto &unit : kUnits) {
     if (unit.name != number->unit) continue;
-    return Span{static_cast<std::int64_t>(number->value * unit.micros)};
+    return Duration{static_cast<std::int64_t>(number->value * unit.micros)};
   }
   return std::nullopt;
 }
--- a/src/pollenring/core/clock.h
+++ b/src/pollenring/core/clock.h
@@ -6,7 +6,7 @@
 namespace pollenring {
 
 /*! @brief A length of time, in microseconds. */
-using Span = std::chrono::microseconds;
+using Duration = std::chrono::microseconds;
 
 /*! @brief A point on one process's steady clock, as the time since its epoch.
  */
@@ -71,7 +71,7 @@
    * @brief Moves both clocks forward.
    * @param by How far.
    */
-  void Advance(Span by) noexcept { this->now += by; }
+  void Advance(Duration by) noexcept { this->now += by; }
 
  private:
   Time now;
--- a/src/pollenring/lease/slot_keeper.cc
+++ b/src/pollenring/lease/slot_keeper.cc
@@ -105,7 +105,7 @@
   if (slot.orphaned_at == Time{}) {
     slot.orphaned_at = now;
     slot.election_failed = false;
-    const Span spread = this->Jittered(this->options.claim_pause / 10);
+    const Duration spread = this->Jittered(this->options.claim_pause / 10);
     slot.retry_at = now + this->options.rank_pause * *rank + spread;
     slot.elect_at = now + spread;
     if (known != nullptr) {
@@ -277,13 +277,13 @@
 }
 
 bool SlotKeeper::Lapsed(const Slot &slot) const noexcept {
-  const Span unchanged = this->clock.Now() - slot.seen_since;
+  const Duration unchanged = this->clock.Now() - slot.seen_since;
   return unchanged > this->options.More(this->options.lapse);
 }
 
-Span SlotKeeper::Jittered(Span span) {
+Duration SlotKeeper::Jittered(Duration span) {
   const double factor = 0.5 + this->random.Fraction();
-  return Span{
+  return Duration{
       static_cast<std::int64_t>(static_cast<double>(span.count()) * factor)};
 }
 
--- a/src/pollenring/lease/slot_keeper.h
+++ b/src/pollenring/lease/slot_keeper.h
@@ -309,7 +309,7 @@
                                       const WitnessRef &ref);
   [[nodiscard]] bool IsMine(const SlotRow &row) const noexcept;
   [[nodiscard]] bool Lapsed(const Slot &slot) const noexcept;
-  [[nodiscard]] Span Jittered(Span span);
+  [[nodiscard]] Duration Jittered(Duration span);
 
   WitnessRef self;
   LeaseOptions options;
--- a/src/pollenring/lease/slot_keeper_held.cc
+++ b/src/pollenring/lease/slot_keeper_held.cc
@@ -129,7 +129,7 @@
   if (!answer.remembers || released || sealed) {
     // It can't elect anybody any more; what it has promised may still run.
     slot.sealed.insert(from);
-    const Span remaining{answer.remaining_us};
+    const Duration remaining{answer.remaining_us};
     slot.wait_until = std::max(
         slot.wait_until, this->clock.Now() + this->options.More(remaining));
   } else if (answer.released >= answer.epoch) {
@@ -221,7 +221,7 @@
     case Phase::kGiving: {
       slot.row = slot.in_table;
       slot.phase = Phase::kFree;
-      const Span since = this->clock.Now() - slot.touched;
+      const Duration since = this->clock.Now() - slot.touched;
       if (since > this->options.lapse / 4) {
         this->observer.Lost(id);
         return;
--- a/src/pollenring/lease/slot_keeper_take.cc
+++ b/src/pollenring/lease/slot_keeper_take.cc
@@ -109,7 +109,7 @@
   if (!IsWitness(slot.row, from)) return;
   this->NoteLastPromise(slot, from, answer);
   if (!slot.agreed.insert(from).second) return;
-  const Span remaining{answer.remaining_us};
+  const Duration remaining{answer.remaining_us};
   const Time end = this->clock.Now() + this->options.More(remaining);
   slot.wait_until = std::max(slot.wait_until, end);
   if (slot.agreed.size() < slot.row.Majority()) return;
--- a/src/pollenring/lease/witness.cc
+++ b/src/pollenring/lease/witness.cc
@@ -6,7 +6,7 @@
 namespace {
 
 /*! @brief Longest time from a datagram's sending to its arrival. */
-constexpr Span kLongestDelivery = std::chrono::minutes{2};
+constexpr Duration kLongestDelivery = std::chrono::minutes{2};
 
 }  // namespace
 
@@ -26,7 +26,7 @@
     // The process that was named has ended, at the latest when this one began.
     const Time until = this->started + this->options.promise;
     answer.granted = ask.request == WitnessRequest::kRelease;
-    answer.remaining_us = std::max(Span{0}, until - now).count();
+    answer.remaining_us = std::max(Duration{0}, until - now).count();
     return answer;
   }
   Slot &slot = this->slots[ask.slot];
@@ -57,7 +57,7 @@
   answer.promised = memory->second.promised;
   answer.promised_to = memory->second.promised_to;
   answer.remaining_us =
-      std::max(Span{0}, memory->second.promised_until - now).count();
+      std::max(Duration{0}, memory->second.promised_until - now).count();
   return answer;
 }
 
@@ -151,7 +151,7 @@
   const bool older = told.version == 0 || told.row.epoch < known.row.epoch;
   if (older) return;
   const Time ends = this->clock.Now() +
-                    this->options.Less(Span{told.lapse_left_us}) -
+                    this->options.Less(Duration{told.lapse_left_us}) -
                     kLongestDelivery;
   if (told.row.epoch == known.row.epoch) {
     // Of what its own holder says, the least is closest to the truth.
--- a/src/pollenring/link/link_client.cc
+++ b/src/pollenring/link/link_client.cc
@@ -10,15 +10,15 @@
 namespace pollenring {
 namespace {
 
-constexpr Span kAliveCheck = std::chrono::milliseconds{100};
+constexpr Duration kAliveCheck = std::chrono::milliseconds{100};
 /*! @brief Longest wait for a connection; a lost opening packet is sent again
  * after a second, by then another node has been asked. */
-constexpr Span kConnectTimeout = std::chrono::milliseconds{800};
+constexpr Duration kConnectTimeout = std::chrono::milliseconds{800};
 /*! @brief Silence, while calls are open, after which a ping is sent. */
-constexpr Span kQuiet = std::chrono::milliseconds{300};
+constexpr Duration kQuiet = std::chrono::milliseconds{300};
 /*! @brief Longest wait for any sign of life then; a node that has used up its
  * share of processor stands still for a tenth of a second. */
-constexpr Span kSignOfLife = std::chrono::milliseconds{800};
+constexpr Duration kSignOfLife = std::chrono::milliseconds{800};
 
 }  // namespace
 
@@ -190,7 +190,8 @@
 LinkClient::~LinkClient() = default;
 
 LinkClient::CallId LinkClient::Call(const Address &to, std::string_view path,
-                                    std::string body, Span timeout, Done done) {
+                                    std::string body, Duration timeout,
+                                    Done done) {
   const CallId id = ++this->last_id;
   auto &connection = this->connections[to];
   const bool fresh = !connection;
--- a/src/pollenring/link/link_client.h
+++ b/src/pollenring/link/link_client.h
@@ -45,7 +45,7 @@
    * @return Handle for `Cancel`.
    */
   CallId Call(const Address &to, std::string_view path, std::string body,
-              Span timeout, Done done);
+              Duration timeout, Done done);
 
   /**
    * @brief Drops a call and tells the peer; `done` is not called.
--- a/src/pollenring/link/link_server.cc
+++ b/src/pollenring/link/link_server.cc
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr int kAcceptsPerTurn = 16;
-constexpr Span kFirstMessageTimeout = std::chrono::seconds{10};
+constexpr Duration kFirstMessageTimeout = std::chrono::seconds{10};
 
 }  // namespace
 
--- a/src/pollenring/log/log.cc
+++ b/src/pollenring/log/log.cc
@@ -22,7 +22,7 @@
 constexpr int kRequestLinesPerSecond = 40;
 /*! @brief The same for failures and refusals. */
 constexpr int kFailureLinesPerSecond = 120;
-constexpr Span kBudgetWindow = std::chrono::seconds{1};
+constexpr Duration kBudgetWindow = std::chrono::seconds{1};
 
 constexpr EnumTable<LogLevel, 4> kLogLevelNames{{{
     {LogLevel::kDebug, "debug"},
--- a/src/pollenring/membership/membership.cc
+++ b/src/pollenring/membership/membership.cc
@@ -88,7 +88,7 @@
   // Only one that holds as new a version is as sure of it.
   const bool as_new = gossip.config_version <= this->config_version;
   if (as_new && gossip.store_age_ms >= 0) {
-    const Span age = std::chrono::milliseconds{gossip.store_age_ms};
+    const Duration age = std::chrono::milliseconds{gossip.store_age_ms};
     this->store_heard = std::max(this->store_heard, this->clock.Now() - age);
   }
   this->CompareDigest(gossip);
@@ -195,11 +195,11 @@
 void Membership::CompareDigest(const Gossip &gossip) {
   if (gossip.digest == this->WholeDigest()) return;
   const Time now = this->clock.Now();
-  const Span quiet = this->options.quiet_before_exchange;
+  const Duration quiet = this->options.quiet_before_exchange;
   // A young node lacks most records; waiting for gossip would take seconds.
   const bool young = now - this->started < this->options.young_for;
   if (!young && now - this->last_change < quiet) return;
-  const Span pause = young ? this->options.young_pause : quiet;
+  const Duration pause = young ? this->options.young_pause : quiet;
   if (now - this->last_exchange < pause) return;
   this->last_exchange = now;
   this->observer.RecordsDiffer(gossip.from);
@@ -255,7 +255,7 @@
   gossip.sequence = number;
   gossip.config_version = this->config_version;
   if (this->store_heard > Time{}) {
-    const Span age = this->clock.Now() - this->store_heard;
+    const Duration age = this->clock.Now() - this->store_heard;
     gossip.store_age_ms =
         std::chrono::ceil<std::chrono::milliseconds>(age).count();
   }
--- a/src/pollenring/membership/membership.h
+++ b/src/pollenring/membership/membership.h
@@ -166,20 +166,20 @@
 
 /*! @brief Timing of failure detection. */
 struct MembershipOptions {
-  Span probe_period{std::chrono::milliseconds{300}};
-  Span probe_timeout{std::chrono::milliseconds{200}};
+  Duration probe_period{std::chrono::milliseconds{300}};
+  Duration probe_timeout{std::chrono::milliseconds{200}};
   int probe_tries{3};
-  Span suspicion_timeout{std::chrono::milliseconds{1500}};
-  Span tombstone_age{std::chrono::minutes{10}};
+  Duration suspicion_timeout{std::chrono::milliseconds{1500}};
+  Duration tombstone_age{std::chrono::minutes{10}};
   /*! @brief Time for which a silent member may be behind a cut; cuts last for
    * seconds, and one that has ended for good never comes back. */
-  Span silent_age{std::chrono::minutes{1}};
-  Span quiet_before_exchange{std::chrono::seconds{2}};
+  Duration silent_age{std::chrono::minutes{1}};
+  Duration quiet_before_exchange{std::chrono::seconds{2}};
   /*! @brief Time after its start in which a node fetches what differs without
    * waiting for quiet; hundreds that start together never are quiet. */
-  Span young_for{std::chrono::seconds{6}};
+  Duration young_for{std::chrono::seconds{6}};
   /*! @brief Pause between two such exchanges; one takes some milliseconds. */
-  Span young_pause{std::chrono::milliseconds{400}};
+  Duration young_pause{std::chrono::milliseconds{400}};
   std::size_t updates_per_gossip{8};
   std::size_t spread_factor{3}; /*!< Sends per update, times log2 of members. */
 };
@@ -247,7 +247,7 @@
   }
 
   /*! @brief Time since any other node was heard. @return The age. */
-  [[nodiscard]] Span Silence() const noexcept {
+  [[nodiscard]] Duration Silence() const noexcept {
     return this->clock.Now() - this->last_heard;
   }
 
--- a/src/pollenring/membership/store_duty.cc
+++ b/src/pollenring/membership/store_duty.cc
@@ -41,9 +41,9 @@
   return std::max(this->options.per_zone, spread);
 }
 
-Span StoreDuty::NextWatch(Random &random) const {
+Duration StoreDuty::NextWatch(Random &random) const {
   const double part = 0.5 + random.Fraction() / 2;
-  return Span{static_cast<std::int64_t>(
+  return Duration{static_cast<std::int64_t>(
       part * static_cast<double>(this->options.longest_watch.count()))};
 }
 
@@ -52,7 +52,7 @@
   const std::size_t needed = this->Needed();
   if (rank < needed) return true;
   const auto later = static_cast<std::int64_t>(rank - needed);
-  const Span silence = this->clock.Now() - this->membership.StoreHeard();
+  const Duration silence = this->clock.Now() - this->membership.StoreHeard();
   return silence > this->options.stale_after + this->options.step_in * later;
 }
 
--- a/src/pollenring/membership/store_duty.h
+++ b/src/pollenring/membership/store_duty.h
@@ -16,14 +16,14 @@
   std::size_t fewest{6};   /*!< In all zones; a third may be cut off at once. */
   /*! @brief Age of the newest word from the store at which others step in;
    * with nodes on duty at work it reaches 300 nodes sooner. */
-  Span stale_after{std::chrono::milliseconds{2500}};
+  Duration stale_after{std::chrono::milliseconds{2500}};
   /*! @brief Time between two nodes of a zone that step in. */
-  Span step_in{std::chrono::milliseconds{40}};
+  Duration step_in{std::chrono::milliseconds{40}};
   /*! @brief Longest wait of one watch. A change must be in force within 2 s on
    * a node that was undisturbed for 3 s; a connection may fall silent
    * unnoticed.
    */
-  Span longest_watch{std::chrono::milliseconds{2200}};
+  Duration longest_watch{std::chrono::milliseconds{2200}};
 };
 
 /**
@@ -64,7 +64,7 @@
    * @param random Randomness.
    * @return From half of the longest wait to all of it.
    */
-  [[nodiscard]] Span NextWatch(Random &random) const;
+  [[nodiscard]] Duration NextWatch(Random &random) const;
 
  private:
   /*! @brief Nodes of the own zone that go before this one, and tell all that
--- a/src/pollenring/mesh/cold_policy.cc
+++ b/src/pollenring/mesh/cold_policy.cc
@@ -10,7 +10,7 @@
  * connections reach the target later than they were counted. */
 constexpr double kUsedPart = 0.8;
 /*! @brief Bounds hold for each second; the rest covers late timers. */
-constexpr Span kWindow = std::chrono::milliseconds{1100};
+constexpr Duration kWindow = std::chrono::milliseconds{1100};
 
 }  // namespace
 
@@ -23,9 +23,9 @@
           kWindow};
 }
 
-Span ColdPolicy::ColdAfterStart(const std::string &service) const {
+Duration ColdPolicy::ColdAfterStart(const std::string &service) const {
   const ColdStart *start = this->policy.InForce().ColdStartOf(service);
-  return start == nullptr ? Span{0} : start->cold_for;
+  return start == nullptr ? Duration{0} : start->cold_for;
 }
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/cold_policy.h
+++ b/src/pollenring/mesh/cold_policy.h
@@ -21,7 +21,8 @@
 
   [[nodiscard]] ColdTolerance ToleranceOf(
       const std::string &service) const override;
-  [[nodiscard]] Span ColdAfterStart(const std::string &service) const override;
+  [[nodiscard]] Duration ColdAfterStart(
+      const std::string &service) const override;
 
  private:
   const PolicyFollower &policy;
--- a/src/pollenring/mesh/dialects.h
+++ b/src/pollenring/mesh/dialects.h
@@ -21,8 +21,8 @@
 struct CallerRequest {
   std::string id;  /*!< Of this attempt; empty when none is given. */
   std::string key; /*!< Of a workspace; empty when none is given. */
-  std::optional<Span> remaining;   /*!< How long the caller still waits. */
-  std::vector<WireHeader> headers; /*!< Those that a target may see. */
+  std::optional<Duration> remaining; /*!< How long the caller still waits. */
+  std::vector<WireHeader> headers;   /*!< Those that a target may see. */
 };
 
 /*! @brief How callers write requests and read answers. */
@@ -123,7 +123,7 @@
    * @param longest Longest wait of the store.
    * @param done Called once; `kNotFound` when that position is forgotten.
    */
-  virtual void Await(std::uint64_t after, Span longest, Done done) = 0;
+  virtual void Await(std::uint64_t after, Duration longest, Done done) = 0;
 };
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/leave_times.cc
+++ b/src/pollenring/mesh/leave_times.cc
@@ -7,14 +7,14 @@
 
 /*! @brief Time for clients to go elsewhere: they are told after two questions
  * without a 200, one second apart. */
-constexpr Span kClientsLeave = std::chrono::milliseconds{2800};
+constexpr Duration kClientsLeave = std::chrono::milliseconds{2800};
 /*! @brief For the last answers to be written before the process is killed. */
-constexpr Span kLastWrites = std::chrono::milliseconds{600};
+constexpr Duration kLastWrites = std::chrono::milliseconds{600};
 
 }  // namespace
 
-LeaveTimes TimesToLeave(Span grace) noexcept {
-  const Span longest = std::max(grace / 2, grace - kLastWrites);
+LeaveTimes TimesToLeave(Duration grace) noexcept {
+  const Duration longest = std::max(grace / 2, grace - kLastWrites);
   // What is taken last needs time as well.
   return {std::min(kClientsLeave, longest * 3 / 5), longest};
 }
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -12,25 +12,25 @@
 namespace pollenring {
 namespace {
 
-constexpr Span kServingTick = std::chrono::milliseconds{20};
-constexpr Span kRingTick = std::chrono::milliseconds{100};
-constexpr Span kLogFlush = std::chrono::milliseconds{100};
-constexpr Span kLeaveCheck = std::chrono::milliseconds{50};
+constexpr Duration kServingTick = std::chrono::milliseconds{20};
+constexpr Duration kRingTick = std::chrono::milliseconds{100};
+constexpr Duration kLogFlush = std::chrono::milliseconds{100};
+constexpr Duration kLeaveCheck = std::chrono::milliseconds{50};
 /*! @brief Time for peers to learn that a node leaves; gossip takes one second
  * in a few hundred nodes. */
-constexpr Span kLeaveServesPeers = std::chrono::milliseconds{1200};
+constexpr Duration kLeaveServesPeers = std::chrono::milliseconds{1200};
 /*! @brief Longest silence between two requests of a client connection; above
  * any limit that operators set for their clients. */
-constexpr Span kCallerIdle = std::chrono::minutes{5};
+constexpr Duration kCallerIdle = std::chrono::minutes{5};
 /*! @brief Pause between two lines with all counters. */
-constexpr Span kFiguresPeriod = std::chrono::seconds{10};
+constexpr Duration kFiguresPeriod = std::chrono::seconds{10};
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
 
 /*! @brief Longest queue beside a target, as the time that it takes to run. What
  * is in it was let in above; the level ends the overload before it is full. */
-constexpr Span kQueueTime = std::chrono::milliseconds{400};
+constexpr Duration kQueueTime = std::chrono::milliseconds{400};
 
 [[nodiscard]] HttpServerLimits CallerLimits() {
   HttpServerLimits limits;
@@ -224,7 +224,7 @@
   // What a process reads after it stood still may have been given up long ago.
   if (!framed || late || this->loop.WokeFromPause()) {
     const Reason reason = late ? Reason::kLeaving : Reason::kLinkLost;
-    const Span come_back = SpreadAround(kComeBack, this->parts.random);
+    const Duration come_back = SpreadAround(kComeBack, this->parts.random);
     CallReply reply = Refusal(Outcome::kNotRun, reason, come_back);
     if (framed) reply.retries_unspent = framed->head.retries;
     responder->Send(Frame(reply, {}, version));
@@ -300,8 +300,8 @@
   responder->Send({ready ? kOk : kUnavailable, {}, {}});
 }
 
-Span MeshNode::Leaving() const {
-  if (!this->leaving) return Span{0};
+Duration MeshNode::Leaving() const {
+  if (!this->leaving) return Duration{0};
   return this->loop.GetClock().Now() - this->left_at;
 }
 
@@ -315,7 +315,7 @@
 }
 
 void MeshNode::CheckLeft() {
-  const Span since = this->Leaving();
+  const Duration since = this->Leaving();
   const LeaveTimes times = TimesToLeave(this->settings.grace);
   const bool accepts = since < times.accepts;
   const bool over = since >= times.longest;
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -82,7 +82,7 @@
   [[nodiscard]] nlohmann::json Status() const;
   void CheckLeft();
   [[nodiscard]] bool Ready() const;
-  [[nodiscard]] Span Leaving() const;
+  [[nodiscard]] Duration Leaving() const;
   [[nodiscard]] std::size_t InProgress() const;
 
   Settings settings;
--- a/src/pollenring/mesh/mesh_node_status.cc
+++ b/src/pollenring/mesh/mesh_node_status.cc
@@ -63,7 +63,7 @@
 nlohmann::json MeshNode::Status() const {
   nlohmann::json zones = nlohmann::json::array();
   for (const auto &[zone, since] : this->policy.WithdrawnSince()) {
-    const Span age = this->loop.GetClock().Now() - since;
+    const Duration age = this->loop.GetClock().Now() - since;
     zones.push_back({{"zone", zone},
                      {"for_s", std::chrono::duration<double>{age}.count()}});
   }
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -24,7 +24,7 @@
 /*! @brief Longest wait for the next share. While more is asked than the share,
  * all would wait and no more be served; alike for all routes, as those that
  * wait longer would take it from those that need their answers soon. */
-constexpr Span kShareWait = std::chrono::milliseconds{25};
+constexpr Duration kShareWait = std::chrono::milliseconds{25};
 /*! @brief Divides a request's aim: the most of it that may be spent so. */
 constexpr int kShareWaitPart = 4;
 constexpr int kTooManyRequests = 429;
@@ -34,9 +34,9 @@
 constexpr int kFirstFailure = 400;
 /*! @brief Time past its deadline after which a request is answered whatever
  * has become of it; above the waits of nodes for each other. */
-constexpr Span kLateAnswer = 10 * kAnswerSlack;
+constexpr Duration kLateAnswer = 10 * kAnswerSlack;
 /*! @brief Longest wait of a request whose caller and route name none. */
-constexpr Span kDefaultTimeout = std::chrono::seconds{10};
+constexpr Duration kDefaultTimeout = std::chrono::seconds{10};
 
 [[nodiscard]] double LotOf(const std::string &id) noexcept {
   return static_cast<double>(Hash64(id) >> 11U) * kLotScale;
@@ -126,7 +126,7 @@
   const Reason refused = this->Admit(request, caller, *entry);
   if (refused != Reason::kNone) {
     this->Refuse(entry, refused,
-                 refused == Reason::kNotFresh ? kComeBack : Span{0});
+                 refused == Reason::kNotFresh ? kComeBack : Duration{0});
     return;
   }
   entry->envelope.headers = std::move(caller.headers);
@@ -183,7 +183,8 @@
   envelope.idempotent = route->idempotent;
   envelope.retries = kAllowance;
   entry.attempts = route->attempts;
-  Span left = route->timeout > Span{0} ? route->timeout : kDefaultTimeout;
+  Duration left =
+      route->timeout > Duration{0} ? route->timeout : kDefaultTimeout;
   if (caller.remaining) left = std::min(left, *caller.remaining);
   entry.deadline = entry.started + left;
   if (route->open) this->Inherit(caller, entry);
@@ -256,8 +257,8 @@
     this->Send(entry, {});
     return;
   }
-  const Span aim{entry->envelope.aim_us};
-  const Span wait = std::min(kShareWait, aim / kShareWaitPart);
+  const Duration aim{entry->envelope.aim_us};
+  const Duration wait = std::min(kShareWait, aim / kShareWaitPart);
   const RenewCharge charge = [this, entry, wait](ShareGate::Done done) {
     const Time next_share = this->loop.GetClock().Now() + wait;
     this->parts.shares.Charge(
@@ -297,10 +298,11 @@
   });
 }
 
-void Outbound::Refuse(const EntryPtr &entry, Reason reason, Span retry_after) {
-  const Span come_back = retry_after > Span{0}
-                             ? SpreadAround(retry_after, this->parts.random)
-                             : Span{0};
+void Outbound::Refuse(const EntryPtr &entry, Reason reason,
+                      Duration retry_after) {
+  const Duration come_back = retry_after > Duration{0}
+                                 ? SpreadAround(retry_after, this->parts.random)
+                                 : Duration{0};
   this->Answer(entry, Refusal(Outcome::kNotRun, reason, come_back), {});
 }
 
@@ -347,7 +349,7 @@
   const std::string cause{kCallerLossNames.Name(loss)};
   this->parts.metrics.Count("pollenring_gone_callers_total", {"cause", cause});
   if (!MayLogRequest(LogLevel::kWarning)) return;
-  const Span took = this->loop.GetClock().Now() - entry.started;
+  const Duration took = this->loop.GetClock().Now() - entry.started;
   LogEvent(
       LogLevel::kWarning, "caller gone",
       {{"id", entry.id},
@@ -361,7 +363,7 @@
 
 void Outbound::Record(const Entry &entry, const CallReply &reply) {
   Metrics &metrics = this->parts.metrics;
-  const Span took = this->loop.GetClock().Now() - entry.started;
+  const Duration took = this->loop.GetClock().Now() - entry.started;
   metrics.Observe("pollenring_request_seconds",
                   std::chrono::duration<double>{took}.count());
   metrics.Count("pollenring_outcomes_total",
--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -74,7 +74,7 @@
   /*! @brief Sends what has been charged. @param entry It. @param renew Charges
    * it again; empty when its workspace has no rate. */
   void Send(const EntryPtr &entry, const RenewCharge &renew);
-  void Refuse(const EntryPtr &entry, Reason reason, Span retry_after);
+  void Refuse(const EntryPtr &entry, Reason reason, Duration retry_after);
   /*! @brief Sees to it that a request is answered, whatever becomes of it. */
   void AwaitAnswer(const EntryPtr &entry, Time until);
   void AnswerLate(const EntryPtr &entry);
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -9,15 +9,15 @@
 namespace {
 
 /*! @brief Time between two looks at whether this node is to ask the store. */
-constexpr Span kDutyCheck = std::chrono::milliseconds{100};
+constexpr Duration kDutyCheck = std::chrono::milliseconds{100};
 /*! @brief How long a node that starts waits for a peer's document, which comes
  * within three messages if there is one. */
-constexpr Span kPeersFirst = std::chrono::milliseconds{1500};
-constexpr Span kFirstPause = std::chrono::milliseconds{100};
+constexpr Duration kPeersFirst = std::chrono::milliseconds{1500};
+constexpr Duration kFirstPause = std::chrono::milliseconds{100};
 /*! @brief All nodes together then ask a store that is down some ten times a
  * second each second, well below its rate. */
-constexpr Span kLongestPause = std::chrono::milliseconds{800};
-constexpr Span kPullTimeout = std::chrono::milliseconds{800};
+constexpr Duration kLongestPause = std::chrono::milliseconds{800};
+constexpr Duration kPullTimeout = std::chrono::milliseconds{800};
 /*! @brief Peers of the own availability zone told at once of a new version;
  * they tell others. */
 constexpr std::size_t kSpreadInZone = 3;
@@ -94,7 +94,7 @@
 }
 
 void PolicyFollower::Await() {
-  const Span wait = this->members.Duty().NextWatch(this->random);
+  const Duration wait = this->members.Duty().NextWatch(this->random);
   this->source.Await(this->position, wait, [this](PolicySource::Reply reply) {
     if (const auto *error = std::get_if<StorageError>(&reply)) {
       this->Failed(*error);
@@ -136,7 +136,7 @@
   this->store_heard = this->loop.GetClock().Now();
   this->members.Get().HearStore();
   this->asking = false;
-  this->pause = Span{0};
+  this->pause = Duration{0};
   if (!std::exchange(this->store_lost, false)) return;
   LogEvent(LogLevel::kInfo, "store regained",
            {{"version", this->table.Version()}});
--- a/src/pollenring/mesh/policy_follower.h
+++ b/src/pollenring/mesh/policy_follower.h
@@ -71,7 +71,7 @@
 
   /*! @brief Time since the store last answered this node or, as it heard, any
    * other. @return The age. */
-  [[nodiscard]] Span StoreSilence() const noexcept {
+  [[nodiscard]] Duration StoreSilence() const noexcept {
     return this->loop.GetClock().Now() -
            std::max(this->store_heard, this->members.Get().StoreHeard());
   }
@@ -106,7 +106,7 @@
   std::function<void()> changed;
   std::uint64_t position{};
   Time store_heard{};
-  Span pause{};
+  Duration pause{};
   Time first_read{}; /*!< When a node without a document reads the store. */
   bool asking{};     /*!< A call to the store, or a pause after one, is on. */
   bool watching{};   /*!< No change since `position` was missed. */
--- a/src/pollenring/mesh/slot_ring.cc
+++ b/src/pollenring/mesh/slot_ring.cc
@@ -12,9 +12,9 @@
 constexpr SlotId kSlots = 32;
 /*! @brief Silence of all others after which a node is cut off; it hears answers
  * to its probes several times a second. */
-constexpr Span kAloneAfter = std::chrono::milliseconds{1200};
+constexpr Duration kAloneAfter = std::chrono::milliseconds{1200};
 /*! @brief Longest loan; the ring is dealt anew much more often. */
-constexpr Span kValidity = std::chrono::seconds{2};
+constexpr Duration kValidity = std::chrono::seconds{2};
 
 [[nodiscard]] bool Lends(const Member &member) noexcept {
   return member.state == MemberState::kAlive ||
--- a/src/pollenring/metrics/metrics.cc
+++ b/src/pollenring/metrics/metrics.cc
@@ -8,7 +8,7 @@
 
 namespace acc = boost::accumulators;
 
-constexpr Span kWindow = std::chrono::seconds{10};
+constexpr Duration kWindow = std::chrono::seconds{10};
 constexpr std::size_t kTailSamples = 2048;
 constexpr std::array<double, 3> kQuantiles{0.9, 0.99, 0.999};
 
--- a/src/pollenring/net/answer_parser.cc
+++ b/src/pollenring/net/answer_parser.cc
@@ -17,9 +17,9 @@
   return *static_cast<AnswerParser *>(native->data);
 }
 
-[[nodiscard]] Span ParseIdleTimeout(std::string_view value) {
+[[nodiscard]] Duration ParseIdleTimeout(std::string_view value) {
   const auto at = value.find(kTimeoutField);
-  if (at == std::string_view::npos) return Span{0};
+  if (at == std::string_view::npos) return Duration{0};
   const auto digits = value.substr(at + kTimeoutField.size());
   unsigned seconds = 0;
   std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
@@ -101,7 +101,7 @@
   http_parser_init(&this->native, HTTP_RESPONSE);
   this->native.data = this;
   this->in_value = false;
-  this->idle_timeout = Span{0};
+  this->idle_timeout = Duration{0};
   this->answer = HttpResponse{};
 }
 
--- a/src/pollenring/net/answer_parser.h
+++ b/src/pollenring/net/answer_parser.h
@@ -63,7 +63,9 @@
   }
 
   /*! @brief How long the peer keeps an idle connection; 0 when unsaid. */
-  [[nodiscard]] Span IdleTimeout() const noexcept { return this->idle_timeout; }
+  [[nodiscard]] Duration IdleTimeout() const noexcept {
+    return this->idle_timeout;
+  }
 
   /*! @brief The answer, once whole; without framing headers. */
   [[nodiscard]] HttpResponse &Answer() noexcept { return this->answer; }
@@ -80,7 +82,7 @@
   AnswerState state{AnswerState::kPartial};
   bool keeps_alive{};
   bool in_value{};
-  Span idle_timeout{};
+  Duration idle_timeout{};
   std::string name;
   std::string value;
   HttpResponse answer;
--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -21,17 +21,17 @@
 constexpr std::size_t kPoolCapacity = 1024;
 /*! @brief How long an idle connection is kept when its peer says nothing; most
  * servers close after five seconds. */
-constexpr Span kPoolIdle = std::chrono::seconds{4};
+constexpr Duration kPoolIdle = std::chrono::seconds{4};
 /*! @brief Part of the peer's idle time-out during which a connection is used;
  * the rest covers the way there and a late timer. */
 constexpr double kIdleFraction = 0.8;
 /*! @brief Answers of other calls that one call skips; a peer that sends more
  * has lost count. */
 constexpr int kMostForeign = 4;
-constexpr Span kIdleSweep = std::chrono::seconds{1};
+constexpr Duration kIdleSweep = std::chrono::seconds{1};
 /*! @brief Longest wait for a connection; peers are milliseconds away, and a
  * lost opening packet is sent again after one second. */
-constexpr Span kConnectTimeout = std::chrono::milliseconds{1500};
+constexpr Duration kConnectTimeout = std::chrono::milliseconds{1500};
 
 [[nodiscard]] std::string Serialize(const Address &to,
                                     const HttpRequest &request) {
@@ -62,7 +62,7 @@
     });
   }
 
-  CallId Start(const Address &to, const HttpRequest &request, Span timeout,
+  CallId Start(const Address &to, const HttpRequest &request, Duration timeout,
                Done done, AnswerMark mark) {
     const CallId id = ++this->last_id;
     Pending &call = this->calls[id];
@@ -281,15 +281,15 @@
     const bool reusable = !ended && !connection.spoiled &&
                           !connection.writing && parser.KeepsAlive();
     HttpResponse answer = std::move(parser.Answer());
-    const Span stated = parser.IdleTimeout();
+    const Duration stated = parser.IdleTimeout();
     this->calls.at(id).connection = nullptr;
     connection.call = 0;
     this->Hold(connection, 0);
     auto &pool = this->idle[connection.to];
     if (reusable && pool.size() < kPoolCapacity) {
-      const Span kept =
-          stated > Span{0}
-              ? Span{static_cast<std::int64_t>(
+      const Duration kept =
+          stated > Duration{0}
+              ? Duration{static_cast<std::int64_t>(
                     static_cast<double>(stated.count()) * kIdleFraction)}
               : kPoolIdle;
       connection.idle_until = this->loop.GetClock().Now() + kept;
@@ -373,8 +373,9 @@
 HttpClient::~HttpClient() = default;
 
 HttpClient::CallId HttpClient::Call(const Address &to,
-                                    const HttpRequest &request, Span timeout,
-                                    Done done, AnswerMark mark) {
+                                    const HttpRequest &request,
+                                    Duration timeout, Done done,
+                                    AnswerMark mark) {
   return this->impl->Start(to, request, timeout, std::move(done),
                            std::move(mark));
 }
--- a/src/pollenring/net/http_client.h
+++ b/src/pollenring/net/http_client.h
@@ -89,7 +89,7 @@
    * @param mark What the answer must repeat, if it says anything of it.
    * @return Handle for `Cancel`.
    */
-  CallId Call(const Address &to, const HttpRequest &request, Span timeout,
+  CallId Call(const Address &to, const HttpRequest &request, Duration timeout,
               Done done, AnswerMark mark = {});
 
   /**
--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -21,7 +21,7 @@
 constexpr int kServiceUnavailable = 503;
 constexpr int kBadGateway = 502;
 /*! @brief Age from which a request's connection is looked at. */
-constexpr Span kHangUpCheck = std::chrono::milliseconds{100};
+constexpr Duration kHangUpCheck = std::chrono::milliseconds{100};
 
 [[nodiscard]] std::string ToString(const h2o_iovec_t &text) {
   return {text.base, text.len};
@@ -220,7 +220,7 @@
     Impl *owner;
   };
 
-  [[nodiscard]] static std::uint64_t ToMs(Span span) {
+  [[nodiscard]] static std::uint64_t ToMs(Duration span) {
     return static_cast<std::uint64_t>(span.count() / 1000);
   }
 
--- a/src/pollenring/net/http_server.h
+++ b/src/pollenring/net/http_server.h
@@ -53,8 +53,8 @@
 /*! @brief Limits of a server towards its clients. */
 struct HttpServerLimits {
   std::size_t max_body_bytes{std::size_t{17} * 1024 * 1024};
-  Span request_timeout{std::chrono::seconds{10}};
-  Span idle_timeout{std::chrono::seconds{60}};
+  Duration request_timeout{std::chrono::seconds{10}};
+  Duration idle_timeout{std::chrono::seconds{60}};
 };
 
 /*! @brief An HTTP/1.1 and HTTP/2 server for whole messages. */
--- a/src/pollenring/net/loop.cc
+++ b/src/pollenring/net/loop.cc
@@ -12,11 +12,11 @@
 namespace {
 
 constexpr std::int32_t kLongestWaitMs = 200;
-constexpr Span kPause = std::chrono::milliseconds{1000};
+constexpr Duration kPause = std::chrono::milliseconds{1000};
 /*! @brief Rounds of deferred tasks in one turn; a call takes four. */
 constexpr int kMostRounds = 8;
 /*! @brief Pause between two lines on errors, after the first few. */
-constexpr Span kErrorPause = std::chrono::seconds{1};
+constexpr Duration kErrorPause = std::chrono::seconds{1};
 /*! @brief Errors that have a line each. */
 constexpr std::uint64_t kErrorsToldAll = 20;
 
@@ -24,7 +24,7 @@
 
 Loop::Loop(const Clock &clock) : clock{clock}, native{h2o_evloop_create()} {}
 
-Loop::TimerId Loop::After(Span delay, Task task) {
+Loop::TimerId Loop::After(Duration delay, Task task) {
   const TimerId id = ++this->last_timer;
   const Time due = this->clock.Now() + delay;
   this->timers.emplace(DueKey{due, id}, std::move(task));
@@ -32,7 +32,7 @@
   return id;
 }
 
-void Loop::Every(Span period, Task task) {
+void Loop::Every(Duration period, Task task) {
   this->After(period, [this, period, task = std::move(task)] {
     // One run that fails is no reason to leave out the next.
     this->Contain("timer", task);
@@ -118,8 +118,8 @@
 std::int32_t Loop::WaitMs() const {
   if (!this->posted.empty()) return 0;
   if (this->timers.empty()) return kLongestWaitMs;
-  const Span left = this->timers.begin()->first.first - this->clock.Now();
-  if (left <= Span{0}) return 0;
+  const Duration left = this->timers.begin()->first.first - this->clock.Now();
+  if (left <= Duration{0}) return 0;
   const auto ms = (left.count() + 999) / 1000;
   return static_cast<std::int32_t>(std::min<std::int64_t>(ms, kLongestWaitMs));
 }
--- a/src/pollenring/net/loop.h
+++ b/src/pollenring/net/loop.h
@@ -55,14 +55,14 @@
    * @param task The task.
    * @return Handle for `Cancel`.
    */
-  TimerId After(Span delay, Task task);
+  TimerId After(Duration delay, Task task);
 
   /**
    * @brief Runs a task again and again.
    * @param period Time between the end of one run and the start of the next.
    * @param task The task.
    */
-  void Every(Span period, Task task);
+  void Every(Duration period, Task task);
 
   /**
    * @brief Forgets a timer; one that has run already is ignored.
--- a/src/pollenring/node/call_shares.cc
+++ b/src/pollenring/node/call_shares.cc
@@ -9,10 +9,10 @@
 namespace {
 
 /*! @brief The first window, so that something is known soon after a start. */
-constexpr Span kFirstWindow = std::chrono::milliseconds{200};
+constexpr Duration kFirstWindow = std::chrono::milliseconds{200};
 /*! @brief Later windows: long beside a request, which raises the mean of its
  * own window, and short beside the waves of load, which raise all numbers. */
-constexpr Span kWindow = std::chrono::milliseconds{2500};
+constexpr Duration kWindow = std::chrono::milliseconds{2500};
 /*! @brief Calls that tell anything: of ten running requests, one caller more or
  * less is then seen. Others than the target may call a few times. */
 constexpr double kFewCalls = 30;
@@ -28,7 +28,7 @@
 /*! @brief Mean below which requests of a kind are as good as never there. */
 constexpr double kLeastMean = 0.01;
 /*! @brief Kinds and callees that were not seen for so long are forgotten. */
-constexpr Span kForgotten = std::chrono::minutes{1};
+constexpr Duration kForgotten = std::chrono::minutes{1};
 
 }  // namespace
 
--- a/src/pollenring/node/call_shares.h
+++ b/src/pollenring/node/call_shares.h
@@ -98,7 +98,7 @@
   std::unordered_map<std::string, Kind> kinds;
   std::unordered_map<std::string, Callee> callees;
   Time window_start{};
-  Span window{};
+  Duration window{};
 };
 
 }  // namespace pollenring
--- a/src/pollenring/node/config_service.cc
+++ b/src/pollenring/node/config_service.cc
@@ -11,12 +11,12 @@
 namespace pollenring {
 namespace {
 
-constexpr Span kPollPeriod = std::chrono::milliseconds{1000};
-constexpr Span kPullTimeout = std::chrono::seconds{2};
-constexpr Span kFreshFor = std::chrono::seconds{4};
-constexpr Span kAcceptTimeout = std::chrono::seconds{5};
-constexpr Span kAcceptCheck = std::chrono::milliseconds{20};
-constexpr Span kShortestPoke = std::chrono::milliseconds{50};
+constexpr Duration kPollPeriod = std::chrono::milliseconds{1000};
+constexpr Duration kPullTimeout = std::chrono::seconds{2};
+constexpr Duration kFreshFor = std::chrono::seconds{4};
+constexpr Duration kAcceptTimeout = std::chrono::seconds{5};
+constexpr Duration kAcceptCheck = std::chrono::milliseconds{20};
+constexpr Duration kShortestPoke = std::chrono::milliseconds{50};
 constexpr std::size_t kSpreadTo = 3;
 constexpr std::uint64_t kVersionsPerSnapshot = 32;
 
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -17,7 +17,7 @@
 constexpr int kMostRedirects = 3;
 constexpr int kFirstServerError = 500;
 /*! @brief Pause before nodes that were tried are tried again. */
-constexpr Span kTryAgainPause = std::chrono::milliseconds{60};
+constexpr Duration kTryAgainPause = std::chrono::milliseconds{60};
 
 [[nodiscard]] CallVerdict VerdictOf(const CallReply &reply) noexcept {
   switch (reply.reason) {
@@ -73,8 +73,9 @@
   const std::uint64_t id = ++this->last_id;
   Job &job = this->jobs[id];
   job.allowance = RetryAllowance{envelope.retries};
-  job.root_started = this->loop.GetClock().Now() - Span{envelope.root_age_us};
-  job.aim = this->loop.GetClock().Now() + Span{envelope.aim_us};
+  job.root_started =
+      this->loop.GetClock().Now() - Duration{envelope.root_age_us};
+  job.aim = this->loop.GetClock().Now() + Duration{envelope.aim_us};
   job.envelope = std::move(envelope);
   job.body = std::move(body);
   job.bounds = std::move(bounds);
@@ -87,7 +88,7 @@
 
 void Dispatcher::Attempt(std::uint64_t id) {
   Job &job = this->jobs.at(id);
-  const Span come_back = SpreadAround(kComeBack, this->random);
+  const Duration come_back = SpreadAround(kComeBack, this->random);
   if (job.bounds.deadline <= this->loop.GetClock().Now()) {
     this->Finish(id, Refusal(Outcome::kNotRun, Reason::kDeadline, come_back),
                  {});
@@ -105,7 +106,8 @@
                  {});
     return;
   }
-  const Span since_charge = this->loop.GetClock().Now() - job.bounds.charged;
+  const Duration since_charge =
+      this->loop.GetClock().Now() - job.bounds.charged;
   if (job.bounds.renew && since_charge > kTransitAllowance) {
     this->ChargeAgain(id, job);
     return;
@@ -152,7 +154,7 @@
 
 void Dispatcher::Send(std::uint64_t id, Job &job) {
   const Time now = this->loop.GetClock().Now();
-  const Span left = job.bounds.deadline - now;
+  const Duration left = job.bounds.deadline - now;
   job.sent = now;
   job.envelope.remaining_us = left.count();
   job.envelope.root_age_us = (now - job.root_started).count();
@@ -235,9 +237,9 @@
   const bool from_node = reply.load.limit > 0;
   std::optional<LoadReport> load;
   if (from_node) load = reply.load;
-  const Span took = reply.outcome == Outcome::kRan
-                        ? this->loop.GetClock().Now() - job.sent
-                        : Span{0};
+  const Duration took = reply.outcome == Outcome::kRan
+                            ? this->loop.GetClock().Now() - job.sent
+                            : Duration{0};
   this->router.Finished(job.envelope.service, job.node, VerdictOf(reply), load,
                         took);
   this->LogRouting();
--- a/src/pollenring/node/gates.h
+++ b/src/pollenring/node/gates.h
@@ -68,7 +68,7 @@
 struct ShareAnswer {
   bool granted{};
   Reason reason{Reason::kNone};
-  Span retry_after{};
+  Duration retry_after{};
 };
 
 /*! @brief Charges whole requests to their workspaces, over all VMs. */
@@ -106,7 +106,7 @@
   OnceVerdict verdict{OnceVerdict::kUnknown};
   CallReply reply; /*!< The first answer, when it is still held. */
   std::string body;
-  Span retry_after{};
+  Duration retry_after{};
 };
 
 /*! @brief Lets each identifier of a non-idempotent request run at most once. */
--- a/src/pollenring/node/headers.cc
+++ b/src/pollenring/node/headers.cc
@@ -110,7 +110,7 @@
   return response;
 }
 
-CallReply Refusal(Outcome outcome, Reason reason, Span retry_after) {
+CallReply Refusal(Outcome outcome, Reason reason, Duration retry_after) {
   CallReply reply;
   reply.outcome = outcome;
   reply.reason = reason;
--- a/src/pollenring/node/headers.h
+++ b/src/pollenring/node/headers.h
@@ -80,7 +80,7 @@
  * @return The reply.
  */
 [[nodiscard]] CallReply Refusal(Outcome outcome, Reason reason,
-                                Span retry_after);
+                                Duration retry_after);
 
 }  // namespace pollenring
 
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -207,7 +207,7 @@
 }
 
 void Ingress::AnswerRepeat(const RootPtr &root, OnceAnswer answer) {
-  const Span come_back = SpreadAround(kComeBack, this->parts.random);
+  const Duration come_back = SpreadAround(kComeBack, this->parts.random);
   switch (answer.verdict) {
     case OnceVerdict::kAnswered:
       this->Answer(root, std::move(answer.reply), std::move(answer.body));
@@ -217,8 +217,8 @@
           root, Refusal(Outcome::kUnknown, Reason::kInProgress, come_back), {});
       return;
     case OnceVerdict::kExpired:
-      this->Answer(root, Refusal(Outcome::kUnknown, Reason::kIdExpired, Span{}),
-                   {});
+      this->Answer(
+          root, Refusal(Outcome::kUnknown, Reason::kIdExpired, Duration{}), {});
       return;
     case OnceVerdict::kNotRun:
       this->Answer(root, Refusal(Outcome::kNotRun, Reason::kNoShare, come_back),
@@ -258,8 +258,8 @@
   const bool transient = reason == Reason::kOverload ||
                          reason == Reason::kNotFresh ||
                          reason == Reason::kNoTarget;
-  const Span come_back =
-      transient ? SpreadAround(kComeBack, this->parts.random) : Span{};
+  const Duration come_back =
+      transient ? SpreadAround(kComeBack, this->parts.random) : Duration{};
   this->Answer(root, Refusal(outcome, reason, come_back), {});
 }
 
@@ -273,7 +273,7 @@
   }
   metrics.Count("pollenring_outcomes_total",
                 {"outcome", std::string{kOutcomeNames.Name(reply.outcome)}});
-  const Span took = this->loop.GetClock().Now() - root->started;
+  const Duration took = this->loop.GetClock().Now() - root->started;
   metrics.Observe("pollenring_request_seconds",
                   std::chrono::duration<double>{took}.count());
   root->responder->Send(ToResponse(reply, std::move(body), root->id));
--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -19,20 +19,20 @@
 constexpr std::size_t kJoinsAtOnce = 2;
 /*! @brief Time over which the nodes of a first start read the row, so that
  * most of them find a few others in it. */
-constexpr Span kFirstReads = std::chrono::milliseconds{400};
+constexpr Duration kFirstReads = std::chrono::milliseconds{400};
 /*! @brief Pause around which a write that came second is tried again. */
-constexpr Span kConflictPause = std::chrono::milliseconds{60};
-constexpr Span kTick = std::chrono::milliseconds{50};
-constexpr Span kBootstrapPeriod = std::chrono::seconds{2};
+constexpr Duration kConflictPause = std::chrono::milliseconds{60};
+constexpr Duration kTick = std::chrono::milliseconds{50};
+constexpr Duration kBootstrapPeriod = std::chrono::seconds{2};
 /*! @brief Pause until one that knows nobody tries again. */
-constexpr Span kJoinPause = std::chrono::milliseconds{500};
+constexpr Duration kJoinPause = std::chrono::milliseconds{500};
 /*! @brief Time between two looks of a node on duty at the bootstrap row. */
-constexpr Span kUpkeepPeriod = std::chrono::seconds{10};
+constexpr Duration kUpkeepPeriod = std::chrono::seconds{10};
 /*! @brief Age until which they look more often: nodes that all start at once
  * may have found each other in groups that don't know of one another. */
-constexpr Span kYoung = std::chrono::seconds{15};
-constexpr Span kAloneAfter = std::chrono::milliseconds{1500};
-constexpr Span kJoinTimeout = std::chrono::seconds{1};
+constexpr Duration kYoung = std::chrono::seconds{15};
+constexpr Duration kAloneAfter = std::chrono::milliseconds{1500};
+constexpr Duration kJoinTimeout = std::chrono::seconds{1};
 
 }  // namespace
 
@@ -76,7 +76,7 @@
     return;
   }
   const double part = this->random.Fraction();
-  const Span wait{static_cast<std::int64_t>(
+  const Duration wait{static_cast<std::int64_t>(
       part * static_cast<double>(kFirstReads.count()))};
   this->loop.After(wait, [this] { this->Bootstrap(); });
 }
@@ -143,7 +143,7 @@
   }
 }
 
-Span MemberService::BootstrapPause() {
+Duration MemberService::BootstrapPause() {
   if (!this->joined) return kJoinPause;
   if (this->Alone()) return kBootstrapPeriod;
   const Time age = this->loop.GetClock().Now() - this->started;
--- a/src/pollenring/node/member_service.h
+++ b/src/pollenring/node/member_service.h
@@ -97,7 +97,7 @@
   [[nodiscard]] std::vector<NodeId> UnknownOf(
       const std::vector<NodeId> &listed) const;
   void JoinThroughSome(std::vector<NodeId> peers);
-  [[nodiscard]] Span BootstrapPause();
+  [[nodiscard]] Duration BootstrapPause();
   void Register(std::uint64_t version, std::vector<NodeId> listed);
   [[nodiscard]] bool Alone() const;
 
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -13,14 +13,14 @@
 namespace pollenring {
 namespace {
 
-constexpr Span kReadyCheck = std::chrono::milliseconds{20};
-constexpr Span kServingTick = std::chrono::milliseconds{20};
+constexpr Duration kReadyCheck = std::chrono::milliseconds{20};
+constexpr Duration kServingTick = std::chrono::milliseconds{20};
 /*! @brief Time for callers and nodes to learn that a node leaves. */
-constexpr Span kLeaveAccepts = std::chrono::milliseconds{2500};
-constexpr Span kLeaveCheck = std::chrono::milliseconds{50};
+constexpr Duration kLeaveAccepts = std::chrono::milliseconds{2500};
+constexpr Duration kLeaveCheck = std::chrono::milliseconds{50};
 /*! @brief Longest wait for slots to be taken over by others. */
-constexpr Span kLeaveSlots = std::chrono::seconds{6};
-constexpr Span kHandoverTimeout = std::chrono::seconds{1};
+constexpr Duration kLeaveSlots = std::chrono::seconds{6};
+constexpr Duration kHandoverTimeout = std::chrono::seconds{1};
 
 [[nodiscard]] RouteLevelOptions Levels() {
   RouteLevelOptions options;
@@ -218,7 +218,7 @@
   // What a process reads after it stood still may have been given up long ago.
   if (!framed || late || this->loop.WokeFromPause()) {
     const Reason reason = late ? Reason::kLeaving : Reason::kLinkLost;
-    const Span come_back = SpreadAround(kComeBack, this->random);
+    const Duration come_back = SpreadAround(kComeBack, this->random);
     CallReply reply = Refusal(Outcome::kNotRun, reason, come_back);
     if (framed) reply.retries_unspent = framed->head.retries;
     responder->Send(Frame(reply, {}, version));
@@ -270,7 +270,7 @@
 }
 
 void Node::CheckLeft() {
-  const Span since = this->loop.GetClock().Now() - this->left_at;
+  const Duration since = this->loop.GetClock().Now() - this->left_at;
   this->slots.GiveAway();
   const bool accepts = since < kLeaveAccepts;
   if (!accepts) this->caller_server.Close();
--- a/src/pollenring/node/once_memory.cc
+++ b/src/pollenring/node/once_memory.cc
@@ -7,7 +7,7 @@
 namespace pollenring {
 namespace {
 
-constexpr Span kCloseTimeout = std::chrono::milliseconds{500};
+constexpr Duration kCloseTimeout = std::chrono::milliseconds{500};
 
 /*! @brief Names an epoch to a mirror. */
 struct OnceEpoch {
--- a/src/pollenring/node/once_service.cc
+++ b/src/pollenring/node/once_service.cc
@@ -11,11 +11,11 @@
 namespace pollenring {
 namespace {
 
-constexpr Span kAskAgain = std::chrono::milliseconds{60};
-constexpr Span kAskFor = std::chrono::milliseconds{700};
-constexpr Span kCopyAgain = std::chrono::milliseconds{50};
-constexpr Span kCopyFor = std::chrono::milliseconds{300};
-constexpr Span kEndTimeout = std::chrono::milliseconds{300};
+constexpr Duration kAskAgain = std::chrono::milliseconds{60};
+constexpr Duration kAskFor = std::chrono::milliseconds{700};
+constexpr Duration kCopyAgain = std::chrono::milliseconds{50};
+constexpr Duration kCopyFor = std::chrono::milliseconds{300};
+constexpr Duration kEndTimeout = std::chrono::milliseconds{300};
 constexpr int kEndTries = 4;
 
 /*! @brief A record for a mirror. */
@@ -147,7 +147,7 @@
   OnceAnswer answer;
   answer.verdict = decision.verdict;
   if (decision.verdict == OnceVerdict::kAnswered) {
-    answer.reply = Refusal(Outcome::kRan, Reason::kRepeated, Span{});
+    answer.reply = Refusal(Outcome::kRan, Reason::kRepeated, Duration{});
     auto held = Unframe<CallReply>(decision.answer);
     if (held) {
       answer.reply = std::move(held->head);
--- a/src/pollenring/node/parent_finder.cc
+++ b/src/pollenring/node/parent_finder.cc
@@ -8,7 +8,7 @@
 
 /*! @brief Most by which a call's deadline is off its parent's: both are told in
  * whole milliseconds, and messages within a VM take less than one. */
-constexpr Span kTolerance = std::chrono::milliseconds{4};
+constexpr Duration kTolerance = std::chrono::milliseconds{4};
 /*! @brief Candidates of a draw; a target works on a few dozen at once. */
 constexpr std::size_t kMostCandidates = 64;
 
@@ -62,7 +62,7 @@
 std::optional<std::uint64_t> ParentFinder::Nearest(Time deadline) const {
   const auto after = this->by_deadline.lower_bound({deadline, 0});
   std::optional<std::uint64_t> nearest;
-  Span distance = kTolerance + Span{1};
+  Duration distance = kTolerance + Duration{1};
   if (after != this->by_deadline.end() && after->first - deadline < distance) {
     nearest = after->second;
     distance = after->first - deadline;
--- a/src/pollenring/node/route_levels.cc
+++ b/src/pollenring/node/route_levels.cc
@@ -10,7 +10,7 @@
 /*! @brief Time between two looks for what nobody asks for; a way that no answer
  * confirms is forgotten too, so that a route that leads elsewhere by now is
  * tried again though all its roots are refused. */
-constexpr Span kSweepPeriod = std::chrono::seconds{10};
+constexpr Duration kSweepPeriod = std::chrono::seconds{10};
 /*! @brief Requests after which those before count half; a service that begins
  * to shed is then on the way after two of them. */
 constexpr double kRemembered = 20;
@@ -25,7 +25,7 @@
 /*! @brief What the first word counts: enough to act on until others differ. */
 constexpr double kFirstWord = 0.5;
 /*! @brief Time for which a word counts that nobody repeats. */
-constexpr Span kWordLifetime = std::chrono::seconds{3};
+constexpr Duration kWordLifetime = std::chrono::seconds{3};
 
 }  // namespace
 
--- a/src/pollenring/node/route_levels.h
+++ b/src/pollenring/node/route_levels.h
@@ -15,7 +15,7 @@
 /*! @brief How levels are kept. */
 struct RouteLevelOptions {
   /*! @brief Time for which a level holds that nothing confirms. */
-  Span lifetime{std::chrono::milliseconds{1500}};
+  Duration lifetime{std::chrono::milliseconds{1500}};
   /*! @brief Whether a service has a level for each workspace. */
   bool per_workspace{};
 };
@@ -24,7 +24,7 @@
 struct WayLevel {
   double level{};      /*!< 0 when none sheds. */
   std::string service; /*!< Empty when none sheds. */
-  Span age{};          /*!< Of its newest level. */
+  Duration age{};      /*!< Of its newest level. */
 };
 
 /**
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -14,7 +14,7 @@
 namespace {
 
 /*! @brief Time around which callers come back after a target is warm. */
-constexpr Span kWarmSpread = std::chrono::milliseconds{100};
+constexpr Duration kWarmSpread = std::chrono::milliseconds{100};
 constexpr std::size_t kContextBytes = 16;
 /*! @brief Levels of other targets that an answer passes on; some 25 bytes each,
  * and none while nothing sheds. */
@@ -58,8 +58,8 @@
   const Time now = this->loop.GetClock().Now();
   Call &call = this->calls[id];
   call.served.id = id;
-  call.served.deadline = now + Span{envelope.remaining_us};
-  call.served.root_started = now - Span{envelope.root_age_us};
+  call.served.deadline = now + Duration{envelope.remaining_us};
+  call.served.root_started = now - Duration{envelope.root_age_us};
   call.served.allowance = RetryAllowance{envelope.retries};
   call.served.envelope = std::move(envelope);
   call.body = std::move(body);
@@ -79,7 +79,7 @@
   ticket.root_started = call.served.root_started;
   ticket.workspace = kept.workspace;
   ticket.deadline = call.served.deadline;
-  ticket.aim = now + Span{kept.aim_us};
+  ticket.aim = now + Duration{kept.aim_us};
   this->Offer(found->second, ticket);
   return id;
 }
@@ -111,7 +111,7 @@
   call.served.context = RandomHex(kContextBytes);
   this->contexts.emplace(call.served.context, id);
   const Time now = this->loop.GetClock().Now();
-  const Span left = call.served.deadline - now;
+  const Duration left = call.served.deadline - now;
   // Targets are told whole milliseconds.
   const auto told = std::chrono::floor<std::chrono::milliseconds>(left);
   this->parents.Add(id, call.served.envelope.route, now + told, now);
@@ -137,7 +137,7 @@
   for (const auto &header : envelope.headers) {
     request.headers.push_back({header.name, header.value});
   }
-  const Span left = call.served.deadline - this->loop.GetClock().Now();
+  const Duration left = call.served.deadline - this->loop.GetClock().Now();
   this->dialect.AddHeaders({envelope, call.served.context, instance, left},
                            request);
   request.body = std::move(call.body);
@@ -208,7 +208,7 @@
 }
 
 void Serving::Refuse(std::uint64_t id, Outcome outcome, Reason reason,
-                     Span come_back) {
+                     Duration come_back) {
   this->Finish(id, Refusal(outcome, reason, come_back), {});
 }
 
@@ -217,10 +217,10 @@
   if (found == this->calls.end()) return;
   const auto binding =
       this->bindings.find(found->second.served.envelope.service);
-  const Span cold_for = binding == this->bindings.end()
-                            ? Span{0}
-                            : binding->second.admission->ColdFor();
-  const Span spread = SpreadAround(kWarmSpread, this->random);
+  const Duration cold_for = binding == this->bindings.end()
+                                ? Duration{0}
+                                : binding->second.admission->ColdFor();
+  const Duration spread = SpreadAround(kWarmSpread, this->random);
   this->Refuse(id, Outcome::kNotRun, Reason::kWarmingUp, cold_for + spread);
 }
 
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -31,7 +31,7 @@
   Target target;
   Address address;
   std::string instance; /*!< Differs after each start; may be empty. */
-  Span cold_for{};      /*!< How long it says that it stays cold. */
+  Duration cold_for{};  /*!< How long it says that it stays cold. */
 };
 
 /*! @brief Whether the operator lets the targets of a zone be used. */
@@ -69,7 +69,7 @@
    * @param service The service.
    * @return The span; 0 where they are not.
    */
-  [[nodiscard]] virtual Span ColdAfterStart(
+  [[nodiscard]] virtual Duration ColdAfterStart(
       const std::string &service) const = 0;
 };
 
@@ -80,9 +80,9 @@
       const std::string & /*service*/) const override {
     return {};
   }
-  [[nodiscard]] Span ColdAfterStart(
+  [[nodiscard]] Duration ColdAfterStart(
       const std::string & /*service*/) const override {
-    return Span{0};
+    return Duration{0};
   }
 };
 
@@ -99,7 +99,7 @@
   RetryAllowance allowance;
   int sub_calls{};
   Time sub_calls_since{};
-  Span time_in_sub_calls{};
+  Duration time_in_sub_calls{};
   SubCallCancels sub_call_cancels;
 
   /*! @brief Counts a sub-call in. @param now Time. */
@@ -223,7 +223,7 @@
   [[nodiscard]] std::size_t RunningCount() const noexcept;
 
   /*! @brief How long targets here stay cold. @return The longest, or 0. */
-  [[nodiscard]] Span ColdFor() const noexcept;
+  [[nodiscard]] Duration ColdFor() const noexcept;
 
   /*! @brief Requests waiting or running. @return The count. */
   [[nodiscard]] std::size_t InProgress() const noexcept {
@@ -261,7 +261,8 @@
   void GiveUp(std::uint64_t id);
   void Finish(std::uint64_t id, CallReply reply, std::string body);
   void Refuse(std::uint64_t id, Outcome outcome, Reason reason);
-  void Refuse(std::uint64_t id, Outcome outcome, Reason reason, Span come_back);
+  void Refuse(std::uint64_t id, Outcome outcome, Reason reason,
+              Duration come_back);
   void RefuseUntilWarm(std::uint64_t id);
   void Report();
   [[nodiscard]] HttpRequest ToRequest(Call &call,
--- a/src/pollenring/node/serving_targets.cc
+++ b/src/pollenring/node/serving_targets.cc
@@ -10,12 +10,12 @@
 
 /*! @brief Silence after which a target is taken as gone; four of the slowest
  * announcements, which come every 1.5 s. */
-constexpr Span kAnnouncementLifetime = std::chrono::seconds{6};
+constexpr Duration kAnnouncementLifetime = std::chrono::seconds{6};
 /*! @brief Pause between two lines on a busy target. */
-constexpr Span kLoadLogPeriod = std::chrono::seconds{1};
+constexpr Duration kLoadLogPeriod = std::chrono::seconds{1};
 /*! @brief How long an announcement may be on its way that was sent before
  * something pointed to a restart. */
-constexpr Span kBeatUnderWay = std::chrono::milliseconds{300};
+constexpr Duration kBeatUnderWay = std::chrono::milliseconds{300};
 
 }  // namespace
 
@@ -60,7 +60,7 @@
   const Time now = this->loop.GetClock().Now();
   const std::string &service = binding.announcement.target.service;
   binding.admission->SetColdTolerance(this->cold_bounds.ToleranceOf(service));
-  const Span cold_for = binding.announcement.cold_for;
+  const Duration cold_for = binding.announcement.cold_for;
   // What it says now may have been sent before it started again.
   const bool recent = binding.suspected_cold != Time{} &&
                       now - binding.suspected_cold < kBeatUnderWay;
@@ -69,16 +69,16 @@
     if (state == TargetState::kWarm) state = TargetState::kCold;
     return;
   }
-  binding.cold_timed = cold_for > Span{0};
+  binding.cold_timed = cold_for > Duration{0};
   binding.admission->SetColdUntil(now + cold_for);
 }
 
 void Serving::SuspectCold(Binding &binding) {
   const Time now = this->loop.GetClock().Now();
   const std::string &service = binding.announcement.target.service;
-  const Span cold_for = this->cold_bounds.ColdAfterStart(service);
+  const Duration cold_for = this->cold_bounds.ColdAfterStart(service);
   binding.suspected_cold = now;
-  const bool news = binding.admission->ColdFor() <= Span{0};
+  const bool news = binding.admission->ColdFor() <= Duration{0};
   if (cold_for <= binding.admission->ColdFor()) return;
   binding.admission->SetColdTolerance(this->cold_bounds.ToleranceOf(service));
   binding.admission->SetColdUntil(now + cold_for);
@@ -143,8 +143,8 @@
   return count;
 }
 
-Span Serving::ColdFor() const noexcept {
-  Span longest{0};
+Duration Serving::ColdFor() const noexcept {
+  Duration longest{0};
   for (const auto &[service, binding] : this->bindings) {
     longest = std::max(longest, binding.admission->ColdFor());
   }
@@ -186,7 +186,7 @@
   for (auto &[service, binding] : this->bindings) {
     this->Perform(binding.admission->Tick());
     TargetState &state = binding.announcement.target.state;
-    const bool warm = binding.admission->ColdFor() <= Span{0};
+    const bool warm = binding.admission->ColdFor() <= Duration{0};
     if (state == TargetState::kCold && binding.cold_timed && warm) {
       binding.cold_timed = false;
       state = TargetState::kWarm;
--- a/src/pollenring/node/settings.cc
+++ b/src/pollenring/node/settings.cc
@@ -90,14 +90,14 @@
   }
 
   /*! @brief Reads a length of time in seconds. @return It, or the default. */
-  [[nodiscard]] Span Seconds(std::string_view section, std::string_view key,
-                             Span otherwise) {
+  [[nodiscard]] Duration Seconds(std::string_view section, std::string_view key,
+                                 Duration otherwise) {
     const toml::table *table = this->Section(section);
     const toml::node *node = table == nullptr ? nullptr : table->get(key);
     if (node == nullptr) return otherwise;
     const auto value = node->value<double>();
     if (value && *value >= kShortestGrace && *value <= kLongestGrace) {
-      return std::chrono::duration_cast<Span>(
+      return std::chrono::duration_cast<Duration>(
           std::chrono::duration<double>{*value});
     }
     this->Report(
--- a/src/pollenring/node/settings.h
+++ b/src/pollenring/node/settings.h
@@ -27,7 +27,7 @@
 
 /*! @brief Settings of one node. */
 struct Settings {
-  static constexpr Span kUsualGrace = std::chrono::seconds{6};
+  static constexpr Duration kUsualGrace = std::chrono::seconds{6};
 
   RouteForm routes{RouteForm::kServicePath};
   std::string zone;
@@ -41,11 +41,11 @@
   std::string target_secret;
   Address platform;
   std::vector<Address> seeds;
-  std::uint32_t slots{64};    /*!< Lease slots; the same on every node. */
-  Address ready;              /*!< Where readiness is asked; host form only. */
-  std::string target_service; /*!< Of the target on this VM; host form only. */
-  ColdMargin cold_margin;     /*!< At the target on this VM; host form only. */
-  Span grace{kUsualGrace};    /*!< From SIGTERM to SIGKILL; host form only. */
+  std::uint32_t slots{64};     /*!< Lease slots; the same on every node. */
+  Address ready;               /*!< Where readiness is asked; host form only. */
+  std::string target_service;  /*!< Of the target on this VM; host form only. */
+  ColdMargin cold_margin;      /*!< At the target on this VM; host form only. */
+  Duration grace{kUsualGrace}; /*!< From SIGTERM to SIGKILL; host form only. */
   bool first_start{}; /*!< The whole system starts for the first time. */
 };
 
--- a/src/pollenring/node/share_service.cc
+++ b/src/pollenring/node/share_service.cc
@@ -8,7 +8,7 @@
 namespace pollenring {
 namespace {
 
-constexpr Span kTick = std::chrono::milliseconds{10};
+constexpr Duration kTick = std::chrono::milliseconds{10};
 
 }  // namespace
 
--- a/src/pollenring/node/slot_service.cc
+++ b/src/pollenring/node/slot_service.cc
@@ -12,12 +12,12 @@
 namespace pollenring {
 namespace {
 
-constexpr Span kTick = std::chrono::milliseconds{20};
+constexpr Duration kTick = std::chrono::milliseconds{20};
 /*! @brief Time for a joining node to hear of the others before it claims. */
-constexpr Span kClaimDelay = std::chrono::milliseconds{500};
-constexpr Span kRebalancePeriod = std::chrono::milliseconds{250};
+constexpr Duration kClaimDelay = std::chrono::milliseconds{500};
+constexpr Duration kRebalancePeriod = std::chrono::milliseconds{250};
 /*! @brief Time without changes in membership before slots are moved. */
-constexpr Span kSettle = std::chrono::seconds{2};
+constexpr Duration kSettle = std::chrono::seconds{2};
 constexpr std::size_t kMovesPerRebalance = 4;
 /*! @brief Turns by which others wait for the witnesses of a lost holder. */
 constexpr std::size_t kTurnsForWitnesses = 4;
--- a/src/pollenring/node/target_dialect.h
+++ b/src/pollenring/node/target_dialect.h
@@ -15,7 +15,7 @@
   const CallEnvelope &envelope;
   const std::string &context;  /*!< Names the call in the target's own calls. */
   const std::string &instance; /*!< The target's start; empty if unknown. */
-  Span left{};                 /*!< Time until the call's deadline. */
+  Duration left{};             /*!< Time until the call's deadline. */
 };
 
 /*! @brief What an answer says by its status and headers. */
--- a/src/pollenring/node/target_port.cc
+++ b/src/pollenring/node/target_port.cc
@@ -114,14 +114,14 @@
   ServedCall *parent = this->serving.FindContext(context);
   if (parent == nullptr) {
     responder->Send(ToResponse(
-        Refusal(Outcome::kNotRun, Reason::kCallerRefused, Span{}), {}, {}));
+        Refusal(Outcome::kNotRun, Reason::kCallerRefused, Duration{}), {}, {}));
     return;
   }
   CallEnvelope envelope;
   const Reason refused = this->Prepare(request, *parent, envelope);
   if (refused != Reason::kNone) {
-    responder->Send(ToResponse(Refusal(Outcome::kNotRun, refused, Span{}), {},
-                               parent->envelope.root_id));
+    responder->Send(ToResponse(Refusal(Outcome::kNotRun, refused, Duration{}),
+                               {}, parent->envelope.root_id));
     return;
   }
   const Time now = this->loop.GetClock().Now();
@@ -164,8 +164,9 @@
   parent->sub_call_cancels[*handle] = [this, call = *handle, root_id,
                                        responder] {
     this->dispatcher.Cancel(call);
-    responder->Send(ToResponse(
-        Refusal(Outcome::kUnknown, Reason::kCancelled, Span{}), {}, root_id));
+    responder->Send(
+        ToResponse(Refusal(Outcome::kUnknown, Reason::kCancelled, Duration{}),
+                   {}, root_id));
   };
 }
 
--- a/src/pollenring/retry/backoff.h
+++ b/src/pollenring/retry/backoff.h
@@ -12,9 +12,9 @@
  * @param random Randomness.
  * @return A span that differs from caller to caller.
  */
-[[nodiscard]] inline Span SpreadAround(Span around, Random &random) {
+[[nodiscard]] inline Duration SpreadAround(Duration around, Random &random) {
   const double factor = 0.5 + random.Fraction();
-  return Span{
+  return Duration{
       static_cast<std::int64_t>(static_cast<double>(around.count()) * factor)};
 }
 
--- a/src/pollenring/retry/budget.cc
+++ b/src/pollenring/retry/budget.cc
@@ -11,7 +11,7 @@
   Account &account = this->accounts[service];
   const Time now = this->clock.Now();
   const auto age = static_cast<double>((now - account.as_of).count());
-  const Span lasts =
+  const Duration lasts =
       account.saved > 0 ? this->options.savings_last : this->options.debt_lasts;
   const auto memory = static_cast<double>(lasts.count());
   account.saved *= std::exp(-age / memory);
--- a/src/pollenring/retry/budget.h
+++ b/src/pollenring/retry/budget.h
@@ -54,9 +54,9 @@
   double share{0.06}; /*!< Retries earned by each answered call. */
   /*! @brief Time after which what was earned counts a third: in a chain of four
    * services that begin to fail at once each level spends its savings. */
-  Span savings_last{std::chrono::seconds{3}};
+  Duration savings_last{std::chrono::seconds{3}};
   /*! @brief Time after which what is owed counts a third; the users' window. */
-  Span debt_lasts{std::chrono::seconds{10}};
+  Duration debt_lasts{std::chrono::seconds{10}};
   double most_owed{50}; /*!< Debt beyond which nothing more is added. */
 };
 
--- a/src/pollenring/routing/router.cc
+++ b/src/pollenring/routing/router.cc
@@ -13,13 +13,13 @@
 constexpr double kFaultWeight = 0.1;
 /*! @brief Time after which a share of faults that nothing confirms counts as a
  * third of it, so that a target that is well again is tried again. */
-constexpr Span kFaultMemory = std::chrono::seconds{3};
+constexpr Duration kFaultMemory = std::chrono::seconds{3};
 /*! @brief Calls' times that one failed call costs; a request makes some ten
  * calls, and one that fails wastes all of them. */
 constexpr double kFaultCost = 12;
 /*! @brief How long a target that is said to be cold is taken as such; its
  * answers tell the end of it. */
-constexpr Span kColdUntold = std::chrono::seconds{3};
+constexpr Duration kColdUntold = std::chrono::seconds{3};
 /*! @brief Targets of a service among which all are compared; beyond, so many
  * are drawn. */
 constexpr std::size_t kMostCompared = 8;
@@ -144,7 +144,7 @@
 }
 
 void Router::Finished(const std::string &name, NodeId node, CallVerdict verdict,
-                      const std::optional<LoadReport> &report, Span took) {
+                      const std::optional<LoadReport> &report, Duration took) {
   const auto found = this->services.find(name);
   if (found == this->services.end()) return;
   Service &service = found->second;
@@ -162,7 +162,7 @@
     // Times of a cold target say nothing of it once it is warm.
     if (was_cold && report->cold_ms == 0) endpoint.time_us = 0;
   }
-  if (took > Span{0}) {
+  if (took > Duration{0}) {
     const auto us = static_cast<double>(took.count());
     if (endpoint.time_us == 0) endpoint.time_us = us;
     endpoint.time_us += kTimeWeight * (us - endpoint.time_us);
@@ -332,7 +332,7 @@
   DropTrials(service, endpoint.node);
   endpoint.ejected = true;
   const double jitter = 0.75 + 0.5 * this->random.Fraction();
-  const Span wait{static_cast<std::int64_t>(
+  const Duration wait{static_cast<std::int64_t>(
       static_cast<double>(endpoint.ejection.count()) * jitter)};
   endpoint.ejected_until = this->clock.Now() + wait;
   this->changes.push_back({name, endpoint.node, true, endpoint.failures, wait});
@@ -343,7 +343,7 @@
 
 void Router::Restore(const std::string &name, Service &service,
                      Endpoint &endpoint) {
-  this->changes.push_back({name, endpoint.node, false, 0, Span{0}});
+  this->changes.push_back({name, endpoint.node, false, 0, Duration{0}});
   DropTrials(service, endpoint.node);
   endpoint.ejected = false;
   endpoint.ejection = this->options.first_ejection;
--- a/src/pollenring/routing/router.h
+++ b/src/pollenring/routing/router.h
@@ -37,21 +37,21 @@
   std::string service;
   NodeId node{};
   bool set_aside{};
-  int failures{}; /*!< In a row. */
-  Span pause{};   /*!< Until it is tried again; 0 when it is used again. */
+  int failures{};   /*!< In a row. */
+  Duration pause{}; /*!< Until it is tried again; 0 when it is used again. */
 };
 
 /*! @brief Limits of routing. */
 struct RouterOptions {
-  Span first_ejection{std::chrono::milliseconds{500}};
-  Span longest_ejection{std::chrono::seconds{8}};
+  Duration first_ejection{std::chrono::milliseconds{500}};
+  Duration longest_ejection{std::chrono::seconds{8}};
   int failures_to_eject{3};
-  Span ramp{std::chrono::seconds{3}};
+  Duration ramp{std::chrono::seconds{3}};
   double ramp_floor{0.1};
   std::size_t choices{2};
   RouteOrder order{RouteOrder::kNearest};
   /*! @brief What another zone must be sooner by, for the bytes between them. */
-  Span zone_cost{std::chrono::milliseconds{3}};
+  Duration zone_cost{std::chrono::milliseconds{3}};
 };
 
 /**
@@ -121,7 +121,8 @@
    * @param took Time to the target's answer; 0 when it gave none.
    */
   void Finished(const std::string &service, NodeId node, CallVerdict verdict,
-                const std::optional<LoadReport> &report, Span took = Span{0});
+                const std::optional<LoadReport> &report,
+                Duration took = Duration{0});
 
   /*! @brief Takes what has changed since the last time. @return Changes. */
   [[nodiscard]] std::vector<RouteChange> TakeChanges() {
@@ -147,7 +148,7 @@
     int in_progress{};
     int in_progress_at_report{};
     int failures{};
-    Span ejection{};
+    Duration ejection{};
     Time ejected_until{};
     bool ejected{};
     Time cold_until{};
--- a/src/pollenring/share/borrow.h
+++ b/src/pollenring/share/borrow.h
@@ -13,13 +13,13 @@
 namespace pollenring {
 
 /*! @brief Longest time for which share is lent. */
-inline constexpr Span kLoanValidity = std::chrono::milliseconds{500};
+inline constexpr Duration kLoanValidity = std::chrono::milliseconds{500};
 
 /*! @brief Validity of share for requests that wait; nobody returns it. */
-inline constexpr Span kUrgentValidity = std::chrono::milliseconds{100};
+inline constexpr Duration kUrgentValidity = std::chrono::milliseconds{100};
 
 /*! @brief Longest wait for a slot's next share. */
-inline constexpr Span kLongestEarly = std::chrono::milliseconds{500};
+inline constexpr Duration kLongestEarly = std::chrono::milliseconds{500};
 
 /*! @brief How long a request waits for share. */
 struct Patience {
--- a/src/pollenring/share/borrower.cc
+++ b/src/pollenring/share/borrower.cc
@@ -11,29 +11,29 @@
 namespace {
 
 /*! @brief Longest wait of a request while no slot's holder is to be found. */
-constexpr Span kLongestWait = std::chrono::seconds{1};
+constexpr Duration kLongestWait = std::chrono::seconds{1};
 /*! @brief Longest wait while some holders have nothing and some are missing. */
-constexpr Span kLongestPartWait = std::chrono::milliseconds{250};
+constexpr Duration kLongestPartWait = std::chrono::milliseconds{250};
 /*! @brief Pause between rounds that did not reach every holder. */
-constexpr Span kRoundPause = std::chrono::milliseconds{20};
+constexpr Duration kRoundPause = std::chrono::milliseconds{20};
 /*! @brief Most requests of one workspace that wait at once. */
 constexpr std::size_t kMostWaiting = 1000;
 /*! @brief When to come back after a second without any share. */
-constexpr Span kNoShareRetry = std::chrono::milliseconds{500};
+constexpr Duration kNoShareRetry = std::chrono::milliseconds{500};
 /*! @brief Longest wait for one holder. */
-constexpr Span kHolderTimeout = std::chrono::milliseconds{80};
+constexpr Duration kHolderTimeout = std::chrono::milliseconds{80};
 /*! @brief How far ahead of demand share is borrowed. */
 constexpr double kAheadSeconds = 0.1;
 /*! @brief Part of the advance below which more is borrowed. */
 constexpr double kLowWater = 0.4;
 /*! @brief Longest time without asking after all holders had nothing. */
-constexpr Span kLongestEmpty = std::chrono::milliseconds{20};
+constexpr Duration kLongestEmpty = std::chrono::milliseconds{20};
 /*! @brief Age at which a loan's rest goes back to its holder. */
-constexpr Span kReturnAge = std::chrono::milliseconds{250};
-constexpr Span kDemandWindow = std::chrono::milliseconds{100};
+constexpr Duration kReturnAge = std::chrono::milliseconds{250};
+constexpr Duration kDemandWindow = std::chrono::milliseconds{100};
 constexpr double kDemandWeight = 0.5;
 /*! @brief Time without a request after which a workspace is forgotten. */
-constexpr Span kForgetAfter = std::chrono::seconds{10};
+constexpr Duration kForgetAfter = std::chrono::seconds{10};
 constexpr std::uint32_t kMostWanted = 100'000;
 constexpr std::size_t kMostReturns = 16;
 
@@ -100,7 +100,7 @@
 }
 
 void ShareBorrower::Measure(Workspace &workspace) const {
-  const Span elapsed = this->clock.Now() - workspace.demand_from;
+  const Duration elapsed = this->clock.Now() - workspace.demand_from;
   if (elapsed < kDemandWindow) return;
   const double seconds = std::chrono::duration<double>{elapsed}.count();
   const double measured = workspace.charges / seconds;
@@ -184,19 +184,19 @@
   if (workspace.waiters.empty()) return false;
   auto &next_share = workspace.round.next_share;
   // What is granted to those who don't wait for it is lost to all.
-  Span longest{0};
+  Duration longest{0};
   for (const auto &waiter : workspace.waiters) {
-    const Span left = waiter.patience.next_share - this->clock.Now();
+    const Duration left = waiter.patience.next_share - this->clock.Now();
     longest = std::max(longest, std::min(left, kLongestEarly));
   }
   std::optional<std::size_t> soonest;
   for (std::size_t i = 0; i < next_share.size(); ++i) {
-    if (next_share[i] <= Span{0} || next_share[i] >= longest) continue;
+    if (next_share[i] <= Duration{0} || next_share[i] >= longest) continue;
     if (!soonest || next_share[i] < next_share[*soonest]) soonest = i;
   }
   if (!soonest) return false;
   workspace.preferred = *soonest;
-  next_share[*soonest] = Span{0};
+  next_share[*soonest] = Duration{0};
   BorrowRequest request = this->ToRequest(name, workspace);
   request.loan = ++this->last_loan;
   request.want = static_cast<std::uint32_t>(workspace.waiters.size());
@@ -214,15 +214,15 @@
 void ShareBorrower::TakeEarly(Workspace &workspace, const EarlyGrant &grant) {
   // The share comes that long after the holder has said so, so no later than
   // that long after its word has arrived.
-  Span wait = this->options.More(Span{grant.first_us});
-  const Span every = this->options.More(Span{grant.every_us});
+  Duration wait = this->options.More(Duration{grant.first_us});
+  const Duration every = this->options.More(Duration{grant.every_us});
   std::uint32_t left = grant.count;
   while (left > 0 && !workspace.waiters.empty()) {
     Waiter waiter = std::move(workspace.waiters.front());
     workspace.waiters.pop_front();
     const Time ready = this->clock.Now() + wait;
     if (ready >= waiter.patience.next_share) {
-      waiter.done({false, Reason::kOverRate, std::max(wait, Span{1000})});
+      waiter.done({false, Reason::kOverRate, std::max(wait, Duration{1000})});
       continue;
     }
     const Time expires = workspace.asked.sent + wait + kUrgentValidity;
@@ -250,10 +250,10 @@
 }
 
 void ShareBorrower::Refused(const std::string &name, Workspace &workspace,
-                            bool answered, Span retry_after) {
+                            bool answered, Duration retry_after) {
   Round &round = workspace.round;
   const bool sooner =
-      round.retry_after == Span{0} || retry_after < round.retry_after;
+      round.retry_after == Duration{0} || retry_after < round.retry_after;
   if (answered && sooner) round.retry_after = retry_after;
   workspace.asking = false;
   if (round.early) {
@@ -262,7 +262,7 @@
   }
   if (answered) {
     ++round.answers;
-    round.next_share[workspace.preferred] = std::max(retry_after, Span{1});
+    round.next_share[workspace.preferred] = std::max(retry_after, Duration{1});
   }
   ++round.refusals;
   workspace.preferred = (workspace.preferred + 1) % workspace.slots.size();
@@ -273,19 +273,19 @@
 void ShareBorrower::RefuseAll(Workspace &workspace) {
   if (workspace.waiters.empty()) return;
   const Time now = this->clock.Now();
-  workspace.empty_until =
-      now + std::clamp(workspace.round.retry_after, Span{1000}, kLongestEmpty);
+  workspace.empty_until = now + std::clamp(workspace.round.retry_after,
+                                           Duration{1000}, kLongestEmpty);
   auto waiters = std::exchange(workspace.waiters, {});
   for (auto &waiter : waiters) {
     waiter.done({false, Reason::kOverRate,
-                 std::max(workspace.round.retry_after, Span{1000})});
+                 std::max(workspace.round.retry_after, Duration{1000})});
   }
 }
 
 void ShareBorrower::RefuseLate(Workspace &workspace) {
   if (workspace.waiters.empty()) return;
   const Time now = this->clock.Now();
-  const Span longest =
+  const Duration longest =
       workspace.round.answers == 0 ? kLongestWait : kLongestPartWait;
   std::deque<Waiter> late;
   std::deque<Waiter> rest;
@@ -307,15 +307,16 @@
   if (!workspace.asking || workspace.asked.loan != reply.loan) return;
   if (reply.holder && reply.early.count > 0) {
     this->TakeEarly(workspace, reply.early);
-    this->Refused(reply.workspace, workspace, true, Span{reply.retry_after_us});
+    this->Refused(reply.workspace, workspace, true,
+                  Duration{reply.retry_after_us});
     return;
   }
   if (!reply.holder || reply.granted == 0) {
     this->Refused(reply.workspace, workspace, reply.holder,
-                  Span{reply.retry_after_us});
+                  Duration{reply.retry_after_us});
     return;
   }
-  const Span validity = this->options.Less(Span{reply.validity_us});
+  const Duration validity = this->options.Less(Duration{reply.validity_us});
   // The loan was made after it was asked for, so it ends no earlier than this.
   const Time expires = workspace.asked.sent + validity;
   workspace.asking = false;
@@ -323,7 +324,7 @@
   // are empty.
   workspace.preferred = (workspace.preferred + 1) % workspace.slots.size();
   if (expires > this->clock.Now()) {
-    const bool urgent = Span{reply.validity_us} <= kUrgentValidity;
+    const bool urgent = Duration{reply.validity_us} <= kUrgentValidity;
     workspace.loans.push_back({reply.slot, reply.loan, reply.granted,
                                workspace.asked.sent, expires, urgent});
   }
@@ -349,7 +350,7 @@
     Workspace &workspace = here->second;
     const bool silent =
         workspace.asking && now - workspace.asked.sent >= kHolderTimeout;
-    if (silent) this->Refused(name, workspace, false, Span{0});
+    if (silent) this->Refused(name, workspace, false, Duration{0});
     this->ReleaseEarly(workspace);
     this->RefuseLate(workspace);
     if (!workspace.waiters.empty()) this->Ask(name, workspace);
--- a/src/pollenring/share/borrower.h
+++ b/src/pollenring/share/borrower.h
@@ -34,7 +34,7 @@
 struct ChargeResult {
   bool granted{};
   Reason reason{Reason::kNone};
-  Span retry_after{};
+  Duration retry_after{};
 };
 
 /**
@@ -109,9 +109,10 @@
   struct Round {
     std::size_t refusals{};
     std::size_t answers{}; /*!< Holders that said they have nothing. */
-    Span retry_after{};
-    std::vector<Span> next_share; /*!< By slot, until it has some; none if 0. */
-    bool early{};                 /*!< What comes next is asked for. */
+    Duration retry_after{};
+    std::vector<Duration>
+        next_share; /*!< By slot, until it has some; none if 0. */
+    bool early{};   /*!< What comes next is asked for. */
   };
   struct Workspace {
     std::vector<SlotId> slots;
@@ -139,7 +140,7 @@
   [[nodiscard]] BorrowRequest ToRequest(const std::string &name,
                                         Workspace &workspace);
   void Refused(const std::string &name, Workspace &workspace, bool answered,
-               Span retry_after);
+               Duration retry_after);
   void ReturnIdle(Workspace &workspace) const;
   void SendReturns(const std::string &name, Workspace &workspace);
   void Serve(Workspace &workspace);
--- a/src/pollenring/share/lender.cc
+++ b/src/pollenring/share/lender.cc
@@ -51,8 +51,8 @@
     return reply;
   }
   // Requests that wait take theirs at once, so none of it will come back.
-  const Span most = granted > urgent ? kLoanValidity : kUrgentValidity;
-  const Span validity = std::min(most, valid_until - now);
+  const Duration most = granted > urgent ? kLoanValidity : kUrgentValidity;
+  const Duration validity = std::min(most, valid_until - now);
   const auto amount = static_cast<std::uint32_t>(granted);
   this->Grant(bucket, key, Loan{amount, now + validity, Time{}});
   reply.granted = amount;
@@ -69,28 +69,29 @@
   CheckBound(bucket);
 }
 
-Span ShareLender::EveryOf(const Bucket &bucket) noexcept {
+Duration ShareLender::EveryOf(const Bucket &bucket) noexcept {
   const double rate = std::max(bucket.rate, kRounding);
-  return Span{static_cast<std::int64_t>(kMicrosPerSecond / rate) + 1};
+  return Duration{static_cast<std::int64_t>(kMicrosPerSecond / rate) + 1};
 }
 
 void ShareLender::GrantEarly(Bucket &bucket, const BorrowRequest &request,
                              Time valid_until, BorrowReply &reply) const {
   const Time now = this->clock.Now();
-  const Span every = EveryOf(bucket);
+  const Duration every = EveryOf(bucket);
   const double missing = std::max(0.0, 1 - bucket.level);
-  const Span first{
+  const Duration first{
       static_cast<std::int64_t>(missing * static_cast<double>(every.count()))};
   reply.retry_after_us = first.count();
   // What the burst was cut by for transit, and a part of a request.
   const double most = std::floor(bucket.level + MostOwed(bucket));
-  const Span within = std::min(Span{request.early_within_us}, kLongestEarly);
+  const Duration within =
+      std::min(Duration{request.early_within_us}, kLongestEarly);
   if (first > within) return;
   const auto in_time = static_cast<double>((within - first) / every + 1);
   const auto count = static_cast<std::uint32_t>(std::clamp(
       std::min(most, in_time), 0.0, static_cast<double>(request.early)));
   if (count == 0) return;
-  const Span last = first + every * (count - 1);
+  const Duration last = first + every * (count - 1);
   const Time expires = now + last + kUrgentValidity;
   if (expires >= valid_until) return;
   const LoanKey key{request.borrower, request.loan};
@@ -102,7 +103,7 @@
                                   BorrowReply reply) const {
   const Time now = this->clock.Now();
   if (loan.first_early != Time{}) {
-    const Span first = std::max(Span{0}, loan.first_early - now);
+    const Duration first = std::max(Duration{0}, loan.first_early - now);
     reply.early = {loan.amount, first.count(), EveryOf(bucket).count()};
     return reply;
   }
--- a/src/pollenring/share/lender.h
+++ b/src/pollenring/share/lender.h
@@ -15,10 +15,10 @@
 namespace pollenring {
 
 /*! @brief Time from a request's charge to its arrival at a target. */
-inline constexpr Span kTransitAllowance = std::chrono::milliseconds{50};
+inline constexpr Duration kTransitAllowance = std::chrono::milliseconds{50};
 
 /*! @brief A time after which every bucket is full. */
-inline constexpr Span kLongAgo = std::chrono::hours{24};
+inline constexpr Duration kLongAgo = std::chrono::hours{24};
 
 /*! @brief What a bucket holds and has lent, for a successor. */
 struct BucketState {
@@ -46,7 +46,7 @@
    * @param clock Clock.
    */
   ShareLender(bool first, const Clock &clock)
-      : clock{clock}, founded{clock.Now() - (first ? kLongAgo : Span{0})} {}
+      : clock{clock}, founded{clock.Now() - (first ? kLongAgo : Duration{0})} {}
 
   /**
    * @brief Lends.
@@ -99,7 +99,7 @@
                   Time valid_until, BorrowReply &reply) const;
   [[nodiscard]] BorrowReply Repeated(const Bucket &bucket, const Loan &loan,
                                      BorrowReply reply) const;
-  [[nodiscard]] static Span EveryOf(const Bucket &bucket) noexcept;
+  [[nodiscard]] static Duration EveryOf(const Bucket &bucket) noexcept;
   [[nodiscard]] static double MostOwed(const Bucket &bucket) noexcept;
   void Refill(Bucket &bucket) const;
   void Expire(Bucket &bucket) const;
--- a/src/pollenring/storage/http_storage.cc
+++ b/src/pollenring/storage/http_storage.cc
@@ -7,7 +7,7 @@
 
 using Json = nlohmann::json;
 
-constexpr Span kTimeout = std::chrono::milliseconds{800};
+constexpr Duration kTimeout = std::chrono::milliseconds{800};
 constexpr int kOk = 200;
 constexpr int kMissing = 404;
 constexpr int kConflictStatus = 409;
--- a/src/pollenring/storage/store_client.cc
+++ b/src/pollenring/storage/store_client.cc
@@ -7,14 +7,14 @@
 
 /*! @brief Longest wait beyond what the store holds a call; it takes some
  * milliseconds, and a few hundred when it is slow. */
-constexpr Span kTimeout = std::chrono::milliseconds{800};
+constexpr Duration kTimeout = std::chrono::milliseconds{800};
 constexpr int kTooManyRequests = 429;
 constexpr int kFirstServerError = 500;
 constexpr int kUnavailable = 503;
 
 }  // namespace
 
-void StoreClient::Call(const HttpRequest &request, Span wait, Done done) {
+void StoreClient::Call(const HttpRequest &request, Duration wait, Done done) {
   this->client.Call(this->address, request, wait + kTimeout,
                     [done = std::move(done)](HttpClient::Reply reply) {
                       if (const auto *error = std::get_if<CallError>(&reply)) {
--- a/src/pollenring/storage/store_client.h
+++ b/src/pollenring/storage/store_client.h
@@ -37,7 +37,7 @@
    * @param done Called once; `kUnavailable` when nothing was done, `kUnknown`
    * when it may have been, now or later.
    */
-  void Call(const HttpRequest &request, Span wait, Done done);
+  void Call(const HttpRequest &request, Duration wait, Done done);
 
  private:
   HttpClient &client;
--- a/src/pollenring/wire/unreadable_log.cc
+++ b/src/pollenring/wire/unreadable_log.cc
@@ -6,7 +6,7 @@
 namespace pollenring {
 namespace {
 
-constexpr Span kPause = std::chrono::seconds{1};
+constexpr Duration kPause = std::chrono::seconds{1};
 
 }  // namespace
 
--- a/test/platform/dialects_test.cc
+++ b/test/platform/dialects_test.cc
@@ -119,7 +119,7 @@
                                         {"accept", "text/plain"}});
   CHECK(caller.key == "secret");
   CHECK(caller.id == "id1");
-  CHECK(caller.remaining == pollenring::Span{250ms});
+  CHECK(caller.remaining == pollenring::Duration{250ms});
   REQUIRE(caller.headers.size() == 1);
   CHECK(caller.headers[0].name == "accept");
 }
--- a/test/pollenring/admission/admission_test.cc
+++ b/test/pollenring/admission/admission_test.cc
@@ -12,16 +12,16 @@
 
 using pollenring::Admission;
 using pollenring::AdmissionActions;
+using pollenring::Duration;
 using pollenring::Importance;
 using pollenring::ManualClock;
 using pollenring::SeededRandom;
-using pollenring::Span;
 using pollenring::Ticket;
 
 /*! @brief A target with real slots behind an admission under test. */
 class Bench {
  public:
-  Bench(std::uint32_t announced, int real_slots, Span service,
+  Bench(std::uint32_t announced, int real_slots, Duration service,
         std::uint64_t seed)
       : clock{std::chrono::hours{1}},
         random{seed},
@@ -41,7 +41,7 @@
   }
 
   /*! @brief Moves time on and ends what is done. */
-  void Step(Span step) {
+  void Step(Duration step) {
     this->clock.Advance(step);
     const auto now = this->clock.Now();
     std::vector<std::uint64_t> done;
@@ -51,7 +51,7 @@
     for (const auto id : done) {
       this->running.erase(id);
       ++this->finished;
-      this->Perform(this->admission.Finish(id, Span{0}, false));
+      this->Perform(this->admission.Finish(id, Duration{0}, false));
     }
     this->Perform(this->admission.Tick());
   }
@@ -60,7 +60,7 @@
   SeededRandom random;
   Admission admission;
   int real_slots;
-  Span service;
+  Duration service;
   std::map<std::uint64_t, Ticket> waiting;
   std::map<std::uint64_t, pollenring::Time> running;
   std::map<Importance, int> offered;
@@ -219,16 +219,16 @@
   options.queue_time = std::chrono::seconds{1};
   Admission admission{1, options, clock};
   std::uint64_t id = 0;
-  const auto offer = [&](Importance importance, Span left) {
+  const auto offer = [&](Importance importance, Duration left) {
     Ticket ticket = Make(importance, "w");
     ticket.id = ++id;
     ticket.aim = clock.Now() + left;
     ticket.deadline = ticket.aim;
     return admission.Offer(ticket);
   };
-  const auto finish = [&](std::uint64_t which, Span after) {
+  const auto finish = [&](std::uint64_t which, Duration after) {
     clock.Advance(after);
-    return admission.Finish(which, Span{0}, false);
+    return admission.Finish(which, Duration{0}, false);
   };
   REQUIRE(offer(Importance::kHigh, std::chrono::seconds{30}).start.size() == 1);
   std::uint64_t running = 1;
@@ -284,7 +284,7 @@
         }
         const auto done = it->first;
         it = running.erase(it);
-        start(admission.Finish(done, Span{0}, false));
+        start(admission.Finish(done, Duration{0}, false));
         it = running.begin();
       }
       Ticket ticket = Make(static_cast<Importance>(random.Index(4)), "w");
@@ -309,7 +309,7 @@
 TEST_CASE("concurrency limit: a slow moment before a trial lowers nothing") {
   pollenring::ManualClock clock{std::chrono::hours{1}};
   pollenring::ConcurrencyLimit limit{4, {}, clock};
-  const auto run = [&](Span own, bool full, int count) {
+  const auto run = [&](Duration own, bool full, int count) {
     for (int i = 0; i < count; ++i) {
       clock.Advance(own / limit.Current());
       limit.Sample(own, own, full ? limit.Current() : 1, false);
--- a/test/pollenring/admission/cold_gate_test.cc
+++ b/test/pollenring/admission/cold_gate_test.cc
@@ -17,13 +17,13 @@
 using pollenring::AdmissionOptions;
 using pollenring::ColdGate;
 using pollenring::ColdTolerance;
+using pollenring::Duration;
 using pollenring::Importance;
 using pollenring::LevelCause;
 using pollenring::ManualClock;
 using pollenring::QueueOrder;
 using pollenring::Reason;
 using pollenring::SeededRandom;
-using pollenring::Span;
 using pollenring::Ticket;
 using pollenring::Time;
 
@@ -103,7 +103,7 @@
     }
   }
 
-  void Run(Span length, double per_second) {
+  void Run(Duration length, double per_second) {
     const Time until = this->clock.Now() + length;
     while (this->clock.Now() < until) {
       this->clock.Advance(1ms);
@@ -111,7 +111,7 @@
       while (!this->ends.empty() && this->ends.begin()->first <= now) {
         const std::uint64_t id = this->ends.begin()->second;
         this->ends.erase(this->ends.begin());
-        this->Do(this->admission.Finish(id, Span{0}, false));
+        this->Do(this->admission.Finish(id, Duration{0}, false));
       }
       if (now >= this->next_beat) {
         this->next_beat = now + 1500ms;
@@ -157,7 +157,7 @@
   std::deque<Time> sent;
   std::uint64_t id = 0;
   for (int i = 0; i < 20'000; ++i) {
-    clock.Advance(Span{static_cast<std::int64_t>(random.Index(1000))});
+    clock.Advance(Duration{static_cast<std::int64_t>(random.Index(1000))});
     if (!gate.HasRoom()) continue;
     gate.Sent(++id);
     // Those that the target turned away don't count.
@@ -196,10 +196,10 @@
   gate.SetColdUntil(clock.Now() + 300ms);
   gate.Sent(1);
   CHECK_FALSE(gate.HasRoom());
-  CHECK(gate.ColdFor() == Span{300ms});
+  CHECK(gate.ColdFor() == Duration{300ms});
   clock.Advance(300ms);
   CHECK(gate.HasRoom());
-  CHECK(gate.ColdFor() == Span{0});
+  CHECK(gate.ColdFor() == Duration{0});
   // Word that it is warm already counts at once.
   gate.SetColdUntil(clock.Now() + 3s);
   gate.Sent(2);
--- a/test/pollenring/admission/concurrency_limit_test.cc
+++ b/test/pollenring/admission/concurrency_limit_test.cc
@@ -9,9 +9,9 @@
 using namespace std::chrono_literals;
 using pollenring::ConcurrencyLimit;
 using pollenring::ConcurrencyLimitOptions;
+using pollenring::Duration;
 using pollenring::ManualClock;
 using pollenring::SeededRandom;
-using pollenring::Span;
 
 /*! @brief Runs a target that always has work; its last slots may slow it. */
 [[nodiscard]] int LimitAfter(int slots, double slower_when_full) {
@@ -26,7 +26,7 @@
     const bool full = running > slots * 0.95;
     const double ms =
         30 * (0.5 + random.Fraction()) * (full ? slower_when_full : 1.0);
-    const Span took{static_cast<std::int64_t>(ms * 1000)};
+    const Duration took{static_cast<std::int64_t>(ms * 1000)};
     clock.Advance(took / slots);
     limit.Sample(took, took, running, false);
   }
--- a/test/pollenring/admission/fair_queue_test.cc
+++ b/test/pollenring/admission/fair_queue_test.cc
@@ -9,9 +9,9 @@
 
 namespace {
 
+using pollenring::Duration;
 using pollenring::FairQueue;
 using pollenring::SeededRandom;
-using pollenring::Span;
 using pollenring::Ticket;
 using pollenring::Time;
 
--- a/test/pollenring/admission/fit_level_test.cc
+++ b/test/pollenring/admission/fit_level_test.cc
@@ -8,29 +8,29 @@
 namespace {
 
 using namespace std::chrono_literals;
+using pollenring::Duration;
 using pollenring::FitLevel;
 using pollenring::FitLevelOptions;
 using pollenring::Importance;
 using pollenring::ManualClock;
 using pollenring::QueueState;
 using pollenring::SeededRandom;
-using pollenring::Span;
 using pollenring::Ticket;
 
 /*! @brief A service whose roots arrive some time after they are let in. */
 class DeepService {
  public:
   /*! @brief Callers refuse below that part of the level. */
-  explicit DeepService(Span way, double heard = 1,
+  explicit DeepService(Duration way, double heard = 1,
                        Importance importance = Importance::kLow)
       : way{way}, heard{heard}, importance{importance} {}
 
   /*! @brief Runs for a while at an offered rate. @return Mean part kept. */
-  double Run(Span length, double offered_per_second) {
-    const Span step = 10ms;
+  double Run(Duration length, double offered_per_second) {
+    const Duration step = 10ms;
     double kept = 0;
     double all = 0;
-    for (Span t{0}; t < length; t += step) {
+    for (Duration t{0}; t < length; t += step) {
       this->clock.Advance(step);
       const double count = offered_per_second * 0.01;
       for (int i = 0; i < static_cast<int>(count); ++i) this->Offer(kept, all);
@@ -38,7 +38,8 @@
       const double done = kCapacity * 0.01;
       this->queue = std::max(0.0, this->queue - done);
       const auto delay_us = this->queue / kCapacity * 1e6;
-      this->level.Tick({Span{static_cast<std::int64_t>(delay_us)}, kCapacity});
+      this->level.Tick(
+          {Duration{static_cast<std::int64_t>(delay_us)}, kCapacity});
       this->longest = std::max(this->longest, this->queue / kCapacity);
     }
     return kept / all;
@@ -71,7 +72,7 @@
     }
   }
 
-  Span way;
+  Duration way;
   double heard;
   Importance importance;
   ManualClock clock{std::chrono::hours{1}};
@@ -90,7 +91,7 @@
 }
 
 TEST_CASE("fit level: twice the capacity is halved, however deep it is felt") {
-  const Span way = GENERATE(Span{0}, Span{200ms}, Span{500ms});
+  const Duration way = GENERATE(Duration{0}, Duration{200ms}, Duration{500ms});
   CAPTURE(way.count());
   DeepService service{way};
   static_cast<void>(service.Run(10s, 2000));
--- a/test/pollenring/lease/slot_keeper_test.cc
+++ b/test/pollenring/lease/slot_keeper_test.cc
@@ -6,8 +6,8 @@
 namespace {
 
 using pollenring::SlotId;
+using support::Duration;
 using support::LeaseWorld;
-using support::Span;
 using support::WorldFaults;
 
 constexpr std::uint64_t kStepsPerSeed = 60'000;
@@ -214,7 +214,7 @@
                            });
       };
       for (int steps = 0; steps < 400 && !gives(); ++steps) {
-        world.network.RunUntil(world.truth.Now() + Span{100});
+        world.network.RunUntil(world.truth.Now() + Duration{100});
       }
       REQUIRE(gives());
       for (const auto &node : world.nodes) {
--- a/test/pollenring/lease/witness_test.cc
+++ b/test/pollenring/lease/witness_test.cc
@@ -4,9 +4,9 @@
 
 namespace {
 
+using pollenring::Duration;
 using pollenring::kEpochsPerRow;
 using pollenring::ManualClock;
-using pollenring::Span;
 using pollenring::Witness;
 using pollenring::WitnessAnswer;
 using pollenring::WitnessAsk;
@@ -18,7 +18,7 @@
 constexpr WitnessRef kHolder{1, 11};
 constexpr WitnessRef kTaker{2, 12};
 constexpr WitnessRef kOther{3, 13};
-constexpr Span kPromise = std::chrono::seconds{2};
+constexpr Duration kPromise = std::chrono::seconds{2};
 
 /*! @brief A witness and the asks that reach it. */
 struct Scene {
@@ -44,9 +44,9 @@
 TEST_CASE("witness: a vote waits for promises and is given once an epoch") {
   Scene scene;
   CHECK(scene.Ask(WitnessRequest::kPromise, kRow, kHolder).granted);
-  scene.clock.Advance(kPromise - Span{1});
+  scene.clock.Advance(kPromise - Duration{1});
   CHECK_FALSE(scene.Ask(WitnessRequest::kVote, kRow + 1, kTaker).granted);
-  scene.clock.Advance(Span{1});
+  scene.clock.Advance(Duration{1});
   CHECK(scene.Ask(WitnessRequest::kVote, kRow + 1, kTaker).granted);
   CHECK_FALSE(scene.Ask(WitnessRequest::kVote, kRow + 1, kOther).granted);
   // Asked again, since the answer may have been lost.
@@ -105,7 +105,7 @@
   const auto released = scene.Ask(WitnessRequest::kRelease,
                                   pollenring::LastEpochOf(kRow), kTaker);
   CHECK(released.granted);
-  CHECK(Span{released.remaining_us} == kPromise / 2);
+  CHECK(Duration{released.remaining_us} == kPromise / 2);
   CHECK(released.promised_to == kHolder);
   scene.clock.Advance(kPromise);
   CHECK_FALSE(scene.Ask(WitnessRequest::kPromise, kRow, kHolder).granted);
@@ -124,7 +124,7 @@
     const auto answer = scene.witness.Answer(ask);
     CHECK_FALSE(answer.granted);
     CHECK_FALSE(answer.remembers);
-    CHECK(Span{answer.remaining_us} == kPromise);
+    CHECK(Duration{answer.remaining_us} == kPromise);
   }
 }
 
@@ -134,7 +134,7 @@
   ask.process = kProcess;
   ask.epoch = kRow;
   ask.asker = kHolder;
-  const auto tell = [&](Span lapse_left) {
+  const auto tell = [&](Duration lapse_left) {
     ask.in_force = {{kRow, kHolder, {kHolder, kTaker}}, 5, lapse_left.count()};
     static_cast<void>(scene.witness.Answer(ask));
     return scene.witness.Known(0)->ends;
--- a/test/pollenring/link/link_server_test.cc
+++ b/test/pollenring/link/link_server_test.cc
@@ -39,7 +39,7 @@
         responder->Send({});
       }};
   LinkClient client{loop, "secret", kMostBytes};
-  const auto run = [](Loop &which, pollenring::Span length) {
+  const auto run = [](Loop &which, pollenring::Duration length) {
     which.After(length, [&which] { which.Stop(); });
     which.Resume();
     which.Run();
@@ -73,7 +73,7 @@
         responder->Send({});
       }};
   LinkClient client{loop, "secret", kMostBytes};
-  const auto run = [](Loop &which, pollenring::Span length) {
+  const auto run = [](Loop &which, pollenring::Duration length) {
     which.After(length, [&which] { which.Stop(); });
     which.Resume();
     which.Run();
--- a/test/pollenring/membership/store_duty_test.cc
+++ b/test/pollenring/membership/store_duty_test.cc
@@ -13,7 +13,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using pollenring::Span;
+using pollenring::Duration;
 using pollenring::StoreDuty;
 using pollenring::StoreDutyOptions;
 using pollenring::Time;
@@ -38,8 +38,8 @@
   }
 
   /*! @brief Highest age of the store's word at a node that lives. */
-  [[nodiscard]] Span Oldest() const {
-    Span oldest{0};
+  [[nodiscard]] Duration Oldest() const {
+    Duration oldest{0};
     for (int i = 0; i < this->fleet.Size(); ++i) {
       const auto *membership = this->fleet.At(i);
       if (membership == nullptr) continue;
@@ -61,8 +61,8 @@
     if (!duty.Asks() || this->now < due) return;
     ++this->calls;
     const bool heard = this->reaches(index);
-    due =
-        this->now + (heard ? duty.NextWatch(this->fleet.random) : Span{800ms});
+    due = this->now +
+          (heard ? duty.NextWatch(this->fleet.random) : Duration{800ms});
     if (heard) membership->HearStore();
   }
 
@@ -80,7 +80,7 @@
     Watchers watchers{fleet};
     watchers.Run(20s);
     watchers.calls = 0;
-    Span oldest{0};
+    Duration oldest{0};
     for (int i = 0; i < 20; ++i) {
       watchers.Run(1s);
       oldest = std::max(oldest, watchers.Oldest());
--- a/test/pollenring/mesh/mixed_builds_test.cc
+++ b/test/pollenring/mesh/mixed_builds_test.cc
@@ -16,12 +16,12 @@
 using support::MixedFleet;
 
 /*! @brief Length of a stretch in which nothing is disturbed, past contact. */
-constexpr pollenring::Span kCalm = 2500ms;
-constexpr pollenring::Span kBurstArrives = 100ms;
-constexpr pollenring::Span kBetweenSteps = 300ms;
-constexpr pollenring::Span kPaused = 4s;
-constexpr pollenring::Span kDeadFor = 1s;
-constexpr pollenring::Span kWithdrawnLonger = 1500ms;
+constexpr pollenring::Duration kCalm = 2500ms;
+constexpr pollenring::Duration kBurstArrives = 100ms;
+constexpr pollenring::Duration kBetweenSteps = 300ms;
+constexpr pollenring::Duration kPaused = 4s;
+constexpr pollenring::Duration kDeadFor = 1s;
+constexpr pollenring::Duration kWithdrawnLonger = 1500ms;
 /*! @brief Breaches of one rule that are printed. */
 constexpr std::size_t kMostPrinted = 6;
 
--- a/test/pollenring/net/http_client_test.cc
+++ b/test/pollenring/net/http_client_test.cc
@@ -68,7 +68,7 @@
   /*! @brief Most bytes held of answers at once, looked at each millisecond. */
   [[nodiscard]] std::size_t MostHeld() const { return this->most_held; }
 
-  void Run(pollenring::Span length) {
+  void Run(pollenring::Duration length) {
     this->loop.After(length, [this] { this->loop.Stop(); });
     this->loop.Resume();
     this->loop.Run();
--- a/test/pollenring/net/http_server_test.cc
+++ b/test/pollenring/net/http_server_test.cc
@@ -17,11 +17,11 @@
 
 using namespace std::chrono_literals;
 using pollenring::Address;
+using pollenring::Duration;
 using pollenring::HttpRequest;
 using pollenring::HttpServer;
 using pollenring::HttpServerLimits;
 using pollenring::Loop;
-using pollenring::Span;
 
 /*! @brief Connects and sends a request that nobody has accepted yet. */
 [[nodiscard]] int SendRequest(const Address &to, const std::string &path,
@@ -142,7 +142,7 @@
       }};
   server.Open();
   const int fd = SendRequest(address, "/held");
-  const auto run = [&loop](Span length) {
+  const auto run = [&loop](Duration length) {
     loop.After(length, [&loop] { loop.Stop(); });
     loop.Resume();
     loop.Run();
@@ -200,7 +200,7 @@
         held.push_back(responder);
       }};
   server.Open();
-  const auto run = [&loop](Span length) {
+  const auto run = [&loop](Duration length) {
     loop.After(length, [&loop] { loop.Stop(); });
     loop.Resume();
     loop.Run();
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -48,7 +48,7 @@
       const std::string & /*service*/) const override {
     return {};
   }
-  [[nodiscard]] pollenring::Span ColdAfterStart(
+  [[nodiscard]] pollenring::Duration ColdAfterStart(
       const std::string & /*service*/) const override {
     return {};
   }
@@ -134,7 +134,7 @@
   }
 
   /*! @brief Calls, and lets the node that holds the call go after a while. */
-  void CallAndLose(pollenring::Span after, ShareAnswer renewed) {
+  void CallAndLose(pollenring::Duration after, ShareAnswer renewed) {
     pollenring::CallEnvelope envelope;
     envelope.service = "deep";
     envelope.method = "GET";
@@ -160,7 +160,7 @@
     this->Run(400ms);
   }
 
-  void Run(pollenring::Span length) {
+  void Run(pollenring::Duration length) {
     this->loop.After(length, [this] { this->loop.Stop(); });
     this->loop.Resume();
     this->loop.Run();
--- a/test/pollenring/node/member_service_test.cc
+++ b/test/pollenring/node/member_service_test.cc
@@ -133,7 +133,7 @@
 struct Bench {
   Bench() { std::signal(SIGPIPE, SIG_IGN); }
 
-  void Run(pollenring::Span length) {
+  void Run(pollenring::Duration length) {
     this->loop.After(length, [this] { this->loop.Stop(); });
     this->loop.Resume();
     this->loop.Run();
--- a/test/pollenring/node/route_levels_test.cc
+++ b/test/pollenring/node/route_levels_test.cc
@@ -7,12 +7,12 @@
 
 namespace {
 
+using pollenring::Duration;
 using pollenring::ManualClock;
 using pollenring::NodeId;
 using pollenring::RouteLevelOptions;
 using pollenring::RouteLevels;
 using pollenring::ServiceLevel;
-using pollenring::Span;
 using std::chrono::milliseconds;
 
 constexpr std::size_t kMost = 16;
--- a/test/pollenring/node/serving_test.cc
+++ b/test/pollenring/node/serving_test.cc
@@ -30,11 +30,11 @@
   [[nodiscard]] pollenring::WallTime Wall() const noexcept override {
     return this->system.Wall();
   }
-  void Step(pollenring::Span by) noexcept { this->ahead += by; }
+  void Step(pollenring::Duration by) noexcept { this->ahead += by; }
 
  private:
   pollenring::SystemClock system;
-  pollenring::Span ahead{};
+  pollenring::Duration ahead{};
 };
 
 /*! @brief Runs one call at a time. */
@@ -52,7 +52,7 @@
       const std::string & /*service*/) const override {
     return {3, 1100ms};
   }
-  [[nodiscard]] pollenring::Span ColdAfterStart(
+  [[nodiscard]] pollenring::Duration ColdAfterStart(
       const std::string & /*service*/) const override {
     return 10s;
   }
@@ -64,7 +64,7 @@
 
   void Announce(const RawPeer &at, const std::string &instance,
                 pollenring::TargetState state = pollenring::TargetState::kWarm,
-                pollenring::Span cold_for = {}) {
+                pollenring::Duration cold_for = {}) {
     this->serving.Announce(
         {{"deep", 1, state}, at.Where(), instance, cold_for});
   }
@@ -81,7 +81,7 @@
     });
   }
 
-  void Run(pollenring::Span length) {
+  void Run(pollenring::Duration length) {
     this->loop.After(length, [this] { this->loop.Stop(); });
     this->loop.Resume();
     this->loop.Run();
--- a/test/pollenring/routing/router_test.cc
+++ b/test/pollenring/routing/router_test.cc
@@ -179,7 +179,7 @@
       ++started[node];
       this->clock.Advance(std::chrono::milliseconds{5});
       this->router.Finished("s", node, CallVerdict::kAnswered, std::nullopt,
-                            pollenring::Span{30'000});
+                            pollenring::Duration{30'000});
     }
     return started;
   }
@@ -204,7 +204,7 @@
   std::map<pollenring::NodeId, int> started;
   // The third is in this zone and takes three times as long.
   const auto took = [](pollenring::NodeId id) {
-    return pollenring::Span{id == 3 ? 90'000 : 30'000};
+    return pollenring::Duration{id == 3 ? 90'000 : 30'000};
   };
   for (int i = 0; i < 400; ++i) {
     const pollenring::NodeId node = world.Start();
@@ -239,7 +239,8 @@
           "s", node,
           fails ? pollenring::CallVerdict::kFailed
                 : pollenring::CallVerdict::kAnswered,
-          std::nullopt, fails ? pollenring::Span{0} : pollenring::Span{30'000});
+          std::nullopt,
+          fails ? pollenring::Duration{0} : pollenring::Duration{30'000});
     }
     return to_second;
   };
@@ -261,7 +262,7 @@
                           world.random.Chance(0.4)
                               ? pollenring::CallVerdict::kFaulty
                               : pollenring::CallVerdict::kAnswered,
-                          std::nullopt, pollenring::Span{30'000});
+                          std::nullopt, pollenring::Duration{30'000});
   }
   CHECK(started[1] > 600);
   CHECK(started[2] > 600);
--- a/test/pollenring/share/borrower_test.cc
+++ b/test/pollenring/share/borrower_test.cc
@@ -10,8 +10,8 @@
 using pollenring::BorrowReply;
 using pollenring::BorrowRequest;
 using pollenring::ChargeResult;
+using pollenring::Duration;
 using pollenring::Patience;
-using pollenring::Span;
 using pollenring::Time;
 
 /*! @brief Keeps what is asked. */
@@ -25,7 +25,7 @@
   bool holders_known{true};
 };
 
-constexpr Span kTick = std::chrono::milliseconds{10};
+constexpr Duration kTick = std::chrono::milliseconds{10};
 
 [[nodiscard]] BorrowReply Granting(const BorrowRequest &request,
                                    std::uint32_t amount) {
@@ -96,8 +96,8 @@
         "club", Patience::Until(Time::max()),
         [&](const ChargeResult &result) { results.push_back(result); });
   };
-  const auto pass = [&](Span length) {
-    for (Span passed{0}; passed < length; passed += kTick) {
+  const auto pass = [&](Duration length) {
+    for (Duration passed{0}; passed < length; passed += kTick) {
       clock.Advance(kTick);
       borrower.Tick();
     }
@@ -148,7 +148,7 @@
     REQUIRE(results.size() == 1);
     CHECK_FALSE(results.front().granted);
     CHECK(results.front().reason == pollenring::Reason::kNoShare);
-    CHECK(results.front().retry_after > Span{0});
+    CHECK(results.front().retry_after > Duration{0});
   }
 
   SECTION("no answer comes after the request's deadline") {
@@ -279,8 +279,8 @@
                     });
   };
   for (int i = 0; i < 5; ++i) charge(3);
-  const auto pass = [&](Span length) {
-    for (Span passed{0}; passed < length; passed += kTick) {
+  const auto pass = [&](Duration length) {
+    for (Duration passed{0}; passed < length; passed += kTick) {
       clock.Advance(kTick);
       borrower.Tick();
     }
--- a/test/pollenring/share/share_test.cc
+++ b/test/pollenring/share/share_test.cc
@@ -5,8 +5,8 @@
 
 namespace {
 
+using support::Duration;
 using support::LeaseWorld;
-using support::Span;
 using support::Time;
 using support::WorldFaults;
 
--- a/test/support/fake_network.h
+++ b/test/support/fake_network.h
@@ -11,13 +11,13 @@
 
 namespace support {
 
-using pollenring::Span;
+using pollenring::Duration;
 using pollenring::Time;
 
 /*! @brief A clock that runs a little too fast or too slow. */
 class DriftingClock final : public pollenring::Clock {
  public:
-  DriftingClock(const pollenring::Clock &truth, double speed, Span offset)
+  DriftingClock(const pollenring::Clock &truth, double speed, Duration offset)
       : truth{truth}, speed{speed}, offset{offset} {}
 
   [[nodiscard]] Time Now() const noexcept override {
@@ -32,7 +32,7 @@
  private:
   const pollenring::Clock &truth;
   double speed;
-  Span offset;
+  Duration offset;
 };
 
 /*! @brief Delivers events late, twice, out of order or never. */
@@ -43,8 +43,8 @@
 
   double loss{0.05};
   double repeat{0.05};
-  Span shortest{200};
-  Span longest{3000};
+  Duration shortest{200};
+  Duration longest{3000};
   std::set<std::pair<int, int>> cuts;
 
   [[nodiscard]] bool Cut(int from, int to) const {
@@ -64,23 +64,23 @@
     this->events.emplace(when, std::move(event));
   }
 
-  [[nodiscard]] Span Delay() {
+  [[nodiscard]] Duration Delay() {
     const auto width =
         static_cast<std::size_t>((this->longest - this->shortest).count() + 1);
     return this->shortest +
-           Span{static_cast<std::int64_t>(this->random.Index(width))};
+           Duration{static_cast<std::int64_t>(this->random.Index(width))};
   }
 
   /*! @brief Moves time forward and runs what falls due. */
   void RunUntil(Time until) {
     while (!this->events.empty() && this->events.begin()->first <= until) {
       auto node = this->events.extract(this->events.begin());
-      const Span step = node.key() - this->truth.Now();
-      if (step > Span{0}) this->truth.Advance(step);
+      const Duration step = node.key() - this->truth.Now();
+      if (step > Duration{0}) this->truth.Advance(step);
       node.mapped()();
     }
-    const Span rest = until - this->truth.Now();
-    if (rest > Span{0}) this->truth.Advance(rest);
+    const Duration rest = until - this->truth.Now();
+    if (rest > Duration{0}) this->truth.Advance(rest);
   }
 
  private:
--- a/test/support/fleet_journal.cc
+++ b/test/support/fleet_journal.cc
@@ -7,12 +7,12 @@
 
 using namespace std::chrono_literals;
 using pollenring::CallError;
-using pollenring::Span;
+using pollenring::Duration;
 using pollenring::Time;
 
 constexpr Time kOpen = Time::max();
-constexpr Span kLossSlack = 200ms;
-constexpr Span kQuotaWindow = 5s;
+constexpr Duration kLossSlack = 200ms;
+constexpr Duration kQuotaWindow = 5s;
 constexpr double kQuotaOver = 0.1;
 constexpr double kQuotaSlack = 20;
 constexpr std::int64_t kDeadlineSlackMs = 500;
--- a/test/support/fleet_journal.h
+++ b/test/support/fleet_journal.h
@@ -93,11 +93,12 @@
 /*! @brief What callers, targets and the operator saw, and who was disturbed. */
 class FleetJournal {
  public:
-  static constexpr pollenring::Span kContact = std::chrono::seconds{3};
-  static constexpr pollenring::Span kConfigApply = std::chrono::seconds{2};
-  static constexpr pollenring::Span kEvacuation = std::chrono::seconds{5};
+  static constexpr pollenring::Duration kContact = std::chrono::seconds{3};
+  static constexpr pollenring::Duration kConfigApply = std::chrono::seconds{2};
+  static constexpr pollenring::Duration kEvacuation = std::chrono::seconds{5};
   /*! @brief What each caller states as its time. */
-  static constexpr pollenring::Span kDeadline = std::chrono::milliseconds{1400};
+  static constexpr pollenring::Duration kDeadline =
+      std::chrono::milliseconds{1400};
 
   /*! @brief Begins with nothing seen. @param quota The limit that is watched.
    * @param blind_builds Builds that know nothing of withdrawn zones. */
--- a/test/support/fleet_journal_test.cc
+++ b/test/support/fleet_journal_test.cc
@@ -81,7 +81,7 @@
 }
 
 TEST_CASE("fleet journal: a call without its answer is lost") {
-  const auto lost = [](bool ran, pollenring::Span took, auto disturb) {
+  const auto lost = [](bool ran, pollenring::Duration took, auto disturb) {
     Seen seen;
     FleetCall &call = seen.Call("a", 0);
     call.error = CallError::kBroken;
--- a/test/support/lease_node.h
+++ b/test/support/lease_node.h
@@ -20,8 +20,9 @@
       : world{world},
         index{index},
         self{static_cast<pollenring::NodeId>(index + 1), process},
-        clock{world.truth, 1 + kSkew * (world.random.Fraction() * 2 - 1),
-              Span{static_cast<std::int64_t>(world.random.Index(1'000'000))}},
+        clock{
+            world.truth, 1 + kSkew * (world.random.Fraction() * 2 - 1),
+            Duration{static_cast<std::int64_t>(world.random.Index(1'000'000))}},
         witness{process, options, clock},
         keeper{self,         world.slots, options, clock,
                world.random, *this,       witness, *this},
@@ -167,7 +168,7 @@
     const auto process = this->self.process;
     // A write takes effect late, and its answer may be lost.
     const bool unanswered = shared.random.Chance(shared.faults.unanswered);
-    const Span delay =
+    const Duration delay =
         shared.network.Delay() * (unanswered ? shared.faults.late_writes : 1);
     shared.network.At(shared.truth.Now() + delay, [=, &shared] {
       shared.table.Write(
--- a/test/support/lease_world.cc
+++ b/test/support/lease_world.cc
@@ -63,7 +63,7 @@
       std::make_unique<Node>(*this, index, this->random.Bits());
 }
 
-void LeaseWorld::Freeze(int index, Span length) {
+void LeaseWorld::Freeze(int index, Duration length) {
   auto &node = this->nodes[static_cast<std::size_t>(index)];
   if (node) node->frozen_until = this->truth.Now() + length;
 }
--- a/test/support/lease_world.h
+++ b/test/support/lease_world.h
@@ -66,7 +66,7 @@
 class LeaseWorld {
  public:
   static constexpr double kSkew = 0.004;
-  static constexpr Span kStep = std::chrono::milliseconds{5};
+  static constexpr Duration kStep = std::chrono::milliseconds{5};
 
   LeaseWorld(int size, SlotId slots, std::uint64_t seed, WorldFaults faults);
   LeaseWorld(const LeaseWorld &) = delete;
@@ -88,7 +88,7 @@
   [[nodiscard]] bool Up(int index) const;
   void Crash(int index);
   void Boot(int index);
-  void Freeze(int index, Span length);
+  void Freeze(int index, Duration length);
   /*! @brief Lets a slot's holder, if any, give it to another node.
    * @return Whether it is being given. */
   bool Give(SlotId slot);
--- a/test/support/mesh_world.cc
+++ b/test/support/mesh_world.cc
@@ -150,7 +150,7 @@
   }
   this->watches.push_back(
       {Query(request.path, "table_name"), after, responder, responder});
-  const pollenring::Span wait =
+  const pollenring::Duration wait =
       std::chrono::milliseconds{std::stoll(Query(request.path, "wait_ms"))};
   this->loop.After(wait, [this, weak = std::weak_ptr{responder}] {
     const auto held = weak.lock();
@@ -213,7 +213,7 @@
           const HttpRequest &request,
           const std::shared_ptr<pollenring::Responder> &responder) {
         HttpResponse answer = endpoint(request);
-        if (this->answer_delay <= pollenring::Span{0}) {
+        if (this->answer_delay <= pollenring::Duration{0}) {
           responder->Send(std::move(answer));
           return;
         }
@@ -335,7 +335,7 @@
 }
 
 bool MeshWorld::Await(const std::function<bool()> &condition,
-                      pollenring::Span limit) {
+                      pollenring::Duration limit) {
   const pollenring::Time until = this->clock.Now() + limit;
   while (!condition()) {
     if (this->clock.Now() >= until) return false;
@@ -344,7 +344,7 @@
   return true;
 }
 
-void MeshWorld::Run(pollenring::Span length) {
+void MeshWorld::Run(pollenring::Duration length) {
   this->loop.After(length, [this] { this->loop.Stop(); });
   this->loop.Resume();
   this->loop.Run();
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -106,7 +106,9 @@
             const std::vector<int> &seeds = {});
 
   /*! @brief How long each target takes from now on. @param delay It. */
-  void SetAnswerDelay(pollenring::Span delay) { this->answer_delay = delay; }
+  void SetAnswerDelay(pollenring::Duration delay) {
+    this->answer_delay = delay;
+  }
 
   /*! @brief Sends the heartbeat of a node's target. @param state Its state.
    * @param cold_left How long it stays cold. @param born Its start. @return The
@@ -146,8 +148,8 @@
   [[nodiscard]] std::string Operate(int index, const std::string &path);
 
   [[nodiscard]] bool Await(const std::function<bool()> &condition,
-                           pollenring::Span limit);
-  void Run(pollenring::Span length);
+                           pollenring::Duration limit);
+  void Run(pollenring::Duration length);
 
   /*! @brief Address of one of a node's ports. */
   [[nodiscard]] pollenring::Address At(int index, int port) const;
@@ -175,7 +177,7 @@
       const pollenring::Address &to, const pollenring::HttpRequest &request);
 
   int net;
-  pollenring::Span answer_delay{};
+  pollenring::Duration answer_delay{};
   pollenring::SystemClock clock;
   pollenring::Loop loop{clock};
   pollenring::SeededRandom random{11};
--- a/test/support/mixed_fleet.cc
+++ b/test/support/mixed_fleet.cc
@@ -18,20 +18,20 @@
 using namespace std::chrono_literals;
 using Json = nlohmann::json;
 using pollenring::Address;
+using pollenring::Duration;
 using pollenring::HttpRequest;
-using pollenring::Span;
 using pollenring::Time;
 
-constexpr Span kBeat = 400ms;
-constexpr Span kReadyQuestion = 1s;
-constexpr Span kStatusQuestion = 250ms;
-constexpr Span kWatch = 50ms;
-constexpr Span kLoadTick = 20ms;
-constexpr Span kGrace = 6s;
+constexpr Duration kBeat = 400ms;
+constexpr Duration kReadyQuestion = 1s;
+constexpr Duration kStatusQuestion = 250ms;
+constexpr Duration kWatch = 50ms;
+constexpr Duration kLoadTick = 20ms;
+constexpr Duration kGrace = 6s;
 /*! @brief How long a target stays the only one of its service. */
-constexpr Span kAlone = 1500ms;
-constexpr Span kBack = 1s;
-constexpr Span kMostToStart = 10s;
+constexpr Duration kAlone = 1500ms;
+constexpr Duration kBack = 1s;
+constexpr Duration kMostToStart = 10s;
 constexpr int kStore = 250;
 constexpr const char *kHost = "a.example";
 
@@ -81,7 +81,8 @@
         });
     node.target->Open();
   }
-  const auto each = [this](Span period, void (MixedFleet::*ask)(FleetNode &)) {
+  const auto each = [this](Duration period,
+                           void (MixedFleet::*ask)(FleetNode &)) {
     this->loop.Every(period, [this, ask] {
       for (auto &node : this->nodes) {
         if (node.pid != 0) (this->*ask)(node);
@@ -283,7 +284,7 @@
 
 void MixedFleet::BeginLoad() { this->loaded = true; }
 
-void MixedFleet::Run(Span length) {
+void MixedFleet::Run(Duration length) {
   bool over = false;
   this->loop.After(length, [&over, this] {
     over = true;
@@ -295,7 +296,7 @@
   }
 }
 
-bool MixedFleet::Await(const std::function<bool()> &condition, Span limit) {
+bool MixedFleet::Await(const std::function<bool()> &condition, Duration limit) {
   const Time until = this->Now() + limit;
   while (!condition()) {
     if (this->Now() > until) return false;
--- a/test/support/mixed_fleet.h
+++ b/test/support/mixed_fleet.h
@@ -68,7 +68,7 @@
   /*! @brief Sends more slow calls at once than the targets of a node's service
    * have slots, a third of them to the node itself. */
   void Burst(int node);
-  void Run(pollenring::Span length);
+  void Run(pollenring::Duration length);
 
   /*! @brief Writes the next configuration, waits for it and asks all nodes. */
   void ChangeConfig();
@@ -133,7 +133,7 @@
   void SendLoad();
   void Send(const Load &load, int node);
   [[nodiscard]] bool Await(const std::function<bool()> &condition,
-                           pollenring::Span limit);
+                           pollenring::Duration limit);
 
   int net;
   std::string folder;
--- a/test/support/mixed_fleet_load.cc
+++ b/test/support/mixed_fleet_load.cc
@@ -15,18 +15,18 @@
 using namespace std::chrono_literals;
 using Json = nlohmann::json;
 using pollenring::CallError;
+using pollenring::Duration;
 using pollenring::FindHeader;
 using pollenring::HttpClient;
 using pollenring::HttpRequest;
 using pollenring::HttpResponse;
-using pollenring::Span;
 using pollenring::Time;
 
-constexpr Span kLoadTick = 20ms;
-constexpr Span kAnswer = 15ms;
-constexpr Span kSlowAnswer = 500ms;
-constexpr Span kCallerWaits = 3s;
-constexpr Span kPlatformWaits = 1s;
+constexpr Duration kLoadTick = 20ms;
+constexpr Duration kAnswer = 15ms;
+constexpr Duration kSlowAnswer = 500ms;
+constexpr Duration kCallerWaits = 3s;
+constexpr Duration kPlatformWaits = 1s;
 constexpr int kMostMisses = 2;
 constexpr int kSlots = 16;
 constexpr int kBurst = 2 * kSlots * MixedFleet::kZones;
@@ -65,7 +65,8 @@
        std::string{FindHeader(request.headers, "x-pollenring-tenant")},
        std::string{FindHeader(request.headers, "x-pollenring-caller-service")},
        ToNumber(FindHeader(request.headers, "x-pollenring-deadline-ms"))});
-  const Span takes = EndsWith(request.path, kSlowEnd) ? kSlowAnswer : kAnswer;
+  const Duration takes =
+      EndsWith(request.path, kSlowEnd) ? kSlowAnswer : kAnswer;
   this->loop.After(takes, [responder, id] {
     responder->Send({kOk,
                      {{"x-pollenring-attempt-id", id},
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -18,13 +18,13 @@
 
 namespace {
 
+using pollenring::Duration;
 using pollenring::ManualClock;
 using pollenring::Member;
 using pollenring::NodeId;
 using pollenring::SeededRandom;
-using pollenring::Span;
 
-constexpr Span kStep = std::chrono::microseconds{50};
+constexpr Duration kStep = std::chrono::microseconds{50};
 
 [[nodiscard]] std::string Name(std::size_t index) {
   return "workspace-" + std::to_string(index);
@@ -59,7 +59,7 @@
       running.push_back(started);
     }
     if (running.size() >= 8) {
-      const auto next = admission.Finish(running.back(), Span{0}, false);
+      const auto next = admission.Finish(running.back(), Duration{0}, false);
       running.pop_back();
       for (const auto started : next.start) running.push_back(started);
     }
--- a/tools/pollenring-load/driver.cc
+++ b/tools/pollenring-load/driver.cc
@@ -10,14 +10,14 @@
 namespace load {
 namespace {
 
+using pollenring::Duration;
 using pollenring::FindHeader;
 using pollenring::HttpClient;
 using pollenring::HttpResponse;
-using pollenring::Span;
 using pollenring::Time;
 
 constexpr int kFailedFrom = 400;
-constexpr Span kControlTimeout = std::chrono::seconds{2};
+constexpr Duration kControlTimeout = std::chrono::seconds{2};
 constexpr std::size_t kMostNotRun = 100'000;
 
 }  // namespace
@@ -35,7 +35,7 @@
   for (std::size_t i = 0; i < this->scenario.callers.size(); ++i) {
     this->Next(i, Time{0});
   }
-  if (this->scenario.trigger_to > Span{0}) {
+  if (this->scenario.trigger_to > Duration{0}) {
     this->loop.After(this->scenario.trigger_from,
                      [this] { this->SetLatencies(true); });
     this->loop.After(this->scenario.trigger_to,
@@ -56,9 +56,9 @@
       now >= this->scenario.trigger_from && now < this->scenario.trigger_to;
   const double rate = caller.demand * (surging ? caller.surge : 1);
   const double gap = -std::log(1 - this->random.Fraction()) / rate;
-  const Time at = now + Span{static_cast<std::int64_t>(gap * 1e6)};
+  const Time at = now + Duration{static_cast<std::int64_t>(gap * 1e6)};
   // The schedule does not drift when the loop is late.
-  const Span wait = std::max(Span{0}, at - this->Elapsed());
+  const Duration wait = std::max(Duration{0}, at - this->Elapsed());
   this->loop.After(wait, [this, index, at] {
     auto wish = std::make_shared<Wish>();
     wish->caller = index;
--- a/tools/pollenring-load/measures.cc
+++ b/tools/pollenring-load/measures.cc
@@ -7,14 +7,14 @@
 namespace {
 
 using Json = nlohmann::json;
-using pollenring::Span;
+using pollenring::Duration;
 using pollenring::Time;
 
 constexpr double kRecoveredPart = 0.95;
 /*! @brief Bins over which goodput is averaged when recovery is judged. */
 constexpr std::size_t kRecoveryBins = 5;
 
-[[nodiscard]] double Seconds(Span span) {
+[[nodiscard]] double Seconds(Duration span) {
   return std::chrono::duration<double>{span}.count();
 }
 
@@ -85,7 +85,7 @@
   return sum;
 }
 
-void Measures::Whole(std::size_t caller, Time at, Span took) {
+void Measures::Whole(std::size_t caller, Time at, Duration took) {
   Workspace &workspace =
       this->workspaces.at(this->scenario.callers[caller].workspace);
   ++workspace.whole;
@@ -107,7 +107,7 @@
 }
 
 double Measures::Recovery() const {
-  if (this->scenario.trigger_to == Span{0}) return 0;
+  if (this->scenario.trigger_to == Duration{0}) return 0;
   const double before = this->GoodputBetween(std::chrono::seconds{1},
                                              this->scenario.trigger_from);
   const auto end = static_cast<std::size_t>(this->scenario.trigger_to / kBin);
@@ -126,8 +126,9 @@
 }
 
 double Measures::WorstServed() const {
-  const Span length = this->scenario.trigger_to - this->scenario.trigger_from;
-  if (length <= Span{0}) return 1;
+  const Duration length =
+      this->scenario.trigger_to - this->scenario.trigger_from;
+  if (length <= Duration{0}) return 1;
   double entitled = 0;
   const double seconds = Seconds(length);
   const auto claim = [seconds](const Workspace &workspace) {
--- a/tools/pollenring-load/measures.h
+++ b/tools/pollenring-load/measures.h
@@ -36,13 +36,14 @@
                 TryResult result, const std::string &reason);
 
   /*! @brief A request was answered whole. @param took Since it was wanted. */
-  void Whole(std::size_t caller, pollenring::Time at, pollenring::Span took);
+  void Whole(std::size_t caller, pollenring::Time at,
+             pollenring::Duration took);
 
   /*! @brief Sums up. @return The measures. */
   [[nodiscard]] nlohmann::json Report() const;
 
  private:
-  static constexpr pollenring::Span kBin = std::chrono::milliseconds{100};
+  static constexpr pollenring::Duration kBin = std::chrono::milliseconds{100};
 
   struct Reference {
     double level{};
--- a/tools/pollenring-load/scenario.cc
+++ b/tools/pollenring-load/scenario.cc
@@ -6,8 +6,8 @@
 namespace {
 
 using pollenring::Address;
+using pollenring::Duration;
 using pollenring::Findings;
-using pollenring::Span;
 
 /*! @brief Reads values of a table and reports what is wrong with them. */
 class Reader {
@@ -36,7 +36,7 @@
     if (!given) this->Report(key, "must be a number");
   }
 
-  void ReadDuration(std::string_view key, Span &value) {
+  void ReadDuration(std::string_view key, Duration &value) {
     std::string text;
     this->Text(key, text);
     if (text.empty()) return;
--- a/tools/pollenring-load/scenario.h
+++ b/tools/pollenring-load/scenario.h
@@ -35,11 +35,11 @@
 /*! @brief One experiment. */
 struct Scenario {
   std::vector<pollenring::Address> nodes;
-  pollenring::Span length{std::chrono::seconds{10}};
-  pollenring::Span trigger_from{};
-  pollenring::Span trigger_to{};
-  pollenring::Span timeout{std::chrono::seconds{2}};
-  pollenring::Span retry_pause{std::chrono::milliseconds{50}};
+  pollenring::Duration length{std::chrono::seconds{10}};
+  pollenring::Duration trigger_from{};
+  pollenring::Duration trigger_to{};
+  pollenring::Duration timeout{std::chrono::seconds{2}};
+  pollenring::Duration retry_pause{std::chrono::milliseconds{50}};
   int retries{3};
   std::uint64_t seed{1};
   double
--- a/tools/pollenring-standin/main.cc
+++ b/tools/pollenring-standin/main.cc
@@ -14,7 +14,7 @@
 
 constexpr int kBadUsage = 2;
 constexpr std::size_t kMaxAnswerBytes = std::size_t{17} * 1024 * 1024;
-constexpr pollenring::Span kSignalCheck = std::chrono::milliseconds{50};
+constexpr pollenring::Duration kSignalCheck = std::chrono::milliseconds{50};
 
 volatile std::sig_atomic_t stop_requested = 0;
 
--- a/tools/pollenring-standin/platform.cc
+++ b/tools/pollenring-standin/platform.cc
@@ -47,7 +47,7 @@
     this->loop.After(std::chrono::seconds{30}, [responder] {});
     return;
   }
-  if (this->delay == pollenring::Span{0}) {
+  if (this->delay == pollenring::Duration{0}) {
     responder->Send(std::move(response));
     return;
   }
--- a/tools/pollenring-standin/platform.h
+++ b/tools/pollenring-standin/platform.h
@@ -39,7 +39,7 @@
   pollenring::Loop &loop;
   pollenring::MemoryTable table;
   pollenring::MemoryObjectStore objects;
-  pollenring::Span delay{};
+  pollenring::Duration delay{};
   bool down{};
   bool lose_answers{};
 };
--- a/tools/pollenring-standin/target.cc
+++ b/tools/pollenring-standin/target.cc
@@ -9,20 +9,20 @@
 namespace {
 
 using Json = nlohmann::json;
+using pollenring::Duration;
 using pollenring::FindHeader;
 using pollenring::HttpClient;
 using pollenring::HttpRequest;
 using pollenring::HttpResponse;
-using pollenring::Span;
 
 constexpr int kOk = 200;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kFailedFrom = 400;
-constexpr Span kAnnouncePeriod = std::chrono::milliseconds{500};
-constexpr Span kCallTimeout = std::chrono::seconds{5};
-constexpr Span kNoDeadline = std::chrono::seconds{10};
-constexpr Span kDrainNotice = std::chrono::seconds{3};
+constexpr Duration kAnnouncePeriod = std::chrono::milliseconds{500};
+constexpr Duration kCallTimeout = std::chrono::seconds{5};
+constexpr Duration kNoDeadline = std::chrono::seconds{10};
+constexpr Duration kDrainNotice = std::chrono::seconds{3};
 /*! @brief Part of the service time that does not vary. */
 constexpr double kFixedPart = 0.5;
 
@@ -43,7 +43,7 @@
 }
 
 void Target::Announce() {
-  const Span age = this->loop.GetClock().Now() - this->started;
+  const Duration age = this->loop.GetClock().Now() - this->started;
   const bool cold = age < this->options.cold_start;
   const char *state = this->draining ? "draining" : cold ? "cold" : "warm";
   const Json json{{"service", this->options.service},
@@ -84,7 +84,7 @@
   work->responder = std::move(responder);
   const auto deadline =
       FindHeader(work->request.headers, "pollenring-deadline-ms");
-  const Span left =
+  const Duration left =
       deadline.empty()
           ? kNoDeadline
           : std::chrono::milliseconds{std::atol(std::string{deadline}.c_str())};
@@ -140,10 +140,10 @@
   });
 }
 
-Span Target::ServiceTime() {
+Duration Target::ServiceTime() {
   const double varying = -std::log(1.0 - this->random.Fraction());
   const double factor = kFixedPart + (1 - kFixedPart) * varying;
-  return Span{
+  return Duration{
       static_cast<std::int64_t>(this->options.latency_ms * 1000 * factor)};
 }
 
@@ -176,8 +176,8 @@
     pass("pollenring-request-id");
     pass("pollenring-workspace");
   }
-  const Span left = work->deadline - this->loop.GetClock().Now();
-  if (left <= Span{0}) {
+  const Duration left = work->deadline - this->loop.GetClock().Now();
+  if (left <= Duration{0}) {
     this->Finish(work, kUnavailable, "deadline");
     return;
   }
--- a/tools/pollenring-standin/target.h
+++ b/tools/pollenring-standin/target.h
@@ -35,7 +35,7 @@
   std::map<std::string, std::vector<pollenring::Address>> direct;
   int naive_retries{};       /*!< Used without a node only. */
   std::size_t fixed_limit{}; /*!< Refuse above it; 0 for no limit. */
-  pollenring::Span cold_start{};
+  pollenring::Duration cold_start{};
   std::uint64_t seed{1};
 };
 
@@ -86,7 +86,7 @@
   void CallNext(const WorkPtr &work, int tries_left);
   void Finish(const WorkPtr &work, int status, std::string body);
   [[nodiscard]] pollenring::Address PeerFor(const std::string &service);
-  [[nodiscard]] pollenring::Span ServiceTime();
+  [[nodiscard]] pollenring::Duration ServiceTime();
 
   TargetOptions options;
   pollenring::Loop &loop;
--- a/tools/pollenring/operator_client.cc
+++ b/tools/pollenring/operator_client.cc
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::size_t kMaxAnswerBytes = std::size_t{64} * 1024 * 1024;
-constexpr pollenring::Span kTimeout = std::chrono::seconds{15};
+constexpr pollenring::Duration kTimeout = std::chrono::seconds{15};
 
 }  // namespace
 
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -24,7 +24,7 @@
 
 constexpr int kBadUsage = 2;
 constexpr int kCantStart = 1;
-constexpr pollenring::Span kSignalCheck = std::chrono::milliseconds{50};
+constexpr pollenring::Duration kSignalCheck = std::chrono::milliseconds{50};
 
 volatile std::sig_atomic_t stop_requested = 0;
 volatile std::sig_atomic_t reload_requested = 0;
