Rename ParseSpan to ParseDuration

The parser of a length of time kept the name of the type's former self, and a local struct Unit did not say what it is a unit of. ParseSpan becomes ParseDuration and Unit becomes DurationUnit. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/contract/parse.cc
+++ b/src/pollenring/contract/parse.cc
@@ -104,7 +104,7 @@
 void ReadDeadline(const TableReader &reader, Route &route) {
   const auto text = reader.Text("deadline", false);
   if (!text) return;
-  const auto span = ParseSpan(*text);
+  const auto span = ParseDuration(*text);
   if (span && *span > Duration{0}) {
     route.deadline = *span;
     return;
@@ -209,12 +209,12 @@
 
 }  // namespace
 
-std::optional<Duration> ParseSpan(std::string_view text) {
-  struct Unit {
+std::optional<Duration> ParseDuration(std::string_view text) {
+  struct DurationUnit {
     std::string_view name;
     double micros;
   };
-  constexpr std::array<Unit, 4> kUnits{
+  constexpr std::array<DurationUnit, 4> kUnits{
       {{"us", 1}, {"ms", 1e3}, {"s", 1e6}, {"min", 6e7}}};
   const auto number = SplitNumber(text);
   if (!number) return std::nullopt;
--- a/src/pollenring/contract/parse.h
+++ b/src/pollenring/contract/parse.h
@@ -29,7 +29,7 @@
  * @param text Such as `250ms` or `2s`.
  * @return The length, or nothing when number or unit is missing.
  */
-[[nodiscard]] std::optional<Duration> ParseSpan(std::string_view text);
+[[nodiscard]] std::optional<Duration> ParseDuration(std::string_view text);
 
 /**
  * @brief Parses a rate with its unit.
--- a/tools/pollenring-load/scenario.cc
+++ b/tools/pollenring-load/scenario.cc
@@ -40,7 +40,7 @@
     std::string text;
     this->Text(key, text);
     if (text.empty()) return;
-    const auto span = pollenring::ParseSpan(text);
+    const auto span = pollenring::ParseDuration(text);
     if (span) value = *span;
     if (!span) this->Report(key, "needs a unit, such as \"2s\"");
   }
