Rename ZonesWord to ZoneWithdrawals

The type was named a word after its packed form, which is a private figure, while it is the set of withdrawn zones at one revision. ZonesWord becomes ZoneWithdrawals.

--- a/src/pollenring/config/fwd.h
+++ b/src/pollenring/config/fwd.h
@@ -9,7 +9,7 @@
 struct ConfigChange;
 struct ConfigSnapshot;
 struct ZoneChange;
-struct ZonesWord;
+struct ZoneWithdrawals;
 
 }  // namespace pollenring
 
--- a/src/pollenring/config/withdrawn_zones.cc
+++ b/src/pollenring/config/withdrawn_zones.cc
@@ -4,7 +4,7 @@
 
 namespace pollenring {
 
-bool WithdrawnZones::Take(const ZonesWord &given) {
+bool WithdrawnZones::Take(const ZoneWithdrawals &given) {
   if (given.position <= this->word.position) return false;
   const bool changed = !this->Known() || given.zones != this->word.zones;
   this->word = given;
@@ -16,9 +16,9 @@
                             zone);
 }
 
-ZonesWord After(const ZonesWord &before, std::uint64_t position,
-                const std::vector<ZoneChange> &changes) {
-  ZonesWord word{position, before.zones};
+ZoneWithdrawals After(const ZoneWithdrawals &before, std::uint64_t position,
+                      const std::vector<ZoneChange> &changes) {
+  ZoneWithdrawals word{position, before.zones};
   for (const auto &change : changes) {
     const auto place =
         std::lower_bound(word.zones.begin(), word.zones.end(), change.zone);
--- a/src/pollenring/config/withdrawn_zones.h
+++ b/src/pollenring/config/withdrawn_zones.h
@@ -18,13 +18,13 @@
 
 /*! @brief Which availability zones were withdrawn at one moment of the store.
  */
-struct ZonesWord {
+struct ZoneWithdrawals {
   std::uint64_t position{}; /*!< Of the store's history; 0: nothing is known. */
   std::vector<std::string> zones; /*!< In order. */
 };
 
 template <>
-struct NumberedLayout<ZonesWord> {
+struct NumberedLayout<ZoneWithdrawals> {
   static constexpr bool kGrows = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
@@ -33,7 +33,7 @@
 };
 
 template <>
-struct ArrayLayout<ZonesWord, WireVersion::kV1> {
+struct ArrayLayout<ZoneWithdrawals, WireVersion::kV1> {
   static constexpr bool kFrozen = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
@@ -55,10 +55,12 @@
    * @param word The word.
    * @return Whether other zones are withdrawn now, or it is the first one.
    */
-  bool Take(const ZonesWord &word);
+  bool Take(const ZoneWithdrawals &word);
 
   /*! @brief The newest word. @return It. */
-  [[nodiscard]] const ZonesWord &Newest() const noexcept { return this->word; }
+  [[nodiscard]] const ZoneWithdrawals &Newest() const noexcept {
+    return this->word;
+  }
 
   /*! @brief Whether anything is known. @return So. */
   [[nodiscard]] bool Known() const noexcept { return this->word.position > 0; }
@@ -71,7 +73,7 @@
   [[nodiscard]] bool Contains(const std::string &zone) const;
 
  private:
-  ZonesWord word;
+  ZoneWithdrawals word;
 };
 
 /**
@@ -81,8 +83,9 @@
  * @param changes The changes.
  * @return The word at that position.
  */
-[[nodiscard]] ZonesWord After(const ZonesWord &before, std::uint64_t position,
-                              const std::vector<ZoneChange> &changes);
+[[nodiscard]] ZoneWithdrawals After(const ZoneWithdrawals &before,
+                                    std::uint64_t position,
+                                    const std::vector<ZoneChange> &changes);
 
 }  // namespace pollenring
 
--- a/src/pollenring/membership/membership.h
+++ b/src/pollenring/membership/membership.h
@@ -41,7 +41,7 @@
   std::uint64_t config_version{};
   std::int64_t store_age_ms{-1}; /*!< Of the store's newest word; -1: none. */
   std::uint64_t digest{};        /*!< Of all records that the sender holds. */
-  ZonesWord zones;               /*!< The newest that the sender has heard. */
+  ZoneWithdrawals zones;         /*!< The newest that the sender has heard. */
   std::vector<Member> updates;
   std::uint8_t wire{}; /*!< Newest form that the sender speaks, or 0. */
   bool again{}; /*!< Does not travel; a probe that had no answer so far. */
@@ -161,7 +161,7 @@
   virtual void PeerConfigVersion(NodeId peer, std::uint64_t version) = 0;
 
   /*! @brief A peer has told which zones are withdrawn. @param word Its word. */
-  virtual void PeerZones(const ZonesWord &word) = 0;
+  virtual void PeerZones(const ZoneWithdrawals &word) = 0;
 };
 
 /*! @brief Timing of failure detection. */
@@ -308,7 +308,7 @@
    * @brief Sets the word of withdrawn zones that datagrams carry.
    * @param word The newest word here.
    */
-  void SetZones(const ZonesWord &word) { this->zones = word; }
+  void SetZones(const ZoneWithdrawals &word) { this->zones = word; }
 
  private:
   struct Probe {
@@ -363,7 +363,7 @@
   PartDigests digests{}; /*!< Exclusive or over the records of each part. */
   std::uint64_t sequence{};
   std::uint64_t config_version{};
-  ZonesWord zones;
+  ZoneWithdrawals zones;
   Time store_heard{};
 };
 
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -41,7 +41,7 @@
 void PolicyFollower::Start(std::function<void()> given) {
   this->changed = std::move(given);
   this->members.OnZones(
-      [this](const ZonesWord &word) { this->TakeZones(word, "peer"); });
+      [this](const ZoneWithdrawals &word) { this->TakeZones(word, "peer"); });
   this->members.OnVersion([this](NodeId peer, std::uint64_t version) {
     this->PeerVersion(peer, version);
   });
@@ -110,7 +110,8 @@
   });
 }
 
-void PolicyFollower::TakeZones(const ZonesWord &word, std::string_view origin) {
+void PolicyFollower::TakeZones(const ZoneWithdrawals &word,
+                               std::string_view origin) {
   const std::uint64_t before = this->zones.Newest().position;
   const bool other = this->zones.Take(word);
   if (this->zones.Newest().position == before) return;
--- a/src/pollenring/mesh/policy_follower.h
+++ b/src/pollenring/mesh/policy_follower.h
@@ -86,7 +86,7 @@
   void Failed(StorageError error);
   void Heard();
   void Take(std::string text, std::string_view origin);
-  void TakeZones(const ZonesWord &word, std::string_view origin);
+  void TakeZones(const ZoneWithdrawals &word, std::string_view origin);
   void PeerVersion(NodeId peer, std::uint64_t version);
   void Pull(NodeId peer);
   void Spread();
@@ -102,7 +102,7 @@
   std::unordered_map<NodeId, std::uint64_t> peer_versions;
   WithdrawnZones zones;
   std::map<std::string, Time> withdrawn_since;
-  ZonesWord watched; /*!< What this node's own watch has told so far. */
+  ZoneWithdrawals watched; /*!< What this node's own watch has told so far. */
   std::function<void()> changed;
   std::uint64_t position{};
   Time store_heard{};
--- a/src/pollenring/node/member_service.h
+++ b/src/pollenring/node/member_service.h
@@ -21,7 +21,7 @@
  public:
   using MemberListener = std::function<void(const Member &)>;
   using VersionListener = std::function<void(NodeId, std::uint64_t)>;
-  using ZonesListener = std::function<void(const ZonesWord &)>;
+  using ZonesListener = std::function<void(const ZoneWithdrawals &)>;
 
   /**
    * @brief Creates the service.
@@ -76,7 +76,7 @@
   void SendGossip(NodeId to, const Gossip &gossip) override;
   void MemberChanged(const Member &member) override;
   void PeerConfigVersion(NodeId peer, std::uint64_t version) override;
-  void PeerZones(const ZonesWord &word) override;
+  void PeerZones(const ZoneWithdrawals &word) override;
   void RecordsDiffer(NodeId peer) override;
 
  private:
--- a/test/pollenring/config/withdrawn_zones_test.cc
+++ b/test/pollenring/config/withdrawn_zones_test.cc
@@ -9,7 +9,7 @@
 using namespace std::chrono_literals;
 using pollenring::After;
 using pollenring::WithdrawnZones;
-using pollenring::ZonesWord;
+using pollenring::ZoneWithdrawals;
 
 }  // namespace
 
@@ -33,7 +33,7 @@
 }
 
 TEST_CASE("withdrawn zones: changes apply in their order") {
-  const ZonesWord word = After(
+  const ZoneWithdrawals word = After(
       {3, {"b"}}, 8,
       {{"a", true}, {"b", false}, {"c", true}, {"c", false}, {"a", true}});
   CHECK(word.position == 8);
@@ -49,7 +49,7 @@
   CAPTURE(size, seed);
   support::MemberFleet fleet{size, seed};
   fleet.Run(6s);
-  const auto tell = [&fleet](int index, const ZonesWord &word) {
+  const auto tell = [&fleet](int index, const ZoneWithdrawals &word) {
     auto &node = *fleet.nodes[static_cast<std::size_t>(index)];
     if (node.zones.Take(word)) node.membership.SetZones(word);
   };
