Rename PeerZones to PeerZoneWithdrawals

The observer's call and its flag spoke of zones alone, while they report which zones are withdrawn at a peer. PeerZones becomes PeerZoneWithdrawals and TellsZones becomes ReportsZoneWithdrawals. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/membership/membership.cc
+++ b/src/pollenring/membership/membership.cc
@@ -84,7 +84,7 @@
     this->Send(gossip.from, GossipKind::kAck, gossip.sequence);
   }
   this->observer.PeerConfigVersion(gossip.from, gossip.config_version);
-  this->observer.PeerZones(gossip.zones);
+  this->observer.PeerZoneWithdrawals(gossip.zones);
   // Only one that holds as new a version is as sure of it.
   const bool as_new = gossip.config_version <= this->config_version;
   if (as_new && gossip.store_age_ms >= 0) {
--- a/src/pollenring/membership/membership.h
+++ b/src/pollenring/membership/membership.h
@@ -161,7 +161,7 @@
   virtual void PeerConfigVersion(NodeId peer, std::uint64_t version) = 0;
 
   /*! @brief A peer has told which zones are withdrawn. @param word Its word. */
-  virtual void PeerZones(const ZoneWithdrawals &word) = 0;
+  virtual void PeerZoneWithdrawals(const ZoneWithdrawals &word) = 0;
 };
 
 /*! @brief Timing of failure detection. */
--- a/src/pollenring/membership/store_duty.cc
+++ b/src/pollenring/membership/store_duty.cc
@@ -25,7 +25,7 @@
   std::size_t before = 0;
   for (const auto &[id, member] : this->membership.Members()) {
     if (member.state != MemberState::kAlive) continue;
-    if (!this->versions.TellsZones(id)) continue;
+    if (!this->versions.ReportsZoneWithdrawals(id)) continue;
     if (member.zone == self.zone && OrderOf(id) < own) ++before;
   }
   return before;
--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -322,7 +322,7 @@
   for (const auto &listener : this->version_listeners) listener(peer, version);
 }
 
-void MemberService::PeerZones(const ZoneWithdrawals &word) {
+void MemberService::PeerZoneWithdrawals(const ZoneWithdrawals &word) {
   for (const auto &listener : this->zones_listeners) listener(word);
 }
 
--- a/src/pollenring/wire/peer_versions.h
+++ b/src/pollenring/wire/peer_versions.h
@@ -31,7 +31,7 @@
    * @param peer The peer.
    * @return So, unless it is known to run V1.
    */
-  [[nodiscard]] bool TellsZones(NodeId peer) const {
+  [[nodiscard]] bool ReportsZoneWithdrawals(NodeId peer) const {
     return this->Of(peer) != WireVersion::kV1;
   }
 
--- a/test/support/member_fleet.h
+++ b/test/support/member_fleet.h
@@ -55,7 +55,7 @@
     void MemberChanged(const Member & /*member*/) override {}
     void PeerConfigVersion(NodeId /*peer*/,
                            std::uint64_t /*version*/) override {}
-    void PeerZones(const pollenring::ZoneWithdrawals &word) override {
+    void PeerZoneWithdrawals(const pollenring::ZoneWithdrawals &word) override {
       if (this->zones.Take(word)) this->membership.SetZones(word);
     }
 
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -159,7 +159,8 @@
   }
   void MemberChanged(const Member & /*member*/) override {}
   void RecordsDiffer(NodeId /*peer*/) override {}
-  void PeerZones(const pollenring::ZoneWithdrawals & /*word*/) override {}
+  void PeerZoneWithdrawals(
+      const pollenring::ZoneWithdrawals & /*word*/) override {}
   void PeerConfigVersion(NodeId /*peer*/, std::uint64_t /*version*/) override {}
   std::uint64_t messages{};
   std::uint64_t bytes{};
