Rename WorkspaceShare to WorkspaceRateLimit

The type holds a rate and a burst, which is a token-bucket limit, while a share here is what is lent of that limit. WorkspaceShare becomes WorkspaceRateLimit. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/contract/contract.h
+++ b/src/pollenring/contract/contract.h
@@ -33,7 +33,7 @@
 };
 
 /*! @brief How much a workspace may consume, over all VMs together. */
-struct WorkspaceShare {
+struct WorkspaceRateLimit {
   std::string name;
   double rate{};  /*!< Whole requests a second. */
   double burst{}; /*!< Whole requests at once. */
@@ -43,7 +43,7 @@
 /*! @brief All that one publication declares. */
 struct ContractSet {
   std::vector<Contract> contracts;
-  std::vector<WorkspaceShare> workspaces;
+  std::vector<WorkspaceRateLimit> workspaces;
 };
 
 }  // namespace pollenring
--- a/src/pollenring/contract/fwd.h
+++ b/src/pollenring/contract/fwd.h
@@ -5,7 +5,7 @@
 
 struct Route;
 struct Contract;
-struct WorkspaceShare;
+struct WorkspaceRateLimit;
 struct ContractSet;
 struct SourceFile;
 class Policy;
--- a/src/pollenring/contract/host_policy.cc
+++ b/src/pollenring/contract/host_policy.cc
@@ -89,10 +89,12 @@
   return found == starts.end() ? nullptr : &*found;
 }
 
-const WorkspaceShare *HostTable::ShareOf(const std::string &workspace) const {
+const WorkspaceRateLimit *HostTable::ShareOf(
+    const std::string &workspace) const {
   const auto found = this->by_name.find(workspace);
   if (found == this->by_name.end()) return nullptr;
-  const WorkspaceShare &share = this->policy.workspaces[found->second].share;
+  const WorkspaceRateLimit &share =
+      this->policy.workspaces[found->second].share;
   return share.rate > 0 ? &share : nullptr;
 }
 
--- a/src/pollenring/contract/host_policy.h
+++ b/src/pollenring/contract/host_policy.h
@@ -37,7 +37,7 @@
 
 /*! @brief A workspace with its keys. */
 struct KeyedWorkspace {
-  WorkspaceShare share;
+  WorkspaceRateLimit share;
   std::optional<int> rank; /*!< Goes before the route's; 0 is served first. */
   std::vector<std::string> keys;
   std::vector<std::string> regions; /*!< Where its requests may run; empty:
@@ -103,7 +103,7 @@
    * @param workspace Its name.
    * @return The share, or null when there is none or it has no limit.
    */
-  [[nodiscard]] const WorkspaceShare *ShareOf(
+  [[nodiscard]] const WorkspaceRateLimit *ShareOf(
       const std::string &workspace) const;
 
   /**
--- a/src/pollenring/contract/json.cc
+++ b/src/pollenring/contract/json.cc
@@ -62,9 +62,9 @@
   return contract;
 }
 
-WorkspaceShare WorkspaceFromJson(const std::string &text) {
+WorkspaceRateLimit WorkspaceFromJson(const std::string &text) {
   const Json json = Json::parse(text);
-  WorkspaceShare share;
+  WorkspaceRateLimit share;
   share.name = json.at("name").get<std::string>();
   share.rate = json.at("rate").get<double>();
   share.burst = json.at("burst").get<double>();
--- a/src/pollenring/contract/json.h
+++ b/src/pollenring/contract/json.h
@@ -37,7 +37,7 @@
  * @return The share.
  * @throws nlohmann::json::exception when the document is of another form.
  */
-[[nodiscard]] WorkspaceShare WorkspaceFromJson(const std::string &text);
+[[nodiscard]] WorkspaceRateLimit WorkspaceFromJson(const std::string &text);
 
 }  // namespace pollenring
 
--- a/src/pollenring/contract/parse.cc
+++ b/src/pollenring/contract/parse.cc
@@ -143,10 +143,10 @@
   return route;
 }
 
-[[nodiscard]] WorkspaceShare ReadWorkspace(const TableReader &reader,
-                                           const toml::table &table) {
+[[nodiscard]] WorkspaceRateLimit ReadWorkspace(const TableReader &reader,
+                                               const toml::table &table) {
   reader.KnownKeys({"name", "rate", "burst"});
-  WorkspaceShare share;
+  WorkspaceRateLimit share;
   share.place = reader.Where(table);
   share.name = reader.Text("name", true).value_or("");
   if (const auto text = reader.Text("rate", true)) {
--- a/src/pollenring/contract/policy.cc
+++ b/src/pollenring/contract/policy.cc
@@ -66,7 +66,7 @@
   return found == this->keys.end() ? std::string{} : found->second;
 }
 
-const WorkspaceShare *Policy::ShareOf(const std::string &workspace) const {
+const WorkspaceRateLimit *Policy::ShareOf(const std::string &workspace) const {
   const auto found = this->workspaces.find(workspace);
   return found == this->workspaces.end() ? nullptr : &found->second;
 }
--- a/src/pollenring/contract/policy.h
+++ b/src/pollenring/contract/policy.h
@@ -62,18 +62,18 @@
    * @param workspace The workspace.
    * @return The share, or null.
    */
-  [[nodiscard]] const WorkspaceShare *ShareOf(
+  [[nodiscard]] const WorkspaceRateLimit *ShareOf(
       const std::string &workspace) const;
 
   /*! @brief All workspaces. @return Shares by name. */
-  [[nodiscard]] const std::unordered_map<std::string, WorkspaceShare>
+  [[nodiscard]] const std::unordered_map<std::string, WorkspaceRateLimit>
       &Workspaces() const noexcept {
     return this->workspaces;
   }
 
  private:
   std::unordered_map<std::string, Contract> contracts;
-  std::unordered_map<std::string, WorkspaceShare> workspaces;
+  std::unordered_map<std::string, WorkspaceRateLimit> workspaces;
   std::unordered_map<std::string, std::string> keys;
 };
 
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -67,9 +67,9 @@
   this->Read();
 }
 
-std::optional<WorkspaceShare> PolicyFollower::RateOf(
+std::optional<WorkspaceRateLimit> PolicyFollower::RateOf(
     const std::string &workspace) const {
-  const WorkspaceShare *share = this->table.ShareOf(workspace);
+  const WorkspaceRateLimit *share = this->table.ShareOf(workspace);
   if (share == nullptr) return std::nullopt;
   return *share;
 }
--- a/src/pollenring/mesh/policy_follower.h
+++ b/src/pollenring/mesh/policy_follower.h
@@ -76,7 +76,7 @@
            std::max(this->store_heard, this->members.Get().StoreHeard());
   }
 
-  [[nodiscard]] std::optional<WorkspaceShare> RateOf(
+  [[nodiscard]] std::optional<WorkspaceRateLimit> RateOf(
       const std::string &workspace) const override;
 
  private:
--- a/src/pollenring/node/config_service.cc
+++ b/src/pollenring/node/config_service.cc
@@ -44,9 +44,9 @@
   return membership.Members().empty();
 }
 
-std::optional<WorkspaceShare> ConfigService::RateOf(
+std::optional<WorkspaceRateLimit> ConfigService::RateOf(
     const std::string &workspace) const {
-  const WorkspaceShare *share = this->ledger.InForce().ShareOf(workspace);
+  const WorkspaceRateLimit *share = this->ledger.InForce().ShareOf(workspace);
   if (share == nullptr) return std::nullopt;
   return *share;
 }
--- a/src/pollenring/node/config_service.h
+++ b/src/pollenring/node/config_service.h
@@ -55,7 +55,7 @@
     return this->ledger;
   }
   [[nodiscard]] bool Fresh() const override;
-  [[nodiscard]] std::optional<WorkspaceShare> RateOf(
+  [[nodiscard]] std::optional<WorkspaceRateLimit> RateOf(
       const std::string &workspace) const override;
 
   /*! @brief Starts to follow versions. */
--- a/src/pollenring/node/gates.h
+++ b/src/pollenring/node/gates.h
@@ -60,7 +60,7 @@
    * @param workspace The workspace.
    * @return Rate and burst, or nothing when it has none.
    */
-  [[nodiscard]] virtual std::optional<WorkspaceShare> RateOf(
+  [[nodiscard]] virtual std::optional<WorkspaceRateLimit> RateOf(
       const std::string &workspace) const = 0;
 };
 
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -135,7 +135,7 @@
   root.envelope.importance = route->importance;
   root.envelope.idempotent = route->idempotent;
   root.envelope.lot = LotOf(root.envelope.root_id);
-  const WorkspaceShare *share = policy.ShareOf(root.envelope.workspace);
+  const WorkspaceRateLimit *share = policy.ShareOf(root.envelope.workspace);
   if (share != nullptr) root.envelope.weight = share->rate;
   root.envelope.retries = route->retries;
   root.deadline = root.started + route->deadline;
--- a/src/pollenring/share/lender.cc
+++ b/src/pollenring/share/lender.cc
@@ -21,7 +21,7 @@
 }  // namespace
 
 BorrowReply ShareLender::Lend(const BorrowRequest &request,
-                              const WorkspaceShare &share,
+                              const WorkspaceRateLimit &share,
                               const SharePart &part, Time valid_until) {
   const Time now = this->clock.Now();
   BorrowReply reply;
@@ -145,7 +145,7 @@
 }
 
 ShareLender::Bucket &ShareLender::BucketOf(const std::string &workspace,
-                                           const WorkspaceShare &share,
+                                           const WorkspaceRateLimit &share,
                                            const SharePart &part) {
   const auto [found, fresh] = this->buckets.try_emplace(workspace);
   Bucket &bucket = found->second;
@@ -160,7 +160,7 @@
   return bucket;
 }
 
-void ShareLender::SetContract(Bucket &bucket, const WorkspaceShare &share,
+void ShareLender::SetContract(Bucket &bucket, const WorkspaceRateLimit &share,
                               const SharePart &part) {
   const double seconds =
       std::chrono::duration<double>{kTransitAllowance}.count();
--- a/src/pollenring/share/lender.h
+++ b/src/pollenring/share/lender.h
@@ -57,7 +57,7 @@
    * @return What is lent; the same again when the request is repeated.
    */
   [[nodiscard]] BorrowReply Lend(const BorrowRequest &request,
-                                 const WorkspaceShare &share,
+                                 const WorkspaceRateLimit &share,
                                  const SharePart &part, Time valid_until);
 
   /*! @brief Reads what a successor needs. @return Contents by workspace. */
@@ -90,9 +90,9 @@
   };
 
   [[nodiscard]] Bucket &BucketOf(const std::string &workspace,
-                                 const WorkspaceShare &share,
+                                 const WorkspaceRateLimit &share,
                                  const SharePart &part);
-  static void SetContract(Bucket &bucket, const WorkspaceShare &share,
+  static void SetContract(Bucket &bucket, const WorkspaceRateLimit &share,
                           const SharePart &part);
   void Grant(Bucket &bucket, const LoanKey &key, const Loan &loan) const;
   void GrantEarly(Bucket &bucket, const BorrowRequest &request,
--- a/test/pollenring/share/lender_test.cc
+++ b/test/pollenring/share/lender_test.cc
@@ -18,7 +18,7 @@
 using pollenring::ManualClock;
 using pollenring::ShareLender;
 using pollenring::SharePart;
-using pollenring::WorkspaceShare;
+using pollenring::WorkspaceRateLimit;
 
 /*! @brief One slot's lender, asked for a share that may change. */
 struct Slot {
@@ -45,7 +45,7 @@
 
   ManualClock clock{1h};
   ShareLender lender{true, this->clock};
-  WorkspaceShare share{"club", 10, 12, {}};
+  WorkspaceRateLimit share{"club", 10, 12, {}};
   SharePart part{0, 1};
   std::uint64_t loans{};
 };
--- a/test/support/lease_world.h
+++ b/test/support/lease_world.h
@@ -101,7 +101,7 @@
   WorldFaults faults;
   SlotId slots;
   pollenring::MemoryTable table;
-  std::map<std::string, pollenring::WorkspaceShare> contracts;
+  std::map<std::string, pollenring::WorkspaceRateLimit> contracts;
   std::map<std::string, RateCheck> checks;
   std::vector<std::unique_ptr<Node>> nodes;
   std::set<SlotId> had_holder;
