Rename Findings to Diagnostics

The list of file, line and column with a message is what compilers call diagnostics, and readers looked for that word. The JSON key findings stays. Findings becomes Diagnostics, Finding becomes Diagnostic and FindingsOf becomes DiagnosticsOf. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference but using-declarations that the formatter sorts anew, and no string literal is touched.

--- a/src/pollenring/contract/check.cc
+++ b/src/pollenring/contract/check.cc
@@ -10,7 +10,8 @@
 
 using ByService = std::map<std::string, const Contract *>;
 
-[[nodiscard]] ByService CheckNames(const ContractSet &set, Findings &findings) {
+[[nodiscard]] ByService CheckNames(const ContractSet &set,
+                                   Diagnostics &findings) {
   ByService services;
   for (const auto &contract : set.contracts) {
     const auto [at, added] = services.emplace(contract.service, &contract);
@@ -29,7 +30,7 @@
 }
 
 void CheckCallers(const ContractSet &set, const ByService &services,
-                  Findings &findings) {
+                  Diagnostics &findings) {
   for (const auto &contract : set.contracts) {
     for (const auto &caller : contract.callers) {
       if (caller == kPublicCaller || services.count(caller) > 0) continue;
@@ -42,7 +43,7 @@
 /*! @brief Finds cycles among callers by depth-first search. */
 class CycleSearch {
  public:
-  CycleSearch(const ByService &services, Findings &findings)
+  CycleSearch(const ByService &services, Diagnostics &findings)
       : services{services}, findings{findings} {}
 
   void Visit(const Contract &contract) {
@@ -64,12 +65,12 @@
 
  private:
   const ByService &services;
-  Findings &findings;
+  Diagnostics &findings;
   std::set<std::string> open;
   std::set<std::string> done;
 };
 
-void CheckRoutes(const ContractSet &set, Findings &findings) {
+void CheckRoutes(const ContractSet &set, Diagnostics &findings) {
   for (const auto &contract : set.contracts) {
     std::set<std::pair<std::string, std::string>> seen;
     for (const auto &route : contract.routes) {
@@ -82,7 +83,7 @@
   }
 }
 
-void CheckShares(const ContractSet &set, Findings &findings) {
+void CheckShares(const ContractSet &set, Diagnostics &findings) {
   const double seconds = std::chrono::duration<double>{kShortestBurst}.count();
   for (const auto &share : set.workspaces) {
     if (share.rate <= 0) {
@@ -103,7 +104,7 @@
 
 }  // namespace
 
-void CheckContracts(const ContractSet &set, Findings &findings) {
+void CheckContracts(const ContractSet &set, Diagnostics &findings) {
   const ByService services = CheckNames(set, findings);
   CheckCallers(set, services, findings);
   CheckRoutes(set, findings);
@@ -113,7 +114,7 @@
 }
 
 ContractSet ReadContracts(const std::vector<SourceFile> &files,
-                          Findings &findings) {
+                          Diagnostics &findings) {
   ContractSet set;
   for (const auto &file : files) ParseContractFile(file, set, findings);
   CheckContracts(set, findings);
--- a/src/pollenring/contract/check.h
+++ b/src/pollenring/contract/check.h
@@ -19,7 +19,7 @@
  * @param set The set.
  * @param findings Receives all faults.
  */
-void CheckContracts(const ContractSet &set, Findings &findings);
+void CheckContracts(const ContractSet &set, Diagnostics &findings);
 
 /**
  * @brief Parses and checks files.
@@ -28,7 +28,7 @@
  * @return The set; use it only when there are no findings.
  */
 [[nodiscard]] ContractSet ReadContracts(const std::vector<SourceFile> &files,
-                                        Findings &findings);
+                                        Diagnostics &findings);
 
 }  // namespace pollenring
 
--- a/src/pollenring/contract/parse.cc
+++ b/src/pollenring/contract/parse.cc
@@ -30,7 +30,7 @@
 class TableReader {
  public:
   TableReader(const toml::table &table, const std::string &file,
-              Findings &findings)
+              Diagnostics &findings)
       : table{table}, file{file}, findings{findings} {}
 
   [[nodiscard]] Place Where(const toml::node &node) const {
@@ -98,7 +98,7 @@
  private:
   const toml::table &table;
   const std::string &file;
-  Findings &findings;
+  Diagnostics &findings;
 };
 
 void ReadDeadline(const TableReader &reader, Route &route) {
@@ -234,7 +234,7 @@
 }
 
 void ParseContractFile(const SourceFile &file, ContractSet &set,
-                       Findings &findings) {
+                       Diagnostics &findings) {
   toml::table root;
   try {
     root = toml::parse(file.text, file.name);
--- a/src/pollenring/contract/parse.h
+++ b/src/pollenring/contract/parse.h
@@ -22,7 +22,7 @@
  * @param findings Receives all faults.
  */
 void ParseContractFile(const SourceFile &file, ContractSet &set,
-                       Findings &findings);
+                       Diagnostics &findings);
 
 /**
  * @brief Parses a length of time with its unit.
--- a/src/pollenring/core/finding.h
+++ b/src/pollenring/core/finding.h
@@ -15,7 +15,7 @@
 };
 
 /*! @brief One fault in an operator's input, with its place. */
-struct Finding {
+struct Diagnostic {
   Place place;
   std::string message;
 
@@ -30,7 +30,7 @@
 };
 
 /*! @brief All faults of one input. */
-using Findings = std::vector<Finding>;
+using Diagnostics = std::vector<Diagnostic>;
 
 }  // namespace pollenring
 
--- a/src/pollenring/core/fwd.h
+++ b/src/pollenring/core/fwd.h
@@ -7,7 +7,7 @@
 class Random;
 class ManualClock;
 class SeededRandom;
-struct Finding;
+struct Diagnostic;
 enum class Outcome;
 enum class Importance;
 
--- a/src/pollenring/node/settings.cc
+++ b/src/pollenring/node/settings.cc
@@ -19,7 +19,7 @@
 class SettingsReader {
  public:
   SettingsReader(const toml::table &root, const std::string &file,
-                 Findings &findings)
+                 Diagnostics &findings)
       : root{root}, file{file}, findings{findings} {}
 
   void KnownKeys(std::string_view section,
@@ -176,12 +176,12 @@
 
   const toml::table &root;
   const std::string &file;
-  Findings &findings;
+  Diagnostics &findings;
 };
 
 }  // namespace
 
-Settings ReadSettings(const SourceFile &file, Findings &findings) {
+Settings ReadSettings(const SourceFile &file, Diagnostics &findings) {
   Settings settings;
   toml::table root;
   try {
--- a/src/pollenring/node/settings.h
+++ b/src/pollenring/node/settings.h
@@ -55,7 +55,8 @@
  * @param findings Receives all faults.
  * @return The settings; use them only when there are no findings.
  */
-[[nodiscard]] Settings ReadSettings(const SourceFile &file, Findings &findings);
+[[nodiscard]] Settings ReadSettings(const SourceFile &file,
+                                    Diagnostics &findings);
 
 }  // namespace pollenring
 
--- a/test/pollenring/contract/contract_test.cc
+++ b/test/pollenring/contract/contract_test.cc
@@ -7,12 +7,12 @@
 
 namespace {
 
-using pollenring::Findings;
+using pollenring::Diagnostics;
 using pollenring::SourceFile;
 
-[[nodiscard]] std::vector<std::string> FindingsOf(
+[[nodiscard]] std::vector<std::string> DiagnosticsOf(
     const std::vector<SourceFile> &files) {
-  Findings findings;
+  Diagnostics findings;
   const auto set = pollenring::ReadContracts(files, findings);
   std::vector<std::string> texts;
   for (const auto &finding : findings) texts.push_back(finding.Format());
@@ -22,7 +22,7 @@
 }  // namespace
 
 TEST_CASE("contract: all findings come at once, with their places") {
-  const auto findings = FindingsOf(
+  const auto findings = DiagnosticsOf(
       {{"a.toml",
         "service = \"a\"\ncallers = [\"b\", \"ghost\"]\ncolour = 1\n"
         "[[route]]\nmethod = \"GET\"\npath = \"x\"\ndeadline = \"5\"\n"
@@ -55,7 +55,7 @@
 }
 
 TEST_CASE("contract: documents carry everything that is declared") {
-  Findings findings;
+  Diagnostics findings;
   const auto set = pollenring::ReadContracts(
       {{"a.toml",
         "service = \"a\"\ncallers = [\"public\"]\n[[route]]\nmethod = "
@@ -92,7 +92,7 @@
     for (std::size_t j = 0; j < length; ++j) {
       text.push_back(letters[random.Index(letters.size())]);
     }
-    Findings findings;
+    Diagnostics findings;
     const auto set = pollenring::ReadContracts({{"f", text}}, findings);
     CHECK((findings.empty() || !findings.front().message.empty()));
     static_cast<void>(pollenring::ReadSettings({"f", text}, findings));
@@ -100,7 +100,7 @@
 }
 
 TEST_CASE("settings: all findings come at once, with their places") {
-  Findings findings;
+  Diagnostics findings;
   static_cast<void>(pollenring::ReadSettings(
       {"n.toml",
        "[node]\nzone = \"a\"\ncolour = 2\nslots = 0\n[listen]\ncallers = "
@@ -110,23 +110,23 @@
 }
 
 TEST_CASE("settings: the grace of a planned stop is checked") {
-  const auto read = [](const std::string &grace, Findings &findings) {
+  const auto read = [](const std::string &grace, Diagnostics &findings) {
     return pollenring::ReadSettings(
         {"n.toml", "[node]\nroutes = \"host\"\n" + grace}, findings);
   };
-  const auto told = [](const Findings &findings) {
+  const auto told = [](const Diagnostics &findings) {
     return std::any_of(findings.begin(), findings.end(), [](const auto &each) {
       return each.message.find("'grace_s' must be") != std::string::npos;
     });
   };
-  Findings findings;
+  Diagnostics findings;
   CHECK(read("", findings).grace == std::chrono::seconds{6});
   CHECK(read("grace_s = 10\n", findings).grace == std::chrono::seconds{10});
   CHECK(read("grace_s = 2.5\n", findings).grace ==
         std::chrono::milliseconds{2500});
   CHECK_FALSE(told(findings));
   for (const std::string bad : {"0", "-1", "\"6\"", "1e9", "nan"}) {
-    Findings wrong;
+    Diagnostics wrong;
     CHECK(read("grace_s = " + bad + "\n", wrong).grace ==
           std::chrono::seconds{6});
     CHECK(told(wrong));
--- a/test/support/cluster.cc
+++ b/test/support/cluster.cc
@@ -297,7 +297,7 @@
        "service = \"orders\"\ncallers = [\"public\"]\n[[route]]\nmethod = "
        "\"POST\"\npath = \"/\"\nimportance = \"critical\"\nidempotent = "
        "false\nretries = 0\ndeadline = \"4s\"\n"}};
-  pollenring::Findings findings;
+  pollenring::Diagnostics findings;
   const auto set = pollenring::ReadContracts(files, findings);
   return pollenring::ToDocuments(set);
 }
--- a/tools/pollenring-load/main.cc
+++ b/tools/pollenring-load/main.cc
@@ -59,7 +59,7 @@
     std::ifstream stream{path};
     std::ostringstream text;
     text << stream.rdbuf();
-    pollenring::Findings findings;
+    pollenring::Diagnostics findings;
     const auto scenario = load::ReadScenario({path, text.str()}, findings);
     for (const auto &finding : findings) std::cerr << finding.Format() << '\n';
     if (!findings.empty()) return kBadUsage;
--- a/tools/pollenring-load/scenario.cc
+++ b/tools/pollenring-load/scenario.cc
@@ -6,13 +6,14 @@
 namespace {
 
 using pollenring::Address;
+using pollenring::Diagnostics;
 using pollenring::Duration;
-using pollenring::Findings;
 
 /*! @brief Reads values of a table and reports what is wrong with them. */
 class Reader {
  public:
-  Reader(const toml::table &table, const std::string &file, Findings &findings)
+  Reader(const toml::table &table, const std::string &file,
+         Diagnostics &findings)
       : table{table}, file{file}, findings{findings} {}
 
   void Report(std::string_view key, const std::string &message) {
@@ -65,7 +66,7 @@
  private:
   const toml::table &table;
   const std::string &file;
-  Findings &findings;
+  Diagnostics &findings;
 };
 
 [[nodiscard]] Caller ReadCaller(Reader reader) {
@@ -92,7 +93,8 @@
 
 }  // namespace
 
-Scenario ReadScenario(const pollenring::SourceFile &file, Findings &findings) {
+Scenario ReadScenario(const pollenring::SourceFile &file,
+                      Diagnostics &findings) {
   Scenario scenario;
   toml::table root;
   try {
--- a/tools/pollenring-load/scenario.h
+++ b/tools/pollenring-load/scenario.h
@@ -55,7 +55,7 @@
  * @return The scenario; use it only when there are no findings.
  */
 [[nodiscard]] Scenario ReadScenario(const pollenring::SourceFile &file,
-                                    pollenring::Findings &findings);
+                                    pollenring::Diagnostics &findings);
 
 }  // namespace load
 
--- a/tools/pollenring/commands.cc
+++ b/tools/pollenring/commands.cc
@@ -18,8 +18,8 @@
 namespace {
 
 using Json = nlohmann::json;
+using pollenring::Diagnostics;
 using pollenring::Documents;
-using pollenring::Findings;
 
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
@@ -31,7 +31,7 @@
 
 /*! @brief Reads files, and the TOML files of folders. */
 [[nodiscard]] std::vector<pollenring::SourceFile> ReadFiles(
-    const std::vector<std::string> &paths, Findings &findings) {
+    const std::vector<std::string> &paths, Diagnostics &findings) {
   namespace fs = std::filesystem;
   std::vector<std::string> names;
   for (const auto &path : paths) {
@@ -61,7 +61,7 @@
 
 [[nodiscard]] std::optional<Documents> Load(
     const CommonOptions &common, const std::vector<std::string> &paths) {
-  Findings findings;
+  Diagnostics findings;
   const auto files = ReadFiles(paths, findings);
   const auto set = pollenring::ReadContracts(files, findings);
   if (findings.empty()) return pollenring::ToDocuments(set);
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -19,7 +19,7 @@
 
 namespace {
 
-using pollenring::Findings;
+using pollenring::Diagnostics;
 using pollenring::Settings;
 
 constexpr int kBadUsage = 2;
@@ -57,7 +57,7 @@
  * name sockets, so a change takes effect at the next start. */
 void CheckReload(const std::string &path, const Settings &in_force) {
   const auto text = ReadFile(path);
-  Findings findings;
+  Diagnostics findings;
   Settings settings;
   if (text) settings = pollenring::ReadSettings({path, *text}, findings);
   const bool readable = text && findings.empty();
@@ -165,7 +165,7 @@
     std::cerr << "pollenringd: can't read " << path << '\n';
     return kBadUsage;
   }
-  Findings findings;
+  Diagnostics findings;
   const Settings settings = pollenring::ReadSettings({path, *text}, findings);
   for (const auto &finding : findings) std::cerr << finding.Format() << '\n';
   if (!findings.empty()) return kBadUsage;
