Rename Ticket to AdmissionRequest

A ticket suggests a permit already given, while the type is what admission knows of a request that asks to run. Ticket becomes AdmissionRequest and ShedTicket becomes ShedRequest. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference but using-declarations that the formatter sorts anew, and no string literal is touched.

--- a/examples/embed_admission.cc
+++ b/examples/embed_admission.cc
@@ -9,7 +9,7 @@
   pollenring::ManualClock clock;
   pollenring::Admission admission{2, {}, clock};
   for (std::uint64_t id = 1; id <= 10; ++id) {
-    pollenring::Ticket ticket;
+    pollenring::AdmissionRequest ticket;
     ticket.id = id;
     ticket.workspace = "club";
     ticket.importance = id % 5 == 0 ? pollenring::Importance::kCritical
--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -74,7 +74,7 @@
          std::chrono::duration<double>{kOfferedMemory}.count();
 }
 
-AdmissionActions Admission::Offer(const Ticket &ticket) {
+AdmissionActions Admission::Offer(const AdmissionRequest &ticket) {
   AdmissionActions actions;
   this->FollowCold();
   this->offered = this->OfferedNow() + 1;
@@ -163,7 +163,8 @@
   }
 }
 
-void Admission::Start(const Ticket &ticket, AdmissionActions &actions) {
+void Admission::Start(const AdmissionRequest &ticket,
+                      AdmissionActions &actions) {
   const int running_now = static_cast<int>(this->running.size()) + 1;
   this->running[ticket.id] = {this->clock.Now(), running_now,
                               ticket.importance};
--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -18,7 +18,7 @@
 namespace pollenring {
 
 /*! @brief A waiting request that is given up on, and why. */
-struct ShedTicket {
+struct ShedRequest {
   std::uint64_t id{};
   Reason reason{Reason::kOverload};
 };
@@ -26,7 +26,7 @@
 /*! @brief What is to be done after an event. */
 struct AdmissionActions {
   std::vector<std::uint64_t> start; /*!< Requests to send to the target. */
-  std::vector<ShedTicket> shed;     /*!< Requests to refuse at once. */
+  std::vector<ShedRequest> shed;    /*!< Requests to refuse at once. */
 };
 
 /*! @brief What makes a service refuse roots early. */
@@ -124,7 +124,7 @@
    * @param ticket The request.
    * @return What to start and what to shed; may name the request itself.
    */
-  [[nodiscard]] AdmissionActions Offer(const Ticket &ticket);
+  [[nodiscard]] AdmissionActions Offer(const AdmissionRequest &ticket);
 
   /**
    * @brief Ends a request that ran.
@@ -152,7 +152,7 @@
   [[nodiscard]] AdmissionActions Cancel(std::uint64_t id);
 
   /*! @brief Takes out all that wait, for another target. @return Them. */
-  [[nodiscard]] std::vector<Ticket> TakeWaiting() {
+  [[nodiscard]] std::vector<AdmissionRequest> TakeWaiting() {
     return this->queue->RemoveExpired(Time::max());
   }
 
@@ -178,7 +178,7 @@
   void DropLate(AdmissionActions &actions);
   void ShedBeyondCold(AdmissionActions &actions);
   void FollowCold();
-  void Start(const Ticket &ticket, AdmissionActions &actions);
+  void Start(const AdmissionRequest &ticket, AdmissionActions &actions);
   [[nodiscard]] std::size_t QueueCapacity() const noexcept;
   [[nodiscard]] bool Overfull() const;
 
--- a/src/pollenring/admission/aim_queue.cc
+++ b/src/pollenring/admission/aim_queue.cc
@@ -4,7 +4,7 @@
 
 namespace pollenring {
 
-AimQueue::WorthKey AimQueue::WorthOf(const Ticket &ticket) noexcept {
+AimQueue::WorthKey AimQueue::WorthOf(const AdmissionRequest &ticket) noexcept {
   return {ticket.Invested(), ticket.importance, -ticket.aim, ticket.id};
 }
 
@@ -16,23 +16,24 @@
                   : std::min(importance, Importance::kHigh);
 }
 
-void AimQueue::Push(const Ticket &ticket) {
+void AimQueue::Push(const AdmissionRequest &ticket) {
   this->by_id.emplace(ticket.id, ticket);
   this->by_aim.emplace(ticket.aim, ticket.id);
   this->by_deadline.emplace(ticket.deadline, ticket.id);
   this->by_worth.insert(WorthOf(ticket));
 }
 
-std::optional<Ticket> AimQueue::Pop() {
+std::optional<AdmissionRequest> AimQueue::Pop() {
   if (this->by_aim.empty()) return std::nullopt;
-  Ticket ticket = this->by_id.at(this->by_aim.begin()->second);
+  AdmissionRequest ticket = this->by_id.at(this->by_aim.begin()->second);
   this->Remove(ticket.id);
   return ticket;
 }
 
-std::optional<Ticket> AimQueue::PopWorst() {
+std::optional<AdmissionRequest> AimQueue::PopWorst() {
   if (this->by_worth.empty()) return std::nullopt;
-  Ticket ticket = this->by_id.at(std::get<3>(*this->by_worth.begin()));
+  AdmissionRequest ticket =
+      this->by_id.at(std::get<3>(*this->by_worth.begin()));
   this->Remove(ticket.id);
   return ticket;
 }
@@ -40,7 +41,7 @@
 bool AimQueue::Remove(std::uint64_t id) {
   const auto found = this->by_id.find(id);
   if (found == this->by_id.end()) return false;
-  const Ticket &ticket = found->second;
+  const AdmissionRequest &ticket = found->second;
   this->by_aim.erase({ticket.aim, id});
   this->by_deadline.erase({ticket.deadline, id});
   this->by_worth.erase(WorthOf(ticket));
@@ -48,8 +49,8 @@
   return true;
 }
 
-std::vector<Ticket> AimQueue::RemoveExpired(Time before) {
-  std::vector<Ticket> expired;
+std::vector<AdmissionRequest> AimQueue::RemoveExpired(Time before) {
+  std::vector<AdmissionRequest> expired;
   while (!this->by_deadline.empty()) {
     const auto [deadline, id] = *this->by_deadline.begin();
     if (deadline >= before) break;
--- a/src/pollenring/admission/aim_queue.h
+++ b/src/pollenring/admission/aim_queue.h
@@ -22,20 +22,22 @@
     return this->by_id.size();
   }
   [[nodiscard]] Importance Lowest() const noexcept override;
-  void Push(const Ticket &ticket) override;
-  [[nodiscard]] std::optional<Ticket> Pop() override;
-  [[nodiscard]] std::optional<Ticket> PopWorst() override;
+  void Push(const AdmissionRequest &ticket) override;
+  [[nodiscard]] std::optional<AdmissionRequest> Pop() override;
+  [[nodiscard]] std::optional<AdmissionRequest> PopWorst() override;
   bool Remove(std::uint64_t id) override;
-  [[nodiscard]] std::vector<Ticket> RemoveExpired(Time before) override;
+  [[nodiscard]] std::vector<AdmissionRequest> RemoveExpired(
+      Time before) override;
 
  private:
   using AimKey = std::pair<Time, std::uint64_t>;
   /*! @brief Invested work, importance, then the latest aim first. */
   using WorthKey = std::tuple<bool, Importance, Time, std::uint64_t>;
 
-  [[nodiscard]] static WorthKey WorthOf(const Ticket &ticket) noexcept;
+  [[nodiscard]] static WorthKey WorthOf(
+      const AdmissionRequest &ticket) noexcept;
 
-  std::unordered_map<std::uint64_t, Ticket> by_id;
+  std::unordered_map<std::uint64_t, AdmissionRequest> by_id;
   std::set<AimKey> by_aim;
   std::set<AimKey> by_deadline;
   std::set<WorthKey> by_worth;
--- a/src/pollenring/admission/fair_queue.cc
+++ b/src/pollenring/admission/fair_queue.cc
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-FairQueue::ClassKey FairQueue::KeyOf(const Ticket &ticket) noexcept {
+FairQueue::ClassKey FairQueue::KeyOf(const AdmissionRequest &ticket) noexcept {
   return static_cast<int>(ticket.importance) * 2 + (ticket.Invested() ? 1 : 0);
 }
 
@@ -24,7 +24,7 @@
   return Importance::kCritical;
 }
 
-void FairQueue::Push(const Ticket &ticket) {
+void FairQueue::Push(const AdmissionRequest &ticket) {
   Class &group = this->classes[KeyOf(ticket)];
   Workspace &workspace = group.workspaces[ticket.workspace];
   Unrank(group, workspace);
@@ -40,13 +40,13 @@
   this->by_deadline.emplace(ticket.deadline, ticket.id);
 }
 
-std::optional<Ticket> FairQueue::Pop() {
+std::optional<AdmissionRequest> FairQueue::Pop() {
   for (auto it = this->classes.rbegin(); it != this->classes.rend(); ++it) {
     Class &group = it->second;
     if (group.least_served.empty()) continue;
     Workspace &workspace =
         group.workspaces.at(group.least_served.begin()->second);
-    Ticket ticket = *workspace.waiting.begin();
+    AdmissionRequest ticket = *workspace.waiting.begin();
     group.floor = std::max(group.floor, workspace.served);
     this->Erase(group, ticket);
     Unrank(group, workspace);
@@ -58,12 +58,12 @@
   return std::nullopt;
 }
 
-std::optional<Ticket> FairQueue::PopWorst() {
+std::optional<AdmissionRequest> FairQueue::PopWorst() {
   for (auto &[key, group] : this->classes) {
     if (group.most_ahead.empty()) continue;
     const Workspace &workspace =
         group.workspaces.at(group.most_ahead.rbegin()->second);
-    Ticket ticket = *workspace.waiting.rbegin();
+    AdmissionRequest ticket = *workspace.waiting.rbegin();
     this->Erase(group, ticket);
     return ticket;
   }
@@ -73,13 +73,13 @@
 bool FairQueue::Remove(std::uint64_t id) {
   const auto found = this->by_id.find(id);
   if (found == this->by_id.end()) return false;
-  const Ticket ticket = found->second;
+  const AdmissionRequest ticket = found->second;
   this->Erase(this->classes.at(KeyOf(ticket)), ticket);
   return true;
 }
 
-std::vector<Ticket> FairQueue::RemoveExpired(Time before) {
-  std::vector<Ticket> expired;
+std::vector<AdmissionRequest> FairQueue::RemoveExpired(Time before) {
+  std::vector<AdmissionRequest> expired;
   while (!this->by_deadline.empty()) {
     const auto [deadline, id] = *this->by_deadline.begin();
     if (deadline >= before) break;
@@ -89,7 +89,7 @@
   return expired;
 }
 
-void FairQueue::Erase(Class &group, const Ticket &ticket) {
+void FairQueue::Erase(Class &group, const AdmissionRequest &ticket) {
   Workspace &workspace = group.workspaces.at(ticket.workspace);
   Unrank(group, workspace);
   workspace.waiting.erase(ticket);
--- a/src/pollenring/admission/fair_queue.h
+++ b/src/pollenring/admission/fair_queue.h
@@ -28,22 +28,24 @@
   }
   [[nodiscard]] bool Empty() const noexcept { return this->by_id.empty(); }
   [[nodiscard]] Importance Lowest() const noexcept override;
-  void Push(const Ticket &ticket) override;
-  [[nodiscard]] std::optional<Ticket> Pop() override;
-  [[nodiscard]] std::optional<Ticket> PopWorst() override;
+  void Push(const AdmissionRequest &ticket) override;
+  [[nodiscard]] std::optional<AdmissionRequest> Pop() override;
+  [[nodiscard]] std::optional<AdmissionRequest> PopWorst() override;
   bool Remove(std::uint64_t id) override;
-  [[nodiscard]] std::vector<Ticket> RemoveExpired(Time before) override;
+  [[nodiscard]] std::vector<AdmissionRequest> RemoveExpired(
+      Time before) override;
 
  private:
   struct Older {
-    bool operator()(const Ticket &left, const Ticket &right) const noexcept {
+    bool operator()(const AdmissionRequest &left,
+                    const AdmissionRequest &right) const noexcept {
       if (left.root_started != right.root_started) {
         return left.root_started < right.root_started;
       }
       return left.id < right.id;
     }
   };
-  using Waiting = std::set<Ticket, Older>;
+  using Waiting = std::set<AdmissionRequest, Older>;
   using Ranked = std::pair<double, std::string>;
 
   /*! @brief One workspace within a class. */
@@ -63,14 +65,14 @@
   };
   using ClassKey = int;
 
-  [[nodiscard]] static ClassKey KeyOf(const Ticket &ticket) noexcept;
-  void Erase(Class &group, const Ticket &ticket);
+  [[nodiscard]] static ClassKey KeyOf(const AdmissionRequest &ticket) noexcept;
+  void Erase(Class &group, const AdmissionRequest &ticket);
   static void Unrank(Class &group, const Workspace &workspace);
   static void Rank(Class &group, const std::string &name, Workspace &workspace);
   static void Trim(Class &group);
 
   std::map<ClassKey, Class> classes;
-  std::unordered_map<std::uint64_t, Ticket> by_id;
+  std::unordered_map<std::uint64_t, AdmissionRequest> by_id;
   std::set<std::pair<Time, std::uint64_t>> by_deadline;
 };
 
--- a/src/pollenring/admission/fit_level.cc
+++ b/src/pollenring/admission/fit_level.cc
@@ -25,7 +25,7 @@
   return this->level;
 }
 
-void FitLevel::Offered(const Ticket &ticket) {
+void FitLevel::Offered(const AdmissionRequest &ticket) {
   const double place =
       PriorityOf(ticket.importance, ticket.lot) * kBinsPerImportance;
   const auto bin = std::min(static_cast<std::size_t>(place), kBins - 1);
--- a/src/pollenring/admission/fit_level.h
+++ b/src/pollenring/admission/fit_level.h
@@ -51,7 +51,7 @@
   FitLevel(const FitLevelOptions &options, const Clock &clock);
 
   [[nodiscard]] double LevelOf(const std::string &workspace) const override;
-  void Offered(const Ticket &ticket) override;
+  void Offered(const AdmissionRequest &ticket) override;
   void Shed() override {}
   void Tick(const QueueState &queue) override;
 
--- a/src/pollenring/admission/fwd.h
+++ b/src/pollenring/admission/fwd.h
@@ -10,7 +10,7 @@
 class ShedLevels;
 struct ColdMargin;
 struct ColdTolerance;
-struct Ticket;
+struct AdmissionRequest;
 
 }  // namespace pollenring
 
--- a/src/pollenring/admission/level_control.h
+++ b/src/pollenring/admission/level_control.h
@@ -30,7 +30,7 @@
   [[nodiscard]] virtual double LevelOf(const std::string &workspace) const = 0;
 
   /*! @brief Counts a request that was offered. @param ticket The request. */
-  virtual void Offered(const Ticket &ticket) = 0;
+  virtual void Offered(const AdmissionRequest &ticket) = 0;
 
   /*! @brief Counts a request that was shed. */
   virtual void Shed() = 0;
--- a/src/pollenring/admission/shed_levels.cc
+++ b/src/pollenring/admission/shed_levels.cc
@@ -34,7 +34,7 @@
   return found == this->workspaces.end() ? 0 : found->second.level;
 }
 
-void ShedLevels::Offered(const Ticket &ticket) {
+void ShedLevels::Offered(const AdmissionRequest &ticket) {
   Workspace &workspace = this->workspaces[ticket.workspace];
   workspace.offered[static_cast<std::size_t>(ticket.importance)] += 1;
   workspace.weight = std::max(ticket.weight, 1e-3);
--- a/src/pollenring/admission/ticket.h
+++ b/src/pollenring/admission/ticket.h
@@ -10,7 +10,7 @@
 namespace pollenring {
 
 /*! @brief What admission needs to know of a request. */
-struct Ticket {
+struct AdmissionRequest {
   std::uint64_t id{};
   Importance importance{Importance::kNormal};
   double lot{};        /*!< Same for all parts of one root, in [0, 1). */
--- a/src/pollenring/admission/ticket_queue.h
+++ b/src/pollenring/admission/ticket_queue.h
@@ -29,16 +29,16 @@
    * @brief Adds a request.
    * @param ticket The request.
    */
-  virtual void Push(const Ticket &ticket) = 0;
+  virtual void Push(const AdmissionRequest &ticket) = 0;
 
   /*! @brief Takes the next request to run. @return It, or nothing. */
-  [[nodiscard]] virtual std::optional<Ticket> Pop() = 0;
+  [[nodiscard]] virtual std::optional<AdmissionRequest> Pop() = 0;
 
   /**
    * @brief Takes the first request to shed.
    * @return It, or nothing.
    */
-  [[nodiscard]] virtual std::optional<Ticket> PopWorst() = 0;
+  [[nodiscard]] virtual std::optional<AdmissionRequest> PopWorst() = 0;
 
   /**
    * @brief Takes out one request.
@@ -52,7 +52,8 @@
    * @param before Deadlines earlier than this are too near.
    * @return The requests taken out.
    */
-  [[nodiscard]] virtual std::vector<Ticket> RemoveExpired(Time before) = 0;
+  [[nodiscard]] virtual std::vector<AdmissionRequest> RemoveExpired(
+      Time before) = 0;
 };
 
 }  // namespace pollenring
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -70,7 +70,7 @@
     this->Refuse(id, Outcome::kNotRun, Reason::kNoTarget);
     return id;
   }
-  Ticket ticket;
+  AdmissionRequest ticket;
   ticket.id = id;
   ticket.importance = kept.importance;
   ticket.lot = kept.lot;
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -249,7 +249,7 @@
     bool running{};
   };
 
-  void Offer(Binding &binding, const Ticket &ticket);
+  void Offer(Binding &binding, const AdmissionRequest &ticket);
   void Perform(const AdmissionActions &actions);
   void SuspectCold(Binding &binding);
   void TakeColdness(Binding &binding);
--- a/src/pollenring/node/serving_targets.cc
+++ b/src/pollenring/node/serving_targets.cc
@@ -26,7 +26,7 @@
       found == this->bindings.end() ||
       !(found->second.announcement.address == announcement.address) ||
       found->second.announcement.instance != announcement.instance;
-  std::vector<Ticket> waiting;
+  std::vector<AdmissionRequest> waiting;
   if (fresh) {
     if (found != this->bindings.end()) {
       waiting = found->second.admission->TakeWaiting();
@@ -47,7 +47,7 @@
   this->Report();
 }
 
-void Serving::Offer(Binding &binding, const Ticket &ticket) {
+void Serving::Offer(Binding &binding, const AdmissionRequest &ticket) {
   const Reason refused = RefusalOf(binding);
   if (refused != Reason::kNone) {
     this->Refuse(ticket.id, Outcome::kNotRun, refused);
--- a/test/pollenring/admission/admission_test.cc
+++ b/test/pollenring/admission/admission_test.cc
@@ -12,11 +12,11 @@
 
 using pollenring::Admission;
 using pollenring::AdmissionActions;
+using pollenring::AdmissionRequest;
 using pollenring::Duration;
 using pollenring::Importance;
 using pollenring::ManualClock;
 using pollenring::SeededRandom;
-using pollenring::Ticket;
 
 /*! @brief A target with real slots behind an admission under test. */
 class Bench {
@@ -30,7 +30,7 @@
         service{service} {}
 
   /*! @brief Offers a request; checks what is shed for it. */
-  void Offer(Ticket ticket) {
+  void Offer(AdmissionRequest ticket) {
     ticket.id = ++this->last_id;
     if (ticket.deadline == pollenring::Time{}) {
       ticket.deadline = this->clock.Now() + std::chrono::seconds{2};
@@ -61,7 +61,7 @@
   Admission admission;
   int real_slots;
   Duration service;
-  std::map<std::uint64_t, Ticket> waiting;
+  std::map<std::uint64_t, AdmissionRequest> waiting;
   std::map<std::uint64_t, pollenring::Time> running;
   std::map<Importance, int> offered;
   std::map<Importance, int> shed;
@@ -76,7 +76,7 @@
       this->waiting.erase(out.id);
     }
     for (const auto id : actions.start) {
-      const Ticket ticket = this->waiting.at(id);
+      const AdmissionRequest ticket = this->waiting.at(id);
       for (const auto &[other, waits] : this->waiting) {
         // Nothing less important starts while something more important waits.
         CHECK(waits.importance <= ticket.importance);
@@ -96,8 +96,9 @@
   std::uint64_t last_id{};
 };
 
-[[nodiscard]] Ticket Make(Importance importance, const std::string &workspace) {
-  Ticket ticket;
+[[nodiscard]] AdmissionRequest Make(Importance importance,
+                                    const std::string &workspace) {
+  AdmissionRequest ticket;
   ticket.importance = importance;
   ticket.workspace = workspace;
   return ticket;
@@ -132,11 +133,11 @@
 TEST_CASE("admission: workspaces are served by their weights") {
   Bench bench{10, 10, std::chrono::milliseconds{20}, 3};
   for (int i = 0; i < 20'000; ++i) {
-    Ticket large = Make(Importance::kNormal, "large");
+    AdmissionRequest large = Make(Importance::kNormal, "large");
     large.weight = 300;
     bench.Offer(large);
     if (i % 5 == 0) {
-      Ticket small = Make(Importance::kNormal, "small");
+      AdmissionRequest small = Make(Importance::kNormal, "small");
       small.weight = 100;
       bench.Offer(small);
     }
@@ -154,7 +155,7 @@
   Bench bench{1, 1, std::chrono::milliseconds{20}, 1};
   bench.Offer(Make(Importance::kNormal, "w"));
   for (int i = 0; i < 4; ++i) bench.Offer(Make(Importance::kNormal, "w"));
-  Ticket deep = Make(Importance::kNormal, "w");
+  AdmissionRequest deep = Make(Importance::kNormal, "w");
   deep.depth = 3;
   bench.Offer(deep);
   bench.Offer(Make(Importance::kNormal, "w"));
@@ -202,7 +203,7 @@
 TEST_CASE("admission: what can't finish in time is refused at once") {
   Bench bench{1, 1, std::chrono::milliseconds{20}, 1};
   bench.Offer(Make(Importance::kNormal, "w"));
-  Ticket late = Make(Importance::kNormal, "w");
+  AdmissionRequest late = Make(Importance::kNormal, "w");
   late.deadline = bench.clock.Now() + std::chrono::milliseconds{5};
   bench.Offer(late);
   bench.Step(std::chrono::milliseconds{6});
@@ -220,7 +221,7 @@
   Admission admission{1, options, clock};
   std::uint64_t id = 0;
   const auto offer = [&](Importance importance, Duration left) {
-    Ticket ticket = Make(importance, "w");
+    AdmissionRequest ticket = Make(importance, "w");
     ticket.id = ++id;
     ticket.aim = clock.Now() + left;
     ticket.deadline = ticket.aim;
@@ -287,7 +288,8 @@
         start(admission.Finish(done, Duration{0}, false));
         it = running.begin();
       }
-      Ticket ticket = Make(static_cast<Importance>(random.Index(4)), "w");
+      AdmissionRequest ticket =
+          Make(static_cast<Importance>(random.Index(4)), "w");
       ticket.id = id;
       ticket.depth = static_cast<int>(random.Index(2));
       ticket.aim = clock.Now() + std::chrono::milliseconds{random.Index(900)};
@@ -297,7 +299,7 @@
       REQUIRE_NOTHROW(actions = admission.Offer(ticket));
       const auto shed =
           std::count_if(actions.shed.begin(), actions.shed.end(),
-                        [](const pollenring::ShedTicket &out) {
+                        [](const pollenring::ShedRequest &out) {
                           return out.reason == pollenring::Reason::kOverload;
                         });
       CHECK(shed <= 1);
--- a/test/pollenring/admission/aim_queue_test.cc
+++ b/test/pollenring/admission/aim_queue_test.cc
@@ -5,13 +5,13 @@
 namespace {
 
 using namespace std::chrono_literals;
+using pollenring::AdmissionRequest;
 using pollenring::AimQueue;
 using pollenring::Importance;
-using pollenring::Ticket;
 
-[[nodiscard]] Ticket Waiting(std::uint64_t id, pollenring::Time aim,
-                             Importance importance, int depth) {
-  Ticket ticket;
+[[nodiscard]] AdmissionRequest Waiting(std::uint64_t id, pollenring::Time aim,
+                                       Importance importance, int depth) {
+  AdmissionRequest ticket;
   ticket.id = id;
   ticket.aim = aim;
   ticket.deadline = aim + 1s;
--- a/test/pollenring/admission/cold_gate_test.cc
+++ b/test/pollenring/admission/cold_gate_test.cc
@@ -15,6 +15,7 @@
 using pollenring::Admission;
 using pollenring::AdmissionActions;
 using pollenring::AdmissionOptions;
+using pollenring::AdmissionRequest;
 using pollenring::ColdGate;
 using pollenring::ColdTolerance;
 using pollenring::Duration;
@@ -24,7 +25,6 @@
 using pollenring::QueueOrder;
 using pollenring::Reason;
 using pollenring::SeededRandom;
-using pollenring::Ticket;
 using pollenring::Time;
 
 [[nodiscard]] AdmissionOptions Options() {
@@ -119,7 +119,7 @@
       }
       for (double due = per_second / 1000; due > 0; due -= 1) {
         if (!this->random.Chance(std::min(1.0, due))) continue;
-        Ticket ticket;
+        AdmissionRequest ticket;
         ticket.id = ++this->last;
         ticket.lot = this->random.Fraction();
         ticket.importance = Importance::kNormal;
--- a/test/pollenring/admission/fair_queue_test.cc
+++ b/test/pollenring/admission/fair_queue_test.cc
@@ -9,10 +9,10 @@
 
 namespace {
 
+using pollenring::AdmissionRequest;
 using pollenring::Duration;
 using pollenring::FairQueue;
 using pollenring::SeededRandom;
-using pollenring::Ticket;
 using pollenring::Time;
 
 /*! @brief Least part of its due that a workspace may be served. */
@@ -52,7 +52,7 @@
         // A hundred moments in each turn, so that arrivals are random.
         for (int moment = 0; moment < 100; ++moment) {
           if (!random.Chance(asker.asked_per_turn / 100)) continue;
-          Ticket ticket;
+          AdmissionRequest ticket;
           ticket.id = ++id;
           ticket.weight = asker.weight;
           ticket.workspace = asker.name;
--- a/test/pollenring/admission/fit_level_test.cc
+++ b/test/pollenring/admission/fit_level_test.cc
@@ -8,6 +8,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using pollenring::AdmissionRequest;
 using pollenring::Duration;
 using pollenring::FitLevel;
 using pollenring::FitLevelOptions;
@@ -15,7 +16,6 @@
 using pollenring::ManualClock;
 using pollenring::QueueState;
 using pollenring::SeededRandom;
-using pollenring::Ticket;
 
 /*! @brief A service whose roots arrive some time after they are let in. */
 class DeepService {
@@ -57,7 +57,7 @@
     const double priority = pollenring::PriorityOf(this->importance, lot);
     if (priority < this->level.LevelOf({}) * this->heard) return;
     kept += 1;
-    Ticket ticket;
+    AdmissionRequest ticket;
     ticket.importance = this->importance;
     ticket.lot = lot;
     this->under_way.push_back({this->clock.Now() + this->way, ticket});
@@ -78,7 +78,7 @@
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{7};
   FitLevel level{FitLevelOptions{}, clock};
-  std::vector<std::pair<pollenring::Time, Ticket>> under_way;
+  std::vector<std::pair<pollenring::Time, AdmissionRequest>> under_way;
   double queue{};
 };
 
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -50,7 +50,7 @@
   std::vector<std::uint64_t> running;
   std::uint64_t id = 0;
   for (auto _ : state) {
-    pollenring::Ticket ticket;
+    pollenring::AdmissionRequest ticket;
     ticket.id = ++id;
     ticket.workspace = Name(id % workspaces);
     ticket.deadline = clock.Now() + std::chrono::seconds{2};
