Rename TicketQueue to RequestQueue

The queue holds requests for admission, and its name followed the former name of their type. TicketQueue becomes RequestQueue. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -24,7 +24,7 @@
   return std::make_unique<ShedLevels>(options.level_window, clock);
 }
 
-[[nodiscard]] std::unique_ptr<TicketQueue> MakeQueue(QueueOrder order) {
+[[nodiscard]] std::unique_ptr<RequestQueue> MakeQueue(QueueOrder order) {
   if (order == QueueOrder::kAim) return std::make_unique<AimQueue>();
   return std::make_unique<FairQueue>();
 }
--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -189,7 +189,7 @@
   bool was_cold{};
   Time cold_shed_at{}; /*!< When a request beyond the bound came last. */
   std::unique_ptr<LevelControl> levels;
-  std::unique_ptr<TicketQueue> queue;
+  std::unique_ptr<RequestQueue> queue;
   std::unordered_map<std::uint64_t, RunningRequest> running;
   double offered{}; /*!< Requests, faded. */
   Time offered_at{};
--- a/src/pollenring/admission/fair_queue.h
+++ b/src/pollenring/admission/fair_queue.h
@@ -21,7 +21,7 @@
  * The first to be shed is of the lowest class, of the workspace with most
  * waiting for its weight, and of the youngest root.
  */
-class FairQueue final : public TicketQueue {
+class FairQueue final : public RequestQueue {
  public:
   [[nodiscard]] std::size_t Size() const noexcept override {
     return this->by_id.size();
--- a/src/pollenring/admission/ticket_queue.h
+++ b/src/pollenring/admission/ticket_queue.h
@@ -12,12 +12,12 @@
 namespace pollenring {
 
 /*! @brief Requests that wait for a target, in the order of a policy. */
-class TicketQueue {
+class RequestQueue {
  public:
-  TicketQueue() = default;
-  TicketQueue(const TicketQueue &) = delete;
-  TicketQueue &operator=(const TicketQueue &) = delete;
-  virtual ~TicketQueue() = default;
+  RequestQueue() = default;
+  RequestQueue(const RequestQueue &) = delete;
+  RequestQueue &operator=(const RequestQueue &) = delete;
+  virtual ~RequestQueue() = default;
 
   [[nodiscard]] virtual std::size_t Size() const noexcept = 0;
 
