Rename CallerLoss to CallerDisconnect

Loss of a caller is customarily called a disconnect, and the old name could be read as a loss that a caller suffers. CallerLoss becomes CallerDisconnect and kCallerLossNames becomes kCallerDisconnectNames. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -131,7 +131,7 @@
   }
   entry->envelope.headers = std::move(caller.headers);
   entry->body = std::move(request.body);
-  entry->responder->OnCancel([this, entry](CallerLoss loss) {
+  entry->responder->OnCancel([this, entry](CallerDisconnect loss) {
     entry->gone = true;
     this->loop.Cancel(entry->late);
     this->RecordLoss(*entry, loss, false);
@@ -290,7 +290,7 @@
         this->parts.serving.EndSubCall(entry->parent);
         this->Answer(entry, std::move(reply), std::move(body));
       });
-  entry->responder->OnCancel([this, entry](CallerLoss loss) {
+  entry->responder->OnCancel([this, entry](CallerDisconnect loss) {
     this->loop.Cancel(entry->late);
     this->parts.serving.EndSubCall(entry->parent);
     this->RecordLoss(*entry, loss, true);
@@ -345,8 +345,9 @@
   this->loop.Cancel(entry->late);
 }
 
-void Outbound::RecordLoss(const Entry &entry, CallerLoss loss, bool passed_on) {
-  const std::string cause{kCallerLossNames.Name(loss)};
+void Outbound::RecordLoss(const Entry &entry, CallerDisconnect loss,
+                          bool passed_on) {
+  const std::string cause{kCallerDisconnectNames.Name(loss)};
   this->parts.metrics.Count("pollenring_gone_callers_total", {"cause", cause});
   if (!MayLogRequest(LogLevel::kWarning)) return;
   const Duration took = this->loop.GetClock().Now() - entry.started;
--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -80,7 +80,7 @@
   void AnswerLate(const EntryPtr &entry);
   void Answer(const EntryPtr &entry, CallReply reply, std::string body);
   void Record(const Entry &entry, const CallReply &reply);
-  void RecordLoss(const Entry &entry, CallerLoss loss, bool passed_on);
+  void RecordLoss(const Entry &entry, CallerDisconnect loss, bool passed_on);
 
   Loop &loop;
   std::string service;
--- a/src/pollenring/net/fwd.h
+++ b/src/pollenring/net/fwd.h
@@ -3,7 +3,7 @@
 
 namespace pollenring {
 
-enum class CallerLoss;
+enum class CallerDisconnect;
 class Loop;
 class HttpServer;
 class HttpClient;
--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -90,7 +90,7 @@
     this->req->http1_is_persistent = 0;
     this->Send({status, {}, {}});
     if (!callback) return;
-    this->loop.Contain("hang-up", [&] { callback(CallerLoss::kHungUp); });
+    this->loop.Contain("hang-up", [&] { callback(CallerDisconnect::kHungUp); });
   }
 
   /*! @brief Called by h2o when the request is disposed of. */
@@ -101,7 +101,7 @@
     auto callback = std::move(this->cancelled);
     this->cancelled = nullptr;
     this->loop.Contain("hang-up",
-                       [&] { callback(CallerLoss::kConnectionEnded); });
+                       [&] { callback(CallerDisconnect::kConnectionEnded); });
   }
 
  private:
--- a/src/pollenring/net/http_server.h
+++ b/src/pollenring/net/http_server.h
@@ -15,22 +15,22 @@
 class Loop;
 
 /*! @brief What told that a caller has gone before its answer. */
-enum class CallerLoss {
+enum class CallerDisconnect {
   kHungUp,         /*!< The caller has closed or reset its connection. */
   kConnectionEnded /*!< The server's connection or stream has ended. */
 };
 
 /*! @brief Names of caller losses, for logs. */
-inline constexpr EnumTable<CallerLoss, 2> kCallerLossNames{{{
-    {CallerLoss::kHungUp, "hung-up"},
-    {CallerLoss::kConnectionEnded, "connection-ended"},
+inline constexpr EnumTable<CallerDisconnect, 2> kCallerDisconnectNames{{{
+    {CallerDisconnect::kHungUp, "hung-up"},
+    {CallerDisconnect::kConnectionEnded, "connection-ended"},
 }}};
 
 /*! @brief Answers one request, at most once, from anywhere on the loop. */
 class Responder {
  public:
   /*! @brief Called when the caller has gone away before its answer. */
-  using Cancelled = std::function<void(CallerLoss)>;
+  using Cancelled = std::function<void(CallerDisconnect)>;
 
   Responder() = default;
   Responder(const Responder &) = delete;
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -84,7 +84,7 @@
   }
   root->envelope.headers = PassableHeaders(request.headers);
   root->body = std::move(request.body);
-  root->responder->OnCancel([root](CallerLoss) { root->gone = true; });
+  root->responder->OnCancel([root](CallerDisconnect) { root->gone = true; });
   this->Next(root);
 }
 
@@ -251,7 +251,7 @@
   // A non-idempotent run goes on, so that repeats can be told its outcome.
   if (root->begun) return;
   root->responder->OnCancel(
-      [this, call](CallerLoss) { this->parts.dispatcher.Cancel(call); });
+      [this, call](CallerDisconnect) { this->parts.dispatcher.Cancel(call); });
 }
 
 void Ingress::Refuse(const RootPtr &root, Outcome outcome, Reason reason) {
--- a/src/pollenring/node/target_port.cc
+++ b/src/pollenring/node/target_port.cc
@@ -153,12 +153,13 @@
         }
         responder->Send(ToResponse(reply, std::move(body), root_id));
       });
-  responder->OnCancel([this, call = *handle, parent_id, ended](CallerLoss) {
-    this->dispatcher.Cancel(call);
-    ended(0);
-    ServedCall *still = this->serving.Find(parent_id);
-    if (still != nullptr) still->sub_call_cancels.erase(call);
-  });
+  responder->OnCancel(
+      [this, call = *handle, parent_id, ended](CallerDisconnect) {
+        this->dispatcher.Cancel(call);
+        ended(0);
+        ServedCall *still = this->serving.Find(parent_id);
+        if (still != nullptr) still->sub_call_cancels.erase(call);
+      });
   // What may run only once goes on when its caller has gone.
   if (!idempotent) return;
   parent->sub_call_cancels[*handle] = [this, call = *handle, root_id,
--- a/test/pollenring/net/http_server_test.cc
+++ b/test/pollenring/net/http_server_test.cc
@@ -86,7 +86,7 @@
               const std::shared_ptr<pollenring::Responder> &responder) {
         if (request.path == "/broken") {
           // What may be left of it keeps nobody from being answered.
-          responder->OnCancel([responder](pollenring::CallerLoss) {});
+          responder->OnCancel([responder](pollenring::CallerDisconnect) {});
           throw std::out_of_range{"in a handler"};
         }
         held.push_back(responder);
@@ -137,7 +137,7 @@
       [&](const HttpRequest & /*request*/,
           const std::shared_ptr<pollenring::Responder> &responder) {
         responder->OnCancel(
-            [&cancelled](pollenring::CallerLoss) { ++cancelled; });
+            [&cancelled](pollenring::CallerDisconnect) { ++cancelled; });
         held.push_back(responder);
       }};
   server.Open();
@@ -165,13 +165,14 @@
   Loop loop{clock};
   const Address address = *Address::Parse("127.42.1.4:7100");
   std::vector<std::shared_ptr<pollenring::Responder>> held;
-  std::vector<pollenring::CallerLoss> losses;
+  std::vector<pollenring::CallerDisconnect> losses;
   HttpServer server{
       loop, address, HttpServerLimits{},
       [&](const HttpRequest & /*request*/,
           const std::shared_ptr<pollenring::Responder> &responder) {
-        responder->OnCancel(
-            [&losses](pollenring::CallerLoss loss) { losses.push_back(loss); });
+        responder->OnCancel([&losses](pollenring::CallerDisconnect loss) {
+          losses.push_back(loss);
+        });
         held.push_back(responder);
       }};
   server.Open();
@@ -182,7 +183,7 @@
   loop.Run();
   CHECK(held.size() == 2);
   REQUIRE(losses.size() == 1);
-  CHECK(losses[0] == pollenring::CallerLoss::kHungUp);
+  CHECK(losses[0] == pollenring::CallerDisconnect::kHungUp);
   close(waits);
 }
 
--- a/tools/pollenring-standin/target.cc
+++ b/tools/pollenring-standin/target.cc
@@ -96,7 +96,7 @@
     return;
   }
   std::weak_ptr<Work> weak = work;
-  work->responder->OnCancel([this, weak](pollenring::CallerLoss) {
+  work->responder->OnCancel([this, weak](pollenring::CallerDisconnect) {
     const auto held = weak.lock();
     if (!held || this->options.keeps_calls) return;
     held->gone = true;
