Rename WitnessRef to ProcessRef

The type names any process, be it a holder, a successor or one that asks, while its name spoke of witnesses only. WitnessRef becomes ProcessRef. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference but using-declarations that the formatter sorts anew, and no string literal is touched.

--- a/src/pollenring/lease/choose_witnesses.cc
+++ b/src/pollenring/lease/choose_witnesses.cc
@@ -6,13 +6,13 @@
 
 namespace pollenring {
 
-std::vector<WitnessRef> ChooseWitnesses(
+std::vector<ProcessRef> ChooseWitnesses(
     const WitnessCandidate &holder, std::vector<WitnessCandidate> candidates) {
   if (candidates.empty()) return {holder.ref};
   if (candidates.size() == 1) return {candidates.front().ref};
   const std::size_t odd = candidates.size() - candidates.size() % 2 + 1;
   const std::size_t size = std::min(kMostWitnesses, odd);
-  std::vector<WitnessRef> chosen{holder.ref};
+  std::vector<ProcessRef> chosen{holder.ref};
   std::map<std::string, std::size_t> taken{{holder.zone, 1}};
   while (chosen.size() < size) {
     const auto best = std::max_element(
@@ -34,8 +34,8 @@
   return chosen;
 }
 
-std::vector<WitnessRef> MirrorsOf(const SlotRow &row) {
-  std::vector<WitnessRef> mirrors;
+std::vector<ProcessRef> MirrorsOf(const SlotRow &row) {
+  std::vector<ProcessRef> mirrors;
   for (const auto &ref : row.witnesses) {
     if (ref == row.holder || mirrors.size() == kMirrors) continue;
     mirrors.push_back(ref);
--- a/src/pollenring/lease/choose_witnesses.h
+++ b/src/pollenring/lease/choose_witnesses.h
@@ -17,7 +17,7 @@
 
 /*! @brief A process that may witness, and where it runs. */
 struct WitnessCandidate {
-  WitnessRef ref;
+  ProcessRef ref;
   std::string zone;
   std::string region;
   std::uint64_t weight{}; /*!< Spreads holders over equally good witnesses. */
@@ -33,7 +33,7 @@
  * @param candidates All other processes that live.
  * @return The witnesses, the holder first where it is one.
  */
-[[nodiscard]] std::vector<WitnessRef> ChooseWitnesses(
+[[nodiscard]] std::vector<ProcessRef> ChooseWitnesses(
     const WitnessCandidate &holder, std::vector<WitnessCandidate> candidates);
 
 /**
@@ -41,7 +41,7 @@
  * @param row The slot's row.
  * @return At most `kMirrors` witnesses.
  */
-[[nodiscard]] std::vector<WitnessRef> MirrorsOf(const SlotRow &row);
+[[nodiscard]] std::vector<ProcessRef> MirrorsOf(const SlotRow &row);
 
 }  // namespace pollenring
 
--- a/src/pollenring/lease/fwd.h
+++ b/src/pollenring/lease/fwd.h
@@ -13,7 +13,7 @@
 struct SlotRow;
 struct WitnessAnswer;
 struct WitnessAsk;
-struct WitnessRef;
+struct ProcessRef;
 
 }  // namespace pollenring
 
--- a/src/pollenring/lease/promises.h
+++ b/src/pollenring/lease/promises.h
@@ -42,7 +42,7 @@
    * @param witness Who gave it.
    * @param end When it ends, on this node's clock.
    */
-  void Given(const WitnessRef &witness, Time end) {
+  void Given(const ProcessRef &witness, Time end) {
     const auto &all = this->row.witnesses;
     if (std::find(all.begin(), all.end(), witness) == all.end()) return;
     Time &known = this->until[witness];
@@ -51,7 +51,7 @@
 
  private:
   SlotRow row;
-  std::map<WitnessRef, Time> until;
+  std::map<ProcessRef, Time> until;
 };
 
 }  // namespace pollenring
--- a/src/pollenring/lease/slot_keeper.cc
+++ b/src/pollenring/lease/slot_keeper.cc
@@ -7,7 +7,7 @@
 
 namespace pollenring {
 
-SlotKeeper::SlotKeeper(const WitnessRef &self, SlotId slots,
+SlotKeeper::SlotKeeper(const ProcessRef &self, SlotId slots,
                        const LeaseOptions &options, const Clock &clock,
                        Random &random, const SlotDirectory &directory,
                        const Witness &witness, SlotObserver &observer)
@@ -199,7 +199,7 @@
   }
 }
 
-void SlotKeeper::Answered(const WitnessRef &from, const WitnessAnswer &answer) {
+void SlotKeeper::Answered(const ProcessRef &from, const WitnessAnswer &answer) {
   if (answer.slot >= this->slots.size()) return;
   Slot &slot = this->slots[answer.slot];
   switch (answer.request) {
@@ -234,7 +234,7 @@
   ask.sealing = current && slot.next;
   const RowInForce in_force = current ? this->InForce(slot) : RowInForce{};
   // Answers may come from within the calls and replace the row.
-  const std::vector<WitnessRef> witnesses = row.witnesses;
+  const std::vector<ProcessRef> witnesses = row.witnesses;
   for (const auto &ref : witnesses) {
     ask.process = ref.process;
     ask.in_force = slot.told.count(ref) > 0 ? RowInForce{} : in_force;
@@ -271,7 +271,7 @@
   return row.holder == this->self;
 }
 
-bool SlotKeeper::IsWitness(const SlotRow &row, const WitnessRef &ref) {
+bool SlotKeeper::IsWitness(const SlotRow &row, const ProcessRef &ref) {
   const auto &all = row.witnesses;
   return std::find(all.begin(), all.end(), ref) != all.end();
 }
--- a/src/pollenring/lease/slot_keeper.h
+++ b/src/pollenring/lease/slot_keeper.h
@@ -38,11 +38,11 @@
   [[nodiscard]] virtual std::optional<std::size_t> Rank(SlotId slot) const = 0;
 
   /*! @brief Best witnesses for a holder. @param holder Holder. @return Them. */
-  [[nodiscard]] virtual std::vector<WitnessRef> WitnessesFor(
-      const WitnessRef &holder) const = 0;
+  [[nodiscard]] virtual std::vector<ProcessRef> WitnessesFor(
+      const ProcessRef &holder) const = 0;
 
   /*! @brief Whether a process is thought to live. @param ref Process. */
-  [[nodiscard]] virtual bool Lives(const WitnessRef &ref) const = 0;
+  [[nodiscard]] virtual bool Lives(const ProcessRef &ref) const = 0;
 };
 
 /*! @brief What keeping slots asks of its surroundings. */
@@ -61,7 +61,7 @@
                         const SlotRow &row) = 0;
 
   /*! @brief Asks a witness; its answer goes to `Answered`. */
-  virtual void Ask(const WitnessRef &witness, const WitnessAsk &ask) = 0;
+  virtual void Ask(const ProcessRef &witness, const WitnessAsk &ask) = 0;
 
   /*! @brief The slot is this node's. @param before Its last holder's row;
    * without witnesses when it is not known who held the slot last. */
@@ -78,7 +78,7 @@
    * @param row The row that names it, or the one that this node has resigned.
    * @param successor Its next holder. */
   virtual void HandedOver(SlotId slot, const SlotRow &row,
-                          const WitnessRef &successor) = 0;
+                          const ProcessRef &successor) = 0;
 };
 
 /*! @brief What became of a row's write. */
@@ -107,7 +107,7 @@
    * @param witness This process's witness, which knows rows without the table.
    * @param observer Carries out requests.
    */
-  SlotKeeper(const WitnessRef &self, SlotId slots, const LeaseOptions &options,
+  SlotKeeper(const ProcessRef &self, SlotId slots, const LeaseOptions &options,
              const Clock &clock, Random &random, const SlotDirectory &directory,
              const Witness &witness, SlotObserver &observer);
 
@@ -154,7 +154,7 @@
    * @param slot The slot.
    * @param successor Its next holder.
    */
-  void GiveTo(SlotId slot, const WitnessRef &successor);
+  void GiveTo(SlotId slot, const ProcessRef &successor);
 
   /**
    * @brief Lets a witness succeed this node without the table, if that is down.
@@ -162,7 +162,7 @@
    * @param successor One of its row's witnesses.
    * @return Whether this node has given up the slot.
    */
-  bool Resign(SlotId slot, const WitnessRef &successor);
+  bool Resign(SlotId slot, const ProcessRef &successor);
 
   /**
    * @brief Stands for election for a slot whose holder has resigned.
@@ -188,7 +188,7 @@
   void RowWritten(SlotId slot, RowWrite result);
 
   /*! @brief A witness has answered. @param from The one that was asked. */
-  void Answered(const WitnessRef &from, const WitnessAnswer &answer);
+  void Answered(const ProcessRef &from, const WitnessAnswer &answer);
 
   /**
    * @brief Names what is being done about a slot, for status and tests.
@@ -226,8 +226,8 @@
   /*! @brief Who was last promised anything under a row, as witnesses say. */
   struct LastPromise {
     std::uint64_t epoch{};
-    WitnessRef holder;
-    std::set<WitnessRef> told_by;
+    ProcessRef holder;
+    std::set<ProcessRef> told_by;
   };
 
   struct Slot {
@@ -243,10 +243,10 @@
     bool refused{};  /*!< A witness refuses promises for the row held. */
     bool adopting{}; /*!< The read checks a row given to this node. */
     bool reading{};  /*!< A read is in progress while held. */
-    std::set<WitnessRef> agreed; /*!< Have released, or voted for this node. */
-    std::set<WitnessRef> sealed; /*!< Elect nobody under the row held. */
-    std::set<WitnessRef> outvoted; /*!< Have voted for a later epoch. */
-    std::set<WitnessRef> told;     /*!< Know the table's row to be in force. */
+    std::set<ProcessRef> agreed; /*!< Have released, or voted for this node. */
+    std::set<ProcessRef> sealed; /*!< Elect nobody under the row held. */
+    std::set<ProcessRef> outvoted; /*!< Have voted for a later epoch. */
+    std::set<ProcessRef> told;     /*!< Know the table's row to be in force. */
     LastPromise last_promise;
     bool invited{};         /*!< The holder has resigned, though it lives. */
     bool election_failed{}; /*!< Too few witnesses have answered. */
@@ -283,13 +283,13 @@
   void ReadAgain(SlotId id, Slot &slot);
   void StartAdopting(SlotId id, Slot &slot, std::uint64_t version,
                      const SlotRow &row);
-  void Promised(SlotId id, Slot &slot, const WitnessRef &from,
+  void Promised(SlotId id, Slot &slot, const ProcessRef &from,
                 const WitnessAnswer &answer);
-  void PromiseRefused(SlotId id, Slot &slot, const WitnessRef &from,
+  void PromiseRefused(SlotId id, Slot &slot, const ProcessRef &from,
                       const WitnessAnswer &answer);
-  void Released(Slot &slot, const WitnessRef &from,
+  void Released(Slot &slot, const ProcessRef &from,
                 const WitnessAnswer &answer);
-  void Voted(SlotId id, Slot &slot, const WitnessRef &from,
+  void Voted(SlotId id, Slot &slot, const ProcessRef &from,
              const WitnessAnswer &answer);
   void GiveUp(Slot &slot);
   void Lose(SlotId id, Slot &slot);
@@ -300,18 +300,18 @@
                      const std::optional<SlotRow> &row);
   void AskAll(SlotId id, const Slot &slot, const SlotRow &row,
               WitnessRequest request);
-  void NoteLastPromise(Slot &slot, const WitnessRef &from,
+  void NoteLastPromise(Slot &slot, const ProcessRef &from,
                        const WitnessAnswer &answer) const;
   [[nodiscard]] SlotRow LastHolder(const Slot &slot) const;
   [[nodiscard]] RowInForce InForce(const Slot &slot) const;
   [[nodiscard]] const KnownRow *MayElect(SlotId id, const Slot &slot) const;
   [[nodiscard]] static bool IsWitness(const SlotRow &row,
-                                      const WitnessRef &ref);
+                                      const ProcessRef &ref);
   [[nodiscard]] bool IsMine(const SlotRow &row) const noexcept;
   [[nodiscard]] bool Lapsed(const Slot &slot) const noexcept;
   [[nodiscard]] Duration Jittered(Duration span);
 
-  WitnessRef self;
+  ProcessRef self;
   LeaseOptions options;
   const Clock &clock;
   Random &random;
--- a/src/pollenring/lease/slot_keeper_held.cc
+++ b/src/pollenring/lease/slot_keeper_held.cc
@@ -63,7 +63,7 @@
   this->StartChange(id, slot, std::move(next));
 }
 
-void SlotKeeper::GiveTo(SlotId id, const WitnessRef &successor) {
+void SlotKeeper::GiveTo(SlotId id, const ProcessRef &successor) {
   Slot &slot = this->slots.at(id);
   if (slot.phase != Phase::kHeld || slot.next_sent || slot.must_read) return;
   const bool gives = slot.next && !this->IsMine(slot.next->Row());
@@ -75,7 +75,7 @@
   this->StartChange(id, slot, std::move(next));
 }
 
-bool SlotKeeper::Resign(SlotId id, const WitnessRef &successor) {
+bool SlotKeeper::Resign(SlotId id, const ProcessRef &successor) {
   Slot &slot = this->slots.at(id);
   const bool idle = slot.phase == Phase::kHeld && !slot.next_sent;
   if (!idle || !slot.must_read || !IsWitness(slot.row, successor)) return false;
@@ -119,7 +119,7 @@
   this->observer.WriteRow(id, slot.version, slot.next->Row());
 }
 
-void SlotKeeper::PromiseRefused(SlotId id, Slot &slot, const WitnessRef &from,
+void SlotKeeper::PromiseRefused(SlotId id, Slot &slot, const ProcessRef &from,
                                 const WitnessAnswer &answer) {
   if (slot.phase != Phase::kHeld || slot.row.epoch != answer.epoch) return;
   if (!IsWitness(slot.row, from)) return;
--- a/src/pollenring/lease/slot_keeper_take.cc
+++ b/src/pollenring/lease/slot_keeper_take.cc
@@ -68,7 +68,7 @@
   this->AskAll(id, slot, slot.next->Row(), WitnessRequest::kVote);
 }
 
-void SlotKeeper::Voted(SlotId id, Slot &slot, const WitnessRef &from,
+void SlotKeeper::Voted(SlotId id, Slot &slot, const ProcessRef &from,
                        const WitnessAnswer &answer) {
   if (slot.phase != Phase::kElecting) return;
   const SlotRow &next = slot.next->Row();
@@ -101,7 +101,7 @@
   this->AskAll(id, slot, over, WitnessRequest::kRelease);
 }
 
-void SlotKeeper::Released(Slot &slot, const WitnessRef &from,
+void SlotKeeper::Released(Slot &slot, const ProcessRef &from,
                           const WitnessAnswer &answer) {
   const bool expected =
       slot.phase == Phase::kReleasing || slot.phase == Phase::kWaiting;
@@ -116,7 +116,7 @@
   slot.phase = Phase::kWaiting;
 }
 
-void SlotKeeper::NoteLastPromise(Slot &slot, const WitnessRef &from,
+void SlotKeeper::NoteLastPromise(Slot &slot, const ProcessRef &from,
                                  const WitnessAnswer &answer) const {
   if (!answer.remembers) return;
   LastPromise &last = slot.last_promise;
@@ -131,7 +131,7 @@
   if (last.epoch == 0) return last;
   // Whoever was valid has promises of a majority, so a majority knows of it.
   if (slot.last_promise.told_by.size() < last.Majority()) {
-    last.holder = WitnessRef{};
+    last.holder = ProcessRef{};
     last.witnesses.clear();
     return last;
   }
@@ -159,7 +159,7 @@
   this->AskAll(id, slot, slot.next->Row(), WitnessRequest::kPromise);
 }
 
-void SlotKeeper::Promised(SlotId id, Slot &slot, const WitnessRef &from,
+void SlotKeeper::Promised(SlotId id, Slot &slot, const ProcessRef &from,
                           const WitnessAnswer &answer) {
   const Time asked{answer.asked_us};
   const Time end = asked + this->options.Less(this->options.promise);
--- a/src/pollenring/lease/slot_row.cc
+++ b/src/pollenring/lease/slot_row.cc
@@ -7,11 +7,11 @@
 
 using Json = nlohmann::json;
 
-[[nodiscard]] Json ToJson(const WitnessRef &ref) {
+[[nodiscard]] Json ToJson(const ProcessRef &ref) {
   return {{"node", ref.node}, {"process", ref.process}};
 }
 
-[[nodiscard]] WitnessRef RefFrom(const Json &json) {
+[[nodiscard]] ProcessRef RefFrom(const Json &json) {
   return {json.at("node").get<NodeId>(),
           json.at("process").get<std::uint64_t>()};
 }
--- a/src/pollenring/lease/slot_row.h
+++ b/src/pollenring/lease/slot_row.h
@@ -44,15 +44,15 @@
 }
 
 /*! @brief One process on one VM; a restarted one is another. */
-struct WitnessRef {
+struct ProcessRef {
   NodeId node{};
   std::uint64_t process{};
   MSGPACK_DEFINE(node, process)
 
-  [[nodiscard]] bool operator==(const WitnessRef &other) const noexcept {
+  [[nodiscard]] bool operator==(const ProcessRef &other) const noexcept {
     return this->node == other.node && this->process == other.process;
   }
-  [[nodiscard]] bool operator<(const WitnessRef &other) const noexcept {
+  [[nodiscard]] bool operator<(const ProcessRef &other) const noexcept {
     return std::tie(this->node, this->process) <
            std::tie(other.node, other.process);
   }
@@ -61,8 +61,8 @@
 /*! @brief Who holds a slot, as the table says; epochs only grow. */
 struct SlotRow {
   std::uint64_t epoch{};
-  WitnessRef holder;
-  std::vector<WitnessRef> witnesses;
+  ProcessRef holder;
+  std::vector<ProcessRef> witnesses;
   MSGPACK_DEFINE(epoch, holder, witnesses)
 
   /*! @brief Witnesses whose promises make a holder valid. @return Count. */
--- a/src/pollenring/lease/witness.h
+++ b/src/pollenring/lease/witness.h
@@ -58,18 +58,18 @@
   /*! @brief What must be remembered of one row, until a later one is known. */
   struct RowMemory {
     std::uint64_t promised{};
-    WitnessRef promised_to;
+    ProcessRef promised_to;
     Time promised_until{};
     std::uint64_t
         seal_epoch{};  /*!< Latest that was asked to be sealed or not. */
-    WitnessRef sealer; /*!< Who asked so. */
+    ProcessRef sealer; /*!< Who asked so. */
     Time seal_asked{}; /*!< When it asked so, on its own clock. */
     bool sealed{};
   };
   struct Slot {
     std::uint64_t released{};
     std::uint64_t voted{};
-    WitnessRef voted_for;
+    ProcessRef voted_for;
     std::map<std::uint64_t, RowMemory> rows; /*!< By the row's epoch. */
     KnownRow known;
   };
--- a/src/pollenring/lease/witness_messages.h
+++ b/src/pollenring/lease/witness_messages.h
@@ -39,7 +39,7 @@
   SlotId slot{};
   std::uint64_t epoch{};
   std::uint64_t process{}; /*!< The process that the row names as witness. */
-  WitnessRef asker;
+  ProcessRef asker;
   std::int64_t asked_us{}; /*!< On the asker's clock. */
   bool sealing{};          /*!< Not to vote under this row until told. */
   RowInForce in_force;
@@ -61,7 +61,7 @@
   std::uint64_t voted{};       /*!< Latest epoch that it voted for. */
   std::int64_t remaining_us{}; /*!< How long its promises may still run. */
   std::uint64_t promised{};    /*!< Latest epoch promised under the row. */
-  WitnessRef promised_to;
+  ProcessRef promised_to;
   std::uint64_t knows{}; /*!< Epoch of the row that it knows to be in force. */
   MSGPACK_DEFINE(request, slot, epoch, process, asked_us, granted, remembers,
                  sealed, released, voted, remaining_us, promised, promised_to,
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -241,7 +241,7 @@
 void Node::SlotLost(SlotId /*slot*/) {}
 
 void Node::SlotHandedOver(SlotId slot, const SlotRow &row,
-                          const WitnessRef &successor) {
+                          const ProcessRef &successor) {
   const Handover handover{slot, row, this->shares.ContentsOf(slot),
                           this->once.LogOf(slot)};
   this->link.Call(AddressOf(successor.node), "handover", Pack(handover),
--- a/src/pollenring/node/node.h
+++ b/src/pollenring/node/node.h
@@ -49,7 +49,7 @@
                   const SlotRow &before) override;
   void SlotRewitnessed(SlotId slot, const SlotRow &row) override;
   void SlotHandedOver(SlotId slot, const SlotRow &row,
-                      const WitnessRef &successor) override;
+                      const ProcessRef &successor) override;
   void SlotLost(SlotId slot) override;
 
  private:
--- a/src/pollenring/node/once_memory.cc
+++ b/src/pollenring/node/once_memory.cc
@@ -62,7 +62,7 @@
 
 void OnceService::CloseMirrors(SlotId slot, const SlotRow &before) {
   Owned &memory = this->owned.at(slot);
-  const std::vector<WitnessRef> mirrors = MirrorsOf(before);
+  const std::vector<ProcessRef> mirrors = MirrorsOf(before);
   memory.all_closed = !mirrors.empty();
   memory.closes_left = mirrors.size();
   if (mirrors.empty()) {
@@ -139,7 +139,7 @@
 }
 
 void OnceService::SlotHandedOver(SlotId /*slot*/, const SlotRow & /*row*/,
-                                 const WitnessRef & /*successor*/) {}
+                                 const ProcessRef & /*successor*/) {}
 
 void OnceService::SlotLost(SlotId slot) { this->owned.erase(slot); }
 
--- a/src/pollenring/node/once_service.h
+++ b/src/pollenring/node/once_service.h
@@ -91,7 +91,7 @@
                   const SlotRow &before) override;
   void SlotRewitnessed(SlotId slot, const SlotRow &row) override;
   void SlotHandedOver(SlotId slot, const SlotRow &row,
-                      const WitnessRef &successor) override;
+                      const ProcessRef &successor) override;
   void SlotLost(SlotId slot) override;
 
  private:
--- a/src/pollenring/node/share_service.cc
+++ b/src/pollenring/node/share_service.cc
@@ -92,7 +92,7 @@
 void ShareService::SlotRewitnessed(SlotId /*slot*/, const SlotRow & /*row*/) {}
 
 void ShareService::SlotHandedOver(SlotId /*slot*/, const SlotRow & /*row*/,
-                                  const WitnessRef & /*successor*/) {}
+                                  const ProcessRef & /*successor*/) {}
 
 void ShareService::SlotLost(SlotId slot) { this->lenders.erase(slot); }
 
--- a/src/pollenring/node/share_service.h
+++ b/src/pollenring/node/share_service.h
@@ -55,7 +55,7 @@
                   const SlotRow &before) override;
   void SlotRewitnessed(SlotId slot, const SlotRow &row) override;
   void SlotHandedOver(SlotId slot, const SlotRow &row,
-                      const WitnessRef &successor) override;
+                      const ProcessRef &successor) override;
   void SlotLost(SlotId slot) override;
 
  private:
--- a/src/pollenring/node/slot_service.cc
+++ b/src/pollenring/node/slot_service.cc
@@ -134,8 +134,8 @@
   return had_holder ? rank + kTurnsForWitnesses : rank;
 }
 
-std::vector<WitnessRef> SlotService::WitnessesFor(
-    const WitnessRef &holder) const {
+std::vector<ProcessRef> SlotService::WitnessesFor(
+    const ProcessRef &holder) const {
   const Membership &membership = this->members.Get();
   WitnessCandidate home{holder, {}, {}, 0};
   if (const Member *member = membership.Find(holder.node)) {
@@ -156,7 +156,7 @@
   return ChooseWitnesses(home, std::move(others));
 }
 
-bool SlotService::Lives(const WitnessRef &ref) const {
+bool SlotService::Lives(const ProcessRef &ref) const {
   const Member *member = this->members.Get().Find(ref.node);
   return member != nullptr && member->process == ref.process &&
          member->state != MemberState::kDead &&
@@ -193,7 +193,7 @@
       });
 }
 
-void SlotService::Ask(const WitnessRef &ref, const WitnessAsk &ask) {
+void SlotService::Ask(const ProcessRef &ref, const WitnessAsk &ask) {
   if (ref.node != this->self.node) {
     this->bus.Send(ref.node, MessageKind::kWitnessAsk, ask);
     return;
@@ -229,7 +229,7 @@
 }
 
 void SlotService::HandedOver(SlotId slot, const SlotRow &row,
-                             const WitnessRef &successor) {
+                             const ProcessRef &successor) {
   this->claims_changed = true;
   const bool named = row.holder == successor;
   this->holders[slot] = {row.epoch, named ? successor.node : 0};
@@ -257,7 +257,7 @@
                     static_cast<std::ptrdiff_t>(third % zones.size()));
 }
 
-std::optional<WitnessRef> SlotService::SuccessorFor(SlotId slot) const {
+std::optional<ProcessRef> SlotService::SuccessorFor(SlotId slot) const {
   const Membership &membership = this->members.Get();
   const std::string zone = this->PreferredZone(slot);
   const Member *best = nullptr;
@@ -271,7 +271,7 @@
   consider(membership.Self());
   for (const auto &[id, member] : membership.Members()) consider(member);
   if (best == nullptr) return std::nullopt;
-  return WitnessRef{best->id, best->process};
+  return ProcessRef{best->id, best->process};
 }
 
 void SlotService::GiveAway() {
@@ -284,7 +284,7 @@
 void SlotService::GiveAwayOne(SlotId slot) {
   const SlotRow *row = this->keeper.Held(slot);
   if (row == nullptr) return;
-  const std::vector<WitnessRef> witnesses = row->witnesses;
+  const std::vector<ProcessRef> witnesses = row->witnesses;
   for (const auto &ref : witnesses) {
     if (ref == this->self || !this->Lives(ref)) continue;
     if (this->keeper.Resign(slot, ref)) return;
--- a/src/pollenring/node/slot_service.h
+++ b/src/pollenring/node/slot_service.h
@@ -35,7 +35,7 @@
   /*! @brief The slot is another node's now. @param row The row that names it,
    * or the one that was resigned. @param successor Its next holder. */
   virtual void SlotHandedOver(SlotId slot, const SlotRow &row,
-                              const WitnessRef &successor) = 0;
+                              const ProcessRef &successor) = 0;
 
   /*! @brief The slot is no longer this node's. */
   virtual void SlotLost(SlotId slot) = 0;
@@ -63,7 +63,7 @@
     return this->keeper;
   }
   [[nodiscard]] SlotId Count() const noexcept override { return this->count; }
-  [[nodiscard]] const WitnessRef &Self() const noexcept { return this->self; }
+  [[nodiscard]] const ProcessRef &Self() const noexcept { return this->self; }
 
   [[nodiscard]] std::optional<NodeId> HolderOf(SlotId slot) const override;
   [[nodiscard]] bool Holds(SlotId slot) const override {
@@ -87,20 +87,20 @@
 
   [[nodiscard]] bool HolderLives(SlotId slot) const override;
   [[nodiscard]] std::optional<std::size_t> Rank(SlotId slot) const override;
-  [[nodiscard]] std::vector<WitnessRef> WitnessesFor(
-      const WitnessRef &holder) const override;
-  [[nodiscard]] bool Lives(const WitnessRef &ref) const override;
+  [[nodiscard]] std::vector<ProcessRef> WitnessesFor(
+      const ProcessRef &holder) const override;
+  [[nodiscard]] bool Lives(const ProcessRef &ref) const override;
 
   void ReadRow(SlotId slot) override;
   void WriteRow(SlotId slot, std::uint64_t version,
                 const SlotRow &row) override;
-  void Ask(const WitnessRef &ref, const WitnessAsk &ask) override;
+  void Ask(const ProcessRef &ref, const WitnessAsk &ask) override;
   void Gained(SlotId slot, const SlotRow &row, SlotOrigin origin,
               const SlotRow &before) override;
   void Rewitnessed(SlotId slot, const SlotRow &row) override;
   void Lost(SlotId slot) override;
   void HandedOver(SlotId slot, const SlotRow &row,
-                  const WitnessRef &successor) override;
+                  const ProcessRef &successor) override;
 
  private:
   struct Holder {
@@ -111,7 +111,7 @@
   void Listen();
   void Learn(const Member &member);
   void AnnounceClaims();
-  [[nodiscard]] std::optional<WitnessRef> SuccessorFor(SlotId slot) const;
+  [[nodiscard]] std::optional<ProcessRef> SuccessorFor(SlotId slot) const;
   [[nodiscard]] std::string PreferredZone(SlotId slot) const;
   void Rebalance();
   void GiveAwayOne(SlotId slot);
@@ -121,7 +121,7 @@
   Bus &bus;
   MemberService &members;
   Table &table;
-  WitnessRef self;
+  ProcessRef self;
   LeaseOptions options;
   Witness witness;
   SlotKeeper keeper;
--- a/test/pollenring/lease/witness_test.cc
+++ b/test/pollenring/lease/witness_test.cc
@@ -7,17 +7,17 @@
 using pollenring::Duration;
 using pollenring::kEpochsPerRow;
 using pollenring::ManualClock;
+using pollenring::ProcessRef;
 using pollenring::Witness;
 using pollenring::WitnessAnswer;
 using pollenring::WitnessAsk;
-using pollenring::WitnessRef;
 using pollenring::WitnessRequest;
 
 constexpr std::uint64_t kProcess = 7;
 constexpr std::uint64_t kRow = kEpochsPerRow;
-constexpr WitnessRef kHolder{1, 11};
-constexpr WitnessRef kTaker{2, 12};
-constexpr WitnessRef kOther{3, 13};
+constexpr ProcessRef kHolder{1, 11};
+constexpr ProcessRef kTaker{2, 12};
+constexpr ProcessRef kOther{3, 13};
 constexpr Duration kPromise = std::chrono::seconds{2};
 
 /*! @brief A witness and the asks that reach it. */
@@ -26,7 +26,7 @@
   Witness witness{kProcess, {}, clock};
 
   WitnessAnswer Ask(WitnessRequest request, std::uint64_t epoch,
-                    const WitnessRef &asker, bool sealing = false,
+                    const ProcessRef &asker, bool sealing = false,
                     std::int64_t asked_us = 0) {
     WitnessAsk ask;
     ask.request = request;
--- a/test/pollenring/mesh/slot_ring_test.cc
+++ b/test/pollenring/mesh/slot_ring_test.cc
@@ -12,11 +12,11 @@
 namespace {
 
 using namespace std::chrono_literals;
+using pollenring::ProcessRef;
 using pollenring::SlotId;
 using pollenring::SlotOrigin;
 using pollenring::SlotRing;
 using pollenring::SlotRow;
-using pollenring::WitnessRef;
 using support::MemberFleet;
 
 /*! @brief Takes note of the slots that a node may lend. */
@@ -28,7 +28,7 @@
   }
   void SlotRewitnessed(SlotId /*slot*/, const SlotRow & /*row*/) override {}
   void SlotHandedOver(SlotId /*slot*/, const SlotRow & /*row*/,
-                      const WitnessRef & /*successor*/) override {}
+                      const ProcessRef & /*successor*/) override {}
   void SlotLost(SlotId slot) override { this->held.erase(slot); }
 
   std::set<SlotId> held;
--- a/test/support/lease_node.h
+++ b/test/support/lease_node.h
@@ -119,9 +119,9 @@
     const std::size_t turns = this->world.had_holder.count(slot) > 0 ? 4 : 0;
     return turns + later + this->world.random.Index(2);
   }
-  [[nodiscard]] std::vector<WitnessRef> WitnessesFor(
-      const WitnessRef &holder) const override {
-    std::vector<WitnessRef> chosen{holder};
+  [[nodiscard]] std::vector<ProcessRef> WitnessesFor(
+      const ProcessRef &holder) const override {
+    std::vector<ProcessRef> chosen{holder};
     std::vector<pollenring::WitnessCandidate> candidates;
     for (const auto &node : this->world.nodes) {
       if (!node || node->self == holder || node->Frozen()) continue;
@@ -133,7 +133,7 @@
                                             "region", 0};
     return pollenring::ChooseWitnesses(home, std::move(candidates));
   }
-  [[nodiscard]] bool Lives(const WitnessRef &ref) const override {
+  [[nodiscard]] bool Lives(const ProcessRef &ref) const override {
     const auto at = static_cast<std::size_t>(ref.node - 1);
     const auto &node = this->world.nodes[at];
     return node && node->self == ref && !node->Frozen();
@@ -196,7 +196,7 @@
     });
   }
 
-  void Ask(const WitnessRef &ref, const pollenring::WitnessAsk &ask) override {
+  void Ask(const ProcessRef &ref, const pollenring::WitnessAsk &ask) override {
     const int to = static_cast<int>(ref.node) - 1;
     const int own = this->index;
     if (to == own) {
@@ -231,7 +231,7 @@
   void Rewitnessed(SlotId /*slot*/, const SlotRow & /*row*/) override {}
   void Lost(SlotId slot) override { this->lenders.erase(slot); }
   void HandedOver(SlotId slot, const SlotRow &row,
-                  const WitnessRef &successor) override {
+                  const ProcessRef &successor) override {
     const auto lender = this->lenders.find(slot);
     std::map<std::string, pollenring::BucketState> contents;
     if (lender != this->lenders.end()) contents = lender->second.Contents();
@@ -277,7 +277,7 @@
 
   LeaseWorld &world;
   int index;
-  WitnessRef self;
+  ProcessRef self;
   pollenring::LeaseOptions options;
   DriftingClock clock;
   pollenring::Witness witness;
@@ -287,7 +287,7 @@
   /*! @brief What a predecessor has left, and the row that it left it with. */
   struct Left {
     std::uint64_t epoch{};
-    WitnessRef holder;
+    ProcessRef holder;
     std::map<std::string, pollenring::BucketState> contents;
   };
   std::map<SlotId, Left> inherited;
--- a/test/support/lease_world.h
+++ b/test/support/lease_world.h
@@ -17,9 +17,9 @@
 
 namespace support {
 
+using pollenring::ProcessRef;
 using pollenring::SlotId;
 using pollenring::SlotRow;
-using pollenring::WitnessRef;
 
 /*! @brief What may happen to a world, each as a chance per second. */
 struct WorldFaults {
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -247,7 +247,7 @@
   ask.process = 1;
   ask.epoch = pollenring::kEpochsPerRow;
   // Nodes and processes have numbers of 64 bits.
-  const pollenring::WitnessRef other{~std::uint64_t{}, ~std::uint64_t{}};
+  const pollenring::ProcessRef other{~std::uint64_t{}, ~std::uint64_t{}};
   ask.asker = other;
   ask.asked_us = clock.Now().count();
   ask.in_force = {{ask.epoch, other, {5, other}}, 1, 1'800'000'000};
