Rename aim_us to soft_deadline_us

An aim is not a known word for the time by which an answer is worth most; the usual one is a soft deadline. The field travels by number and not by name. aim_us becomes soft_deadline_us. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -175,7 +175,7 @@
   envelope.host = request.host;
   envelope.route = route->name;
   envelope.caller = this->service;
-  envelope.aim_us = route->target_latency.count();
+  envelope.soft_deadline_us = route->target_latency.count();
   const Standing standing =
       table.StandingOf(*route, workspace, LotOf(entry.id));
   envelope.importance = standing.importance;
@@ -257,7 +257,7 @@
     this->Send(entry, {});
     return;
   }
-  const Duration aim{entry->envelope.aim_us};
+  const Duration aim{entry->envelope.soft_deadline_us};
   const Duration wait = std::min(kShareWait, aim / kShareWaitPart);
   const RenewCharge charge = [this, entry, wait](ShareGate::Done done) {
     const Time next_share = this->loop.GetClock().Now() + wait;
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -75,7 +75,7 @@
   job.allowance = RetryAllowance{envelope.retries};
   job.root_started =
       this->loop.GetClock().Now() - Duration{envelope.root_age_us};
-  job.aim = this->loop.GetClock().Now() + Duration{envelope.aim_us};
+  job.aim = this->loop.GetClock().Now() + Duration{envelope.soft_deadline_us};
   job.envelope = std::move(envelope);
   job.body = std::move(body);
   job.bounds = std::move(bounds);
@@ -158,7 +158,7 @@
   job.sent = now;
   job.envelope.remaining_us = left.count();
   job.envelope.root_age_us = (now - job.root_started).count();
-  job.envelope.aim_us = (job.aim - now).count();
+  job.envelope.soft_deadline_us = (job.aim - now).count();
   job.envelope.retries = job.slice;
   const std::uint64_t attempt = job.attempt;
   if (job.node == this->self) {
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -104,7 +104,7 @@
   std::int32_t depth{};
   std::int64_t remaining_us{};
   std::int64_t root_age_us{};
-  std::int64_t aim_us{}; /*!< Until the aim of the call itself. */
+  std::int64_t soft_deadline_us{}; /*!< Until the aim of the call itself. */
   std::int32_t retries{};
 };
 
@@ -122,7 +122,7 @@
         Field{13, value.repeat}, Field{14, value.keyed}, Field{15, value.lot},
         Field{16, value.weight}, Field{17, value.depth},
         Field{18, value.remaining_us}, Field{19, value.root_age_us},
-        Field{20, value.aim_us}, Field{21, value.retries});
+        Field{20, value.soft_deadline_us}, Field{21, value.retries});
   }
 };
 
@@ -136,7 +136,7 @@
                     value.headers, value.importance, value.idempotent,
                     value.repeat, value.keyed, value.lot, value.weight,
                     value.depth, value.remaining_us, value.root_age_us,
-                    value.aim_us, value.retries);
+                    value.soft_deadline_us, value.retries);
   }
 };
 
@@ -150,7 +150,7 @@
                     value.headers, value.regions, value.importance,
                     value.idempotent, value.repeat, value.keyed, value.lot,
                     value.weight, value.depth, value.remaining_us,
-                    value.root_age_us, value.aim_us, value.retries);
+                    value.root_age_us, value.soft_deadline_us, value.retries);
   }
 };
 
--- a/test/pollenring/mesh/mesh_node_errors_test.cc
+++ b/test/pollenring/mesh/mesh_node_errors_test.cc
@@ -82,7 +82,7 @@
   envelope.service = "deep";
   envelope.root_id = kUnsendable;
   envelope.remaining_us = 1'000'000;
-  envelope.aim_us = 1'000'000;
+  envelope.soft_deadline_us = 1'000'000;
   const auto reply = world.CallNode(1, envelope);
   REQUIRE(reply);
   CHECK(reply->outcome == pollenring::Outcome::kUnknown);
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -117,7 +117,7 @@
     envelope.method = "GET";
     envelope.path = "/";
     envelope.idempotent = false;
-    envelope.aim_us = 5'000'000;
+    envelope.soft_deadline_us = 5'000'000;
     pollenring::CallBounds bounds;
     bounds.deadline = this->clock.Now() + 5s;
     bounds.charged = this->clock.Now();
@@ -141,7 +141,7 @@
     envelope.path = "/";
     envelope.idempotent = true;
     envelope.retries = 2;
-    envelope.aim_us = 5'000'000;
+    envelope.soft_deadline_us = 5'000'000;
     pollenring::CallBounds bounds;
     bounds.deadline = this->clock.Now() + 5s;
     bounds.charged = this->clock.Now();
--- a/test/pollenring/node/serving_test.cc
+++ b/test/pollenring/node/serving_test.cc
@@ -75,7 +75,7 @@
     envelope.method = "GET";
     envelope.path = "/";
     envelope.remaining_us = 30'000'000;
-    envelope.aim_us = 30'000'000;
+    envelope.soft_deadline_us = 30'000'000;
     this->serving.Serve(envelope, {}, [this](CallReply reply, std::string) {
       this->replies.push_back(std::move(reply));
     });
--- a/test/support/golden_values.h
+++ b/test/support/golden_values.h
@@ -87,7 +87,7 @@
   envelope.depth = 2;
   envelope.remaining_us = 1'400'000;
   envelope.root_age_us = 90'000;
-  envelope.aim_us = -20'000;
+  envelope.soft_deadline_us = -20'000;
   envelope.retries = 3;
   return envelope;
 }
--- a/tools/pollenring-bench/forms.cc
+++ b/tools/pollenring-bench/forms.cc
@@ -85,7 +85,8 @@
                      MSGPACK_NVP("m", repeat), MSGPACK_NVP("n", keyed),
                      MSGPACK_NVP("o", lot), MSGPACK_NVP("p", weight),
                      MSGPACK_NVP("q", depth), MSGPACK_NVP("r", remaining_us),
-                     MSGPACK_NVP("s", root_age_us), MSGPACK_NVP("t", aim_us),
+                     MSGPACK_NVP("s", root_age_us),
+                     MSGPACK_NVP("t", soft_deadline_us),
                      MSGPACK_NVP("u", retries))
 };
 
@@ -135,7 +136,7 @@
   envelope.lot = 0.625;
   envelope.remaining_us = 1'400'000;
   envelope.root_age_us = 90'000;
-  envelope.aim_us = 400'000;
+  envelope.soft_deadline_us = 400'000;
   return envelope;
 }
 
