Rename AimQueue to SoftDeadlineQueue

The queue order and the queue that serves the earliest soft deadline first carried the private word aim. kAim becomes kSoftDeadline and AimQueue becomes SoftDeadlineQueue. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference but using-declarations that the formatter sorts anew, and no string literal is touched.

--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -25,7 +25,8 @@
 }
 
 [[nodiscard]] std::unique_ptr<RequestQueue> MakeQueue(QueueOrder order) {
-  if (order == QueueOrder::kAim) return std::make_unique<AimQueue>();
+  if (order == QueueOrder::kSoftDeadline)
+    return std::make_unique<SoftDeadlineQueue>();
   return std::make_unique<FairQueue>();
 }
 
--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -37,8 +37,8 @@
 
 /*! @brief Which waiting request is next. */
 enum class QueueOrder {
-  kFair, /*!< By importance, then by workspaces' weights. */
-  kAim   /*!< The one whose aim is nearest. */
+  kFair,        /*!< By importance, then by workspaces' weights. */
+  kSoftDeadline /*!< The one whose aim is nearest. */
 };
 
 /*! @brief Limits of admission. */
--- a/src/pollenring/admission/aim_queue.cc
+++ b/src/pollenring/admission/aim_queue.cc
@@ -4,11 +4,12 @@
 
 namespace pollenring {
 
-AimQueue::WorthKey AimQueue::WorthOf(const AdmissionRequest &ticket) noexcept {
+SoftDeadlineQueue::WorthKey SoftDeadlineQueue::WorthOf(
+    const AdmissionRequest &ticket) noexcept {
   return {ticket.Invested(), ticket.importance, -ticket.aim, ticket.id};
 }
 
-Importance AimQueue::Lowest() const noexcept {
+Importance SoftDeadlineQueue::Lowest() const noexcept {
   if (this->by_worth.empty()) return Importance::kCritical;
   const auto &[invested, importance, aim, id] = *this->by_worth.begin();
   // Any root may be turned away without loss.
@@ -16,21 +17,21 @@
                   : std::min(importance, Importance::kHigh);
 }
 
-void AimQueue::Push(const AdmissionRequest &ticket) {
+void SoftDeadlineQueue::Push(const AdmissionRequest &ticket) {
   this->by_id.emplace(ticket.id, ticket);
   this->by_aim.emplace(ticket.aim, ticket.id);
   this->by_deadline.emplace(ticket.deadline, ticket.id);
   this->by_worth.insert(WorthOf(ticket));
 }
 
-std::optional<AdmissionRequest> AimQueue::Pop() {
+std::optional<AdmissionRequest> SoftDeadlineQueue::Pop() {
   if (this->by_aim.empty()) return std::nullopt;
   AdmissionRequest ticket = this->by_id.at(this->by_aim.begin()->second);
   this->Remove(ticket.id);
   return ticket;
 }
 
-std::optional<AdmissionRequest> AimQueue::PopWorst() {
+std::optional<AdmissionRequest> SoftDeadlineQueue::PopWorst() {
   if (this->by_worth.empty()) return std::nullopt;
   AdmissionRequest ticket =
       this->by_id.at(std::get<3>(*this->by_worth.begin()));
@@ -38,7 +39,7 @@
   return ticket;
 }
 
-bool AimQueue::Remove(std::uint64_t id) {
+bool SoftDeadlineQueue::Remove(std::uint64_t id) {
   const auto found = this->by_id.find(id);
   if (found == this->by_id.end()) return false;
   const AdmissionRequest &ticket = found->second;
@@ -49,7 +50,7 @@
   return true;
 }
 
-std::vector<AdmissionRequest> AimQueue::RemoveExpired(Time before) {
+std::vector<AdmissionRequest> SoftDeadlineQueue::RemoveExpired(Time before) {
   std::vector<AdmissionRequest> expired;
   while (!this->by_deadline.empty()) {
     const auto [deadline, id] = *this->by_deadline.begin();
--- a/src/pollenring/admission/aim_queue.h
+++ b/src/pollenring/admission/aim_queue.h
@@ -16,7 +16,7 @@
  * them little. Shed first is the least important root; calls on behalf of a
  * request that was let in above go last.
  */
-class AimQueue final : public RequestQueue {
+class SoftDeadlineQueue final : public RequestQueue {
  public:
   [[nodiscard]] std::size_t Size() const noexcept override {
     return this->by_id.size();
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -51,7 +51,7 @@
   // Targets say how many slots they have; some never answer what exceeds them.
   options.limit.fixed = true;
   options.level_cause = LevelCause::kFit;
-  options.order = QueueOrder::kAim;
+  options.order = QueueOrder::kSoftDeadline;
   options.queue_time = kQueueTime;
   return options;
 }
--- a/test/pollenring/admission/admission_test.cc
+++ b/test/pollenring/admission/admission_test.cc
@@ -216,7 +216,7 @@
   pollenring::ManualClock clock{std::chrono::hours{1}};
   pollenring::AdmissionOptions options;
   options.limit.fixed = true;
-  options.order = pollenring::QueueOrder::kAim;
+  options.order = pollenring::QueueOrder::kSoftDeadline;
   options.queue_time = std::chrono::seconds{1};
   Admission admission{1, options, clock};
   std::uint64_t id = 0;
@@ -263,7 +263,7 @@
     SeededRandom random{seed};
     pollenring::ManualClock clock{std::chrono::hours{1}};
     pollenring::AdmissionOptions options;
-    options.order = pollenring::QueueOrder::kAim;
+    options.order = pollenring::QueueOrder::kSoftDeadline;
     options.queue_time = std::chrono::seconds{1};
     options.critical_queue_factor = 2;
     Admission admission{4, options, clock};
--- a/test/pollenring/admission/aim_queue_test.cc
+++ b/test/pollenring/admission/aim_queue_test.cc
@@ -6,8 +6,8 @@
 
 using namespace std::chrono_literals;
 using pollenring::AdmissionRequest;
-using pollenring::AimQueue;
 using pollenring::Importance;
+using pollenring::SoftDeadlineQueue;
 
 [[nodiscard]] AdmissionRequest Waiting(std::uint64_t id, pollenring::Time aim,
                                        Importance importance, int depth) {
@@ -23,7 +23,7 @@
 }  // namespace
 
 TEST_CASE("aim queue: a short request passes those that have time") {
-  AimQueue queue;
+  SoftDeadlineQueue queue;
   queue.Push(Waiting(1, 300ms, Importance::kHigh, 2));
   queue.Push(Waiting(2, 320ms, Importance::kLow, 2));
   queue.Push(Waiting(3, 120ms, Importance::kNormal, 0));
@@ -34,7 +34,7 @@
 }
 
 TEST_CASE("aim queue: calls for requests let in above are shed last") {
-  AimQueue queue;
+  SoftDeadlineQueue queue;
   queue.Push(Waiting(1, 100ms, Importance::kLow, 1));
   queue.Push(Waiting(2, 100ms, Importance::kHigh, 0));
   queue.Push(Waiting(3, 100ms, Importance::kLow, 0));
@@ -48,7 +48,7 @@
 }
 
 TEST_CASE("aim queue: what can't end in time leaves at once") {
-  AimQueue queue;
+  SoftDeadlineQueue queue;
   queue.Push(Waiting(1, 100ms, Importance::kLow, 0));
   queue.Push(Waiting(2, 900ms, Importance::kLow, 0));
   const auto expired = queue.RemoveExpired(1200ms);
--- a/test/pollenring/admission/cold_gate_test.cc
+++ b/test/pollenring/admission/cold_gate_test.cc
@@ -31,7 +31,7 @@
   AdmissionOptions options;
   options.limit.fixed = true;
   options.level_cause = LevelCause::kFit;
-  options.order = QueueOrder::kAim;
+  options.order = QueueOrder::kSoftDeadline;
   return options;
 }
 
