Rename Patience to WaitLimit

Patience is a figure of speech for the longest time that a request waits for quota. Patience becomes WaitLimit. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference but using-declarations that the formatter sorts anew, and no string literal is touched.

--- a/src/pollenring/node/gates.h
+++ b/src/pollenring/node/gates.h
@@ -87,7 +87,7 @@
    * @param patience How long the request waits.
    * @param done Called exactly once, possibly from in here.
    */
-  virtual void Charge(const std::string &workspace, Patience patience,
+  virtual void Charge(const std::string &workspace, WaitLimit patience,
                       Done done) = 0;
 };
 
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -174,7 +174,7 @@
     return;
   }
   this->parts.shares.Charge(
-      root->envelope.workspace, Patience::Until(root->deadline),
+      root->envelope.workspace, WaitLimit::Until(root->deadline),
       [this, root](ShareAnswer answer) {
         if (answer.granted) {
           root->charged = this->loop.GetClock().Now();
@@ -238,7 +238,7 @@
   if (!root->open) {
     bounds.renew = [this, root](ShareGate::Done done) {
       this->parts.shares.Charge(
-          root->workspace, Patience::Until(root->deadline), std::move(done));
+          root->workspace, WaitLimit::Until(root->deadline), std::move(done));
     };
   }
   const auto call = this->parts.dispatcher.Call(
--- a/src/pollenring/node/share_service.cc
+++ b/src/pollenring/node/share_service.cc
@@ -37,7 +37,7 @@
   this->loop.Every(kTick, [this] { this->borrower.Tick(); });
 }
 
-void ShareService::Charge(const std::string &workspace, Patience patience,
+void ShareService::Charge(const std::string &workspace, WaitLimit patience,
                           Done done) {
   this->borrower.Charge(
       workspace, patience,
--- a/src/pollenring/share/borrow.h
+++ b/src/pollenring/share/borrow.h
@@ -22,7 +22,7 @@
 inline constexpr Duration kLongestEarly = std::chrono::milliseconds{500};
 
 /*! @brief How long a request waits for share. */
-struct Patience {
+struct WaitLimit {
   Time deadline{};   /*!< While holders are not to be found. */
   Time next_share{}; /*!< For share that is sure to come then. */
 
@@ -31,7 +31,7 @@
    * @param deadline Latest time for the answer.
    * @return It.
    */
-  [[nodiscard]] static Patience Until(Time deadline) noexcept {
+  [[nodiscard]] static WaitLimit Until(Time deadline) noexcept {
     return {deadline, deadline};
   }
 };
--- a/src/pollenring/share/borrower.cc
+++ b/src/pollenring/share/borrower.cc
@@ -49,7 +49,7 @@
       observer{observer} {}
 
 // The name is a copy: what is called back may change the caller's text.
-void ShareBorrower::Charge(std::string name, Patience patience, Done done) {
+void ShareBorrower::Charge(std::string name, WaitLimit patience, Done done) {
   Workspace &workspace = this->WorkspaceOf(name);
   this->Measure(workspace);
   ++workspace.charges;
--- a/test/pollenring/share/borrower_test.cc
+++ b/test/pollenring/share/borrower_test.cc
@@ -11,8 +11,8 @@
 using pollenring::BorrowRequest;
 using pollenring::ChargeResult;
 using pollenring::Duration;
-using pollenring::Patience;
 using pollenring::Time;
+using pollenring::WaitLimit;
 
 /*! @brief Keeps what is asked. */
 class Recorder final : public pollenring::ShareObserver {
@@ -49,7 +49,7 @@
   int granted = 0;
   const auto charge = [&] {
     workspace = "club";
-    borrower.Charge(workspace, Patience::Until(Time::max()),
+    borrower.Charge(workspace, WaitLimit::Until(Time::max()),
                     [&](const ChargeResult &result) {
                       if (result.granted) ++granted;
                       workspace.clear();
@@ -72,7 +72,7 @@
   pollenring::ShareBorrower borrower{1, 9, {}, clock, recorder};
   int granted = 0;
   const auto charge = [&] {
-    borrower.Charge("club", Patience::Until(Time::max()),
+    borrower.Charge("club", WaitLimit::Until(Time::max()),
                     [&](const ChargeResult &result) {
                       if (result.granted) ++granted;
                     });
@@ -93,7 +93,7 @@
   std::vector<ChargeResult> results;
   const auto charge = [&] {
     borrower.Charge(
-        "club", Patience::Until(Time::max()),
+        "club", WaitLimit::Until(Time::max()),
         [&](const ChargeResult &result) { results.push_back(result); });
   };
   const auto pass = [&](Duration length) {
@@ -154,7 +154,7 @@
   SECTION("no answer comes after the request's deadline") {
     recorder.holders_known = false;
     borrower.Charge(
-        "club", Patience::Until(clock.Now() + std::chrono::milliseconds{100}),
+        "club", WaitLimit::Until(clock.Now() + std::chrono::milliseconds{100}),
         [&](const ChargeResult &result) { results.push_back(result); });
     pass(std::chrono::milliseconds{110});
     CHECK(results.size() == 1);
@@ -212,7 +212,7 @@
 
   SECTION("nobody waits past a deadline for what comes next") {
     borrower.Charge(
-        "club", Patience::Until(clock.Now() + std::chrono::milliseconds{30}),
+        "club", WaitLimit::Until(clock.Now() + std::chrono::milliseconds{30}),
         [&](const ChargeResult &result) { results.push_back(result); });
     grant_next();
     REQUIRE(results.size() == 1);
@@ -271,7 +271,7 @@
   std::function<void(int)> charge = [&](int generation) {
     ++charges;
     borrower.Charge("workspace" + std::to_string(charges),
-                    Patience::Until(Time::max()),
+                    WaitLimit::Until(Time::max()),
                     [&, generation](const ChargeResult &) {
                       ++answers;
                       if (generation == 0) return;
--- a/test/support/lease_world.cc
+++ b/test/support/lease_world.cc
@@ -129,7 +129,7 @@
                         std::function<void(bool)> done) {
   Node &node = *this->nodes[static_cast<std::size_t>(index)];
   node.borrower.Charge(
-      workspace, pollenring::Patience::Until(Time::max()),
+      workspace, pollenring::WaitLimit::Until(Time::max()),
       [this, workspace, done](const pollenring::ChargeResult &result) {
         if (result.granted) {
           this->checks.at(workspace).Charged(this->truth.Now());
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -112,7 +112,7 @@
   std::size_t i = 0;
   for (auto _ : state) {
     borrower.Charge(Name(++i % workspaces),
-                    pollenring::Patience::Until(pollenring::Time::max()),
+                    pollenring::WaitLimit::Until(pollenring::Time::max()),
                     [](const pollenring::ChargeResult &) {});
     if (lender.waiting) {
       lender.waiting = false;
