Rename the dialects to codecs

The pairs of Decode and Encode are customarily called codecs, while dialect suggested variants of one language. TargetDialect becomes TargetCodec, CallerDialect becomes CallerCodec, HeartbeatDialect becomes HeartbeatCodec, PolicyDialect becomes PolicyCodec, ContextDialect becomes ContextCodec and dialect becomes codec. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/mesh/dialects.h
+++ b/src/pollenring/mesh/dialects.h
@@ -26,12 +26,12 @@
 };
 
 /*! @brief How callers write requests and read answers. */
-class CallerDialect {
+class CallerCodec {
  public:
-  CallerDialect() = default;
-  CallerDialect(const CallerDialect &) = delete;
-  CallerDialect &operator=(const CallerDialect &) = delete;
-  virtual ~CallerDialect() = default;
+  CallerCodec() = default;
+  CallerCodec(const CallerCodec &) = delete;
+  CallerCodec &operator=(const CallerCodec &) = delete;
+  virtual ~CallerCodec() = default;
 
   /**
    * @brief Reads a request's headers.
@@ -62,12 +62,12 @@
 };
 
 /*! @brief How targets announce themselves. */
-class HeartbeatDialect {
+class HeartbeatCodec {
  public:
-  HeartbeatDialect() = default;
-  HeartbeatDialect(const HeartbeatDialect &) = delete;
-  HeartbeatDialect &operator=(const HeartbeatDialect &) = delete;
-  virtual ~HeartbeatDialect() = default;
+  HeartbeatCodec() = default;
+  HeartbeatCodec(const HeartbeatCodec &) = delete;
+  HeartbeatCodec &operator=(const HeartbeatCodec &) = delete;
+  virtual ~HeartbeatCodec() = default;
 
   /**
    * @brief Reads an announcement.
@@ -79,12 +79,12 @@
 };
 
 /*! @brief How the operator writes a configuration. */
-class PolicyDialect {
+class PolicyCodec {
  public:
-  PolicyDialect() = default;
-  PolicyDialect(const PolicyDialect &) = delete;
-  PolicyDialect &operator=(const PolicyDialect &) = delete;
-  virtual ~PolicyDialect() = default;
+  PolicyCodec() = default;
+  PolicyCodec(const PolicyCodec &) = delete;
+  PolicyCodec &operator=(const PolicyCodec &) = delete;
+  virtual ~PolicyCodec() = default;
 
   /**
    * @brief Reads a document.
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -37,10 +37,10 @@
   HttpClient &client;
   Table &table;
   PolicySource &source;
-  const PolicyDialect &policies;
-  const CallerDialect &callers;
-  const TargetDialect &targets;
-  const HeartbeatDialect &heartbeats;
+  const PolicyCodec &policies;
+  const CallerCodec &callers;
+  const TargetCodec &targets;
+  const HeartbeatCodec &heartbeats;
   Random &random;
 };
 
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -113,7 +113,7 @@
   entry->responder = std::move(responder);
   entry->started = this->loop.GetClock().Now();
   this->parts.metrics.Count("pollenring_requests_total");
-  CallerRequest caller = this->parts.dialect.Decode(request.headers);
+  CallerRequest caller = this->parts.codec.Decode(request.headers);
   entry->id = caller.id;
   if (this->closed) {
     this->Refuse(entry, Reason::kLeaving, kComeBack);
@@ -338,7 +338,7 @@
   if (entry->answered) return;
   reply.status = HonestStatus(reply);
   HttpResponse response =
-      this->parts.dialect.Encode(reply, std::move(body), entry->id);
+      this->parts.codec.Encode(reply, std::move(body), entry->id);
   this->Record(*entry, reply);
   entry->responder->Send(std::move(response));
   entry->answered = true;
--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -21,7 +21,7 @@
 /*! @brief The parts that a request passes through. */
 struct OutboundParts {
   const PolicyFollower &policy;
-  const CallerDialect &dialect;
+  const CallerCodec &codec;
   ShareGate &shares;
   Dispatcher &dispatcher;
   Serving &serving;
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -29,12 +29,12 @@
 
 PolicyFollower::PolicyFollower(Loop &loop, MemberService &members,
                                LinkClient &link, PolicySource &source,
-                               const PolicyDialect &dialect, Random &random)
+                               const PolicyCodec &codec, Random &random)
     : loop{loop},
       members{members},
       link{link},
       source{source},
-      dialect{dialect},
+      codec{codec},
       random{random},
       store_heard{loop.GetClock().Now()} {}
 
@@ -161,7 +161,7 @@
 }
 
 void PolicyFollower::Take(std::string text, std::string_view origin) {
-  auto policy = this->dialect.Decode(text);
+  auto policy = this->codec.Decode(text);
   if (!policy) {
     LogEvent(LogLevel::kError, "configuration unreadable",
              {{"origin", origin},
--- a/src/pollenring/mesh/policy_follower.h
+++ b/src/pollenring/mesh/policy_follower.h
@@ -36,11 +36,11 @@
    * @param members Membership; it tells peers' versions.
    * @param link Streams to peers.
    * @param source Where the document lies.
-   * @param dialect How it is written.
+   * @param codec How it is written.
    * @param random Randomness.
    */
   PolicyFollower(Loop &loop, MemberService &members, LinkClient &link,
-                 PolicySource &source, const PolicyDialect &dialect,
+                 PolicySource &source, const PolicyCodec &codec,
                  Random &random);
 
   /*! @brief Starts to watch. @param changed Called when what is in force has
@@ -95,7 +95,7 @@
   MemberService &members;
   LinkClient &link;
   PolicySource &source;
-  const PolicyDialect &dialect;
+  const PolicyCodec &codec;
   Random &random;
   HostTable table;
   std::string document;
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -74,7 +74,7 @@
       levels{Levels(), loop.GetClock()},
       serving{loop,
               this->client,
-              this->dialect,
+              this->codec,
               AdmissionOptions{},
               this->cold_bounds,
               this->levels,
--- a/src/pollenring/node/node.h
+++ b/src/pollenring/node/node.h
@@ -81,7 +81,7 @@
   ShareService shares;
   OnceService once;
   Router router;
-  ContextDialect dialect;
+  ContextCodec codec;
   RouteLevels levels;
   NoColdBounds cold_bounds;
   Serving serving;
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -37,13 +37,13 @@
   this->time_in_sub_calls += now - this->sub_calls_since;
 }
 
-Serving::Serving(Loop &loop, HttpClient &client, const TargetDialect &dialect,
+Serving::Serving(Loop &loop, HttpClient &client, const TargetCodec &codec,
                  const AdmissionOptions &options, const ColdBounds &cold_bounds,
                  RouteLevels &levels, Random &random, Metrics &metrics,
                  TargetsChanged changed)
     : loop{loop},
       client{client},
-      dialect{dialect},
+      codec{codec},
       options{options},
       cold_bounds{cold_bounds},
       levels{levels},
@@ -125,7 +125,7 @@
         });
         if (!handled) this->GiveUp(id);
       },
-      this->dialect.MarkOf(call.served.envelope));
+      this->codec.MarkOf(call.served.envelope));
 }
 
 HttpRequest Serving::ToRequest(Call &call, const std::string &instance) const {
@@ -138,8 +138,8 @@
     request.headers.push_back({header.name, header.value});
   }
   const Duration left = call.served.deadline - this->loop.GetClock().Now();
-  this->dialect.AddHeaders({envelope, call.served.context, instance, left},
-                           request);
+  this->codec.AddHeaders({envelope, call.served.context, instance, left},
+                         request);
   request.body = std::move(call.body);
   return request;
 }
@@ -167,7 +167,7 @@
   }
   auto &response = std::get<HttpResponse>(reply);
   const TargetVerdict verdict =
-      JudgeAnswer(this->dialect.Read(found->second.served.envelope, response),
+      JudgeAnswer(this->codec.Read(found->second.served.envelope, response),
                   response.status);
   if (verdict.outcome == Outcome::kNotRun &&
       verdict.reason == Reason::kNoTarget) {
@@ -177,7 +177,7 @@
   answer.outcome = verdict.outcome;
   answer.status = response.status;
   // First what may fail: an error after it leaves out those that start next.
-  answer.headers = this->dialect.PassAnswerHeaders(response.headers);
+  answer.headers = this->codec.PassAnswerHeaders(response.headers);
   const AdmissionActions next = admission.Finish(
       id, found->second.served.time_in_sub_calls, verdict.shed);
   if (verdict.reason != Reason::kNone) {
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -124,7 +124,7 @@
    * @brief Starts without a target.
    * @param loop The loop.
    * @param client Client towards the target.
-   * @param dialect How calls and answers are written.
+   * @param codec How calls and answers are written.
    * @param options Limits of admission.
    * @param cold_bounds What cold targets bear.
    * @param levels Levels of services, which answers bring and pass on.
@@ -132,7 +132,7 @@
    * @param metrics Figures.
    * @param changed Called when the announced targets change.
    */
-  Serving(Loop &loop, HttpClient &client, const TargetDialect &dialect,
+  Serving(Loop &loop, HttpClient &client, const TargetCodec &codec,
           const AdmissionOptions &options, const ColdBounds &cold_bounds,
           RouteLevels &levels, Random &random, Metrics &metrics,
           TargetsChanged changed);
@@ -273,7 +273,7 @@
 
   Loop &loop;
   HttpClient &client;
-  const TargetDialect &dialect;
+  const TargetCodec &codec;
   AdmissionOptions options;
   const ColdBounds &cold_bounds;
   RouteLevels &levels;
--- a/src/pollenring/node/target_dialect.cc
+++ b/src/pollenring/node/target_dialect.cc
@@ -23,8 +23,8 @@
   return {Outcome::kRan, Reason::kNone, signs.busy};
 }
 
-void ContextDialect::AddHeaders(const TargetCall &call,
-                                HttpRequest &request) const {
+void ContextCodec::AddHeaders(const TargetCall &call,
+                              HttpRequest &request) const {
   const auto add = [&request](std::string_view name, std::string value) {
     request.headers.push_back({std::string{name}, std::move(value)});
   };
@@ -34,19 +34,19 @@
   add(kDeadlineHeader, std::to_string(call.left.count() / 1000));
 }
 
-AnswerMark ContextDialect::MarkOf(const CallEnvelope & /*envelope*/) const {
+AnswerMark ContextCodec::MarkOf(const CallEnvelope & /*envelope*/) const {
   return {};
 }
 
-AnswerSigns ContextDialect::Read(const CallEnvelope & /*envelope*/,
-                                 const HttpResponse &answer) const {
+AnswerSigns ContextCodec::Read(const CallEnvelope & /*envelope*/,
+                               const HttpResponse &answer) const {
   AnswerSigns signs;
   signs.busy =
       answer.status == kServiceUnavailable || answer.status == kTooManyRequests;
   return signs;
 }
 
-std::vector<WireHeader> ContextDialect::PassAnswerHeaders(
+std::vector<WireHeader> ContextCodec::PassAnswerHeaders(
     const HttpHeaders &headers) const {
   return PassableHeaders(headers);
 }
--- a/src/pollenring/node/target_dialect.h
+++ b/src/pollenring/node/target_dialect.h
@@ -45,12 +45,12 @@
                                         int status) noexcept;
 
 /*! @brief How calls and answers are written between a node and its target. */
-class TargetDialect {
+class TargetCodec {
  public:
-  TargetDialect() = default;
-  TargetDialect(const TargetDialect &) = delete;
-  TargetDialect &operator=(const TargetDialect &) = delete;
-  virtual ~TargetDialect() = default;
+  TargetCodec() = default;
+  TargetCodec(const TargetCodec &) = delete;
+  TargetCodec &operator=(const TargetCodec &) = delete;
+  virtual ~TargetCodec() = default;
 
   /**
    * @brief Adds the headers that tell a target of a call.
@@ -87,7 +87,7 @@
 };
 
 /*! @brief The project's own headers, as docs/CONTRACTS.md lists them. */
-class ContextDialect final : public TargetDialect {
+class ContextCodec final : public TargetCodec {
  public:
   void AddHeaders(const TargetCall &call, HttpRequest &request) const override;
   [[nodiscard]] AnswerMark MarkOf(const CallEnvelope &envelope) const override;
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -171,14 +171,14 @@
   pollenring::Loop loop{clock};
   pollenring::HttpClient client{loop, {kMostBytes}};
   pollenring::LinkClient link{loop, "secret", kMostBytes};
-  pollenring::ContextDialect dialect;
+  pollenring::ContextCodec codec;
   NeverCold cold_bounds;
   pollenring::RouteLevels levels{{}, clock};
   pollenring::SeededRandom random{5};
   pollenring::Metrics metrics{clock};
   pollenring::Router router{"a", "r", {}, clock, random};
   pollenring::Serving serving{
-      loop,   client,      dialect,
+      loop,   client,      codec,
       {},     cold_bounds, levels,
       random, metrics,     [](const std::vector<pollenring::Target> &) {}};
   NoRetryBound budget;
--- a/test/pollenring/node/serving_test.cc
+++ b/test/pollenring/node/serving_test.cc
@@ -90,14 +90,14 @@
   SteppedClock clock;
   pollenring::Loop loop{clock};
   pollenring::HttpClient client{loop, {std::size_t{1} << 20U}};
-  pollenring::ContextDialect dialect;
+  pollenring::ContextCodec codec;
   FewWhenCold cold_bounds;
   pollenring::RouteLevels levels{{}, clock};
   pollenring::SeededRandom random{5};
   pollenring::Metrics metrics{clock};
   pollenring::Serving serving{loop,
                               client,
-                              dialect,
+                              codec,
                               OneAtATime(),
                               cold_bounds,
                               levels,
--- a/test/support/faulty_dialects.h
+++ b/test/support/faulty_dialects.h
@@ -27,8 +27,8 @@
 /*! @brief Begins identifiers of requests whose answers can't be passed on. */
 inline constexpr std::string_view kUnpassable = "unpassable";
 
-/*! @brief The platform's dialect, with errors in reading some answers. */
-class FaultyTargets final : public pollenring::TargetDialect {
+/*! @brief The platform's codec, with errors in reading some answers. */
+class FaultyTargets final : public pollenring::TargetCodec {
  public:
   void AddHeaders(const pollenring::TargetCall &call,
                   pollenring::HttpRequest &request) const override {
@@ -63,8 +63,8 @@
   pollenring::platform::Targets sound;
 };
 
-/*! @brief The platform's dialect, unable to write some answers. */
-class FaultyCallers final : public pollenring::CallerDialect {
+/*! @brief The platform's codec, unable to write some answers. */
+class FaultyCallers final : public pollenring::CallerCodec {
  public:
   [[nodiscard]] pollenring::CallerRequest Decode(
       const pollenring::HttpHeaders &headers) const override {
