Rename AnswerMark to CorrelationHeader

The type is the header that a response must echo so that it can be matched with its request, which mark did not say. AnswerMark becomes CorrelationHeader and MarkOf becomes CorrelationHeaderOf. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference but using-declarations that the formatter sorts anew, and no string literal is touched.

--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -63,7 +63,7 @@
   }
 
   CallId Start(const Address &to, const HttpRequest &request, Duration timeout,
-               Done done, AnswerMark mark) {
+               Done done, CorrelationHeader mark) {
     const CallId id = ++this->last_id;
     Pending &call = this->calls[id];
     call.to = to;
@@ -109,7 +109,7 @@
   struct Pending {
     Address to;
     std::string out;
-    AnswerMark mark;
+    CorrelationHeader mark;
     bool head_only{};
     bool sent{};
     Done done;
@@ -375,7 +375,7 @@
 HttpClient::CallId HttpClient::Call(const Address &to,
                                     const HttpRequest &request,
                                     Duration timeout, Done done,
-                                    AnswerMark mark) {
+                                    CorrelationHeader mark) {
   return this->impl->Start(to, request, timeout, std::move(done),
                            std::move(mark));
 }
--- a/src/pollenring/net/http_client.h
+++ b/src/pollenring/net/http_client.h
@@ -52,7 +52,7 @@
 
 /*! @brief A header that an answer repeats from its request; an answer with
  * another value belongs to another request. */
-struct AnswerMark {
+struct CorrelationHeader {
   std::string name; /*!< In lower case; empty for no check. */
   std::string value;
 };
@@ -90,7 +90,7 @@
    * @return Handle for `Cancel`.
    */
   CallId Call(const Address &to, const HttpRequest &request, Duration timeout,
-              Done done, AnswerMark mark = {});
+              Done done, CorrelationHeader mark = {});
 
   /**
    * @brief Drops a call and its connection; `done` is not called.
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -125,7 +125,7 @@
         });
         if (!handled) this->GiveUp(id);
       },
-      this->codec.MarkOf(call.served.envelope));
+      this->codec.CorrelationHeaderOf(call.served.envelope));
 }
 
 HttpRequest Serving::ToRequest(Call &call, const std::string &instance) const {
--- a/src/pollenring/node/target_dialect.cc
+++ b/src/pollenring/node/target_dialect.cc
@@ -34,7 +34,8 @@
   add(kDeadlineHeader, std::to_string(call.left.count() / 1000));
 }
 
-AnswerMark ContextCodec::MarkOf(const CallEnvelope & /*envelope*/) const {
+CorrelationHeader ContextCodec::CorrelationHeaderOf(
+    const CallEnvelope & /*envelope*/) const {
   return {};
 }
 
--- a/src/pollenring/node/target_dialect.h
+++ b/src/pollenring/node/target_dialect.h
@@ -65,7 +65,7 @@
    * @param envelope The call.
    * @return The header, empty when answers name none.
    */
-  [[nodiscard]] virtual AnswerMark MarkOf(
+  [[nodiscard]] virtual CorrelationHeader CorrelationHeaderOf(
       const CallEnvelope &envelope) const = 0;
 
   /**
@@ -90,7 +90,8 @@
 class ContextCodec final : public TargetCodec {
  public:
   void AddHeaders(const TargetCall &call, HttpRequest &request) const override;
-  [[nodiscard]] AnswerMark MarkOf(const CallEnvelope &envelope) const override;
+  [[nodiscard]] CorrelationHeader CorrelationHeaderOf(
+      const CallEnvelope &envelope) const override;
   [[nodiscard]] AnswerSigns Read(const CallEnvelope &envelope,
                                  const HttpResponse &answer) const override;
   [[nodiscard]] std::vector<WireHeader> PassAnswerHeaders(
--- a/test/pollenring/net/http_client_test.cc
+++ b/test/pollenring/net/http_client_test.cc
@@ -13,8 +13,8 @@
 namespace {
 
 using namespace std::chrono_literals;
-using pollenring::AnswerMark;
 using pollenring::CallError;
+using pollenring::CorrelationHeader;
 using pollenring::HttpClient;
 using pollenring::HttpRequest;
 using pollenring::HttpResponse;
@@ -51,7 +51,7 @@
           reply = std::move(given);
           this->loop.Stop();
         },
-        AnswerMark{"mark", id});
+        CorrelationHeader{"mark", id});
     this->loop.Resume();
     this->loop.Run();
     return std::move(*reply);
--- a/test/support/faulty_dialects.h
+++ b/test/support/faulty_dialects.h
@@ -37,9 +37,9 @@
     }
     this->sound.AddHeaders(call, request);
   }
-  [[nodiscard]] pollenring::AnswerMark MarkOf(
+  [[nodiscard]] pollenring::CorrelationHeader CorrelationHeaderOf(
       const pollenring::CallEnvelope &envelope) const override {
-    return this->sound.MarkOf(envelope);
+    return this->sound.CorrelationHeaderOf(envelope);
   }
   [[nodiscard]] pollenring::AnswerSigns Read(
       const pollenring::CallEnvelope &envelope,
