Rename WitnessRequest to WitnessRequestKind

The enumeration lists kinds of request to a witness, while its name promised the request itself. The outer names are separate strings and stay. WitnessRequest becomes WitnessRequestKind and kWitnessRequestNames becomes kWitnessRequestKindNames. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/lease/slot_keeper.cc
+++ b/src/pollenring/lease/slot_keeper.cc
@@ -203,15 +203,15 @@
   if (answer.slot >= this->slots.size()) return;
   Slot &slot = this->slots[answer.slot];
   switch (answer.request) {
-    case WitnessRequest::kRelease:
+    case WitnessRequestKind::kRelease:
       this->Released(slot, from, answer);
       return;
-    case WitnessRequest::kVote:
+    case WitnessRequestKind::kVote:
       this->Voted(answer.slot, slot, from, answer);
       return;
-    case WitnessRequest::kResign:
+    case WitnessRequestKind::kResign:
       return;
-    case WitnessRequest::kPromise:
+    case WitnessRequestKind::kPromise:
       break;
   }
   if (answer.granted) {
@@ -222,7 +222,7 @@
 }
 
 void SlotKeeper::AskAll(SlotId id, const Slot &slot, const SlotRow &row,
-                        WitnessRequest request) {
+                        WitnessRequestKind request) {
   WitnessAsk ask;
   ask.request = request;
   ask.slot = id;
--- a/src/pollenring/lease/slot_keeper.h
+++ b/src/pollenring/lease/slot_keeper.h
@@ -299,7 +299,7 @@
   void JudgeHeldRead(SlotId id, Slot &slot, std::uint64_t version,
                      const std::optional<SlotRow> &row);
   void AskAll(SlotId id, const Slot &slot, const SlotRow &row,
-              WitnessRequest request);
+              WitnessRequestKind request);
   void NoteLastPromise(Slot &slot, const ProcessRef &from,
                        const WitnessAnswer &answer) const;
   [[nodiscard]] SlotRow LastHolder(const Slot &slot) const;
--- a/src/pollenring/lease/slot_keeper_held.cc
+++ b/src/pollenring/lease/slot_keeper_held.cc
@@ -50,9 +50,10 @@
 
 void SlotKeeper::Renew(SlotId id, Slot &slot) {
   slot.next_send = this->clock.Now() + this->options.renewal;
-  this->AskAll(id, slot, slot.row, WitnessRequest::kPromise);
+  this->AskAll(id, slot, slot.row, WitnessRequestKind::kPromise);
   const bool own = slot.next && this->IsMine(slot.next->Row());
-  if (own) this->AskAll(id, slot, slot.next->Row(), WitnessRequest::kPromise);
+  if (own)
+    this->AskAll(id, slot, slot.next->Row(), WitnessRequestKind::kPromise);
 }
 
 void SlotKeeper::ChangeWitnesses(SlotId id, Slot &slot) {
@@ -81,7 +82,7 @@
   if (!idle || !slot.must_read || !IsWitness(slot.row, successor)) return false;
   const SlotRow row = slot.row;
   this->GiveUp(slot);
-  this->AskAll(id, slot, row, WitnessRequest::kResign);
+  this->AskAll(id, slot, row, WitnessRequestKind::kResign);
   this->observer.HandedOver(id, row, successor);
   return true;
 }
--- a/src/pollenring/lease/slot_keeper_take.cc
+++ b/src/pollenring/lease/slot_keeper_take.cc
@@ -65,7 +65,7 @@
   }
   if (this->clock.Now() >= slot.round_ends) slot.election_failed = true;
   if (!this->AsksNow(slot)) return;
-  this->AskAll(id, slot, slot.next->Row(), WitnessRequest::kVote);
+  this->AskAll(id, slot, slot.next->Row(), WitnessRequestKind::kVote);
 }
 
 void SlotKeeper::Voted(SlotId id, Slot &slot, const ProcessRef &from,
@@ -98,7 +98,7 @@
   if (!this->AsksNow(slot)) return;
   SlotRow over = slot.row;
   over.epoch = LastEpochOf(slot.row.epoch);
-  this->AskAll(id, slot, over, WitnessRequest::kRelease);
+  this->AskAll(id, slot, over, WitnessRequestKind::kRelease);
 }
 
 void SlotKeeper::Released(Slot &slot, const ProcessRef &from,
@@ -156,7 +156,7 @@
 
 void SlotKeeper::TickPromising(SlotId id, Slot &slot) {
   if (!this->AsksNow(slot)) return;
-  this->AskAll(id, slot, slot.next->Row(), WitnessRequest::kPromise);
+  this->AskAll(id, slot, slot.next->Row(), WitnessRequestKind::kPromise);
 }
 
 void SlotKeeper::Promised(SlotId id, Slot &slot, const ProcessRef &from,
--- a/src/pollenring/lease/witness.cc
+++ b/src/pollenring/lease/witness.cc
@@ -25,23 +25,23 @@
   if (ask.process != this->process) {
     // The process that was named has ended, at the latest when this one began.
     const Time until = this->started + this->options.promise;
-    answer.granted = ask.request == WitnessRequest::kRelease;
+    answer.granted = ask.request == WitnessRequestKind::kRelease;
     answer.remaining_us = std::max(Duration{0}, until - now).count();
     return answer;
   }
   Slot &slot = this->slots[ask.slot];
   switch (ask.request) {
-    case WitnessRequest::kPromise:
+    case WitnessRequestKind::kPromise:
       answer.granted = this->Promise(slot, ask);
       break;
-    case WitnessRequest::kRelease:
+    case WitnessRequestKind::kRelease:
       Release(slot, ask.epoch);
       answer.granted = true;
       break;
-    case WitnessRequest::kVote:
+    case WitnessRequestKind::kVote:
       answer.granted = this->Vote(slot, ask);
       break;
-    case WitnessRequest::kResign:
+    case WitnessRequestKind::kResign:
       this->Resign(slot, ask);
       answer.granted = true;
       break;
--- a/src/pollenring/lease/witness_messages.h
+++ b/src/pollenring/lease/witness_messages.h
@@ -10,7 +10,7 @@
 namespace pollenring {
 
 /*! @brief What a witness is asked for. */
-enum class WitnessRequest {
+enum class WitnessRequestKind {
   kPromise = 0, /*!< Not to let the slot be taken for a while. */
   kRelease = 1, /*!< Never to promise or vote under the slot's row again. */
   kVote = 2,    /*!< To elect the asker, once no promise runs any more. */
@@ -18,11 +18,11 @@
 };
 
 /*! @brief Names of the requests. */
-inline constexpr EnumTable<WitnessRequest, 4> kWitnessRequestNames{{{
-    {WitnessRequest::kPromise, "promise"},
-    {WitnessRequest::kRelease, "release"},
-    {WitnessRequest::kVote, "vote"},
-    {WitnessRequest::kResign, "resign"},
+inline constexpr EnumTable<WitnessRequestKind, 4> kWitnessRequestKindNames{{{
+    {WitnessRequestKind::kPromise, "promise"},
+    {WitnessRequestKind::kRelease, "release"},
+    {WitnessRequestKind::kVote, "vote"},
+    {WitnessRequestKind::kResign, "resign"},
 }}};
 
 /*! @brief A row that its holder knows to be in the table. */
@@ -35,7 +35,7 @@
 
 /*! @brief Asks a witness. */
 struct WitnessAsk {
-  WitnessRequest request{WitnessRequest::kPromise};
+  WitnessRequestKind request{WitnessRequestKind::kPromise};
   SlotId slot{};
   std::uint64_t epoch{};
   std::uint64_t process{}; /*!< The process that the row names as witness. */
@@ -49,7 +49,7 @@
 
 /*! @brief What a witness says. */
 struct WitnessAnswer {
-  WitnessRequest request{WitnessRequest::kPromise};
+  WitnessRequestKind request{WitnessRequestKind::kPromise};
   SlotId slot{};
   std::uint64_t epoch{};
   std::uint64_t process{};
@@ -70,6 +70,6 @@
 
 }  // namespace pollenring
 
-MSGPACK_ADD_ENUM(pollenring::WitnessRequest)
+MSGPACK_ADD_ENUM(pollenring::WitnessRequestKind)
 
 #endif  // POLLENRING_LEASE_WITNESS_MESSAGES_H_
--- a/test/pollenring/lease/witness_test.cc
+++ b/test/pollenring/lease/witness_test.cc
@@ -11,7 +11,7 @@
 using pollenring::Witness;
 using pollenring::WitnessAnswer;
 using pollenring::WitnessAsk;
-using pollenring::WitnessRequest;
+using pollenring::WitnessRequestKind;
 
 constexpr std::uint64_t kProcess = 7;
 constexpr std::uint64_t kRow = kEpochsPerRow;
@@ -25,7 +25,7 @@
   ManualClock clock{std::chrono::hours{1}};
   Witness witness{kProcess, {}, clock};
 
-  WitnessAnswer Ask(WitnessRequest request, std::uint64_t epoch,
+  WitnessAnswer Ask(WitnessRequestKind request, std::uint64_t epoch,
                     const ProcessRef &asker, bool sealing = false,
                     std::int64_t asked_us = 0) {
     WitnessAsk ask;
@@ -43,74 +43,77 @@
 
 TEST_CASE("witness: a vote waits for promises and is given once an epoch") {
   Scene scene;
-  CHECK(scene.Ask(WitnessRequest::kPromise, kRow, kHolder).granted);
+  CHECK(scene.Ask(WitnessRequestKind::kPromise, kRow, kHolder).granted);
   scene.clock.Advance(kPromise - Duration{1});
-  CHECK_FALSE(scene.Ask(WitnessRequest::kVote, kRow + 1, kTaker).granted);
+  CHECK_FALSE(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kTaker).granted);
   scene.clock.Advance(Duration{1});
-  CHECK(scene.Ask(WitnessRequest::kVote, kRow + 1, kTaker).granted);
-  CHECK_FALSE(scene.Ask(WitnessRequest::kVote, kRow + 1, kOther).granted);
+  CHECK(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kTaker).granted);
+  CHECK_FALSE(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kOther).granted);
   // Asked again, since the answer may have been lost.
-  CHECK(scene.Ask(WitnessRequest::kVote, kRow + 1, kTaker).granted);
+  CHECK(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kTaker).granted);
   // The holder of before is over, whatever it believes.
-  CHECK_FALSE(scene.Ask(WitnessRequest::kPromise, kRow, kHolder).granted);
-  const auto next = scene.Ask(WitnessRequest::kVote, kRow + 2, kOther);
+  CHECK_FALSE(scene.Ask(WitnessRequestKind::kPromise, kRow, kHolder).granted);
+  const auto next = scene.Ask(WitnessRequestKind::kVote, kRow + 2, kOther);
   CHECK(next.granted);
   CHECK(next.promised == kRow);
   CHECK(next.promised_to == kHolder);
-  CHECK_FALSE(scene.Ask(WitnessRequest::kPromise, kRow + 1, kTaker).granted);
+  CHECK_FALSE(
+      scene.Ask(WitnessRequestKind::kPromise, kRow + 1, kTaker).granted);
 }
 
 TEST_CASE("witness: it elects nobody while a row is sealed") {
   Scene scene;
   const std::int64_t first = scene.clock.Now().count();
-  const auto sealed = scene.Ask(WitnessRequest::kPromise, kRow, kHolder, true);
+  const auto sealed =
+      scene.Ask(WitnessRequestKind::kPromise, kRow, kHolder, true);
   CHECK(sealed.granted);
   CHECK(sealed.sealed);
   scene.clock.Advance(kPromise * 2);
-  CHECK_FALSE(scene.Ask(WitnessRequest::kVote, kRow + 1, kTaker).granted);
+  CHECK_FALSE(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kTaker).granted);
 
   SECTION("nor promises anything to one whom others have elected") {
-    const auto answer = scene.Ask(WitnessRequest::kPromise, kRow + 1, kTaker);
+    const auto answer =
+        scene.Ask(WitnessRequestKind::kPromise, kRow + 1, kTaker);
     CHECK_FALSE(answer.granted);
     CHECK(answer.sealed);
     // The one who has sealed it is over and can't undo it.
-    CHECK_FALSE(scene.Ask(WitnessRequest::kPromise, kRow, kHolder).granted);
-    CHECK_FALSE(scene.Ask(WitnessRequest::kVote, kRow + 2, kOther).granted);
+    CHECK_FALSE(scene.Ask(WitnessRequestKind::kPromise, kRow, kHolder).granted);
+    CHECK_FALSE(scene.Ask(WitnessRequestKind::kVote, kRow + 2, kOther).granted);
   }
 
   SECTION("a late message does not undo it, a new one does") {
-    const auto late =
-        scene.Ask(WitnessRequest::kPromise, kRow, kHolder, false, first - 1);
+    const auto late = scene.Ask(WitnessRequestKind::kPromise, kRow, kHolder,
+                                false, first - 1);
     CHECK(late.sealed);
-    const auto other = scene.Ask(WitnessRequest::kPromise, kRow, kOther);
+    const auto other = scene.Ask(WitnessRequestKind::kPromise, kRow, kOther);
     CHECK(other.sealed);
-    CHECK_FALSE(scene.Ask(WitnessRequest::kPromise, kRow, kHolder).sealed);
+    CHECK_FALSE(scene.Ask(WitnessRequestKind::kPromise, kRow, kHolder).sealed);
     scene.clock.Advance(kPromise);
-    CHECK(scene.Ask(WitnessRequest::kVote, kRow + 1, kTaker).granted);
+    CHECK(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kTaker).granted);
   }
 
   SECTION("one that resigns unseals it and can be succeeded at once") {
-    CHECK(scene.Ask(WitnessRequest::kPromise, kRow, kHolder, true).granted);
-    static_cast<void>(scene.Ask(WitnessRequest::kResign, kRow, kOther));
-    CHECK_FALSE(scene.Ask(WitnessRequest::kVote, kRow + 1, kTaker).granted);
-    static_cast<void>(scene.Ask(WitnessRequest::kResign, kRow, kHolder));
-    CHECK(scene.Ask(WitnessRequest::kVote, kRow + 1, kTaker).granted);
+    CHECK(scene.Ask(WitnessRequestKind::kPromise, kRow, kHolder, true).granted);
+    static_cast<void>(scene.Ask(WitnessRequestKind::kResign, kRow, kOther));
+    CHECK_FALSE(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kTaker).granted);
+    static_cast<void>(scene.Ask(WitnessRequestKind::kResign, kRow, kHolder));
+    CHECK(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kTaker).granted);
   }
 }
 
 TEST_CASE("witness: a released row has neither promises nor votes") {
   Scene scene;
-  CHECK(scene.Ask(WitnessRequest::kPromise, kRow, kHolder).granted);
+  CHECK(scene.Ask(WitnessRequestKind::kPromise, kRow, kHolder).granted);
   scene.clock.Advance(kPromise / 2);
-  const auto released = scene.Ask(WitnessRequest::kRelease,
+  const auto released = scene.Ask(WitnessRequestKind::kRelease,
                                   pollenring::LastEpochOf(kRow), kTaker);
   CHECK(released.granted);
   CHECK(Duration{released.remaining_us} == kPromise / 2);
   CHECK(released.promised_to == kHolder);
   scene.clock.Advance(kPromise);
-  CHECK_FALSE(scene.Ask(WitnessRequest::kPromise, kRow, kHolder).granted);
-  CHECK_FALSE(scene.Ask(WitnessRequest::kVote, kRow + 1, kHolder).granted);
-  CHECK(scene.Ask(WitnessRequest::kPromise, 2 * kRow, kTaker).granted);
+  CHECK_FALSE(scene.Ask(WitnessRequestKind::kPromise, kRow, kHolder).granted);
+  CHECK_FALSE(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kHolder).granted);
+  CHECK(scene.Ask(WitnessRequestKind::kPromise, 2 * kRow, kTaker).granted);
 }
 
 TEST_CASE("witness: a process that has ended votes and promises nothing") {
@@ -119,7 +122,8 @@
   ask.process = kProcess + 1;
   ask.epoch = kRow;
   ask.asker = kHolder;
-  for (const auto request : {WitnessRequest::kPromise, WitnessRequest::kVote}) {
+  for (const auto request :
+       {WitnessRequestKind::kPromise, WitnessRequestKind::kVote}) {
     ask.request = request;
     const auto answer = scene.witness.Answer(ask);
     CHECK_FALSE(answer.granted);
