Rename WitnessAsk to WitnessQuery

A verb served as a noun for the message that asks a witness. The outer name witness-ask is a separate string and stays. WitnessAsk becomes WitnessQuery and kWitnessAsk becomes kWitnessQuery.

--- a/src/pollenring/lease/fwd.h
+++ b/src/pollenring/lease/fwd.h
@@ -12,7 +12,7 @@
 struct RowInForce;
 struct SlotRow;
 struct WitnessAnswer;
-struct WitnessAsk;
+struct WitnessQuery;
 struct ProcessRef;
 
 }  // namespace pollenring
--- a/src/pollenring/lease/slot_keeper.cc
+++ b/src/pollenring/lease/slot_keeper.cc
@@ -223,7 +223,7 @@
 
 void SlotKeeper::AskAll(SlotId id, const Slot &slot, const SlotRow &row,
                         WitnessRequestKind request) {
-  WitnessAsk ask;
+  WitnessQuery ask;
   ask.request = request;
   ask.slot = id;
   ask.epoch = row.epoch;
--- a/src/pollenring/lease/slot_keeper.h
+++ b/src/pollenring/lease/slot_keeper.h
@@ -61,7 +61,7 @@
                         const SlotRow &row) = 0;
 
   /*! @brief Asks a witness; its answer goes to `Answered`. */
-  virtual void Ask(const ProcessRef &witness, const WitnessAsk &ask) = 0;
+  virtual void Ask(const ProcessRef &witness, const WitnessQuery &ask) = 0;
 
   /*! @brief The slot is this node's. @param before Its last holder's row;
    * without witnesses when it is not known who held the slot last. */
--- a/src/pollenring/lease/witness.cc
+++ b/src/pollenring/lease/witness.cc
@@ -14,7 +14,7 @@
                  const Clock &clock)
     : process{process}, options{options}, clock{clock}, started{clock.Now()} {}
 
-WitnessAnswer Witness::Answer(const WitnessAsk &ask) {
+WitnessAnswer Witness::Answer(const WitnessQuery &ask) {
   const Time now = this->clock.Now();
   WitnessAnswer answer;
   answer.request = ask.request;
@@ -69,7 +69,7 @@
   return &found->second.known;
 }
 
-bool Witness::Promise(Slot &slot, const WitnessAsk &ask) {
+bool Witness::Promise(Slot &slot, const WitnessQuery &ask) {
   if (ask.epoch <= slot.released) return false;
   if (SealedBefore(slot, ask.epoch)) {
     // Whoever has sealed the row is over, and can't undo it any more.
@@ -89,7 +89,7 @@
   return true;
 }
 
-bool Witness::Vote(Slot &slot, const WitnessAsk &ask) {
+bool Witness::Vote(Slot &slot, const WitnessQuery &ask) {
   if (ask.epoch <= slot.released) return false;
   const auto memory = slot.rows.find(RowEpochOf(ask.epoch));
   if (memory != slot.rows.end()) {
@@ -105,7 +105,7 @@
   return true;
 }
 
-void Witness::Resign(Slot &slot, const WitnessAsk &ask) const {
+void Witness::Resign(Slot &slot, const WitnessQuery &ask) const {
   const auto memory = slot.rows.find(RowEpochOf(ask.epoch));
   if (memory == slot.rows.end()) return;
   const bool own = memory->second.promised == ask.epoch &&
@@ -127,7 +127,7 @@
          memory->second.seal_epoch < epoch;
 }
 
-void Witness::Seal(RowMemory &memory, const WitnessAsk &ask) {
+void Witness::Seal(RowMemory &memory, const WitnessQuery &ask) {
   const Time asked{ask.asked_us};
   if (ask.epoch < memory.seal_epoch) return;
   const bool same =
@@ -145,7 +145,7 @@
   memory.sealed = ask.sealing;
 }
 
-void Witness::Learn(Slot &slot, const WitnessAsk &ask) const {
+void Witness::Learn(Slot &slot, const WitnessQuery &ask) const {
   const RowInForce &told = ask.in_force;
   KnownRow &known = slot.known;
   const bool older = told.version == 0 || told.row.epoch < known.row.epoch;
--- a/src/pollenring/lease/witness.h
+++ b/src/pollenring/lease/witness.h
@@ -45,7 +45,7 @@
    * @param ask What it asks for.
    * @return Whether it is granted, and what the asker has to know.
    */
-  [[nodiscard]] WitnessAnswer Answer(const WitnessAsk &ask);
+  [[nodiscard]] WitnessAnswer Answer(const WitnessQuery &ask);
 
   /**
    * @brief Finds the row that was last said to be in force.
@@ -74,12 +74,12 @@
     KnownRow known;
   };
 
-  [[nodiscard]] bool Promise(Slot &slot, const WitnessAsk &ask);
-  [[nodiscard]] bool Vote(Slot &slot, const WitnessAsk &ask);
-  void Resign(Slot &slot, const WitnessAsk &ask) const;
+  [[nodiscard]] bool Promise(Slot &slot, const WitnessQuery &ask);
+  [[nodiscard]] bool Vote(Slot &slot, const WitnessQuery &ask);
+  void Resign(Slot &slot, const WitnessQuery &ask) const;
   static void Release(Slot &slot, std::uint64_t epoch);
-  static void Seal(RowMemory &memory, const WitnessAsk &ask);
-  void Learn(Slot &slot, const WitnessAsk &ask) const;
+  static void Seal(RowMemory &memory, const WitnessQuery &ask);
+  void Learn(Slot &slot, const WitnessQuery &ask) const;
   [[nodiscard]] static bool SealedBefore(const Slot &slot, std::uint64_t epoch);
 
   std::uint64_t process;
--- a/src/pollenring/lease/witness_messages.h
+++ b/src/pollenring/lease/witness_messages.h
@@ -34,7 +34,7 @@
 };
 
 /*! @brief Asks a witness. */
-struct WitnessAsk {
+struct WitnessQuery {
   WitnessRequestKind request{WitnessRequestKind::kPromise};
   SlotId slot{};
   std::uint64_t epoch{};
--- a/src/pollenring/node/bus.h
+++ b/src/pollenring/node/bus.h
@@ -18,7 +18,7 @@
 /*! @brief Kinds of datagrams between nodes. */
 enum class MessageKind : std::uint8_t {
   kGossip = 1,
-  kWitnessAsk = 2,
+  kWitnessQuery = 2,
   kWitnessAnswer = 3,
   kBorrow = 6,
   kLend = 7,
@@ -31,7 +31,7 @@
 /*! @brief Names of the kinds, as logs and figures spell them. */
 inline constexpr EnumTable<MessageKind, 9> kMessageKindNames{{{
     {MessageKind::kGossip, "gossip"},
-    {MessageKind::kWitnessAsk, "witness-ask"},
+    {MessageKind::kWitnessQuery, "witness-ask"},
     {MessageKind::kWitnessAnswer, "witness-answer"},
     {MessageKind::kBorrow, "borrow"},
     {MessageKind::kLend, "lend"},
--- a/src/pollenring/node/slot_service.cc
+++ b/src/pollenring/node/slot_service.cc
@@ -58,8 +58,8 @@
 }
 
 void SlotService::Listen() {
-  this->bus.On<WitnessAsk>(
-      MessageKind::kWitnessAsk, [this](NodeId from, const WitnessAsk &ask) {
+  this->bus.On<WitnessQuery>(
+      MessageKind::kWitnessQuery, [this](NodeId from, const WitnessQuery &ask) {
         if (ask.slot >= this->count || ask.asker.node != from) return;
         // What came while this process stood still may be of long ago.
         if (this->loop.WokeFromPause()) return;
@@ -193,9 +193,9 @@
       });
 }
 
-void SlotService::Ask(const ProcessRef &ref, const WitnessAsk &ask) {
+void SlotService::Ask(const ProcessRef &ref, const WitnessQuery &ask) {
   if (ref.node != this->self.node) {
-    this->bus.Send(ref.node, MessageKind::kWitnessAsk, ask);
+    this->bus.Send(ref.node, MessageKind::kWitnessQuery, ask);
     return;
   }
   this->loop.Post([this, ref, answer = this->witness.Answer(ask)] {
--- a/src/pollenring/node/slot_service.h
+++ b/src/pollenring/node/slot_service.h
@@ -94,7 +94,7 @@
   void ReadRow(SlotId slot) override;
   void WriteRow(SlotId slot, std::uint64_t version,
                 const SlotRow &row) override;
-  void Ask(const ProcessRef &ref, const WitnessAsk &ask) override;
+  void Ask(const ProcessRef &ref, const WitnessQuery &ask) override;
   void Gained(SlotId slot, const SlotRow &row, SlotOrigin origin,
               const SlotRow &before) override;
   void Rewitnessed(SlotId slot, const SlotRow &row) override;
--- a/test/pollenring/lease/witness_test.cc
+++ b/test/pollenring/lease/witness_test.cc
@@ -10,7 +10,7 @@
 using pollenring::ProcessRef;
 using pollenring::Witness;
 using pollenring::WitnessAnswer;
-using pollenring::WitnessAsk;
+using pollenring::WitnessQuery;
 using pollenring::WitnessRequestKind;
 
 constexpr std::uint64_t kProcess = 7;
@@ -28,7 +28,7 @@
   WitnessAnswer Ask(WitnessRequestKind request, std::uint64_t epoch,
                     const ProcessRef &asker, bool sealing = false,
                     std::int64_t asked_us = 0) {
-    WitnessAsk ask;
+    WitnessQuery ask;
     ask.request = request;
     ask.epoch = epoch;
     ask.process = kProcess;
@@ -118,7 +118,7 @@
 
 TEST_CASE("witness: a process that has ended votes and promises nothing") {
   Scene scene;
-  WitnessAsk ask;
+  WitnessQuery ask;
   ask.process = kProcess + 1;
   ask.epoch = kRow;
   ask.asker = kHolder;
@@ -134,7 +134,7 @@
 
 TEST_CASE("witness: it knows the row in force, and how long at most") {
   Scene scene;
-  WitnessAsk ask;
+  WitnessQuery ask;
   ask.process = kProcess;
   ask.epoch = kRow;
   ask.asker = kHolder;
--- a/test/support/lease_node.h
+++ b/test/support/lease_node.h
@@ -196,7 +196,8 @@
     });
   }
 
-  void Ask(const ProcessRef &ref, const pollenring::WitnessAsk &ask) override {
+  void Ask(const ProcessRef &ref,
+           const pollenring::WitnessQuery &ask) override {
     const int to = static_cast<int>(ref.node) - 1;
     const int own = this->index;
     if (to == own) {
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -243,7 +243,7 @@
   ManualClock clock{std::chrono::hours{1}};
   pollenring::Witness witness{1, {}, clock};
   const auto slots = static_cast<pollenring::SlotId>(state.range(0));
-  pollenring::WitnessAsk ask;
+  pollenring::WitnessQuery ask;
   ask.process = 1;
   ask.epoch = pollenring::kEpochsPerRow;
   // Nodes and processes have numbers of 64 bits.
