Rename WitnessAnswer to WitnessReply

Replies to borrowing and to calls are named Reply, while the one of a witness was named Answer. The outer name witness-answer is a separate string and stays. WitnessAnswer becomes WitnessReply and kWitnessAnswer becomes kWitnessReply. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference but using-declarations that the formatter sorts anew, and no string literal is touched.

--- a/src/pollenring/lease/fwd.h
+++ b/src/pollenring/lease/fwd.h
@@ -11,7 +11,7 @@
 struct LeaseOptions;
 struct RowInForce;
 struct SlotRow;
-struct WitnessAnswer;
+struct WitnessReply;
 struct WitnessQuery;
 struct ProcessRef;
 
--- a/src/pollenring/lease/slot_keeper.cc
+++ b/src/pollenring/lease/slot_keeper.cc
@@ -199,7 +199,7 @@
   }
 }
 
-void SlotKeeper::Answered(const ProcessRef &from, const WitnessAnswer &answer) {
+void SlotKeeper::Answered(const ProcessRef &from, const WitnessReply &answer) {
   if (answer.slot >= this->slots.size()) return;
   Slot &slot = this->slots[answer.slot];
   switch (answer.request) {
--- a/src/pollenring/lease/slot_keeper.h
+++ b/src/pollenring/lease/slot_keeper.h
@@ -188,7 +188,7 @@
   void RowWritten(SlotId slot, RowWrite result);
 
   /*! @brief A witness has answered. @param from The one that was asked. */
-  void Answered(const ProcessRef &from, const WitnessAnswer &answer);
+  void Answered(const ProcessRef &from, const WitnessReply &answer);
 
   /**
    * @brief Names what is being done about a slot, for status and tests.
@@ -284,13 +284,12 @@
   void StartAdopting(SlotId id, Slot &slot, std::uint64_t version,
                      const SlotRow &row);
   void Promised(SlotId id, Slot &slot, const ProcessRef &from,
-                const WitnessAnswer &answer);
+                const WitnessReply &answer);
   void PromiseRefused(SlotId id, Slot &slot, const ProcessRef &from,
-                      const WitnessAnswer &answer);
-  void Released(Slot &slot, const ProcessRef &from,
-                const WitnessAnswer &answer);
+                      const WitnessReply &answer);
+  void Released(Slot &slot, const ProcessRef &from, const WitnessReply &answer);
   void Voted(SlotId id, Slot &slot, const ProcessRef &from,
-             const WitnessAnswer &answer);
+             const WitnessReply &answer);
   void GiveUp(Slot &slot);
   void Lose(SlotId id, Slot &slot);
   void KeepAfterAll(Slot &slot);
@@ -301,7 +300,7 @@
   void AskAll(SlotId id, const Slot &slot, const SlotRow &row,
               WitnessRequestKind request);
   void NoteLastPromise(Slot &slot, const ProcessRef &from,
-                       const WitnessAnswer &answer) const;
+                       const WitnessReply &answer) const;
   [[nodiscard]] SlotRow LastHolder(const Slot &slot) const;
   [[nodiscard]] RowInForce InForce(const Slot &slot) const;
   [[nodiscard]] const KnownRow *MayElect(SlotId id, const Slot &slot) const;
--- a/src/pollenring/lease/slot_keeper_held.cc
+++ b/src/pollenring/lease/slot_keeper_held.cc
@@ -121,7 +121,7 @@
 }
 
 void SlotKeeper::PromiseRefused(SlotId id, Slot &slot, const ProcessRef &from,
-                                const WitnessAnswer &answer) {
+                                const WitnessReply &answer) {
   if (slot.phase != Phase::kHeld || slot.row.epoch != answer.epoch) return;
   if (!IsWitness(slot.row, from)) return;
   const bool released = answer.released >= LastEpochOf(answer.epoch);
--- a/src/pollenring/lease/slot_keeper_take.cc
+++ b/src/pollenring/lease/slot_keeper_take.cc
@@ -69,7 +69,7 @@
 }
 
 void SlotKeeper::Voted(SlotId id, Slot &slot, const ProcessRef &from,
-                       const WitnessAnswer &answer) {
+                       const WitnessReply &answer) {
   if (slot.phase != Phase::kElecting) return;
   const SlotRow &next = slot.next->Row();
   if (next.epoch != answer.epoch || !IsWitness(next, from)) return;
@@ -102,7 +102,7 @@
 }
 
 void SlotKeeper::Released(Slot &slot, const ProcessRef &from,
-                          const WitnessAnswer &answer) {
+                          const WitnessReply &answer) {
   const bool expected =
       slot.phase == Phase::kReleasing || slot.phase == Phase::kWaiting;
   if (!expected || LastEpochOf(slot.row.epoch) != answer.epoch) return;
@@ -117,7 +117,7 @@
 }
 
 void SlotKeeper::NoteLastPromise(Slot &slot, const ProcessRef &from,
-                                 const WitnessAnswer &answer) const {
+                                 const WitnessReply &answer) const {
   if (!answer.remembers) return;
   LastPromise &last = slot.last_promise;
   last.told_by.insert(from);
@@ -160,7 +160,7 @@
 }
 
 void SlotKeeper::Promised(SlotId id, Slot &slot, const ProcessRef &from,
-                          const WitnessAnswer &answer) {
+                          const WitnessReply &answer) {
   const Time asked{answer.asked_us};
   const Time end = asked + this->options.Less(this->options.promise);
   const bool for_current =
--- a/src/pollenring/lease/witness.cc
+++ b/src/pollenring/lease/witness.cc
@@ -14,9 +14,9 @@
                  const Clock &clock)
     : process{process}, options{options}, clock{clock}, started{clock.Now()} {}
 
-WitnessAnswer Witness::Answer(const WitnessQuery &ask) {
+WitnessReply Witness::Answer(const WitnessQuery &ask) {
   const Time now = this->clock.Now();
-  WitnessAnswer answer;
+  WitnessReply answer;
   answer.request = ask.request;
   answer.slot = ask.slot;
   answer.epoch = ask.epoch;
--- a/src/pollenring/lease/witness.h
+++ b/src/pollenring/lease/witness.h
@@ -45,7 +45,7 @@
    * @param ask What it asks for.
    * @return Whether it is granted, and what the asker has to know.
    */
-  [[nodiscard]] WitnessAnswer Answer(const WitnessQuery &ask);
+  [[nodiscard]] WitnessReply Answer(const WitnessQuery &ask);
 
   /**
    * @brief Finds the row that was last said to be in force.
--- a/src/pollenring/lease/witness_messages.h
+++ b/src/pollenring/lease/witness_messages.h
@@ -48,7 +48,7 @@
 };
 
 /*! @brief What a witness says. */
-struct WitnessAnswer {
+struct WitnessReply {
   WitnessRequestKind request{WitnessRequestKind::kPromise};
   SlotId slot{};
   std::uint64_t epoch{};
--- a/src/pollenring/node/bus.h
+++ b/src/pollenring/node/bus.h
@@ -19,7 +19,7 @@
 enum class MessageKind : std::uint8_t {
   kGossip = 1,
   kWitnessQuery = 2,
-  kWitnessAnswer = 3,
+  kWitnessReply = 3,
   kBorrow = 6,
   kLend = 7,
   kOnceBegin = 8,
@@ -32,7 +32,7 @@
 inline constexpr EnumTable<MessageKind, 9> kMessageKindNames{{{
     {MessageKind::kGossip, "gossip"},
     {MessageKind::kWitnessQuery, "witness-ask"},
-    {MessageKind::kWitnessAnswer, "witness-answer"},
+    {MessageKind::kWitnessReply, "witness-answer"},
     {MessageKind::kBorrow, "borrow"},
     {MessageKind::kLend, "lend"},
     {MessageKind::kOnceBegin, "once-begin"},
--- a/src/pollenring/node/slot_service.cc
+++ b/src/pollenring/node/slot_service.cc
@@ -63,12 +63,12 @@
         if (ask.slot >= this->count || ask.asker.node != from) return;
         // What came while this process stood still may be of long ago.
         if (this->loop.WokeFromPause()) return;
-        this->bus.Send(from, MessageKind::kWitnessAnswer,
+        this->bus.Send(from, MessageKind::kWitnessReply,
                        this->witness.Answer(ask));
       });
-  this->bus.On<WitnessAnswer>(
-      MessageKind::kWitnessAnswer,
-      [this](NodeId from, const WitnessAnswer &answer) {
+  this->bus.On<WitnessReply>(
+      MessageKind::kWitnessReply,
+      [this](NodeId from, const WitnessReply &answer) {
         this->keeper.Answered({from, answer.process}, answer);
       });
 }
--- a/test/pollenring/lease/witness_test.cc
+++ b/test/pollenring/lease/witness_test.cc
@@ -9,8 +9,8 @@
 using pollenring::ManualClock;
 using pollenring::ProcessRef;
 using pollenring::Witness;
-using pollenring::WitnessAnswer;
 using pollenring::WitnessQuery;
+using pollenring::WitnessReply;
 using pollenring::WitnessRequestKind;
 
 constexpr std::uint64_t kProcess = 7;
@@ -25,9 +25,9 @@
   ManualClock clock{std::chrono::hours{1}};
   Witness witness{kProcess, {}, clock};
 
-  WitnessAnswer Ask(WitnessRequestKind request, std::uint64_t epoch,
-                    const ProcessRef &asker, bool sealing = false,
-                    std::int64_t asked_us = 0) {
+  WitnessReply Ask(WitnessRequestKind request, std::uint64_t epoch,
+                   const ProcessRef &asker, bool sealing = false,
+                   std::int64_t asked_us = 0) {
     WitnessQuery ask;
     ask.request = request;
     ask.epoch = epoch;
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -251,7 +251,7 @@
   ask.asker = other;
   ask.asked_us = clock.Now().count();
   ask.in_force = {{ask.epoch, other, {5, other}}, 1, 1'800'000'000};
-  pollenring::WitnessAnswer answer;
+  pollenring::WitnessReply answer;
   for (auto _ : state) {
     ask.slot = (ask.slot + 1) % slots;
     answer = witness.Answer(ask);
