Rename MembershipObserver to MembershipDelegate

An observer only looks on, while this interface has to send datagrams for its caller, which is the work of a delegate. MembershipObserver becomes MembershipDelegate. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/membership/fwd.h
+++ b/src/pollenring/membership/fwd.h
@@ -4,7 +4,7 @@
 namespace pollenring {
 
 class Membership;
-class MembershipObserver;
+class MembershipDelegate;
 class StoreDuty;
 struct Member;
 struct Target;
--- a/src/pollenring/membership/membership.cc
+++ b/src/pollenring/membership/membership.cc
@@ -12,7 +12,7 @@
 
 Membership::Membership(Member self, const MembershipOptions &options,
                        const Clock &clock, Random &random,
-                       MembershipObserver &observer)
+                       MembershipDelegate &observer)
     : self{std::move(self)},
       options{options},
       clock{clock},
--- a/src/pollenring/membership/membership.h
+++ b/src/pollenring/membership/membership.h
@@ -139,12 +139,12 @@
 };
 
 /*! @brief What membership asks of its surroundings. */
-class MembershipObserver {
+class MembershipDelegate {
  public:
-  MembershipObserver() = default;
-  MembershipObserver(const MembershipObserver &) = delete;
-  MembershipObserver &operator=(const MembershipObserver &) = delete;
-  virtual ~MembershipObserver() = default;
+  MembershipDelegate() = default;
+  MembershipDelegate(const MembershipDelegate &) = delete;
+  MembershipDelegate &operator=(const MembershipDelegate &) = delete;
+  virtual ~MembershipDelegate() = default;
 
   /*! @brief Sends a datagram. @param to Receiver. @param gossip Content. */
   virtual void SendGossip(NodeId to, const Gossip &gossip) = 0;
@@ -202,7 +202,7 @@
    * @param observer Receives datagrams and changes.
    */
   Membership(Member self, const MembershipOptions &options, const Clock &clock,
-             Random &random, MembershipObserver &observer);
+             Random &random, MembershipDelegate &observer);
 
   [[nodiscard]] const Member &Self() const noexcept { return this->self; }
 
@@ -342,7 +342,7 @@
   MembershipOptions options;
   const Clock &clock;
   Random &random;
-  MembershipObserver &observer;
+  MembershipDelegate &observer;
   std::unordered_map<NodeId, Member> members;
   std::vector<NodeId> order;
   std::size_t next_in_order{};
--- a/src/pollenring/node/member_service.h
+++ b/src/pollenring/node/member_service.h
@@ -17,7 +17,7 @@
 namespace pollenring {
 
 /*! @brief Connects membership to datagrams, the platform and listeners. */
-class MemberService final : public MembershipObserver {
+class MemberService final : public MembershipDelegate {
  public:
   using MemberListener = std::function<void(const Member &)>;
   using VersionListener = std::function<void(NodeId, std::uint64_t)>;
--- a/test/support/member_fleet.h
+++ b/test/support/member_fleet.h
@@ -28,7 +28,7 @@
     for (int i = 0; i < size; ++i) this->Boot(i);
   }
 
-  struct Node final : pollenring::MembershipObserver {
+  struct Node final : pollenring::MembershipDelegate {
     Node(MemberFleet &fleet, int index, std::uint64_t incarnation)
         : fleet{fleet},
           index{index},
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -151,7 +151,7 @@
 BENCHMARK(BM_ShareLoan)->Arg(8)->Arg(128)->Arg(2000);
 
 /*! @brief Drops what membership sends, counting bytes. */
-class CountingObserver final : public pollenring::MembershipObserver {
+class CountingObserver final : public pollenring::MembershipDelegate {
  public:
   void SendGossip(NodeId /*to*/, const pollenring::Gossip &gossip) override {
     ++this->messages;
