Rename ShareObserver to ShareDelegate

An observer only looks on, while this interface has to send requests for its caller, which is the work of a delegate. ShareObserver becomes ShareDelegate.

--- a/src/pollenring/node/share_service.h
+++ b/src/pollenring/node/share_service.h
@@ -18,7 +18,7 @@
 
 /*! @brief Lends the share of held slots and borrows for own requests. */
 class ShareService final : public ShareGate,
-                           public ShareObserver,
+                           public ShareDelegate,
                            public SlotUser {
  public:
   /**
--- a/src/pollenring/share/borrower.cc
+++ b/src/pollenring/share/borrower.cc
@@ -41,7 +41,7 @@
 
 ShareBorrower::ShareBorrower(std::uint64_t process, SlotId slots,
                              const LeaseOptions &options, const Clock &clock,
-                             ShareObserver &observer)
+                             ShareDelegate &observer)
     : process{process},
       slots{slots},
       options{options},
--- a/src/pollenring/share/borrower.h
+++ b/src/pollenring/share/borrower.h
@@ -17,12 +17,12 @@
 namespace pollenring {
 
 /*! @brief What borrowing asks of its surroundings. */
-class ShareObserver {
+class ShareDelegate {
  public:
-  ShareObserver() = default;
-  ShareObserver(const ShareObserver &) = delete;
-  ShareObserver &operator=(const ShareObserver &) = delete;
-  virtual ~ShareObserver() = default;
+  ShareDelegate() = default;
+  ShareDelegate(const ShareDelegate &) = delete;
+  ShareDelegate &operator=(const ShareDelegate &) = delete;
+  virtual ~ShareDelegate() = default;
 
   /*! @brief Sends a request to the slot's holder.
    * @param request The request.
@@ -55,7 +55,7 @@
    */
   ShareBorrower(std::uint64_t process, SlotId slots,
                 const LeaseOptions &options, const Clock &clock,
-                ShareObserver &observer);
+                ShareDelegate &observer);
 
   /**
    * @brief Charges one request.
@@ -160,7 +160,7 @@
   SlotId slots;
   LeaseOptions options;
   const Clock &clock;
-  ShareObserver &observer;
+  ShareDelegate &observer;
   // Callbacks may charge workspaces that are new while all are visited; in a
   // map that leaves the place of the visit valid.
   std::map<std::string, Workspace> workspaces;
--- a/src/pollenring/share/fwd.h
+++ b/src/pollenring/share/fwd.h
@@ -5,7 +5,7 @@
 
 class ShareBorrower;
 class ShareLender;
-class ShareObserver;
+class ShareDelegate;
 struct BorrowReply;
 struct BorrowRequest;
 
--- a/test/pollenring/share/borrower_test.cc
+++ b/test/pollenring/share/borrower_test.cc
@@ -15,7 +15,7 @@
 using pollenring::WaitLimit;
 
 /*! @brief Keeps what is asked. */
-class Recorder final : public pollenring::ShareObserver {
+class Recorder final : public pollenring::ShareDelegate {
  public:
   bool SendBorrow(const BorrowRequest &request) override {
     this->requests.push_back(request);
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -86,7 +86,7 @@
 BENCHMARK(BM_RouterChoice)->Arg(15)->Arg(250)->Arg(4000);
 
 /*! @brief Answers each borrow at once. */
-class InstantLender final : public pollenring::ShareObserver {
+class InstantLender final : public pollenring::ShareDelegate {
  public:
   bool SendBorrow(const pollenring::BorrowRequest &request) override {
     if (request.want == 0) return true;
