Rename SlotObserver to SlotDelegate

An observer only looks on, while this interface has to read and write rows for its caller, which is the work of a delegate. SlotObserver becomes SlotDelegate. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/lease/fwd.h
+++ b/src/pollenring/lease/fwd.h
@@ -5,7 +5,7 @@
 
 class SlotDirectory;
 class SlotKeeper;
-class SlotObserver;
+class SlotDelegate;
 class Witness;
 struct KnownRow;
 struct LeaseOptions;
--- a/src/pollenring/lease/slot_keeper.cc
+++ b/src/pollenring/lease/slot_keeper.cc
@@ -10,7 +10,7 @@
 SlotKeeper::SlotKeeper(const ProcessRef &self, SlotId slots,
                        const LeaseOptions &options, const Clock &clock,
                        Random &random, const SlotDirectory &directory,
-                       const Witness &witness, SlotObserver &observer)
+                       const Witness &witness, SlotDelegate &observer)
     : self{self},
       options{options},
       clock{clock},
--- a/src/pollenring/lease/slot_keeper.h
+++ b/src/pollenring/lease/slot_keeper.h
@@ -46,12 +46,12 @@
 };
 
 /*! @brief What keeping slots asks of its surroundings. */
-class SlotObserver {
+class SlotDelegate {
  public:
-  SlotObserver() = default;
-  SlotObserver(const SlotObserver &) = delete;
-  SlotObserver &operator=(const SlotObserver &) = delete;
-  virtual ~SlotObserver() = default;
+  SlotDelegate() = default;
+  SlotDelegate(const SlotDelegate &) = delete;
+  SlotDelegate &operator=(const SlotDelegate &) = delete;
+  virtual ~SlotDelegate() = default;
 
   /*! @brief Reads the slot's row; answer with `RowRead`. */
   virtual void ReadRow(SlotId slot) = 0;
@@ -109,7 +109,7 @@
    */
   SlotKeeper(const ProcessRef &self, SlotId slots, const LeaseOptions &options,
              const Clock &clock, Random &random, const SlotDirectory &directory,
-             const Witness &witness, SlotObserver &observer);
+             const Witness &witness, SlotDelegate &observer);
 
   /**
    * @brief Time until which this node may use the slot.
@@ -316,7 +316,7 @@
   Random &random;
   const SlotDirectory &directory;
   const Witness &witness;
-  SlotObserver &observer;
+  SlotDelegate &observer;
   std::vector<Slot> slots;
   std::size_t table_calls{};
   bool claiming{true};
--- a/src/pollenring/node/slot_service.h
+++ b/src/pollenring/node/slot_service.h
@@ -43,7 +43,7 @@
 
 /*! @brief Connects slot leases to datagrams, the platform and their users. */
 class SlotService final : public SlotDirectory,
-                          public SlotObserver,
+                          public SlotDelegate,
                           public SlotHolders {
  public:
   /**
--- a/test/support/lease_node.h
+++ b/test/support/lease_node.h
@@ -14,7 +14,7 @@
 
 /*! @brief One process of the world. */
 struct LeaseWorld::Node final : pollenring::SlotDirectory,
-                                pollenring::SlotObserver,
+                                pollenring::SlotDelegate,
                                 pollenring::ShareDelegate {
   Node(LeaseWorld &world, int index, std::uint64_t process)
       : world{world},
