Rename SlotUser to SlotListener

A user suggested someone who makes use of slots, while the interface is told of their gain and loss, as MemberListener is told of members. SlotUser becomes SlotListener and AddUser becomes AddListener.

--- a/src/pollenring/mesh/slot_ring.cc
+++ b/src/pollenring/mesh/slot_ring.cc
@@ -30,7 +30,7 @@
 SlotRing::SlotRing(const Membership &membership, const Clock &clock, bool fresh)
     : membership{membership}, clock{clock}, fresh{fresh}, holders(kSlots) {}
 
-void SlotRing::Update(SlotUser &user) {
+void SlotRing::Update(SlotListener &user) {
   if (this->dealt_for == this->membership.Changes()) return;
   this->dealt_for = this->membership.Changes();
   this->lending = 1;
--- a/src/pollenring/mesh/slot_ring.h
+++ b/src/pollenring/mesh/slot_ring.h
@@ -33,7 +33,7 @@
    * @brief Deals anew and tells a user what this node gains and loses.
    * @param user The user.
    */
-  void Update(SlotUser &user);
+  void Update(SlotListener &user);
 
   /**
    * @brief Part of each workspace's rate that the nodes seen here may lend.
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -133,9 +133,9 @@
 void Node::Start() {
   this->target_server.Open();
   this->operator_server.Open();
-  this->slots.AddUser(*this);
-  this->slots.AddUser(this->shares);
-  this->slots.AddUser(this->once);
+  this->slots.AddListener(*this);
+  this->slots.AddListener(this->shares);
+  this->slots.AddListener(this->once);
   this->members.OnMember(
       [this](const Member &member) { this->router.Update(member); });
   this->slots.Start();
--- a/src/pollenring/node/node.h
+++ b/src/pollenring/node/node.h
@@ -31,7 +31,7 @@
 namespace pollenring {
 
 /*! @brief The process beside one target, with all its parts. */
-class Node final : public SlotUser {
+class Node final : public SlotListener {
  public:
   /**
    * @brief Binds all ports and joins the other nodes.
--- a/src/pollenring/node/once_service.h
+++ b/src/pollenring/node/once_service.h
@@ -45,7 +45,7 @@
 };
 
 /*! @brief Owns the identifiers of held slots; asks the owners of others. */
-class OnceService final : public OnceGate, public SlotUser {
+class OnceService final : public OnceGate, public SlotListener {
  public:
   /**
    * @brief Creates the service.
--- a/src/pollenring/node/share_service.h
+++ b/src/pollenring/node/share_service.h
@@ -19,7 +19,7 @@
 /*! @brief Lends the share of held slots and borrows for own requests. */
 class ShareService final : public ShareGate,
                            public ShareDelegate,
-                           public SlotUser {
+                           public SlotListener {
  public:
   /**
    * @brief Creates the service.
--- a/src/pollenring/node/slot_service.cc
+++ b/src/pollenring/node/slot_service.cc
@@ -211,7 +211,7 @@
            {{"slot", slot},
             {"epoch", row.epoch},
             {"handed_over", origin == SlotOrigin::kHandedOver}});
-  for (SlotUser *user : this->users) {
+  for (SlotListener *user : this->users) {
     user->SlotGained(slot, row, origin, before);
   }
 }
@@ -219,13 +219,13 @@
 void SlotService::Rewitnessed(SlotId slot, const SlotRow &row) {
   this->claims_changed = true;
   this->holders[slot] = {row.epoch, this->self.node};
-  for (SlotUser *user : this->users) user->SlotRewitnessed(slot, row);
+  for (SlotListener *user : this->users) user->SlotRewitnessed(slot, row);
 }
 
 void SlotService::Lost(SlotId slot) {
   this->claims_changed = true;
   LogEvent(LogLevel::kWarning, "slot lost", {{"slot", slot}});
-  for (SlotUser *user : this->users) user->SlotLost(slot);
+  for (SlotListener *user : this->users) user->SlotLost(slot);
 }
 
 void SlotService::HandedOver(SlotId slot, const SlotRow &row,
@@ -233,10 +233,10 @@
   this->claims_changed = true;
   const bool named = row.holder == successor;
   this->holders[slot] = {row.epoch, named ? successor.node : 0};
-  for (SlotUser *user : this->users) {
+  for (SlotListener *user : this->users) {
     user->SlotHandedOver(slot, row, successor);
   }
-  for (SlotUser *user : this->users) user->SlotLost(slot);
+  for (SlotListener *user : this->users) user->SlotLost(slot);
 }
 
 void SlotService::AnnounceClaims() {
--- a/src/pollenring/node/slot_service.h
+++ b/src/pollenring/node/slot_service.h
@@ -18,12 +18,12 @@
 namespace pollenring {
 
 /*! @brief Is told which slots this node gains and loses. */
-class SlotUser {
+class SlotListener {
  public:
-  SlotUser() = default;
-  SlotUser(const SlotUser &) = delete;
-  SlotUser &operator=(const SlotUser &) = delete;
-  virtual ~SlotUser() = default;
+  SlotListener() = default;
+  SlotListener(const SlotListener &) = delete;
+  SlotListener &operator=(const SlotListener &) = delete;
+  virtual ~SlotListener() = default;
 
   /*! @brief The slot is this node's. @param before The row before. */
   virtual void SlotGained(SlotId slot, const SlotRow &row, SlotOrigin origin,
@@ -74,7 +74,7 @@
   }
 
   /*! @brief Adds a user. @param user Told of slots. */
-  void AddUser(SlotUser &user) { this->users.push_back(&user); }
+  void AddListener(SlotListener &user) { this->users.push_back(&user); }
 
   /*! @brief Starts to claim and renew. */
   void Start();
@@ -127,7 +127,7 @@
   SlotKeeper keeper;
   std::vector<Holder> holders;
   std::unordered_map<NodeId, MemberState> states;
-  std::vector<SlotUser *> users;
+  std::vector<SlotListener *> users;
   Time joined_at{};
   Time members_changed_at{};
   bool claims_changed{};
--- a/test/pollenring/mesh/slot_ring_test.cc
+++ b/test/pollenring/mesh/slot_ring_test.cc
@@ -20,7 +20,7 @@
 using support::MemberFleet;
 
 /*! @brief Takes note of the slots that a node may lend. */
-class Holder final : public pollenring::SlotUser {
+class Holder final : public pollenring::SlotListener {
  public:
   void SlotGained(SlotId slot, const SlotRow & /*row*/, SlotOrigin /*origin*/,
                   const SlotRow & /*before*/) override {
