Rename ColdTolerance to ColdStartLimit

Margin, tolerance, bounds and gate were four words for the parts of one limiter of load after a cold start. ColdTolerance becomes ColdStartLimit, ColdMargin becomes ColdStartHeadroom and SetColdTolerance becomes SetColdStartLimit. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -47,7 +47,7 @@
       static_cast<std::uint32_t>(this->limit.Current())};
 }
 
-void Admission::SetColdTolerance(const ColdTolerance &tolerance) {
+void Admission::SetColdStartLimit(const ColdStartLimit &tolerance) {
   this->cold.SetTolerance(tolerance);
   this->FollowCold();
 }
--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -87,7 +87,7 @@
    * @brief Bounds what is sent while the target is cold.
    * @param tolerance The bound.
    */
-  void SetColdTolerance(const ColdTolerance &tolerance);
+  void SetColdStartLimit(const ColdStartLimit &tolerance);
 
   /**
    * @brief The target is cold until a time.
--- a/src/pollenring/admission/cold_gate.cc
+++ b/src/pollenring/admission/cold_gate.cc
@@ -4,7 +4,7 @@
 
 namespace pollenring {
 
-double ColdTolerance::PerSecond() const noexcept {
+double ColdStartLimit::PerSecond() const noexcept {
   const double seconds = std::chrono::duration<double>{this->window}.count();
   return seconds > 0 ? this->requests / seconds : 0;
 }
--- a/src/pollenring/admission/cold_gate.h
+++ b/src/pollenring/admission/cold_gate.h
@@ -10,13 +10,13 @@
 namespace pollenring {
 
 /*! @brief What operators tolerate beyond the declared rate of a cold target. */
-struct ColdMargin {
+struct ColdStartHeadroom {
   double over{1};  /*!< Factor on the declared rate. */
   double slack{0}; /*!< Requests beyond it in one second. */
 };
 
 /*! @brief How many requests a cold target bears. */
-struct ColdTolerance {
+struct ColdStartLimit {
   int requests{}; /*!< In any window; 0 where coldness needs no bound. */
   Duration window{};
 
@@ -40,7 +40,7 @@
   explicit ColdGate(const Clock &clock) : clock{clock} {}
 
   /*! @brief Sets the bound. @param given It. */
-  void SetTolerance(const ColdTolerance &given) { this->tolerance = given; }
+  void SetTolerance(const ColdStartLimit &given) { this->tolerance = given; }
 
   /**
    * @brief The target is cold until a time.
@@ -74,7 +74,7 @@
   void DropOld();
 
   const Clock &clock;
-  ColdTolerance tolerance;
+  ColdStartLimit tolerance;
   Time cold_until{};
   std::deque<std::pair<Time, std::uint64_t>> sent;
 };
--- a/src/pollenring/admission/fwd.h
+++ b/src/pollenring/admission/fwd.h
@@ -8,8 +8,8 @@
 class ConcurrencyLimit;
 class FairQueue;
 class ShedLevels;
-struct ColdMargin;
-struct ColdTolerance;
+struct ColdStartHeadroom;
+struct ColdStartLimit;
 struct AdmissionRequest;
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/cold_policy.h
+++ b/src/pollenring/mesh/cold_policy.h
@@ -16,17 +16,17 @@
    * @param policy The configuration.
    * @param margin What is tolerated.
    */
-  ColdPolicy(const PolicyFollower &policy, const ColdMargin &margin)
+  ColdPolicy(const PolicyFollower &policy, const ColdStartHeadroom &margin)
       : policy{policy}, margin{margin} {}
 
-  [[nodiscard]] ColdTolerance ToleranceOf(
+  [[nodiscard]] ColdStartLimit ToleranceOf(
       const std::string &service) const override;
   [[nodiscard]] Duration ColdAfterStart(
       const std::string &service) const override;
 
  private:
   const PolicyFollower &policy;
-  ColdMargin margin;
+  ColdStartHeadroom margin;
 };
 
 }  // namespace pollenring
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -61,7 +61,7 @@
    * @param service The service.
    * @return The bound; without requests where none is needed.
    */
-  [[nodiscard]] virtual ColdTolerance ToleranceOf(
+  [[nodiscard]] virtual ColdStartLimit ToleranceOf(
       const std::string &service) const = 0;
 
   /**
@@ -76,7 +76,7 @@
 /*! @brief Targets that bear as much cold as warm. */
 class NoColdBounds final : public ColdBounds {
  public:
-  [[nodiscard]] ColdTolerance ToleranceOf(
+  [[nodiscard]] ColdStartLimit ToleranceOf(
       const std::string & /*service*/) const override {
     return {};
   }
--- a/src/pollenring/node/serving_targets.cc
+++ b/src/pollenring/node/serving_targets.cc
@@ -59,7 +59,7 @@
 void Serving::TakeColdness(Binding &binding) {
   const Time now = this->loop.GetClock().Now();
   const std::string &service = binding.announcement.target.service;
-  binding.admission->SetColdTolerance(this->cold_bounds.ToleranceOf(service));
+  binding.admission->SetColdStartLimit(this->cold_bounds.ToleranceOf(service));
   const Duration cold_for = binding.announcement.cold_for;
   // What it says now may have been sent before it started again.
   const bool recent = binding.suspected_cold != Time{} &&
@@ -80,7 +80,7 @@
   binding.suspected_cold = now;
   const bool news = binding.admission->ColdFor() <= Duration{0};
   if (cold_for <= binding.admission->ColdFor()) return;
-  binding.admission->SetColdTolerance(this->cold_bounds.ToleranceOf(service));
+  binding.admission->SetColdStartLimit(this->cold_bounds.ToleranceOf(service));
   binding.admission->SetColdUntil(now + cold_for);
   binding.cold_timed = true;
   TargetState &state = binding.announcement.target.state;
@@ -104,7 +104,8 @@
 
 void Serving::FollowColdBounds() {
   for (auto &[service, binding] : this->bindings) {
-    binding.admission->SetColdTolerance(this->cold_bounds.ToleranceOf(service));
+    binding.admission->SetColdStartLimit(
+        this->cold_bounds.ToleranceOf(service));
   }
 }
 
--- a/src/pollenring/node/settings.cc
+++ b/src/pollenring/node/settings.cc
@@ -225,7 +225,7 @@
     settings.target_service = reader.Text("target", "service");
     settings.first_start = reader.Flag("node", "first_start");
     settings.grace = reader.Seconds("node", "grace_s", settings.grace);
-    ColdMargin &margin = settings.cold_margin;
+    ColdStartHeadroom &margin = settings.cold_margin;
     margin.over = reader.Number("target", "cold_over", margin.over);
     margin.slack = reader.Number("target", "cold_slack", margin.slack);
   } else {
--- a/src/pollenring/node/settings.h
+++ b/src/pollenring/node/settings.h
@@ -41,10 +41,11 @@
   std::string target_secret;
   Address platform;
   std::vector<Address> seeds;
-  std::uint32_t slots{64};     /*!< Lease slots; the same on every node. */
-  Address ready;               /*!< Where readiness is asked; host form only. */
-  std::string target_service;  /*!< Of the target on this VM; host form only. */
-  ColdMargin cold_margin;      /*!< At the target on this VM; host form only. */
+  std::uint32_t slots{64};    /*!< Lease slots; the same on every node. */
+  Address ready;              /*!< Where readiness is asked; host form only. */
+  std::string target_service; /*!< Of the target on this VM; host form only. */
+  ColdStartHeadroom
+      cold_margin;             /*!< At the target on this VM; host form only. */
   Duration grace{kUsualGrace}; /*!< From SIGTERM to SIGKILL; host form only. */
   bool first_start{}; /*!< The whole system starts for the first time. */
 };
--- a/test/pollenring/admission/cold_gate_test.cc
+++ b/test/pollenring/admission/cold_gate_test.cc
@@ -17,7 +17,7 @@
 using pollenring::AdmissionOptions;
 using pollenring::AdmissionRequest;
 using pollenring::ColdGate;
-using pollenring::ColdTolerance;
+using pollenring::ColdStartLimit;
 using pollenring::Duration;
 using pollenring::Importance;
 using pollenring::LevelCause;
@@ -83,9 +83,9 @@
 
 /*! @brief One target under load, with its admission and its heartbeats. */
 struct ColdWorld {
-  ColdWorld(std::uint64_t seed, const ColdTolerance &tolerance)
+  ColdWorld(std::uint64_t seed, const ColdStartLimit &tolerance)
       : random{seed}, admission{45, Options(), clock}, target{clock} {
-    this->admission.SetColdTolerance(tolerance);
+    this->admission.SetColdStartLimit(tolerance);
   }
 
   void Do(const AdmissionActions &actions) {
@@ -142,7 +142,7 @@
   int refused{};
 };
 
-constexpr ColdTolerance kTolerance{20, 1100ms};
+constexpr ColdStartLimit kTolerance{20, 1100ms};
 
 }  // namespace
 
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -44,7 +44,7 @@
 /*! @brief Targets that are never cold. */
 class NeverCold final : public pollenring::ColdBounds {
  public:
-  [[nodiscard]] pollenring::ColdTolerance ToleranceOf(
+  [[nodiscard]] pollenring::ColdStartLimit ToleranceOf(
       const std::string & /*service*/) const override {
     return {};
   }
--- a/test/pollenring/node/serving_test.cc
+++ b/test/pollenring/node/serving_test.cc
@@ -48,7 +48,7 @@
 /*! @brief Targets that bear three requests while they are cold. */
 class FewWhenCold final : public pollenring::ColdBounds {
  public:
-  [[nodiscard]] pollenring::ColdTolerance ToleranceOf(
+  [[nodiscard]] pollenring::ColdStartLimit ToleranceOf(
       const std::string & /*service*/) const override {
     return {3, 1100ms};
   }
