Rename ColdBounds to ColdStartLimits

Bounds and tolerance were two more words for the limit after a cold start, so that a reader looked for a difference between them. ColdBounds becomes ColdStartLimits, ToleranceOf becomes LimitOf, NoColdBounds becomes NoColdStartLimits and FollowColdBounds becomes FollowColdStartLimits. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/mesh/cold_policy.cc
+++ b/src/pollenring/mesh/cold_policy.cc
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-ColdStartLimit ColdPolicy::ToleranceOf(const std::string &service) const {
+ColdStartLimit ColdPolicy::LimitOf(const std::string &service) const {
   const ColdStart *start = this->policy.InForce().ColdStartOf(service);
   if (start == nullptr || start->per_second <= 0) return {};
   const double borne =
--- a/src/pollenring/mesh/cold_policy.h
+++ b/src/pollenring/mesh/cold_policy.h
@@ -9,7 +9,7 @@
 namespace pollenring {
 
 /*! @brief Bounds for cold targets, from the configuration in force. */
-class ColdPolicy final : public ColdBounds {
+class ColdPolicy final : public ColdStartLimits {
  public:
   /**
    * @brief Creates the bounds.
@@ -19,7 +19,7 @@
   ColdPolicy(const PolicyFollower &policy, const ColdStartHeadroom &margin)
       : policy{policy}, margin{margin} {}
 
-  [[nodiscard]] ColdStartLimit ToleranceOf(
+  [[nodiscard]] ColdStartLimit LimitOf(
       const std::string &service) const override;
   [[nodiscard]] Duration ColdAfterStart(
       const std::string &service) const override;
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -190,7 +190,7 @@
   const WithdrawnZones &zones = this->policy.Zones();
   // What a cold target bears is not known before the configuration either.
   if (!zones.Known() || this->policy.InForce().Version() == 0) return;
-  this->serving.FollowColdBounds();
+  this->serving.FollowColdStartLimits();
   const bool withdrawn = zones.Contains(this->settings.zone);
   this->serving.SetUse(withdrawn ? TargetUse::kWithdrawn : TargetUse::kInUse);
   if (!this->router.Withdraw(zones.Newest().zones)) return;
--- a/src/pollenring/node/fwd.h
+++ b/src/pollenring/node/fwd.h
@@ -3,7 +3,7 @@
 
 namespace pollenring {
 
-class ColdBounds;
+class ColdStartLimits;
 class Dispatcher;
 class Ingress;
 class Node;
--- a/src/pollenring/node/node.h
+++ b/src/pollenring/node/node.h
@@ -83,7 +83,7 @@
   Router router;
   ContextCodec codec;
   RouteLevels levels;
-  NoColdBounds cold_bounds;
+  NoColdStartLimits cold_bounds;
   Serving serving;
   NodeRetryBudget retry_budget;
   Dispatcher dispatcher;
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -38,9 +38,9 @@
 }
 
 Serving::Serving(Loop &loop, HttpClient &client, const TargetCodec &codec,
-                 const AdmissionOptions &options, const ColdBounds &cold_bounds,
-                 RouteLevels &levels, Random &random, Metrics &metrics,
-                 TargetsChanged changed)
+                 const AdmissionOptions &options,
+                 const ColdStartLimits &cold_bounds, RouteLevels &levels,
+                 Random &random, Metrics &metrics, TargetsChanged changed)
     : loop{loop},
       client{client},
       codec{codec},
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -49,19 +49,19 @@
 }}};
 
 /*! @brief How much cold targets bear, by service. */
-class ColdBounds {
+class ColdStartLimits {
  public:
-  ColdBounds() = default;
-  ColdBounds(const ColdBounds &) = delete;
-  ColdBounds &operator=(const ColdBounds &) = delete;
-  virtual ~ColdBounds() = default;
+  ColdStartLimits() = default;
+  ColdStartLimits(const ColdStartLimits &) = delete;
+  ColdStartLimits &operator=(const ColdStartLimits &) = delete;
+  virtual ~ColdStartLimits() = default;
 
   /**
    * @brief Finds what a service's targets bear while they are cold.
    * @param service The service.
    * @return The bound; without requests where none is needed.
    */
-  [[nodiscard]] virtual ColdStartLimit ToleranceOf(
+  [[nodiscard]] virtual ColdStartLimit LimitOf(
       const std::string &service) const = 0;
 
   /**
@@ -74,9 +74,9 @@
 };
 
 /*! @brief Targets that bear as much cold as warm. */
-class NoColdBounds final : public ColdBounds {
+class NoColdStartLimits final : public ColdStartLimits {
  public:
-  [[nodiscard]] ColdStartLimit ToleranceOf(
+  [[nodiscard]] ColdStartLimit LimitOf(
       const std::string & /*service*/) const override {
     return {};
   }
@@ -133,7 +133,7 @@
    * @param changed Called when the announced targets change.
    */
   Serving(Loop &loop, HttpClient &client, const TargetCodec &codec,
-          const AdmissionOptions &options, const ColdBounds &cold_bounds,
+          const AdmissionOptions &options, const ColdStartLimits &cold_bounds,
           RouteLevels &levels, Random &random, Metrics &metrics,
           TargetsChanged changed);
 
@@ -156,7 +156,7 @@
   void Drain(const std::string &instance);
 
   /*! @brief The bounds of cold targets may have changed. */
-  void FollowColdBounds();
+  void FollowColdStartLimits();
 
   /**
    * @brief Runs a call, now or when the target has room.
@@ -275,7 +275,7 @@
   HttpClient &client;
   const TargetCodec &codec;
   AdmissionOptions options;
-  const ColdBounds &cold_bounds;
+  const ColdStartLimits &cold_bounds;
   RouteLevels &levels;
   Random &random;
   Metrics &metrics;
--- a/src/pollenring/node/serving_targets.cc
+++ b/src/pollenring/node/serving_targets.cc
@@ -59,7 +59,7 @@
 void Serving::TakeColdness(Binding &binding) {
   const Time now = this->loop.GetClock().Now();
   const std::string &service = binding.announcement.target.service;
-  binding.admission->SetColdStartLimit(this->cold_bounds.ToleranceOf(service));
+  binding.admission->SetColdStartLimit(this->cold_bounds.LimitOf(service));
   const Duration cold_for = binding.announcement.cold_for;
   // What it says now may have been sent before it started again.
   const bool recent = binding.suspected_cold != Time{} &&
@@ -80,7 +80,7 @@
   binding.suspected_cold = now;
   const bool news = binding.admission->ColdFor() <= Duration{0};
   if (cold_for <= binding.admission->ColdFor()) return;
-  binding.admission->SetColdStartLimit(this->cold_bounds.ToleranceOf(service));
+  binding.admission->SetColdStartLimit(this->cold_bounds.LimitOf(service));
   binding.admission->SetColdUntil(now + cold_for);
   binding.cold_timed = true;
   TargetState &state = binding.announcement.target.state;
@@ -102,10 +102,9 @@
   this->Report();
 }
 
-void Serving::FollowColdBounds() {
+void Serving::FollowColdStartLimits() {
   for (auto &[service, binding] : this->bindings) {
-    binding.admission->SetColdStartLimit(
-        this->cold_bounds.ToleranceOf(service));
+    binding.admission->SetColdStartLimit(this->cold_bounds.LimitOf(service));
   }
 }
 
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -42,9 +42,9 @@
 };
 
 /*! @brief Targets that are never cold. */
-class NeverCold final : public pollenring::ColdBounds {
+class NeverCold final : public pollenring::ColdStartLimits {
  public:
-  [[nodiscard]] pollenring::ColdStartLimit ToleranceOf(
+  [[nodiscard]] pollenring::ColdStartLimit LimitOf(
       const std::string & /*service*/) const override {
     return {};
   }
--- a/test/pollenring/node/serving_test.cc
+++ b/test/pollenring/node/serving_test.cc
@@ -46,9 +46,9 @@
 }
 
 /*! @brief Targets that bear three requests while they are cold. */
-class FewWhenCold final : public pollenring::ColdBounds {
+class FewWhenCold final : public pollenring::ColdStartLimits {
  public:
-  [[nodiscard]] pollenring::ColdStartLimit ToleranceOf(
+  [[nodiscard]] pollenring::ColdStartLimit LimitOf(
       const std::string & /*service*/) const override {
     return {3, 1100ms};
   }
