Rename ColdGate to ColdStartLimiter

A gate is open or shut, while this one is a limiter with a sliding window that acts after a cold start. ColdGate becomes ColdStartLimiter. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference but using-declarations that the formatter sorts anew, and no string literal is touched.

--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -185,7 +185,7 @@
   AdmissionOptions options;
   const Clock &clock;
   ConcurrencyLimit limit;
-  ColdGate cold;
+  ColdStartLimiter cold;
   bool was_cold{};
   Time cold_shed_at{}; /*!< When a request beyond the bound came last. */
   std::unique_ptr<LevelControl> levels;
--- a/src/pollenring/admission/cold_gate.h
+++ b/src/pollenring/admission/cold_gate.h
@@ -31,13 +31,13 @@
  * bounds what all nodes together send. A request counts from the moment at
  * which it is sent; one that the target turned away gives its place back.
  */
-class ColdGate {
+class ColdStartLimiter {
  public:
   /**
    * @brief Starts warm, without a bound.
    * @param clock Clock.
    */
-  explicit ColdGate(const Clock &clock) : clock{clock} {}
+  explicit ColdStartLimiter(const Clock &clock) : clock{clock} {}
 
   /*! @brief Sets the bound. @param given It. */
   void SetTolerance(const ColdStartLimit &given) { this->tolerance = given; }
--- a/src/pollenring/admission/fwd.h
+++ b/src/pollenring/admission/fwd.h
@@ -4,7 +4,7 @@
 namespace pollenring {
 
 class Admission;
-class ColdGate;
+class ColdStartLimiter;
 class ConcurrencyLimit;
 class FairQueue;
 class ShedLevels;
--- a/test/pollenring/admission/cold_gate_test.cc
+++ b/test/pollenring/admission/cold_gate_test.cc
@@ -16,8 +16,8 @@
 using pollenring::AdmissionActions;
 using pollenring::AdmissionOptions;
 using pollenring::AdmissionRequest;
-using pollenring::ColdGate;
 using pollenring::ColdStartLimit;
+using pollenring::ColdStartLimiter;
 using pollenring::Duration;
 using pollenring::Importance;
 using pollenring::LevelCause;
@@ -151,7 +151,7 @@
   CAPTURE(seed);
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{seed};
-  ColdGate gate{clock};
+  ColdStartLimiter gate{clock};
   gate.SetTolerance({20, 1s});
   gate.SetColdUntil(clock.Now() + 1h);
   std::deque<Time> sent;
@@ -173,7 +173,7 @@
 
 TEST_CASE("cold gate: what was turned away gives its place back") {
   ManualClock clock{std::chrono::hours{1}};
-  ColdGate gate{clock};
+  ColdStartLimiter gate{clock};
   gate.SetTolerance({2, 1s});
   gate.SetColdUntil(clock.Now() + 1h);
   gate.Sent(1);
@@ -190,7 +190,7 @@
 
 TEST_CASE("cold gate: it opens at the end of the coldness, not later") {
   ManualClock clock{std::chrono::hours{1}};
-  ColdGate gate{clock};
+  ColdStartLimiter gate{clock};
   gate.SetTolerance({1, 1s});
   CHECK_FALSE(gate.Closed());
   gate.SetColdUntil(clock.Now() + 300ms);
