Rename kRaced to kConflict

A commit that lost against another one is called a conflict in WriteResult, and a race here. The outer name raced is a separate string and stays. kRaced becomes kConflict. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/config/publisher.cc
+++ b/src/pollenring/config/publisher.cc
@@ -127,14 +127,14 @@
       std::vector<ConfigChange> others;
       const auto *list = std::get_if<std::vector<Row>>(&changes);
       if (list == nullptr) {
-        attempt->Report(CommitResult::kRaced);
+        attempt->Report(CommitResult::kConflict);
         return;
       }
       for (const auto &row : *list) {
         const auto change = ConfigChange::FromJson(row.value);
         if (change) others.push_back(*change);
       }
-      attempt->Report(CommitResult::kRaced, std::move(others));
+      attempt->Report(CommitResult::kConflict, std::move(others));
     });
   });
 }
--- a/src/pollenring/config/publisher.h
+++ b/src/pollenring/config/publisher.h
@@ -26,12 +26,12 @@
 [[nodiscard]] std::string ChangeRowKey(std::uint64_t version);
 
 /*! @brief What became of a commit. */
-enum class CommitResult { kCommitted, kRaced, kUnavailable, kUnknown };
+enum class CommitResult { kCommitted, kConflict, kUnavailable, kUnknown };
 
 /*! @brief Names of commit results. */
 inline constexpr EnumTable<CommitResult, 4> kCommitResultNames{{{
     {CommitResult::kCommitted, "committed"},
-    {CommitResult::kRaced, "raced"},
+    {CommitResult::kConflict, "raced"},
     {CommitResult::kUnavailable, "unavailable"},
     {CommitResult::kUnknown, "unknown"},
 }}};
--- a/src/pollenring/node/operator_port.cc
+++ b/src/pollenring/node/operator_port.cc
@@ -38,7 +38,7 @@
   switch (report.commit.result) {
     case CommitResult::kCommitted:
       return report.Accepted() ? kOk : kAccepted;
-    case CommitResult::kRaced:
+    case CommitResult::kConflict:
       return kConflict;
     default:
       return kUnavailable;
--- a/test/pollenring/config/config_test.cc
+++ b/test/pollenring/config/config_test.cc
@@ -71,7 +71,7 @@
           ++committed;
           node.ledger->Apply(report.change);
         }
-        if (report.result == CommitResult::kRaced) {
+        if (report.result == CommitResult::kConflict) {
           REQUIRE_FALSE(report.others.empty());
         }
       });
--- a/tools/pollenring/commands.cc
+++ b/tools/pollenring/commands.cc
@@ -153,7 +153,7 @@
       PrintChange(out, other);
     }
     out << "Run 'pollenring diff' and publish again\n";
-    return ExitCode::kRaced;
+    return ExitCode::kConflict;
   }
   if (result == "unknown") {
     out << "unknown: the platform did not say whether the change was made; "
--- a/tools/pollenring/exit_code.h
+++ b/tools/pollenring/exit_code.h
@@ -9,7 +9,7 @@
   kRefused = 1,     /*!< The node refused the request. */
   kUsage = 2,       /*!< Wrong command line. */
   kFindings = 3,    /*!< Contracts have faults. */
-  kRaced = 4,       /*!< Another operator's change came first. */
+  kConflict = 4,    /*!< Another operator's change came first. */
   kUnreachable = 5, /*!< Node or platform does not answer. Nothing changed. */
   kUnconfirmed = 6  /*!< Committed or unknown, but not confirmed everywhere. */
 };
