Rename kOverRate to kRateLimited

A refusal because of a rate is customarily called rate limiting. The outer name over-rate is a separate string and stays. kOverRate becomes kRateLimited. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/node/headers.cc
+++ b/src/pollenring/node/headers.cc
@@ -19,7 +19,7 @@
 constexpr std::array<ReasonStatus, 21> kStatuses{{
     {Reason::kMalformed, 400},     {Reason::kNoRoute, 404},
     {Reason::kKeyRefused, 401},    {Reason::kCallerRefused, 403},
-    {Reason::kOverRate, 429},      {Reason::kNoShare, 503},
+    {Reason::kRateLimited, 429},   {Reason::kNoShare, 503},
     {Reason::kOverload, 503},      {Reason::kDeadline, 504},
     {Reason::kNoTarget, 503},      {Reason::kTargetFailed, 502},
     {Reason::kLinkLost, 502},      {Reason::kTooLarge, 413},
--- a/src/pollenring/share/borrower.cc
+++ b/src/pollenring/share/borrower.cc
@@ -62,7 +62,7 @@
   }
   const Time now = this->clock.Now();
   if (now < workspace.empty_until) {
-    done({false, Reason::kOverRate, workspace.round.retry_after});
+    done({false, Reason::kRateLimited, workspace.round.retry_after});
     return;
   }
   if (workspace.waiters.size() >= kMostWaiting) {
@@ -222,7 +222,8 @@
     workspace.waiters.pop_front();
     const Time ready = this->clock.Now() + wait;
     if (ready >= waiter.patience.next_share) {
-      waiter.done({false, Reason::kOverRate, std::max(wait, Duration{1000})});
+      waiter.done(
+          {false, Reason::kRateLimited, std::max(wait, Duration{1000})});
       continue;
     }
     const Time expires = workspace.asked.sent + wait + kUrgentValidity;
@@ -277,7 +278,7 @@
                                            Duration{1000}, kLongestEmpty);
   auto waiters = std::exchange(workspace.waiters, {});
   for (auto &waiter : waiters) {
-    waiter.done({false, Reason::kOverRate,
+    waiter.done({false, Reason::kRateLimited,
                  std::max(workspace.round.retry_after, Duration{1000})});
   }
 }
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -208,11 +208,11 @@
 
 TEST_CASE("dispatcher: a late repeat beyond the rate is not sent") {
   Bench bench{12};
-  bench.CallAndLose(100ms, {false, Reason::kOverRate, 70ms});
+  bench.CallAndLose(100ms, {false, Reason::kRateLimited, 70ms});
   CHECK(bench.renewals == 1);
   CHECK(bench.reached.size() == 1);
   REQUIRE(bench.replies.size() == 1);
-  CHECK(bench.replies[0].reason == Reason::kOverRate);
+  CHECK(bench.replies[0].reason == Reason::kRateLimited);
   CHECK(bench.replies[0].retry_after_us == 70'000);
   // The node that was lost may have run it.
   CHECK(bench.replies[0].outcome == Outcome::kUnknown);
--- a/test/pollenring/share/borrower_test.cc
+++ b/test/pollenring/share/borrower_test.cc
@@ -168,7 +168,7 @@
       borrower.Receive(reply);
     }
     REQUIRE(results.size() == 1);
-    CHECK(results.front().reason == pollenring::Reason::kOverRate);
+    CHECK(results.front().reason == pollenring::Reason::kRateLimited);
   }
 
   SECTION("all holders answered: what comes next is asked for, once each") {
@@ -193,7 +193,7 @@
     borrower.Receive(Granting(recorder.requests.back(), 0));
     // The one that nobody has anything for is told so at once.
     REQUIRE(results.size() == 1);
-    CHECK(results.front().reason == pollenring::Reason::kOverRate);
+    CHECK(results.front().reason == pollenring::Reason::kRateLimited);
     pass(std::chrono::milliseconds{40});
     CHECK(results.size() == 1);
     pass(std::chrono::milliseconds{20});
@@ -233,7 +233,7 @@
     }
     REQUIRE(results.size() == 1);
     CHECK_FALSE(results.front().granted);
-    CHECK(results.front().reason == pollenring::Reason::kOverRate);
+    CHECK(results.front().reason == pollenring::Reason::kRateLimited);
     // Nobody was asked for what comes next: it would have been lost.
     CHECK(recorder.requests.size() == asked + 2);
   }
