Rename kNotFresh to kStaleConfig

The refusal tells that the configuration is stale, while its name said neither what is not fresh nor why it matters. The outer name not-fresh is a separate string and stays. kNotFresh becomes kStaleConfig. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -126,7 +126,7 @@
   const Reason refused = this->Admit(request, caller, *entry);
   if (refused != Reason::kNone) {
     this->Refuse(entry, refused,
-                 refused == Reason::kNotFresh ? kComeBack : Duration{0});
+                 refused == Reason::kStaleConfig ? kComeBack : Duration{0});
     return;
   }
   entry->envelope.headers = std::move(caller.headers);
@@ -145,7 +145,7 @@
   const HostTable &table = this->parts.policy.InForce();
   entry.version = table.Version();
   // Without a configuration nothing can be said of routes and keys.
-  if (entry.version == 0) return Reason::kNotFresh;
+  if (entry.version == 0) return Reason::kStaleConfig;
   const HostRoute *route = table.Find(request.host, request.path);
   if (route == nullptr) return Reason::kNoRoute;
   entry.route = route->name;
--- a/src/pollenring/node/headers.cc
+++ b/src/pollenring/node/headers.cc
@@ -23,7 +23,7 @@
     {Reason::kOverload, 503},      {Reason::kDeadline, 504},
     {Reason::kNoTarget, 503},      {Reason::kTargetFailed, 502},
     {Reason::kLinkLost, 502},      {Reason::kTooLarge, 413},
-    {Reason::kLeaving, 503},       {Reason::kNotFresh, 503},
+    {Reason::kLeaving, 503},       {Reason::kStaleConfig, 503},
     {Reason::kRepeated, 409},      {Reason::kInProgress, 409},
     {Reason::kIdExpired, 409},     {Reason::kCancelled, 503},
     {Reason::kTargetBusy, 503},    {Reason::kWarmingUp, 503},
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -120,7 +120,7 @@
   root.open = route->open;
   const std::string_view key = FindHeader(request.headers, kKeyHeader);
   if (!route->open) {
-    if (!this->parts.freshness.Fresh()) return Reason::kNotFresh;
+    if (!this->parts.freshness.Fresh()) return Reason::kStaleConfig;
     if (key.empty()) return Reason::kKeyRefused;
     root.envelope.workspace = policy.WorkspaceOf(Sha256Hex(key));
     if (root.envelope.workspace.empty()) return Reason::kKeyRefused;
@@ -256,7 +256,7 @@
 
 void Ingress::Refuse(const RootPtr &root, Outcome outcome, Reason reason) {
   const bool transient = reason == Reason::kOverload ||
-                         reason == Reason::kNotFresh ||
+                         reason == Reason::kStaleConfig ||
                          reason == Reason::kNoTarget;
   const Duration come_back =
       transient ? SpreadAround(kComeBack, this->parts.random) : Duration{};
