Rename RouteLevels to DownstreamLevels

The class keeps the admission levels of downstream services by call path, while its name suggested levels of routes. RouteLevels becomes DownstreamLevels and RouteLevelOptions becomes DownstreamLevelOptions. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference but using-declarations that the formatter sorts anew, and no string literal is touched.

--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -94,7 +94,7 @@
              this->members.Get().Self().process},
       router{given.zone, given.region, Routing(), parts.loop.GetClock(),
              parts.random},
-      levels{RouteLevelOptions{}, parts.loop.GetClock()},
+      levels{DownstreamLevelOptions{}, parts.loop.GetClock()},
       cold_policy{this->policy, given.cold_margin},
       serving{parts.loop,
               parts.client,
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -97,7 +97,7 @@
   SlotRing ring;
   ShareService shares;
   Router router;
-  RouteLevels levels;
+  DownstreamLevels levels;
   ColdPolicy cold_policy;
   Serving serving;
   TrafficRetryBudget retry_budget;
--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -25,7 +25,7 @@
   ShareGate &shares;
   Dispatcher &dispatcher;
   Serving &serving;
-  RouteLevels &levels;
+  DownstreamLevels &levels;
   Random &random;
   Metrics &metrics;
 };
--- a/src/pollenring/node/fwd.h
+++ b/src/pollenring/node/fwd.h
@@ -8,7 +8,7 @@
 class Ingress;
 class Node;
 class OperatorPort;
-class RouteLevels;
+class DownstreamLevels;
 class Serving;
 class TargetPort;
 struct CallEnvelope;
--- a/src/pollenring/node/ingress.h
+++ b/src/pollenring/node/ingress.h
@@ -35,7 +35,7 @@
   ShareGate &shares;
   OnceGate &once;
   Dispatcher &dispatcher;
-  RouteLevels &levels;
+  DownstreamLevels &levels;
   Random &random;
   Metrics &metrics;
 };
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -22,8 +22,8 @@
 constexpr Duration kLeaveSlots = std::chrono::seconds{6};
 constexpr Duration kHandoverTimeout = std::chrono::seconds{1};
 
-[[nodiscard]] RouteLevelOptions Levels() {
-  RouteLevelOptions options;
+[[nodiscard]] DownstreamLevelOptions Levels() {
+  DownstreamLevelOptions options;
   options.per_workspace = true;
   // Ingresses of this form see several answers of a service in that time.
   options.lifetime = std::chrono::milliseconds{300};
--- a/src/pollenring/node/node.h
+++ b/src/pollenring/node/node.h
@@ -82,7 +82,7 @@
   OnceService once;
   Router router;
   ContextCodec codec;
-  RouteLevels levels;
+  DownstreamLevels levels;
   NoColdStartLimits cold_bounds;
   Serving serving;
   NodeRetryBudget retry_budget;
--- a/src/pollenring/node/route_levels.cc
+++ b/src/pollenring/node/route_levels.cc
@@ -29,27 +29,28 @@
 
 }  // namespace
 
-const std::string &RouteLevels::ScopeOf(
+const std::string &DownstreamLevels::ScopeOf(
     const std::string &workspace) const noexcept {
   static const std::string all;
   return this->options.per_workspace ? workspace : all;
 }
 
-void RouteLevels::Learn(const std::string &workspace, const std::string &route,
-                        const std::vector<ServiceLevel> &levels) {
+void DownstreamLevels::Learn(const std::string &workspace,
+                             const std::string &route,
+                             const std::vector<ServiceLevel> &levels) {
   this->Take(workspace, levels);
   this->Served(route);
   this->Meet(route, levels);
 }
 
-void RouteLevels::LearnBelow(const std::string &workspace,
-                             const std::string &route,
-                             const std::vector<ServiceLevel> &levels) {
+void DownstreamLevels::LearnBelow(const std::string &workspace,
+                                  const std::string &route,
+                                  const std::vector<ServiceLevel> &levels) {
   this->Take(workspace, levels);
   this->Meet(route, levels);
 }
 
-void RouteLevels::Served(const std::string &route) {
+void DownstreamLevels::Served(const std::string &route) {
   const auto found = this->ways.find(route);
   if (found == this->ways.end()) return;
   Way &way = found->second;
@@ -60,8 +61,8 @@
   for (auto &[service, count] : way.met) count /= 2;
 }
 
-void RouteLevels::Meet(const std::string &route,
-                       const std::vector<ServiceLevel> &levels) {
+void DownstreamLevels::Meet(const std::string &route,
+                            const std::vector<ServiceLevel> &levels) {
   for (const auto &entry : levels) {
     if (!entry.on_way || entry.level_milli <= 0) continue;
     Way &way = this->ways[route];
@@ -70,8 +71,8 @@
   }
 }
 
-void RouteLevels::Take(const std::string &workspace,
-                       const std::vector<ServiceLevel> &levels) {
+void DownstreamLevels::Take(const std::string &workspace,
+                            const std::vector<ServiceLevel> &levels) {
   const Time now = this->clock.Now();
   if (now - this->swept >= kSweepPeriod) this->Forget();
   for (const auto &entry : levels) {
@@ -86,17 +87,17 @@
   }
 }
 
-bool RouteLevels::Stale(const Known &known) const noexcept {
+bool DownstreamLevels::Stale(const Known &known) const noexcept {
   return this->clock.Now() - known.measured > this->options.lifetime;
 }
 
-bool RouteLevels::Sheds(const Service &service) const noexcept {
+bool DownstreamLevels::Sheds(const Service &service) const noexcept {
   return std::any_of(service.begin(), service.end(), [this](const auto &entry) {
     return entry.second.level > 0 && !this->Stale(entry.second);
   });
 }
 
-WayLevel RouteLevels::MeanOf(const Service &service) const noexcept {
+WayLevel DownstreamLevels::MeanOf(const Service &service) const noexcept {
   WayLevel mean;
   mean.age = this->options.lifetime;
   // A target that hardly gets calls tells little of where most of them end.
@@ -112,12 +113,12 @@
   return mean;
 }
 
-bool RouteLevels::Met(const Way &way, const std::string &service) {
+bool DownstreamLevels::Met(const Way &way, const std::string &service) {
   const auto found = way.met.find(service);
   return found != way.met.end() && found->second >= kMeets * way.requests;
 }
 
-bool RouteLevels::Meets(const Way &way, const std::string &service) const {
+bool DownstreamLevels::Meets(const Way &way, const std::string &service) const {
   if (Met(way, service)) return true;
   if (way.requests >= kFewRequests) return false;
   const auto told = way.told.find(service);
@@ -126,7 +127,7 @@
   return recent && told->second.meets >= kMeets;
 }
 
-std::vector<WayMark> RouteLevels::Marks(std::size_t most) const {
+std::vector<WayMark> DownstreamLevels::Marks(std::size_t most) const {
   std::vector<WayMark> marks;
   const auto scope = this->scopes.find(this->ScopeOf({}));
   if (scope == this->scopes.end()) return marks;
@@ -142,7 +143,7 @@
   return marks;
 }
 
-void RouteLevels::LearnMarks(const std::vector<WayMark> &marks) {
+void DownstreamLevels::LearnMarks(const std::vector<WayMark> &marks) {
   const Time now = this->clock.Now();
   for (const auto &mark : marks) {
     const auto known = this->ways.find(mark.route);
@@ -160,9 +161,9 @@
   }
 }
 
-std::vector<ServiceLevel> RouteLevels::Shedding(const std::string &workspace,
-                                                const std::string &route,
-                                                std::size_t most) const {
+std::vector<ServiceLevel> DownstreamLevels::Shedding(
+    const std::string &workspace, const std::string &route,
+    std::size_t most) const {
   std::vector<ServiceLevel> levels;
   const auto scope = this->scopes.find(this->ScopeOf(workspace));
   if (scope == this->scopes.end()) return levels;
@@ -188,8 +189,8 @@
   return levels;
 }
 
-WayLevel RouteLevels::HighestOn(const std::string &workspace,
-                                const std::string &route) const {
+WayLevel DownstreamLevels::HighestOn(const std::string &workspace,
+                                     const std::string &route) const {
   WayLevel highest;
   const auto way = this->ways.find(route);
   if (way == this->ways.end()) return highest;
@@ -205,7 +206,7 @@
   return highest;
 }
 
-void RouteLevels::Forget() {
+void DownstreamLevels::Forget() {
   this->swept = this->clock.Now();
   for (auto way = this->ways.begin(); way != this->ways.end();) {
     const bool unused = this->swept - way->second.used > kSweepPeriod;
--- a/src/pollenring/node/route_levels.h
+++ b/src/pollenring/node/route_levels.h
@@ -13,7 +13,7 @@
 namespace pollenring {
 
 /*! @brief How levels are kept. */
-struct RouteLevelOptions {
+struct DownstreamLevelOptions {
   /*! @brief Time for which a level holds that nothing confirms. */
   Duration lifetime{std::chrono::milliseconds{1500}};
   /*! @brief Whether a service has a level for each workspace. */
@@ -36,14 +36,14 @@
  * below the level of any service on its way would be shed there, after work
  * was done for it elsewhere.
  */
-class RouteLevels {
+class DownstreamLevels {
  public:
   /**
    * @brief Starts without levels.
    * @param options How levels are kept.
    * @param clock Clock.
    */
-  RouteLevels(const RouteLevelOptions &options, const Clock &clock)
+  DownstreamLevels(const DownstreamLevelOptions &options, const Clock &clock)
       : options{options}, clock{clock}, swept{clock.Now()} {}
 
   /*! @brief Routes that are remembered. @return The count. */
@@ -144,7 +144,7 @@
             const std::vector<ServiceLevel> &levels);
   void Forget();
 
-  RouteLevelOptions options;
+  DownstreamLevelOptions options;
   const Clock &clock;
   Time swept{};
   std::unordered_map<std::string, Services> scopes;
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -39,7 +39,7 @@
 
 Serving::Serving(Loop &loop, HttpClient &client, const TargetCodec &codec,
                  const AdmissionOptions &options,
-                 const ColdStartLimits &cold_bounds, RouteLevels &levels,
+                 const ColdStartLimits &cold_bounds, DownstreamLevels &levels,
                  Random &random, Metrics &metrics, TargetsChanged changed)
     : loop{loop},
       client{client},
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -134,7 +134,7 @@
    */
   Serving(Loop &loop, HttpClient &client, const TargetCodec &codec,
           const AdmissionOptions &options, const ColdStartLimits &cold_bounds,
-          RouteLevels &levels, Random &random, Metrics &metrics,
+          DownstreamLevels &levels, Random &random, Metrics &metrics,
           TargetsChanged changed);
 
   /**
@@ -276,7 +276,7 @@
   const TargetCodec &codec;
   AdmissionOptions options;
   const ColdStartLimits &cold_bounds;
-  RouteLevels &levels;
+  DownstreamLevels &levels;
   Random &random;
   Metrics &metrics;
   TargetsChanged changed;
--- a/src/pollenring/node/target_port.cc
+++ b/src/pollenring/node/target_port.cc
@@ -24,7 +24,7 @@
 
 TargetPort::TargetPort(Loop &loop, std::string secret,
                        const ConfigLedger &config, Serving &serving,
-                       Dispatcher &dispatcher, RouteLevels &levels,
+                       Dispatcher &dispatcher, DownstreamLevels &levels,
                        Random &random)
     : loop{loop},
       secret{std::move(secret)},
--- a/src/pollenring/node/target_port.h
+++ b/src/pollenring/node/target_port.h
@@ -30,7 +30,7 @@
    * @param random Randomness.
    */
   TargetPort(Loop &loop, std::string secret, const ConfigLedger &config,
-             Serving &serving, Dispatcher &dispatcher, RouteLevels &levels,
+             Serving &serving, Dispatcher &dispatcher, DownstreamLevels &levels,
              Random &random);
 
   /**
@@ -53,7 +53,7 @@
   const ConfigLedger &config;
   Serving &serving;
   Dispatcher &dispatcher;
-  RouteLevels &levels;
+  DownstreamLevels &levels;
   Random &random;
 };
 
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -173,7 +173,7 @@
   pollenring::LinkClient link{loop, "secret", kMostBytes};
   pollenring::ContextCodec codec;
   NeverCold cold_bounds;
-  pollenring::RouteLevels levels{{}, clock};
+  pollenring::DownstreamLevels levels{{}, clock};
   pollenring::SeededRandom random{5};
   pollenring::Metrics metrics{clock};
   pollenring::Router router{"a", "r", {}, clock, random};
--- a/test/pollenring/node/route_levels_test.cc
+++ b/test/pollenring/node/route_levels_test.cc
@@ -7,18 +7,18 @@
 
 namespace {
 
+using pollenring::DownstreamLevelOptions;
+using pollenring::DownstreamLevels;
 using pollenring::Duration;
 using pollenring::ManualClock;
 using pollenring::NodeId;
-using pollenring::RouteLevelOptions;
-using pollenring::RouteLevels;
 using pollenring::ServiceLevel;
 using std::chrono::milliseconds;
 
 constexpr std::size_t kMost = 16;
 
-[[nodiscard]] RouteLevelOptions PerWorkspace() {
-  RouteLevelOptions options;
+[[nodiscard]] DownstreamLevelOptions PerWorkspace() {
+  DownstreamLevelOptions options;
   options.lifetime = milliseconds{300};
   options.per_workspace = true;
   return options;
@@ -33,7 +33,7 @@
 
 TEST_CASE("route levels: what is heard counts for a moment, then goes") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{PerWorkspace(), clock};
+  DownstreamLevels levels{PerWorkspace(), clock};
   levels.Learn("club", "front GET /",
                {Of("back", 1, 1000), Of("middle", 2, 500)});
   CHECK(levels.HighestOn("club", "front GET /").level == Approx(1.0));
@@ -45,7 +45,7 @@
 
 TEST_CASE("route levels: routes that nobody asks for are forgotten") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{PerWorkspace(), clock};
+  DownstreamLevels levels{PerWorkspace(), clock};
   // Workspaces times routes, each seen once: an hour of them.
   for (int i = 0; i < 360'000; ++i) {
     const std::string name = std::to_string(i);
@@ -64,7 +64,7 @@
 TEST_CASE(
     "route levels: a route with few answers learns from others' answers") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{RouteLevelOptions{}, clock};
+  DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   // A VM that takes one request of a route in two seconds, of eight workspaces
   // in turn, and fifteen others a second; the deepest service sheds all along.
   levels.Learn("workspace0", "deep", {Of("deepest", 7, 2400)});
@@ -91,8 +91,8 @@
 
 TEST_CASE("route levels: nodes that repeat each other keep no level alive") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels one{RouteLevelOptions{}, clock};
-  RouteLevels other{RouteLevelOptions{}, clock};
+  DownstreamLevels one{DownstreamLevelOptions{}, clock};
+  DownstreamLevels other{DownstreamLevelOptions{}, clock};
   one.Learn({}, "deep", {Of("deepest", 7, 1000)});
   for (int i = 0; i < 40; ++i) {
     clock.Advance(milliseconds{50});
@@ -105,7 +105,7 @@
 
 TEST_CASE("route levels: one busy target among idle ones refuses its part") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{RouteLevelOptions{}, clock};
+  DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   levels.Learn({}, "deep", {Of("deepest", 1, 900)});
   levels.Learn({}, "deep", {Of("deepest", 2, 0)});
   levels.Learn({}, "deep", {Of("deepest", 3, 0)});
@@ -115,7 +115,7 @@
 TEST_CASE(
     "route levels: a target that gets no calls does not hide the others") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{RouteLevelOptions{}, clock};
+  DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   levels.Learn({}, "deep", {Of("deepest", 1, 2400, 560)});
   levels.Learn({}, "deep", {Of("deepest", 2, 2400, 560)});
   levels.Learn({}, "deep", {Of("deepest", 3, 0, 3)});
@@ -124,7 +124,7 @@
 
 TEST_CASE("route levels: a call taken for another's puts nothing on a way") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{RouteLevelOptions{}, clock};
+  DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   for (int i = 0; i < 200; ++i) {
     clock.Advance(milliseconds{10});
     levels.Served("shallow");
@@ -138,7 +138,7 @@
 
 TEST_CASE("route levels: of many that shed, those on the way are passed on") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{RouteLevelOptions{}, clock};
+  DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   std::vector<ServiceLevel> many;
   for (NodeId node = 1; node <= 40; ++node) {
     ServiceLevel entry = Of("service" + std::to_string(node), node, 700);
@@ -156,8 +156,8 @@
   // One of hundreds of entries: it has seen no answer of the route yet, others
   // pass on what they have seen with answers of other routes.
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels seen{RouteLevelOptions{}, clock};
-  RouteLevels young{RouteLevelOptions{}, clock};
+  DownstreamLevels seen{DownstreamLevelOptions{}, clock};
+  DownstreamLevels young{DownstreamLevelOptions{}, clock};
   for (int i = 0; i < 10; ++i) {
     seen.Learn({}, "deep", {Of("deepest", 7, 1500)});
     seen.Learn({}, "shallow", {});
@@ -176,7 +176,7 @@
 TEST_CASE("route levels: a few nodes that are wrong convince nobody") {
   // Which routes make calls is estimated at each node; one in four is wrong.
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{RouteLevelOptions{}, clock};
+  DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   int refused = 0;
   for (int i = 0; i < 200; ++i) {
     clock.Advance(milliseconds{10});
--- a/test/pollenring/node/serving_test.cc
+++ b/test/pollenring/node/serving_test.cc
@@ -92,7 +92,7 @@
   pollenring::HttpClient client{loop, {std::size_t{1} << 20U}};
   pollenring::ContextCodec codec;
   FewWhenCold cold_bounds;
-  pollenring::RouteLevels levels{{}, clock};
+  pollenring::DownstreamLevels levels{{}, clock};
   pollenring::SeededRandom random{5};
   pollenring::Metrics metrics{clock};
   pollenring::Serving serving{loop,
