--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -79,8 +79,8 @@
    * @param workspace The workspace.
    * @return The level, 0 for none.
    */
-  [[nodiscard]] double LevelOf(const std::string &workspace) const {
-    return this->levels->LevelOf(workspace);
+  [[nodiscard]] double AdmissionLevelOf(const std::string &workspace) const {
+    return this->levels->AdmissionLevelOf(workspace);
   }
 
   /**
--- a/src/pollenring/admission/fit_level.cc
+++ b/src/pollenring/admission/fit_level.cc
@@ -21,7 +21,7 @@
 FitLevel::FitLevel(const FitLevelOptions &options, const Clock &clock)
     : options{options}, clock{clock}, window_start{clock.Now()} {}
 
-double FitLevel::LevelOf(const std::string & /*workspace*/) const {
+double FitLevel::AdmissionLevelOf(const std::string & /*workspace*/) const {
   return this->level;
 }
 
--- a/src/pollenring/admission/fit_level.h
+++ b/src/pollenring/admission/fit_level.h
@@ -50,7 +50,8 @@
    */
   FitLevel(const FitLevelOptions &options, const Clock &clock);
 
-  [[nodiscard]] double LevelOf(const std::string &workspace) const override;
+  [[nodiscard]] double AdmissionLevelOf(
+      const std::string &workspace) const override;
   void Offered(const AdmissionRequest &ticket) override;
   void Shed() override {}
   void Tick(const QueueState &queue) override;
--- a/src/pollenring/admission/level_control.h
+++ b/src/pollenring/admission/level_control.h
@@ -27,7 +27,8 @@
    * @param workspace The workspace.
    * @return Its level, 0 to admit everything.
    */
-  [[nodiscard]] virtual double LevelOf(const std::string &workspace) const = 0;
+  [[nodiscard]] virtual double AdmissionLevelOf(
+      const std::string &workspace) const = 0;
 
   /*! @brief Counts a request that was offered. @param ticket The request. */
   virtual void Offered(const AdmissionRequest &ticket) = 0;
--- a/src/pollenring/admission/shed_levels.cc
+++ b/src/pollenring/admission/shed_levels.cc
@@ -29,7 +29,7 @@
       window_start{clock.Now()},
       release{kFirstRelease} {}
 
-double ShedLevels::LevelOf(const std::string &workspace) const {
+double ShedLevels::AdmissionLevelOf(const std::string &workspace) const {
   const auto found = this->workspaces.find(workspace);
   return found == this->workspaces.end() ? 0 : found->second.level;
 }
--- a/src/pollenring/admission/shed_levels.h
+++ b/src/pollenring/admission/shed_levels.h
@@ -40,7 +40,8 @@
    */
   ShedLevels(Duration window, const Clock &clock);
 
-  [[nodiscard]] double LevelOf(const std::string &workspace) const override;
+  [[nodiscard]] double AdmissionLevelOf(
+      const std::string &workspace) const override;
   void Offered(const AdmissionRequest &ticket) override;
   void Shed() override;
   void Tick(const QueueState &queue) override;
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -253,7 +253,7 @@
   reply.load.cold_ms = static_cast<std::uint32_t>(
       std::chrono::ceil<std::chrono::milliseconds>(admission.ColdFor())
           .count());
-  const double level = admission.LevelOf(envelope.workspace);
+  const double level = admission.AdmissionLevelOf(envelope.workspace);
   reply.levels.push_back(
       {{},
        0,
--- a/src/pollenring/node/serving_targets.cc
+++ b/src/pollenring/node/serving_targets.cc
@@ -165,7 +165,7 @@
   this->load_logged = now;
   for (const auto &[service, binding] : this->bindings) {
     const Admission &admission = *binding.admission;
-    const double level = admission.LevelOf({});
+    const double level = admission.AdmissionLevelOf({});
     if (admission.Waiting() == 0 && level <= 0) continue;
     const QueueState state = admission.State();
     LogEvent(LogLevel::kInfo, "target busy",
--- a/test/pollenring/admission/cold_gate_test.cc
+++ b/test/pollenring/admission/cold_gate_test.cc
@@ -247,7 +247,7 @@
   ColdWorld world{3, kTolerance};
   world.Run(2s, 900);
   // It bears a fiftieth of what is offered.
-  CHECK(world.admission.LevelOf({}) > 1.5);
+  CHECK(world.admission.AdmissionLevelOf({}) > 1.5);
   world.Run(1200ms, 900);
-  CHECK(world.admission.LevelOf({}) < 0.2);
+  CHECK(world.admission.AdmissionLevelOf({}) < 0.2);
 }
--- a/test/pollenring/admission/fit_level_test.cc
+++ b/test/pollenring/admission/fit_level_test.cc
@@ -45,7 +45,9 @@
     return kept / all;
   }
 
-  [[nodiscard]] double Level() const { return this->level.LevelOf({}); }
+  [[nodiscard]] double Level() const {
+    return this->level.AdmissionLevelOf({});
+  }
 
   static constexpr double kCapacity = 1000;
   double longest{}; /*!< Longest queue, in seconds. */
@@ -55,7 +57,7 @@
     all += 1;
     const double lot = this->random.Fraction();
     const double priority = pollenring::PriorityOf(this->importance, lot);
-    if (priority < this->level.LevelOf({}) * this->heard) return;
+    if (priority < this->level.AdmissionLevelOf({}) * this->heard) return;
     kept += 1;
     AdmissionRequest ticket;
     ticket.importance = this->importance;
