Rename LevelCause to LevelTrigger

The enumeration tells what triggers early refusal, and one enumerator was the private word fit for the load that is offered. LevelCause becomes LevelTrigger and kFit becomes kOfferedLoad. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -30,9 +30,9 @@
 };
 
 /*! @brief What makes a service refuse roots early. */
-enum class LevelCause {
-  kShed, /*!< Requests are shed. */
-  kFit   /*!< More is offered than fits. */
+enum class LevelTrigger {
+  kShed,       /*!< Requests are shed. */
+  kOfferedLoad /*!< More is offered than fits. */
 };
 
 /*! @brief Which waiting request is next. */
@@ -44,7 +44,7 @@
 /*! @brief Limits of admission. */
 struct AdmissionOptions {
   ConcurrencyLimitOptions limit;
-  LevelCause level_cause{LevelCause::kShed};
+  LevelTrigger level_cause{LevelTrigger::kShed};
   QueueOrder order{QueueOrder::kFair};
   FitLevelOptions fit;
   Duration level_window{std::chrono::milliseconds{100}};
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -50,7 +50,7 @@
   AdmissionOptions options;
   // Targets say how many slots they have; some never answer what exceeds them.
   options.limit.fixed = true;
-  options.level_cause = LevelCause::kFit;
+  options.level_cause = LevelTrigger::kOfferedLoad;
   options.order = QueueOrder::kSoftDeadline;
   options.queue_time = kQueueTime;
   return options;
--- a/test/pollenring/admission/cold_gate_test.cc
+++ b/test/pollenring/admission/cold_gate_test.cc
@@ -20,7 +20,7 @@
 using pollenring::ColdStartLimiter;
 using pollenring::Duration;
 using pollenring::Importance;
-using pollenring::LevelCause;
+using pollenring::LevelTrigger;
 using pollenring::ManualClock;
 using pollenring::QueueOrder;
 using pollenring::Reason;
@@ -30,7 +30,7 @@
 [[nodiscard]] AdmissionOptions Options() {
   AdmissionOptions options;
   options.limit.fixed = true;
-  options.level_cause = LevelCause::kFit;
+  options.level_cause = LevelTrigger::kOfferedLoad;
   options.order = QueueOrder::kSoftDeadline;
   return options;
 }
