Rename FitLevel to OfferedLoadLevel

The level is derived from the load that is offered and from the capacity, which fit did not tell a reader. FitLevel becomes OfferedLoadLevel and FitLevelOptions becomes OfferedLoadLevelOptions. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference but using-declarations that the formatter sorts anew, and no string literal is touched.

--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -19,7 +19,7 @@
 [[nodiscard]] std::unique_ptr<LevelControl> MakeLevels(
     const AdmissionOptions &options, const Clock &clock) {
   if (options.level_cause == LevelTrigger::kOfferedLoad) {
-    return std::make_unique<FitLevel>(options.fit, clock);
+    return std::make_unique<OfferedLoadLevel>(options.fit, clock);
   }
   return std::make_unique<ShedLevels>(options.level_window, clock);
 }
--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -46,7 +46,7 @@
   ConcurrencyLimitOptions limit;
   LevelTrigger level_cause{LevelTrigger::kShed};
   QueueOrder order{QueueOrder::kFair};
-  FitLevelOptions fit;
+  OfferedLoadLevelOptions fit;
   Duration level_window{std::chrono::milliseconds{100}};
   Duration queue_time{std::chrono::milliseconds{100}};
   std::size_t shortest_queue{4};
--- a/src/pollenring/admission/fit_level.cc
+++ b/src/pollenring/admission/fit_level.cc
@@ -18,21 +18,23 @@
 
 }  // namespace
 
-FitLevel::FitLevel(const FitLevelOptions &options, const Clock &clock)
+OfferedLoadLevel::OfferedLoadLevel(const OfferedLoadLevelOptions &options,
+                                   const Clock &clock)
     : options{options}, clock{clock}, window_start{clock.Now()} {}
 
-double FitLevel::AdmissionLevelOf(const std::string & /*workspace*/) const {
+double OfferedLoadLevel::AdmissionLevelOf(
+    const std::string & /*workspace*/) const {
   return this->level;
 }
 
-void FitLevel::Offered(const AdmissionRequest &ticket) {
+void OfferedLoadLevel::Offered(const AdmissionRequest &ticket) {
   const double place =
       PriorityOf(ticket.importance, ticket.lot) * kBinsPerImportance;
   const auto bin = std::min(static_cast<std::size_t>(place), kBins - 1);
   this->offered[bin] += 1;
 }
 
-double FitLevel::Fit(double allowed, double per_second) const {
+double OfferedLoadLevel::Fit(double allowed, double per_second) const {
   double left = allowed;
   for (std::size_t bin = kBins; bin-- > 0;) {
     const double rate = this->offered[bin] * per_second;
@@ -46,7 +48,7 @@
   return 0;
 }
 
-double FitLevel::HighestLevel() const {
+double OfferedLoadLevel::HighestLevel() const {
   // Where few workspaces go before all others, a level that must come down to
   // them first would refuse these for longer than needed.
   constexpr int kBelow = kImportanceLevels - 1;
@@ -55,7 +57,7 @@
   return critical < kAnyCritical ? kBelow : kImportanceLevels;
 }
 
-void FitLevel::Tick(const QueueState &queue) {
+void OfferedLoadLevel::Tick(const QueueState &queue) {
   const Time now = this->clock.Now();
   const Duration elapsed = now - this->window_start;
   if (elapsed < this->options.window) return;
--- a/src/pollenring/admission/fit_level.h
+++ b/src/pollenring/admission/fit_level.h
@@ -12,7 +12,7 @@
 namespace pollenring {
 
 /*! @brief Limits of the level that makes the offered load fit. */
-struct FitLevelOptions {
+struct OfferedLoadLevelOptions {
   Duration window{std::chrono::milliseconds{100}};
   /*! @brief Memory of what was offered; a deep request takes about as long from
    * its first call here to its last. */
@@ -41,14 +41,14 @@
  * roots below it cease to arrive, so a long way between them and this service
  * does not make it swing.
  */
-class FitLevel final : public LevelControl {
+class OfferedLoadLevel final : public LevelControl {
  public:
   /**
    * @brief Starts by admitting everything.
    * @param options Limits.
    * @param clock Clock.
    */
-  FitLevel(const FitLevelOptions &options, const Clock &clock);
+  OfferedLoadLevel(const OfferedLoadLevelOptions &options, const Clock &clock);
 
   [[nodiscard]] double AdmissionLevelOf(
       const std::string &workspace) const override;
@@ -63,7 +63,7 @@
   [[nodiscard]] double Fit(double allowed, double per_second) const;
   [[nodiscard]] double HighestLevel() const;
 
-  FitLevelOptions options;
+  OfferedLoadLevelOptions options;
   const Clock &clock;
   Time window_start;
   std::array<double, kBins> offered{};
--- a/test/pollenring/admission/fit_level_test.cc
+++ b/test/pollenring/admission/fit_level_test.cc
@@ -10,10 +10,10 @@
 using namespace std::chrono_literals;
 using pollenring::AdmissionRequest;
 using pollenring::Duration;
-using pollenring::FitLevel;
-using pollenring::FitLevelOptions;
 using pollenring::Importance;
 using pollenring::ManualClock;
+using pollenring::OfferedLoadLevel;
+using pollenring::OfferedLoadLevelOptions;
 using pollenring::QueueState;
 using pollenring::SeededRandom;
 
@@ -79,7 +79,7 @@
   Importance importance;
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{7};
-  FitLevel level{FitLevelOptions{}, clock};
+  OfferedLoadLevel level{OfferedLoadLevelOptions{}, clock};
   std::vector<std::pair<pollenring::Time, AdmissionRequest>> under_way;
   double queue{};
 };
