Rename ServiceLevel to AdmissionLevel

The name was read as a service level objective or agreement, while it is the admission level of one service as in DAGOR. ServiceLevel becomes AdmissionLevel. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference but using-declarations that the formatter sorts anew, and no string literal is touched.

--- a/src/pollenring/node/route_levels.cc
+++ b/src/pollenring/node/route_levels.cc
@@ -37,7 +37,7 @@
 
 void DownstreamLevels::Learn(const std::string &workspace,
                              const std::string &route,
-                             const std::vector<ServiceLevel> &levels) {
+                             const std::vector<AdmissionLevel> &levels) {
   this->Take(workspace, levels);
   this->Served(route);
   this->Meet(route, levels);
@@ -45,7 +45,7 @@
 
 void DownstreamLevels::LearnBelow(const std::string &workspace,
                                   const std::string &route,
-                                  const std::vector<ServiceLevel> &levels) {
+                                  const std::vector<AdmissionLevel> &levels) {
   this->Take(workspace, levels);
   this->Meet(route, levels);
 }
@@ -62,7 +62,7 @@
 }
 
 void DownstreamLevels::Meet(const std::string &route,
-                            const std::vector<ServiceLevel> &levels) {
+                            const std::vector<AdmissionLevel> &levels) {
   for (const auto &entry : levels) {
     if (!entry.on_way || entry.level_milli <= 0) continue;
     Way &way = this->ways[route];
@@ -72,7 +72,7 @@
 }
 
 void DownstreamLevels::Take(const std::string &workspace,
-                            const std::vector<ServiceLevel> &levels) {
+                            const std::vector<AdmissionLevel> &levels) {
   const Time now = this->clock.Now();
   if (now - this->swept >= kSweepPeriod) this->Forget();
   for (const auto &entry : levels) {
@@ -161,10 +161,10 @@
   }
 }
 
-std::vector<ServiceLevel> DownstreamLevels::Shedding(
+std::vector<AdmissionLevel> DownstreamLevels::Shedding(
     const std::string &workspace, const std::string &route,
     std::size_t most) const {
-  std::vector<ServiceLevel> levels;
+  std::vector<AdmissionLevel> levels;
   const auto scope = this->scopes.find(this->ScopeOf(workspace));
   if (scope == this->scopes.end()) return levels;
   const Time now = this->clock.Now();
--- a/src/pollenring/node/route_levels.h
+++ b/src/pollenring/node/route_levels.h
@@ -56,7 +56,7 @@
    * @param levels Levels that came with the answer.
    */
   void Learn(const std::string &workspace, const std::string &route,
-             const std::vector<ServiceLevel> &levels);
+             const std::vector<AdmissionLevel> &levels);
 
   /**
    * @brief Takes in an answer to a call made on behalf of a request.
@@ -65,7 +65,7 @@
    * @param levels Levels that came with the answer.
    */
   void LearnBelow(const std::string &workspace, const std::string &route,
-                  const std::vector<ServiceLevel> &levels);
+                  const std::vector<AdmissionLevel> &levels);
 
   /**
    * @brief Counts a request that the local target has answered.
@@ -80,9 +80,9 @@
    * @param most Most levels to list; those on the route's way come first.
    * @return Levels with their age.
    */
-  [[nodiscard]] std::vector<ServiceLevel> Shedding(const std::string &workspace,
-                                                   const std::string &route,
-                                                   std::size_t most) const;
+  [[nodiscard]] std::vector<AdmissionLevel> Shedding(
+      const std::string &workspace, const std::string &route,
+      std::size_t most) const;
 
   /**
    * @brief Lists what this node has seen of the ways of routes.
@@ -139,9 +139,10 @@
   [[nodiscard]] WayLevel MeanOf(const Service &service) const noexcept;
   [[nodiscard]] static bool Met(const Way &way, const std::string &service);
   [[nodiscard]] bool Meets(const Way &way, const std::string &service) const;
-  void Meet(const std::string &route, const std::vector<ServiceLevel> &levels);
+  void Meet(const std::string &route,
+            const std::vector<AdmissionLevel> &levels);
   void Take(const std::string &workspace,
-            const std::vector<ServiceLevel> &levels);
+            const std::vector<AdmissionLevel> &levels);
   void Forget();
 
   DownstreamLevelOptions options;
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -324,7 +324,7 @@
 }
 
 void Serving::LearnFrom(const std::string &callee, const std::string &workspace,
-                        const std::vector<ServiceLevel> &levels) {
+                        const std::vector<AdmissionLevel> &levels) {
   // A parent is mostly a guess; which routes make such calls is known better.
   for (const auto &route :
        this->parents.Shares().CallersOf(callee, kLeastShare)) {
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -210,7 +210,7 @@
    * @param levels Levels that came with the answer.
    */
   void LearnFrom(const std::string &callee, const std::string &workspace,
-                 const std::vector<ServiceLevel> &levels);
+                 const std::vector<AdmissionLevel> &levels);
 
   /**
    * @brief Finds a request in progress.
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -167,7 +167,7 @@
 inline constexpr double kLevelScale = 1000;
 
 /*! @brief Priority below which a target would have roots refused early. */
-struct ServiceLevel {
+struct AdmissionLevel {
   std::string service; /*!< Empty for the one that was called. */
   NodeId node{};       /*!< Beside the target; 0 for the one that answers. */
   std::int32_t level_milli{}; /*!< In thousandths. */
@@ -177,7 +177,7 @@
 };
 
 template <>
-struct NumberedLayout<ServiceLevel> {
+struct NumberedLayout<AdmissionLevel> {
   static constexpr bool kGrows = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
@@ -189,7 +189,7 @@
 };
 
 template <>
-struct ArrayLayout<ServiceLevel, WireVersion::kV1> {
+struct ArrayLayout<AdmissionLevel, WireVersion::kV1> {
   static constexpr bool kFrozen = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
@@ -233,7 +233,7 @@
   std::int32_t retries_unspent{};
   std::int64_t retry_after_us{};
   LoadReport load;
-  std::vector<ServiceLevel> levels;
+  std::vector<AdmissionLevel> levels;
   std::vector<WayMark> marks; /*!< Of other requests that the node has seen. */
   NodeId served_by{}; /*!< Does not travel; known where the call was sent. */
 };
--- a/test/pollenring/node/route_levels_test.cc
+++ b/test/pollenring/node/route_levels_test.cc
@@ -7,12 +7,12 @@
 
 namespace {
 
+using pollenring::AdmissionLevel;
 using pollenring::DownstreamLevelOptions;
 using pollenring::DownstreamLevels;
 using pollenring::Duration;
 using pollenring::ManualClock;
 using pollenring::NodeId;
-using pollenring::ServiceLevel;
 using std::chrono::milliseconds;
 
 constexpr std::size_t kMost = 16;
@@ -24,8 +24,8 @@
   return options;
 }
 
-[[nodiscard]] ServiceLevel Of(const std::string &service, NodeId node,
-                              int level_milli, int per_second = 100) {
+[[nodiscard]] AdmissionLevel Of(const std::string &service, NodeId node,
+                                int level_milli, int per_second = 100) {
   return {service, node, level_milli, per_second, 0, true};
 }
 
@@ -72,7 +72,7 @@
   for (int i = 1; i <= 20; ++i) {
     for (int other = 0; other < 30; ++other) {
       clock.Advance(milliseconds{66});
-      ServiceLevel heard = Of("deepest", 7, 2400);
+      AdmissionLevel heard = Of("deepest", 7, 2400);
       heard.on_way = false;
       heard.age_ms = 150;
       levels.Learn("workspace1", "shallow", {heard});
@@ -139,9 +139,9 @@
 TEST_CASE("route levels: of many that shed, those on the way are passed on") {
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels levels{DownstreamLevelOptions{}, clock};
-  std::vector<ServiceLevel> many;
+  std::vector<AdmissionLevel> many;
   for (NodeId node = 1; node <= 40; ++node) {
-    ServiceLevel entry = Of("service" + std::to_string(node), node, 700);
+    AdmissionLevel entry = Of("service" + std::to_string(node), node, 700);
     entry.on_way = node == 40;
     many.push_back(entry);
   }
@@ -162,7 +162,7 @@
     seen.Learn({}, "deep", {Of("deepest", 7, 1500)});
     seen.Learn({}, "shallow", {});
   }
-  ServiceLevel heard = Of("deepest", 7, 1500);
+  AdmissionLevel heard = Of("deepest", 7, 1500);
   heard.on_way = false;
   young.Learn({}, "shallow", {heard});
   CHECK(young.HighestOn({}, "deep").level == 0);
@@ -180,7 +180,7 @@
   int refused = 0;
   for (int i = 0; i < 200; ++i) {
     clock.Advance(milliseconds{10});
-    ServiceLevel heard = Of("deepest", 7, 1500);
+    AdmissionLevel heard = Of("deepest", 7, 1500);
     heard.on_way = false;
     levels.Learn({}, "other", {heard});
     levels.LearnMarks({{"download", "deepest", i % 4 == 0}});
