Rename Way to CallPath

Way is a private word for a call path, the chain of services behind a route, and on_way did not say on which. Way becomes CallPath, WayLevel becomes CallPathLevel, on_way becomes on_call_path and HighestOn becomes HighestOnCallPath. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -94,10 +94,10 @@
   double priority{};
   bool gone{};
   bool answered{};
-  std::uint64_t call{};   /*!< Of the dispatcher; 0 until it is sent. */
-  Loop::TimerId late{};   /*!< Ends what has got no answer. */
-  Time late_at{};         /*!< When that is due. */
-  WayLevel refused_at;    /*!< What had it refused early. */
+  std::uint64_t call{};     /*!< Of the dispatcher; 0 until it is sent. */
+  Loop::TimerId late{};     /*!< Ends what has got no answer. */
+  Time late_at{};           /*!< When that is due. */
+  CallPathLevel refused_at; /*!< What had it refused early. */
   bool open{};            /*!< Of the local target; other callers show keys. */
   std::uint64_t parent{}; /*!< Request of the local target; 0 for none. */
   std::string parent_id;  /*!< Its identifier, for the log. */
@@ -238,7 +238,8 @@
   const CallEnvelope &envelope = entry.envelope;
   entry.priority = PriorityOf(envelope.importance, envelope.lot);
   if (envelope.depth > 0) return false;
-  WayLevel highest = this->parts.levels.HighestOn(entry.workspace, entry.route);
+  CallPathLevel highest =
+      this->parts.levels.HighestOnCallPath(entry.workspace, entry.route);
   if (entry.priority >= highest.level) return false;
   entry.refused_at = std::move(highest);
   return true;
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -157,7 +157,8 @@
 
 bool Ingress::ShedsEarly(const Root &root) const {
   const double level =
-      this->parts.levels.HighestOn(root.envelope.workspace, root.route_name)
+      this->parts.levels
+          .HighestOnCallPath(root.envelope.workspace, root.route_name)
           .level;
   return PriorityOf(root.envelope.importance, root.envelope.lot) < level;
 }
--- a/src/pollenring/node/route_levels.cc
+++ b/src/pollenring/node/route_levels.cc
@@ -53,7 +53,7 @@
 void DownstreamLevels::Served(const std::string &route) {
   const auto found = this->ways.find(route);
   if (found == this->ways.end()) return;
-  Way &way = found->second;
+  CallPath &way = found->second;
   way.used = this->clock.Now();
   way.requests += 1;
   if (way.requests <= kRemembered) return;
@@ -64,8 +64,8 @@
 void DownstreamLevels::Meet(const std::string &route,
                             const std::vector<AdmissionLevel> &levels) {
   for (const auto &entry : levels) {
-    if (!entry.on_way || entry.level_milli <= 0) continue;
-    Way &way = this->ways[route];
+    if (!entry.on_call_path || entry.level_milli <= 0) continue;
+    CallPath &way = this->ways[route];
     way.used = this->clock.Now();
     way.met[entry.service] += 1;
   }
@@ -97,8 +97,8 @@
   });
 }
 
-WayLevel DownstreamLevels::MeanOf(const Service &service) const noexcept {
-  WayLevel mean;
+CallPathLevel DownstreamLevels::MeanOf(const Service &service) const noexcept {
+  CallPathLevel mean;
   mean.age = this->options.lifetime;
   // A target that hardly gets calls tells little of where most of them end.
   double weights = 0;
@@ -113,12 +113,13 @@
   return mean;
 }
 
-bool DownstreamLevels::Met(const Way &way, const std::string &service) {
+bool DownstreamLevels::Met(const CallPath &way, const std::string &service) {
   const auto found = way.met.find(service);
   return found != way.met.end() && found->second >= kMeets * way.requests;
 }
 
-bool DownstreamLevels::Meets(const Way &way, const std::string &service) const {
+bool DownstreamLevels::Meets(const CallPath &way,
+                             const std::string &service) const {
   if (Met(way, service)) return true;
   if (way.requests >= kFewRequests) return false;
   const auto told = way.told.find(service);
@@ -148,7 +149,7 @@
   for (const auto &mark : marks) {
     const auto known = this->ways.find(mark.route);
     if (known == this->ways.end() && !mark.meets) continue;
-    Way &way = this->ways[mark.route];
+    CallPath &way = this->ways[mark.route];
     if (way.used == Time{}) way.used = now;
     const auto [told, fresh] = way.told.try_emplace(mark.service);
     if (fresh || now - told->second.at > kWordLifetime) {
@@ -172,33 +173,34 @@
   for (const auto &[name, service] : scope->second) {
     if (!this->Sheds(service)) continue;
     // Only what was seen here; word of others would come back as evidence.
-    const bool on_way = way != this->ways.end() && Met(way->second, name);
+    const bool on_call_path = way != this->ways.end() && Met(way->second, name);
     for (const auto &[node, known] : service) {
       if (this->Stale(known)) continue;
       const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
           now - known.measured);
-      levels.push_back(
-          {name, node, static_cast<std::int32_t>(known.level * kLevelScale),
-           known.per_second, static_cast<std::int32_t>(age.count()), on_way});
+      levels.push_back({name, node,
+                        static_cast<std::int32_t>(known.level * kLevelScale),
+                        known.per_second,
+                        static_cast<std::int32_t>(age.count()), on_call_path});
     }
   }
   if (levels.size() <= most) return levels;
   std::stable_partition(levels.begin(), levels.end(),
-                        [](const auto &entry) { return entry.on_way; });
+                        [](const auto &entry) { return entry.on_call_path; });
   levels.resize(most);
   return levels;
 }
 
-WayLevel DownstreamLevels::HighestOn(const std::string &workspace,
-                                     const std::string &route) const {
-  WayLevel highest;
+CallPathLevel DownstreamLevels::HighestOnCallPath(
+    const std::string &workspace, const std::string &route) const {
+  CallPathLevel highest;
   const auto way = this->ways.find(route);
   if (way == this->ways.end()) return highest;
   const auto scope = this->scopes.find(this->ScopeOf(workspace));
   if (scope == this->scopes.end()) return highest;
   for (const auto &[name, service] : scope->second) {
     if (!this->Meets(way->second, name)) continue;
-    WayLevel mean = this->MeanOf(service);
+    CallPathLevel mean = this->MeanOf(service);
     if (mean.level <= highest.level) continue;
     highest = std::move(mean);
     highest.service = name;
--- a/src/pollenring/node/route_levels.h
+++ b/src/pollenring/node/route_levels.h
@@ -21,7 +21,7 @@
 };
 
 /*! @brief The service on a route's way that sheds most. */
-struct WayLevel {
+struct CallPathLevel {
   double level{};      /*!< 0 when none sheds. */
   std::string service; /*!< Empty when none sheds. */
   Duration age{};      /*!< Of its newest level. */
@@ -105,8 +105,8 @@
    * @param route Their route.
    * @return Its level, below which roots would be shed.
    */
-  [[nodiscard]] WayLevel HighestOn(const std::string &workspace,
-                                   const std::string &route) const;
+  [[nodiscard]] CallPathLevel HighestOnCallPath(const std::string &workspace,
+                                                const std::string &route) const;
 
  private:
   struct Known {
@@ -125,7 +125,7 @@
   };
 
   /*! @brief How many of a route's requests met each service that shed. */
-  struct Way {
+  struct CallPath {
     double requests{};
     Time used{};
     std::unordered_map<std::string, double> met;
@@ -136,9 +136,11 @@
       const std::string &workspace) const noexcept;
   [[nodiscard]] bool Stale(const Known &known) const noexcept;
   [[nodiscard]] bool Sheds(const Service &service) const noexcept;
-  [[nodiscard]] WayLevel MeanOf(const Service &service) const noexcept;
-  [[nodiscard]] static bool Met(const Way &way, const std::string &service);
-  [[nodiscard]] bool Meets(const Way &way, const std::string &service) const;
+  [[nodiscard]] CallPathLevel MeanOf(const Service &service) const noexcept;
+  [[nodiscard]] static bool Met(const CallPath &way,
+                                const std::string &service);
+  [[nodiscard]] bool Meets(const CallPath &way,
+                           const std::string &service) const;
   void Meet(const std::string &route,
             const std::vector<AdmissionLevel> &levels);
   void Take(const std::string &workspace,
@@ -149,7 +151,7 @@
   const Clock &clock;
   Time swept{};
   std::unordered_map<std::string, Services> scopes;
-  std::unordered_map<std::string, Way> ways;
+  std::unordered_map<std::string, CallPath> ways;
 };
 
 }  // namespace pollenring
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -173,7 +173,8 @@
   std::int32_t level_milli{}; /*!< In thousandths. */
   std::int32_t per_second{};  /*!< Calls that the target is offered. */
   std::int32_t age_ms{};      /*!< Since the target's node found it. */
-  bool on_way{true}; /*!< Whether the answered request's way leads there. */
+  bool on_call_path{
+      true}; /*!< Whether the answered request's way leads there. */
 };
 
 template <>
@@ -184,7 +185,7 @@
     return std::make_tuple(Field{1, value.service}, Field{2, value.node},
                            Field{3, value.level_milli},
                            Field{4, value.per_second}, Field{5, value.age_ms},
-                           Field{6, value.on_way});
+                           Field{6, value.on_call_path});
   }
 };
 
@@ -194,7 +195,7 @@
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
     return std::tie(value.service, value.node, value.level_milli,
-                    value.per_second, value.age_ms, value.on_way);
+                    value.per_second, value.age_ms, value.on_call_path);
   }
 };
 
--- a/test/pollenring/node/route_levels_test.cc
+++ b/test/pollenring/node/route_levels_test.cc
@@ -36,11 +36,11 @@
   DownstreamLevels levels{PerWorkspace(), clock};
   levels.Learn("club", "front GET /",
                {Of("back", 1, 1000), Of("middle", 2, 500)});
-  CHECK(levels.HighestOn("club", "front GET /").level == Approx(1.0));
-  CHECK(levels.HighestOn("other", "front GET /").level == 0);
-  CHECK(levels.HighestOn("club", "side GET /").level == 0);
+  CHECK(levels.HighestOnCallPath("club", "front GET /").level == Approx(1.0));
+  CHECK(levels.HighestOnCallPath("other", "front GET /").level == 0);
+  CHECK(levels.HighestOnCallPath("club", "side GET /").level == 0);
   clock.Advance(std::chrono::seconds{1});
-  CHECK(levels.HighestOn("club", "front GET /").level == 0);
+  CHECK(levels.HighestOnCallPath("club", "front GET /").level == 0);
 }
 
 TEST_CASE("route levels: routes that nobody asks for are forgotten") {
@@ -73,12 +73,12 @@
     for (int other = 0; other < 30; ++other) {
       clock.Advance(milliseconds{66});
       AdmissionLevel heard = Of("deepest", 7, 2400);
-      heard.on_way = false;
+      heard.on_call_path = false;
       heard.age_ms = 150;
       levels.Learn("workspace1", "shallow", {heard});
     }
     const std::string workspace = "workspace" + std::to_string(i % 8);
-    if (levels.HighestOn(workspace, "deep").level > 2) {
+    if (levels.HighestOnCallPath(workspace, "deep").level > 2) {
       ++refused;
       continue;
     }
@@ -86,7 +86,7 @@
   }
   // A way that no answer confirms is tried anew every ten seconds.
   CHECK(refused >= 16);
-  CHECK(levels.HighestOn("workspace1", "shallow").level == 0);
+  CHECK(levels.HighestOnCallPath("workspace1", "shallow").level == 0);
 }
 
 TEST_CASE("route levels: nodes that repeat each other keep no level alive") {
@@ -99,7 +99,7 @@
     other.Learn({}, "deep", one.Shedding({}, "deep", kMost));
     one.Learn({}, "deep", other.Shedding({}, "deep", kMost));
   }
-  CHECK(one.HighestOn({}, "deep").level == 0);
+  CHECK(one.HighestOnCallPath({}, "deep").level == 0);
   CHECK(other.Shedding({}, "deep", kMost).empty());
 }
 
@@ -109,7 +109,7 @@
   levels.Learn({}, "deep", {Of("deepest", 1, 900)});
   levels.Learn({}, "deep", {Of("deepest", 2, 0)});
   levels.Learn({}, "deep", {Of("deepest", 3, 0)});
-  CHECK(levels.HighestOn({}, "deep").level == Approx(0.3));
+  CHECK(levels.HighestOnCallPath({}, "deep").level == Approx(0.3));
 }
 
 TEST_CASE(
@@ -119,7 +119,7 @@
   levels.Learn({}, "deep", {Of("deepest", 1, 2400, 560)});
   levels.Learn({}, "deep", {Of("deepest", 2, 2400, 560)});
   levels.Learn({}, "deep", {Of("deepest", 3, 0, 3)});
-  CHECK(levels.HighestOn({}, "deep").level > 2.3);
+  CHECK(levels.HighestOnCallPath({}, "deep").level > 2.3);
 }
 
 TEST_CASE("route levels: a call taken for another's puts nothing on a way") {
@@ -132,8 +132,8 @@
     levels.LearnBelow({}, i % 20 == 0 ? "shallow" : "deep",
                       {Of("deepest", 7, 1500)});
   }
-  CHECK(levels.HighestOn({}, "deep").level == Approx(1.5));
-  CHECK(levels.HighestOn({}, "shallow").level == 0);
+  CHECK(levels.HighestOnCallPath({}, "deep").level == Approx(1.5));
+  CHECK(levels.HighestOnCallPath({}, "shallow").level == 0);
 }
 
 TEST_CASE("route levels: of many that shed, those on the way are passed on") {
@@ -142,14 +142,14 @@
   std::vector<AdmissionLevel> many;
   for (NodeId node = 1; node <= 40; ++node) {
     AdmissionLevel entry = Of("service" + std::to_string(node), node, 700);
-    entry.on_way = node == 40;
+    entry.on_call_path = node == 40;
     many.push_back(entry);
   }
   levels.Learn({}, "deep", many);
   const auto passed = levels.Shedding({}, "deep", kMost);
   REQUIRE(passed.size() == kMost);
   CHECK(passed.front().service == "service40");
-  CHECK(passed.front().on_way);
+  CHECK(passed.front().on_call_path);
 }
 
 TEST_CASE("route levels: a young node goes by what others have seen") {
@@ -163,12 +163,12 @@
     seen.Learn({}, "shallow", {});
   }
   AdmissionLevel heard = Of("deepest", 7, 1500);
-  heard.on_way = false;
+  heard.on_call_path = false;
   young.Learn({}, "shallow", {heard});
-  CHECK(young.HighestOn({}, "deep").level == 0);
+  CHECK(young.HighestOnCallPath({}, "deep").level == 0);
   young.LearnMarks(seen.Marks(kMost));
-  CHECK(young.HighestOn({}, "deep").level == Approx(1.5));
-  CHECK(young.HighestOn({}, "shallow").level == 0);
+  CHECK(young.HighestOnCallPath({}, "deep").level == Approx(1.5));
+  CHECK(young.HighestOnCallPath({}, "shallow").level == 0);
   // What it has heard is no evidence of its own.
   for (const auto &mark : young.Marks(kMost)) CHECK_FALSE(mark.meets);
 }
@@ -181,10 +181,10 @@
   for (int i = 0; i < 200; ++i) {
     clock.Advance(milliseconds{10});
     AdmissionLevel heard = Of("deepest", 7, 1500);
-    heard.on_way = false;
+    heard.on_call_path = false;
     levels.Learn({}, "other", {heard});
     levels.LearnMarks({{"download", "deepest", i % 4 == 0}});
-    if (levels.HighestOn({}, "download").level > 0) ++refused;
+    if (levels.HighestOnCallPath({}, "download").level > 0) ++refused;
   }
   CHECK(refused < 50);
 }
