Rename WayMark to CallPathReport

A mark reports whether the call path of a route reaches a service that sheds, which neither way nor mark told. WayMark becomes CallPathReport, Marks becomes CallPathReports and LearnMarks becomes LearnCallPathReports. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/node/route_levels.cc
+++ b/src/pollenring/node/route_levels.cc
@@ -128,8 +128,9 @@
   return recent && told->second.meets >= kMeets;
 }
 
-std::vector<WayMark> DownstreamLevels::Marks(std::size_t most) const {
-  std::vector<WayMark> marks;
+std::vector<CallPathReport> DownstreamLevels::CallPathReports(
+    std::size_t most) const {
+  std::vector<CallPathReport> marks;
   const auto scope = this->scopes.find(this->ScopeOf({}));
   if (scope == this->scopes.end()) return marks;
   for (const auto &[service, levels] : scope->second) {
@@ -144,7 +145,8 @@
   return marks;
 }
 
-void DownstreamLevels::LearnMarks(const std::vector<WayMark> &marks) {
+void DownstreamLevels::LearnCallPathReports(
+    const std::vector<CallPathReport> &marks) {
   const Time now = this->clock.Now();
   for (const auto &mark : marks) {
     const auto known = this->ways.find(mark.route);
--- a/src/pollenring/node/route_levels.h
+++ b/src/pollenring/node/route_levels.h
@@ -89,7 +89,8 @@
    * @param most Most marks to list.
    * @return Which routes meet a service that sheds, and which do not.
    */
-  [[nodiscard]] std::vector<WayMark> Marks(std::size_t most) const;
+  [[nodiscard]] std::vector<CallPathReport> CallPathReports(
+      std::size_t most) const;
 
   /**
    * @brief Takes in what another node has seen.
@@ -97,7 +98,7 @@
    * Its word counts for routes of which this node has seen few requests.
    * @param marks What it has seen.
    */
-  void LearnMarks(const std::vector<WayMark> &marks);
+  void LearnCallPathReports(const std::vector<CallPathReport> &marks);
 
   /**
    * @brief Finds what sheds most on a route's way.
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -200,14 +200,14 @@
 };
 
 /*! @brief Whether requests of a route meet a service that sheds. */
-struct WayMark {
+struct CallPathReport {
   std::string route;
   std::string service;
   bool meets{};
 };
 
 template <>
-struct NumberedLayout<WayMark> {
+struct NumberedLayout<CallPathReport> {
   static constexpr bool kGrows = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
@@ -217,7 +217,7 @@
 };
 
 template <>
-struct ArrayLayout<WayMark, WireVersion::kV1> {
+struct ArrayLayout<CallPathReport, WireVersion::kV1> {
   static constexpr bool kFrozen = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
@@ -235,7 +235,8 @@
   std::int64_t retry_after_us{};
   LoadReport load;
   std::vector<AdmissionLevel> levels;
-  std::vector<WayMark> marks; /*!< Of other requests that the node has seen. */
+  std::vector<CallPathReport>
+      marks;          /*!< Of other requests that the node has seen. */
   NodeId served_by{}; /*!< Does not travel; known where the call was sent. */
 };
 
--- a/test/pollenring/node/route_levels_test.cc
+++ b/test/pollenring/node/route_levels_test.cc
@@ -166,11 +166,11 @@
   heard.on_call_path = false;
   young.Learn({}, "shallow", {heard});
   CHECK(young.HighestOnCallPath({}, "deep").level == 0);
-  young.LearnMarks(seen.Marks(kMost));
+  young.LearnCallPathReports(seen.CallPathReports(kMost));
   CHECK(young.HighestOnCallPath({}, "deep").level == Approx(1.5));
   CHECK(young.HighestOnCallPath({}, "shallow").level == 0);
   // What it has heard is no evidence of its own.
-  for (const auto &mark : young.Marks(kMost)) CHECK_FALSE(mark.meets);
+  for (const auto &mark : young.CallPathReports(kMost)) CHECK_FALSE(mark.meets);
 }
 
 TEST_CASE("route levels: a few nodes that are wrong convince nobody") {
@@ -183,7 +183,7 @@
     AdmissionLevel heard = Of("deepest", 7, 1500);
     heard.on_call_path = false;
     levels.Learn({}, "other", {heard});
-    levels.LearnMarks({{"download", "deepest", i % 4 == 0}});
+    levels.LearnCallPathReports({{"download", "deepest", i % 4 == 0}});
     if (levels.HighestOnCallPath({}, "download").level > 0) ++refused;
   }
   CHECK(refused < 50);
