Rename Standing to RequestPriority

Standing is a figure of speech for importance and sub-priority taken together, which is the priority of a request. Standing becomes RequestPriority and StandingOf becomes RequestPriorityOf.

--- a/src/pollenring/contract/host_policy.cc
+++ b/src/pollenring/contract/host_policy.cc
@@ -53,9 +53,9 @@
   return &this->policy.workspaces[found->second];
 }
 
-Standing HostTable::StandingOf(const HostRoute &route,
-                               const KeyedWorkspace *workspace,
-                               double lot) const noexcept {
+RequestPriority HostTable::RequestPriorityOf(const HostRoute &route,
+                                             const KeyedWorkspace *workspace,
+                                             double lot) const noexcept {
   const int by_route = static_cast<int>(ImportanceOf(route.rank));
   const auto &upper = this->upper_ranks;
   const auto found =
--- a/src/pollenring/contract/host_policy.h
+++ b/src/pollenring/contract/host_policy.h
@@ -45,7 +45,7 @@
 };
 
 /*! @brief A request's place among all others, see `PriorityOf`. */
-struct Standing {
+struct RequestPriority {
   Importance importance{Importance::kNormal};
   double lot{}; /*!< In [0, 1). */
 };
@@ -117,9 +117,9 @@
    * @param lot The request's lot.
    * @return The place.
    */
-  [[nodiscard]] Standing StandingOf(const HostRoute &route,
-                                    const KeyedWorkspace *workspace,
-                                    double lot) const noexcept;
+  [[nodiscard]] RequestPriority RequestPriorityOf(
+      const HostRoute &route, const KeyedWorkspace *workspace,
+      double lot) const noexcept;
 
   /**
    * @brief Finds how a service's targets start.
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -176,8 +176,8 @@
   envelope.route = route->name;
   envelope.caller = this->service;
   envelope.soft_deadline_us = route->target_latency.count();
-  const Standing standing =
-      table.StandingOf(*route, workspace, LotOf(entry.id));
+  const RequestPriority standing =
+      table.RequestPriorityOf(*route, workspace, LotOf(entry.id));
   envelope.importance = standing.importance;
   envelope.lot = standing.lot;
   envelope.idempotent = route->idempotent;
--- a/test/pollenring/contract/host_policy_test.cc
+++ b/test/pollenring/contract/host_policy_test.cc
@@ -27,7 +27,8 @@
                            int route_rank, double lot) {
   HostRoute route;
   route.rank = route_rank;
-  const auto place = table.StandingOf(route, table.WorkspaceOf(key), lot);
+  const auto place =
+      table.RequestPriorityOf(route, table.WorkspaceOf(key), lot);
   CHECK(place.lot >= 0);
   CHECK(place.lot < 1);
   return PriorityOf(place.importance, place.lot);
@@ -66,8 +67,8 @@
   policy.workspaces = {{{"one", 5, 7, {}}, 1, {"k0"}},
                        {{"two", 5, 7, {}}, 1, {"k1"}}};
   const HostTable table{policy};
-  const auto place =
-      table.StandingOf(Route("r", "a", "/"), table.WorkspaceOf("k0"), 0.25);
+  const auto place = table.RequestPriorityOf(Route("r", "a", "/"),
+                                             table.WorkspaceOf("k0"), 0.25);
   CHECK_FALSE(table.WorkspacesRanked());
   CHECK(place.importance == Importance::kHigh);
   CHECK(place.lot == 0.25);
