Rename AnswerSigns to ResponseSignals

The type holds what a response says by its status and its headers, which is a signal and in HTTP is of a response. AnswerSigns becomes ResponseSignals. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference but using-declarations that the formatter sorts anew, and no string literal is touched.

--- a/src/pollenring/node/target_dialect.cc
+++ b/src/pollenring/node/target_dialect.cc
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-TargetVerdict JudgeAnswer(const AnswerSigns &signs, int status) noexcept {
+TargetVerdict JudgeAnswer(const ResponseSignals &signs, int status) noexcept {
   if (signs.elsewhere) return {Outcome::kNotRun, Reason::kNoTarget, false};
   if (signs.not_run) return {Outcome::kNotRun, Reason::kTargetBusy, true};
   const bool ok = status >= kFirstOk && status < kFirstRedirect;
@@ -39,9 +39,9 @@
   return {};
 }
 
-AnswerSigns ContextCodec::Read(const CallEnvelope & /*envelope*/,
-                               const HttpResponse &answer) const {
-  AnswerSigns signs;
+ResponseSignals ContextCodec::Read(const CallEnvelope & /*envelope*/,
+                                   const HttpResponse &answer) const {
+  ResponseSignals signs;
   signs.busy =
       answer.status == kServiceUnavailable || answer.status == kTooManyRequests;
   return signs;
--- a/src/pollenring/node/target_dialect.h
+++ b/src/pollenring/node/target_dialect.h
@@ -19,7 +19,7 @@
 };
 
 /*! @brief What an answer says by its status and headers. */
-struct AnswerSigns {
+struct ResponseSignals {
   bool elsewhere{};   /*!< It comes from another start than was meant. */
   bool not_run{};     /*!< The target says that it has not run the call. */
   bool promises{};    /*!< Passed on, it would say that to the caller. */
@@ -41,7 +41,7 @@
  * @param status Its status.
  * @return Whether the call has run, and whether the answer is passed on.
  */
-[[nodiscard]] TargetVerdict JudgeAnswer(const AnswerSigns &signs,
+[[nodiscard]] TargetVerdict JudgeAnswer(const ResponseSignals &signs,
                                         int status) noexcept;
 
 /*! @brief How calls and answers are written between a node and its target. */
@@ -74,8 +74,8 @@
    * @param answer The whole answer.
    * @return What it says.
    */
-  [[nodiscard]] virtual AnswerSigns Read(const CallEnvelope &envelope,
-                                         const HttpResponse &answer) const = 0;
+  [[nodiscard]] virtual ResponseSignals Read(
+      const CallEnvelope &envelope, const HttpResponse &answer) const = 0;
 
   /**
    * @brief Chooses the headers of an answer that its caller may see.
@@ -92,8 +92,8 @@
   void AddHeaders(const TargetCall &call, HttpRequest &request) const override;
   [[nodiscard]] CorrelationHeader CorrelationHeaderOf(
       const CallEnvelope &envelope) const override;
-  [[nodiscard]] AnswerSigns Read(const CallEnvelope &envelope,
-                                 const HttpResponse &answer) const override;
+  [[nodiscard]] ResponseSignals Read(const CallEnvelope &envelope,
+                                     const HttpResponse &answer) const override;
   [[nodiscard]] std::vector<WireHeader> PassAnswerHeaders(
       const HttpHeaders &headers) const override;
 };
--- a/test/pollenring/node/target_dialect_test.cc
+++ b/test/pollenring/node/target_dialect_test.cc
@@ -4,15 +4,15 @@
 
 namespace {
 
-using pollenring::AnswerSigns;
 using pollenring::JudgeAnswer;
 using pollenring::Outcome;
 using pollenring::Reason;
+using pollenring::ResponseSignals;
 
 }  // namespace
 
 TEST_CASE("target answers: only the target itself can say that nothing ran") {
-  AnswerSigns signs;
+  ResponseSignals signs;
   CHECK(JudgeAnswer(signs, 200).outcome == Outcome::kRan);
   CHECK(JudgeAnswer(signs, 500).outcome == Outcome::kRan);
   // A bare status would promise the caller what nobody has said.
@@ -25,7 +25,7 @@
 
 TEST_CASE(
     "target answers: a success that is not the target's is not passed on") {
-  AnswerSigns signs;
+  ResponseSignals signs;
   signs.genuine = false;
   CHECK(JudgeAnswer(signs, 200).reason == Reason::kTargetFailed);
   CHECK(JudgeAnswer(signs, 200).outcome == Outcome::kUnknown);
--- a/test/support/faulty_dialects.h
+++ b/test/support/faulty_dialects.h
@@ -41,7 +41,7 @@
       const pollenring::CallEnvelope &envelope) const override {
     return this->sound.CorrelationHeaderOf(envelope);
   }
-  [[nodiscard]] pollenring::AnswerSigns Read(
+  [[nodiscard]] pollenring::ResponseSignals Read(
       const pollenring::CallEnvelope &envelope,
       const pollenring::HttpResponse &answer) const override {
     if (envelope.root_id == kFailsInside) {
