Rename PassAnswerHeaders to ForwardableResponseHeaders

The function does not pass anything on but selects which headers of a response may be forwarded. PassAnswerHeaders becomes ForwardableResponseHeaders and PassableHeaders becomes ForwardableHeaders.

--- a/src/pollenring/node/headers.cc
+++ b/src/pollenring/node/headers.cc
@@ -39,7 +39,7 @@
 
 }  // namespace
 
-std::vector<WireHeader> PassableHeaders(const HttpHeaders &headers) {
+std::vector<WireHeader> ForwardableHeaders(const HttpHeaders &headers) {
   std::vector<WireHeader> passable;
   passable.reserve(headers.size());
   for (const auto &header : headers) {
--- a/src/pollenring/node/headers.h
+++ b/src/pollenring/node/headers.h
@@ -30,7 +30,7 @@
  * @param headers Headers as received.
  * @return Those without internal and hop-by-hop ones.
  */
-[[nodiscard]] std::vector<WireHeader> PassableHeaders(
+[[nodiscard]] std::vector<WireHeader> ForwardableHeaders(
     const HttpHeaders &headers);
 
 /**
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -82,7 +82,7 @@
     this->Refuse(root, Outcome::kNotRun, refused);
     return;
   }
-  root->envelope.headers = PassableHeaders(request.headers);
+  root->envelope.headers = ForwardableHeaders(request.headers);
   root->body = std::move(request.body);
   root->responder->OnCancel([root](CallerDisconnect) { root->gone = true; });
   this->Next(root);
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -177,7 +177,7 @@
   answer.outcome = verdict.outcome;
   answer.status = response.status;
   // First what may fail: an error after it leaves out those that start next.
-  answer.headers = this->codec.PassAnswerHeaders(response.headers);
+  answer.headers = this->codec.ForwardableResponseHeaders(response.headers);
   const AdmissionActions next = admission.Finish(
       id, found->second.served.time_in_sub_calls, verdict.shed);
   if (verdict.reason != Reason::kNone) {
--- a/src/pollenring/node/target_dialect.cc
+++ b/src/pollenring/node/target_dialect.cc
@@ -47,9 +47,9 @@
   return signs;
 }
 
-std::vector<WireHeader> ContextCodec::PassAnswerHeaders(
+std::vector<WireHeader> ContextCodec::ForwardableResponseHeaders(
     const HttpHeaders &headers) const {
-  return PassableHeaders(headers);
+  return ForwardableHeaders(headers);
 }
 
 }  // namespace pollenring
--- a/src/pollenring/node/target_dialect.h
+++ b/src/pollenring/node/target_dialect.h
@@ -82,7 +82,7 @@
    * @param headers Headers of the answer.
    * @return Those to pass on.
    */
-  [[nodiscard]] virtual std::vector<WireHeader> PassAnswerHeaders(
+  [[nodiscard]] virtual std::vector<WireHeader> ForwardableResponseHeaders(
       const HttpHeaders &headers) const = 0;
 };
 
@@ -94,7 +94,7 @@
       const CallEnvelope &envelope) const override;
   [[nodiscard]] ResponseSignals Read(const CallEnvelope &envelope,
                                      const HttpResponse &answer) const override;
-  [[nodiscard]] std::vector<WireHeader> PassAnswerHeaders(
+  [[nodiscard]] std::vector<WireHeader> ForwardableResponseHeaders(
       const HttpHeaders &headers) const override;
 };
 
--- a/src/pollenring/node/target_port.cc
+++ b/src/pollenring/node/target_port.cc
@@ -97,7 +97,7 @@
   envelope.path = std::move(path);
   envelope.method = request.method;
   envelope.route = RouteName(envelope.service, *route);
-  envelope.headers = PassableHeaders(request.headers);
+  envelope.headers = ForwardableHeaders(request.headers);
   envelope.importance = parent.envelope.importance;
   envelope.idempotent = route->idempotent;
   envelope.lot = parent.envelope.lot;
--- a/test/support/faulty_dialects.h
+++ b/test/support/faulty_dialects.h
@@ -50,13 +50,13 @@
     pollenring::Require(envelope.root_id != kBreaksRule, "a rule of the test");
     return this->sound.Read(envelope, answer);
   }
-  [[nodiscard]] std::vector<pollenring::WireHeader> PassAnswerHeaders(
+  [[nodiscard]] std::vector<pollenring::WireHeader> ForwardableResponseHeaders(
       const pollenring::HttpHeaders &headers) const override {
     const auto id = pollenring::FindHeader(headers, "x-pollenring-attempt-id");
     if (id.substr(0, kUnpassable.size()) == kUnpassable) {
       throw std::out_of_range{"an answer that can't be passed on"};
     }
-    return this->sound.PassAnswerHeaders(headers);
+    return this->sound.ForwardableResponseHeaders(headers);
   }
 
  private:
