Rename DigestsAsk to DigestRequest

A verb served as a noun for a request of the anti-entropy exchange, while the other messages are named request and reply. DigestsAsk becomes DigestRequest and RecordsOfParts becomes DigestReply. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/membership/membership.cc
+++ b/src/pollenring/membership/membership.cc
@@ -35,8 +35,8 @@
   return records;
 }
 
-RecordsOfParts Membership::Differing(const PartDigests &theirs) const {
-  RecordsOfParts found;
+DigestReply Membership::Differing(const PartDigests &theirs) const {
+  DigestReply found;
   found.digests = this->digests;
   const auto add = [&](const Member &member) {
     const std::size_t part = PartOfNode(member.id);
--- a/src/pollenring/membership/membership.h
+++ b/src/pollenring/membership/membership.h
@@ -101,13 +101,13 @@
 using PartDigests = std::array<std::uint64_t, kDigestParts>;
 
 /*! @brief Records of the parts that differ, and digests of all parts. */
-struct RecordsOfParts {
+struct DigestReply {
   PartDigests digests{};
   std::vector<Member> records;
 };
 
 template <>
-struct NumberedLayout<RecordsOfParts> {
+struct NumberedLayout<DigestReply> {
   static constexpr bool kGrows = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
@@ -116,7 +116,7 @@
 };
 
 template <>
-struct ArrayLayout<RecordsOfParts, WireVersion::kV1> {
+struct ArrayLayout<DigestReply, WireVersion::kV1> {
   static constexpr bool kFrozen = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
@@ -125,12 +125,12 @@
 };
 
 /*! @brief Asks for the records of the parts that differ. */
-struct DigestsAsk {
+struct DigestRequest {
   PartDigests digests{};
 };
 
 template <>
-struct NumberedLayout<DigestsAsk> {
+struct NumberedLayout<DigestRequest> {
   static constexpr bool kGrows = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
@@ -227,7 +227,7 @@
    * @param theirs Its digests.
    * @return Records of the parts whose digests differ, and own digests.
    */
-  [[nodiscard]] RecordsOfParts Differing(const PartDigests &theirs) const;
+  [[nodiscard]] DigestReply Differing(const PartDigests &theirs) const;
 
   /*! @brief Digests to compare with a peer's. @return Them. */
   [[nodiscard]] const PartDigests &Digests() const noexcept {
--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -274,7 +274,7 @@
       this->bus.Wire().versions.Of(peer).value_or(kCommonWire);
   const PartDigests &digests = this->membership.Digests();
   const std::string ask =
-      version < WireVersion::kV3 ? Pack(digests) : Pack(DigestsAsk{digests});
+      version < WireVersion::kV3 ? Pack(digests) : Pack(DigestRequest{digests});
   this->link.Call(AddressOf(peer), "members-differ", ask, kJoinTimeout,
                   [this, peer](LinkClient::Reply reply) {
                     const auto *body = std::get_if<std::string>(&reply);
@@ -283,7 +283,7 @@
 }
 
 void MemberService::Exchange(NodeId peer, const std::string &body) {
-  const auto theirs = Decode<RecordsOfParts>(body);
+  const auto theirs = Decode<DigestReply>(body);
   if (!theirs) {
     this->bus.Wire().NoteUnreadable(peer, "members-differ", body.size());
     return;
@@ -297,14 +297,14 @@
 
 std::string MemberService::AnswerDiffering(const Address &from,
                                            const std::string &body) {
-  if (const auto ask = Unpack<DigestsAsk>(body)) {
+  if (const auto ask = Unpack<DigestRequest>(body)) {
     return Pack(this->membership.Differing(ask->digests));
   }
   if (const auto theirs = Unpack<PartDigests>(body)) {
     return Encode(this->membership.Differing(*theirs), kCommonWire);
   }
   this->bus.Wire().unreadable.Note({from, "members-differ", body.size(), {}});
-  return Encode(RecordsOfParts{}, FormOf(body));
+  return Encode(DigestReply{}, FormOf(body));
 }
 
 WireVersion MemberService::TakeRecords(const Address &from,
--- a/test/pollenring/wire/golden_test.cc
+++ b/test/pollenring/wire/golden_test.cc
@@ -53,7 +53,7 @@
 
   pollenring::Gossip gossip = support::GoldenGossip();
   std::vector<pollenring::Member> members{support::GoldenMember()};
-  pollenring::RecordsOfParts records = support::GoldenRecords();
+  pollenring::DigestReply records = support::GoldenRecords();
   pollenring::CallEnvelope call = support::GoldenEnvelope();
   pollenring::CallReply reply =
       support::GoldenReply(pollenring::Reason::kOverload);
@@ -131,7 +131,7 @@
   CheckRead(golden.Of("borrow"), values.borrow, WireVersion::kV3);
   CheckRead(golden.Of("loan"), values.loan, WireVersion::kV3);
   const auto ask =
-      pollenring::Unpack<pollenring::DigestsAsk>(golden.Of("digests"));
+      pollenring::Unpack<pollenring::DigestRequest>(golden.Of("digests"));
   REQUIRE(ask);
   CHECK(ask->digests == support::GoldenDigests());
 }
--- a/test/support/golden_values.h
+++ b/test/support/golden_values.h
@@ -56,8 +56,8 @@
 }
 
 /*! @brief What a node answers that holds other records. */
-[[nodiscard]] inline pollenring::RecordsOfParts GoldenRecords() {
-  pollenring::RecordsOfParts records;
+[[nodiscard]] inline pollenring::DigestReply GoldenRecords() {
+  pollenring::DigestReply records;
   records.digests = GoldenDigests();
   records.records = {GoldenMember()};
   return records;
