Rename PartDigests to PartitionDigests

The digests are those of partitions in the anti-entropy exchange, which parts did not say. PartDigests becomes PartitionDigests and kDigestParts becomes kDigestPartitions. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/membership/membership.cc
+++ b/src/pollenring/membership/membership.cc
@@ -35,7 +35,7 @@
   return records;
 }
 
-DigestReply Membership::Differing(const PartDigests &theirs) const {
+DigestReply Membership::Differing(const PartitionDigests &theirs) const {
   DigestReply found;
   found.digests = this->digests;
   const auto add = [&](const Member &member) {
@@ -177,7 +177,7 @@
 }
 
 std::size_t Membership::PartOfNode(NodeId id) noexcept {
-  return static_cast<std::size_t>(HashNumber(id) % kDigestParts);
+  return static_cast<std::size_t>(HashNumber(id) % kDigestPartitions);
 }
 
 std::uint64_t Membership::WholeDigest() const noexcept {
--- a/src/pollenring/membership/membership.h
+++ b/src/pollenring/membership/membership.h
@@ -95,14 +95,14 @@
 };
 
 /*! @brief Parts into which records are sorted to find those that differ. */
-inline constexpr std::size_t kDigestParts = 64;
+inline constexpr std::size_t kDigestPartitions = 64;
 
 /*! @brief Digest of the records of each part. */
-using PartDigests = std::array<std::uint64_t, kDigestParts>;
+using PartitionDigests = std::array<std::uint64_t, kDigestPartitions>;
 
 /*! @brief Records of the parts that differ, and digests of all parts. */
 struct DigestReply {
-  PartDigests digests{};
+  PartitionDigests digests{};
   std::vector<Member> records;
 };
 
@@ -126,7 +126,7 @@
 
 /*! @brief Asks for the records of the parts that differ. */
 struct DigestRequest {
-  PartDigests digests{};
+  PartitionDigests digests{};
 };
 
 template <>
@@ -227,10 +227,10 @@
    * @param theirs Its digests.
    * @return Records of the parts whose digests differ, and own digests.
    */
-  [[nodiscard]] DigestReply Differing(const PartDigests &theirs) const;
+  [[nodiscard]] DigestReply Differing(const PartitionDigests &theirs) const;
 
   /*! @brief Digests to compare with a peer's. @return Them. */
-  [[nodiscard]] const PartDigests &Digests() const noexcept {
+  [[nodiscard]] const PartitionDigests &Digests() const noexcept {
     return this->digests;
   }
 
@@ -360,7 +360,8 @@
   Time last_change{};
   Time last_exchange{};
   std::uint64_t changes{};
-  PartDigests digests{}; /*!< Exclusive or over the records of each part. */
+  PartitionDigests
+      digests{}; /*!< Exclusive or over the records of each part. */
   std::uint64_t sequence{};
   std::uint64_t config_version{};
   ZoneWithdrawals zones;
--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -272,7 +272,7 @@
 void MemberService::RecordsDiffer(NodeId peer) {
   const WireVersion version =
       this->bus.Wire().versions.Of(peer).value_or(kCommonWire);
-  const PartDigests &digests = this->membership.Digests();
+  const PartitionDigests &digests = this->membership.Digests();
   const std::string ask =
       version < WireVersion::kV3 ? Pack(digests) : Pack(DigestRequest{digests});
   this->link.Call(AddressOf(peer), "members-differ", ask, kJoinTimeout,
@@ -300,7 +300,7 @@
   if (const auto ask = Unpack<DigestRequest>(body)) {
     return Pack(this->membership.Differing(ask->digests));
   }
-  if (const auto theirs = Unpack<PartDigests>(body)) {
+  if (const auto theirs = Unpack<PartitionDigests>(body)) {
     return Encode(this->membership.Differing(*theirs), kCommonWire);
   }
   this->bus.Wire().unreadable.Note({from, "members-differ", body.size(), {}});
--- a/test/pollenring/wire/golden_test.cc
+++ b/test/pollenring/wire/golden_test.cc
@@ -92,7 +92,7 @@
   CheckRead(golden.Of("borrow"), support::GoldenBorrow(), WireVersion::kV2);
   CheckRead(golden.Of("loan"), support::GoldenLoan(), WireVersion::kV2);
   const auto digests =
-      pollenring::Unpack<pollenring::PartDigests>(golden.Of("digests"));
+      pollenring::Unpack<pollenring::PartitionDigests>(golden.Of("digests"));
   REQUIRE(digests);
   CHECK(*digests == support::GoldenDigests());
 }
--- a/test/support/golden_values.h
+++ b/test/support/golden_values.h
@@ -48,8 +48,8 @@
 }
 
 /*! @brief Digests of all parts. */
-[[nodiscard]] inline pollenring::PartDigests GoldenDigests() {
-  pollenring::PartDigests digests{};
+[[nodiscard]] inline pollenring::PartitionDigests GoldenDigests() {
+  pollenring::PartitionDigests digests{};
   std::uint64_t next = 1;
   for (auto &digest : digests) digest = next *= 3;
   return digests;
