Rename StoreDuty to StoreWatcherRole

Duty did not say that a node is a designated watcher of the store, which is a role that it takes. StoreDuty becomes StoreWatcherRole, StoreDutyOptions becomes StoreWatcherOptions, OnDuty becomes IsDesignated and Duty becomes WatcherRole. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference but using-declarations that the formatter sorts anew, and no string literal is touched.

--- a/src/pollenring/membership/fwd.h
+++ b/src/pollenring/membership/fwd.h
@@ -5,7 +5,7 @@
 
 class Membership;
 class MembershipDelegate;
-class StoreDuty;
+class StoreWatcherRole;
 struct Member;
 struct Target;
 struct Gossip;
--- a/src/pollenring/membership/store_duty.cc
+++ b/src/pollenring/membership/store_duty.cc
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-std::size_t StoreDuty::Rank() const {
+std::size_t StoreWatcherRole::Rank() const {
   const Member &self = this->membership.Self();
   const std::uint64_t own = OrderOf(self.id);
   std::size_t before = 0;
@@ -31,7 +31,7 @@
   return before;
 }
 
-std::size_t StoreDuty::Needed() const {
+std::size_t StoreWatcherRole::Needed() const {
   std::set<std::string_view> zones{this->membership.Self().zone};
   for (const auto &[id, member] : this->membership.Members()) {
     if (member.state == MemberState::kAlive) zones.insert(member.zone);
@@ -41,13 +41,13 @@
   return std::max(this->options.per_zone, spread);
 }
 
-Duration StoreDuty::NextWatch(Random &random) const {
+Duration StoreWatcherRole::NextWatch(Random &random) const {
   const double part = 0.5 + random.Fraction() / 2;
   return Duration{static_cast<std::int64_t>(
       part * static_cast<double>(this->options.longest_watch.count()))};
 }
 
-bool StoreDuty::Asks() const {
+bool StoreWatcherRole::Asks() const {
   const std::size_t rank = this->Rank();
   const std::size_t needed = this->Needed();
   if (rank < needed) return true;
--- a/src/pollenring/membership/store_duty.h
+++ b/src/pollenring/membership/store_duty.h
@@ -11,7 +11,7 @@
 namespace pollenring {
 
 /*! @brief Who asks the store on behalf of all nodes. */
-struct StoreDutyOptions {
+struct StoreWatcherOptions {
   std::size_t per_zone{2}; /*!< So that one lost node leaves another. */
   std::size_t fewest{6};   /*!< In all zones; a third may be cut off at once. */
   /*! @brief Age of the newest word from the store at which others step in;
@@ -34,7 +34,7 @@
  * newest word from the store travels with gossip; where it grows old, further
  * nodes step in, one after the other.
  */
-class StoreDuty {
+class StoreWatcherRole {
  public:
   /**
    * @brief Creates the decision.
@@ -43,15 +43,17 @@
    * @param options Limits.
    * @param clock Clock.
    */
-  StoreDuty(const Membership &membership, const PeerVersions &versions,
-            const StoreDutyOptions &options, const Clock &clock)
+  StoreWatcherRole(const Membership &membership, const PeerVersions &versions,
+                   const StoreWatcherOptions &options, const Clock &clock)
       : membership{membership},
         versions{versions},
         options{options},
         clock{clock} {}
 
   /*! @brief Whether this node is one of those of its zone. @return So. */
-  [[nodiscard]] bool OnDuty() const { return this->Rank() < this->Needed(); }
+  [[nodiscard]] bool IsDesignated() const {
+    return this->Rank() < this->Needed();
+  }
 
   /*! @brief Whether this node is to ask the store now. @return So. */
   [[nodiscard]] bool Asks() const;
@@ -75,7 +77,7 @@
 
   const Membership &membership;
   const PeerVersions &versions;
-  StoreDutyOptions options;
+  StoreWatcherOptions options;
   const Clock &clock;
 };
 
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -55,7 +55,7 @@
   const bool whole = this->table.Version() > 0 && this->zones.Known();
   const bool lacks = !whole && this->loop.GetClock().Now() >= this->first_read;
   const bool joined = this->members.Joined();
-  if (!lacks && !(joined && this->members.Duty().Asks())) {
+  if (!lacks && !(joined && this->members.WatcherRole().Asks())) {
     this->watching = false;
     return;
   }
@@ -94,7 +94,7 @@
 }
 
 void PolicyFollower::Await() {
-  const Duration wait = this->members.Duty().NextWatch(this->random);
+  const Duration wait = this->members.WatcherRole().NextWatch(this->random);
   this->source.Await(this->position, wait, [this](PolicySource::Reply reply) {
     if (const auto *error = std::get_if<StorageError>(&reply)) {
       this->Failed(*error);
--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -47,7 +47,7 @@
       random{random},
       membership{std::move(self), MembershipOptions{}, loop.GetClock(), random,
                  *this},
-      duty{this->membership, bus.Wire().versions, StoreDutyOptions{},
+      duty{this->membership, bus.Wire().versions, StoreWatcherOptions{},
            loop.GetClock()},
       first_start{first_start},
       started{loop.GetClock().Now()} {}
@@ -102,7 +102,8 @@
     }
     this->JoinThroughSome(std::move(alive));
   }
-  if (alone || (this->joined && this->duty.OnDuty())) this->ReadBootstrapRow();
+  if (alone || (this->joined && this->duty.IsDesignated()))
+    this->ReadBootstrapRow();
   this->loop.After(this->BootstrapPause(), [this] { this->Bootstrap(); });
 }
 
@@ -166,7 +167,7 @@
       std::find(listed.begin(), listed.end(), self) != listed.end();
   const bool leaving = this->membership.Self().state != MemberState::kAlive;
   const std::size_t most =
-      this->duty.OnDuty() && this->joined ? kMostListed : kFewListed;
+      this->duty.IsDesignated() && this->joined ? kMostListed : kFewListed;
   const bool joins = !there && !leaving && listed.size() < most;
   if (joins) listed.push_back(self);
   if (!joins && !shrunk) return;
--- a/src/pollenring/node/member_service.h
+++ b/src/pollenring/node/member_service.h
@@ -44,7 +44,9 @@
   }
 
   /*! @brief Who asks the store on behalf of all. @return The decision. */
-  [[nodiscard]] const StoreDuty &Duty() const noexcept { return this->duty; }
+  [[nodiscard]] const StoreWatcherRole &WatcherRole() const noexcept {
+    return this->duty;
+  }
 
   /*! @brief Whether this node knows the others, or that there are none. */
   [[nodiscard]] bool Joined() const noexcept { return this->joined; }
@@ -108,7 +110,7 @@
   Table &table;
   Random &random;
   Membership membership;
-  StoreDuty duty;
+  StoreWatcherRole duty;
   bool first_start;
   std::vector<MemberListener> member_listeners;
   std::vector<VersionListener> version_listeners;
--- a/test/pollenring/membership/store_duty_test.cc
+++ b/test/pollenring/membership/store_duty_test.cc
@@ -14,8 +14,8 @@
 
 using namespace std::chrono_literals;
 using pollenring::Duration;
-using pollenring::StoreDuty;
-using pollenring::StoreDutyOptions;
+using pollenring::StoreWatcherOptions;
+using pollenring::StoreWatcherRole;
 using pollenring::Time;
 using support::MemberFleet;
 
@@ -55,8 +55,8 @@
   void Look(int index) {
     auto *membership = this->fleet.At(index);
     if (membership == nullptr) return;
-    const StoreDuty duty{*membership, this->versions, StoreDutyOptions{},
-                         this->fleet.clock};
+    const StoreWatcherRole duty{*membership, this->versions,
+                                StoreWatcherOptions{}, this->fleet.clock};
     Time &due = this->due[index];
     if (!duty.Asks() || this->now < due) return;
     ++this->calls;
@@ -104,9 +104,9 @@
     // The store turns away all that are on duty now, and a third of the rest.
     std::set<int> refused;
     for (int i = 0; i < fleet.Size(); ++i) {
-      const StoreDuty duty{*fleet.At(i), versions, StoreDutyOptions{},
-                           fleet.clock};
-      if (duty.OnDuty() || i % 3 == 0) refused.insert(i);
+      const StoreWatcherRole duty{*fleet.At(i), versions, StoreWatcherOptions{},
+                                  fleet.clock};
+      if (duty.IsDesignated() || i % 3 == 0) refused.insert(i);
     }
     watchers.reaches = [&refused](int node) {
       return refused.count(node) == 0;
@@ -122,9 +122,9 @@
     // All nodes on duty are killed at once; word of the store is old by then.
     std::vector<int> on_duty;
     for (int i = 0; i < fleet.Size(); ++i) {
-      const StoreDuty duty{*fleet.At(i), versions, StoreDutyOptions{},
-                           fleet.clock};
-      if (duty.OnDuty()) on_duty.push_back(i);
+      const StoreWatcherRole duty{*fleet.At(i), versions, StoreWatcherOptions{},
+                                  fleet.clock};
+      if (duty.IsDesignated()) on_duty.push_back(i);
     }
     for (const int node : on_duty) fleet.Kill(node);
     watchers.Run(4s);
@@ -139,7 +139,8 @@
   for (int i = 1; i < 12; ++i) fleet.network.cuts.insert({0, i});
   watchers.Run(4s);
   const pollenring::PeerVersions versions;
-  const StoreDuty duty{*fleet.At(0), versions, StoreDutyOptions{}, fleet.clock};
+  const StoreWatcherRole duty{*fleet.At(0), versions, StoreWatcherOptions{},
+                              fleet.clock};
   CHECK(duty.Asks());
 }
 
@@ -153,9 +154,9 @@
   }
   std::map<std::string, int> on_duty;
   for (int i = 0; i < 10; ++i) {
-    const StoreDuty duty{*fleet.At(i), versions, StoreDutyOptions{},
-                         fleet.clock};
-    if (duty.OnDuty()) ++on_duty[fleet.At(i)->Self().zone];
+    const StoreWatcherRole duty{*fleet.At(i), versions, StoreWatcherOptions{},
+                                fleet.clock};
+    if (duty.IsDesignated()) ++on_duty[fleet.At(i)->Self().zone];
   }
   REQUIRE(on_duty.size() == 3);
   for (const auto &[zone, nodes] : on_duty) CHECK(nodes == 2);
