Rename HearStore to RecordStoreContact

Hearing the store was a second expression for what ConfigService calls the last contact with the store. HearStore becomes RecordStoreContact, StoreHeard becomes LastStoreContact and store_heard becomes last_store_contact. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/membership/membership.cc
+++ b/src/pollenring/membership/membership.cc
@@ -89,7 +89,8 @@
   const bool as_new = gossip.config_version <= this->config_version;
   if (as_new && gossip.store_age_ms >= 0) {
     const Duration age = std::chrono::milliseconds{gossip.store_age_ms};
-    this->store_heard = std::max(this->store_heard, this->clock.Now() - age);
+    this->last_store_contact =
+        std::max(this->last_store_contact, this->clock.Now() - age);
   }
   this->CompareDigest(gossip);
 }
@@ -254,8 +255,8 @@
   gossip.from = this->self.id;
   gossip.sequence = number;
   gossip.config_version = this->config_version;
-  if (this->store_heard > Time{}) {
-    const Duration age = this->clock.Now() - this->store_heard;
+  if (this->last_store_contact > Time{}) {
+    const Duration age = this->clock.Now() - this->last_store_contact;
     gossip.store_age_ms =
         std::chrono::ceil<std::chrono::milliseconds>(age).count();
   }
--- a/src/pollenring/membership/membership.h
+++ b/src/pollenring/membership/membership.h
@@ -257,10 +257,14 @@
    * What the store held then has been told together with it.
    * @return The time; 0 when nothing was ever heard.
    */
-  [[nodiscard]] Time StoreHeard() const noexcept { return this->store_heard; }
+  [[nodiscard]] Time LastStoreContact() const noexcept {
+    return this->last_store_contact;
+  }
 
   /*! @brief The store has answered this node. */
-  void HearStore() noexcept { this->store_heard = this->clock.Now(); }
+  void RecordStoreContact() noexcept {
+    this->last_store_contact = this->clock.Now();
+  }
 
   /*! @brief Advances probes and suspicions; call it often. */
   void Tick();
@@ -365,7 +369,7 @@
   std::uint64_t sequence{};
   std::uint64_t config_version{};
   ZoneWithdrawals zones;
-  Time store_heard{};
+  Time last_store_contact{};
 };
 
 }  // namespace pollenring
--- a/src/pollenring/membership/store_duty.cc
+++ b/src/pollenring/membership/store_duty.cc
@@ -52,7 +52,8 @@
   const std::size_t needed = this->Needed();
   if (rank < needed) return true;
   const auto later = static_cast<std::int64_t>(rank - needed);
-  const Duration silence = this->clock.Now() - this->membership.StoreHeard();
+  const Duration silence =
+      this->clock.Now() - this->membership.LastStoreContact();
   return silence > this->options.stale_after + this->options.step_in * later;
 }
 
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -36,7 +36,7 @@
       source{source},
       codec{codec},
       random{random},
-      store_heard{loop.GetClock().Now()} {}
+      last_store_contact{loop.GetClock().Now()} {}
 
 void PolicyFollower::Start(std::function<void()> given) {
   this->changed = std::move(given);
@@ -134,8 +134,8 @@
 }
 
 void PolicyFollower::Heard() {
-  this->store_heard = this->loop.GetClock().Now();
-  this->members.Get().HearStore();
+  this->last_store_contact = this->loop.GetClock().Now();
+  this->members.Get().RecordStoreContact();
   this->asking = false;
   this->pause = Duration{0};
   if (!std::exchange(this->store_lost, false)) return;
--- a/src/pollenring/mesh/policy_follower.h
+++ b/src/pollenring/mesh/policy_follower.h
@@ -73,7 +73,8 @@
    * other. @return The age. */
   [[nodiscard]] Duration StoreSilence() const noexcept {
     return this->loop.GetClock().Now() -
-           std::max(this->store_heard, this->members.Get().StoreHeard());
+           std::max(this->last_store_contact,
+                    this->members.Get().LastStoreContact());
   }
 
   [[nodiscard]] std::optional<WorkspaceRateLimit> RateOf(
@@ -105,7 +106,7 @@
   ZoneWithdrawals watched; /*!< What this node's own watch has told so far. */
   std::function<void()> changed;
   std::uint64_t position{};
-  Time store_heard{};
+  Time last_store_contact{};
   Duration pause{};
   Time first_read{}; /*!< When a node without a document reads the store. */
   bool asking{};     /*!< A call to the store, or a pause after one, is on. */
--- a/test/pollenring/membership/store_duty_test.cc
+++ b/test/pollenring/membership/store_duty_test.cc
@@ -43,8 +43,8 @@
     for (int i = 0; i < this->fleet.Size(); ++i) {
       const auto *membership = this->fleet.At(i);
       if (membership == nullptr) continue;
-      oldest =
-          std::max(oldest, this->fleet.clock.Now() - membership->StoreHeard());
+      oldest = std::max(
+          oldest, this->fleet.clock.Now() - membership->LastStoreContact());
     }
     return oldest;
   }
@@ -63,7 +63,7 @@
     const bool heard = this->reaches(index);
     due = this->now +
           (heard ? duty.NextWatch(this->fleet.random) : Duration{800ms});
-    if (heard) membership->HearStore();
+    if (heard) membership->RecordStoreContact();
   }
 
   MemberFleet &fleet;
