Rename SpreadAround to WithJitter

Spreading a time around a value is known as jitter. The name Jittered is taken by SlotKeeper. SpreadAround becomes WithJitter. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -302,7 +302,7 @@
 void Outbound::Refuse(const EntryPtr &entry, Reason reason,
                       Duration retry_after) {
   const Duration come_back = retry_after > Duration{0}
-                                 ? SpreadAround(retry_after, this->parts.random)
+                                 ? WithJitter(retry_after, this->parts.random)
                                  : Duration{0};
   this->Answer(entry, Refusal(Outcome::kNotRun, reason, come_back), {});
 }
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -154,7 +154,7 @@
   this->pause = std::clamp(this->pause * 2, kFirstPause, kLongestPause);
   // Changes may have been missed meanwhile, so the document is read anew.
   this->watching = false;
-  this->loop.After(SpreadAround(this->pause, this->random), [this] {
+  this->loop.After(WithJitter(this->pause, this->random), [this] {
     this->asking = false;
     this->Check();
   });
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -88,7 +88,7 @@
 
 void Dispatcher::Attempt(std::uint64_t id) {
   Job &job = this->jobs.at(id);
-  const Duration come_back = SpreadAround(kComeBack, this->random);
+  const Duration come_back = WithJitter(kComeBack, this->random);
   if (job.bounds.deadline <= this->loop.GetClock().Now()) {
     this->Finish(id, Refusal(Outcome::kNotRun, Reason::kDeadline, come_back),
                  {});
@@ -219,7 +219,7 @@
 void Dispatcher::Failed(std::uint64_t id, std::uint64_t attempt,
                         Outcome outcome, Reason reason) {
   CallReply reply =
-      Refusal(outcome, reason, SpreadAround(kComeBack, this->random));
+      Refusal(outcome, reason, WithJitter(kComeBack, this->random));
   const auto found = this->jobs.find(id);
   if (found == this->jobs.end()) return;
   // A slice that is not heard of again counts as spent.
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -185,7 +185,7 @@
         this->Answer(
             root,
             Refusal(Outcome::kNotRun, answer.reason,
-                    SpreadAround(answer.retry_after, this->parts.random)),
+                    WithJitter(answer.retry_after, this->parts.random)),
             {});
       });
 }
@@ -208,7 +208,7 @@
 }
 
 void Ingress::AnswerRepeat(const RootPtr &root, OnceAnswer answer) {
-  const Duration come_back = SpreadAround(kComeBack, this->parts.random);
+  const Duration come_back = WithJitter(kComeBack, this->parts.random);
   switch (answer.verdict) {
     case OnceVerdict::kAnswered:
       this->Answer(root, std::move(answer.reply), std::move(answer.body));
@@ -260,7 +260,7 @@
                          reason == Reason::kStaleConfig ||
                          reason == Reason::kNoTarget;
   const Duration come_back =
-      transient ? SpreadAround(kComeBack, this->parts.random) : Duration{};
+      transient ? WithJitter(kComeBack, this->parts.random) : Duration{};
   this->Answer(root, Refusal(outcome, reason, come_back), {});
 }
 
--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -148,8 +148,8 @@
   if (!this->joined) return kJoinPause;
   if (this->Alone()) return kBootstrapPeriod;
   const Time age = this->loop.GetClock().Now() - this->started;
-  if (age < kYoung) return SpreadAround(kBootstrapPeriod, this->random);
-  return SpreadAround(kUpkeepPeriod, this->random);
+  if (age < kYoung) return WithJitter(kBootstrapPeriod, this->random);
+  return WithJitter(kUpkeepPeriod, this->random);
 }
 
 void MemberService::Register(std::uint64_t version,
@@ -171,18 +171,17 @@
   const bool joins = !there && !leaving && listed.size() < most;
   if (joins) listed.push_back(self);
   if (!joins && !shrunk) return;
-  this->table.Write(
-      {{kBootstrapRow, version}},
-      {{kBootstrapRow, nlohmann::json(listed).dump()}},
-      [this](Table::Written written) {
-        const auto *result = std::get_if<WriteResult>(&written);
-        const bool conflict =
-            result != nullptr && *result == WriteResult::kConflict;
-        if (!conflict || this->joined) return;
-        // Whoever came first is in the row now.
-        this->loop.After(SpreadAround(kConflictPause, this->random),
-                         [this] { this->ReadBootstrapRow(); });
-      });
+  this->table.Write({{kBootstrapRow, version}},
+                    {{kBootstrapRow, nlohmann::json(listed).dump()}},
+                    [this](Table::Written written) {
+                      const auto *result = std::get_if<WriteResult>(&written);
+                      const bool conflict = result != nullptr &&
+                                            *result == WriteResult::kConflict;
+                      if (!conflict || this->joined) return;
+                      // Whoever came first is in the row now.
+                      this->loop.After(WithJitter(kConflictPause, this->random),
+                                       [this] { this->ReadBootstrapRow(); });
+                    });
 }
 
 void MemberService::JoinThrough(NodeId peer) {
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -218,7 +218,7 @@
   // What a process reads after it stood still may have been given up long ago.
   if (!framed || late || this->loop.WokeFromPause()) {
     const Reason reason = late ? Reason::kLeaving : Reason::kLinkLost;
-    const Duration come_back = SpreadAround(kComeBack, this->random);
+    const Duration come_back = WithJitter(kComeBack, this->random);
     CallReply reply = Refusal(Outcome::kNotRun, reason, come_back);
     if (framed) reply.retries_unspent = framed->head.retries;
     responder->Send(Frame(reply, {}, version));
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -204,7 +204,7 @@
 }
 
 void Serving::Refuse(std::uint64_t id, Outcome outcome, Reason reason) {
-  this->Refuse(id, outcome, reason, SpreadAround(kComeBack, this->random));
+  this->Refuse(id, outcome, reason, WithJitter(kComeBack, this->random));
 }
 
 void Serving::Refuse(std::uint64_t id, Outcome outcome, Reason reason,
@@ -220,7 +220,7 @@
   const Duration cold_for = binding == this->bindings.end()
                                 ? Duration{0}
                                 : binding->second.admission->ColdFor();
-  const Duration spread = SpreadAround(kWarmSpread, this->random);
+  const Duration spread = WithJitter(kWarmSpread, this->random);
   this->Refuse(id, Outcome::kNotRun, Reason::kWarmingUp, cold_for + spread);
 }
 
--- a/src/pollenring/retry/backoff.h
+++ b/src/pollenring/retry/backoff.h
@@ -12,7 +12,7 @@
  * @param random Randomness.
  * @return A span that differs from caller to caller.
  */
-[[nodiscard]] inline Duration SpreadAround(Duration around, Random &random) {
+[[nodiscard]] inline Duration WithJitter(Duration around, Random &random) {
   const double factor = 0.5 + random.Fraction();
   return Duration{
       static_cast<std::int64_t>(static_cast<double>(around.count()) * factor)};
