Rename Serving to TargetExecutor

The class runs calls on the local target, while its name read like a state in which something serves. Serving becomes TargetExecutor. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -24,7 +24,7 @@
   const CallerCodec &codec;
   ShareGate &shares;
   Dispatcher &dispatcher;
-  Serving &serving;
+  TargetExecutor &serving;
   DownstreamLevels &levels;
   Random &random;
   Metrics &metrics;
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -54,7 +54,7 @@
 }  // namespace
 
 Dispatcher::Dispatcher(NodeId self, Loop &loop, LinkClient &link,
-                       PeerWire &wire, Router &router, Serving &serving,
+                       PeerWire &wire, Router &router, TargetExecutor &serving,
                        RetryBudget &budget, const DispatchOptions &options,
                        Random &random, Metrics &metrics)
     : self{self},
--- a/src/pollenring/node/dispatcher.h
+++ b/src/pollenring/node/dispatcher.h
@@ -70,7 +70,7 @@
    * @param metrics Figures.
    */
   Dispatcher(NodeId self, Loop &loop, LinkClient &link, PeerWire &wire,
-             Router &router, Serving &serving, RetryBudget &budget,
+             Router &router, TargetExecutor &serving, RetryBudget &budget,
              const DispatchOptions &options, Random &random, Metrics &metrics);
 
   /**
@@ -141,7 +141,7 @@
   LinkClient &link;
   PeerWire &wire;
   Router &router;
-  Serving &serving;
+  TargetExecutor &serving;
   RetryBudget &budget;
   DispatchOptions options;
   Random &random;
--- a/src/pollenring/node/fwd.h
+++ b/src/pollenring/node/fwd.h
@@ -9,7 +9,7 @@
 class Node;
 class OperatorPort;
 class DownstreamLevels;
-class Serving;
+class TargetExecutor;
 class TargetPort;
 struct CallEnvelope;
 struct CallReply;
--- a/src/pollenring/node/node.h
+++ b/src/pollenring/node/node.h
@@ -84,7 +84,7 @@
   ContextCodec codec;
   DownstreamLevels levels;
   NoColdStartLimits cold_bounds;
-  Serving serving;
+  TargetExecutor serving;
   NodeRetryBudget retry_budget;
   Dispatcher dispatcher;
   Ingress ingress;
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -37,10 +37,12 @@
   this->time_in_sub_calls += now - this->sub_calls_since;
 }
 
-Serving::Serving(Loop &loop, HttpClient &client, const TargetCodec &codec,
-                 const AdmissionOptions &options,
-                 const ColdStartLimits &cold_bounds, DownstreamLevels &levels,
-                 Random &random, Metrics &metrics, TargetsChanged changed)
+TargetExecutor::TargetExecutor(Loop &loop, HttpClient &client,
+                               const TargetCodec &codec,
+                               const AdmissionOptions &options,
+                               const ColdStartLimits &cold_bounds,
+                               DownstreamLevels &levels, Random &random,
+                               Metrics &metrics, TargetsChanged changed)
     : loop{loop},
       client{client},
       codec{codec},
@@ -52,8 +54,8 @@
       changed{std::move(changed)},
       parents{random, loop.GetClock().Now()} {}
 
-std::uint64_t Serving::Serve(CallEnvelope envelope, std::string body,
-                             Done done) {
+std::uint64_t TargetExecutor::Serve(CallEnvelope envelope, std::string body,
+                                    Done done) {
   const std::uint64_t id = ++this->last_id;
   const Time now = this->loop.GetClock().Now();
   Call &call = this->calls[id];
@@ -84,7 +86,7 @@
   return id;
 }
 
-void Serving::Perform(const AdmissionActions &actions) {
+void TargetExecutor::Perform(const AdmissionActions &actions) {
   for (const auto &shed : actions.shed) {
     this->metrics.Count(
         "pollenring_shed_total",
@@ -103,7 +105,7 @@
   }
 }
 
-void Serving::Start(std::uint64_t id) {
+void TargetExecutor::Start(std::uint64_t id) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) return;
   Call &call = found->second;
@@ -128,7 +130,8 @@
       this->codec.CorrelationHeaderOf(call.served.envelope));
 }
 
-HttpRequest Serving::ToRequest(Call &call, const std::string &instance) const {
+HttpRequest TargetExecutor::ToRequest(Call &call,
+                                      const std::string &instance) const {
   const CallEnvelope &envelope = call.served.envelope;
   HttpRequest request;
   request.method = envelope.method;
@@ -144,7 +147,7 @@
   return request;
 }
 
-void Serving::Answered(std::uint64_t id, HttpClient::Reply reply) {
+void TargetExecutor::Answered(std::uint64_t id, HttpClient::Reply reply) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) return;
   const std::string service = found->second.served.envelope.service;
@@ -189,7 +192,7 @@
   this->Perform(next);
 }
 
-void Serving::GiveUp(std::uint64_t id) {
+void TargetExecutor::GiveUp(std::uint64_t id) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) return;
   const auto binding =
@@ -203,16 +206,16 @@
   this->CancelSubCalls(cancels);
 }
 
-void Serving::Refuse(std::uint64_t id, Outcome outcome, Reason reason) {
+void TargetExecutor::Refuse(std::uint64_t id, Outcome outcome, Reason reason) {
   this->Refuse(id, outcome, reason, WithJitter(kComeBack, this->random));
 }
 
-void Serving::Refuse(std::uint64_t id, Outcome outcome, Reason reason,
-                     Duration come_back) {
+void TargetExecutor::Refuse(std::uint64_t id, Outcome outcome, Reason reason,
+                            Duration come_back) {
   this->Finish(id, Refusal(outcome, reason, come_back), {});
 }
 
-void Serving::RefuseUntilWarm(std::uint64_t id) {
+void TargetExecutor::RefuseUntilWarm(std::uint64_t id) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) return;
   const auto binding =
@@ -224,7 +227,8 @@
   this->Refuse(id, Outcome::kNotRun, Reason::kWarmingUp, cold_for + spread);
 }
 
-void Serving::Finish(std::uint64_t id, CallReply reply, std::string body) {
+void TargetExecutor::Finish(std::uint64_t id, CallReply reply,
+                            std::string body) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) return;
   ServedCall &served = found->second.served;
@@ -241,7 +245,8 @@
   });
 }
 
-void Serving::AttachLoad(const ServedCall &served, CallReply &reply) const {
+void TargetExecutor::AttachLoad(const ServedCall &served,
+                                CallReply &reply) const {
   const CallEnvelope &envelope = served.envelope;
   reply.levels =
       this->levels.Shedding(envelope.workspace, envelope.route, kMostLevels);
@@ -263,7 +268,7 @@
        true});
 }
 
-void Serving::Cancel(std::uint64_t id) {
+void TargetExecutor::Cancel(std::uint64_t id) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) return;
   const std::string service = found->second.served.envelope.service;
@@ -280,7 +285,7 @@
   this->CancelSubCalls(cancels);
 }
 
-void Serving::CallerGone(std::uint64_t id) {
+void TargetExecutor::CallerGone(std::uint64_t id) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) return;
   const bool once = !found->second.served.envelope.idempotent;
@@ -288,7 +293,7 @@
   this->Cancel(id);
 }
 
-void Serving::CancelSubCalls(const SubCallCancels &cancels) {
+void TargetExecutor::CancelSubCalls(const SubCallCancels &cancels) {
   // What was asked for on behalf of a call that has gone is of no use.
   for (const auto &[call, cancel] : cancels) {
     this->metrics.Count("pollenring_cancelled_sub_calls_total");
@@ -296,18 +301,19 @@
   }
 }
 
-ServedCall *Serving::FindContext(const std::string &context) {
+ServedCall *TargetExecutor::FindContext(const std::string &context) {
   const auto found = this->contexts.find(context);
   return found == this->contexts.end() ? nullptr : this->Find(found->second);
 }
 
-ServedCall *Serving::FindParent(Time deadline, const std::string &callee) {
+ServedCall *TargetExecutor::FindParent(Time deadline,
+                                       const std::string &callee) {
   const auto id =
       this->parents.Find(deadline, callee, this->loop.GetClock().Now());
   return id ? this->Find(*id) : nullptr;
 }
 
-void Serving::BeginSubCall(std::uint64_t id) {
+void TargetExecutor::BeginSubCall(std::uint64_t id) {
   ServedCall *parent = this->Find(id);
   if (parent == nullptr) return;
   const Time now = this->loop.GetClock().Now();
@@ -315,7 +321,7 @@
   this->parents.CallBegun(id, now);
 }
 
-void Serving::EndSubCall(std::uint64_t id) {
+void TargetExecutor::EndSubCall(std::uint64_t id) {
   ServedCall *parent = this->Find(id);
   if (parent == nullptr) return;
   const Time now = this->loop.GetClock().Now();
@@ -323,8 +329,9 @@
   this->parents.CallEnded(id, now);
 }
 
-void Serving::LearnFrom(const std::string &callee, const std::string &workspace,
-                        const std::vector<AdmissionLevel> &levels) {
+void TargetExecutor::LearnFrom(const std::string &callee,
+                               const std::string &workspace,
+                               const std::vector<AdmissionLevel> &levels) {
   // A parent is mostly a guess; which routes make such calls is known better.
   for (const auto &route :
        this->parents.Shares().CallersOf(callee, kLeastShare)) {
@@ -332,7 +339,7 @@
   }
 }
 
-ServedCall *Serving::Find(std::uint64_t id) {
+ServedCall *TargetExecutor::Find(std::uint64_t id) {
   const auto found = this->calls.find(id);
   return found == this->calls.end() ? nullptr : &found->second.served;
 }
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -115,7 +115,7 @@
  * Keeps the table of requests in progress, which the context header that a
  * target passes on its sub-calls points into.
  */
-class Serving {
+class TargetExecutor {
  public:
   using Done = std::function<void(CallReply, std::string body)>;
   using TargetsChanged = std::function<void(std::vector<Target>)>;
@@ -132,10 +132,10 @@
    * @param metrics Figures.
    * @param changed Called when the announced targets change.
    */
-  Serving(Loop &loop, HttpClient &client, const TargetCodec &codec,
-          const AdmissionOptions &options, const ColdStartLimits &cold_bounds,
-          DownstreamLevels &levels, Random &random, Metrics &metrics,
-          TargetsChanged changed);
+  TargetExecutor(Loop &loop, HttpClient &client, const TargetCodec &codec,
+                 const AdmissionOptions &options,
+                 const ColdStartLimits &cold_bounds, DownstreamLevels &levels,
+                 Random &random, Metrics &metrics, TargetsChanged changed);
 
   /**
    * @brief Takes in an announcement of the target.
--- a/src/pollenring/node/serving_targets.cc
+++ b/src/pollenring/node/serving_targets.cc
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-void Serving::Announce(const Announcement &announcement) {
+void TargetExecutor::Announce(const Announcement &announcement) {
   const std::string &service = announcement.target.service;
   auto found = this->bindings.find(service);
   const bool fresh =
@@ -47,7 +47,7 @@
   this->Report();
 }
 
-void Serving::Offer(Binding &binding, const AdmissionRequest &ticket) {
+void TargetExecutor::Offer(Binding &binding, const AdmissionRequest &ticket) {
   const Reason refused = RefusalOf(binding);
   if (refused != Reason::kNone) {
     this->Refuse(ticket.id, Outcome::kNotRun, refused);
@@ -56,7 +56,7 @@
   this->Perform(binding.admission->Offer(ticket));
 }
 
-void Serving::TakeColdness(Binding &binding) {
+void TargetExecutor::TakeColdness(Binding &binding) {
   const Time now = this->loop.GetClock().Now();
   const std::string &service = binding.announcement.target.service;
   binding.admission->SetColdStartLimit(this->cold_bounds.LimitOf(service));
@@ -73,7 +73,7 @@
   binding.admission->SetColdUntil(now + cold_for);
 }
 
-void Serving::SuspectCold(Binding &binding) {
+void TargetExecutor::SuspectCold(Binding &binding) {
   const Time now = this->loop.GetClock().Now();
   const std::string &service = binding.announcement.target.service;
   const Duration cold_for = this->cold_bounds.ColdAfterStart(service);
@@ -93,7 +93,7 @@
   this->Report();
 }
 
-void Serving::Drain(const std::string &instance) {
+void TargetExecutor::Drain(const std::string &instance) {
   for (auto &[service, binding] : this->bindings) {
     if (binding.announcement.instance != instance) continue;
     binding.announcement.target.state = TargetState::kDraining;
@@ -102,13 +102,13 @@
   this->Report();
 }
 
-void Serving::FollowColdStartLimits() {
+void TargetExecutor::FollowColdStartLimits() {
   for (auto &[service, binding] : this->bindings) {
     binding.admission->SetColdStartLimit(this->cold_bounds.LimitOf(service));
   }
 }
 
-void Serving::SetUse(TargetUse given) {
+void TargetExecutor::SetUse(TargetUse given) {
   const TargetUse before = std::exchange(this->use, given);
   if (before == given) return;
   for (auto &[service, binding] : this->bindings) {
@@ -120,14 +120,14 @@
   }
 }
 
-Reason Serving::RefusalOf(const Binding &binding) const noexcept {
+Reason TargetExecutor::RefusalOf(const Binding &binding) const noexcept {
   if (this->use != TargetUse::kInUse) return Reason::kZoneWithdrawn;
   const bool drains =
       binding.announcement.target.state == TargetState::kDraining;
   return drains ? Reason::kLeaving : Reason::kNone;
 }
 
-void Serving::Report() {
+void TargetExecutor::Report() {
   std::vector<Target> targets;
   for (const auto &[service, binding] : this->bindings) {
     targets.push_back(binding.announcement.target);
@@ -135,7 +135,7 @@
   this->changed(std::move(targets));
 }
 
-std::size_t Serving::RunningCount() const noexcept {
+std::size_t TargetExecutor::RunningCount() const noexcept {
   std::size_t count = 0;
   for (const auto &[service, binding] : this->bindings) {
     count += binding.admission->Running();
@@ -143,7 +143,7 @@
   return count;
 }
 
-Duration Serving::ColdFor() const noexcept {
+Duration TargetExecutor::ColdFor() const noexcept {
   Duration longest{0};
   for (const auto &[service, binding] : this->bindings) {
     longest = std::max(longest, binding.admission->ColdFor());
@@ -151,7 +151,7 @@
   return longest;
 }
 
-bool Serving::IsServing(const std::string &service) const noexcept {
+bool TargetExecutor::IsServing(const std::string &service) const noexcept {
   // Calls may wait, or run at a target that was here before.
   return std::any_of(this->calls.begin(), this->calls.end(),
                      [&service](const auto &entry) {
@@ -159,7 +159,7 @@
                      });
 }
 
-void Serving::LogLoad() {
+void TargetExecutor::LogLoad() {
   const Time now = this->loop.GetClock().Now();
   if (now - this->load_logged < kLoadLogPeriod) return;
   this->load_logged = now;
@@ -179,7 +179,7 @@
   }
 }
 
-void Serving::Tick() {
+void TargetExecutor::Tick() {
   this->LogLoad();
   const Time now = this->loop.GetClock().Now();
   bool changed = false;
--- a/src/pollenring/node/target_port.cc
+++ b/src/pollenring/node/target_port.cc
@@ -23,7 +23,7 @@
 }  // namespace
 
 TargetPort::TargetPort(Loop &loop, std::string secret,
-                       const ConfigLedger &config, Serving &serving,
+                       const ConfigLedger &config, TargetExecutor &serving,
                        Dispatcher &dispatcher, DownstreamLevels &levels,
                        Random &random)
     : loop{loop},
--- a/src/pollenring/node/target_port.h
+++ b/src/pollenring/node/target_port.h
@@ -30,8 +30,8 @@
    * @param random Randomness.
    */
   TargetPort(Loop &loop, std::string secret, const ConfigLedger &config,
-             Serving &serving, Dispatcher &dispatcher, DownstreamLevels &levels,
-             Random &random);
+             TargetExecutor &serving, Dispatcher &dispatcher,
+             DownstreamLevels &levels, Random &random);
 
   /**
    * @brief Takes one request of the target.
@@ -51,7 +51,7 @@
   Loop &loop;
   std::string secret;
   const ConfigLedger &config;
-  Serving &serving;
+  TargetExecutor &serving;
   Dispatcher &dispatcher;
   DownstreamLevels &levels;
   Random &random;
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -177,7 +177,7 @@
   pollenring::SeededRandom random{5};
   pollenring::Metrics metrics{clock};
   pollenring::Router router{"a", "r", {}, clock, random};
-  pollenring::Serving serving{
+  pollenring::TargetExecutor serving{
       loop,   client,      codec,
       {},     cold_bounds, levels,
       random, metrics,     [](const std::vector<pollenring::Target> &) {}};
--- a/test/pollenring/node/serving_test.cc
+++ b/test/pollenring/node/serving_test.cc
@@ -95,15 +95,16 @@
   pollenring::DownstreamLevels levels{{}, clock};
   pollenring::SeededRandom random{5};
   pollenring::Metrics metrics{clock};
-  pollenring::Serving serving{loop,
-                              client,
-                              codec,
-                              OneAtATime(),
-                              cold_bounds,
-                              levels,
-                              random,
-                              metrics,
-                              [](const std::vector<pollenring::Target> &) {}};
+  pollenring::TargetExecutor serving{
+      loop,
+      client,
+      codec,
+      OneAtATime(),
+      cold_bounds,
+      levels,
+      random,
+      metrics,
+      [](const std::vector<pollenring::Target> &) {}};
   std::vector<CallReply> replies;
 };
 
