Rename RouteOrder to LoadBalancingPolicy

Order of routes did not say that this chooses how load is balanced, and nearest and soonest hid zone awareness and least latency. RouteOrder becomes LoadBalancingPolicy, kNearest becomes kZoneAware and kSoonest becomes kLeastLatency. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -42,7 +42,7 @@
 
 [[nodiscard]] RouterOptions Routing() {
   RouterOptions options;
-  options.order = RouteOrder::kSoonest;
+  options.order = LoadBalancingPolicy::kLeastLatency;
   return options;
 }
 
--- a/src/pollenring/routing/router.cc
+++ b/src/pollenring/routing/router.cc
@@ -97,7 +97,7 @@
   if (const Endpoint *trial = this->DueTrial(service, choice)) {
     return trial->node;
   }
-  if (this->options.order == RouteOrder::kSoonest) {
+  if (this->options.order == LoadBalancingPolicy::kLeastLatency) {
     const Endpoint *soonest = this->Soonest(service, choice);
     if (soonest != nullptr) return soonest->node;
     return SetAsideLongest(service, choice);
--- a/src/pollenring/routing/router.h
+++ b/src/pollenring/routing/router.h
@@ -27,9 +27,9 @@
 };
 
 /*! @brief Which target is chosen while several have room. */
-enum class RouteOrder {
-  kNearest, /*!< One of the nearest availability zone. */
-  kSoonest  /*!< The one that is likely to answer first. */
+enum class LoadBalancingPolicy {
+  kZoneAware,   /*!< One of the nearest availability zone. */
+  kLeastLatency /*!< The one that is likely to answer first. */
 };
 
 /*! @brief A target that is set aside, or used again. */
@@ -49,7 +49,7 @@
   Duration ramp{std::chrono::seconds{3}};
   double ramp_floor{0.1};
   std::size_t choices{2};
-  RouteOrder order{RouteOrder::kNearest};
+  LoadBalancingPolicy order{LoadBalancingPolicy::kZoneAware};
   /*! @brief What another zone must be sooner by, for the bytes between them. */
   Duration zone_cost{std::chrono::milliseconds{3}};
 };
--- a/test/pollenring/routing/router_test.cc
+++ b/test/pollenring/routing/router_test.cc
@@ -186,7 +186,7 @@
 
   static pollenring::RouterOptions Options() {
     pollenring::RouterOptions options;
-    options.order = pollenring::RouteOrder::kSoonest;
+    options.order = pollenring::LoadBalancingPolicy::kLeastLatency;
     return options;
   }
 
