Rename RouteChange to EjectionChange

The change that is reported is the ejection of an endpoint or its return, while the name suggested a changed route. RouteChange becomes EjectionChange.

--- a/src/pollenring/routing/router.h
+++ b/src/pollenring/routing/router.h
@@ -33,7 +33,7 @@
 };
 
 /*! @brief A target that is set aside, or used again. */
-struct RouteChange {
+struct EjectionChange {
   std::string service;
   NodeId node{};
   bool set_aside{};
@@ -125,7 +125,7 @@
                 Duration took = Duration{0});
 
   /*! @brief Takes what has changed since the last time. @return Changes. */
-  [[nodiscard]] std::vector<RouteChange> TakeChanges() {
+  [[nodiscard]] std::vector<EjectionChange> TakeChanges() {
     return std::exchange(this->changes, {});
   }
 
@@ -205,7 +205,7 @@
   std::vector<std::string> withdrawn;
   std::unordered_map<std::string, Service> services;
   std::unordered_map<NodeId, std::vector<std::string>> served_by;
-  std::vector<RouteChange> changes;
+  std::vector<EjectionChange> changes;
 };
 
 }  // namespace pollenring
