Rename Succeed to Campaign

Succeed was read as having success, while the function stands for election as the next holder. Succeed becomes Campaign. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/lease/slot_keeper.h
+++ b/src/pollenring/lease/slot_keeper.h
@@ -168,7 +168,7 @@
    * @brief Stands for election for a slot whose holder has resigned.
    * @param slot The slot.
    */
-  void Succeed(SlotId slot);
+  void Campaign(SlotId slot);
 
   /**
    * @brief Takes a slot that its holder gave to this node.
--- a/src/pollenring/lease/slot_keeper_take.cc
+++ b/src/pollenring/lease/slot_keeper_take.cc
@@ -50,7 +50,7 @@
   return true;
 }
 
-void SlotKeeper::Succeed(SlotId id) {
+void SlotKeeper::Campaign(SlotId id) {
   Slot &slot = this->slots.at(id);
   const KnownRow *known = this->MayElect(id, slot);
   if (!this->claiming || slot.phase != Phase::kFree || known == nullptr) return;
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -257,7 +257,7 @@
     this->slots.Keeper().Adopt(handover->slot, handover->row);
     return;
   }
-  this->slots.Keeper().Succeed(handover->slot);
+  this->slots.Keeper().Campaign(handover->slot);
 }
 
 void Node::Leave() {
--- a/test/support/lease_node.h
+++ b/test/support/lease_node.h
@@ -243,7 +243,7 @@
       if (row.holder == successor) {
         node.keeper.Adopt(slot, row);
       } else {
-        node.keeper.Succeed(slot);
+        node.keeper.Campaign(slot);
       }
     });
   }
