Rename GiveTo to HandOverTo

Giving and handing over were two expressions for one act, which HandedOver already names. GiveTo becomes HandOverTo, GiveAway becomes HandOverAll, GiveAwayOne becomes HandOverOne, Giving becomes HandingOver and Adopt becomes AcceptHandover. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/lease/slot_keeper.h
+++ b/src/pollenring/lease/slot_keeper.h
@@ -137,7 +137,7 @@
   [[nodiscard]] std::vector<SlotClaim> Claims() const;
 
   /*! @brief Whether a slot is being given to a successor now. */
-  [[nodiscard]] bool Giving() const noexcept;
+  [[nodiscard]] bool HandingOver() const noexcept;
 
   /*! @brief Held slots whose loss their witnesses could not make good, as
    * there are none beside this node. @return The count. */
@@ -154,7 +154,7 @@
    * @param slot The slot.
    * @param successor Its next holder.
    */
-  void GiveTo(SlotId slot, const ProcessRef &successor);
+  void HandOverTo(SlotId slot, const ProcessRef &successor);
 
   /**
    * @brief Lets a witness succeed this node without the table, if that is down.
@@ -175,7 +175,7 @@
    * @param slot The slot.
    * @param row The row that the giver wrote.
    */
-  void Adopt(SlotId slot, const SlotRow &row);
+  void AcceptHandover(SlotId slot, const SlotRow &row);
 
   /*! @brief The row was read. @param version 0 when there is none. */
   void RowRead(SlotId slot, std::uint64_t version,
--- a/src/pollenring/lease/slot_keeper_held.cc
+++ b/src/pollenring/lease/slot_keeper_held.cc
@@ -64,7 +64,7 @@
   this->StartChange(id, slot, std::move(next));
 }
 
-void SlotKeeper::GiveTo(SlotId id, const ProcessRef &successor) {
+void SlotKeeper::HandOverTo(SlotId id, const ProcessRef &successor) {
   Slot &slot = this->slots.at(id);
   if (slot.phase != Phase::kHeld || slot.next_sent || slot.must_read) return;
   const bool gives = slot.next && !this->IsMine(slot.next->Row());
@@ -157,7 +157,7 @@
   slot.must_read = true;
 }
 
-bool SlotKeeper::Giving() const noexcept {
+bool SlotKeeper::HandingOver() const noexcept {
   return std::any_of(
       this->slots.begin(), this->slots.end(), [this](const Slot &slot) {
         if (slot.phase == Phase::kGiving) return true;
--- a/src/pollenring/lease/slot_keeper_take.cc
+++ b/src/pollenring/lease/slot_keeper_take.cc
@@ -199,7 +199,7 @@
   }
 }
 
-void SlotKeeper::Adopt(SlotId id, const SlotRow &row) {
+void SlotKeeper::AcceptHandover(SlotId id, const SlotRow &row) {
   Slot &slot = this->slots.at(id);
   if (!this->IsMine(row) || row.epoch <= slot.row.epoch) return;
   const bool claims_already = slot.phase == Phase::kReading;
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -254,7 +254,7 @@
   this->shares.Expect(*handover);
   this->once.Expect(*handover);
   if (handover->row.holder == this->slots.Self()) {
-    this->slots.Keeper().Adopt(handover->slot, handover->row);
+    this->slots.Keeper().AcceptHandover(handover->slot, handover->row);
     return;
   }
   this->slots.Keeper().Campaign(handover->slot);
@@ -271,7 +271,7 @@
 
 void Node::CheckLeft() {
   const Duration since = this->loop.GetClock().Now() - this->left_at;
-  this->slots.GiveAway();
+  this->slots.HandOverAll();
   const bool accepts = since < kLeaveAccepts;
   if (!accepts) this->caller_server.Close();
   const bool holds = !this->slots.Empty() && since < kLeaveSlots;
--- a/src/pollenring/node/slot_service.cc
+++ b/src/pollenring/node/slot_service.cc
@@ -274,14 +274,14 @@
   return ProcessRef{best->id, best->process};
 }
 
-void SlotService::GiveAway() {
+void SlotService::HandOverAll() {
   this->keeper.StopClaiming();
   for (const auto &claim : this->keeper.Claims()) {
-    this->GiveAwayOne(claim.slot);
+    this->HandOverOne(claim.slot);
   }
 }
 
-void SlotService::GiveAwayOne(SlotId slot) {
+void SlotService::HandOverOne(SlotId slot) {
   const SlotRow *row = this->keeper.Held(slot);
   if (row == nullptr) return;
   const std::vector<ProcessRef> witnesses = row->witnesses;
@@ -290,7 +290,7 @@
     if (this->keeper.Resign(slot, ref)) return;
   }
   const auto successor = this->SuccessorFor(slot);
-  if (successor) this->keeper.GiveTo(slot, *successor);
+  if (successor) this->keeper.HandOverTo(slot, *successor);
 }
 
 void SlotService::Rebalance() {
@@ -299,12 +299,12 @@
   const bool alive = this->members.Get().Self().state == MemberState::kAlive;
   if (!settled || !alive) return;
   // With a slow table, only one batch of slots may be without a holder.
-  if (this->keeper.Giving()) return;
+  if (this->keeper.HandingOver()) return;
   std::size_t moved = 0;
   for (const auto &claim : this->keeper.Claims()) {
     const auto better = this->SuccessorFor(claim.slot);
     if (!better || *better == this->self) continue;
-    this->keeper.GiveTo(claim.slot, *better);
+    this->keeper.HandOverTo(claim.slot, *better);
     if (++moved == kMovesPerRebalance) return;
   }
 }
--- a/src/pollenring/node/slot_service.h
+++ b/src/pollenring/node/slot_service.h
@@ -80,7 +80,7 @@
   void Start();
 
   /*! @brief Gives every slot away; call it again until `Empty`. */
-  void GiveAway();
+  void HandOverAll();
 
   /*! @brief Whether this node holds no slot. @return So. */
   [[nodiscard]] bool Empty() const { return this->keeper.Claims().empty(); }
@@ -114,7 +114,7 @@
   [[nodiscard]] std::optional<ProcessRef> SuccessorFor(SlotId slot) const;
   [[nodiscard]] std::string PreferredZone(SlotId slot) const;
   void Rebalance();
-  void GiveAwayOne(SlotId slot);
+  void HandOverOne(SlotId slot);
 
   SlotId count;
   Loop &loop;
--- a/test/support/lease_node.h
+++ b/test/support/lease_node.h
@@ -241,7 +241,7 @@
     this->SendTo(to, [=](Node &node) {
       node.inherited[slot] = {row.epoch, row.holder, contents};
       if (row.holder == successor) {
-        node.keeper.Adopt(slot, row);
+        node.keeper.AcceptHandover(slot, row);
       } else {
         node.keeper.Campaign(slot);
       }
--- a/test/support/lease_world.cc
+++ b/test/support/lease_world.cc
@@ -78,7 +78,7 @@
     if (node->keeper.Held(slot) == nullptr) continue;
     // Without the table only a witness can succeed.
     if (!node->keeper.Resign(slot, successor->self)) {
-      node->keeper.GiveTo(slot, successor->self);
+      node->keeper.HandOverTo(slot, successor->self);
     }
     given = true;
   }
