Rename kComeBack to kDefaultRetryAfter

The advice that a refused caller gets travels as retry-after, while the code called it coming back. kComeBack becomes kDefaultRetryAfter and come_back becomes jittered_retry_after. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -224,8 +224,9 @@
   // What a process reads after it stood still may have been given up long ago.
   if (!framed || late || this->loop.WokeFromPause()) {
     const Reason reason = late ? Reason::kLeaving : Reason::kLinkLost;
-    const Duration come_back = WithJitter(kComeBack, this->parts.random);
-    CallReply reply = Refusal(Outcome::kNotRun, reason, come_back);
+    const Duration jittered_retry_after =
+        WithJitter(kDefaultRetryAfter, this->parts.random);
+    CallReply reply = Refusal(Outcome::kNotRun, reason, jittered_retry_after);
     if (framed) reply.retries_unspent = framed->head.retries;
     responder->Send(Frame(reply, {}, version));
     return;
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -116,17 +116,18 @@
   CallerRequest caller = this->parts.codec.Decode(request.headers);
   entry->id = caller.id;
   if (this->closed) {
-    this->Refuse(entry, Reason::kLeaving, kComeBack);
+    this->Refuse(entry, Reason::kLeaving, kDefaultRetryAfter);
     return;
   }
   if (this->body_bytes > kBodyBudgetBytes) {
-    this->Refuse(entry, Reason::kOverload, kComeBack);
+    this->Refuse(entry, Reason::kOverload, kDefaultRetryAfter);
     return;
   }
   const Reason refused = this->Admit(request, caller, *entry);
   if (refused != Reason::kNone) {
-    this->Refuse(entry, refused,
-                 refused == Reason::kStaleConfig ? kComeBack : Duration{0});
+    this->Refuse(
+        entry, refused,
+        refused == Reason::kStaleConfig ? kDefaultRetryAfter : Duration{0});
     return;
   }
   entry->envelope.headers = std::move(caller.headers);
@@ -248,7 +249,7 @@
 void Outbound::Charge(const EntryPtr &entry) {
   if (this->ShedsEarly(*entry)) {
     this->parts.metrics.Count("pollenring_early_refusals_total");
-    this->Refuse(entry, Reason::kOverload, kComeBack);
+    this->Refuse(entry, Reason::kOverload, kDefaultRetryAfter);
     return;
   }
   const std::string &workspace = entry->workspace;
@@ -301,10 +302,11 @@
 
 void Outbound::Refuse(const EntryPtr &entry, Reason reason,
                       Duration retry_after) {
-  const Duration come_back = retry_after > Duration{0}
-                                 ? WithJitter(retry_after, this->parts.random)
-                                 : Duration{0};
-  this->Answer(entry, Refusal(Outcome::kNotRun, reason, come_back), {});
+  const Duration jittered_retry_after =
+      retry_after > Duration{0} ? WithJitter(retry_after, this->parts.random)
+                                : Duration{0};
+  this->Answer(entry, Refusal(Outcome::kNotRun, reason, jittered_retry_after),
+               {});
 }
 
 void Outbound::AwaitAnswer(const EntryPtr &entry, Time until) {
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -88,10 +88,12 @@
 
 void Dispatcher::Attempt(std::uint64_t id) {
   Job &job = this->jobs.at(id);
-  const Duration come_back = WithJitter(kComeBack, this->random);
+  const Duration jittered_retry_after =
+      WithJitter(kDefaultRetryAfter, this->random);
   if (job.bounds.deadline <= this->loop.GetClock().Now()) {
-    this->Finish(id, Refusal(Outcome::kNotRun, Reason::kDeadline, come_back),
-                 {});
+    this->Finish(
+        id, Refusal(Outcome::kNotRun, Reason::kDeadline, jittered_retry_after),
+        {});
     return;
   }
   const auto node = this->router.Choose(job.envelope.service, job.tried,
@@ -102,8 +104,9 @@
     return;
   }
   if (!node) {
-    this->Finish(id, Refusal(Outcome::kNotRun, Reason::kNoTarget, come_back),
-                 {});
+    this->Finish(
+        id, Refusal(Outcome::kNotRun, Reason::kNoTarget, jittered_retry_after),
+        {});
     return;
   }
   const Duration since_charge =
@@ -219,7 +222,7 @@
 void Dispatcher::Failed(std::uint64_t id, std::uint64_t attempt,
                         Outcome outcome, Reason reason) {
   CallReply reply =
-      Refusal(outcome, reason, WithJitter(kComeBack, this->random));
+      Refusal(outcome, reason, WithJitter(kDefaultRetryAfter, this->random));
   const auto found = this->jobs.find(id);
   if (found == this->jobs.end()) return;
   // A slice that is not heard of again counts as spent.
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -208,26 +208,33 @@
 }
 
 void Ingress::AnswerRepeat(const RootPtr &root, OnceAnswer answer) {
-  const Duration come_back = WithJitter(kComeBack, this->parts.random);
+  const Duration jittered_retry_after =
+      WithJitter(kDefaultRetryAfter, this->parts.random);
   switch (answer.verdict) {
     case OnceVerdict::kAnswered:
       this->Answer(root, std::move(answer.reply), std::move(answer.body));
       return;
     case OnceVerdict::kInProgress:
       this->Answer(
-          root, Refusal(Outcome::kUnknown, Reason::kInProgress, come_back), {});
+          root,
+          Refusal(Outcome::kUnknown, Reason::kInProgress, jittered_retry_after),
+          {});
       return;
     case OnceVerdict::kExpired:
       this->Answer(
           root, Refusal(Outcome::kUnknown, Reason::kIdExpired, Duration{}), {});
       return;
     case OnceVerdict::kNotRun:
-      this->Answer(root, Refusal(Outcome::kNotRun, Reason::kNoShare, come_back),
-                   {});
+      this->Answer(
+          root,
+          Refusal(Outcome::kNotRun, Reason::kNoShare, jittered_retry_after),
+          {});
       return;
     default:
       this->Answer(
-          root, Refusal(Outcome::kUnknown, Reason::kRepeated, come_back), {});
+          root,
+          Refusal(Outcome::kUnknown, Reason::kRepeated, jittered_retry_after),
+          {});
   }
 }
 
@@ -259,9 +266,10 @@
   const bool transient = reason == Reason::kOverload ||
                          reason == Reason::kStaleConfig ||
                          reason == Reason::kNoTarget;
-  const Duration come_back =
-      transient ? WithJitter(kComeBack, this->parts.random) : Duration{};
-  this->Answer(root, Refusal(outcome, reason, come_back), {});
+  const Duration jittered_retry_after =
+      transient ? WithJitter(kDefaultRetryAfter, this->parts.random)
+                : Duration{};
+  this->Answer(root, Refusal(outcome, reason, jittered_retry_after), {});
 }
 
 void Ingress::Answer(const RootPtr &root, CallReply reply, std::string body) {
--- a/src/pollenring/node/limits.h
+++ b/src/pollenring/node/limits.h
@@ -24,7 +24,7 @@
 inline constexpr int kMaxDepth = 32;
 
 /*! @brief Time around which a refused caller is told to come back. */
-inline constexpr Duration kComeBack = std::chrono::milliseconds{500};
+inline constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds{500};
 
 /*! @brief How much longer a node waits than the node that it asked. */
 inline constexpr Duration kAnswerSlack = std::chrono::milliseconds{20};
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -207,12 +207,13 @@
 }
 
 void TargetExecutor::Refuse(std::uint64_t id, Outcome outcome, Reason reason) {
-  this->Refuse(id, outcome, reason, WithJitter(kComeBack, this->random));
+  this->Refuse(id, outcome, reason,
+               WithJitter(kDefaultRetryAfter, this->random));
 }
 
 void TargetExecutor::Refuse(std::uint64_t id, Outcome outcome, Reason reason,
-                            Duration come_back) {
-  this->Finish(id, Refusal(outcome, reason, come_back), {});
+                            Duration jittered_retry_after) {
+  this->Finish(id, Refusal(outcome, reason, jittered_retry_after), {});
 }
 
 void TargetExecutor::RefuseUntilWarm(std::uint64_t id) {
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -262,7 +262,7 @@
   void Finish(std::uint64_t id, CallReply reply, std::string body);
   void Refuse(std::uint64_t id, Outcome outcome, Reason reason);
   void Refuse(std::uint64_t id, Outcome outcome, Reason reason,
-              Duration come_back);
+              Duration jittered_retry_after);
   void RefuseUntilWarm(std::uint64_t id);
   void Report();
   [[nodiscard]] HttpRequest ToRequest(Call &call,
