Rename TargetUse to TargetAvailability

The enumeration tells whether a target is unknown, available or withdrawn, while use suggested that someone uses it. The outer names are separate strings and stay. TargetUse becomes TargetAvailability, kInUse becomes kAvailable and kTargetUseNames becomes kTargetAvailabilityNames. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -155,7 +155,7 @@
   this->members.OnMember(
       [this](const Member &member) { this->router.Update(member); });
   this->shares.Start();
-  this->serving.SetUse(TargetUse::kUnknown);
+  this->serving.SetUse(TargetAvailability::kUnknown);
   this->departures.Read([this](const std::optional<Departure> &departure) {
     this->TakeDeparture(departure);
   });
@@ -192,7 +192,8 @@
   if (!zones.Known() || this->policy.InForce().Version() == 0) return;
   this->serving.FollowColdStartLimits();
   const bool withdrawn = zones.Contains(this->settings.zone);
-  this->serving.SetUse(withdrawn ? TargetUse::kWithdrawn : TargetUse::kInUse);
+  this->serving.SetUse(withdrawn ? TargetAvailability::kWithdrawn
+                                 : TargetAvailability::kAvailable);
   if (!this->router.Withdraw(zones.Newest().zones)) return;
   for (const auto &member : this->members.Get().Snapshot()) {
     this->router.Update(member);
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -35,17 +35,17 @@
 };
 
 /*! @brief Whether the operator lets the targets of a zone be used. */
-enum class TargetUse {
+enum class TargetAvailability {
   kUnknown, /*!< Nothing was heard of it yet. */
-  kInUse,
+  kAvailable,
   kWithdrawn
 };
 
 /*! @brief Names of the uses, as logs spell them. */
-inline constexpr EnumTable<TargetUse, 3> kTargetUseNames{{{
-    {TargetUse::kUnknown, "unknown"},
-    {TargetUse::kInUse, "in use"},
-    {TargetUse::kWithdrawn, "withdrawn"},
+inline constexpr EnumTable<TargetAvailability, 3> kTargetAvailabilityNames{{{
+    {TargetAvailability::kUnknown, "unknown"},
+    {TargetAvailability::kAvailable, "in use"},
+    {TargetAvailability::kWithdrawn, "withdrawn"},
 }}};
 
 /*! @brief How much cold targets bear, by service. */
@@ -150,7 +150,7 @@
    * that was withdrawn is taken as cold until it says otherwise.
    * @param given Whether targets here may be used.
    */
-  void SetUse(TargetUse given);
+  void SetUse(TargetAvailability given);
 
   /*! @brief A target has left, as was learned late. @param instance It. */
   void Drain(const std::string &instance);
@@ -280,7 +280,7 @@
   Random &random;
   Metrics &metrics;
   TargetsChanged changed;
-  TargetUse use{TargetUse::kInUse};
+  TargetAvailability use{TargetAvailability::kAvailable};
   std::map<std::string, Binding> bindings;
   std::unordered_map<std::uint64_t, Call> calls;
   std::unordered_map<std::string, std::uint64_t> contexts;
--- a/src/pollenring/node/serving_targets.cc
+++ b/src/pollenring/node/serving_targets.cc
@@ -108,20 +108,21 @@
   }
 }
 
-void TargetExecutor::SetUse(TargetUse given) {
-  const TargetUse before = std::exchange(this->use, given);
+void TargetExecutor::SetUse(TargetAvailability given) {
+  const TargetAvailability before = std::exchange(this->use, given);
   if (before == given) return;
   for (auto &[service, binding] : this->bindings) {
-    if (given != TargetUse::kInUse) {
+    if (given != TargetAvailability::kAvailable) {
       this->Perform(binding.admission->Close(Reason::kZoneWithdrawn));
       continue;
     }
-    if (before == TargetUse::kWithdrawn) this->SuspectCold(binding);
+    if (before == TargetAvailability::kWithdrawn) this->SuspectCold(binding);
   }
 }
 
 Reason TargetExecutor::RefusalOf(const Binding &binding) const noexcept {
-  if (this->use != TargetUse::kInUse) return Reason::kZoneWithdrawn;
+  if (this->use != TargetAvailability::kAvailable)
+    return Reason::kZoneWithdrawn;
   const bool drains =
       binding.announcement.target.state == TargetState::kDraining;
   return drains ? Reason::kLeaving : Reason::kNone;
