Rename CallShares to CallAttribution

The class estimates who makes the calls, which is attribution, while a share elsewhere is a part of a quota. CallShares becomes CallAttribution. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/node/call_shares.cc
+++ b/src/pollenring/node/call_shares.cc
@@ -32,10 +32,10 @@
 
 }  // namespace
 
-CallShares::CallShares(Time now) noexcept
+CallAttribution::CallAttribution(Time now) noexcept
     : window_start{now}, window{kFirstWindow} {}
 
-void CallShares::Count(Kind &kind, int change, Time now) {
+void CallAttribution::Count(Kind &kind, int change, Time now) {
   const double held = std::chrono::duration<double>{now - kind.since}.count();
   kind.seconds += held * kind.running;
   kind.running = std::max(0, kind.running + change);
@@ -43,19 +43,19 @@
   kind.used = now;
 }
 
-void CallShares::Begin(const std::string &kind, Time now) {
+void CallAttribution::Begin(const std::string &kind, Time now) {
   if (now - this->window_start >= this->window) this->CloseWindow(now);
   Kind &entry = this->kinds[kind];
   if (entry.used == Time{}) entry.since = now;
   Count(entry, 1, now);
 }
 
-void CallShares::End(const std::string &kind, Time now) {
+void CallAttribution::End(const std::string &kind, Time now) {
   const auto found = this->kinds.find(kind);
   if (found != this->kinds.end()) Count(found->second, -1, now);
 }
 
-void CallShares::Called(const std::string &callee, Time now) {
+void CallAttribution::Called(const std::string &callee, Time now) {
   if (now - this->window_start >= this->window) this->CloseWindow(now);
   Callee &entry = this->callees[callee];
   const double pause = std::chrono::duration<double>{now - entry.used}.count();
@@ -72,7 +72,7 @@
   }
 }
 
-void CallShares::CloseWindow(Time now) {
+void CallAttribution::CloseWindow(Time now) {
   const double seconds =
       std::chrono::duration<double>{now - this->window_start}.count();
   this->window_start = now;
@@ -111,13 +111,14 @@
   }
 }
 
-const CallShares::Callee *CallShares::Known(const std::string &callee) const {
+const CallAttribution::Callee *CallAttribution::Known(
+    const std::string &callee) const {
   const auto found = this->callees.find(callee);
   if (found == this->callees.end()) return nullptr;
   return found->second.all_calls < kFewCalls ? nullptr : &found->second;
 }
 
-double CallShares::SumOf(const Callee &callee) noexcept {
+double CallAttribution::SumOf(const Callee &callee) noexcept {
   double sum = 0;
   for (const auto &[name, excess] : callee.excess) {
     sum += std::max(0.0, excess);
@@ -125,8 +126,8 @@
   return sum;
 }
 
-std::optional<double> CallShares::ShareOf(const std::string &kind,
-                                          const std::string &callee) const {
+std::optional<double> CallAttribution::ShareOf(
+    const std::string &kind, const std::string &callee) const {
   const Callee *known = this->Known(callee);
   if (known == nullptr) return std::nullopt;
   const auto own = known->excess.find(kind);
@@ -137,8 +138,8 @@
   return std::max(0.0, own->second) / sum;
 }
 
-std::vector<std::string> CallShares::CallersOf(const std::string &callee,
-                                               double least) const {
+std::vector<std::string> CallAttribution::CallersOf(const std::string &callee,
+                                                    double least) const {
   std::vector<std::string> callers;
   const Callee *known = this->Known(callee);
   if (known == nullptr) return this->EarlyCallersOf(callee);
@@ -150,7 +151,7 @@
   return callers;
 }
 
-std::vector<std::string> CallShares::EarlyCallersOf(
+std::vector<std::string> CallAttribution::EarlyCallersOf(
     const std::string &callee) const {
   std::vector<std::string> callers;
   const auto found = this->callees.find(callee);
@@ -163,7 +164,7 @@
   return callers;
 }
 
-double CallShares::MeanRunning(const std::string &kind) const {
+double CallAttribution::MeanRunning(const std::string &kind) const {
   const auto found = this->kinds.find(kind);
   if (found == this->kinds.end()) return kLeastMean;
   return std::max(kLeastMean, found->second.mean);
--- a/src/pollenring/node/call_shares.h
+++ b/src/pollenring/node/call_shares.h
@@ -21,13 +21,13 @@
  * mean over time, is the part of the calls that this kind makes. Kinds that
  * make none are as many then as at any time.
  */
-class CallShares {
+class CallAttribution {
  public:
   /**
    * @brief Starts without kinds.
    * @param now Time.
    */
-  explicit CallShares(Time now) noexcept;
+  explicit CallAttribution(Time now) noexcept;
 
   /*! @brief A request begins. @param kind Its kind. @param now Time. */
   void Begin(const std::string &kind, Time now);
--- a/src/pollenring/node/parent_finder.h
+++ b/src/pollenring/node/parent_finder.h
@@ -67,7 +67,7 @@
                                                   Time now);
 
   /*! @brief Which kinds make the calls. @return The estimate. */
-  [[nodiscard]] const CallShares &Shares() const noexcept {
+  [[nodiscard]] const CallAttribution &Shares() const noexcept {
     return this->shares;
   }
 
@@ -90,7 +90,7 @@
   void Leave(std::uint64_t id, const Running &request);
 
   Random &random;
-  CallShares shares;
+  CallAttribution shares;
   std::unordered_map<std::uint64_t, Running> running;
   Ordered by_deadline;
   Ordered working; /*!< Without a call, by the time since when. */
--- a/test/pollenring/node/call_shares_test.cc
+++ b/test/pollenring/node/call_shares_test.cc
@@ -10,7 +10,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using pollenring::CallShares;
+using pollenring::CallAttribution;
 using pollenring::SeededRandom;
 using pollenring::Time;
 
@@ -36,11 +36,12 @@
 }
 
 /*! @brief Plays kinds together for a while. @return What was estimated. */
-[[nodiscard]] CallShares Play(const std::vector<Kind> &kinds, int length_ms,
-                              Pattern pattern, std::uint64_t seed = 7) {
+[[nodiscard]] CallAttribution Play(const std::vector<Kind> &kinds,
+                                   int length_ms, Pattern pattern,
+                                   std::uint64_t seed = 7) {
   SeededRandom random{seed};
   Time now = 1h;
-  CallShares shares{now};
+  CallAttribution shares{now};
   struct Run {
     const Kind *kind;
     int age_ms;
@@ -76,7 +77,8 @@
   return shares;
 }
 
-[[nodiscard]] double Share(const CallShares &shares, const std::string &kind) {
+[[nodiscard]] double Share(const CallAttribution &shares,
+                           const std::string &kind) {
   const auto share = shares.ShareOf(kind, "callee");
   REQUIRE(share);
   return *share;
@@ -87,7 +89,7 @@
 TEST_CASE(
     "call shares: a kind that makes no calls is told from one that does") {
   // Downloads beside lookups that call four times, as at one edition target.
-  const CallShares shares = Play(
+  const CallAttribution shares = Play(
       {{"download", 0.008, 96, {}}, {"lookup", 0.045, 120, {9, 35, 61, 90}}},
       30'000, Pattern::kSteady);
   CHECK(Share(shares, "lookup") > 0.9);
@@ -96,17 +98,17 @@
 }
 
 TEST_CASE("call shares: two kinds that call get their parts") {
-  const CallShares shares = Play({{"often", 0.09, 110, {30, 70}},
-                                  {"seldom", 0.06, 110, {50}},
-                                  {"never", 0.15, 110, {}}},
-                                 60'000, Pattern::kSteady);
+  const CallAttribution shares = Play({{"often", 0.09, 110, {30, 70}},
+                                       {"seldom", 0.06, 110, {50}},
+                                       {"never", 0.15, 110, {}}},
+                                      60'000, Pattern::kSteady);
   CHECK(Share(shares, "often") == Approx(0.75).margin(0.12));
   CHECK(Share(shares, "seldom") == Approx(0.25).margin(0.12));
   CHECK(Share(shares, "never") < 0.1);
 }
 
 TEST_CASE("call shares: waves of load make nobody a caller") {
-  const CallShares shares = Play(
+  const CallAttribution shares = Play(
       {{"download", 0.02, 96, {}}, {"lookup", 0.045, 120, {9, 35, 61, 90}}},
       60'000, Pattern::kWaves);
   CHECK(Share(shares, "download") < 0.1);
@@ -115,7 +117,7 @@
 TEST_CASE(
     "call shares: requests that are held up for a second are told apart") {
   // A busy target: its requests wait long between their calls.
-  const CallShares shares = Play(
+  const CallAttribution shares = Play(
       {{"download", 0.02, 96, {}}, {"lookup", 0.04, 900, {9, 220, 450, 690}}},
       30'000, Pattern::kSteady);
   CHECK(Share(shares, "download") < 0.1);
@@ -127,7 +129,7 @@
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     for (int length_ms = 3'000; length_ms <= 40'000; length_ms += 1'300) {
       CAPTURE(seed, length_ms);
-      const CallShares shares =
+      const CallAttribution shares =
           Play({{"download", 0.015, 70, {}}, {"lookup", 0.1, 20, {2}}},
                length_ms, Pattern::kStuck, seed);
       CHECK(shares.CallersOf("callee", 0.15) ==
@@ -137,7 +139,7 @@
 }
 
 TEST_CASE("call shares: two seconds after a start the callers are known") {
-  const CallShares shares = Play(
+  const CallAttribution shares = Play(
       {{"download", 0.008, 96, {}}, {"lookup", 0.045, 120, {9, 35, 61, 90}}},
       2'000, Pattern::kSteady);
   CHECK(Share(shares, "lookup") > 0.7);
@@ -145,7 +147,7 @@
 
 TEST_CASE("call shares: a few calls of somebody else make nobody a caller") {
   // Whoever tries a route sends a request now and then, like a target's call.
-  CallShares shares{1h};
+  CallAttribution shares{1h};
   Time now = 1h;
   shares.Begin("download", now);
   for (int i = 0; i < 25; ++i) {
@@ -157,7 +159,7 @@
 }
 
 TEST_CASE("call shares: what is not seen any more is forgotten") {
-  CallShares shares{1h};
+  CallAttribution shares{1h};
   Time now = 1h;
   for (int i = 0; i < 100; ++i) {
     const std::string kind = "kind" + std::to_string(i);
@@ -171,7 +173,7 @@
 
 TEST_CASE("call shares: a target's only kind is known from its first calls") {
   // One of many targets of a service: three requests a second, all alike.
-  CallShares shares{1h};
+  CallAttribution shares{1h};
   Time now = 1h;
   for (int i = 0; i < 2; ++i) {
     shares.Begin("lookup", now);
