Rename Nearness to Locality

Where an endpoint is in relation to its caller is customarily called locality, with the same zone and the same region as its grades. Nearness becomes Locality, kZone becomes kSameZone, kRegion becomes kSameRegion, kFar becomes kOther, NearnessOf becomes LocalityOf and kNearnessLevels becomes kLocalityLevels. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/routing/router.cc
+++ b/src/pollenring/routing/router.cc
@@ -189,9 +189,10 @@
   return found == this->services.end() ? 0 : found->second.endpoints.size();
 }
 
-Router::Nearness Router::NearnessOf(const Member &member) const noexcept {
-  if (member.region != this->region) return Nearness::kFar;
-  return member.zone == this->zone ? Nearness::kZone : Nearness::kRegion;
+Router::Locality Router::LocalityOf(const Member &member) const noexcept {
+  if (member.region != this->region) return Locality::kOther;
+  return member.zone == this->zone ? Locality::kSameZone
+                                   : Locality::kSameRegion;
 }
 
 double Router::RampFraction(const Endpoint &endpoint) const noexcept {
@@ -224,7 +225,7 @@
                     double unknown_us) const noexcept {
   const double time = endpoint.time_us > 0 ? endpoint.time_us : unknown_us;
   const double beyond = std::max(0.0, this->Utilisation(endpoint) - 1);
-  const double far = endpoint.nearness == Nearness::kZone
+  const double far = endpoint.nearness == Locality::kSameZone
                          ? 0
                          : static_cast<double>(this->options.zone_cost.count());
   // Own calls under way there are known at once, its reported load later.
@@ -303,7 +304,7 @@
   if (fresh) {
     slot = std::make_unique<Endpoint>();
     slot->node = member.id;
-    slot->nearness = this->NearnessOf(member);
+    slot->nearness = this->LocalityOf(member);
     slot->region = member.region;
     slot->limit = std::max<double>(1.0, target.slots);
     slot->ejection = this->options.first_ejection;
--- a/src/pollenring/routing/router.h
+++ b/src/pollenring/routing/router.h
@@ -137,12 +137,12 @@
   [[nodiscard]] std::size_t Count(const std::string &service) const;
 
  private:
-  enum class Nearness { kZone = 0, kRegion = 1, kFar = 2 };
-  static constexpr std::size_t kNearnessLevels = 3;
+  enum class Locality { kSameZone = 0, kSameRegion = 1, kOther = 2 };
+  static constexpr std::size_t kLocalityLevels = 3;
 
   struct Endpoint {
     NodeId node{};
-    Nearness nearness{Nearness::kFar};
+    Locality nearness{Locality::kOther};
     double limit{1};
     double reported{};
     int in_progress{};
@@ -170,11 +170,11 @@
 
   struct Service {
     std::unordered_map<NodeId, std::unique_ptr<Endpoint>> endpoints;
-    std::array<std::vector<Endpoint *>, kNearnessLevels> usable;
+    std::array<std::vector<Endpoint *>, kLocalityLevels> usable;
     std::multimap<Time, NodeId> ejected;
   };
 
-  [[nodiscard]] Nearness NearnessOf(const Member &member) const noexcept;
+  [[nodiscard]] Locality LocalityOf(const Member &member) const noexcept;
   [[nodiscard]] double Utilisation(const Endpoint &endpoint) const noexcept;
   [[nodiscard]] double FaultShare(const Endpoint &endpoint) const noexcept;
   [[nodiscard]] double Cost(const Endpoint &endpoint,
