Rename LeaveTimes to DrainTimes

A planned stop is known as draining, while leaving may also be the end of a membership. LeaveTimes becomes DrainTimes and TimesToLeave becomes DrainTimesFor. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/mesh/leave_times.cc
+++ b/src/pollenring/mesh/leave_times.cc
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-LeaveTimes TimesToLeave(Duration grace) noexcept {
+DrainTimes DrainTimesFor(Duration grace) noexcept {
   const Duration longest = std::max(grace / 2, grace - kLastWrites);
   // What is taken last needs time as well.
   return {std::min(kClientsLeave, longest * 3 / 5), longest};
--- a/src/pollenring/mesh/leave_times.h
+++ b/src/pollenring/mesh/leave_times.h
@@ -6,7 +6,7 @@
 namespace pollenring {
 
 /*! @brief How a node spends the time that it has for a planned stop. */
-struct LeaveTimes {
+struct DrainTimes {
   Duration accepts; /*!< Until then it takes requests of callers. */
   Duration longest; /*!< Then it ends, whatever it still waits for. */
 };
@@ -16,7 +16,7 @@
  * @param grace What the platform gives before it kills the process.
  * @return The parts.
  */
-[[nodiscard]] LeaveTimes TimesToLeave(Duration grace) noexcept;
+[[nodiscard]] DrainTimes DrainTimesFor(Duration grace) noexcept;
 
 }  // namespace pollenring
 
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -318,7 +318,7 @@
 
 void MeshNode::CheckLeft() {
   const Duration since = this->Leaving();
-  const LeaveTimes times = TimesToLeave(this->settings.grace);
+  const DrainTimes times = DrainTimesFor(this->settings.grace);
   const bool accepts = since < times.accepts;
   const bool over = since >= times.longest;
   if (!accepts) {
