Rename Side to Role

Side did not say side of what, while an end of an HTTP/2 session has the role of a client or of a server. Side becomes Role. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/link/link_client.cc
+++ b/src/pollenring/link/link_client.cc
@@ -26,7 +26,7 @@
 class LinkClient::Connection final : public Session {
  public:
   Connection(LinkClient &owner, const Address &peer)
-      : Session{owner.loop, Side::kClient, owner.max_body_bytes},
+      : Session{owner.loop, Role::kClient, owner.max_body_bytes},
         owner{owner},
         peer{peer} {}
 
--- a/src/pollenring/link/link_server.cc
+++ b/src/pollenring/link/link_server.cc
@@ -86,7 +86,7 @@
 class LinkServer::Impl::Connection final : public Session {
  public:
   Connection(Impl &owner, h2o_socket_t *sock)
-      : Session{owner.loop, Side::kServer, owner.max_body_bytes},
+      : Session{owner.loop, Role::kServer, owner.max_body_bytes},
         owner{owner},
         accepted{sock} {
     sockaddr_in native{};
--- a/src/pollenring/link/session.cc
+++ b/src/pollenring/link/session.cc
@@ -89,7 +89,7 @@
   }
 };
 
-Session::Session(Loop &loop, Side side, std::size_t max_body_bytes)
+Session::Session(Loop &loop, Role side, std::size_t max_body_bytes)
     : loop{loop}, max_body_bytes{max_body_bytes} {
   nghttp2_session_callbacks *callbacks = nullptr;
   nghttp2_session_callbacks_new(&callbacks);
@@ -101,7 +101,7 @@
                                                        &Callbacks::OnFrame);
   nghttp2_session_callbacks_set_on_stream_close_callback(
       callbacks, &Callbacks::OnStreamClose);
-  if (side == Side::kClient) {
+  if (side == Role::kClient) {
     nghttp2_session_client_new(&this->native, callbacks, this);
   } else {
     nghttp2_session_server_new(&this->native, callbacks, this);
--- a/src/pollenring/link/session.h
+++ b/src/pollenring/link/session.h
@@ -47,9 +47,9 @@
   };
 
   /*! @brief Which end of the connection this is. */
-  enum class Side { kClient, kServer };
+  enum class Role { kClient, kServer };
 
-  Session(Loop &loop, Side side, std::size_t max_body_bytes);
+  Session(Loop &loop, Role side, std::size_t max_body_bytes);
 
   /*! @brief Whether the peer may send on. @param stream Stream with headers. */
   [[nodiscard]] virtual bool Trusts(const Stream &stream) const = 0;
