Rename AnswerParser to ResponseParser

HTTP speaks of a response, as HttpResponse does here, while the parser and its state spoke of an answer. The outer names are separate strings and stay. AnswerParser becomes ResponseParser, AnswerState becomes ResponseState and kAnswerStateNames becomes kResponseStateNames. Only identifiers change, together with the comments that name them; comparing the tokens of every changed file before and after shows no other difference, and no string literal is touched.

--- a/src/pollenring/net/answer_parser.cc
+++ b/src/pollenring/net/answer_parser.cc
@@ -13,8 +13,8 @@
 /*! @brief Largest sum of header bytes of an answer; h2o's own limit. */
 constexpr std::size_t kMaxHeadBytes = std::size_t{100} * 1024;
 
-[[nodiscard]] AnswerParser &Self(http_parser *native) {
-  return *static_cast<AnswerParser *>(native->data);
+[[nodiscard]] ResponseParser &Self(http_parser *native) {
+  return *static_cast<ResponseParser *>(native->data);
 }
 
 [[nodiscard]] Duration ParseIdleTimeout(std::string_view value) {
@@ -35,32 +35,32 @@
          name == "trailer" || name == "proxy-connection";
 }
 
-struct AnswerParser::Callbacks {
+struct ResponseParser::Callbacks {
   static int OnField(http_parser *native, const char *at, std::size_t size) {
-    AnswerParser &self = Self(native);
+    ResponseParser &self = Self(native);
     if (self.in_value) self.TakeHeader();
     self.name.append(at, size);
     return 0;
   }
 
   static int OnValue(http_parser *native, const char *at, std::size_t size) {
-    AnswerParser &self = Self(native);
+    ResponseParser &self = Self(native);
     self.in_value = true;
     self.value.append(at, size);
     return 0;
   }
 
   static int OnHeadersComplete(http_parser *native) {
-    AnswerParser &self = Self(native);
+    ResponseParser &self = Self(native);
     if (self.in_value) self.TakeHeader();
     self.answer.status = static_cast<int>(native->status_code);
     return self.head_only ? 1 : 0;
   }
 
   static int OnBody(http_parser *native, const char *at, std::size_t size) {
-    AnswerParser &self = Self(native);
+    ResponseParser &self = Self(native);
     if (self.answer.body.size() + size > self.max_body_bytes) {
-      self.state = AnswerState::kTooLarge;
+      self.state = ResponseState::kTooLarge;
       return 1;
     }
     self.answer.body.append(at, size);
@@ -68,11 +68,11 @@
   }
 
   static int OnComplete(http_parser *native) {
-    AnswerParser &self = Self(native);
+    ResponseParser &self = Self(native);
     http_parser_pause(native, 1);
     if (self.answer.status < kFirstFinalStatus) return 0;
     self.keeps_alive = http_should_keep_alive(native) != 0;
-    self.state = AnswerState::kWhole;
+    self.state = ResponseState::kWhole;
     return 0;
   }
 
@@ -91,13 +91,13 @@
   }
 };
 
-AnswerParser::AnswerParser(bool head_only, std::size_t max_body_bytes)
+ResponseParser::ResponseParser(bool head_only, std::size_t max_body_bytes)
     : head_only{head_only}, max_body_bytes{max_body_bytes} {
   http_parser_set_max_header_size(kMaxHeadBytes);
   this->Reset();
 }
 
-void AnswerParser::Reset() {
+void ResponseParser::Reset() {
   http_parser_init(&this->native, HTTP_RESPONSE);
   this->native.data = this;
   this->in_value = false;
@@ -105,7 +105,7 @@
   this->answer = HttpResponse{};
 }
 
-void AnswerParser::TakeHeader() {
+void ResponseParser::TakeHeader() {
   std::string header_name = std::exchange(this->name, {});
   std::string header_value = std::exchange(this->value, {});
   this->in_value = false;
@@ -120,28 +120,29 @@
       {std::move(header_name), std::move(header_value)});
 }
 
-std::size_t AnswerParser::Feed(const char *bytes, std::size_t size) {
+std::size_t ResponseParser::Feed(const char *bytes, std::size_t size) {
   std::size_t used = 0;
-  while (used < size && this->state == AnswerState::kPartial) {
+  while (used < size && this->state == ResponseState::kPartial) {
     used += http_parser_execute(&this->native, &Callbacks::Table(),
                                 bytes + used, size - used);
     const auto error = HTTP_PARSER_ERRNO(&this->native);
-    if (this->state != AnswerState::kPartial) return used;
+    if (this->state != ResponseState::kPartial) return used;
     if (error == HPE_PAUSED) {
       // An interim answer; the final one follows.
       this->Reset();
       continue;
     }
     const bool failed = error != HPE_OK || this->native.upgrade != 0;
-    if (failed) this->state = AnswerState::kBroken;
+    if (failed) this->state = ResponseState::kBroken;
   }
   return used;
 }
 
-void AnswerParser::End() {
-  if (this->state != AnswerState::kPartial) return;
+void ResponseParser::End() {
+  if (this->state != ResponseState::kPartial) return;
   http_parser_execute(&this->native, &Callbacks::Table(), nullptr, 0);
-  if (this->state == AnswerState::kPartial) this->state = AnswerState::kBroken;
+  if (this->state == ResponseState::kPartial)
+    this->state = ResponseState::kBroken;
 }
 
 }  // namespace pollenring::internal
--- a/src/pollenring/net/answer_parser.h
+++ b/src/pollenring/net/answer_parser.h
@@ -13,7 +13,7 @@
 namespace pollenring::internal {
 
 /*! @brief How far an answer has come. */
-enum class AnswerState {
+enum class ResponseState {
   kPartial,
   kWhole,
   kBroken,  /*!< The bytes are no HTTP answer, or it ended too early. */
@@ -21,25 +21,25 @@
 };
 
 /*! @brief Names of the states. */
-inline constexpr EnumTable<AnswerState, 4> kAnswerStateNames{{{
-    {AnswerState::kPartial, "partial"},
-    {AnswerState::kWhole, "whole"},
-    {AnswerState::kBroken, "broken"},
-    {AnswerState::kTooLarge, "too large"},
+inline constexpr EnumTable<ResponseState, 4> kResponseStateNames{{{
+    {ResponseState::kPartial, "partial"},
+    {ResponseState::kWhole, "whole"},
+    {ResponseState::kBroken, "broken"},
+    {ResponseState::kTooLarge, "too large"},
 }}};
 
 /*! @brief Parses one HTTP/1.1 answer from bytes as they arrive. */
-class AnswerParser {
+class ResponseParser {
  public:
   /**
    * @brief Starts before the first byte.
    * @param head_only Whether the answer has no body, as one to `HEAD`.
    * @param max_body_bytes Largest body.
    */
-  AnswerParser(bool head_only, std::size_t max_body_bytes);
-  AnswerParser(const AnswerParser &) = delete;
-  AnswerParser &operator=(const AnswerParser &) = delete;
-  ~AnswerParser() = default;
+  ResponseParser(bool head_only, std::size_t max_body_bytes);
+  ResponseParser(const ResponseParser &) = delete;
+  ResponseParser &operator=(const ResponseParser &) = delete;
+  ~ResponseParser() = default;
 
   /**
    * @brief Takes in bytes; stops after the answer's last one.
@@ -52,7 +52,7 @@
   /*! @brief Takes in the orderly end of the connection. */
   void End();
 
-  [[nodiscard]] AnswerState State() const noexcept { return this->state; }
+  [[nodiscard]] ResponseState State() const noexcept { return this->state; }
 
   /*! @brief Whether the peer keeps the connection after this answer. */
   [[nodiscard]] bool KeepsAlive() const noexcept { return this->keeps_alive; }
@@ -79,7 +79,7 @@
   http_parser native{};
   bool head_only;
   std::size_t max_body_bytes;
-  AnswerState state{AnswerState::kPartial};
+  ResponseState state{ResponseState::kPartial};
   bool keeps_alive{};
   bool in_value{};
   Duration idle_timeout{};
--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -14,8 +14,8 @@
 namespace pollenring {
 namespace {
 
-using internal::AnswerParser;
-using internal::AnswerState;
+using internal::ResponseParser;
+using internal::ResponseState;
 
 /*! @brief Idle connections kept per peer; above any target's slots. */
 constexpr std::size_t kPoolCapacity = 1024;
@@ -96,7 +96,7 @@
     Impl *owner{};
     Address to;
     h2o_socket_t *sock{};
-    std::optional<AnswerParser> parser;
+    std::optional<ResponseParser> parser;
     CallId call{}; /*!< 0 while idle. */
     Time idle_until{};
     Loop::TimerId connect_timer{};
@@ -213,7 +213,7 @@
     while (used < (*input)->size) {
       used += connection.parser->Feed((*input)->bytes + used,
                                       (*input)->size - used);
-      if (connection.parser->State() == AnswerState::kPartial) continue;
+      if (connection.parser->State() == ResponseState::kPartial) continue;
       if (!this->SkipForeign(connection)) break;
     }
     const bool stray = used < (*input)->size;
@@ -225,16 +225,16 @@
       return;
     }
     switch (connection.parser->State()) {
-      case AnswerState::kWhole:
+      case ResponseState::kWhole:
         this->Complete(connection, stray || error != nullptr);
         return;
-      case AnswerState::kTooLarge:
+      case ResponseState::kTooLarge:
         this->Fail(connection, CallError::kTooLarge);
         return;
-      case AnswerState::kBroken:
+      case ResponseState::kBroken:
         this->Fail(connection, CallError::kBroken);
         return;
-      case AnswerState::kPartial:
+      case ResponseState::kPartial:
         if (error != nullptr) {
           this->Fail(connection, CallError::kBroken);
           return;
@@ -245,7 +245,7 @@
 
   /*! @brief Leaves out an answer that names another request. */
   bool SkipForeign(Connection &connection) {
-    if (connection.parser->State() != AnswerState::kWhole) return false;
+    if (connection.parser->State() != ResponseState::kWhole) return false;
     const Pending &call = this->calls.at(connection.call);
     if (call.mark.name.empty()) return false;
     const auto given =
@@ -277,7 +277,7 @@
 
   void Complete(Connection &connection, bool ended) {
     const CallId id = connection.call;
-    AnswerParser &parser = *connection.parser;
+    ResponseParser &parser = *connection.parser;
     const bool reusable = !ended && !connection.spoiled &&
                           !connection.writing && parser.KeepsAlive();
     HttpResponse answer = std::move(parser.Answer());
