Rename ticket.h to admission_request.h

The header kept the former name of AdmissionRequest, so that a search for the type missed its file. Among the files ticket becomes admission_request. Header guards and include lines follow and are the only text that changes, so the code that is compiled stays the same; CMake collects the sources by pattern.

--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -6,11 +6,11 @@
 #include <unordered_map>
 #include <vector>
 
+#include "pollenring/admission/admission_request.h"
 #include "pollenring/admission/cold_gate.h"
 #include "pollenring/admission/concurrency_limit.h"
 #include "pollenring/admission/fit_level.h"
 #include "pollenring/admission/level_control.h"
-#include "pollenring/admission/ticket.h"
 #include "pollenring/admission/ticket_queue.h"
 #include "pollenring/core/outcome.h"
 #include "pollenring/routing/load_report.h"
--- a/src/pollenring/admission/ticket.h
+++ b/src/pollenring/admission/admission_request.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_ADMISSION_TICKET_H_
-#define POLLENRING_ADMISSION_TICKET_H_
+#ifndef POLLENRING_ADMISSION_ADMISSION_REQUEST_H_
+#define POLLENRING_ADMISSION_ADMISSION_REQUEST_H_
 
 #include <cstdint>
 #include <string>
@@ -27,4 +27,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_ADMISSION_TICKET_H_
+#endif  // POLLENRING_ADMISSION_ADMISSION_REQUEST_H_
--- a/src/pollenring/admission/level_control.h
+++ b/src/pollenring/admission/level_control.h
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "pollenring/admission/ticket.h"
+#include "pollenring/admission/admission_request.h"
 #include "pollenring/core/clock.h"
 
 namespace pollenring {
--- a/src/pollenring/admission/shed_levels.h
+++ b/src/pollenring/admission/shed_levels.h
@@ -6,8 +6,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "pollenring/admission/admission_request.h"
 #include "pollenring/admission/level_control.h"
-#include "pollenring/admission/ticket.h"
 #include "pollenring/core/clock.h"
 #include "pollenring/core/importance.h"
 
--- a/src/pollenring/admission/ticket_queue.h
+++ b/src/pollenring/admission/ticket_queue.h
@@ -6,7 +6,7 @@
 #include <optional>
 #include <vector>
 
-#include "pollenring/admission/ticket.h"
+#include "pollenring/admission/admission_request.h"
 #include "pollenring/core/clock.h"
 
 namespace pollenring {
