Rename ticket_queue.h to request_queue.h

The header kept the former name of RequestQueue, so that a search for the type missed its file. Among the files ticket_queue becomes request_queue. Header guards and include lines follow and are the only text that changes, so the code that is compiled stays the same; CMake collects the sources by pattern.

--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -11,7 +11,7 @@
 #include "pollenring/admission/concurrency_limit.h"
 #include "pollenring/admission/fit_level.h"
 #include "pollenring/admission/level_control.h"
-#include "pollenring/admission/ticket_queue.h"
+#include "pollenring/admission/request_queue.h"
 #include "pollenring/core/outcome.h"
 #include "pollenring/routing/load_report.h"
 
--- a/src/pollenring/admission/aim_queue.h
+++ b/src/pollenring/admission/aim_queue.h
@@ -5,7 +5,7 @@
 #include <tuple>
 #include <unordered_map>
 
-#include "pollenring/admission/ticket_queue.h"
+#include "pollenring/admission/request_queue.h"
 
 namespace pollenring {
 
--- a/src/pollenring/admission/fair_queue.h
+++ b/src/pollenring/admission/fair_queue.h
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "pollenring/admission/ticket_queue.h"
+#include "pollenring/admission/request_queue.h"
 
 namespace pollenring {
 
--- a/src/pollenring/admission/ticket_queue.h
+++ b/src/pollenring/admission/request_queue.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_ADMISSION_TICKET_QUEUE_H_
-#define POLLENRING_ADMISSION_TICKET_QUEUE_H_
+#ifndef POLLENRING_ADMISSION_REQUEST_QUEUE_H_
+#define POLLENRING_ADMISSION_REQUEST_QUEUE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -58,4 +58,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_ADMISSION_TICKET_QUEUE_H_
+#endif  // POLLENRING_ADMISSION_REQUEST_QUEUE_H_
