--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -5,9 +5,9 @@
 #include <cmath>
 #include <utility>
 
-#include "pollenring/admission/aim_queue.h"
 #include "pollenring/admission/fair_queue.h"
 #include "pollenring/admission/shed_levels.h"
+#include "pollenring/admission/soft_deadline_queue.h"
 #include "pollenring/core/invariant.h"
 
 namespace pollenring {
--- a/src/pollenring/admission/aim_queue.cc
+++ b/src/pollenring/admission/soft_deadline_queue.cc
@@ -1,4 +1,4 @@
-#include "pollenring/admission/aim_queue.h"
+#include "pollenring/admission/soft_deadline_queue.h"
 
 #include <algorithm>
 
--- a/src/pollenring/admission/aim_queue.h
+++ b/src/pollenring/admission/soft_deadline_queue.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_ADMISSION_AIM_QUEUE_H_
-#define POLLENRING_ADMISSION_AIM_QUEUE_H_
+#ifndef POLLENRING_ADMISSION_SOFT_DEADLINE_QUEUE_H_
+#define POLLENRING_ADMISSION_SOFT_DEADLINE_QUEUE_H_
 
 #include <set>
 #include <tuple>
@@ -45,4 +45,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_ADMISSION_AIM_QUEUE_H_
+#endif  // POLLENRING_ADMISSION_SOFT_DEADLINE_QUEUE_H_
