Rename fit_level to offered_load_level

The files kept the former name of OfferedLoadLevel, so that a search for the type missed them. Among the files fit_level becomes offered_load_level and fit_level_test becomes offered_load_level_test. Header guards and include lines follow and are the only text that changes, so the code that is compiled stays the same; CMake collects the sources by pattern.

--- a/src/pollenring/admission/fit_level.h
+++ b/src/pollenring/admission/offered_load_level.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_ADMISSION_FIT_LEVEL_H_
-#define POLLENRING_ADMISSION_FIT_LEVEL_H_
+#ifndef POLLENRING_ADMISSION_OFFERED_LOAD_LEVEL_H_
+#define POLLENRING_ADMISSION_OFFERED_LOAD_LEVEL_H_
 
 #include <array>
 #include <cstddef>
@@ -72,4 +72,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_ADMISSION_FIT_LEVEL_H_
+#endif  // POLLENRING_ADMISSION_OFFERED_LOAD_LEVEL_H_
--- a/test/pollenring/admission/fit_level_test.cc
+++ b/test/pollenring/admission/offered_load_level_test.cc
@@ -1,4 +1,4 @@
-#include "pollenring/admission/fit_level.h"
+#include "pollenring/admission/offered_load_level.h"
 
 #include <catch2/catch.hpp>
 
