Rename cold_gate to cold_start_limiter

The files kept the former name of ColdStartLimiter, so that a search for the type missed them. Among the files cold_gate becomes cold_start_limiter and cold_gate_test becomes cold_start_limiter_test. Header guards and include lines follow and are the only text that changes, so the code that is compiled stays the same; CMake collects the sources by pattern.

--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "pollenring/admission/admission_request.h"
-#include "pollenring/admission/cold_gate.h"
+#include "pollenring/admission/cold_start_limiter.h"
 #include "pollenring/admission/concurrency_limit.h"
 #include "pollenring/admission/level_control.h"
 #include "pollenring/admission/offered_load_level.h"
--- a/src/pollenring/admission/cold_gate.h
+++ b/src/pollenring/admission/cold_start_limiter.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_ADMISSION_COLD_GATE_H_
-#define POLLENRING_ADMISSION_COLD_GATE_H_
+#ifndef POLLENRING_ADMISSION_COLD_START_LIMITER_H_
+#define POLLENRING_ADMISSION_COLD_START_LIMITER_H_
 
 #include <cstdint>
 #include <deque>
@@ -81,4 +81,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_ADMISSION_COLD_GATE_H_
+#endif  // POLLENRING_ADMISSION_COLD_START_LIMITER_H_
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "pollenring/admission/admission.h"
-#include "pollenring/admission/cold_gate.h"
+#include "pollenring/admission/cold_start_limiter.h"
 #include "pollenring/core/clock.h"
 #include "pollenring/core/enum_table.h"
 #include "pollenring/core/random.h"
--- a/src/pollenring/node/settings.h
+++ b/src/pollenring/node/settings.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "pollenring/admission/cold_gate.h"
+#include "pollenring/admission/cold_start_limiter.h"
 #include "pollenring/contract/parse.h"
 #include "pollenring/core/clock.h"
 #include "pollenring/core/enum_table.h"
--- a/test/pollenring/admission/cold_gate_test.cc
+++ b/test/pollenring/admission/cold_start_limiter_test.cc
@@ -1,4 +1,4 @@
-#include "pollenring/admission/cold_gate.h"
+#include "pollenring/admission/cold_start_limiter.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
