Rename finding.h to diagnostic.h

The header kept the former name of Diagnostic, so that a search for the type missed its file. Among the files finding becomes diagnostic.

--- a/src/pollenring/contract/contract.h
+++ b/src/pollenring/contract/contract.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "pollenring/core/clock.h"
-#include "pollenring/core/finding.h"
+#include "pollenring/core/diagnostic.h"
 #include "pollenring/core/importance.h"
 
 namespace pollenring {
--- a/src/pollenring/core/core.h
+++ b/src/pollenring/core/core.h
@@ -2,8 +2,8 @@
 #define POLLENRING_CORE_CORE_H_
 
 #include "pollenring/core/clock.h"
+#include "pollenring/core/diagnostic.h"
 #include "pollenring/core/enum_table.h"
-#include "pollenring/core/finding.h"
 #include "pollenring/core/hash.h"
 #include "pollenring/core/importance.h"
 #include "pollenring/core/invariant.h"
--- a/src/pollenring/core/finding.h
+++ b/src/pollenring/core/diagnostic.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_CORE_FINDING_H_
-#define POLLENRING_CORE_FINDING_H_
+#ifndef POLLENRING_CORE_DIAGNOSTIC_H_
+#define POLLENRING_CORE_DIAGNOSTIC_H_
 
 #include <cstdint>
 #include <string>
@@ -34,4 +34,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_CORE_FINDING_H_
+#endif  // POLLENRING_CORE_DIAGNOSTIC_H_
--- a/src/pollenring/node/settings.h
+++ b/src/pollenring/node/settings.h
@@ -7,8 +7,8 @@
 #include "pollenring/admission/cold_start_limiter.h"
 #include "pollenring/contract/parse.h"
 #include "pollenring/core/clock.h"
+#include "pollenring/core/diagnostic.h"
 #include "pollenring/core/enum_table.h"
-#include "pollenring/core/finding.h"
 #include "pollenring/net/address.h"
 
 namespace pollenring {
--- a/tools/pollenring-load/scenario.h
+++ b/tools/pollenring-load/scenario.h
@@ -7,7 +7,7 @@
 
 #include "pollenring/contract/parse.h"
 #include "pollenring/core/clock.h"
-#include "pollenring/core/finding.h"
+#include "pollenring/core/diagnostic.h"
 #include "pollenring/net/address.h"
 
 namespace load {
