Rename route_levels to downstream_levels

The files kept the former name of DownstreamLevels, so that a search for the type missed them. Among the files route_levels becomes downstream_levels and route_levels_test becomes downstream_levels_test. Header guards and include lines follow and are the only text that changes, so the code that is compiled stays the same; CMake collects the sources by pattern.

--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -13,8 +13,8 @@
 #include "pollenring/net/http_server.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/dispatcher.h"
+#include "pollenring/node/downstream_levels.h"
 #include "pollenring/node/gates.h"
-#include "pollenring/node/route_levels.h"
 
 namespace pollenring {
 
--- a/src/pollenring/node/route_levels.h
+++ b/src/pollenring/node/downstream_levels.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_NODE_ROUTE_LEVELS_H_
-#define POLLENRING_NODE_ROUTE_LEVELS_H_
+#ifndef POLLENRING_NODE_DOWNSTREAM_LEVELS_H_
+#define POLLENRING_NODE_DOWNSTREAM_LEVELS_H_
 
 #include <cstddef>
 #include <string>
@@ -157,4 +157,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_NODE_ROUTE_LEVELS_H_
+#endif  // POLLENRING_NODE_DOWNSTREAM_LEVELS_H_
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -11,8 +11,8 @@
 #include "pollenring/core/random.h"
 #include "pollenring/link/link_server.h"
 #include "pollenring/net/http_client.h"
+#include "pollenring/node/downstream_levels.h"
 #include "pollenring/node/headers.h"
-#include "pollenring/node/route_levels.h"
 
 namespace {
 
--- a/test/pollenring/node/route_levels_test.cc
+++ b/test/pollenring/node/downstream_levels_test.cc
@@ -1,4 +1,4 @@
-#include "pollenring/node/route_levels.h"
+#include "pollenring/node/downstream_levels.h"
 
 #include <catch2/catch.hpp>
 #include <chrono>
--- a/test/pollenring/node/serving_test.cc
+++ b/test/pollenring/node/serving_test.cc
@@ -10,7 +10,7 @@
 #include "pollenring/metrics/metrics.h"
 #include "pollenring/net/http_client.h"
 #include "pollenring/net/loop.h"
-#include "pollenring/node/route_levels.h"
+#include "pollenring/node/downstream_levels.h"
 #include "support/raw_peer.h"
 
 namespace {
