Rename the files of the dialects to codecs

The files kept the former name of the codecs, so that a search for the types missed them. Header guards and include lines follow and are the only text that changes, so the code that is compiled stays the same; CMake collects the sources by pattern.

--- a/src/pollenring/mesh/dialects.h
+++ b/src/pollenring/mesh/codecs.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_MESH_DIALECTS_H_
-#define POLLENRING_MESH_DIALECTS_H_
+#ifndef POLLENRING_MESH_CODECS_H_
+#define POLLENRING_MESH_CODECS_H_
 
 #include <cstdint>
 #include <functional>
@@ -128,4 +128,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_MESH_DIALECTS_H_
+#endif  // POLLENRING_MESH_CODECS_H_
--- a/src/pollenring/mesh/heartbeat_filter.h
+++ b/src/pollenring/mesh/heartbeat_filter.h
@@ -7,7 +7,7 @@
 
 #include "pollenring/core/clock.h"
 #include "pollenring/core/enum_table.h"
-#include "pollenring/mesh/dialects.h"
+#include "pollenring/mesh/codecs.h"
 
 namespace pollenring {
 
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -8,9 +8,9 @@
 
 #include "pollenring/link/link_client.h"
 #include "pollenring/link/link_server.h"
+#include "pollenring/mesh/codecs.h"
 #include "pollenring/mesh/cold_policy.h"
 #include "pollenring/mesh/departure_log.h"
-#include "pollenring/mesh/dialects.h"
 #include "pollenring/mesh/heartbeat_filter.h"
 #include "pollenring/mesh/outbound.h"
 #include "pollenring/mesh/policy_follower.h"
@@ -25,7 +25,7 @@
 #include "pollenring/node/serving.h"
 #include "pollenring/node/settings.h"
 #include "pollenring/node/share_service.h"
-#include "pollenring/node/target_dialect.h"
+#include "pollenring/node/target_codec.h"
 #include "pollenring/routing/router.h"
 #include "pollenring/wire/peer_wire.h"
 
--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 
 #include "pollenring/core/random.h"
-#include "pollenring/mesh/dialects.h"
+#include "pollenring/mesh/codecs.h"
 #include "pollenring/mesh/policy_follower.h"
 #include "pollenring/metrics/metrics.h"
 #include "pollenring/net/http_server.h"
--- a/src/pollenring/mesh/policy_follower.h
+++ b/src/pollenring/mesh/policy_follower.h
@@ -13,7 +13,7 @@
 #include "pollenring/contract/host_policy.h"
 #include "pollenring/core/random.h"
 #include "pollenring/link/link_client.h"
-#include "pollenring/mesh/dialects.h"
+#include "pollenring/mesh/codecs.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/gates.h"
 #include "pollenring/node/member_service.h"
--- a/src/pollenring/node/node.h
+++ b/src/pollenring/node/node.h
@@ -22,7 +22,7 @@
 #include "pollenring/node/settings.h"
 #include "pollenring/node/share_service.h"
 #include "pollenring/node/slot_service.h"
-#include "pollenring/node/target_dialect.h"
+#include "pollenring/node/target_codec.h"
 #include "pollenring/node/target_port.h"
 #include "pollenring/routing/router.h"
 #include "pollenring/storage/http_storage.h"
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -20,7 +20,7 @@
 #include "pollenring/net/loop.h"
 #include "pollenring/node/downstream_levels.h"
 #include "pollenring/node/parent_finder.h"
-#include "pollenring/node/target_dialect.h"
+#include "pollenring/node/target_codec.h"
 #include "pollenring/node/wire.h"
 #include "pollenring/retry/allowance.h"
 
--- a/src/pollenring/node/target_dialect.h
+++ b/src/pollenring/node/target_codec.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_NODE_TARGET_DIALECT_H_
-#define POLLENRING_NODE_TARGET_DIALECT_H_
+#ifndef POLLENRING_NODE_TARGET_CODEC_H_
+#define POLLENRING_NODE_TARGET_CODEC_H_
 
 #include <string>
 
@@ -100,4 +100,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_NODE_TARGET_DIALECT_H_
+#endif  // POLLENRING_NODE_TARGET_CODEC_H_
--- a/test/pollenring/node/target_dialect_test.cc
+++ b/test/pollenring/node/target_codec_test.cc
@@ -1,4 +1,4 @@
-#include "pollenring/node/target_dialect.h"
+#include "pollenring/node/target_codec.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/support/faulty_dialects.h
+++ b/test/support/faulty_codecs.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_TEST_SUPPORT_FAULTY_DIALECTS_H_
-#define POLLENRING_TEST_SUPPORT_FAULTY_DIALECTS_H_
+#ifndef POLLENRING_TEST_SUPPORT_FAULTY_CODECS_H_
+#define POLLENRING_TEST_SUPPORT_FAULTY_CODECS_H_
 
 #include <stdexcept>
 #include <string>
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-#include "platform/dialects.h"
+#include "platform/codecs.h"
 #include "pollenring/core/invariant.h"
 #include "pollenring/net/http_message.h"
 
@@ -88,4 +88,4 @@
 
 }  // namespace support
 
-#endif  // POLLENRING_TEST_SUPPORT_FAULTY_DIALECTS_H_
+#endif  // POLLENRING_TEST_SUPPORT_FAULTY_CODECS_H_
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/dialects.h"
+#include "platform/codecs.h"
 #include "platform/store.h"
 #include "pollenring/core/random.h"
 #include "pollenring/link/link_client.h"
@@ -17,7 +17,7 @@
 #include "pollenring/net/http_server.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/storage/store_client.h"
-#include "support/faulty_dialects.h"
+#include "support/faulty_codecs.h"
 
 namespace support {
 
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -7,7 +7,7 @@
 #include <sstream>
 #include <utility>
 
-#include "platform/dialects.h"
+#include "platform/codecs.h"
 #include "platform/store.h"
 #include "pollenring/core/random.h"
 #include "pollenring/log/log.h"
