--- a/src/pollenring/membership/membership_all.h
+++ b/src/pollenring/membership/membership_all.h
@@ -3,6 +3,6 @@
 
 #include "pollenring/membership/member.h"
 #include "pollenring/membership/membership.h"
-#include "pollenring/membership/store_duty.h"
+#include "pollenring/membership/store_watcher_role.h"
 
 #endif  // POLLENRING_MEMBERSHIP_MEMBERSHIP_ALL_H_
--- a/src/pollenring/membership/store_duty.cc
+++ b/src/pollenring/membership/store_watcher_role.cc
@@ -1,4 +1,4 @@
-#include "pollenring/membership/store_duty.h"
+#include "pollenring/membership/store_watcher_role.h"
 
 #include <algorithm>
 #include <set>
--- a/src/pollenring/node/member_service.h
+++ b/src/pollenring/node/member_service.h
@@ -9,7 +9,7 @@
 
 #include "pollenring/link/link_client.h"
 #include "pollenring/membership/membership.h"
-#include "pollenring/membership/store_duty.h"
+#include "pollenring/membership/store_watcher_role.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/bus.h"
 #include "pollenring/storage/storage.h"
