Rename serving to target_executor

The files kept the former name of TargetExecutor, so that a search for the type missed them. Among the files serving_targets becomes target_executor_targets, serving becomes target_executor and serving_test becomes target_executor_test. Header guards and include lines follow and are the only text that changes, so the code that is compiled stays the same; CMake collects the sources by pattern.

--- a/src/pollenring/mesh/codecs.h
+++ b/src/pollenring/mesh/codecs.h
@@ -11,7 +11,7 @@
 #include "pollenring/contract/host_policy.h"
 #include "pollenring/core/result.h"
 #include "pollenring/net/http_message.h"
-#include "pollenring/node/serving.h"
+#include "pollenring/node/target_executor.h"
 #include "pollenring/node/wire.h"
 #include "pollenring/storage/storage.h"
 
--- a/src/pollenring/mesh/cold_policy.h
+++ b/src/pollenring/mesh/cold_policy.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "pollenring/mesh/policy_follower.h"
-#include "pollenring/node/serving.h"
+#include "pollenring/node/target_executor.h"
 
 namespace pollenring {
 
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -22,10 +22,10 @@
 #include "pollenring/node/bus.h"
 #include "pollenring/node/dispatcher.h"
 #include "pollenring/node/member_service.h"
-#include "pollenring/node/serving.h"
 #include "pollenring/node/settings.h"
 #include "pollenring/node/share_service.h"
 #include "pollenring/node/target_codec.h"
+#include "pollenring/node/target_executor.h"
 #include "pollenring/routing/router.h"
 #include "pollenring/wire/peer_wire.h"
 
--- a/src/pollenring/node/dispatcher.h
+++ b/src/pollenring/node/dispatcher.h
@@ -14,7 +14,7 @@
 #include "pollenring/metrics/metrics.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/gates.h"
-#include "pollenring/node/serving.h"
+#include "pollenring/node/target_executor.h"
 #include "pollenring/node/wire.h"
 #include "pollenring/retry/allowance.h"
 #include "pollenring/retry/budget.h"
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/target_executor.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_NODE_SERVING_H_
-#define POLLENRING_NODE_SERVING_H_
+#ifndef POLLENRING_NODE_TARGET_EXECUTOR_H_
+#define POLLENRING_NODE_TARGET_EXECUTOR_H_
 
 #include <cstdint>
 #include <functional>
@@ -291,4 +291,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_NODE_SERVING_H_
+#endif  // POLLENRING_NODE_TARGET_EXECUTOR_H_
--- a/src/pollenring/node/serving_targets.cc
+++ b/src/pollenring/node/target_executor_targets.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "pollenring/log/log.h"
-#include "pollenring/node/serving.h"
+#include "pollenring/node/target_executor.h"
 
 namespace pollenring {
 namespace {
--- a/src/pollenring/node/target_port.h
+++ b/src/pollenring/node/target_port.h
@@ -9,7 +9,7 @@
 #include "pollenring/net/http_server.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/dispatcher.h"
-#include "pollenring/node/serving.h"
+#include "pollenring/node/target_executor.h"
 
 namespace pollenring {
 
--- a/test/pollenring/node/serving_test.cc
+++ b/test/pollenring/node/target_executor_test.cc
@@ -1,4 +1,4 @@
-#include "pollenring/node/serving.h"
+#include "pollenring/node/target_executor.h"
 
 #include <catch2/catch.hpp>
 #include <csignal>
