Rename call_shares to call_attribution

The files kept the former name of CallAttribution, so that a search for the type missed them. Among the files call_shares becomes call_attribution and call_shares_test becomes call_attribution_test. Header guards and include lines follow and are the only text that changes, so the code that is compiled stays the same; CMake collects the sources by pattern.

--- a/src/pollenring/node/call_shares.h
+++ b/src/pollenring/node/call_attribution.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_NODE_CALL_SHARES_H_
-#define POLLENRING_NODE_CALL_SHARES_H_
+#ifndef POLLENRING_NODE_CALL_ATTRIBUTION_H_
+#define POLLENRING_NODE_CALL_ATTRIBUTION_H_
 
 #include <cstddef>
 #include <optional>
@@ -103,4 +103,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_NODE_CALL_SHARES_H_
+#endif  // POLLENRING_NODE_CALL_ATTRIBUTION_H_
--- a/src/pollenring/node/parent_finder.h
+++ b/src/pollenring/node/parent_finder.h
@@ -10,7 +10,7 @@
 
 #include "pollenring/core/clock.h"
 #include "pollenring/core/random.h"
-#include "pollenring/node/call_shares.h"
+#include "pollenring/node/call_attribution.h"
 
 namespace pollenring {
 
--- a/test/pollenring/node/call_shares_test.cc
+++ b/test/pollenring/node/call_attribution_test.cc
@@ -1,4 +1,4 @@
-#include "pollenring/node/call_shares.h"
+#include "pollenring/node/call_attribution.h"
 
 #include <catch2/catch.hpp>
 #include <map>
