Rename leave_times to drain_times

The files kept the former name of DrainTimes, so that a search for the type missed them. Header guards and include lines follow and are the only text that changes, so the code that is compiled stays the same; CMake collects the sources by pattern.

--- a/src/pollenring/mesh/leave_times.cc
+++ b/src/pollenring/mesh/drain_times.cc
@@ -1,4 +1,4 @@
-#include "pollenring/mesh/leave_times.h"
+#include "pollenring/mesh/drain_times.h"
 
 #include <algorithm>
 
--- a/src/pollenring/mesh/leave_times.h
+++ b/src/pollenring/mesh/drain_times.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_MESH_LEAVE_TIMES_H_
-#define POLLENRING_MESH_LEAVE_TIMES_H_
+#ifndef POLLENRING_MESH_DRAIN_TIMES_H_
+#define POLLENRING_MESH_DRAIN_TIMES_H_
 
 #include "pollenring/core/clock.h"
 
@@ -20,4 +20,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_MESH_LEAVE_TIMES_H_
+#endif  // POLLENRING_MESH_DRAIN_TIMES_H_
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "pollenring/log/log.h"
-#include "pollenring/mesh/leave_times.h"
+#include "pollenring/mesh/drain_times.h"
 #include "pollenring/node/headers.h"
 #include "pollenring/node/limits.h"
 #include "pollenring/retry/backoff.h"
