Rename answer_parser to response_parser

The files kept the former name of ResponseParser, so that a search for the type missed them. Among the files answer_parser becomes response_parser. Header guards and include lines follow and are the only text that changes, so the code that is compiled stays the same; CMake collects the sources by pattern.

--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -7,9 +7,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "pollenring/net/answer_parser.h"
 #include "pollenring/net/h2o_api.h"
 #include "pollenring/net/loop.h"
+#include "pollenring/net/response_parser.h"
 
 namespace pollenring {
 namespace {
--- a/src/pollenring/net/answer_parser.cc
+++ b/src/pollenring/net/response_parser.cc
@@ -1,4 +1,4 @@
-#include "pollenring/net/answer_parser.h"
+#include "pollenring/net/response_parser.h"
 
 #include <algorithm>
 #include <cctype>
--- a/src/pollenring/net/answer_parser.h
+++ b/src/pollenring/net/response_parser.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_NET_ANSWER_PARSER_H_
-#define POLLENRING_NET_ANSWER_PARSER_H_
+#ifndef POLLENRING_NET_RESPONSE_PARSER_H_
+#define POLLENRING_NET_RESPONSE_PARSER_H_
 
 #include <http_parser.h>
 
@@ -97,4 +97,4 @@
 
 }  // namespace pollenring::internal
 
-#endif  // POLLENRING_NET_ANSWER_PARSER_H_
+#endif  // POLLENRING_NET_RESPONSE_PARSER_H_
