Rename Place to SourceLocation

"Place" and "place" mean a rank, a seat in a queue and an iterator in ten folders, so a reader of the checker took a file position for one of those. Place -> SourceLocation; Finding::place, Contract::place and WorkspaceShare::place -> location.

--- a/src/pollenring/contract/check.cc
+++ b/src/pollenring/contract/check.cc
@@ -15,15 +15,15 @@
   for (const auto &contract : set.contracts) {
     const auto [at, added] = services.emplace(contract.service, &contract);
     if (added) continue;
-    findings.push_back({contract.place, "service '" + contract.service +
-                                            "' is declared already in " +
-                                            at->second->place.file});
+    findings.push_back({contract.location, "service '" + contract.service +
+                                               "' is declared already in " +
+                                               at->second->location.file});
   }
   std::set<std::string> workspaces;
   for (const auto &share : set.workspaces) {
     if (workspaces.insert(share.name).second) continue;
     findings.push_back(
-        {share.place, "workspace '" + share.name + "' is declared twice"});
+        {share.location, "workspace '" + share.name + "' is declared twice"});
   }
   return services;
 }
@@ -33,8 +33,8 @@
   for (const auto &contract : set.contracts) {
     for (const auto &caller : contract.callers) {
       if (caller == kPublicCaller || services.count(caller) > 0) continue;
-      findings.push_back(
-          {contract.place, "caller '" + caller + "' is no declared service"});
+      findings.push_back({contract.location,
+                          "caller '" + caller + "' is no declared service"});
     }
   }
 }
@@ -49,7 +49,7 @@
     if (this->done.count(contract.service) > 0) return;
     if (!this->open.insert(contract.service).second) {
       this->findings.push_back(
-          {contract.place,
+          {contract.location,
            "service '" + contract.service + "' calls itself through others"});
       return;
     }
@@ -75,9 +75,9 @@
     for (const auto &route : contract.routes) {
       const bool added = seen.emplace(route.method, route.path_prefix).second;
       if (added) continue;
-      findings.push_back({contract.place, "route '" + route.method + " " +
-                                              route.path_prefix +
-                                              "' is declared twice"});
+      findings.push_back({contract.location, "route '" + route.method + " " +
+                                                 route.path_prefix +
+                                                 "' is declared twice"});
     }
   }
 }
@@ -86,15 +86,15 @@
   const double seconds = std::chrono::duration<double>{kShortestBurst}.count();
   for (const auto &share : set.workspaces) {
     if (share.rate <= 0) {
-      findings.push_back({share.place, "'rate' must be above 0"});
+      findings.push_back({share.location, "'rate' must be above 0"});
       continue;
     }
     if (share.burst < kSmallestBurst) {
-      findings.push_back({share.place, "'burst' must be 6 or more"});
+      findings.push_back({share.location, "'burst' must be 6 or more"});
       continue;
     }
     if (share.burst >= share.rate * seconds) continue;
-    findings.push_back({share.place,
+    findings.push_back({share.location,
                         "'burst' must cover at least 250 ms at the rate of "
                         "workspace '" +
                             share.name + "'"});
@@ -117,12 +117,13 @@
   ContractSet set;
   for (const auto &file : files) ParseContractFile(file, set, findings);
   CheckContracts(set, findings);
-  std::stable_sort(
-      findings.begin(), findings.end(),
-      [](const auto &left, const auto &right) {
-        return std::tie(left.place.file, left.place.line, left.place.column) <
-               std::tie(right.place.file, right.place.line, right.place.column);
-      });
+  std::stable_sort(findings.begin(), findings.end(),
+                   [](const auto &left, const auto &right) {
+                     return std::tie(left.location.file, left.location.line,
+                                     left.location.column) <
+                            std::tie(right.location.file, right.location.line,
+                                     right.location.column);
+                   });
   return set;
 }
 
--- a/src/pollenring/contract/check.h
+++ b/src/pollenring/contract/check.h
@@ -24,7 +24,7 @@
 /**
  * @brief Parses and checks files.
  * @param files The files.
- * @param findings Receives all faults, in the order of their places.
+ * @param findings Receives all faults, in the order of their locations.
  * @return The set; use it only when there are no findings.
  */
 [[nodiscard]] ContractSet ReadContracts(const std::vector<SourceFile> &files,
--- a/src/pollenring/contract/contract.h
+++ b/src/pollenring/contract/contract.h
@@ -29,7 +29,7 @@
   std::string service;
   std::vector<std::string> callers;
   std::vector<Route> routes;
-  Place place;
+  SourceLocation location;
 };
 
 /*! @brief How much a workspace may consume, over all VMs together. */
@@ -37,7 +37,7 @@
   std::string name;
   double rate{};  /*!< Whole requests a second. */
   double burst{}; /*!< Whole requests at once. */
-  Place place;
+  SourceLocation location;
 };
 
 /*! @brief All that one publication declares. */
--- a/src/pollenring/contract/parse.cc
+++ b/src/pollenring/contract/parse.cc
@@ -33,7 +33,7 @@
               Findings &findings)
       : table{table}, file{file}, findings{findings} {}
 
-  [[nodiscard]] Place Where(const toml::node &node) const {
+  [[nodiscard]] SourceLocation Where(const toml::node &node) const {
     const auto &begin = node.source().begin;
     return {this->file, begin.line, begin.column};
   }
@@ -147,7 +147,7 @@
                                            const toml::table &table) {
   reader.KnownKeys({"name", "rate", "burst"});
   WorkspaceShare share;
-  share.place = reader.Where(table);
+  share.location = reader.Where(table);
   share.name = reader.Text("name", true).value_or("");
   if (const auto text = reader.Text("rate", true)) {
     const auto rate = ParseRate(*text);
@@ -254,7 +254,7 @@
       root.contains("service") || root.contains("route");
   if (!declares_service) return;
   Contract contract;
-  contract.place = reader.Where(root);
+  contract.location = reader.Where(root);
   contract.service = reader.Text("service", true).value_or("");
   contract.callers = ReadCallers(reader);
   ForEachTable(root, "route", reader, [&](const toml::table &table) {
--- a/src/pollenring/core/finding.h
+++ b/src/pollenring/core/finding.h
@@ -8,15 +8,15 @@
 namespace pollenring {
 
 /*! @brief Where in a file something was found. */
-struct Place {
+struct SourceLocation {
   std::string file;
   std::uint32_t line{};
   std::uint32_t column{};
 };
 
-/*! @brief One fault in an operator's input, with its place. */
+/*! @brief One fault in an operator's input, with its location. */
 struct Finding {
-  Place place;
+  SourceLocation location;
   std::string message;
 
   /**
@@ -24,8 +24,8 @@
    * @return `file:line:column: message`.
    */
   [[nodiscard]] std::string Format() const {
-    return this->place.file + ":" + std::to_string(this->place.line) + ":" +
-           std::to_string(this->place.column) + ": " + this->message;
+    return this->location.file + ":" + std::to_string(this->location.line) +
+           ":" + std::to_string(this->location.column) + ": " + this->message;
   }
 };
 
--- a/src/pollenring/node/settings.cc
+++ b/src/pollenring/node/settings.cc
@@ -15,7 +15,7 @@
 constexpr double kShortestGrace = 0.5;
 constexpr double kLongestGrace = 3600;
 
-/*! @brief Reads settings and keeps the findings with their places. */
+/*! @brief Reads settings and keeps the findings with their locations. */
 class SettingsReader {
  public:
   SettingsReader(const toml::table &root, const std::string &file,
--- a/tools/pollenring/commands.cc
+++ b/tools/pollenring/commands.cc
@@ -68,9 +68,9 @@
   if (common.json) {
     Json list = Json::array();
     for (const auto &finding : findings) {
-      list.push_back({{"file", finding.place.file},
-                      {"line", finding.place.line},
-                      {"column", finding.place.column},
+      list.push_back({{"file", finding.location.file},
+                      {"line", finding.location.line},
+                      {"column", finding.location.column},
                       {"message", finding.message}});
     }
     std::cout << Json{{"findings", std::move(list)}}.dump(2) << '\n';
