Rename findings to diagnostics

What the checkers collect is a list of file:line:column and message as compilers print it; "findings" is also the word for results of experiments. Parameters, locals and members findings -> diagnostics, loop variables finding -> diagnostic; the JSON key, the log field and the messages keep their text.

--- a/src/pollenring/contract/check.cc
+++ b/src/pollenring/contract/check.cc
@@ -10,31 +10,32 @@
 
 using ByService = std::map<std::string, const Contract *>;
 
-[[nodiscard]] ByService CheckNames(const ContractSet &set, Findings &findings) {
+[[nodiscard]] ByService CheckNames(const ContractSet &set,
+                                   Findings &diagnostics) {
   ByService services;
   for (const auto &contract : set.contracts) {
     const auto [at, added] = services.emplace(contract.service, &contract);
     if (added) continue;
-    findings.push_back({contract.location, "service '" + contract.service +
-                                               "' is declared already in " +
-                                               at->second->location.file});
+    diagnostics.push_back({contract.location, "service '" + contract.service +
+                                                  "' is declared already in " +
+                                                  at->second->location.file});
   }
   std::set<std::string> workspaces;
   for (const auto &share : set.workspaces) {
     if (workspaces.insert(share.name).second) continue;
-    findings.push_back(
+    diagnostics.push_back(
         {share.location, "workspace '" + share.name + "' is declared twice"});
   }
   return services;
 }
 
 void CheckCallers(const ContractSet &set, const ByService &services,
-                  Findings &findings) {
+                  Findings &diagnostics) {
   for (const auto &contract : set.contracts) {
     for (const auto &caller : contract.callers) {
       if (caller == kPublicCaller || services.count(caller) > 0) continue;
-      findings.push_back({contract.location,
-                          "caller '" + caller + "' is no declared service"});
+      diagnostics.push_back({contract.location,
+                             "caller '" + caller + "' is no declared service"});
     }
   }
 }
@@ -42,13 +43,13 @@
 /*! @brief Finds cycles among callers by depth-first search. */
 class CycleSearch {
  public:
-  CycleSearch(const ByService &services, Findings &findings)
-      : services{services}, findings{findings} {}
+  CycleSearch(const ByService &services, Findings &diagnostics)
+      : services{services}, diagnostics{diagnostics} {}
 
   void Visit(const Contract &contract) {
     if (this->done.count(contract.service) > 0) return;
     if (!this->open.insert(contract.service).second) {
-      this->findings.push_back(
+      this->diagnostics.push_back(
           {contract.location,
            "service '" + contract.service + "' calls itself through others"});
       return;
@@ -64,60 +65,60 @@
 
  private:
   const ByService &services;
-  Findings &findings;
+  Findings &diagnostics;
   std::set<std::string> open;
   std::set<std::string> done;
 };
 
-void CheckRoutes(const ContractSet &set, Findings &findings) {
+void CheckRoutes(const ContractSet &set, Findings &diagnostics) {
   for (const auto &contract : set.contracts) {
     std::set<std::pair<std::string, std::string>> seen;
     for (const auto &route : contract.routes) {
       const bool added = seen.emplace(route.method, route.path_prefix).second;
       if (added) continue;
-      findings.push_back({contract.location, "route '" + route.method + " " +
-                                                 route.path_prefix +
-                                                 "' is declared twice"});
+      diagnostics.push_back({contract.location, "route '" + route.method + " " +
+                                                    route.path_prefix +
+                                                    "' is declared twice"});
     }
   }
 }
 
-void CheckShares(const ContractSet &set, Findings &findings) {
+void CheckShares(const ContractSet &set, Findings &diagnostics) {
   const double seconds = std::chrono::duration<double>{kShortestBurst}.count();
   for (const auto &share : set.workspaces) {
     if (share.rate <= 0) {
-      findings.push_back({share.location, "'rate' must be above 0"});
+      diagnostics.push_back({share.location, "'rate' must be above 0"});
       continue;
     }
     if (share.burst < kSmallestBurst) {
-      findings.push_back({share.location, "'burst' must be 6 or more"});
+      diagnostics.push_back({share.location, "'burst' must be 6 or more"});
       continue;
     }
     if (share.burst >= share.rate * seconds) continue;
-    findings.push_back({share.location,
-                        "'burst' must cover at least 250 ms at the rate of "
-                        "workspace '" +
-                            share.name + "'"});
+    diagnostics.push_back({share.location,
+                           "'burst' must cover at least 250 ms at the rate of "
+                           "workspace '" +
+                               share.name + "'"});
   }
 }
 
 }  // namespace
 
-void CheckContracts(const ContractSet &set, Findings &findings) {
-  const ByService services = CheckNames(set, findings);
-  CheckCallers(set, services, findings);
-  CheckRoutes(set, findings);
-  CheckShares(set, findings);
-  CycleSearch search{services, findings};
+void CheckContracts(const ContractSet &set, Findings &diagnostics) {
+  const ByService services = CheckNames(set, diagnostics);
+  CheckCallers(set, services, diagnostics);
+  CheckRoutes(set, diagnostics);
+  CheckShares(set, diagnostics);
+  CycleSearch search{services, diagnostics};
   for (const auto &[name, contract] : services) search.Visit(*contract);
 }
 
 ContractSet ReadContracts(const std::vector<SourceFile> &files,
-                          Findings &findings) {
+                          Findings &diagnostics) {
   ContractSet set;
-  for (const auto &file : files) ParseContractFile(file, set, findings);
-  CheckContracts(set, findings);
-  std::stable_sort(findings.begin(), findings.end(),
+  for (const auto &file : files) ParseContractFile(file, set, diagnostics);
+  CheckContracts(set, diagnostics);
+  std::stable_sort(diagnostics.begin(), diagnostics.end(),
                    [](const auto &left, const auto &right) {
                      return std::tie(left.location.file, left.location.line,
                                      left.location.column) <
--- a/src/pollenring/contract/check.h
+++ b/src/pollenring/contract/check.h
@@ -17,18 +17,18 @@
 /**
  * @brief Checks a whole set: names, callers, cycles and sums.
  * @param set The set.
- * @param findings Receives all faults.
+ * @param diagnostics Receives all faults.
  */
-void CheckContracts(const ContractSet &set, Findings &findings);
+void CheckContracts(const ContractSet &set, Findings &diagnostics);
 
 /**
  * @brief Parses and checks files.
  * @param files The files.
- * @param findings Receives all faults, in the order of their locations.
- * @return The set; use it only when there are no findings.
+ * @param diagnostics Receives all faults, in the order of their locations.
+ * @return The set; use it only when there are no diagnostics.
  */
 [[nodiscard]] ContractSet ReadContracts(const std::vector<SourceFile> &files,
-                                        Findings &findings);
+                                        Findings &diagnostics);
 
 }  // namespace pollenring
 
--- a/src/pollenring/contract/parse.cc
+++ b/src/pollenring/contract/parse.cc
@@ -30,8 +30,8 @@
 class TableReader {
  public:
   TableReader(const toml::table &table, const std::string &file,
-              Findings &findings)
-      : table{table}, file{file}, findings{findings} {}
+              Findings &diagnostics)
+      : table{table}, file{file}, diagnostics{diagnostics} {}
 
   [[nodiscard]] SourceLocation Where(const toml::node &node) const {
     const auto &begin = node.source().begin;
@@ -39,7 +39,7 @@
   }
 
   void Report(const toml::node &node, std::string message) const {
-    this->findings.push_back({this->Where(node), std::move(message)});
+    this->diagnostics.push_back({this->Where(node), std::move(message)});
   }
 
   /*! @brief Reports every key outside the known ones. */
@@ -98,7 +98,7 @@
  private:
   const toml::table &table;
   const std::string &file;
-  Findings &findings;
+  Findings &diagnostics;
 };
 
 void ReadDeadline(const TableReader &reader, Route &route) {
@@ -234,20 +234,20 @@
 }
 
 void ParseContractFile(const SourceFile &file, ContractSet &set,
-                       Findings &findings) {
+                       Findings &diagnostics) {
   toml::table root;
   try {
     root = toml::parse(file.text, file.name);
   } catch (const toml::parse_error &error) {
     const auto &begin = error.source().begin;
-    findings.push_back({{file.name, begin.line, begin.column},
-                        std::string{error.description()}});
+    diagnostics.push_back({{file.name, begin.line, begin.column},
+                           std::string{error.description()}});
     return;
   }
-  const TableReader reader{root, file.name, findings};
+  const TableReader reader{root, file.name, diagnostics};
   reader.KnownKeys({"service", "callers", "route", "workspace"});
   ForEachTable(root, "workspace", reader, [&](const toml::table &table) {
-    const TableReader inner{table, file.name, findings};
+    const TableReader inner{table, file.name, diagnostics};
     set.workspaces.push_back(ReadWorkspace(inner, table));
   });
   const bool declares_service =
@@ -259,7 +259,7 @@
   contract.callers = ReadCallers(reader);
   ForEachTable(root, "route", reader, [&](const toml::table &table) {
     contract.routes.push_back(
-        ReadRoute(TableReader{table, file.name, findings}));
+        ReadRoute(TableReader{table, file.name, diagnostics}));
   });
   if (contract.routes.empty()) reader.Missing("route");
   set.contracts.push_back(std::move(contract));
--- a/src/pollenring/contract/parse.h
+++ b/src/pollenring/contract/parse.h
@@ -19,10 +19,10 @@
  * @brief Parses one contract file.
  * @param file The file.
  * @param set Receives what the file declares.
- * @param findings Receives all faults.
+ * @param diagnostics Receives all faults.
  */
 void ParseContractFile(const SourceFile &file, ContractSet &set,
-                       Findings &findings);
+                       Findings &diagnostics);
 
 /**
  * @brief Parses a length of time with its unit.
--- a/src/pollenring/node/settings.cc
+++ b/src/pollenring/node/settings.cc
@@ -15,12 +15,12 @@
 constexpr double kShortestGrace = 0.5;
 constexpr double kLongestGrace = 3600;
 
-/*! @brief Reads settings and keeps the findings with their locations. */
+/*! @brief Reads settings and keeps the diagnostics with their locations. */
 class SettingsReader {
  public:
   SettingsReader(const toml::table &root, const std::string &file,
-                 Findings &findings)
-      : root{root}, file{file}, findings{findings} {}
+                 Findings &diagnostics)
+      : root{root}, file{file}, diagnostics{diagnostics} {}
 
   void KnownKeys(std::string_view section,
                  std::initializer_list<std::string_view> known) {
@@ -170,26 +170,26 @@
 
   void Report(const toml::node &node, std::string message) {
     const auto &begin = node.source().begin;
-    this->findings.push_back(
+    this->diagnostics.push_back(
         {{this->file, begin.line, begin.column}, std::move(message)});
   }
 
   const toml::table &root;
   const std::string &file;
-  Findings &findings;
+  Findings &diagnostics;
 };
 
 }  // namespace
 
-Settings ReadSettings(const SourceFile &file, Findings &findings) {
+Settings ReadSettings(const SourceFile &file, Findings &diagnostics) {
   Settings settings;
   toml::table root;
   try {
     root = toml::parse(file.text, file.name);
   } catch (const toml::parse_error &error) {
     const auto &begin = error.source().begin;
-    findings.push_back({{file.name, begin.line, begin.column},
-                        std::string{error.description()}});
+    diagnostics.push_back({{file.name, begin.line, begin.column},
+                           std::string{error.description()}});
     return settings;
   }
   for (const auto &[key, value] : root) {
@@ -199,10 +199,10 @@
                                  key.str()) != kSections.end();
     if (known && value.is_table()) continue;
     const auto &begin = value.source().begin;
-    findings.push_back({{file.name, begin.line, begin.column},
-                        "unknown section '" + std::string{key.str()} + "'"});
+    diagnostics.push_back({{file.name, begin.line, begin.column},
+                           "unknown section '" + std::string{key.str()} + "'"});
   }
-  SettingsReader reader{root, file.name, findings};
+  SettingsReader reader{root, file.name, diagnostics};
   reader.KnownKeys("node", {"zone", "region", "seeds", "slots", "routes",
                             "first_start", "grace_s"});
   reader.KnownKeys("listen",
--- a/src/pollenring/node/settings.h
+++ b/src/pollenring/node/settings.h
@@ -52,10 +52,11 @@
 /**
  * @brief Reads a settings file.
  * @param file The file.
- * @param findings Receives all faults.
- * @return The settings; use them only when there are no findings.
+ * @param diagnostics Receives all faults.
+ * @return The settings; use them only when there are no diagnostics.
  */
-[[nodiscard]] Settings ReadSettings(const SourceFile &file, Findings &findings);
+[[nodiscard]] Settings ReadSettings(const SourceFile &file,
+                                    Findings &diagnostics);
 
 }  // namespace pollenring
 
--- a/test/pollenring/contract/contract_test.cc
+++ b/test/pollenring/contract/contract_test.cc
@@ -12,17 +12,18 @@
 
 [[nodiscard]] std::vector<std::string> FindingsOf(
     const std::vector<SourceFile> &files) {
-  Findings findings;
-  const auto set = pollenring::ReadContracts(files, findings);
+  Findings diagnostics;
+  const auto set = pollenring::ReadContracts(files, diagnostics);
   std::vector<std::string> texts;
-  for (const auto &finding : findings) texts.push_back(finding.Format());
+  for (const auto &diagnostic : diagnostics)
+    texts.push_back(diagnostic.Format());
   return texts;
 }
 
 }  // namespace
 
 TEST_CASE("contract: all findings come at once, with their places") {
-  const auto findings = FindingsOf(
+  const auto diagnostics = FindingsOf(
       {{"a.toml",
         "service = \"a\"\ncallers = [\"b\", \"ghost\"]\ncolour = 1\n"
         "[[route]]\nmethod = \"GET\"\npath = \"x\"\ndeadline = \"5\"\n"
@@ -36,9 +37,9 @@
         "[[workspace]]\nname = \"v\"\nrate = \"1/s\"\nburst = 2\n"},
        {"d.toml", "service = \n"}});
   const auto has = [&](const std::string &text) {
-    return std::any_of(findings.begin(), findings.end(), [&](const auto &one) {
-      return one.find(text) != std::string::npos;
-    });
+    return std::any_of(
+        diagnostics.begin(), diagnostics.end(),
+        [&](const auto &one) { return one.find(text) != std::string::npos; });
   };
   CHECK(has("a.toml:3:10: unknown key 'colour'"));
   CHECK(has("a.toml:6:8: 'path' must start with '/'"));
@@ -55,7 +56,7 @@
 }
 
 TEST_CASE("contract: documents carry everything that is declared") {
-  Findings findings;
+  Findings diagnostics;
   const auto set = pollenring::ReadContracts(
       {{"a.toml",
         "service = \"a\"\ncallers = [\"public\"]\n[[route]]\nmethod = "
@@ -63,8 +64,8 @@
         "false\ndeadline = \"250ms\"\nretries = 0\n[[route]]\nmethod = "
         "\"POST\"\npath = \"/\"\n[[workspace]]\nname = \"w\"\nrate = "
         "\"600/min\"\nburst = 12\n"}},
-      findings);
-  REQUIRE(findings.empty());
+      diagnostics);
+  REQUIRE(diagnostics.empty());
   pollenring::Policy policy;
   for (const auto &[name, text] : pollenring::ToDocuments(set)) {
     policy.Apply(name, text);
@@ -92,39 +93,40 @@
     for (std::size_t j = 0; j < length; ++j) {
       text.push_back(letters[random.Index(letters.size())]);
     }
-    Findings findings;
-    const auto set = pollenring::ReadContracts({{"f", text}}, findings);
-    CHECK((findings.empty() || !findings.front().message.empty()));
-    static_cast<void>(pollenring::ReadSettings({"f", text}, findings));
+    Findings diagnostics;
+    const auto set = pollenring::ReadContracts({{"f", text}}, diagnostics);
+    CHECK((diagnostics.empty() || !diagnostics.front().message.empty()));
+    static_cast<void>(pollenring::ReadSettings({"f", text}, diagnostics));
   }
 }
 
 TEST_CASE("settings: all findings come at once, with their places") {
-  Findings findings;
+  Findings diagnostics;
   static_cast<void>(pollenring::ReadSettings(
       {"n.toml",
        "[node]\nzone = \"a\"\ncolour = 2\nslots = 0\n[listen]\ncallers = "
        "\"here\"\n[secrets]\nnodes = \"short\"\n[extra]\n"},
-      findings));
-  CHECK(findings.size() >= 9);
+      diagnostics));
+  CHECK(diagnostics.size() >= 9);
 }
 
 TEST_CASE("settings: the grace of a planned stop is checked") {
-  const auto read = [](const std::string &grace, Findings &findings) {
+  const auto read = [](const std::string &grace, Findings &diagnostics) {
     return pollenring::ReadSettings(
-        {"n.toml", "[node]\nroutes = \"host\"\n" + grace}, findings);
+        {"n.toml", "[node]\nroutes = \"host\"\n" + grace}, diagnostics);
   };
-  const auto told = [](const Findings &findings) {
-    return std::any_of(findings.begin(), findings.end(), [](const auto &each) {
-      return each.message.find("'grace_s' must be") != std::string::npos;
-    });
+  const auto told = [](const Findings &diagnostics) {
+    return std::any_of(
+        diagnostics.begin(), diagnostics.end(), [](const auto &each) {
+          return each.message.find("'grace_s' must be") != std::string::npos;
+        });
   };
-  Findings findings;
-  CHECK(read("", findings).grace == std::chrono::seconds{6});
-  CHECK(read("grace_s = 10\n", findings).grace == std::chrono::seconds{10});
-  CHECK(read("grace_s = 2.5\n", findings).grace ==
+  Findings diagnostics;
+  CHECK(read("", diagnostics).grace == std::chrono::seconds{6});
+  CHECK(read("grace_s = 10\n", diagnostics).grace == std::chrono::seconds{10});
+  CHECK(read("grace_s = 2.5\n", diagnostics).grace ==
         std::chrono::milliseconds{2500});
-  CHECK_FALSE(told(findings));
+  CHECK_FALSE(told(diagnostics));
   for (const std::string bad : {"0", "-1", "\"6\"", "1e9", "nan"}) {
     Findings wrong;
     CHECK(read("grace_s = " + bad + "\n", wrong).grace ==
--- a/test/support/cluster.cc
+++ b/test/support/cluster.cc
@@ -297,8 +297,8 @@
        "service = \"orders\"\ncallers = [\"public\"]\n[[route]]\nmethod = "
        "\"POST\"\npath = \"/\"\nimportance = \"critical\"\nidempotent = "
        "false\nretries = 0\ndeadline = \"4s\"\n"}};
-  pollenring::Findings findings;
-  const auto set = pollenring::ReadContracts(files, findings);
+  pollenring::Findings diagnostics;
+  const auto set = pollenring::ReadContracts(files, diagnostics);
   return pollenring::ToDocuments(set);
 }
 
--- a/tools/pollenring-load/main.cc
+++ b/tools/pollenring-load/main.cc
@@ -59,10 +59,11 @@
     std::ifstream stream{path};
     std::ostringstream text;
     text << stream.rdbuf();
-    pollenring::Findings findings;
-    const auto scenario = load::ReadScenario({path, text.str()}, findings);
-    for (const auto &finding : findings) std::cerr << finding.Format() << '\n';
-    if (!findings.empty()) return kBadUsage;
+    pollenring::Findings diagnostics;
+    const auto scenario = load::ReadScenario({path, text.str()}, diagnostics);
+    for (const auto &diagnostic : diagnostics)
+      std::cerr << diagnostic.Format() << '\n';
+    if (!diagnostics.empty()) return kBadUsage;
     std::signal(SIGPIPE, SIG_IGN);
     const pollenring::SystemClock clock;
     pollenring::Loop loop{clock};
--- a/tools/pollenring-load/scenario.cc
+++ b/tools/pollenring-load/scenario.cc
@@ -12,14 +12,16 @@
 /*! @brief Reads values of a table and reports what is wrong with them. */
 class Reader {
  public:
-  Reader(const toml::table &table, const std::string &file, Findings &findings)
-      : table{table}, file{file}, findings{findings} {}
+  Reader(const toml::table &table, const std::string &file,
+         Findings &diagnostics)
+      : table{table}, file{file}, diagnostics{diagnostics} {}
 
   void Report(std::string_view key, const std::string &message) {
     const toml::node *node = this->table.get(key);
     const auto &begin =
         (node == nullptr ? this->table.source() : node->source()).begin;
-    this->findings.push_back({{this->file, begin.line, begin.column}, message});
+    this->diagnostics.push_back(
+        {{this->file, begin.line, begin.column}, message});
   }
 
   void Text(std::string_view key, std::string &value) {
@@ -65,7 +67,7 @@
  private:
   const toml::table &table;
   const std::string &file;
-  Findings &findings;
+  Findings &diagnostics;
 };
 
 [[nodiscard]] Caller ReadCaller(Reader reader) {
@@ -92,18 +94,19 @@
 
 }  // namespace
 
-Scenario ReadScenario(const pollenring::SourceFile &file, Findings &findings) {
+Scenario ReadScenario(const pollenring::SourceFile &file,
+                      Findings &diagnostics) {
   Scenario scenario;
   toml::table root;
   try {
     root = toml::parse(file.text, file.name);
   } catch (const toml::parse_error &error) {
     const auto &begin = error.source().begin;
-    findings.push_back({{file.name, begin.line, begin.column},
-                        std::string{error.description()}});
+    diagnostics.push_back({{file.name, begin.line, begin.column},
+                           std::string{error.description()}});
     return scenario;
   }
-  Reader reader{root, file.name, findings};
+  Reader reader{root, file.name, diagnostics};
   if (const auto *nodes = root["nodes"].as_array()) {
     for (const auto &item : *nodes) {
       const auto address =
@@ -129,7 +132,7 @@
     if (array == nullptr) return;
     for (const auto &item : *array) {
       const auto *table = item.as_table();
-      if (table != nullptr) read(Reader{*table, file.name, findings});
+      if (table != nullptr) read(Reader{*table, file.name, diagnostics});
     }
   };
   each("caller", [&](const Reader &item) {
--- a/tools/pollenring-load/scenario.h
+++ b/tools/pollenring-load/scenario.h
@@ -51,11 +51,11 @@
 /**
  * @brief Reads a scenario.
  * @param file The file.
- * @param findings Receives all faults.
- * @return The scenario; use it only when there are no findings.
+ * @param diagnostics Receives all faults.
+ * @return The scenario; use it only when there are no diagnostics.
  */
 [[nodiscard]] Scenario ReadScenario(const pollenring::SourceFile &file,
-                                    pollenring::Findings &findings);
+                                    pollenring::Findings &diagnostics);
 
 }  // namespace load
 
--- a/tools/pollenring/commands.cc
+++ b/tools/pollenring/commands.cc
@@ -31,7 +31,7 @@
 
 /*! @brief Reads files, and the TOML files of folders. */
 [[nodiscard]] std::vector<pollenring::SourceFile> ReadFiles(
-    const std::vector<std::string> &paths, Findings &findings) {
+    const std::vector<std::string> &paths, Findings &diagnostics) {
   namespace fs = std::filesystem;
   std::vector<std::string> names;
   for (const auto &path : paths) {
@@ -49,7 +49,7 @@
   for (const auto &name : names) {
     std::ifstream stream{name};
     if (!stream) {
-      findings.push_back({{name, 0, 0}, "can't be read"});
+      diagnostics.push_back({{name, 0, 0}, "can't be read"});
       continue;
     }
     std::ostringstream text;
@@ -61,23 +61,24 @@
 
 [[nodiscard]] std::optional<Documents> Load(
     const CommonOptions &common, const std::vector<std::string> &paths) {
-  Findings findings;
-  const auto files = ReadFiles(paths, findings);
-  const auto set = pollenring::ReadContracts(files, findings);
-  if (findings.empty()) return pollenring::ToDocuments(set);
+  Findings diagnostics;
+  const auto files = ReadFiles(paths, diagnostics);
+  const auto set = pollenring::ReadContracts(files, diagnostics);
+  if (diagnostics.empty()) return pollenring::ToDocuments(set);
   if (common.json) {
     Json list = Json::array();
-    for (const auto &finding : findings) {
-      list.push_back({{"file", finding.location.file},
-                      {"line", finding.location.line},
-                      {"column", finding.location.column},
-                      {"message", finding.message}});
+    for (const auto &diagnostic : diagnostics) {
+      list.push_back({{"file", diagnostic.location.file},
+                      {"line", diagnostic.location.line},
+                      {"column", diagnostic.location.column},
+                      {"message", diagnostic.message}});
     }
     std::cout << Json{{"findings", std::move(list)}}.dump(2) << '\n';
     return std::nullopt;
   }
-  for (const auto &finding : findings) std::cerr << finding.Format() << '\n';
-  std::cerr << findings.size() << " finding(s); nothing was changed\n";
+  for (const auto &diagnostic : diagnostics)
+    std::cerr << diagnostic.Format() << '\n';
+  std::cerr << diagnostics.size() << " finding(s); nothing was changed\n";
   return std::nullopt;
 }
 
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -57,10 +57,10 @@
  * name sockets, so a change takes effect at the next start. */
 void CheckReload(const std::string &path, const Settings &in_force) {
   const auto text = ReadFile(path);
-  Findings findings;
+  Findings diagnostics;
   Settings settings;
-  if (text) settings = pollenring::ReadSettings({path, *text}, findings);
-  const bool readable = text && findings.empty();
+  if (text) settings = pollenring::ReadSettings({path, *text}, diagnostics);
+  const bool readable = text && diagnostics.empty();
   const bool same = readable && settings.callers == in_force.callers &&
                     settings.nodes == in_force.nodes &&
                     settings.platform == in_force.platform;
@@ -68,7 +68,7 @@
       readable ? pollenring::LogLevel::kInfo : pollenring::LogLevel::kWarning,
       "reload",
       {{"readable", readable},
-       {"findings", findings.size()},
+       {"findings", diagnostics.size()},
        {"same_addresses", same}});
 }
 
@@ -165,10 +165,12 @@
     std::cerr << "pollenringd: can't read " << path << '\n';
     return kBadUsage;
   }
-  Findings findings;
-  const Settings settings = pollenring::ReadSettings({path, *text}, findings);
-  for (const auto &finding : findings) std::cerr << finding.Format() << '\n';
-  if (!findings.empty()) return kBadUsage;
+  Findings diagnostics;
+  const Settings settings =
+      pollenring::ReadSettings({path, *text}, diagnostics);
+  for (const auto &diagnostic : diagnostics)
+    std::cerr << diagnostic.Format() << '\n';
+  if (!diagnostics.empty()) return kBadUsage;
   if (arguments.count("check") > 0) return EXIT_SUCCESS;
   const bool verbose = arguments.count("verbose") > 0;
   pollenring::SetUpLog("pollenringd", verbose ? pollenring::LogLevel::kDebug
