Rename word of withdrawn zones to withdrawals

A "word" is a private figure of speech here and elsewhere means a decision, a report or a string, so what WithdrawnZones keeps was not to be guessed. WithdrawnZones::word and the parameters and locals of its type: word -> withdrawals.

--- a/src/pollenring/config/withdrawn_zones.cc
+++ b/src/pollenring/config/withdrawn_zones.cc
@@ -5,28 +5,30 @@
 namespace pollenring {
 
 bool WithdrawnZones::Take(const ZonesWord &given) {
-  if (given.position <= this->word.position) return false;
-  const bool changed = !this->Known() || given.zones != this->word.zones;
-  this->word = given;
+  if (given.position <= this->withdrawals.position) return false;
+  const bool changed = !this->Known() || given.zones != this->withdrawals.zones;
+  this->withdrawals = given;
   return changed;
 }
 
 bool WithdrawnZones::Contains(const std::string &zone) const {
-  return std::binary_search(this->word.zones.begin(), this->word.zones.end(),
-                            zone);
+  return std::binary_search(this->withdrawals.zones.begin(),
+                            this->withdrawals.zones.end(), zone);
 }
 
 ZonesWord After(const ZonesWord &before, std::uint64_t position,
                 const std::vector<ZoneChange> &changes) {
-  ZonesWord word{position, before.zones};
+  ZonesWord withdrawals{position, before.zones};
   for (const auto &change : changes) {
-    const auto place =
-        std::lower_bound(word.zones.begin(), word.zones.end(), change.zone);
-    const bool there = place != word.zones.end() && *place == change.zone;
-    if (change.withdrawn && !there) word.zones.insert(place, change.zone);
-    if (!change.withdrawn && there) word.zones.erase(place);
+    const auto place = std::lower_bound(withdrawals.zones.begin(),
+                                        withdrawals.zones.end(), change.zone);
+    const bool there =
+        place != withdrawals.zones.end() && *place == change.zone;
+    if (change.withdrawn && !there)
+      withdrawals.zones.insert(place, change.zone);
+    if (!change.withdrawn && there) withdrawals.zones.erase(place);
   }
-  return word;
+  return withdrawals;
 }
 
 }  // namespace pollenring
--- a/src/pollenring/config/withdrawn_zones.h
+++ b/src/pollenring/config/withdrawn_zones.h
@@ -42,26 +42,31 @@
 };
 
 /**
- * @brief Which availability zones are to get nothing, by the newest word.
+ * @brief Which availability zones are to get nothing, by the newest
+ * withdrawals.
  *
- * Words come from the store and from peers, late or out of order. Each tells
- * all zones at one position of the store's history, so the newest replaces all
- * others and an older one is never in force again.
+ * Withdrawals come from the store and from peers, late or out of order. Each
+ * set tells all zones at one position of the store's history, so the newest
+ * replaces all others and an older one is never in force again.
  */
 class WithdrawnZones {
  public:
   /**
-   * @brief Takes in a word.
-   * @param word The word.
+   * @brief Takes in withdrawals.
+   * @param withdrawals The withdrawals.
    * @return Whether other zones are withdrawn now, or it is the first one.
    */
-  bool Take(const ZonesWord &word);
+  bool Take(const ZonesWord &withdrawals);
 
-  /*! @brief The newest word. @return It. */
-  [[nodiscard]] const ZonesWord &Newest() const noexcept { return this->word; }
+  /*! @brief The newest withdrawals. @return It. */
+  [[nodiscard]] const ZonesWord &Newest() const noexcept {
+    return this->withdrawals;
+  }
 
   /*! @brief Whether anything is known. @return So. */
-  [[nodiscard]] bool Known() const noexcept { return this->word.position > 0; }
+  [[nodiscard]] bool Known() const noexcept {
+    return this->withdrawals.position > 0;
+  }
 
   /**
    * @brief Tells whether a zone is to get nothing.
@@ -71,15 +76,15 @@
   [[nodiscard]] bool Contains(const std::string &zone) const;
 
  private:
-  ZonesWord word;
+  ZonesWord withdrawals;
 };
 
 /**
- * @brief Applies changes to a word, in their order.
- * @param before The word before them.
+ * @brief Applies changes to withdrawals, in their order.
+ * @param before The withdrawals before them.
  * @param position Position up to which the changes are whole.
  * @param changes The changes.
- * @return The word at that position.
+ * @return The withdrawals at that position.
  */
 [[nodiscard]] ZonesWord After(const ZonesWord &before, std::uint64_t position,
                               const std::vector<ZoneChange> &changes);
--- a/src/pollenring/membership/membership.h
+++ b/src/pollenring/membership/membership.h
@@ -160,8 +160,9 @@
    */
   virtual void PeerConfigVersion(NodeId peer, std::uint64_t version) = 0;
 
-  /*! @brief A peer has told which zones are withdrawn. @param word Its word. */
-  virtual void PeerZones(const ZonesWord &word) = 0;
+  /*! @brief A peer has told which zones are withdrawn. @param withdrawals Its
+   * withdrawals. */
+  virtual void PeerZones(const ZonesWord &withdrawals) = 0;
 };
 
 /*! @brief Timing of failure detection. */
@@ -305,10 +306,10 @@
   void SetConfigVersion(std::uint64_t version);
 
   /**
-   * @brief Sets the word of withdrawn zones that datagrams carry.
-   * @param word The newest word here.
+   * @brief Sets the withdrawals of zones that datagrams carry.
+   * @param withdrawals The newest withdrawals here.
    */
-  void SetZones(const ZonesWord &word) { this->zones = word; }
+  void SetZones(const ZonesWord &withdrawals) { this->zones = withdrawals; }
 
  private:
   struct Probe {
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -40,8 +40,9 @@
 
 void PolicyFollower::Start(std::function<void()> given) {
   this->changed = std::move(given);
-  this->members.OnZones(
-      [this](const ZonesWord &word) { this->TakeZones(word, "peer"); });
+  this->members.OnZones([this](const ZonesWord &withdrawals) {
+    this->TakeZones(withdrawals, "peer");
+  });
   this->members.OnVersion([this](NodeId peer, std::uint64_t version) {
     this->PeerVersion(peer, version);
   });
@@ -110,9 +111,10 @@
   });
 }
 
-void PolicyFollower::TakeZones(const ZonesWord &word, std::string_view origin) {
+void PolicyFollower::TakeZones(const ZonesWord &withdrawals,
+                               std::string_view origin) {
   const std::uint64_t before = this->zones.Newest().position;
-  const bool other = this->zones.Take(word);
+  const bool other = this->zones.Take(withdrawals);
   if (this->zones.Newest().position == before) return;
   this->members.Get().SetZones(this->zones.Newest());
   if (!other) return;
--- a/src/pollenring/mesh/policy_follower.h
+++ b/src/pollenring/mesh/policy_follower.h
@@ -86,7 +86,7 @@
   void Failed(StorageError error);
   void Heard();
   void Take(std::string text, std::string_view origin);
-  void TakeZones(const ZonesWord &word, std::string_view origin);
+  void TakeZones(const ZonesWord &withdrawals, std::string_view origin);
   void PeerVersion(NodeId peer, std::uint64_t version);
   void Pull(NodeId peer);
   void Spread();
--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -322,8 +322,8 @@
   for (const auto &listener : this->version_listeners) listener(peer, version);
 }
 
-void MemberService::PeerZones(const ZonesWord &word) {
-  for (const auto &listener : this->zones_listeners) listener(word);
+void MemberService::PeerZones(const ZonesWord &withdrawals) {
+  for (const auto &listener : this->zones_listeners) listener(withdrawals);
 }
 
 }  // namespace pollenring
--- a/src/pollenring/node/member_service.h
+++ b/src/pollenring/node/member_service.h
@@ -76,7 +76,7 @@
   void SendGossip(NodeId to, const Gossip &gossip) override;
   void MemberChanged(const Member &member) override;
   void PeerConfigVersion(NodeId peer, std::uint64_t version) override;
-  void PeerZones(const ZonesWord &word) override;
+  void PeerZones(const ZonesWord &withdrawals) override;
   void RecordsDiffer(NodeId peer) override;
 
  private:
--- a/test/pollenring/config/withdrawn_zones_test.cc
+++ b/test/pollenring/config/withdrawn_zones_test.cc
@@ -33,12 +33,13 @@
 }
 
 TEST_CASE("withdrawn zones: changes apply in their order") {
-  const ZonesWord word = After(
+  const ZonesWord withdrawals = After(
       {3, {"b"}}, 8,
       {{"a", true}, {"b", false}, {"c", true}, {"c", false}, {"a", true}});
-  CHECK(word.position == 8);
-  CHECK(word.zones == std::vector<std::string>{"a"});
-  CHECK(After(word, 9, {{"a", false}, {"a", true}}).zones == word.zones);
+  CHECK(withdrawals.position == 8);
+  CHECK(withdrawals.zones == std::vector<std::string>{"a"});
+  CHECK(After(withdrawals, 9, {{"a", false}, {"a", true}}).zones ==
+        withdrawals.zones);
 }
 
 TEST_CASE(
@@ -49,9 +50,9 @@
   CAPTURE(size, seed);
   support::MemberFleet fleet{size, seed};
   fleet.Run(6s);
-  const auto tell = [&fleet](int index, const ZonesWord &word) {
+  const auto tell = [&fleet](int index, const ZonesWord &withdrawals) {
     auto &node = *fleet.nodes[static_cast<std::size_t>(index)];
-    if (node.zones.Take(word)) node.membership.SetZones(word);
+    if (node.zones.Take(withdrawals)) node.membership.SetZones(withdrawals);
   };
   // Six nodes on duty hear of it; of another, one hears late.
   for (int i = 0; i < 6; ++i) tell(i * size / 6, {100, {"a"}});
--- a/test/support/member_fleet.h
+++ b/test/support/member_fleet.h
@@ -55,8 +55,8 @@
     void MemberChanged(const Member & /*member*/) override {}
     void PeerConfigVersion(NodeId /*peer*/,
                            std::uint64_t /*version*/) override {}
-    void PeerZones(const pollenring::ZonesWord &word) override {
-      if (this->zones.Take(word)) this->membership.SetZones(word);
+    void PeerZones(const pollenring::ZonesWord &withdrawals) override {
+      if (this->zones.Take(withdrawals)) this->membership.SetZones(withdrawals);
     }
 
     void RecordsDiffer(NodeId peer) override {
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -159,7 +159,7 @@
   }
   void MemberChanged(const Member & /*member*/) override {}
   void RecordsDiffer(NodeId /*peer*/) override {}
-  void PeerZones(const pollenring::ZonesWord & /*word*/) override {}
+  void PeerZones(const pollenring::ZonesWord & /*withdrawals*/) override {}
   void PeerConfigVersion(NodeId /*peer*/, std::uint64_t /*version*/) override {}
   std::uint64_t messages{};
   std::uint64_t bytes{};
