Rename After to ApplyZoneChanges

The free function After of withdrawn_zones.h is one name with Loop::After, which sets a timer, and says nothing of what it does: it applies changes of zones to withdrawals. After -> ApplyZoneChanges.

--- a/src/pollenring/config/withdrawn_zones.cc
+++ b/src/pollenring/config/withdrawn_zones.cc
@@ -16,8 +16,8 @@
                             this->withdrawals.zones.end(), zone);
 }
 
-ZonesWord After(const ZonesWord &before, std::uint64_t position,
-                const std::vector<ZoneChange> &changes) {
+ZonesWord ApplyZoneChanges(const ZonesWord &before, std::uint64_t position,
+                           const std::vector<ZoneChange> &changes) {
   ZonesWord withdrawals{position, before.zones};
   for (const auto &change : changes) {
     const auto place = std::lower_bound(withdrawals.zones.begin(),
--- a/src/pollenring/config/withdrawn_zones.h
+++ b/src/pollenring/config/withdrawn_zones.h
@@ -86,8 +86,9 @@
  * @param changes The changes.
  * @return The withdrawals at that position.
  */
-[[nodiscard]] ZonesWord After(const ZonesWord &before, std::uint64_t position,
-                              const std::vector<ZoneChange> &changes);
+[[nodiscard]] ZonesWord ApplyZoneChanges(
+    const ZonesWord &before, std::uint64_t position,
+    const std::vector<ZoneChange> &changes);
 
 }  // namespace pollenring
 
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -84,7 +84,7 @@
     this->Heard();
     auto &stored = std::get<StoredDocument>(reply);
     this->position = stored.position;
-    this->watched = After({}, stored.position, stored.zones);
+    this->watched = ApplyZoneChanges({}, stored.position, stored.zones);
     this->TakeZones(this->watched, "store");
     this->watching = true;
     // Where the store has none yet, peers will tell of the first one.
@@ -104,7 +104,8 @@
     this->Heard();
     auto &stored = std::get<StoredDocument>(reply);
     this->position = std::max(this->position, stored.position);
-    this->watched = After(this->watched, this->position, stored.zones);
+    this->watched =
+        ApplyZoneChanges(this->watched, this->position, stored.zones);
     this->TakeZones(this->watched, "store");
     if (stored.text) this->Take(std::move(*stored.text), "store");
     this->Check();
--- a/test/pollenring/config/withdrawn_zones_test.cc
+++ b/test/pollenring/config/withdrawn_zones_test.cc
@@ -7,7 +7,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using pollenring::After;
+using pollenring::ApplyZoneChanges;
 using pollenring::WithdrawnZones;
 using pollenring::ZonesWord;
 
@@ -33,12 +33,12 @@
 }
 
 TEST_CASE("withdrawn zones: changes apply in their order") {
-  const ZonesWord withdrawals = After(
+  const ZonesWord withdrawals = ApplyZoneChanges(
       {3, {"b"}}, 8,
       {{"a", true}, {"b", false}, {"c", true}, {"c", false}, {"a", true}});
   CHECK(withdrawals.position == 8);
   CHECK(withdrawals.zones == std::vector<std::string>{"a"});
-  CHECK(After(withdrawals, 9, {{"a", false}, {"a", true}}).zones ==
+  CHECK(ApplyZoneChanges(withdrawals, 9, {{"a", false}, {"a", true}}).zones ==
         withdrawals.zones);
 }
 
