Rename position in the history of the store to revision

A "position" is also an index of an endpoint or of a slot, while a history such as that of the store is commonly counted in revisions. ZonesWord::position, StoredDocument::position, PolicyFollower::position and parameters and locals that hold it -> revision; SharePart::position, Router's position and the log field stay.

--- a/src/pollenring/config/withdrawn_zones.cc
+++ b/src/pollenring/config/withdrawn_zones.cc
@@ -5,7 +5,7 @@
 namespace pollenring {
 
 bool WithdrawnZones::Take(const ZonesWord &given) {
-  if (given.position <= this->withdrawals.position) return false;
+  if (given.revision <= this->withdrawals.revision) return false;
   const bool changed = !this->Known() || given.zones != this->withdrawals.zones;
   this->withdrawals = given;
   return changed;
@@ -16,9 +16,9 @@
                             this->withdrawals.zones.end(), zone);
 }
 
-ZonesWord ApplyZoneChanges(const ZonesWord &before, std::uint64_t position,
+ZonesWord ApplyZoneChanges(const ZonesWord &before, std::uint64_t revision,
                            const std::vector<ZoneChange> &changes) {
-  ZonesWord withdrawals{position, before.zones};
+  ZonesWord withdrawals{revision, before.zones};
   for (const auto &change : changes) {
     const auto place = std::lower_bound(withdrawals.zones.begin(),
                                         withdrawals.zones.end(), change.zone);
--- a/src/pollenring/config/withdrawn_zones.h
+++ b/src/pollenring/config/withdrawn_zones.h
@@ -19,7 +19,7 @@
 /*! @brief Which availability zones were withdrawn at one moment of the store.
  */
 struct ZonesWord {
-  std::uint64_t position{}; /*!< Of the store's history; 0: nothing is known. */
+  std::uint64_t revision{}; /*!< Of the store's history; 0: nothing is known. */
   std::vector<std::string> zones; /*!< In order. */
 };
 
@@ -28,7 +28,7 @@
   static constexpr bool kGrows = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
-    return std::make_tuple(Field{1, value.position}, Field{2, value.zones});
+    return std::make_tuple(Field{1, value.revision}, Field{2, value.zones});
   }
 };
 
@@ -37,7 +37,7 @@
   static constexpr bool kFrozen = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
-    return std::tie(value.position, value.zones);
+    return std::tie(value.revision, value.zones);
   }
 };
 
@@ -46,7 +46,7 @@
  * withdrawals.
  *
  * Withdrawals come from the store and from peers, late or out of order. Each
- * set tells all zones at one position of the store's history, so the newest
+ * set tells all zones at one revision of the store's history, so the newest
  * replaces all others and an older one is never in force again.
  */
 class WithdrawnZones {
@@ -65,7 +65,7 @@
 
   /*! @brief Whether anything is known. @return So. */
   [[nodiscard]] bool Known() const noexcept {
-    return this->withdrawals.position > 0;
+    return this->withdrawals.revision > 0;
   }
 
   /**
@@ -82,12 +82,12 @@
 /**
  * @brief Applies changes to withdrawals, in their order.
  * @param before The withdrawals before them.
- * @param position Position up to which the changes are whole.
+ * @param revision Revision up to which the changes are whole.
  * @param changes The changes.
- * @return The withdrawals at that position.
+ * @return The withdrawals at that revision.
  */
 [[nodiscard]] ZonesWord ApplyZoneChanges(
-    const ZonesWord &before, std::uint64_t position,
+    const ZonesWord &before, std::uint64_t revision,
     const std::vector<ZoneChange> &changes);
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/dialects.h
+++ b/src/pollenring/mesh/dialects.h
@@ -97,7 +97,7 @@
 
 /*! @brief The operator's document as the store holds it at one moment. */
 struct StoredDocument {
-  std::uint64_t position{};        /*!< Of the store's history. */
+  std::uint64_t revision{};        /*!< Of the store's history. */
   std::optional<std::string> text; /*!< Nothing when it has not changed. */
   /*! @brief Zones that have changed; after a read, all that are withdrawn. */
   std::vector<ZoneChange> zones;
@@ -119,9 +119,9 @@
 
   /**
    * @brief Waits for a change.
-   * @param after Position after which changes count.
+   * @param after Revision after which changes count.
    * @param longest Longest wait of the store.
-   * @param done Called once; `kNotFound` when that position is forgotten.
+   * @param done Called once; `kNotFound` when that revision is forgotten.
    */
   virtual void Await(std::uint64_t after, Span longest, Done done) = 0;
 };
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -83,8 +83,8 @@
     }
     this->Heard();
     auto &stored = std::get<StoredDocument>(reply);
-    this->position = stored.position;
-    this->watched = ApplyZoneChanges({}, stored.position, stored.zones);
+    this->revision = stored.revision;
+    this->watched = ApplyZoneChanges({}, stored.revision, stored.zones);
     this->TakeZones(this->watched, "store");
     this->watching = true;
     // Where the store has none yet, peers will tell of the first one.
@@ -96,16 +96,16 @@
 
 void PolicyFollower::Await() {
   const Span wait = this->members.Duty().NextWatch(this->random);
-  this->source.Await(this->position, wait, [this](PolicySource::Reply reply) {
+  this->source.Await(this->revision, wait, [this](PolicySource::Reply reply) {
     if (const auto *error = std::get_if<StorageError>(&reply)) {
       this->Failed(*error);
       return;
     }
     this->Heard();
     auto &stored = std::get<StoredDocument>(reply);
-    this->position = std::max(this->position, stored.position);
+    this->revision = std::max(this->revision, stored.revision);
     this->watched =
-        ApplyZoneChanges(this->watched, this->position, stored.zones);
+        ApplyZoneChanges(this->watched, this->revision, stored.zones);
     this->TakeZones(this->watched, "store");
     if (stored.text) this->Take(std::move(*stored.text), "store");
     this->Check();
@@ -114,9 +114,9 @@
 
 void PolicyFollower::TakeZones(const ZonesWord &withdrawals,
                                std::string_view origin) {
-  const std::uint64_t before = this->zones.Newest().position;
+  const std::uint64_t before = this->zones.Newest().revision;
   const bool other = this->zones.Take(withdrawals);
-  if (this->zones.Newest().position == before) return;
+  if (this->zones.Newest().revision == before) return;
   this->members.Get().SetZones(this->zones.Newest());
   if (!other) return;
   std::map<std::string, Time> since;
@@ -128,7 +128,7 @@
   this->withdrawn_since = std::move(since);
   LogEvent(LogLevel::kInfo, "zones withdrawn",
            {{"zones", this->zones.Newest().zones},
-            {"position", this->zones.Newest().position},
+            {"position", this->zones.Newest().revision},
             {"before", before},
             {"origin", origin}});
   this->changed();
--- a/src/pollenring/mesh/policy_follower.h
+++ b/src/pollenring/mesh/policy_follower.h
@@ -104,12 +104,12 @@
   std::map<std::string, Time> withdrawn_since;
   ZonesWord watched; /*!< What this node's own watch has told so far. */
   std::function<void()> changed;
-  std::uint64_t position{};
+  std::uint64_t revision{};
   Time store_heard{};
   Span pause{};
   Time first_read{}; /*!< When a node without a document reads the store. */
   bool asking{};     /*!< A call to the store, or a pause after one, is on. */
-  bool watching{};   /*!< No change since `position` was missed. */
+  bool watching{};   /*!< No change since `revision` was missed. */
   bool store_lost{};
   bool pulling{};
 };
--- a/test/pollenring/config/withdrawn_zones_test.cc
+++ b/test/pollenring/config/withdrawn_zones_test.cc
@@ -36,7 +36,7 @@
   const ZonesWord withdrawals = ApplyZoneChanges(
       {3, {"b"}}, 8,
       {{"a", true}, {"b", false}, {"c", true}, {"c", false}, {"a", true}});
-  CHECK(withdrawals.position == 8);
+  CHECK(withdrawals.revision == 8);
   CHECK(withdrawals.zones == std::vector<std::string>{"a"});
   CHECK(ApplyZoneChanges(withdrawals, 9, {{"a", false}, {"a", true}}).zones ==
         withdrawals.zones);
--- a/test/support/golden_values.h
+++ b/test/support/golden_values.h
@@ -40,7 +40,7 @@
   gossip.store_age_ms = 250;
   gossip.digest = 0x0123'4567'89ab'cdefU;
 #ifndef GOLDEN_FIRST
-  gossip.zones.position = 41;
+  gossip.zones.revision = 41;
   gossip.zones.zones = {"harbor-a", "harbor-c"};
 #endif
   gossip.updates = {GoldenMember()};
--- a/tools/pollenring-bench/forms.cc
+++ b/tools/pollenring-bench/forms.cc
@@ -44,9 +44,9 @@
 /*! @brief A datagram of gossip whose fields have short names. */
 struct NamedGossip {
   struct Zones {
-    std::uint64_t position{};
+    std::uint64_t revision{};
     std::vector<std::string> zones;
-    MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", position), MSGPACK_NVP("b", zones))
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", revision), MSGPACK_NVP("b", zones))
   };
 
   pollenring::GossipKind kind{};
@@ -111,7 +111,7 @@
   gossip.config_version = 12;
   gossip.store_age_ms = 250;
   gossip.digest = ~std::uint64_t{};
-  gossip.zones.position = 41;
+  gossip.zones.revision = 41;
   gossip.updates.resize(updates);
   for (auto &member : gossip.updates) FillMember(member);
   gossip.wire = 3;
