Rename WithdrawnZones::Known to HasRevision

Five things in the tree are called Known, two of them look-ups and one a struct; this one only tells whether any revision of the withdrawn zones has come. WithdrawnZones::Known -> HasRevision.

--- a/src/pollenring/config/withdrawn_zones.cc
+++ b/src/pollenring/config/withdrawn_zones.cc
@@ -6,7 +6,8 @@
 
 bool WithdrawnZones::Take(const ZonesWord &given) {
   if (given.revision <= this->withdrawals.revision) return false;
-  const bool changed = !this->Known() || given.zones != this->withdrawals.zones;
+  const bool changed =
+      !this->HasRevision() || given.zones != this->withdrawals.zones;
   this->withdrawals = given;
   return changed;
 }
--- a/src/pollenring/config/withdrawn_zones.h
+++ b/src/pollenring/config/withdrawn_zones.h
@@ -64,7 +64,7 @@
   }
 
   /*! @brief Whether anything is known. @return So. */
-  [[nodiscard]] bool Known() const noexcept {
+  [[nodiscard]] bool HasRevision() const noexcept {
     return this->withdrawals.revision > 0;
   }
 
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -189,7 +189,7 @@
   if (!this->departures_known) return;
   const WithdrawnZones &zones = this->policy.Zones();
   // What a cold target bears is not known before the configuration either.
-  if (!zones.Known() || this->policy.InForce().Version() == 0) return;
+  if (!zones.HasRevision() || this->policy.InForce().Version() == 0) return;
   this->serving.FollowColdBounds();
   const bool withdrawn = zones.Contains(this->settings.zone);
   this->serving.SetUse(withdrawn ? TargetUse::kWithdrawn : TargetUse::kInUse);
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -53,7 +53,7 @@
 void PolicyFollower::Check() {
   if (this->asking) return;
   // Peers of V1 tell of the document, but not of zones.
-  const bool whole = this->table.Version() > 0 && this->zones.Known();
+  const bool whole = this->table.Version() > 0 && this->zones.HasRevision();
   const bool lacks = !whole && this->loop.GetClock().Now() >= this->first_read;
   const bool joined = this->members.Joined();
   if (!lacks && !(joined && this->members.Duty().Asks())) {
--- a/test/pollenring/config/withdrawn_zones_test.cc
+++ b/test/pollenring/config/withdrawn_zones_test.cc
@@ -15,10 +15,10 @@
 
 TEST_CASE("withdrawn zones: an older word is never in force again") {
   WithdrawnZones zones;
-  CHECK_FALSE(zones.Known());
+  CHECK_FALSE(zones.HasRevision());
   CHECK_FALSE(zones.Contains("a"));
   CHECK(zones.Take({4, {}}));
-  CHECK(zones.Known());
+  CHECK(zones.HasRevision());
   CHECK(zones.Take({9, {"a"}}));
   CHECK(zones.Contains("a"));
   // Late, and the same once more.
