Rename InForce of the configuration to Active

SlotKeeper::InForce gives the row of a slot, a struct of the command line tool has the same name, and the usual term for a configuration that applies is active. ConfigLedger::InForce and PolicyFollower::InForce -> Active; the others keep their name.

--- a/src/pollenring/config/ledger.h
+++ b/src/pollenring/config/ledger.h
@@ -34,7 +34,7 @@
       : installed{std::move(installed)} {}
 
   [[nodiscard]] std::uint64_t Version() const noexcept { return this->version; }
-  [[nodiscard]] const Policy &InForce() const noexcept { return this->policy; }
+  [[nodiscard]] const Policy &Active() const noexcept { return this->policy; }
   [[nodiscard]] const Documents &All() const noexcept {
     return this->documents;
   }
--- a/src/pollenring/mesh/cold_policy.cc
+++ b/src/pollenring/mesh/cold_policy.cc
@@ -15,7 +15,7 @@
 }  // namespace
 
 ColdTolerance ColdPolicy::ToleranceOf(const std::string &service) const {
-  const ColdStart *start = this->policy.InForce().ColdStartOf(service);
+  const ColdStart *start = this->policy.Active().ColdStartOf(service);
   if (start == nullptr || start->per_second <= 0) return {};
   const double borne =
       start->per_second * this->margin.over + this->margin.slack;
@@ -24,7 +24,7 @@
 }
 
 Span ColdPolicy::ColdAfterStart(const std::string &service) const {
-  const ColdStart *start = this->policy.InForce().ColdStartOf(service);
+  const ColdStart *start = this->policy.Active().ColdStartOf(service);
   return start == nullptr ? Span{0} : start->cold_for;
 }
 
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -189,7 +189,7 @@
   if (!this->departures_known) return;
   const WithdrawnZones &zones = this->policy.Zones();
   // What a cold target bears is not known before the configuration either.
-  if (!zones.HasRevision() || this->policy.InForce().Version() == 0) return;
+  if (!zones.HasRevision() || this->policy.Active().Version() == 0) return;
   this->serving.FollowColdBounds();
   const bool withdrawn = zones.Contains(this->settings.zone);
   this->serving.SetUse(withdrawn ? TargetUse::kWithdrawn : TargetUse::kInUse);
@@ -286,14 +286,14 @@
 
 bool MeshNode::Ready() const {
   return !this->leaving && this->members.Joined() &&
-         this->policy.InForce().Version() > 0;
+         this->policy.Active().Version() > 0;
 }
 
 void MeshNode::HandleReady(const std::shared_ptr<Responder> &responder) {
   const bool ready = this->Ready();
   if (std::exchange(this->was_ready, ready) != ready) {
     LogEvent(LogLevel::kInfo, ready ? "ready" : "not ready",
-             {{"version", this->policy.InForce().Version()},
+             {{"version", this->policy.Active().Version()},
               {"joined", this->members.Joined()},
               {"leaving", this->leaving}});
   }
--- a/src/pollenring/mesh/mesh_node_status.cc
+++ b/src/pollenring/mesh/mesh_node_status.cc
@@ -17,7 +17,7 @@
     return static_cast<double>(this->InProgress());
   });
   this->metrics.Gauge("pollenring_config_version", [this] {
-    return static_cast<double>(this->policy.InForce().Version());
+    return static_cast<double>(this->policy.Active().Version());
   });
   this->metrics.Gauge("pollenring_store_silence_seconds", [this] {
     return std::chrono::duration<double>{this->policy.StoreSilence()}.count();
@@ -70,8 +70,8 @@
   return {
       {"node", this->settings.nodes.Format()},
       {"zone", this->settings.zone},
-      {"config_version", this->policy.InForce().Version()},
-      {"fresh", this->policy.InForce().Version() > 0},
+      {"config_version", this->policy.Active().Version()},
+      {"fresh", this->policy.Active().Version() > 0},
       {"leaving", this->leaving},
       {"open_for_callers", this->Ready()},
       {"in_progress", this->InProgress()},
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -142,7 +142,7 @@
 
 Reason Outbound::Admit(const HttpRequest &request, CallerRequest &caller,
                        Entry &entry) {
-  const HostTable &table = this->parts.policy.InForce();
+  const HostTable &table = this->parts.policy.Active();
   entry.version = table.Version();
   // Without a configuration nothing can be said of routes and keys.
   if (entry.version == 0) return Reason::kNotFresh;
--- a/src/pollenring/mesh/policy_follower.h
+++ b/src/pollenring/mesh/policy_follower.h
@@ -53,9 +53,7 @@
   }
 
   /*! @brief The configuration in force; version 0 declares nothing. */
-  [[nodiscard]] const HostTable &InForce() const noexcept {
-    return this->table;
-  }
+  [[nodiscard]] const HostTable &Active() const noexcept { return this->table; }
 
   /*! @brief Since when this node knows that a zone is withdrawn. @return By
    * zone. */
--- a/src/pollenring/node/config_service.cc
+++ b/src/pollenring/node/config_service.cc
@@ -46,7 +46,7 @@
 
 std::optional<WorkspaceShare> ConfigService::RateOf(
     const std::string &workspace) const {
-  const WorkspaceShare *share = this->ledger.InForce().ShareOf(workspace);
+  const WorkspaceShare *share = this->ledger.Active().ShareOf(workspace);
   if (share == nullptr) return std::nullopt;
   return *share;
 }
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -111,7 +111,7 @@
   const Reason unidentified = this->Identify(request, root);
   if (unidentified != Reason::kNone) return unidentified;
   auto [service, path] = SplitServicePath(request.path);
-  const Policy &policy = this->parts.config.InForce();
+  const Policy &policy = this->parts.config.Active();
   const Contract *contract = policy.Find(service);
   if (contract == nullptr) return Reason::kNoRoute;
   const Route *route = Policy::Match(*contract, request.method, path);
--- a/src/pollenring/node/operator_port.cc
+++ b/src/pollenring/node/operator_port.cc
@@ -147,13 +147,13 @@
       return;
     }
     const bool known =
-        workspace.empty() || ledger.InForce().ShareOf(workspace) != nullptr;
+        workspace.empty() || ledger.Active().ShareOf(workspace) != nullptr;
     if (!known) {
       responder->Send(
           Fault(kBadRequest, "no workspace '" + workspace + "' is published"));
       return;
     }
-    const std::string before = ledger.InForce().WorkspaceOf(digest);
+    const std::string before = ledger.Active().WorkspaceOf(digest);
     if (before == workspace) {
       const std::string why =
           workspace.empty() ? "no such key is in force" : "the key is in force";
--- a/src/pollenring/node/target_port.cc
+++ b/src/pollenring/node/target_port.cc
@@ -78,7 +78,7 @@
 Reason TargetPort::Prepare(const HttpRequest &request, const ServedCall &parent,
                            CallEnvelope &envelope) const {
   auto [service, path] = SplitServicePath(request.path);
-  const Contract *contract = this->config.InForce().Find(service);
+  const Contract *contract = this->config.Active().Find(service);
   if (contract == nullptr) return Reason::kNoRoute;
   const Route *route = Policy::Match(*contract, request.method, path);
   if (route == nullptr) return Reason::kNoRoute;
