Rename born to started_at_ms

"born" names neither what happened nor the unit: it is the start of a target in Unix milliseconds. Heartbeat::born, Departure::born, HeartbeatFilter's Start::born and the parameters that carry it -> started_at_ms; the JSON key "born" stays.

--- a/src/pollenring/mesh/departure_log.cc
+++ b/src/pollenring/mesh/departure_log.cc
@@ -13,7 +13,7 @@
 
 void DepartureLog::Record(const Departure &departure) {
   const nlohmann::json row{{"instance", departure.instance},
-                           {"born", departure.born}};
+                           {"born", departure.started_at_ms}};
   this->table.Write({}, {{this->key, row.dump()}},
                     [instance = departure.instance](Table::Written written) {
                       const auto *error = std::get_if<StorageError>(&written);
--- a/src/pollenring/mesh/departure_log.h
+++ b/src/pollenring/mesh/departure_log.h
@@ -14,7 +14,7 @@
 /*! @brief One start of a target that has said that it leaves. */
 struct Departure {
   std::string instance;
-  std::uint64_t born{}; /*!< Unix milliseconds of its start; 0 if unsaid. */
+  std::uint64_t started_at_ms{}; /*!< Unix time; 0 if unsaid. */
 };
 
 /**
--- a/src/pollenring/mesh/dialects.h
+++ b/src/pollenring/mesh/dialects.h
@@ -56,9 +56,9 @@
 /*! @brief What a target says of itself from time to time. */
 struct Heartbeat {
   Announcement announcement;
-  std::uint64_t born{};     /*!< Unix milliseconds of its start; 0 if unsaid. */
-  std::uint64_t sequence{}; /*!< Grows with each heartbeat of one start. */
-  bool departs{};           /*!< It says only that it leaves. */
+  std::uint64_t started_at_ms{}; /*!< Unix time; 0 if unsaid. */
+  std::uint64_t sequence{};      /*!< Grows with each heartbeat of one start. */
+  bool departs{};                /*!< It says only that it leaves. */
 };
 
 /*! @brief How targets announce themselves. */
--- a/src/pollenring/mesh/heartbeat_filter.cc
+++ b/src/pollenring/mesh/heartbeat_filter.cc
@@ -16,16 +16,19 @@
   if (known == this->starts.end()) {
     if (this->starts.size() >= kMostStarts) this->starts.clear();
     if (heartbeat.departs) {
-      // It tells no time of birth; whatever was born until now has left.
+      // It tells no time of birth; whatever started until now has left.
       const auto now = static_cast<std::uint64_t>(this->clock.Wall().count());
-      this->starts[instance] = {std::max(heartbeat.born, now), 0, true};
+      this->starts[instance] = {std::max(heartbeat.started_at_ms, now), 0,
+                                true};
       return HeartbeatVerdict::kTaken;
     }
     // An older start's heartbeat may come after the newer start's first one.
     const auto latest = this->starts.find(this->current);
-    const bool older = latest != this->starts.end() && heartbeat.born != 0 &&
-                       heartbeat.born < latest->second.born;
-    this->starts[instance] = {heartbeat.born, heartbeat.sequence, false};
+    const bool older = latest != this->starts.end() &&
+                       heartbeat.started_at_ms != 0 &&
+                       heartbeat.started_at_ms < latest->second.started_at_ms;
+    this->starts[instance] = {heartbeat.started_at_ms, heartbeat.sequence,
+                              false};
     if (older) return HeartbeatVerdict::kStale;
     this->current = instance;
     return HeartbeatVerdict::kTaken;
@@ -36,13 +39,13 @@
     start.departed = true;
     return again ? HeartbeatVerdict::kStale : HeartbeatVerdict::kTaken;
   }
-  if (heartbeat.born > start.born) {
-    start = {heartbeat.born, heartbeat.sequence, false};
+  if (heartbeat.started_at_ms > start.started_at_ms) {
+    start = {heartbeat.started_at_ms, heartbeat.sequence, false};
     this->current = instance;
     return HeartbeatVerdict::kTaken;
   }
-  const bool stale = heartbeat.born < start.born || start.departed ||
-                     heartbeat.sequence <= start.sequence ||
+  const bool stale = heartbeat.started_at_ms < start.started_at_ms ||
+                     start.departed || heartbeat.sequence <= start.sequence ||
                      this->current != instance;
   if (stale) return HeartbeatVerdict::kStale;
   start.sequence = heartbeat.sequence;
@@ -51,14 +54,15 @@
 
 std::uint64_t HeartbeatFilter::BornOf(const std::string &instance) const {
   const auto known = this->starts.find(instance);
-  return known == this->starts.end() ? 0 : known->second.born;
+  return known == this->starts.end() ? 0 : known->second.started_at_ms;
 }
 
-bool HeartbeatFilter::Forbid(const std::string &instance, std::uint64_t born) {
+bool HeartbeatFilter::Forbid(const std::string &instance,
+                             std::uint64_t started_at_ms) {
   const auto [known, fresh] = this->starts.try_emplace(instance);
   Start &start = known->second;
-  if (!fresh && start.born > born) return false;
-  start.born = born;
+  if (!fresh && start.started_at_ms > started_at_ms) return false;
+  start.started_at_ms = started_at_ms;
   start.departed = true;
   return !fresh;
 }
--- a/src/pollenring/mesh/heartbeat_filter.h
+++ b/src/pollenring/mesh/heartbeat_filter.h
@@ -33,7 +33,7 @@
  public:
   /**
    * @brief Starts without any heartbeat.
-   * @param clock Its wall clock tells what was born before a departure.
+   * @param clock Its wall clock tells what started before a departure.
    */
   explicit HeartbeatFilter(const Clock &clock) : clock{clock} {}
 
@@ -51,21 +51,21 @@
   /**
    * @brief Takes in that a start has left, as an earlier process was told.
    * @param instance The target.
-   * @param born Unix milliseconds of that start; 0 if unsaid.
+   * @param started_at_ms Unix milliseconds of that start; 0 if unsaid.
    * @return Whether a heartbeat of that start was taken before.
    */
-  bool Forbid(const std::string &instance, std::uint64_t born);
+  bool Forbid(const std::string &instance, std::uint64_t started_at_ms);
 
  private:
   struct Start {
-    std::uint64_t born{};
+    std::uint64_t started_at_ms{};
     std::uint64_t sequence{};
     bool departed{};
   };
 
   const Clock &clock;
   std::map<std::string, Start> starts;
-  std::string current; /*!< Instance that was born last. */
+  std::string current; /*!< Instance that started last. */
 };
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -179,7 +179,7 @@
 void MeshNode::TakeDeparture(const std::optional<Departure> &departure) {
   this->departures_known = true;
   if (departure &&
-      this->heartbeats.Forbid(departure->instance, departure->born)) {
+      this->heartbeats.Forbid(departure->instance, departure->started_at_ms)) {
     this->serving.Drain(departure->instance);
   }
   this->FollowPolicy();
@@ -279,7 +279,7 @@
     LogEvent(LogLevel::kInfo, "heartbeat left out",
              {{"instance", announcement.instance},
               {"sequence", heartbeat->sequence},
-              {"born", heartbeat->born}});
+              {"born", heartbeat->started_at_ms}});
   }
   responder->Send({kOk, {{"content-type", "application/json"}}, "{}"});
 }
--- a/test/platform/dialects_test.cc
+++ b/test/platform/dialects_test.cc
@@ -39,7 +39,7 @@
   CHECK(beat->announcement.instance == "i-1");
   CHECK(beat->announcement.target.slots == 8);
   CHECK(beat->announcement.target.state == TargetState::kCold);
-  CHECK(beat->born == 5);
+  CHECK(beat->started_at_ms == 5);
   CHECK(beat->sequence == 4);
   const auto leave =
       Heartbeats{}.Decode({"POST", "/Instances.Deregister/i-1", {}, {}, {}});
--- a/test/pollenring/mesh/heartbeat_filter_test.cc
+++ b/test/pollenring/mesh/heartbeat_filter_test.cc
@@ -11,11 +11,12 @@
 using pollenring::HeartbeatFilter;
 using pollenring::HeartbeatVerdict;
 
-[[nodiscard]] Heartbeat Beat(const std::string &instance, std::uint64_t born,
+[[nodiscard]] Heartbeat Beat(const std::string &instance,
+                             std::uint64_t started_at_ms,
                              std::uint64_t sequence) {
   Heartbeat heartbeat;
   heartbeat.announcement.instance = instance;
-  heartbeat.born = born;
+  heartbeat.started_at_ms = started_at_ms;
   heartbeat.sequence = sequence;
   return heartbeat;
 }
--- a/test/support/mesh_world.cc
+++ b/test/support/mesh_world.cc
@@ -239,10 +239,10 @@
 }
 
 int MeshWorld::Beat(int index, const std::string &state,
-                    std::chrono::milliseconds cold_left, int born) {
+                    std::chrono::milliseconds cold_left, int started_at_ms) {
   Member &member = *this->nodes.at(static_cast<std::size_t>(index - 1));
   const Json body{{"address", this->At(index, 8000).Format()},
-                  {"born", born},
+                  {"born", started_at_ms},
                   {"info", {{"service", member.service}, {"slots", 4}}},
                   {"status",
                    {{"state", state},
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -109,10 +109,10 @@
   void SetAnswerDelay(pollenring::Span delay) { this->answer_delay = delay; }
 
   /*! @brief Sends the heartbeat of a node's target. @param state Its state.
-   * @param cold_left How long it stays cold. @param born Its start. @return The
-   * answer's status. */
+   * @param cold_left How long it stays cold. @param started_at_ms Its start.
+   * @return The answer's status. */
   int Beat(int index, const std::string &state = "ready",
-           std::chrono::milliseconds cold_left = {}, int born = 5);
+           std::chrono::milliseconds cold_left = {}, int started_at_ms = 5);
 
   /*! @brief Tells a node that its target leaves, as targets do that report
    * nothing before. @return The answer's status. */
