Rename Departure to Deregistration

A departure is also what a node does when it leaves membership; here a target has told its node that it deregisters, which the interface and the log call so. Departure -> Deregistration, DepartureLog -> DeregistrationLog with its files, Heartbeat::departs -> deregisters, MeshNode's members and locals likewise; event texts and the row's key stay.

--- a/src/pollenring/mesh/departure_log.h
+++ b/src/pollenring/mesh/deregistration_log.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_MESH_DEPARTURE_LOG_H_
-#define POLLENRING_MESH_DEPARTURE_LOG_H_
+#ifndef POLLENRING_MESH_DEREGISTRATION_LOG_H_
+#define POLLENRING_MESH_DEREGISTRATION_LOG_H_
 
 #include <cstdint>
 #include <functional>
@@ -12,7 +12,7 @@
 namespace pollenring {
 
 /*! @brief One start of a target that has said that it leaves. */
-struct Departure {
+struct Deregistration {
   std::string instance;
   std::uint64_t started_at_ms{}; /*!< Unix time; 0 if unsaid. */
 };
@@ -22,24 +22,24 @@
  *
  * A node that starts again beside a leaving target may get an announcement that
  * was sent before; the row tells it not to use that target again. Only the
- * latest departure is kept, as one target at a time stands beside a node.
+ * latest deregistration is kept, as one target at a time stands beside a node.
  */
-class DepartureLog {
+class DeregistrationLog {
  public:
-  using Done = std::function<void(std::optional<Departure>)>;
+  using Done = std::function<void(std::optional<Deregistration>)>;
 
   /**
    * @brief Creates the log.
    * @param self This node; it keeps its address over a restart.
    * @param table Where the row lies.
    */
-  DepartureLog(NodeId self, Table &table);
+  DeregistrationLog(NodeId self, Table &table);
 
-  /*! @brief Keeps a departure. @param departure It. */
-  void Record(const Departure &departure);
+  /*! @brief Keeps a deregistration. @param deregistration It. */
+  void Record(const Deregistration &deregistration);
 
   /**
-   * @brief Reads the latest departure.
+   * @brief Reads the latest deregistration.
    * @param done Called once; without one where none is kept, or the table does
    * not answer.
    */
@@ -52,4 +52,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_MESH_DEPARTURE_LOG_H_
+#endif  // POLLENRING_MESH_DEREGISTRATION_LOG_H_
--- a/src/pollenring/mesh/dialects.h
+++ b/src/pollenring/mesh/dialects.h
@@ -58,7 +58,7 @@
   Announcement announcement;
   std::uint64_t started_at_ms{}; /*!< Unix time; 0 if unsaid. */
   std::uint64_t sequence{};      /*!< Grows with each heartbeat of one start. */
-  bool departs{};                /*!< It says only that it leaves. */
+  bool deregisters{};            /*!< It says only that it leaves. */
 };
 
 /*! @brief How targets announce themselves. */
--- a/src/pollenring/mesh/heartbeat_filter.cc
+++ b/src/pollenring/mesh/heartbeat_filter.cc
@@ -15,7 +15,7 @@
   const auto known = this->starts.find(instance);
   if (known == this->starts.end()) {
     if (this->starts.size() >= kMostStarts) this->starts.clear();
-    if (heartbeat.departs) {
+    if (heartbeat.deregisters) {
       // It tells no time of birth; whatever started until now has left.
       const auto now = static_cast<std::uint64_t>(this->clock.Wall().count());
       this->starts[instance] = {std::max(heartbeat.started_at_ms, now), 0,
@@ -34,7 +34,7 @@
     return HeartbeatVerdict::kTaken;
   }
   Start &start = known->second;
-  if (heartbeat.departs) {
+  if (heartbeat.deregisters) {
     const bool again = start.departed;
     start.departed = true;
     return again ? HeartbeatVerdict::kStale : HeartbeatVerdict::kTaken;
--- a/src/pollenring/mesh/heartbeat_filter.h
+++ b/src/pollenring/mesh/heartbeat_filter.h
@@ -33,13 +33,13 @@
  public:
   /**
    * @brief Starts without any heartbeat.
-   * @param clock Its wall clock tells what started before a departure.
+   * @param clock Its wall clock tells what started before a deregistration.
    */
   explicit HeartbeatFilter(const Clock &clock) : clock{clock} {}
 
   /**
    * @brief Judges a heartbeat and remembers it when it is taken.
-   * @param heartbeat The heartbeat; a departure is taken once per start.
+   * @param heartbeat The heartbeat; a deregistration is taken once per start.
    * @return Whether it says something new.
    */
   [[nodiscard]] HeartbeatVerdict Judge(const Heartbeat &heartbeat);
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -118,7 +118,7 @@
                              this->dispatcher, this->serving, this->levels,
                              parts.random, this->metrics}},
       heartbeats{parts.loop.GetClock()},
-      departures{given.nodes.Packed(), parts.table},
+      deregistrations{given.nodes.Packed(), parts.table},
       link_server{parts.loop, given.nodes, given.node_secret, kMaxFrameBytes,
                   [this](const std::string &path, std::string body,
                          std::shared_ptr<LinkResponder> responder) {
@@ -156,9 +156,10 @@
       [this](const Member &member) { this->router.Update(member); });
   this->shares.Start();
   this->serving.SetUse(TargetUse::kUnknown);
-  this->departures.Read([this](const std::optional<Departure> &departure) {
-    this->TakeDeparture(departure);
-  });
+  this->deregistrations.Read(
+      [this](const std::optional<Deregistration> &deregistration) {
+        this->TakeDeregistration(deregistration);
+      });
   this->policy.Start([this] { this->FollowPolicy(); });
   this->members.Start();
   this->ring.Update(this->shares);
@@ -176,17 +177,19 @@
   this->CountFigures();
 }
 
-void MeshNode::TakeDeparture(const std::optional<Departure> &departure) {
-  this->departures_known = true;
-  if (departure &&
-      this->heartbeats.Forbid(departure->instance, departure->started_at_ms)) {
-    this->serving.Drain(departure->instance);
+void MeshNode::TakeDeregistration(
+    const std::optional<Deregistration> &deregistration) {
+  this->deregistrations_known = true;
+  if (deregistration &&
+      this->heartbeats.Forbid(deregistration->instance,
+                              deregistration->started_at_ms)) {
+    this->serving.Drain(deregistration->instance);
   }
   this->FollowPolicy();
 }
 
 void MeshNode::FollowPolicy() {
-  if (!this->departures_known) return;
+  if (!this->deregistrations_known) return;
   const WithdrawnZones &zones = this->policy.Zones();
   // What a cold target bears is not known before the configuration either.
   if (!zones.HasRevision() || this->policy.Active().Version() == 0) return;
@@ -249,8 +252,8 @@
     return;
   }
   const Announcement &announcement = heartbeat->announcement;
-  const bool departs = heartbeat->departs;
-  if (!departs &&
+  const bool deregisters = heartbeat->deregisters;
+  if (!deregisters &&
       announcement.target.service != this->settings.target_service) {
     LogEvent(LogLevel::kWarning, "heartbeat of another service",
              {{"instance", announcement.instance},
@@ -261,16 +264,17 @@
   const HeartbeatVerdict verdict = this->heartbeats.Judge(*heartbeat);
   if (verdict == HeartbeatVerdict::kTaken) {
     const bool leaves =
-        departs || announcement.target.state == TargetState::kDraining;
+        deregisters || announcement.target.state == TargetState::kDraining;
     if (leaves && std::exchange(this->departed, announcement.instance) !=
                       announcement.instance) {
       LogEvent(
           LogLevel::kInfo, "target leaves",
-          {{"instance", announcement.instance}, {"deregistered", departs}});
-      this->departures.Record({announcement.instance,
-                               this->heartbeats.BornOf(announcement.instance)});
+          {{"instance", announcement.instance}, {"deregistered", deregisters}});
+      this->deregistrations.Record(
+          {announcement.instance,
+           this->heartbeats.BornOf(announcement.instance)});
     }
-    if (departs) {
+    if (deregisters) {
       this->serving.Drain(announcement.instance);
     } else {
       this->serving.Announce(announcement);
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -9,7 +9,7 @@
 #include "pollenring/link/link_client.h"
 #include "pollenring/link/link_server.h"
 #include "pollenring/mesh/cold_policy.h"
-#include "pollenring/mesh/departure_log.h"
+#include "pollenring/mesh/deregistration_log.h"
 #include "pollenring/mesh/dialects.h"
 #include "pollenring/mesh/heartbeat_filter.h"
 #include "pollenring/mesh/outbound.h"
@@ -69,7 +69,7 @@
   void Start();
   void CountFigures();
   void FollowPolicy();
-  void TakeDeparture(const std::optional<Departure> &departure);
+  void TakeDeregistration(const std::optional<Deregistration> &deregistration);
   void HandleLink(const std::string &path, std::string body,
                   const std::shared_ptr<LinkResponder> &responder);
   void HandleCall(std::string body,
@@ -104,8 +104,8 @@
   Dispatcher dispatcher;
   Outbound outbound;
   HeartbeatFilter heartbeats;
-  DepartureLog departures;
-  bool departures_known{};
+  DeregistrationLog deregistrations;
+  bool deregistrations_known{};
   LinkServer link_server;
   HttpServer caller_server;
   HttpServer heartbeat_server;
--- a/test/platform/dialects_test.cc
+++ b/test/platform/dialects_test.cc
@@ -44,7 +44,7 @@
   const auto leave =
       Heartbeats{}.Decode({"POST", "/Instances.Deregister/i-1", {}, {}, {}});
   REQUIRE(leave);
-  CHECK(leave->departs);
+  CHECK(leave->deregisters);
 }
 
 TEST_CASE("platform: a heartbeat of another writer names no target") {
--- a/test/pollenring/mesh/heartbeat_filter_test.cc
+++ b/test/pollenring/mesh/heartbeat_filter_test.cc
@@ -23,7 +23,7 @@
 
 [[nodiscard]] Heartbeat Departure(const std::string &instance) {
   Heartbeat heartbeat = Beat(instance, 0, 0);
-  heartbeat.departs = true;
+  heartbeat.deregisters = true;
   return heartbeat;
 }
 
