Rename Clock::Wall to WallNow

Now reads the steady clock and Wall the wall clock, but the pair does not show that both read the present time, and "wall" alone reads as a property of the clock. Clock::Wall and its overrides -> WallNow.

--- a/src/pollenring/config/publisher.cc
+++ b/src/pollenring/config/publisher.cc
@@ -38,7 +38,7 @@
   auto attempt = std::make_shared<Attempt>();
   attempt->change = std::move(change);
   attempt->change.nonce = RandomHex(16);
-  attempt->change.wall_ms = this->clock.Wall().count();
+  attempt->change.wall_ms = this->clock.WallNow().count();
   attempt->done = std::move(done);
   this->Write(attempt);
 }
@@ -142,7 +142,7 @@
 void Publisher::RecordRefusal(const ConfigChange &change,
                               const std::string &why) {
   ConfigChange record = change;
-  record.wall_ms = this->clock.Wall().count();
+  record.wall_ms = this->clock.WallNow().count();
   nlohmann::json json = nlohmann::json::parse(record.ToJson());
   json["refused"] = why;
   const std::string key =
--- a/src/pollenring/core/clock.cc
+++ b/src/pollenring/core/clock.cc
@@ -18,7 +18,7 @@
   return std::chrono::duration_cast<Time>(Read(CLOCK_BOOTTIME));
 }
 
-WallTime SystemClock::Wall() const noexcept {
+WallTime SystemClock::WallNow() const noexcept {
   return std::chrono::duration_cast<WallTime>(Read(CLOCK_REALTIME));
 }
 
--- a/src/pollenring/core/clock.h
+++ b/src/pollenring/core/clock.h
@@ -38,14 +38,14 @@
    * @brief Reads the wall clock.
    * @return Milliseconds since the Unix epoch.
    */
-  [[nodiscard]] virtual WallTime Wall() const noexcept = 0;
+  [[nodiscard]] virtual WallTime WallNow() const noexcept = 0;
 };
 
 /*! @brief The machine's clocks: boot time and real time. */
 class SystemClock final : public Clock {
  public:
   [[nodiscard]] Time Now() const noexcept override;
-  [[nodiscard]] WallTime Wall() const noexcept override;
+  [[nodiscard]] WallTime WallNow() const noexcept override;
 };
 
 /*! @brief A clock that moves only when told to. */
@@ -62,7 +62,7 @@
 
   [[nodiscard]] Time Now() const noexcept override { return this->now; }
 
-  [[nodiscard]] WallTime Wall() const noexcept override {
+  [[nodiscard]] WallTime WallNow() const noexcept override {
     return this->wall_start +
            std::chrono::duration_cast<WallTime>(this->now - this->start);
   }
--- a/src/pollenring/log/log.cc
+++ b/src/pollenring/log/log.cc
@@ -120,7 +120,7 @@
 void LogEvent(LogLevel level, std::string_view event, nlohmann::json fields) {
   const auto native = ToSpdlog(level);
   if (!spdlog::should_log(native)) return;
-  fields["ts_ms"] = SystemClock{}.Wall().count();
+  fields["ts_ms"] = SystemClock{}.WallNow().count();
   fields["level"] = kLogLevelNames.Name(level);
   fields["program"] = State().program;
   fields["event"] = event;
--- a/src/pollenring/mesh/heartbeat_filter.cc
+++ b/src/pollenring/mesh/heartbeat_filter.cc
@@ -17,7 +17,8 @@
     if (this->starts.size() >= kMostStarts) this->starts.clear();
     if (heartbeat.deregisters) {
       // It tells no time of birth; whatever started until now has left.
-      const auto now = static_cast<std::uint64_t>(this->clock.Wall().count());
+      const auto now =
+          static_cast<std::uint64_t>(this->clock.WallNow().count());
       this->starts[instance] = {std::max(heartbeat.started_at_ms, now), 0,
                                 true};
       return HeartbeatVerdict::kTaken;
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -63,7 +63,7 @@
   self.id = settings.nodes.Packed();
   self.process = parts.random.Bits();
   self.incarnation =
-      static_cast<std::uint64_t>(parts.loop.GetClock().Wall().count());
+      static_cast<std::uint64_t>(parts.loop.GetClock().WallNow().count());
   self.version = 1;
   self.zone = settings.zone;
   self.region = settings.region;
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -165,7 +165,8 @@
     envelope.regions = route->regions;
   }
   if (entry.id.empty()) {
-    entry.id = MintRequestId(this->loop.GetClock().Wall(), this->parts.random);
+    entry.id =
+        MintRequestId(this->loop.GetClock().WallNow(), this->parts.random);
   }
   envelope.root_id = entry.id;
   entry.service = this->ChoosePart(*route);
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -149,7 +149,8 @@
     root.id = std::string{given};
     root.id_given = true;
   } else {
-    root.id = MintRequestId(this->loop.GetClock().Wall(), this->parts.random);
+    root.id =
+        MintRequestId(this->loop.GetClock().WallNow(), this->parts.random);
   }
   root.envelope.root_id = root.id;
   return Reason::kNone;
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -37,7 +37,7 @@
   Member self;
   self.id = settings.nodes.Packed();
   self.process = random.Bits();
-  self.incarnation = static_cast<std::uint64_t>(clock.Wall().count());
+  self.incarnation = static_cast<std::uint64_t>(clock.WallNow().count());
   self.version = 1;
   self.zone = settings.zone;
   self.region = settings.region;
--- a/src/pollenring/node/once_memory.cc
+++ b/src/pollenring/node/once_memory.cc
@@ -37,7 +37,7 @@
                              const SlotRow &before) {
   const Clock &clock = this->loop.GetClock();
   const bool first = origin == SlotOrigin::kTakenOver && before.epoch == 0;
-  const WallTime since = first ? WallTime{0} : clock.Wall();
+  const WallTime since = first ? WallTime{0} : clock.WallNow();
   this->owned.erase(slot);
   Owned &memory =
       this->owned.emplace(slot, Owned{OnceLedger{since, clock}}).first->second;
@@ -147,7 +147,7 @@
   const auto found = this->owned.find(slot);
   if (found == this->owned.end() || !found->second.ready) {
     OnceLog log;
-    log.complete_since_ms = this->loop.GetClock().Wall().count();
+    log.complete_since_ms = this->loop.GetClock().WallNow().count();
     return log;
   }
   return found->second.ledger.Log();
--- a/src/pollenring/node/once_service.cc
+++ b/src/pollenring/node/once_service.cc
@@ -96,7 +96,7 @@
 void OnceService::Begin(const std::string &key, bool minted_here, Time deadline,
                         Done done) {
   const Time now = this->loop.GetClock().Now();
-  const WallTime wall = this->loop.GetClock().Wall();
+  const WallTime wall = this->loop.GetClock().WallNow();
   const std::uint64_t attempt = this->random.Bits();
   const std::string id = key.substr(key.find('/') + 1);
   Asking &asked = this->asking[attempt];
--- a/src/pollenring/once/ledger.cc
+++ b/src/pollenring/once/ledger.cc
@@ -23,7 +23,7 @@
 BeginDecision OnceLedger::Begin(const std::string &key, WallTime minted,
                                 std::uint64_t attempt, WallTime deadline) {
   this->Forget();
-  const WallTime now = this->clock.Wall();
+  const WallTime now = this->clock.WallNow();
   const auto found = this->records.find(key);
   if (found != this->records.end()) {
     OnceRecord &record = found->second;
@@ -97,7 +97,7 @@
 }
 
 void OnceLedger::Inherit(const OnceLog &log) {
-  const WallTime now = this->clock.Wall();
+  const WallTime now = this->clock.WallNow();
   for (const auto &record : log.records) {
     const auto [found, added] = this->records.emplace(record.key, record);
     if (added) {
@@ -113,7 +113,7 @@
 }
 
 void OnceLedger::Forget() {
-  const WallTime oldest = this->clock.Wall() - kOnceRetention - kWallSkew;
+  const WallTime oldest = this->clock.WallNow() - kOnceRetention - kWallSkew;
   while (!this->by_age.empty() && this->by_age.front().first < oldest) {
     const auto found = this->records.find(this->by_age.front().second);
     this->by_age.pop_front();
--- a/src/pollenring/once/mirror.cc
+++ b/src/pollenring/once/mirror.cc
@@ -37,7 +37,7 @@
   copies.closed = std::max(copies.closed, epoch);
   OnceLog log;
   const bool holds = copies.epoch == epoch;
-  const WallTime since = holds ? copies.complete_since : this->clock.Wall();
+  const WallTime since = holds ? copies.complete_since : this->clock.WallNow();
   log.complete_since_ms = since.count();
   for (const auto &[key, record] : copies.records) {
     log.records.push_back(record);
@@ -50,14 +50,15 @@
   if (epoch <= copies.closed || epoch < copies.epoch) return nullptr;
   if (epoch > copies.epoch) {
     copies.epoch = epoch;
-    copies.complete_since = this->clock.Wall();
+    copies.complete_since = this->clock.WallNow();
     this->Forget(copies);
   }
   return &copies;
 }
 
 void OnceMirror::Forget(Copies &copies) const {
-  const WallTime oldest = this->clock.Wall() - kOnceRetention - 3 * kWallSkew;
+  const WallTime oldest =
+      this->clock.WallNow() - kOnceRetention - 3 * kWallSkew;
   for (auto it = copies.records.begin(); it != copies.records.end();) {
     const bool old = WallTime{it->second.minted_ms} < oldest;
     it = old ? copies.records.erase(it) : std::next(it);
--- a/test/pollenring/mesh/heartbeat_filter_test.cc
+++ b/test/pollenring/mesh/heartbeat_filter_test.cc
@@ -83,7 +83,7 @@
     "heartbeat filter: what leaves unheard is not taken for a new start") {
   pollenring::ManualClock clock;
   HeartbeatFilter filter{clock};
-  const auto now = static_cast<std::uint64_t>(clock.Wall().count());
+  const auto now = static_cast<std::uint64_t>(clock.WallNow().count());
   CHECK(filter.Judge(Beat("other", now - 9000, 1)) == HeartbeatVerdict::kTaken);
   CHECK(filter.Judge(Departure("a")) == HeartbeatVerdict::kTaken);
   CHECK(filter.Judge(Departure("a")) == HeartbeatVerdict::kStale);
--- a/test/pollenring/node/serving_test.cc
+++ b/test/pollenring/node/serving_test.cc
@@ -27,8 +27,8 @@
   [[nodiscard]] pollenring::Time Now() const noexcept override {
     return this->system.Now() + this->ahead;
   }
-  [[nodiscard]] pollenring::WallTime Wall() const noexcept override {
-    return this->system.Wall();
+  [[nodiscard]] pollenring::WallTime WallNow() const noexcept override {
+    return this->system.WallNow();
   }
   void Step(pollenring::Span by) noexcept { this->ahead += by; }
 
--- a/test/pollenring/once/once_test.cc
+++ b/test/pollenring/once/once_test.cc
@@ -54,7 +54,7 @@
     const auto minted = *pollenring::MintedAt(id);
     const auto attempt = ++this->last_attempt;
     const auto decision = ledger.Begin(
-        id, minted, attempt, this->clock.Wall() + std::chrono::seconds{2});
+        id, minted, attempt, this->clock.WallNow() + std::chrono::seconds{2});
     if (decision.verdict != BeginVerdict::kRun) return decision.verdict;
     pollenring::OnceRecord record;
     record.key = id;
@@ -85,7 +85,8 @@
 
   /*! @brief The owner dies; a successor asks the mirrors. */
   void TakeOver() {
-    auto next = std::make_unique<OnceLedger>(this->clock.Wall(), this->clock);
+    auto next =
+        std::make_unique<OnceLedger>(this->clock.WallNow(), this->clock);
     std::int64_t since = 0;
     bool all = true;
     for (auto &mirror : this->mirrors) {
@@ -104,7 +105,7 @@
     this->deposed = std::move(this->owner);
     this->deposed_epoch = this->epoch;
     this->deposed_mirrors = this->Processes();
-    this->deposed_at = this->clock.Wall();
+    this->deposed_at = this->clock.WallNow();
     ++this->epoch;
     this->owner = std::move(next);
     this->Seed();
@@ -173,7 +174,7 @@
         const auto off =
             static_cast<std::int64_t>(slot.random.Index(40'000)) - 20'000;
         ids.push_back(pollenring::MintRequestId(
-            slot.clock.Wall() + WallTime{off}, slot.random));
+            slot.clock.WallNow() + WallTime{off}, slot.random));
       }
       const auto recent = [&] {
         const auto back =
@@ -193,9 +194,9 @@
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{1};
   OnceLedger ledger{WallTime{0}, clock};
-  const auto id = pollenring::MintRequestId(clock.Wall(), random);
+  const auto id = pollenring::MintRequestId(clock.WallNow(), random);
   const auto minted = *pollenring::MintedAt(id);
-  const auto deadline = clock.Wall() + std::chrono::seconds{1};
+  const auto deadline = clock.WallNow() + std::chrono::seconds{1};
   CHECK(ledger.Begin(id, minted, 1, deadline).verdict == BeginVerdict::kRun);
   CHECK(ledger.Begin(id, minted, 2, deadline).verdict ==
         BeginVerdict::kInProgress);
@@ -207,11 +208,11 @@
   CHECK(repeat.verdict == BeginVerdict::kRan);
   CHECK(repeat.answer == "first");
   clock.Advance(std::chrono::minutes{20});
-  const auto old = ledger.Begin(id, minted, 5, clock.Wall());
+  const auto old = ledger.Begin(id, minted, 5, clock.WallNow());
   CHECK(old.verdict == BeginVerdict::kExpired);
-  const auto early =
-      pollenring::MintRequestId(clock.Wall() + std::chrono::minutes{2}, random);
-  CHECK(ledger.Begin(early, *pollenring::MintedAt(early), 6, clock.Wall())
+  const auto early = pollenring::MintRequestId(
+      clock.WallNow() + std::chrono::minutes{2}, random);
+  CHECK(ledger.Begin(early, *pollenring::MintedAt(early), 6, clock.WallNow())
             .verdict == BeginVerdict::kExpired);
 }
 
@@ -219,9 +220,9 @@
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{1};
   OnceLedger ledger{WallTime{0}, clock};
-  const auto id = pollenring::MintRequestId(clock.Wall(), random);
+  const auto id = pollenring::MintRequestId(clock.WallNow(), random);
   const auto minted = *pollenring::MintedAt(id);
-  const auto deadline = clock.Wall() + std::chrono::seconds{1};
+  const auto deadline = clock.WallNow() + std::chrono::seconds{1};
   CHECK(ledger.Begin(id, minted, 1, deadline).verdict == BeginVerdict::kRun);
   ledger.End(id, 1, OnceState::kAborted, {});
   // A late repeat of the aborted attempt's own message does not revive it.
--- a/test/support/fake_network.h
+++ b/test/support/fake_network.h
@@ -25,8 +25,8 @@
     return Time{static_cast<std::int64_t>(elapsed * this->speed)} +
            this->offset;
   }
-  [[nodiscard]] pollenring::WallTime Wall() const noexcept override {
-    return this->truth.Wall();
+  [[nodiscard]] pollenring::WallTime WallNow() const noexcept override {
+    return this->truth.WallNow();
   }
 
  private:
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -293,7 +293,7 @@
   const auto begin = [&] {
     ++id;
     benchmark::DoNotOptimize(
-        ledger.Begin(std::to_string(id), clock.Wall(), id, clock.Wall()));
+        ledger.Begin(std::to_string(id), clock.WallNow(), id, clock.WallNow()));
   };
   for (std::uint64_t i = 0; i < held; ++i) begin();
   for (auto _ : state) begin();
