--- a/src/pollenring/config/withdrawn_zones.h
+++ b/src/pollenring/config/withdrawn_zones.h
@@ -19,7 +19,7 @@
 /*! @brief Which availability zones were withdrawn at one moment of the store.
  */
 struct ZoneWithdrawals {
-  std::uint64_t position{}; /*!< Of the store's history; 0: nothing is known. */
+  std::uint64_t revision{}; /*!< Of the store's history; 0: nothing is known. */
   std::vector<std::string> zones; /*!< In order. */
 };
 
@@ -28,7 +28,7 @@
   static constexpr bool kGrows = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
-    return std::make_tuple(Field{1, value.position}, Field{2, value.zones});
+    return std::make_tuple(Field{1, value.revision}, Field{2, value.zones});
   }
 };
 
@@ -37,7 +37,7 @@
   static constexpr bool kFrozen = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
-    return std::tie(value.position, value.zones);
+    return std::tie(value.revision, value.zones);
   }
 };
 
@@ -52,18 +52,20 @@
  public:
   /**
    * @brief Takes in a word.
-   * @param word The word.
+   * @param withdrawals The word.
    * @return Whether other zones are withdrawn now, or it is the first one.
    */
-  bool Take(const ZoneWithdrawals &word);
+  bool Take(const ZoneWithdrawals &withdrawals);
 
   /*! @brief The newest word. @return It. */
   [[nodiscard]] const ZoneWithdrawals &Newest() const noexcept {
-    return this->word;
+    return this->withdrawals;
   }
 
   /*! @brief Whether anything is known. @return So. */
-  [[nodiscard]] bool Known() const noexcept { return this->word.position > 0; }
+  [[nodiscard]] bool HasRevision() const noexcept {
+    return this->withdrawals.revision > 0;
+  }
 
   /**
    * @brief Tells whether a zone is to get nothing.
@@ -73,19 +75,19 @@
   [[nodiscard]] bool Contains(const std::string &zone) const;
 
  private:
-  ZoneWithdrawals word;
+  ZoneWithdrawals withdrawals;
 };
 
 /**
  * @brief Applies changes to a word, in their order.
  * @param before The word before them.
- * @param position Position up to which the changes are whole.
+ * @param revision Position up to which the changes are whole.
  * @param changes The changes.
  * @return The word at that position.
  */
-[[nodiscard]] ZoneWithdrawals After(const ZoneWithdrawals &before,
-                                    std::uint64_t position,
-                                    const std::vector<ZoneChange> &changes);
+[[nodiscard]] ZoneWithdrawals ApplyZoneChanges(
+    const ZoneWithdrawals &before, std::uint64_t revision,
+    const std::vector<ZoneChange> &changes);
 
 }  // namespace pollenring
 
--- a/src/pollenring/contract/parse.cc
+++ b/src/pollenring/contract/parse.cc
@@ -30,16 +30,16 @@
 class TableReader {
  public:
   TableReader(const toml::table &table, const std::string &file,
-              Diagnostics &findings)
-      : table{table}, file{file}, findings{findings} {}
+              Diagnostics &diagnostics)
+      : table{table}, file{file}, diagnostics{diagnostics} {}
 
-  [[nodiscard]] Place Where(const toml::node &node) const {
+  [[nodiscard]] SourceLocation Where(const toml::node &node) const {
     const auto &begin = node.source().begin;
     return {this->file, begin.line, begin.column};
   }
 
   void Report(const toml::node &node, std::string message) const {
-    this->findings.push_back({this->Where(node), std::move(message)});
+    this->diagnostics.push_back({this->Where(node), std::move(message)});
   }
 
   /*! @brief Reports every key outside the known ones. */
@@ -98,7 +98,7 @@
  private:
   const toml::table &table;
   const std::string &file;
-  Diagnostics &findings;
+  Diagnostics &diagnostics;
 };
 
 void ReadDeadline(const TableReader &reader, Route &route) {
@@ -147,7 +147,7 @@
                                                const toml::table &table) {
   reader.KnownKeys({"name", "rate", "burst"});
   WorkspaceRateLimit share;
-  share.place = reader.Where(table);
+  share.location = reader.Where(table);
   share.name = reader.Text("name", true).value_or("");
   if (const auto text = reader.Text("rate", true)) {
     const auto rate = ParseRate(*text);
@@ -234,32 +234,32 @@
 }
 
 void ParseContractFile(const SourceFile &file, ContractSet &set,
-                       Diagnostics &findings) {
+                       Diagnostics &diagnostics) {
   toml::table root;
   try {
     root = toml::parse(file.text, file.name);
   } catch (const toml::parse_error &error) {
     const auto &begin = error.source().begin;
-    findings.push_back({{file.name, begin.line, begin.column},
-                        std::string{error.description()}});
+    diagnostics.push_back({{file.name, begin.line, begin.column},
+                           std::string{error.description()}});
     return;
   }
-  const TableReader reader{root, file.name, findings};
+  const TableReader reader{root, file.name, diagnostics};
   reader.KnownKeys({"service", "callers", "route", "workspace"});
   ForEachTable(root, "workspace", reader, [&](const toml::table &table) {
-    const TableReader inner{table, file.name, findings};
+    const TableReader inner{table, file.name, diagnostics};
     set.workspaces.push_back(ReadWorkspace(inner, table));
   });
   const bool declares_service =
       root.contains("service") || root.contains("route");
   if (!declares_service) return;
   Contract contract;
-  contract.place = reader.Where(root);
+  contract.location = reader.Where(root);
   contract.service = reader.Text("service", true).value_or("");
   contract.callers = ReadCallers(reader);
   ForEachTable(root, "route", reader, [&](const toml::table &table) {
     contract.routes.push_back(
-        ReadRoute(TableReader{table, file.name, findings}));
+        ReadRoute(TableReader{table, file.name, diagnostics}));
   });
   if (contract.routes.empty()) reader.Missing("route");
   set.contracts.push_back(std::move(contract));
--- a/src/pollenring/core/diagnostic.h
+++ b/src/pollenring/core/diagnostic.h
@@ -8,7 +8,7 @@
 namespace pollenring {
 
 /*! @brief Where in a file something was found. */
-struct Place {
+struct SourceLocation {
   std::string file;
   std::uint32_t line{};
   std::uint32_t column{};
@@ -16,7 +16,7 @@
 
 /*! @brief One fault in an operator's input, with its place. */
 struct Diagnostic {
-  Place place;
+  SourceLocation location;
   std::string message;
 
   /**
@@ -24,8 +24,8 @@
    * @return `file:line:column: message`.
    */
   [[nodiscard]] std::string Format() const {
-    return this->place.file + ":" + std::to_string(this->place.line) + ":" +
-           std::to_string(this->place.column) + ": " + this->message;
+    return this->location.file + ":" + std::to_string(this->location.line) +
+           ":" + std::to_string(this->location.column) + ": " + this->message;
   }
 };
 
--- a/src/pollenring/membership/membership.h
+++ b/src/pollenring/membership/membership.h
@@ -160,8 +160,9 @@
    */
   virtual void PeerConfigVersion(NodeId peer, std::uint64_t version) = 0;
 
-  /*! @brief A peer has told which zones are withdrawn. @param word Its word. */
-  virtual void PeerZoneWithdrawals(const ZoneWithdrawals &word) = 0;
+  /*! @brief A peer has told which zones are withdrawn. @param withdrawals Its
+   * word. */
+  virtual void PeerZoneWithdrawals(const ZoneWithdrawals &withdrawals) = 0;
 };
 
 /*! @brief Timing of failure detection. */
@@ -310,9 +311,11 @@
 
   /**
    * @brief Sets the word of withdrawn zones that datagrams carry.
-   * @param word The newest word here.
+   * @param withdrawals The newest word here.
    */
-  void SetZones(const ZoneWithdrawals &word) { this->zones = word; }
+  void SetZones(const ZoneWithdrawals &withdrawals) {
+    this->zones = withdrawals;
+  }
 
  private:
   struct Probe {
--- a/src/pollenring/mesh/codecs.h
+++ b/src/pollenring/mesh/codecs.h
@@ -56,9 +56,10 @@
 /*! @brief What a target says of itself from time to time. */
 struct Heartbeat {
   Announcement announcement;
-  std::uint64_t born{};     /*!< Unix milliseconds of its start; 0 if unsaid. */
+  std::uint64_t
+      started_at_ms{};      /*!< Unix milliseconds of its start; 0 if unsaid. */
   std::uint64_t sequence{}; /*!< Grows with each heartbeat of one start. */
-  bool departs{};           /*!< It says only that it leaves. */
+  bool deregisters{};       /*!< It says only that it leaves. */
 };
 
 /*! @brief How targets announce themselves. */
@@ -97,7 +98,7 @@
 
 /*! @brief The operator's document as the store holds it at one moment. */
 struct StoredDocument {
-  std::uint64_t position{};        /*!< Of the store's history. */
+  std::uint64_t revision{};        /*!< Of the store's history. */
   std::optional<std::string> text; /*!< Nothing when it has not changed. */
   /*! @brief Zones that have changed; after a read, all that are withdrawn. */
   std::vector<ZoneChange> zones;
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -63,7 +63,7 @@
   self.id = settings.nodes.Packed();
   self.process = parts.random.Bits();
   self.incarnation =
-      static_cast<std::uint64_t>(parts.loop.GetClock().Wall().count());
+      static_cast<std::uint64_t>(parts.loop.GetClock().WallNow().count());
   self.version = 1;
   self.zone = settings.zone;
   self.region = settings.region;
@@ -118,7 +118,7 @@
                              this->dispatcher, this->serving, this->levels,
                              parts.random, this->metrics}},
       heartbeats{parts.loop.GetClock()},
-      departures{given.nodes.Packed(), parts.table},
+      deregistrations{given.nodes.Packed(), parts.table},
       link_server{parts.loop, given.nodes, given.node_secret, kMaxFrameBytes,
                   [this](const std::string &path, std::string body,
                          std::shared_ptr<LinkResponder> responder) {
@@ -156,9 +156,10 @@
       [this](const Member &member) { this->router.Update(member); });
   this->shares.Start();
   this->serving.SetUse(TargetAvailability::kUnknown);
-  this->departures.Read([this](const std::optional<Departure> &departure) {
-    this->TakeDeparture(departure);
-  });
+  this->deregistrations.Read(
+      [this](const std::optional<Deregistration> &deregistration) {
+        this->TakeDeregistration(deregistration);
+      });
   this->policy.Start([this] { this->FollowPolicy(); });
   this->members.Start();
   this->ring.Update(this->shares);
@@ -176,20 +177,22 @@
   this->CountFigures();
 }
 
-void MeshNode::TakeDeparture(const std::optional<Departure> &departure) {
-  this->departures_known = true;
-  if (departure &&
-      this->heartbeats.Forbid(departure->instance, departure->born)) {
-    this->serving.Drain(departure->instance);
+void MeshNode::TakeDeregistration(
+    const std::optional<Deregistration> &deregistration) {
+  this->deregistrations_known = true;
+  if (deregistration &&
+      this->heartbeats.Forbid(deregistration->instance,
+                              deregistration->started_at_ms)) {
+    this->serving.Drain(deregistration->instance);
   }
   this->FollowPolicy();
 }
 
 void MeshNode::FollowPolicy() {
-  if (!this->departures_known) return;
+  if (!this->deregistrations_known) return;
   const WithdrawnZones &zones = this->policy.Zones();
   // What a cold target bears is not known before the configuration either.
-  if (!zones.Known() || this->policy.InForce().Version() == 0) return;
+  if (!zones.HasRevision() || this->policy.Active().Version() == 0) return;
   this->serving.FollowColdStartLimits();
   const bool withdrawn = zones.Contains(this->settings.zone);
   this->serving.SetUse(withdrawn ? TargetAvailability::kWithdrawn
@@ -251,8 +254,8 @@
     return;
   }
   const Announcement &announcement = heartbeat->announcement;
-  const bool departs = heartbeat->departs;
-  if (!departs &&
+  const bool deregisters = heartbeat->deregisters;
+  if (!deregisters &&
       announcement.target.service != this->settings.target_service) {
     LogEvent(LogLevel::kWarning, "heartbeat of another service",
              {{"instance", announcement.instance},
@@ -263,16 +266,17 @@
   const HeartbeatVerdict verdict = this->heartbeats.Judge(*heartbeat);
   if (verdict == HeartbeatVerdict::kTaken) {
     const bool leaves =
-        departs || announcement.target.state == TargetState::kDraining;
+        deregisters || announcement.target.state == TargetState::kDraining;
     if (leaves && std::exchange(this->departed, announcement.instance) !=
                       announcement.instance) {
       LogEvent(
           LogLevel::kInfo, "target leaves",
-          {{"instance", announcement.instance}, {"deregistered", departs}});
-      this->departures.Record({announcement.instance,
-                               this->heartbeats.BornOf(announcement.instance)});
+          {{"instance", announcement.instance}, {"deregistered", deregisters}});
+      this->deregistrations.Record(
+          {announcement.instance,
+           this->heartbeats.BornOf(announcement.instance)});
     }
-    if (departs) {
+    if (deregisters) {
       this->serving.Drain(announcement.instance);
     } else {
       this->serving.Announce(announcement);
@@ -281,21 +285,21 @@
     LogEvent(LogLevel::kInfo, "heartbeat left out",
              {{"instance", announcement.instance},
               {"sequence", heartbeat->sequence},
-              {"born", heartbeat->born}});
+              {"born", heartbeat->started_at_ms}});
   }
   responder->Send({kOk, {{"content-type", "application/json"}}, "{}"});
 }
 
 bool MeshNode::Ready() const {
   return !this->leaving && this->members.Joined() &&
-         this->policy.InForce().Version() > 0;
+         this->policy.Active().Version() > 0;
 }
 
 void MeshNode::HandleReady(const std::shared_ptr<Responder> &responder) {
   const bool ready = this->Ready();
   if (std::exchange(this->was_ready, ready) != ready) {
     LogEvent(LogLevel::kInfo, ready ? "ready" : "not ready",
-             {{"version", this->policy.InForce().Version()},
+             {{"version", this->policy.Active().Version()},
               {"joined", this->members.Joined()},
               {"leaving", this->leaving}});
   }
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -143,7 +143,7 @@
 
 Reason Outbound::Admit(const HttpRequest &request, CallerRequest &caller,
                        Entry &entry) {
-  const HostTable &table = this->parts.policy.InForce();
+  const HostTable &table = this->parts.policy.Active();
   entry.version = table.Version();
   // Without a configuration nothing can be said of routes and keys.
   if (entry.version == 0) return Reason::kStaleConfig;
@@ -166,7 +166,8 @@
     envelope.regions = route->regions;
   }
   if (entry.id.empty()) {
-    entry.id = MintRequestId(this->loop.GetClock().Wall(), this->parts.random);
+    entry.id =
+        MintRequestId(this->loop.GetClock().WallNow(), this->parts.random);
   }
   envelope.root_id = entry.id;
   entry.service = this->ChoosePart(*route);
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -40,8 +40,9 @@
 
 void PolicyFollower::Start(std::function<void()> given) {
   this->changed = std::move(given);
-  this->members.OnZones(
-      [this](const ZoneWithdrawals &word) { this->TakeZones(word, "peer"); });
+  this->members.OnZones([this](const ZoneWithdrawals &withdrawals) {
+    this->TakeZones(withdrawals, "peer");
+  });
   this->members.OnVersion([this](NodeId peer, std::uint64_t version) {
     this->PeerVersion(peer, version);
   });
@@ -52,7 +53,7 @@
 void PolicyFollower::Check() {
   if (this->asking) return;
   // Peers of V1 tell of the document, but not of zones.
-  const bool whole = this->table.Version() > 0 && this->zones.Known();
+  const bool whole = this->table.Version() > 0 && this->zones.HasRevision();
   const bool lacks = !whole && this->loop.GetClock().Now() >= this->first_read;
   const bool joined = this->members.Joined();
   if (!lacks && !(joined && this->members.WatcherRole().Asks())) {
@@ -82,8 +83,8 @@
     }
     this->Heard();
     auto &stored = std::get<StoredDocument>(reply);
-    this->position = stored.position;
-    this->watched = After({}, stored.position, stored.zones);
+    this->revision = stored.revision;
+    this->watched = ApplyZoneChanges({}, stored.revision, stored.zones);
     this->TakeZones(this->watched, "store");
     this->watching = true;
     // Where the store has none yet, peers will tell of the first one.
@@ -95,26 +96,27 @@
 
 void PolicyFollower::Await() {
   const Duration wait = this->members.WatcherRole().NextWatch(this->random);
-  this->source.Await(this->position, wait, [this](PolicySource::Reply reply) {
+  this->source.Await(this->revision, wait, [this](PolicySource::Reply reply) {
     if (const auto *error = std::get_if<StorageError>(&reply)) {
       this->Failed(*error);
       return;
     }
     this->Heard();
     auto &stored = std::get<StoredDocument>(reply);
-    this->position = std::max(this->position, stored.position);
-    this->watched = After(this->watched, this->position, stored.zones);
+    this->revision = std::max(this->revision, stored.revision);
+    this->watched =
+        ApplyZoneChanges(this->watched, this->revision, stored.zones);
     this->TakeZones(this->watched, "store");
     if (stored.text) this->Take(std::move(*stored.text), "store");
     this->Check();
   });
 }
 
-void PolicyFollower::TakeZones(const ZoneWithdrawals &word,
+void PolicyFollower::TakeZones(const ZoneWithdrawals &withdrawals,
                                std::string_view origin) {
-  const std::uint64_t before = this->zones.Newest().position;
-  const bool other = this->zones.Take(word);
-  if (this->zones.Newest().position == before) return;
+  const std::uint64_t before = this->zones.Newest().revision;
+  const bool other = this->zones.Take(withdrawals);
+  if (this->zones.Newest().revision == before) return;
   this->members.Get().SetZones(this->zones.Newest());
   if (!other) return;
   std::map<std::string, Time> since;
@@ -126,7 +128,7 @@
   this->withdrawn_since = std::move(since);
   LogEvent(LogLevel::kInfo, "zones withdrawn",
            {{"zones", this->zones.Newest().zones},
-            {"position", this->zones.Newest().position},
+            {"position", this->zones.Newest().revision},
             {"before", before},
             {"origin", origin}});
   this->changed();
--- a/src/pollenring/mesh/policy_follower.h
+++ b/src/pollenring/mesh/policy_follower.h
@@ -53,9 +53,7 @@
   }
 
   /*! @brief The configuration in force; version 0 declares nothing. */
-  [[nodiscard]] const HostTable &InForce() const noexcept {
-    return this->table;
-  }
+  [[nodiscard]] const HostTable &Active() const noexcept { return this->table; }
 
   /*! @brief Since when this node knows that a zone is withdrawn. @return By
    * zone. */
@@ -87,7 +85,7 @@
   void Failed(StorageError error);
   void Heard();
   void Take(std::string text, std::string_view origin);
-  void TakeZones(const ZoneWithdrawals &word, std::string_view origin);
+  void TakeZones(const ZoneWithdrawals &withdrawals, std::string_view origin);
   void PeerVersion(NodeId peer, std::uint64_t version);
   void Pull(NodeId peer);
   void Spread();
@@ -105,12 +103,12 @@
   std::map<std::string, Time> withdrawn_since;
   ZoneWithdrawals watched; /*!< What this node's own watch has told so far. */
   std::function<void()> changed;
-  std::uint64_t position{};
+  std::uint64_t revision{};
   Time last_store_contact{};
   Duration pause{};
   Time first_read{}; /*!< When a node without a document reads the store. */
   bool asking{};     /*!< A call to the store, or a pause after one, is on. */
-  bool watching{};   /*!< No change since `position` was missed. */
+  bool watching{};   /*!< No change since `revision` was missed. */
   bool store_lost{};
   bool pulling{};
 };
--- a/src/pollenring/node/config_service.cc
+++ b/src/pollenring/node/config_service.cc
@@ -46,7 +46,7 @@
 
 std::optional<WorkspaceRateLimit> ConfigService::RateOf(
     const std::string &workspace) const {
-  const WorkspaceRateLimit *share = this->ledger.InForce().ShareOf(workspace);
+  const WorkspaceRateLimit *share = this->ledger.Active().ShareOf(workspace);
   if (share == nullptr) return std::nullopt;
   return *share;
 }
--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -322,8 +322,8 @@
   for (const auto &listener : this->version_listeners) listener(peer, version);
 }
 
-void MemberService::PeerZoneWithdrawals(const ZoneWithdrawals &word) {
-  for (const auto &listener : this->zones_listeners) listener(word);
+void MemberService::PeerZoneWithdrawals(const ZoneWithdrawals &withdrawals) {
+  for (const auto &listener : this->zones_listeners) listener(withdrawals);
 }
 
 }  // namespace pollenring
--- a/src/pollenring/node/member_service.h
+++ b/src/pollenring/node/member_service.h
@@ -78,7 +78,7 @@
   void SendGossip(NodeId to, const Gossip &gossip) override;
   void MemberChanged(const Member &member) override;
   void PeerConfigVersion(NodeId peer, std::uint64_t version) override;
-  void PeerZoneWithdrawals(const ZoneWithdrawals &word) override;
+  void PeerZoneWithdrawals(const ZoneWithdrawals &withdrawals) override;
   void RecordsDiffer(NodeId peer) override;
 
  private:
--- a/src/pollenring/node/settings.h
+++ b/src/pollenring/node/settings.h
@@ -53,11 +53,11 @@
 /**
  * @brief Reads a settings file.
  * @param file The file.
- * @param findings Receives all faults.
+ * @param diagnostics Receives all faults.
  * @return The settings; use them only when there are no findings.
  */
 [[nodiscard]] Settings ReadSettings(const SourceFile &file,
-                                    Diagnostics &findings);
+                                    Diagnostics &diagnostics);
 
 }  // namespace pollenring
 
--- a/test/support/member_fleet.h
+++ b/test/support/member_fleet.h
@@ -55,8 +55,9 @@
     void MemberChanged(const Member & /*member*/) override {}
     void PeerConfigVersion(NodeId /*peer*/,
                            std::uint64_t /*version*/) override {}
-    void PeerZoneWithdrawals(const pollenring::ZoneWithdrawals &word) override {
-      if (this->zones.Take(word)) this->membership.SetZones(word);
+    void PeerZoneWithdrawals(
+        const pollenring::ZoneWithdrawals &withdrawals) override {
+      if (this->zones.Take(withdrawals)) this->membership.SetZones(withdrawals);
     }
 
     void RecordsDiffer(NodeId peer) override {
--- a/tools/pollenring-load/scenario.cc
+++ b/tools/pollenring-load/scenario.cc
@@ -13,14 +13,15 @@
 class Reader {
  public:
   Reader(const toml::table &table, const std::string &file,
-         Diagnostics &findings)
-      : table{table}, file{file}, findings{findings} {}
+         Diagnostics &diagnostics)
+      : table{table}, file{file}, diagnostics{diagnostics} {}
 
   void Report(std::string_view key, const std::string &message) {
     const toml::node *node = this->table.get(key);
     const auto &begin =
         (node == nullptr ? this->table.source() : node->source()).begin;
-    this->findings.push_back({{this->file, begin.line, begin.column}, message});
+    this->diagnostics.push_back(
+        {{this->file, begin.line, begin.column}, message});
   }
 
   void Text(std::string_view key, std::string &value) {
@@ -66,7 +67,7 @@
  private:
   const toml::table &table;
   const std::string &file;
-  Diagnostics &findings;
+  Diagnostics &diagnostics;
 };
 
 [[nodiscard]] Caller ReadCaller(Reader reader) {
@@ -94,18 +95,18 @@
 }  // namespace
 
 Scenario ReadScenario(const pollenring::SourceFile &file,
-                      Diagnostics &findings) {
+                      Diagnostics &diagnostics) {
   Scenario scenario;
   toml::table root;
   try {
     root = toml::parse(file.text, file.name);
   } catch (const toml::parse_error &error) {
     const auto &begin = error.source().begin;
-    findings.push_back({{file.name, begin.line, begin.column},
-                        std::string{error.description()}});
+    diagnostics.push_back({{file.name, begin.line, begin.column},
+                           std::string{error.description()}});
     return scenario;
   }
-  Reader reader{root, file.name, findings};
+  Reader reader{root, file.name, diagnostics};
   if (const auto *nodes = root["nodes"].as_array()) {
     for (const auto &item : *nodes) {
       const auto address =
@@ -131,7 +132,7 @@
     if (array == nullptr) return;
     for (const auto &item : *array) {
       const auto *table = item.as_table();
-      if (table != nullptr) read(Reader{*table, file.name, findings});
+      if (table != nullptr) read(Reader{*table, file.name, diagnostics});
     }
   };
   each("caller", [&](const Reader &item) {
--- a/tools/pollenring-load/scenario.h
+++ b/tools/pollenring-load/scenario.h
@@ -51,11 +51,11 @@
 /**
  * @brief Reads a scenario.
  * @param file The file.
- * @param findings Receives all faults.
+ * @param diagnostics Receives all faults.
  * @return The scenario; use it only when there are no findings.
  */
 [[nodiscard]] Scenario ReadScenario(const pollenring::SourceFile &file,
-                                    pollenring::Diagnostics &findings);
+                                    pollenring::Diagnostics &diagnostics);
 
 }  // namespace load
 
