Rename lot to sub_priority

A request's "lot" reads as a batch or a quantity, while it is the second part of its compound priority, below the importance.

Now lot -> sub_priority in Ticket, CallEnvelope, Standing, PriorityOf and StandingOf, and LotOf -> SubPriorityOf.

Identifiers and their comments only: comparing the code tokens before and after this commit shows just these names, with no string, order or logic touched.

--- a/src/pollenring/admission/fit_level.cc
+++ b/src/pollenring/admission/fit_level.cc
@@ -27,7 +27,7 @@
 
 void FitLevel::Offered(const Ticket &ticket) {
   const double place =
-      PriorityOf(ticket.importance, ticket.lot) * kBinsPerImportance;
+      PriorityOf(ticket.importance, ticket.sub_priority) * kBinsPerImportance;
   const auto bin = std::min(static_cast<std::size_t>(place), kBins - 1);
   this->offered[bin] += 1;
 }
--- a/src/pollenring/admission/shed_levels.cc
+++ b/src/pollenring/admission/shed_levels.cc
@@ -85,7 +85,7 @@
 }
 
 void ShedLevels::Steer(const Claim &claim, int importance) {
-  // Lots are spread evenly above the level that is in force already.
+  // Sub-priorities are spread evenly above the level that is in force already.
   const double base = static_cast<double>(importance);
   const double cut = std::clamp(claim.workspace->level - base, 0.0, 1.0);
   const double kept = std::min(1.0, (1 - cut) * claim.due / claim.offered);
--- a/src/pollenring/admission/shed_levels.h
+++ b/src/pollenring/admission/shed_levels.h
@@ -13,13 +13,14 @@
 
 namespace pollenring {
 
-/*! @brief Places a request on one scale: importance first, then its lot.
+/*! @brief Places a request on one scale: importance first, then its
+ * sub-priority.
  * @param importance Importance.
- * @param lot The root's lot, in [0, 1).
+ * @param sub_priority The root's sub-priority, in [0, 1).
  * @return A value from 0 to below 4; lower values are shed first. */
 [[nodiscard]] inline double PriorityOf(Importance importance,
-                                       double lot) noexcept {
-  return static_cast<double>(importance) + lot;
+                                       double sub_priority) noexcept {
+  return static_cast<double>(importance) + sub_priority;
 }
 
 /**
@@ -28,8 +29,8 @@
  *
  * When a service sheds, what it can serve is given to the most important
  * requests first and, within one importance, to workspaces by their weights;
- * what one does not use goes to the others. All parts of a root share its lot,
- * so that services agree on which roots to refuse.
+ * what one does not use goes to the others. All parts of a root share its
+ * sub-priority, so that services agree on which roots to refuse.
  */
 class ShedLevels final : public LevelControl {
  public:
--- a/src/pollenring/admission/ticket.h
+++ b/src/pollenring/admission/ticket.h
@@ -13,10 +13,10 @@
 struct Ticket {
   std::uint64_t id{};
   Importance importance{Importance::kNormal};
-  double lot{};        /*!< Same for all parts of one root, in [0, 1). */
-  double weight{1};    /*!< The workspace's part, by its contracted rate. */
-  int depth{};         /*!< 0 for a root request. */
-  Time root_started{}; /*!< Earlier roots have more work invested. */
+  double sub_priority{}; /*!< Same for all parts of one root, in [0, 1). */
+  double weight{1};      /*!< The workspace's part, by its contracted rate. */
+  int depth{};           /*!< 0 for a root request. */
+  Time root_started{};   /*!< Earlier roots have more work invested. */
   std::string workspace;
   Time deadline{};
   Time aim{}; /*!< By when an answer is worth most. */
--- a/src/pollenring/contract/host_policy.cc
+++ b/src/pollenring/contract/host_policy.cc
@@ -55,17 +55,18 @@
 
 Standing HostTable::StandingOf(const HostRoute &route,
                                const KeyedWorkspace *workspace,
-                               double lot) const noexcept {
+                               double sub_priority) const noexcept {
   const int by_route = static_cast<int>(ImportanceOf(route.rank));
   const auto &upper = this->upper_ranks;
   const auto found =
       workspace == nullptr || !workspace->rank
           ? upper.end()
           : std::find(upper.begin(), upper.end(), *workspace->rank);
-  if (found == upper.end()) return {static_cast<Importance>(by_route), lot};
+  if (found == upper.end())
+    return {static_cast<Importance>(by_route), sub_priority};
   constexpr int kRouteLevels = static_cast<int>(Importance::kHigh) + 1;
   const auto above = static_cast<double>(found - upper.begin());
-  const double place = above + (by_route + lot) / kRouteLevels;
+  const double place = above + (by_route + sub_priority) / kRouteLevels;
   return {Importance::kCritical, place / static_cast<double>(upper.size())};
 }
 
--- a/src/pollenring/contract/host_policy.h
+++ b/src/pollenring/contract/host_policy.h
@@ -47,7 +47,7 @@
 /*! @brief A request's place among all others, see `PriorityOf`. */
 struct Standing {
   Importance importance{Importance::kNormal};
-  double lot{}; /*!< In [0, 1). */
+  double sub_priority{}; /*!< In [0, 1). */
 };
 
 /*! @brief How long targets are cold after a start, and what they bear then. */
@@ -114,12 +114,12 @@
    * nearly all of them, have their routes' ranks alone.
    * @param route The request's route.
    * @param workspace Its workspace, or null.
-   * @param lot The request's lot.
+   * @param sub_priority The request's sub-priority.
    * @return The place.
    */
   [[nodiscard]] Standing StandingOf(const HostRoute &route,
                                     const KeyedWorkspace *workspace,
-                                    double lot) const noexcept;
+                                    double sub_priority) const noexcept;
 
   /**
    * @brief Finds how a service's targets start.
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -38,7 +38,7 @@
 /*! @brief Longest wait of a request whose caller and route name none. */
 constexpr Span kDefaultTimeout = std::chrono::seconds{10};
 
-[[nodiscard]] double LotOf(const std::string &id) noexcept {
+[[nodiscard]] double SubPriorityOf(const std::string &id) noexcept {
   return static_cast<double>(Hash64(id) >> 11U) * kLotScale;
 }
 
@@ -177,9 +177,9 @@
   envelope.caller = this->service;
   envelope.aim_us = route->target_latency.count();
   const Standing standing =
-      table.StandingOf(*route, workspace, LotOf(entry.id));
+      table.StandingOf(*route, workspace, SubPriorityOf(entry.id));
   envelope.importance = standing.importance;
-  envelope.lot = standing.lot;
+  envelope.sub_priority = standing.sub_priority;
   envelope.idempotent = route->idempotent;
   envelope.retries = kAllowance;
   entry.attempts = route->attempts;
@@ -207,7 +207,7 @@
   entry.parent_id = parent->envelope.root_id;
   this->parts.serving.BeginSubCall(parent->id);
   envelope.importance = parent->envelope.importance;
-  envelope.lot = parent->envelope.lot;
+  envelope.sub_priority = parent->envelope.sub_priority;
   envelope.repeat = parent->envelope.repeat;
   envelope.workspace = parent->envelope.workspace;
   envelope.weight = parent->envelope.weight;
@@ -235,7 +235,7 @@
 
 bool Outbound::ShedsEarly(Entry &entry) const {
   const CallEnvelope &envelope = entry.envelope;
-  entry.priority = PriorityOf(envelope.importance, envelope.lot);
+  entry.priority = PriorityOf(envelope.importance, envelope.sub_priority);
   if (envelope.depth > 0) return false;
   WayLevel highest = this->parts.levels.HighestOn(entry.workspace, entry.route);
   if (entry.priority >= highest.level) return false;
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -17,7 +17,7 @@
 constexpr std::size_t kShortestKeySearched = 8;
 constexpr double kLotScale = 1.0 / 9007199254740992.0;
 
-[[nodiscard]] double LotOf(const std::string &root_id) noexcept {
+[[nodiscard]] double SubPriorityOf(const std::string &root_id) noexcept {
   return static_cast<double>(Hash64(root_id) >> 11U) * kLotScale;
 }
 
@@ -134,7 +134,7 @@
   root.envelope.path = std::move(path);
   root.envelope.importance = route->importance;
   root.envelope.idempotent = route->idempotent;
-  root.envelope.lot = LotOf(root.envelope.root_id);
+  root.envelope.sub_priority = SubPriorityOf(root.envelope.root_id);
   const WorkspaceShare *share = policy.ShareOf(root.envelope.workspace);
   if (share != nullptr) root.envelope.weight = share->rate;
   root.envelope.retries = route->retries;
@@ -159,7 +159,8 @@
   const double level =
       this->parts.levels.HighestOn(root.envelope.workspace, root.route_name)
           .level;
-  return PriorityOf(root.envelope.importance, root.envelope.lot) < level;
+  return PriorityOf(root.envelope.importance, root.envelope.sub_priority) <
+         level;
 }
 
 void Ingress::Charge(const RootPtr &root) {
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -73,7 +73,7 @@
   Ticket ticket;
   ticket.id = id;
   ticket.importance = kept.importance;
-  ticket.lot = kept.lot;
+  ticket.sub_priority = kept.sub_priority;
   ticket.weight = kept.weight;
   ticket.depth = kept.depth;
   ticket.root_started = call.served.root_started;
--- a/src/pollenring/node/target_port.cc
+++ b/src/pollenring/node/target_port.cc
@@ -100,7 +100,7 @@
   envelope.headers = PassableHeaders(request.headers);
   envelope.importance = parent.envelope.importance;
   envelope.idempotent = route->idempotent;
-  envelope.lot = parent.envelope.lot;
+  envelope.sub_priority = parent.envelope.sub_priority;
   envelope.weight = parent.envelope.weight;
   envelope.depth = parent.envelope.depth + 1;
   envelope.root_age_us =
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -99,7 +99,7 @@
   bool idempotent{true};
   bool repeat{};    /*!< A retry, or a call on behalf of one. */
   bool keyed{true}; /*!< The caller itself has shown the workspace's key. */
-  double lot{};
+  double sub_priority{};
   double weight{1}; /*!< The workspace's part of what is left. */
   std::int32_t depth{};
   std::int64_t remaining_us{};
@@ -119,10 +119,11 @@
         Field{6, value.host}, Field{7, value.route}, Field{8, value.caller},
         Field{9, value.headers}, Field{10, value.regions},
         Field{11, value.importance}, Field{12, value.idempotent},
-        Field{13, value.repeat}, Field{14, value.keyed}, Field{15, value.lot},
-        Field{16, value.weight}, Field{17, value.depth},
-        Field{18, value.remaining_us}, Field{19, value.root_age_us},
-        Field{20, value.aim_us}, Field{21, value.retries});
+        Field{13, value.repeat}, Field{14, value.keyed},
+        Field{15, value.sub_priority}, Field{16, value.weight},
+        Field{17, value.depth}, Field{18, value.remaining_us},
+        Field{19, value.root_age_us}, Field{20, value.aim_us},
+        Field{21, value.retries});
   }
 };
 
@@ -134,7 +135,7 @@
     return std::tie(value.root_id, value.workspace, value.service, value.method,
                     value.path, value.host, value.route, value.caller,
                     value.headers, value.importance, value.idempotent,
-                    value.repeat, value.keyed, value.lot, value.weight,
+                    value.repeat, value.keyed, value.sub_priority, value.weight,
                     value.depth, value.remaining_us, value.root_age_us,
                     value.aim_us, value.retries);
   }
@@ -145,12 +146,12 @@
   static constexpr bool kFrozen = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
-    return std::tie(value.root_id, value.workspace, value.service, value.method,
-                    value.path, value.host, value.route, value.caller,
-                    value.headers, value.regions, value.importance,
-                    value.idempotent, value.repeat, value.keyed, value.lot,
-                    value.weight, value.depth, value.remaining_us,
-                    value.root_age_us, value.aim_us, value.retries);
+    return std::tie(
+        value.root_id, value.workspace, value.service, value.method, value.path,
+        value.host, value.route, value.caller, value.headers, value.regions,
+        value.importance, value.idempotent, value.repeat, value.keyed,
+        value.sub_priority, value.weight, value.depth, value.remaining_us,
+        value.root_age_us, value.aim_us, value.retries);
   }
 };
 
--- a/test/pollenring/admission/cold_gate_test.cc
+++ b/test/pollenring/admission/cold_gate_test.cc
@@ -121,7 +121,7 @@
         if (!this->random.Chance(std::min(1.0, due))) continue;
         Ticket ticket;
         ticket.id = ++this->last;
-        ticket.lot = this->random.Fraction();
+        ticket.sub_priority = this->random.Fraction();
         ticket.importance = Importance::kNormal;
         ticket.deadline = now + 700ms;
         ticket.aim = now + 300ms;
--- a/test/pollenring/admission/fit_level_test.cc
+++ b/test/pollenring/admission/fit_level_test.cc
@@ -52,13 +52,14 @@
  private:
   void Offer(double &kept, double &all) {
     all += 1;
-    const double lot = this->random.Fraction();
-    const double priority = pollenring::PriorityOf(this->importance, lot);
+    const double sub_priority = this->random.Fraction();
+    const double priority =
+        pollenring::PriorityOf(this->importance, sub_priority);
     if (priority < this->level.LevelOf({}) * this->heard) return;
     kept += 1;
     Ticket ticket;
     ticket.importance = this->importance;
-    ticket.lot = lot;
+    ticket.sub_priority = sub_priority;
     this->under_way.push_back({this->clock.Now() + this->way, ticket});
   }
 
--- a/test/pollenring/contract/host_policy_test.cc
+++ b/test/pollenring/contract/host_policy_test.cc
@@ -24,13 +24,14 @@
 
 /*! @brief Priority of a workspace's request on a route of a rank. */
 [[nodiscard]] double Place(const HostTable &table, const std::string &key,
-                           int route_rank, double lot) {
+                           int route_rank, double sub_priority) {
   HostRoute route;
   route.rank = route_rank;
-  const auto place = table.StandingOf(route, table.WorkspaceOf(key), lot);
-  CHECK(place.lot >= 0);
-  CHECK(place.lot < 1);
-  return PriorityOf(place.importance, place.lot);
+  const auto place =
+      table.StandingOf(route, table.WorkspaceOf(key), sub_priority);
+  CHECK(place.sub_priority >= 0);
+  CHECK(place.sub_priority < 1);
+  return PriorityOf(place.importance, place.sub_priority);
 }
 
 }  // namespace
@@ -47,7 +48,7 @@
   CHECK(table.WorkspacesRanked());
   CHECK(Place(table, "k0", 2, 0) > Place(table, "k1", 0, 0.99));
   CHECK(Place(table, "k1", 2, 0) > Place(table, "k4", 0, 0.99));
-  // Alike in that, their routes decide, and the lot after them.
+  // Alike in that, their routes decide, and the sub-priority after them.
   for (const std::string key : {"k0", "k1", "k4"}) {
     CHECK(Place(table, key, 0, 0) > Place(table, key, 1, 0.99));
     CHECK(Place(table, key, 1, 0) > Place(table, key, 2, 0.99));
@@ -70,7 +71,7 @@
       table.StandingOf(Route("r", "a", "/"), table.WorkspaceOf("k0"), 0.25);
   CHECK_FALSE(table.WorkspacesRanked());
   CHECK(place.importance == Importance::kHigh);
-  CHECK(place.lot == 0.25);
+  CHECK(place.sub_priority == 0.25);
   CHECK(Place(table, "k0", 0, 0) > Place(table, "k1", 1, 0.99));
 }
 
--- a/test/support/golden_values.h
+++ b/test/support/golden_values.h
@@ -82,7 +82,7 @@
   envelope.idempotent = false;
   envelope.repeat = true;
   envelope.keyed = true;
-  envelope.lot = 0.625;
+  envelope.sub_priority = 0.625;
   envelope.weight = 0.25;
   envelope.depth = 2;
   envelope.remaining_us = 1'400'000;
--- a/tools/pollenring-bench/forms.cc
+++ b/tools/pollenring-bench/forms.cc
@@ -83,7 +83,7 @@
                      MSGPACK_NVP("i", headers), MSGPACK_NVP("j", regions),
                      MSGPACK_NVP("k", importance), MSGPACK_NVP("l", idempotent),
                      MSGPACK_NVP("m", repeat), MSGPACK_NVP("n", keyed),
-                     MSGPACK_NVP("o", lot), MSGPACK_NVP("p", weight),
+                     MSGPACK_NVP("o", sub_priority), MSGPACK_NVP("p", weight),
                      MSGPACK_NVP("q", depth), MSGPACK_NVP("r", remaining_us),
                      MSGPACK_NVP("s", root_age_us), MSGPACK_NVP("t", aim_us),
                      MSGPACK_NVP("u", retries))
@@ -132,7 +132,7 @@
   envelope.headers = {{"content-type", "application/json"},
                       {"accept", "application/json"},
                       {"user-agent", "gather/1"}};
-  envelope.lot = 0.625;
+  envelope.sub_priority = 0.625;
   envelope.remaining_us = 1'400'000;
   envelope.root_age_us = 90'000;
   envelope.aim_us = 400'000;
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -54,7 +54,7 @@
     ticket.id = ++id;
     ticket.workspace = Name(id % workspaces);
     ticket.deadline = clock.Now() + std::chrono::seconds{2};
-    ticket.lot = 0.5;
+    ticket.sub_priority = 0.5;
     for (const auto started : admission.Offer(ticket).start) {
       running.push_back(started);
     }
