Rename aim to soft_deadline

An "aim" says nothing of time, while it is the moment by which an answer is worth most, ahead of the deadline after which it is worth nothing.

Now aim -> soft_deadline in Ticket, Dispatcher::Job and the locals and parameters that hold it. Test titles are strings and stay.

Identifiers and their comments only: comparing the code tokens before and after this commit shows just these names, with no string, order or logic touched.

--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -38,7 +38,7 @@
 /*! @brief Which waiting request is next. */
 enum class QueueOrder {
   kFair, /*!< By importance, then by workspaces' weights. */
-  kAim   /*!< The one whose aim is nearest. */
+  kAim   /*!< The one whose soft deadline is nearest. */
 };
 
 /*! @brief Limits of admission. */
--- a/src/pollenring/admission/aim_queue.cc
+++ b/src/pollenring/admission/aim_queue.cc
@@ -5,12 +5,14 @@
 namespace pollenring {
 
 AimQueue::WorthKey AimQueue::WorthOf(const Ticket &ticket) noexcept {
-  return {ticket.Invested(), ticket.importance, -ticket.aim, ticket.id};
+  return {ticket.Invested(), ticket.importance, -ticket.soft_deadline,
+          ticket.id};
 }
 
 Importance AimQueue::Lowest() const noexcept {
   if (this->by_worth.empty()) return Importance::kCritical;
-  const auto &[invested, importance, aim, id] = *this->by_worth.begin();
+  const auto &[invested, importance, soft_deadline, id] =
+      *this->by_worth.begin();
   // Any root may be turned away without loss.
   return invested ? Importance::kCritical
                   : std::min(importance, Importance::kHigh);
@@ -18,7 +20,7 @@
 
 void AimQueue::Push(const Ticket &ticket) {
   this->by_id.emplace(ticket.id, ticket);
-  this->by_aim.emplace(ticket.aim, ticket.id);
+  this->by_aim.emplace(ticket.soft_deadline, ticket.id);
   this->by_deadline.emplace(ticket.deadline, ticket.id);
   this->by_worth.insert(WorthOf(ticket));
 }
@@ -41,7 +43,7 @@
   const auto found = this->by_id.find(id);
   if (found == this->by_id.end()) return false;
   const Ticket &ticket = found->second;
-  this->by_aim.erase({ticket.aim, id});
+  this->by_aim.erase({ticket.soft_deadline, id});
   this->by_deadline.erase({ticket.deadline, id});
   this->by_worth.erase(WorthOf(ticket));
   this->by_id.erase(found);
--- a/src/pollenring/admission/aim_queue.h
+++ b/src/pollenring/admission/aim_queue.h
@@ -10,11 +10,11 @@
 namespace pollenring {
 
 /**
- * @brief Waiting requests, the one whose aim is nearest first.
+ * @brief Waiting requests, the one whose soft deadline is nearest first.
  *
- * A short request with a near aim passes long ones that have time, and costs
- * them little. Shed first is the least important root; calls on behalf of a
- * request that was let in above go last.
+ * A short request with a near soft deadline passes long ones that have time,
+ * and costs them little. Shed first is the least important root; calls on
+ * behalf of a request that was let in above go last.
  */
 class AimQueue final : public TicketQueue {
  public:
@@ -30,7 +30,7 @@
 
  private:
   using AimKey = std::pair<Time, std::uint64_t>;
-  /*! @brief Invested work, importance, then the latest aim first. */
+  /*! @brief Invested work, importance, then the latest soft deadline first. */
   using WorthKey = std::tuple<bool, Importance, Time, std::uint64_t>;
 
   [[nodiscard]] static WorthKey WorthOf(const Ticket &ticket) noexcept;
--- a/src/pollenring/admission/ticket.h
+++ b/src/pollenring/admission/ticket.h
@@ -19,7 +19,7 @@
   Time root_started{};   /*!< Earlier roots have more work invested. */
   std::string workspace;
   Time deadline{};
-  Time aim{}; /*!< By when an answer is worth most. */
+  Time soft_deadline{}; /*!< By when an answer is worth most. */
 
   /*! @brief Whether work was done above this request already. */
   [[nodiscard]] bool Invested() const noexcept { return this->depth > 0; }
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -25,7 +25,8 @@
  * all would wait and no more be served; alike for all routes, as those that
  * wait longer would take it from those that need their answers soon. */
 constexpr Span kShareWait = std::chrono::milliseconds{25};
-/*! @brief Divides a request's aim: the most of it that may be spent so. */
+/*! @brief Divides a request's soft deadline: the most of it that may be spent
+ * so. */
 constexpr int kShareWaitPart = 4;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
@@ -256,8 +257,8 @@
     this->Send(entry, {});
     return;
   }
-  const Span aim{entry->envelope.aim_us};
-  const Span wait = std::min(kShareWait, aim / kShareWaitPart);
+  const Span soft_deadline{entry->envelope.aim_us};
+  const Span wait = std::min(kShareWait, soft_deadline / kShareWaitPart);
   const RenewCharge charge = [this, entry, wait](ShareGate::Done done) {
     const Time next_share = this->loop.GetClock().Now() + wait;
     this->parts.shares.Charge(
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -74,7 +74,7 @@
   Job &job = this->jobs[id];
   job.allowance = RetryAllowance{envelope.retries};
   job.root_started = this->loop.GetClock().Now() - Span{envelope.root_age_us};
-  job.aim = this->loop.GetClock().Now() + Span{envelope.aim_us};
+  job.soft_deadline = this->loop.GetClock().Now() + Span{envelope.aim_us};
   job.envelope = std::move(envelope);
   job.body = std::move(body);
   job.bounds = std::move(bounds);
@@ -156,7 +156,7 @@
   job.sent = now;
   job.envelope.remaining_us = left.count();
   job.envelope.root_age_us = (now - job.root_started).count();
-  job.envelope.aim_us = (job.aim - now).count();
+  job.envelope.aim_us = (job.soft_deadline - now).count();
   job.envelope.retries = job.slice;
   const std::uint64_t attempt = job.attempt;
   if (job.node == this->self) {
--- a/src/pollenring/node/dispatcher.h
+++ b/src/pollenring/node/dispatcher.h
@@ -101,7 +101,7 @@
     std::string body;
     CallBounds bounds; /*!< Its targets are those that it may still reach. */
     Time root_started{};
-    Time aim{};
+    Time soft_deadline{};
     Time sent{};
     RetryAllowance allowance;
     int slice{};
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -79,7 +79,7 @@
   ticket.root_started = call.served.root_started;
   ticket.workspace = kept.workspace;
   ticket.deadline = call.served.deadline;
-  ticket.aim = now + Span{kept.aim_us};
+  ticket.soft_deadline = now + Span{kept.aim_us};
   this->Offer(found->second, ticket);
   return id;
 }
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -104,7 +104,7 @@
   std::int32_t depth{};
   std::int64_t remaining_us{};
   std::int64_t root_age_us{};
-  std::int64_t aim_us{}; /*!< Until the aim of the call itself. */
+  std::int64_t aim_us{}; /*!< Until the soft deadline of the call itself. */
   std::int32_t retries{};
 };
 
--- a/test/pollenring/admission/admission_test.cc
+++ b/test/pollenring/admission/admission_test.cc
@@ -222,8 +222,8 @@
   const auto offer = [&](Importance importance, Span left) {
     Ticket ticket = Make(importance, "w");
     ticket.id = ++id;
-    ticket.aim = clock.Now() + left;
-    ticket.deadline = ticket.aim;
+    ticket.soft_deadline = clock.Now() + left;
+    ticket.deadline = ticket.soft_deadline;
     return admission.Offer(ticket);
   };
   const auto finish = [&](std::uint64_t which, Span after) {
@@ -290,9 +290,10 @@
       Ticket ticket = Make(static_cast<Importance>(random.Index(4)), "w");
       ticket.id = id;
       ticket.depth = static_cast<int>(random.Index(2));
-      ticket.aim = clock.Now() + std::chrono::milliseconds{random.Index(900)};
+      ticket.soft_deadline =
+          clock.Now() + std::chrono::milliseconds{random.Index(900)};
       ticket.deadline =
-          ticket.aim + std::chrono::milliseconds{random.Index(900)};
+          ticket.soft_deadline + std::chrono::milliseconds{random.Index(900)};
       AdmissionActions actions;
       REQUIRE_NOTHROW(actions = admission.Offer(ticket));
       const auto shed =
--- a/test/pollenring/admission/aim_queue_test.cc
+++ b/test/pollenring/admission/aim_queue_test.cc
@@ -9,12 +9,12 @@
 using pollenring::Importance;
 using pollenring::Ticket;
 
-[[nodiscard]] Ticket Waiting(std::uint64_t id, pollenring::Time aim,
+[[nodiscard]] Ticket Waiting(std::uint64_t id, pollenring::Time soft_deadline,
                              Importance importance, int depth) {
   Ticket ticket;
   ticket.id = id;
-  ticket.aim = aim;
-  ticket.deadline = aim + 1s;
+  ticket.soft_deadline = soft_deadline;
+  ticket.deadline = soft_deadline + 1s;
   ticket.importance = importance;
   ticket.depth = depth;
   return ticket;
--- a/test/pollenring/admission/cold_gate_test.cc
+++ b/test/pollenring/admission/cold_gate_test.cc
@@ -124,7 +124,7 @@
         ticket.sub_priority = this->random.Fraction();
         ticket.importance = Importance::kNormal;
         ticket.deadline = now + 700ms;
-        ticket.aim = now + 300ms;
+        ticket.soft_deadline = now + 300ms;
         this->Do(this->admission.Offer(ticket));
       }
       this->Do(this->admission.Tick());
