Rename two signs of a target's answer

"promises" and "elsewhere" leave open who promises what and where: the one is a status that tells the caller its call has not run, the other an answer of another start of the target.

Now AnswerSigns::promises -> implies_not_executed and AnswerSigns::elsewhere -> wrong_instance.

Identifiers and their comments only: comparing the code tokens before and after this commit shows just these names, with no string, order or logic touched.

--- a/src/pollenring/node/target_dialect.cc
+++ b/src/pollenring/node/target_dialect.cc
@@ -13,11 +13,11 @@
 }  // namespace
 
 TargetVerdict JudgeAnswer(const AnswerSigns &signs, int status) noexcept {
-  if (signs.elsewhere) return {Outcome::kNotRun, Reason::kNoTarget, false};
+  if (signs.wrong_instance) return {Outcome::kNotRun, Reason::kNoTarget, false};
   if (signs.not_run) return {Outcome::kNotRun, Reason::kTargetBusy, true};
   const bool ok = status >= kFirstOk && status < kFirstRedirect;
   // The call may have run, whatever the answer would make its caller believe.
-  if ((ok && !signs.genuine) || signs.unnamed || signs.promises) {
+  if ((ok && !signs.genuine) || signs.unnamed || signs.implies_not_executed) {
     return {Outcome::kUnknown, Reason::kTargetFailed, false};
   }
   return {Outcome::kRan, Reason::kNone, signs.busy};
--- a/src/pollenring/node/target_dialect.h
+++ b/src/pollenring/node/target_dialect.h
@@ -20,9 +20,10 @@
 
 /*! @brief What an answer says by its status and headers. */
 struct AnswerSigns {
-  bool elsewhere{};   /*!< It comes from another start than was meant. */
-  bool not_run{};     /*!< The target says that it has not run the call. */
-  bool promises{};    /*!< Passed on, it would say that to the caller. */
+  bool wrong_instance{}; /*!< It comes from another start than was meant. */
+  bool not_run{};        /*!< The target says that it has not run the call. */
+  bool implies_not_executed{}; /*!< Passed on, it would say that to the caller.
+                                */
   bool genuine{true}; /*!< It is the target's own, whole, for this call. */
   bool unnamed{};     /*!< It does not name this call, as targets do. */
   bool busy{};        /*!< The target has too much to do. */
--- a/test/pollenring/node/target_dialect_test.cc
+++ b/test/pollenring/node/target_dialect_test.cc
@@ -16,7 +16,7 @@
   CHECK(JudgeAnswer(signs, 200).outcome == Outcome::kRan);
   CHECK(JudgeAnswer(signs, 500).outcome == Outcome::kRan);
   // A bare status would promise the caller what nobody has said.
-  signs.promises = true;
+  signs.implies_not_executed = true;
   CHECK(JudgeAnswer(signs, 503).outcome == Outcome::kUnknown);
   signs.not_run = true;
   CHECK(JudgeAnswer(signs, 503).outcome == Outcome::kNotRun);
@@ -35,7 +35,7 @@
   signs.unnamed = true;
   CHECK(JudgeAnswer(signs, 500).outcome == Outcome::kUnknown);
   CHECK(JudgeAnswer(signs, 500).reason == Reason::kTargetFailed);
-  signs.elsewhere = true;
+  signs.wrong_instance = true;
   CHECK(JudgeAnswer(signs, 421).outcome == Outcome::kNotRun);
   CHECK(JudgeAnswer(signs, 421).reason == Reason::kNoTarget);
 }
