Rename CallEnvelope::keyed and repeat

"keyed" reads like a keyed hash, but says that the caller itself has shown the key of its workspace; "repeat" reads as an order to do so, but marks a retry or a call on behalf of one.

Now CallEnvelope::keyed -> authenticated and CallEnvelope::repeat -> is_retry; the layouts keep their order and numbers.

Identifiers and their comments only: comparing the code tokens before and after this commit shows just these names, with no string, order or logic touched.

--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -193,7 +193,7 @@
 
 void Outbound::Inherit(const CallerRequest &caller, Entry &entry) {
   CallEnvelope &envelope = entry.envelope;
-  envelope.keyed = false;
+  envelope.authenticated = false;
   // Work was done above a target's call, whoever its parent is.
   envelope.depth = 1;
   envelope.importance = Importance::kHigh;
@@ -209,7 +209,7 @@
   this->parts.serving.BeginSubCall(parent->id);
   envelope.importance = parent->envelope.importance;
   envelope.sub_priority = parent->envelope.sub_priority;
-  envelope.repeat = parent->envelope.repeat;
+  envelope.is_retry = parent->envelope.is_retry;
   envelope.workspace = parent->envelope.workspace;
   envelope.weight = parent->envelope.weight;
   envelope.depth = std::min(parent->envelope.depth + 1, kMaxDepth);
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -80,7 +80,7 @@
   job.bounds = std::move(bounds);
   job.redirects_left = kMostRedirects;
   job.done = std::move(done);
-  if (job.envelope.repeat) this->budget.Repeated(job.envelope.service);
+  if (job.envelope.is_retry) this->budget.Repeated(job.envelope.service);
   this->Attempt(id);
   return id;
 }
@@ -250,7 +250,7 @@
     entry.node = job.node;
   }
   const bool ran = reply.outcome == Outcome::kRan;
-  if (ran && !job.envelope.repeat) {
+  if (ran && !job.envelope.is_retry) {
     this->budget.Succeeded(job.envelope.service);
   }
   if (reply.outcome != Outcome::kNotRun) --job.bounds.targets;
@@ -314,7 +314,7 @@
   if (!this->budget.Spend(job.envelope.service)) return false;
   const bool spent = job.allowance.Spend();
   Require(spent, "a retry is paid from the request's allowance");
-  job.envelope.repeat = true;
+  job.envelope.is_retry = true;
   this->metrics.Count("pollenring_retries_total");
   return true;
 }
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -97,8 +97,9 @@
   std::vector<std::string> regions; /*!< Where it may run; empty: anywhere. */
   Importance importance{Importance::kNormal};
   bool idempotent{true};
-  bool repeat{};    /*!< A retry, or a call on behalf of one. */
-  bool keyed{true}; /*!< The caller itself has shown the workspace's key. */
+  bool is_retry{}; /*!< A retry, or a call on behalf of one. */
+  bool authenticated{
+      true}; /*!< The caller itself has shown the workspace's key. */
   double sub_priority{};
   double weight{1}; /*!< The workspace's part of what is left. */
   std::int32_t depth{};
@@ -119,7 +120,7 @@
         Field{6, value.host}, Field{7, value.route}, Field{8, value.caller},
         Field{9, value.headers}, Field{10, value.regions},
         Field{11, value.importance}, Field{12, value.idempotent},
-        Field{13, value.repeat}, Field{14, value.keyed},
+        Field{13, value.is_retry}, Field{14, value.authenticated},
         Field{15, value.sub_priority}, Field{16, value.weight},
         Field{17, value.depth}, Field{18, value.remaining_us},
         Field{19, value.root_age_us}, Field{20, value.aim_us},
@@ -135,9 +136,9 @@
     return std::tie(value.root_id, value.workspace, value.service, value.method,
                     value.path, value.host, value.route, value.caller,
                     value.headers, value.importance, value.idempotent,
-                    value.repeat, value.keyed, value.sub_priority, value.weight,
-                    value.depth, value.remaining_us, value.root_age_us,
-                    value.aim_us, value.retries);
+                    value.is_retry, value.authenticated, value.sub_priority,
+                    value.weight, value.depth, value.remaining_us,
+                    value.root_age_us, value.aim_us, value.retries);
   }
 };
 
@@ -149,7 +150,7 @@
     return std::tie(
         value.root_id, value.workspace, value.service, value.method, value.path,
         value.host, value.route, value.caller, value.headers, value.regions,
-        value.importance, value.idempotent, value.repeat, value.keyed,
+        value.importance, value.idempotent, value.is_retry, value.authenticated,
         value.sub_priority, value.weight, value.depth, value.remaining_us,
         value.root_age_us, value.aim_us, value.retries);
   }
@@ -160,7 +161,7 @@
 [[nodiscard]] inline CallEnvelope WhenMissing<CallEnvelope>() {
   CallEnvelope envelope;
   envelope.idempotent = false;
-  envelope.keyed = false;
+  envelope.authenticated = false;
   return envelope;
 }
 
--- a/test/pollenring/wire/codec_test.cc
+++ b/test/pollenring/wire/codec_test.cc
@@ -37,7 +37,7 @@
   REQUIRE(decoded);
   CHECK(decoded->value.depth == 1);
   CHECK_FALSE(decoded->value.idempotent);
-  CHECK_FALSE(decoded->value.keyed);
+  CHECK_FALSE(decoded->value.authenticated);
   CHECK(decoded->value.importance == pollenring::Importance::kNormal);
   CHECK(decoded->value.remaining_us == 0);
   CHECK(decoded->value.retries == 0);
--- a/test/support/golden_values.h
+++ b/test/support/golden_values.h
@@ -80,8 +80,8 @@
 #endif
   envelope.importance = pollenring::Importance::kHigh;
   envelope.idempotent = false;
-  envelope.repeat = true;
-  envelope.keyed = true;
+  envelope.is_retry = true;
+  envelope.authenticated = true;
   envelope.sub_priority = 0.625;
   envelope.weight = 0.25;
   envelope.depth = 2;
