Rename CallReply::marks to call_path_reports

"marks" is also what tells an answer apart from others; here it is what a node reports of whether the call paths of routes meet a service that sheds.

Now marks -> call_path_reports in CallReply, and for the parameter and the local of RouteLevels that hold the same list.

Identifiers and their comments only: comparing the code tokens before and after this commit shows just these names, with no string, order or logic touched.

--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -282,7 +282,7 @@
       {entry->deadline, entry->attempts, this->loop.GetClock().Now(), renew},
       [this, entry](CallReply reply, std::string body) {
         this->parts.levels.Learn(entry->workspace, entry->route, reply.levels);
-        this->parts.levels.LearnMarks(reply.marks);
+        this->parts.levels.LearnMarks(reply.call_path_reports);
         if (entry->open) {
           this->parts.serving.LearnFrom(entry->route, entry->workspace,
                                         reply.levels);
--- a/src/pollenring/node/route_levels.cc
+++ b/src/pollenring/node/route_levels.cc
@@ -127,24 +127,24 @@
 }
 
 std::vector<WayMark> RouteLevels::Marks(std::size_t most) const {
-  std::vector<WayMark> marks;
+  std::vector<WayMark> call_path_reports;
   const auto scope = this->scopes.find(this->ScopeOf({}));
-  if (scope == this->scopes.end()) return marks;
+  if (scope == this->scopes.end()) return call_path_reports;
   for (const auto &[service, levels] : scope->second) {
     if (!this->Sheds(levels)) continue;
     for (const auto &[route, way] : this->ways) {
       const bool seen = way.requests >= 1 || way.met.count(service) > 0;
       if (!seen) continue;
-      if (marks.size() >= most) return marks;
-      marks.push_back({route, service, Met(way, service)});
+      if (call_path_reports.size() >= most) return call_path_reports;
+      call_path_reports.push_back({route, service, Met(way, service)});
     }
   }
-  return marks;
+  return call_path_reports;
 }
 
-void RouteLevels::LearnMarks(const std::vector<WayMark> &marks) {
+void RouteLevels::LearnMarks(const std::vector<WayMark> &call_path_reports) {
   const Time now = this->clock.Now();
-  for (const auto &mark : marks) {
+  for (const auto &mark : call_path_reports) {
     const auto known = this->ways.find(mark.route);
     if (known == this->ways.end() && !mark.meets) continue;
     Way &way = this->ways[mark.route];
--- a/src/pollenring/node/route_levels.h
+++ b/src/pollenring/node/route_levels.h
@@ -86,7 +86,7 @@
 
   /**
    * @brief Lists what this node has seen of the ways of routes.
-   * @param most Most marks to list.
+   * @param most Most reports to list.
    * @return Which routes meet a service that sheds, and which do not.
    */
   [[nodiscard]] std::vector<WayMark> Marks(std::size_t most) const;
@@ -95,9 +95,9 @@
    * @brief Takes in what another node has seen.
    *
    * Its word counts for routes of which this node has seen few requests.
-   * @param marks What it has seen.
+   * @param call_path_reports What it has seen.
    */
-  void LearnMarks(const std::vector<WayMark> &marks);
+  void LearnMarks(const std::vector<WayMark> &call_path_reports);
 
   /**
    * @brief Finds what sheds most on a route's way.
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -245,7 +245,7 @@
   const CallEnvelope &envelope = served.envelope;
   reply.levels =
       this->levels.Shedding(envelope.workspace, envelope.route, kMostLevels);
-  reply.marks = this->levels.Marks(kMostMarks);
+  reply.call_path_reports = this->levels.Marks(kMostMarks);
   const auto found = this->bindings.find(envelope.service);
   if (found == this->bindings.end()) return;
   const Admission &admission = *found->second.admission;
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -236,8 +236,9 @@
   std::int64_t retry_after_us{};
   LoadReport load;
   std::vector<ServiceLevel> levels;
-  std::vector<WayMark> marks; /*!< Of other requests that the node has seen. */
-  NodeId served_by{}; /*!< Does not travel; known where the call was sent. */
+  std::vector<WayMark>
+      call_path_reports; /*!< Of other requests that the node has seen. */
+  NodeId served_by{};    /*!< Does not travel; known where the call was sent. */
 };
 
 template <>
@@ -245,11 +246,11 @@
   static constexpr bool kGrows = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
-    return std::make_tuple(Field{1, value.outcome}, Field{2, value.reason},
-                           Field{3, value.status}, Field{4, value.headers},
-                           Field{5, value.retries_unspent},
-                           Field{6, value.retry_after_us}, Field{7, value.load},
-                           Field{8, value.levels}, Field{9, value.marks});
+    return std::make_tuple(
+        Field{1, value.outcome}, Field{2, value.reason}, Field{3, value.status},
+        Field{4, value.headers}, Field{5, value.retries_unspent},
+        Field{6, value.retry_after_us}, Field{7, value.load},
+        Field{8, value.levels}, Field{9, value.call_path_reports});
   }
 };
 
@@ -260,7 +261,7 @@
   [[nodiscard]] static auto Fields(Value &value) {
     return std::tie(value.outcome, value.reason, value.status, value.headers,
                     value.retries_unspent, value.retry_after_us, value.load,
-                    value.levels, value.marks);
+                    value.levels, value.call_path_reports);
   }
 };
 
--- a/test/support/golden_values.h
+++ b/test/support/golden_values.h
@@ -108,7 +108,7 @@
   reply.load.cold_ms = 1'500;
 #endif
   reply.levels = {{"planner", 0x7f2a'0101'1b5aU, 1'250, 907, 40, false}};
-  reply.marks = {{"schedule-view", "planner", true}};
+  reply.call_path_reports = {{"schedule-view", "planner", true}};
   return reply;
 }
 
