Rename patience to wait_limit

"patience" hides that it is a limit: the latest times until which a request waits for share, one while holders are not to be found and one for share that is sure to come.

Now patience -> wait_limit for the parameters of Charge and the member of ShareBorrower that keeps it.

Identifiers and their comments only: comparing the code tokens before and after this commit shows just these names, with no string, order or logic touched.

--- a/src/pollenring/node/gates.h
+++ b/src/pollenring/node/gates.h
@@ -84,10 +84,10 @@
   /**
    * @brief Charges one request, now or once a loan of share has arrived.
    * @param workspace The workspace.
-   * @param patience How long the request waits.
+   * @param wait_limit How long the request waits.
    * @param done Called exactly once, possibly from in here.
    */
-  virtual void Charge(const std::string &workspace, Patience patience,
+  virtual void Charge(const std::string &workspace, Patience wait_limit,
                       Done done) = 0;
 };
 
--- a/src/pollenring/node/share_service.cc
+++ b/src/pollenring/node/share_service.cc
@@ -37,10 +37,10 @@
   this->loop.Every(kTick, [this] { this->borrower.Tick(); });
 }
 
-void ShareService::Charge(const std::string &workspace, Patience patience,
+void ShareService::Charge(const std::string &workspace, Patience wait_limit,
                           Done done) {
   this->borrower.Charge(
-      workspace, patience,
+      workspace, wait_limit,
       [done = std::move(done)](const ChargeResult &result) {
         done({result.granted, result.reason, result.retry_after});
       });
--- a/src/pollenring/node/share_service.h
+++ b/src/pollenring/node/share_service.h
@@ -48,7 +48,7 @@
    */
   void Expect(const Handover &handover);
 
-  void Charge(const std::string &workspace, Patience patience,
+  void Charge(const std::string &workspace, Patience wait_limit,
               Done done) override;
   bool SendBorrow(const BorrowRequest &request) override;
   void SlotGained(SlotId slot, const SlotRow &row, SlotOrigin origin,
--- a/src/pollenring/share/borrow.h
+++ b/src/pollenring/share/borrow.h
@@ -27,7 +27,7 @@
   Time next_share{}; /*!< For share that is sure to come then. */
 
   /**
-   * @brief The same patience for both.
+   * @brief The same wait limit for both.
    * @param deadline Latest time for the answer.
    * @return It.
    */
--- a/src/pollenring/share/borrower.cc
+++ b/src/pollenring/share/borrower.cc
@@ -49,7 +49,7 @@
       observer{observer} {}
 
 // The name is a copy: what is called back may change the caller's text.
-void ShareBorrower::Charge(std::string name, Patience patience, Done done) {
+void ShareBorrower::Charge(std::string name, Patience wait_limit, Done done) {
   Workspace &workspace = this->WorkspaceOf(name);
   this->Measure(workspace);
   ++workspace.charges;
@@ -69,7 +69,7 @@
     done({false, Reason::kNoShare, kNoShareRetry});
     return;
   }
-  workspace.waiters.push_back({now, patience, std::move(done)});
+  workspace.waiters.push_back({now, wait_limit, std::move(done)});
   this->Ask(name, workspace);
 }
 
@@ -186,7 +186,7 @@
   // What is granted to those who don't wait for it is lost to all.
   Span longest{0};
   for (const auto &waiter : workspace.waiters) {
-    const Span left = waiter.patience.next_share - this->clock.Now();
+    const Span left = waiter.wait_limit.next_share - this->clock.Now();
     longest = std::max(longest, std::min(left, kLongestEarly));
   }
   std::optional<std::size_t> soonest;
@@ -221,7 +221,7 @@
     Waiter waiter = std::move(workspace.waiters.front());
     workspace.waiters.pop_front();
     const Time ready = this->clock.Now() + wait;
-    if (ready >= waiter.patience.next_share) {
+    if (ready >= waiter.wait_limit.next_share) {
       waiter.done({false, Reason::kOverRate, std::max(wait, Span{1000})});
       continue;
     }
@@ -291,7 +291,7 @@
   std::deque<Waiter> rest;
   for (auto &waiter : workspace.waiters) {
     const bool over =
-        now - waiter.since >= longest || now >= waiter.patience.deadline;
+        now - waiter.since >= longest || now >= waiter.wait_limit.deadline;
     (over ? late : rest).push_back(std::move(waiter));
   }
   workspace.waiters = std::move(rest);
--- a/src/pollenring/share/borrower.h
+++ b/src/pollenring/share/borrower.h
@@ -60,10 +60,10 @@
   /**
    * @brief Charges one request.
    * @param workspace Its workspace.
-   * @param patience How long it waits.
+   * @param wait_limit How long it waits.
    * @param done Called exactly once, now or when a loan or a refusal comes.
    */
-  void Charge(std::string workspace, Patience patience, Done done);
+  void Charge(std::string workspace, Patience wait_limit, Done done);
 
   /**
    * @brief Takes in what a holder lends.
@@ -91,7 +91,7 @@
   };
   struct Waiter {
     Time since{};
-    Patience patience;
+    Patience wait_limit;
     Done done;
   };
   /*! @brief A request that goes when its share has come. */
