Rename RetryBudget::Repeated to RecordRetriedCall

"Repeated" does not say what is counted, and ShareLender has a method of the same name for another thing: here a call on behalf of a retry is recorded against the budget.

Now RetryBudget::Repeated -> RecordRetriedCall, in the interface, both budgets, the dispatcher and the tests; ShareLender::Repeated stays.

--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -80,7 +80,8 @@
   job.bounds = std::move(bounds);
   job.redirects_left = kMostRedirects;
   job.done = std::move(done);
-  if (job.envelope.is_retry) this->budget.Repeated(job.envelope.service);
+  if (job.envelope.is_retry)
+    this->budget.RecordRetriedCall(job.envelope.service);
   this->Attempt(id);
   return id;
 }
--- a/src/pollenring/retry/budget.cc
+++ b/src/pollenring/retry/budget.cc
@@ -23,7 +23,7 @@
   this->AccountOf(service).saved += this->options.share;
 }
 
-void TrafficRetryBudget::Repeated(const std::string &service) {
+void TrafficRetryBudget::RecordRetriedCall(const std::string &service) {
   Account &account = this->AccountOf(service);
   account.saved = std::max(account.saved - 1, -this->options.most_owed);
 }
--- a/src/pollenring/retry/budget.h
+++ b/src/pollenring/retry/budget.h
@@ -26,7 +26,7 @@
    * @brief Counts a call on behalf of a run that was itself a retry.
    * @param service The service that is called.
    */
-  virtual void Repeated(const std::string &service) = 0;
+  virtual void RecordRetriedCall(const std::string &service) = 0;
 
   /*! @brief Spends a retry. @param service Service. @return If allowed. */
   [[nodiscard]] virtual bool Spend(const std::string &service) = 0;
@@ -38,7 +38,7 @@
   void Succeeded(const std::string &service) override {
     this->ceilings[service].Succeeded();
   }
-  void Repeated(const std::string & /*service*/) override {
+  void RecordRetriedCall(const std::string & /*service*/) override {
     // The allowance of the request bounds what its retries cause below.
   }
   [[nodiscard]] bool Spend(const std::string &service) override {
@@ -83,7 +83,7 @@
       : options{options}, clock{clock}, random{random} {}
 
   void Succeeded(const std::string &service) override;
-  void Repeated(const std::string &service) override;
+  void RecordRetriedCall(const std::string &service) override;
   [[nodiscard]] bool Spend(const std::string &service) override;
 
  private:
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -35,7 +35,7 @@
 class NoRetryBound final : public pollenring::RetryBudget {
  public:
   void Succeeded(const std::string & /*service*/) override {}
-  void Repeated(const std::string & /*service*/) override {}
+  void RecordRetriedCall(const std::string & /*service*/) override {}
   [[nodiscard]] bool Spend(const std::string & /*service*/) override {
     return true;
   }
--- a/test/pollenring/retry/budget_test.cc
+++ b/test/pollenring/retry/budget_test.cc
@@ -54,7 +54,7 @@
         *this->budgets[this->random.Index(this->budgets.size())];
     const std::string service = std::to_string(level);
     this->Count(level, repeat);
-    if (repeat) budget.Repeated(service);
+    if (repeat) budget.RecordRetriedCall(service);
     for (int attempt = 0;; ++attempt) {
       const bool again = repeat || attempt > 0;
       bool good = !this->random.Chance(this->failing[level]);
