Rename StoreDuty::Asks to ShouldWatch

"Asks" reads as if the call itself asked the store, and many comments begin with the word in that sense; it only tells whether this node is to watch the store now.

Now StoreDuty::Asks -> ShouldWatch.

--- a/src/pollenring/membership/store_duty.cc
+++ b/src/pollenring/membership/store_duty.cc
@@ -47,7 +47,7 @@
       part * static_cast<double>(this->options.longest_watch.count()))};
 }
 
-bool StoreDuty::Asks() const {
+bool StoreDuty::ShouldWatch() const {
   const std::size_t rank = this->Rank();
   const std::size_t needed = this->Needed();
   if (rank < needed) return true;
--- a/src/pollenring/membership/store_duty.h
+++ b/src/pollenring/membership/store_duty.h
@@ -54,7 +54,7 @@
   [[nodiscard]] bool OnDuty() const { return this->Rank() < this->Needed(); }
 
   /*! @brief Whether this node is to ask the store now. @return So. */
-  [[nodiscard]] bool Asks() const;
+  [[nodiscard]] bool ShouldWatch() const;
 
   /**
    * @brief Draws how long the store may hold the next watch.
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -55,7 +55,7 @@
   const bool whole = this->table.Version() > 0 && this->zones.Known();
   const bool lacks = !whole && this->loop.GetClock().Now() >= this->first_read;
   const bool joined = this->members.Joined();
-  if (!lacks && !(joined && this->members.Duty().Asks())) {
+  if (!lacks && !(joined && this->members.Duty().ShouldWatch())) {
     this->watching = false;
     return;
   }
--- a/test/pollenring/membership/store_duty_test.cc
+++ b/test/pollenring/membership/store_duty_test.cc
@@ -58,7 +58,7 @@
     const StoreDuty duty{*membership, this->versions, StoreDutyOptions{},
                          this->fleet.clock};
     Time &due = this->due[index];
-    if (!duty.Asks() || this->now < due) return;
+    if (!duty.ShouldWatch() || this->now < due) return;
     ++this->calls;
     const bool heard = this->reaches(index);
     due =
@@ -140,7 +140,7 @@
   watchers.Run(4s);
   const pollenring::PeerVersions versions;
   const StoreDuty duty{*fleet.At(0), versions, StoreDutyOptions{}, fleet.clock};
-  CHECK(duty.Asks());
+  CHECK(duty.ShouldWatch());
 }
 
 TEST_CASE("store duty: nodes that tell nothing of zones don't count") {
