Rename JudgeAnswer to ClassifyResponse

Outlier detection and retry rules elsewhere speak of classifying a response; "judge" made a reader look for more than the table from signs and status to an outcome.

Now JudgeAnswer -> ClassifyResponse, the free function; the method of the tests' FleetJournal with the old name is another thing and stays.

Identifiers and their comments only: comparing the code tokens before and after this commit shows just these names, with no string, order or logic touched.

--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -166,9 +166,9 @@
     return;
   }
   auto &response = std::get<HttpResponse>(reply);
-  const TargetVerdict verdict =
-      JudgeAnswer(this->dialect.Read(found->second.served.envelope, response),
-                  response.status);
+  const TargetVerdict verdict = ClassifyResponse(
+      this->dialect.Read(found->second.served.envelope, response),
+      response.status);
   if (verdict.outcome == Outcome::kNotRun &&
       verdict.reason == Reason::kNoTarget) {
     admission.TurnedAway(id);
--- a/src/pollenring/node/target_dialect.cc
+++ b/src/pollenring/node/target_dialect.cc
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-TargetVerdict JudgeAnswer(const AnswerSigns &signs, int status) noexcept {
+TargetVerdict ClassifyResponse(const AnswerSigns &signs, int status) noexcept {
   if (signs.wrong_instance) return {Outcome::kNotRun, Reason::kNoTarget, false};
   if (signs.not_run) return {Outcome::kNotRun, Reason::kTargetBusy, true};
   const bool ok = status >= kFirstOk && status < kFirstRedirect;
--- a/src/pollenring/node/target_dialect.h
+++ b/src/pollenring/node/target_dialect.h
@@ -42,8 +42,8 @@
  * @param status Its status.
  * @return Whether the call has run, and whether the answer is passed on.
  */
-[[nodiscard]] TargetVerdict JudgeAnswer(const AnswerSigns &signs,
-                                        int status) noexcept;
+[[nodiscard]] TargetVerdict ClassifyResponse(const AnswerSigns &signs,
+                                             int status) noexcept;
 
 /*! @brief How calls and answers are written between a node and its target. */
 class TargetDialect {
--- a/test/platform/dialects_test.cc
+++ b/test/platform/dialects_test.cc
@@ -24,8 +24,8 @@
 [[nodiscard]] Outcome Judged(const HttpResponse &answer) {
   CallEnvelope envelope;
   envelope.root_id = "id1";
-  return pollenring::JudgeAnswer(Targets{}.Read(envelope, answer),
-                                 answer.status)
+  return pollenring::ClassifyResponse(Targets{}.Read(envelope, answer),
+                                      answer.status)
       .outcome;
 }
 
