Rename PeerVersions::Told to Advertised

"Told" does not say who told whom: a peer advertises the newest form that it speaks, and this class keeps it.

Now PeerVersions::Told -> Advertised; the private struct Told of RouteLevels is another thing and stays.

Identifiers and their comments only: comparing the code tokens before and after this commit shows just these names, with no string, order or logic touched.

--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -245,7 +245,7 @@
   this->answers.reset();
   PeerVersions &versions = this->bus.Wire().versions;
   versions.Heard(from, version);
-  versions.Told(from, gossip.wire);
+  versions.Advertised(from, gossip.wire);
 }
 
 void MemberService::SendGossip(NodeId to, const Gossip &gossip) {
--- a/src/pollenring/wire/peer_versions.cc
+++ b/src/pollenring/wire/peer_versions.cc
@@ -15,7 +15,7 @@
   known = known ? std::max(*known, version) : version;
 }
 
-void PeerVersions::Told(NodeId peer, std::uint8_t wire) {
+void PeerVersions::Advertised(NodeId peer, std::uint8_t wire) {
   if (wire == 0) return;
   // A newer build may speak a form that this one does not.
   const auto known = std::min(wire, static_cast<std::uint8_t>(kNewestWire));
@@ -36,7 +36,7 @@
       peer.incarnation > 0 && member.incarnation > peer.incarnation;
   if (another) peer.version.reset();
   peer.incarnation = std::max(peer.incarnation, member.incarnation);
-  this->Told(member.id, member.wire);
+  this->Advertised(member.id, member.wire);
 }
 
 }  // namespace pollenring
--- a/src/pollenring/wire/peer_versions.h
+++ b/src/pollenring/wire/peer_versions.h
@@ -43,11 +43,11 @@
   void Heard(NodeId peer, WireVersion version);
 
   /**
-   * @brief A peer has told the newest form that it speaks.
+   * @brief A peer has advertised the newest form that it speaks.
    * @param peer The peer.
    * @param wire Its number, or 0 when nothing was said.
    */
-  void Told(NodeId peer, std::uint8_t wire);
+  void Advertised(NodeId peer, std::uint8_t wire);
 
   /**
    * @brief A peer could not read what was sent to it.
