Rename the two constants kForgotten

Two constants of one name meant different things: a count of requests below which a workspace is dropped, and an age after which kinds and callees are.

Now kForgotten -> kNegligibleLoad in the shed levels and kForgotten -> kIdleExpiry in the call shares; the values stay.

--- a/src/pollenring/admission/shed_levels.cc
+++ b/src/pollenring/admission/shed_levels.cc
@@ -19,7 +19,7 @@
 /*! @brief The most important requests are never refused early. */
 constexpr double kHighestLevel = static_cast<double>(kImportanceLevels - 1);
 /*! @brief Counts below which a workspace is forgotten. */
-constexpr double kForgotten = 0.01;
+constexpr double kNegligibleLoad = 0.01;
 
 }  // namespace
 
@@ -125,7 +125,7 @@
       count *= kLongMemory;
       sum += count;
     }
-    const bool idle = sum < kForgotten && it->second.level <= 0;
+    const bool idle = sum < kNegligibleLoad && it->second.level <= 0;
     it = idle ? this->workspaces.erase(it) : std::next(it);
   }
 }
--- a/src/pollenring/node/call_shares.cc
+++ b/src/pollenring/node/call_shares.cc
@@ -28,7 +28,7 @@
 /*! @brief Mean below which requests of a kind are as good as never there. */
 constexpr double kLeastMean = 0.01;
 /*! @brief Kinds and callees that were not seen for so long are forgotten. */
-constexpr Span kForgotten = std::chrono::minutes{1};
+constexpr Span kIdleExpiry = std::chrono::minutes{1};
 
 }  // namespace
 
@@ -86,7 +86,7 @@
     kind.mean += kMeanWeight * (mean - kind.mean);
     kind.seconds = 0;
     kind.since = now;
-    if (now - kind.used <= kForgotten) {
+    if (now - kind.used <= kIdleExpiry) {
       ++it;
       continue;
     }
@@ -94,7 +94,7 @@
     it = this->kinds.erase(it);
   }
   for (auto it = this->callees.begin(); it != this->callees.end();) {
-    const bool forgotten = now - it->second.used > kForgotten;
+    const bool forgotten = now - it->second.used > kIdleExpiry;
     it = forgotten ? this->callees.erase(it) : std::next(it);
   }
   for (auto &[name, callee] : this->callees) {
