Rename FairQueue::Older to OlderRootFirst

"Older" leaves open what is older and which way it sorts: the comparator puts the request whose root began earlier first, and then goes by its id.

Now FairQueue::Older -> OlderRootFirst.

Identifiers and their comments only: comparing the code tokens before and after this commit shows just these names, with no string, order or logic touched.

--- a/src/pollenring/admission/fair_queue.h
+++ b/src/pollenring/admission/fair_queue.h
@@ -35,7 +35,7 @@
   [[nodiscard]] std::vector<Ticket> RemoveExpired(Time before) override;
 
  private:
-  struct Older {
+  struct OlderRootFirst {
     bool operator()(const Ticket &left, const Ticket &right) const noexcept {
       if (left.root_started != right.root_started) {
         return left.root_started < right.root_started;
@@ -43,7 +43,7 @@
       return left.id < right.id;
     }
   };
-  using Waiting = std::set<Ticket, Older>;
+  using Waiting = std::set<Ticket, OlderRootFirst>;
   using Ranked = std::pair<double, std::string>;
 
   /*! @brief One workspace within a class. */
