Rename come_back to jittered_retry_after

"come_back" hides that it is the advice sent as retry-after, already spread so that refused callers do not return all at once.

Now come_back -> jittered_retry_after for the locals and the parameter of Refuse.

--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -224,8 +224,9 @@
   // What a process reads after it stood still may have been given up long ago.
   if (!framed || late || this->loop.WokeFromPause()) {
     const Reason reason = late ? Reason::kLeaving : Reason::kLinkLost;
-    const Span come_back = SpreadAround(kComeBack, this->parts.random);
-    CallReply reply = Refusal(Outcome::kNotRun, reason, come_back);
+    const Span jittered_retry_after =
+        SpreadAround(kComeBack, this->parts.random);
+    CallReply reply = Refusal(Outcome::kNotRun, reason, jittered_retry_after);
     if (framed) reply.retries_unspent = framed->head.retries;
     responder->Send(Frame(reply, {}, version));
     return;
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -299,10 +299,11 @@
 }
 
 void Outbound::Refuse(const EntryPtr &entry, Reason reason, Span retry_after) {
-  const Span come_back = retry_after > Span{0}
-                             ? SpreadAround(retry_after, this->parts.random)
-                             : Span{0};
-  this->Answer(entry, Refusal(Outcome::kNotRun, reason, come_back), {});
+  const Span jittered_retry_after =
+      retry_after > Span{0} ? SpreadAround(retry_after, this->parts.random)
+                            : Span{0};
+  this->Answer(entry, Refusal(Outcome::kNotRun, reason, jittered_retry_after),
+               {});
 }
 
 void Outbound::AwaitAnswer(const EntryPtr &entry, Time until) {
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -88,10 +88,11 @@
 
 void Dispatcher::Attempt(std::uint64_t id) {
   Job &job = this->jobs.at(id);
-  const Span come_back = SpreadAround(kComeBack, this->random);
+  const Span jittered_retry_after = SpreadAround(kComeBack, this->random);
   if (job.bounds.deadline <= this->loop.GetClock().Now()) {
-    this->Finish(id, Refusal(Outcome::kNotRun, Reason::kDeadline, come_back),
-                 {});
+    this->Finish(
+        id, Refusal(Outcome::kNotRun, Reason::kDeadline, jittered_retry_after),
+        {});
     return;
   }
   const auto node = this->router.Choose(job.envelope.service, job.tried,
@@ -102,8 +103,9 @@
     return;
   }
   if (!node) {
-    this->Finish(id, Refusal(Outcome::kNotRun, Reason::kNoTarget, come_back),
-                 {});
+    this->Finish(
+        id, Refusal(Outcome::kNotRun, Reason::kNoTarget, jittered_retry_after),
+        {});
     return;
   }
   const Span since_charge = this->loop.GetClock().Now() - job.bounds.charged;
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -208,26 +208,32 @@
 }
 
 void Ingress::AnswerRepeat(const RootPtr &root, OnceAnswer answer) {
-  const Span come_back = SpreadAround(kComeBack, this->parts.random);
+  const Span jittered_retry_after = SpreadAround(kComeBack, this->parts.random);
   switch (answer.verdict) {
     case OnceVerdict::kAnswered:
       this->Answer(root, std::move(answer.reply), std::move(answer.body));
       return;
     case OnceVerdict::kInProgress:
       this->Answer(
-          root, Refusal(Outcome::kUnknown, Reason::kInProgress, come_back), {});
+          root,
+          Refusal(Outcome::kUnknown, Reason::kInProgress, jittered_retry_after),
+          {});
       return;
     case OnceVerdict::kExpired:
       this->Answer(root, Refusal(Outcome::kUnknown, Reason::kIdExpired, Span{}),
                    {});
       return;
     case OnceVerdict::kNotRun:
-      this->Answer(root, Refusal(Outcome::kNotRun, Reason::kNoShare, come_back),
-                   {});
+      this->Answer(
+          root,
+          Refusal(Outcome::kNotRun, Reason::kNoShare, jittered_retry_after),
+          {});
       return;
     default:
       this->Answer(
-          root, Refusal(Outcome::kUnknown, Reason::kRepeated, come_back), {});
+          root,
+          Refusal(Outcome::kUnknown, Reason::kRepeated, jittered_retry_after),
+          {});
   }
 }
 
@@ -259,9 +265,9 @@
   const bool transient = reason == Reason::kOverload ||
                          reason == Reason::kNotFresh ||
                          reason == Reason::kNoTarget;
-  const Span come_back =
+  const Span jittered_retry_after =
       transient ? SpreadAround(kComeBack, this->parts.random) : Span{};
-  this->Answer(root, Refusal(outcome, reason, come_back), {});
+  this->Answer(root, Refusal(outcome, reason, jittered_retry_after), {});
 }
 
 void Ingress::Answer(const RootPtr &root, CallReply reply, std::string body) {
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/serving.cc
@@ -208,8 +208,8 @@
 }
 
 void Serving::Refuse(std::uint64_t id, Outcome outcome, Reason reason,
-                     Span come_back) {
-  this->Finish(id, Refusal(outcome, reason, come_back), {});
+                     Span jittered_retry_after) {
+  this->Finish(id, Refusal(outcome, reason, jittered_retry_after), {});
 }
 
 void Serving::RefuseUntilWarm(std::uint64_t id) {
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/serving.h
@@ -261,7 +261,8 @@
   void GiveUp(std::uint64_t id);
   void Finish(std::uint64_t id, CallReply reply, std::string body);
   void Refuse(std::uint64_t id, Outcome outcome, Reason reason);
-  void Refuse(std::uint64_t id, Outcome outcome, Reason reason, Span come_back);
+  void Refuse(std::uint64_t id, Outcome outcome, Reason reason,
+              Span jittered_retry_after);
   void RefuseUntilWarm(std::uint64_t id);
   void Report();
   [[nodiscard]] HttpRequest ToRequest(Call &call,
