Shorten the comments of three renamed members

The longer names pushed the comments of authenticated, call_path_reports and implies_not_executed past the end of their lines, where the formatter broke them in places that read badly.

The three comments say the same in fewer words, so that each stands again on the line of its member.

Comments only: comparing the code tokens before and after shows nothing.

--- a/src/pollenring/node/target_dialect.h
+++ b/src/pollenring/node/target_dialect.h
@@ -22,8 +22,7 @@
 struct AnswerSigns {
   bool wrong_instance{}; /*!< It comes from another start than was meant. */
   bool not_run{};        /*!< The target says that it has not run the call. */
-  bool implies_not_executed{}; /*!< Passed on, it would say that to the caller.
-                                */
+  bool implies_not_executed{}; /*!< Passed on, it would tell the caller so. */
   bool genuine{true}; /*!< It is the target's own, whole, for this call. */
   bool unnamed{};     /*!< It does not name this call, as targets do. */
   bool busy{};        /*!< The target has too much to do. */
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -97,9 +97,8 @@
   std::vector<std::string> regions; /*!< Where it may run; empty: anywhere. */
   Importance importance{Importance::kNormal};
   bool idempotent{true};
-  bool is_retry{}; /*!< A retry, or a call on behalf of one. */
-  bool authenticated{
-      true}; /*!< The caller itself has shown the workspace's key. */
+  bool is_retry{};          /*!< A retry, or a call on behalf of one. */
+  bool authenticated{true}; /*!< The caller itself gave the workspace's key. */
   double sub_priority{};
   double weight{1}; /*!< The workspace's part of what is left. */
   std::int32_t depth{};
@@ -236,9 +235,8 @@
   std::int64_t retry_after_us{};
   LoadReport load;
   std::vector<ServiceLevel> levels;
-  std::vector<WayMark>
-      call_path_reports; /*!< Of other requests that the node has seen. */
-  NodeId served_by{};    /*!< Does not travel; known where the call was sent. */
+  std::vector<WayMark> call_path_reports; /*!< Of other requests seen. */
+  NodeId served_by{}; /*!< Does not travel; known where the call was sent. */
 };
 
 template <>
