--- a/src/pollenring/admission/admission_request.h
+++ b/src/pollenring/admission/admission_request.h
@@ -13,13 +13,13 @@
 struct AdmissionRequest {
   std::uint64_t id{};
   Importance importance{Importance::kNormal};
-  double lot{};        /*!< Same for all parts of one root, in [0, 1). */
-  double weight{1};    /*!< The workspace's part, by its contracted rate. */
-  int depth{};         /*!< 0 for a root request. */
-  Time root_started{}; /*!< Earlier roots have more work invested. */
+  double sub_priority{}; /*!< Same for all parts of one root, in [0, 1). */
+  double weight{1};      /*!< The workspace's part, by its contracted rate. */
+  int depth{};           /*!< 0 for a root request. */
+  Time root_started{};   /*!< Earlier roots have more work invested. */
   std::string workspace;
   Time deadline{};
-  Time aim{}; /*!< By when an answer is worth most. */
+  Time soft_deadline{}; /*!< By when an answer is worth most. */
 
   /*! @brief Whether work was done above this request already. */
   [[nodiscard]] bool Invested() const noexcept { return this->depth > 0; }
--- a/src/pollenring/admission/fair_queue.h
+++ b/src/pollenring/admission/fair_queue.h
@@ -36,7 +36,7 @@
       Time before) override;
 
  private:
-  struct Older {
+  struct OlderRootFirst {
     bool operator()(const AdmissionRequest &left,
                     const AdmissionRequest &right) const noexcept {
       if (left.root_started != right.root_started) {
@@ -45,7 +45,7 @@
       return left.id < right.id;
     }
   };
-  using Waiting = std::set<AdmissionRequest, Older>;
+  using Waiting = std::set<AdmissionRequest, OlderRootFirst>;
   using Ranked = std::pair<double, std::string>;
 
   /*! @brief One workspace within a class. */
--- a/src/pollenring/admission/offered_load_level.cc
+++ b/src/pollenring/admission/offered_load_level.cc
@@ -29,7 +29,7 @@
 
 void OfferedLoadLevel::Offered(const AdmissionRequest &ticket) {
   const double place =
-      PriorityOf(ticket.importance, ticket.lot) * kBinsPerImportance;
+      PriorityOf(ticket.importance, ticket.sub_priority) * kBinsPerImportance;
   const auto bin = std::min(static_cast<std::size_t>(place), kBins - 1);
   this->offered[bin] += 1;
 }
--- a/src/pollenring/admission/shed_levels.h
+++ b/src/pollenring/admission/shed_levels.h
@@ -15,11 +15,11 @@
 
 /*! @brief Places a request on one scale: importance first, then its lot.
  * @param importance Importance.
- * @param lot The root's lot, in [0, 1).
+ * @param sub_priority The root's lot, in [0, 1).
  * @return A value from 0 to below 4; lower values are shed first. */
 [[nodiscard]] inline double PriorityOf(Importance importance,
-                                       double lot) noexcept {
-  return static_cast<double>(importance) + lot;
+                                       double sub_priority) noexcept {
+  return static_cast<double>(importance) + sub_priority;
 }
 
 /**
--- a/src/pollenring/membership/store_watcher_role.cc
+++ b/src/pollenring/membership/store_watcher_role.cc
@@ -47,7 +47,7 @@
       part * static_cast<double>(this->options.longest_watch.count()))};
 }
 
-bool StoreWatcherRole::Asks() const {
+bool StoreWatcherRole::ShouldWatch() const {
   const std::size_t rank = this->Rank();
   const std::size_t needed = this->Needed();
   if (rank < needed) return true;
--- a/src/pollenring/membership/store_watcher_role.h
+++ b/src/pollenring/membership/store_watcher_role.h
@@ -56,7 +56,7 @@
   }
 
   /*! @brief Whether this node is to ask the store now. @return So. */
-  [[nodiscard]] bool Asks() const;
+  [[nodiscard]] bool ShouldWatch() const;
 
   /**
    * @brief Draws how long the store may hold the next watch.
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -38,7 +38,7 @@
 /*! @brief Longest wait of a request whose caller and route name none. */
 constexpr Duration kDefaultTimeout = std::chrono::seconds{10};
 
-[[nodiscard]] double LotOf(const std::string &id) noexcept {
+[[nodiscard]] double SubPriorityOf(const std::string &id) noexcept {
   return static_cast<double>(Hash64(id) >> 11U) * kLotScale;
 }
 
@@ -179,9 +179,9 @@
   envelope.caller = this->service;
   envelope.soft_deadline_us = route->target_latency.count();
   const RequestPriority standing =
-      table.RequestPriorityOf(*route, workspace, LotOf(entry.id));
+      table.RequestPriorityOf(*route, workspace, SubPriorityOf(entry.id));
   envelope.importance = standing.importance;
-  envelope.lot = standing.lot;
+  envelope.sub_priority = standing.sub_priority;
   envelope.idempotent = route->idempotent;
   envelope.retries = kAllowance;
   entry.attempts = route->attempts;
@@ -195,7 +195,7 @@
 
 void Outbound::Inherit(const CallerRequest &caller, Entry &entry) {
   CallEnvelope &envelope = entry.envelope;
-  envelope.keyed = false;
+  envelope.authenticated = false;
   // Work was done above a target's call, whoever its parent is.
   envelope.depth = 1;
   envelope.importance = Importance::kHigh;
@@ -210,8 +210,8 @@
   entry.parent_id = parent->envelope.root_id;
   this->parts.serving.BeginSubCall(parent->id);
   envelope.importance = parent->envelope.importance;
-  envelope.lot = parent->envelope.lot;
-  envelope.repeat = parent->envelope.repeat;
+  envelope.sub_priority = parent->envelope.sub_priority;
+  envelope.is_retry = parent->envelope.is_retry;
   envelope.workspace = parent->envelope.workspace;
   envelope.weight = parent->envelope.weight;
   envelope.depth = std::min(parent->envelope.depth + 1, kMaxDepth);
@@ -238,7 +238,7 @@
 
 bool Outbound::ShedsEarly(Entry &entry) const {
   const CallEnvelope &envelope = entry.envelope;
-  entry.priority = PriorityOf(envelope.importance, envelope.lot);
+  entry.priority = PriorityOf(envelope.importance, envelope.sub_priority);
   if (envelope.depth > 0) return false;
   CallPathLevel highest =
       this->parts.levels.HighestOnCallPath(entry.workspace, entry.route);
@@ -260,8 +260,8 @@
     this->Send(entry, {});
     return;
   }
-  const Duration aim{entry->envelope.soft_deadline_us};
-  const Duration wait = std::min(kShareWait, aim / kShareWaitPart);
+  const Duration soft_deadline{entry->envelope.soft_deadline_us};
+  const Duration wait = std::min(kShareWait, soft_deadline / kShareWaitPart);
   const RenewCharge charge = [this, entry, wait](ShareGate::Done done) {
     const Time next_share = this->loop.GetClock().Now() + wait;
     this->parts.shares.Charge(
@@ -285,7 +285,7 @@
       {entry->deadline, entry->attempts, this->loop.GetClock().Now(), renew},
       [this, entry](CallReply reply, std::string body) {
         this->parts.levels.Learn(entry->workspace, entry->route, reply.levels);
-        this->parts.levels.LearnCallPathReports(reply.marks);
+        this->parts.levels.LearnCallPathReports(reply.call_path_reports);
         if (entry->open) {
           this->parts.serving.LearnFrom(entry->route, entry->workspace,
                                         reply.levels);
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -56,7 +56,7 @@
   const bool whole = this->table.Version() > 0 && this->zones.HasRevision();
   const bool lacks = !whole && this->loop.GetClock().Now() >= this->first_read;
   const bool joined = this->members.Joined();
-  if (!lacks && !(joined && this->members.WatcherRole().Asks())) {
+  if (!lacks && !(joined && this->members.WatcherRole().ShouldWatch())) {
     this->watching = false;
     return;
   }
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -75,13 +75,15 @@
   job.allowance = RetryAllowance{envelope.retries};
   job.root_started =
       this->loop.GetClock().Now() - Duration{envelope.root_age_us};
-  job.aim = this->loop.GetClock().Now() + Duration{envelope.soft_deadline_us};
+  job.soft_deadline =
+      this->loop.GetClock().Now() + Duration{envelope.soft_deadline_us};
   job.envelope = std::move(envelope);
   job.body = std::move(body);
   job.bounds = std::move(bounds);
   job.redirects_left = kMostRedirects;
   job.done = std::move(done);
-  if (job.envelope.repeat) this->budget.Repeated(job.envelope.service);
+  if (job.envelope.is_retry)
+    this->budget.RecordRetriedCall(job.envelope.service);
   this->Attempt(id);
   return id;
 }
@@ -161,7 +163,7 @@
   job.sent = now;
   job.envelope.remaining_us = left.count();
   job.envelope.root_age_us = (now - job.root_started).count();
-  job.envelope.soft_deadline_us = (job.aim - now).count();
+  job.envelope.soft_deadline_us = (job.soft_deadline - now).count();
   job.envelope.retries = job.slice;
   const std::uint64_t attempt = job.attempt;
   if (job.node == this->self) {
@@ -255,7 +257,7 @@
     entry.node = job.node;
   }
   const bool ran = reply.outcome == Outcome::kRan;
-  if (ran && !job.envelope.repeat) {
+  if (ran && !job.envelope.is_retry) {
     this->budget.Succeeded(job.envelope.service);
   }
   if (reply.outcome != Outcome::kNotRun) --job.bounds.targets;
@@ -319,7 +321,7 @@
   if (!this->budget.Spend(job.envelope.service)) return false;
   const bool spent = job.allowance.Spend();
   Require(spent, "a retry is paid from the request's allowance");
-  job.envelope.repeat = true;
+  job.envelope.is_retry = true;
   this->metrics.Count("pollenring_retries_total");
   return true;
 }
--- a/src/pollenring/node/downstream_levels.h
+++ b/src/pollenring/node/downstream_levels.h
@@ -96,9 +96,10 @@
    * @brief Takes in what another node has seen.
    *
    * Its word counts for routes of which this node has seen few requests.
-   * @param marks What it has seen.
+   * @param call_path_reports What it has seen.
    */
-  void LearnCallPathReports(const std::vector<CallPathReport> &marks);
+  void LearnCallPathReports(
+      const std::vector<CallPathReport> &call_path_reports);
 
   /**
    * @brief Finds what sheds most on a route's way.
--- a/src/pollenring/node/target_executor.cc
+++ b/src/pollenring/node/target_executor.cc
@@ -75,13 +75,13 @@
   AdmissionRequest ticket;
   ticket.id = id;
   ticket.importance = kept.importance;
-  ticket.lot = kept.lot;
+  ticket.sub_priority = kept.sub_priority;
   ticket.weight = kept.weight;
   ticket.depth = kept.depth;
   ticket.root_started = call.served.root_started;
   ticket.workspace = kept.workspace;
   ticket.deadline = call.served.deadline;
-  ticket.aim = now + Duration{kept.soft_deadline_us};
+  ticket.soft_deadline = now + Duration{kept.soft_deadline_us};
   this->Offer(found->second, ticket);
   return id;
 }
@@ -169,9 +169,9 @@
     return;
   }
   auto &response = std::get<HttpResponse>(reply);
-  const TargetVerdict verdict =
-      JudgeAnswer(this->codec.Read(found->second.served.envelope, response),
-                  response.status);
+  const TargetVerdict verdict = ClassifyResponse(
+      this->codec.Read(found->second.served.envelope, response),
+      response.status);
   if (verdict.outcome == Outcome::kNotRun &&
       verdict.reason == Reason::kNoTarget) {
     admission.TurnedAway(id);
@@ -251,7 +251,7 @@
   const CallEnvelope &envelope = served.envelope;
   reply.levels =
       this->levels.Shedding(envelope.workspace, envelope.route, kMostLevels);
-  reply.marks = this->levels.CallPathReports(kMostMarks);
+  reply.call_path_reports = this->levels.CallPathReports(kMostMarks);
   const auto found = this->bindings.find(envelope.service);
   if (found == this->bindings.end()) return;
   const Admission &admission = *found->second.admission;
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -97,9 +97,10 @@
   std::vector<std::string> regions; /*!< Where it may run; empty: anywhere. */
   Importance importance{Importance::kNormal};
   bool idempotent{true};
-  bool repeat{};    /*!< A retry, or a call on behalf of one. */
-  bool keyed{true}; /*!< The caller itself has shown the workspace's key. */
-  double lot{};
+  bool is_retry{}; /*!< A retry, or a call on behalf of one. */
+  bool authenticated{
+      true}; /*!< The caller itself has shown the workspace's key. */
+  double sub_priority{};
   double weight{1}; /*!< The workspace's part of what is left. */
   std::int32_t depth{};
   std::int64_t remaining_us{};
@@ -119,10 +120,11 @@
         Field{6, value.host}, Field{7, value.route}, Field{8, value.caller},
         Field{9, value.headers}, Field{10, value.regions},
         Field{11, value.importance}, Field{12, value.idempotent},
-        Field{13, value.repeat}, Field{14, value.keyed}, Field{15, value.lot},
-        Field{16, value.weight}, Field{17, value.depth},
-        Field{18, value.remaining_us}, Field{19, value.root_age_us},
-        Field{20, value.soft_deadline_us}, Field{21, value.retries});
+        Field{13, value.is_retry}, Field{14, value.authenticated},
+        Field{15, value.sub_priority}, Field{16, value.weight},
+        Field{17, value.depth}, Field{18, value.remaining_us},
+        Field{19, value.root_age_us}, Field{20, value.soft_deadline_us},
+        Field{21, value.retries});
   }
 };
 
@@ -134,9 +136,9 @@
     return std::tie(value.root_id, value.workspace, value.service, value.method,
                     value.path, value.host, value.route, value.caller,
                     value.headers, value.importance, value.idempotent,
-                    value.repeat, value.keyed, value.lot, value.weight,
-                    value.depth, value.remaining_us, value.root_age_us,
-                    value.soft_deadline_us, value.retries);
+                    value.is_retry, value.authenticated, value.sub_priority,
+                    value.weight, value.depth, value.remaining_us,
+                    value.root_age_us, value.soft_deadline_us, value.retries);
   }
 };
 
@@ -145,12 +147,12 @@
   static constexpr bool kFrozen = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
-    return std::tie(value.root_id, value.workspace, value.service, value.method,
-                    value.path, value.host, value.route, value.caller,
-                    value.headers, value.regions, value.importance,
-                    value.idempotent, value.repeat, value.keyed, value.lot,
-                    value.weight, value.depth, value.remaining_us,
-                    value.root_age_us, value.soft_deadline_us, value.retries);
+    return std::tie(
+        value.root_id, value.workspace, value.service, value.method, value.path,
+        value.host, value.route, value.caller, value.headers, value.regions,
+        value.importance, value.idempotent, value.is_retry, value.authenticated,
+        value.sub_priority, value.weight, value.depth, value.remaining_us,
+        value.root_age_us, value.soft_deadline_us, value.retries);
   }
 };
 
@@ -159,7 +161,7 @@
 [[nodiscard]] inline CallEnvelope WhenMissing<CallEnvelope>() {
   CallEnvelope envelope;
   envelope.idempotent = false;
-  envelope.keyed = false;
+  envelope.authenticated = false;
   return envelope;
 }
 
@@ -236,8 +238,8 @@
   LoadReport load;
   std::vector<AdmissionLevel> levels;
   std::vector<CallPathReport>
-      marks;          /*!< Of other requests that the node has seen. */
-  NodeId served_by{}; /*!< Does not travel; known where the call was sent. */
+      call_path_reports; /*!< Of other requests that the node has seen. */
+  NodeId served_by{};    /*!< Does not travel; known where the call was sent. */
 };
 
 template <>
@@ -245,11 +247,11 @@
   static constexpr bool kGrows = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
-    return std::make_tuple(Field{1, value.outcome}, Field{2, value.reason},
-                           Field{3, value.status}, Field{4, value.headers},
-                           Field{5, value.retries_unspent},
-                           Field{6, value.retry_after_us}, Field{7, value.load},
-                           Field{8, value.levels}, Field{9, value.marks});
+    return std::make_tuple(
+        Field{1, value.outcome}, Field{2, value.reason}, Field{3, value.status},
+        Field{4, value.headers}, Field{5, value.retries_unspent},
+        Field{6, value.retry_after_us}, Field{7, value.load},
+        Field{8, value.levels}, Field{9, value.call_path_reports});
   }
 };
 
@@ -260,7 +262,7 @@
   [[nodiscard]] static auto Fields(Value &value) {
     return std::tie(value.outcome, value.reason, value.status, value.headers,
                     value.retries_unspent, value.retry_after_us, value.load,
-                    value.levels, value.marks);
+                    value.levels, value.call_path_reports);
   }
 };
 
--- a/src/pollenring/wire/peer_versions.h
+++ b/src/pollenring/wire/peer_versions.h
@@ -47,7 +47,7 @@
    * @param peer The peer.
    * @param wire Its number, or 0 when nothing was said.
    */
-  void Told(NodeId peer, std::uint8_t wire);
+  void Advertised(NodeId peer, std::uint8_t wire);
 
   /**
    * @brief A peer could not read what was sent to it.
--- a/test/pollenring/admission/cold_start_limiter_test.cc
+++ b/test/pollenring/admission/cold_start_limiter_test.cc
@@ -121,10 +121,10 @@
         if (!this->random.Chance(std::min(1.0, due))) continue;
         AdmissionRequest ticket;
         ticket.id = ++this->last;
-        ticket.lot = this->random.Fraction();
+        ticket.sub_priority = this->random.Fraction();
         ticket.importance = Importance::kNormal;
         ticket.deadline = now + 700ms;
-        ticket.aim = now + 300ms;
+        ticket.soft_deadline = now + 300ms;
         this->Do(this->admission.Offer(ticket));
       }
       this->Do(this->admission.Tick());
--- a/test/pollenring/admission/soft_deadline_queue_test.cc
+++ b/test/pollenring/admission/soft_deadline_queue_test.cc
@@ -9,12 +9,13 @@
 using pollenring::Importance;
 using pollenring::SoftDeadlineQueue;
 
-[[nodiscard]] AdmissionRequest Waiting(std::uint64_t id, pollenring::Time aim,
+[[nodiscard]] AdmissionRequest Waiting(std::uint64_t id,
+                                       pollenring::Time soft_deadline,
                                        Importance importance, int depth) {
   AdmissionRequest ticket;
   ticket.id = id;
-  ticket.aim = aim;
-  ticket.deadline = aim + 1s;
+  ticket.soft_deadline = soft_deadline;
+  ticket.deadline = soft_deadline + 1s;
   ticket.importance = importance;
   ticket.depth = depth;
   return ticket;
--- a/test/pollenring/contract/host_policy_test.cc
+++ b/test/pollenring/contract/host_policy_test.cc
@@ -24,14 +24,14 @@
 
 /*! @brief Priority of a workspace's request on a route of a rank. */
 [[nodiscard]] double Place(const HostTable &table, const std::string &key,
-                           int route_rank, double lot) {
+                           int route_rank, double sub_priority) {
   HostRoute route;
   route.rank = route_rank;
   const auto place =
-      table.RequestPriorityOf(route, table.WorkspaceOf(key), lot);
-  CHECK(place.lot >= 0);
-  CHECK(place.lot < 1);
-  return PriorityOf(place.importance, place.lot);
+      table.RequestPriorityOf(route, table.WorkspaceOf(key), sub_priority);
+  CHECK(place.sub_priority >= 0);
+  CHECK(place.sub_priority < 1);
+  return PriorityOf(place.importance, place.sub_priority);
 }
 
 }  // namespace
@@ -71,7 +71,7 @@
                                              table.WorkspaceOf("k0"), 0.25);
   CHECK_FALSE(table.WorkspacesRanked());
   CHECK(place.importance == Importance::kHigh);
-  CHECK(place.lot == 0.25);
+  CHECK(place.sub_priority == 0.25);
   CHECK(Place(table, "k0", 0, 0) > Place(table, "k1", 1, 0.99));
 }
 
--- a/test/pollenring/membership/store_watcher_role_test.cc
+++ b/test/pollenring/membership/store_watcher_role_test.cc
@@ -58,7 +58,7 @@
     const StoreWatcherRole duty{*membership, this->versions,
                                 StoreWatcherOptions{}, this->fleet.clock};
     Time &due = this->due[index];
-    if (!duty.Asks() || this->now < due) return;
+    if (!duty.ShouldWatch() || this->now < due) return;
     ++this->calls;
     const bool heard = this->reaches(index);
     due = this->now +
@@ -141,7 +141,7 @@
   const pollenring::PeerVersions versions;
   const StoreWatcherRole duty{*fleet.At(0), versions, StoreWatcherOptions{},
                               fleet.clock};
-  CHECK(duty.Asks());
+  CHECK(duty.ShouldWatch());
 }
 
 TEST_CASE("store duty: nodes that tell nothing of zones don't count") {
--- a/test/support/golden_values.h
+++ b/test/support/golden_values.h
@@ -80,9 +80,9 @@
 #endif
   envelope.importance = pollenring::Importance::kHigh;
   envelope.idempotent = false;
-  envelope.repeat = true;
-  envelope.keyed = true;
-  envelope.lot = 0.625;
+  envelope.is_retry = true;
+  envelope.authenticated = true;
+  envelope.sub_priority = 0.625;
   envelope.weight = 0.25;
   envelope.depth = 2;
   envelope.remaining_us = 1'400'000;
@@ -108,7 +108,7 @@
   reply.load.cold_ms = 1'500;
 #endif
   reply.levels = {{"planner", 0x7f2a'0101'1b5aU, 1'250, 907, 40, false}};
-  reply.marks = {{"schedule-view", "planner", true}};
+  reply.call_path_reports = {{"schedule-view", "planner", true}};
   return reply;
 }
 
