--- a/src/pollenring/admission/fit_level.cc
+++ b/src/pollenring/admission/offered_load_level.cc
@@ -1,4 +1,4 @@
-#include "pollenring/admission/fit_level.h"
+#include "pollenring/admission/offered_load_level.h"
 
 #include <algorithm>
 #include <cmath>
@@ -12,27 +12,29 @@
 /*! @brief Faded count of critical requests from which there are any. */
 constexpr double kAnyCritical = 1;
 
-[[nodiscard]] double Seconds(Span span) noexcept {
+[[nodiscard]] double Seconds(Duration span) noexcept {
   return std::chrono::duration<double>{span}.count();
 }
 
 }  // namespace
 
-FitLevel::FitLevel(const FitLevelOptions &options, const Clock &clock)
+OfferedLoadLevel::OfferedLoadLevel(const OfferedLoadLevelOptions &options,
+                                   const Clock &clock)
     : options{options}, clock{clock}, window_start{clock.Now()} {}
 
-double FitLevel::LevelOf(const std::string & /*workspace*/) const {
+double OfferedLoadLevel::AdmissionLevelOf(
+    const std::string & /*workspace*/) const {
   return this->level;
 }
 
-void FitLevel::Offered(const Ticket &ticket) {
+void OfferedLoadLevel::Offered(const AdmissionRequest &ticket) {
   const double place =
-      PriorityOf(ticket.importance, ticket.lot) * kBinsPerImportance;
+      PriorityOf(ticket.importance, ticket.sub_priority) * kBinsPerImportance;
   const auto bin = std::min(static_cast<std::size_t>(place), kBins - 1);
   this->offered[bin] += 1;
 }
 
-double FitLevel::Fit(double allowed, double per_second) const {
+double OfferedLoadLevel::Fit(double allowed, double per_second) const {
   double left = allowed;
   for (std::size_t bin = kBins; bin-- > 0;) {
     const double rate = this->offered[bin] * per_second;
@@ -46,7 +48,7 @@
   return 0;
 }
 
-double FitLevel::HighestLevel() const {
+double OfferedLoadLevel::HighestLevel() const {
   // Where few workspaces go before all others, a level that must come down to
   // them first would refuse these for longer than needed.
   constexpr int kBelow = kImportanceLevels - 1;
@@ -55,9 +57,9 @@
   return critical < kAnyCritical ? kBelow : kImportanceLevels;
 }
 
-void FitLevel::Tick(const QueueState &queue) {
+void OfferedLoadLevel::Tick(const QueueState &queue) {
   const Time now = this->clock.Now();
-  const Span elapsed = now - this->window_start;
+  const Duration elapsed = now - this->window_start;
   if (elapsed < this->options.window) return;
   this->window_start = now;
   const double seconds = std::min(1.0, Seconds(elapsed));
--- a/src/pollenring/admission/fit_level.h
+++ b/src/pollenring/admission/offered_load_level.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_ADMISSION_FIT_LEVEL_H_
-#define POLLENRING_ADMISSION_FIT_LEVEL_H_
+#ifndef POLLENRING_ADMISSION_OFFERED_LOAD_LEVEL_H_
+#define POLLENRING_ADMISSION_OFFERED_LOAD_LEVEL_H_
 
 #include <array>
 #include <cstddef>
@@ -12,16 +12,16 @@
 namespace pollenring {
 
 /*! @brief Limits of the level that makes the offered load fit. */
-struct FitLevelOptions {
-  Span window{std::chrono::milliseconds{100}};
+struct OfferedLoadLevelOptions {
+  Duration window{std::chrono::milliseconds{100}};
   /*! @brief Memory of what was offered; a deep request takes about as long from
    * its first call here to its last. */
-  Span memory{std::chrono::milliseconds{500}};
+  Duration memory{std::chrono::milliseconds{500}};
   /*! @brief Delay up to which a queue is a burst and no overload; a deep
    * request waits that long several times. */
-  Span tolerated{std::chrono::milliseconds{6}};
+  Duration tolerated{std::chrono::milliseconds{6}};
   /*! @brief Delay that takes all of the reserve below. */
-  Span longest{std::chrono::milliseconds{100}};
+  Duration longest{std::chrono::milliseconds{100}};
   double load{0.95};    /*!< Part of the capacity that is given away. */
   double reserve{0.25}; /*!< Part of it kept back while a queue is drained. */
   double rise{0.5};     /*!< Part of the way to a higher level, a window. */
@@ -41,17 +41,18 @@
  * roots below it cease to arrive, so a long way between them and this service
  * does not make it swing.
  */
-class FitLevel final : public LevelControl {
+class OfferedLoadLevel final : public LevelControl {
  public:
   /**
    * @brief Starts by admitting everything.
    * @param options Limits.
    * @param clock Clock.
    */
-  FitLevel(const FitLevelOptions &options, const Clock &clock);
+  OfferedLoadLevel(const OfferedLoadLevelOptions &options, const Clock &clock);
 
-  [[nodiscard]] double LevelOf(const std::string &workspace) const override;
-  void Offered(const Ticket &ticket) override;
+  [[nodiscard]] double AdmissionLevelOf(
+      const std::string &workspace) const override;
+  void Offered(const AdmissionRequest &ticket) override;
   void Shed() override {}
   void Tick(const QueueState &queue) override;
 
@@ -62,7 +63,7 @@
   [[nodiscard]] double Fit(double allowed, double per_second) const;
   [[nodiscard]] double HighestLevel() const;
 
-  FitLevelOptions options;
+  OfferedLoadLevelOptions options;
   const Clock &clock;
   Time window_start;
   std::array<double, kBins> offered{};
@@ -71,4 +72,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_ADMISSION_FIT_LEVEL_H_
+#endif  // POLLENRING_ADMISSION_OFFERED_LOAD_LEVEL_H_
--- a/src/pollenring/contract/contract.h
+++ b/src/pollenring/contract/contract.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "pollenring/core/clock.h"
-#include "pollenring/core/finding.h"
+#include "pollenring/core/diagnostic.h"
 #include "pollenring/core/importance.h"
 
 namespace pollenring {
@@ -20,7 +20,7 @@
   Importance importance{Importance::kNormal};
   bool idempotent{true};
   bool open{false};
-  Span deadline{std::chrono::seconds{2}};
+  Duration deadline{std::chrono::seconds{2}};
   int retries{2};
 };
 
@@ -29,21 +29,21 @@
   std::string service;
   std::vector<std::string> callers;
   std::vector<Route> routes;
-  Place place;
+  SourceLocation location;
 };
 
 /*! @brief How much a workspace may consume, over all VMs together. */
-struct WorkspaceShare {
+struct WorkspaceRateLimit {
   std::string name;
   double rate{};  /*!< Whole requests a second. */
   double burst{}; /*!< Whole requests at once. */
-  Place place;
+  SourceLocation location;
 };
 
 /*! @brief All that one publication declares. */
 struct ContractSet {
   std::vector<Contract> contracts;
-  std::vector<WorkspaceShare> workspaces;
+  std::vector<WorkspaceRateLimit> workspaces;
 };
 
 }  // namespace pollenring
--- a/src/pollenring/contract/parse.cc
+++ b/src/pollenring/contract/parse.cc
@@ -30,16 +30,16 @@
 class TableReader {
  public:
   TableReader(const toml::table &table, const std::string &file,
-              Findings &findings)
-      : table{table}, file{file}, findings{findings} {}
+              Diagnostics &diagnostics)
+      : table{table}, file{file}, diagnostics{diagnostics} {}
 
-  [[nodiscard]] Place Where(const toml::node &node) const {
+  [[nodiscard]] SourceLocation Where(const toml::node &node) const {
     const auto &begin = node.source().begin;
     return {this->file, begin.line, begin.column};
   }
 
   void Report(const toml::node &node, std::string message) const {
-    this->findings.push_back({this->Where(node), std::move(message)});
+    this->diagnostics.push_back({this->Where(node), std::move(message)});
   }
 
   /*! @brief Reports every key outside the known ones. */
@@ -98,14 +98,14 @@
  private:
   const toml::table &table;
   const std::string &file;
-  Findings &findings;
+  Diagnostics &diagnostics;
 };
 
 void ReadDeadline(const TableReader &reader, Route &route) {
   const auto text = reader.Text("deadline", false);
   if (!text) return;
-  const auto span = ParseSpan(*text);
-  if (span && *span > Span{0}) {
+  const auto span = ParseDuration(*text);
+  if (span && *span > Duration{0}) {
     route.deadline = *span;
     return;
   }
@@ -143,11 +143,11 @@
   return route;
 }
 
-[[nodiscard]] WorkspaceShare ReadWorkspace(const TableReader &reader,
-                                           const toml::table &table) {
+[[nodiscard]] WorkspaceRateLimit ReadWorkspace(const TableReader &reader,
+                                               const toml::table &table) {
   reader.KnownKeys({"name", "rate", "burst"});
-  WorkspaceShare share;
-  share.place = reader.Where(table);
+  WorkspaceRateLimit share;
+  share.location = reader.Where(table);
   share.name = reader.Text("name", true).value_or("");
   if (const auto text = reader.Text("rate", true)) {
     const auto rate = ParseRate(*text);
@@ -209,18 +209,18 @@
 
 }  // namespace
 
-std::optional<Span> ParseSpan(std::string_view text) {
-  struct Unit {
+std::optional<Duration> ParseDuration(std::string_view text) {
+  struct DurationUnit {
     std::string_view name;
     double micros;
   };
-  constexpr std::array<Unit, 4> kUnits{
+  constexpr std::array<DurationUnit, 4> kUnits{
       {{"us", 1}, {"ms", 1e3}, {"s", 1e6}, {"min", 6e7}}};
   const auto number = SplitNumber(text);
   if (!number) return std::nullopt;
   for (const auto &unit : kUnits) {
     if (unit.name != number->unit) continue;
-    return Span{static_cast<std::int64_t>(number->value * unit.micros)};
+    return Duration{static_cast<std::int64_t>(number->value * unit.micros)};
   }
   return std::nullopt;
 }
@@ -234,32 +234,32 @@
 }
 
 void ParseContractFile(const SourceFile &file, ContractSet &set,
-                       Findings &findings) {
+                       Diagnostics &diagnostics) {
   toml::table root;
   try {
     root = toml::parse(file.text, file.name);
   } catch (const toml::parse_error &error) {
     const auto &begin = error.source().begin;
-    findings.push_back({{file.name, begin.line, begin.column},
-                        std::string{error.description()}});
+    diagnostics.push_back({{file.name, begin.line, begin.column},
+                           std::string{error.description()}});
     return;
   }
-  const TableReader reader{root, file.name, findings};
+  const TableReader reader{root, file.name, diagnostics};
   reader.KnownKeys({"service", "callers", "route", "workspace"});
   ForEachTable(root, "workspace", reader, [&](const toml::table &table) {
-    const TableReader inner{table, file.name, findings};
+    const TableReader inner{table, file.name, diagnostics};
     set.workspaces.push_back(ReadWorkspace(inner, table));
   });
   const bool declares_service =
       root.contains("service") || root.contains("route");
   if (!declares_service) return;
   Contract contract;
-  contract.place = reader.Where(root);
+  contract.location = reader.Where(root);
   contract.service = reader.Text("service", true).value_or("");
   contract.callers = ReadCallers(reader);
   ForEachTable(root, "route", reader, [&](const toml::table &table) {
     contract.routes.push_back(
-        ReadRoute(TableReader{table, file.name, findings}));
+        ReadRoute(TableReader{table, file.name, diagnostics}));
   });
   if (contract.routes.empty()) reader.Missing("route");
   set.contracts.push_back(std::move(contract));
--- a/src/pollenring/contract/parse.h
+++ b/src/pollenring/contract/parse.h
@@ -19,17 +19,17 @@
  * @brief Parses one contract file.
  * @param file The file.
  * @param set Receives what the file declares.
- * @param findings Receives all faults.
+ * @param diagnostics Receives all faults.
  */
 void ParseContractFile(const SourceFile &file, ContractSet &set,
-                       Findings &findings);
+                       Diagnostics &diagnostics);
 
 /**
  * @brief Parses a length of time with its unit.
  * @param text Such as `250ms` or `2s`.
  * @return The length, or nothing when number or unit is missing.
  */
-[[nodiscard]] std::optional<Span> ParseSpan(std::string_view text);
+[[nodiscard]] std::optional<Duration> ParseDuration(std::string_view text);
 
 /**
  * @brief Parses a rate with its unit.
--- a/src/pollenring/lease/slot_keeper.cc
+++ b/src/pollenring/lease/slot_keeper.cc
@@ -7,10 +7,10 @@
 
 namespace pollenring {
 
-SlotKeeper::SlotKeeper(const WitnessRef &self, SlotId slots,
+SlotKeeper::SlotKeeper(const ProcessRef &self, SlotId slots,
                        const LeaseOptions &options, const Clock &clock,
                        Random &random, const SlotDirectory &directory,
-                       const Witness &witness, SlotObserver &observer)
+                       const Witness &witness, SlotDelegate &observer)
     : self{self},
       options{options},
       clock{clock},
@@ -105,7 +105,7 @@
   if (slot.orphaned_at == Time{}) {
     slot.orphaned_at = now;
     slot.election_failed = false;
-    const Span spread = this->Jittered(this->options.claim_pause / 10);
+    const Duration spread = this->Jittered(this->options.claim_pause / 10);
     slot.retry_at = now + this->options.rank_pause * *rank + spread;
     slot.elect_at = now + spread;
     if (known != nullptr) {
@@ -199,19 +199,19 @@
   }
 }
 
-void SlotKeeper::Answered(const WitnessRef &from, const WitnessAnswer &answer) {
+void SlotKeeper::Answered(const ProcessRef &from, const WitnessReply &answer) {
   if (answer.slot >= this->slots.size()) return;
   Slot &slot = this->slots[answer.slot];
   switch (answer.request) {
-    case WitnessRequest::kRelease:
+    case WitnessRequestKind::kRelease:
       this->Released(slot, from, answer);
       return;
-    case WitnessRequest::kVote:
+    case WitnessRequestKind::kVote:
       this->Voted(answer.slot, slot, from, answer);
       return;
-    case WitnessRequest::kResign:
+    case WitnessRequestKind::kResign:
       return;
-    case WitnessRequest::kPromise:
+    case WitnessRequestKind::kPromise:
       break;
   }
   if (answer.granted) {
@@ -222,8 +222,8 @@
 }
 
 void SlotKeeper::AskAll(SlotId id, const Slot &slot, const SlotRow &row,
-                        WitnessRequest request) {
-  WitnessAsk ask;
+                        WitnessRequestKind request) {
+  WitnessQuery ask;
   ask.request = request;
   ask.slot = id;
   ask.epoch = row.epoch;
@@ -234,7 +234,7 @@
   ask.sealing = current && slot.next;
   const RowInForce in_force = current ? this->InForce(slot) : RowInForce{};
   // Answers may come from within the calls and replace the row.
-  const std::vector<WitnessRef> witnesses = row.witnesses;
+  const std::vector<ProcessRef> witnesses = row.witnesses;
   for (const auto &ref : witnesses) {
     ask.process = ref.process;
     ask.in_force = slot.told.count(ref) > 0 ? RowInForce{} : in_force;
@@ -271,19 +271,19 @@
   return row.holder == this->self;
 }
 
-bool SlotKeeper::IsWitness(const SlotRow &row, const WitnessRef &ref) {
+bool SlotKeeper::IsWitness(const SlotRow &row, const ProcessRef &ref) {
   const auto &all = row.witnesses;
   return std::find(all.begin(), all.end(), ref) != all.end();
 }
 
 bool SlotKeeper::Lapsed(const Slot &slot) const noexcept {
-  const Span unchanged = this->clock.Now() - slot.seen_since;
+  const Duration unchanged = this->clock.Now() - slot.seen_since;
   return unchanged > this->options.More(this->options.lapse);
 }
 
-Span SlotKeeper::Jittered(Span span) {
+Duration SlotKeeper::Jittered(Duration span) {
   const double factor = 0.5 + this->random.Fraction();
-  return Span{
+  return Duration{
       static_cast<std::int64_t>(static_cast<double>(span.count()) * factor)};
 }
 
--- a/src/pollenring/lease/slot_keeper.h
+++ b/src/pollenring/lease/slot_keeper.h
@@ -38,20 +38,20 @@
   [[nodiscard]] virtual std::optional<std::size_t> Rank(SlotId slot) const = 0;
 
   /*! @brief Best witnesses for a holder. @param holder Holder. @return Them. */
-  [[nodiscard]] virtual std::vector<WitnessRef> WitnessesFor(
-      const WitnessRef &holder) const = 0;
+  [[nodiscard]] virtual std::vector<ProcessRef> WitnessesFor(
+      const ProcessRef &holder) const = 0;
 
   /*! @brief Whether a process is thought to live. @param ref Process. */
-  [[nodiscard]] virtual bool Lives(const WitnessRef &ref) const = 0;
+  [[nodiscard]] virtual bool Lives(const ProcessRef &ref) const = 0;
 };
 
 /*! @brief What keeping slots asks of its surroundings. */
-class SlotObserver {
+class SlotDelegate {
  public:
-  SlotObserver() = default;
-  SlotObserver(const SlotObserver &) = delete;
-  SlotObserver &operator=(const SlotObserver &) = delete;
-  virtual ~SlotObserver() = default;
+  SlotDelegate() = default;
+  SlotDelegate(const SlotDelegate &) = delete;
+  SlotDelegate &operator=(const SlotDelegate &) = delete;
+  virtual ~SlotDelegate() = default;
 
   /*! @brief Reads the slot's row; answer with `RowRead`. */
   virtual void ReadRow(SlotId slot) = 0;
@@ -61,7 +61,7 @@
                         const SlotRow &row) = 0;
 
   /*! @brief Asks a witness; its answer goes to `Answered`. */
-  virtual void Ask(const WitnessRef &witness, const WitnessAsk &ask) = 0;
+  virtual void Ask(const ProcessRef &witness, const WitnessQuery &ask) = 0;
 
   /*! @brief The slot is this node's. @param before Its last holder's row;
    * without witnesses when it is not known who held the slot last. */
@@ -78,7 +78,7 @@
    * @param row The row that names it, or the one that this node has resigned.
    * @param successor Its next holder. */
   virtual void HandedOver(SlotId slot, const SlotRow &row,
-                          const WitnessRef &successor) = 0;
+                          const ProcessRef &successor) = 0;
 };
 
 /*! @brief What became of a row's write. */
@@ -107,9 +107,9 @@
    * @param witness This process's witness, which knows rows without the table.
    * @param observer Carries out requests.
    */
-  SlotKeeper(const WitnessRef &self, SlotId slots, const LeaseOptions &options,
+  SlotKeeper(const ProcessRef &self, SlotId slots, const LeaseOptions &options,
              const Clock &clock, Random &random, const SlotDirectory &directory,
-             const Witness &witness, SlotObserver &observer);
+             const Witness &witness, SlotDelegate &observer);
 
   /**
    * @brief Time until which this node may use the slot.
@@ -137,7 +137,7 @@
   [[nodiscard]] std::vector<SlotClaim> Claims() const;
 
   /*! @brief Whether a slot is being given to a successor now. */
-  [[nodiscard]] bool Giving() const noexcept;
+  [[nodiscard]] bool HandingOver() const noexcept;
 
   /*! @brief Held slots whose loss their witnesses could not make good, as
    * there are none beside this node. @return The count. */
@@ -154,7 +154,7 @@
    * @param slot The slot.
    * @param successor Its next holder.
    */
-  void GiveTo(SlotId slot, const WitnessRef &successor);
+  void HandOverTo(SlotId slot, const ProcessRef &successor);
 
   /**
    * @brief Lets a witness succeed this node without the table, if that is down.
@@ -162,20 +162,20 @@
    * @param successor One of its row's witnesses.
    * @return Whether this node has given up the slot.
    */
-  bool Resign(SlotId slot, const WitnessRef &successor);
+  bool Resign(SlotId slot, const ProcessRef &successor);
 
   /**
    * @brief Stands for election for a slot whose holder has resigned.
    * @param slot The slot.
    */
-  void Succeed(SlotId slot);
+  void Campaign(SlotId slot);
 
   /**
    * @brief Takes a slot that its holder gave to this node.
    * @param slot The slot.
    * @param row The row that the giver wrote.
    */
-  void Adopt(SlotId slot, const SlotRow &row);
+  void AcceptHandover(SlotId slot, const SlotRow &row);
 
   /*! @brief The row was read. @param version 0 when there is none. */
   void RowRead(SlotId slot, std::uint64_t version,
@@ -188,7 +188,7 @@
   void RowWritten(SlotId slot, RowWrite result);
 
   /*! @brief A witness has answered. @param from The one that was asked. */
-  void Answered(const WitnessRef &from, const WitnessAnswer &answer);
+  void Answered(const ProcessRef &from, const WitnessReply &answer);
 
   /**
    * @brief Names what is being done about a slot, for status and tests.
@@ -226,8 +226,8 @@
   /*! @brief Who was last promised anything under a row, as witnesses say. */
   struct LastPromise {
     std::uint64_t epoch{};
-    WitnessRef holder;
-    std::set<WitnessRef> told_by;
+    ProcessRef holder;
+    std::set<ProcessRef> told_by;
   };
 
   struct Slot {
@@ -243,10 +243,10 @@
     bool refused{};  /*!< A witness refuses promises for the row held. */
     bool adopting{}; /*!< The read checks a row given to this node. */
     bool reading{};  /*!< A read is in progress while held. */
-    std::set<WitnessRef> agreed; /*!< Have released, or voted for this node. */
-    std::set<WitnessRef> sealed; /*!< Elect nobody under the row held. */
-    std::set<WitnessRef> outvoted; /*!< Have voted for a later epoch. */
-    std::set<WitnessRef> told;     /*!< Know the table's row to be in force. */
+    std::set<ProcessRef> agreed; /*!< Have released, or voted for this node. */
+    std::set<ProcessRef> sealed; /*!< Elect nobody under the row held. */
+    std::set<ProcessRef> outvoted; /*!< Have voted for a later epoch. */
+    std::set<ProcessRef> told;     /*!< Know the table's row to be in force. */
     LastPromise last_promise;
     bool invited{};         /*!< The holder has resigned, though it lives. */
     bool election_failed{}; /*!< Too few witnesses have answered. */
@@ -283,14 +283,13 @@
   void ReadAgain(SlotId id, Slot &slot);
   void StartAdopting(SlotId id, Slot &slot, std::uint64_t version,
                      const SlotRow &row);
-  void Promised(SlotId id, Slot &slot, const WitnessRef &from,
-                const WitnessAnswer &answer);
-  void PromiseRefused(SlotId id, Slot &slot, const WitnessRef &from,
-                      const WitnessAnswer &answer);
-  void Released(Slot &slot, const WitnessRef &from,
-                const WitnessAnswer &answer);
-  void Voted(SlotId id, Slot &slot, const WitnessRef &from,
-             const WitnessAnswer &answer);
+  void Promised(SlotId id, Slot &slot, const ProcessRef &from,
+                const WitnessReply &answer);
+  void PromiseRefused(SlotId id, Slot &slot, const ProcessRef &from,
+                      const WitnessReply &answer);
+  void Released(Slot &slot, const ProcessRef &from, const WitnessReply &answer);
+  void Voted(SlotId id, Slot &slot, const ProcessRef &from,
+             const WitnessReply &answer);
   void GiveUp(Slot &slot);
   void Lose(SlotId id, Slot &slot);
   void KeepAfterAll(Slot &slot);
@@ -299,25 +298,25 @@
   void JudgeHeldRead(SlotId id, Slot &slot, std::uint64_t version,
                      const std::optional<SlotRow> &row);
   void AskAll(SlotId id, const Slot &slot, const SlotRow &row,
-              WitnessRequest request);
-  void NoteLastPromise(Slot &slot, const WitnessRef &from,
-                       const WitnessAnswer &answer) const;
+              WitnessRequestKind request);
+  void NoteLastPromise(Slot &slot, const ProcessRef &from,
+                       const WitnessReply &answer) const;
   [[nodiscard]] SlotRow LastHolder(const Slot &slot) const;
   [[nodiscard]] RowInForce InForce(const Slot &slot) const;
   [[nodiscard]] const KnownRow *MayElect(SlotId id, const Slot &slot) const;
   [[nodiscard]] static bool IsWitness(const SlotRow &row,
-                                      const WitnessRef &ref);
+                                      const ProcessRef &ref);
   [[nodiscard]] bool IsMine(const SlotRow &row) const noexcept;
   [[nodiscard]] bool Lapsed(const Slot &slot) const noexcept;
-  [[nodiscard]] Span Jittered(Span span);
+  [[nodiscard]] Duration Jittered(Duration span);
 
-  WitnessRef self;
+  ProcessRef self;
   LeaseOptions options;
   const Clock &clock;
   Random &random;
   const SlotDirectory &directory;
   const Witness &witness;
-  SlotObserver &observer;
+  SlotDelegate &observer;
   std::vector<Slot> slots;
   std::size_t table_calls{};
   bool claiming{true};
--- a/src/pollenring/lease/slot_keeper_held.cc
+++ b/src/pollenring/lease/slot_keeper_held.cc
@@ -50,9 +50,10 @@
 
 void SlotKeeper::Renew(SlotId id, Slot &slot) {
   slot.next_send = this->clock.Now() + this->options.renewal;
-  this->AskAll(id, slot, slot.row, WitnessRequest::kPromise);
+  this->AskAll(id, slot, slot.row, WitnessRequestKind::kPromise);
   const bool own = slot.next && this->IsMine(slot.next->Row());
-  if (own) this->AskAll(id, slot, slot.next->Row(), WitnessRequest::kPromise);
+  if (own)
+    this->AskAll(id, slot, slot.next->Row(), WitnessRequestKind::kPromise);
 }
 
 void SlotKeeper::ChangeWitnesses(SlotId id, Slot &slot) {
@@ -63,7 +64,7 @@
   this->StartChange(id, slot, std::move(next));
 }
 
-void SlotKeeper::GiveTo(SlotId id, const WitnessRef &successor) {
+void SlotKeeper::HandOverTo(SlotId id, const ProcessRef &successor) {
   Slot &slot = this->slots.at(id);
   if (slot.phase != Phase::kHeld || slot.next_sent || slot.must_read) return;
   const bool gives = slot.next && !this->IsMine(slot.next->Row());
@@ -75,13 +76,13 @@
   this->StartChange(id, slot, std::move(next));
 }
 
-bool SlotKeeper::Resign(SlotId id, const WitnessRef &successor) {
+bool SlotKeeper::Resign(SlotId id, const ProcessRef &successor) {
   Slot &slot = this->slots.at(id);
   const bool idle = slot.phase == Phase::kHeld && !slot.next_sent;
   if (!idle || !slot.must_read || !IsWitness(slot.row, successor)) return false;
   const SlotRow row = slot.row;
   this->GiveUp(slot);
-  this->AskAll(id, slot, row, WitnessRequest::kResign);
+  this->AskAll(id, slot, row, WitnessRequestKind::kResign);
   this->observer.HandedOver(id, row, successor);
   return true;
 }
@@ -119,8 +120,8 @@
   this->observer.WriteRow(id, slot.version, slot.next->Row());
 }
 
-void SlotKeeper::PromiseRefused(SlotId id, Slot &slot, const WitnessRef &from,
-                                const WitnessAnswer &answer) {
+void SlotKeeper::PromiseRefused(SlotId id, Slot &slot, const ProcessRef &from,
+                                const WitnessReply &answer) {
   if (slot.phase != Phase::kHeld || slot.row.epoch != answer.epoch) return;
   if (!IsWitness(slot.row, from)) return;
   const bool released = answer.released >= LastEpochOf(answer.epoch);
@@ -129,7 +130,7 @@
   if (!answer.remembers || released || sealed) {
     // It can't elect anybody any more; what it has promised may still run.
     slot.sealed.insert(from);
-    const Span remaining{answer.remaining_us};
+    const Duration remaining{answer.remaining_us};
     slot.wait_until = std::max(
         slot.wait_until, this->clock.Now() + this->options.More(remaining));
   } else if (answer.released >= answer.epoch) {
@@ -156,7 +157,7 @@
   slot.must_read = true;
 }
 
-bool SlotKeeper::Giving() const noexcept {
+bool SlotKeeper::HandingOver() const noexcept {
   return std::any_of(
       this->slots.begin(), this->slots.end(), [this](const Slot &slot) {
         if (slot.phase == Phase::kGiving) return true;
@@ -221,7 +222,7 @@
     case Phase::kGiving: {
       slot.row = slot.in_table;
       slot.phase = Phase::kFree;
-      const Span since = this->clock.Now() - slot.touched;
+      const Duration since = this->clock.Now() - slot.touched;
       if (since > this->options.lapse / 4) {
         this->observer.Lost(id);
         return;
--- a/src/pollenring/membership/membership.cc
+++ b/src/pollenring/membership/membership.cc
@@ -12,7 +12,7 @@
 
 Membership::Membership(Member self, const MembershipOptions &options,
                        const Clock &clock, Random &random,
-                       MembershipObserver &observer)
+                       MembershipDelegate &observer)
     : self{std::move(self)},
       options{options},
       clock{clock},
@@ -35,8 +35,8 @@
   return records;
 }
 
-RecordsOfParts Membership::Differing(const PartDigests &theirs) const {
-  RecordsOfParts found;
+DigestReply Membership::Differing(const PartitionDigests &theirs) const {
+  DigestReply found;
   found.digests = this->digests;
   const auto add = [&](const Member &member) {
     const std::size_t part = PartOfNode(member.id);
@@ -84,12 +84,13 @@
     this->Send(gossip.from, GossipKind::kAck, gossip.sequence);
   }
   this->observer.PeerConfigVersion(gossip.from, gossip.config_version);
-  this->observer.PeerZones(gossip.zones);
+  this->observer.PeerZoneWithdrawals(gossip.zones);
   // Only one that holds as new a version is as sure of it.
   const bool as_new = gossip.config_version <= this->config_version;
   if (as_new && gossip.store_age_ms >= 0) {
-    const Span age = std::chrono::milliseconds{gossip.store_age_ms};
-    this->store_heard = std::max(this->store_heard, this->clock.Now() - age);
+    const Duration age = std::chrono::milliseconds{gossip.store_age_ms};
+    this->last_store_contact =
+        std::max(this->last_store_contact, this->clock.Now() - age);
   }
   this->CompareDigest(gossip);
 }
@@ -177,7 +178,7 @@
 }
 
 std::size_t Membership::PartOfNode(NodeId id) noexcept {
-  return static_cast<std::size_t>(HashNumber(id) % kDigestParts);
+  return static_cast<std::size_t>(HashNumber(id) % kDigestPartitions);
 }
 
 std::uint64_t Membership::WholeDigest() const noexcept {
@@ -195,11 +196,11 @@
 void Membership::CompareDigest(const Gossip &gossip) {
   if (gossip.digest == this->WholeDigest()) return;
   const Time now = this->clock.Now();
-  const Span quiet = this->options.quiet_before_exchange;
+  const Duration quiet = this->options.quiet_before_exchange;
   // A young node lacks most records; waiting for gossip would take seconds.
   const bool young = now - this->started < this->options.young_for;
   if (!young && now - this->last_change < quiet) return;
-  const Span pause = young ? this->options.young_pause : quiet;
+  const Duration pause = young ? this->options.young_pause : quiet;
   if (now - this->last_exchange < pause) return;
   this->last_exchange = now;
   this->observer.RecordsDiffer(gossip.from);
@@ -254,8 +255,8 @@
   gossip.from = this->self.id;
   gossip.sequence = number;
   gossip.config_version = this->config_version;
-  if (this->store_heard > Time{}) {
-    const Span age = this->clock.Now() - this->store_heard;
+  if (this->last_store_contact > Time{}) {
+    const Duration age = this->clock.Now() - this->last_store_contact;
     gossip.store_age_ms =
         std::chrono::ceil<std::chrono::milliseconds>(age).count();
   }
--- a/src/pollenring/membership/store_duty.cc
+++ b/src/pollenring/membership/store_watcher_role.cc
@@ -1,4 +1,4 @@
-#include "pollenring/membership/store_duty.h"
+#include "pollenring/membership/store_watcher_role.h"
 
 #include <algorithm>
 #include <set>
@@ -19,19 +19,19 @@
 
 }  // namespace
 
-std::size_t StoreDuty::Rank() const {
+std::size_t StoreWatcherRole::Rank() const {
   const Member &self = this->membership.Self();
   const std::uint64_t own = OrderOf(self.id);
   std::size_t before = 0;
   for (const auto &[id, member] : this->membership.Members()) {
     if (member.state != MemberState::kAlive) continue;
-    if (!this->versions.TellsZones(id)) continue;
+    if (!this->versions.ReportsZoneWithdrawals(id)) continue;
     if (member.zone == self.zone && OrderOf(id) < own) ++before;
   }
   return before;
 }
 
-std::size_t StoreDuty::Needed() const {
+std::size_t StoreWatcherRole::Needed() const {
   std::set<std::string_view> zones{this->membership.Self().zone};
   for (const auto &[id, member] : this->membership.Members()) {
     if (member.state == MemberState::kAlive) zones.insert(member.zone);
@@ -41,18 +41,19 @@
   return std::max(this->options.per_zone, spread);
 }
 
-Span StoreDuty::NextWatch(Random &random) const {
+Duration StoreWatcherRole::NextWatch(Random &random) const {
   const double part = 0.5 + random.Fraction() / 2;
-  return Span{static_cast<std::int64_t>(
+  return Duration{static_cast<std::int64_t>(
       part * static_cast<double>(this->options.longest_watch.count()))};
 }
 
-bool StoreDuty::Asks() const {
+bool StoreWatcherRole::ShouldWatch() const {
   const std::size_t rank = this->Rank();
   const std::size_t needed = this->Needed();
   if (rank < needed) return true;
   const auto later = static_cast<std::int64_t>(rank - needed);
-  const Span silence = this->clock.Now() - this->membership.StoreHeard();
+  const Duration silence =
+      this->clock.Now() - this->membership.LastStoreContact();
   return silence > this->options.stale_after + this->options.step_in * later;
 }
 
--- a/src/pollenring/mesh/dialects.h
+++ b/src/pollenring/mesh/codecs.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_MESH_DIALECTS_H_
-#define POLLENRING_MESH_DIALECTS_H_
+#ifndef POLLENRING_MESH_CODECS_H_
+#define POLLENRING_MESH_CODECS_H_
 
 #include <cstdint>
 #include <functional>
@@ -11,7 +11,7 @@
 #include "pollenring/contract/host_policy.h"
 #include "pollenring/core/result.h"
 #include "pollenring/net/http_message.h"
-#include "pollenring/node/serving.h"
+#include "pollenring/node/target_executor.h"
 #include "pollenring/node/wire.h"
 #include "pollenring/storage/storage.h"
 
@@ -21,17 +21,17 @@
 struct CallerRequest {
   std::string id;  /*!< Of this attempt; empty when none is given. */
   std::string key; /*!< Of a workspace; empty when none is given. */
-  std::optional<Span> remaining;   /*!< How long the caller still waits. */
-  std::vector<WireHeader> headers; /*!< Those that a target may see. */
+  std::optional<Duration> remaining; /*!< How long the caller still waits. */
+  std::vector<WireHeader> headers;   /*!< Those that a target may see. */
 };
 
 /*! @brief How callers write requests and read answers. */
-class CallerDialect {
+class CallerCodec {
  public:
-  CallerDialect() = default;
-  CallerDialect(const CallerDialect &) = delete;
-  CallerDialect &operator=(const CallerDialect &) = delete;
-  virtual ~CallerDialect() = default;
+  CallerCodec() = default;
+  CallerCodec(const CallerCodec &) = delete;
+  CallerCodec &operator=(const CallerCodec &) = delete;
+  virtual ~CallerCodec() = default;
 
   /**
    * @brief Reads a request's headers.
@@ -56,18 +56,19 @@
 /*! @brief What a target says of itself from time to time. */
 struct Heartbeat {
   Announcement announcement;
-  std::uint64_t born{};     /*!< Unix milliseconds of its start; 0 if unsaid. */
+  std::uint64_t
+      started_at_ms{};      /*!< Unix milliseconds of its start; 0 if unsaid. */
   std::uint64_t sequence{}; /*!< Grows with each heartbeat of one start. */
-  bool departs{};           /*!< It says only that it leaves. */
+  bool deregisters{};       /*!< It says only that it leaves. */
 };
 
 /*! @brief How targets announce themselves. */
-class HeartbeatDialect {
+class HeartbeatCodec {
  public:
-  HeartbeatDialect() = default;
-  HeartbeatDialect(const HeartbeatDialect &) = delete;
-  HeartbeatDialect &operator=(const HeartbeatDialect &) = delete;
-  virtual ~HeartbeatDialect() = default;
+  HeartbeatCodec() = default;
+  HeartbeatCodec(const HeartbeatCodec &) = delete;
+  HeartbeatCodec &operator=(const HeartbeatCodec &) = delete;
+  virtual ~HeartbeatCodec() = default;
 
   /**
    * @brief Reads an announcement.
@@ -79,12 +80,12 @@
 };
 
 /*! @brief How the operator writes a configuration. */
-class PolicyDialect {
+class PolicyCodec {
  public:
-  PolicyDialect() = default;
-  PolicyDialect(const PolicyDialect &) = delete;
-  PolicyDialect &operator=(const PolicyDialect &) = delete;
-  virtual ~PolicyDialect() = default;
+  PolicyCodec() = default;
+  PolicyCodec(const PolicyCodec &) = delete;
+  PolicyCodec &operator=(const PolicyCodec &) = delete;
+  virtual ~PolicyCodec() = default;
 
   /**
    * @brief Reads a document.
@@ -97,7 +98,7 @@
 
 /*! @brief The operator's document as the store holds it at one moment. */
 struct StoredDocument {
-  std::uint64_t position{};        /*!< Of the store's history. */
+  std::uint64_t revision{};        /*!< Of the store's history. */
   std::optional<std::string> text; /*!< Nothing when it has not changed. */
   /*! @brief Zones that have changed; after a read, all that are withdrawn. */
   std::vector<ZoneChange> zones;
@@ -123,9 +124,9 @@
    * @param longest Longest wait of the store.
    * @param done Called once; `kNotFound` when that position is forgotten.
    */
-  virtual void Await(std::uint64_t after, Span longest, Done done) = 0;
+  virtual void Await(std::uint64_t after, Duration longest, Done done) = 0;
 };
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_MESH_DIALECTS_H_
+#endif  // POLLENRING_MESH_CODECS_H_
--- a/src/pollenring/mesh/mesh_node_status.cc
+++ b/src/pollenring/mesh/mesh_node_status.cc
@@ -17,7 +17,7 @@
     return static_cast<double>(this->InProgress());
   });
   this->metrics.Gauge("pollenring_config_version", [this] {
-    return static_cast<double>(this->policy.InForce().Version());
+    return static_cast<double>(this->policy.Active().Version());
   });
   this->metrics.Gauge("pollenring_store_silence_seconds", [this] {
     return std::chrono::duration<double>{this->policy.StoreSilence()}.count();
@@ -63,15 +63,15 @@
 nlohmann::json MeshNode::Status() const {
   nlohmann::json zones = nlohmann::json::array();
   for (const auto &[zone, since] : this->policy.WithdrawnSince()) {
-    const Span age = this->loop.GetClock().Now() - since;
+    const Duration age = this->loop.GetClock().Now() - since;
     zones.push_back({{"zone", zone},
                      {"for_s", std::chrono::duration<double>{age}.count()}});
   }
   return {
       {"node", this->settings.nodes.Format()},
       {"zone", this->settings.zone},
-      {"config_version", this->policy.InForce().Version()},
-      {"fresh", this->policy.InForce().Version() > 0},
+      {"config_version", this->policy.Active().Version()},
+      {"fresh", this->policy.Active().Version() > 0},
       {"leaving", this->leaving},
       {"open_for_callers", this->Ready()},
       {"in_progress", this->InProgress()},
--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -7,25 +7,25 @@
 #include <unordered_map>
 
 #include "pollenring/core/random.h"
-#include "pollenring/mesh/dialects.h"
+#include "pollenring/mesh/codecs.h"
 #include "pollenring/mesh/policy_follower.h"
 #include "pollenring/metrics/metrics.h"
 #include "pollenring/net/http_server.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/dispatcher.h"
+#include "pollenring/node/downstream_levels.h"
 #include "pollenring/node/gates.h"
-#include "pollenring/node/route_levels.h"
 
 namespace pollenring {
 
 /*! @brief The parts that a request passes through. */
 struct OutboundParts {
   const PolicyFollower &policy;
-  const CallerDialect &dialect;
+  const CallerCodec &codec;
   ShareGate &shares;
   Dispatcher &dispatcher;
-  Serving &serving;
-  RouteLevels &levels;
+  TargetExecutor &serving;
+  DownstreamLevels &levels;
   Random &random;
   Metrics &metrics;
 };
@@ -74,13 +74,13 @@
   /*! @brief Sends what has been charged. @param entry It. @param renew Charges
    * it again; empty when its workspace has no rate. */
   void Send(const EntryPtr &entry, const RenewCharge &renew);
-  void Refuse(const EntryPtr &entry, Reason reason, Span retry_after);
+  void Refuse(const EntryPtr &entry, Reason reason, Duration retry_after);
   /*! @brief Sees to it that a request is answered, whatever becomes of it. */
   void AwaitAnswer(const EntryPtr &entry, Time until);
   void AnswerLate(const EntryPtr &entry);
   void Answer(const EntryPtr &entry, CallReply reply, std::string body);
   void Record(const Entry &entry, const CallReply &reply);
-  void RecordLoss(const Entry &entry, CallerLoss loss, bool passed_on);
+  void RecordLoss(const Entry &entry, CallerDisconnect loss, bool passed_on);
 
   Loop &loop;
   std::string service;
--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -7,31 +7,31 @@
 #include <unordered_map>
 #include <vector>
 
-#include "pollenring/net/answer_parser.h"
 #include "pollenring/net/h2o_api.h"
 #include "pollenring/net/loop.h"
+#include "pollenring/net/response_parser.h"
 
 namespace pollenring {
 namespace {
 
-using internal::AnswerParser;
-using internal::AnswerState;
+using internal::ResponseParser;
+using internal::ResponseState;
 
 /*! @brief Idle connections kept per peer; above any target's slots. */
 constexpr std::size_t kPoolCapacity = 1024;
 /*! @brief How long an idle connection is kept when its peer says nothing; most
  * servers close after five seconds. */
-constexpr Span kPoolIdle = std::chrono::seconds{4};
+constexpr Duration kPoolIdle = std::chrono::seconds{4};
 /*! @brief Part of the peer's idle time-out during which a connection is used;
  * the rest covers the way there and a late timer. */
 constexpr double kIdleFraction = 0.8;
 /*! @brief Answers of other calls that one call skips; a peer that sends more
  * has lost count. */
 constexpr int kMostForeign = 4;
-constexpr Span kIdleSweep = std::chrono::seconds{1};
+constexpr Duration kIdleSweep = std::chrono::seconds{1};
 /*! @brief Longest wait for a connection; peers are milliseconds away, and a
  * lost opening packet is sent again after one second. */
-constexpr Span kConnectTimeout = std::chrono::milliseconds{1500};
+constexpr Duration kConnectTimeout = std::chrono::milliseconds{1500};
 
 [[nodiscard]] std::string Serialize(const Address &to,
                                     const HttpRequest &request) {
@@ -62,8 +62,8 @@
     });
   }
 
-  CallId Start(const Address &to, const HttpRequest &request, Span timeout,
-               Done done, AnswerMark mark) {
+  CallId Start(const Address &to, const HttpRequest &request, Duration timeout,
+               Done done, CorrelationHeader mark) {
     const CallId id = ++this->last_id;
     Pending &call = this->calls[id];
     call.to = to;
@@ -96,7 +96,7 @@
     Impl *owner{};
     Address to;
     h2o_socket_t *sock{};
-    std::optional<AnswerParser> parser;
+    std::optional<ResponseParser> parser;
     CallId call{}; /*!< 0 while idle. */
     Time idle_until{};
     Loop::TimerId connect_timer{};
@@ -109,7 +109,7 @@
   struct Pending {
     Address to;
     std::string out;
-    AnswerMark mark;
+    CorrelationHeader mark;
     bool head_only{};
     bool sent{};
     Done done;
@@ -213,7 +213,7 @@
     while (used < (*input)->size) {
       used += connection.parser->Feed((*input)->bytes + used,
                                       (*input)->size - used);
-      if (connection.parser->State() == AnswerState::kPartial) continue;
+      if (connection.parser->State() == ResponseState::kPartial) continue;
       if (!this->SkipForeign(connection)) break;
     }
     const bool stray = used < (*input)->size;
@@ -225,16 +225,16 @@
       return;
     }
     switch (connection.parser->State()) {
-      case AnswerState::kWhole:
+      case ResponseState::kWhole:
         this->Complete(connection, stray || error != nullptr);
         return;
-      case AnswerState::kTooLarge:
+      case ResponseState::kTooLarge:
         this->Fail(connection, CallError::kTooLarge);
         return;
-      case AnswerState::kBroken:
+      case ResponseState::kBroken:
         this->Fail(connection, CallError::kBroken);
         return;
-      case AnswerState::kPartial:
+      case ResponseState::kPartial:
         if (error != nullptr) {
           this->Fail(connection, CallError::kBroken);
           return;
@@ -245,7 +245,7 @@
 
   /*! @brief Leaves out an answer that names another request. */
   bool SkipForeign(Connection &connection) {
-    if (connection.parser->State() != AnswerState::kWhole) return false;
+    if (connection.parser->State() != ResponseState::kWhole) return false;
     const Pending &call = this->calls.at(connection.call);
     if (call.mark.name.empty()) return false;
     const auto given =
@@ -277,19 +277,19 @@
 
   void Complete(Connection &connection, bool ended) {
     const CallId id = connection.call;
-    AnswerParser &parser = *connection.parser;
+    ResponseParser &parser = *connection.parser;
     const bool reusable = !ended && !connection.spoiled &&
                           !connection.writing && parser.KeepsAlive();
     HttpResponse answer = std::move(parser.Answer());
-    const Span stated = parser.IdleTimeout();
+    const Duration stated = parser.IdleTimeout();
     this->calls.at(id).connection = nullptr;
     connection.call = 0;
     this->Hold(connection, 0);
     auto &pool = this->idle[connection.to];
     if (reusable && pool.size() < kPoolCapacity) {
-      const Span kept =
-          stated > Span{0}
-              ? Span{static_cast<std::int64_t>(
+      const Duration kept =
+          stated > Duration{0}
+              ? Duration{static_cast<std::int64_t>(
                     static_cast<double>(stated.count()) * kIdleFraction)}
               : kPoolIdle;
       connection.idle_until = this->loop.GetClock().Now() + kept;
@@ -373,8 +373,9 @@
 HttpClient::~HttpClient() = default;
 
 HttpClient::CallId HttpClient::Call(const Address &to,
-                                    const HttpRequest &request, Span timeout,
-                                    Done done, AnswerMark mark) {
+                                    const HttpRequest &request,
+                                    Duration timeout, Done done,
+                                    CorrelationHeader mark) {
   return this->impl->Start(to, request, timeout, std::move(done),
                            std::move(mark));
 }
--- a/src/pollenring/node/call_shares.h
+++ b/src/pollenring/node/call_attribution.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_NODE_CALL_SHARES_H_
-#define POLLENRING_NODE_CALL_SHARES_H_
+#ifndef POLLENRING_NODE_CALL_ATTRIBUTION_H_
+#define POLLENRING_NODE_CALL_ATTRIBUTION_H_
 
 #include <cstddef>
 #include <optional>
@@ -21,13 +21,13 @@
  * mean over time, is the part of the calls that this kind makes. Kinds that
  * make none are as many then as at any time.
  */
-class CallShares {
+class CallAttribution {
  public:
   /**
    * @brief Starts without kinds.
    * @param now Time.
    */
-  explicit CallShares(Time now) noexcept;
+  explicit CallAttribution(Time now) noexcept;
 
   /*! @brief A request begins. @param kind Its kind. @param now Time. */
   void Begin(const std::string &kind, Time now);
@@ -98,9 +98,9 @@
   std::unordered_map<std::string, Kind> kinds;
   std::unordered_map<std::string, Callee> callees;
   Time window_start{};
-  Span window{};
+  Duration window{};
 };
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_NODE_CALL_SHARES_H_
+#endif  // POLLENRING_NODE_CALL_ATTRIBUTION_H_
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -17,7 +17,7 @@
 constexpr std::size_t kShortestKeySearched = 8;
 constexpr double kLotScale = 1.0 / 9007199254740992.0;
 
-[[nodiscard]] double LotOf(const std::string &root_id) noexcept {
+[[nodiscard]] double SubPriorityOf(const std::string &root_id) noexcept {
   return static_cast<double>(Hash64(root_id) >> 11U) * kLotScale;
 }
 
@@ -82,9 +82,9 @@
     this->Refuse(root, Outcome::kNotRun, refused);
     return;
   }
-  root->envelope.headers = PassableHeaders(request.headers);
+  root->envelope.headers = ForwardableHeaders(request.headers);
   root->body = std::move(request.body);
-  root->responder->OnCancel([root](CallerLoss) { root->gone = true; });
+  root->responder->OnCancel([root](CallerDisconnect) { root->gone = true; });
   this->Next(root);
 }
 
@@ -111,7 +111,7 @@
   const Reason unidentified = this->Identify(request, root);
   if (unidentified != Reason::kNone) return unidentified;
   auto [service, path] = SplitServicePath(request.path);
-  const Policy &policy = this->parts.config.InForce();
+  const Policy &policy = this->parts.config.Active();
   const Contract *contract = policy.Find(service);
   if (contract == nullptr) return Reason::kNoRoute;
   const Route *route = Policy::Match(*contract, request.method, path);
@@ -120,7 +120,7 @@
   root.open = route->open;
   const std::string_view key = FindHeader(request.headers, kKeyHeader);
   if (!route->open) {
-    if (!this->parts.freshness.Fresh()) return Reason::kNotFresh;
+    if (!this->parts.freshness.Fresh()) return Reason::kStaleConfig;
     if (key.empty()) return Reason::kKeyRefused;
     root.envelope.workspace = policy.WorkspaceOf(Sha256Hex(key));
     if (root.envelope.workspace.empty()) return Reason::kKeyRefused;
@@ -134,8 +134,8 @@
   root.envelope.path = std::move(path);
   root.envelope.importance = route->importance;
   root.envelope.idempotent = route->idempotent;
-  root.envelope.lot = LotOf(root.envelope.root_id);
-  const WorkspaceShare *share = policy.ShareOf(root.envelope.workspace);
+  root.envelope.sub_priority = SubPriorityOf(root.envelope.root_id);
+  const WorkspaceRateLimit *share = policy.ShareOf(root.envelope.workspace);
   if (share != nullptr) root.envelope.weight = share->rate;
   root.envelope.retries = route->retries;
   root.deadline = root.started + route->deadline;
@@ -149,7 +149,8 @@
     root.id = std::string{given};
     root.id_given = true;
   } else {
-    root.id = MintRequestId(this->loop.GetClock().Wall(), this->parts.random);
+    root.id =
+        MintRequestId(this->loop.GetClock().WallNow(), this->parts.random);
   }
   root.envelope.root_id = root.id;
   return Reason::kNone;
@@ -157,9 +158,11 @@
 
 bool Ingress::ShedsEarly(const Root &root) const {
   const double level =
-      this->parts.levels.HighestOn(root.envelope.workspace, root.route_name)
+      this->parts.levels
+          .HighestOnCallPath(root.envelope.workspace, root.route_name)
           .level;
-  return PriorityOf(root.envelope.importance, root.envelope.lot) < level;
+  return PriorityOf(root.envelope.importance, root.envelope.sub_priority) <
+         level;
 }
 
 void Ingress::Charge(const RootPtr &root) {
@@ -174,7 +177,7 @@
     return;
   }
   this->parts.shares.Charge(
-      root->envelope.workspace, Patience::Until(root->deadline),
+      root->envelope.workspace, WaitLimit::Until(root->deadline),
       [this, root](ShareAnswer answer) {
         if (answer.granted) {
           root->charged = this->loop.GetClock().Now();
@@ -184,7 +187,7 @@
         this->Answer(
             root,
             Refusal(Outcome::kNotRun, answer.reason,
-                    SpreadAround(answer.retry_after, this->parts.random)),
+                    WithJitter(answer.retry_after, this->parts.random)),
             {});
       });
 }
@@ -207,26 +210,33 @@
 }
 
 void Ingress::AnswerRepeat(const RootPtr &root, OnceAnswer answer) {
-  const Span come_back = SpreadAround(kComeBack, this->parts.random);
+  const Duration jittered_retry_after =
+      WithJitter(kDefaultRetryAfter, this->parts.random);
   switch (answer.verdict) {
     case OnceVerdict::kAnswered:
       this->Answer(root, std::move(answer.reply), std::move(answer.body));
       return;
     case OnceVerdict::kInProgress:
       this->Answer(
-          root, Refusal(Outcome::kUnknown, Reason::kInProgress, come_back), {});
+          root,
+          Refusal(Outcome::kUnknown, Reason::kInProgress, jittered_retry_after),
+          {});
       return;
     case OnceVerdict::kExpired:
-      this->Answer(root, Refusal(Outcome::kUnknown, Reason::kIdExpired, Span{}),
-                   {});
+      this->Answer(
+          root, Refusal(Outcome::kUnknown, Reason::kIdExpired, Duration{}), {});
       return;
     case OnceVerdict::kNotRun:
-      this->Answer(root, Refusal(Outcome::kNotRun, Reason::kNoShare, come_back),
-                   {});
+      this->Answer(
+          root,
+          Refusal(Outcome::kNotRun, Reason::kNoShare, jittered_retry_after),
+          {});
       return;
     default:
       this->Answer(
-          root, Refusal(Outcome::kUnknown, Reason::kRepeated, come_back), {});
+          root,
+          Refusal(Outcome::kUnknown, Reason::kRepeated, jittered_retry_after),
+          {});
   }
 }
 
@@ -238,7 +248,7 @@
   if (!root->open) {
     bounds.renew = [this, root](ShareGate::Done done) {
       this->parts.shares.Charge(
-          root->workspace, Patience::Until(root->deadline), std::move(done));
+          root->workspace, WaitLimit::Until(root->deadline), std::move(done));
     };
   }
   const auto call = this->parts.dispatcher.Call(
@@ -251,16 +261,17 @@
   // A non-idempotent run goes on, so that repeats can be told its outcome.
   if (root->begun) return;
   root->responder->OnCancel(
-      [this, call](CallerLoss) { this->parts.dispatcher.Cancel(call); });
+      [this, call](CallerDisconnect) { this->parts.dispatcher.Cancel(call); });
 }
 
 void Ingress::Refuse(const RootPtr &root, Outcome outcome, Reason reason) {
   const bool transient = reason == Reason::kOverload ||
-                         reason == Reason::kNotFresh ||
+                         reason == Reason::kStaleConfig ||
                          reason == Reason::kNoTarget;
-  const Span come_back =
-      transient ? SpreadAround(kComeBack, this->parts.random) : Span{};
-  this->Answer(root, Refusal(outcome, reason, come_back), {});
+  const Duration jittered_retry_after =
+      transient ? WithJitter(kDefaultRetryAfter, this->parts.random)
+                : Duration{};
+  this->Answer(root, Refusal(outcome, reason, jittered_retry_after), {});
 }
 
 void Ingress::Answer(const RootPtr &root, CallReply reply, std::string body) {
@@ -273,7 +284,7 @@
   }
   metrics.Count("pollenring_outcomes_total",
                 {"outcome", std::string{kOutcomeNames.Name(reply.outcome)}});
-  const Span took = this->loop.GetClock().Now() - root->started;
+  const Duration took = this->loop.GetClock().Now() - root->started;
   metrics.Observe("pollenring_request_seconds",
                   std::chrono::duration<double>{took}.count());
   root->responder->Send(ToResponse(reply, std::move(body), root->id));
--- a/src/pollenring/node/target_port.h
+++ b/src/pollenring/node/target_port.h
@@ -9,7 +9,7 @@
 #include "pollenring/net/http_server.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/dispatcher.h"
-#include "pollenring/node/serving.h"
+#include "pollenring/node/target_executor.h"
 
 namespace pollenring {
 
@@ -30,8 +30,8 @@
    * @param random Randomness.
    */
   TargetPort(Loop &loop, std::string secret, const ConfigLedger &config,
-             Serving &serving, Dispatcher &dispatcher, RouteLevels &levels,
-             Random &random);
+             TargetExecutor &serving, Dispatcher &dispatcher,
+             DownstreamLevels &levels, Random &random);
 
   /**
    * @brief Takes one request of the target.
@@ -51,9 +51,9 @@
   Loop &loop;
   std::string secret;
   const ConfigLedger &config;
-  Serving &serving;
+  TargetExecutor &serving;
   Dispatcher &dispatcher;
-  RouteLevels &levels;
+  DownstreamLevels &levels;
   Random &random;
 };
 
--- a/src/pollenring/routing/router.h
+++ b/src/pollenring/routing/router.h
@@ -27,31 +27,31 @@
 };
 
 /*! @brief Which target is chosen while several have room. */
-enum class RouteOrder {
-  kNearest, /*!< One of the nearest availability zone. */
-  kSoonest  /*!< The one that is likely to answer first. */
+enum class LoadBalancingPolicy {
+  kZoneAware,   /*!< One of the nearest availability zone. */
+  kLeastLatency /*!< The one that is likely to answer first. */
 };
 
 /*! @brief A target that is set aside, or used again. */
-struct RouteChange {
+struct EjectionChange {
   std::string service;
   NodeId node{};
   bool set_aside{};
-  int failures{}; /*!< In a row. */
-  Span pause{};   /*!< Until it is tried again; 0 when it is used again. */
+  int failures{};   /*!< In a row. */
+  Duration pause{}; /*!< Until it is tried again; 0 when it is used again. */
 };
 
 /*! @brief Limits of routing. */
 struct RouterOptions {
-  Span first_ejection{std::chrono::milliseconds{500}};
-  Span longest_ejection{std::chrono::seconds{8}};
+  Duration first_ejection{std::chrono::milliseconds{500}};
+  Duration longest_ejection{std::chrono::seconds{8}};
   int failures_to_eject{3};
-  Span ramp{std::chrono::seconds{3}};
+  Duration ramp{std::chrono::seconds{3}};
   double ramp_floor{0.1};
   std::size_t choices{2};
-  RouteOrder order{RouteOrder::kNearest};
+  LoadBalancingPolicy order{LoadBalancingPolicy::kZoneAware};
   /*! @brief What another zone must be sooner by, for the bytes between them. */
-  Span zone_cost{std::chrono::milliseconds{3}};
+  Duration zone_cost{std::chrono::milliseconds{3}};
 };
 
 /**
@@ -121,10 +121,11 @@
    * @param took Time to the target's answer; 0 when it gave none.
    */
   void Finished(const std::string &service, NodeId node, CallVerdict verdict,
-                const std::optional<LoadReport> &report, Span took = Span{0});
+                const std::optional<LoadReport> &report,
+                Duration took = Duration{0});
 
   /*! @brief Takes what has changed since the last time. @return Changes. */
-  [[nodiscard]] std::vector<RouteChange> TakeChanges() {
+  [[nodiscard]] std::vector<EjectionChange> TakeChanges() {
     return std::exchange(this->changes, {});
   }
 
@@ -136,18 +137,18 @@
   [[nodiscard]] std::size_t Count(const std::string &service) const;
 
  private:
-  enum class Nearness { kZone = 0, kRegion = 1, kFar = 2 };
-  static constexpr std::size_t kNearnessLevels = 3;
+  enum class Locality { kSameZone = 0, kSameRegion = 1, kOther = 2 };
+  static constexpr std::size_t kLocalityLevels = 3;
 
   struct Endpoint {
     NodeId node{};
-    Nearness nearness{Nearness::kFar};
+    Locality nearness{Locality::kOther};
     double limit{1};
     double reported{};
     int in_progress{};
     int in_progress_at_report{};
     int failures{};
-    Span ejection{};
+    Duration ejection{};
     Time ejected_until{};
     bool ejected{};
     Time cold_until{};
@@ -169,11 +170,11 @@
 
   struct Service {
     std::unordered_map<NodeId, std::unique_ptr<Endpoint>> endpoints;
-    std::array<std::vector<Endpoint *>, kNearnessLevels> usable;
+    std::array<std::vector<Endpoint *>, kLocalityLevels> usable;
     std::multimap<Time, NodeId> ejected;
   };
 
-  [[nodiscard]] Nearness NearnessOf(const Member &member) const noexcept;
+  [[nodiscard]] Locality LocalityOf(const Member &member) const noexcept;
   [[nodiscard]] double Utilisation(const Endpoint &endpoint) const noexcept;
   [[nodiscard]] double FaultShare(const Endpoint &endpoint) const noexcept;
   [[nodiscard]] double Cost(const Endpoint &endpoint,
@@ -204,7 +205,7 @@
   std::vector<std::string> withdrawn;
   std::unordered_map<std::string, Service> services;
   std::unordered_map<NodeId, std::vector<std::string>> served_by;
-  std::vector<RouteChange> changes;
+  std::vector<EjectionChange> changes;
 };
 
 }  // namespace pollenring
--- a/test/pollenring/admission/cold_gate_test.cc
+++ b/test/pollenring/admission/cold_start_limiter_test.cc
@@ -1,4 +1,4 @@
-#include "pollenring/admission/cold_gate.h"
+#include "pollenring/admission/cold_start_limiter.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -15,23 +15,23 @@
 using pollenring::Admission;
 using pollenring::AdmissionActions;
 using pollenring::AdmissionOptions;
-using pollenring::ColdGate;
-using pollenring::ColdTolerance;
+using pollenring::AdmissionRequest;
+using pollenring::ColdStartLimit;
+using pollenring::ColdStartLimiter;
+using pollenring::Duration;
 using pollenring::Importance;
-using pollenring::LevelCause;
+using pollenring::LevelTrigger;
 using pollenring::ManualClock;
 using pollenring::QueueOrder;
 using pollenring::Reason;
 using pollenring::SeededRandom;
-using pollenring::Span;
-using pollenring::Ticket;
 using pollenring::Time;
 
 [[nodiscard]] AdmissionOptions Options() {
   AdmissionOptions options;
   options.limit.fixed = true;
-  options.level_cause = LevelCause::kFit;
-  options.order = QueueOrder::kAim;
+  options.level_cause = LevelTrigger::kOfferedLoad;
+  options.order = QueueOrder::kSoftDeadline;
   return options;
 }
 
@@ -83,9 +83,9 @@
 
 /*! @brief One target under load, with its admission and its heartbeats. */
 struct ColdWorld {
-  ColdWorld(std::uint64_t seed, const ColdTolerance &tolerance)
+  ColdWorld(std::uint64_t seed, const ColdStartLimit &tolerance)
       : random{seed}, admission{45, Options(), clock}, target{clock} {
-    this->admission.SetColdTolerance(tolerance);
+    this->admission.SetColdStartLimit(tolerance);
   }
 
   void Do(const AdmissionActions &actions) {
@@ -103,7 +103,7 @@
     }
   }
 
-  void Run(Span length, double per_second) {
+  void Run(Duration length, double per_second) {
     const Time until = this->clock.Now() + length;
     while (this->clock.Now() < until) {
       this->clock.Advance(1ms);
@@ -111,7 +111,7 @@
       while (!this->ends.empty() && this->ends.begin()->first <= now) {
         const std::uint64_t id = this->ends.begin()->second;
         this->ends.erase(this->ends.begin());
-        this->Do(this->admission.Finish(id, Span{0}, false));
+        this->Do(this->admission.Finish(id, Duration{0}, false));
       }
       if (now >= this->next_beat) {
         this->next_beat = now + 1500ms;
@@ -119,12 +119,12 @@
       }
       for (double due = per_second / 1000; due > 0; due -= 1) {
         if (!this->random.Chance(std::min(1.0, due))) continue;
-        Ticket ticket;
+        AdmissionRequest ticket;
         ticket.id = ++this->last;
-        ticket.lot = this->random.Fraction();
+        ticket.sub_priority = this->random.Fraction();
         ticket.importance = Importance::kNormal;
         ticket.deadline = now + 700ms;
-        ticket.aim = now + 300ms;
+        ticket.soft_deadline = now + 300ms;
         this->Do(this->admission.Offer(ticket));
       }
       this->Do(this->admission.Tick());
@@ -142,7 +142,7 @@
   int refused{};
 };
 
-constexpr ColdTolerance kTolerance{20, 1100ms};
+constexpr ColdStartLimit kTolerance{20, 1100ms};
 
 }  // namespace
 
@@ -151,13 +151,13 @@
   CAPTURE(seed);
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{seed};
-  ColdGate gate{clock};
+  ColdStartLimiter gate{clock};
   gate.SetTolerance({20, 1s});
   gate.SetColdUntil(clock.Now() + 1h);
   std::deque<Time> sent;
   std::uint64_t id = 0;
   for (int i = 0; i < 20'000; ++i) {
-    clock.Advance(Span{static_cast<std::int64_t>(random.Index(1000))});
+    clock.Advance(Duration{static_cast<std::int64_t>(random.Index(1000))});
     if (!gate.HasRoom()) continue;
     gate.Sent(++id);
     // Those that the target turned away don't count.
@@ -173,7 +173,7 @@
 
 TEST_CASE("cold gate: what was turned away gives its place back") {
   ManualClock clock{std::chrono::hours{1}};
-  ColdGate gate{clock};
+  ColdStartLimiter gate{clock};
   gate.SetTolerance({2, 1s});
   gate.SetColdUntil(clock.Now() + 1h);
   gate.Sent(1);
@@ -190,16 +190,16 @@
 
 TEST_CASE("cold gate: it opens at the end of the coldness, not later") {
   ManualClock clock{std::chrono::hours{1}};
-  ColdGate gate{clock};
+  ColdStartLimiter gate{clock};
   gate.SetTolerance({1, 1s});
   CHECK_FALSE(gate.Closed());
   gate.SetColdUntil(clock.Now() + 300ms);
   gate.Sent(1);
   CHECK_FALSE(gate.HasRoom());
-  CHECK(gate.ColdFor() == Span{300ms});
+  CHECK(gate.ColdFor() == Duration{300ms});
   clock.Advance(300ms);
   CHECK(gate.HasRoom());
-  CHECK(gate.ColdFor() == Span{0});
+  CHECK(gate.ColdFor() == Duration{0});
   // Word that it is warm already counts at once.
   gate.SetColdUntil(clock.Now() + 3s);
   gate.Sent(2);
@@ -247,7 +247,7 @@
   ColdWorld world{3, kTolerance};
   world.Run(2s, 900);
   // It bears a fiftieth of what is offered.
-  CHECK(world.admission.LevelOf({}) > 1.5);
+  CHECK(world.admission.AdmissionLevelOf({}) > 1.5);
   world.Run(1200ms, 900);
-  CHECK(world.admission.LevelOf({}) < 0.2);
+  CHECK(world.admission.AdmissionLevelOf({}) < 0.2);
 }
--- a/test/pollenring/admission/fit_level_test.cc
+++ b/test/pollenring/admission/offered_load_level_test.cc
@@ -1,4 +1,4 @@
-#include "pollenring/admission/fit_level.h"
+#include "pollenring/admission/offered_load_level.h"
 
 #include <catch2/catch.hpp>
 
@@ -8,29 +8,29 @@
 namespace {
 
 using namespace std::chrono_literals;
-using pollenring::FitLevel;
-using pollenring::FitLevelOptions;
+using pollenring::AdmissionRequest;
+using pollenring::Duration;
 using pollenring::Importance;
 using pollenring::ManualClock;
+using pollenring::OfferedLoadLevel;
+using pollenring::OfferedLoadLevelOptions;
 using pollenring::QueueState;
 using pollenring::SeededRandom;
-using pollenring::Span;
-using pollenring::Ticket;
 
 /*! @brief A service whose roots arrive some time after they are let in. */
 class DeepService {
  public:
   /*! @brief Callers refuse below that part of the level. */
-  explicit DeepService(Span way, double heard = 1,
+  explicit DeepService(Duration way, double heard = 1,
                        Importance importance = Importance::kLow)
       : way{way}, heard{heard}, importance{importance} {}
 
   /*! @brief Runs for a while at an offered rate. @return Mean part kept. */
-  double Run(Span length, double offered_per_second) {
-    const Span step = 10ms;
+  double Run(Duration length, double offered_per_second) {
+    const Duration step = 10ms;
     double kept = 0;
     double all = 0;
-    for (Span t{0}; t < length; t += step) {
+    for (Duration t{0}; t < length; t += step) {
       this->clock.Advance(step);
       const double count = offered_per_second * 0.01;
       for (int i = 0; i < static_cast<int>(count); ++i) this->Offer(kept, all);
@@ -38,13 +38,16 @@
       const double done = kCapacity * 0.01;
       this->queue = std::max(0.0, this->queue - done);
       const auto delay_us = this->queue / kCapacity * 1e6;
-      this->level.Tick({Span{static_cast<std::int64_t>(delay_us)}, kCapacity});
+      this->level.Tick(
+          {Duration{static_cast<std::int64_t>(delay_us)}, kCapacity});
       this->longest = std::max(this->longest, this->queue / kCapacity);
     }
     return kept / all;
   }
 
-  [[nodiscard]] double Level() const { return this->level.LevelOf({}); }
+  [[nodiscard]] double Level() const {
+    return this->level.AdmissionLevelOf({});
+  }
 
   static constexpr double kCapacity = 1000;
   double longest{}; /*!< Longest queue, in seconds. */
@@ -52,13 +55,14 @@
  private:
   void Offer(double &kept, double &all) {
     all += 1;
-    const double lot = this->random.Fraction();
-    const double priority = pollenring::PriorityOf(this->importance, lot);
-    if (priority < this->level.LevelOf({}) * this->heard) return;
+    const double sub_priority = this->random.Fraction();
+    const double priority =
+        pollenring::PriorityOf(this->importance, sub_priority);
+    if (priority < this->level.AdmissionLevelOf({}) * this->heard) return;
     kept += 1;
-    Ticket ticket;
+    AdmissionRequest ticket;
     ticket.importance = this->importance;
-    ticket.lot = lot;
+    ticket.sub_priority = sub_priority;
     this->under_way.push_back({this->clock.Now() + this->way, ticket});
   }
 
@@ -71,13 +75,13 @@
     }
   }
 
-  Span way;
+  Duration way;
   double heard;
   Importance importance;
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{7};
-  FitLevel level{FitLevelOptions{}, clock};
-  std::vector<std::pair<pollenring::Time, Ticket>> under_way;
+  OfferedLoadLevel level{OfferedLoadLevelOptions{}, clock};
+  std::vector<std::pair<pollenring::Time, AdmissionRequest>> under_way;
   double queue{};
 };
 
@@ -90,7 +94,7 @@
 }
 
 TEST_CASE("fit level: twice the capacity is halved, however deep it is felt") {
-  const Span way = GENERATE(Span{0}, Span{200ms}, Span{500ms});
+  const Duration way = GENERATE(Duration{0}, Duration{200ms}, Duration{500ms});
   CAPTURE(way.count());
   DeepService service{way};
   static_cast<void>(service.Run(10s, 2000));
--- a/test/pollenring/node/serving_test.cc
+++ b/test/pollenring/node/target_executor_test.cc
@@ -1,4 +1,4 @@
-#include "pollenring/node/serving.h"
+#include "pollenring/node/target_executor.h"
 
 #include <catch2/catch.hpp>
 #include <csignal>
@@ -10,7 +10,7 @@
 #include "pollenring/metrics/metrics.h"
 #include "pollenring/net/http_client.h"
 #include "pollenring/net/loop.h"
-#include "pollenring/node/route_levels.h"
+#include "pollenring/node/downstream_levels.h"
 #include "support/raw_peer.h"
 
 namespace {
@@ -27,14 +27,14 @@
   [[nodiscard]] pollenring::Time Now() const noexcept override {
     return this->system.Now() + this->ahead;
   }
-  [[nodiscard]] pollenring::WallTime Wall() const noexcept override {
-    return this->system.Wall();
+  [[nodiscard]] pollenring::WallTime WallNow() const noexcept override {
+    return this->system.WallNow();
   }
-  void Step(pollenring::Span by) noexcept { this->ahead += by; }
+  void Step(pollenring::Duration by) noexcept { this->ahead += by; }
 
  private:
   pollenring::SystemClock system;
-  pollenring::Span ahead{};
+  pollenring::Duration ahead{};
 };
 
 /*! @brief Runs one call at a time. */
@@ -46,13 +46,13 @@
 }
 
 /*! @brief Targets that bear three requests while they are cold. */
-class FewWhenCold final : public pollenring::ColdBounds {
+class FewWhenCold final : public pollenring::ColdStartLimits {
  public:
-  [[nodiscard]] pollenring::ColdTolerance ToleranceOf(
+  [[nodiscard]] pollenring::ColdStartLimit LimitOf(
       const std::string & /*service*/) const override {
     return {3, 1100ms};
   }
-  [[nodiscard]] pollenring::Span ColdAfterStart(
+  [[nodiscard]] pollenring::Duration ColdAfterStart(
       const std::string & /*service*/) const override {
     return 10s;
   }
@@ -64,7 +64,7 @@
 
   void Announce(const RawPeer &at, const std::string &instance,
                 pollenring::TargetState state = pollenring::TargetState::kWarm,
-                pollenring::Span cold_for = {}) {
+                pollenring::Duration cold_for = {}) {
     this->serving.Announce(
         {{"deep", 1, state}, at.Where(), instance, cold_for});
   }
@@ -75,13 +75,13 @@
     envelope.method = "GET";
     envelope.path = "/";
     envelope.remaining_us = 30'000'000;
-    envelope.aim_us = 30'000'000;
+    envelope.soft_deadline_us = 30'000'000;
     this->serving.Serve(envelope, {}, [this](CallReply reply, std::string) {
       this->replies.push_back(std::move(reply));
     });
   }
 
-  void Run(pollenring::Span length) {
+  void Run(pollenring::Duration length) {
     this->loop.After(length, [this] { this->loop.Stop(); });
     this->loop.Resume();
     this->loop.Run();
@@ -90,20 +90,21 @@
   SteppedClock clock;
   pollenring::Loop loop{clock};
   pollenring::HttpClient client{loop, {std::size_t{1} << 20U}};
-  pollenring::ContextDialect dialect;
+  pollenring::ContextCodec codec;
   FewWhenCold cold_bounds;
-  pollenring::RouteLevels levels{{}, clock};
+  pollenring::DownstreamLevels levels{{}, clock};
   pollenring::SeededRandom random{5};
   pollenring::Metrics metrics{clock};
-  pollenring::Serving serving{loop,
-                              client,
-                              dialect,
-                              OneAtATime(),
-                              cold_bounds,
-                              levels,
-                              random,
-                              metrics,
-                              [](const std::vector<pollenring::Target> &) {}};
+  pollenring::TargetExecutor serving{
+      loop,
+      client,
+      codec,
+      OneAtATime(),
+      cold_bounds,
+      levels,
+      random,
+      metrics,
+      [](const std::vector<pollenring::Target> &) {}};
   std::vector<CallReply> replies;
 };
 
--- a/test/pollenring/wire/golden_test.cc
+++ b/test/pollenring/wire/golden_test.cc
@@ -53,7 +53,7 @@
 
   pollenring::Gossip gossip = support::GoldenGossip();
   std::vector<pollenring::Member> members{support::GoldenMember()};
-  pollenring::RecordsOfParts records = support::GoldenRecords();
+  pollenring::DigestReply records = support::GoldenRecords();
   pollenring::CallEnvelope call = support::GoldenEnvelope();
   pollenring::CallReply reply =
       support::GoldenReply(pollenring::Reason::kOverload);
@@ -92,7 +92,7 @@
   CheckRead(golden.Of("borrow"), support::GoldenBorrow(), WireVersion::kV2);
   CheckRead(golden.Of("loan"), support::GoldenLoan(), WireVersion::kV2);
   const auto digests =
-      pollenring::Unpack<pollenring::PartDigests>(golden.Of("digests"));
+      pollenring::Unpack<pollenring::PartitionDigests>(golden.Of("digests"));
   REQUIRE(digests);
   CHECK(*digests == support::GoldenDigests());
 }
@@ -110,7 +110,7 @@
   CheckRead(golden.Of("borrow"), values.borrow, version);
   CheckRead(golden.Of("loan"), values.loan, version);
   const auto ask =
-      pollenring::Unpack<pollenring::DigestsAsk>(golden.Of("digests"));
+      pollenring::Unpack<pollenring::DigestRequest>(golden.Of("digests"));
   REQUIRE(ask);
   CHECK(ask->digests == support::GoldenDigests());
 }
--- a/test/support/golden_values.h
+++ b/test/support/golden_values.h
@@ -39,23 +39,23 @@
   gossip.config_version = 12;
   gossip.store_age_ms = 250;
   gossip.digest = 0x0123'4567'89ab'cdefU;
-  gossip.zones.position = 41;
+  gossip.zones.revision = 41;
   gossip.zones.zones = {"harbor-a", "harbor-c"};
   gossip.updates = {GoldenMember()};
   return gossip;
 }
 
 /*! @brief Digests of all parts. */
-[[nodiscard]] inline pollenring::PartDigests GoldenDigests() {
-  pollenring::PartDigests digests{};
+[[nodiscard]] inline pollenring::PartitionDigests GoldenDigests() {
+  pollenring::PartitionDigests digests{};
   std::uint64_t next = 1;
   for (auto &digest : digests) digest = next *= 3;
   return digests;
 }
 
 /*! @brief What a node answers that holds other records. */
-[[nodiscard]] inline pollenring::RecordsOfParts GoldenRecords() {
-  pollenring::RecordsOfParts records;
+[[nodiscard]] inline pollenring::DigestReply GoldenRecords() {
+  pollenring::DigestReply records;
   records.digests = GoldenDigests();
   records.records = {GoldenMember()};
   return records;
@@ -76,14 +76,14 @@
   envelope.regions = {"harbor", "inland"};
   envelope.importance = pollenring::Importance::kHigh;
   envelope.idempotent = false;
-  envelope.repeat = true;
-  envelope.keyed = true;
-  envelope.lot = 0.625;
+  envelope.is_retry = true;
+  envelope.authenticated = true;
+  envelope.sub_priority = 0.625;
   envelope.weight = 0.25;
   envelope.depth = 2;
   envelope.remaining_us = 1'400'000;
   envelope.root_age_us = 90'000;
-  envelope.aim_us = -20'000;
+  envelope.soft_deadline_us = -20'000;
   envelope.retries = 3;
   return envelope;
 }
@@ -102,7 +102,7 @@
   reply.load.limit = 40;
   reply.load.cold_ms = 1'500;
   reply.levels = {{"planner", 0x7f2a'0101'1b5aU, 1'250, 907, 40, false}};
-  reply.marks = {{"schedule-view", "planner", true}};
+  reply.call_path_reports = {{"schedule-view", "planner", true}};
   return reply;
 }
 
--- a/tools/pollenring-load/scenario.cc
+++ b/tools/pollenring-load/scenario.cc
@@ -6,20 +6,22 @@
 namespace {
 
 using pollenring::Address;
-using pollenring::Findings;
-using pollenring::Span;
+using pollenring::Diagnostics;
+using pollenring::Duration;
 
 /*! @brief Reads values of a table and reports what is wrong with them. */
 class Reader {
  public:
-  Reader(const toml::table &table, const std::string &file, Findings &findings)
-      : table{table}, file{file}, findings{findings} {}
+  Reader(const toml::table &table, const std::string &file,
+         Diagnostics &diagnostics)
+      : table{table}, file{file}, diagnostics{diagnostics} {}
 
   void Report(std::string_view key, const std::string &message) {
     const toml::node *node = this->table.get(key);
     const auto &begin =
         (node == nullptr ? this->table.source() : node->source()).begin;
-    this->findings.push_back({{this->file, begin.line, begin.column}, message});
+    this->diagnostics.push_back(
+        {{this->file, begin.line, begin.column}, message});
   }
 
   void Text(std::string_view key, std::string &value) {
@@ -36,11 +38,11 @@
     if (!given) this->Report(key, "must be a number");
   }
 
-  void Duration(std::string_view key, Span &value) {
+  void ReadDuration(std::string_view key, Duration &value) {
     std::string text;
     this->Text(key, text);
     if (text.empty()) return;
-    const auto span = pollenring::ParseSpan(text);
+    const auto span = pollenring::ParseDuration(text);
     if (span) value = *span;
     if (!span) this->Report(key, "needs a unit, such as \"2s\"");
   }
@@ -65,7 +67,7 @@
  private:
   const toml::table &table;
   const std::string &file;
-  Findings &findings;
+  Diagnostics &diagnostics;
 };
 
 [[nodiscard]] Caller ReadCaller(Reader reader) {
@@ -92,18 +94,19 @@
 
 }  // namespace
 
-Scenario ReadScenario(const pollenring::SourceFile &file, Findings &findings) {
+Scenario ReadScenario(const pollenring::SourceFile &file,
+                      Diagnostics &diagnostics) {
   Scenario scenario;
   toml::table root;
   try {
     root = toml::parse(file.text, file.name);
   } catch (const toml::parse_error &error) {
     const auto &begin = error.source().begin;
-    findings.push_back({{file.name, begin.line, begin.column},
-                        std::string{error.description()}});
+    diagnostics.push_back({{file.name, begin.line, begin.column},
+                           std::string{error.description()}});
     return scenario;
   }
-  Reader reader{root, file.name, findings};
+  Reader reader{root, file.name, diagnostics};
   if (const auto *nodes = root["nodes"].as_array()) {
     for (const auto &item : *nodes) {
       const auto address =
@@ -112,11 +115,11 @@
     }
   }
   if (scenario.nodes.empty()) reader.Report("nodes", "must list addresses");
-  reader.Duration("length", scenario.length);
-  reader.Duration("trigger_from", scenario.trigger_from);
-  reader.Duration("trigger_to", scenario.trigger_to);
-  reader.Duration("timeout", scenario.timeout);
-  reader.Duration("retry_pause", scenario.retry_pause);
+  reader.ReadDuration("length", scenario.length);
+  reader.ReadDuration("trigger_from", scenario.trigger_from);
+  reader.ReadDuration("trigger_to", scenario.trigger_to);
+  reader.ReadDuration("timeout", scenario.timeout);
+  reader.ReadDuration("retry_pause", scenario.retry_pause);
   reader.Rate("capacity", scenario.capacity);
   double number = scenario.retries;
   reader.Number("retries", number);
@@ -129,7 +132,7 @@
     if (array == nullptr) return;
     for (const auto &item : *array) {
       const auto *table = item.as_table();
-      if (table != nullptr) read(Reader{*table, file.name, findings});
+      if (table != nullptr) read(Reader{*table, file.name, diagnostics});
     }
   };
   each("caller", [&](const Reader &item) {
