--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -6,19 +6,19 @@
 #include <unordered_map>
 #include <vector>
 
-#include "pollenring/admission/cold_gate.h"
+#include "pollenring/admission/admission_request.h"
+#include "pollenring/admission/cold_start_limiter.h"
 #include "pollenring/admission/concurrency_limit.h"
-#include "pollenring/admission/fit_level.h"
 #include "pollenring/admission/level_control.h"
-#include "pollenring/admission/ticket.h"
-#include "pollenring/admission/ticket_queue.h"
+#include "pollenring/admission/offered_load_level.h"
+#include "pollenring/admission/request_queue.h"
 #include "pollenring/core/outcome.h"
 #include "pollenring/routing/load_report.h"
 
 namespace pollenring {
 
 /*! @brief A waiting request to refuse, and the reason. */
-struct ShedTicket {
+struct ShedRequest {
   std::uint64_t id{};
   Reason reason{Reason::kOverload};
 };
@@ -26,29 +26,29 @@
 /*! @brief Actions that the caller has to perform after an event. */
 struct AdmissionActions {
   std::vector<std::uint64_t> start; /*!< Requests to send to the target. */
-  std::vector<ShedTicket> shed;     /*!< Requests to refuse now. */
+  std::vector<ShedRequest> shed;    /*!< Requests to refuse now. */
 };
 
 /*! @brief Trigger of the early refusal of root requests. */
-enum class LevelCause {
-  kShed, /*!< Requests have been shed. */
-  kFit   /*!< The offered load exceeds the capacity. */
+enum class LevelTrigger {
+  kShed,       /*!< Requests have been shed. */
+  kOfferedLoad /*!< The offered load exceeds the capacity. */
 };
 
 /*! @brief Order in which waiting requests start. */
 enum class QueueOrder {
-  kFair, /*!< By importance, then by workspace weight. */
-  kAim   /*!< Earliest soft deadline first. */
+  kFair,        /*!< By importance, then by workspace weight. */
+  kSoftDeadline /*!< Earliest soft deadline first. */
 };
 
 /*! @brief Settings of admission. */
 struct AdmissionOptions {
   ConcurrencyLimitOptions limit;
-  LevelCause level_cause{LevelCause::kShed};
+  LevelTrigger level_cause{LevelTrigger::kShed};
   QueueOrder order{QueueOrder::kFair};
-  FitLevelOptions fit;
-  Span level_window{std::chrono::milliseconds{100}};
-  Span queue_time{std::chrono::milliseconds{100}};
+  OfferedLoadLevelOptions fit;
+  Duration level_window{std::chrono::milliseconds{100}};
+  Duration queue_time{std::chrono::milliseconds{100}};
   std::size_t shortest_queue{4};
   std::size_t longest_queue{1024};
   std::size_t critical_queue_factor{16};
@@ -79,15 +79,15 @@
    * @param workspace The workspace.
    * @return The admission level; 0 admits everything.
    */
-  [[nodiscard]] double LevelOf(const std::string &workspace) const {
-    return this->levels->LevelOf(workspace);
+  [[nodiscard]] double AdmissionLevelOf(const std::string &workspace) const {
+    return this->levels->AdmissionLevelOf(workspace);
   }
 
   /**
    * @brief Limits what is sent while the target is cold.
    * @param tolerance The cold-start limit.
    */
-  void SetColdTolerance(const ColdTolerance &tolerance);
+  void SetColdStartLimit(const ColdStartLimit &tolerance);
 
   /**
    * @brief Sets until when the target is cold.
@@ -99,7 +99,9 @@
   void SetColdUntil(Time until);
 
   /*! @brief Remaining cold time of the target. @return It, 0 if warm. */
-  [[nodiscard]] Span ColdFor() const noexcept { return this->cold.ColdFor(); }
+  [[nodiscard]] Duration ColdFor() const noexcept {
+    return this->cold.ColdFor();
+  }
 
   /*! @brief Requests in progress at the target. @return The count. */
   [[nodiscard]] std::size_t Running() const noexcept {
@@ -122,7 +124,7 @@
    * @param ticket The request.
    * @return What to start and shed; may include the request itself.
    */
-  [[nodiscard]] AdmissionActions Offer(const Ticket &ticket);
+  [[nodiscard]] AdmissionActions Offer(const AdmissionRequest &ticket);
 
   /**
    * @brief Records the end of a running request.
@@ -132,7 +134,7 @@
    * @return What to start and what to shed.
    */
   [[nodiscard]] AdmissionActions Finish(std::uint64_t id,
-                                        Span time_in_sub_calls,
+                                        Duration time_in_sub_calls,
                                         bool refused_by_target);
 
   /**
@@ -151,7 +153,7 @@
 
   /*! @brief Removes all waiting requests, for another target.
    * @return The requests. */
-  [[nodiscard]] std::vector<Ticket> TakeWaiting() {
+  [[nodiscard]] std::vector<AdmissionRequest> TakeWaiting() {
     return this->queue->RemoveExpired(Time::max());
   }
 
@@ -178,18 +180,18 @@
   void DropLate(AdmissionActions &actions);
   void ShedBeyondCold(AdmissionActions &actions);
   void FollowCold();
-  void Start(const Ticket &ticket, AdmissionActions &actions);
+  void Start(const AdmissionRequest &ticket, AdmissionActions &actions);
   [[nodiscard]] std::size_t QueueCapacity() const noexcept;
   [[nodiscard]] bool Overfull() const;
 
   AdmissionOptions options;
   const Clock &clock;
   ConcurrencyLimit limit;
-  ColdGate cold;
+  ColdStartLimiter cold;
   bool was_cold{};
   Time cold_shed_at{}; /*!< Last shed by the cold-start limit. */
   std::unique_ptr<LevelControl> levels;
-  std::unique_ptr<TicketQueue> queue;
+  std::unique_ptr<RequestQueue> queue;
   std::unordered_map<std::uint64_t, RunningRequest> running;
   double offered{}; /*!< Requests, exponentially decayed. */
   Time offered_at{};
--- a/src/pollenring/admission/ticket.h
+++ b/src/pollenring/admission/admission_request.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_ADMISSION_TICKET_H_
-#define POLLENRING_ADMISSION_TICKET_H_
+#ifndef POLLENRING_ADMISSION_ADMISSION_REQUEST_H_
+#define POLLENRING_ADMISSION_ADMISSION_REQUEST_H_
 
 #include <cstdint>
 #include <string>
@@ -10,16 +10,16 @@
 namespace pollenring {
 
 /*! @brief Properties of a request that admission depends on. */
-struct Ticket {
+struct AdmissionRequest {
   std::uint64_t id{};
   Importance importance{Importance::kNormal};
-  double lot{};        /*!< Same for all calls of one root, in [0, 1). */
-  double weight{1};    /*!< Of the workspace, by its contracted rate. */
-  int depth{};         /*!< 0 for a root request. */
-  Time root_started{}; /*!< Earlier roots have more work invested. */
+  double sub_priority{}; /*!< Same for all calls of one root, in [0, 1). */
+  double weight{1};      /*!< Of the workspace, by its contracted rate. */
+  int depth{};           /*!< 0 for a root request. */
+  Time root_started{};   /*!< Earlier roots have more work invested. */
   std::string workspace;
   Time deadline{};
-  Time aim{}; /*!< Time by which a response is worth most. */
+  Time soft_deadline{}; /*!< Time by which a response is worth most. */
 
   /*! @brief Checks if callers upstream have done work. @return True if so. */
   [[nodiscard]] bool Invested() const noexcept { return this->depth > 0; }
--- a/src/pollenring/admission/cold_gate.h
+++ b/src/pollenring/admission/cold_start_limiter.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_ADMISSION_COLD_GATE_H_
-#define POLLENRING_ADMISSION_COLD_GATE_H_
+#ifndef POLLENRING_ADMISSION_COLD_START_LIMITER_H_
+#define POLLENRING_ADMISSION_COLD_START_LIMITER_H_
 
 #include <cstdint>
 #include <deque>
@@ -10,15 +10,15 @@
 namespace pollenring {
 
 /*! @brief Headroom that operators allow above a cold target's declared rate. */
-struct ColdMargin {
+struct ColdStartHeadroom {
   double over{1};  /*!< Factor applied to the declared rate. */
   double slack{0}; /*!< Additional requests in one second. */
 };
 
 /*! @brief Cold-start limit: requests that a cold target can handle. */
-struct ColdTolerance {
+struct ColdStartLimit {
   int requests{}; /*!< In any window; 0 for no limit. */
-  Span window{};
+  Duration window{};
 
   /*! @brief The limit as a rate. @return Requests per second. */
   [[nodiscard]] double PerSecond() const noexcept;
@@ -31,16 +31,16 @@
  * here limits what all nodes together send. A request counts from the moment it
  * is sent; one that the target rejects is removed from the window.
  */
-class ColdGate {
+class ColdStartLimiter {
  public:
   /**
    * @brief Starts warm and without a limit.
    * @param clock Clock.
    */
-  explicit ColdGate(const Clock &clock) : clock{clock} {}
+  explicit ColdStartLimiter(const Clock &clock) : clock{clock} {}
 
   /*! @brief Sets the limit. @param given The limit. */
-  void SetTolerance(const ColdTolerance &given) { this->tolerance = given; }
+  void SetTolerance(const ColdStartLimit &given) { this->tolerance = given; }
 
   /**
    * @brief Sets until when the target is cold.
@@ -50,11 +50,11 @@
 
   /*! @brief Checks if the limit applies now. @return True if it does. */
   [[nodiscard]] bool Closed() const noexcept {
-    return this->tolerance.requests > 0 && this->ColdFor() > Span{0};
+    return this->tolerance.requests > 0 && this->ColdFor() > Duration{0};
   }
 
   /*! @brief Remaining cold time of the target. @return It, 0 if warm. */
-  [[nodiscard]] Span ColdFor() const noexcept;
+  [[nodiscard]] Duration ColdFor() const noexcept;
 
   /*! @brief The limit as a rate. @return Requests per second. */
   [[nodiscard]] double PerSecond() const noexcept {
@@ -74,7 +74,7 @@
   void DropOld();
 
   const Clock &clock;
-  ColdTolerance tolerance;
+  ColdStartLimit tolerance;
   Time cold_until{};
   std::deque<std::pair<Time, std::uint64_t>> sent;
 };
--- a/src/pollenring/admission/concurrency_limit.h
+++ b/src/pollenring/admission/concurrency_limit.h
@@ -11,8 +11,8 @@
 
 /*! @brief Settings of the concurrency limit. */
 struct ConcurrencyLimitOptions {
-  Span shortest_window{std::chrono::milliseconds{200}};
-  Span longest_window{std::chrono::seconds{2}};
+  Duration shortest_window{std::chrono::milliseconds{200}};
+  Duration longest_window{std::chrono::seconds{2}};
   int enough_samples{100};
   int lower_trial_samples{30}; /*!< Few, as the trial costs capacity. */
   int fewest_samples{8};
@@ -48,7 +48,7 @@
   }
 
   /*! @brief Mean time of a request at the target. @return The time. */
-  [[nodiscard]] Span TypicalTime() const noexcept { return this->typical; }
+  [[nodiscard]] Duration TypicalTime() const noexcept { return this->typical; }
 
   /**
    * @brief Records a finished request.
@@ -57,7 +57,7 @@
    * @param running Requests in progress when it started.
    * @param refused_by_target True if the target shed it.
    */
-  void Sample(Span own_time, Span whole_time, int running,
+  void Sample(Duration own_time, Duration whole_time, int running,
               bool refused_by_target);
 
  private:
@@ -79,7 +79,7 @@
     }
   };
 
-  void LearnCrowding(Span own_time, int running);
+  void LearnCrowding(Duration own_time, int running);
   void CloseWindow();
   void LearnBaseline(double own_us_each);
   [[nodiscard]] bool MayTryLower(double own_us_each) const noexcept;
@@ -112,7 +112,7 @@
   int samples{};
   int full_samples{};
   int refused{};
-  Span typical{};
+  Duration typical{};
   MeanTime crowded; /*!< With the last slots in use. */
   MeanTime busy;    /*!< With most slots in use, but not the last. */
 };
--- a/src/pollenring/admission/level_control.h
+++ b/src/pollenring/admission/level_control.h
@@ -3,14 +3,14 @@
 
 #include <string>
 
-#include "pollenring/admission/ticket.h"
+#include "pollenring/admission/admission_request.h"
 #include "pollenring/core/clock.h"
 
 namespace pollenring {
 
 /*! @brief Current state of a target's queue. */
 struct QueueState {
-  Span delay{};      /*!< Until all that wait now have started. */
+  Duration delay{};  /*!< Until all that wait now have started. */
   double capacity{}; /*!< Requests per second; 0 while unknown. */
 };
 
@@ -27,10 +27,11 @@
    * @param workspace The workspace.
    * @return The admission level; 0 admits everything.
    */
-  [[nodiscard]] virtual double LevelOf(const std::string &workspace) const = 0;
+  [[nodiscard]] virtual double AdmissionLevelOf(
+      const std::string &workspace) const = 0;
 
   /*! @brief Counts an offered request. @param ticket The request. */
-  virtual void Offered(const Ticket &ticket) = 0;
+  virtual void Offered(const AdmissionRequest &ticket) = 0;
 
   /*! @brief Counts a shed request. */
   virtual void Shed() = 0;
--- a/src/pollenring/admission/fit_level.h
+++ b/src/pollenring/admission/offered_load_level.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_ADMISSION_FIT_LEVEL_H_
-#define POLLENRING_ADMISSION_FIT_LEVEL_H_
+#ifndef POLLENRING_ADMISSION_OFFERED_LOAD_LEVEL_H_
+#define POLLENRING_ADMISSION_OFFERED_LOAD_LEVEL_H_
 
 #include <array>
 #include <cstddef>
@@ -12,16 +12,16 @@
 namespace pollenring {
 
 /*! @brief Settings of the level derived from the offered load. */
-struct FitLevelOptions {
-  Span window{std::chrono::milliseconds{100}};
+struct OfferedLoadLevelOptions {
+  Duration window{std::chrono::milliseconds{100}};
   /*! @brief Decay time of the offered load; about the time between the first
    * and the last call of a deep request to this service. */
-  Span memory{std::chrono::milliseconds{500}};
+  Duration memory{std::chrono::milliseconds{500}};
   /*! @brief Delay up to which a queue is a burst, not overload; a deep request
    * incurs it several times. */
-  Span tolerated{std::chrono::milliseconds{6}};
+  Duration tolerated{std::chrono::milliseconds{6}};
   /*! @brief Delay at which all of `reserve` is withheld. */
-  Span longest{std::chrono::milliseconds{100}};
+  Duration longest{std::chrono::milliseconds{100}};
   double load{0.95};    /*!< Fraction of the capacity that is allotted. */
   double reserve{0.25}; /*!< Fraction withheld to drain a queue. */
   double rise{0.5};     /*!< Fraction of a rise applied per window. */
@@ -40,17 +40,18 @@
  * when roots below it stop arriving, so a long call path to this service does
  * not make it oscillate.
  */
-class FitLevel final : public LevelControl {
+class OfferedLoadLevel final : public LevelControl {
  public:
   /**
    * @brief Starts by admitting everything.
    * @param options Settings.
    * @param clock Clock.
    */
-  FitLevel(const FitLevelOptions &options, const Clock &clock);
+  OfferedLoadLevel(const OfferedLoadLevelOptions &options, const Clock &clock);
 
-  [[nodiscard]] double LevelOf(const std::string &workspace) const override;
-  void Offered(const Ticket &ticket) override;
+  [[nodiscard]] double AdmissionLevelOf(
+      const std::string &workspace) const override;
+  void Offered(const AdmissionRequest &ticket) override;
   void Shed() override {}
   void Tick(const QueueState &queue) override;
 
@@ -61,7 +62,7 @@
   [[nodiscard]] double Fit(double allowed, double per_second) const;
   [[nodiscard]] double HighestLevel() const;
 
-  FitLevelOptions options;
+  OfferedLoadLevelOptions options;
   const Clock &clock;
   Time window_start;
   std::array<double, kBins> offered{};
--- a/src/pollenring/lease/witness.cc
+++ b/src/pollenring/lease/witness.cc
@@ -6,7 +6,7 @@
 namespace {
 
 /*! @brief Longest time from a datagram's sending to its arrival. */
-constexpr Span kLongestDelivery = std::chrono::minutes{2};
+constexpr Duration kLongestDelivery = std::chrono::minutes{2};
 
 }  // namespace
 
@@ -14,9 +14,9 @@
                  const Clock &clock)
     : process{process}, options{options}, clock{clock}, started{clock.Now()} {}
 
-WitnessAnswer Witness::Answer(const WitnessAsk &ask) {
+WitnessReply Witness::Answer(const WitnessQuery &ask) {
   const Time now = this->clock.Now();
-  WitnessAnswer answer;
+  WitnessReply answer;
   answer.request = ask.request;
   answer.slot = ask.slot;
   answer.epoch = ask.epoch;
@@ -25,23 +25,23 @@
   if (ask.process != this->process) {
     // The process that was named has ended, at the latest when this one began.
     const Time until = this->started + this->options.promise;
-    answer.granted = ask.request == WitnessRequest::kRelease;
-    answer.remaining_us = std::max(Span{0}, until - now).count();
+    answer.granted = ask.request == WitnessRequestKind::kRelease;
+    answer.remaining_us = std::max(Duration{0}, until - now).count();
     return answer;
   }
   Slot &slot = this->slots[ask.slot];
   switch (ask.request) {
-    case WitnessRequest::kPromise:
+    case WitnessRequestKind::kPromise:
       answer.granted = this->Promise(slot, ask);
       break;
-    case WitnessRequest::kRelease:
+    case WitnessRequestKind::kRelease:
       Release(slot, ask.epoch);
       answer.granted = true;
       break;
-    case WitnessRequest::kVote:
+    case WitnessRequestKind::kVote:
       answer.granted = this->Vote(slot, ask);
       break;
-    case WitnessRequest::kResign:
+    case WitnessRequestKind::kResign:
       this->Resign(slot, ask);
       answer.granted = true;
       break;
@@ -57,7 +57,7 @@
   answer.promised = memory->second.promised;
   answer.promised_to = memory->second.promised_to;
   answer.remaining_us =
-      std::max(Span{0}, memory->second.promised_until - now).count();
+      std::max(Duration{0}, memory->second.promised_until - now).count();
   return answer;
 }
 
@@ -69,7 +69,7 @@
   return &found->second.known;
 }
 
-bool Witness::Promise(Slot &slot, const WitnessAsk &ask) {
+bool Witness::Promise(Slot &slot, const WitnessQuery &ask) {
   if (ask.epoch <= slot.released) return false;
   if (SealedBefore(slot, ask.epoch)) {
     // Whoever has sealed the row is over, and can't undo it any more.
@@ -89,7 +89,7 @@
   return true;
 }
 
-bool Witness::Vote(Slot &slot, const WitnessAsk &ask) {
+bool Witness::Vote(Slot &slot, const WitnessQuery &ask) {
   if (ask.epoch <= slot.released) return false;
   const auto memory = slot.rows.find(RowEpochOf(ask.epoch));
   if (memory != slot.rows.end()) {
@@ -105,7 +105,7 @@
   return true;
 }
 
-void Witness::Resign(Slot &slot, const WitnessAsk &ask) const {
+void Witness::Resign(Slot &slot, const WitnessQuery &ask) const {
   const auto memory = slot.rows.find(RowEpochOf(ask.epoch));
   if (memory == slot.rows.end()) return;
   const bool own = memory->second.promised == ask.epoch &&
@@ -127,7 +127,7 @@
          memory->second.seal_epoch < epoch;
 }
 
-void Witness::Seal(RowMemory &memory, const WitnessAsk &ask) {
+void Witness::Seal(RowMemory &memory, const WitnessQuery &ask) {
   const Time asked{ask.asked_us};
   if (ask.epoch < memory.seal_epoch) return;
   const bool same =
@@ -145,13 +145,13 @@
   memory.sealed = ask.sealing;
 }
 
-void Witness::Learn(Slot &slot, const WitnessAsk &ask) const {
+void Witness::Learn(Slot &slot, const WitnessQuery &ask) const {
   const RowInForce &told = ask.in_force;
   KnownRow &known = slot.known;
   const bool older = told.version == 0 || told.row.epoch < known.row.epoch;
   if (older) return;
   const Time ends = this->clock.Now() +
-                    this->options.Less(Span{told.lapse_left_us}) -
+                    this->options.Less(Duration{told.lapse_left_us}) -
                     kLongestDelivery;
   if (told.row.epoch == known.row.epoch) {
     // Of what its own holder says, the least is closest to the truth.
--- a/src/pollenring/membership/fwd.h
+++ b/src/pollenring/membership/fwd.h
@@ -4,8 +4,8 @@
 namespace pollenring {
 
 class Membership;
-class MembershipObserver;
-class StoreDuty;
+class MembershipDelegate;
+class StoreWatcherRole;
 struct Member;
 struct Target;
 struct Gossip;
--- a/src/pollenring/mesh/cold_policy.h
+++ b/src/pollenring/mesh/cold_policy.h
@@ -4,28 +4,29 @@
 #include <string>
 
 #include "pollenring/mesh/policy_follower.h"
-#include "pollenring/node/serving.h"
+#include "pollenring/node/target_executor.h"
 
 namespace pollenring {
 
 /*! @brief Bounds for cold targets, from the configuration in force. */
-class ColdPolicy final : public ColdBounds {
+class ColdPolicy final : public ColdStartLimits {
  public:
   /**
    * @brief Creates the bounds.
    * @param policy The configuration.
    * @param margin What is tolerated.
    */
-  ColdPolicy(const PolicyFollower &policy, const ColdMargin &margin)
+  ColdPolicy(const PolicyFollower &policy, const ColdStartHeadroom &margin)
       : policy{policy}, margin{margin} {}
 
-  [[nodiscard]] ColdTolerance ToleranceOf(
+  [[nodiscard]] ColdStartLimit LimitOf(
+      const std::string &service) const override;
+  [[nodiscard]] Duration ColdAfterStart(
       const std::string &service) const override;
-  [[nodiscard]] Span ColdAfterStart(const std::string &service) const override;
 
  private:
   const PolicyFollower &policy;
-  ColdMargin margin;
+  ColdStartHeadroom margin;
 };
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "pollenring/log/log.h"
-#include "pollenring/mesh/leave_times.h"
+#include "pollenring/mesh/drain_times.h"
 #include "pollenring/node/headers.h"
 #include "pollenring/node/limits.h"
 #include "pollenring/retry/backoff.h"
@@ -12,25 +12,25 @@
 namespace pollenring {
 namespace {
 
-constexpr Span kServingTick = std::chrono::milliseconds{20};
-constexpr Span kRingTick = std::chrono::milliseconds{100};
-constexpr Span kLogFlush = std::chrono::milliseconds{100};
-constexpr Span kLeaveCheck = std::chrono::milliseconds{50};
+constexpr Duration kServingTick = std::chrono::milliseconds{20};
+constexpr Duration kRingTick = std::chrono::milliseconds{100};
+constexpr Duration kLogFlush = std::chrono::milliseconds{100};
+constexpr Duration kLeaveCheck = std::chrono::milliseconds{50};
 /*! @brief Time for peers to learn that a node leaves; gossip takes one second
  * in a few hundred nodes. */
-constexpr Span kLeaveServesPeers = std::chrono::milliseconds{1200};
+constexpr Duration kLeaveServesPeers = std::chrono::milliseconds{1200};
 /*! @brief Longest silence between two requests of a client connection; above
  * any limit that operators set for their clients. */
-constexpr Span kCallerIdle = std::chrono::minutes{5};
+constexpr Duration kCallerIdle = std::chrono::minutes{5};
 /*! @brief Pause between two lines with all counters. */
-constexpr Span kFiguresPeriod = std::chrono::seconds{10};
+constexpr Duration kFiguresPeriod = std::chrono::seconds{10};
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
 
 /*! @brief Longest queue beside a target, as the time that it takes to run. What
  * is in it was let in above; the level ends the overload before it is full. */
-constexpr Span kQueueTime = std::chrono::milliseconds{400};
+constexpr Duration kQueueTime = std::chrono::milliseconds{400};
 
 [[nodiscard]] HttpServerLimits CallerLimits() {
   HttpServerLimits limits;
@@ -42,7 +42,7 @@
 
 [[nodiscard]] RouterOptions Routing() {
   RouterOptions options;
-  options.order = RouteOrder::kSoonest;
+  options.order = LoadBalancingPolicy::kLeastLatency;
   return options;
 }
 
@@ -50,8 +50,8 @@
   AdmissionOptions options;
   // Targets say how many slots they have; some never answer what exceeds them.
   options.limit.fixed = true;
-  options.level_cause = LevelCause::kFit;
-  options.order = QueueOrder::kAim;
+  options.level_cause = LevelTrigger::kOfferedLoad;
+  options.order = QueueOrder::kSoftDeadline;
   options.queue_time = kQueueTime;
   return options;
 }
@@ -63,7 +63,7 @@
   self.id = settings.nodes.Packed();
   self.process = parts.random.Bits();
   self.incarnation =
-      static_cast<std::uint64_t>(parts.loop.GetClock().Wall().count());
+      static_cast<std::uint64_t>(parts.loop.GetClock().WallNow().count());
   self.version = 1;
   self.zone = settings.zone;
   self.region = settings.region;
@@ -94,7 +94,7 @@
              this->members.Get().Self().process},
       router{given.zone, given.region, Routing(), parts.loop.GetClock(),
              parts.random},
-      levels{RouteLevelOptions{}, parts.loop.GetClock()},
+      levels{DownstreamLevelOptions{}, parts.loop.GetClock()},
       cold_policy{this->policy, given.cold_margin},
       serving{parts.loop,
               parts.client,
@@ -118,7 +118,7 @@
                              this->dispatcher, this->serving, this->levels,
                              parts.random, this->metrics}},
       heartbeats{parts.loop.GetClock()},
-      departures{given.nodes.Packed(), parts.table},
+      deregistrations{given.nodes.Packed(), parts.table},
       link_server{parts.loop, given.nodes, given.node_secret, kMaxFrameBytes,
                   [this](const std::string &path, std::string body,
                          std::shared_ptr<LinkResponder> responder) {
@@ -155,10 +155,11 @@
   this->members.OnMember(
       [this](const Member &member) { this->router.Update(member); });
   this->shares.Start();
-  this->serving.SetUse(TargetUse::kUnknown);
-  this->departures.Read([this](const std::optional<Departure> &departure) {
-    this->TakeDeparture(departure);
-  });
+  this->serving.SetUse(TargetAvailability::kUnknown);
+  this->deregistrations.Read(
+      [this](const std::optional<Deregistration> &deregistration) {
+        this->TakeDeregistration(deregistration);
+      });
   this->policy.Start([this] { this->FollowPolicy(); });
   this->members.Start();
   this->ring.Update(this->shares);
@@ -176,23 +177,26 @@
   this->CountFigures();
 }
 
-void MeshNode::TakeDeparture(const std::optional<Departure> &departure) {
-  this->departures_known = true;
-  if (departure &&
-      this->heartbeats.Forbid(departure->instance, departure->born)) {
-    this->serving.Drain(departure->instance);
+void MeshNode::TakeDeregistration(
+    const std::optional<Deregistration> &deregistration) {
+  this->deregistrations_known = true;
+  if (deregistration &&
+      this->heartbeats.Forbid(deregistration->instance,
+                              deregistration->started_at_ms)) {
+    this->serving.Drain(deregistration->instance);
   }
   this->FollowPolicy();
 }
 
 void MeshNode::FollowPolicy() {
-  if (!this->departures_known) return;
+  if (!this->deregistrations_known) return;
   const WithdrawnZones &zones = this->policy.Zones();
   // What a cold target bears is not known before the configuration either.
-  if (!zones.Known() || this->policy.InForce().Version() == 0) return;
-  this->serving.FollowColdBounds();
+  if (!zones.HasRevision() || this->policy.Active().Version() == 0) return;
+  this->serving.FollowColdStartLimits();
   const bool withdrawn = zones.Contains(this->settings.zone);
-  this->serving.SetUse(withdrawn ? TargetUse::kWithdrawn : TargetUse::kInUse);
+  this->serving.SetUse(withdrawn ? TargetAvailability::kWithdrawn
+                                 : TargetAvailability::kAvailable);
   if (!this->router.Withdraw(zones.Newest().zones)) return;
   for (const auto &member : this->members.Get().Snapshot()) {
     this->router.Update(member);
@@ -224,8 +228,9 @@
   // What a process reads after it stood still may have been given up long ago.
   if (!framed || late || this->loop.WokeFromPause()) {
     const Reason reason = late ? Reason::kLeaving : Reason::kLinkLost;
-    const Span come_back = SpreadAround(kComeBack, this->parts.random);
-    CallReply reply = Refusal(Outcome::kNotRun, reason, come_back);
+    const Duration jittered_retry_after =
+        WithJitter(kDefaultRetryAfter, this->parts.random);
+    CallReply reply = Refusal(Outcome::kNotRun, reason, jittered_retry_after);
     if (framed) reply.retries_unspent = framed->head.retries;
     responder->Send(Frame(reply, {}, version));
     return;
@@ -249,8 +254,8 @@
     return;
   }
   const Announcement &announcement = heartbeat->announcement;
-  const bool departs = heartbeat->departs;
-  if (!departs &&
+  const bool deregisters = heartbeat->deregisters;
+  if (!deregisters &&
       announcement.target.service != this->settings.target_service) {
     LogEvent(LogLevel::kWarning, "heartbeat of another service",
              {{"instance", announcement.instance},
@@ -261,16 +266,17 @@
   const HeartbeatVerdict verdict = this->heartbeats.Judge(*heartbeat);
   if (verdict == HeartbeatVerdict::kTaken) {
     const bool leaves =
-        departs || announcement.target.state == TargetState::kDraining;
+        deregisters || announcement.target.state == TargetState::kDraining;
     if (leaves && std::exchange(this->departed, announcement.instance) !=
                       announcement.instance) {
       LogEvent(
           LogLevel::kInfo, "target leaves",
-          {{"instance", announcement.instance}, {"deregistered", departs}});
-      this->departures.Record({announcement.instance,
-                               this->heartbeats.BornOf(announcement.instance)});
+          {{"instance", announcement.instance}, {"deregistered", deregisters}});
+      this->deregistrations.Record(
+          {announcement.instance,
+           this->heartbeats.BornOf(announcement.instance)});
     }
-    if (departs) {
+    if (deregisters) {
       this->serving.Drain(announcement.instance);
     } else {
       this->serving.Announce(announcement);
@@ -279,29 +285,29 @@
     LogEvent(LogLevel::kInfo, "heartbeat left out",
              {{"instance", announcement.instance},
               {"sequence", heartbeat->sequence},
-              {"born", heartbeat->born}});
+              {"born", heartbeat->started_at_ms}});
   }
   responder->Send({kOk, {{"content-type", "application/json"}}, "{}"});
 }
 
 bool MeshNode::Ready() const {
   return !this->leaving && this->members.Joined() &&
-         this->policy.InForce().Version() > 0;
+         this->policy.Active().Version() > 0;
 }
 
 void MeshNode::HandleReady(const std::shared_ptr<Responder> &responder) {
   const bool ready = this->Ready();
   if (std::exchange(this->was_ready, ready) != ready) {
     LogEvent(LogLevel::kInfo, ready ? "ready" : "not ready",
-             {{"version", this->policy.InForce().Version()},
+             {{"version", this->policy.Active().Version()},
               {"joined", this->members.Joined()},
               {"leaving", this->leaving}});
   }
   responder->Send({ready ? kOk : kUnavailable, {}, {}});
 }
 
-Span MeshNode::Leaving() const {
-  if (!this->leaving) return Span{0};
+Duration MeshNode::Leaving() const {
+  if (!this->leaving) return Duration{0};
   return this->loop.GetClock().Now() - this->left_at;
 }
 
@@ -315,8 +321,8 @@
 }
 
 void MeshNode::CheckLeft() {
-  const Span since = this->Leaving();
-  const LeaveTimes times = TimesToLeave(this->settings.grace);
+  const Duration since = this->Leaving();
+  const DrainTimes times = DrainTimesFor(this->settings.grace);
   const bool accepts = since < times.accepts;
   const bool over = since >= times.longest;
   if (!accepts) {
--- a/src/pollenring/node/call_shares.cc
+++ b/src/pollenring/node/call_attribution.cc
@@ -1,4 +1,4 @@
-#include "pollenring/node/call_shares.h"
+#include "pollenring/node/call_attribution.h"
 
 #include <algorithm>
 #include <chrono>
@@ -9,10 +9,10 @@
 namespace {
 
 /*! @brief The first window, so that something is known soon after a start. */
-constexpr Span kFirstWindow = std::chrono::milliseconds{200};
+constexpr Duration kFirstWindow = std::chrono::milliseconds{200};
 /*! @brief Later windows: long beside a request, which raises the mean of its
  * own window, and short beside the waves of load, which raise all numbers. */
-constexpr Span kWindow = std::chrono::milliseconds{2500};
+constexpr Duration kWindow = std::chrono::milliseconds{2500};
 /*! @brief Calls that tell anything: of ten running requests, one caller more or
  * less is then seen. Others than the target may call a few times. */
 constexpr double kFewCalls = 30;
@@ -28,14 +28,14 @@
 /*! @brief Mean below which requests of a kind are as good as never there. */
 constexpr double kLeastMean = 0.01;
 /*! @brief Kinds and callees that were not seen for so long are forgotten. */
-constexpr Span kForgotten = std::chrono::minutes{1};
+constexpr Duration kIdleExpiry = std::chrono::minutes{1};
 
 }  // namespace
 
-CallShares::CallShares(Time now) noexcept
+CallAttribution::CallAttribution(Time now) noexcept
     : window_start{now}, window{kFirstWindow} {}
 
-void CallShares::Count(Kind &kind, int change, Time now) {
+void CallAttribution::Count(Kind &kind, int change, Time now) {
   const double held = std::chrono::duration<double>{now - kind.since}.count();
   kind.seconds += held * kind.running;
   kind.running = std::max(0, kind.running + change);
@@ -43,19 +43,19 @@
   kind.used = now;
 }
 
-void CallShares::Begin(const std::string &kind, Time now) {
+void CallAttribution::Begin(const std::string &kind, Time now) {
   if (now - this->window_start >= this->window) this->CloseWindow(now);
   Kind &entry = this->kinds[kind];
   if (entry.used == Time{}) entry.since = now;
   Count(entry, 1, now);
 }
 
-void CallShares::End(const std::string &kind, Time now) {
+void CallAttribution::End(const std::string &kind, Time now) {
   const auto found = this->kinds.find(kind);
   if (found != this->kinds.end()) Count(found->second, -1, now);
 }
 
-void CallShares::Called(const std::string &callee, Time now) {
+void CallAttribution::Called(const std::string &callee, Time now) {
   if (now - this->window_start >= this->window) this->CloseWindow(now);
   Callee &entry = this->callees[callee];
   const double pause = std::chrono::duration<double>{now - entry.used}.count();
@@ -72,7 +72,7 @@
   }
 }
 
-void CallShares::CloseWindow(Time now) {
+void CallAttribution::CloseWindow(Time now) {
   const double seconds =
       std::chrono::duration<double>{now - this->window_start}.count();
   this->window_start = now;
@@ -86,7 +86,7 @@
     kind.mean += kMeanWeight * (mean - kind.mean);
     kind.seconds = 0;
     kind.since = now;
-    if (now - kind.used <= kForgotten) {
+    if (now - kind.used <= kIdleExpiry) {
       ++it;
       continue;
     }
@@ -94,7 +94,7 @@
     it = this->kinds.erase(it);
   }
   for (auto it = this->callees.begin(); it != this->callees.end();) {
-    const bool forgotten = now - it->second.used > kForgotten;
+    const bool forgotten = now - it->second.used > kIdleExpiry;
     it = forgotten ? this->callees.erase(it) : std::next(it);
   }
   for (auto &[name, callee] : this->callees) {
@@ -111,13 +111,14 @@
   }
 }
 
-const CallShares::Callee *CallShares::Known(const std::string &callee) const {
+const CallAttribution::Callee *CallAttribution::Known(
+    const std::string &callee) const {
   const auto found = this->callees.find(callee);
   if (found == this->callees.end()) return nullptr;
   return found->second.all_calls < kFewCalls ? nullptr : &found->second;
 }
 
-double CallShares::SumOf(const Callee &callee) noexcept {
+double CallAttribution::SumOf(const Callee &callee) noexcept {
   double sum = 0;
   for (const auto &[name, excess] : callee.excess) {
     sum += std::max(0.0, excess);
@@ -125,8 +126,8 @@
   return sum;
 }
 
-std::optional<double> CallShares::ShareOf(const std::string &kind,
-                                          const std::string &callee) const {
+std::optional<double> CallAttribution::ShareOf(
+    const std::string &kind, const std::string &callee) const {
   const Callee *known = this->Known(callee);
   if (known == nullptr) return std::nullopt;
   const auto own = known->excess.find(kind);
@@ -137,8 +138,8 @@
   return std::max(0.0, own->second) / sum;
 }
 
-std::vector<std::string> CallShares::CallersOf(const std::string &callee,
-                                               double least) const {
+std::vector<std::string> CallAttribution::CallersOf(const std::string &callee,
+                                                    double least) const {
   std::vector<std::string> callers;
   const Callee *known = this->Known(callee);
   if (known == nullptr) return this->EarlyCallersOf(callee);
@@ -150,7 +151,7 @@
   return callers;
 }
 
-std::vector<std::string> CallShares::EarlyCallersOf(
+std::vector<std::string> CallAttribution::EarlyCallersOf(
     const std::string &callee) const {
   std::vector<std::string> callers;
   const auto found = this->callees.find(callee);
@@ -163,7 +164,7 @@
   return callers;
 }
 
-double CallShares::MeanRunning(const std::string &kind) const {
+double CallAttribution::MeanRunning(const std::string &kind) const {
   const auto found = this->kinds.find(kind);
   if (found == this->kinds.end()) return kLeastMean;
   return std::max(kLeastMean, found->second.mean);
--- a/src/pollenring/node/headers.cc
+++ b/src/pollenring/node/headers.cc
@@ -19,11 +19,11 @@
 constexpr std::array<ReasonStatus, 21> kStatuses{{
     {Reason::kMalformed, 400},     {Reason::kNoRoute, 404},
     {Reason::kKeyRefused, 401},    {Reason::kCallerRefused, 403},
-    {Reason::kOverRate, 429},      {Reason::kNoShare, 503},
+    {Reason::kRateLimited, 429},   {Reason::kNoShare, 503},
     {Reason::kOverload, 503},      {Reason::kDeadline, 504},
     {Reason::kNoTarget, 503},      {Reason::kTargetFailed, 502},
     {Reason::kLinkLost, 502},      {Reason::kTooLarge, 413},
-    {Reason::kLeaving, 503},       {Reason::kNotFresh, 503},
+    {Reason::kLeaving, 503},       {Reason::kStaleConfig, 503},
     {Reason::kRepeated, 409},      {Reason::kInProgress, 409},
     {Reason::kIdExpired, 409},     {Reason::kCancelled, 503},
     {Reason::kTargetBusy, 503},    {Reason::kWarmingUp, 503},
@@ -39,7 +39,7 @@
 
 }  // namespace
 
-std::vector<WireHeader> PassableHeaders(const HttpHeaders &headers) {
+std::vector<WireHeader> ForwardableHeaders(const HttpHeaders &headers) {
   std::vector<WireHeader> passable;
   passable.reserve(headers.size());
   for (const auto &header : headers) {
@@ -110,7 +110,7 @@
   return response;
 }
 
-CallReply Refusal(Outcome outcome, Reason reason, Span retry_after) {
+CallReply Refusal(Outcome outcome, Reason reason, Duration retry_after) {
   CallReply reply;
   reply.outcome = outcome;
   reply.reason = reason;
--- a/src/pollenring/node/once_memory.cc
+++ b/src/pollenring/node/once_memory.cc
@@ -7,7 +7,7 @@
 namespace pollenring {
 namespace {
 
-constexpr Span kCloseTimeout = std::chrono::milliseconds{500};
+constexpr Duration kCloseTimeout = std::chrono::milliseconds{500};
 
 /*! @brief Names an epoch to a mirror. */
 struct OnceEpoch {
@@ -37,7 +37,7 @@
                              const SlotRow &before) {
   const Clock &clock = this->loop.GetClock();
   const bool first = origin == SlotOrigin::kTakenOver && before.epoch == 0;
-  const WallTime since = first ? WallTime{0} : clock.Wall();
+  const WallTime since = first ? WallTime{0} : clock.WallNow();
   this->owned.erase(slot);
   Owned &memory =
       this->owned.emplace(slot, Owned{OnceLedger{since, clock}}).first->second;
@@ -62,7 +62,7 @@
 
 void OnceService::CloseMirrors(SlotId slot, const SlotRow &before) {
   Owned &memory = this->owned.at(slot);
-  const std::vector<WitnessRef> mirrors = MirrorsOf(before);
+  const std::vector<ProcessRef> mirrors = MirrorsOf(before);
   memory.all_closed = !mirrors.empty();
   memory.closes_left = mirrors.size();
   if (mirrors.empty()) {
@@ -139,7 +139,7 @@
 }
 
 void OnceService::SlotHandedOver(SlotId /*slot*/, const SlotRow & /*row*/,
-                                 const WitnessRef & /*successor*/) {}
+                                 const ProcessRef & /*successor*/) {}
 
 void OnceService::SlotLost(SlotId slot) { this->owned.erase(slot); }
 
@@ -147,7 +147,7 @@
   const auto found = this->owned.find(slot);
   if (found == this->owned.end() || !found->second.ready) {
     OnceLog log;
-    log.complete_since_ms = this->loop.GetClock().Wall().count();
+    log.complete_since_ms = this->loop.GetClock().WallNow().count();
     return log;
   }
   return found->second.ledger.Log();
--- a/src/pollenring/node/share_service.h
+++ b/src/pollenring/node/share_service.h
@@ -18,8 +18,8 @@
 
 /*! @brief Lends the share of held slots and borrows for own requests. */
 class ShareService final : public ShareGate,
-                           public ShareObserver,
-                           public SlotUser {
+                           public ShareDelegate,
+                           public SlotListener {
  public:
   /**
    * @brief Creates the service.
@@ -48,14 +48,14 @@
    */
   void Expect(const Handover &handover);
 
-  void Charge(const std::string &workspace, Patience patience,
+  void Charge(const std::string &workspace, WaitLimit wait_limit,
               Done done) override;
   bool SendBorrow(const BorrowRequest &request) override;
   void SlotGained(SlotId slot, const SlotRow &row, SlotOrigin origin,
                   const SlotRow &before) override;
   void SlotRewitnessed(SlotId slot, const SlotRow &row) override;
   void SlotHandedOver(SlotId slot, const SlotRow &row,
-                      const WitnessRef &successor) override;
+                      const ProcessRef &successor) override;
   void SlotLost(SlotId slot) override;
 
  private:
--- a/src/pollenring/node/target_port.cc
+++ b/src/pollenring/node/target_port.cc
@@ -23,8 +23,8 @@
 }  // namespace
 
 TargetPort::TargetPort(Loop &loop, std::string secret,
-                       const ConfigLedger &config, Serving &serving,
-                       Dispatcher &dispatcher, RouteLevels &levels,
+                       const ConfigLedger &config, TargetExecutor &serving,
+                       Dispatcher &dispatcher, DownstreamLevels &levels,
                        Random &random)
     : loop{loop},
       secret{std::move(secret)},
@@ -78,7 +78,7 @@
 Reason TargetPort::Prepare(const HttpRequest &request, const ServedCall &parent,
                            CallEnvelope &envelope) const {
   auto [service, path] = SplitServicePath(request.path);
-  const Contract *contract = this->config.InForce().Find(service);
+  const Contract *contract = this->config.Active().Find(service);
   if (contract == nullptr) return Reason::kNoRoute;
   const Route *route = Policy::Match(*contract, request.method, path);
   if (route == nullptr) return Reason::kNoRoute;
@@ -97,10 +97,10 @@
   envelope.path = std::move(path);
   envelope.method = request.method;
   envelope.route = RouteName(envelope.service, *route);
-  envelope.headers = PassableHeaders(request.headers);
+  envelope.headers = ForwardableHeaders(request.headers);
   envelope.importance = parent.envelope.importance;
   envelope.idempotent = route->idempotent;
-  envelope.lot = parent.envelope.lot;
+  envelope.sub_priority = parent.envelope.sub_priority;
   envelope.weight = parent.envelope.weight;
   envelope.depth = parent.envelope.depth + 1;
   envelope.root_age_us =
@@ -114,14 +114,14 @@
   ServedCall *parent = this->serving.FindContext(context);
   if (parent == nullptr) {
     responder->Send(ToResponse(
-        Refusal(Outcome::kNotRun, Reason::kCallerRefused, Span{}), {}, {}));
+        Refusal(Outcome::kNotRun, Reason::kCallerRefused, Duration{}), {}, {}));
     return;
   }
   CallEnvelope envelope;
   const Reason refused = this->Prepare(request, *parent, envelope);
   if (refused != Reason::kNone) {
-    responder->Send(ToResponse(Refusal(Outcome::kNotRun, refused, Span{}), {},
-                               parent->envelope.root_id));
+    responder->Send(ToResponse(Refusal(Outcome::kNotRun, refused, Duration{}),
+                               {}, parent->envelope.root_id));
     return;
   }
   const Time now = this->loop.GetClock().Now();
@@ -153,19 +153,21 @@
         }
         responder->Send(ToResponse(reply, std::move(body), root_id));
       });
-  responder->OnCancel([this, call = *handle, parent_id, ended](CallerLoss) {
-    this->dispatcher.Cancel(call);
-    ended(0);
-    ServedCall *still = this->serving.Find(parent_id);
-    if (still != nullptr) still->sub_call_cancels.erase(call);
-  });
+  responder->OnCancel(
+      [this, call = *handle, parent_id, ended](CallerDisconnect) {
+        this->dispatcher.Cancel(call);
+        ended(0);
+        ServedCall *still = this->serving.Find(parent_id);
+        if (still != nullptr) still->sub_call_cancels.erase(call);
+      });
   // What may run only once goes on when its caller has gone.
   if (!idempotent) return;
   parent->sub_call_cancels[*handle] = [this, call = *handle, root_id,
                                        responder] {
     this->dispatcher.Cancel(call);
-    responder->Send(ToResponse(
-        Refusal(Outcome::kUnknown, Reason::kCancelled, Span{}), {}, root_id));
+    responder->Send(
+        ToResponse(Refusal(Outcome::kUnknown, Reason::kCancelled, Duration{}),
+                   {}, root_id));
   };
 }
 
--- a/src/pollenring/retry/budget.h
+++ b/src/pollenring/retry/budget.h
@@ -26,7 +26,7 @@
    * @brief Counts a call on behalf of a run that was itself a retry.
    * @param service The service that is called.
    */
-  virtual void Repeated(const std::string &service) = 0;
+  virtual void RecordRetriedCall(const std::string &service) = 0;
 
   /*! @brief Spends a retry. @param service Service. @return If allowed. */
   [[nodiscard]] virtual bool Spend(const std::string &service) = 0;
@@ -38,7 +38,7 @@
   void Succeeded(const std::string &service) override {
     this->ceilings[service].Succeeded();
   }
-  void Repeated(const std::string & /*service*/) override {
+  void RecordRetriedCall(const std::string & /*service*/) override {
     // The allowance of the request bounds what its retries cause below.
   }
   [[nodiscard]] bool Spend(const std::string &service) override {
@@ -54,9 +54,9 @@
   double share{0.06}; /*!< Retries earned by each answered call. */
   /*! @brief Time after which what was earned counts a third: in a chain of four
    * services that begin to fail at once each level spends its savings. */
-  Span savings_last{std::chrono::seconds{3}};
+  Duration savings_last{std::chrono::seconds{3}};
   /*! @brief Time after which what is owed counts a third; the users' window. */
-  Span debt_lasts{std::chrono::seconds{10}};
+  Duration debt_lasts{std::chrono::seconds{10}};
   double most_owed{50}; /*!< Debt beyond which nothing more is added. */
 };
 
@@ -83,7 +83,7 @@
       : options{options}, clock{clock}, random{random} {}
 
   void Succeeded(const std::string &service) override;
-  void Repeated(const std::string &service) override;
+  void RecordRetriedCall(const std::string &service) override;
   [[nodiscard]] bool Spend(const std::string &service) override;
 
  private:
--- a/src/pollenring/routing/router.cc
+++ b/src/pollenring/routing/router.cc
@@ -13,13 +13,13 @@
 constexpr double kFaultWeight = 0.1;
 /*! @brief Time in which an unconfirmed fault rate decays to a third, so that a
  * recovered target is tried again. */
-constexpr Span kFaultMemory = std::chrono::seconds{3};
+constexpr Duration kFaultMemory = std::chrono::seconds{3};
 /*! @brief Cost of a failed call in call durations; a request makes about ten
  * calls, and one failure wastes them all. */
 constexpr double kFaultCost = 12;
 /*! @brief How long a target advertised as cold is assumed to be; its replies
  * report the remaining time. */
-constexpr Span kColdUntold = std::chrono::seconds{3};
+constexpr Duration kColdUntold = std::chrono::seconds{3};
 /*! @brief Maximum number of targets to compare; of more, this many are drawn
  * at random. */
 constexpr std::size_t kMostCompared = 8;
@@ -97,7 +97,7 @@
   if (const Endpoint *trial = this->DueTrial(service, choice)) {
     return trial->node;
   }
-  if (this->options.order == RouteOrder::kSoonest) {
+  if (this->options.order == LoadBalancingPolicy::kLeastLatency) {
     const Endpoint *soonest = this->Soonest(service, choice);
     if (soonest != nullptr) return soonest->node;
     return SetAsideLongest(service, choice);
@@ -144,7 +144,7 @@
 }
 
 void Router::Finished(const std::string &name, NodeId node, CallVerdict verdict,
-                      const std::optional<LoadReport> &report, Span took) {
+                      const std::optional<LoadReport> &report, Duration took) {
   const auto found = this->services.find(name);
   if (found == this->services.end()) return;
   Service &service = found->second;
@@ -162,7 +162,7 @@
     // Response times of a cold target don't apply once it is warm.
     if (was_cold && report->cold_ms == 0) endpoint.time_us = 0;
   }
-  if (took > Span{0}) {
+  if (took > Duration{0}) {
     const auto us = static_cast<double>(took.count());
     if (endpoint.time_us == 0) endpoint.time_us = us;
     endpoint.time_us += kTimeWeight * (us - endpoint.time_us);
@@ -189,9 +189,10 @@
   return found == this->services.end() ? 0 : found->second.endpoints.size();
 }
 
-Router::Nearness Router::NearnessOf(const Member &member) const noexcept {
-  if (member.region != this->region) return Nearness::kFar;
-  return member.zone == this->zone ? Nearness::kZone : Nearness::kRegion;
+Router::Locality Router::LocalityOf(const Member &member) const noexcept {
+  if (member.region != this->region) return Locality::kOther;
+  return member.zone == this->zone ? Locality::kSameZone
+                                   : Locality::kSameRegion;
 }
 
 double Router::RampFraction(const Endpoint &endpoint) const noexcept {
@@ -224,7 +225,7 @@
                     double unknown_us) const noexcept {
   const double time = endpoint.time_us > 0 ? endpoint.time_us : unknown_us;
   const double beyond = std::max(0.0, this->Utilisation(endpoint) - 1);
-  const double far = endpoint.nearness == Nearness::kZone
+  const double far = endpoint.nearness == Locality::kSameZone
                          ? 0
                          : static_cast<double>(this->options.zone_cost.count());
   // Own calls in progress are known at once, the reported load later.
@@ -303,7 +304,7 @@
   if (fresh) {
     slot = std::make_unique<Endpoint>();
     slot->node = member.id;
-    slot->nearness = this->NearnessOf(member);
+    slot->nearness = this->LocalityOf(member);
     slot->region = member.region;
     slot->limit = std::max<double>(1.0, target.slots);
     slot->ejection = this->options.first_ejection;
@@ -332,7 +333,7 @@
   DropTrials(service, endpoint.node);
   endpoint.ejected = true;
   const double jitter = 0.75 + 0.5 * this->random.Fraction();
-  const Span wait{static_cast<std::int64_t>(
+  const Duration wait{static_cast<std::int64_t>(
       static_cast<double>(endpoint.ejection.count()) * jitter)};
   endpoint.ejected_until = this->clock.Now() + wait;
   this->changes.push_back({name, endpoint.node, true, endpoint.failures, wait});
@@ -343,7 +344,7 @@
 
 void Router::Restore(const std::string &name, Service &service,
                      Endpoint &endpoint) {
-  this->changes.push_back({name, endpoint.node, false, 0, Span{0}});
+  this->changes.push_back({name, endpoint.node, false, 0, Duration{0}});
   DropTrials(service, endpoint.node);
   endpoint.ejected = false;
   endpoint.ejection = this->options.first_ejection;
--- a/src/pollenring/share/borrower.h
+++ b/src/pollenring/share/borrower.h
@@ -17,12 +17,12 @@
 namespace pollenring {
 
 /*! @brief What borrowing asks of its surroundings. */
-class ShareObserver {
+class ShareDelegate {
  public:
-  ShareObserver() = default;
-  ShareObserver(const ShareObserver &) = delete;
-  ShareObserver &operator=(const ShareObserver &) = delete;
-  virtual ~ShareObserver() = default;
+  ShareDelegate() = default;
+  ShareDelegate(const ShareDelegate &) = delete;
+  ShareDelegate &operator=(const ShareDelegate &) = delete;
+  virtual ~ShareDelegate() = default;
 
   /*! @brief Sends a request to the slot's holder.
    * @param request The request.
@@ -34,7 +34,7 @@
 struct ChargeResult {
   bool granted{};
   Reason reason{Reason::kNone};
-  Span retry_after{};
+  Duration retry_after{};
 };
 
 /**
@@ -55,15 +55,15 @@
    */
   ShareBorrower(std::uint64_t process, SlotId slots,
                 const LeaseOptions &options, const Clock &clock,
-                ShareObserver &observer);
+                ShareDelegate &observer);
 
   /**
    * @brief Charges one request.
    * @param workspace Its workspace.
-   * @param patience How long it waits.
+   * @param wait_limit How long it waits.
    * @param done Called exactly once, now or when a loan or a refusal comes.
    */
-  void Charge(std::string workspace, Patience patience, Done done);
+  void Charge(std::string workspace, WaitLimit wait_limit, Done done);
 
   /**
    * @brief Takes in what a holder lends.
@@ -91,7 +91,7 @@
   };
   struct Waiter {
     Time since{};
-    Patience patience;
+    WaitLimit wait_limit;
     Done done;
   };
   /*! @brief A request that goes when its share has come. */
@@ -109,9 +109,10 @@
   struct Round {
     std::size_t refusals{};
     std::size_t answers{}; /*!< Holders that said they have nothing. */
-    Span retry_after{};
-    std::vector<Span> next_share; /*!< By slot, until it has some; none if 0. */
-    bool early{};                 /*!< What comes next is asked for. */
+    Duration retry_after{};
+    std::vector<Duration>
+        next_share; /*!< By slot, until it has some; none if 0. */
+    bool early{};   /*!< What comes next is asked for. */
   };
   struct Workspace {
     std::vector<SlotId> slots;
@@ -139,7 +140,7 @@
   [[nodiscard]] BorrowRequest ToRequest(const std::string &name,
                                         Workspace &workspace);
   void Refused(const std::string &name, Workspace &workspace, bool answered,
-               Span retry_after);
+               Duration retry_after);
   void ReturnIdle(Workspace &workspace) const;
   void SendReturns(const std::string &name, Workspace &workspace);
   void Serve(Workspace &workspace);
@@ -159,7 +160,7 @@
   SlotId slots;
   LeaseOptions options;
   const Clock &clock;
-  ShareObserver &observer;
+  ShareDelegate &observer;
   // Callbacks may charge workspaces that are new while all are visited; in a
   // map that leaves the place of the visit valid.
   std::map<std::string, Workspace> workspaces;
--- a/src/pollenring/wire/peer_versions.h
+++ b/src/pollenring/wire/peer_versions.h
@@ -31,7 +31,7 @@
    * @param peer The peer.
    * @return So, unless it is known to run V1.
    */
-  [[nodiscard]] bool TellsZones(NodeId peer) const {
+  [[nodiscard]] bool ReportsZoneWithdrawals(NodeId peer) const {
     return this->Of(peer) != WireVersion::kV1;
   }
 
@@ -47,7 +47,7 @@
    * @param peer The peer.
    * @param wire Its number, or 0 when nothing was said.
    */
-  void Told(NodeId peer, std::uint8_t wire);
+  void Advertised(NodeId peer, std::uint8_t wire);
 
   /**
    * @brief A peer could not read what was sent to it.
--- a/test/pollenring/admission/admission_test.cc
+++ b/test/pollenring/admission/admission_test.cc
@@ -12,16 +12,16 @@
 
 using pollenring::Admission;
 using pollenring::AdmissionActions;
+using pollenring::AdmissionRequest;
+using pollenring::Duration;
 using pollenring::Importance;
 using pollenring::ManualClock;
 using pollenring::SeededRandom;
-using pollenring::Span;
-using pollenring::Ticket;
 
 /*! @brief An admission under test with a simulated target of fixed slots. */
 class Bench {
  public:
-  Bench(std::uint32_t announced, int real_slots, Span service,
+  Bench(std::uint32_t announced, int real_slots, Duration service,
         std::uint64_t seed)
       : clock{std::chrono::hours{1}},
         random{seed},
@@ -30,7 +30,7 @@
         service{service} {}
 
   /*! @brief Offers a request and performs the resulting actions. */
-  void Offer(Ticket ticket) {
+  void Offer(AdmissionRequest ticket) {
     ticket.id = ++this->last_id;
     if (ticket.deadline == pollenring::Time{}) {
       ticket.deadline = this->clock.Now() + std::chrono::seconds{2};
@@ -41,7 +41,7 @@
   }
 
   /*! @brief Advances the clock and ends finished requests. */
-  void Step(Span step) {
+  void Step(Duration step) {
     this->clock.Advance(step);
     const auto now = this->clock.Now();
     std::vector<std::uint64_t> done;
@@ -51,7 +51,7 @@
     for (const auto id : done) {
       this->running.erase(id);
       ++this->finished;
-      this->Perform(this->admission.Finish(id, Span{0}, false));
+      this->Perform(this->admission.Finish(id, Duration{0}, false));
     }
     this->Perform(this->admission.Tick());
   }
@@ -60,8 +60,8 @@
   SeededRandom random;
   Admission admission;
   int real_slots;
-  Span service;
-  std::map<std::uint64_t, Ticket> waiting;
+  Duration service;
+  std::map<std::uint64_t, AdmissionRequest> waiting;
   std::map<std::uint64_t, pollenring::Time> running;
   std::map<Importance, int> offered;
   std::map<Importance, int> shed;
@@ -76,7 +76,7 @@
       this->waiting.erase(out.id);
     }
     for (const auto id : actions.start) {
-      const Ticket ticket = this->waiting.at(id);
+      const AdmissionRequest ticket = this->waiting.at(id);
       for (const auto &[other, waits] : this->waiting) {
         // No request starts while a more important one waits.
         CHECK(waits.importance <= ticket.importance);
@@ -96,8 +96,9 @@
   std::uint64_t last_id{};
 };
 
-[[nodiscard]] Ticket Make(Importance importance, const std::string &workspace) {
-  Ticket ticket;
+[[nodiscard]] AdmissionRequest Make(Importance importance,
+                                    const std::string &workspace) {
+  AdmissionRequest ticket;
   ticket.importance = importance;
   ticket.workspace = workspace;
   return ticket;
@@ -132,11 +133,11 @@
 TEST_CASE("admission: workspaces are served by their weights") {
   Bench bench{10, 10, std::chrono::milliseconds{20}, 3};
   for (int i = 0; i < 20'000; ++i) {
-    Ticket large = Make(Importance::kNormal, "large");
+    AdmissionRequest large = Make(Importance::kNormal, "large");
     large.weight = 300;
     bench.Offer(large);
     if (i % 5 == 0) {
-      Ticket small = Make(Importance::kNormal, "small");
+      AdmissionRequest small = Make(Importance::kNormal, "small");
       small.weight = 100;
       bench.Offer(small);
     }
@@ -154,7 +155,7 @@
   Bench bench{1, 1, std::chrono::milliseconds{20}, 1};
   bench.Offer(Make(Importance::kNormal, "w"));
   for (int i = 0; i < 4; ++i) bench.Offer(Make(Importance::kNormal, "w"));
-  Ticket deep = Make(Importance::kNormal, "w");
+  AdmissionRequest deep = Make(Importance::kNormal, "w");
   deep.depth = 3;
   bench.Offer(deep);
   bench.Offer(Make(Importance::kNormal, "w"));
@@ -202,7 +203,7 @@
 TEST_CASE("admission: what can't finish in time is refused at once") {
   Bench bench{1, 1, std::chrono::milliseconds{20}, 1};
   bench.Offer(Make(Importance::kNormal, "w"));
-  Ticket late = Make(Importance::kNormal, "w");
+  AdmissionRequest late = Make(Importance::kNormal, "w");
   late.deadline = bench.clock.Now() + std::chrono::milliseconds{5};
   bench.Offer(late);
   bench.Step(std::chrono::milliseconds{6});
@@ -216,20 +217,20 @@
   pollenring::ManualClock clock{std::chrono::hours{1}};
   pollenring::AdmissionOptions options;
   options.limit.fixed = true;
-  options.order = pollenring::QueueOrder::kAim;
+  options.order = pollenring::QueueOrder::kSoftDeadline;
   options.queue_time = std::chrono::seconds{1};
   Admission admission{1, options, clock};
   std::uint64_t id = 0;
-  const auto offer = [&](Importance importance, Span left) {
-    Ticket ticket = Make(importance, "w");
+  const auto offer = [&](Importance importance, Duration left) {
+    AdmissionRequest ticket = Make(importance, "w");
     ticket.id = ++id;
-    ticket.aim = clock.Now() + left;
-    ticket.deadline = ticket.aim;
+    ticket.soft_deadline = clock.Now() + left;
+    ticket.deadline = ticket.soft_deadline;
     return admission.Offer(ticket);
   };
-  const auto finish = [&](std::uint64_t which, Span after) {
+  const auto finish = [&](std::uint64_t which, Duration after) {
     clock.Advance(after);
-    return admission.Finish(which, Span{0}, false);
+    return admission.Finish(which, Duration{0}, false);
   };
   REQUIRE(offer(Importance::kHigh, std::chrono::seconds{30}).start.size() == 1);
   std::uint64_t running = 1;
@@ -263,7 +264,7 @@
     SeededRandom random{seed};
     pollenring::ManualClock clock{std::chrono::hours{1}};
     pollenring::AdmissionOptions options;
-    options.order = pollenring::QueueOrder::kAim;
+    options.order = pollenring::QueueOrder::kSoftDeadline;
     options.queue_time = std::chrono::seconds{1};
     options.critical_queue_factor = 2;
     Admission admission{4, options, clock};
@@ -285,20 +286,22 @@
         }
         const auto done = it->first;
         it = running.erase(it);
-        start(admission.Finish(done, Span{0}, false));
+        start(admission.Finish(done, Duration{0}, false));
         it = running.begin();
       }
-      Ticket ticket = Make(static_cast<Importance>(random.Index(4)), "w");
+      AdmissionRequest ticket =
+          Make(static_cast<Importance>(random.Index(4)), "w");
       ticket.id = id;
       ticket.depth = static_cast<int>(random.Index(2));
-      ticket.aim = clock.Now() + std::chrono::milliseconds{random.Index(900)};
+      ticket.soft_deadline =
+          clock.Now() + std::chrono::milliseconds{random.Index(900)};
       ticket.deadline =
-          ticket.aim + std::chrono::milliseconds{random.Index(900)};
+          ticket.soft_deadline + std::chrono::milliseconds{random.Index(900)};
       AdmissionActions actions;
       REQUIRE_NOTHROW(actions = admission.Offer(ticket));
       const auto shed =
           std::count_if(actions.shed.begin(), actions.shed.end(),
-                        [](const pollenring::ShedTicket &out) {
+                        [](const pollenring::ShedRequest &out) {
                           return out.reason == pollenring::Reason::kOverload;
                         });
       CHECK(shed <= 1);
@@ -310,7 +313,7 @@
 TEST_CASE("concurrency limit: a slow moment before a trial lowers nothing") {
   pollenring::ManualClock clock{std::chrono::hours{1}};
   pollenring::ConcurrencyLimit limit{4, {}, clock};
-  const auto run = [&](Span own, bool full, int count) {
+  const auto run = [&](Duration own, bool full, int count) {
     for (int i = 0; i < count; ++i) {
       clock.Advance(own / limit.Current());
       limit.Sample(own, own, full ? limit.Current() : 1, false);
--- a/test/pollenring/admission/aim_queue_test.cc
+++ b/test/pollenring/admission/soft_deadline_queue_test.cc
@@ -1,20 +1,21 @@
-#include "pollenring/admission/aim_queue.h"
+#include "pollenring/admission/soft_deadline_queue.h"
 
 #include <catch2/catch.hpp>
 
 namespace {
 
 using namespace std::chrono_literals;
-using pollenring::AimQueue;
+using pollenring::AdmissionRequest;
 using pollenring::Importance;
-using pollenring::Ticket;
+using pollenring::SoftDeadlineQueue;
 
-[[nodiscard]] Ticket Waiting(std::uint64_t id, pollenring::Time aim,
-                             Importance importance, int depth) {
-  Ticket ticket;
+[[nodiscard]] AdmissionRequest Waiting(std::uint64_t id,
+                                       pollenring::Time soft_deadline,
+                                       Importance importance, int depth) {
+  AdmissionRequest ticket;
   ticket.id = id;
-  ticket.aim = aim;
-  ticket.deadline = aim + 1s;
+  ticket.soft_deadline = soft_deadline;
+  ticket.deadline = soft_deadline + 1s;
   ticket.importance = importance;
   ticket.depth = depth;
   return ticket;
@@ -23,7 +24,7 @@
 }  // namespace
 
 TEST_CASE("aim queue: a short request passes those that have time") {
-  AimQueue queue;
+  SoftDeadlineQueue queue;
   queue.Push(Waiting(1, 300ms, Importance::kHigh, 2));
   queue.Push(Waiting(2, 320ms, Importance::kLow, 2));
   queue.Push(Waiting(3, 120ms, Importance::kNormal, 0));
@@ -34,7 +35,7 @@
 }
 
 TEST_CASE("aim queue: calls for requests let in above are shed last") {
-  AimQueue queue;
+  SoftDeadlineQueue queue;
   queue.Push(Waiting(1, 100ms, Importance::kLow, 1));
   queue.Push(Waiting(2, 100ms, Importance::kHigh, 0));
   queue.Push(Waiting(3, 100ms, Importance::kLow, 0));
@@ -48,7 +49,7 @@
 }
 
 TEST_CASE("aim queue: what can't end in time leaves at once") {
-  AimQueue queue;
+  SoftDeadlineQueue queue;
   queue.Push(Waiting(1, 100ms, Importance::kLow, 0));
   queue.Push(Waiting(2, 900ms, Importance::kLow, 0));
   const auto expired = queue.RemoveExpired(1200ms);
--- a/test/pollenring/mesh/heartbeat_filter_test.cc
+++ b/test/pollenring/mesh/heartbeat_filter_test.cc
@@ -11,18 +11,19 @@
 using pollenring::HeartbeatFilter;
 using pollenring::HeartbeatVerdict;
 
-[[nodiscard]] Heartbeat Beat(const std::string &instance, std::uint64_t born,
+[[nodiscard]] Heartbeat Beat(const std::string &instance,
+                             std::uint64_t started_at_ms,
                              std::uint64_t sequence) {
   Heartbeat heartbeat;
   heartbeat.announcement.instance = instance;
-  heartbeat.born = born;
+  heartbeat.started_at_ms = started_at_ms;
   heartbeat.sequence = sequence;
   return heartbeat;
 }
 
 [[nodiscard]] Heartbeat Departure(const std::string &instance) {
   Heartbeat heartbeat = Beat(instance, 0, 0);
-  heartbeat.departs = true;
+  heartbeat.deregisters = true;
   return heartbeat;
 }
 
@@ -82,7 +83,7 @@
     "heartbeat filter: what leaves unheard is not taken for a new start") {
   pollenring::ManualClock clock;
   HeartbeatFilter filter{clock};
-  const auto now = static_cast<std::uint64_t>(clock.Wall().count());
+  const auto now = static_cast<std::uint64_t>(clock.WallNow().count());
   CHECK(filter.Judge(Beat("other", now - 9000, 1)) == HeartbeatVerdict::kTaken);
   CHECK(filter.Judge(Departure("a")) == HeartbeatVerdict::kTaken);
   CHECK(filter.Judge(Departure("a")) == HeartbeatVerdict::kStale);
--- a/test/pollenring/share/borrower_test.cc
+++ b/test/pollenring/share/borrower_test.cc
@@ -10,12 +10,12 @@
 using pollenring::BorrowReply;
 using pollenring::BorrowRequest;
 using pollenring::ChargeResult;
-using pollenring::Patience;
-using pollenring::Span;
+using pollenring::Duration;
 using pollenring::Time;
+using pollenring::WaitLimit;
 
 /*! @brief Keeps what is asked. */
-class Recorder final : public pollenring::ShareObserver {
+class Recorder final : public pollenring::ShareDelegate {
  public:
   bool SendBorrow(const BorrowRequest &request) override {
     this->requests.push_back(request);
@@ -25,7 +25,7 @@
   bool holders_known{true};
 };
 
-constexpr Span kTick = std::chrono::milliseconds{10};
+constexpr Duration kTick = std::chrono::milliseconds{10};
 
 [[nodiscard]] BorrowReply Granting(const BorrowRequest &request,
                                    std::uint32_t amount) {
@@ -49,7 +49,7 @@
   int granted = 0;
   const auto charge = [&] {
     workspace = "club";
-    borrower.Charge(workspace, Patience::Until(Time::max()),
+    borrower.Charge(workspace, WaitLimit::Until(Time::max()),
                     [&](const ChargeResult &result) {
                       if (result.granted) ++granted;
                       workspace.clear();
@@ -72,7 +72,7 @@
   pollenring::ShareBorrower borrower{1, 9, {}, clock, recorder};
   int granted = 0;
   const auto charge = [&] {
-    borrower.Charge("club", Patience::Until(Time::max()),
+    borrower.Charge("club", WaitLimit::Until(Time::max()),
                     [&](const ChargeResult &result) {
                       if (result.granted) ++granted;
                     });
@@ -93,11 +93,11 @@
   std::vector<ChargeResult> results;
   const auto charge = [&] {
     borrower.Charge(
-        "club", Patience::Until(Time::max()),
+        "club", WaitLimit::Until(Time::max()),
         [&](const ChargeResult &result) { results.push_back(result); });
   };
-  const auto pass = [&](Span length) {
-    for (Span passed{0}; passed < length; passed += kTick) {
+  const auto pass = [&](Duration length) {
+    for (Duration passed{0}; passed < length; passed += kTick) {
       clock.Advance(kTick);
       borrower.Tick();
     }
@@ -148,13 +148,13 @@
     REQUIRE(results.size() == 1);
     CHECK_FALSE(results.front().granted);
     CHECK(results.front().reason == pollenring::Reason::kNoShare);
-    CHECK(results.front().retry_after > Span{0});
+    CHECK(results.front().retry_after > Duration{0});
   }
 
   SECTION("no answer comes after the request's deadline") {
     recorder.holders_known = false;
     borrower.Charge(
-        "club", Patience::Until(clock.Now() + std::chrono::milliseconds{100}),
+        "club", WaitLimit::Until(clock.Now() + std::chrono::milliseconds{100}),
         [&](const ChargeResult &result) { results.push_back(result); });
     pass(std::chrono::milliseconds{110});
     CHECK(results.size() == 1);
@@ -168,7 +168,7 @@
       borrower.Receive(reply);
     }
     REQUIRE(results.size() == 1);
-    CHECK(results.front().reason == pollenring::Reason::kOverRate);
+    CHECK(results.front().reason == pollenring::Reason::kRateLimited);
   }
 
   SECTION("all holders answered: what comes next is asked for, once each") {
@@ -193,7 +193,7 @@
     borrower.Receive(Granting(recorder.requests.back(), 0));
     // The one that nobody has anything for is told so at once.
     REQUIRE(results.size() == 1);
-    CHECK(results.front().reason == pollenring::Reason::kOverRate);
+    CHECK(results.front().reason == pollenring::Reason::kRateLimited);
     pass(std::chrono::milliseconds{40});
     CHECK(results.size() == 1);
     pass(std::chrono::milliseconds{20});
@@ -212,7 +212,7 @@
 
   SECTION("nobody waits past a deadline for what comes next") {
     borrower.Charge(
-        "club", Patience::Until(clock.Now() + std::chrono::milliseconds{30}),
+        "club", WaitLimit::Until(clock.Now() + std::chrono::milliseconds{30}),
         [&](const ChargeResult &result) { results.push_back(result); });
     grant_next();
     REQUIRE(results.size() == 1);
@@ -233,7 +233,7 @@
     }
     REQUIRE(results.size() == 1);
     CHECK_FALSE(results.front().granted);
-    CHECK(results.front().reason == pollenring::Reason::kOverRate);
+    CHECK(results.front().reason == pollenring::Reason::kRateLimited);
     // Nobody was asked for what comes next: it would have been lost.
     CHECK(recorder.requests.size() == asked + 2);
   }
@@ -271,7 +271,7 @@
   std::function<void(int)> charge = [&](int generation) {
     ++charges;
     borrower.Charge("workspace" + std::to_string(charges),
-                    Patience::Until(Time::max()),
+                    WaitLimit::Until(Time::max()),
                     [&, generation](const ChargeResult &) {
                       ++answers;
                       if (generation == 0) return;
@@ -279,8 +279,8 @@
                     });
   };
   for (int i = 0; i < 5; ++i) charge(3);
-  const auto pass = [&](Span length) {
-    for (Span passed{0}; passed < length; passed += kTick) {
+  const auto pass = [&](Duration length) {
+    for (Duration passed{0}; passed < length; passed += kTick) {
       clock.Advance(kTick);
       borrower.Tick();
     }
--- a/test/support/golden_values.h
+++ b/test/support/golden_values.h
@@ -1,8 +1,8 @@
 #ifndef POLLENRING_TEST_SUPPORT_GOLDEN_VALUES_H_
 #define POLLENRING_TEST_SUPPORT_GOLDEN_VALUES_H_
 
-// Also built against the headers of landed versions, by test/golden/write.cc;
-// those of 33161f2 lack what GOLDEN_FIRST leaves out.
+// Under today's names; test/golden/landed_values.h has the same values under
+// the names of the landings.
 
 #include <string>
 #include <vector>
@@ -39,25 +39,23 @@
   gossip.config_version = 12;
   gossip.store_age_ms = 250;
   gossip.digest = 0x0123'4567'89ab'cdefU;
-#ifndef GOLDEN_FIRST
-  gossip.zones.position = 41;
+  gossip.zones.revision = 41;
   gossip.zones.zones = {"harbor-a", "harbor-c"};
-#endif
   gossip.updates = {GoldenMember()};
   return gossip;
 }
 
 /*! @brief Digests of all parts. */
-[[nodiscard]] inline pollenring::PartDigests GoldenDigests() {
-  pollenring::PartDigests digests{};
+[[nodiscard]] inline pollenring::PartitionDigests GoldenDigests() {
+  pollenring::PartitionDigests digests{};
   std::uint64_t next = 1;
   for (auto &digest : digests) digest = next *= 3;
   return digests;
 }
 
 /*! @brief What a node answers that holds other records. */
-[[nodiscard]] inline pollenring::RecordsOfParts GoldenRecords() {
-  pollenring::RecordsOfParts records;
+[[nodiscard]] inline pollenring::DigestReply GoldenRecords() {
+  pollenring::DigestReply records;
   records.digests = GoldenDigests();
   records.records = {GoldenMember()};
   return records;
@@ -75,19 +73,17 @@
   envelope.route = "meeting-confirm";
   envelope.caller = "gather";
   envelope.headers = {{"content-type", "application/json"}, {"x-b", ""}};
-#ifndef GOLDEN_FIRST
   envelope.regions = {"harbor", "inland"};
-#endif
   envelope.importance = pollenring::Importance::kHigh;
   envelope.idempotent = false;
-  envelope.repeat = true;
-  envelope.keyed = true;
-  envelope.lot = 0.625;
+  envelope.is_retry = true;
+  envelope.authenticated = true;
+  envelope.sub_priority = 0.625;
   envelope.weight = 0.25;
   envelope.depth = 2;
   envelope.remaining_us = 1'400'000;
   envelope.root_age_us = 90'000;
-  envelope.aim_us = -20'000;
+  envelope.soft_deadline_us = -20'000;
   envelope.retries = 3;
   return envelope;
 }
@@ -104,11 +100,9 @@
   reply.retry_after_us = 300'000;
   reply.load.in_progress = 31;
   reply.load.limit = 40;
-#ifndef GOLDEN_FIRST
   reply.load.cold_ms = 1'500;
-#endif
   reply.levels = {{"planner", 0x7f2a'0101'1b5aU, 1'250, 907, 40, false}};
-  reply.marks = {{"schedule-view", "planner", true}};
+  reply.call_path_reports = {{"schedule-view", "planner", true}};
   return reply;
 }
 
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/dialects.h"
+#include "platform/codecs.h"
 #include "platform/store.h"
 #include "pollenring/core/random.h"
 #include "pollenring/link/link_client.h"
@@ -17,7 +17,7 @@
 #include "pollenring/net/http_server.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/storage/store_client.h"
-#include "support/faulty_dialects.h"
+#include "support/faulty_codecs.h"
 
 namespace support {
 
@@ -106,13 +106,15 @@
             const std::vector<int> &seeds = {});
 
   /*! @brief How long each target takes from now on. @param delay It. */
-  void SetAnswerDelay(pollenring::Span delay) { this->answer_delay = delay; }
+  void SetAnswerDelay(pollenring::Duration delay) {
+    this->answer_delay = delay;
+  }
 
   /*! @brief Sends the heartbeat of a node's target. @param state Its state.
-   * @param cold_left How long it stays cold. @param born Its start. @return The
-   * answer's status. */
+   * @param cold_left How long it stays cold. @param started_at_ms Its start.
+   * @return The answer's status. */
   int Beat(int index, const std::string &state = "ready",
-           std::chrono::milliseconds cold_left = {}, int born = 5);
+           std::chrono::milliseconds cold_left = {}, int started_at_ms = 5);
 
   /*! @brief Tells a node that its target leaves, as targets do that report
    * nothing before. @return The answer's status. */
@@ -146,8 +148,8 @@
   [[nodiscard]] std::string Operate(int index, const std::string &path);
 
   [[nodiscard]] bool Await(const std::function<bool()> &condition,
-                           pollenring::Span limit);
-  void Run(pollenring::Span length);
+                           pollenring::Duration limit);
+  void Run(pollenring::Duration length);
 
   /*! @brief Address of one of a node's ports. */
   [[nodiscard]] pollenring::Address At(int index, int port) const;
@@ -175,7 +177,7 @@
       const pollenring::Address &to, const pollenring::HttpRequest &request);
 
   int net;
-  pollenring::Span answer_delay{};
+  pollenring::Duration answer_delay{};
   pollenring::SystemClock clock;
   pollenring::Loop loop{clock};
   pollenring::SeededRandom random{11};
--- a/tools/pollenring-load/scenario.h
+++ b/tools/pollenring-load/scenario.h
@@ -7,7 +7,7 @@
 
 #include "pollenring/contract/parse.h"
 #include "pollenring/core/clock.h"
-#include "pollenring/core/finding.h"
+#include "pollenring/core/diagnostic.h"
 #include "pollenring/net/address.h"
 
 namespace load {
@@ -35,11 +35,11 @@
 /*! @brief One experiment. */
 struct Scenario {
   std::vector<pollenring::Address> nodes;
-  pollenring::Span length{std::chrono::seconds{10}};
-  pollenring::Span trigger_from{};
-  pollenring::Span trigger_to{};
-  pollenring::Span timeout{std::chrono::seconds{2}};
-  pollenring::Span retry_pause{std::chrono::milliseconds{50}};
+  pollenring::Duration length{std::chrono::seconds{10}};
+  pollenring::Duration trigger_from{};
+  pollenring::Duration trigger_to{};
+  pollenring::Duration timeout{std::chrono::seconds{2}};
+  pollenring::Duration retry_pause{std::chrono::milliseconds{50}};
   int retries{3};
   std::uint64_t seed{1};
   double
@@ -51,11 +51,11 @@
 /**
  * @brief Reads a scenario.
  * @param file The file.
- * @param findings Receives all faults.
+ * @param diagnostics Receives all faults.
  * @return The scenario; use it only when there are no findings.
  */
 [[nodiscard]] Scenario ReadScenario(const pollenring::SourceFile &file,
-                                    pollenring::Findings &findings);
+                                    pollenring::Diagnostics &diagnostics);
 
 }  // namespace load
 
