--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -14,12 +14,12 @@
 namespace {
 
 /*! @brief Decay time of the offered rate; equal to that of the levels. */
-constexpr Duration kOfferedMemory = std::chrono::milliseconds{500};
+constexpr Duration kOfferedDecayTime = std::chrono::milliseconds{500};
 
 [[nodiscard]] std::unique_ptr<LevelControl> MakeLevels(
     const AdmissionOptions &options, const Clock &clock) {
   if (options.level_cause == LevelTrigger::kOfferedLoad) {
-    return std::make_unique<OfferedLoadLevel>(options.fit, clock);
+    return std::make_unique<OfferedLoadLevel>(options.offered_load, clock);
   }
   return std::make_unique<ShedLevels>(options.level_window, clock);
 }
@@ -37,7 +37,7 @@
     : options{options},
       clock{clock},
       limit{slots, options.limit, clock},
-      cold{clock},
+      cold_limiter{clock},
       levels{MakeLevels(options, clock)},
       queue{MakeQueue(options.order)} {}
 
@@ -47,49 +47,50 @@
       static_cast<std::uint32_t>(this->limit.Current())};
 }
 
-void Admission::SetColdStartLimit(const ColdStartLimit &tolerance) {
-  this->cold.SetTolerance(tolerance);
-  this->FollowCold();
+void Admission::SetColdStartLimit(const ColdStartLimit &cold_limit) {
+  this->cold_limiter.SetLimit(cold_limit);
+  this->ResetLevelsIfColdChanged();
 }
 
 void Admission::SetColdUntil(Time until) {
-  this->cold.SetColdUntil(until);
-  this->FollowCold();
+  this->cold_limiter.SetColdUntil(until);
+  this->ResetLevelsIfColdChanged();
 }
 
-void Admission::FollowCold() {
-  const bool closed = this->cold.Closed();
-  if (std::exchange(this->was_cold, closed) == closed) return;
+void Admission::ResetLevelsIfColdChanged() {
+  const bool active = this->cold_limiter.Active();
+  if (std::exchange(this->was_cold, active) == active) return;
   this->levels = MakeLevels(this->options, this->clock);
-  this->cold_shed_at = Time{};
+  this->last_cold_shed_at = Time{};
 }
 
-double Admission::OfferedNow() const {
-  const Duration since = this->clock.Now() - this->offered_at;
-  return this->offered * std::exp(-static_cast<double>(since.count()) /
-                                  static_cast<double>(kOfferedMemory.count()));
+double Admission::DecayedOffered() const {
+  const Duration since = this->clock.Now() - this->last_offered_at;
+  return this->decayed_offered *
+         std::exp(-static_cast<double>(since.count()) /
+                  static_cast<double>(kOfferedDecayTime.count()));
 }
 
 double Admission::OfferedPerSecond() const {
-  return this->OfferedNow() /
-         std::chrono::duration<double>{kOfferedMemory}.count();
+  return this->DecayedOffered() /
+         std::chrono::duration<double>{kOfferedDecayTime}.count();
 }
 
-AdmissionActions Admission::Offer(const AdmissionRequest &ticket) {
+AdmissionActions Admission::Offer(const AdmissionRequest &request) {
   AdmissionActions actions;
-  this->FollowCold();
-  this->offered = this->OfferedNow() + 1;
-  this->offered_at = this->clock.Now();
-  this->levels->Offered(ticket);
+  this->ResetLevelsIfColdChanged();
+  this->decayed_offered = this->DecayedOffered() + 1;
+  this->last_offered_at = this->clock.Now();
+  this->levels->Offered(request);
   const std::size_t waiting_before = this->queue->Size();
-  this->queue->Push(ticket);
-  this->Fill(actions);
-  this->ShedBeyondCold(actions);
+  this->queue->Push(request);
+  this->StartWaiting(actions);
+  this->ShedColdExcess(actions);
   // Sheds at most one waiting request per arrival, and none if the arrival was
   // started or dropped at once. A shrinking limit alone sheds nothing.
-  if (this->queue->Size() > waiting_before && this->Overfull()) {
+  if (this->queue->Size() > waiting_before && this->QueueOverfull()) {
     const auto worst = this->queue->PopWorst();
-    Require(worst->importance <= ticket.importance || ticket.Invested(),
+    Require(worst->importance <= request.importance || request.Invested(),
             "nothing more important is shed for a root");
     this->levels->Shed();
     actions.shed.push_back({worst->id, Reason::kOverload});
@@ -103,12 +104,13 @@
   AdmissionActions actions;
   const auto found = this->running.find(id);
   if (found == this->running.end()) return actions;
-  const Duration whole = this->clock.Now() - found->second.started;
-  const Duration own = std::max(Duration{0}, whole - time_in_sub_calls);
-  this->limit.Sample(own, whole, found->second.running_at_start,
+  const Duration total_time = this->clock.Now() - found->second.started;
+  const Duration own_time =
+      std::max(Duration{0}, total_time - time_in_sub_calls);
+  this->limit.Sample(own_time, total_time, found->second.running_at_start,
                      refused_by_target);
   this->running.erase(found);
-  this->Fill(actions);
+  this->StartWaiting(actions);
   return actions;
 }
 
@@ -116,7 +118,7 @@
   AdmissionActions actions;
   if (this->queue->Remove(id)) return actions;
   this->running.erase(id);
-  this->Fill(actions);
+  this->StartWaiting(actions);
   return actions;
 }
 
@@ -130,33 +132,33 @@
 
 AdmissionActions Admission::Tick() {
   AdmissionActions actions;
-  this->FollowCold();
-  this->Fill(actions);
-  this->ShedBeyondCold(actions);
+  this->ResetLevelsIfColdChanged();
+  this->StartWaiting(actions);
+  this->ShedColdExcess(actions);
   this->levels->Tick(this->State());
   return actions;
 }
 
-void Admission::Fill(AdmissionActions &actions) {
-  this->DropLate(actions);
+void Admission::StartWaiting(AdmissionActions &actions) {
+  this->ShedLate(actions);
   while (static_cast<int>(this->running.size()) < this->limit.Current() &&
-         this->cold.HasRoom()) {
+         this->cold_limiter.HasRoom()) {
     const auto next = this->queue->Pop();
     if (!next) return;
     this->Start(*next, actions);
   }
 }
 
-void Admission::ShedBeyondCold(AdmissionActions &actions) {
-  if (!this->cold.Closed() || this->cold.HasRoom()) return;
+void Admission::ShedColdExcess(AdmissionActions &actions) {
+  if (!this->cold_limiter.Active() || this->cold_limiter.HasRoom()) return;
   for (const auto &waiting : this->queue->RemoveExpired(Time::max())) {
     this->levels->Shed();
-    this->cold_shed_at = this->clock.Now();
+    this->last_cold_shed_at = this->clock.Now();
     actions.shed.push_back({waiting.id, Reason::kWarmingUp});
   }
 }
 
-void Admission::DropLate(AdmissionActions &actions) {
+void Admission::ShedLate(AdmissionActions &actions) {
   const Time needed = this->clock.Now() + this->limit.TypicalTime() / 2;
   for (const auto &late : this->queue->RemoveExpired(needed)) {
     this->levels->Shed();
@@ -164,32 +166,33 @@
   }
 }
 
-void Admission::Start(const AdmissionRequest &ticket,
+void Admission::Start(const AdmissionRequest &request,
                       AdmissionActions &actions) {
   const int running_now = static_cast<int>(this->running.size()) + 1;
-  this->running[ticket.id] = {this->clock.Now(), running_now,
-                              ticket.importance};
-  this->cold.Sent(ticket.id);
-  actions.start.push_back(ticket.id);
+  this->running[request.id] = {this->clock.Now(), running_now,
+                               request.importance};
+  this->cold_limiter.RecordSent(request.id);
+  actions.start.push_back(request.id);
 }
 
-bool Admission::Overfull() const {
+bool Admission::QueueOverfull() const {
   const std::size_t capacity = this->QueueCapacity();
   if (this->queue->Size() <= capacity) return false;
   // Critical requests may wait longer, as far as their deadlines allow.
-  const bool can_shed_others = this->queue->Lowest() < Importance::kCritical;
+  const bool can_shed_others =
+      this->queue->LowestImportance() < Importance::kCritical;
   return can_shed_others ||
          this->queue->Size() > capacity * this->options.critical_queue_factor;
 }
 
 QueueState Admission::State() const {
   QueueState state;
-  if (this->cold.Closed()) {
-    state.capacity = this->cold.PerSecond();
+  if (this->cold_limiter.Active()) {
+    state.capacity = this->cold_limiter.PerSecond();
     // Excess requests are shed at once, so the queue length shows no overload.
-    const Duration since = this->clock.Now() - this->cold_shed_at;
+    const Duration since = this->clock.Now() - this->last_cold_shed_at;
     if (since < this->options.level_window) {
-      state.delay = this->options.fit.longest;
+      state.delay = this->options.offered_load.max_delay;
     }
     return state;
   }
@@ -207,14 +210,14 @@
 std::size_t Admission::QueueCapacity() const noexcept {
   const Duration typical = this->limit.TypicalTime();
   if (typical <= Duration{0}) {
-    return std::max(this->options.shortest_queue,
+    return std::max(this->options.min_queue_size,
                     static_cast<std::size_t>(this->limit.Current()));
   }
   const double turns = static_cast<double>(this->options.queue_time.count()) /
                        static_cast<double>(typical.count());
   const auto wanted = static_cast<std::size_t>(this->limit.Current() * turns);
-  return std::clamp(wanted, this->options.shortest_queue,
-                    this->options.longest_queue);
+  return std::clamp(wanted, this->options.min_queue_size,
+                    this->options.max_queue_size);
 }
 
 }  // namespace pollenring
--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -46,11 +46,11 @@
   ConcurrencyLimitOptions limit;
   LevelTrigger level_cause{LevelTrigger::kShed};
   QueueOrder order{QueueOrder::kFair};
-  OfferedLoadLevelOptions fit;
+  OfferedLoadLevelOptions offered_load;
   Duration level_window{std::chrono::milliseconds{100}};
   Duration queue_time{std::chrono::milliseconds{100}};
-  std::size_t shortest_queue{4};
-  std::size_t longest_queue{1024};
+  std::size_t min_queue_size{4};
+  std::size_t max_queue_size{1024};
   std::size_t critical_queue_factor{16};
 };
 
@@ -85,9 +85,9 @@
 
   /**
    * @brief Limits what is sent while the target is cold.
-   * @param tolerance The cold-start limit.
+   * @param cold_limit The cold-start limit.
    */
-  void SetColdStartLimit(const ColdStartLimit &tolerance);
+  void SetColdStartLimit(const ColdStartLimit &cold_limit);
 
   /**
    * @brief Sets until when the target is cold.
@@ -100,7 +100,7 @@
 
   /*! @brief Remaining cold time of the target. @return It, 0 if warm. */
   [[nodiscard]] Duration ColdFor() const noexcept {
-    return this->cold.ColdFor();
+    return this->cold_limiter.ColdFor();
   }
 
   /*! @brief Requests in progress at the target. @return The count. */
@@ -121,10 +121,10 @@
 
   /**
    * @brief Offers a request.
-   * @param ticket The request.
+   * @param request The request.
    * @return What to start and shed; may include the request itself.
    */
-  [[nodiscard]] AdmissionActions Offer(const AdmissionRequest &ticket);
+  [[nodiscard]] AdmissionActions Offer(const AdmissionRequest &request);
 
   /**
    * @brief Records the end of a running request.
@@ -142,7 +142,7 @@
    * rejected by it.
    * @param id The request, sent before.
    */
-  void TurnedAway(std::uint64_t id) { this->cold.GiveBack(id); }
+  void RecordRejected(std::uint64_t id) { this->cold_limiter.Uncount(id); }
 
   /**
    * @brief Drops a request whose caller has disconnected.
@@ -175,26 +175,26 @@
     Importance importance;
   };
 
-  [[nodiscard]] double OfferedNow() const;
-  void Fill(AdmissionActions &actions);
-  void DropLate(AdmissionActions &actions);
-  void ShedBeyondCold(AdmissionActions &actions);
-  void FollowCold();
-  void Start(const AdmissionRequest &ticket, AdmissionActions &actions);
+  [[nodiscard]] double DecayedOffered() const;
+  void StartWaiting(AdmissionActions &actions);
+  void ShedLate(AdmissionActions &actions);
+  void ShedColdExcess(AdmissionActions &actions);
+  void ResetLevelsIfColdChanged();
+  void Start(const AdmissionRequest &request, AdmissionActions &actions);
   [[nodiscard]] std::size_t QueueCapacity() const noexcept;
-  [[nodiscard]] bool Overfull() const;
+  [[nodiscard]] bool QueueOverfull() const;
 
   AdmissionOptions options;
   const Clock &clock;
   ConcurrencyLimit limit;
-  ColdStartLimiter cold;
+  ColdStartLimiter cold_limiter;
   bool was_cold{};
-  Time cold_shed_at{}; /*!< Last shed by the cold-start limit. */
+  Time last_cold_shed_at{}; /*!< Last shed by the cold-start limit. */
   std::unique_ptr<LevelControl> levels;
   std::unique_ptr<RequestQueue> queue;
   std::unordered_map<std::uint64_t, RunningRequest> running;
-  double offered{}; /*!< Requests, exponentially decayed. */
-  Time offered_at{};
+  double decayed_offered{}; /*!< Requests, exponentially decayed. */
+  Time last_offered_at{};
 };
 
 }  // namespace pollenring
--- a/src/pollenring/admission/admission_request.h
+++ b/src/pollenring/admission/admission_request.h
@@ -27,4 +27,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_ADMISSION_TICKET_H_
+#endif  // POLLENRING_ADMISSION_ADMISSION_REQUEST_H_
--- a/src/pollenring/admission/cold_start_limiter.cc
+++ b/src/pollenring/admission/cold_start_limiter.cc
@@ -13,25 +13,25 @@
   return std::max(Duration{0}, this->cold_until - this->clock.Now());
 }
 
-void ColdStartLimiter::DropOld() {
-  const Time oldest = this->clock.Now() - this->tolerance.window;
+void ColdStartLimiter::DropExpired() {
+  const Time oldest = this->clock.Now() - this->limit.window;
   while (!this->sent.empty() && this->sent.front().first <= oldest) {
     this->sent.pop_front();
   }
 }
 
 bool ColdStartLimiter::HasRoom() {
-  if (!this->Closed()) return true;
-  this->DropOld();
-  return this->sent.size() < static_cast<std::size_t>(this->tolerance.requests);
+  if (!this->Active()) return true;
+  this->DropExpired();
+  return this->sent.size() < static_cast<std::size_t>(this->limit.requests);
 }
 
-void ColdStartLimiter::Sent(std::uint64_t id) {
-  if (!this->Closed()) return;
+void ColdStartLimiter::RecordSent(std::uint64_t id) {
+  if (!this->Active()) return;
   this->sent.emplace_back(this->clock.Now(), id);
 }
 
-void ColdStartLimiter::GiveBack(std::uint64_t id) {
+void ColdStartLimiter::Uncount(std::uint64_t id) {
   const auto found =
       std::find_if(this->sent.begin(), this->sent.end(),
                    [id](const auto &entry) { return entry.second == id; });
--- a/src/pollenring/admission/cold_start_limiter.h
+++ b/src/pollenring/admission/cold_start_limiter.h
@@ -39,8 +39,8 @@
    */
   explicit ColdStartLimiter(const Clock &clock) : clock{clock} {}
 
-  /*! @brief Sets the limit. @param given The limit. */
-  void SetTolerance(const ColdStartLimit &given) { this->tolerance = given; }
+  /*! @brief Sets the limit. @param new_limit The limit. */
+  void SetLimit(const ColdStartLimit &new_limit) { this->limit = new_limit; }
 
   /**
    * @brief Sets until when the target is cold.
@@ -49,8 +49,8 @@
   void SetColdUntil(Time until) noexcept { this->cold_until = until; }
 
   /*! @brief Checks if the limit applies now. @return True if it does. */
-  [[nodiscard]] bool Closed() const noexcept {
-    return this->tolerance.requests > 0 && this->ColdFor() > Duration{0};
+  [[nodiscard]] bool Active() const noexcept {
+    return this->limit.requests > 0 && this->ColdFor() > Duration{0};
   }
 
   /*! @brief Remaining cold time of the target. @return It, 0 if warm. */
@@ -58,27 +58,27 @@
 
   /*! @brief The limit as a rate. @return Requests per second. */
   [[nodiscard]] double PerSecond() const noexcept {
-    return this->tolerance.PerSecond();
+    return this->limit.PerSecond();
   }
 
   /*! @brief Checks for room in the window. @return True if one may be sent. */
   [[nodiscard]] bool HasRoom();
 
   /*! @brief Counts a request as sent. @param id The request. */
-  void Sent(std::uint64_t id);
+  void RecordSent(std::uint64_t id);
 
   /*! @brief Uncounts a rejected request. @param id The request. */
-  void GiveBack(std::uint64_t id);
+  void Uncount(std::uint64_t id);
 
  private:
-  void DropOld();
+  void DropExpired();
 
   const Clock &clock;
-  ColdStartLimit tolerance;
+  ColdStartLimit limit;
   Time cold_until{};
   std::deque<std::pair<Time, std::uint64_t>> sent;
 };
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_ADMISSION_COLD_GATE_H_
+#endif  // POLLENRING_ADMISSION_COLD_START_LIMITER_H_
--- a/src/pollenring/admission/concurrency_limit.h
+++ b/src/pollenring/admission/concurrency_limit.h
@@ -11,14 +11,14 @@
 
 /*! @brief Settings of the concurrency limit. */
 struct ConcurrencyLimitOptions {
-  Duration shortest_window{std::chrono::milliseconds{200}};
-  Duration longest_window{std::chrono::seconds{2}};
+  Duration min_window{std::chrono::milliseconds{200}};
+  Duration max_window{std::chrono::seconds{2}};
   int enough_samples{100};
   int lower_trial_samples{30}; /*!< Few, as the trial costs capacity. */
-  int fewest_samples{8};
+  int min_samples{8};
   double decrease{0.7};
   double increase{1.3};
-  double most_over_announced{4};
+  double max_over_announced{4};
   int windows_before_lower{16};
   int windows_before_higher{4};
   bool fixed{false}; /*!< No trials; spares the last slots at most. */
@@ -48,23 +48,25 @@
   }
 
   /*! @brief Mean time of a request at the target. @return The time. */
-  [[nodiscard]] Duration TypicalTime() const noexcept { return this->typical; }
+  [[nodiscard]] Duration TypicalTime() const noexcept {
+    return this->typical_time;
+  }
 
   /**
    * @brief Records a finished request.
    * @param own_time Time at the target, without sub-calls.
-   * @param whole_time Time at the target.
+   * @param total_time Time at the target.
    * @param running Requests in progress when it started.
    * @param refused_by_target True if the target shed it.
    */
-  void Sample(Duration own_time, Duration whole_time, int running,
+  void Sample(Duration own_time, Duration total_time, int running,
               bool refused_by_target);
 
  private:
   enum class Trial {
     kNone,
     kLower,
-    kBack, /*!< Repeats the limit before a lower one that seems to help. */
+    kRecheck, /*!< Repeats the limit before a lower one that seems to help. */
     kHigher,
   };
 
@@ -79,16 +81,16 @@
     }
   };
 
-  void LearnCrowding(Duration own_time, int running);
+  void LearnContention(Duration own_time, int running);
   void CloseWindow();
-  void LearnBaseline(double own_us_each);
-  [[nodiscard]] bool MayTryLower(double own_us_each) const noexcept;
-  void Judge(double own_us_each);
-  void JudgeLower(double own_us_each);
-  void JudgeBack(double own_us_each);
-  void JudgeHigher(double own_us_each);
-  void RejectLower(double own_us_each);
-  void StartTrial(double own_us_each);
+  void LearnBaseline(double own_us_per_request);
+  [[nodiscard]] bool MayTryLower(double own_us_per_request) const noexcept;
+  void Evaluate(double own_us_per_request);
+  void EvaluateLower(double own_us_per_request);
+  void EvaluateRecheck(double own_us_per_request);
+  void EvaluateHigher(double own_us_per_request);
+  void RejectLower(double own_us_per_request);
+  void StartTrial(double own_us_per_request);
   void SetLimit(double wanted);
 
   ConcurrencyLimitOptions options;
@@ -104,17 +106,17 @@
   double baseline_us{};
   bool tried_lower{};
   bool lower_helped{};
-  int pause{};
+  int windows_to_wait{};
   Time window_start;
   Time changed_at{};
   double own_us{};
-  double whole_us{};
+  double total_us{};
   int samples{};
   int full_samples{};
   int refused{};
-  Duration typical{};
-  MeanTime crowded; /*!< With the last slots in use. */
-  MeanTime busy;    /*!< With most slots in use, but not the last. */
+  Duration typical_time{};
+  MeanTime nearly_full; /*!< With the last slots in use. */
+  MeanTime busy;        /*!< With most slots in use, but not the last. */
 };
 
 }  // namespace pollenring
--- a/src/pollenring/admission/fair_queue.h
+++ b/src/pollenring/admission/fair_queue.h
@@ -27,8 +27,8 @@
     return this->by_id.size();
   }
   [[nodiscard]] bool Empty() const noexcept { return this->by_id.empty(); }
-  [[nodiscard]] Importance Lowest() const noexcept override;
-  void Push(const AdmissionRequest &ticket) override;
+  [[nodiscard]] Importance LowestImportance() const noexcept override;
+  void Push(const AdmissionRequest &request) override;
   [[nodiscard]] std::optional<AdmissionRequest> Pop() override;
   [[nodiscard]] std::optional<AdmissionRequest> PopWorst() override;
   bool Remove(std::uint64_t id) override;
@@ -46,30 +46,31 @@
     }
   };
   using Waiting = std::set<AdmissionRequest, OlderRootFirst>;
-  using Ranked = std::pair<double, std::string>;
+  using RankKey = std::pair<double, std::string>;
 
   /*! @brief One workspace within a class. */
   struct Workspace {
     Waiting waiting;
     double weight{1};
     double served{};  /*!< Requests run, divided by the weight. */
-    Ranked next_key;  /*!< Its rank among those to run. */
-    Ranked worst_key; /*!< Its rank among those to shed. */
+    RankKey run_key;  /*!< Its rank among those to run. */
+    RankKey shed_key; /*!< Its rank among those to shed. */
   };
 
   struct Class {
     std::unordered_map<std::string, Workspace> workspaces;
-    std::set<Ranked> least_served;
-    std::set<Ranked> most_ahead;
-    double floor{}; /*!< `served` of the workspace run last. */
+    std::set<RankKey> run_order;
+    std::set<RankKey> shed_order;
+    double served_floor{}; /*!< `served` of the workspace run last. */
   };
   using ClassKey = int;
 
-  [[nodiscard]] static ClassKey KeyOf(const AdmissionRequest &ticket) noexcept;
-  void Erase(Class &group, const AdmissionRequest &ticket);
+  [[nodiscard]] static ClassKey ClassKeyOf(
+      const AdmissionRequest &request) noexcept;
+  void Erase(Class &group, const AdmissionRequest &request);
   static void Unrank(Class &group, const Workspace &workspace);
   static void Rank(Class &group, const std::string &name, Workspace &workspace);
-  static void Trim(Class &group);
+  static void DropIdle(Class &group);
 
   std::map<ClassKey, Class> classes;
   std::unordered_map<std::uint64_t, AdmissionRequest> by_id;
--- a/src/pollenring/admission/level_control.h
+++ b/src/pollenring/admission/level_control.h
@@ -30,8 +30,8 @@
   [[nodiscard]] virtual double AdmissionLevelOf(
       const std::string &workspace) const = 0;
 
-  /*! @brief Counts an offered request. @param ticket The request. */
-  virtual void Offered(const AdmissionRequest &ticket) = 0;
+  /*! @brief Counts an offered request. @param request The request. */
+  virtual void Offered(const AdmissionRequest &request) = 0;
 
   /*! @brief Counts a shed request. */
   virtual void Shed() = 0;
--- a/src/pollenring/admission/offered_load_level.h
+++ b/src/pollenring/admission/offered_load_level.h
@@ -16,20 +16,20 @@
   Duration window{std::chrono::milliseconds{100}};
   /*! @brief Decay time of the offered load; about the time between the first
    * and the last call of a deep request to this service. */
-  Duration memory{std::chrono::milliseconds{500}};
+  Duration decay_time{std::chrono::milliseconds{500}};
   /*! @brief Delay up to which a queue is a burst, not overload; a deep request
    * incurs it several times. */
-  Duration tolerated{std::chrono::milliseconds{6}};
-  /*! @brief Delay at which all of `reserve` is withheld. */
-  Duration longest{std::chrono::milliseconds{100}};
-  double load{0.95};    /*!< Fraction of the capacity that is allotted. */
-  double reserve{0.25}; /*!< Fraction withheld to drain a queue. */
-  double rise{0.5};     /*!< Fraction of a rise applied per window. */
-  /*! @brief Rise per second at the longest delay though the offered load seems
+  Duration tolerated_delay{std::chrono::milliseconds{6}};
+  /*! @brief Delay at which all of `drain_reserve` is withheld. */
+  Duration max_delay{std::chrono::milliseconds{100}};
+  double target_load{0.95};   /*!< Fraction of the capacity that is allotted. */
+  double drain_reserve{0.25}; /*!< Fraction withheld to drain a queue. */
+  double rise_fraction{0.5};  /*!< Fraction of a rise applied per window. */
+  /*! @brief Rise per second at `max_delay` though the offered load seems
    * to fit: callers not yet notified of the level send requests below it. */
-  double push{0.12};
-  double fall{0.06};      /*!< Minimum fall per second while not overloaded. */
-  double fall_spare{1.2}; /*!< Additional fall per second at no load. */
+  double backlog_rise{0.12};
+  double min_fall{0.06}; /*!< Minimum fall per second while not overloaded. */
+  double idle_fall{1.2}; /*!< Additional fall per second at no load. */
 };
 
 /**
@@ -51,7 +51,7 @@
 
   [[nodiscard]] double AdmissionLevelOf(
       const std::string &workspace) const override;
-  void Offered(const AdmissionRequest &ticket) override;
+  void Offered(const AdmissionRequest &request) override;
   void Shed() override {}
   void Tick(const QueueState &queue) override;
 
@@ -59,8 +59,8 @@
   static constexpr std::size_t kBinsPerImportance = 32;
   static constexpr std::size_t kBins = kBinsPerImportance * kImportanceLevels;
 
-  [[nodiscard]] double Fit(double allowed, double per_second) const;
-  [[nodiscard]] double HighestLevel() const;
+  [[nodiscard]] double LevelFor(double allowed, double per_second) const;
+  [[nodiscard]] double MaxLevel() const;
 
   OfferedLoadLevelOptions options;
   const Clock &clock;
@@ -71,4 +71,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_ADMISSION_FIT_LEVEL_H_
+#endif  // POLLENRING_ADMISSION_OFFERED_LOAD_LEVEL_H_
--- a/src/pollenring/admission/request_queue.h
+++ b/src/pollenring/admission/request_queue.h
@@ -23,13 +23,13 @@
 
   /*! @brief Importance of the request to shed first.
    * @return It; the highest if the queue is empty. */
-  [[nodiscard]] virtual Importance Lowest() const noexcept = 0;
+  [[nodiscard]] virtual Importance LowestImportance() const noexcept = 0;
 
   /**
    * @brief Adds a request.
-   * @param ticket The request.
+   * @param request The request.
    */
-  virtual void Push(const AdmissionRequest &ticket) = 0;
+  virtual void Push(const AdmissionRequest &request) = 0;
 
   /*! @brief Removes the next request to run. @return It, or nothing. */
   [[nodiscard]] virtual std::optional<AdmissionRequest> Pop() = 0;
@@ -58,4 +58,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_ADMISSION_TICKET_QUEUE_H_
+#endif  // POLLENRING_ADMISSION_REQUEST_QUEUE_H_
--- a/src/pollenring/admission/shed_levels.cc
+++ b/src/pollenring/admission/shed_levels.cc
@@ -6,18 +6,18 @@
 namespace {
 
 /*! @brief Fraction of earlier windows' totals kept per window. */
-constexpr double kMemory = 0.7;
-/*! @brief As kMemory, for the small counts of a single workspace. */
-constexpr double kLongMemory = 0.96;
+constexpr double kTotalRetention = 0.7;
+/*! @brief As kTotalRetention, for the small counts of a single workspace. */
+constexpr double kWorkspaceRetention = 0.96;
 /*! @brief Fraction of requests that may be shed before levels rise. */
-constexpr double kToleratedShed = 0.01;
+constexpr double kToleratedShedFraction = 0.01;
 /*! @brief First decrease after shedding ends; doubles with each window. */
-constexpr double kFirstRelease = 0.01;
-constexpr double kLargestRelease = 0.5;
+constexpr double kMinRelease = 0.01;
+constexpr double kMaxRelease = 0.5;
 /*! @brief Fraction of the wanted change that one window applies. */
-constexpr double kSteering = 0.4;
+constexpr double kAdjustmentFraction = 0.4;
 /*! @brief The most important requests are never refused early. */
-constexpr double kHighestLevel = static_cast<double>(kImportanceLevels - 1);
+constexpr double kMaxLevel = static_cast<double>(kImportanceLevels - 1);
 /*! @brief Decayed request count below which a workspace is dropped. */
 constexpr double kNegligibleLoad = 0.01;
 
@@ -27,40 +27,41 @@
     : window{window},
       clock{clock},
       window_start{clock.Now()},
-      release{kFirstRelease} {}
+      release_step{kMinRelease} {}
 
 double ShedLevels::AdmissionLevelOf(const std::string &workspace) const {
   const auto found = this->workspaces.find(workspace);
   return found == this->workspaces.end() ? 0 : found->second.level;
 }
 
-void ShedLevels::Offered(const AdmissionRequest &ticket) {
-  Workspace &workspace = this->workspaces[ticket.workspace];
-  workspace.offered[static_cast<std::size_t>(ticket.importance)] += 1;
-  workspace.weight = std::max(ticket.weight, 1e-3);
+void ShedLevels::Offered(const AdmissionRequest &request) {
+  Workspace &workspace = this->workspaces[request.workspace];
+  workspace.offered[static_cast<std::size_t>(request.importance)] += 1;
+  workspace.weight = std::max(request.weight, 1e-3);
   this->total += 1;
 }
 
 void ShedLevels::Shed() {
   this->shed += 1;
-  this->shed_now += 1;
+  this->shed_in_window += 1;
 }
 
 void ShedLevels::Tick(const QueueState & /*queue*/) {
   const Time now = this->clock.Now();
   if (now - this->window_start < this->window) return;
   this->window_start = now;
-  if (this->shed_now > 0 && this->shed > this->total * kToleratedShed) {
-    this->Cut(1 - this->shed / this->total);
-    this->release = kFirstRelease;
-  } else if (this->shed_now == 0) {
+  if (this->shed_in_window > 0 &&
+      this->shed > this->total * kToleratedShedFraction) {
+    this->Raise(1 - this->shed / this->total);
+    this->release_step = kMinRelease;
+  } else if (this->shed_in_window == 0) {
     this->Release();
-    this->release = std::min(kLargestRelease, this->release * 2);
+    this->release_step = std::min(kMaxRelease, this->release_step * 2);
   }
   this->Decay();
 }
 
-void ShedLevels::Cut(double kept_part) {
+void ShedLevels::Raise(double kept_part) {
   double capacity = 0;
   for (const auto &[name, workspace] : this->workspaces) {
     for (const double count : workspace.offered) capacity += count * kept_part;
@@ -78,23 +79,23 @@
       capacity -= offered;
       continue;
     }
-    Divide(claims, capacity);
-    for (const auto &claim : claims) Steer(claim, importance);
+    Allot(claims, capacity);
+    for (const auto &claim : claims) Adjust(claim, importance);
     capacity = 0;
   }
 }
 
-void ShedLevels::Steer(const Claim &claim, int importance) {
+void ShedLevels::Adjust(const Claim &claim, int importance) {
   // Offered sub-priorities are spread evenly above the active level.
   const double base = static_cast<double>(importance);
   const double cut = std::clamp(claim.workspace->level - base, 0.0, 1.0);
-  const double kept = std::min(1.0, (1 - cut) * claim.due / claim.offered);
-  const double wanted = std::min(kHighestLevel, base + 1 - kept);
+  const double kept = std::min(1.0, (1 - cut) * claim.allotted / claim.offered);
+  const double wanted = std::min(kMaxLevel, base + 1 - kept);
   double &level = claim.workspace->level;
-  level += kSteering * (wanted - level);
+  level += kAdjustmentFraction * (wanted - level);
 }
 
-void ShedLevels::Divide(std::vector<Claim> &claims, double capacity) {
+void ShedLevels::Allot(std::vector<Claim> &claims, double capacity) {
   std::sort(claims.begin(), claims.end(),
             [](const Claim &left, const Claim &right) {
               return left.offered / left.workspace->weight <
@@ -103,26 +104,26 @@
   double weights = 0;
   for (const auto &claim : claims) weights += claim.workspace->weight;
   for (auto &claim : claims) {
-    claim.due = capacity * claim.workspace->weight / weights;
-    capacity -= std::min(claim.offered, claim.due);
+    claim.allotted = capacity * claim.workspace->weight / weights;
+    capacity -= std::min(claim.offered, claim.allotted);
     weights -= claim.workspace->weight;
   }
 }
 
 void ShedLevels::Release() {
   for (auto &[name, workspace] : this->workspaces) {
-    workspace.level = std::max(0.0, workspace.level - this->release);
+    workspace.level = std::max(0.0, workspace.level - this->release_step);
   }
 }
 
 void ShedLevels::Decay() {
-  this->total *= kMemory;
-  this->shed *= kMemory;
-  this->shed_now = 0;
+  this->total *= kTotalRetention;
+  this->shed *= kTotalRetention;
+  this->shed_in_window = 0;
   for (auto it = this->workspaces.begin(); it != this->workspaces.end();) {
     double sum = 0;
     for (auto &count : it->second.offered) {
-      count *= kLongMemory;
+      count *= kWorkspaceRetention;
       sum += count;
     }
     const bool idle = sum < kNegligibleLoad && it->second.level <= 0;
--- a/src/pollenring/admission/shed_levels.h
+++ b/src/pollenring/admission/shed_levels.h
@@ -42,7 +42,7 @@
 
   [[nodiscard]] double AdmissionLevelOf(
       const std::string &workspace) const override;
-  void Offered(const AdmissionRequest &ticket) override;
+  void Offered(const AdmissionRequest &request) override;
   void Shed() override;
   void Tick(const QueueState &queue) override;
 
@@ -55,12 +55,12 @@
   struct Claim {
     Workspace *workspace;
     double offered;
-    double due;
+    double allotted;
   };
 
-  void Cut(double kept_part);
-  static void Steer(const Claim &claim, int importance);
-  static void Divide(std::vector<Claim> &claims, double capacity);
+  void Raise(double kept_part);
+  static void Adjust(const Claim &claim, int importance);
+  static void Allot(std::vector<Claim> &claims, double capacity);
   void Release();
   void Decay();
 
@@ -70,8 +70,8 @@
   std::unordered_map<std::string, Workspace> workspaces;
   double total{};
   double shed{};
-  double shed_now{};
-  double release{};
+  double shed_in_window{};
+  double release_step{};
 };
 
 }  // namespace pollenring
--- a/src/pollenring/admission/soft_deadline_queue.cc
+++ b/src/pollenring/admission/soft_deadline_queue.cc
@@ -5,12 +5,12 @@
 namespace pollenring {
 
 SoftDeadlineQueue::WorthKey SoftDeadlineQueue::WorthOf(
-    const AdmissionRequest &ticket) noexcept {
-  return {ticket.Invested(), ticket.importance, -ticket.soft_deadline,
-          ticket.id};
+    const AdmissionRequest &request) noexcept {
+  return {request.Invested(), request.importance, -request.soft_deadline,
+          request.id};
 }
 
-Importance SoftDeadlineQueue::Lowest() const noexcept {
+Importance SoftDeadlineQueue::LowestImportance() const noexcept {
   if (this->by_worth.empty()) return Importance::kCritical;
   const auto &[invested, importance, soft_deadline, id] =
       *this->by_worth.begin();
@@ -19,35 +19,35 @@
                   : std::min(importance, Importance::kHigh);
 }
 
-void SoftDeadlineQueue::Push(const AdmissionRequest &ticket) {
-  this->by_id.emplace(ticket.id, ticket);
-  this->by_aim.emplace(ticket.soft_deadline, ticket.id);
-  this->by_deadline.emplace(ticket.deadline, ticket.id);
-  this->by_worth.insert(WorthOf(ticket));
+void SoftDeadlineQueue::Push(const AdmissionRequest &request) {
+  this->by_id.emplace(request.id, request);
+  this->by_aim.emplace(request.soft_deadline, request.id);
+  this->by_deadline.emplace(request.deadline, request.id);
+  this->by_worth.insert(WorthOf(request));
 }
 
 std::optional<AdmissionRequest> SoftDeadlineQueue::Pop() {
   if (this->by_aim.empty()) return std::nullopt;
-  AdmissionRequest ticket = this->by_id.at(this->by_aim.begin()->second);
-  this->Remove(ticket.id);
-  return ticket;
+  AdmissionRequest request = this->by_id.at(this->by_aim.begin()->second);
+  this->Remove(request.id);
+  return request;
 }
 
 std::optional<AdmissionRequest> SoftDeadlineQueue::PopWorst() {
   if (this->by_worth.empty()) return std::nullopt;
-  AdmissionRequest ticket =
+  AdmissionRequest request =
       this->by_id.at(std::get<3>(*this->by_worth.begin()));
-  this->Remove(ticket.id);
-  return ticket;
+  this->Remove(request.id);
+  return request;
 }
 
 bool SoftDeadlineQueue::Remove(std::uint64_t id) {
   const auto found = this->by_id.find(id);
   if (found == this->by_id.end()) return false;
-  const AdmissionRequest &ticket = found->second;
-  this->by_aim.erase({ticket.soft_deadline, id});
-  this->by_deadline.erase({ticket.deadline, id});
-  this->by_worth.erase(WorthOf(ticket));
+  const AdmissionRequest &request = found->second;
+  this->by_aim.erase({request.soft_deadline, id});
+  this->by_deadline.erase({request.deadline, id});
+  this->by_worth.erase(WorthOf(request));
   this->by_id.erase(found);
   return true;
 }
--- a/src/pollenring/admission/soft_deadline_queue.h
+++ b/src/pollenring/admission/soft_deadline_queue.h
@@ -21,8 +21,8 @@
   [[nodiscard]] std::size_t Size() const noexcept override {
     return this->by_id.size();
   }
-  [[nodiscard]] Importance Lowest() const noexcept override;
-  void Push(const AdmissionRequest &ticket) override;
+  [[nodiscard]] Importance LowestImportance() const noexcept override;
+  void Push(const AdmissionRequest &request) override;
   [[nodiscard]] std::optional<AdmissionRequest> Pop() override;
   [[nodiscard]] std::optional<AdmissionRequest> PopWorst() override;
   bool Remove(std::uint64_t id) override;
@@ -35,7 +35,7 @@
   using WorthKey = std::tuple<bool, Importance, Time, std::uint64_t>;
 
   [[nodiscard]] static WorthKey WorthOf(
-      const AdmissionRequest &ticket) noexcept;
+      const AdmissionRequest &request) noexcept;
 
   std::unordered_map<std::uint64_t, AdmissionRequest> by_id;
   std::set<AimKey> by_aim;
@@ -45,4 +45,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_ADMISSION_AIM_QUEUE_H_
+#endif  // POLLENRING_ADMISSION_SOFT_DEADLINE_QUEUE_H_
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -197,7 +197,7 @@
   const bool withdrawn = zones.Contains(this->settings.zone);
   this->serving.SetUse(withdrawn ? TargetAvailability::kWithdrawn
                                  : TargetAvailability::kAvailable);
-  if (!this->router.Withdraw(zones.Newest().zones)) return;
+  if (!this->router.SetWithdrawnZones(zones.Newest().zones)) return;
   for (const auto &member : this->members.Get().Snapshot()) {
     this->router.Update(member);
   }
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -100,7 +100,7 @@
   }
   const auto node = this->router.Choose(job.envelope.service, job.tried,
                                         job.envelope.regions);
-  const bool known = this->router.Count(job.envelope.service) > 0;
+  const bool known = this->router.TargetCount(job.envelope.service) > 0;
   if (!node && known && job.redirects_left > 0) {
     this->AttemptLater(id, job);
     return;
@@ -277,14 +277,14 @@
 void Dispatcher::LogRouting() {
   for (const auto &change : this->router.TakeChanges()) {
     this->metrics.Count("pollenring_set_aside_total",
-                        {"change", change.set_aside ? "aside" : "again"});
+                        {"change", change.ejected ? "aside" : "again"});
     if (!MayLogRequest(LogLevel::kWarning)) continue;
     LogEvent(LogLevel::kWarning,
-             change.set_aside ? "target set aside" : "target used again",
+             change.ejected ? "target set aside" : "target used again",
              {{"service", change.service},
               {"node", AddressOf(change.node).Format()},
               {"failures_in_row", change.failures},
-              {"pause_ms", change.pause.count() / 1000}});
+              {"pause_ms", change.retry_in.count() / 1000}});
   }
 }
 
@@ -300,7 +300,7 @@
   if (!safe) return false;
   // With all targets cold, another bears no more either.
   const bool all_cold = reply.reason == Reason::kWarmingUp &&
-                        !this->router.HasWarm(job.envelope.service);
+                        !this->router.HasWarmTarget(job.envelope.service);
   if (all_cold) return false;
   if (CostNothing(reply) && job.redirects_left > 0) {
     --job.redirects_left;
--- a/src/pollenring/node/target_executor.cc
+++ b/src/pollenring/node/target_executor.cc
@@ -157,7 +157,7 @@
     const Reason reason = late ? Reason::kDeadline : Reason::kTargetFailed;
     const bool refused = *error == CallError::kConnectRefused;
     const bool not_sent = refused || *error == CallError::kNotConnected;
-    if (not_sent) admission.TurnedAway(id);
+    if (not_sent) admission.RecordRejected(id);
     // Its process is gone; what listens there next will have started anew.
     if (refused) this->SuspectCold(this->bindings.at(service));
     const AdmissionActions next = admission.Cancel(id);
@@ -174,7 +174,7 @@
       response.status);
   if (verdict.outcome == Outcome::kNotRun &&
       verdict.reason == Reason::kNoTarget) {
-    admission.TurnedAway(id);
+    admission.RecordRejected(id);
   }
   CallReply answer;
   answer.outcome = verdict.outcome;
--- a/src/pollenring/routing/router.cc
+++ b/src/pollenring/routing/router.cc
@@ -13,16 +13,16 @@
 constexpr double kFaultWeight = 0.1;
 /*! @brief Time in which an unconfirmed fault rate decays to a third, so that a
  * recovered target is tried again. */
-constexpr Duration kFaultMemory = std::chrono::seconds{3};
+constexpr Duration kFaultDecayTime = std::chrono::seconds{3};
 /*! @brief Cost of a failed call in call durations; a request makes about ten
  * calls, and one failure wastes them all. */
 constexpr double kFaultCost = 12;
 /*! @brief How long a target advertised as cold is assumed to be; its replies
  * report the remaining time. */
-constexpr Duration kColdUntold = std::chrono::seconds{3};
+constexpr Duration kAssumedColdTime = std::chrono::seconds{3};
 /*! @brief Maximum number of targets to compare; of more, this many are drawn
  * at random. */
-constexpr std::size_t kMostCompared = 8;
+constexpr std::size_t kMaxCompared = 8;
 
 }  // namespace
 
@@ -34,13 +34,13 @@
       clock{clock},
       random{random} {}
 
-bool Router::Withdraw(std::vector<std::string> given) {
+bool Router::SetWithdrawnZones(std::vector<std::string> given) {
   if (given == this->withdrawn) return false;
   this->withdrawn = std::move(given);
   return true;
 }
 
-bool Router::Choice::Allows(const Endpoint &endpoint) const {
+bool Router::Constraints::Allows(const Endpoint &endpoint) const {
   const bool tried = std::find(this->avoid.begin(), this->avoid.end(),
                                endpoint.node) != this->avoid.end();
   if (tried) return false;
@@ -49,18 +49,18 @@
                    endpoint.region) != this->regions.end();
 }
 
-bool Router::Cold(const Endpoint &endpoint) const noexcept {
+bool Router::IsCold(const Endpoint &endpoint) const noexcept {
   return endpoint.cold_until > this->clock.Now();
 }
 
-bool Router::HasWarm(const std::string &service) const {
+bool Router::HasWarmTarget(const std::string &service) const {
   const auto found = this->services.find(service);
   if (found == this->services.end()) return false;
   const auto &usable = found->second.usable;
   return std::any_of(usable.begin(), usable.end(), [this](const auto &level) {
     return std::any_of(
         level.begin(), level.end(),
-        [this](const Endpoint *endpoint) { return !this->Cold(*endpoint); });
+        [this](const Endpoint *endpoint) { return !this->IsCold(*endpoint); });
   });
 }
 
@@ -75,16 +75,16 @@
       this->Add(this->services[target.service], member, target);
     }
   }
-  for (const auto &name : this->served_by[member.id]) {
+  for (const auto &name : this->services_by_node[member.id]) {
     const bool kept =
         std::find(wanted.begin(), wanted.end(), name) != wanted.end();
     if (!kept) this->Remove(name, member.id);
   }
   if (wanted.empty()) {
-    this->served_by.erase(member.id);
+    this->services_by_node.erase(member.id);
     return;
   }
-  this->served_by[member.id] = std::move(wanted);
+  this->services_by_node[member.id] = std::move(wanted);
 }
 
 std::optional<NodeId> Router::Choose(const std::string &name,
@@ -93,32 +93,32 @@
   const auto found = this->services.find(name);
   if (found == this->services.end()) return std::nullopt;
   Service &service = found->second;
-  const Choice choice{avoid, regions};
-  if (const Endpoint *trial = this->DueTrial(service, choice)) {
+  const Constraints constraints{avoid, regions};
+  if (const Endpoint *trial = this->DueTrial(service, constraints)) {
     return trial->node;
   }
   if (this->options.order == LoadBalancingPolicy::kLeastLatency) {
-    const Endpoint *soonest = this->Soonest(service, choice);
-    if (soonest != nullptr) return soonest->node;
-    return SetAsideLongest(service, choice);
+    const Endpoint *cheapest = this->LowestCost(service, constraints);
+    if (cheapest != nullptr) return cheapest->node;
+    return NextDueEjected(service, constraints);
   }
   const Endpoint *best = nullptr;
   for (const auto &level : service.usable) {
-    const Endpoint *candidate = this->Sample(level, choice);
+    const Endpoint *candidate = this->Sample(level, constraints);
     if (candidate == nullptr) continue;
-    if (this->Utilisation(*candidate) < 1.0) return candidate->node;
-    const bool better = best == nullptr || this->Utilisation(*candidate) <
-                                               this->Utilisation(*best);
+    if (this->Utilization(*candidate) < 1.0) return candidate->node;
+    const bool better = best == nullptr || this->Utilization(*candidate) <
+                                               this->Utilization(*best);
     if (better) best = candidate;
   }
-  if (best == nullptr) return SetAsideLongest(service, choice);
+  if (best == nullptr) return NextDueEjected(service, constraints);
   return best->node;
 }
 
-std::optional<NodeId> Router::SetAsideLongest(const Service &service,
-                                              const Choice &choice) {
+std::optional<NodeId> Router::NextDueEjected(const Service &service,
+                                             const Constraints &constraints) {
   const std::vector<NodeId> none;
-  const Choice untried{none, choice.regions};
+  const Constraints untried{none, constraints.regions};
   const bool any_usable =
       std::any_of(service.usable.begin(), service.usable.end(),
                   [&untried](const auto &level) {
@@ -130,7 +130,7 @@
   // While another target is usable, ejected ones get trial calls only.
   if (any_usable) return std::nullopt;
   for (const auto &[until, node] : service.ejected) {
-    if (choice.Allows(*service.endpoints.at(node))) return node;
+    if (constraints.Allows(*service.endpoints.at(node))) return node;
   }
   return std::nullopt;
 }
@@ -144,7 +144,8 @@
 }
 
 void Router::Finished(const std::string &name, NodeId node, CallVerdict verdict,
-                      const std::optional<LoadReport> &report, Duration took) {
+                      const std::optional<LoadReport> &report,
+                      Duration response_time) {
   const auto found = this->services.find(name);
   if (found == this->services.end()) return;
   Service &service = found->second;
@@ -156,22 +157,22 @@
     endpoint.limit = std::max<double>(1.0, report->limit);
     endpoint.reported = report->in_progress;
     endpoint.in_progress_at_report = endpoint.in_progress;
-    const bool was_cold = this->Cold(endpoint);
+    const bool was_cold = this->IsCold(endpoint);
     endpoint.cold_until =
         this->clock.Now() + std::chrono::milliseconds{report->cold_ms};
     // Response times of a cold target don't apply once it is warm.
-    if (was_cold && report->cold_ms == 0) endpoint.time_us = 0;
+    if (was_cold && report->cold_ms == 0) endpoint.response_time_us = 0;
   }
-  if (took > Duration{0}) {
-    const auto us = static_cast<double>(took.count());
-    if (endpoint.time_us == 0) endpoint.time_us = us;
-    endpoint.time_us += kTimeWeight * (us - endpoint.time_us);
+  if (response_time > Duration{0}) {
+    const auto us = static_cast<double>(response_time.count());
+    if (endpoint.response_time_us == 0) endpoint.response_time_us = us;
+    endpoint.response_time_us += kTimeWeight * (us - endpoint.response_time_us);
   }
   if (verdict != CallVerdict::kShed) {
     const bool fault = verdict != CallVerdict::kAnswered;
-    const double share = this->FaultShare(endpoint);
-    endpoint.fault_share = share + kFaultWeight * ((fault ? 1 : 0) - share);
-    endpoint.fault_seen = this->clock.Now();
+    const double rate = this->FaultRate(endpoint);
+    endpoint.fault_rate = rate + kFaultWeight * ((fault ? 1 : 0) - rate);
+    endpoint.fault_updated_at = this->clock.Now();
   }
   if (verdict == CallVerdict::kFailed) {
     ++endpoint.failures;
@@ -184,7 +185,7 @@
   if (endpoint.ejected) this->Restore(name, service, endpoint);
 }
 
-std::size_t Router::Count(const std::string &service) const {
+std::size_t Router::TargetCount(const std::string &service) const {
   const auto found = this->services.find(service);
   return found == this->services.end() ? 0 : found->second.endpoints.size();
 }
@@ -196,7 +197,7 @@
 }
 
 double Router::RampFraction(const Endpoint &endpoint) const noexcept {
-  if (this->Cold(endpoint)) return this->options.ramp_floor;
+  if (this->IsCold(endpoint)) return this->options.ramp_floor;
   if (endpoint.ramp_from == Time{}) return 1.0;
   const double age =
       static_cast<double>((this->clock.Now() - endpoint.ramp_from).count()) /
@@ -204,7 +205,7 @@
   return std::clamp(age, this->options.ramp_floor, 1.0);
 }
 
-double Router::Utilisation(const Endpoint &endpoint) const noexcept {
+double Router::Utilization(const Endpoint &endpoint) const noexcept {
   const int since_report =
       endpoint.in_progress - endpoint.in_progress_at_report;
   const double load =
@@ -214,48 +215,49 @@
   return load / room;
 }
 
-double Router::FaultShare(const Endpoint &endpoint) const noexcept {
-  const auto age =
-      static_cast<double>((this->clock.Now() - endpoint.fault_seen).count());
-  return endpoint.fault_share *
-         std::exp(-age / static_cast<double>(kFaultMemory.count()));
+double Router::FaultRate(const Endpoint &endpoint) const noexcept {
+  const auto age = static_cast<double>(
+      (this->clock.Now() - endpoint.fault_updated_at).count());
+  return endpoint.fault_rate *
+         std::exp(-age / static_cast<double>(kFaultDecayTime.count()));
 }
 
 double Router::Cost(const Endpoint &endpoint,
                     double unknown_us) const noexcept {
-  const double time = endpoint.time_us > 0 ? endpoint.time_us : unknown_us;
-  const double beyond = std::max(0.0, this->Utilisation(endpoint) - 1);
-  const double far = endpoint.nearness == Locality::kSameZone
+  const double time =
+      endpoint.response_time_us > 0 ? endpoint.response_time_us : unknown_us;
+  const double beyond = std::max(0.0, this->Utilization(endpoint) - 1);
+  const double far = endpoint.locality == Locality::kSameZone
                          ? 0
                          : static_cast<double>(this->options.zone_cost.count());
   // Own calls in progress are known at once, the reported load later.
   return time * (1 + endpoint.in_progress / std::max(1.0, endpoint.limit)) *
-             (1 + 2 * beyond) * (1 + kFaultCost * this->FaultShare(endpoint)) /
+             (1 + 2 * beyond) * (1 + kFaultCost * this->FaultRate(endpoint)) /
              this->RampFraction(endpoint) +
          far;
 }
 
-const Router::Endpoint *Router::Soonest(const Service &service,
-                                        const Choice &choice) {
-  std::vector<const Endpoint *> compared;
+const Router::Endpoint *Router::LowestCost(const Service &service,
+                                           const Constraints &constraints) {
+  std::vector<const Endpoint *> candidates;
   for (const auto &level : service.usable) {
     for (const Endpoint *endpoint : level) {
-      if (choice.Allows(*endpoint)) compared.push_back(endpoint);
+      if (constraints.Allows(*endpoint)) candidates.push_back(endpoint);
     }
   }
-  while (compared.size() > kMostCompared) {
-    compared[this->random.Index(compared.size())] = compared.back();
-    compared.pop_back();
+  while (candidates.size() > kMaxCompared) {
+    candidates[this->random.Index(candidates.size())] = candidates.back();
+    candidates.pop_back();
   }
   // A target without a measured time is assumed as fast as the fastest.
   double shortest = 0;
-  for (const Endpoint *endpoint : compared) {
-    const double time = endpoint->time_us;
+  for (const Endpoint *endpoint : candidates) {
+    const double time = endpoint->response_time_us;
     if (time > 0 && (shortest == 0 || time < shortest)) shortest = time;
   }
   const Endpoint *best = nullptr;
   double least = 0;
-  for (const Endpoint *endpoint : compared) {
+  for (const Endpoint *endpoint : candidates) {
     // Many nodes choose at once; noise spreads them over near-equal targets.
     const double cost =
         this->Cost(*endpoint, shortest) * (1 + 0.2 * this->random.Fraction());
@@ -267,30 +269,31 @@
 }
 
 Router::Endpoint *Router::Sample(const std::vector<Endpoint *> &from,
-                                 const Choice &choice) {
+                                 const Constraints &constraints) {
   if (from.empty()) return nullptr;
   const std::size_t draws =
-      std::min(from.size(), this->options.choices + choice.avoid.size());
+      std::min(from.size(), this->options.choices + constraints.avoid.size());
   const std::size_t start = this->random.Index(from.size());
   const std::size_t step =
       from.size() > 1 ? 1 + this->random.Index(from.size() - 1) : 1;
   Endpoint *best = nullptr;
   for (std::size_t i = 0; i < draws; ++i) {
     Endpoint *candidate = from[(start + i * step) % from.size()];
-    if (!choice.Allows(*candidate)) continue;
-    const bool better = best == nullptr || this->Utilisation(*candidate) <
-                                               this->Utilisation(*best);
+    if (!constraints.Allows(*candidate)) continue;
+    const bool better = best == nullptr || this->Utilization(*candidate) <
+                                               this->Utilization(*best);
     if (better) best = candidate;
   }
   return best;
 }
 
-Router::Endpoint *Router::DueTrial(Service &service, const Choice &choice) {
+Router::Endpoint *Router::DueTrial(Service &service,
+                                   const Constraints &constraints) {
   if (service.ejected.empty()) return nullptr;
   const auto first = service.ejected.begin();
   if (first->first > this->clock.Now()) return nullptr;
   Endpoint *endpoint = service.endpoints.at(first->second).get();
-  if (!choice.Allows(*endpoint)) return nullptr;
+  if (!constraints.Allows(*endpoint)) return nullptr;
   // One trial call; the next waits for its end or a full ejection time.
   service.ejected.erase(first);
   endpoint->ejected_until = this->clock.Now() + endpoint->ejection;
@@ -300,20 +303,20 @@
 
 void Router::Add(Service &service, const Member &member, const Target &target) {
   auto &slot = service.endpoints[member.id];
-  const bool fresh = !slot;
-  if (fresh) {
+  const bool added = !slot;
+  if (added) {
     slot = std::make_unique<Endpoint>();
     slot->node = member.id;
-    slot->nearness = this->LocalityOf(member);
+    slot->locality = this->LocalityOf(member);
     slot->region = member.region;
     slot->limit = std::max<double>(1.0, target.slots);
-    slot->ejection = this->options.first_ejection;
+    slot->ejection = this->options.initial_ejection;
     Link(service, *slot);
   }
   const bool cold = target.state == TargetState::kCold;
   const Time now = this->clock.Now();
   if (!cold) slot->cold_until = std::min(slot->cold_until, now);
-  if (cold && !this->Cold(*slot)) slot->cold_until = now + kColdUntold;
+  if (cold && !this->IsCold(*slot)) slot->cold_until = now + kAssumedColdTime;
 }
 
 void Router::Remove(const std::string &name, NodeId node) {
@@ -323,14 +326,14 @@
   const auto held = service.endpoints.find(node);
   if (held == service.endpoints.end()) return;
   if (!held->second->ejected) Unlink(service, *held->second);
-  DropTrials(service, node);
+  RemoveEjection(service, node);
   service.endpoints.erase(held);
 }
 
 void Router::Eject(const std::string &name, Service &service,
                    Endpoint &endpoint) {
   if (!endpoint.ejected) Unlink(service, endpoint);
-  DropTrials(service, endpoint.node);
+  RemoveEjection(service, endpoint.node);
   endpoint.ejected = true;
   const double jitter = 0.75 + 0.5 * this->random.Fraction();
   const Duration wait{static_cast<std::int64_t>(
@@ -339,33 +342,33 @@
   this->changes.push_back({name, endpoint.node, true, endpoint.failures, wait});
   service.ejected.emplace(endpoint.ejected_until, endpoint.node);
   endpoint.ejection =
-      std::min(endpoint.ejection * 2, this->options.longest_ejection);
+      std::min(endpoint.ejection * 2, this->options.max_ejection);
 }
 
 void Router::Restore(const std::string &name, Service &service,
                      Endpoint &endpoint) {
   this->changes.push_back({name, endpoint.node, false, 0, Duration{0}});
-  DropTrials(service, endpoint.node);
+  RemoveEjection(service, endpoint.node);
   endpoint.ejected = false;
-  endpoint.ejection = this->options.first_ejection;
+  endpoint.ejection = this->options.initial_ejection;
   endpoint.ramp_from = this->clock.Now();
   Link(service, endpoint);
 }
 
 void Router::Link(Service &service, Endpoint &endpoint) {
-  auto &level = service.usable[static_cast<std::size_t>(endpoint.nearness)];
-  endpoint.position = level.size();
+  auto &level = service.usable[static_cast<std::size_t>(endpoint.locality)];
+  endpoint.index = level.size();
   level.push_back(&endpoint);
 }
 
 void Router::Unlink(Service &service, Endpoint &endpoint) {
-  auto &level = service.usable[static_cast<std::size_t>(endpoint.nearness)];
-  level[endpoint.position] = level.back();
-  level[endpoint.position]->position = endpoint.position;
+  auto &level = service.usable[static_cast<std::size_t>(endpoint.locality)];
+  level[endpoint.index] = level.back();
+  level[endpoint.index]->index = endpoint.index;
   level.pop_back();
 }
 
-void Router::DropTrials(Service &service, NodeId node) {
+void Router::RemoveEjection(Service &service, NodeId node) {
   for (auto it = service.ejected.begin(); it != service.ejected.end();) {
     it = it->second == node ? service.ejected.erase(it) : std::next(it);
   }
--- a/src/pollenring/routing/router.h
+++ b/src/pollenring/routing/router.h
@@ -36,15 +36,15 @@
 struct EjectionChange {
   std::string service;
   NodeId node{};
-  bool set_aside{};
-  int failures{};   /*!< Consecutive failures. */
-  Duration pause{}; /*!< Until the next trial; 0 if restored. */
+  bool ejected{};
+  int failures{};      /*!< Consecutive failures. */
+  Duration retry_in{}; /*!< Until the next trial; 0 if restored. */
 };
 
 /*! @brief Settings of routing. */
 struct RouterOptions {
-  Duration first_ejection{std::chrono::milliseconds{500}};
-  Duration longest_ejection{std::chrono::seconds{8}};
+  Duration initial_ejection{std::chrono::milliseconds{500}};
+  Duration max_ejection{std::chrono::seconds{8}};
   int failures_to_eject{3};
   Duration ramp{std::chrono::seconds{3}};
   double ramp_floor{0.1};
@@ -86,7 +86,7 @@
    * @param given The zones.
    * @return True if the zones changed.
    */
-  bool Withdraw(std::vector<std::string> given);
+  bool SetWithdrawnZones(std::vector<std::string> given);
 
   /**
    * @brief Chooses a target; call `Started` when it is used.
@@ -104,7 +104,7 @@
    * @param service The service.
    * @return True if it has; ejected targets don't count.
    */
-  [[nodiscard]] bool HasWarm(const std::string &service) const;
+  [[nodiscard]] bool HasWarmTarget(const std::string &service) const;
 
   /**
    * @brief Counts a call as in progress.
@@ -119,11 +119,11 @@
    * @param node The node.
    * @param verdict Its outcome.
    * @param report Load reported with the reply, if any.
-   * @param took Response time of the target; 0 without a response.
+   * @param response_time Response time of the target; 0 without a response.
    */
   void Finished(const std::string &service, NodeId node, CallVerdict verdict,
                 const std::optional<LoadReport> &report,
-                Duration took = Duration{0});
+                Duration response_time = Duration{0});
 
   /*! @brief Takes the changes since the last call. @return The changes. */
   [[nodiscard]] std::vector<EjectionChange> TakeChanges() {
@@ -135,7 +135,7 @@
    * @param service The service.
    * @return The count, including ejected targets.
    */
-  [[nodiscard]] std::size_t Count(const std::string &service) const;
+  [[nodiscard]] std::size_t TargetCount(const std::string &service) const;
 
  private:
   enum class Locality { kSameZone = 0, kSameRegion = 1, kOther = 2 };
@@ -143,7 +143,7 @@
 
   struct Endpoint {
     NodeId node{};
-    Locality nearness{Locality::kOther};
+    Locality locality{Locality::kOther};
     double limit{1};
     double reported{};
     int in_progress{};
@@ -155,14 +155,14 @@
     Time cold_until{};
     std::string region;
     Time ramp_from{};
-    double time_us{};     /*!< Smoothed response time; 0 while unknown. */
-    double fault_share{}; /*!< Smoothed fraction of its calls that fail. */
-    Time fault_seen{};    /*!< When fault_share last changed. */
-    std::size_t position{};
+    double response_time_us{}; /*!< Smoothed response time; 0 while unknown. */
+    double fault_rate{};       /*!< Smoothed fraction of its calls that fail. */
+    Time fault_updated_at{};   /*!< When fault_rate last changed. */
+    std::size_t index{};
   };
 
   /*! @brief Which targets a request may use. */
-  struct Choice {
+  struct Constraints {
     const std::vector<NodeId> &avoid;
     const std::vector<std::string> &regions;
 
@@ -176,27 +176,28 @@
   };
 
   [[nodiscard]] Locality LocalityOf(const Member &member) const noexcept;
-  [[nodiscard]] double Utilisation(const Endpoint &endpoint) const noexcept;
-  [[nodiscard]] double FaultShare(const Endpoint &endpoint) const noexcept;
+  [[nodiscard]] double Utilization(const Endpoint &endpoint) const noexcept;
+  [[nodiscard]] double FaultRate(const Endpoint &endpoint) const noexcept;
   [[nodiscard]] double Cost(const Endpoint &endpoint,
                             double unknown_us) const noexcept;
-  [[nodiscard]] const Endpoint *Soonest(const Service &service,
-                                        const Choice &choice);
+  [[nodiscard]] const Endpoint *LowestCost(const Service &service,
+                                           const Constraints &constraints);
   [[nodiscard]] double RampFraction(const Endpoint &endpoint) const noexcept;
   [[nodiscard]] Endpoint *Sample(const std::vector<Endpoint *> &from,
-                                 const Choice &choice);
+                                 const Constraints &constraints);
   /*! @brief If all targets are ejected, the one due for a trial next. */
-  [[nodiscard]] static std::optional<NodeId> SetAsideLongest(
-      const Service &service, const Choice &choice);
-  [[nodiscard]] Endpoint *DueTrial(Service &service, const Choice &choice);
-  [[nodiscard]] bool Cold(const Endpoint &endpoint) const noexcept;
+  [[nodiscard]] static std::optional<NodeId> NextDueEjected(
+      const Service &service, const Constraints &constraints);
+  [[nodiscard]] Endpoint *DueTrial(Service &service,
+                                   const Constraints &constraints);
+  [[nodiscard]] bool IsCold(const Endpoint &endpoint) const noexcept;
   void Add(Service &service, const Member &member, const Target &target);
   void Remove(const std::string &name, NodeId node);
   void Eject(const std::string &name, Service &service, Endpoint &endpoint);
   void Restore(const std::string &name, Service &service, Endpoint &endpoint);
   static void Link(Service &service, Endpoint &endpoint);
   static void Unlink(Service &service, Endpoint &endpoint);
-  static void DropTrials(Service &service, NodeId node);
+  static void RemoveEjection(Service &service, NodeId node);
 
   std::string zone;
   std::string region;
@@ -205,7 +206,7 @@
   Random &random;
   std::vector<std::string> withdrawn;
   std::unordered_map<std::string, Service> services;
-  std::unordered_map<NodeId, std::vector<std::string>> served_by;
+  std::unordered_map<NodeId, std::vector<std::string>> services_by_node;
   std::vector<EjectionChange> changes;
 };
 
--- a/test/pollenring/admission/admission_test.cc
+++ b/test/pollenring/admission/admission_test.cc
@@ -30,14 +30,14 @@
         service{service} {}
 
   /*! @brief Offers a request and performs the resulting actions. */
-  void Offer(AdmissionRequest ticket) {
-    ticket.id = ++this->last_id;
-    if (ticket.deadline == pollenring::Time{}) {
-      ticket.deadline = this->clock.Now() + std::chrono::seconds{2};
+  void Offer(AdmissionRequest request) {
+    request.id = ++this->last_id;
+    if (request.deadline == pollenring::Time{}) {
+      request.deadline = this->clock.Now() + std::chrono::seconds{2};
     }
-    this->waiting[ticket.id] = ticket;
-    ++this->offered[ticket.importance];
-    this->Perform(this->admission.Offer(ticket));
+    this->waiting[request.id] = request;
+    ++this->offered[request.importance];
+    this->Perform(this->admission.Offer(request));
   }
 
   /*! @brief Advances the clock and ends finished requests. */
@@ -76,13 +76,13 @@
       this->waiting.erase(out.id);
     }
     for (const auto id : actions.start) {
-      const AdmissionRequest ticket = this->waiting.at(id);
+      const AdmissionRequest request = this->waiting.at(id);
       for (const auto &[other, waits] : this->waiting) {
         // No request starts while a more important one waits.
-        CHECK(waits.importance <= ticket.importance);
+        CHECK(waits.importance <= request.importance);
       }
       this->waiting.erase(id);
-      ++this->started_by[ticket.workspace];
+      ++this->started_by[request.workspace];
       // With more requests than slots, the target serves all more slowly.
       const auto over = static_cast<std::int64_t>(
           this->running.size() + 1 > static_cast<std::size_t>(this->real_slots)
@@ -98,10 +98,10 @@
 
 [[nodiscard]] AdmissionRequest Make(Importance importance,
                                     const std::string &workspace) {
-  AdmissionRequest ticket;
-  ticket.importance = importance;
-  ticket.workspace = workspace;
-  return ticket;
+  AdmissionRequest request;
+  request.importance = importance;
+  request.workspace = workspace;
+  return request;
 }
 
 }  // namespace
@@ -160,12 +160,12 @@
   bench.Offer(deep);
   bench.Offer(Make(Importance::kNormal, "w"));
   bool waits = false;
-  for (const auto &[id, ticket] : bench.waiting) {
-    waits = waits || ticket.depth == 3;
+  for (const auto &[id, request] : bench.waiting) {
+    waits = waits || request.depth == 3;
   }
   CHECK(waits);
   bench.Step(std::chrono::milliseconds{25});
-  for (const auto &[id, ticket] : bench.waiting) CHECK(ticket.depth == 0);
+  for (const auto &[id, request] : bench.waiting) CHECK(request.depth == 0);
 }
 
 TEST_CASE("admission: the limit follows the target, not what it announces") {
@@ -222,11 +222,11 @@
   Admission admission{1, options, clock};
   std::uint64_t id = 0;
   const auto offer = [&](Importance importance, Duration left) {
-    AdmissionRequest ticket = Make(importance, "w");
-    ticket.id = ++id;
-    ticket.soft_deadline = clock.Now() + left;
-    ticket.deadline = ticket.soft_deadline;
-    return admission.Offer(ticket);
+    AdmissionRequest request = Make(importance, "w");
+    request.id = ++id;
+    request.soft_deadline = clock.Now() + left;
+    request.deadline = request.soft_deadline;
+    return admission.Offer(request);
   };
   const auto finish = [&](std::uint64_t which, Duration after) {
     clock.Advance(after);
@@ -289,16 +289,16 @@
         start(admission.Finish(done, Duration{0}, false));
         it = running.begin();
       }
-      AdmissionRequest ticket =
+      AdmissionRequest request =
           Make(static_cast<Importance>(random.Index(4)), "w");
-      ticket.id = id;
-      ticket.depth = static_cast<int>(random.Index(2));
-      ticket.soft_deadline =
+      request.id = id;
+      request.depth = static_cast<int>(random.Index(2));
+      request.soft_deadline =
           clock.Now() + std::chrono::milliseconds{random.Index(900)};
-      ticket.deadline =
-          ticket.soft_deadline + std::chrono::milliseconds{random.Index(900)};
+      request.deadline =
+          request.soft_deadline + std::chrono::milliseconds{random.Index(900)};
       AdmissionActions actions;
-      REQUIRE_NOTHROW(actions = admission.Offer(ticket));
+      REQUIRE_NOTHROW(actions = admission.Offer(request));
       const auto shed =
           std::count_if(actions.shed.begin(), actions.shed.end(),
                         [](const pollenring::ShedRequest &out) {
--- a/test/pollenring/admission/cold_start_limiter_test.cc
+++ b/test/pollenring/admission/cold_start_limiter_test.cc
@@ -50,8 +50,8 @@
     if (!this->Cold()) return true;
     this->arrivals.push_back(now);
     while (this->arrivals.front() <= now - 1s) this->arrivals.pop_front();
-    this->most = std::max(this->most, this->arrivals.size());
-    if (this->arrivals.size() <= kBears) return true;
+    this->max_in_window = std::max(this->max_in_window, this->arrivals.size());
+    if (this->arrivals.size() <= kColdLimit) return true;
     ++this->crashes;
     this->up_at = now + 300ms;
     this->Restart();
@@ -65,8 +65,8 @@
   /*! @brief Turns cold without a crash, as after an evacuation. */
   void TurnCold() { this->warm_at = this->clock.Now() + 3s; }
 
-  static constexpr std::size_t kBears = 26;
-  std::size_t most{}; /*!< Most requests in one second while cold. */
+  static constexpr std::size_t kColdLimit = 26;
+  std::size_t max_in_window{}; /*!< Most requests in one second while cold. */
   int crashes{};
 
  private:
@@ -82,8 +82,8 @@
 };
 
 /*! @brief A target under load, with its admission and heartbeats. */
-struct ColdWorld {
-  ColdWorld(std::uint64_t seed, const ColdStartLimit &tolerance)
+struct ColdTargetSimulation {
+  ColdTargetSimulation(std::uint64_t seed, const ColdStartLimit &tolerance)
       : random{seed}, admission{45, Options(), clock}, target{clock} {
     this->admission.SetColdStartLimit(tolerance);
   }
@@ -113,19 +113,19 @@
         this->ends.erase(this->ends.begin());
         this->Do(this->admission.Finish(id, Duration{0}, false));
       }
-      if (now >= this->next_beat) {
-        this->next_beat = now + 1500ms;
+      if (now >= this->next_heartbeat) {
+        this->next_heartbeat = now + 1500ms;
         this->admission.SetColdUntil(this->target.WarmAt());
       }
       for (double due = per_second / 1000; due > 0; due -= 1) {
         if (!this->random.Chance(std::min(1.0, due))) continue;
-        AdmissionRequest ticket;
-        ticket.id = ++this->last;
-        ticket.sub_priority = this->random.Fraction();
-        ticket.importance = Importance::kNormal;
-        ticket.deadline = now + 700ms;
-        ticket.soft_deadline = now + 300ms;
-        this->Do(this->admission.Offer(ticket));
+        AdmissionRequest request;
+        request.id = ++this->last;
+        request.sub_priority = this->random.Fraction();
+        request.importance = Importance::kNormal;
+        request.deadline = now + 700ms;
+        request.soft_deadline = now + 300ms;
+        this->Do(this->admission.Offer(request));
       }
       this->Do(this->admission.Tick());
     }
@@ -136,7 +136,7 @@
   Admission admission;
   FragileTarget target;
   std::multimap<Time, std::uint64_t> ends;
-  Time next_beat{};
+  Time next_heartbeat{};
   std::uint64_t last{};
   int served{};
   int refused{};
@@ -152,17 +152,17 @@
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{seed};
   ColdStartLimiter gate{clock};
-  gate.SetTolerance({20, 1s});
+  gate.SetLimit({20, 1s});
   gate.SetColdUntil(clock.Now() + 1h);
   std::deque<Time> sent;
   std::uint64_t id = 0;
   for (int i = 0; i < 20'000; ++i) {
     clock.Advance(Duration{static_cast<std::int64_t>(random.Index(1000))});
     if (!gate.HasRoom()) continue;
-    gate.Sent(++id);
+    gate.RecordSent(++id);
     // Requests that the target rejected don't count.
     if (random.Chance(0.3)) {
-      gate.GiveBack(id);
+      gate.Uncount(id);
       continue;
     }
     sent.push_back(clock.Now());
@@ -174,27 +174,27 @@
 TEST_CASE("cold gate: what was turned away gives its place back") {
   ManualClock clock{std::chrono::hours{1}};
   ColdStartLimiter gate{clock};
-  gate.SetTolerance({2, 1s});
+  gate.SetLimit({2, 1s});
   gate.SetColdUntil(clock.Now() + 1h);
-  gate.Sent(1);
-  gate.Sent(2);
+  gate.RecordSent(1);
+  gate.RecordSent(2);
   CHECK_FALSE(gate.HasRoom());
-  gate.GiveBack(1);
+  gate.Uncount(1);
   CHECK(gate.HasRoom());
   // Only once, and only for a request that was sent.
-  gate.GiveBack(1);
-  gate.GiveBack(7);
-  gate.Sent(3);
+  gate.Uncount(1);
+  gate.Uncount(7);
+  gate.RecordSent(3);
   CHECK_FALSE(gate.HasRoom());
 }
 
 TEST_CASE("cold gate: it opens at the end of the coldness, not later") {
   ManualClock clock{std::chrono::hours{1}};
   ColdStartLimiter gate{clock};
-  gate.SetTolerance({1, 1s});
-  CHECK_FALSE(gate.Closed());
+  gate.SetLimit({1, 1s});
+  CHECK_FALSE(gate.Active());
   gate.SetColdUntil(clock.Now() + 300ms);
-  gate.Sent(1);
+  gate.RecordSent(1);
   CHECK_FALSE(gate.HasRoom());
   CHECK(gate.ColdFor() == Duration{300ms});
   clock.Advance(300ms);
@@ -202,7 +202,7 @@
   CHECK(gate.ColdFor() == Duration{0});
   // A report that the target is warm takes effect immediately.
   gate.SetColdUntil(clock.Now() + 3s);
-  gate.Sent(2);
+  gate.RecordSent(2);
   CHECK_FALSE(gate.HasRoom());
   gate.SetColdUntil(clock.Now());
   CHECK(gate.HasRoom());
@@ -212,15 +212,15 @@
   const std::uint64_t seed = GENERATE(from_range(support::Seeds(8)));
   CAPTURE(seed);
   SECTION("without a bound it crashes again and again") {
-    ColdWorld world{seed, {}};
+    ColdTargetSimulation world{seed, {}};
     world.Run(15s, 900);
     CHECK(world.target.crashes >= 4);
   }
   SECTION("with it, all is served three seconds later") {
-    ColdWorld world{seed, kTolerance};
+    ColdTargetSimulation world{seed, kTolerance};
     world.Run(3100ms, 900);
     CHECK(world.target.crashes == 0);
-    CHECK(world.target.most <= FragileTarget::kBears);
+    CHECK(world.target.max_in_window <= FragileTarget::kColdLimit);
     CHECK(world.served >= 40);
     const int before = world.served;
     world.Run(2s, 900);
@@ -231,20 +231,20 @@
 TEST_CASE("cold gate: what waits when a target turns cold is not sent") {
   const std::uint64_t seed = GENERATE(from_range(support::Seeds(8)));
   CAPTURE(seed);
-  ColdWorld world{seed, kTolerance};
+  ColdTargetSimulation world{seed, kTolerance};
   world.Run(4s, 2400);
   REQUIRE(world.admission.Waiting() > 0);
   world.target.TurnCold();
-  world.target.most = 0;
+  world.target.max_in_window = 0;
   world.admission.SetColdUntil(world.target.WarmAt());
-  world.next_beat = world.clock.Now() + 1500ms;
+  world.next_heartbeat = world.clock.Now() + 1500ms;
   world.Run(2900ms, 1800);
   CHECK(world.target.crashes == 0);
-  CHECK(world.target.most <= FragileTarget::kBears);
+  CHECK(world.target.max_in_window <= FragileTarget::kColdLimit);
 }
 
 TEST_CASE("cold gate: levels of a cold target end with its coldness") {
-  ColdWorld world{3, kTolerance};
+  ColdTargetSimulation world{3, kTolerance};
   world.Run(2s, 900);
   // The cold-start limit is 2 % of the offered load.
   CHECK(world.admission.AdmissionLevelOf({}) > 1.5);
--- a/test/pollenring/admission/offered_load_level_test.cc
+++ b/test/pollenring/admission/offered_load_level_test.cc
@@ -20,10 +20,12 @@
 /*! @brief A service that requests reach some time after their admission. */
 class DeepService {
  public:
-  /*! @brief Callers refuse below the fraction `heard` of the level. */
-  explicit DeepService(Duration way, double heard = 1,
+  /*! @brief Callers refuse below the fraction `known_fraction` of the level. */
+  explicit DeepService(Duration path_delay, double known_fraction = 1,
                        Importance importance = Importance::kLow)
-      : way{way}, heard{heard}, importance{importance} {}
+      : path_delay{path_delay},
+        known_fraction{known_fraction},
+        importance{importance} {}
 
   /*! @brief Runs at an offered rate. @return Fraction of requests admitted. */
   double Run(Duration length, double offered_per_second) {
@@ -40,7 +42,7 @@
       const auto delay_us = this->queue / kCapacity * 1e6;
       this->level.Tick(
           {Duration{static_cast<std::int64_t>(delay_us)}, kCapacity});
-      this->longest = std::max(this->longest, this->queue / kCapacity);
+      this->max_queue_s = std::max(this->max_queue_s, this->queue / kCapacity);
     }
     return kept / all;
   }
@@ -50,7 +52,7 @@
   }
 
   static constexpr double kCapacity = 1000;
-  double longest{}; /*!< Longest queue, in seconds. */
+  double max_queue_s{}; /*!< Longest queue, in seconds. */
 
  private:
   void Offer(double &kept, double &all) {
@@ -58,12 +60,13 @@
     const double sub_priority = this->random.Fraction();
     const double priority =
         pollenring::PriorityOf(this->importance, sub_priority);
-    if (priority < this->level.AdmissionLevelOf({}) * this->heard) return;
+    if (priority < this->level.AdmissionLevelOf({}) * this->known_fraction)
+      return;
     kept += 1;
-    AdmissionRequest ticket;
-    ticket.importance = this->importance;
-    ticket.sub_priority = sub_priority;
-    this->under_way.push_back({this->clock.Now() + this->way, ticket});
+    AdmissionRequest request;
+    request.importance = this->importance;
+    request.sub_priority = sub_priority;
+    this->under_way.push_back({this->clock.Now() + this->path_delay, request});
   }
 
   void Arrive() {
@@ -75,8 +78,8 @@
     }
   }
 
-  Duration way;
-  double heard;
+  Duration path_delay;
+  double known_fraction;
   Importance importance;
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{7};
@@ -94,26 +97,27 @@
 }
 
 TEST_CASE("fit level: twice the capacity is halved, however deep it is felt") {
-  const Duration way = GENERATE(Duration{0}, Duration{200ms}, Duration{500ms});
-  CAPTURE(way.count());
-  DeepService service{way};
+  const Duration path_delay =
+      GENERATE(Duration{0}, Duration{200ms}, Duration{500ms});
+  CAPTURE(path_delay.count());
+  DeepService service{path_delay};
   static_cast<void>(service.Run(10s, 2000));
   // In the steady state admitted requests fit and slots don't idle.
-  service.longest = 0;
+  service.max_queue_s = 0;
   const double kept = service.Run(20s, 2000);
   CHECK(kept * 2000 > 0.8 * DeepService::kCapacity);
   CHECK(kept * 2000 < 1.05 * DeepService::kCapacity);
-  CHECK(service.longest < 0.4);
+  CHECK(service.max_queue_s < 0.4);
 }
 
 TEST_CASE("fit level: too many of the first workspaces are refused as well") {
   DeepService service{200ms, 1, Importance::kCritical};
   static_cast<void>(service.Run(10s, 2000));
-  service.longest = 0;
+  service.max_queue_s = 0;
   const double kept = service.Run(20s, 2000);
   CHECK(kept * 2000 > 0.8 * DeepService::kCapacity);
   CHECK(kept * 2000 < 1.05 * DeepService::kCapacity);
-  CHECK(service.longest < 0.4);
+  CHECK(service.max_queue_s < 0.4);
   CHECK(service.Level() > 3);
 }
 
@@ -128,10 +132,10 @@
   // As if a second target of the service had unused capacity.
   DeepService service{200ms, 0.5};
   static_cast<void>(service.Run(15s, 2000));
-  service.longest = 0;
+  service.max_queue_s = 0;
   const double kept = service.Run(20s, 2000);
   CHECK(kept * 2000 > 0.75 * DeepService::kCapacity);
-  CHECK(service.longest < 0.4);
+  CHECK(service.max_queue_s < 0.4);
 }
 
 TEST_CASE("fit level: it goes when the overload does") {
--- a/test/pollenring/admission/soft_deadline_queue_test.cc
+++ b/test/pollenring/admission/soft_deadline_queue_test.cc
@@ -12,13 +12,13 @@
 [[nodiscard]] AdmissionRequest Waiting(std::uint64_t id,
                                        pollenring::Time soft_deadline,
                                        Importance importance, int depth) {
-  AdmissionRequest ticket;
-  ticket.id = id;
-  ticket.soft_deadline = soft_deadline;
-  ticket.deadline = soft_deadline + 1s;
-  ticket.importance = importance;
-  ticket.depth = depth;
-  return ticket;
+  AdmissionRequest request;
+  request.id = id;
+  request.soft_deadline = soft_deadline;
+  request.deadline = soft_deadline + 1s;
+  request.importance = importance;
+  request.depth = depth;
+  return request;
 }
 
 }  // namespace
@@ -40,11 +40,11 @@
   queue.Push(Waiting(2, 100ms, Importance::kHigh, 0));
   queue.Push(Waiting(3, 100ms, Importance::kLow, 0));
   queue.Push(Waiting(4, 200ms, Importance::kLow, 0));
-  CHECK(queue.Lowest() == Importance::kLow);
+  CHECK(queue.LowestImportance() == Importance::kLow);
   CHECK(queue.PopWorst()->id == 4);
   CHECK(queue.PopWorst()->id == 3);
   CHECK(queue.PopWorst()->id == 2);
-  CHECK(queue.Lowest() == Importance::kCritical);
+  CHECK(queue.LowestImportance() == Importance::kCritical);
   CHECK(queue.PopWorst()->id == 1);
 }
 
--- a/test/pollenring/routing/router_test.cc
+++ b/test/pollenring/routing/router_test.cc
@@ -109,7 +109,7 @@
   dead.state = MemberState::kDead;
   this->router.Update(dead);
   for (int i = 0; i < 100; ++i) CHECK(this->Start() % 3 != 0);
-  CHECK(this->router.Count("s") == 6);
+  CHECK(this->router.TargetCount("s") == 6);
 }
 
 TEST_CASE_METHOD(Fixture, "router: reported load counts more than a lie") {
@@ -150,8 +150,9 @@
 namespace {
 
 /*! @brief A router in zone "a" that prefers the lowest latency. */
-struct SoonestWorld {
-  SoonestWorld(std::uint64_t seed, const std::vector<std::string> &zones)
+struct LowestLatencyFixture {
+  LowestLatencyFixture(std::uint64_t seed,
+                       const std::vector<std::string> &zones)
       : random{seed}, router{"a", "r", Options(), this->clock, this->random} {
     for (const auto &zone : zones) {
       Member member;
@@ -200,7 +201,7 @@
 
 TEST_CASE(
     "router: the target that answers soonest gets most, until it is full") {
-  SoonestWorld world{9, {"b", "b", "a"}};
+  LowestLatencyFixture world{9, {"b", "b", "a"}};
   std::map<pollenring::NodeId, int> started;
   // The third is in the own zone and takes three times as long.
   const auto took = [](pollenring::NodeId id) {
@@ -227,8 +228,8 @@
 
 TEST_CASE(
     "router: a target that breaks off a fifth of its answers is left alone") {
-  SoonestWorld world{5, {"a", "a"}};
-  const auto play = [&](int calls, double broken) {
+  LowestLatencyFixture world{5, {"a", "a"}};
+  const auto run = [&](int calls, double broken) {
     int to_second = 0;
     for (int i = 0; i < calls; ++i) {
       const pollenring::NodeId node = world.Start();
@@ -244,15 +245,15 @@
     }
     return to_second;
   };
-  CHECK(play(1000, 0) > 350);
+  CHECK(run(1000, 0) > 350);
   // Ejection by consecutive failures alone leaves it 88 of 1500 calls.
-  CHECK(play(1500, 0.2) < 40);
-  CHECK(play(2000, 0) > 400);
-  CHECK(play(1000, 0) > 350);
+  CHECK(run(1500, 0.2) < 40);
+  CHECK(run(2000, 0) > 400);
+  CHECK(run(1000, 0) > 350);
 }
 
 TEST_CASE("router: what fails at all targets alike leaves them all in use") {
-  SoonestWorld world{5, {"a", "a"}};
+  LowestLatencyFixture world{5, {"a", "a"}};
   std::map<pollenring::NodeId, int> started;
   for (int i = 0; i < 2000; ++i) {
     const pollenring::NodeId node = world.Start();
@@ -269,28 +270,28 @@
 }
 
 TEST_CASE("router: targets of withdrawn zones get nothing until given back") {
-  SoonestWorld world{4, {"a", "b", "c"}};
+  LowestLatencyFixture world{4, {"a", "b", "c"}};
   std::vector<Member> members;
   for (NodeId id = 1; id <= 3; ++id) {
     Member member = Make(id, std::string(1, static_cast<char>('a' + id - 1)));
     members.push_back(member);
   }
   const auto follow = [&](const std::vector<std::string> &zones) {
-    REQUIRE(world.router.Withdraw(zones));
+    REQUIRE(world.router.SetWithdrawnZones(zones));
     for (const auto &member : members) world.router.Update(member);
   };
   follow({"a", "c"});
   for (int i = 0; i < 50; ++i) CHECK(world.Start() == 2);
   follow({"a", "b", "c"});
   CHECK_FALSE(world.router.Choose("s", {}));
-  CHECK(world.router.Count("s") == 0);
+  CHECK(world.router.TargetCount("s") == 0);
   follow({});
   CHECK(world.Spread(90).size() == 3);
-  CHECK_FALSE(world.router.Withdraw({}));
+  CHECK_FALSE(world.router.SetWithdrawnZones({}));
 }
 
 TEST_CASE("router: a request stays in the regions that it names") {
-  SoonestWorld world{6, {"a", "a", "a"}};
+  LowestLatencyFixture world{6, {"a", "a", "a"}};
   Member away = Make(4, "far");
   away.region = "q";
   world.router.Update(away);
@@ -313,17 +314,17 @@
 }
 
 TEST_CASE("router: a target is warm again when it said that it would be") {
-  SoonestWorld world{8, {"a", "a"}};
+  LowestLatencyFixture world{8, {"a", "a"}};
   world.router.Started("s", 1);
   pollenring::LoadReport cold{1, 20};
   cold.cold_ms = 2000;
   world.router.Finished("s", 1, CallVerdict::kShed, cold);
-  CHECK(world.router.HasWarm("s"));
+  CHECK(world.router.HasWarmTarget("s"));
   world.router.Started("s", 2);
   world.router.Finished("s", 2, CallVerdict::kShed, cold);
-  CHECK_FALSE(world.router.HasWarm("s"));
+  CHECK_FALSE(world.router.HasWarmTarget("s"));
   world.clock.Advance(std::chrono::milliseconds{2001});
-  CHECK(world.router.HasWarm("s"));
+  CHECK(world.router.HasWarmTarget("s"));
   const auto started = world.Spread(90);
   CHECK(started.at(1) > 20);
   CHECK(started.at(2) > 20);
