Name the tests of admission and routing for what they check

The titles now name the class and the expected behaviour. Only titles change; assertions, sections and the simulated load are the same.

--- a/test/pollenring/admission/admission_test.cc
+++ b/test/pollenring/admission/admission_test.cc
@@ -210,7 +210,8 @@
   CHECK(bench.shed[Importance::kNormal] == 1);
 }
 
-TEST_CASE("admission: one that is dropped at once takes no other with it") {
+TEST_CASE(
+    "admission: a request dropped on arrival causes no other to be shed") {
   // A queue that grew while requests were fast is too long once they are slow.
   // A request with little time left is then dropped on arrival and must not
   // cause another one to be shed.
@@ -258,7 +259,7 @@
   CHECK(actions.shed.size() == 1);
 }
 
-TEST_CASE("admission: whatever comes, the least important goes for it") {
+TEST_CASE("admission: an arrival sheds at most one request for overload") {
   for (const auto seed : support::Seeds(30)) {
     CAPTURE(seed);
     SeededRandom random{seed};
@@ -310,7 +311,8 @@
   }
 }
 
-TEST_CASE("concurrency limit: a slow moment before a trial lowers nothing") {
+TEST_CASE(
+    "concurrency limit: a temporary slowdown before a trial doesn't lower it") {
   pollenring::ManualClock clock{std::chrono::hours{1}};
   pollenring::ConcurrencyLimit limit{4, {}, clock};
   const auto run = [&](Duration own, bool full, int count) {
--- a/test/pollenring/admission/cold_start_limiter_test.cc
+++ b/test/pollenring/admission/cold_start_limiter_test.cc
@@ -146,7 +146,7 @@
 
 }  // namespace
 
-TEST_CASE("cold gate: no window holds more than is borne") {
+TEST_CASE("cold start limiter: no window exceeds the limit") {
   const std::uint64_t seed = GENERATE(from_range(support::Seeds(20)));
   CAPTURE(seed);
   ManualClock clock{std::chrono::hours{1}};
@@ -171,7 +171,7 @@
   }
 }
 
-TEST_CASE("cold gate: what was turned away gives its place back") {
+TEST_CASE("cold start limiter: a rejected request is uncounted") {
   ManualClock clock{std::chrono::hours{1}};
   ColdStartLimiter gate{clock};
   gate.SetLimit({2, 1s});
@@ -188,7 +188,7 @@
   CHECK_FALSE(gate.HasRoom());
 }
 
-TEST_CASE("cold gate: it opens at the end of the coldness, not later") {
+TEST_CASE("cold start limiter: it ends with the cold period") {
   ManualClock clock{std::chrono::hours{1}};
   ColdStartLimiter gate{clock};
   gate.SetLimit({1, 1s});
@@ -208,7 +208,8 @@
   CHECK(gate.HasRoom());
 }
 
-TEST_CASE("cold gate: a fleet that starts cold under full load serves soon") {
+TEST_CASE(
+    "cold start limiter: a target that starts cold under full load recovers") {
   const std::uint64_t seed = GENERATE(from_range(support::Seeds(8)));
   CAPTURE(seed);
   SECTION("without a bound it crashes again and again") {
@@ -228,7 +229,9 @@
   }
 }
 
-TEST_CASE("cold gate: what waits when a target turns cold is not sent") {
+TEST_CASE(
+    "cold start limiter: waiting requests are not sent when a target turns "
+    "cold") {
   const std::uint64_t seed = GENERATE(from_range(support::Seeds(8)));
   CAPTURE(seed);
   ColdTargetSimulation world{seed, kTolerance};
@@ -243,7 +246,7 @@
   CHECK(world.target.max_in_window <= FragileTarget::kColdLimit);
 }
 
-TEST_CASE("cold gate: levels of a cold target end with its coldness") {
+TEST_CASE("cold start limiter: levels are reset when the target is warm") {
   ColdTargetSimulation world{3, kTolerance};
   world.Run(2s, 900);
   // The cold-start limit is 2 % of the offered load.
--- a/test/pollenring/admission/offered_load_level_test.cc
+++ b/test/pollenring/admission/offered_load_level_test.cc
@@ -90,13 +90,14 @@
 
 }  // namespace
 
-TEST_CASE("fit level: nothing is refused below the capacity") {
+TEST_CASE("offered load level: nothing is refused below the capacity") {
   DeepService service{500ms};
   CHECK(service.Run(10s, 900) == 1.0);
   CHECK(service.Level() == 0);
 }
 
-TEST_CASE("fit level: twice the capacity is halved, however deep it is felt") {
+TEST_CASE(
+    "offered load level: twice the capacity is halved at any path delay") {
   const Duration path_delay =
       GENERATE(Duration{0}, Duration{200ms}, Duration{500ms});
   CAPTURE(path_delay.count());
@@ -110,7 +111,8 @@
   CHECK(service.max_queue_s < 0.4);
 }
 
-TEST_CASE("fit level: too many of the first workspaces are refused as well") {
+TEST_CASE(
+    "offered load level: critical requests above the capacity are refused") {
   DeepService service{200ms, 1, Importance::kCritical};
   static_cast<void>(service.Run(10s, 2000));
   service.max_queue_s = 0;
@@ -121,14 +123,17 @@
   CHECK(service.Level() > 3);
 }
 
-TEST_CASE("fit level: without first workspaces it stays below them") {
+TEST_CASE(
+    "offered load level: without critical requests it stays below their "
+    "range") {
   DeepService service{200ms, 1, Importance::kHigh};
   static_cast<void>(service.Run(20s, 4000));
   CHECK(service.Level() > 2.5);
   CHECK(service.Level() <= 3);
 }
 
-TEST_CASE("fit level: a queue is drained though callers heard half the level") {
+TEST_CASE(
+    "offered load level: a queue drains though callers know half the level") {
   // As if a second target of the service had unused capacity.
   DeepService service{200ms, 0.5};
   static_cast<void>(service.Run(15s, 2000));
@@ -138,7 +143,7 @@
   CHECK(service.max_queue_s < 0.4);
 }
 
-TEST_CASE("fit level: it goes when the overload does") {
+TEST_CASE("offered load level: it falls to zero after the overload") {
   DeepService service{200ms};
   static_cast<void>(service.Run(10s, 2000));
   REQUIRE(service.Level() > 0.3);
--- a/test/pollenring/admission/soft_deadline_queue_test.cc
+++ b/test/pollenring/admission/soft_deadline_queue_test.cc
@@ -23,7 +23,7 @@
 
 }  // namespace
 
-TEST_CASE("aim queue: a short request passes those that have time") {
+TEST_CASE("soft deadline queue: the earliest soft deadline is served first") {
   SoftDeadlineQueue queue;
   queue.Push(Waiting(1, 300ms, Importance::kHigh, 2));
   queue.Push(Waiting(2, 320ms, Importance::kLow, 2));
@@ -34,7 +34,7 @@
   CHECK_FALSE(queue.Pop());
 }
 
-TEST_CASE("aim queue: calls for requests let in above are shed last") {
+TEST_CASE("soft deadline queue: sub-calls of admitted roots are shed last") {
   SoftDeadlineQueue queue;
   queue.Push(Waiting(1, 100ms, Importance::kLow, 1));
   queue.Push(Waiting(2, 100ms, Importance::kHigh, 0));
@@ -48,7 +48,8 @@
   CHECK(queue.PopWorst()->id == 1);
 }
 
-TEST_CASE("aim queue: what can't end in time leaves at once") {
+TEST_CASE(
+    "soft deadline queue: requests that can't finish in time are removed") {
   SoftDeadlineQueue queue;
   queue.Push(Waiting(1, 100ms, Importance::kLow, 0));
   queue.Push(Waiting(2, 900ms, Importance::kLow, 0));
--- a/test/pollenring/routing/router_test.cc
+++ b/test/pollenring/routing/router_test.cc
@@ -52,7 +52,8 @@
 
 }  // namespace
 
-TEST_CASE_METHOD(Fixture, "router: the own zone goes first while it has room") {
+TEST_CASE_METHOD(Fixture,
+                 "router: the own zone is preferred while it has capacity") {
   std::map<NodeId, int> started;
   for (int i = 0; i < 24; ++i) ++started[this->Start()];
   for (const auto &[node, count] : started) CHECK(node % 3 == 0);
@@ -64,8 +65,9 @@
   CHECK(elsewhere > 100);
 }
 
-TEST_CASE_METHOD(Fixture,
-                 "router: a failing target is set aside, probed back") {
+TEST_CASE_METHOD(
+    Fixture,
+    "router: a failing target is ejected and restored by a trial call") {
   for (int i = 0; i < 200; ++i) {
     const NodeId node = this->Start();
     this->router.Finished(
@@ -112,7 +114,7 @@
   CHECK(this->router.TargetCount("s") == 6);
 }
 
-TEST_CASE_METHOD(Fixture, "router: reported load counts more than a lie") {
+TEST_CASE_METHOD(Fixture, "router: reported load counts beyond own calls") {
   // Node 3 reports that it is full, although this node has sent it no calls.
   this->router.Started("s", 3);
   this->router.Finished("s", 3, CallVerdict::kAnswered,
@@ -126,7 +128,8 @@
   CHECK(to_full <= 40);
 }
 
-TEST_CASE_METHOD(Fixture, "router: with all set aside, each is still tried") {
+TEST_CASE_METHOD(Fixture,
+                 "router: with all targets ejected each is still tried") {
   for (int i = 0; i < 200; ++i) {
     const auto node = this->router.Choose("s", {});
     if (!node) continue;
@@ -199,8 +202,7 @@
 
 }  // namespace
 
-TEST_CASE(
-    "router: the target that answers soonest gets most, until it is full") {
+TEST_CASE("router: the fastest target gets most calls until it is full") {
   LowestLatencyFixture world{9, {"b", "b", "a"}};
   std::map<pollenring::NodeId, int> started;
   // The third is in the own zone and takes three times as long.
@@ -227,7 +229,7 @@
 }
 
 TEST_CASE(
-    "router: a target that breaks off a fifth of its answers is left alone") {
+    "router: a target that truncates a fifth of its responses is avoided") {
   LowestLatencyFixture world{5, {"a", "a"}};
   const auto run = [&](int calls, double broken) {
     int to_second = 0;
@@ -252,7 +254,7 @@
   CHECK(run(1000, 0) > 350);
 }
 
-TEST_CASE("router: what fails at all targets alike leaves them all in use") {
+TEST_CASE("router: equal fault rates leave all targets in use") {
   LowestLatencyFixture world{5, {"a", "a"}};
   std::map<pollenring::NodeId, int> started;
   for (int i = 0; i < 2000; ++i) {
@@ -269,7 +271,7 @@
   CHECK(started[2] > 600);
 }
 
-TEST_CASE("router: targets of withdrawn zones get nothing until given back") {
+TEST_CASE("router: targets of withdrawn zones get no calls until restored") {
   LowestLatencyFixture world{4, {"a", "b", "c"}};
   std::vector<Member> members;
   for (NodeId id = 1; id <= 3; ++id) {
@@ -313,7 +315,7 @@
   CHECK(world.router.Choose("s", {}, {"q"}) == NodeId{4});
 }
 
-TEST_CASE("router: a target is warm again when it said that it would be") {
+TEST_CASE("router: a target is warm again after its reported cold time") {
   LowestLatencyFixture world{8, {"a", "a"}};
   world.router.Started("s", 1);
   pollenring::LoadReport cold{1, 20};
