State the invariant of shedding as a rule

The message "nothing more important is shed for a root" read like a state that was reached, though it appears when the invariant is broken. It now says what must not happen: a root must not displace a more important request. Only the text of the message changes; the condition is the same, and nothing in sources or tests matches the old text.

--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -91,7 +91,7 @@
   if (this->queue->Size() > waiting_before && this->QueueOverfull()) {
     const auto worst = this->queue->PopWorst();
     Require(worst->importance <= request.importance || request.Invested(),
-            "nothing more important is shed for a root");
+            "a root must not displace a more important request");
     this->levels->Shed();
     actions.shed.push_back({worst->id, Reason::kOverload});
   }
