Document settings of admission and routing

Several settings and members stood without a word on what they do: the wait that sets the queue size, the factors of a trial, the ramp after a restore, the order of ejected targets. Each has a short comment now, and the floor of the fair queue is described as it is computed, as a maximum. Only comments change; no code token differs.

--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -48,9 +48,11 @@
   QueueOrder order{QueueOrder::kFair};
   OfferedLoadLevelOptions offered_load;
   Duration level_window{std::chrono::milliseconds{100}};
+  /*! @brief Wait that a full queue stands for; sets the queue size. */
   Duration queue_time{std::chrono::milliseconds{100}};
   std::size_t min_queue_size{4};
   std::size_t max_queue_size{1024};
+  /*! @brief Multiple of the queue size while only critical requests wait. */
   std::size_t critical_queue_factor{16};
 };
 
@@ -151,7 +153,7 @@
    */
   [[nodiscard]] AdmissionActions Cancel(std::uint64_t id);
 
-  /*! @brief Removes all waiting requests, for another target.
+  /*! @brief Removes all waiting requests, to send them elsewhere.
    * @return The requests. */
   [[nodiscard]] std::vector<AdmissionRequest> TakeWaiting() {
     return this->queue->RemoveExpired(Time::max());
--- a/src/pollenring/admission/concurrency_limit.h
+++ b/src/pollenring/admission/concurrency_limit.h
@@ -16,12 +16,12 @@
   int enough_samples{100};
   int lower_trial_samples{30}; /*!< Few, as the trial costs capacity. */
   int min_samples{8};
-  double decrease{0.7};
-  double increase{1.3};
-  double max_over_announced{4};
+  double decrease{0.7};         /*!< Factor of a lower trial or a cut. */
+  double increase{1.3};         /*!< Factor of a higher trial. */
+  double max_over_announced{4}; /*!< Maximum, as a multiple of the slots. */
   int windows_before_lower{16};
   int windows_before_higher{4};
-  bool fixed{false}; /*!< No trials; spares the last slots at most. */
+  bool fixed{false}; /*!< No trials; may only leave the last slots free. */
 };
 
 /**
@@ -43,6 +43,7 @@
   ConcurrencyLimit(std::uint32_t slots, const ConcurrencyLimitOptions &options,
                    const Clock &clock);
 
+  /*! @brief Requests that may run at once. @return The limit. */
   [[nodiscard]] int Current() const noexcept {
     return std::max(1, static_cast<int>(std::lround(this->limit)));
   }
--- a/src/pollenring/admission/fair_queue.h
+++ b/src/pollenring/admission/fair_queue.h
@@ -61,7 +61,7 @@
     std::unordered_map<std::string, Workspace> workspaces;
     std::set<RankKey> run_order;
     std::set<RankKey> shed_order;
-    double served_floor{}; /*!< `served` of the workspace run last. */
+    double served_floor{}; /*!< Highest `served` run so far. */
   };
   using ClassKey = int;
 
--- a/src/pollenring/admission/offered_load_level.h
+++ b/src/pollenring/admission/offered_load_level.h
@@ -25,8 +25,8 @@
   double target_load{0.95};   /*!< Fraction of the capacity that is allotted. */
   double drain_reserve{0.25}; /*!< Fraction withheld to drain a queue. */
   double rise_fraction{0.5};  /*!< Fraction of a rise applied per window. */
-  /*! @brief Rise per second at `max_delay` though the offered load seems
-   * to fit: callers not yet notified of the level send requests below it. */
+  /*! @brief Rise per second at `max_delay` though the offered load seems to
+   * fit: callers not yet notified of the level send requests below it. */
   double backlog_rise{0.12};
   double min_fall{0.06}; /*!< Minimum fall per second while not overloaded. */
   double idle_fall{1.2}; /*!< Additional fall per second at no load. */
@@ -59,13 +59,14 @@
   static constexpr std::size_t kBinsPerImportance = 32;
   static constexpr std::size_t kBins = kBinsPerImportance * kImportanceLevels;
 
+  /*! @brief Level that admits `allowed` requests per second. */
   [[nodiscard]] double LevelFor(double allowed, double per_second) const;
   [[nodiscard]] double MaxLevel() const;
 
   OfferedLoadLevelOptions options;
   const Clock &clock;
   Time window_start;
-  std::array<double, kBins> offered{};
+  std::array<double, kBins> offered{}; /*!< Decayed counts by priority. */
   double level{};
 };
 
--- a/src/pollenring/admission/shed_levels.h
+++ b/src/pollenring/admission/shed_levels.h
@@ -52,6 +52,7 @@
     double weight{1};
     double level{};
   };
+  /*! @brief Requests of one workspace at one importance. */
   struct Claim {
     Workspace *workspace;
     double offered;
--- a/src/pollenring/routing/router.h
+++ b/src/pollenring/routing/router.h
@@ -46,9 +46,9 @@
   Duration initial_ejection{std::chrono::milliseconds{500}};
   Duration max_ejection{std::chrono::seconds{8}};
   int failures_to_eject{3};
-  Duration ramp{std::chrono::seconds{3}};
-  double ramp_floor{0.1};
-  std::size_t choices{2};
+  Duration ramp{std::chrono::seconds{3}}; /*!< After a restore. */
+  double ramp_floor{0.1};                 /*!< Its start; also if cold. */
+  std::size_t choices{2};                 /*!< Random targets compared. */
   LoadBalancingPolicy order{LoadBalancingPolicy::kZoneAware};
   /*! @brief Latency advantage that justifies the traffic to another zone. */
   Duration zone_cost{std::chrono::milliseconds{3}};
@@ -145,7 +145,7 @@
     NodeId node{};
     Locality locality{Locality::kOther};
     double limit{1};
-    double reported{};
+    double reported{}; /*!< In progress by its last report. */
     int in_progress{};
     int in_progress_at_report{};
     int failures{};
@@ -158,7 +158,7 @@
     double response_time_us{}; /*!< Smoothed response time; 0 while unknown. */
     double fault_rate{};       /*!< Smoothed fraction of its calls that fail. */
     Time fault_updated_at{};   /*!< When fault_rate last changed. */
-    std::size_t index{};
+    std::size_t index{};       /*!< In its list of `usable`. */
   };
 
   /*! @brief Which targets a request may use. */
@@ -172,7 +172,7 @@
   struct Service {
     std::unordered_map<NodeId, std::unique_ptr<Endpoint>> endpoints;
     std::array<std::vector<Endpoint *>, kLocalityLevels> usable;
-    std::multimap<Time, NodeId> ejected;
+    std::multimap<Time, NodeId> ejected; /*!< By time of the next trial. */
   };
 
   [[nodiscard]] Locality LocalityOf(const Member &member) const noexcept;
