--- a/src/pollenring/admission/offered_load_level.h
+++ b/src/pollenring/admission/offered_load_level.h
@@ -11,48 +11,47 @@
 
 namespace pollenring {
 
-/*! @brief Limits of the level that makes the offered load fit. */
+/*! @brief Settings of the level derived from the offered load. */
 struct OfferedLoadLevelOptions {
   Duration window{std::chrono::milliseconds{100}};
-  /*! @brief Memory of what was offered; a deep request takes about as long from
-   * its first call here to its last. */
-  Duration memory{std::chrono::milliseconds{500}};
-  /*! @brief Delay up to which a queue is a burst and no overload; a deep
-   * request waits that long several times. */
-  Duration tolerated{std::chrono::milliseconds{6}};
-  /*! @brief Delay that takes all of the reserve below. */
-  Duration longest{std::chrono::milliseconds{100}};
-  double load{0.95};    /*!< Part of the capacity that is given away. */
-  double reserve{0.25}; /*!< Part of it kept back while a queue is drained. */
-  double rise{0.5};     /*!< Part of the way to a higher level, a window. */
-  /*! @brief Rise a second while the longest delay stays though what is offered
-   * seems to fit: callers that have not heard of the level send what is below
-   * it. */
-  double push{0.12};
-  double fall{0.06};      /*!< Least fall a second while nothing waits. */
-  double fall_spare{1.2}; /*!< Further fall a second if all were idle. */
+  /*! @brief Decay time of the offered load; about the time between the first
+   * and the last call of a deep request to this service. */
+  Duration decay_time{std::chrono::milliseconds{500}};
+  /*! @brief Delay up to which a queue is a burst, not overload; a deep request
+   * incurs it several times. */
+  Duration tolerated_delay{std::chrono::milliseconds{6}};
+  /*! @brief Delay at which all of `drain_reserve` is withheld. */
+  Duration max_delay{std::chrono::milliseconds{100}};
+  double target_load{0.95};   /*!< Fraction of the capacity that is allotted. */
+  double drain_reserve{0.25}; /*!< Fraction withheld to drain a queue. */
+  double rise_fraction{0.5};  /*!< Fraction of a rise applied per window. */
+  /*! @brief Rise per second at `max_delay` though the offered load seems to
+   * fit: callers not yet notified of the level send requests below it. */
+  double backlog_rise{0.12};
+  double min_fall{0.06}; /*!< Minimum fall per second while not overloaded. */
+  double idle_fall{1.2}; /*!< Additional fall per second at no load. */
 };
 
 /**
- * @brief Finds the level above which what is offered fits the target.
+ * @brief Computes the level above which the offered load fits the target.
  *
- * Calls bring their root's priority, so the level follows from their
- * distribution and the target's speed at once. It does not depend on when the
- * roots below it cease to arrive, so a long way between them and this service
- * does not make it swing.
+ * Calls carry their root's priority, so the level follows directly from the
+ * distribution of priorities and the target's capacity. It does not depend on
+ * when roots below it stop arriving, so a long call path to this service does
+ * not make it oscillate.
  */
 class OfferedLoadLevel final : public LevelControl {
  public:
   /**
    * @brief Starts by admitting everything.
-   * @param options Limits.
+   * @param options Settings.
    * @param clock Clock.
    */
   OfferedLoadLevel(const OfferedLoadLevelOptions &options, const Clock &clock);
 
   [[nodiscard]] double AdmissionLevelOf(
       const std::string &workspace) const override;
-  void Offered(const AdmissionRequest &ticket) override;
+  void Offered(const AdmissionRequest &request) override;
   void Shed() override {}
   void Tick(const QueueState &queue) override;
 
@@ -60,13 +59,14 @@
   static constexpr std::size_t kBinsPerImportance = 32;
   static constexpr std::size_t kBins = kBinsPerImportance * kImportanceLevels;
 
-  [[nodiscard]] double Fit(double allowed, double per_second) const;
-  [[nodiscard]] double HighestLevel() const;
+  /*! @brief Level that admits `allowed` requests per second. */
+  [[nodiscard]] double LevelFor(double allowed, double per_second) const;
+  [[nodiscard]] double MaxLevel() const;
 
   OfferedLoadLevelOptions options;
   const Clock &clock;
   Time window_start;
-  std::array<double, kBins> offered{};
+  std::array<double, kBins> offered{}; /*!< Decayed counts by priority. */
   double level{};
 };
 
--- a/src/pollenring/admission/shed_levels.h
+++ b/src/pollenring/admission/shed_levels.h
@@ -13,9 +13,9 @@
 
 namespace pollenring {
 
-/*! @brief Places a request on one scale: importance first, then its lot.
+/*! @brief Priority of a request: importance first, then its sub-priority.
  * @param importance Importance.
- * @param sub_priority The root's lot, in [0, 1).
+ * @param sub_priority Sub-priority of the root, in [0, 1).
  * @return A value from 0 to below 4; lower values are shed first. */
 [[nodiscard]] inline double PriorityOf(Importance importance,
                                        double sub_priority) noexcept {
@@ -23,26 +23,26 @@
 }
 
 /**
- * @brief Below which priority a service would shed each workspace's requests,
- * for callers to know early.
+ * @brief Per-workspace priority below which a service would shed requests, so
+ * that callers can refuse early.
  *
- * When a service sheds, what it can serve is given to the most important
- * requests first and, within one importance, to workspaces by their weights;
- * what one does not use goes to the others. All parts of a root share its lot,
- * so that services agree on which roots to refuse.
+ * When a service sheds, its capacity goes to the most important requests first
+ * and, within one importance, to workspaces by weight; what one does not use
+ * goes to the others. All calls of a root have the same sub-priority, so that
+ * services agree on which roots to refuse.
  */
 class ShedLevels final : public LevelControl {
  public:
   /**
    * @brief Starts by admitting everything.
-   * @param window Time between changes of the levels.
+   * @param window Interval between updates of the levels.
    * @param clock Clock.
    */
   ShedLevels(Duration window, const Clock &clock);
 
   [[nodiscard]] double AdmissionLevelOf(
       const std::string &workspace) const override;
-  void Offered(const AdmissionRequest &ticket) override;
+  void Offered(const AdmissionRequest &request) override;
   void Shed() override;
   void Tick(const QueueState &queue) override;
 
@@ -52,15 +52,16 @@
     double weight{1};
     double level{};
   };
+  /*! @brief Requests of one workspace at one importance. */
   struct Claim {
     Workspace *workspace;
     double offered;
-    double due;
+    double allotted;
   };
 
-  void Cut(double kept_part);
-  static void Steer(const Claim &claim, int importance);
-  static void Divide(std::vector<Claim> &claims, double capacity);
+  void Raise(double kept_part);
+  static void Adjust(const Claim &claim, int importance);
+  static void Allot(std::vector<Claim> &claims, double capacity);
   void Release();
   void Decay();
 
@@ -70,8 +71,8 @@
   std::unordered_map<std::string, Workspace> workspaces;
   double total{};
   double shed{};
-  double shed_now{};
-  double release{};
+  double shed_in_window{};
+  double release_step{};
 };
 
 }  // namespace pollenring
--- a/src/pollenring/admission/soft_deadline_queue.h
+++ b/src/pollenring/admission/soft_deadline_queue.h
@@ -10,19 +10,19 @@
 namespace pollenring {
 
 /**
- * @brief Waiting requests, the one whose aim is nearest first.
+ * @brief Waiting requests, earliest soft deadline first.
  *
- * A short request with a near aim passes long ones that have time, and costs
- * them little. Shed first is the least important root; calls on behalf of a
- * request that was let in above go last.
+ * A short request with an early soft deadline overtakes long ones that have
+ * time left and delays them little. The least important root is shed first,
+ * sub-calls of an already admitted root last.
  */
 class SoftDeadlineQueue final : public RequestQueue {
  public:
   [[nodiscard]] std::size_t Size() const noexcept override {
     return this->by_id.size();
   }
-  [[nodiscard]] Importance Lowest() const noexcept override;
-  void Push(const AdmissionRequest &ticket) override;
+  [[nodiscard]] Importance LowestImportance() const noexcept override;
+  void Push(const AdmissionRequest &request) override;
   [[nodiscard]] std::optional<AdmissionRequest> Pop() override;
   [[nodiscard]] std::optional<AdmissionRequest> PopWorst() override;
   bool Remove(std::uint64_t id) override;
@@ -31,11 +31,11 @@
 
  private:
   using AimKey = std::pair<Time, std::uint64_t>;
-  /*! @brief Invested work, importance, then the latest aim first. */
+  /*! @brief Invested work, importance, then latest soft deadline first. */
   using WorthKey = std::tuple<bool, Importance, Time, std::uint64_t>;
 
   [[nodiscard]] static WorthKey WorthOf(
-      const AdmissionRequest &ticket) noexcept;
+      const AdmissionRequest &request) noexcept;
 
   std::unordered_map<std::uint64_t, AdmissionRequest> by_id;
   std::set<AimKey> by_aim;
--- a/test/pollenring/admission/admission_test.cc
+++ b/test/pollenring/admission/admission_test.cc
@@ -18,7 +18,7 @@
 using pollenring::ManualClock;
 using pollenring::SeededRandom;
 
-/*! @brief A target with real slots behind an admission under test. */
+/*! @brief An admission under test with a simulated target of fixed slots. */
 class Bench {
  public:
   Bench(std::uint32_t announced, int real_slots, Duration service,
@@ -29,18 +29,18 @@
         real_slots{real_slots},
         service{service} {}
 
-  /*! @brief Offers a request; checks what is shed for it. */
-  void Offer(AdmissionRequest ticket) {
-    ticket.id = ++this->last_id;
-    if (ticket.deadline == pollenring::Time{}) {
-      ticket.deadline = this->clock.Now() + std::chrono::seconds{2};
+  /*! @brief Offers a request and performs the resulting actions. */
+  void Offer(AdmissionRequest request) {
+    request.id = ++this->last_id;
+    if (request.deadline == pollenring::Time{}) {
+      request.deadline = this->clock.Now() + std::chrono::seconds{2};
     }
-    this->waiting[ticket.id] = ticket;
-    ++this->offered[ticket.importance];
-    this->Perform(this->admission.Offer(ticket));
+    this->waiting[request.id] = request;
+    ++this->offered[request.importance];
+    this->Perform(this->admission.Offer(request));
   }
 
-  /*! @brief Moves time on and ends what is done. */
+  /*! @brief Advances the clock and ends finished requests. */
   void Step(Duration step) {
     this->clock.Advance(step);
     const auto now = this->clock.Now();
@@ -76,14 +76,14 @@
       this->waiting.erase(out.id);
     }
     for (const auto id : actions.start) {
-      const AdmissionRequest ticket = this->waiting.at(id);
+      const AdmissionRequest request = this->waiting.at(id);
       for (const auto &[other, waits] : this->waiting) {
-        // Nothing less important starts while something more important waits.
-        CHECK(waits.importance <= ticket.importance);
+        // No request starts while a more important one waits.
+        CHECK(waits.importance <= request.importance);
       }
       this->waiting.erase(id);
-      ++this->started_by[ticket.workspace];
-      // A target with more requests than slots serves them all more slowly.
+      ++this->started_by[request.workspace];
+      // With more requests than slots, the target serves all more slowly.
       const auto over = static_cast<std::int64_t>(
           this->running.size() + 1 > static_cast<std::size_t>(this->real_slots)
               ? this->running.size() + 1
@@ -98,10 +98,10 @@
 
 [[nodiscard]] AdmissionRequest Make(Importance importance,
                                     const std::string &workspace) {
-  AdmissionRequest ticket;
-  ticket.importance = importance;
-  ticket.workspace = workspace;
-  return ticket;
+  AdmissionRequest request;
+  request.importance = importance;
+  request.workspace = workspace;
+  return request;
 }
 
 }  // namespace
@@ -111,7 +111,7 @@
     INFO("seed " << seed);
     Bench bench{10, 10, std::chrono::milliseconds{20}, seed};
     for (std::uint64_t i = 0; i < support::Steps(20'000); ++i) {
-      // 1,500 a second against 500; a fifth of it is critical.
+      // 1,500 requests per second for a capacity of 500; 20 % are critical.
       const int count = bench.random.Chance(0.5) ? 2 : 1;
       for (int j = 0; j < count; ++j) {
         const auto draw = bench.random.Index(10);
@@ -143,8 +143,8 @@
     }
     bench.Step(std::chrono::milliseconds{1});
   }
-  // 500 a second for weights 300 and 100: 375 and 125, of which the small one
-  // asks for 200.
+  // A capacity of 500 per second at weights 300 and 100 gives 375 and 125; the
+  // small workspace offers 200.
   const double part = static_cast<double>(bench.started_by["small"]) /
                       static_cast<double>(bench.started_by["large"] +
                                           bench.started_by["small"]);
@@ -160,12 +160,12 @@
   bench.Offer(deep);
   bench.Offer(Make(Importance::kNormal, "w"));
   bool waits = false;
-  for (const auto &[id, ticket] : bench.waiting) {
-    waits = waits || ticket.depth == 3;
+  for (const auto &[id, request] : bench.waiting) {
+    waits = waits || request.depth == 3;
   }
   CHECK(waits);
   bench.Step(std::chrono::milliseconds{25});
-  for (const auto &[id, ticket] : bench.waiting) CHECK(ticket.depth == 0);
+  for (const auto &[id, request] : bench.waiting) CHECK(request.depth == 0);
 }
 
 TEST_CASE("admission: the limit follows the target, not what it announces") {
@@ -210,9 +210,11 @@
   CHECK(bench.shed[Importance::kNormal] == 1);
 }
 
-TEST_CASE("admission: one that is dropped at once takes no other with it") {
-  // A queue that grew while requests were quick is too long once they are slow;
-  // what comes then, with little time left, does not wait at all.
+TEST_CASE(
+    "admission: a request dropped on arrival causes no other to be shed") {
+  // A queue that grew while requests were fast is too long once they are slow.
+  // A request with little time left is then dropped on arrival and must not
+  // cause another one to be shed.
   pollenring::ManualClock clock{std::chrono::hours{1}};
   pollenring::AdmissionOptions options;
   options.limit.fixed = true;
@@ -221,11 +223,11 @@
   Admission admission{1, options, clock};
   std::uint64_t id = 0;
   const auto offer = [&](Importance importance, Duration left) {
-    AdmissionRequest ticket = Make(importance, "w");
-    ticket.id = ++id;
-    ticket.soft_deadline = clock.Now() + left;
-    ticket.deadline = ticket.soft_deadline;
-    return admission.Offer(ticket);
+    AdmissionRequest request = Make(importance, "w");
+    request.id = ++id;
+    request.soft_deadline = clock.Now() + left;
+    request.deadline = request.soft_deadline;
+    return admission.Offer(request);
   };
   const auto finish = [&](std::uint64_t which, Duration after) {
     clock.Advance(after);
@@ -252,12 +254,12 @@
                       offer(Importance::kLow, std::chrono::milliseconds{1}));
   REQUIRE(actions.shed.size() == 1);
   CHECK(actions.shed[0].id == id);
-  // One that waits still takes the place of the least important.
+  // A request that can wait still replaces the least important one.
   actions = offer(Importance::kHigh, std::chrono::seconds{30});
   CHECK(actions.shed.size() == 1);
 }
 
-TEST_CASE("admission: whatever comes, the least important goes for it") {
+TEST_CASE("admission: an arrival sheds at most one request for overload") {
   for (const auto seed : support::Seeds(30)) {
     CAPTURE(seed);
     SeededRandom random{seed};
@@ -270,7 +272,7 @@
     std::map<std::uint64_t, pollenring::Time> running;
     for (std::uint64_t id = 1; id <= 4000; ++id) {
       clock.Advance(std::chrono::microseconds{100 + random.Index(4000)});
-      // Requests are quick and slow by turns of a second.
+      // Requests alternate between fast and slow every second.
       const bool slow = clock.Now().count() / 1'000'000 % 2 == 1;
       const auto start = [&](const AdmissionActions &actions) {
         for (const auto started : actions.start) {
@@ -288,16 +290,16 @@
         start(admission.Finish(done, Duration{0}, false));
         it = running.begin();
       }
-      AdmissionRequest ticket =
+      AdmissionRequest request =
           Make(static_cast<Importance>(random.Index(4)), "w");
-      ticket.id = id;
-      ticket.depth = static_cast<int>(random.Index(2));
-      ticket.soft_deadline =
+      request.id = id;
+      request.depth = static_cast<int>(random.Index(2));
+      request.soft_deadline =
           clock.Now() + std::chrono::milliseconds{random.Index(900)};
-      ticket.deadline =
-          ticket.soft_deadline + std::chrono::milliseconds{random.Index(900)};
+      request.deadline =
+          request.soft_deadline + std::chrono::milliseconds{random.Index(900)};
       AdmissionActions actions;
-      REQUIRE_NOTHROW(actions = admission.Offer(ticket));
+      REQUIRE_NOTHROW(actions = admission.Offer(request));
       const auto shed =
           std::count_if(actions.shed.begin(), actions.shed.end(),
                         [](const pollenring::ShedRequest &out) {
@@ -309,7 +311,8 @@
   }
 }
 
-TEST_CASE("concurrency limit: a slow moment before a trial lowers nothing") {
+TEST_CASE(
+    "concurrency limit: a temporary slowdown before a trial doesn't lower it") {
   pollenring::ManualClock clock{std::chrono::hours{1}};
   pollenring::ConcurrencyLimit limit{4, {}, clock};
   const auto run = [&](Duration own, bool full, int count) {
@@ -319,7 +322,7 @@
     }
   };
   run(std::chrono::milliseconds{20}, false, 200);
-  // Twice as slow from now on; at first something else slows it down as well.
+  // Twice as slow from here on; at first, another cause slows it further.
   run(std::chrono::milliseconds{50}, true, 100);
   run(std::chrono::milliseconds{40}, true, 300);
   CHECK(limit.Current() == 4);
--- a/test/pollenring/admission/soft_deadline_queue_test.cc
+++ b/test/pollenring/admission/soft_deadline_queue_test.cc
@@ -12,18 +12,18 @@
 [[nodiscard]] AdmissionRequest Waiting(std::uint64_t id,
                                        pollenring::Time soft_deadline,
                                        Importance importance, int depth) {
-  AdmissionRequest ticket;
-  ticket.id = id;
-  ticket.soft_deadline = soft_deadline;
-  ticket.deadline = soft_deadline + 1s;
-  ticket.importance = importance;
-  ticket.depth = depth;
-  return ticket;
+  AdmissionRequest request;
+  request.id = id;
+  request.soft_deadline = soft_deadline;
+  request.deadline = soft_deadline + 1s;
+  request.importance = importance;
+  request.depth = depth;
+  return request;
 }
 
 }  // namespace
 
-TEST_CASE("aim queue: a short request passes those that have time") {
+TEST_CASE("soft deadline queue: the earliest soft deadline is served first") {
   SoftDeadlineQueue queue;
   queue.Push(Waiting(1, 300ms, Importance::kHigh, 2));
   queue.Push(Waiting(2, 320ms, Importance::kLow, 2));
@@ -34,21 +34,22 @@
   CHECK_FALSE(queue.Pop());
 }
 
-TEST_CASE("aim queue: calls for requests let in above are shed last") {
+TEST_CASE("soft deadline queue: sub-calls of admitted roots are shed last") {
   SoftDeadlineQueue queue;
   queue.Push(Waiting(1, 100ms, Importance::kLow, 1));
   queue.Push(Waiting(2, 100ms, Importance::kHigh, 0));
   queue.Push(Waiting(3, 100ms, Importance::kLow, 0));
   queue.Push(Waiting(4, 200ms, Importance::kLow, 0));
-  CHECK(queue.Lowest() == Importance::kLow);
+  CHECK(queue.LowestImportance() == Importance::kLow);
   CHECK(queue.PopWorst()->id == 4);
   CHECK(queue.PopWorst()->id == 3);
   CHECK(queue.PopWorst()->id == 2);
-  CHECK(queue.Lowest() == Importance::kCritical);
+  CHECK(queue.LowestImportance() == Importance::kCritical);
   CHECK(queue.PopWorst()->id == 1);
 }
 
-TEST_CASE("aim queue: what can't end in time leaves at once") {
+TEST_CASE(
+    "soft deadline queue: requests that can't finish in time are removed") {
   SoftDeadlineQueue queue;
   queue.Push(Waiting(1, 100ms, Importance::kLow, 0));
   queue.Push(Waiting(2, 900ms, Importance::kLow, 0));
--- a/test/pollenring/routing/router_test.cc
+++ b/test/pollenring/routing/router_test.cc
@@ -52,7 +52,8 @@
 
 }  // namespace
 
-TEST_CASE_METHOD(Fixture, "router: the own zone goes first while it has room") {
+TEST_CASE_METHOD(Fixture,
+                 "router: the own zone is preferred while it has capacity") {
   std::map<NodeId, int> started;
   for (int i = 0; i < 24; ++i) ++started[this->Start()];
   for (const auto &[node, count] : started) CHECK(node % 3 == 0);
@@ -64,8 +65,9 @@
   CHECK(elsewhere > 100);
 }
 
-TEST_CASE_METHOD(Fixture,
-                 "router: a failing target is set aside, probed back") {
+TEST_CASE_METHOD(
+    Fixture,
+    "router: a failing target is ejected and restored by a trial call") {
   for (int i = 0; i < 200; ++i) {
     const NodeId node = this->Start();
     this->router.Finished(
@@ -86,7 +88,7 @@
   round(CallVerdict::kFailed);
   CHECK(to_failing <= 1);
   this->clock.Advance(std::chrono::seconds{9});
-  // One trial, not a herd; and with its success the target is back.
+  // A single trial call; its success restores the target.
   NodeId trial = this->Start();
   CHECK(trial == 3);
   for (int i = 0; i < 50; ++i) CHECK(this->Start() != 3);
@@ -109,11 +111,11 @@
   dead.state = MemberState::kDead;
   this->router.Update(dead);
   for (int i = 0; i < 100; ++i) CHECK(this->Start() % 3 != 0);
-  CHECK(this->router.Count("s") == 6);
+  CHECK(this->router.TargetCount("s") == 6);
 }
 
-TEST_CASE_METHOD(Fixture, "router: reported load counts more than a lie") {
-  // Node 3 reports that it is full, though this node has sent it nothing.
+TEST_CASE_METHOD(Fixture, "router: reported load counts beyond own calls") {
+  // Node 3 reports that it is full, although this node has sent it no calls.
   this->router.Started("s", 3);
   this->router.Finished("s", 3, CallVerdict::kAnswered,
                         pollenring::LoadReport{40, 10});
@@ -126,7 +128,8 @@
   CHECK(to_full <= 40);
 }
 
-TEST_CASE_METHOD(Fixture, "router: with all set aside, each is still tried") {
+TEST_CASE_METHOD(Fixture,
+                 "router: with all targets ejected each is still tried") {
   for (int i = 0; i < 200; ++i) {
     const auto node = this->router.Choose("s", {});
     if (!node) continue;
@@ -141,7 +144,7 @@
     tried.push_back(*node);
   }
   CHECK_FALSE(this->router.Choose("s", tried));
-  // One that answers is usable again, and the others get trials only.
+  // A target that responds is usable again; the others get trial calls only.
   this->router.Finished("s", 4, CallVerdict::kAnswered, std::nullopt);
   CHECK(this->Start() == 4);
   CHECK_FALSE(this->router.Choose("s", {4}));
@@ -149,9 +152,10 @@
 
 namespace {
 
-/*! @brief A router in zone "a" that prefers the soonest answer. */
-struct SoonestWorld {
-  SoonestWorld(std::uint64_t seed, const std::vector<std::string> &zones)
+/*! @brief A router in zone "a" that prefers the lowest latency. */
+struct LowestLatencyFixture {
+  LowestLatencyFixture(std::uint64_t seed,
+                       const std::vector<std::string> &zones)
       : random{seed}, router{"a", "r", Options(), this->clock, this->random} {
     for (const auto &zone : zones) {
       Member member;
@@ -171,7 +175,7 @@
     return *node;
   }
 
-  /*! @brief Starts calls that all take 30 ms. @return How many each got. */
+  /*! @brief Runs calls that all take 30 ms. @return Calls per node. */
   std::map<NodeId, int> Spread(int calls) {
     std::map<NodeId, int> started;
     for (int i = 0; i < calls; ++i) {
@@ -198,11 +202,10 @@
 
 }  // namespace
 
-TEST_CASE(
-    "router: the target that answers soonest gets most, until it is full") {
-  SoonestWorld world{9, {"b", "b", "a"}};
+TEST_CASE("router: the fastest target gets most calls until it is full") {
+  LowestLatencyFixture world{9, {"b", "b", "a"}};
   std::map<pollenring::NodeId, int> started;
-  // The third is in this zone and takes three times as long.
+  // The third is in the own zone and takes three times as long.
   const auto took = [](pollenring::NodeId id) {
     return pollenring::Duration{id == 3 ? 90'000 : 30'000};
   };
@@ -216,7 +219,7 @@
   CHECK(started[3] < 40);
   CHECK(started[1] > 100);
   CHECK(started[2] > 100);
-  // With the sooner ones overfull it takes its part.
+  // With the faster ones overloaded it gets its part.
   started.clear();
   for (int i = 0; i < 80; ++i) {
     const pollenring::NodeId node = world.Start();
@@ -226,9 +229,9 @@
 }
 
 TEST_CASE(
-    "router: a target that breaks off a fifth of its answers is left alone") {
-  SoonestWorld world{5, {"a", "a"}};
-  const auto play = [&](int calls, double broken) {
+    "router: a target that truncates a fifth of its responses is avoided") {
+  LowestLatencyFixture world{5, {"a", "a"}};
+  const auto run = [&](int calls, double broken) {
     int to_second = 0;
     for (int i = 0; i < calls; ++i) {
       const pollenring::NodeId node = world.Start();
@@ -244,15 +247,15 @@
     }
     return to_second;
   };
-  CHECK(play(1000, 0) > 350);
-  // Failures in a row alone leave it 88 calls of these 1500.
-  CHECK(play(1500, 0.2) < 40);
-  CHECK(play(2000, 0) > 400);
-  CHECK(play(1000, 0) > 350);
+  CHECK(run(1000, 0) > 350);
+  // Ejection by consecutive failures alone leaves it 88 of 1500 calls.
+  CHECK(run(1500, 0.2) < 40);
+  CHECK(run(2000, 0) > 400);
+  CHECK(run(1000, 0) > 350);
 }
 
-TEST_CASE("router: what fails at all targets alike leaves them all in use") {
-  SoonestWorld world{5, {"a", "a"}};
+TEST_CASE("router: equal fault rates leave all targets in use") {
+  LowestLatencyFixture world{5, {"a", "a"}};
   std::map<pollenring::NodeId, int> started;
   for (int i = 0; i < 2000; ++i) {
     const pollenring::NodeId node = world.Start();
@@ -268,29 +271,29 @@
   CHECK(started[2] > 600);
 }
 
-TEST_CASE("router: targets of withdrawn zones get nothing until given back") {
-  SoonestWorld world{4, {"a", "b", "c"}};
+TEST_CASE("router: targets of withdrawn zones get no calls until restored") {
+  LowestLatencyFixture world{4, {"a", "b", "c"}};
   std::vector<Member> members;
   for (NodeId id = 1; id <= 3; ++id) {
     Member member = Make(id, std::string(1, static_cast<char>('a' + id - 1)));
     members.push_back(member);
   }
   const auto follow = [&](const std::vector<std::string> &zones) {
-    REQUIRE(world.router.Withdraw(zones));
+    REQUIRE(world.router.SetWithdrawnZones(zones));
     for (const auto &member : members) world.router.Update(member);
   };
   follow({"a", "c"});
   for (int i = 0; i < 50; ++i) CHECK(world.Start() == 2);
   follow({"a", "b", "c"});
   CHECK_FALSE(world.router.Choose("s", {}));
-  CHECK(world.router.Count("s") == 0);
+  CHECK(world.router.TargetCount("s") == 0);
   follow({});
   CHECK(world.Spread(90).size() == 3);
-  CHECK_FALSE(world.router.Withdraw({}));
+  CHECK_FALSE(world.router.SetWithdrawnZones({}));
 }
 
 TEST_CASE("router: a request stays in the regions that it names") {
-  SoonestWorld world{6, {"a", "a", "a"}};
+  LowestLatencyFixture world{6, {"a", "a", "a"}};
   Member away = Make(4, "far");
   away.region = "q";
   world.router.Update(away);
@@ -304,7 +307,7 @@
   }
   CHECK_FALSE(world.router.Choose("s", {4}, {"q"}));
   CHECK_FALSE(world.router.Choose("s", {}, {"none"}));
-  // Also when all targets there are set aside, and others are not.
+  // Also if all targets there are ejected and others are not.
   for (int i = 0; i < 3; ++i) {
     world.router.Started("s", 4);
     world.router.Finished("s", 4, CallVerdict::kFailed, std::nullopt);
@@ -312,18 +315,18 @@
   CHECK(world.router.Choose("s", {}, {"q"}) == NodeId{4});
 }
 
-TEST_CASE("router: a target is warm again when it said that it would be") {
-  SoonestWorld world{8, {"a", "a"}};
+TEST_CASE("router: a target is warm again after its reported cold time") {
+  LowestLatencyFixture world{8, {"a", "a"}};
   world.router.Started("s", 1);
   pollenring::LoadReport cold{1, 20};
   cold.cold_ms = 2000;
   world.router.Finished("s", 1, CallVerdict::kShed, cold);
-  CHECK(world.router.HasWarm("s"));
+  CHECK(world.router.HasWarmTarget("s"));
   world.router.Started("s", 2);
   world.router.Finished("s", 2, CallVerdict::kShed, cold);
-  CHECK_FALSE(world.router.HasWarm("s"));
+  CHECK_FALSE(world.router.HasWarmTarget("s"));
   world.clock.Advance(std::chrono::milliseconds{2001});
-  CHECK(world.router.HasWarm("s"));
+  CHECK(world.router.HasWarmTarget("s"));
   const auto started = world.Spread(90);
   CHECK(started.at(1) > 20);
   CHECK(started.at(2) > 20);
