Reword comments of membership

Comments spoke of silent members, cuts, nodes on duty and word of the store, which misled readers who know SWIM and gossip by the usual terms. They say unreachable, network partition, designated watcher and store contact.

--- a/src/pollenring/membership/member.h
+++ b/src/pollenring/membership/member.h
@@ -15,10 +15,10 @@
 
 namespace pollenring {
 
-/*! @brief A node's address as one integer; unique among living nodes. */
+/*! @brief A node's address packed into an integer; unique among live nodes. */
 using NodeId = std::uint64_t;
 
-/*! @brief What is believed of a node. */
+/*! @brief Liveness of a node as its peers see it. */
 enum class MemberState { kAlive = 0, kLeaving = 1, kSuspect = 2, kDead = 3 };
 
 /*! @brief Names of the member states. */
@@ -29,7 +29,7 @@
     {MemberState::kDead, "dead"},
 }}};
 
-/*! @brief What a target says of itself. */
+/*! @brief State that a target announces. */
 enum class TargetState { kCold = 0, kWarm = 1, kDraining = 2 };
 
 /*! @brief Names of the target states. */
@@ -39,7 +39,7 @@
     {TargetState::kDraining, "draining"},
 }}};
 
-/*! @brief A state that this build lacks: no new calls, and not dead. */
+/*! @brief Unknown states: no new calls, but not dead. */
 template <>
 struct WireEnum<MemberState> {
   static constexpr bool kTravels = true;
@@ -48,7 +48,7 @@
   static constexpr MemberState kUnknown = MemberState::kLeaving;
 };
 
-/*! @brief A state that this build lacks: no calls. */
+/*! @brief Unknown states: no calls. */
 template <>
 struct WireEnum<TargetState> {
   static constexpr bool kTravels = true;
@@ -57,7 +57,7 @@
   static constexpr TargetState kUnknown = TargetState::kDraining;
 };
 
-/*! @brief The target beside a node, as it announced itself. */
+/*! @brief A target co-located with a node, as announced. */
 struct Target {
   std::string service;
   std::uint32_t slots{};
@@ -94,23 +94,23 @@
   }
 };
 
-/*! @brief A node, its place and its target. */
+/*! @brief A node, its location and its targets. */
 struct Member {
   NodeId id{};
-  std::uint64_t process{};     /*!< Random; fixed from start to end. */
-  std::uint64_t incarnation{}; /*!< Greater after each start. */
-  std::uint64_t version{};     /*!< Greater after each change by the node. */
+  std::uint64_t process{};     /*!< Random; constant for the process. */
+  std::uint64_t incarnation{}; /*!< Increases with each start. */
+  std::uint64_t version{};     /*!< Increases with each change by the node. */
   MemberState state{MemberState::kAlive};
   std::string zone;
   std::string region;
   std::vector<Target> targets;
   std::vector<SlotClaim> slots;
-  std::uint8_t wire{}; /*!< Newest form of messages that it speaks, or 0. */
+  std::uint8_t wire{}; /*!< Newest wire version it supports; 0: unknown. */
 
   /**
-   * @brief Tells which of two records of one node is newer.
+   * @brief Compares two records of one node.
    * @param other The other record.
-   * @return Whether this one replaces the other.
+   * @return True if this record is newer than the other one.
    */
   [[nodiscard]] bool Supersedes(const Member &other) const noexcept {
     return std::tie(this->incarnation, this->version, this->state) >
@@ -134,7 +134,7 @@
 /**
  * @brief Unpacks a node's address.
  * @param id The node.
- * @return Address of its link port and its datagram port.
+ * @return Its address; links and datagrams use the same port.
  */
 [[nodiscard]] inline Address AddressOf(NodeId id) noexcept {
   return {static_cast<std::uint32_t>(id >> 16U),
@@ -159,7 +159,7 @@
   }
 };
 
-/*! @brief Builds of V1 and V2 skip what stands behind the slots. */
+/*! @brief Builds of V1 and V2 ignore what follows the slots. */
 template <>
 struct ArrayLayout<Member, WireVersion::kV1> {
   static constexpr bool kFrozen = true;
--- a/src/pollenring/membership/membership.cc
+++ b/src/pollenring/membership/membership.cc
@@ -75,7 +75,8 @@
                              this->probe->sequence == gossip.sequence;
   if (answers_probe) this->probe.reset();
   if (gossip.kind == GossipKind::kPing) {
-    // A peer that is unknown here, or thought gone, must learn and refute it.
+    // An unknown peer needs this node's record; one held suspect or dead here
+    // needs that record to refute it.
     const Member *peer = this->Find(gossip.from);
     if (peer == nullptr) this->Enqueue(this->self.id);
     if (peer != nullptr && peer->state >= MemberState::kSuspect) {
@@ -85,7 +86,8 @@
   }
   this->observer.PeerConfigVersion(gossip.from, gossip.config_version);
   this->observer.PeerZones(gossip.zones);
-  // Only one that holds as new a version is as sure of it.
+  // The peer's store contact counts only if this node holds at least the
+  // configuration that the peer has.
   const bool as_new = gossip.config_version <= this->config_version;
   if (as_new && gossip.store_age_ms >= 0) {
     const Span age = std::chrono::milliseconds{gossip.store_age_ms};
@@ -168,7 +170,7 @@
 }
 
 std::uint64_t Membership::DigestOf(const Member &record) {
-  // Dead records are forgotten at different times; they do not count.
+  // Nodes expire dead records at different times, so these are left out.
   if (record.state == MemberState::kDead) return 0;
   const std::string text = std::to_string(record.id) + '/' +
                            std::to_string(record.incarnation) + '/' +
@@ -196,7 +198,7 @@
   if (gossip.digest == this->WholeDigest()) return;
   const Time now = this->clock.Now();
   const Span quiet = this->options.quiet_before_exchange;
-  // A young node lacks most records; waiting for gossip would take seconds.
+  // A node that just started lacks most records; gossip would take seconds.
   const bool young = now - this->started < this->options.young_for;
   if (!young && now - this->last_change < quiet) return;
   const Span pause = young ? this->options.young_pause : quiet;
@@ -207,7 +209,7 @@
 
 void Membership::Refute(const Member &rumour) {
   if (rumour.incarnation > this->self.incarnation) {
-    // The wall clock went back over a restart: go past the predecessor.
+    // The wall clock went back over a restart: exceed the last incarnation.
     this->Touch(this->self);
     this->self.incarnation = rumour.incarnation + 1;
     this->Touch(this->self);
@@ -317,7 +319,8 @@
       }
     }
     const NodeId id = this->order[this->next_in_order++];
-    // Dead nodes are probed at times, so that two sides of a healed cut meet.
+    // Dead nodes are probed occasionally, so that the sides of a healed
+    // network partition find each other.
     constexpr double kDeadProbeChance = 0.1;
     const bool dead = this->members.at(id).state == MemberState::kDead;
     if (dead && !this->random.Chance(kDeadProbeChance)) continue;
--- a/src/pollenring/membership/membership.h
+++ b/src/pollenring/membership/membership.h
@@ -15,7 +15,7 @@
 
 namespace pollenring {
 
-/*! @brief Whether a gossip datagram asks for an answer. */
+/*! @brief Whether a gossip datagram requires a reply. */
 enum class GossipKind { kPing = 0, kAck = 1 };
 
 /*! @brief Names of the kinds. */
@@ -24,7 +24,7 @@
     {GossipKind::kAck, "ack"},
 }}};
 
-/*! @brief A kind that this build lacks: no answer. */
+/*! @brief Unknown kinds: no reply. */
 template <>
 struct WireEnum<GossipKind> {
   static constexpr bool kTravels = true;
@@ -39,12 +39,12 @@
   NodeId from{};
   std::uint64_t sequence{};
   std::uint64_t config_version{};
-  std::int64_t store_age_ms{-1}; /*!< Of the store's newest word; -1: none. */
-  std::uint64_t digest{};        /*!< Of all records that the sender holds. */
-  ZonesWord zones;               /*!< The newest that the sender has heard. */
+  std::int64_t store_age_ms{-1}; /*!< Of the last store contact; -1: none. */
+  std::uint64_t digest{};        /*!< Over all records of the sender. */
+  ZonesWord zones;               /*!< The newest known to the sender. */
   std::vector<Member> updates;
-  std::uint8_t wire{}; /*!< Newest form that the sender speaks, or 0. */
-  bool again{}; /*!< Does not travel; a probe that had no answer so far. */
+  std::uint8_t wire{}; /*!< Newest wire version of the sender, or 0. */
+  bool again{};        /*!< Not encoded; marks the retry of a probe. */
 };
 
 template <>
@@ -60,7 +60,7 @@
   }
 };
 
-/*! @brief Builds of V1 and V2 skip what stands behind the updates. */
+/*! @brief Builds of V1 and V2 ignore what follows the updates. */
 template <>
 struct ArrayLayout<Gossip, WireVersion::kV1> {
   static constexpr bool kFrozen = true;
@@ -83,7 +83,8 @@
   }
 };
 
-/*! @brief In the eighth place V2 has its updates, and V1 what it skips. */
+/*! @brief The eighth element is the array of updates in V2, and absent or an
+ * integer that builds ignore in V1. */
 template <>
 struct ArrayVersion<Gossip> {
   [[nodiscard]] static WireVersion Of(const msgpack::object_array &array) {
@@ -94,13 +95,13 @@
   }
 };
 
-/*! @brief Parts into which records are sorted to find those that differ. */
+/*! @brief Partitions of the records whose digests are compared. */
 inline constexpr std::size_t kDigestParts = 64;
 
-/*! @brief Digest of the records of each part. */
+/*! @brief Digest of the records of each partition. */
 using PartDigests = std::array<std::uint64_t, kDigestParts>;
 
-/*! @brief Records of the parts that differ, and digests of all parts. */
+/*! @brief Records of the partitions that differ, and all digests. */
 struct RecordsOfParts {
   PartDigests digests{};
   std::vector<Member> records;
@@ -124,7 +125,7 @@
   }
 };
 
-/*! @brief Asks for the records of the parts that differ. */
+/*! @brief Requests the records of the partitions that differ. */
 struct DigestsAsk {
   PartDigests digests{};
 };
@@ -138,7 +139,7 @@
   }
 };
 
-/*! @brief What membership asks of its surroundings. */
+/*! @brief Dependencies of membership. */
 class MembershipObserver {
  public:
   MembershipObserver() = default;
@@ -152,15 +153,16 @@
   /*! @brief A member's record has changed. @param member The new record. */
   virtual void MemberChanged(const Member &member) = 0;
 
-  /*! @brief A peer holds other records, for long. @param peer Exchange those
-   * that differ with it. */
+  /*! @brief A peer's records differ persistently. @param peer Peer to exchange
+   * the differing records with. */
   virtual void RecordsDiffer(NodeId peer) = 0;
 
-  /*! @brief A peer has told its version. @param peer Peer. @param version It.
-   */
+  /*! @brief A peer reports its configuration version. @param peer Peer.
+   * @param version Its version. */
   virtual void PeerConfigVersion(NodeId peer, std::uint64_t version) = 0;
 
-  /*! @brief A peer has told which zones are withdrawn. @param word Its word. */
+  /*! @brief A peer reports which zones are withdrawn. @param withdrawals Its
+   * report. */
   virtual void PeerZones(const ZonesWord &word) = 0;
 };
 
@@ -171,42 +173,44 @@
   int probe_tries{3};
   Span suspicion_timeout{std::chrono::milliseconds{1500}};
   Span tombstone_age{std::chrono::minutes{10}};
-  /*! @brief Time for which a silent member may be behind a cut; cuts last for
-   * seconds, and one that has ended for good never comes back. */
+  /*! @brief Time for which an unreachable member may be behind a network
+   * partition. Partitions last for seconds, and a member that has ended for
+   * good never recovers. */
   Span silent_age{std::chrono::minutes{1}};
   Span quiet_before_exchange{std::chrono::seconds{2}};
-  /*! @brief Time after its start in which a node fetches what differs without
-   * waiting for quiet; hundreds that start together never are quiet. */
+  /*! @brief Time after its start in which a node fetches differing records
+   * without waiting for changes to stop; while hundreds start together, they
+   * never do. */
   Span young_for{std::chrono::seconds{6}};
-  /*! @brief Pause between two such exchanges; one takes some milliseconds. */
+  /*! @brief Pause between two such exchanges; one takes a few milliseconds. */
   Span young_pause{std::chrono::milliseconds{400}};
   std::size_t updates_per_gossip{8};
-  std::size_t spread_factor{3}; /*!< Sends per update, times log2 of members. */
+  std::size_t spread_factor{3}; /*!< Sends per update / log2(members). */
 };
 
 /**
- * @brief Who is there, learned from peers at a constant cost per node.
+ * @brief SWIM-like membership at a constant cost per node.
  *
- * Each period one random peer is probed. Changes ride on probes and answers; a
- * change is passed on a number of times that grows with the logarithm of the
- * membership. A node that is suspected refutes by a newer version.
+ * Each period one random peer is probed. Updates are piggybacked on probes and
+ * acks; each is sent a number of times that grows with the logarithm of the
+ * membership. A suspected node refutes with a newer version.
  */
 class Membership {
  public:
   /**
-   * @brief Starts with oneself as the only member.
+   * @brief Starts with this node as the only member.
    * @param self Own record.
    * @param options Timing.
    * @param clock Clock.
-   * @param random Randomness.
-   * @param observer Receives datagrams and changes.
+   * @param random Source of randomness.
+   * @param observer Sends datagrams and is notified of changes.
    */
   Membership(Member self, const MembershipOptions &options, const Clock &clock,
              Random &random, MembershipObserver &observer);
 
   [[nodiscard]] const Member &Self() const noexcept { return this->self; }
 
-  /*! @brief All other known records, dead ones included. @return By node. */
+  /*! @brief All other known records, including dead ones. @return By node. */
   [[nodiscard]] const std::unordered_map<NodeId, Member> &Members()
       const noexcept {
     return this->members;
@@ -223,56 +227,56 @@
   [[nodiscard]] std::vector<Member> Snapshot() const;
 
   /**
-   * @brief Collects what a peer may lack or hold otherwise.
-   * @param theirs Its digests.
-   * @return Records of the parts whose digests differ, and own digests.
+   * @brief Collects records that a peer may lack or hold in other versions.
+   * @param theirs The peer's digests.
+   * @return Records of the partitions that differ, and own digests.
    */
   [[nodiscard]] RecordsOfParts Differing(const PartDigests &theirs) const;
 
-  /*! @brief Digests to compare with a peer's. @return Them. */
+  /*! @brief Digests to compare with a peer's. @return One per partition. */
   [[nodiscard]] const PartDigests &Digests() const noexcept {
     return this->digests;
   }
 
-  /*! @brief Changes of any record so far. @return The count, 1 or more. */
+  /*! @brief Record changes so far. @return The count, at least 1. */
   [[nodiscard]] std::uint64_t Changes() const noexcept { return this->changes; }
 
   /**
-   * @brief Members that fell silent of late without having said that they
-   * leave.
+   * @brief Members that recently became unreachable without announcing that
+   * they leave.
    * @return The count.
    */
   [[nodiscard]] std::size_t Silent() const noexcept {
     return this->silent_since.size();
   }
 
-  /*! @brief Time since any other node was heard. @return The age. */
+  /*! @brief Time since the last contact with any other node. @return Age. */
   [[nodiscard]] Span Silence() const noexcept {
     return this->clock.Now() - this->last_heard;
   }
 
   /**
-   * @brief Tells when the store last answered any node, as far as is known.
+   * @brief Last time that the store responded to any node, as far as known.
    *
-   * What the store held then has been told together with it.
-   * @return The time; 0 when nothing was ever heard.
+   * What the store held then was reported together with it.
+   * @return The time; 0 before any contact.
    */
   [[nodiscard]] Time StoreHeard() const noexcept { return this->store_heard; }
 
-  /*! @brief The store has answered this node. */
+  /*! @brief Records that the store has responded to this node. */
   void HearStore() noexcept { this->store_heard = this->clock.Now(); }
 
-  /*! @brief Advances probes and suspicions; call it often. */
+  /*! @brief Advances probes and suspicions; to be called frequently. */
   void Tick();
 
   /**
-   * @brief Takes in a datagram.
+   * @brief Handles a datagram.
    * @param gossip Content.
    */
   void Receive(const Gossip &gossip);
 
   /**
-   * @brief Takes in records learned another way.
+   * @brief Merges records that did not arrive by gossip.
    * @param records The records.
    */
   void Merge(const std::vector<Member> &records);
@@ -284,29 +288,29 @@
   void Contact(NodeId id);
 
   /**
-   * @brief Replaces what the own targets announce.
+   * @brief Replaces the targets that this node announces.
    * @param targets The targets.
    */
   void Announce(std::vector<Target> targets);
 
   /**
-   * @brief Replaces the slots that this node says it holds.
+   * @brief Replaces the slots that this node claims to hold.
    * @param slots The slots.
    */
   void Claim(std::vector<SlotClaim> slots);
 
-  /*! @brief Tells all others that this node leaves. */
+  /*! @brief Announces to all others that this node leaves the fleet. */
   void Leave();
 
   /**
-   * @brief Sets the version that datagrams carry.
-   * @param version Configuration version in force here.
+   * @brief Sets the configuration version that datagrams carry.
+   * @param version Active version of this node.
    */
   void SetConfigVersion(std::uint64_t version);
 
   /**
-   * @brief Sets the word of withdrawn zones that datagrams carry.
-   * @param word The newest word here.
+   * @brief Sets the withdrawn zones that datagrams carry.
+   * @param withdrawals The newest known to this node.
    */
   void SetZones(const ZonesWord &word) { this->zones = word; }
 
@@ -349,7 +353,7 @@
   std::unordered_map<NodeId, Time> suspected_at;
   std::unordered_map<NodeId, Time> died_at;
   std::unordered_map<NodeId, Time> silent_since;
-  /*! @brief Incarnations that have said that they leave. */
+  /*! @brief Incarnations that have announced that they leave. */
   std::unordered_map<NodeId, std::uint64_t> left;
   std::map<NodeId, Spread> spreading;
   NodeId last_spread{};
@@ -360,7 +364,7 @@
   Time last_change{};
   Time last_exchange{};
   std::uint64_t changes{};
-  PartDigests digests{}; /*!< Exclusive or over the records of each part. */
+  PartDigests digests{}; /*!< XOR of the records of each partition. */
   std::uint64_t sequence{};
   std::uint64_t config_version{};
   ZonesWord zones;
--- a/src/pollenring/membership/store_duty.cc
+++ b/src/pollenring/membership/store_duty.cc
@@ -9,10 +9,10 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Tells these draws from others over the same nodes. */
+/*! @brief Salt that separates this order from others of the same nodes. */
 constexpr std::uint64_t kDraw = 0x73746f7265;
 
-/*! @brief Order of nodes, the same at all of them. */
+/*! @brief Order of nodes, the same on all of them. */
 [[nodiscard]] std::uint64_t OrderOf(NodeId node) noexcept {
   return HashNumber(node, kDraw);
 }
--- a/src/pollenring/membership/store_duty.h
+++ b/src/pollenring/membership/store_duty.h
@@ -10,36 +10,35 @@
 
 namespace pollenring {
 
-/*! @brief Who asks the store on behalf of all nodes. */
+/*! @brief How many nodes watch the store on behalf of all. */
 struct StoreDutyOptions {
-  std::size_t per_zone{2}; /*!< So that one lost node leaves another. */
+  std::size_t per_zone{2}; /*!< So that one node can fail. */
   std::size_t fewest{6};   /*!< In all zones; a third may be cut off at once. */
-  /*! @brief Age of the newest word from the store at which others step in;
-   * with nodes on duty at work it reaches 300 nodes sooner. */
+  /*! @brief Age of the last store contact at which other nodes take over;
+   * while the designated watchers work, it reaches 300 nodes sooner. */
   Span stale_after{std::chrono::milliseconds{2500}};
-  /*! @brief Time between two nodes of a zone that step in. */
+  /*! @brief Delay from one node of a zone that takes over to the next. */
   Span step_in{std::chrono::milliseconds{40}};
-  /*! @brief Longest wait of one watch. A change must be in force within 2 s on
-   * a node that was undisturbed for 3 s; a connection may fall silent
-   * unnoticed.
-   */
+  /*! @brief Maximum wait of one watch. A change must be active within 2 s on
+   * a node that was undisturbed for 3 s, and a connection may stop responding
+   * unnoticed. */
   Span longest_watch{std::chrono::milliseconds{2200}};
 };
 
 /**
- * @brief Decides whether this node asks the store, or hears of it from others.
+ * @brief Decides whether this node watches the store or relies on gossip.
  *
- * A few nodes of each availability zone are on duty, drawn by hashing among
- * those that live, so their number does not grow with the nodes. The age of the
- * newest word from the store travels with gossip; where it grows old, further
- * nodes step in, one after the other.
+ * A few live nodes of each availability zone are designated watchers, chosen by
+ * hashing, so their number does not grow with the fleet. Gossip carries the age
+ * of the last store contact; where it is too old, further nodes take over, one
+ * after the other.
  */
 class StoreDuty {
  public:
   /**
-   * @brief Creates the decision.
-   * @param membership Who is there, and how old the word of the store is.
-   * @param versions What the builds of other nodes can tell.
+   * @brief Creates the role.
+   * @param membership Live nodes, and the last store contact.
+   * @param versions Wire versions of other nodes.
    * @param options Limits.
    * @param clock Clock.
    */
@@ -50,27 +49,27 @@
         options{options},
         clock{clock} {}
 
-  /*! @brief Whether this node is one of those of its zone. @return So. */
+  /*! @brief Whether this node is a designated watcher. @return True if so. */
   [[nodiscard]] bool OnDuty() const { return this->Rank() < this->Needed(); }
 
-  /*! @brief Whether this node is to ask the store now. @return So. */
+  /*! @brief Whether this node should watch the store. @return True if so. */
   [[nodiscard]] bool Asks() const;
 
   /**
    * @brief Draws how long the store may hold the next watch.
    *
-   * A change answers all watches at once; equal waits would leave the fleet
-   * without word of the store in between.
-   * @param random Randomness.
-   * @return From half of the longest wait to all of it.
+   * A change completes all watches at once; with equal waits the fleet would
+   * have no contact with the store in between.
+   * @param random Source of randomness.
+   * @return From half of the maximum wait to all of it.
    */
   [[nodiscard]] Span NextWatch(Random &random) const;
 
  private:
-  /*! @brief Nodes of the own zone that go before this one, and tell all that
-   * the store says. */
+  /*! @brief Nodes of this zone that precede this one and report withdrawn
+   * zones. */
   [[nodiscard]] std::size_t Rank() const;
-  /*! @brief Nodes on duty in each zone. */
+  /*! @brief Designated watchers in each zone. */
   [[nodiscard]] std::size_t Needed() const;
 
   const Membership &membership;
--- a/test/pollenring/membership/membership_test.cc
+++ b/test/pollenring/membership/membership_test.cc
@@ -77,7 +77,7 @@
   fleet.Run(std::chrono::seconds{30});
   fleet.exchanges = 0;
   fleet.Run(std::chrono::seconds{30});
-  // A fleet at rest exchanges no full records.
+  // A fleet without changes exchanges no full records.
   CHECK(fleet.exchanges == 0);
 }
 
@@ -117,7 +117,7 @@
   right.Merge({record(1, 1), record(500, 2)});
   const auto theirs = right.Differing(left.Digests());
   const auto own = left.Differing(theirs.digests);
-  // Two parts of 64 differ.
+  // Two partitions of 64 differ.
   CHECK(theirs.records.size() < kMembers / 16);
   CHECK(own.records.size() == theirs.records.size());
   left.Merge(theirs.records);
--- a/test/pollenring/membership/store_duty_test.cc
+++ b/test/pollenring/membership/store_duty_test.cc
@@ -19,15 +19,15 @@
 using pollenring::Time;
 using support::MemberFleet;
 
-/*! @brief Nodes that ask a store, as often as their duty says. */
+/*! @brief Nodes that watch a store whenever their role says so. */
 class Watchers {
  public:
   explicit Watchers(MemberFleet &fleet) : fleet{fleet} {}
 
-  /*! @brief Whether the store answers a node. */
+  /*! @brief Whether the store responds to a node. */
   std::function<bool(int)> reaches = [](int) { return true; };
 
-  /*! @brief Runs; a change of version is written at the given time. */
+  /*! @brief Runs the fleet and its watches. @param length For this long. */
   void Run(std::chrono::milliseconds length) {
     constexpr auto kStep = 100ms;
     for (auto passed = 0ms; passed < length; passed += kStep) {
@@ -37,7 +37,7 @@
     }
   }
 
-  /*! @brief Highest age of the store's word at a node that lives. */
+  /*! @brief Maximum age of the last store contact over the live nodes. */
   [[nodiscard]] Span Oldest() const {
     Span oldest{0};
     for (int i = 0; i < this->fleet.Size(); ++i) {
@@ -87,7 +87,7 @@
     }
     INFO("nodes " << size << ", calls " << watchers.calls << ", oldest "
                   << oldest.count());
-    // Six nodes on duty, a call each 1.1 to 2.2 s, seen each 100 ms.
+    // Six designated watchers, a call each 1.1 to 2.2 s, in steps of 100 ms.
     CHECK(watchers.calls < 6 * 20);
     CHECK(watchers.calls > 6 * 20 / 3);
     CHECK(oldest < 2500ms);
@@ -101,7 +101,7 @@
     MemberFleet fleet{100, seed};
     Watchers watchers{fleet};
     watchers.Run(20s);
-    // The store turns away all that are on duty now, and a third of the rest.
+    // The store rejects all designated watchers and a third of the others.
     std::set<int> refused;
     for (int i = 0; i < fleet.Size(); ++i) {
       const StoreDuty duty{*fleet.At(i), versions, StoreDutyOptions{},
@@ -119,7 +119,8 @@
     // Far from one call a second for each of 100 nodes.
     CHECK(watchers.calls < 300);
     watchers.reaches = [](int) { return true; };
-    // All nodes on duty are killed at once; word of the store is old by then.
+    // All designated watchers are killed at once, while the last store contact
+    // is already old.
     std::vector<int> on_duty;
     for (int i = 0; i < fleet.Size(); ++i) {
       const StoreDuty duty{*fleet.At(i), versions, StoreDutyOptions{},
@@ -144,7 +145,7 @@
 }
 
 TEST_CASE("store duty: nodes that tell nothing of zones don't count") {
-  // Of 30 nodes the first ten run today's build, the others V1.
+  // Of 30 nodes the first ten run this build, the others V1.
   MemberFleet fleet{30, 5};
   fleet.Run(10s);
   pollenring::PeerVersions versions;
