Reword comments of the wire format

Comments called encodings forms and array positions places, and spoke of what peers tell and hear, so a reader could not tell a wire version from a message type. They say wire version, position and report. No code token differs from the commit before; only comments do.

--- a/src/pollenring/wire/codec.h
+++ b/src/pollenring/wire/codec.h
@@ -11,7 +11,7 @@
 
 namespace pollenring {
 
-/*! @brief What was received, and in which form. */
+/*! @brief A received structure and its wire version. */
 template <typename Value>
 struct Decoded {
   Value value;
@@ -19,7 +19,7 @@
 };
 
 /**
- * @brief Packs a structure in this build's own form.
+ * @brief Packs a structure in the newest wire version.
  * @param value The structure.
  * @return Its bytes.
  */
@@ -32,9 +32,9 @@
 }
 
 /**
- * @brief Unpacks a structure of this build's own form.
+ * @brief Unpacks a structure of the newest wire version.
  * @param bytes Its bytes.
- * @return The structure, or nothing when the bytes are of another form.
+ * @return The structure, or nothing when the bytes are malformed.
  */
 template <typename Value>
 [[nodiscard]] std::optional<Value> Unpack(std::string_view bytes) {
@@ -51,7 +51,7 @@
 /**
  * @brief Packs a structure for a peer.
  * @param value The structure.
- * @param version What the peer reads; of no effect without frozen layouts.
+ * @param version What the peer reads; ignored without frozen layouts.
  * @return Its bytes.
  */
 template <typename Value>
@@ -72,9 +72,9 @@
 }
 
 /**
- * @brief Unpacks a structure of any form that a landed build writes.
+ * @brief Unpacks a structure of any wire version that a released build writes.
  * @param bytes Its bytes.
- * @return The structure, or nothing when the bytes are of another form.
+ * @return The structure, or nothing when the bytes are malformed.
  */
 template <typename Value>
 [[nodiscard]] std::optional<Decoded<Value>> Decode(std::string_view bytes) {
@@ -109,9 +109,10 @@
 }
 
 /**
- * @brief Tells by its first byte whether a message has its fields by number.
+ * @brief Infers the wire version of a message by its first byte: messages with
+ * numbered fields are maps.
  * @param bytes The message.
- * @return The newest version, or the one that all builds read.
+ * @return The newest version, or the one that all builds can read.
  */
 [[nodiscard]] inline WireVersion FormOf(std::string_view bytes) noexcept {
   if (bytes.empty()) return kCommonWire;
--- a/src/pollenring/wire/forms.h
+++ b/src/pollenring/wire/forms.h
@@ -12,22 +12,22 @@
 namespace pollenring {
 
 /**
- * @brief The fields of a structure, in their places in a version's arrays.
+ * @brief The fields of a structure, in the order of a version's arrays.
  *
- * Specialised beside each structure that also has a form by name. A layout is
- * frozen: builds that have landed read and write it.
+ * Specialised next to each structure that is also encoded by position. A layout
+ * is frozen: released builds read and write it.
  */
 template <typename Value, WireVersion version>
 struct ArrayLayout {
   static constexpr bool kFrozen = false;
 };
 
-/*! @brief As V1, unless the structure says otherwise. */
+/*! @brief Same as V1, unless specialised. */
 template <typename Value>
 struct ArrayLayout<Value, WireVersion::kV2>
     : ArrayLayout<Value, WireVersion::kV1> {};
 
-/*! @brief One field and its number, which it keeps for good. */
+/*! @brief A field and its number, which never changes. */
 template <typename Value>
 struct Field {
   Field(std::uint64_t number, Value &value) : number{number}, value{value} {}
@@ -39,15 +39,15 @@
 /**
  * @brief The numbers of a structure's fields, for all versions from V3 on.
  *
- * Specialised beside each structure that can grow. A new field takes a number
- * that was never used, and one that is given up keeps its own.
+ * Specialised next to each structure that can grow. A new field takes a number
+ * that was never used; the number of a removed field is not reused.
  */
 template <typename Value>
 struct NumberedLayout {
   static constexpr bool kGrows = false;
 };
 
-/*! @brief What a version is written in place of a value that it lacks. */
+/*! @brief What is written to a version that lacks a value. */
 template <typename Value, WireVersion version>
 struct InPlaceOf {
   [[nodiscard]] static const Value &Write(const Value &value) noexcept {
@@ -55,7 +55,7 @@
   }
 };
 
-/*! @brief What a message holds of each field that it does not carry. */
+/*! @brief Initial value of a structure, for the fields that a message lacks. */
 template <typename Value>
 [[nodiscard]] Value WhenMissing() {
   return {};
@@ -68,7 +68,7 @@
 struct HasLayout<std::vector<Value>> : HasLayout<Value> {};
 
 /**
- * @brief Writes a value by place.
+ * @brief Writes a value with its fields by position.
  * @param packer Where to.
  * @param value The value.
  */
@@ -94,8 +94,8 @@
 }
 
 /**
- * @brief Reads a value by place; what the array lacks keeps its value.
- * @param object What was received.
+ * @brief Reads a value by position; fields that the array lacks are unchanged.
+ * @param object The received object.
  * @param value Filled in.
  * @throws msgpack::type_error when the object is of another form.
  */
@@ -152,9 +152,9 @@
 }
 
 /**
- * @brief Reads a value by number; fields that are not there keep their values,
- * and those that this build lacks are skipped.
- * @param object What was received.
+ * @brief Reads a value by number; missing fields are unchanged, and unknown
+ * ones are skipped.
+ * @param object The received object.
  * @param value Filled in.
  * @throws msgpack::type_error when the object is of another form.
  */
@@ -187,16 +187,17 @@
   for (auto &value : values) ReadByNumber(array.ptr[at++], value);
 }
 
-/*! @brief Fields of a structure in a version's arrays. */
+/*! @brief Number of fields of a structure in a version's arrays. */
 template <typename Value, WireVersion version>
 inline constexpr std::size_t kPlaces =
     std::tuple_size_v<decltype(ArrayLayout<Value, version>::Fields(
         std::declval<Value &>()))>;
 
 /**
- * @brief Tells of which version an array is, by its places.
+ * @brief Determines the version of an array by its length.
  *
- * Where V1 and V2 have as many, they are one form, unless specialised.
+ * Where V1 and V2 have equally many fields, they are the same encoding, unless
+ * specialised.
  */
 template <typename Value>
 struct ArrayVersion {
--- a/src/pollenring/wire/peer_versions.cc
+++ b/src/pollenring/wire/peer_versions.cc
@@ -17,7 +17,7 @@
 
 void PeerVersions::Told(NodeId peer, std::uint8_t wire) {
   if (wire == 0) return;
-  // A newer build may speak a form that this one does not.
+  // A newer build may support a version that this one lacks.
   const auto known = std::min(wire, static_cast<std::uint8_t>(kNewestWire));
   this->Heard(peer, static_cast<WireVersion>(known));
 }
--- a/src/pollenring/wire/peer_versions.h
+++ b/src/pollenring/wire/peer_versions.h
@@ -11,54 +11,54 @@
 namespace pollenring {
 
 /**
- * @brief Which form of messages each peer reads.
+ * @brief The wire version that each peer reads.
  *
- * Learned from the forms in which it writes and from its record. A process
- * writes older forms to those that need them, so the newest one counts until
+ * Learned from the messages that it writes and from its record. A process
+ * writes older versions to peers that need them, so the newest one counts until
  * another process has its address.
  */
 class PeerVersions {
  public:
   /**
-   * @brief Tells what a peer reads.
+   * @brief Returns the wire version that a peer reads.
    * @param peer The peer.
-   * @return The newest form that it is known to read, if any.
+   * @return The newest version that it is known to read, if any.
    */
   [[nodiscard]] std::optional<WireVersion> Of(NodeId peer) const;
 
   /**
-   * @brief Tells whether a peer hears and tells which zones are withdrawn.
+   * @brief Whether a peer handles and reports withdrawn zones.
    * @param peer The peer.
-   * @return So, unless it is known to run V1.
+   * @return True unless it is known to run V1.
    */
   [[nodiscard]] bool TellsZones(NodeId peer) const {
     return this->Of(peer) != WireVersion::kV1;
   }
 
   /**
-   * @brief A message of a peer has been read.
+   * @brief Records that a message of a peer was read.
    * @param peer The peer.
-   * @param version Its form.
+   * @param version Wire version of the message.
    */
   void Heard(NodeId peer, WireVersion version);
 
   /**
-   * @brief A peer has told the newest form that it speaks.
+   * @brief Records the newest wire version that a peer advertises.
    * @param peer The peer.
-   * @param wire Its number, or 0 when nothing was said.
+   * @param wire The version, or 0 when not advertised.
    */
   void Told(NodeId peer, std::uint8_t wire);
 
   /**
-   * @brief A peer could not read what was sent to it.
+   * @brief Records that a peer could not read a message.
    * @param peer The peer.
-   * @param version Form of its answer, which is the newest that it speaks.
+   * @param version Wire version of its reply, the newest that it supports.
    */
   void Misread(NodeId peer, WireVersion version);
 
   /**
-   * @brief A record of a peer has changed.
-   * @param member The record.
+   * @brief Records a changed member record.
+   * @param member The new record.
    */
   void Recorded(const Member &member);
 
--- a/src/pollenring/wire/peer_wire.h
+++ b/src/pollenring/wire/peer_wire.h
@@ -9,19 +9,19 @@
 
 namespace pollenring {
 
-/*! @brief What is known of the messages of peers. */
+/*! @brief Wire versions of peers, and their unreadable messages. */
 struct PeerWire {
   /**
-   * @brief Starts without knowledge.
+   * @brief Starts empty.
    * @param clock Clock.
-   * @param metrics Figures.
+   * @param metrics Where unreadable messages are counted.
    */
   PeerWire(const Clock &clock, Metrics &metrics) : unreadable{clock, metrics} {}
 
   /**
-   * @brief A node's message could not be read.
+   * @brief Counts and logs a message that could not be read.
    * @param from The node.
-   * @param kind What the message is for.
+   * @param kind Kind of message, for logs and metrics.
    * @param bytes Its size.
    */
   void NoteUnreadable(NodeId from, std::string_view kind, std::size_t bytes) {
--- a/src/pollenring/wire/unreadable_log.h
+++ b/src/pollenring/wire/unreadable_log.h
@@ -20,10 +20,10 @@
   Address from;
   std::string_view kind;
   std::size_t bytes{};
-  std::optional<WireVersion> version; /*!< What the sender speaks, if known. */
+  std::optional<WireVersion> version; /*!< Of the sender, if known. */
 };
 
-/*! @brief Counts messages that can't be read, and tells the log of them. */
+/*! @brief Counts and logs messages that can't be read. */
 class UnreadableLog {
  public:
   /**
@@ -35,7 +35,7 @@
       : clock{clock}, metrics{metrics} {}
 
   /**
-   * @brief Counts a message; one line for a sender each second.
+   * @brief Counts a message and logs at most one line per sender and second.
    * @param message The message.
    */
   void Note(const Unreadable &message);
@@ -43,12 +43,12 @@
  private:
   struct Sender {
     Time told{};
-    std::size_t untold{}; /*!< Messages since then. */
+    std::size_t untold{}; /*!< Messages not logged since then. */
   };
 
   const Clock &clock;
   Metrics &metrics;
-  std::unordered_map<std::uint32_t, Sender> senders; /*!< By their host. */
+  std::unordered_map<std::uint32_t, Sender> senders; /*!< By IP address. */
 };
 
 }  // namespace pollenring
--- a/src/pollenring/wire/version.h
+++ b/src/pollenring/wire/version.h
@@ -7,10 +7,10 @@
 
 namespace pollenring {
 
-/*! @brief Forms of messages between nodes, oldest first. */
+/*! @brief Encodings of messages between nodes, oldest first. */
 enum class WireVersion : std::uint8_t {
-  kV1 = 1, /*!< Of 33161f2: fields by place. */
-  kV2 = 2, /*!< Of 0e01c9f: fields by place; zones, regions, cold targets. */
+  kV1 = 1, /*!< Of 33161f2: fields by position. */
+  kV2 = 2, /*!< Of 0e01c9f: as V1; adds zones, regions, cold targets. */
   kV3 = 3  /*!< Fields by number. */
 };
 
@@ -21,11 +21,11 @@
     {WireVersion::kV3, "v3"},
 }}};
 
-/*! @brief Newest form that this build speaks. */
+/*! @brief Newest version that this build supports. */
 inline constexpr WireVersion kNewestWire = WireVersion::kV3;
 
-/*! @brief Form for peers of which nothing is known, for all messages that V1
- * and V2 have in common; each build reads it. */
+/*! @brief Version for peers of unknown version, for all messages that V1 and V2
+ * have in common; each build reads it. */
 inline constexpr WireVersion kCommonWire = WireVersion::kV2;
 
 }  // namespace pollenring
--- a/src/pollenring/wire/wire_enum.cc
+++ b/src/pollenring/wire/wire_enum.cc
@@ -12,7 +12,7 @@
                            std::string_view taken) {
   using Clock = std::chrono::steady_clock;
   constexpr std::chrono::seconds kPause{1};
-  // Each enumeration is named once, so the table stays small.
+  // One entry per enumeration, so the map stays small.
   static std::map<std::string, Clock::time_point> told;
   const auto now = Clock::now();
   const auto found = told.find(std::string{name});
--- a/src/pollenring/wire/wire_enum.h
+++ b/src/pollenring/wire/wire_enum.h
@@ -9,10 +9,10 @@
 namespace pollenring {
 
 /**
- * @brief How an enumeration travels; specialised for each that does.
+ * @brief How an enumeration is encoded; specialised for each that is sent.
  *
- * A specialisation has `kTravels`, its `kName`, the table `kNames` of all that
- * this build knows, and `kUnknown`, which stands for all others.
+ * A specialisation has `kTravels`, its `kName`, the table `kNames` of all
+ * enumerators of this build, and `kUnknown`, which replaces unknown ones.
  */
 template <typename Enum>
 struct WireEnum {
@@ -20,19 +20,19 @@
 };
 
 /**
- * @brief Tells the log of an enumerator that this build lacks; one line for an
- * enumeration each second.
+ * @brief Logs an enumerator that this build lacks, at most one line per
+ * enumeration and second.
  * @param name Name of the enumeration.
- * @param number What was received.
- * @param taken Name of what stands for it.
+ * @param number The received number.
+ * @param taken Name of its replacement.
  */
 void NoteUnknownEnumerator(std::string_view name, std::int64_t number,
                            std::string_view taken);
 
 /**
- * @brief Finds an enumerator by the number that travels.
+ * @brief Finds an enumerator by its number on the wire.
  * @param number The number.
- * @return The enumerator, or what stands for those that this build lacks.
+ * @return The enumerator, or the replacement of unknown ones.
  */
 template <typename Enum>
 [[nodiscard]] Enum EnumeratorOf(std::int64_t number) {
--- a/test/pollenring/wire/codec_test.cc
+++ b/test/pollenring/wire/codec_test.cc
@@ -19,7 +19,7 @@
 using pollenring::Reason;
 using pollenring::WireVersion;
 
-/*! @brief A message that holds only numbers. @param fields By number. */
+/*! @brief A message with only integer fields. @param fields By number. */
 [[nodiscard]] std::string Numbered(const std::map<int, int> &fields) {
   return pollenring::Pack(fields);
 }
@@ -102,7 +102,7 @@
   ++member.version;
   versions.Recorded(member);
   CHECK(versions.Of(id) == WireVersion::kV3);
-  // An older build may have taken the place of the process.
+  // An older build may have replaced the process.
   ++member.incarnation;
   versions.Recorded(member);
   CHECK_FALSE(versions.Of(id));
