Reword comments of config

Comments spoke of configuration in force, of words about zones and of positions of the store, which hid that these are active versions, reports of withdrawn zones and store revisions. They use these terms now. No code token differs from the commit before; only comments do.

--- a/src/pollenring/config/change.h
+++ b/src/pollenring/config/change.h
@@ -11,7 +11,7 @@
 
 namespace pollenring {
 
-/*! @brief One document that a change replaces; an empty text removes it. */
+/*! @brief A document that a change replaces; an empty text removes it. */
 struct DocumentChange {
   std::string name;
   std::string before;
@@ -22,7 +22,7 @@
 /*! @brief One version of the configuration: who changed what, and when. */
 struct ConfigChange {
   std::uint64_t version{};
-  std::string nonce; /*!< Recognises one's own write after a lost answer. */
+  std::string nonce; /*!< Identifies the own write after a lost reply. */
   std::string author;
   std::int64_t wall_ms{};
   std::vector<DocumentChange> documents;
@@ -32,9 +32,9 @@
   [[nodiscard]] std::string ToJson() const;
 
   /**
-   * @brief Reads what `ToJson` wrote.
+   * @brief Parses the output of `ToJson`.
    * @param text JSON text.
-   * @return The change, or nothing when the text is of another form.
+   * @return The change, or nothing when the text is malformed.
    */
   [[nodiscard]] static std::optional<ConfigChange> FromJson(
       const std::string &text);
@@ -50,18 +50,18 @@
   [[nodiscard]] std::string ToJson() const;
 
   /**
-   * @brief Reads what `ToJson` wrote.
+   * @brief Parses the output of `ToJson`.
    * @param text JSON text.
-   * @return The snapshot, or nothing when the text is of another form.
+   * @return The snapshot, or nothing when the text is malformed.
    */
   [[nodiscard]] static std::optional<ConfigSnapshot> FromJson(
       const std::string &text);
 };
 
 /**
- * @brief Lists what turns one set of documents into another.
- * @param before The documents now.
- * @param after The documents wanted.
+ * @brief Lists the changes that turn one set of documents into another.
+ * @param before The current documents.
+ * @param after The desired documents.
  * @param prefixes Only names with one of these prefixes may be removed.
  * @return The changes, by name.
  */
--- a/src/pollenring/config/ledger.h
+++ b/src/pollenring/config/ledger.h
@@ -15,20 +15,20 @@
 /*! @brief What a peer needs to reach this node's version. */
 struct ConfigCatchUp {
   std::vector<ConfigChange> changes;
-  std::vector<ConfigSnapshot> snapshot; /*!< One when changes don't reach. */
+  std::vector<ConfigSnapshot> snapshot; /*!< One when changes don't suffice. */
   MSGPACK_DEFINE(changes, snapshot)
 };
 
 /**
- * @brief The configuration in force on this node; its version only grows.
+ * @brief The active configuration of this node; its version only increases.
  */
 class ConfigLedger {
  public:
   using Installed = std::function<void(std::uint64_t version)>;
 
   /**
-   * @brief Starts at version 0, which declares nothing.
-   * @param installed Called after each new version is in force.
+   * @brief Starts at version 0, which is empty.
+   * @param installed Called after each new version is active.
    */
   explicit ConfigLedger(Installed installed)
       : installed{std::move(installed)} {}
@@ -42,32 +42,32 @@
   /**
    * @brief Collects what a peer lacks.
    * @param from The peer's version.
-   * @return The changes since, or a snapshot when they are forgotten here.
+   * @return The changes since, or a snapshot when they are no longer kept.
    */
   [[nodiscard]] ConfigCatchUp Since(std::uint64_t from) const;
 
-  /*! @brief Copies everything. @return A snapshot. */
+  /*! @brief Copies all documents. @return A snapshot. */
   [[nodiscard]] ConfigSnapshot Snapshot() const {
     return {this->version, this->documents};
   }
 
   /**
-   * @brief Puts the next change into force.
+   * @brief Applies the next change.
    * @param change The change.
-   * @return Whether it was the next one; any other is left out.
+   * @return True if it was the next one; any other is ignored.
    */
   bool Apply(const ConfigChange &change);
 
   /**
-   * @brief Puts a snapshot into force.
+   * @brief Applies a snapshot.
    * @param snapshot The snapshot.
-   * @return Whether it was newer; an older one is left out.
+   * @return True if it was newer; any other is ignored.
    */
   bool Apply(const ConfigSnapshot &snapshot);
 
   /**
-   * @brief Puts into force what a peer sent.
-   * @param catch_up What it sent.
+   * @brief Applies what a peer sent.
+   * @param catch_up Changes or a snapshot.
    */
   void Apply(const ConfigCatchUp &catch_up);
 
--- a/src/pollenring/config/publisher.cc
+++ b/src/pollenring/config/publisher.cc
@@ -27,7 +27,7 @@
   Done done;
   int rechecks_left{kMostRechecks};
   int rewrites_left{kMostRewrites};
-  bool uncertain{}; /*!< A write was sent whose answer never came. */
+  bool uncertain{}; /*!< A write was sent that had no reply. */
 
   void Report(CommitResult result, std::vector<ConfigChange> others = {}) {
     this->done({result, this->change, std::move(others)});
@@ -83,7 +83,7 @@
     }
     const Row &row = found->front();
     if (row.version == 0) {
-      // Nothing took this version; the head is behind or ahead of the base.
+      // This version is not taken; the head is behind or ahead of the base.
       this->CollectOthers(attempt);
       return;
     }
@@ -105,9 +105,8 @@
     }
     const std::uint64_t head = found->front().version;
     if (head < attempt->change.version) {
-      // An unanswered write may still arrive; sending it again is idempotent,
-      // since both carry one nonce and at most one of them meets its
-      // conditions.
+      // A write without reply may still arrive. Sending it again is idempotent:
+      // both have the same nonce, and at most one meets its conditions.
       const bool rewrite = attempt->uncertain && attempt->rewrites_left > 0;
       if (rewrite) {
         --attempt->rewrites_left;
--- a/src/pollenring/config/publisher.h
+++ b/src/pollenring/config/publisher.h
@@ -25,7 +25,7 @@
  */
 [[nodiscard]] std::string ChangeRowKey(std::uint64_t version);
 
-/*! @brief What became of a commit. */
+/*! @brief Outcome of a commit. */
 enum class CommitResult { kCommitted, kRaced, kUnavailable, kUnknown };
 
 /*! @brief Names of commit results. */
@@ -36,19 +36,19 @@
     {CommitResult::kUnknown, "unknown"},
 }}};
 
-/*! @brief What an operator is told of a commit. */
+/*! @brief Outcome of a commit as reported to the operator. */
 struct CommitReport {
   CommitResult result{CommitResult::kUnknown};
   ConfigChange change;
-  std::vector<ConfigChange> others; /*!< Changes that came first in a race. */
+  std::vector<ConfigChange> others; /*!< Conflicting changes that came first. */
 };
 
 /**
  * @brief Commits changes to the platform's table, one version after another.
  *
  * The head row and the change's own row are written together, only if the head
- * is still at the version that the change builds on. After a lost answer the
- * change's row tells by its nonce whose write it was.
+ * is still at the version that the change builds on. After a lost reply the
+ * nonce in the change's row shows whose write it was.
  */
 class Publisher {
  public:
@@ -64,12 +64,12 @@
   /**
    * @brief Commits a change.
    * @param change The change, with the version after the one it builds on.
-   * @param done Called once with what is known.
+   * @param done Called once with the outcome.
    */
   void Commit(ConfigChange change, Done done);
 
   /**
-   * @brief Records an attempt that was refused, as far as the table allows.
+   * @brief Records a refused change, best effort.
    * @param change The change.
    * @param why Why it was refused.
    */
--- a/src/pollenring/config/store_reader.h
+++ b/src/pollenring/config/store_reader.h
@@ -8,23 +8,23 @@
 
 namespace pollenring {
 
-/*! @brief Brings a ledger up to what the platform holds. */
+/*! @brief Brings a ledger up to the version that the platform stores. */
 class StoreReader {
  public:
-  /*! @brief Told whether the platform answered. */
+  /*! @brief Receives whether the platform responded. */
   using Done = std::function<void(bool reached)>;
 
   /**
    * @brief Creates a reader.
    * @param table The table.
    * @param objects The object store.
-   * @param ledger The ledger to bring up.
+   * @param ledger The ledger to update.
    */
   StoreReader(Table &table, ObjectStore &objects, ConfigLedger &ledger)
       : table{table}, objects{objects}, ledger{ledger} {}
 
   /**
-   * @brief Reads the head and what the ledger lacks.
+   * @brief Reads the head and the changes that the ledger lacks.
    * @param done Called once.
    */
   void CatchUp(Done done);
--- a/src/pollenring/config/withdrawn_zones.h
+++ b/src/pollenring/config/withdrawn_zones.h
@@ -10,17 +10,16 @@
 
 namespace pollenring {
 
-/*! @brief One availability zone that the operator withdraws or gives back. */
+/*! @brief An availability zone that the operator withdraws or restores. */
 struct ZoneChange {
   std::string zone;
   bool withdrawn{};
 };
 
-/*! @brief Which availability zones were withdrawn at one moment of the store.
- */
+/*! @brief The availability zones withdrawn at one revision of the store. */
 struct ZonesWord {
-  std::uint64_t position{}; /*!< Of the store's history; 0: nothing is known. */
-  std::vector<std::string> zones; /*!< In order. */
+  std::uint64_t position{};       /*!< Of the store; 0: nothing is known. */
+  std::vector<std::string> zones; /*!< Sorted. */
 };
 
 template <>
@@ -42,31 +41,31 @@
 };
 
 /**
- * @brief Which availability zones are to get nothing, by the newest word.
+ * @brief Availability zones that get no calls, by the newest revision.
  *
- * Words come from the store and from peers, late or out of order. Each tells
- * all zones at one position of the store's history, so the newest replaces all
- * others and an older one is never in force again.
+ * Reports come from the store and from peers, late or out of order. Each lists
+ * all withdrawn zones at one revision of the store, so the newest replaces all
+ * others, and an older one never becomes active again.
  */
 class WithdrawnZones {
  public:
   /**
-   * @brief Takes in a word.
-   * @param word The word.
-   * @return Whether other zones are withdrawn now, or it is the first one.
+   * @brief Merges a report.
+   * @param withdrawals The report.
+   * @return True if the withdrawn zones changed, or it is the first report.
    */
   bool Take(const ZonesWord &word);
 
-  /*! @brief The newest word. @return It. */
+  /*! @brief The newest report. @return Its zones and revision. */
   [[nodiscard]] const ZonesWord &Newest() const noexcept { return this->word; }
 
-  /*! @brief Whether anything is known. @return So. */
+  /*! @brief Whether any report was received. @return True if so. */
   [[nodiscard]] bool Known() const noexcept { return this->word.position > 0; }
 
   /**
-   * @brief Tells whether a zone is to get nothing.
+   * @brief Whether a zone is withdrawn.
    * @param zone The zone.
-   * @return So; never before anything is known.
+   * @return True if so; false before any report.
    */
   [[nodiscard]] bool Contains(const std::string &zone) const;
 
@@ -75,11 +74,11 @@
 };
 
 /**
- * @brief Applies changes to a word, in their order.
- * @param before The word before them.
- * @param position Position up to which the changes are whole.
+ * @brief Applies changes in their order.
+ * @param before The withdrawals before them.
+ * @param revision Revision up to which the changes are complete.
  * @param changes The changes.
- * @return The word at that position.
+ * @return The withdrawals at that revision.
  */
 [[nodiscard]] ZonesWord After(const ZonesWord &before, std::uint64_t position,
                               const std::vector<ZoneChange> &changes);
--- a/test/pollenring/config/config_test.cc
+++ b/test/pollenring/config/config_test.cc
@@ -30,7 +30,8 @@
   return change;
 }
 
-/*! @brief A node that follows, restarts, and hands its configuration on. */
+/*! @brief A node that follows the table and passes its configuration to peers.
+ */
 struct Follower {
   explicit Follower(MemoryTable &table, MemoryObjectStore &objects)
       : ledger{std::make_unique<ConfigLedger>([this](std::uint64_t version) {
@@ -75,10 +76,10 @@
           REQUIRE_FALSE(report.others.empty());
         }
       });
-      // Versions spread from node to node and from the table, in any order.
+      // Versions spread between nodes and from the table, in any order.
       Follower &from = *nodes[random.Index(nodes.size())];
       Follower &to = *nodes[random.Index(nodes.size())];
-      // What is on its way may arrive much later, anywhere, and twice.
+      // Messages may arrive much later, at any node, and twice.
       on_the_way.push_back(from.ledger->Since(to.ledger->Version()));
       if (on_the_way.size() > 20) on_the_way.erase(on_the_way.begin());
       const auto arrived = on_the_way[random.Index(on_the_way.size())];
@@ -86,7 +87,7 @@
       to.ledger->Apply(on_the_way.back());
       if (random.Chance(0.3)) to.reader.CatchUp([](bool) {});
       if (random.Chance(0.01)) {
-        // A restart loses everything; the highest of the peers comes back.
+        // A restart loses everything; the node gets its peers' highest version.
         auto &slot = nodes[random.Index(nodes.size())];
         slot = std::make_unique<Follower>(table, objects);
         for (const auto &peer : nodes) {
@@ -100,7 +101,7 @@
       CHECK(node->ledger->Version() == nodes[0]->ledger->Version());
       CHECK(node->ledger->All() == nodes[0]->ledger->All());
     }
-    // What was said to be committed is there, and nothing twice.
+    // Whatever was reported as committed is there, and nothing twice.
     CHECK(nodes[0]->ledger->Version() >= committed);
     CHECK(committed > 100);
   }
@@ -118,7 +119,7 @@
   CHECK(behind.Version() == 600);
   CHECK(behind.All() == ahead.All());
   CHECK_FALSE(behind.Apply(Make(599, "key/x", "w")));
-  // The same snapshot, late and after a change, takes nobody back.
+  // The same snapshot, late and after a change, reverts nothing.
   CHECK(behind.Apply(Make(601, "key/x", "w")));
   CHECK_FALSE(behind.Apply(catch_up.snapshot.front()));
   CHECK(behind.Version() == 601);
--- a/test/pollenring/config/withdrawn_zones_test.cc
+++ b/test/pollenring/config/withdrawn_zones_test.cc
@@ -21,11 +21,11 @@
   CHECK(zones.Known());
   CHECK(zones.Take({9, {"a"}}));
   CHECK(zones.Contains("a"));
-  // Late, and the same once more.
+  // A late report, and one of the same revision.
   CHECK_FALSE(zones.Take({7, {}}));
   CHECK_FALSE(zones.Take({9, {}}));
   CHECK(zones.Contains("a"));
-  // A newer one that says the same is no change, but counts as newer.
+  // A newer one with the same zones is no change, but raises the revision.
   CHECK_FALSE(zones.Take({12, {"a"}}));
   CHECK_FALSE(zones.Take({11, {}}));
   CHECK(zones.Take({13, {}}));
@@ -53,7 +53,7 @@
     auto &node = *fleet.nodes[static_cast<std::size_t>(index)];
     if (node.zones.Take(word)) node.membership.SetZones(word);
   };
-  // Six nodes on duty hear of it; of another, one hears late.
+  // Six designated watchers receive it; one receives an older one late.
   for (int i = 0; i < 6; ++i) tell(i * size / 6, {100, {"a"}});
   for (int i = 1; i < size; i += 17) fleet.Kill(i);
   auto &frozen = *fleet.nodes[2];
@@ -69,7 +69,7 @@
     if (!node.zones.Contains("a")) ++older;
   }
   CHECK(older == 0);
-  // One that wakes holds old news, which nobody takes from it.
+  // A node that resumes holds an old report, which the others ignore.
   frozen.frozen = false;
   fleet.Run(1s);
   CHECK(frozen.zones.Contains("a"));
