Reword remaining comments of membership, wire and config

A few comments still said form, cut off and own, where they mean a type of object, unreachable nodes and this node's record. They say so in plain terms. No code token differs from the commit before; only comments do.

--- a/src/pollenring/config/change.h
+++ b/src/pollenring/config/change.h
@@ -22,7 +22,7 @@
 /*! @brief One version of the configuration: who changed what, and when. */
 struct ConfigChange {
   std::uint64_t version{};
-  std::string nonce; /*!< Identifies the own write after a lost reply. */
+  std::string nonce; /*!< Identifies a write whose reply was lost. */
   std::string author;
   std::int64_t wall_ms{};
   std::vector<DocumentChange> documents;
--- a/src/pollenring/membership/membership.h
+++ b/src/pollenring/membership/membership.h
@@ -199,7 +199,7 @@
  public:
   /**
    * @brief Starts with this node as the only member.
-   * @param self Own record.
+   * @param self Record of this node.
    * @param options Timing.
    * @param clock Clock.
    * @param random Source of randomness.
@@ -229,7 +229,7 @@
   /**
    * @brief Collects records that a peer may lack or hold in other versions.
    * @param theirs The peer's digests.
-   * @return Records of the partitions that differ, and own digests.
+   * @return Records of the partitions that differ, and all digests.
    */
   [[nodiscard]] RecordsOfParts Differing(const PartDigests &theirs) const;
 
--- a/src/pollenring/membership/store_duty.h
+++ b/src/pollenring/membership/store_duty.h
@@ -13,7 +13,7 @@
 /*! @brief How many nodes watch the store on behalf of all. */
 struct StoreDutyOptions {
   std::size_t per_zone{2}; /*!< So that one node can fail. */
-  std::size_t fewest{6};   /*!< In all zones; a third may be cut off at once. */
+  std::size_t fewest{6};   /*!< In all zones; a third may be unreachable. */
   /*! @brief Age of the last store contact at which other nodes take over;
    * while the designated watchers work, it reaches 300 nodes sooner. */
   Span stale_after{std::chrono::milliseconds{2500}};
--- a/src/pollenring/wire/forms.h
+++ b/src/pollenring/wire/forms.h
@@ -69,7 +69,7 @@
 
 /**
  * @brief Writes a value with its fields by position.
- * @param packer Where to.
+ * @param packer Output.
  * @param value The value.
  */
 template <WireVersion version, typename Packer, typename Value>
@@ -96,8 +96,8 @@
 /**
  * @brief Reads a value by position; fields that the array lacks are unchanged.
  * @param object The received object.
- * @param value Filled in.
- * @throws msgpack::type_error when the object is of another form.
+ * @param value Result.
+ * @throws msgpack::type_error when the object is of another type.
  */
 template <WireVersion version, typename Value>
 void ReadByPlace(const msgpack::object &object, Value &value) {
@@ -127,7 +127,7 @@
 
 /**
  * @brief Writes a value with its fields by number.
- * @param packer Where to.
+ * @param packer Output.
  * @param value The value.
  */
 template <typename Packer, typename Value>
@@ -155,8 +155,8 @@
  * @brief Reads a value by number; missing fields are unchanged, and unknown
  * ones are skipped.
  * @param object The received object.
- * @param value Filled in.
- * @throws msgpack::type_error when the object is of another form.
+ * @param value Result.
+ * @throws msgpack::type_error when the object is of another type.
  */
 template <typename Value>
 void ReadByNumber(const msgpack::object &object, Value &value) {
