--- a/src/pollenring/admission/cold_gate.h
+++ b/src/pollenring/admission/cold_start_limiter.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_ADMISSION_COLD_GATE_H_
-#define POLLENRING_ADMISSION_COLD_GATE_H_
+#ifndef POLLENRING_ADMISSION_COLD_START_LIMITER_H_
+#define POLLENRING_ADMISSION_COLD_START_LIMITER_H_
 
 #include <cstdint>
 #include <deque>
@@ -10,15 +10,15 @@
 namespace pollenring {
 
 /*! @brief What operators tolerate beyond the declared rate of a cold target. */
-struct ColdMargin {
+struct ColdStartHeadroom {
   double over{1};  /*!< Factor on the declared rate. */
   double slack{0}; /*!< Requests beyond it in one second. */
 };
 
 /*! @brief How many requests a cold target bears. */
-struct ColdTolerance {
+struct ColdStartLimit {
   int requests{}; /*!< In any window; 0 where coldness needs no bound. */
-  Span window{};
+  Duration window{};
 
   /*! @brief Requests borne over time. @return A second. */
   [[nodiscard]] double PerSecond() const noexcept;
@@ -31,16 +31,16 @@
  * bounds what all nodes together send. A request counts from the moment at
  * which it is sent; one that the target turned away gives its place back.
  */
-class ColdGate {
+class ColdStartLimiter {
  public:
   /**
    * @brief Starts warm, without a bound.
    * @param clock Clock.
    */
-  explicit ColdGate(const Clock &clock) : clock{clock} {}
+  explicit ColdStartLimiter(const Clock &clock) : clock{clock} {}
 
   /*! @brief Sets the bound. @param given It. */
-  void SetTolerance(const ColdTolerance &given) { this->tolerance = given; }
+  void SetTolerance(const ColdStartLimit &given) { this->tolerance = given; }
 
   /**
    * @brief The target is cold until a time.
@@ -50,11 +50,11 @@
 
   /*! @brief Whether the bound applies now. @return So. */
   [[nodiscard]] bool Closed() const noexcept {
-    return this->tolerance.requests > 0 && this->ColdFor() > Span{0};
+    return this->tolerance.requests > 0 && this->ColdFor() > Duration{0};
   }
 
   /*! @brief How long the target stays cold. @return The span, or 0. */
-  [[nodiscard]] Span ColdFor() const noexcept;
+  [[nodiscard]] Duration ColdFor() const noexcept;
 
   /*! @brief Requests borne over time while it is cold. @return A second. */
   [[nodiscard]] double PerSecond() const noexcept {
@@ -74,11 +74,11 @@
   void DropOld();
 
   const Clock &clock;
-  ColdTolerance tolerance;
+  ColdStartLimit tolerance;
   Time cold_until{};
   std::deque<std::pair<Time, std::uint64_t>> sent;
 };
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_ADMISSION_COLD_GATE_H_
+#endif  // POLLENRING_ADMISSION_COLD_START_LIMITER_H_
--- a/src/pollenring/admission/fwd.h
+++ b/src/pollenring/admission/fwd.h
@@ -4,13 +4,13 @@
 namespace pollenring {
 
 class Admission;
-class ColdGate;
+class ColdStartLimiter;
 class ConcurrencyLimit;
 class FairQueue;
 class ShedLevels;
-struct ColdMargin;
-struct ColdTolerance;
-struct Ticket;
+struct ColdStartHeadroom;
+struct ColdStartLimit;
+struct AdmissionRequest;
 
 }  // namespace pollenring
 
--- a/src/pollenring/config/publisher.cc
+++ b/src/pollenring/config/publisher.cc
@@ -38,7 +38,7 @@
   auto attempt = std::make_shared<Attempt>();
   attempt->change = std::move(change);
   attempt->change.nonce = RandomHex(16);
-  attempt->change.wall_ms = this->clock.Wall().count();
+  attempt->change.wall_ms = this->clock.WallNow().count();
   attempt->done = std::move(done);
   this->Write(attempt);
 }
@@ -126,14 +126,14 @@
       std::vector<ConfigChange> others;
       const auto *list = std::get_if<std::vector<Row>>(&changes);
       if (list == nullptr) {
-        attempt->Report(CommitResult::kRaced);
+        attempt->Report(CommitResult::kConflict);
         return;
       }
       for (const auto &row : *list) {
         const auto change = ConfigChange::FromJson(row.value);
         if (change) others.push_back(*change);
       }
-      attempt->Report(CommitResult::kRaced, std::move(others));
+      attempt->Report(CommitResult::kConflict, std::move(others));
     });
   });
 }
@@ -141,7 +141,7 @@
 void Publisher::RecordRefusal(const ConfigChange &change,
                               const std::string &why) {
   ConfigChange record = change;
-  record.wall_ms = this->clock.Wall().count();
+  record.wall_ms = this->clock.WallNow().count();
   nlohmann::json json = nlohmann::json::parse(record.ToJson());
   json["refused"] = why;
   const std::string key =
--- a/src/pollenring/config/withdrawn_zones.h
+++ b/src/pollenring/config/withdrawn_zones.h
@@ -17,26 +17,26 @@
 };
 
 /*! @brief The availability zones withdrawn at one revision of the store. */
-struct ZonesWord {
-  std::uint64_t position{};       /*!< Of the store; 0: nothing is known. */
+struct ZoneWithdrawals {
+  std::uint64_t revision{};       /*!< Of the store; 0: nothing is known. */
   std::vector<std::string> zones; /*!< Sorted. */
 };
 
 template <>
-struct NumberedLayout<ZonesWord> {
+struct NumberedLayout<ZoneWithdrawals> {
   static constexpr bool kGrows = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
-    return std::make_tuple(Field{1, value.position}, Field{2, value.zones});
+    return std::make_tuple(Field{1, value.revision}, Field{2, value.zones});
   }
 };
 
 template <>
-struct ArrayLayout<ZonesWord, WireVersion::kV1> {
+struct ArrayLayout<ZoneWithdrawals, WireVersion::kV1> {
   static constexpr bool kFrozen = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
-    return std::tie(value.position, value.zones);
+    return std::tie(value.revision, value.zones);
   }
 };
 
@@ -54,13 +54,17 @@
    * @param withdrawals The report.
    * @return True if the withdrawn zones changed, or it is the first report.
    */
-  bool Take(const ZonesWord &word);
+  bool Take(const ZoneWithdrawals &withdrawals);
 
   /*! @brief The newest report. @return Its zones and revision. */
-  [[nodiscard]] const ZonesWord &Newest() const noexcept { return this->word; }
+  [[nodiscard]] const ZoneWithdrawals &Newest() const noexcept {
+    return this->withdrawals;
+  }
 
   /*! @brief Whether any report was received. @return True if so. */
-  [[nodiscard]] bool Known() const noexcept { return this->word.position > 0; }
+  [[nodiscard]] bool HasRevision() const noexcept {
+    return this->withdrawals.revision > 0;
+  }
 
   /**
    * @brief Whether a zone is withdrawn.
@@ -70,7 +74,7 @@
   [[nodiscard]] bool Contains(const std::string &zone) const;
 
  private:
-  ZonesWord word;
+  ZoneWithdrawals withdrawals;
 };
 
 /**
@@ -80,8 +84,9 @@
  * @param changes The changes.
  * @return The withdrawals at that revision.
  */
-[[nodiscard]] ZonesWord After(const ZonesWord &before, std::uint64_t position,
-                              const std::vector<ZoneChange> &changes);
+[[nodiscard]] ZoneWithdrawals ApplyZoneChanges(
+    const ZoneWithdrawals &before, std::uint64_t revision,
+    const std::vector<ZoneChange> &changes);
 
 }  // namespace pollenring
 
--- a/src/pollenring/contract/check.h
+++ b/src/pollenring/contract/check.h
@@ -9,7 +9,7 @@
 namespace pollenring {
 
 /*! @brief Shortest time that a workspace's burst must cover at its rate. */
-inline constexpr Span kShortestBurst = std::chrono::milliseconds{250};
+inline constexpr Duration kShortestBurst = std::chrono::milliseconds{250};
 
 /*! @brief Smallest burst that can be split over a workspace's slots. */
 inline constexpr double kSmallestBurst = 6;
@@ -17,18 +17,18 @@
 /**
  * @brief Checks a whole set: names, callers, cycles and sums.
  * @param set The set.
- * @param findings Receives all faults.
+ * @param diagnostics Receives all faults.
  */
-void CheckContracts(const ContractSet &set, Findings &findings);
+void CheckContracts(const ContractSet &set, Diagnostics &diagnostics);
 
 /**
  * @brief Parses and checks files.
  * @param files The files.
- * @param findings Receives all faults, in the order of their places.
+ * @param diagnostics Receives all faults, in the order of their places.
  * @return The set; use it only when there are no findings.
  */
 [[nodiscard]] ContractSet ReadContracts(const std::vector<SourceFile> &files,
-                                        Findings &findings);
+                                        Diagnostics &diagnostics);
 
 }  // namespace pollenring
 
--- a/src/pollenring/contract/json.cc
+++ b/src/pollenring/contract/json.cc
@@ -26,7 +26,7 @@
           .value_or(Importance::kNormal);
   route.idempotent = json.at("idempotent").get<bool>();
   route.open = json.at("open").get<bool>();
-  route.deadline = Span{json.at("deadline_us").get<std::int64_t>()};
+  route.deadline = Duration{json.at("deadline_us").get<std::int64_t>()};
   route.retries = json.at("retries").get<int>();
   return route;
 }
@@ -62,9 +62,9 @@
   return contract;
 }
 
-WorkspaceShare WorkspaceFromJson(const std::string &text) {
+WorkspaceRateLimit WorkspaceFromJson(const std::string &text) {
   const Json json = Json::parse(text);
-  WorkspaceShare share;
+  WorkspaceRateLimit share;
   share.name = json.at("name").get<std::string>();
   share.rate = json.at("rate").get<double>();
   share.burst = json.at("burst").get<double>();
--- a/src/pollenring/lease/slot_keeper_take.cc
+++ b/src/pollenring/lease/slot_keeper_take.cc
@@ -50,7 +50,7 @@
   return true;
 }
 
-void SlotKeeper::Succeed(SlotId id) {
+void SlotKeeper::Campaign(SlotId id) {
   Slot &slot = this->slots.at(id);
   const KnownRow *known = this->MayElect(id, slot);
   if (!this->claiming || slot.phase != Phase::kFree || known == nullptr) return;
@@ -65,11 +65,11 @@
   }
   if (this->clock.Now() >= slot.round_ends) slot.election_failed = true;
   if (!this->AsksNow(slot)) return;
-  this->AskAll(id, slot, slot.next->Row(), WitnessRequest::kVote);
+  this->AskAll(id, slot, slot.next->Row(), WitnessRequestKind::kVote);
 }
 
-void SlotKeeper::Voted(SlotId id, Slot &slot, const WitnessRef &from,
-                       const WitnessAnswer &answer) {
+void SlotKeeper::Voted(SlotId id, Slot &slot, const ProcessRef &from,
+                       const WitnessReply &answer) {
   if (slot.phase != Phase::kElecting) return;
   const SlotRow &next = slot.next->Row();
   if (next.epoch != answer.epoch || !IsWitness(next, from)) return;
@@ -98,26 +98,26 @@
   if (!this->AsksNow(slot)) return;
   SlotRow over = slot.row;
   over.epoch = LastEpochOf(slot.row.epoch);
-  this->AskAll(id, slot, over, WitnessRequest::kRelease);
+  this->AskAll(id, slot, over, WitnessRequestKind::kRelease);
 }
 
-void SlotKeeper::Released(Slot &slot, const WitnessRef &from,
-                          const WitnessAnswer &answer) {
+void SlotKeeper::Released(Slot &slot, const ProcessRef &from,
+                          const WitnessReply &answer) {
   const bool expected =
       slot.phase == Phase::kReleasing || slot.phase == Phase::kWaiting;
   if (!expected || LastEpochOf(slot.row.epoch) != answer.epoch) return;
   if (!IsWitness(slot.row, from)) return;
   this->NoteLastPromise(slot, from, answer);
   if (!slot.agreed.insert(from).second) return;
-  const Span remaining{answer.remaining_us};
+  const Duration remaining{answer.remaining_us};
   const Time end = this->clock.Now() + this->options.More(remaining);
   slot.wait_until = std::max(slot.wait_until, end);
   if (slot.agreed.size() < slot.row.Majority()) return;
   slot.phase = Phase::kWaiting;
 }
 
-void SlotKeeper::NoteLastPromise(Slot &slot, const WitnessRef &from,
-                                 const WitnessAnswer &answer) const {
+void SlotKeeper::NoteLastPromise(Slot &slot, const ProcessRef &from,
+                                 const WitnessReply &answer) const {
   if (!answer.remembers) return;
   LastPromise &last = slot.last_promise;
   last.told_by.insert(from);
@@ -131,7 +131,7 @@
   if (last.epoch == 0) return last;
   // Whoever was valid has promises of a majority, so a majority knows of it.
   if (slot.last_promise.told_by.size() < last.Majority()) {
-    last.holder = WitnessRef{};
+    last.holder = ProcessRef{};
     last.witnesses.clear();
     return last;
   }
@@ -156,11 +156,11 @@
 
 void SlotKeeper::TickPromising(SlotId id, Slot &slot) {
   if (!this->AsksNow(slot)) return;
-  this->AskAll(id, slot, slot.next->Row(), WitnessRequest::kPromise);
+  this->AskAll(id, slot, slot.next->Row(), WitnessRequestKind::kPromise);
 }
 
-void SlotKeeper::Promised(SlotId id, Slot &slot, const WitnessRef &from,
-                          const WitnessAnswer &answer) {
+void SlotKeeper::Promised(SlotId id, Slot &slot, const ProcessRef &from,
+                          const WitnessReply &answer) {
   const Time asked{answer.asked_us};
   const Time end = asked + this->options.Less(this->options.promise);
   const bool for_current =
@@ -199,7 +199,7 @@
   }
 }
 
-void SlotKeeper::Adopt(SlotId id, const SlotRow &row) {
+void SlotKeeper::AcceptHandover(SlotId id, const SlotRow &row) {
   Slot &slot = this->slots.at(id);
   if (!this->IsMine(row) || row.epoch <= slot.row.epoch) return;
   const bool claims_already = slot.phase == Phase::kReading;
--- a/src/pollenring/log/log.cc
+++ b/src/pollenring/log/log.cc
@@ -22,7 +22,7 @@
 constexpr int kRequestLinesPerSecond = 40;
 /*! @brief The same for failures and refusals. */
 constexpr int kFailureLinesPerSecond = 120;
-constexpr Span kBudgetWindow = std::chrono::seconds{1};
+constexpr Duration kBudgetWindow = std::chrono::seconds{1};
 
 constexpr EnumTable<LogLevel, 4> kLogLevelNames{{{
     {LogLevel::kDebug, "debug"},
@@ -120,7 +120,7 @@
 void LogEvent(LogLevel level, std::string_view event, nlohmann::json fields) {
   const auto native = ToSpdlog(level);
   if (!spdlog::should_log(native)) return;
-  fields["ts_ms"] = SystemClock{}.Wall().count();
+  fields["ts_ms"] = SystemClock{}.WallNow().count();
   fields["level"] = kLogLevelNames.Name(level);
   fields["program"] = State().program;
   fields["event"] = event;
--- a/src/pollenring/membership/membership.h
+++ b/src/pollenring/membership/membership.h
@@ -41,7 +41,7 @@
   std::uint64_t config_version{};
   std::int64_t store_age_ms{-1}; /*!< Of the last store contact; -1: none. */
   std::uint64_t digest{};        /*!< Over all records of the sender. */
-  ZonesWord zones;               /*!< The newest known to the sender. */
+  ZoneWithdrawals zones;         /*!< The newest known to the sender. */
   std::vector<Member> updates;
   std::uint8_t wire{}; /*!< Newest wire version of the sender, or 0. */
   bool again{};        /*!< Not encoded; marks the retry of a probe. */
@@ -96,19 +96,19 @@
 };
 
 /*! @brief Partitions of the records whose digests are compared. */
-inline constexpr std::size_t kDigestParts = 64;
+inline constexpr std::size_t kDigestPartitions = 64;
 
 /*! @brief Digest of the records of each partition. */
-using PartDigests = std::array<std::uint64_t, kDigestParts>;
+using PartitionDigests = std::array<std::uint64_t, kDigestPartitions>;
 
 /*! @brief Records of the partitions that differ, and all digests. */
-struct RecordsOfParts {
-  PartDigests digests{};
+struct DigestReply {
+  PartitionDigests digests{};
   std::vector<Member> records;
 };
 
 template <>
-struct NumberedLayout<RecordsOfParts> {
+struct NumberedLayout<DigestReply> {
   static constexpr bool kGrows = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
@@ -117,7 +117,7 @@
 };
 
 template <>
-struct ArrayLayout<RecordsOfParts, WireVersion::kV1> {
+struct ArrayLayout<DigestReply, WireVersion::kV1> {
   static constexpr bool kFrozen = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
@@ -126,12 +126,12 @@
 };
 
 /*! @brief Requests the records of the partitions that differ. */
-struct DigestsAsk {
-  PartDigests digests{};
+struct DigestRequest {
+  PartitionDigests digests{};
 };
 
 template <>
-struct NumberedLayout<DigestsAsk> {
+struct NumberedLayout<DigestRequest> {
   static constexpr bool kGrows = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
@@ -140,12 +140,12 @@
 };
 
 /*! @brief Dependencies of membership. */
-class MembershipObserver {
+class MembershipDelegate {
  public:
-  MembershipObserver() = default;
-  MembershipObserver(const MembershipObserver &) = delete;
-  MembershipObserver &operator=(const MembershipObserver &) = delete;
-  virtual ~MembershipObserver() = default;
+  MembershipDelegate() = default;
+  MembershipDelegate(const MembershipDelegate &) = delete;
+  MembershipDelegate &operator=(const MembershipDelegate &) = delete;
+  virtual ~MembershipDelegate() = default;
 
   /*! @brief Sends a datagram. @param to Receiver. @param gossip Content. */
   virtual void SendGossip(NodeId to, const Gossip &gossip) = 0;
@@ -163,27 +163,27 @@
 
   /*! @brief A peer reports which zones are withdrawn. @param withdrawals Its
    * report. */
-  virtual void PeerZones(const ZonesWord &word) = 0;
+  virtual void PeerZoneWithdrawals(const ZoneWithdrawals &withdrawals) = 0;
 };
 
 /*! @brief Timing of failure detection. */
 struct MembershipOptions {
-  Span probe_period{std::chrono::milliseconds{300}};
-  Span probe_timeout{std::chrono::milliseconds{200}};
+  Duration probe_period{std::chrono::milliseconds{300}};
+  Duration probe_timeout{std::chrono::milliseconds{200}};
   int probe_tries{3};
-  Span suspicion_timeout{std::chrono::milliseconds{1500}};
-  Span tombstone_age{std::chrono::minutes{10}};
+  Duration suspicion_timeout{std::chrono::milliseconds{1500}};
+  Duration tombstone_age{std::chrono::minutes{10}};
   /*! @brief Time for which an unreachable member may be behind a network
    * partition. Partitions last for seconds, and a member that has ended for
    * good never recovers. */
-  Span silent_age{std::chrono::minutes{1}};
-  Span quiet_before_exchange{std::chrono::seconds{2}};
+  Duration silent_age{std::chrono::minutes{1}};
+  Duration quiet_before_exchange{std::chrono::seconds{2}};
   /*! @brief Time after its start in which a node fetches differing records
    * without waiting for changes to stop; while hundreds start together, they
    * never do. */
-  Span young_for{std::chrono::seconds{6}};
+  Duration young_for{std::chrono::seconds{6}};
   /*! @brief Pause between two such exchanges; one takes a few milliseconds. */
-  Span young_pause{std::chrono::milliseconds{400}};
+  Duration young_pause{std::chrono::milliseconds{400}};
   std::size_t updates_per_gossip{8};
   std::size_t spread_factor{3}; /*!< Sends per update / log2(members). */
 };
@@ -206,7 +206,7 @@
    * @param observer Sends datagrams and is notified of changes.
    */
   Membership(Member self, const MembershipOptions &options, const Clock &clock,
-             Random &random, MembershipObserver &observer);
+             Random &random, MembershipDelegate &observer);
 
   [[nodiscard]] const Member &Self() const noexcept { return this->self; }
 
@@ -231,10 +231,10 @@
    * @param theirs The peer's digests.
    * @return Records of the partitions that differ, and all digests.
    */
-  [[nodiscard]] RecordsOfParts Differing(const PartDigests &theirs) const;
+  [[nodiscard]] DigestReply Differing(const PartitionDigests &theirs) const;
 
   /*! @brief Digests to compare with a peer's. @return One per partition. */
-  [[nodiscard]] const PartDigests &Digests() const noexcept {
+  [[nodiscard]] const PartitionDigests &Digests() const noexcept {
     return this->digests;
   }
 
@@ -251,7 +251,7 @@
   }
 
   /*! @brief Time since the last contact with any other node. @return Age. */
-  [[nodiscard]] Span Silence() const noexcept {
+  [[nodiscard]] Duration Silence() const noexcept {
     return this->clock.Now() - this->last_heard;
   }
 
@@ -261,10 +261,14 @@
    * What the store held then was reported together with it.
    * @return The time; 0 before any contact.
    */
-  [[nodiscard]] Time StoreHeard() const noexcept { return this->store_heard; }
+  [[nodiscard]] Time LastStoreContact() const noexcept {
+    return this->last_store_contact;
+  }
 
   /*! @brief Records that the store has responded to this node. */
-  void HearStore() noexcept { this->store_heard = this->clock.Now(); }
+  void RecordStoreContact() noexcept {
+    this->last_store_contact = this->clock.Now();
+  }
 
   /*! @brief Advances probes and suspicions; to be called frequently. */
   void Tick();
@@ -312,7 +316,9 @@
    * @brief Sets the withdrawn zones that datagrams carry.
    * @param withdrawals The newest known to this node.
    */
-  void SetZones(const ZonesWord &word) { this->zones = word; }
+  void SetZones(const ZoneWithdrawals &withdrawals) {
+    this->zones = withdrawals;
+  }
 
  private:
   struct Probe {
@@ -346,7 +352,7 @@
   MembershipOptions options;
   const Clock &clock;
   Random &random;
-  MembershipObserver &observer;
+  MembershipDelegate &observer;
   std::unordered_map<NodeId, Member> members;
   std::vector<NodeId> order;
   std::size_t next_in_order{};
@@ -364,11 +370,11 @@
   Time last_change{};
   Time last_exchange{};
   std::uint64_t changes{};
-  PartDigests digests{}; /*!< XOR of the records of each partition. */
+  PartitionDigests digests{}; /*!< XOR of the records of each partition. */
   std::uint64_t sequence{};
   std::uint64_t config_version{};
-  ZonesWord zones;
-  Time store_heard{};
+  ZoneWithdrawals zones;
+  Time last_store_contact{};
 };
 
 }  // namespace pollenring
--- a/src/pollenring/membership/store_duty.h
+++ b/src/pollenring/membership/store_watcher_role.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_MEMBERSHIP_STORE_DUTY_H_
-#define POLLENRING_MEMBERSHIP_STORE_DUTY_H_
+#ifndef POLLENRING_MEMBERSHIP_STORE_WATCHER_ROLE_H_
+#define POLLENRING_MEMBERSHIP_STORE_WATCHER_ROLE_H_
 
 #include <cstddef>
 
@@ -11,18 +11,18 @@
 namespace pollenring {
 
 /*! @brief How many nodes watch the store on behalf of all. */
-struct StoreDutyOptions {
+struct StoreWatcherOptions {
   std::size_t per_zone{2}; /*!< So that one node can fail. */
   std::size_t fewest{6};   /*!< In all zones; a third may be unreachable. */
   /*! @brief Age of the last store contact at which other nodes take over;
    * while the designated watchers work, it reaches 300 nodes sooner. */
-  Span stale_after{std::chrono::milliseconds{2500}};
+  Duration stale_after{std::chrono::milliseconds{2500}};
   /*! @brief Delay from one node of a zone that takes over to the next. */
-  Span step_in{std::chrono::milliseconds{40}};
+  Duration step_in{std::chrono::milliseconds{40}};
   /*! @brief Maximum wait of one watch. A change must be active within 2 s on
    * a node that was undisturbed for 3 s, and a connection may stop responding
    * unnoticed. */
-  Span longest_watch{std::chrono::milliseconds{2200}};
+  Duration longest_watch{std::chrono::milliseconds{2200}};
 };
 
 /**
@@ -33,7 +33,7 @@
  * of the last store contact; where it is too old, further nodes take over, one
  * after the other.
  */
-class StoreDuty {
+class StoreWatcherRole {
  public:
   /**
    * @brief Creates the role.
@@ -42,18 +42,20 @@
    * @param options Limits.
    * @param clock Clock.
    */
-  StoreDuty(const Membership &membership, const PeerVersions &versions,
-            const StoreDutyOptions &options, const Clock &clock)
+  StoreWatcherRole(const Membership &membership, const PeerVersions &versions,
+                   const StoreWatcherOptions &options, const Clock &clock)
       : membership{membership},
         versions{versions},
         options{options},
         clock{clock} {}
 
   /*! @brief Whether this node is a designated watcher. @return True if so. */
-  [[nodiscard]] bool OnDuty() const { return this->Rank() < this->Needed(); }
+  [[nodiscard]] bool IsDesignated() const {
+    return this->Rank() < this->Needed();
+  }
 
   /*! @brief Whether this node should watch the store. @return True if so. */
-  [[nodiscard]] bool Asks() const;
+  [[nodiscard]] bool ShouldWatch() const;
 
   /**
    * @brief Draws how long the store may hold the next watch.
@@ -63,7 +65,7 @@
    * @param random Source of randomness.
    * @return From half of the maximum wait to all of it.
    */
-  [[nodiscard]] Span NextWatch(Random &random) const;
+  [[nodiscard]] Duration NextWatch(Random &random) const;
 
  private:
   /*! @brief Nodes of this zone that precede this one and report withdrawn
@@ -74,7 +76,7 @@
 
   const Membership &membership;
   const PeerVersions &versions;
-  StoreDutyOptions options;
+  StoreWatcherOptions options;
   const Clock &clock;
 };
 
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -9,15 +9,15 @@
 namespace {
 
 /*! @brief Time between two looks at whether this node is to ask the store. */
-constexpr Span kDutyCheck = std::chrono::milliseconds{100};
+constexpr Duration kDutyCheck = std::chrono::milliseconds{100};
 /*! @brief How long a node that starts waits for a peer's document, which comes
  * within three messages if there is one. */
-constexpr Span kPeersFirst = std::chrono::milliseconds{1500};
-constexpr Span kFirstPause = std::chrono::milliseconds{100};
+constexpr Duration kPeersFirst = std::chrono::milliseconds{1500};
+constexpr Duration kFirstPause = std::chrono::milliseconds{100};
 /*! @brief All nodes together then ask a store that is down some ten times a
  * second each second, well below its rate. */
-constexpr Span kLongestPause = std::chrono::milliseconds{800};
-constexpr Span kPullTimeout = std::chrono::milliseconds{800};
+constexpr Duration kLongestPause = std::chrono::milliseconds{800};
+constexpr Duration kPullTimeout = std::chrono::milliseconds{800};
 /*! @brief Peers of the own availability zone told at once of a new version;
  * they tell others. */
 constexpr std::size_t kSpreadInZone = 3;
@@ -29,19 +29,20 @@
 
 PolicyFollower::PolicyFollower(Loop &loop, MemberService &members,
                                LinkClient &link, PolicySource &source,
-                               const PolicyDialect &dialect, Random &random)
+                               const PolicyCodec &codec, Random &random)
     : loop{loop},
       members{members},
       link{link},
       source{source},
-      dialect{dialect},
+      codec{codec},
       random{random},
-      store_heard{loop.GetClock().Now()} {}
+      last_store_contact{loop.GetClock().Now()} {}
 
 void PolicyFollower::Start(std::function<void()> given) {
   this->changed = std::move(given);
-  this->members.OnZones(
-      [this](const ZonesWord &word) { this->TakeZones(word, "peer"); });
+  this->members.OnZones([this](const ZoneWithdrawals &withdrawals) {
+    this->TakeZones(withdrawals, "peer");
+  });
   this->members.OnVersion([this](NodeId peer, std::uint64_t version) {
     this->PeerVersion(peer, version);
   });
@@ -52,10 +53,10 @@
 void PolicyFollower::Check() {
   if (this->asking) return;
   // Peers of V1 tell of the document, but not of zones.
-  const bool whole = this->table.Version() > 0 && this->zones.Known();
+  const bool whole = this->table.Version() > 0 && this->zones.HasRevision();
   const bool lacks = !whole && this->loop.GetClock().Now() >= this->first_read;
   const bool joined = this->members.Joined();
-  if (!lacks && !(joined && this->members.Duty().Asks())) {
+  if (!lacks && !(joined && this->members.WatcherRole().ShouldWatch())) {
     this->watching = false;
     return;
   }
@@ -67,9 +68,9 @@
   this->Read();
 }
 
-std::optional<WorkspaceShare> PolicyFollower::RateOf(
+std::optional<WorkspaceRateLimit> PolicyFollower::RateOf(
     const std::string &workspace) const {
-  const WorkspaceShare *share = this->table.ShareOf(workspace);
+  const WorkspaceRateLimit *share = this->table.ShareOf(workspace);
   if (share == nullptr) return std::nullopt;
   return *share;
 }
@@ -82,8 +83,8 @@
     }
     this->Heard();
     auto &stored = std::get<StoredDocument>(reply);
-    this->position = stored.position;
-    this->watched = After({}, stored.position, stored.zones);
+    this->revision = stored.revision;
+    this->watched = ApplyZoneChanges({}, stored.revision, stored.zones);
     this->TakeZones(this->watched, "store");
     this->watching = true;
     // Where the store has none yet, peers will tell of the first one.
@@ -94,26 +95,28 @@
 }
 
 void PolicyFollower::Await() {
-  const Span wait = this->members.Duty().NextWatch(this->random);
-  this->source.Await(this->position, wait, [this](PolicySource::Reply reply) {
+  const Duration wait = this->members.WatcherRole().NextWatch(this->random);
+  this->source.Await(this->revision, wait, [this](PolicySource::Reply reply) {
     if (const auto *error = std::get_if<StorageError>(&reply)) {
       this->Failed(*error);
       return;
     }
     this->Heard();
     auto &stored = std::get<StoredDocument>(reply);
-    this->position = std::max(this->position, stored.position);
-    this->watched = After(this->watched, this->position, stored.zones);
+    this->revision = std::max(this->revision, stored.revision);
+    this->watched =
+        ApplyZoneChanges(this->watched, this->revision, stored.zones);
     this->TakeZones(this->watched, "store");
     if (stored.text) this->Take(std::move(*stored.text), "store");
     this->Check();
   });
 }
 
-void PolicyFollower::TakeZones(const ZonesWord &word, std::string_view origin) {
-  const std::uint64_t before = this->zones.Newest().position;
-  const bool other = this->zones.Take(word);
-  if (this->zones.Newest().position == before) return;
+void PolicyFollower::TakeZones(const ZoneWithdrawals &withdrawals,
+                               std::string_view origin) {
+  const std::uint64_t before = this->zones.Newest().revision;
+  const bool other = this->zones.Take(withdrawals);
+  if (this->zones.Newest().revision == before) return;
   this->members.Get().SetZones(this->zones.Newest());
   if (!other) return;
   std::map<std::string, Time> since;
@@ -125,7 +128,7 @@
   this->withdrawn_since = std::move(since);
   LogEvent(LogLevel::kInfo, "zones withdrawn",
            {{"zones", this->zones.Newest().zones},
-            {"position", this->zones.Newest().position},
+            {"position", this->zones.Newest().revision},
             {"before", before},
             {"origin", origin}});
   this->changed();
@@ -133,10 +136,10 @@
 }
 
 void PolicyFollower::Heard() {
-  this->store_heard = this->loop.GetClock().Now();
-  this->members.Get().HearStore();
+  this->last_store_contact = this->loop.GetClock().Now();
+  this->members.Get().RecordStoreContact();
   this->asking = false;
-  this->pause = Span{0};
+  this->pause = Duration{0};
   if (!std::exchange(this->store_lost, false)) return;
   LogEvent(LogLevel::kInfo, "store regained",
            {{"version", this->table.Version()}});
@@ -153,14 +156,14 @@
   this->pause = std::clamp(this->pause * 2, kFirstPause, kLongestPause);
   // Changes may have been missed meanwhile, so the document is read anew.
   this->watching = false;
-  this->loop.After(SpreadAround(this->pause, this->random), [this] {
+  this->loop.After(WithJitter(this->pause, this->random), [this] {
     this->asking = false;
     this->Check();
   });
 }
 
 void PolicyFollower::Take(std::string text, std::string_view origin) {
-  auto policy = this->dialect.Decode(text);
+  auto policy = this->codec.Decode(text);
   if (!policy) {
     LogEvent(LogLevel::kError, "configuration unreadable",
              {{"origin", origin},
--- a/src/pollenring/mesh/policy_follower.h
+++ b/src/pollenring/mesh/policy_follower.h
@@ -13,7 +13,7 @@
 #include "pollenring/contract/host_policy.h"
 #include "pollenring/core/random.h"
 #include "pollenring/link/link_client.h"
-#include "pollenring/mesh/dialects.h"
+#include "pollenring/mesh/codecs.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/gates.h"
 #include "pollenring/node/member_service.h"
@@ -36,11 +36,11 @@
    * @param members Membership; it tells peers' versions.
    * @param link Streams to peers.
    * @param source Where the document lies.
-   * @param dialect How it is written.
+   * @param codec How it is written.
    * @param random Randomness.
    */
   PolicyFollower(Loop &loop, MemberService &members, LinkClient &link,
-                 PolicySource &source, const PolicyDialect &dialect,
+                 PolicySource &source, const PolicyCodec &codec,
                  Random &random);
 
   /*! @brief Starts to watch. @param changed Called when what is in force has
@@ -53,9 +53,7 @@
   }
 
   /*! @brief The configuration in force; version 0 declares nothing. */
-  [[nodiscard]] const HostTable &InForce() const noexcept {
-    return this->table;
-  }
+  [[nodiscard]] const HostTable &Active() const noexcept { return this->table; }
 
   /*! @brief Since when this node knows that a zone is withdrawn. @return By
    * zone. */
@@ -71,12 +69,13 @@
 
   /*! @brief Time since the store last answered this node or, as it heard, any
    * other. @return The age. */
-  [[nodiscard]] Span StoreSilence() const noexcept {
+  [[nodiscard]] Duration StoreSilence() const noexcept {
     return this->loop.GetClock().Now() -
-           std::max(this->store_heard, this->members.Get().StoreHeard());
+           std::max(this->last_store_contact,
+                    this->members.Get().LastStoreContact());
   }
 
-  [[nodiscard]] std::optional<WorkspaceShare> RateOf(
+  [[nodiscard]] std::optional<WorkspaceRateLimit> RateOf(
       const std::string &workspace) const override;
 
  private:
@@ -86,7 +85,7 @@
   void Failed(StorageError error);
   void Heard();
   void Take(std::string text, std::string_view origin);
-  void TakeZones(const ZonesWord &word, std::string_view origin);
+  void TakeZones(const ZoneWithdrawals &withdrawals, std::string_view origin);
   void PeerVersion(NodeId peer, std::uint64_t version);
   void Pull(NodeId peer);
   void Spread();
@@ -95,21 +94,21 @@
   MemberService &members;
   LinkClient &link;
   PolicySource &source;
-  const PolicyDialect &dialect;
+  const PolicyCodec &codec;
   Random &random;
   HostTable table;
   std::string document;
   std::unordered_map<NodeId, std::uint64_t> peer_versions;
   WithdrawnZones zones;
   std::map<std::string, Time> withdrawn_since;
-  ZonesWord watched; /*!< What this node's own watch has told so far. */
+  ZoneWithdrawals watched; /*!< What this node's own watch has told so far. */
   std::function<void()> changed;
-  std::uint64_t position{};
-  Time store_heard{};
-  Span pause{};
+  std::uint64_t revision{};
+  Time last_store_contact{};
+  Duration pause{};
   Time first_read{}; /*!< When a node without a document reads the store. */
   bool asking{};     /*!< A call to the store, or a pause after one, is on. */
-  bool watching{};   /*!< No change since `position` was missed. */
+  bool watching{};   /*!< No change since `revision` was missed. */
   bool store_lost{};
   bool pulling{};
 };
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -13,17 +13,17 @@
 namespace pollenring {
 namespace {
 
-constexpr Span kReadyCheck = std::chrono::milliseconds{20};
-constexpr Span kServingTick = std::chrono::milliseconds{20};
+constexpr Duration kReadyCheck = std::chrono::milliseconds{20};
+constexpr Duration kServingTick = std::chrono::milliseconds{20};
 /*! @brief Time for callers and nodes to learn that a node leaves. */
-constexpr Span kLeaveAccepts = std::chrono::milliseconds{2500};
-constexpr Span kLeaveCheck = std::chrono::milliseconds{50};
+constexpr Duration kLeaveAccepts = std::chrono::milliseconds{2500};
+constexpr Duration kLeaveCheck = std::chrono::milliseconds{50};
 /*! @brief Longest wait for slots to be taken over by others. */
-constexpr Span kLeaveSlots = std::chrono::seconds{6};
-constexpr Span kHandoverTimeout = std::chrono::seconds{1};
+constexpr Duration kLeaveSlots = std::chrono::seconds{6};
+constexpr Duration kHandoverTimeout = std::chrono::seconds{1};
 
-[[nodiscard]] RouteLevelOptions Levels() {
-  RouteLevelOptions options;
+[[nodiscard]] DownstreamLevelOptions Levels() {
+  DownstreamLevelOptions options;
   options.per_workspace = true;
   // Ingresses of this form see several answers of a service in that time.
   options.lifetime = std::chrono::milliseconds{300};
@@ -37,7 +37,7 @@
   Member self;
   self.id = settings.nodes.Packed();
   self.process = random.Bits();
-  self.incarnation = static_cast<std::uint64_t>(clock.Wall().count());
+  self.incarnation = static_cast<std::uint64_t>(clock.WallNow().count());
   self.version = 1;
   self.zone = settings.zone;
   self.region = settings.region;
@@ -74,7 +74,7 @@
       levels{Levels(), loop.GetClock()},
       serving{loop,
               this->client,
-              this->dialect,
+              this->codec,
               AdmissionOptions{},
               this->cold_bounds,
               this->levels,
@@ -133,9 +133,9 @@
 void Node::Start() {
   this->target_server.Open();
   this->operator_server.Open();
-  this->slots.AddUser(*this);
-  this->slots.AddUser(this->shares);
-  this->slots.AddUser(this->once);
+  this->slots.AddListener(*this);
+  this->slots.AddListener(this->shares);
+  this->slots.AddListener(this->once);
   this->members.OnMember(
       [this](const Member &member) { this->router.Update(member); });
   this->slots.Start();
@@ -218,8 +218,9 @@
   // What a process reads after it stood still may have been given up long ago.
   if (!framed || late || this->loop.WokeFromPause()) {
     const Reason reason = late ? Reason::kLeaving : Reason::kLinkLost;
-    const Span come_back = SpreadAround(kComeBack, this->random);
-    CallReply reply = Refusal(Outcome::kNotRun, reason, come_back);
+    const Duration jittered_retry_after =
+        WithJitter(kDefaultRetryAfter, this->random);
+    CallReply reply = Refusal(Outcome::kNotRun, reason, jittered_retry_after);
     if (framed) reply.retries_unspent = framed->head.retries;
     responder->Send(Frame(reply, {}, version));
     return;
@@ -241,7 +242,7 @@
 void Node::SlotLost(SlotId /*slot*/) {}
 
 void Node::SlotHandedOver(SlotId slot, const SlotRow &row,
-                          const WitnessRef &successor) {
+                          const ProcessRef &successor) {
   const Handover handover{slot, row, this->shares.ContentsOf(slot),
                           this->once.LogOf(slot)};
   this->link.Call(AddressOf(successor.node), "handover", Pack(handover),
@@ -254,10 +255,10 @@
   this->shares.Expect(*handover);
   this->once.Expect(*handover);
   if (handover->row.holder == this->slots.Self()) {
-    this->slots.Keeper().Adopt(handover->slot, handover->row);
+    this->slots.Keeper().AcceptHandover(handover->slot, handover->row);
     return;
   }
-  this->slots.Keeper().Succeed(handover->slot);
+  this->slots.Keeper().Campaign(handover->slot);
 }
 
 void Node::Leave() {
@@ -270,8 +271,8 @@
 }
 
 void Node::CheckLeft() {
-  const Span since = this->loop.GetClock().Now() - this->left_at;
-  this->slots.GiveAway();
+  const Duration since = this->loop.GetClock().Now() - this->left_at;
+  this->slots.HandOverAll();
   const bool accepts = since < kLeaveAccepts;
   if (!accepts) this->caller_server.Close();
   const bool holds = !this->slots.Empty() && since < kLeaveSlots;
--- a/src/pollenring/node/node.h
+++ b/src/pollenring/node/node.h
@@ -18,11 +18,11 @@
 #include "pollenring/node/member_service.h"
 #include "pollenring/node/once_service.h"
 #include "pollenring/node/operator_port.h"
-#include "pollenring/node/serving.h"
 #include "pollenring/node/settings.h"
 #include "pollenring/node/share_service.h"
 #include "pollenring/node/slot_service.h"
-#include "pollenring/node/target_dialect.h"
+#include "pollenring/node/target_codec.h"
+#include "pollenring/node/target_executor.h"
 #include "pollenring/node/target_port.h"
 #include "pollenring/routing/router.h"
 #include "pollenring/storage/http_storage.h"
@@ -31,7 +31,7 @@
 namespace pollenring {
 
 /*! @brief The process beside one target, with all its parts. */
-class Node final : public SlotUser {
+class Node final : public SlotListener {
  public:
   /**
    * @brief Binds all ports and joins the other nodes.
@@ -49,7 +49,7 @@
                   const SlotRow &before) override;
   void SlotRewitnessed(SlotId slot, const SlotRow &row) override;
   void SlotHandedOver(SlotId slot, const SlotRow &row,
-                      const WitnessRef &successor) override;
+                      const ProcessRef &successor) override;
   void SlotLost(SlotId slot) override;
 
  private:
@@ -81,10 +81,10 @@
   ShareService shares;
   OnceService once;
   Router router;
-  ContextDialect dialect;
-  RouteLevels levels;
-  NoColdBounds cold_bounds;
-  Serving serving;
+  ContextCodec codec;
+  DownstreamLevels levels;
+  NoColdStartLimits cold_bounds;
+  TargetExecutor serving;
   NodeRetryBudget retry_budget;
   Dispatcher dispatcher;
   Ingress ingress;
--- a/src/pollenring/node/target_dialect.cc
+++ b/src/pollenring/node/target_codec.cc
@@ -1,4 +1,4 @@
-#include "pollenring/node/target_dialect.h"
+#include "pollenring/node/target_codec.h"
 
 #include "pollenring/node/headers.h"
 
@@ -12,19 +12,20 @@
 
 }  // namespace
 
-TargetVerdict JudgeAnswer(const AnswerSigns &signs, int status) noexcept {
-  if (signs.elsewhere) return {Outcome::kNotRun, Reason::kNoTarget, false};
+TargetVerdict ClassifyResponse(const ResponseSignals &signs,
+                               int status) noexcept {
+  if (signs.wrong_instance) return {Outcome::kNotRun, Reason::kNoTarget, false};
   if (signs.not_run) return {Outcome::kNotRun, Reason::kTargetBusy, true};
   const bool ok = status >= kFirstOk && status < kFirstRedirect;
   // The call may have run, whatever the answer would make its caller believe.
-  if ((ok && !signs.genuine) || signs.unnamed || signs.promises) {
+  if ((ok && !signs.genuine) || signs.unnamed || signs.implies_not_executed) {
     return {Outcome::kUnknown, Reason::kTargetFailed, false};
   }
   return {Outcome::kRan, Reason::kNone, signs.busy};
 }
 
-void ContextDialect::AddHeaders(const TargetCall &call,
-                                HttpRequest &request) const {
+void ContextCodec::AddHeaders(const TargetCall &call,
+                              HttpRequest &request) const {
   const auto add = [&request](std::string_view name, std::string value) {
     request.headers.push_back({std::string{name}, std::move(value)});
   };
@@ -34,21 +35,22 @@
   add(kDeadlineHeader, std::to_string(call.left.count() / 1000));
 }
 
-AnswerMark ContextDialect::MarkOf(const CallEnvelope & /*envelope*/) const {
+CorrelationHeader ContextCodec::CorrelationHeaderOf(
+    const CallEnvelope & /*envelope*/) const {
   return {};
 }
 
-AnswerSigns ContextDialect::Read(const CallEnvelope & /*envelope*/,
-                                 const HttpResponse &answer) const {
-  AnswerSigns signs;
+ResponseSignals ContextCodec::Read(const CallEnvelope & /*envelope*/,
+                                   const HttpResponse &answer) const {
+  ResponseSignals signs;
   signs.busy =
       answer.status == kServiceUnavailable || answer.status == kTooManyRequests;
   return signs;
 }
 
-std::vector<WireHeader> ContextDialect::PassAnswerHeaders(
+std::vector<WireHeader> ContextCodec::ForwardableResponseHeaders(
     const HttpHeaders &headers) const {
-  return PassableHeaders(headers);
+  return ForwardableHeaders(headers);
 }
 
 }  // namespace pollenring
--- a/test/pollenring/node/route_levels_test.cc
+++ b/test/pollenring/node/downstream_levels_test.cc
@@ -1,4 +1,4 @@
-#include "pollenring/node/route_levels.h"
+#include "pollenring/node/downstream_levels.h"
 
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -7,25 +7,25 @@
 
 namespace {
 
+using pollenring::AdmissionLevel;
+using pollenring::DownstreamLevelOptions;
+using pollenring::DownstreamLevels;
+using pollenring::Duration;
 using pollenring::ManualClock;
 using pollenring::NodeId;
-using pollenring::RouteLevelOptions;
-using pollenring::RouteLevels;
-using pollenring::ServiceLevel;
-using pollenring::Span;
 using std::chrono::milliseconds;
 
 constexpr std::size_t kMost = 16;
 
-[[nodiscard]] RouteLevelOptions PerWorkspace() {
-  RouteLevelOptions options;
+[[nodiscard]] DownstreamLevelOptions PerWorkspace() {
+  DownstreamLevelOptions options;
   options.lifetime = milliseconds{300};
   options.per_workspace = true;
   return options;
 }
 
-[[nodiscard]] ServiceLevel Of(const std::string &service, NodeId node,
-                              int level_milli, int per_second = 100) {
+[[nodiscard]] AdmissionLevel Of(const std::string &service, NodeId node,
+                                int level_milli, int per_second = 100) {
   return {service, node, level_milli, per_second, 0, true};
 }
 
@@ -33,19 +33,19 @@
 
 TEST_CASE("route levels: what is heard counts for a moment, then goes") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{PerWorkspace(), clock};
+  DownstreamLevels levels{PerWorkspace(), clock};
   levels.Learn("club", "front GET /",
                {Of("back", 1, 1000), Of("middle", 2, 500)});
-  CHECK(levels.HighestOn("club", "front GET /").level == Approx(1.0));
-  CHECK(levels.HighestOn("other", "front GET /").level == 0);
-  CHECK(levels.HighestOn("club", "side GET /").level == 0);
+  CHECK(levels.HighestOnCallPath("club", "front GET /").level == Approx(1.0));
+  CHECK(levels.HighestOnCallPath("other", "front GET /").level == 0);
+  CHECK(levels.HighestOnCallPath("club", "side GET /").level == 0);
   clock.Advance(std::chrono::seconds{1});
-  CHECK(levels.HighestOn("club", "front GET /").level == 0);
+  CHECK(levels.HighestOnCallPath("club", "front GET /").level == 0);
 }
 
 TEST_CASE("route levels: routes that nobody asks for are forgotten") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{PerWorkspace(), clock};
+  DownstreamLevels levels{PerWorkspace(), clock};
   // Workspaces times routes, each seen once: an hour of them.
   for (int i = 0; i < 360'000; ++i) {
     const std::string name = std::to_string(i);
@@ -64,7 +64,7 @@
 TEST_CASE(
     "route levels: a route with few answers learns from others' answers") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{RouteLevelOptions{}, clock};
+  DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   // A VM that takes one request of a route in two seconds, of eight workspaces
   // in turn, and fifteen others a second; the deepest service sheds all along.
   levels.Learn("workspace0", "deep", {Of("deepest", 7, 2400)});
@@ -72,13 +72,13 @@
   for (int i = 1; i <= 20; ++i) {
     for (int other = 0; other < 30; ++other) {
       clock.Advance(milliseconds{66});
-      ServiceLevel heard = Of("deepest", 7, 2400);
-      heard.on_way = false;
+      AdmissionLevel heard = Of("deepest", 7, 2400);
+      heard.on_call_path = false;
       heard.age_ms = 150;
       levels.Learn("workspace1", "shallow", {heard});
     }
     const std::string workspace = "workspace" + std::to_string(i % 8);
-    if (levels.HighestOn(workspace, "deep").level > 2) {
+    if (levels.HighestOnCallPath(workspace, "deep").level > 2) {
       ++refused;
       continue;
     }
@@ -86,45 +86,45 @@
   }
   // A way that no answer confirms is tried anew every ten seconds.
   CHECK(refused >= 16);
-  CHECK(levels.HighestOn("workspace1", "shallow").level == 0);
+  CHECK(levels.HighestOnCallPath("workspace1", "shallow").level == 0);
 }
 
 TEST_CASE("route levels: nodes that repeat each other keep no level alive") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels one{RouteLevelOptions{}, clock};
-  RouteLevels other{RouteLevelOptions{}, clock};
+  DownstreamLevels one{DownstreamLevelOptions{}, clock};
+  DownstreamLevels other{DownstreamLevelOptions{}, clock};
   one.Learn({}, "deep", {Of("deepest", 7, 1000)});
   for (int i = 0; i < 40; ++i) {
     clock.Advance(milliseconds{50});
     other.Learn({}, "deep", one.Shedding({}, "deep", kMost));
     one.Learn({}, "deep", other.Shedding({}, "deep", kMost));
   }
-  CHECK(one.HighestOn({}, "deep").level == 0);
+  CHECK(one.HighestOnCallPath({}, "deep").level == 0);
   CHECK(other.Shedding({}, "deep", kMost).empty());
 }
 
 TEST_CASE("route levels: one busy target among idle ones refuses its part") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{RouteLevelOptions{}, clock};
+  DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   levels.Learn({}, "deep", {Of("deepest", 1, 900)});
   levels.Learn({}, "deep", {Of("deepest", 2, 0)});
   levels.Learn({}, "deep", {Of("deepest", 3, 0)});
-  CHECK(levels.HighestOn({}, "deep").level == Approx(0.3));
+  CHECK(levels.HighestOnCallPath({}, "deep").level == Approx(0.3));
 }
 
 TEST_CASE(
     "route levels: a target that gets no calls does not hide the others") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{RouteLevelOptions{}, clock};
+  DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   levels.Learn({}, "deep", {Of("deepest", 1, 2400, 560)});
   levels.Learn({}, "deep", {Of("deepest", 2, 2400, 560)});
   levels.Learn({}, "deep", {Of("deepest", 3, 0, 3)});
-  CHECK(levels.HighestOn({}, "deep").level > 2.3);
+  CHECK(levels.HighestOnCallPath({}, "deep").level > 2.3);
 }
 
 TEST_CASE("route levels: a call taken for another's puts nothing on a way") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{RouteLevelOptions{}, clock};
+  DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   for (int i = 0; i < 200; ++i) {
     clock.Advance(milliseconds{10});
     levels.Served("shallow");
@@ -132,59 +132,59 @@
     levels.LearnBelow({}, i % 20 == 0 ? "shallow" : "deep",
                       {Of("deepest", 7, 1500)});
   }
-  CHECK(levels.HighestOn({}, "deep").level == Approx(1.5));
-  CHECK(levels.HighestOn({}, "shallow").level == 0);
+  CHECK(levels.HighestOnCallPath({}, "deep").level == Approx(1.5));
+  CHECK(levels.HighestOnCallPath({}, "shallow").level == 0);
 }
 
 TEST_CASE("route levels: of many that shed, those on the way are passed on") {
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{RouteLevelOptions{}, clock};
-  std::vector<ServiceLevel> many;
+  DownstreamLevels levels{DownstreamLevelOptions{}, clock};
+  std::vector<AdmissionLevel> many;
   for (NodeId node = 1; node <= 40; ++node) {
-    ServiceLevel entry = Of("service" + std::to_string(node), node, 700);
-    entry.on_way = node == 40;
+    AdmissionLevel entry = Of("service" + std::to_string(node), node, 700);
+    entry.on_call_path = node == 40;
     many.push_back(entry);
   }
   levels.Learn({}, "deep", many);
   const auto passed = levels.Shedding({}, "deep", kMost);
   REQUIRE(passed.size() == kMost);
   CHECK(passed.front().service == "service40");
-  CHECK(passed.front().on_way);
+  CHECK(passed.front().on_call_path);
 }
 
 TEST_CASE("route levels: a young node goes by what others have seen") {
   // One of hundreds of entries: it has seen no answer of the route yet, others
   // pass on what they have seen with answers of other routes.
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels seen{RouteLevelOptions{}, clock};
-  RouteLevels young{RouteLevelOptions{}, clock};
+  DownstreamLevels seen{DownstreamLevelOptions{}, clock};
+  DownstreamLevels young{DownstreamLevelOptions{}, clock};
   for (int i = 0; i < 10; ++i) {
     seen.Learn({}, "deep", {Of("deepest", 7, 1500)});
     seen.Learn({}, "shallow", {});
   }
-  ServiceLevel heard = Of("deepest", 7, 1500);
-  heard.on_way = false;
+  AdmissionLevel heard = Of("deepest", 7, 1500);
+  heard.on_call_path = false;
   young.Learn({}, "shallow", {heard});
-  CHECK(young.HighestOn({}, "deep").level == 0);
-  young.LearnMarks(seen.Marks(kMost));
-  CHECK(young.HighestOn({}, "deep").level == Approx(1.5));
-  CHECK(young.HighestOn({}, "shallow").level == 0);
+  CHECK(young.HighestOnCallPath({}, "deep").level == 0);
+  young.LearnCallPathReports(seen.CallPathReports(kMost));
+  CHECK(young.HighestOnCallPath({}, "deep").level == Approx(1.5));
+  CHECK(young.HighestOnCallPath({}, "shallow").level == 0);
   // What it has heard is no evidence of its own.
-  for (const auto &mark : young.Marks(kMost)) CHECK_FALSE(mark.meets);
+  for (const auto &mark : young.CallPathReports(kMost)) CHECK_FALSE(mark.meets);
 }
 
 TEST_CASE("route levels: a few nodes that are wrong convince nobody") {
   // Which routes make calls is estimated at each node; one in four is wrong.
   ManualClock clock{std::chrono::hours{1}};
-  RouteLevels levels{RouteLevelOptions{}, clock};
+  DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   int refused = 0;
   for (int i = 0; i < 200; ++i) {
     clock.Advance(milliseconds{10});
-    ServiceLevel heard = Of("deepest", 7, 1500);
-    heard.on_way = false;
+    AdmissionLevel heard = Of("deepest", 7, 1500);
+    heard.on_call_path = false;
     levels.Learn({}, "other", {heard});
-    levels.LearnMarks({{"download", "deepest", i % 4 == 0}});
-    if (levels.HighestOn({}, "download").level > 0) ++refused;
+    levels.LearnCallPathReports({{"download", "deepest", i % 4 == 0}});
+    if (levels.HighestOnCallPath({}, "download").level > 0) ++refused;
   }
   CHECK(refused < 50);
 }
--- a/test/support/faulty_dialects.h
+++ b/test/support/faulty_codecs.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_TEST_SUPPORT_FAULTY_DIALECTS_H_
-#define POLLENRING_TEST_SUPPORT_FAULTY_DIALECTS_H_
+#ifndef POLLENRING_TEST_SUPPORT_FAULTY_CODECS_H_
+#define POLLENRING_TEST_SUPPORT_FAULTY_CODECS_H_
 
 #include <stdexcept>
 #include <string>
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-#include "platform/dialects.h"
+#include "platform/codecs.h"
 #include "pollenring/core/invariant.h"
 #include "pollenring/net/http_message.h"
 
@@ -27,8 +27,8 @@
 /*! @brief Begins identifiers of requests whose answers can't be passed on. */
 inline constexpr std::string_view kUnpassable = "unpassable";
 
-/*! @brief The platform's dialect, with errors in reading some answers. */
-class FaultyTargets final : public pollenring::TargetDialect {
+/*! @brief The platform's codec, with errors in reading some answers. */
+class FaultyTargets final : public pollenring::TargetCodec {
  public:
   void AddHeaders(const pollenring::TargetCall &call,
                   pollenring::HttpRequest &request) const override {
@@ -37,11 +37,11 @@
     }
     this->sound.AddHeaders(call, request);
   }
-  [[nodiscard]] pollenring::AnswerMark MarkOf(
+  [[nodiscard]] pollenring::CorrelationHeader CorrelationHeaderOf(
       const pollenring::CallEnvelope &envelope) const override {
-    return this->sound.MarkOf(envelope);
+    return this->sound.CorrelationHeaderOf(envelope);
   }
-  [[nodiscard]] pollenring::AnswerSigns Read(
+  [[nodiscard]] pollenring::ResponseSignals Read(
       const pollenring::CallEnvelope &envelope,
       const pollenring::HttpResponse &answer) const override {
     if (envelope.root_id == kFailsInside) {
@@ -50,21 +50,21 @@
     pollenring::Require(envelope.root_id != kBreaksRule, "a rule of the test");
     return this->sound.Read(envelope, answer);
   }
-  [[nodiscard]] std::vector<pollenring::WireHeader> PassAnswerHeaders(
+  [[nodiscard]] std::vector<pollenring::WireHeader> ForwardableResponseHeaders(
       const pollenring::HttpHeaders &headers) const override {
     const auto id = pollenring::FindHeader(headers, "x-pollenring-attempt-id");
     if (id.substr(0, kUnpassable.size()) == kUnpassable) {
       throw std::out_of_range{"an answer that can't be passed on"};
     }
-    return this->sound.PassAnswerHeaders(headers);
+    return this->sound.ForwardableResponseHeaders(headers);
   }
 
  private:
   pollenring::platform::Targets sound;
 };
 
-/*! @brief The platform's dialect, unable to write some answers. */
-class FaultyCallers final : public pollenring::CallerDialect {
+/*! @brief The platform's codec, unable to write some answers. */
+class FaultyCallers final : public pollenring::CallerCodec {
  public:
   [[nodiscard]] pollenring::CallerRequest Decode(
       const pollenring::HttpHeaders &headers) const override {
@@ -88,4 +88,4 @@
 
 }  // namespace support
 
-#endif  // POLLENRING_TEST_SUPPORT_FAULTY_DIALECTS_H_
+#endif  // POLLENRING_TEST_SUPPORT_FAULTY_CODECS_H_
--- a/test/support/lease_world.cc
+++ b/test/support/lease_world.cc
@@ -63,7 +63,7 @@
       std::make_unique<Node>(*this, index, this->random.Bits());
 }
 
-void LeaseWorld::Freeze(int index, Span length) {
+void LeaseWorld::Freeze(int index, Duration length) {
   auto &node = this->nodes[static_cast<std::size_t>(index)];
   if (node) node->frozen_until = this->truth.Now() + length;
 }
@@ -78,7 +78,7 @@
     if (node->keeper.Held(slot) == nullptr) continue;
     // Without the table only a witness can succeed.
     if (!node->keeper.Resign(slot, successor->self)) {
-      node->keeper.GiveTo(slot, successor->self);
+      node->keeper.HandOverTo(slot, successor->self);
     }
     given = true;
   }
@@ -129,7 +129,7 @@
                         std::function<void(bool)> done) {
   Node &node = *this->nodes[static_cast<std::size_t>(index)];
   node.borrower.Charge(
-      workspace, pollenring::Patience::Until(Time::max()),
+      workspace, pollenring::WaitLimit::Until(Time::max()),
       [this, workspace, done](const pollenring::ChargeResult &result) {
         if (result.granted) {
           this->checks.at(workspace).Charged(this->truth.Now());
