--- a/src/pollenring/config/ledger.cc
+++ b/src/pollenring/config/ledger.cc
@@ -7,9 +7,9 @@
 ConfigCatchUp ConfigLedger::Since(std::uint64_t from) const {
   ConfigCatchUp catch_up;
   if (from >= this->version) return catch_up;
-  const bool reaches =
+  const bool covered =
       !this->recent.empty() && this->recent.front().version <= from + 1;
-  if (!reaches) {
+  if (!covered) {
     catch_up.snapshot.push_back(this->Snapshot());
     return catch_up;
   }
@@ -23,11 +23,11 @@
 bool ConfigLedger::Apply(const ConfigChange &change) {
   if (change.version != this->version + 1) return false;
   for (const auto &document : change.documents) {
-    this->Put(document.name, document.after);
+    this->SetDocument(document.name, document.after);
   }
   this->recent.push_back(change);
-  if (this->recent.size() > kChangesKept) this->recent.pop_front();
-  this->MoveTo(change.version);
+  if (this->recent.size() > kMaxRecentChanges) this->recent.pop_front();
+  this->AdvanceTo(change.version);
   return true;
 }
 
@@ -35,11 +35,12 @@
   if (snapshot.version <= this->version) return false;
   const Documents old = this->documents;
   for (const auto &[name, text] : old) {
-    if (snapshot.documents.count(name) == 0) this->Put(name, {});
+    if (snapshot.documents.count(name) == 0) this->SetDocument(name, {});
   }
-  for (const auto &[name, text] : snapshot.documents) this->Put(name, text);
+  for (const auto &[name, text] : snapshot.documents)
+    this->SetDocument(name, text);
   this->recent.clear();
-  this->MoveTo(snapshot.version);
+  this->AdvanceTo(snapshot.version);
   return true;
 }
 
@@ -48,7 +49,8 @@
   for (const auto &change : catch_up.changes) this->Apply(change);
 }
 
-void ConfigLedger::Put(const std::string &name, const std::string &text) {
+void ConfigLedger::SetDocument(const std::string &name,
+                               const std::string &text) {
   if (text.empty()) {
     this->documents.erase(name);
   } else {
@@ -57,7 +59,7 @@
   this->policy.Apply(name, text);
 }
 
-void ConfigLedger::MoveTo(std::uint64_t next) {
+void ConfigLedger::AdvanceTo(std::uint64_t next) {
   Require(next > this->version, "a configuration version never reverts");
   this->version = next;
   this->installed(next);
--- a/src/pollenring/config/ledger.h
+++ b/src/pollenring/config/ledger.h
@@ -72,10 +72,10 @@
   void Apply(const ConfigCatchUp &catch_up);
 
  private:
-  static constexpr std::size_t kChangesKept = 256;
+  static constexpr std::size_t kMaxRecentChanges = 256;
 
-  void Put(const std::string &name, const std::string &text);
-  void MoveTo(std::uint64_t next);
+  void SetDocument(const std::string &name, const std::string &text);
+  void AdvanceTo(std::uint64_t next);
 
   Installed installed;
   std::uint64_t version{};
--- a/src/pollenring/config/publisher.cc
+++ b/src/pollenring/config/publisher.cc
@@ -9,9 +9,9 @@
 namespace pollenring {
 namespace {
 
-constexpr int kMostRechecks = 3;
-constexpr int kMostRewrites = 3;
-constexpr std::size_t kMostOthers = 16;
+constexpr int kMaxRechecks = 3;
+constexpr int kMaxRewrites = 3;
+constexpr std::size_t kMaxConflicts = 16;
 
 }  // namespace
 
@@ -25,12 +25,12 @@
 struct Publisher::Attempt {
   ConfigChange change;
   Done done;
-  int rechecks_left{kMostRechecks};
-  int rewrites_left{kMostRewrites};
+  int rechecks_left{kMaxRechecks};
+  int rewrites_left{kMaxRewrites};
   bool uncertain{}; /*!< A write was sent that had no reply. */
 
-  void Report(CommitResult result, std::vector<ConfigChange> others = {}) {
-    this->done({result, this->change, std::move(others)});
+  void Report(CommitResult result, std::vector<ConfigChange> conflicts = {}) {
+    this->done({result, this->change, std::move(conflicts)});
   }
 };
 
@@ -84,7 +84,7 @@
     const Row &row = found->front();
     if (row.version == 0) {
       // This version is not taken; the head is behind or ahead of the base.
-      this->CollectOthers(attempt);
+      this->CollectConflicts(attempt);
       return;
     }
     const auto stored = ConfigChange::FromJson(row.value);
@@ -92,11 +92,11 @@
       attempt->Report(CommitResult::kCommitted);
       return;
     }
-    this->CollectOthers(attempt);
+    this->CollectConflicts(attempt);
   });
 }
 
-void Publisher::CollectOthers(const std::shared_ptr<Attempt> &attempt) {
+void Publisher::CollectConflicts(const std::shared_ptr<Attempt> &attempt) {
   this->table.Read({kHeadRow}, [this, attempt](Table::Rows rows) {
     const auto *found = std::get_if<std::vector<Row>>(&rows);
     if (found == nullptr) {
@@ -119,11 +119,11 @@
     }
     std::vector<std::string> keys;
     for (std::uint64_t version = attempt->change.version;
-         version <= head && keys.size() < kMostOthers; ++version) {
+         version <= head && keys.size() < kMaxConflicts; ++version) {
       keys.push_back(ChangeRowKey(version));
     }
     this->table.Read(keys, [attempt](Table::Rows changes) {
-      std::vector<ConfigChange> others;
+      std::vector<ConfigChange> conflicts;
       const auto *list = std::get_if<std::vector<Row>>(&changes);
       if (list == nullptr) {
         attempt->Report(CommitResult::kConflict);
@@ -131,19 +131,19 @@
       }
       for (const auto &row : *list) {
         const auto change = ConfigChange::FromJson(row.value);
-        if (change) others.push_back(*change);
+        if (change) conflicts.push_back(*change);
       }
-      attempt->Report(CommitResult::kConflict, std::move(others));
+      attempt->Report(CommitResult::kConflict, std::move(conflicts));
     });
   });
 }
 
 void Publisher::RecordRefusal(const ConfigChange &change,
-                              const std::string &why) {
+                              const std::string &reason) {
   ConfigChange record = change;
   record.wall_ms = this->clock.WallNow().count();
   nlohmann::json json = nlohmann::json::parse(record.ToJson());
-  json["refused"] = why;
+  json["refused"] = reason;
   const std::string key =
       kRefusedRowPrefix + std::to_string(record.wall_ms) + "-" + RandomHex(4);
   this->table.Write({{key, 0}}, {{key, json.dump()}}, [](Table::Written) {});
--- a/src/pollenring/config/publisher.h
+++ b/src/pollenring/config/publisher.h
@@ -40,7 +40,7 @@
 struct CommitReport {
   CommitResult result{CommitResult::kUnknown};
   ConfigChange change;
-  std::vector<ConfigChange> others; /*!< Conflicting changes that came first. */
+  std::vector<ConfigChange> conflicts; /*!< Changes that came first. */
 };
 
 /**
@@ -71,16 +71,16 @@
   /**
    * @brief Records a refused change, best effort.
    * @param change The change.
-   * @param why Why it was refused.
+   * @param reason Why it was refused.
    */
-  void RecordRefusal(const ConfigChange &change, const std::string &why);
+  void RecordRefusal(const ConfigChange &change, const std::string &reason);
 
  private:
   struct Attempt;
 
   void Write(const std::shared_ptr<Attempt> &attempt);
   void Recheck(const std::shared_ptr<Attempt> &attempt);
-  void CollectOthers(const std::shared_ptr<Attempt> &attempt);
+  void CollectConflicts(const std::shared_ptr<Attempt> &attempt);
 
   Table &table;
   const Clock &clock;
--- a/src/pollenring/config/withdrawn_zones.cc
+++ b/src/pollenring/config/withdrawn_zones.cc
@@ -4,11 +4,11 @@
 
 namespace pollenring {
 
-bool WithdrawnZones::Take(const ZoneWithdrawals &given) {
-  if (given.revision <= this->withdrawals.revision) return false;
+bool WithdrawnZones::Merge(const ZoneWithdrawals &reported) {
+  if (reported.revision <= this->withdrawals.revision) return false;
   const bool changed =
-      !this->HasRevision() || given.zones != this->withdrawals.zones;
-  this->withdrawals = given;
+      !this->HasRevision() || reported.zones != this->withdrawals.zones;
+  this->withdrawals = reported;
   return changed;
 }
 
@@ -22,13 +22,13 @@
                                  const std::vector<ZoneChange> &changes) {
   ZoneWithdrawals withdrawals{revision, before.zones};
   for (const auto &change : changes) {
-    const auto place = std::lower_bound(withdrawals.zones.begin(),
+    const auto found = std::lower_bound(withdrawals.zones.begin(),
                                         withdrawals.zones.end(), change.zone);
-    const bool there =
-        place != withdrawals.zones.end() && *place == change.zone;
-    if (change.withdrawn && !there)
-      withdrawals.zones.insert(place, change.zone);
-    if (!change.withdrawn && there) withdrawals.zones.erase(place);
+    const bool present =
+        found != withdrawals.zones.end() && *found == change.zone;
+    if (change.withdrawn && !present)
+      withdrawals.zones.insert(found, change.zone);
+    if (!change.withdrawn && present) withdrawals.zones.erase(found);
   }
   return withdrawals;
 }
--- a/src/pollenring/config/withdrawn_zones.h
+++ b/src/pollenring/config/withdrawn_zones.h
@@ -54,7 +54,7 @@
    * @param withdrawals The report.
    * @return True if the withdrawn zones changed, or it is the first report.
    */
-  bool Take(const ZoneWithdrawals &withdrawals);
+  bool Merge(const ZoneWithdrawals &withdrawals);
 
   /*! @brief The newest report. @return Its zones and revision. */
   [[nodiscard]] const ZoneWithdrawals &Newest() const noexcept {
--- a/src/pollenring/membership/member.h
+++ b/src/pollenring/membership/member.h
@@ -42,7 +42,7 @@
 /*! @brief Unknown states: no new calls, but not dead. */
 template <>
 struct WireEnum<MemberState> {
-  static constexpr bool kTravels = true;
+  static constexpr bool kOnWire = true;
   static constexpr std::string_view kName{"member state"};
   static constexpr const auto &kNames = kMemberStateNames;
   static constexpr MemberState kUnknown = MemberState::kLeaving;
@@ -51,7 +51,7 @@
 /*! @brief Unknown states: no calls. */
 template <>
 struct WireEnum<TargetState> {
-  static constexpr bool kTravels = true;
+  static constexpr bool kOnWire = true;
   static constexpr std::string_view kName{"target state"};
   static constexpr const auto &kNames = kTargetStateNames;
   static constexpr TargetState kUnknown = TargetState::kDraining;
--- a/src/pollenring/membership/membership.cc
+++ b/src/pollenring/membership/membership.cc
@@ -12,15 +12,15 @@
 
 Membership::Membership(Member self, const MembershipOptions &options,
                        const Clock &clock, Random &random,
-                       MembershipDelegate &observer)
+                       MembershipDelegate &delegate)
     : self{std::move(self)},
       options{options},
       clock{clock},
       random{random},
-      observer{observer},
+      delegate{delegate},
       started{clock.Now()},
-      last_heard{this->started} {
-  this->Touch(this->self);
+      last_contact{this->started} {
+  this->ToggleDigest(this->self);
 }
 
 const Member *Membership::Find(NodeId id) const {
@@ -39,8 +39,8 @@
   DigestReply found;
   found.digests = this->digests;
   const auto add = [&](const Member &member) {
-    const std::size_t part = PartOfNode(member.id);
-    if (theirs[part] == this->digests[part]) return;
+    const std::size_t partition = PartitionOf(member.id);
+    if (theirs[partition] == this->digests[partition]) return;
     found.records.push_back(member);
   };
   add(this->self);
@@ -51,13 +51,13 @@
 void Membership::Tick() {
   const Time now = this->clock.Now();
   if (this->probe && now >= this->probe->due) {
-    const NodeId silent = this->probe->to;
-    if (--this->probe->tries_left > 0) {
+    const NodeId probed = this->probe->to;
+    if (--this->probe->attempts_left > 0) {
       this->probe->due = now + this->options.probe_timeout;
-      this->Send(silent, GossipKind::kPing, this->probe->sequence, true);
+      this->Send(probed, GossipKind::kPing, this->probe->sequence, true);
     } else {
       this->probe.reset();
-      this->Suspect(silent);
+      this->Suspect(probed);
     }
   }
   this->ExpireSuspicions();
@@ -68,12 +68,12 @@
 
 void Membership::Receive(const Gossip &gossip) {
   if (gossip.from == this->self.id) return;
-  this->last_heard = this->clock.Now();
+  this->last_contact = this->clock.Now();
   this->Merge(gossip.updates);
-  const bool answers_probe = gossip.kind == GossipKind::kAck && this->probe &&
-                             this->probe->to == gossip.from &&
-                             this->probe->sequence == gossip.sequence;
-  if (answers_probe) this->probe.reset();
+  const bool acks_probe = gossip.kind == GossipKind::kAck && this->probe &&
+                          this->probe->to == gossip.from &&
+                          this->probe->sequence == gossip.sequence;
+  if (acks_probe) this->probe.reset();
   if (gossip.kind == GossipKind::kPing) {
     // An unknown peer needs this node's record; one held suspect or dead here
     // needs that record to refute it.
@@ -84,12 +84,12 @@
     }
     this->Send(gossip.from, GossipKind::kAck, gossip.sequence);
   }
-  this->observer.PeerConfigVersion(gossip.from, gossip.config_version);
-  this->observer.PeerZoneWithdrawals(gossip.zones);
+  this->delegate.PeerConfigVersion(gossip.from, gossip.config_version);
+  this->delegate.PeerZoneWithdrawals(gossip.zones);
   // The peer's store contact counts only if this node holds at least the
   // configuration that the peer has.
-  const bool as_new = gossip.config_version <= this->config_version;
-  if (as_new && gossip.store_age_ms >= 0) {
+  const bool config_is_current = gossip.config_version <= this->config_version;
+  if (config_is_current && gossip.store_age_ms >= 0) {
     const Duration age = std::chrono::milliseconds{gossip.store_age_ms};
     this->last_store_contact =
         std::max(this->last_store_contact, this->clock.Now() - age);
@@ -129,11 +129,11 @@
 }
 
 void Membership::BumpSelf() {
-  this->Touch(this->self);
+  this->ToggleDigest(this->self);
   ++this->self.version;
-  this->Touch(this->self);
+  this->ToggleDigest(this->self);
   this->Enqueue(this->self.id);
-  this->observer.MemberChanged(this->self);
+  this->delegate.MemberChanged(this->self);
 }
 
 void Membership::Apply(const Member &record) {
@@ -144,9 +144,9 @@
   const auto found = this->members.find(record.id);
   const bool known = found != this->members.end();
   if (known && !record.Supersedes(found->second)) return;
-  if (known) this->Touch(found->second);
+  if (known) this->ToggleDigest(found->second);
   this->members[record.id] = record;
-  this->Touch(record);
+  this->ToggleDigest(record);
   if (!known) this->order.push_back(record.id);
   if (record.state != MemberState::kSuspect) {
     this->suspected_at.erase(record.id);
@@ -154,20 +154,21 @@
     this->suspected_at.emplace(record.id, this->clock.Now());
   }
   if (record.state == MemberState::kLeaving) {
-    this->left[record.id] = record.incarnation;
+    this->announced_leave[record.id] = record.incarnation;
   }
   if (record.state == MemberState::kDead) {
     this->died_at.emplace(record.id, this->clock.Now());
-    const auto left = this->left.find(record.id);
-    const bool announced =
-        left != this->left.end() && left->second == record.incarnation;
-    if (!announced) this->silent_since.emplace(record.id, this->clock.Now());
+    const auto announced_leave = this->announced_leave.find(record.id);
+    const bool announced = announced_leave != this->announced_leave.end() &&
+                           announced_leave->second == record.incarnation;
+    if (!announced)
+      this->unreachable_since.emplace(record.id, this->clock.Now());
   } else {
     this->died_at.erase(record.id);
-    this->silent_since.erase(record.id);
+    this->unreachable_since.erase(record.id);
   }
   this->Enqueue(record.id);
-  this->observer.MemberChanged(record);
+  this->delegate.MemberChanged(record);
 }
 
 std::uint64_t Membership::DigestOf(const Member &record) {
@@ -179,79 +180,81 @@
   return Hash64(text);
 }
 
-std::size_t Membership::PartOfNode(NodeId id) noexcept {
+std::size_t Membership::PartitionOf(NodeId id) noexcept {
   return static_cast<std::size_t>(HashNumber(id) % kDigestPartitions);
 }
 
-std::uint64_t Membership::WholeDigest() const noexcept {
-  std::uint64_t whole = 0;
-  for (const std::uint64_t part : this->digests) whole ^= part;
-  return whole;
+std::uint64_t Membership::CombinedDigest() const noexcept {
+  std::uint64_t combined = 0;
+  for (const std::uint64_t partition : this->digests) combined ^= partition;
+  return combined;
 }
 
-void Membership::Touch(const Member &record) {
-  this->digests[PartOfNode(record.id)] ^= DigestOf(record);
+void Membership::ToggleDigest(const Member &record) {
+  this->digests[PartitionOf(record.id)] ^= DigestOf(record);
   this->last_change = this->clock.Now();
   ++this->changes;
 }
 
 void Membership::CompareDigest(const Gossip &gossip) {
-  if (gossip.digest == this->WholeDigest()) return;
+  if (gossip.digest == this->CombinedDigest()) return;
   const Time now = this->clock.Now();
   const Duration quiet = this->options.quiet_before_exchange;
   // A node that just started lacks most records; gossip would take seconds.
-  const bool young = now - this->started < this->options.young_for;
-  if (!young && now - this->last_change < quiet) return;
-  const Duration pause = young ? this->options.young_pause : quiet;
+  const bool starting_up = now - this->started < this->options.startup_period;
+  if (!starting_up && now - this->last_change < quiet) return;
+  const Duration pause =
+      starting_up ? this->options.startup_exchange_pause : quiet;
   if (now - this->last_exchange < pause) return;
   this->last_exchange = now;
-  this->observer.RecordsDiffer(gossip.from);
+  this->delegate.RecordsDiffer(gossip.from);
 }
 
-void Membership::Refute(const Member &rumour) {
-  if (rumour.incarnation > this->self.incarnation) {
+void Membership::Refute(const Member &record) {
+  if (record.incarnation > this->self.incarnation) {
     // The wall clock went back over a restart: exceed the last incarnation.
-    this->Touch(this->self);
-    this->self.incarnation = rumour.incarnation + 1;
-    this->Touch(this->self);
+    this->ToggleDigest(this->self);
+    this->self.incarnation = record.incarnation + 1;
+    this->ToggleDigest(this->self);
     this->BumpSelf();
     return;
   }
-  const bool harmful = rumour.state != this->self.state &&
-                       rumour.incarnation == this->self.incarnation &&
-                       rumour.version >= this->self.version;
-  if (!harmful) return;
-  this->Touch(this->self);
-  this->self.version = rumour.version;
-  this->Touch(this->self);
+  const bool contradicts_self = record.state != this->self.state &&
+                                record.incarnation == this->self.incarnation &&
+                                record.version >= this->self.version;
+  if (!contradicts_self) return;
+  this->ToggleDigest(this->self);
+  this->self.version = record.version;
+  this->ToggleDigest(this->self);
   this->BumpSelf();
 }
 
 void Membership::Enqueue(NodeId id) {
   const double members = static_cast<double>(this->members.size()) + 2;
   const auto rounds = static_cast<std::size_t>(std::ceil(std::log2(members)));
-  this->spreading[id] = {rounds * this->options.spread_factor};
+  this->pending_updates[id] = {rounds * this->options.retransmit_factor};
 }
 
 std::vector<Member> Membership::TakeUpdates() {
   std::vector<Member> updates;
   while (updates.size() < this->options.updates_per_gossip &&
-         updates.size() < this->spreading.size()) {
-    auto next = this->spreading.upper_bound(this->last_spread);
-    if (next == this->spreading.end()) next = this->spreading.begin();
-    this->last_spread = next->first;
+         updates.size() < this->pending_updates.size()) {
+    auto next = this->pending_updates.upper_bound(this->last_sent_update);
+    if (next == this->pending_updates.end())
+      next = this->pending_updates.begin();
+    this->last_sent_update = next->first;
     const Member *member = this->Find(next->first);
     if (member != nullptr) updates.push_back(*member);
-    if (--next->second.sends_left == 0) this->spreading.erase(next);
-    if (member == nullptr && this->spreading.empty()) break;
+    if (--next->second.sends_left == 0) this->pending_updates.erase(next);
+    if (member == nullptr && this->pending_updates.empty()) break;
   }
   return updates;
 }
 
 void Membership::Send(NodeId to, GossipKind kind, std::uint64_t number,
-                      bool again) {
+                      bool is_retry) {
   Gossip gossip;
-  gossip.again = again;
+  gossip.is_retry = is_retry;
   gossip.wire = this->self.wire;
   gossip.kind = kind;
   gossip.from = this->self.id;
@@ -262,10 +265,10 @@
     gossip.store_age_ms =
         std::chrono::ceil<std::chrono::milliseconds>(age).count();
   }
-  gossip.digest = this->WholeDigest();
+  gossip.digest = this->CombinedDigest();
   gossip.zones = this->zones;
   gossip.updates = this->TakeUpdates();
-  this->observer.SendGossip(to, gossip);
+  this->delegate.SendGossip(to, gossip);
 }
 
 void Membership::Suspect(NodeId id) {
@@ -289,9 +292,10 @@
     dead.state = MemberState::kDead;
     this->Apply(dead);
   }
-  for (auto it = this->silent_since.begin(); it != this->silent_since.end();) {
-    const bool recent = now - it->second < this->options.silent_age;
-    it = recent ? std::next(it) : this->silent_since.erase(it);
+  for (auto it = this->unreachable_since.begin();
+       it != this->unreachable_since.end();) {
+    const bool recent = now - it->second < this->options.unreachable_window;
+    it = recent ? std::next(it) : this->unreachable_since.erase(it);
     if (!recent) ++this->changes;
   }
   for (auto it = this->died_at.begin(); it != this->died_at.end();) {
@@ -300,9 +304,9 @@
       ++it;
       continue;
     }
-    this->Touch(this->members.at(it->first));
+    this->ToggleDigest(this->members.at(it->first));
     this->members.erase(it->first);
-    this->left.erase(it->first);
+    this->announced_leave.erase(it->first);
     this->order.erase(
         std::remove(this->order.begin(), this->order.end(), it->first),
         this->order.end());
@@ -335,10 +339,10 @@
   if (!peer) return;
   this->probe = Probe{*peer, ++this->sequence,
                       this->clock.Now() + this->options.probe_timeout,
-                      this->options.probe_tries};
-  const bool thought_gone =
+                      this->options.probe_attempts};
+  const bool believed_down =
       this->members.at(*peer).state >= MemberState::kSuspect;
-  if (thought_gone) this->Enqueue(*peer);
+  if (believed_down) this->Enqueue(*peer);
   this->Send(*peer, GossipKind::kPing, this->sequence);
 }
 
--- a/src/pollenring/membership/membership.h
+++ b/src/pollenring/membership/membership.h
@@ -27,7 +27,7 @@
 /*! @brief Unknown kinds: no reply. */
 template <>
 struct WireEnum<GossipKind> {
-  static constexpr bool kTravels = true;
+  static constexpr bool kOnWire = true;
   static constexpr std::string_view kName{"gossip kind"};
   static constexpr const auto &kNames = kGossipKindNames;
   static constexpr GossipKind kUnknown = GossipKind::kAck;
@@ -44,7 +44,7 @@
   ZoneWithdrawals zones;         /*!< The newest known to the sender. */
   std::vector<Member> updates;
   std::uint8_t wire{}; /*!< Newest wire version of the sender, or 0. */
-  bool again{};        /*!< Not encoded; marks the retry of a probe. */
+  bool is_retry{};     /*!< Not encoded; marks the retry of a probe. */
 };
 
 template <>
@@ -88,10 +88,10 @@
 template <>
 struct ArrayVersion<Gossip> {
   [[nodiscard]] static WireVersion Of(const msgpack::object_array &array) {
-    constexpr std::uint32_t kEighth = 7;
-    const bool second =
-        array.size > kEighth && array.ptr[kEighth].type == msgpack::type::ARRAY;
-    return second ? WireVersion::kV2 : WireVersion::kV1;
+    constexpr std::uint32_t kUpdatesIndex = 7;
+    const bool is_v2 = array.size > kUpdatesIndex &&
+                       array.ptr[kUpdatesIndex].type == msgpack::type::ARRAY;
+    return is_v2 ? WireVersion::kV2 : WireVersion::kV1;
   }
 };
 
@@ -170,22 +170,22 @@
 struct MembershipOptions {
   Duration probe_period{std::chrono::milliseconds{300}};
   Duration probe_timeout{std::chrono::milliseconds{200}};
-  int probe_tries{3};
+  int probe_attempts{3};
   Duration suspicion_timeout{std::chrono::milliseconds{1500}};
   Duration tombstone_age{std::chrono::minutes{10}};
   /*! @brief Time for which an unreachable member may be behind a network
    * partition. Partitions last for seconds, and a member that has ended for
    * good never recovers. */
-  Duration silent_age{std::chrono::minutes{1}};
+  Duration unreachable_window{std::chrono::minutes{1}};
   Duration quiet_before_exchange{std::chrono::seconds{2}};
   /*! @brief Time after its start in which a node fetches differing records
    * without waiting for changes to stop; while hundreds start together, they
    * never do. */
-  Duration young_for{std::chrono::seconds{6}};
+  Duration startup_period{std::chrono::seconds{6}};
   /*! @brief Pause between two such exchanges; one takes a few milliseconds. */
-  Duration young_pause{std::chrono::milliseconds{400}};
+  Duration startup_exchange_pause{std::chrono::milliseconds{400}};
   std::size_t updates_per_gossip{8};
-  std::size_t spread_factor{3}; /*!< Sends per update / log2(members). */
+  std::size_t retransmit_factor{3}; /*!< Sends per update / log2(members). */
 };
 
 /**
@@ -203,10 +203,10 @@
    * @param options Timing.
    * @param clock Clock.
    * @param random Source of randomness.
-   * @param observer Sends datagrams and is notified of changes.
+   * @param delegate Sends datagrams and is notified of changes.
    */
   Membership(Member self, const MembershipOptions &options, const Clock &clock,
-             Random &random, MembershipDelegate &observer);
+             Random &random, MembershipDelegate &delegate);
 
   [[nodiscard]] const Member &Self() const noexcept { return this->self; }
 
@@ -246,13 +246,13 @@
    * they leave.
    * @return The count.
    */
-  [[nodiscard]] std::size_t Silent() const noexcept {
-    return this->silent_since.size();
+  [[nodiscard]] std::size_t UnreachableMembers() const noexcept {
+    return this->unreachable_since.size();
   }
 
   /*! @brief Time since the last contact with any other node. @return Age. */
-  [[nodiscard]] Duration Silence() const noexcept {
-    return this->clock.Now() - this->last_heard;
+  [[nodiscard]] Duration SinceLastContact() const noexcept {
+    return this->clock.Now() - this->last_contact;
   }
 
   /**
@@ -325,48 +325,48 @@
     NodeId to;
     std::uint64_t sequence;
     Time due;
-    int tries_left;
+    int attempts_left;
   };
-  struct Spread {
+  struct PendingUpdate {
     std::size_t sends_left;
   };
 
   void Apply(const Member &record);
   void Enqueue(NodeId id);
   void Send(NodeId to, GossipKind kind, std::uint64_t sequence,
-            bool again = false);
+            bool is_retry = false);
   [[nodiscard]] std::vector<Member> TakeUpdates();
-  void Refute(const Member &rumour);
+  void Refute(const Member &record);
   void Suspect(NodeId id);
   void ExpireSuspicions();
   void ProbeNext();
   [[nodiscard]] std::optional<NodeId> PickPeer();
   void BumpSelf();
   void CompareDigest(const Gossip &gossip);
-  void Touch(const Member &record);
+  void ToggleDigest(const Member &record);
   [[nodiscard]] static std::uint64_t DigestOf(const Member &record);
-  [[nodiscard]] static std::size_t PartOfNode(NodeId id) noexcept;
-  [[nodiscard]] std::uint64_t WholeDigest() const noexcept;
+  [[nodiscard]] static std::size_t PartitionOf(NodeId id) noexcept;
+  [[nodiscard]] std::uint64_t CombinedDigest() const noexcept;
 
   Member self;
   MembershipOptions options;
   const Clock &clock;
   Random &random;
-  MembershipDelegate &observer;
+  MembershipDelegate &delegate;
   std::unordered_map<NodeId, Member> members;
   std::vector<NodeId> order;
   std::size_t next_in_order{};
   std::unordered_map<NodeId, Time> suspected_at;
   std::unordered_map<NodeId, Time> died_at;
-  std::unordered_map<NodeId, Time> silent_since;
+  std::unordered_map<NodeId, Time> unreachable_since;
   /*! @brief Incarnations that have announced that they leave. */
-  std::unordered_map<NodeId, std::uint64_t> left;
-  std::map<NodeId, Spread> spreading;
-  NodeId last_spread{};
+  std::unordered_map<NodeId, std::uint64_t> announced_leave;
+  std::map<NodeId, PendingUpdate> pending_updates;
+  NodeId last_sent_update{};
   std::optional<Probe> probe;
   Time next_probe{};
   Time started{};
-  Time last_heard{};
+  Time last_contact{};
   Time last_change{};
   Time last_exchange{};
   std::uint64_t changes{};
--- a/src/pollenring/membership/store_watcher_role.h
+++ b/src/pollenring/membership/store_watcher_role.h
@@ -12,17 +12,17 @@
 
 /*! @brief How many nodes watch the store on behalf of all. */
 struct StoreWatcherOptions {
-  std::size_t per_zone{2}; /*!< So that one node can fail. */
-  std::size_t fewest{6};   /*!< In all zones; a third may be unreachable. */
+  std::size_t per_zone{2};  /*!< So that one node can fail. */
+  std::size_t min_total{6}; /*!< In all zones; a third may be unreachable. */
   /*! @brief Age of the last store contact at which other nodes take over;
    * while the designated watchers work, it reaches 300 nodes sooner. */
   Duration stale_after{std::chrono::milliseconds{2500}};
   /*! @brief Delay from one node of a zone that takes over to the next. */
-  Duration step_in{std::chrono::milliseconds{40}};
+  Duration takeover_interval{std::chrono::milliseconds{40}};
   /*! @brief Maximum wait of one watch. A change must be active within 2 s on
    * a node that was undisturbed for 3 s, and a connection may stop responding
    * unnoticed. */
-  Duration longest_watch{std::chrono::milliseconds{2200}};
+  Duration max_watch{std::chrono::milliseconds{2200}};
 };
 
 /**
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -115,7 +115,7 @@
 void PolicyFollower::TakeZones(const ZoneWithdrawals &withdrawals,
                                std::string_view origin) {
   const std::uint64_t before = this->zones.Newest().revision;
-  const bool other = this->zones.Take(withdrawals);
+  const bool other = this->zones.Merge(withdrawals);
   if (this->zones.Newest().revision == before) return;
   this->members.Get().SetZones(this->zones.Newest());
   if (!other) return;
--- a/src/pollenring/mesh/slot_ring.cc
+++ b/src/pollenring/mesh/slot_ring.cc
@@ -37,7 +37,7 @@
   for (const auto &[id, member] : this->membership.Members()) {
     if (Lends(member)) ++this->lending;
   }
-  this->silent = this->membership.Silent();
+  this->silent = this->membership.UnreachableMembers();
   const NodeId self = this->membership.Self().id;
   for (SlotId slot = 0; slot < kSlots; ++slot) {
     NodeId best = 0;
@@ -64,7 +64,7 @@
 }
 
 double SlotRing::Part() const noexcept {
-  const bool alone = this->membership.Silence() > kAloneAfter;
+  const bool alone = this->membership.SinceLastContact() > kAloneAfter;
   const auto all = static_cast<double>(this->lending + this->silent);
   return (alone ? 1.0 : static_cast<double>(this->lending)) / all;
 }
--- a/src/pollenring/node/config_service.cc
+++ b/src/pollenring/node/config_service.cc
@@ -39,7 +39,7 @@
   const Time now = this->loop.GetClock().Now();
   if (now - this->last_store_contact < kFreshFor) return true;
   const Membership &membership = this->members.Get();
-  if (membership.Silence() < kFreshFor) return true;
+  if (membership.SinceLastContact() < kFreshFor) return true;
   // A node that never had peers is the only one that could change anything.
   return membership.Members().empty();
 }
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -217,7 +217,7 @@
                        reply.reason == Reason::kLinkLost;
   if (!misread || job.redirects_left == 0) return false;
   --job.redirects_left;
-  this->wire.versions.Misread(job.node, version);
+  this->wire.versions.DecodeFailed(job.node, version);
   return true;
 }
 
--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -244,7 +244,7 @@
   this->membership.Receive(heard);
   this->answers.reset();
   PeerVersions &versions = this->bus.Wire().versions;
-  versions.Heard(from, version);
+  versions.MessageReceived(from, version);
   versions.Advertised(from, gossip.wire);
 }
 
@@ -254,7 +254,7 @@
     return;
   }
   const auto known = this->bus.Wire().versions.Of(to);
-  if (known && !gossip.again) {
+  if (known && !gossip.is_retry) {
     this->bus.Send(to, MessageKind::kGossip, gossip, *known);
     return;
   }
@@ -265,7 +265,7 @@
 }
 
 void MemberService::MemberChanged(const Member &member) {
-  this->bus.Wire().versions.Recorded(member);
+  this->bus.Wire().versions.MemberChanged(member);
   for (const auto &listener : this->member_listeners) listener(member);
 }
 
@@ -304,7 +304,7 @@
     return Encode(this->membership.Differing(*theirs), kCommonWire);
   }
   this->bus.Wire().unreadable.Note({from, "members-differ", body.size(), {}});
-  return Encode(DigestReply{}, FormOf(body));
+  return Encode(DigestReply{}, InferWireVersion(body));
 }
 
 WireVersion MemberService::TakeRecords(const Address &from,
--- a/src/pollenring/node/operator_port.cc
+++ b/src/pollenring/node/operator_port.cc
@@ -47,7 +47,7 @@
 
 [[nodiscard]] Json ToJson(const PublishReport &report) {
   Json others = Json::array();
-  for (const auto &other : report.commit.others)
+  for (const auto &other : report.commit.conflicts)
     others.push_back(ToJson(other));
   return {{"result", kCommitResultNames.Name(report.commit.result)},
           {"accepted", report.Accepted()},
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -24,7 +24,7 @@
 /*! @brief An outcome that this build lacks: a target may have run the call. */
 template <>
 struct WireEnum<Outcome> {
-  static constexpr bool kTravels = true;
+  static constexpr bool kOnWire = true;
   static constexpr std::string_view kName{"outcome"};
   static constexpr const auto &kNames = kOutcomeNames;
   static constexpr Outcome kUnknown = Outcome::kUnknown;
@@ -33,7 +33,7 @@
 /*! @brief A reason that this build lacks: the target has too much to do. */
 template <>
 struct WireEnum<Reason> {
-  static constexpr bool kTravels = true;
+  static constexpr bool kOnWire = true;
   static constexpr std::string_view kName{"reason"};
   static constexpr const auto &kNames = kReasonNames;
   static constexpr Reason kUnknown = Reason::kOverload;
@@ -42,7 +42,7 @@
 /*! @brief An importance that this build lacks. */
 template <>
 struct WireEnum<Importance> {
-  static constexpr bool kTravels = true;
+  static constexpr bool kOnWire = true;
   static constexpr std::string_view kName{"importance"};
   static constexpr const auto &kNames = kImportanceNames;
   static constexpr Importance kUnknown = Importance::kNormal;
@@ -51,7 +51,7 @@
 /*! @brief V1 has neither cold targets nor withdrawn zones: it tries another
  * target as after an overload, or as beside a node that leaves. */
 template <>
-struct InPlaceOf<Reason, WireVersion::kV1> {
+struct Substitute<Reason, WireVersion::kV1> {
   [[nodiscard]] static Reason Write(Reason reason) noexcept {
     if (reason == Reason::kWarmingUp) return Reason::kOverload;
     if (reason == Reason::kZoneWithdrawn) return Reason::kLeaving;
@@ -158,7 +158,7 @@
 
 /*! @brief What is not said must not run twice, and has shown no key. */
 template <>
-[[nodiscard]] inline CallEnvelope WhenMissing<CallEnvelope>() {
+[[nodiscard]] inline CallEnvelope InitialValue<CallEnvelope>() {
   CallEnvelope envelope;
   envelope.idempotent = false;
   envelope.authenticated = false;
@@ -330,7 +330,8 @@
  */
 [[nodiscard]] inline WireVersion FormOfFrame(std::string_view framed) {
   constexpr std::size_t kSize = sizeof(std::uint32_t);
-  return framed.size() > kSize ? FormOf(framed.substr(kSize)) : kCommonWire;
+  return framed.size() > kSize ? InferWireVersion(framed.substr(kSize))
+                               : kCommonWire;
 }
 
 /*! @brief A call that was received. */
--- a/src/pollenring/wire/codec.h
+++ b/src/pollenring/wire/codec.h
@@ -40,7 +40,7 @@
 [[nodiscard]] std::optional<Value> Unpack(std::string_view bytes) {
   try {
     const auto handle = msgpack::unpack(bytes.data(), bytes.size());
-    Value value = WhenMissing<Value>();
+    Value value = InitialValue<Value>();
     ReadByNumber(handle.get(), value);
     return value;
   } catch (const std::exception &) {
@@ -56,14 +56,14 @@
  */
 template <typename Value>
 [[nodiscard]] std::string Encode(const Value &value, WireVersion version) {
-  if constexpr (HasLayout<Value>::value) {
+  if constexpr (HasNumberedLayout<Value>::value) {
     if (version < WireVersion::kV3) {
       msgpack::sbuffer buffer;
       msgpack::packer<msgpack::sbuffer> packer{buffer};
       if (version == WireVersion::kV1) {
-        PackByPlace<WireVersion::kV1>(packer, value);
+        PackByPosition<WireVersion::kV1>(packer, value);
       } else {
-        PackByPlace<WireVersion::kV2>(packer, value);
+        PackByPosition<WireVersion::kV2>(packer, value);
       }
       return {buffer.data(), buffer.size()};
     }
@@ -78,7 +78,7 @@
  */
 template <typename Value>
 [[nodiscard]] std::optional<Decoded<Value>> Decode(std::string_view bytes) {
-  if constexpr (!HasLayout<Value>::value) {
+  if constexpr (!HasNumberedLayout<Value>::value) {
     auto value = Unpack<Value>(bytes);
     if (!value) return std::nullopt;
     return Decoded<Value>{std::move(*value)};
@@ -86,16 +86,16 @@
     try {
       const auto handle = msgpack::unpack(bytes.data(), bytes.size());
       const msgpack::object &object = handle.get();
-      Decoded<Value> decoded{WhenMissing<Value>()};
+      Decoded<Value> decoded{InitialValue<Value>()};
       if (object.type == msgpack::type::ARRAY) {
         decoded.version = ArrayVersion<Value>::Of(object.via.array);
       }
       switch (decoded.version) {
         case WireVersion::kV1:
-          ReadByPlace<WireVersion::kV1>(object, decoded.value);
+          ReadByPosition<WireVersion::kV1>(object, decoded.value);
           break;
         case WireVersion::kV2:
-          ReadByPlace<WireVersion::kV2>(object, decoded.value);
+          ReadByPosition<WireVersion::kV2>(object, decoded.value);
           break;
         case WireVersion::kV3:
           ReadByNumber(object, decoded.value);
@@ -114,15 +114,16 @@
  * @param bytes The message.
  * @return The newest version, or the one that all builds can read.
  */
-[[nodiscard]] inline WireVersion FormOf(std::string_view bytes) noexcept {
+[[nodiscard]] inline WireVersion InferWireVersion(
+    std::string_view bytes) noexcept {
   if (bytes.empty()) return kCommonWire;
   constexpr unsigned kSmallMap = 0x80;
   constexpr unsigned kSmallMask = 0xf0;
   constexpr unsigned kMap16 = 0xde;
   constexpr unsigned kMap32 = 0xdf;
-  const unsigned first = static_cast<unsigned char>(bytes.front());
-  const bool map =
-      (first & kSmallMask) == kSmallMap || first == kMap16 || first == kMap32;
+  const unsigned first_byte = static_cast<unsigned char>(bytes.front());
+  const bool map = (first_byte & kSmallMask) == kSmallMap ||
+                   first_byte == kMap16 || first_byte == kMap32;
   return map ? kNewestWire : kCommonWire;
 }
 
--- a/src/pollenring/wire/forms.h
+++ b/src/pollenring/wire/forms.h
@@ -49,7 +49,7 @@
 
 /*! @brief What is written to a version that lacks a value. */
 template <typename Value, WireVersion version>
-struct InPlaceOf {
+struct Substitute {
   [[nodiscard]] static const Value &Write(const Value &value) noexcept {
     return value;
   }
@@ -57,15 +57,15 @@
 
 /*! @brief Initial value of a structure, for the fields that a message lacks. */
 template <typename Value>
-[[nodiscard]] Value WhenMissing() {
+[[nodiscard]] Value InitialValue() {
   return {};
 }
 
 /*! @brief Whether a structure, or a list of them, can grow. */
 template <typename Value>
-struct HasLayout : std::bool_constant<NumberedLayout<Value>::kGrows> {};
+struct HasNumberedLayout : std::bool_constant<NumberedLayout<Value>::kGrows> {};
 template <typename Value>
-struct HasLayout<std::vector<Value>> : HasLayout<Value> {};
+struct HasNumberedLayout<std::vector<Value>> : HasNumberedLayout<Value> {};
 
 /**
  * @brief Writes a value with its fields by position.
@@ -73,24 +73,24 @@
  * @param value The value.
  */
 template <WireVersion version, typename Packer, typename Value>
-void PackByPlace(Packer &packer, const Value &value) {
+void PackByPosition(Packer &packer, const Value &value) {
   if constexpr (ArrayLayout<Value, version>::kFrozen) {
     const auto fields = ArrayLayout<Value, version>::Fields(value);
     packer.pack_array(std::tuple_size_v<std::decay_t<decltype(fields)>>);
     std::apply(
         [&packer](const auto &...field) {
-          (PackByPlace<version>(packer, field), ...);
+          (PackByPosition<version>(packer, field), ...);
         },
         fields);
   } else {
-    packer.pack(InPlaceOf<Value, version>::Write(value));
+    packer.pack(Substitute<Value, version>::Write(value));
   }
 }
 
 template <WireVersion version, typename Packer, typename Value>
-void PackByPlace(Packer &packer, const std::vector<Value> &values) {
+void PackByPosition(Packer &packer, const std::vector<Value> &values) {
   packer.pack_array(static_cast<std::uint32_t>(values.size()));
-  for (const auto &value : values) PackByPlace<version>(packer, value);
+  for (const auto &value : values) PackByPosition<version>(packer, value);
 }
 
 /**
@@ -100,13 +100,13 @@
  * @throws msgpack::type_error when the object is of another type.
  */
 template <WireVersion version, typename Value>
-void ReadByPlace(const msgpack::object &object, Value &value) {
+void ReadByPosition(const msgpack::object &object, Value &value) {
   if constexpr (ArrayLayout<Value, version>::kFrozen) {
     if (object.type != msgpack::type::ARRAY) throw msgpack::type_error{};
     const auto &array = object.via.array;
     std::uint32_t at = 0;
     const auto read = [&array, &at](auto &field) {
-      if (at < array.size) ReadByPlace<version>(array.ptr[at], field);
+      if (at < array.size) ReadByPosition<version>(array.ptr[at], field);
       ++at;
     };
     std::apply([&read](auto &...field) { (read(field), ...); },
@@ -117,12 +117,12 @@
 }
 
 template <WireVersion version, typename Value>
-void ReadByPlace(const msgpack::object &object, std::vector<Value> &values) {
+void ReadByPosition(const msgpack::object &object, std::vector<Value> &values) {
   if (object.type != msgpack::type::ARRAY) throw msgpack::type_error{};
   const auto &array = object.via.array;
   values.assign(array.size, Value{});
   std::uint32_t at = 0;
-  for (auto &value : values) ReadByPlace<version>(array.ptr[at++], value);
+  for (auto &value : values) ReadByPosition<version>(array.ptr[at++], value);
 }
 
 /**
@@ -189,7 +189,7 @@
 
 /*! @brief Number of fields of a structure in a version's arrays. */
 template <typename Value, WireVersion version>
-inline constexpr std::size_t kPlaces =
+inline constexpr std::size_t kFieldCount =
     std::tuple_size_v<decltype(ArrayLayout<Value, version>::Fields(
         std::declval<Value &>()))>;
 
@@ -202,10 +202,10 @@
 template <typename Value>
 struct ArrayVersion {
   [[nodiscard]] static WireVersion Of(const msgpack::object_array &array) {
-    constexpr std::size_t kFirst = kPlaces<Value, WireVersion::kV1>;
-    constexpr bool kDiffer = kFirst != kPlaces<Value, WireVersion::kV2>;
-    const bool first = kDiffer && array.size <= kFirst;
-    return first ? WireVersion::kV1 : WireVersion::kV2;
+    constexpr std::size_t kV1Fields = kFieldCount<Value, WireVersion::kV1>;
+    constexpr bool kDiffer = kV1Fields != kFieldCount<Value, WireVersion::kV2>;
+    const bool is_v1 = kDiffer && array.size <= kV1Fields;
+    return is_v1 ? WireVersion::kV1 : WireVersion::kV2;
   }
 };
 
--- a/src/pollenring/wire/peer_versions.h
+++ b/src/pollenring/wire/peer_versions.h
@@ -40,7 +40,7 @@
    * @param peer The peer.
    * @param version Wire version of the message.
    */
-  void Heard(NodeId peer, WireVersion version);
+  void MessageReceived(NodeId peer, WireVersion version);
 
   /**
    * @brief Records the newest wire version that a peer advertises.
@@ -54,13 +54,13 @@
    * @param peer The peer.
    * @param version Wire version of its reply, the newest that it supports.
    */
-  void Misread(NodeId peer, WireVersion version);
+  void DecodeFailed(NodeId peer, WireVersion version);
 
   /**
    * @brief Records a changed member record.
    * @param member The new record.
    */
-  void Recorded(const Member &member);
+  void MemberChanged(const Member &member);
 
  private:
   struct Peer {
--- a/src/pollenring/wire/unreadable_log.cc
+++ b/src/pollenring/wire/unreadable_log.cc
@@ -6,7 +6,7 @@
 namespace pollenring {
 namespace {
 
-constexpr Duration kPause = std::chrono::seconds{1};
+constexpr Duration kLogInterval = std::chrono::seconds{1};
 
 }  // namespace
 
@@ -16,8 +16,8 @@
   const Time now = this->clock.Now();
   const auto [found, fresh] = this->senders.try_emplace(message.from.ip);
   Sender &sender = found->second;
-  if (!fresh && now - sender.told < kPause) {
-    ++sender.untold;
+  if (!fresh && now - sender.last_logged < kLogInterval) {
+    ++sender.not_logged;
     return;
   }
   const std::string_view version =
@@ -27,7 +27,7 @@
             {"kind", message.kind},
             {"bytes", message.bytes},
             {"version", version},
-            {"untold", sender.untold}});
+            {"untold", sender.not_logged}});
   sender = {now, 0};
 }
 
--- a/src/pollenring/wire/unreadable_log.h
+++ b/src/pollenring/wire/unreadable_log.h
@@ -42,8 +42,8 @@
 
  private:
   struct Sender {
-    Time told{};
-    std::size_t untold{}; /*!< Messages not logged since then. */
+    Time last_logged{};
+    std::size_t not_logged{}; /*!< Messages not logged since then. */
   };
 
   const Clock &clock;
--- a/src/pollenring/wire/wire_enum.h
+++ b/src/pollenring/wire/wire_enum.h
@@ -11,12 +11,12 @@
 /**
  * @brief How an enumeration is encoded; specialised for each that is sent.
  *
- * A specialisation has `kTravels`, its `kName`, the table `kNames` of all
+ * A specialisation has `kOnWire`, its `kName`, the table `kNames` of all
  * enumerators of this build, and `kUnknown`, which replaces unknown ones.
  */
 template <typename Enum>
 struct WireEnum {
-  static constexpr bool kTravels = false;
+  static constexpr bool kOnWire = false;
 };
 
 /**
@@ -24,10 +24,10 @@
  * enumeration and second.
  * @param name Name of the enumeration.
  * @param number The received number.
- * @param taken Name of its replacement.
+ * @param replacement Name of its replacement.
  */
 void NoteUnknownEnumerator(std::string_view name, std::int64_t number,
-                           std::string_view taken);
+                           std::string_view replacement);
 
 /**
  * @brief Finds an enumerator by its number on the wire.
@@ -39,10 +39,10 @@
   for (const auto &row : WireEnum<Enum>::kNames.rows) {
     if (static_cast<std::int64_t>(row.value) == number) return row.value;
   }
-  constexpr Enum kTaken = WireEnum<Enum>::kUnknown;
+  constexpr Enum kReplacement = WireEnum<Enum>::kUnknown;
   NoteUnknownEnumerator(WireEnum<Enum>::kName, number,
-                        WireEnum<Enum>::kNames.Name(kTaken));
-  return kTaken;
+                        WireEnum<Enum>::kNames.Name(kReplacement));
+  return kReplacement;
 }
 
 }  // namespace pollenring
@@ -52,7 +52,7 @@
   namespace adaptor {
 
   template <typename Enum>
-  struct convert<Enum, std::enable_if_t<pollenring::WireEnum<Enum>::kTravels>> {
+  struct convert<Enum, std::enable_if_t<pollenring::WireEnum<Enum>::kOnWire>> {
     const msgpack::object &operator()(const msgpack::object &object,
                                       Enum &value) const {
       value = pollenring::EnumeratorOf<Enum>(object.as<std::int64_t>());
@@ -61,7 +61,7 @@
   };
 
   template <typename Enum>
-  struct pack<Enum, std::enable_if_t<pollenring::WireEnum<Enum>::kTravels>> {
+  struct pack<Enum, std::enable_if_t<pollenring::WireEnum<Enum>::kOnWire>> {
     template <typename Stream>
     msgpack::packer<Stream> &operator()(msgpack::packer<Stream> &packer,
                                         const Enum &value) const {
@@ -71,7 +71,7 @@
 
   template <typename Enum>
   struct object_with_zone<
-      Enum, std::enable_if_t<pollenring::WireEnum<Enum>::kTravels>> {
+      Enum, std::enable_if_t<pollenring::WireEnum<Enum>::kOnWire>> {
     void operator()(msgpack::object::with_zone &object,
                     const Enum &value) const {
       object << static_cast<std::int64_t>(value);
--- a/test/pollenring/config/config_test.cc
+++ b/test/pollenring/config/config_test.cc
@@ -21,8 +21,9 @@
 using pollenring::SeededRandom;
 using pollenring::StoreReader;
 
-[[nodiscard]] ConfigChange Make(std::uint64_t version, const std::string &name,
-                                const std::string &text) {
+[[nodiscard]] ConfigChange MakeChange(std::uint64_t version,
+                                      const std::string &name,
+                                      const std::string &text) {
   ConfigChange change;
   change.version = version;
   change.author = "test";
@@ -59,7 +60,7 @@
       nodes.push_back(std::make_unique<Follower>(table, objects));
     }
     std::uint64_t committed = 0;
-    std::vector<pollenring::ConfigCatchUp> on_the_way;
+    std::vector<pollenring::ConfigCatchUp> in_flight;
     for (std::uint64_t i = 0; i < support::Steps(3000); ++i) {
       table.Faults().down = random.Chance(0.1);
       table.Faults().lose_write_answers = random.Chance(0.2);
@@ -67,24 +68,25 @@
       const auto base = node.ledger->Version();
       const auto name = "key/" + std::to_string(random.Index(50));
       const auto text = "w" + std::to_string(i);
-      publisher.Commit(Make(base + 1, name, text), [&](CommitReport report) {
-        if (report.result == CommitResult::kCommitted) {
-          ++committed;
-          node.ledger->Apply(report.change);
-        }
-        if (report.result == CommitResult::kConflict) {
-          REQUIRE_FALSE(report.others.empty());
-        }
-      });
+      publisher.Commit(MakeChange(base + 1, name, text),
+                       [&](CommitReport report) {
+                         if (report.result == CommitResult::kCommitted) {
+                           ++committed;
+                           node.ledger->Apply(report.change);
+                         }
+                         if (report.result == CommitResult::kConflict) {
+                           REQUIRE_FALSE(report.conflicts.empty());
+                         }
+                       });
       // Versions spread between nodes and from the table, in any order.
       Follower &from = *nodes[random.Index(nodes.size())];
       Follower &to = *nodes[random.Index(nodes.size())];
       // Messages may arrive much later, at any node, and twice.
-      on_the_way.push_back(from.ledger->Since(to.ledger->Version()));
-      if (on_the_way.size() > 20) on_the_way.erase(on_the_way.begin());
-      const auto arrived = on_the_way[random.Index(on_the_way.size())];
+      in_flight.push_back(from.ledger->Since(to.ledger->Version()));
+      if (in_flight.size() > 20) in_flight.erase(in_flight.begin());
+      const auto arrived = in_flight[random.Index(in_flight.size())];
       to.ledger->Apply(arrived);
-      to.ledger->Apply(on_the_way.back());
+      to.ledger->Apply(in_flight.back());
       if (random.Chance(0.3)) to.reader.CatchUp([](bool) {});
       if (random.Chance(0.01)) {
         // A restart loses everything; the node gets its peers' highest version.
@@ -110,7 +112,8 @@
 TEST_CASE("config: a peer far behind gets a snapshot") {
   ConfigLedger ahead{[](std::uint64_t) {}};
   for (std::uint64_t version = 1; version <= 600; ++version) {
-    ahead.Apply(Make(version, "key/k" + std::to_string(version % 7), "w"));
+    ahead.Apply(
+        MakeChange(version, "key/k" + std::to_string(version % 7), "w"));
   }
   ConfigLedger behind{[](std::uint64_t) {}};
   const auto catch_up = ahead.Since(0);
@@ -118,9 +121,9 @@
   behind.Apply(catch_up);
   CHECK(behind.Version() == 600);
   CHECK(behind.All() == ahead.All());
-  CHECK_FALSE(behind.Apply(Make(599, "key/x", "w")));
+  CHECK_FALSE(behind.Apply(MakeChange(599, "key/x", "w")));
   // The same snapshot, late and after a change, reverts nothing.
-  CHECK(behind.Apply(Make(601, "key/x", "w")));
+  CHECK(behind.Apply(MakeChange(601, "key/x", "w")));
   CHECK_FALSE(behind.Apply(catch_up.snapshot.front()));
   CHECK(behind.Version() == 601);
   CHECK(behind.All().count("key/x") == 1);
--- a/test/pollenring/config/withdrawn_zones_test.cc
+++ b/test/pollenring/config/withdrawn_zones_test.cc
@@ -17,18 +17,18 @@
   WithdrawnZones zones;
   CHECK_FALSE(zones.HasRevision());
   CHECK_FALSE(zones.Contains("a"));
-  CHECK(zones.Take({4, {}}));
+  CHECK(zones.Merge({4, {}}));
   CHECK(zones.HasRevision());
-  CHECK(zones.Take({9, {"a"}}));
+  CHECK(zones.Merge({9, {"a"}}));
   CHECK(zones.Contains("a"));
   // A late report, and one of the same revision.
-  CHECK_FALSE(zones.Take({7, {}}));
-  CHECK_FALSE(zones.Take({9, {}}));
+  CHECK_FALSE(zones.Merge({7, {}}));
+  CHECK_FALSE(zones.Merge({9, {}}));
   CHECK(zones.Contains("a"));
   // A newer one with the same zones is no change, but raises the revision.
-  CHECK_FALSE(zones.Take({12, {"a"}}));
-  CHECK_FALSE(zones.Take({11, {}}));
-  CHECK(zones.Take({13, {}}));
+  CHECK_FALSE(zones.Merge({12, {"a"}}));
+  CHECK_FALSE(zones.Merge({11, {}}));
+  CHECK(zones.Merge({13, {}}));
   CHECK_FALSE(zones.Contains("a"));
 }
 
@@ -50,18 +50,18 @@
   CAPTURE(size, seed);
   support::MemberFleet fleet{size, seed};
   fleet.Run(6s);
-  const auto tell = [&fleet](int index, const ZoneWithdrawals &withdrawals) {
+  const auto report = [&fleet](int index, const ZoneWithdrawals &withdrawals) {
     auto &node = *fleet.nodes[static_cast<std::size_t>(index)];
-    if (node.zones.Take(withdrawals)) node.membership.SetZones(withdrawals);
+    if (node.zones.Merge(withdrawals)) node.membership.SetZones(withdrawals);
   };
   // Six designated watchers receive it; one receives an older one late.
-  for (int i = 0; i < 6; ++i) tell(i * size / 6, {100, {"a"}});
+  for (int i = 0; i < 6; ++i) report(i * size / 6, {100, {"a"}});
   for (int i = 1; i < size; i += 17) fleet.Kill(i);
   auto &frozen = *fleet.nodes[2];
   frozen.frozen = true;
   fleet.Run(1s);
   for (int i = 1; i < size; i += 17) fleet.Boot(i);
-  tell(size / 6, {90, {}});
+  report(size / 6, {90, {}});
   fleet.Run(2500ms);
   int older = 0;
   for (int i = 0; i < size; ++i) {
@@ -74,7 +74,7 @@
   frozen.frozen = false;
   fleet.Run(1s);
   CHECK(frozen.zones.Contains("a"));
-  tell(0, {120, {}});
+  report(0, {120, {}});
   fleet.Run(3s);
   int withdrawn = 0;
   for (int i = 0; i < size; ++i) {
--- a/test/pollenring/membership/membership_test.cc
+++ b/test/pollenring/membership/membership_test.cc
@@ -106,9 +106,9 @@
     return member;
   };
   constexpr NodeId kMembers = 4000;
-  auto &observer = *quiet.nodes.front();
-  Membership left{record(1, 1), {}, clock, random, observer};
-  Membership right{record(2, 1), {}, clock, random, observer};
+  auto &delegate = *quiet.nodes.front();
+  Membership left{record(1, 1), {}, clock, random, delegate};
+  Membership right{record(2, 1), {}, clock, random, delegate};
   std::vector<Member> all;
   for (NodeId id = 3; id <= kMembers; ++id) all.push_back(record(id, 1));
   left.Merge(all);
--- a/test/pollenring/membership/store_watcher_role_test.cc
+++ b/test/pollenring/membership/store_watcher_role_test.cc
@@ -25,15 +25,15 @@
   explicit Watchers(MemberFleet &fleet) : fleet{fleet} {}
 
   /*! @brief Whether the store responds to a node. */
-  std::function<bool(int)> reaches = [](int) { return true; };
+  std::function<bool(int)> store_responds = [](int) { return true; };
 
   /*! @brief Runs the fleet and its watches. @param length For this long. */
-  void Run(std::chrono::milliseconds length) {
+  void Run(std::chrono::milliseconds duration) {
     constexpr auto kStep = 100ms;
-    for (auto passed = 0ms; passed < length; passed += kStep) {
+    for (auto passed = 0ms; passed < duration; passed += kStep) {
       this->fleet.Run(kStep);
       this->now += kStep;
-      for (int i = 0; i < this->fleet.Size(); ++i) this->Look(i);
+      for (int i = 0; i < this->fleet.Size(); ++i) this->Step(i);
     }
   }
 
@@ -52,7 +52,7 @@
   int calls{};
 
  private:
-  void Look(int index) {
+  void Step(int index) {
     auto *membership = this->fleet.At(index);
     if (membership == nullptr) return;
     const StoreWatcherRole duty{*membership, this->versions,
@@ -60,10 +60,10 @@
     Time &due = this->due[index];
     if (!duty.ShouldWatch() || this->now < due) return;
     ++this->calls;
-    const bool heard = this->reaches(index);
+    const bool responded = this->store_responds(index);
     due = this->now +
-          (heard ? duty.NextWatch(this->fleet.random) : Duration{800ms});
-    if (heard) membership->RecordStoreContact();
+          (responded ? duty.NextWatch(this->fleet.random) : Duration{800ms});
+    if (responded) membership->RecordStoreContact();
   }
 
   MemberFleet &fleet;
@@ -102,14 +102,14 @@
     Watchers watchers{fleet};
     watchers.Run(20s);
     // The store rejects all designated watchers and a third of the others.
-    std::set<int> refused;
+    std::set<int> rejected;
     for (int i = 0; i < fleet.Size(); ++i) {
       const StoreWatcherRole duty{*fleet.At(i), versions, StoreWatcherOptions{},
                                   fleet.clock};
-      if (duty.IsDesignated() || i % 3 == 0) refused.insert(i);
+      if (duty.IsDesignated() || i % 3 == 0) rejected.insert(i);
     }
-    watchers.reaches = [&refused](int node) {
-      return refused.count(node) == 0;
+    watchers.store_responds = [&rejected](int node) {
+      return rejected.count(node) == 0;
     };
     watchers.Run(4s);
     CHECK(watchers.Oldest() < 4s);
@@ -118,7 +118,7 @@
     CHECK(watchers.Oldest() < 4500ms);
     // Far from one call a second for each of 100 nodes.
     CHECK(watchers.calls < 300);
-    watchers.reaches = [](int) { return true; };
+    watchers.store_responds = [](int) { return true; };
     // All designated watchers are killed at once, while the last store contact
     // is already old.
     std::vector<int> on_duty;
@@ -151,7 +151,8 @@
   fleet.Run(10s);
   pollenring::PeerVersions versions;
   for (int i = 10; i < fleet.Size(); ++i) {
-    versions.Heard(fleet.At(i)->Self().id, pollenring::WireVersion::kV1);
+    versions.MessageReceived(fleet.At(i)->Self().id,
+                             pollenring::WireVersion::kV1);
   }
   std::map<std::string, int> on_duty;
   for (int i = 0; i < 10; ++i) {
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -110,7 +110,7 @@
   void CallLanded(WireVersion version, std::optional<WireVersion> believed) {
     this->landed = version;
     for (int index = 0; believed && index < kNodes; ++index) {
-      this->wire.versions.Heard(AddressOf(index).Packed(), *believed);
+      this->wire.versions.MessageReceived(AddressOf(index).Packed(), *believed);
     }
     pollenring::CallEnvelope envelope;
     envelope.service = "deep";
--- a/test/pollenring/node/member_service_test.cc
+++ b/test/pollenring/node/member_service_test.cc
@@ -194,7 +194,7 @@
   Landed landed{bench.loop, At(5, 2), WireVersion::kV1};
   Today today{bench.loop, At(5, 1), {}};
   today.service.Get().Merge({MakeMember(At(5, 2))});
-  today.wire.versions.Heard(At(5, 2).Packed(), WireVersion::kV3);
+  today.wire.versions.MessageReceived(At(5, 2).Packed(), WireVersion::kV3);
   bench.Run(3s);
   CHECK(landed.probed >= 3);
   const Member *member = today.service.Get().Find(At(5, 2).Packed());
@@ -218,8 +218,8 @@
   Bench bench;
   Today first{bench.loop, At(7, 1), {}};
   Today second{bench.loop, At(7, 2), {}};
-  first.wire.versions.Heard(At(7, 2).Packed(), WireVersion::kV2);
-  second.wire.versions.Heard(At(7, 1).Packed(), WireVersion::kV2);
+  first.wire.versions.MessageReceived(At(7, 2).Packed(), WireVersion::kV2);
+  second.wire.versions.MessageReceived(At(7, 1).Packed(), WireVersion::kV2);
   first.service.Get().Contact(At(7, 2).Packed());
   bench.Run(1s);
   CHECK(first.wire.versions.Of(At(7, 2).Packed()) == WireVersion::kV3);
--- a/test/pollenring/wire/codec_test.cc
+++ b/test/pollenring/wire/codec_test.cc
@@ -94,26 +94,26 @@
   auto member = support::GoldenMember();
   const auto id = member.id;
   CHECK_FALSE(versions.Of(id));
-  versions.Heard(id, WireVersion::kV3);
-  versions.Heard(id, WireVersion::kV1);
+  versions.MessageReceived(id, WireVersion::kV3);
+  versions.MessageReceived(id, WireVersion::kV1);
   CHECK(versions.Of(id) == WireVersion::kV3);
-  versions.Recorded(member);
+  versions.MemberChanged(member);
   CHECK(versions.Of(id) == WireVersion::kV3);
   ++member.version;
-  versions.Recorded(member);
+  versions.MemberChanged(member);
   CHECK(versions.Of(id) == WireVersion::kV3);
   // An older build may have replaced the process.
   ++member.incarnation;
-  versions.Recorded(member);
+  versions.MemberChanged(member);
   CHECK_FALSE(versions.Of(id));
-  versions.Heard(id, WireVersion::kV2);
+  versions.MessageReceived(id, WireVersion::kV2);
   CHECK(versions.Of(id) == WireVersion::kV2);
   ++member.incarnation;
   member.wire = 9;
-  versions.Recorded(member);
+  versions.MemberChanged(member);
   CHECK(versions.Of(id) == pollenring::kNewestWire);
   member.state = pollenring::MemberState::kDead;
-  versions.Recorded(member);
+  versions.MemberChanged(member);
   CHECK_FALSE(versions.Of(id));
 }
 
--- a/test/pollenring/wire/golden_test.cc
+++ b/test/pollenring/wire/golden_test.cc
@@ -72,8 +72,8 @@
         Encode(expected, WireVersion::kV3));
 }
 
-void CheckLanded(const std::string &landing, WireVersion version) {
-  const Golden golden{landing};
+void CheckReleased(const std::string &release, WireVersion version) {
+  const Golden golden{release};
   auto gossip = support::GoldenGossip();
   auto call = support::GoldenEnvelope();
   auto reply = support::GoldenReply(pollenring::Reason::kOverload);
@@ -130,11 +130,11 @@
 }  // namespace
 
 TEST_CASE("golden: what 33161f2 wrote is read") {
-  CheckLanded("33161f2", WireVersion::kV1);
+  CheckReleased("33161f2", WireVersion::kV1);
 }
 
 TEST_CASE("golden: what 0e01c9f wrote is read") {
-  CheckLanded("0e01c9f", WireVersion::kV2);
+  CheckReleased("0e01c9f", WireVersion::kV2);
 }
 
 TEST_CASE("golden: what 4278493 wrote is read") {
--- a/test/support/member_fleet.h
+++ b/test/support/member_fleet.h
@@ -57,7 +57,8 @@
                            std::uint64_t /*version*/) override {}
     void PeerZoneWithdrawals(
         const pollenring::ZoneWithdrawals &withdrawals) override {
-      if (this->zones.Take(withdrawals)) this->membership.SetZones(withdrawals);
+      if (this->zones.Merge(withdrawals))
+        this->membership.SetZones(withdrawals);
     }
 
     void RecordsDiffer(NodeId peer) override {
