Rename test titles of membership, wire and config

Titles spoke of words about zones, cuts, forms and nodes on duty, and of what today's build writes, so a failed case did not say what broke. No assertion differs; only titles do.

--- a/test/pollenring/config/config_test.cc
+++ b/test/pollenring/config/config_test.cc
@@ -47,7 +47,7 @@
 
 }  // namespace
 
-TEST_CASE("config: racing publishers and lost answers make one order") {
+TEST_CASE("config: concurrent publishers and lost replies yield one order") {
   for (const auto seed : support::Seeds(20)) {
     INFO("seed " << seed);
     SeededRandom random{seed};
--- a/test/pollenring/config/withdrawn_zones_test.cc
+++ b/test/pollenring/config/withdrawn_zones_test.cc
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-TEST_CASE("withdrawn zones: an older word is never in force again") {
+TEST_CASE("withdrawn zones: an older report never becomes active again") {
   WithdrawnZones zones;
   CHECK_FALSE(zones.HasRevision());
   CHECK_FALSE(zones.Contains("a"));
@@ -43,8 +43,8 @@
 }
 
 TEST_CASE(
-    "withdrawn zones: a word reaches a whole fleet, with cuts, restarts "
-    "and pauses") {
+    "withdrawn zones: a report reaches the complete fleet despite restarts and "
+    "pauses") {
   const int size = GENERATE(87, 300);
   const std::uint64_t seed = GENERATE(3, 17, 29);
   CAPTURE(size, seed);
--- a/test/pollenring/membership/membership_test.cc
+++ b/test/pollenring/membership/membership_test.cc
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-TEST_CASE("membership: all find each other, and losses are seen by all") {
+TEST_CASE("membership: all nodes discover each other and detect failed nodes") {
   for (const auto seed : support::Seeds(3)) {
     INFO("seed " << seed);
     MemberFleet fleet{30, seed};
@@ -46,7 +46,7 @@
   }
 }
 
-TEST_CASE("membership: a frozen node that wakes brings back no old news") {
+TEST_CASE("membership: a node that resumes spreads no stale records") {
   MemberFleet fleet{12, 9};
   fleet.network.loss = 0;
   fleet.Run(std::chrono::seconds{10});
@@ -81,7 +81,7 @@
   CHECK(fleet.exchanges == 0);
 }
 
-TEST_CASE("membership: a cut that heals leaves one membership") {
+TEST_CASE("membership: nodes converge after a network partition heals") {
   MemberFleet fleet{12, 6};
   fleet.Run(std::chrono::seconds{10});
   for (int i = 0; i < 6; ++i) {
@@ -94,7 +94,7 @@
   CHECK(fleet.Misjudged() == 0);
 }
 
-TEST_CASE("membership: an exchange carries what differs, not all") {
+TEST_CASE("membership: an exchange carries only the partitions that differ") {
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{3};
   MemberFleet quiet{1, 1};
--- a/test/pollenring/membership/store_watcher_role_test.cc
+++ b/test/pollenring/membership/store_watcher_role_test.cc
@@ -74,7 +74,9 @@
 
 }  // namespace
 
-TEST_CASE("store duty: calls do not grow with the nodes, word reaches all") {
+TEST_CASE(
+    "store watcher role: calls do not grow with the fleet and reports reach "
+    "all nodes") {
   for (const int size : {30, 100, 300}) {
     MemberFleet fleet{size, 4};
     Watchers watchers{fleet};
@@ -94,7 +96,9 @@
   }
 }
 
-TEST_CASE("store duty: others step in for lost, cut off or refused nodes") {
+TEST_CASE(
+    "store watcher role: other nodes take over from killed or rejected "
+    "watchers") {
   const pollenring::PeerVersions versions;
   for (const auto seed : support::Seeds(4)) {
     INFO("seed " << seed);
@@ -133,7 +137,7 @@
   }
 }
 
-TEST_CASE("store duty: a node by itself asks") {
+TEST_CASE("store watcher role: an isolated node watches the store") {
   MemberFleet fleet{12, 2};
   Watchers watchers{fleet};
   watchers.Run(10s);
@@ -145,7 +149,8 @@
   CHECK(duty.ShouldWatch());
 }
 
-TEST_CASE("store duty: nodes that tell nothing of zones don't count") {
+TEST_CASE(
+    "store watcher role: nodes that report no zone withdrawals don't count") {
   // Of 30 nodes the first ten run this build, the others V1.
   MemberFleet fleet{30, 5};
   fleet.Run(10s);
--- a/test/pollenring/wire/codec_test.cc
+++ b/test/pollenring/wire/codec_test.cc
@@ -26,13 +26,13 @@
 
 }  // namespace
 
-TEST_CASE("codec: fields that a build lacks are skipped") {
+TEST_CASE("codec: unknown fields are skipped") {
   auto decoded = Decode<Gossip>(Numbered({{3, 7}, {200, 1}}));
   REQUIRE(decoded);
   CHECK(decoded->value.sequence == 7);
 }
 
-TEST_CASE("codec: a call that does not say so runs once and has no key") {
+TEST_CASE("codec: a call is neither idempotent nor authenticated by default") {
   const auto decoded = Decode<CallEnvelope>(Numbered({{17, 1}}));
   REQUIRE(decoded);
   CHECK(decoded->value.depth == 1);
@@ -43,7 +43,7 @@
   CHECK(decoded->value.retries == 0);
 }
 
-TEST_CASE("codec: enumerators that a build lacks stand for safe ones") {
+TEST_CASE("codec: unknown enumerators are replaced by safe ones") {
   const auto reply = Decode<CallReply>(Numbered({{1, 77}, {2, 78}}));
   REQUIRE(reply);
   CHECK(reply->value.outcome == pollenring::Outcome::kUnknown);
@@ -59,7 +59,7 @@
   CHECK(member->value.state == pollenring::MemberState::kLeaving);
 }
 
-TEST_CASE("codec: reasons that V1 lacks are written as those it acts on") {
+TEST_CASE("codec: reasons unknown to V1 are replaced by ones it handles") {
   const auto written = [](Reason reason, WireVersion version) {
     const auto reply = support::GoldenReply(reason);
     return Decode<CallReply>(Encode(reply, version))->value.reason;
@@ -72,7 +72,8 @@
         Reason::kZoneWithdrawn);
 }
 
-TEST_CASE("codec: each form of a message with and without lists is told") {
+TEST_CASE(
+    "codec: the wire version of a message is detected with and without lists") {
   Gossip gossip;
   gossip.wire = 3;
   for (const auto &row : pollenring::kWireVersionNames.rows) {
@@ -89,7 +90,7 @@
   CHECK_FALSE(Decode<Gossip>("\x05").has_value());
 }
 
-TEST_CASE("peer versions: the newest form counts until a process ends") {
+TEST_CASE("peer versions: the newest version counts until the process ends") {
   pollenring::PeerVersions versions;
   auto member = support::GoldenMember();
   const auto id = member.id;
--- a/test/pollenring/wire/golden_test.cc
+++ b/test/pollenring/wire/golden_test.cc
@@ -129,30 +129,33 @@
 
 }  // namespace
 
-TEST_CASE("golden: what 33161f2 wrote is read") {
+TEST_CASE("golden: messages of 33161f2 are decoded") {
   CheckReleased("33161f2", WireVersion::kV1);
 }
 
-TEST_CASE("golden: what 0e01c9f wrote is read") {
+TEST_CASE("golden: messages of 0e01c9f are decoded") {
   CheckReleased("0e01c9f", WireVersion::kV2);
 }
 
-TEST_CASE("golden: what 4278493 wrote is read") {
+TEST_CASE("golden: messages of 4278493 are decoded") {
   CheckNumbered("4278493", WireVersion::kV3);
 }
 
-TEST_CASE("golden: the form of today's build is the one that is kept") {
+TEST_CASE("golden: messages of this build match the stored ones") {
   CheckWritten("v3", WireVersion::kV3);
   CheckNumbered("v3", WireVersion::kV3);
 }
 
-TEST_CASE("golden: what is written for landed builds is what they read") {
+TEST_CASE(
+    "golden: messages encoded for released builds match the stored ones") {
   // test/golden/README.md: their own headers read these bytes whole.
   CheckWritten("v3-for-33161f2", WireVersion::kV1);
   CheckWritten("v3-for-0e01c9f", WireVersion::kV2);
 }
 
-TEST_CASE("golden: but for the form it speaks, today's build writes theirs") {
+TEST_CASE(
+    "golden: except for its wire field this build encodes as released builds "
+    "do") {
   const Golden first{"33161f2"};
   const Golden second{"0e01c9f"};
   const Values values;
