Reword comments of the golden tests

Comments spoke of forms that builds speak and of landed builds, which misled a reader who looks for wire versions and released builds. They say so in these terms. No code token differs; only comments do.

--- a/test/pollenring/wire/golden_test.cc
+++ b/test/pollenring/wire/golden_test.cc
@@ -13,7 +13,7 @@
 using pollenring::Encode;
 using pollenring::WireVersion;
 
-/*! @brief Bytes of a file's messages, by kind. */
+/*! @brief Encoded messages of a file, by kind. */
 class Golden {
  public:
   explicit Golden(const std::string &name) {
@@ -41,7 +41,7 @@
   std::map<std::string, std::string> messages;
 };
 
-/*! @brief The values as a build writes them: with the form it speaks. */
+/*! @brief The values as a build encodes them, with its own wire version. */
 struct Values {
   explicit Values(WireVersion version = pollenring::kNewestWire) {
     const auto spoken = static_cast<std::uint8_t>(version);
@@ -61,7 +61,7 @@
   pollenring::BorrowReply loan = support::GoldenLoan();
 };
 
-/*! @brief Checks that a landed build's bytes are read as a value, whole. */
+/*! @brief Checks that a message of a released build decodes completely. */
 template <typename Value>
 void CheckRead(const std::string &bytes, const Value &expected,
                WireVersion version) {
@@ -85,7 +85,7 @@
   CheckRead(golden.Of("gossip"), gossip, version);
   CheckRead(golden.Of("call"), call, version);
   CheckRead(golden.Of("reply"), reply, version);
-  // These are one form in both.
+  // V1 and V2 encode these alike.
   CheckRead(golden.Of("members"), std::vector{support::GoldenMember()},
             WireVersion::kV2);
   CheckRead(golden.Of("records"), support::GoldenRecords(), WireVersion::kV2);
@@ -97,8 +97,8 @@
   CHECK(*digests == support::GoldenDigests());
 }
 
-/*! @brief As `CheckLanded`, for builds that write fields by number and tell
- * which form they speak. */
+/*! @brief As `CheckReleased`, for builds that number fields and advertise their
+ * wire version. */
 void CheckNumbered(const std::string &name, WireVersion version) {
   const Golden golden{name};
   const Values values{version};
@@ -148,7 +148,7 @@
 
 TEST_CASE(
     "golden: messages encoded for released builds match the stored ones") {
-  // test/golden/README.md: their own headers read these bytes whole.
+  // test/golden/README.md: released headers decode these bytes completely.
   CheckWritten("v3-for-33161f2", WireVersion::kV1);
   CheckWritten("v3-for-0e01c9f", WireVersion::kV2);
 }
