Rename a local of the golden tests

The name spoken hid that it holds the number of the wire version, as the field that it fills does. It is called wire, like the field. Only this identifier differs; no assertion, string or order of fields changes.

--- a/test/pollenring/wire/golden_test.cc
+++ b/test/pollenring/wire/golden_test.cc
@@ -44,11 +44,11 @@
 /*! @brief The values as a build encodes them, with its own wire version. */
 struct Values {
   explicit Values(WireVersion version = pollenring::kNewestWire) {
-    const auto spoken = static_cast<std::uint8_t>(version);
-    this->gossip.wire = spoken;
-    this->gossip.updates.front().wire = spoken;
-    this->members.front().wire = spoken;
-    this->records.records.front().wire = spoken;
+    const auto wire = static_cast<std::uint8_t>(version);
+    this->gossip.wire = wire;
+    this->gossip.updates.front().wire = wire;
+    this->members.front().wire = wire;
+    this->records.records.front().wire = wire;
   }
 
   pollenring::Gossip gossip = support::GoldenGossip();
