--- a/src/pollenring/wire/codec.h
+++ b/src/pollenring/wire/codec.h
@@ -11,7 +11,7 @@
 
 namespace pollenring {
 
-/*! @brief What was received, and in which form. */
+/*! @brief A received structure and its wire version. */
 template <typename Value>
 struct Decoded {
   Value value;
@@ -19,7 +19,7 @@
 };
 
 /**
- * @brief Packs a structure in this build's own form.
+ * @brief Packs a structure in the newest wire version.
  * @param value The structure.
  * @return Its bytes.
  */
@@ -32,15 +32,15 @@
 }
 
 /**
- * @brief Unpacks a structure of this build's own form.
+ * @brief Unpacks a structure of the newest wire version.
  * @param bytes Its bytes.
- * @return The structure, or nothing when the bytes are of another form.
+ * @return The structure, or nothing when the bytes are malformed.
  */
 template <typename Value>
 [[nodiscard]] std::optional<Value> Unpack(std::string_view bytes) {
   try {
     const auto handle = msgpack::unpack(bytes.data(), bytes.size());
-    Value value = WhenMissing<Value>();
+    Value value = InitialValue<Value>();
     ReadByNumber(handle.get(), value);
     return value;
   } catch (const std::exception &) {
@@ -51,19 +51,19 @@
 /**
  * @brief Packs a structure for a peer.
  * @param value The structure.
- * @param version What the peer reads; of no effect without frozen layouts.
+ * @param version What the peer reads; ignored without frozen layouts.
  * @return Its bytes.
  */
 template <typename Value>
 [[nodiscard]] std::string Encode(const Value &value, WireVersion version) {
-  if constexpr (HasLayout<Value>::value) {
+  if constexpr (HasNumberedLayout<Value>::value) {
     if (version < WireVersion::kV3) {
       msgpack::sbuffer buffer;
       msgpack::packer<msgpack::sbuffer> packer{buffer};
       if (version == WireVersion::kV1) {
-        PackByPlace<WireVersion::kV1>(packer, value);
+        PackByPosition<WireVersion::kV1>(packer, value);
       } else {
-        PackByPlace<WireVersion::kV2>(packer, value);
+        PackByPosition<WireVersion::kV2>(packer, value);
       }
       return {buffer.data(), buffer.size()};
     }
@@ -72,13 +72,13 @@
 }
 
 /**
- * @brief Unpacks a structure of any form that a landed build writes.
+ * @brief Unpacks a structure of any wire version that a released build writes.
  * @param bytes Its bytes.
- * @return The structure, or nothing when the bytes are of another form.
+ * @return The structure, or nothing when the bytes are malformed.
  */
 template <typename Value>
 [[nodiscard]] std::optional<Decoded<Value>> Decode(std::string_view bytes) {
-  if constexpr (!HasLayout<Value>::value) {
+  if constexpr (!HasNumberedLayout<Value>::value) {
     auto value = Unpack<Value>(bytes);
     if (!value) return std::nullopt;
     return Decoded<Value>{std::move(*value)};
@@ -86,16 +86,16 @@
     try {
       const auto handle = msgpack::unpack(bytes.data(), bytes.size());
       const msgpack::object &object = handle.get();
-      Decoded<Value> decoded{WhenMissing<Value>()};
+      Decoded<Value> decoded{InitialValue<Value>()};
       if (object.type == msgpack::type::ARRAY) {
         decoded.version = ArrayVersion<Value>::Of(object.via.array);
       }
       switch (decoded.version) {
         case WireVersion::kV1:
-          ReadByPlace<WireVersion::kV1>(object, decoded.value);
+          ReadByPosition<WireVersion::kV1>(object, decoded.value);
           break;
         case WireVersion::kV2:
-          ReadByPlace<WireVersion::kV2>(object, decoded.value);
+          ReadByPosition<WireVersion::kV2>(object, decoded.value);
           break;
         case WireVersion::kV3:
           ReadByNumber(object, decoded.value);
@@ -109,19 +109,21 @@
 }
 
 /**
- * @brief Tells by its first byte whether a message has its fields by number.
+ * @brief Infers the wire version of a message by its first byte: messages with
+ * numbered fields are maps.
  * @param bytes The message.
- * @return The newest version, or the one that all builds read.
+ * @return The newest version, or the one that all builds can read.
  */
-[[nodiscard]] inline WireVersion FormOf(std::string_view bytes) noexcept {
+[[nodiscard]] inline WireVersion InferWireVersion(
+    std::string_view bytes) noexcept {
   if (bytes.empty()) return kCommonWire;
   constexpr unsigned kSmallMap = 0x80;
   constexpr unsigned kSmallMask = 0xf0;
   constexpr unsigned kMap16 = 0xde;
   constexpr unsigned kMap32 = 0xdf;
-  const unsigned first = static_cast<unsigned char>(bytes.front());
-  const bool map =
-      (first & kSmallMask) == kSmallMap || first == kMap16 || first == kMap32;
+  const unsigned first_byte = static_cast<unsigned char>(bytes.front());
+  const bool map = (first_byte & kSmallMask) == kSmallMap ||
+                   first_byte == kMap16 || first_byte == kMap32;
   return map ? kNewestWire : kCommonWire;
 }
 
--- a/src/pollenring/wire/forms.h
+++ b/src/pollenring/wire/forms.h
@@ -12,22 +12,22 @@
 namespace pollenring {
 
 /**
- * @brief The fields of a structure, in their places in a version's arrays.
+ * @brief The fields of a structure, in the order of a version's arrays.
  *
- * Specialised beside each structure that also has a form by name. A layout is
- * frozen: builds that have landed read and write it.
+ * Specialised next to each structure that is also encoded by position. A layout
+ * is frozen: released builds read and write it.
  */
 template <typename Value, WireVersion version>
 struct ArrayLayout {
   static constexpr bool kFrozen = false;
 };
 
-/*! @brief As V1, unless the structure says otherwise. */
+/*! @brief Same as V1, unless specialised. */
 template <typename Value>
 struct ArrayLayout<Value, WireVersion::kV2>
     : ArrayLayout<Value, WireVersion::kV1> {};
 
-/*! @brief One field and its number, which it keeps for good. */
+/*! @brief A field and its number, which never changes. */
 template <typename Value>
 struct Field {
   Field(std::uint64_t number, Value &value) : number{number}, value{value} {}
@@ -39,74 +39,74 @@
 /**
  * @brief The numbers of a structure's fields, for all versions from V3 on.
  *
- * Specialised beside each structure that can grow. A new field takes a number
- * that was never used, and one that is given up keeps its own.
+ * Specialised next to each structure that can grow. A new field takes a number
+ * that was never used; the number of a removed field is not reused.
  */
 template <typename Value>
 struct NumberedLayout {
   static constexpr bool kGrows = false;
 };
 
-/*! @brief What a version is written in place of a value that it lacks. */
+/*! @brief What is written to a version that lacks a value. */
 template <typename Value, WireVersion version>
-struct InPlaceOf {
+struct Substitute {
   [[nodiscard]] static const Value &Write(const Value &value) noexcept {
     return value;
   }
 };
 
-/*! @brief What a message holds of each field that it does not carry. */
+/*! @brief Initial value of a structure, for the fields that a message lacks. */
 template <typename Value>
-[[nodiscard]] Value WhenMissing() {
+[[nodiscard]] Value InitialValue() {
   return {};
 }
 
 /*! @brief Whether a structure, or a list of them, can grow. */
 template <typename Value>
-struct HasLayout : std::bool_constant<NumberedLayout<Value>::kGrows> {};
+struct HasNumberedLayout : std::bool_constant<NumberedLayout<Value>::kGrows> {};
 template <typename Value>
-struct HasLayout<std::vector<Value>> : HasLayout<Value> {};
+struct HasNumberedLayout<std::vector<Value>> : HasNumberedLayout<Value> {};
 
 /**
- * @brief Writes a value by place.
- * @param packer Where to.
+ * @brief Writes a value with its fields by position.
+ * @param packer Output.
  * @param value The value.
  */
 template <WireVersion version, typename Packer, typename Value>
-void PackByPlace(Packer &packer, const Value &value) {
+void PackByPosition(Packer &packer, const Value &value) {
   if constexpr (ArrayLayout<Value, version>::kFrozen) {
     const auto fields = ArrayLayout<Value, version>::Fields(value);
     packer.pack_array(std::tuple_size_v<std::decay_t<decltype(fields)>>);
     std::apply(
         [&packer](const auto &...field) {
-          (PackByPlace<version>(packer, field), ...);
+          (PackByPosition<version>(packer, field), ...);
         },
         fields);
   } else {
-    packer.pack(InPlaceOf<Value, version>::Write(value));
+    packer.pack(Substitute<Value, version>::Write(value));
   }
 }
 
 template <WireVersion version, typename Packer, typename Value>
-void PackByPlace(Packer &packer, const std::vector<Value> &values) {
+void PackByPosition(Packer &packer, const std::vector<Value> &values) {
   packer.pack_array(static_cast<std::uint32_t>(values.size()));
-  for (const auto &value : values) PackByPlace<version>(packer, value);
+  for (const auto &value : values) PackByPosition<version>(packer, value);
 }
 
 /**
- * @brief Reads a value by place; what the array lacks keeps its value.
- * @param object What was received.
- * @param value Filled in.
- * @throws msgpack::type_error when the object is of another form.
+ * @brief Reads a value by position; fields that the array lacks are unchanged.
+ * @param object The received object.
+ * @param value Result.
+ * @throws msgpack::type_error when the object is of another type.
  */
 template <WireVersion version, typename Value>
-void ReadByPlace(const msgpack::object &object, Value &value) {
+void ReadByPosition(const msgpack::object &object, Value &value) {
   if constexpr (ArrayLayout<Value, version>::kFrozen) {
     if (object.type != msgpack::type::ARRAY) throw msgpack::type_error{};
     const auto &array = object.via.array;
     std::uint32_t at = 0;
     const auto read = [&array, &at](auto &field) {
-      if (at < array.size) ReadByPlace<version>(array.ptr[at], field);
+      if (at < array.size) ReadByPosition<version>(array.ptr[at], field);
       ++at;
     };
     std::apply([&read](auto &...field) { (read(field), ...); },
@@ -117,17 +117,17 @@
 }
 
 template <WireVersion version, typename Value>
-void ReadByPlace(const msgpack::object &object, std::vector<Value> &values) {
+void ReadByPosition(const msgpack::object &object, std::vector<Value> &values) {
   if (object.type != msgpack::type::ARRAY) throw msgpack::type_error{};
   const auto &array = object.via.array;
   values.assign(array.size, Value{});
   std::uint32_t at = 0;
-  for (auto &value : values) ReadByPlace<version>(array.ptr[at++], value);
+  for (auto &value : values) ReadByPosition<version>(array.ptr[at++], value);
 }
 
 /**
  * @brief Writes a value with its fields by number.
- * @param packer Where to.
+ * @param packer Output.
  * @param value The value.
  */
 template <typename Packer, typename Value>
@@ -152,11 +152,11 @@
 }
 
 /**
- * @brief Reads a value by number; fields that are not there keep their values,
- * and those that this build lacks are skipped.
- * @param object What was received.
- * @param value Filled in.
- * @throws msgpack::type_error when the object is of another form.
+ * @brief Reads a value by number; missing fields are unchanged, and unknown
+ * ones are skipped.
+ * @param object The received object.
+ * @param value Result.
+ * @throws msgpack::type_error when the object is of another type.
  */
 template <typename Value>
 void ReadByNumber(const msgpack::object &object, Value &value) {
@@ -187,24 +187,25 @@
   for (auto &value : values) ReadByNumber(array.ptr[at++], value);
 }
 
-/*! @brief Fields of a structure in a version's arrays. */
+/*! @brief Number of fields of a structure in a version's arrays. */
 template <typename Value, WireVersion version>
-inline constexpr std::size_t kPlaces =
+inline constexpr std::size_t kFieldCount =
     std::tuple_size_v<decltype(ArrayLayout<Value, version>::Fields(
         std::declval<Value &>()))>;
 
 /**
- * @brief Tells of which version an array is, by its places.
+ * @brief Determines the version of an array by its length.
  *
- * Where V1 and V2 have as many, they are one form, unless specialised.
+ * Where V1 and V2 have equally many fields, they are the same encoding, unless
+ * specialised.
  */
 template <typename Value>
 struct ArrayVersion {
   [[nodiscard]] static WireVersion Of(const msgpack::object_array &array) {
-    constexpr std::size_t kFirst = kPlaces<Value, WireVersion::kV1>;
-    constexpr bool kDiffer = kFirst != kPlaces<Value, WireVersion::kV2>;
-    const bool first = kDiffer && array.size <= kFirst;
-    return first ? WireVersion::kV1 : WireVersion::kV2;
+    constexpr std::size_t kV1Fields = kFieldCount<Value, WireVersion::kV1>;
+    constexpr bool kDiffer = kV1Fields != kFieldCount<Value, WireVersion::kV2>;
+    const bool is_v1 = kDiffer && array.size <= kV1Fields;
+    return is_v1 ? WireVersion::kV1 : WireVersion::kV2;
   }
 };
 
--- a/src/pollenring/wire/wire_enum.h
+++ b/src/pollenring/wire/wire_enum.h
@@ -9,40 +9,40 @@
 namespace pollenring {
 
 /**
- * @brief How an enumeration travels; specialised for each that does.
+ * @brief How an enumeration is encoded; specialised for each that is sent.
  *
- * A specialisation has `kTravels`, its `kName`, the table `kNames` of all that
- * this build knows, and `kUnknown`, which stands for all others.
+ * A specialisation has `kOnWire`, its `kName`, the table `kNames` of all
+ * enumerators of this build, and `kUnknown`, which replaces unknown ones.
  */
 template <typename Enum>
 struct WireEnum {
-  static constexpr bool kTravels = false;
+  static constexpr bool kOnWire = false;
 };
 
 /**
- * @brief Tells the log of an enumerator that this build lacks; one line for an
- * enumeration each second.
+ * @brief Logs an enumerator that this build lacks, at most one line per
+ * enumeration and second.
  * @param name Name of the enumeration.
- * @param number What was received.
- * @param taken Name of what stands for it.
+ * @param number The received number.
+ * @param replacement Name of its replacement.
  */
 void NoteUnknownEnumerator(std::string_view name, std::int64_t number,
-                           std::string_view taken);
+                           std::string_view replacement);
 
 /**
- * @brief Finds an enumerator by the number that travels.
+ * @brief Finds an enumerator by its number on the wire.
  * @param number The number.
- * @return The enumerator, or what stands for those that this build lacks.
+ * @return The enumerator, or the replacement of unknown ones.
  */
 template <typename Enum>
 [[nodiscard]] Enum EnumeratorOf(std::int64_t number) {
   for (const auto &row : WireEnum<Enum>::kNames.rows) {
     if (static_cast<std::int64_t>(row.value) == number) return row.value;
   }
-  constexpr Enum kTaken = WireEnum<Enum>::kUnknown;
+  constexpr Enum kReplacement = WireEnum<Enum>::kUnknown;
   NoteUnknownEnumerator(WireEnum<Enum>::kName, number,
-                        WireEnum<Enum>::kNames.Name(kTaken));
-  return kTaken;
+                        WireEnum<Enum>::kNames.Name(kReplacement));
+  return kReplacement;
 }
 
 }  // namespace pollenring
@@ -52,7 +52,7 @@
   namespace adaptor {
 
   template <typename Enum>
-  struct convert<Enum, std::enable_if_t<pollenring::WireEnum<Enum>::kTravels>> {
+  struct convert<Enum, std::enable_if_t<pollenring::WireEnum<Enum>::kOnWire>> {
     const msgpack::object &operator()(const msgpack::object &object,
                                       Enum &value) const {
       value = pollenring::EnumeratorOf<Enum>(object.as<std::int64_t>());
@@ -61,7 +61,7 @@
   };
 
   template <typename Enum>
-  struct pack<Enum, std::enable_if_t<pollenring::WireEnum<Enum>::kTravels>> {
+  struct pack<Enum, std::enable_if_t<pollenring::WireEnum<Enum>::kOnWire>> {
     template <typename Stream>
     msgpack::packer<Stream> &operator()(msgpack::packer<Stream> &packer,
                                         const Enum &value) const {
@@ -71,7 +71,7 @@
 
   template <typename Enum>
   struct object_with_zone<
-      Enum, std::enable_if_t<pollenring::WireEnum<Enum>::kTravels>> {
+      Enum, std::enable_if_t<pollenring::WireEnum<Enum>::kOnWire>> {
     void operator()(msgpack::object::with_zone &object,
                     const Enum &value) const {
       object << static_cast<std::int64_t>(value);
--- a/test/pollenring/membership/membership_test.cc
+++ b/test/pollenring/membership/membership_test.cc
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-TEST_CASE("membership: all find each other, and losses are seen by all") {
+TEST_CASE("membership: all nodes discover each other and detect failed nodes") {
   for (const auto seed : support::Seeds(3)) {
     INFO("seed " << seed);
     MemberFleet fleet{30, seed};
@@ -46,7 +46,7 @@
   }
 }
 
-TEST_CASE("membership: a frozen node that wakes brings back no old news") {
+TEST_CASE("membership: a node that resumes spreads no stale records") {
   MemberFleet fleet{12, 9};
   fleet.network.loss = 0;
   fleet.Run(std::chrono::seconds{10});
@@ -77,11 +77,11 @@
   fleet.Run(std::chrono::seconds{30});
   fleet.exchanges = 0;
   fleet.Run(std::chrono::seconds{30});
-  // A fleet at rest exchanges no full records.
+  // A fleet without changes exchanges no full records.
   CHECK(fleet.exchanges == 0);
 }
 
-TEST_CASE("membership: a cut that heals leaves one membership") {
+TEST_CASE("membership: nodes converge after a network partition heals") {
   MemberFleet fleet{12, 6};
   fleet.Run(std::chrono::seconds{10});
   for (int i = 0; i < 6; ++i) {
@@ -94,7 +94,7 @@
   CHECK(fleet.Misjudged() == 0);
 }
 
-TEST_CASE("membership: an exchange carries what differs, not all") {
+TEST_CASE("membership: an exchange carries only the partitions that differ") {
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{3};
   MemberFleet quiet{1, 1};
@@ -106,9 +106,9 @@
     return member;
   };
   constexpr NodeId kMembers = 4000;
-  auto &observer = *quiet.nodes.front();
-  Membership left{record(1, 1), {}, clock, random, observer};
-  Membership right{record(2, 1), {}, clock, random, observer};
+  auto &delegate = *quiet.nodes.front();
+  Membership left{record(1, 1), {}, clock, random, delegate};
+  Membership right{record(2, 1), {}, clock, random, delegate};
   std::vector<Member> all;
   for (NodeId id = 3; id <= kMembers; ++id) all.push_back(record(id, 1));
   left.Merge(all);
@@ -117,7 +117,7 @@
   right.Merge({record(1, 1), record(500, 2)});
   const auto theirs = right.Differing(left.Digests());
   const auto own = left.Differing(theirs.digests);
-  // Two parts of 64 differ.
+  // Two partitions of 64 differ.
   CHECK(theirs.records.size() < kMembers / 16);
   CHECK(own.records.size() == theirs.records.size());
   left.Merge(theirs.records);
--- a/test/pollenring/membership/store_watcher_role_test.cc
+++ b/test/pollenring/membership/store_watcher_role_test.cc
@@ -19,25 +19,25 @@
 using pollenring::Time;
 using support::MemberFleet;
 
-/*! @brief Nodes that ask a store, as often as their duty says. */
+/*! @brief Nodes that watch a store whenever their role says so. */
 class Watchers {
  public:
   explicit Watchers(MemberFleet &fleet) : fleet{fleet} {}
 
-  /*! @brief Whether the store answers a node. */
-  std::function<bool(int)> reaches = [](int) { return true; };
+  /*! @brief Whether the store responds to a node. */
+  std::function<bool(int)> store_responds = [](int) { return true; };
 
-  /*! @brief Runs; a change of version is written at the given time. */
-  void Run(std::chrono::milliseconds length) {
+  /*! @brief Runs the fleet and its watches. @param length For this long. */
+  void Run(std::chrono::milliseconds duration) {
     constexpr auto kStep = 100ms;
-    for (auto passed = 0ms; passed < length; passed += kStep) {
+    for (auto passed = 0ms; passed < duration; passed += kStep) {
       this->fleet.Run(kStep);
       this->now += kStep;
-      for (int i = 0; i < this->fleet.Size(); ++i) this->Look(i);
+      for (int i = 0; i < this->fleet.Size(); ++i) this->Step(i);
     }
   }
 
-  /*! @brief Highest age of the store's word at a node that lives. */
+  /*! @brief Maximum age of the last store contact over the live nodes. */
   [[nodiscard]] Duration Oldest() const {
     Duration oldest{0};
     for (int i = 0; i < this->fleet.Size(); ++i) {
@@ -52,7 +52,7 @@
   int calls{};
 
  private:
-  void Look(int index) {
+  void Step(int index) {
     auto *membership = this->fleet.At(index);
     if (membership == nullptr) return;
     const StoreWatcherRole duty{*membership, this->versions,
@@ -60,10 +60,10 @@
     Time &due = this->due[index];
     if (!duty.ShouldWatch() || this->now < due) return;
     ++this->calls;
-    const bool heard = this->reaches(index);
+    const bool responded = this->store_responds(index);
     due = this->now +
-          (heard ? duty.NextWatch(this->fleet.random) : Duration{800ms});
-    if (heard) membership->RecordStoreContact();
+          (responded ? duty.NextWatch(this->fleet.random) : Duration{800ms});
+    if (responded) membership->RecordStoreContact();
   }
 
   MemberFleet &fleet;
@@ -74,7 +74,9 @@
 
 }  // namespace
 
-TEST_CASE("store duty: calls do not grow with the nodes, word reaches all") {
+TEST_CASE(
+    "store watcher role: calls do not grow with the fleet and reports reach "
+    "all nodes") {
   for (const int size : {30, 100, 300}) {
     MemberFleet fleet{size, 4};
     Watchers watchers{fleet};
@@ -87,29 +89,31 @@
     }
     INFO("nodes " << size << ", calls " << watchers.calls << ", oldest "
                   << oldest.count());
-    // Six nodes on duty, a call each 1.1 to 2.2 s, seen each 100 ms.
+    // Six designated watchers, a call each 1.1 to 2.2 s, in steps of 100 ms.
     CHECK(watchers.calls < 6 * 20);
     CHECK(watchers.calls > 6 * 20 / 3);
     CHECK(oldest < 2500ms);
   }
 }
 
-TEST_CASE("store duty: others step in for lost, cut off or refused nodes") {
+TEST_CASE(
+    "store watcher role: other nodes take over from killed or rejected "
+    "watchers") {
   const pollenring::PeerVersions versions;
   for (const auto seed : support::Seeds(4)) {
     INFO("seed " << seed);
     MemberFleet fleet{100, seed};
     Watchers watchers{fleet};
     watchers.Run(20s);
-    // The store turns away all that are on duty now, and a third of the rest.
-    std::set<int> refused;
+    // The store rejects all designated watchers and a third of the others.
+    std::set<int> rejected;
     for (int i = 0; i < fleet.Size(); ++i) {
       const StoreWatcherRole duty{*fleet.At(i), versions, StoreWatcherOptions{},
                                   fleet.clock};
-      if (duty.IsDesignated() || i % 3 == 0) refused.insert(i);
+      if (duty.IsDesignated() || i % 3 == 0) rejected.insert(i);
     }
-    watchers.reaches = [&refused](int node) {
-      return refused.count(node) == 0;
+    watchers.store_responds = [&rejected](int node) {
+      return rejected.count(node) == 0;
     };
     watchers.Run(4s);
     CHECK(watchers.Oldest() < 4s);
@@ -118,8 +122,9 @@
     CHECK(watchers.Oldest() < 4500ms);
     // Far from one call a second for each of 100 nodes.
     CHECK(watchers.calls < 300);
-    watchers.reaches = [](int) { return true; };
-    // All nodes on duty are killed at once; word of the store is old by then.
+    watchers.store_responds = [](int) { return true; };
+    // All designated watchers are killed at once, while the last store contact
+    // is already old.
     std::vector<int> on_duty;
     for (int i = 0; i < fleet.Size(); ++i) {
       const StoreWatcherRole duty{*fleet.At(i), versions, StoreWatcherOptions{},
@@ -132,7 +137,7 @@
   }
 }
 
-TEST_CASE("store duty: a node by itself asks") {
+TEST_CASE("store watcher role: an isolated node watches the store") {
   MemberFleet fleet{12, 2};
   Watchers watchers{fleet};
   watchers.Run(10s);
@@ -144,13 +149,15 @@
   CHECK(duty.ShouldWatch());
 }
 
-TEST_CASE("store duty: nodes that tell nothing of zones don't count") {
-  // Of 30 nodes the first ten run today's build, the others V1.
+TEST_CASE(
+    "store watcher role: nodes that report no zone withdrawals don't count") {
+  // Of 30 nodes the first ten run this build, the others V1.
   MemberFleet fleet{30, 5};
   fleet.Run(10s);
   pollenring::PeerVersions versions;
   for (int i = 10; i < fleet.Size(); ++i) {
-    versions.Heard(fleet.At(i)->Self().id, pollenring::WireVersion::kV1);
+    versions.MessageReceived(fleet.At(i)->Self().id,
+                             pollenring::WireVersion::kV1);
   }
   std::map<std::string, int> on_duty;
   for (int i = 0; i < 10; ++i) {
--- a/test/pollenring/wire/golden_test.cc
+++ b/test/pollenring/wire/golden_test.cc
@@ -13,7 +13,7 @@
 using pollenring::Encode;
 using pollenring::WireVersion;
 
-/*! @brief Bytes of a file's messages, by kind. */
+/*! @brief Encoded messages of a file, by kind. */
 class Golden {
  public:
   explicit Golden(const std::string &name) {
@@ -41,14 +41,14 @@
   std::map<std::string, std::string> messages;
 };
 
-/*! @brief The values as a build writes them: with the form it speaks. */
+/*! @brief The values as a build encodes them, with its own wire version. */
 struct Values {
   explicit Values(WireVersion version = pollenring::kNewestWire) {
-    const auto spoken = static_cast<std::uint8_t>(version);
-    this->gossip.wire = spoken;
-    this->gossip.updates.front().wire = spoken;
-    this->members.front().wire = spoken;
-    this->records.records.front().wire = spoken;
+    const auto wire = static_cast<std::uint8_t>(version);
+    this->gossip.wire = wire;
+    this->gossip.updates.front().wire = wire;
+    this->members.front().wire = wire;
+    this->records.records.front().wire = wire;
   }
 
   pollenring::Gossip gossip = support::GoldenGossip();
@@ -61,7 +61,7 @@
   pollenring::BorrowReply loan = support::GoldenLoan();
 };
 
-/*! @brief Checks that a landed build's bytes are read as a value, whole. */
+/*! @brief Checks that a message of a released build decodes completely. */
 template <typename Value>
 void CheckRead(const std::string &bytes, const Value &expected,
                WireVersion version) {
@@ -72,8 +72,8 @@
         Encode(expected, WireVersion::kV3));
 }
 
-void CheckLanded(const std::string &landing, WireVersion version) {
-  const Golden golden{landing};
+void CheckReleased(const std::string &release, WireVersion version) {
+  const Golden golden{release};
   auto gossip = support::GoldenGossip();
   auto call = support::GoldenEnvelope();
   auto reply = support::GoldenReply(pollenring::Reason::kOverload);
@@ -85,7 +85,7 @@
   CheckRead(golden.Of("gossip"), gossip, version);
   CheckRead(golden.Of("call"), call, version);
   CheckRead(golden.Of("reply"), reply, version);
-  // These are one form in both.
+  // V1 and V2 encode these alike.
   CheckRead(golden.Of("members"), std::vector{support::GoldenMember()},
             WireVersion::kV2);
   CheckRead(golden.Of("records"), support::GoldenRecords(), WireVersion::kV2);
@@ -97,8 +97,8 @@
   CHECK(*digests == support::GoldenDigests());
 }
 
-/*! @brief As `CheckLanded`, for builds that write fields by number and tell
- * which form they speak. */
+/*! @brief As `CheckReleased`, for builds that number fields and advertise their
+ * wire version. */
 void CheckNumbered(const std::string &name, WireVersion version) {
   const Golden golden{name};
   const Values values{version};
@@ -129,30 +129,33 @@
 
 }  // namespace
 
-TEST_CASE("golden: what 33161f2 wrote is read") {
-  CheckLanded("33161f2", WireVersion::kV1);
+TEST_CASE("golden: messages of 33161f2 are decoded") {
+  CheckReleased("33161f2", WireVersion::kV1);
 }
 
-TEST_CASE("golden: what 0e01c9f wrote is read") {
-  CheckLanded("0e01c9f", WireVersion::kV2);
+TEST_CASE("golden: messages of 0e01c9f are decoded") {
+  CheckReleased("0e01c9f", WireVersion::kV2);
 }
 
-TEST_CASE("golden: what 4278493 wrote is read") {
+TEST_CASE("golden: messages of 4278493 are decoded") {
   CheckNumbered("4278493", WireVersion::kV3);
 }
 
-TEST_CASE("golden: the form of today's build is the one that is kept") {
+TEST_CASE("golden: messages of this build match the stored ones") {
   CheckWritten("v3", WireVersion::kV3);
   CheckNumbered("v3", WireVersion::kV3);
 }
 
-TEST_CASE("golden: what is written for landed builds is what they read") {
-  // test/golden/README.md: their own headers read these bytes whole.
+TEST_CASE(
+    "golden: messages encoded for released builds match the stored ones") {
+  // test/golden/README.md: released headers decode these bytes completely.
   CheckWritten("v3-for-33161f2", WireVersion::kV1);
   CheckWritten("v3-for-0e01c9f", WireVersion::kV2);
 }
 
-TEST_CASE("golden: but for the form it speaks, today's build writes theirs") {
+TEST_CASE(
+    "golden: except for its wire field this build encodes as released builds "
+    "do") {
   const Golden first{"33161f2"};
   const Golden second{"0e01c9f"};
   const Values values;
