Reword comments of share

The comments spoke of asking, saying and what comes next, so that a reader could not tell a borrow request from a refill, or a rate limit from the share lent of it. They use request, reply, refill, loan and rate limit throughout. Only comments differ: the C++ tokens of all files are the same as before.

--- a/src/pollenring/share/borrow.h
+++ b/src/pollenring/share/borrow.h
@@ -12,24 +12,24 @@
 
 namespace pollenring {
 
-/*! @brief Longest time for which share is lent. */
+/*! @brief Maximum validity of a loan. */
 inline constexpr Span kLoanValidity = std::chrono::milliseconds{500};
 
-/*! @brief Validity of share for requests that wait; nobody returns it. */
+/*! @brief Validity of a loan for waiting requests, which is never returned. */
 inline constexpr Span kUrgentValidity = std::chrono::milliseconds{100};
 
-/*! @brief Longest wait for a slot's next share. */
+/*! @brief Maximum wait for a slot's next refill. */
 inline constexpr Span kLongestEarly = std::chrono::milliseconds{500};
 
 /*! @brief How long a request waits for share. */
 struct Patience {
-  Time deadline{};   /*!< While holders are not to be found. */
-  Time next_share{}; /*!< For share that is sure to come then. */
+  Time deadline{};   /*!< While no holder is reachable. */
+  Time next_share{}; /*!< For share that the next refill is sure to bring. */
 
   /**
-   * @brief The same patience for both.
-   * @param deadline Latest time for the answer.
-   * @return It.
+   * @brief Uses the same limit for both waits.
+   * @param deadline Latest time for the result.
+   * @return The wait limit.
    */
   [[nodiscard]] static Patience Until(Time deadline) noexcept {
     return {deadline, deadline};
@@ -60,16 +60,16 @@
   }
 };
 
-/*! @brief Asks the holder of a slot for part of a workspace's share. */
+/*! @brief Requests part of a workspace's rate limit from a slot's holder. */
 struct BorrowRequest {
   SlotId slot{};
   std::string workspace;
-  std::uint64_t borrower{}; /*!< The borrower's process. */
-  std::uint64_t loan{};     /*!< Unique for the borrower. */
+  std::uint64_t borrower{}; /*!< Process that borrows. */
+  std::uint64_t loan{};     /*!< Unique per borrower. */
   std::uint32_t want{};
-  std::uint32_t urgent{}; /*!< Requests that wait for it. */
-  std::uint32_t early{};  /*!< Requests that would wait for the next refill. */
-  std::int64_t early_within_us{}; /*!< For so long at most. */
+  std::uint32_t urgent{}; /*!< Requests waiting for share. */
+  std::uint32_t early{};  /*!< Requests that can wait for the next refill. */
+  std::int64_t early_within_us{}; /*!< Maximum wait of these requests. */
   std::vector<LoanReturn> returns;
 };
 
@@ -97,11 +97,11 @@
   }
 };
 
-/*! @brief Requests that may go when the slot's next share has come. */
+/*! @brief Requests admitted against the slot's next refills. */
 struct EarlyGrant {
   std::uint32_t count{};
-  std::int64_t first_us{}; /*!< Until the first may go. */
-  std::int64_t every_us{}; /*!< Between one and the next. */
+  std::int64_t first_us{}; /*!< Time until the first is admitted. */
+  std::int64_t every_us{}; /*!< Interval between admissions. */
 };
 
 template <>
@@ -123,12 +123,12 @@
   }
 };
 
-/*! @brief What the holder lends. */
+/*! @brief The holder's reply to a borrow request. */
 struct BorrowReply {
   SlotId slot{};
   std::string workspace;
   std::uint64_t loan{};
-  bool holder{}; /*!< False when the asked node may not lend. */
+  bool holder{}; /*!< False if the node may not lend from the slot. */
   std::uint32_t granted{};
   std::int64_t validity_us{};
   std::int64_t retry_after_us{};
--- a/src/pollenring/share/borrower.cc
+++ b/src/pollenring/share/borrower.cc
@@ -10,29 +10,31 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Longest wait of a request while no slot's holder is to be found. */
+/*! @brief Maximum wait of a request while no holder responds. */
 constexpr Span kLongestWait = std::chrono::seconds{1};
-/*! @brief Longest wait while some holders have nothing and some are missing. */
+/*! @brief Maximum wait while some holders are empty and others unreachable. */
 constexpr Span kLongestPartWait = std::chrono::milliseconds{250};
 /*! @brief Pause between rounds that did not reach every holder. */
 constexpr Span kRoundPause = std::chrono::milliseconds{20};
-/*! @brief Most requests of one workspace that wait at once. */
+/*! @brief Maximum number of waiting requests per workspace. */
 constexpr std::size_t kMostWaiting = 1000;
-/*! @brief When to come back after a second without any share. */
+/**
+ * @brief Retry-after for requests that got no share within their wait limit.
+ */
 constexpr Span kNoShareRetry = std::chrono::milliseconds{500};
-/*! @brief Longest wait for one holder. */
+/*! @brief Time-out for the reply of one holder. */
 constexpr Span kHolderTimeout = std::chrono::milliseconds{80};
-/*! @brief How far ahead of demand share is borrowed. */
+/*! @brief How far ahead of demand share is borrowed, in seconds. */
 constexpr double kAheadSeconds = 0.1;
-/*! @brief Part of the advance below which more is borrowed. */
+/*! @brief Fraction of the advance below which more is borrowed. */
 constexpr double kLowWater = 0.4;
-/*! @brief Longest time without asking after all holders had nothing. */
+/*! @brief Maximum pause in querying after all holders were empty. */
 constexpr Span kLongestEmpty = std::chrono::milliseconds{20};
-/*! @brief Age at which a loan's rest goes back to its holder. */
+/*! @brief Age at which the unspent part of a loan is returned. */
 constexpr Span kReturnAge = std::chrono::milliseconds{250};
 constexpr Span kDemandWindow = std::chrono::milliseconds{100};
 constexpr double kDemandWeight = 0.5;
-/*! @brief Time without a request after which a workspace is forgotten. */
+/*! @brief Idle time after which a workspace is removed. */
 constexpr Span kForgetAfter = std::chrono::seconds{10};
 constexpr std::uint32_t kMostWanted = 100'000;
 constexpr std::size_t kMostReturns = 16;
@@ -48,7 +50,7 @@
       clock{clock},
       observer{observer} {}
 
-// The name is a copy: what is called back may change the caller's text.
+// Takes the name by value: a callback may change the caller's string.
 void ShareBorrower::Charge(std::string name, Patience patience, Done done) {
   Workspace &workspace = this->WorkspaceOf(name);
   this->Measure(workspace);
@@ -116,7 +118,7 @@
 }
 
 double ShareBorrower::Ahead(const Workspace &workspace) {
-  // With sparse demand, what is borrowed ahead would lie idle.
+  // With sparse demand, share borrowed ahead would lie idle.
   return std::floor(workspace.demand * kAheadSeconds);
 }
 
@@ -176,14 +178,14 @@
     this->RefuseAll(workspace);
     return;
   }
-  // A slot is changing hands or a message was lost: there may be share soon.
+  // During a handover or after a lost message, share may be available soon.
   workspace.next_round = this->clock.Now() + kRoundPause;
 }
 
 bool ShareBorrower::AskEarly(const std::string &name, Workspace &workspace) {
   if (workspace.waiters.empty()) return false;
   auto &next_share = workspace.round.next_share;
-  // What is granted to those who don't wait for it is lost to all.
+  // Share granted after its waiters have given up is lost to everyone.
   Span longest{0};
   for (const auto &waiter : workspace.waiters) {
     const Span left = waiter.patience.next_share - this->clock.Now();
@@ -212,8 +214,8 @@
 }
 
 void ShareBorrower::TakeEarly(Workspace &workspace, const EarlyGrant &grant) {
-  // The share comes that long after the holder has said so, so no later than
-  // that long after its word has arrived.
+  // The delays count from when the holder sent the reply, so counting from its
+  // arrival is never too early.
   Span wait = this->options.More(Span{grant.first_us});
   const Span every = this->options.More(Span{grant.every_us});
   std::uint32_t left = grant.count;
@@ -316,11 +318,10 @@
     return;
   }
   const Span validity = this->options.Less(Span{reply.validity_us});
-  // The loan was made after it was asked for, so it ends no earlier than this.
+  // The holder grants after the request was sent, so no loan ends earlier.
   const Time expires = workspace.asked.sent + validity;
   workspace.asking = false;
-  // Drawing on all slots alike keeps any one from being full while others
-  // are empty.
+  // Rotation over all slots keeps them about equally full.
   workspace.preferred = (workspace.preferred + 1) % workspace.slots.size();
   if (expires > this->clock.Now()) {
     const bool urgent = Span{reply.validity_us} <= kUrgentValidity;
@@ -370,13 +371,13 @@
   if (workspace.loans.empty()) return;
   const Loan &loan = workspace.loans.front();
   if (this->clock.Now() - loan.taken < kReturnAge) return;
-  // Share that is not needed here may be needed elsewhere.
+  // Unused share may be needed on another node.
   workspace.returns[loan.slot].push_back({loan.id, loan.left});
   workspace.loans.pop_front();
 }
 
 void ShareBorrower::SendReturns(const std::string &name, Workspace &workspace) {
-  // While a loan is out, its holder does not refill its part of the burst.
+  // While a loan is open, its holder does not refill that part of the burst.
   for (auto &[slot, returns] : workspace.returns) {
     if (returns.empty()) continue;
     BorrowRequest request;
@@ -385,7 +386,7 @@
     request.borrower = this->process;
     request.returns = std::exchange(returns, {});
     const bool sent = this->observer.SendBorrow(request);
-    // Without a holder the loan's rest is lost, never spent twice.
+    // Without a holder the unspent part is lost, never spent twice.
     static_cast<void>(sent);
   }
 }
--- a/src/pollenring/share/borrower.h
+++ b/src/pollenring/share/borrower.h
@@ -16,7 +16,7 @@
 
 namespace pollenring {
 
-/*! @brief What borrowing asks of its surroundings. */
+/*! @brief Dependencies of the borrower. */
 class ShareObserver {
  public:
   ShareObserver() = default;
@@ -24,13 +24,15 @@
   ShareObserver &operator=(const ShareObserver &) = delete;
   virtual ~ShareObserver() = default;
 
-  /*! @brief Sends a request to the slot's holder.
+  /**
+   * @brief Sends a request to the slot's holder.
    * @param request The request.
-   * @return Whether a holder is known. */
+   * @return True if a holder is known.
+   */
   virtual bool SendBorrow(const BorrowRequest &request) = 0;
 };
 
-/*! @brief What becomes of a charge. */
+/*! @brief Result of a charge. */
 struct ChargeResult {
   bool granted{};
   Reason reason{Reason::kNone};
@@ -47,9 +49,9 @@
 
   /**
    * @brief Starts without loans.
-   * @param process This process.
-   * @param slots Number of slots in all.
-   * @param options Timing of leases, for clock drift.
+   * @param process ID of this process.
+   * @param slots Total number of slots.
+   * @param options Lease timing, for the clock drift.
    * @param clock Clock.
    * @param observer Sends requests.
    */
@@ -59,23 +61,26 @@
 
   /**
    * @brief Charges one request.
-   * @param workspace Its workspace.
-   * @param patience How long it waits.
-   * @param done Called exactly once, now or when a loan or a refusal comes.
+   * @param workspace Workspace of the request.
+   * @param patience How long the request may wait.
+   * @param done Called exactly once: within the call, or on a loan or a
+   * refusal.
    */
   void Charge(std::string workspace, Patience patience, Done done);
 
   /**
-   * @brief Takes in what a holder lends.
-   * @param reply Its reply.
+   * @brief Handles a holder's reply.
+   * @param reply The reply.
    */
   void Receive(const BorrowReply &reply);
 
-  /*! @brief Gives up on holders that are silent, returns idle loans, and
-   * forgets workspaces that nobody asks for. */
+  /**
+   * @brief Times out holders that do not respond, returns idle loans and
+   * removes idle workspaces.
+   */
   void Tick();
 
-  /*! @brief Workspaces that are remembered. @return The count. */
+  /*! @brief Returns the number of tracked workspaces. @return The count. */
   [[nodiscard]] std::size_t Count() const noexcept {
     return this->workspaces.size();
   }
@@ -87,14 +92,14 @@
     std::uint32_t left{};
     Time taken{};
     Time expires{};
-    bool urgent{}; /*!< Ends soon; nobody returns it. */
+    bool urgent{}; /*!< Short validity; never returned. */
   };
   struct Waiter {
     Time since{};
     Patience patience;
     Done done;
   };
-  /*! @brief A request that goes when its share has come. */
+  /*! @brief A request admitted once its refill has arrived. */
   struct Early {
     Time ready{};
     Time expires{};
@@ -105,26 +110,27 @@
     SlotId slot{};
     Time sent{};
   };
-  /*! @brief Asking one holder after the other, each once. */
+  /*! @brief One pass over the holders, each queried once. */
   struct Round {
     std::size_t refusals{};
-    std::size_t answers{}; /*!< Holders that said they have nothing. */
+    std::size_t answers{}; /*!< Holders that replied that they are empty. */
     Span retry_after{};
-    std::vector<Span> next_share; /*!< By slot, until it has some; none if 0. */
-    bool early{};                 /*!< What comes next is asked for. */
+    std::vector<Span>
+        next_share; /*!< By slot: time to its next refill; 0 if unknown. */
+    bool early{};   /*!< The round requests early grants. */
   };
   struct Workspace {
     std::vector<SlotId> slots;
     std::size_t preferred{};
     Round round;
-    Time next_round{}; /*!< No holder is asked before. */
+    Time next_round{}; /*!< Earliest time of the next round. */
     std::deque<Loan> loans;
     std::deque<Waiter> waiters;
     std::deque<Early> early;
     bool asking{};
     Asked asked;
     Time empty_until{};
-    double demand{}; /*!< Requests a second, smoothed. */
+    double demand{}; /*!< Requests per second, smoothed. */
     Time demand_from{};
     std::uint32_t charges{};
     std::unordered_map<SlotId, std::vector<LoanReturn>> returns;
@@ -160,8 +166,8 @@
   LeaseOptions options;
   const Clock &clock;
   ShareObserver &observer;
-  // Callbacks may charge workspaces that are new while all are visited; in a
-  // map that leaves the place of the visit valid.
+  // Callbacks may insert workspaces during iteration, which leaves iterators of
+  // a std::map valid.
   std::map<std::string, Workspace> workspaces;
   std::uint64_t last_loan{};
 };
--- a/src/pollenring/share/lender.cc
+++ b/src/pollenring/share/lender.cc
@@ -9,13 +9,13 @@
 namespace {
 
 constexpr double kMicrosPerSecond = 1e6;
-/*! @brief Slack for sums of floating-point numbers. */
+/*! @brief Tolerance for sums of floating-point numbers. */
 constexpr double kRounding = 1e-6;
-/*! @brief Part of the slot's burst that may be lent for requests to come. */
+/*! @brief Fraction of the slot's burst that may be lent ahead of demand. */
 constexpr double kAdvancePart = 0.1;
-/*! @brief Requests that a slot may owe, beside what transit cuts. */
+/*! @brief Requests a slot may owe, in addition to the transit allowance. */
 constexpr double kOwedPart = 4;
-/*! @brief Borrowers whose latest loan is remembered, per workspace. */
+/*! @brief Maximum number of borrowers remembered per workspace. */
 constexpr std::size_t kMostBorrowers = 8192;
 
 }  // namespace
@@ -40,7 +40,8 @@
     return this->Repeated(bucket, repeated->second, std::move(reply));
   }
   if (IsRepeat(bucket, request)) return reply;
-  // What lies idle with one borrower is missing when a burst comes elsewhere.
+  // Share lying idle with one borrower is missing when a burst arrives
+  // elsewhere.
   const double whole = std::max(0.0, std::floor(bucket.level));
   const double urgent = std::min<double>(request.urgent, whole);
   const double idle = bucket.cap * kAdvancePart - bucket.lent;
@@ -50,7 +51,7 @@
     this->GrantEarly(bucket, request, valid_until, reply);
     return reply;
   }
-  // Requests that wait take theirs at once, so none of it will come back.
+  // Waiting requests spend their share immediately, so none of it is returned.
   const Span most = granted > urgent ? kLoanValidity : kUrgentValidity;
   const Span validity = std::min(most, valid_until - now);
   const auto amount = static_cast<std::uint32_t>(granted);
@@ -82,7 +83,7 @@
   const Span first{
       static_cast<std::int64_t>(missing * static_cast<double>(every.count()))};
   reply.retry_after_us = first.count();
-  // What the burst was cut by for transit, and a part of a request.
+  // The part of the burst withheld for transit, plus a few requests.
   const double most = std::floor(bucket.level + MostOwed(bucket));
   const Span within = std::min(Span{request.early_within_us}, kLongestEarly);
   if (first > within) return;
@@ -127,7 +128,7 @@
     Bucket &bucket = this->buckets[workspace];
     bucket.level = state.level;
     bucket.refilled = now;
-    // Loans of the predecessor may still be spent for as long as they run.
+    // The predecessor's loans can be spent until they expire.
     const auto amount = static_cast<std::uint32_t>(std::ceil(state.lent));
     if (amount == 0) continue;
     const LoanKey key{0, 0};
@@ -153,7 +154,7 @@
     SetContract(bucket, share, part);
   }
   this->Expire(bucket);
-  // What has passed counts at the rate that was in force until now.
+  // Elapsed time counts at the rate that was active until this change.
   this->Refill(bucket);
   SetContract(bucket, share, part);
   return bucket;
@@ -164,7 +165,8 @@
   const double seconds =
       std::chrono::duration<double>{kTransitAllowance}.count();
   const double burst = std::max(1.0, share.burst - share.rate * seconds);
-  // Whole requests to each slot, as none can be put together from parts.
+  // Each slot gets whole requests, as fractions of several slots can't be
+  // combined into one.
   const double whole = std::floor(burst);
   const double each = std::floor(whole / part.count);
   const bool takes_rest = part.position < whole - each * part.count;
@@ -172,7 +174,7 @@
   bucket.rate = share.rate / part.count;
   bucket.cap =
       each + (takes_rest ? 1 : 0) + (takes_fraction ? burst - whole : 0);
-  // With a lower rate it takes longer until what is owed has come.
+  // At a lower rate it takes longer to refill what is owed.
   bucket.owed_before = std::max(0.0, -bucket.level);
   if (bucket.level <= 0) return;
   bucket.level =
@@ -215,7 +217,7 @@
   bucket.by_expiry.erase({found->second.expires, key});
   bucket.loans.erase(found);
   bucket.lent -= amount;
-  // The part may have shrunk meanwhile; what lies beyond it is gone.
+  // The part may have shrunk in the meantime; the excess is dropped.
   const double room = std::max(0.0, bucket.cap - bucket.lent);
   const double unspent = std::min(returned.unspent, amount);
   bucket.level = std::min(bucket.level + unspent, room);
--- a/src/pollenring/share/lender.h
+++ b/src/pollenring/share/lender.h
@@ -14,13 +14,16 @@
 
 namespace pollenring {
 
-/*! @brief Time from a request's charge to its arrival at a target. */
+/**
+ * @brief Allowance for the time from a request's charge to its arrival at a
+ * target.
+ */
 inline constexpr Span kTransitAllowance = std::chrono::milliseconds{50};
 
-/*! @brief A time after which every bucket is full. */
+/*! @brief Age after which every bucket is full. */
 inline constexpr Span kLongAgo = std::chrono::hours{24};
 
-/*! @brief What a bucket holds and has lent, for a successor. */
+/*! @brief Level and loans of a bucket, for a successor. */
 struct BucketState {
   double level{};
   double lent{};
@@ -28,43 +31,45 @@
 };
 
 /**
- * @brief Lends the part of each workspace's share that one slot stands for.
+ * @brief Lends one slot's part of each workspace's rate limit.
  *
- * What is in the bucket and what is lent together never exceed the slot's part
- * of the burst, and grow no faster than its part of the rate. So all requests
- * charged in any window stay within burst + rate * window, however loans,
- * returns and answers are lost, late or repeated. What comes next may be
- * granted before it is there: then the request goes when it is, and the level
- * is below zero until then.
+ * The level and the loans together never exceed the slot's part of the burst,
+ * and grow no faster than its part of the rate. All requests charged in any
+ * window therefore stay within burst + rate * window, even if loans, returns
+ * and replies are lost, late or repeated. Requests can be granted against the
+ * next refills: they are admitted once these arrive, and the level is below
+ * zero until then.
  */
 class ShareLender {
  public:
   /**
-   * @brief Starts a slot.
-   * @param first Whether nobody ever held the slot: then its buckets are full;
-   * otherwise nothing is in them, since a predecessor may have lent it all.
+   * @brief Starts lending for a slot.
+   * @param first True if the slot never had a holder: its buckets start full.
+   * Otherwise they start empty, since a predecessor may have lent everything.
    * @param clock Clock.
    */
   ShareLender(bool first, const Clock &clock)
       : clock{clock}, founded{clock.Now() - (first ? kLongAgo : Span{0})} {}
 
   /**
-   * @brief Lends.
-   * @param request What is asked.
-   * @param share The workspace's whole rate and burst.
-   * @param part The slot's place among those of the workspace.
+   * @brief Lends share.
+   * @param request The request.
+   * @param share The workspace's complete rate and burst.
+   * @param part Position of the slot among those of the workspace.
    * @param valid_until Time until which this node may use the slot.
-   * @return What is lent; the same again when the request is repeated.
+   * @return The loan; the same one if the request is repeated.
    */
   [[nodiscard]] BorrowReply Lend(const BorrowRequest &request,
                                  const WorkspaceShare &share,
                                  const SharePart &part, Time valid_until);
 
-  /*! @brief Reads what a successor needs. @return Contents by workspace. */
+  /**
+   * @brief Exports all buckets for a successor. @return Contents by workspace.
+   */
   [[nodiscard]] std::map<std::string, BucketState> Contents();
 
   /**
-   * @brief Starts from what a predecessor had left.
+   * @brief Initializes the buckets from those of a predecessor.
    * @param contents Contents by workspace.
    */
   void Inherit(const std::map<std::string, BucketState> &contents);
@@ -74,18 +79,18 @@
   struct Loan {
     std::uint32_t amount{};
     Time expires{};
-    Time first_early{}; /*!< When the first early grant may go. */
+    Time first_early{}; /*!< Time of the first early grant. */
   };
   struct Bucket {
     double rate{};
     double cap{};
     double level{};
     double lent{};
-    double owed_before{}; /*!< By which the level was below zero. */
+    double owed_before{}; /*!< Debt when the limits were last applied. */
     Time refilled{};
     std::map<LoanKey, Loan> loans;
     std::unordered_map<std::uint64_t, std::uint64_t>
-        latest; /*!< By borrower. */
+        latest; /*!< Latest loan by borrower. */
     std::map<std::pair<Time, LoanKey>, std::uint32_t> by_expiry;
   };
 
--- a/src/pollenring/share/slots_of.h
+++ b/src/pollenring/share/slots_of.h
@@ -16,10 +16,10 @@
 inline constexpr SlotId kSlotsPerWorkspace = 3;
 
 /**
- * @brief Finds the slots that hold a workspace's share.
+ * @brief Finds the slots that lend a workspace's rate limit.
  * @param workspace The workspace.
- * @param slots Number of slots in all.
- * @return Different slots, the same on every node.
+ * @param slots Total number of slots.
+ * @return Distinct slots, the same on every node.
  */
 [[nodiscard]] inline std::vector<SlotId> SlotsOf(const std::string &workspace,
                                                  SlotId slots) {
@@ -32,18 +32,18 @@
   return found;
 }
 
-/*! @brief Which of a workspace's slots lends, out of how many. */
+/*! @brief Position of a slot among those of a workspace. */
 struct SharePart {
   std::uint32_t position{};
   std::uint32_t count{1};
 };
 
 /**
- * @brief Finds a slot's place among those of a workspace.
+ * @brief Finds a slot's position among those of a workspace.
  * @param workspace The workspace.
  * @param slot The slot.
- * @param slots Number of slots in all.
- * @return Its place, or nothing when it is none of them.
+ * @param slots Total number of slots.
+ * @return The position, or nothing if the slot is not one of them.
  */
 [[nodiscard]] inline std::optional<SharePart> PartOf(
     const std::string &workspace, SlotId slot, SlotId slots) {
--- a/test/pollenring/share/borrower_test.cc
+++ b/test/pollenring/share/borrower_test.cc
@@ -14,7 +14,7 @@
 using pollenring::Span;
 using pollenring::Time;
 
-/*! @brief Keeps what is asked. */
+/*! @brief Records the requests sent. */
 class Recorder final : public pollenring::ShareObserver {
  public:
   bool SendBorrow(const BorrowRequest &request) override {
@@ -80,7 +80,8 @@
   charge();
   borrower.Receive(Granting(recorder.requests.back(), 5));
   CHECK(granted == 1);
-  // The process stands still past the loan's end; its first act is a charge.
+  // The process is paused beyond the loan's end; a charge comes before any
+  // tick.
   clock.Advance(std::chrono::milliseconds{500});
   charge();
   CHECK(granted == 1);
@@ -103,7 +104,7 @@
     }
   };
 
-  // All say that they have nothing; the first then grants what comes next.
+  // All holders are empty; the first then grants its next refill.
   const auto grant_next = [&] {
     for (int i = 0; i < 3; ++i) {
       BorrowReply nothing = Granting(recorder.requests.back(), 0);
@@ -180,7 +181,7 @@
       CHECK(recorder.requests.back().early == 0);
       borrower.Receive(reply);
     }
-    // The slot that has some first is asked first.
+    // The slot with the earliest refill is queried first.
     CHECK(recorder.requests.back().slot == recorder.requests[2].slot);
     CHECK(recorder.requests.back().early == 2);
     BorrowReply reply = Granting(recorder.requests.back(), 0);
@@ -191,7 +192,7 @@
     CHECK(recorder.requests.back().slot == recorder.requests[0].slot);
     CHECK(results.empty());
     borrower.Receive(Granting(recorder.requests.back(), 0));
-    // The one that nobody has anything for is told so at once.
+    // The request that no holder can serve is refused immediately.
     REQUIRE(results.size() == 1);
     CHECK(results.front().reason == pollenring::Reason::kOverRate);
     pass(std::chrono::milliseconds{40});
@@ -234,7 +235,7 @@
     REQUIRE(results.size() == 1);
     CHECK_FALSE(results.front().granted);
     CHECK(results.front().reason == pollenring::Reason::kOverRate);
-    // Nobody was asked for what comes next: it would have been lost.
+    // No early grant was requested: it would have been lost.
     CHECK(recorder.requests.size() == asked + 2);
   }
 
@@ -267,7 +268,7 @@
   pollenring::ShareBorrower borrower{1, 9, {}, clock, recorder};
   int answers = 0;
   int charges = 0;
-  // Each refusal brings callers of workspaces that were not seen before.
+  // Each refusal adds charges of new workspaces.
   std::function<void(int)> charge = [&](int generation) {
     ++charges;
     borrower.Charge("workspace" + std::to_string(charges),
--- a/test/pollenring/share/lender_test.cc
+++ b/test/pollenring/share/lender_test.cc
@@ -20,7 +20,7 @@
 using pollenring::SharePart;
 using pollenring::WorkspaceShare;
 
-/*! @brief One slot's lender, asked for a share that may change. */
+/*! @brief The lender of one slot, with a rate limit that can change. */
 struct Slot {
   BorrowReply Lend(std::uint64_t borrower, std::uint32_t want,
                    std::vector<LoanReturn> returns = {},
@@ -38,7 +38,7 @@
                              this->clock.Now() + 2s);
   }
 
-  /*! @brief What is in the bucket and what is lent. */
+  /*! @brief Returns level and loans of the bucket. */
   [[nodiscard]] pollenring::BucketState State() {
     return this->lender.Contents().at("club");
   }
@@ -58,10 +58,10 @@
   const BorrowReply second = slot.Lend(2, 5);
   REQUIRE(first.granted == 5);
   REQUIRE(second.granted == 5);
-  // The operator lowers the burst, or part of the nodes are cut off.
+  // The configured burst is lowered, or part of the nodes are partitioned away.
   slot.share.burst = 4;
   static_cast<void>(slot.Lend(1, 0, {{first.loan, 5}}));
-  // More than the part is still lent, so nothing of it is there to lend.
+  // More than the slot's part is still lent, so nothing is left to lend.
   CHECK(slot.State().lent == 5);
   CHECK(slot.State().level == 0);
   static_cast<void>(slot.Lend(2, 0, {{second.loan, 5}}));
--- a/test/pollenring/share/share_test.cc
+++ b/test/pollenring/share/share_test.cc
@@ -10,7 +10,7 @@
 using support::Time;
 using support::WorldFaults;
 
-/*! @brief Demand of one workspace that moves from node to node. */
+/*! @brief Demand of one workspace that moves between nodes. */
 struct Demand {
   std::string workspace;
   double rate{};
@@ -45,7 +45,7 @@
                  static_cast<double>(std::max<std::uint64_t>(1, demand.asked));
 }
 
-/*! @brief One bucket that sees all demand: what any policy could grant. */
+/*! @brief A single bucket that sees all demand, as an upper bound. */
 struct OneBucket {
   double rate{};
   double cap{};
@@ -72,10 +72,10 @@
   }
 };
 
-/*! @brief Largest part of within-rate requests that may be refused. */
+/*! @brief Maximum fraction of refusals for demand within the rate. */
 constexpr double kMostRefused = 0.001;
 
-/*! @brief Least part of its rate that a workspace far over it gets. */
+/*! @brief Minimum fraction of its rate granted to a workspace far above it. */
 constexpr double kLeastOfRate = 0.99;
 
 }  // namespace
@@ -86,7 +86,7 @@
     LeaseWorld world{5, 6, seed, support::AllFaults()};
     Declare(world, "small", 10, 6);
     Declare(world, "large", 200, 100);
-    // Its burst takes far longer to come back than a slot to be taken over.
+    // Refilling its burst takes far longer than taking over a slot.
     Declare(world, "bursty", 2, 60);
     Demand bursty{"bursty", 40};
     Demand small{"small", 30};
@@ -101,7 +101,7 @@
       Ask(world, bursty, node);
       Ask(world, large, static_cast<int>(world.random.Index(5)));
       if (world.random.Chance(0.0005)) {
-        // A changed contract: the check follows the larger of both.
+        // On a contract change, the check uses the larger of both rates.
         world.contracts["small"].rate = world.random.Chance(0.5) ? 10 : 7;
       }
     }
@@ -122,7 +122,7 @@
     world.Run(2000);
     for (int i = 0; i < 24'000; ++i) {
       world.Step();
-      // Each second all demand is at another node.
+      // All demand moves to another node each second.
       Ask(world, club, (i / 200) % 6);
       Ask(world, large, (i / 200 + 3) % 6);
     }
@@ -211,14 +211,14 @@
     world.Run(100);
     const auto granted = static_cast<double>(steady.granted + surge.granted);
     INFO("granted " << granted << " of " << bucket.possible);
-    // A slot can't lend part of a request, and demand does not draw on all
-    // slots evenly: one request each per slot.
+    // A slot can't lend a fraction of a request, and demand does not draw on
+    // all slots evenly: one request each per slot.
     CHECK(granted + 2 * pollenring::kSlotsPerWorkspace >= bucket.possible);
   }
 }
 
 TEST_CASE("share: a burst is served to the last request, small or large") {
-  // Demand as high as anyone's: what a single bucket would have let through.
+  // The reference is a single bucket that sees the same demand.
   struct Size {
     double rate;
     double burst;
@@ -240,7 +240,7 @@
       const auto granted = static_cast<double>(steady.granted + surge.granted);
       INFO("rate " << size.rate << ", seed " << seed << ", granted " << granted
                    << " of " << bucket.possible);
-      // Parts of a request that lie in different slots can't be put together.
+      // Fractions of a request in different slots can't be combined.
       CHECK(granted + pollenring::kSlotsPerWorkspace >=
             bucket.possible * (1 - kMostRefused));
     }
