Reword comments of retry

Comments described savings and debts as faded and bounds as the users', which hid that both are exponentially decayed with a time constant. They name the time constant, the fraction of a retry and the bound. Only comments differ: the C++ tokens of all files are the same as before.

--- a/src/pollenring/retry/allowance.h
+++ b/src/pollenring/retry/allowance.h
@@ -6,23 +6,24 @@
 namespace pollenring {
 
 /**
- * @brief The retries that one request may still cause, below it included.
+ * @brief Retries that one request may still cause, including those of services
+ * downstream.
  *
- * A sub-call takes a slice with it and brings back what it did not spend. A
- * slice that does not come back counts as spent, so that all runs of one root
- * request together never exceed its first allowance.
+ * A sub-call receives a slice and returns what it did not spend. A slice that
+ * is not returned counts as spent, so all runs caused by one root request never
+ * exceed its initial allowance.
  */
 class RetryAllowance {
  public:
   /**
-   * @brief Starts with what the caller or the contract grants.
+   * @brief Starts with the number granted by the caller or the contract.
    * @param granted Number of retries, 0 or more.
    */
   explicit RetryAllowance(int granted = 0) noexcept : left{granted} {}
 
   [[nodiscard]] int Left() const noexcept { return this->left; }
 
-  /*! @brief Spends one retry. @return Whether one was left. */
+  /*! @brief Spends one retry. @return True if one was left. */
   [[nodiscard]] bool Spend() noexcept {
     if (this->left == 0) return false;
     --this->left;
@@ -30,8 +31,8 @@
   }
 
   /**
-   * @brief Cuts a slice for a sub-call; half of what is left, rounded up.
-   * @return The slice's size.
+   * @brief Takes a slice for a sub-call: half of what is left, rounded up.
+   * @return Size of the slice.
    */
   [[nodiscard]] int Slice() noexcept {
     const int slice = (this->left + 1) / 2;
@@ -40,9 +41,9 @@
   }
 
   /**
-   * @brief Takes back what a sub-call did not spend.
+   * @brief Adds back what a sub-call did not spend.
    * @param slice Size of its slice.
-   * @param unspent What it reports as unspent.
+   * @param unspent Retries it reports as unspent.
    */
   void Return(int slice, int unspent) {
     Require(unspent >= 0 && unspent <= slice,
--- a/src/pollenring/retry/backoff.h
+++ b/src/pollenring/retry/backoff.h
@@ -7,10 +7,10 @@
 namespace pollenring {
 
 /**
- * @brief Spreads a time to come back over half to one and a half of itself.
- * @param around The middle.
- * @param random Randomness.
- * @return A span that differs from caller to caller.
+ * @brief Applies jitter to a retry delay: a factor from 0.5 to 1.5.
+ * @param around Mean delay.
+ * @param random Random source.
+ * @return A duration that differs from caller to caller.
  */
 [[nodiscard]] inline Span SpreadAround(Span around, Random &random) {
   const double factor = 0.5 + random.Fraction();
--- a/src/pollenring/retry/budget.cc
+++ b/src/pollenring/retry/budget.cc
@@ -35,7 +35,7 @@
     return true;
   }
   if (account.saved <= 0) return false;
-  // The part is gone either way, so that asking often gains nothing.
+  // The fraction is spent either way, so repeated attempts gain nothing.
   return this->random.Chance(std::exchange(account.saved, 0));
 }
 
--- a/src/pollenring/retry/budget.h
+++ b/src/pollenring/retry/budget.h
@@ -11,7 +11,7 @@
 
 namespace pollenring {
 
-/*! @brief Bounds how often calls towards a service are sent once more. */
+/*! @brief Limits how often calls to a service are retried. */
 class RetryBudget {
  public:
   RetryBudget() = default;
@@ -23,23 +23,23 @@
   virtual void Succeeded(const std::string &service) = 0;
 
   /**
-   * @brief Counts a call on behalf of a run that was itself a retry.
-   * @param service The service that is called.
+   * @brief Counts a call made on behalf of a run that was itself a retry.
+   * @param service The called service.
    */
   virtual void Repeated(const std::string &service) = 0;
 
-  /*! @brief Spends a retry. @param service Service. @return If allowed. */
+  /*! @brief Spends a retry. @param service Service. @return True if allowed. */
   [[nodiscard]] virtual bool Spend(const std::string &service) = 0;
 };
 
-/*! @brief A ceiling per service, on each node by itself. */
+/*! @brief A retry ceiling per service, local to each node. */
 class NodeRetryBudget final : public RetryBudget {
  public:
   void Succeeded(const std::string &service) override {
     this->ceilings[service].Succeeded();
   }
   void Repeated(const std::string & /*service*/) override {
-    // The allowance of the request bounds what its retries cause below.
+    // The request's allowance limits the retries caused downstream.
   }
   [[nodiscard]] bool Spend(const std::string &service) override {
     return this->ceilings[service].Spend();
@@ -49,34 +49,37 @@
   std::unordered_map<std::string, RetryCeiling> ceilings;
 };
 
-/*! @brief What all nodes together may spend on retries. */
+/*! @brief Limits on the retries of all nodes together. */
 struct TrafficRetryOptions {
-  double share{0.06}; /*!< Retries earned by each answered call. */
-  /*! @brief Time after which what was earned counts a third: in a chain of four
-   * services that begin to fail at once each level spends its savings. */
+  double share{0.06}; /*!< Retries earned per answered call. */
+  /**
+   * @brief Time constant of the decay of savings. In a chain of four services
+   * that start to fail together, each one spends its savings.
+   */
   Span savings_last{std::chrono::seconds{3}};
-  /*! @brief Time after which what is owed counts a third; the users' window. */
+  /*! @brief Time constant of the decay of debt; the retry bound's window. */
   Span debt_lasts{std::chrono::seconds{10}};
-  double most_owed{50}; /*!< Debt beyond which nothing more is added. */
+  double most_owed{50}; /*!< Maximum debt. */
 };
 
 /**
- * @brief A budget per service that all nodes keep to without a word.
+ * @brief A retry budget per service that holds over all nodes without
+ * coordination.
  *
- * Each node spends what its own calls have earned of late, so the sum is bound
- * by the traffic of all nodes, however many they are and whomever they see. A
- * node that has earned a part of a retry draws for a whole one. Calls made by a
- * run that was itself a retry are charged as retries, so that a chain of
- * services stays within the bound of one. A process starts with nothing, since
- * what the one before it spent is not known.
+ * Each node spends what its own calls have earned recently, so the total is
+ * bounded by the traffic of all nodes, regardless of their number and of
+ * membership. A node with a fraction of a retry spends it with that probability
+ * of a complete one. Calls made by a run that was itself a retry are charged as
+ * retries, which keeps a chain of services within the bound of one. A process
+ * starts with nothing, since what its predecessor spent is unknown.
  */
 class TrafficRetryBudget final : public RetryBudget {
  public:
   /**
-   * @brief Starts with nothing saved.
+   * @brief Starts without savings.
    * @param options Limits.
    * @param clock Clock.
-   * @param random Draws for parts of a retry.
+   * @param random Random source for fractions of a retry.
    */
   TrafficRetryBudget(const TrafficRetryOptions &options, const Clock &clock,
                      Random &random)
@@ -88,7 +91,7 @@
 
  private:
   struct Account {
-    double saved{}; /*!< Retries; below 0 when owed. */
+    double saved{}; /*!< Retries; negative if owed. */
     Time as_of{};
   };
 
--- a/src/pollenring/retry/ceiling.h
+++ b/src/pollenring/retry/ceiling.h
@@ -6,22 +6,22 @@
 namespace pollenring {
 
 /**
- * @brief Bounds the retries towards one service to a share of its successes.
+ * @brief Limits the retries to one service to a fraction of its successes.
  *
- * When a service fails as a whole, retries towards it stop after the reserve,
- * so that its recovery does not wait for the load to go away.
+ * When a service fails completely, its retries stop once the reserve is spent,
+ * so recovery does not depend on the load going down.
  */
 class RetryCeiling {
  public:
   /**
    * @brief Starts with a full reserve.
-   * @param share Retries earned by each success.
-   * @param reserve Most retries that can be saved up.
+   * @param share Retries earned per success.
+   * @param reserve Maximum savings, in retries.
    */
   explicit RetryCeiling(double share = 0.1, double reserve = 10) noexcept
       : share{share}, reserve{reserve}, saved{reserve} {}
 
-  /*! @brief Whether a retry would be allowed now. @return True if so. */
+  /*! @brief Checks whether a retry is allowed. @return True if it is. */
   [[nodiscard]] bool Allows() const noexcept { return this->saved >= 1; }
 
   /*! @brief Earns a fraction of a retry. */
@@ -29,7 +29,7 @@
     this->saved = std::min(this->reserve, this->saved + this->share);
   }
 
-  /*! @brief Spends one retry. @return Whether one was saved. */
+  /*! @brief Spends one retry. @return True if one was saved. */
   [[nodiscard]] bool Spend() noexcept {
     if (!this->Allows()) return false;
     this->saved -= 1;
--- a/test/pollenring/retry/budget_test.cc
+++ b/test/pollenring/retry/budget_test.cc
@@ -19,18 +19,21 @@
 using pollenring::TrafficRetryBudget;
 using pollenring::TrafficRetryOptions;
 
-/*! @brief The users' bound: a fifth of the requests in a window, or in the one
- * before or half before it, and a slack that does not grow with the nodes. */
+/**
+ * @brief Bound on retries: a fifth of the requests in the last window, the one
+ * before or the one half a window earlier, plus a slack that does not grow with
+ * the number of nodes.
+ */
 constexpr double kRatio = 0.2;
 constexpr double kSlack = 50;
 constexpr auto kWindow = 10s;
 
-/*! @brief How often each service of a chain calls the next. */
+/*! @brief Number of calls each service of a chain makes to the next. */
 using Chain = std::vector<int>;
 const Chain kWide{2, 1, 4};
 const Chain kLong{1, 1, 1, 1, 1, 1, 1, 1, 1};
 
-/*! @brief Nodes with a budget each, and what arrives at each service. */
+/*! @brief Nodes with one budget each, and the arrivals at each service. */
 class Fleet {
  public:
   Fleet(std::size_t size, std::uint64_t seed, Chain times = kWide)
@@ -41,7 +44,7 @@
     for (std::size_t i = 0; i < size; ++i) this->Restart(i);
   }
 
-  /*! @brief A process that starts anew. */
+  /*! @brief Replaces a node's process. */
   void Restart(std::size_t index) {
     if (this->budgets.size() <= index) this->budgets.resize(index + 1);
     this->budgets[index] = std::make_unique<TrafficRetryBudget>(
@@ -70,7 +73,7 @@
     }
   }
 
-  /*! @brief Lets requests come, and checks every window. */
+  /*! @brief Generates requests and checks every window. */
   void Run(std::chrono::milliseconds length, int per_second) {
     const auto gap = std::chrono::microseconds{1'000'000 / per_second};
     for (Time passed{}; passed < length; passed += gap) {
@@ -85,7 +88,7 @@
   std::vector<double> failing;
   int retries{};
   int requests{};
-  int worst{}; /*!< Highest part of the bound that was used, in percent. */
+  int worst{}; /*!< Highest used part of the bound, in percent. */
 
  private:
   struct Seen {
@@ -129,9 +132,8 @@
 }  // namespace
 
 TEST_CASE("traffic retry budget: a chain stays within the bound of a fleet") {
-  // All services of a chain fail a part of their calls at once, after a quiet
-  // time in which nodes saved up; on a small and on a large fleet, with much
-  // and with little traffic.
+  // All services of a chain fail part of their calls together, after a period
+  // in which nodes saved up; with few and many nodes, low and high traffic.
   const std::size_t nodes =
       GENERATE(std::size_t{10}, std::size_t{100}, std::size_t{300});
   const int per_second = GENERATE(20, 300);
@@ -152,8 +154,8 @@
 }
 
 TEST_CASE("traffic retry budget: a long chain adds up no retries") {
-  // Each service of ten fails a part of its calls: what is tried again above
-  // comes again at all below.
+  // Each of ten services fails part of its calls: a retry at one service
+  // repeats the calls of all services downstream.
   for (const auto seed : support::Seeds(2)) {
     INFO("seed " << seed);
     Fleet fleet{100, seed, kLong};
@@ -179,7 +181,7 @@
 }
 
 TEST_CASE("traffic retry budget: a few failures are mostly tried again") {
-  // One target of many breaks off two of a hundred answers.
+  // One target of many truncates two percent of its responses.
   Fleet fleet{100, 7};
   fleet.Run(10s, 300);
   fleet.failing = {0, 0, 0, 0.02};
--- a/test/pollenring/retry/retry_test.cc
+++ b/test/pollenring/retry/retry_test.cc
@@ -17,7 +17,7 @@
  public:
   Chain(std::uint64_t seed, int fan_out) : random{seed}, fan_out{fan_out} {}
 
-  /*! @brief Performs a call. @return What it reports as unspent. */
+  /*! @brief Performs a call. @return Retries it reports as unspent. */
   int Call(int granted, int depth) {
     RetryAllowance allowance{granted};
     for (;;) {
