Reword comments of once

Comments spoke of memory, words and what nobody knows, where records, verdicts and completeness of a ledger are meant. They use idempotency record, verdict, owner and mirror throughout. Only comments differ: the C++ tokens of all files are the same as before.

--- a/src/pollenring/once/ledger.h
+++ b/src/pollenring/once/ledger.h
@@ -14,13 +14,13 @@
 
 namespace pollenring {
 
-/*! @brief What the owner of an identifier decides. */
+/*! @brief Verdict of an identifier's owner on an attempt. */
 enum class BeginVerdict {
-  kRun,        /*!< This attempt may run; nobody else ever may. */
-  kRan,        /*!< It ran; the answer follows when it is still held. */
+  kRun,        /*!< This attempt may run, and no other ever. */
+  kRan,        /*!< It has run; the response is included if still held. */
   kInProgress, /*!< Another attempt may still be running. */
-  kUnknown,    /*!< It may have run; nobody knows. */
-  kExpired,    /*!< Too old to be remembered, or from the future. */
+  kUnknown,    /*!< Whether it has run can't be determined. */
+  kExpired,    /*!< Minted before the retention period or in the future. */
 };
 
 /*! @brief Names of the verdicts. */
@@ -35,22 +35,22 @@
 /*! @brief Decision about one attempt. */
 struct BeginDecision {
   BeginVerdict verdict{BeginVerdict::kUnknown};
-  bool recorded{}; /*!< A record is new and has to be mirrored. */
+  bool recorded{}; /*!< A new record has to be mirrored. */
   std::string answer;
 };
 
 /**
- * @brief Identifiers of one slot: each may run at most once.
+ * @brief Idempotency records of one slot: each identifier runs at most once.
  *
- * An identifier carries its time of minting. One that was minted before this
- * memory is complete, and that it does not hold, may have begun under an
- * earlier owner; it is answered with "unknown", never run.
+ * An identifier carries the time at which it was minted. One that was minted
+ * before this ledger is complete and has no record may have begun under an
+ * earlier owner; its verdict is "unknown" and it never runs.
  */
 class OnceLedger {
  public:
   /**
-   * @brief Starts.
-   * @param complete_since Identifiers that began since then are all held.
+   * @brief Starts without records.
+   * @param complete_since All identifiers that began since then are recorded.
    * @param clock Clock.
    */
   OnceLedger(WallTime complete_since, const Clock &clock)
@@ -67,34 +67,34 @@
    * @brief Decides about an attempt to run.
    * @param key Workspace and identifier.
    * @param minted When the identifier was minted.
-   * @param attempt Unique number of the attempt; a repeat gets the same word.
-   * @param deadline Wall time after which the attempt is over.
+   * @param attempt Unique number of the attempt; repeats get the same verdict.
+   * @param deadline Wall time at which the attempt ends.
    * @return The decision.
    */
   [[nodiscard]] BeginDecision Begin(const std::string &key, WallTime minted,
                                     std::uint64_t attempt, WallTime deadline);
 
   /**
-   * @brief Takes in how an attempt ended.
+   * @brief Records the end of an attempt.
    * @param key Workspace and identifier.
    * @param attempt The attempt.
    * @param state How it ended.
-   * @param answer Its answer; kept while there is room.
+   * @param answer Its response; kept while there is room.
    */
   void End(const std::string &key, std::uint64_t attempt, OnceState state,
            std::string answer);
 
-  /*! @brief Copies everything, for a successor. @return The log. */
+  /*! @brief Copies all records for a successor. @return The log. */
   [[nodiscard]] OnceLog Log() const;
 
   /**
-   * @brief Adds what predecessors or their mirrors remember.
+   * @brief Merges records of predecessors or their mirrors.
    * @param log Their log.
    */
   void Inherit(const OnceLog &log);
 
   /**
-   * @brief Extends the time for which this memory is complete.
+   * @brief Extends the period for which this ledger is complete.
    * @param since Earlier start of completeness.
    */
   void SetCompleteSince(WallTime since) noexcept {
--- a/src/pollenring/once/mirror.cc
+++ b/src/pollenring/once/mirror.cc
@@ -5,7 +5,7 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Records copied between two sweeps for old ones. */
+/*! @brief Records copied between two sweeps for expired ones. */
 constexpr std::uint64_t kCopiesPerSweep = 1024;
 
 }  // namespace
@@ -23,8 +23,7 @@
   Copies *copies = this->Open(slot, epoch);
   if (copies == nullptr) return;
   for (const auto &record : log.records) {
-    // An aborted identifier may run again, and only the other mirror hear of
-    // it.
+    // An aborted identifier may run again, with only the other mirror notified.
     if (record.state == OnceState::kAborted) continue;
     copies->records.emplace(record.key, record);
   }
--- a/src/pollenring/once/mirror.h
+++ b/src/pollenring/once/mirror.h
@@ -12,12 +12,11 @@
 namespace pollenring {
 
 /**
- * @brief Copies of other holders' identifiers, kept by a witness.
+ * @brief Copies of other holders' idempotency records, kept by a witness.
  *
- * A copy is complete for what began since its epoch was opened, or since the
- * holder's own memory is complete when that was copied too. A successor that
- * gets the copies of all of a holder's mirrors knows every identifier that was
- * ever let run in that epoch.
+ * A copy is complete from when its epoch was opened, or from when the holder's
+ * ledger is complete if that was copied too. The copies of all mirrors of a
+ * holder contain every identifier that was allowed to run in that epoch.
  */
 class OnceMirror {
  public:
@@ -32,23 +31,23 @@
    * @param slot The slot.
    * @param epoch The holder's epoch.
    * @param record The record.
-   * @return Whether it is copied; not once the epoch was handed out.
+   * @return True if it was copied; false once the epoch is closed.
    */
   [[nodiscard]] bool Copy(SlotId slot, std::uint64_t epoch,
                           const OnceRecord &record);
 
   /**
-   * @brief Copies all that a holder remembers as it opens an epoch.
+   * @brief Copies a holder's complete ledger as it opens an epoch.
    * @param slot The slot.
    * @param epoch The holder's epoch.
-   * @param log What it remembers.
+   * @param log The holder's records.
    */
   void Seed(SlotId slot, std::uint64_t epoch, const OnceLog &log);
 
   /**
-   * @brief Closes an epoch and hands out its copy.
+   * @brief Closes an epoch and returns its copy.
    * @param slot The slot.
-   * @param epoch The epoch; later copies for it or before are refused.
+   * @param epoch The epoch; later copies for it or earlier ones are refused.
    * @return The copy.
    */
   [[nodiscard]] OnceLog Close(SlotId slot, std::uint64_t epoch);
--- a/src/pollenring/once/record.h
+++ b/src/pollenring/once/record.h
@@ -14,24 +14,26 @@
 /*! @brief Age up to which an identifier is remembered and may be repeated. */
 inline constexpr WallTime kOnceRetention = std::chrono::minutes{10};
 
-/*! @brief Most by which the wall clocks of callers and VMs may differ. */
+/*! @brief Maximum difference between the wall clocks of callers and VMs. */
 inline constexpr WallTime kWallSkew = std::chrono::seconds{30};
 
-/*! @brief What became of an identifier's run. */
+/*! @brief State of an identifier's run. */
 enum class OnceState { kStarted = 0, kRan = 1, kUnknown = 2, kAborted = 3 };
 
-/*! @brief What is remembered of an identifier. */
+/*! @brief Idempotency record of one identifier. */
 struct OnceRecord {
   std::string key;
   std::int64_t minted_ms{};
   std::int64_t deadline_ms{}; /*!< Wall time after which nobody waits. */
   std::uint64_t attempt{};
   OnceState state{OnceState::kStarted};
-  std::string answer; /*!< First answer; empty when it is not held. */
+  std::string answer; /*!< First response; empty if not held. */
   MSGPACK_DEFINE(key, minted_ms, deadline_ms, attempt, state, answer)
 };
 
-/*! @brief Records of a slot, complete for identifiers that began since. */
+/**
+ * @brief Records of a slot, complete for identifiers begun since a given time.
+ */
 struct OnceLog {
   std::int64_t complete_since_ms{};
   std::vector<OnceRecord> records;
@@ -41,7 +43,7 @@
 /**
  * @brief Finds the slot whose holder owns an identifier.
  * @param key Workspace and identifier.
- * @param slots Number of slots in all.
+ * @param slots Total number of slots.
  * @return The slot.
  */
 [[nodiscard]] SlotId SlotOfKey(const std::string &key, SlotId slots);
--- a/test/pollenring/once/once_test.cc
+++ b/test/pollenring/once/once_test.cc
@@ -20,7 +20,7 @@
 using pollenring::SeededRandom;
 using pollenring::WallTime;
 
-/*! @brief One slot whose owner dies again and again; two mirrors. */
+/*! @brief One slot with two mirrors, whose owner fails repeatedly. */
 class Slot {
  public:
   explicit Slot(std::uint64_t seed)
@@ -29,12 +29,14 @@
     this->owner = std::make_unique<OnceLedger>(WallTime{0}, this->clock);
   }
 
-  /*! @brief Asks to run; counts what is let run. */
+  /*! @brief Attempts to run and counts the runs allowed. */
   BeginVerdict Begin(const std::string &id) {
     return this->BeginAt({*this->owner, this->epoch, this->Processes()}, id);
   }
 
-  /*! @brief An owner that was taken over wakes, with a request from before. */
+  /**
+   * @brief A replaced owner resumes with a request from before the takeover.
+   */
   void BeginLate(const std::string &id) {
     if (!this->deposed) return;
     if (*pollenring::MintedAt(id) >= this->deposed_at) return;
@@ -42,7 +44,7 @@
         {*this->deposed, this->deposed_epoch, this->deposed_mirrors}, id));
   }
 
-  /*! @brief An owner, and the processes that it has as mirrors. */
+  /*! @brief An owner and the processes it uses as mirrors. */
   struct View {
     OnceLedger &ledger;
     std::uint64_t epoch{};
@@ -83,15 +85,15 @@
     return decision.verdict;
   }
 
-  /*! @brief The owner dies; a successor asks the mirrors. */
+  /*! @brief The owner fails; a successor queries the mirrors. */
   void TakeOver() {
     auto next = std::make_unique<OnceLedger>(this->clock.Wall(), this->clock);
     std::int64_t since = 0;
     bool all = true;
     for (auto &mirror : this->mirrors) {
       const bool answers = mirror.epoch_known && this->random.Chance(0.8);
-      // A mirror that does not answer keeps taking copies of nobody: the old
-      // owner's lease has run out.
+      // A mirror that does not respond stays open, but receives no more copies:
+      // the old owner's lease has expired.
       if (!answers) {
         all = false;
         continue;
@@ -110,7 +112,7 @@
     this->Seed();
   }
 
-  /*! @brief A mirror loses its memory; the owner names its next process. */
+  /*! @brief A mirror loses its copies; the owner names its next process. */
   void LoseMirror() {
     this->Restart(this->mirrors[this->random.Index(2)]);
     ++this->epoch;
