Reword comments of lease

Comments mixed asking, telling, giving and being in force for queries to witnesses, reports of the active row and handovers, and one claimed that a slot is unusable from the request of a handover on, though it is so only from its write on. They use query, reply, active, hand over and take over. Only comments differ: the C++ tokens of all files are the same as before.

--- a/src/pollenring/lease/choose_witnesses.h
+++ b/src/pollenring/lease/choose_witnesses.h
@@ -9,13 +9,13 @@
 
 namespace pollenring {
 
-/*! @brief Most witnesses of a slot, its holder among them. */
+/*! @brief Maximum number of witnesses of a slot, including its holder. */
 inline constexpr std::size_t kMostWitnesses = 5;
 
 /*! @brief Witnesses other than the holder that keep copies of its records. */
 inline constexpr std::size_t kMirrors = 2;
 
-/*! @brief A process that may witness, and where it runs. */
+/*! @brief A process that may witness, and its location. */
 struct WitnessCandidate {
   WitnessRef ref;
   std::string zone;
@@ -24,20 +24,20 @@
 };
 
 /**
- * @brief Chooses an odd number of witnesses, so that the loss of any one zone
- * leaves a majority.
+ * @brief Chooses an odd number of witnesses, so that a majority survives the
+ * loss of any one zone.
  *
  * The holder is one of them, unless there is only one other process: then that
- * one alone can tell whether the holder is gone.
+ * one alone can tell whether the holder has failed.
  * @param holder The holder.
- * @param candidates All other processes that live.
- * @return The witnesses, the holder first where it is one.
+ * @param candidates All other live processes.
+ * @return The witnesses; the holder first if it is one.
  */
 [[nodiscard]] std::vector<WitnessRef> ChooseWitnesses(
     const WitnessCandidate &holder, std::vector<WitnessCandidate> candidates);
 
 /**
- * @brief Finds who keeps copies of a holder's records.
+ * @brief Finds the witnesses that keep copies of a holder's records.
  * @param row The slot's row.
  * @return At most `kMirrors` witnesses.
  */
--- a/src/pollenring/lease/options.h
+++ b/src/pollenring/lease/options.h
@@ -15,16 +15,20 @@
   Span rank_pause{std::chrono::milliseconds{800}};
   Span election_pause{std::chrono::milliseconds{300}};
   Span lapse{std::chrono::minutes{30}};
-  double drift{0.01}; /*!< Most by which two clocks' speeds differ. */
+  double drift{0.01}; /*!< Maximum relative difference of clock speeds. */
   std::size_t most_table_calls{16};
 
-  /*! @brief Shortens a span for a fast peer. @param span Span. @return It. */
+  /**
+   * @brief Shortens a time for a fast peer. @param span Duration. @return It.
+   */
   [[nodiscard]] Span Less(Span span) const noexcept {
     return Span{static_cast<std::int64_t>(static_cast<double>(span.count()) *
                                           (1 - this->drift))};
   }
 
-  /*! @brief Lengthens a span for a slow peer. @param span Span. @return It. */
+  /**
+   * @brief Lengthens a time for a slow peer. @param span Duration. @return It.
+   */
   [[nodiscard]] Span More(Span span) const noexcept {
     return Span{static_cast<std::int64_t>(static_cast<double>(span.count()) *
                                           (1 + this->drift))} +
--- a/src/pollenring/lease/promises.h
+++ b/src/pollenring/lease/promises.h
@@ -11,7 +11,7 @@
 
 namespace pollenring {
 
-/*! @brief What a holder has been promised for one row. */
+/*! @brief Promises of witnesses to a holder, for one row. */
 class Promises {
  public:
   Promises() = default;
@@ -26,7 +26,7 @@
 
   /**
    * @brief Time until which a majority has promised.
-   * @return That time, or the clock's epoch when there is none.
+   * @return That time, or the clock's epoch if there is no majority.
    */
   [[nodiscard]] Time ValidUntil() const {
     std::vector<Time> ends;
@@ -38,8 +38,8 @@
   }
 
   /**
-   * @brief Takes in a promise.
-   * @param witness Who gave it.
+   * @brief Records a promise.
+   * @param witness Witness that gave it.
    * @param end When it ends, on this node's clock.
    */
   void Given(const WitnessRef &witness, Time end) {
--- a/src/pollenring/lease/slot_keeper.cc
+++ b/src/pollenring/lease/slot_keeper.cc
@@ -24,7 +24,7 @@
   const Slot &slot = this->slots.at(id);
   if (slot.phase != Phase::kHeld) return Time{};
   Time until = slot.current.ValidUntil();
-  // While it is unknown which row is in force, both must be promised.
+  // While either row may be the active one, both must be promised.
   if (slot.next_sent) until = std::min(until, slot.next->ValidUntil());
   return std::min(until,
                   slot.touched + this->options.Less(this->options.lapse));
@@ -43,7 +43,7 @@
   std::vector<SlotClaim> claims;
   for (SlotId id = 0; id < this->slots.size(); ++id) {
     const Slot &slot = this->slots[id];
-    // A slot is not up for claims while it is being given to a successor.
+    // A slot can't be claimed while it is being handed over.
     const bool own = slot.phase == Phase::kHeld || slot.phase == Phase::kGiving;
     if (!own) continue;
     claims.push_back({id, slot.row.epoch});
@@ -114,7 +114,7 @@
       slot.elect_at += this->options.election_pause * (place - all.begin());
     }
   }
-  // Witnesses go first: what a taker makes them release can't be elected for.
+  // Election first: witnesses that have released a row can't elect under it.
   const bool to_elect = known != nullptr && !slot.election_failed;
   if (to_elect || (known != nullptr && now < slot.retry_at)) {
     if (now >= slot.elect_at) this->StartElection(id, slot, *known);
@@ -131,7 +131,7 @@
                          const std::optional<SlotRow> &row) {
   Slot &slot = this->slots.at(id);
   if (this->table_calls > 0) --this->table_calls;
-  // The slot may have been lost, and more, since the read was begun.
+  // The slot may have changed state since the read began.
   slot.reading = false;
   const bool judging = slot.phase == Phase::kHeld ||
                        slot.phase == Phase::kGiving ||
@@ -160,7 +160,7 @@
     this->StartPromising(id, slot);
     return;
   }
-  // Also a row that names this process: another one may have been elected.
+  // Also for a row that names this process: another one may have been elected.
   this->StartReleasing(id, slot);
 }
 
@@ -181,7 +181,7 @@
       return;
     case RowWrite::kConflict:
     case RowWrite::kUnknown:
-      // A conflict may be with one's own earlier write whose answer was lost.
+      // Possibly with this node's own earlier write, whose response was lost.
       slot.in_doubt = true;
       slot.must_read = true;
       slot.retry_at = this->clock.Now();
@@ -233,7 +233,7 @@
       slot.phase == Phase::kHeld && row.epoch == slot.row.epoch;
   ask.sealing = current && slot.next;
   const RowInForce in_force = current ? this->InForce(slot) : RowInForce{};
-  // Answers may come from within the calls and replace the row.
+  // Replies may arrive within the calls and replace the row.
   const std::vector<WitnessRef> witnesses = row.witnesses;
   for (const auto &ref : witnesses) {
     ask.process = ref.process;
--- a/src/pollenring/lease/slot_keeper.h
+++ b/src/pollenring/lease/slot_keeper.h
@@ -19,10 +19,10 @@
 
 namespace pollenring {
 
-/*! @brief How a slot came to this node. */
+/*! @brief How this node obtained a slot. */
 enum class SlotOrigin { kTakenOver, kHandedOver };
 
-/*! @brief What is known of the nodes that may hold or witness slots. */
+/*! @brief Information about the nodes that may hold or witness slots. */
 class SlotDirectory {
  public:
   SlotDirectory() = default;
@@ -30,22 +30,21 @@
   SlotDirectory &operator=(const SlotDirectory &) = delete;
   virtual ~SlotDirectory() = default;
 
-  /*! @brief Whether a node that lives says it holds the slot. */
+  /*! @brief True if a live node advertises that it holds the slot. */
   [[nodiscard]] virtual bool HolderLives(SlotId slot) const = 0;
 
-  /*! @brief Place of this node among those that may claim; none if it may not.
-   */
+  /*! @brief Rank of this node among those that may claim, if it may. */
   [[nodiscard]] virtual std::optional<std::size_t> Rank(SlotId slot) const = 0;
 
   /*! @brief Best witnesses for a holder. @param holder Holder. @return Them. */
   [[nodiscard]] virtual std::vector<WitnessRef> WitnessesFor(
       const WitnessRef &holder) const = 0;
 
-  /*! @brief Whether a process is thought to live. @param ref Process. */
+  /*! @brief True if a process is believed to be alive. @param ref Process. */
   [[nodiscard]] virtual bool Lives(const WitnessRef &ref) const = 0;
 };
 
-/*! @brief What keeping slots asks of its surroundings. */
+/*! @brief Dependencies of the slot keeper. */
 class SlotObserver {
  public:
   SlotObserver() = default;
@@ -53,58 +52,63 @@
   SlotObserver &operator=(const SlotObserver &) = delete;
   virtual ~SlotObserver() = default;
 
-  /*! @brief Reads the slot's row; answer with `RowRead`. */
+  /*! @brief Reads a row; completes with `RowRead` or `RowUnreadable`. */
   virtual void ReadRow(SlotId slot) = 0;
 
-  /*! @brief Writes the row if it has a version; answer with `RowWritten`. */
+  /*! @brief Writes the row if it has a version; completes with `RowWritten`. */
   virtual void WriteRow(SlotId slot, std::uint64_t version,
                         const SlotRow &row) = 0;
 
-  /*! @brief Asks a witness; its answer goes to `Answered`. */
+  /*! @brief Queries a witness; its reply goes to `Answered`. */
   virtual void Ask(const WitnessRef &witness, const WitnessAsk &ask) = 0;
 
-  /*! @brief The slot is this node's. @param before Its last holder's row;
-   * without witnesses when it is not known who held the slot last. */
+  /**
+   * @brief This node has become the slot's holder.
+   * @param before Row of its last holder; without witnesses if that is unknown.
+   */
   virtual void Gained(SlotId slot, const SlotRow &row, SlotOrigin origin,
                       const SlotRow &before) = 0;
 
-  /*! @brief Witnesses have changed. @param row The new row. */
+  /*! @brief The witnesses have changed. @param row The new row. */
   virtual void Rewitnessed(SlotId slot, const SlotRow &row) = 0;
 
-  /*! @brief The slot is no longer this node's. */
+  /*! @brief This node is no longer the slot's holder. */
   virtual void Lost(SlotId slot) = 0;
 
-  /*! @brief The slot is a successor's, at this node's wish.
-   * @param row The row that names it, or the one that this node has resigned.
-   * @param successor Its next holder. */
+  /**
+   * @brief This node has handed the slot over.
+   * @param row The row that names the successor, or the one that was resigned.
+   * @param successor Its next holder.
+   */
   virtual void HandedOver(SlotId slot, const SlotRow &row,
                           const WitnessRef &successor) = 0;
 };
 
-/*! @brief What became of a row's write. */
+/*! @brief Result of writing a row. */
 enum class RowWrite { kWritten, kConflict, kUnavailable, kUnknown };
 
 /**
  * @brief Claims, holds, renews and hands over the slots of one node.
  *
- * A row of the table names a holder and its witnesses, whose promises say how
- * long a holder is valid. A holder needs no table to stay valid. When it is
- * lost, the witnesses elect another one among them, without the table, and that
- * one writes a row of its own when it can. Before a holder writes a row, a
- * majority of its witnesses has to stop electing. When too few witnesses are
- * left for that, a taker makes them release the row and writes the next one.
+ * A row of the table names a holder and its witnesses, whose promises determine
+ * how long the holder is valid. A holder does not need the table to stay valid.
+ * When it is lost, its witnesses elect one of themselves without the table, and
+ * the elected one writes a row of its own once it can. Before a holder writes a
+ * row, a majority of its witnesses has to stop electing. If too few witnesses
+ * are left for an election, a taker makes them release the row and writes the
+ * next one.
  */
 class SlotKeeper {
  public:
   /**
    * @brief Starts without slots.
    * @param self This process.
-   * @param slots Number of slots in all.
+   * @param slots Total number of slots.
    * @param options Timing.
    * @param clock Clock.
-   * @param random Randomness.
-   * @param directory Who may hold and witness.
-   * @param witness This process's witness, which knows rows without the table.
+   * @param random Random source.
+   * @param directory Nodes that may hold and witness.
+   * @param witness Witness of this process, which knows rows without the table.
    * @param observer Carries out requests.
    */
   SlotKeeper(const WitnessRef &self, SlotId slots, const LeaseOptions &options,
@@ -114,13 +118,14 @@
   /**
    * @brief Time until which this node may use the slot.
    * @param slot The slot.
-   * @return That time on this node's clock; not after now when it may not.
+   * @return That time on this node's clock; not in the future if it may not.
    */
   [[nodiscard]] Time ValidUntil(SlotId slot) const;
 
   /**
-   * @brief Whether this node may use the slot now.
+   * @brief Checks whether this node may use the slot.
    * @param slot The slot.
+   * @return True if it may.
    */
   [[nodiscard]] bool Valid(SlotId slot) const {
     return this->clock.Now() < this->ValidUntil(slot);
@@ -129,69 +134,73 @@
   /**
    * @brief Epoch and witnesses of a held slot.
    * @param slot The slot.
-   * @return The row, or null when the slot is not this node's.
+   * @return The row, or null if this node does not hold the slot.
    */
   [[nodiscard]] const SlotRow *Held(SlotId slot) const;
 
-  /*! @brief Slots that are this node's. @return Slots and epochs. */
+  /*! @brief Slots of this node. @return Slots and epochs. */
   [[nodiscard]] std::vector<SlotClaim> Claims() const;
 
-  /*! @brief Whether a slot is being given to a successor now. */
+  /*! @brief True while a slot is being handed over to a successor. */
   [[nodiscard]] bool Giving() const noexcept;
 
-  /*! @brief Held slots whose loss their witnesses could not make good, as
-   * there are none beside this node. @return The count. */
+  /**
+   * @brief Held slots that only this node witnesses, so that no witness could
+   * take over if it fails.
+   * @return The count.
+   */
   [[nodiscard]] std::size_t Fragile() const;
 
-  /*! @brief Advances claims and renewals; call it often. */
+  /*! @brief Advances claims and renewals; to be called frequently. */
   void Tick();
 
-  /*! @brief Stops claiming, for a node that leaves. */
+  /*! @brief Stops claiming, for a node that drains. */
   void StopClaiming() noexcept { this->claiming = false; }
 
   /**
-   * @brief Gives a slot to another node; it can't be used here from now on.
+   * @brief Hands over a slot, which is unusable here once the row's write is
+   * sent.
    * @param slot The slot.
    * @param successor Its next holder.
    */
   void GiveTo(SlotId slot, const WitnessRef &successor);
 
   /**
-   * @brief Lets a witness succeed this node without the table, if that is down.
+   * @brief Lets a witness take over without the table while that is down.
    * @param slot The slot.
    * @param successor One of its row's witnesses.
-   * @return Whether this node has given up the slot.
+   * @return True if this node has given up the slot.
    */
   bool Resign(SlotId slot, const WitnessRef &successor);
 
   /**
-   * @brief Stands for election for a slot whose holder has resigned.
+   * @brief Starts an election for a slot whose holder has resigned.
    * @param slot The slot.
    */
   void Succeed(SlotId slot);
 
   /**
-   * @brief Takes a slot that its holder gave to this node.
+   * @brief Accepts a slot that its holder hands over to this node.
    * @param slot The slot.
-   * @param row The row that the giver wrote.
+   * @param row The row written by that holder.
    */
   void Adopt(SlotId slot, const SlotRow &row);
 
-  /*! @brief The row was read. @param version 0 when there is none. */
+  /*! @brief The row was read. @param version 0 if there is none. */
   void RowRead(SlotId slot, std::uint64_t version,
                const std::optional<SlotRow> &row);
 
   /*! @brief The row could not be read. */
   void RowUnreadable(SlotId slot);
 
-  /*! @brief The write of the row has ended. */
+  /*! @brief The write of the row has completed. */
   void RowWritten(SlotId slot, RowWrite result);
 
-  /*! @brief A witness has answered. @param from The one that was asked. */
+  /*! @brief A witness has replied. @param from The witness queried. */
   void Answered(const WitnessRef &from, const WitnessAnswer &answer);
 
   /**
-   * @brief Names what is being done about a slot, for status and tests.
+   * @brief Names the phase of a slot, for status and tests.
    * @param slot The slot.
    * @return The name.
    */
@@ -223,7 +232,7 @@
       {Phase::kGiving, "giving"},
   }}};
 
-  /*! @brief Who was last promised anything under a row, as witnesses say. */
+  /*! @brief Last holder promised anything under a row, as reported. */
   struct LastPromise {
     std::uint64_t epoch{};
     WitnessRef holder;
@@ -232,26 +241,26 @@
 
   struct Slot {
     Phase phase{Phase::kFree};
-    SlotRow row;             /*!< Held, or last known to be in force. */
-    SlotRow in_table;        /*!< The table's row; another one if elected. */
-    std::uint64_t version{}; /*!< Its version in the table. */
-    Promises current;        /*!< For the row held. */
+    SlotRow row;      /*!< The row held, or last known to be active. */
+    SlotRow in_table; /*!< Row in the table; differs from `row` if elected. */
+    std::uint64_t version{};      /*!< Its version in the table. */
+    Promises current;             /*!< For the row held. */
     std::optional<Promises> next; /*!< For the row being written. */
-    bool next_sent{};             /*!< The next row's write may take effect. */
-    bool in_doubt{};              /*!< A write was sent and never answered. */
-    bool must_read{};             /*!< Only the table can tell what happened. */
-    bool refused{};  /*!< A witness refuses promises for the row held. */
-    bool adopting{}; /*!< The read checks a row given to this node. */
-    bool reading{};  /*!< A read is in progress while held. */
+    bool next_sent{}; /*!< The write of the next row may take effect. */
+    bool in_doubt{};  /*!< A write was sent without a response. */
+    bool must_read{}; /*!< The outcome is known only to the table. */
+    bool refused{};   /*!< A witness refuses promises for the row held. */
+    bool adopting{};  /*!< The read checks a row handed over to this node. */
+    bool reading{};   /*!< A read is in progress while held. */
     std::set<WitnessRef> agreed; /*!< Have released, or voted for this node. */
     std::set<WitnessRef> sealed; /*!< Elect nobody under the row held. */
     std::set<WitnessRef> outvoted; /*!< Have voted for a later epoch. */
-    std::set<WitnessRef> told;     /*!< Know the table's row to be in force. */
+    std::set<WitnessRef> told;     /*!< Know that the table's row is active. */
     LastPromise last_promise;
-    bool invited{};         /*!< The holder has resigned, though it lives. */
-    bool election_failed{}; /*!< Too few witnesses have answered. */
-    std::uint64_t highest_vote{}; /*!< Latest epoch that anybody voted for. */
-    Time seal_from{}; /*!< Seals that were asked for before are void. */
+    bool invited{};               /*!< The holder has resigned, but is alive. */
+    bool election_failed{};       /*!< Too few witnesses have replied. */
+    std::uint64_t highest_vote{}; /*!< Latest epoch voted for by anyone. */
+    Time seal_from{};             /*!< Seals requested earlier are void. */
     Time wait_until{};
     Time next_send{};
     Time next_check{};
--- a/src/pollenring/lease/slot_keeper_held.cc
+++ b/src/pollenring/lease/slot_keeper_held.cc
@@ -14,7 +14,7 @@
   slot.outvoted.clear();
   slot.told.clear();
   slot.orphaned_at = Time{};
-  // The witnesses hear at once that the row is in force.
+  // Notifies the witnesses immediately that the row is active.
   slot.next_send = this->clock.Now();
   this->observer.Gained(id, slot.row, origin, before);
 }
@@ -101,7 +101,7 @@
 
 void SlotKeeper::SendChange(SlotId id, Slot &slot) {
   if (slot.phase != Phase::kHeld || !slot.next || slot.next_sent) return;
-  // As long as the row's witnesses may elect somebody, no other may follow it.
+  // As long as the row's witnesses may elect a holder, no other row may follow.
   if (slot.sealed.size() < slot.row.Majority()) return;
   const Time now = this->clock.Now();
   if (now < slot.wait_until) return;
@@ -124,10 +124,10 @@
   if (slot.phase != Phase::kHeld || slot.row.epoch != answer.epoch) return;
   if (!IsWitness(slot.row, from)) return;
   const bool released = answer.released >= LastEpochOf(answer.epoch);
-  // A predecessor has sealed the row, and nobody can undo it.
+  // A predecessor has sealed the row, and nobody can undo that.
   const bool sealed = answer.sealed && answer.released < answer.epoch;
   if (!answer.remembers || released || sealed) {
-    // It can't elect anybody any more; what it has promised may still run.
+    // It can't elect anybody any more, but its promises may still run.
     slot.sealed.insert(from);
     const Span remaining{answer.remaining_us};
     slot.wait_until = std::max(
@@ -140,19 +140,20 @@
     }
   }
   if (slot.reading || slot.next_sent) return;
-  // Someone wants the slot, or the witness has restarted: ask the table.
+  // Another node claims the slot, or the witness restarted: read the table.
   slot.must_read = true;
   slot.refused = true;
 }
 
 void SlotKeeper::KeepAfterAll(Slot &slot) {
-  // The write did not take effect, so the row in force names this process.
+  // The write did not take effect, so the active row names this process.
   slot.phase = Phase::kHeld;
   slot.next.reset();
   slot.next_sent = false;
   slot.next_send = this->clock.Now();
   slot.retry_at = this->clock.Now() + this->options.claim_pause;
-  // A sealed row keeps its witnesses from electing: not before the table is up.
+  // A sealed row keeps its witnesses from electing, so it is not sealed again
+  // before the table is reachable.
   slot.must_read = true;
 }
 
--- a/src/pollenring/lease/slot_keeper_take.cc
+++ b/src/pollenring/lease/slot_keeper_take.cc
@@ -76,7 +76,7 @@
   if (!answer.granted) {
     const std::uint64_t seen = std::max(answer.released, answer.voted);
     slot.highest_vote = std::max(slot.highest_vote, seen);
-    // Another one stands for this epoch or a later one.
+    // Another process is a candidate for this epoch or a later one.
     if (seen >= next.epoch) this->GiveUp(slot);
     return;
   }
@@ -129,7 +129,7 @@
 SlotRow SlotKeeper::LastHolder(const Slot &slot) const {
   SlotRow last = slot.in_table;
   if (last.epoch == 0) return last;
-  // Whoever was valid has promises of a majority, so a majority knows of it.
+  // A valid holder has promises of a majority, so any majority knows of it.
   if (slot.last_promise.told_by.size() < last.Majority()) {
     last.holder = WitnessRef{};
     last.witnesses.clear();
@@ -219,7 +219,7 @@
   slot.next_sent = false;
   slot.in_doubt = false;
   slot.must_read = false;
-  // The giver's write is older than its news: stay well within its lapse.
+  // The write is older than its notification: stay well within the lapse.
   slot.touched = slot.write_sent - this->options.lapse / 2;
   this->StartRound(slot, Phase::kAdopting);
   this->TickPromising(id, slot);
--- a/src/pollenring/lease/slot_row.h
+++ b/src/pollenring/lease/slot_row.h
@@ -15,35 +15,36 @@
 using SlotId = std::uint32_t;
 
 /**
- * @brief Epochs that belong to one row of the table: the first is its holder's,
- * the others are of holders that the row's witnesses elect.
+ * @brief Epochs that belong to one row of the table: the first is that of the
+ * row's holder, the others are of holders elected by its witnesses.
  */
 inline constexpr std::uint64_t kEpochsPerRow = 65'536;
 
-/*! @brief The row's own epoch. @param epoch Any of its epochs. @return It. */
+/*! @brief First epoch of a row. @param epoch Any of its epochs. @return It. */
 [[nodiscard]] constexpr std::uint64_t RowEpochOf(std::uint64_t epoch) noexcept {
   return epoch - epoch % kEpochsPerRow;
 }
 
-/*! @brief The next row's epoch. @param epoch Any of a row's. @return It. */
+/*! @brief First epoch of the next row. @param epoch Any epoch. @return It. */
 [[nodiscard]] constexpr std::uint64_t NextRowEpoch(
     std::uint64_t epoch) noexcept {
   return RowEpochOf(epoch) + kEpochsPerRow;
 }
 
-/*! @brief The last epoch of a row. @param epoch Any of its. @return It. */
+/*! @brief Last epoch of a row. @param epoch Any of its epochs. @return It. */
 [[nodiscard]] constexpr std::uint64_t LastEpochOf(
     std::uint64_t epoch) noexcept {
   return NextRowEpoch(epoch) - 1;
 }
 
-/*! @brief Whether witnesses, not the table, name the holder. @param epoch It.
+/**
+ * @brief True if the holder was elected by witnesses. @param epoch Its epoch.
  */
 [[nodiscard]] constexpr bool IsElected(std::uint64_t epoch) noexcept {
   return epoch != RowEpochOf(epoch);
 }
 
-/*! @brief One process on one VM; a restarted one is another. */
+/*! @brief One process on one VM; a restart makes another one. */
 struct WitnessRef {
   NodeId node{};
   std::uint64_t process{};
@@ -58,14 +59,14 @@
   }
 };
 
-/*! @brief Who holds a slot, as the table says; epochs only grow. */
+/*! @brief A slot's holder according to the table; epochs only increase. */
 struct SlotRow {
   std::uint64_t epoch{};
   WitnessRef holder;
   std::vector<WitnessRef> witnesses;
   MSGPACK_DEFINE(epoch, holder, witnesses)
 
-  /*! @brief Witnesses whose promises make a holder valid. @return Count. */
+  /*! @brief Promises needed for a holder to be valid. @return The count. */
   [[nodiscard]] std::size_t Majority() const noexcept {
     return this->witnesses.size() / 2 + 1;
   }
@@ -74,9 +75,9 @@
   [[nodiscard]] std::string ToJson() const;
 
   /**
-   * @brief Reads what `ToJson` wrote.
+   * @brief Parses the output of `ToJson`.
    * @param text JSON text.
-   * @return The row, or nothing when the text is of another form.
+   * @return The row, or nothing if the text is malformed.
    */
   [[nodiscard]] static std::optional<SlotRow> FromJson(const std::string &text);
 };
--- a/src/pollenring/lease/witness.cc
+++ b/src/pollenring/lease/witness.cc
@@ -5,7 +5,7 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Longest time from a datagram's sending to its arrival. */
+/*! @brief Maximum time from sending a datagram to its arrival. */
 constexpr Span kLongestDelivery = std::chrono::minutes{2};
 
 }  // namespace
@@ -23,7 +23,7 @@
   answer.process = ask.process;
   answer.asked_us = ask.asked_us;
   if (ask.process != this->process) {
-    // The process that was named has ended, at the latest when this one began.
+    // The addressed process ended no later than this one started.
     const Time until = this->started + this->options.promise;
     answer.granted = ask.request == WitnessRequest::kRelease;
     answer.remaining_us = std::max(Span{0}, until - now).count();
@@ -72,7 +72,7 @@
 bool Witness::Promise(Slot &slot, const WitnessAsk &ask) {
   if (ask.epoch <= slot.released) return false;
   if (SealedBefore(slot, ask.epoch)) {
-    // Whoever has sealed the row is over, and can't undo it any more.
+    // The process that sealed the row is over, and can't unseal it any more.
     Release(slot, ask.epoch - 1);
     return false;
   }
@@ -94,7 +94,7 @@
   const auto memory = slot.rows.find(RowEpochOf(ask.epoch));
   if (memory != slot.rows.end()) {
     if (memory->second.sealed) return false;
-    // A holder that is alive keeps its slot, whatever the asker believes.
+    // A live holder keeps its slot, whatever the sender believes.
     if (this->clock.Now() < memory->second.promised_until) return false;
   }
   const bool voted = slot.voted == ask.epoch && !(slot.voted_for == ask.asker);
@@ -112,7 +112,7 @@
                    memory->second.promised_to == ask.asker;
   if (!own) return;
   memory->second.promised_until = this->clock.Now();
-  // One that resigns has no write in progress, and will not begin another.
+  // A process that resigns has no write in progress and won't begin another.
   if (memory->second.sealer == ask.asker) memory->second.sealed = false;
   Release(slot, ask.epoch);
 }
@@ -132,12 +132,12 @@
   if (ask.epoch < memory.seal_epoch) return;
   const bool same =
       ask.epoch == memory.seal_epoch && ask.asker == memory.sealer;
-  // A late message must not undo what a newer one has asked for.
+  // A late message must not undo a newer request.
   const bool late =
       asked < memory.seal_asked ||
       (asked == memory.seal_asked && memory.sealed && !ask.sealing);
   if (same && late) return;
-  // Others that want the same epoch, but have not got it, can't undo it either.
+  // Nor can others unseal it that request the same epoch but don't hold it.
   if (!same && memory.sealed && !ask.sealing) return;
   memory.seal_epoch = ask.epoch;
   memory.sealer = ask.asker;
@@ -154,12 +154,12 @@
                     this->options.Less(Span{told.lapse_left_us}) -
                     kLongestDelivery;
   if (told.row.epoch == known.row.epoch) {
-    // Of what its own holder says, the least is closest to the truth.
+    // Of the holder's own reports, the earliest end is the most accurate.
     if (ask.asker == known.row.holder) known.ends = std::min(known.ends, ends);
     return;
   }
   known = {told.row, told.version, ends};
-  // Rows before the one in force are over; what was asked for them is moot.
+  // Rows before the active one are over, so requests for them are void.
   Release(slot, told.row.epoch - 1);
   slot.rows.erase(slot.rows.begin(), slot.rows.lower_bound(told.row.epoch));
 }
--- a/src/pollenring/lease/witness.h
+++ b/src/pollenring/lease/witness.h
@@ -12,28 +12,28 @@
 
 namespace pollenring {
 
-/*! @brief A row that was in the table when its holder last told of it. */
+/*! @brief A row that its holder last reported to be in the table. */
 struct KnownRow {
   SlotRow row;
-  std::uint64_t version{}; /*!< In the table. */
-  Time ends{};             /*!< Nobody may use the slot under it afterwards. */
+  std::uint64_t version{}; /*!< Version in the table. */
+  Time ends{}; /*!< Nobody may use the slot under this row afterwards. */
 };
 
 /**
- * @brief Promises holders of slots that nobody takes their slot for a while,
- * and elects a new holder when the promises have run out.
+ * @brief Promises a slot's holder for a limited time that nobody takes the slot
+ * over, and elects a new holder once the promises have expired.
  *
- * A witness that has released an epoch never promises for it again, and it
- * votes once for each epoch. While a holder has sealed its row, in order to
- * write another one to the table, the witness elects nobody. What it promised
- * in an earlier life it does not know; it then reports the longest time that
- * such a promise can still run, and votes for nobody.
+ * A witness never promises again for an epoch it has released, and votes once
+ * per epoch. While a holder has sealed its row, in order to write the next one
+ * to the table, the witness elects nobody. It does not know what an earlier
+ * process promised; for that it reports the maximum time such a promise can
+ * still run, and does not vote.
  */
 class Witness {
  public:
   /**
    * @brief Starts without promises.
-   * @param process This process.
+   * @param process ID of this process.
    * @param options Timing.
    * @param clock Clock.
    */
@@ -41,29 +41,29 @@
           const Clock &clock);
 
   /**
-   * @brief Answers a holder or a taker.
-   * @param ask What it asks for.
-   * @return Whether it is granted, and what the asker has to know.
+   * @brief Handles the query of a holder or a taker.
+   * @param ask The query.
+   * @return The decision, and the state that the sender needs.
    */
   [[nodiscard]] WitnessAnswer Answer(const WitnessAsk &ask);
 
   /**
-   * @brief Finds the row that was last said to be in force.
+   * @brief Finds the row that was last reported active.
    * @param slot The slot.
-   * @return The row, or null when none was told.
+   * @return The row, or null if none was reported.
    */
   [[nodiscard]] const KnownRow *Known(SlotId slot) const;
 
  private:
-  /*! @brief What must be remembered of one row, until a later one is known. */
+  /*! @brief State of one row, kept until a later row is known. */
   struct RowMemory {
     std::uint64_t promised{};
     WitnessRef promised_to;
     Time promised_until{};
     std::uint64_t
-        seal_epoch{};  /*!< Latest that was asked to be sealed or not. */
-    WitnessRef sealer; /*!< Who asked so. */
-    Time seal_asked{}; /*!< When it asked so, on its own clock. */
+        seal_epoch{};  /*!< Latest epoch with a seal or unseal request. */
+    WitnessRef sealer; /*!< Process that sent it. */
+    Time seal_asked{}; /*!< Time of sending, on that process's clock. */
     bool sealed{};
   };
   struct Slot {
--- a/src/pollenring/lease/witness_messages.h
+++ b/src/pollenring/lease/witness_messages.h
@@ -9,12 +9,12 @@
 
 namespace pollenring {
 
-/*! @brief What a witness is asked for. */
+/*! @brief What a witness is queried for. */
 enum class WitnessRequest {
   kPromise = 0, /*!< Not to let the slot be taken for a while. */
   kRelease = 1, /*!< Never to promise or vote under the slot's row again. */
-  kVote = 2,    /*!< To elect the asker, once no promise runs any more. */
-  kResign = 3,  /*!< To end its promise: the asker uses the slot no longer. */
+  kVote = 2,    /*!< To elect the sender, once all promises have expired. */
+  kResign = 3,  /*!< To end its promise: the sender no longer uses the slot. */
 };
 
 /*! @brief Names of the requests. */
@@ -28,26 +28,26 @@
 /*! @brief A row that its holder knows to be in the table. */
 struct RowInForce {
   SlotRow row;
-  std::uint64_t version{};      /*!< In the table; 0 when nothing is told. */
-  std::int64_t lapse_left_us{}; /*!< Time for which it can be held at most. */
+  std::uint64_t version{};      /*!< In the table; 0 if no row is reported. */
+  std::int64_t lapse_left_us{}; /*!< Maximum remaining time to hold it. */
   MSGPACK_DEFINE(row, version, lapse_left_us)
 };
 
-/*! @brief Asks a witness. */
+/*! @brief Query to a witness. */
 struct WitnessAsk {
   WitnessRequest request{WitnessRequest::kPromise};
   SlotId slot{};
   std::uint64_t epoch{};
-  std::uint64_t process{}; /*!< The process that the row names as witness. */
+  std::uint64_t process{}; /*!< Process that the row names as witness. */
   WitnessRef asker;
-  std::int64_t asked_us{}; /*!< On the asker's clock. */
-  bool sealing{};          /*!< Not to vote under this row until told. */
+  std::int64_t asked_us{}; /*!< On the sender's clock. */
+  bool sealing{};          /*!< Not to vote under this row until unsealed. */
   RowInForce in_force;
   MSGPACK_DEFINE(request, slot, epoch, process, asker, asked_us, sealing,
                  in_force)
 };
 
-/*! @brief What a witness says. */
+/*! @brief Reply of a witness. */
 struct WitnessAnswer {
   WitnessRequest request{WitnessRequest::kPromise};
   SlotId slot{};
@@ -55,14 +55,14 @@
   std::uint64_t process{};
   std::int64_t asked_us{};
   bool granted{};
-  bool remembers{};            /*!< False from the process after it. */
+  bool remembers{};            /*!< False if a later process replies. */
   bool sealed{};               /*!< It votes for nobody under this row. */
-  std::uint64_t released{};    /*!< Epochs up to this are over for it. */
+  std::uint64_t released{};    /*!< Epochs up to this one are over for it. */
   std::uint64_t voted{};       /*!< Latest epoch that it voted for. */
-  std::int64_t remaining_us{}; /*!< How long its promises may still run. */
+  std::int64_t remaining_us{}; /*!< Maximum remaining time of its promises. */
   std::uint64_t promised{};    /*!< Latest epoch promised under the row. */
   WitnessRef promised_to;
-  std::uint64_t knows{}; /*!< Epoch of the row that it knows to be in force. */
+  std::uint64_t knows{}; /*!< Epoch of the row that it knows to be active. */
   MSGPACK_DEFINE(request, slot, epoch, process, asked_us, granted, remembers,
                  sealed, released, voted, remaining_us, promised, promised_to,
                  knows)
--- a/test/pollenring/lease/slot_keeper_test.cc
+++ b/test/pollenring/lease/slot_keeper_test.cc
@@ -43,7 +43,8 @@
     faults.wrong_suspicion = 0.02;
     faults.unanswered = 0.5;
     faults.unreadable = 0.8;
-    // More nodes than witnesses: two rows of a slot may name quite others.
+    // With more nodes than witnesses, two rows of a slot may have disjoint
+    // sets.
     LeaseWorld world{13, 3, seed, faults};
     world.Run(support::Steps(kStepsPerSeed * 2));
     world.Calm();
@@ -62,7 +63,7 @@
     faults.cut = 0.5;
     faults.give = 0.5;
     faults.long_suspicion = 0.0002;
-    // Later than the promises of whoever has sent them.
+    // Later than the promises to the process that sent them.
     faults.unanswered = 0.5;
     faults.late_writes = 3000;
     faults.unreadable = 0.5;
@@ -105,7 +106,7 @@
     world.Run(2000);
     REQUIRE(world.HeldSlots() == 6);
     world.table.Faults().down = true;
-    // Two of a slot's five witnesses may go, one after the other.
+    // Two of a slot's five witnesses may be lost, one after the other.
     world.Crash(0);
     world.Run(1200);
     INFO(world.Describe());
@@ -140,7 +141,7 @@
     world.Run(2000);
     REQUIRE(world.HeldSlots() == 4);
     world.table.Faults().down = true;
-    // The first try to give a slot away tells its holder of the outage.
+    // The first attempt to hand a slot over detects the outage.
     for (SlotId slot = 0; slot < 4; ++slot) world.Give(slot);
     world.Run(40);
     const auto holder_of = [&](SlotId slot) {
@@ -160,7 +161,7 @@
       }
       CHECK(holder_of(slot) != before);
       // Requests wait up to a second for a holder; promises would take two
-      // seconds to run out.
+      // seconds to expire.
       world.Run(std::chrono::seconds{1} / LeaseWorld::kStep);
       CHECK(holder_of(slot) >= 0);
     }
@@ -185,7 +186,8 @@
   for (const auto seed : support::Seeds(4)) {
     INFO("seed " << seed);
     WorldFaults faults;
-    // A write in doubt leaves its slot to nobody until the table answers.
+    // A write in doubt leaves its slot without a holder until the table
+    // responds.
     faults.unanswered = 0;
     LeaseWorld world{5, 4, seed, faults};
     world.network.loss = 0;
@@ -196,17 +198,17 @@
     std::size_t steps_without = 0;
     for (int i = 0; i < 4000; ++i) {
       world.Step();
-      // The answer of the table is awaited for a moment.
+      // The table's response is awaited briefly.
       if (i >= 40 && world.HeldSlots() < 4) ++steps_without;
     }
     CHECK(steps_without == 0);
     world.table.Faults().down = false;
-    // Holders read the table again before they give.
+    // Holders read the table again before they hand over.
     world.Run(400);
     for (SlotId slot = 0; slot < 4; ++slot) {
       if (!world.Give(slot)) continue;
-      // From the moment of its write on the successor may have it, so the
-      // giver not.
+      // From its write on the successor may hold the slot, so the previous
+      // holder may not.
       const auto gives = [&] {
         return std::any_of(world.nodes.begin(), world.nodes.end(),
                            [&](const auto &node) {
--- a/test/pollenring/lease/witness_test.cc
+++ b/test/pollenring/lease/witness_test.cc
@@ -20,7 +20,7 @@
 constexpr WitnessRef kOther{3, 13};
 constexpr Span kPromise = std::chrono::seconds{2};
 
-/*! @brief A witness and the asks that reach it. */
+/*! @brief A witness and the queries sent to it. */
 struct Scene {
   ManualClock clock{std::chrono::hours{1}};
   Witness witness{kProcess, {}, clock};
@@ -49,9 +49,9 @@
   scene.clock.Advance(Span{1});
   CHECK(scene.Ask(WitnessRequest::kVote, kRow + 1, kTaker).granted);
   CHECK_FALSE(scene.Ask(WitnessRequest::kVote, kRow + 1, kOther).granted);
-  // Asked again, since the answer may have been lost.
+  // Repeated, since the reply may have been lost.
   CHECK(scene.Ask(WitnessRequest::kVote, kRow + 1, kTaker).granted);
-  // The holder of before is over, whatever it believes.
+  // The earlier holder is over, whatever it believes.
   CHECK_FALSE(scene.Ask(WitnessRequest::kPromise, kRow, kHolder).granted);
   const auto next = scene.Ask(WitnessRequest::kVote, kRow + 2, kOther);
   CHECK(next.granted);
@@ -73,7 +73,7 @@
     const auto answer = scene.Ask(WitnessRequest::kPromise, kRow + 1, kTaker);
     CHECK_FALSE(answer.granted);
     CHECK(answer.sealed);
-    // The one who has sealed it is over and can't undo it.
+    // The process that sealed it is over and can't unseal it.
     CHECK_FALSE(scene.Ask(WitnessRequest::kPromise, kRow, kHolder).granted);
     CHECK_FALSE(scene.Ask(WitnessRequest::kVote, kRow + 2, kOther).granted);
   }
@@ -142,7 +142,7 @@
   CHECK(scene.witness.Known(0) == nullptr);
   const auto ends = tell(std::chrono::minutes{20});
   CHECK(ends < scene.clock.Now() + std::chrono::minutes{20});
-  // Old news does not lengthen it.
+  // An older report does not extend it.
   CHECK(tell(std::chrono::minutes{25}) == ends);
   CHECK(tell(std::chrono::minutes{15}) < ends);
   CHECK(scene.witness.Known(0)->version == 5);
