Name superseded rows and responses in lease and retry comments

Some comments still called rows and processes "over" and calls "answered", which does not say that a later epoch replaced them, or that any response counts. They name both. Only comments differ: the C++ tokens of all files are the same as before.

--- a/src/pollenring/lease/witness.cc
+++ b/src/pollenring/lease/witness.cc
@@ -72,7 +72,7 @@
 bool Witness::Promise(Slot &slot, const WitnessAsk &ask) {
   if (ask.epoch <= slot.released) return false;
   if (SealedBefore(slot, ask.epoch)) {
-    // The process that sealed the row is over, and can't unseal it any more.
+    // The process that sealed the row is superseded and can't unseal it.
     Release(slot, ask.epoch - 1);
     return false;
   }
@@ -159,7 +159,8 @@
     return;
   }
   known = {told.row, told.version, ends};
-  // Rows before the active one are over, so requests for them are void.
+  // Earlier rows than the active one are superseded; requests for them are
+  // void.
   Release(slot, told.row.epoch - 1);
   slot.rows.erase(slot.rows.begin(), slot.rows.lower_bound(told.row.epoch));
 }
--- a/src/pollenring/lease/witness.h
+++ b/src/pollenring/lease/witness.h
@@ -20,12 +20,12 @@
 };
 
 /**
- * @brief Promises a slot's holder for a limited time that nobody takes the slot
- * over, and elects a new holder once the promises have expired.
+ * @brief Promises a slot's holder for a limited time that no other node takes
+ * the slot over, and elects a new holder once the promises have expired.
  *
  * A witness never promises again for an epoch it has released, and votes once
  * per epoch. While a holder has sealed its row, in order to write the next one
- * to the table, the witness elects nobody. It does not know what an earlier
+ * to the table, the witness elects no one. It does not know what an earlier
  * process promised; for that it reports the maximum time such a promise can
  * still run, and does not vote.
  */
--- a/src/pollenring/lease/witness_messages.h
+++ b/src/pollenring/lease/witness_messages.h
@@ -55,10 +55,10 @@
   std::uint64_t process{};
   std::int64_t asked_us{};
   bool granted{};
-  bool remembers{};            /*!< False if a later process replies. */
-  bool sealed{};               /*!< It votes for nobody under this row. */
-  std::uint64_t released{};    /*!< Epochs up to this one are over for it. */
-  std::uint64_t voted{};       /*!< Latest epoch that it voted for. */
+  bool remembers{};         /*!< False if a later process replies. */
+  bool sealed{};            /*!< It votes for nobody under this row. */
+  std::uint64_t released{}; /*!< It has released all epochs up to this one. */
+  std::uint64_t voted{};    /*!< Latest epoch that it voted for. */
   std::int64_t remaining_us{}; /*!< Maximum remaining time of its promises. */
   std::uint64_t promised{};    /*!< Latest epoch promised under the row. */
   WitnessRef promised_to;
--- a/src/pollenring/once/record.h
+++ b/src/pollenring/once/record.h
@@ -24,7 +24,7 @@
 struct OnceRecord {
   std::string key;
   std::int64_t minted_ms{};
-  std::int64_t deadline_ms{}; /*!< Wall time after which nobody waits. */
+  std::int64_t deadline_ms{}; /*!< Wall time after which no caller waits. */
   std::uint64_t attempt{};
   OnceState state{OnceState::kStarted};
   std::string answer; /*!< First response; empty if not held. */
--- a/src/pollenring/retry/budget.h
+++ b/src/pollenring/retry/budget.h
@@ -19,7 +19,7 @@
   RetryBudget &operator=(const RetryBudget &) = delete;
   virtual ~RetryBudget() = default;
 
-  /*! @brief Counts a call that its target answered. @param service Service. */
+  /*! @brief Counts a call its target responded to. @param service Service. */
   virtual void Succeeded(const std::string &service) = 0;
 
   /**
@@ -51,7 +51,7 @@
 
 /*! @brief Limits on the retries of all nodes together. */
 struct TrafficRetryOptions {
-  double share{0.06}; /*!< Retries earned per answered call. */
+  double share{0.06}; /*!< Retries earned per call that was responded to. */
   /**
    * @brief Time constant of the decay of savings. In a chain of four services
    * that start to fail together, each one spends its savings.
--- a/test/pollenring/lease/witness_test.cc
+++ b/test/pollenring/lease/witness_test.cc
@@ -51,7 +51,7 @@
   CHECK_FALSE(scene.Ask(WitnessRequest::kVote, kRow + 1, kOther).granted);
   // Repeated, since the reply may have been lost.
   CHECK(scene.Ask(WitnessRequest::kVote, kRow + 1, kTaker).granted);
-  // The earlier holder is over, whatever it believes.
+  // The earlier holder is superseded, whatever it believes.
   CHECK_FALSE(scene.Ask(WitnessRequest::kPromise, kRow, kHolder).granted);
   const auto next = scene.Ask(WitnessRequest::kVote, kRow + 2, kOther);
   CHECK(next.granted);
@@ -73,7 +73,7 @@
     const auto answer = scene.Ask(WitnessRequest::kPromise, kRow + 1, kTaker);
     CHECK_FALSE(answer.granted);
     CHECK(answer.sealed);
-    // The process that sealed it is over and can't unseal it.
+    // The process that sealed it is superseded and can't unseal it.
     CHECK_FALSE(scene.Ask(WitnessRequest::kPromise, kRow, kHolder).granted);
     CHECK_FALSE(scene.Ask(WitnessRequest::kVote, kRow + 2, kOther).granted);
   }
