--- a/src/pollenring/admission/ticket_queue.h
+++ b/src/pollenring/admission/request_queue.h
@@ -1,23 +1,23 @@
-#ifndef POLLENRING_ADMISSION_TICKET_QUEUE_H_
-#define POLLENRING_ADMISSION_TICKET_QUEUE_H_
+#ifndef POLLENRING_ADMISSION_REQUEST_QUEUE_H_
+#define POLLENRING_ADMISSION_REQUEST_QUEUE_H_
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
 
-#include "pollenring/admission/ticket.h"
+#include "pollenring/admission/admission_request.h"
 #include "pollenring/core/clock.h"
 
 namespace pollenring {
 
 /*! @brief Requests that wait for a target, in the order of a policy. */
-class TicketQueue {
+class RequestQueue {
  public:
-  TicketQueue() = default;
-  TicketQueue(const TicketQueue &) = delete;
-  TicketQueue &operator=(const TicketQueue &) = delete;
-  virtual ~TicketQueue() = default;
+  RequestQueue() = default;
+  RequestQueue(const RequestQueue &) = delete;
+  RequestQueue &operator=(const RequestQueue &) = delete;
+  virtual ~RequestQueue() = default;
 
   [[nodiscard]] virtual std::size_t Size() const noexcept = 0;
 
@@ -29,16 +29,16 @@
    * @brief Adds a request.
    * @param ticket The request.
    */
-  virtual void Push(const Ticket &ticket) = 0;
+  virtual void Push(const AdmissionRequest &ticket) = 0;
 
   /*! @brief Takes the next request to run. @return It, or nothing. */
-  [[nodiscard]] virtual std::optional<Ticket> Pop() = 0;
+  [[nodiscard]] virtual std::optional<AdmissionRequest> Pop() = 0;
 
   /**
    * @brief Takes the first request to shed.
    * @return It, or nothing.
    */
-  [[nodiscard]] virtual std::optional<Ticket> PopWorst() = 0;
+  [[nodiscard]] virtual std::optional<AdmissionRequest> PopWorst() = 0;
 
   /**
    * @brief Takes out one request.
@@ -52,9 +52,10 @@
    * @param before Deadlines earlier than this are too near.
    * @return The requests taken out.
    */
-  [[nodiscard]] virtual std::vector<Ticket> RemoveExpired(Time before) = 0;
+  [[nodiscard]] virtual std::vector<AdmissionRequest> RemoveExpired(
+      Time before) = 0;
 };
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_ADMISSION_TICKET_QUEUE_H_
+#endif  // POLLENRING_ADMISSION_REQUEST_QUEUE_H_
--- a/src/pollenring/contract/host_policy.h
+++ b/src/pollenring/contract/host_policy.h
@@ -26,10 +26,10 @@
   std::string host;
   std::string path_prefix;
   std::vector<RoutePart> parts;
-  int rank{};            /*!< 0 is served first. */
-  int attempts{1};       /*!< Most targets that one request is sent to. */
-  Span timeout{};        /*!< Longest wait of its caller. */
-  Span target_latency{}; /*!< Time within which an answer is worth most. */
+  int rank{};                /*!< 0 is served first. */
+  int attempts{1};           /*!< Most targets that one request is sent to. */
+  Duration timeout{};        /*!< Longest wait of its caller. */
+  Duration target_latency{}; /*!< Time within which an answer is worth most. */
   std::vector<std::string> regions; /*!< Where it may run; empty: anywhere. */
   bool idempotent{};                /*!< Whether it may run more than once. */
   bool open{};                      /*!< Whether it needs no key. */
@@ -37,7 +37,7 @@
 
 /*! @brief A workspace with its keys. */
 struct KeyedWorkspace {
-  WorkspaceShare share;
+  WorkspaceRateLimit share;
   std::optional<int> rank; /*!< Goes before the route's; 0 is served first. */
   std::vector<std::string> keys;
   std::vector<std::string> regions; /*!< Where its requests may run; empty:
@@ -45,15 +45,15 @@
 };
 
 /*! @brief A request's place among all others, see `PriorityOf`. */
-struct Standing {
+struct RequestPriority {
   Importance importance{Importance::kNormal};
-  double lot{}; /*!< In [0, 1). */
+  double sub_priority{}; /*!< In [0, 1). */
 };
 
 /*! @brief How long targets are cold after a start, and what they bear then. */
 struct ColdStart {
   std::string service;
-  Span cold_for{};
+  Duration cold_for{};
   double
       per_second{}; /*!< 0 where a cold target bears as much as a warm one. */
 };
@@ -103,7 +103,7 @@
    * @param workspace Its name.
    * @return The share, or null when there is none or it has no limit.
    */
-  [[nodiscard]] const WorkspaceShare *ShareOf(
+  [[nodiscard]] const WorkspaceRateLimit *ShareOf(
       const std::string &workspace) const;
 
   /**
@@ -114,12 +114,12 @@
    * nearly all of them, have their routes' ranks alone.
    * @param route The request's route.
    * @param workspace Its workspace, or null.
-   * @param lot The request's lot.
+   * @param sub_priority The request's lot.
    * @return The place.
    */
-  [[nodiscard]] Standing StandingOf(const HostRoute &route,
-                                    const KeyedWorkspace *workspace,
-                                    double lot) const noexcept;
+  [[nodiscard]] RequestPriority RequestPriorityOf(
+      const HostRoute &route, const KeyedWorkspace *workspace,
+      double sub_priority) const noexcept;
 
   /**
    * @brief Finds how a service's targets start.
--- a/src/pollenring/core/finding.h
+++ b/src/pollenring/core/diagnostic.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_CORE_FINDING_H_
-#define POLLENRING_CORE_FINDING_H_
+#ifndef POLLENRING_CORE_DIAGNOSTIC_H_
+#define POLLENRING_CORE_DIAGNOSTIC_H_
 
 #include <cstdint>
 #include <string>
@@ -8,15 +8,15 @@
 namespace pollenring {
 
 /*! @brief Where in a file something was found. */
-struct Place {
+struct SourceLocation {
   std::string file;
   std::uint32_t line{};
   std::uint32_t column{};
 };
 
 /*! @brief One fault in an operator's input, with its place. */
-struct Finding {
-  Place place;
+struct Diagnostic {
+  SourceLocation location;
   std::string message;
 
   /**
@@ -24,14 +24,14 @@
    * @return `file:line:column: message`.
    */
   [[nodiscard]] std::string Format() const {
-    return this->place.file + ":" + std::to_string(this->place.line) + ":" +
-           std::to_string(this->place.column) + ": " + this->message;
+    return this->location.file + ":" + std::to_string(this->location.line) +
+           ":" + std::to_string(this->location.column) + ": " + this->message;
   }
 };
 
 /*! @brief All faults of one input. */
-using Findings = std::vector<Finding>;
+using Diagnostics = std::vector<Diagnostic>;
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_CORE_FINDING_H_
+#endif  // POLLENRING_CORE_DIAGNOSTIC_H_
--- a/src/pollenring/lease/fwd.h
+++ b/src/pollenring/lease/fwd.h
@@ -5,15 +5,15 @@
 
 class SlotDirectory;
 class SlotKeeper;
-class SlotObserver;
+class SlotDelegate;
 class Witness;
 struct KnownRow;
 struct LeaseOptions;
 struct RowInForce;
 struct SlotRow;
-struct WitnessAnswer;
-struct WitnessAsk;
-struct WitnessRef;
+struct WitnessReply;
+struct WitnessQuery;
+struct ProcessRef;
 
 }  // namespace pollenring
 
--- a/src/pollenring/lease/slot_row.h
+++ b/src/pollenring/lease/slot_row.h
@@ -45,15 +45,15 @@
 }
 
 /*! @brief One process on one VM; a restart makes another one. */
-struct WitnessRef {
+struct ProcessRef {
   NodeId node{};
   std::uint64_t process{};
   MSGPACK_DEFINE(node, process)
 
-  [[nodiscard]] bool operator==(const WitnessRef &other) const noexcept {
+  [[nodiscard]] bool operator==(const ProcessRef &other) const noexcept {
     return this->node == other.node && this->process == other.process;
   }
-  [[nodiscard]] bool operator<(const WitnessRef &other) const noexcept {
+  [[nodiscard]] bool operator<(const ProcessRef &other) const noexcept {
     return std::tie(this->node, this->process) <
            std::tie(other.node, other.process);
   }
@@ -62,8 +62,8 @@
 /*! @brief A slot's holder according to the table; epochs only increase. */
 struct SlotRow {
   std::uint64_t epoch{};
-  WitnessRef holder;
-  std::vector<WitnessRef> witnesses;
+  ProcessRef holder;
+  std::vector<ProcessRef> witnesses;
   MSGPACK_DEFINE(epoch, holder, witnesses)
 
   /*! @brief Promises needed for a holder to be valid. @return The count. */
--- a/src/pollenring/lease/witness.h
+++ b/src/pollenring/lease/witness.h
@@ -45,7 +45,7 @@
    * @param ask The query.
    * @return The decision, and the state that the sender needs.
    */
-  [[nodiscard]] WitnessAnswer Answer(const WitnessAsk &ask);
+  [[nodiscard]] WitnessReply Answer(const WitnessQuery &ask);
 
   /**
    * @brief Finds the row that was last reported active.
@@ -58,28 +58,28 @@
   /*! @brief State of one row, kept until a later row is known. */
   struct RowMemory {
     std::uint64_t promised{};
-    WitnessRef promised_to;
+    ProcessRef promised_to;
     Time promised_until{};
     std::uint64_t
         seal_epoch{};  /*!< Latest epoch with a seal or unseal request. */
-    WitnessRef sealer; /*!< Process that sent it. */
+    ProcessRef sealer; /*!< Process that sent it. */
     Time seal_asked{}; /*!< Time of sending, on that process's clock. */
     bool sealed{};
   };
   struct Slot {
     std::uint64_t released{};
     std::uint64_t voted{};
-    WitnessRef voted_for;
+    ProcessRef voted_for;
     std::map<std::uint64_t, RowMemory> rows; /*!< By the row's epoch. */
     KnownRow known;
   };
 
-  [[nodiscard]] bool Promise(Slot &slot, const WitnessAsk &ask);
-  [[nodiscard]] bool Vote(Slot &slot, const WitnessAsk &ask);
-  void Resign(Slot &slot, const WitnessAsk &ask) const;
+  [[nodiscard]] bool Promise(Slot &slot, const WitnessQuery &ask);
+  [[nodiscard]] bool Vote(Slot &slot, const WitnessQuery &ask);
+  void Resign(Slot &slot, const WitnessQuery &ask) const;
   static void Release(Slot &slot, std::uint64_t epoch);
-  static void Seal(RowMemory &memory, const WitnessAsk &ask);
-  void Learn(Slot &slot, const WitnessAsk &ask) const;
+  static void Seal(RowMemory &memory, const WitnessQuery &ask);
+  void Learn(Slot &slot, const WitnessQuery &ask) const;
   [[nodiscard]] static bool SealedBefore(const Slot &slot, std::uint64_t epoch);
 
   std::uint64_t process;
--- a/src/pollenring/lease/witness_messages.h
+++ b/src/pollenring/lease/witness_messages.h
@@ -10,7 +10,7 @@
 namespace pollenring {
 
 /*! @brief What a witness is queried for. */
-enum class WitnessRequest {
+enum class WitnessRequestKind {
   kPromise = 0, /*!< Not to let the slot be taken for a while. */
   kRelease = 1, /*!< Never to promise or vote under the slot's row again. */
   kVote = 2,    /*!< To elect the sender, once all promises have expired. */
@@ -18,11 +18,11 @@
 };
 
 /*! @brief Names of the requests. */
-inline constexpr EnumTable<WitnessRequest, 4> kWitnessRequestNames{{{
-    {WitnessRequest::kPromise, "promise"},
-    {WitnessRequest::kRelease, "release"},
-    {WitnessRequest::kVote, "vote"},
-    {WitnessRequest::kResign, "resign"},
+inline constexpr EnumTable<WitnessRequestKind, 4> kWitnessRequestKindNames{{{
+    {WitnessRequestKind::kPromise, "promise"},
+    {WitnessRequestKind::kRelease, "release"},
+    {WitnessRequestKind::kVote, "vote"},
+    {WitnessRequestKind::kResign, "resign"},
 }}};
 
 /*! @brief A row that its holder knows to be in the table. */
@@ -34,12 +34,12 @@
 };
 
 /*! @brief Query to a witness. */
-struct WitnessAsk {
-  WitnessRequest request{WitnessRequest::kPromise};
+struct WitnessQuery {
+  WitnessRequestKind request{WitnessRequestKind::kPromise};
   SlotId slot{};
   std::uint64_t epoch{};
   std::uint64_t process{}; /*!< Process that the row names as witness. */
-  WitnessRef asker;
+  ProcessRef asker;
   std::int64_t asked_us{}; /*!< On the sender's clock. */
   bool sealing{};          /*!< Not to vote under this row until unsealed. */
   RowInForce in_force;
@@ -48,8 +48,8 @@
 };
 
 /*! @brief Reply of a witness. */
-struct WitnessAnswer {
-  WitnessRequest request{WitnessRequest::kPromise};
+struct WitnessReply {
+  WitnessRequestKind request{WitnessRequestKind::kPromise};
   SlotId slot{};
   std::uint64_t epoch{};
   std::uint64_t process{};
@@ -61,7 +61,7 @@
   std::uint64_t voted{};    /*!< Latest epoch that it voted for. */
   std::int64_t remaining_us{}; /*!< Maximum remaining time of its promises. */
   std::uint64_t promised{};    /*!< Latest epoch promised under the row. */
-  WitnessRef promised_to;
+  ProcessRef promised_to;
   std::uint64_t knows{}; /*!< Epoch of the row that it knows to be active. */
   MSGPACK_DEFINE(request, slot, epoch, process, asked_us, granted, remembers,
                  sealed, released, voted, remaining_us, promised, promised_to,
@@ -70,6 +70,6 @@
 
 }  // namespace pollenring
 
-MSGPACK_ADD_ENUM(pollenring::WitnessRequest)
+MSGPACK_ADD_ENUM(pollenring::WitnessRequestKind)
 
 #endif  // POLLENRING_LEASE_WITNESS_MESSAGES_H_
--- a/src/pollenring/membership/membership.h
+++ b/src/pollenring/membership/membership.h
@@ -41,7 +41,7 @@
   std::uint64_t config_version{};
   std::int64_t store_age_ms{-1}; /*!< Of the store's newest word; -1: none. */
   std::uint64_t digest{};        /*!< Of all records that the sender holds. */
-  ZonesWord zones;               /*!< The newest that the sender has heard. */
+  ZoneWithdrawals zones;         /*!< The newest that the sender has heard. */
   std::vector<Member> updates;
   std::uint8_t wire{}; /*!< Newest form that the sender speaks, or 0. */
   bool again{}; /*!< Does not travel; a probe that had no answer so far. */
@@ -95,19 +95,19 @@
 };
 
 /*! @brief Parts into which records are sorted to find those that differ. */
-inline constexpr std::size_t kDigestParts = 64;
+inline constexpr std::size_t kDigestPartitions = 64;
 
 /*! @brief Digest of the records of each part. */
-using PartDigests = std::array<std::uint64_t, kDigestParts>;
+using PartitionDigests = std::array<std::uint64_t, kDigestPartitions>;
 
 /*! @brief Records of the parts that differ, and digests of all parts. */
-struct RecordsOfParts {
-  PartDigests digests{};
+struct DigestReply {
+  PartitionDigests digests{};
   std::vector<Member> records;
 };
 
 template <>
-struct NumberedLayout<RecordsOfParts> {
+struct NumberedLayout<DigestReply> {
   static constexpr bool kGrows = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
@@ -116,7 +116,7 @@
 };
 
 template <>
-struct ArrayLayout<RecordsOfParts, WireVersion::kV1> {
+struct ArrayLayout<DigestReply, WireVersion::kV1> {
   static constexpr bool kFrozen = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
@@ -125,12 +125,12 @@
 };
 
 /*! @brief Asks for the records of the parts that differ. */
-struct DigestsAsk {
-  PartDigests digests{};
+struct DigestRequest {
+  PartitionDigests digests{};
 };
 
 template <>
-struct NumberedLayout<DigestsAsk> {
+struct NumberedLayout<DigestRequest> {
   static constexpr bool kGrows = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
@@ -139,12 +139,12 @@
 };
 
 /*! @brief What membership asks of its surroundings. */
-class MembershipObserver {
+class MembershipDelegate {
  public:
-  MembershipObserver() = default;
-  MembershipObserver(const MembershipObserver &) = delete;
-  MembershipObserver &operator=(const MembershipObserver &) = delete;
-  virtual ~MembershipObserver() = default;
+  MembershipDelegate() = default;
+  MembershipDelegate(const MembershipDelegate &) = delete;
+  MembershipDelegate &operator=(const MembershipDelegate &) = delete;
+  virtual ~MembershipDelegate() = default;
 
   /*! @brief Sends a datagram. @param to Receiver. @param gossip Content. */
   virtual void SendGossip(NodeId to, const Gossip &gossip) = 0;
@@ -160,26 +160,27 @@
    */
   virtual void PeerConfigVersion(NodeId peer, std::uint64_t version) = 0;
 
-  /*! @brief A peer has told which zones are withdrawn. @param word Its word. */
-  virtual void PeerZones(const ZonesWord &word) = 0;
+  /*! @brief A peer has told which zones are withdrawn. @param withdrawals Its
+   * word. */
+  virtual void PeerZoneWithdrawals(const ZoneWithdrawals &withdrawals) = 0;
 };
 
 /*! @brief Timing of failure detection. */
 struct MembershipOptions {
-  Span probe_period{std::chrono::milliseconds{300}};
-  Span probe_timeout{std::chrono::milliseconds{200}};
+  Duration probe_period{std::chrono::milliseconds{300}};
+  Duration probe_timeout{std::chrono::milliseconds{200}};
   int probe_tries{3};
-  Span suspicion_timeout{std::chrono::milliseconds{1500}};
-  Span tombstone_age{std::chrono::minutes{10}};
+  Duration suspicion_timeout{std::chrono::milliseconds{1500}};
+  Duration tombstone_age{std::chrono::minutes{10}};
   /*! @brief Time for which a silent member may be behind a cut; cuts last for
    * seconds, and one that has ended for good never comes back. */
-  Span silent_age{std::chrono::minutes{1}};
-  Span quiet_before_exchange{std::chrono::seconds{2}};
+  Duration silent_age{std::chrono::minutes{1}};
+  Duration quiet_before_exchange{std::chrono::seconds{2}};
   /*! @brief Time after its start in which a node fetches what differs without
    * waiting for quiet; hundreds that start together never are quiet. */
-  Span young_for{std::chrono::seconds{6}};
+  Duration young_for{std::chrono::seconds{6}};
   /*! @brief Pause between two such exchanges; one takes some milliseconds. */
-  Span young_pause{std::chrono::milliseconds{400}};
+  Duration young_pause{std::chrono::milliseconds{400}};
   std::size_t updates_per_gossip{8};
   std::size_t spread_factor{3}; /*!< Sends per update, times log2 of members. */
 };
@@ -202,7 +203,7 @@
    * @param observer Receives datagrams and changes.
    */
   Membership(Member self, const MembershipOptions &options, const Clock &clock,
-             Random &random, MembershipObserver &observer);
+             Random &random, MembershipDelegate &observer);
 
   [[nodiscard]] const Member &Self() const noexcept { return this->self; }
 
@@ -227,10 +228,10 @@
    * @param theirs Its digests.
    * @return Records of the parts whose digests differ, and own digests.
    */
-  [[nodiscard]] RecordsOfParts Differing(const PartDigests &theirs) const;
+  [[nodiscard]] DigestReply Differing(const PartitionDigests &theirs) const;
 
   /*! @brief Digests to compare with a peer's. @return Them. */
-  [[nodiscard]] const PartDigests &Digests() const noexcept {
+  [[nodiscard]] const PartitionDigests &Digests() const noexcept {
     return this->digests;
   }
 
@@ -247,7 +248,7 @@
   }
 
   /*! @brief Time since any other node was heard. @return The age. */
-  [[nodiscard]] Span Silence() const noexcept {
+  [[nodiscard]] Duration Silence() const noexcept {
     return this->clock.Now() - this->last_heard;
   }
 
@@ -257,10 +258,14 @@
    * What the store held then has been told together with it.
    * @return The time; 0 when nothing was ever heard.
    */
-  [[nodiscard]] Time StoreHeard() const noexcept { return this->store_heard; }
+  [[nodiscard]] Time LastStoreContact() const noexcept {
+    return this->last_store_contact;
+  }
 
   /*! @brief The store has answered this node. */
-  void HearStore() noexcept { this->store_heard = this->clock.Now(); }
+  void RecordStoreContact() noexcept {
+    this->last_store_contact = this->clock.Now();
+  }
 
   /*! @brief Advances probes and suspicions; call it often. */
   void Tick();
@@ -306,9 +311,11 @@
 
   /**
    * @brief Sets the word of withdrawn zones that datagrams carry.
-   * @param word The newest word here.
+   * @param withdrawals The newest word here.
    */
-  void SetZones(const ZonesWord &word) { this->zones = word; }
+  void SetZones(const ZoneWithdrawals &withdrawals) {
+    this->zones = withdrawals;
+  }
 
  private:
   struct Probe {
@@ -342,7 +349,7 @@
   MembershipOptions options;
   const Clock &clock;
   Random &random;
-  MembershipObserver &observer;
+  MembershipDelegate &observer;
   std::unordered_map<NodeId, Member> members;
   std::vector<NodeId> order;
   std::size_t next_in_order{};
@@ -360,11 +367,12 @@
   Time last_change{};
   Time last_exchange{};
   std::uint64_t changes{};
-  PartDigests digests{}; /*!< Exclusive or over the records of each part. */
+  PartitionDigests
+      digests{}; /*!< Exclusive or over the records of each part. */
   std::uint64_t sequence{};
   std::uint64_t config_version{};
-  ZonesWord zones;
-  Time store_heard{};
+  ZoneWithdrawals zones;
+  Time last_store_contact{};
 };
 
 }  // namespace pollenring
--- a/src/pollenring/membership/store_duty.h
+++ b/src/pollenring/membership/store_watcher_role.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_MEMBERSHIP_STORE_DUTY_H_
-#define POLLENRING_MEMBERSHIP_STORE_DUTY_H_
+#ifndef POLLENRING_MEMBERSHIP_STORE_WATCHER_ROLE_H_
+#define POLLENRING_MEMBERSHIP_STORE_WATCHER_ROLE_H_
 
 #include <cstddef>
 
@@ -11,19 +11,19 @@
 namespace pollenring {
 
 /*! @brief Who asks the store on behalf of all nodes. */
-struct StoreDutyOptions {
+struct StoreWatcherOptions {
   std::size_t per_zone{2}; /*!< So that one lost node leaves another. */
   std::size_t fewest{6};   /*!< In all zones; a third may be cut off at once. */
   /*! @brief Age of the newest word from the store at which others step in;
    * with nodes on duty at work it reaches 300 nodes sooner. */
-  Span stale_after{std::chrono::milliseconds{2500}};
+  Duration stale_after{std::chrono::milliseconds{2500}};
   /*! @brief Time between two nodes of a zone that step in. */
-  Span step_in{std::chrono::milliseconds{40}};
+  Duration step_in{std::chrono::milliseconds{40}};
   /*! @brief Longest wait of one watch. A change must be in force within 2 s on
    * a node that was undisturbed for 3 s; a connection may fall silent
    * unnoticed.
    */
-  Span longest_watch{std::chrono::milliseconds{2200}};
+  Duration longest_watch{std::chrono::milliseconds{2200}};
 };
 
 /**
@@ -34,7 +34,7 @@
  * newest word from the store travels with gossip; where it grows old, further
  * nodes step in, one after the other.
  */
-class StoreDuty {
+class StoreWatcherRole {
  public:
   /**
    * @brief Creates the decision.
@@ -43,18 +43,20 @@
    * @param options Limits.
    * @param clock Clock.
    */
-  StoreDuty(const Membership &membership, const PeerVersions &versions,
-            const StoreDutyOptions &options, const Clock &clock)
+  StoreWatcherRole(const Membership &membership, const PeerVersions &versions,
+                   const StoreWatcherOptions &options, const Clock &clock)
       : membership{membership},
         versions{versions},
         options{options},
         clock{clock} {}
 
   /*! @brief Whether this node is one of those of its zone. @return So. */
-  [[nodiscard]] bool OnDuty() const { return this->Rank() < this->Needed(); }
+  [[nodiscard]] bool IsDesignated() const {
+    return this->Rank() < this->Needed();
+  }
 
   /*! @brief Whether this node is to ask the store now. @return So. */
-  [[nodiscard]] bool Asks() const;
+  [[nodiscard]] bool ShouldWatch() const;
 
   /**
    * @brief Draws how long the store may hold the next watch.
@@ -64,7 +66,7 @@
    * @param random Randomness.
    * @return From half of the longest wait to all of it.
    */
-  [[nodiscard]] Span NextWatch(Random &random) const;
+  [[nodiscard]] Duration NextWatch(Random &random) const;
 
  private:
   /*! @brief Nodes of the own zone that go before this one, and tell all that
@@ -75,10 +77,10 @@
 
   const Membership &membership;
   const PeerVersions &versions;
-  StoreDutyOptions options;
+  StoreWatcherOptions options;
   const Clock &clock;
 };
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_MEMBERSHIP_STORE_DUTY_H_
+#endif  // POLLENRING_MEMBERSHIP_STORE_WATCHER_ROLE_H_
--- a/src/pollenring/mesh/heartbeat_filter.h
+++ b/src/pollenring/mesh/heartbeat_filter.h
@@ -7,7 +7,7 @@
 
 #include "pollenring/core/clock.h"
 #include "pollenring/core/enum_table.h"
-#include "pollenring/mesh/dialects.h"
+#include "pollenring/mesh/codecs.h"
 
 namespace pollenring {
 
@@ -51,14 +51,14 @@
   /**
    * @brief Takes in that a start has left, as an earlier process was told.
    * @param instance The target.
-   * @param born Unix milliseconds of that start; 0 if unsaid.
+   * @param started_at_ms Unix milliseconds of that start; 0 if unsaid.
    * @return Whether a heartbeat of that start was taken before.
    */
-  bool Forbid(const std::string &instance, std::uint64_t born);
+  bool Forbid(const std::string &instance, std::uint64_t started_at_ms);
 
  private:
   struct Start {
-    std::uint64_t born{};
+    std::uint64_t started_at_ms{};
     std::uint64_t sequence{};
     bool departed{};
   };
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -24,7 +24,7 @@
 /*! @brief Longest wait for the next share. While more is asked than the share,
  * all would wait and no more be served; alike for all routes, as those that
  * wait longer would take it from those that need their answers soon. */
-constexpr Span kShareWait = std::chrono::milliseconds{25};
+constexpr Duration kShareWait = std::chrono::milliseconds{25};
 /*! @brief Divides a request's aim: the most of it that may be spent so. */
 constexpr int kShareWaitPart = 4;
 constexpr int kTooManyRequests = 429;
@@ -34,11 +34,11 @@
 constexpr int kFirstFailure = 400;
 /*! @brief Time past its deadline after which a request is answered whatever
  * has become of it; above the waits of nodes for each other. */
-constexpr Span kLateAnswer = 10 * kAnswerSlack;
+constexpr Duration kLateAnswer = 10 * kAnswerSlack;
 /*! @brief Longest wait of a request whose caller and route name none. */
-constexpr Span kDefaultTimeout = std::chrono::seconds{10};
+constexpr Duration kDefaultTimeout = std::chrono::seconds{10};
 
-[[nodiscard]] double LotOf(const std::string &id) noexcept {
+[[nodiscard]] double SubPriorityOf(const std::string &id) noexcept {
   return static_cast<double>(Hash64(id) >> 11U) * kLotScale;
 }
 
@@ -94,10 +94,10 @@
   double priority{};
   bool gone{};
   bool answered{};
-  std::uint64_t call{};   /*!< Of the dispatcher; 0 until it is sent. */
-  Loop::TimerId late{};   /*!< Ends what has got no answer. */
-  Time late_at{};         /*!< When that is due. */
-  WayLevel refused_at;    /*!< What had it refused early. */
+  std::uint64_t call{};     /*!< Of the dispatcher; 0 until it is sent. */
+  Loop::TimerId late{};     /*!< Ends what has got no answer. */
+  Time late_at{};           /*!< When that is due. */
+  CallPathLevel refused_at; /*!< What had it refused early. */
   bool open{};            /*!< Of the local target; other callers show keys. */
   std::uint64_t parent{}; /*!< Request of the local target; 0 for none. */
   std::string parent_id;  /*!< Its identifier, for the log. */
@@ -113,25 +113,26 @@
   entry->responder = std::move(responder);
   entry->started = this->loop.GetClock().Now();
   this->parts.metrics.Count("pollenring_requests_total");
-  CallerRequest caller = this->parts.dialect.Decode(request.headers);
+  CallerRequest caller = this->parts.codec.Decode(request.headers);
   entry->id = caller.id;
   if (this->closed) {
-    this->Refuse(entry, Reason::kLeaving, kComeBack);
+    this->Refuse(entry, Reason::kLeaving, kDefaultRetryAfter);
     return;
   }
   if (this->body_bytes > kBodyBudgetBytes) {
-    this->Refuse(entry, Reason::kOverload, kComeBack);
+    this->Refuse(entry, Reason::kOverload, kDefaultRetryAfter);
     return;
   }
   const Reason refused = this->Admit(request, caller, *entry);
   if (refused != Reason::kNone) {
-    this->Refuse(entry, refused,
-                 refused == Reason::kNotFresh ? kComeBack : Span{0});
+    this->Refuse(
+        entry, refused,
+        refused == Reason::kStaleConfig ? kDefaultRetryAfter : Duration{0});
     return;
   }
   entry->envelope.headers = std::move(caller.headers);
   entry->body = std::move(request.body);
-  entry->responder->OnCancel([this, entry](CallerLoss loss) {
+  entry->responder->OnCancel([this, entry](CallerDisconnect loss) {
     entry->gone = true;
     this->loop.Cancel(entry->late);
     this->RecordLoss(*entry, loss, false);
@@ -142,10 +143,10 @@
 
 Reason Outbound::Admit(const HttpRequest &request, CallerRequest &caller,
                        Entry &entry) {
-  const HostTable &table = this->parts.policy.InForce();
+  const HostTable &table = this->parts.policy.Active();
   entry.version = table.Version();
   // Without a configuration nothing can be said of routes and keys.
-  if (entry.version == 0) return Reason::kNotFresh;
+  if (entry.version == 0) return Reason::kStaleConfig;
   const HostRoute *route = table.Find(request.host, request.path);
   if (route == nullptr) return Reason::kNoRoute;
   entry.route = route->name;
@@ -165,7 +166,8 @@
     envelope.regions = route->regions;
   }
   if (entry.id.empty()) {
-    entry.id = MintRequestId(this->loop.GetClock().Wall(), this->parts.random);
+    entry.id =
+        MintRequestId(this->loop.GetClock().WallNow(), this->parts.random);
   }
   envelope.root_id = entry.id;
   entry.service = this->ChoosePart(*route);
@@ -175,15 +177,16 @@
   envelope.host = request.host;
   envelope.route = route->name;
   envelope.caller = this->service;
-  envelope.aim_us = route->target_latency.count();
-  const Standing standing =
-      table.StandingOf(*route, workspace, LotOf(entry.id));
+  envelope.soft_deadline_us = route->target_latency.count();
+  const RequestPriority standing =
+      table.RequestPriorityOf(*route, workspace, SubPriorityOf(entry.id));
   envelope.importance = standing.importance;
-  envelope.lot = standing.lot;
+  envelope.sub_priority = standing.sub_priority;
   envelope.idempotent = route->idempotent;
   envelope.retries = kAllowance;
   entry.attempts = route->attempts;
-  Span left = route->timeout > Span{0} ? route->timeout : kDefaultTimeout;
+  Duration left =
+      route->timeout > Duration{0} ? route->timeout : kDefaultTimeout;
   if (caller.remaining) left = std::min(left, *caller.remaining);
   entry.deadline = entry.started + left;
   if (route->open) this->Inherit(caller, entry);
@@ -192,7 +195,7 @@
 
 void Outbound::Inherit(const CallerRequest &caller, Entry &entry) {
   CallEnvelope &envelope = entry.envelope;
-  envelope.keyed = false;
+  envelope.authenticated = false;
   // Work was done above a target's call, whoever its parent is.
   envelope.depth = 1;
   envelope.importance = Importance::kHigh;
@@ -207,8 +210,8 @@
   entry.parent_id = parent->envelope.root_id;
   this->parts.serving.BeginSubCall(parent->id);
   envelope.importance = parent->envelope.importance;
-  envelope.lot = parent->envelope.lot;
-  envelope.repeat = parent->envelope.repeat;
+  envelope.sub_priority = parent->envelope.sub_priority;
+  envelope.is_retry = parent->envelope.is_retry;
   envelope.workspace = parent->envelope.workspace;
   envelope.weight = parent->envelope.weight;
   envelope.depth = std::min(parent->envelope.depth + 1, kMaxDepth);
@@ -235,9 +238,10 @@
 
 bool Outbound::ShedsEarly(Entry &entry) const {
   const CallEnvelope &envelope = entry.envelope;
-  entry.priority = PriorityOf(envelope.importance, envelope.lot);
+  entry.priority = PriorityOf(envelope.importance, envelope.sub_priority);
   if (envelope.depth > 0) return false;
-  WayLevel highest = this->parts.levels.HighestOn(entry.workspace, entry.route);
+  CallPathLevel highest =
+      this->parts.levels.HighestOnCallPath(entry.workspace, entry.route);
   if (entry.priority >= highest.level) return false;
   entry.refused_at = std::move(highest);
   return true;
@@ -246,7 +250,7 @@
 void Outbound::Charge(const EntryPtr &entry) {
   if (this->ShedsEarly(*entry)) {
     this->parts.metrics.Count("pollenring_early_refusals_total");
-    this->Refuse(entry, Reason::kOverload, kComeBack);
+    this->Refuse(entry, Reason::kOverload, kDefaultRetryAfter);
     return;
   }
   const std::string &workspace = entry->workspace;
@@ -256,8 +260,8 @@
     this->Send(entry, {});
     return;
   }
-  const Span aim{entry->envelope.aim_us};
-  const Span wait = std::min(kShareWait, aim / kShareWaitPart);
+  const Duration soft_deadline{entry->envelope.soft_deadline_us};
+  const Duration wait = std::min(kShareWait, soft_deadline / kShareWaitPart);
   const RenewCharge charge = [this, entry, wait](ShareGate::Done done) {
     const Time next_share = this->loop.GetClock().Now() + wait;
     this->parts.shares.Charge(
@@ -281,7 +285,7 @@
       {entry->deadline, entry->attempts, this->loop.GetClock().Now(), renew},
       [this, entry](CallReply reply, std::string body) {
         this->parts.levels.Learn(entry->workspace, entry->route, reply.levels);
-        this->parts.levels.LearnMarks(reply.marks);
+        this->parts.levels.LearnCallPathReports(reply.call_path_reports);
         if (entry->open) {
           this->parts.serving.LearnFrom(entry->route, entry->workspace,
                                         reply.levels);
@@ -289,7 +293,7 @@
         this->parts.serving.EndSubCall(entry->parent);
         this->Answer(entry, std::move(reply), std::move(body));
       });
-  entry->responder->OnCancel([this, entry](CallerLoss loss) {
+  entry->responder->OnCancel([this, entry](CallerDisconnect loss) {
     this->loop.Cancel(entry->late);
     this->parts.serving.EndSubCall(entry->parent);
     this->RecordLoss(*entry, loss, true);
@@ -297,11 +301,13 @@
   });
 }
 
-void Outbound::Refuse(const EntryPtr &entry, Reason reason, Span retry_after) {
-  const Span come_back = retry_after > Span{0}
-                             ? SpreadAround(retry_after, this->parts.random)
-                             : Span{0};
-  this->Answer(entry, Refusal(Outcome::kNotRun, reason, come_back), {});
+void Outbound::Refuse(const EntryPtr &entry, Reason reason,
+                      Duration retry_after) {
+  const Duration jittered_retry_after =
+      retry_after > Duration{0} ? WithJitter(retry_after, this->parts.random)
+                                : Duration{0};
+  this->Answer(entry, Refusal(Outcome::kNotRun, reason, jittered_retry_after),
+               {});
 }
 
 void Outbound::AwaitAnswer(const EntryPtr &entry, Time until) {
@@ -336,18 +342,19 @@
   if (entry->answered) return;
   reply.status = HonestStatus(reply);
   HttpResponse response =
-      this->parts.dialect.Encode(reply, std::move(body), entry->id);
+      this->parts.codec.Encode(reply, std::move(body), entry->id);
   this->Record(*entry, reply);
   entry->responder->Send(std::move(response));
   entry->answered = true;
   this->loop.Cancel(entry->late);
 }
 
-void Outbound::RecordLoss(const Entry &entry, CallerLoss loss, bool passed_on) {
-  const std::string cause{kCallerLossNames.Name(loss)};
+void Outbound::RecordLoss(const Entry &entry, CallerDisconnect loss,
+                          bool passed_on) {
+  const std::string cause{kCallerDisconnectNames.Name(loss)};
   this->parts.metrics.Count("pollenring_gone_callers_total", {"cause", cause});
   if (!MayLogRequest(LogLevel::kWarning)) return;
-  const Span took = this->loop.GetClock().Now() - entry.started;
+  const Duration took = this->loop.GetClock().Now() - entry.started;
   LogEvent(
       LogLevel::kWarning, "caller gone",
       {{"id", entry.id},
@@ -361,7 +368,7 @@
 
 void Outbound::Record(const Entry &entry, const CallReply &reply) {
   Metrics &metrics = this->parts.metrics;
-  const Span took = this->loop.GetClock().Now() - entry.started;
+  const Duration took = this->loop.GetClock().Now() - entry.started;
   metrics.Observe("pollenring_request_seconds",
                   std::chrono::duration<double>{took}.count());
   metrics.Count("pollenring_outcomes_total",
--- a/src/pollenring/node/bus.h
+++ b/src/pollenring/node/bus.h
@@ -18,8 +18,8 @@
 /*! @brief Kinds of datagrams between nodes. */
 enum class MessageKind : std::uint8_t {
   kGossip = 1,
-  kWitnessAsk = 2,
-  kWitnessAnswer = 3,
+  kWitnessQuery = 2,
+  kWitnessReply = 3,
   kBorrow = 6,
   kLend = 7,
   kOnceBegin = 8,
@@ -31,8 +31,8 @@
 /*! @brief Names of the kinds, as logs and figures spell them. */
 inline constexpr EnumTable<MessageKind, 9> kMessageKindNames{{{
     {MessageKind::kGossip, "gossip"},
-    {MessageKind::kWitnessAsk, "witness-ask"},
-    {MessageKind::kWitnessAnswer, "witness-answer"},
+    {MessageKind::kWitnessQuery, "witness-ask"},
+    {MessageKind::kWitnessReply, "witness-answer"},
     {MessageKind::kBorrow, "borrow"},
     {MessageKind::kLend, "lend"},
     {MessageKind::kOnceBegin, "once-begin"},
--- a/src/pollenring/node/dispatcher.h
+++ b/src/pollenring/node/dispatcher.h
@@ -14,7 +14,7 @@
 #include "pollenring/metrics/metrics.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/gates.h"
-#include "pollenring/node/serving.h"
+#include "pollenring/node/target_executor.h"
 #include "pollenring/node/wire.h"
 #include "pollenring/retry/allowance.h"
 #include "pollenring/retry/budget.h"
@@ -70,7 +70,7 @@
    * @param metrics Figures.
    */
   Dispatcher(NodeId self, Loop &loop, LinkClient &link, PeerWire &wire,
-             Router &router, Serving &serving, RetryBudget &budget,
+             Router &router, TargetExecutor &serving, RetryBudget &budget,
              const DispatchOptions &options, Random &random, Metrics &metrics);
 
   /**
@@ -101,7 +101,7 @@
     std::string body;
     CallBounds bounds; /*!< Its targets are those that it may still reach. */
     Time root_started{};
-    Time aim{};
+    Time soft_deadline{};
     Time sent{};
     RetryAllowance allowance;
     int slice{};
@@ -141,7 +141,7 @@
   LinkClient &link;
   PeerWire &wire;
   Router &router;
-  Serving &serving;
+  TargetExecutor &serving;
   RetryBudget &budget;
   DispatchOptions options;
   Random &random;
--- a/src/pollenring/node/route_levels.cc
+++ b/src/pollenring/node/downstream_levels.cc
@@ -1,4 +1,4 @@
-#include "pollenring/node/route_levels.h"
+#include "pollenring/node/downstream_levels.h"
 
 #include <algorithm>
 #include <chrono>
@@ -10,7 +10,7 @@
 /*! @brief Time between two looks for what nobody asks for; a way that no answer
  * confirms is forgotten too, so that a route that leads elsewhere by now is
  * tried again though all its roots are refused. */
-constexpr Span kSweepPeriod = std::chrono::seconds{10};
+constexpr Duration kSweepPeriod = std::chrono::seconds{10};
 /*! @brief Requests after which those before count half; a service that begins
  * to shed is then on the way after two of them. */
 constexpr double kRemembered = 20;
@@ -25,34 +25,35 @@
 /*! @brief What the first word counts: enough to act on until others differ. */
 constexpr double kFirstWord = 0.5;
 /*! @brief Time for which a word counts that nobody repeats. */
-constexpr Span kWordLifetime = std::chrono::seconds{3};
+constexpr Duration kWordLifetime = std::chrono::seconds{3};
 
 }  // namespace
 
-const std::string &RouteLevels::ScopeOf(
+const std::string &DownstreamLevels::ScopeOf(
     const std::string &workspace) const noexcept {
   static const std::string all;
   return this->options.per_workspace ? workspace : all;
 }
 
-void RouteLevels::Learn(const std::string &workspace, const std::string &route,
-                        const std::vector<ServiceLevel> &levels) {
+void DownstreamLevels::Learn(const std::string &workspace,
+                             const std::string &route,
+                             const std::vector<AdmissionLevel> &levels) {
   this->Take(workspace, levels);
   this->Served(route);
   this->Meet(route, levels);
 }
 
-void RouteLevels::LearnBelow(const std::string &workspace,
-                             const std::string &route,
-                             const std::vector<ServiceLevel> &levels) {
+void DownstreamLevels::LearnBelow(const std::string &workspace,
+                                  const std::string &route,
+                                  const std::vector<AdmissionLevel> &levels) {
   this->Take(workspace, levels);
   this->Meet(route, levels);
 }
 
-void RouteLevels::Served(const std::string &route) {
+void DownstreamLevels::Served(const std::string &route) {
   const auto found = this->ways.find(route);
   if (found == this->ways.end()) return;
-  Way &way = found->second;
+  CallPath &way = found->second;
   way.used = this->clock.Now();
   way.requests += 1;
   if (way.requests <= kRemembered) return;
@@ -60,18 +61,18 @@
   for (auto &[service, count] : way.met) count /= 2;
 }
 
-void RouteLevels::Meet(const std::string &route,
-                       const std::vector<ServiceLevel> &levels) {
+void DownstreamLevels::Meet(const std::string &route,
+                            const std::vector<AdmissionLevel> &levels) {
   for (const auto &entry : levels) {
-    if (!entry.on_way || entry.level_milli <= 0) continue;
-    Way &way = this->ways[route];
+    if (!entry.on_call_path || entry.level_milli <= 0) continue;
+    CallPath &way = this->ways[route];
     way.used = this->clock.Now();
     way.met[entry.service] += 1;
   }
 }
 
-void RouteLevels::Take(const std::string &workspace,
-                       const std::vector<ServiceLevel> &levels) {
+void DownstreamLevels::Take(const std::string &workspace,
+                            const std::vector<AdmissionLevel> &levels) {
   const Time now = this->clock.Now();
   if (now - this->swept >= kSweepPeriod) this->Forget();
   for (const auto &entry : levels) {
@@ -86,18 +87,18 @@
   }
 }
 
-bool RouteLevels::Stale(const Known &known) const noexcept {
+bool DownstreamLevels::Stale(const Known &known) const noexcept {
   return this->clock.Now() - known.measured > this->options.lifetime;
 }
 
-bool RouteLevels::Sheds(const Service &service) const noexcept {
+bool DownstreamLevels::Sheds(const Service &service) const noexcept {
   return std::any_of(service.begin(), service.end(), [this](const auto &entry) {
     return entry.second.level > 0 && !this->Stale(entry.second);
   });
 }
 
-WayLevel RouteLevels::MeanOf(const Service &service) const noexcept {
-  WayLevel mean;
+CallPathLevel DownstreamLevels::MeanOf(const Service &service) const noexcept {
+  CallPathLevel mean;
   mean.age = this->options.lifetime;
   // A target that hardly gets calls tells little of where most of them end.
   double weights = 0;
@@ -112,12 +113,13 @@
   return mean;
 }
 
-bool RouteLevels::Met(const Way &way, const std::string &service) {
+bool DownstreamLevels::Met(const CallPath &way, const std::string &service) {
   const auto found = way.met.find(service);
   return found != way.met.end() && found->second >= kMeets * way.requests;
 }
 
-bool RouteLevels::Meets(const Way &way, const std::string &service) const {
+bool DownstreamLevels::Meets(const CallPath &way,
+                             const std::string &service) const {
   if (Met(way, service)) return true;
   if (way.requests >= kFewRequests) return false;
   const auto told = way.told.find(service);
@@ -126,28 +128,30 @@
   return recent && told->second.meets >= kMeets;
 }
 
-std::vector<WayMark> RouteLevels::Marks(std::size_t most) const {
-  std::vector<WayMark> marks;
+std::vector<CallPathReport> DownstreamLevels::CallPathReports(
+    std::size_t most) const {
+  std::vector<CallPathReport> call_path_reports;
   const auto scope = this->scopes.find(this->ScopeOf({}));
-  if (scope == this->scopes.end()) return marks;
+  if (scope == this->scopes.end()) return call_path_reports;
   for (const auto &[service, levels] : scope->second) {
     if (!this->Sheds(levels)) continue;
     for (const auto &[route, way] : this->ways) {
       const bool seen = way.requests >= 1 || way.met.count(service) > 0;
       if (!seen) continue;
-      if (marks.size() >= most) return marks;
-      marks.push_back({route, service, Met(way, service)});
+      if (call_path_reports.size() >= most) return call_path_reports;
+      call_path_reports.push_back({route, service, Met(way, service)});
     }
   }
-  return marks;
+  return call_path_reports;
 }
 
-void RouteLevels::LearnMarks(const std::vector<WayMark> &marks) {
+void DownstreamLevels::LearnCallPathReports(
+    const std::vector<CallPathReport> &call_path_reports) {
   const Time now = this->clock.Now();
-  for (const auto &mark : marks) {
+  for (const auto &mark : call_path_reports) {
     const auto known = this->ways.find(mark.route);
     if (known == this->ways.end() && !mark.meets) continue;
-    Way &way = this->ways[mark.route];
+    CallPath &way = this->ways[mark.route];
     if (way.used == Time{}) way.used = now;
     const auto [told, fresh] = way.told.try_emplace(mark.service);
     if (fresh || now - told->second.at > kWordLifetime) {
@@ -160,10 +164,10 @@
   }
 }
 
-std::vector<ServiceLevel> RouteLevels::Shedding(const std::string &workspace,
-                                                const std::string &route,
-                                                std::size_t most) const {
-  std::vector<ServiceLevel> levels;
+std::vector<AdmissionLevel> DownstreamLevels::Shedding(
+    const std::string &workspace, const std::string &route,
+    std::size_t most) const {
+  std::vector<AdmissionLevel> levels;
   const auto scope = this->scopes.find(this->ScopeOf(workspace));
   if (scope == this->scopes.end()) return levels;
   const Time now = this->clock.Now();
@@ -171,33 +175,34 @@
   for (const auto &[name, service] : scope->second) {
     if (!this->Sheds(service)) continue;
     // Only what was seen here; word of others would come back as evidence.
-    const bool on_way = way != this->ways.end() && Met(way->second, name);
+    const bool on_call_path = way != this->ways.end() && Met(way->second, name);
     for (const auto &[node, known] : service) {
       if (this->Stale(known)) continue;
       const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
           now - known.measured);
-      levels.push_back(
-          {name, node, static_cast<std::int32_t>(known.level * kLevelScale),
-           known.per_second, static_cast<std::int32_t>(age.count()), on_way});
+      levels.push_back({name, node,
+                        static_cast<std::int32_t>(known.level * kLevelScale),
+                        known.per_second,
+                        static_cast<std::int32_t>(age.count()), on_call_path});
     }
   }
   if (levels.size() <= most) return levels;
   std::stable_partition(levels.begin(), levels.end(),
-                        [](const auto &entry) { return entry.on_way; });
+                        [](const auto &entry) { return entry.on_call_path; });
   levels.resize(most);
   return levels;
 }
 
-WayLevel RouteLevels::HighestOn(const std::string &workspace,
-                                const std::string &route) const {
-  WayLevel highest;
+CallPathLevel DownstreamLevels::HighestOnCallPath(
+    const std::string &workspace, const std::string &route) const {
+  CallPathLevel highest;
   const auto way = this->ways.find(route);
   if (way == this->ways.end()) return highest;
   const auto scope = this->scopes.find(this->ScopeOf(workspace));
   if (scope == this->scopes.end()) return highest;
   for (const auto &[name, service] : scope->second) {
     if (!this->Meets(way->second, name)) continue;
-    WayLevel mean = this->MeanOf(service);
+    CallPathLevel mean = this->MeanOf(service);
     if (mean.level <= highest.level) continue;
     highest = std::move(mean);
     highest.service = name;
@@ -205,7 +210,7 @@
   return highest;
 }
 
-void RouteLevels::Forget() {
+void DownstreamLevels::Forget() {
   this->swept = this->clock.Now();
   for (auto way = this->ways.begin(); way != this->ways.end();) {
     const bool unused = this->swept - way->second.used > kSweepPeriod;
--- a/src/pollenring/node/fwd.h
+++ b/src/pollenring/node/fwd.h
@@ -3,13 +3,13 @@
 
 namespace pollenring {
 
-class ColdBounds;
+class ColdStartLimits;
 class Dispatcher;
 class Ingress;
 class Node;
 class OperatorPort;
-class RouteLevels;
-class Serving;
+class DownstreamLevels;
+class TargetExecutor;
 class TargetPort;
 struct CallEnvelope;
 struct CallReply;
--- a/src/pollenring/node/headers.h
+++ b/src/pollenring/node/headers.h
@@ -30,7 +30,7 @@
  * @param headers Headers as received.
  * @return Those without internal and hop-by-hop ones.
  */
-[[nodiscard]] std::vector<WireHeader> PassableHeaders(
+[[nodiscard]] std::vector<WireHeader> ForwardableHeaders(
     const HttpHeaders &headers);
 
 /**
@@ -80,7 +80,7 @@
  * @return The reply.
  */
 [[nodiscard]] CallReply Refusal(Outcome outcome, Reason reason,
-                                Span retry_after);
+                                Duration retry_after);
 
 }  // namespace pollenring
 
--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -19,20 +19,20 @@
 constexpr std::size_t kJoinsAtOnce = 2;
 /*! @brief Time over which the nodes of a first start read the row, so that
  * most of them find a few others in it. */
-constexpr Span kFirstReads = std::chrono::milliseconds{400};
+constexpr Duration kFirstReads = std::chrono::milliseconds{400};
 /*! @brief Pause around which a write that came second is tried again. */
-constexpr Span kConflictPause = std::chrono::milliseconds{60};
-constexpr Span kTick = std::chrono::milliseconds{50};
-constexpr Span kBootstrapPeriod = std::chrono::seconds{2};
+constexpr Duration kConflictPause = std::chrono::milliseconds{60};
+constexpr Duration kTick = std::chrono::milliseconds{50};
+constexpr Duration kBootstrapPeriod = std::chrono::seconds{2};
 /*! @brief Pause until one that knows nobody tries again. */
-constexpr Span kJoinPause = std::chrono::milliseconds{500};
+constexpr Duration kJoinPause = std::chrono::milliseconds{500};
 /*! @brief Time between two looks of a node on duty at the bootstrap row. */
-constexpr Span kUpkeepPeriod = std::chrono::seconds{10};
+constexpr Duration kUpkeepPeriod = std::chrono::seconds{10};
 /*! @brief Age until which they look more often: nodes that all start at once
  * may have found each other in groups that don't know of one another. */
-constexpr Span kYoung = std::chrono::seconds{15};
-constexpr Span kAloneAfter = std::chrono::milliseconds{1500};
-constexpr Span kJoinTimeout = std::chrono::seconds{1};
+constexpr Duration kYoung = std::chrono::seconds{15};
+constexpr Duration kAloneAfter = std::chrono::milliseconds{1500};
+constexpr Duration kJoinTimeout = std::chrono::seconds{1};
 
 }  // namespace
 
@@ -47,7 +47,7 @@
       random{random},
       membership{std::move(self), MembershipOptions{}, loop.GetClock(), random,
                  *this},
-      duty{this->membership, bus.Wire().versions, StoreDutyOptions{},
+      duty{this->membership, bus.Wire().versions, StoreWatcherOptions{},
            loop.GetClock()},
       first_start{first_start},
       started{loop.GetClock().Now()} {}
@@ -76,7 +76,7 @@
     return;
   }
   const double part = this->random.Fraction();
-  const Span wait{static_cast<std::int64_t>(
+  const Duration wait{static_cast<std::int64_t>(
       part * static_cast<double>(kFirstReads.count()))};
   this->loop.After(wait, [this] { this->Bootstrap(); });
 }
@@ -102,7 +102,8 @@
     }
     this->JoinThroughSome(std::move(alive));
   }
-  if (alone || (this->joined && this->duty.OnDuty())) this->ReadBootstrapRow();
+  if (alone || (this->joined && this->duty.IsDesignated()))
+    this->ReadBootstrapRow();
   this->loop.After(this->BootstrapPause(), [this] { this->Bootstrap(); });
 }
 
@@ -143,12 +144,12 @@
   }
 }
 
-Span MemberService::BootstrapPause() {
+Duration MemberService::BootstrapPause() {
   if (!this->joined) return kJoinPause;
   if (this->Alone()) return kBootstrapPeriod;
   const Time age = this->loop.GetClock().Now() - this->started;
-  if (age < kYoung) return SpreadAround(kBootstrapPeriod, this->random);
-  return SpreadAround(kUpkeepPeriod, this->random);
+  if (age < kYoung) return WithJitter(kBootstrapPeriod, this->random);
+  return WithJitter(kUpkeepPeriod, this->random);
 }
 
 void MemberService::Register(std::uint64_t version,
@@ -166,22 +167,21 @@
       std::find(listed.begin(), listed.end(), self) != listed.end();
   const bool leaving = this->membership.Self().state != MemberState::kAlive;
   const std::size_t most =
-      this->duty.OnDuty() && this->joined ? kMostListed : kFewListed;
+      this->duty.IsDesignated() && this->joined ? kMostListed : kFewListed;
   const bool joins = !there && !leaving && listed.size() < most;
   if (joins) listed.push_back(self);
   if (!joins && !shrunk) return;
-  this->table.Write(
-      {{kBootstrapRow, version}},
-      {{kBootstrapRow, nlohmann::json(listed).dump()}},
-      [this](Table::Written written) {
-        const auto *result = std::get_if<WriteResult>(&written);
-        const bool conflict =
-            result != nullptr && *result == WriteResult::kConflict;
-        if (!conflict || this->joined) return;
-        // Whoever came first is in the row now.
-        this->loop.After(SpreadAround(kConflictPause, this->random),
-                         [this] { this->ReadBootstrapRow(); });
-      });
+  this->table.Write({{kBootstrapRow, version}},
+                    {{kBootstrapRow, nlohmann::json(listed).dump()}},
+                    [this](Table::Written written) {
+                      const auto *result = std::get_if<WriteResult>(&written);
+                      const bool conflict = result != nullptr &&
+                                            *result == WriteResult::kConflict;
+                      if (!conflict || this->joined) return;
+                      // Whoever came first is in the row now.
+                      this->loop.After(WithJitter(kConflictPause, this->random),
+                                       [this] { this->ReadBootstrapRow(); });
+                    });
 }
 
 void MemberService::JoinThrough(NodeId peer) {
@@ -245,7 +245,7 @@
   this->answers.reset();
   PeerVersions &versions = this->bus.Wire().versions;
   versions.Heard(from, version);
-  versions.Told(from, gossip.wire);
+  versions.Advertised(from, gossip.wire);
 }
 
 void MemberService::SendGossip(NodeId to, const Gossip &gossip) {
@@ -272,9 +272,9 @@
 void MemberService::RecordsDiffer(NodeId peer) {
   const WireVersion version =
       this->bus.Wire().versions.Of(peer).value_or(kCommonWire);
-  const PartDigests &digests = this->membership.Digests();
+  const PartitionDigests &digests = this->membership.Digests();
   const std::string ask =
-      version < WireVersion::kV3 ? Pack(digests) : Pack(DigestsAsk{digests});
+      version < WireVersion::kV3 ? Pack(digests) : Pack(DigestRequest{digests});
   this->link.Call(AddressOf(peer), "members-differ", ask, kJoinTimeout,
                   [this, peer](LinkClient::Reply reply) {
                     const auto *body = std::get_if<std::string>(&reply);
@@ -283,7 +283,7 @@
 }
 
 void MemberService::Exchange(NodeId peer, const std::string &body) {
-  const auto theirs = Decode<RecordsOfParts>(body);
+  const auto theirs = Decode<DigestReply>(body);
   if (!theirs) {
     this->bus.Wire().NoteUnreadable(peer, "members-differ", body.size());
     return;
@@ -297,14 +297,14 @@
 
 std::string MemberService::AnswerDiffering(const Address &from,
                                            const std::string &body) {
-  if (const auto ask = Unpack<DigestsAsk>(body)) {
+  if (const auto ask = Unpack<DigestRequest>(body)) {
     return Pack(this->membership.Differing(ask->digests));
   }
-  if (const auto theirs = Unpack<PartDigests>(body)) {
+  if (const auto theirs = Unpack<PartitionDigests>(body)) {
     return Encode(this->membership.Differing(*theirs), kCommonWire);
   }
   this->bus.Wire().unreadable.Note({from, "members-differ", body.size(), {}});
-  return Encode(RecordsOfParts{}, FormOf(body));
+  return Encode(DigestReply{}, FormOf(body));
 }
 
 WireVersion MemberService::TakeRecords(const Address &from,
@@ -322,8 +322,8 @@
   for (const auto &listener : this->version_listeners) listener(peer, version);
 }
 
-void MemberService::PeerZones(const ZonesWord &word) {
-  for (const auto &listener : this->zones_listeners) listener(word);
+void MemberService::PeerZoneWithdrawals(const ZoneWithdrawals &withdrawals) {
+  for (const auto &listener : this->zones_listeners) listener(withdrawals);
 }
 
 }  // namespace pollenring
--- a/src/pollenring/node/slot_service.cc
+++ b/src/pollenring/node/slot_service.cc
@@ -12,12 +12,12 @@
 namespace pollenring {
 namespace {
 
-constexpr Span kTick = std::chrono::milliseconds{20};
+constexpr Duration kTick = std::chrono::milliseconds{20};
 /*! @brief Time for a joining node to hear of the others before it claims. */
-constexpr Span kClaimDelay = std::chrono::milliseconds{500};
-constexpr Span kRebalancePeriod = std::chrono::milliseconds{250};
+constexpr Duration kClaimDelay = std::chrono::milliseconds{500};
+constexpr Duration kRebalancePeriod = std::chrono::milliseconds{250};
 /*! @brief Time without changes in membership before slots are moved. */
-constexpr Span kSettle = std::chrono::seconds{2};
+constexpr Duration kSettle = std::chrono::seconds{2};
 constexpr std::size_t kMovesPerRebalance = 4;
 /*! @brief Turns by which others wait for the witnesses of a lost holder. */
 constexpr std::size_t kTurnsForWitnesses = 4;
@@ -58,17 +58,17 @@
 }
 
 void SlotService::Listen() {
-  this->bus.On<WitnessAsk>(
-      MessageKind::kWitnessAsk, [this](NodeId from, const WitnessAsk &ask) {
+  this->bus.On<WitnessQuery>(
+      MessageKind::kWitnessQuery, [this](NodeId from, const WitnessQuery &ask) {
         if (ask.slot >= this->count || ask.asker.node != from) return;
         // What came while this process stood still may be of long ago.
         if (this->loop.WokeFromPause()) return;
-        this->bus.Send(from, MessageKind::kWitnessAnswer,
+        this->bus.Send(from, MessageKind::kWitnessReply,
                        this->witness.Answer(ask));
       });
-  this->bus.On<WitnessAnswer>(
-      MessageKind::kWitnessAnswer,
-      [this](NodeId from, const WitnessAnswer &answer) {
+  this->bus.On<WitnessReply>(
+      MessageKind::kWitnessReply,
+      [this](NodeId from, const WitnessReply &answer) {
         this->keeper.Answered({from, answer.process}, answer);
       });
 }
@@ -134,8 +134,8 @@
   return had_holder ? rank + kTurnsForWitnesses : rank;
 }
 
-std::vector<WitnessRef> SlotService::WitnessesFor(
-    const WitnessRef &holder) const {
+std::vector<ProcessRef> SlotService::WitnessesFor(
+    const ProcessRef &holder) const {
   const Membership &membership = this->members.Get();
   WitnessCandidate home{holder, {}, {}, 0};
   if (const Member *member = membership.Find(holder.node)) {
@@ -156,7 +156,7 @@
   return ChooseWitnesses(home, std::move(others));
 }
 
-bool SlotService::Lives(const WitnessRef &ref) const {
+bool SlotService::Lives(const ProcessRef &ref) const {
   const Member *member = this->members.Get().Find(ref.node);
   return member != nullptr && member->process == ref.process &&
          member->state != MemberState::kDead &&
@@ -193,9 +193,9 @@
       });
 }
 
-void SlotService::Ask(const WitnessRef &ref, const WitnessAsk &ask) {
+void SlotService::Ask(const ProcessRef &ref, const WitnessQuery &ask) {
   if (ref.node != this->self.node) {
-    this->bus.Send(ref.node, MessageKind::kWitnessAsk, ask);
+    this->bus.Send(ref.node, MessageKind::kWitnessQuery, ask);
     return;
   }
   this->loop.Post([this, ref, answer = this->witness.Answer(ask)] {
@@ -211,7 +211,7 @@
            {{"slot", slot},
             {"epoch", row.epoch},
             {"handed_over", origin == SlotOrigin::kHandedOver}});
-  for (SlotUser *user : this->users) {
+  for (SlotListener *user : this->users) {
     user->SlotGained(slot, row, origin, before);
   }
 }
@@ -219,24 +219,24 @@
 void SlotService::Rewitnessed(SlotId slot, const SlotRow &row) {
   this->claims_changed = true;
   this->holders[slot] = {row.epoch, this->self.node};
-  for (SlotUser *user : this->users) user->SlotRewitnessed(slot, row);
+  for (SlotListener *user : this->users) user->SlotRewitnessed(slot, row);
 }
 
 void SlotService::Lost(SlotId slot) {
   this->claims_changed = true;
   LogEvent(LogLevel::kWarning, "slot lost", {{"slot", slot}});
-  for (SlotUser *user : this->users) user->SlotLost(slot);
+  for (SlotListener *user : this->users) user->SlotLost(slot);
 }
 
 void SlotService::HandedOver(SlotId slot, const SlotRow &row,
-                             const WitnessRef &successor) {
+                             const ProcessRef &successor) {
   this->claims_changed = true;
   const bool named = row.holder == successor;
   this->holders[slot] = {row.epoch, named ? successor.node : 0};
-  for (SlotUser *user : this->users) {
+  for (SlotListener *user : this->users) {
     user->SlotHandedOver(slot, row, successor);
   }
-  for (SlotUser *user : this->users) user->SlotLost(slot);
+  for (SlotListener *user : this->users) user->SlotLost(slot);
 }
 
 void SlotService::AnnounceClaims() {
@@ -257,7 +257,7 @@
                     static_cast<std::ptrdiff_t>(third % zones.size()));
 }
 
-std::optional<WitnessRef> SlotService::SuccessorFor(SlotId slot) const {
+std::optional<ProcessRef> SlotService::SuccessorFor(SlotId slot) const {
   const Membership &membership = this->members.Get();
   const std::string zone = this->PreferredZone(slot);
   const Member *best = nullptr;
@@ -271,26 +271,26 @@
   consider(membership.Self());
   for (const auto &[id, member] : membership.Members()) consider(member);
   if (best == nullptr) return std::nullopt;
-  return WitnessRef{best->id, best->process};
+  return ProcessRef{best->id, best->process};
 }
 
-void SlotService::GiveAway() {
+void SlotService::HandOverAll() {
   this->keeper.StopClaiming();
   for (const auto &claim : this->keeper.Claims()) {
-    this->GiveAwayOne(claim.slot);
+    this->HandOverOne(claim.slot);
   }
 }
 
-void SlotService::GiveAwayOne(SlotId slot) {
+void SlotService::HandOverOne(SlotId slot) {
   const SlotRow *row = this->keeper.Held(slot);
   if (row == nullptr) return;
-  const std::vector<WitnessRef> witnesses = row->witnesses;
+  const std::vector<ProcessRef> witnesses = row->witnesses;
   for (const auto &ref : witnesses) {
     if (ref == this->self || !this->Lives(ref)) continue;
     if (this->keeper.Resign(slot, ref)) return;
   }
   const auto successor = this->SuccessorFor(slot);
-  if (successor) this->keeper.GiveTo(slot, *successor);
+  if (successor) this->keeper.HandOverTo(slot, *successor);
 }
 
 void SlotService::Rebalance() {
@@ -299,12 +299,12 @@
   const bool alive = this->members.Get().Self().state == MemberState::kAlive;
   if (!settled || !alive) return;
   // With a slow table, only one batch of slots may be without a holder.
-  if (this->keeper.Giving()) return;
+  if (this->keeper.HandingOver()) return;
   std::size_t moved = 0;
   for (const auto &claim : this->keeper.Claims()) {
     const auto better = this->SuccessorFor(claim.slot);
     if (!better || *better == this->self) continue;
-    this->keeper.GiveTo(claim.slot, *better);
+    this->keeper.HandOverTo(claim.slot, *better);
     if (++moved == kMovesPerRebalance) return;
   }
 }
--- a/src/pollenring/node/target_dialect.h
+++ b/src/pollenring/node/target_codec.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_NODE_TARGET_DIALECT_H_
-#define POLLENRING_NODE_TARGET_DIALECT_H_
+#ifndef POLLENRING_NODE_TARGET_CODEC_H_
+#define POLLENRING_NODE_TARGET_CODEC_H_
 
 #include <string>
 
@@ -15,14 +15,15 @@
   const CallEnvelope &envelope;
   const std::string &context;  /*!< Names the call in the target's own calls. */
   const std::string &instance; /*!< The target's start; empty if unknown. */
-  Span left{};                 /*!< Time until the call's deadline. */
+  Duration left{};             /*!< Time until the call's deadline. */
 };
 
 /*! @brief What an answer says by its status and headers. */
-struct AnswerSigns {
-  bool elsewhere{};   /*!< It comes from another start than was meant. */
-  bool not_run{};     /*!< The target says that it has not run the call. */
-  bool promises{};    /*!< Passed on, it would say that to the caller. */
+struct ResponseSignals {
+  bool wrong_instance{}; /*!< It comes from another start than was meant. */
+  bool not_run{};        /*!< The target says that it has not run the call. */
+  bool implies_not_executed{}; /*!< Passed on, it would say that to the caller.
+                                */
   bool genuine{true}; /*!< It is the target's own, whole, for this call. */
   bool unnamed{};     /*!< It does not name this call, as targets do. */
   bool busy{};        /*!< The target has too much to do. */
@@ -41,16 +42,16 @@
  * @param status Its status.
  * @return Whether the call has run, and whether the answer is passed on.
  */
-[[nodiscard]] TargetVerdict JudgeAnswer(const AnswerSigns &signs,
-                                        int status) noexcept;
+[[nodiscard]] TargetVerdict ClassifyResponse(const ResponseSignals &signs,
+                                             int status) noexcept;
 
 /*! @brief How calls and answers are written between a node and its target. */
-class TargetDialect {
+class TargetCodec {
  public:
-  TargetDialect() = default;
-  TargetDialect(const TargetDialect &) = delete;
-  TargetDialect &operator=(const TargetDialect &) = delete;
-  virtual ~TargetDialect() = default;
+  TargetCodec() = default;
+  TargetCodec(const TargetCodec &) = delete;
+  TargetCodec &operator=(const TargetCodec &) = delete;
+  virtual ~TargetCodec() = default;
 
   /**
    * @brief Adds the headers that tell a target of a call.
@@ -65,7 +66,7 @@
    * @param envelope The call.
    * @return The header, empty when answers name none.
    */
-  [[nodiscard]] virtual AnswerMark MarkOf(
+  [[nodiscard]] virtual CorrelationHeader CorrelationHeaderOf(
       const CallEnvelope &envelope) const = 0;
 
   /**
@@ -74,29 +75,30 @@
    * @param answer The whole answer.
    * @return What it says.
    */
-  [[nodiscard]] virtual AnswerSigns Read(const CallEnvelope &envelope,
-                                         const HttpResponse &answer) const = 0;
+  [[nodiscard]] virtual ResponseSignals Read(
+      const CallEnvelope &envelope, const HttpResponse &answer) const = 0;
 
   /**
    * @brief Chooses the headers of an answer that its caller may see.
    * @param headers Headers of the answer.
    * @return Those to pass on.
    */
-  [[nodiscard]] virtual std::vector<WireHeader> PassAnswerHeaders(
+  [[nodiscard]] virtual std::vector<WireHeader> ForwardableResponseHeaders(
       const HttpHeaders &headers) const = 0;
 };
 
 /*! @brief The project's own headers, as docs/CONTRACTS.md lists them. */
-class ContextDialect final : public TargetDialect {
+class ContextCodec final : public TargetCodec {
  public:
   void AddHeaders(const TargetCall &call, HttpRequest &request) const override;
-  [[nodiscard]] AnswerMark MarkOf(const CallEnvelope &envelope) const override;
-  [[nodiscard]] AnswerSigns Read(const CallEnvelope &envelope,
-                                 const HttpResponse &answer) const override;
-  [[nodiscard]] std::vector<WireHeader> PassAnswerHeaders(
+  [[nodiscard]] CorrelationHeader CorrelationHeaderOf(
+      const CallEnvelope &envelope) const override;
+  [[nodiscard]] ResponseSignals Read(const CallEnvelope &envelope,
+                                     const HttpResponse &answer) const override;
+  [[nodiscard]] std::vector<WireHeader> ForwardableResponseHeaders(
       const HttpHeaders &headers) const override;
 };
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_NODE_TARGET_DIALECT_H_
+#endif  // POLLENRING_NODE_TARGET_CODEC_H_
--- a/src/pollenring/node/serving.cc
+++ b/src/pollenring/node/target_executor.cc
@@ -1,4 +1,4 @@
-#include "pollenring/node/serving.h"
+#include "pollenring/node/target_executor.h"
 
 #include <algorithm>
 #include <cmath>
@@ -14,7 +14,7 @@
 namespace {
 
 /*! @brief Time around which callers come back after a target is warm. */
-constexpr Span kWarmSpread = std::chrono::milliseconds{100};
+constexpr Duration kWarmSpread = std::chrono::milliseconds{100};
 constexpr std::size_t kContextBytes = 16;
 /*! @brief Levels of other targets that an answer passes on; some 25 bytes each,
  * and none while nothing sheds. */
@@ -37,13 +37,15 @@
   this->time_in_sub_calls += now - this->sub_calls_since;
 }
 
-Serving::Serving(Loop &loop, HttpClient &client, const TargetDialect &dialect,
-                 const AdmissionOptions &options, const ColdBounds &cold_bounds,
-                 RouteLevels &levels, Random &random, Metrics &metrics,
-                 TargetsChanged changed)
+TargetExecutor::TargetExecutor(Loop &loop, HttpClient &client,
+                               const TargetCodec &codec,
+                               const AdmissionOptions &options,
+                               const ColdStartLimits &cold_bounds,
+                               DownstreamLevels &levels, Random &random,
+                               Metrics &metrics, TargetsChanged changed)
     : loop{loop},
       client{client},
-      dialect{dialect},
+      codec{codec},
       options{options},
       cold_bounds{cold_bounds},
       levels{levels},
@@ -52,14 +54,14 @@
       changed{std::move(changed)},
       parents{random, loop.GetClock().Now()} {}
 
-std::uint64_t Serving::Serve(CallEnvelope envelope, std::string body,
-                             Done done) {
+std::uint64_t TargetExecutor::Serve(CallEnvelope envelope, std::string body,
+                                    Done done) {
   const std::uint64_t id = ++this->last_id;
   const Time now = this->loop.GetClock().Now();
   Call &call = this->calls[id];
   call.served.id = id;
-  call.served.deadline = now + Span{envelope.remaining_us};
-  call.served.root_started = now - Span{envelope.root_age_us};
+  call.served.deadline = now + Duration{envelope.remaining_us};
+  call.served.root_started = now - Duration{envelope.root_age_us};
   call.served.allowance = RetryAllowance{envelope.retries};
   call.served.envelope = std::move(envelope);
   call.body = std::move(body);
@@ -70,21 +72,21 @@
     this->Refuse(id, Outcome::kNotRun, Reason::kNoTarget);
     return id;
   }
-  Ticket ticket;
+  AdmissionRequest ticket;
   ticket.id = id;
   ticket.importance = kept.importance;
-  ticket.lot = kept.lot;
+  ticket.sub_priority = kept.sub_priority;
   ticket.weight = kept.weight;
   ticket.depth = kept.depth;
   ticket.root_started = call.served.root_started;
   ticket.workspace = kept.workspace;
   ticket.deadline = call.served.deadline;
-  ticket.aim = now + Span{kept.aim_us};
+  ticket.soft_deadline = now + Duration{kept.soft_deadline_us};
   this->Offer(found->second, ticket);
   return id;
 }
 
-void Serving::Perform(const AdmissionActions &actions) {
+void TargetExecutor::Perform(const AdmissionActions &actions) {
   for (const auto &shed : actions.shed) {
     this->metrics.Count(
         "pollenring_shed_total",
@@ -103,7 +105,7 @@
   }
 }
 
-void Serving::Start(std::uint64_t id) {
+void TargetExecutor::Start(std::uint64_t id) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) return;
   Call &call = found->second;
@@ -111,7 +113,7 @@
   call.served.context = RandomHex(kContextBytes);
   this->contexts.emplace(call.served.context, id);
   const Time now = this->loop.GetClock().Now();
-  const Span left = call.served.deadline - now;
+  const Duration left = call.served.deadline - now;
   // Targets are told whole milliseconds.
   const auto told = std::chrono::floor<std::chrono::milliseconds>(left);
   this->parents.Add(id, call.served.envelope.route, now + told, now);
@@ -125,10 +127,11 @@
         });
         if (!handled) this->GiveUp(id);
       },
-      this->dialect.MarkOf(call.served.envelope));
+      this->codec.CorrelationHeaderOf(call.served.envelope));
 }
 
-HttpRequest Serving::ToRequest(Call &call, const std::string &instance) const {
+HttpRequest TargetExecutor::ToRequest(Call &call,
+                                      const std::string &instance) const {
   const CallEnvelope &envelope = call.served.envelope;
   HttpRequest request;
   request.method = envelope.method;
@@ -137,14 +140,14 @@
   for (const auto &header : envelope.headers) {
     request.headers.push_back({header.name, header.value});
   }
-  const Span left = call.served.deadline - this->loop.GetClock().Now();
-  this->dialect.AddHeaders({envelope, call.served.context, instance, left},
-                           request);
+  const Duration left = call.served.deadline - this->loop.GetClock().Now();
+  this->codec.AddHeaders({envelope, call.served.context, instance, left},
+                         request);
   request.body = std::move(call.body);
   return request;
 }
 
-void Serving::Answered(std::uint64_t id, HttpClient::Reply reply) {
+void TargetExecutor::Answered(std::uint64_t id, HttpClient::Reply reply) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) return;
   const std::string service = found->second.served.envelope.service;
@@ -166,9 +169,9 @@
     return;
   }
   auto &response = std::get<HttpResponse>(reply);
-  const TargetVerdict verdict =
-      JudgeAnswer(this->dialect.Read(found->second.served.envelope, response),
-                  response.status);
+  const TargetVerdict verdict = ClassifyResponse(
+      this->codec.Read(found->second.served.envelope, response),
+      response.status);
   if (verdict.outcome == Outcome::kNotRun &&
       verdict.reason == Reason::kNoTarget) {
     admission.TurnedAway(id);
@@ -177,7 +180,7 @@
   answer.outcome = verdict.outcome;
   answer.status = response.status;
   // First what may fail: an error after it leaves out those that start next.
-  answer.headers = this->dialect.PassAnswerHeaders(response.headers);
+  answer.headers = this->codec.ForwardableResponseHeaders(response.headers);
   const AdmissionActions next = admission.Finish(
       id, found->second.served.time_in_sub_calls, verdict.shed);
   if (verdict.reason != Reason::kNone) {
@@ -189,7 +192,7 @@
   this->Perform(next);
 }
 
-void Serving::GiveUp(std::uint64_t id) {
+void TargetExecutor::GiveUp(std::uint64_t id) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) return;
   const auto binding =
@@ -203,28 +206,30 @@
   this->CancelSubCalls(cancels);
 }
 
-void Serving::Refuse(std::uint64_t id, Outcome outcome, Reason reason) {
-  this->Refuse(id, outcome, reason, SpreadAround(kComeBack, this->random));
+void TargetExecutor::Refuse(std::uint64_t id, Outcome outcome, Reason reason) {
+  this->Refuse(id, outcome, reason,
+               WithJitter(kDefaultRetryAfter, this->random));
 }
 
-void Serving::Refuse(std::uint64_t id, Outcome outcome, Reason reason,
-                     Span come_back) {
-  this->Finish(id, Refusal(outcome, reason, come_back), {});
+void TargetExecutor::Refuse(std::uint64_t id, Outcome outcome, Reason reason,
+                            Duration jittered_retry_after) {
+  this->Finish(id, Refusal(outcome, reason, jittered_retry_after), {});
 }
 
-void Serving::RefuseUntilWarm(std::uint64_t id) {
+void TargetExecutor::RefuseUntilWarm(std::uint64_t id) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) return;
   const auto binding =
       this->bindings.find(found->second.served.envelope.service);
-  const Span cold_for = binding == this->bindings.end()
-                            ? Span{0}
-                            : binding->second.admission->ColdFor();
-  const Span spread = SpreadAround(kWarmSpread, this->random);
+  const Duration cold_for = binding == this->bindings.end()
+                                ? Duration{0}
+                                : binding->second.admission->ColdFor();
+  const Duration spread = WithJitter(kWarmSpread, this->random);
   this->Refuse(id, Outcome::kNotRun, Reason::kWarmingUp, cold_for + spread);
 }
 
-void Serving::Finish(std::uint64_t id, CallReply reply, std::string body) {
+void TargetExecutor::Finish(std::uint64_t id, CallReply reply,
+                            std::string body) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) return;
   ServedCall &served = found->second.served;
@@ -241,11 +246,12 @@
   });
 }
 
-void Serving::AttachLoad(const ServedCall &served, CallReply &reply) const {
+void TargetExecutor::AttachLoad(const ServedCall &served,
+                                CallReply &reply) const {
   const CallEnvelope &envelope = served.envelope;
   reply.levels =
       this->levels.Shedding(envelope.workspace, envelope.route, kMostLevels);
-  reply.marks = this->levels.Marks(kMostMarks);
+  reply.call_path_reports = this->levels.CallPathReports(kMostMarks);
   const auto found = this->bindings.find(envelope.service);
   if (found == this->bindings.end()) return;
   const Admission &admission = *found->second.admission;
@@ -253,7 +259,7 @@
   reply.load.cold_ms = static_cast<std::uint32_t>(
       std::chrono::ceil<std::chrono::milliseconds>(admission.ColdFor())
           .count());
-  const double level = admission.LevelOf(envelope.workspace);
+  const double level = admission.AdmissionLevelOf(envelope.workspace);
   reply.levels.push_back(
       {{},
        0,
@@ -263,7 +269,7 @@
        true});
 }
 
-void Serving::Cancel(std::uint64_t id) {
+void TargetExecutor::Cancel(std::uint64_t id) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) return;
   const std::string service = found->second.served.envelope.service;
@@ -280,7 +286,7 @@
   this->CancelSubCalls(cancels);
 }
 
-void Serving::CallerGone(std::uint64_t id) {
+void TargetExecutor::CallerGone(std::uint64_t id) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) return;
   const bool once = !found->second.served.envelope.idempotent;
@@ -288,7 +294,7 @@
   this->Cancel(id);
 }
 
-void Serving::CancelSubCalls(const SubCallCancels &cancels) {
+void TargetExecutor::CancelSubCalls(const SubCallCancels &cancels) {
   // What was asked for on behalf of a call that has gone is of no use.
   for (const auto &[call, cancel] : cancels) {
     this->metrics.Count("pollenring_cancelled_sub_calls_total");
@@ -296,18 +302,19 @@
   }
 }
 
-ServedCall *Serving::FindContext(const std::string &context) {
+ServedCall *TargetExecutor::FindContext(const std::string &context) {
   const auto found = this->contexts.find(context);
   return found == this->contexts.end() ? nullptr : this->Find(found->second);
 }
 
-ServedCall *Serving::FindParent(Time deadline, const std::string &callee) {
+ServedCall *TargetExecutor::FindParent(Time deadline,
+                                       const std::string &callee) {
   const auto id =
       this->parents.Find(deadline, callee, this->loop.GetClock().Now());
   return id ? this->Find(*id) : nullptr;
 }
 
-void Serving::BeginSubCall(std::uint64_t id) {
+void TargetExecutor::BeginSubCall(std::uint64_t id) {
   ServedCall *parent = this->Find(id);
   if (parent == nullptr) return;
   const Time now = this->loop.GetClock().Now();
@@ -315,7 +322,7 @@
   this->parents.CallBegun(id, now);
 }
 
-void Serving::EndSubCall(std::uint64_t id) {
+void TargetExecutor::EndSubCall(std::uint64_t id) {
   ServedCall *parent = this->Find(id);
   if (parent == nullptr) return;
   const Time now = this->loop.GetClock().Now();
@@ -323,8 +330,9 @@
   this->parents.CallEnded(id, now);
 }
 
-void Serving::LearnFrom(const std::string &callee, const std::string &workspace,
-                        const std::vector<ServiceLevel> &levels) {
+void TargetExecutor::LearnFrom(const std::string &callee,
+                               const std::string &workspace,
+                               const std::vector<AdmissionLevel> &levels) {
   // A parent is mostly a guess; which routes make such calls is known better.
   for (const auto &route :
        this->parents.Shares().CallersOf(callee, kLeastShare)) {
@@ -332,7 +340,7 @@
   }
 }
 
-ServedCall *Serving::Find(std::uint64_t id) {
+ServedCall *TargetExecutor::Find(std::uint64_t id) {
   const auto found = this->calls.find(id);
   return found == this->calls.end() ? nullptr : &found->second.served;
 }
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -97,14 +97,15 @@
   std::vector<std::string> regions; /*!< Where it may run; empty: anywhere. */
   Importance importance{Importance::kNormal};
   bool idempotent{true};
-  bool repeat{};    /*!< A retry, or a call on behalf of one. */
-  bool keyed{true}; /*!< The caller itself has shown the workspace's key. */
-  double lot{};
+  bool is_retry{}; /*!< A retry, or a call on behalf of one. */
+  bool authenticated{
+      true}; /*!< The caller itself has shown the workspace's key. */
+  double sub_priority{};
   double weight{1}; /*!< The workspace's part of what is left. */
   std::int32_t depth{};
   std::int64_t remaining_us{};
   std::int64_t root_age_us{};
-  std::int64_t aim_us{}; /*!< Until the aim of the call itself. */
+  std::int64_t soft_deadline_us{}; /*!< Until the aim of the call itself. */
   std::int32_t retries{};
 };
 
@@ -119,10 +120,11 @@
         Field{6, value.host}, Field{7, value.route}, Field{8, value.caller},
         Field{9, value.headers}, Field{10, value.regions},
         Field{11, value.importance}, Field{12, value.idempotent},
-        Field{13, value.repeat}, Field{14, value.keyed}, Field{15, value.lot},
-        Field{16, value.weight}, Field{17, value.depth},
-        Field{18, value.remaining_us}, Field{19, value.root_age_us},
-        Field{20, value.aim_us}, Field{21, value.retries});
+        Field{13, value.is_retry}, Field{14, value.authenticated},
+        Field{15, value.sub_priority}, Field{16, value.weight},
+        Field{17, value.depth}, Field{18, value.remaining_us},
+        Field{19, value.root_age_us}, Field{20, value.soft_deadline_us},
+        Field{21, value.retries});
   }
 };
 
@@ -134,9 +136,9 @@
     return std::tie(value.root_id, value.workspace, value.service, value.method,
                     value.path, value.host, value.route, value.caller,
                     value.headers, value.importance, value.idempotent,
-                    value.repeat, value.keyed, value.lot, value.weight,
-                    value.depth, value.remaining_us, value.root_age_us,
-                    value.aim_us, value.retries);
+                    value.is_retry, value.authenticated, value.sub_priority,
+                    value.weight, value.depth, value.remaining_us,
+                    value.root_age_us, value.soft_deadline_us, value.retries);
   }
 };
 
@@ -145,12 +147,12 @@
   static constexpr bool kFrozen = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
-    return std::tie(value.root_id, value.workspace, value.service, value.method,
-                    value.path, value.host, value.route, value.caller,
-                    value.headers, value.regions, value.importance,
-                    value.idempotent, value.repeat, value.keyed, value.lot,
-                    value.weight, value.depth, value.remaining_us,
-                    value.root_age_us, value.aim_us, value.retries);
+    return std::tie(
+        value.root_id, value.workspace, value.service, value.method, value.path,
+        value.host, value.route, value.caller, value.headers, value.regions,
+        value.importance, value.idempotent, value.is_retry, value.authenticated,
+        value.sub_priority, value.weight, value.depth, value.remaining_us,
+        value.root_age_us, value.soft_deadline_us, value.retries);
   }
 };
 
@@ -159,7 +161,7 @@
 [[nodiscard]] inline CallEnvelope WhenMissing<CallEnvelope>() {
   CallEnvelope envelope;
   envelope.idempotent = false;
-  envelope.keyed = false;
+  envelope.authenticated = false;
   return envelope;
 }
 
@@ -167,46 +169,47 @@
 inline constexpr double kLevelScale = 1000;
 
 /*! @brief Priority below which a target would have roots refused early. */
-struct ServiceLevel {
+struct AdmissionLevel {
   std::string service; /*!< Empty for the one that was called. */
   NodeId node{};       /*!< Beside the target; 0 for the one that answers. */
   std::int32_t level_milli{}; /*!< In thousandths. */
   std::int32_t per_second{};  /*!< Calls that the target is offered. */
   std::int32_t age_ms{};      /*!< Since the target's node found it. */
-  bool on_way{true}; /*!< Whether the answered request's way leads there. */
+  bool on_call_path{
+      true}; /*!< Whether the answered request's way leads there. */
 };
 
 template <>
-struct NumberedLayout<ServiceLevel> {
+struct NumberedLayout<AdmissionLevel> {
   static constexpr bool kGrows = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
     return std::make_tuple(Field{1, value.service}, Field{2, value.node},
                            Field{3, value.level_milli},
                            Field{4, value.per_second}, Field{5, value.age_ms},
-                           Field{6, value.on_way});
+                           Field{6, value.on_call_path});
   }
 };
 
 template <>
-struct ArrayLayout<ServiceLevel, WireVersion::kV1> {
+struct ArrayLayout<AdmissionLevel, WireVersion::kV1> {
   static constexpr bool kFrozen = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
     return std::tie(value.service, value.node, value.level_milli,
-                    value.per_second, value.age_ms, value.on_way);
+                    value.per_second, value.age_ms, value.on_call_path);
   }
 };
 
 /*! @brief Whether requests of a route meet a service that sheds. */
-struct WayMark {
+struct CallPathReport {
   std::string route;
   std::string service;
   bool meets{};
 };
 
 template <>
-struct NumberedLayout<WayMark> {
+struct NumberedLayout<CallPathReport> {
   static constexpr bool kGrows = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
@@ -216,7 +219,7 @@
 };
 
 template <>
-struct ArrayLayout<WayMark, WireVersion::kV1> {
+struct ArrayLayout<CallPathReport, WireVersion::kV1> {
   static constexpr bool kFrozen = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
@@ -233,9 +236,10 @@
   std::int32_t retries_unspent{};
   std::int64_t retry_after_us{};
   LoadReport load;
-  std::vector<ServiceLevel> levels;
-  std::vector<WayMark> marks; /*!< Of other requests that the node has seen. */
-  NodeId served_by{}; /*!< Does not travel; known where the call was sent. */
+  std::vector<AdmissionLevel> levels;
+  std::vector<CallPathReport>
+      call_path_reports; /*!< Of other requests that the node has seen. */
+  NodeId served_by{};    /*!< Does not travel; known where the call was sent. */
 };
 
 template <>
@@ -243,11 +247,11 @@
   static constexpr bool kGrows = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
-    return std::make_tuple(Field{1, value.outcome}, Field{2, value.reason},
-                           Field{3, value.status}, Field{4, value.headers},
-                           Field{5, value.retries_unspent},
-                           Field{6, value.retry_after_us}, Field{7, value.load},
-                           Field{8, value.levels}, Field{9, value.marks});
+    return std::make_tuple(
+        Field{1, value.outcome}, Field{2, value.reason}, Field{3, value.status},
+        Field{4, value.headers}, Field{5, value.retries_unspent},
+        Field{6, value.retry_after_us}, Field{7, value.load},
+        Field{8, value.levels}, Field{9, value.call_path_reports});
   }
 };
 
@@ -258,7 +262,7 @@
   [[nodiscard]] static auto Fields(Value &value) {
     return std::tie(value.outcome, value.reason, value.status, value.headers,
                     value.retries_unspent, value.retry_after_us, value.load,
-                    value.levels, value.marks);
+                    value.levels, value.call_path_reports);
   }
 };
 
--- a/src/pollenring/retry/budget.h
+++ b/src/pollenring/retry/budget.h
@@ -26,7 +26,7 @@
    * @brief Counts a call made on behalf of a run that was itself a retry.
    * @param service The called service.
    */
-  virtual void Repeated(const std::string &service) = 0;
+  virtual void RecordRetriedCall(const std::string &service) = 0;
 
   /*! @brief Spends a retry. @param service Service. @return True if allowed. */
   [[nodiscard]] virtual bool Spend(const std::string &service) = 0;
@@ -38,7 +38,7 @@
   void Succeeded(const std::string &service) override {
     this->ceilings[service].Succeeded();
   }
-  void Repeated(const std::string & /*service*/) override {
+  void RecordRetriedCall(const std::string & /*service*/) override {
     // The request's allowance limits the retries caused downstream.
   }
   [[nodiscard]] bool Spend(const std::string &service) override {
@@ -56,9 +56,9 @@
    * @brief Time constant of the decay of savings. In a chain of four services
    * that start to fail together, each one spends its savings.
    */
-  Span savings_last{std::chrono::seconds{3}};
+  Duration savings_last{std::chrono::seconds{3}};
   /*! @brief Time constant of the decay of debt; the retry bound's window. */
-  Span debt_lasts{std::chrono::seconds{10}};
+  Duration debt_lasts{std::chrono::seconds{10}};
   double most_owed{50}; /*!< Maximum debt. */
 };
 
@@ -86,7 +86,7 @@
       : options{options}, clock{clock}, random{random} {}
 
   void Succeeded(const std::string &service) override;
-  void Repeated(const std::string &service) override;
+  void RecordRetriedCall(const std::string &service) override;
   [[nodiscard]] bool Spend(const std::string &service) override;
 
  private:
--- a/src/pollenring/routing/router.cc
+++ b/src/pollenring/routing/router.cc
@@ -13,13 +13,13 @@
 constexpr double kFaultWeight = 0.1;
 /*! @brief Time after which a share of faults that nothing confirms counts as a
  * third of it, so that a target that is well again is tried again. */
-constexpr Span kFaultMemory = std::chrono::seconds{3};
+constexpr Duration kFaultMemory = std::chrono::seconds{3};
 /*! @brief Calls' times that one failed call costs; a request makes some ten
  * calls, and one that fails wastes all of them. */
 constexpr double kFaultCost = 12;
 /*! @brief How long a target that is said to be cold is taken as such; its
  * answers tell the end of it. */
-constexpr Span kColdUntold = std::chrono::seconds{3};
+constexpr Duration kColdUntold = std::chrono::seconds{3};
 /*! @brief Targets of a service among which all are compared; beyond, so many
  * are drawn. */
 constexpr std::size_t kMostCompared = 8;
@@ -97,7 +97,7 @@
   if (const Endpoint *trial = this->DueTrial(service, choice)) {
     return trial->node;
   }
-  if (this->options.order == RouteOrder::kSoonest) {
+  if (this->options.order == LoadBalancingPolicy::kLeastLatency) {
     const Endpoint *soonest = this->Soonest(service, choice);
     if (soonest != nullptr) return soonest->node;
     return SetAsideLongest(service, choice);
@@ -144,7 +144,7 @@
 }
 
 void Router::Finished(const std::string &name, NodeId node, CallVerdict verdict,
-                      const std::optional<LoadReport> &report, Span took) {
+                      const std::optional<LoadReport> &report, Duration took) {
   const auto found = this->services.find(name);
   if (found == this->services.end()) return;
   Service &service = found->second;
@@ -162,7 +162,7 @@
     // Times of a cold target say nothing of it once it is warm.
     if (was_cold && report->cold_ms == 0) endpoint.time_us = 0;
   }
-  if (took > Span{0}) {
+  if (took > Duration{0}) {
     const auto us = static_cast<double>(took.count());
     if (endpoint.time_us == 0) endpoint.time_us = us;
     endpoint.time_us += kTimeWeight * (us - endpoint.time_us);
@@ -189,9 +189,10 @@
   return found == this->services.end() ? 0 : found->second.endpoints.size();
 }
 
-Router::Nearness Router::NearnessOf(const Member &member) const noexcept {
-  if (member.region != this->region) return Nearness::kFar;
-  return member.zone == this->zone ? Nearness::kZone : Nearness::kRegion;
+Router::Locality Router::LocalityOf(const Member &member) const noexcept {
+  if (member.region != this->region) return Locality::kOther;
+  return member.zone == this->zone ? Locality::kSameZone
+                                   : Locality::kSameRegion;
 }
 
 double Router::RampFraction(const Endpoint &endpoint) const noexcept {
@@ -224,7 +225,7 @@
                     double unknown_us) const noexcept {
   const double time = endpoint.time_us > 0 ? endpoint.time_us : unknown_us;
   const double beyond = std::max(0.0, this->Utilisation(endpoint) - 1);
-  const double far = endpoint.nearness == Nearness::kZone
+  const double far = endpoint.nearness == Locality::kSameZone
                          ? 0
                          : static_cast<double>(this->options.zone_cost.count());
   // Own calls under way there are known at once, its reported load later.
@@ -303,7 +304,7 @@
   if (fresh) {
     slot = std::make_unique<Endpoint>();
     slot->node = member.id;
-    slot->nearness = this->NearnessOf(member);
+    slot->nearness = this->LocalityOf(member);
     slot->region = member.region;
     slot->limit = std::max<double>(1.0, target.slots);
     slot->ejection = this->options.first_ejection;
@@ -332,7 +333,7 @@
   DropTrials(service, endpoint.node);
   endpoint.ejected = true;
   const double jitter = 0.75 + 0.5 * this->random.Fraction();
-  const Span wait{static_cast<std::int64_t>(
+  const Duration wait{static_cast<std::int64_t>(
       static_cast<double>(endpoint.ejection.count()) * jitter)};
   endpoint.ejected_until = this->clock.Now() + wait;
   this->changes.push_back({name, endpoint.node, true, endpoint.failures, wait});
@@ -343,7 +344,7 @@
 
 void Router::Restore(const std::string &name, Service &service,
                      Endpoint &endpoint) {
-  this->changes.push_back({name, endpoint.node, false, 0, Span{0}});
+  this->changes.push_back({name, endpoint.node, false, 0, Duration{0}});
   DropTrials(service, endpoint.node);
   endpoint.ejected = false;
   endpoint.ejection = this->options.first_ejection;
--- a/src/pollenring/share/borrow.h
+++ b/src/pollenring/share/borrow.h
@@ -13,16 +13,16 @@
 namespace pollenring {
 
 /*! @brief Maximum validity of a loan. */
-inline constexpr Span kLoanValidity = std::chrono::milliseconds{500};
+inline constexpr Duration kLoanValidity = std::chrono::milliseconds{500};
 
 /*! @brief Validity of a loan for waiting requests, which is never returned. */
-inline constexpr Span kUrgentValidity = std::chrono::milliseconds{100};
+inline constexpr Duration kUrgentValidity = std::chrono::milliseconds{100};
 
 /*! @brief Maximum wait for a slot's next refill. */
-inline constexpr Span kLongestEarly = std::chrono::milliseconds{500};
+inline constexpr Duration kLongestEarly = std::chrono::milliseconds{500};
 
 /*! @brief How long a request waits for share. */
-struct Patience {
+struct WaitLimit {
   Time deadline{};   /*!< While no holder is reachable. */
   Time next_share{}; /*!< For share that the next refill is sure to bring. */
 
@@ -31,7 +31,7 @@
    * @param deadline Latest time for the result.
    * @return The wait limit.
    */
-  [[nodiscard]] static Patience Until(Time deadline) noexcept {
+  [[nodiscard]] static WaitLimit Until(Time deadline) noexcept {
     return {deadline, deadline};
   }
 };
--- a/src/pollenring/share/borrower.h
+++ b/src/pollenring/share/borrower.h
@@ -17,12 +17,12 @@
 namespace pollenring {
 
 /*! @brief Dependencies of the borrower. */
-class ShareObserver {
+class ShareDelegate {
  public:
-  ShareObserver() = default;
-  ShareObserver(const ShareObserver &) = delete;
-  ShareObserver &operator=(const ShareObserver &) = delete;
-  virtual ~ShareObserver() = default;
+  ShareDelegate() = default;
+  ShareDelegate(const ShareDelegate &) = delete;
+  ShareDelegate &operator=(const ShareDelegate &) = delete;
+  virtual ~ShareDelegate() = default;
 
   /**
    * @brief Sends a request to the slot's holder.
@@ -36,7 +36,7 @@
 struct ChargeResult {
   bool granted{};
   Reason reason{Reason::kNone};
-  Span retry_after{};
+  Duration retry_after{};
 };
 
 /**
@@ -57,16 +57,16 @@
    */
   ShareBorrower(std::uint64_t process, SlotId slots,
                 const LeaseOptions &options, const Clock &clock,
-                ShareObserver &observer);
+                ShareDelegate &observer);
 
   /**
    * @brief Charges one request.
    * @param workspace Workspace of the request.
-   * @param patience How long the request may wait.
+   * @param wait_limit How long the request may wait.
    * @param done Called exactly once: within the call, or on a loan or a
    * refusal.
    */
-  void Charge(std::string workspace, Patience patience, Done done);
+  void Charge(std::string workspace, WaitLimit wait_limit, Done done);
 
   /**
    * @brief Handles a holder's reply.
@@ -96,7 +96,7 @@
   };
   struct Waiter {
     Time since{};
-    Patience patience;
+    WaitLimit wait_limit;
     Done done;
   };
   /*! @brief A request admitted once its refill has arrived. */
@@ -114,8 +114,8 @@
   struct Round {
     std::size_t refusals{};
     std::size_t answers{}; /*!< Holders that replied that they are empty. */
-    Span retry_after{};
-    std::vector<Span>
+    Duration retry_after{};
+    std::vector<Duration>
         next_share; /*!< By slot: time to its next refill; 0 if unknown. */
     bool early{};   /*!< The round requests early grants. */
   };
@@ -145,7 +145,7 @@
   [[nodiscard]] BorrowRequest ToRequest(const std::string &name,
                                         Workspace &workspace);
   void Refused(const std::string &name, Workspace &workspace, bool answered,
-               Span retry_after);
+               Duration retry_after);
   void ReturnIdle(Workspace &workspace) const;
   void SendReturns(const std::string &name, Workspace &workspace);
   void Serve(Workspace &workspace);
@@ -165,7 +165,7 @@
   SlotId slots;
   LeaseOptions options;
   const Clock &clock;
-  ShareObserver &observer;
+  ShareDelegate &observer;
   // Callbacks may insert workspaces during iteration, which leaves iterators of
   // a std::map valid.
   std::map<std::string, Workspace> workspaces;
--- a/src/pollenring/share/lender.h
+++ b/src/pollenring/share/lender.h
@@ -18,10 +18,10 @@
  * @brief Allowance for the time from a request's charge to its arrival at a
  * target.
  */
-inline constexpr Span kTransitAllowance = std::chrono::milliseconds{50};
+inline constexpr Duration kTransitAllowance = std::chrono::milliseconds{50};
 
 /*! @brief Age after which every bucket is full. */
-inline constexpr Span kLongAgo = std::chrono::hours{24};
+inline constexpr Duration kLongAgo = std::chrono::hours{24};
 
 /*! @brief Level and loans of a bucket, for a successor. */
 struct BucketState {
@@ -49,7 +49,7 @@
    * @param clock Clock.
    */
   ShareLender(bool first, const Clock &clock)
-      : clock{clock}, founded{clock.Now() - (first ? kLongAgo : Span{0})} {}
+      : clock{clock}, founded{clock.Now() - (first ? kLongAgo : Duration{0})} {}
 
   /**
    * @brief Lends share.
@@ -60,7 +60,7 @@
    * @return The loan; the same one if the request is repeated.
    */
   [[nodiscard]] BorrowReply Lend(const BorrowRequest &request,
-                                 const WorkspaceShare &share,
+                                 const WorkspaceRateLimit &share,
                                  const SharePart &part, Time valid_until);
 
   /**
@@ -95,16 +95,16 @@
   };
 
   [[nodiscard]] Bucket &BucketOf(const std::string &workspace,
-                                 const WorkspaceShare &share,
+                                 const WorkspaceRateLimit &share,
                                  const SharePart &part);
-  static void SetContract(Bucket &bucket, const WorkspaceShare &share,
+  static void SetContract(Bucket &bucket, const WorkspaceRateLimit &share,
                           const SharePart &part);
   void Grant(Bucket &bucket, const LoanKey &key, const Loan &loan) const;
   void GrantEarly(Bucket &bucket, const BorrowRequest &request,
                   Time valid_until, BorrowReply &reply) const;
   [[nodiscard]] BorrowReply Repeated(const Bucket &bucket, const Loan &loan,
                                      BorrowReply reply) const;
-  [[nodiscard]] static Span EveryOf(const Bucket &bucket) noexcept;
+  [[nodiscard]] static Duration EveryOf(const Bucket &bucket) noexcept;
   [[nodiscard]] static double MostOwed(const Bucket &bucket) noexcept;
   void Refill(Bucket &bucket) const;
   void Expire(Bucket &bucket) const;
--- a/test/pollenring/membership/store_duty_test.cc
+++ b/test/pollenring/membership/store_watcher_role_test.cc
@@ -1,4 +1,4 @@
-#include "pollenring/membership/store_duty.h"
+#include "pollenring/membership/store_watcher_role.h"
 
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -13,9 +13,9 @@
 namespace {
 
 using namespace std::chrono_literals;
-using pollenring::Span;
-using pollenring::StoreDuty;
-using pollenring::StoreDutyOptions;
+using pollenring::Duration;
+using pollenring::StoreWatcherOptions;
+using pollenring::StoreWatcherRole;
 using pollenring::Time;
 using support::MemberFleet;
 
@@ -38,13 +38,13 @@
   }
 
   /*! @brief Highest age of the store's word at a node that lives. */
-  [[nodiscard]] Span Oldest() const {
-    Span oldest{0};
+  [[nodiscard]] Duration Oldest() const {
+    Duration oldest{0};
     for (int i = 0; i < this->fleet.Size(); ++i) {
       const auto *membership = this->fleet.At(i);
       if (membership == nullptr) continue;
-      oldest =
-          std::max(oldest, this->fleet.clock.Now() - membership->StoreHeard());
+      oldest = std::max(
+          oldest, this->fleet.clock.Now() - membership->LastStoreContact());
     }
     return oldest;
   }
@@ -55,15 +55,15 @@
   void Look(int index) {
     auto *membership = this->fleet.At(index);
     if (membership == nullptr) return;
-    const StoreDuty duty{*membership, this->versions, StoreDutyOptions{},
-                         this->fleet.clock};
+    const StoreWatcherRole duty{*membership, this->versions,
+                                StoreWatcherOptions{}, this->fleet.clock};
     Time &due = this->due[index];
-    if (!duty.Asks() || this->now < due) return;
+    if (!duty.ShouldWatch() || this->now < due) return;
     ++this->calls;
     const bool heard = this->reaches(index);
-    due =
-        this->now + (heard ? duty.NextWatch(this->fleet.random) : Span{800ms});
-    if (heard) membership->HearStore();
+    due = this->now +
+          (heard ? duty.NextWatch(this->fleet.random) : Duration{800ms});
+    if (heard) membership->RecordStoreContact();
   }
 
   MemberFleet &fleet;
@@ -80,7 +80,7 @@
     Watchers watchers{fleet};
     watchers.Run(20s);
     watchers.calls = 0;
-    Span oldest{0};
+    Duration oldest{0};
     for (int i = 0; i < 20; ++i) {
       watchers.Run(1s);
       oldest = std::max(oldest, watchers.Oldest());
@@ -104,9 +104,9 @@
     // The store turns away all that are on duty now, and a third of the rest.
     std::set<int> refused;
     for (int i = 0; i < fleet.Size(); ++i) {
-      const StoreDuty duty{*fleet.At(i), versions, StoreDutyOptions{},
-                           fleet.clock};
-      if (duty.OnDuty() || i % 3 == 0) refused.insert(i);
+      const StoreWatcherRole duty{*fleet.At(i), versions, StoreWatcherOptions{},
+                                  fleet.clock};
+      if (duty.IsDesignated() || i % 3 == 0) refused.insert(i);
     }
     watchers.reaches = [&refused](int node) {
       return refused.count(node) == 0;
@@ -122,9 +122,9 @@
     // All nodes on duty are killed at once; word of the store is old by then.
     std::vector<int> on_duty;
     for (int i = 0; i < fleet.Size(); ++i) {
-      const StoreDuty duty{*fleet.At(i), versions, StoreDutyOptions{},
-                           fleet.clock};
-      if (duty.OnDuty()) on_duty.push_back(i);
+      const StoreWatcherRole duty{*fleet.At(i), versions, StoreWatcherOptions{},
+                                  fleet.clock};
+      if (duty.IsDesignated()) on_duty.push_back(i);
     }
     for (const int node : on_duty) fleet.Kill(node);
     watchers.Run(4s);
@@ -139,8 +139,9 @@
   for (int i = 1; i < 12; ++i) fleet.network.cuts.insert({0, i});
   watchers.Run(4s);
   const pollenring::PeerVersions versions;
-  const StoreDuty duty{*fleet.At(0), versions, StoreDutyOptions{}, fleet.clock};
-  CHECK(duty.Asks());
+  const StoreWatcherRole duty{*fleet.At(0), versions, StoreWatcherOptions{},
+                              fleet.clock};
+  CHECK(duty.ShouldWatch());
 }
 
 TEST_CASE("store duty: nodes that tell nothing of zones don't count") {
@@ -153,9 +154,9 @@
   }
   std::map<std::string, int> on_duty;
   for (int i = 0; i < 10; ++i) {
-    const StoreDuty duty{*fleet.At(i), versions, StoreDutyOptions{},
-                         fleet.clock};
-    if (duty.OnDuty()) ++on_duty[fleet.At(i)->Self().zone];
+    const StoreWatcherRole duty{*fleet.At(i), versions, StoreWatcherOptions{},
+                                fleet.clock};
+    if (duty.IsDesignated()) ++on_duty[fleet.At(i)->Self().zone];
   }
   REQUIRE(on_duty.size() == 3);
   for (const auto &[zone, nodes] : on_duty) CHECK(nodes == 2);
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -11,8 +11,8 @@
 #include "pollenring/core/random.h"
 #include "pollenring/link/link_server.h"
 #include "pollenring/net/http_client.h"
+#include "pollenring/node/downstream_levels.h"
 #include "pollenring/node/headers.h"
-#include "pollenring/node/route_levels.h"
 
 namespace {
 
@@ -35,20 +35,20 @@
 class NoRetryBound final : public pollenring::RetryBudget {
  public:
   void Succeeded(const std::string & /*service*/) override {}
-  void Repeated(const std::string & /*service*/) override {}
+  void RecordRetriedCall(const std::string & /*service*/) override {}
   [[nodiscard]] bool Spend(const std::string & /*service*/) override {
     return true;
   }
 };
 
 /*! @brief Targets that are never cold. */
-class NeverCold final : public pollenring::ColdBounds {
+class NeverCold final : public pollenring::ColdStartLimits {
  public:
-  [[nodiscard]] pollenring::ColdTolerance ToleranceOf(
+  [[nodiscard]] pollenring::ColdStartLimit LimitOf(
       const std::string & /*service*/) const override {
     return {};
   }
-  [[nodiscard]] pollenring::Span ColdAfterStart(
+  [[nodiscard]] pollenring::Duration ColdAfterStart(
       const std::string & /*service*/) const override {
     return {};
   }
@@ -117,7 +117,7 @@
     envelope.method = "GET";
     envelope.path = "/";
     envelope.idempotent = false;
-    envelope.aim_us = 5'000'000;
+    envelope.soft_deadline_us = 5'000'000;
     pollenring::CallBounds bounds;
     bounds.deadline = this->clock.Now() + 5s;
     bounds.charged = this->clock.Now();
@@ -134,14 +134,14 @@
   }
 
   /*! @brief Calls, and lets the node that holds the call go after a while. */
-  void CallAndLose(pollenring::Span after, ShareAnswer renewed) {
+  void CallAndLose(pollenring::Duration after, ShareAnswer renewed) {
     pollenring::CallEnvelope envelope;
     envelope.service = "deep";
     envelope.method = "GET";
     envelope.path = "/";
     envelope.idempotent = true;
     envelope.retries = 2;
-    envelope.aim_us = 5'000'000;
+    envelope.soft_deadline_us = 5'000'000;
     pollenring::CallBounds bounds;
     bounds.deadline = this->clock.Now() + 5s;
     bounds.charged = this->clock.Now();
@@ -160,7 +160,7 @@
     this->Run(400ms);
   }
 
-  void Run(pollenring::Span length) {
+  void Run(pollenring::Duration length) {
     this->loop.After(length, [this] { this->loop.Stop(); });
     this->loop.Resume();
     this->loop.Run();
@@ -171,14 +171,14 @@
   pollenring::Loop loop{clock};
   pollenring::HttpClient client{loop, {kMostBytes}};
   pollenring::LinkClient link{loop, "secret", kMostBytes};
-  pollenring::ContextDialect dialect;
+  pollenring::ContextCodec codec;
   NeverCold cold_bounds;
-  pollenring::RouteLevels levels{{}, clock};
+  pollenring::DownstreamLevels levels{{}, clock};
   pollenring::SeededRandom random{5};
   pollenring::Metrics metrics{clock};
   pollenring::Router router{"a", "r", {}, clock, random};
-  pollenring::Serving serving{
-      loop,   client,      dialect,
+  pollenring::TargetExecutor serving{
+      loop,   client,      codec,
       {},     cold_bounds, levels,
       random, metrics,     [](const std::vector<pollenring::Target> &) {}};
   NoRetryBound budget;
@@ -208,11 +208,11 @@
 
 TEST_CASE("dispatcher: a late repeat beyond the rate is not sent") {
   Bench bench{12};
-  bench.CallAndLose(100ms, {false, Reason::kOverRate, 70ms});
+  bench.CallAndLose(100ms, {false, Reason::kRateLimited, 70ms});
   CHECK(bench.renewals == 1);
   CHECK(bench.reached.size() == 1);
   REQUIRE(bench.replies.size() == 1);
-  CHECK(bench.replies[0].reason == Reason::kOverRate);
+  CHECK(bench.replies[0].reason == Reason::kRateLimited);
   CHECK(bench.replies[0].retry_after_us == 70'000);
   // The node that was lost may have run it.
   CHECK(bench.replies[0].outcome == Outcome::kUnknown);
--- a/test/support/lease_node.h
+++ b/test/support/lease_node.h
@@ -14,14 +14,15 @@
 
 /*! @brief One process of the world. */
 struct LeaseWorld::Node final : pollenring::SlotDirectory,
-                                pollenring::SlotObserver,
-                                pollenring::ShareObserver {
+                                pollenring::SlotDelegate,
+                                pollenring::ShareDelegate {
   Node(LeaseWorld &world, int index, std::uint64_t process)
       : world{world},
         index{index},
         self{static_cast<pollenring::NodeId>(index + 1), process},
-        clock{world.truth, 1 + kSkew * (world.random.Fraction() * 2 - 1),
-              Span{static_cast<std::int64_t>(world.random.Index(1'000'000))}},
+        clock{
+            world.truth, 1 + kSkew * (world.random.Fraction() * 2 - 1),
+            Duration{static_cast<std::int64_t>(world.random.Index(1'000'000))}},
         witness{process, options, clock},
         keeper{self,         world.slots, options, clock,
                world.random, *this,       witness, *this},
@@ -118,9 +119,9 @@
     const std::size_t turns = this->world.had_holder.count(slot) > 0 ? 4 : 0;
     return turns + later + this->world.random.Index(2);
   }
-  [[nodiscard]] std::vector<WitnessRef> WitnessesFor(
-      const WitnessRef &holder) const override {
-    std::vector<WitnessRef> chosen{holder};
+  [[nodiscard]] std::vector<ProcessRef> WitnessesFor(
+      const ProcessRef &holder) const override {
+    std::vector<ProcessRef> chosen{holder};
     std::vector<pollenring::WitnessCandidate> candidates;
     for (const auto &node : this->world.nodes) {
       if (!node || node->self == holder || node->Frozen()) continue;
@@ -132,7 +133,7 @@
                                             "region", 0};
     return pollenring::ChooseWitnesses(home, std::move(candidates));
   }
-  [[nodiscard]] bool Lives(const WitnessRef &ref) const override {
+  [[nodiscard]] bool Lives(const ProcessRef &ref) const override {
     const auto at = static_cast<std::size_t>(ref.node - 1);
     const auto &node = this->world.nodes[at];
     return node && node->self == ref && !node->Frozen();
@@ -167,7 +168,7 @@
     const auto process = this->self.process;
     // A write takes effect late, and its answer may be lost.
     const bool unanswered = shared.random.Chance(shared.faults.unanswered);
-    const Span delay =
+    const Duration delay =
         shared.network.Delay() * (unanswered ? shared.faults.late_writes : 1);
     shared.network.At(shared.truth.Now() + delay, [=, &shared] {
       shared.table.Write(
@@ -195,7 +196,8 @@
     });
   }
 
-  void Ask(const WitnessRef &ref, const pollenring::WitnessAsk &ask) override {
+  void Ask(const ProcessRef &ref,
+           const pollenring::WitnessQuery &ask) override {
     const int to = static_cast<int>(ref.node) - 1;
     const int own = this->index;
     if (to == own) {
@@ -230,7 +232,7 @@
   void Rewitnessed(SlotId /*slot*/, const SlotRow & /*row*/) override {}
   void Lost(SlotId slot) override { this->lenders.erase(slot); }
   void HandedOver(SlotId slot, const SlotRow &row,
-                  const WitnessRef &successor) override {
+                  const ProcessRef &successor) override {
     const auto lender = this->lenders.find(slot);
     std::map<std::string, pollenring::BucketState> contents;
     if (lender != this->lenders.end()) contents = lender->second.Contents();
@@ -239,9 +241,9 @@
     this->SendTo(to, [=](Node &node) {
       node.inherited[slot] = {row.epoch, row.holder, contents};
       if (row.holder == successor) {
-        node.keeper.Adopt(slot, row);
+        node.keeper.AcceptHandover(slot, row);
       } else {
-        node.keeper.Succeed(slot);
+        node.keeper.Campaign(slot);
       }
     });
   }
@@ -276,7 +278,7 @@
 
   LeaseWorld &world;
   int index;
-  WitnessRef self;
+  ProcessRef self;
   pollenring::LeaseOptions options;
   DriftingClock clock;
   pollenring::Witness witness;
@@ -286,7 +288,7 @@
   /*! @brief What a predecessor has left, and the row that it left it with. */
   struct Left {
     std::uint64_t epoch{};
-    WitnessRef holder;
+    ProcessRef holder;
     std::map<std::string, pollenring::BucketState> contents;
   };
   std::map<SlotId, Left> inherited;
--- a/tools/pollenring-bench/forms.cc
+++ b/tools/pollenring-bench/forms.cc
@@ -44,9 +44,9 @@
 /*! @brief A datagram of gossip whose fields have short names. */
 struct NamedGossip {
   struct Zones {
-    std::uint64_t position{};
+    std::uint64_t revision{};
     std::vector<std::string> zones;
-    MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", position), MSGPACK_NVP("b", zones))
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", revision), MSGPACK_NVP("b", zones))
   };
 
   pollenring::GossipKind kind{};
@@ -82,10 +82,12 @@
                      MSGPACK_NVP("g", route), MSGPACK_NVP("h", caller),
                      MSGPACK_NVP("i", headers), MSGPACK_NVP("j", regions),
                      MSGPACK_NVP("k", importance), MSGPACK_NVP("l", idempotent),
-                     MSGPACK_NVP("m", repeat), MSGPACK_NVP("n", keyed),
-                     MSGPACK_NVP("o", lot), MSGPACK_NVP("p", weight),
+                     MSGPACK_NVP("m", is_retry),
+                     MSGPACK_NVP("n", authenticated),
+                     MSGPACK_NVP("o", sub_priority), MSGPACK_NVP("p", weight),
                      MSGPACK_NVP("q", depth), MSGPACK_NVP("r", remaining_us),
-                     MSGPACK_NVP("s", root_age_us), MSGPACK_NVP("t", aim_us),
+                     MSGPACK_NVP("s", root_age_us),
+                     MSGPACK_NVP("t", soft_deadline_us),
                      MSGPACK_NVP("u", retries))
 };
 
@@ -111,7 +113,7 @@
   gossip.config_version = 12;
   gossip.store_age_ms = 250;
   gossip.digest = ~std::uint64_t{};
-  gossip.zones.position = 41;
+  gossip.zones.revision = 41;
   gossip.updates.resize(updates);
   for (auto &member : gossip.updates) FillMember(member);
   gossip.wire = 3;
@@ -132,10 +134,10 @@
   envelope.headers = {{"content-type", "application/json"},
                       {"accept", "application/json"},
                       {"user-agent", "gather/1"}};
-  envelope.lot = 0.625;
+  envelope.sub_priority = 0.625;
   envelope.remaining_us = 1'400'000;
   envelope.root_age_us = 90'000;
-  envelope.aim_us = 400'000;
+  envelope.soft_deadline_us = 400'000;
   return envelope;
 }
 
