--- a/src/pollenring/lease/choose_witnesses.cc
+++ b/src/pollenring/lease/choose_witnesses.cc
@@ -11,7 +11,7 @@
   if (candidates.empty()) return {holder.ref};
   if (candidates.size() == 1) return {candidates.front().ref};
   const std::size_t odd = candidates.size() - candidates.size() % 2 + 1;
-  const std::size_t size = std::min(kMostWitnesses, odd);
+  const std::size_t size = std::min(kMaxWitnesses, odd);
   std::vector<ProcessRef> chosen{holder.ref};
   std::map<std::string, std::size_t> taken{{holder.zone, 1}};
   while (chosen.size() < size) {
--- a/src/pollenring/lease/choose_witnesses.h
+++ b/src/pollenring/lease/choose_witnesses.h
@@ -10,7 +10,7 @@
 namespace pollenring {
 
 /*! @brief Maximum number of witnesses of a slot, including its holder. */
-inline constexpr std::size_t kMostWitnesses = 5;
+inline constexpr std::size_t kMaxWitnesses = 5;
 
 /*! @brief Witnesses other than the holder that keep copies of its records. */
 inline constexpr std::size_t kMirrors = 2;
--- a/src/pollenring/lease/fwd.h
+++ b/src/pollenring/lease/fwd.h
@@ -9,7 +9,7 @@
 class Witness;
 struct KnownRow;
 struct LeaseOptions;
-struct RowInForce;
+struct ActiveRow;
 struct SlotRow;
 struct WitnessReply;
 struct WitnessQuery;
--- a/src/pollenring/lease/options.h
+++ b/src/pollenring/lease/options.h
@@ -16,12 +16,12 @@
   Duration election_pause{std::chrono::milliseconds{300}};
   Duration lapse{std::chrono::minutes{30}};
   double drift{0.01}; /*!< Maximum relative difference of clock speeds. */
-  std::size_t most_table_calls{16};
+  std::size_t max_table_calls{16};
 
   /**
    * @brief Shortens a time for a fast peer. @param span Duration. @return It.
    */
-  [[nodiscard]] Duration Less(Duration span) const noexcept {
+  [[nodiscard]] Duration ShortenForDrift(Duration span) const noexcept {
     return Duration{static_cast<std::int64_t>(
         static_cast<double>(span.count()) * (1 - this->drift))};
   }
@@ -29,7 +29,7 @@
   /**
    * @brief Lengthens a time for a slow peer. @param span Duration. @return It.
    */
-  [[nodiscard]] Duration More(Duration span) const noexcept {
+  [[nodiscard]] Duration LengthenForDrift(Duration span) const noexcept {
     return Duration{static_cast<std::int64_t>(
                static_cast<double>(span.count()) * (1 + this->drift))} +
            Duration{1};
--- a/src/pollenring/lease/promises.h
+++ b/src/pollenring/lease/promises.h
@@ -42,7 +42,7 @@
    * @param witness Witness that gave it.
    * @param end When it ends, on this node's clock.
    */
-  void Given(const ProcessRef &witness, Time end) {
+  void Record(const ProcessRef &witness, Time end) {
     const auto &all = this->row.witnesses;
     if (std::find(all.begin(), all.end(), witness) == all.end()) return;
     Time &known = this->until[witness];
--- a/src/pollenring/lease/slot_keeper.cc
+++ b/src/pollenring/lease/slot_keeper.cc
@@ -10,14 +10,14 @@
 SlotKeeper::SlotKeeper(const ProcessRef &self, SlotId slots,
                        const LeaseOptions &options, const Clock &clock,
                        Random &random, const SlotDirectory &directory,
-                       const Witness &witness, SlotDelegate &observer)
+                       const Witness &witness, SlotDelegate &delegate)
     : self{self},
       options{options},
       clock{clock},
       random{random},
       directory{directory},
       witness{witness},
-      observer{observer},
+      delegate{delegate},
       slots(slots) {}
 
 Time SlotKeeper::ValidUntil(SlotId id) const {
@@ -26,8 +26,8 @@
   Time until = slot.current.ValidUntil();
   // While either row may be the active one, both must be promised.
   if (slot.next_sent) until = std::min(until, slot.next->ValidUntil());
-  return std::min(until,
-                  slot.touched + this->options.Less(this->options.lapse));
+  return std::min(until, slot.last_written + this->options.ShortenForDrift(
+                                                 this->options.lapse));
 }
 
 const SlotRow *SlotKeeper::Held(SlotId id) const {
@@ -51,7 +51,7 @@
   return claims;
 }
 
-std::size_t SlotKeeper::Fragile() const {
+std::size_t SlotKeeper::SoleWitnessCount() const {
   return static_cast<std::size_t>(std::count_if(
       this->slots.begin(), this->slots.end(), [this](const Slot &slot) {
         if (slot.phase != Phase::kHeld) return false;
@@ -94,14 +94,14 @@
 
 void SlotKeeper::TickFree(SlotId id, Slot &slot) {
   if (!this->claiming) return;
-  if (this->directory.HolderLives(id)) {
+  if (this->directory.IsHolderAlive(id)) {
     slot.orphaned_at = Time{};
     return;
   }
   const auto rank = this->directory.Rank(id);
   if (!rank) return;
   const Time now = this->clock.Now();
-  const KnownRow *known = this->MayElect(id, slot);
+  const KnownRow *known = this->ElectableRow(id, slot);
   if (slot.orphaned_at == Time{}) {
     slot.orphaned_at = now;
     slot.election_failed = false;
@@ -110,8 +110,8 @@
     slot.elect_at = now + spread;
     if (known != nullptr) {
       const auto &all = known->row.witnesses;
-      const auto place = std::find(all.begin(), all.end(), this->self);
-      slot.elect_at += this->options.election_pause * (place - all.begin());
+      const auto position = std::find(all.begin(), all.end(), this->self);
+      slot.elect_at += this->options.election_pause * (position - all.begin());
     }
   }
   // Election first: witnesses that have released a row can't elect under it.
@@ -121,10 +121,10 @@
     return;
   }
   if (now < slot.retry_at) return;
-  if (this->table_calls >= this->options.most_table_calls) return;
+  if (this->table_calls >= this->options.max_table_calls) return;
   slot.phase = Phase::kReading;
   ++this->table_calls;
-  this->observer.ReadRow(id);
+  this->delegate.ReadRow(id);
 }
 
 void SlotKeeper::RowRead(SlotId id, std::uint64_t version,
@@ -133,11 +133,11 @@
   if (this->table_calls > 0) --this->table_calls;
   // The slot may have changed state since the read began.
   slot.reading = false;
-  const bool judging = slot.phase == Phase::kHeld ||
-                       slot.phase == Phase::kGiving ||
-                       slot.phase == Phase::kWriting;
-  if (judging) {
-    this->JudgeHeldRead(id, slot, version, row);
+  const bool holds_or_writes = slot.phase == Phase::kHeld ||
+                               slot.phase == Phase::kGiving ||
+                               slot.phase == Phase::kWriting;
+  if (holds_or_writes) {
+    this->HandleHeldRead(id, slot, version, row);
     return;
   }
   if (slot.phase != Phase::kReading) return;
@@ -177,7 +177,7 @@
   if (!slot.next_sent) return;
   switch (result) {
     case RowWrite::kWritten:
-      this->TakeNext(id, slot);
+      this->ActivateNext(id, slot);
       return;
     case RowWrite::kConflict:
     case RowWrite::kUnknown:
@@ -192,64 +192,66 @@
         return;
       }
       if (slot.phase == Phase::kHeld || slot.phase == Phase::kGiving) {
-        this->KeepAfterAll(slot);
+        this->ResumeHeld(slot);
         return;
       }
       this->GiveUp(slot);
   }
 }
 
-void SlotKeeper::Answered(const ProcessRef &from, const WitnessReply &answer) {
-  if (answer.slot >= this->slots.size()) return;
-  Slot &slot = this->slots[answer.slot];
-  switch (answer.request) {
+void SlotKeeper::HandleReply(const ProcessRef &from,
+                             const WitnessReply &reply) {
+  if (reply.slot >= this->slots.size()) return;
+  Slot &slot = this->slots[reply.slot];
+  switch (reply.request) {
     case WitnessRequestKind::kRelease:
-      this->Released(slot, from, answer);
+      this->Released(slot, from, reply);
       return;
     case WitnessRequestKind::kVote:
-      this->Voted(answer.slot, slot, from, answer);
+      this->Voted(reply.slot, slot, from, reply);
       return;
     case WitnessRequestKind::kResign:
       return;
     case WitnessRequestKind::kPromise:
       break;
   }
-  if (answer.granted) {
-    this->Promised(answer.slot, slot, from, answer);
+  if (reply.granted) {
+    this->Promised(reply.slot, slot, from, reply);
     return;
   }
-  this->PromiseRefused(answer.slot, slot, from, answer);
+  this->PromiseRefused(reply.slot, slot, from, reply);
 }
 
-void SlotKeeper::AskAll(SlotId id, const Slot &slot, const SlotRow &row,
-                        WitnessRequestKind request) {
-  WitnessQuery ask;
-  ask.request = request;
-  ask.slot = id;
-  ask.epoch = row.epoch;
-  ask.asker = this->self;
-  ask.asked_us = this->clock.Now().count();
+void SlotKeeper::QueryAll(SlotId id, const Slot &slot, const SlotRow &row,
+                          WitnessRequestKind request) {
+  WitnessQuery query;
+  query.request = request;
+  query.slot = id;
+  query.epoch = row.epoch;
+  query.sender = this->self;
+  query.sent_us = this->clock.Now().count();
   const bool current =
       slot.phase == Phase::kHeld && row.epoch == slot.row.epoch;
-  ask.sealing = current && slot.next;
-  const RowInForce in_force = current ? this->InForce(slot) : RowInForce{};
+  query.sealing = current && slot.next;
+  const ActiveRow active_row = current ? this->ActiveRowOf(slot) : ActiveRow{};
   // Replies may arrive within the calls and replace the row.
   const std::vector<ProcessRef> witnesses = row.witnesses;
   for (const auto &ref : witnesses) {
-    ask.process = ref.process;
-    ask.in_force = slot.told.count(ref) > 0 ? RowInForce{} : in_force;
-    this->observer.Ask(ref, ask);
+    query.process = ref.process;
+    query.active_row = slot.informed.count(ref) > 0 ? ActiveRow{} : active_row;
+    this->delegate.SendQuery(ref, query);
   }
 }
 
-RowInForce SlotKeeper::InForce(const Slot &slot) const {
-  RowInForce told;
-  if (slot.next_sent || slot.version == 0) return told;
-  const Time ends = slot.touched + this->options.Less(this->options.lapse);
-  told.row = slot.in_table;
-  told.version = slot.version;
-  told.lapse_left_us = (ends - this->clock.Now()).count();
-  return told;
+ActiveRow SlotKeeper::ActiveRowOf(const Slot &slot) const {
+  ActiveRow active;
+  if (slot.next_sent || slot.version == 0) return active;
+  const Time ends =
+      slot.last_written + this->options.ShortenForDrift(this->options.lapse);
+  active.row = slot.in_table;
+  active.version = slot.version;
+  active.lapse_left_us = (ends - this->clock.Now()).count();
+  return active;
 }
 
 void SlotKeeper::GiveUp(Slot &slot) {
@@ -260,7 +262,7 @@
   slot.must_read = false;
   slot.refused = false;
   slot.adopting = false;
-  slot.invited = false;
+  slot.holder_resigned = false;
   slot.retry_at =
       this->clock.Now() + this->Jittered(this->options.claim_pause * 2);
   slot.elect_at =
@@ -278,7 +280,7 @@
 
 bool SlotKeeper::Lapsed(const Slot &slot) const noexcept {
   const Duration unchanged = this->clock.Now() - slot.seen_since;
-  return unchanged > this->options.More(this->options.lapse);
+  return unchanged > this->options.LengthenForDrift(this->options.lapse);
 }
 
 Duration SlotKeeper::Jittered(Duration span) {
--- a/src/pollenring/lease/slot_keeper.h
+++ b/src/pollenring/lease/slot_keeper.h
@@ -31,7 +31,7 @@
   virtual ~SlotDirectory() = default;
 
   /*! @brief True if a live node advertises that it holds the slot. */
-  [[nodiscard]] virtual bool HolderLives(SlotId slot) const = 0;
+  [[nodiscard]] virtual bool IsHolderAlive(SlotId slot) const = 0;
 
   /*! @brief Rank of this node among those that may claim, if it may. */
   [[nodiscard]] virtual std::optional<std::size_t> Rank(SlotId slot) const = 0;
@@ -41,7 +41,7 @@
       const ProcessRef &holder) const = 0;
 
   /*! @brief True if a process is believed to be alive. @param ref Process. */
-  [[nodiscard]] virtual bool Lives(const ProcessRef &ref) const = 0;
+  [[nodiscard]] virtual bool IsAlive(const ProcessRef &ref) const = 0;
 };
 
 /*! @brief Dependencies of the slot keeper. */
@@ -59,8 +59,9 @@
   virtual void WriteRow(SlotId slot, std::uint64_t version,
                         const SlotRow &row) = 0;
 
-  /*! @brief Queries a witness; its reply goes to `Answered`. */
-  virtual void Ask(const ProcessRef &witness, const WitnessQuery &ask) = 0;
+  /*! @brief Queries a witness; its reply goes to `HandleReply`. */
+  virtual void SendQuery(const ProcessRef &witness,
+                         const WitnessQuery &query) = 0;
 
   /**
    * @brief This node has become the slot's holder.
@@ -70,7 +71,7 @@
                       const SlotRow &before) = 0;
 
   /*! @brief The witnesses have changed. @param row The new row. */
-  virtual void Rewitnessed(SlotId slot, const SlotRow &row) = 0;
+  virtual void WitnessesChanged(SlotId slot, const SlotRow &row) = 0;
 
   /*! @brief This node is no longer the slot's holder. */
   virtual void Lost(SlotId slot) = 0;
@@ -109,11 +110,11 @@
    * @param random Random source.
    * @param directory Nodes that may hold and witness.
    * @param witness Witness of this process, which knows rows without the table.
-   * @param observer Carries out requests.
+   * @param delegate Carries out requests.
    */
   SlotKeeper(const ProcessRef &self, SlotId slots, const LeaseOptions &options,
              const Clock &clock, Random &random, const SlotDirectory &directory,
-             const Witness &witness, SlotDelegate &observer);
+             const Witness &witness, SlotDelegate &delegate);
 
   /**
    * @brief Time until which this node may use the slot.
@@ -149,7 +150,7 @@
    * take over if it fails.
    * @return The count.
    */
-  [[nodiscard]] std::size_t Fragile() const;
+  [[nodiscard]] std::size_t SoleWitnessCount() const;
 
   /*! @brief Advances claims and renewals; to be called frequently. */
   void Tick();
@@ -197,7 +198,7 @@
   void RowWritten(SlotId slot, RowWrite result);
 
   /*! @brief A witness has replied. @param from The witness queried. */
-  void Answered(const ProcessRef &from, const WitnessReply &answer);
+  void HandleReply(const ProcessRef &from, const WitnessReply &reply);
 
   /**
    * @brief Names the phase of a slot, for status and tests.
@@ -236,7 +237,7 @@
   struct LastPromise {
     std::uint64_t epoch{};
     ProcessRef holder;
-    std::set<ProcessRef> told_by;
+    std::set<ProcessRef> reported_by;
   };
 
   struct Slot {
@@ -255,9 +256,9 @@
     std::set<ProcessRef> agreed; /*!< Have released, or voted for this node. */
     std::set<ProcessRef> sealed; /*!< Elect nobody under the row held. */
     std::set<ProcessRef> outvoted; /*!< Have voted for a later epoch. */
-    std::set<ProcessRef> told;     /*!< Know that the table's row is active. */
+    std::set<ProcessRef> informed; /*!< Know that the table's row is active. */
     LastPromise last_promise;
-    bool invited{};               /*!< The holder has resigned, but is alive. */
+    bool holder_resigned{};       /*!< The holder has resigned, but is alive. */
     bool election_failed{};       /*!< Too few witnesses have replied. */
     std::uint64_t highest_vote{}; /*!< Latest epoch voted for by anyone. */
     Time seal_from{};             /*!< Seals requested earlier are void. */
@@ -268,7 +269,7 @@
     Time retry_at{};
     Time elect_at{};
     Time orphaned_at{};
-    Time touched{}; /*!< Last write known to be in the table. */
+    Time last_written{}; /*!< Last write known to be in the table. */
     Time write_sent{};
     std::uint64_t seen_version{};
     Time seen_since{};
@@ -282,7 +283,7 @@
   void Renew(SlotId id, Slot &slot);
   void ChangeWitnesses(SlotId id, Slot &slot);
   void StartRound(Slot &slot, Phase phase);
-  [[nodiscard]] bool AsksNow(Slot &slot);
+  [[nodiscard]] bool DueToSend(Slot &slot);
   void StartElection(SlotId id, Slot &slot, const KnownRow &known);
   void StartReleasing(SlotId id, Slot &slot);
   void StartPromising(SlotId id, Slot &slot);
@@ -293,26 +294,26 @@
   void StartAdopting(SlotId id, Slot &slot, std::uint64_t version,
                      const SlotRow &row);
   void Promised(SlotId id, Slot &slot, const ProcessRef &from,
-                const WitnessReply &answer);
+                const WitnessReply &reply);
   void PromiseRefused(SlotId id, Slot &slot, const ProcessRef &from,
-                      const WitnessReply &answer);
-  void Released(Slot &slot, const ProcessRef &from, const WitnessReply &answer);
+                      const WitnessReply &reply);
+  void Released(Slot &slot, const ProcessRef &from, const WitnessReply &reply);
   void Voted(SlotId id, Slot &slot, const ProcessRef &from,
-             const WitnessReply &answer);
+             const WitnessReply &reply);
   void GiveUp(Slot &slot);
   void Lose(SlotId id, Slot &slot);
-  void KeepAfterAll(Slot &slot);
-  void TakeNext(SlotId id, Slot &slot);
+  void ResumeHeld(Slot &slot);
+  void ActivateNext(SlotId id, Slot &slot);
   void Hold(SlotId id, Slot &slot, SlotOrigin origin, const SlotRow &before);
-  void JudgeHeldRead(SlotId id, Slot &slot, std::uint64_t version,
-                     const std::optional<SlotRow> &row);
-  void AskAll(SlotId id, const Slot &slot, const SlotRow &row,
-              WitnessRequestKind request);
-  void NoteLastPromise(Slot &slot, const ProcessRef &from,
-                       const WitnessReply &answer) const;
+  void HandleHeldRead(SlotId id, Slot &slot, std::uint64_t version,
+                      const std::optional<SlotRow> &row);
+  void QueryAll(SlotId id, const Slot &slot, const SlotRow &row,
+                WitnessRequestKind request);
+  void RecordLastPromise(Slot &slot, const ProcessRef &from,
+                         const WitnessReply &reply) const;
   [[nodiscard]] SlotRow LastHolder(const Slot &slot) const;
-  [[nodiscard]] RowInForce InForce(const Slot &slot) const;
-  [[nodiscard]] const KnownRow *MayElect(SlotId id, const Slot &slot) const;
+  [[nodiscard]] ActiveRow ActiveRowOf(const Slot &slot) const;
+  [[nodiscard]] const KnownRow *ElectableRow(SlotId id, const Slot &slot) const;
   [[nodiscard]] static bool IsWitness(const SlotRow &row,
                                       const ProcessRef &ref);
   [[nodiscard]] bool IsMine(const SlotRow &row) const noexcept;
@@ -325,7 +326,7 @@
   Random &random;
   const SlotDirectory &directory;
   const Witness &witness;
-  SlotDelegate &observer;
+  SlotDelegate &delegate;
   std::vector<Slot> slots;
   std::size_t table_calls{};
   bool claiming{true};
--- a/src/pollenring/lease/slot_keeper_held.cc
+++ b/src/pollenring/lease/slot_keeper_held.cc
@@ -12,11 +12,11 @@
   slot.phase = Phase::kHeld;
   slot.sealed.clear();
   slot.outvoted.clear();
-  slot.told.clear();
+  slot.informed.clear();
   slot.orphaned_at = Time{};
   // Notifies the witnesses immediately that the row is active.
   slot.next_send = this->clock.Now();
-  this->observer.Gained(id, slot.row, origin, before);
+  this->delegate.Gained(id, slot.row, origin, before);
 }
 
 void SlotKeeper::TickHeld(SlotId id, Slot &slot) {
@@ -33,27 +33,27 @@
   if (waits || now < slot.retry_at || now < slot.next_check) return;
   slot.next_check = now + this->options.claim_pause;
   const auto best = this->directory.WitnessesFor(this->self);
-  const bool one_is_gone = std::any_of(
+  const bool witness_lost = std::any_of(
       slot.row.witnesses.begin(), slot.row.witnesses.end(),
-      [this](const auto &ref) { return !this->directory.Lives(ref); });
+      [this](const auto &ref) { return !this->directory.IsAlive(ref); });
   const bool only_self = slot.row.witnesses.size() == 1 &&
                          slot.row.witnesses.front() == this->self;
-  const bool more_to_be_had = best.size() > slot.row.witnesses.size() ||
+  const bool more_available = best.size() > slot.row.witnesses.size() ||
                               (only_self && best != slot.row.witnesses);
   const bool due =
-      now - slot.touched > this->options.lapse / 3 && this->claiming;
+      now - slot.last_written > this->options.lapse / 3 && this->claiming;
   const bool elected = IsElected(slot.row.epoch);
   const bool invalid = now >= this->ValidUntil(id);
-  if (!one_is_gone && !more_to_be_had && !due && !elected && !invalid) return;
+  if (!witness_lost && !more_available && !due && !elected && !invalid) return;
   this->ChangeWitnesses(id, slot);
 }
 
 void SlotKeeper::Renew(SlotId id, Slot &slot) {
   slot.next_send = this->clock.Now() + this->options.renewal;
-  this->AskAll(id, slot, slot.row, WitnessRequestKind::kPromise);
+  this->QueryAll(id, slot, slot.row, WitnessRequestKind::kPromise);
   const bool own = slot.next && this->IsMine(slot.next->Row());
   if (own)
-    this->AskAll(id, slot, slot.next->Row(), WitnessRequestKind::kPromise);
+    this->QueryAll(id, slot, slot.next->Row(), WitnessRequestKind::kPromise);
 }
 
 void SlotKeeper::ChangeWitnesses(SlotId id, Slot &slot) {
@@ -67,8 +67,8 @@
 void SlotKeeper::HandOverTo(SlotId id, const ProcessRef &successor) {
   Slot &slot = this->slots.at(id);
   if (slot.phase != Phase::kHeld || slot.next_sent || slot.must_read) return;
-  const bool gives = slot.next && !this->IsMine(slot.next->Row());
-  if (gives) return;
+  const bool hands_over = slot.next && !this->IsMine(slot.next->Row());
+  if (hands_over) return;
   SlotRow next;
   next.epoch = NextRowEpoch(slot.row.epoch);
   next.holder = successor;
@@ -82,8 +82,8 @@
   if (!idle || !slot.must_read || !IsWitness(slot.row, successor)) return false;
   const SlotRow row = slot.row;
   this->GiveUp(slot);
-  this->AskAll(id, slot, row, WitnessRequestKind::kResign);
-  this->observer.HandedOver(id, row, successor);
+  this->QueryAll(id, slot, row, WitnessRequestKind::kResign);
+  this->delegate.HandedOver(id, row, successor);
   return true;
 }
 
@@ -106,10 +106,10 @@
   if (slot.sealed.size() < slot.row.Majority()) return;
   const Time now = this->clock.Now();
   if (now < slot.wait_until) return;
-  const bool gives = !this->IsMine(slot.next->Row());
-  if (!gives && slot.next->ValidUntil() <= now) return;
-  if (this->table_calls >= this->options.most_table_calls) return;
-  if (gives) slot.phase = Phase::kGiving;
+  const bool hands_over = !this->IsMine(slot.next->Row());
+  if (!hands_over && slot.next->ValidUntil() <= now) return;
+  if (this->table_calls >= this->options.max_table_calls) return;
+  if (hands_over) slot.phase = Phase::kGiving;
   this->SendWrite(id, slot);
 }
 
@@ -117,23 +117,24 @@
   slot.next_sent = true;
   slot.write_sent = this->clock.Now();
   ++this->table_calls;
-  this->observer.WriteRow(id, slot.version, slot.next->Row());
+  this->delegate.WriteRow(id, slot.version, slot.next->Row());
 }
 
 void SlotKeeper::PromiseRefused(SlotId id, Slot &slot, const ProcessRef &from,
-                                const WitnessReply &answer) {
-  if (slot.phase != Phase::kHeld || slot.row.epoch != answer.epoch) return;
+                                const WitnessReply &reply) {
+  if (slot.phase != Phase::kHeld || slot.row.epoch != reply.epoch) return;
   if (!IsWitness(slot.row, from)) return;
-  const bool released = answer.released >= LastEpochOf(answer.epoch);
+  const bool released = reply.released >= LastEpochOf(reply.epoch);
   // A predecessor has sealed the row, and nobody can undo that.
-  const bool sealed = answer.sealed && answer.released < answer.epoch;
-  if (!answer.remembers || released || sealed) {
+  const bool sealed = reply.sealed && reply.released < reply.epoch;
+  if (!reply.remembers || released || sealed) {
     // It can't elect anybody any more, but its promises may still run.
     slot.sealed.insert(from);
-    const Duration remaining{answer.remaining_us};
-    slot.wait_until = std::max(
-        slot.wait_until, this->clock.Now() + this->options.More(remaining));
-  } else if (answer.released >= answer.epoch) {
+    const Duration remaining{reply.remaining_us};
+    slot.wait_until =
+        std::max(slot.wait_until,
+                 this->clock.Now() + this->options.LengthenForDrift(remaining));
+  } else if (reply.released >= reply.epoch) {
     slot.outvoted.insert(from);
     if (slot.outvoted.size() >= slot.row.Majority()) {
       this->Lose(id, slot);
@@ -146,7 +147,7 @@
   slot.refused = true;
 }
 
-void SlotKeeper::KeepAfterAll(Slot &slot) {
+void SlotKeeper::ResumeHeld(Slot &slot) {
   // The write did not take effect, so the active row names this process.
   slot.phase = Phase::kHeld;
   slot.next.reset();
@@ -173,11 +174,11 @@
   slot.retry_at = this->clock.Now() + this->options.claim_pause;
   slot.reading = true;
   ++this->table_calls;
-  this->observer.ReadRow(id);
+  this->delegate.ReadRow(id);
 }
 
-void SlotKeeper::JudgeHeldRead(SlotId id, Slot &slot, std::uint64_t version,
-                               const std::optional<SlotRow> &row) {
+void SlotKeeper::HandleHeldRead(SlotId id, Slot &slot, std::uint64_t version,
+                                const std::optional<SlotRow> &row) {
   slot.must_read = false;
   const bool refused = std::exchange(slot.refused, false);
   const bool next_is_there = slot.next_sent && row &&
@@ -186,7 +187,7 @@
                              row->witnesses == slot.next->Row().witnesses;
   if (next_is_there) {
     slot.version = version - 1;
-    this->TakeNext(id, slot);
+    this->ActivateNext(id, slot);
     return;
   }
   if (version == slot.version) {
@@ -206,12 +207,12 @@
   this->GiveUp(slot);
 }
 
-void SlotKeeper::TakeNext(SlotId id, Slot &slot) {
+void SlotKeeper::ActivateNext(SlotId id, Slot &slot) {
   const Phase phase = slot.phase;
   const SlotRow before =
       phase == Phase::kWriting ? this->LastHolder(slot) : slot.row;
   ++slot.version;
-  slot.touched = slot.write_sent;
+  slot.last_written = slot.write_sent;
   slot.next_sent = false;
   slot.in_doubt = false;
   slot.must_read = false;
@@ -223,21 +224,21 @@
     case Phase::kGiving: {
       slot.row = slot.in_table;
       slot.phase = Phase::kFree;
-      const Duration since = this->clock.Now() - slot.touched;
+      const Duration since = this->clock.Now() - slot.last_written;
       if (since > this->options.lapse / 4) {
-        this->observer.Lost(id);
+        this->delegate.Lost(id);
         return;
       }
-      this->observer.HandedOver(id, slot.row, slot.row.holder);
+      this->delegate.HandedOver(id, slot.row, slot.row.holder);
       return;
     }
     case Phase::kHeld:
       slot.row = slot.in_table;
       slot.sealed.clear();
       slot.outvoted.clear();
-      slot.told.clear();
+      slot.informed.clear();
       slot.next_send = this->clock.Now();
-      this->observer.Rewitnessed(id, slot.row);
+      this->delegate.WitnessesChanged(id, slot.row);
       return;
     default:
       this->Hold(id, slot, SlotOrigin::kTakenOver, before);
@@ -246,7 +247,7 @@
 
 void SlotKeeper::Lose(SlotId id, Slot &slot) {
   this->GiveUp(slot);
-  this->observer.Lost(id);
+  this->delegate.Lost(id);
 }
 
 }  // namespace pollenring
--- a/src/pollenring/lease/slot_keeper_take.cc
+++ b/src/pollenring/lease/slot_keeper_take.cc
@@ -5,7 +5,7 @@
 
 namespace pollenring {
 
-const KnownRow *SlotKeeper::MayElect(SlotId id, const Slot &slot) const {
+const KnownRow *SlotKeeper::ElectableRow(SlotId id, const Slot &slot) const {
   const KnownRow *known = this->witness.Known(id);
   if (known == nullptr || !IsWitness(known->row, this->self)) return nullptr;
   // A later row has been read from the table.
@@ -19,7 +19,8 @@
   slot.row = known.row;
   slot.in_table = known.row;
   slot.version = known.version;
-  slot.touched = known.ends - this->options.Less(this->options.lapse);
+  slot.last_written =
+      known.ends - this->options.ShortenForDrift(this->options.lapse);
   slot.last_promise = LastPromise{};
   slot.agreed.clear();
   SlotRow next = known.row;
@@ -39,7 +40,7 @@
   slot.round_ends = this->clock.Now() + this->options.round_timeout;
 }
 
-bool SlotKeeper::AsksNow(Slot &slot) {
+bool SlotKeeper::DueToSend(Slot &slot) {
   const Time now = this->clock.Now();
   if (now >= slot.round_ends) {
     this->GiveUp(slot);
@@ -52,36 +53,36 @@
 
 void SlotKeeper::Campaign(SlotId id) {
   Slot &slot = this->slots.at(id);
-  const KnownRow *known = this->MayElect(id, slot);
+  const KnownRow *known = this->ElectableRow(id, slot);
   if (!this->claiming || slot.phase != Phase::kFree || known == nullptr) return;
-  slot.invited = true;
+  slot.holder_resigned = true;
   this->StartElection(id, slot, *known);
 }
 
 void SlotKeeper::TickElecting(SlotId id, Slot &slot) {
-  if (!slot.invited && this->directory.HolderLives(id)) {
+  if (!slot.holder_resigned && this->directory.IsHolderAlive(id)) {
     this->GiveUp(slot);
     return;
   }
   if (this->clock.Now() >= slot.round_ends) slot.election_failed = true;
-  if (!this->AsksNow(slot)) return;
-  this->AskAll(id, slot, slot.next->Row(), WitnessRequestKind::kVote);
+  if (!this->DueToSend(slot)) return;
+  this->QueryAll(id, slot, slot.next->Row(), WitnessRequestKind::kVote);
 }
 
 void SlotKeeper::Voted(SlotId id, Slot &slot, const ProcessRef &from,
-                       const WitnessReply &answer) {
+                       const WitnessReply &reply) {
   if (slot.phase != Phase::kElecting) return;
   const SlotRow &next = slot.next->Row();
-  if (next.epoch != answer.epoch || !IsWitness(next, from)) return;
-  if (!answer.granted) {
-    const std::uint64_t seen = std::max(answer.released, answer.voted);
+  if (next.epoch != reply.epoch || !IsWitness(next, from)) return;
+  if (!reply.granted) {
+    const std::uint64_t seen = std::max(reply.released, reply.voted);
     slot.highest_vote = std::max(slot.highest_vote, seen);
     // Another process is a candidate for this epoch or a later one.
     if (seen >= next.epoch) this->GiveUp(slot);
     return;
   }
   slot.agreed.insert(from);
-  this->NoteLastPromise(slot, from, answer);
+  this->RecordLastPromise(slot, from, reply);
   if (slot.agreed.size() < next.Majority()) return;
   this->StartRound(slot, Phase::kPromising);
   this->TickPromising(id, slot);
@@ -95,42 +96,43 @@
 }
 
 void SlotKeeper::TickReleasing(SlotId id, Slot &slot) {
-  if (!this->AsksNow(slot)) return;
+  if (!this->DueToSend(slot)) return;
   SlotRow over = slot.row;
   over.epoch = LastEpochOf(slot.row.epoch);
-  this->AskAll(id, slot, over, WitnessRequestKind::kRelease);
+  this->QueryAll(id, slot, over, WitnessRequestKind::kRelease);
 }
 
 void SlotKeeper::Released(Slot &slot, const ProcessRef &from,
-                          const WitnessReply &answer) {
+                          const WitnessReply &reply) {
   const bool expected =
       slot.phase == Phase::kReleasing || slot.phase == Phase::kWaiting;
-  if (!expected || LastEpochOf(slot.row.epoch) != answer.epoch) return;
+  if (!expected || LastEpochOf(slot.row.epoch) != reply.epoch) return;
   if (!IsWitness(slot.row, from)) return;
-  this->NoteLastPromise(slot, from, answer);
+  this->RecordLastPromise(slot, from, reply);
   if (!slot.agreed.insert(from).second) return;
-  const Duration remaining{answer.remaining_us};
-  const Time end = this->clock.Now() + this->options.More(remaining);
+  const Duration remaining{reply.remaining_us};
+  const Time end =
+      this->clock.Now() + this->options.LengthenForDrift(remaining);
   slot.wait_until = std::max(slot.wait_until, end);
   if (slot.agreed.size() < slot.row.Majority()) return;
   slot.phase = Phase::kWaiting;
 }
 
-void SlotKeeper::NoteLastPromise(Slot &slot, const ProcessRef &from,
-                                 const WitnessReply &answer) const {
-  if (!answer.remembers) return;
+void SlotKeeper::RecordLastPromise(Slot &slot, const ProcessRef &from,
+                                   const WitnessReply &reply) const {
+  if (!reply.remembers) return;
   LastPromise &last = slot.last_promise;
-  last.told_by.insert(from);
-  if (answer.promised <= last.epoch) return;
-  last.epoch = answer.promised;
-  last.holder = answer.promised_to;
+  last.reported_by.insert(from);
+  if (reply.promised <= last.epoch) return;
+  last.epoch = reply.promised;
+  last.holder = reply.promised_to;
 }
 
 SlotRow SlotKeeper::LastHolder(const Slot &slot) const {
   SlotRow last = slot.in_table;
   if (last.epoch == 0) return last;
   // A valid holder has promises of a majority, so any majority knows of it.
-  if (slot.last_promise.told_by.size() < last.Majority()) {
+  if (slot.last_promise.reported_by.size() < last.Majority()) {
     last.holder = ProcessRef{};
     last.witnesses.clear();
     return last;
@@ -155,35 +157,35 @@
 }
 
 void SlotKeeper::TickPromising(SlotId id, Slot &slot) {
-  if (!this->AsksNow(slot)) return;
-  this->AskAll(id, slot, slot.next->Row(), WitnessRequestKind::kPromise);
+  if (!this->DueToSend(slot)) return;
+  this->QueryAll(id, slot, slot.next->Row(), WitnessRequestKind::kPromise);
 }
 
 void SlotKeeper::Promised(SlotId id, Slot &slot, const ProcessRef &from,
-                          const WitnessReply &answer) {
-  const Time asked{answer.asked_us};
-  const Time end = asked + this->options.Less(this->options.promise);
+                          const WitnessReply &reply) {
+  const Time sent{reply.sent_us};
+  const Time end = sent + this->options.ShortenForDrift(this->options.promise);
   const bool for_current =
-      slot.phase == Phase::kHeld && slot.row.epoch == answer.epoch;
+      slot.phase == Phase::kHeld && slot.row.epoch == reply.epoch;
   if (for_current) {
-    slot.current.Given(from, end);
-    if (answer.knows >= slot.in_table.epoch) slot.told.insert(from);
-    const bool counts = answer.sealed && slot.next && asked >= slot.seal_from;
+    slot.current.Record(from, end);
+    if (reply.known_epoch >= slot.in_table.epoch) slot.informed.insert(from);
+    const bool counts = reply.sealed && slot.next && sent >= slot.seal_from;
     if (counts && IsWitness(slot.row, from)) slot.sealed.insert(from);
     this->SendChange(id, slot);
   }
-  if (!slot.next || slot.next->Row().epoch != answer.epoch) return;
-  slot.next->Given(from, end);
+  if (!slot.next || slot.next->Row().epoch != reply.epoch) return;
+  slot.next->Record(from, end);
   if (slot.next->ValidUntil() <= this->clock.Now()) return;
   switch (slot.phase) {
     case Phase::kPromising:
-      if (IsElected(answer.epoch)) {
+      if (IsElected(reply.epoch)) {
         const SlotRow before = this->LastHolder(slot);
         slot.current = *std::exchange(slot.next, std::nullopt);
         this->Hold(id, slot, SlotOrigin::kTakenOver, before);
         return;
       }
-      if (this->table_calls >= this->options.most_table_calls) return;
+      if (this->table_calls >= this->options.max_table_calls) return;
       slot.phase = Phase::kWriting;
       this->SendWrite(id, slot);
       return;
@@ -209,7 +211,7 @@
   if (claims_already) return;
   slot.phase = Phase::kReading;
   ++this->table_calls;
-  this->observer.ReadRow(id);
+  this->delegate.ReadRow(id);
 }
 
 void SlotKeeper::StartAdopting(SlotId id, Slot &slot, std::uint64_t version,
@@ -220,7 +222,7 @@
   slot.in_doubt = false;
   slot.must_read = false;
   // The write is older than its notification: stay well within the lapse.
-  slot.touched = slot.write_sent - this->options.lapse / 2;
+  slot.last_written = slot.write_sent - this->options.lapse / 2;
   this->StartRound(slot, Phase::kAdopting);
   this->TickPromising(id, slot);
 }
--- a/src/pollenring/lease/witness.cc
+++ b/src/pollenring/lease/witness.cc
@@ -6,7 +6,7 @@
 namespace {
 
 /*! @brief Maximum time from sending a datagram to its arrival. */
-constexpr Duration kLongestDelivery = std::chrono::minutes{2};
+constexpr Duration kMaxDeliveryTime = std::chrono::minutes{2};
 
 }  // namespace
 
@@ -14,51 +14,51 @@
                  const Clock &clock)
     : process{process}, options{options}, clock{clock}, started{clock.Now()} {}
 
-WitnessReply Witness::Answer(const WitnessQuery &ask) {
+WitnessReply Witness::HandleQuery(const WitnessQuery &query) {
   const Time now = this->clock.Now();
-  WitnessReply answer;
-  answer.request = ask.request;
-  answer.slot = ask.slot;
-  answer.epoch = ask.epoch;
-  answer.process = ask.process;
-  answer.asked_us = ask.asked_us;
-  if (ask.process != this->process) {
+  WitnessReply reply;
+  reply.request = query.request;
+  reply.slot = query.slot;
+  reply.epoch = query.epoch;
+  reply.process = query.process;
+  reply.sent_us = query.sent_us;
+  if (query.process != this->process) {
     // The addressed process ended no later than this one started.
     const Time until = this->started + this->options.promise;
-    answer.granted = ask.request == WitnessRequestKind::kRelease;
-    answer.remaining_us = std::max(Duration{0}, until - now).count();
-    return answer;
+    reply.granted = query.request == WitnessRequestKind::kRelease;
+    reply.remaining_us = std::max(Duration{0}, until - now).count();
+    return reply;
   }
-  Slot &slot = this->slots[ask.slot];
-  switch (ask.request) {
+  Slot &slot = this->slots[query.slot];
+  switch (query.request) {
     case WitnessRequestKind::kPromise:
-      answer.granted = this->Promise(slot, ask);
+      reply.granted = this->Promise(slot, query);
       break;
     case WitnessRequestKind::kRelease:
-      Release(slot, ask.epoch);
-      answer.granted = true;
+      Release(slot, query.epoch);
+      reply.granted = true;
       break;
     case WitnessRequestKind::kVote:
-      answer.granted = this->Vote(slot, ask);
+      reply.granted = this->Vote(slot, query);
       break;
     case WitnessRequestKind::kResign:
-      this->Resign(slot, ask);
-      answer.granted = true;
+      this->Resign(slot, query);
+      reply.granted = true;
       break;
   }
-  answer.released = slot.released;
-  answer.voted = slot.voted;
-  answer.knows = slot.known.row.epoch;
-  const std::uint64_t row = RowEpochOf(ask.epoch);
-  answer.remembers = row >= RowEpochOf(slot.known.row.epoch);
+  reply.released = slot.released;
+  reply.voted = slot.voted;
+  reply.known_epoch = slot.known.row.epoch;
+  const std::uint64_t row = RowEpochOf(query.epoch);
+  reply.remembers = row >= RowEpochOf(slot.known.row.epoch);
   const auto memory = slot.rows.find(row);
-  if (memory == slot.rows.end()) return answer;
-  answer.sealed = memory->second.sealed;
-  answer.promised = memory->second.promised;
-  answer.promised_to = memory->second.promised_to;
-  answer.remaining_us =
+  if (memory == slot.rows.end()) return reply;
+  reply.sealed = memory->second.sealed;
+  reply.promised = memory->second.promised;
+  reply.promised_to = memory->second.promised_to;
+  reply.remaining_us =
       std::max(Duration{0}, memory->second.promised_until - now).count();
-  return answer;
+  return reply;
 }
 
 const KnownRow *Witness::Known(SlotId id) const {
@@ -69,52 +69,53 @@
   return &found->second.known;
 }
 
-bool Witness::Promise(Slot &slot, const WitnessQuery &ask) {
-  if (ask.epoch <= slot.released) return false;
-  if (SealedBefore(slot, ask.epoch)) {
+bool Witness::Promise(Slot &slot, const WitnessQuery &query) {
+  if (query.epoch <= slot.released) return false;
+  if (SealedBefore(slot, query.epoch)) {
     // The process that sealed the row is superseded and can't unseal it.
-    Release(slot, ask.epoch - 1);
+    Release(slot, query.epoch - 1);
     return false;
   }
-  if (IsElected(ask.epoch)) Release(slot, ask.epoch - 1);
-  RowMemory &memory = slot.rows[RowEpochOf(ask.epoch)];
+  if (IsElected(query.epoch)) Release(slot, query.epoch - 1);
+  RowMemory &memory = slot.rows[RowEpochOf(query.epoch)];
   memory.promised_until = std::max(memory.promised_until,
                                    this->clock.Now() + this->options.promise);
-  if (ask.epoch >= memory.promised) {
-    memory.promised = ask.epoch;
-    memory.promised_to = ask.asker;
+  if (query.epoch >= memory.promised) {
+    memory.promised = query.epoch;
+    memory.promised_to = query.sender;
   }
-  Seal(memory, ask);
-  this->Learn(slot, ask);
+  Seal(memory, query);
+  this->RecordActiveRow(slot, query);
   return true;
 }
 
-bool Witness::Vote(Slot &slot, const WitnessQuery &ask) {
-  if (ask.epoch <= slot.released) return false;
-  const auto memory = slot.rows.find(RowEpochOf(ask.epoch));
+bool Witness::Vote(Slot &slot, const WitnessQuery &query) {
+  if (query.epoch <= slot.released) return false;
+  const auto memory = slot.rows.find(RowEpochOf(query.epoch));
   if (memory != slot.rows.end()) {
     if (memory->second.sealed) return false;
     // A live holder keeps its slot, whatever the sender believes.
     if (this->clock.Now() < memory->second.promised_until) return false;
   }
-  const bool voted = slot.voted == ask.epoch && !(slot.voted_for == ask.asker);
+  const bool voted =
+      slot.voted == query.epoch && !(slot.voted_for == query.sender);
   if (voted) return false;
-  slot.voted = ask.epoch;
-  slot.voted_for = ask.asker;
-  Release(slot, ask.epoch - 1);
+  slot.voted = query.epoch;
+  slot.voted_for = query.sender;
+  Release(slot, query.epoch - 1);
   return true;
 }
 
-void Witness::Resign(Slot &slot, const WitnessQuery &ask) const {
-  const auto memory = slot.rows.find(RowEpochOf(ask.epoch));
+void Witness::Resign(Slot &slot, const WitnessQuery &query) const {
+  const auto memory = slot.rows.find(RowEpochOf(query.epoch));
   if (memory == slot.rows.end()) return;
-  const bool own = memory->second.promised == ask.epoch &&
-                   memory->second.promised_to == ask.asker;
+  const bool own = memory->second.promised == query.epoch &&
+                   memory->second.promised_to == query.sender;
   if (!own) return;
   memory->second.promised_until = this->clock.Now();
   // A process that resigns has no write in progress and won't begin another.
-  if (memory->second.sealer == ask.asker) memory->second.sealed = false;
-  Release(slot, ask.epoch);
+  if (memory->second.sealer == query.sender) memory->second.sealed = false;
+  Release(slot, query.epoch);
 }
 
 void Witness::Release(Slot &slot, std::uint64_t epoch) {
@@ -127,42 +128,45 @@
          memory->second.seal_epoch < epoch;
 }
 
-void Witness::Seal(RowMemory &memory, const WitnessQuery &ask) {
-  const Time asked{ask.asked_us};
-  if (ask.epoch < memory.seal_epoch) return;
+void Witness::Seal(RowMemory &memory, const WitnessQuery &query) {
+  const Time sent{query.sent_us};
+  if (query.epoch < memory.seal_epoch) return;
   const bool same =
-      ask.epoch == memory.seal_epoch && ask.asker == memory.sealer;
+      query.epoch == memory.seal_epoch && query.sender == memory.sealer;
   // A late message must not undo a newer request.
   const bool late =
-      asked < memory.seal_asked ||
-      (asked == memory.seal_asked && memory.sealed && !ask.sealing);
+      sent < memory.seal_sent ||
+      (sent == memory.seal_sent && memory.sealed && !query.sealing);
   if (same && late) return;
   // Nor can others unseal it that request the same epoch but don't hold it.
-  if (!same && memory.sealed && !ask.sealing) return;
-  memory.seal_epoch = ask.epoch;
-  memory.sealer = ask.asker;
-  memory.seal_asked = asked;
-  memory.sealed = ask.sealing;
+  if (!same && memory.sealed && !query.sealing) return;
+  memory.seal_epoch = query.epoch;
+  memory.sealer = query.sender;
+  memory.seal_sent = sent;
+  memory.sealed = query.sealing;
 }
 
-void Witness::Learn(Slot &slot, const WitnessQuery &ask) const {
-  const RowInForce &told = ask.in_force;
+void Witness::RecordActiveRow(Slot &slot, const WitnessQuery &query) const {
+  const ActiveRow &reported = query.active_row;
   KnownRow &known = slot.known;
-  const bool older = told.version == 0 || told.row.epoch < known.row.epoch;
+  const bool older =
+      reported.version == 0 || reported.row.epoch < known.row.epoch;
   if (older) return;
-  const Time ends = this->clock.Now() +
-                    this->options.Less(Duration{told.lapse_left_us}) -
-                    kLongestDelivery;
-  if (told.row.epoch == known.row.epoch) {
+  const Time ends =
+      this->clock.Now() +
+      this->options.ShortenForDrift(Duration{reported.lapse_left_us}) -
+      kMaxDeliveryTime;
+  if (reported.row.epoch == known.row.epoch) {
     // Of the holder's own reports, the earliest end is the most accurate.
-    if (ask.asker == known.row.holder) known.ends = std::min(known.ends, ends);
+    if (query.sender == known.row.holder)
+      known.ends = std::min(known.ends, ends);
     return;
   }
-  known = {told.row, told.version, ends};
+  known = {reported.row, reported.version, ends};
   // Earlier rows than the active one are superseded; requests for them are
   // void.
-  Release(slot, told.row.epoch - 1);
-  slot.rows.erase(slot.rows.begin(), slot.rows.lower_bound(told.row.epoch));
+  Release(slot, reported.row.epoch - 1);
+  slot.rows.erase(slot.rows.begin(), slot.rows.lower_bound(reported.row.epoch));
 }
 
 }  // namespace pollenring
--- a/src/pollenring/lease/witness.h
+++ b/src/pollenring/lease/witness.h
@@ -42,10 +42,10 @@
 
   /**
    * @brief Handles the query of a holder or a taker.
-   * @param ask The query.
+   * @param query The query.
    * @return The decision, and the state that the sender needs.
    */
-  [[nodiscard]] WitnessReply Answer(const WitnessQuery &ask);
+  [[nodiscard]] WitnessReply HandleQuery(const WitnessQuery &query);
 
   /**
    * @brief Finds the row that was last reported active.
@@ -63,7 +63,7 @@
     std::uint64_t
         seal_epoch{};  /*!< Latest epoch with a seal or unseal request. */
     ProcessRef sealer; /*!< Process that sent it. */
-    Time seal_asked{}; /*!< Time of sending, on that process's clock. */
+    Time seal_sent{};  /*!< Time of sending, on that process's clock. */
     bool sealed{};
   };
   struct Slot {
@@ -74,12 +74,12 @@
     KnownRow known;
   };
 
-  [[nodiscard]] bool Promise(Slot &slot, const WitnessQuery &ask);
-  [[nodiscard]] bool Vote(Slot &slot, const WitnessQuery &ask);
-  void Resign(Slot &slot, const WitnessQuery &ask) const;
+  [[nodiscard]] bool Promise(Slot &slot, const WitnessQuery &query);
+  [[nodiscard]] bool Vote(Slot &slot, const WitnessQuery &query);
+  void Resign(Slot &slot, const WitnessQuery &query) const;
   static void Release(Slot &slot, std::uint64_t epoch);
-  static void Seal(RowMemory &memory, const WitnessQuery &ask);
-  void Learn(Slot &slot, const WitnessQuery &ask) const;
+  static void Seal(RowMemory &memory, const WitnessQuery &query);
+  void RecordActiveRow(Slot &slot, const WitnessQuery &query) const;
   [[nodiscard]] static bool SealedBefore(const Slot &slot, std::uint64_t epoch);
 
   std::uint64_t process;
--- a/src/pollenring/lease/witness_messages.h
+++ b/src/pollenring/lease/witness_messages.h
@@ -26,7 +26,7 @@
 }}};
 
 /*! @brief A row that its holder knows to be in the table. */
-struct RowInForce {
+struct ActiveRow {
   SlotRow row;
   std::uint64_t version{};      /*!< In the table; 0 if no row is reported. */
   std::int64_t lapse_left_us{}; /*!< Maximum remaining time to hold it. */
@@ -39,12 +39,12 @@
   SlotId slot{};
   std::uint64_t epoch{};
   std::uint64_t process{}; /*!< Process that the row names as witness. */
-  ProcessRef asker;
-  std::int64_t asked_us{}; /*!< On the sender's clock. */
-  bool sealing{};          /*!< Not to vote under this row until unsealed. */
-  RowInForce in_force;
-  MSGPACK_DEFINE(request, slot, epoch, process, asker, asked_us, sealing,
-                 in_force)
+  ProcessRef sender;
+  std::int64_t sent_us{}; /*!< On the sender's clock. */
+  bool sealing{};         /*!< Not to vote under this row until unsealed. */
+  ActiveRow active_row;
+  MSGPACK_DEFINE(request, slot, epoch, process, sender, sent_us, sealing,
+                 active_row)
 };
 
 /*! @brief Reply of a witness. */
@@ -53,7 +53,7 @@
   SlotId slot{};
   std::uint64_t epoch{};
   std::uint64_t process{};
-  std::int64_t asked_us{};
+  std::int64_t sent_us{};
   bool granted{};
   bool remembers{};         /*!< False if a later process replies. */
   bool sealed{};            /*!< It votes for nobody under this row. */
@@ -62,10 +62,11 @@
   std::int64_t remaining_us{}; /*!< Maximum remaining time of its promises. */
   std::uint64_t promised{};    /*!< Latest epoch promised under the row. */
   ProcessRef promised_to;
-  std::uint64_t knows{}; /*!< Epoch of the row that it knows to be active. */
-  MSGPACK_DEFINE(request, slot, epoch, process, asked_us, granted, remembers,
+  std::uint64_t
+      known_epoch{}; /*!< Epoch of the row that it knows to be active. */
+  MSGPACK_DEFINE(request, slot, epoch, process, sent_us, granted, remembers,
                  sealed, released, voted, remaining_us, promised, promised_to,
-                 knows)
+                 known_epoch)
 };
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -263,10 +263,10 @@
   const Duration soft_deadline{entry->envelope.soft_deadline_us};
   const Duration wait = std::min(kShareWait, soft_deadline / kShareWaitPart);
   const RenewCharge charge = [this, entry, wait](ShareGate::Done done) {
-    const Time next_share = this->loop.GetClock().Now() + wait;
+    const Time next_refill = this->loop.GetClock().Now() + wait;
     this->parts.shares.Charge(
         entry->workspace,
-        {entry->deadline, std::min(entry->deadline, next_share)},
+        {entry->deadline, std::min(entry->deadline, next_refill)},
         std::move(done));
   };
   charge([this, entry, charge](ShareAnswer answer) {
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -258,7 +258,7 @@
   }
   const bool ran = reply.outcome == Outcome::kRan;
   if (ran && !job.envelope.is_retry) {
-    this->budget.Succeeded(job.envelope.service);
+    this->budget.RecordSuccess(job.envelope.service);
   }
   if (reply.outcome != Outcome::kNotRun) --job.bounds.targets;
   job.may_have_run = job.may_have_run || reply.outcome == Outcome::kUnknown;
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -160,7 +160,7 @@
     return static_cast<double>(this->slots.Keeper().Claims().size());
   });
   this->metrics.Gauge("pollenring_slots_without_witness", [this] {
-    return static_cast<double>(this->slots.Keeper().Fragile());
+    return static_cast<double>(this->slots.Keeper().SoleWitnessCount());
   });
   this->metrics.Gauge("pollenring_control_bytes_sent", [this] {
     return static_cast<double>(this->bus.BytesSent());
@@ -303,7 +303,7 @@
       {"open_for_callers", this->caller_server.IsOpen()},
       {"in_progress", this->InProgress()},
       {"slots_without_holder", orphans},
-      {"slots_without_witness", this->slots.Keeper().Fragile()},
+      {"slots_without_witness", this->slots.Keeper().SoleWitnessCount()},
       {"requests", this->metrics.Read("pollenring_requests_total")},
       {"refusals", this->metrics.Read("pollenring_refusals_total")},
       {"members", DescribeMembers(this->members.Get(), this->wire.versions)}};
--- a/src/pollenring/node/once_memory.cc
+++ b/src/pollenring/node/once_memory.cc
@@ -109,7 +109,7 @@
   const auto found = this->owned.find(slot);
   if (found == this->owned.end()) return;
   OnceLog log = found->second.ledger.Log();
-  for (auto &record : log.records) record.answer.clear();
+  for (auto &record : log.records) record.response.clear();
   for (const auto &ref : MirrorsOf(row)) {
     const OnceSeed seed{{slot, row.epoch, ref.process}, log};
     this->link.Call(AddressOf(ref.node), "once-seed", Pack(seed), kCloseTimeout,
--- a/src/pollenring/node/once_service.cc
+++ b/src/pollenring/node/once_service.cc
@@ -184,7 +184,7 @@
       if (copy.record.attempt == begin.attempt) return;
     }
     this->Reply(asker, {begin.attempt, true, ToVerdict(decision.verdict),
-                        decision.answer});
+                        decision.response});
     return;
   }
   const SlotRow *row = this->slots.Keeper().Held(slot);
--- a/src/pollenring/node/share_service.cc
+++ b/src/pollenring/node/share_service.cc
@@ -32,7 +32,7 @@
       });
   this->bus.On<BorrowReply>(MessageKind::kLend,
                             [this](NodeId /*from*/, const BorrowReply &reply) {
-                              this->borrower.Receive(reply);
+                              this->borrower.HandleReply(reply);
                             });
   this->loop.Every(kTick, [this] { this->borrower.Tick(); });
 }
@@ -50,8 +50,9 @@
   const auto holder = this->holders.HolderOf(request.slot);
   if (!holder) return false;
   if (this->holders.Holds(request.slot)) {
-    this->loop.Post(
-        [this, reply = this->Lend(request)] { this->borrower.Receive(reply); });
+    this->loop.Post([this, reply = this->Lend(request)] {
+      this->borrower.HandleReply(reply);
+    });
     return true;
   }
   this->bus.Send(*holder, MessageKind::kBorrow, request);
--- a/src/pollenring/node/slot_service.cc
+++ b/src/pollenring/node/slot_service.cc
@@ -60,16 +60,16 @@
 void SlotService::Listen() {
   this->bus.On<WitnessQuery>(
       MessageKind::kWitnessQuery, [this](NodeId from, const WitnessQuery &ask) {
-        if (ask.slot >= this->count || ask.asker.node != from) return;
+        if (ask.slot >= this->count || ask.sender.node != from) return;
         // What came while this process stood still may be of long ago.
         if (this->loop.WokeFromPause()) return;
         this->bus.Send(from, MessageKind::kWitnessReply,
-                       this->witness.Answer(ask));
+                       this->witness.HandleQuery(ask));
       });
   this->bus.On<WitnessReply>(
       MessageKind::kWitnessReply,
       [this](NodeId from, const WitnessReply &answer) {
-        this->keeper.Answered({from, answer.process}, answer);
+        this->keeper.HandleReply({from, answer.process}, answer);
       });
 }
 
@@ -106,7 +106,7 @@
   return holder.node;
 }
 
-bool SlotService::HolderLives(SlotId slot) const {
+bool SlotService::IsHolderAlive(SlotId slot) const {
   const Holder &holder = this->holders.at(slot);
   if (holder.node == 0 || holder.node == this->self.node) return false;
   const Member *member = this->members.Get().Find(holder.node);
@@ -156,7 +156,7 @@
   return ChooseWitnesses(home, std::move(others));
 }
 
-bool SlotService::Lives(const ProcessRef &ref) const {
+bool SlotService::IsAlive(const ProcessRef &ref) const {
   const Member *member = this->members.Get().Find(ref.node);
   return member != nullptr && member->process == ref.process &&
          member->state != MemberState::kDead &&
@@ -193,13 +193,13 @@
       });
 }
 
-void SlotService::Ask(const ProcessRef &ref, const WitnessQuery &ask) {
+void SlotService::SendQuery(const ProcessRef &ref, const WitnessQuery &ask) {
   if (ref.node != this->self.node) {
     this->bus.Send(ref.node, MessageKind::kWitnessQuery, ask);
     return;
   }
-  this->loop.Post([this, ref, answer = this->witness.Answer(ask)] {
-    this->keeper.Answered(ref, answer);
+  this->loop.Post([this, ref, answer = this->witness.HandleQuery(ask)] {
+    this->keeper.HandleReply(ref, answer);
   });
 }
 
@@ -216,7 +216,7 @@
   }
 }
 
-void SlotService::Rewitnessed(SlotId slot, const SlotRow &row) {
+void SlotService::WitnessesChanged(SlotId slot, const SlotRow &row) {
   this->claims_changed = true;
   this->holders[slot] = {row.epoch, this->self.node};
   for (SlotListener *user : this->users) user->SlotRewitnessed(slot, row);
@@ -286,7 +286,7 @@
   if (row == nullptr) return;
   const std::vector<ProcessRef> witnesses = row->witnesses;
   for (const auto &ref : witnesses) {
-    if (ref == this->self || !this->Lives(ref)) continue;
+    if (ref == this->self || !this->IsAlive(ref)) continue;
     if (this->keeper.Resign(slot, ref)) return;
   }
   const auto successor = this->SuccessorFor(slot);
--- a/src/pollenring/node/slot_service.h
+++ b/src/pollenring/node/slot_service.h
@@ -85,19 +85,19 @@
   /*! @brief Whether this node holds no slot. @return So. */
   [[nodiscard]] bool Empty() const { return this->keeper.Claims().empty(); }
 
-  [[nodiscard]] bool HolderLives(SlotId slot) const override;
+  [[nodiscard]] bool IsHolderAlive(SlotId slot) const override;
   [[nodiscard]] std::optional<std::size_t> Rank(SlotId slot) const override;
   [[nodiscard]] std::vector<ProcessRef> WitnessesFor(
       const ProcessRef &holder) const override;
-  [[nodiscard]] bool Lives(const ProcessRef &ref) const override;
+  [[nodiscard]] bool IsAlive(const ProcessRef &ref) const override;
 
   void ReadRow(SlotId slot) override;
   void WriteRow(SlotId slot, std::uint64_t version,
                 const SlotRow &row) override;
-  void Ask(const ProcessRef &ref, const WitnessQuery &ask) override;
+  void SendQuery(const ProcessRef &ref, const WitnessQuery &ask) override;
   void Gained(SlotId slot, const SlotRow &row, SlotOrigin origin,
               const SlotRow &before) override;
-  void Rewitnessed(SlotId slot, const SlotRow &row) override;
+  void WitnessesChanged(SlotId slot, const SlotRow &row) override;
   void Lost(SlotId slot) override;
   void HandedOver(SlotId slot, const SlotRow &row,
                   const ProcessRef &successor) override;
--- a/src/pollenring/once/ledger.cc
+++ b/src/pollenring/once/ledger.cc
@@ -9,8 +9,8 @@
 namespace pollenring {
 namespace {
 
-constexpr std::size_t kLargestAnswerKept = std::size_t{16} * 1024;
-constexpr std::size_t kAnswerBudget = std::size_t{4} * 1024 * 1024;
+constexpr std::size_t kMaxStoredResponseBytes = std::size_t{16} * 1024;
+constexpr std::size_t kResponseBudgetBytes = std::size_t{4} * 1024 * 1024;
 /*! @brief Separates the hash of slots from that of workspaces. */
 constexpr std::uint64_t kSlotSeed = 0x0ced;
 
@@ -22,7 +22,7 @@
 
 BeginDecision OnceLedger::Begin(const std::string &key, WallTime minted,
                                 std::uint64_t attempt, WallTime deadline) {
-  this->Forget();
+  this->DropExpired();
   const WallTime now = this->clock.WallNow();
   const auto found = this->records.find(key);
   if (found != this->records.end()) {
@@ -35,7 +35,7 @@
       return {BeginVerdict::kRun, true, {}};
     }
     if (record.state == OnceState::kRan) {
-      return {BeginVerdict::kRan, false, record.answer};
+      return {BeginVerdict::kRan, false, record.response};
     }
     const bool same = record.attempt == attempt;
     if (same && record.state == OnceState::kStarted) {
@@ -47,10 +47,10 @@
             false,
             {}};
   }
-  const bool from_future = minted > now + kWallSkew;
-  const bool too_old = minted + kOnceRetention - 2 * kWallSkew < now;
+  const bool from_future = minted > now + kMaxWallSkew;
+  const bool too_old = minted + kOnceRetention - 2 * kMaxWallSkew < now;
   if (from_future || too_old) return {BeginVerdict::kExpired, false, {}};
-  if (minted < this->complete_since + kWallSkew) {
+  if (minted < this->complete_since + kMaxWallSkew) {
     const bool may_have_begun = this->complete_since > WallTime{0};
     if (may_have_begun) return {BeginVerdict::kUnknown, false, {}};
   }
@@ -65,27 +65,28 @@
 }
 
 void OnceLedger::End(const std::string &key, std::uint64_t attempt,
-                     OnceState state, std::string answer) {
+                     OnceState state, std::string response) {
   const auto found = this->records.find(key);
   if (found == this->records.end()) return;
   OnceRecord &record = found->second;
   if (record.attempt != attempt) return;
   if (record.state == OnceState::kRan) return;
   record.state = state;
-  if (state == OnceState::kRan) this->KeepAnswer(record, std::move(answer));
+  if (state == OnceState::kRan)
+    this->StoreResponse(record, std::move(response));
 }
 
-void OnceLedger::KeepAnswer(OnceRecord &record, std::string answer) {
-  if (answer.size() > kLargestAnswerKept) return;
-  this->answer_bytes += answer.size();
-  record.answer = std::move(answer);
-  this->with_answer.push_back(record.key);
-  while (this->answer_bytes > kAnswerBudget) {
-    const auto oldest = this->records.find(this->with_answer.front());
-    this->with_answer.pop_front();
+void OnceLedger::StoreResponse(OnceRecord &record, std::string response) {
+  if (response.size() > kMaxStoredResponseBytes) return;
+  this->response_bytes += response.size();
+  record.response = std::move(response);
+  this->with_response.push_back(record.key);
+  while (this->response_bytes > kResponseBudgetBytes) {
+    const auto oldest = this->records.find(this->with_response.front());
+    this->with_response.pop_front();
     if (oldest == this->records.end()) continue;
-    this->answer_bytes -= oldest->second.answer.size();
-    oldest->second.answer.clear();
+    this->response_bytes -= oldest->second.response.size();
+    oldest->second.response.clear();
   }
 }
 
@@ -102,8 +103,8 @@
     const auto [found, added] = this->records.emplace(record.key, record);
     if (added) {
       this->by_age.emplace_back(now, record.key);
-      this->answer_bytes += record.answer.size();
-      if (!record.answer.empty()) this->with_answer.push_back(record.key);
+      this->response_bytes += record.response.size();
+      if (!record.response.empty()) this->with_response.push_back(record.key);
       continue;
     }
     const bool worse = found->second.state == OnceState::kAborted &&
@@ -112,13 +113,13 @@
   }
 }
 
-void OnceLedger::Forget() {
-  const WallTime oldest = this->clock.WallNow() - kOnceRetention - kWallSkew;
+void OnceLedger::DropExpired() {
+  const WallTime oldest = this->clock.WallNow() - kOnceRetention - kMaxWallSkew;
   while (!this->by_age.empty() && this->by_age.front().first < oldest) {
     const auto found = this->records.find(this->by_age.front().second);
     this->by_age.pop_front();
     if (found == this->records.end()) continue;
-    this->answer_bytes -= found->second.answer.size();
+    this->response_bytes -= found->second.response.size();
     this->records.erase(found);
   }
 }
--- a/src/pollenring/once/ledger.h
+++ b/src/pollenring/once/ledger.h
@@ -36,7 +36,7 @@
 struct BeginDecision {
   BeginVerdict verdict{BeginVerdict::kUnknown};
   bool recorded{}; /*!< A new record has to be mirrored. */
-  std::string answer;
+  std::string response;
 };
 
 /**
@@ -79,10 +79,10 @@
    * @param key Workspace and identifier.
    * @param attempt The attempt.
    * @param state How it ended.
-   * @param answer Its response; kept while there is room.
+   * @param response Its response; kept while there is room.
    */
   void End(const std::string &key, std::uint64_t attempt, OnceState state,
-           std::string answer);
+           std::string response);
 
   /*! @brief Copies all records for a successor. @return The log. */
   [[nodiscard]] OnceLog Log() const;
@@ -102,15 +102,15 @@
   }
 
  private:
-  void Forget();
-  void KeepAnswer(OnceRecord &record, std::string answer);
+  void DropExpired();
+  void StoreResponse(OnceRecord &record, std::string response);
 
   WallTime complete_since;
   const Clock &clock;
   std::unordered_map<std::string, OnceRecord> records;
   std::deque<std::pair<WallTime, std::string>> by_age;
-  std::deque<std::string> with_answer;
-  std::size_t answer_bytes{};
+  std::deque<std::string> with_response;
+  std::size_t response_bytes{};
 };
 
 }  // namespace pollenring
--- a/src/pollenring/once/mirror.cc
+++ b/src/pollenring/once/mirror.cc
@@ -15,7 +15,7 @@
   Copies *copies = this->Open(slot, epoch);
   if (copies == nullptr) return false;
   copies->records[record.key] = record;
-  if (++copies->copied % kCopiesPerSweep == 0) this->Forget(*copies);
+  if (++copies->copied % kCopiesPerSweep == 0) this->DropExpired(*copies);
   return true;
 }
 
@@ -50,14 +50,14 @@
   if (epoch > copies.epoch) {
     copies.epoch = epoch;
     copies.complete_since = this->clock.WallNow();
-    this->Forget(copies);
+    this->DropExpired(copies);
   }
   return &copies;
 }
 
-void OnceMirror::Forget(Copies &copies) const {
+void OnceMirror::DropExpired(Copies &copies) const {
   const WallTime oldest =
-      this->clock.WallNow() - kOnceRetention - 3 * kWallSkew;
+      this->clock.WallNow() - kOnceRetention - 3 * kMaxWallSkew;
   for (auto it = copies.records.begin(); it != copies.records.end();) {
     const bool old = WallTime{it->second.minted_ms} < oldest;
     it = old ? copies.records.erase(it) : std::next(it);
--- a/src/pollenring/once/mirror.h
+++ b/src/pollenring/once/mirror.h
@@ -62,7 +62,7 @@
   };
 
   [[nodiscard]] Copies *Open(SlotId slot, std::uint64_t epoch);
-  void Forget(Copies &copies) const;
+  void DropExpired(Copies &copies) const;
 
   const Clock &clock;
   std::map<SlotId, Copies> slots;
--- a/src/pollenring/once/record.h
+++ b/src/pollenring/once/record.h
@@ -15,7 +15,7 @@
 inline constexpr WallTime kOnceRetention = std::chrono::minutes{10};
 
 /*! @brief Maximum difference between the wall clocks of callers and VMs. */
-inline constexpr WallTime kWallSkew = std::chrono::seconds{30};
+inline constexpr WallTime kMaxWallSkew = std::chrono::seconds{30};
 
 /*! @brief State of an identifier's run. */
 enum class OnceState { kStarted = 0, kRan = 1, kUnknown = 2, kAborted = 3 };
@@ -27,8 +27,8 @@
   std::int64_t deadline_ms{}; /*!< Wall time after which no caller waits. */
   std::uint64_t attempt{};
   OnceState state{OnceState::kStarted};
-  std::string answer; /*!< First response; empty if not held. */
-  MSGPACK_DEFINE(key, minted_ms, deadline_ms, attempt, state, answer)
+  std::string response; /*!< First response; empty if not held. */
+  MSGPACK_DEFINE(key, minted_ms, deadline_ms, attempt, state, response)
 };
 
 /**
--- a/src/pollenring/retry/backoff.h
+++ b/src/pollenring/retry/backoff.h
@@ -8,14 +8,14 @@
 
 /**
  * @brief Applies jitter to a retry delay: a factor from 0.5 to 1.5.
- * @param around Mean delay.
+ * @param mean Mean delay.
  * @param random Random source.
  * @return A duration that differs from caller to caller.
  */
-[[nodiscard]] inline Duration WithJitter(Duration around, Random &random) {
+[[nodiscard]] inline Duration WithJitter(Duration mean, Random &random) {
   const double factor = 0.5 + random.Fraction();
   return Duration{
-      static_cast<std::int64_t>(static_cast<double>(around.count()) * factor)};
+      static_cast<std::int64_t>(static_cast<double>(mean.count()) * factor)};
 }
 
 }  // namespace pollenring
--- a/src/pollenring/retry/budget.cc
+++ b/src/pollenring/retry/budget.cc
@@ -11,32 +11,32 @@
   Account &account = this->accounts[service];
   const Time now = this->clock.Now();
   const auto age = static_cast<double>((now - account.as_of).count());
-  const Duration lasts =
-      account.saved > 0 ? this->options.savings_last : this->options.debt_lasts;
-  const auto memory = static_cast<double>(lasts.count());
-  account.saved *= std::exp(-age / memory);
+  const Duration decay = account.balance > 0 ? this->options.savings_decay
+                                             : this->options.debt_decay;
+  const auto time_constant = static_cast<double>(decay.count());
+  account.balance *= std::exp(-age / time_constant);
   account.as_of = now;
   return account;
 }
 
-void TrafficRetryBudget::Succeeded(const std::string &service) {
-  this->AccountOf(service).saved += this->options.share;
+void TrafficRetryBudget::RecordSuccess(const std::string &service) {
+  this->AccountOf(service).balance += this->options.retry_ratio;
 }
 
 void TrafficRetryBudget::RecordRetriedCall(const std::string &service) {
   Account &account = this->AccountOf(service);
-  account.saved = std::max(account.saved - 1, -this->options.most_owed);
+  account.balance = std::max(account.balance - 1, -this->options.max_debt);
 }
 
 bool TrafficRetryBudget::Spend(const std::string &service) {
   Account &account = this->AccountOf(service);
-  if (account.saved >= 1) {
-    account.saved -= 1;
+  if (account.balance >= 1) {
+    account.balance -= 1;
     return true;
   }
-  if (account.saved <= 0) return false;
+  if (account.balance <= 0) return false;
   // The fraction is spent either way, so repeated attempts gain nothing.
-  return this->random.Chance(std::exchange(account.saved, 0));
+  return this->random.Chance(std::exchange(account.balance, 0));
 }
 
 }  // namespace pollenring
--- a/src/pollenring/retry/budget.h
+++ b/src/pollenring/retry/budget.h
@@ -20,7 +20,7 @@
   virtual ~RetryBudget() = default;
 
   /*! @brief Counts a call its target responded to. @param service Service. */
-  virtual void Succeeded(const std::string &service) = 0;
+  virtual void RecordSuccess(const std::string &service) = 0;
 
   /**
    * @brief Counts a call made on behalf of a run that was itself a retry.
@@ -35,8 +35,8 @@
 /*! @brief A retry ceiling per service, local to each node. */
 class NodeRetryBudget final : public RetryBudget {
  public:
-  void Succeeded(const std::string &service) override {
-    this->ceilings[service].Succeeded();
+  void RecordSuccess(const std::string &service) override {
+    this->ceilings[service].RecordSuccess();
   }
   void RecordRetriedCall(const std::string & /*service*/) override {
     // The request's allowance limits the retries caused downstream.
@@ -51,15 +51,16 @@
 
 /*! @brief Limits on the retries of all nodes together. */
 struct TrafficRetryOptions {
-  double share{0.06}; /*!< Retries earned per call that was responded to. */
+  double retry_ratio{
+      0.06}; /*!< Retries earned per call that was responded to. */
   /**
    * @brief Time constant of the decay of savings. In a chain of four services
    * that start to fail together, each one spends its savings.
    */
-  Duration savings_last{std::chrono::seconds{3}};
+  Duration savings_decay{std::chrono::seconds{3}};
   /*! @brief Time constant of the decay of debt; the retry bound's window. */
-  Duration debt_lasts{std::chrono::seconds{10}};
-  double most_owed{50}; /*!< Maximum debt. */
+  Duration debt_decay{std::chrono::seconds{10}};
+  double max_debt{50}; /*!< Maximum debt. */
 };
 
 /**
@@ -85,13 +86,13 @@
                      Random &random)
       : options{options}, clock{clock}, random{random} {}
 
-  void Succeeded(const std::string &service) override;
+  void RecordSuccess(const std::string &service) override;
   void RecordRetriedCall(const std::string &service) override;
   [[nodiscard]] bool Spend(const std::string &service) override;
 
  private:
   struct Account {
-    double saved{}; /*!< Retries; negative if owed. */
+    double balance{}; /*!< Retries; negative if owed. */
     Time as_of{};
   };
 
--- a/src/pollenring/retry/ceiling.h
+++ b/src/pollenring/retry/ceiling.h
@@ -15,31 +15,31 @@
  public:
   /**
    * @brief Starts with a full reserve.
-   * @param share Retries earned per success.
+   * @param retry_ratio Retries earned per success.
    * @param reserve Maximum savings, in retries.
    */
-  explicit RetryCeiling(double share = 0.1, double reserve = 10) noexcept
-      : share{share}, reserve{reserve}, saved{reserve} {}
+  explicit RetryCeiling(double retry_ratio = 0.1, double reserve = 10) noexcept
+      : retry_ratio{retry_ratio}, reserve{reserve}, balance{reserve} {}
 
   /*! @brief Checks whether a retry is allowed. @return True if it is. */
-  [[nodiscard]] bool Allows() const noexcept { return this->saved >= 1; }
+  [[nodiscard]] bool Allows() const noexcept { return this->balance >= 1; }
 
   /*! @brief Earns a fraction of a retry. */
-  void Succeeded() noexcept {
-    this->saved = std::min(this->reserve, this->saved + this->share);
+  void RecordSuccess() noexcept {
+    this->balance = std::min(this->reserve, this->balance + this->retry_ratio);
   }
 
   /*! @brief Spends one retry. @return True if one was saved. */
   [[nodiscard]] bool Spend() noexcept {
     if (!this->Allows()) return false;
-    this->saved -= 1;
+    this->balance -= 1;
     return true;
   }
 
  private:
-  double share;
+  double retry_ratio;
   double reserve;
-  double saved;
+  double balance;
 };
 
 }  // namespace pollenring
--- a/src/pollenring/share/borrow.h
+++ b/src/pollenring/share/borrow.h
@@ -19,12 +19,12 @@
 inline constexpr Duration kUrgentValidity = std::chrono::milliseconds{100};
 
 /*! @brief Maximum wait for a slot's next refill. */
-inline constexpr Duration kLongestEarly = std::chrono::milliseconds{500};
+inline constexpr Duration kMaxEarlyWait = std::chrono::milliseconds{500};
 
 /*! @brief How long a request waits for share. */
 struct WaitLimit {
-  Time deadline{};   /*!< While no holder is reachable. */
-  Time next_share{}; /*!< For share that the next refill is sure to bring. */
+  Time deadline{};    /*!< While no holder is reachable. */
+  Time next_refill{}; /*!< For share that the next refill is sure to bring. */
 
   /**
    * @brief Uses the same limit for both waits.
@@ -100,8 +100,8 @@
 /*! @brief Requests admitted against the slot's next refills. */
 struct EarlyGrant {
   std::uint32_t count{};
-  std::int64_t first_us{}; /*!< Time until the first is admitted. */
-  std::int64_t every_us{}; /*!< Interval between admissions. */
+  std::int64_t first_us{};    /*!< Time until the first is admitted. */
+  std::int64_t interval_us{}; /*!< Interval between admissions. */
 };
 
 template <>
@@ -110,7 +110,7 @@
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
     return std::make_tuple(Field{1, value.count}, Field{2, value.first_us},
-                           Field{3, value.every_us});
+                           Field{3, value.interval_us});
   }
 };
 
@@ -119,7 +119,7 @@
   static constexpr bool kFrozen = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
-    return std::tie(value.count, value.first_us, value.every_us);
+    return std::tie(value.count, value.first_us, value.interval_us);
   }
 };
 
--- a/src/pollenring/share/borrower.cc
+++ b/src/pollenring/share/borrower.cc
@@ -11,16 +11,14 @@
 namespace {
 
 /*! @brief Maximum wait of a request while no holder responds. */
-constexpr Duration kLongestWait = std::chrono::seconds{1};
+constexpr Duration kMaxWait = std::chrono::seconds{1};
 /*! @brief Maximum wait while some holders are empty and others unreachable. */
-constexpr Duration kLongestPartWait = std::chrono::milliseconds{250};
+constexpr Duration kMaxPartialWait = std::chrono::milliseconds{250};
 /*! @brief Pause between rounds that did not reach every holder. */
 constexpr Duration kRoundPause = std::chrono::milliseconds{20};
 /*! @brief Maximum number of waiting requests per workspace. */
-constexpr std::size_t kMostWaiting = 1000;
-/**
- * @brief Retry-after for requests that got no share within their wait limit.
- */
+constexpr std::size_t kMaxWaiters = 1000;
+/*! @brief Retry-after for requests whose wait limit has passed. */
 constexpr Duration kNoShareRetry = std::chrono::milliseconds{500};
 /*! @brief Time-out for the reply of one holder. */
 constexpr Duration kHolderTimeout = std::chrono::milliseconds{80};
@@ -29,26 +27,26 @@
 /*! @brief Fraction of the advance below which more is borrowed. */
 constexpr double kLowWater = 0.4;
 /*! @brief Maximum pause in querying after all holders were empty. */
-constexpr Duration kLongestEmpty = std::chrono::milliseconds{20};
+constexpr Duration kMaxEmptyPause = std::chrono::milliseconds{20};
 /*! @brief Age at which the unspent part of a loan is returned. */
 constexpr Duration kReturnAge = std::chrono::milliseconds{250};
 constexpr Duration kDemandWindow = std::chrono::milliseconds{100};
 constexpr double kDemandWeight = 0.5;
 /*! @brief Idle time after which a workspace is removed. */
-constexpr Duration kForgetAfter = std::chrono::seconds{10};
-constexpr std::uint32_t kMostWanted = 100'000;
-constexpr std::size_t kMostReturns = 16;
+constexpr Duration kIdleExpiry = std::chrono::seconds{10};
+constexpr std::uint32_t kMaxWanted = 100'000;
+constexpr std::size_t kMaxReturns = 16;
 
 }  // namespace
 
 ShareBorrower::ShareBorrower(std::uint64_t process, SlotId slots,
                              const LeaseOptions &options, const Clock &clock,
-                             ShareDelegate &observer)
+                             ShareDelegate &delegate)
     : process{process},
       slots{slots},
       options{options},
       clock{clock},
-      observer{observer} {}
+      delegate{delegate} {}
 
 // Takes the name by value: a callback may change the caller's string.
 void ShareBorrower::Charge(std::string name, WaitLimit wait_limit, Done done) {
@@ -59,7 +57,7 @@
   if (workspace.waiters.empty() && this->Spend(workspace)) {
     done({true, Reason::kNone, {}});
     const double low = Ahead(workspace) * kLowWater;
-    if (Stock(workspace) < low) this->Ask(name, workspace);
+    if (Stock(workspace) < low) this->StartRound(name, workspace);
     return;
   }
   const Time now = this->clock.Now();
@@ -67,12 +65,12 @@
     done({false, Reason::kRateLimited, workspace.round.retry_after});
     return;
   }
-  if (workspace.waiters.size() >= kMostWaiting) {
+  if (workspace.waiters.size() >= kMaxWaiters) {
     done({false, Reason::kNoShare, kNoShareRetry});
     return;
   }
   workspace.waiters.push_back({now, wait_limit, std::move(done)});
-  this->Ask(name, workspace);
+  this->StartRound(name, workspace);
 }
 
 ShareBorrower::Workspace &ShareBorrower::WorkspaceOf(const std::string &name) {
@@ -127,15 +125,15 @@
                       static_cast<double>(workspace.waiters.size()) -
                       static_cast<double>(Stock(workspace));
   return static_cast<std::uint32_t>(
-      std::clamp(want, 1.0, static_cast<double>(kMostWanted)));
+      std::clamp(want, 1.0, static_cast<double>(kMaxWanted)));
 }
 
-void ShareBorrower::Ask(const std::string &name, Workspace &workspace) {
-  if (workspace.asking) return;
+void ShareBorrower::StartRound(const std::string &name, Workspace &workspace) {
+  if (workspace.awaiting_reply) return;
   if (this->clock.Now() < workspace.next_round) return;
   workspace.round = Round{};
-  workspace.round.next_share.resize(workspace.slots.size());
-  this->AskOne(name, workspace);
+  workspace.round.next_refill.resize(workspace.slots.size());
+  this->QueryNextHolder(name, workspace);
 }
 
 BorrowRequest ShareBorrower::ToRequest(const std::string &name,
@@ -145,36 +143,37 @@
   request.workspace = name;
   request.borrower = this->process;
   auto &returns = workspace.returns[request.slot];
-  const std::size_t count = std::min(returns.size(), kMostReturns);
+  const std::size_t count = std::min(returns.size(), kMaxReturns);
   request.returns.assign(returns.end() - static_cast<std::ptrdiff_t>(count),
                          returns.end());
   returns.clear();
   return request;
 }
 
-void ShareBorrower::AskOne(const std::string &name, Workspace &workspace) {
+void ShareBorrower::QueryNextHolder(const std::string &name,
+                                    Workspace &workspace) {
   while (workspace.round.refusals < workspace.slots.size()) {
     BorrowRequest request = this->ToRequest(name, workspace);
     request.loan = ++this->last_loan;
     request.want = this->Wanted(workspace);
     request.urgent = static_cast<std::uint32_t>(workspace.waiters.size());
-    workspace.asking = true;
-    workspace.asked = {request.loan, request.slot, this->clock.Now()};
-    if (this->observer.SendBorrow(request)) return;
-    workspace.asking = false;
+    workspace.awaiting_reply = true;
+    workspace.pending = {request.loan, request.slot, this->clock.Now()};
+    if (this->delegate.SendBorrow(request)) return;
+    workspace.awaiting_reply = false;
     ++workspace.round.refusals;
     workspace.preferred = (workspace.preferred + 1) % workspace.slots.size();
   }
   this->EndRound(name, workspace);
 }
 
-bool ShareBorrower::AllAnswered(const Workspace &workspace) {
-  return workspace.round.answers == workspace.slots.size();
+bool ShareBorrower::AllHoldersEmpty(const Workspace &workspace) {
+  return workspace.round.empty_replies == workspace.slots.size();
 }
 
 void ShareBorrower::EndRound(const std::string &name, Workspace &workspace) {
-  if (AllAnswered(workspace)) {
-    if (this->AskEarly(name, workspace)) return;
+  if (AllHoldersEmpty(workspace)) {
+    if (this->RequestEarlyGrant(name, workspace)) return;
     this->RefuseAll(workspace);
     return;
   }
@@ -182,55 +181,58 @@
   workspace.next_round = this->clock.Now() + kRoundPause;
 }
 
-bool ShareBorrower::AskEarly(const std::string &name, Workspace &workspace) {
+bool ShareBorrower::RequestEarlyGrant(const std::string &name,
+                                      Workspace &workspace) {
   if (workspace.waiters.empty()) return false;
-  auto &next_share = workspace.round.next_share;
+  auto &next_refill = workspace.round.next_refill;
   // Share granted after its waiters have given up is lost to everyone.
-  Duration longest{0};
+  Duration max_wait{0};
   for (const auto &waiter : workspace.waiters) {
-    const Duration left = waiter.wait_limit.next_share - this->clock.Now();
-    longest = std::max(longest, std::min(left, kLongestEarly));
+    const Duration left = waiter.wait_limit.next_refill - this->clock.Now();
+    max_wait = std::max(max_wait, std::min(left, kMaxEarlyWait));
   }
   std::optional<std::size_t> soonest;
-  for (std::size_t i = 0; i < next_share.size(); ++i) {
-    if (next_share[i] <= Duration{0} || next_share[i] >= longest) continue;
-    if (!soonest || next_share[i] < next_share[*soonest]) soonest = i;
+  for (std::size_t i = 0; i < next_refill.size(); ++i) {
+    if (next_refill[i] <= Duration{0} || next_refill[i] >= max_wait) continue;
+    if (!soonest || next_refill[i] < next_refill[*soonest]) soonest = i;
   }
   if (!soonest) return false;
   workspace.preferred = *soonest;
-  next_share[*soonest] = Duration{0};
+  next_refill[*soonest] = Duration{0};
   BorrowRequest request = this->ToRequest(name, workspace);
   request.loan = ++this->last_loan;
   request.want = static_cast<std::uint32_t>(workspace.waiters.size());
   request.urgent = request.want;
   request.early = request.want;
-  request.early_within_us = longest.count();
+  request.early_within_us = max_wait.count();
   workspace.round.early = true;
-  workspace.asking = true;
-  workspace.asked = {request.loan, request.slot, this->clock.Now()};
-  if (this->observer.SendBorrow(request)) return true;
-  workspace.asking = false;
+  workspace.awaiting_reply = true;
+  workspace.pending = {request.loan, request.slot, this->clock.Now()};
+  if (this->delegate.SendBorrow(request)) return true;
+  workspace.awaiting_reply = false;
   return false;
 }
 
-void ShareBorrower::TakeEarly(Workspace &workspace, const EarlyGrant &grant) {
+void ShareBorrower::AcceptEarlyGrant(Workspace &workspace,
+                                     const EarlyGrant &grant) {
   // The delays count from when the holder sent the reply, so counting from its
   // arrival is never too early.
-  Duration wait = this->options.More(Duration{grant.first_us});
-  const Duration every = this->options.More(Duration{grant.every_us});
+  Duration wait = this->options.LengthenForDrift(Duration{grant.first_us});
+  const Duration interval =
+      this->options.LengthenForDrift(Duration{grant.interval_us});
   std::uint32_t left = grant.count;
   while (left > 0 && !workspace.waiters.empty()) {
     Waiter waiter = std::move(workspace.waiters.front());
     workspace.waiters.pop_front();
     const Time ready = this->clock.Now() + wait;
-    if (ready >= waiter.wait_limit.next_share) {
+    if (ready >= waiter.wait_limit.next_refill) {
       waiter.done(
           {false, Reason::kRateLimited, std::max(wait, Duration{1000})});
       continue;
     }
-    const Time expires = workspace.asked.sent + wait + kUrgentValidity;
+    const Time expires = workspace.pending.sent + wait + kUrgentValidity;
     workspace.early.push_back({ready, expires, std::move(waiter)});
-    wait += every;
+    wait += interval;
     --left;
   }
 }
@@ -252,32 +254,32 @@
   }
 }
 
-void ShareBorrower::Refused(const std::string &name, Workspace &workspace,
-                            bool answered, Duration retry_after) {
+void ShareBorrower::HandleRefusal(const std::string &name, Workspace &workspace,
+                                  bool replied, Duration retry_after) {
   Round &round = workspace.round;
   const bool sooner =
       round.retry_after == Duration{0} || retry_after < round.retry_after;
-  if (answered && sooner) round.retry_after = retry_after;
-  workspace.asking = false;
+  if (replied && sooner) round.retry_after = retry_after;
+  workspace.awaiting_reply = false;
   if (round.early) {
-    if (!this->AskEarly(name, workspace)) this->RefuseAll(workspace);
+    if (!this->RequestEarlyGrant(name, workspace)) this->RefuseAll(workspace);
     return;
   }
-  if (answered) {
-    ++round.answers;
-    round.next_share[workspace.preferred] = std::max(retry_after, Duration{1});
+  if (replied) {
+    ++round.empty_replies;
+    round.next_refill[workspace.preferred] = std::max(retry_after, Duration{1});
   }
   ++round.refusals;
   workspace.preferred = (workspace.preferred + 1) % workspace.slots.size();
   if (workspace.waiters.empty()) return;
-  this->AskOne(name, workspace);
+  this->QueryNextHolder(name, workspace);
 }
 
 void ShareBorrower::RefuseAll(Workspace &workspace) {
   if (workspace.waiters.empty()) return;
   const Time now = this->clock.Now();
   workspace.empty_until = now + std::clamp(workspace.round.retry_after,
-                                           Duration{1000}, kLongestEmpty);
+                                           Duration{1000}, kMaxEmptyPause);
   auto waiters = std::exchange(workspace.waiters, {});
   for (auto &waiter : waiters) {
     waiter.done({false, Reason::kRateLimited,
@@ -285,16 +287,16 @@
   }
 }
 
-void ShareBorrower::RefuseLate(Workspace &workspace) {
+void ShareBorrower::RefuseOverdue(Workspace &workspace) {
   if (workspace.waiters.empty()) return;
   const Time now = this->clock.Now();
-  const Duration longest =
-      workspace.round.answers == 0 ? kLongestWait : kLongestPartWait;
+  const Duration max_wait =
+      workspace.round.empty_replies == 0 ? kMaxWait : kMaxPartialWait;
   std::deque<Waiter> late;
   std::deque<Waiter> rest;
   for (auto &waiter : workspace.waiters) {
     const bool over =
-        now - waiter.since >= longest || now >= waiter.wait_limit.deadline;
+        now - waiter.since >= max_wait || now >= waiter.wait_limit.deadline;
     (over ? late : rest).push_back(std::move(waiter));
   }
   workspace.waiters = std::move(rest);
@@ -303,38 +305,39 @@
   }
 }
 
-void ShareBorrower::Receive(const BorrowReply &reply) {
+void ShareBorrower::HandleReply(const BorrowReply &reply) {
   const auto found = this->workspaces.find(reply.workspace);
   if (found == this->workspaces.end()) return;
   Workspace &workspace = found->second;
-  if (!workspace.asking || workspace.asked.loan != reply.loan) return;
+  if (!workspace.awaiting_reply || workspace.pending.loan != reply.loan) return;
   if (reply.holder && reply.early.count > 0) {
-    this->TakeEarly(workspace, reply.early);
-    this->Refused(reply.workspace, workspace, true,
-                  Duration{reply.retry_after_us});
+    this->AcceptEarlyGrant(workspace, reply.early);
+    this->HandleRefusal(reply.workspace, workspace, true,
+                        Duration{reply.retry_after_us});
     return;
   }
   if (!reply.holder || reply.granted == 0) {
-    this->Refused(reply.workspace, workspace, reply.holder,
-                  Duration{reply.retry_after_us});
+    this->HandleRefusal(reply.workspace, workspace, reply.holder,
+                        Duration{reply.retry_after_us});
     return;
   }
-  const Duration validity = this->options.Less(Duration{reply.validity_us});
+  const Duration validity =
+      this->options.ShortenForDrift(Duration{reply.validity_us});
   // The holder grants after the request was sent, so no loan ends earlier.
-  const Time expires = workspace.asked.sent + validity;
-  workspace.asking = false;
+  const Time expires = workspace.pending.sent + validity;
+  workspace.awaiting_reply = false;
   // Rotation over all slots keeps them about equally full.
   workspace.preferred = (workspace.preferred + 1) % workspace.slots.size();
   if (expires > this->clock.Now()) {
     const bool urgent = Duration{reply.validity_us} <= kUrgentValidity;
     workspace.loans.push_back({reply.slot, reply.loan, reply.granted,
-                               workspace.asked.sent, expires, urgent});
+                               workspace.pending.sent, expires, urgent});
   }
-  this->Serve(workspace);
-  if (!workspace.waiters.empty()) this->Ask(reply.workspace, workspace);
+  this->ServeWaiters(workspace);
+  if (!workspace.waiters.empty()) this->StartRound(reply.workspace, workspace);
 }
 
-void ShareBorrower::Serve(Workspace &workspace) {
+void ShareBorrower::ServeWaiters(Workspace &workspace) {
   this->DropExpired(workspace);
   while (!workspace.waiters.empty() && this->Spend(workspace)) {
     auto waiter = std::move(workspace.waiters.front());
@@ -350,23 +353,23 @@
     const auto here = next++;
     const std::string &name = here->first;
     Workspace &workspace = here->second;
-    const bool silent =
-        workspace.asking && now - workspace.asked.sent >= kHolderTimeout;
-    if (silent) this->Refused(name, workspace, false, Duration{0});
+    const bool unreachable = workspace.awaiting_reply &&
+                             now - workspace.pending.sent >= kHolderTimeout;
+    if (unreachable) this->HandleRefusal(name, workspace, false, Duration{0});
     this->ReleaseEarly(workspace);
-    this->RefuseLate(workspace);
-    if (!workspace.waiters.empty()) this->Ask(name, workspace);
+    this->RefuseOverdue(workspace);
+    if (!workspace.waiters.empty()) this->StartRound(name, workspace);
     this->DropExpired(workspace);
     this->ReturnIdle(workspace);
     this->SendReturns(name, workspace);
-    if (this->Forgettable(workspace)) this->workspaces.erase(here);
+    if (this->IsRemovable(workspace)) this->workspaces.erase(here);
   }
 }
 
-bool ShareBorrower::Forgettable(const Workspace &workspace) const {
+bool ShareBorrower::IsRemovable(const Workspace &workspace) const {
   const bool idle = workspace.loans.empty() && workspace.waiters.empty() &&
-                    workspace.early.empty() && !workspace.asking;
-  return idle && this->clock.Now() - workspace.demand_from > kForgetAfter;
+                    workspace.early.empty() && !workspace.awaiting_reply;
+  return idle && this->clock.Now() - workspace.demand_from > kIdleExpiry;
 }
 
 void ShareBorrower::ReturnIdle(Workspace &workspace) const {
@@ -387,7 +390,7 @@
     request.workspace = name;
     request.borrower = this->process;
     request.returns = std::exchange(returns, {});
-    const bool sent = this->observer.SendBorrow(request);
+    const bool sent = this->delegate.SendBorrow(request);
     // Without a holder the unspent part is lost, never spent twice.
     static_cast<void>(sent);
   }
--- a/src/pollenring/share/borrower.h
+++ b/src/pollenring/share/borrower.h
@@ -53,11 +53,11 @@
    * @param slots Total number of slots.
    * @param options Lease timing, for the clock drift.
    * @param clock Clock.
-   * @param observer Sends requests.
+   * @param delegate Sends requests.
    */
   ShareBorrower(std::uint64_t process, SlotId slots,
                 const LeaseOptions &options, const Clock &clock,
-                ShareDelegate &observer);
+                ShareDelegate &delegate);
 
   /**
    * @brief Charges one request.
@@ -72,7 +72,7 @@
    * @brief Handles a holder's reply.
    * @param reply The reply.
    */
-  void Receive(const BorrowReply &reply);
+  void HandleReply(const BorrowReply &reply);
 
   /**
    * @brief Times out holders that do not respond, returns idle loans and
@@ -105,7 +105,7 @@
     Time expires{};
     Waiter waiter;
   };
-  struct Asked {
+  struct PendingRequest {
     std::uint64_t loan{};
     SlotId slot{};
     Time sent{};
@@ -113,11 +113,12 @@
   /*! @brief One pass over the holders, each queried once. */
   struct Round {
     std::size_t refusals{};
-    std::size_t answers{}; /*!< Holders that replied that they are empty. */
+    std::size_t
+        empty_replies{}; /*!< Holders that replied that they are empty. */
     Duration retry_after{};
     std::vector<Duration>
-        next_share; /*!< By slot: time to its next refill; 0 if unknown. */
-    bool early{};   /*!< The round requests early grants. */
+        next_refill; /*!< By slot: time to its next refill; 0 if unknown. */
+    bool early{};    /*!< The round requests early grants. */
   };
   struct Workspace {
     std::vector<SlotId> slots;
@@ -127,8 +128,8 @@
     std::deque<Loan> loans;
     std::deque<Waiter> waiters;
     std::deque<Early> early;
-    bool asking{};
-    Asked asked;
+    bool awaiting_reply{};
+    PendingRequest pending;
     Time empty_until{};
     double demand{}; /*!< Requests per second, smoothed. */
     Time demand_from{};
@@ -140,23 +141,24 @@
   [[nodiscard]] bool Spend(Workspace &workspace);
   void DropExpired(Workspace &workspace) const;
   void Measure(Workspace &workspace) const;
-  void Ask(const std::string &name, Workspace &workspace);
-  void AskOne(const std::string &name, Workspace &workspace);
+  void StartRound(const std::string &name, Workspace &workspace);
+  void QueryNextHolder(const std::string &name, Workspace &workspace);
   [[nodiscard]] BorrowRequest ToRequest(const std::string &name,
                                         Workspace &workspace);
-  void Refused(const std::string &name, Workspace &workspace, bool answered,
-               Duration retry_after);
+  void HandleRefusal(const std::string &name, Workspace &workspace,
+                     bool replied, Duration retry_after);
   void ReturnIdle(Workspace &workspace) const;
   void SendReturns(const std::string &name, Workspace &workspace);
-  void Serve(Workspace &workspace);
+  void ServeWaiters(Workspace &workspace);
   void EndRound(const std::string &name, Workspace &workspace);
-  [[nodiscard]] bool AskEarly(const std::string &name, Workspace &workspace);
-  void TakeEarly(Workspace &workspace, const EarlyGrant &grant);
+  [[nodiscard]] bool RequestEarlyGrant(const std::string &name,
+                                       Workspace &workspace);
+  void AcceptEarlyGrant(Workspace &workspace, const EarlyGrant &grant);
   void ReleaseEarly(Workspace &workspace);
   void RefuseAll(Workspace &workspace);
-  void RefuseLate(Workspace &workspace);
-  [[nodiscard]] bool Forgettable(const Workspace &workspace) const;
-  [[nodiscard]] static bool AllAnswered(const Workspace &workspace);
+  void RefuseOverdue(Workspace &workspace);
+  [[nodiscard]] bool IsRemovable(const Workspace &workspace) const;
+  [[nodiscard]] static bool AllHoldersEmpty(const Workspace &workspace);
   [[nodiscard]] static double Ahead(const Workspace &workspace);
   [[nodiscard]] static std::uint32_t Wanted(const Workspace &workspace);
   [[nodiscard]] static std::uint32_t Stock(const Workspace &workspace);
@@ -165,7 +167,7 @@
   SlotId slots;
   LeaseOptions options;
   const Clock &clock;
-  ShareDelegate &observer;
+  ShareDelegate &delegate;
   // Callbacks may insert workspaces during iteration, which leaves iterators of
   // a std::map valid.
   std::map<std::string, Workspace> workspaces;
--- a/src/pollenring/share/lender.cc
+++ b/src/pollenring/share/lender.cc
@@ -12,16 +12,16 @@
 /*! @brief Tolerance for sums of floating-point numbers. */
 constexpr double kRounding = 1e-6;
 /*! @brief Fraction of the slot's burst that may be lent ahead of demand. */
-constexpr double kAdvancePart = 0.1;
+constexpr double kAdvanceFraction = 0.1;
 /*! @brief Requests a slot may owe, in addition to the transit allowance. */
-constexpr double kOwedPart = 4;
+constexpr double kOwedRequests = 4;
 /*! @brief Maximum number of borrowers remembered per workspace. */
-constexpr std::size_t kMostBorrowers = 8192;
+constexpr std::size_t kMaxBorrowers = 8192;
 
 }  // namespace
 
 BorrowReply ShareLender::Lend(const BorrowRequest &request,
-                              const WorkspaceRateLimit &share,
+                              const WorkspaceRateLimit &limit,
                               const SharePart &part, Time valid_until) {
   const Time now = this->clock.Now();
   BorrowReply reply;
@@ -30,21 +30,21 @@
   reply.loan = request.loan;
   if (valid_until <= now) return reply;
   reply.holder = true;
-  Bucket &bucket = this->BucketOf(request.workspace, share, part);
+  Bucket &bucket = this->BucketOf(request.workspace, limit, part);
   for (const auto &returned : request.returns) {
-    this->TakeBack(bucket, request.borrower, returned);
+    this->AcceptReturn(bucket, request.borrower, returned);
   }
   const LoanKey key{request.borrower, request.loan};
   const auto repeated = bucket.loans.find(key);
   if (repeated != bucket.loans.end()) {
-    return this->Repeated(bucket, repeated->second, std::move(reply));
+    return this->ReplyToRepeat(bucket, repeated->second, std::move(reply));
   }
   if (IsRepeat(bucket, request)) return reply;
   // Share lying idle with one borrower is missing when a burst arrives
   // elsewhere.
   const double whole = std::max(0.0, std::floor(bucket.level));
   const double urgent = std::min<double>(request.urgent, whole);
-  const double idle = bucket.cap * kAdvancePart - bucket.lent;
+  const double idle = bucket.cap * kAdvanceFraction - bucket.lent;
   const double advance = std::clamp(std::floor(idle), 0.0, whole - urgent);
   const double granted = std::min<double>(request.want, urgent + advance);
   if (granted < 1) {
@@ -52,8 +52,9 @@
     return reply;
   }
   // Waiting requests spend their share immediately, so none of it is returned.
-  const Duration most = granted > urgent ? kLoanValidity : kUrgentValidity;
-  const Duration validity = std::min(most, valid_until - now);
+  const Duration max_validity =
+      granted > urgent ? kLoanValidity : kUrgentValidity;
+  const Duration validity = std::min(max_validity, valid_until - now);
   const auto amount = static_cast<std::uint32_t>(granted);
   this->Grant(bucket, key, Loan{amount, now + validity, Time{}});
   reply.granted = amount;
@@ -70,7 +71,7 @@
   CheckBound(bucket);
 }
 
-Duration ShareLender::EveryOf(const Bucket &bucket) noexcept {
+Duration ShareLender::RefillIntervalOf(const Bucket &bucket) noexcept {
   const double rate = std::max(bucket.rate, kRounding);
   return Duration{static_cast<std::int64_t>(kMicrosPerSecond / rate) + 1};
 }
@@ -78,34 +79,35 @@
 void ShareLender::GrantEarly(Bucket &bucket, const BorrowRequest &request,
                              Time valid_until, BorrowReply &reply) const {
   const Time now = this->clock.Now();
-  const Duration every = EveryOf(bucket);
+  const Duration interval = RefillIntervalOf(bucket);
   const double missing = std::max(0.0, 1 - bucket.level);
-  const Duration first{
-      static_cast<std::int64_t>(missing * static_cast<double>(every.count()))};
+  const Duration first{static_cast<std::int64_t>(
+      missing * static_cast<double>(interval.count()))};
   reply.retry_after_us = first.count();
   // The part of the burst withheld for transit, plus a few requests.
-  const double most = std::floor(bucket.level + MostOwed(bucket));
+  const double max_count = std::floor(bucket.level + MaxOwed(bucket));
   const Duration within =
-      std::min(Duration{request.early_within_us}, kLongestEarly);
+      std::min(Duration{request.early_within_us}, kMaxEarlyWait);
   if (first > within) return;
-  const auto in_time = static_cast<double>((within - first) / every + 1);
+  const auto in_time = static_cast<double>((within - first) / interval + 1);
   const auto count = static_cast<std::uint32_t>(std::clamp(
-      std::min(most, in_time), 0.0, static_cast<double>(request.early)));
+      std::min(max_count, in_time), 0.0, static_cast<double>(request.early)));
   if (count == 0) return;
-  const Duration last = first + every * (count - 1);
+  const Duration last = first + interval * (count - 1);
   const Time expires = now + last + kUrgentValidity;
   if (expires >= valid_until) return;
   const LoanKey key{request.borrower, request.loan};
   this->Grant(bucket, key, Loan{count, expires, now + first});
-  reply.early = {count, first.count(), every.count()};
+  reply.early = {count, first.count(), interval.count()};
 }
 
-BorrowReply ShareLender::Repeated(const Bucket &bucket, const Loan &loan,
-                                  BorrowReply reply) const {
+BorrowReply ShareLender::ReplyToRepeat(const Bucket &bucket, const Loan &loan,
+                                       BorrowReply reply) const {
   const Time now = this->clock.Now();
   if (loan.first_early != Time{}) {
     const Duration first = std::max(Duration{0}, loan.first_early - now);
-    reply.early = {loan.amount, first.count(), EveryOf(bucket).count()};
+    reply.early = {loan.amount, first.count(),
+                   RefillIntervalOf(bucket).count()};
     return reply;
   }
   reply.granted = loan.amount;
@@ -139,40 +141,40 @@
   }
 }
 
-double ShareLender::MostOwed(const Bucket &bucket) noexcept {
+double ShareLender::MaxOwed(const Bucket &bucket) noexcept {
   const double seconds =
       std::chrono::duration<double>{kTransitAllowance}.count();
-  return bucket.rate * seconds + kOwedPart;
+  return bucket.rate * seconds + kOwedRequests;
 }
 
 ShareLender::Bucket &ShareLender::BucketOf(const std::string &workspace,
-                                           const WorkspaceRateLimit &share,
+                                           const WorkspaceRateLimit &limit,
                                            const SharePart &part) {
   const auto [found, fresh] = this->buckets.try_emplace(workspace);
   Bucket &bucket = found->second;
   if (fresh) {
-    bucket.refilled = this->founded;
-    SetContract(bucket, share, part);
+    bucket.refilled = this->initial_refill;
+    ApplyLimits(bucket, limit, part);
   }
   this->Expire(bucket);
   // Elapsed time counts at the rate that was active until this change.
   this->Refill(bucket);
-  SetContract(bucket, share, part);
+  ApplyLimits(bucket, limit, part);
   return bucket;
 }
 
-void ShareLender::SetContract(Bucket &bucket, const WorkspaceRateLimit &share,
+void ShareLender::ApplyLimits(Bucket &bucket, const WorkspaceRateLimit &limit,
                               const SharePart &part) {
   const double seconds =
       std::chrono::duration<double>{kTransitAllowance}.count();
-  const double burst = std::max(1.0, share.burst - share.rate * seconds);
+  const double burst = std::max(1.0, limit.burst - limit.rate * seconds);
   // Each slot gets whole requests, as fractions of several slots can't be
   // combined into one.
   const double whole = std::floor(burst);
   const double each = std::floor(whole / part.count);
   const bool takes_rest = part.position < whole - each * part.count;
   const bool takes_fraction = part.position + 1 == part.count;
-  bucket.rate = share.rate / part.count;
+  bucket.rate = limit.rate / part.count;
   bucket.cap =
       each + (takes_rest ? 1 : 0) + (takes_fraction ? burst - whole : 0);
   // At a lower rate it takes longer to refill what is owed.
@@ -202,15 +204,15 @@
 }
 
 bool ShareLender::IsRepeat(Bucket &bucket, const BorrowRequest &request) {
-  if (bucket.latest.size() > kMostBorrowers) bucket.latest.clear();
+  if (bucket.latest.size() > kMaxBorrowers) bucket.latest.clear();
   std::uint64_t &latest = bucket.latest[request.borrower];
   if (request.loan <= latest) return true;
   latest = request.loan;
   return false;
 }
 
-void ShareLender::TakeBack(Bucket &bucket, std::uint64_t borrower,
-                           const LoanReturn &returned) const {
+void ShareLender::AcceptReturn(Bucket &bucket, std::uint64_t borrower,
+                               const LoanReturn &returned) const {
   const LoanKey key{borrower, returned.loan};
   const auto found = bucket.loans.find(key);
   if (found == bucket.loans.end()) return;
@@ -226,7 +228,7 @@
 }
 
 void ShareLender::CheckBound(const Bucket &bucket) {
-  const double owed = std::max(MostOwed(bucket), bucket.owed_before);
+  const double owed = std::max(MaxOwed(bucket), bucket.owed_before);
   Require(bucket.level >= -owed - kRounding && bucket.lent >= -kRounding,
           "no share is lent that is not there, or comes next");
   const bool within = bucket.lent <= kRounding ||
--- a/src/pollenring/share/lender.h
+++ b/src/pollenring/share/lender.h
@@ -21,7 +21,7 @@
 inline constexpr Duration kTransitAllowance = std::chrono::milliseconds{50};
 
 /*! @brief Age after which every bucket is full. */
-inline constexpr Duration kLongAgo = std::chrono::hours{24};
+inline constexpr Duration kFullAfter = std::chrono::hours{24};
 
 /*! @brief Level and loans of a bucket, for a successor. */
 struct BucketState {
@@ -49,18 +49,19 @@
    * @param clock Clock.
    */
   ShareLender(bool first, const Clock &clock)
-      : clock{clock}, founded{clock.Now() - (first ? kLongAgo : Duration{0})} {}
+      : clock{clock},
+        initial_refill{clock.Now() - (first ? kFullAfter : Duration{0})} {}
 
   /**
    * @brief Lends share.
    * @param request The request.
-   * @param share The workspace's complete rate and burst.
+   * @param limit The workspace's complete rate and burst.
    * @param part Position of the slot among those of the workspace.
    * @param valid_until Time until which this node may use the slot.
    * @return The loan; the same one if the request is repeated.
    */
   [[nodiscard]] BorrowReply Lend(const BorrowRequest &request,
-                                 const WorkspaceRateLimit &share,
+                                 const WorkspaceRateLimit &limit,
                                  const SharePart &part, Time valid_until);
 
   /**
@@ -95,27 +96,28 @@
   };
 
   [[nodiscard]] Bucket &BucketOf(const std::string &workspace,
-                                 const WorkspaceRateLimit &share,
+                                 const WorkspaceRateLimit &limit,
                                  const SharePart &part);
-  static void SetContract(Bucket &bucket, const WorkspaceRateLimit &share,
+  static void ApplyLimits(Bucket &bucket, const WorkspaceRateLimit &limit,
                           const SharePart &part);
   void Grant(Bucket &bucket, const LoanKey &key, const Loan &loan) const;
   void GrantEarly(Bucket &bucket, const BorrowRequest &request,
                   Time valid_until, BorrowReply &reply) const;
-  [[nodiscard]] BorrowReply Repeated(const Bucket &bucket, const Loan &loan,
-                                     BorrowReply reply) const;
-  [[nodiscard]] static Duration EveryOf(const Bucket &bucket) noexcept;
-  [[nodiscard]] static double MostOwed(const Bucket &bucket) noexcept;
+  [[nodiscard]] BorrowReply ReplyToRepeat(const Bucket &bucket,
+                                          const Loan &loan,
+                                          BorrowReply reply) const;
+  [[nodiscard]] static Duration RefillIntervalOf(const Bucket &bucket) noexcept;
+  [[nodiscard]] static double MaxOwed(const Bucket &bucket) noexcept;
   void Refill(Bucket &bucket) const;
   void Expire(Bucket &bucket) const;
   [[nodiscard]] static bool IsRepeat(Bucket &bucket,
                                      const BorrowRequest &request);
-  void TakeBack(Bucket &bucket, std::uint64_t borrower,
-                const LoanReturn &returned) const;
+  void AcceptReturn(Bucket &bucket, std::uint64_t borrower,
+                    const LoanReturn &returned) const;
   static void CheckBound(const Bucket &bucket);
 
   const Clock &clock;
-  Time founded;
+  Time initial_refill;
   std::unordered_map<std::string, Bucket> buckets;
 };
 
--- a/test/pollenring/lease/witness_test.cc
+++ b/test/pollenring/lease/witness_test.cc
@@ -26,16 +26,16 @@
   Witness witness{kProcess, {}, clock};
 
   WitnessReply Ask(WitnessRequestKind request, std::uint64_t epoch,
-                   const ProcessRef &asker, bool sealing = false,
-                   std::int64_t asked_us = 0) {
-    WitnessQuery ask;
-    ask.request = request;
-    ask.epoch = epoch;
-    ask.process = kProcess;
-    ask.asker = asker;
-    ask.sealing = sealing;
-    ask.asked_us = asked_us == 0 ? this->clock.Now().count() : asked_us;
-    return this->witness.Answer(ask);
+                   const ProcessRef &sender, bool sealing = false,
+                   std::int64_t sent_us = 0) {
+    WitnessQuery query;
+    query.request = request;
+    query.epoch = epoch;
+    query.process = kProcess;
+    query.sender = sender;
+    query.sealing = sealing;
+    query.sent_us = sent_us == 0 ? this->clock.Now().count() : sent_us;
+    return this->witness.HandleQuery(query);
   }
 };
 
@@ -72,10 +72,10 @@
   CHECK_FALSE(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kTaker).granted);
 
   SECTION("nor promises anything to one whom others have elected") {
-    const auto answer =
+    const auto reply =
         scene.Ask(WitnessRequestKind::kPromise, kRow + 1, kTaker);
-    CHECK_FALSE(answer.granted);
-    CHECK(answer.sealed);
+    CHECK_FALSE(reply.granted);
+    CHECK(reply.sealed);
     // The process that sealed it is superseded and can't unseal it.
     CHECK_FALSE(scene.Ask(WitnessRequestKind::kPromise, kRow, kHolder).granted);
     CHECK_FALSE(scene.Ask(WitnessRequestKind::kVote, kRow + 2, kOther).granted);
@@ -118,36 +118,37 @@
 
 TEST_CASE("witness: a process that has ended votes and promises nothing") {
   Scene scene;
-  WitnessQuery ask;
-  ask.process = kProcess + 1;
-  ask.epoch = kRow;
-  ask.asker = kHolder;
+  WitnessQuery query;
+  query.process = kProcess + 1;
+  query.epoch = kRow;
+  query.sender = kHolder;
   for (const auto request :
        {WitnessRequestKind::kPromise, WitnessRequestKind::kVote}) {
-    ask.request = request;
-    const auto answer = scene.witness.Answer(ask);
-    CHECK_FALSE(answer.granted);
-    CHECK_FALSE(answer.remembers);
-    CHECK(Duration{answer.remaining_us} == kPromise);
+    query.request = request;
+    const auto reply = scene.witness.HandleQuery(query);
+    CHECK_FALSE(reply.granted);
+    CHECK_FALSE(reply.remembers);
+    CHECK(Duration{reply.remaining_us} == kPromise);
   }
 }
 
 TEST_CASE("witness: it knows the row in force, and how long at most") {
   Scene scene;
-  WitnessQuery ask;
-  ask.process = kProcess;
-  ask.epoch = kRow;
-  ask.asker = kHolder;
-  const auto tell = [&](Duration lapse_left) {
-    ask.in_force = {{kRow, kHolder, {kHolder, kTaker}}, 5, lapse_left.count()};
-    static_cast<void>(scene.witness.Answer(ask));
+  WitnessQuery query;
+  query.process = kProcess;
+  query.epoch = kRow;
+  query.sender = kHolder;
+  const auto report = [&](Duration lapse_left) {
+    query.active_row = {
+        {kRow, kHolder, {kHolder, kTaker}}, 5, lapse_left.count()};
+    static_cast<void>(scene.witness.HandleQuery(query));
     return scene.witness.Known(0)->ends;
   };
   CHECK(scene.witness.Known(0) == nullptr);
-  const auto ends = tell(std::chrono::minutes{20});
+  const auto ends = report(std::chrono::minutes{20});
   CHECK(ends < scene.clock.Now() + std::chrono::minutes{20});
   // An older report does not extend it.
-  CHECK(tell(std::chrono::minutes{25}) == ends);
-  CHECK(tell(std::chrono::minutes{15}) < ends);
+  CHECK(report(std::chrono::minutes{25}) == ends);
+  CHECK(report(std::chrono::minutes{15}) < ends);
   CHECK(scene.witness.Known(0)->version == 5);
 }
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -34,7 +34,7 @@
 /*! @brief Lets all retries pass. */
 class NoRetryBound final : public pollenring::RetryBudget {
  public:
-  void Succeeded(const std::string & /*service*/) override {}
+  void RecordSuccess(const std::string & /*service*/) override {}
   void RecordRetriedCall(const std::string & /*service*/) override {}
   [[nodiscard]] bool Spend(const std::string & /*service*/) override {
     return true;
--- a/test/pollenring/once/once_test.cc
+++ b/test/pollenring/once/once_test.cc
@@ -208,7 +208,7 @@
   ledger.End(id, 1, OnceState::kRan, "first");
   const auto repeat = ledger.Begin(id, minted, 4, deadline);
   CHECK(repeat.verdict == BeginVerdict::kRan);
-  CHECK(repeat.answer == "first");
+  CHECK(repeat.response == "first");
   clock.Advance(std::chrono::minutes{20});
   const auto old = ledger.Begin(id, minted, 5, clock.WallNow());
   CHECK(old.verdict == BeginVerdict::kExpired);
--- a/test/pollenring/retry/budget_test.cc
+++ b/test/pollenring/retry/budget_test.cc
@@ -65,7 +65,7 @@
       for (int i = 0; good && i < calls; ++i) {
         good = this->Call(level + 1, again);
       }
-      if (!again) budget.Succeeded(service);
+      if (!again) budget.RecordSuccess(service);
       if (good) return true;
       if (attempt > 0 || !budget.Spend(service)) return false;
       ++this->retries;
@@ -205,7 +205,7 @@
   TrafficRetryBudget budget{TrafficRetryOptions{}, clock, random};
   int granted = 0;
   for (int i = 0; i < 1000; ++i) {
-    budget.Succeeded("deep");
+    budget.RecordSuccess("deep");
     for (int ask = 0; ask < 10; ++ask) {
       if (budget.Spend("deep")) ++granted;
     }
--- a/test/pollenring/retry/retry_test.cc
+++ b/test/pollenring/retry/retry_test.cc
@@ -71,7 +71,7 @@
   }
   CHECK(retries == 10);
   for (int i = 0; i < 1000; ++i) {
-    ceiling.Succeeded();
+    ceiling.RecordSuccess();
     if (ceiling.Spend()) ++retries;
   }
   CHECK(retries <= 10 + 100);
--- a/test/pollenring/share/borrower_test.cc
+++ b/test/pollenring/share/borrower_test.cc
@@ -61,7 +61,7 @@
     const BorrowRequest &last = recorder.requests.back();
     CHECK(last.workspace == "club");
     if (last.want == 0) continue;
-    borrower.Receive(Granting(last, last.want));
+    borrower.HandleReply(Granting(last, last.want));
   }
   CHECK(granted == 400);
 }
@@ -78,7 +78,7 @@
                     });
   };
   charge();
-  borrower.Receive(Granting(recorder.requests.back(), 5));
+  borrower.HandleReply(Granting(recorder.requests.back(), 5));
   CHECK(granted == 1);
   // The process is paused beyond the loan's end; a charge comes before any
   // tick.
@@ -109,11 +109,11 @@
     for (int i = 0; i < 3; ++i) {
       BorrowReply nothing = Granting(recorder.requests.back(), 0);
       nothing.retry_after_us = 50'000;
-      borrower.Receive(nothing);
+      borrower.HandleReply(nothing);
     }
     BorrowReply next = Granting(recorder.requests.back(), 0);
     next.early = {1, 50'000, 50'000};
-    borrower.Receive(next);
+    borrower.HandleReply(next);
   };
 
   SECTION("no holder is known") {
@@ -123,7 +123,7 @@
     CHECK(results.empty());
     recorder.holders_known = true;
     pass(std::chrono::milliseconds{30});
-    borrower.Receive(Granting(recorder.requests.back(), 2));
+    borrower.HandleReply(Granting(recorder.requests.back(), 2));
     REQUIRE(results.size() == 1);
     CHECK(results.front().granted);
   }
@@ -133,11 +133,11 @@
     for (int i = 0; i < 40; ++i) {
       BorrowReply reply = Granting(recorder.requests.back(), 0);
       reply.holder = false;
-      borrower.Receive(reply);
+      borrower.HandleReply(reply);
       pass(kTick);
     }
     CHECK(results.empty());
-    borrower.Receive(Granting(recorder.requests.back(), 2));
+    borrower.HandleReply(Granting(recorder.requests.back(), 2));
     REQUIRE(results.size() == 1);
     CHECK(results.front().granted);
   }
@@ -166,7 +166,7 @@
     for (int i = 0; i < 3; ++i) {
       BorrowReply reply = Granting(recorder.requests.back(), 0);
       reply.retry_after_us = 501'000;
-      borrower.Receive(reply);
+      borrower.HandleReply(reply);
     }
     REQUIRE(results.size() == 1);
     CHECK(results.front().reason == pollenring::Reason::kRateLimited);
@@ -179,19 +179,19 @@
       BorrowReply reply = Granting(recorder.requests.back(), 0);
       reply.retry_after_us = 90'000 - 20'000 * i;
       CHECK(recorder.requests.back().early == 0);
-      borrower.Receive(reply);
+      borrower.HandleReply(reply);
     }
     // The slot with the earliest refill is queried first.
     CHECK(recorder.requests.back().slot == recorder.requests[2].slot);
     CHECK(recorder.requests.back().early == 2);
     BorrowReply reply = Granting(recorder.requests.back(), 0);
     reply.early = {1, 50'000, 50'000};
-    borrower.Receive(reply);
+    borrower.HandleReply(reply);
     CHECK(recorder.requests.back().slot == recorder.requests[1].slot);
-    borrower.Receive(Granting(recorder.requests.back(), 0));
+    borrower.HandleReply(Granting(recorder.requests.back(), 0));
     CHECK(recorder.requests.back().slot == recorder.requests[0].slot);
     CHECK(results.empty());
-    borrower.Receive(Granting(recorder.requests.back(), 0));
+    borrower.HandleReply(Granting(recorder.requests.back(), 0));
     // The request that no holder can serve is refused immediately.
     REQUIRE(results.size() == 1);
     CHECK(results.front().reason == pollenring::Reason::kRateLimited);
@@ -230,7 +230,7 @@
     for (int i = 0; i < 3; ++i) {
       BorrowReply nothing = Granting(recorder.requests.back(), 0);
       nothing.retry_after_us = 50'000;
-      borrower.Receive(nothing);
+      borrower.HandleReply(nothing);
     }
     REQUIRE(results.size() == 1);
     CHECK_FALSE(results.front().granted);
@@ -248,7 +248,7 @@
     for (int i = 0; i < 3; ++i) {
       BorrowReply nothing = Granting(recorder.requests.back(), 0);
       nothing.retry_after_us = 50'000;
-      borrower.Receive(nothing);
+      borrower.HandleReply(nothing);
     }
     CHECK(recorder.requests.back().early == 1);
     CHECK(recorder.requests.back().early_within_us == 80'000);
--- a/test/support/lease_node.h
+++ b/test/support/lease_node.h
@@ -88,7 +88,7 @@
     return std::string(1, static_cast<char>('a' + node % 3));
   }
 
-  [[nodiscard]] bool HolderLives(SlotId slot) const override {
+  [[nodiscard]] bool IsHolderAlive(SlotId slot) const override {
     const auto holder = this->HolderOf(slot);
     if (!holder) return false;
     const WorldFaults &faults = this->world.faults;
@@ -133,7 +133,7 @@
                                             "region", 0};
     return pollenring::ChooseWitnesses(home, std::move(candidates));
   }
-  [[nodiscard]] bool Lives(const ProcessRef &ref) const override {
+  [[nodiscard]] bool IsAlive(const ProcessRef &ref) const override {
     const auto at = static_cast<std::size_t>(ref.node - 1);
     const auto &node = this->world.nodes[at];
     return node && node->self == ref && !node->Frozen();
@@ -196,18 +196,19 @@
     });
   }
 
-  void Ask(const ProcessRef &ref,
-           const pollenring::WitnessQuery &ask) override {
+  void SendQuery(const ProcessRef &ref,
+                 const pollenring::WitnessQuery &ask) override {
     const int to = static_cast<int>(ref.node) - 1;
     const int own = this->index;
     if (to == own) {
-      const auto answer = this->witness.Answer(ask);
-      this->Later([=](Node &node) { node.keeper.Answered(ref, answer); });
+      const auto answer = this->witness.HandleQuery(ask);
+      this->Later([=](Node &node) { node.keeper.HandleReply(ref, answer); });
       return;
     }
     this->SendTo(to, [=](Node &other) {
-      const auto answer = other.witness.Answer(ask);
-      other.SendTo(own, [=](Node &node) { node.keeper.Answered(ref, answer); });
+      const auto answer = other.witness.HandleQuery(ask);
+      other.SendTo(own,
+                   [=](Node &node) { node.keeper.HandleReply(ref, answer); });
     });
   }
 
@@ -229,7 +230,7 @@
     }
     this->inherited.erase(left);
   }
-  void Rewitnessed(SlotId /*slot*/, const SlotRow & /*row*/) override {}
+  void WitnessesChanged(SlotId /*slot*/, const SlotRow & /*row*/) override {}
   void Lost(SlotId slot) override { this->lenders.erase(slot); }
   void HandedOver(SlotId slot, const SlotRow &row,
                   const ProcessRef &successor) override {
@@ -255,7 +256,7 @@
     this->SendTo(*holder, [=](Node &other) {
       const auto reply = other.Lend(request);
       if (request.want == 0) return;
-      other.SendTo(own, [=](Node &node) { node.borrower.Receive(reply); });
+      other.SendTo(own, [=](Node &node) { node.borrower.HandleReply(reply); });
     });
     return true;
   }
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -117,7 +117,7 @@
     if (lender.waiting) {
       lender.waiting = false;
       const auto reply = lender.reply;
-      borrower.Receive(reply);
+      borrower.HandleReply(reply);
     }
     clock.Advance(kStep);
   }
@@ -248,13 +248,13 @@
   ask.epoch = pollenring::kEpochsPerRow;
   // Nodes and processes have numbers of 64 bits.
   const pollenring::ProcessRef other{~std::uint64_t{}, ~std::uint64_t{}};
-  ask.asker = other;
-  ask.asked_us = clock.Now().count();
-  ask.in_force = {{ask.epoch, other, {5, other}}, 1, 1'800'000'000};
+  ask.sender = other;
+  ask.sent_us = clock.Now().count();
+  ask.active_row = {{ask.epoch, other, {5, other}}, 1, 1'800'000'000};
   pollenring::WitnessReply answer;
   for (auto _ : state) {
     ask.slot = (ask.slot + 1) % slots;
-    answer = witness.Answer(ask);
+    answer = witness.HandleQuery(ask);
     benchmark::DoNotOptimize(answer);
   }
   state.counters["ask_bytes"] =
