Name test cases of share, retry, lease and once by what they check

Titles such as 'asking often gains nothing' or 'what comes next is asked for' didn't say which behaviour they guard. They do, and the lender's invariant names both of its conditions. Assertions and code are the same: only string literals differ.

--- a/src/pollenring/share/lender.cc
+++ b/src/pollenring/share/lender.cc
@@ -230,7 +230,7 @@
 void ShareLender::CheckBound(const Bucket &bucket) {
   const double owed = std::max(MaxOwed(bucket), bucket.owed_before);
   Require(bucket.level >= -owed - kRounding && bucket.lent >= -kRounding,
-          "no share is lent that is not there, or comes next");
+          "debt stays within its limit and open loans are not negative");
   const bool within = bucket.lent <= kRounding ||
                       bucket.level + bucket.lent <=
                           std::max(bucket.cap, bucket.lent) + kRounding;
--- a/test/pollenring/lease/slot_keeper_test.cc
+++ b/test/pollenring/lease/slot_keeper_test.cc
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-TEST_CASE("lease: every slot finds one holder when all is well") {
+TEST_CASE("lease: every slot gets exactly one holder without faults") {
   LeaseWorld world{5, 8, 1, WorldFaults{}};
   world.network.loss = 0;
   world.Run(2000);
@@ -33,7 +33,7 @@
   }
 }
 
-TEST_CASE("lease: changing sets of witnesses never make two valid holders") {
+TEST_CASE("lease: changes of witnesses never make two valid holders") {
   for (const auto seed : support::Seeds(4)) {
     INFO("seed " << seed);
     WorldFaults faults;
@@ -54,7 +54,7 @@
   }
 }
 
-TEST_CASE("lease: writes that land late never make two valid holders") {
+TEST_CASE("lease: delayed writes never make two valid holders") {
   for (const auto seed : support::Seeds(6)) {
     INFO("seed " << seed);
     WorldFaults faults;
@@ -131,7 +131,8 @@
   }
 }
 
-TEST_CASE("lease: a holder that leaves in an outage is succeeded at once") {
+TEST_CASE(
+    "lease: a holder that drains in a table outage is succeeded at once") {
   for (const auto seed : support::Seeds(6)) {
     INFO("seed " << seed);
     WorldFaults faults;
@@ -168,7 +169,8 @@
   }
 }
 
-TEST_CASE("lease: a holder frozen past its promises is not valid on waking") {
+TEST_CASE(
+    "lease: a holder paused past its promises is invalid when it resumes") {
   LeaseWorld world{5, 4, 5, WorldFaults{}};
   world.Run(2000);
   int holder = -1;
@@ -182,7 +184,7 @@
   CHECK(world.HeldSlots() == 4);
 }
 
-TEST_CASE("lease: giving a slot away while the table is down loses nothing") {
+TEST_CASE("lease: a handover while the table is down does not lose the slot") {
   for (const auto seed : support::Seeds(4)) {
     INFO("seed " << seed);
     WorldFaults faults;
--- a/test/pollenring/lease/witness_test.cc
+++ b/test/pollenring/lease/witness_test.cc
@@ -41,7 +41,8 @@
 
 }  // namespace
 
-TEST_CASE("witness: a vote waits for promises and is given once an epoch") {
+TEST_CASE(
+    "witness: votes once per epoch and only after promises have expired") {
   Scene scene;
   CHECK(scene.Ask(WitnessRequestKind::kPromise, kRow, kHolder).granted);
   scene.clock.Advance(kPromise - Duration{1});
@@ -61,7 +62,7 @@
       scene.Ask(WitnessRequestKind::kPromise, kRow + 1, kTaker).granted);
 }
 
-TEST_CASE("witness: it elects nobody while a row is sealed") {
+TEST_CASE("witness: elects nobody while a row is sealed") {
   Scene scene;
   const std::int64_t first = scene.clock.Now().count();
   const auto sealed =
@@ -71,7 +72,7 @@
   scene.clock.Advance(kPromise * 2);
   CHECK_FALSE(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kTaker).granted);
 
-  SECTION("nor promises anything to one whom others have elected") {
+  SECTION("nor promises anything to a node that others have elected") {
     const auto reply =
         scene.Ask(WitnessRequestKind::kPromise, kRow + 1, kTaker);
     CHECK_FALSE(reply.granted);
@@ -81,7 +82,7 @@
     CHECK_FALSE(scene.Ask(WitnessRequestKind::kVote, kRow + 2, kOther).granted);
   }
 
-  SECTION("a late message does not undo it, a new one does") {
+  SECTION("a late message does not unseal it; a new one does") {
     const auto late = scene.Ask(WitnessRequestKind::kPromise, kRow, kHolder,
                                 false, first - 1);
     CHECK(late.sealed);
@@ -92,7 +93,7 @@
     CHECK(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kTaker).granted);
   }
 
-  SECTION("one that resigns unseals it and can be succeeded at once") {
+  SECTION("a holder that resigns unseals it and can be succeeded at once") {
     CHECK(scene.Ask(WitnessRequestKind::kPromise, kRow, kHolder, true).granted);
     static_cast<void>(scene.Ask(WitnessRequestKind::kResign, kRow, kOther));
     CHECK_FALSE(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kTaker).granted);
@@ -116,7 +117,7 @@
   CHECK(scene.Ask(WitnessRequestKind::kPromise, 2 * kRow, kTaker).granted);
 }
 
-TEST_CASE("witness: a process that has ended votes and promises nothing") {
+TEST_CASE("witness: a query to an earlier process gets no vote or promise") {
   Scene scene;
   WitnessQuery query;
   query.process = kProcess + 1;
@@ -132,7 +133,8 @@
   }
 }
 
-TEST_CASE("witness: it knows the row in force, and how long at most") {
+TEST_CASE(
+    "witness: remembers the active row and the latest end of its validity") {
   Scene scene;
   WitnessQuery query;
   query.process = kProcess;
--- a/test/pollenring/once/once_test.cc
+++ b/test/pollenring/once/once_test.cc
@@ -192,7 +192,7 @@
   }
 }
 
-TEST_CASE("once: a repeat gets the first answer; an old one gets 'expired'") {
+TEST_CASE("once: a repeat gets the first response and an old one 'expired'") {
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{1};
   OnceLedger ledger{WallTime{0}, clock};
--- a/test/pollenring/retry/budget_test.cc
+++ b/test/pollenring/retry/budget_test.cc
@@ -153,7 +153,7 @@
   }
 }
 
-TEST_CASE("traffic retry budget: a long chain adds up no retries") {
+TEST_CASE("traffic retry budget: retries do not multiply along a long chain") {
   // Each of ten services fails part of its calls: a retry at one service
   // repeats the calls of all services downstream.
   for (const auto seed : support::Seeds(2)) {
@@ -180,7 +180,7 @@
   }
 }
 
-TEST_CASE("traffic retry budget: a few failures are mostly tried again") {
+TEST_CASE("traffic retry budget: most of a few failures are retried") {
   // One target of many truncates two percent of its responses.
   Fleet fleet{100, 7};
   fleet.Run(10s, 300);
@@ -192,14 +192,14 @@
   CHECK(fleet.retries > 0.8 * failures);
 }
 
-TEST_CASE("traffic retry budget: a process that starts has nothing to spend") {
+TEST_CASE("traffic retry budget: a new process has no savings") {
   const ManualClock clock{1h};
   SeededRandom random{1};
   TrafficRetryBudget budget{TrafficRetryOptions{}, clock, random};
   CHECK_FALSE(budget.Spend("deep"));
 }
 
-TEST_CASE("traffic retry budget: asking often gains nothing") {
+TEST_CASE("traffic retry budget: repeated attempts gain nothing") {
   const ManualClock clock{1h};
   SeededRandom random{1};
   TrafficRetryBudget budget{TrafficRetryOptions{}, clock, random};
--- a/test/pollenring/retry/retry_test.cc
+++ b/test/pollenring/retry/retry_test.cc
@@ -77,7 +77,7 @@
   CHECK(retries <= 10 + 100);
 }
 
-TEST_CASE("retry: more can't be returned than was given") {
+TEST_CASE("retry: a sub-call can't return more than its slice") {
   RetryAllowance allowance{4};
   const int slice = allowance.Slice();
   CHECK_THROWS_AS(allowance.Return(slice, slice + 1),
--- a/test/pollenring/share/borrower_test.cc
+++ b/test/pollenring/share/borrower_test.cc
@@ -41,7 +41,8 @@
 
 }  // namespace
 
-TEST_CASE("borrower: a caller that changes its text does not change the loan") {
+TEST_CASE(
+    "borrower: a callback that changes the name does not change a request") {
   pollenring::ManualClock clock{std::chrono::hours{1}};
   Recorder recorder;
   pollenring::ShareBorrower borrower{1, 9, {}, clock, recorder};
@@ -66,7 +67,7 @@
   CHECK(granted == 400);
 }
 
-TEST_CASE("borrower: a loan that ended during a pause is not spent") {
+TEST_CASE("borrower: a loan that expired during a pause is not spent") {
   pollenring::ManualClock clock{std::chrono::hours{1}};
   Recorder recorder;
   pollenring::ShareBorrower borrower{1, 9, {}, clock, recorder};
@@ -87,7 +88,7 @@
   CHECK(granted == 1);
 }
 
-TEST_CASE("borrower: a request waits while its slots change hands") {
+TEST_CASE("borrower: a request waits for holders within its limits") {
   pollenring::ManualClock clock{std::chrono::hours{1}};
   Recorder recorder;
   pollenring::ShareBorrower borrower{1, 9, {}, clock, recorder};
@@ -128,7 +129,7 @@
     CHECK(results.front().granted);
   }
 
-  SECTION("those that are asked hold the slot no longer") {
+  SECTION("the queried nodes no longer hold the slot") {
     charge();
     for (int i = 0; i < 40; ++i) {
       BorrowReply reply = Granting(recorder.requests.back(), 0);
@@ -142,7 +143,7 @@
     CHECK(results.front().granted);
   }
 
-  SECTION("after a second the answer is given, with when to come back") {
+  SECTION("after a second it is refused with a retry-after") {
     recorder.holders_known = false;
     charge();
     pass(std::chrono::milliseconds{1100});
@@ -152,7 +153,7 @@
     CHECK(results.front().retry_after > Duration{0});
   }
 
-  SECTION("no answer comes after the request's deadline") {
+  SECTION("it is refused by its deadline") {
     recorder.holders_known = false;
     borrower.Charge(
         "club", WaitLimit::Until(clock.Now() + std::chrono::milliseconds{100}),
@@ -161,7 +162,7 @@
     CHECK(results.size() == 1);
   }
 
-  SECTION("all holders answered: nobody waits for what is used up") {
+  SECTION("all holders are empty: refused without further wait") {
     charge();
     for (int i = 0; i < 3; ++i) {
       BorrowReply reply = Granting(recorder.requests.back(), 0);
@@ -172,7 +173,7 @@
     CHECK(results.front().reason == pollenring::Reason::kRateLimited);
   }
 
-  SECTION("all holders answered: what comes next is asked for, once each") {
+  SECTION("all holders are empty: early grants are requested once each") {
     charge();
     charge();
     for (int i = 0; i < 3; ++i) {
@@ -202,7 +203,7 @@
     CHECK(results.back().granted);
   }
 
-  SECTION("what comes next is not spent after a pause") {
+  SECTION("an early grant is not spent after a pause") {
     charge();
     grant_next();
     clock.Advance(std::chrono::milliseconds{500});
@@ -211,7 +212,7 @@
     CHECK_FALSE(results.front().granted);
   }
 
-  SECTION("nobody waits past a deadline for what comes next") {
+  SECTION("no early grant is awaited past the deadline") {
     borrower.Charge(
         "club", WaitLimit::Until(clock.Now() + std::chrono::milliseconds{30}),
         [&](const ChargeResult &result) { results.push_back(result); });
@@ -220,7 +221,7 @@
     CHECK_FALSE(results.front().granted);
   }
 
-  SECTION("share that comes too late for its answer is left to others") {
+  SECTION("no early grant is requested that comes too late") {
     const Time now = clock.Now();
     borrower.Charge(
         "club",
@@ -239,7 +240,7 @@
     CHECK(recorder.requests.size() == asked + 2);
   }
 
-  SECTION("what comes next is asked for as long as somebody waits") {
+  SECTION("early grants are requested up to the longest wait") {
     const Time now = clock.Now();
     borrower.Charge(
         "club",
@@ -254,14 +255,14 @@
     CHECK(recorder.requests.back().early_within_us == 80'000);
   }
 
-  SECTION("no more wait than a second's worth of a large workspace") {
+  SECTION("the number of waiting requests is limited") {
     recorder.holders_known = false;
     for (int i = 0; i < 3000; ++i) charge();
     CHECK(results.size() >= 1000);
   }
 }
 
-TEST_CASE("borrower: workspaces come while others are refused, and go") {
+TEST_CASE("borrower: callbacks may add workspaces and idle ones are removed") {
   pollenring::ManualClock clock{std::chrono::hours{1}};
   Recorder recorder;
   recorder.holders_known = false;
--- a/test/pollenring/share/lender_test.cc
+++ b/test/pollenring/share/lender_test.cc
@@ -52,7 +52,7 @@
 
 }  // namespace
 
-TEST_CASE("share lender: a loan comes back to a part that has shrunk") {
+TEST_CASE("share lender: a loan is returned to a part that has shrunk") {
   Slot slot;
   const BorrowReply first = slot.Lend(1, 5);
   const BorrowReply second = slot.Lend(2, 5);
@@ -70,7 +70,7 @@
   CHECK(slot.Lend(3, 9).granted <= 4);
 }
 
-TEST_CASE("share lender: rates and bursts change while loans are out") {
+TEST_CASE("share lender: the bound holds while limits change with open loans") {
   for (const auto seed : support::Seeds(40)) {
     INFO("seed " << seed);
     pollenring::SeededRandom random{seed};
--- a/test/pollenring/share/share_test.cc
+++ b/test/pollenring/share/share_test.cc
@@ -110,7 +110,7 @@
   }
 }
 
-TEST_CASE("share: demand within the rate is served while it moves") {
+TEST_CASE("share: demand within the rate is served as it moves between nodes") {
   for (const auto seed : support::Seeds(6)) {
     INFO("seed " << seed);
     LeaseWorld world{6, 9, seed, WorldFaults{}};
@@ -148,7 +148,7 @@
   CHECK(RefusedPart(club) <= kMostRefused);
 }
 
-TEST_CASE("share: demand within the rate is served after losing a third") {
+TEST_CASE("share: demand within the rate is served after a third has failed") {
   for (const auto seed : support::Seeds(6)) {
     INFO("seed " << seed);
     LeaseWorld world{6, 9, seed, WorldFaults{}};
