--- a/src/pollenring/lease/slot_keeper.h
+++ b/src/pollenring/lease/slot_keeper.h
@@ -36,7 +36,7 @@
   /*! @brief Rank of this node among those that may claim, if it may. */
   [[nodiscard]] virtual std::optional<std::size_t> Rank(SlotId slot) const = 0;
 
-  /*! @brief Best witnesses for a holder. @param holder Holder. @return Them. */
+  /*! @brief Chooses the best witnesses for a holder. @param holder Holder. */
   [[nodiscard]] virtual std::vector<ProcessRef> WitnessesFor(
       const ProcessRef &holder) const = 0;
 
@@ -96,8 +96,8 @@
  * When it is lost, its witnesses elect one of themselves without the table, and
  * the elected one writes a row of its own once it can. Before a holder writes a
  * row, a majority of its witnesses has to stop electing. If too few witnesses
- * are left for an election, a taker makes them release the row and writes the
- * next one.
+ * are left for an election, a claiming node makes them release the row and
+ * writes the next one.
  */
 class SlotKeeper {
  public:
@@ -152,7 +152,7 @@
    */
   [[nodiscard]] std::size_t SoleWitnessCount() const;
 
-  /*! @brief Advances claims and renewals; to be called frequently. */
+  /*! @brief Advances claims and renewals; called frequently. */
   void Tick();
 
   /*! @brief Stops claiming, for a node that drains. */
@@ -233,7 +233,7 @@
       {Phase::kGiving, "giving"},
   }}};
 
-  /*! @brief Last holder promised anything under a row, as reported. */
+  /*! @brief Latest holder with promises under a row, as reported. */
   struct LastPromise {
     std::uint64_t epoch{};
     ProcessRef holder;
@@ -249,7 +249,7 @@
     std::optional<Promises> next; /*!< For the row being written. */
     bool next_sent{}; /*!< The write of the next row may take effect. */
     bool in_doubt{};  /*!< A write was sent without a response. */
-    bool must_read{}; /*!< The outcome is known only to the table. */
+    bool must_read{}; /*!< A write's outcome must be read from the table. */
     bool refused{};   /*!< A witness refuses promises for the row held. */
     bool adopting{};  /*!< The read checks a row handed over to this node. */
     bool reading{};   /*!< A read is in progress while held. */
--- a/src/pollenring/lease/slot_keeper_held.cc
+++ b/src/pollenring/lease/slot_keeper_held.cc
@@ -191,11 +191,11 @@
     return;
   }
   if (version == slot.version) {
-    // An unanswered write may still arrive. Sending it again is idempotent.
+    // A write without a response may still arrive; resending is idempotent.
     if (slot.next_sent) {
       this->SendWrite(id, slot);
     } else if (refused && slot.phase == Phase::kHeld && !slot.next) {
-      // A taker that gave up has made witnesses release this row.
+      // A claiming node that gave up has made witnesses release this row.
       this->ChangeWitnesses(id, slot);
     }
     return;
--- a/src/pollenring/lease/slot_row.h
+++ b/src/pollenring/lease/slot_row.h
@@ -20,18 +20,18 @@
  */
 inline constexpr std::uint64_t kEpochsPerRow = 65'536;
 
-/*! @brief First epoch of a row. @param epoch Any of its epochs. @return It. */
+/*! @brief Returns the first epoch of a row. @param epoch Any of its epochs. */
 [[nodiscard]] constexpr std::uint64_t RowEpochOf(std::uint64_t epoch) noexcept {
   return epoch - epoch % kEpochsPerRow;
 }
 
-/*! @brief First epoch of the next row. @param epoch Any epoch. @return It. */
+/*! @brief Returns the next row's first epoch. @param epoch Any epoch. */
 [[nodiscard]] constexpr std::uint64_t NextRowEpoch(
     std::uint64_t epoch) noexcept {
   return RowEpochOf(epoch) + kEpochsPerRow;
 }
 
-/*! @brief Last epoch of a row. @param epoch Any of its epochs. @return It. */
+/*! @brief Returns the last epoch of a row. @param epoch Any of its epochs. */
 [[nodiscard]] constexpr std::uint64_t LastEpochOf(
     std::uint64_t epoch) noexcept {
   return NextRowEpoch(epoch) - 1;
--- a/src/pollenring/lease/witness.h
+++ b/src/pollenring/lease/witness.h
@@ -41,7 +41,7 @@
           const Clock &clock);
 
   /**
-   * @brief Handles the query of a holder or a taker.
+   * @brief Handles the query of a holder or a claiming node.
    * @param query The query.
    * @return The decision, and the state that the sender needs.
    */
--- a/src/pollenring/retry/budget.h
+++ b/src/pollenring/retry/budget.h
@@ -69,8 +69,8 @@
  *
  * Each node spends what its own calls have earned recently, so the total is
  * bounded by the traffic of all nodes, regardless of their number and of
- * membership. A node with a fraction of a retry spends it with that probability
- * of a complete one. Calls made by a run that was itself a retry are charged as
+ * membership. A node that has earned only a fraction of a retry retries with
+ * that probability. Calls made by a run that was itself a retry are charged as
  * retries, which keeps a chain of services within the bound of one. A process
  * starts with nothing, since what its predecessor spent is unknown.
  */
--- a/src/pollenring/share/lender.cc
+++ b/src/pollenring/share/lender.cc
@@ -177,7 +177,7 @@
   bucket.rate = limit.rate / part.count;
   bucket.cap =
       each + (takes_rest ? 1 : 0) + (takes_fraction ? burst - whole : 0);
-  // At a lower rate it takes longer to refill what is owed.
+  // At a lower rate it takes longer to repay the debt.
   bucket.owed_before = std::max(0.0, -bucket.level);
   if (bucket.level <= 0) return;
   bucket.level =
