--- a/test/pollenring/retry/budget_test.cc
+++ b/test/pollenring/retry/budget_test.cc
@@ -206,7 +206,7 @@
   int granted = 0;
   for (int i = 0; i < 1000; ++i) {
     budget.RecordSuccess("deep");
-    for (int ask = 0; ask < 10; ++ask) {
+    for (int attempt = 0; attempt < 10; ++attempt) {
       if (budget.Spend("deep")) ++granted;
     }
   }
--- a/test/pollenring/share/share_test.cc
+++ b/test/pollenring/share/share_test.cc
@@ -14,7 +14,7 @@
 struct Demand {
   std::string workspace;
   double rate{};
-  std::uint64_t asked{};
+  std::uint64_t charges{};
   std::uint64_t granted{};
 };
 
@@ -25,7 +25,7 @@
                        support::RateCheck{rate, burst, 2 * LeaseWorld::kSkew});
 }
 
-void Ask(LeaseWorld &world, Demand &demand, int node) {
+void Charge(LeaseWorld &world, Demand &demand, int node) {
   const double chance =
       demand.rate * std::chrono::duration<double>{LeaseWorld::kStep}.count();
   const auto whole = static_cast<int>(chance);
@@ -33,7 +33,7 @@
   if (world.random.Chance(chance - whole)) ++count;
   for (int i = 0; i < count; ++i) {
     if (!world.Up(node)) return;
-    ++demand.asked;
+    ++demand.charges;
     world.Charge(node, demand.workspace, [&demand](bool granted) {
       if (granted) ++demand.granted;
     });
@@ -41,8 +41,9 @@
 }
 
 [[nodiscard]] double RefusedPart(const Demand &demand) {
-  return 1 - static_cast<double>(demand.granted) /
-                 static_cast<double>(std::max<std::uint64_t>(1, demand.asked));
+  return 1 -
+         static_cast<double>(demand.granted) /
+             static_cast<double>(std::max<std::uint64_t>(1, demand.charges));
 }
 
 /*! @brief A single bucket that sees all demand, as an upper bound. */
@@ -56,14 +57,14 @@
   void Pass(LeaseWorld &world, Demand &demand, int nodes, int steps) {
     for (int i = 0; i < steps; ++i) {
       world.Step();
-      const auto before = demand.asked;
-      Ask(world, demand,
-          static_cast<int>(
-              world.random.Index(static_cast<std::size_t>(nodes))));
+      const auto before = demand.charges;
+      Charge(world, demand,
+             static_cast<int>(
+                 world.random.Index(static_cast<std::size_t>(nodes))));
       const double step =
           std::chrono::duration<double>{LeaseWorld::kStep}.count();
       this->level = std::min(this->cap, this->level + this->rate * step);
-      for (auto left = demand.asked - before; left > 0 && this->level >= 1;
+      for (auto left = demand.charges - before; left > 0 && this->level >= 1;
            --left) {
         this->level -= 1;
         this->possible += 1;
@@ -97,9 +98,9 @@
       if (world.random.Chance(0.01)) {
         node = static_cast<int>(world.random.Index(5));
       }
-      Ask(world, small, node);
-      Ask(world, bursty, node);
-      Ask(world, large, static_cast<int>(world.random.Index(5)));
+      Charge(world, small, node);
+      Charge(world, bursty, node);
+      Charge(world, large, static_cast<int>(world.random.Index(5)));
       if (world.random.Chance(0.0005)) {
         // On a contract change, the check uses the larger of both rates.
         world.contracts["small"].rate = world.random.Chance(0.5) ? 10 : 7;
@@ -123,8 +124,8 @@
     for (int i = 0; i < 24'000; ++i) {
       world.Step();
       // All demand moves to another node each second.
-      Ask(world, club, (i / 200) % 6);
-      Ask(world, large, (i / 200 + 3) % 6);
+      Charge(world, club, (i / 200) % 6);
+      Charge(world, large, (i / 200 + 3) % 6);
     }
     world.Run(200);
     CHECK(RefusedPart(club) <= kMostRefused);
@@ -142,7 +143,7 @@
   const auto steps = std::chrono::minutes{10} / LeaseWorld::kStep;
   for (int i = 0; i < steps; ++i) {
     world.Step();
-    Ask(world, club, static_cast<int>(world.random.Index(6)));
+    Charge(world, club, static_cast<int>(world.random.Index(6)));
   }
   world.Run(200);
   CHECK(RefusedPart(club) <= kMostRefused);
@@ -161,7 +162,7 @@
     for (int i = 0; i < 12'000; ++i) {
       world.Step();
       const int up[] = {0, 2, 3, 5};
-      Ask(world, club, up[world.random.Index(4)]);
+      Charge(world, club, up[world.random.Index(4)]);
     }
     world.Run(200);
     CHECK(RefusedPart(club) <= kMostRefused);
@@ -179,7 +180,7 @@
     constexpr int kSteps = 6000;
     for (int i = 0; i < kSteps; ++i) {
       world.Step();
-      Ask(world, large, static_cast<int>(world.random.Index(6)));
+      Charge(world, large, static_cast<int>(world.random.Index(6)));
     }
     const double seconds =
         std::chrono::duration<double>{LeaseWorld::kStep * kSteps}.count();
