--- a/src/pollenring/once/mirror.cc
+++ b/src/pollenring/once/mirror.cc
@@ -5,7 +5,7 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Records copied between two sweeps for old ones. */
+/*! @brief Records copied between two sweeps for expired ones. */
 constexpr std::uint64_t kCopiesPerSweep = 1024;
 
 }  // namespace
@@ -15,7 +15,7 @@
   Copies *copies = this->Open(slot, epoch);
   if (copies == nullptr) return false;
   copies->records[record.key] = record;
-  if (++copies->copied % kCopiesPerSweep == 0) this->Forget(*copies);
+  if (++copies->copied % kCopiesPerSweep == 0) this->DropExpired(*copies);
   return true;
 }
 
@@ -23,8 +23,7 @@
   Copies *copies = this->Open(slot, epoch);
   if (copies == nullptr) return;
   for (const auto &record : log.records) {
-    // An aborted identifier may run again, and only the other mirror hear of
-    // it.
+    // An aborted identifier may run again, with only the other mirror notified.
     if (record.state == OnceState::kAborted) continue;
     copies->records.emplace(record.key, record);
   }
@@ -51,14 +50,14 @@
   if (epoch > copies.epoch) {
     copies.epoch = epoch;
     copies.complete_since = this->clock.WallNow();
-    this->Forget(copies);
+    this->DropExpired(copies);
   }
   return &copies;
 }
 
-void OnceMirror::Forget(Copies &copies) const {
+void OnceMirror::DropExpired(Copies &copies) const {
   const WallTime oldest =
-      this->clock.WallNow() - kOnceRetention - 3 * kWallSkew;
+      this->clock.WallNow() - kOnceRetention - 3 * kMaxWallSkew;
   for (auto it = copies.records.begin(); it != copies.records.end();) {
     const bool old = WallTime{it->second.minted_ms} < oldest;
     it = old ? copies.records.erase(it) : std::next(it);
--- a/src/pollenring/share/borrower.h
+++ b/src/pollenring/share/borrower.h
@@ -16,7 +16,7 @@
 
 namespace pollenring {
 
-/*! @brief What borrowing asks of its surroundings. */
+/*! @brief Dependencies of the borrower. */
 class ShareDelegate {
  public:
   ShareDelegate() = default;
@@ -24,13 +24,15 @@
   ShareDelegate &operator=(const ShareDelegate &) = delete;
   virtual ~ShareDelegate() = default;
 
-  /*! @brief Sends a request to the slot's holder.
+  /**
+   * @brief Sends a request to the slot's holder.
    * @param request The request.
-   * @return Whether a holder is known. */
+   * @return True if a holder is known.
+   */
   virtual bool SendBorrow(const BorrowRequest &request) = 0;
 };
 
-/*! @brief What becomes of a charge. */
+/*! @brief Result of a charge. */
 struct ChargeResult {
   bool granted{};
   Reason reason{Reason::kNone};
@@ -47,35 +49,38 @@
 
   /**
    * @brief Starts without loans.
-   * @param process This process.
-   * @param slots Number of slots in all.
-   * @param options Timing of leases, for clock drift.
+   * @param process ID of this process.
+   * @param slots Total number of slots.
+   * @param options Lease timing, for the clock drift.
    * @param clock Clock.
-   * @param observer Sends requests.
+   * @param delegate Sends requests.
    */
   ShareBorrower(std::uint64_t process, SlotId slots,
                 const LeaseOptions &options, const Clock &clock,
-                ShareDelegate &observer);
+                ShareDelegate &delegate);
 
   /**
    * @brief Charges one request.
-   * @param workspace Its workspace.
-   * @param wait_limit How long it waits.
-   * @param done Called exactly once, now or when a loan or a refusal comes.
+   * @param workspace Workspace of the request.
+   * @param wait_limit How long the request may wait.
+   * @param done Called exactly once: within the call, or on a loan or a
+   * refusal.
    */
   void Charge(std::string workspace, WaitLimit wait_limit, Done done);
 
   /**
-   * @brief Takes in what a holder lends.
-   * @param reply Its reply.
+   * @brief Handles a holder's reply.
+   * @param reply The reply.
    */
-  void Receive(const BorrowReply &reply);
+  void HandleReply(const BorrowReply &reply);
 
-  /*! @brief Gives up on holders that are silent, returns idle loans, and
-   * forgets workspaces that nobody asks for. */
+  /**
+   * @brief Times out holders that do not respond, returns idle loans and
+   * removes idle workspaces.
+   */
   void Tick();
 
-  /*! @brief Workspaces that are remembered. @return The count. */
+  /*! @brief Returns the number of tracked workspaces. @return The count. */
   [[nodiscard]] std::size_t Count() const noexcept {
     return this->workspaces.size();
   }
@@ -87,45 +92,46 @@
     std::uint32_t left{};
     Time taken{};
     Time expires{};
-    bool urgent{}; /*!< Ends soon; nobody returns it. */
+    bool urgent{}; /*!< Short validity; never returned. */
   };
   struct Waiter {
     Time since{};
     WaitLimit wait_limit;
     Done done;
   };
-  /*! @brief A request that goes when its share has come. */
+  /*! @brief A request admitted once its refill has arrived. */
   struct Early {
     Time ready{};
     Time expires{};
     Waiter waiter;
   };
-  struct Asked {
+  struct PendingRequest {
     std::uint64_t loan{};
     SlotId slot{};
     Time sent{};
   };
-  /*! @brief Asking one holder after the other, each once. */
+  /*! @brief One pass over the holders, each queried once. */
   struct Round {
     std::size_t refusals{};
-    std::size_t answers{}; /*!< Holders that said they have nothing. */
+    std::size_t
+        empty_replies{}; /*!< Holders that replied that they are empty. */
     Duration retry_after{};
     std::vector<Duration>
-        next_share; /*!< By slot, until it has some; none if 0. */
-    bool early{};   /*!< What comes next is asked for. */
+        next_refill; /*!< By slot: time to its next refill; 0 if unknown. */
+    bool early{};    /*!< The round requests early grants. */
   };
   struct Workspace {
     std::vector<SlotId> slots;
     std::size_t preferred{};
     Round round;
-    Time next_round{}; /*!< No holder is asked before. */
+    Time next_round{}; /*!< Earliest time of the next round. */
     std::deque<Loan> loans;
     std::deque<Waiter> waiters;
     std::deque<Early> early;
-    bool asking{};
-    Asked asked;
+    bool awaiting_reply{};
+    PendingRequest pending;
     Time empty_until{};
-    double demand{}; /*!< Requests a second, smoothed. */
+    double demand{}; /*!< Requests per second, smoothed. */
     Time demand_from{};
     std::uint32_t charges{};
     std::unordered_map<SlotId, std::vector<LoanReturn>> returns;
@@ -135,23 +141,24 @@
   [[nodiscard]] bool Spend(Workspace &workspace);
   void DropExpired(Workspace &workspace) const;
   void Measure(Workspace &workspace) const;
-  void Ask(const std::string &name, Workspace &workspace);
-  void AskOne(const std::string &name, Workspace &workspace);
+  void StartRound(const std::string &name, Workspace &workspace);
+  void QueryNextHolder(const std::string &name, Workspace &workspace);
   [[nodiscard]] BorrowRequest ToRequest(const std::string &name,
                                         Workspace &workspace);
-  void Refused(const std::string &name, Workspace &workspace, bool answered,
-               Duration retry_after);
+  void HandleRefusal(const std::string &name, Workspace &workspace,
+                     bool replied, Duration retry_after);
   void ReturnIdle(Workspace &workspace) const;
   void SendReturns(const std::string &name, Workspace &workspace);
-  void Serve(Workspace &workspace);
+  void ServeWaiters(Workspace &workspace);
   void EndRound(const std::string &name, Workspace &workspace);
-  [[nodiscard]] bool AskEarly(const std::string &name, Workspace &workspace);
-  void TakeEarly(Workspace &workspace, const EarlyGrant &grant);
+  [[nodiscard]] bool RequestEarlyGrant(const std::string &name,
+                                       Workspace &workspace);
+  void AcceptEarlyGrant(Workspace &workspace, const EarlyGrant &grant);
   void ReleaseEarly(Workspace &workspace);
   void RefuseAll(Workspace &workspace);
-  void RefuseLate(Workspace &workspace);
-  [[nodiscard]] bool Forgettable(const Workspace &workspace) const;
-  [[nodiscard]] static bool AllAnswered(const Workspace &workspace);
+  void RefuseOverdue(Workspace &workspace);
+  [[nodiscard]] bool IsRemovable(const Workspace &workspace) const;
+  [[nodiscard]] static bool AllHoldersEmpty(const Workspace &workspace);
   [[nodiscard]] static double Ahead(const Workspace &workspace);
   [[nodiscard]] static std::uint32_t Wanted(const Workspace &workspace);
   [[nodiscard]] static std::uint32_t Stock(const Workspace &workspace);
@@ -160,9 +167,9 @@
   SlotId slots;
   LeaseOptions options;
   const Clock &clock;
-  ShareDelegate &observer;
-  // Callbacks may charge workspaces that are new while all are visited; in a
-  // map that leaves the place of the visit valid.
+  ShareDelegate &delegate;
+  // Callbacks may insert workspaces during iteration, which leaves iterators of
+  // a std::map valid.
   std::map<std::string, Workspace> workspaces;
   std::uint64_t last_loan{};
 };
--- a/test/pollenring/lease/witness_test.cc
+++ b/test/pollenring/lease/witness_test.cc
@@ -20,28 +20,29 @@
 constexpr ProcessRef kOther{3, 13};
 constexpr Duration kPromise = std::chrono::seconds{2};
 
-/*! @brief A witness and the asks that reach it. */
+/*! @brief A witness and the queries sent to it. */
 struct Scene {
   ManualClock clock{std::chrono::hours{1}};
   Witness witness{kProcess, {}, clock};
 
   WitnessReply Ask(WitnessRequestKind request, std::uint64_t epoch,
-                   const ProcessRef &asker, bool sealing = false,
-                   std::int64_t asked_us = 0) {
-    WitnessQuery ask;
-    ask.request = request;
-    ask.epoch = epoch;
-    ask.process = kProcess;
-    ask.asker = asker;
-    ask.sealing = sealing;
-    ask.asked_us = asked_us == 0 ? this->clock.Now().count() : asked_us;
-    return this->witness.Answer(ask);
+                   const ProcessRef &sender, bool sealing = false,
+                   std::int64_t sent_us = 0) {
+    WitnessQuery query;
+    query.request = request;
+    query.epoch = epoch;
+    query.process = kProcess;
+    query.sender = sender;
+    query.sealing = sealing;
+    query.sent_us = sent_us == 0 ? this->clock.Now().count() : sent_us;
+    return this->witness.HandleQuery(query);
   }
 };
 
 }  // namespace
 
-TEST_CASE("witness: a vote waits for promises and is given once an epoch") {
+TEST_CASE(
+    "witness: votes once per epoch and only after promises have expired") {
   Scene scene;
   CHECK(scene.Ask(WitnessRequestKind::kPromise, kRow, kHolder).granted);
   scene.clock.Advance(kPromise - Duration{1});
@@ -49,9 +50,9 @@
   scene.clock.Advance(Duration{1});
   CHECK(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kTaker).granted);
   CHECK_FALSE(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kOther).granted);
-  // Asked again, since the answer may have been lost.
+  // Repeated, since the reply may have been lost.
   CHECK(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kTaker).granted);
-  // The holder of before is over, whatever it believes.
+  // The earlier holder is superseded, whatever it believes.
   CHECK_FALSE(scene.Ask(WitnessRequestKind::kPromise, kRow, kHolder).granted);
   const auto next = scene.Ask(WitnessRequestKind::kVote, kRow + 2, kOther);
   CHECK(next.granted);
@@ -61,7 +62,7 @@
       scene.Ask(WitnessRequestKind::kPromise, kRow + 1, kTaker).granted);
 }
 
-TEST_CASE("witness: it elects nobody while a row is sealed") {
+TEST_CASE("witness: elects nobody while a row is sealed") {
   Scene scene;
   const std::int64_t first = scene.clock.Now().count();
   const auto sealed =
@@ -71,17 +72,17 @@
   scene.clock.Advance(kPromise * 2);
   CHECK_FALSE(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kTaker).granted);
 
-  SECTION("nor promises anything to one whom others have elected") {
-    const auto answer =
+  SECTION("nor promises anything to a node that others have elected") {
+    const auto reply =
         scene.Ask(WitnessRequestKind::kPromise, kRow + 1, kTaker);
-    CHECK_FALSE(answer.granted);
-    CHECK(answer.sealed);
-    // The one who has sealed it is over and can't undo it.
+    CHECK_FALSE(reply.granted);
+    CHECK(reply.sealed);
+    // The process that sealed it is superseded and can't unseal it.
     CHECK_FALSE(scene.Ask(WitnessRequestKind::kPromise, kRow, kHolder).granted);
     CHECK_FALSE(scene.Ask(WitnessRequestKind::kVote, kRow + 2, kOther).granted);
   }
 
-  SECTION("a late message does not undo it, a new one does") {
+  SECTION("a late message does not unseal it; a new one does") {
     const auto late = scene.Ask(WitnessRequestKind::kPromise, kRow, kHolder,
                                 false, first - 1);
     CHECK(late.sealed);
@@ -92,7 +93,7 @@
     CHECK(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kTaker).granted);
   }
 
-  SECTION("one that resigns unseals it and can be succeeded at once") {
+  SECTION("a holder that resigns unseals it and can be succeeded at once") {
     CHECK(scene.Ask(WitnessRequestKind::kPromise, kRow, kHolder, true).granted);
     static_cast<void>(scene.Ask(WitnessRequestKind::kResign, kRow, kOther));
     CHECK_FALSE(scene.Ask(WitnessRequestKind::kVote, kRow + 1, kTaker).granted);
@@ -116,38 +117,40 @@
   CHECK(scene.Ask(WitnessRequestKind::kPromise, 2 * kRow, kTaker).granted);
 }
 
-TEST_CASE("witness: a process that has ended votes and promises nothing") {
+TEST_CASE("witness: a query to an earlier process gets no vote or promise") {
   Scene scene;
-  WitnessQuery ask;
-  ask.process = kProcess + 1;
-  ask.epoch = kRow;
-  ask.asker = kHolder;
+  WitnessQuery query;
+  query.process = kProcess + 1;
+  query.epoch = kRow;
+  query.sender = kHolder;
   for (const auto request :
        {WitnessRequestKind::kPromise, WitnessRequestKind::kVote}) {
-    ask.request = request;
-    const auto answer = scene.witness.Answer(ask);
-    CHECK_FALSE(answer.granted);
-    CHECK_FALSE(answer.remembers);
-    CHECK(Duration{answer.remaining_us} == kPromise);
+    query.request = request;
+    const auto reply = scene.witness.HandleQuery(query);
+    CHECK_FALSE(reply.granted);
+    CHECK_FALSE(reply.remembers);
+    CHECK(Duration{reply.remaining_us} == kPromise);
   }
 }
 
-TEST_CASE("witness: it knows the row in force, and how long at most") {
+TEST_CASE(
+    "witness: remembers the active row and the latest end of its validity") {
   Scene scene;
-  WitnessQuery ask;
-  ask.process = kProcess;
-  ask.epoch = kRow;
-  ask.asker = kHolder;
-  const auto tell = [&](Duration lapse_left) {
-    ask.in_force = {{kRow, kHolder, {kHolder, kTaker}}, 5, lapse_left.count()};
-    static_cast<void>(scene.witness.Answer(ask));
+  WitnessQuery query;
+  query.process = kProcess;
+  query.epoch = kRow;
+  query.sender = kHolder;
+  const auto report = [&](Duration lapse_left) {
+    query.active_row = {
+        {kRow, kHolder, {kHolder, kTaker}}, 5, lapse_left.count()};
+    static_cast<void>(scene.witness.HandleQuery(query));
     return scene.witness.Known(0)->ends;
   };
   CHECK(scene.witness.Known(0) == nullptr);
-  const auto ends = tell(std::chrono::minutes{20});
+  const auto ends = report(std::chrono::minutes{20});
   CHECK(ends < scene.clock.Now() + std::chrono::minutes{20});
-  // Old news does not lengthen it.
-  CHECK(tell(std::chrono::minutes{25}) == ends);
-  CHECK(tell(std::chrono::minutes{15}) < ends);
+  // An older report does not extend it.
+  CHECK(report(std::chrono::minutes{25}) == ends);
+  CHECK(report(std::chrono::minutes{15}) < ends);
   CHECK(scene.witness.Known(0)->version == 5);
 }
--- a/test/pollenring/once/once_test.cc
+++ b/test/pollenring/once/once_test.cc
@@ -20,7 +20,7 @@
 using pollenring::SeededRandom;
 using pollenring::WallTime;
 
-/*! @brief One slot whose owner dies again and again; two mirrors. */
+/*! @brief One slot with two mirrors, whose owner fails repeatedly. */
 class Slot {
  public:
   explicit Slot(std::uint64_t seed)
@@ -29,12 +29,14 @@
     this->owner = std::make_unique<OnceLedger>(WallTime{0}, this->clock);
   }
 
-  /*! @brief Asks to run; counts what is let run. */
+  /*! @brief Attempts to run and counts the runs allowed. */
   BeginVerdict Begin(const std::string &id) {
     return this->BeginAt({*this->owner, this->epoch, this->Processes()}, id);
   }
 
-  /*! @brief An owner that was taken over wakes, with a request from before. */
+  /**
+   * @brief A replaced owner resumes with a request from before the takeover.
+   */
   void BeginLate(const std::string &id) {
     if (!this->deposed) return;
     if (*pollenring::MintedAt(id) >= this->deposed_at) return;
@@ -42,7 +44,7 @@
         {*this->deposed, this->deposed_epoch, this->deposed_mirrors}, id));
   }
 
-  /*! @brief An owner, and the processes that it has as mirrors. */
+  /*! @brief An owner and the processes it uses as mirrors. */
   struct View {
     OnceLedger &ledger;
     std::uint64_t epoch{};
@@ -83,7 +85,7 @@
     return decision.verdict;
   }
 
-  /*! @brief The owner dies; a successor asks the mirrors. */
+  /*! @brief The owner fails; a successor queries the mirrors. */
   void TakeOver() {
     auto next =
         std::make_unique<OnceLedger>(this->clock.WallNow(), this->clock);
@@ -91,8 +93,8 @@
     bool all = true;
     for (auto &mirror : this->mirrors) {
       const bool answers = mirror.epoch_known && this->random.Chance(0.8);
-      // A mirror that does not answer keeps taking copies of nobody: the old
-      // owner's lease has run out.
+      // A mirror that does not respond stays open, but receives no more copies:
+      // the old owner's lease has expired.
       if (!answers) {
         all = false;
         continue;
@@ -111,7 +113,7 @@
     this->Seed();
   }
 
-  /*! @brief A mirror loses its memory; the owner names its next process. */
+  /*! @brief A mirror loses its copies; the owner names its next process. */
   void LoseMirror() {
     this->Restart(this->mirrors[this->random.Index(2)]);
     ++this->epoch;
@@ -190,7 +192,7 @@
   }
 }
 
-TEST_CASE("once: a repeat gets the first answer; an old one gets 'expired'") {
+TEST_CASE("once: a repeat gets the first response and an old one 'expired'") {
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{1};
   OnceLedger ledger{WallTime{0}, clock};
@@ -206,7 +208,7 @@
   ledger.End(id, 1, OnceState::kRan, "first");
   const auto repeat = ledger.Begin(id, minted, 4, deadline);
   CHECK(repeat.verdict == BeginVerdict::kRan);
-  CHECK(repeat.answer == "first");
+  CHECK(repeat.response == "first");
   clock.Advance(std::chrono::minutes{20});
   const auto old = ledger.Begin(id, minted, 5, clock.WallNow());
   CHECK(old.verdict == BeginVerdict::kExpired);
--- a/test/pollenring/retry/retry_test.cc
+++ b/test/pollenring/retry/retry_test.cc
@@ -17,7 +17,7 @@
  public:
   Chain(std::uint64_t seed, int fan_out) : random{seed}, fan_out{fan_out} {}
 
-  /*! @brief Performs a call. @return What it reports as unspent. */
+  /*! @brief Performs a call. @return Retries it reports as unspent. */
   int Call(int granted, int depth) {
     RetryAllowance allowance{granted};
     for (;;) {
@@ -71,13 +71,13 @@
   }
   CHECK(retries == 10);
   for (int i = 0; i < 1000; ++i) {
-    ceiling.Succeeded();
+    ceiling.RecordSuccess();
     if (ceiling.Spend()) ++retries;
   }
   CHECK(retries <= 10 + 100);
 }
 
-TEST_CASE("retry: more can't be returned than was given") {
+TEST_CASE("retry: a sub-call can't return more than its slice") {
   RetryAllowance allowance{4};
   const int slice = allowance.Slice();
   CHECK_THROWS_AS(allowance.Return(slice, slice + 1),
--- a/test/pollenring/share/borrower_test.cc
+++ b/test/pollenring/share/borrower_test.cc
@@ -14,7 +14,7 @@
 using pollenring::Time;
 using pollenring::WaitLimit;
 
-/*! @brief Keeps what is asked. */
+/*! @brief Records the requests sent. */
 class Recorder final : public pollenring::ShareDelegate {
  public:
   bool SendBorrow(const BorrowRequest &request) override {
@@ -41,7 +41,8 @@
 
 }  // namespace
 
-TEST_CASE("borrower: a caller that changes its text does not change the loan") {
+TEST_CASE(
+    "borrower: a callback that changes the name does not change a request") {
   pollenring::ManualClock clock{std::chrono::hours{1}};
   Recorder recorder;
   pollenring::ShareBorrower borrower{1, 9, {}, clock, recorder};
@@ -61,12 +62,12 @@
     const BorrowRequest &last = recorder.requests.back();
     CHECK(last.workspace == "club");
     if (last.want == 0) continue;
-    borrower.Receive(Granting(last, last.want));
+    borrower.HandleReply(Granting(last, last.want));
   }
   CHECK(granted == 400);
 }
 
-TEST_CASE("borrower: a loan that ended during a pause is not spent") {
+TEST_CASE("borrower: a loan that expired during a pause is not spent") {
   pollenring::ManualClock clock{std::chrono::hours{1}};
   Recorder recorder;
   pollenring::ShareBorrower borrower{1, 9, {}, clock, recorder};
@@ -78,15 +79,16 @@
                     });
   };
   charge();
-  borrower.Receive(Granting(recorder.requests.back(), 5));
+  borrower.HandleReply(Granting(recorder.requests.back(), 5));
   CHECK(granted == 1);
-  // The process stands still past the loan's end; its first act is a charge.
+  // The process is paused beyond the loan's end; a charge comes before any
+  // tick.
   clock.Advance(std::chrono::milliseconds{500});
   charge();
   CHECK(granted == 1);
 }
 
-TEST_CASE("borrower: a request waits while its slots change hands") {
+TEST_CASE("borrower: a request waits for holders within its limits") {
   pollenring::ManualClock clock{std::chrono::hours{1}};
   Recorder recorder;
   pollenring::ShareBorrower borrower{1, 9, {}, clock, recorder};
@@ -103,16 +105,16 @@
     }
   };
 
-  // All say that they have nothing; the first then grants what comes next.
+  // All holders are empty; the first then grants its next refill.
   const auto grant_next = [&] {
     for (int i = 0; i < 3; ++i) {
       BorrowReply nothing = Granting(recorder.requests.back(), 0);
       nothing.retry_after_us = 50'000;
-      borrower.Receive(nothing);
+      borrower.HandleReply(nothing);
     }
     BorrowReply next = Granting(recorder.requests.back(), 0);
     next.early = {1, 50'000, 50'000};
-    borrower.Receive(next);
+    borrower.HandleReply(next);
   };
 
   SECTION("no holder is known") {
@@ -122,26 +124,26 @@
     CHECK(results.empty());
     recorder.holders_known = true;
     pass(std::chrono::milliseconds{30});
-    borrower.Receive(Granting(recorder.requests.back(), 2));
+    borrower.HandleReply(Granting(recorder.requests.back(), 2));
     REQUIRE(results.size() == 1);
     CHECK(results.front().granted);
   }
 
-  SECTION("those that are asked hold the slot no longer") {
+  SECTION("the queried nodes no longer hold the slot") {
     charge();
     for (int i = 0; i < 40; ++i) {
       BorrowReply reply = Granting(recorder.requests.back(), 0);
       reply.holder = false;
-      borrower.Receive(reply);
+      borrower.HandleReply(reply);
       pass(kTick);
     }
     CHECK(results.empty());
-    borrower.Receive(Granting(recorder.requests.back(), 2));
+    borrower.HandleReply(Granting(recorder.requests.back(), 2));
     REQUIRE(results.size() == 1);
     CHECK(results.front().granted);
   }
 
-  SECTION("after a second the answer is given, with when to come back") {
+  SECTION("after a second it is refused with a retry-after") {
     recorder.holders_known = false;
     charge();
     pass(std::chrono::milliseconds{1100});
@@ -151,7 +153,7 @@
     CHECK(results.front().retry_after > Duration{0});
   }
 
-  SECTION("no answer comes after the request's deadline") {
+  SECTION("it is refused by its deadline") {
     recorder.holders_known = false;
     borrower.Charge(
         "club", WaitLimit::Until(clock.Now() + std::chrono::milliseconds{100}),
@@ -160,38 +162,38 @@
     CHECK(results.size() == 1);
   }
 
-  SECTION("all holders answered: nobody waits for what is used up") {
+  SECTION("all holders are empty: refused without further wait") {
     charge();
     for (int i = 0; i < 3; ++i) {
       BorrowReply reply = Granting(recorder.requests.back(), 0);
       reply.retry_after_us = 501'000;
-      borrower.Receive(reply);
+      borrower.HandleReply(reply);
     }
     REQUIRE(results.size() == 1);
     CHECK(results.front().reason == pollenring::Reason::kRateLimited);
   }
 
-  SECTION("all holders answered: what comes next is asked for, once each") {
+  SECTION("all holders are empty: early grants are requested once each") {
     charge();
     charge();
     for (int i = 0; i < 3; ++i) {
       BorrowReply reply = Granting(recorder.requests.back(), 0);
       reply.retry_after_us = 90'000 - 20'000 * i;
       CHECK(recorder.requests.back().early == 0);
-      borrower.Receive(reply);
+      borrower.HandleReply(reply);
     }
-    // The slot that has some first is asked first.
+    // The slot with the earliest refill is queried first.
     CHECK(recorder.requests.back().slot == recorder.requests[2].slot);
     CHECK(recorder.requests.back().early == 2);
     BorrowReply reply = Granting(recorder.requests.back(), 0);
     reply.early = {1, 50'000, 50'000};
-    borrower.Receive(reply);
+    borrower.HandleReply(reply);
     CHECK(recorder.requests.back().slot == recorder.requests[1].slot);
-    borrower.Receive(Granting(recorder.requests.back(), 0));
+    borrower.HandleReply(Granting(recorder.requests.back(), 0));
     CHECK(recorder.requests.back().slot == recorder.requests[0].slot);
     CHECK(results.empty());
-    borrower.Receive(Granting(recorder.requests.back(), 0));
-    // The one that nobody has anything for is told so at once.
+    borrower.HandleReply(Granting(recorder.requests.back(), 0));
+    // The request that no holder can serve is refused immediately.
     REQUIRE(results.size() == 1);
     CHECK(results.front().reason == pollenring::Reason::kRateLimited);
     pass(std::chrono::milliseconds{40});
@@ -201,7 +203,7 @@
     CHECK(results.back().granted);
   }
 
-  SECTION("what comes next is not spent after a pause") {
+  SECTION("an early grant is not spent after a pause") {
     charge();
     grant_next();
     clock.Advance(std::chrono::milliseconds{500});
@@ -210,7 +212,7 @@
     CHECK_FALSE(results.front().granted);
   }
 
-  SECTION("nobody waits past a deadline for what comes next") {
+  SECTION("no early grant is awaited past the deadline") {
     borrower.Charge(
         "club", WaitLimit::Until(clock.Now() + std::chrono::milliseconds{30}),
         [&](const ChargeResult &result) { results.push_back(result); });
@@ -219,7 +221,7 @@
     CHECK_FALSE(results.front().granted);
   }
 
-  SECTION("share that comes too late for its answer is left to others") {
+  SECTION("no early grant is requested that comes too late") {
     const Time now = clock.Now();
     borrower.Charge(
         "club",
@@ -229,16 +231,16 @@
     for (int i = 0; i < 3; ++i) {
       BorrowReply nothing = Granting(recorder.requests.back(), 0);
       nothing.retry_after_us = 50'000;
-      borrower.Receive(nothing);
+      borrower.HandleReply(nothing);
     }
     REQUIRE(results.size() == 1);
     CHECK_FALSE(results.front().granted);
     CHECK(results.front().reason == pollenring::Reason::kRateLimited);
-    // Nobody was asked for what comes next: it would have been lost.
+    // No early grant was requested: it would have been lost.
     CHECK(recorder.requests.size() == asked + 2);
   }
 
-  SECTION("what comes next is asked for as long as somebody waits") {
+  SECTION("early grants are requested up to the longest wait") {
     const Time now = clock.Now();
     borrower.Charge(
         "club",
@@ -247,27 +249,27 @@
     for (int i = 0; i < 3; ++i) {
       BorrowReply nothing = Granting(recorder.requests.back(), 0);
       nothing.retry_after_us = 50'000;
-      borrower.Receive(nothing);
+      borrower.HandleReply(nothing);
     }
     CHECK(recorder.requests.back().early == 1);
     CHECK(recorder.requests.back().early_within_us == 80'000);
   }
 
-  SECTION("no more wait than a second's worth of a large workspace") {
+  SECTION("the number of waiting requests is limited") {
     recorder.holders_known = false;
     for (int i = 0; i < 3000; ++i) charge();
     CHECK(results.size() >= 1000);
   }
 }
 
-TEST_CASE("borrower: workspaces come while others are refused, and go") {
+TEST_CASE("borrower: callbacks may add workspaces and idle ones are removed") {
   pollenring::ManualClock clock{std::chrono::hours{1}};
   Recorder recorder;
   recorder.holders_known = false;
   pollenring::ShareBorrower borrower{1, 9, {}, clock, recorder};
   int answers = 0;
   int charges = 0;
-  // Each refusal brings callers of workspaces that were not seen before.
+  // Each refusal adds charges of new workspaces.
   std::function<void(int)> charge = [&](int generation) {
     ++charges;
     borrower.Charge("workspace" + std::to_string(charges),
--- a/test/pollenring/share/share_test.cc
+++ b/test/pollenring/share/share_test.cc
@@ -10,11 +10,11 @@
 using support::Time;
 using support::WorldFaults;
 
-/*! @brief Demand of one workspace that moves from node to node. */
+/*! @brief Demand of one workspace that moves between nodes. */
 struct Demand {
   std::string workspace;
   double rate{};
-  std::uint64_t asked{};
+  std::uint64_t charges{};
   std::uint64_t granted{};
 };
 
@@ -25,7 +25,7 @@
                        support::RateCheck{rate, burst, 2 * LeaseWorld::kSkew});
 }
 
-void Ask(LeaseWorld &world, Demand &demand, int node) {
+void Charge(LeaseWorld &world, Demand &demand, int node) {
   const double chance =
       demand.rate * std::chrono::duration<double>{LeaseWorld::kStep}.count();
   const auto whole = static_cast<int>(chance);
@@ -33,7 +33,7 @@
   if (world.random.Chance(chance - whole)) ++count;
   for (int i = 0; i < count; ++i) {
     if (!world.Up(node)) return;
-    ++demand.asked;
+    ++demand.charges;
     world.Charge(node, demand.workspace, [&demand](bool granted) {
       if (granted) ++demand.granted;
     });
@@ -41,11 +41,12 @@
 }
 
 [[nodiscard]] double RefusedPart(const Demand &demand) {
-  return 1 - static_cast<double>(demand.granted) /
-                 static_cast<double>(std::max<std::uint64_t>(1, demand.asked));
+  return 1 -
+         static_cast<double>(demand.granted) /
+             static_cast<double>(std::max<std::uint64_t>(1, demand.charges));
 }
 
-/*! @brief One bucket that sees all demand: what any policy could grant. */
+/*! @brief A single bucket that sees all demand, as an upper bound. */
 struct OneBucket {
   double rate{};
   double cap{};
@@ -56,14 +57,14 @@
   void Pass(LeaseWorld &world, Demand &demand, int nodes, int steps) {
     for (int i = 0; i < steps; ++i) {
       world.Step();
-      const auto before = demand.asked;
-      Ask(world, demand,
-          static_cast<int>(
-              world.random.Index(static_cast<std::size_t>(nodes))));
+      const auto before = demand.charges;
+      Charge(world, demand,
+             static_cast<int>(
+                 world.random.Index(static_cast<std::size_t>(nodes))));
       const double step =
           std::chrono::duration<double>{LeaseWorld::kStep}.count();
       this->level = std::min(this->cap, this->level + this->rate * step);
-      for (auto left = demand.asked - before; left > 0 && this->level >= 1;
+      for (auto left = demand.charges - before; left > 0 && this->level >= 1;
            --left) {
         this->level -= 1;
         this->possible += 1;
@@ -72,10 +73,10 @@
   }
 };
 
-/*! @brief Largest part of within-rate requests that may be refused. */
+/*! @brief Maximum fraction of refusals for demand within the rate. */
 constexpr double kMostRefused = 0.001;
 
-/*! @brief Least part of its rate that a workspace far over it gets. */
+/*! @brief Minimum fraction of its rate granted to a workspace far above it. */
 constexpr double kLeastOfRate = 0.99;
 
 }  // namespace
@@ -86,7 +87,7 @@
     LeaseWorld world{5, 6, seed, support::AllFaults()};
     Declare(world, "small", 10, 6);
     Declare(world, "large", 200, 100);
-    // Its burst takes far longer to come back than a slot to be taken over.
+    // Refilling its burst takes far longer than taking over a slot.
     Declare(world, "bursty", 2, 60);
     Demand bursty{"bursty", 40};
     Demand small{"small", 30};
@@ -97,11 +98,11 @@
       if (world.random.Chance(0.01)) {
         node = static_cast<int>(world.random.Index(5));
       }
-      Ask(world, small, node);
-      Ask(world, bursty, node);
-      Ask(world, large, static_cast<int>(world.random.Index(5)));
+      Charge(world, small, node);
+      Charge(world, bursty, node);
+      Charge(world, large, static_cast<int>(world.random.Index(5)));
       if (world.random.Chance(0.0005)) {
-        // A changed contract: the check follows the larger of both.
+        // On a contract change, the check uses the larger of both rates.
         world.contracts["small"].rate = world.random.Chance(0.5) ? 10 : 7;
       }
     }
@@ -110,7 +111,7 @@
   }
 }
 
-TEST_CASE("share: demand within the rate is served while it moves") {
+TEST_CASE("share: demand within the rate is served as it moves between nodes") {
   for (const auto seed : support::Seeds(6)) {
     INFO("seed " << seed);
     LeaseWorld world{6, 9, seed, WorldFaults{}};
@@ -122,9 +123,9 @@
     world.Run(2000);
     for (int i = 0; i < 24'000; ++i) {
       world.Step();
-      // Each second all demand is at another node.
-      Ask(world, club, (i / 200) % 6);
-      Ask(world, large, (i / 200 + 3) % 6);
+      // All demand moves to another node each second.
+      Charge(world, club, (i / 200) % 6);
+      Charge(world, large, (i / 200 + 3) % 6);
     }
     world.Run(200);
     CHECK(RefusedPart(club) <= kMostRefused);
@@ -142,13 +143,13 @@
   const auto steps = std::chrono::minutes{10} / LeaseWorld::kStep;
   for (int i = 0; i < steps; ++i) {
     world.Step();
-    Ask(world, club, static_cast<int>(world.random.Index(6)));
+    Charge(world, club, static_cast<int>(world.random.Index(6)));
   }
   world.Run(200);
   CHECK(RefusedPart(club) <= kMostRefused);
 }
 
-TEST_CASE("share: demand within the rate is served after losing a third") {
+TEST_CASE("share: demand within the rate is served after a third has failed") {
   for (const auto seed : support::Seeds(6)) {
     INFO("seed " << seed);
     LeaseWorld world{6, 9, seed, WorldFaults{}};
@@ -161,7 +162,7 @@
     for (int i = 0; i < 12'000; ++i) {
       world.Step();
       const int up[] = {0, 2, 3, 5};
-      Ask(world, club, up[world.random.Index(4)]);
+      Charge(world, club, up[world.random.Index(4)]);
     }
     world.Run(200);
     CHECK(RefusedPart(club) <= kMostRefused);
@@ -179,7 +180,7 @@
     constexpr int kSteps = 6000;
     for (int i = 0; i < kSteps; ++i) {
       world.Step();
-      Ask(world, large, static_cast<int>(world.random.Index(6)));
+      Charge(world, large, static_cast<int>(world.random.Index(6)));
     }
     const double seconds =
         std::chrono::duration<double>{LeaseWorld::kStep * kSteps}.count();
@@ -211,14 +212,14 @@
     world.Run(100);
     const auto granted = static_cast<double>(steady.granted + surge.granted);
     INFO("granted " << granted << " of " << bucket.possible);
-    // A slot can't lend part of a request, and demand does not draw on all
-    // slots evenly: one request each per slot.
+    // A slot can't lend a fraction of a request, and demand does not draw on
+    // all slots evenly: one request each per slot.
     CHECK(granted + 2 * pollenring::kSlotsPerWorkspace >= bucket.possible);
   }
 }
 
 TEST_CASE("share: a burst is served to the last request, small or large") {
-  // Demand as high as anyone's: what a single bucket would have let through.
+  // The reference is a single bucket that sees the same demand.
   struct Size {
     double rate;
     double burst;
@@ -240,7 +241,7 @@
       const auto granted = static_cast<double>(steady.granted + surge.granted);
       INFO("rate " << size.rate << ", seed " << seed << ", granted " << granted
                    << " of " << bucket.possible);
-      // Parts of a request that lie in different slots can't be put together.
+      // Fractions of a request in different slots can't be combined.
       CHECK(granted + pollenring::kSlotsPerWorkspace >=
             bucket.possible * (1 - kMostRefused));
     }
