Reword comments of the mesh node

Comments used private figures such as word, beside, cut and told for reports, co-located, network partitions and notifications, which a reader had to guess. They state now in usual terms what the code does and why; every limit keeps its reason. No code token differs from the base, by a comparison of all tokens.

--- a/src/pollenring/mesh/cold_policy.cc
+++ b/src/pollenring/mesh/cold_policy.cc
@@ -6,10 +6,10 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Part of what is tolerated that is used: requests that wait for their
- * connections reach the target later than they were counted. */
+/*! @brief Fraction of the cold-start limit that is used: requests that wait for
+ * a connection reach the target later than they were counted. */
 constexpr double kUsedPart = 0.8;
-/*! @brief Bounds hold for each second; the rest covers late timers. */
+/*! @brief The limit holds per second; the extra 100 ms cover late timers. */
 constexpr Span kWindow = std::chrono::milliseconds{1100};
 
 }  // namespace
--- a/src/pollenring/mesh/cold_policy.h
+++ b/src/pollenring/mesh/cold_policy.h
@@ -8,13 +8,13 @@
 
 namespace pollenring {
 
-/*! @brief Bounds for cold targets, from the configuration in force. */
+/*! @brief Cold-start limits from the active configuration. */
 class ColdPolicy final : public ColdBounds {
  public:
   /**
-   * @brief Creates the bounds.
-   * @param policy The configuration.
-   * @param margin What is tolerated.
+   * @brief Creates the limits.
+   * @param policy Source of the active configuration.
+   * @param margin How far the configured rate may be exceeded.
    */
   ColdPolicy(const PolicyFollower &policy, const ColdMargin &margin)
       : policy{policy}, margin{margin} {}
--- a/src/pollenring/mesh/departure_log.cc
+++ b/src/pollenring/mesh/departure_log.cc
@@ -18,7 +18,8 @@
                     [instance = departure.instance](Table::Written written) {
                       const auto *error = std::get_if<StorageError>(&written);
                       if (error == nullptr) return;
-                      // This process still knows; only its successor would not.
+                      // This process still has it in memory; only a restart
+                      // would lose it.
                       LogEvent(LogLevel::kWarning, "departure not kept",
                                {{"instance", instance},
                                 {"error", kStorageErrorNames.Name(*error)}});
--- a/src/pollenring/mesh/departure_log.h
+++ b/src/pollenring/mesh/departure_log.h
@@ -11,18 +11,18 @@
 
 namespace pollenring {
 
-/*! @brief One start of a target that has said that it leaves. */
+/*! @brief An instance of a target that drains or has deregistered. */
 struct Departure {
   std::string instance;
-  std::uint64_t born{}; /*!< Unix milliseconds of its start; 0 if unsaid. */
+  std::uint64_t born{}; /*!< Start time in Unix ms; 0 if unknown. */
 };
 
 /**
- * @brief Remembers beyond this process which target here said that it leaves.
+ * @brief Stores the latest deregistration of the local target.
  *
- * A node that starts again beside a leaving target may get an announcement that
- * was sent before; the row tells it not to use that target again. Only the
- * latest departure is kept, as one target at a time stands beside a node.
+ * A node that restarts may receive a heartbeat that the target sent before it
+ * deregistered; the stored row keeps the node from using that instance again.
+ * Only the latest row is kept, as a node has one local target at a time.
  */
 class DepartureLog {
  public:
@@ -30,18 +30,18 @@
 
   /**
    * @brief Creates the log.
-   * @param self This node; it keeps its address over a restart.
-   * @param table Where the row lies.
+   * @param self This node; a restart keeps its address.
+   * @param table Table that holds the row.
    */
   DepartureLog(NodeId self, Table &table);
 
-  /*! @brief Keeps a departure. @param departure It. */
+  /*! @brief Stores a deregistration. @param departure The deregistration. */
   void Record(const Departure &departure);
 
   /**
-   * @brief Reads the latest departure.
-   * @param done Called once; without one where none is kept, or the table does
-   * not answer.
+   * @brief Reads the latest deregistration.
+   * @param done Called once; with nothing when none is stored or the table is
+   * unavailable.
    */
   void Read(const Done &done);
 
--- a/src/pollenring/mesh/dialects.h
+++ b/src/pollenring/mesh/dialects.h
@@ -17,15 +17,15 @@
 
 namespace pollenring {
 
-/*! @brief What the headers of a caller's request say. */
+/*! @brief Decoded headers of a caller's request. */
 struct CallerRequest {
-  std::string id;  /*!< Of this attempt; empty when none is given. */
-  std::string key; /*!< Of a workspace; empty when none is given. */
-  std::optional<Span> remaining;   /*!< How long the caller still waits. */
-  std::vector<WireHeader> headers; /*!< Those that a target may see. */
+  std::string id;                  /*!< Of this attempt; empty when absent. */
+  std::string key;                 /*!< Of a workspace; empty when absent. */
+  std::optional<Span> remaining;   /*!< Time until the caller's deadline. */
+  std::vector<WireHeader> headers; /*!< Forwarded to the target. */
 };
 
-/*! @brief How callers write requests and read answers. */
+/*! @brief Decodes requests of callers and encodes responses to them. */
 class CallerDialect {
  public:
   CallerDialect() = default;
@@ -34,18 +34,18 @@
   virtual ~CallerDialect() = default;
 
   /**
-   * @brief Reads a request's headers.
+   * @brief Decodes a request's headers.
    * @param headers The headers.
-   * @return What they say.
+   * @return The decoded request.
    */
   [[nodiscard]] virtual CallerRequest Decode(
       const HttpHeaders &headers) const = 0;
 
   /**
-   * @brief Writes an answer.
-   * @param reply The answer; its status is final.
-   * @param body Its body.
-   * @param id The request's identifier.
+   * @brief Encodes a response.
+   * @param reply The result of the call; its status is final.
+   * @param body Body of the response.
+   * @param id Identifier of the request.
    * @return The response.
    */
   [[nodiscard]] virtual HttpResponse Encode(const CallReply &reply,
@@ -53,15 +53,15 @@
                                             const std::string &id) const = 0;
 };
 
-/*! @brief What a target says of itself from time to time. */
+/*! @brief Periodic state report of a target, or its deregistration. */
 struct Heartbeat {
   Announcement announcement;
-  std::uint64_t born{};     /*!< Unix milliseconds of its start; 0 if unsaid. */
-  std::uint64_t sequence{}; /*!< Grows with each heartbeat of one start. */
-  bool departs{};           /*!< It says only that it leaves. */
+  std::uint64_t born{};     /*!< Start time in Unix ms; 0 if unknown. */
+  std::uint64_t sequence{}; /*!< Grows with each heartbeat of an instance. */
+  bool departs{};           /*!< Deregistration; carries no state. */
 };
 
-/*! @brief How targets announce themselves. */
+/*! @brief Decodes heartbeats of targets. */
 class HeartbeatDialect {
  public:
   HeartbeatDialect() = default;
@@ -70,15 +70,15 @@
   virtual ~HeartbeatDialect() = default;
 
   /**
-   * @brief Reads an announcement.
+   * @brief Decodes a heartbeat.
    * @param request The request.
-   * @return The heartbeat, or nothing when it can't be read.
+   * @return The heartbeat, or nothing when it is malformed.
    */
   [[nodiscard]] virtual std::optional<Heartbeat> Decode(
       const HttpRequest &request) const = 0;
 };
 
-/*! @brief How the operator writes a configuration. */
+/*! @brief Decodes the operator's configuration documents. */
 class PolicyDialect {
  public:
   PolicyDialect() = default;
@@ -87,23 +87,23 @@
   virtual ~PolicyDialect() = default;
 
   /**
-   * @brief Reads a document.
-   * @param document Its text.
-   * @return The policy, or nothing when it can't be read.
+   * @brief Decodes a document.
+   * @param document Text of the document.
+   * @return The policy, or nothing when it is malformed.
    */
   [[nodiscard]] virtual std::optional<HostPolicy> Decode(
       const std::string &document) const = 0;
 };
 
-/*! @brief The operator's document as the store holds it at one moment. */
+/*! @brief The operator's document at one revision of the store. */
 struct StoredDocument {
-  std::uint64_t position{};        /*!< Of the store's history. */
-  std::optional<std::string> text; /*!< Nothing when it has not changed. */
-  /*! @brief Zones that have changed; after a read, all that are withdrawn. */
+  std::uint64_t position{};        /*!< Revision of the store. */
+  std::optional<std::string> text; /*!< Empty when unchanged. */
+  /*! @brief Changed zones; after a read, all withdrawn zones. */
   std::vector<ZoneChange> zones;
 };
 
-/*! @brief Where the operator's document lies. */
+/*! @brief Store that holds the operator's document. */
 class PolicySource {
  public:
   using Reply = Result<StoredDocument, StorageError>;
@@ -119,9 +119,10 @@
 
   /**
    * @brief Waits for a change.
-   * @param after Position after which changes count.
-   * @param longest Longest wait of the store.
-   * @param done Called once; `kNotFound` when that position is forgotten.
+   * @param after Revision after which changes are reported.
+   * @param longest Maximum wait in the store.
+   * @param done Called once; `kNotFound` when the store no longer has that
+   * revision.
    */
   virtual void Await(std::uint64_t after, Span longest, Done done) = 0;
 };
--- a/src/pollenring/mesh/heartbeat_filter.cc
+++ b/src/pollenring/mesh/heartbeat_filter.cc
@@ -5,7 +5,7 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Starts remembered; a late heartbeat is seconds old, not hours. */
+/*! @brief Instances remembered; a late heartbeat is seconds old, not hours. */
 constexpr std::size_t kMostStarts = 64;
 
 }  // namespace
@@ -16,12 +16,12 @@
   if (known == this->starts.end()) {
     if (this->starts.size() >= kMostStarts) this->starts.clear();
     if (heartbeat.departs) {
-      // It tells no time of birth; whatever was born until now has left.
+      // It carries no start time, so it covers any instance started until now.
       const auto now = static_cast<std::uint64_t>(this->clock.Wall().count());
       this->starts[instance] = {std::max(heartbeat.born, now), 0, true};
       return HeartbeatVerdict::kTaken;
     }
-    // An older start's heartbeat may come after the newer start's first one.
+    // A heartbeat of an older instance may follow the newer one's first.
     const auto latest = this->starts.find(this->current);
     const bool older = latest != this->starts.end() && heartbeat.born != 0 &&
                        heartbeat.born < latest->second.born;
--- a/src/pollenring/mesh/heartbeat_filter.h
+++ b/src/pollenring/mesh/heartbeat_filter.h
@@ -11,10 +11,10 @@
 
 namespace pollenring {
 
-/*! @brief What becomes of a heartbeat. */
+/*! @brief Whether a heartbeat is accepted. */
 enum class HeartbeatVerdict {
   kTaken,
-  kStale, /*!< Older than one already taken, or of a target that has left. */
+  kStale, /*!< Older than an accepted one, or of a deregistered instance. */
 };
 
 /*! @brief Names of the verdicts. */
@@ -24,35 +24,37 @@
 }}};
 
 /**
- * @brief Leaves out heartbeats that arrive late or out of order.
+ * @brief Rejects heartbeats that arrive late or out of order.
  *
- * A start is told by its time of birth, since a target may start again under
- * the identifier that it had and then counts anew.
+ * Instances are told apart by their start time, since a restarted target may
+ * keep its identifier and restart its sequence.
  */
 class HeartbeatFilter {
  public:
   /**
-   * @brief Starts without any heartbeat.
-   * @param clock Its wall clock tells what was born before a departure.
+   * @brief Creates an empty filter.
+   * @param clock Its wall clock bounds the start time of an instance whose
+   * deregistration carries none.
    */
   explicit HeartbeatFilter(const Clock &clock) : clock{clock} {}
 
   /**
-   * @brief Judges a heartbeat and remembers it when it is taken.
-   * @param heartbeat The heartbeat; a departure is taken once per start.
-   * @return Whether it says something new.
+   * @brief Checks a heartbeat and records it when it is accepted.
+   * @param heartbeat The heartbeat; a deregistration is accepted once per
+   * instance.
+   * @return Whether it is accepted.
    */
   [[nodiscard]] HeartbeatVerdict Judge(const Heartbeat &heartbeat);
 
-  /*! @brief When a target's latest start was. @param instance The target.
-   * @return Unix milliseconds, or an upper bound; 0 if unsaid. */
+  /*! @brief Start time of an instance. @param instance Its identifier.
+   * @return Unix ms, or an upper bound; 0 if unknown. */
   [[nodiscard]] std::uint64_t BornOf(const std::string &instance) const;
 
   /**
-   * @brief Takes in that a start has left, as an earlier process was told.
-   * @param instance The target.
-   * @param born Unix milliseconds of that start; 0 if unsaid.
-   * @return Whether a heartbeat of that start was taken before.
+   * @brief Records a deregistration that an earlier process received.
+   * @param instance Identifier of the instance.
+   * @param born Start time of the instance in Unix ms; 0 if unknown.
+   * @return True if a heartbeat of that instance was accepted before.
    */
   bool Forbid(const std::string &instance, std::uint64_t born);
 
@@ -65,7 +67,7 @@
 
   const Clock &clock;
   std::map<std::string, Start> starts;
-  std::string current; /*!< Instance that was born last. */
+  std::string current; /*!< Instance with the latest start time. */
 };
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/leave_times.cc
+++ b/src/pollenring/mesh/leave_times.cc
@@ -5,17 +5,17 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Time for clients to go elsewhere: they are told after two questions
- * without a 200, one second apart. */
+/*! @brief Time for clients to move to another node: they do so after two
+ * readiness checks without a 200, one second apart. */
 constexpr Span kClientsLeave = std::chrono::milliseconds{2800};
-/*! @brief For the last answers to be written before the process is killed. */
+/*! @brief Time to write the last responses before the process is killed. */
 constexpr Span kLastWrites = std::chrono::milliseconds{600};
 
 }  // namespace
 
 LeaveTimes TimesToLeave(Span grace) noexcept {
   const Span longest = std::max(grace / 2, grace - kLastWrites);
-  // What is taken last needs time as well.
+  // The requests accepted last need time to complete.
   return {std::min(kClientsLeave, longest * 3 / 5), longest};
 }
 
--- a/src/pollenring/mesh/leave_times.h
+++ b/src/pollenring/mesh/leave_times.h
@@ -5,16 +5,16 @@
 
 namespace pollenring {
 
-/*! @brief How a node spends the time that it has for a planned stop. */
+/*! @brief Phases of a planned stop, measured from its start. */
 struct LeaveTimes {
-  Span accepts; /*!< Until then it takes requests of callers. */
-  Span longest; /*!< Then it ends, whatever it still waits for. */
+  Span accepts; /*!< Requests of callers are accepted until then. */
+  Span longest; /*!< The process ends then, even with calls in progress. */
 };
 
 /**
- * @brief Divides the time for a planned stop.
- * @param grace What the platform gives before it kills the process.
- * @return The parts.
+ * @brief Divides the grace period of a planned stop.
+ * @param grace Time until the platform kills the process.
+ * @return The phases.
  */
 [[nodiscard]] LeaveTimes TimesToLeave(Span grace) noexcept;
 
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -16,20 +16,21 @@
 constexpr Span kRingTick = std::chrono::milliseconds{100};
 constexpr Span kLogFlush = std::chrono::milliseconds{100};
 constexpr Span kLeaveCheck = std::chrono::milliseconds{50};
-/*! @brief Time for peers to learn that a node leaves; gossip takes one second
- * in a few hundred nodes. */
+/*! @brief Calls of peers are served this long after a drain begins: gossip
+ * reaches a few hundred nodes within one second. */
 constexpr Span kLeaveServesPeers = std::chrono::milliseconds{1200};
-/*! @brief Longest silence between two requests of a client connection; above
- * any limit that operators set for their clients. */
+/*! @brief Idle timeout of client connections; above any limit that operators
+ * set for their clients. */
 constexpr Span kCallerIdle = std::chrono::minutes{5};
-/*! @brief Pause between two lines with all counters. */
+/*! @brief Interval between two log lines with all counters. */
 constexpr Span kFiguresPeriod = std::chrono::seconds{10};
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
 
-/*! @brief Longest queue beside a target, as the time that it takes to run. What
- * is in it was let in above; the level ends the overload before it is full. */
+/*! @brief Maximum queue for the local target, as the time to run it. Queued
+ * requests have been admitted upstream; the admission level rises and ends an
+ * overload before the queue is full. */
 constexpr Span kQueueTime = std::chrono::milliseconds{400};
 
 [[nodiscard]] HttpServerLimits CallerLimits() {
@@ -48,7 +49,7 @@
 
 [[nodiscard]] AdmissionOptions TargetLimits() {
   AdmissionOptions options;
-  // Targets say how many slots they have; some never answer what exceeds them.
+  // Targets report their slots; some never respond to calls beyond them.
   options.limit.fixed = true;
   options.level_cause = LevelCause::kFit;
   options.order = QueueOrder::kAim;
@@ -162,8 +163,8 @@
   this->policy.Start([this] { this->FollowPolicy(); });
   this->members.Start();
   this->ring.Update(this->shares);
-  // What goes on after a broken rule may break it again; what was taken is
-  // still answered.
+  // A process that violated an invariant may do so again, so it drains;
+  // accepted requests still get a response.
   this->loop.OnError([this](const ContainedError &error) {
     if (error.rule) this->Leave();
   });
@@ -188,7 +189,7 @@
 void MeshNode::FollowPolicy() {
   if (!this->departures_known) return;
   const WithdrawnZones &zones = this->policy.Zones();
-  // What a cold target bears is not known before the configuration either.
+  // The cold-start limit is unknown without a configuration.
   if (!zones.Known() || this->policy.InForce().Version() == 0) return;
   this->serving.FollowColdBounds();
   const bool withdrawn = zones.Contains(this->settings.zone);
@@ -221,7 +222,7 @@
   auto [framed, version] =
       ReceiveCall(std::move(body), responder->Peer(), this->wire.unreadable);
   const bool late = this->Leaving() > kLeaveServesPeers;
-  // What a process reads after it stood still may have been given up long ago.
+  // Calls read after the process was paused may have been abandoned.
   if (!framed || late || this->loop.WokeFromPause()) {
     const Reason reason = late ? Reason::kLeaving : Reason::kLinkLost;
     const Span come_back = SpreadAround(kComeBack, this->parts.random);
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -31,7 +31,7 @@
 
 namespace pollenring {
 
-/*! @brief The surroundings of a node whose routes are found by host. */
+/*! @brief Dependencies of a node whose routes are matched by host. */
 struct MeshParts {
   Loop &loop;
   HttpClient &client;
@@ -45,22 +45,22 @@
 };
 
 /**
- * @brief The process beside one target, for routes that are found by host.
+ * @brief The node co-located with one target, for routes matched by host.
  *
- * Clients and the target of this VM enter at one port. Nobody but this node
- * reaches the target, so it alone guards its slots, its identity and its end.
+ * Clients and the local target send requests to one port. Only this node calls
+ * the target, so it alone enforces the target's slots, identity and drain.
  */
 class MeshNode final {
  public:
   /**
-   * @brief Binds all ports and joins the other nodes.
+   * @brief Binds all ports and joins the fleet.
    * @param settings Settings.
-   * @param parts Surroundings.
+   * @param parts Dependencies.
    * @throws std::runtime_error when a port can't be bound.
    */
   MeshNode(const Settings &settings, const MeshParts &parts);
 
-  /*! @brief Leaves; ends the loop once nothing is in progress. */
+  /*! @brief Starts to drain; stops the loop once nothing is in progress. */
   void Leave();
 
  private:
@@ -111,7 +111,7 @@
   HttpServer heartbeat_server;
   HttpServer ready_server;
   HttpServer operator_server;
-  std::string departed; /*!< Latest instance that was recorded. */
+  std::string departed; /*!< Latest instance recorded as deregistered. */
   Time left_at{};
   bool leaving{};
   bool was_ready{};
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -16,33 +16,33 @@
 namespace {
 
 constexpr double kLotScale = 1.0 / 9007199254740992.0;
-/*! @brief Steps of the golden ratio spread over [0, 1) more evenly than random
- * numbers, so that a split holds over short stretches too. */
+/*! @brief Golden-ratio steps cover [0, 1) more evenly than random numbers, so a
+ * traffic split is accurate over few requests too. */
 constexpr double kGoldenStep = 0.6180339887498949;
-/*! @brief Retries of a call that its route and the budget bound anyway. */
+/*! @brief Retries per call; route and retry budget set the effective bound. */
 constexpr int kAllowance = 8;
-/*! @brief Longest wait for the next share. While more is asked than the share,
- * all would wait and no more be served; alike for all routes, as those that
- * wait longer would take it from those that need their answers soon. */
+/*! @brief Maximum wait for rate-limit quota. Above the limit a longer wait
+ * delays all requests and serves no more of them. The same for all routes, as
+ * routes that wait longer would take the quota from latency-sensitive ones. */
 constexpr Span kShareWait = std::chrono::milliseconds{25};
-/*! @brief Divides a request's aim: the most of it that may be spent so. */
+/*! @brief Divisor of the soft deadline; gives the part spent on that wait. */
 constexpr int kShareWaitPart = 4;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 constexpr int kBadGateway = 502;
 constexpr int kTimedOut = 504;
 constexpr int kFirstFailure = 400;
-/*! @brief Time past its deadline after which a request is answered whatever
- * has become of it; above the waits of nodes for each other. */
+/*! @brief Time past its deadline after which a request without a response is
+ * failed; above the time that nodes wait for each other. */
 constexpr Span kLateAnswer = 10 * kAnswerSlack;
-/*! @brief Longest wait of a request whose caller and route name none. */
+/*! @brief Timeout of a request whose caller and route set none. */
 constexpr Span kDefaultTimeout = std::chrono::seconds{10};
 
 [[nodiscard]] double LotOf(const std::string &id) noexcept {
   return static_cast<double>(Hash64(id) >> 11U) * kLotScale;
 }
 
-/*! @brief Regions that both lists allow; an empty list allows all of them. */
+/*! @brief Regions in both lists; an empty list allows all regions. */
 [[nodiscard]] std::optional<std::vector<std::string>> BothAllow(
     const std::vector<std::string> &first,
     const std::vector<std::string> &second) {
@@ -58,7 +58,7 @@
   return both;
 }
 
-/*! @brief Chooses a status that promises no more than is known. */
+/*! @brief Matches status to outcome: 429 and 503 imply not executed. */
 [[nodiscard]] int HonestStatus(const CallReply &reply) noexcept {
   const bool vague = reply.status == kBadGateway || reply.status == kTimedOut;
   if (reply.outcome == Outcome::kNotRun && vague) return kServiceUnavailable;
@@ -70,7 +70,7 @@
 
 }  // namespace
 
-/*! @brief A request and what is known of it. */
+/*! @brief State of a request in progress. */
 struct Outbound::Entry {
   Entry(std::size_t &held, std::size_t size) : held{held}, size{size} {
     this->held += this->size;
@@ -94,12 +94,12 @@
   double priority{};
   bool gone{};
   bool answered{};
-  std::uint64_t call{};   /*!< Of the dispatcher; 0 until it is sent. */
-  Loop::TimerId late{};   /*!< Ends what has got no answer. */
-  Time late_at{};         /*!< When that is due. */
-  WayLevel refused_at;    /*!< What had it refused early. */
-  bool open{};            /*!< Of the local target; other callers show keys. */
-  std::uint64_t parent{}; /*!< Request of the local target; 0 for none. */
+  std::uint64_t call{}; /*!< Id in the dispatcher; 0 until it is sent. */
+  Loop::TimerId late{}; /*!< Fails a request without a response. */
+  Time late_at{};       /*!< When that timer is due. */
+  WayLevel refused_at;  /*!< Admission level that refused it early. */
+  bool open{};          /*!< From the local target; other callers send keys. */
+  std::uint64_t parent{}; /*!< Call served by the local target; 0 if none. */
   std::string parent_id;  /*!< Its identifier, for the log. */
   std::shared_ptr<Responder> responder;
 };
@@ -144,7 +144,7 @@
                        Entry &entry) {
   const HostTable &table = this->parts.policy.InForce();
   entry.version = table.Version();
-  // Without a configuration nothing can be said of routes and keys.
+  // Routes and keys are unknown without a configuration.
   if (entry.version == 0) return Reason::kNotFresh;
   const HostRoute *route = table.Find(request.host, request.path);
   if (route == nullptr) return Reason::kNoRoute;
@@ -193,7 +193,7 @@
 void Outbound::Inherit(const CallerRequest &caller, Entry &entry) {
   CallEnvelope &envelope = entry.envelope;
   envelope.keyed = false;
-  // Work was done above a target's call, whoever its parent is.
+  // Work was done upstream of a target's call, even if its parent is unknown.
   envelope.depth = 1;
   envelope.importance = Importance::kHigh;
   if (!caller.remaining) return;
@@ -311,7 +311,7 @@
 }
 
 void Outbound::AnswerLate(const EntryPtr &entry) {
-  // A process that is behind has not taken in yet what has come.
+  // A process that is behind may not have processed a response that is here.
   const Time now = this->loop.GetClock().Now();
   if (now - entry->late_at > kLateAnswer / 2) {
     this->AwaitAnswer(entry, now + kLateAnswer);
--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -18,7 +18,7 @@
 
 namespace pollenring {
 
-/*! @brief The parts that a request passes through. */
+/*! @brief Dependencies of the entry point. */
 struct OutboundParts {
   const PolicyFollower &policy;
   const CallerDialect &dialect;
@@ -31,32 +31,32 @@
 };
 
 /**
- * @brief Takes requests of the clients and of the target on this VM.
+ * @brief Entry point for requests of clients and of the local target.
  *
- * Host and path name the route. Route, key, early refusal and share are checked
- * in this order, the cheapest first; only then is the request sent.
+ * Host and path select the route. Route, key, early refusal and rate limit are
+ * checked in this order, the cheapest first, before the request is sent.
  */
 class Outbound {
  public:
   /**
-   * @brief Creates the entry.
+   * @brief Creates the entry point.
    * @param loop The loop.
-   * @param service Service of the target on this VM.
-   * @param parts What requests pass through.
+   * @param service Service of the local target.
+   * @param parts Dependencies.
    */
   Outbound(Loop &loop, std::string service, const OutboundParts &parts);
 
   /**
-   * @brief Takes one request.
+   * @brief Handles one request.
    * @param request The request.
-   * @param responder Receives its answer.
+   * @param responder Receives the response.
    */
   void Handle(HttpRequest request, std::shared_ptr<Responder> responder);
 
-  /*! @brief Refuses what comes from now on; the process ends soon. */
+  /*! @brief Refuses all further requests, as the process is about to end. */
   void Close() noexcept { this->closed = true; }
 
-  /*! @brief Bytes of bodies of requests in progress. @return The sum. */
+  /*! @brief Total body size of requests in progress. @return Bytes. */
   [[nodiscard]] std::size_t BodyBytes() const noexcept {
     return this->body_bytes;
   }
@@ -71,11 +71,12 @@
   [[nodiscard]] const std::string &ChoosePart(const HostRoute &route);
   [[nodiscard]] bool ShedsEarly(Entry &entry) const;
   void Charge(const EntryPtr &entry);
-  /*! @brief Sends what has been charged. @param entry It. @param renew Charges
-   * it again; empty when its workspace has no rate. */
+  /*! @brief Sends a charged request. @param entry The request. @param renew
+   * Charges it again; empty when its workspace has no rate limit. */
   void Send(const EntryPtr &entry, const RenewCharge &renew);
   void Refuse(const EntryPtr &entry, Reason reason, Span retry_after);
-  /*! @brief Sees to it that a request is answered, whatever becomes of it. */
+  /*! @brief Ensures that a request gets a response even if it is lost inside
+   * this node. @param entry The request. @param until When to respond. */
   void AwaitAnswer(const EntryPtr &entry, Time until);
   void AnswerLate(const EntryPtr &entry);
   void Answer(const EntryPtr &entry, CallReply reply, std::string body);
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -8,21 +8,21 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Time between two looks at whether this node is to ask the store. */
+/*! @brief Interval of the check whether this node should query the store. */
 constexpr Span kDutyCheck = std::chrono::milliseconds{100};
-/*! @brief How long a node that starts waits for a peer's document, which comes
+/*! @brief How long a starting node waits for a peer's document, which arrives
  * within three messages if there is one. */
 constexpr Span kPeersFirst = std::chrono::milliseconds{1500};
 constexpr Span kFirstPause = std::chrono::milliseconds{100};
-/*! @brief All nodes together then ask a store that is down some ten times a
- * second each second, well below its rate. */
+/*! @brief Maximum retry interval; keeps the queries of all nodes to a failed
+ * store at some ten per second, well below the rate that it allows. */
 constexpr Span kLongestPause = std::chrono::milliseconds{800};
 constexpr Span kPullTimeout = std::chrono::milliseconds{800};
-/*! @brief Peers of the own availability zone told at once of a new version;
- * they tell others. */
+/*! @brief Peers in the local availability zone that are notified at once of a
+ * new version; they notify others. */
 constexpr std::size_t kSpreadInZone = 3;
-/*! @brief Peers of other zones told at once; each fetches the document over a
- * link between zones, and nodes on duty there read it themselves. */
+/*! @brief Peers in other zones notified at once; each fetches the document over
+ * a cross-zone link, and the designated watchers there read the store. */
 constexpr std::size_t kSpreadAfar = 1;
 
 }  // namespace
@@ -51,7 +51,7 @@
 
 void PolicyFollower::Check() {
   if (this->asking) return;
-  // Peers of V1 tell of the document, but not of zones.
+  // Peers of wire version V1 report the document, but not zones.
   const bool whole = this->table.Version() > 0 && this->zones.Known();
   const bool lacks = !whole && this->loop.GetClock().Now() >= this->first_read;
   const bool joined = this->members.Joined();
@@ -86,7 +86,7 @@
     this->watched = After({}, stored.position, stored.zones);
     this->TakeZones(this->watched, "store");
     this->watching = true;
-    // Where the store has none yet, peers will tell of the first one.
+    // If the store has no document yet, peers will report the first one.
     this->first_read = Time::max();
     if (stored.text) this->Take(std::move(*stored.text), "store");
     this->Check();
@@ -151,7 +151,7 @@
               {"version", this->table.Version()}});
   }
   this->pause = std::clamp(this->pause * 2, kFirstPause, kLongestPause);
-  // Changes may have been missed meanwhile, so the document is read anew.
+  // Changes may have been missed, so the document is read again.
   this->watching = false;
   this->loop.After(SpreadAround(this->pause, this->random), [this] {
     this->asking = false;
@@ -194,7 +194,8 @@
                   [this](LinkClient::Reply reply) {
                     this->pulling = false;
                     auto *text = std::get_if<std::string>(&reply);
-                    // The next gossip of a newer version asks again.
+                    // The next gossip of a newer version triggers another
+                    // request.
                     if (text == nullptr || text->empty()) return;
                     this->Take(std::move(*text), "peer");
                   });
--- a/src/pollenring/mesh/policy_follower.h
+++ b/src/pollenring/mesh/policy_follower.h
@@ -21,56 +21,56 @@
 namespace pollenring {
 
 /**
- * @brief Keeps the operator's newest document in force, and which availability
- * zones are withdrawn.
+ * @brief Keeps the operator's newest configuration and the set of withdrawn
+ * availability zones active.
  *
- * The nodes on duty watch the store; all others hear of versions from peers,
- * and watch it themselves while no word of it reaches them. A version never
- * goes back.
+ * Designated watchers watch the store; all other nodes learn of versions from
+ * peers, and watch it themselves while no report of it reaches them. Versions
+ * never decrease.
  */
 class PolicyFollower final : public WorkspaceRates {
  public:
   /**
-   * @brief Starts without a document.
+   * @brief Creates a follower without a configuration.
    * @param loop The loop.
-   * @param members Membership; it tells peers' versions.
+   * @param members Membership; reports versions of peers.
    * @param link Streams to peers.
-   * @param source Where the document lies.
-   * @param dialect How it is written.
-   * @param random Randomness.
+   * @param source Store of the document.
+   * @param dialect Decodes the document.
+   * @param random Source of jitter and of peer choice.
    */
   PolicyFollower(Loop &loop, MemberService &members, LinkClient &link,
                  PolicySource &source, const PolicyDialect &dialect,
                  Random &random);
 
-  /*! @brief Starts to watch. @param changed Called when what is in force has
-   * changed: the configuration, or which zones are withdrawn. */
+  /*! @brief Starts to watch. @param changed Called when the active
+   * configuration or the set of withdrawn zones has changed. */
   void Start(std::function<void()> changed);
 
-  /*! @brief Which availability zones are to get nothing. @return Them. */
+  /*! @brief Zones that must get no requests. @return The withdrawn zones. */
   [[nodiscard]] const WithdrawnZones &Zones() const noexcept {
     return this->zones;
   }
 
-  /*! @brief The configuration in force; version 0 declares nothing. */
+  /*! @brief The active configuration. @return Empty while at version 0. */
   [[nodiscard]] const HostTable &InForce() const noexcept {
     return this->table;
   }
 
-  /*! @brief Since when this node knows that a zone is withdrawn. @return By
+  /*! @brief When this node learned of each withdrawal. @return Times by
    * zone. */
   [[nodiscard]] const std::map<std::string, Time> &WithdrawnSince()
       const noexcept {
     return this->withdrawn_since;
   }
 
-  /*! @brief The document in force, for a peer. @return Its text. */
+  /*! @brief The active document, for peers. @return Its text. */
   [[nodiscard]] const std::string &Document() const noexcept {
     return this->document;
   }
 
-  /*! @brief Time since the store last answered this node or, as it heard, any
-   * other. @return The age. */
+  /*! @brief Time since the store last replied to this node or, by its peers'
+   * reports, to any other. @return The age. */
   [[nodiscard]] Span StoreSilence() const noexcept {
     return this->loop.GetClock().Now() -
            std::max(this->store_heard, this->members.Get().StoreHeard());
@@ -102,14 +102,14 @@
   std::unordered_map<NodeId, std::uint64_t> peer_versions;
   WithdrawnZones zones;
   std::map<std::string, Time> withdrawn_since;
-  ZonesWord watched; /*!< What this node's own watch has told so far. */
+  ZonesWord watched; /*!< As reported by this node's own watch. */
   std::function<void()> changed;
   std::uint64_t position{};
   Time store_heard{};
   Span pause{};
-  Time first_read{}; /*!< When a node without a document reads the store. */
-  bool asking{};     /*!< A call to the store, or a pause after one, is on. */
-  bool watching{};   /*!< No change since `position` was missed. */
+  Time first_read{}; /*!< When to read the store without a document. */
+  bool asking{};     /*!< A store call or the pause after one is active. */
+  bool watching{};   /*!< No change after `position` was missed. */
   bool store_lost{};
   bool pulling{};
 };
--- a/src/pollenring/mesh/slot_ring.cc
+++ b/src/pollenring/mesh/slot_ring.cc
@@ -7,13 +7,13 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Slots in all; several times what workspaces of one deployment need,
- * and each costs a hash per member on a change. */
+/*! @brief Number of slots; several times what the workspaces of a deployment
+ * need. Each costs one hash per member on a membership change. */
 constexpr SlotId kSlots = 32;
-/*! @brief Silence of all others after which a node is cut off; it hears answers
- * to its probes several times a second. */
+/*! @brief A node that receives nothing for this long is partitioned from all
+ * peers; normally it receives probe replies several times a second. */
 constexpr Span kAloneAfter = std::chrono::milliseconds{1200};
-/*! @brief Longest loan; the ring is dealt anew much more often. */
+/*! @brief Maximum loan duration; slots are reassigned much more often. */
 constexpr Span kValidity = std::chrono::seconds{2};
 
 [[nodiscard]] bool Lends(const Member &member) noexcept {
--- a/src/pollenring/mesh/slot_ring.h
+++ b/src/pollenring/mesh/slot_ring.h
@@ -12,36 +12,40 @@
 namespace pollenring {
 
 /**
- * @brief Deals slots to the living members by rendezvous hashing.
+ * @brief Assigns slots to live members by rendezvous hashing.
  *
- * No lease is taken: during a change of membership two nodes may hold one slot
- * for as long as gossip takes; the later one starts empty. Behind a cut each
- * side lends the part of the rates that its nodes stand for.
+ * There are no leases: while a membership change spreads by gossip, two nodes
+ * may hold the same slot; the new holder starts with an empty bucket. In a
+ * network partition each side lends the part of the rates that its nodes
+ * account for.
  */
 class SlotRing final : public SlotHolders {
  public:
   /**
    * @brief Creates a ring.
-   * @param membership Who is there.
+   * @param membership Members of the fleet.
    * @param clock Clock.
-   * @param fresh Whether the whole system starts for the first time, so that
-   * nothing can have been lent before.
+   * @param fresh True on the first start of the complete system, when nothing
+   * can have been lent before.
    */
   SlotRing(const Membership &membership, const Clock &clock, bool fresh);
 
   /**
-   * @brief Deals anew and tells a user what this node gains and loses.
-   * @param user The user.
+   * @brief Reassigns slots and reports to a listener what this node gains and
+   * loses.
+   * @param user The listener.
    */
   void Update(SlotUser &user);
 
   /**
-   * @brief Part of each workspace's rate that the nodes seen here may lend.
+   * @brief Part of each workspace's rate limit that the live members seen here
+   * may lend.
    *
-   * Members that have fallen silent without leaving may be on the other side of
-   * a cut, where they lend their own part. A node that hears nobody stands for
-   * itself alone, before it has found each of the others silent.
-   * @return From 0 to 1.
+   * Members that became unreachable without a drain may be on the other side of
+   * a network partition and lend their part there. A node that receives nothing
+   * from any peer counts itself alone, even before it has marked each of the
+   * others unreachable.
+   * @return Fraction from 0 to 1.
    */
   [[nodiscard]] double Part() const noexcept override;
 
@@ -54,7 +58,7 @@
   const Membership &membership;
   const Clock &clock;
   bool fresh;
-  std::uint64_t dealt_for{}; /*!< Changes of membership when last dealt. */
+  std::uint64_t dealt_for{}; /*!< Membership change count at the last update. */
   std::size_t lending{1};
   std::size_t silent{};
   std::vector<NodeId> holders;
--- a/test/pollenring/mesh/heartbeat_filter_test.cc
+++ b/test/pollenring/mesh/heartbeat_filter_test.cc
@@ -71,7 +71,7 @@
   CHECK(filter.Judge(Beat("a", 10, 7)) == HeartbeatVerdict::kStale);
   CHECK(filter.Judge(Beat("a", 11, 1)) == HeartbeatVerdict::kTaken);
   CHECK(filter.BornOf("a") == 11);
-  // The row is read late, and names an older start or the one in use.
+  // The row is read late and names an older instance or the one in use.
   CHECK_FALSE(filter.Forbid("a", 10));
   CHECK(filter.Judge(Beat("a", 11, 2)) == HeartbeatVerdict::kTaken);
   CHECK(filter.Forbid("a", 11));
@@ -88,9 +88,9 @@
   CHECK(filter.Judge(Departure("a")) == HeartbeatVerdict::kStale);
   clock.Advance(std::chrono::seconds{2});
   CHECK(filter.Judge(Beat("a", now - 5000, 8)) == HeartbeatVerdict::kStale);
-  // Who stays is not put aside by another's departure.
+  // Another instance's deregistration does not affect one that stays.
   CHECK(filter.Judge(Beat("other", now - 9000, 2)) == HeartbeatVerdict::kTaken);
-  // The next process is told as much.
+  // The next process reads the same start time from the table.
   HeartbeatFilter next{clock};
   CHECK_FALSE(next.Forbid("a", filter.BornOf("a")));
   CHECK(next.Judge(Beat("a", now - 5000, 9)) == HeartbeatVerdict::kStale);
--- a/test/pollenring/mesh/mesh_daemon_test.cc
+++ b/test/pollenring/mesh/mesh_daemon_test.cc
@@ -25,7 +25,7 @@
 constexpr const char *kSecret = "secret-of-the-daemon-test";
 constexpr pollenring::SlotId kSlots = 32;
 
-/*! @brief A daemon with a store, and a target that answers when it is told. */
+/*! @brief A daemon with a store and a target that can delay its responses. */
 class DaemonWorld {
  public:
   explicit DaemonWorld(int net)
@@ -53,8 +53,8 @@
                 .status == 200);
   }
 
-  /*! @brief Begins a request at the port for callers. @param statuses Receives
-   * the answer's status, or 0 when its connection ends without one. */
+  /*! @brief Sends a request to the port for callers. @param statuses Receives
+   * the response's status, or 0 when its connection ends without one. */
   void Begin(const std::string &id, std::vector<int> &statuses) {
     this->client.Call(this->At(1, 7000),
                       {"GET", "/read/1", Headers(id), {}, "a.example"}, 3s,
@@ -64,7 +64,7 @@
                       });
   }
 
-  /*! @brief Performs a request at one of the daemon's ports. */
+  /*! @brief Sends a request to one of the daemon's ports and awaits it. */
   [[nodiscard]] HttpResponse Ask(int port, const HttpRequest &request) {
     HttpResponse answer;
     bool done = false;
@@ -78,7 +78,7 @@
     return answer;
   }
 
-  /*! @brief Asks for the club's share, or gives of it back, as a node does. */
+  /*! @brief Borrows or returns part of the club's rate, as a peer does. */
   void Borrow(BorrowRequest request) {
     request.slot = pollenring::SlotsOf("club", kSlots).front();
     request.workspace = "club";
@@ -88,7 +88,7 @@
                        pollenring::MessageTag(kSecret, content) + content);
   }
 
-  /*! @brief Answers what the target holds. */
+  /*! @brief Responds to all requests held by the target. */
   void Release() {
     for (auto &[request, responder] : std::exchange(this->held, {})) {
       responder->Send(support::Signed(request, 200));
@@ -177,7 +177,7 @@
   begin("kept");
   REQUIRE(world.Await([&] { return world.Held() == 4; }));
   CHECK(world.Connects() == connects);
-  // Two nodes hold share while the operator lowers the burst; one gives back.
+  // Two nodes hold a loan while the operator lowers the burst; one returns it.
   world.Borrow(Asking(77));
   world.Borrow(Asking(78));
   world.Store().PutConfig(Replaced(Replaced(kConfig, "r3", "r4"),
--- a/test/pollenring/mesh/mesh_node_errors_test.cc
+++ b/test/pollenring/mesh/mesh_node_errors_test.cc
@@ -14,7 +14,7 @@
 using support::kUnsendable;
 using support::Signed;
 
-/*! @brief One node beside the only target, once requests are served. */
+/*! @brief One node with the only target, ready to serve requests. */
 struct LoneNode : support::MeshWorld {
   explicit LoneNode(int net) : MeshWorld{net} {
     this->Store().PutConfig(support::kConfig);
@@ -48,17 +48,17 @@
   for (const std::string round : {"a", "b", "c"}) {
     world.Begin(kFailsInside);
     world.Run(30ms);
-    // Their answers come after the one that can't be handled.
+    // Their responses arrive after the one that fails to be handled.
     for (int i = 0; i < 3; ++i) world.Begin(round + std::to_string(i));
     REQUIRE(world.AllEnded());
-    // Whether it has run is not known, so nothing is promised.
+    // The outcome is unknown, so the status must not imply not executed.
     CHECK(world.statuses[kFailsInside] == 502);
     for (int i = 0; i < 3; ++i) {
       CHECK(world.statuses[round + std::to_string(i)] == 200);
     }
   }
   CHECK(world.Ready(1) == 200);
-  // Nothing is held for it any more, nor a slot of the target.
+  // Neither state nor a slot of the target is held for it.
   const auto status = nlohmann::json::parse(world.Operate(1, "/status"));
   CHECK(status.at("in_progress") == 0);
   CHECK(world.Operate(1, "/metrics").find("pollenring_target_running 0") !=
@@ -77,7 +77,7 @@
   CHECK(held() == 0);
   CHECK(world.Operate(1, "/metrics").find("pollenring_target_running 0") !=
         std::string::npos);
-  // The same, asked by another node.
+  // The same for a call from another node.
   pollenring::CallEnvelope envelope;
   envelope.service = "deep";
   envelope.root_id = kUnsendable;
@@ -97,7 +97,7 @@
 TEST_CASE(
     "mesh: an answer that can't be passed on leaves out no waiting call") {
   LoneNode world{67};
-  // As many as the target has slots; those that come then wait for them.
+  // These fill the target's slots; later calls wait for a slot.
   for (int i = 0; i < 4; ++i) {
     world.Begin(std::string{support::kUnpassable} + std::to_string(i));
   }
@@ -128,7 +128,7 @@
   world.Begin("sound");
   REQUIRE(world.AllEnded());
   CHECK(world.statuses["sound"] == 200);
-  // It says that it has 1.4 s.
+  // Its deadline header is 1.4 s.
   CHECK(world.statuses[support::kUnwritable] == 504);
   const auto status = nlohmann::json::parse(world.Operate(1, "/status"));
   CHECK(status.at("in_progress") == 0);
--- a/test/pollenring/mesh/mesh_node_faults_test.cc
+++ b/test/pollenring/mesh/mesh_node_faults_test.cc
@@ -35,7 +35,7 @@
               .status == 200);
   }
   CHECK(served["i-3"] == before);
-  // Also for an entry that has not heard of it.
+  // Also when the calling node does not know of the withdrawal.
   pollenring::CallEnvelope envelope;
   envelope.root_id = "direct";
   envelope.service = "deep";
@@ -46,7 +46,8 @@
   REQUIRE(direct);
   CHECK(direct->outcome == pollenring::Outcome::kNotRun);
   CHECK(direct->reason == pollenring::Reason::kZoneWithdrawn);
-  // Nodes of landed builds are told in their form, by reasons that they know.
+  // Nodes of earlier builds get a reply in their wire version, with a reason
+  // that it defines.
   const auto first = world.CallNode(3, envelope, pollenring::WireVersion::kV1);
   REQUIRE(first);
   CHECK(first->outcome == pollenring::Outcome::kNotRun);
@@ -60,13 +61,13 @@
   CHECK(status.find(R"("zones_withdrawn":[{"for_s":)") != std::string::npos);
   CHECK(world.Operate(1, "/metrics").find("pollenring_zones_withdrawn 1") !=
         std::string::npos);
-  // With both zones withdrawn nobody is served, nor told that it may have run.
+  // With both zones withdrawn, requests are refused as not executed.
   world.Store().Withdraw("z0", true);
   world.Run(500ms);
   const auto refused = world.Call(1, "GET", "/read/1", Headers("none"));
   CHECK(refused.status == 503);
   CHECK_FALSE(FindHeader(refused.headers, "retry-after").empty());
-  // History is dropped and the store is away while a zone is given back.
+  // A withdrawal ends while the store is down, and its history is dropped.
   world.Store().SetDown(true);
   world.Run(300ms);
   world.Store().Withdraw("z1", false);
@@ -92,7 +93,7 @@
   if (said) {
     REQUIRE(world.Beat(3, "ready", 1500ms) == 200);
   } else {
-    // Given back after a withdrawal it may be cold, whatever it said before.
+    // After a withdrawal it counts as cold, whatever it last reported.
     world.Store().Withdraw("z1", true);
     world.Run(400ms);
     world.Store().Withdraw("z1", false);
@@ -127,7 +128,7 @@
   for (int i = 0; i < 6; ++i) {
     const auto answer =
         world.Call(1, "POST", "/write/1", Headers("n" + std::to_string(i)));
-    // A connection that was kept serves once more.
+    // A kept-alive connection may serve one more request.
     if (i == 0 && answer.status == 200) continue;
     CHECK(answer.status == 503);
     CHECK_FALSE(FindHeader(answer.headers, "retry-after").empty());
@@ -181,7 +182,7 @@
   World world{16, [](const HttpRequest &r) { return Signed(r, 200); }};
   world.Node(1).Leave();
   int served = 0;
-  // Callers are told after two seconds, and some go on until the end.
+  // Callers learn of it after two seconds; some send until the port closes.
   for (int i = 0; i < 600; ++i) {
     const auto answer =
         world.Call(1, "GET", "/read/1", Headers("s" + std::to_string(i)));
@@ -206,7 +207,8 @@
                       ++statuses[answer.status];
                     });
   };
-  // An entry, and the node beside one of two targets, both with work under way.
+  // The entry node and the node of one of two targets drain with work in
+  // progress.
   for (int i = 0; i < 400; ++i) {
     if (i == 100) world.Node(2).Leave();
     if (i == 150) world.Node(1).Leave();
@@ -216,7 +218,8 @@
   }
   REQUIRE(world.Await([&open] { return open == 0; }, 4s));
   CAPTURE(statuses[200], statuses[503], statuses[502], statuses[0]);
-  // Over its slots a target may refuse; what it was given it finishes.
+  // A target may refuse calls beyond its slots, but completes those it
+  // accepted.
   CHECK(statuses[200] + statuses[503] == 800);
   CHECK(statuses[200] > 600);
 }
@@ -248,13 +251,13 @@
   };
   REQUIRE(world.Await([&] { return call("first") == 200; }, 5s));
   for (int i = 0; i < 30; ++i) CHECK(call("h" + std::to_string(i)) == 200);
-  // East is the one region that the route and the workspace both allow.
+  // East is the only region that both the route and the workspace allow.
   CHECK(served["east"] >= 31);
-  world.StopTarget(4);  // It serves the connections that it has.
+  world.StopTarget(4);  // Open connections are still served.
   REQUIRE(world.Await([&] { return call("last") == 503; }, 2s));
   for (int i = 0; i < 10; ++i) CHECK(call("s" + std::to_string(i)) == 503);
   CHECK(served["west"] + served["north"] + served["front"] == 0);
-  // The other route has the workspace's homes alone.
+  // The other route is limited by the workspace's regions only.
   REQUIRE(world.Call(1, "GET", "/write/1", Headers("w")).status == 200);
   CHECK(served["west"] == 1);
 }
@@ -263,7 +266,7 @@
   World world{17, [](const HttpRequest &r) { return Signed(r, 200); }};
   REQUIRE(world.Beat(2, "draining") == 200);
   REQUIRE(world.Await([&] { return world.Store().Has("departed/"); }, 2s));
-  // The node that starts next beside the fourth target was told before.
+  // An earlier process of the fourth node has stored a deregistration.
   world.Store().Put("departed/" + world.At(4, 7002).Format(),
                     R"({"instance":"i-4","born":5})");
   int served = 0;
@@ -276,7 +279,7 @@
                "\"service\":\"left\"");
   world.Store().PutConfig(next);
   REQUIRE(world.Await([&] { return world.Ready(4) == 200; }, 8s));
-  // Late news from before.
+  // A late heartbeat of the deregistered instance.
   REQUIRE(world.Beat(4) == 200);
   world.Run(500ms);
   for (int i = 0; i < 10; ++i) {
@@ -284,7 +287,7 @@
               .status == 503);
   }
   CHECK(served == 0);
-  // What starts there anew is used, under the same name too.
+  // A restarted target is used, even with the same identifier.
   REQUIRE(world.Beat(4, "ready", {}, 6) == 200);
   CHECK(world.Await(
       [&] {
@@ -294,7 +297,7 @@
 }
 
 TEST_CASE("mesh: a target leaves a node that had not heard of it yet") {
-  // A node that has just started; the departure tells no time of birth.
+  // The node has just started; the deregistration carries no start time.
   World world{38, [](const HttpRequest &r) { return Signed(r, 200); }};
   int served = 0;
   world.Start("left", [&served](const HttpRequest &r) {
@@ -306,7 +309,7 @@
                                    "\"service\":\"left\""));
   REQUIRE(world.Await([&] { return world.Ready(4) == 200; }, 8s));
   REQUIRE(world.Depart(4) == 200);
-  // On its way since before the departure.
+  // A heartbeat sent before the deregistration.
   REQUIRE(world.Beat(4) == 200);
   world.Run(500ms);
   for (int i = 0; i < 10; ++i) {
@@ -317,8 +320,8 @@
 }
 
 TEST_CASE("mesh: groups that started without word of each other become one") {
-  // After a loss of all power nodes find the few that are up already, and no
-  // others while the store is away.
+  // After a complete power loss nodes find only those few that are already up,
+  // and no others while the store is down.
   support::MeshWorld world{20};
   world.Store().PutConfig(kConfig);
   world.Store().SetDown(true);
--- a/test/pollenring/mesh/mesh_node_test.cc
+++ b/test/pollenring/mesh/mesh_node_test.cc
@@ -49,7 +49,7 @@
 
 TEST_CASE("mesh: what may have run is not sent again, nor said not to have") {
   int runs = 0;
-  // A success without the target's stamp: nobody knows what ran.
+  // A 200 without the target's stamp leaves the outcome unknown.
   World world{3, [&runs](const HttpRequest &request) {
                 if (request.method == "GET") return Signed(request, 200);
                 ++runs;
@@ -70,7 +70,7 @@
                     request.path == "/read/fails" && failures++ == 0;
                 return Signed(request, fails ? 500 : 200);
               }};
-  // Answers earn what a retry costs.
+  // Successful responses fill the retry budget.
   for (int i = 0; i < 30; ++i) {
     CHECK(world.Call(1, "GET", "/read/1", Headers("r" + std::to_string(i)))
               .status == 200);
@@ -103,7 +103,7 @@
               [](const HttpRequest &r) { return Signed(r, 200); }};
   const std::string next =
       Replaced(Replaced(kConfig, "r3", "r9"), "/read/", "/moved/");
-  // A watch that is never answered ends by a time-out of the node's own.
+  // A watch without a reply ends by the node's own timeout.
   world.Store().SetSilent(silent);
   world.Run(50ms);
   world.Store().PutConfig(next);
@@ -114,7 +114,7 @@
         return world.Call(1, "GET", "/moved/1", Headers("m")).status == 200;
       },
       2s));
-  // An older version, read late, is not put into force.
+  // An older version that is read late does not become active.
   world.Store().PutConfig(kConfig);
   world.Run(300ms);
   CHECK(world.Call(1, "GET", "/moved/1", Headers("n")).status == 200);
--- a/test/pollenring/mesh/slot_ring_test.cc
+++ b/test/pollenring/mesh/slot_ring_test.cc
@@ -19,7 +19,7 @@
 using pollenring::WitnessRef;
 using support::MemberFleet;
 
-/*! @brief Takes note of the slots that a node may lend. */
+/*! @brief Records the slots that a node may lend. */
 class Holder final : public pollenring::SlotUser {
  public:
   void SlotGained(SlotId slot, const SlotRow & /*row*/, SlotOrigin /*origin*/,
@@ -56,7 +56,7 @@
     }
   }
 
-  /*! @brief What all nodes may lend of one slot, in parts of its rate. */
+  /*! @brief Sum of all nodes' lendable parts of one slot's rate. */
   [[nodiscard]] double Lent(SlotId slot) const {
     double sum = 0;
     for (int i = 0; i < this->fleet.Size(); ++i) {
@@ -91,7 +91,7 @@
     Rings rings{fleet};
     rings.Run(15s);
     CHECK(rings.MostLent() == Approx(1));
-    // A third is cut off, each node of it by itself.
+    // A third of the nodes is cut off, each isolated from all others.
     for (int i = 0; i < 20; ++i) {
       for (int j = 0; j < 60; ++j) {
         if (i != j) fleet.network.cuts.insert({i, j});
