Shorten comments of the slot ring and the mesh node

Some reworded comments had grown past what they say, which slows a reader as much as a vague term does. They state the same reasons in fewer words. No code token differs from the base, by a comparison of all tokens.

--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -28,9 +28,8 @@
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
 
-/*! @brief Maximum queue for the local target, as the time to run it. Queued
- * requests have been admitted upstream; the admission level rises and ends an
- * overload before the queue is full. */
+/*! @brief Maximum queue of the local target, as time to run it. Its requests
+ * were admitted upstream; the admission level ends an overload before that. */
 constexpr Span kQueueTime = std::chrono::milliseconds{400};
 
 [[nodiscard]] HttpServerLimits CallerLimits() {
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -18,8 +18,8 @@
  * store at some ten per second, well below the rate that it allows. */
 constexpr Span kLongestPause = std::chrono::milliseconds{800};
 constexpr Span kPullTimeout = std::chrono::milliseconds{800};
-/*! @brief Peers in the local availability zone that are notified at once of a
- * new version; they notify others. */
+/*! @brief Peers in the local zone notified at once of a new version; they
+ * notify others. */
 constexpr std::size_t kSpreadInZone = 3;
 /*! @brief Peers in other zones notified at once; each fetches the document over
  * a cross-zone link, and the designated watchers there read the store. */
--- a/src/pollenring/mesh/slot_ring.h
+++ b/src/pollenring/mesh/slot_ring.h
@@ -15,9 +15,8 @@
  * @brief Assigns slots to live members by rendezvous hashing.
  *
  * There are no leases: while a membership change spreads by gossip, two nodes
- * may hold the same slot; the new holder starts with an empty bucket. In a
- * network partition each side lends the part of the rates that its nodes
- * account for.
+ * may hold one slot; the new holder starts with an empty bucket. In a network
+ * partition each side lends only the part of the rates of its own nodes.
  */
 class SlotRing final : public SlotHolders {
  public:
@@ -31,21 +30,18 @@
   SlotRing(const Membership &membership, const Clock &clock, bool fresh);
 
   /**
-   * @brief Reassigns slots and reports to a listener what this node gains and
-   * loses.
+   * @brief Reassigns slots and reports this node's gains and losses.
    * @param user The listener.
    */
   void Update(SlotUser &user);
 
   /**
-   * @brief Part of each workspace's rate limit that the live members seen here
-   * may lend.
+   * @brief Part of each workspace's rate limit that live members may lend.
    *
-   * Members that became unreachable without a drain may be on the other side of
-   * a network partition and lend their part there. A node that receives nothing
-   * from any peer counts itself alone, even before it has marked each of the
-   * others unreachable.
-   * @return Fraction from 0 to 1.
+   * Members that became unreachable without a drain may be behind a network
+   * partition and lend their part there. A node that receives nothing counts
+   * itself alone, before it has marked each of the others unreachable.
+   * @return From 0 to 1.
    */
   [[nodiscard]] double Part() const noexcept override;
 
--- a/test/pollenring/mesh/mesh_node_faults_test.cc
+++ b/test/pollenring/mesh/mesh_node_faults_test.cc
@@ -46,8 +46,7 @@
   REQUIRE(direct);
   CHECK(direct->outcome == pollenring::Outcome::kNotRun);
   CHECK(direct->reason == pollenring::Reason::kZoneWithdrawn);
-  // Nodes of earlier builds get a reply in their wire version, with a reason
-  // that it defines.
+  // Older builds get a reply in their wire version, with a reason it defines.
   const auto first = world.CallNode(3, envelope, pollenring::WireVersion::kV1);
   REQUIRE(first);
   CHECK(first->outcome == pollenring::Outcome::kNotRun);
@@ -207,8 +206,7 @@
                       ++statuses[answer.status];
                     });
   };
-  // The entry node and the node of one of two targets drain with work in
-  // progress.
+  // The entry node and one of two targets' nodes drain with work in progress.
   for (int i = 0; i < 400; ++i) {
     if (i == 100) world.Node(2).Leave();
     if (i == 150) world.Node(1).Leave();
