--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -5,27 +5,28 @@
 #include <cmath>
 #include <utility>
 
-#include "pollenring/admission/aim_queue.h"
 #include "pollenring/admission/fair_queue.h"
 #include "pollenring/admission/shed_levels.h"
+#include "pollenring/admission/soft_deadline_queue.h"
 #include "pollenring/core/invariant.h"
 
 namespace pollenring {
 namespace {
 
 /*! @brief Memory of how many requests are offered; as long as a level's. */
-constexpr Span kOfferedMemory = std::chrono::milliseconds{500};
+constexpr Duration kOfferedMemory = std::chrono::milliseconds{500};
 
 [[nodiscard]] std::unique_ptr<LevelControl> MakeLevels(
     const AdmissionOptions &options, const Clock &clock) {
-  if (options.level_cause == LevelCause::kFit) {
-    return std::make_unique<FitLevel>(options.fit, clock);
+  if (options.level_cause == LevelTrigger::kOfferedLoad) {
+    return std::make_unique<OfferedLoadLevel>(options.fit, clock);
   }
   return std::make_unique<ShedLevels>(options.level_window, clock);
 }
 
-[[nodiscard]] std::unique_ptr<TicketQueue> MakeQueue(QueueOrder order) {
-  if (order == QueueOrder::kAim) return std::make_unique<AimQueue>();
+[[nodiscard]] std::unique_ptr<RequestQueue> MakeQueue(QueueOrder order) {
+  if (order == QueueOrder::kSoftDeadline)
+    return std::make_unique<SoftDeadlineQueue>();
   return std::make_unique<FairQueue>();
 }
 
@@ -46,7 +47,7 @@
       static_cast<std::uint32_t>(this->limit.Current())};
 }
 
-void Admission::SetColdTolerance(const ColdTolerance &tolerance) {
+void Admission::SetColdStartLimit(const ColdStartLimit &tolerance) {
   this->cold.SetTolerance(tolerance);
   this->FollowCold();
 }
@@ -64,7 +65,7 @@
 }
 
 double Admission::OfferedNow() const {
-  const Span since = this->clock.Now() - this->offered_at;
+  const Duration since = this->clock.Now() - this->offered_at;
   return this->offered * std::exp(-static_cast<double>(since.count()) /
                                   static_cast<double>(kOfferedMemory.count()));
 }
@@ -74,7 +75,7 @@
          std::chrono::duration<double>{kOfferedMemory}.count();
 }
 
-AdmissionActions Admission::Offer(const Ticket &ticket) {
+AdmissionActions Admission::Offer(const AdmissionRequest &ticket) {
   AdmissionActions actions;
   this->FollowCold();
   this->offered = this->OfferedNow() + 1;
@@ -97,13 +98,13 @@
   return actions;
 }
 
-AdmissionActions Admission::Finish(std::uint64_t id, Span time_in_sub_calls,
+AdmissionActions Admission::Finish(std::uint64_t id, Duration time_in_sub_calls,
                                    bool refused_by_target) {
   AdmissionActions actions;
   const auto found = this->running.find(id);
   if (found == this->running.end()) return actions;
-  const Span whole = this->clock.Now() - found->second.started;
-  const Span own = std::max(Span{0}, whole - time_in_sub_calls);
+  const Duration whole = this->clock.Now() - found->second.started;
+  const Duration own = std::max(Duration{0}, whole - time_in_sub_calls);
   this->limit.Sample(own, whole, found->second.running_at_start,
                      refused_by_target);
   this->running.erase(found);
@@ -163,7 +164,8 @@
   }
 }
 
-void Admission::Start(const Ticket &ticket, AdmissionActions &actions) {
+void Admission::Start(const AdmissionRequest &ticket,
+                      AdmissionActions &actions) {
   const int running_now = static_cast<int>(this->running.size()) + 1;
   this->running[ticket.id] = {this->clock.Now(), running_now,
                               ticket.importance};
@@ -185,26 +187,26 @@
   if (this->cold.Closed()) {
     state.capacity = this->cold.PerSecond();
     // What doesn't fit is shed at once, so no queue tells of it.
-    const Span since = this->clock.Now() - this->cold_shed_at;
+    const Duration since = this->clock.Now() - this->cold_shed_at;
     if (since < this->options.level_window) {
       state.delay = this->options.fit.longest;
     }
     return state;
   }
-  const Span typical = this->limit.TypicalTime();
-  if (typical <= Span{0}) return state;
+  const Duration typical = this->limit.TypicalTime();
+  if (typical <= Duration{0}) return state;
   const double seconds = std::chrono::duration<double>{typical}.count();
   state.capacity = static_cast<double>(this->limit.Current()) / seconds;
   const double delay =
       static_cast<double>(this->queue->Size()) / state.capacity;
-  state.delay =
-      std::chrono::duration_cast<Span>(std::chrono::duration<double>{delay});
+  state.delay = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>{delay});
   return state;
 }
 
 std::size_t Admission::QueueCapacity() const noexcept {
-  const Span typical = this->limit.TypicalTime();
-  if (typical <= Span{0}) {
+  const Duration typical = this->limit.TypicalTime();
+  if (typical <= Duration{0}) {
     return std::max(this->options.shortest_queue,
                     static_cast<std::size_t>(this->limit.Current()));
   }
--- a/src/pollenring/admission/level_control.h
+++ b/src/pollenring/admission/level_control.h
@@ -3,14 +3,14 @@
 
 #include <string>
 
-#include "pollenring/admission/ticket.h"
+#include "pollenring/admission/admission_request.h"
 #include "pollenring/core/clock.h"
 
 namespace pollenring {
 
 /*! @brief The queue beside a target, as it is now. */
 struct QueueState {
-  Span delay{};      /*!< Until all that wait now will have been started. */
+  Duration delay{};  /*!< Until all that wait now will have been started. */
   double capacity{}; /*!< Requests a second; 0 while it is not known. */
 };
 
@@ -27,10 +27,11 @@
    * @param workspace The workspace.
    * @return Its level, 0 to admit everything.
    */
-  [[nodiscard]] virtual double LevelOf(const std::string &workspace) const = 0;
+  [[nodiscard]] virtual double AdmissionLevelOf(
+      const std::string &workspace) const = 0;
 
   /*! @brief Counts a request that was offered. @param ticket The request. */
-  virtual void Offered(const Ticket &ticket) = 0;
+  virtual void Offered(const AdmissionRequest &ticket) = 0;
 
   /*! @brief Counts a request that was shed. */
   virtual void Shed() = 0;
--- a/src/pollenring/admission/shed_levels.cc
+++ b/src/pollenring/admission/shed_levels.cc
@@ -19,22 +19,22 @@
 /*! @brief The most important requests are never refused early. */
 constexpr double kHighestLevel = static_cast<double>(kImportanceLevels - 1);
 /*! @brief Counts below which a workspace is forgotten. */
-constexpr double kForgotten = 0.01;
+constexpr double kNegligibleLoad = 0.01;
 
 }  // namespace
 
-ShedLevels::ShedLevels(Span window, const Clock &clock)
+ShedLevels::ShedLevels(Duration window, const Clock &clock)
     : window{window},
       clock{clock},
       window_start{clock.Now()},
       release{kFirstRelease} {}
 
-double ShedLevels::LevelOf(const std::string &workspace) const {
+double ShedLevels::AdmissionLevelOf(const std::string &workspace) const {
   const auto found = this->workspaces.find(workspace);
   return found == this->workspaces.end() ? 0 : found->second.level;
 }
 
-void ShedLevels::Offered(const Ticket &ticket) {
+void ShedLevels::Offered(const AdmissionRequest &ticket) {
   Workspace &workspace = this->workspaces[ticket.workspace];
   workspace.offered[static_cast<std::size_t>(ticket.importance)] += 1;
   workspace.weight = std::max(ticket.weight, 1e-3);
@@ -125,7 +125,7 @@
       count *= kLongMemory;
       sum += count;
     }
-    const bool idle = sum < kForgotten && it->second.level <= 0;
+    const bool idle = sum < kNegligibleLoad && it->second.level <= 0;
     it = idle ? this->workspaces.erase(it) : std::next(it);
   }
 }
--- a/src/pollenring/admission/shed_levels.h
+++ b/src/pollenring/admission/shed_levels.h
@@ -6,8 +6,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "pollenring/admission/admission_request.h"
 #include "pollenring/admission/level_control.h"
-#include "pollenring/admission/ticket.h"
 #include "pollenring/core/clock.h"
 #include "pollenring/core/importance.h"
 
@@ -15,11 +15,11 @@
 
 /*! @brief Places a request on one scale: importance first, then its lot.
  * @param importance Importance.
- * @param lot The root's lot, in [0, 1).
+ * @param sub_priority The root's lot, in [0, 1).
  * @return A value from 0 to below 4; lower values are shed first. */
 [[nodiscard]] inline double PriorityOf(Importance importance,
-                                       double lot) noexcept {
-  return static_cast<double>(importance) + lot;
+                                       double sub_priority) noexcept {
+  return static_cast<double>(importance) + sub_priority;
 }
 
 /**
@@ -38,10 +38,11 @@
    * @param window Time between changes of the levels.
    * @param clock Clock.
    */
-  ShedLevels(Span window, const Clock &clock);
+  ShedLevels(Duration window, const Clock &clock);
 
-  [[nodiscard]] double LevelOf(const std::string &workspace) const override;
-  void Offered(const Ticket &ticket) override;
+  [[nodiscard]] double AdmissionLevelOf(
+      const std::string &workspace) const override;
+  void Offered(const AdmissionRequest &ticket) override;
   void Shed() override;
   void Tick(const QueueState &queue) override;
 
@@ -63,7 +64,7 @@
   void Release();
   void Decay();
 
-  Span window;
+  Duration window;
   const Clock &clock;
   Time window_start;
   std::unordered_map<std::string, Workspace> workspaces;
--- a/src/pollenring/contract/host_policy.cc
+++ b/src/pollenring/contract/host_policy.cc
@@ -53,19 +53,20 @@
   return &this->policy.workspaces[found->second];
 }
 
-Standing HostTable::StandingOf(const HostRoute &route,
-                               const KeyedWorkspace *workspace,
-                               double lot) const noexcept {
+RequestPriority HostTable::RequestPriorityOf(
+    const HostRoute &route, const KeyedWorkspace *workspace,
+    double sub_priority) const noexcept {
   const int by_route = static_cast<int>(ImportanceOf(route.rank));
   const auto &upper = this->upper_ranks;
   const auto found =
       workspace == nullptr || !workspace->rank
           ? upper.end()
           : std::find(upper.begin(), upper.end(), *workspace->rank);
-  if (found == upper.end()) return {static_cast<Importance>(by_route), lot};
+  if (found == upper.end())
+    return {static_cast<Importance>(by_route), sub_priority};
   constexpr int kRouteLevels = static_cast<int>(Importance::kHigh) + 1;
   const auto above = static_cast<double>(found - upper.begin());
-  const double place = above + (by_route + lot) / kRouteLevels;
+  const double place = above + (by_route + sub_priority) / kRouteLevels;
   return {Importance::kCritical, place / static_cast<double>(upper.size())};
 }
 
@@ -89,10 +90,12 @@
   return found == starts.end() ? nullptr : &*found;
 }
 
-const WorkspaceShare *HostTable::ShareOf(const std::string &workspace) const {
+const WorkspaceRateLimit *HostTable::ShareOf(
+    const std::string &workspace) const {
   const auto found = this->by_name.find(workspace);
   if (found == this->by_name.end()) return nullptr;
-  const WorkspaceShare &share = this->policy.workspaces[found->second].share;
+  const WorkspaceRateLimit &share =
+      this->policy.workspaces[found->second].share;
   return share.rate > 0 ? &share : nullptr;
 }
 
--- a/src/pollenring/lease/witness.h
+++ b/src/pollenring/lease/witness.h
@@ -45,7 +45,7 @@
    * @param ask What it asks for.
    * @return Whether it is granted, and what the asker has to know.
    */
-  [[nodiscard]] WitnessAnswer Answer(const WitnessAsk &ask);
+  [[nodiscard]] WitnessReply Answer(const WitnessQuery &ask);
 
   /**
    * @brief Finds the row that was last said to be in force.
@@ -58,28 +58,28 @@
   /*! @brief What must be remembered of one row, until a later one is known. */
   struct RowMemory {
     std::uint64_t promised{};
-    WitnessRef promised_to;
+    ProcessRef promised_to;
     Time promised_until{};
     std::uint64_t
         seal_epoch{};  /*!< Latest that was asked to be sealed or not. */
-    WitnessRef sealer; /*!< Who asked so. */
+    ProcessRef sealer; /*!< Who asked so. */
     Time seal_asked{}; /*!< When it asked so, on its own clock. */
     bool sealed{};
   };
   struct Slot {
     std::uint64_t released{};
     std::uint64_t voted{};
-    WitnessRef voted_for;
+    ProcessRef voted_for;
     std::map<std::uint64_t, RowMemory> rows; /*!< By the row's epoch. */
     KnownRow known;
   };
 
-  [[nodiscard]] bool Promise(Slot &slot, const WitnessAsk &ask);
-  [[nodiscard]] bool Vote(Slot &slot, const WitnessAsk &ask);
-  void Resign(Slot &slot, const WitnessAsk &ask) const;
+  [[nodiscard]] bool Promise(Slot &slot, const WitnessQuery &ask);
+  [[nodiscard]] bool Vote(Slot &slot, const WitnessQuery &ask);
+  void Resign(Slot &slot, const WitnessQuery &ask) const;
   static void Release(Slot &slot, std::uint64_t epoch);
-  static void Seal(RowMemory &memory, const WitnessAsk &ask);
-  void Learn(Slot &slot, const WitnessAsk &ask) const;
+  static void Seal(RowMemory &memory, const WitnessQuery &ask);
+  void Learn(Slot &slot, const WitnessQuery &ask) const;
   [[nodiscard]] static bool SealedBefore(const Slot &slot, std::uint64_t epoch);
 
   std::uint64_t process;
--- a/src/pollenring/mesh/dialects.h
+++ b/src/pollenring/mesh/codecs.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_MESH_DIALECTS_H_
-#define POLLENRING_MESH_DIALECTS_H_
+#ifndef POLLENRING_MESH_CODECS_H_
+#define POLLENRING_MESH_CODECS_H_
 
 #include <cstdint>
 #include <functional>
@@ -11,7 +11,7 @@
 #include "pollenring/contract/host_policy.h"
 #include "pollenring/core/result.h"
 #include "pollenring/net/http_message.h"
-#include "pollenring/node/serving.h"
+#include "pollenring/node/target_executor.h"
 #include "pollenring/node/wire.h"
 #include "pollenring/storage/storage.h"
 
@@ -19,19 +19,19 @@
 
 /*! @brief Decoded headers of a caller's request. */
 struct CallerRequest {
-  std::string id;                  /*!< Of this attempt; empty when absent. */
-  std::string key;                 /*!< Of a workspace; empty when absent. */
-  std::optional<Span> remaining;   /*!< Time until the caller's deadline. */
-  std::vector<WireHeader> headers; /*!< Forwarded to the target. */
+  std::string id;                    /*!< Of this attempt; empty when absent. */
+  std::string key;                   /*!< Of a workspace; empty when absent. */
+  std::optional<Duration> remaining; /*!< Time until the caller's deadline. */
+  std::vector<WireHeader> headers;   /*!< Forwarded to the target. */
 };
 
 /*! @brief Decodes requests of callers and encodes responses to them. */
-class CallerDialect {
+class CallerCodec {
  public:
-  CallerDialect() = default;
-  CallerDialect(const CallerDialect &) = delete;
-  CallerDialect &operator=(const CallerDialect &) = delete;
-  virtual ~CallerDialect() = default;
+  CallerCodec() = default;
+  CallerCodec(const CallerCodec &) = delete;
+  CallerCodec &operator=(const CallerCodec &) = delete;
+  virtual ~CallerCodec() = default;
 
   /**
    * @brief Decodes a request's headers.
@@ -56,18 +56,18 @@
 /*! @brief Periodic state report of a target, or its deregistration. */
 struct Heartbeat {
   Announcement announcement;
-  std::uint64_t born{};     /*!< Start time in Unix ms; 0 if unknown. */
+  std::uint64_t started_at_ms{}; /*!< Start time in Unix ms; 0 if unknown. */
   std::uint64_t sequence{}; /*!< Grows with each heartbeat of an instance. */
-  bool departs{};           /*!< Deregistration; carries no state. */
+  bool deregisters{};       /*!< Deregistration; carries no state. */
 };
 
 /*! @brief Decodes heartbeats of targets. */
-class HeartbeatDialect {
+class HeartbeatCodec {
  public:
-  HeartbeatDialect() = default;
-  HeartbeatDialect(const HeartbeatDialect &) = delete;
-  HeartbeatDialect &operator=(const HeartbeatDialect &) = delete;
-  virtual ~HeartbeatDialect() = default;
+  HeartbeatCodec() = default;
+  HeartbeatCodec(const HeartbeatCodec &) = delete;
+  HeartbeatCodec &operator=(const HeartbeatCodec &) = delete;
+  virtual ~HeartbeatCodec() = default;
 
   /**
    * @brief Decodes a heartbeat.
@@ -79,12 +79,12 @@
 };
 
 /*! @brief Decodes the operator's configuration documents. */
-class PolicyDialect {
+class PolicyCodec {
  public:
-  PolicyDialect() = default;
-  PolicyDialect(const PolicyDialect &) = delete;
-  PolicyDialect &operator=(const PolicyDialect &) = delete;
-  virtual ~PolicyDialect() = default;
+  PolicyCodec() = default;
+  PolicyCodec(const PolicyCodec &) = delete;
+  PolicyCodec &operator=(const PolicyCodec &) = delete;
+  virtual ~PolicyCodec() = default;
 
   /**
    * @brief Decodes a document.
@@ -97,7 +97,7 @@
 
 /*! @brief The operator's document at one revision of the store. */
 struct StoredDocument {
-  std::uint64_t position{};        /*!< Revision of the store. */
+  std::uint64_t revision{};        /*!< Revision of the store. */
   std::optional<std::string> text; /*!< Empty when unchanged. */
   /*! @brief Changed zones; after a read, all withdrawn zones. */
   std::vector<ZoneChange> zones;
@@ -124,7 +124,7 @@
    * @param done Called once; `kNotFound` when the store no longer has that
    * revision.
    */
-  virtual void Await(std::uint64_t after, Span longest, Done done) = 0;
+  virtual void Await(std::uint64_t after, Duration longest, Done done) = 0;
 };
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/departure_log.h
+++ b/src/pollenring/mesh/deregistration_log.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_MESH_DEPARTURE_LOG_H_
-#define POLLENRING_MESH_DEPARTURE_LOG_H_
+#ifndef POLLENRING_MESH_DEREGISTRATION_LOG_H_
+#define POLLENRING_MESH_DEREGISTRATION_LOG_H_
 
 #include <cstdint>
 #include <functional>
@@ -12,9 +12,9 @@
 namespace pollenring {
 
 /*! @brief An instance of a target that drains or has deregistered. */
-struct Departure {
+struct Deregistration {
   std::string instance;
-  std::uint64_t born{}; /*!< Start time in Unix ms; 0 if unknown. */
+  std::uint64_t started_at_ms{}; /*!< Start time in Unix ms; 0 if unknown. */
 };
 
 /**
@@ -24,19 +24,20 @@
  * deregistered; the stored row keeps the node from using that instance again.
  * Only the latest row is kept, as a node has one local target at a time.
  */
-class DepartureLog {
+class DeregistrationLog {
  public:
-  using Done = std::function<void(std::optional<Departure>)>;
+  using Done = std::function<void(std::optional<Deregistration>)>;
 
   /**
    * @brief Creates the log.
    * @param self This node; a restart keeps its address.
    * @param table Table that holds the row.
    */
-  DepartureLog(NodeId self, Table &table);
+  DeregistrationLog(NodeId self, Table &table);
 
-  /*! @brief Stores a deregistration. @param departure The deregistration. */
-  void Record(const Departure &departure);
+  /*! @brief Stores a deregistration. @param deregistration The deregistration.
+   */
+  void Record(const Deregistration &deregistration);
 
   /**
    * @brief Reads the latest deregistration.
--- a/src/pollenring/mesh/leave_times.h
+++ b/src/pollenring/mesh/drain_times.h
@@ -1,14 +1,14 @@
-#ifndef POLLENRING_MESH_LEAVE_TIMES_H_
-#define POLLENRING_MESH_LEAVE_TIMES_H_
+#ifndef POLLENRING_MESH_DRAIN_TIMES_H_
+#define POLLENRING_MESH_DRAIN_TIMES_H_
 
 #include "pollenring/core/clock.h"
 
 namespace pollenring {
 
 /*! @brief Phases of a planned stop, measured from its start. */
-struct LeaveTimes {
-  Span accepts; /*!< Requests of callers are accepted until then. */
-  Span longest; /*!< The process ends then, even with calls in progress. */
+struct DrainTimes {
+  Duration accepts; /*!< Requests of callers are accepted until then. */
+  Duration longest; /*!< The process ends then, even with calls in progress. */
 };
 
 /**
@@ -16,7 +16,7 @@
  * @param grace Time until the platform kills the process.
  * @return The phases.
  */
-[[nodiscard]] LeaveTimes TimesToLeave(Span grace) noexcept;
+[[nodiscard]] DrainTimes DrainTimesFor(Duration grace) noexcept;
 
 }  // namespace pollenring
 
--- a/src/pollenring/mesh/heartbeat_filter.h
+++ b/src/pollenring/mesh/heartbeat_filter.h
@@ -7,7 +7,7 @@
 
 #include "pollenring/core/clock.h"
 #include "pollenring/core/enum_table.h"
-#include "pollenring/mesh/dialects.h"
+#include "pollenring/mesh/codecs.h"
 
 namespace pollenring {
 
@@ -53,14 +53,14 @@
   /**
    * @brief Records a deregistration that an earlier process received.
    * @param instance Identifier of the instance.
-   * @param born Start time of the instance in Unix ms; 0 if unknown.
+   * @param started_at_ms Start time of the instance in Unix ms; 0 if unknown.
    * @return True if a heartbeat of that instance was accepted before.
    */
-  bool Forbid(const std::string &instance, std::uint64_t born);
+  bool Forbid(const std::string &instance, std::uint64_t started_at_ms);
 
  private:
   struct Start {
-    std::uint64_t born{};
+    std::uint64_t started_at_ms{};
     std::uint64_t sequence{};
     bool departed{};
   };
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -8,9 +8,9 @@
 
 #include "pollenring/link/link_client.h"
 #include "pollenring/link/link_server.h"
+#include "pollenring/mesh/codecs.h"
 #include "pollenring/mesh/cold_policy.h"
-#include "pollenring/mesh/departure_log.h"
-#include "pollenring/mesh/dialects.h"
+#include "pollenring/mesh/deregistration_log.h"
 #include "pollenring/mesh/heartbeat_filter.h"
 #include "pollenring/mesh/outbound.h"
 #include "pollenring/mesh/policy_follower.h"
@@ -22,10 +22,10 @@
 #include "pollenring/node/bus.h"
 #include "pollenring/node/dispatcher.h"
 #include "pollenring/node/member_service.h"
-#include "pollenring/node/serving.h"
 #include "pollenring/node/settings.h"
 #include "pollenring/node/share_service.h"
-#include "pollenring/node/target_dialect.h"
+#include "pollenring/node/target_codec.h"
+#include "pollenring/node/target_executor.h"
 #include "pollenring/routing/router.h"
 #include "pollenring/wire/peer_wire.h"
 
@@ -37,10 +37,10 @@
   HttpClient &client;
   Table &table;
   PolicySource &source;
-  const PolicyDialect &policies;
-  const CallerDialect &callers;
-  const TargetDialect &targets;
-  const HeartbeatDialect &heartbeats;
+  const PolicyCodec &policies;
+  const CallerCodec &callers;
+  const TargetCodec &targets;
+  const HeartbeatCodec &heartbeats;
   Random &random;
 };
 
@@ -69,7 +69,7 @@
   void Start();
   void CountFigures();
   void FollowPolicy();
-  void TakeDeparture(const std::optional<Departure> &departure);
+  void TakeDeregistration(const std::optional<Deregistration> &deregistration);
   void HandleLink(const std::string &path, std::string body,
                   const std::shared_ptr<LinkResponder> &responder);
   void HandleCall(std::string body,
@@ -82,7 +82,7 @@
   [[nodiscard]] nlohmann::json Status() const;
   void CheckLeft();
   [[nodiscard]] bool Ready() const;
-  [[nodiscard]] Span Leaving() const;
+  [[nodiscard]] Duration Leaving() const;
   [[nodiscard]] std::size_t InProgress() const;
 
   Settings settings;
@@ -97,15 +97,15 @@
   SlotRing ring;
   ShareService shares;
   Router router;
-  RouteLevels levels;
+  DownstreamLevels levels;
   ColdPolicy cold_policy;
-  Serving serving;
+  TargetExecutor serving;
   TrafficRetryBudget retry_budget;
   Dispatcher dispatcher;
   Outbound outbound;
   HeartbeatFilter heartbeats;
-  DepartureLog departures;
-  bool departures_known{};
+  DeregistrationLog deregistrations;
+  bool deregistrations_known{};
   LinkServer link_server;
   HttpServer caller_server;
   HttpServer heartbeat_server;
--- a/src/pollenring/mesh/slot_ring.h
+++ b/src/pollenring/mesh/slot_ring.h
@@ -33,7 +33,7 @@
    * @brief Reassigns slots and reports this node's gains and losses.
    * @param user The listener.
    */
-  void Update(SlotUser &user);
+  void Update(SlotListener &user);
 
   /**
    * @brief Part of each workspace's rate limit that live members may lend.
--- a/src/pollenring/node/config_service.cc
+++ b/src/pollenring/node/config_service.cc
@@ -11,12 +11,12 @@
 namespace pollenring {
 namespace {
 
-constexpr Span kPollPeriod = std::chrono::milliseconds{1000};
-constexpr Span kPullTimeout = std::chrono::seconds{2};
-constexpr Span kFreshFor = std::chrono::seconds{4};
-constexpr Span kAcceptTimeout = std::chrono::seconds{5};
-constexpr Span kAcceptCheck = std::chrono::milliseconds{20};
-constexpr Span kShortestPoke = std::chrono::milliseconds{50};
+constexpr Duration kPollPeriod = std::chrono::milliseconds{1000};
+constexpr Duration kPullTimeout = std::chrono::seconds{2};
+constexpr Duration kFreshFor = std::chrono::seconds{4};
+constexpr Duration kAcceptTimeout = std::chrono::seconds{5};
+constexpr Duration kAcceptCheck = std::chrono::milliseconds{20};
+constexpr Duration kShortestPoke = std::chrono::milliseconds{50};
 constexpr std::size_t kSpreadTo = 3;
 constexpr std::uint64_t kVersionsPerSnapshot = 32;
 
@@ -44,9 +44,9 @@
   return membership.Members().empty();
 }
 
-std::optional<WorkspaceShare> ConfigService::RateOf(
+std::optional<WorkspaceRateLimit> ConfigService::RateOf(
     const std::string &workspace) const {
-  const WorkspaceShare *share = this->ledger.InForce().ShareOf(workspace);
+  const WorkspaceRateLimit *share = this->ledger.Active().ShareOf(workspace);
   if (share == nullptr) return std::nullopt;
   return *share;
 }
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -17,7 +17,7 @@
 constexpr int kMostRedirects = 3;
 constexpr int kFirstServerError = 500;
 /*! @brief Pause before nodes that were tried are tried again. */
-constexpr Span kTryAgainPause = std::chrono::milliseconds{60};
+constexpr Duration kTryAgainPause = std::chrono::milliseconds{60};
 
 [[nodiscard]] CallVerdict VerdictOf(const CallReply &reply) noexcept {
   switch (reply.reason) {
@@ -54,7 +54,7 @@
 }  // namespace
 
 Dispatcher::Dispatcher(NodeId self, Loop &loop, LinkClient &link,
-                       PeerWire &wire, Router &router, Serving &serving,
+                       PeerWire &wire, Router &router, TargetExecutor &serving,
                        RetryBudget &budget, const DispatchOptions &options,
                        Random &random, Metrics &metrics)
     : self{self},
@@ -73,24 +73,29 @@
   const std::uint64_t id = ++this->last_id;
   Job &job = this->jobs[id];
   job.allowance = RetryAllowance{envelope.retries};
-  job.root_started = this->loop.GetClock().Now() - Span{envelope.root_age_us};
-  job.aim = this->loop.GetClock().Now() + Span{envelope.aim_us};
+  job.root_started =
+      this->loop.GetClock().Now() - Duration{envelope.root_age_us};
+  job.soft_deadline =
+      this->loop.GetClock().Now() + Duration{envelope.soft_deadline_us};
   job.envelope = std::move(envelope);
   job.body = std::move(body);
   job.bounds = std::move(bounds);
   job.redirects_left = kMostRedirects;
   job.done = std::move(done);
-  if (job.envelope.repeat) this->budget.Repeated(job.envelope.service);
+  if (job.envelope.is_retry)
+    this->budget.RecordRetriedCall(job.envelope.service);
   this->Attempt(id);
   return id;
 }
 
 void Dispatcher::Attempt(std::uint64_t id) {
   Job &job = this->jobs.at(id);
-  const Span come_back = SpreadAround(kComeBack, this->random);
+  const Duration jittered_retry_after =
+      WithJitter(kDefaultRetryAfter, this->random);
   if (job.bounds.deadline <= this->loop.GetClock().Now()) {
-    this->Finish(id, Refusal(Outcome::kNotRun, Reason::kDeadline, come_back),
-                 {});
+    this->Finish(
+        id, Refusal(Outcome::kNotRun, Reason::kDeadline, jittered_retry_after),
+        {});
     return;
   }
   const auto node = this->router.Choose(job.envelope.service, job.tried,
@@ -101,11 +106,13 @@
     return;
   }
   if (!node) {
-    this->Finish(id, Refusal(Outcome::kNotRun, Reason::kNoTarget, come_back),
-                 {});
+    this->Finish(
+        id, Refusal(Outcome::kNotRun, Reason::kNoTarget, jittered_retry_after),
+        {});
     return;
   }
-  const Span since_charge = this->loop.GetClock().Now() - job.bounds.charged;
+  const Duration since_charge =
+      this->loop.GetClock().Now() - job.bounds.charged;
   if (job.bounds.renew && since_charge > kTransitAllowance) {
     this->ChargeAgain(id, job);
     return;
@@ -152,11 +159,11 @@
 
 void Dispatcher::Send(std::uint64_t id, Job &job) {
   const Time now = this->loop.GetClock().Now();
-  const Span left = job.bounds.deadline - now;
+  const Duration left = job.bounds.deadline - now;
   job.sent = now;
   job.envelope.remaining_us = left.count();
   job.envelope.root_age_us = (now - job.root_started).count();
-  job.envelope.aim_us = (job.aim - now).count();
+  job.envelope.soft_deadline_us = (job.soft_deadline - now).count();
   job.envelope.retries = job.slice;
   const std::uint64_t attempt = job.attempt;
   if (job.node == this->self) {
@@ -217,7 +224,7 @@
 void Dispatcher::Failed(std::uint64_t id, std::uint64_t attempt,
                         Outcome outcome, Reason reason) {
   CallReply reply =
-      Refusal(outcome, reason, SpreadAround(kComeBack, this->random));
+      Refusal(outcome, reason, WithJitter(kDefaultRetryAfter, this->random));
   const auto found = this->jobs.find(id);
   if (found == this->jobs.end()) return;
   // A slice that is not heard of again counts as spent.
@@ -235,9 +242,9 @@
   const bool from_node = reply.load.limit > 0;
   std::optional<LoadReport> load;
   if (from_node) load = reply.load;
-  const Span took = reply.outcome == Outcome::kRan
-                        ? this->loop.GetClock().Now() - job.sent
-                        : Span{0};
+  const Duration took = reply.outcome == Outcome::kRan
+                            ? this->loop.GetClock().Now() - job.sent
+                            : Duration{0};
   this->router.Finished(job.envelope.service, job.node, VerdictOf(reply), load,
                         took);
   this->LogRouting();
@@ -250,7 +257,7 @@
     entry.node = job.node;
   }
   const bool ran = reply.outcome == Outcome::kRan;
-  if (ran && !job.envelope.repeat) {
+  if (ran && !job.envelope.is_retry) {
     this->budget.Succeeded(job.envelope.service);
   }
   if (reply.outcome != Outcome::kNotRun) --job.bounds.targets;
@@ -314,7 +321,7 @@
   if (!this->budget.Spend(job.envelope.service)) return false;
   const bool spent = job.allowance.Spend();
   Require(spent, "a retry is paid from the request's allowance");
-  job.envelope.repeat = true;
+  job.envelope.is_retry = true;
   this->metrics.Count("pollenring_retries_total");
   return true;
 }
--- a/src/pollenring/node/route_levels.h
+++ b/src/pollenring/node/downstream_levels.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_NODE_ROUTE_LEVELS_H_
-#define POLLENRING_NODE_ROUTE_LEVELS_H_
+#ifndef POLLENRING_NODE_DOWNSTREAM_LEVELS_H_
+#define POLLENRING_NODE_DOWNSTREAM_LEVELS_H_
 
 #include <cstddef>
 #include <string>
@@ -13,18 +13,18 @@
 namespace pollenring {
 
 /*! @brief How levels are kept. */
-struct RouteLevelOptions {
+struct DownstreamLevelOptions {
   /*! @brief Time for which a level holds that nothing confirms. */
-  Span lifetime{std::chrono::milliseconds{1500}};
+  Duration lifetime{std::chrono::milliseconds{1500}};
   /*! @brief Whether a service has a level for each workspace. */
   bool per_workspace{};
 };
 
 /*! @brief The service on a route's way that sheds most. */
-struct WayLevel {
+struct CallPathLevel {
   double level{};      /*!< 0 when none sheds. */
   std::string service; /*!< Empty when none sheds. */
-  Span age{};          /*!< Of its newest level. */
+  Duration age{};      /*!< Of its newest level. */
 };
 
 /**
@@ -36,14 +36,14 @@
  * below the level of any service on its way would be shed there, after work
  * was done for it elsewhere.
  */
-class RouteLevels {
+class DownstreamLevels {
  public:
   /**
    * @brief Starts without levels.
    * @param options How levels are kept.
    * @param clock Clock.
    */
-  RouteLevels(const RouteLevelOptions &options, const Clock &clock)
+  DownstreamLevels(const DownstreamLevelOptions &options, const Clock &clock)
       : options{options}, clock{clock}, swept{clock.Now()} {}
 
   /*! @brief Routes that are remembered. @return The count. */
@@ -56,7 +56,7 @@
    * @param levels Levels that came with the answer.
    */
   void Learn(const std::string &workspace, const std::string &route,
-             const std::vector<ServiceLevel> &levels);
+             const std::vector<AdmissionLevel> &levels);
 
   /**
    * @brief Takes in an answer to a call made on behalf of a request.
@@ -65,7 +65,7 @@
    * @param levels Levels that came with the answer.
    */
   void LearnBelow(const std::string &workspace, const std::string &route,
-                  const std::vector<ServiceLevel> &levels);
+                  const std::vector<AdmissionLevel> &levels);
 
   /**
    * @brief Counts a request that the local target has answered.
@@ -80,24 +80,26 @@
    * @param most Most levels to list; those on the route's way come first.
    * @return Levels with their age.
    */
-  [[nodiscard]] std::vector<ServiceLevel> Shedding(const std::string &workspace,
-                                                   const std::string &route,
-                                                   std::size_t most) const;
+  [[nodiscard]] std::vector<AdmissionLevel> Shedding(
+      const std::string &workspace, const std::string &route,
+      std::size_t most) const;
 
   /**
    * @brief Lists what this node has seen of the ways of routes.
    * @param most Most marks to list.
    * @return Which routes meet a service that sheds, and which do not.
    */
-  [[nodiscard]] std::vector<WayMark> Marks(std::size_t most) const;
+  [[nodiscard]] std::vector<CallPathReport> CallPathReports(
+      std::size_t most) const;
 
   /**
    * @brief Takes in what another node has seen.
    *
    * Its word counts for routes of which this node has seen few requests.
-   * @param marks What it has seen.
+   * @param call_path_reports What it has seen.
    */
-  void LearnMarks(const std::vector<WayMark> &marks);
+  void LearnCallPathReports(
+      const std::vector<CallPathReport> &call_path_reports);
 
   /**
    * @brief Finds what sheds most on a route's way.
@@ -105,8 +107,8 @@
    * @param route Their route.
    * @return Its level, below which roots would be shed.
    */
-  [[nodiscard]] WayLevel HighestOn(const std::string &workspace,
-                                   const std::string &route) const;
+  [[nodiscard]] CallPathLevel HighestOnCallPath(const std::string &workspace,
+                                                const std::string &route) const;
 
  private:
   struct Known {
@@ -125,7 +127,7 @@
   };
 
   /*! @brief How many of a route's requests met each service that shed. */
-  struct Way {
+  struct CallPath {
     double requests{};
     Time used{};
     std::unordered_map<std::string, double> met;
@@ -136,21 +138,24 @@
       const std::string &workspace) const noexcept;
   [[nodiscard]] bool Stale(const Known &known) const noexcept;
   [[nodiscard]] bool Sheds(const Service &service) const noexcept;
-  [[nodiscard]] WayLevel MeanOf(const Service &service) const noexcept;
-  [[nodiscard]] static bool Met(const Way &way, const std::string &service);
-  [[nodiscard]] bool Meets(const Way &way, const std::string &service) const;
-  void Meet(const std::string &route, const std::vector<ServiceLevel> &levels);
+  [[nodiscard]] CallPathLevel MeanOf(const Service &service) const noexcept;
+  [[nodiscard]] static bool Met(const CallPath &way,
+                                const std::string &service);
+  [[nodiscard]] bool Meets(const CallPath &way,
+                           const std::string &service) const;
+  void Meet(const std::string &route,
+            const std::vector<AdmissionLevel> &levels);
   void Take(const std::string &workspace,
-            const std::vector<ServiceLevel> &levels);
+            const std::vector<AdmissionLevel> &levels);
   void Forget();
 
-  RouteLevelOptions options;
+  DownstreamLevelOptions options;
   const Clock &clock;
   Time swept{};
   std::unordered_map<std::string, Services> scopes;
-  std::unordered_map<std::string, Way> ways;
+  std::unordered_map<std::string, CallPath> ways;
 };
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_NODE_ROUTE_LEVELS_H_
+#endif  // POLLENRING_NODE_DOWNSTREAM_LEVELS_H_
--- a/src/pollenring/node/gates.h
+++ b/src/pollenring/node/gates.h
@@ -60,7 +60,7 @@
    * @param workspace The workspace.
    * @return Rate and burst, or nothing when it has none.
    */
-  [[nodiscard]] virtual std::optional<WorkspaceShare> RateOf(
+  [[nodiscard]] virtual std::optional<WorkspaceRateLimit> RateOf(
       const std::string &workspace) const = 0;
 };
 
@@ -68,7 +68,7 @@
 struct ShareAnswer {
   bool granted{};
   Reason reason{Reason::kNone};
-  Span retry_after{};
+  Duration retry_after{};
 };
 
 /*! @brief Charges whole requests to their workspaces, over all VMs. */
@@ -84,10 +84,10 @@
   /**
    * @brief Charges one request, now or once a loan of share has arrived.
    * @param workspace The workspace.
-   * @param patience How long the request waits.
+   * @param wait_limit How long the request waits.
    * @param done Called exactly once, possibly from in here.
    */
-  virtual void Charge(const std::string &workspace, Patience patience,
+  virtual void Charge(const std::string &workspace, WaitLimit wait_limit,
                       Done done) = 0;
 };
 
@@ -106,7 +106,7 @@
   OnceVerdict verdict{OnceVerdict::kUnknown};
   CallReply reply; /*!< The first answer, when it is still held. */
   std::string body;
-  Span retry_after{};
+  Duration retry_after{};
 };
 
 /*! @brief Lets each identifier of a non-idempotent request run at most once. */
--- a/src/pollenring/node/member_service.h
+++ b/src/pollenring/node/member_service.h
@@ -9,7 +9,7 @@
 
 #include "pollenring/link/link_client.h"
 #include "pollenring/membership/membership.h"
-#include "pollenring/membership/store_duty.h"
+#include "pollenring/membership/store_watcher_role.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/bus.h"
 #include "pollenring/storage/storage.h"
@@ -17,11 +17,11 @@
 namespace pollenring {
 
 /*! @brief Connects membership to datagrams, the platform and listeners. */
-class MemberService final : public MembershipObserver {
+class MemberService final : public MembershipDelegate {
  public:
   using MemberListener = std::function<void(const Member &)>;
   using VersionListener = std::function<void(NodeId, std::uint64_t)>;
-  using ZonesListener = std::function<void(const ZonesWord &)>;
+  using ZonesListener = std::function<void(const ZoneWithdrawals &)>;
 
   /**
    * @brief Creates the service.
@@ -44,7 +44,9 @@
   }
 
   /*! @brief Who asks the store on behalf of all. @return The decision. */
-  [[nodiscard]] const StoreDuty &Duty() const noexcept { return this->duty; }
+  [[nodiscard]] const StoreWatcherRole &WatcherRole() const noexcept {
+    return this->duty;
+  }
 
   /*! @brief Whether this node knows the others, or that there are none. */
   [[nodiscard]] bool Joined() const noexcept { return this->joined; }
@@ -76,7 +78,7 @@
   void SendGossip(NodeId to, const Gossip &gossip) override;
   void MemberChanged(const Member &member) override;
   void PeerConfigVersion(NodeId peer, std::uint64_t version) override;
-  void PeerZones(const ZonesWord &word) override;
+  void PeerZoneWithdrawals(const ZoneWithdrawals &withdrawals) override;
   void RecordsDiffer(NodeId peer) override;
 
  private:
@@ -97,7 +99,7 @@
   [[nodiscard]] std::vector<NodeId> UnknownOf(
       const std::vector<NodeId> &listed) const;
   void JoinThroughSome(std::vector<NodeId> peers);
-  [[nodiscard]] Span BootstrapPause();
+  [[nodiscard]] Duration BootstrapPause();
   void Register(std::uint64_t version, std::vector<NodeId> listed);
   [[nodiscard]] bool Alone() const;
 
@@ -108,7 +110,7 @@
   Table &table;
   Random &random;
   Membership membership;
-  StoreDuty duty;
+  StoreWatcherRole duty;
   bool first_start;
   std::vector<MemberListener> member_listeners;
   std::vector<VersionListener> version_listeners;
--- a/src/pollenring/node/once_service.h
+++ b/src/pollenring/node/once_service.h
@@ -45,7 +45,7 @@
 };
 
 /*! @brief Owns the identifiers of held slots; asks the owners of others. */
-class OnceService final : public OnceGate, public SlotUser {
+class OnceService final : public OnceGate, public SlotListener {
  public:
   /**
    * @brief Creates the service.
@@ -91,7 +91,7 @@
                   const SlotRow &before) override;
   void SlotRewitnessed(SlotId slot, const SlotRow &row) override;
   void SlotHandedOver(SlotId slot, const SlotRow &row,
-                      const WitnessRef &successor) override;
+                      const ProcessRef &successor) override;
   void SlotLost(SlotId slot) override;
 
  private:
--- a/src/pollenring/node/settings.cc
+++ b/src/pollenring/node/settings.cc
@@ -19,8 +19,8 @@
 class SettingsReader {
  public:
   SettingsReader(const toml::table &root, const std::string &file,
-                 Findings &findings)
-      : root{root}, file{file}, findings{findings} {}
+                 Diagnostics &diagnostics)
+      : root{root}, file{file}, diagnostics{diagnostics} {}
 
   void KnownKeys(std::string_view section,
                  std::initializer_list<std::string_view> known) {
@@ -90,14 +90,14 @@
   }
 
   /*! @brief Reads a length of time in seconds. @return It, or the default. */
-  [[nodiscard]] Span Seconds(std::string_view section, std::string_view key,
-                             Span otherwise) {
+  [[nodiscard]] Duration Seconds(std::string_view section, std::string_view key,
+                                 Duration otherwise) {
     const toml::table *table = this->Section(section);
     const toml::node *node = table == nullptr ? nullptr : table->get(key);
     if (node == nullptr) return otherwise;
     const auto value = node->value<double>();
     if (value && *value >= kShortestGrace && *value <= kLongestGrace) {
-      return std::chrono::duration_cast<Span>(
+      return std::chrono::duration_cast<Duration>(
           std::chrono::duration<double>{*value});
     }
     this->Report(
@@ -170,26 +170,26 @@
 
   void Report(const toml::node &node, std::string message) {
     const auto &begin = node.source().begin;
-    this->findings.push_back(
+    this->diagnostics.push_back(
         {{this->file, begin.line, begin.column}, std::move(message)});
   }
 
   const toml::table &root;
   const std::string &file;
-  Findings &findings;
+  Diagnostics &diagnostics;
 };
 
 }  // namespace
 
-Settings ReadSettings(const SourceFile &file, Findings &findings) {
+Settings ReadSettings(const SourceFile &file, Diagnostics &diagnostics) {
   Settings settings;
   toml::table root;
   try {
     root = toml::parse(file.text, file.name);
   } catch (const toml::parse_error &error) {
     const auto &begin = error.source().begin;
-    findings.push_back({{file.name, begin.line, begin.column},
-                        std::string{error.description()}});
+    diagnostics.push_back({{file.name, begin.line, begin.column},
+                           std::string{error.description()}});
     return settings;
   }
   for (const auto &[key, value] : root) {
@@ -199,10 +199,10 @@
                                  key.str()) != kSections.end();
     if (known && value.is_table()) continue;
     const auto &begin = value.source().begin;
-    findings.push_back({{file.name, begin.line, begin.column},
-                        "unknown section '" + std::string{key.str()} + "'"});
+    diagnostics.push_back({{file.name, begin.line, begin.column},
+                           "unknown section '" + std::string{key.str()} + "'"});
   }
-  SettingsReader reader{root, file.name, findings};
+  SettingsReader reader{root, file.name, diagnostics};
   reader.KnownKeys("node", {"zone", "region", "seeds", "slots", "routes",
                             "first_start", "grace_s"});
   reader.KnownKeys("listen",
@@ -225,7 +225,7 @@
     settings.target_service = reader.Text("target", "service");
     settings.first_start = reader.Flag("node", "first_start");
     settings.grace = reader.Seconds("node", "grace_s", settings.grace);
-    ColdMargin &margin = settings.cold_margin;
+    ColdStartHeadroom &margin = settings.cold_margin;
     margin.over = reader.Number("target", "cold_over", margin.over);
     margin.slack = reader.Number("target", "cold_slack", margin.slack);
   } else {
--- a/src/pollenring/node/settings.h
+++ b/src/pollenring/node/settings.h
@@ -4,11 +4,11 @@
 #include <string>
 #include <vector>
 
-#include "pollenring/admission/cold_gate.h"
+#include "pollenring/admission/cold_start_limiter.h"
 #include "pollenring/contract/parse.h"
 #include "pollenring/core/clock.h"
+#include "pollenring/core/diagnostic.h"
 #include "pollenring/core/enum_table.h"
-#include "pollenring/core/finding.h"
 #include "pollenring/net/address.h"
 
 namespace pollenring {
@@ -27,7 +27,7 @@
 
 /*! @brief Settings of one node. */
 struct Settings {
-  static constexpr Span kUsualGrace = std::chrono::seconds{6};
+  static constexpr Duration kUsualGrace = std::chrono::seconds{6};
 
   RouteForm routes{RouteForm::kServicePath};
   std::string zone;
@@ -44,18 +44,20 @@
   std::uint32_t slots{64};    /*!< Lease slots; the same on every node. */
   Address ready;              /*!< Where readiness is asked; host form only. */
   std::string target_service; /*!< Of the target on this VM; host form only. */
-  ColdMargin cold_margin;     /*!< At the target on this VM; host form only. */
-  Span grace{kUsualGrace};    /*!< From SIGTERM to SIGKILL; host form only. */
+  ColdStartHeadroom
+      cold_margin;             /*!< At the target on this VM; host form only. */
+  Duration grace{kUsualGrace}; /*!< From SIGTERM to SIGKILL; host form only. */
   bool first_start{}; /*!< The whole system starts for the first time. */
 };
 
 /**
  * @brief Reads a settings file.
  * @param file The file.
- * @param findings Receives all faults.
+ * @param diagnostics Receives all faults.
  * @return The settings; use them only when there are no findings.
  */
-[[nodiscard]] Settings ReadSettings(const SourceFile &file, Findings &findings);
+[[nodiscard]] Settings ReadSettings(const SourceFile &file,
+                                    Diagnostics &diagnostics);
 
 }  // namespace pollenring
 
--- a/src/pollenring/node/share_service.cc
+++ b/src/pollenring/node/share_service.cc
@@ -8,7 +8,7 @@
 namespace pollenring {
 namespace {
 
-constexpr Span kTick = std::chrono::milliseconds{10};
+constexpr Duration kTick = std::chrono::milliseconds{10};
 
 }  // namespace
 
@@ -37,10 +37,10 @@
   this->loop.Every(kTick, [this] { this->borrower.Tick(); });
 }
 
-void ShareService::Charge(const std::string &workspace, Patience patience,
+void ShareService::Charge(const std::string &workspace, WaitLimit wait_limit,
                           Done done) {
   this->borrower.Charge(
-      workspace, patience,
+      workspace, wait_limit,
       [done = std::move(done)](const ChargeResult &result) {
         done({result.granted, result.reason, result.retry_after});
       });
@@ -92,7 +92,7 @@
 void ShareService::SlotRewitnessed(SlotId /*slot*/, const SlotRow & /*row*/) {}
 
 void ShareService::SlotHandedOver(SlotId /*slot*/, const SlotRow & /*row*/,
-                                  const WitnessRef & /*successor*/) {}
+                                  const ProcessRef & /*successor*/) {}
 
 void ShareService::SlotLost(SlotId slot) { this->lenders.erase(slot); }
 
--- a/src/pollenring/node/serving.h
+++ b/src/pollenring/node/target_executor.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_NODE_SERVING_H_
-#define POLLENRING_NODE_SERVING_H_
+#ifndef POLLENRING_NODE_TARGET_EXECUTOR_H_
+#define POLLENRING_NODE_TARGET_EXECUTOR_H_
 
 #include <cstdint>
 #include <functional>
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "pollenring/admission/admission.h"
-#include "pollenring/admission/cold_gate.h"
+#include "pollenring/admission/cold_start_limiter.h"
 #include "pollenring/core/clock.h"
 #include "pollenring/core/enum_table.h"
 #include "pollenring/core/random.h"
@@ -18,9 +18,9 @@
 #include "pollenring/metrics/metrics.h"
 #include "pollenring/net/http_client.h"
 #include "pollenring/net/loop.h"
+#include "pollenring/node/downstream_levels.h"
 #include "pollenring/node/parent_finder.h"
-#include "pollenring/node/route_levels.h"
-#include "pollenring/node/target_dialect.h"
+#include "pollenring/node/target_codec.h"
 #include "pollenring/node/wire.h"
 #include "pollenring/retry/allowance.h"
 
@@ -31,37 +31,37 @@
   Target target;
   Address address;
   std::string instance; /*!< Differs after each start; may be empty. */
-  Span cold_for{};      /*!< How long it says that it stays cold. */
+  Duration cold_for{};  /*!< How long it says that it stays cold. */
 };
 
 /*! @brief Whether the operator lets the targets of a zone be used. */
-enum class TargetUse {
+enum class TargetAvailability {
   kUnknown, /*!< Nothing was heard of it yet. */
-  kInUse,
+  kAvailable,
   kWithdrawn
 };
 
 /*! @brief Names of the uses, as logs spell them. */
-inline constexpr EnumTable<TargetUse, 3> kTargetUseNames{{{
-    {TargetUse::kUnknown, "unknown"},
-    {TargetUse::kInUse, "in use"},
-    {TargetUse::kWithdrawn, "withdrawn"},
+inline constexpr EnumTable<TargetAvailability, 3> kTargetAvailabilityNames{{{
+    {TargetAvailability::kUnknown, "unknown"},
+    {TargetAvailability::kAvailable, "in use"},
+    {TargetAvailability::kWithdrawn, "withdrawn"},
 }}};
 
 /*! @brief How much cold targets bear, by service. */
-class ColdBounds {
+class ColdStartLimits {
  public:
-  ColdBounds() = default;
-  ColdBounds(const ColdBounds &) = delete;
-  ColdBounds &operator=(const ColdBounds &) = delete;
-  virtual ~ColdBounds() = default;
+  ColdStartLimits() = default;
+  ColdStartLimits(const ColdStartLimits &) = delete;
+  ColdStartLimits &operator=(const ColdStartLimits &) = delete;
+  virtual ~ColdStartLimits() = default;
 
   /**
    * @brief Finds what a service's targets bear while they are cold.
    * @param service The service.
    * @return The bound; without requests where none is needed.
    */
-  [[nodiscard]] virtual ColdTolerance ToleranceOf(
+  [[nodiscard]] virtual ColdStartLimit LimitOf(
       const std::string &service) const = 0;
 
   /**
@@ -69,20 +69,20 @@
    * @param service The service.
    * @return The span; 0 where they are not.
    */
-  [[nodiscard]] virtual Span ColdAfterStart(
+  [[nodiscard]] virtual Duration ColdAfterStart(
       const std::string &service) const = 0;
 };
 
 /*! @brief Targets that bear as much cold as warm. */
-class NoColdBounds final : public ColdBounds {
+class NoColdStartLimits final : public ColdStartLimits {
  public:
-  [[nodiscard]] ColdTolerance ToleranceOf(
+  [[nodiscard]] ColdStartLimit LimitOf(
       const std::string & /*service*/) const override {
     return {};
   }
-  [[nodiscard]] Span ColdAfterStart(
+  [[nodiscard]] Duration ColdAfterStart(
       const std::string & /*service*/) const override {
-    return Span{0};
+    return Duration{0};
   }
 };
 
@@ -99,7 +99,7 @@
   RetryAllowance allowance;
   int sub_calls{};
   Time sub_calls_since{};
-  Span time_in_sub_calls{};
+  Duration time_in_sub_calls{};
   SubCallCancels sub_call_cancels;
 
   /*! @brief Counts a sub-call in. @param now Time. */
@@ -115,7 +115,7 @@
  * Keeps the table of requests in progress, which the context header that a
  * target passes on its sub-calls points into.
  */
-class Serving {
+class TargetExecutor {
  public:
   using Done = std::function<void(CallReply, std::string body)>;
   using TargetsChanged = std::function<void(std::vector<Target>)>;
@@ -124,7 +124,7 @@
    * @brief Starts without a target.
    * @param loop The loop.
    * @param client Client towards the target.
-   * @param dialect How calls and answers are written.
+   * @param codec How calls and answers are written.
    * @param options Limits of admission.
    * @param cold_bounds What cold targets bear.
    * @param levels Levels of services, which answers bring and pass on.
@@ -132,10 +132,10 @@
    * @param metrics Figures.
    * @param changed Called when the announced targets change.
    */
-  Serving(Loop &loop, HttpClient &client, const TargetDialect &dialect,
-          const AdmissionOptions &options, const ColdBounds &cold_bounds,
-          RouteLevels &levels, Random &random, Metrics &metrics,
-          TargetsChanged changed);
+  TargetExecutor(Loop &loop, HttpClient &client, const TargetCodec &codec,
+                 const AdmissionOptions &options,
+                 const ColdStartLimits &cold_bounds, DownstreamLevels &levels,
+                 Random &random, Metrics &metrics, TargetsChanged changed);
 
   /**
    * @brief Takes in an announcement of the target.
@@ -150,13 +150,13 @@
    * that was withdrawn is taken as cold until it says otherwise.
    * @param given Whether targets here may be used.
    */
-  void SetUse(TargetUse given);
+  void SetUse(TargetAvailability given);
 
   /*! @brief A target has left, as was learned late. @param instance It. */
   void Drain(const std::string &instance);
 
   /*! @brief The bounds of cold targets may have changed. */
-  void FollowColdBounds();
+  void FollowColdStartLimits();
 
   /**
    * @brief Runs a call, now or when the target has room.
@@ -210,7 +210,7 @@
    * @param levels Levels that came with the answer.
    */
   void LearnFrom(const std::string &callee, const std::string &workspace,
-                 const std::vector<ServiceLevel> &levels);
+                 const std::vector<AdmissionLevel> &levels);
 
   /**
    * @brief Finds a request in progress.
@@ -223,7 +223,7 @@
   [[nodiscard]] std::size_t RunningCount() const noexcept;
 
   /*! @brief How long targets here stay cold. @return The longest, or 0. */
-  [[nodiscard]] Span ColdFor() const noexcept;
+  [[nodiscard]] Duration ColdFor() const noexcept;
 
   /*! @brief Requests waiting or running. @return The count. */
   [[nodiscard]] std::size_t InProgress() const noexcept {
@@ -249,7 +249,7 @@
     bool running{};
   };
 
-  void Offer(Binding &binding, const Ticket &ticket);
+  void Offer(Binding &binding, const AdmissionRequest &ticket);
   void Perform(const AdmissionActions &actions);
   void SuspectCold(Binding &binding);
   void TakeColdness(Binding &binding);
@@ -261,7 +261,8 @@
   void GiveUp(std::uint64_t id);
   void Finish(std::uint64_t id, CallReply reply, std::string body);
   void Refuse(std::uint64_t id, Outcome outcome, Reason reason);
-  void Refuse(std::uint64_t id, Outcome outcome, Reason reason, Span come_back);
+  void Refuse(std::uint64_t id, Outcome outcome, Reason reason,
+              Duration jittered_retry_after);
   void RefuseUntilWarm(std::uint64_t id);
   void Report();
   [[nodiscard]] HttpRequest ToRequest(Call &call,
@@ -272,14 +273,14 @@
 
   Loop &loop;
   HttpClient &client;
-  const TargetDialect &dialect;
+  const TargetCodec &codec;
   AdmissionOptions options;
-  const ColdBounds &cold_bounds;
-  RouteLevels &levels;
+  const ColdStartLimits &cold_bounds;
+  DownstreamLevels &levels;
   Random &random;
   Metrics &metrics;
   TargetsChanged changed;
-  TargetUse use{TargetUse::kInUse};
+  TargetAvailability use{TargetAvailability::kAvailable};
   std::map<std::string, Binding> bindings;
   std::unordered_map<std::uint64_t, Call> calls;
   std::unordered_map<std::string, std::uint64_t> contexts;
@@ -290,4 +291,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_NODE_SERVING_H_
+#endif  // POLLENRING_NODE_TARGET_EXECUTOR_H_
--- a/src/pollenring/node/serving_targets.cc
+++ b/src/pollenring/node/target_executor_targets.cc
@@ -3,30 +3,30 @@
 #include <utility>
 
 #include "pollenring/log/log.h"
-#include "pollenring/node/serving.h"
+#include "pollenring/node/target_executor.h"
 
 namespace pollenring {
 namespace {
 
 /*! @brief Silence after which a target is taken as gone; four of the slowest
  * announcements, which come every 1.5 s. */
-constexpr Span kAnnouncementLifetime = std::chrono::seconds{6};
+constexpr Duration kAnnouncementLifetime = std::chrono::seconds{6};
 /*! @brief Pause between two lines on a busy target. */
-constexpr Span kLoadLogPeriod = std::chrono::seconds{1};
+constexpr Duration kLoadLogPeriod = std::chrono::seconds{1};
 /*! @brief How long an announcement may be on its way that was sent before
  * something pointed to a restart. */
-constexpr Span kBeatUnderWay = std::chrono::milliseconds{300};
+constexpr Duration kBeatUnderWay = std::chrono::milliseconds{300};
 
 }  // namespace
 
-void Serving::Announce(const Announcement &announcement) {
+void TargetExecutor::Announce(const Announcement &announcement) {
   const std::string &service = announcement.target.service;
   auto found = this->bindings.find(service);
   const bool fresh =
       found == this->bindings.end() ||
       !(found->second.announcement.address == announcement.address) ||
       found->second.announcement.instance != announcement.instance;
-  std::vector<Ticket> waiting;
+  std::vector<AdmissionRequest> waiting;
   if (fresh) {
     if (found != this->bindings.end()) {
       waiting = found->second.admission->TakeWaiting();
@@ -47,7 +47,7 @@
   this->Report();
 }
 
-void Serving::Offer(Binding &binding, const Ticket &ticket) {
+void TargetExecutor::Offer(Binding &binding, const AdmissionRequest &ticket) {
   const Reason refused = RefusalOf(binding);
   if (refused != Reason::kNone) {
     this->Refuse(ticket.id, Outcome::kNotRun, refused);
@@ -56,11 +56,11 @@
   this->Perform(binding.admission->Offer(ticket));
 }
 
-void Serving::TakeColdness(Binding &binding) {
+void TargetExecutor::TakeColdness(Binding &binding) {
   const Time now = this->loop.GetClock().Now();
   const std::string &service = binding.announcement.target.service;
-  binding.admission->SetColdTolerance(this->cold_bounds.ToleranceOf(service));
-  const Span cold_for = binding.announcement.cold_for;
+  binding.admission->SetColdStartLimit(this->cold_bounds.LimitOf(service));
+  const Duration cold_for = binding.announcement.cold_for;
   // What it says now may have been sent before it started again.
   const bool recent = binding.suspected_cold != Time{} &&
                       now - binding.suspected_cold < kBeatUnderWay;
@@ -69,18 +69,18 @@
     if (state == TargetState::kWarm) state = TargetState::kCold;
     return;
   }
-  binding.cold_timed = cold_for > Span{0};
+  binding.cold_timed = cold_for > Duration{0};
   binding.admission->SetColdUntil(now + cold_for);
 }
 
-void Serving::SuspectCold(Binding &binding) {
+void TargetExecutor::SuspectCold(Binding &binding) {
   const Time now = this->loop.GetClock().Now();
   const std::string &service = binding.announcement.target.service;
-  const Span cold_for = this->cold_bounds.ColdAfterStart(service);
+  const Duration cold_for = this->cold_bounds.ColdAfterStart(service);
   binding.suspected_cold = now;
-  const bool news = binding.admission->ColdFor() <= Span{0};
+  const bool news = binding.admission->ColdFor() <= Duration{0};
   if (cold_for <= binding.admission->ColdFor()) return;
-  binding.admission->SetColdTolerance(this->cold_bounds.ToleranceOf(service));
+  binding.admission->SetColdStartLimit(this->cold_bounds.LimitOf(service));
   binding.admission->SetColdUntil(now + cold_for);
   binding.cold_timed = true;
   TargetState &state = binding.announcement.target.state;
@@ -93,7 +93,7 @@
   this->Report();
 }
 
-void Serving::Drain(const std::string &instance) {
+void TargetExecutor::Drain(const std::string &instance) {
   for (auto &[service, binding] : this->bindings) {
     if (binding.announcement.instance != instance) continue;
     binding.announcement.target.state = TargetState::kDraining;
@@ -102,32 +102,33 @@
   this->Report();
 }
 
-void Serving::FollowColdBounds() {
+void TargetExecutor::FollowColdStartLimits() {
   for (auto &[service, binding] : this->bindings) {
-    binding.admission->SetColdTolerance(this->cold_bounds.ToleranceOf(service));
+    binding.admission->SetColdStartLimit(this->cold_bounds.LimitOf(service));
   }
 }
 
-void Serving::SetUse(TargetUse given) {
-  const TargetUse before = std::exchange(this->use, given);
+void TargetExecutor::SetUse(TargetAvailability given) {
+  const TargetAvailability before = std::exchange(this->use, given);
   if (before == given) return;
   for (auto &[service, binding] : this->bindings) {
-    if (given != TargetUse::kInUse) {
+    if (given != TargetAvailability::kAvailable) {
       this->Perform(binding.admission->Close(Reason::kZoneWithdrawn));
       continue;
     }
-    if (before == TargetUse::kWithdrawn) this->SuspectCold(binding);
+    if (before == TargetAvailability::kWithdrawn) this->SuspectCold(binding);
   }
 }
 
-Reason Serving::RefusalOf(const Binding &binding) const noexcept {
-  if (this->use != TargetUse::kInUse) return Reason::kZoneWithdrawn;
+Reason TargetExecutor::RefusalOf(const Binding &binding) const noexcept {
+  if (this->use != TargetAvailability::kAvailable)
+    return Reason::kZoneWithdrawn;
   const bool drains =
       binding.announcement.target.state == TargetState::kDraining;
   return drains ? Reason::kLeaving : Reason::kNone;
 }
 
-void Serving::Report() {
+void TargetExecutor::Report() {
   std::vector<Target> targets;
   for (const auto &[service, binding] : this->bindings) {
     targets.push_back(binding.announcement.target);
@@ -135,7 +136,7 @@
   this->changed(std::move(targets));
 }
 
-std::size_t Serving::RunningCount() const noexcept {
+std::size_t TargetExecutor::RunningCount() const noexcept {
   std::size_t count = 0;
   for (const auto &[service, binding] : this->bindings) {
     count += binding.admission->Running();
@@ -143,15 +144,15 @@
   return count;
 }
 
-Span Serving::ColdFor() const noexcept {
-  Span longest{0};
+Duration TargetExecutor::ColdFor() const noexcept {
+  Duration longest{0};
   for (const auto &[service, binding] : this->bindings) {
     longest = std::max(longest, binding.admission->ColdFor());
   }
   return longest;
 }
 
-bool Serving::IsServing(const std::string &service) const noexcept {
+bool TargetExecutor::IsServing(const std::string &service) const noexcept {
   // Calls may wait, or run at a target that was here before.
   return std::any_of(this->calls.begin(), this->calls.end(),
                      [&service](const auto &entry) {
@@ -159,13 +160,13 @@
                      });
 }
 
-void Serving::LogLoad() {
+void TargetExecutor::LogLoad() {
   const Time now = this->loop.GetClock().Now();
   if (now - this->load_logged < kLoadLogPeriod) return;
   this->load_logged = now;
   for (const auto &[service, binding] : this->bindings) {
     const Admission &admission = *binding.admission;
-    const double level = admission.LevelOf({});
+    const double level = admission.AdmissionLevelOf({});
     if (admission.Waiting() == 0 && level <= 0) continue;
     const QueueState state = admission.State();
     LogEvent(LogLevel::kInfo, "target busy",
@@ -179,14 +180,14 @@
   }
 }
 
-void Serving::Tick() {
+void TargetExecutor::Tick() {
   this->LogLoad();
   const Time now = this->loop.GetClock().Now();
   bool changed = false;
   for (auto &[service, binding] : this->bindings) {
     this->Perform(binding.admission->Tick());
     TargetState &state = binding.announcement.target.state;
-    const bool warm = binding.admission->ColdFor() <= Span{0};
+    const bool warm = binding.admission->ColdFor() <= Duration{0};
     if (state == TargetState::kCold && binding.cold_timed && warm) {
       binding.cold_timed = false;
       state = TargetState::kWarm;
--- a/src/pollenring/retry/budget.cc
+++ b/src/pollenring/retry/budget.cc
@@ -11,7 +11,7 @@
   Account &account = this->accounts[service];
   const Time now = this->clock.Now();
   const auto age = static_cast<double>((now - account.as_of).count());
-  const Span lasts =
+  const Duration lasts =
       account.saved > 0 ? this->options.savings_last : this->options.debt_lasts;
   const auto memory = static_cast<double>(lasts.count());
   account.saved *= std::exp(-age / memory);
@@ -23,7 +23,7 @@
   this->AccountOf(service).saved += this->options.share;
 }
 
-void TrafficRetryBudget::Repeated(const std::string &service) {
+void TrafficRetryBudget::RecordRetriedCall(const std::string &service) {
   Account &account = this->AccountOf(service);
   account.saved = std::max(account.saved - 1, -this->options.most_owed);
 }
--- a/test/platform/dialects_test.cc
+++ b/test/platform/codecs_test.cc
@@ -1,4 +1,4 @@
-#include "platform/dialects.h"
+#include "platform/codecs.h"
 
 #include <catch2/catch.hpp>
 
@@ -24,8 +24,8 @@
 [[nodiscard]] Outcome Judged(const HttpResponse &answer) {
   CallEnvelope envelope;
   envelope.root_id = "id1";
-  return pollenring::JudgeAnswer(Targets{}.Read(envelope, answer),
-                                 answer.status)
+  return pollenring::ClassifyResponse(Targets{}.Read(envelope, answer),
+                                      answer.status)
       .outcome;
 }
 
@@ -39,12 +39,12 @@
   CHECK(beat->announcement.instance == "i-1");
   CHECK(beat->announcement.target.slots == 8);
   CHECK(beat->announcement.target.state == TargetState::kCold);
-  CHECK(beat->born == 5);
+  CHECK(beat->started_at_ms == 5);
   CHECK(beat->sequence == 4);
   const auto leave =
       Heartbeats{}.Decode({"POST", "/Instances.Deregister/i-1", {}, {}, {}});
   REQUIRE(leave);
-  CHECK(leave->departs);
+  CHECK(leave->deregisters);
 }
 
 TEST_CASE("platform: a heartbeat of another writer names no target") {
@@ -119,7 +119,7 @@
                                         {"accept", "text/plain"}});
   CHECK(caller.key == "secret");
   CHECK(caller.id == "id1");
-  CHECK(caller.remaining == pollenring::Span{250ms});
+  CHECK(caller.remaining == pollenring::Duration{250ms});
   REQUIRE(caller.headers.size() == 1);
   CHECK(caller.headers[0].name == "accept");
 }
--- a/test/pollenring/net/http_client_test.cc
+++ b/test/pollenring/net/http_client_test.cc
@@ -13,8 +13,8 @@
 namespace {
 
 using namespace std::chrono_literals;
-using pollenring::AnswerMark;
 using pollenring::CallError;
+using pollenring::CorrelationHeader;
 using pollenring::HttpClient;
 using pollenring::HttpRequest;
 using pollenring::HttpResponse;
@@ -51,7 +51,7 @@
           reply = std::move(given);
           this->loop.Stop();
         },
-        AnswerMark{"mark", id});
+        CorrelationHeader{"mark", id});
     this->loop.Resume();
     this->loop.Run();
     return std::move(*reply);
@@ -68,7 +68,7 @@
   /*! @brief Most bytes held of answers at once, looked at each millisecond. */
   [[nodiscard]] std::size_t MostHeld() const { return this->most_held; }
 
-  void Run(pollenring::Span length) {
+  void Run(pollenring::Duration length) {
     this->loop.After(length, [this] { this->loop.Stop(); });
     this->loop.Resume();
     this->loop.Run();
--- a/test/support/lease_world.h
+++ b/test/support/lease_world.h
@@ -17,9 +17,9 @@
 
 namespace support {
 
+using pollenring::ProcessRef;
 using pollenring::SlotId;
 using pollenring::SlotRow;
-using pollenring::WitnessRef;
 
 /*! @brief What may happen to a world, each as a chance per second. */
 struct WorldFaults {
@@ -66,7 +66,7 @@
 class LeaseWorld {
  public:
   static constexpr double kSkew = 0.004;
-  static constexpr Span kStep = std::chrono::milliseconds{5};
+  static constexpr Duration kStep = std::chrono::milliseconds{5};
 
   LeaseWorld(int size, SlotId slots, std::uint64_t seed, WorldFaults faults);
   LeaseWorld(const LeaseWorld &) = delete;
@@ -88,7 +88,7 @@
   [[nodiscard]] bool Up(int index) const;
   void Crash(int index);
   void Boot(int index);
-  void Freeze(int index, Span length);
+  void Freeze(int index, Duration length);
   /*! @brief Lets a slot's holder, if any, give it to another node.
    * @return Whether it is being given. */
   bool Give(SlotId slot);
@@ -101,7 +101,7 @@
   WorldFaults faults;
   SlotId slots;
   pollenring::MemoryTable table;
-  std::map<std::string, pollenring::WorkspaceShare> contracts;
+  std::map<std::string, pollenring::WorkspaceRateLimit> contracts;
   std::map<std::string, RateCheck> checks;
   std::vector<std::unique_ptr<Node>> nodes;
   std::set<SlotId> had_holder;
--- a/test/support/member_fleet.h
+++ b/test/support/member_fleet.h
@@ -28,7 +28,7 @@
     for (int i = 0; i < size; ++i) this->Boot(i);
   }
 
-  struct Node final : pollenring::MembershipObserver {
+  struct Node final : pollenring::MembershipDelegate {
     Node(MemberFleet &fleet, int index, std::uint64_t incarnation)
         : fleet{fleet},
           index{index},
@@ -55,8 +55,9 @@
     void MemberChanged(const Member & /*member*/) override {}
     void PeerConfigVersion(NodeId /*peer*/,
                            std::uint64_t /*version*/) override {}
-    void PeerZones(const pollenring::ZonesWord &word) override {
-      if (this->zones.Take(word)) this->membership.SetZones(word);
+    void PeerZoneWithdrawals(
+        const pollenring::ZoneWithdrawals &withdrawals) override {
+      if (this->zones.Take(withdrawals)) this->membership.SetZones(withdrawals);
     }
 
     void RecordsDiffer(NodeId peer) override {
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -18,13 +18,13 @@
 
 namespace {
 
+using pollenring::Duration;
 using pollenring::ManualClock;
 using pollenring::Member;
 using pollenring::NodeId;
 using pollenring::SeededRandom;
-using pollenring::Span;
 
-constexpr Span kStep = std::chrono::microseconds{50};
+constexpr Duration kStep = std::chrono::microseconds{50};
 
 [[nodiscard]] std::string Name(std::size_t index) {
   return "workspace-" + std::to_string(index);
@@ -50,16 +50,16 @@
   std::vector<std::uint64_t> running;
   std::uint64_t id = 0;
   for (auto _ : state) {
-    pollenring::Ticket ticket;
+    pollenring::AdmissionRequest ticket;
     ticket.id = ++id;
     ticket.workspace = Name(id % workspaces);
     ticket.deadline = clock.Now() + std::chrono::seconds{2};
-    ticket.lot = 0.5;
+    ticket.sub_priority = 0.5;
     for (const auto started : admission.Offer(ticket).start) {
       running.push_back(started);
     }
     if (running.size() >= 8) {
-      const auto next = admission.Finish(running.back(), Span{0}, false);
+      const auto next = admission.Finish(running.back(), Duration{0}, false);
       running.pop_back();
       for (const auto started : next.start) running.push_back(started);
     }
@@ -86,7 +86,7 @@
 BENCHMARK(BM_RouterChoice)->Arg(15)->Arg(250)->Arg(4000);
 
 /*! @brief Answers each borrow at once. */
-class InstantLender final : public pollenring::ShareObserver {
+class InstantLender final : public pollenring::ShareDelegate {
  public:
   bool SendBorrow(const pollenring::BorrowRequest &request) override {
     if (request.want == 0) return true;
@@ -112,7 +112,7 @@
   std::size_t i = 0;
   for (auto _ : state) {
     borrower.Charge(Name(++i % workspaces),
-                    pollenring::Patience::Until(pollenring::Time::max()),
+                    pollenring::WaitLimit::Until(pollenring::Time::max()),
                     [](const pollenring::ChargeResult &) {});
     if (lender.waiting) {
       lender.waiting = false;
@@ -151,7 +151,7 @@
 BENCHMARK(BM_ShareLoan)->Arg(8)->Arg(128)->Arg(2000);
 
 /*! @brief Drops what membership sends, counting bytes. */
-class CountingObserver final : public pollenring::MembershipObserver {
+class CountingObserver final : public pollenring::MembershipDelegate {
  public:
   void SendGossip(NodeId /*to*/, const pollenring::Gossip &gossip) override {
     ++this->messages;
@@ -159,7 +159,8 @@
   }
   void MemberChanged(const Member & /*member*/) override {}
   void RecordsDiffer(NodeId /*peer*/) override {}
-  void PeerZones(const pollenring::ZonesWord & /*word*/) override {}
+  void PeerZoneWithdrawals(
+      const pollenring::ZoneWithdrawals & /*word*/) override {}
   void PeerConfigVersion(NodeId /*peer*/, std::uint64_t /*version*/) override {}
   std::uint64_t messages{};
   std::uint64_t bytes{};
@@ -242,15 +243,15 @@
   ManualClock clock{std::chrono::hours{1}};
   pollenring::Witness witness{1, {}, clock};
   const auto slots = static_cast<pollenring::SlotId>(state.range(0));
-  pollenring::WitnessAsk ask;
+  pollenring::WitnessQuery ask;
   ask.process = 1;
   ask.epoch = pollenring::kEpochsPerRow;
   // Nodes and processes have numbers of 64 bits.
-  const pollenring::WitnessRef other{~std::uint64_t{}, ~std::uint64_t{}};
+  const pollenring::ProcessRef other{~std::uint64_t{}, ~std::uint64_t{}};
   ask.asker = other;
   ask.asked_us = clock.Now().count();
   ask.in_force = {{ask.epoch, other, {5, other}}, 1, 1'800'000'000};
-  pollenring::WitnessAnswer answer;
+  pollenring::WitnessReply answer;
   for (auto _ : state) {
     ask.slot = (ask.slot + 1) % slots;
     answer = witness.Answer(ask);
@@ -293,7 +294,7 @@
   const auto begin = [&] {
     ++id;
     benchmark::DoNotOptimize(
-        ledger.Begin(std::to_string(id), clock.Wall(), id, clock.Wall()));
+        ledger.Begin(std::to_string(id), clock.WallNow(), id, clock.WallNow()));
   };
   for (std::uint64_t i = 0; i < held; ++i) begin();
   for (auto _ : state) begin();
