--- a/src/pollenring/mesh/codecs.h
+++ b/src/pollenring/mesh/codecs.h
@@ -120,13 +120,13 @@
   /**
    * @brief Waits for a change.
    * @param after Revision after which changes are reported.
-   * @param longest Maximum wait in the store.
+   * @param max_wait Maximum wait in the store.
    * @param done Called once; `kNotFound` when the store no longer has that
    * revision.
    */
-  virtual void Await(std::uint64_t after, Duration longest, Done done) = 0;
+  virtual void Await(std::uint64_t after, Duration max_wait, Done done) = 0;
 };
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_MESH_DIALECTS_H_
+#endif  // POLLENRING_MESH_CODECS_H_
--- a/src/pollenring/mesh/cold_policy.cc
+++ b/src/pollenring/mesh/cold_policy.cc
@@ -8,7 +8,7 @@
 
 /*! @brief Fraction of the cold-start limit that is used: requests that wait for
  * a connection reach the target later than they were counted. */
-constexpr double kUsedPart = 0.8;
+constexpr double kUsedFraction = 0.8;
 /*! @brief The limit holds per second; the extra 100 ms cover late timers. */
 constexpr Duration kWindow = std::chrono::milliseconds{1100};
 
@@ -17,9 +17,9 @@
 ColdStartLimit ColdPolicy::LimitOf(const std::string &service) const {
   const ColdStart *start = this->policy.Active().ColdStartOf(service);
   if (start == nullptr || start->per_second <= 0) return {};
-  const double borne =
-      start->per_second * this->margin.over + this->margin.slack;
-  return {std::max(1, static_cast<int>(std::floor(borne * kUsedPart))),
+  const double allowed =
+      start->per_second * this->headroom.over + this->headroom.slack;
+  return {std::max(1, static_cast<int>(std::floor(allowed * kUsedFraction))),
           kWindow};
 }
 
--- a/src/pollenring/mesh/cold_policy.h
+++ b/src/pollenring/mesh/cold_policy.h
@@ -14,10 +14,10 @@
   /**
    * @brief Creates the limits.
    * @param policy Source of the active configuration.
-   * @param margin How far the configured rate may be exceeded.
+   * @param headroom How far the configured rate may be exceeded.
    */
-  ColdPolicy(const PolicyFollower &policy, const ColdStartHeadroom &margin)
-      : policy{policy}, margin{margin} {}
+  ColdPolicy(const PolicyFollower &policy, const ColdStartHeadroom &headroom)
+      : policy{policy}, headroom{headroom} {}
 
   [[nodiscard]] ColdStartLimit LimitOf(
       const std::string &service) const override;
@@ -26,7 +26,7 @@
 
  private:
   const PolicyFollower &policy;
-  ColdStartHeadroom margin;
+  ColdStartHeadroom headroom;
 };
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/deregistration_log.h
+++ b/src/pollenring/mesh/deregistration_log.h
@@ -53,4 +53,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_MESH_DEPARTURE_LOG_H_
+#endif  // POLLENRING_MESH_DEREGISTRATION_LOG_H_
--- a/src/pollenring/mesh/drain_times.h
+++ b/src/pollenring/mesh/drain_times.h
@@ -7,8 +7,9 @@
 
 /*! @brief Phases of a planned stop, measured from its start. */
 struct DrainTimes {
-  Duration accepts; /*!< Requests of callers are accepted until then. */
-  Duration longest; /*!< The process ends then, even with calls in progress. */
+  Duration accept_until; /*!< Requests of callers are accepted until then. */
+  Duration
+      max_duration; /*!< The process ends then, even with calls in progress. */
 };
 
 /**
@@ -20,4 +21,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_MESH_LEAVE_TIMES_H_
+#endif  // POLLENRING_MESH_DRAIN_TIMES_H_
--- a/src/pollenring/mesh/heartbeat_filter.h
+++ b/src/pollenring/mesh/heartbeat_filter.h
@@ -13,13 +13,13 @@
 
 /*! @brief Whether a heartbeat is accepted. */
 enum class HeartbeatVerdict {
-  kTaken,
+  kAccepted,
   kStale, /*!< Older than an accepted one, or of a deregistered instance. */
 };
 
 /*! @brief Names of the verdicts. */
 inline constexpr EnumTable<HeartbeatVerdict, 2> kHeartbeatVerdictNames{{{
-    {HeartbeatVerdict::kTaken, "taken"},
+    {HeartbeatVerdict::kAccepted, "taken"},
     {HeartbeatVerdict::kStale, "stale"},
 }}};
 
@@ -44,11 +44,11 @@
    * instance.
    * @return Whether it is accepted.
    */
-  [[nodiscard]] HeartbeatVerdict Judge(const Heartbeat &heartbeat);
+  [[nodiscard]] HeartbeatVerdict Check(const Heartbeat &heartbeat);
 
   /*! @brief Start time of an instance. @param instance Its identifier.
    * @return Unix ms, or an upper bound; 0 if unknown. */
-  [[nodiscard]] std::uint64_t BornOf(const std::string &instance) const;
+  [[nodiscard]] std::uint64_t StartTimeOf(const std::string &instance) const;
 
   /**
    * @brief Records a deregistration that an earlier process received.
@@ -56,18 +56,19 @@
    * @param started_at_ms Start time of the instance in Unix ms; 0 if unknown.
    * @return True if a heartbeat of that instance was accepted before.
    */
-  bool Forbid(const std::string &instance, std::uint64_t started_at_ms);
+  bool RecordDeregistration(const std::string &instance,
+                            std::uint64_t started_at_ms);
 
  private:
-  struct Start {
+  struct InstanceState {
     std::uint64_t started_at_ms{};
     std::uint64_t sequence{};
-    bool departed{};
+    bool deregistered{};
   };
 
   const Clock &clock;
-  std::map<std::string, Start> starts;
-  std::string current; /*!< Instance with the latest start time. */
+  std::map<std::string, InstanceState> instances;
+  std::string latest; /*!< Instance with the latest start time. */
 };
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -12,47 +12,47 @@
 namespace pollenring {
 namespace {
 
-constexpr Duration kServingTick = std::chrono::milliseconds{20};
+constexpr Duration kExecutorTick = std::chrono::milliseconds{20};
 constexpr Duration kRingTick = std::chrono::milliseconds{100};
-constexpr Duration kLogFlush = std::chrono::milliseconds{100};
-constexpr Duration kLeaveCheck = std::chrono::milliseconds{50};
+constexpr Duration kLogFlushInterval = std::chrono::milliseconds{100};
+constexpr Duration kDrainCheckInterval = std::chrono::milliseconds{50};
 /*! @brief Calls of peers are served this long after a drain begins: gossip
  * reaches a few hundred nodes within one second. */
-constexpr Duration kLeaveServesPeers = std::chrono::milliseconds{1200};
+constexpr Duration kPeerServeTime = std::chrono::milliseconds{1200};
 /*! @brief Idle timeout of client connections; above any limit that operators
  * set for their clients. */
-constexpr Duration kCallerIdle = std::chrono::minutes{5};
+constexpr Duration kCallerIdleTimeout = std::chrono::minutes{5};
 /*! @brief Interval between two log lines with all counters. */
-constexpr Duration kFiguresPeriod = std::chrono::seconds{10};
+constexpr Duration kMetricsLogInterval = std::chrono::seconds{10};
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
 
 /*! @brief Maximum queue of the local target, as time to run it. Its requests
  * were admitted upstream; the admission level ends an overload before that. */
-constexpr Duration kQueueTime = std::chrono::milliseconds{400};
+constexpr Duration kMaxQueueTime = std::chrono::milliseconds{400};
 
-[[nodiscard]] HttpServerLimits CallerLimits() {
+[[nodiscard]] HttpServerLimits MakeCallerLimits() {
   HttpServerLimits limits;
   limits.max_body_bytes = kMaxBodyBytes;
-  limits.request_timeout = kCallerIdle;
-  limits.idle_timeout = kCallerIdle;
+  limits.request_timeout = kCallerIdleTimeout;
+  limits.idle_timeout = kCallerIdleTimeout;
   return limits;
 }
 
-[[nodiscard]] RouterOptions Routing() {
+[[nodiscard]] RouterOptions MakeRouterOptions() {
   RouterOptions options;
   options.order = LoadBalancingPolicy::kLeastLatency;
   return options;
 }
 
-[[nodiscard]] AdmissionOptions TargetLimits() {
+[[nodiscard]] AdmissionOptions MakeAdmissionOptions() {
   AdmissionOptions options;
   // Targets report their slots; some never respond to calls beyond them.
   options.limit.fixed = true;
   options.level_cause = LevelTrigger::kOfferedLoad;
   options.order = QueueOrder::kSoftDeadline;
-  options.queue_time = kQueueTime;
+  options.queue_time = kMaxQueueTime;
   return options;
 }
 
@@ -92,14 +92,14 @@
       ring{this->members.Get(), parts.loop.GetClock(), given.first_start},
       shares{parts.loop, this->bus, this->ring, this->policy,
              this->members.Get().Self().process},
-      router{given.zone, given.region, Routing(), parts.loop.GetClock(),
-             parts.random},
+      router{given.zone, given.region, MakeRouterOptions(),
+             parts.loop.GetClock(), parts.random},
       levels{DownstreamLevelOptions{}, parts.loop.GetClock()},
       cold_policy{this->policy, given.cold_margin},
       serving{parts.loop,
               parts.client,
               parts.targets,
-              TargetLimits(),
+              MakeAdmissionOptions(),
               this->cold_policy,
               this->levels,
               parts.random,
@@ -125,7 +125,7 @@
                     this->HandleLink(path, std::move(body), responder);
                   }},
       caller_server{
-          parts.loop, given.callers, CallerLimits(),
+          parts.loop, given.callers, MakeCallerLimits(),
           [this](HttpRequest request, std::shared_ptr<Responder> responder) {
             this->outbound.Handle(std::move(request), std::move(responder));
           }},
@@ -158,9 +158,9 @@
   this->serving.SetUse(TargetAvailability::kUnknown);
   this->deregistrations.Read(
       [this](const std::optional<Deregistration> &deregistration) {
-        this->TakeDeregistration(deregistration);
+        this->ApplyDeregistration(deregistration);
       });
-  this->policy.Start([this] { this->FollowPolicy(); });
+  this->policy.Start([this] { this->ApplyPolicy(); });
   this->members.Start();
   this->ring.Update(this->shares);
   // A process that violated an invariant may do so again, so it drains;
@@ -169,27 +169,27 @@
     if (error.rule) this->Leave();
   });
   this->loop.Every(kRingTick, [this] { this->ring.Update(this->shares); });
-  this->loop.Every(kServingTick, [this] { this->serving.Tick(); });
-  this->loop.Every(kLogFlush, [] { FlushLog(); });
-  this->loop.Every(kFiguresPeriod, [this] {
+  this->loop.Every(kExecutorTick, [this] { this->serving.Tick(); });
+  this->loop.Every(kLogFlushInterval, [] { FlushLog(); });
+  this->loop.Every(kMetricsLogInterval, [this] {
     LogEvent(LogLevel::kInfo, "figures", this->metrics.Counters());
   });
-  this->CountFigures();
+  this->RegisterMetrics();
 }
 
-void MeshNode::TakeDeregistration(
+void MeshNode::ApplyDeregistration(
     const std::optional<Deregistration> &deregistration) {
-  this->deregistrations_known = true;
+  this->deregistrations_loaded = true;
   if (deregistration &&
-      this->heartbeats.Forbid(deregistration->instance,
-                              deregistration->started_at_ms)) {
+      this->heartbeats.RecordDeregistration(deregistration->instance,
+                                            deregistration->started_at_ms)) {
     this->serving.Drain(deregistration->instance);
   }
-  this->FollowPolicy();
+  this->ApplyPolicy();
 }
 
-void MeshNode::FollowPolicy() {
-  if (!this->deregistrations_known) return;
+void MeshNode::ApplyPolicy() {
+  if (!this->deregistrations_loaded) return;
   const WithdrawnZones &zones = this->policy.Zones();
   // The cold-start limit is unknown without a configuration.
   if (!zones.HasRevision() || this->policy.Active().Version() == 0) return;
@@ -209,25 +209,25 @@
     this->HandleCall(std::move(body), responder);
     return;
   }
-  std::string answer;
-  if (auto given = this->members.Answer(path, responder->Peer(), body)) {
-    answer = std::move(*given);
+  std::string reply;
+  if (auto given_reply = this->members.Answer(path, responder->Peer(), body)) {
+    reply = std::move(*given_reply);
   } else if (path == "document") {
-    answer = this->policy.Document();
+    reply = this->policy.Document();
   } else {
     this->wire.unreadable.Note({responder->Peer(), "unknown", body.size(), {}});
   }
-  responder->Send(std::move(answer));
+  responder->Send(std::move(reply));
 }
 
 void MeshNode::HandleCall(std::string body,
                           const std::shared_ptr<LinkResponder> &responder) {
   auto [framed, version] =
       ReceiveCall(std::move(body), responder->Peer(), this->wire.unreadable);
-  const bool late = this->Leaving() > kLeaveServesPeers;
+  const bool drained = this->DrainElapsed() > kPeerServeTime;
   // Calls read after the process was paused may have been abandoned.
-  if (!framed || late || this->loop.WokeFromPause()) {
-    const Reason reason = late ? Reason::kLeaving : Reason::kLinkLost;
+  if (!framed || drained || this->loop.WokeFromPause()) {
+    const Reason reason = drained ? Reason::kLeaving : Reason::kLinkLost;
     const Duration jittered_retry_after =
         WithJitter(kDefaultRetryAfter, this->parts.random);
     CallReply reply = Refusal(Outcome::kNotRun, reason, jittered_retry_after);
@@ -263,18 +263,18 @@
     responder->Send({kBadRequest, {}, {}});
     return;
   }
-  const HeartbeatVerdict verdict = this->heartbeats.Judge(*heartbeat);
-  if (verdict == HeartbeatVerdict::kTaken) {
-    const bool leaves =
+  const HeartbeatVerdict verdict = this->heartbeats.Check(*heartbeat);
+  if (verdict == HeartbeatVerdict::kAccepted) {
+    const bool stopping =
         deregisters || announcement.target.state == TargetState::kDraining;
-    if (leaves && std::exchange(this->departed, announcement.instance) !=
-                      announcement.instance) {
+    if (stopping && std::exchange(this->last_recorded, announcement.instance) !=
+                        announcement.instance) {
       LogEvent(
           LogLevel::kInfo, "target leaves",
           {{"instance", announcement.instance}, {"deregistered", deregisters}});
       this->deregistrations.Record(
           {announcement.instance,
-           this->heartbeats.BornOf(announcement.instance)});
+           this->heartbeats.StartTimeOf(announcement.instance)});
     }
     if (deregisters) {
       this->serving.Drain(announcement.instance);
@@ -291,7 +291,7 @@
 }
 
 bool MeshNode::Ready() const {
-  return !this->leaving && this->members.Joined() &&
+  return !this->draining && this->members.Joined() &&
          this->policy.Active().Version() > 0;
 }
 
@@ -301,40 +301,40 @@
     LogEvent(LogLevel::kInfo, ready ? "ready" : "not ready",
              {{"version", this->policy.Active().Version()},
               {"joined", this->members.Joined()},
-              {"leaving", this->leaving}});
+              {"leaving", this->draining}});
   }
   responder->Send({ready ? kOk : kUnavailable, {}, {}});
 }
 
-Duration MeshNode::Leaving() const {
-  if (!this->leaving) return Duration{0};
-  return this->loop.GetClock().Now() - this->left_at;
+Duration MeshNode::DrainElapsed() const {
+  if (!this->draining) return Duration{0};
+  return this->loop.GetClock().Now() - this->drain_started_at;
 }
 
 void MeshNode::Leave() {
-  if (std::exchange(this->leaving, true)) return;
-  this->left_at = this->loop.GetClock().Now();
+  if (std::exchange(this->draining, true)) return;
+  this->drain_started_at = this->loop.GetClock().Now();
   LogEvent(LogLevel::kInfo, "leaving", {{"in_progress", this->InProgress()}});
   this->members.Get().Leave();
   this->caller_server.Drain();
-  this->CheckLeft();
+  this->CheckDrained();
 }
 
-void MeshNode::CheckLeft() {
-  const Duration since = this->Leaving();
+void MeshNode::CheckDrained() {
+  const Duration elapsed = this->DrainElapsed();
   const DrainTimes times = DrainTimesFor(this->settings.grace);
-  const bool accepts = since < times.accepts;
-  const bool over = since >= times.longest;
-  if (!accepts) {
+  const bool accepting = elapsed < times.accept_until;
+  const bool timed_out = elapsed >= times.max_duration;
+  if (!accepting) {
     this->caller_server.Close();
     this->outbound.Close();
   }
-  if (over || (!accepts && this->InProgress() == 0)) {
+  if (timed_out || (!accepting && this->InProgress() == 0)) {
     LogEvent(LogLevel::kInfo, "left", {{"in_progress", this->InProgress()}});
-    this->loop.After(kLeaveCheck, [this] { this->loop.Stop(); });
+    this->loop.After(kDrainCheckInterval, [this] { this->loop.Stop(); });
     return;
   }
-  this->loop.After(kLeaveCheck, [this] { this->CheckLeft(); });
+  this->loop.After(kDrainCheckInterval, [this] { this->CheckDrained(); });
 }
 
 std::size_t MeshNode::InProgress() const {
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -67,9 +67,9 @@
   [[nodiscard]] static Member MakeSelf(const Settings &settings,
                                        const MeshParts &parts);
   void Start();
-  void CountFigures();
-  void FollowPolicy();
-  void TakeDeregistration(const std::optional<Deregistration> &deregistration);
+  void RegisterMetrics();
+  void ApplyPolicy();
+  void ApplyDeregistration(const std::optional<Deregistration> &deregistration);
   void HandleLink(const std::string &path, std::string body,
                   const std::shared_ptr<LinkResponder> &responder);
   void HandleCall(std::string body,
@@ -80,9 +80,9 @@
   void HandleOperator(const HttpRequest &request,
                       const std::shared_ptr<Responder> &responder) const;
   [[nodiscard]] nlohmann::json Status() const;
-  void CheckLeft();
+  void CheckDrained();
   [[nodiscard]] bool Ready() const;
-  [[nodiscard]] Duration Leaving() const;
+  [[nodiscard]] Duration DrainElapsed() const;
   [[nodiscard]] std::size_t InProgress() const;
 
   Settings settings;
@@ -105,15 +105,15 @@
   Outbound outbound;
   HeartbeatFilter heartbeats;
   DeregistrationLog deregistrations;
-  bool deregistrations_known{};
+  bool deregistrations_loaded{};
   LinkServer link_server;
   HttpServer caller_server;
   HttpServer heartbeat_server;
   HttpServer ready_server;
   HttpServer operator_server;
-  std::string departed; /*!< Latest instance recorded as deregistered. */
-  Time left_at{};
-  bool leaving{};
+  std::string last_recorded; /*!< Latest instance recorded as deregistered. */
+  Time drain_started_at{};
+  bool draining{};
   bool was_ready{};
 };
 
--- a/src/pollenring/mesh/mesh_node_status.cc
+++ b/src/pollenring/mesh/mesh_node_status.cc
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-void MeshNode::CountFigures() {
+void MeshNode::RegisterMetrics() {
   this->metrics.Gauge("pollenring_in_progress", [this] {
     return static_cast<double>(this->InProgress());
   });
@@ -20,7 +20,8 @@
     return static_cast<double>(this->policy.Active().Version());
   });
   this->metrics.Gauge("pollenring_store_silence_seconds", [this] {
-    return std::chrono::duration<double>{this->policy.StoreSilence()}.count();
+    return std::chrono::duration<double>{this->policy.TimeSinceStoreContact()}
+        .count();
   });
   this->metrics.Gauge("pollenring_target_running", [this] {
     return static_cast<double>(this->serving.RunningCount());
@@ -72,7 +73,7 @@
       {"zone", this->settings.zone},
       {"config_version", this->policy.Active().Version()},
       {"fresh", this->policy.Active().Version() > 0},
-      {"leaving", this->leaving},
+      {"leaving", this->draining},
       {"open_for_callers", this->Ready()},
       {"in_progress", this->InProgress()},
       {"requests", this->metrics.Read("pollenring_requests_total")},
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -15,56 +15,53 @@
 namespace pollenring {
 namespace {
 
-constexpr double kLotScale = 1.0 / 9007199254740992.0;
+constexpr double kSubPriorityScale = 1.0 / 9007199254740992.0;
 /*! @brief Golden-ratio steps cover [0, 1) more evenly than random numbers, so a
  * traffic split is accurate over few requests too. */
 constexpr double kGoldenStep = 0.6180339887498949;
 /*! @brief Retries per call; route and retry budget set the effective bound. */
-constexpr int kAllowance = 8;
-/*! @brief Maximum wait for rate-limit quota. Above the limit a longer wait
- * delays all requests and serves no more of them. The same for all routes, as
- * routes that wait longer would take the quota from latency-sensitive ones. */
-constexpr Duration kShareWait = std::chrono::milliseconds{25};
+constexpr int kMaxRetries = 8;
+/*! @brief Maximum wait for quota, the same for all routes: above the rate limit
+ * longer waits serve no more requests, and starve latency-sensitive routes. */
+constexpr Duration kMaxQuotaWait = std::chrono::milliseconds{25};
 /*! @brief Divisor of the soft deadline; gives the part spent on that wait. */
-constexpr int kShareWaitPart = 4;
+constexpr int kQuotaDivisor = 4;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 constexpr int kBadGateway = 502;
 constexpr int kTimedOut = 504;
-constexpr int kFirstFailure = 400;
+constexpr int kFirstErrorStatus = 400;
 /*! @brief Time past its deadline after which a request without a response is
  * failed; above the time that nodes wait for each other. */
-constexpr Duration kLateAnswer = 10 * kAnswerSlack;
+constexpr Duration kOverdueAfter = 10 * kAnswerSlack;
 /*! @brief Timeout of a request whose caller and route set none. */
 constexpr Duration kDefaultTimeout = std::chrono::seconds{10};
 
 [[nodiscard]] double SubPriorityOf(const std::string &id) noexcept {
-  return static_cast<double>(Hash64(id) >> 11U) * kLotScale;
+  return static_cast<double>(Hash64(id) >> 11U) * kSubPriorityScale;
 }
 
 /*! @brief Regions in both lists; an empty list allows all regions. */
-[[nodiscard]] std::optional<std::vector<std::string>> BothAllow(
-    const std::vector<std::string> &first,
-    const std::vector<std::string> &second) {
-  if (first.empty()) return second;
-  if (second.empty()) return first;
-  std::vector<std::string> both;
-  for (const auto &region : first) {
-    const bool shared =
-        std::find(second.begin(), second.end(), region) != second.end();
-    if (shared) both.push_back(region);
+[[nodiscard]] std::optional<std::vector<std::string>> IntersectRegions(
+    const std::vector<std::string> &a, const std::vector<std::string> &b) {
+  if (a.empty()) return b;
+  if (b.empty()) return a;
+  std::vector<std::string> common;
+  for (const auto &region : a) {
+    const bool allowed = std::find(b.begin(), b.end(), region) != b.end();
+    if (allowed) common.push_back(region);
   }
-  if (both.empty()) return std::nullopt;
-  return both;
+  if (common.empty()) return std::nullopt;
+  return common;
 }
 
 /*! @brief Matches status to outcome: 429 and 503 imply not executed. */
-[[nodiscard]] int HonestStatus(const CallReply &reply) noexcept {
-  const bool vague = reply.status == kBadGateway || reply.status == kTimedOut;
-  if (reply.outcome == Outcome::kNotRun && vague) return kServiceUnavailable;
-  const bool promises =
+[[nodiscard]] int StatusFor(const CallReply &reply) noexcept {
+  const bool unclear = reply.status == kBadGateway || reply.status == kTimedOut;
+  if (reply.outcome == Outcome::kNotRun && unclear) return kServiceUnavailable;
+  const bool retryable =
       reply.status == kTooManyRequests || reply.status == kServiceUnavailable;
-  if (!promises || reply.outcome == Outcome::kNotRun) return reply.status;
+  if (!retryable || reply.outcome == Outcome::kNotRun) return reply.status;
   return kBadGateway;
 }
 
@@ -72,14 +69,14 @@
 
 /*! @brief State of a request in progress. */
 struct Outbound::Entry {
-  Entry(std::size_t &held, std::size_t size) : held{held}, size{size} {
-    this->held += this->size;
+  Entry(std::size_t &total, std::size_t size) : total{total}, size{size} {
+    this->total += this->size;
   }
   Entry(const Entry &) = delete;
   Entry &operator=(const Entry &) = delete;
-  ~Entry() { this->held -= this->size; }
+  ~Entry() { this->total -= this->size; }
 
-  std::size_t &held;
+  std::size_t &total;
   std::size_t size;
   CallEnvelope envelope;
   std::string body;
@@ -92,13 +89,13 @@
   Time deadline{};
   int attempts{1};
   double priority{};
-  bool gone{};
-  bool answered{};
-  std::uint64_t call{};     /*!< Id in the dispatcher; 0 until it is sent. */
-  Loop::TimerId late{};     /*!< Fails a request without a response. */
-  Time late_at{};           /*!< When that timer is due. */
-  CallPathLevel refused_at; /*!< Admission level that refused it early. */
-  bool open{}; /*!< From the local target; other callers send keys. */
+  bool disconnected{};
+  bool responded{};
+  std::uint64_t call{};  /*!< Id in the dispatcher; 0 until it is sent. */
+  Loop::TimerId timer{}; /*!< Fails a request without a response. */
+  Time timer_at{};       /*!< When that timer is due. */
+  CallPathLevel refusing_level; /*!< Admission level that refused it early. */
+  bool from_target{}; /*!< From the local target; other callers send keys. */
   std::uint64_t parent{}; /*!< Call served by the local target; 0 if none. */
   std::string parent_id;  /*!< Its identifier, for the log. */
   std::shared_ptr<Responder> responder;
@@ -132,12 +129,12 @@
   }
   entry->envelope.headers = std::move(caller.headers);
   entry->body = std::move(request.body);
-  entry->responder->OnCancel([this, entry](CallerDisconnect loss) {
-    entry->gone = true;
-    this->loop.Cancel(entry->late);
-    this->RecordLoss(*entry, loss, false);
+  entry->responder->OnCancel([this, entry](CallerDisconnect disconnect) {
+    entry->disconnected = true;
+    this->loop.Cancel(entry->timer);
+    this->RecordDisconnect(*entry, disconnect, false);
   });
-  this->AwaitAnswer(entry, entry->deadline + kLateAnswer);
+  this->ScheduleOverdue(entry, entry->deadline + kOverdueAfter);
   this->Charge(entry);
 }
 
@@ -150,7 +147,7 @@
   const HostRoute *route = table.Find(request.host, request.path);
   if (route == nullptr) return Reason::kNoRoute;
   entry.route = route->name;
-  entry.open = route->open;
+  entry.from_target = route->open;
   CallEnvelope &envelope = entry.envelope;
   const KeyedWorkspace *workspace = nullptr;
   if (!route->open && table.NeedsKeys()) {
@@ -159,7 +156,7 @@
     entry.workspace = workspace->share.name;
     envelope.workspace = entry.workspace;
     if (workspace->share.rate > 0) envelope.weight = workspace->share.rate;
-    auto regions = BothAllow(route->regions, workspace->regions);
+    auto regions = IntersectRegions(route->regions, workspace->regions);
     if (!regions) return Reason::kNoTarget;
     envelope.regions = std::move(*regions);
   } else {
@@ -170,7 +167,7 @@
         MintRequestId(this->loop.GetClock().WallNow(), this->parts.random);
   }
   envelope.root_id = entry.id;
-  entry.service = this->ChoosePart(*route);
+  entry.service = this->ChooseService(*route);
   envelope.service = entry.service;
   envelope.method = request.method;
   envelope.path = request.path;
@@ -178,22 +175,22 @@
   envelope.route = route->name;
   envelope.caller = this->service;
   envelope.soft_deadline_us = route->target_latency.count();
-  const RequestPriority standing =
+  const RequestPriority priority =
       table.RequestPriorityOf(*route, workspace, SubPriorityOf(entry.id));
-  envelope.importance = standing.importance;
-  envelope.sub_priority = standing.sub_priority;
+  envelope.importance = priority.importance;
+  envelope.sub_priority = priority.sub_priority;
   envelope.idempotent = route->idempotent;
-  envelope.retries = kAllowance;
+  envelope.retries = kMaxRetries;
   entry.attempts = route->attempts;
-  Duration left =
+  Duration remaining =
       route->timeout > Duration{0} ? route->timeout : kDefaultTimeout;
-  if (caller.remaining) left = std::min(left, *caller.remaining);
-  entry.deadline = entry.started + left;
-  if (route->open) this->Inherit(caller, entry);
+  if (caller.remaining) remaining = std::min(remaining, *caller.remaining);
+  entry.deadline = entry.started + remaining;
+  if (route->open) this->InheritFromParent(caller, entry);
   return Reason::kNone;
 }
 
-void Outbound::Inherit(const CallerRequest &caller, Entry &entry) {
+void Outbound::InheritFromParent(const CallerRequest &caller, Entry &entry) {
   CallEnvelope &envelope = entry.envelope;
   envelope.authenticated = false;
   // Work was done upstream of a target's call, even if its parent is unknown.
@@ -218,37 +215,36 @@
   envelope.root_age_us = (entry.started - parent->root_started).count();
 }
 
-const std::string &Outbound::ChoosePart(const HostRoute &route) {
+const std::string &Outbound::ChooseService(const HostRoute &route) {
   if (route.parts.size() == 1) return route.parts.front().service;
-  const auto [found, fresh] =
-      this->split_positions.try_emplace(route.name, 0.0);
-  if (fresh) found->second = this->parts.random.Fraction();
+  const auto [found, inserted] = this->splits.try_emplace(route.name, 0.0);
+  if (inserted) found->second = this->parts.random.Fraction();
   double &position = found->second;
   position += kGoldenStep;
   position -= std::floor(position);
   double total = 0;
   for (const auto &part : route.parts) total += part.weight;
-  double left = position * total;
+  double remaining = position * total;
   for (const auto &part : route.parts) {
-    left -= part.weight;
-    if (left < 0) return part.service;
+    remaining -= part.weight;
+    if (remaining < 0) return part.service;
   }
   return route.parts.back().service;
 }
 
-bool Outbound::ShedsEarly(Entry &entry) const {
+bool Outbound::RefusesEarly(Entry &entry) const {
   const CallEnvelope &envelope = entry.envelope;
   entry.priority = PriorityOf(envelope.importance, envelope.sub_priority);
   if (envelope.depth > 0) return false;
   CallPathLevel highest =
       this->parts.levels.HighestOnCallPath(entry.workspace, entry.route);
   if (entry.priority >= highest.level) return false;
-  entry.refused_at = std::move(highest);
+  entry.refusing_level = std::move(highest);
   return true;
 }
 
 void Outbound::Charge(const EntryPtr &entry) {
-  if (this->ShedsEarly(*entry)) {
+  if (this->RefusesEarly(*entry)) {
     this->parts.metrics.Count("pollenring_early_refusals_total");
     this->Refuse(entry, Reason::kOverload, kDefaultRetryAfter);
     return;
@@ -261,66 +257,64 @@
     return;
   }
   const Duration soft_deadline{entry->envelope.soft_deadline_us};
-  const Duration wait = std::min(kShareWait, soft_deadline / kShareWaitPart);
+  const Duration wait = std::min(kMaxQuotaWait, soft_deadline / kQuotaDivisor);
   const RenewCharge charge = [this, entry, wait](ShareGate::Done done) {
-    const Time next_share = this->loop.GetClock().Now() + wait;
+    const Time quota_deadline = this->loop.GetClock().Now() + wait;
     this->parts.shares.Charge(
         entry->workspace,
-        {entry->deadline, std::min(entry->deadline, next_share)},
+        {entry->deadline, std::min(entry->deadline, quota_deadline)},
         std::move(done));
   };
-  charge([this, entry, charge](ShareAnswer answer) {
-    if (answer.granted) {
+  charge([this, entry, charge](ShareAnswer reply) {
+    if (reply.granted) {
       this->Send(entry, charge);
       return;
     }
-    this->Refuse(entry, answer.reason, answer.retry_after);
+    this->Refuse(entry, reply.reason, reply.retry_after);
   });
 }
 
 void Outbound::Send(const EntryPtr &entry, const RenewCharge &renew) {
-  if (entry->gone) return;
+  if (entry->disconnected) return;
   entry->call = this->parts.dispatcher.Call(
       std::move(entry->envelope), std::move(entry->body),
       {entry->deadline, entry->attempts, this->loop.GetClock().Now(), renew},
       [this, entry](CallReply reply, std::string body) {
         this->parts.levels.Learn(entry->workspace, entry->route, reply.levels);
         this->parts.levels.LearnCallPathReports(reply.call_path_reports);
-        if (entry->open) {
+        if (entry->from_target) {
           this->parts.serving.LearnFrom(entry->route, entry->workspace,
                                         reply.levels);
         }
         this->parts.serving.EndSubCall(entry->parent);
-        this->Answer(entry, std::move(reply), std::move(body));
+        this->Respond(entry, std::move(reply), std::move(body));
       });
-  entry->responder->OnCancel([this, entry](CallerDisconnect loss) {
-    this->loop.Cancel(entry->late);
+  entry->responder->OnCancel([this, entry](CallerDisconnect disconnect) {
+    this->loop.Cancel(entry->timer);
     this->parts.serving.EndSubCall(entry->parent);
-    this->RecordLoss(*entry, loss, true);
+    this->RecordDisconnect(*entry, disconnect, true);
     this->parts.dispatcher.Cancel(entry->call);
   });
 }
 
-void Outbound::Refuse(const EntryPtr &entry, Reason reason,
-                      Duration retry_after) {
-  const Duration jittered_retry_after =
-      retry_after > Duration{0} ? WithJitter(retry_after, this->parts.random)
+void Outbound::Refuse(const EntryPtr &entry, Reason reason, Duration backoff) {
+  const Duration jittered = backoff > Duration{0}
+                                ? WithJitter(backoff, this->parts.random)
                                 : Duration{0};
-  this->Answer(entry, Refusal(Outcome::kNotRun, reason, jittered_retry_after),
-               {});
+  this->Respond(entry, Refusal(Outcome::kNotRun, reason, jittered), {});
 }
 
-void Outbound::AwaitAnswer(const EntryPtr &entry, Time until) {
-  entry->late_at = until;
-  entry->late = this->loop.After(until - this->loop.GetClock().Now(),
-                                 [this, entry] { this->AnswerLate(entry); });
+void Outbound::ScheduleOverdue(const EntryPtr &entry, Time until) {
+  entry->timer_at = until;
+  entry->timer = this->loop.After(until - this->loop.GetClock().Now(),
+                                  [this, entry] { this->FailOverdue(entry); });
 }
 
-void Outbound::AnswerLate(const EntryPtr &entry) {
+void Outbound::FailOverdue(const EntryPtr &entry) {
   // A process that is behind may not have processed a response that is here.
   const Time now = this->loop.GetClock().Now();
-  if (now - entry->late_at > kLateAnswer / 2) {
-    this->AwaitAnswer(entry, now + kLateAnswer);
+  if (now - entry->timer_at > kOverdueAfter / 2) {
+    this->ScheduleOverdue(entry, now + kOverdueAfter);
     return;
   }
   LogEvent(
@@ -331,53 +325,53 @@
     this->parts.serving.EndSubCall(entry->parent);
     this->parts.dispatcher.Cancel(entry->call);
   });
-  const bool answered = this->loop.Contain("late answer", [this, &entry] {
-    this->Answer(entry, Refusal(Outcome::kUnknown, Reason::kDeadline, {}), {});
+  const bool responded = this->loop.Contain("late answer", [this, &entry] {
+    this->Respond(entry, Refusal(Outcome::kUnknown, Reason::kDeadline, {}), {});
   });
-  if (!answered) entry->responder->Send({kTimedOut, {}, {}});
+  if (!responded) entry->responder->Send({kTimedOut, {}, {}});
 }
 
-void Outbound::Answer(const EntryPtr &entry, CallReply reply,
-                      std::string body) {
-  if (entry->answered) return;
-  reply.status = HonestStatus(reply);
+void Outbound::Respond(const EntryPtr &entry, CallReply reply,
+                       std::string body) {
+  if (entry->responded) return;
+  reply.status = StatusFor(reply);
   HttpResponse response =
       this->parts.codec.Encode(reply, std::move(body), entry->id);
-  this->Record(*entry, reply);
+  this->RecordResult(*entry, reply);
   entry->responder->Send(std::move(response));
-  entry->answered = true;
-  this->loop.Cancel(entry->late);
+  entry->responded = true;
+  this->loop.Cancel(entry->timer);
 }
 
-void Outbound::RecordLoss(const Entry &entry, CallerDisconnect loss,
-                          bool passed_on) {
-  const std::string cause{kCallerDisconnectNames.Name(loss)};
+void Outbound::RecordDisconnect(const Entry &entry, CallerDisconnect disconnect,
+                                bool forwarded) {
+  const std::string cause{kCallerDisconnectNames.Name(disconnect)};
   this->parts.metrics.Count("pollenring_gone_callers_total", {"cause", cause});
   if (!MayLogRequest(LogLevel::kWarning)) return;
-  const Duration took = this->loop.GetClock().Now() - entry.started;
+  const Duration elapsed = this->loop.GetClock().Now() - entry.started;
   LogEvent(
       LogLevel::kWarning, "caller gone",
       {{"id", entry.id},
        {"route", entry.route},
        {"service", entry.service},
        {"cause", cause},
-       {"passed_on", passed_on},
-       {"took_ms", took.count() / 1000},
-       {"left_ms", (entry.deadline - entry.started - took).count() / 1000}});
+       {"passed_on", forwarded},
+       {"took_ms", elapsed.count() / 1000},
+       {"left_ms", (entry.deadline - entry.started - elapsed).count() / 1000}});
 }
 
-void Outbound::Record(const Entry &entry, const CallReply &reply) {
+void Outbound::RecordResult(const Entry &entry, const CallReply &reply) {
   Metrics &metrics = this->parts.metrics;
-  const Duration took = this->loop.GetClock().Now() - entry.started;
+  const Duration elapsed = this->loop.GetClock().Now() - entry.started;
   metrics.Observe("pollenring_request_seconds",
-                  std::chrono::duration<double>{took}.count());
+                  std::chrono::duration<double>{elapsed}.count());
   metrics.Count("pollenring_outcomes_total",
                 {"outcome", std::string{kOutcomeNames.Name(reply.outcome)}});
   if (reply.reason != Reason::kNone) {
     metrics.Count("pollenring_refusals_total",
                   {"reason", std::string{kReasonNames.Name(reply.reason)}});
   }
-  const bool failed = reply.status >= kFirstFailure;
+  const bool failed = reply.status >= kFirstErrorStatus;
   const LogLevel level = failed ? LogLevel::kWarning : LogLevel::kInfo;
   if (!MayLogRequest(level)) return;
   LogEvent(
@@ -392,13 +386,13 @@
        {"status", reply.status},
        {"outcome", kOutcomeNames.Name(reply.outcome)},
        {"reason", kReasonNames.Name(reply.reason)},
-       {"took_ms", took.count() / 1000},
-       {"left_ms", (entry.deadline - entry.started - took).count() / 1000},
+       {"took_ms", elapsed.count() / 1000},
+       {"left_ms", (entry.deadline - entry.started - elapsed).count() / 1000},
        {"version", entry.version},
        {"priority", entry.priority},
-       {"shedding", entry.refused_at.service},
-       {"refuses_below", entry.refused_at.level},
-       {"heard_ms_ago", entry.refused_at.age.count() / 1000},
+       {"shedding", entry.refusing_level.service},
+       {"refuses_below", entry.refusing_level.level},
+       {"heard_ms_ago", entry.refusing_level.age.count() / 1000},
        {"retry_after_ms", reply.retry_after_us / 1000}});
 }
 
--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -67,26 +67,27 @@
 
   [[nodiscard]] Reason Admit(const HttpRequest &request, CallerRequest &caller,
                              Entry &entry);
-  void Inherit(const CallerRequest &caller, Entry &entry);
-  [[nodiscard]] const std::string &ChoosePart(const HostRoute &route);
-  [[nodiscard]] bool ShedsEarly(Entry &entry) const;
+  void InheritFromParent(const CallerRequest &caller, Entry &entry);
+  [[nodiscard]] const std::string &ChooseService(const HostRoute &route);
+  [[nodiscard]] bool RefusesEarly(Entry &entry) const;
   void Charge(const EntryPtr &entry);
   /*! @brief Sends a charged request. @param entry The request. @param renew
    * Charges it again; empty when its workspace has no rate limit. */
   void Send(const EntryPtr &entry, const RenewCharge &renew);
-  void Refuse(const EntryPtr &entry, Reason reason, Duration retry_after);
+  void Refuse(const EntryPtr &entry, Reason reason, Duration backoff);
   /*! @brief Ensures that a request gets a response even if it is lost inside
    * this node. @param entry The request. @param until When to respond. */
-  void AwaitAnswer(const EntryPtr &entry, Time until);
-  void AnswerLate(const EntryPtr &entry);
-  void Answer(const EntryPtr &entry, CallReply reply, std::string body);
-  void Record(const Entry &entry, const CallReply &reply);
-  void RecordLoss(const Entry &entry, CallerDisconnect loss, bool passed_on);
+  void ScheduleOverdue(const EntryPtr &entry, Time until);
+  void FailOverdue(const EntryPtr &entry);
+  void Respond(const EntryPtr &entry, CallReply reply, std::string body);
+  void RecordResult(const Entry &entry, const CallReply &reply);
+  void RecordDisconnect(const Entry &entry, CallerDisconnect disconnect,
+                        bool forwarded);
 
   Loop &loop;
   std::string service;
   OutboundParts parts;
-  std::unordered_map<std::string, double> split_positions;
+  std::unordered_map<std::string, double> splits; /*!< In [0, 1), by route. */
   std::size_t body_bytes{};
   bool closed{};
 };
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -9,21 +9,21 @@
 namespace {
 
 /*! @brief Interval of the check whether this node should query the store. */
-constexpr Duration kDutyCheck = std::chrono::milliseconds{100};
+constexpr Duration kWatchCheckInterval = std::chrono::milliseconds{100};
 /*! @brief How long a starting node waits for a peer's document, which arrives
  * within three messages if there is one. */
-constexpr Duration kPeersFirst = std::chrono::milliseconds{1500};
-constexpr Duration kFirstPause = std::chrono::milliseconds{100};
+constexpr Duration kPeerDocumentWait = std::chrono::milliseconds{1500};
+constexpr Duration kMinRetryDelay = std::chrono::milliseconds{100};
 /*! @brief Maximum retry interval; keeps the queries of all nodes to a failed
  * store at some ten per second, well below the rate that it allows. */
-constexpr Duration kLongestPause = std::chrono::milliseconds{800};
+constexpr Duration kMaxRetryDelay = std::chrono::milliseconds{800};
 constexpr Duration kPullTimeout = std::chrono::milliseconds{800};
 /*! @brief Peers in the local zone notified at once of a new version; they
  * notify others. */
-constexpr std::size_t kSpreadInZone = 3;
+constexpr std::size_t kNotifiedInZone = 3;
 /*! @brief Peers in other zones notified at once; each fetches the document over
  * a cross-zone link, and the designated watchers there read the store. */
-constexpr std::size_t kSpreadAfar = 1;
+constexpr std::size_t kNotifiedOtherZones = 1;
 
 }  // namespace
 
@@ -38,29 +38,30 @@
       random{random},
       last_store_contact{loop.GetClock().Now()} {}
 
-void PolicyFollower::Start(std::function<void()> given) {
-  this->changed = std::move(given);
+void PolicyFollower::Start(std::function<void()> callback) {
+  this->changed = std::move(callback);
   this->members.OnZones([this](const ZoneWithdrawals &withdrawals) {
-    this->TakeZones(withdrawals, "peer");
+    this->ApplyZones(withdrawals, "peer");
   });
   this->members.OnVersion([this](NodeId peer, std::uint64_t version) {
-    this->PeerVersion(peer, version);
+    this->RecordPeerVersion(peer, version);
   });
-  this->first_read = this->loop.GetClock().Now() + kPeersFirst;
-  this->loop.Every(kDutyCheck, [this] { this->Check(); });
+  this->first_read = this->loop.GetClock().Now() + kPeerDocumentWait;
+  this->loop.Every(kWatchCheckInterval, [this] { this->CheckWatch(); });
 }
 
-void PolicyFollower::Check() {
-  if (this->asking) return;
+void PolicyFollower::CheckWatch() {
+  if (this->querying) return;
   // Peers of wire version V1 report the document, but not zones.
-  const bool whole = this->table.Version() > 0 && this->zones.HasRevision();
-  const bool lacks = !whole && this->loop.GetClock().Now() >= this->first_read;
+  const bool complete = this->table.Version() > 0 && this->zones.HasRevision();
+  const bool incomplete =
+      !complete && this->loop.GetClock().Now() >= this->first_read;
   const bool joined = this->members.Joined();
-  if (!lacks && !(joined && this->members.WatcherRole().ShouldWatch())) {
+  if (!incomplete && !(joined && this->members.WatcherRole().ShouldWatch())) {
     this->watching = false;
     return;
   }
-  this->asking = true;
+  this->querying = true;
   if (this->watching) {
     this->Await();
     return;
@@ -78,19 +79,19 @@
 void PolicyFollower::Read() {
   this->source.Read([this](PolicySource::Reply reply) {
     if (const auto *error = std::get_if<StorageError>(&reply)) {
-      this->Failed(*error);
+      this->StoreFailed(*error);
       return;
     }
-    this->Heard();
+    this->StoreReplied();
     auto &stored = std::get<StoredDocument>(reply);
     this->revision = stored.revision;
-    this->watched = ApplyZoneChanges({}, stored.revision, stored.zones);
-    this->TakeZones(this->watched, "store");
+    this->watched_zones = ApplyZoneChanges({}, stored.revision, stored.zones);
+    this->ApplyZones(this->watched_zones, "store");
     this->watching = true;
     // If the store has no document yet, peers will report the first one.
     this->first_read = Time::max();
-    if (stored.text) this->Take(std::move(*stored.text), "store");
-    this->Check();
+    if (stored.text) this->Apply(std::move(*stored.text), "store");
+    this->CheckWatch();
   });
 }
 
@@ -98,32 +99,32 @@
   const Duration wait = this->members.WatcherRole().NextWatch(this->random);
   this->source.Await(this->revision, wait, [this](PolicySource::Reply reply) {
     if (const auto *error = std::get_if<StorageError>(&reply)) {
-      this->Failed(*error);
+      this->StoreFailed(*error);
       return;
     }
-    this->Heard();
+    this->StoreReplied();
     auto &stored = std::get<StoredDocument>(reply);
     this->revision = std::max(this->revision, stored.revision);
-    this->watched =
-        ApplyZoneChanges(this->watched, this->revision, stored.zones);
-    this->TakeZones(this->watched, "store");
-    if (stored.text) this->Take(std::move(*stored.text), "store");
-    this->Check();
+    this->watched_zones =
+        ApplyZoneChanges(this->watched_zones, this->revision, stored.zones);
+    this->ApplyZones(this->watched_zones, "store");
+    if (stored.text) this->Apply(std::move(*stored.text), "store");
+    this->CheckWatch();
   });
 }
 
-void PolicyFollower::TakeZones(const ZoneWithdrawals &withdrawals,
-                               std::string_view origin) {
+void PolicyFollower::ApplyZones(const ZoneWithdrawals &withdrawals,
+                                std::string_view origin) {
   const std::uint64_t before = this->zones.Newest().revision;
-  const bool other = this->zones.Take(withdrawals);
+  const bool differs = this->zones.Take(withdrawals);
   if (this->zones.Newest().revision == before) return;
   this->members.Get().SetZones(this->zones.Newest());
-  if (!other) return;
+  if (!differs) return;
   std::map<std::string, Time> since;
   for (const auto &zone : this->zones.Newest().zones) {
     const auto known = this->withdrawn_since.find(zone);
-    const bool fresh = known == this->withdrawn_since.end();
-    since[zone] = fresh ? this->loop.GetClock().Now() : known->second;
+    const bool first_seen = known == this->withdrawn_since.end();
+    since[zone] = first_seen ? this->loop.GetClock().Now() : known->second;
   }
   this->withdrawn_since = std::move(since);
   LogEvent(LogLevel::kInfo, "zones withdrawn",
@@ -132,37 +133,38 @@
             {"before", before},
             {"origin", origin}});
   this->changed();
-  this->loop.Post([this] { this->Spread(); });
+  this->loop.Post([this] { this->NotifyPeers(); });
 }
 
-void PolicyFollower::Heard() {
+void PolicyFollower::StoreReplied() {
   this->last_store_contact = this->loop.GetClock().Now();
   this->members.Get().RecordStoreContact();
-  this->asking = false;
-  this->pause = Duration{0};
+  this->querying = false;
+  this->retry_delay = Duration{0};
   if (!std::exchange(this->store_lost, false)) return;
   LogEvent(LogLevel::kInfo, "store regained",
            {{"version", this->table.Version()}});
 }
 
-void PolicyFollower::Failed(StorageError error) {
+void PolicyFollower::StoreFailed(StorageError error) {
   const bool first = !std::exchange(this->store_lost, true);
   if (first) {
     LogEvent(LogLevel::kWarning, "store lost",
              {{"error", kStorageErrorNames.Name(error)},
-              {"silent_ms", this->StoreSilence().count() / 1000},
+              {"silent_ms", this->TimeSinceStoreContact().count() / 1000},
               {"version", this->table.Version()}});
   }
-  this->pause = std::clamp(this->pause * 2, kFirstPause, kLongestPause);
+  this->retry_delay =
+      std::clamp(this->retry_delay * 2, kMinRetryDelay, kMaxRetryDelay);
   // Changes may have been missed, so the document is read again.
   this->watching = false;
-  this->loop.After(WithJitter(this->pause, this->random), [this] {
-    this->asking = false;
-    this->Check();
+  this->loop.After(WithJitter(this->retry_delay, this->random), [this] {
+    this->querying = false;
+    this->CheckWatch();
   });
 }
 
-void PolicyFollower::Take(std::string text, std::string_view origin) {
+void PolicyFollower::Apply(std::string text, std::string_view origin) {
   auto policy = this->codec.Decode(text);
   if (!policy) {
     LogEvent(LogLevel::kError, "configuration unreadable",
@@ -182,50 +184,51 @@
             {"workspaces_ranked", this->table.WorkspacesRanked()}});
   this->members.Get().SetConfigVersion(this->table.Version());
   this->changed();
-  this->loop.Post([this] { this->Spread(); });
+  this->loop.Post([this] { this->NotifyPeers(); });
 }
 
-void PolicyFollower::PeerVersion(NodeId peer, std::uint64_t version) {
+void PolicyFollower::RecordPeerVersion(NodeId peer, std::uint64_t version) {
   std::uint64_t &known = this->peer_versions[peer];
   known = std::max(known, version);
-  if (version > this->table.Version()) this->Pull(peer);
+  if (version > this->table.Version()) this->FetchFrom(peer);
 }
 
-void PolicyFollower::Pull(NodeId peer) {
-  if (std::exchange(this->pulling, true)) return;
+void PolicyFollower::FetchFrom(NodeId peer) {
+  if (std::exchange(this->fetching, true)) return;
   this->link.Call(AddressOf(peer), "document", {}, kPullTimeout,
                   [this](LinkClient::Reply reply) {
-                    this->pulling = false;
+                    this->fetching = false;
                     auto *text = std::get_if<std::string>(&reply);
                     // The next gossip of a newer version triggers another
                     // request.
                     if (text == nullptr || text->empty()) return;
-                    this->Take(std::move(*text), "peer");
+                    this->Apply(std::move(*text), "peer");
                   });
 }
 
-void PolicyFollower::Spread() {
+void PolicyFollower::NotifyPeers() {
   Membership &membership = this->members.Get();
-  std::vector<NodeId> near;
-  std::vector<NodeId> afar;
+  std::vector<NodeId> local_peers;
+  std::vector<NodeId> remote_peers;
   for (const auto &[id, member] : membership.Members()) {
     if (member.state == MemberState::kDead) continue;
     const auto known = this->peer_versions.find(id);
-    const bool has_it = known != this->peer_versions.end() &&
-                        known->second >= this->table.Version();
-    if (has_it) continue;
-    (member.zone == membership.Self().zone ? near : afar).push_back(id);
+    const bool up_to_date = known != this->peer_versions.end() &&
+                            known->second >= this->table.Version();
+    if (up_to_date) continue;
+    (member.zone == membership.Self().zone ? local_peers : remote_peers)
+        .push_back(id);
   }
-  const auto contact = [&](std::vector<NodeId> &peers, std::size_t most) {
-    for (std::size_t i = 0; i < most && !peers.empty(); ++i) {
-      const std::size_t drawn = this->random.Index(peers.size());
-      membership.Contact(peers[drawn]);
-      peers[drawn] = peers.back();
+  const auto notify = [&](std::vector<NodeId> &peers, std::size_t max_peers) {
+    for (std::size_t i = 0; i < max_peers && !peers.empty(); ++i) {
+      const std::size_t chosen = this->random.Index(peers.size());
+      membership.Contact(peers[chosen]);
+      peers[chosen] = peers.back();
       peers.pop_back();
     }
   };
-  contact(near, kSpreadInZone);
-  contact(afar, kSpreadAfar);
+  notify(local_peers, kNotifiedInZone);
+  notify(remote_peers, kNotifiedOtherZones);
 }
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/policy_follower.h
+++ b/src/pollenring/mesh/policy_follower.h
@@ -69,7 +69,7 @@
 
   /*! @brief Time since the store last replied to this node or, by its peers'
    * reports, to any other. @return The age. */
-  [[nodiscard]] Duration StoreSilence() const noexcept {
+  [[nodiscard]] Duration TimeSinceStoreContact() const noexcept {
     return this->loop.GetClock().Now() -
            std::max(this->last_store_contact,
                     this->members.Get().LastStoreContact());
@@ -79,16 +79,16 @@
       const std::string &workspace) const override;
 
  private:
-  void Check();
+  void CheckWatch();
   void Read();
   void Await();
-  void Failed(StorageError error);
-  void Heard();
-  void Take(std::string text, std::string_view origin);
-  void TakeZones(const ZoneWithdrawals &withdrawals, std::string_view origin);
-  void PeerVersion(NodeId peer, std::uint64_t version);
-  void Pull(NodeId peer);
-  void Spread();
+  void StoreFailed(StorageError error);
+  void StoreReplied();
+  void Apply(std::string text, std::string_view origin);
+  void ApplyZones(const ZoneWithdrawals &withdrawals, std::string_view origin);
+  void RecordPeerVersion(NodeId peer, std::uint64_t version);
+  void FetchFrom(NodeId peer);
+  void NotifyPeers();
 
   Loop &loop;
   MemberService &members;
@@ -101,16 +101,16 @@
   std::unordered_map<NodeId, std::uint64_t> peer_versions;
   WithdrawnZones zones;
   std::map<std::string, Time> withdrawn_since;
-  ZoneWithdrawals watched; /*!< As reported by this node's own watch. */
+  ZoneWithdrawals watched_zones; /*!< As reported by this node's own watch. */
   std::function<void()> changed;
   std::uint64_t revision{};
   Time last_store_contact{};
-  Duration pause{};
+  Duration retry_delay{};
   Time first_read{}; /*!< When to read the store without a document. */
-  bool asking{};     /*!< A store call or the pause after one is active. */
+  bool querying{};   /*!< A store call or the pause after one is active. */
   bool watching{};   /*!< No change after `revision` was missed. */
   bool store_lost{};
-  bool pulling{};
+  bool fetching{};
 };
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/slot_ring.cc
+++ b/src/pollenring/mesh/slot_ring.cc
@@ -12,11 +12,11 @@
 constexpr SlotId kSlots = 32;
 /*! @brief A node that receives nothing for this long is partitioned from all
  * peers; normally it receives probe replies several times a second. */
-constexpr Duration kAloneAfter = std::chrono::milliseconds{1200};
+constexpr Duration kIsolatedAfter = std::chrono::milliseconds{1200};
 /*! @brief Maximum loan duration; slots are reassigned much more often. */
-constexpr Duration kValidity = std::chrono::seconds{2};
+constexpr Duration kMaxLoan = std::chrono::seconds{2};
 
-[[nodiscard]] bool Lends(const Member &member) noexcept {
+[[nodiscard]] bool IsLive(const Member &member) noexcept {
   return member.state == MemberState::kAlive ||
          member.state == MemberState::kSuspect;
 }
@@ -27,27 +27,31 @@
 
 }  // namespace
 
-SlotRing::SlotRing(const Membership &membership, const Clock &clock, bool fresh)
-    : membership{membership}, clock{clock}, fresh{fresh}, holders(kSlots) {}
+SlotRing::SlotRing(const Membership &membership, const Clock &clock,
+                   bool first_start)
+    : membership{membership},
+      clock{clock},
+      first_start{first_start},
+      holders(kSlots) {}
 
-void SlotRing::Update(SlotListener &user) {
-  if (this->dealt_for == this->membership.Changes()) return;
-  this->dealt_for = this->membership.Changes();
-  this->lending = 1;
+void SlotRing::Update(SlotListener &listener) {
+  if (this->applied_changes == this->membership.Changes()) return;
+  this->applied_changes = this->membership.Changes();
+  this->live = 1;
   for (const auto &[id, member] : this->membership.Members()) {
-    if (Lends(member)) ++this->lending;
+    if (IsLive(member)) ++this->live;
   }
-  this->silent = this->membership.Silent();
+  this->unreachable = this->membership.Silent();
   const NodeId self = this->membership.Self().id;
   for (SlotId slot = 0; slot < kSlots; ++slot) {
     NodeId best = 0;
     std::uint64_t weight = 0;
     const auto consider = [&](const Member &member) {
-      if (!Lends(member)) return;
-      const std::uint64_t own = WeightOf(slot, member.id);
-      if (best != 0 && own <= weight) return;
+      if (!IsLive(member)) return;
+      const std::uint64_t candidate = WeightOf(slot, member.id);
+      if (best != 0 && candidate <= weight) return;
       best = member.id;
-      weight = own;
+      weight = candidate;
     };
     consider(this->membership.Self());
     for (const auto &[id, member] : this->membership.Members()) {
@@ -55,18 +59,18 @@
     }
     const NodeId before = std::exchange(this->holders[slot], best);
     if (before == best) continue;
-    if (before == self) user.SlotLost(slot);
+    if (before == self) listener.SlotLost(slot);
     if (best != self) continue;
     SlotRow last;
-    last.epoch = this->fresh ? 0 : 1;
-    user.SlotGained(slot, {}, SlotOrigin::kTakenOver, last);
+    last.epoch = this->first_start ? 0 : 1;
+    listener.SlotGained(slot, {}, SlotOrigin::kTakenOver, last);
   }
 }
 
 double SlotRing::Part() const noexcept {
-  const bool alone = this->membership.Silence() > kAloneAfter;
-  const auto all = static_cast<double>(this->lending + this->silent);
-  return (alone ? 1.0 : static_cast<double>(this->lending)) / all;
+  const bool isolated = this->membership.Silence() > kIsolatedAfter;
+  const auto all = static_cast<double>(this->live + this->unreachable);
+  return (isolated ? 1.0 : static_cast<double>(this->live)) / all;
 }
 
 SlotId SlotRing::Count() const noexcept { return kSlots; }
@@ -82,7 +86,7 @@
 }
 
 Time SlotRing::ValidUntil(SlotId slot) const {
-  return this->Holds(slot) ? this->clock.Now() + kValidity : Time{};
+  return this->Holds(slot) ? this->clock.Now() + kMaxLoan : Time{};
 }
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/slot_ring.h
+++ b/src/pollenring/mesh/slot_ring.h
@@ -24,16 +24,16 @@
    * @brief Creates a ring.
    * @param membership Members of the fleet.
    * @param clock Clock.
-   * @param fresh True on the first start of the complete system, when nothing
-   * can have been lent before.
+   * @param first_start True on the first start of the complete system, when
+   * nothing can have been lent before.
    */
-  SlotRing(const Membership &membership, const Clock &clock, bool fresh);
+  SlotRing(const Membership &membership, const Clock &clock, bool first_start);
 
   /**
    * @brief Reassigns slots and reports this node's gains and losses.
-   * @param user The listener.
+   * @param listener The listener.
    */
-  void Update(SlotListener &user);
+  void Update(SlotListener &listener);
 
   /**
    * @brief Part of each workspace's rate limit that live members may lend.
@@ -53,10 +53,11 @@
  private:
   const Membership &membership;
   const Clock &clock;
-  bool fresh;
-  std::uint64_t dealt_for{}; /*!< Membership change count at the last update. */
-  std::size_t lending{1};
-  std::size_t silent{};
+  bool first_start;
+  std::uint64_t
+      applied_changes{}; /*!< Membership change count at the last update. */
+  std::size_t live{1};
+  std::size_t unreachable{};
   std::vector<NodeId> holders;
 };
 
--- a/test/platform/codecs_test.cc
+++ b/test/platform/codecs_test.cc
@@ -12,10 +12,10 @@
 using pollenring::Outcome;
 using pollenring::Reason;
 using pollenring::TargetState;
-using pollenring::platform::Callers;
-using pollenring::platform::Heartbeats;
-using pollenring::platform::Policies;
-using pollenring::platform::Targets;
+using pollenring::platform::HttpCallerCodec;
+using pollenring::platform::HttpHeartbeatCodec;
+using pollenring::platform::HttpTargetCodec;
+using pollenring::platform::JsonPolicyCodec;
 
 [[nodiscard]] HttpRequest Beat(const std::string &body) {
   return {"POST", "/Instances.Heartbeat/i-1", {}, body, {}};
@@ -24,7 +24,7 @@
 [[nodiscard]] Outcome Judged(const HttpResponse &answer) {
   CallEnvelope envelope;
   envelope.root_id = "id1";
-  return pollenring::ClassifyResponse(Targets{}.Read(envelope, answer),
+  return pollenring::ClassifyResponse(HttpTargetCodec{}.Read(envelope, answer),
                                       answer.status)
       .outcome;
 }
@@ -32,7 +32,7 @@
 }  // namespace
 
 TEST_CASE("platform: a heartbeat is read") {
-  const auto beat = Heartbeats{}.Decode(
+  const auto beat = HttpHeartbeatCodec{}.Decode(
       Beat(R"({"address":"10.0.0.9:80","born":5,"info":{"service":"s",
       "slots":8},"status":{"state":"ready","sequence":4,"cold_left_ms":9}})"));
   REQUIRE(beat);
@@ -41,8 +41,8 @@
   CHECK(beat->announcement.target.state == TargetState::kCold);
   CHECK(beat->started_at_ms == 5);
   CHECK(beat->sequence == 4);
-  const auto leave =
-      Heartbeats{}.Decode({"POST", "/Instances.Deregister/i-1", {}, {}, {}});
+  const auto leave = HttpHeartbeatCodec{}.Decode(
+      {"POST", "/Instances.Deregister/i-1", {}, {}, {}});
   REQUIRE(leave);
   CHECK(leave->deregisters);
 }
@@ -61,11 +61,11 @@
       std::string{R"({"address":"10.0.0.9:80","info":{"service":"s",
         "slots":"8"},"status":{"state":"ready","sequence":1}})"});
   CAPTURE(body);
-  CHECK_FALSE(Heartbeats{}.Decode(Beat(body)));
+  CHECK_FALSE(HttpHeartbeatCodec{}.Decode(Beat(body)));
 }
 
 TEST_CASE("platform: a configuration is read whole or not at all") {
-  const auto policy = Policies{}.Decode(R"({"version":"r12","routes":[
+  const auto policy = JsonPolicyCodec{}.Decode(R"({"version":"r12","routes":[
     {"name":"a","host":"h","prefix":"/p/","kind":"download","timeout_ms":800,
      "target_latency_ms":400,"priority":2,"attempts":2,"service":"s",
      "allow_anonymous":true},
@@ -88,7 +88,7 @@
                std::string{R"({"version":12,"routes":[]})"},
                std::string{R"({"version":"r","routes":[]})"},
                std::string{R"({"version":"r1","routes":[{"name":"a"}]})"});
-  CHECK_FALSE(Policies{}.Decode(bad));
+  CHECK_FALSE(JsonPolicyCodec{}.Decode(bad));
 }
 
 TEST_CASE("platform: only an answer that says so has not run") {
@@ -111,12 +111,13 @@
 }
 
 TEST_CASE("platform: a target sees no key and nothing that a client forged") {
-  const auto caller = Callers{}.Decode({{"authorization", "Token secret"},
-                                        {"x-pollenring-tenant", "forged"},
-                                        {"x-pollenring-caller-service", "f"},
-                                        {"x-pollenring-attempt-id", "id1"},
-                                        {"x-pollenring-deadline-ms", "250"},
-                                        {"accept", "text/plain"}});
+  const auto caller =
+      HttpCallerCodec{}.Decode({{"authorization", "Token secret"},
+                                {"x-pollenring-tenant", "forged"},
+                                {"x-pollenring-caller-service", "f"},
+                                {"x-pollenring-attempt-id", "id1"},
+                                {"x-pollenring-deadline-ms", "250"},
+                                {"accept", "text/plain"}});
   CHECK(caller.key == "secret");
   CHECK(caller.id == "id1");
   CHECK(caller.remaining == pollenring::Duration{250ms});
@@ -129,7 +130,7 @@
   reply.status = 503;
   reply.reason = Reason::kOverload;
   reply.retry_after_us = 450'000;
-  const HttpResponse response = Callers{}.Encode(reply, {}, "id1");
+  const HttpResponse response = HttpCallerCodec{}.Encode(reply, {}, "id1");
   CHECK(FindHeader(response.headers, "retry-after") == "0.450");
   CHECK(FindHeader(response.headers, "x-pollenring-response-stamp").empty());
 }
--- a/test/pollenring/mesh/heartbeat_filter_test.cc
+++ b/test/pollenring/mesh/heartbeat_filter_test.cc
@@ -21,7 +21,7 @@
   return heartbeat;
 }
 
-[[nodiscard]] Heartbeat Departure(const std::string &instance) {
+[[nodiscard]] Heartbeat Deregister(const std::string &instance) {
   Heartbeat heartbeat = Beat(instance, 0, 0);
   heartbeat.deregisters = true;
   return heartbeat;
@@ -32,51 +32,51 @@
 TEST_CASE("heartbeat filter: an older sequence is left out") {
   const pollenring::ManualClock clock;
   HeartbeatFilter filter{clock};
-  CHECK(filter.Judge(Beat("a", 10, 4)) == HeartbeatVerdict::kTaken);
-  CHECK(filter.Judge(Beat("a", 10, 3)) == HeartbeatVerdict::kStale);
-  CHECK(filter.Judge(Beat("a", 10, 4)) == HeartbeatVerdict::kStale);
-  CHECK(filter.Judge(Beat("a", 10, 5)) == HeartbeatVerdict::kTaken);
+  CHECK(filter.Check(Beat("a", 10, 4)) == HeartbeatVerdict::kAccepted);
+  CHECK(filter.Check(Beat("a", 10, 3)) == HeartbeatVerdict::kStale);
+  CHECK(filter.Check(Beat("a", 10, 4)) == HeartbeatVerdict::kStale);
+  CHECK(filter.Check(Beat("a", 10, 5)) == HeartbeatVerdict::kAccepted);
 }
 
 TEST_CASE("heartbeat filter: a start under the old name counts anew") {
   const pollenring::ManualClock clock;
   HeartbeatFilter filter{clock};
-  CHECK(filter.Judge(Beat("a", 10, 90)) == HeartbeatVerdict::kTaken);
-  CHECK(filter.Judge(Beat("a", 20, 1)) == HeartbeatVerdict::kTaken);
-  CHECK(filter.Judge(Beat("a", 10, 91)) == HeartbeatVerdict::kStale);
+  CHECK(filter.Check(Beat("a", 10, 90)) == HeartbeatVerdict::kAccepted);
+  CHECK(filter.Check(Beat("a", 20, 1)) == HeartbeatVerdict::kAccepted);
+  CHECK(filter.Check(Beat("a", 10, 91)) == HeartbeatVerdict::kStale);
 }
 
 TEST_CASE("heartbeat filter: nothing follows a departure but a new start") {
   const pollenring::ManualClock clock;
   HeartbeatFilter filter{clock};
-  CHECK(filter.Judge(Beat("a", 10, 1)) == HeartbeatVerdict::kTaken);
-  CHECK(filter.Judge(Departure("a")) == HeartbeatVerdict::kTaken);
-  CHECK(filter.Judge(Departure("a")) == HeartbeatVerdict::kStale);
-  CHECK(filter.Judge(Beat("a", 10, 2)) == HeartbeatVerdict::kStale);
-  CHECK(filter.Judge(Beat("a", 30, 1)) == HeartbeatVerdict::kTaken);
+  CHECK(filter.Check(Beat("a", 10, 1)) == HeartbeatVerdict::kAccepted);
+  CHECK(filter.Check(Deregister("a")) == HeartbeatVerdict::kAccepted);
+  CHECK(filter.Check(Deregister("a")) == HeartbeatVerdict::kStale);
+  CHECK(filter.Check(Beat("a", 10, 2)) == HeartbeatVerdict::kStale);
+  CHECK(filter.Check(Beat("a", 30, 1)) == HeartbeatVerdict::kAccepted);
 }
 
 TEST_CASE("heartbeat filter: an earlier target's late word is left out") {
   const pollenring::ManualClock clock;
   HeartbeatFilter filter{clock};
-  CHECK(filter.Judge(Beat("new", 20, 1)) == HeartbeatVerdict::kTaken);
-  CHECK(filter.Judge(Beat("old", 10, 7)) == HeartbeatVerdict::kStale);
-  CHECK(filter.Judge(Beat("old", 10, 8)) == HeartbeatVerdict::kStale);
-  CHECK(filter.Judge(Beat("new", 20, 2)) == HeartbeatVerdict::kTaken);
+  CHECK(filter.Check(Beat("new", 20, 1)) == HeartbeatVerdict::kAccepted);
+  CHECK(filter.Check(Beat("old", 10, 7)) == HeartbeatVerdict::kStale);
+  CHECK(filter.Check(Beat("old", 10, 8)) == HeartbeatVerdict::kStale);
+  CHECK(filter.Check(Beat("new", 20, 2)) == HeartbeatVerdict::kAccepted);
 }
 
 TEST_CASE("heartbeat filter: what an earlier process was told holds") {
   const pollenring::ManualClock clock;
   HeartbeatFilter filter{clock};
-  CHECK_FALSE(filter.Forbid("a", 10));
-  CHECK(filter.Judge(Beat("a", 10, 7)) == HeartbeatVerdict::kStale);
-  CHECK(filter.Judge(Beat("a", 11, 1)) == HeartbeatVerdict::kTaken);
-  CHECK(filter.BornOf("a") == 11);
+  CHECK_FALSE(filter.RecordDeregistration("a", 10));
+  CHECK(filter.Check(Beat("a", 10, 7)) == HeartbeatVerdict::kStale);
+  CHECK(filter.Check(Beat("a", 11, 1)) == HeartbeatVerdict::kAccepted);
+  CHECK(filter.StartTimeOf("a") == 11);
   // The row is read late and names an older instance or the one in use.
-  CHECK_FALSE(filter.Forbid("a", 10));
-  CHECK(filter.Judge(Beat("a", 11, 2)) == HeartbeatVerdict::kTaken);
-  CHECK(filter.Forbid("a", 11));
-  CHECK(filter.Judge(Beat("a", 11, 3)) == HeartbeatVerdict::kStale);
+  CHECK_FALSE(filter.RecordDeregistration("a", 10));
+  CHECK(filter.Check(Beat("a", 11, 2)) == HeartbeatVerdict::kAccepted);
+  CHECK(filter.RecordDeregistration("a", 11));
+  CHECK(filter.Check(Beat("a", 11, 3)) == HeartbeatVerdict::kStale);
 }
 
 TEST_CASE(
@@ -84,16 +84,18 @@
   pollenring::ManualClock clock;
   HeartbeatFilter filter{clock};
   const auto now = static_cast<std::uint64_t>(clock.WallNow().count());
-  CHECK(filter.Judge(Beat("other", now - 9000, 1)) == HeartbeatVerdict::kTaken);
-  CHECK(filter.Judge(Departure("a")) == HeartbeatVerdict::kTaken);
-  CHECK(filter.Judge(Departure("a")) == HeartbeatVerdict::kStale);
+  CHECK(filter.Check(Beat("other", now - 9000, 1)) ==
+        HeartbeatVerdict::kAccepted);
+  CHECK(filter.Check(Deregister("a")) == HeartbeatVerdict::kAccepted);
+  CHECK(filter.Check(Deregister("a")) == HeartbeatVerdict::kStale);
   clock.Advance(std::chrono::seconds{2});
-  CHECK(filter.Judge(Beat("a", now - 5000, 8)) == HeartbeatVerdict::kStale);
+  CHECK(filter.Check(Beat("a", now - 5000, 8)) == HeartbeatVerdict::kStale);
   // Another instance's deregistration does not affect one that stays.
-  CHECK(filter.Judge(Beat("other", now - 9000, 2)) == HeartbeatVerdict::kTaken);
+  CHECK(filter.Check(Beat("other", now - 9000, 2)) ==
+        HeartbeatVerdict::kAccepted);
   // The next process reads the same start time from the table.
   HeartbeatFilter next{clock};
-  CHECK_FALSE(next.Forbid("a", filter.BornOf("a")));
-  CHECK(next.Judge(Beat("a", now - 5000, 9)) == HeartbeatVerdict::kStale);
-  CHECK(filter.Judge(Beat("a", now + 1500, 1)) == HeartbeatVerdict::kTaken);
+  CHECK_FALSE(next.RecordDeregistration("a", filter.StartTimeOf("a")));
+  CHECK(next.Check(Beat("a", now - 5000, 9)) == HeartbeatVerdict::kStale);
+  CHECK(filter.Check(Beat("a", now + 1500, 1)) == HeartbeatVerdict::kAccepted);
 }
--- a/test/support/faulty_codecs.h
+++ b/test/support/faulty_codecs.h
@@ -60,7 +60,7 @@
   }
 
  private:
-  pollenring::platform::Targets sound;
+  pollenring::platform::HttpTargetCodec sound;
 };
 
 /*! @brief The platform's codec, unable to write some answers. */
@@ -83,7 +83,7 @@
   }
 
  private:
-  pollenring::platform::Callers sound;
+  pollenring::platform::HttpCallerCodec sound;
 };
 
 }  // namespace support
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -183,10 +183,10 @@
   pollenring::SeededRandom random{11};
   pollenring::HttpClient client{loop, {std::size_t{1} << 20U}};
   pollenring::LinkClient link{loop, kSecret, std::size_t{1} << 20U};
-  pollenring::platform::Policies policies;
+  pollenring::platform::JsonPolicyCodec policies;
   FaultyCallers callers;
   FaultyTargets targets;
-  pollenring::platform::Heartbeats heartbeats;
+  pollenring::platform::HttpHeartbeatCodec heartbeats;
   std::unique_ptr<StoreStandIn> store;
   std::vector<std::unique_ptr<Member>> nodes;
 };
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -102,10 +102,10 @@
   pollenring::HttpClient client{loop, {pollenring::kMaxBodyBytes}};
   pollenring::StoreClient store_client{client, settings.platform};
   pollenring::platform::Store store{store_client};
-  const pollenring::platform::Policies policies;
-  const pollenring::platform::Callers callers;
-  const pollenring::platform::Targets targets;
-  const pollenring::platform::Heartbeats heartbeats;
+  const pollenring::platform::JsonPolicyCodec policies;
+  const pollenring::platform::HttpCallerCodec callers;
+  const pollenring::platform::HttpTargetCodec targets;
+  const pollenring::platform::HttpHeartbeatCodec heartbeats;
   pollenring::MeshNode node{settings,
                             {loop, client, store, store, policies, callers,
                              targets, heartbeats, random}};
