Reword log events and test titles of the mesh node

Events such as left, leaving and heartbeat left out, and titles such as what leaves unheard, were riddles to an operator or a reader of a failed run. They name the drain, the deregistration and the failure that is guarded.

--- a/src/pollenring/mesh/deregistration_log.cc
+++ b/src/pollenring/mesh/deregistration_log.cc
@@ -21,7 +21,7 @@
         if (error == nullptr) return;
         // This process still has it in memory; only a restart
         // would lose it.
-        LogEvent(LogLevel::kWarning, "departure not kept",
+        LogEvent(LogLevel::kWarning, "deregistration not stored",
                  {{"instance", instance},
                   {"error", kStorageErrorNames.Name(*error)}});
       });
@@ -32,7 +32,7 @@
     const auto *found = std::get_if<std::vector<Row>>(&rows);
     if (found == nullptr) {
       LogEvent(
-          LogLevel::kWarning, "departures unread",
+          LogLevel::kWarning, "deregistrations not loaded",
           {{"error", kStorageErrorNames.Name(std::get<StorageError>(rows))}});
       done(std::nullopt);
       return;
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -172,7 +172,7 @@
   this->loop.Every(kExecutorTick, [this] { this->serving.Tick(); });
   this->loop.Every(kLogFlushInterval, [] { FlushLog(); });
   this->loop.Every(kMetricsLogInterval, [this] {
-    LogEvent(LogLevel::kInfo, "figures", this->metrics.Counters());
+    LogEvent(LogLevel::kInfo, "metrics snapshot", this->metrics.Counters());
   });
   this->RegisterMetrics();
 }
@@ -282,7 +282,7 @@
       this->serving.Announce(announcement);
     }
   } else {
-    LogEvent(LogLevel::kInfo, "heartbeat left out",
+    LogEvent(LogLevel::kInfo, "stale heartbeat ignored",
              {{"instance", announcement.instance},
               {"sequence", heartbeat->sequence},
               {"born", heartbeat->started_at_ms}});
@@ -314,7 +314,8 @@
 void MeshNode::Leave() {
   if (std::exchange(this->draining, true)) return;
   this->drain_started_at = this->loop.GetClock().Now();
-  LogEvent(LogLevel::kInfo, "leaving", {{"in_progress", this->InProgress()}});
+  LogEvent(LogLevel::kInfo, "drain started",
+           {{"in_progress", this->InProgress()}});
   this->members.Get().Leave();
   this->caller_server.Drain();
   this->CheckDrained();
@@ -330,7 +331,8 @@
     this->outbound.Close();
   }
   if (timed_out || (!accepting && this->InProgress() == 0)) {
-    LogEvent(LogLevel::kInfo, "left", {{"in_progress", this->InProgress()}});
+    LogEvent(LogLevel::kInfo, "drain completed",
+             {{"in_progress", this->InProgress()}});
     this->loop.After(kDrainCheckInterval, [this] { this->loop.Stop(); });
     return;
   }
--- a/src/pollenring/mesh/mesh_node_status.cc
+++ b/src/pollenring/mesh/mesh_node_status.cc
@@ -53,7 +53,7 @@
     return;
   }
   if (request.path != "/metrics") {
-    responder->Send({kNotFound, {}, "only /metrics and /status are here\n"});
+    responder->Send({kNotFound, {}, "only /metrics and /status are served\n"});
     return;
   }
   responder->Send({kOk,
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -318,14 +318,14 @@
     return;
   }
   LogEvent(
-      LogLevel::kError, "request left without an answer",
+      LogLevel::kError, "request without a response",
       {{"id", entry->id}, {"route", entry->route}, {"sent", entry->call != 0}});
   this->parts.metrics.Count("pollenring_unanswered_total");
-  this->loop.Contain("late request", [this, &entry] {
+  this->loop.Contain("overdue request", [this, &entry] {
     this->parts.serving.EndSubCall(entry->parent);
     this->parts.dispatcher.Cancel(entry->call);
   });
-  const bool responded = this->loop.Contain("late answer", [this, &entry] {
+  const bool responded = this->loop.Contain("overdue response", [this, &entry] {
     this->Respond(entry, Refusal(Outcome::kUnknown, Reason::kDeadline, {}), {});
   });
   if (!responded) entry->responder->Send({kTimedOut, {}, {}});
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -264,7 +264,8 @@
 void Node::Leave() {
   if (std::exchange(this->leaving, true)) return;
   this->left_at = this->loop.GetClock().Now();
-  LogEvent(LogLevel::kInfo, "leaving", {{"in_progress", this->InProgress()}});
+  LogEvent(LogLevel::kInfo, "drain started",
+           {{"in_progress", this->InProgress()}});
   this->members.Get().Leave();
   this->caller_server.Drain();
   this->CheckLeft();
@@ -277,7 +278,7 @@
   if (!accepts) this->caller_server.Close();
   const bool holds = !this->slots.Empty() && since < kLeaveSlots;
   if (!accepts && !holds && this->InProgress() == 0) {
-    LogEvent(LogLevel::kInfo, "left");
+    LogEvent(LogLevel::kInfo, "drain completed");
     this->loop.After(kLeaveCheck, [this] { this->loop.Stop(); });
     return;
   }
--- a/test/platform/codecs_test.cc
+++ b/test/platform/codecs_test.cc
@@ -31,7 +31,7 @@
 
 }  // namespace
 
-TEST_CASE("platform: a heartbeat is read") {
+TEST_CASE("platform: a heartbeat is decoded") {
   const auto beat = HttpHeartbeatCodec{}.Decode(
       Beat(R"({"address":"10.0.0.9:80","born":5,"info":{"service":"s",
       "slots":8},"status":{"state":"ready","sequence":4,"cold_left_ms":9}})"));
@@ -47,7 +47,7 @@
   CHECK(leave->deregisters);
 }
 
-TEST_CASE("platform: a heartbeat of another writer names no target") {
+TEST_CASE("platform: a malformed heartbeat is rejected") {
   const std::string body = GENERATE(
       std::string{"\xff\xfe"}, std::string{"[]"}, std::string{"{}"},
       std::string{R"({"address":"10.0.0.9:80","info":{"service":"s"},
@@ -64,7 +64,7 @@
   CHECK_FALSE(HttpHeartbeatCodec{}.Decode(Beat(body)));
 }
 
-TEST_CASE("platform: a configuration is read whole or not at all") {
+TEST_CASE("platform: a configuration is decoded completely or not at all") {
   const auto policy = JsonPolicyCodec{}.Decode(R"({"version":"r12","routes":[
     {"name":"a","host":"h","prefix":"/p/","kind":"download","timeout_ms":800,
      "target_latency_ms":400,"priority":2,"attempts":2,"service":"s",
@@ -91,7 +91,7 @@
   CHECK_FALSE(JsonPolicyCodec{}.Decode(bad));
 }
 
-TEST_CASE("platform: only an answer that says so has not run") {
+TEST_CASE("platform: only responses that say so count as not executed") {
   const auto answer = [](int status, pollenring::HttpHeaders headers) {
     headers.push_back({"x-pollenring-attempt-id", "id1"});
     return HttpResponse{status, std::move(headers), {}};
@@ -110,7 +110,7 @@
         Outcome::kUnknown);
 }
 
-TEST_CASE("platform: a target sees no key and nothing that a client forged") {
+TEST_CASE("platform: neither keys nor forged headers reach a target") {
   const auto caller =
       HttpCallerCodec{}.Decode({{"authorization", "Token secret"},
                                 {"x-pollenring-tenant", "forged"},
@@ -125,7 +125,7 @@
   CHECK(caller.headers[0].name == "accept");
 }
 
-TEST_CASE("platform: a refusal says when to come back, in seconds") {
+TEST_CASE("platform: a refusal carries retry-after in seconds") {
   CallReply reply;
   reply.status = 503;
   reply.reason = Reason::kOverload;
--- a/test/pollenring/mesh/drain_times_test.cc
+++ b/test/pollenring/mesh/drain_times_test.cc
@@ -5,7 +5,9 @@
 using namespace std::chrono_literals;
 using pollenring::DrainTimesFor;
 
-TEST_CASE("leave times: a longer grace goes to what was accepted last") {
+TEST_CASE(
+    "drain times: a longer grace period extends the time for accepted "
+    "requests") {
   const auto usual = DrainTimesFor(6s);
   CHECK(usual.accept_until == 2800ms);
   CHECK(usual.max_duration == 5400ms);
@@ -14,7 +16,9 @@
   CHECK(longer.max_duration == 9400ms);
 }
 
-TEST_CASE("leave times: a node ends before it is killed, however short") {
+TEST_CASE(
+    "drain times: a node ends before it is killed even with a short grace "
+    "period") {
   for (const auto grace : {200ms, 1000ms, 2000ms, 3000ms, 4000ms}) {
     CAPTURE(grace.count());
     const auto times = DrainTimesFor(grace);
--- a/test/pollenring/mesh/heartbeat_filter_test.cc
+++ b/test/pollenring/mesh/heartbeat_filter_test.cc
@@ -29,7 +29,7 @@
 
 }  // namespace
 
-TEST_CASE("heartbeat filter: an older sequence is left out") {
+TEST_CASE("heartbeat filter: an older sequence is rejected") {
   const pollenring::ManualClock clock;
   HeartbeatFilter filter{clock};
   CHECK(filter.Check(Beat("a", 10, 4)) == HeartbeatVerdict::kAccepted);
@@ -38,7 +38,9 @@
   CHECK(filter.Check(Beat("a", 10, 5)) == HeartbeatVerdict::kAccepted);
 }
 
-TEST_CASE("heartbeat filter: a start under the old name counts anew") {
+TEST_CASE(
+    "heartbeat filter: a restarted target may reuse its identifier and "
+    "sequence") {
   const pollenring::ManualClock clock;
   HeartbeatFilter filter{clock};
   CHECK(filter.Check(Beat("a", 10, 90)) == HeartbeatVerdict::kAccepted);
@@ -46,7 +48,9 @@
   CHECK(filter.Check(Beat("a", 10, 91)) == HeartbeatVerdict::kStale);
 }
 
-TEST_CASE("heartbeat filter: nothing follows a departure but a new start") {
+TEST_CASE(
+    "heartbeat filter: only a new instance is accepted after a "
+    "deregistration") {
   const pollenring::ManualClock clock;
   HeartbeatFilter filter{clock};
   CHECK(filter.Check(Beat("a", 10, 1)) == HeartbeatVerdict::kAccepted);
@@ -56,7 +60,8 @@
   CHECK(filter.Check(Beat("a", 30, 1)) == HeartbeatVerdict::kAccepted);
 }
 
-TEST_CASE("heartbeat filter: an earlier target's late word is left out") {
+TEST_CASE(
+    "heartbeat filter: a late heartbeat of an earlier instance is rejected") {
   const pollenring::ManualClock clock;
   HeartbeatFilter filter{clock};
   CHECK(filter.Check(Beat("new", 20, 1)) == HeartbeatVerdict::kAccepted);
@@ -65,7 +70,8 @@
   CHECK(filter.Check(Beat("new", 20, 2)) == HeartbeatVerdict::kAccepted);
 }
 
-TEST_CASE("heartbeat filter: what an earlier process was told holds") {
+TEST_CASE(
+    "heartbeat filter: a deregistration stored by an earlier process holds") {
   const pollenring::ManualClock clock;
   HeartbeatFilter filter{clock};
   CHECK_FALSE(filter.RecordDeregistration("a", 10));
@@ -80,7 +86,8 @@
 }
 
 TEST_CASE(
-    "heartbeat filter: what leaves unheard is not taken for a new start") {
+    "heartbeat filter: an unknown target that deregisters is not a new "
+    "instance") {
   pollenring::ManualClock clock;
   HeartbeatFilter filter{clock};
   const auto now = static_cast<std::uint64_t>(clock.WallNow().count());
--- a/test/pollenring/mesh/mesh_daemon_test.cc
+++ b/test/pollenring/mesh/mesh_daemon_test.cc
@@ -159,8 +159,8 @@
 }  // namespace
 
 TEST_CASE(
-    "mesh daemon: a loan that comes back after the burst was lowered closes no "
-    "caller's connection") {
+    "mesh daemon: a loan returned after the burst was lowered closes no caller "
+    "connection") {
   DaemonWorld world{61};
   std::vector<int> statuses;
   const auto begin = [&](const std::string &id) {
@@ -203,7 +203,7 @@
   CHECK_FALSE(world.Process().Ended());
 }
 
-TEST_CASE("mesh daemon: a target's identifier that is no text is left out") {
+TEST_CASE("mesh daemon: a target identifier that is not text is rejected") {
   DaemonWorld world{65};
   std::vector<int> statuses;
   world.Hold(true);
--- a/test/pollenring/mesh/mesh_node_errors_test.cc
+++ b/test/pollenring/mesh/mesh_node_errors_test.cc
@@ -43,7 +43,7 @@
 
 }  // namespace
 
-TEST_CASE("mesh: an error while one answer is handled ends no other request") {
+TEST_CASE("mesh: an error in handling one response ends no other request") {
   LoneNode world{62};
   for (const std::string round : {"a", "b", "c"}) {
     world.Begin(kFailsInside);
@@ -65,7 +65,7 @@
         std::string::npos);
 }
 
-TEST_CASE("mesh: a call that can't be sent to its target gives its slot back") {
+TEST_CASE("mesh: a call that can't be sent to its target releases its slot") {
   LoneNode world{65};
   const auto held = [&world] {
     const auto status = nlohmann::json::parse(world.Operate(1, "/status"));
@@ -94,8 +94,7 @@
   CHECK(world.statuses["sound"] == 200);
 }
 
-TEST_CASE(
-    "mesh: an answer that can't be passed on leaves out no waiting call") {
+TEST_CASE("mesh: a response that can't be forwarded stalls no waiting call") {
   LoneNode world{67};
   // These fill the target's slots; later calls wait for a slot.
   for (int i = 0; i < 4; ++i) {
@@ -109,7 +108,9 @@
   }
 }
 
-TEST_CASE("mesh: a broken rule ends a node in order, its requests answered") {
+TEST_CASE(
+    "mesh: after an invariant violation a node drains and completes its "
+    "requests") {
   LoneNode world{63};
   world.Begin(kBreaksRule);
   world.Run(30ms);
@@ -122,7 +123,7 @@
   CHECK(world.Ready(1) == 503);
 }
 
-TEST_CASE("mesh: a request that is lost inside a node is answered in time") {
+TEST_CASE("mesh: a request that is lost inside a node gets a timely response") {
   LoneNode world{64};
   world.Begin(support::kUnwritable);
   world.Begin("sound");
@@ -134,7 +135,7 @@
   CHECK(status.at("in_progress") == 0);
 }
 
-TEST_CASE("mesh: a request whose answers all fail is answered in time") {
+TEST_CASE("mesh: a request whose responses all fail gets a timely response") {
   LoneNode world{66};
   world.Begin(support::kUnanswerable);
   REQUIRE(world.AllEnded());
--- a/test/pollenring/mesh/mesh_node_faults_test.cc
+++ b/test/pollenring/mesh/mesh_node_faults_test.cc
@@ -19,7 +19,8 @@
 }  // namespace
 
 TEST_CASE(
-    "mesh: a withdrawn zone's target gets nothing, its callers are served") {
+    "mesh: a withdrawn zone's target gets no calls but its callers are "
+    "served") {
   std::map<std::string, int> served;
   World world{10, [&served](const HttpRequest &request) {
                 ++served[std::string{FindHeader(
@@ -80,7 +81,8 @@
   CHECK(served["i-3"] > before);
 }
 
-TEST_CASE("mesh: a cold target gets no more than it bears, then everything") {
+TEST_CASE(
+    "mesh: a cold target gets calls up to its cold-start limit and then all") {
   const bool said = GENERATE(true, false);
   CAPTURE(said);
   int served = 0;
@@ -119,8 +121,7 @@
   CHECK(served >= 18);
 }
 
-TEST_CASE(
-    "mesh: what reached no target is refused as not run, also if unsafe") {
+TEST_CASE("mesh: requests that reached no target are refused as not executed") {
   World world{13, [](const HttpRequest &r) { return Signed(r, 200); }};
   world.StopTarget(2);
   world.StopTarget(3);
@@ -134,7 +135,7 @@
   }
 }
 
-TEST_CASE("mesh: a store that answers nonsense changes nothing") {
+TEST_CASE("mesh: malformed replies of the store change nothing") {
   World world{14, [](const HttpRequest &r) { return Signed(r, 200); }};
   for (
       const std::string text :
@@ -155,7 +156,7 @@
   world.Store().SetNonsense(std::nullopt);
 }
 
-TEST_CASE("mesh: nonsense at any port ends no node") {
+TEST_CASE("mesh: malformed input at any port ends no node") {
   World world{15, [](const HttpRequest &r) { return Signed(r, 200); }};
   pollenring::SeededRandom random{21};
   const std::string preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
@@ -177,7 +178,7 @@
   CHECK(world.Ready(2) == 200);
 }
 
-TEST_CASE("mesh: what was accepted before a planned stop is answered") {
+TEST_CASE("mesh: requests accepted before a planned stop get a response") {
   World world{16, [](const HttpRequest &r) { return Signed(r, 200); }};
   world.Node(1).Leave();
   int served = 0;
@@ -193,7 +194,7 @@
   CHECK(served > 100);
 }
 
-TEST_CASE("mesh: a planned stop under load breaks off nothing") {
+TEST_CASE("mesh: a planned stop under load aborts no request") {
   World world{18, [](const HttpRequest &r) { return Signed(r, 200); }};
   world.SetAnswerDelay(15ms);
   std::map<int, int> statuses;
@@ -222,7 +223,7 @@
   CHECK(statuses[200] > 600);
 }
 
-TEST_CASE("mesh: a request stays in its homes, and is refused without them") {
+TEST_CASE("mesh: a request stays in its allowed regions or is refused") {
   support::MeshWorld world{19};
   std::map<std::string, int> served;
   const std::string homes =
@@ -260,7 +261,8 @@
   CHECK(served["west"] == 1);
 }
 
-TEST_CASE("mesh: after a restart a target that has left is not used again") {
+TEST_CASE(
+    "mesh: after a node restart a deregistered target is not used again") {
   World world{17, [](const HttpRequest &r) { return Signed(r, 200); }};
   REQUIRE(world.Beat(2, "draining") == 200);
   REQUIRE(world.Await([&] { return world.Store().Has("departed/"); }, 2s));
@@ -294,7 +296,7 @@
       4s));
 }
 
-TEST_CASE("mesh: a target leaves a node that had not heard of it yet") {
+TEST_CASE("mesh: a target deregisters from a node that does not know it yet") {
   // The node has just started; the deregistration carries no start time.
   World world{38, [](const HttpRequest &r) { return Signed(r, 200); }};
   int served = 0;
@@ -317,7 +319,7 @@
   CHECK(served == 0);
 }
 
-TEST_CASE("mesh: groups that started without word of each other become one") {
+TEST_CASE("mesh: groups of nodes that started in isolation merge") {
   // After a complete power loss nodes find only those few that are already up,
   // and no others while the store is down.
   support::MeshWorld world{20};
--- a/test/pollenring/mesh/mesh_node_test.cc
+++ b/test/pollenring/mesh/mesh_node_test.cc
@@ -33,7 +33,8 @@
         404);
 }
 
-TEST_CASE("mesh: a node without configuration says nothing of routes") {
+TEST_CASE(
+    "mesh: a node without a configuration refuses requests with retry-after") {
   MeshWorld world{2};
   world.Store().SetDown(true);
   world.Start("front", [](const HttpRequest &r) { return Signed(r, 200); });
@@ -47,7 +48,9 @@
   CHECK(world.Await([&] { return world.Ready(1) == 200; }, 5s));
 }
 
-TEST_CASE("mesh: what may have run is not sent again, nor said not to have") {
+TEST_CASE(
+    "mesh: a request that may have run is not retried nor reported as not "
+    "run") {
   int runs = 0;
   // A 200 without the target's stamp leaves the outcome unknown.
   World world{3, [&runs](const HttpRequest &request) {
@@ -63,7 +66,7 @@
   }
 }
 
-TEST_CASE("mesh: an idempotent request is tried at another target") {
+TEST_CASE("mesh: an idempotent request is retried at another target") {
   int failures = 0;
   World world{4, [&failures](const HttpRequest &request) {
                 const bool fails =
@@ -79,7 +82,9 @@
   CHECK(failures == 2);
 }
 
-TEST_CASE("mesh: a draining target gets nothing once that is acknowledged") {
+TEST_CASE(
+    "mesh: a draining target gets no calls once its heartbeat is "
+    "acknowledged") {
   std::map<std::string, int> served;
   World world{5, [&served](const HttpRequest &request) {
                 ++served[std::string{FindHeader(
@@ -96,7 +101,7 @@
   CHECK(served["i-3"] >= 40);
 }
 
-TEST_CASE("mesh: a new version is in force within two seconds") {
+TEST_CASE("mesh: a new configuration version is active within two seconds") {
   const bool silent = GENERATE(false, true);
   CAPTURE(silent);
   World world{silent ? 9 : 6,
@@ -120,7 +125,9 @@
   CHECK(world.Call(1, "GET", "/moved/1", Headers("n")).status == 200);
 }
 
-TEST_CASE("mesh: a dropped history is read anew") {
+TEST_CASE(
+    "mesh: after the store dropped its history the configuration is read "
+    "again") {
   World world{7, [](const HttpRequest &r) { return Signed(r, 200); }};
   world.Store().PutConfig(Replaced(kConfig, "r3", "r4"));
   world.Store().DropHistory();
@@ -134,7 +141,7 @@
       4s));
 }
 
-TEST_CASE("mesh: a leaving node is not ready, serves on, then refuses") {
+TEST_CASE("mesh: a draining node is not ready but still serves requests") {
   World world{8, [](const HttpRequest &r) { return Signed(r, 200); }};
   world.Node(1).Leave();
   CHECK(world.Ready(1) == 503);
--- a/test/pollenring/mesh/slot_ring_test.cc
+++ b/test/pollenring/mesh/slot_ring_test.cc
@@ -84,7 +84,9 @@
 
 }  // namespace
 
-TEST_CASE("slot ring: sides of a cut lend no more than the rate together") {
+TEST_CASE(
+    "slot ring: sides of a network partition lend no more than the rate in "
+    "total") {
   for (const auto seed : support::Seeds(2)) {
     INFO("seed " << seed);
     MemberFleet fleet{60, seed};
@@ -106,7 +108,7 @@
   }
 }
 
-TEST_CASE("slot ring: nodes that have left take no part of the rates along") {
+TEST_CASE("slot ring: drained nodes do not reduce the lendable rates") {
   MemberFleet fleet{30, 3};
   Rings rings{fleet};
   rings.Run(10s);
