Reword comments of the mixed builds test

Comments named periods, callbacks and seeded orders in a private manner that a reader of a failed upgrade run had to guess. They state plainly what each step of an upgrade and its rollback does. No code token differs from the previous commit, by a comparison of all tokens.

--- a/test/pollenring/mesh/mixed_builds_test.cc
+++ b/test/pollenring/mesh/mixed_builds_test.cc
@@ -15,17 +15,17 @@
 using support::FleetJournal;
 using support::MixedFleet;
 
-/*! @brief Length of a stretch in which nothing is disturbed, past contact. */
+/*! @brief Length of an undisturbed period, after the contact time. */
 constexpr pollenring::Duration kCalm = 2500ms;
 constexpr pollenring::Duration kBurstArrives = 100ms;
 constexpr pollenring::Duration kBetweenSteps = 300ms;
 constexpr pollenring::Duration kPaused = 4s;
 constexpr pollenring::Duration kDeadFor = 1s;
 constexpr pollenring::Duration kWithdrawnLonger = 1500ms;
-/*! @brief Breaches of one rule that are printed. */
+/*! @brief Number of breaches printed per rule. */
 constexpr std::size_t kMostPrinted = 6;
 
-/*! @brief A fleet whose nodes are replaced by nodes of another build. */
+/*! @brief A fleet whose nodes are replaced with nodes of another build. */
 class Replacement {
  public:
   Replacement(int net, std::uint64_t seed, Build before, Build after,
@@ -34,7 +34,7 @@
         before{std::move(before)},
         after{std::move(after)} {}
 
-  /*! @brief Starts all nodes of the build before, under load. */
+  /*! @brief Starts all nodes with the old build and begins the load. */
   void Begin() {
     for (int i = 1; i <= MixedFleet::kNodes; ++i) {
       this->fleet.Start(i, this->before, true);
@@ -46,7 +46,7 @@
   }
 
   /*! @brief Replaces the nodes of one service, then those of the other.
-   * @param halfway Done between, when each service has one build. */
+   * @param halfway Called in between, when each service has one build. */
   template <typename Halfway>
   void ReplaceByService(const Build &by, const Halfway &halfway) {
     auto [first, second] = this->Halves();
@@ -58,7 +58,7 @@
   }
 
   /*! @brief Replaces a node of each service in turn.
-   * @param halfway Done between, when both services have both builds. */
+   * @param halfway Called in between, when both services have both builds. */
   template <typename Halfway>
   void ReplaceByTurns(const Build &by, const Halfway &halfway) {
     const auto [first, second] = this->Halves();
@@ -74,8 +74,8 @@
     this->RestInCalm();
   }
 
-  /*! @brief A kill, a pause, a change of configuration and a withdrawn zone, in
-   * an order of the seed's. */
+  /*! @brief Kills and pauses a node, changes the configuration and withdraws a
+   * zone, in an order given by the seed. */
   void Disturb() {
     const pollenring::Time from = this->fleet.Now();
     for (const int what : this->Shuffled({0, 1, 2, 3})) {
@@ -94,7 +94,7 @@
     this->RestInCalm();
   }
 
-  /*! @brief What broke the rules, as text, some of each kind. */
+  /*! @brief Describes breaches of the rules, a limited number per rule. */
   [[nodiscard]] std::string Report() {
     std::map<std::string_view, std::size_t> counts;
     std::string text;
@@ -110,7 +110,7 @@
     return text;
   }
 
-  /*! @brief Checks that calls passed between the builds, both ways. */
+  /*! @brief Checks that each build has called the other. */
   void CheckCrossings() {
     auto crossings = this->fleet.Journal().Crossings();
     for (const auto &[from, to] : {std::pair{this->before, this->after},
@@ -133,7 +133,7 @@
     return items;
   }
 
-  /*! @brief The nodes of each service, in an order of the seed's. */
+  /*! @brief The nodes of each service, in an order given by the seed. */
   [[nodiscard]] std::pair<std::vector<int>, std::vector<int>> Halves() {
     std::vector<int> first;
     std::vector<int> second;
@@ -152,7 +152,7 @@
   void RestInCalm() { this->fleet.Run(FleetJournal::kContact + kCalm); }
 
   void Replace(int node, const Build &by) {
-    // Its target has running and waiting requests when it is told to stop.
+    // Its target has running and queued requests when the node is stopped.
     this->fleet.Burst(node);
     this->fleet.Run(kBurstArrives);
     this->fleet.Stop(node);
@@ -194,7 +194,7 @@
   std::map<int, Build> builds;
 };
 
-/*! @brief Replaces a landed build by the new one, and back. */
+/*! @brief Upgrades from an earlier build to the new one and rolls back. */
 void CheckUpgrade(int net, const std::string &commit,
                   const std::set<std::string> &blind_builds) {
   const Build landed = support::LandedBuild(commit);
@@ -216,7 +216,7 @@
 }  // namespace
 
 TEST_CASE("mixed builds: 33161f2 is replaced and put back, all rules kept") {
-  // That build knows nothing of withdrawn zones.
+  // That build does not support withdrawn zones.
   CheckUpgrade(1, "33161f2", {"33161f2"});
 }
 
