Reword titles of the mixed builds test

The titles said that a build is replaced and put back, which hides that the test is an upgrade and a rollback. They say so now.

--- a/test/pollenring/mesh/mixed_builds_test.cc
+++ b/test/pollenring/mesh/mixed_builds_test.cc
@@ -215,15 +215,18 @@
 
 }  // namespace
 
-TEST_CASE("mixed builds: 33161f2 is replaced and put back, all rules kept") {
+TEST_CASE(
+    "mixed builds: an upgrade from 33161f2 and its rollback keep all rules") {
   // That build does not support withdrawn zones.
   CheckUpgrade(1, "33161f2", {"33161f2"});
 }
 
-TEST_CASE("mixed builds: 0e01c9f is replaced and put back, all rules kept") {
+TEST_CASE(
+    "mixed builds: an upgrade from 0e01c9f and its rollback keep all rules") {
   CheckUpgrade(2, "0e01c9f", {});
 }
 
-TEST_CASE("mixed builds: 4278493 is replaced and put back, all rules kept") {
+TEST_CASE(
+    "mixed builds: an upgrade from 4278493 and its rollback keep all rules") {
   CheckUpgrade(3, "4278493", {});
 }
