Rename constants of the mixed builds test

kCalm, kDeadFor and RestInCalm did not say that they are durations of a run without faults and of a killed node. They are named kUndisturbed, kDownTime and RunUndisturbed. Identifiers only, as a comparison of all tokens shows.

--- a/test/pollenring/mesh/mesh_daemon_test.cc
+++ b/test/pollenring/mesh/mesh_daemon_test.cc
@@ -147,7 +147,7 @@
   support::Daemon daemon;
 };
 
-[[nodiscard]] BorrowRequest Asking(std::uint64_t borrower) {
+[[nodiscard]] BorrowRequest MakeBorrow(std::uint64_t borrower) {
   BorrowRequest request;
   request.borrower = borrower;
   request.loan = 1;
@@ -178,8 +178,8 @@
   REQUIRE(world.Await([&] { return world.Held() == 4; }));
   CHECK(world.Connects() == connects);
   // Two nodes hold a loan while the operator lowers the burst; one returns it.
-  world.Borrow(Asking(77));
-  world.Borrow(Asking(78));
+  world.Borrow(MakeBorrow(77));
+  world.Borrow(MakeBorrow(78));
   world.Store().PutConfig(Replaced(Replaced(kConfig, "r3", "r4"),
                                    "\"burst\":1000", "\"burst\":60"));
   REQUIRE(world.Await([&] {
@@ -187,12 +187,12 @@
     return figures.body.find("pollenring_config_version 4") !=
            std::string::npos;
   }));
-  BorrowRequest back = Asking(77);
-  back.loan = 2;
-  back.want = 0;
-  back.urgent = 0;
-  back.returns = {{1, 110}};
-  world.Borrow(back);
+  BorrowRequest repayment = MakeBorrow(77);
+  repayment.loan = 2;
+  repayment.want = 0;
+  repayment.urgent = 0;
+  repayment.returns = {{1, 110}};
+  world.Borrow(repayment);
   for (int i = 0; i < 20 && !world.Process().Ended(); ++i) {
     static_cast<void>(world.Ask(7004, {"GET", "/readiness", {}, {}, {}}));
   }
--- a/test/pollenring/mesh/mixed_builds_test.cc
+++ b/test/pollenring/mesh/mixed_builds_test.cc
@@ -16,14 +16,14 @@
 using support::MixedFleet;
 
 /*! @brief Length of an undisturbed period, after the contact time. */
-constexpr pollenring::Duration kCalm = 2500ms;
-constexpr pollenring::Duration kBurstArrives = 100ms;
-constexpr pollenring::Duration kBetweenSteps = 300ms;
-constexpr pollenring::Duration kPaused = 4s;
-constexpr pollenring::Duration kDeadFor = 1s;
-constexpr pollenring::Duration kWithdrawnLonger = 1500ms;
+constexpr pollenring::Duration kUndisturbed = 2500ms;
+constexpr pollenring::Duration kBurstTime = 100ms;
+constexpr pollenring::Duration kStepInterval = 300ms;
+constexpr pollenring::Duration kPauseTime = 4s;
+constexpr pollenring::Duration kDownTime = 1s;
+constexpr pollenring::Duration kExtraWithdrawal = 1500ms;
 /*! @brief Number of breaches printed per rule. */
-constexpr std::size_t kMostPrinted = 6;
+constexpr std::size_t kMaxPrinted = 6;
 
 /*! @brief A fleet whose nodes are replaced with nodes of another build. */
 class Replacement {
@@ -42,7 +42,7 @@
     }
     for (int i = 1; i <= MixedFleet::kNodes; ++i) this->fleet.AwaitReady(i);
     this->fleet.BeginLoad();
-    this->RestInCalm();
+    this->RunUndisturbed();
   }
 
   /*! @brief Replaces the nodes of one service, then those of the other.
@@ -51,10 +51,10 @@
   void ReplaceByService(const Build &by, const Halfway &halfway) {
     auto [first, second] = this->Halves();
     for (const int node : first) this->Replace(node, by);
-    this->RestInCalm();
+    this->RunUndisturbed();
     halfway();
     for (const int node : second) this->Replace(node, by);
-    this->RestInCalm();
+    this->RunUndisturbed();
   }
 
   /*! @brief Replaces a node of each service in turn.
@@ -67,11 +67,11 @@
       for (const int node : {first[i], second[i]}) {
         this->Replace(node, by);
         if (++replaced != MixedFleet::kNodes / 2) continue;
-        this->RestInCalm();
+        this->RunUndisturbed();
         halfway();
       }
     }
-    this->RestInCalm();
+    this->RunUndisturbed();
   }
 
   /*! @brief Kills and pauses a node, changes the configuration and withdraws a
@@ -84,14 +84,14 @@
       if (what == 2) this->fleet.ChangeConfig();
       if (what == 3) this->WithdrawOne();
     }
-    this->RestInCalm();
+    this->RunUndisturbed();
     this->fleet.LeaveOneInTurn();
     this->fleet.CheckReached(from);
   }
 
   void ChangeConfig() {
     this->fleet.ChangeConfig();
-    this->RestInCalm();
+    this->RunUndisturbed();
   }
 
   /*! @brief Describes breaches of the rules, a limited number per rule. */
@@ -100,7 +100,7 @@
     std::string text;
     for (const Breach &breach : this->fleet.Journal().Judge()) {
       const auto name = support::kFleetRuleNames.Name(breach.rule);
-      if (++counts[name] > kMostPrinted) continue;
+      if (++counts[name] > kMaxPrinted) continue;
       text += std::to_string(this->fleet.SinceBegin(breach.at)) + " ms " +
               std::string{name} + ": " + breach.what + "\n";
     }
@@ -149,43 +149,45 @@
     return 1 + static_cast<int>(this->Random().Index(MixedFleet::kNodes));
   }
 
-  void RestInCalm() { this->fleet.Run(FleetJournal::kContact + kCalm); }
+  void RunUndisturbed() {
+    this->fleet.Run(FleetJournal::kContact + kUndisturbed);
+  }
 
   void Replace(int node, const Build &by) {
     // Its target has running and queued requests when the node is stopped.
     this->fleet.Burst(node);
-    this->fleet.Run(kBurstArrives);
+    this->fleet.Run(kBurstTime);
     this->fleet.Stop(node);
     if (this->Random().Chance(0.5)) this->fleet.RestartTarget(node);
     this->fleet.Start(node, by, false);
     this->builds[node] = by;
     this->fleet.AwaitReady(node);
-    this->fleet.Run(kBetweenSteps);
+    this->fleet.Run(kStepInterval);
   }
 
   void KillOne() {
     const int node = this->AnyNode();
     this->fleet.Kill(node);
-    this->fleet.Run(kDeadFor);
+    this->fleet.Run(kDownTime);
     this->fleet.Start(node, this->builds.at(node), false);
     this->fleet.AwaitReady(node);
-    this->RestInCalm();
+    this->RunUndisturbed();
   }
 
   void PauseOne() {
     const int node = this->AnyNode();
     this->fleet.Pause(node);
-    this->fleet.Run(kPaused);
+    this->fleet.Run(kPauseTime);
     this->fleet.Resume(node);
-    this->RestInCalm();
+    this->RunUndisturbed();
   }
 
   void WithdrawOne() {
     const int zone = static_cast<int>(this->Random().Index(MixedFleet::kZones));
     this->fleet.Withdraw(zone, true);
-    this->fleet.Run(FleetJournal::kEvacuation + kWithdrawnLonger);
+    this->fleet.Run(FleetJournal::kEvacuation + kExtraWithdrawal);
     this->fleet.Withdraw(zone, false);
-    this->RestInCalm();
+    this->RunUndisturbed();
   }
 
   MixedFleet fleet;
