--- a/src/pollenring/mesh/cold_policy.h
+++ b/src/pollenring/mesh/cold_policy.h
@@ -8,16 +8,16 @@
 
 namespace pollenring {
 
-/*! @brief Bounds for cold targets, from the configuration in force. */
+/*! @brief Cold-start limits from the active configuration. */
 class ColdPolicy final : public ColdStartLimits {
  public:
   /**
-   * @brief Creates the bounds.
-   * @param policy The configuration.
-   * @param margin What is tolerated.
+   * @brief Creates the limits.
+   * @param policy Source of the active configuration.
+   * @param headroom How far the configured rate may be exceeded.
    */
-  ColdPolicy(const PolicyFollower &policy, const ColdStartHeadroom &margin)
-      : policy{policy}, margin{margin} {}
+  ColdPolicy(const PolicyFollower &policy, const ColdStartHeadroom &headroom)
+      : policy{policy}, headroom{headroom} {}
 
   [[nodiscard]] ColdStartLimit LimitOf(
       const std::string &service) const override;
@@ -26,7 +26,7 @@
 
  private:
   const PolicyFollower &policy;
-  ColdStartHeadroom margin;
+  ColdStartHeadroom headroom;
 };
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/deregistration_log.cc
+++ b/src/pollenring/mesh/deregistration_log.cc
@@ -19,8 +19,9 @@
       [instance = deregistration.instance](Table::Written written) {
         const auto *error = std::get_if<StorageError>(&written);
         if (error == nullptr) return;
-        // This process still knows; only its successor would not.
-        LogEvent(LogLevel::kWarning, "departure not kept",
+        // This process still has it in memory; only a restart
+        // would lose it.
+        LogEvent(LogLevel::kWarning, "deregistration not stored",
                  {{"instance", instance},
                   {"error", kStorageErrorNames.Name(*error)}});
       });
@@ -31,7 +32,7 @@
     const auto *found = std::get_if<std::vector<Row>>(&rows);
     if (found == nullptr) {
       LogEvent(
-          LogLevel::kWarning, "departures unread",
+          LogLevel::kWarning, "deregistrations not loaded",
           {{"error", kStorageErrorNames.Name(std::get<StorageError>(rows))}});
       done(std::nullopt);
       return;
--- a/src/pollenring/mesh/drain_times.cc
+++ b/src/pollenring/mesh/drain_times.cc
@@ -5,18 +5,18 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Time for clients to go elsewhere: they are told after two questions
- * without a 200, one second apart. */
-constexpr Duration kClientsLeave = std::chrono::milliseconds{2800};
-/*! @brief For the last answers to be written before the process is killed. */
-constexpr Duration kLastWrites = std::chrono::milliseconds{600};
+/*! @brief Time for clients to move to another node: they do so after two
+ * readiness checks without a 200, one second apart. */
+constexpr Duration kClientMoveTime = std::chrono::milliseconds{2800};
+/*! @brief Time to write the last responses before the process is killed. */
+constexpr Duration kFinalWriteTime = std::chrono::milliseconds{600};
 
 }  // namespace
 
 DrainTimes DrainTimesFor(Duration grace) noexcept {
-  const Duration longest = std::max(grace / 2, grace - kLastWrites);
-  // What is taken last needs time as well.
-  return {std::min(kClientsLeave, longest * 3 / 5), longest};
+  const Duration max_duration = std::max(grace / 2, grace - kFinalWriteTime);
+  // The requests accepted last need time to complete.
+  return {std::min(kClientMoveTime, max_duration * 3 / 5), max_duration};
 }
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/drain_times.h
+++ b/src/pollenring/mesh/drain_times.h
@@ -5,16 +5,17 @@
 
 namespace pollenring {
 
-/*! @brief How a node spends the time that it has for a planned stop. */
+/*! @brief Phases of a planned stop, measured from its start. */
 struct DrainTimes {
-  Duration accepts; /*!< Until then it takes requests of callers. */
-  Duration longest; /*!< Then it ends, whatever it still waits for. */
+  Duration accept_until; /*!< Requests of callers are accepted until then. */
+  Duration
+      max_duration; /*!< The process ends then, even with calls in progress. */
 };
 
 /**
- * @brief Divides the time for a planned stop.
- * @param grace What the platform gives before it kills the process.
- * @return The parts.
+ * @brief Divides the grace period of a planned stop.
+ * @param grace Time until the platform kills the process.
+ * @return The phases.
  */
 [[nodiscard]] DrainTimes DrainTimesFor(Duration grace) noexcept;
 
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -31,7 +31,7 @@
 
 namespace pollenring {
 
-/*! @brief The surroundings of a node whose routes are found by host. */
+/*! @brief Dependencies of a node whose routes are matched by host. */
 struct MeshParts {
   Loop &loop;
   HttpClient &client;
@@ -45,31 +45,31 @@
 };
 
 /**
- * @brief The process beside one target, for routes that are found by host.
+ * @brief The node co-located with one target, for routes matched by host.
  *
- * Clients and the target of this VM enter at one port. Nobody but this node
- * reaches the target, so it alone guards its slots, its identity and its end.
+ * Clients and the local target send requests to one port. Only this node calls
+ * the target, so it alone enforces the target's slots, identity and drain.
  */
 class MeshNode final {
  public:
   /**
-   * @brief Binds all ports and joins the other nodes.
+   * @brief Binds all ports and joins the fleet.
    * @param settings Settings.
-   * @param parts Surroundings.
+   * @param parts Dependencies.
    * @throws std::runtime_error when a port can't be bound.
    */
   MeshNode(const Settings &settings, const MeshParts &parts);
 
-  /*! @brief Leaves; ends the loop once nothing is in progress. */
+  /*! @brief Starts to drain; stops the loop once nothing is in progress. */
   void Leave();
 
  private:
   [[nodiscard]] static Member MakeSelf(const Settings &settings,
                                        const MeshParts &parts);
   void Start();
-  void CountFigures();
-  void FollowPolicy();
-  void TakeDeregistration(const std::optional<Deregistration> &deregistration);
+  void RegisterMetrics();
+  void ApplyPolicy();
+  void ApplyDeregistration(const std::optional<Deregistration> &deregistration);
   void HandleLink(const std::string &path, std::string body,
                   const std::shared_ptr<LinkResponder> &responder);
   void HandleCall(std::string body,
@@ -80,9 +80,9 @@
   void HandleOperator(const HttpRequest &request,
                       const std::shared_ptr<Responder> &responder) const;
   [[nodiscard]] nlohmann::json Status() const;
-  void CheckLeft();
+  void CheckDrained();
   [[nodiscard]] bool Ready() const;
-  [[nodiscard]] Duration Leaving() const;
+  [[nodiscard]] Duration DrainElapsed() const;
   [[nodiscard]] std::size_t InProgress() const;
 
   Settings settings;
@@ -105,15 +105,15 @@
   Outbound outbound;
   HeartbeatFilter heartbeats;
   DeregistrationLog deregistrations;
-  bool deregistrations_known{};
+  bool deregistrations_loaded{};
   LinkServer link_server;
   HttpServer caller_server;
   HttpServer heartbeat_server;
   HttpServer ready_server;
   HttpServer operator_server;
-  std::string departed; /*!< Latest instance that was recorded. */
-  Time left_at{};
-  bool leaving{};
+  std::string last_recorded; /*!< Latest instance recorded as deregistered. */
+  Time drain_started_at{};
+  bool draining{};
   bool was_ready{};
 };
 
--- a/src/pollenring/mesh/slot_ring.h
+++ b/src/pollenring/mesh/slot_ring.h
@@ -12,35 +12,35 @@
 namespace pollenring {
 
 /**
- * @brief Deals slots to the living members by rendezvous hashing.
+ * @brief Assigns slots to live members by rendezvous hashing.
  *
- * No lease is taken: during a change of membership two nodes may hold one slot
- * for as long as gossip takes; the later one starts empty. Behind a cut each
- * side lends the part of the rates that its nodes stand for.
+ * There are no leases: while a membership change spreads by gossip, two nodes
+ * may hold one slot; the new holder starts with an empty bucket. In a network
+ * partition each side lends only the part of the rates of its own nodes.
  */
 class SlotRing final : public SlotHolders {
  public:
   /**
    * @brief Creates a ring.
-   * @param membership Who is there.
+   * @param membership Members of the fleet.
    * @param clock Clock.
-   * @param fresh Whether the whole system starts for the first time, so that
+   * @param first_start True on the first start of the complete system, when
    * nothing can have been lent before.
    */
-  SlotRing(const Membership &membership, const Clock &clock, bool fresh);
+  SlotRing(const Membership &membership, const Clock &clock, bool first_start);
 
   /**
-   * @brief Deals anew and tells a user what this node gains and loses.
-   * @param user The user.
+   * @brief Reassigns slots and reports this node's gains and losses.
+   * @param listener The listener.
    */
-  void Update(SlotListener &user);
+  void Update(SlotListener &listener);
 
   /**
-   * @brief Part of each workspace's rate that the nodes seen here may lend.
+   * @brief Part of each workspace's rate limit that live members may lend.
    *
-   * Members that have fallen silent without leaving may be on the other side of
-   * a cut, where they lend their own part. A node that hears nobody stands for
-   * itself alone, before it has found each of the others silent.
+   * Members that became unreachable without a drain may be behind a network
+   * partition and lend their part there. A node that receives nothing counts
+   * itself alone, before it has marked each of the others unreachable.
    * @return From 0 to 1.
    */
   [[nodiscard]] double Part() const noexcept override;
@@ -53,10 +53,11 @@
  private:
   const Membership &membership;
   const Clock &clock;
-  bool fresh;
-  std::uint64_t dealt_for{}; /*!< Changes of membership when last dealt. */
-  std::size_t lending{1};
-  std::size_t silent{};
+  bool first_start;
+  std::uint64_t
+      applied_changes{}; /*!< Membership change count at the last update. */
+  std::size_t live{1};
+  std::size_t unreachable{};
   std::vector<NodeId> holders;
 };
 
--- a/test/pollenring/mesh/drain_times_test.cc
+++ b/test/pollenring/mesh/drain_times_test.cc
@@ -5,21 +5,25 @@
 using namespace std::chrono_literals;
 using pollenring::DrainTimesFor;
 
-TEST_CASE("leave times: a longer grace goes to what was accepted last") {
+TEST_CASE(
+    "drain times: a longer grace period extends the time for accepted "
+    "requests") {
   const auto usual = DrainTimesFor(6s);
-  CHECK(usual.accepts == 2800ms);
-  CHECK(usual.longest == 5400ms);
+  CHECK(usual.accept_until == 2800ms);
+  CHECK(usual.max_duration == 5400ms);
   const auto longer = DrainTimesFor(10s);
-  CHECK(longer.accepts == 2800ms);
-  CHECK(longer.longest == 9400ms);
+  CHECK(longer.accept_until == 2800ms);
+  CHECK(longer.max_duration == 9400ms);
 }
 
-TEST_CASE("leave times: a node ends before it is killed, however short") {
+TEST_CASE(
+    "drain times: a node ends before it is killed even with a short grace "
+    "period") {
   for (const auto grace : {200ms, 1000ms, 2000ms, 3000ms, 4000ms}) {
     CAPTURE(grace.count());
     const auto times = DrainTimesFor(grace);
-    CHECK(times.longest < grace);
-    CHECK(times.accepts < times.longest);
-    CHECK(times.accepts > 0ms);
+    CHECK(times.max_duration < grace);
+    CHECK(times.accept_until < times.max_duration);
+    CHECK(times.accept_until > 0ms);
   }
 }
--- a/test/pollenring/mesh/mesh_node_test.cc
+++ b/test/pollenring/mesh/mesh_node_test.cc
@@ -33,7 +33,8 @@
         404);
 }
 
-TEST_CASE("mesh: a node without configuration says nothing of routes") {
+TEST_CASE(
+    "mesh: a node without a configuration refuses requests with retry-after") {
   MeshWorld world{2};
   world.Store().SetDown(true);
   world.Start("front", [](const HttpRequest &r) { return Signed(r, 200); });
@@ -47,9 +48,11 @@
   CHECK(world.Await([&] { return world.Ready(1) == 200; }, 5s));
 }
 
-TEST_CASE("mesh: what may have run is not sent again, nor said not to have") {
+TEST_CASE(
+    "mesh: a request that may have run is not retried nor reported as not "
+    "run") {
   int runs = 0;
-  // A success without the target's stamp: nobody knows what ran.
+  // A 200 without the target's stamp leaves the outcome unknown.
   World world{3, [&runs](const HttpRequest &request) {
                 if (request.method == "GET") return Signed(request, 200);
                 ++runs;
@@ -63,14 +66,14 @@
   }
 }
 
-TEST_CASE("mesh: an idempotent request is tried at another target") {
+TEST_CASE("mesh: an idempotent request is retried at another target") {
   int failures = 0;
   World world{4, [&failures](const HttpRequest &request) {
                 const bool fails =
                     request.path == "/read/fails" && failures++ == 0;
                 return Signed(request, fails ? 500 : 200);
               }};
-  // Answers earn what a retry costs.
+  // Successful responses fill the retry budget.
   for (int i = 0; i < 30; ++i) {
     CHECK(world.Call(1, "GET", "/read/1", Headers("r" + std::to_string(i)))
               .status == 200);
@@ -79,7 +82,9 @@
   CHECK(failures == 2);
 }
 
-TEST_CASE("mesh: a draining target gets nothing once that is acknowledged") {
+TEST_CASE(
+    "mesh: a draining target gets no calls once its heartbeat is "
+    "acknowledged") {
   std::map<std::string, int> served;
   World world{5, [&served](const HttpRequest &request) {
                 ++served[std::string{FindHeader(
@@ -96,14 +101,14 @@
   CHECK(served["i-3"] >= 40);
 }
 
-TEST_CASE("mesh: a new version is in force within two seconds") {
+TEST_CASE("mesh: a new configuration version is active within two seconds") {
   const bool silent = GENERATE(false, true);
   CAPTURE(silent);
   World world{silent ? 9 : 6,
               [](const HttpRequest &r) { return Signed(r, 200); }};
   const std::string next =
       Replaced(Replaced(kConfig, "r3", "r9"), "/read/", "/moved/");
-  // A watch that is never answered ends by a time-out of the node's own.
+  // A watch without a reply ends by the node's own timeout.
   world.Store().SetSilent(silent);
   world.Run(50ms);
   world.Store().PutConfig(next);
@@ -114,13 +119,15 @@
         return world.Call(1, "GET", "/moved/1", Headers("m")).status == 200;
       },
       2s));
-  // An older version, read late, is not put into force.
+  // An older version that is read late does not become active.
   world.Store().PutConfig(kConfig);
   world.Run(300ms);
   CHECK(world.Call(1, "GET", "/moved/1", Headers("n")).status == 200);
 }
 
-TEST_CASE("mesh: a dropped history is read anew") {
+TEST_CASE(
+    "mesh: after the store dropped its history the configuration is read "
+    "again") {
   World world{7, [](const HttpRequest &r) { return Signed(r, 200); }};
   world.Store().PutConfig(Replaced(kConfig, "r3", "r4"));
   world.Store().DropHistory();
@@ -134,7 +141,7 @@
       4s));
 }
 
-TEST_CASE("mesh: a leaving node is not ready, serves on, then refuses") {
+TEST_CASE("mesh: a draining node is not ready but still serves requests") {
   World world{8, [](const HttpRequest &r) { return Signed(r, 200); }};
   world.Node(1).Leave();
   CHECK(world.Ready(1) == 503);
--- a/test/pollenring/mesh/mixed_builds_test.cc
+++ b/test/pollenring/mesh/mixed_builds_test.cc
@@ -15,17 +15,17 @@
 using support::FleetJournal;
 using support::MixedFleet;
 
-/*! @brief Length of a stretch in which nothing is disturbed, past contact. */
-constexpr pollenring::Duration kCalm = 2500ms;
-constexpr pollenring::Duration kBurstArrives = 100ms;
-constexpr pollenring::Duration kBetweenSteps = 300ms;
-constexpr pollenring::Duration kPaused = 4s;
-constexpr pollenring::Duration kDeadFor = 1s;
-constexpr pollenring::Duration kWithdrawnLonger = 1500ms;
-/*! @brief Breaches of one rule that are printed. */
-constexpr std::size_t kMostPrinted = 6;
-
-/*! @brief A fleet whose nodes are replaced by nodes of another build. */
+/*! @brief Length of an undisturbed period, after the contact time. */
+constexpr pollenring::Duration kUndisturbed = 2500ms;
+constexpr pollenring::Duration kBurstTime = 100ms;
+constexpr pollenring::Duration kStepInterval = 300ms;
+constexpr pollenring::Duration kPauseTime = 4s;
+constexpr pollenring::Duration kDownTime = 1s;
+constexpr pollenring::Duration kExtraWithdrawal = 1500ms;
+/*! @brief Number of breaches printed per rule. */
+constexpr std::size_t kMaxPrinted = 6;
+
+/*! @brief A fleet whose nodes are replaced with nodes of another build. */
 class Replacement {
  public:
   Replacement(int net, std::uint64_t seed, Build before, Build after,
@@ -34,7 +34,7 @@
         before{std::move(before)},
         after{std::move(after)} {}
 
-  /*! @brief Starts all nodes of the build before, under load. */
+  /*! @brief Starts all nodes with the old build and begins the load. */
   void Begin() {
     for (int i = 1; i <= MixedFleet::kNodes; ++i) {
       this->fleet.Start(i, this->before, true);
@@ -42,23 +42,23 @@
     }
     for (int i = 1; i <= MixedFleet::kNodes; ++i) this->fleet.AwaitReady(i);
     this->fleet.BeginLoad();
-    this->RestInCalm();
+    this->RunUndisturbed();
   }
 
   /*! @brief Replaces the nodes of one service, then those of the other.
-   * @param halfway Done between, when each service has one build. */
+   * @param halfway Called in between, when each service has one build. */
   template <typename Halfway>
   void ReplaceByService(const Build &by, const Halfway &halfway) {
     auto [first, second] = this->Halves();
     for (const int node : first) this->Replace(node, by);
-    this->RestInCalm();
+    this->RunUndisturbed();
     halfway();
     for (const int node : second) this->Replace(node, by);
-    this->RestInCalm();
+    this->RunUndisturbed();
   }
 
   /*! @brief Replaces a node of each service in turn.
-   * @param halfway Done between, when both services have both builds. */
+   * @param halfway Called in between, when both services have both builds. */
   template <typename Halfway>
   void ReplaceByTurns(const Build &by, const Halfway &halfway) {
     const auto [first, second] = this->Halves();
@@ -67,15 +67,15 @@
       for (const int node : {first[i], second[i]}) {
         this->Replace(node, by);
         if (++replaced != MixedFleet::kNodes / 2) continue;
-        this->RestInCalm();
+        this->RunUndisturbed();
         halfway();
       }
     }
-    this->RestInCalm();
+    this->RunUndisturbed();
   }
 
-  /*! @brief A kill, a pause, a change of configuration and a withdrawn zone, in
-   * an order of the seed's. */
+  /*! @brief Kills and pauses a node, changes the configuration and withdraws a
+   * zone, in an order given by the seed. */
   void Disturb() {
     const pollenring::Time from = this->fleet.Now();
     for (const int what : this->Shuffled({0, 1, 2, 3})) {
@@ -84,23 +84,23 @@
       if (what == 2) this->fleet.ChangeConfig();
       if (what == 3) this->WithdrawOne();
     }
-    this->RestInCalm();
+    this->RunUndisturbed();
     this->fleet.LeaveOneInTurn();
     this->fleet.CheckReached(from);
   }
 
   void ChangeConfig() {
     this->fleet.ChangeConfig();
-    this->RestInCalm();
+    this->RunUndisturbed();
   }
 
-  /*! @brief What broke the rules, as text, some of each kind. */
+  /*! @brief Describes breaches of the rules, a limited number per rule. */
   [[nodiscard]] std::string Report() {
     std::map<std::string_view, std::size_t> counts;
     std::string text;
     for (const Breach &breach : this->fleet.Journal().Judge()) {
       const auto name = support::kFleetRuleNames.Name(breach.rule);
-      if (++counts[name] > kMostPrinted) continue;
+      if (++counts[name] > kMaxPrinted) continue;
       text += std::to_string(this->fleet.SinceBegin(breach.at)) + " ms " +
               std::string{name} + ": " + breach.what + "\n";
     }
@@ -110,7 +110,7 @@
     return text;
   }
 
-  /*! @brief Checks that calls passed between the builds, both ways. */
+  /*! @brief Checks that each build has called the other. */
   void CheckCrossings() {
     auto crossings = this->fleet.Journal().Crossings();
     for (const auto &[from, to] : {std::pair{this->before, this->after},
@@ -133,7 +133,7 @@
     return items;
   }
 
-  /*! @brief The nodes of each service, in an order of the seed's. */
+  /*! @brief The nodes of each service, in an order given by the seed. */
   [[nodiscard]] std::pair<std::vector<int>, std::vector<int>> Halves() {
     std::vector<int> first;
     std::vector<int> second;
@@ -149,43 +149,45 @@
     return 1 + static_cast<int>(this->Random().Index(MixedFleet::kNodes));
   }
 
-  void RestInCalm() { this->fleet.Run(FleetJournal::kContact + kCalm); }
+  void RunUndisturbed() {
+    this->fleet.Run(FleetJournal::kContact + kUndisturbed);
+  }
 
   void Replace(int node, const Build &by) {
-    // Its target has running and waiting requests when it is told to stop.
+    // Its target has running and queued requests when the node is stopped.
     this->fleet.Burst(node);
-    this->fleet.Run(kBurstArrives);
+    this->fleet.Run(kBurstTime);
     this->fleet.Stop(node);
     if (this->Random().Chance(0.5)) this->fleet.RestartTarget(node);
     this->fleet.Start(node, by, false);
     this->builds[node] = by;
     this->fleet.AwaitReady(node);
-    this->fleet.Run(kBetweenSteps);
+    this->fleet.Run(kStepInterval);
   }
 
   void KillOne() {
     const int node = this->AnyNode();
     this->fleet.Kill(node);
-    this->fleet.Run(kDeadFor);
+    this->fleet.Run(kDownTime);
     this->fleet.Start(node, this->builds.at(node), false);
     this->fleet.AwaitReady(node);
-    this->RestInCalm();
+    this->RunUndisturbed();
   }
 
   void PauseOne() {
     const int node = this->AnyNode();
     this->fleet.Pause(node);
-    this->fleet.Run(kPaused);
+    this->fleet.Run(kPauseTime);
     this->fleet.Resume(node);
-    this->RestInCalm();
+    this->RunUndisturbed();
   }
 
   void WithdrawOne() {
     const int zone = static_cast<int>(this->Random().Index(MixedFleet::kZones));
     this->fleet.Withdraw(zone, true);
-    this->fleet.Run(FleetJournal::kEvacuation + kWithdrawnLonger);
+    this->fleet.Run(FleetJournal::kEvacuation + kExtraWithdrawal);
     this->fleet.Withdraw(zone, false);
-    this->RestInCalm();
+    this->RunUndisturbed();
   }
 
   MixedFleet fleet;
@@ -194,7 +196,7 @@
   std::map<int, Build> builds;
 };
 
-/*! @brief Replaces a landed build by the new one, and back. */
+/*! @brief Upgrades from an earlier build to the new one and rolls back. */
 void CheckUpgrade(int net, const std::string &commit,
                   const std::set<std::string> &blind_builds) {
   const Build landed = support::LandedBuild(commit);
@@ -215,15 +217,18 @@
 
 }  // namespace
 
-TEST_CASE("mixed builds: 33161f2 is replaced and put back, all rules kept") {
-  // That build knows nothing of withdrawn zones.
+TEST_CASE(
+    "mixed builds: an upgrade from 33161f2 and its rollback keep all rules") {
+  // That build does not support withdrawn zones.
   CheckUpgrade(1, "33161f2", {"33161f2"});
 }
 
-TEST_CASE("mixed builds: 0e01c9f is replaced and put back, all rules kept") {
+TEST_CASE(
+    "mixed builds: an upgrade from 0e01c9f and its rollback keep all rules") {
   CheckUpgrade(2, "0e01c9f", {});
 }
 
-TEST_CASE("mixed builds: 4278493 is replaced and put back, all rules kept") {
+TEST_CASE(
+    "mixed builds: an upgrade from 4278493 and its rollback keep all rules") {
   CheckUpgrade(3, "4278493", {});
 }
--- a/test/pollenring/mesh/slot_ring_test.cc
+++ b/test/pollenring/mesh/slot_ring_test.cc
@@ -19,7 +19,7 @@
 using pollenring::SlotRow;
 using support::MemberFleet;
 
-/*! @brief Takes note of the slots that a node may lend. */
+/*! @brief Records the slots that a node may lend. */
 class Holder final : public pollenring::SlotListener {
  public:
   void SlotGained(SlotId slot, const SlotRow & /*row*/, SlotOrigin /*origin*/,
@@ -56,7 +56,7 @@
     }
   }
 
-  /*! @brief What all nodes may lend of one slot, in parts of its rate. */
+  /*! @brief Sum of all nodes' lendable parts of one slot's rate. */
   [[nodiscard]] double Lent(SlotId slot) const {
     double sum = 0;
     for (int i = 0; i < this->fleet.Size(); ++i) {
@@ -84,14 +84,16 @@
 
 }  // namespace
 
-TEST_CASE("slot ring: sides of a cut lend no more than the rate together") {
+TEST_CASE(
+    "slot ring: sides of a network partition lend no more than the rate in "
+    "total") {
   for (const auto seed : support::Seeds(2)) {
     INFO("seed " << seed);
     MemberFleet fleet{60, seed};
     Rings rings{fleet};
     rings.Run(15s);
     CHECK(rings.MostLent() == Approx(1));
-    // A third is cut off, each node of it by itself.
+    // A third of the nodes is cut off, each isolated from all others.
     for (int i = 0; i < 20; ++i) {
       for (int j = 0; j < 60; ++j) {
         if (i != j) fleet.network.cuts.insert({i, j});
@@ -106,7 +108,7 @@
   }
 }
 
-TEST_CASE("slot ring: nodes that have left take no part of the rates along") {
+TEST_CASE("slot ring: drained nodes do not reduce the lendable rates") {
   MemberFleet fleet{30, 3};
   Rings rings{fleet};
   rings.Run(10s);
