--- a/src/pollenring/node/bus.h
+++ b/src/pollenring/node/bus.h
@@ -28,7 +28,7 @@
   kOnceCopied = 11,
 };
 
-/*! @brief Names of the kinds, as logs and figures spell them. */
+/*! @brief Names of the kinds in logs and metrics. */
 inline constexpr EnumTable<MessageKind, 9> kMessageKindNames{{{
     {MessageKind::kGossip, "gossip"},
     {MessageKind::kWitnessQuery, "witness-ask"},
@@ -49,7 +49,7 @@
    * @param loop The loop.
    * @param self Own address.
    * @param secret Secret that all nodes share.
-   * @param wire What is known of the messages of peers.
+   * @param wire Wire versions of peers.
    */
   Bus(Loop &loop, const Address &self, const std::string &secret,
       PeerWire &wire)
@@ -59,7 +59,7 @@
                  this->Receive(from, content);
                }} {}
 
-  /*! @brief What is known of the messages of peers. @return It. */
+  /*! @brief Wire versions of peers. @return The state. */
   [[nodiscard]] PeerWire &Wire() noexcept { return this->wire; }
 
   /*! @brief Bytes sent so far. @return The count. */
@@ -82,9 +82,9 @@
   }
 
   /**
-   * @brief Registers a handler that answers in the form of the message.
+   * @brief Registers a handler that replies in the encoding of the message.
    * @param kind The kind.
-   * @param handler Called with sender, message and its form.
+   * @param handler Called with sender, message and its wire version.
    */
   template <typename Message>
   void On(MessageKind kind,
@@ -98,9 +98,9 @@
   }
 
   /**
-   * @brief Sends a message in a form that the receiver reads.
+   * @brief Sends a message in an encoding that the receiver reads.
    * @param to Receiver.
-   * @param kind Its kind; one whose form by place all builds share.
+   * @param kind Its kind; must have a positional encoding that all builds read.
    * @param message Its content.
    */
   template <typename Message>
@@ -110,11 +110,11 @@
   }
 
   /**
-   * @brief Sends a message in a given form.
+   * @brief Sends a message in a given encoding.
    * @param to Receiver.
    * @param kind Its kind.
    * @param message Its content.
-   * @param version The form.
+   * @param version The wire version.
    */
   template <typename Message>
   void Send(NodeId to, MessageKind kind, const Message &message,
--- a/src/pollenring/node/call_attribution.cc
+++ b/src/pollenring/node/call_attribution.cc
@@ -8,26 +8,27 @@
 namespace pollenring {
 namespace {
 
-/*! @brief The first window, so that something is known soon after a start. */
+/*! @brief First window; short, for an estimate soon after a start. */
 constexpr Duration kFirstWindow = std::chrono::milliseconds{200};
-/*! @brief Later windows: long beside a request, which raises the mean of its
- * own window, and short beside the waves of load, which raise all numbers. */
+/*! @brief Later windows: long compared to a request, which raises the mean of
+ * its own window, and short compared to load swings, which raise all counts. */
 constexpr Duration kWindow = std::chrono::milliseconds{2500};
-/*! @brief Calls that tell anything: of ten running requests, one caller more or
- * less is then seen. Others than the target may call a few times. */
+/*! @brief Calls needed for an estimate: with ten requests running, one more or
+ * fewer is then noticeable. Others than the target may make a few calls. */
 constexpr double kFewCalls = 30;
-/*! @brief Calls a second from which a target is taken to make them itself. */
+/*! @brief Calls per second from which the target itself is assumed to be the
+ * caller. */
 constexpr double kFrequent = 3;
 constexpr double kFrequentMemorySeconds = 1;
-/*! @brief Part of the early calls at which a caller has to be running. */
+/*! @brief Fraction of the early calls during which a caller must be running. */
 constexpr double kMostlyPresent = 0.5;
-/*! @brief Calls after which those before count half. */
+/*! @brief Calls after which all earlier ones are halved. */
 constexpr double kRemembered = 4000;
-/*! @brief Weight of a window in the mean of running requests. */
+/*! @brief Weight of one window in the mean of running requests. */
 constexpr double kMeanWeight = 0.2;
-/*! @brief Mean below which requests of a kind are as good as never there. */
+/*! @brief Lower bound of the mean, as weights are divided by it. */
 constexpr double kLeastMean = 0.01;
-/*! @brief Kinds and callees that were not seen for so long are forgotten. */
+/*! @brief Time after which unused kinds and callees are removed. */
 constexpr Duration kIdleExpiry = std::chrono::minutes{1};
 
 }  // namespace
@@ -131,8 +132,8 @@
   const Callee *known = this->Known(callee);
   if (known == nullptr) return std::nullopt;
   const auto own = known->excess.find(kind);
-  // What raises all numbers at once is in each excess alike, so parts of their
-  // sum are taken.
+  // Load swings raise the excess of every kind alike, so the result is relative
+  // to their sum.
   const double sum = SumOf(*known);
   if (own == known->excess.end() || sum <= 0) return 0.0;
   return std::max(0.0, own->second) / sum;
--- a/src/pollenring/node/call_attribution.h
+++ b/src/pollenring/node/call_attribution.h
@@ -13,36 +13,38 @@
 
 /**
  * @brief Estimates which kinds of requests make a target's calls, without
- * knowing whose any single call is.
+ * knowing the parent of any single call.
  *
- * At a moment when a call of one kind of request is made, that request itself
- * is running: one more than on average, if requests come independently. So the
- * mean number of running requests of a kind at the moments of calls, less its
- * mean over time, is the part of the calls that this kind makes. Kinds that
- * make none are as many then as at any time.
+ * When a request makes a call, that request itself is running: if requests
+ * arrive independently, one more of its kind runs than on average. The mean
+ * number of running requests of a kind sampled at calls, minus its mean over
+ * time, is therefore the fraction of the calls that this kind makes. For kinds
+ * that make none, both means are equal.
  */
 class CallAttribution {
  public:
   /**
-   * @brief Starts without kinds.
+   * @brief Creates an estimator without data.
    * @param now Time.
    */
   explicit CallAttribution(Time now) noexcept;
 
-  /*! @brief A request begins. @param kind Its kind. @param now Time. */
+  /*! @brief Records the start of a request. @param kind Its kind. @param now
+   * Time. */
   void Begin(const std::string &kind, Time now);
 
-  /*! @brief A request ends. @param kind Its kind. @param now Time. */
+  /*! @brief Records the end of a request. @param kind Its kind. @param now
+   * Time. */
   void End(const std::string &kind, Time now);
 
-  /*! @brief A call is made. @param callee What is called. @param now Time. */
+  /*! @brief Records a call. @param callee What is called. @param now Time. */
   void Called(const std::string &callee, Time now);
 
   /**
-   * @brief Estimates the part of the calls to a callee that a kind makes.
+   * @brief Estimates the fraction of calls to a callee that a kind makes.
    * @param kind The kind.
    * @param callee What is called.
-   * @return From 0 to 1, or nothing while too few calls were seen.
+   * @return From 0 to 1, or nothing while too few calls were recorded.
    */
   [[nodiscard]] std::optional<double> ShareOf(const std::string &kind,
                                               const std::string &callee) const;
@@ -50,11 +52,11 @@
   /**
    * @brief Lists the kinds that make calls to a callee.
    *
-   * While too few calls were seen to tell kinds apart, those are taken that
-   * mostly run when it is called, if it is called often.
+   * While too few calls were recorded to separate kinds, lists those that run
+   * during most of the calls, provided that the callee is called often.
    * @param callee What is called.
-   * @param least Least share.
-   * @return Their names; none when nothing is known.
+   * @param least Minimum fraction of the calls.
+   * @return Their names; empty if nothing is known.
    */
   [[nodiscard]] std::vector<std::string> CallersOf(const std::string &callee,
                                                    double least) const;
@@ -62,32 +64,32 @@
   /**
    * @brief Mean number of running requests of a kind.
    * @param kind The kind.
-   * @return The number, at least a little above 0.
+   * @return The number, always above 0.
    */
   [[nodiscard]] double MeanRunning(const std::string &kind) const;
 
  private:
   struct Kind {
     int running{};
-    Time since{};     /*!< Of the running number. */
-    double seconds{}; /*!< Requests times seconds in this window. */
-    double mean{};    /*!< Running requests, over some windows. */
+    Time since{};     /*!< Last change of `running`. */
+    double seconds{}; /*!< Request-seconds in this window. */
+    double mean{};    /*!< Running requests, smoothed over windows. */
     Time used{};
   };
-  /*! @brief What was seen at the calls to one callee. */
+  /*! @brief Samples taken at the calls to one callee. */
   struct Callee {
     double calls{};     /*!< In this window. */
-    double all_calls{}; /*!< In all windows, faded. */
-    double frequent{};  /*!< Of late, faded over a second. */
-    double total{};     /*!< Until enough was seen. */
+    double all_calls{}; /*!< In all windows, exponentially decayed. */
+    double frequent{};  /*!< Recent calls, decayed over a second. */
+    double total{};     /*!< Calls until enough were recorded. */
     Time used{};
     std::unordered_map<std::string, double> seen;    /*!< In this window. */
-    std::unordered_map<std::string, double> excess;  /*!< In all, faded. */
-    std::unordered_map<std::string, double> present; /*!< Calls while it ran,
-                                                        of the total. */
+    std::unordered_map<std::string, double> excess;  /*!< In all, decayed. */
+    std::unordered_map<std::string, double> present; /*!< Calls of `total`
+                                                        while it ran. */
   };
 
-  /*! @brief Finds a callee of which enough was seen, or null. */
+  /*! @brief Finds a callee with enough recorded calls, or null. */
   [[nodiscard]] const Callee *Known(const std::string &callee) const;
   [[nodiscard]] std::vector<std::string> EarlyCallersOf(
       const std::string &callee) const;
--- a/src/pollenring/node/config_service.cc
+++ b/src/pollenring/node/config_service.cc
@@ -40,7 +40,7 @@
   if (now - this->last_store_contact < kFreshFor) return true;
   const Membership &membership = this->members.Get();
   if (membership.Silence() < kFreshFor) return true;
-  // A node that never had peers is the only one that could change anything.
+  // A node that never had peers is the only one that can publish changes.
   return membership.Members().empty();
 }
 
@@ -164,7 +164,7 @@
   std::set<std::string> reached{membership.Self().zone};
   for (const auto &[id, member] : membership.Members()) {
     if (member.state == MemberState::kDead) {
-      // Whether its zone is lost or cut off can't be told from here.
+      // Its zone may be down or only partitioned from this node.
       behind.insert(member.zone);
       continue;
     }
--- a/src/pollenring/node/config_service.h
+++ b/src/pollenring/node/config_service.h
@@ -18,12 +18,12 @@
 
 namespace pollenring {
 
-/*! @brief What a publication has come to. */
+/*! @brief Result of a publication. */
 struct PublishReport {
   CommitReport commit;
   std::vector<std::string> unconfirmed_zones;
 
-  /*! @brief Whether nodes in all zones hold the change. @return So. */
+  /*! @brief Whether nodes in all zones hold the change. @return True if so. */
   [[nodiscard]] bool Accepted() const noexcept {
     return this->commit.result == CommitResult::kCommitted &&
            this->unconfirmed_zones.empty();
@@ -33,7 +33,7 @@
 /**
  * @brief Keeps the configuration up to date and publishes changes.
  *
- * Versions spread from node to node. One node per zone also asks the platform.
+ * Versions spread between nodes. One node per zone also polls the platform.
  */
 class ConfigService final : public Freshness, public WorkspaceRates {
  public:
@@ -43,10 +43,10 @@
    * @brief Creates the service at version 0.
    * @param loop The loop.
    * @param members Membership.
-   * @param link Streams.
+   * @param link Client for streams to other nodes.
    * @param table The platform's table.
    * @param objects The platform's object store.
-   * @param random Randomness.
+   * @param random Chooses peers to contact.
    */
   ConfigService(Loop &loop, MemberService &members, LinkClient &link,
                 Table &table, ObjectStore &objects, Random &random);
@@ -58,18 +58,18 @@
   [[nodiscard]] std::optional<WorkspaceRateLimit> RateOf(
       const std::string &workspace) const override;
 
-  /*! @brief Starts to follow versions. */
+  /*! @brief Starts to poll the platform and to follow peers. */
   void Start();
 
   /**
-   * @brief Answers a peer that lacks versions.
+   * @brief Builds the reply to a peer that lacks versions.
    * @param body The peer's version.
-   * @return What it lacks.
+   * @return The versions that it lacks.
    */
   [[nodiscard]] std::string AnswerCatchUp(const std::string &body) const;
 
   /**
-   * @brief Commits a change and waits until all zones hold it.
+   * @brief Commits a change and waits until all zones confirm it.
    * @param change The change; its version is the one after its base.
    * @param done Called once.
    */
--- a/src/pollenring/node/describe_members.h
+++ b/src/pollenring/node/describe_members.h
@@ -9,11 +9,11 @@
 namespace pollenring {
 
 /**
- * @brief Lists all nodes that are known, for operators.
- * @param membership Who is there.
- * @param versions Which forms of messages they read.
- * @return One object a node: address, zone, region, state, newest
- * form of messages, targets.
+ * @brief Lists all known nodes for operators.
+ * @param membership Known nodes.
+ * @param versions Wire versions that they read.
+ * @return One object per node: address, zone, region, state, newest wire
+ * version, number of slots held, targets.
  */
 [[nodiscard]] nlohmann::json DescribeMembers(const Membership &membership,
                                              const PeerVersions &versions);
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -13,10 +13,10 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Nodes tried in place of one that has not seen the call. */
+/*! @brief Redirects per call away from nodes that have not executed it. */
 constexpr int kMostRedirects = 3;
 constexpr int kFirstServerError = 500;
-/*! @brief Pause before nodes that were tried are tried again. */
+/*! @brief Pause before nodes that were already tried are tried again. */
 constexpr Duration kTryAgainPause = std::chrono::milliseconds{60};
 
 [[nodiscard]] CallVerdict VerdictOf(const CallReply &reply) noexcept {
@@ -40,7 +40,8 @@
   }
 }
 
-/*! @brief Whether no target has spent anything on the call. */
+/*! @brief Whether no target has spent resources on the call, so that another
+ * attempt needs no retry allowance. */
 [[nodiscard]] bool CostNothing(const CallReply &reply) noexcept {
   if (reply.outcome != Outcome::kNotRun) return false;
   return reply.reason == Reason::kLinkLost ||
@@ -125,7 +126,7 @@
 }
 
 void Dispatcher::AttemptLater(std::uint64_t id, Job &job) {
-  // All that are left have been tried; a link to one may be coming up.
+  // All remaining nodes have been tried; a link to one may be connecting.
   --job.redirects_left;
   job.tried.clear();
   job.waiting = true;
@@ -141,7 +142,7 @@
 void Dispatcher::ChargeAgain(std::uint64_t id, Job &job) {
   job.waiting = true;
   this->metrics.Count("pollenring_charges_renewed_total");
-  // A refusal that comes at once ends the job, and the function within it.
+  // A synchronous refusal destroys the job, and the function stored in it.
   const RenewCharge renew = job.bounds.renew;
   renew([this, id](ShareAnswer charge) {
     const auto found = this->jobs.find(id);
@@ -211,7 +212,8 @@
 
 bool Dispatcher::Misread(Job &job, const CallReply &reply,
                          WireVersion version) {
-  // Nodes answer in the form of the call, but for calls that they can't read.
+  // Nodes reply in the encoding of the call unless they can't decode it.
+  // They then reject it as kNotRun and kLinkLost in an encoding of their own.
   const bool misread = version != job.form &&
                        reply.outcome == Outcome::kNotRun &&
                        reply.reason == Reason::kLinkLost;
@@ -227,7 +229,7 @@
       Refusal(outcome, reason, WithJitter(kDefaultRetryAfter, this->random));
   const auto found = this->jobs.find(id);
   if (found == this->jobs.end()) return;
-  // A slice that is not heard of again counts as spent.
+  // A slice of the allowance that is not reported back counts as spent.
   const bool unseen = outcome == Outcome::kNotRun;
   reply.retries_unspent = unseen ? found->second.slice : 0;
   this->Answered(id, attempt, std::move(reply), {});
@@ -298,7 +300,7 @@
   const bool safe =
       reply.outcome == Outcome::kNotRun || job.envelope.idempotent;
   if (!safe) return false;
-  // With all targets cold, another bears no more either.
+  // If all targets are cold, another one is at its cold-start limit as well.
   const bool all_cold = reply.reason == Reason::kWarmingUp &&
                         !this->router.HasWarm(job.envelope.service);
   if (all_cold) return false;
@@ -333,7 +335,7 @@
     body = std::move(found->second.failure_body);
   }
   reply.retries_unspent = found->second.allowance.Left();
-  // An earlier attempt may have reached a target though the last did not.
+  // An earlier attempt may have reached a target even if the last one did not.
   const bool hides_run =
       reply.outcome == Outcome::kNotRun && found->second.may_have_run;
   if (hides_run) reply.outcome = Outcome::kUnknown;
--- a/src/pollenring/node/dispatcher.h
+++ b/src/pollenring/node/dispatcher.h
@@ -23,34 +23,34 @@
 
 namespace pollenring {
 
-/*! @brief What may be tried again. */
+/*! @brief Which calls are retried. */
 struct DispatchOptions {
-  bool retries_failures{}; /*!< Also after a target's own 5xx answer. */
+  bool retries_failures{}; /*!< Also after a target's own 5xx response. */
 };
 
 /**
- * @brief Charges a call once more.
+ * @brief Charges a call to its workspace again.
  *
- * Rates hold at the targets, and a charge counts for the moment when it is
- * made: what is sent to a second target a second later adds to what is due by
- * then.
+ * Rates are limited as seen by the targets, and a charge covers the time at
+ * which it was made: a call resent one second later adds to the load of that
+ * later second.
  */
 using RenewCharge = std::function<void(ShareGate::Done)>;
 
-/*! @brief Targets that a call may reach which names no bound; its allowance
- * ends it sooner. */
+/*! @brief Maximum number of targets that a call without its own limit may
+ * reach; the retry allowance ends it sooner. */
 inline constexpr int kMostTargets = 16;
 
-/*! @brief Bounds of one call. */
+/*! @brief Limits of one call. */
 struct CallBounds {
-  Time deadline{};           /*!< When the caller needs the answer. */
-  int targets{kMostTargets}; /*!< Most that it may reach. */
+  Time deadline{};           /*!< When the caller needs the response. */
+  int targets{kMostTargets}; /*!< How many it may reach. */
   Time charged{};            /*!< When its workspace was charged for it. */
-  RenewCharge renew;         /*!< Empty when nothing is charged for it. */
+  RenewCharge renew;         /*!< Empty when the call is not charged. */
 };
 
 /**
- * @brief Sends a call to a chosen target and tries again where that is safe.
+ * @brief Sends a call to a target and retries it where that is safe.
  */
 class Dispatcher {
  public:
@@ -60,14 +60,14 @@
    * @brief Creates a dispatcher.
    * @param self This node.
    * @param loop The loop.
-   * @param link Client towards other nodes.
-   * @param wire What is known of the messages of other nodes.
+   * @param link Client for streams to other nodes.
+   * @param wire Wire versions of other nodes.
    * @param router Chooses targets.
-   * @param serving Runs calls for the target beside this node.
-   * @param budget Bounds retries.
-   * @param options What may be tried again.
-   * @param random Randomness.
-   * @param metrics Figures.
+   * @param serving Runs calls on the target local to this node.
+   * @param budget Limits retries.
+   * @param options Which calls are retried.
+   * @param random Source of jitter.
+   * @param metrics Receives counts.
    */
   Dispatcher(NodeId self, Loop &loop, LinkClient &link, PeerWire &wire,
              Router &router, TargetExecutor &serving, RetryBudget &budget,
@@ -75,22 +75,22 @@
 
   /**
    * @brief Performs a call.
-   * @param envelope The call; its retries are the allowance of this call.
+   * @param envelope The call, including its retry allowance.
    * @param body Its body.
-   * @param bounds Its bounds.
-   * @param done Called exactly once unless cancelled; never from in here.
+   * @param bounds Its limits.
+   * @param done Called exactly once unless cancelled, and never synchronously.
    * @return Handle for `Cancel`.
    */
   std::uint64_t Call(CallEnvelope envelope, std::string body, CallBounds bounds,
                      Done done);
 
   /**
-   * @brief Drops a call whose caller has gone.
-   * @param id The call's handle; one that has ended is ignored.
+   * @brief Drops a call whose caller has disconnected.
+   * @param id Handle of the call; ignored if the call has ended.
    */
   void Cancel(std::uint64_t id);
 
-  /*! @brief Calls without an answer yet. @return The count. */
+  /*! @brief Calls without a reply yet. @return The count. */
   [[nodiscard]] std::size_t InProgress() const noexcept {
     return this->jobs.size();
   }
@@ -99,21 +99,21 @@
   struct Job {
     CallEnvelope envelope;
     std::string body;
-    CallBounds bounds; /*!< Its targets are those that it may still reach. */
+    CallBounds bounds; /*!< `targets` counts those still allowed. */
     Time root_started{};
     Time soft_deadline{};
     Time sent{};
     RetryAllowance allowance;
     int slice{};
     int redirects_left{};
-    bool waiting{}; /*!< No node is trying; one will be chosen again. */
+    bool waiting{}; /*!< No attempt runs; another will start. */
     bool may_have_run{};
     std::optional<CallReply>
-        failure; /*!< A target's, while another is tried. */
+        failure; /*!< Of a target, while another is tried. */
     std::string failure_body;
     std::vector<NodeId> tried;
     NodeId node{};
-    WireVersion form{kNewestWire}; /*!< In which the node was asked. */
+    WireVersion form{kNewestWire}; /*!< Encoding of the request sent. */
     std::uint64_t attempt{};
     std::uint64_t call{};
     Done done;
--- a/src/pollenring/node/downstream_levels.cc
+++ b/src/pollenring/node/downstream_levels.cc
@@ -7,24 +7,25 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Time between two looks for what nobody asks for; a way that no answer
- * confirms is forgotten too, so that a route that leads elsewhere by now is
- * tried again though all its roots are refused. */
+/*! @brief Interval of the removal of unused entries. Call paths that no reply
+ * confirms are removed as well: a route whose path has changed is then tried
+ * again although all its root requests were refused. */
 constexpr Duration kSweepPeriod = std::chrono::seconds{10};
-/*! @brief Requests after which those before count half; a service that begins
- * to shed is then on the way after two of them. */
+/*! @brief Requests after which all earlier ones are halved; a service that
+ * begins to shed then counts as on the call path after two of them. */
 constexpr double kRemembered = 20;
-/*! @brief Part of a route's answers that must name a service on its way. Which
- * routes make calls is an estimate at each node: less comes from few of them
- * that are wrong. */
+/*! @brief Fraction of a route's replies that must report a service for it to be
+ * on the call path. Each node only estimates which routes make calls: a smaller
+ * fraction can come from a few wrong estimates. */
 constexpr double kMeets = 0.4;
-/*! @brief Own requests of a route from which others' word is not needed. */
+/*! @brief Own requests of a route from which reports of others are ignored. */
 constexpr double kFewRequests = 5;
-/*! @brief Weight of one node's word beside those before. */
+/*! @brief Weight of a new report relative to earlier ones. */
 constexpr double kWordWeight = 0.2;
-/*! @brief What the first word counts: enough to act on until others differ. */
+/*! @brief Value of the first report: sufficient to act on until others
+ * disagree. */
 constexpr double kFirstWord = 0.5;
-/*! @brief Time for which a word counts that nobody repeats. */
+/*! @brief Time after which a report that is not repeated expires. */
 constexpr Duration kWordLifetime = std::chrono::seconds{3};
 
 }  // namespace
@@ -79,7 +80,7 @@
     const Time measured = now - std::chrono::milliseconds{entry.age_ms};
     Services &services = this->scopes[this->ScopeOf(workspace)];
     const auto found = services.find(entry.service);
-    // A level of zero tells something only beside others of the service.
+    // Zero matters only for a service of which other levels are known.
     if (found == services.end() && entry.level_milli <= 0) continue;
     Known &known = services[entry.service][entry.node];
     if (measured <= known.measured) continue;
@@ -100,7 +101,8 @@
 CallPathLevel DownstreamLevels::MeanOf(const Service &service) const noexcept {
   CallPathLevel mean;
   mean.age = this->options.lifetime;
-  // A target that hardly gets calls tells little of where most of them end.
+  // Weighted by call rate: a nearly idle target says little about where most
+  // calls are handled.
   double weights = 0;
   for (const auto &[node, known] : service) {
     if (this->Stale(known)) continue;
@@ -174,7 +176,7 @@
   const auto way = this->ways.find(route);
   for (const auto &[name, service] : scope->second) {
     if (!this->Sheds(service)) continue;
-    // Only what was seen here; word of others would come back as evidence.
+    // Own observations only; reports of others would echo back as evidence.
     const bool on_call_path = way != this->ways.end() && Met(way->second, name);
     for (const auto &[node, known] : service) {
       if (this->Stale(known)) continue;
--- a/src/pollenring/node/downstream_levels.h
+++ b/src/pollenring/node/downstream_levels.h
@@ -12,72 +12,72 @@
 
 namespace pollenring {
 
-/*! @brief How levels are kept. */
+/*! @brief How long and at which granularity levels are kept. */
 struct DownstreamLevelOptions {
-  /*! @brief Time for which a level holds that nothing confirms. */
+  /*! @brief Time after which a level that is not confirmed expires. */
   Duration lifetime{std::chrono::milliseconds{1500}};
-  /*! @brief Whether a service has a level for each workspace. */
+  /*! @brief Whether each workspace has its own levels. */
   bool per_workspace{};
 };
 
-/*! @brief The service on a route's way that sheds most. */
+/*! @brief The service with the highest admission level on a call path. */
 struct CallPathLevel {
-  double level{};      /*!< 0 when none sheds. */
-  std::string service; /*!< Empty when none sheds. */
-  Duration age{};      /*!< Of its newest level. */
+  double level{};      /*!< 0 if none sheds. */
+  std::string service; /*!< Empty if none sheds. */
+  Duration age{};      /*!< Age of its newest level. */
 };
 
 /**
- * @brief Remembers the levels of services, and which services lie on the way of
- * which route.
+ * @brief Tracks the admission levels of services, and which services lie on the
+ * call path of which route.
  *
- * Levels come back with answers and are passed on with others, with their age:
- * whatever answer reaches a node tells it of all services that shed. A root
- * below the level of any service on its way would be shed there, after work
- * was done for it elsewhere.
+ * Levels arrive with replies and are forwarded, with their age, in other
+ * replies: any reply that reaches a node reports all services that shed. A root
+ * request below the admission level of a service on its call path would be shed
+ * there, after other services have spent work on it.
  */
 class DownstreamLevels {
  public:
   /**
-   * @brief Starts without levels.
-   * @param options How levels are kept.
+   * @brief Creates a tracker without levels.
+   * @param options Lifetime and granularity of levels.
    * @param clock Clock.
    */
   DownstreamLevels(const DownstreamLevelOptions &options, const Clock &clock)
       : options{options}, clock{clock}, swept{clock.Now()} {}
 
-  /*! @brief Routes that are remembered. @return The count. */
+  /*! @brief Number of tracked routes. @return The count. */
   [[nodiscard]] std::size_t Count() const noexcept { return this->ways.size(); }
 
   /**
-   * @brief Takes in an answer to a request.
+   * @brief Records the reply to a request.
    * @param workspace Its workspace.
    * @param route Its route.
-   * @param levels Levels that came with the answer.
+   * @param levels Admission levels in the reply.
    */
   void Learn(const std::string &workspace, const std::string &route,
              const std::vector<AdmissionLevel> &levels);
 
   /**
-   * @brief Takes in an answer to a call made on behalf of a request.
+   * @brief Records the reply to a call made on behalf of a request.
    * @param workspace The request's workspace.
    * @param route The request's route.
-   * @param levels Levels that came with the answer.
+   * @param levels Admission levels in the reply.
    */
   void LearnBelow(const std::string &workspace, const std::string &route,
                   const std::vector<AdmissionLevel> &levels);
 
   /**
-   * @brief Counts a request that the local target has answered.
+   * @brief Counts a request that the local target has completed.
    * @param route Its route.
    */
   void Served(const std::string &route);
 
   /**
-   * @brief Lists the services that shed, for an answer to a request.
+   * @brief Lists the services that shed, for the reply to a request.
    * @param workspace Its workspace.
    * @param route Its route.
-   * @param most Most levels to list; those on the route's way come first.
+   * @param most Maximum number of levels; those on the call path come first.
    * @return Levels with their age.
    */
   [[nodiscard]] std::vector<AdmissionLevel> Shedding(
@@ -85,27 +85,28 @@
       std::size_t most) const;
 
   /**
-   * @brief Lists what this node has seen of the ways of routes.
-   * @param most Most marks to list.
-   * @return Which routes meet a service that sheds, and which do not.
+   * @brief Lists what this node has observed of call paths.
+   * @param most Maximum number of reports.
+   * @return For each route and shedding service, whether it is on the call
+   * path.
    */
   [[nodiscard]] std::vector<CallPathReport> CallPathReports(
       std::size_t most) const;
 
   /**
-   * @brief Takes in what another node has seen.
+   * @brief Records what another node has observed.
    *
-   * Its word counts for routes of which this node has seen few requests.
-   * @param call_path_reports What it has seen.
+   * Used for routes of which this node has seen few requests.
+   * @param call_path_reports Reports of the other node.
    */
   void LearnCallPathReports(
       const std::vector<CallPathReport> &call_path_reports);
 
   /**
-   * @brief Finds what sheds most on a route's way.
-   * @param workspace Workspace of the roots.
+   * @brief Finds the highest admission level on a route's call path.
+   * @param workspace Workspace of the root requests.
    * @param route Their route.
-   * @return Its level, below which roots would be shed.
+   * @return The level below which root requests would be shed.
    */
   [[nodiscard]] CallPathLevel HighestOnCallPath(const std::string &workspace,
                                                 const std::string &route) const;
@@ -116,17 +117,17 @@
     int per_second{};
     Time measured{};
   };
-  /*! @brief Levels of one service, by the node beside each target. */
+  /*! @brief Levels of one service, by the node local to each target. */
   using Service = std::unordered_map<NodeId, Known>;
   using Services = std::unordered_map<std::string, Service>;
 
-  /*! @brief What other nodes say of a route and a service. */
+  /*! @brief Reports of other nodes on one route and service. */
   struct Told {
-    double meets{}; /*!< Part of them that say so. */
+    double meets{}; /*!< Weighted fraction that report a hit. */
     Time at{};
   };
 
-  /*! @brief How many of a route's requests met each service that shed. */
+  /*! @brief How many requests of a route reached each shedding service. */
   struct CallPath {
     double requests{};
     Time used{};
--- a/src/pollenring/node/gates.h
+++ b/src/pollenring/node/gates.h
@@ -15,7 +15,7 @@
 
 namespace pollenring {
 
-/*! @brief Which node lends the share of a slot. */
+/*! @brief Which node lends the rates of a slot. */
 class SlotHolders {
  public:
   SlotHolders() = default;
@@ -23,31 +23,33 @@
   SlotHolders &operator=(const SlotHolders &) = delete;
   virtual ~SlotHolders() = default;
 
-  /*! @brief Number of slots in all. @return The count. */
+  /*! @brief Total number of slots. @return The count. */
   [[nodiscard]] virtual SlotId Count() const noexcept = 0;
 
   /**
-   * @brief Finds who holds a slot, as far as this node has heard.
+   * @brief Finds who holds a slot, as far as this node knows.
    * @param slot The slot.
    * @return The holder, or nothing.
    */
   [[nodiscard]] virtual std::optional<NodeId> HolderOf(SlotId slot) const = 0;
 
-  /*! @brief Whether this node holds it. @param slot Slot. @return So. */
+  /*! @brief Whether this node holds a slot. @param slot Slot. @return True if
+   * it does. */
   [[nodiscard]] virtual bool Holds(SlotId slot) const = 0;
 
   /**
-   * @brief Part of each rate and burst that all holders seen here may lend.
-   * @return From 0 to 1; less while others may lend unseen.
+   * @brief Fraction of each rate and burst that the holders known here may
+   * lend.
+   * @return From 0 to 1; below 1 while unknown holders may lend too.
    */
   [[nodiscard]] virtual double Part() const noexcept { return 1; }
 
-  /*! @brief Until when this node may lend it. @param slot Slot. @return Time.
-   */
+  /*! @brief Until when this node may lend from a slot. @param slot Slot.
+   * @return Time. */
   [[nodiscard]] virtual Time ValidUntil(SlotId slot) const = 0;
 };
 
-/*! @brief Rates and bursts of workspaces, as they are in force. */
+/*! @brief Active rates and bursts of workspaces. */
 class WorkspaceRates {
  public:
   WorkspaceRates() = default;
@@ -56,22 +58,22 @@
   virtual ~WorkspaceRates() = default;
 
   /**
-   * @brief Finds what a workspace may consume in all.
+   * @brief Finds the rate limit of a workspace over all VMs.
    * @param workspace The workspace.
-   * @return Rate and burst, or nothing when it has none.
+   * @return Rate and burst, or nothing if it has none.
    */
   [[nodiscard]] virtual std::optional<WorkspaceRateLimit> RateOf(
       const std::string &workspace) const = 0;
 };
 
-/*! @brief Whether a workspace may start one more whole request. */
+/*! @brief Whether a workspace may start one more root request. */
 struct ShareAnswer {
   bool granted{};
   Reason reason{Reason::kNone};
   Duration retry_after{};
 };
 
-/*! @brief Charges whole requests to their workspaces, over all VMs. */
+/*! @brief Charges root requests to their workspaces, over all VMs. */
 class ShareGate {
  public:
   using Done = std::function<void(ShareAnswer)>;
@@ -82,16 +84,16 @@
   virtual ~ShareGate() = default;
 
   /**
-   * @brief Charges one request, now or once a loan of share has arrived.
+   * @brief Charges one request, at once or when a loan has arrived.
    * @param workspace The workspace.
-   * @param wait_limit How long the request waits.
-   * @param done Called exactly once, possibly from in here.
+   * @param wait_limit How long the request may wait.
+   * @param done Called exactly once, possibly synchronously.
    */
   virtual void Charge(const std::string &workspace, WaitLimit wait_limit,
                       Done done) = 0;
 };
 
-/*! @brief What may be done with a request identifier. */
+/*! @brief Decision on a request identifier. */
 enum class OnceVerdict {
   kRun,
   kNotRun,
@@ -101,15 +103,15 @@
   kExpired
 };
 
-/*! @brief What the owner of a request identifier says. */
+/*! @brief Reply of the owner of a request identifier. */
 struct OnceAnswer {
   OnceVerdict verdict{OnceVerdict::kUnknown};
-  CallReply reply; /*!< The first answer, when it is still held. */
+  CallReply reply; /*!< The first response, if still held. */
   std::string body;
   Duration retry_after{};
 };
 
-/*! @brief Lets each identifier of a non-idempotent request run at most once. */
+/*! @brief Runs each identifier of a non-idempotent request at most once. */
 class OnceGate {
  public:
   using Done = std::function<void(OnceAnswer)>;
@@ -120,20 +122,20 @@
   virtual ~OnceGate() = default;
 
   /**
-   * @brief Asks to run an identifier.
+   * @brief Requests to run an identifier.
    * @param key Workspace and identifier.
-   * @param minted_here Whether this node minted it, so that nobody else can
-   * have used it.
-   * @param deadline When the request's caller needs its answer.
+   * @param minted_here Whether this node created it, so that no other request
+   * can have used it.
+   * @param deadline When the caller needs the response.
    * @param done Called exactly once.
    */
   virtual void Begin(const std::string &key, bool minted_here, Time deadline,
                      Done done) = 0;
 
   /**
-   * @brief Tells how a run ended.
+   * @brief Records how a run ended.
    * @param key Workspace and identifier.
-   * @param reply The answer.
+   * @param reply The reply.
    * @param body Its body.
    */
   virtual void End(const std::string &key, const CallReply &reply,
--- a/src/pollenring/node/handover.h
+++ b/src/pollenring/node/handover.h
@@ -10,7 +10,7 @@
 
 namespace pollenring {
 
-/*! @brief What the holder of a slot leaves to its successor. */
+/*! @brief State that the holder of a slot hands over to its successor. */
 struct Handover {
   SlotId slot{};
   SlotRow row;
@@ -19,14 +19,14 @@
   MSGPACK_DEFINE(slot, row, buckets, once)
 
   /**
-   * @brief Tells whether this is what was left when the slot was gained.
+   * @brief Checks whether this state is current for a slot that was gained.
    *
-   * A successor may also have to take the slot again after it was named in the
-   * table, or be elected after its predecessor has resigned; nobody else can
-   * have used it in between.
+   * A successor may also acquire the slot again after it was named in the
+   * table, or be elected after its predecessor has resigned; no other node can
+   * have used the slot in between.
    * @param gained The row gained.
    * @param before The row before.
-   * @return Whether the contents are those of the slot.
+   * @return True if the state is that of the slot.
    */
   [[nodiscard]] bool Precedes(const SlotRow &gained,
                               const SlotRow &before) const noexcept {
--- a/src/pollenring/node/headers.h
+++ b/src/pollenring/node/headers.h
@@ -26,9 +26,9 @@
 inline constexpr std::string_view kSecretHeader = "pollenring-secret";
 
 /**
- * @brief Copies the headers that a target or caller may see.
+ * @brief Copies the headers that may be forwarded to a target or caller.
  * @param headers Headers as received.
- * @return Those without internal and hop-by-hop ones.
+ * @return All except internal and hop-by-hop headers.
  */
 [[nodiscard]] std::vector<WireHeader> ForwardableHeaders(
     const HttpHeaders &headers);
@@ -40,7 +40,7 @@
  */
 [[nodiscard]] std::size_t HeaderBytes(const HttpHeaders &headers) noexcept;
 
-/*! @brief A request path split into service and rest. */
+/*! @brief A request path split into service and remaining path. */
 struct ServicePath {
   std::string service;
   std::string path;
@@ -49,12 +49,12 @@
 /**
  * @brief Splits `/service/rest`.
  * @param path The path.
- * @return Service and `/rest`; an empty service when there is none.
+ * @return Service and `/rest`; the service is empty if there is none.
  */
 [[nodiscard]] ServicePath SplitServicePath(std::string_view path);
 
 /**
- * @brief Names a route among all services' routes.
+ * @brief Builds the name of a route, unique over all services.
  * @param service The service.
  * @param route Its route.
  * @return The name.
@@ -63,7 +63,7 @@
                                     const Route &route);
 
 /**
- * @brief Builds the answer to a caller or a target.
+ * @brief Builds the response to a caller or a target.
  * @param reply The reply.
  * @param body Its body.
  * @param request_id The request's identifier.
@@ -73,10 +73,10 @@
                                       const std::string &request_id);
 
 /**
- * @brief Builds the reply of a request that the layer gives up on.
+ * @brief Builds the reply to a request that is refused or abandoned.
  * @param outcome What is known of its execution.
- * @param reason Why it is given up on.
- * @param retry_after When to come back; 0 for no such advice.
+ * @param reason Why it is refused or abandoned.
+ * @param retry_after Advised wait before a retry; 0 for none.
  * @return The reply.
  */
 [[nodiscard]] CallReply Refusal(Outcome outcome, Reason reason,
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -21,7 +21,7 @@
   return static_cast<double>(Hash64(root_id) >> 11U) * kLotScale;
 }
 
-/*! @brief Whether the key stands where it would reach a target. */
+/*! @brief Whether the key appears where it would be forwarded to a target. */
 [[nodiscard]] bool LeaksKey(const HttpRequest &request, std::string_view key) {
   if (key.size() < kShortestKeySearched) return false;
   const auto contains = [key](const std::string &text) {
@@ -37,7 +37,7 @@
 
 }  // namespace
 
-/*! @brief A request from outside and what is known of it. */
+/*! @brief State of a request of an external caller. */
 struct Ingress::Root {
   Root(std::size_t &held, std::size_t size) : held{held}, size{size} {
     this->held += this->size;
@@ -90,7 +90,7 @@
 
 void Ingress::Next(const RootPtr &root) {
   const bool once = !root->envelope.idempotent && !root->begun;
-  // A repeat is answered from memory, before it costs or is refused anything.
+  // Repeats are answered from the record before any charge or refusal.
   if (once && root->id_given) {
     this->Begin(root);
     return;
@@ -258,7 +258,7 @@
                                  reply.levels);
         this->Answer(root, std::move(reply), std::move(body));
       });
-  // A non-idempotent run goes on, so that repeats can be told its outcome.
+  // A non-idempotent run continues, so that repeats can get its outcome.
   if (root->begun) return;
   root->responder->OnCancel(
       [this, call](CallerDisconnect) { this->parts.dispatcher.Cancel(call); });
--- a/src/pollenring/node/ingress.h
+++ b/src/pollenring/node/ingress.h
@@ -16,7 +16,7 @@
 
 namespace pollenring {
 
-/*! @brief Whether a node's view of the configuration can be trusted. */
+/*! @brief Whether a node's configuration is recent enough to rely on. */
 class Freshness {
  public:
   Freshness() = default;
@@ -24,11 +24,12 @@
   Freshness &operator=(const Freshness &) = delete;
   virtual ~Freshness() = default;
 
-  /*! @brief Whether peers or the platform were heard lately. @return So. */
+  /*! @brief Whether peers or the platform were reached recently. @return True
+   * if the configuration is fresh. */
   [[nodiscard]] virtual bool Fresh() const = 0;
 };
 
-/*! @brief The parts that a request from outside passes through. */
+/*! @brief Dependencies of the ingress. */
 struct IngressParts {
   const ConfigLedger &config;
   const Freshness &freshness;
@@ -41,24 +42,24 @@
 };
 
 /**
- * @brief Takes requests of callers from outside.
+ * @brief Handles requests of external callers.
  *
- * Key, route, early refusal, share and identifier are checked in this order,
- * the cheapest first; only then is the request sent to a target.
+ * Checks key, route, early refusal, rate limit and request identifier in this
+ * order, cheapest first; only then sends the request to a target.
  */
 class Ingress {
  public:
   /**
    * @brief Creates an ingress.
    * @param loop The loop.
-   * @param parts What requests pass through.
+   * @param parts Dependencies.
    */
   Ingress(Loop &loop, const IngressParts &parts);
 
   /**
-   * @brief Takes one request.
+   * @brief Handles one request.
    * @param request The request.
-   * @param responder Receives its answer.
+   * @param responder Receives the response.
    */
   void Handle(HttpRequest request, std::shared_ptr<Responder> responder);
 
--- a/src/pollenring/node/limits.h
+++ b/src/pollenring/node/limits.h
@@ -7,26 +7,26 @@
 
 namespace pollenring {
 
-/*! @brief Largest body that passes through a node, either way. */
+/*! @brief Maximum size of a request or response body. */
 inline constexpr std::size_t kMaxBodyBytes = std::size_t{17} * 1024 * 1024;
 
-/*! @brief Room for the fields that travel with a body. */
+/*! @brief Maximum size of a frame: a body and its envelope fields. */
 inline constexpr std::size_t kMaxFrameBytes =
     kMaxBodyBytes + std::size_t{256} * 1024;
 
-/*! @brief All bodies that a node holds at once. */
+/*! @brief Maximum total size of the bodies that a node holds at once. */
 inline constexpr std::size_t kBodyBudgetBytes = std::size_t{128} * 1024 * 1024;
 
-/*! @brief Largest sum of header names and values of a request. */
+/*! @brief Maximum total size of header names and values of a request. */
 inline constexpr std::size_t kMaxHeaderBytes = std::size_t{32} * 1024;
 
-/*! @brief Deepest chain of calls. */
+/*! @brief Maximum depth of a chain of calls. */
 inline constexpr int kMaxDepth = 32;
 
-/*! @brief Time around which a refused caller is told to come back. */
+/*! @brief Retry-after sent to refused callers, before jitter. */
 inline constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds{500};
 
-/*! @brief How much longer a node waits than the node that it asked. */
+/*! @brief How much longer a node waits than the node that it calls. */
 inline constexpr Duration kAnswerSlack = std::chrono::milliseconds{20};
 
 }  // namespace pollenring
--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -12,24 +12,25 @@
 
 constexpr const char *kBootstrapRow = "bootstrap";
 constexpr std::size_t kMostListed = 16;
-/*! @brief Nodes listed before only those on duty for the store list themselves;
- * with all nodes writing at a first start most writes would conflict. */
+/*! @brief Number of listed nodes from which only designated watchers of the
+ * store add themselves; if all nodes wrote at a first start, most writes would
+ * conflict. */
 constexpr std::size_t kFewListed = 4;
-/*! @brief Peers asked at a time for all records; some may be gone. */
+/*! @brief Peers queried for all records at a time; some may be down. */
 constexpr std::size_t kJoinsAtOnce = 2;
-/*! @brief Time over which the nodes of a first start read the row, so that
- * most of them find a few others in it. */
+/*! @brief Time over which the first reads of the row are spread at a first
+ * start, so that most nodes find a few others in it. */
 constexpr Duration kFirstReads = std::chrono::milliseconds{400};
-/*! @brief Pause around which a write that came second is tried again. */
+/*! @brief Pause before a conflicting write is retried, before jitter. */
 constexpr Duration kConflictPause = std::chrono::milliseconds{60};
 constexpr Duration kTick = std::chrono::milliseconds{50};
 constexpr Duration kBootstrapPeriod = std::chrono::seconds{2};
-/*! @brief Pause until one that knows nobody tries again. */
+/*! @brief Pause between attempts to join. */
 constexpr Duration kJoinPause = std::chrono::milliseconds{500};
-/*! @brief Time between two looks of a node on duty at the bootstrap row. */
+/*! @brief Interval at which a designated watcher reads the bootstrap row. */
 constexpr Duration kUpkeepPeriod = std::chrono::seconds{10};
-/*! @brief Age until which they look more often: nodes that all start at once
- * may have found each other in groups that don't know of one another. */
+/*! @brief Age up to which it reads more often: nodes that start together may
+ * have formed groups that don't know of one another. */
 constexpr Duration kYoung = std::chrono::seconds{15};
 constexpr Duration kAloneAfter = std::chrono::milliseconds{1500};
 constexpr Duration kJoinTimeout = std::chrono::seconds{1};
@@ -95,7 +96,7 @@
     if (age >= kAloneAfter) this->joined = true;
     for (const auto &seed : this->seeds) this->JoinThrough(seed.Packed());
   } else if (!this->joined) {
-    // Some peer has probed this node; it knows all the others.
+    // A peer has probed this node; that peer knows all the others.
     std::vector<NodeId> alive;
     for (const auto &[id, member] : this->membership.Members()) {
       if (member.state == MemberState::kAlive) alive.push_back(id);
@@ -178,7 +179,7 @@
                       const bool conflict = result != nullptr &&
                                             *result == WriteResult::kConflict;
                       if (!conflict || this->joined) return;
-                      // Whoever came first is in the row now.
+                      // The row now lists the node whose write succeeded.
                       this->loop.After(WithJitter(kConflictPause, this->random),
                                        [this] { this->ReadBootstrapRow(); });
                     });
@@ -204,7 +205,7 @@
     return;
   }
   this->membership.Merge(records->value);
-  // Old builds answer without having read fields by number.
+  // Old builds reply without having decoded fields by number.
   const bool unread = records->version < asked;
   if (unread) {
     this->link.Call(AddressOf(peer), "members-merge",
@@ -214,7 +215,7 @@
   if (this->joined) return;
   this->joined = true;
   LogEvent(LogLevel::kInfo, "joined", {{"members", records->value.size()}});
-  // Its answer tells the version in force.
+  // Its reply reports the active configuration version.
   this->membership.Contact(peer);
 }
 
@@ -237,7 +238,7 @@
 void MemberService::Receive(NodeId from, const Gossip &gossip,
                             WireVersion version) {
   Gossip heard = gossip;
-  // The store has told V1 nothing of zones, however lately it was asked.
+  // V1 builds read no zone withdrawals, however recent their store contact.
   const bool first = version == WireVersion::kV1 && gossip.wire == 0;
   if (first) heard.store_age_ms = -1;
   this->answers = version;
@@ -258,8 +259,8 @@
     this->bus.Send(to, MessageKind::kGossip, gossip, *known);
     return;
   }
-  // Each build reads one of them, whatever runs there now, and drops the other
-  // or learns the same from it.
+  // Any build at that address reads at least one of the two, and drops the
+  // other or learns the same from it.
   this->bus.Send(to, MessageKind::kGossip, gossip, WireVersion::kV1);
   this->bus.Send(to, MessageKind::kGossip, gossip, WireVersion::kV2);
 }
--- a/src/pollenring/node/member_service.h
+++ b/src/pollenring/node/member_service.h
@@ -26,13 +26,13 @@
   /**
    * @brief Creates the service.
    * @param self Own record.
-   * @param seeds Addresses to begin with.
+   * @param seeds Addresses of nodes to join through.
    * @param loop The loop.
-   * @param bus Datagrams.
-   * @param link Streams.
+   * @param bus Datagrams to other nodes.
+   * @param link Client for streams to other nodes.
    * @param table The platform's table.
-   * @param random Randomness.
-   * @param first_start Whether all nodes start for the first time, together.
+   * @param random Source of jitter and choices.
+   * @param first_start Whether all nodes start together, for the first time.
    */
   MemberService(Member self, std::vector<Address> seeds, Loop &loop, Bus &bus,
                 LinkClient &link, Table &table, Random &random,
@@ -43,33 +43,35 @@
     return this->membership;
   }
 
-  /*! @brief Who asks the store on behalf of all. @return The decision. */
+  /*! @brief Whether this node is a designated watcher of the store. @return
+   * The role. */
   [[nodiscard]] const StoreWatcherRole &WatcherRole() const noexcept {
     return this->duty;
   }
 
-  /*! @brief Whether this node knows the others, or that there are none. */
+  /*! @brief Whether this node knows the others, or that it is alone. */
   [[nodiscard]] bool Joined() const noexcept { return this->joined; }
 
-  /*! @brief Adds a listener for changed records. @param listener It. */
+  /*! @brief Adds a listener for changed records. @param listener Listener. */
   void OnMember(MemberListener listener);
 
-  /*! @brief Adds a listener for peers' versions. @param listener It. */
+  /*! @brief Adds a listener for configuration versions of peers. @param
+   * listener Listener. */
   void OnVersion(VersionListener listener);
 
-  /*! @brief Adds a listener for peers' words of withdrawn zones. @param
-   * listener It. */
+  /*! @brief Adds a listener for zone withdrawals that peers report. @param
+   * listener Listener. */
   void OnZones(ZonesListener listener);
 
-  /*! @brief Looks for other nodes and starts to probe. */
+  /*! @brief Joins other nodes and starts to probe them. */
   void Start();
 
   /**
-   * @brief Answers a message of another node, in the form of the message.
-   * @param path What it is for.
-   * @param from Where it came from.
+   * @brief Handles a request of another node; replies in its encoding.
+   * @param path Path of the request.
+   * @param from Sender.
    * @param body Its content.
-   * @return The answer, or nothing when it is not for membership.
+   * @return The reply, or nothing if the path is not one of membership.
    */
   [[nodiscard]] std::optional<std::string> Answer(std::string_view path,
                                                   const Address &from,
@@ -86,8 +88,8 @@
                                        const std::string &body);
   [[nodiscard]] std::string AnswerDiffering(const Address &from,
                                             const std::string &body);
-  /*! @brief Takes in records. @return Their form; the one that all builds read
-   * when it can't be told. */
+  /*! @brief Merges records. @return Their wire version; the one that all
+   * builds read if they can't be decoded. */
   WireVersion TakeRecords(const Address &from, const std::string &body);
   void Bootstrap();
   void ReadBootstrapRow();
@@ -95,7 +97,7 @@
   void JoinThrough(NodeId peer);
   void Joined(NodeId peer, WireVersion asked, const std::string &body);
   void Exchange(NodeId peer, const std::string &body);
-  /*! @brief Those of whom this node has never heard. */
+  /*! @brief Listed nodes without a member record here. */
   [[nodiscard]] std::vector<NodeId> UnknownOf(
       const std::vector<NodeId> &listed) const;
   void JoinThroughSome(std::vector<NodeId> peers);
@@ -117,7 +119,7 @@
   std::vector<ZonesListener> zones_listeners;
   Time started{};
   bool joined{};
-  std::optional<WireVersion> answers; /*!< Form of the probe in progress. */
+  std::optional<WireVersion> answers; /*!< Of the probe being handled. */
 };
 
 }  // namespace pollenring
--- a/src/pollenring/node/parent_finder.cc
+++ b/src/pollenring/node/parent_finder.cc
@@ -6,10 +6,11 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Most by which a call's deadline is off its parent's: both are told in
- * whole milliseconds, and messages within a VM take less than one. */
+/*! @brief Maximum difference between the deadlines of a call and its parent:
+ * both are sent as integral milliseconds, and messages within a VM take less
+ * than one. */
 constexpr Duration kTolerance = std::chrono::milliseconds{4};
-/*! @brief Candidates of a draw; a target works on a few dozen at once. */
+/*! @brief Candidates per draw; a target runs a few dozen requests at once. */
 constexpr std::size_t kMostCandidates = 64;
 
 }  // namespace
@@ -110,7 +111,7 @@
   this->shares.Called(callee, now);
   if (const auto nearest = this->Nearest(deadline)) return nearest;
   if (const auto drawn = this->Draw(deadline, callee)) return drawn;
-  // One that makes several calls at once has just begun the first of them.
+  // A request that makes calls in parallel has just started the first of them.
   if (this->waiting.empty()) return std::nullopt;
   return this->waiting.rbegin()->second;
 }
--- a/src/pollenring/node/parent_finder.h
+++ b/src/pollenring/node/parent_finder.h
@@ -15,58 +15,61 @@
 namespace pollenring {
 
 /**
- * @brief Finds the request on whose behalf a target makes a call that carries
- * no context.
+ * @brief Finds the parent request of a call that a target makes without
+ * passing on its context.
  *
- * Such a call ends when its parent does, unless its own time is shorter. So a
- * deadline that equals a request's points to it. Otherwise one is drawn among
- * those that work and wait for no call, by the part of such calls that requests
- * of its kind make. The draw is mostly wrong about the request and right about
- * shares: of all calls, each kind gets as many as it makes.
+ * Such a call inherits the deadline of its parent unless its own is shorter, so
+ * an equal deadline identifies the parent. Otherwise a parent is drawn at
+ * random among requests that are not waiting for a call, weighted by the
+ * fraction of such calls that their kind makes. The draw is mostly wrong about
+ * the individual request but right in aggregate: each kind gets as many calls
+ * as it makes.
  */
 class ParentFinder {
  public:
   /**
-   * @brief Starts without requests.
-   * @param random Draws.
+   * @brief Creates a finder without requests.
+   * @param random Source of the draws.
    * @param now Time.
    */
   ParentFinder(Random &random, Time now) : random{random}, shares{now} {}
 
   /**
-   * @brief Adds a request that the target has been given.
+   * @brief Adds a request sent to the target.
    * @param id The request.
-   * @param kind Its kind; requests of one kind make calls alike.
-   * @param deadline When the target was told that it ends.
+   * @param kind Its kind; requests of one kind make similar calls.
+   * @param deadline Deadline sent to the target.
    * @param now Time.
    */
   void Add(std::uint64_t id, const std::string &kind, Time deadline, Time now);
 
   /**
-   * @brief Removes a request; an unknown one is ignored.
+   * @brief Removes a request; unknown ones are ignored.
    * @param id The request.
    * @param now Time.
    */
   void Remove(std::uint64_t id, Time now);
 
-  /*! @brief A request waits for a call. @param id Request. @param now Time. */
+  /*! @brief Records that a request waits for a call. @param id Request. @param
+   * now Time. */
   void CallBegun(std::uint64_t id, Time now);
 
-  /*! @brief A call has ended. @param id Its request. @param now Time. */
+  /*! @brief Records the end of a call. @param id Its request. @param now Time.
+   */
   void CallEnded(std::uint64_t id, Time now);
 
   /**
    * @brief Finds the parent of a call.
-   * @param deadline When the call says that it ends.
-   * @param callee What it calls.
+   * @param deadline Deadline that the call states.
+   * @param callee Called service.
    * @param now Time.
-   * @return The request, or nothing when none can have made the call.
+   * @return The request, or nothing if none can have made the call.
    */
   [[nodiscard]] std::optional<std::uint64_t> Find(Time deadline,
                                                   const std::string &callee,
                                                   Time now);
 
-  /*! @brief Which kinds make the calls. @return The estimate. */
+  /*! @brief Estimate of which kinds make calls. @return The estimate. */
   [[nodiscard]] const CallAttribution &Shares() const noexcept {
     return this->shares;
   }
@@ -76,7 +79,7 @@
 
   struct Running {
     Time deadline{};
-    Time since{}; /*!< Of its place among those that work or wait. */
+    Time since{}; /*!< When it last began to work or wait. */
     int calls{};
     std::string kind;
   };
@@ -93,8 +96,8 @@
   CallAttribution shares;
   std::unordered_map<std::uint64_t, Running> running;
   Ordered by_deadline;
-  Ordered working; /*!< Without a call, by the time since when. */
-  Ordered waiting; /*!< For a call, by the time since when. */
+  Ordered working; /*!< Without a call, by `since`. */
+  Ordered waiting; /*!< For a call, by `since`. */
 };
 
 }  // namespace pollenring
--- a/test/pollenring/node/call_attribution_test.cc
+++ b/test/pollenring/node/call_attribution_test.cc
@@ -14,8 +14,7 @@
 using pollenring::SeededRandom;
 using pollenring::Time;
 
-/*! @brief A kind of requests: how many come, how long they run, when they
- * call. */
+/*! @brief A kind of requests: arrival rate, duration, and times of calls. */
 struct Kind {
   std::string name;
   double per_ms;
@@ -23,11 +22,11 @@
   std::vector<int> calls_at_ms;
 };
 
-/*! @brief What beside the kinds moves the numbers of running requests. */
+/*! @brief How the numbers of running requests vary otherwise. */
 enum class Pattern {
   kSteady,
-  kWaves, /*!< Twice the load in every second five seconds. */
-  kStuck  /*!< After 5 s those that call stand still for a second of 2.5. */
+  kWaves, /*!< Twice the load in every other 5 s. */
+  kStuck  /*!< From 5 s, kinds that call stall for 1 s of each 2.5 s. */
 };
 
 [[nodiscard]] bool StandsStill(Pattern pattern, const Kind &kind, int step_ms) {
@@ -35,7 +34,7 @@
   return step_ms >= 5'000 && step_ms % 2'500 < 1'000;
 }
 
-/*! @brief Plays kinds together for a while. @return What was estimated. */
+/*! @brief Simulates kinds of requests. @return The resulting estimate. */
 [[nodiscard]] CallAttribution Play(const std::vector<Kind> &kinds,
                                    int length_ms, Pattern pattern,
                                    std::uint64_t seed = 7) {
@@ -49,7 +48,7 @@
   std::vector<Run> runs;
   for (int step = 0; step < length_ms; ++step) {
     now += 1ms;
-    // Load that comes and goes raises all kinds together.
+    // Load swings raise all kinds together.
     const bool waves = pattern == Pattern::kWaves;
     const double load = waves && step / 5'000 % 2 == 1 ? 2.0 : 1.0;
     for (const auto &kind : kinds) {
@@ -88,7 +87,7 @@
 
 TEST_CASE(
     "call shares: a kind that makes no calls is told from one that does") {
-  // Downloads beside lookups that call four times, as at one edition target.
+  // Downloads, and lookups that make four calls, on one target.
   const CallAttribution shares = Play(
       {{"download", 0.008, 96, {}}, {"lookup", 0.045, 120, {9, 35, 61, 90}}},
       30'000, Pattern::kSteady);
@@ -116,7 +115,7 @@
 
 TEST_CASE(
     "call shares: requests that are held up for a second are told apart") {
-  // A busy target: its requests wait long between their calls.
+  // On a busy target requests wait long between their calls.
   const CallAttribution shares = Play(
       {{"download", 0.02, 96, {}}, {"lookup", 0.04, 900, {9, 220, 450, 690}}},
       30'000, Pattern::kSteady);
@@ -124,8 +123,9 @@
 }
 
 TEST_CASE("call shares: calls that are held back make no other kind a caller") {
-  // Where the callee is short, lookups pile up while none calls, and call when
-  // few are left: fewer than at any time run at the moments of their calls.
+  // While the callee is short of capacity, lookups accumulate without calling;
+  // they call when few are left. Fewer of them then run at calls than on
+  // average, and the estimate names another kind.
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     for (int length_ms = 3'000; length_ms <= 40'000; length_ms += 1'300) {
       CAPTURE(seed, length_ms);
@@ -146,7 +146,7 @@
 }
 
 TEST_CASE("call shares: a few calls of somebody else make nobody a caller") {
-  // Whoever tries a route sends a request now and then, like a target's call.
+  // Someone testing a route by hand sends a few requests like a target's calls.
   CallAttribution shares{1h};
   Time now = 1h;
   shares.Begin("download", now);
@@ -172,7 +172,7 @@
 }
 
 TEST_CASE("call shares: a target's only kind is known from its first calls") {
-  // One of many targets of a service: three requests a second, all alike.
+  // One of many targets of a service: three equal requests per second.
   CallAttribution shares{1h};
   Time now = 1h;
   for (int i = 0; i < 2; ++i) {
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -31,7 +31,7 @@
 constexpr std::size_t kMostBytes = std::size_t{1} << 20U;
 constexpr int kNodes = 2;
 
-/*! @brief Lets all retries pass. */
+/*! @brief Permits all retries. */
 class NoRetryBound final : public pollenring::RetryBudget {
  public:
   void Succeeded(const std::string & /*service*/) override {}
@@ -54,9 +54,10 @@
   }
 };
 
-/*! @brief A node with two others beside a target; the first call is held. */
+/*! @brief A node and two others with local targets; the first call to them
+ * gets no reply. */
 struct Bench {
-  /*! @brief Starts the nodes. @param net Which addresses they get. */
+  /*! @brief Starts the nodes. @param net Part of their addresses. */
   explicit Bench(int net) : net{net} {
     std::signal(SIGPIPE, SIG_IGN);
     for (int index = 0; index < kNodes; ++index) {
@@ -91,7 +92,7 @@
     }
   }
 
-  /*! @brief Answers as a build does that reads one form alone. */
+  /*! @brief Replies like a build that reads a single wire version. */
   [[nodiscard]] static std::string AnswerOf(WireVersion version,
                                             const std::string &body) {
     const auto framed = pollenring::Unframe<pollenring::CallEnvelope>(body);
@@ -105,8 +106,8 @@
     return Frame(reply, "", version);
   }
 
-  /*! @brief Calls nodes that read one form alone. @param believed What is known
-   * of them. */
+  /*! @brief Calls nodes that read a single wire version. @param believed
+   * Version recorded for them. */
   void CallLanded(WireVersion version, std::optional<WireVersion> believed) {
     this->landed = version;
     for (int index = 0; believed && index < kNodes; ++index) {
@@ -133,7 +134,7 @@
                            std::to_string(index + 1) + ":7100");
   }
 
-  /*! @brief Calls, and lets the node that holds the call go after a while. */
+  /*! @brief Makes a call and stops the node that holds it after a while. */
   void CallAndLose(pollenring::Duration after, ShareAnswer renewed) {
     pollenring::CallEnvelope envelope;
     envelope.service = "deep";
@@ -187,8 +188,8 @@
                                     serving, budget, {},   random, metrics};
   std::array<std::unique_ptr<LinkServer>, kNodes> servers;
   std::vector<int> reached;
-  bool nonsense{}; /*!< Whether the nodes' answers can't be read. */
-  std::optional<WireVersion> landed; /*!< Which the nodes read alone. */
+  bool nonsense{}; /*!< Whether the nodes' replies can't be decoded. */
+  std::optional<WireVersion> landed; /*!< The only one that the nodes read. */
   std::vector<CallReply> replies;
   int renewals{};
 };
@@ -196,8 +197,8 @@
 }  // namespace
 
 TEST_CASE("dispatcher: a call tried again late is charged again") {
-  // A node that stands still is found out a second after it got its calls; all
-  // of them then go to others at once.
+  // A stalled node is detected about a second after it got its calls; all of
+  // them are then resent to other nodes at once.
   Bench bench{11};
   bench.CallAndLose(100ms, {true, Reason::kNone, {}});
   CHECK(bench.renewals == 1);
@@ -214,7 +215,7 @@
   REQUIRE(bench.replies.size() == 1);
   CHECK(bench.replies[0].reason == Reason::kRateLimited);
   CHECK(bench.replies[0].retry_after_us == 70'000);
-  // The node that was lost may have run it.
+  // The lost node may have executed it.
   CHECK(bench.replies[0].outcome == Outcome::kUnknown);
 }
 
@@ -248,7 +249,7 @@
     CHECK(bench.replies[0].status == 200);
     CHECK(bench.replies[0].outcome == Outcome::kRan);
     REQUIRE(bench.reached.size() == given.asked);
-    // The same node was asked anew, and none of them counts as having failed.
+    // The same node is called again, and no node counts as failed.
     CHECK(bench.reached.front() == bench.reached.back());
     CHECK(bench.metrics.Read("pollenring_redirects_total") == 0);
     CHECK(bench.metrics.Read("pollenring_unreadable_total") == 0);
--- a/test/pollenring/node/downstream_levels_test.cc
+++ b/test/pollenring/node/downstream_levels_test.cc
@@ -46,7 +46,7 @@
 TEST_CASE("route levels: routes that nobody asks for are forgotten") {
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels levels{PerWorkspace(), clock};
-  // Workspaces times routes, each seen once: an hour of them.
+  // One hour of distinct workspaces and routes, each seen once.
   for (int i = 0; i < 360'000; ++i) {
     const std::string name = std::to_string(i);
     levels.Learn("workspace" + name, "front GET /" + name,
@@ -54,7 +54,7 @@
     clock.Advance(milliseconds{10});
   }
   CHECK(levels.Count() < 10'000);
-  // Answers without levels leave nothing behind; the first may sweep.
+  // Replies without levels add no entry; the first may trigger a sweep.
   levels.Learn("quiet", "quiet GET /", {});
   const std::size_t before = levels.Count();
   levels.Learn("quiet", "quiet GET /", {});
@@ -65,8 +65,8 @@
     "route levels: a route with few answers learns from others' answers") {
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels levels{DownstreamLevelOptions{}, clock};
-  // A VM that takes one request of a route in two seconds, of eight workspaces
-  // in turn, and fifteen others a second; the deepest service sheds all along.
+  // A VM gets one request of a route every two seconds, from eight workspaces
+  // in turn, and fifteen others per second; the deepest service always sheds.
   levels.Learn("workspace0", "deep", {Of("deepest", 7, 2400)});
   int refused = 0;
   for (int i = 1; i <= 20; ++i) {
@@ -84,7 +84,7 @@
     }
     levels.Learn(workspace, "deep", {Of("deepest", 7, 2400)});
   }
-  // A way that no answer confirms is tried anew every ten seconds.
+  // A call path that no reply confirms is tried again every ten seconds.
   CHECK(refused >= 16);
   CHECK(levels.HighestOnCallPath("workspace1", "shallow").level == 0);
 }
@@ -153,8 +153,8 @@
 }
 
 TEST_CASE("route levels: a young node goes by what others have seen") {
-  // One of hundreds of entries: it has seen no answer of the route yet, others
-  // pass on what they have seen with answers of other routes.
+  // One of hundreds of nodes: it has seen no reply of the route yet; others
+  // report what they have seen along with replies of other routes.
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels seen{DownstreamLevelOptions{}, clock};
   DownstreamLevels young{DownstreamLevelOptions{}, clock};
@@ -169,12 +169,12 @@
   young.LearnCallPathReports(seen.CallPathReports(kMost));
   CHECK(young.HighestOnCallPath({}, "deep").level == Approx(1.5));
   CHECK(young.HighestOnCallPath({}, "shallow").level == 0);
-  // What it has heard is no evidence of its own.
+  // Reports of others do not count as own evidence.
   for (const auto &mark : young.CallPathReports(kMost)) CHECK_FALSE(mark.meets);
 }
 
 TEST_CASE("route levels: a few nodes that are wrong convince nobody") {
-  // Which routes make calls is estimated at each node; one in four is wrong.
+  // Each node estimates which routes make calls; one in four is wrong.
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   int refused = 0;
--- a/test/pollenring/node/member_service_test.cc
+++ b/test/pollenring/node/member_service_test.cc
@@ -45,7 +45,7 @@
   return member;
 }
 
-/*! @brief A node of today's build, as far as membership goes. */
+/*! @brief Membership part of a node of the current build. */
 struct Today {
   Today(pollenring::Loop &loop, const Address &address,
         std::vector<Address> seeds)
@@ -80,7 +80,7 @@
   pollenring::LinkServer server;
 };
 
-/*! @brief Datagrams of a node that reads and writes one form alone. */
+/*! @brief Datagrams of a node that uses a single wire version. */
 class Landed {
  public:
   Landed(pollenring::Loop &loop, const Address &address, WireVersion version)
@@ -91,11 +91,11 @@
                  this->Receive(from, content);
                }} {}
 
-  /*! @brief Probes a node, with the own record. */
+  /*! @brief Probes a node, sending the own record. */
   void Probe(const Address &to) { this->Write(to, GossipKind::kPing, 77); }
 
-  int probed{};   /*!< Probes that were read. */
-  int answered{}; /*!< Answers that were read. */
+  int probed{};   /*!< Probes that were decoded. */
+  int answered{}; /*!< Acks that were decoded. */
   std::vector<Member> learned;
 
  private:
@@ -214,7 +214,7 @@
 }
 
 TEST_CASE("member service: two nodes of today that thought each other old") {
-  // As when both got the other's record through an old node.
+  // As if each had received the other's record from an old node.
   Bench bench;
   Today first{bench.loop, At(7, 1), {}};
   Today second{bench.loop, At(7, 2), {}};
--- a/test/pollenring/node/outage_test.cc
+++ b/test/pollenring/node/outage_test.cc
@@ -16,8 +16,8 @@
   const auto version = cluster.Status(4).value("config_version", 0ULL);
   REQUIRE(cluster.AwaitReady({1, 2, 3, 4, 5, 6}, 6));
   cluster.ControlPlatform({{"down", true}});
-  // A node that starts now has seeds only if its settings name them; the
-  // others find it again by probing the address they know.
+  // With the store down, a restarted node has only the seeds in its settings;
+  // the others find it again by probing its known address.
   cluster.Signal("node3", SIGKILL);
   cluster.StartNode(3, "c");
   CHECK(cluster.Await(
--- a/test/pollenring/node/parent_finder_test.cc
+++ b/test/pollenring/node/parent_finder_test.cc
@@ -20,7 +20,7 @@
     finder.Add(id, "kind", 1s + id * 20ms, 0ms);
   }
   for (std::uint64_t id = 1; id <= 50; ++id) {
-    // Both are told whole milliseconds.
+    // Both deadlines are sent as integral milliseconds.
     CHECK(finder.Find(1s + id * 20ms - 1ms, "callee", 0ms) == id);
   }
   finder.Remove(7, 1ms);
@@ -38,7 +38,7 @@
 }
 
 TEST_CASE("parent finder: calls are shared out as the kinds make them") {
-  // One kind makes five calls, the other none; deadlines tell nothing.
+  // One kind makes five calls, the other none; deadlines are no help.
   SeededRandom random{3};
   ParentFinder finder{random, 0ms};
   std::map<std::uint64_t, bool> calls;
--- a/test/pollenring/node/path_test.cc
+++ b/test/pollenring/node/path_test.cc
@@ -44,7 +44,7 @@
     CHECK(status({"GET", "/none/x", {{"pollenring-key", key}}, {}}) == 404);
     CHECK(status({"GET", "/middle/x", {{"pollenring-key", key}}, {}}) == 403);
     CHECK(status({"GET", "/front/about", {}, {}}) == 200);
-    // A key where it would reach the target is refused; a context is dropped.
+    // A key that would be forwarded is refused; a forged context is dropped.
     CHECK(status({"GET", "/front/a?k=" + key, {{"pollenring-key", key}}, {}}) ==
           400);
     CHECK(status({"GET",
@@ -118,8 +118,8 @@
   cluster.StartNode(1, "a");
   cluster.StartTarget(1, {"front", 16, 2, ""});
   REQUIRE(cluster.AwaitReady({1}, 1));
-  // Callers that are refused a connection go elsewhere; "no such route" from a
-  // node that has just started would be final, and false.
+  // Callers whose connection is refused try another node, whereas 404 from a
+  // node without configuration would be final, and wrong.
   CHECK_FALSE(cluster.Get(1, "/front/about", ""));
   REQUIRE(cluster.Publish(1, support::GraphDocuments()) == 200);
   CHECK(cluster.Await(
@@ -136,7 +136,7 @@
   const std::string key = cluster.IssueKey(1, "club");
   REQUIRE(cluster.AwaitReady({1, 2, 3, 4, 5, 6}, 6));
   cluster.ControlTarget(5, {{"latency_ms", 15'000}});
-  // Most targets don't notice that their caller has gone.
+  // Most targets don't notice that their caller has disconnected.
   for (const int i : {1, 2, 3, 4}) {
     cluster.ControlTarget(i, {{"keeps_calls", true}});
   }
@@ -186,7 +186,7 @@
         return answer && answer->status == 200;
       },
       std::chrono::seconds{10}));
-  // Without the operators' secret nothing can be changed or read.
+  // Without the operators' secret nothing can be read or changed.
   const auto answer =
       cluster.Call(cluster.At(1, 7003), {"GET", "/status", {}, {}});
   REQUIRE(answer);
