--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -34,7 +34,7 @@
 constexpr int kFirstFailure = 400;
 /*! @brief Time past its deadline after which a request is answered whatever
  * has become of it; above the waits of nodes for each other. */
-constexpr Duration kLateAnswer = 10 * kAnswerSlack;
+constexpr Duration kLateAnswer = 10 * kReplySlack;
 /*! @brief Longest wait of a request whose caller and route name none. */
 constexpr Duration kDefaultTimeout = std::chrono::seconds{10};
 
@@ -269,7 +269,7 @@
         {entry->deadline, std::min(entry->deadline, next_share)},
         std::move(done));
   };
-  charge([this, entry, charge](ShareAnswer answer) {
+  charge([this, entry, charge](ChargeReply answer) {
     if (answer.granted) {
       this->Send(entry, charge);
       return;
--- a/src/pollenring/node/call_attribution.cc
+++ b/src/pollenring/node/call_attribution.cc
@@ -15,19 +15,19 @@
 constexpr Duration kWindow = std::chrono::milliseconds{2500};
 /*! @brief Calls needed for an estimate: with ten requests running, one more or
  * fewer is then noticeable. Others than the target may make a few calls. */
-constexpr double kFewCalls = 30;
+constexpr double kMinCalls = 30;
 /*! @brief Calls per second from which the target itself is assumed to be the
  * caller. */
-constexpr double kFrequent = 3;
-constexpr double kFrequentMemorySeconds = 1;
+constexpr double kMinCallsPerSecond = 3;
+constexpr double kRecentCallsDecaySeconds = 1;
 /*! @brief Fraction of the early calls during which a caller must be running. */
-constexpr double kMostlyPresent = 0.5;
+constexpr double kMinPresence = 0.5;
 /*! @brief Calls after which all earlier ones are halved. */
-constexpr double kRemembered = 4000;
+constexpr double kHalvingCalls = 4000;
 /*! @brief Weight of one window in the mean of running requests. */
-constexpr double kMeanWeight = 0.2;
+constexpr double kMeanSmoothing = 0.2;
 /*! @brief Lower bound of the mean, as weights are divided by it. */
-constexpr double kLeastMean = 0.01;
+constexpr double kMinMean = 0.01;
 /*! @brief Time after which unused kinds and callees are removed. */
 constexpr Duration kIdleExpiry = std::chrono::minutes{1};
 
@@ -36,40 +36,42 @@
 CallAttribution::CallAttribution(Time now) noexcept
     : window_start{now}, window{kFirstWindow} {}
 
-void CallAttribution::Count(Kind &kind, int change, Time now) {
-  const double held = std::chrono::duration<double>{now - kind.since}.count();
-  kind.seconds += held * kind.running;
+void CallAttribution::AddRunning(Kind &kind, int change, Time now) {
+  const double elapsed =
+      std::chrono::duration<double>{now - kind.since}.count();
+  kind.running_seconds += elapsed * kind.running;
   kind.running = std::max(0, kind.running + change);
   kind.since = now;
-  kind.used = now;
+  kind.last_used = now;
 }
 
 void CallAttribution::Begin(const std::string &kind, Time now) {
   if (now - this->window_start >= this->window) this->CloseWindow(now);
   Kind &entry = this->kinds[kind];
-  if (entry.used == Time{}) entry.since = now;
-  Count(entry, 1, now);
+  if (entry.last_used == Time{}) entry.since = now;
+  AddRunning(entry, 1, now);
 }
 
 void CallAttribution::End(const std::string &kind, Time now) {
   const auto found = this->kinds.find(kind);
-  if (found != this->kinds.end()) Count(found->second, -1, now);
+  if (found != this->kinds.end()) AddRunning(found->second, -1, now);
 }
 
-void CallAttribution::Called(const std::string &callee, Time now) {
+void CallAttribution::RecordCall(const std::string &callee, Time now) {
   if (now - this->window_start >= this->window) this->CloseWindow(now);
   Callee &entry = this->callees[callee];
-  const double pause = std::chrono::duration<double>{now - entry.used}.count();
-  entry.frequent =
-      entry.frequent * std::exp(-pause / kFrequentMemorySeconds) + 1;
+  const double idle =
+      std::chrono::duration<double>{now - entry.last_used}.count();
+  entry.recent_calls =
+      entry.recent_calls * std::exp(-idle / kRecentCallsDecaySeconds) + 1;
   entry.calls += 1;
-  entry.used = now;
-  const bool early = entry.all_calls < kFewCalls;
-  if (early) entry.total += 1;
+  entry.last_used = now;
+  const bool early = entry.all_calls < kMinCalls;
+  if (early) entry.early_calls += 1;
   for (const auto &[name, kind] : this->kinds) {
     if (kind.running <= 0) continue;
-    entry.seen[name] += kind.running;
-    if (early) entry.present[name] += 1;
+    entry.running_at_calls[name] += kind.running;
+    if (early) entry.present_at_calls[name] += 1;
   }
 }
 
@@ -81,45 +83,46 @@
   std::unordered_map<std::string, double> means;
   for (auto it = this->kinds.begin(); it != this->kinds.end();) {
     auto &[name, kind] = *it;
-    if (kind.running > 0) Count(kind, 0, now);
-    const double mean = kind.seconds / seconds;
+    if (kind.running > 0) AddRunning(kind, 0, now);
+    const double mean = kind.running_seconds / seconds;
     means[name] = mean;
-    kind.mean += kMeanWeight * (mean - kind.mean);
-    kind.seconds = 0;
+    kind.mean += kMeanSmoothing * (mean - kind.mean);
+    kind.running_seconds = 0;
     kind.since = now;
-    if (now - kind.used <= kIdleExpiry) {
+    if (now - kind.last_used <= kIdleExpiry) {
       ++it;
       continue;
     }
-    for (auto &[callee, seen] : this->callees) seen.excess.erase(name);
+    for (auto &[callee, entry] : this->callees) entry.excess.erase(name);
     it = this->kinds.erase(it);
   }
   for (auto it = this->callees.begin(); it != this->callees.end();) {
-    const bool forgotten = now - it->second.used > kIdleExpiry;
-    it = forgotten ? this->callees.erase(it) : std::next(it);
+    const bool expired = now - it->second.last_used > kIdleExpiry;
+    it = expired ? this->callees.erase(it) : std::next(it);
   }
   for (auto &[name, callee] : this->callees) {
     if (callee.calls <= 0) continue;
     for (const auto &[kind, mean] : means) {
-      callee.excess[kind] += callee.seen[kind] - callee.calls * mean;
+      callee.excess[kind] +=
+          callee.running_at_calls[kind] - callee.calls * mean;
     }
     callee.all_calls += callee.calls;
     callee.calls = 0;
-    callee.seen.clear();
-    if (callee.all_calls <= kRemembered) continue;
+    callee.running_at_calls.clear();
+    if (callee.all_calls <= kHalvingCalls) continue;
     callee.all_calls /= 2;
     for (auto &[kind, excess] : callee.excess) excess /= 2;
   }
 }
 
-const CallAttribution::Callee *CallAttribution::Known(
+const CallAttribution::Callee *CallAttribution::FindMeasured(
     const std::string &callee) const {
   const auto found = this->callees.find(callee);
   if (found == this->callees.end()) return nullptr;
-  return found->second.all_calls < kFewCalls ? nullptr : &found->second;
+  return found->second.all_calls < kMinCalls ? nullptr : &found->second;
 }
 
-double CallAttribution::SumOf(const Callee &callee) noexcept {
+double CallAttribution::TotalExcess(const Callee &callee) noexcept {
   double sum = 0;
   for (const auto &[name, excess] : callee.excess) {
     sum += std::max(0.0, excess);
@@ -127,27 +130,27 @@
   return sum;
 }
 
-std::optional<double> CallAttribution::ShareOf(
+std::optional<double> CallAttribution::FractionOf(
     const std::string &kind, const std::string &callee) const {
-  const Callee *known = this->Known(callee);
+  const Callee *known = this->FindMeasured(callee);
   if (known == nullptr) return std::nullopt;
   const auto own = known->excess.find(kind);
   // Load swings raise the excess of every kind alike, so the result is relative
   // to their sum.
-  const double sum = SumOf(*known);
+  const double sum = TotalExcess(*known);
   if (own == known->excess.end() || sum <= 0) return 0.0;
   return std::max(0.0, own->second) / sum;
 }
 
 std::vector<std::string> CallAttribution::CallersOf(const std::string &callee,
-                                                    double least) const {
+                                                    double min_fraction) const {
   std::vector<std::string> callers;
-  const Callee *known = this->Known(callee);
+  const Callee *known = this->FindMeasured(callee);
   if (known == nullptr) return this->EarlyCallersOf(callee);
-  const double sum = SumOf(*known);
+  const double sum = TotalExcess(*known);
   if (sum <= 0) return callers;
   for (const auto &[name, excess] : known->excess) {
-    if (excess >= least * sum) callers.push_back(name);
+    if (excess >= min_fraction * sum) callers.push_back(name);
   }
   return callers;
 }
@@ -158,17 +161,17 @@
   const auto found = this->callees.find(callee);
   if (found == this->callees.end()) return callers;
   const Callee &entry = found->second;
-  if (entry.frequent < kFrequent) return callers;
-  for (const auto &[name, calls] : entry.present) {
-    if (calls >= kMostlyPresent * entry.total) callers.push_back(name);
+  if (entry.recent_calls < kMinCallsPerSecond) return callers;
+  for (const auto &[name, calls] : entry.present_at_calls) {
+    if (calls >= kMinPresence * entry.early_calls) callers.push_back(name);
   }
   return callers;
 }
 
 double CallAttribution::MeanRunning(const std::string &kind) const {
   const auto found = this->kinds.find(kind);
-  if (found == this->kinds.end()) return kLeastMean;
-  return std::max(kLeastMean, found->second.mean);
+  if (found == this->kinds.end()) return kMinMean;
+  return std::max(kMinMean, found->second.mean);
 }
 
 }  // namespace pollenring
--- a/src/pollenring/node/call_attribution.h
+++ b/src/pollenring/node/call_attribution.h
@@ -38,7 +38,7 @@
   void End(const std::string &kind, Time now);
 
   /*! @brief Records a call. @param callee What is called. @param now Time. */
-  void Called(const std::string &callee, Time now);
+  void RecordCall(const std::string &callee, Time now);
 
   /**
    * @brief Estimates the fraction of calls to a callee that a kind makes.
@@ -46,8 +46,8 @@
    * @param callee What is called.
    * @return From 0 to 1, or nothing while too few calls were recorded.
    */
-  [[nodiscard]] std::optional<double> ShareOf(const std::string &kind,
-                                              const std::string &callee) const;
+  [[nodiscard]] std::optional<double> FractionOf(
+      const std::string &kind, const std::string &callee) const;
 
   /**
    * @brief Lists the kinds that make calls to a callee.
@@ -55,11 +55,11 @@
    * While too few calls were recorded to separate kinds, lists those that run
    * during most of the calls, provided that the callee is called often.
    * @param callee What is called.
-   * @param least Minimum fraction of the calls.
+   * @param min_fraction Minimum fraction of the calls.
    * @return Their names; empty if nothing is known.
    */
   [[nodiscard]] std::vector<std::string> CallersOf(const std::string &callee,
-                                                   double least) const;
+                                                   double min_fraction) const;
 
   /**
    * @brief Mean number of running requests of a kind.
@@ -71,31 +71,33 @@
  private:
   struct Kind {
     int running{};
-    Time since{};     /*!< Last change of `running`. */
-    double seconds{}; /*!< Request-seconds in this window. */
-    double mean{};    /*!< Running requests, smoothed over windows. */
-    Time used{};
+    Time since{};             /*!< Last change of `running`. */
+    double running_seconds{}; /*!< Request-seconds in this window. */
+    double mean{};            /*!< Running requests, smoothed over windows. */
+    Time last_used{};
   };
   /*! @brief Samples taken at the calls to one callee. */
   struct Callee {
-    double calls{};     /*!< In this window. */
-    double all_calls{}; /*!< In all windows, exponentially decayed. */
-    double frequent{};  /*!< Recent calls, decayed over a second. */
-    double total{};     /*!< Calls until enough were recorded. */
-    Time used{};
-    std::unordered_map<std::string, double> seen;    /*!< In this window. */
-    std::unordered_map<std::string, double> excess;  /*!< In all, decayed. */
-    std::unordered_map<std::string, double> present; /*!< Calls of `total`
-                                                        while it ran. */
+    double calls{};        /*!< In this window. */
+    double all_calls{};    /*!< In all windows, exponentially decayed. */
+    double recent_calls{}; /*!< Recent calls, decayed over a second. */
+    double early_calls{};  /*!< Calls until enough were recorded. */
+    Time last_used{};
+    std::unordered_map<std::string, double>
+        running_at_calls;                           /*!< In this window. */
+    std::unordered_map<std::string, double> excess; /*!< In all, decayed. */
+    std::unordered_map<std::string, double>
+        present_at_calls; /*!< Calls of `early_calls`
+                    while it ran. */
   };
 
   /*! @brief Finds a callee with enough recorded calls, or null. */
-  [[nodiscard]] const Callee *Known(const std::string &callee) const;
+  [[nodiscard]] const Callee *FindMeasured(const std::string &callee) const;
   [[nodiscard]] std::vector<std::string> EarlyCallersOf(
       const std::string &callee) const;
-  [[nodiscard]] static double SumOf(const Callee &callee) noexcept;
+  [[nodiscard]] static double TotalExcess(const Callee &callee) noexcept;
   void CloseWindow(Time now);
-  static void Count(Kind &kind, int change, Time now);
+  static void AddRunning(Kind &kind, int change, Time now);
 
   std::unordered_map<std::string, Kind> kinds;
   std::unordered_map<std::string, Callee> callees;
--- a/src/pollenring/node/config_service.cc
+++ b/src/pollenring/node/config_service.cc
@@ -13,11 +13,11 @@
 
 constexpr Duration kPollPeriod = std::chrono::milliseconds{1000};
 constexpr Duration kPullTimeout = std::chrono::seconds{2};
-constexpr Duration kFreshFor = std::chrono::seconds{4};
+constexpr Duration kFreshnessLimit = std::chrono::seconds{4};
 constexpr Duration kAcceptTimeout = std::chrono::seconds{5};
-constexpr Duration kAcceptCheck = std::chrono::milliseconds{20};
-constexpr Duration kShortestPoke = std::chrono::milliseconds{50};
-constexpr std::size_t kSpreadTo = 3;
+constexpr Duration kAcceptCheckPeriod = std::chrono::milliseconds{20};
+constexpr Duration kMinContactInterval = std::chrono::milliseconds{50};
+constexpr std::size_t kSpreadFanout = 3;
 constexpr std::uint64_t kVersionsPerSnapshot = 32;
 
 }  // namespace
@@ -30,57 +30,58 @@
       link{link},
       objects{objects},
       random{random},
-      ledger{[this](std::uint64_t version) { this->Installed(version); }},
+      ledger{[this](std::uint64_t version) { this->HandleInstalled(version); }},
       reader{table, objects, this->ledger},
       publisher{table, loop.GetClock()},
       last_store_contact{loop.GetClock().Now()} {}
 
 bool ConfigService::Fresh() const {
   const Time now = this->loop.GetClock().Now();
-  if (now - this->last_store_contact < kFreshFor) return true;
+  if (now - this->last_store_contact < kFreshnessLimit) return true;
   const Membership &membership = this->members.Get();
-  if (membership.Silence() < kFreshFor) return true;
+  if (membership.Silence() < kFreshnessLimit) return true;
   // A node that never had peers is the only one that can publish changes.
   return membership.Members().empty();
 }
 
 std::optional<WorkspaceRateLimit> ConfigService::RateOf(
     const std::string &workspace) const {
-  const WorkspaceRateLimit *share = this->ledger.Active().ShareOf(workspace);
-  if (share == nullptr) return std::nullopt;
-  return *share;
+  const WorkspaceRateLimit *rate_limit =
+      this->ledger.Active().ShareOf(workspace);
+  if (rate_limit == nullptr) return std::nullopt;
+  return *rate_limit;
 }
 
 void ConfigService::Start() {
   this->members.OnVersion([this](NodeId peer, std::uint64_t version) {
-    this->PeerVersion(peer, version);
+    this->HandlePeerVersion(peer, version);
   });
   this->Poll();
   this->loop.Every(kPollPeriod, [this] {
-    if (this->PollsForZone()) this->Poll();
+    if (this->ShouldPollForZone()) this->Poll();
   });
 }
 
 void ConfigService::Poll() {
   if (std::exchange(this->polling, true)) return;
-  const Time asked = this->loop.GetClock().Now();
-  this->reader.CatchUp([this, asked](bool reached) {
+  const Time requested_at = this->loop.GetClock().Now();
+  this->reader.CatchUp([this, requested_at](bool reached) {
     this->polling = false;
-    if (reached) this->last_store_contact = asked;
+    if (reached) this->last_store_contact = requested_at;
   });
 }
 
-bool ConfigService::PollsForZone() const {
+bool ConfigService::ShouldPollForZone() const {
   const Membership &membership = this->members.Get();
   const Member &self = membership.Self();
   for (const auto &[id, member] : membership.Members()) {
-    const bool before = member.zone == self.zone && id < self.id;
-    if (before && member.state == MemberState::kAlive) return false;
+    const bool precedes = member.zone == self.zone && id < self.id;
+    if (precedes && member.state == MemberState::kAlive) return false;
   }
   return true;
 }
 
-void ConfigService::PeerVersion(NodeId peer, std::uint64_t version) {
+void ConfigService::HandlePeerVersion(NodeId peer, std::uint64_t version) {
   std::uint64_t &known = this->peer_versions[peer];
   known = std::max(known, version);
   if (version > this->ledger.Version()) {
@@ -89,8 +90,8 @@
   }
   if (version == this->ledger.Version()) return;
   const Time now = this->loop.GetClock().Now();
-  if (now - this->last_poke < kShortestPoke) return;
-  this->last_poke = now;
+  if (now - this->last_contact_request < kMinContactInterval) return;
+  this->last_contact_request = now;
   this->members.Get().Contact(peer);
 }
 
@@ -106,29 +107,29 @@
                   });
 }
 
-std::string ConfigService::AnswerCatchUp(const std::string &body) const {
+std::string ConfigService::ReplyToCatchUp(const std::string &body) const {
   const auto from = Unpack<std::uint64_t>(body);
   return Pack(this->ledger.Since(from.value_or(0)));
 }
 
-void ConfigService::Installed(std::uint64_t version) {
+void ConfigService::HandleInstalled(std::uint64_t version) {
   LogEvent(LogLevel::kInfo, "config in force", {{"version", version}});
   this->members.Get().SetConfigVersion(version);
-  this->loop.Post([this] { this->Spread(); });
+  this->loop.Post([this] { this->SpreadVersion(); });
 }
 
-void ConfigService::Spread() {
+void ConfigService::SpreadVersion() {
   Membership &membership = this->members.Get();
   std::map<std::string, std::vector<NodeId>> zones;
   for (const auto &[id, member] : membership.Members()) {
     if (member.state == MemberState::kDead) continue;
     const auto known = this->peer_versions.find(id);
-    const bool has_it = known != this->peer_versions.end() &&
-                        known->second >= this->ledger.Version();
-    if (!has_it) zones[member.zone].push_back(id);
+    const bool up_to_date = known != this->peer_versions.end() &&
+                            known->second >= this->ledger.Version();
+    if (!up_to_date) zones[member.zone].push_back(id);
   }
   for (const auto &[zone, nodes] : zones) {
-    const std::size_t count = std::min(kSpreadTo, nodes.size());
+    const std::size_t count = std::min(kSpreadFanout, nodes.size());
     const std::size_t first = this->random.Index(nodes.size());
     for (std::size_t i = 0; i < count; ++i) {
       membership.Contact(nodes[(first + i) % nodes.size()]);
@@ -169,9 +170,9 @@
       continue;
     }
     const auto known = this->peer_versions.find(id);
-    const bool has_it =
+    const bool up_to_date =
         known != this->peer_versions.end() && known->second >= version;
-    (has_it ? reached : behind).insert(member.zone);
+    (up_to_date ? reached : behind).insert(member.zone);
   }
   std::vector<std::string> names;
   for (const auto &zone : behind) {
@@ -183,12 +184,12 @@
 void ConfigService::AwaitZones(const CommitReport &report, Time until,
                                const Done &done) {
   const auto behind = this->ZonesBehind(report.change.version);
-  const bool over = this->loop.GetClock().Now() >= until;
-  if (behind.empty() || over) {
+  const bool timed_out = this->loop.GetClock().Now() >= until;
+  if (behind.empty() || timed_out) {
     done({report, behind});
     return;
   }
-  this->loop.After(kAcceptCheck, [this, report, until, done] {
+  this->loop.After(kAcceptCheckPeriod, [this, report, until, done] {
     this->AwaitZones(report, until, done);
   });
 }
--- a/src/pollenring/node/config_service.h
+++ b/src/pollenring/node/config_service.h
@@ -66,7 +66,7 @@
    * @param body The peer's version.
    * @return The versions that it lacks.
    */
-  [[nodiscard]] std::string AnswerCatchUp(const std::string &body) const;
+  [[nodiscard]] std::string ReplyToCatchUp(const std::string &body) const;
 
   /**
    * @brief Commits a change and waits until all zones confirm it.
@@ -76,12 +76,12 @@
   void Publish(ConfigChange change, Done done);
 
  private:
-  void Installed(std::uint64_t version);
-  void PeerVersion(NodeId peer, std::uint64_t version);
+  void HandleInstalled(std::uint64_t version);
+  void HandlePeerVersion(NodeId peer, std::uint64_t version);
   void Pull(NodeId peer);
   void Poll();
-  void Spread();
-  [[nodiscard]] bool PollsForZone() const;
+  void SpreadVersion();
+  [[nodiscard]] bool ShouldPollForZone() const;
   [[nodiscard]] std::vector<std::string> ZonesBehind(
       std::uint64_t version) const;
   void AwaitZones(const CommitReport &report, Time until, const Done &done);
@@ -96,7 +96,7 @@
   Publisher publisher;
   std::unordered_map<NodeId, std::uint64_t> peer_versions;
   Time last_store_contact;
-  Time last_poke{};
+  Time last_contact_request{};
   bool pulling{};
   bool polling{};
 };
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -14,10 +14,10 @@
 namespace {
 
 /*! @brief Redirects per call away from nodes that have not executed it. */
-constexpr int kMostRedirects = 3;
+constexpr int kMaxRedirects = 3;
 constexpr int kFirstServerError = 500;
 /*! @brief Pause before nodes that were already tried are tried again. */
-constexpr Duration kTryAgainPause = std::chrono::milliseconds{60};
+constexpr Duration kRetryPause = std::chrono::milliseconds{60};
 
 [[nodiscard]] CallVerdict VerdictOf(const CallReply &reply) noexcept {
   switch (reply.reason) {
@@ -42,7 +42,7 @@
 
 /*! @brief Whether no target has spent resources on the call, so that another
  * attempt needs no retry allowance. */
-[[nodiscard]] bool CostNothing(const CallReply &reply) noexcept {
+[[nodiscard]] bool ConsumedNothing(const CallReply &reply) noexcept {
   if (reply.outcome != Outcome::kNotRun) return false;
   return reply.reason == Reason::kLinkLost ||
          reply.reason == Reason::kNoTarget ||
@@ -55,7 +55,7 @@
 }  // namespace
 
 Dispatcher::Dispatcher(NodeId self, Loop &loop, LinkClient &link,
-                       PeerWire &wire, Router &router, TargetExecutor &serving,
+                       PeerWire &wire, Router &router, TargetExecutor &executor,
                        RetryBudget &budget, const DispatchOptions &options,
                        Random &random, Metrics &metrics)
     : self{self},
@@ -63,7 +63,7 @@
       link{link},
       wire{wire},
       router{router},
-      serving{serving},
+      executor{executor},
       budget{budget},
       options{options},
       random{random},
@@ -81,7 +81,7 @@
   job.envelope = std::move(envelope);
   job.body = std::move(body);
   job.bounds = std::move(bounds);
-  job.redirects_left = kMostRedirects;
+  job.redirects_left = kMaxRedirects;
   job.done = std::move(done);
   if (job.envelope.is_retry)
     this->budget.RecordRetriedCall(job.envelope.service);
@@ -101,8 +101,8 @@
   }
   const auto node = this->router.Choose(job.envelope.service, job.tried,
                                         job.envelope.regions);
-  const bool known = this->router.Count(job.envelope.service) > 0;
-  if (!node && known && job.redirects_left > 0) {
+  const bool has_targets = this->router.Count(job.envelope.service) > 0;
+  if (!node && has_targets && job.redirects_left > 0) {
     this->AttemptLater(id, job);
     return;
   }
@@ -131,7 +131,7 @@
   job.tried.clear();
   job.waiting = true;
   this->metrics.Count("pollenring_redirects_total");
-  this->loop.After(kTryAgainPause, [this, id] {
+  this->loop.After(kRetryPause, [this, id] {
     const auto found = this->jobs.find(id);
     if (found == this->jobs.end()) return;
     found->second.waiting = false;
@@ -144,7 +144,7 @@
   this->metrics.Count("pollenring_charges_renewed_total");
   // A synchronous refusal destroys the job, and the function stored in it.
   const RenewCharge renew = job.bounds.renew;
-  renew([this, id](ShareAnswer charge) {
+  renew([this, id](ChargeReply charge) {
     const auto found = this->jobs.find(id);
     if (found == this->jobs.end()) return;
     if (!charge.granted) {
@@ -160,36 +160,38 @@
 
 void Dispatcher::Send(std::uint64_t id, Job &job) {
   const Time now = this->loop.GetClock().Now();
-  const Duration left = job.bounds.deadline - now;
+  const Duration remaining = job.bounds.deadline - now;
   job.sent = now;
-  job.envelope.remaining_us = left.count();
+  job.envelope.remaining_us = remaining.count();
   job.envelope.root_age_us = (now - job.root_started).count();
   job.envelope.soft_deadline_us = (job.soft_deadline - now).count();
   job.envelope.retries = job.slice;
   const std::uint64_t attempt = job.attempt;
   if (job.node == this->self) {
-    job.call = this->serving.Serve(
+    job.call = this->executor.Serve(
         job.envelope, job.body,
         [this, id, attempt](CallReply reply, std::string body) {
-          this->Answered(id, attempt, std::move(reply), std::move(body));
+          this->HandleReply(id, attempt, std::move(reply), std::move(body));
         });
     return;
   }
-  job.form = this->wire.versions.Of(job.node).value_or(kCommonWire);
+  job.request_version = this->wire.versions.Of(job.node).value_or(kCommonWire);
   job.call = this->link.Call(
-      AddressOf(job.node), "call", Frame(job.envelope, job.body, job.form),
-      left + kAnswerSlack, [this, id, attempt](LinkClient::Reply reply) {
-        this->Received(id, attempt, std::move(reply));
+      AddressOf(job.node), "call",
+      Frame(job.envelope, job.body, job.request_version),
+      remaining + kReplySlack, [this, id, attempt](LinkClient::Reply reply) {
+        this->HandleLinkReply(id, attempt, std::move(reply));
       });
 }
 
-void Dispatcher::Received(std::uint64_t id, std::uint64_t attempt,
-                          LinkClient::Reply reply) {
+void Dispatcher::HandleLinkReply(std::uint64_t id, std::uint64_t attempt,
+                                 LinkClient::Reply reply) {
   if (const auto *error = std::get_if<LinkError>(&reply)) {
     const bool not_sent = *error == LinkError::kNotSent;
-    const bool late = *error == LinkError::kTimedOut;
-    this->Failed(id, attempt, not_sent ? Outcome::kNotRun : Outcome::kUnknown,
-                 late ? Reason::kDeadline : Reason::kLinkLost);
+    const bool timed_out = *error == LinkError::kTimedOut;
+    this->FailAttempt(id, attempt,
+                      not_sent ? Outcome::kNotRun : Outcome::kUnknown,
+                      timed_out ? Reason::kDeadline : Reason::kLinkLost);
     return;
   }
   const auto found = this->jobs.find(id);
@@ -200,56 +202,57 @@
   auto framed = Unframe<CallReply>(std::move(text));
   if (!framed) {
     this->wire.NoteUnreadable(job.node, "call-reply", bytes);
-    this->Failed(id, attempt, Outcome::kUnknown, Reason::kLinkLost);
+    this->FailAttempt(id, attempt, Outcome::kUnknown, Reason::kLinkLost);
     return;
   }
-  if (this->Misread(job, framed->head, framed->version)) {
+  if (this->HandleVersionMismatch(job, framed->head, framed->version)) {
     this->Send(id, job);
     return;
   }
-  this->Answered(id, attempt, std::move(framed->head), std::move(framed->body));
+  this->HandleReply(id, attempt, std::move(framed->head),
+                    std::move(framed->body));
 }
 
-bool Dispatcher::Misread(Job &job, const CallReply &reply,
-                         WireVersion version) {
+bool Dispatcher::HandleVersionMismatch(Job &job, const CallReply &reply,
+                                       WireVersion version) {
   // Nodes reply in the encoding of the call unless they can't decode it.
   // They then reject it as kNotRun and kLinkLost in an encoding of their own.
-  const bool misread = version != job.form &&
-                       reply.outcome == Outcome::kNotRun &&
-                       reply.reason == Reason::kLinkLost;
-  if (!misread || job.redirects_left == 0) return false;
+  const bool mismatch = version != job.request_version &&
+                        reply.outcome == Outcome::kNotRun &&
+                        reply.reason == Reason::kLinkLost;
+  if (!mismatch || job.redirects_left == 0) return false;
   --job.redirects_left;
   this->wire.versions.Misread(job.node, version);
   return true;
 }
 
-void Dispatcher::Failed(std::uint64_t id, std::uint64_t attempt,
-                        Outcome outcome, Reason reason) {
+void Dispatcher::FailAttempt(std::uint64_t id, std::uint64_t attempt,
+                             Outcome outcome, Reason reason) {
   CallReply reply =
       Refusal(outcome, reason, WithJitter(kDefaultRetryAfter, this->random));
   const auto found = this->jobs.find(id);
   if (found == this->jobs.end()) return;
   // A slice of the allowance that is not reported back counts as spent.
-  const bool unseen = outcome == Outcome::kNotRun;
-  reply.retries_unspent = unseen ? found->second.slice : 0;
-  this->Answered(id, attempt, std::move(reply), {});
+  const bool not_executed = outcome == Outcome::kNotRun;
+  reply.retries_unspent = not_executed ? found->second.slice : 0;
+  this->HandleReply(id, attempt, std::move(reply), {});
 }
 
-void Dispatcher::Answered(std::uint64_t id, std::uint64_t attempt,
-                          CallReply reply, std::string body) {
+void Dispatcher::HandleReply(std::uint64_t id, std::uint64_t attempt,
+                             CallReply reply, std::string body) {
   const auto found = this->jobs.find(id);
   if (found == this->jobs.end()) return;
   Job &job = found->second;
   Require(job.attempt == attempt, "an answer belongs to the latest attempt");
-  const bool from_node = reply.load.limit > 0;
+  const bool has_load = reply.load.limit > 0;
   std::optional<LoadReport> load;
-  if (from_node) load = reply.load;
-  const Duration took = reply.outcome == Outcome::kRan
-                            ? this->loop.GetClock().Now() - job.sent
-                            : Duration{0};
+  if (has_load) load = reply.load;
+  const Duration latency = reply.outcome == Outcome::kRan
+                               ? this->loop.GetClock().Now() - job.sent
+                               : Duration{0};
   this->router.Finished(job.envelope.service, job.node, VerdictOf(reply), load,
-                        took);
-  this->LogRouting();
+                        latency);
+  this->LogEjectionChanges();
   reply.served_by = job.node;
   job.allowance.Return(job.slice,
                        std::clamp(reply.retries_unspent, 0, job.slice));
@@ -264,11 +267,11 @@
   }
   if (reply.outcome != Outcome::kNotRun) --job.bounds.targets;
   job.may_have_run = job.may_have_run || reply.outcome == Outcome::kUnknown;
-  if (this->MayTryAgain(job, reply)) {
+  if (this->ShouldRetry(job, reply)) {
     job.tried.push_back(job.node);
     if (ran) {
-      job.failure = std::move(reply);
-      job.failure_body = std::move(body);
+      job.target_failure = std::move(reply);
+      job.target_failure_body = std::move(body);
     }
     this->Attempt(id);
     return;
@@ -276,7 +279,7 @@
   this->Finish(id, std::move(reply), std::move(body));
 }
 
-void Dispatcher::LogRouting() {
+void Dispatcher::LogEjectionChanges() {
   for (const auto &change : this->router.TakeChanges()) {
     this->metrics.Count("pollenring_set_aside_total",
                         {"change", change.set_aside ? "aside" : "again"});
@@ -290,12 +293,12 @@
   }
 }
 
-bool Dispatcher::MayTryAgain(Job &job, const CallReply &reply) {
+bool Dispatcher::ShouldRetry(Job &job, const CallReply &reply) {
   if (reply.outcome == Outcome::kRan) {
     const bool failed = this->options.retries_failures &&
                         job.envelope.idempotent &&
                         reply.status >= kFirstServerError;
-    return failed && this->PaysForRetry(job);
+    return failed && this->SpendRetry(job);
   }
   const bool safe =
       reply.outcome == Outcome::kNotRun || job.envelope.idempotent;
@@ -304,7 +307,7 @@
   const bool all_cold = reply.reason == Reason::kWarmingUp &&
                         !this->router.HasWarm(job.envelope.service);
   if (all_cold) return false;
-  if (CostNothing(reply) && job.redirects_left > 0) {
+  if (ConsumedNothing(reply) && job.redirects_left > 0) {
     --job.redirects_left;
     this->metrics.Count("pollenring_redirects_total");
     return true;
@@ -314,10 +317,10 @@
                          reply.reason == Reason::kLinkLost ||
                          reply.reason == Reason::kTargetFailed ||
                          reply.reason == Reason::kNoTarget;
-  return transient && this->PaysForRetry(job);
+  return transient && this->SpendRetry(job);
 }
 
-bool Dispatcher::PaysForRetry(Job &job) {
+bool Dispatcher::SpendRetry(Job &job) {
   if (job.bounds.targets <= 0) return false;
   if (job.allowance.Left() == 0) return false;
   if (!this->budget.Spend(job.envelope.service)) return false;
@@ -330,9 +333,9 @@
 
 void Dispatcher::Finish(std::uint64_t id, CallReply reply, std::string body) {
   const auto found = this->jobs.find(id);
-  if (reply.outcome != Outcome::kRan && found->second.failure) {
-    reply = std::move(*found->second.failure);
-    body = std::move(found->second.failure_body);
+  if (reply.outcome != Outcome::kRan && found->second.target_failure) {
+    reply = std::move(*found->second.target_failure);
+    body = std::move(found->second.target_failure_body);
   }
   reply.retries_unspent = found->second.allowance.Left();
   // An earlier attempt may have reached a target even if the last one did not.
@@ -356,7 +359,7 @@
     return;
   }
   if (job.node == this->self) {
-    this->serving.CallerGone(job.call);
+    this->executor.CallerGone(job.call);
   } else {
     this->link.Cancel(job.call);
   }
--- a/src/pollenring/node/dispatcher.h
+++ b/src/pollenring/node/dispatcher.h
@@ -39,14 +39,14 @@
 
 /*! @brief Maximum number of targets that a call without its own limit may
  * reach; the retry allowance ends it sooner. */
-inline constexpr int kMostTargets = 16;
+inline constexpr int kMaxTargets = 16;
 
 /*! @brief Limits of one call. */
 struct CallBounds {
-  Time deadline{};           /*!< When the caller needs the response. */
-  int targets{kMostTargets}; /*!< How many it may reach. */
-  Time charged{};            /*!< When its workspace was charged for it. */
-  RenewCharge renew;         /*!< Empty when the call is not charged. */
+  Time deadline{};          /*!< When the caller needs the response. */
+  int targets{kMaxTargets}; /*!< How many it may reach. */
+  Time charged{};           /*!< When its workspace was charged for it. */
+  RenewCharge renew;        /*!< Empty when the call is not charged. */
 };
 
 /**
@@ -63,14 +63,14 @@
    * @param link Client for streams to other nodes.
    * @param wire Wire versions of other nodes.
    * @param router Chooses targets.
-   * @param serving Runs calls on the target local to this node.
+   * @param executor Runs calls on the target local to this node.
    * @param budget Limits retries.
    * @param options Which calls are retried.
    * @param random Source of jitter.
    * @param metrics Receives counts.
    */
   Dispatcher(NodeId self, Loop &loop, LinkClient &link, PeerWire &wire,
-             Router &router, TargetExecutor &serving, RetryBudget &budget,
+             Router &router, TargetExecutor &executor, RetryBudget &budget,
              const DispatchOptions &options, Random &random, Metrics &metrics);
 
   /**
@@ -109,11 +109,12 @@
     bool waiting{}; /*!< No attempt runs; another will start. */
     bool may_have_run{};
     std::optional<CallReply>
-        failure; /*!< Of a target, while another is tried. */
-    std::string failure_body;
+        target_failure; /*!< Of a target, while another is tried. */
+    std::string target_failure_body;
     std::vector<NodeId> tried;
     NodeId node{};
-    WireVersion form{kNewestWire}; /*!< Encoding of the request sent. */
+    WireVersion request_version{
+        kNewestWire}; /*!< Encoding of the request sent. */
     std::uint64_t attempt{};
     std::uint64_t call{};
     Done done;
@@ -123,17 +124,17 @@
   void AttemptLater(std::uint64_t id, Job &job);
   void ChargeAgain(std::uint64_t id, Job &job);
   void Send(std::uint64_t id, Job &job);
-  void Received(std::uint64_t id, std::uint64_t attempt,
-                LinkClient::Reply reply);
-  [[nodiscard]] bool Misread(Job &job, const CallReply &reply,
-                             WireVersion version);
-  void Answered(std::uint64_t id, std::uint64_t attempt, CallReply reply,
-                std::string body);
-  void Failed(std::uint64_t id, std::uint64_t attempt, Outcome outcome,
-              Reason reason);
-  void LogRouting();
-  [[nodiscard]] bool MayTryAgain(Job &job, const CallReply &reply);
-  [[nodiscard]] bool PaysForRetry(Job &job);
+  void HandleLinkReply(std::uint64_t id, std::uint64_t attempt,
+                       LinkClient::Reply reply);
+  [[nodiscard]] bool HandleVersionMismatch(Job &job, const CallReply &reply,
+                                           WireVersion version);
+  void HandleReply(std::uint64_t id, std::uint64_t attempt, CallReply reply,
+                   std::string body);
+  void FailAttempt(std::uint64_t id, std::uint64_t attempt, Outcome outcome,
+                   Reason reason);
+  void LogEjectionChanges();
+  [[nodiscard]] bool ShouldRetry(Job &job, const CallReply &reply);
+  [[nodiscard]] bool SpendRetry(Job &job);
   void Finish(std::uint64_t id, CallReply reply, std::string body);
 
   NodeId self;
@@ -141,7 +142,7 @@
   LinkClient &link;
   PeerWire &wire;
   Router &router;
-  TargetExecutor &serving;
+  TargetExecutor &executor;
   RetryBudget &budget;
   DispatchOptions options;
   Random &random;
--- a/src/pollenring/node/downstream_levels.cc
+++ b/src/pollenring/node/downstream_levels.cc
@@ -13,20 +13,20 @@
 constexpr Duration kSweepPeriod = std::chrono::seconds{10};
 /*! @brief Requests after which all earlier ones are halved; a service that
  * begins to shed then counts as on the call path after two of them. */
-constexpr double kRemembered = 20;
+constexpr double kHalvingRequests = 20;
 /*! @brief Fraction of a route's replies that must report a service for it to be
  * on the call path. Each node only estimates which routes make calls: a smaller
  * fraction can come from a few wrong estimates. */
-constexpr double kMeets = 0.4;
+constexpr double kMinReportedFraction = 0.4;
 /*! @brief Own requests of a route from which reports of others are ignored. */
-constexpr double kFewRequests = 5;
+constexpr double kMinOwnRequests = 5;
 /*! @brief Weight of a new report relative to earlier ones. */
-constexpr double kWordWeight = 0.2;
+constexpr double kReportWeight = 0.2;
 /*! @brief Value of the first report: sufficient to act on until others
  * disagree. */
-constexpr double kFirstWord = 0.5;
+constexpr double kFirstReportValue = 0.5;
 /*! @brief Time after which a report that is not repeated expires. */
-constexpr Duration kWordLifetime = std::chrono::seconds{3};
+constexpr Duration kReportLifetime = std::chrono::seconds{3};
 
 }  // namespace
 
@@ -39,56 +39,56 @@
 void DownstreamLevels::Learn(const std::string &workspace,
                              const std::string &route,
                              const std::vector<AdmissionLevel> &levels) {
-  this->Take(workspace, levels);
-  this->Served(route);
-  this->Meet(route, levels);
+  this->RecordLevels(workspace, levels);
+  this->RecordCompleted(route);
+  this->RecordCallPath(route, levels);
 }
 
-void DownstreamLevels::LearnBelow(const std::string &workspace,
-                                  const std::string &route,
-                                  const std::vector<AdmissionLevel> &levels) {
-  this->Take(workspace, levels);
-  this->Meet(route, levels);
+void DownstreamLevels::LearnFromSubCall(
+    const std::string &workspace, const std::string &route,
+    const std::vector<AdmissionLevel> &levels) {
+  this->RecordLevels(workspace, levels);
+  this->RecordCallPath(route, levels);
 }
 
-void DownstreamLevels::Served(const std::string &route) {
-  const auto found = this->ways.find(route);
-  if (found == this->ways.end()) return;
-  CallPath &way = found->second;
-  way.used = this->clock.Now();
-  way.requests += 1;
-  if (way.requests <= kRemembered) return;
-  way.requests /= 2;
-  for (auto &[service, count] : way.met) count /= 2;
+void DownstreamLevels::RecordCompleted(const std::string &route) {
+  const auto found = this->call_paths.find(route);
+  if (found == this->call_paths.end()) return;
+  CallPath &call_path = found->second;
+  call_path.last_used = this->clock.Now();
+  call_path.requests += 1;
+  if (call_path.requests <= kHalvingRequests) return;
+  call_path.requests /= 2;
+  for (auto &[service, count] : call_path.hits) count /= 2;
 }
 
-void DownstreamLevels::Meet(const std::string &route,
-                            const std::vector<AdmissionLevel> &levels) {
+void DownstreamLevels::RecordCallPath(
+    const std::string &route, const std::vector<AdmissionLevel> &levels) {
   for (const auto &entry : levels) {
     if (!entry.on_call_path || entry.level_milli <= 0) continue;
-    CallPath &way = this->ways[route];
-    way.used = this->clock.Now();
-    way.met[entry.service] += 1;
+    CallPath &call_path = this->call_paths[route];
+    call_path.last_used = this->clock.Now();
+    call_path.hits[entry.service] += 1;
   }
 }
 
-void DownstreamLevels::Take(const std::string &workspace,
-                            const std::vector<AdmissionLevel> &levels) {
+void DownstreamLevels::RecordLevels(const std::string &workspace,
+                                    const std::vector<AdmissionLevel> &levels) {
   const Time now = this->clock.Now();
-  if (now - this->swept >= kSweepPeriod) this->Forget();
+  if (now - this->last_sweep >= kSweepPeriod) this->RemoveUnused();
   for (const auto &entry : levels) {
     const Time measured = now - std::chrono::milliseconds{entry.age_ms};
     Services &services = this->scopes[this->ScopeOf(workspace)];
     const auto found = services.find(entry.service);
     // Zero matters only for a service of which other levels are known.
     if (found == services.end() && entry.level_milli <= 0) continue;
-    Known &known = services[entry.service][entry.node];
+    NodeLevel &known = services[entry.service][entry.node];
     if (measured <= known.measured) continue;
     known = {entry.level_milli / kLevelScale, entry.per_second, measured};
   }
 }
 
-bool DownstreamLevels::Stale(const Known &known) const noexcept {
+bool DownstreamLevels::Stale(const NodeLevel &known) const noexcept {
   return this->clock.Now() - known.measured > this->options.lifetime;
 }
 
@@ -115,33 +115,38 @@
   return mean;
 }
 
-bool DownstreamLevels::Met(const CallPath &way, const std::string &service) {
-  const auto found = way.met.find(service);
-  return found != way.met.end() && found->second >= kMeets * way.requests;
+bool DownstreamLevels::Observed(const CallPath &call_path,
+                                const std::string &service) {
+  const auto found = call_path.hits.find(service);
+  return found != call_path.hits.end() &&
+         found->second >= kMinReportedFraction * call_path.requests;
 }
 
-bool DownstreamLevels::Meets(const CallPath &way,
-                             const std::string &service) const {
-  if (Met(way, service)) return true;
-  if (way.requests >= kFewRequests) return false;
-  const auto told = way.told.find(service);
-  if (told == way.told.end()) return false;
-  const bool recent = this->clock.Now() - told->second.at <= kWordLifetime;
-  return recent && told->second.meets >= kMeets;
+bool DownstreamLevels::IsOnCallPath(const CallPath &call_path,
+                                    const std::string &service) const {
+  if (Observed(call_path, service)) return true;
+  if (call_path.requests >= kMinOwnRequests) return false;
+  const auto reported = call_path.peer_reports.find(service);
+  if (reported == call_path.peer_reports.end()) return false;
+  const bool recent =
+      this->clock.Now() - reported->second.last_report <= kReportLifetime;
+  return recent && reported->second.fraction >= kMinReportedFraction;
 }
 
 std::vector<CallPathReport> DownstreamLevels::CallPathReports(
-    std::size_t most) const {
+    std::size_t max_count) const {
   std::vector<CallPathReport> call_path_reports;
   const auto scope = this->scopes.find(this->ScopeOf({}));
   if (scope == this->scopes.end()) return call_path_reports;
   for (const auto &[service, levels] : scope->second) {
     if (!this->Sheds(levels)) continue;
-    for (const auto &[route, way] : this->ways) {
-      const bool seen = way.requests >= 1 || way.met.count(service) > 0;
+    for (const auto &[route, call_path] : this->call_paths) {
+      const bool seen =
+          call_path.requests >= 1 || call_path.hits.count(service) > 0;
       if (!seen) continue;
-      if (call_path_reports.size() >= most) return call_path_reports;
-      call_path_reports.push_back({route, service, Met(way, service)});
+      if (call_path_reports.size() >= max_count) return call_path_reports;
+      call_path_reports.push_back(
+          {route, service, Observed(call_path, service)});
     }
   }
   return call_path_reports;
@@ -150,34 +155,37 @@
 void DownstreamLevels::LearnCallPathReports(
     const std::vector<CallPathReport> &call_path_reports) {
   const Time now = this->clock.Now();
-  for (const auto &mark : call_path_reports) {
-    const auto known = this->ways.find(mark.route);
-    if (known == this->ways.end() && !mark.meets) continue;
-    CallPath &way = this->ways[mark.route];
-    if (way.used == Time{}) way.used = now;
-    const auto [told, fresh] = way.told.try_emplace(mark.service);
-    if (fresh || now - told->second.at > kWordLifetime) {
-      told->second.meets = mark.meets ? kFirstWord : 0;
+  for (const auto &report : call_path_reports) {
+    const auto known = this->call_paths.find(report.route);
+    if (known == this->call_paths.end() && !report.meets) continue;
+    CallPath &call_path = this->call_paths[report.route];
+    if (call_path.last_used == Time{}) call_path.last_used = now;
+    const auto [reported, inserted] =
+        call_path.peer_reports.try_emplace(report.service);
+    if (inserted || now - reported->second.last_report > kReportLifetime) {
+      reported->second.fraction = report.meets ? kFirstReportValue : 0;
     } else {
-      const double word = mark.meets ? 1 : 0;
-      told->second.meets += kWordWeight * (word - told->second.meets);
+      const double value = report.meets ? 1 : 0;
+      reported->second.fraction +=
+          kReportWeight * (value - reported->second.fraction);
     }
-    told->second.at = now;
+    reported->second.last_report = now;
   }
 }
 
 std::vector<AdmissionLevel> DownstreamLevels::Shedding(
     const std::string &workspace, const std::string &route,
-    std::size_t most) const {
+    std::size_t max_count) const {
   std::vector<AdmissionLevel> levels;
   const auto scope = this->scopes.find(this->ScopeOf(workspace));
   if (scope == this->scopes.end()) return levels;
   const Time now = this->clock.Now();
-  const auto way = this->ways.find(route);
+  const auto call_path = this->call_paths.find(route);
   for (const auto &[name, service] : scope->second) {
     if (!this->Sheds(service)) continue;
     // Own observations only; reports of others would echo back as evidence.
-    const bool on_call_path = way != this->ways.end() && Met(way->second, name);
+    const bool on_call_path = call_path != this->call_paths.end() &&
+                              Observed(call_path->second, name);
     for (const auto &[node, known] : service) {
       if (this->Stale(known)) continue;
       const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -188,22 +196,22 @@
                         static_cast<std::int32_t>(age.count()), on_call_path});
     }
   }
-  if (levels.size() <= most) return levels;
+  if (levels.size() <= max_count) return levels;
   std::stable_partition(levels.begin(), levels.end(),
                         [](const auto &entry) { return entry.on_call_path; });
-  levels.resize(most);
+  levels.resize(max_count);
   return levels;
 }
 
 CallPathLevel DownstreamLevels::HighestOnCallPath(
     const std::string &workspace, const std::string &route) const {
   CallPathLevel highest;
-  const auto way = this->ways.find(route);
-  if (way == this->ways.end()) return highest;
+  const auto call_path = this->call_paths.find(route);
+  if (call_path == this->call_paths.end()) return highest;
   const auto scope = this->scopes.find(this->ScopeOf(workspace));
   if (scope == this->scopes.end()) return highest;
   for (const auto &[name, service] : scope->second) {
-    if (!this->Meets(way->second, name)) continue;
+    if (!this->IsOnCallPath(call_path->second, name)) continue;
     CallPathLevel mean = this->MeanOf(service);
     if (mean.level <= highest.level) continue;
     highest = std::move(mean);
@@ -212,11 +220,14 @@
   return highest;
 }
 
-void DownstreamLevels::Forget() {
-  this->swept = this->clock.Now();
-  for (auto way = this->ways.begin(); way != this->ways.end();) {
-    const bool unused = this->swept - way->second.used > kSweepPeriod;
-    way = unused ? this->ways.erase(way) : std::next(way);
+void DownstreamLevels::RemoveUnused() {
+  this->last_sweep = this->clock.Now();
+  for (auto call_path = this->call_paths.begin();
+       call_path != this->call_paths.end();) {
+    const bool unused =
+        this->last_sweep - call_path->second.last_used > kSweepPeriod;
+    call_path =
+        unused ? this->call_paths.erase(call_path) : std::next(call_path);
   }
   for (auto scope = this->scopes.begin(); scope != this->scopes.end();) {
     Services &services = scope->second;
--- a/src/pollenring/node/downstream_levels.h
+++ b/src/pollenring/node/downstream_levels.h
@@ -44,10 +44,12 @@
    * @param clock Clock.
    */
   DownstreamLevels(const DownstreamLevelOptions &options, const Clock &clock)
-      : options{options}, clock{clock}, swept{clock.Now()} {}
+      : options{options}, clock{clock}, last_sweep{clock.Now()} {}
 
   /*! @brief Number of tracked routes. @return The count. */
-  [[nodiscard]] std::size_t Count() const noexcept { return this->ways.size(); }
+  [[nodiscard]] std::size_t Count() const noexcept {
+    return this->call_paths.size();
+  }
 
   /**
    * @brief Records the reply to a request.
@@ -64,34 +66,35 @@
    * @param route The request's route.
    * @param levels Admission levels in the reply.
    */
-  void LearnBelow(const std::string &workspace, const std::string &route,
-                  const std::vector<AdmissionLevel> &levels);
+  void LearnFromSubCall(const std::string &workspace, const std::string &route,
+                        const std::vector<AdmissionLevel> &levels);
 
   /**
    * @brief Counts a request that the local target has completed.
    * @param route Its route.
    */
-  void Served(const std::string &route);
+  void RecordCompleted(const std::string &route);
 
   /**
    * @brief Lists the services that shed, for the reply to a request.
    * @param workspace Its workspace.
    * @param route Its route.
-   * @param most Maximum number of levels; those on the call path come first.
+   * @param max_count Maximum number of levels; those on the call path come
+   * first.
    * @return Levels with their age.
    */
   [[nodiscard]] std::vector<AdmissionLevel> Shedding(
       const std::string &workspace, const std::string &route,
-      std::size_t most) const;
+      std::size_t max_count) const;
 
   /**
    * @brief Lists what this node has observed of call paths.
-   * @param most Maximum number of reports.
+   * @param max_count Maximum number of reports.
    * @return For each route and shedding service, whether it is on the call
    * path.
    */
   [[nodiscard]] std::vector<CallPathReport> CallPathReports(
-      std::size_t most) const;
+      std::size_t max_count) const;
 
   /**
    * @brief Records what another node has observed.
@@ -112,49 +115,49 @@
                                                 const std::string &route) const;
 
  private:
-  struct Known {
+  struct NodeLevel {
     double level{};
     int per_second{};
     Time measured{};
   };
   /*! @brief Levels of one service, by the node local to each target. */
-  using Service = std::unordered_map<NodeId, Known>;
+  using Service = std::unordered_map<NodeId, NodeLevel>;
   using Services = std::unordered_map<std::string, Service>;
 
   /*! @brief Reports of other nodes on one route and service. */
-  struct Told {
-    double meets{}; /*!< Weighted fraction that report a hit. */
-    Time at{};
+  struct PeerReports {
+    double fraction{}; /*!< Weighted fraction that report a hit. */
+    Time last_report{};
   };
 
   /*! @brief How many requests of a route reached each shedding service. */
   struct CallPath {
     double requests{};
-    Time used{};
-    std::unordered_map<std::string, double> met;
-    std::unordered_map<std::string, Told> told;
+    Time last_used{};
+    std::unordered_map<std::string, double> hits;
+    std::unordered_map<std::string, PeerReports> peer_reports;
   };
 
   [[nodiscard]] const std::string &ScopeOf(
       const std::string &workspace) const noexcept;
-  [[nodiscard]] bool Stale(const Known &known) const noexcept;
+  [[nodiscard]] bool Stale(const NodeLevel &known) const noexcept;
   [[nodiscard]] bool Sheds(const Service &service) const noexcept;
   [[nodiscard]] CallPathLevel MeanOf(const Service &service) const noexcept;
-  [[nodiscard]] static bool Met(const CallPath &way,
-                                const std::string &service);
-  [[nodiscard]] bool Meets(const CallPath &way,
-                           const std::string &service) const;
-  void Meet(const std::string &route,
-            const std::vector<AdmissionLevel> &levels);
-  void Take(const std::string &workspace,
-            const std::vector<AdmissionLevel> &levels);
-  void Forget();
+  [[nodiscard]] static bool Observed(const CallPath &call_path,
+                                     const std::string &service);
+  [[nodiscard]] bool IsOnCallPath(const CallPath &call_path,
+                                  const std::string &service) const;
+  void RecordCallPath(const std::string &route,
+                      const std::vector<AdmissionLevel> &levels);
+  void RecordLevels(const std::string &workspace,
+                    const std::vector<AdmissionLevel> &levels);
+  void RemoveUnused();
 
   DownstreamLevelOptions options;
   const Clock &clock;
-  Time swept{};
+  Time last_sweep{};
   std::unordered_map<std::string, Services> scopes;
-  std::unordered_map<std::string, CallPath> ways;
+  std::unordered_map<std::string, CallPath> call_paths;
 };
 
 }  // namespace pollenring
--- a/src/pollenring/node/gates.h
+++ b/src/pollenring/node/gates.h
@@ -67,7 +67,7 @@
 };
 
 /*! @brief Whether a workspace may start one more root request. */
-struct ShareAnswer {
+struct ChargeReply {
   bool granted{};
   Reason reason{Reason::kNone};
   Duration retry_after{};
@@ -76,7 +76,7 @@
 /*! @brief Charges root requests to their workspaces, over all VMs. */
 class ShareGate {
  public:
-  using Done = std::function<void(ShareAnswer)>;
+  using Done = std::function<void(ChargeReply)>;
 
   ShareGate() = default;
   ShareGate(const ShareGate &) = delete;
@@ -104,7 +104,7 @@
 };
 
 /*! @brief Reply of the owner of a request identifier. */
-struct OnceAnswer {
+struct OnceReply {
   OnceVerdict verdict{OnceVerdict::kUnknown};
   CallReply reply; /*!< The first response, if still held. */
   std::string body;
@@ -114,7 +114,7 @@
 /*! @brief Runs each identifier of a non-idempotent request at most once. */
 class OnceGate {
  public:
-  using Done = std::function<void(OnceAnswer)>;
+  using Done = std::function<void(OnceReply)>;
 
   OnceGate() = default;
   OnceGate(const OnceGate &) = delete;
--- a/src/pollenring/node/headers.cc
+++ b/src/pollenring/node/headers.cc
@@ -40,17 +40,17 @@
 }  // namespace
 
 std::vector<WireHeader> ForwardableHeaders(const HttpHeaders &headers) {
-  std::vector<WireHeader> passable;
-  passable.reserve(headers.size());
+  std::vector<WireHeader> forwardable;
+  forwardable.reserve(headers.size());
   for (const auto &header : headers) {
     const std::string_view name{header.name};
     if (name.substr(0, kInternalPrefix.size()) == kInternalPrefix) continue;
-    const bool hop =
+    const bool hop_by_hop =
         std::find(kHopByHop.begin(), kHopByHop.end(), name) != kHopByHop.end();
-    if (hop) continue;
-    passable.push_back({header.name, header.value});
+    if (hop_by_hop) continue;
+    forwardable.push_back({header.name, header.value});
   }
-  return passable;
+  return forwardable;
 }
 
 std::size_t HeaderBytes(const HttpHeaders &headers) noexcept {
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -13,17 +13,17 @@
 namespace pollenring {
 namespace {
 
-constexpr std::size_t kLongestRequestId = 64;
-constexpr std::size_t kShortestKeySearched = 8;
-constexpr double kLotScale = 1.0 / 9007199254740992.0;
+constexpr std::size_t kMaxRequestIdBytes = 64;
+constexpr std::size_t kMinSearchedKeyBytes = 8;
+constexpr double kSubPriorityScale = 1.0 / 9007199254740992.0;
 
 [[nodiscard]] double SubPriorityOf(const std::string &root_id) noexcept {
-  return static_cast<double>(Hash64(root_id) >> 11U) * kLotScale;
+  return static_cast<double>(Hash64(root_id) >> 11U) * kSubPriorityScale;
 }
 
 /*! @brief Whether the key appears where it would be forwarded to a target. */
 [[nodiscard]] bool LeaksKey(const HttpRequest &request, std::string_view key) {
-  if (key.size() < kShortestKeySearched) return false;
+  if (key.size() < kMinSearchedKeyBytes) return false;
   const auto contains = [key](const std::string &text) {
     return text.find(key) != std::string::npos;
   };
@@ -39,14 +39,15 @@
 
 /*! @brief State of a request of an external caller. */
 struct Ingress::Root {
-  Root(std::size_t &held, std::size_t size) : held{held}, size{size} {
-    this->held += this->size;
+  Root(std::size_t &held_bytes, std::size_t size)
+      : held_bytes{held_bytes}, size{size} {
+    this->held_bytes += this->size;
   }
   Root(const Root &) = delete;
   Root &operator=(const Root &) = delete;
-  ~Root() { this->held -= this->size; }
+  ~Root() { this->held_bytes -= this->size; }
 
-  std::size_t &held;
+  std::size_t &held_bytes;
   std::size_t size;
   CallEnvelope envelope;
   std::string body;
@@ -57,10 +58,10 @@
   Time started{};
   Time deadline{};
   bool open{};
-  bool id_given{};
+  bool has_caller_id{};
   std::optional<Time> charged;
-  bool begun{};
-  bool gone{};
+  bool once_begun{};
+  bool disconnected{};
   std::shared_ptr<Responder> responder;
 };
 
@@ -84,14 +85,15 @@
   }
   root->envelope.headers = ForwardableHeaders(request.headers);
   root->body = std::move(request.body);
-  root->responder->OnCancel([root](CallerDisconnect) { root->gone = true; });
-  this->Next(root);
+  root->responder->OnCancel(
+      [root](CallerDisconnect) { root->disconnected = true; });
+  this->Advance(root);
 }
 
-void Ingress::Next(const RootPtr &root) {
-  const bool once = !root->envelope.idempotent && !root->begun;
+void Ingress::Advance(const RootPtr &root) {
+  const bool once = !root->envelope.idempotent && !root->once_begun;
   // Repeats are answered from the record before any charge or refusal.
-  if (once && root->id_given) {
+  if (once && root->has_caller_id) {
     this->Begin(root);
     return;
   }
@@ -135,8 +137,9 @@
   root.envelope.importance = route->importance;
   root.envelope.idempotent = route->idempotent;
   root.envelope.sub_priority = SubPriorityOf(root.envelope.root_id);
-  const WorkspaceRateLimit *share = policy.ShareOf(root.envelope.workspace);
-  if (share != nullptr) root.envelope.weight = share->rate;
+  const WorkspaceRateLimit *rate_limit =
+      policy.ShareOf(root.envelope.workspace);
+  if (rate_limit != nullptr) root.envelope.weight = rate_limit->rate;
   root.envelope.retries = route->retries;
   root.deadline = root.started + route->deadline;
   return Reason::kNone;
@@ -144,10 +147,10 @@
 
 Reason Ingress::Identify(const HttpRequest &request, Root &root) const {
   const auto given = FindHeader(request.headers, kRequestIdHeader);
-  if (given.size() > kLongestRequestId) return Reason::kMalformed;
+  if (given.size() > kMaxRequestIdBytes) return Reason::kMalformed;
   if (!given.empty()) {
     root.id = std::string{given};
-    root.id_given = true;
+    root.has_caller_id = true;
   } else {
     root.id =
         MintRequestId(this->loop.GetClock().WallNow(), this->parts.random);
@@ -173,21 +176,21 @@
   }
   root->charged = this->loop.GetClock().Now();
   if (root->open) {
-    this->Next(root);
+    this->Advance(root);
     return;
   }
   this->parts.shares.Charge(
       root->envelope.workspace, WaitLimit::Until(root->deadline),
-      [this, root](ShareAnswer answer) {
-        if (answer.granted) {
+      [this, root](ChargeReply result) {
+        if (result.granted) {
           root->charged = this->loop.GetClock().Now();
-          this->Next(root);
+          this->Advance(root);
           return;
         }
-        this->Answer(
+        this->Respond(
             root,
-            Refusal(Outcome::kNotRun, answer.reason,
-                    WithJitter(answer.retry_after, this->parts.random)),
+            Refusal(Outcome::kNotRun, result.reason,
+                    WithJitter(result.retry_after, this->parts.random)),
             {});
       });
 }
@@ -198,42 +201,42 @@
     return;
   }
   root->once_key = root->envelope.workspace + '/' + root->id;
-  this->parts.once.Begin(root->once_key, !root->id_given, root->deadline,
-                         [this, root](OnceAnswer answer) {
-                           if (answer.verdict != OnceVerdict::kRun) {
-                             this->AnswerRepeat(root, std::move(answer));
+  this->parts.once.Begin(root->once_key, !root->has_caller_id, root->deadline,
+                         [this, root](OnceReply result) {
+                           if (result.verdict != OnceVerdict::kRun) {
+                             this->RespondToRepeat(root, std::move(result));
                              return;
                            }
-                           root->begun = true;
-                           this->Next(root);
+                           root->once_begun = true;
+                           this->Advance(root);
                          });
 }
 
-void Ingress::AnswerRepeat(const RootPtr &root, OnceAnswer answer) {
+void Ingress::RespondToRepeat(const RootPtr &root, OnceReply result) {
   const Duration jittered_retry_after =
       WithJitter(kDefaultRetryAfter, this->parts.random);
-  switch (answer.verdict) {
+  switch (result.verdict) {
     case OnceVerdict::kAnswered:
-      this->Answer(root, std::move(answer.reply), std::move(answer.body));
+      this->Respond(root, std::move(result.reply), std::move(result.body));
       return;
     case OnceVerdict::kInProgress:
-      this->Answer(
+      this->Respond(
           root,
           Refusal(Outcome::kUnknown, Reason::kInProgress, jittered_retry_after),
           {});
       return;
     case OnceVerdict::kExpired:
-      this->Answer(
+      this->Respond(
           root, Refusal(Outcome::kUnknown, Reason::kIdExpired, Duration{}), {});
       return;
     case OnceVerdict::kNotRun:
-      this->Answer(
+      this->Respond(
           root,
           Refusal(Outcome::kNotRun, Reason::kNoShare, jittered_retry_after),
           {});
       return;
     default:
-      this->Answer(
+      this->Respond(
           root,
           Refusal(Outcome::kUnknown, Reason::kRepeated, jittered_retry_after),
           {});
@@ -241,7 +244,7 @@
 }
 
 void Ingress::Send(const RootPtr &root) {
-  if (root->gone && !root->begun) return;
+  if (root->disconnected && !root->once_begun) return;
   CallBounds bounds;
   bounds.deadline = root->deadline;
   bounds.charged = *root->charged;
@@ -256,10 +259,10 @@
       [this, root](CallReply reply, std::string body) {
         this->parts.levels.Learn(root->workspace, root->route_name,
                                  reply.levels);
-        this->Answer(root, std::move(reply), std::move(body));
+        this->Respond(root, std::move(reply), std::move(body));
       });
   // A non-idempotent run continues, so that repeats can get its outcome.
-  if (root->begun) return;
+  if (root->once_begun) return;
   root->responder->OnCancel(
       [this, call](CallerDisconnect) { this->parts.dispatcher.Cancel(call); });
 }
@@ -271,11 +274,11 @@
   const Duration jittered_retry_after =
       transient ? WithJitter(kDefaultRetryAfter, this->parts.random)
                 : Duration{};
-  this->Answer(root, Refusal(outcome, reason, jittered_retry_after), {});
+  this->Respond(root, Refusal(outcome, reason, jittered_retry_after), {});
 }
 
-void Ingress::Answer(const RootPtr &root, CallReply reply, std::string body) {
-  if (root->begun) this->parts.once.End(root->once_key, reply, body);
+void Ingress::Respond(const RootPtr &root, CallReply reply, std::string body) {
+  if (root->once_begun) this->parts.once.End(root->once_key, reply, body);
   Metrics &metrics = this->parts.metrics;
   const bool refused = reply.reason != Reason::kNone;
   if (refused) {
@@ -284,9 +287,9 @@
   }
   metrics.Count("pollenring_outcomes_total",
                 {"outcome", std::string{kOutcomeNames.Name(reply.outcome)}});
-  const Duration took = this->loop.GetClock().Now() - root->started;
+  const Duration latency = this->loop.GetClock().Now() - root->started;
   metrics.Observe("pollenring_request_seconds",
-                  std::chrono::duration<double>{took}.count());
+                  std::chrono::duration<double>{latency}.count());
   root->responder->Send(ToResponse(reply, std::move(body), root->id));
 }
 
--- a/src/pollenring/node/ingress.h
+++ b/src/pollenring/node/ingress.h
@@ -70,13 +70,13 @@
   [[nodiscard]] Reason Admit(const HttpRequest &request, Root &root) const;
   [[nodiscard]] Reason Identify(const HttpRequest &request, Root &root) const;
   [[nodiscard]] bool ShedsEarly(const Root &root) const;
-  void Next(const RootPtr &root);
+  void Advance(const RootPtr &root);
   void Charge(const RootPtr &root);
   void Begin(const RootPtr &root);
   void Send(const RootPtr &root);
-  void Answer(const RootPtr &root, CallReply reply, std::string body);
+  void Respond(const RootPtr &root, CallReply reply, std::string body);
   void Refuse(const RootPtr &root, Outcome outcome, Reason reason);
-  void AnswerRepeat(const RootPtr &root, OnceAnswer answer);
+  void RespondToRepeat(const RootPtr &root, OnceReply result);
 
   Loop &loop;
   IngressParts parts;
--- a/src/pollenring/node/limits.h
+++ b/src/pollenring/node/limits.h
@@ -27,7 +27,7 @@
 inline constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds{500};
 
 /*! @brief How much longer a node waits than the node that it calls. */
-inline constexpr Duration kAnswerSlack = std::chrono::milliseconds{20};
+inline constexpr Duration kReplySlack = std::chrono::milliseconds{20};
 
 }  // namespace pollenring
 
--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -11,19 +11,19 @@
 namespace {
 
 constexpr const char *kBootstrapRow = "bootstrap";
-constexpr std::size_t kMostListed = 16;
+constexpr std::size_t kMaxListed = 16;
 /*! @brief Number of listed nodes from which only designated watchers of the
  * store add themselves; if all nodes wrote at a first start, most writes would
  * conflict. */
-constexpr std::size_t kFewListed = 4;
+constexpr std::size_t kMaxListedByAnyNode = 4;
 /*! @brief Peers queried for all records at a time; some may be down. */
 constexpr std::size_t kJoinsAtOnce = 2;
 /*! @brief Time over which the first reads of the row are spread at a first
  * start, so that most nodes find a few others in it. */
-constexpr Duration kFirstReads = std::chrono::milliseconds{400};
+constexpr Duration kFirstReadSpread = std::chrono::milliseconds{400};
 /*! @brief Pause before a conflicting write is retried, before jitter. */
 constexpr Duration kConflictPause = std::chrono::milliseconds{60};
-constexpr Duration kTick = std::chrono::milliseconds{50};
+constexpr Duration kTickPeriod = std::chrono::milliseconds{50};
 constexpr Duration kBootstrapPeriod = std::chrono::seconds{2};
 /*! @brief Pause between attempts to join. */
 constexpr Duration kJoinPause = std::chrono::milliseconds{500};
@@ -31,7 +31,7 @@
 constexpr Duration kUpkeepPeriod = std::chrono::seconds{10};
 /*! @brief Age up to which it reads more often: nodes that start together may
  * have formed groups that don't know of one another. */
-constexpr Duration kYoung = std::chrono::seconds{15};
+constexpr Duration kEarlyAge = std::chrono::seconds{15};
 constexpr Duration kAloneAfter = std::chrono::milliseconds{1500};
 constexpr Duration kJoinTimeout = std::chrono::seconds{1};
 
@@ -48,8 +48,8 @@
       random{random},
       membership{std::move(self), MembershipOptions{}, loop.GetClock(), random,
                  *this},
-      duty{this->membership, bus.Wire().versions, StoreWatcherOptions{},
-           loop.GetClock()},
+      watcher_role{this->membership, bus.Wire().versions, StoreWatcherOptions{},
+                   loop.GetClock()},
       first_start{first_start},
       started{loop.GetClock().Now()} {}
 
@@ -71,14 +71,14 @@
       [this](NodeId from, const Gossip &gossip, WireVersion version) {
         this->Receive(from, gossip, version);
       });
-  this->loop.Every(kTick, [this] { this->membership.Tick(); });
+  this->loop.Every(kTickPeriod, [this] { this->membership.Tick(); });
   if (!this->first_start) {
     this->Bootstrap();
     return;
   }
-  const double part = this->random.Fraction();
+  const double fraction = this->random.Fraction();
   const Duration wait{static_cast<std::int64_t>(
-      part * static_cast<double>(kFirstReads.count()))};
+      fraction * static_cast<double>(kFirstReadSpread.count()))};
   this->loop.After(wait, [this] { this->Bootstrap(); });
 }
 
@@ -103,7 +103,7 @@
     }
     this->JoinThroughSome(std::move(alive));
   }
-  if (alone || (this->joined && this->duty.IsDesignated()))
+  if (alone || (this->joined && this->watcher_role.IsDesignated()))
     this->ReadBootstrapRow();
   this->loop.After(this->BootstrapPause(), [this] { this->Bootstrap(); });
 }
@@ -149,29 +149,31 @@
   if (!this->joined) return kJoinPause;
   if (this->Alone()) return kBootstrapPeriod;
   const Time age = this->loop.GetClock().Now() - this->started;
-  if (age < kYoung) return WithJitter(kBootstrapPeriod, this->random);
+  if (age < kEarlyAge) return WithJitter(kBootstrapPeriod, this->random);
   return WithJitter(kUpkeepPeriod, this->random);
 }
 
 void MemberService::Register(std::uint64_t version,
                              std::vector<NodeId> listed) {
   const NodeId self = this->membership.Self().id;
-  const auto gone = [this](NodeId id) {
+  const auto is_dead = [this](NodeId id) {
     const Member *member = this->membership.Find(id);
     return member != nullptr && member->state == MemberState::kDead;
   };
   const std::size_t before = listed.size();
-  listed.erase(std::remove_if(listed.begin(), listed.end(), gone),
+  listed.erase(std::remove_if(listed.begin(), listed.end(), is_dead),
                listed.end());
   const bool shrunk = listed.size() < before;
-  const bool there =
+  const bool listed_self =
       std::find(listed.begin(), listed.end(), self) != listed.end();
-  const bool leaving = this->membership.Self().state != MemberState::kAlive;
-  const std::size_t most =
-      this->duty.IsDesignated() && this->joined ? kMostListed : kFewListed;
-  const bool joins = !there && !leaving && listed.size() < most;
-  if (joins) listed.push_back(self);
-  if (!joins && !shrunk) return;
+  const bool draining = this->membership.Self().state != MemberState::kAlive;
+  const std::size_t max_listed =
+      this->watcher_role.IsDesignated() && this->joined ? kMaxListed
+                                                        : kMaxListedByAnyNode;
+  const bool adds_self =
+      !listed_self && !draining && listed.size() < max_listed;
+  if (adds_self) listed.push_back(self);
+  if (!adds_self && !shrunk) return;
   this->table.Write({{kBootstrapRow, version}},
                     {{kBootstrapRow, nlohmann::json(listed).dump()}},
                     [this](Table::Written written) {
@@ -187,18 +189,20 @@
 
 void MemberService::JoinThrough(NodeId peer) {
   if (peer == this->membership.Self().id) return;
-  const WireVersion asked =
+  const WireVersion request_version =
       this->bus.Wire().versions.Of(peer).value_or(kNewestWire);
   this->link.Call(AddressOf(peer), "members",
-                  Encode(this->membership.Snapshot(), asked), kJoinTimeout,
-                  [this, peer, asked](LinkClient::Reply reply) {
+                  Encode(this->membership.Snapshot(), request_version),
+                  kJoinTimeout,
+                  [this, peer, request_version](LinkClient::Reply reply) {
                     const auto *body = std::get_if<std::string>(&reply);
-                    if (body != nullptr) this->Joined(peer, asked, *body);
+                    if (body != nullptr)
+                      this->HandleJoinReply(peer, request_version, *body);
                   });
 }
 
-void MemberService::Joined(NodeId peer, WireVersion asked,
-                           const std::string &body) {
+void MemberService::HandleJoinReply(NodeId peer, WireVersion request_version,
+                                    const std::string &body) {
   const auto records = Decode<std::vector<Member>>(body);
   if (!records) {
     this->bus.Wire().NoteUnreadable(peer, "members", body.size());
@@ -206,8 +210,8 @@
   }
   this->membership.Merge(records->value);
   // Old builds reply without having decoded fields by number.
-  const bool unread = records->version < asked;
-  if (unread) {
+  const bool needs_merge = records->version < request_version;
+  if (needs_merge) {
     this->link.Call(AddressOf(peer), "members-merge",
                     Encode(this->membership.Snapshot(), kCommonWire),
                     kJoinTimeout, [](LinkClient::Reply) {});
@@ -222,36 +226,36 @@
 std::optional<std::string> MemberService::Answer(std::string_view path,
                                                  const Address &from,
                                                  const std::string &body) {
-  if (path == "members") return this->AnswerJoin(from, body);
-  if (path == "members-differ") return this->AnswerDiffering(from, body);
+  if (path == "members") return this->ReplyToJoin(from, body);
+  if (path == "members-differ") return this->ReplyToDigests(from, body);
   if (path != "members-merge") return std::nullopt;
-  this->TakeRecords(from, body);
+  this->MergeRecords(from, body);
   return std::string{};
 }
 
-std::string MemberService::AnswerJoin(const Address &from,
-                                      const std::string &body) {
-  const WireVersion version = this->TakeRecords(from, body);
+std::string MemberService::ReplyToJoin(const Address &from,
+                                       const std::string &body) {
+  const WireVersion version = this->MergeRecords(from, body);
   return Encode(this->membership.Snapshot(), version);
 }
 
 void MemberService::Receive(NodeId from, const Gossip &gossip,
                             WireVersion version) {
-  Gossip heard = gossip;
+  Gossip received = gossip;
   // V1 builds read no zone withdrawals, however recent their store contact.
-  const bool first = version == WireVersion::kV1 && gossip.wire == 0;
-  if (first) heard.store_age_ms = -1;
-  this->answers = version;
-  this->membership.Receive(heard);
-  this->answers.reset();
+  const bool lacks_zones = version == WireVersion::kV1 && gossip.wire == 0;
+  if (lacks_zones) received.store_age_ms = -1;
+  this->reply_version = version;
+  this->membership.Receive(received);
+  this->reply_version.reset();
   PeerVersions &versions = this->bus.Wire().versions;
   versions.Heard(from, version);
   versions.Advertised(from, gossip.wire);
 }
 
 void MemberService::SendGossip(NodeId to, const Gossip &gossip) {
-  if (this->answers) {
-    this->bus.Send(to, MessageKind::kGossip, gossip, *this->answers);
+  if (this->reply_version) {
+    this->bus.Send(to, MessageKind::kGossip, gossip, *this->reply_version);
     return;
   }
   const auto known = this->bus.Wire().versions.Of(to);
@@ -274,16 +278,16 @@
   const WireVersion version =
       this->bus.Wire().versions.Of(peer).value_or(kCommonWire);
   const PartitionDigests &digests = this->membership.Digests();
-  const std::string ask =
+  const std::string request =
       version < WireVersion::kV3 ? Pack(digests) : Pack(DigestRequest{digests});
-  this->link.Call(AddressOf(peer), "members-differ", ask, kJoinTimeout,
+  this->link.Call(AddressOf(peer), "members-differ", request, kJoinTimeout,
                   [this, peer](LinkClient::Reply reply) {
                     const auto *body = std::get_if<std::string>(&reply);
-                    if (body != nullptr) this->Exchange(peer, *body);
+                    if (body != nullptr) this->ExchangeRecords(peer, *body);
                   });
 }
 
-void MemberService::Exchange(NodeId peer, const std::string &body) {
+void MemberService::ExchangeRecords(NodeId peer, const std::string &body) {
   const auto theirs = Decode<DigestReply>(body);
   if (!theirs) {
     this->bus.Wire().NoteUnreadable(peer, "members-differ", body.size());
@@ -296,10 +300,10 @@
                   [](LinkClient::Reply) {});
 }
 
-std::string MemberService::AnswerDiffering(const Address &from,
-                                           const std::string &body) {
-  if (const auto ask = Unpack<DigestRequest>(body)) {
-    return Pack(this->membership.Differing(ask->digests));
+std::string MemberService::ReplyToDigests(const Address &from,
+                                          const std::string &body) {
+  if (const auto request = Unpack<DigestRequest>(body)) {
+    return Pack(this->membership.Differing(request->digests));
   }
   if (const auto theirs = Unpack<PartitionDigests>(body)) {
     return Encode(this->membership.Differing(*theirs), kCommonWire);
@@ -308,8 +312,8 @@
   return Encode(DigestReply{}, FormOf(body));
 }
 
-WireVersion MemberService::TakeRecords(const Address &from,
-                                       const std::string &body) {
+WireVersion MemberService::MergeRecords(const Address &from,
+                                        const std::string &body) {
   const auto records = Decode<std::vector<Member>>(body);
   if (!records) {
     this->bus.Wire().unreadable.Note({from, "members", body.size(), {}});
--- a/src/pollenring/node/member_service.h
+++ b/src/pollenring/node/member_service.h
@@ -46,7 +46,7 @@
   /*! @brief Whether this node is a designated watcher of the store. @return
    * The role. */
   [[nodiscard]] const StoreWatcherRole &WatcherRole() const noexcept {
-    return this->duty;
+    return this->watcher_role;
   }
 
   /*! @brief Whether this node knows the others, or that it is alone. */
@@ -84,19 +84,20 @@
   void RecordsDiffer(NodeId peer) override;
 
  private:
-  [[nodiscard]] std::string AnswerJoin(const Address &from,
-                                       const std::string &body);
-  [[nodiscard]] std::string AnswerDiffering(const Address &from,
-                                            const std::string &body);
+  [[nodiscard]] std::string ReplyToJoin(const Address &from,
+                                        const std::string &body);
+  [[nodiscard]] std::string ReplyToDigests(const Address &from,
+                                           const std::string &body);
   /*! @brief Merges records. @return Their wire version; the one that all
    * builds read if they can't be decoded. */
-  WireVersion TakeRecords(const Address &from, const std::string &body);
+  WireVersion MergeRecords(const Address &from, const std::string &body);
   void Bootstrap();
   void ReadBootstrapRow();
   void Receive(NodeId from, const Gossip &gossip, WireVersion version);
   void JoinThrough(NodeId peer);
-  void Joined(NodeId peer, WireVersion asked, const std::string &body);
-  void Exchange(NodeId peer, const std::string &body);
+  void HandleJoinReply(NodeId peer, WireVersion request_version,
+                       const std::string &body);
+  void ExchangeRecords(NodeId peer, const std::string &body);
   /*! @brief Listed nodes without a member record here. */
   [[nodiscard]] std::vector<NodeId> UnknownOf(
       const std::vector<NodeId> &listed) const;
@@ -112,14 +113,14 @@
   Table &table;
   Random &random;
   Membership membership;
-  StoreWatcherRole duty;
+  StoreWatcherRole watcher_role;
   bool first_start;
   std::vector<MemberListener> member_listeners;
   std::vector<VersionListener> version_listeners;
   std::vector<ZonesListener> zones_listeners;
   Time started{};
   bool joined{};
-  std::optional<WireVersion> answers; /*!< Of the probe being handled. */
+  std::optional<WireVersion> reply_version; /*!< Of the probe being handled. */
 };
 
 }  // namespace pollenring
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -191,7 +191,7 @@
   if (auto given = this->members.Answer(path, responder->Peer(), body)) {
     responder->Send(std::move(*given));
   } else if (path == "config") {
-    responder->Send(this->config.AnswerCatchUp(body));
+    responder->Send(this->config.ReplyToCatchUp(body));
   } else if (path == "once-end") {
     this->once.TakeEnd(body);
     responder->Send({});
--- a/src/pollenring/node/once_service.cc
+++ b/src/pollenring/node/once_service.cc
@@ -124,7 +124,7 @@
     this->asking.erase(found);
     // The owner may have said "run" to this attempt, which will not run now.
     this->SendEnd(end, kEndTries);
-    OnceAnswer answer;
+    OnceReply answer;
     answer.verdict = verdict;
     done(std::move(answer));
     return;
@@ -144,7 +144,7 @@
 void OnceService::Decided(const OnceDecision &decision) {
   const auto found = this->asking.find(decision.attempt);
   if (found == this->asking.end() || !decision.owner) return;
-  OnceAnswer answer;
+  OnceReply answer;
   answer.verdict = decision.verdict;
   if (decision.verdict == OnceVerdict::kAnswered) {
     answer.reply = Refusal(Outcome::kRan, Reason::kRepeated, Duration{});
--- a/src/pollenring/node/parent_finder.h
+++ b/src/pollenring/node/parent_finder.h
@@ -32,7 +32,7 @@
    * @param random Source of the draws.
    * @param now Time.
    */
-  ParentFinder(Random &random, Time now) : random{random}, shares{now} {}
+  ParentFinder(Random &random, Time now) : random{random}, attribution{now} {}
 
   /**
    * @brief Adds a request sent to the target.
@@ -52,11 +52,11 @@
 
   /*! @brief Records that a request waits for a call. @param id Request. @param
    * now Time. */
-  void CallBegun(std::uint64_t id, Time now);
+  void BeginCall(std::uint64_t id, Time now);
 
   /*! @brief Records the end of a call. @param id Its request. @param now Time.
    */
-  void CallEnded(std::uint64_t id, Time now);
+  void EndCall(std::uint64_t id, Time now);
 
   /**
    * @brief Finds the parent of a call.
@@ -70,12 +70,12 @@
                                                   Time now);
 
   /*! @brief Estimate of which kinds make calls. @return The estimate. */
-  [[nodiscard]] const CallAttribution &Shares() const noexcept {
-    return this->shares;
+  [[nodiscard]] const CallAttribution &Attribution() const noexcept {
+    return this->attribution;
   }
 
  private:
-  using Ordered = std::set<std::pair<Time, std::uint64_t>>;
+  using OrderedByTime = std::set<std::pair<Time, std::uint64_t>>;
 
   struct Running {
     Time deadline{};
@@ -84,20 +84,21 @@
     std::string kind;
   };
 
-  [[nodiscard]] std::optional<std::uint64_t> Nearest(Time deadline) const;
+  [[nodiscard]] std::optional<std::uint64_t> FindByDeadline(
+      Time deadline) const;
   [[nodiscard]] std::optional<std::uint64_t> Draw(Time deadline,
                                                   const std::string &callee);
   [[nodiscard]] double WeightOf(const std::string &kind,
                                 const std::string &callee) const;
-  [[nodiscard]] Ordered &PlaceOf(const Running &request);
-  void Leave(std::uint64_t id, const Running &request);
+  [[nodiscard]] OrderedByTime &SetOf(const Running &request);
+  void RemoveFromSet(std::uint64_t id, const Running &request);
 
   Random &random;
-  CallAttribution shares;
+  CallAttribution attribution;
   std::unordered_map<std::uint64_t, Running> running;
-  Ordered by_deadline;
-  Ordered working; /*!< Without a call, by `since`. */
-  Ordered waiting; /*!< For a call, by `since`. */
+  OrderedByTime by_deadline;
+  OrderedByTime working; /*!< Without a call, by `since`. */
+  OrderedByTime waiting; /*!< For a call, by `since`. */
 };
 
 }  // namespace pollenring
--- a/src/pollenring/node/target_executor.cc
+++ b/src/pollenring/node/target_executor.cc
@@ -234,7 +234,7 @@
   if (found == this->calls.end()) return;
   ServedCall &served = found->second.served;
   reply.retries_unspent = served.allowance.Left();
-  this->levels.Served(served.envelope.route);
+  this->levels.RecordCompleted(served.envelope.route);
   this->AttachLoad(served, reply);
   this->contexts.erase(served.context);
   this->parents.Remove(id, this->loop.GetClock().Now());
@@ -319,7 +319,7 @@
   if (parent == nullptr) return;
   const Time now = this->loop.GetClock().Now();
   parent->BeginSubCall(now);
-  this->parents.CallBegun(id, now);
+  this->parents.BeginCall(id, now);
 }
 
 void TargetExecutor::EndSubCall(std::uint64_t id) {
@@ -327,7 +327,7 @@
   if (parent == nullptr) return;
   const Time now = this->loop.GetClock().Now();
   parent->EndSubCall(now);
-  this->parents.CallEnded(id, now);
+  this->parents.EndCall(id, now);
 }
 
 void TargetExecutor::LearnFrom(const std::string &callee,
@@ -335,8 +335,8 @@
                                const std::vector<AdmissionLevel> &levels) {
   // A parent is mostly a guess; which routes make such calls is known better.
   for (const auto &route :
-       this->parents.Shares().CallersOf(callee, kLeastShare)) {
-    this->levels.LearnBelow(workspace, route, levels);
+       this->parents.Attribution().CallersOf(callee, kLeastShare)) {
+    this->levels.LearnFromSubCall(workspace, route, levels);
   }
 }
 
--- a/src/pollenring/node/target_port.cc
+++ b/src/pollenring/node/target_port.cc
@@ -147,8 +147,8 @@
         ended(reply.retries_unspent);
         ServedCall *still = this->serving.Find(parent_id);
         if (still != nullptr) {
-          this->levels.LearnBelow(still->envelope.workspace,
-                                  still->envelope.route, reply.levels);
+          this->levels.LearnFromSubCall(still->envelope.workspace,
+                                        still->envelope.route, reply.levels);
           still->sub_call_cancels.erase(*handle);
         }
         responder->Send(ToResponse(reply, std::move(body), root_id));
--- a/test/pollenring/node/call_attribution_test.cc
+++ b/test/pollenring/node/call_attribution_test.cc
@@ -18,7 +18,7 @@
 struct Kind {
   std::string name;
   double per_ms;
-  int length_ms;
+  int duration_ms;
   std::vector<int> calls_at_ms;
 };
 
@@ -29,24 +29,24 @@
   kStuck  /*!< From 5 s, kinds that call stall for 1 s of each 2.5 s. */
 };
 
-[[nodiscard]] bool StandsStill(Pattern pattern, const Kind &kind, int step_ms) {
+[[nodiscard]] bool IsStuck(Pattern pattern, const Kind &kind, int step_ms) {
   if (pattern != Pattern::kStuck || kind.calls_at_ms.empty()) return false;
   return step_ms >= 5'000 && step_ms % 2'500 < 1'000;
 }
 
 /*! @brief Simulates kinds of requests. @return The resulting estimate. */
-[[nodiscard]] CallAttribution Play(const std::vector<Kind> &kinds,
-                                   int length_ms, Pattern pattern,
-                                   std::uint64_t seed = 7) {
+[[nodiscard]] CallAttribution Simulate(const std::vector<Kind> &kinds,
+                                       int duration_ms, Pattern pattern,
+                                       std::uint64_t seed = 7) {
   SeededRandom random{seed};
   Time now = 1h;
-  CallAttribution shares{now};
+  CallAttribution attribution{now};
   struct Run {
     const Kind *kind;
     int age_ms;
   };
   std::vector<Run> runs;
-  for (int step = 0; step < length_ms; ++step) {
+  for (int step = 0; step < duration_ms; ++step) {
     now += 1ms;
     // Load swings raise all kinds together.
     const bool waves = pattern == Pattern::kWaves;
@@ -54,33 +54,33 @@
     for (const auto &kind : kinds) {
       if (!random.Chance(kind.per_ms * load)) continue;
       runs.push_back({&kind, 0});
-      shares.Begin(kind.name, now);
+      attribution.Begin(kind.name, now);
     }
     for (auto it = runs.begin(); it != runs.end();) {
-      if (StandsStill(pattern, *it->kind, step)) {
+      if (IsStuck(pattern, *it->kind, step)) {
         ++it;
         continue;
       }
       ++it->age_ms;
       for (const int at : it->kind->calls_at_ms) {
-        if (it->age_ms == at) shares.Called("callee", now);
+        if (it->age_ms == at) attribution.RecordCall("callee", now);
       }
-      if (it->age_ms < it->kind->length_ms) {
+      if (it->age_ms < it->kind->duration_ms) {
         ++it;
         continue;
       }
-      shares.End(it->kind->name, now);
+      attribution.End(it->kind->name, now);
       it = runs.erase(it);
     }
   }
-  return shares;
+  return attribution;
 }
 
-[[nodiscard]] double Share(const CallAttribution &shares,
-                           const std::string &kind) {
-  const auto share = shares.ShareOf(kind, "callee");
-  REQUIRE(share);
-  return *share;
+[[nodiscard]] double Fraction(const CallAttribution &attribution,
+                              const std::string &kind) {
+  const auto fraction = attribution.FractionOf(kind, "callee");
+  REQUIRE(fraction);
+  return *fraction;
 }
 
 }  // namespace
@@ -88,38 +88,39 @@
 TEST_CASE(
     "call shares: a kind that makes no calls is told from one that does") {
   // Downloads, and lookups that make four calls, on one target.
-  const CallAttribution shares = Play(
+  const CallAttribution attribution = Simulate(
       {{"download", 0.008, 96, {}}, {"lookup", 0.045, 120, {9, 35, 61, 90}}},
       30'000, Pattern::kSteady);
-  CHECK(Share(shares, "lookup") > 0.9);
-  CHECK(Share(shares, "download") < 0.1);
-  CHECK(shares.CallersOf("callee", 0.1) == std::vector<std::string>{"lookup"});
+  CHECK(Fraction(attribution, "lookup") > 0.9);
+  CHECK(Fraction(attribution, "download") < 0.1);
+  CHECK(attribution.CallersOf("callee", 0.1) ==
+        std::vector<std::string>{"lookup"});
 }
 
 TEST_CASE("call shares: two kinds that call get their parts") {
-  const CallAttribution shares = Play({{"often", 0.09, 110, {30, 70}},
-                                       {"seldom", 0.06, 110, {50}},
-                                       {"never", 0.15, 110, {}}},
-                                      60'000, Pattern::kSteady);
-  CHECK(Share(shares, "often") == Approx(0.75).margin(0.12));
-  CHECK(Share(shares, "seldom") == Approx(0.25).margin(0.12));
-  CHECK(Share(shares, "never") < 0.1);
+  const CallAttribution attribution = Simulate({{"often", 0.09, 110, {30, 70}},
+                                                {"seldom", 0.06, 110, {50}},
+                                                {"never", 0.15, 110, {}}},
+                                               60'000, Pattern::kSteady);
+  CHECK(Fraction(attribution, "often") == Approx(0.75).margin(0.12));
+  CHECK(Fraction(attribution, "seldom") == Approx(0.25).margin(0.12));
+  CHECK(Fraction(attribution, "never") < 0.1);
 }
 
 TEST_CASE("call shares: waves of load make nobody a caller") {
-  const CallAttribution shares = Play(
+  const CallAttribution attribution = Simulate(
       {{"download", 0.02, 96, {}}, {"lookup", 0.045, 120, {9, 35, 61, 90}}},
       60'000, Pattern::kWaves);
-  CHECK(Share(shares, "download") < 0.1);
+  CHECK(Fraction(attribution, "download") < 0.1);
 }
 
 TEST_CASE(
     "call shares: requests that are held up for a second are told apart") {
   // On a busy target requests wait long between their calls.
-  const CallAttribution shares = Play(
+  const CallAttribution attribution = Simulate(
       {{"download", 0.02, 96, {}}, {"lookup", 0.04, 900, {9, 220, 450, 690}}},
       30'000, Pattern::kSteady);
-  CHECK(Share(shares, "download") < 0.1);
+  CHECK(Fraction(attribution, "download") < 0.1);
 }
 
 TEST_CASE("call shares: calls that are held back make no other kind a caller") {
@@ -127,62 +128,63 @@
   // they call when few are left. Fewer of them then run at calls than on
   // average, and the estimate names another kind.
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-    for (int length_ms = 3'000; length_ms <= 40'000; length_ms += 1'300) {
-      CAPTURE(seed, length_ms);
-      const CallAttribution shares =
-          Play({{"download", 0.015, 70, {}}, {"lookup", 0.1, 20, {2}}},
-               length_ms, Pattern::kStuck, seed);
-      CHECK(shares.CallersOf("callee", 0.15) ==
+    for (int duration_ms = 3'000; length_ms <= 40'000; duration_ms += 1'300) {
+      CAPTURE(seed, duration_ms);
+      const CallAttribution attribution =
+          Simulate({{"download", 0.015, 70, {}}, {"lookup", 0.1, 20, {2}}},
+                   duration_ms, Pattern::kStuck, seed);
+      CHECK(attribution.CallersOf("callee", 0.15) ==
             std::vector<std::string>{"lookup"});
     }
   }
 }
 
 TEST_CASE("call shares: two seconds after a start the callers are known") {
-  const CallAttribution shares = Play(
+  const CallAttribution attribution = Simulate(
       {{"download", 0.008, 96, {}}, {"lookup", 0.045, 120, {9, 35, 61, 90}}},
       2'000, Pattern::kSteady);
-  CHECK(Share(shares, "lookup") > 0.7);
+  CHECK(Fraction(attribution, "lookup") > 0.7);
 }
 
 TEST_CASE("call shares: a few calls of somebody else make nobody a caller") {
   // Someone testing a route by hand sends a few requests like a target's calls.
-  CallAttribution shares{1h};
+  CallAttribution attribution{1h};
   Time now = 1h;
-  shares.Begin("download", now);
+  attribution.Begin("download", now);
   for (int i = 0; i < 25; ++i) {
     now += 700ms;
-    shares.Called("tried", now);
+    attribution.RecordCall("tried", now);
   }
-  CHECK_FALSE(shares.ShareOf("download", "tried"));
-  CHECK(shares.CallersOf("tried", 0.1).empty());
+  CHECK_FALSE(attribution.FractionOf("download", "tried"));
+  CHECK(attribution.CallersOf("tried", 0.1).empty());
 }
 
 TEST_CASE("call shares: what is not seen any more is forgotten") {
-  CallAttribution shares{1h};
+  CallAttribution attribution{1h};
   Time now = 1h;
   for (int i = 0; i < 100; ++i) {
     const std::string kind = "kind" + std::to_string(i);
-    shares.Begin(kind, now);
-    shares.End(kind, now);
+    attribution.Begin(kind, now);
+    attribution.End(kind, now);
     now += 2s;
   }
-  CHECK(shares.MeanRunning("kind0") == Approx(0.01));
-  CHECK(shares.CallersOf("callee", 0.1).empty());
+  CHECK(attribution.MeanRunning("kind0") == Approx(0.01));
+  CHECK(attribution.CallersOf("callee", 0.1).empty());
 }
 
 TEST_CASE("call shares: a target's only kind is known from its first calls") {
   // One of many targets of a service: three equal requests per second.
-  CallAttribution shares{1h};
+  CallAttribution attribution{1h};
   Time now = 1h;
   for (int i = 0; i < 2; ++i) {
-    shares.Begin("lookup", now);
+    attribution.Begin("lookup", now);
     for (int call = 0; call < 2; ++call) {
       now += 150ms;
-      shares.Called("callee", now);
+      attribution.RecordCall("callee", now);
     }
     now += 50ms;
-    shares.End("lookup", now);
+    attribution.End("lookup", now);
   }
-  CHECK(shares.CallersOf("callee", 0.1) == std::vector<std::string>{"lookup"});
+  CHECK(attribution.CallersOf("callee", 0.1) ==
+        std::vector<std::string>{"lookup"});
 }
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -19,16 +19,16 @@
 using namespace std::chrono_literals;
 using pollenring::Address;
 using pollenring::CallReply;
+using pollenring::ChargeReply;
 using pollenring::LinkResponder;
 using pollenring::LinkServer;
 using pollenring::NodeId;
 using pollenring::Outcome;
 using pollenring::Reason;
-using pollenring::ShareAnswer;
 using pollenring::ShareGate;
 using pollenring::WireVersion;
 
-constexpr std::size_t kMostBytes = std::size_t{1} << 20U;
+constexpr std::size_t kMaxBytes = std::size_t{1} << 20U;
 constexpr int kNodes = 2;
 
 /*! @brief Permits all retries. */
@@ -63,7 +63,7 @@
     for (int index = 0; index < kNodes; ++index) {
       const auto at = static_cast<std::size_t>(index);
       this->servers[at] = std::make_unique<LinkServer>(
-          this->loop, AddressOf(index), "secret", kMostBytes,
+          this->loop, AddressOf(index), "secret", kMaxBytes,
           [this, index](const std::string & /*path*/, const std::string &body,
                         const std::shared_ptr<LinkResponder> &responder) {
             this->reached.push_back(index);
@@ -71,8 +71,8 @@
               responder->Send("nonsense");
               return;
             }
-            if (this->landed) {
-              responder->Send(AnswerOf(*this->landed, body));
+            if (this->only_version) {
+              responder->Send(ReplyOf(*this->only_version, body));
               return;
             }
             if (this->reached.size() == 1) return;
@@ -93,8 +93,8 @@
   }
 
   /*! @brief Replies like a build that reads a single wire version. */
-  [[nodiscard]] static std::string AnswerOf(WireVersion version,
-                                            const std::string &body) {
+  [[nodiscard]] static std::string ReplyOf(WireVersion version,
+                                           const std::string &body) {
     const auto framed = pollenring::Unframe<pollenring::CallEnvelope>(body);
     if (!framed || framed->version != version) {
       return Frame(Refusal(Outcome::kNotRun, Reason::kLinkLost, 1s), "",
@@ -106,12 +106,13 @@
     return Frame(reply, "", version);
   }
 
-  /*! @brief Calls nodes that read a single wire version. @param believed
+  /*! @brief Calls nodes that read a single wire version. @param recorded
    * Version recorded for them. */
-  void CallLanded(WireVersion version, std::optional<WireVersion> believed) {
-    this->landed = version;
-    for (int index = 0; believed && index < kNodes; ++index) {
-      this->wire.versions.Heard(AddressOf(index).Packed(), *believed);
+  void CallSingleVersion(WireVersion version,
+                         std::optional<WireVersion> recorded) {
+    this->only_version = version;
+    for (int index = 0; recorded && index < kNodes; ++index) {
+      this->wire.versions.Heard(AddressOf(index).Packed(), *recorded);
     }
     pollenring::CallEnvelope envelope;
     envelope.service = "deep";
@@ -135,7 +136,7 @@
   }
 
   /*! @brief Makes a call and stops the node that holds it after a while. */
-  void CallAndLose(pollenring::Duration after, ShareAnswer renewed) {
+  void CallAndLose(pollenring::Duration after, ChargeReply renewed) {
     pollenring::CallEnvelope envelope;
     envelope.service = "deep";
     envelope.method = "GET";
@@ -170,26 +171,33 @@
   int net;
   pollenring::SystemClock clock;
   pollenring::Loop loop{clock};
-  pollenring::HttpClient client{loop, {kMostBytes}};
-  pollenring::LinkClient link{loop, "secret", kMostBytes};
+  pollenring::HttpClient client{loop, {kMaxBytes}};
+  pollenring::LinkClient link{loop, "secret", kMaxBytes};
   pollenring::ContextCodec codec;
-  NeverCold cold_bounds;
+  NeverCold cold_start_limits;
   pollenring::DownstreamLevels levels{{}, clock};
   pollenring::SeededRandom random{5};
   pollenring::Metrics metrics{clock};
   pollenring::Router router{"a", "r", {}, clock, random};
-  pollenring::TargetExecutor serving{
-      loop,   client,      codec,
-      {},     cold_bounds, levels,
-      random, metrics,     [](const std::vector<pollenring::Target> &) {}};
+  pollenring::TargetExecutor executor{
+      loop,
+      client,
+      codec,
+      {},
+      cold_start_limits,
+      levels,
+      random,
+      metrics,
+      [](const std::vector<pollenring::Target> &) {}};
   NoRetryBound budget;
   pollenring::PeerWire wire{clock, metrics};
-  pollenring::Dispatcher dispatcher{1,       loop,   link, wire,   router,
-                                    serving, budget, {},   random, metrics};
+  pollenring::Dispatcher dispatcher{1,        loop,   link, wire,   router,
+                                    executor, budget, {},   random, metrics};
   std::array<std::unique_ptr<LinkServer>, kNodes> servers;
   std::vector<int> reached;
   bool nonsense{}; /*!< Whether the nodes' replies can't be decoded. */
-  std::optional<WireVersion> landed; /*!< The only one that the nodes read. */
+  std::optional<WireVersion>
+      only_version; /*!< The only one that the nodes read. */
   std::vector<CallReply> replies;
   int renewals{};
 };
@@ -230,9 +238,9 @@
 TEST_CASE("dispatcher: a node is called in the form that it reads") {
   const struct {
     int net;
-    WireVersion runs;
-    std::optional<WireVersion> believed;
-    std::size_t asked;
+    WireVersion version;
+    std::optional<WireVersion> recorded;
+    std::size_t calls;
   } cases[] = {
       {21, WireVersion::kV1, std::nullopt, 2},
       {22, WireVersion::kV2, std::nullopt, 1},
@@ -244,11 +252,11 @@
   for (const auto &given : cases) {
     CAPTURE(given.net);
     Bench bench{given.net};
-    bench.CallLanded(given.runs, given.believed);
+    bench.CallSingleVersion(given.version, given.recorded);
     REQUIRE(bench.replies.size() == 1);
     CHECK(bench.replies[0].status == 200);
     CHECK(bench.replies[0].outcome == Outcome::kRan);
-    REQUIRE(bench.reached.size() == given.asked);
+    REQUIRE(bench.reached.size() == given.calls);
     // The same node is called again, and no node counts as failed.
     CHECK(bench.reached.front() == bench.reached.back());
     CHECK(bench.metrics.Read("pollenring_redirects_total") == 0);
@@ -259,7 +267,7 @@
 TEST_CASE("dispatcher: an answer that can't be read is counted") {
   Bench bench{27};
   bench.nonsense = true;
-  bench.CallLanded(WireVersion::kV2, std::nullopt);
+  bench.CallSingleVersion(WireVersion::kV2, std::nullopt);
   REQUIRE(bench.replies.size() == 1);
   CHECK(bench.replies[0].outcome == Outcome::kUnknown);
   CHECK(bench.metrics.Read("pollenring_unreadable_total") == 1);
--- a/test/pollenring/node/downstream_levels_test.cc
+++ b/test/pollenring/node/downstream_levels_test.cc
@@ -15,7 +15,7 @@
 using pollenring::NodeId;
 using std::chrono::milliseconds;
 
-constexpr std::size_t kMost = 16;
+constexpr std::size_t kMaxLevels = 16;
 
 [[nodiscard]] DownstreamLevelOptions PerWorkspace() {
   DownstreamLevelOptions options;
@@ -24,8 +24,8 @@
   return options;
 }
 
-[[nodiscard]] AdmissionLevel Of(const std::string &service, NodeId node,
-                                int level_milli, int per_second = 100) {
+[[nodiscard]] AdmissionLevel MakeLevel(const std::string &service, NodeId node,
+                                       int level_milli, int per_second = 100) {
   return {service, node, level_milli, per_second, 0, true};
 }
 
@@ -35,7 +35,7 @@
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels levels{PerWorkspace(), clock};
   levels.Learn("club", "front GET /",
-               {Of("back", 1, 1000), Of("middle", 2, 500)});
+               {MakeLevel("back", 1, 1000), MakeLevel("middle", 2, 500)});
   CHECK(levels.HighestOnCallPath("club", "front GET /").level == Approx(1.0));
   CHECK(levels.HighestOnCallPath("other", "front GET /").level == 0);
   CHECK(levels.HighestOnCallPath("club", "side GET /").level == 0);
@@ -50,7 +50,7 @@
   for (int i = 0; i < 360'000; ++i) {
     const std::string name = std::to_string(i);
     levels.Learn("workspace" + name, "front GET /" + name,
-                 {Of("back", 1, 500)});
+                 {MakeLevel("back", 1, 500)});
     clock.Advance(milliseconds{10});
   }
   CHECK(levels.Count() < 10'000);
@@ -67,22 +67,22 @@
   DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   // A VM gets one request of a route every two seconds, from eight workspaces
   // in turn, and fifteen others per second; the deepest service always sheds.
-  levels.Learn("workspace0", "deep", {Of("deepest", 7, 2400)});
+  levels.Learn("workspace0", "deep", {MakeLevel("deepest", 7, 2400)});
   int refused = 0;
   for (int i = 1; i <= 20; ++i) {
     for (int other = 0; other < 30; ++other) {
       clock.Advance(milliseconds{66});
-      AdmissionLevel heard = Of("deepest", 7, 2400);
-      heard.on_call_path = false;
-      heard.age_ms = 150;
-      levels.Learn("workspace1", "shallow", {heard});
+      AdmissionLevel received = MakeLevel("deepest", 7, 2400);
+      received.on_call_path = false;
+      received.age_ms = 150;
+      levels.Learn("workspace1", "shallow", {received});
     }
     const std::string workspace = "workspace" + std::to_string(i % 8);
     if (levels.HighestOnCallPath(workspace, "deep").level > 2) {
       ++refused;
       continue;
     }
-    levels.Learn(workspace, "deep", {Of("deepest", 7, 2400)});
+    levels.Learn(workspace, "deep", {MakeLevel("deepest", 7, 2400)});
   }
   // A call path that no reply confirms is tried again every ten seconds.
   CHECK(refused >= 16);
@@ -93,22 +93,22 @@
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels one{DownstreamLevelOptions{}, clock};
   DownstreamLevels other{DownstreamLevelOptions{}, clock};
-  one.Learn({}, "deep", {Of("deepest", 7, 1000)});
+  one.Learn({}, "deep", {MakeLevel("deepest", 7, 1000)});
   for (int i = 0; i < 40; ++i) {
     clock.Advance(milliseconds{50});
-    other.Learn({}, "deep", one.Shedding({}, "deep", kMost));
-    one.Learn({}, "deep", other.Shedding({}, "deep", kMost));
+    other.Learn({}, "deep", one.Shedding({}, "deep", kMaxLevels));
+    one.Learn({}, "deep", other.Shedding({}, "deep", kMaxLevels));
   }
   CHECK(one.HighestOnCallPath({}, "deep").level == 0);
-  CHECK(other.Shedding({}, "deep", kMost).empty());
+  CHECK(other.Shedding({}, "deep", kMaxLevels).empty());
 }
 
 TEST_CASE("route levels: one busy target among idle ones refuses its part") {
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels levels{DownstreamLevelOptions{}, clock};
-  levels.Learn({}, "deep", {Of("deepest", 1, 900)});
-  levels.Learn({}, "deep", {Of("deepest", 2, 0)});
-  levels.Learn({}, "deep", {Of("deepest", 3, 0)});
+  levels.Learn({}, "deep", {MakeLevel("deepest", 1, 900)});
+  levels.Learn({}, "deep", {MakeLevel("deepest", 2, 0)});
+  levels.Learn({}, "deep", {MakeLevel("deepest", 3, 0)});
   CHECK(levels.HighestOnCallPath({}, "deep").level == Approx(0.3));
 }
 
@@ -116,9 +116,9 @@
     "route levels: a target that gets no calls does not hide the others") {
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels levels{DownstreamLevelOptions{}, clock};
-  levels.Learn({}, "deep", {Of("deepest", 1, 2400, 560)});
-  levels.Learn({}, "deep", {Of("deepest", 2, 2400, 560)});
-  levels.Learn({}, "deep", {Of("deepest", 3, 0, 3)});
+  levels.Learn({}, "deep", {MakeLevel("deepest", 1, 2400, 560)});
+  levels.Learn({}, "deep", {MakeLevel("deepest", 2, 2400, 560)});
+  levels.Learn({}, "deep", {MakeLevel("deepest", 3, 0, 3)});
   CHECK(levels.HighestOnCallPath({}, "deep").level > 2.3);
 }
 
@@ -127,10 +127,10 @@
   DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   for (int i = 0; i < 200; ++i) {
     clock.Advance(milliseconds{10});
-    levels.Served("shallow");
-    levels.Served("deep");
-    levels.LearnBelow({}, i % 20 == 0 ? "shallow" : "deep",
-                      {Of("deepest", 7, 1500)});
+    levels.RecordCompleted("shallow");
+    levels.RecordCompleted("deep");
+    levels.LearnFromSubCall({}, i % 20 == 0 ? "shallow" : "deep",
+                            {MakeLevel("deepest", 7, 1500)});
   }
   CHECK(levels.HighestOnCallPath({}, "deep").level == Approx(1.5));
   CHECK(levels.HighestOnCallPath({}, "shallow").level == 0);
@@ -141,15 +141,16 @@
   DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   std::vector<AdmissionLevel> many;
   for (NodeId node = 1; node <= 40; ++node) {
-    AdmissionLevel entry = Of("service" + std::to_string(node), node, 700);
+    AdmissionLevel entry =
+        MakeLevel("service" + std::to_string(node), node, 700);
     entry.on_call_path = node == 40;
     many.push_back(entry);
   }
   levels.Learn({}, "deep", many);
-  const auto passed = levels.Shedding({}, "deep", kMost);
-  REQUIRE(passed.size() == kMost);
-  CHECK(passed.front().service == "service40");
-  CHECK(passed.front().on_call_path);
+  const auto forwarded = levels.Shedding({}, "deep", kMaxLevels);
+  REQUIRE(forwarded.size() == kMaxLevels);
+  CHECK(forwarded.front().service == "service40");
+  CHECK(forwarded.front().on_call_path);
 }
 
 TEST_CASE("route levels: a young node goes by what others have seen") {
@@ -157,20 +158,21 @@
   // report what they have seen along with replies of other routes.
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels seen{DownstreamLevelOptions{}, clock};
-  DownstreamLevels young{DownstreamLevelOptions{}, clock};
+  DownstreamLevels new_node{DownstreamLevelOptions{}, clock};
   for (int i = 0; i < 10; ++i) {
-    seen.Learn({}, "deep", {Of("deepest", 7, 1500)});
+    seen.Learn({}, "deep", {MakeLevel("deepest", 7, 1500)});
     seen.Learn({}, "shallow", {});
   }
-  AdmissionLevel heard = Of("deepest", 7, 1500);
-  heard.on_call_path = false;
-  young.Learn({}, "shallow", {heard});
-  CHECK(young.HighestOnCallPath({}, "deep").level == 0);
-  young.LearnCallPathReports(seen.CallPathReports(kMost));
-  CHECK(young.HighestOnCallPath({}, "deep").level == Approx(1.5));
-  CHECK(young.HighestOnCallPath({}, "shallow").level == 0);
+  AdmissionLevel received = MakeLevel("deepest", 7, 1500);
+  received.on_call_path = false;
+  new_node.Learn({}, "shallow", {received});
+  CHECK(new_node.HighestOnCallPath({}, "deep").level == 0);
+  new_node.LearnCallPathReports(seen.CallPathReports(kMaxLevels));
+  CHECK(new_node.HighestOnCallPath({}, "deep").level == Approx(1.5));
+  CHECK(new_node.HighestOnCallPath({}, "shallow").level == 0);
   // Reports of others do not count as own evidence.
-  for (const auto &mark : young.CallPathReports(kMost)) CHECK_FALSE(mark.meets);
+  for (const auto &report : new_node.CallPathReports(kMaxLevels))
+    CHECK_FALSE(report.meets);
 }
 
 TEST_CASE("route levels: a few nodes that are wrong convince nobody") {
@@ -180,9 +182,9 @@
   int refused = 0;
   for (int i = 0; i < 200; ++i) {
     clock.Advance(milliseconds{10});
-    AdmissionLevel heard = Of("deepest", 7, 1500);
-    heard.on_call_path = false;
-    levels.Learn({}, "other", {heard});
+    AdmissionLevel received = MakeLevel("deepest", 7, 1500);
+    received.on_call_path = false;
+    levels.Learn({}, "other", {received});
     levels.LearnCallPathReports({{"download", "deepest", i % 4 == 0}});
     if (levels.HighestOnCallPath({}, "download").level > 0) ++refused;
   }
--- a/test/pollenring/node/member_service_test.cc
+++ b/test/pollenring/node/member_service_test.cc
@@ -27,7 +27,7 @@
 using pollenring::WireVersion;
 
 constexpr const char *kSecret = "secret of the member service";
-constexpr std::size_t kMostBytes = std::size_t{1} << 20U;
+constexpr std::size_t kMaxBytes = std::size_t{1} << 20U;
 
 [[nodiscard]] Address At(int net, int index) {
   return *Address::Parse("127.47." + std::to_string(net) + '.' +
@@ -46,16 +46,16 @@
 }
 
 /*! @brief Membership part of a node of the current build. */
-struct Today {
-  Today(pollenring::Loop &loop, const Address &address,
-        std::vector<Address> seeds)
+struct CurrentNode {
+  CurrentNode(pollenring::Loop &loop, const Address &address,
+              std::vector<Address> seeds)
       : metrics{loop.GetClock()},
         wire{loop.GetClock(), this->metrics},
-        link{loop, kSecret, kMostBytes},
+        link{loop, kSecret, kMaxBytes},
         bus{loop, address, kSecret, this->wire},
         service{Self(address), std::move(seeds), loop,        this->bus,
                 this->link,    this->table,      this->random},
-        server{loop, address, kSecret, kMostBytes,
+        server{loop, address, kSecret, kMaxBytes,
                [this](const std::string &path, const std::string &body,
                       const std::shared_ptr<pollenring::LinkResponder> &to) {
                  auto answer = this->service.Answer(path, to->Peer(), body);
@@ -81,9 +81,10 @@
 };
 
 /*! @brief Datagrams of a node that uses a single wire version. */
-class Landed {
+class SingleVersionNode {
  public:
-  Landed(pollenring::Loop &loop, const Address &address, WireVersion version)
+  SingleVersionNode(pollenring::Loop &loop, const Address &address,
+                    WireVersion version)
       : self{MakeMember(address)},
         version{version},
         socket{loop, address, kSecret,
@@ -94,8 +95,8 @@
   /*! @brief Probes a node, sending the own record. */
   void Probe(const Address &to) { this->Write(to, GossipKind::kPing, 77); }
 
-  int probed{};   /*!< Probes that were decoded. */
-  int answered{}; /*!< Acks that were decoded. */
+  int probed{}; /*!< Probes that were decoded. */
+  int acked{};  /*!< Acks that were decoded. */
   std::vector<Member> learned;
 
  private:
@@ -107,7 +108,7 @@
       this->learned.push_back(member);
     }
     if (gossip->value.kind == GossipKind::kAck) {
-      ++this->answered;
+      ++this->acked;
       return;
     }
     ++this->probed;
@@ -143,69 +144,69 @@
   pollenring::Loop loop{clock};
 };
 
-void CheckMeets(int net, WireVersion version) {
+void CheckNodesMeet(int net, WireVersion version) {
   Bench bench;
   const Address here = At(net, 1);
   const Address there = At(net, 2);
-  Landed landed{bench.loop, there, version};
-  Today today{bench.loop, here, {}};
-  landed.Probe(here);
+  SingleVersionNode other{bench.loop, there, version};
+  CurrentNode current{bench.loop, here, {}};
+  other.Probe(here);
   bench.Run(500ms);
-  today.service.Get().Announce({{"deep", 4, pollenring::TargetState::kWarm}});
+  current.service.Get().Announce({{"deep", 4, pollenring::TargetState::kWarm}});
   bench.Run(1500ms);
-  CHECK(landed.answered >= 1);
-  CHECK(landed.probed >= 3);
-  const auto &learned = landed.learned;
+  CHECK(other.acked >= 1);
+  CHECK(other.probed >= 3);
+  const auto &learned = other.learned;
   CHECK(std::any_of(learned.begin(), learned.end(), [&](const Member &known) {
     return known.id == here.Packed() && known.targets.size() == 1;
   }));
-  const Member *member = today.service.Get().Find(there.Packed());
+  const Member *member = current.service.Get().Find(there.Packed());
   REQUIRE(member != nullptr);
   CHECK(member->state == pollenring::MemberState::kAlive);
-  CHECK(today.wire.versions.Of(there.Packed()) == version);
-  CHECK(today.metrics.Read("pollenring_unreadable_total") == 0);
+  CHECK(current.wire.versions.Of(there.Packed()) == version);
+  CHECK(current.metrics.Read("pollenring_unreadable_total") == 0);
 }
 
 }  // namespace
 
 TEST_CASE("member service: a node of 33161f2 and one of today meet") {
-  CheckMeets(1, WireVersion::kV1);
+  CheckNodesMeet(1, WireVersion::kV1);
 }
 
 TEST_CASE("member service: a node of 0e01c9f and one of today meet") {
-  CheckMeets(2, WireVersion::kV2);
+  CheckNodesMeet(2, WireVersion::kV2);
 }
 
 TEST_CASE("member service: a node is reached before anything is heard of it") {
   for (const auto version : {WireVersion::kV1, WireVersion::kV2}) {
     Bench bench;
     const int net = version == WireVersion::kV1 ? 3 : 4;
-    Landed landed{bench.loop, At(net, 2), version};
-    Today today{bench.loop, At(net, 1), {}};
-    today.service.Get().Contact(At(net, 2).Packed());
+    SingleVersionNode other{bench.loop, At(net, 2), version};
+    CurrentNode current{bench.loop, At(net, 1), {}};
+    current.service.Get().Contact(At(net, 2).Packed());
     bench.Run(200ms);
-    CHECK(landed.probed >= 1);
-    CHECK(today.wire.versions.Of(At(net, 2).Packed()) == version);
+    CHECK(other.probed >= 1);
+    CHECK(current.wire.versions.Of(At(net, 2).Packed()) == version);
   }
 }
 
 TEST_CASE("member service: an older build in place of a newer one is reached") {
   Bench bench;
-  Landed landed{bench.loop, At(5, 2), WireVersion::kV1};
-  Today today{bench.loop, At(5, 1), {}};
-  today.service.Get().Merge({MakeMember(At(5, 2))});
-  today.wire.versions.Heard(At(5, 2).Packed(), WireVersion::kV3);
+  SingleVersionNode other{bench.loop, At(5, 2), WireVersion::kV1};
+  CurrentNode current{bench.loop, At(5, 1), {}};
+  current.service.Get().Merge({MakeMember(At(5, 2))});
+  current.wire.versions.Heard(At(5, 2).Packed(), WireVersion::kV3);
   bench.Run(3s);
-  CHECK(landed.probed >= 3);
-  const Member *member = today.service.Get().Find(At(5, 2).Packed());
+  CHECK(other.probed >= 3);
+  const Member *member = current.service.Get().Find(At(5, 2).Packed());
   REQUIRE(member != nullptr);
   CHECK(member->state == pollenring::MemberState::kAlive);
 }
 
 TEST_CASE("member service: two nodes of today soon speak their own form") {
   Bench bench;
-  Today first{bench.loop, At(6, 1), {}};
-  Today second{bench.loop, At(6, 2), {At(6, 1)}};
+  CurrentNode first{bench.loop, At(6, 1), {}};
+  CurrentNode second{bench.loop, At(6, 2), {At(6, 1)}};
   bench.Run(1s);
   CHECK(first.wire.versions.Of(At(6, 2).Packed()) == WireVersion::kV3);
   CHECK(second.wire.versions.Of(At(6, 1).Packed()) == WireVersion::kV3);
@@ -216,8 +217,8 @@
 TEST_CASE("member service: two nodes of today that thought each other old") {
   // As if each had received the other's record from an old node.
   Bench bench;
-  Today first{bench.loop, At(7, 1), {}};
-  Today second{bench.loop, At(7, 2), {}};
+  CurrentNode first{bench.loop, At(7, 1), {}};
+  CurrentNode second{bench.loop, At(7, 2), {}};
   first.wire.versions.Heard(At(7, 2).Packed(), WireVersion::kV2);
   second.wire.versions.Heard(At(7, 1).Packed(), WireVersion::kV2);
   first.service.Get().Contact(At(7, 2).Packed());
@@ -228,27 +229,27 @@
 
 TEST_CASE("member service: a datagram that can't be read is counted") {
   Bench bench;
-  Today today{bench.loop, At(8, 1), {}};
+  CurrentNode current{bench.loop, At(8, 1), {}};
   pollenring::UdpSocket socket{bench.loop, At(8, 2), kSecret,
                                [](const Address &, std::string_view) {}};
   socket.Send(At(8, 1), "\x01nonsense");
   socket.Send(At(8, 1), "\x63of a kind that this build lacks");
   bench.Run(200ms);
-  CHECK(today.metrics.Read("pollenring_unreadable_total") == 2);
+  CHECK(current.metrics.Read("pollenring_unreadable_total") == 2);
 }
 
 TEST_CASE("member service: old and new nodes answer a joining node's records") {
   Bench bench;
-  Today today{bench.loop, At(9, 1), {}};
+  CurrentNode current{bench.loop, At(9, 1), {}};
   const auto records = std::vector{MakeMember(At(9, 2))};
   for (const auto version : {WireVersion::kV2, WireVersion::kV3}) {
     const auto answer =
-        *today.service.Answer("members", At(9, 2), Encode(records, version));
+        *current.service.Answer("members", At(9, 2), Encode(records, version));
     const auto decoded = Decode<std::vector<Member>>(answer);
     REQUIRE(decoded);
     CHECK(decoded->version == version);
     CHECK(decoded->value.size() == 2);
   }
-  CHECK(today.service.Answer("members", At(9, 2), "nonsense")->size() > 10);
-  CHECK(today.metrics.Read("pollenring_unreadable_total") == 1);
+  CHECK(current.service.Answer("members", At(9, 2), "nonsense")->size() > 10);
+  CHECK(current.metrics.Read("pollenring_unreadable_total") == 1);
 }
