Name what tests of dispatching and attribution check

Titles such as "waves of load make nobody a caller" or "a young node goes by what others have seen" could not be understood without the test's body. The log event of an installed configuration becomes "configuration in force".

--- a/src/pollenring/node/config_service.cc
+++ b/src/pollenring/node/config_service.cc
@@ -113,7 +113,7 @@
 }
 
 void ConfigService::HandleInstalled(std::uint64_t version) {
-  LogEvent(LogLevel::kInfo, "config in force", {{"version", version}});
+  LogEvent(LogLevel::kInfo, "configuration in force", {{"version", version}});
   this->members.Get().SetConfigVersion(version);
   this->loop.Post([this] { this->SpreadVersion(); });
 }
--- a/test/pollenring/node/call_attribution_test.cc
+++ b/test/pollenring/node/call_attribution_test.cc
@@ -85,8 +85,7 @@
 
 }  // namespace
 
-TEST_CASE(
-    "call shares: a kind that makes no calls is told from one that does") {
+TEST_CASE("call attribution: separates kinds with calls from kinds without") {
   // Downloads, and lookups that make four calls, on one target.
   const CallAttribution attribution = Simulate(
       {{"download", 0.008, 96, {}}, {"lookup", 0.045, 120, {9, 35, 61, 90}}},
@@ -97,7 +96,8 @@
         std::vector<std::string>{"lookup"});
 }
 
-TEST_CASE("call shares: two kinds that call get their parts") {
+TEST_CASE(
+    "call attribution: two calling kinds get their fractions of the calls") {
   const CallAttribution attribution = Simulate({{"often", 0.09, 110, {30, 70}},
                                                 {"seldom", 0.06, 110, {50}},
                                                 {"never", 0.15, 110, {}}},
@@ -107,15 +107,14 @@
   CHECK(Fraction(attribution, "never") < 0.1);
 }
 
-TEST_CASE("call shares: waves of load make nobody a caller") {
+TEST_CASE("call attribution: load swings make no kind a caller") {
   const CallAttribution attribution = Simulate(
       {{"download", 0.02, 96, {}}, {"lookup", 0.045, 120, {9, 35, 61, 90}}},
       60'000, Pattern::kWaves);
   CHECK(Fraction(attribution, "download") < 0.1);
 }
 
-TEST_CASE(
-    "call shares: requests that are held up for a second are told apart") {
+TEST_CASE("call attribution: separates kinds when requests take a second") {
   // On a busy target requests wait long between their calls.
   const CallAttribution attribution = Simulate(
       {{"download", 0.02, 96, {}}, {"lookup", 0.04, 900, {9, 220, 450, 690}}},
@@ -123,7 +122,7 @@
   CHECK(Fraction(attribution, "download") < 0.1);
 }
 
-TEST_CASE("call shares: calls that are held back make no other kind a caller") {
+TEST_CASE("call attribution: delayed calls make no other kind a caller") {
   // While the callee is short of capacity, lookups accumulate without calling;
   // they call when few are left. Fewer of them then run at calls than on
   // average, and the estimate names another kind.
@@ -139,14 +138,14 @@
   }
 }
 
-TEST_CASE("call shares: two seconds after a start the callers are known") {
+TEST_CASE("call attribution: callers are known two seconds after a start") {
   const CallAttribution attribution = Simulate(
       {{"download", 0.008, 96, {}}, {"lookup", 0.045, 120, {9, 35, 61, 90}}},
       2'000, Pattern::kSteady);
   CHECK(Fraction(attribution, "lookup") > 0.7);
 }
 
-TEST_CASE("call shares: a few calls of somebody else make nobody a caller") {
+TEST_CASE("call attribution: a few external calls make no kind a caller") {
   // Someone testing a route by hand sends a few requests like a target's calls.
   CallAttribution attribution{1h};
   Time now = 1h;
@@ -159,7 +158,7 @@
   CHECK(attribution.CallersOf("tried", 0.1).empty());
 }
 
-TEST_CASE("call shares: what is not seen any more is forgotten") {
+TEST_CASE("call attribution: unused kinds and callees are removed") {
   CallAttribution attribution{1h};
   Time now = 1h;
   for (int i = 0; i < 100; ++i) {
@@ -172,7 +171,8 @@
   CHECK(attribution.CallersOf("callee", 0.1).empty());
 }
 
-TEST_CASE("call shares: a target's only kind is known from its first calls") {
+TEST_CASE(
+    "call attribution: the only kind is identified from its first calls") {
   // One of many targets of a service: three equal requests per second.
   CallAttribution attribution{1h};
   Time now = 1h;
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -204,7 +204,7 @@
 
 }  // namespace
 
-TEST_CASE("dispatcher: a call tried again late is charged again") {
+TEST_CASE("dispatcher: a late retry is charged again") {
   // A stalled node is detected about a second after it got its calls; all of
   // them are then resent to other nodes at once.
   Bench bench{11};
@@ -215,7 +215,7 @@
   CHECK(bench.reached.size() == 2);
 }
 
-TEST_CASE("dispatcher: a late repeat beyond the rate is not sent") {
+TEST_CASE("dispatcher: a late retry beyond the rate limit is not sent") {
   Bench bench{12};
   bench.CallAndLose(100ms, {false, Reason::kRateLimited, 70ms});
   CHECK(bench.renewals == 1);
@@ -227,7 +227,7 @@
   CHECK(bench.replies[0].outcome == Outcome::kUnknown);
 }
 
-TEST_CASE("dispatcher: a call tried again at once is not charged again") {
+TEST_CASE("dispatcher: an immediate retry is not charged again") {
   Bench bench{13};
   bench.CallAndLose(10ms, {true, Reason::kNone, {}});
   CHECK(bench.renewals == 0);
@@ -235,7 +235,7 @@
   CHECK(bench.replies[0].status == 200);
 }
 
-TEST_CASE("dispatcher: a node is called in the form that it reads") {
+TEST_CASE("dispatcher: calls use the wire version that the node reads") {
   const struct {
     int net;
     WireVersion version;
@@ -264,7 +264,7 @@
   }
 }
 
-TEST_CASE("dispatcher: an answer that can't be read is counted") {
+TEST_CASE("dispatcher: counts replies that can't be decoded") {
   Bench bench{27};
   bench.nonsense = true;
   bench.CallSingleVersion(WireVersion::kV2, std::nullopt);
--- a/test/pollenring/node/downstream_levels_test.cc
+++ b/test/pollenring/node/downstream_levels_test.cc
@@ -31,7 +31,7 @@
 
 }  // namespace
 
-TEST_CASE("route levels: what is heard counts for a moment, then goes") {
+TEST_CASE("downstream levels: learned levels expire") {
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels levels{PerWorkspace(), clock};
   levels.Learn("club", "front GET /",
@@ -43,7 +43,7 @@
   CHECK(levels.HighestOnCallPath("club", "front GET /").level == 0);
 }
 
-TEST_CASE("route levels: routes that nobody asks for are forgotten") {
+TEST_CASE("downstream levels: unused routes are removed") {
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels levels{PerWorkspace(), clock};
   // One hour of distinct workspaces and routes, each seen once.
@@ -61,8 +61,7 @@
   CHECK(levels.Count() == before);
 }
 
-TEST_CASE(
-    "route levels: a route with few answers learns from others' answers") {
+TEST_CASE("downstream levels: a rare route learns from replies of others") {
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   // A VM gets one request of a route every two seconds, from eight workspaces
@@ -89,7 +88,7 @@
   CHECK(levels.HighestOnCallPath("workspace1", "shallow").level == 0);
 }
 
-TEST_CASE("route levels: nodes that repeat each other keep no level alive") {
+TEST_CASE("downstream levels: nodes that echo levels do not keep them alive") {
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels one{DownstreamLevelOptions{}, clock};
   DownstreamLevels other{DownstreamLevelOptions{}, clock};
@@ -103,7 +102,8 @@
   CHECK(other.Shedding({}, "deep", kMaxLevels).empty());
 }
 
-TEST_CASE("route levels: one busy target among idle ones refuses its part") {
+TEST_CASE(
+    "downstream levels: one busy target of three gives a third of its level") {
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   levels.Learn({}, "deep", {MakeLevel("deepest", 1, 900)});
@@ -113,7 +113,7 @@
 }
 
 TEST_CASE(
-    "route levels: a target that gets no calls does not hide the others") {
+    "downstream levels: a target without calls does not hide the others") {
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   levels.Learn({}, "deep", {MakeLevel("deepest", 1, 2400, 560)});
@@ -122,7 +122,8 @@
   CHECK(levels.HighestOnCallPath({}, "deep").level > 2.3);
 }
 
-TEST_CASE("route levels: a call taken for another's puts nothing on a way") {
+TEST_CASE(
+    "downstream levels: few misattributed calls do not extend a call path") {
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   for (int i = 0; i < 200; ++i) {
@@ -136,7 +137,7 @@
   CHECK(levels.HighestOnCallPath({}, "shallow").level == 0);
 }
 
-TEST_CASE("route levels: of many that shed, those on the way are passed on") {
+TEST_CASE("downstream levels: levels on the call path are forwarded first") {
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels levels{DownstreamLevelOptions{}, clock};
   std::vector<AdmissionLevel> many;
@@ -153,7 +154,7 @@
   CHECK(forwarded.front().on_call_path);
 }
 
-TEST_CASE("route levels: a young node goes by what others have seen") {
+TEST_CASE("downstream levels: a new node relies on reports of others") {
   // One of hundreds of nodes: it has seen no reply of the route yet; others
   // report what they have seen along with replies of other routes.
   ManualClock clock{std::chrono::hours{1}};
@@ -175,7 +176,7 @@
     CHECK_FALSE(report.meets);
 }
 
-TEST_CASE("route levels: a few nodes that are wrong convince nobody") {
+TEST_CASE("downstream levels: few wrong reports do not extend a call path") {
   // Each node estimates which routes make calls; one in four is wrong.
   ManualClock clock{std::chrono::hours{1}};
   DownstreamLevels levels{DownstreamLevelOptions{}, clock};
--- a/test/pollenring/node/member_service_test.cc
+++ b/test/pollenring/node/member_service_test.cc
@@ -169,15 +169,15 @@
 
 }  // namespace
 
-TEST_CASE("member service: a node of 33161f2 and one of today meet") {
+TEST_CASE("member service: a node of build 33161f2 and a current one meet") {
   CheckNodesMeet(1, WireVersion::kV1);
 }
 
-TEST_CASE("member service: a node of 0e01c9f and one of today meet") {
+TEST_CASE("member service: a node of build 0e01c9f and a current one meet") {
   CheckNodesMeet(2, WireVersion::kV2);
 }
 
-TEST_CASE("member service: a node is reached before anything is heard of it") {
+TEST_CASE("member service: reaches a node of unknown wire version") {
   for (const auto version : {WireVersion::kV1, WireVersion::kV2}) {
     Bench bench;
     const int net = version == WireVersion::kV1 ? 3 : 4;
@@ -190,7 +190,7 @@
   }
 }
 
-TEST_CASE("member service: an older build in place of a newer one is reached") {
+TEST_CASE("member service: reaches a node replaced by an older build") {
   Bench bench;
   SingleVersionNode other{bench.loop, At(5, 2), WireVersion::kV1};
   CurrentNode current{bench.loop, At(5, 1), {}};
@@ -203,7 +203,8 @@
   CHECK(member->state == pollenring::MemberState::kAlive);
 }
 
-TEST_CASE("member service: two nodes of today soon speak their own form") {
+TEST_CASE(
+    "member service: two current nodes soon use the newest wire version") {
   Bench bench;
   CurrentNode first{bench.loop, At(6, 1), {}};
   CurrentNode second{bench.loop, At(6, 2), {At(6, 1)}};
@@ -214,7 +215,8 @@
   CHECK(second.metrics.Read("pollenring_unreadable_total") == 0);
 }
 
-TEST_CASE("member service: two nodes of today that thought each other old") {
+TEST_CASE(
+    "member service: two current nodes correct an older recorded version") {
   // As if each had received the other's record from an old node.
   Bench bench;
   CurrentNode first{bench.loop, At(7, 1), {}};
@@ -227,7 +229,7 @@
   CHECK(second.wire.versions.Of(At(7, 1).Packed()) == WireVersion::kV3);
 }
 
-TEST_CASE("member service: a datagram that can't be read is counted") {
+TEST_CASE("member service: counts datagrams that can't be decoded") {
   Bench bench;
   CurrentNode current{bench.loop, At(8, 1), {}};
   pollenring::UdpSocket socket{bench.loop, At(8, 2), kSecret,
@@ -238,7 +240,8 @@
   CHECK(current.metrics.Read("pollenring_unreadable_total") == 2);
 }
 
-TEST_CASE("member service: old and new nodes answer a joining node's records") {
+TEST_CASE(
+    "member service: replies to a join in the wire version of the request") {
   Bench bench;
   CurrentNode current{bench.loop, At(9, 1), {}};
   const auto records = std::vector{MakeMember(At(9, 2))};
--- a/test/pollenring/node/parent_finder_test.cc
+++ b/test/pollenring/node/parent_finder_test.cc
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-TEST_CASE("parent finder: an equal deadline points to its request") {
+TEST_CASE("parent finder: an equal deadline identifies the parent") {
   SeededRandom random{1};
   ParentFinder finder{random, 0ms};
   for (std::uint64_t id = 1; id <= 50; ++id) {
@@ -37,7 +37,7 @@
   CHECK_FALSE((ParentFinder{random, 0ms}.Find(2s, "callee", 0ms)));
 }
 
-TEST_CASE("parent finder: calls are shared out as the kinds make them") {
+TEST_CASE("parent finder: attributes calls to the kinds that make them") {
   // One kind makes five calls, the other none; deadlines are no help.
   SeededRandom random{3};
   ParentFinder finder{random, 0ms};
--- a/test/pollenring/node/path_test.cc
+++ b/test/pollenring/node/path_test.cc
@@ -113,7 +113,7 @@
   CHECK(serves(6));
 }
 
-TEST_CASE("node: a node without configuration takes no callers") {
+TEST_CASE("node: a node without configuration accepts no callers") {
   Cluster cluster{5};
   cluster.StartNode(1, "a");
   cluster.StartTarget(1, {"front", 16, 2, ""});
@@ -130,7 +130,7 @@
       std::chrono::seconds{2}));
 }
 
-TEST_CASE("node: sub-calls end with a caller that has gone") {
+TEST_CASE("node: sub-calls end when the caller disconnects") {
   Cluster cluster{4};
   Prepare(cluster);
   const std::string key = cluster.IssueKey(1, "club");
