Shorten comments on members of attribution and dispatcher

They now stand above the members and say what the sums count. No code token differs, as the comparison of token streams shows.

--- a/src/pollenring/node/call_attribution.h
+++ b/src/pollenring/node/call_attribution.h
@@ -76,19 +76,19 @@
     double mean{};            /*!< Running requests, smoothed over windows. */
     Time last_used{};
   };
-  /*! @brief Samples taken at the calls to one callee. */
+  /*! @brief Samples taken at the calls to one callee, by kind. */
   struct Callee {
     double calls{};        /*!< In this window. */
     double all_calls{};    /*!< In all windows, exponentially decayed. */
-    double recent_calls{}; /*!< Recent calls, decayed over a second. */
-    double early_calls{};  /*!< Calls until enough were recorded. */
+    double recent_calls{}; /*!< Exponentially decayed over a second. */
+    double early_calls{};  /*!< Until enough were recorded. */
     Time last_used{};
-    std::unordered_map<std::string, double>
-        running_at_calls;                           /*!< In this window. */
-    std::unordered_map<std::string, double> excess; /*!< In all, decayed. */
-    std::unordered_map<std::string, double>
-        present_at_calls; /*!< Calls of `early_calls`
-                    while it ran. */
+    /*! @brief Sums of running requests in this window. */
+    std::unordered_map<std::string, double> running_at_calls;
+    /*! @brief Sums above the mean, exponentially decayed. */
+    std::unordered_map<std::string, double> excess;
+    /*! @brief Early calls during which the kind was running. */
+    std::unordered_map<std::string, double> present_at_calls;
   };
 
   /*! @brief Finds a callee with enough recorded calls, or null. */
--- a/src/pollenring/node/dispatcher.h
+++ b/src/pollenring/node/dispatcher.h
@@ -108,13 +108,13 @@
     int redirects_left{};
     bool waiting{}; /*!< No attempt runs; another will start. */
     bool may_have_run{};
-    std::optional<CallReply>
-        target_failure; /*!< Of a target, while another is tried. */
+    /*! @brief Failure response of a target, while another is tried. */
+    std::optional<CallReply> target_failure;
     std::string target_failure_body;
     std::vector<NodeId> tried;
     NodeId node{};
-    WireVersion request_version{
-        kNewestWire}; /*!< Encoding of the request sent. */
+    /*! @brief Encoding of the request sent. */
+    WireVersion request_version{kNewestWire};
     std::uint64_t attempt{};
     std::uint64_t call{};
     Done done;
