Rename MemberService::Answer to HandleRequest

Answer was used for HTTP responses, replies between nodes and the results of checks alike. The function handles a request of another node and returns the reply, so it is named for that; the two callers and the tests follow. Only this identifier changes, in its declaration, definition and five uses.

--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -210,7 +210,7 @@
     return;
   }
   std::string answer;
-  if (auto given = this->members.Answer(path, responder->Peer(), body)) {
+  if (auto given = this->members.HandleRequest(path, responder->Peer(), body)) {
     answer = std::move(*given);
   } else if (path == "document") {
     answer = this->policy.Document();
--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -223,9 +223,8 @@
   this->membership.Contact(peer);
 }
 
-std::optional<std::string> MemberService::Answer(std::string_view path,
-                                                 const Address &from,
-                                                 const std::string &body) {
+std::optional<std::string> MemberService::HandleRequest(
+    std::string_view path, const Address &from, const std::string &body) {
   if (path == "members") return this->ReplyToJoin(from, body);
   if (path == "members-differ") return this->ReplyToDigests(from, body);
   if (path != "members-merge") return std::nullopt;
--- a/src/pollenring/node/member_service.h
+++ b/src/pollenring/node/member_service.h
@@ -73,9 +73,8 @@
    * @param body Its content.
    * @return The reply, or nothing if the path is not one of membership.
    */
-  [[nodiscard]] std::optional<std::string> Answer(std::string_view path,
-                                                  const Address &from,
-                                                  const std::string &body);
+  [[nodiscard]] std::optional<std::string> HandleRequest(
+      std::string_view path, const Address &from, const std::string &body);
 
   void SendGossip(NodeId to, const Gossip &gossip) override;
   void MemberChanged(const Member &member) override;
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -188,7 +188,7 @@
     this->HandleCall(std::move(body), std::move(responder));
     return;
   }
-  if (auto given = this->members.Answer(path, responder->Peer(), body)) {
+  if (auto given = this->members.HandleRequest(path, responder->Peer(), body)) {
     responder->Send(std::move(*given));
   } else if (path == "config") {
     responder->Send(this->config.ReplyToCatchUp(body));
--- a/test/pollenring/node/member_service_test.cc
+++ b/test/pollenring/node/member_service_test.cc
@@ -58,7 +58,8 @@
         server{loop, address, kSecret, kMaxBytes,
                [this](const std::string &path, const std::string &body,
                       const std::shared_ptr<pollenring::LinkResponder> &to) {
-                 auto answer = this->service.Answer(path, to->Peer(), body);
+                 auto answer =
+                     this->service.HandleRequest(path, to->Peer(), body);
                  to->Send(answer.value_or(""));
                }} {
     this->service.Start();
@@ -246,13 +247,14 @@
   CurrentNode current{bench.loop, At(9, 1), {}};
   const auto records = std::vector{MakeMember(At(9, 2))};
   for (const auto version : {WireVersion::kV2, WireVersion::kV3}) {
-    const auto answer =
-        *current.service.Answer("members", At(9, 2), Encode(records, version));
+    const auto answer = *current.service.HandleRequest(
+        "members", At(9, 2), Encode(records, version));
     const auto decoded = Decode<std::vector<Member>>(answer);
     REQUIRE(decoded);
     CHECK(decoded->version == version);
     CHECK(decoded->value.size() == 2);
   }
-  CHECK(current.service.Answer("members", At(9, 2), "nonsense")->size() > 10);
+  CHECK(current.service.HandleRequest("members", At(9, 2), "nonsense")->size() >
+        10);
   CHECK(current.metrics.Read("pollenring_unreadable_total") == 1);
 }
