Name replies and retry allowance in the dispatcher's invariants

The two invariants of the dispatcher spoke of answers and of paying, words that the code no longer uses for replies of nodes and for the retry allowance. Their messages now use the same terms as the functions that check them.

--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -243,7 +243,7 @@
   const auto found = this->jobs.find(id);
   if (found == this->jobs.end()) return;
   Job &job = found->second;
-  Require(job.attempt == attempt, "an answer belongs to the latest attempt");
+  Require(job.attempt == attempt, "a reply belongs to the latest attempt");
   const bool has_load = reply.load.limit > 0;
   std::optional<LoadReport> load;
   if (has_load) load = reply.load;
@@ -325,7 +325,7 @@
   if (job.allowance.Left() == 0) return false;
   if (!this->budget.Spend(job.envelope.service)) return false;
   const bool spent = job.allowance.Spend();
-  Require(spent, "a retry is paid from the request's allowance");
+  Require(spent, "a retry spends the allowance of its request");
   job.envelope.is_retry = true;
   this->metrics.Count("pollenring_retries_total");
   return true;
