--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -210,7 +210,8 @@
     return;
   }
   std::string reply;
-  if (auto given_reply = this->members.Answer(path, responder->Peer(), body)) {
+  if (auto given_reply =
+          this->members.HandleRequest(path, responder->Peer(), body)) {
     reply = std::move(*given_reply);
   } else if (path == "document") {
     reply = this->policy.Document();
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -34,7 +34,7 @@
 constexpr int kFirstErrorStatus = 400;
 /*! @brief Time past its deadline after which a request is answered whatever
  * has become of it; above the waits of nodes for each other. */
-constexpr Duration kOverdueAfter = 10 * kAnswerSlack;
+constexpr Duration kOverdueAfter = 10 * kReplySlack;
 /*! @brief Longest wait of a request whose caller and route name none. */
 constexpr Duration kDefaultTimeout = std::chrono::seconds{10};
 
@@ -266,7 +266,7 @@
         {entry->deadline, std::min(entry->deadline, quota_deadline)},
         std::move(done));
   };
-  charge([this, entry, charge](ShareAnswer reply) {
+  charge([this, entry, charge](ChargeReply reply) {
     if (reply.granted) {
       this->Send(entry, charge);
       return;
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -19,16 +19,16 @@
 using namespace std::chrono_literals;
 using pollenring::Address;
 using pollenring::CallReply;
+using pollenring::ChargeReply;
 using pollenring::LinkResponder;
 using pollenring::LinkServer;
 using pollenring::NodeId;
 using pollenring::Outcome;
 using pollenring::Reason;
-using pollenring::ShareAnswer;
 using pollenring::ShareGate;
 using pollenring::WireVersion;
 
-constexpr std::size_t kMostBytes = std::size_t{1} << 20U;
+constexpr std::size_t kMaxBytes = std::size_t{1} << 20U;
 constexpr int kNodes = 2;
 
 /*! @brief Lets all retries pass. */
@@ -62,7 +62,7 @@
     for (int index = 0; index < kNodes; ++index) {
       const auto at = static_cast<std::size_t>(index);
       this->servers[at] = std::make_unique<LinkServer>(
-          this->loop, AddressOf(index), "secret", kMostBytes,
+          this->loop, AddressOf(index), "secret", kMaxBytes,
           [this, index](const std::string & /*path*/, const std::string &body,
                         const std::shared_ptr<LinkResponder> &responder) {
             this->reached.push_back(index);
@@ -70,8 +70,8 @@
               responder->Send("nonsense");
               return;
             }
-            if (this->landed) {
-              responder->Send(AnswerOf(*this->landed, body));
+            if (this->only_version) {
+              responder->Send(ReplyOf(*this->only_version, body));
               return;
             }
             if (this->reached.size() == 1) return;
@@ -92,8 +92,8 @@
   }
 
   /*! @brief Answers as a build does that reads one form alone. */
-  [[nodiscard]] static std::string AnswerOf(WireVersion version,
-                                            const std::string &body) {
+  [[nodiscard]] static std::string ReplyOf(WireVersion version,
+                                           const std::string &body) {
     const auto framed = pollenring::Unframe<pollenring::CallEnvelope>(body);
     if (!framed || framed->version != version) {
       return Frame(Refusal(Outcome::kNotRun, Reason::kLinkLost, 1s), "",
@@ -105,12 +105,13 @@
     return Frame(reply, "", version);
   }
 
-  /*! @brief Calls nodes that read one form alone. @param believed What is known
+  /*! @brief Calls nodes that read one form alone. @param recorded What is known
    * of them. */
-  void CallLanded(WireVersion version, std::optional<WireVersion> believed) {
-    this->landed = version;
-    for (int index = 0; believed && index < kNodes; ++index) {
-      this->wire.versions.MessageReceived(AddressOf(index).Packed(), *believed);
+  void CallSingleVersion(WireVersion version,
+                         std::optional<WireVersion> recorded) {
+    this->only_version = version;
+    for (int index = 0; recorded && index < kNodes; ++index) {
+      this->wire.versions.MessageReceived(AddressOf(index).Packed(), *recorded);
     }
     pollenring::CallEnvelope envelope;
     envelope.service = "deep";
@@ -134,7 +135,7 @@
   }
 
   /*! @brief Calls, and lets the node that holds the call go after a while. */
-  void CallAndLose(pollenring::Duration after, ShareAnswer renewed) {
+  void CallAndLose(pollenring::Duration after, ChargeReply renewed) {
     pollenring::CallEnvelope envelope;
     envelope.service = "deep";
     envelope.method = "GET";
@@ -169,33 +170,39 @@
   int net;
   pollenring::SystemClock clock;
   pollenring::Loop loop{clock};
-  pollenring::HttpClient client{loop, {kMostBytes}};
-  pollenring::LinkClient link{loop, "secret", kMostBytes};
+  pollenring::HttpClient client{loop, {kMaxBytes}};
+  pollenring::LinkClient link{loop, "secret", kMaxBytes};
   pollenring::ContextCodec codec;
-  NeverCold cold_bounds;
+  NeverCold cold_start_limits;
   pollenring::DownstreamLevels levels{{}, clock};
   pollenring::SeededRandom random{5};
   pollenring::Metrics metrics{clock};
   pollenring::Router router{"a", "r", {}, clock, random};
-  pollenring::TargetExecutor serving{
-      loop,   client,      codec,
-      {},     cold_bounds, levels,
-      random, metrics,     [](const std::vector<pollenring::Target> &) {}};
+  pollenring::TargetExecutor executor{
+      loop,
+      client,
+      codec,
+      {},
+      cold_start_limits,
+      levels,
+      random,
+      metrics,
+      [](const std::vector<pollenring::Target> &) {}};
   NoRetryBound budget;
   pollenring::PeerWire wire{clock, metrics};
-  pollenring::Dispatcher dispatcher{1,       loop,   link, wire,   router,
-                                    serving, budget, {},   random, metrics};
+  pollenring::Dispatcher dispatcher{1,        loop,   link, wire,   router,
+                                    executor, budget, {},   random, metrics};
   std::array<std::unique_ptr<LinkServer>, kNodes> servers;
   std::vector<int> reached;
   bool nonsense{}; /*!< Whether the nodes' answers can't be read. */
-  std::optional<WireVersion> landed; /*!< Which the nodes read alone. */
+  std::optional<WireVersion> only_version; /*!< Which the nodes read alone. */
   std::vector<CallReply> replies;
   int renewals{};
 };
 
 }  // namespace
 
-TEST_CASE("dispatcher: a call tried again late is charged again") {
+TEST_CASE("dispatcher: a late retry is charged again") {
   // A node that stands still is found out a second after it got its calls; all
   // of them then go to others at once.
   Bench bench{11};
@@ -206,7 +213,7 @@
   CHECK(bench.reached.size() == 2);
 }
 
-TEST_CASE("dispatcher: a late repeat beyond the rate is not sent") {
+TEST_CASE("dispatcher: a late retry beyond the rate limit is not sent") {
   Bench bench{12};
   bench.CallAndLose(100ms, {false, Reason::kRateLimited, 70ms});
   CHECK(bench.renewals == 1);
@@ -218,7 +225,7 @@
   CHECK(bench.replies[0].outcome == Outcome::kUnknown);
 }
 
-TEST_CASE("dispatcher: a call tried again at once is not charged again") {
+TEST_CASE("dispatcher: an immediate retry is not charged again") {
   Bench bench{13};
   bench.CallAndLose(10ms, {true, Reason::kNone, {}});
   CHECK(bench.renewals == 0);
@@ -226,12 +233,12 @@
   CHECK(bench.replies[0].status == 200);
 }
 
-TEST_CASE("dispatcher: a node is called in the form that it reads") {
+TEST_CASE("dispatcher: calls use the wire version that the node reads") {
   const struct {
     int net;
-    WireVersion runs;
-    std::optional<WireVersion> believed;
-    std::size_t asked;
+    WireVersion version;
+    std::optional<WireVersion> recorded;
+    std::size_t calls;
   } cases[] = {
       {21, WireVersion::kV1, std::nullopt, 2},
       {22, WireVersion::kV2, std::nullopt, 1},
@@ -243,11 +250,11 @@
   for (const auto &given : cases) {
     CAPTURE(given.net);
     Bench bench{given.net};
-    bench.CallLanded(given.runs, given.believed);
+    bench.CallSingleVersion(given.version, given.recorded);
     REQUIRE(bench.replies.size() == 1);
     CHECK(bench.replies[0].status == 200);
     CHECK(bench.replies[0].outcome == Outcome::kRan);
-    REQUIRE(bench.reached.size() == given.asked);
+    REQUIRE(bench.reached.size() == given.calls);
     // The same node was asked anew, and none of them counts as having failed.
     CHECK(bench.reached.front() == bench.reached.back());
     CHECK(bench.metrics.Read("pollenring_redirects_total") == 0);
@@ -255,10 +262,10 @@
   }
 }
 
-TEST_CASE("dispatcher: an answer that can't be read is counted") {
+TEST_CASE("dispatcher: counts replies that can't be decoded") {
   Bench bench{27};
   bench.nonsense = true;
-  bench.CallLanded(WireVersion::kV2, std::nullopt);
+  bench.CallSingleVersion(WireVersion::kV2, std::nullopt);
   REQUIRE(bench.replies.size() == 1);
   CHECK(bench.replies[0].outcome == Outcome::kUnknown);
   CHECK(bench.metrics.Read("pollenring_unreadable_total") == 1);
--- a/test/pollenring/node/parent_finder_test.cc
+++ b/test/pollenring/node/parent_finder_test.cc
@@ -13,14 +13,14 @@
 
 }  // namespace
 
-TEST_CASE("parent finder: an equal deadline points to its request") {
+TEST_CASE("parent finder: an equal deadline identifies the parent") {
   SeededRandom random{1};
   ParentFinder finder{random, 0ms};
   for (std::uint64_t id = 1; id <= 50; ++id) {
     finder.Add(id, "kind", 1s + id * 20ms, 0ms);
   }
   for (std::uint64_t id = 1; id <= 50; ++id) {
-    // Both are told whole milliseconds.
+    // Both deadlines are sent as integral milliseconds.
     CHECK(finder.Find(1s + id * 20ms - 1ms, "callee", 0ms) == id);
   }
   finder.Remove(7, 1ms);
@@ -37,8 +37,8 @@
   CHECK_FALSE((ParentFinder{random, 0ms}.Find(2s, "callee", 0ms)));
 }
 
-TEST_CASE("parent finder: calls are shared out as the kinds make them") {
-  // One kind makes five calls, the other none; deadlines tell nothing.
+TEST_CASE("parent finder: attributes calls to the kinds that make them") {
+  // One kind makes five calls, the other none; deadlines are no help.
   SeededRandom random{3};
   ParentFinder finder{random, 0ms};
   std::map<std::uint64_t, bool> calls;
