Say when a target was last assumed cold

The comment of assumed_cold_at spoke of signs of a restart alone, though a target whose zone becomes available again is assumed cold as well. The comment now states what the field holds. No code token differs from the previous state.

--- a/src/pollenring/node/target_executor.h
+++ b/src/pollenring/node/target_executor.h
@@ -242,7 +242,7 @@
     Announcement announcement;
     std::unique_ptr<Admission> admission;
     Time last_seen;
-    Time assumed_cold_at{}; /*!< Last sign of a restart. */
+    Time assumed_cold_at{}; /*!< When it was last assumed cold. */
     bool cold_end_known{};  /*!< The time at which it is warm is known. */
   };
   struct Call {
