Reword log events, errors and test titles of the executor, node and operator port

Events such as "left", "target busy" or "change ended" and titles such as "what a cold target has not taken costs it no place" did not say what happened or what is checked.

--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -178,7 +178,7 @@
     return;
   }
   this->caller_server.Open();
-  LogEvent(LogLevel::kInfo, "open for callers",
+  LogEvent(LogLevel::kInfo, "accepting callers",
            {{"version", this->config.Ledger().Version()}});
 }
 
@@ -265,7 +265,8 @@
 void Node::Leave() {
   if (std::exchange(this->draining, true)) return;
   this->drain_started_at = this->loop.GetClock().Now();
-  LogEvent(LogLevel::kInfo, "leaving", {{"in_progress", this->InProgress()}});
+  LogEvent(LogLevel::kInfo, "drain started",
+           {{"in_progress", this->InProgress()}});
   this->members.Get().Leave();
   this->caller_server.Drain();
   this->CheckDrained();
@@ -279,7 +280,7 @@
   const bool handing_over =
       !this->slots.Empty() && since < kMaxSlotHandoverTime;
   if (!accepting && !handing_over && this->InProgress() == 0) {
-    LogEvent(LogLevel::kInfo, "left");
+    LogEvent(LogLevel::kInfo, "drain completed");
     this->loop.After(kDrainCheckPeriod, [this] { this->loop.Stop(); });
     return;
   }
--- a/src/pollenring/node/operator_port.cc
+++ b/src/pollenring/node/operator_port.cc
@@ -161,7 +161,7 @@
     const std::string before = ledger.Active().WorkspaceOf(digest);
     if (before == workspace) {
       const std::string message =
-          workspace.empty() ? "no such key is in force" : "the key is in force";
+          workspace.empty() ? "key is not active" : "key is already active";
       responder->Send(ErrorResponse(kBadRequest, message));
       return;
     }
@@ -175,10 +175,10 @@
 }
 
 void OperatorPort::Commit(ConfigChange change, const ResponderPtr &responder) {
-  LogEvent(LogLevel::kInfo, "change proposed",
+  LogEvent(LogLevel::kInfo, "configuration change proposed",
            {{"author", change.author}, {"version", change.version}});
   this->config.Publish(std::move(change), [responder](PublishReport report) {
-    LogEvent(LogLevel::kInfo, "change ended",
+    LogEvent(LogLevel::kInfo, "configuration change completed",
              {{"version", report.commit.change.version},
               {"result", kCommitResultNames.Name(report.commit.result)},
               {"accepted", report.Accepted()}});
@@ -194,10 +194,9 @@
       const auto *committed = std::get_if<std::vector<Row>>(&changes);
       const auto *refused = std::get_if<std::vector<Row>>(&refusals);
       if (committed == nullptr || refused == nullptr) {
-        responder->Send(
-            ErrorResponse(kUnavailable,
-                          "the platform's table does not answer; the trail "
-                          "is kept there, try again"));
+        responder->Send(ErrorResponse(kUnavailable,
+                                      "audit trail unavailable: the platform's "
+                                      "table does not respond; try again"));
         return;
       }
       Json entries = Json::array();
--- a/src/pollenring/node/target_executor.cc
+++ b/src/pollenring/node/target_executor.cc
@@ -122,7 +122,7 @@
       binding.announcement.address,
       this->ToRequest(call, binding.announcement.instance), remaining,
       [this, id](HttpClient::Reply reply) {
-        const bool handled = this->loop.Contain("answer of a target", [&] {
+        const bool handled = this->loop.Contain("response of a target", [&] {
           this->HandleResponse(id, std::move(reply));
         });
         if (!handled) this->Fail(id);
--- a/src/pollenring/node/target_executor_targets.cc
+++ b/src/pollenring/node/target_executor_targets.cc
@@ -173,7 +173,7 @@
     const double level = admission.AdmissionLevelOf({});
     if (admission.Waiting() == 0 && level <= 0) continue;
     const QueueState state = admission.State();
-    LogEvent(LogLevel::kInfo, "target busy",
+    LogEvent(LogLevel::kInfo, "target load",
              {{"service", service},
               {"running", admission.Running()},
               {"waiting", admission.Waiting()},
--- a/test/pollenring/node/always_test.cc
+++ b/test/pollenring/node/always_test.cc
@@ -274,7 +274,7 @@
   CHECK(audit->body.find("\"refused\":\"raced\"") != std::string::npos);
 }
 
-TEST_CASE("always: a lost answer of the platform is recognised as one's own") {
+TEST_CASE("always: a commit whose response was lost is recognised as own") {
   Cluster cluster{16};
   Prepare(cluster);
   cluster.ControlPlatform({{"lose_answers", true}});
--- a/test/pollenring/node/target_codec_test.cc
+++ b/test/pollenring/node/target_codec_test.cc
@@ -11,7 +11,8 @@
 
 }  // namespace
 
-TEST_CASE("target answers: only the target itself can say that nothing ran") {
+TEST_CASE(
+    "target response: only the target can state that a call has not run") {
   ResponseSignals signals;
   CHECK(ClassifyResponse(signals, 200).outcome == Outcome::kRan);
   CHECK(ClassifyResponse(signals, 500).outcome == Outcome::kRan);
@@ -24,8 +25,7 @@
   CHECK(ClassifyResponse(signals, 503).shed);
 }
 
-TEST_CASE(
-    "target answers: a success that is not the target's is not passed on") {
+TEST_CASE("target response: a success that is not genuine is not forwarded") {
   ResponseSignals signals;
   signals.genuine = false;
   CHECK(ClassifyResponse(signals, 200).reason == Reason::kTargetFailed);
--- a/test/pollenring/node/target_executor_test.cc
+++ b/test/pollenring/node/target_executor_test.cc
@@ -113,7 +113,7 @@
 
 }  // namespace
 
-TEST_CASE("serving: what waits goes to the target that follows") {
+TEST_CASE("target executor: queued calls go to the next instance") {
   RawPeer unresponsive{{{{}, support::PeerEnd::kKeep}}};
   RawPeer next{{{{kAnswer, kAnswer}, support::PeerEnd::kKeep}}};
   Bench bench;
@@ -129,7 +129,8 @@
   CHECK(bench.executor.InProgress() == 1);
 }
 
-TEST_CASE("serving: what waits is sent on when the next target is leaving") {
+TEST_CASE(
+    "target executor: queued calls are refused if the next instance drains") {
   RawPeer unresponsive{{{{}, support::PeerEnd::kKeep}}};
   RawPeer next{{}};
   Bench bench;
@@ -146,7 +147,9 @@
   CHECK(next.Accepted() == 0);
 }
 
-TEST_CASE("serving: a call outlives the silence of the target that followed") {
+TEST_CASE(
+    "target executor: a running call survives the expiry of the next "
+    "instance") {
   auto unresponsive = std::make_unique<RawPeer>(
       std::vector<support::PeerScript>{{{}, support::PeerEnd::kKeep}});
   RawPeer next{{}};
@@ -164,7 +167,9 @@
   CHECK(bench.replies[0].outcome == Outcome::kUnknown);
 }
 
-TEST_CASE("serving: what a cold target has not taken costs it no place") {
+TEST_CASE(
+    "target executor: refused connections do not count against the cold "
+    "limit") {
   auto gone = std::make_unique<RawPeer>(std::vector<support::PeerScript>{});
   Bench bench;
   bench.Announce(*gone, "i-1", pollenring::TargetState::kCold, 10s);
@@ -180,7 +185,8 @@
   }
 }
 
-TEST_CASE("serving: a cold target gets what it bears, the others are told") {
+TEST_CASE(
+    "target executor: calls beyond the cold-start limit get a retry after") {
   RawPeer target{
       {{std::vector<std::string>(3, kAnswer), support::PeerEnd::kKeep}}};
   Bench bench;
