Rename the framed replies of once messages and the version of a reply

OnceDecision and OnceEnd carried a CallReply under the name answer, and wire.h spoke of forms and of what was told where it means the wire version of the reply. They become reply, WireVersionOfFrame and reply_version.

--- a/src/pollenring/node/once_service.cc
+++ b/src/pollenring/node/once_service.cc
@@ -150,7 +150,7 @@
   answer.verdict = decision.verdict;
   if (decision.verdict == OnceVerdict::kAnswered) {
     answer.reply = Refusal(Outcome::kRan, Reason::kRepeated, Duration{});
-    auto stored = Unframe<CallReply>(decision.answer);
+    auto stored = Unframe<CallReply>(decision.reply);
     if (stored) {
       answer.reply = std::move(stored->head);
       answer.body = std::move(stored->body);
@@ -267,7 +267,7 @@
   end.state = StateOf(reply);
   if (end.state == OnceState::kRan) {
     // Nodes of any build may read the stored reply.
-    end.answer = Frame(reply, body, kCommonWire);
+    end.reply = Frame(reply, body, kCommonWire);
   }
   this->running.erase(found);
   this->SendEnd(end, kMaxEndTries);
@@ -305,7 +305,7 @@
   const SlotId slot = SlotOfKey(end.key, this->slots.Count());
   const auto found = this->owned_slots.find(slot);
   if (found == this->owned_slots.end()) return;
-  found->second.ledger.End(end.key, end.attempt, end.state, end.answer);
+  found->second.ledger.End(end.key, end.attempt, end.state, end.reply);
 }
 
 }  // namespace pollenring
--- a/src/pollenring/node/once_service.h
+++ b/src/pollenring/node/once_service.h
@@ -31,8 +31,8 @@
   std::uint64_t attempt{};
   bool owner{};
   OnceVerdict verdict{OnceVerdict::kUnknown};
-  std::string answer;
-  MSGPACK_DEFINE(attempt, owner, verdict, answer)
+  std::string reply;
+  MSGPACK_DEFINE(attempt, owner, verdict, reply)
 };
 
 /*! @brief Reports to the owner how an attempt ended. */
@@ -40,8 +40,8 @@
   std::string key;
   std::uint64_t attempt{};
   OnceState state{OnceState::kUnknown};
-  std::string answer;
-  MSGPACK_DEFINE(key, attempt, state, answer)
+  std::string reply;
+  MSGPACK_DEFINE(key, attempt, state, reply)
 };
 
 /*! @brief Owns the idempotency records of held slots; queries the owners of
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -329,7 +329,7 @@
  * @param framed The received message.
  * @return The wire version.
  */
-[[nodiscard]] inline WireVersion FormOfFrame(std::string_view framed) {
+[[nodiscard]] inline WireVersion WireVersionOfFrame(std::string_view framed) {
   constexpr std::size_t kSize = sizeof(std::uint32_t);
   return framed.size() > kSize ? FormOf(framed.substr(kSize)) : kCommonWire;
 }
@@ -351,8 +351,8 @@
                                               const Address &from,
                                               UnreadableLog &log) {
   const std::size_t bytes = framed.size();
-  const WireVersion told = FormOfFrame(framed);
-  ReceivedCall call{Unframe<CallEnvelope>(std::move(framed)), told};
+  const WireVersion reply_version = WireVersionOfFrame(framed);
+  ReceivedCall call{Unframe<CallEnvelope>(std::move(framed)), reply_version};
   if (call.framed) {
     call.version = call.framed->version;
   } else {
