--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -357,7 +357,7 @@
     return;
   }
   if (job.node == this->self) {
-    this->executor.CallerGone(job.call);
+    this->executor.CallerDisconnected(job.call);
   } else {
     this->link.Cancel(job.call);
   }
--- a/src/pollenring/node/once_service.h
+++ b/src/pollenring/node/once_service.h
@@ -17,7 +17,7 @@
 
 namespace pollenring {
 
-/*! @brief Asks the owner of an identifier whether it may run. */
+/*! @brief Requests permission to run from the owner of an idempotency key. */
 struct OnceBegin {
   std::string key;
   std::int64_t minted_ms{};
@@ -26,25 +26,26 @@
   MSGPACK_DEFINE(key, minted_ms, attempt, deadline_ms)
 };
 
-/*! @brief What the owner says; `owner` is false when it may not decide. */
+/*! @brief The owner's decision; `owner` is false when it may not decide. */
 struct OnceDecision {
   std::uint64_t attempt{};
   bool owner{};
   OnceVerdict verdict{OnceVerdict::kUnknown};
-  std::string answer;
-  MSGPACK_DEFINE(attempt, owner, verdict, answer)
+  std::string reply;
+  MSGPACK_DEFINE(attempt, owner, verdict, reply)
 };
 
-/*! @brief Tells the owner how an attempt ended. */
+/*! @brief Reports to the owner how an attempt ended. */
 struct OnceEnd {
   std::string key;
   std::uint64_t attempt{};
   OnceState state{OnceState::kUnknown};
-  std::string answer;
-  MSGPACK_DEFINE(key, attempt, state, answer)
+  std::string reply;
+  MSGPACK_DEFINE(key, attempt, state, reply)
 };
 
-/*! @brief Owns the identifiers of held slots; asks the owners of others. */
+/*! @brief Owns the idempotency records of held slots; queries the owners of
+ * other slots. */
 class OnceService final : public OnceGate, public SlotListener {
  public:
   /**
@@ -52,36 +53,37 @@
    * @param loop The loop.
    * @param bus Datagrams.
    * @param link Streams.
-   * @param slots Who holds which slot.
+   * @param slots Holders of the slots.
    * @param random Randomness.
    */
   OnceService(Loop &loop, Bus &bus, LinkClient &link, SlotService &slots,
               Random &random);
 
-  /*! @brief Starts to own and ask. */
+  /*! @brief Registers the message handlers. */
   void Start();
 
-  /*! @brief Takes in the end of an attempt. @param body An `OnceEnd`. */
-  void TakeEnd(const std::string &body);
+  /*! @brief Records the end of an attempt. @param body An `OnceEnd`. */
+  void HandleEnd(const std::string &body);
 
-  /*! @brief Copies a holder's memory as its mirror. @param body Seed. */
-  void TakeSeed(const std::string &body);
+  /*! @brief Copies a holder's records as its mirror. @param body Seed. */
+  void HandleSeed(const std::string &body);
 
-  /*! @brief Closes an epoch as its mirror. @param body Epoch. @return Log. */
-  [[nodiscard]] std::string AnswerClose(const std::string &body);
+  /*! @brief Closes an epoch as its mirror. @param body Epoch.
+   * @return Records of the epoch. */
+  [[nodiscard]] std::string HandleClose(const std::string &body);
 
   /**
-   * @brief Reads what a slot's successor needs.
+   * @brief Returns the records that a slot's successor needs.
    * @param slot The slot.
    * @return The log.
    */
   [[nodiscard]] OnceLog LogOf(SlotId slot) const;
 
   /**
-   * @brief Keeps what a predecessor left, until the slot is gained.
-   * @param handover What it left.
+   * @brief Keeps a predecessor's state until the slot is gained.
+   * @param handover The state.
    */
-  void Expect(const Handover &handover);
+  void StoreHandover(const Handover &handover);
 
   void Begin(const std::string &key, bool minted_here, Time deadline,
              Done done) override;
@@ -95,37 +97,37 @@
   void SlotLost(SlotId slot) override;
 
  private:
-  /*! @brief An attempt of this node that waits for its owner. */
-  struct Asking {
+  /*! @brief An attempt of this node that waits for the owner's decision. */
+  struct PendingAttempt {
     OnceBegin begin;
     bool minted_here{};
     Time deadline{};
-    Time gives_up{};
+    Time give_up_at{};
     Done done;
   };
-  /*! @brief A record of this node that waits for a mirror. */
-  struct Copying {
+  /*! @brief A record of this node that waits to be copied by a mirror. */
+  struct PendingCopy {
     SlotId slot{};
     std::uint64_t epoch{};
     OnceRecord record;
-    NodeId asker{};
-    Time gives_up{};
+    NodeId requester{};
+    Time give_up_at{};
   };
-  /*! @brief Memory of a held slot. */
-  struct Owned {
+  /*! @brief Records of a held slot. */
+  struct OwnedSlot {
     OnceLedger ledger;
     bool ready{};
-    std::size_t closes_left{};
+    std::size_t pending_closes{};
     bool all_closed{true};
     std::int64_t complete_since_ms{};
   };
 
-  void Ask(std::uint64_t attempt);
-  void Decided(const OnceDecision &decision);
-  void Decide(NodeId asker, const OnceBegin &begin);
-  void Reply(NodeId asker, const OnceDecision &decision);
+  void RequestDecision(std::uint64_t attempt);
+  void HandleDecision(const OnceDecision &decision);
+  void Decide(NodeId requester, const OnceBegin &begin);
+  void Reply(NodeId requester, const OnceDecision &decision);
   void SendCopies(std::uint64_t copy);
-  void Copied(std::uint64_t copy);
+  void HandleCopied(std::uint64_t copy);
   void CloseMirrors(SlotId slot, const SlotRow &before);
   void MirrorClosed(SlotId slot, const std::string *log);
   void SeedMirrors(SlotId slot, const SlotRow &row);
@@ -138,11 +140,11 @@
   SlotService &slots;
   Random &random;
   OnceMirror mirror;
-  std::unordered_map<SlotId, Owned> owned;
-  std::unordered_map<SlotId, Handover> expected;
-  std::unordered_map<std::uint64_t, Asking> asking;
+  std::unordered_map<SlotId, OwnedSlot> owned_slots;
+  std::unordered_map<SlotId, Handover> handovers;
+  std::unordered_map<std::uint64_t, PendingAttempt> pending_attempts;
   std::unordered_map<std::string, std::uint64_t> running;
-  std::unordered_map<std::uint64_t, Copying> copying;
+  std::unordered_map<std::uint64_t, PendingCopy> pending_copies;
   std::uint64_t last_copy{};
 };
 
--- a/test/pollenring/node/target_executor_test.cc
+++ b/test/pollenring/node/target_executor_test.cc
@@ -21,7 +21,7 @@
 using pollenring::Reason;
 using support::RawPeer;
 
-/*! @brief The machine's clock, which the test can put forward. */
+/*! @brief The system clock, which the test can advance. */
 class SteppedClock final : public pollenring::Clock {
  public:
   [[nodiscard]] pollenring::Time Now() const noexcept override {
@@ -45,7 +45,7 @@
   return options;
 }
 
-/*! @brief Targets that bear three requests while they are cold. */
+/*! @brief Cold targets accept three requests per window. */
 class FewWhenCold final : public pollenring::ColdStartLimits {
  public:
   [[nodiscard]] pollenring::ColdStartLimit LimitOf(
@@ -58,14 +58,14 @@
   }
 };
 
-/*! @brief The calls beside one target, and what became of them. */
+/*! @brief An executor of one target, and the replies to its calls. */
 struct Bench {
   Bench() { std::signal(SIGPIPE, SIG_IGN); }
 
   void Announce(const RawPeer &at, const std::string &instance,
                 pollenring::TargetState state = pollenring::TargetState::kWarm,
                 pollenring::Duration cold_for = {}) {
-    this->serving.Announce(
+    this->executor.Announce(
         {{"deep", 1, state}, at.Where(), instance, cold_for});
   }
 
@@ -76,7 +76,7 @@
     envelope.path = "/";
     envelope.remaining_us = 30'000'000;
     envelope.soft_deadline_us = 30'000'000;
-    this->serving.Serve(envelope, {}, [this](CallReply reply, std::string) {
+    this->executor.Serve(envelope, {}, [this](CallReply reply, std::string) {
       this->replies.push_back(std::move(reply));
     });
   }
@@ -91,16 +91,16 @@
   pollenring::Loop loop{clock};
   pollenring::HttpClient client{loop, {std::size_t{1} << 20U}};
   pollenring::ContextCodec codec;
-  FewWhenCold cold_bounds;
+  FewWhenCold cold_start_limits;
   pollenring::DownstreamLevels levels{{}, clock};
   pollenring::SeededRandom random{5};
   pollenring::Metrics metrics{clock};
-  pollenring::TargetExecutor serving{
+  pollenring::TargetExecutor executor{
       loop,
       client,
       codec,
       OneAtATime(),
-      cold_bounds,
+      cold_start_limits,
       levels,
       random,
       metrics,
@@ -113,11 +113,11 @@
 
 }  // namespace
 
-TEST_CASE("serving: what waits goes to the target that follows") {
-  RawPeer silent{{{{}, support::PeerEnd::kKeep}}};
+TEST_CASE("target executor: queued calls go to the next instance") {
+  RawPeer unresponsive{{{{}, support::PeerEnd::kKeep}}};
   RawPeer next{{{{kAnswer, kAnswer}, support::PeerEnd::kKeep}}};
   Bench bench;
-  bench.Announce(silent, "i-1");
+  bench.Announce(unresponsive, "i-1");
   for (int i = 0; i < 3; ++i) bench.Serve();
   bench.Run(50ms);
   REQUIRE(bench.replies.empty());
@@ -125,15 +125,16 @@
   bench.Run(100ms);
   REQUIRE(bench.replies.size() == 2);
   for (const auto &reply : bench.replies) CHECK(reply.status == 200);
-  // What runs at the first one may still be answered.
-  CHECK(bench.serving.InProgress() == 1);
+  // The call running at the first target may still get a response.
+  CHECK(bench.executor.InProgress() == 1);
 }
 
-TEST_CASE("serving: what waits is sent on when the next target is leaving") {
-  RawPeer silent{{{{}, support::PeerEnd::kKeep}}};
+TEST_CASE(
+    "target executor: queued calls are refused if the next instance drains") {
+  RawPeer unresponsive{{{{}, support::PeerEnd::kKeep}}};
   RawPeer next{{}};
   Bench bench;
-  bench.Announce(silent, "i-1");
+  bench.Announce(unresponsive, "i-1");
   for (int i = 0; i < 3; ++i) bench.Serve();
   bench.Run(50ms);
   bench.Announce(next, "i-2", pollenring::TargetState::kDraining);
@@ -146,25 +147,29 @@
   CHECK(next.Accepted() == 0);
 }
 
-TEST_CASE("serving: a call outlives the silence of the target that followed") {
-  auto silent = std::make_unique<RawPeer>(
+TEST_CASE(
+    "target executor: a running call survives the expiry of the next "
+    "instance") {
+  auto unresponsive = std::make_unique<RawPeer>(
       std::vector<support::PeerScript>{{{}, support::PeerEnd::kKeep}});
   RawPeer next{{}};
   Bench bench;
-  bench.Announce(*silent, "i-1");
+  bench.Announce(*unresponsive, "i-1");
   bench.Serve();
   bench.Run(50ms);
   bench.Announce(next, "i-2");
   bench.clock.Step(7s);
-  bench.serving.Tick();
+  bench.executor.Tick();
   REQUIRE(bench.replies.empty());
-  silent.reset();  // Its connections end.
+  unresponsive.reset();  // Its connections end.
   bench.Run(100ms);
   REQUIRE(bench.replies.size() == 1);
   CHECK(bench.replies[0].outcome == Outcome::kUnknown);
 }
 
-TEST_CASE("serving: what a cold target has not taken costs it no place") {
+TEST_CASE(
+    "target executor: refused connections do not count against the cold "
+    "limit") {
   auto gone = std::make_unique<RawPeer>(std::vector<support::PeerScript>{});
   Bench bench;
   bench.Announce(*gone, "i-1", pollenring::TargetState::kCold, 10s);
@@ -180,7 +185,8 @@
   }
 }
 
-TEST_CASE("serving: a cold target gets what it bears, the others are told") {
+TEST_CASE(
+    "target executor: calls beyond the cold-start limit get a retry after") {
   RawPeer target{
       {{std::vector<std::string>(3, kAnswer), support::PeerEnd::kKeep}}};
   Bench bench;
