Reword comments of core

Comments used private terms, such as a clock that is told to move, findings with places, faults of an input and minted identifiers. They now use the customary words: diagnostics with locations, invariants, creation time, HMAC truncation.

--- a/src/pollenring/core/clock.h
+++ b/src/pollenring/core/clock.h
@@ -16,10 +16,10 @@
 using WallTime = std::chrono::milliseconds;
 
 /**
- * @brief Source of time for every decision.
+ * @brief Time source of all decisions.
  *
- * The steady clock goes on counting while a process is stopped or its VM is
- * suspended, so that a lease seen after a pause is judged by its true age.
+ * The steady clock keeps counting while the process is stopped or its VM is
+ * suspended, so that the age of a lease is correct after a pause.
  */
 class Clock {
  public:
@@ -41,18 +41,18 @@
   [[nodiscard]] virtual WallTime WallNow() const noexcept = 0;
 };
 
-/*! @brief The machine's clocks: boot time and real time. */
+/*! @brief The system clocks CLOCK_BOOTTIME and CLOCK_REALTIME. */
 class SystemClock final : public Clock {
  public:
   [[nodiscard]] Time Now() const noexcept override;
   [[nodiscard]] WallTime WallNow() const noexcept override;
 };
 
-/*! @brief A clock that moves only when told to. */
+/*! @brief A clock that advances only through `Advance`, for tests. */
 class ManualClock final : public Clock {
  public:
   /**
-   * @brief Starts at the given readings.
+   * @brief Sets the initial readings.
    * @param start First reading of the steady clock.
    * @param wall First reading of the wall clock.
    */
@@ -68,8 +68,8 @@
   }
 
   /**
-   * @brief Moves both clocks forward.
-   * @param by How far.
+   * @brief Advances both clocks.
+   * @param by Duration to add.
    */
   void Advance(Duration by) noexcept { this->now += by; }
 
--- a/src/pollenring/core/diagnostic.h
+++ b/src/pollenring/core/diagnostic.h
@@ -7,20 +7,20 @@
 
 namespace pollenring {
 
-/*! @brief Where in a file something was found. */
+/*! @brief A position in a source file. */
 struct SourceLocation {
   std::string file;
   std::uint32_t line{};
   std::uint32_t column{};
 };
 
-/*! @brief One fault in an operator's input, with its place. */
+/*! @brief An error in an operator's input, with its location. */
 struct Diagnostic {
   SourceLocation location;
   std::string message;
 
   /**
-   * @brief Formats the finding as compilers do.
+   * @brief Formats the diagnostic in the style of compilers.
    * @return `file:line:column: message`.
    */
   [[nodiscard]] std::string Format() const {
@@ -29,7 +29,7 @@
   }
 };
 
-/*! @brief All faults of one input. */
+/*! @brief All errors of one input. */
 using Diagnostics = std::vector<Diagnostic>;
 
 }  // namespace pollenring
--- a/src/pollenring/core/enum_table.h
+++ b/src/pollenring/core/enum_table.h
@@ -15,7 +15,7 @@
   std::string_view name;
 };
 
-/*! @brief The names of an enumeration, in both directions. */
+/*! @brief Maps enumerators to names and names to enumerators. */
 template <typename Enum, std::size_t Size>
 struct EnumTable {
   std::array<EnumName<Enum>, Size> rows;
@@ -23,7 +23,7 @@
   /**
    * @brief Finds the name of an enumerator.
    * @param value The enumerator.
-   * @return Its name, or an empty view when the table lacks it.
+   * @return Its name, or an empty view if the table lacks it.
    */
   [[nodiscard]] constexpr std::string_view Name(Enum value) const noexcept {
     for (const auto &row : this->rows) {
@@ -33,9 +33,9 @@
   }
 
   /**
-   * @brief Finds the enumerator of a name.
+   * @brief Finds the enumerator with a name.
    * @param name The name.
-   * @return The enumerator, or nothing when no row has that name.
+   * @return The enumerator, or nothing if no row has that name.
    */
   [[nodiscard]] constexpr std::optional<Enum> Parse(
       std::string_view name) const noexcept {
--- a/src/pollenring/core/hash.h
+++ b/src/pollenring/core/hash.h
@@ -33,7 +33,7 @@
 [[nodiscard]] std::string Sha256Hex(std::string_view secret);
 
 /**
- * @brief Computes a keyed message tag, HMAC-SHA-256 cut to 16 bytes.
+ * @brief Computes a keyed message tag, HMAC-SHA-256 truncated to 16 bytes.
  * @param key The key.
  * @param message The message.
  * @return 16 bytes.
@@ -42,18 +42,18 @@
                                      std::string_view message);
 
 /**
- * @brief Compares two texts in time that depends on their lengths only.
- * @param left One text.
+ * @brief Compares two strings in time that depends on their lengths only.
+ * @param left One string.
  * @param right The other.
- * @return Whether they are equal.
+ * @return True if they are equal.
  */
 [[nodiscard]] bool EqualConstantTime(std::string_view left,
                                      std::string_view right) noexcept;
 
 /**
- * @brief Draws a secret from the system's generator.
+ * @brief Generates a secret with OpenSSL's random generator.
  * @param bytes Number of random bytes.
- * @return Twice as many hexadecimal digits.
+ * @return Two hexadecimal digits per byte.
  */
 [[nodiscard]] std::string RandomHex(std::size_t bytes);
 
--- a/src/pollenring/core/importance.h
+++ b/src/pollenring/core/importance.h
@@ -5,13 +5,13 @@
 
 namespace pollenring {
 
-/*! @brief How late a request is shed; greater values are shed later. */
+/*! @brief Importance of a request; lower values are shed first. */
 enum class Importance { kLow = 0, kNormal = 1, kHigh = 2, kCritical = 3 };
 
 /*! @brief Number of importance levels. */
 inline constexpr int kImportanceLevels = 4;
 
-/*! @brief Names of the importance levels, as contracts spell them. */
+/*! @brief Names of the importance levels in contracts. */
 inline constexpr EnumTable<Importance, 4> kImportanceNames{{{
     {Importance::kLow, "low"},
     {Importance::kNormal, "normal"},
--- a/src/pollenring/core/invariant.h
+++ b/src/pollenring/core/invariant.h
@@ -6,17 +6,17 @@
 
 namespace pollenring {
 
-/*! @brief Thrown when a rule that must always hold is broken. */
+/*! @brief Thrown when an invariant is violated. */
 class InvariantError : public std::logic_error {
  public:
   using std::logic_error::logic_error;
 };
 
 /**
- * @brief Checks a rule in every build.
- * @param holds Whether the rule holds.
- * @param rule The rule, in words.
- * @throws InvariantError when the rule does not hold.
+ * @brief Checks an invariant, in release builds too.
+ * @param holds Whether the invariant holds.
+ * @param rule Description of the invariant.
+ * @throws InvariantError if the invariant does not hold.
  */
 inline void Require(bool holds, const char *rule) {
   if (!holds) throw InvariantError{std::string{"invariant broken: "} + rule};
--- a/src/pollenring/core/outcome.h
+++ b/src/pollenring/core/outcome.h
@@ -5,21 +5,21 @@
 
 namespace pollenring {
 
-/*! @brief What is known of a request's execution when it is answered. */
+/*! @brief What is known about a request's execution at its response. */
 enum class Outcome {
-  kRan,    /*!< The target answered. */
+  kRan,    /*!< The target responded. */
   kNotRun, /*!< No target received the request. */
   kUnknown /*!< A target may have received the request. */
 };
 
-/*! @brief Names of the outcomes, as callers see them. */
+/*! @brief Names of the outcomes in responses. */
 inline constexpr EnumTable<Outcome, 3> kOutcomeNames{{{
     {Outcome::kRan, "ran"},
     {Outcome::kNotRun, "not-run"},
     {Outcome::kUnknown, "unknown"},
 }}};
 
-/*! @brief Why a request was answered by the layer and not by a target. */
+/*! @brief Why the layer responded to a request instead of a target. */
 enum class Reason {
   kNone,
   kMalformed,
@@ -41,11 +41,11 @@
   kIdExpired,
   kCancelled,
   kTargetBusy,
-  kWarmingUp,    /*!< The target is cold and bears no more now. */
-  kZoneWithdrawn /*!< The target's zone is to get nothing. */
+  kWarmingUp,    /*!< The target is at its cold-start limit. */
+  kZoneWithdrawn /*!< The target's zone is withdrawn. */
 };
 
-/*! @brief Names of the reasons, as callers and logs see them. */
+/*! @brief Names of the reasons in responses and logs. */
 inline constexpr EnumTable<Reason, 22> kReasonNames{{{
     {Reason::kNone, "none"},
     {Reason::kMalformed, "malformed"},
--- a/src/pollenring/core/random.h
+++ b/src/pollenring/core/random.h
@@ -6,7 +6,7 @@
 
 namespace pollenring {
 
-/*! @brief Source of randomness for every decision. */
+/*! @brief Source of randomness of all decisions. */
 class Random {
  public:
   Random() = default;
@@ -39,14 +39,14 @@
   }
 
   /**
-   * @brief Draws a yes or no.
-   * @param chance Probability of yes.
-   * @return Whether yes was drawn.
+   * @brief Draws a Boolean.
+   * @param chance Probability of true.
+   * @return True with the given probability.
    */
   [[nodiscard]] bool Chance(double chance) { return this->Fraction() < chance; }
 };
 
-/*! @brief Repeatable randomness from a seed. */
+/*! @brief Reproducible pseudo-random numbers from a seed. */
 class SeededRandom final : public Random {
  public:
   /**
--- a/src/pollenring/core/request_id.h
+++ b/src/pollenring/core/request_id.h
@@ -11,17 +11,17 @@
 namespace pollenring {
 
 /**
- * @brief Mints a version 7 UUID, which carries its time of minting.
- * @param wall The time.
+ * @brief Generates a version 7 UUID, which contains its creation time.
+ * @param wall Creation time.
  * @param random Source of the random bits.
- * @return 36 characters in the usual form.
+ * @return 36 characters in canonical form.
  */
 [[nodiscard]] std::string MintRequestId(WallTime wall, Random &random);
 
 /**
- * @brief Reads the time of minting out of a version 7 UUID.
+ * @brief Extracts the creation time of a version 7 UUID.
  * @param id The identifier.
- * @return The time, or nothing when the text is not a version 7 UUID.
+ * @return The time, or nothing if the text is not a version 7 UUID.
  */
 [[nodiscard]] std::optional<WallTime> MintedAt(std::string_view id) noexcept;
 
--- a/src/pollenring/core/result.h
+++ b/src/pollenring/core/result.h
@@ -10,9 +10,9 @@
 using Result = std::variant<Value, Error>;
 
 /**
- * @brief Tells whether a result holds its value.
+ * @brief Checks whether a result holds its value.
  * @param result The result.
- * @return Whether it holds no error.
+ * @return True if it holds a value, false if it holds an error.
  */
 template <typename Value, typename Error>
 [[nodiscard]] bool Ok(const Result<Value, Error> &result) noexcept {
