Reword comments of contract

Comments described rate limits as shares, priorities as places and lots, and cold-start limits as what targets bear. They now name rate limits, priorities, sub-priorities and soft deadlines as the renamed types do. No C++ token differs from the parent commit, so the code is the same.

--- a/src/pollenring/contract/check.h
+++ b/src/pollenring/contract/check.h
@@ -8,24 +8,24 @@
 
 namespace pollenring {
 
-/*! @brief Shortest time that a workspace's burst must cover at its rate. */
+/*! @brief Minimum time that a workspace's burst must cover at its rate. */
 inline constexpr Duration kShortestBurst = std::chrono::milliseconds{250};
 
-/*! @brief Smallest burst that can be split over a workspace's slots. */
+/*! @brief Minimum burst that can be split over a workspace's slots. */
 inline constexpr double kSmallestBurst = 6;
 
 /**
- * @brief Checks a whole set: names, callers, cycles and sums.
+ * @brief Checks a complete set: names, callers, routes, rate limits and cycles.
  * @param set The set.
- * @param diagnostics Receives all faults.
+ * @param diagnostics Receives all errors.
  */
 void CheckContracts(const ContractSet &set, Diagnostics &diagnostics);
 
 /**
  * @brief Parses and checks files.
  * @param files The files.
- * @param diagnostics Receives all faults, in the order of their places.
- * @return The set; use it only when there are no findings.
+ * @param diagnostics Receives all errors, sorted by location.
+ * @return The set; valid only if there are no diagnostics.
  */
 [[nodiscard]] ContractSet ReadContracts(const std::vector<SourceFile> &files,
                                         Diagnostics &diagnostics);
--- a/src/pollenring/contract/contract.h
+++ b/src/pollenring/contract/contract.h
@@ -10,7 +10,7 @@
 
 namespace pollenring {
 
-/*! @brief Name under which callers from outside appear in a contract. */
+/*! @brief Name of external callers in a contract. */
 inline constexpr const char *kPublicCaller = "public";
 
 /*! @brief One kind of request that a service accepts. */
@@ -24,7 +24,7 @@
   int retries{2};
 };
 
-/*! @brief What a service promises and who may call it. */
+/*! @brief Routes of a service and the services that may call it. */
 struct Contract {
   std::string service;
   std::vector<std::string> callers;
@@ -32,15 +32,15 @@
   SourceLocation location;
 };
 
-/*! @brief How much a workspace may consume, over all VMs together. */
+/*! @brief Rate limit of a workspace over all VMs together. */
 struct WorkspaceRateLimit {
   std::string name;
-  double rate{};  /*!< Whole requests a second. */
-  double burst{}; /*!< Whole requests at once. */
+  double rate{};  /*!< Complete requests per second. */
+  double burst{}; /*!< Complete requests at once. */
   SourceLocation location;
 };
 
-/*! @brief All that one publication declares. */
+/*! @brief All declarations of one publication. */
 struct ContractSet {
   std::vector<Contract> contracts;
   std::vector<WorkspaceRateLimit> workspaces;
--- a/src/pollenring/contract/host_policy.cc
+++ b/src/pollenring/contract/host_policy.cc
@@ -77,7 +77,7 @@
     if (workspace.rank) ranks.insert(*workspace.rank);
     unranked = unranked || !workspace.rank;
   }
-  // One without a rank is below all that have one.
+  // Workspaces without a rank are below all ranked ones.
   if (!unranked && !ranks.empty()) ranks.erase(ranks.begin());
   this->upper_ranks.assign(ranks.begin(), ranks.end());
 }
--- a/src/pollenring/contract/host_policy.h
+++ b/src/pollenring/contract/host_policy.h
@@ -14,22 +14,22 @@
 
 namespace pollenring {
 
-/*! @brief A service that takes part of a route's requests. */
+/*! @brief A service that receives a part of a route's requests. */
 struct RoutePart {
   std::string service;
   double weight{1};
 };
 
-/*! @brief A kind of request that is found by host and path prefix. */
+/*! @brief A kind of request, identified by host and path prefix. */
 struct HostRoute {
   std::string name;
   std::string host;
   std::string path_prefix;
   std::vector<RoutePart> parts;
-  int rank{};                /*!< 0 is served first. */
-  int attempts{1};           /*!< Most targets that one request is sent to. */
-  Duration timeout{};        /*!< Longest wait of its caller. */
-  Duration target_latency{}; /*!< Time within which an answer is worth most. */
+  int rank{};                       /*!< 0 is the highest. */
+  int attempts{1};                  /*!< Maximum targets per request. */
+  Duration timeout{};               /*!< Maximum wait of the caller. */
+  Duration target_latency{};        /*!< Soft deadline of the response. */
   std::vector<std::string> regions; /*!< Where it may run; empty: anywhere. */
   bool idempotent{};                /*!< Whether it may run more than once. */
   bool open{};                      /*!< Whether it needs no key. */
@@ -38,27 +38,26 @@
 /*! @brief A workspace with its keys. */
 struct KeyedWorkspace {
   WorkspaceRateLimit share;
-  std::optional<int> rank; /*!< Goes before the route's; 0 is served first. */
+  std::optional<int> rank; /*!< Precedes the route's; 0 is the highest. */
   std::vector<std::string> keys;
   std::vector<std::string> regions; /*!< Where its requests may run; empty:
                                        anywhere. */
 };
 
-/*! @brief A request's place among all others, see `PriorityOf`. */
+/*! @brief Priority of a request, see `PriorityOf`. */
 struct RequestPriority {
   Importance importance{Importance::kNormal};
   double sub_priority{}; /*!< In [0, 1). */
 };
 
-/*! @brief How long targets are cold after a start, and what they bear then. */
+/*! @brief Cold-start period and limit of a service's targets. */
 struct ColdStart {
   std::string service;
   Duration cold_for{};
-  double
-      per_second{}; /*!< 0 where a cold target bears as much as a warm one. */
+  double per_second{}; /*!< 0: a cold target has no limit of its own. */
 };
 
-/*! @brief All that one version of an operator's document declares. */
+/*! @brief All declarations of one version of an operator's document. */
 struct HostPolicy {
   std::uint64_t version{};
   std::vector<HostRoute> routes;
@@ -66,10 +65,10 @@
   std::vector<ColdStart> cold_starts;
 };
 
-/*! @brief A host policy made ready for look-ups on the path of a call. */
+/*! @brief A host policy indexed for look-ups by request. */
 class HostTable {
  public:
-  /*! @brief An empty table: no route, no workspace. */
+  /*! @brief Creates an empty table without routes or workspaces. */
   HostTable() = default;
 
   /**
@@ -83,9 +82,9 @@
   }
 
   /**
-   * @brief Finds the route of a request, the longest prefix first.
-   * @param host Its host.
-   * @param path Its path.
+   * @brief Finds the route with the longest matching prefix.
+   * @param host The request's host.
+   * @param path The request's path.
    * @return The route, or null.
    */
   [[nodiscard]] const HostRoute *Find(const std::string &host,
@@ -101,39 +100,39 @@
   /**
    * @brief Finds a workspace's rate and burst.
    * @param workspace Its name.
-   * @return The share, or null when there is none or it has no limit.
+   * @return The rate limit, or null if there is none or its rate is 0.
    */
   [[nodiscard]] const WorkspaceRateLimit *ShareOf(
       const std::string &workspace) const;
 
   /**
-   * @brief Places a request by ranks.
+   * @brief Computes a request's priority from ranks.
    *
-   * A workspace's rank goes first: those above the lowest are critical, by
-   * their order, and routes' ranks order what is alike. The others, mostly
-   * nearly all of them, have their routes' ranks alone.
+   * The workspace's rank takes precedence. Ranks above the lowest one are
+   * critical, ordered by workspace rank, then route rank, then sub-priority.
+   * All other requests, usually nearly all, have their route's priority.
    * @param route The request's route.
    * @param workspace Its workspace, or null.
-   * @param sub_priority The request's lot.
-   * @return The place.
+   * @param sub_priority The request's sub-priority, in [0, 1).
+   * @return The priority.
    */
   [[nodiscard]] RequestPriority RequestPriorityOf(
       const HostRoute &route, const KeyedWorkspace *workspace,
       double sub_priority) const noexcept;
 
   /**
-   * @brief Finds how a service's targets start.
+   * @brief Finds the cold-start limit of a service's targets.
    * @param service Its name.
-   * @return What is declared, or null.
+   * @return The limit, or null if none is declared.
    */
   [[nodiscard]] const ColdStart *ColdStartOf(const std::string &service) const;
 
-  /*! @brief Whether workspaces differ in rank. @return So. */
+  /*! @brief Compares ranks of workspaces. @return True if they differ. */
   [[nodiscard]] bool WorkspacesRanked() const noexcept {
     return !this->upper_ranks.empty();
   }
 
-  /*! @brief Whether requests need keys at all. @return So. */
+  /*! @brief Checks whether requests need keys. @return True if they do. */
   [[nodiscard]] bool NeedsKeys() const noexcept {
     return !this->policy.workspaces.empty();
   }
@@ -142,9 +141,9 @@
   void RankWorkspaces();
 
   HostPolicy policy;
-  /*! @brief Ranks of workspaces but the lowest, the lower ones first. */
+  /*! @brief Workspace ranks above the lowest, in ascending priority. */
   std::vector<int> upper_ranks;
-  /*! @brief Indices of a host's routes, the longest prefix first. */
+  /*! @brief Indices of a host's routes, longest prefix first. */
   std::unordered_map<std::string, std::vector<std::size_t>> by_host;
   std::unordered_map<std::string, std::size_t> by_key;
   std::unordered_map<std::string, std::size_t> by_name;
--- a/src/pollenring/contract/json.h
+++ b/src/pollenring/contract/json.h
@@ -17,25 +17,25 @@
 inline constexpr const char *kKeyPrefix = "key/";
 
 /**
- * @brief Turns a checked set into configuration documents.
+ * @brief Serializes a checked set as configuration documents.
  * @param set The set.
  * @return One document per service and per workspace.
  */
 [[nodiscard]] Documents ToDocuments(const ContractSet &set);
 
 /**
- * @brief Reads a contract document.
+ * @brief Parses a contract document.
  * @param text The document.
  * @return The contract.
- * @throws nlohmann::json::exception when the document is of another form.
+ * @throws nlohmann::json::exception if the document is malformed.
  */
 [[nodiscard]] Contract ContractFromJson(const std::string &text);
 
 /**
- * @brief Reads a workspace document.
+ * @brief Parses a workspace document.
  * @param text The document.
- * @return The share.
- * @throws nlohmann::json::exception when the document is of another form.
+ * @return The rate limit.
+ * @throws nlohmann::json::exception if the document is malformed.
  */
 [[nodiscard]] WorkspaceRateLimit WorkspaceFromJson(const std::string &text);
 
--- a/src/pollenring/contract/parse.cc
+++ b/src/pollenring/contract/parse.cc
@@ -26,7 +26,7 @@
   return Number{value, text.substr(static_cast<std::size_t>(at - text.data()))};
 }
 
-/*! @brief Reads the fields of one TOML table and reports what is wrong. */
+/*! @brief Reads the fields of one TOML table and reports errors. */
 class TableReader {
  public:
   TableReader(const toml::table &table, const std::string &file,
@@ -42,7 +42,7 @@
     this->diagnostics.push_back({this->Where(node), std::move(message)});
   }
 
-  /*! @brief Reports every key outside the known ones. */
+  /*! @brief Reports every unknown key. */
   void KnownKeys(std::initializer_list<std::string_view> known) const {
     for (const auto &[key, value] : this->table) {
       const auto found = std::find(known.begin(), known.end(), key.str());
--- a/src/pollenring/contract/parse.h
+++ b/src/pollenring/contract/parse.h
@@ -9,7 +9,7 @@
 
 namespace pollenring {
 
-/*! @brief An operator's file, read already. */
+/*! @brief Name and contents of an operator's file. */
 struct SourceFile {
   std::string name;
   std::string text;
@@ -18,23 +18,23 @@
 /**
  * @brief Parses one contract file.
  * @param file The file.
- * @param set Receives what the file declares.
- * @param diagnostics Receives all faults.
+ * @param set Receives the file's declarations.
+ * @param diagnostics Receives all errors.
  */
 void ParseContractFile(const SourceFile &file, ContractSet &set,
                        Diagnostics &diagnostics);
 
 /**
- * @brief Parses a length of time with its unit.
+ * @brief Parses a duration with its unit.
  * @param text Such as `250ms` or `2s`.
- * @return The length, or nothing when number or unit is missing.
+ * @return The duration, or nothing if number or unit is invalid.
  */
 [[nodiscard]] std::optional<Duration> ParseDuration(std::string_view text);
 
 /**
  * @brief Parses a rate with its unit.
  * @param text Such as `50/s` or `600/min`.
- * @return Requests a second, or nothing when number or unit is missing.
+ * @return Requests per second, or nothing if number or unit is invalid.
  */
 [[nodiscard]] std::optional<double> ParseRate(std::string_view text);
 
--- a/src/pollenring/contract/policy.h
+++ b/src/pollenring/contract/policy.h
@@ -10,14 +10,14 @@
 
 namespace pollenring {
 
-/*! @brief A configuration made ready for look-ups on the path of a call. */
+/*! @brief A configuration indexed for look-ups by request. */
 class Policy {
  public:
-  /*! @brief An empty policy: no service, no workspace, no key. */
+  /*! @brief Creates an empty policy without services, workspaces or keys. */
   Policy() = default;
 
   /**
-   * @brief Adds, replaces or removes what one document declares.
+   * @brief Adds, replaces or removes the declarations of one document.
    * @param name The document's name.
    * @param text Its text; empty removes it.
    */
@@ -31,7 +31,7 @@
   [[nodiscard]] const Contract *Find(const std::string &service) const;
 
   /**
-   * @brief Finds the route of a request, the longest prefix first.
+   * @brief Finds the route with the longest matching prefix.
    * @param contract The service's contract.
    * @param method The method.
    * @param path The path within the service.
@@ -42,30 +42,30 @@
                                           std::string_view path);
 
   /**
-   * @brief Tells whether a caller may call a service.
+   * @brief Checks whether a caller may call a service.
    * @param contract The service's contract.
    * @param caller Name of the calling service, or `kPublicCaller`.
-   * @return Whether the contract lists the caller.
+   * @return True if the contract lists the caller.
    */
   [[nodiscard]] static bool Allows(const Contract &contract,
                                    std::string_view caller);
 
   /**
-   * @brief Finds the workspace of a key.
+   * @brief Finds the workspace that holds a key.
    * @param digest SHA-256 of the key, in hexadecimal.
-   * @return The workspace's name, or an empty text.
+   * @return The workspace's name, or an empty string.
    */
   [[nodiscard]] std::string WorkspaceOf(const std::string &digest) const;
 
   /**
    * @brief Finds a workspace's rate and burst.
    * @param workspace The workspace.
-   * @return The share, or null.
+   * @return The rate limit, or null.
    */
   [[nodiscard]] const WorkspaceRateLimit *ShareOf(
       const std::string &workspace) const;
 
-  /*! @brief All workspaces. @return Shares by name. */
+  /*! @brief All workspaces. @return Rate limits by name. */
   [[nodiscard]] const std::unordered_map<std::string, WorkspaceRateLimit>
       &Workspaces() const noexcept {
     return this->workspaces;
--- a/test/pollenring/contract/host_policy_test.cc
+++ b/test/pollenring/contract/host_policy_test.cc
@@ -22,7 +22,7 @@
   return route;
 }
 
-/*! @brief Priority of a workspace's request on a route of a rank. */
+/*! @brief Priority of a workspace's request on a route with a rank. */
 [[nodiscard]] double Place(const HostTable &table, const std::string &key,
                            int route_rank, double sub_priority) {
   HostRoute route;
@@ -48,13 +48,13 @@
   CHECK(table.WorkspacesRanked());
   CHECK(Place(table, "k0", 2, 0) > Place(table, "k1", 0, 0.99));
   CHECK(Place(table, "k1", 2, 0) > Place(table, "k4", 0, 0.99));
-  // Alike in that, their routes decide, and the lot after them.
+  // At equal workspace rank, route rank decides, then sub-priority.
   for (const std::string key : {"k0", "k1", "k4"}) {
     CHECK(Place(table, key, 0, 0) > Place(table, key, 1, 0.99));
     CHECK(Place(table, key, 1, 0) > Place(table, key, 2, 0.99));
     CHECK(Place(table, key, 1, 0.6) > Place(table, key, 1, 0.5));
   }
-  // The lowest have their routes' ranks, as they are.
+  // The lowest workspaces have their routes' priority.
   const std::string lowest = some_unranked ? "k" : "k4";
   CHECK(Place(table, lowest, 0, 0.5) == 2.5);
   CHECK(Place(table, lowest, 2, 0.25) == 0.25);
