--- a/src/pollenring/storage/http_storage.h
+++ b/src/pollenring/storage/http_storage.h
@@ -10,12 +10,12 @@
 
 namespace pollenring {
 
-/*! @brief The platform's table over HTTP with JSON bodies. */
+/*! @brief Client of the platform's table, over HTTP with JSON bodies. */
 class HttpTable final : public Table {
  public:
   /**
-   * @brief Connects a table.
-   * @param client Client to use.
+   * @brief Creates a client of a table.
+   * @param client HTTP client.
    * @param address The platform's address.
    */
   HttpTable(HttpClient &client, const Address &address)
@@ -36,12 +36,12 @@
   Address address;
 };
 
-/*! @brief The platform's object store over HTTP. */
+/*! @brief Client of the platform's object store, over HTTP. */
 class HttpObjectStore final : public ObjectStore {
  public:
   /**
-   * @brief Connects an object store.
-   * @param client Client to use.
+   * @brief Creates a client of an object store.
+   * @param client HTTP client.
    * @param address The platform's address.
    */
   HttpObjectStore(HttpClient &client, const Address &address)
--- a/src/pollenring/storage/memory_storage.h
+++ b/src/pollenring/storage/memory_storage.h
@@ -9,13 +9,13 @@
 
 namespace pollenring {
 
-/*! @brief Faults that a stand-in brings about on request. */
+/*! @brief Faults to inject, in tests and the stand-in. */
 struct StorageFaults {
   bool down{};
   bool lose_write_answers{};
 };
 
-/*! @brief A table in memory; answers before the call returns. */
+/*! @brief A table in memory; calls back before the call returns. */
 class MemoryTable final : public Table {
  public:
   [[nodiscard]] StorageFaults &Faults() noexcept { return this->faults; }
@@ -38,7 +38,7 @@
   std::uint64_t writes{};
 };
 
-/*! @brief An object store in memory; answers before the call returns. */
+/*! @brief An object store in memory; calls back before the call returns. */
 class MemoryObjectStore final : public ObjectStore {
  public:
   [[nodiscard]] StorageFaults &Faults() noexcept { return this->faults; }
--- a/src/pollenring/storage/storage.h
+++ b/src/pollenring/storage/storage.h
@@ -11,14 +11,14 @@
 
 namespace pollenring {
 
-/*! @brief A row of the table; version 0 means that there is none. */
+/*! @brief A row of the table; version 0 means that it does not exist. */
 struct Row {
   std::string key;
   std::uint64_t version{};
   std::string value;
 };
 
-/*! @brief A version that a row must have for a write to happen. */
+/*! @brief Precondition of a write: the version that a row must have. */
 struct RowCondition {
   std::string key;
   std::uint64_t version{};
@@ -30,7 +30,7 @@
   std::string value;
 };
 
-/*! @brief Why the storage gave no result. */
+/*! @brief Why a storage operation failed. */
 enum class StorageError {
   kUnavailable, /*!< Nothing was written. */
   kUnknown,     /*!< A write may have happened. */
@@ -44,7 +44,7 @@
     {StorageError::kNotFound, "not found"},
 }}};
 
-/*! @brief What became of a conditional write. */
+/*! @brief Result of a conditional write. */
 enum class WriteResult { kWritten, kConflict };
 
 /*! @brief The platform's transactional table. */
@@ -59,25 +59,25 @@
   virtual ~Table() = default;
 
   /**
-   * @brief Reads rows at one moment.
+   * @brief Reads rows in one snapshot.
    * @param keys Their keys.
-   * @param done Called once, with one row per key, absent ones at version 0.
+   * @param done Called once, with one row per key; missing rows have version 0.
    */
   virtual void Read(const std::vector<std::string> &keys,
                     std::function<void(Rows)> done) = 0;
 
   /**
-   * @brief Reads the rows whose keys start alike.
-   * @param prefix Start of the keys.
-   * @param done Called once, with the rows in the order of their keys.
+   * @brief Reads the rows whose keys have a prefix.
+   * @param prefix Prefix of the keys.
+   * @param done Called once, with the rows sorted by key.
    */
   virtual void List(const std::string &prefix,
                     std::function<void(Rows)> done) = 0;
 
   /**
-   * @brief Writes rows if all conditions hold, all or none.
+   * @brief Writes all rows if all conditions hold, and none otherwise.
    * @param conditions Versions that rows must have.
-   * @param puts Rows to write; each gets its version plus one.
+   * @param puts Rows to write; the version of each increases by one.
    * @param done Called once.
    */
   virtual void Write(const std::vector<RowCondition> &conditions,
@@ -97,7 +97,7 @@
   virtual ~ObjectStore() = default;
 
   /**
-   * @brief Stores an object, in place of one of that name.
+   * @brief Stores an object and replaces any of that name.
    * @param name Name.
    * @param content Content.
    * @param done Called once.
--- a/src/pollenring/storage/store_client.cc
+++ b/src/pollenring/storage/store_client.cc
@@ -5,8 +5,8 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Longest wait beyond what the store holds a call; it takes some
- * milliseconds, and a few hundred when it is slow. */
+/*! @brief Maximum wait beyond the time that the store holds a call. Calls take
+ * a few milliseconds, and a few hundred when the store is slow. */
 constexpr Duration kTimeout = std::chrono::milliseconds{800};
 constexpr int kTooManyRequests = 429;
 constexpr int kFirstServerError = 500;
--- a/src/pollenring/storage/store_client.h
+++ b/src/pollenring/storage/store_client.h
@@ -14,8 +14,8 @@
 /**
  * @brief Calls a store over HTTP.
  *
- * Knows what an answer, or none, says of whether the call was performed; the
- * form of calls is left to its users.
+ * Derives from the response, or its absence, whether the call was performed.
+ * Callers encode the requests.
  */
 class StoreClient {
  public:
@@ -24,7 +24,7 @@
 
   /**
    * @brief Creates a client.
-   * @param client Connections.
+   * @param client HTTP client.
    * @param address The store's address.
    */
   StoreClient(HttpClient &client, const Address &address)
@@ -33,9 +33,9 @@
   /**
    * @brief Performs a call.
    * @param request The call.
-   * @param wait How long the store may hold it before it answers.
-   * @param done Called once; `kUnavailable` when nothing was done, `kUnknown`
-   * when it may have been, now or later.
+   * @param wait Maximum time that the store holds the call before it responds.
+   * @param done Called once; `kUnavailable` if the call was not performed,
+   * `kUnknown` if it may have been, or may be later.
    */
   void Call(const HttpRequest &request, Duration wait, Done done);
 
