Rename private words of core, contract and storage

Several names hid what they stand for: ShareOf returns a rate limit, not the lent part; most, shortest and smallest are bounds; Strip, Put, Missing and KnownKeys did not say what they do. They become RateLimitOf, max, kMinBurstDuration, kMinBurst, StripPrefix, PutOrErase, ReportMissing, ReportUnknownKeys; locals follow. The few uses in other folders are adapted. Identifiers only, no string and no logic changes.

--- a/src/pollenring/contract/check.cc
+++ b/src/pollenring/contract/check.cc
@@ -14,17 +14,19 @@
                                    Diagnostics &diagnostics) {
   ByService services;
   for (const auto &contract : set.contracts) {
-    const auto [at, added] = services.emplace(contract.service, &contract);
+    const auto [existing, added] =
+        services.emplace(contract.service, &contract);
     if (added) continue;
-    diagnostics.push_back({contract.location, "service '" + contract.service +
-                                                  "' is declared already in " +
-                                                  at->second->location.file});
+    diagnostics.push_back(
+        {contract.location, "service '" + contract.service +
+                                "' is declared already in " +
+                                existing->second->location.file});
   }
   std::set<std::string> workspaces;
-  for (const auto &share : set.workspaces) {
-    if (workspaces.insert(share.name).second) continue;
-    diagnostics.push_back(
-        {share.location, "workspace '" + share.name + "' is declared twice"});
+  for (const auto &workspace : set.workspaces) {
+    if (workspaces.insert(workspace.name).second) continue;
+    diagnostics.push_back({workspace.location, "workspace '" + workspace.name +
+                                                   "' is declared twice"});
   }
   return services;
 }
@@ -47,8 +49,8 @@
       : services{services}, diagnostics{diagnostics} {}
 
   void Visit(const Contract &contract) {
-    if (this->done.count(contract.service) > 0) return;
-    if (!this->open.insert(contract.service).second) {
+    if (this->visited.count(contract.service) > 0) return;
+    if (!this->on_path.insert(contract.service).second) {
       this->diagnostics.push_back(
           {contract.location,
            "service '" + contract.service + "' calls itself through others"});
@@ -59,15 +61,15 @@
       if (found == this->services.end()) continue;
       this->Visit(*found->second);
     }
-    this->open.erase(contract.service);
-    this->done.insert(contract.service);
+    this->on_path.erase(contract.service);
+    this->visited.insert(contract.service);
   }
 
  private:
   const ByService &services;
   Diagnostics &diagnostics;
-  std::set<std::string> open;
-  std::set<std::string> done;
+  std::set<std::string> on_path;
+  std::set<std::string> visited;
 };
 
 void CheckRoutes(const ContractSet &set, Diagnostics &diagnostics) {
@@ -83,22 +85,23 @@
   }
 }
 
-void CheckShares(const ContractSet &set, Diagnostics &diagnostics) {
-  const double seconds = std::chrono::duration<double>{kShortestBurst}.count();
-  for (const auto &share : set.workspaces) {
-    if (share.rate <= 0) {
-      diagnostics.push_back({share.location, "'rate' must be above 0"});
+void CheckRateLimits(const ContractSet &set, Diagnostics &diagnostics) {
+  const double seconds =
+      std::chrono::duration<double>{kMinBurstDuration}.count();
+  for (const auto &workspace : set.workspaces) {
+    if (workspace.rate <= 0) {
+      diagnostics.push_back({workspace.location, "'rate' must be above 0"});
       continue;
     }
-    if (share.burst < kSmallestBurst) {
-      diagnostics.push_back({share.location, "'burst' must be 6 or more"});
+    if (workspace.burst < kMinBurst) {
+      diagnostics.push_back({workspace.location, "'burst' must be 6 or more"});
       continue;
     }
-    if (share.burst >= share.rate * seconds) continue;
-    diagnostics.push_back({share.location,
+    if (workspace.burst >= workspace.rate * seconds) continue;
+    diagnostics.push_back({workspace.location,
                            "'burst' must cover at least 250 ms at the rate of "
                            "workspace '" +
-                               share.name + "'"});
+                               workspace.name + "'"});
   }
 }
 
@@ -108,7 +111,7 @@
   const ByService services = CheckNames(set, diagnostics);
   CheckCallers(set, services, diagnostics);
   CheckRoutes(set, diagnostics);
-  CheckShares(set, diagnostics);
+  CheckRateLimits(set, diagnostics);
   CycleSearch search{services, diagnostics};
   for (const auto &[name, contract] : services) search.Visit(*contract);
 }
--- a/src/pollenring/contract/check.h
+++ b/src/pollenring/contract/check.h
@@ -9,10 +9,10 @@
 namespace pollenring {
 
 /*! @brief Minimum time that a workspace's burst must cover at its rate. */
-inline constexpr Duration kShortestBurst = std::chrono::milliseconds{250};
+inline constexpr Duration kMinBurstDuration = std::chrono::milliseconds{250};
 
 /*! @brief Minimum burst that can be split over a workspace's slots. */
-inline constexpr double kSmallestBurst = 6;
+inline constexpr double kMinBurst = 6;
 
 /**
  * @brief Checks a complete set: names, callers, routes, rate limits and cycles.
--- a/src/pollenring/contract/host_policy.cc
+++ b/src/pollenring/contract/host_policy.cc
@@ -64,10 +64,11 @@
           : std::find(upper.begin(), upper.end(), *workspace->rank);
   if (found == upper.end())
     return {static_cast<Importance>(by_route), sub_priority};
-  constexpr int kRouteLevels = static_cast<int>(Importance::kHigh) + 1;
-  const auto above = static_cast<double>(found - upper.begin());
-  const double place = above + (by_route + sub_priority) / kRouteLevels;
-  return {Importance::kCritical, place / static_cast<double>(upper.size())};
+  constexpr int kRoutePriorities = static_cast<int>(Importance::kHigh) + 1;
+  const auto lower_ranks = static_cast<double>(found - upper.begin());
+  const double position =
+      lower_ranks + (by_route + sub_priority) / kRoutePriorities;
+  return {Importance::kCritical, position / static_cast<double>(upper.size())};
 }
 
 void HostTable::RankWorkspaces() {
@@ -90,13 +91,13 @@
   return found == starts.end() ? nullptr : &*found;
 }
 
-const WorkspaceRateLimit *HostTable::ShareOf(
+const WorkspaceRateLimit *HostTable::RateLimitOf(
     const std::string &workspace) const {
   const auto found = this->by_name.find(workspace);
   if (found == this->by_name.end()) return nullptr;
-  const WorkspaceRateLimit &share =
+  const WorkspaceRateLimit &rate_limit =
       this->policy.workspaces[found->second].share;
-  return share.rate > 0 ? &share : nullptr;
+  return rate_limit.rate > 0 ? &rate_limit : nullptr;
 }
 
 }  // namespace pollenring
--- a/src/pollenring/contract/host_policy.h
+++ b/src/pollenring/contract/host_policy.h
@@ -102,7 +102,7 @@
    * @param workspace Its name.
    * @return The rate limit, or null if there is none or its rate is 0.
    */
-  [[nodiscard]] const WorkspaceRateLimit *ShareOf(
+  [[nodiscard]] const WorkspaceRateLimit *RateLimitOf(
       const std::string &workspace) const;
 
   /**
--- a/src/pollenring/contract/json.cc
+++ b/src/pollenring/contract/json.cc
@@ -17,7 +17,7 @@
           {"retries", route.retries}};
 }
 
-[[nodiscard]] Route RouteFrom(const Json &json) {
+[[nodiscard]] Route RouteFromJson(const Json &json) {
   Route route;
   route.method = json.at("method").get<std::string>();
   route.path_prefix = json.at("path").get<std::string>();
@@ -43,10 +43,11 @@
                     {"routes", std::move(routes)}};
     documents[kContractPrefix + contract.service] = json.dump();
   }
-  for (const auto &share : set.workspaces) {
-    const Json json{
-        {"name", share.name}, {"rate", share.rate}, {"burst", share.burst}};
-    documents[kWorkspacePrefix + share.name] = json.dump();
+  for (const auto &workspace : set.workspaces) {
+    const Json json{{"name", workspace.name},
+                    {"rate", workspace.rate},
+                    {"burst", workspace.burst}};
+    documents[kWorkspacePrefix + workspace.name] = json.dump();
   }
   return documents;
 }
@@ -57,18 +58,18 @@
   contract.service = json.at("service").get<std::string>();
   contract.callers = json.at("callers").get<std::vector<std::string>>();
   for (const auto &route : json.at("routes")) {
-    contract.routes.push_back(RouteFrom(route));
+    contract.routes.push_back(RouteFromJson(route));
   }
   return contract;
 }
 
 WorkspaceRateLimit WorkspaceFromJson(const std::string &text) {
   const Json json = Json::parse(text);
-  WorkspaceRateLimit share;
-  share.name = json.at("name").get<std::string>();
-  share.rate = json.at("rate").get<double>();
-  share.burst = json.at("burst").get<double>();
-  return share;
+  WorkspaceRateLimit workspace;
+  workspace.name = json.at("name").get<std::string>();
+  workspace.rate = json.at("rate").get<double>();
+  workspace.burst = json.at("burst").get<double>();
+  return workspace;
 }
 
 }  // namespace pollenring
--- a/src/pollenring/contract/parse.cc
+++ b/src/pollenring/contract/parse.cc
@@ -10,7 +10,7 @@
 namespace pollenring {
 namespace {
 
-constexpr int kMostRetries = 10;
+constexpr int kMaxRetries = 10;
 constexpr double kSecondsPerMinute = 60.0;
 
 struct Number {
@@ -21,9 +21,10 @@
 [[nodiscard]] std::optional<Number> SplitNumber(std::string_view text) {
   double value = 0;
   const auto *end = text.data() + text.size();
-  const auto [at, error] = std::from_chars(text.data(), end, value);
+  const auto [rest, error] = std::from_chars(text.data(), end, value);
   if (error != std::errc{} || value < 0) return std::nullopt;
-  return Number{value, text.substr(static_cast<std::size_t>(at - text.data()))};
+  return Number{value,
+                text.substr(static_cast<std::size_t>(rest - text.data()))};
 }
 
 /*! @brief Reads the fields of one TOML table and reports errors. */
@@ -33,17 +34,17 @@
               Diagnostics &diagnostics)
       : table{table}, file{file}, diagnostics{diagnostics} {}
 
-  [[nodiscard]] SourceLocation Where(const toml::node &node) const {
+  [[nodiscard]] SourceLocation LocationOf(const toml::node &node) const {
     const auto &begin = node.source().begin;
     return {this->file, begin.line, begin.column};
   }
 
   void Report(const toml::node &node, std::string message) const {
-    this->diagnostics.push_back({this->Where(node), std::move(message)});
+    this->diagnostics.push_back({this->LocationOf(node), std::move(message)});
   }
 
   /*! @brief Reports every unknown key. */
-  void KnownKeys(std::initializer_list<std::string_view> known) const {
+  void ReportUnknownKeys(std::initializer_list<std::string_view> known) const {
     for (const auto &[key, value] : this->table) {
       const auto found = std::find(known.begin(), known.end(), key.str());
       if (found != known.end()) continue;
@@ -55,7 +56,7 @@
                                                 bool required) const {
     const toml::node *node = this->table.get(key);
     if (node == nullptr) {
-      if (required) this->Missing(key);
+      if (required) this->ReportMissing(key);
       return std::nullopt;
     }
     auto value = node->value_exact<std::string>();
@@ -67,31 +68,31 @@
   void Flag(std::string_view key, bool &value) const {
     const toml::node *node = this->table.get(key);
     if (node == nullptr) return;
-    const auto given = node->value_exact<bool>();
-    if (given) {
-      value = *given;
+    const auto parsed = node->value_exact<bool>();
+    if (parsed) {
+      value = *parsed;
       return;
     }
     this->Report(*node, "'" + std::string{key} + "' must be true or false");
   }
 
-  void Count(std::string_view key, int most, int &value) const {
+  void Count(std::string_view key, int max, int &value) const {
     const toml::node *node = this->table.get(key);
     if (node == nullptr) return;
-    const auto given = node->value_exact<std::int64_t>();
-    if (given && *given >= 0 && *given <= most) {
-      value = static_cast<int>(*given);
+    const auto parsed = node->value_exact<std::int64_t>();
+    if (parsed && *parsed >= 0 && *parsed <= max) {
+      value = static_cast<int>(*parsed);
       return;
     }
     this->Report(*node, "'" + std::string{key} + "' must be from 0 to " +
-                            std::to_string(most));
+                            std::to_string(max));
   }
 
   [[nodiscard]] const toml::node *Node(std::string_view key) const {
     return this->table.get(key);
   }
 
-  void Missing(std::string_view key) const {
+  void ReportMissing(std::string_view key) const {
     this->Report(this->table, "'" + std::string{key} + "' is missing");
   }
 
@@ -104,9 +105,9 @@
 void ReadDeadline(const TableReader &reader, Route &route) {
   const auto text = reader.Text("deadline", false);
   if (!text) return;
-  const auto span = ParseDuration(*text);
-  if (span && *span > Duration{0}) {
-    route.deadline = *span;
+  const auto duration = ParseDuration(*text);
+  if (duration && *duration > Duration{0}) {
+    route.deadline = *duration;
     return;
   }
   reader.Report(*reader.Node("deadline"),
@@ -126,8 +127,8 @@
 }
 
 [[nodiscard]] Route ReadRoute(const TableReader &reader) {
-  reader.KnownKeys({"method", "path", "importance", "idempotent", "open",
-                    "deadline", "retries"});
+  reader.ReportUnknownKeys({"method", "path", "importance", "idempotent",
+                            "open", "deadline", "retries"});
   Route route;
   route.method = reader.Text("method", true).value_or("");
   route.path_prefix = reader.Text("path", true).value_or("");
@@ -139,31 +140,31 @@
   reader.Flag("idempotent", route.idempotent);
   reader.Flag("open", route.open);
   ReadDeadline(reader, route);
-  reader.Count("retries", kMostRetries, route.retries);
+  reader.Count("retries", kMaxRetries, route.retries);
   return route;
 }
 
 [[nodiscard]] WorkspaceRateLimit ReadWorkspace(const TableReader &reader,
                                                const toml::table &table) {
-  reader.KnownKeys({"name", "rate", "burst"});
-  WorkspaceRateLimit share;
-  share.location = reader.Where(table);
-  share.name = reader.Text("name", true).value_or("");
+  reader.ReportUnknownKeys({"name", "rate", "burst"});
+  WorkspaceRateLimit workspace;
+  workspace.location = reader.LocationOf(table);
+  workspace.name = reader.Text("name", true).value_or("");
   if (const auto text = reader.Text("rate", true)) {
     const auto rate = ParseRate(*text);
-    if (rate) share.rate = *rate;
+    if (rate) workspace.rate = *rate;
     if (!rate) {
       reader.Report(*reader.Node("rate"),
                     "'rate' needs a unit, such as \"50/s\" or \"600/min\"");
     }
   }
   const toml::node *burst = reader.Node("burst");
-  if (burst == nullptr) reader.Missing("burst");
-  if (burst == nullptr) return share;
+  if (burst == nullptr) reader.ReportMissing("burst");
+  if (burst == nullptr) return workspace;
   const auto value = burst->value<double>();
-  if (value && *value >= 1) share.burst = *value;
-  if (share.burst == 0) reader.Report(*burst, "'burst' must be 1 or more");
-  return share;
+  if (value && *value >= 1) workspace.burst = *value;
+  if (workspace.burst == 0) reader.Report(*burst, "'burst' must be 1 or more");
+  return workspace;
 }
 
 template <typename Read>
@@ -191,7 +192,7 @@
   const toml::node *node = reader.Node("callers");
   std::vector<std::string> callers;
   if (node == nullptr) {
-    reader.Missing("callers");
+    reader.ReportMissing("callers");
     return callers;
   }
   const toml::array *array = node->as_array();
@@ -245,23 +246,23 @@
     return;
   }
   const TableReader reader{root, file.name, diagnostics};
-  reader.KnownKeys({"service", "callers", "route", "workspace"});
+  reader.ReportUnknownKeys({"service", "callers", "route", "workspace"});
   ForEachTable(root, "workspace", reader, [&](const toml::table &table) {
-    const TableReader inner{table, file.name, diagnostics};
-    set.workspaces.push_back(ReadWorkspace(inner, table));
+    const TableReader table_reader{table, file.name, diagnostics};
+    set.workspaces.push_back(ReadWorkspace(table_reader, table));
   });
   const bool declares_service =
       root.contains("service") || root.contains("route");
   if (!declares_service) return;
   Contract contract;
-  contract.location = reader.Where(root);
+  contract.location = reader.LocationOf(root);
   contract.service = reader.Text("service", true).value_or("");
   contract.callers = ReadCallers(reader);
   ForEachTable(root, "route", reader, [&](const toml::table &table) {
     contract.routes.push_back(
         ReadRoute(TableReader{table, file.name, diagnostics}));
   });
-  if (contract.routes.empty()) reader.Missing("route");
+  if (contract.routes.empty()) reader.ReportMissing("route");
   set.contracts.push_back(std::move(contract));
 }
 
--- a/src/pollenring/contract/policy.cc
+++ b/src/pollenring/contract/policy.cc
@@ -5,14 +5,16 @@
 namespace pollenring {
 namespace {
 
-[[nodiscard]] bool Strip(std::string_view prefix, std::string_view &name) {
+[[nodiscard]] bool StripPrefix(std::string_view prefix,
+                               std::string_view &name) {
   if (name.substr(0, prefix.size()) != prefix) return false;
   name.remove_prefix(prefix.size());
   return true;
 }
 
 template <typename Map, typename Read>
-void Put(Map &map, std::string_view name, const std::string &text, Read read) {
+void PutOrErase(Map &map, std::string_view name, const std::string &text,
+                Read read) {
   const std::string key{name};
   if (text.empty()) {
     map.erase(key);
@@ -25,16 +27,17 @@
 
 void Policy::Apply(const std::string &name, const std::string &text) {
   std::string_view rest{name};
-  if (Strip(kContractPrefix, rest)) {
-    Put(this->contracts, rest, text, ContractFromJson);
+  if (StripPrefix(kContractPrefix, rest)) {
+    PutOrErase(this->contracts, rest, text, ContractFromJson);
     return;
   }
-  if (Strip(kWorkspacePrefix, rest)) {
-    Put(this->workspaces, rest, text, WorkspaceFromJson);
+  if (StripPrefix(kWorkspacePrefix, rest)) {
+    PutOrErase(this->workspaces, rest, text, WorkspaceFromJson);
     return;
   }
-  if (Strip(kKeyPrefix, rest)) {
-    Put(this->keys, rest, text, [](const std::string &value) { return value; });
+  if (StripPrefix(kKeyPrefix, rest)) {
+    PutOrErase(this->keys, rest, text,
+               [](const std::string &value) { return value; });
   }
 }
 
@@ -66,7 +69,8 @@
   return found == this->keys.end() ? std::string{} : found->second;
 }
 
-const WorkspaceRateLimit *Policy::ShareOf(const std::string &workspace) const {
+const WorkspaceRateLimit *Policy::RateLimitOf(
+    const std::string &workspace) const {
   const auto found = this->workspaces.find(workspace);
   return found == this->workspaces.end() ? nullptr : &found->second;
 }
--- a/src/pollenring/contract/policy.h
+++ b/src/pollenring/contract/policy.h
@@ -62,7 +62,7 @@
    * @param workspace The workspace.
    * @return The rate limit, or null.
    */
-  [[nodiscard]] const WorkspaceRateLimit *ShareOf(
+  [[nodiscard]] const WorkspaceRateLimit *RateLimitOf(
       const std::string &workspace) const;
 
   /*! @brief All workspaces. @return Rate limits by name. */
--- a/src/pollenring/core/clock.cc
+++ b/src/pollenring/core/clock.cc
@@ -5,7 +5,7 @@
 namespace pollenring {
 namespace {
 
-[[nodiscard]] std::chrono::nanoseconds Read(clockid_t id) noexcept {
+[[nodiscard]] std::chrono::nanoseconds ReadClock(clockid_t id) noexcept {
   timespec reading{};
   clock_gettime(id, &reading);
   return std::chrono::seconds{reading.tv_sec} +
@@ -15,11 +15,11 @@
 }  // namespace
 
 Time SystemClock::Now() const noexcept {
-  return std::chrono::duration_cast<Time>(Read(CLOCK_BOOTTIME));
+  return std::chrono::duration_cast<Time>(ReadClock(CLOCK_BOOTTIME));
 }
 
 WallTime SystemClock::WallNow() const noexcept {
-  return std::chrono::duration_cast<WallTime>(Read(CLOCK_REALTIME));
+  return std::chrono::duration_cast<WallTime>(ReadClock(CLOCK_REALTIME));
 }
 
 }  // namespace pollenring
--- a/src/pollenring/core/hash.cc
+++ b/src/pollenring/core/hash.cc
@@ -58,9 +58,9 @@
 }
 
 std::string RandomHex(std::size_t bytes) {
-  std::vector<unsigned char> drawn(bytes);
-  RAND_bytes(drawn.data(), static_cast<int>(bytes));
-  return ToHex(drawn.data(), bytes);
+  std::vector<unsigned char> buffer(bytes);
+  RAND_bytes(buffer.data(), static_cast<int>(bytes));
+  return ToHex(buffer.data(), bytes);
 }
 
 }  // namespace pollenring
--- a/src/pollenring/core/invariant.h
+++ b/src/pollenring/core/invariant.h
@@ -15,11 +15,12 @@
 /**
  * @brief Checks an invariant, in release builds too.
  * @param holds Whether the invariant holds.
- * @param rule Description of the invariant.
+ * @param description Description of the invariant.
  * @throws InvariantError if the invariant does not hold.
  */
-inline void Require(bool holds, const char *rule) {
-  if (!holds) throw InvariantError{std::string{"invariant broken: "} + rule};
+inline void Require(bool holds, const char *description) {
+  if (!holds)
+    throw InvariantError{std::string{"invariant broken: "} + description};
 }
 
 }  // namespace pollenring
--- a/src/pollenring/core/request_id.cc
+++ b/src/pollenring/core/request_id.cc
@@ -8,15 +8,15 @@
 namespace {
 
 constexpr std::size_t kUuidLength = 36;
-constexpr std::size_t kVersionAt = 14;
-constexpr std::size_t kVariantAt = 19;
-constexpr std::size_t kTimeDigits = 12;
+constexpr std::size_t kVersionIndex = 14;
+constexpr std::size_t kVariantIndex = 19;
+constexpr std::size_t kTimestampDigits = 12;
 
-[[nodiscard]] bool IsDash(std::size_t at) noexcept {
-  return at == 8 || at == 13 || at == 18 || at == 23;
+[[nodiscard]] bool IsDash(std::size_t index) noexcept {
+  return index == 8 || index == 13 || index == 18 || index == 23;
 }
 
-[[nodiscard]] std::optional<std::uint64_t> Digit(char c) noexcept {
+[[nodiscard]] std::optional<std::uint64_t> HexDigit(char c) noexcept {
   if (c >= '0' && c <= '9') return c - '0';
   if (c >= 'a' && c <= 'f') return c - 'a' + 10;
   return std::nullopt;
@@ -42,18 +42,18 @@
   if (id.size() != kUuidLength) return std::nullopt;
   std::uint64_t ms = 0;
   std::size_t digits = 0;
-  for (std::size_t at = 0; at < id.size(); ++at) {
-    if (IsDash(at)) {
-      if (id[at] != '-') return std::nullopt;
+  for (std::size_t index = 0; index < id.size(); ++index) {
+    if (IsDash(index)) {
+      if (id[index] != '-') return std::nullopt;
       continue;
     }
-    const auto digit = Digit(id[at]);
+    const auto digit = HexDigit(id[index]);
     if (!digit) return std::nullopt;
-    if (digits < kTimeDigits) ms = (ms << 4U) | *digit;
+    if (digits < kTimestampDigits) ms = (ms << 4U) | *digit;
     ++digits;
   }
-  if (id[kVersionAt] != '7') return std::nullopt;
-  if (const auto variant = *Digit(id[kVariantAt]);
+  if (id[kVersionIndex] != '7') return std::nullopt;
+  if (const auto variant = *HexDigit(id[kVariantIndex]);
       variant < 8 || variant > 11) {
     return std::nullopt;
   }
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -70,7 +70,7 @@
 
 std::optional<WorkspaceRateLimit> PolicyFollower::RateOf(
     const std::string &workspace) const {
-  const WorkspaceRateLimit *share = this->table.ShareOf(workspace);
+  const WorkspaceRateLimit *share = this->table.RateLimitOf(workspace);
   if (share == nullptr) return std::nullopt;
   return *share;
 }
--- a/src/pollenring/node/config_service.cc
+++ b/src/pollenring/node/config_service.cc
@@ -46,7 +46,8 @@
 
 std::optional<WorkspaceRateLimit> ConfigService::RateOf(
     const std::string &workspace) const {
-  const WorkspaceRateLimit *share = this->ledger.Active().ShareOf(workspace);
+  const WorkspaceRateLimit *share =
+      this->ledger.Active().RateLimitOf(workspace);
   if (share == nullptr) return std::nullopt;
   return *share;
 }
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -135,7 +135,7 @@
   root.envelope.importance = route->importance;
   root.envelope.idempotent = route->idempotent;
   root.envelope.sub_priority = SubPriorityOf(root.envelope.root_id);
-  const WorkspaceRateLimit *share = policy.ShareOf(root.envelope.workspace);
+  const WorkspaceRateLimit *share = policy.RateLimitOf(root.envelope.workspace);
   if (share != nullptr) root.envelope.weight = share->rate;
   root.envelope.retries = route->retries;
   root.deadline = root.started + route->deadline;
--- a/src/pollenring/node/operator_port.cc
+++ b/src/pollenring/node/operator_port.cc
@@ -147,7 +147,7 @@
       return;
     }
     const bool known =
-        workspace.empty() || ledger.Active().ShareOf(workspace) != nullptr;
+        workspace.empty() || ledger.Active().RateLimitOf(workspace) != nullptr;
     if (!known) {
       responder->Send(
           Fault(kBadRequest, "no workspace '" + workspace + "' is published"));
--- a/src/pollenring/storage/http_storage.cc
+++ b/src/pollenring/storage/http_storage.cc
@@ -7,9 +7,9 @@
 
 using Json = nlohmann::json;
 
-constexpr Duration kTimeout = std::chrono::milliseconds{800};
-constexpr int kOk = 200;
-constexpr int kMissing = 404;
+constexpr Duration kCallTimeout = std::chrono::milliseconds{800};
+constexpr int kOkStatus = 200;
+constexpr int kNotFoundStatus = 404;
 constexpr int kConflictStatus = 409;
 
 [[nodiscard]] HttpRequest Post(const std::string &path, std::string body) {
@@ -28,34 +28,36 @@
   return rows;
 }
 
-[[nodiscard]] StorageError WriteError(CallError error) noexcept {
+[[nodiscard]] StorageError WriteErrorOf(CallError error) noexcept {
   return WasNotSent(error) ? StorageError::kUnavailable
                            : StorageError::kUnknown;
 }
 
 }  // namespace
 
-void HttpTable::Fetch(const std::string &path, std::string body,
-                      std::function<void(Rows)> done) {
-  this->client.Call(this->address, Post(path, std::move(body)), kTimeout,
-                    [done = std::move(done)](HttpClient::Reply reply) {
-                      const auto *response = std::get_if<HttpResponse>(&reply);
-                      if (response == nullptr || response->status != kOk) {
-                        done(StorageError::kUnavailable);
-                        return;
-                      }
-                      done(ParseRows(response->body));
-                    });
+void HttpTable::FetchRows(const std::string &path, std::string body,
+                          std::function<void(Rows)> done) {
+  this->client.Call(
+      this->address, Post(path, std::move(body)), kCallTimeout,
+      [done = std::move(done)](HttpClient::Reply reply) {
+        const auto *response = std::get_if<HttpResponse>(&reply);
+        if (response == nullptr || response->status != kOkStatus) {
+          done(StorageError::kUnavailable);
+          return;
+        }
+        done(ParseRows(response->body));
+      });
 }
 
 void HttpTable::Read(const std::vector<std::string> &keys,
                      std::function<void(Rows)> done) {
-  this->Fetch("/table/read", Json{{"keys", keys}}.dump(), std::move(done));
+  this->FetchRows("/table/read", Json{{"keys", keys}}.dump(), std::move(done));
 }
 
 void HttpTable::List(const std::string &prefix,
                      std::function<void(Rows)> done) {
-  this->Fetch("/table/list", Json{{"prefix", prefix}}.dump(), std::move(done));
+  this->FetchRows("/table/list", Json{{"prefix", prefix}}.dump(),
+                  std::move(done));
 }
 
 void HttpTable::Write(const std::vector<RowCondition> &conditions,
@@ -69,14 +71,15 @@
   for (const auto &put : puts) {
     body["put"].push_back({{"key", put.key}, {"value", put.value}});
   }
-  this->client.Call(this->address, Post("/table/write", body.dump()), kTimeout,
+  this->client.Call(this->address, Post("/table/write", body.dump()),
+                    kCallTimeout,
                     [done = std::move(done)](HttpClient::Reply reply) {
                       const auto *response = std::get_if<HttpResponse>(&reply);
                       if (response == nullptr) {
-                        done(WriteError(std::get<CallError>(reply)));
+                        done(WriteErrorOf(std::get<CallError>(reply)));
                         return;
                       }
-                      if (response->status == kOk) {
+                      if (response->status == kOkStatus) {
                         done(WriteResult::kWritten);
                         return;
                       }
@@ -91,14 +94,14 @@
 void HttpObjectStore::Put(const std::string &name, std::string content,
                           std::function<void(Stored)> done) {
   const HttpRequest request{"PUT", "/objects/" + name, {}, std::move(content)};
-  this->client.Call(this->address, request, kTimeout,
+  this->client.Call(this->address, request, kCallTimeout,
                     [done = std::move(done)](HttpClient::Reply reply) {
                       const auto *response = std::get_if<HttpResponse>(&reply);
                       if (response == nullptr) {
-                        done(WriteError(std::get<CallError>(reply)));
+                        done(WriteErrorOf(std::get<CallError>(reply)));
                         return;
                       }
-                      if (response->status == kOk) {
+                      if (response->status == kOkStatus) {
                         done(std::monostate{});
                         return;
                       }
@@ -109,18 +112,18 @@
 void HttpObjectStore::Get(const std::string &name,
                           std::function<void(Object)> done) {
   const HttpRequest request{"GET", "/objects/" + name, {}, {}};
-  this->client.Call(this->address, request, kTimeout,
+  this->client.Call(this->address, request, kCallTimeout,
                     [done = std::move(done)](HttpClient::Reply reply) {
                       auto *response = std::get_if<HttpResponse>(&reply);
                       if (response == nullptr) {
                         done(StorageError::kUnavailable);
                         return;
                       }
-                      if (response->status == kOk) {
+                      if (response->status == kOkStatus) {
                         done(std::move(response->body));
                         return;
                       }
-                      done(response->status == kMissing
+                      done(response->status == kNotFoundStatus
                                ? StorageError::kNotFound
                                : StorageError::kUnavailable);
                     });
--- a/src/pollenring/storage/http_storage.h
+++ b/src/pollenring/storage/http_storage.h
@@ -29,8 +29,8 @@
              std::function<void(Written)> done) override;
 
  private:
-  void Fetch(const std::string &path, std::string body,
-             std::function<void(Rows)> done);
+  void FetchRows(const std::string &path, std::string body,
+                 std::function<void(Rows)> done);
 
   HttpClient &client;
   Address address;
--- a/src/pollenring/storage/memory_storage.cc
+++ b/src/pollenring/storage/memory_storage.cc
@@ -58,7 +58,7 @@
       this->rows[put.key] = std::move(row);
     }
   }
-  if (this->faults.lose_write_answers) {
+  if (this->faults.lose_write_responses) {
     done(StorageError::kUnknown);
     return;
   }
@@ -72,7 +72,7 @@
     return;
   }
   this->objects[name] = std::move(content);
-  if (this->faults.lose_write_answers) {
+  if (this->faults.lose_write_responses) {
     done(StorageError::kUnknown);
     return;
   }
--- a/src/pollenring/storage/memory_storage.h
+++ b/src/pollenring/storage/memory_storage.h
@@ -12,7 +12,7 @@
 /*! @brief Faults to inject, in tests and the stand-in. */
 struct StorageFaults {
   bool down{};
-  bool lose_write_answers{};
+  bool lose_write_responses{};
 };
 
 /*! @brief A table in memory; calls back before the call returns. */
--- a/src/pollenring/storage/store_client.cc
+++ b/src/pollenring/storage/store_client.cc
@@ -7,15 +7,15 @@
 
 /*! @brief Maximum wait beyond the time that the store holds a call. Calls take
  * a few milliseconds, and a few hundred when the store is slow. */
-constexpr Duration kTimeout = std::chrono::milliseconds{800};
+constexpr Duration kResponseTimeout = std::chrono::milliseconds{800};
 constexpr int kTooManyRequests = 429;
 constexpr int kFirstServerError = 500;
-constexpr int kUnavailable = 503;
+constexpr int kServiceUnavailable = 503;
 
 }  // namespace
 
 void StoreClient::Call(const HttpRequest &request, Duration wait, Done done) {
-  this->client.Call(this->address, request, wait + kTimeout,
+  this->client.Call(this->address, request, wait + kResponseTimeout,
                     [done = std::move(done)](HttpClient::Reply reply) {
                       if (const auto *error = std::get_if<CallError>(&reply)) {
                         done(WasNotSent(*error) ? StorageError::kUnavailable
@@ -23,7 +23,7 @@
                         return;
                       }
                       auto &response = std::get<HttpResponse>(reply);
-                      if (response.status == kUnavailable ||
+                      if (response.status == kServiceUnavailable ||
                           response.status == kTooManyRequests) {
                         done(StorageError::kUnavailable);
                         return;
--- a/test/pollenring/config/config_test.cc
+++ b/test/pollenring/config/config_test.cc
@@ -61,7 +61,7 @@
     std::vector<pollenring::ConfigCatchUp> on_the_way;
     for (std::uint64_t i = 0; i < support::Steps(3000); ++i) {
       table.Faults().down = random.Chance(0.1);
-      table.Faults().lose_write_answers = random.Chance(0.2);
+      table.Faults().lose_write_responses = random.Chance(0.2);
       Follower &node = *nodes[random.Index(nodes.size())];
       const auto base = node.ledger->Version();
       const auto name = "key/" + std::to_string(random.Index(50));
--- a/test/pollenring/contract/contract_test.cc
+++ b/test/pollenring/contract/contract_test.cc
@@ -37,9 +37,10 @@
         "[[workspace]]\nname = \"v\"\nrate = \"1/s\"\nburst = 2\n"},
        {"d.toml", "service = \n"}});
   const auto has = [&](const std::string &text) {
-    return std::any_of(
-        diagnostics.begin(), diagnostics.end(),
-        [&](const auto &one) { return one.find(text) != std::string::npos; });
+    return std::any_of(diagnostics.begin(), diagnostics.end(),
+                       [&](const auto &diagnostic) {
+                         return diagnostic.find(text) != std::string::npos;
+                       });
   };
   CHECK(has("a.toml:3:10: unknown key 'colour'"));
   CHECK(has("a.toml:6:8: 'path' must start with '/'"));
@@ -78,8 +79,8 @@
   CHECK_FALSE(route->idempotent);
   CHECK(route->deadline == std::chrono::milliseconds{250});
   CHECK(pollenring::Policy::Match(*contract, "GET", "/x") == nullptr);
-  REQUIRE(policy.ShareOf("w") != nullptr);
-  CHECK(policy.ShareOf("w")->rate == Approx(10));
+  REQUIRE(policy.RateLimitOf("w") != nullptr);
+  CHECK(policy.RateLimitOf("w")->rate == Approx(10));
   policy.Apply("contract/a", "");
   CHECK(policy.Find("a") == nullptr);
 }
@@ -115,22 +116,23 @@
     return pollenring::ReadSettings(
         {"n.toml", "[node]\nroutes = \"host\"\n" + grace}, diagnostics);
   };
-  const auto told = [](const Diagnostics &diagnostics) {
-    return std::any_of(
-        diagnostics.begin(), diagnostics.end(), [](const auto &each) {
-          return each.message.find("'grace_s' must be") != std::string::npos;
-        });
+  const auto reported = [](const Diagnostics &diagnostics) {
+    return std::any_of(diagnostics.begin(), diagnostics.end(),
+                       [](const auto &diagnostic) {
+                         return diagnostic.message.find("'grace_s' must be") !=
+                                std::string::npos;
+                       });
   };
   Diagnostics diagnostics;
   CHECK(read("", diagnostics).grace == std::chrono::seconds{6});
   CHECK(read("grace_s = 10\n", diagnostics).grace == std::chrono::seconds{10});
   CHECK(read("grace_s = 2.5\n", diagnostics).grace ==
         std::chrono::milliseconds{2500});
-  CHECK_FALSE(told(diagnostics));
+  CHECK_FALSE(reported(diagnostics));
   for (const std::string bad : {"0", "-1", "\"6\"", "1e9", "nan"}) {
     Diagnostics wrong;
     CHECK(read("grace_s = " + bad + "\n", wrong).grace ==
           std::chrono::seconds{6});
-    CHECK(told(wrong));
+    CHECK(reported(wrong));
   }
 }
--- a/test/pollenring/contract/host_policy_test.cc
+++ b/test/pollenring/contract/host_policy_test.cc
@@ -23,15 +23,15 @@
 }
 
 /*! @brief Priority of a workspace's request on a route with a rank. */
-[[nodiscard]] double Place(const HostTable &table, const std::string &key,
-                           int route_rank, double sub_priority) {
+[[nodiscard]] double PriorityIn(const HostTable &table, const std::string &key,
+                                int route_rank, double sub_priority) {
   HostRoute route;
   route.rank = route_rank;
-  const auto place =
+  const auto priority =
       table.RequestPriorityOf(route, table.WorkspaceOf(key), sub_priority);
-  CHECK(place.sub_priority >= 0);
-  CHECK(place.sub_priority < 1);
-  return PriorityOf(place.importance, place.sub_priority);
+  CHECK(priority.sub_priority >= 0);
+  CHECK(priority.sub_priority < 1);
+  return PriorityOf(priority.importance, priority.sub_priority);
 }
 
 }  // namespace
@@ -46,20 +46,20 @@
   if (!some_unranked) policy.workspaces.pop_back();
   const HostTable table{policy};
   CHECK(table.WorkspacesRanked());
-  CHECK(Place(table, "k0", 2, 0) > Place(table, "k1", 0, 0.99));
-  CHECK(Place(table, "k1", 2, 0) > Place(table, "k4", 0, 0.99));
+  CHECK(PriorityIn(table, "k0", 2, 0) > PriorityIn(table, "k1", 0, 0.99));
+  CHECK(PriorityIn(table, "k1", 2, 0) > PriorityIn(table, "k4", 0, 0.99));
   // At equal workspace rank, route rank decides, then sub-priority.
   for (const std::string key : {"k0", "k1", "k4"}) {
-    CHECK(Place(table, key, 0, 0) > Place(table, key, 1, 0.99));
-    CHECK(Place(table, key, 1, 0) > Place(table, key, 2, 0.99));
-    CHECK(Place(table, key, 1, 0.6) > Place(table, key, 1, 0.5));
+    CHECK(PriorityIn(table, key, 0, 0) > PriorityIn(table, key, 1, 0.99));
+    CHECK(PriorityIn(table, key, 1, 0) > PriorityIn(table, key, 2, 0.99));
+    CHECK(PriorityIn(table, key, 1, 0.6) > PriorityIn(table, key, 1, 0.5));
   }
   // The lowest workspaces have their routes' priority.
   const std::string lowest = some_unranked ? "k" : "k4";
-  CHECK(Place(table, lowest, 0, 0.5) == 2.5);
-  CHECK(Place(table, lowest, 2, 0.25) == 0.25);
+  CHECK(PriorityIn(table, lowest, 0, 0.5) == 2.5);
+  CHECK(PriorityIn(table, lowest, 2, 0.25) == 0.25);
   if (!some_unranked) return;
-  CHECK(Place(table, "k4", 2, 0) > Place(table, "k", 0, 0.99));
+  CHECK(PriorityIn(table, "k4", 2, 0) > PriorityIn(table, "k", 0, 0.99));
 }
 
 TEST_CASE("host table: without different workspaces the routes' ranks decide") {
@@ -67,12 +67,12 @@
   policy.workspaces = {{{"one", 5, 7, {}}, 1, {"k0"}},
                        {{"two", 5, 7, {}}, 1, {"k1"}}};
   const HostTable table{policy};
-  const auto place = table.RequestPriorityOf(Route("r", "a", "/"),
-                                             table.WorkspaceOf("k0"), 0.25);
+  const auto priority = table.RequestPriorityOf(Route("r", "a", "/"),
+                                                table.WorkspaceOf("k0"), 0.25);
   CHECK_FALSE(table.WorkspacesRanked());
-  CHECK(place.importance == Importance::kHigh);
-  CHECK(place.sub_priority == 0.25);
-  CHECK(Place(table, "k0", 0, 0) > Place(table, "k1", 1, 0.99));
+  CHECK(priority.importance == Importance::kHigh);
+  CHECK(priority.sub_priority == 0.25);
+  CHECK(PriorityIn(table, "k0", 0, 0) > PriorityIn(table, "k1", 1, 0.99));
 }
 
 TEST_CASE("host table: the longest prefix of the host wins") {
@@ -98,7 +98,7 @@
   CHECK(table.WorkspaceOf("k2")->share.name == "club");
   CHECK(table.WorkspaceOf("k4") == nullptr);
   CHECK(table.WorkspaceOf("") == nullptr);
-  REQUIRE(table.ShareOf("club") != nullptr);
-  CHECK(table.ShareOf("club")->rate == 5);
-  CHECK(table.ShareOf("free") == nullptr);
+  REQUIRE(table.RateLimitOf("club") != nullptr);
+  CHECK(table.RateLimitOf("club")->rate == 5);
+  CHECK(table.RateLimitOf("free") == nullptr);
 }
--- a/test/pollenring/core/core_test.cc
+++ b/test/pollenring/core/core_test.cc
@@ -31,10 +31,10 @@
   envelope.service = "s";
   envelope.importance = pollenring::Importance::kCritical;
   const auto framed = pollenring::Frame(envelope, "body");
-  const auto whole = pollenring::Unframe<pollenring::CallEnvelope>(framed);
-  REQUIRE(whole);
-  CHECK(whole->head.service == "s");
-  CHECK(whole->body == "body");
+  const auto decoded = pollenring::Unframe<pollenring::CallEnvelope>(framed);
+  REQUIRE(decoded);
+  CHECK(decoded->head.service == "s");
+  CHECK(decoded->body == "body");
   for (std::size_t size = 0; size + 4 < framed.size(); ++size) {
     CHECK_FALSE(
         pollenring::Unframe<pollenring::CallEnvelope>(framed.substr(0, size)));
--- a/test/support/lease_world.cc
+++ b/test/support/lease_world.cc
@@ -167,10 +167,10 @@
                      [this] { this->table.Faults().down = false; });
   }
   if (this->Happens(this->faults.lose_answers)) {
-    this->table.Faults().lose_write_answers = true;
+    this->table.Faults().lose_write_responses = true;
     this->network.At(
         this->truth.Now() + std::chrono::milliseconds{this->random.Index(5000)},
-        [this] { this->table.Faults().lose_write_answers = false; });
+        [this] { this->table.Faults().lose_write_responses = false; });
   }
   if (this->Happens(this->faults.cut)) {
     const auto cut = std::make_pair(pick(), pick());
