Retitle tests of core and contract

Several titles were riddles: findings that come with places, frames that are taken apart or refused when cut, ranks that go before others. They now name the checked behaviour: located errors, truncated frames, precedence of workspace ranks. Assertions stay as they were.

--- a/test/pollenring/contract/contract_test.cc
+++ b/test/pollenring/contract/contract_test.cc
@@ -22,7 +22,7 @@
 
 }  // namespace
 
-TEST_CASE("contract: all findings come at once, with their places") {
+TEST_CASE("contract: all errors are reported at once with their locations") {
   const auto diagnostics = DiagnosticsOf(
       {{"a.toml",
         "service = \"a\"\ncallers = [\"b\", \"ghost\"]\ncolour = 1\n"
@@ -56,7 +56,7 @@
   CHECK(has("d.toml:1:"));
 }
 
-TEST_CASE("contract: documents carry everything that is declared") {
+TEST_CASE("contract: documents contain all declarations") {
   Diagnostics diagnostics;
   const auto set = pollenring::ReadContracts(
       {{"a.toml",
@@ -85,7 +85,7 @@
   CHECK(policy.Find("a") == nullptr);
 }
 
-TEST_CASE("contract: random bytes give findings, never a crash") {
+TEST_CASE("contract: random bytes are reported as errors without a crash") {
   pollenring::SeededRandom random{1};
   const std::string letters = "[]=\"\n aservicroutepathwk0/.{},#'\\\t";
   for (int i = 0; i < 20'000; ++i) {
@@ -101,7 +101,7 @@
   }
 }
 
-TEST_CASE("settings: all findings come at once, with their places") {
+TEST_CASE("settings: all errors are reported at once with their locations") {
   Diagnostics diagnostics;
   static_cast<void>(pollenring::ReadSettings(
       {"n.toml",
@@ -111,7 +111,7 @@
   CHECK(diagnostics.size() >= 9);
 }
 
-TEST_CASE("settings: the grace of a planned stop is checked") {
+TEST_CASE("settings: the grace period of a drain is validated") {
   const auto read = [](const std::string &grace, Diagnostics &diagnostics) {
     return pollenring::ReadSettings(
         {"n.toml", "[node]\nroutes = \"host\"\n" + grace}, diagnostics);
--- a/test/pollenring/contract/host_policy_test.cc
+++ b/test/pollenring/contract/host_policy_test.cc
@@ -36,7 +36,7 @@
 
 }  // namespace
 
-TEST_CASE("host table: a workspace's rank goes before its route's") {
+TEST_CASE("host table: workspace rank takes precedence over route rank") {
   HostPolicy policy;
   policy.workspaces = {{{"first", 5, 7, {}}, 0, {"k0"}},
                        {{"second", 5, 7, {}}, 1, {"k1"}},
@@ -62,7 +62,8 @@
   CHECK(PriorityIn(table, "k4", 2, 0) > PriorityIn(table, "k", 0, 0.99));
 }
 
-TEST_CASE("host table: without different workspaces the routes' ranks decide") {
+TEST_CASE(
+    "host table: route ranks decide if all workspaces have the same rank") {
   HostPolicy policy;
   policy.workspaces = {{{"one", 5, 7, {}}, 1, {"k0"}},
                        {{"two", 5, 7, {}}, 1, {"k1"}}};
@@ -75,7 +76,7 @@
   CHECK(PriorityIn(table, "k0", 0, 0) > PriorityIn(table, "k1", 1, 0.99));
 }
 
-TEST_CASE("host table: the longest prefix of the host wins") {
+TEST_CASE("host table: the longest matching prefix of a host wins") {
   HostPolicy policy;
   policy.routes = {Route("short", "a.example", "/x/"),
                    Route("long", "a.example", "/x/y/"),
@@ -88,7 +89,7 @@
   CHECK(table.Find("c.example", "/x/") == nullptr);
 }
 
-TEST_CASE("host table: keys name workspaces, rate 0 is no limit") {
+TEST_CASE("host table: keys identify workspaces and rate 0 means no limit") {
   HostPolicy policy;
   policy.workspaces = {{{"club", 5, 7, {}}, 1, {"k1", "k2"}},
                        {{"free", 0, 0, {}}, 1, {"k3"}}};
--- a/test/pollenring/core/core_test.cc
+++ b/test/pollenring/core/core_test.cc
@@ -5,7 +5,7 @@
 #include "pollenring/net/address.h"
 #include "pollenring/node/wire.h"
 
-TEST_CASE("core: a request id carries its time of minting") {
+TEST_CASE("core: a request ID contains its creation time") {
   pollenring::SeededRandom random{1};
   const pollenring::WallTime wall{1'796'000'000'123};
   const auto id = pollenring::MintRequestId(wall, random);
@@ -26,7 +26,7 @@
   }
 }
 
-TEST_CASE("core: frames are taken apart, or refused when cut") {
+TEST_CASE("core: frames are decoded and truncated ones are rejected") {
   pollenring::CallEnvelope envelope;
   envelope.service = "s";
   envelope.importance = pollenring::Importance::kCritical;
@@ -41,7 +41,7 @@
   }
 }
 
-TEST_CASE("core: digests and comparisons") {
+TEST_CASE("core: digests and constant-time comparison") {
   CHECK(pollenring::Sha256Hex("abc") ==
         "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
   CHECK(pollenring::EqualConstantTime("abc", "abc"));
