--- a/src/pollenring/node/config_service.cc
+++ b/src/pollenring/node/config_service.cc
@@ -47,7 +47,7 @@
 std::optional<WorkspaceRateLimit> ConfigService::RateOf(
     const std::string &workspace) const {
   const WorkspaceRateLimit *rate_limit =
-      this->ledger.Active().ShareOf(workspace);
+      this->ledger.Active().RateLimitOf(workspace);
   if (rate_limit == nullptr) return std::nullopt;
   return *rate_limit;
 }
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -138,7 +138,7 @@
   root.envelope.idempotent = route->idempotent;
   root.envelope.sub_priority = SubPriorityOf(root.envelope.root_id);
   const WorkspaceRateLimit *rate_limit =
-      policy.ShareOf(root.envelope.workspace);
+      policy.RateLimitOf(root.envelope.workspace);
   if (rate_limit != nullptr) root.envelope.weight = rate_limit->rate;
   root.envelope.retries = route->retries;
   root.deadline = root.started + route->deadline;
--- a/test/pollenring/config/config_test.cc
+++ b/test/pollenring/config/config_test.cc
@@ -63,7 +63,7 @@
     std::vector<pollenring::ConfigCatchUp> in_flight;
     for (std::uint64_t i = 0; i < support::Steps(3000); ++i) {
       table.Faults().down = random.Chance(0.1);
-      table.Faults().lose_write_answers = random.Chance(0.2);
+      table.Faults().lose_write_responses = random.Chance(0.2);
       Follower &node = *nodes[random.Index(nodes.size())];
       const auto base = node.ledger->Version();
       const auto name = "key/" + std::to_string(random.Index(50));
--- a/test/pollenring/contract/contract_test.cc
+++ b/test/pollenring/contract/contract_test.cc
@@ -22,7 +22,7 @@
 
 }  // namespace
 
-TEST_CASE("contract: all findings come at once, with their places") {
+TEST_CASE("contract: all errors are reported at once with their locations") {
   const auto diagnostics = DiagnosticsOf(
       {{"a.toml",
         "service = \"a\"\ncallers = [\"b\", \"ghost\"]\ncolour = 1\n"
@@ -37,9 +37,10 @@
         "[[workspace]]\nname = \"v\"\nrate = \"1/s\"\nburst = 2\n"},
        {"d.toml", "service = \n"}});
   const auto has = [&](const std::string &text) {
-    return std::any_of(
-        diagnostics.begin(), diagnostics.end(),
-        [&](const auto &one) { return one.find(text) != std::string::npos; });
+    return std::any_of(diagnostics.begin(), diagnostics.end(),
+                       [&](const auto &diagnostic) {
+                         return diagnostic.find(text) != std::string::npos;
+                       });
   };
   CHECK(has("a.toml:3:10: unknown key 'colour'"));
   CHECK(has("a.toml:6:8: 'path' must start with '/'"));
@@ -55,7 +56,7 @@
   CHECK(has("d.toml:1:"));
 }
 
-TEST_CASE("contract: documents carry everything that is declared") {
+TEST_CASE("contract: documents contain all declarations") {
   Diagnostics diagnostics;
   const auto set = pollenring::ReadContracts(
       {{"a.toml",
@@ -78,13 +79,13 @@
   CHECK_FALSE(route->idempotent);
   CHECK(route->deadline == std::chrono::milliseconds{250});
   CHECK(pollenring::Policy::Match(*contract, "GET", "/x") == nullptr);
-  REQUIRE(policy.ShareOf("w") != nullptr);
-  CHECK(policy.ShareOf("w")->rate == Approx(10));
+  REQUIRE(policy.RateLimitOf("w") != nullptr);
+  CHECK(policy.RateLimitOf("w")->rate == Approx(10));
   policy.Apply("contract/a", "");
   CHECK(policy.Find("a") == nullptr);
 }
 
-TEST_CASE("contract: random bytes give findings, never a crash") {
+TEST_CASE("contract: random bytes are reported as errors without a crash") {
   pollenring::SeededRandom random{1};
   const std::string letters = "[]=\"\n aservicroutepathwk0/.{},#'\\\t";
   for (int i = 0; i < 20'000; ++i) {
@@ -100,7 +101,7 @@
   }
 }
 
-TEST_CASE("settings: all findings come at once, with their places") {
+TEST_CASE("settings: all errors are reported at once with their locations") {
   Diagnostics diagnostics;
   static_cast<void>(pollenring::ReadSettings(
       {"n.toml",
@@ -110,27 +111,28 @@
   CHECK(diagnostics.size() >= 9);
 }
 
-TEST_CASE("settings: the grace of a planned stop is checked") {
+TEST_CASE("settings: the grace period of a drain is validated") {
   const auto read = [](const std::string &grace, Diagnostics &diagnostics) {
     return pollenring::ReadSettings(
         {"n.toml", "[node]\nroutes = \"host\"\n" + grace}, diagnostics);
   };
-  const auto told = [](const Diagnostics &diagnostics) {
-    return std::any_of(
-        diagnostics.begin(), diagnostics.end(), [](const auto &each) {
-          return each.message.find("'grace_s' must be") != std::string::npos;
-        });
+  const auto reported = [](const Diagnostics &diagnostics) {
+    return std::any_of(diagnostics.begin(), diagnostics.end(),
+                       [](const auto &diagnostic) {
+                         return diagnostic.message.find("'grace_s' must be") !=
+                                std::string::npos;
+                       });
   };
   Diagnostics diagnostics;
   CHECK(read("", diagnostics).grace == std::chrono::seconds{6});
   CHECK(read("grace_s = 10\n", diagnostics).grace == std::chrono::seconds{10});
   CHECK(read("grace_s = 2.5\n", diagnostics).grace ==
         std::chrono::milliseconds{2500});
-  CHECK_FALSE(told(diagnostics));
+  CHECK_FALSE(reported(diagnostics));
   for (const std::string bad : {"0", "-1", "\"6\"", "1e9", "nan"}) {
     Diagnostics wrong;
     CHECK(read("grace_s = " + bad + "\n", wrong).grace ==
           std::chrono::seconds{6});
-    CHECK(told(wrong));
+    CHECK(reported(wrong));
   }
 }
