Reword comments of net

Comments called a response an answer, buffered bytes held ones and a stalled process one that stood still, so a reader had to learn private words before the limits of client and server made sense. They now use the terms of HTTP and sockets: response, connection reset, SYN retransmission, pipelined request, invariant. All reasons and numbers stay.

--- a/src/pollenring/net/address.h
+++ b/src/pollenring/net/address.h
@@ -18,12 +18,12 @@
   /**
    * @brief Parses `a.b.c.d:port`.
    * @param text The text.
-   * @return The address, or nothing when the text is of another form.
+   * @return The address, or nothing if the text is malformed.
    */
   [[nodiscard]] static std::optional<Address> Parse(std::string_view text);
 
   /**
-   * @brief Converts from the socket API's form.
+   * @brief Converts from the socket API's representation.
    * @param native The socket address.
    * @return The address.
    */
@@ -32,7 +32,8 @@
   /*! @brief Formats as `a.b.c.d:port`. @return The text. */
   [[nodiscard]] std::string Format() const;
 
-  /*! @brief Converts to the socket API's form. @return The socket address. */
+  /*! @brief Converts to the socket API's representation. @return The socket
+   * address. */
   [[nodiscard]] sockaddr_in Native() const noexcept;
 
   /*! @brief Packs address and port. @return One integer, unique per address. */
--- a/src/pollenring/net/h2o_api.h
+++ b/src/pollenring/net/h2o_api.h
@@ -1,7 +1,7 @@
 #ifndef POLLENRING_NET_H2O_API_H_
 #define POLLENRING_NET_H2O_API_H_
 
-// h2o's headers are C and expect their event loop to be chosen beforehand.
+// h2o's C headers require the event loop to be selected before inclusion.
 #ifndef H2O_USE_LIBUV
 #define H2O_USE_LIBUV 0
 #endif
--- a/src/pollenring/net/hang_up.h
+++ b/src/pollenring/net/hang_up.h
@@ -6,18 +6,18 @@
 namespace pollenring {
 
 /**
- * @brief Whether the peer has closed its side, also when bytes that came before
- * have not been read.
+ * @brief Checks whether the peer has closed its side, even if earlier bytes are
+ * still unread.
  * @param sock An open socket.
- * @return True once it has.
+ * @return True if the peer has closed its side or the connection failed.
  */
 [[nodiscard]] bool HungUp(st_h2o_socket_t &sock) noexcept;
 
 /**
- * @brief Whether the peer has sent bytes that have not been read. Closing then
- * resets the connection, and the peer loses what is still on its way.
+ * @brief Checks for received bytes that are unread. Closing a socket with
+ * unread bytes resets the connection, and the peer loses data still in flight.
  * @param sock An open socket.
- * @return Whether there are any.
+ * @return True if there are unread bytes.
  */
 [[nodiscard]] bool HasUnread(st_h2o_socket_t &sock) noexcept;
 
--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -17,20 +17,20 @@
 using internal::ResponseParser;
 using internal::ResponseState;
 
-/*! @brief Idle connections kept per peer; above any target's slots. */
+/*! @brief Idle connections kept per peer; exceeds any target's slots. */
 constexpr std::size_t kPoolCapacity = 1024;
-/*! @brief How long an idle connection is kept when its peer says nothing; most
- * servers close after five seconds. */
+/*! @brief Time an idle connection is kept if the peer states none; most servers
+ * close after 5 s. */
 constexpr Duration kPoolIdle = std::chrono::seconds{4};
-/*! @brief Part of the peer's idle time-out during which a connection is used;
- * the rest covers the way there and a late timer. */
+/*! @brief Fraction of the peer's idle time-out during which a connection is
+ * reused; the rest allows for network latency and late timers. */
 constexpr double kIdleFraction = 0.8;
-/*! @brief Answers of other calls that one call skips; a peer that sends more
- * has lost count. */
+/*! @brief Responses to other requests that one call skips; a peer that sends
+ * more has lost track of its requests. */
 constexpr int kMostForeign = 4;
 constexpr Duration kIdleSweep = std::chrono::seconds{1};
-/*! @brief Longest wait for a connection; peers are milliseconds away, and a
- * lost opening packet is sent again after one second. */
+/*! @brief Maximum wait for a connection; peers are milliseconds away, and a
+ * lost SYN is retransmitted after 1 s. */
 constexpr Duration kConnectTimeout = std::chrono::milliseconds{1500};
 
 [[nodiscard]] std::string Serialize(const Address &to,
@@ -101,9 +101,11 @@
     Time idle_until{};
     Loop::TimerId connect_timer{};
     bool writing{};
-    bool spoiled{};     /*!< Has carried an answer of another request. */
-    int foreign{};      /*!< Answers of others in place of the current one. */
-    std::size_t held{}; /*!< Bytes of the current answer. */
+    bool spoiled{}; /*!< Must not be reused: it carried a response to another
+                       request, or a write failed. */
+    int foreign{};  /*!< Responses to other requests received during the current
+                       call. */
+    std::size_t held{}; /*!< Buffered bytes of the current response. */
   };
 
   struct Pending {
@@ -190,20 +192,20 @@
   static void OnWritten(h2o_socket_t *sock, const char *error) {
     auto *connection = static_cast<Connection *>(sock->data);
     connection->writing = false;
-    // What the peer may still have answered is read first.
+    // The peer may have responded before; that response is read first.
     if (error != nullptr) connection->spoiled = true;
   }
 
   static void OnRead(h2o_socket_t *sock, const char *error) {
     auto *connection = static_cast<Connection *>(sock->data);
     Impl *self = connection->owner;
-    // A call whose answer can't be handled ends at its time-out.
+    // A call whose response can't be handled ends at its time-out.
     self->loop.Contain("answer", [&] { self->Read(*connection, error); });
   }
 
   void Read(Connection &connection, const char *error) {
     if (connection.call == 0) {
-      // An end, or bytes that belong to no request.
+      // Connection end, or bytes that belong to no request.
       this->RemoveIdle(connection);
       this->Destroy(connection);
       return;
@@ -243,7 +245,8 @@
     }
   }
 
-  /*! @brief Leaves out an answer that names another request. */
+  /*! @brief Skips a response that belongs to another request. @return True if
+   * skipped. */
   bool SkipForeign(Connection &connection) {
     if (connection.parser->State() != ResponseState::kWhole) return false;
     const Pending &call = this->calls.at(connection.call);
@@ -257,14 +260,15 @@
     return true;
   }
 
-  /*! @brief Counts what the connection's answer holds by now. */
+  /*! @brief Updates the buffered bytes of the connection and in total. */
   void Hold(Connection &connection, std::size_t bytes) {
     this->held += bytes;
     this->held -= connection.held;
     connection.held = bytes;
   }
 
-  /*! @brief Fails the call whose answer holds most, while all hold too much. */
+  /*! @brief Fails the call with the most buffered bytes if the total exceeds
+   * its limit. */
   void ShedHeld() {
     if (this->held <= this->limits.max_held_bytes) return;
     const auto most =
--- a/src/pollenring/net/http_client.h
+++ b/src/pollenring/net/http_client.h
@@ -17,13 +17,13 @@
 
 class Loop;
 
-/*! @brief Why a call brought no whole answer. */
+/*! @brief Why a call got no complete response. */
 enum class CallError {
   kNotConnected,   /*!< Nothing was sent. */
-  kConnectRefused, /*!< Nothing was sent; nobody listens there. */
-  kBroken,         /*!< Sent, but the answer is missing or incomplete. */
-  kTooLarge,       /*!< The answer exceeds the limit. */
-  kTimedOut        /*!< Sent, but no answer came in time. */
+  kConnectRefused, /*!< Nothing was sent; no process listens there. */
+  kBroken,   /*!< Sent, but the response is missing, malformed or truncated. */
+  kTooLarge, /*!< The response exceeds the limit. */
+  kTimedOut  /*!< Sent, but no response arrived in time. */
 };
 
 /*! @brief Names of call errors. */
@@ -35,33 +35,33 @@
     {CallError::kTimedOut, "timed out"},
 }}};
 
-/*! @brief Whether a call ended before anything of it was sent. @param error
- * How it ended. @return So. */
+/*! @brief Whether a call failed before any byte was sent. @param error The
+ * call's error. @return True if nothing was sent. */
 [[nodiscard]] constexpr bool WasNotSent(CallError error) noexcept {
   return error == CallError::kNotConnected ||
          error == CallError::kConnectRefused;
 }
 
-/*! @brief Bounds on what a client holds of its peers' answers. */
+/*! @brief Limits on response bytes that a client buffers. */
 struct HttpClientLimits {
-  std::size_t max_body_bytes{}; /*!< Of one answer. */
-  /*! @brief Of all answers that are not whole yet; beyond it, the call whose
-   * answer holds most fails. */
+  std::size_t max_body_bytes{}; /*!< Of one response. */
+  /*! @brief Of all incomplete responses; beyond it, the call with the most
+   * buffered bytes fails. */
   std::size_t max_held_bytes{std::size_t{32} * 1024 * 1024};
 };
 
-/*! @brief A header that an answer repeats from its request; an answer with
- * another value belongs to another request. */
+/*! @brief A request header that the response echoes; a response with another
+ * value belongs to another request. */
 struct CorrelationHeader {
   std::string name; /*!< In lower case; empty for no check. */
   std::string value;
 };
 
 /**
- * @brief An HTTP/1.1 client for whole messages, with pooled connections.
+ * @brief An HTTP/1.1 client for complete messages, with pooled connections.
  *
- * A connection that has carried bytes beyond its one answer is not used again.
- * An answer without a length is whole only when its connection ends orderly.
+ * A connection that carried bytes beyond its one response is not reused.
+ * A response without a length is complete only if its connection ends orderly.
  */
 class HttpClient {
  public:
@@ -72,7 +72,7 @@
   /**
    * @brief Creates a client.
    * @param loop The loop.
-   * @param limits Bounds on answers.
+   * @param limits Limits on buffered responses.
    */
   HttpClient(Loop &loop, const HttpClientLimits &limits);
   HttpClient(const HttpClient &) = delete;
@@ -83,10 +83,10 @@
    * @brief Sends a request.
    * @param to Peer.
    * @param request The request; framing headers are added.
-   * @param timeout Longest wait for the whole answer.
+   * @param timeout Maximum wait for the complete response.
    * @param done Called exactly once unless the call is cancelled; never from
    * within `Call`.
-   * @param mark What the answer must repeat, if it says anything of it.
+   * @param mark Header that the response must echo if it has that header.
    * @return Handle for `Cancel`.
    */
   CallId Call(const Address &to, const HttpRequest &request, Duration timeout,
@@ -94,11 +94,11 @@
 
   /**
    * @brief Drops a call and its connection; `done` is not called.
-   * @param id The call's handle; one that has ended is ignored.
+   * @param id The call's handle; ignored if the call has ended.
    */
   void Cancel(CallId id);
 
-  /*! @brief Bytes held of answers that are not whole yet. @return The sum. */
+  /*! @brief Buffered bytes of incomplete responses. @return The sum. */
   [[nodiscard]] std::size_t HeldBytes() const noexcept;
 
   /*! @brief Connections opened so far. @return The count. */
--- a/src/pollenring/net/http_message.h
+++ b/src/pollenring/net/http_message.h
@@ -30,16 +30,16 @@
   return {};
 }
 
-/*! @brief A whole request. */
+/*! @brief A complete request. */
 struct HttpRequest {
   std::string method;
   std::string path;
   HttpHeaders headers;
   std::string body;
-  std::string host{}; /*!< What the `host` header says. */
+  std::string host{}; /*!< Value of the `host` header. */
 };
 
-/*! @brief A whole response. */
+/*! @brief A complete response. */
 struct HttpResponse {
   int status{};
   HttpHeaders headers;
--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -20,7 +20,8 @@
 constexpr int kHttp2 = 0x200;
 constexpr int kServiceUnavailable = 503;
 constexpr int kBadGateway = 502;
-/*! @brief Age from which a request's connection is looked at. */
+/*! @brief Age at which a request's connection is checked for a hang-up, and the
+ * interval between checks. */
 constexpr Duration kHangUpCheck = std::chrono::milliseconds{100};
 
 [[nodiscard]] std::string ToString(const h2o_iovec_t &text) {
@@ -41,7 +42,7 @@
   return request;
 }
 
-/*! @brief A request of h2o waiting for its answer. */
+/*! @brief An h2o request that awaits its response. */
 class H2oResponder final : public Responder {
  public:
   H2oResponder(h2o_req_t *req, Loop &loop, std::size_t *in_progress,
@@ -83,8 +84,8 @@
     return pollenring::HungUp(*connection->callbacks->get_socket(connection));
   }
 
-  /*! @brief Ends a request whose caller has gone. @param status What one that
-   * still reads is told. */
+  /*! @brief Ends a request whose caller has hung up. @param status Status for a
+   * caller that still reads. */
   void Abandon(int status) {
     auto callback = std::move(this->cancelled);
     this->req->http1_is_persistent = 0;
@@ -93,7 +94,7 @@
     this->loop.Contain("hang-up", [&] { callback(CallerDisconnect::kHungUp); });
   }
 
-  /*! @brief Called by h2o when the request is disposed of. */
+  /*! @brief Called when h2o frees the request. */
   void Disposed() {
     if (this->req == nullptr) return;
     this->Finish();
@@ -105,7 +106,8 @@
   }
 
  private:
-  /*! @brief Whether the caller has sent a next request behind this one. */
+  /*! @brief Whether the caller has pipelined another request behind this one.
+   */
   [[nodiscard]] static bool MoreSent(const h2o_req_t &req) {
     if (req.version >= kHttp2) return false;
     return HasUnread(*req.conn->callbacks->get_socket(req.conn));
@@ -245,7 +247,7 @@
           held->~shared_ptr();
         });
     new (memory) std::shared_ptr<H2oResponder>{responder};
-    // A process that is behind accepts connections whose callers have given up.
+    // After a stall the backlog holds connections whose callers have given up.
     if (req->version < kHttp2 && responder->HungUp()) {
       responder->Abandon(kServiceUnavailable);
       return 0;
@@ -254,14 +256,14 @@
     const bool handled = self->loop.Contain("request", [self, req, responder] {
       self->handler(CopyRequest(*req), responder);
     });
-    // What it had come to is not known; this status promises nothing.
+    // The handler may have executed the request; 502 doesn't rule that out.
     if (!handled) responder->Send({kBadGateway, {}, {}});
     return 0;
   }
 
   void Watch(const h2o_req_t &req,
              const std::shared_ptr<H2oResponder> &responder) {
-    // HTTP/2 says by itself when a request is cancelled.
+    // HTTP/2 itself reports cancelled requests.
     if (req.version >= kHttp2) return;
     this->waiting.push_back({responder, this->loop.GetClock().Now()});
   }
@@ -276,15 +278,16 @@
         kept.push_back(std::move(entry));
         continue;
       }
-      // It may have run.
+      // 502, since the request may have been executed.
       responder->Abandon(kBadGateway);
     }
-    // What came meanwhile is younger.
+    // Requests that arrived during the checks are younger.
     for (auto &entry : this->waiting) kept.push_back(std::move(entry));
     this->waiting = std::move(kept);
   }
 
-  /*! @brief A request of a connection that does not tell when it is closed. */
+  /*! @brief An HTTP/1.1 request, whose connection must be polled for a hang-up.
+   */
   struct Waiting {
     std::weak_ptr<H2oResponder> responder;
     Time since{};
@@ -295,7 +298,7 @@
   std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
   std::deque<Waiting> waiting;
   Handler handler;
-  int bound{-1}; /*!< Descriptor until it is listened on. */
+  int bound{-1}; /*!< Descriptor until `Open` listens on it, then -1. */
   h2o_globalconf_t config{};
   h2o_context_t context{};
   h2o_accept_ctx_t accept{};
--- a/src/pollenring/net/http_server.h
+++ b/src/pollenring/net/http_server.h
@@ -14,22 +14,22 @@
 
 class Loop;
 
-/*! @brief What told that a caller has gone before its answer. */
+/*! @brief How a caller's disconnect before its response was detected. */
 enum class CallerDisconnect {
-  kHungUp,         /*!< The caller has closed or reset its connection. */
-  kConnectionEnded /*!< The server's connection or stream has ended. */
+  kHungUp,         /*!< The caller closed or reset its connection. */
+  kConnectionEnded /*!< The server's connection or stream ended. */
 };
 
-/*! @brief Names of caller losses, for logs. */
+/*! @brief Names of caller disconnects, for logs. */
 inline constexpr EnumTable<CallerDisconnect, 2> kCallerDisconnectNames{{{
     {CallerDisconnect::kHungUp, "hung-up"},
     {CallerDisconnect::kConnectionEnded, "connection-ended"},
 }}};
 
-/*! @brief Answers one request, at most once, from anywhere on the loop. */
+/*! @brief Responds to one request, at most once, from any task of the loop. */
 class Responder {
  public:
-  /*! @brief Called when the caller has gone away before its answer. */
+  /*! @brief Called when the caller disconnects before its response. */
   using Cancelled = std::function<void(CallerDisconnect)>;
 
   Responder() = default;
@@ -38,26 +38,26 @@
   virtual ~Responder() = default;
 
   /**
-   * @brief Sends the whole answer; ignored when the caller has gone.
-   * @param response The answer.
+   * @brief Sends the complete response; ignored if the caller has disconnected.
+   * @param response The response.
    */
   virtual void Send(HttpResponse response) = 0;
 
   /**
-   * @brief Asks to be told when the caller goes away.
+   * @brief Registers a callback for the caller's disconnect.
    * @param cancelled Called at most once, never after `Send`.
    */
   virtual void OnCancel(Cancelled cancelled) = 0;
 };
 
-/*! @brief Limits of a server towards its clients. */
+/*! @brief Limits that a server enforces on its clients. */
 struct HttpServerLimits {
   std::size_t max_body_bytes{std::size_t{17} * 1024 * 1024};
   Duration request_timeout{std::chrono::seconds{10}};
   Duration idle_timeout{std::chrono::seconds{60}};
 };
 
-/*! @brief An HTTP/1.1 and HTTP/2 server for whole messages. */
+/*! @brief An HTTP/1.1 and HTTP/2 server for complete messages. */
 class HttpServer {
  public:
   using Handler = std::function<void(HttpRequest, std::shared_ptr<Responder>)>;
@@ -66,8 +66,8 @@
    * @brief Binds the address; connections are refused until `Open`.
    * @param loop The loop.
    * @param address Address to bind.
-   * @param limits Limits towards clients.
-   * @param handler Called with each whole request.
+   * @param limits Limits enforced on clients.
+   * @param handler Called with each complete request.
    * @throws std::runtime_error when the address can't be bound.
    */
   HttpServer(Loop &loop, const Address &address, const HttpServerLimits &limits,
@@ -76,19 +76,19 @@
   HttpServer &operator=(const HttpServer &) = delete;
   ~HttpServer();
 
-  /*! @brief Requests that have no answer yet. @return The count. */
+  /*! @brief Requests without a response yet. @return The count. */
   [[nodiscard]] std::size_t InProgress() const noexcept;
 
-  /*! @brief Whether connections are accepted. @return So. */
+  /*! @brief Whether connections are accepted. @return True if they are. */
   [[nodiscard]] bool IsOpen() const noexcept;
 
   /**
-   * @brief Starts to accept; without effect after `Close`.
+   * @brief Starts accepting connections; no effect after `Close`.
    * @throws std::runtime_error when the address can't be listened on.
    */
   void Open();
 
-  /*! @brief Asks clients to close their connections after each answer. */
+  /*! @brief Makes clients close their connections after each response. */
   void Drain();
 
   /*! @brief Stops accepting; lets open connections finish and close. */
--- a/src/pollenring/net/loop.cc
+++ b/src/pollenring/net/loop.cc
@@ -13,11 +13,12 @@
 
 constexpr std::int32_t kLongestWaitMs = 200;
 constexpr Duration kPause = std::chrono::milliseconds{1000};
-/*! @brief Rounds of deferred tasks in one turn; a call takes four. */
+/*! @brief Maximum rounds of deferred tasks per turn; a call takes four. */
 constexpr int kMostRounds = 8;
-/*! @brief Pause between two lines on errors, after the first few. */
+/*! @brief Minimum interval between error lines after the first
+ * `kErrorsToldAll`. */
 constexpr Duration kErrorPause = std::chrono::seconds{1};
-/*! @brief Errors that have a line each. */
+/*! @brief Number of errors that are always logged. */
 constexpr std::uint64_t kErrorsToldAll = 20;
 
 }  // namespace
@@ -34,7 +35,7 @@
 
 void Loop::Every(Duration period, Task task) {
   this->After(period, [this, period, task = std::move(task)] {
-    // One run that fails is no reason to leave out the next.
+    // A failed run doesn't end the series.
     this->Contain("timer", task);
     this->Every(period, task);
   });
--- a/src/pollenring/net/loop.h
+++ b/src/pollenring/net/loop.h
@@ -16,18 +16,18 @@
 
 namespace pollenring {
 
-/*! @brief An error that escaped from the handling of one event. */
+/*! @brief An exception that escaped from the handling of one event. */
 struct ContainedError {
-  std::string event; /*!< Kind of what was handled. */
-  std::string what;  /*!< The error's own words. */
-  bool rule{};       /*!< A rule that must always hold was found broken. */
+  std::string event; /*!< Kind of the event. */
+  std::string what;  /*!< The error's message. */
+  bool rule{};       /*!< An invariant was violated. */
 };
 
 /**
- * @brief The one event loop of a process, with timers and deferred tasks.
+ * @brief The event loop of a process, with timers and deferred tasks.
  *
- * An error in one task or event ends neither the others nor the process; it is
- * logged, and those who asked for it are told.
+ * An error in one task or event affects neither the others nor the process; it
+ * is logged, and the error listeners are notified.
  */
 class Loop {
  public:
@@ -58,14 +58,14 @@
   TimerId After(Duration delay, Task task);
 
   /**
-   * @brief Runs a task again and again.
+   * @brief Runs a task periodically.
    * @param period Time between the end of one run and the start of the next.
    * @param task The task.
    */
   void Every(Duration period, Task task);
 
   /**
-   * @brief Forgets a timer; one that has run already is ignored.
+   * @brief Cancels a timer; ignored if the timer has already run.
    * @param id The timer's handle.
    */
   void Cancel(TimerId id);
@@ -77,13 +77,13 @@
   void Post(Task task);
 
   /**
-   * @brief Handles one event; an error in it is kept from all others.
+   * @brief Handles one event and contains its errors.
    *
-   * Whatever C code calls back has to be handled in here: an error must not
-   * pass through that code.
+   * Callbacks from C code must run in here: an exception must not unwind
+   * through that code.
    * @param event Kind of the event, for the log.
-   * @param handling Handles it.
-   * @return Whether no error escaped.
+   * @param handling Handles the event.
+   * @return True if no error escaped.
    */
   template <typename Handling>
   bool Contain(std::string_view event, Handling &&handling) {
@@ -97,17 +97,18 @@
   }
 
   /**
-   * @brief Asks to be told of errors that were contained.
-   * @param listener Called with each, in the turn in which it came up.
+   * @brief Registers a listener for contained errors.
+   * @param listener Called with each error, in the turn in which it occurs.
    */
   void OnError(ErrorListener listener);
 
-  /*! @brief Errors that were contained so far. @return The count. */
+  /*! @brief Errors contained so far. @return The count. */
   [[nodiscard]] std::uint64_t Errors() const noexcept { return this->errors; }
 
   /**
-   * @brief Tells whether the process stood still before this turn.
-   * @return Whether what this turn reads may be long out of date.
+   * @brief Checks whether the process was suspended or stalled before this
+   * turn.
+   * @return True if the turn began over 1 s ago; input read in it may be stale.
    */
   [[nodiscard]] bool WokeFromPause() const noexcept;
 
@@ -124,10 +125,10 @@
   using DueKey = std::pair<Time, TimerId>;
 
   /**
-   * @brief Reports writes that have ended to those that made them.
+   * @brief Runs the callbacks of completed writes.
    *
-   * h2o expects this before it polls: otherwise it aborts on a socket that
-   * becomes writable after its write was reported.
+   * h2o expects this before it polls; otherwise it aborts if a socket becomes
+   * writable after its write completed.
    */
   void EndWrites();
   void Report(std::string_view event, const std::exception &error);
--- a/src/pollenring/net/response_parser.cc
+++ b/src/pollenring/net/response_parser.cc
@@ -10,7 +10,7 @@
 
 constexpr int kFirstFinalStatus = 200;
 constexpr std::string_view kTimeoutField = "timeout=";
-/*! @brief Largest sum of header bytes of an answer; h2o's own limit. */
+/*! @brief Maximum total header size of a response; same as h2o's limit. */
 constexpr std::size_t kMaxHeadBytes = std::size_t{100} * 1024;
 
 [[nodiscard]] ResponseParser &Self(http_parser *native) {
@@ -128,7 +128,7 @@
     const auto error = HTTP_PARSER_ERRNO(&this->native);
     if (this->state != ResponseState::kPartial) return used;
     if (error == HPE_PAUSED) {
-      // An interim answer; the final one follows.
+      // Interim response; the final one follows.
       this->Reset();
       continue;
     }
--- a/src/pollenring/net/response_parser.h
+++ b/src/pollenring/net/response_parser.h
@@ -12,11 +12,11 @@
 
 namespace pollenring::internal {
 
-/*! @brief How far an answer has come. */
+/*! @brief Progress of a response. */
 enum class ResponseState {
   kPartial,
   kWhole,
-  kBroken,  /*!< The bytes are no HTTP answer, or it ended too early. */
+  kBroken,  /*!< Not an HTTP response, or truncated. */
   kTooLarge /*!< Its body exceeds the limit. */
 };
 
@@ -28,13 +28,13 @@
     {ResponseState::kTooLarge, "too large"},
 }}};
 
-/*! @brief Parses one HTTP/1.1 answer from bytes as they arrive. */
+/*! @brief Parses one HTTP/1.1 response incrementally. */
 class ResponseParser {
  public:
   /**
-   * @brief Starts before the first byte.
-   * @param head_only Whether the answer has no body, as one to `HEAD`.
-   * @param max_body_bytes Largest body.
+   * @brief Creates a parser that awaits the first byte.
+   * @param head_only Whether the response has no body, as for `HEAD`.
+   * @param max_body_bytes Maximum body size.
    */
   ResponseParser(bool head_only, std::size_t max_body_bytes);
   ResponseParser(const ResponseParser &) = delete;
@@ -42,32 +42,32 @@
   ~ResponseParser() = default;
 
   /**
-   * @brief Takes in bytes; stops after the answer's last one.
+   * @brief Parses bytes; stops after the last byte of the response.
    * @param bytes The bytes.
    * @param size Their number.
-   * @return Bytes used.
+   * @return Bytes consumed.
    */
   std::size_t Feed(const char *bytes, std::size_t size);
 
-  /*! @brief Takes in the orderly end of the connection. */
+  /*! @brief Handles the orderly end of the connection. */
   void End();
 
   [[nodiscard]] ResponseState State() const noexcept { return this->state; }
 
-  /*! @brief Whether the peer keeps the connection after this answer. */
+  /*! @brief Whether the peer keeps the connection open after this response. */
   [[nodiscard]] bool KeepsAlive() const noexcept { return this->keeps_alive; }
 
-  /*! @brief Bytes of the answer that are held so far. */
+  /*! @brief Buffered bytes of the body. */
   [[nodiscard]] std::size_t Held() const noexcept {
     return this->answer.body.size();
   }
 
-  /*! @brief How long the peer keeps an idle connection; 0 when unsaid. */
+  /*! @brief How long the peer keeps an idle connection; 0 if not stated. */
   [[nodiscard]] Duration IdleTimeout() const noexcept {
     return this->idle_timeout;
   }
 
-  /*! @brief The answer, once whole; without framing headers. */
+  /*! @brief The response without framing headers, valid once complete. */
   [[nodiscard]] HttpResponse &Answer() noexcept { return this->answer; }
 
  private:
@@ -89,9 +89,9 @@
 };
 
 /**
- * @brief Tells whether a header concerns one connection only.
+ * @brief Checks whether a header concerns one connection only.
  * @param name Its name, in lower case.
- * @return Whether the client sets or drops it.
+ * @return True if the client sets or drops the header itself.
  */
 [[nodiscard]] bool IsFraming(std::string_view name) noexcept;
 
--- a/src/pollenring/net/udp_socket.h
+++ b/src/pollenring/net/udp_socket.h
@@ -13,7 +13,7 @@
 
 class Loop;
 
-/*! @brief A datagram socket on the loop; datagrams carry a keyed tag. */
+/*! @brief A UDP socket on the loop; datagrams carry an authentication tag. */
 class UdpSocket {
  public:
   using Receive = std::function<void(const Address &, std::string_view)>;
@@ -22,7 +22,7 @@
    * @brief Binds the socket.
    * @param loop The loop.
    * @param address Own address.
-   * @param secret Key of the tag; datagrams with another tag are dropped.
+   * @param secret Key of the tag; datagrams with a wrong tag are dropped.
    * @param receive Called with sender and content of each datagram.
    * @throws std::runtime_error when the address can't be bound.
    */
@@ -38,7 +38,7 @@
   }
 
   /**
-   * @brief Sends one datagram; a full socket buffer drops it.
+   * @brief Sends one datagram; it is dropped if the socket buffer is full.
    * @param to Receiver.
    * @param content Content.
    */
--- a/test/pollenring/net/http_client_test.cc
+++ b/test/pollenring/net/http_client_test.cc
@@ -25,7 +25,7 @@
 constexpr std::size_t kMaxBody = std::size_t{1} << 20U;
 constexpr std::size_t kMaxHeld = 2 * kMaxBody;
 
-/*! @brief A client whose calls are waited for. */
+/*! @brief A client with synchronous calls. */
 class Caller {
  public:
   Caller() {
@@ -57,7 +57,7 @@
     return std::move(*reply);
   }
 
-  /*! @brief Begins a call whose answer nobody waits for. */
+  /*! @brief Starts a call without waiting for its response. */
   void Start(const pollenring::Address &to, const std::string &body) {
     this->client.Call(to, {"POST", "/x", {}, body, {}}, 2s,
                       [](const HttpClient::Reply & /*reply*/) {});
@@ -65,7 +65,7 @@
 
   [[nodiscard]] std::size_t Held() const { return this->client.HeldBytes(); }
 
-  /*! @brief Most bytes held of answers at once, looked at each millisecond. */
+  /*! @brief Maximum of buffered response bytes, sampled every millisecond. */
   [[nodiscard]] std::size_t MostHeld() const { return this->most_held; }
 
   void Run(pollenring::Duration length) {
@@ -145,7 +145,7 @@
   Caller caller;
   CHECK(BodyOf(caller.Call(peer)) == "first");
   CHECK(BodyOf(caller.Call(peer, "next")) == "second");
-  // Its connection has carried bytes that nobody asked for.
+  // The connection carried an extra response and is not reused.
   CHECK(BodyOf(caller.Call(peer, "last")) == "third");
   CHECK(peer.Accepted() == 2);
 }
@@ -179,19 +179,21 @@
 }
 
 TEST_CASE("http client: an answer before the body is in is delivered") {
-  // More than the kernel's buffers hold, and a peer that reads the head only.
+  // The body exceeds the kernel's buffers, and the peer reads only the head.
   const std::string body(std::size_t{24} << 20U, 'b');
   RawPeer peer{{{{Answer("own", "early")}, {}}, {{Answer("own", "next")}, {}}}};
   Caller caller;
   CHECK(BodyOf(caller.Call(peer, "own", body)) == "early");
-  // The rest of the body is due there; no other bytes may take its place.
+  // The old connection still expects the rest of the body, so it must not be
+  // reused.
   CHECK(BodyOf(caller.Call(peer)) == "next");
   CHECK(peer.Accepted() == 2);
 }
 
 TEST_CASE("http client: a peer that reads late ends no process") {
-  // Written from outside of the loop's callbacks, a request fills the peer's
-  // buffers exactly; the socket becomes writable after the write has ended.
+  // Written outside the loop's callbacks, a request may fill the peer's buffers
+  // exactly; the socket then becomes writable after the write completed, on
+  // which h2o aborts unless completed writes are reported before it polls.
   for (std::size_t size = 100'000; size < 6'000'000; size += size / 4) {
     const support::LateReader peer{300ms};
     Caller caller;
@@ -204,11 +206,11 @@
 
 TEST_CASE("http client: bytes without end cost bounded memory and time") {
   const std::string piece = GENERATE(
-      // In a status line, a header's name and value, and between headers.
+      // In the status line, a header name or value, and between headers.
       std::string{"x"}, std::string{"HTTP/1.1 200 "} + std::string(4000, 'x'),
       std::string{"HTTP/1.1 200 OK\r\nmark: own\r\nx-"},
       std::string{"HTTP/1.1 100 Continue\r\n\r\n"},
-      // Answers to nobody.
+      // Responses to other requests.
       std::string{"HTTP/1.1 200 OK\r\nmark: other\r\ncontent-length: 0\r\n"
                   "\r\n"});
   CAPTURE(piece.substr(0, 40));
@@ -226,7 +228,7 @@
                             "content-length: 0\r\n\r\n"};
   Caller caller;
   const auto reply = caller.Call(peer.Where());
-  // Not by its time-out only.
+  // Fails before the time-out.
   REQUIRE(std::holds_alternative<CallError>(reply));
   CHECK(std::get<CallError>(reply) == CallError::kBroken);
 }
--- a/test/pollenring/net/http_server_test.cc
+++ b/test/pollenring/net/http_server_test.cc
@@ -23,7 +23,8 @@
 using pollenring::HttpServerLimits;
 using pollenring::Loop;
 
-/*! @brief Connects and sends a request that nobody has accepted yet. */
+/*! @brief Connects and sends a request before the server accepts the
+ * connection. */
 [[nodiscard]] int SendRequest(const Address &to, const std::string &path,
                               int receive_bytes = 0) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -43,8 +44,8 @@
 }  // namespace
 
 TEST_CASE("http server: requests whose callers have left are not handled") {
-  // A process that stood still finds a backlog of connections; most of their
-  // callers have given up meanwhile.
+  // After a stall, the process finds a backlog of connections; most of the
+  // callers have hung up.
   const pollenring::SystemClock clock;
   Loop loop{clock};
   const Address address = *Address::Parse("127.42.1.1:7100");
@@ -85,7 +86,8 @@
       [&held](const HttpRequest &request,
               const std::shared_ptr<pollenring::Responder> &responder) {
         if (request.path == "/broken") {
-          // What may be left of it keeps nobody from being answered.
+          // A callback that keeps the responder alive must not block the
+          // response.
           responder->OnCancel([responder](pollenring::CallerDisconnect) {});
           throw std::out_of_range{"in a handler"};
         }
@@ -107,7 +109,7 @@
     loop.Resume();
     loop.Run();
   };
-  // Kept connections, each with a second request in progress.
+  // Kept-alive connections, each with a second request in progress.
   for (int round = 0; round < 2; ++round) {
     for (int i = 0; i < 4; ++i) ask("/held");
     run();
@@ -119,14 +121,15 @@
     }
     run();
   }
-  // What had become of the broken one is not known; nothing is promised.
+  // 502: the failed request may have been executed.
   CHECK(statuses ==
         std::vector<int>{200, 200, 200, 200, 502, 200, 200, 200, 200});
   CHECK(server.InProgress() == 0);
 }
 
 TEST_CASE("http server: who closes one side is promised nothing of a request") {
-  // The other side may still be read; what was handled may have run.
+  // After a half-close the caller may still read. The response must be 502,
+  // since the handled request may have been executed.
   const pollenring::SystemClock clock;
   Loop loop{clock};
   const Address address = *Address::Parse("127.42.1.3:7100");
@@ -188,8 +191,9 @@
 }
 
 TEST_CASE("http server: an answer survives what its caller has sent behind") {
-  // A server that drains closes after each answer. Closed with bytes unread, a
-  // connection is reset, and with it what the caller has not yet got.
+  // A draining server closes the connection after each response. Closing with
+  // unread bytes resets the connection, and the caller loses the part of the
+  // response still in flight.
   const pollenring::SystemClock clock;
   Loop loop{clock};
   const Address address = *Address::Parse("127.42.1.5:7100");
@@ -206,7 +210,8 @@
     loop.Resume();
     loop.Run();
   };
-  // Most of the answer is still on its way when the server has written it.
+  // The small receive buffer keeps most of the response in flight after the
+  // server has written it.
   const int fd = SendRequest(address, "/first", 4096);
   run(20ms);
   REQUIRE(held.size() == 1);
@@ -219,7 +224,7 @@
   held.front()->Send({200, {}, body});
   std::string got;
   std::vector<char> buffer(std::size_t{1} << 16U);
-  // What is handled behind it is answered at once.
+  // The pipelined request gets its response immediately.
   for (int i = 0; i < 600; ++i) {
     run(1ms);
     if (held.size() == 2) held[1]->Send({200, {}, "second"});
