Reword comments of link

Signs of life, silence and asking elsewhere stood for PING, missing data from the peer and a call that goes to another node, which hid that the link is plain HTTP/2 with a liveness check. Comments now say so, and speak of messages and replies between nodes. The time of CPU throttling and of SYN retransmission stay as reasons. Comments only: no code token differs, as a comparison of the token streams shows.

--- a/src/pollenring/link/link_client.cc
+++ b/src/pollenring/link/link_client.cc
@@ -11,13 +11,14 @@
 namespace {
 
 constexpr Duration kAliveCheck = std::chrono::milliseconds{100};
-/*! @brief Longest wait for a connection; a lost opening packet is sent again
- * after a second, by then another node has been asked. */
+/*! @brief Maximum wait for a connection; a lost SYN is retransmitted after 1 s,
+ * and by then the call goes to another node. */
 constexpr Duration kConnectTimeout = std::chrono::milliseconds{800};
-/*! @brief Silence, while calls are open, after which a ping is sent. */
+/*! @brief Time without data from the peer, with calls open, after which a ping
+ * is sent. */
 constexpr Duration kQuiet = std::chrono::milliseconds{300};
-/*! @brief Longest wait for any sign of life then; a node that has used up its
- * share of processor stands still for a tenth of a second. */
+/*! @brief Maximum wait for any data after a ping; a node that has used up its
+ * CPU quota is throttled for 100 ms. */
 constexpr Duration kSignOfLife = std::chrono::milliseconds{800};
 
 }  // namespace
@@ -45,7 +46,7 @@
 
   [[nodiscard]] bool Connected() const noexcept { return this->connected; }
 
-  /*! @brief Sends now or once connected. */
+  /*! @brief Sends a message immediately, or once connected. */
   void Send(CallId id, std::string path, std::string body) {
     if (!this->connected) {
       this->waiting.push_back({id, std::move(path), std::move(body)});
@@ -54,7 +55,8 @@
     this->Submit(id, path, std::move(body));
   }
 
-  /*! @brief Forgets a call that waits for the connection. */
+  /*! @brief Drops a call that waits for the connection. @return True if it was
+   * waiting. */
   [[nodiscard]] bool DropWaiting(CallId id) {
     for (auto it = this->waiting.begin(); it != this->waiting.end(); ++it) {
       if (it->id != id) continue;
@@ -64,7 +66,8 @@
     return false;
   }
 
-  /*! @brief Closes a connection whose peer gives no sign of life. */
+  /*! @brief Pings an unresponsive peer; closes the connection if it stays so.
+   */
   void CheckAlive() {
     const Time now = this->GetLoop().GetClock().Now();
     if (!this->connected) {
@@ -163,7 +166,7 @@
   h2o_socket_t *connecting{};
   bool connected{};
   Time opened{};
-  Time pinged{}; /*!< Zero unless an answer is awaited. */
+  Time pinged{}; /*!< Zero unless a ping is outstanding. */
   std::vector<Waiting> waiting;
   std::unordered_map<std::int32_t, CallId> ids;
 };
@@ -178,7 +181,7 @@
 }
 
 void LinkClient::CheckAlive() {
-  // Closing a connection changes the map.
+  // Closing a connection modifies the map, so iterate over a copy.
   std::vector<std::shared_ptr<Connection>> open;
   open.reserve(this->connections.size());
   for (const auto &[peer, connection] : this->connections) {
--- a/src/pollenring/link/link_client.h
+++ b/src/pollenring/link/link_client.h
@@ -28,7 +28,7 @@
    * @brief Creates a client without connections.
    * @param loop The loop.
    * @param secret Secret that all nodes share.
-   * @param max_body_bytes Largest answer that is accepted.
+   * @param max_body_bytes Maximum size of an accepted reply.
    */
   LinkClient(Loop &loop, std::string secret, std::size_t max_body_bytes);
   LinkClient(const LinkClient &) = delete;
@@ -38,18 +38,19 @@
   /**
    * @brief Sends a message.
    * @param to Peer's link address.
-   * @param path What the message is for.
+   * @param path Kind of the message.
    * @param body Content.
-   * @param timeout Longest wait for the whole answer.
-   * @param done Called exactly once unless cancelled; never from in here.
+   * @param timeout Maximum wait for the complete reply.
+   * @param done Called exactly once unless the call is cancelled; never from
+   * within `Call`.
    * @return Handle for `Cancel`.
    */
   CallId Call(const Address &to, std::string_view path, std::string body,
               Duration timeout, Done done);
 
   /**
-   * @brief Drops a call and tells the peer; `done` is not called.
-   * @param id The call's handle; one that has ended is ignored.
+   * @brief Drops a call and resets its stream; `done` is not called.
+   * @param id The call's handle; ignored if the call has ended.
    */
   void Cancel(CallId id);
 
--- a/src/pollenring/link/link_error.h
+++ b/src/pollenring/link/link_error.h
@@ -5,11 +5,11 @@
 
 namespace pollenring {
 
-/*! @brief Why a message to another node brought no answer. */
+/*! @brief Why a message to another node got no reply. */
 enum class LinkError {
   kNotSent,  /*!< The peer has not seen the message. */
   kLost,     /*!< The peer may have seen the message. */
-  kTimedOut, /*!< The peer may have seen the message; no answer in time. */
+  kTimedOut, /*!< The peer may have seen the message; no reply in time. */
 };
 
 /*! @brief Names of link errors. */
--- a/src/pollenring/link/link_server.cc
+++ b/src/pollenring/link/link_server.cc
@@ -46,7 +46,7 @@
   std::unordered_set<std::shared_ptr<Connection>> connections;
 };
 
-/*! @brief The answer to one stream. */
+/*! @brief Replies on one stream. */
 class LinkServer::Impl::StreamResponder final : public LinkResponder {
  public:
   StreamResponder(std::weak_ptr<Connection> connection, std::int32_t stream_id,
@@ -61,7 +61,7 @@
 
   [[nodiscard]] Address Peer() const override { return this->peer; }
 
-  /*! @brief Whether an answer is still awaited. @return So. */
+  /*! @brief Whether a reply is still awaited. @return True if it is. */
   [[nodiscard]] bool Open() const noexcept { return this->open; }
 
   void Ended(Loop &loop) {
@@ -71,7 +71,7 @@
     }
   }
 
-  /*! @brief Breaks the stream off without an answer. */
+  /*! @brief Resets the stream without a reply. */
   void Fail();
 
  private:
@@ -133,9 +133,9 @@
     auto responder =
         std::make_shared<StreamResponder>(self, stream_id, this->peer);
     this->responders.emplace(stream_id, responder);
-    // The same read may hold the peer's cancellation, which then goes first. To
-    // a process that stood still its peers may also have hung up meanwhile, and
-    // asked elsewhere.
+    // Deferred, so that a cancellation in the same read takes effect first.
+    // During a stall of this process, the peer may also have hung up and sent
+    // its message to another node.
     this->owner.loop.Post([&owner = this->owner, self, path = stream.path,
                            body = std::move(stream.received),
                            responder = std::move(responder)]() mutable {
--- a/src/pollenring/link/link_server.h
+++ b/src/pollenring/link/link_server.h
@@ -11,7 +11,7 @@
 
 class Loop;
 
-/*! @brief Answers one message of another node, at most once. */
+/*! @brief Replies to one message of another node, at most once. */
 class LinkResponder {
  public:
   using Cancelled = std::function<void()>;
@@ -22,19 +22,19 @@
   virtual ~LinkResponder() = default;
 
   /**
-   * @brief Sends the answer; ignored when the peer has gone.
+   * @brief Sends the reply; ignored if the peer has disconnected.
    * @param body Content.
    */
   virtual void Send(std::string body) = 0;
 
   /**
-   * @brief Asks to be told when the peer drops the message.
+   * @brief Registers a callback for the peer's cancellation or disconnect.
    * @param cancelled Called at most once, never after `Send`.
    */
   virtual void OnCancel(Cancelled cancelled) = 0;
 
-  /*! @brief Where the message came from. @return The peer's host, and the port
-   * of its connection. */
+  /*! @brief Address of the peer. @return The peer's host and the port of its
+   * connection. */
   [[nodiscard]] virtual Address Peer() const = 0;
 };
 
@@ -45,12 +45,12 @@
                                      std::shared_ptr<LinkResponder>)>;
 
   /**
-   * @brief Starts to listen.
+   * @brief Binds the address and starts listening.
    * @param loop The loop.
    * @param address Address to bind.
    * @param secret Secret that all nodes share.
-   * @param max_body_bytes Largest message that is accepted.
-   * @param handler Called with each whole message.
+   * @param max_body_bytes Maximum size of an accepted message.
+   * @param handler Called with each complete message.
    * @throws std::runtime_error when the address can't be bound.
    */
   LinkServer(Loop &loop, const Address &address, std::string secret,
--- a/src/pollenring/link/session.cc
+++ b/src/pollenring/link/session.cc
@@ -120,7 +120,7 @@
   h2o_socket_read_start(this->socket, [](h2o_socket_t *sock, const char *err) {
     const auto self = static_cast<Session *>(sock->data)->shared_from_this();
     const bool read = self->loop.Contain("stream", [&] { self->OnRead(err); });
-    // What was read up to where is not known.
+    // The state of the session's input is unknown after an error.
     if (!read) self->Close();
   });
 }
@@ -200,7 +200,7 @@
     this->OnStreamEnd(stream_id, stream, false);
   }
   this->OnClosed();
-  // The caller may be inside a callback of this very object.
+  // Keeps the object alive, as the caller may be in one of its callbacks.
   this->loop.Post([self] {});
 }
 
--- a/src/pollenring/link/session.h
+++ b/src/pollenring/link/session.h
@@ -20,8 +20,8 @@
 /**
  * @brief One HTTP/2 connection between two nodes.
  *
- * Carries whole messages both ways; each stream is one message and its answer.
- * Subclasses decide what a finished message means.
+ * Each stream carries one complete message and its reply. Subclasses handle the
+ * messages.
  */
 class Session : public std::enable_shared_from_this<Session> {
  public:
@@ -36,7 +36,7 @@
   void Close();
 
  protected:
-  /*! @brief What arrives and leaves on one stream. */
+  /*! @brief Data received and to be sent on one stream. */
   struct Stream {
     std::string path;
     std::string secret;
@@ -51,18 +51,20 @@
 
   Session(Loop &loop, Role side, std::size_t max_body_bytes);
 
-  /*! @brief Whether the peer may send on. @param stream Stream with headers. */
+  /*! @brief Whether data from the peer is accepted. @param stream Stream whose
+   * headers have been received. */
   [[nodiscard]] virtual bool Trusts(const Stream &stream) const = 0;
 
-  /*! @brief Called when the peer's whole message has arrived. */
+  /*! @brief Called when a complete message has been received. */
   virtual void OnMessage(std::int32_t stream_id, Stream &stream) = 0;
 
-  /*! @brief Called when a stream ends. @param refused Peer saw nothing of it.
+  /*! @brief Called when a stream ends. @param refused Whether the peer refused
+   * the stream unprocessed.
    */
   virtual void OnStreamEnd(std::int32_t stream_id, Stream &stream,
                            bool refused) = 0;
 
-  /*! @brief Called once when the connection has ended. */
+  /*! @brief Called once after the connection has ended. */
   virtual void OnClosed() {}
 
   void Attach(st_h2o_socket_t *socket);
@@ -74,10 +76,10 @@
   void Reset(std::int32_t stream_id, std::uint32_t code);
   void ScheduleFlush();
 
-  /*! @brief Asks the peer for a sign of life. */
+  /*! @brief Sends an HTTP/2 PING. */
   void Ping();
 
-  /*! @brief When the peer was heard last. @return The time. */
+  /*! @brief Last contact with the peer. @return The time. */
   [[nodiscard]] Time LastHeard() const noexcept { return this->last_heard; }
 
   [[nodiscard]] Loop &GetLoop() const noexcept { return this->loop; }
--- a/test/pollenring/link/link_server_test.cc
+++ b/test/pollenring/link/link_server_test.cc
@@ -24,8 +24,8 @@
 }  // namespace
 
 TEST_CASE("link server: a message cancelled behind it is not handled") {
-  // The server's process is behind: it reads messages and their cancellations
-  // in one go.
+  // After a stall, the server reads messages and their cancellations in one
+  // read.
   const pollenring::SystemClock clock;
   Loop behind{clock};
   Loop loop{clock};
@@ -57,8 +57,8 @@
 }
 
 TEST_CASE("link server: a message of a peer that has closed is not handled") {
-  // The server's process stands still for longer than its peer waits for a
-  // sign of life; the peer has then asked elsewhere.
+  // The server's process stalls for longer than the peer's ping time-out; the
+  // peer has sent its message to another node by then.
   std::signal(SIGPIPE, SIG_IGN);
   const pollenring::SystemClock clock;
   Loop behind{clock};
@@ -87,7 +87,7 @@
   REQUIRE(lost == 1);
   run(behind, 50ms);
   CHECK(handled.empty());
-  // The next connection is served as ever.
+  // The next connection is served normally.
   std::vector<std::string> expected{"next"};
   client.Call(address, "next", "x", 5s, [](const LinkClient::Reply &) {});
   run(loop, 20ms);
@@ -126,7 +126,7 @@
   client.Call(address, "broken", "x", 5s, count);
   run();
   REQUIRE(held.size() == 4);
-  // Its peer need not wait for an answer that will not come.
+  // The failed message's stream is reset, so the peer doesn't wait.
   CHECK(lost == 1);
   client.Cancel(given_up);
   run();
