Reword comments of log

Comments now name severity, budget, buffer and non-blocking writes directly; the cost of 0.1 % of a core stays as the reason of the budget. Comments only: no code token differs, as a comparison of the token streams shows.

--- a/src/pollenring/log/log.cc
+++ b/src/pollenring/log/log.cc
@@ -16,11 +16,12 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Lines that wait for a slow reader; minutes at the usual rate. */
+/*! @brief Maximum size of lines buffered for a slow reader; lasts minutes at
+ * the usual rate. */
 constexpr std::size_t kBufferBytes = std::size_t{1} << 20U;
-/*! @brief Lines on requests a second, which cost 0.1 % of a core. */
+/*! @brief Request lines per second; these cost 0.1 % of a core. */
 constexpr int kRequestLinesPerSecond = 40;
-/*! @brief The same for failures and refusals. */
+/*! @brief Lines per second on failures and rejections. */
 constexpr int kFailureLinesPerSecond = 120;
 constexpr Duration kBudgetWindow = std::chrono::seconds{1};
 
@@ -38,14 +39,14 @@
   return kLevels[static_cast<std::size_t>(level)];
 }
 
-/*! @brief Keeps lines until standard output takes them without waiting. */
+/*! @brief Buffers lines until standard output accepts them without blocking. */
 class BufferSink final
     : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
  public:
   void Write() {
     while (this->written < this->buffer.size()) {
       pollfd state{STDOUT_FILENO, POLLOUT, 0};
-      // A pipe that is ready takes this many bytes at once.
+      // A writable pipe accepts PIPE_BUF bytes without blocking.
       const std::size_t size =
           std::min<std::size_t>(this->buffer.size() - this->written, PIPE_BUF);
       if (poll(&state, 1, 0) <= 0 || (state.revents & POLLOUT) == 0) return;
@@ -80,7 +81,7 @@
   std::uint64_t dropped{};
 };
 
-/*! @brief The process's log; there is one standard output. */
+/*! @brief Log state of the process, which has one standard output. */
 struct LogState {
   std::string program{"pollenring"};
   std::shared_ptr<BufferSink> sink;
--- a/src/pollenring/log/log.h
+++ b/src/pollenring/log/log.h
@@ -7,39 +7,41 @@
 
 namespace pollenring {
 
-/*! @brief How much an event matters to an operator. */
+/*! @brief Severity of an event. */
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
 /**
  * @brief Sets up the process's log: JSON lines on standard output.
  *
- * Lines are kept in a bounded buffer until `FlushLog`; nothing ever waits for
+ * Lines are kept in a bounded buffer until `FlushLog`; logging never blocks on
  * the reader.
- * @param program Name that each line carries.
- * @param level Events below it are left out.
+ * @param program Program name in each line.
+ * @param level Minimum severity; events below it are dropped.
  */
 void SetUpLog(const std::string &program, LogLevel level);
 
 /**
- * @brief Writes one event as one line. Never pass keys or bodies.
- * @param level How much it matters.
+ * @brief Logs one event as one line. Never pass API keys or bodies.
+ * @param level Severity.
  * @param event Name of the event.
- * @param fields Further fields; a JSON object.
+ * @param fields Additional fields; a JSON object.
  */
 void LogEvent(LogLevel level, std::string_view event,
               nlohmann::json fields = nlohmann::json::object());
 
 /**
- * @brief Tells whether an event that comes with each request may be written.
+ * @brief Checks whether the line budget allows an event that occurs per
+ * request.
  *
- * Failures have a budget of their own, so that successes never displace them.
- * What is refused is counted and reported once a second.
- * @param level How much it matters.
- * @return Whether to call `LogEvent`; counts as one line when true.
+ * Failures have a separate budget, so that successes never displace them.
+ * Dropped lines are counted and reported at most once per second.
+ * @param level Severity.
+ * @return True if `LogEvent` may be called; this uses up one line.
  */
 [[nodiscard]] bool MayLogRequest(LogLevel level);
 
-/*! @brief Writes what the reader takes at once; call it often. */
+/*! @brief Writes buffered lines as far as possible without blocking; to be
+ * called often. */
 void FlushLog();
 
 }  // namespace pollenring
--- a/src/pollenring/log/process_end.h
+++ b/src/pollenring/log/process_end.h
@@ -4,10 +4,10 @@
 namespace pollenring {
 
 /**
- * @brief Has the process write its log, and why it ends, before an uncaught
- * error or a failed assertion ends it.
+ * @brief Makes the process flush its log before an uncaught error or a failed
+ * assertion ends it; an uncaught error is logged first.
  *
- * Call it once, after `SetUpLog`. The process still ends with SIGABRT.
+ * To be called once, after `SetUpLog`. The process still ends with SIGABRT.
  */
 void LogProcessEnd();
 
--- a/test/pollenring/log/process_end_test.cc
+++ b/test/pollenring/log/process_end_test.cc
@@ -14,7 +14,7 @@
 
 namespace {
 
-/*! @brief How a process ended and what it wrote. */
+/*! @brief The signal that ended a process, and its output. */
 struct EndedProcess {
   int signal{};
   std::string output;
