Reword comments of metrics

The comment of Summary promised a mean that it does not have, and quantiles of two windows where only one is read: the last full one, or the current one before that. Comments now say which window is read, when a quantile is 0, and that metrics, not figures, are exposed in the Prometheus format. Comments only: no code token differs, as a comparison of the token streams shows.

--- a/src/pollenring/metrics/metrics.cc
+++ b/src/pollenring/metrics/metrics.cc
@@ -46,7 +46,7 @@
   const auto samples = acc::count(window);
   if (samples == 0) return 0;
   const double beyond = static_cast<double>(samples) * (1 - quantile);
-  // The tail holds only the largest samples; a lower quantile is not in it.
+  // Only the largest samples are retained; a lower quantile can't be estimated.
   if (beyond >= static_cast<double>(kTailSamples)) return 0;
   if (beyond < 1) return acc::max(window);
   return acc::quantile(window, acc::quantile_probability = quantile);
--- a/src/pollenring/metrics/metrics.h
+++ b/src/pollenring/metrics/metrics.h
@@ -18,12 +18,13 @@
 
 namespace pollenring {
 
-/*! @brief Count, mean, extremes and upper quantiles of the last full window. */
+/*! @brief Count and sum of all samples; extremes and upper quantiles of the
+ * last full window (10 s), or of the current one before that. */
 class Summary {
  public:
   /**
-   * @brief Starts empty.
-   * @param clock Clock that windows follow.
+   * @brief Creates an empty summary.
+   * @param clock Clock for the windows.
    */
   explicit Summary(const Clock &clock);
 
@@ -40,16 +41,17 @@
   [[nodiscard]] double Sum() const noexcept { return this->sum; }
 
   /**
-   * @brief Estimates an upper quantile of the current and previous window.
+   * @brief Estimates an upper quantile of the window.
    * @param quantile Such as 0.99.
-   * @return The estimate, 0 without samples.
+   * @return The estimate; 0 without samples, or if the quantile is below the
+   * retained tail.
    */
   [[nodiscard]] double Quantile(double quantile) const;
 
-  /*! @brief Largest sample of the windows. @return It, 0 without samples. */
+  /*! @brief Largest sample of the window. @return The sample, or 0 if none. */
   [[nodiscard]] double Max() const;
 
-  /*! @brief Smallest sample of the windows. @return It, 0 without samples. */
+  /*! @brief Smallest sample of the window. @return The sample, or 0 if none. */
   [[nodiscard]] double Min() const;
 
  private:
@@ -77,12 +79,13 @@
   std::string value;
 };
 
-/*! @brief All figures of a process, in the text exposition format. */
+/*! @brief All metrics of a process, in the Prometheus text exposition format.
+ */
 class Metrics {
  public:
   /**
-   * @brief Starts empty.
-   * @param clock Clock that summaries follow.
+   * @brief Creates an empty registry.
+   * @param clock Clock for the summaries.
    */
   explicit Metrics(const Clock &clock) : clock{clock} {}
 
@@ -90,7 +93,7 @@
    * @brief Adds to a counter.
    * @param name Name, ending in `_total`.
    * @param label Label of the series.
-   * @param by How much.
+   * @param by Increment.
    */
   void Count(const std::string &name, const MetricLabel &label = {},
              std::uint64_t by = 1);
@@ -103,14 +106,14 @@
   void Observe(const std::string &name, double value);
 
   /**
-   * @brief Registers a figure that is read when asked for.
+   * @brief Registers a gauge that is read on exposition.
    * @param name Name, with its unit.
-   * @param read Reads it.
+   * @param read Returns the current value.
    */
   void Gauge(const std::string &name, std::function<double()> read);
 
   /**
-   * @brief Reads a counter, over all labels.
+   * @brief Reads a counter, summed over all labels.
    * @param name Its name.
    * @return Its value.
    */
@@ -118,7 +121,7 @@
 
   /**
    * @brief Reads all counters.
-   * @return Values by name, labels added in braces.
+   * @return Values by name, with labels in braces.
    */
   [[nodiscard]] std::map<std::string, std::uint64_t> Counters() const;
 
