--- a/src/pollenring/link/link_client.cc
+++ b/src/pollenring/link/link_client.cc
@@ -10,16 +10,16 @@
 namespace pollenring {
 namespace {
 
-constexpr Duration kAliveCheck = std::chrono::milliseconds{100};
+constexpr Duration kLivenessCheckInterval = std::chrono::milliseconds{100};
 /*! @brief Maximum wait for a connection; a lost SYN is retransmitted after 1 s,
  * and by then the call goes to another node. */
 constexpr Duration kConnectTimeout = std::chrono::milliseconds{800};
 /*! @brief Time without data from the peer, with calls open, after which a ping
  * is sent. */
-constexpr Duration kQuiet = std::chrono::milliseconds{300};
+constexpr Duration kPingAfterIdle = std::chrono::milliseconds{300};
 /*! @brief Maximum wait for any data after a ping; a node that has used up its
  * CPU quota is throttled for 100 ms. */
-constexpr Duration kSignOfLife = std::chrono::milliseconds{800};
+constexpr Duration kPingTimeout = std::chrono::milliseconds{800};
 
 }  // namespace
 
@@ -32,7 +32,7 @@
         peer{peer} {}
 
   void Connect() {
-    this->opened = this->GetLoop().GetClock().Now();
+    this->opened_at = this->GetLoop().GetClock().Now();
     sockaddr_in native = this->peer.Native();
     this->connecting = h2o_socket_connect(
         this->GetLoop().Native(), reinterpret_cast<sockaddr *>(&native),
@@ -68,25 +68,25 @@
 
   /*! @brief Pings an unresponsive peer; closes the connection if it stays so.
    */
-  void CheckAlive() {
+  void CheckLiveness() {
     const Time now = this->GetLoop().GetClock().Now();
     if (!this->connected) {
-      if (now - this->opened > kConnectTimeout) this->Close();
+      if (now - this->opened_at > kConnectTimeout) this->Close();
       return;
     }
-    if (this->ids.empty()) return;
-    if (this->LastHeard() >= this->pinged) this->pinged = Time{};
-    if (this->pinged == Time{}) {
-      if (now - this->LastHeard() < kQuiet) return;
-      this->pinged = now;
+    if (this->calls_by_stream.empty()) return;
+    if (this->LastReceived() >= this->pinged_at) this->pinged_at = Time{};
+    if (this->pinged_at == Time{}) {
+      if (now - this->LastReceived() < kPingAfterIdle) return;
+      this->pinged_at = now;
       this->Ping();
       return;
     }
-    if (now - this->pinged > kSignOfLife) this->Close();
+    if (now - this->pinged_at > kPingTimeout) this->Close();
   }
 
   void Drop(std::int32_t stream_id) {
-    this->ids.erase(stream_id);
+    this->calls_by_stream.erase(stream_id);
     this->Reset(stream_id, NGHTTP2_CANCEL);
   }
 
@@ -122,29 +122,29 @@
       this->Close();
       return;
     }
-    this->ids.emplace(stream_id, id);
+    this->calls_by_stream.emplace(stream_id, id);
     const auto found = this->owner.calls.find(id);
     if (found != this->owner.calls.end()) found->second.stream_id = stream_id;
   }
 
-  [[nodiscard]] bool Trusts(const Stream & /*stream*/) const override {
+  [[nodiscard]] bool Accepts(const Stream & /*stream*/) const override {
     return true;
   }
 
   void OnMessage(std::int32_t stream_id, Stream &stream) override {
-    const auto found = this->ids.find(stream_id);
-    if (found == this->ids.end()) return;
+    const auto found = this->calls_by_stream.find(stream_id);
+    if (found == this->calls_by_stream.end()) return;
     const CallId id = found->second;
-    this->ids.erase(found);
+    this->calls_by_stream.erase(found);
     this->owner.Finish(id, std::move(stream.received));
   }
 
   void OnStreamEnd(std::int32_t stream_id, Stream & /*stream*/,
                    bool refused) override {
-    const auto found = this->ids.find(stream_id);
-    if (found == this->ids.end()) return;
+    const auto found = this->calls_by_stream.find(stream_id);
+    if (found == this->calls_by_stream.end()) return;
     const CallId id = found->second;
-    this->ids.erase(found);
+    this->calls_by_stream.erase(found);
     this->owner.Finish(id, refused ? LinkError::kNotSent : LinkError::kLost);
   }
 
@@ -165,29 +165,29 @@
   Address peer;
   h2o_socket_t *connecting{};
   bool connected{};
-  Time opened{};
-  Time pinged{}; /*!< Zero unless a ping is outstanding. */
+  Time opened_at{};
+  Time pinged_at{}; /*!< Zero unless a ping is outstanding. */
   std::vector<Waiting> waiting;
-  std::unordered_map<std::int32_t, CallId> ids;
+  std::unordered_map<std::int32_t, CallId> calls_by_stream;
 };
 
 LinkClient::LinkClient(Loop &loop, std::string secret,
                        std::size_t max_body_bytes)
     : loop{loop}, secret{std::move(secret)}, max_body_bytes{max_body_bytes} {
-  const std::weak_ptr<bool> still = this->alive;
-  loop.Every(kAliveCheck, [this, still] {
-    if (!still.expired()) this->CheckAlive();
+  const std::weak_ptr<bool> weak_alive = this->alive;
+  loop.Every(kLivenessCheckInterval, [this, weak_alive] {
+    if (!weak_alive.expired()) this->CheckLiveness();
   });
 }
 
-void LinkClient::CheckAlive() {
+void LinkClient::CheckLiveness() {
   // Closing a connection modifies the map, so iterate over a copy.
   std::vector<std::shared_ptr<Connection>> open;
   open.reserve(this->connections.size());
   for (const auto &[peer, connection] : this->connections) {
     open.push_back(connection);
   }
-  for (const auto &connection : open) connection->CheckAlive();
+  for (const auto &connection : open) connection->CheckLiveness();
 }
 
 LinkClient::~LinkClient() = default;
@@ -197,8 +197,8 @@
                                     Done done) {
   const CallId id = ++this->last_id;
   auto &connection = this->connections[to];
-  const bool fresh = !connection;
-  if (fresh) connection = std::make_shared<Connection>(*this, to);
+  const bool is_new = !connection;
+  if (is_new) connection = std::make_shared<Connection>(*this, to);
   const auto held = connection;
   Pending &pending = this->calls[id];
   pending.connection = held;
@@ -206,7 +206,7 @@
   pending.timer =
       this->loop.After(timeout, [this, id] { this->Abandon(id, true); });
   held->Send(id, std::string{path}, std::move(body));
-  if (fresh) held->Connect();
+  if (is_new) held->Connect();
   return id;
 }
 
--- a/src/pollenring/link/link_client.h
+++ b/src/pollenring/link/link_client.h
@@ -63,7 +63,7 @@
     std::uint64_t timer{};
   };
 
-  void CheckAlive();
+  void CheckLiveness();
   void Finish(CallId id, Reply reply);
   void Abandon(CallId id, bool timed_out);
 
--- a/src/pollenring/link/link_server.cc
+++ b/src/pollenring/link/link_server.cc
@@ -14,7 +14,7 @@
 namespace pollenring {
 namespace {
 
-constexpr int kAcceptsPerTurn = 16;
+constexpr int kMaxAcceptsPerTurn = 16;
 constexpr Duration kFirstMessageTimeout = std::chrono::seconds{10};
 
 }  // namespace
@@ -102,33 +102,33 @@
     this->owner.loop.After(kFirstMessageTimeout,
                            [weak = std::weak_ptr<Connection>{self}] {
                              const auto held = weak.lock();
-                             if (held && !held->trusted) held->Close();
+                             if (held && !held->authenticated) held->Close();
                            });
   }
 
-  void Answer(std::int32_t stream_id, std::string body) {
+  void Reply(std::int32_t stream_id, std::string body) {
     this->responders.erase(stream_id);
     this->SubmitResponse(stream_id, std::move(body));
   }
 
-  void BreakOff(std::int32_t stream_id) {
+  void ResetReply(std::int32_t stream_id) {
     this->responders.erase(stream_id);
     this->Reset(stream_id, NGHTTP2_INTERNAL_ERROR);
   }
 
  private:
-  [[nodiscard]] bool Trusts(const Stream &stream) const override {
+  [[nodiscard]] bool Accepts(const Stream &stream) const override {
     return EqualConstantTime(stream.secret, this->owner.secret);
   }
 
   void OnMessage(std::int32_t stream_id, Stream &stream) override {
-    if (!this->Trusts(stream)) {
+    if (!this->Accepts(stream)) {
       this->owner.loop.Post([weak = weak_from_this()] {
         if (const auto held = weak.lock()) held->Close();
       });
       return;
     }
-    this->trusted = true;
+    this->authenticated = true;
     const auto self = std::static_pointer_cast<Connection>(shared_from_this());
     auto responder =
         std::make_shared<StreamResponder>(self, stream_id, this->peer);
@@ -164,7 +164,7 @@
   Impl &owner;
   h2o_socket_t *accepted;
   Address peer;
-  bool trusted{};
+  bool authenticated{};
   std::unordered_map<std::int32_t, std::weak_ptr<StreamResponder>> responders;
 };
 
@@ -173,7 +173,7 @@
   this->cancelled = nullptr;
   const auto held = this->connection.lock();
   if (!held || held->Closed()) return;
-  held->Answer(this->stream_id, std::move(body));
+  held->Reply(this->stream_id, std::move(body));
 }
 
 void LinkServer::Impl::StreamResponder::Fail() {
@@ -181,13 +181,13 @@
   this->cancelled = nullptr;
   const auto held = this->connection.lock();
   if (!held || held->Closed()) return;
-  held->BreakOff(this->stream_id);
+  held->ResetReply(this->stream_id);
 }
 
 void LinkServer::Impl::OnAccept(h2o_socket_t *listener, const char *error) {
   if (error != nullptr) return;
   auto *self = static_cast<Impl *>(listener->data);
-  for (int i = 0; i < kAcceptsPerTurn; ++i) {
+  for (int i = 0; i < kMaxAcceptsPerTurn; ++i) {
     h2o_socket_t *sock = h2o_evloop_socket_accept(listener);
     if (sock == nullptr) return;
     auto connection = std::make_shared<Connection>(*self, sock);
--- a/src/pollenring/link/session.cc
+++ b/src/pollenring/link/session.cc
@@ -13,8 +13,8 @@
 
 constexpr std::uint32_t kStreamWindowBytes = 1U << 20U;
 constexpr std::int32_t kConnectionWindowBytes = 1 << 24;
-constexpr std::uint32_t kMaxStreams = 100'000;
-constexpr std::size_t kWriteBytes = std::size_t{256} * 1024;
+constexpr std::uint32_t kMaxConcurrentStreams = 100'000;
+constexpr std::size_t kMaxWriteBytes = std::size_t{256} * 1024;
 constexpr std::string_view kSecretHeader = "pr-secret";
 
 [[nodiscard]] nghttp2_nv Field(std::string_view name, std::string_view value) {
@@ -45,7 +45,7 @@
                     std::int32_t stream_id, const std::uint8_t *data,
                     std::size_t size, void *user) {
     Stream &stream = Self(user)->StreamOf(stream_id);
-    if (!Self(user)->Trusts(stream)) return NGHTTP2_ERR_CALLBACK_FAILURE;
+    if (!Self(user)->Accepts(stream)) return NGHTTP2_ERR_CALLBACK_FAILURE;
     stream.received.append(reinterpret_cast<const char *>(data), size);
     if (stream.received.size() <= Self(user)->max_body_bytes) return 0;
     stream.received.clear();
@@ -89,7 +89,7 @@
   }
 };
 
-Session::Session(Loop &loop, Role side, std::size_t max_body_bytes)
+Session::Session(Loop &loop, Role role, std::size_t max_body_bytes)
     : loop{loop}, max_body_bytes{max_body_bytes} {
   nghttp2_session_callbacks *callbacks = nullptr;
   nghttp2_session_callbacks_new(&callbacks);
@@ -101,7 +101,7 @@
                                                        &Callbacks::OnFrame);
   nghttp2_session_callbacks_set_on_stream_close_callback(
       callbacks, &Callbacks::OnStreamClose);
-  if (side == Role::kClient) {
+  if (role == Role::kClient) {
     nghttp2_session_client_new(&this->native, callbacks, this);
   } else {
     nghttp2_session_server_new(&this->native, callbacks, this);
@@ -127,7 +127,7 @@
 
 void Session::SubmitSettings() {
   const std::array<nghttp2_settings_entry, 2> entries{{
-      {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, kMaxStreams},
+      {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, kMaxConcurrentStreams},
       {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kStreamWindowBytes},
   }};
   nghttp2_submit_settings(this->native, NGHTTP2_FLAG_NONE, entries.data(),
@@ -209,7 +209,7 @@
     this->Close();
     return;
   }
-  this->last_heard = this->loop.GetClock().Now();
+  this->last_received = this->loop.GetClock().Now();
   const auto self = this->shared_from_this();
   h2o_buffer_t **input = &this->socket->input;
   const ssize_t used = nghttp2_session_mem_recv(
@@ -233,7 +233,7 @@
 void Session::Flush() {
   if (this->closed || this->writing || this->socket == nullptr) return;
   this->writing_data.clear();
-  while (this->writing_data.size() < kWriteBytes) {
+  while (this->writing_data.size() < kMaxWriteBytes) {
     const std::uint8_t *data = nullptr;
     const ssize_t size = nghttp2_session_mem_send(this->native, &data);
     if (size < 0) {
--- a/src/pollenring/link/session.h
+++ b/src/pollenring/link/session.h
@@ -49,11 +49,11 @@
   /*! @brief Which end of the connection this is. */
   enum class Role { kClient, kServer };
 
-  Session(Loop &loop, Role side, std::size_t max_body_bytes);
+  Session(Loop &loop, Role role, std::size_t max_body_bytes);
 
   /*! @brief Whether data from the peer is accepted. @param stream Stream whose
    * headers have been received. */
-  [[nodiscard]] virtual bool Trusts(const Stream &stream) const = 0;
+  [[nodiscard]] virtual bool Accepts(const Stream &stream) const = 0;
 
   /*! @brief Called when a complete message has been received. */
   virtual void OnMessage(std::int32_t stream_id, Stream &stream) = 0;
@@ -80,7 +80,9 @@
   void Ping();
 
   /*! @brief Last contact with the peer. @return The time. */
-  [[nodiscard]] Time LastHeard() const noexcept { return this->last_heard; }
+  [[nodiscard]] Time LastReceived() const noexcept {
+    return this->last_received;
+  }
 
   [[nodiscard]] Loop &GetLoop() const noexcept { return this->loop; }
   [[nodiscard]] nghttp2_session *Native() const noexcept {
@@ -103,7 +105,7 @@
   bool writing{};
   bool flush_scheduled{};
   bool closed{};
-  Time last_heard{};
+  Time last_received{};
 };
 
 }  // namespace pollenring
--- a/src/pollenring/log/log.cc
+++ b/src/pollenring/log/log.cc
@@ -18,11 +18,11 @@
 
 /*! @brief Maximum size of lines buffered for a slow reader; lasts minutes at
  * the usual rate. */
-constexpr std::size_t kBufferBytes = std::size_t{1} << 20U;
+constexpr std::size_t kMaxBufferBytes = std::size_t{1} << 20U;
 /*! @brief Request lines per second; these cost 0.1 % of a core. */
-constexpr int kRequestLinesPerSecond = 40;
+constexpr int kMaxRequestLinesPerSecond = 40;
 /*! @brief Lines per second on failures and rejections. */
-constexpr int kFailureLinesPerSecond = 120;
+constexpr int kMaxFailureLinesPerSecond = 120;
 constexpr Duration kBudgetWindow = std::chrono::seconds{1};
 
 constexpr EnumTable<LogLevel, 4> kLogLevelNames{{{
@@ -65,7 +65,7 @@
 
  protected:
   void sink_it_(const spdlog::details::log_msg &message) override {
-    if (this->buffer.size() + message.payload.size() > kBufferBytes) {
+    if (this->buffer.size() + message.payload.size() > kMaxBufferBytes) {
       ++this->dropped;
       return;
     }
@@ -85,10 +85,10 @@
 struct LogState {
   std::string program{"pollenring"};
   std::shared_ptr<BufferSink> sink;
-  Time window{};
+  Time window_start{};
   int requests{};
   int failures{};
-  std::uint64_t left_out{};
+  std::uint64_t over_budget{};
 };
 
 [[nodiscard]] LogState &State() {
@@ -96,15 +96,15 @@
   return state;
 }
 
-void OpenWindow(LogState &state, Time now) {
-  state.window = now;
+void StartWindow(LogState &state, Time now) {
+  state.window_start = now;
   state.requests = 0;
   state.failures = 0;
-  const std::uint64_t left_out = std::exchange(state.left_out, 0);
+  const std::uint64_t over_budget = std::exchange(state.over_budget, 0);
   const std::uint64_t dropped = state.sink ? state.sink->TakeDropped() : 0;
-  if (left_out == 0 && dropped == 0) return;
+  if (over_budget == 0 && dropped == 0) return;
   LogEvent(LogLevel::kInfo, "lines left out",
-           {{"over_budget", left_out}, {"buffer_full", dropped}});
+           {{"over_budget", over_budget}, {"buffer_full", dropped}});
 }
 
 }  // namespace
@@ -134,15 +134,16 @@
   if (!spdlog::should_log(ToSpdlog(level))) return false;
   LogState &state = State();
   const Time now = SystemClock{}.Now();
-  if (now - state.window >= kBudgetWindow) OpenWindow(state, now);
+  if (now - state.window_start >= kBudgetWindow) StartWindow(state, now);
   const bool failure = level >= LogLevel::kWarning;
   int &used = failure ? state.failures : state.requests;
-  const int most = failure ? kFailureLinesPerSecond : kRequestLinesPerSecond;
-  if (used < most) {
+  const int limit =
+      failure ? kMaxFailureLinesPerSecond : kMaxRequestLinesPerSecond;
+  if (used < limit) {
     ++used;
     return true;
   }
-  ++state.left_out;
+  ++state.over_budget;
   return false;
 }
 
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -166,7 +166,7 @@
   // What goes on after a broken rule may break it again; what was taken is
   // still answered.
   this->loop.OnError([this](const ContainedError &error) {
-    if (error.rule) this->Leave();
+    if (error.invariant_violated) this->Leave();
   });
   this->loop.Every(kRingTick, [this] { this->ring.Update(this->shares); });
   this->loop.Every(kServingTick, [this] { this->serving.Tick(); });
@@ -226,7 +226,7 @@
       ReceiveCall(std::move(body), responder->Peer(), this->wire.unreadable);
   const bool late = this->Leaving() > kLeaveServesPeers;
   // What a process reads after it stood still may have been given up long ago.
-  if (!framed || late || this->loop.WokeFromPause()) {
+  if (!framed || late || this->loop.WokeFromStall()) {
     const Reason reason = late ? Reason::kLeaving : Reason::kLinkLost;
     const Duration jittered_retry_after =
         WithJitter(kDefaultRetryAfter, this->parts.random);
--- a/src/pollenring/mesh/mesh_node_status.cc
+++ b/src/pollenring/mesh/mesh_node_status.cc
@@ -32,7 +32,7 @@
     return std::chrono::duration<double>{this->serving.ColdFor()}.count();
   });
   this->metrics.Gauge("pollenring_answers_held_bytes", [this] {
-    return static_cast<double>(this->parts.client.HeldBytes());
+    return static_cast<double>(this->parts.client.BufferedBytes());
   });
   this->metrics.Gauge("pollenring_connects", [this] {
     return static_cast<double>(this->parts.client.Connects());
--- a/src/pollenring/metrics/metrics.cc
+++ b/src/pollenring/metrics/metrics.cc
@@ -8,7 +8,7 @@
 
 namespace acc = boost::accumulators;
 
-constexpr Duration kWindow = std::chrono::seconds{10};
+constexpr Duration kWindowLength = std::chrono::seconds{10};
 constexpr std::size_t kTailSamples = 2048;
 constexpr std::array<double, 3> kQuantiles{0.9, 0.99, 0.999};
 
@@ -16,19 +16,19 @@
 
 Summary::Summary(const Clock &clock)
     : clock{clock},
-      current{Fresh()},
-      previous{Fresh()},
+      current{NewWindow()},
+      previous{NewWindow()},
       window_start{clock.Now()} {}
 
-Summary::Window Summary::Fresh() {
+Summary::Window Summary::NewWindow() {
   return Window{acc::tag::tail<acc::right>::cache_size = kTailSamples};
 }
 
 void Summary::Add(double value) {
   const Time now = this->clock.Now();
-  if (now - this->window_start >= kWindow) {
+  if (now - this->window_start >= kWindowLength) {
     this->previous = this->current;
-    this->current = Fresh();
+    this->current = NewWindow();
     this->window_start = now;
   }
   this->current(value);
@@ -36,39 +36,39 @@
   this->sum += value;
 }
 
-const Summary::Window &Summary::Readable() const {
-  const bool full = acc::count(this->previous) > 0;
-  return full ? this->previous : this->current;
+const Summary::Window &Summary::ReportedWindow() const {
+  const bool has_previous = acc::count(this->previous) > 0;
+  return has_previous ? this->previous : this->current;
 }
 
 double Summary::Quantile(double quantile) const {
-  const Window &window = this->Readable();
+  const Window &window = this->ReportedWindow();
   const auto samples = acc::count(window);
   if (samples == 0) return 0;
-  const double beyond = static_cast<double>(samples) * (1 - quantile);
+  const double samples_above = static_cast<double>(samples) * (1 - quantile);
   // Only the largest samples are retained; a lower quantile can't be estimated.
-  if (beyond >= static_cast<double>(kTailSamples)) return 0;
-  if (beyond < 1) return acc::max(window);
+  if (samples_above >= static_cast<double>(kTailSamples)) return 0;
+  if (samples_above < 1) return acc::max(window);
   return acc::quantile(window, acc::quantile_probability = quantile);
 }
 
 double Summary::Max() const {
-  const Window &window = this->Readable();
+  const Window &window = this->ReportedWindow();
   return acc::count(window) == 0 ? 0 : acc::max(window);
 }
 
 double Summary::Min() const {
-  const Window &window = this->Readable();
+  const Window &window = this->ReportedWindow();
   return acc::count(window) == 0 ? 0 : acc::min(window);
 }
 
 void Metrics::Count(const std::string &name, const MetricLabel &label,
-                    std::uint64_t by) {
+                    std::uint64_t increment) {
   std::string series;
   if (!label.name.empty()) {
     series = "{" + label.name + "=\"" + label.value + "\"}";
   }
-  this->counters[name][series] += by;
+  this->counters[name][series] += increment;
 }
 
 void Metrics::Observe(const std::string &name, double value) {
--- a/src/pollenring/metrics/metrics.h
+++ b/src/pollenring/metrics/metrics.h
@@ -62,8 +62,8 @@
           boost::accumulators::tag::max,
           boost::accumulators::tag::tail_quantile<boost::accumulators::right>>>;
 
-  [[nodiscard]] static Window Fresh();
-  [[nodiscard]] const Window &Readable() const;
+  [[nodiscard]] static Window NewWindow();
+  [[nodiscard]] const Window &ReportedWindow() const;
 
   const Clock &clock;
   Window current;
@@ -93,10 +93,10 @@
    * @brief Adds to a counter.
    * @param name Name, ending in `_total`.
    * @param label Label of the series.
-   * @param by Increment.
+   * @param increment Amount to add.
    */
   void Count(const std::string &name, const MetricLabel &label = {},
-             std::uint64_t by = 1);
+             std::uint64_t increment = 1);
 
   /**
    * @brief Adds a sample to a summary.
--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -21,14 +21,14 @@
 constexpr std::size_t kPoolCapacity = 1024;
 /*! @brief Time an idle connection is kept if the peer states none; most servers
  * close after 5 s. */
-constexpr Duration kPoolIdle = std::chrono::seconds{4};
+constexpr Duration kDefaultIdleTimeout = std::chrono::seconds{4};
 /*! @brief Fraction of the peer's idle time-out during which a connection is
  * reused; the rest allows for network latency and late timers. */
-constexpr double kIdleFraction = 0.8;
+constexpr double kIdleTimeoutFraction = 0.8;
 /*! @brief Responses to other requests that one call skips; a peer that sends
  * more has lost track of its requests. */
-constexpr int kMostForeign = 4;
-constexpr Duration kIdleSweep = std::chrono::seconds{1};
+constexpr int kMaxForeignResponses = 4;
+constexpr Duration kIdleSweepInterval = std::chrono::seconds{1};
 /*! @brief Maximum wait for a connection; peers are milliseconds away, and a
  * lost SYN is retransmitted after 1 s. */
 constexpr Duration kConnectTimeout = std::chrono::milliseconds{1500};
@@ -56,20 +56,20 @@
  public:
   Impl(Loop &loop, const HttpClientLimits &limits)
       : loop{loop}, limits{limits} {
-    const std::weak_ptr<bool> still = this->alive;
-    loop.Every(kIdleSweep, [this, still] {
-      if (!still.expired()) this->DropIdle();
+    const std::weak_ptr<bool> weak_alive = this->alive;
+    loop.Every(kIdleSweepInterval, [this, weak_alive] {
+      if (!weak_alive.expired()) this->DropIdle();
     });
   }
 
   CallId Start(const Address &to, const HttpRequest &request, Duration timeout,
-               Done done, CorrelationHeader mark) {
+               Done done, CorrelationHeader correlation) {
     const CallId id = ++this->last_id;
     Pending &call = this->calls[id];
     call.to = to;
-    call.out = Serialize(to, request);
+    call.output = Serialize(to, request);
     call.head_only = request.method == "HEAD";
-    call.mark = std::move(mark);
+    call.correlation = std::move(correlation);
     call.done = std::move(done);
     call.timer = this->loop.After(timeout, [this, id] { this->Expire(id); });
     if (!this->Reuse(id, call)) this->Connect(id, call);
@@ -89,7 +89,9 @@
     return this->connects;
   }
 
-  [[nodiscard]] std::size_t HeldBytes() const noexcept { return this->held; }
+  [[nodiscard]] std::size_t BufferedBytes() const noexcept {
+    return this->buffered_bytes;
+  }
 
  private:
   struct Connection {
@@ -101,17 +103,16 @@
     Time idle_until{};
     Loop::TimerId connect_timer{};
     bool writing{};
-    bool spoiled{}; /*!< Must not be reused: it carried a response to another
-                       request, or a write failed. */
-    int foreign{};  /*!< Responses to other requests received during the current
-                       call. */
-    std::size_t held{}; /*!< Buffered bytes of the current response. */
+    /*! @brief A response to another request was received, or a write failed. */
+    bool not_reusable{};
+    int foreign_responses{}; /*!< To other requests, in the current call. */
+    std::size_t buffered_bytes{}; /*!< Of the current response. */
   };
 
   struct Pending {
     Address to;
-    std::string out;
-    CorrelationHeader mark;
+    std::string output;
+    CorrelationHeader correlation;
     bool head_only{};
     bool sent{};
     Done done;
@@ -181,19 +182,19 @@
     connection.call = id;
     connection.parser.emplace(call.head_only, this->limits.max_body_bytes);
     connection.writing = true;
-    connection.foreign = 0;
+    connection.foreign_responses = 0;
     call.connection = &connection;
     call.sent = true;
-    h2o_iovec_t out = h2o_iovec_init(call.out.data(), call.out.size());
+    h2o_iovec_t output = h2o_iovec_init(call.output.data(), call.output.size());
     h2o_socket_read_start(connection.sock, &Impl::OnRead);
-    h2o_socket_write(connection.sock, &out, 1, &Impl::OnWritten);
+    h2o_socket_write(connection.sock, &output, 1, &Impl::OnWritten);
   }
 
   static void OnWritten(h2o_socket_t *sock, const char *error) {
     auto *connection = static_cast<Connection *>(sock->data);
     connection->writing = false;
     // The peer may have responded before; that response is read first.
-    if (error != nullptr) connection->spoiled = true;
+    if (error != nullptr) connection->not_reusable = true;
   }
 
   static void OnRead(h2o_socket_t *sock, const char *error) {
@@ -221,87 +222,88 @@
     const bool stray = used < (*input)->size;
     h2o_buffer_consume(input, (*input)->size);
     if (error == h2o_socket_error_closed) connection.parser->End();
-    this->Hold(connection, connection.parser->Held());
-    if (connection.foreign > kMostForeign) {
-      this->Fail(connection, CallError::kBroken);
+    this->SetBufferedBytes(connection, connection.parser->BufferedBytes());
+    if (connection.foreign_responses > kMaxForeignResponses) {
+      this->Fail(connection, CallError::kInvalidResponse);
       return;
     }
     switch (connection.parser->State()) {
-      case ResponseState::kWhole:
+      case ResponseState::kComplete:
         this->Complete(connection, stray || error != nullptr);
         return;
       case ResponseState::kTooLarge:
-        this->Fail(connection, CallError::kTooLarge);
+        this->Fail(connection, CallError::kResponseTooLarge);
         return;
-      case ResponseState::kBroken:
-        this->Fail(connection, CallError::kBroken);
+      case ResponseState::kInvalid:
+        this->Fail(connection, CallError::kInvalidResponse);
         return;
       case ResponseState::kPartial:
         if (error != nullptr) {
-          this->Fail(connection, CallError::kBroken);
+          this->Fail(connection, CallError::kInvalidResponse);
           return;
         }
-        this->ShedHeld();
+        this->EnforceBufferLimit();
     }
   }
 
   /*! @brief Skips a response that belongs to another request. @return True if
    * skipped. */
   bool SkipForeign(Connection &connection) {
-    if (connection.parser->State() != ResponseState::kWhole) return false;
+    if (connection.parser->State() != ResponseState::kComplete) return false;
     const Pending &call = this->calls.at(connection.call);
-    if (call.mark.name.empty()) return false;
-    const auto given =
-        FindHeader(connection.parser->Answer().headers, call.mark.name);
-    if (given.empty() || given == call.mark.value) return false;
-    connection.spoiled = true;
-    if (++connection.foreign > kMostForeign) return false;
+    if (call.correlation.name.empty()) return false;
+    const auto received = FindHeader(connection.parser->Response().headers,
+                                     call.correlation.name);
+    if (received.empty() || received == call.correlation.value) return false;
+    connection.not_reusable = true;
+    if (++connection.foreign_responses > kMaxForeignResponses) return false;
     connection.parser.emplace(call.head_only, this->limits.max_body_bytes);
     return true;
   }
 
   /*! @brief Updates the buffered bytes of the connection and in total. */
-  void Hold(Connection &connection, std::size_t bytes) {
-    this->held += bytes;
-    this->held -= connection.held;
-    connection.held = bytes;
+  void SetBufferedBytes(Connection &connection, std::size_t bytes) {
+    this->buffered_bytes += bytes;
+    this->buffered_bytes -= connection.buffered_bytes;
+    connection.buffered_bytes = bytes;
   }
 
   /*! @brief Fails the call with the most buffered bytes if the total exceeds
    * its limit. */
-  void ShedHeld() {
-    if (this->held <= this->limits.max_held_bytes) return;
-    const auto most =
-        std::max_element(this->connections.begin(), this->connections.end(),
-                         [](const auto &left, const auto &right) {
-                           return left.second->held < right.second->held;
-                         });
-    this->Fail(*most->second, CallError::kTooLarge);
+  void EnforceBufferLimit() {
+    if (this->buffered_bytes <= this->limits.max_buffered_bytes) return;
+    const auto largest = std::max_element(
+        this->connections.begin(), this->connections.end(),
+        [](const auto &left, const auto &right) {
+          return left.second->buffered_bytes < right.second->buffered_bytes;
+        });
+    this->Fail(*largest->second, CallError::kResponseTooLarge);
   }
 
   void Complete(Connection &connection, bool ended) {
     const CallId id = connection.call;
     ResponseParser &parser = *connection.parser;
-    const bool reusable = !ended && !connection.spoiled &&
+    const bool reusable = !ended && !connection.not_reusable &&
                           !connection.writing && parser.KeepsAlive();
-    HttpResponse answer = std::move(parser.Answer());
-    const Duration stated = parser.IdleTimeout();
+    HttpResponse response = std::move(parser.Response());
+    const Duration stated_timeout = parser.IdleTimeout();
     this->calls.at(id).connection = nullptr;
     connection.call = 0;
-    this->Hold(connection, 0);
+    this->SetBufferedBytes(connection, 0);
     auto &pool = this->idle[connection.to];
     if (reusable && pool.size() < kPoolCapacity) {
-      const Duration kept =
-          stated > Duration{0}
+      const Duration idle_timeout =
+          stated_timeout > Duration{0}
               ? Duration{static_cast<std::int64_t>(
-                    static_cast<double>(stated.count()) * kIdleFraction)}
-              : kPoolIdle;
-      connection.idle_until = this->loop.GetClock().Now() + kept;
+                    static_cast<double>(stated_timeout.count()) *
+                    kIdleTimeoutFraction)}
+              : kDefaultIdleTimeout;
+      connection.idle_until = this->loop.GetClock().Now() + idle_timeout;
       pool.push_back(&connection);
     } else {
       this->Destroy(connection);
     }
-    this->Finish(id, std::move(answer));
+    this->Finish(id, std::move(response));
   }
 
   void Fail(Connection &connection, CallError error) {
@@ -334,11 +336,11 @@
   void DropIdle() {
     const Time now = this->loop.GetClock().Now();
     for (auto &[to, pool] : this->idle) {
-      const auto over = std::partition(
+      const auto first_expired = std::partition(
           pool.begin(), pool.end(),
-          [now](const Connection *kept) { return kept->idle_until > now; });
-      for (auto it = over; it != pool.end(); ++it) this->Destroy(**it);
-      pool.erase(over, pool.end());
+          [now](const Connection *pooled) { return pooled->idle_until > now; });
+      for (auto it = first_expired; it != pool.end(); ++it) this->Destroy(**it);
+      pool.erase(first_expired, pool.end());
     }
   }
 
@@ -354,14 +356,14 @@
 
   void Destroy(Connection &connection) {
     this->loop.Cancel(connection.connect_timer);
-    this->Hold(connection, 0);
+    this->SetBufferedBytes(connection, 0);
     h2o_socket_close(connection.sock);
     this->connections.erase(&connection);
   }
 
   Loop &loop;
   HttpClientLimits limits;
-  std::size_t held{};
+  std::size_t buffered_bytes{};
   std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
   std::unordered_map<const Connection *, std::unique_ptr<Connection>>
       connections;
@@ -379,13 +381,13 @@
 HttpClient::CallId HttpClient::Call(const Address &to,
                                     const HttpRequest &request,
                                     Duration timeout, Done done,
-                                    CorrelationHeader mark) {
+                                    CorrelationHeader correlation) {
   return this->impl->Start(to, request, timeout, std::move(done),
-                           std::move(mark));
+                           std::move(correlation));
 }
 
-std::size_t HttpClient::HeldBytes() const noexcept {
-  return this->impl->HeldBytes();
+std::size_t HttpClient::BufferedBytes() const noexcept {
+  return this->impl->BufferedBytes();
 }
 
 void HttpClient::Cancel(CallId id) { this->impl->Cancel(id); }
--- a/src/pollenring/net/http_client.h
+++ b/src/pollenring/net/http_client.h
@@ -19,19 +19,20 @@
 
 /*! @brief Why a call got no complete response. */
 enum class CallError {
-  kNotConnected,   /*!< Nothing was sent. */
-  kConnectRefused, /*!< Nothing was sent; no process listens there. */
-  kBroken,   /*!< Sent, but the response is missing, malformed or truncated. */
-  kTooLarge, /*!< The response exceeds the limit. */
-  kTimedOut  /*!< Sent, but no response arrived in time. */
+  kNotConnected,     /*!< Nothing was sent. */
+  kConnectRefused,   /*!< Nothing was sent; no process listens there. */
+  kInvalidResponse,  /*!< Sent, but the response is missing, malformed or
+                        truncated. */
+  kResponseTooLarge, /*!< The response exceeds the limit. */
+  kTimedOut          /*!< Sent, but no response arrived in time. */
 };
 
 /*! @brief Names of call errors. */
 inline constexpr EnumTable<CallError, 5> kCallErrorNames{{{
     {CallError::kNotConnected, "not connected"},
     {CallError::kConnectRefused, "connection refused"},
-    {CallError::kBroken, "broken answer"},
-    {CallError::kTooLarge, "answer too large"},
+    {CallError::kInvalidResponse, "broken answer"},
+    {CallError::kResponseTooLarge, "answer too large"},
     {CallError::kTimedOut, "timed out"},
 }}};
 
@@ -47,7 +48,7 @@
   std::size_t max_body_bytes{}; /*!< Of one response. */
   /*! @brief Of all incomplete responses; beyond it, the call with the most
    * buffered bytes fails. */
-  std::size_t max_held_bytes{std::size_t{32} * 1024 * 1024};
+  std::size_t max_buffered_bytes{std::size_t{32} * 1024 * 1024};
 };
 
 /*! @brief A request header that the response echoes; a response with another
@@ -86,11 +87,12 @@
    * @param timeout Maximum wait for the complete response.
    * @param done Called exactly once unless the call is cancelled; never from
    * within `Call`.
-   * @param mark Header that the response must echo if it has that header.
+   * @param correlation Header that the response must echo if it has that
+   * header.
    * @return Handle for `Cancel`.
    */
   CallId Call(const Address &to, const HttpRequest &request, Duration timeout,
-              Done done, CorrelationHeader mark = {});
+              Done done, CorrelationHeader correlation = {});
 
   /**
    * @brief Drops a call and its connection; `done` is not called.
@@ -99,7 +101,7 @@
   void Cancel(CallId id);
 
   /*! @brief Buffered bytes of incomplete responses. @return The sum. */
-  [[nodiscard]] std::size_t HeldBytes() const noexcept;
+  [[nodiscard]] std::size_t BufferedBytes() const noexcept;
 
   /*! @brief Connections opened so far. @return The count. */
   [[nodiscard]] std::uint64_t Connects() const noexcept;
--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -16,13 +16,13 @@
 namespace {
 
 constexpr int kListenBacklog = 1024;
-constexpr int kAcceptsPerTurn = 16;
-constexpr int kHttp2 = 0x200;
+constexpr int kMaxAcceptsPerTurn = 16;
+constexpr int kHttp2Version = 0x200;
 constexpr int kServiceUnavailable = 503;
 constexpr int kBadGateway = 502;
 /*! @brief Age at which a request's connection is checked for a hang-up, and the
  * interval between checks. */
-constexpr Duration kHangUpCheck = std::chrono::milliseconds{100};
+constexpr Duration kHangUpCheckInterval = std::chrono::milliseconds{100};
 
 [[nodiscard]] std::string ToString(const h2o_iovec_t &text) {
   return {text.base, text.len};
@@ -60,7 +60,8 @@
     this->cancelled = nullptr;
     target->res.status = response.status;
     target->res.reason = "-";
-    if (*this->draining && !MoreSent(*target)) target->http1_is_persistent = 0;
+    if (*this->draining && !HasPipelinedRequest(*target))
+      target->http1_is_persistent = 0;
     target->res.content_length = response.body.size();
     for (const auto &header : response.headers) AddHeader(target, header);
     static h2o_generator_t done{nullptr, nullptr};
@@ -86,7 +87,7 @@
 
   /*! @brief Ends a request whose caller has hung up. @param status Status for a
    * caller that still reads. */
-  void Abandon(int status) {
+  void EndAbandoned(int status) {
     auto callback = std::move(this->cancelled);
     this->req->http1_is_persistent = 0;
     this->Send({status, {}, {}});
@@ -108,8 +109,8 @@
  private:
   /*! @brief Whether the caller has pipelined another request behind this one.
    */
-  [[nodiscard]] static bool MoreSent(const h2o_req_t &req) {
-    if (req.version >= kHttp2) return false;
+  [[nodiscard]] static bool HasPipelinedRequest(const h2o_req_t &req) {
+    if (req.version >= kHttp2Version) return false;
     return HasUnread(*req.conn->callbacks->get_socket(req.conn));
   }
 
@@ -163,7 +164,7 @@
       : loop{loop},
         address{address},
         handler{std::move(handler)},
-        bound{BindTcp(address)} {
+        bound_fd{BindTcp(address)} {
     h2o_config_init(&this->config);
     this->config.max_request_entity_size = limits.max_body_bytes;
     this->config.http1.req_timeout = ToMs(limits.request_timeout);
@@ -179,9 +180,9 @@
     h2o_context_init(&this->context, loop.Native(), &this->config);
     this->accept.ctx = &this->context;
     this->accept.hosts = this->config.hosts;
-    const std::weak_ptr<bool> still = this->alive;
-    loop.Every(kHangUpCheck, [this, still] {
-      if (!still.expired()) this->DropAbandoned();
+    const std::weak_ptr<bool> weak_alive = this->alive;
+    loop.Every(kHangUpCheckInterval, [this, weak_alive] {
+      if (!weak_alive.expired()) this->EndAbandonedRequests();
     });
   }
 
@@ -194,12 +195,12 @@
   }
 
   void Open() {
-    if (this->bound < 0) return;
-    if (listen(this->bound, kListenBacklog) != 0) {
+    if (this->bound_fd < 0) return;
+    if (listen(this->bound_fd, kListenBacklog) != 0) {
       throw std::runtime_error{"can't listen on " + this->address.Format()};
     }
     this->listener = h2o_evloop_socket_create(this->loop.Native(),
-                                              std::exchange(this->bound, -1),
+                                              std::exchange(this->bound_fd, -1),
                                               H2O_SOCKET_FLAG_DONT_READ);
     this->listener->data = this;
     h2o_socket_read_start(this->listener, &Impl::OnAccept);
@@ -208,7 +209,7 @@
   void Drain() { this->draining = true; }
 
   void Close() {
-    if (this->bound >= 0) close(std::exchange(this->bound, -1));
+    if (this->bound_fd >= 0) close(std::exchange(this->bound_fd, -1));
     if (this->listener == nullptr) return;
     h2o_socket_read_stop(this->listener);
     h2o_socket_close(this->listener);
@@ -222,14 +223,14 @@
     Impl *owner;
   };
 
-  [[nodiscard]] static std::uint64_t ToMs(Duration span) {
-    return static_cast<std::uint64_t>(span.count() / 1000);
+  [[nodiscard]] static std::uint64_t ToMs(Duration duration) {
+    return static_cast<std::uint64_t>(duration.count() / 1000);
   }
 
   static void OnAccept(h2o_socket_t *listener, const char *error) {
     if (error != nullptr) return;
     auto *self = static_cast<Impl *>(listener->data);
-    for (int i = 0; i < kAcceptsPerTurn; ++i) {
+    for (int i = 0; i < kMaxAcceptsPerTurn; ++i) {
       h2o_socket_t *sock = h2o_evloop_socket_accept(listener);
       if (sock == nullptr) return;
       h2o_accept(&self->accept, sock);
@@ -248,8 +249,8 @@
         });
     new (memory) std::shared_ptr<H2oResponder>{responder};
     // After a stall the backlog holds connections whose callers have given up.
-    if (req->version < kHttp2 && responder->HungUp()) {
-      responder->Abandon(kServiceUnavailable);
+    if (req->version < kHttp2Version && responder->HungUp()) {
+      responder->EndAbandoned(kServiceUnavailable);
       return 0;
     }
     self->Watch(*req, responder);
@@ -264,12 +265,12 @@
   void Watch(const h2o_req_t &req,
              const std::shared_ptr<H2oResponder> &responder) {
     // HTTP/2 itself reports cancelled requests.
-    if (req.version >= kHttp2) return;
+    if (req.version >= kHttp2Version) return;
     this->waiting.push_back({responder, this->loop.GetClock().Now()});
   }
 
-  void DropAbandoned() {
-    const Time oldest = this->loop.GetClock().Now() - kHangUpCheck;
+  void EndAbandonedRequests() {
+    const Time oldest = this->loop.GetClock().Now() - kHangUpCheckInterval;
     std::deque<Waiting> kept;
     for (auto &entry : std::exchange(this->waiting, {})) {
       const auto responder = entry.responder.lock();
@@ -279,7 +280,7 @@
         continue;
       }
       // 502, since the request may have been executed.
-      responder->Abandon(kBadGateway);
+      responder->EndAbandoned(kBadGateway);
     }
     // Requests that arrived during the checks are younger.
     for (auto &entry : this->waiting) kept.push_back(std::move(entry));
@@ -298,7 +299,7 @@
   std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
   std::deque<Waiting> waiting;
   Handler handler;
-  int bound{-1}; /*!< Descriptor until `Open` listens on it, then -1. */
+  int bound_fd{-1}; /*!< Descriptor until `Open` listens on it, then -1. */
   h2o_globalconf_t config{};
   h2o_context_t context{};
   h2o_accept_ctx_t accept{};
--- a/src/pollenring/net/loop.cc
+++ b/src/pollenring/net/loop.cc
@@ -11,15 +11,15 @@
 namespace pollenring {
 namespace {
 
-constexpr std::int32_t kLongestWaitMs = 200;
-constexpr Duration kPause = std::chrono::milliseconds{1000};
+constexpr std::int32_t kMaxWaitMs = 200;
+constexpr Duration kStallThreshold = std::chrono::milliseconds{1000};
 /*! @brief Maximum rounds of deferred tasks per turn; a call takes four. */
-constexpr int kMostRounds = 8;
+constexpr int kMaxTaskRounds = 8;
 /*! @brief Minimum interval between error lines after the first
- * `kErrorsToldAll`. */
-constexpr Duration kErrorPause = std::chrono::seconds{1};
+ * `kAlwaysLoggedErrors`. */
+constexpr Duration kErrorLogInterval = std::chrono::seconds{1};
 /*! @brief Number of errors that are always logged. */
-constexpr std::uint64_t kErrorsToldAll = 20;
+constexpr std::uint64_t kAlwaysLoggedErrors = 20;
 
 }  // namespace
 
@@ -51,42 +51,45 @@
 void Loop::Post(Task task) { this->posted.push_back(std::move(task)); }
 
 void Loop::Run() {
-  this->EndWrites();
+  this->CompleteWrites();
   while (!this->stopped) {
     this->turn_started = this->clock.Now();
     h2o_evloop_run(this->native, this->WaitMs());
     this->RunDueTimers();
-    for (int round = 0; round < kMostRounds; ++round) {
+    for (int round = 0; round < kMaxTaskRounds; ++round) {
       this->RunPosted();
-      this->EndWrites();
+      this->CompleteWrites();
       if (this->posted.empty()) break;
     }
   }
 }
 
-void Loop::EndWrites() { h2o_timeout__do_post_callback(this->native); }
+void Loop::CompleteWrites() { h2o_timeout__do_post_callback(this->native); }
 
 void Loop::OnError(ErrorListener listener) {
   this->error_listeners.push_back(std::move(listener));
 }
 
 void Loop::Report(std::string_view event, const std::exception &error) {
-  const bool rule = dynamic_cast<const InvariantError *>(&error) != nullptr;
+  const bool invariant_violated =
+      dynamic_cast<const InvariantError *>(&error) != nullptr;
   ++this->errors;
   const Time now = this->clock.Now();
-  const bool told = this->errors <= kErrorsToldAll ||
-                    now - this->error_told_at >= kErrorPause;
-  if (told) {
-    this->error_told_at = now;
-    LogEvent(LogLevel::kError, "error contained",
-             {{"while", event},
-              {"what", error.what()},
-              {"rule", rule},
-              {"errors", this->errors},
-              {"since_last_line",
-               this->errors - std::exchange(this->errors_told, this->errors)}});
+  const bool log_line = this->errors <= kAlwaysLoggedErrors ||
+                        now - this->error_logged_at >= kErrorLogInterval;
+  if (log_line) {
+    this->error_logged_at = now;
+    LogEvent(
+        LogLevel::kError, "error contained",
+        {{"while", event},
+         {"what", error.what()},
+         {"rule", invariant_violated},
+         {"errors", this->errors},
+         {"since_last_line",
+          this->errors - std::exchange(this->errors_logged, this->errors)}});
   }
-  const ContainedError contained{std::string{event}, error.what(), rule};
+  const ContainedError contained{std::string{event}, error.what(),
+                                 invariant_violated};
   for (const auto &listener : this->error_listeners) {
     try {
       listener(contained);
@@ -97,8 +100,8 @@
   }
 }
 
-bool Loop::WokeFromPause() const noexcept {
-  return this->clock.Now() - this->turn_started > kPause;
+bool Loop::WokeFromStall() const noexcept {
+  return this->clock.Now() - this->turn_started > kStallThreshold;
 }
 
 void Loop::RunPosted() {
@@ -118,11 +121,11 @@
 
 std::int32_t Loop::WaitMs() const {
   if (!this->posted.empty()) return 0;
-  if (this->timers.empty()) return kLongestWaitMs;
+  if (this->timers.empty()) return kMaxWaitMs;
   const Duration left = this->timers.begin()->first.first - this->clock.Now();
   if (left <= Duration{0}) return 0;
   const auto ms = (left.count() + 999) / 1000;
-  return static_cast<std::int32_t>(std::min<std::int64_t>(ms, kLongestWaitMs));
+  return static_cast<std::int32_t>(std::min<std::int64_t>(ms, kMaxWaitMs));
 }
 
 }  // namespace pollenring
--- a/src/pollenring/net/loop.h
+++ b/src/pollenring/net/loop.h
@@ -18,9 +18,9 @@
 
 /*! @brief An exception that escaped from the handling of one event. */
 struct ContainedError {
-  std::string event; /*!< Kind of the event. */
-  std::string what;  /*!< The error's message. */
-  bool rule{};       /*!< An invariant was violated. */
+  std::string event;         /*!< Kind of the event. */
+  std::string what;          /*!< The error's message. */
+  bool invariant_violated{}; /*!< An invariant was violated. */
 };
 
 /**
@@ -110,7 +110,7 @@
    * turn.
    * @return True if the turn began over 1 s ago; input read in it may be stale.
    */
-  [[nodiscard]] bool WokeFromPause() const noexcept;
+  [[nodiscard]] bool WokeFromStall() const noexcept;
 
   /*! @brief Runs until `Stop`. */
   void Run();
@@ -130,7 +130,7 @@
    * h2o expects this before it polls; otherwise it aborts if a socket becomes
    * writable after its write completed.
    */
-  void EndWrites();
+  void CompleteWrites();
   void Report(std::string_view event, const std::exception &error);
   void RunPosted();
   void RunDueTimers();
@@ -143,8 +143,8 @@
   std::vector<Task> posted;
   std::vector<ErrorListener> error_listeners;
   std::uint64_t errors{};
-  std::uint64_t errors_told{};
-  Time error_told_at{};
+  std::uint64_t errors_logged{};
+  Time error_logged_at{};
   TimerId last_timer{};
   Time turn_started{};
   bool stopped{};
--- a/src/pollenring/net/response_parser.cc
+++ b/src/pollenring/net/response_parser.cc
@@ -38,7 +38,7 @@
 struct ResponseParser::Callbacks {
   static int OnField(http_parser *native, const char *at, std::size_t size) {
     ResponseParser &self = Self(native);
-    if (self.in_value) self.TakeHeader();
+    if (self.in_value) self.StoreHeader();
     self.name.append(at, size);
     return 0;
   }
@@ -52,40 +52,40 @@
 
   static int OnHeadersComplete(http_parser *native) {
     ResponseParser &self = Self(native);
-    if (self.in_value) self.TakeHeader();
-    self.answer.status = static_cast<int>(native->status_code);
+    if (self.in_value) self.StoreHeader();
+    self.response.status = static_cast<int>(native->status_code);
     return self.head_only ? 1 : 0;
   }
 
   static int OnBody(http_parser *native, const char *at, std::size_t size) {
     ResponseParser &self = Self(native);
-    if (self.answer.body.size() + size > self.max_body_bytes) {
+    if (self.response.body.size() + size > self.max_body_bytes) {
       self.state = ResponseState::kTooLarge;
       return 1;
     }
-    self.answer.body.append(at, size);
+    self.response.body.append(at, size);
     return 0;
   }
 
   static int OnComplete(http_parser *native) {
     ResponseParser &self = Self(native);
     http_parser_pause(native, 1);
-    if (self.answer.status < kFirstFinalStatus) return 0;
+    if (self.response.status < kFirstFinalStatus) return 0;
     self.keeps_alive = http_should_keep_alive(native) != 0;
-    self.state = ResponseState::kWhole;
+    self.state = ResponseState::kComplete;
     return 0;
   }
 
-  static const http_parser_settings &Table() {
+  static const http_parser_settings &Settings() {
     static const http_parser_settings table = [] {
-      http_parser_settings made;
-      http_parser_settings_init(&made);
-      made.on_header_field = &OnField;
-      made.on_header_value = &OnValue;
-      made.on_headers_complete = &OnHeadersComplete;
-      made.on_body = &OnBody;
-      made.on_message_complete = &OnComplete;
-      return made;
+      http_parser_settings settings;
+      http_parser_settings_init(&settings);
+      settings.on_header_field = &OnField;
+      settings.on_header_value = &OnValue;
+      settings.on_headers_complete = &OnHeadersComplete;
+      settings.on_body = &OnBody;
+      settings.on_message_complete = &OnComplete;
+      return settings;
     }();
     return table;
   }
@@ -102,10 +102,10 @@
   this->native.data = this;
   this->in_value = false;
   this->idle_timeout = Duration{0};
-  this->answer = HttpResponse{};
+  this->response = HttpResponse{};
 }
 
-void ResponseParser::TakeHeader() {
+void ResponseParser::StoreHeader() {
   std::string header_name = std::exchange(this->name, {});
   std::string header_value = std::exchange(this->value, {});
   this->in_value = false;
@@ -116,14 +116,14 @@
     this->idle_timeout = ParseIdleTimeout(header_value);
   }
   if (IsFraming(header_name)) return;
-  this->answer.headers.push_back(
+  this->response.headers.push_back(
       {std::move(header_name), std::move(header_value)});
 }
 
 std::size_t ResponseParser::Feed(const char *bytes, std::size_t size) {
   std::size_t used = 0;
   while (used < size && this->state == ResponseState::kPartial) {
-    used += http_parser_execute(&this->native, &Callbacks::Table(),
+    used += http_parser_execute(&this->native, &Callbacks::Settings(),
                                 bytes + used, size - used);
     const auto error = HTTP_PARSER_ERRNO(&this->native);
     if (this->state != ResponseState::kPartial) return used;
@@ -133,16 +133,16 @@
       continue;
     }
     const bool failed = error != HPE_OK || this->native.upgrade != 0;
-    if (failed) this->state = ResponseState::kBroken;
+    if (failed) this->state = ResponseState::kInvalid;
   }
   return used;
 }
 
 void ResponseParser::End() {
   if (this->state != ResponseState::kPartial) return;
-  http_parser_execute(&this->native, &Callbacks::Table(), nullptr, 0);
+  http_parser_execute(&this->native, &Callbacks::Settings(), nullptr, 0);
   if (this->state == ResponseState::kPartial)
-    this->state = ResponseState::kBroken;
+    this->state = ResponseState::kInvalid;
 }
 
 }  // namespace pollenring::internal
--- a/src/pollenring/net/response_parser.h
+++ b/src/pollenring/net/response_parser.h
@@ -15,16 +15,16 @@
 /*! @brief Progress of a response. */
 enum class ResponseState {
   kPartial,
-  kWhole,
-  kBroken,  /*!< Not an HTTP response, or truncated. */
+  kComplete,
+  kInvalid, /*!< Not an HTTP response, or truncated. */
   kTooLarge /*!< Its body exceeds the limit. */
 };
 
 /*! @brief Names of the states. */
 inline constexpr EnumTable<ResponseState, 4> kResponseStateNames{{{
     {ResponseState::kPartial, "partial"},
-    {ResponseState::kWhole, "whole"},
-    {ResponseState::kBroken, "broken"},
+    {ResponseState::kComplete, "whole"},
+    {ResponseState::kInvalid, "broken"},
     {ResponseState::kTooLarge, "too large"},
 }}};
 
@@ -58,8 +58,8 @@
   [[nodiscard]] bool KeepsAlive() const noexcept { return this->keeps_alive; }
 
   /*! @brief Buffered bytes of the body. */
-  [[nodiscard]] std::size_t Held() const noexcept {
-    return this->answer.body.size();
+  [[nodiscard]] std::size_t BufferedBytes() const noexcept {
+    return this->response.body.size();
   }
 
   /*! @brief How long the peer keeps an idle connection; 0 if not stated. */
@@ -68,13 +68,13 @@
   }
 
   /*! @brief The response without framing headers, valid once complete. */
-  [[nodiscard]] HttpResponse &Answer() noexcept { return this->answer; }
+  [[nodiscard]] HttpResponse &Response() noexcept { return this->response; }
 
  private:
   struct Callbacks;
 
   void Reset();
-  void TakeHeader();
+  void StoreHeader();
 
   http_parser native{};
   bool head_only;
@@ -85,7 +85,7 @@
   Duration idle_timeout{};
   std::string name;
   std::string value;
-  HttpResponse answer;
+  HttpResponse response;
 };
 
 /**
--- a/src/pollenring/net/udp_socket.cc
+++ b/src/pollenring/net/udp_socket.cc
@@ -14,8 +14,8 @@
 namespace {
 
 constexpr std::size_t kTagBytes = 16;
-constexpr std::size_t kLargestDatagram = 65536;
-constexpr int kDatagramsPerTurn = 256;
+constexpr std::size_t kMaxDatagramBytes = 65536;
+constexpr int kMaxDatagramsPerTurn = 256;
 
 }  // namespace
 
@@ -52,8 +52,8 @@
 }
 
 void UdpSocket::ReadAll() {
-  std::array<char, kLargestDatagram> buffer{};
-  for (int i = 0; i < kDatagramsPerTurn; ++i) {
+  std::array<char, kMaxDatagramBytes> buffer{};
+  for (int i = 0; i < kMaxDatagramsPerTurn; ++i) {
     sockaddr_in from{};
     socklen_t from_size = sizeof(from);
     const auto size = recvfrom(this->fd, buffer.data(), buffer.size(), 0,
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -146,7 +146,7 @@
   // What goes on after a broken rule may break it again; what was taken is
   // still answered.
   this->loop.OnError([this](const ContainedError &error) {
-    if (error.rule) this->Leave();
+    if (error.invariant_violated) this->Leave();
   });
   this->loop.Every(kServingTick, [this] { this->serving.Tick(); });
   this->OpenWhenReady();
@@ -216,7 +216,7 @@
   const bool late = this->leaving &&
                     this->loop.GetClock().Now() - this->left_at > kLeaveAccepts;
   // What a process reads after it stood still may have been given up long ago.
-  if (!framed || late || this->loop.WokeFromPause()) {
+  if (!framed || late || this->loop.WokeFromStall()) {
     const Reason reason = late ? Reason::kLeaving : Reason::kLinkLost;
     const Duration jittered_retry_after =
         WithJitter(kDefaultRetryAfter, this->random);
--- a/src/pollenring/node/slot_service.cc
+++ b/src/pollenring/node/slot_service.cc
@@ -62,7 +62,7 @@
       MessageKind::kWitnessQuery, [this](NodeId from, const WitnessQuery &ask) {
         if (ask.slot >= this->count || ask.asker.node != from) return;
         // What came while this process stood still may be of long ago.
-        if (this->loop.WokeFromPause()) return;
+        if (this->loop.WokeFromStall()) return;
         this->bus.Send(from, MessageKind::kWitnessReply,
                        this->witness.Answer(ask));
       });
--- a/test/pollenring/link/link_server_test.cc
+++ b/test/pollenring/link/link_server_test.cc
@@ -19,7 +19,7 @@
 using pollenring::LinkServer;
 using pollenring::Loop;
 
-constexpr std::size_t kMostBytes = std::size_t{1} << 20U;
+constexpr std::size_t kMaxBodyBytes = std::size_t{1} << 20U;
 
 }  // namespace
 
@@ -27,18 +27,18 @@
   // After a stall, the server reads messages and their cancellations in one
   // read.
   const pollenring::SystemClock clock;
-  Loop behind{clock};
+  Loop stalled{clock};
   Loop loop{clock};
   const Address address = *Address::Parse("127.42.2.1:7100");
   std::vector<std::string> handled;
   const LinkServer server{
-      behind, address, "secret", kMostBytes,
+      stalled, address, "secret", kMaxBodyBytes,
       [&handled](const std::string &path, const std::string & /*body*/,
                  const std::shared_ptr<LinkResponder> &responder) {
         handled.push_back(path);
         responder->Send({});
       }};
-  LinkClient client{loop, "secret", kMostBytes};
+  LinkClient client{loop, "secret", kMaxBodyBytes};
   const auto run = [](Loop &which, pollenring::Duration length) {
     which.After(length, [&which] { which.Stop(); });
     which.Resume();
@@ -52,7 +52,7 @@
   run(loop, 50ms);
   for (std::size_t i = 1; i < calls.size(); ++i) client.Cancel(calls[i]);
   run(loop, 50ms);
-  run(behind, 50ms);
+  run(stalled, 50ms);
   CHECK(handled == std::vector<std::string>{"0"});
 }
 
@@ -61,18 +61,18 @@
   // peer has sent its message to another node by then.
   std::signal(SIGPIPE, SIG_IGN);
   const pollenring::SystemClock clock;
-  Loop behind{clock};
+  Loop stalled{clock};
   Loop loop{clock};
   const Address address = *Address::Parse("127.42.2.2:7100");
   std::vector<std::string> handled;
   const LinkServer server{
-      behind, address, "secret", kMostBytes,
+      stalled, address, "secret", kMaxBodyBytes,
       [&handled](const std::string &path, const std::string & /*body*/,
                  const std::shared_ptr<LinkResponder> &responder) {
         handled.push_back(path);
         responder->Send({});
       }};
-  LinkClient client{loop, "secret", kMostBytes};
+  LinkClient client{loop, "secret", kMaxBodyBytes};
   const auto run = [](Loop &which, pollenring::Duration length) {
     which.After(length, [&which] { which.Stop(); });
     which.Resume();
@@ -85,13 +85,13 @@
   });
   run(loop, 1500ms);
   REQUIRE(lost == 1);
-  run(behind, 50ms);
+  run(stalled, 50ms);
   CHECK(handled.empty());
   // The next connection is served normally.
   std::vector<std::string> expected{"next"};
   client.Call(address, "next", "x", 5s, [](const LinkClient::Reply &) {});
   run(loop, 20ms);
-  run(behind, 50ms);
+  run(stalled, 50ms);
   CHECK(handled == expected);
 }
 
@@ -101,14 +101,14 @@
   const Address address = *Address::Parse("127.42.2.3:7100");
   std::vector<std::shared_ptr<LinkResponder>> held;
   const LinkServer server{
-      loop, address, "secret", kMostBytes,
+      loop, address, "secret", kMaxBodyBytes,
       [&held](const std::string &path, const std::string & /*body*/,
               const std::shared_ptr<LinkResponder> &responder) {
         if (path == "broken") throw std::out_of_range{"in a handler"};
         responder->OnCancel([] { throw std::out_of_range{"in a hang-up"}; });
         held.push_back(responder);
       }};
-  LinkClient client{loop, "secret", kMostBytes};
+  LinkClient client{loop, "secret", kMaxBodyBytes};
   const auto run = [&loop] {
     loop.After(50ms, [&loop] { loop.Stop(); });
     loop.Resume();
--- a/test/pollenring/net/http_client_test.cc
+++ b/test/pollenring/net/http_client_test.cc
@@ -30,7 +30,7 @@
  public:
   Caller() {
     this->loop.Every(1ms, [this] {
-      this->most_held = std::max(this->most_held, this->client.HeldBytes());
+      this->most_held = std::max(this->most_held, this->client.BufferedBytes());
     });
   }
 
@@ -63,7 +63,9 @@
                       [](const HttpClient::Reply & /*reply*/) {});
   }
 
-  [[nodiscard]] std::size_t Held() const { return this->client.HeldBytes(); }
+  [[nodiscard]] std::size_t Held() const {
+    return this->client.BufferedBytes();
+  }
 
   /*! @brief Maximum of buffered response bytes, sampled every millisecond. */
   [[nodiscard]] std::size_t MostHeld() const { return this->most_held; }
@@ -95,7 +97,7 @@
 
 [[nodiscard]] bool IsBroken(const HttpClient::Reply &reply) {
   const auto *error = std::get_if<CallError>(&reply);
-  return error != nullptr && *error == CallError::kBroken;
+  return error != nullptr && *error == CallError::kInvalidResponse;
 }
 
 }  // namespace
@@ -230,7 +232,7 @@
   const auto reply = caller.Call(peer.Where());
   // Fails before the time-out.
   REQUIRE(std::holds_alternative<CallError>(reply));
-  CHECK(std::get<CallError>(reply) == CallError::kBroken);
+  CHECK(std::get<CallError>(reply) == CallError::kInvalidResponse);
 }
 
 TEST_CASE("http client: a body without end is given up, with any framing") {
--- a/test/pollenring/net/http_server_test.cc
+++ b/test/pollenring/net/http_server_test.cc
@@ -96,7 +96,7 @@
   server.Open();
   pollenring::HttpClient client{loop, {std::size_t{1} << 20U}};
   std::vector<int> statuses;
-  const auto ask = [&](const std::string &path) {
+  const auto call = [&](const std::string &path) {
     client.Call(address, {"GET", path, {}, {}, {}}, 3s,
                 [&](const pollenring::HttpClient::Reply &reply) {
                   const auto *got =
@@ -111,10 +111,10 @@
   };
   // Kept-alive connections, each with a second request in progress.
   for (int round = 0; round < 2; ++round) {
-    for (int i = 0; i < 4; ++i) ask("/held");
+    for (int i = 0; i < 4; ++i) call("/held");
     run();
     REQUIRE(held.size() == 4);
-    if (round == 1) ask("/broken");
+    if (round == 1) call("/broken");
     run();
     for (const auto &responder : std::exchange(held, {})) {
       responder->Send({200, {}, {}});
@@ -179,15 +179,15 @@
         held.push_back(responder);
       }};
   server.Open();
-  const int leaves = SendRequest(address, "/leaves");
-  const int waits = SendRequest(address, "/waits");
-  loop.After(50ms, [leaves] { close(leaves); });
+  const int disconnecting = SendRequest(address, "/leaves");
+  const int waiting = SendRequest(address, "/waits");
+  loop.After(50ms, [disconnecting] { close(disconnecting); });
   loop.After(400ms, [&loop] { loop.Stop(); });
   loop.Run();
   CHECK(held.size() == 2);
   REQUIRE(losses.size() == 1);
   CHECK(losses[0] == pollenring::CallerDisconnect::kHungUp);
-  close(waits);
+  close(waiting);
 }
 
 TEST_CASE("http server: an answer survives what its caller has sent behind") {
--- a/test/pollenring/net/loop_test.cc
+++ b/test/pollenring/net/loop_test.cc
@@ -44,9 +44,9 @@
   loop.Post([&loop] { loop.Stop(); });
   loop.Run();
   REQUIRE(errors.size() == 2);
-  CHECK_FALSE(errors[0].rule);
+  CHECK_FALSE(errors[0].invariant_violated);
   CHECK(errors[0].what == "a key");
-  CHECK(errors[1].rule);
+  CHECK(errors[1].invariant_violated);
   CHECK(loop.Errors() == 2);
 }
 
--- a/test/support/fleet_journal_test.cc
+++ b/test/support/fleet_journal_test.cc
@@ -84,7 +84,7 @@
   const auto lost = [](bool ran, pollenring::Duration took, auto disturb) {
     Seen seen;
     FleetCall &call = seen.Call("a", 0);
-    call.error = CallError::kBroken;
+    call.error = CallError::kInvalidResponse;
     call.ended = call.sent + took;
     if (ran) seen.Run("a");
     disturb(seen);
