Name test cases and log events of net, link and log plainly

Titles such as "a second answer at once is nobody's" had to be solved before they said which failure a test guards against. They now name the failure in the terms of HTTP. The log events "lines left out" and "error not passed on" become "log lines dropped" and "error handler failed"; no test or tool matches the old names. Assertions and fields stay.

--- a/src/pollenring/log/log.cc
+++ b/src/pollenring/log/log.cc
@@ -103,7 +103,7 @@
   const std::uint64_t over_budget = std::exchange(state.over_budget, 0);
   const std::uint64_t dropped = state.sink ? state.sink->TakeDropped() : 0;
   if (over_budget == 0 && dropped == 0) return;
-  LogEvent(LogLevel::kInfo, "lines left out",
+  LogEvent(LogLevel::kInfo, "log lines dropped",
            {{"over_budget", over_budget}, {"buffer_full", dropped}});
 }
 
--- a/src/pollenring/net/loop.cc
+++ b/src/pollenring/net/loop.cc
@@ -94,7 +94,7 @@
     try {
       listener(contained);
     } catch (const std::exception &failure) {
-      LogEvent(LogLevel::kError, "error not passed on",
+      LogEvent(LogLevel::kError, "error handler failed",
                {{"what", failure.what()}});
     }
   }
--- a/test/pollenring/link/link_server_test.cc
+++ b/test/pollenring/link/link_server_test.cc
@@ -23,7 +23,7 @@
 
 }  // namespace
 
-TEST_CASE("link server: a message cancelled behind it is not handled") {
+TEST_CASE("link server: a message cancelled while unread is not handled") {
   // After a stall, the server reads messages and their cancellations in one
   // read.
   const pollenring::SystemClock clock;
@@ -56,7 +56,7 @@
   CHECK(handled == std::vector<std::string>{"0"});
 }
 
-TEST_CASE("link server: a message of a peer that has closed is not handled") {
+TEST_CASE("link server: a message of a disconnected peer is not handled") {
   // The server's process stalls for longer than the peer's ping time-out; the
   // peer has sent its message to another node by then.
   std::signal(SIGPIPE, SIG_IGN);
@@ -95,7 +95,7 @@
   CHECK(handled == expected);
 }
 
-TEST_CASE("link server: an error in handling one message ends no other") {
+TEST_CASE("link server: an error in one message's handler affects no other") {
   const pollenring::SystemClock clock;
   Loop loop{clock};
   const Address address = *Address::Parse("127.42.2.3:7100");
--- a/test/pollenring/log/process_end_test.cc
+++ b/test/pollenring/log/process_end_test.cc
@@ -60,7 +60,7 @@
   CHECK(ended.output.find("vector::_M_range_check") != std::string::npos);
 }
 
-TEST_CASE("process end: a failed assertion loses no line of the log") {
+TEST_CASE("process end: a failed assertion loses no log line") {
   const EndedProcess ended = EndBy(&std::abort);
   CHECK(ended.signal == SIGABRT);
   CHECK(ended.output.find("before the end") != std::string::npos);
--- a/test/pollenring/net/http_client_test.cc
+++ b/test/pollenring/net/http_client_test.cc
@@ -102,7 +102,7 @@
 
 }  // namespace
 
-TEST_CASE("http client: an answer that is cut is never whole") {
+TEST_CASE("http client: a truncated response is never complete") {
   const std::string chunked =
       "HTTP/1.1 200 OK\r\nmark: own\r\ntransfer-encoding: chunked\r\n\r\n";
   const std::string head = "HTTP/1.1 200 OK\r\nmark: own\r\n";
@@ -121,7 +121,7 @@
   CHECK(IsBroken(caller.Call(peer)));
 }
 
-TEST_CASE("http client: without a length, only an orderly end is one") {
+TEST_CASE("http client: a response without a length needs an orderly close") {
   const std::string bytes = "HTTP/1.1 200 OK\r\nmark: own\r\n\r\nall of it";
   Caller caller;
   RawPeer orderly{{{{bytes}, PeerEnd::kClose}}};
@@ -130,7 +130,7 @@
   CHECK(IsBroken(caller.Call(broken)));
 }
 
-TEST_CASE("http client: a second answer at once is nobody's") {
+TEST_CASE("http client: a surplus response is dropped with its connection") {
   RawPeer peer{{{{Answer("own", "first") + Answer("own", "second")}, {}},
                 {{Answer("own", "third")}, {}}}};
   Caller caller;
@@ -139,7 +139,7 @@
   CHECK(peer.Accepted() == 2);
 }
 
-TEST_CASE("http client: another request's answer is left out") {
+TEST_CASE("http client: a response to another request is skipped") {
   RawPeer peer{{{{Answer("own", "first"),
                   Answer("own", "late") + Answer("next", "second")},
                  {}},
@@ -152,7 +152,7 @@
   CHECK(peer.Accepted() == 2);
 }
 
-TEST_CASE("http client: a kept connection is used again") {
+TEST_CASE("http client: a kept-alive connection is reused") {
   RawPeer peer{{{{Answer("own", "first"), Answer("own", "second")}, {}}}};
   Caller caller;
   CHECK(BodyOf(caller.Call(peer)) == "first");
@@ -160,7 +160,7 @@
   CHECK(peer.Accepted() == 1);
 }
 
-TEST_CASE("http client: a connection is not used beyond its idle time-out") {
+TEST_CASE("http client: a connection is not reused beyond its idle time-out") {
   const std::string brief =
       "HTTP/1.1 200 OK\r\nmark: own\r\nkeep-alive: timeout=1\r\n"
       "content-length: 2\r\n\r\nok";
@@ -172,7 +172,7 @@
   CHECK(peer.Accepted() == 2);
 }
 
-TEST_CASE("http client: interim answers come before the final one") {
+TEST_CASE("http client: interim responses are skipped") {
   RawPeer peer{{{{"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" +
                   Answer("own", "final")},
                  {}}}};
@@ -180,7 +180,8 @@
   CHECK(BodyOf(caller.Call(peer)) == "final");
 }
 
-TEST_CASE("http client: an answer before the body is in is delivered") {
+TEST_CASE(
+    "http client: a response before the end of the request is delivered") {
   // The body exceeds the kernel's buffers, and the peer reads only the head.
   const std::string body(std::size_t{24} << 20U, 'b');
   RawPeer peer{{{{Answer("own", "early")}, {}}, {{Answer("own", "next")}, {}}}};
@@ -192,7 +193,7 @@
   CHECK(peer.Accepted() == 2);
 }
 
-TEST_CASE("http client: a peer that reads late ends no process") {
+TEST_CASE("http client: a peer that reads late doesn't abort the process") {
   // Written outside the loop's callbacks, a request may fill the peer's buffers
   // exactly; the socket then becomes writable after the write completed, on
   // which h2o aborts unless completed writes are reported before it polls.
@@ -206,7 +207,7 @@
   SUCCEED();
 }
 
-TEST_CASE("http client: bytes without end cost bounded memory and time") {
+TEST_CASE("http client: an endless response takes bounded memory and time") {
   const std::string piece = GENERATE(
       // In the status line, a header name or value, and between headers.
       std::string{"x"}, std::string{"HTTP/1.1 200 "} + std::string(4000, 'x'),
@@ -224,7 +225,7 @@
   CHECK(peer.Closed());
 }
 
-TEST_CASE("http client: a peer that answers others is given up soon") {
+TEST_CASE("http client: responses to other requests only fail a call early") {
   support::EndlessPeer peer{{},
                             "HTTP/1.1 200 OK\r\nmark: other\r\n"
                             "content-length: 0\r\n\r\n"};
@@ -235,7 +236,7 @@
   CHECK(std::get<CallError>(reply) == CallError::kInvalidResponse);
 }
 
-TEST_CASE("http client: a body without end is given up, with any framing") {
+TEST_CASE("http client: an endless body fails the call with any framing") {
   const std::string head =
       GENERATE(std::string{"HTTP/1.1 200 OK\r\nmark: own\r\n\r\n"},
                std::string{"HTTP/1.1 200 OK\r\nmark: own\r\n"
@@ -257,7 +258,7 @@
   CHECK(peer.Closed());
 }
 
-TEST_CASE("http client: many endless bodies together stay within the bound") {
+TEST_CASE("http client: many endless bodies stay within the buffer limit") {
   std::vector<std::unique_ptr<support::EndlessPeer>> peers;
   Caller caller;
   for (int i = 0; i < 6; ++i) {
--- a/test/pollenring/net/http_server_test.cc
+++ b/test/pollenring/net/http_server_test.cc
@@ -43,7 +43,7 @@
 
 }  // namespace
 
-TEST_CASE("http server: requests whose callers have left are not handled") {
+TEST_CASE("http server: requests of disconnected callers are not handled") {
   // After a stall, the process finds a backlog of connections; most of the
   // callers have hung up.
   const pollenring::SystemClock clock;
@@ -76,7 +76,7 @@
   for (const int fd : waiting) close(fd);
 }
 
-TEST_CASE("http server: an error in handling one request ends no other") {
+TEST_CASE("http server: an error in one request's handler affects no other") {
   const pollenring::SystemClock clock;
   Loop loop{clock};
   const Address address = *Address::Parse("127.42.1.2:7100");
@@ -127,7 +127,7 @@
   CHECK(server.InProgress() == 0);
 }
 
-TEST_CASE("http server: who closes one side is promised nothing of a request") {
+TEST_CASE("http server: a half-closed caller gets 502") {
   // After a half-close the caller may still read. The response must be 502,
   // since the handled request may have been executed.
   const pollenring::SystemClock clock;
@@ -163,7 +163,7 @@
   close(fd);
 }
 
-TEST_CASE("http server: what told that a caller has gone is passed on") {
+TEST_CASE("http server: the kind of a caller's disconnect is reported") {
   const pollenring::SystemClock clock;
   Loop loop{clock};
   const Address address = *Address::Parse("127.42.1.4:7100");
@@ -190,7 +190,7 @@
   close(waiting);
 }
 
-TEST_CASE("http server: an answer survives what its caller has sent behind") {
+TEST_CASE("http server: a response during drain survives pipelined requests") {
   // A draining server closes the connection after each response. Closing with
   // unread bytes resets the connection, and the caller loses the part of the
   // response still in flight.
--- a/test/pollenring/net/loop_test.cc
+++ b/test/pollenring/net/loop_test.cc
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-TEST_CASE("loop: an error in one task leaves out no other") {
+TEST_CASE("loop: an error in one task affects no other") {
   const pollenring::SystemClock clock;
   Loop loop{clock};
   int posted = 0;
@@ -32,7 +32,8 @@
   CHECK(timers == 1);
   CHECK(rounds == 5);
 }
-TEST_CASE("loop: who asked is told of errors, and whether a rule was broken") {
+TEST_CASE(
+    "loop: listeners receive errors and whether an invariant was violated") {
   const pollenring::SystemClock clock;
   Loop loop{clock};
   std::vector<pollenring::ContainedError> errors;
@@ -50,7 +51,7 @@
   CHECK(loop.Errors() == 2);
 }
 
-TEST_CASE("loop: an error of one who is told of errors ends no other") {
+TEST_CASE("loop: an error in one listener affects no other") {
   const pollenring::SystemClock clock;
   Loop loop{clock};
   int told = 0;
