--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -166,7 +166,7 @@
   // What goes on after a broken rule may break it again; what was taken is
   // still answered.
   this->loop.OnError([this](const ContainedError &error) {
-    if (error.rule) this->Leave();
+    if (error.invariant_violated) this->Leave();
   });
   this->loop.Every(kRingTick, [this] { this->ring.Update(this->shares); });
   this->loop.Every(kExecutorTick, [this] { this->serving.Tick(); });
@@ -227,7 +227,7 @@
       ReceiveCall(std::move(body), responder->Peer(), this->wire.unreadable);
   const bool drained = this->DrainElapsed() > kPeerServeTime;
   // What a process reads after it stood still may have been given up long ago.
-  if (!framed || drained || this->loop.WokeFromPause()) {
+  if (!framed || drained || this->loop.WokeFromStall()) {
     const Reason reason = drained ? Reason::kLeaving : Reason::kLinkLost;
     const Duration jittered_retry_after =
         WithJitter(kDefaultRetryAfter, this->parts.random);
--- a/src/pollenring/net/response_parser.h
+++ b/src/pollenring/net/response_parser.h
@@ -12,29 +12,29 @@
 
 namespace pollenring::internal {
 
-/*! @brief How far an answer has come. */
+/*! @brief Progress of a response. */
 enum class ResponseState {
   kPartial,
-  kWhole,
-  kBroken,  /*!< The bytes are no HTTP answer, or it ended too early. */
+  kComplete,
+  kInvalid, /*!< Not an HTTP response, or truncated. */
   kTooLarge /*!< Its body exceeds the limit. */
 };
 
 /*! @brief Names of the states. */
 inline constexpr EnumTable<ResponseState, 4> kResponseStateNames{{{
     {ResponseState::kPartial, "partial"},
-    {ResponseState::kWhole, "whole"},
-    {ResponseState::kBroken, "broken"},
+    {ResponseState::kComplete, "whole"},
+    {ResponseState::kInvalid, "broken"},
     {ResponseState::kTooLarge, "too large"},
 }}};
 
-/*! @brief Parses one HTTP/1.1 answer from bytes as they arrive. */
+/*! @brief Parses one HTTP/1.1 response incrementally. */
 class ResponseParser {
  public:
   /**
-   * @brief Starts before the first byte.
-   * @param head_only Whether the answer has no body, as one to `HEAD`.
-   * @param max_body_bytes Largest body.
+   * @brief Creates a parser that awaits the first byte.
+   * @param head_only Whether the response has no body, as for `HEAD`.
+   * @param max_body_bytes Maximum body size.
    */
   ResponseParser(bool head_only, std::size_t max_body_bytes);
   ResponseParser(const ResponseParser &) = delete;
@@ -42,39 +42,39 @@
   ~ResponseParser() = default;
 
   /**
-   * @brief Takes in bytes; stops after the answer's last one.
+   * @brief Parses bytes; stops after the last byte of the response.
    * @param bytes The bytes.
    * @param size Their number.
-   * @return Bytes used.
+   * @return Bytes consumed.
    */
   std::size_t Feed(const char *bytes, std::size_t size);
 
-  /*! @brief Takes in the orderly end of the connection. */
+  /*! @brief Handles the orderly end of the connection. */
   void End();
 
   [[nodiscard]] ResponseState State() const noexcept { return this->state; }
 
-  /*! @brief Whether the peer keeps the connection after this answer. */
+  /*! @brief Whether the peer keeps the connection open after this response. */
   [[nodiscard]] bool KeepsAlive() const noexcept { return this->keeps_alive; }
 
-  /*! @brief Bytes of the answer that are held so far. */
-  [[nodiscard]] std::size_t Held() const noexcept {
-    return this->answer.body.size();
+  /*! @brief Buffered bytes of the body. */
+  [[nodiscard]] std::size_t BufferedBytes() const noexcept {
+    return this->response.body.size();
   }
 
-  /*! @brief How long the peer keeps an idle connection; 0 when unsaid. */
+  /*! @brief How long the peer keeps an idle connection; 0 if not stated. */
   [[nodiscard]] Duration IdleTimeout() const noexcept {
     return this->idle_timeout;
   }
 
-  /*! @brief The answer, once whole; without framing headers. */
-  [[nodiscard]] HttpResponse &Answer() noexcept { return this->answer; }
+  /*! @brief The response without framing headers, valid once complete. */
+  [[nodiscard]] HttpResponse &Response() noexcept { return this->response; }
 
  private:
   struct Callbacks;
 
   void Reset();
-  void TakeHeader();
+  void StoreHeader();
 
   http_parser native{};
   bool head_only;
@@ -85,13 +85,13 @@
   Duration idle_timeout{};
   std::string name;
   std::string value;
-  HttpResponse answer;
+  HttpResponse response;
 };
 
 /**
- * @brief Tells whether a header concerns one connection only.
+ * @brief Checks whether a header concerns one connection only.
  * @param name Its name, in lower case.
- * @return Whether the client sets or drops it.
+ * @return True if the client sets or drops the header itself.
  */
 [[nodiscard]] bool IsFraming(std::string_view name) noexcept;
 
--- a/src/pollenring/node/slot_service.cc
+++ b/src/pollenring/node/slot_service.cc
@@ -64,7 +64,7 @@
       [this](NodeId from, const WitnessQuery &query) {
         if (query.slot >= this->count || query.sender.node != from) return;
         // What came while this process stood still may be of long ago.
-        if (this->loop.WokeFromPause()) return;
+        if (this->loop.WokeFromStall()) return;
         this->bus.Send(from, MessageKind::kWitnessReply,
                        this->witness.HandleQuery(query));
       });
--- a/test/pollenring/net/http_client_test.cc
+++ b/test/pollenring/net/http_client_test.cc
@@ -25,12 +25,12 @@
 constexpr std::size_t kMaxBody = std::size_t{1} << 20U;
 constexpr std::size_t kMaxHeld = 2 * kMaxBody;
 
-/*! @brief A client whose calls are waited for. */
+/*! @brief A client with synchronous calls. */
 class Caller {
  public:
   Caller() {
     this->loop.Every(1ms, [this] {
-      this->most_held = std::max(this->most_held, this->client.HeldBytes());
+      this->most_held = std::max(this->most_held, this->client.BufferedBytes());
     });
   }
 
@@ -57,15 +57,17 @@
     return std::move(*reply);
   }
 
-  /*! @brief Begins a call whose answer nobody waits for. */
+  /*! @brief Starts a call without waiting for its response. */
   void Start(const pollenring::Address &to, const std::string &body) {
     this->client.Call(to, {"POST", "/x", {}, body, {}}, 2s,
                       [](const HttpClient::Reply & /*reply*/) {});
   }
 
-  [[nodiscard]] std::size_t Held() const { return this->client.HeldBytes(); }
+  [[nodiscard]] std::size_t Held() const {
+    return this->client.BufferedBytes();
+  }
 
-  /*! @brief Most bytes held of answers at once, looked at each millisecond. */
+  /*! @brief Maximum of buffered response bytes, sampled every millisecond. */
   [[nodiscard]] std::size_t MostHeld() const { return this->most_held; }
 
   void Run(pollenring::Duration length) {
@@ -95,12 +97,12 @@
 
 [[nodiscard]] bool IsBroken(const HttpClient::Reply &reply) {
   const auto *error = std::get_if<CallError>(&reply);
-  return error != nullptr && *error == CallError::kBroken;
+  return error != nullptr && *error == CallError::kInvalidResponse;
 }
 
 }  // namespace
 
-TEST_CASE("http client: an answer that is cut is never whole") {
+TEST_CASE("http client: a truncated response is never complete") {
   const std::string chunked =
       "HTTP/1.1 200 OK\r\nmark: own\r\ntransfer-encoding: chunked\r\n\r\n";
   const std::string head = "HTTP/1.1 200 OK\r\nmark: own\r\n";
@@ -119,7 +121,7 @@
   CHECK(IsBroken(caller.Call(peer)));
 }
 
-TEST_CASE("http client: without a length, only an orderly end is one") {
+TEST_CASE("http client: a response without a length needs an orderly close") {
   const std::string bytes = "HTTP/1.1 200 OK\r\nmark: own\r\n\r\nall of it";
   Caller caller;
   RawPeer orderly{{{{bytes}, PeerEnd::kClose}}};
@@ -128,7 +130,7 @@
   CHECK(IsBroken(caller.Call(broken)));
 }
 
-TEST_CASE("http client: a second answer at once is nobody's") {
+TEST_CASE("http client: a surplus response is dropped with its connection") {
   RawPeer peer{{{{Answer("own", "first") + Answer("own", "second")}, {}},
                 {{Answer("own", "third")}, {}}}};
   Caller caller;
@@ -137,7 +139,7 @@
   CHECK(peer.Accepted() == 2);
 }
 
-TEST_CASE("http client: another request's answer is left out") {
+TEST_CASE("http client: a response to another request is skipped") {
   RawPeer peer{{{{Answer("own", "first"),
                   Answer("own", "late") + Answer("next", "second")},
                  {}},
@@ -145,12 +147,12 @@
   Caller caller;
   CHECK(BodyOf(caller.Call(peer)) == "first");
   CHECK(BodyOf(caller.Call(peer, "next")) == "second");
-  // Its connection has carried bytes that nobody asked for.
+  // The connection carried an extra response and is not reused.
   CHECK(BodyOf(caller.Call(peer, "last")) == "third");
   CHECK(peer.Accepted() == 2);
 }
 
-TEST_CASE("http client: a kept connection is used again") {
+TEST_CASE("http client: a kept-alive connection is reused") {
   RawPeer peer{{{{Answer("own", "first"), Answer("own", "second")}, {}}}};
   Caller caller;
   CHECK(BodyOf(caller.Call(peer)) == "first");
@@ -158,7 +160,7 @@
   CHECK(peer.Accepted() == 1);
 }
 
-TEST_CASE("http client: a connection is not used beyond its idle time-out") {
+TEST_CASE("http client: a connection is not reused beyond its idle time-out") {
   const std::string brief =
       "HTTP/1.1 200 OK\r\nmark: own\r\nkeep-alive: timeout=1\r\n"
       "content-length: 2\r\n\r\nok";
@@ -170,7 +172,7 @@
   CHECK(peer.Accepted() == 2);
 }
 
-TEST_CASE("http client: interim answers come before the final one") {
+TEST_CASE("http client: interim responses are skipped") {
   RawPeer peer{{{{"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" +
                   Answer("own", "final")},
                  {}}}};
@@ -178,20 +180,23 @@
   CHECK(BodyOf(caller.Call(peer)) == "final");
 }
 
-TEST_CASE("http client: an answer before the body is in is delivered") {
-  // More than the kernel's buffers hold, and a peer that reads the head only.
+TEST_CASE(
+    "http client: a response before the end of the request is delivered") {
+  // The body exceeds the kernel's buffers, and the peer reads only the head.
   const std::string body(std::size_t{24} << 20U, 'b');
   RawPeer peer{{{{Answer("own", "early")}, {}}, {{Answer("own", "next")}, {}}}};
   Caller caller;
   CHECK(BodyOf(caller.Call(peer, "own", body)) == "early");
-  // The rest of the body is due there; no other bytes may take its place.
+  // The old connection still expects the rest of the body, so it must not be
+  // reused.
   CHECK(BodyOf(caller.Call(peer)) == "next");
   CHECK(peer.Accepted() == 2);
 }
 
-TEST_CASE("http client: a peer that reads late ends no process") {
-  // Written from outside of the loop's callbacks, a request fills the peer's
-  // buffers exactly; the socket becomes writable after the write has ended.
+TEST_CASE("http client: a peer that reads late doesn't abort the process") {
+  // Written outside the loop's callbacks, a request may fill the peer's buffers
+  // exactly; the socket then becomes writable after the write completed, on
+  // which h2o aborts unless completed writes are reported before it polls.
   for (std::size_t size = 100'000; size < 6'000'000; size += size / 4) {
     const support::LateReader peer{300ms};
     Caller caller;
@@ -202,13 +207,13 @@
   SUCCEED();
 }
 
-TEST_CASE("http client: bytes without end cost bounded memory and time") {
+TEST_CASE("http client: an endless response takes bounded memory and time") {
   const std::string piece = GENERATE(
-      // In a status line, a header's name and value, and between headers.
+      // In the status line, a header name or value, and between headers.
       std::string{"x"}, std::string{"HTTP/1.1 200 "} + std::string(4000, 'x'),
       std::string{"HTTP/1.1 200 OK\r\nmark: own\r\nx-"},
       std::string{"HTTP/1.1 100 Continue\r\n\r\n"},
-      // Answers to nobody.
+      // Responses to other requests.
       std::string{"HTTP/1.1 200 OK\r\nmark: other\r\ncontent-length: 0\r\n"
                   "\r\n"});
   CAPTURE(piece.substr(0, 40));
@@ -220,18 +225,18 @@
   CHECK(peer.Closed());
 }
 
-TEST_CASE("http client: a peer that answers others is given up soon") {
+TEST_CASE("http client: responses to other requests only fail a call early") {
   support::EndlessPeer peer{{},
                             "HTTP/1.1 200 OK\r\nmark: other\r\n"
                             "content-length: 0\r\n\r\n"};
   Caller caller;
   const auto reply = caller.Call(peer.Where());
-  // Not by its time-out only.
+  // Fails before the time-out.
   REQUIRE(std::holds_alternative<CallError>(reply));
-  CHECK(std::get<CallError>(reply) == CallError::kBroken);
+  CHECK(std::get<CallError>(reply) == CallError::kInvalidResponse);
 }
 
-TEST_CASE("http client: a body without end is given up, with any framing") {
+TEST_CASE("http client: an endless body fails the call with any framing") {
   const std::string head =
       GENERATE(std::string{"HTTP/1.1 200 OK\r\nmark: own\r\n\r\n"},
                std::string{"HTTP/1.1 200 OK\r\nmark: own\r\n"
@@ -253,7 +258,7 @@
   CHECK(peer.Closed());
 }
 
-TEST_CASE("http client: many endless bodies together stay within the bound") {
+TEST_CASE("http client: many endless bodies stay within the buffer limit") {
   std::vector<std::unique_ptr<support::EndlessPeer>> peers;
   Caller caller;
   for (int i = 0; i < 6; ++i) {
