Follow a renamed loop variable in the call attribution test

One use of length_ms kept its former name after the variable became duration_ms, so that the test no longer compiled once the parts were joined. length_ms -> duration_ms in the loop's condition; the bounds and the steps of the loop are as before.

--- a/test/pollenring/node/call_attribution_test.cc
+++ b/test/pollenring/node/call_attribution_test.cc
@@ -127,7 +127,7 @@
   // they call when few are left. Fewer of them then run at calls than on
   // average, and the estimate names another kind.
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-    for (int duration_ms = 3'000; length_ms <= 40'000; duration_ms += 1'300) {
+    for (int duration_ms = 3'000; duration_ms <= 40'000; duration_ms += 1'300) {
       CAPTURE(seed, duration_ms);
       const CallAttribution attribution =
           Simulate({{"download", 0.015, 70, {}}, {"lookup", 0.1, 20, {2}}},
