Reword a comment of the slot ring

The comment of the counter of applied membership changes broke its declaration over two lines and named a count without saying of what. It states that the changes are already applied. No code token differs.

--- a/src/pollenring/mesh/slot_ring.h
+++ b/src/pollenring/mesh/slot_ring.h
@@ -54,8 +54,7 @@
   const Membership &membership;
   const Clock &clock;
   bool first_start;
-  std::uint64_t
-      applied_changes{}; /*!< Membership change count at the last update. */
+  std::uint64_t applied_changes{}; /*!< Membership changes already applied. */
   std::size_t live{1};
   std::size_t unreachable{};
   std::vector<NodeId> holders;
