Rename the share of a keyed workspace to rate_limit

KeyedWorkspace::share held a complete WorkspaceRateLimit, while "share" elsewhere is the part of a rate that nodes lend to each other. KeyedWorkspace::share -> rate_limit, and the local of policy_follower share -> rate_limit, as config_service names it.

--- a/src/pollenring/contract/host_policy.cc
+++ b/src/pollenring/contract/host_policy.cc
@@ -29,7 +29,7 @@
   }
   const auto &workspaces = this->policy.workspaces;
   for (std::size_t i = 0; i < workspaces.size(); ++i) {
-    this->by_name.emplace(workspaces[i].share.name, i);
+    this->by_name.emplace(workspaces[i].rate_limit.name, i);
     for (const auto &key : workspaces[i].keys) this->by_key.emplace(key, i);
   }
   this->RankWorkspaces();
@@ -96,7 +96,7 @@
   const auto found = this->by_name.find(workspace);
   if (found == this->by_name.end()) return nullptr;
   const WorkspaceRateLimit &rate_limit =
-      this->policy.workspaces[found->second].share;
+      this->policy.workspaces[found->second].rate_limit;
   return rate_limit.rate > 0 ? &rate_limit : nullptr;
 }
 
--- a/src/pollenring/contract/host_policy.h
+++ b/src/pollenring/contract/host_policy.h
@@ -37,7 +37,7 @@
 
 /*! @brief A workspace with its keys. */
 struct KeyedWorkspace {
-  WorkspaceRateLimit share;
+  WorkspaceRateLimit rate_limit;
   std::optional<int> rank; /*!< Precedes the route's; 0 is the highest. */
   std::vector<std::string> keys;
   std::vector<std::string> regions; /*!< Where its requests may run; empty:
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -154,9 +154,10 @@
   if (!route->open && table.NeedsKeys()) {
     workspace = table.WorkspaceOf(caller.key);
     if (workspace == nullptr) return Reason::kKeyRefused;
-    entry.workspace = workspace->share.name;
+    entry.workspace = workspace->rate_limit.name;
     envelope.workspace = entry.workspace;
-    if (workspace->share.rate > 0) envelope.weight = workspace->share.rate;
+    if (workspace->rate_limit.rate > 0)
+      envelope.weight = workspace->rate_limit.rate;
     auto regions = IntersectRegions(route->regions, workspace->regions);
     if (!regions) return Reason::kNoTarget;
     envelope.regions = std::move(*regions);
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -71,9 +71,9 @@
 
 std::optional<WorkspaceRateLimit> PolicyFollower::RateOf(
     const std::string &workspace) const {
-  const WorkspaceRateLimit *share = this->table.RateLimitOf(workspace);
-  if (share == nullptr) return std::nullopt;
-  return *share;
+  const WorkspaceRateLimit *rate_limit = this->table.RateLimitOf(workspace);
+  if (rate_limit == nullptr) return std::nullopt;
+  return *rate_limit;
 }
 
 void PolicyFollower::Read() {
--- a/test/platform/codecs_test.cc
+++ b/test/platform/codecs_test.cc
@@ -82,7 +82,7 @@
   REQUIRE(policy->routes[1].parts.size() == 2);
   CHECK(policy->routes[1].parts[0].weight == 90);
   REQUIRE(policy->workspaces.size() == 1);
-  CHECK(policy->workspaces[0].share.burst == 9);
+  CHECK(policy->workspaces[0].rate_limit.burst == 9);
   const std::string bad =
       GENERATE(std::string{"{"}, std::string{R"({"routes":[]})"},
                std::string{R"({"version":12,"routes":[]})"},
--- a/test/pollenring/contract/host_policy_test.cc
+++ b/test/pollenring/contract/host_policy_test.cc
@@ -96,7 +96,7 @@
   const HostTable table{policy};
   CHECK(table.NeedsKeys());
   REQUIRE(table.WorkspaceOf("k2") != nullptr);
-  CHECK(table.WorkspaceOf("k2")->share.name == "club");
+  CHECK(table.WorkspaceOf("k2")->rate_limit.name == "club");
   CHECK(table.WorkspaceOf("k4") == nullptr);
   CHECK(table.WorkspaceOf("") == nullptr);
   REQUIRE(table.RateLimitOf("club") != nullptr);
