Rename CallPathReport::meets to on_call_path

"meets" did not say what meets what, and DownstreamLevel already calls the same fact on_call_path. CallPathReport::meets -> on_call_path.

--- a/src/pollenring/node/downstream_levels.cc
+++ b/src/pollenring/node/downstream_levels.cc
@@ -157,15 +157,15 @@
   const Time now = this->clock.Now();
   for (const auto &report : call_path_reports) {
     const auto known = this->call_paths.find(report.route);
-    if (known == this->call_paths.end() && !report.meets) continue;
+    if (known == this->call_paths.end() && !report.on_call_path) continue;
     CallPath &call_path = this->call_paths[report.route];
     if (call_path.last_used == Time{}) call_path.last_used = now;
     const auto [reported, inserted] =
         call_path.peer_reports.try_emplace(report.service);
     if (inserted || now - reported->second.last_report > kReportLifetime) {
-      reported->second.fraction = report.meets ? kFirstReportValue : 0;
+      reported->second.fraction = report.on_call_path ? kFirstReportValue : 0;
     } else {
-      const double value = report.meets ? 1 : 0;
+      const double value = report.on_call_path ? 1 : 0;
       reported->second.fraction +=
           kReportWeight * (value - reported->second.fraction);
     }
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -205,7 +205,7 @@
 struct CallPathReport {
   std::string route;
   std::string service;
-  bool meets{};
+  bool on_call_path{};
 };
 
 template <>
@@ -214,7 +214,7 @@
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
     return std::make_tuple(Field{1, value.route}, Field{2, value.service},
-                           Field{3, value.meets});
+                           Field{3, value.on_call_path});
   }
 };
 
@@ -223,7 +223,7 @@
   static constexpr bool kFrozen = true;
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
-    return std::tie(value.route, value.service, value.meets);
+    return std::tie(value.route, value.service, value.on_call_path);
   }
 };
 
--- a/test/pollenring/node/downstream_levels_test.cc
+++ b/test/pollenring/node/downstream_levels_test.cc
@@ -173,7 +173,7 @@
   CHECK(new_node.HighestOnCallPath({}, "shallow").level == 0);
   // Reports of others do not count as own evidence.
   for (const auto &report : new_node.CallPathReports(kMaxLevels))
-    CHECK_FALSE(report.meets);
+    CHECK_FALSE(report.on_call_path);
 }
 
 TEST_CASE("downstream levels: few wrong reports do not extend a call path") {
