Name the level trigger and the soft deadline keys of admission

AdmissionOptions::level_cause held a LevelTrigger, and the soft deadline queue still called soft deadlines aims. level_cause -> level_trigger, AimKey -> DeadlineKey (both sets use it), by_aim -> by_soft_deadline.

--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -18,7 +18,7 @@
 
 [[nodiscard]] std::unique_ptr<LevelControl> MakeLevels(
     const AdmissionOptions &options, const Clock &clock) {
-  if (options.level_cause == LevelTrigger::kOfferedLoad) {
+  if (options.level_trigger == LevelTrigger::kOfferedLoad) {
     return std::make_unique<OfferedLoadLevel>(options.offered_load, clock);
   }
   return std::make_unique<ShedLevels>(options.level_window, clock);
--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -44,7 +44,7 @@
 /*! @brief Settings of admission. */
 struct AdmissionOptions {
   ConcurrencyLimitOptions limit;
-  LevelTrigger level_cause{LevelTrigger::kShed};
+  LevelTrigger level_trigger{LevelTrigger::kShed};
   QueueOrder order{QueueOrder::kFair};
   OfferedLoadLevelOptions offered_load;
   Duration level_window{std::chrono::milliseconds{100}};
--- a/src/pollenring/admission/soft_deadline_queue.cc
+++ b/src/pollenring/admission/soft_deadline_queue.cc
@@ -21,14 +21,15 @@
 
 void SoftDeadlineQueue::Push(const AdmissionRequest &request) {
   this->by_id.emplace(request.id, request);
-  this->by_aim.emplace(request.soft_deadline, request.id);
+  this->by_soft_deadline.emplace(request.soft_deadline, request.id);
   this->by_deadline.emplace(request.deadline, request.id);
   this->by_worth.insert(WorthOf(request));
 }
 
 std::optional<AdmissionRequest> SoftDeadlineQueue::Pop() {
-  if (this->by_aim.empty()) return std::nullopt;
-  AdmissionRequest request = this->by_id.at(this->by_aim.begin()->second);
+  if (this->by_soft_deadline.empty()) return std::nullopt;
+  AdmissionRequest request =
+      this->by_id.at(this->by_soft_deadline.begin()->second);
   this->Remove(request.id);
   return request;
 }
@@ -45,7 +46,7 @@
   const auto found = this->by_id.find(id);
   if (found == this->by_id.end()) return false;
   const AdmissionRequest &request = found->second;
-  this->by_aim.erase({request.soft_deadline, id});
+  this->by_soft_deadline.erase({request.soft_deadline, id});
   this->by_deadline.erase({request.deadline, id});
   this->by_worth.erase(WorthOf(request));
   this->by_id.erase(found);
--- a/src/pollenring/admission/soft_deadline_queue.h
+++ b/src/pollenring/admission/soft_deadline_queue.h
@@ -30,7 +30,7 @@
       Time before) override;
 
  private:
-  using AimKey = std::pair<Time, std::uint64_t>;
+  using DeadlineKey = std::pair<Time, std::uint64_t>;
   /*! @brief Invested work, importance, then latest soft deadline first. */
   using WorthKey = std::tuple<bool, Importance, Time, std::uint64_t>;
 
@@ -38,8 +38,8 @@
       const AdmissionRequest &request) noexcept;
 
   std::unordered_map<std::uint64_t, AdmissionRequest> by_id;
-  std::set<AimKey> by_aim;
-  std::set<AimKey> by_deadline;
+  std::set<DeadlineKey> by_soft_deadline;
+  std::set<DeadlineKey> by_deadline;
   std::set<WorthKey> by_worth;
 };
 
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -50,7 +50,7 @@
   AdmissionOptions options;
   // Targets say how many slots they have; some never answer what exceeds them.
   options.limit.fixed = true;
-  options.level_cause = LevelTrigger::kOfferedLoad;
+  options.level_trigger = LevelTrigger::kOfferedLoad;
   options.order = QueueOrder::kSoftDeadline;
   options.queue_time = kMaxQueueTime;
   return options;
--- a/test/pollenring/admission/cold_start_limiter_test.cc
+++ b/test/pollenring/admission/cold_start_limiter_test.cc
@@ -30,7 +30,7 @@
 [[nodiscard]] AdmissionOptions Options() {
   AdmissionOptions options;
   options.limit.fixed = true;
-  options.level_cause = LevelTrigger::kOfferedLoad;
+  options.level_trigger = LevelTrigger::kOfferedLoad;
   options.order = QueueOrder::kSoftDeadline;
   return options;
 }
