Rename SlotRewitnessed to SlotWitnessesChanged

"Rewitnessed" is no word a newcomer knows; the callback reports that the witnesses of a slot have changed. SlotListener::SlotRewitnessed -> SlotWitnessesChanged in the interface and all listeners.

--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -238,7 +238,7 @@
 void Node::SlotGained(SlotId /*slot*/, const SlotRow & /*row*/,
                       SlotOrigin /*origin*/, const SlotRow & /*before*/) {}
 
-void Node::SlotRewitnessed(SlotId /*slot*/, const SlotRow & /*row*/) {}
+void Node::SlotWitnessesChanged(SlotId /*slot*/, const SlotRow & /*row*/) {}
 
 void Node::SlotLost(SlotId /*slot*/) {}
 
--- a/src/pollenring/node/node.h
+++ b/src/pollenring/node/node.h
@@ -48,7 +48,7 @@
 
   void SlotGained(SlotId slot, const SlotRow &row, SlotOrigin origin,
                   const SlotRow &before) override;
-  void SlotRewitnessed(SlotId slot, const SlotRow &row) override;
+  void SlotWitnessesChanged(SlotId slot, const SlotRow &row) override;
   void SlotHandedOver(SlotId slot, const SlotRow &row,
                       const ProcessRef &successor) override;
   void SlotLost(SlotId slot) override;
--- a/src/pollenring/node/once_memory.cc
+++ b/src/pollenring/node/once_memory.cc
@@ -135,7 +135,7 @@
   return Pack(closed);
 }
 
-void OnceService::SlotRewitnessed(SlotId slot, const SlotRow &row) {
+void OnceService::SlotWitnessesChanged(SlotId slot, const SlotRow &row) {
   this->SeedMirrors(slot, row);
 }
 
--- a/src/pollenring/node/once_service.h
+++ b/src/pollenring/node/once_service.h
@@ -91,7 +91,7 @@
            const std::string &body) override;
   void SlotGained(SlotId slot, const SlotRow &row, SlotOrigin origin,
                   const SlotRow &before) override;
-  void SlotRewitnessed(SlotId slot, const SlotRow &row) override;
+  void SlotWitnessesChanged(SlotId slot, const SlotRow &row) override;
   void SlotHandedOver(SlotId slot, const SlotRow &row,
                       const ProcessRef &successor) override;
   void SlotLost(SlotId slot) override;
--- a/src/pollenring/node/share_service.cc
+++ b/src/pollenring/node/share_service.cc
@@ -90,7 +90,8 @@
   this->handovers.erase(found);
 }
 
-void ShareService::SlotRewitnessed(SlotId /*slot*/, const SlotRow & /*row*/) {}
+void ShareService::SlotWitnessesChanged(SlotId /*slot*/,
+                                        const SlotRow & /*row*/) {}
 
 void ShareService::SlotHandedOver(SlotId /*slot*/, const SlotRow & /*row*/,
                                   const ProcessRef & /*successor*/) {}
--- a/src/pollenring/node/share_service.h
+++ b/src/pollenring/node/share_service.h
@@ -54,7 +54,7 @@
   bool SendBorrow(const BorrowRequest &request) override;
   void SlotGained(SlotId slot, const SlotRow &row, SlotOrigin origin,
                   const SlotRow &before) override;
-  void SlotRewitnessed(SlotId slot, const SlotRow &row) override;
+  void SlotWitnessesChanged(SlotId slot, const SlotRow &row) override;
   void SlotHandedOver(SlotId slot, const SlotRow &row,
                       const ProcessRef &successor) override;
   void SlotLost(SlotId slot) override;
--- a/src/pollenring/node/slot_service.cc
+++ b/src/pollenring/node/slot_service.cc
@@ -222,7 +222,7 @@
   this->claims_changed = true;
   this->holders[slot] = {row.epoch, this->self.node};
   for (SlotListener *listener : this->listeners)
-    listener->SlotRewitnessed(slot, row);
+    listener->SlotWitnessesChanged(slot, row);
 }
 
 void SlotService::Lost(SlotId slot) {
--- a/src/pollenring/node/slot_service.h
+++ b/src/pollenring/node/slot_service.h
@@ -30,7 +30,7 @@
                           const SlotRow &before) = 0;
 
   /*! @brief The slot's witnesses have changed. @param row The new row. */
-  virtual void SlotRewitnessed(SlotId slot, const SlotRow &row) = 0;
+  virtual void SlotWitnessesChanged(SlotId slot, const SlotRow &row) = 0;
 
   /*! @brief The slot is another node's now. @param row The row that names it,
    * or the one that was resigned. @param successor Its next holder. */
--- a/test/pollenring/mesh/slot_ring_test.cc
+++ b/test/pollenring/mesh/slot_ring_test.cc
@@ -26,7 +26,8 @@
                   const SlotRow & /*before*/) override {
     this->held.insert(slot);
   }
-  void SlotRewitnessed(SlotId /*slot*/, const SlotRow & /*row*/) override {}
+  void SlotWitnessesChanged(SlotId /*slot*/, const SlotRow & /*row*/) override {
+  }
   void SlotHandedOver(SlotId /*slot*/, const SlotRow & /*row*/,
                       const ProcessRef & /*successor*/) override {}
   void SlotLost(SlotId slot) override { this->held.erase(slot); }
