Rename SlotHolders::Part to LendableFraction

Part did not say of what, and a workspace's part of a slot is another thing (PartOf). SlotHolders::Part and SlotRing::Part -> LendableFraction, the fraction of each rate that known holders may lend.

--- a/src/pollenring/mesh/slot_ring.cc
+++ b/src/pollenring/mesh/slot_ring.cc
@@ -67,7 +67,7 @@
   }
 }
 
-double SlotRing::Part() const noexcept {
+double SlotRing::LendableFraction() const noexcept {
   const bool isolated = this->membership.SinceLastContact() > kIsolatedAfter;
   const auto all = static_cast<double>(this->live + this->unreachable);
   return (isolated ? 1.0 : static_cast<double>(this->live)) / all;
--- a/src/pollenring/mesh/slot_ring.h
+++ b/src/pollenring/mesh/slot_ring.h
@@ -43,7 +43,7 @@
    * itself alone, before it has marked each of the others unreachable.
    * @return From 0 to 1.
    */
-  [[nodiscard]] double Part() const noexcept override;
+  [[nodiscard]] double LendableFraction() const noexcept override;
 
   [[nodiscard]] SlotId Count() const noexcept override;
   [[nodiscard]] std::optional<NodeId> HolderOf(SlotId slot) const override;
--- a/src/pollenring/node/gates.h
+++ b/src/pollenring/node/gates.h
@@ -42,7 +42,7 @@
    * lend.
    * @return From 0 to 1; below 1 while unknown holders may lend too.
    */
-  [[nodiscard]] virtual double Part() const noexcept { return 1; }
+  [[nodiscard]] virtual double LendableFraction() const noexcept { return 1; }
 
   /*! @brief Until when this node may lend from a slot. @param slot Slot.
    * @return Time. */
--- a/src/pollenring/node/share_service.cc
+++ b/src/pollenring/node/share_service.cc
@@ -70,8 +70,8 @@
   const auto part =
       PartOf(request.workspace, request.slot, this->holders.Count());
   if (!part) return refusal;
-  limit->rate *= this->holders.Part();
-  limit->burst *= this->holders.Part();
+  limit->rate *= this->holders.LendableFraction();
+  limit->burst *= this->holders.LendableFraction();
   const Time valid_until = this->holders.ValidUntil(request.slot);
   return lender->second.Lend(request, *limit, *part, valid_until);
 }
--- a/test/pollenring/mesh/slot_ring_test.cc
+++ b/test/pollenring/mesh/slot_ring_test.cc
@@ -64,7 +64,7 @@
       const auto index = static_cast<std::size_t>(i);
       const bool holds = this->fleet.At(i) != nullptr &&
                          this->holders[index].held.count(slot) > 0;
-      if (holds) sum += this->rings[index]->Part();
+      if (holds) sum += this->rings[index]->LendableFraction();
     }
     return sum;
   }
