Speak of the creation of request identifiers

"Mint" stood for creating a request identifier, in names and comments alike, while core/request_id.h speaks of its creation time. MintRequestId -> NewRequestId, MintedAt -> CreationTimeOf, minted, minted_ms and minted_here -> created, created_ms and created_here.

--- a/src/pollenring/core/request_id.cc
+++ b/src/pollenring/core/request_id.cc
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-std::string MintRequestId(WallTime wall, Random &random) {
+std::string NewRequestId(WallTime wall, Random &random) {
   const auto ms = static_cast<std::uint64_t>(wall.count());
   const std::uint64_t high = random.Bits();
   const std::uint64_t low = random.Bits();
@@ -38,7 +38,7 @@
   return {text.data(), kUuidLength};
 }
 
-std::optional<WallTime> MintedAt(std::string_view id) noexcept {
+std::optional<WallTime> CreationTimeOf(std::string_view id) noexcept {
   if (id.size() != kUuidLength) return std::nullopt;
   std::uint64_t ms = 0;
   std::size_t digits = 0;
--- a/src/pollenring/core/request_id.h
+++ b/src/pollenring/core/request_id.h
@@ -16,14 +16,15 @@
  * @param random Source of the random bits.
  * @return 36 characters in canonical form.
  */
-[[nodiscard]] std::string MintRequestId(WallTime wall, Random &random);
+[[nodiscard]] std::string NewRequestId(WallTime wall, Random &random);
 
 /**
  * @brief Extracts the creation time of a version 7 UUID.
  * @param id The identifier.
  * @return The time, or nothing if the text is not a version 7 UUID.
  */
-[[nodiscard]] std::optional<WallTime> MintedAt(std::string_view id) noexcept;
+[[nodiscard]] std::optional<WallTime> CreationTimeOf(
+    std::string_view id) noexcept;
 
 }  // namespace pollenring
 
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -166,7 +166,7 @@
   }
   if (entry.id.empty()) {
     entry.id =
-        MintRequestId(this->loop.GetClock().WallNow(), this->parts.random);
+        NewRequestId(this->loop.GetClock().WallNow(), this->parts.random);
   }
   envelope.root_id = entry.id;
   entry.service = this->ChooseService(*route);
--- a/src/pollenring/node/gates.h
+++ b/src/pollenring/node/gates.h
@@ -124,12 +124,12 @@
   /**
    * @brief Requests to run an identifier.
    * @param key Workspace and identifier.
-   * @param minted_here Whether this node created it, so that no other request
+   * @param created_here Whether this node created it, so that no other request
    * can have used it.
    * @param deadline When the caller needs the response.
    * @param done Called exactly once.
    */
-  virtual void Begin(const std::string &key, bool minted_here, Time deadline,
+  virtual void Begin(const std::string &key, bool created_here, Time deadline,
                      Done done) = 0;
 
   /**
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -152,8 +152,7 @@
     root.id = std::string{given};
     root.has_caller_id = true;
   } else {
-    root.id =
-        MintRequestId(this->loop.GetClock().WallNow(), this->parts.random);
+    root.id = NewRequestId(this->loop.GetClock().WallNow(), this->parts.random);
   }
   root.envelope.root_id = root.id;
   return Reason::kNone;
@@ -196,7 +195,7 @@
 }
 
 void Ingress::Begin(const RootPtr &root) {
-  if (!MintedAt(root->id)) {
+  if (!CreationTimeOf(root->id)) {
     this->Refuse(root, Outcome::kNotRun, Reason::kMalformed);
     return;
   }
--- a/src/pollenring/node/once_service.cc
+++ b/src/pollenring/node/once_service.cc
@@ -94,19 +94,19 @@
                            });
 }
 
-void OnceService::Begin(const std::string &key, bool minted_here, Time deadline,
-                        Done done) {
+void OnceService::Begin(const std::string &key, bool created_here,
+                        Time deadline, Done done) {
   const Time now = this->loop.GetClock().Now();
   const WallTime wall = this->loop.GetClock().WallNow();
   const std::uint64_t attempt = this->random.Bits();
   const std::string id = key.substr(key.find('/') + 1);
   PendingAttempt &pending = this->pending_attempts[attempt];
   pending.begin.key = key;
-  pending.begin.minted_ms = MintedAt(id).value_or(WallTime{0}).count();
+  pending.begin.created_ms = CreationTimeOf(id).value_or(WallTime{0}).count();
   pending.begin.attempt = attempt;
   pending.begin.deadline_ms =
       (wall + std::chrono::duration_cast<WallTime>(deadline - now)).count();
-  pending.minted_here = minted_here;
+  pending.created_here = created_here;
   pending.deadline = deadline;
   pending.give_up_at = std::min(deadline, now + kMaxRequestTime);
   pending.done = std::move(done);
@@ -119,7 +119,7 @@
   PendingAttempt &pending = found->second;
   if (this->loop.GetClock().Now() >= pending.give_up_at) {
     const auto verdict =
-        pending.minted_here ? OnceVerdict::kNotRun : OnceVerdict::kUnknown;
+        pending.created_here ? OnceVerdict::kNotRun : OnceVerdict::kUnknown;
     const OnceEnd end{pending.begin.key, attempt, OnceState::kAborted, {}};
     Done done = std::move(pending.done);
     this->pending_attempts.erase(found);
@@ -174,7 +174,7 @@
     return;
   }
   const auto decision =
-      found->second.ledger.Begin(begin.key, WallTime{begin.minted_ms},
+      found->second.ledger.Begin(begin.key, WallTime{begin.created_ms},
                                  begin.attempt, WallTime{begin.deadline_ms});
   if (!decision.recorded) {
     LogEvent(
@@ -193,7 +193,7 @@
   PendingCopy copy;
   copy.slot = slot;
   copy.epoch = row->epoch;
-  copy.record = {begin.key,     begin.minted_ms,     begin.deadline_ms,
+  copy.record = {begin.key,     begin.created_ms,    begin.deadline_ms,
                  begin.attempt, OnceState::kStarted, {}};
   copy.requester = requester;
   copy.give_up_at = this->loop.GetClock().Now() + kMaxCopyTime;
--- a/src/pollenring/node/once_service.h
+++ b/src/pollenring/node/once_service.h
@@ -20,10 +20,10 @@
 /*! @brief Requests permission to run from the owner of an idempotency key. */
 struct OnceBegin {
   std::string key;
-  std::int64_t minted_ms{};
+  std::int64_t created_ms{};
   std::uint64_t attempt{};
   std::int64_t deadline_ms{};
-  MSGPACK_DEFINE(key, minted_ms, attempt, deadline_ms)
+  MSGPACK_DEFINE(key, created_ms, attempt, deadline_ms)
 };
 
 /*! @brief The owner's decision; `owner` is false when it may not decide. */
@@ -85,7 +85,7 @@
    */
   void StoreHandover(const Handover &handover);
 
-  void Begin(const std::string &key, bool minted_here, Time deadline,
+  void Begin(const std::string &key, bool created_here, Time deadline,
              Done done) override;
   void End(const std::string &key, const CallReply &reply,
            const std::string &body) override;
@@ -100,7 +100,7 @@
   /*! @brief An attempt of this node that waits for the owner's decision. */
   struct PendingAttempt {
     OnceBegin begin;
-    bool minted_here{};
+    bool created_here{};
     Time deadline{};
     Time give_up_at{};
     Done done;
--- a/src/pollenring/once/ledger.cc
+++ b/src/pollenring/once/ledger.cc
@@ -20,7 +20,7 @@
   return static_cast<SlotId>(Hash64(key, kSlotSeed) % slots);
 }
 
-BeginDecision OnceLedger::Begin(const std::string &key, WallTime minted,
+BeginDecision OnceLedger::Begin(const std::string &key, WallTime created,
                                 std::uint64_t attempt, WallTime deadline) {
   this->DropExpired();
   const WallTime now = this->clock.WallNow();
@@ -47,16 +47,16 @@
             false,
             {}};
   }
-  const bool from_future = minted > now + kMaxWallSkew;
-  const bool too_old = minted + kOnceRetention - 2 * kMaxWallSkew < now;
+  const bool from_future = created > now + kMaxWallSkew;
+  const bool too_old = created + kOnceRetention - 2 * kMaxWallSkew < now;
   if (from_future || too_old) return {BeginVerdict::kExpired, false, {}};
-  if (minted < this->complete_since + kMaxWallSkew) {
+  if (created < this->complete_since + kMaxWallSkew) {
     const bool may_have_begun = this->complete_since > WallTime{0};
     if (may_have_begun) return {BeginVerdict::kUnknown, false, {}};
   }
   OnceRecord record;
   record.key = key;
-  record.minted_ms = minted.count();
+  record.created_ms = created.count();
   record.deadline_ms = deadline.count();
   record.attempt = attempt;
   this->records.emplace(key, std::move(record));
--- a/src/pollenring/once/ledger.h
+++ b/src/pollenring/once/ledger.h
@@ -20,7 +20,7 @@
   kRan,        /*!< It has run; the response is included if still held. */
   kInProgress, /*!< Another attempt may still be running. */
   kUnknown,    /*!< Whether it has run can't be determined. */
-  kExpired,    /*!< Minted before the retention period or in the future. */
+  kExpired,    /*!< Created before the retention period or in the future. */
 };
 
 /*! @brief Names of the verdicts. */
@@ -42,7 +42,7 @@
 /**
  * @brief Idempotency records of one slot: each identifier runs at most once.
  *
- * An identifier carries the time at which it was minted. One that was minted
+ * An identifier carries the time at which it was created. One created
  * before this ledger is complete and has no record may have begun under an
  * earlier owner; its verdict is "unknown" and it never runs.
  */
@@ -66,12 +66,12 @@
   /**
    * @brief Decides about an attempt to run.
    * @param key Workspace and identifier.
-   * @param minted When the identifier was minted.
+   * @param created When the identifier was created.
    * @param attempt Unique number of the attempt; repeats get the same verdict.
    * @param deadline Wall time at which the attempt ends.
    * @return The decision.
    */
-  [[nodiscard]] BeginDecision Begin(const std::string &key, WallTime minted,
+  [[nodiscard]] BeginDecision Begin(const std::string &key, WallTime created,
                                     std::uint64_t attempt, WallTime deadline);
 
   /**
--- a/src/pollenring/once/mirror.cc
+++ b/src/pollenring/once/mirror.cc
@@ -59,7 +59,7 @@
   const WallTime oldest =
       this->clock.WallNow() - kOnceRetention - 3 * kMaxWallSkew;
   for (auto it = copies.records.begin(); it != copies.records.end();) {
-    const bool old = WallTime{it->second.minted_ms} < oldest;
+    const bool old = WallTime{it->second.created_ms} < oldest;
     it = old ? copies.records.erase(it) : std::next(it);
   }
 }
--- a/src/pollenring/once/record.h
+++ b/src/pollenring/once/record.h
@@ -23,12 +23,12 @@
 /*! @brief Idempotency record of one identifier. */
 struct OnceRecord {
   std::string key;
-  std::int64_t minted_ms{};
+  std::int64_t created_ms{};
   std::int64_t deadline_ms{}; /*!< Wall time after which no caller waits. */
   std::uint64_t attempt{};
   OnceState state{OnceState::kStarted};
   std::string response; /*!< First response; empty if not held. */
-  MSGPACK_DEFINE(key, minted_ms, deadline_ms, attempt, state, response)
+  MSGPACK_DEFINE(key, created_ms, deadline_ms, attempt, state, response)
 };
 
 /**
--- a/test/pollenring/core/core_test.cc
+++ b/test/pollenring/core/core_test.cc
@@ -8,12 +8,14 @@
 TEST_CASE("core: a request ID contains its creation time") {
   pollenring::SeededRandom random{1};
   const pollenring::WallTime wall{1'796'000'000'123};
-  const auto id = pollenring::MintRequestId(wall, random);
-  CHECK(pollenring::MintedAt(id) == wall);
-  CHECK_FALSE(pollenring::MintedAt("x"));
-  CHECK_FALSE(pollenring::MintedAt("01a23e17-f120-4738-8fc6-c2d2b9936849"));
-  CHECK_FALSE(pollenring::MintedAt("01a23e17-f120-7738-0fc6-c2d2b9936849"));
-  CHECK(id != pollenring::MintRequestId(wall, random));
+  const auto id = pollenring::NewRequestId(wall, random);
+  CHECK(pollenring::CreationTimeOf(id) == wall);
+  CHECK_FALSE(pollenring::CreationTimeOf("x"));
+  CHECK_FALSE(
+      pollenring::CreationTimeOf("01a23e17-f120-4738-8fc6-c2d2b9936849"));
+  CHECK_FALSE(
+      pollenring::CreationTimeOf("01a23e17-f120-7738-0fc6-c2d2b9936849"));
+  CHECK(id != pollenring::NewRequestId(wall, random));
 }
 
 TEST_CASE("core: addresses are parsed strictly") {
--- a/test/pollenring/node/always_test.cc
+++ b/test/pollenring/node/always_test.cc
@@ -119,7 +119,7 @@
     std::vector<std::string> ids;
     for (int i = 0; i < 30; ++i) {
       ids.push_back(
-          pollenring::MintRequestId(cluster.clock.WallNow(), cluster.random));
+          pollenring::NewRequestId(cluster.clock.WallNow(), cluster.random));
     }
     for (int round = 0; round < 3; ++round) {
       for (const auto &id : ids) {
--- a/test/pollenring/node/path_test.cc
+++ b/test/pollenring/node/path_test.cc
@@ -62,7 +62,7 @@
     std::string body(16 * kMebibyte, 'a');
     for (std::size_t i = 0; i < body.size(); i += 4096) body[i] = 'b';
     const auto id =
-        pollenring::MintRequestId(cluster.clock.WallNow(), cluster.random);
+        pollenring::NewRequestId(cluster.clock.WallNow(), cluster.random);
     const auto echoed = cluster.Post(2, "/orders/new", key, id, body);
     REQUIRE(echoed);
     CHECK(echoed->status == 200);
--- a/test/pollenring/once/once_test.cc
+++ b/test/pollenring/once/once_test.cc
@@ -39,7 +39,7 @@
    */
   void BeginLate(const std::string &id) {
     if (!this->deposed) return;
-    if (*pollenring::MintedAt(id) >= this->deposed_at) return;
+    if (*pollenring::CreationTimeOf(id) >= this->deposed_at) return;
     static_cast<void>(this->BeginAt(
         {*this->deposed, this->deposed_epoch, this->deposed_mirrors}, id));
   }
@@ -53,14 +53,14 @@
 
   BeginVerdict BeginAt(const View &view, const std::string &id) {
     OnceLedger &ledger = view.ledger;
-    const auto minted = *pollenring::MintedAt(id);
+    const auto created = *pollenring::CreationTimeOf(id);
     const auto attempt = ++this->last_attempt;
     const auto decision = ledger.Begin(
-        id, minted, attempt, this->clock.WallNow() + std::chrono::seconds{2});
+        id, created, attempt, this->clock.WallNow() + std::chrono::seconds{2});
     if (decision.verdict != BeginVerdict::kRun) return decision.verdict;
     pollenring::OnceRecord record;
     record.key = id;
-    record.minted_ms = minted.count();
+    record.created_ms = created.count();
     record.attempt = attempt;
     bool copied = false;
     for (std::size_t i = 0; i < this->mirrors.size(); ++i) {
@@ -175,7 +175,7 @@
         // Callers' clocks are off by up to 20 s.
         const auto off =
             static_cast<std::int64_t>(slot.random.Index(40'000)) - 20'000;
-        ids.push_back(pollenring::MintRequestId(
+        ids.push_back(pollenring::NewRequestId(
             slot.clock.WallNow() + WallTime{off}, slot.random));
       }
       const auto recent = [&] {
@@ -196,39 +196,41 @@
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{1};
   OnceLedger ledger{WallTime{0}, clock};
-  const auto id = pollenring::MintRequestId(clock.WallNow(), random);
-  const auto minted = *pollenring::MintedAt(id);
+  const auto id = pollenring::NewRequestId(clock.WallNow(), random);
+  const auto created = *pollenring::CreationTimeOf(id);
   const auto deadline = clock.WallNow() + std::chrono::seconds{1};
-  CHECK(ledger.Begin(id, minted, 1, deadline).verdict == BeginVerdict::kRun);
-  CHECK(ledger.Begin(id, minted, 2, deadline).verdict ==
+  CHECK(ledger.Begin(id, created, 1, deadline).verdict == BeginVerdict::kRun);
+  CHECK(ledger.Begin(id, created, 2, deadline).verdict ==
         BeginVerdict::kInProgress);
   clock.Advance(std::chrono::seconds{2});
-  CHECK(ledger.Begin(id, minted, 3, deadline).verdict ==
+  CHECK(ledger.Begin(id, created, 3, deadline).verdict ==
         BeginVerdict::kUnknown);
   ledger.End(id, 1, OnceState::kRan, "first");
-  const auto repeat = ledger.Begin(id, minted, 4, deadline);
+  const auto repeat = ledger.Begin(id, created, 4, deadline);
   CHECK(repeat.verdict == BeginVerdict::kRan);
   CHECK(repeat.response == "first");
   clock.Advance(std::chrono::minutes{20});
-  const auto old = ledger.Begin(id, minted, 5, clock.WallNow());
+  const auto old = ledger.Begin(id, created, 5, clock.WallNow());
   CHECK(old.verdict == BeginVerdict::kExpired);
-  const auto early = pollenring::MintRequestId(
+  const auto early = pollenring::NewRequestId(
       clock.WallNow() + std::chrono::minutes{2}, random);
-  CHECK(ledger.Begin(early, *pollenring::MintedAt(early), 6, clock.WallNow())
-            .verdict == BeginVerdict::kExpired);
+  CHECK(
+      ledger
+          .Begin(early, *pollenring::CreationTimeOf(early), 6, clock.WallNow())
+          .verdict == BeginVerdict::kExpired);
 }
 
 TEST_CASE("once: an aborted attempt may be followed by another") {
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{1};
   OnceLedger ledger{WallTime{0}, clock};
-  const auto id = pollenring::MintRequestId(clock.WallNow(), random);
-  const auto minted = *pollenring::MintedAt(id);
+  const auto id = pollenring::NewRequestId(clock.WallNow(), random);
+  const auto created = *pollenring::CreationTimeOf(id);
   const auto deadline = clock.WallNow() + std::chrono::seconds{1};
-  CHECK(ledger.Begin(id, minted, 1, deadline).verdict == BeginVerdict::kRun);
+  CHECK(ledger.Begin(id, created, 1, deadline).verdict == BeginVerdict::kRun);
   ledger.End(id, 1, OnceState::kAborted, {});
   // A late repeat of the aborted attempt's own message does not revive it.
-  CHECK(ledger.Begin(id, minted, 1, deadline).verdict ==
+  CHECK(ledger.Begin(id, created, 1, deadline).verdict ==
         BeginVerdict::kUnknown);
-  CHECK(ledger.Begin(id, minted, 2, deadline).verdict == BeginVerdict::kRun);
+  CHECK(ledger.Begin(id, created, 2, deadline).verdict == BeginVerdict::kRun);
 }
--- a/tools/pollenring-load/driver.cc
+++ b/tools/pollenring-load/driver.cc
@@ -62,8 +62,8 @@
   this->loop.After(wait, [this, index, at] {
     auto wish = std::make_shared<Wish>();
     wish->caller = index;
-    wish->id = pollenring::MintRequestId(this->loop.GetClock().WallNow(),
-                                         this->random);
+    wish->id =
+        pollenring::NewRequestId(this->loop.GetClock().WallNow(), this->random);
     wish->wanted = this->Elapsed();
     wish->tries_left = this->scenario.retries;
     if (at < this->scenario.length) {
