Rename open routes to keyless

Route::open and HostRoute::open read as if a route could be opened and closed, and "open" also means open connections and calls. Both, and the copy that ingress keeps per request, -> keyless: the route needs no key.

--- a/src/pollenring/contract/contract.h
+++ b/src/pollenring/contract/contract.h
@@ -19,7 +19,7 @@
   std::string path_prefix;
   Importance importance{Importance::kNormal};
   bool idempotent{true};
-  bool open{false};
+  bool keyless{false};
   Duration deadline{std::chrono::seconds{2}};
   int retries{2};
 };
--- a/src/pollenring/contract/host_policy.h
+++ b/src/pollenring/contract/host_policy.h
@@ -32,7 +32,7 @@
   Duration target_latency{};        /*!< Soft deadline of the response. */
   std::vector<std::string> regions; /*!< Where it may run; empty: anywhere. */
   bool idempotent{};                /*!< Whether it may run more than once. */
-  bool open{};                      /*!< Whether it needs no key. */
+  bool keyless{};                   /*!< Whether it needs no key. */
 };
 
 /*! @brief A workspace with its keys. */
--- a/src/pollenring/contract/json.cc
+++ b/src/pollenring/contract/json.cc
@@ -12,7 +12,7 @@
           {"path", route.path_prefix},
           {"importance", kImportanceNames.Name(route.importance)},
           {"idempotent", route.idempotent},
-          {"open", route.open},
+          {"open", route.keyless},
           {"deadline_us", route.deadline.count()},
           {"retries", route.retries}};
 }
@@ -25,7 +25,7 @@
       kImportanceNames.Parse(json.at("importance").get<std::string>())
           .value_or(Importance::kNormal);
   route.idempotent = json.at("idempotent").get<bool>();
-  route.open = json.at("open").get<bool>();
+  route.keyless = json.at("open").get<bool>();
   route.deadline = Duration{json.at("deadline_us").get<std::int64_t>()};
   route.retries = json.at("retries").get<int>();
   return route;
--- a/src/pollenring/contract/parse.cc
+++ b/src/pollenring/contract/parse.cc
@@ -138,7 +138,7 @@
   route.idempotent = route.method == "GET" || route.method == "HEAD";
   ReadImportance(reader, route);
   reader.Flag("idempotent", route.idempotent);
-  reader.Flag("open", route.open);
+  reader.Flag("open", route.keyless);
   ReadDeadline(reader, route);
   reader.Count("retries", kMaxRetries, route.retries);
   return route;
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -148,10 +148,10 @@
   const HostRoute *route = table.Find(request.host, request.path);
   if (route == nullptr) return Reason::kNoRoute;
   entry.route = route->name;
-  entry.from_target = route->open;
+  entry.from_target = route->keyless;
   CallEnvelope &envelope = entry.envelope;
   const KeyedWorkspace *workspace = nullptr;
-  if (!route->open && table.NeedsKeys()) {
+  if (!route->keyless && table.NeedsKeys()) {
     workspace = table.WorkspaceOf(caller.key);
     if (workspace == nullptr) return Reason::kKeyRefused;
     entry.workspace = workspace->rate_limit.name;
@@ -188,7 +188,7 @@
       route->timeout > Duration{0} ? route->timeout : kDefaultTimeout;
   if (caller.remaining) remaining = std::min(remaining, *caller.remaining);
   entry.deadline = entry.started + remaining;
-  if (route->open) this->InheritFromParent(caller, entry);
+  if (route->keyless) this->InheritFromParent(caller, entry);
   return Reason::kNone;
 }
 
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -57,7 +57,7 @@
   std::string once_key;
   Time started{};
   Time deadline{};
-  bool open{};
+  bool keyless{};
   bool has_caller_id{};
   std::optional<Time> charged;
   bool once_begun{};
@@ -119,9 +119,9 @@
   const Route *route = Policy::Match(*contract, request.method, path);
   if (route == nullptr) return Reason::kNoRoute;
   if (!Policy::Allows(*contract, kPublicCaller)) return Reason::kCallerRefused;
-  root.open = route->open;
+  root.keyless = route->keyless;
   const std::string_view key = FindHeader(request.headers, kKeyHeader);
-  if (!route->open) {
+  if (!route->keyless) {
     if (!this->parts.freshness.Fresh()) return Reason::kStaleConfig;
     if (key.empty()) return Reason::kKeyRefused;
     root.envelope.workspace = policy.WorkspaceOf(Sha256Hex(key));
@@ -174,7 +174,7 @@
     return;
   }
   root->charged = this->loop.GetClock().Now();
-  if (root->open) {
+  if (root->keyless) {
     this->Advance(root);
     return;
   }
@@ -247,7 +247,7 @@
   CallBounds bounds;
   bounds.deadline = root->deadline;
   bounds.charged = *root->charged;
-  if (!root->open) {
+  if (!root->keyless) {
     bounds.renew = [this, root](ShareGate::Done done) {
       this->parts.shares.Charge(
           root->workspace, WaitLimit::Until(root->deadline), std::move(done));
--- a/test/platform/codecs_test.cc
+++ b/test/platform/codecs_test.cc
@@ -76,7 +76,7 @@
   CHECK(policy->version == 12);
   REQUIRE(policy->routes.size() == 2);
   CHECK(policy->routes[0].idempotent);
-  CHECK(policy->routes[0].open);
+  CHECK(policy->routes[0].keyless);
   CHECK(policy->routes[0].timeout == 800ms);
   CHECK_FALSE(policy->routes[1].idempotent);
   REQUIRE(policy->routes[1].parts.size() == 2);
