Rename ColdStart::cold_for to cold_period

The setting holds how long the targets of a service count as cold after a start, as its comment says; cold_for is also the remaining time that an announcement carries. ColdStart::cold_for -> cold_period.

--- a/src/pollenring/contract/host_policy.h
+++ b/src/pollenring/contract/host_policy.h
@@ -53,7 +53,7 @@
 /*! @brief Cold-start period and limit of a service's targets. */
 struct ColdStart {
   std::string service;
-  Duration cold_for{};
+  Duration cold_period{};
   double per_second{}; /*!< 0: a cold target has no limit of its own. */
 };
 
--- a/src/pollenring/mesh/cold_policy.cc
+++ b/src/pollenring/mesh/cold_policy.cc
@@ -25,7 +25,7 @@
 
 Duration ColdPolicy::ColdAfterStart(const std::string &service) const {
   const ColdStart *start = this->policy.Active().ColdStartOf(service);
-  return start == nullptr ? Duration{0} : start->cold_for;
+  return start == nullptr ? Duration{0} : start->cold_period;
 }
 
 }  // namespace pollenring
