--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -96,26 +96,26 @@
              parts.loop.GetClock(), parts.random},
       levels{DownstreamLevelOptions{}, parts.loop.GetClock()},
       cold_policy{this->policy, given.cold_start_headroom},
-      serving{parts.loop,
-              parts.client,
-              parts.targets,
-              MakeAdmissionOptions(),
-              this->cold_policy,
-              this->levels,
-              parts.random,
-              this->metrics,
-              [this](std::vector<Target> targets) {
-                this->members.Get().Announce(std::move(targets));
-              }},
+      executor{parts.loop,
+               parts.client,
+               parts.targets,
+               MakeAdmissionOptions(),
+               this->cold_policy,
+               this->levels,
+               parts.random,
+               this->metrics,
+               [this](std::vector<Target> targets) {
+                 this->members.Get().Announce(std::move(targets));
+               }},
       retry_budget{TrafficRetryOptions{}, parts.loop.GetClock(), parts.random},
       dispatcher{given.nodes.Packed(), parts.loop,
                  this->link,           this->wire,
-                 this->router,         this->serving,
+                 this->router,         this->executor,
                  this->retry_budget,   DispatchOptions{true},
                  parts.random,         this->metrics},
       outbound{parts.loop, given.target_service,
                OutboundParts{this->policy, parts.callers, this->shares,
-                             this->dispatcher, this->serving, this->levels,
+                             this->dispatcher, this->executor, this->levels,
                              parts.random, this->metrics}},
       heartbeats{parts.loop.GetClock()},
       deregistrations{given.nodes.Packed(), parts.table},
@@ -155,7 +155,7 @@
   this->members.OnMember(
       [this](const Member &member) { this->router.Update(member); });
   this->shares.Start();
-  this->serving.SetAvailability(TargetAvailability::kUnknown);
+  this->executor.SetAvailability(TargetAvailability::kUnknown);
   this->deregistrations.Read(
       [this](const std::optional<Deregistration> &deregistration) {
         this->ApplyDeregistration(deregistration);
@@ -169,7 +169,7 @@
     if (error.invariant_violated) this->Leave();
   });
   this->loop.Every(kRingTick, [this] { this->ring.Update(this->shares); });
-  this->loop.Every(kExecutorTick, [this] { this->serving.Tick(); });
+  this->loop.Every(kExecutorTick, [this] { this->executor.Tick(); });
   this->loop.Every(kLogFlushInterval, [] { FlushLog(); });
   this->loop.Every(kMetricsLogInterval, [this] {
     LogEvent(LogLevel::kInfo, "metrics snapshot", this->metrics.Counters());
@@ -183,7 +183,7 @@
   if (deregistration &&
       this->heartbeats.RecordDeregistration(deregistration->instance,
                                             deregistration->started_at_ms)) {
-    this->serving.Drain(deregistration->instance);
+    this->executor.Drain(deregistration->instance);
   }
   this->ApplyPolicy();
 }
@@ -193,10 +193,10 @@
   const WithdrawnZones &zones = this->policy.Zones();
   // What a cold target bears is not known before the configuration either.
   if (!zones.HasRevision() || this->policy.Active().Version() == 0) return;
-  this->serving.UpdateColdStartLimits();
+  this->executor.UpdateColdStartLimits();
   const bool withdrawn = zones.Contains(this->settings.zone);
-  this->serving.SetAvailability(withdrawn ? TargetAvailability::kWithdrawn
-                                          : TargetAvailability::kAvailable);
+  this->executor.SetAvailability(withdrawn ? TargetAvailability::kWithdrawn
+                                           : TargetAvailability::kAvailable);
   if (!this->router.SetWithdrawnZones(zones.Newest().zones)) return;
   for (const auto &member : this->members.Get().Snapshot()) {
     this->router.Update(member);
@@ -236,13 +236,13 @@
     responder->Send(Frame(reply, {}, version));
     return;
   }
-  const std::uint64_t id = this->serving.Serve(
+  const std::uint64_t id = this->executor.Serve(
       std::move(framed->head), std::move(framed->body),
       [responder, version = version](const CallReply &reply,
                                      const std::string &answer) {
         responder->Send(Frame(reply, answer, version));
       });
-  responder->OnCancel([this, id] { this->serving.CallerDisconnected(id); });
+  responder->OnCancel([this, id] { this->executor.CallerDisconnected(id); });
 }
 
 void MeshNode::HandleHeartbeat(const HttpRequest &request,
@@ -278,9 +278,9 @@
            this->heartbeats.StartTimeOf(announcement.instance)});
     }
     if (deregisters) {
-      this->serving.Drain(announcement.instance);
+      this->executor.Drain(announcement.instance);
     } else {
-      this->serving.Announce(announcement);
+      this->executor.Announce(announcement);
     }
   } else {
     LogEvent(LogLevel::kInfo, "stale heartbeat ignored",
@@ -342,7 +342,7 @@
 
 std::size_t MeshNode::InProgress() const {
   return this->caller_server.InProgress() + this->dispatcher.InProgress() +
-         this->serving.InProgress();
+         this->executor.InProgress();
 }
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -99,7 +99,7 @@
   Router router;
   DownstreamLevels levels;
   ColdPolicy cold_policy;
-  TargetExecutor serving;
+  TargetExecutor executor;
   TrafficRetryBudget retry_budget;
   Dispatcher dispatcher;
   Outbound outbound;
--- a/src/pollenring/mesh/mesh_node_status.cc
+++ b/src/pollenring/mesh/mesh_node_status.cc
@@ -24,13 +24,13 @@
         .count();
   });
   this->metrics.Gauge("pollenring_target_running", [this] {
-    return static_cast<double>(this->serving.RunningCount());
+    return static_cast<double>(this->executor.RunningCount());
   });
   this->metrics.Gauge("pollenring_zones_withdrawn", [this] {
     return static_cast<double>(this->policy.Zones().Newest().zones.size());
   });
   this->metrics.Gauge("pollenring_target_cold_seconds", [this] {
-    return std::chrono::duration<double>{this->serving.ColdFor()}.count();
+    return std::chrono::duration<double>{this->executor.ColdFor()}.count();
   });
   this->metrics.Gauge("pollenring_answers_held_bytes", [this] {
     return static_cast<double>(this->parts.client.BufferedBytes());
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -199,7 +199,7 @@
   envelope.depth = 1;
   envelope.importance = Importance::kHigh;
   if (!caller.remaining) return;
-  ServedCall *parent = this->parts.serving.FindParent(
+  ServedCall *parent = this->parts.executor.FindParent(
       entry.started + *caller.remaining, entry.route);
   this->parts.metrics.Count(
       "pollenring_sub_calls_total",
@@ -207,7 +207,7 @@
   if (parent == nullptr) return;
   entry.parent = parent->id;
   entry.parent_id = parent->envelope.root_id;
-  this->parts.serving.BeginSubCall(parent->id);
+  this->parts.executor.BeginSubCall(parent->id);
   envelope.importance = parent->envelope.importance;
   envelope.sub_priority = parent->envelope.sub_priority;
   envelope.is_retry = parent->envelope.is_retry;
@@ -285,15 +285,15 @@
         this->parts.levels.Learn(entry->workspace, entry->route, reply.levels);
         this->parts.levels.LearnCallPathReports(reply.call_path_reports);
         if (entry->from_target) {
-          this->parts.serving.LearnFrom(entry->route, entry->workspace,
-                                        reply.levels);
+          this->parts.executor.LearnFrom(entry->route, entry->workspace,
+                                         reply.levels);
         }
-        this->parts.serving.EndSubCall(entry->parent);
+        this->parts.executor.EndSubCall(entry->parent);
         this->Respond(entry, std::move(reply), std::move(body));
       });
   entry->responder->OnCancel([this, entry](CallerDisconnect disconnect) {
     this->loop.Cancel(entry->timer);
-    this->parts.serving.EndSubCall(entry->parent);
+    this->parts.executor.EndSubCall(entry->parent);
     this->RecordDisconnect(*entry, disconnect, true);
     this->parts.dispatcher.Cancel(entry->call);
   });
@@ -324,7 +324,7 @@
       {{"id", entry->id}, {"route", entry->route}, {"sent", entry->call != 0}});
   this->parts.metrics.Count("pollenring_unanswered_total");
   this->loop.Contain("overdue request", [this, &entry] {
-    this->parts.serving.EndSubCall(entry->parent);
+    this->parts.executor.EndSubCall(entry->parent);
     this->parts.dispatcher.Cancel(entry->call);
   });
   const bool responded = this->loop.Contain("overdue response", [this, &entry] {
--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -24,7 +24,7 @@
   const CallerCodec &codec;
   ShareGate &shares;
   Dispatcher &dispatcher;
-  TargetExecutor &serving;
+  TargetExecutor &executor;
   DownstreamLevels &levels;
   Random &random;
   Metrics &metrics;
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -50,12 +50,12 @@
   std::vector<std::uint64_t> running;
   std::uint64_t id = 0;
   for (auto _ : state) {
-    pollenring::AdmissionRequest ticket;
-    ticket.id = ++id;
-    ticket.workspace = Name(id % workspaces);
-    ticket.deadline = clock.Now() + std::chrono::seconds{2};
-    ticket.sub_priority = 0.5;
-    for (const auto started : admission.Offer(ticket).start) {
+    pollenring::AdmissionRequest request;
+    request.id = ++id;
+    request.workspace = Name(id % workspaces);
+    request.deadline = clock.Now() + std::chrono::seconds{2};
+    request.sub_priority = 0.5;
+    for (const auto started : admission.Offer(request).start) {
       running.push_back(started);
     }
     if (running.size() >= 8) {
