Name responses, replies and queries by their terms

Locals called answer, ask and asker held an HTTP response, a reply between nodes, a query to a witness or the node that sent a request, and a reader had to look up which. They -> response, reply, result (of a once decision, as in ingress), query, request and requester.

--- a/src/pollenring/node/once_service.cc
+++ b/src/pollenring/node/once_service.cc
@@ -125,9 +125,9 @@
     this->pending_attempts.erase(found);
     // The owner may have said "run" to this attempt, which will not run now.
     this->SendEnd(end, kMaxEndTries);
-    OnceReply answer;
-    answer.verdict = verdict;
-    done(std::move(answer));
+    OnceReply result;
+    result.verdict = verdict;
+    done(std::move(result));
     return;
   }
   this->loop.After(kRequestRetryPeriod,
@@ -146,14 +146,14 @@
 void OnceService::HandleDecision(const OnceDecision &decision) {
   const auto found = this->pending_attempts.find(decision.attempt);
   if (found == this->pending_attempts.end() || !decision.owner) return;
-  OnceReply answer;
-  answer.verdict = decision.verdict;
+  OnceReply result;
+  result.verdict = decision.verdict;
   if (decision.verdict == OnceVerdict::kAnswered) {
-    answer.reply = Refusal(Outcome::kRan, Reason::kRepeated, Duration{});
+    result.reply = Refusal(Outcome::kRan, Reason::kRepeated, Duration{});
     auto stored = Unframe<CallReply>(decision.reply);
     if (stored) {
-      answer.reply = std::move(stored->head);
-      answer.body = std::move(stored->body);
+      result.reply = std::move(stored->head);
+      result.body = std::move(stored->body);
     }
   }
   if (decision.verdict == OnceVerdict::kRun) {
@@ -161,7 +161,7 @@
   }
   Done done = std::move(found->second.done);
   this->pending_attempts.erase(found);
-  done(std::move(answer));
+  done(std::move(result));
 }
 
 void OnceService::Decide(NodeId requester, const OnceBegin &begin) {
--- a/test/platform/codecs_test.cc
+++ b/test/platform/codecs_test.cc
@@ -21,11 +21,11 @@
   return {"POST", "/Instances.Heartbeat/i-1", {}, body, {}};
 }
 
-[[nodiscard]] Outcome Judged(const HttpResponse &answer) {
+[[nodiscard]] Outcome Judged(const HttpResponse &response) {
   CallEnvelope envelope;
   envelope.root_id = "id1";
-  return pollenring::ClassifyResponse(HttpTargetCodec{}.Read(envelope, answer),
-                                      answer.status)
+  return pollenring::ClassifyResponse(
+             HttpTargetCodec{}.Read(envelope, response), response.status)
       .outcome;
 }
 
@@ -92,20 +92,20 @@
 }
 
 TEST_CASE("platform: only responses that say so count as not executed") {
-  const auto answer = [](int status, pollenring::HttpHeaders headers) {
+  const auto respond = [](int status, pollenring::HttpHeaders headers) {
     headers.push_back({"x-pollenring-attempt-id", "id1"});
     return HttpResponse{status, std::move(headers), {}};
   };
   const pollenring::HttpHeader stamp{"x-pollenring-response-stamp", "s"};
-  CHECK(Judged(answer(200, {stamp})) == Outcome::kRan);
-  CHECK(Judged(answer(500, {stamp})) == Outcome::kRan);
-  CHECK(Judged(answer(200, {})) == Outcome::kUnknown);
-  CHECK(Judged(answer(200, {stamp, {"content-encoding", "gzip"}})) ==
+  CHECK(Judged(respond(200, {stamp})) == Outcome::kRan);
+  CHECK(Judged(respond(500, {stamp})) == Outcome::kRan);
+  CHECK(Judged(respond(200, {})) == Outcome::kUnknown);
+  CHECK(Judged(respond(200, {stamp, {"content-encoding", "gzip"}})) ==
         Outcome::kUnknown);
-  CHECK(Judged(answer(503, {stamp})) == Outcome::kUnknown);
-  CHECK(Judged(answer(503, {{"x-pollenring-not-executed", "1"}})) ==
+  CHECK(Judged(respond(503, {stamp})) == Outcome::kUnknown);
+  CHECK(Judged(respond(503, {{"x-pollenring-not-executed", "1"}})) ==
         Outcome::kNotRun);
-  CHECK(Judged(answer(421, {})) == Outcome::kNotRun);
+  CHECK(Judged(respond(421, {})) == Outcome::kNotRun);
   CHECK(Judged({200, {stamp, {"x-pollenring-attempt-id", "id2"}}, {}}) ==
         Outcome::kUnknown);
 }
--- a/test/pollenring/mesh/mesh_daemon_test.cc
+++ b/test/pollenring/mesh/mesh_daemon_test.cc
@@ -66,16 +66,16 @@
 
   /*! @brief Sends a request to one of the daemon's ports and awaits it. */
   [[nodiscard]] HttpResponse Ask(int port, const HttpRequest &request) {
-    HttpResponse answer;
+    HttpResponse response;
     bool done = false;
     this->client.Call(this->At(1, port), request, 1s,
                       [&](HttpClient::Reply reply) {
                         done = true;
                         auto *got = std::get_if<HttpResponse>(&reply);
-                        if (got != nullptr) answer = std::move(*got);
+                        if (got != nullptr) response = std::move(*got);
                       });
     static_cast<void>(this->Await([&done] { return done; }));
-    return answer;
+    return response;
   }
 
   /*! @brief Borrows or returns part of the club's rate, as a peer does. */
@@ -210,9 +210,9 @@
   world.Begin("open", statuses);
   REQUIRE(world.Await([&] { return world.Held() == 1; }));
   for (const std::string kind : {"Heartbeat", "Deregister"}) {
-    const auto answer = world.Ask(
+    const auto response = world.Ask(
         7001, {"POST", "/Instances." + kind + "/i-\xff\xfe", {}, "{}", {}});
-    CHECK(answer.status == 400);
+    CHECK(response.status == 400);
   }
   world.Release();
   REQUIRE(world.Await([&] { return statuses.size() == 1; }));
--- a/test/pollenring/mesh/mesh_node_errors_test.cc
+++ b/test/pollenring/mesh/mesh_node_errors_test.cc
@@ -27,9 +27,9 @@
   void Begin(const std::string &id) {
     ++this->open;
     this->BeginCall(1, "/read/1", Headers(id),
-                    [this, id](const HttpResponse &answer) {
+                    [this, id](const HttpResponse &response) {
                       --this->open;
-                      this->statuses[id] = answer.status;
+                      this->statuses[id] = response.status;
                     });
   }
 
--- a/test/pollenring/mesh/mesh_node_faults_test.cc
+++ b/test/pollenring/mesh/mesh_node_faults_test.cc
@@ -103,11 +103,11 @@
   served = 0;
   int refused = 0;
   for (int i = 0; i < 40; ++i) {
-    const auto answer =
+    const auto response =
         world.Call(1, "GET", "/read/1", Headers("c" + std::to_string(i)));
-    if (answer.status == 200) continue;
-    CHECK(answer.status == 503);
-    CHECK_FALSE(FindHeader(answer.headers, "retry-after").empty());
+    if (response.status == 200) continue;
+    CHECK(response.status == 503);
+    CHECK_FALSE(FindHeader(response.headers, "retry-after").empty());
     ++refused;
   }
   CHECK(served <= 5);
@@ -126,12 +126,12 @@
   world.StopTarget(2);
   world.StopTarget(3);
   for (int i = 0; i < 6; ++i) {
-    const auto answer =
+    const auto response =
         world.Call(1, "POST", "/write/1", Headers("n" + std::to_string(i)));
     // A kept-alive connection may serve one more request.
-    if (i == 0 && answer.status == 200) continue;
-    CHECK(answer.status == 503);
-    CHECK_FALSE(FindHeader(answer.headers, "retry-after").empty());
+    if (i == 0 && response.status == 200) continue;
+    CHECK(response.status == 503);
+    CHECK_FALSE(FindHeader(response.headers, "retry-after").empty());
   }
 }
 
@@ -184,11 +184,11 @@
   int served = 0;
   // Callers learn of it after two seconds; some send until the port closes.
   for (int i = 0; i < 600; ++i) {
-    const auto answer =
+    const auto response =
         world.Call(1, "GET", "/read/1", Headers("s" + std::to_string(i)));
-    if (answer.status == 0) break;
-    CHECK((answer.status == 200 || answer.status == 503));
-    if (answer.status == 200) ++served;
+    if (response.status == 0) break;
+    CHECK((response.status == 200 || response.status == 503));
+    if (response.status == 200) ++served;
     world.Run(5ms);
   }
   CHECK(served > 100);
@@ -202,9 +202,9 @@
   const auto send = [&](int node, int number) {
     ++open;
     world.BeginCall(node, "/read/1", Headers("n" + std::to_string(number)),
-                    [&](const HttpResponse &answer) {
+                    [&](const HttpResponse &response) {
                       --open;
-                      ++statuses[answer.status];
+                      ++statuses[response.status];
                     });
   };
   // The entry node and one of two targets' nodes drain with work in progress.
@@ -325,11 +325,11 @@
   support::MeshWorld world{20};
   world.Store().PutConfig(kConfig);
   world.Store().SetDown(true);
-  const auto answer = [](const HttpRequest &r) { return Signed(r, 200); };
-  world.Start("front", answer, "r", {2});
-  world.Start("back", answer, "r", {1});
-  world.Start("front", answer, "r", {4});
-  world.Start("back", answer, "r", {3});
+  const auto respond = [](const HttpRequest &r) { return Signed(r, 200); };
+  world.Start("front", respond, "r", {2});
+  world.Start("back", respond, "r", {1});
+  world.Start("front", respond, "r", {4});
+  world.Start("back", respond, "r", {3});
   const auto known = [&world](int index) {
     const auto status = nlohmann::json::parse(world.Operate(index, "/status"));
     return status.at("members").size();
--- a/test/pollenring/mesh/mesh_node_test.cc
+++ b/test/pollenring/mesh/mesh_node_test.cc
@@ -20,11 +20,11 @@
 
 TEST_CASE("mesh: a request passes two nodes to its target") {
   World world{1, [](const HttpRequest &r) { return Signed(r, 200); }};
-  const auto answer = world.Call(1, "GET", "/read/1", Headers("id1"));
-  CHECK(answer.status == 200);
-  CHECK(answer.body == "from front for club");
-  CHECK(FindHeader(answer.headers, "x-pollenring-response-stamp") == "stamp");
-  CHECK(FindHeader(answer.headers, "x-pollenring-attempt-id") == "id1");
+  const auto response = world.Call(1, "GET", "/read/1", Headers("id1"));
+  CHECK(response.status == 200);
+  CHECK(response.body == "from front for club");
+  CHECK(FindHeader(response.headers, "x-pollenring-response-stamp") == "stamp");
+  CHECK(FindHeader(response.headers, "x-pollenring-attempt-id") == "id1");
   auto unknown = Headers("id2");
   unknown[2].value = "Token other";
   CHECK(world.Call(1, "GET", "/read/1", unknown).status == 401);
@@ -40,9 +40,9 @@
   world.Start("front", [](const HttpRequest &r) { return Signed(r, 200); });
   world.Run(200ms);
   CHECK(world.Ready(1) == 503);
-  const auto answer = world.Call(1, "GET", "/read/1", Headers("id1"));
-  CHECK(answer.status == 503);
-  CHECK_FALSE(FindHeader(answer.headers, "retry-after").empty());
+  const auto response = world.Call(1, "GET", "/read/1", Headers("id1"));
+  CHECK(response.status == 503);
+  CHECK_FALSE(FindHeader(response.headers, "retry-after").empty());
   world.Store().PutConfig(kConfig);
   world.Store().SetDown(false);
   CHECK(world.Await([&] { return world.Ready(1) == 200; }, 5s));
@@ -59,9 +59,9 @@
                 return HttpResponse{200, {}, "garbled"};
               }};
   for (int i = 0; i < 20; ++i) {
-    const auto answer =
+    const auto response =
         world.Call(1, "POST", "/write/1", Headers("write" + std::to_string(i)));
-    CHECK(answer.status == 502);
+    CHECK(response.status == 502);
     CHECK(runs == i + 1);
   }
 }
@@ -145,6 +145,6 @@
   World world{8, [](const HttpRequest &r) { return Signed(r, 200); }};
   world.Node(1).Leave();
   CHECK(world.Ready(1) == 503);
-  const auto answer = world.Call(1, "GET", "/read/1", Headers("l1"));
-  CHECK(answer.status == 200);
+  const auto response = world.Call(1, "GET", "/read/1", Headers("l1"));
+  CHECK(response.status == 200);
 }
--- a/test/pollenring/net/http_server_test.cc
+++ b/test/pollenring/net/http_server_test.cc
@@ -155,11 +155,11 @@
   REQUIRE(shutdown(fd, SHUT_WR) == 0);
   run(350ms);
   CHECK(cancelled == 1);
-  std::string answer(4096, '\0');
-  const auto size = recv(fd, answer.data(), answer.size(), MSG_DONTWAIT);
+  std::string response(4096, '\0');
+  const auto size = recv(fd, response.data(), response.size(), MSG_DONTWAIT);
   REQUIRE(size > 0);
-  answer.resize(static_cast<std::size_t>(size));
-  CHECK(answer.substr(0, 12) == "HTTP/1.1 502");
+  response.resize(static_cast<std::size_t>(size));
+  CHECK(response.substr(0, 12) == "HTTP/1.1 502");
   close(fd);
 }
 
--- a/test/pollenring/node/member_service_test.cc
+++ b/test/pollenring/node/member_service_test.cc
@@ -58,9 +58,9 @@
         server{loop, address, kSecret, kMaxBytes,
                [this](const std::string &path, const std::string &body,
                       const std::shared_ptr<pollenring::LinkResponder> &to) {
-                 auto answer =
+                 auto reply =
                      this->service.HandleRequest(path, to->Peer(), body);
-                 to->Send(answer.value_or(""));
+                 to->Send(reply.value_or(""));
                }} {
     this->service.Start();
   }
@@ -247,9 +247,9 @@
   CurrentNode current{bench.loop, At(9, 1), {}};
   const auto records = std::vector{MakeMember(At(9, 2))};
   for (const auto version : {WireVersion::kV2, WireVersion::kV3}) {
-    const auto answer = *current.service.HandleRequest(
-        "members", At(9, 2), Encode(records, version));
-    const auto decoded = Decode<std::vector<Member>>(answer);
+    const auto reply = *current.service.HandleRequest("members", At(9, 2),
+                                                      Encode(records, version));
+    const auto decoded = Decode<std::vector<Member>>(reply);
     REQUIRE(decoded);
     CHECK(decoded->version == version);
     CHECK(decoded->value.size() == 2);
--- a/test/pollenring/node/outage_test.cc
+++ b/test/pollenring/node/outage_test.cc
@@ -29,8 +29,8 @@
       std::chrono::seconds{20}));
   CHECK(cluster.Await(
       [&] {
-        const auto answer = cluster.Get(3, "/front/week", key);
-        return answer && answer->status == 200;
+        const auto response = cluster.Get(3, "/front/week", key);
+        return response && response->status == 200;
       },
       std::chrono::seconds{20}));
 }
@@ -65,8 +65,8 @@
   cluster.Signal("node1", SIGKILL);
   CHECK(cluster.Await(
       [&] {
-        const auto answer = cluster.Get(2, "/front/week", key);
-        return answer && answer->status == 200;
+        const auto response = cluster.Get(2, "/front/week", key);
+        return response && response->status == 200;
       },
       std::chrono::seconds{20}));
 }
--- a/test/pollenring/node/path_test.cc
+++ b/test/pollenring/node/path_test.cc
@@ -27,16 +27,16 @@
     cluster.ControlTarget(i, {{"forbidden", {key, "prk_"}}});
   }
   for (int node = 1; node <= 6; ++node) {
-    const auto answer = cluster.Get(node, "/front/week", key);
-    REQUIRE(answer);
-    CHECK(answer->status == 200);
-    CHECK(FindHeader(answer->headers, "pollenring-outcome") == "ran");
+    const auto response = cluster.Get(node, "/front/week", key);
+    REQUIRE(response);
+    CHECK(response->status == 200);
+    CHECK(FindHeader(response->headers, "pollenring-outcome") == "ran");
   }
 
   SECTION("no key, a wrong key, an unknown service and a wrong caller") {
     const auto status = [&](const HttpRequest &request) {
-      const auto answer = cluster.Call(cluster.Callers(1), request);
-      return answer ? answer->status : 0;
+      const auto response = cluster.Call(cluster.Callers(1), request);
+      return response ? response->status : 0;
     };
     CHECK(status({"GET", "/front/week", {}, {}}) == 401);
     CHECK(status({"GET", "/front/week", {{"pollenring-key", "no"}}, {}}) ==
@@ -74,11 +74,11 @@
   }
 
   SECTION("a sub-call with a guessed context is refused") {
-    const auto answer =
+    const auto response =
         cluster.Call(cluster.At(3, 7001),
                      {"GET", "/back/x", {{"pollenring-context", "guess"}}, {}});
-    REQUIRE(answer);
-    CHECK(answer->status == 403);
+    REQUIRE(response);
+    CHECK(response->status == 403);
   }
 
   for (int i = 1; i <= 6; ++i) {
@@ -96,8 +96,8 @@
         [&] {
           int good = 0;
           for (int i = 0; i < 20; ++i) {
-            const auto answer = cluster.Get(node, "/front/week", key);
-            if (answer && answer->status == 200) ++good;
+            const auto response = cluster.Get(node, "/front/week", key);
+            if (response && response->status == 200) ++good;
           }
           return good == 20;
         },
@@ -124,8 +124,8 @@
   REQUIRE(cluster.Publish(1, support::GraphDocuments()) == 200);
   CHECK(cluster.Await(
       [&] {
-        const auto answer = cluster.Get(1, "/front/about", "");
-        return answer && answer->status == 200;
+        const auto response = cluster.Get(1, "/front/about", "");
+        return response && response->status == 200;
       },
       std::chrono::seconds{2}));
 }
@@ -150,9 +150,9 @@
   const HttpRequest request{
       "GET", "/front/week", {{"pollenring-key", key}}, {}};
   for (int i = 0; i < 4; ++i) {
-    const auto answer = cluster.Call(cluster.Callers(1), request,
-                                     std::chrono::milliseconds{300});
-    CHECK_FALSE(answer);
+    const auto response = cluster.Call(cluster.Callers(1), request,
+                                       std::chrono::milliseconds{300});
+    CHECK_FALSE(response);
   }
   CHECK(cluster.Await([&] { return in_progress() == 0; },
                       std::chrono::milliseconds{500}));
@@ -182,13 +182,13 @@
   }
   CHECK(cluster.Await(
       [&] {
-        const auto answer = cluster.Get(1, "/front/week", key);
-        return answer && answer->status == 200;
+        const auto response = cluster.Get(1, "/front/week", key);
+        return response && response->status == 200;
       },
       std::chrono::seconds{10}));
   // Without the operators' secret nothing can be read or changed.
-  const auto answer =
+  const auto response =
       cluster.Call(cluster.At(1, 7003), {"GET", "/status", {}, {}});
-  REQUIRE(answer);
-  CHECK(answer->status == 401);
+  REQUIRE(response);
+  CHECK(response->status == 401);
 }
--- a/test/pollenring/wire/golden_test.cc
+++ b/test/pollenring/wire/golden_test.cc
@@ -109,10 +109,10 @@
   CheckRead(golden.Of("records"), values.records, version);
   CheckRead(golden.Of("borrow"), values.borrow, version);
   CheckRead(golden.Of("loan"), values.loan, version);
-  const auto ask =
+  const auto request =
       pollenring::Unpack<pollenring::DigestRequest>(golden.Of("digests"));
-  REQUIRE(ask);
-  CHECK(ask->digests == support::GoldenDigests());
+  REQUIRE(request);
+  CHECK(request->digests == support::GoldenDigests());
 }
 
 void CheckWritten(const std::string &name, WireVersion version) {
--- a/test/support/cluster.cc
+++ b/test/support/cluster.cc
@@ -181,10 +181,11 @@
 std::optional<HttpResponse> Cluster::Call(const Address &to,
                                           const HttpRequest &request,
                                           std::chrono::milliseconds timeout) {
-  std::optional<HttpResponse> answer;
+  std::optional<HttpResponse> response;
   bool ended = false;
   this->client.Call(to, request, timeout, [&](HttpClient::Reply reply) {
-    if (auto *got = std::get_if<HttpResponse>(&reply)) answer = std::move(*got);
+    if (auto *got = std::get_if<HttpResponse>(&reply))
+      response = std::move(*got);
     ended = true;
     this->loop.Stop();
   });
@@ -192,7 +193,7 @@
     this->loop.Resume();
     this->loop.Run();
   }
-  return answer;
+  return response;
 }
 
 std::optional<HttpResponse> Cluster::Get(int node, const std::string &path,
@@ -225,57 +226,57 @@
 }
 
 Json Cluster::Status(int node) {
-  const auto answer = this->Operator(node, "GET", "/status");
-  if (!answer) return nullptr;
-  return Json::parse(answer->body, nullptr, false);
+  const auto response = this->Operator(node, "GET", "/status");
+  if (!response) return nullptr;
+  return Json::parse(response->body, nullptr, false);
 }
 
 Json Cluster::Report(int target) {
-  const auto answer =
+  const auto response =
       this->Call(this->At(target, 8000), {"GET", "/.standin/report", {}, {}});
-  if (!answer) return Json::object();
-  return Json::parse(answer->body, nullptr, false);
+  if (!response) return Json::object();
+  return Json::parse(response->body, nullptr, false);
 }
 
 void Cluster::ControlPlatform(const Json &body) {
-  const auto answer = this->Call(this->At(kPlatform, 7900),
-                                 {"POST", "/control", {}, body.dump()});
-  static_cast<void>(answer);
+  const auto response = this->Call(this->At(kPlatform, 7900),
+                                   {"POST", "/control", {}, body.dump()});
+  static_cast<void>(response);
 }
 
 void Cluster::ControlTarget(int target, const Json &body) {
-  const auto answer = this->Call(
+  const auto response = this->Call(
       this->At(target, 8000), {"POST", "/.standin/control", {}, body.dump()});
-  static_cast<void>(answer);
+  static_cast<void>(response);
 }
 
 int Cluster::Publish(int node,
                      const std::map<std::string, std::string> &documents) {
   const auto base = this->Status(node).value("config_version", 0ULL);
-  const auto answer = this->Operator(node, "POST", "/publish",
-                                     Json{{"author", "test"},
-                                          {"base_version", base},
-                                          {"documents", documents}});
-  return answer ? answer->status : 0;
+  const auto response = this->Operator(node, "POST", "/publish",
+                                       Json{{"author", "test"},
+                                            {"base_version", base},
+                                            {"documents", documents}});
+  return response ? response->status : 0;
 }
 
 std::string Cluster::IssueKey(int node, const std::string &workspace) {
   const std::string key = "prk_" + pollenring::RandomHex(32);
-  const auto answer =
+  const auto response =
       this->Operator(node, "POST", "/keys",
                      Json{{"author", "test"},
                           {"digest", pollenring::Sha256Hex(key)},
                           {"workspace", workspace}});
-  return answer && answer->status == 200 ? key : "";
+  return response && response->status == 200 ? key : "";
 }
 
 int Cluster::WithdrawKey(int node, const std::string &key) {
-  const auto answer =
+  const auto response =
       this->Operator(node, "POST", "/keys",
                      Json{{"author", "test"},
                           {"digest", pollenring::Sha256Hex(key)},
                           {"workspace", ""}});
-  return answer ? answer->status : 0;
+  return response ? response->status : 0;
 }
 
 std::map<std::string, std::string> GraphDocuments() {
--- a/test/support/faulty_codecs.h
+++ b/test/support/faulty_codecs.h
@@ -43,12 +43,12 @@
   }
   [[nodiscard]] pollenring::ResponseSignals Read(
       const pollenring::CallEnvelope &envelope,
-      const pollenring::HttpResponse &answer) const override {
+      const pollenring::HttpResponse &response) const override {
     if (envelope.root_id == kFailsInside) {
       throw std::out_of_range{"an answer that can't be handled"};
     }
     pollenring::Require(envelope.root_id != kBreaksRule, "a rule of the test");
-    return this->sound.Read(envelope, answer);
+    return this->sound.Read(envelope, response);
   }
   [[nodiscard]] std::vector<pollenring::WireHeader> ForwardableResponseHeaders(
       const pollenring::HttpHeaders &headers) const override {
--- a/test/support/late_reader.h
+++ b/test/support/late_reader.h
@@ -51,9 +51,9 @@
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &longest, sizeof(longest));
     std::array<char, 65536> buffer{};
     if (recv(fd, buffer.data(), buffer.size(), 0) > 0) {
-      const std::string answer =
+      const std::string response =
           "HTTP/1.1 200 OK\r\nmark: own\r\ncontent-length: 0\r\n\r\n";
-      send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
+      send(fd, response.data(), response.size(), MSG_NOSIGNAL);
       // Nothing is read while this lasts.
       poll(nullptr, 0, static_cast<int>(pause.count()));
       while (recv(fd, buffer.data(), buffer.size(), 0) > 0) {
--- a/test/support/lease_node.h
+++ b/test/support/lease_node.h
@@ -197,18 +197,18 @@
   }
 
   void SendQuery(const ProcessRef &ref,
-                 const pollenring::WitnessQuery &ask) override {
+                 const pollenring::WitnessQuery &query) override {
     const int to = static_cast<int>(ref.node) - 1;
     const int own = this->index;
     if (to == own) {
-      const auto answer = this->witness.HandleQuery(ask);
-      this->Later([=](Node &node) { node.keeper.HandleReply(ref, answer); });
+      const auto reply = this->witness.HandleQuery(query);
+      this->Later([=](Node &node) { node.keeper.HandleReply(ref, reply); });
       return;
     }
     this->SendTo(to, [=](Node &other) {
-      const auto answer = other.witness.HandleQuery(ask);
+      const auto reply = other.witness.HandleQuery(query);
       other.SendTo(own,
-                   [=](Node &node) { node.keeper.HandleReply(ref, answer); });
+                   [=](Node &node) { node.keeper.HandleReply(ref, reply); });
     });
   }
 
--- a/test/support/member_fleet.h
+++ b/test/support/member_fleet.h
@@ -72,10 +72,10 @@
         if (!node || node->frozen) return;
         const auto theirs = node->membership.Differing(digests);
         shared.network.Send(receiver, own, [&shared, own, receiver, theirs] {
-          auto &asker = shared.nodes[static_cast<std::size_t>(own)];
-          if (!asker || asker->frozen) return;
-          const auto mine = asker->membership.Differing(theirs.digests);
-          asker->membership.Merge(theirs.records);
+          auto &requester = shared.nodes[static_cast<std::size_t>(own)];
+          if (!requester || requester->frozen) return;
+          const auto mine = requester->membership.Differing(theirs.digests);
+          requester->membership.Merge(theirs.records);
           shared.network.Send(own, receiver, [&shared, receiver, mine] {
             auto &peer = shared.nodes[static_cast<std::size_t>(receiver)];
             if (peer && !peer->frozen) peer->membership.Merge(mine.records);
--- a/test/support/mesh_world.cc
+++ b/test/support/mesh_world.cc
@@ -212,14 +212,14 @@
       [this, endpoint = std::move(endpoint)](
           const HttpRequest &request,
           const std::shared_ptr<pollenring::Responder> &responder) {
-        HttpResponse answer = endpoint(request);
+        HttpResponse response = endpoint(request);
         if (this->answer_delay <= pollenring::Duration{0}) {
-          responder->Send(std::move(answer));
+          responder->Send(std::move(response));
           return;
         }
         this->loop.After(this->answer_delay,
-                         [responder, answer = std::move(answer)]() mutable {
-                           responder->Send(std::move(answer));
+                         [responder, response = std::move(response)]() mutable {
+                           responder->Send(std::move(response));
                          });
       });
   member->target->Open();
@@ -248,20 +248,20 @@
                    {{"state", state},
                     {"sequence", ++member.sequence},
                     {"cold_left_ms", cold_left.count()}}}};
-  const auto answer = this->Ask(
+  const auto response = this->Ask(
       this->At(index, 7001), {"POST",
                               "/Instances.Heartbeat/i-" + std::to_string(index),
                               {},
                               body.dump(),
                               {}});
-  return answer ? answer->status : 0;
+  return response ? response->status : 0;
 }
 
 int MeshWorld::Depart(int index) {
-  const auto answer = this->Ask(
+  const auto response = this->Ask(
       this->At(index, 7001),
       {"POST", "/Instances.Deregister/i-" + std::to_string(index), {}, {}, {}});
-  return answer ? answer->status : 0;
+  return response ? response->status : 0;
 }
 
 void MeshWorld::StopTarget(int index) {
@@ -272,9 +272,9 @@
                              const std::string &path,
                              pollenring::HttpHeaders headers,
                              const std::string &host) {
-  const auto answer = this->Ask(this->At(index, 7000),
-                                {method, path, std::move(headers), {}, host});
-  return answer.value_or(HttpResponse{});
+  const auto response = this->Ask(this->At(index, 7000),
+                                  {method, path, std::move(headers), {}, host});
+  return response.value_or(HttpResponse{});
 }
 
 void MeshWorld::BeginCall(int index, const std::string &path,
@@ -283,8 +283,8 @@
   this->client.Call(
       this->At(index, 7000), {"GET", path, std::move(headers), {}, "a.example"},
       3s, [done = std::move(done)](pollenring::HttpClient::Reply reply) {
-        auto *response = std::get_if<HttpResponse>(&reply);
-        done(response == nullptr ? HttpResponse{} : std::move(*response));
+        auto *received = std::get_if<HttpResponse>(&reply);
+        done(received == nullptr ? HttpResponse{} : std::move(*received));
       });
 }
 
@@ -309,29 +309,29 @@
 }
 
 int MeshWorld::Ready(int index) {
-  const auto answer =
+  const auto response =
       this->Ask(this->At(index, 7004), {"GET", "/readiness", {}, {}, {}});
-  return answer ? answer->status : 0;
+  return response ? response->status : 0;
 }
 
 std::string MeshWorld::Operate(int index, const std::string &path) {
-  const auto answer =
+  const auto response =
       this->Ask(this->At(index, 7003), {"GET", path, {}, {}, {}});
-  return answer ? answer->body : std::string{};
+  return response ? response->body : std::string{};
 }
 
 std::optional<HttpResponse> MeshWorld::Ask(const Address &to,
                                            const HttpRequest &request) {
-  std::optional<HttpResponse> answer;
+  std::optional<HttpResponse> response;
   bool done = false;
   this->client.Call(to, request, 3s, [&](pollenring::HttpClient::Reply reply) {
-    if (auto *response = std::get_if<HttpResponse>(&reply)) {
-      answer = std::move(*response);
+    if (auto *received = std::get_if<HttpResponse>(&reply)) {
+      response = std::move(*received);
     }
     done = true;
   });
   static_cast<void>(this->Await([&done] { return done; }, 4s));
-  return answer;
+  return response;
 }
 
 bool MeshWorld::Await(const std::function<bool()> &condition,
--- a/test/support/mixed_fleet_load.cc
+++ b/test/support/mixed_fleet_load.cc
@@ -96,34 +96,33 @@
 
 void MixedFleet::AskReady(FleetNode &node) {
   const pid_t pid = node.pid;
-  this->platform.Call(this->AddressOf(node.number, 7004),
-                      {"GET", "/readiness", {}, {}, {}}, kPlatformWaits,
-                      [this, &node, pid](const HttpClient::Reply &reply) {
-                        if (node.pid != pid) return;
-                        const auto *answer = std::get_if<HttpResponse>(&reply);
-                        if (answer == nullptr || answer->status != kOk) {
-                          if (++node.misses >= kMostMisses)
-                            node.taken_in = false;
-                          return;
-                        }
-                        node.misses = 0;
-                        node.taken_in = true;
-                        if (!node.starting) return;
-                        node.starting = false;
-                        this->journal.Settled(node.number, this->Now());
-                      });
+  this->platform.Call(
+      this->AddressOf(node.number, 7004), {"GET", "/readiness", {}, {}, {}},
+      kPlatformWaits, [this, &node, pid](const HttpClient::Reply &reply) {
+        if (node.pid != pid) return;
+        const auto *response = std::get_if<HttpResponse>(&reply);
+        if (response == nullptr || response->status != kOk) {
+          if (++node.misses >= kMostMisses) node.taken_in = false;
+          return;
+        }
+        node.misses = 0;
+        node.taken_in = true;
+        if (!node.starting) return;
+        node.starting = false;
+        this->journal.Settled(node.number, this->Now());
+      });
 }
 
 void MixedFleet::AskStatus(FleetNode &node) {
   const Time asked = this->Now();
-  this->platform.Call(this->AddressOf(node.number, 7003),
-                      {"GET", "/status", {}, {}, {}}, kPlatformWaits,
-                      [this, &node, asked](const HttpClient::Reply &reply) {
-                        const auto *answer = std::get_if<HttpResponse>(&reply);
-                        // Some landed builds have no such page.
-                        if (answer == nullptr || answer->status != kOk) return;
-                        this->JudgeMembers(node.number, answer->body, asked);
-                      });
+  this->platform.Call(
+      this->AddressOf(node.number, 7003), {"GET", "/status", {}, {}, {}},
+      kPlatformWaits, [this, &node, asked](const HttpClient::Reply &reply) {
+        const auto *response = std::get_if<HttpResponse>(&reply);
+        // Some landed builds have no such page.
+        if (response == nullptr || response->status != kOk) return;
+        this->JudgeMembers(node.number, response->body, asked);
+      });
 }
 
 void MixedFleet::JudgeMembers(int number, const std::string &body, Time asked) {
@@ -228,9 +227,9 @@
           ended.error = *error;
           return;
         }
-        const auto &answer = std::get<HttpResponse>(reply);
-        ended.status = answer.status;
-        ended.body = answer.body.substr(0, answer.body.find('\n'));
+        const auto &response = std::get<HttpResponse>(reply);
+        ended.status = response.status;
+        ended.body = response.body.substr(0, response.body.find('\n'));
       });
 }
 
--- a/test/support/stream.h
+++ b/test/support/stream.h
@@ -57,12 +57,12 @@
         std::chrono::seconds{6},
         [this, connects_left](pollenring::HttpClient::Reply reply) {
           --this->open;
-          if (const auto *answer =
+          if (const auto *response =
                   std::get_if<pollenring::HttpResponse>(&reply)) {
-            (answer->status == 200 ? this->good : this->bad) += 1;
+            (response->status == 200 ? this->good : this->bad) += 1;
             const auto reason =
-                pollenring::FindHeader(answer->headers, "pollenring-reason");
-            ++this->results[std::to_string(answer->status) + ' ' +
+                pollenring::FindHeader(response->headers, "pollenring-reason");
+            ++this->results[std::to_string(response->status) + ' ' +
                             std::string{reason}];
             return;
           }
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -243,24 +243,24 @@
   ManualClock clock{std::chrono::hours{1}};
   pollenring::Witness witness{1, {}, clock};
   const auto slots = static_cast<pollenring::SlotId>(state.range(0));
-  pollenring::WitnessQuery ask;
-  ask.process = 1;
-  ask.epoch = pollenring::kEpochsPerRow;
+  pollenring::WitnessQuery query;
+  query.process = 1;
+  query.epoch = pollenring::kEpochsPerRow;
   // Nodes and processes have numbers of 64 bits.
   const pollenring::ProcessRef other{~std::uint64_t{}, ~std::uint64_t{}};
-  ask.sender = other;
-  ask.sent_us = clock.Now().count();
-  ask.active_row = {{ask.epoch, other, {5, other}}, 1, 1'800'000'000};
-  pollenring::WitnessReply answer;
+  query.sender = other;
+  query.sent_us = clock.Now().count();
+  query.active_row = {{query.epoch, other, {5, other}}, 1, 1'800'000'000};
+  pollenring::WitnessReply reply;
   for (auto _ : state) {
-    ask.slot = (ask.slot + 1) % slots;
-    answer = witness.HandleQuery(ask);
-    benchmark::DoNotOptimize(answer);
+    query.slot = (query.slot + 1) % slots;
+    reply = witness.HandleQuery(query);
+    benchmark::DoNotOptimize(reply);
   }
   state.counters["ask_bytes"] =
-      benchmark::Counter(static_cast<double>(pollenring::Pack(ask).size()));
+      benchmark::Counter(static_cast<double>(pollenring::Pack(query).size()));
   state.counters["answer_bytes"] =
-      benchmark::Counter(static_cast<double>(pollenring::Pack(answer).size()));
+      benchmark::Counter(static_cast<double>(pollenring::Pack(reply).size()));
 }
 BENCHMARK(BM_WitnessPromise)->Arg(4)->Arg(64)->Arg(1024);
 
