Reword remaining comments of mesh and node

Some comments still used words that this project alone gave a meaning: on duty, in force, told, silence, beside a target, forms and answers.

--- a/src/pollenring/config/publisher.cc
+++ b/src/pollenring/config/publisher.cc
@@ -83,7 +83,7 @@
     }
     const Row &row = found->front();
     if (row.version == 0) {
-      // This version is not taken; the head is behind or ahead of the base.
+      // This version does not exist; the head is behind or ahead of the base.
       this->CollectConflicts(attempt);
       return;
     }
--- a/src/pollenring/mesh/heartbeat_filter.h
+++ b/src/pollenring/mesh/heartbeat_filter.h
@@ -26,7 +26,7 @@
 /**
  * @brief Rejects heartbeats that arrive late or out of order.
  *
- * Instances are told apart by their start time, since a restarted target may
+ * Instances are distinguished by start time, since a restarted target may
  * keep its identifier and restart its sequence.
  */
 class HeartbeatFilter {
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -16,20 +16,20 @@
 constexpr Duration kRingTick = std::chrono::milliseconds{100};
 constexpr Duration kLogFlushInterval = std::chrono::milliseconds{100};
 constexpr Duration kDrainCheckInterval = std::chrono::milliseconds{50};
-/*! @brief Time for peers to learn that a node leaves; gossip takes one second
+/*! @brief Time for peers to learn that a node drains; gossip takes one second
  * in a few hundred nodes. */
 constexpr Duration kPeerServeTime = std::chrono::milliseconds{1200};
-/*! @brief Longest silence between two requests of a client connection; above
- * any limit that operators set for their clients. */
+/*! @brief Maximum idle time of a client connection; above any limit that
+ * operators set for their clients. */
 constexpr Duration kCallerIdleTimeout = std::chrono::minutes{5};
-/*! @brief Pause between two lines with all counters. */
+/*! @brief Interval between log lines with all counters. */
 constexpr Duration kMetricsLogInterval = std::chrono::seconds{10};
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
 
-/*! @brief Longest queue beside a target, as the time that it takes to run. What
- * is in it was let in above; the level ends the overload before it is full. */
+/*! @brief Maximum queue of the local target, as run time. Its requests were
+ * admitted upstream; the level ends the overload before the queue is full. */
 constexpr Duration kMaxQueueTime = std::chrono::milliseconds{400};
 
 [[nodiscard]] HttpServerLimits MakeCallerLimits() {
@@ -48,7 +48,7 @@
 
 [[nodiscard]] AdmissionOptions MakeAdmissionOptions() {
   AdmissionOptions options;
-  // Targets say how many slots they have; some never answer what exceeds them.
+  // Targets announce their slots; some never respond to calls beyond them.
   options.limit.fixed = true;
   options.level_trigger = LevelTrigger::kOfferedLoad;
   options.order = QueueOrder::kSoftDeadline;
@@ -163,8 +163,8 @@
   this->policy.Start([this] { this->ApplyPolicy(); });
   this->members.Start();
   this->ring.Update(this->shares);
-  // What goes on after a broken rule may break it again; what was taken is
-  // still answered.
+  // After an invariant violation, continued service may repeat it. Accepted
+  // requests still get responses.
   this->loop.OnError([this](const ContainedError &error) {
     if (error.invariant_violated) this->Leave();
   });
@@ -191,7 +191,7 @@
 void MeshNode::ApplyPolicy() {
   if (!this->deregistrations_loaded) return;
   const WithdrawnZones &zones = this->policy.Zones();
-  // What a cold target bears is not known before the configuration either.
+  // Cold-start limits are unknown before the configuration too.
   if (!zones.HasRevision() || this->policy.Active().Version() == 0) return;
   this->executor.UpdateColdStartLimits();
   const bool withdrawn = zones.Contains(this->settings.zone);
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -16,26 +16,23 @@
 namespace {
 
 constexpr double kSubPriorityScale = 1.0 / 9007199254740992.0;
-/*! @brief Steps of the golden ratio spread over [0, 1) more evenly than random
- * numbers, so that a split holds over short stretches too. */
+/*! @brief Golden-ratio steps balance short runs of a split, unlike random. */
 constexpr double kGoldenStep = 0.6180339887498949;
-/*! @brief Retries of a call that its route and the budget bound anyway. */
+/*! @brief Retries of a call, which its route and the budget limit too. */
 constexpr int kMaxRetries = 8;
-/*! @brief Longest wait for the next share. While more is asked than the share,
- * all would wait and no more be served; alike for all routes, as those that
- * wait longer would take it from those that need their answers soon. */
+/*! @brief Maximum wait for quota. Under excess demand longer waits serve no
+ * more. Equal for all routes, so that none takes quota from urgent ones. */
 constexpr Duration kMaxQuotaWait = std::chrono::milliseconds{25};
-/*! @brief Divides a request's aim: the most of it that may be spent so. */
+/*! @brief Quota waits also end within the soft deadline divided by this. */
 constexpr int kQuotaDivisor = 4;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 constexpr int kBadGateway = 502;
 constexpr int kTimedOut = 504;
 constexpr int kFirstErrorStatus = 400;
-/*! @brief Time past its deadline after which a request is answered whatever
- * has become of it; above the waits of nodes for each other. */
+/*! @brief Delay after which late requests end; above timeouts of nodes. */
 constexpr Duration kOverdueAfter = 10 * kReplySlack;
-/*! @brief Longest wait of a request whose caller and route name none. */
+/*! @brief Timeout of requests if neither caller nor route set one. */
 constexpr Duration kDefaultTimeout = std::chrono::seconds{10};
 
 [[nodiscard]] double SubPriorityOf(const std::string &id) noexcept {
@@ -68,7 +65,7 @@
 
 }  // namespace
 
-/*! @brief A request and what is known of it. */
+/*! @brief A request and its state. */
 struct Outbound::Entry {
   Entry(std::size_t &total, std::size_t size) : total{total}, size{size} {
     this->total += this->size;
@@ -93,8 +90,8 @@
   bool disconnected{};
   bool responded{};
   std::uint64_t call{};         /*!< Of the dispatcher; 0 until it is sent. */
-  Loop::TimerId timer{};        /*!< Ends what has got no answer. */
-  Time timer_at{};              /*!< When that is due. */
+  Loop::TimerId timer{};        /*!< Ends overdue requests. */
+  Time timer_at{};              /*!< When it fires. */
   CallPathLevel refusing_level; /*!< What had it refused early. */
   bool from_target{};     /*!< Of the local target; other callers show keys. */
   std::uint64_t parent{}; /*!< Request of the local target; 0 for none. */
@@ -143,7 +140,7 @@
                        Entry &entry) {
   const HostTable &table = this->parts.policy.Active();
   entry.version = table.Version();
-  // Without a configuration nothing can be said of routes and keys.
+  // Without a configuration, routes and keys are unknown.
   if (entry.version == 0) return Reason::kStaleConfig;
   const HostRoute *route = table.Find(request.host, request.path);
   if (route == nullptr) return Reason::kNoRoute;
@@ -195,7 +192,7 @@
 void Outbound::InheritFromParent(const CallerRequest &caller, Entry &entry) {
   CallEnvelope &envelope = entry.envelope;
   envelope.authenticated = false;
-  // Work was done above a target's call, whoever its parent is.
+  // A target's call already has work invested, whichever its parent is.
   envelope.depth = 1;
   envelope.importance = Importance::kHigh;
   if (!caller.remaining) return;
@@ -313,7 +310,7 @@
 }
 
 void Outbound::FailOverdue(const EntryPtr &entry) {
-  // A process that is behind has not taken in yet what has come.
+  // A process that lags may not have handled replies already received.
   const Time now = this->loop.GetClock().Now();
   if (now - entry->timer_at > kOverdueAfter / 2) {
     this->ScheduleOverdue(entry, now + kOverdueAfter);
--- a/src/pollenring/mesh/policy_follower.cc
+++ b/src/pollenring/mesh/policy_follower.cc
@@ -8,21 +8,21 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Time between two looks at whether this node is to ask the store. */
+/*! @brief Interval of checks whether this node should query the store. */
 constexpr Duration kWatchCheckInterval = std::chrono::milliseconds{100};
-/*! @brief How long a node that starts waits for a peer's document, which comes
+/*! @brief How long a starting node waits for a peer's document, which arrives
  * within three messages if there is one. */
 constexpr Duration kPeerDocumentWait = std::chrono::milliseconds{1500};
 constexpr Duration kMinRetryDelay = std::chrono::milliseconds{100};
-/*! @brief All nodes together then ask a store that is down some ten times a
- * second each second, well below its rate. */
+/*! @brief All nodes together then query an unavailable store some ten times
+ * per second, well below its rate limit. */
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds{800};
 constexpr Duration kPullTimeout = std::chrono::milliseconds{800};
-/*! @brief Peers of the own availability zone told at once of a new version;
- * they tell others. */
+/*! @brief Peers in the own availability zone notified immediately of a new
+ * version; they notify others. */
 constexpr std::size_t kNotifiedInZone = 3;
-/*! @brief Peers of other zones told at once; each fetches the document over a
- * link between zones, and nodes on duty there read it themselves. */
+/*! @brief Peers in other zones notified immediately; each fetches the document
+ * over a link between zones, and designated watchers there read it anyway. */
 constexpr std::size_t kNotifiedOtherZones = 1;
 
 }  // namespace
@@ -52,7 +52,7 @@
 
 void PolicyFollower::CheckWatch() {
   if (this->querying) return;
-  // Peers of V1 tell of the document, but not of zones.
+  // V1 peers advertise the document, but not zones.
   const bool complete = this->table.Version() > 0 && this->zones.HasRevision();
   const bool incomplete =
       !complete && this->loop.GetClock().Now() >= this->first_read;
@@ -88,7 +88,7 @@
     this->watched_zones = ApplyZoneChanges({}, stored.revision, stored.zones);
     this->ApplyZones(this->watched_zones, "store");
     this->watching = true;
-    // Where the store has none yet, peers will tell of the first one.
+    // If the store has no document yet, peers will advertise the first one.
     this->first_read = Time::max();
     if (stored.text) this->Apply(std::move(*stored.text), "store");
     this->CheckWatch();
@@ -199,7 +199,7 @@
                   [this](LinkClient::Reply reply) {
                     this->fetching = false;
                     auto *text = std::get_if<std::string>(&reply);
-                    // The next gossip of a newer version asks again.
+                    // The next gossip of a newer version triggers a retry.
                     if (text == nullptr || text->empty()) return;
                     this->Apply(std::move(*text), "peer");
                   });
--- a/src/pollenring/mesh/slot_ring.cc
+++ b/src/pollenring/mesh/slot_ring.cc
@@ -7,13 +7,13 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Slots in all; several times what workspaces of one deployment need,
- * and each costs a hash per member on a change. */
+/*! @brief Number of slots; several times what workspaces of one deployment
+ * need. Each costs a hash per member on a change. */
 constexpr SlotId kSlots = 32;
-/*! @brief Silence of all others after which a node is cut off; it hears answers
- * to its probes several times a second. */
+/*! @brief Time without messages from any peer after which a node counts as
+ * partitioned; it receives replies to its probes several times a second. */
 constexpr Duration kIsolatedAfter = std::chrono::milliseconds{1200};
-/*! @brief Longest loan; the ring is dealt anew much more often. */
+/*! @brief Maximum duration of a loan; slots are reassigned far more often. */
 constexpr Duration kMaxLoan = std::chrono::seconds{2};
 
 [[nodiscard]] bool IsLive(const Member &member) noexcept {
--- a/src/pollenring/mesh/slot_ring.h
+++ b/src/pollenring/mesh/slot_ring.h
@@ -36,7 +36,7 @@
   void Update(SlotListener &listener);
 
   /**
-   * @brief Part of each workspace's rate limit that live members may lend.
+   * @brief Fraction of each workspace's rate limit that live members may lend.
    *
    * Members that became unreachable without a drain may be behind a network
    * partition and lend their part there. A node that receives nothing counts
--- a/src/pollenring/node/config_service.cc
+++ b/src/pollenring/node/config_service.cc
@@ -40,7 +40,7 @@
   if (now - this->last_store_contact < kFreshnessLimit) return true;
   const Membership &membership = this->members.Get();
   if (membership.SinceLastContact() < kFreshnessLimit) return true;
-  // A node that never had peers is the only one that could change anything.
+  // Without any known peers, no other node could have changed anything.
   return membership.Members().empty();
 }
 
@@ -165,7 +165,7 @@
   std::set<std::string> reached{membership.Self().zone};
   for (const auto &[id, member] : membership.Members()) {
     if (member.state == MemberState::kDead) {
-      // Whether its zone is lost or cut off can't be told from here.
+      // A failed zone can't be distinguished from a partitioned one.
       behind.insert(member.zone);
       continue;
     }
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -13,7 +13,7 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Nodes tried in place of one that has not seen the call. */
+/*! @brief Other nodes tried after one that did not receive the call. */
 constexpr int kMaxRedirects = 3;
 constexpr int kFirstServerError = 500;
 /*! @brief Pause before nodes that were tried are tried again. */
@@ -214,7 +214,7 @@
 
 bool Dispatcher::HandleVersionMismatch(Job &job, const CallReply &reply,
                                        WireVersion version) {
-  // Nodes answer in the form of the call, but for calls that they can't read.
+  // Nodes reply in the wire version of the call unless they can't decode it.
   const bool mismatch = version != job.request_version &&
                         reply.outcome == Outcome::kNotRun &&
                         reply.reason == Reason::kLinkLost;
@@ -230,7 +230,7 @@
       Refusal(outcome, reason, WithJitter(kDefaultRetryAfter, this->random));
   const auto found = this->jobs.find(id);
   if (found == this->jobs.end()) return;
-  // A slice that is not heard of again counts as spent.
+  // A slice that is never reported back counts as spent.
   const bool not_executed = outcome == Outcome::kNotRun;
   reply.retries_unspent = not_executed ? found->second.slice : 0;
   this->HandleReply(id, attempt, std::move(reply), {});
@@ -301,7 +301,7 @@
   const bool safe =
       reply.outcome == Outcome::kNotRun || job.envelope.idempotent;
   if (!safe) return false;
-  // With all targets cold, another bears no more either.
+  // If all targets are cold, another one is under the same limit.
   const bool all_cold = reply.reason == Reason::kWarmingUp &&
                         !this->router.HasWarmTarget(job.envelope.service);
   if (all_cold) return false;
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -92,7 +92,7 @@
 
 void Ingress::Advance(const RootPtr &root) {
   const bool once = !root->envelope.idempotent && !root->once_begun;
-  // Repeats are answered from the record before any charge or refusal.
+  // Repeats get the recorded response before any charge or refusal.
   if (once && root->has_caller_id) {
     this->Begin(root);
     return;
--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -12,24 +12,24 @@
 
 constexpr const char *kBootstrapRow = "bootstrap";
 constexpr std::size_t kMaxListed = 16;
-/*! @brief Nodes listed before only those on duty for the store list themselves;
- * with all nodes writing at a first start most writes would conflict. */
+/*! @brief Listed nodes from which only designated watchers list themselves; if
+ * all nodes wrote at a first start, most writes would conflict. */
 constexpr std::size_t kMaxListedByAnyNode = 4;
-/*! @brief Peers asked at a time for all records; some may be gone. */
+/*! @brief Peers queried at a time for all records; some may be gone. */
 constexpr std::size_t kJoinsAtOnce = 2;
 /*! @brief Time over which the nodes of a first start read the row, so that
  * most of them find a few others in it. */
 constexpr Duration kFirstReadSpread = std::chrono::milliseconds{400};
-/*! @brief Pause around which a write that came second is tried again. */
+/*! @brief Mean delay before a conflicting write is retried. */
 constexpr Duration kConflictPause = std::chrono::milliseconds{60};
 constexpr Duration kTickPeriod = std::chrono::milliseconds{50};
 constexpr Duration kBootstrapPeriod = std::chrono::seconds{2};
-/*! @brief Pause until one that knows nobody tries again. */
+/*! @brief Delay before a node without known peers tries again. */
 constexpr Duration kJoinPause = std::chrono::milliseconds{500};
-/*! @brief Time between two looks of a node on duty at the bootstrap row. */
+/*! @brief Interval at which a designated watcher checks the bootstrap row. */
 constexpr Duration kUpkeepPeriod = std::chrono::seconds{10};
-/*! @brief Age until which they look more often: nodes that all start at once
- * may have found each other in groups that don't know of one another. */
+/*! @brief Age until which checks are more frequent: nodes that start together
+ * may form groups that don't know of one another. */
 constexpr Duration kEarlyAge = std::chrono::seconds{15};
 constexpr Duration kAloneAfter = std::chrono::milliseconds{1500};
 constexpr Duration kJoinTimeout = std::chrono::seconds{1};
@@ -208,7 +208,7 @@
     return;
   }
   this->membership.Merge(records->value);
-  // Old builds answer without having read fields by number.
+  // Old builds reply without having read numbered fields.
   const bool needs_merge = records->version < request_version;
   if (needs_merge) {
     this->link.Call(AddressOf(peer), "members-merge",
@@ -218,7 +218,7 @@
   if (this->joined) return;
   this->joined = true;
   LogEvent(LogLevel::kInfo, "joined", {{"members", records->value.size()}});
-  // Its answer tells the version in force.
+  // The reply carries the active version.
   this->membership.Contact(peer);
 }
 
@@ -240,7 +240,7 @@
 void MemberService::Receive(NodeId from, const Gossip &gossip,
                             WireVersion version) {
   Gossip received = gossip;
-  // The store has told V1 nothing of zones, however lately it was asked.
+  // V1 nodes learn nothing of zones, however recent their store contact is.
   const bool lacks_zones = version == WireVersion::kV1 && gossip.wire == 0;
   if (lacks_zones) received.store_age_ms = -1;
   this->reply_version = version;
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -15,17 +15,17 @@
 
 constexpr Duration kReadyCheckPeriod = std::chrono::milliseconds{20};
 constexpr Duration kExecutorTickPeriod = std::chrono::milliseconds{20};
-/*! @brief Time for callers and nodes to learn that a node leaves. */
+/*! @brief Time for callers and nodes to learn that a node drains. */
 constexpr Duration kDrainAcceptTime = std::chrono::milliseconds{2500};
 constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds{50};
-/*! @brief Longest wait for slots to be taken over by others. */
+/*! @brief Maximum wait for slots to be taken over by others. */
 constexpr Duration kMaxSlotHandoverTime = std::chrono::seconds{6};
 constexpr Duration kHandoverTimeout = std::chrono::seconds{1};
 
 [[nodiscard]] DownstreamLevelOptions LevelOptions() {
   DownstreamLevelOptions options;
   options.per_workspace = true;
-  // Ingresses of this form see several answers of a service in that time.
+  // An ingress receives several replies of a service in that time.
   options.lifetime = std::chrono::milliseconds{300};
   return options;
 }
@@ -143,8 +143,8 @@
   this->once.Start();
   this->config.Start();
   this->members.Start();
-  // What goes on after a broken rule may break it again; what was taken is
-  // still answered.
+  // After an invariant violation, continued service may repeat it. Accepted
+  // requests still get responses.
   this->loop.OnError([this](const ContainedError &error) {
     if (error.invariant_violated) this->Leave();
   });
@@ -168,8 +168,8 @@
 }
 
 void Node::OpenWhenReady() {
-  // A caller that is refused a connection takes another node; one that asks a
-  // node without configuration would be told that its route does not exist.
+  // A caller whose connection is refused tries another node; a node without
+  // configuration would respond that the route does not exist.
   const bool ready =
       this->members.Joined() && this->config.Ledger().Version() > 0;
   if (this->draining) return;
--- a/src/pollenring/node/slot_service.cc
+++ b/src/pollenring/node/slot_service.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr Duration kTickPeriod = std::chrono::milliseconds{20};
-/*! @brief Time for a joining node to hear of the others before it claims. */
+/*! @brief Time for a joining node to learn of others before it claims. */
 constexpr Duration kClaimDelay = std::chrono::milliseconds{500};
 constexpr Duration kRebalancePeriod = std::chrono::milliseconds{250};
 /*! @brief Time without changes in membership before slots are moved. */
--- a/src/pollenring/node/slot_service.h
+++ b/src/pollenring/node/slot_service.h
@@ -17,7 +17,7 @@
 
 namespace pollenring {
 
-/*! @brief Is told which slots this node gains and loses. */
+/*! @brief Receives this node's gains and losses of slots. */
 class SlotListener {
  public:
   SlotListener() = default;
@@ -25,19 +25,19 @@
   SlotListener &operator=(const SlotListener &) = delete;
   virtual ~SlotListener() = default;
 
-  /*! @brief The slot is this node's. @param before The row before. */
+  /*! @brief This node holds the slot. @param before The previous row. */
   virtual void SlotGained(SlotId slot, const SlotRow &row, SlotOrigin origin,
                           const SlotRow &before) = 0;
 
   /*! @brief The slot's witnesses have changed. @param row The new row. */
   virtual void SlotWitnessesChanged(SlotId slot, const SlotRow &row) = 0;
 
-  /*! @brief The slot is another node's now. @param row The row that names it,
-   * or the one that was resigned. @param successor Its next holder. */
+  /*! @brief Another node holds the slot. @param row The row that names it, or
+   * the one that was resigned. @param successor The next holder. */
   virtual void SlotHandedOver(SlotId slot, const SlotRow &row,
                               const ProcessRef &successor) = 0;
 
-  /*! @brief The slot is no longer this node's. */
+  /*! @brief This node no longer holds the slot. */
   virtual void SlotLost(SlotId slot) = 0;
 };
 
@@ -73,7 +73,7 @@
     return this->keeper.ValidUntil(slot);
   }
 
-  /*! @brief Adds a user. @param listener Told of slots. */
+  /*! @brief Adds a listener. @param listener Notified of slot changes. */
   void AddListener(SlotListener &listener) {
     this->listeners.push_back(&listener);
   }
@@ -81,10 +81,10 @@
   /*! @brief Starts to claim and renew. */
   void Start();
 
-  /*! @brief Gives every slot away; call it again until `Empty`. */
+  /*! @brief Hands over all slots; call it again until `Empty`. */
   void HandOverAll();
 
-  /*! @brief Whether this node holds no slot. @return So. */
+  /*! @brief Whether this node holds no slot. @return True if it holds none. */
   [[nodiscard]] bool Empty() const { return this->keeper.Claims().empty(); }
 
   [[nodiscard]] bool IsHolderAlive(SlotId slot) const override;
--- a/src/pollenring/node/target_codec.h
+++ b/src/pollenring/node/target_codec.h
@@ -22,7 +22,7 @@
 struct ResponseSignals {
   bool wrong_instance{}; /*!< Sent by another instance than was called. */
   bool not_run{};        /*!< The target states that it did not run the call. */
-  bool implies_not_executed{}; /*!< Forwarded, it would tell the caller so. */
+  bool implies_not_executed{}; /*!< Callers infer so from its status. */
   bool genuine{true};  /*!< The target's own complete response to this call. */
   bool uncorrelated{}; /*!< Lacks the identifier of this call. */
   bool overloaded{};   /*!< The target is overloaded. */
--- a/src/pollenring/node/target_executor.cc
+++ b/src/pollenring/node/target_executor.cc
@@ -13,17 +13,17 @@
 namespace pollenring {
 namespace {
 
-/*! @brief Time around which callers come back after a target is warm. */
+/*! @brief Mean delay of retries after a target is warm. */
 constexpr Duration kRetryAfterWarm = std::chrono::milliseconds{100};
 constexpr std::size_t kContextBytes = 16;
-/*! @brief Levels of other targets that an answer passes on; some 25 bytes each,
- * and none while nothing sheds. */
+/*! @brief Maximum levels of other targets forwarded with a reply; some 25 bytes
+ * each, and none while nothing sheds. */
 constexpr std::size_t kMaxReplyLevels = 16;
-/*! @brief Part of the calls to a route that another must make to count as one
- * that leads there; estimates of a few hundred calls are off by half of it. */
+/*! @brief Minimum fraction of a route's calls from another route for it to
+ * count as a caller; estimates from a few hundred calls err by half of it. */
 constexpr double kMinCallerFraction = 0.15;
-/*! @brief Marks of other routes that an answer passes on; some 25 bytes each,
- * and none while nothing sheds. */
+/*! @brief Maximum call path reports of other routes forwarded with a reply;
+ * some 25 bytes each, and none while nothing sheds. */
 constexpr std::size_t kMaxReplyCallPathReports = 8;
 
 }  // namespace
@@ -114,7 +114,7 @@
   this->contexts.emplace(call.served.context, id);
   const Time now = this->loop.GetClock().Now();
   const Duration remaining = call.served.deadline - now;
-  // Targets are told whole milliseconds.
+  // Targets receive whole milliseconds.
   const auto rounded = std::chrono::floor<std::chrono::milliseconds>(remaining);
   this->parents.Add(id, call.served.envelope.route, now + rounded, now);
   const Binding &binding = this->bindings.at(call.served.envelope.service);
@@ -158,7 +158,7 @@
     const bool connect_refused = *error == CallError::kConnectRefused;
     const bool not_sent = connect_refused || *error == CallError::kNotConnected;
     if (not_sent) admission.RecordRejected(id);
-    // Its process is gone; what listens there next will have started anew.
+    // Its process has ended; the next one at this address starts cold.
     if (connect_refused) this->AssumeCold(this->bindings.at(service));
     const AdmissionActions next = admission.Cancel(id);
     const SubCallCancels cancels =
@@ -179,7 +179,8 @@
   CallReply call_reply;
   call_reply.outcome = verdict.outcome;
   call_reply.status = response.status;
-  // First what may fail: an error after it leaves out those that start next.
+  // May throw, so it comes first: an error after Finish would lose the requests
+  // that start next.
   call_reply.headers = this->codec.ForwardableResponseHeaders(response.headers);
   const AdmissionActions next = admission.Finish(
       id, found->second.served.time_in_sub_calls, verdict.shed);
@@ -296,7 +297,7 @@
 }
 
 void TargetExecutor::CancelSubCalls(const SubCallCancels &cancels) {
-  // What was asked for on behalf of a call that has gone is of no use.
+  // Sub-calls of a cancelled call are of no use.
   for (const auto &[call, cancel] : cancels) {
     this->metrics.Count("pollenring_cancelled_sub_calls_total");
     cancel();
--- a/src/pollenring/node/target_port.cc
+++ b/src/pollenring/node/target_port.cc
@@ -86,7 +86,7 @@
   if (!Policy::Allows(*contract, parent.envelope.service)) {
     return Reason::kCallerRefused;
   }
-  // A request that may be repeated must not cause one that may not.
+  // An idempotent request must not cause a non-idempotent one.
   if (parent.envelope.idempotent && !route->idempotent) {
     return Reason::kCallerRefused;
   }
@@ -161,7 +161,7 @@
         ServedCall *served = this->executor.Find(parent_id);
         if (served != nullptr) served->sub_call_cancels.erase(call);
       });
-  // What may run only once goes on when its caller has gone.
+  // Non-idempotent calls continue after their caller disconnects.
   if (!idempotent) return;
   parent->sub_call_cancels[*handle] = [this, call = *handle, root_id,
                                        responder] {
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -49,7 +49,7 @@
 };
 
 /*! @brief V1 has neither cold targets nor withdrawn zones: it tries another
- * target as after an overload, or as beside a node that leaves. */
+ * target as after an overload, or as after a reply from a draining node. */
 template <>
 struct Substitute<Reason, WireVersion::kV1> {
   [[nodiscard]] static Reason Write(Reason reason) noexcept {
@@ -101,11 +101,11 @@
   bool authenticated{
       true}; /*!< The caller itself has shown the workspace's key. */
   double sub_priority{};
-  double weight{1}; /*!< The workspace's part of what is left. */
+  double weight{1}; /*!< Of the workspace, by its rate. */
   std::int32_t depth{};
   std::int64_t remaining_us{};
   std::int64_t root_age_us{};
-  std::int64_t soft_deadline_us{}; /*!< Until the aim of the call itself. */
+  std::int64_t soft_deadline_us{}; /*!< Until the call's soft deadline. */
   std::int32_t retries{};
 };
 
@@ -170,13 +170,12 @@
 
 /*! @brief Priority below which a target would have roots refused early. */
 struct AdmissionLevel {
-  std::string service; /*!< Empty for the one that was called. */
-  NodeId node{};       /*!< Beside the target; 0 for the one that answers. */
+  std::string service;        /*!< Empty for the one that was called. */
+  NodeId node{};              /*!< Local to the target; 0: the replying node. */
   std::int32_t level_milli{}; /*!< In thousandths. */
   std::int32_t per_second{};  /*!< Calls that the target is offered. */
   std::int32_t age_ms{};      /*!< Since the target's node found it. */
-  bool on_call_path{
-      true}; /*!< Whether the answered request's way leads there. */
+  bool on_call_path{true}; /*!< Whether the request's call path leads there. */
 };
 
 template <>
@@ -227,7 +226,7 @@
   }
 };
 
-/*! @brief What travels with an answer from node to node, before its body. */
+/*! @brief Header of a reply between nodes, sent before its body. */
 struct CallReply {
   Outcome outcome{Outcome::kUnknown};
   Reason reason{Reason::kNone};
@@ -266,7 +265,7 @@
   }
 };
 
-/*! @brief The load report has grown, the places of the reply have not. */
+/*! @brief The load report has more fields; the reply's own are unchanged. */
 template <>
 struct ArrayVersion<CallReply> {
   [[nodiscard]] static WireVersion Of(const msgpack::object_array &array) {
@@ -307,9 +306,9 @@
 }
 
 /**
- * @brief Takes fields and body apart.
- * @param framed What `Frame` made.
- * @return Both, or nothing when the text is of another form.
+ * @brief Separates fields and body.
+ * @param framed Result of `Frame`.
+ * @return Both, or nothing if the text has another format.
  */
 template <typename Head>
 [[nodiscard]] std::optional<Framed<Head>> Unframe(std::string framed) {
@@ -324,9 +323,9 @@
 }
 
 /**
- * @brief Tells which form an answer to fields must have that can't be read.
- * @param framed What was received.
- * @return The form.
+ * @brief Finds the wire version of the reply to a call that can't be decoded.
+ * @param framed The received text.
+ * @return The wire version.
  */
 [[nodiscard]] inline WireVersion WireVersionOfFrame(std::string_view framed) {
   constexpr std::size_t kSize = sizeof(std::uint32_t);
@@ -336,13 +335,13 @@
 
 /*! @brief A call that was received. */
 struct ReceivedCall {
-  std::optional<Framed<CallEnvelope>> framed; /*!< Nothing when unreadable. */
-  WireVersion version{}; /*!< Form that its answer must have. */
+  std::optional<Framed<CallEnvelope>> framed; /*!< Nothing if unreadable. */
+  WireVersion version{};                      /*!< Of its reply. */
 };
 
 /**
- * @brief Takes a received call apart, and notes one that can't be read.
- * @param framed What was received.
+ * @brief Decodes a received call, and records one that can't be decoded.
+ * @param framed The received text.
  * @param from Where it came from.
  * @param log Where it is noted.
  * @return The call.
