--- a/src/pollenring/contract/host_policy.h
+++ b/src/pollenring/contract/host_policy.h
@@ -32,12 +32,12 @@
   Duration target_latency{};        /*!< Soft deadline of the response. */
   std::vector<std::string> regions; /*!< Where it may run; empty: anywhere. */
   bool idempotent{};                /*!< Whether it may run more than once. */
-  bool open{};                      /*!< Whether it needs no key. */
+  bool keyless{};                   /*!< Whether it needs no key. */
 };
 
 /*! @brief A workspace with its keys. */
 struct KeyedWorkspace {
-  WorkspaceRateLimit share;
+  WorkspaceRateLimit rate_limit;
   std::optional<int> rank; /*!< Precedes the route's; 0 is the highest. */
   std::vector<std::string> keys;
   std::vector<std::string> regions; /*!< Where its requests may run; empty:
@@ -53,7 +53,7 @@
 /*! @brief Cold-start period and limit of a service's targets. */
 struct ColdStart {
   std::string service;
-  Duration cold_for{};
+  Duration cold_period{};
   double per_second{}; /*!< 0: a cold target has no limit of its own. */
 };
 
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -16,26 +16,23 @@
 namespace {
 
 constexpr double kSubPriorityScale = 1.0 / 9007199254740992.0;
-/*! @brief Steps of the golden ratio spread over [0, 1) more evenly than random
- * numbers, so that a split holds over short stretches too. */
+/*! @brief Golden-ratio steps balance short runs of a split, unlike random. */
 constexpr double kGoldenStep = 0.6180339887498949;
-/*! @brief Retries of a call that its route and the budget bound anyway. */
+/*! @brief Retries of a call, which its route and the budget limit too. */
 constexpr int kMaxRetries = 8;
-/*! @brief Longest wait for the next share. While more is asked than the share,
- * all would wait and no more be served; alike for all routes, as those that
- * wait longer would take it from those that need their answers soon. */
+/*! @brief Maximum wait for quota. Under excess demand longer waits serve no
+ * more. Equal for all routes, so that none takes quota from urgent ones. */
 constexpr Duration kMaxQuotaWait = std::chrono::milliseconds{25};
-/*! @brief Divides a request's aim: the most of it that may be spent so. */
+/*! @brief Quota waits also end within the soft deadline divided by this. */
 constexpr int kQuotaDivisor = 4;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 constexpr int kBadGateway = 502;
 constexpr int kTimedOut = 504;
 constexpr int kFirstErrorStatus = 400;
-/*! @brief Time past its deadline after which a request is answered whatever
- * has become of it; above the waits of nodes for each other. */
+/*! @brief Delay after which late requests end; above timeouts of nodes. */
 constexpr Duration kOverdueAfter = 10 * kReplySlack;
-/*! @brief Longest wait of a request whose caller and route name none. */
+/*! @brief Timeout of requests if neither caller nor route set one. */
 constexpr Duration kDefaultTimeout = std::chrono::seconds{10};
 
 [[nodiscard]] double SubPriorityOf(const std::string &id) noexcept {
@@ -68,7 +65,7 @@
 
 }  // namespace
 
-/*! @brief A request and what is known of it. */
+/*! @brief A request and its state. */
 struct Outbound::Entry {
   Entry(std::size_t &total, std::size_t size) : total{total}, size{size} {
     this->total += this->size;
@@ -93,8 +90,8 @@
   bool disconnected{};
   bool responded{};
   std::uint64_t call{};         /*!< Of the dispatcher; 0 until it is sent. */
-  Loop::TimerId timer{};        /*!< Ends what has got no answer. */
-  Time timer_at{};              /*!< When that is due. */
+  Loop::TimerId timer{};        /*!< Ends overdue requests. */
+  Time timer_at{};              /*!< When it fires. */
   CallPathLevel refusing_level; /*!< What had it refused early. */
   bool from_target{};     /*!< Of the local target; other callers show keys. */
   std::uint64_t parent{}; /*!< Request of the local target; 0 for none. */
@@ -143,20 +140,21 @@
                        Entry &entry) {
   const HostTable &table = this->parts.policy.Active();
   entry.version = table.Version();
-  // Without a configuration nothing can be said of routes and keys.
+  // Without a configuration, routes and keys are unknown.
   if (entry.version == 0) return Reason::kStaleConfig;
   const HostRoute *route = table.Find(request.host, request.path);
   if (route == nullptr) return Reason::kNoRoute;
   entry.route = route->name;
-  entry.from_target = route->open;
+  entry.from_target = route->keyless;
   CallEnvelope &envelope = entry.envelope;
   const KeyedWorkspace *workspace = nullptr;
-  if (!route->open && table.NeedsKeys()) {
+  if (!route->keyless && table.NeedsKeys()) {
     workspace = table.WorkspaceOf(caller.key);
     if (workspace == nullptr) return Reason::kKeyRefused;
-    entry.workspace = workspace->share.name;
+    entry.workspace = workspace->rate_limit.name;
     envelope.workspace = entry.workspace;
-    if (workspace->share.rate > 0) envelope.weight = workspace->share.rate;
+    if (workspace->rate_limit.rate > 0)
+      envelope.weight = workspace->rate_limit.rate;
     auto regions = IntersectRegions(route->regions, workspace->regions);
     if (!regions) return Reason::kNoTarget;
     envelope.regions = std::move(*regions);
@@ -165,7 +163,7 @@
   }
   if (entry.id.empty()) {
     entry.id =
-        MintRequestId(this->loop.GetClock().WallNow(), this->parts.random);
+        NewRequestId(this->loop.GetClock().WallNow(), this->parts.random);
   }
   envelope.root_id = entry.id;
   entry.service = this->ChooseService(*route);
@@ -187,18 +185,18 @@
       route->timeout > Duration{0} ? route->timeout : kDefaultTimeout;
   if (caller.remaining) remaining = std::min(remaining, *caller.remaining);
   entry.deadline = entry.started + remaining;
-  if (route->open) this->InheritFromParent(caller, entry);
+  if (route->keyless) this->InheritFromParent(caller, entry);
   return Reason::kNone;
 }
 
 void Outbound::InheritFromParent(const CallerRequest &caller, Entry &entry) {
   CallEnvelope &envelope = entry.envelope;
   envelope.authenticated = false;
-  // Work was done above a target's call, whoever its parent is.
+  // A target's call already has work invested, whichever its parent is.
   envelope.depth = 1;
   envelope.importance = Importance::kHigh;
   if (!caller.remaining) return;
-  ServedCall *parent = this->parts.serving.FindParent(
+  ServedCall *parent = this->parts.executor.FindParent(
       entry.started + *caller.remaining, entry.route);
   this->parts.metrics.Count(
       "pollenring_sub_calls_total",
@@ -206,7 +204,7 @@
   if (parent == nullptr) return;
   entry.parent = parent->id;
   entry.parent_id = parent->envelope.root_id;
-  this->parts.serving.BeginSubCall(parent->id);
+  this->parts.executor.BeginSubCall(parent->id);
   envelope.importance = parent->envelope.importance;
   envelope.sub_priority = parent->envelope.sub_priority;
   envelope.is_retry = parent->envelope.is_retry;
@@ -284,15 +282,15 @@
         this->parts.levels.Learn(entry->workspace, entry->route, reply.levels);
         this->parts.levels.LearnCallPathReports(reply.call_path_reports);
         if (entry->from_target) {
-          this->parts.serving.LearnFrom(entry->route, entry->workspace,
-                                        reply.levels);
+          this->parts.executor.LearnFrom(entry->route, entry->workspace,
+                                         reply.levels);
         }
-        this->parts.serving.EndSubCall(entry->parent);
+        this->parts.executor.EndSubCall(entry->parent);
         this->Respond(entry, std::move(reply), std::move(body));
       });
   entry->responder->OnCancel([this, entry](CallerDisconnect disconnect) {
     this->loop.Cancel(entry->timer);
-    this->parts.serving.EndSubCall(entry->parent);
+    this->parts.executor.EndSubCall(entry->parent);
     this->RecordDisconnect(*entry, disconnect, true);
     this->parts.dispatcher.Cancel(entry->call);
   });
@@ -312,7 +310,7 @@
 }
 
 void Outbound::FailOverdue(const EntryPtr &entry) {
-  // A process that is behind has not taken in yet what has come.
+  // A process that lags may not have handled replies already received.
   const Time now = this->loop.GetClock().Now();
   if (now - entry->timer_at > kOverdueAfter / 2) {
     this->ScheduleOverdue(entry, now + kOverdueAfter);
@@ -323,7 +321,7 @@
       {{"id", entry->id}, {"route", entry->route}, {"sent", entry->call != 0}});
   this->parts.metrics.Count("pollenring_unanswered_total");
   this->loop.Contain("overdue request", [this, &entry] {
-    this->parts.serving.EndSubCall(entry->parent);
+    this->parts.executor.EndSubCall(entry->parent);
     this->parts.dispatcher.Cancel(entry->call);
   });
   const bool responded = this->loop.Contain("overdue response", [this, &entry] {
--- a/src/pollenring/node/gates.h
+++ b/src/pollenring/node/gates.h
@@ -42,7 +42,7 @@
    * lend.
    * @return From 0 to 1; below 1 while unknown holders may lend too.
    */
-  [[nodiscard]] virtual double Part() const noexcept { return 1; }
+  [[nodiscard]] virtual double LendableFraction() const noexcept { return 1; }
 
   /*! @brief Until when this node may lend from a slot. @param slot Slot.
    * @return Time. */
@@ -124,12 +124,12 @@
   /**
    * @brief Requests to run an identifier.
    * @param key Workspace and identifier.
-   * @param minted_here Whether this node created it, so that no other request
+   * @param created_here Whether this node created it, so that no other request
    * can have used it.
    * @param deadline When the caller needs the response.
    * @param done Called exactly once.
    */
-  virtual void Begin(const std::string &key, bool minted_here, Time deadline,
+  virtual void Begin(const std::string &key, bool created_here, Time deadline,
                      Done done) = 0;
 
   /**
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -57,7 +57,7 @@
   std::string once_key;
   Time started{};
   Time deadline{};
-  bool open{};
+  bool keyless{};
   bool has_caller_id{};
   std::optional<Time> charged;
   bool once_begun{};
@@ -92,7 +92,7 @@
 
 void Ingress::Advance(const RootPtr &root) {
   const bool once = !root->envelope.idempotent && !root->once_begun;
-  // Repeats are answered from the record before any charge or refusal.
+  // Repeats get the recorded response before any charge or refusal.
   if (once && root->has_caller_id) {
     this->Begin(root);
     return;
@@ -119,9 +119,9 @@
   const Route *route = Policy::Match(*contract, request.method, path);
   if (route == nullptr) return Reason::kNoRoute;
   if (!Policy::Allows(*contract, kPublicCaller)) return Reason::kCallerRefused;
-  root.open = route->open;
+  root.keyless = route->keyless;
   const std::string_view key = FindHeader(request.headers, kKeyHeader);
-  if (!route->open) {
+  if (!route->keyless) {
     if (!this->parts.freshness.Fresh()) return Reason::kStaleConfig;
     if (key.empty()) return Reason::kKeyRefused;
     root.envelope.workspace = policy.WorkspaceOf(Sha256Hex(key));
@@ -152,8 +152,7 @@
     root.id = std::string{given};
     root.has_caller_id = true;
   } else {
-    root.id =
-        MintRequestId(this->loop.GetClock().WallNow(), this->parts.random);
+    root.id = NewRequestId(this->loop.GetClock().WallNow(), this->parts.random);
   }
   root.envelope.root_id = root.id;
   return Reason::kNone;
@@ -175,7 +174,7 @@
     return;
   }
   root->charged = this->loop.GetClock().Now();
-  if (root->open) {
+  if (root->keyless) {
     this->Advance(root);
     return;
   }
@@ -196,7 +195,7 @@
 }
 
 void Ingress::Begin(const RootPtr &root) {
-  if (!MintedAt(root->id)) {
+  if (!CreationTimeOf(root->id)) {
     this->Refuse(root, Outcome::kNotRun, Reason::kMalformed);
     return;
   }
@@ -248,7 +247,7 @@
   CallBounds bounds;
   bounds.deadline = root->deadline;
   bounds.charged = *root->charged;
-  if (!root->open) {
+  if (!root->keyless) {
     bounds.renew = [this, root](ShareGate::Done done) {
       this->parts.shares.Charge(
           root->workspace, WaitLimit::Until(root->deadline), std::move(done));
--- a/src/pollenring/node/once_service.cc
+++ b/src/pollenring/node/once_service.cc
@@ -94,19 +94,19 @@
                            });
 }
 
-void OnceService::Begin(const std::string &key, bool minted_here, Time deadline,
-                        Done done) {
+void OnceService::Begin(const std::string &key, bool created_here,
+                        Time deadline, Done done) {
   const Time now = this->loop.GetClock().Now();
   const WallTime wall = this->loop.GetClock().WallNow();
   const std::uint64_t attempt = this->random.Bits();
   const std::string id = key.substr(key.find('/') + 1);
   PendingAttempt &pending = this->pending_attempts[attempt];
   pending.begin.key = key;
-  pending.begin.minted_ms = MintedAt(id).value_or(WallTime{0}).count();
+  pending.begin.created_ms = CreationTimeOf(id).value_or(WallTime{0}).count();
   pending.begin.attempt = attempt;
   pending.begin.deadline_ms =
       (wall + std::chrono::duration_cast<WallTime>(deadline - now)).count();
-  pending.minted_here = minted_here;
+  pending.created_here = created_here;
   pending.deadline = deadline;
   pending.give_up_at = std::min(deadline, now + kMaxRequestTime);
   pending.done = std::move(done);
@@ -119,15 +119,15 @@
   PendingAttempt &pending = found->second;
   if (this->loop.GetClock().Now() >= pending.give_up_at) {
     const auto verdict =
-        pending.minted_here ? OnceVerdict::kNotRun : OnceVerdict::kUnknown;
+        pending.created_here ? OnceVerdict::kNotRun : OnceVerdict::kUnknown;
     const OnceEnd end{pending.begin.key, attempt, OnceState::kAborted, {}};
     Done done = std::move(pending.done);
     this->pending_attempts.erase(found);
     // The owner may have said "run" to this attempt, which will not run now.
     this->SendEnd(end, kMaxEndTries);
-    OnceReply answer;
-    answer.verdict = verdict;
-    done(std::move(answer));
+    OnceReply result;
+    result.verdict = verdict;
+    done(std::move(result));
     return;
   }
   this->loop.After(kRequestRetryPeriod,
@@ -146,14 +146,14 @@
 void OnceService::HandleDecision(const OnceDecision &decision) {
   const auto found = this->pending_attempts.find(decision.attempt);
   if (found == this->pending_attempts.end() || !decision.owner) return;
-  OnceReply answer;
-  answer.verdict = decision.verdict;
+  OnceReply result;
+  result.verdict = decision.verdict;
   if (decision.verdict == OnceVerdict::kAnswered) {
-    answer.reply = Refusal(Outcome::kRan, Reason::kRepeated, Duration{});
+    result.reply = Refusal(Outcome::kRan, Reason::kRepeated, Duration{});
     auto stored = Unframe<CallReply>(decision.reply);
     if (stored) {
-      answer.reply = std::move(stored->head);
-      answer.body = std::move(stored->body);
+      result.reply = std::move(stored->head);
+      result.body = std::move(stored->body);
     }
   }
   if (decision.verdict == OnceVerdict::kRun) {
@@ -161,7 +161,7 @@
   }
   Done done = std::move(found->second.done);
   this->pending_attempts.erase(found);
-  done(std::move(answer));
+  done(std::move(result));
 }
 
 void OnceService::Decide(NodeId requester, const OnceBegin &begin) {
@@ -174,7 +174,7 @@
     return;
   }
   const auto decision =
-      found->second.ledger.Begin(begin.key, WallTime{begin.minted_ms},
+      found->second.ledger.Begin(begin.key, WallTime{begin.created_ms},
                                  begin.attempt, WallTime{begin.deadline_ms});
   if (!decision.recorded) {
     LogEvent(
@@ -193,7 +193,7 @@
   PendingCopy copy;
   copy.slot = slot;
   copy.epoch = row->epoch;
-  copy.record = {begin.key,     begin.minted_ms,     begin.deadline_ms,
+  copy.record = {begin.key,     begin.created_ms,    begin.deadline_ms,
                  begin.attempt, OnceState::kStarted, {}};
   copy.requester = requester;
   copy.give_up_at = this->loop.GetClock().Now() + kMaxCopyTime;
--- a/test/platform/codecs_test.cc
+++ b/test/platform/codecs_test.cc
@@ -21,11 +21,11 @@
   return {"POST", "/Instances.Heartbeat/i-1", {}, body, {}};
 }
 
-[[nodiscard]] Outcome Judged(const HttpResponse &answer) {
+[[nodiscard]] Outcome Judged(const HttpResponse &response) {
   CallEnvelope envelope;
   envelope.root_id = "id1";
-  return pollenring::ClassifyResponse(HttpTargetCodec{}.Read(envelope, answer),
-                                      answer.status)
+  return pollenring::ClassifyResponse(
+             HttpTargetCodec{}.Read(envelope, response), response.status)
       .outcome;
 }
 
@@ -76,13 +76,13 @@
   CHECK(policy->version == 12);
   REQUIRE(policy->routes.size() == 2);
   CHECK(policy->routes[0].idempotent);
-  CHECK(policy->routes[0].open);
+  CHECK(policy->routes[0].keyless);
   CHECK(policy->routes[0].timeout == 800ms);
   CHECK_FALSE(policy->routes[1].idempotent);
   REQUIRE(policy->routes[1].parts.size() == 2);
   CHECK(policy->routes[1].parts[0].weight == 90);
   REQUIRE(policy->workspaces.size() == 1);
-  CHECK(policy->workspaces[0].share.burst == 9);
+  CHECK(policy->workspaces[0].rate_limit.burst == 9);
   const std::string bad =
       GENERATE(std::string{"{"}, std::string{R"({"routes":[]})"},
                std::string{R"({"version":12,"routes":[]})"},
@@ -92,20 +92,20 @@
 }
 
 TEST_CASE("platform: only responses that say so count as not executed") {
-  const auto answer = [](int status, pollenring::HttpHeaders headers) {
+  const auto respond = [](int status, pollenring::HttpHeaders headers) {
     headers.push_back({"x-pollenring-attempt-id", "id1"});
     return HttpResponse{status, std::move(headers), {}};
   };
   const pollenring::HttpHeader stamp{"x-pollenring-response-stamp", "s"};
-  CHECK(Judged(answer(200, {stamp})) == Outcome::kRan);
-  CHECK(Judged(answer(500, {stamp})) == Outcome::kRan);
-  CHECK(Judged(answer(200, {})) == Outcome::kUnknown);
-  CHECK(Judged(answer(200, {stamp, {"content-encoding", "gzip"}})) ==
+  CHECK(Judged(respond(200, {stamp})) == Outcome::kRan);
+  CHECK(Judged(respond(500, {stamp})) == Outcome::kRan);
+  CHECK(Judged(respond(200, {})) == Outcome::kUnknown);
+  CHECK(Judged(respond(200, {stamp, {"content-encoding", "gzip"}})) ==
         Outcome::kUnknown);
-  CHECK(Judged(answer(503, {stamp})) == Outcome::kUnknown);
-  CHECK(Judged(answer(503, {{"x-pollenring-not-executed", "1"}})) ==
+  CHECK(Judged(respond(503, {stamp})) == Outcome::kUnknown);
+  CHECK(Judged(respond(503, {{"x-pollenring-not-executed", "1"}})) ==
         Outcome::kNotRun);
-  CHECK(Judged(answer(421, {})) == Outcome::kNotRun);
+  CHECK(Judged(respond(421, {})) == Outcome::kNotRun);
   CHECK(Judged({200, {stamp, {"x-pollenring-attempt-id", "id2"}}, {}}) ==
         Outcome::kUnknown);
 }
--- a/test/pollenring/mesh/slot_ring_test.cc
+++ b/test/pollenring/mesh/slot_ring_test.cc
@@ -26,7 +26,8 @@
                   const SlotRow & /*before*/) override {
     this->held.insert(slot);
   }
-  void SlotRewitnessed(SlotId /*slot*/, const SlotRow & /*row*/) override {}
+  void SlotWitnessesChanged(SlotId /*slot*/, const SlotRow & /*row*/) override {
+  }
   void SlotHandedOver(SlotId /*slot*/, const SlotRow & /*row*/,
                       const ProcessRef & /*successor*/) override {}
   void SlotLost(SlotId slot) override { this->held.erase(slot); }
@@ -63,7 +64,7 @@
       const auto index = static_cast<std::size_t>(i);
       const bool holds = this->fleet.At(i) != nullptr &&
                          this->holders[index].held.count(slot) > 0;
-      if (holds) sum += this->rings[index]->Part();
+      if (holds) sum += this->rings[index]->LendableFraction();
     }
     return sum;
   }
