Reword comments of the operator tool and daemon

Comments of pollenring, pollenringd and the embedding example told of taking force, leaving and answers, which are called active, drain and response elsewhere. They now say what each function does or returns. No code token differs from the parent commit, so behaviour is the same.

--- a/examples/embed_admission.cc
+++ b/examples/embed_admission.cc
@@ -3,8 +3,8 @@
 #include "pollenring/admission/admission.h"
 #include "pollenring/core/clock.h"
 
-// Admission in a program of one's own: no daemon, no socket, a clock that the
-// program moves. Prints what is started and what is shed.
+// Embeds admission control in a program without daemon or sockets, on a manual
+// clock. Prints which requests are started and which are shed.
 int main() {
   pollenring::ManualClock clock;
   pollenring::Admission admission{2, {}, clock};
--- a/tools/pollenring/commands.cc
+++ b/tools/pollenring/commands.cc
@@ -29,7 +29,7 @@
 constexpr std::size_t kDigestLength = 64;
 constexpr std::string_view kKeyStart = "prk_";
 
-/*! @brief Reads files, and the TOML files of folders. */
+/*! @brief Reads the given files and, recursively, the TOML files of folders. */
 [[nodiscard]] std::vector<pollenring::SourceFile> ReadFiles(
     const std::vector<std::string> &paths, Diagnostics &diagnostics) {
   namespace fs = std::filesystem;
@@ -102,7 +102,7 @@
   return answer;
 }
 
-/*! @brief Prints what a refusal says. */
+/*! @brief Prints the error of a refused request and maps it to an exit code. */
 [[nodiscard]] ExitCode Refused(const OperatorAnswer &answer) {
   const std::string why =
       answer.body.is_object() ? answer.body.value("error", "refused") : "";
@@ -122,7 +122,7 @@
   }
 }
 
-/*! @brief Tells an operator truthfully what became of a change. */
+/*! @brief Prints the result of a change and maps it to an exit code. */
 [[nodiscard]] ExitCode TellCommit(const CommonOptions &common,
                                   const OperatorAnswer &answer) {
   const Json &body = answer.body;
--- a/tools/pollenring/commands.h
+++ b/tools/pollenring/commands.h
@@ -8,7 +8,7 @@
 
 namespace cli {
 
-/*! @brief Options that commands share. */
+/*! @brief Options common to all commands. */
 struct CommonOptions {
   std::string node;
   std::string secret;
@@ -16,22 +16,22 @@
   bool json{};
 };
 
-/*! @brief Checks contract files. @param paths Files and folders. */
+/*! @brief Validates contract files. @param paths Files and folders. */
 [[nodiscard]] ExitCode Check(const CommonOptions &common,
                              const std::vector<std::string> &paths);
 
-/*! @brief Puts contract files into force. @param paths Files and folders. */
+/*! @brief Publishes contract files. @param paths Files and folders. */
 [[nodiscard]] ExitCode Publish(const CommonOptions &common,
                                const std::vector<std::string> &paths);
 
-/*! @brief Shows what publishing would change. @param paths As for Publish. */
+/*! @brief Shows what Publish would change. @param paths Files and folders. */
 [[nodiscard]] ExitCode Diff(const CommonOptions &common,
                             const std::vector<std::string> &paths);
 
-/*! @brief Shows a node and what it knows of the others. */
+/*! @brief Shows the state of a node and its view of the members. */
 [[nodiscard]] ExitCode Status(const CommonOptions &common);
 
-/*! @brief Issues a key, prints it once. @param workspace Its workspace. */
+/*! @brief Issues a key and prints it once. @param workspace Its workspace. */
 [[nodiscard]] ExitCode IssueKey(const CommonOptions &common,
                                 const std::string &workspace);
 
@@ -39,13 +39,13 @@
 [[nodiscard]] ExitCode WithdrawKey(const CommonOptions &common,
                                    const std::string &key);
 
-/*! @brief Lists digests and workspaces of all keys in force. */
+/*! @brief Lists digests and workspaces of all active keys. */
 [[nodiscard]] ExitCode ListKeys(const CommonOptions &common);
 
-/*! @brief Shows who changed what, refused attempts included. */
+/*! @brief Shows the audit trail, including refused changes. */
 [[nodiscard]] ExitCode Audit(const CommonOptions &common);
 
-/*! @brief Makes a node leave. */
+/*! @brief Drains a node. */
 [[nodiscard]] ExitCode Drain(const CommonOptions &common);
 
 }  // namespace cli
--- a/tools/pollenring/exit_code.h
+++ b/tools/pollenring/exit_code.h
@@ -3,15 +3,15 @@
 
 namespace cli {
 
-/*! @brief What a script can rely on. */
+/*! @brief Exit codes; scripts rely on their values. */
 enum class ExitCode {
   kOk = 0,
   kRefused = 1,     /*!< The node refused the request. */
   kUsage = 2,       /*!< Wrong command line. */
-  kFindings = 3,    /*!< Contracts have faults. */
-  kConflict = 4,    /*!< Another operator's change came first. */
-  kUnreachable = 5, /*!< Node or platform does not answer. Nothing changed. */
-  kUnconfirmed = 6  /*!< Committed or unknown, but not confirmed everywhere. */
+  kFindings = 3,    /*!< Contract files are invalid. */
+  kConflict = 4,    /*!< Another operator made a change first. */
+  kUnreachable = 5, /*!< Node or platform does not respond; no change. */
+  kUnconfirmed = 6  /*!< Committed or unknown; not confirmed in all zones. */
 };
 
 }  // namespace cli
--- a/tools/pollenring/operator_client.h
+++ b/tools/pollenring/operator_client.h
@@ -9,17 +9,17 @@
 
 namespace cli {
 
-/*! @brief A node's answer. */
+/*! @brief Response of an operator port. */
 struct OperatorAnswer {
   int status{};
   nlohmann::json body;
 };
 
-/*! @brief Calls the operator port of one node and waits for its answer. */
+/*! @brief Blocking client of the operator port of one node. */
 class OperatorClient {
  public:
   /**
-   * @brief Creates a client.
+   * @brief Constructs a client for one node.
    * @param node Address of the operator port.
    * @param secret The operators' secret.
    */
@@ -27,11 +27,11 @@
       : node{node}, secret{std::move(secret)} {}
 
   /**
-   * @brief Performs one request.
-   * @param method Method.
-   * @param path Path.
+   * @brief Sends one request and waits for the response.
+   * @param method HTTP method.
+   * @param path Request path.
    * @param body JSON body; null for none.
-   * @return The answer, or nothing when there was none.
+   * @return The response; empty if the call failed.
    */
   [[nodiscard]] std::optional<OperatorAnswer> Call(
       const std::string &method, const std::string &path,
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -53,8 +53,8 @@
             {"nodes", settings.nodes.Format()}});
 }
 
-/*! @brief Reads the settings again and tells what became of them; all of them
- * name sockets, so a change takes effect at the next start. */
+/*! @brief Reads the settings again and logs whether they are valid. All of them
+ * concern sockets, so a change takes effect at the next start only. */
 void CheckReload(const std::string &path, const Settings &in_force) {
   const auto text = ReadFile(path);
   Diagnostics diagnostics;
@@ -72,8 +72,8 @@
        {"same_addresses", same}});
 }
 
-/*! @brief Runs a node until it has left; an error that nothing has caught by
- * then ends the process. */
+/*! @brief Runs a node until its drain has completed; noexcept, so an uncaught
+ * error terminates the process. */
 template <typename Node>
 [[noreturn]] void RunLoop(pollenring::Loop &loop, Node &node,
                           const Settings &settings,
@@ -87,7 +87,7 @@
   loop.Run();
   LogEvent(pollenring::LogLevel::kInfo, "stopped");
   pollenring::FlushLog();
-  // Parts refer to each other; the process's end takes them all together.
+  // Skips destructors, since components refer to each other.
   std::_Exit(EXIT_SUCCESS);
 }
 
