Reword comments of the load generator

Comments spoke of tries that leave and requests answered whole, which hid that attempts, successes and offered load are meant. They now use these terms and keep the reason why only the shortfall below the allowance counts as wrongful. No code token differs from the parent commit.

--- a/tools/pollenring-load/driver.cc
+++ b/tools/pollenring-load/driver.cc
@@ -57,7 +57,7 @@
   const double rate = caller.demand * (surging ? caller.surge : 1);
   const double gap = -std::log(1 - this->random.Fraction()) / rate;
   const Time at = now + Duration{static_cast<std::int64_t>(gap * 1e6)};
-  // The schedule does not drift when the loop is late.
+  // Arrivals are scheduled absolutely, so a late loop adds no drift.
   const Duration wait = std::max(Duration{0}, at - this->Elapsed());
   this->loop.After(wait, [this, index, at] {
     auto wish = std::make_shared<Wish>();
--- a/tools/pollenring-load/driver.h
+++ b/tools/pollenring-load/driver.h
@@ -12,26 +12,26 @@
 
 namespace load {
 
-/*! @brief Sends a scenario's requests in an open loop, and retries hard. */
+/*! @brief Generates the open-loop load of a scenario, with retries. */
 class Driver {
  public:
   /**
-   * @brief Creates a driver.
-   * @param scenario The experiment.
-   * @param loop The loop; it ends with the experiment.
-   * @param client Client.
+   * @brief Constructs a driver.
+   * @param scenario The experiment; must outlive the driver.
+   * @param loop Event loop; stopped at the end of the experiment.
+   * @param client Client for requests and control of slow targets.
    */
   Driver(const Scenario &scenario, pollenring::Loop &loop,
          pollenring::HttpClient &client);
 
   [[nodiscard]] const Measures &Get() const noexcept { return this->measures; }
 
-  /*! @brief Answers that said "not run". @return Their request ids. */
+  /*! @brief Request ids of responses with outcome "not-run". */
   [[nodiscard]] const std::vector<std::string> &SaidNotRun() const noexcept {
     return this->said_not_run;
   }
 
-  /*! @brief Starts the experiment. */
+  /*! @brief Schedules the first requests and the trigger. */
   void Start();
 
  private:
--- a/tools/pollenring-load/measures.cc
+++ b/tools/pollenring-load/measures.cc
@@ -11,7 +11,7 @@
 using pollenring::Time;
 
 constexpr double kRecoveredPart = 0.95;
-/*! @brief Bins over which goodput is averaged when recovery is judged. */
+/*! @brief Bins over which goodput is averaged to detect recovery. */
 constexpr std::size_t kRecoveryBins = 5;
 
 [[nodiscard]] double Seconds(Duration span) {
@@ -75,8 +75,8 @@
 }
 
 std::uint64_t Measures::RefusedForRate(const Workspace &workspace) {
-  // A workspace over its rate is refused something; wrongful is only what it
-  // got less of than its rate and burst allowed in that second.
+  // A workspace above its rate is rightly rejected in part; only the shortfall
+  // below what its rate and burst allowed in that second counts as wrongful.
   std::uint64_t sum = 0;
   for (const auto &[second, window] : workspace.windows) {
     if (window.within <= window.not_refused) continue;
--- a/tools/pollenring-load/measures.h
+++ b/tools/pollenring-load/measures.h
@@ -12,34 +12,34 @@
 
 namespace load {
 
-/*! @brief What one try of a request came to, as its caller saw it. */
+/*! @brief Result of one attempt of a request, as seen by its caller. */
 enum class TryResult { kWhole, kRefusedRate, kRefusedOther, kFailed };
 
-/*! @brief The brief's measures, from what callers saw. */
+/*! @brief Goodput, fairness and latency as seen by callers. */
 class Measures {
  public:
   /**
-   * @brief Starts empty.
-   * @param scenario The experiment.
+   * @brief Constructs empty metrics.
+   * @param scenario The experiment; must outlive the metrics.
    */
   explicit Measures(const Scenario &scenario);
 
-  /*! @brief A request is wanted. @param caller Its index. @param at When. */
+  /*! @brief Records a new request. @param caller Index of its caller. */
   void Wanted(std::size_t caller, pollenring::Time at);
 
-  /*! @brief A try leaves. @return Whether it is within its workspace's rate. */
+  /*! @brief Records an attempt. @return True if within the workspace's rate. */
   [[nodiscard]] bool TryLeaves(std::size_t caller, pollenring::Time at);
 
-  /*! @brief A try has ended. @param left When it left. @param within What
-   * `TryLeaves` said. */
+  /*! @brief Records the end of an attempt, in the second in which it was sent,
+   * with the return value of the call that recorded its start. */
   void TryEnded(std::size_t caller, pollenring::Time left, bool within,
                 TryResult result, const std::string &reason);
 
-  /*! @brief A request was answered whole. @param took Since it was wanted. */
+  /*! @brief Records a success. @param took Time since the first attempt. */
   void Whole(std::size_t caller, pollenring::Time at,
              pollenring::Duration took);
 
-  /*! @brief Sums up. @return The measures. */
+  /*! @brief Sums up the experiment. @return The report as JSON. */
   [[nodiscard]] nlohmann::json Report() const;
 
  private:
@@ -49,7 +49,7 @@
     double level{};
     pollenring::Time at{};
   };
-  /*! @brief Tries of one second. */
+  /*! @brief Attempts sent within one second. */
   struct Window {
     std::uint64_t within{};
     std::uint64_t not_refused{};
@@ -67,7 +67,7 @@
     std::uint64_t tries{};
     std::uint64_t within{};
     std::uint64_t refused_within{};
-    std::map<std::int64_t, Window> windows; /*!< By second. */
+    std::map<std::int64_t, Window> windows; /*!< Keyed by second. */
   };
 
   [[nodiscard]] static std::uint64_t RefusedForRate(const Workspace &workspace);
--- a/tools/pollenring-load/scenario.cc
+++ b/tools/pollenring-load/scenario.cc
@@ -9,7 +9,7 @@
 using pollenring::Diagnostics;
 using pollenring::Duration;
 
-/*! @brief Reads values of a table and reports what is wrong with them. */
+/*! @brief Reads values of a TOML table and reports invalid ones. */
 class Reader {
  public:
   Reader(const toml::table &table, const std::string &file,
--- a/tools/pollenring-load/scenario.h
+++ b/tools/pollenring-load/scenario.h
@@ -12,27 +12,27 @@
 
 namespace load {
 
-/*! @brief One stream of like requests of one workspace. */
+/*! @brief Stream of identical requests of one workspace. */
 struct Caller {
   std::string workspace;
   std::string key;
-  double rate{};   /*!< The workspace's contract: requests a second. */
-  double burst{};  /*!< The workspace's contract: requests at once. */
-  double demand{}; /*!< Requests a second that it wants answered. */
-  double surge{1}; /*!< Factor on its demand while the trigger lasts. */
+  double rate{};   /*!< Rate of the workspace in requests/s. */
+  double burst{};  /*!< Burst of the workspace in requests. */
+  double demand{}; /*!< Offered requests/s, without retries. */
+  double surge{1}; /*!< Demand multiplier during the trigger. */
   std::string method{"GET"};
   std::string path;
   std::string body;
 };
 
-/*! @brief A target that slows down while the trigger lasts. */
+/*! @brief Target that is slowed down during the trigger. */
 struct SlowTarget {
   pollenring::Address address;
   double latency_ms{};
   double normal_ms{};
 };
 
-/*! @brief One experiment. */
+/*! @brief Parameters of one experiment. */
 struct Scenario {
   std::vector<pollenring::Address> nodes;
   pollenring::Duration length{std::chrono::seconds{10}};
@@ -42,8 +42,7 @@
   pollenring::Duration retry_pause{std::chrono::milliseconds{50}};
   int retries{3};
   std::uint64_t seed{1};
-  double
-      capacity{}; /*!< Whole requests a second that targets can do; 0: any. */
+  double capacity{}; /*!< Requests/s the targets can complete; 0: unlimited. */
   std::vector<Caller> callers;
   std::vector<SlowTarget> slow;
 };
@@ -51,8 +50,8 @@
 /**
  * @brief Reads a scenario.
  * @param file The file.
- * @param diagnostics Receives all faults.
- * @return The scenario; use it only when there are no findings.
+ * @param diagnostics Receives all errors.
+ * @return The scenario; valid only if no diagnostics were added.
  */
 [[nodiscard]] Scenario ReadScenario(const pollenring::SourceFile &file,
                                     pollenring::Diagnostics &diagnostics);
