Reword comments of the stand-ins

Comments of the stand-in platform and target used figures such as a target with a node beside it or a caller that hears nothing. They now name local nodes, dropped responses and disconnects. No code token differs from the parent commit, so behaviour is the same.

--- a/tools/pollenring-standin/platform.cc
+++ b/tools/pollenring-standin/platform.cc
@@ -42,7 +42,7 @@
     return;
   }
   HttpResponse response = this->Perform(request);
-  // The answer is lost after the write took effect: the caller hears nothing.
+  // The write takes effect but its response is dropped: the caller times out.
   if (this->lose_answers && IsWrite(request)) {
     this->loop.After(std::chrono::seconds{30}, [responder] {});
     return;
--- a/tools/pollenring-standin/platform.h
+++ b/tools/pollenring-standin/platform.h
@@ -9,19 +9,19 @@
 
 namespace standin {
 
-/*! @brief A small platform over HTTP, with faults that are switched on. */
+/*! @brief In-memory platform over HTTP with injectable faults. */
 class Platform {
  public:
   /**
-   * @brief Starts empty.
-   * @param loop The loop.
+   * @brief Constructs an empty platform.
+   * @param loop Event loop.
    */
   explicit Platform(pollenring::Loop &loop) : loop{loop} {}
 
   /**
-   * @brief Takes one request.
+   * @brief Handles one request.
    * @param request The request.
-   * @param responder Receives its answer.
+   * @param responder Receives the response.
    */
   void Handle(const pollenring::HttpRequest &request,
               std::shared_ptr<pollenring::Responder> responder);
--- a/tools/pollenring-standin/target.cc
+++ b/tools/pollenring-standin/target.cc
@@ -23,7 +23,7 @@
 constexpr Duration kCallTimeout = std::chrono::seconds{5};
 constexpr Duration kNoDeadline = std::chrono::seconds{10};
 constexpr Duration kDrainNotice = std::chrono::seconds{3};
-/*! @brief Part of the service time that does not vary. */
+/*! @brief Constant fraction of the service time; the rest is exponential. */
 constexpr double kFixedPart = 0.5;
 
 }  // namespace
@@ -153,7 +153,7 @@
     return;
   }
   if (work->next_call == this->options.downstream.size()) {
-    // A download is as long as its query asks for.
+    // The query parameter sets the size of the response body.
     const auto size_at = work->request.path.find("?bytes=");
     std::string body = "{\"service\":\"" + this->options.service + "\"}";
     if (size_at != std::string::npos) {
--- a/tools/pollenring-standin/target.h
+++ b/tools/pollenring-standin/target.h
@@ -16,53 +16,52 @@
 
 namespace standin {
 
-/*! @brief A call that a target makes for each request. */
+/*! @brief Downstream call made for each request. */
 struct Downstream {
   std::string service;
   std::string path;
 };
 
-/*! @brief How a target behaves. */
+/*! @brief Configuration of a target. */
 struct TargetOptions {
   std::string service;
   pollenring::Address address;
-  pollenring::Address node; /*!< The node beside it; unused when direct. */
+  pollenring::Address node; /*!< Its local node; unused with `direct`. */
   std::string secret;
   std::uint32_t slots{8};
   double latency_ms{5};
-  bool keeps_calls{}; /*!< Goes on when its caller has gone. */
+  bool keeps_calls{}; /*!< Continues after its caller disconnects. */
   std::vector<Downstream> downstream;
   std::map<std::string, std::vector<pollenring::Address>> direct;
-  int naive_retries{};       /*!< Used without a node only. */
-  std::size_t fixed_limit{}; /*!< Refuse above it; 0 for no limit. */
+  int naive_retries{};       /*!< Retries per call; for `direct`. */
+  std::size_t fixed_limit{}; /*!< Rejects at this load; 0: no limit. */
   pollenring::Duration cold_start{};
   std::uint64_t seed{1};
 };
 
-/**
- * @brief A target with slots, a queue, a latency and calls to other services.
+/*! @brief Simulated target with slots, a queue, latency and downstream calls.
  */
 class Target {
  public:
   /**
-   * @brief Starts idle.
-   * @param options Behaviour.
-   * @param loop The loop.
-   * @param client Client for its own calls.
+   * @brief Constructs an idle target.
+   * @param options Configuration.
+   * @param loop Event loop; stopped once drained.
+   * @param client Client for announcements and downstream calls.
    */
   Target(TargetOptions options, pollenring::Loop &loop,
          pollenring::HttpClient &client);
 
-  /*! @brief Announces itself again and again. */
+  /*! @brief Starts periodic announcements to its node. */
   void Start();
 
-  /*! @brief Drains: tells the node, finishes its requests, ends the loop. */
+  /*! @brief Announces draining, finishes its requests, stops the loop. */
   void Drain();
 
   /**
-   * @brief Takes one request.
+   * @brief Handles one request.
    * @param request The request.
-   * @param responder Receives its answer.
+   * @param responder Receives the response.
    */
   void Handle(pollenring::HttpRequest request,
               std::shared_ptr<pollenring::Responder> responder);
