Reword comments of the benchmarks

Comments of the benchmarks described changes put into force and records taken in, unlike the code that they measure, which applies and merges. They now name the measured operation in its terms. No code token differs from the parent commit, so the measured work is the same.

--- a/tools/pollenring-bench/forms.cc
+++ b/tools/pollenring-bench/forms.cc
@@ -14,7 +14,7 @@
 using pollenring::Member;
 using pollenring::WireVersion;
 
-/*! @brief A record whose fields have short names. */
+/*! @brief Member record encoded with short field names. */
 struct NamedMember {
   struct Target {
     std::string service;
@@ -41,7 +41,7 @@
                      MSGPACK_NVP("i", slots), MSGPACK_NVP("j", wire))
 };
 
-/*! @brief A datagram of gossip whose fields have short names. */
+/*! @brief Gossip datagram encoded with short field names. */
 struct NamedGossip {
   struct Zones {
     std::uint64_t revision{};
@@ -66,14 +66,14 @@
                      MSGPACK_NVP("i", wire))
 };
 
-/*! @brief A header whose fields have short names. */
+/*! @brief Header encoded with short field names. */
 struct NamedHeader {
   std::string name;
   std::string value;
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", name), MSGPACK_NVP("b", value))
 };
 
-/*! @brief A call whose fields have short names. */
+/*! @brief Call envelope encoded with short field names. */
 struct NamedEnvelope : CallEnvelope {
   std::vector<NamedHeader> headers;
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", root_id), MSGPACK_NVP("b", workspace),
@@ -141,7 +141,7 @@
   return envelope;
 }
 
-/*! @brief Packs and unpacks a value, and counts its bytes. */
+/*! @brief Encodes and decodes a value; reports its encoded size. */
 template <typename Value>
 void Measure(benchmark::State &state, const Value &value, WireVersion version) {
   std::size_t bytes = 0;
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -42,7 +42,7 @@
   return member;
 }
 
-/*! @brief One admission and its end, with the queue in use. */
+/*! @brief Admits and finishes one request with a non-empty queue. */
 void BM_Admission(benchmark::State &state) {
   ManualClock clock{std::chrono::hours{1}};
   pollenring::Admission admission{8, {}, clock};
@@ -68,7 +68,7 @@
 }
 BENCHMARK(BM_Admission)->Arg(8)->Arg(128)->Arg(2000);
 
-/*! @brief One choice of a target among endpoints of a single service. */
+/*! @brief Chooses one of the endpoints of a single service. */
 void BM_RouterChoice(benchmark::State &state) {
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{1};
@@ -85,7 +85,7 @@
 }
 BENCHMARK(BM_RouterChoice)->Arg(15)->Arg(250)->Arg(4000);
 
-/*! @brief Answers each borrow at once. */
+/*! @brief Grants every borrow request in full. */
 class InstantLender final : public pollenring::ShareDelegate {
  public:
   bool SendBorrow(const pollenring::BorrowRequest &request) override {
@@ -103,7 +103,7 @@
   bool waiting{};
 };
 
-/*! @brief One charge, loans included. */
+/*! @brief Charges one request, borrowing where needed. */
 void BM_ShareCharge(benchmark::State &state) {
   ManualClock clock{std::chrono::hours{1}};
   InstantLender lender;
@@ -124,7 +124,7 @@
 }
 BENCHMARK(BM_ShareCharge)->Arg(8)->Arg(128)->Arg(2000);
 
-/*! @brief One loan at a holder. */
+/*! @brief Grants one loan at a holder. */
 void BM_ShareLoan(benchmark::State &state) {
   ManualClock clock{std::chrono::hours{1}};
   pollenring::ShareLender lender{true, clock};
@@ -143,14 +143,14 @@
     benchmark::DoNotOptimize(reply);
     clock.Advance(kStep);
   }
-  // A node numbers its loans from a process number of 64 bits.
+  // Largest encoding: borrowers are identified by 64-bit numbers.
   request.borrower = ~std::uint64_t{};
   state.counters["bytes"] = benchmark::Counter(static_cast<double>(
       pollenring::Pack(request).size() + pollenring::Pack(reply).size()));
 }
 BENCHMARK(BM_ShareLoan)->Arg(8)->Arg(128)->Arg(2000);
 
-/*! @brief Drops what membership sends, counting bytes. */
+/*! @brief Counts and discards sent gossip. */
 class CountingObserver final : public pollenring::MembershipDelegate {
  public:
   void SendGossip(NodeId /*to*/, const pollenring::Gossip &gossip) override {
@@ -166,7 +166,7 @@
   std::uint64_t bytes{};
 };
 
-/*! @brief One probe period of membership: a probe out, one in, its answer. */
+/*! @brief One probe period: a probe sent, one received and acknowledged. */
 void BM_MembershipPeriod(benchmark::State &state) {
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{1};
@@ -198,7 +198,7 @@
 }
 BENCHMARK(BM_MembershipPeriod)->Arg(100)->Arg(1000)->Arg(4000);
 
-/*! @brief Taking in all records, as a joining node does. */
+/*! @brief Merges all records, as a joining node does. */
 void BM_MembershipJoin(benchmark::State &state) {
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{1};
@@ -217,7 +217,7 @@
 }
 BENCHMARK(BM_MembershipJoin)->Arg(100)->Arg(1000)->Arg(4000);
 
-/*! @brief Finding what a peer holds otherwise, when one record differs. */
+/*! @brief Finds the records to send when one partition digest differs. */
 void BM_MembershipDiffer(benchmark::State &state) {
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{1};
@@ -238,7 +238,7 @@
 }
 BENCHMARK(BM_MembershipDiffer)->Arg(100)->Arg(1000)->Arg(4000);
 
-/*! @brief One promise of a witness. */
+/*! @brief Handles one query at a witness. */
 void BM_WitnessPromise(benchmark::State &state) {
   ManualClock clock{std::chrono::hours{1}};
   pollenring::Witness witness{1, {}, clock};
@@ -246,7 +246,7 @@
   pollenring::WitnessQuery ask;
   ask.process = 1;
   ask.epoch = pollenring::kEpochsPerRow;
-  // Nodes and processes have numbers of 64 bits.
+  // Largest encoding: nodes and processes have 64-bit numbers.
   const pollenring::ProcessRef other{~std::uint64_t{}, ~std::uint64_t{}};
   ask.sender = other;
   ask.sent_us = clock.Now().count();
@@ -264,7 +264,7 @@
 }
 BENCHMARK(BM_WitnessPromise)->Arg(4)->Arg(64)->Arg(1024);
 
-/*! @brief One change of configuration put into force. */
+/*! @brief Applies one configuration change. */
 void BM_ConfigChange(benchmark::State &state) {
   pollenring::ConfigLedger ledger{[](std::uint64_t) {}};
   const auto keys = static_cast<std::uint64_t>(state.range(0));
@@ -285,7 +285,7 @@
 }
 BENCHMARK(BM_ConfigChange)->Arg(100)->Arg(2000)->Arg(20000);
 
-/*! @brief One identifier begun at its owner. */
+/*! @brief Begins one request id at the ledger that owns it. */
 void BM_OnceBegin(benchmark::State &state) {
   ManualClock clock{std::chrono::hours{1}};
   pollenring::OnceLedger ledger{pollenring::WallTime{0}, clock};
@@ -301,7 +301,7 @@
 }
 BENCHMARK(BM_OnceBegin)->Arg(100)->Arg(10000)->Arg(100000);
 
-/*! @brief Packing and unpacking a call between nodes. */
+/*! @brief Frames and unframes a call between nodes. */
 void BM_EnvelopeFrame(benchmark::State &state) {
   pollenring::CallEnvelope envelope;
   envelope.root_id = "01a23e17-f120-7738-8fc6-c2d2b9936849";
