Reword comments of the scripts

Head comments of the scripts used words of their own for waiting, metrics and known failures, and did not say what shape or policy is meant. They now say what each script runs, prints or needs. Only comment lines differ; every script still parses with bash -n.

--- a/scripts/build_version.sh
+++ b/scripts/build_version.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# Builds pollenringd of one commit of this repository's history and prints the
-# path of the program. Does nothing more when it is there already.
+# Builds pollenringd at a commit of this repository unless it is built already,
+# and prints the path of the program.
 #   scripts/build_version.sh COMMIT
 #
-# BUILD_JOBS   compilers at a time, default one per core
+# BUILD_JOBS   parallel compile jobs, default one per core
 set -euo pipefail
 cd "$(dirname "$0")/.."
 asked=${1:?usage: scripts/build_version.sh COMMIT}
@@ -16,7 +16,7 @@
 program="$PWD/$folder/out/pollenringd"
 if [ ! -x "$program" ]; then
   mkdir -p "$folder"
-  # Sources appear under their name only when they are whole.
+  # Renamed once complete: an interrupted extraction leaves no src folder.
   rm -rf "$folder/src" "$folder/src.part"
   mkdir "$folder/src.part"
   git archive "$full" | tar -x -C "$folder/src.part"
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -1,6 +1,6 @@
-# Starts and ends a small cluster on 127.x addresses. Source it from bash.
+# Functions that start and stop a small cluster on 127.x. Source from bash.
 #
-# CLUSTER_NET   second and third number of the addresses, default 31.1
+# CLUSTER_NET   second and third octet of the addresses, default 31.1
 # CLUSTER_BIN   folder of the programs
 # CLUSTER_DIR   folder for settings and logs
 
@@ -55,8 +55,8 @@
   eval "TARGET_PID_$1=$!"
 }
 
-# wait_members INDEX COUNT: until a node sees that many targets and no slot
-# is without a holder
+# wait_members INDEX COUNT: waits until the node sees COUNT targets and every
+# slot has a holder
 wait_members() {
   local i seen
   for i in $(seq 150); do
@@ -74,7 +74,7 @@
   return 1
 }
 
-# issue_key INDEX WORKSPACE: prints the key
+# issue_key INDEX WORKSPACE: issues a key and prints it
 issue_key() {
   "$CLUSTER_BIN/pollenring" keys issue "$2" --json --author demo \
     --node "127.$CLUSTER_NET.$1:7003" | grep '^{"key"' | cut -d'"' -f4
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs a three-deep call graph of Kapitola's shape under load on stand-ins.
+# Runs the three-level call graph of examples/kapitola under load on stand-ins.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 if [ ! -x build/pollenringd ]; then
--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs one seeded experiment under three policies and prints their measures:
+# Runs one seeded experiment under three policies and prints their metrics:
 # pollenring, no control, and fixed limits per target with retries at each hop.
 #   scripts/experiment.sh kapitola|kestrel [SEED] [OUT_FOLDER]
 set -euo pipefail
@@ -13,8 +13,8 @@
 source scripts/cluster.sh
 trap stop_cluster EXIT
 
-# Targets: INDEX SERVICE SLOTS LATENCY_MS CALLS. The last service is the deep
-# one; its latency is multiplied while the trigger lasts.
+# Targets: INDEX SERVICE SLOTS LATENCY_MS CALLS. The last service is the deepest
+# one; its latency is multiplied during the trigger.
 if [ "$shape" = kapitola ]; then
   contracts=examples/kapitola
   targets=("1 schedules 20 15 meetings:/roster" "2 schedules 20 15 meetings:/roster"
--- a/scripts/idle_cost.sh
+++ b/scripts/idle_cost.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Measures what control costs an idle node, in clusters of growing size.
+# Measures CPU, memory and traffic of idle nodes at several cluster sizes.
 #   scripts/idle_cost.sh SIZE...
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Checks formatting and runs the linter; needs a configured build folder.
+# Checks formatting and runs clang-tidy; needs a configured build folder.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 mapfile -t files < <(git ls-files '*.h' '*.cc')
--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Measures what two hops through nodes add to a call, against calls made
-# straight to the target in the same run.
+# Measures the latency that two hops through nodes add to a call, compared to
+# direct calls to the target in the same run.
 #   scripts/overhead.sh [CALLS_PER_SECOND] [SECONDS]
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Runs each test case by itself. Failures that KNOWN-RED.txt lists are printed
-# and passed over; all others fail the run. Landed builds that tests run beside
-# the new one are built first.
+# Runs each test case in its own process. Failures listed in KNOWN-RED.txt are
+# printed but don't fail the run; all others do. Builds the landed versions that
+# mixed-version tests run first.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 while read -r version; do
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Installs what building and testing needs, from the distribution's packages.
+# Installs build and test dependencies from the distribution's packages.
 set -euo pipefail
 apt-get update -qq
 DEBIAN_FRONTEND=noninteractive apt-get install -y -qq \
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds everything and runs all tests; the last line counts them.
+# Builds everything and runs all tests; the last line counts the results.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 cmake -G Ninja -B build >/dev/null || exit 1
