--- a/examples/embed_admission.cc
+++ b/examples/embed_admission.cc
@@ -9,15 +9,15 @@
   pollenring::ManualClock clock;
   pollenring::Admission admission{2, {}, clock};
   for (std::uint64_t id = 1; id <= 10; ++id) {
-    pollenring::AdmissionRequest ticket;
-    ticket.id = id;
-    ticket.workspace = "club";
-    ticket.importance = id % 5 == 0 ? pollenring::Importance::kCritical
-                                    : pollenring::Importance::kLow;
-    ticket.deadline = clock.Now() + std::chrono::seconds{1};
-    const auto actions = admission.Offer(ticket);
-    for (const auto started : actions.start) {
-      std::cout << "start " << started << '\n';
+    pollenring::AdmissionRequest request;
+    request.id = id;
+    request.workspace = "club";
+    request.importance = id % 5 == 0 ? pollenring::Importance::kCritical
+                                     : pollenring::Importance::kLow;
+    request.deadline = clock.Now() + std::chrono::seconds{1};
+    const auto actions = admission.Offer(request);
+    for (const auto started_id : actions.start) {
+      std::cout << "start " << started_id << '\n';
     }
     for (const auto &shed : actions.shed) {
       std::cout << "shed " << shed.id << ": "
--- a/tools/pollenring-bench/forms.cc
+++ b/tools/pollenring-bench/encodings.cc
@@ -91,8 +91,8 @@
                      MSGPACK_NVP("u", retries))
 };
 
-template <typename Some>
-void FillMember(Some &member) {
+template <typename Record>
+void FillMember(Record &member) {
   member.id = 0x7f2a'0101'1b5aU;
   member.process = ~std::uint64_t{};
   member.incarnation = 1'796'000'000'123U;
@@ -105,9 +105,9 @@
   member.wire = 3;
 }
 
-template <typename Some>
-[[nodiscard]] Some MakeGossip(std::size_t updates) {
-  Some gossip;
+template <typename Record>
+[[nodiscard]] Record MakeGossip(std::size_t updates) {
+  Record gossip;
   gossip.from = 0x7f2a'0102'1b5aU;
   gossip.sequence = 70'000;
   gossip.config_version = 12;
@@ -120,9 +120,9 @@
   return gossip;
 }
 
-template <typename Some>
-[[nodiscard]] Some MakeEnvelope() {
-  Some envelope;
+template <typename Record>
+[[nodiscard]] Record MakeEnvelope() {
+  Record envelope;
   envelope.root_id = "01a23e17-f120-7738-8fc6-c2d2b9936849";
   envelope.workspace = "book-club";
   envelope.service = "planner";
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -24,9 +24,9 @@
 using pollenring::NodeId;
 using pollenring::SeededRandom;
 
-constexpr Duration kStep = std::chrono::microseconds{50};
+constexpr Duration kClockStep = std::chrono::microseconds{50};
 
-[[nodiscard]] std::string Name(std::size_t index) {
+[[nodiscard]] std::string WorkspaceName(std::size_t index) {
   return "workspace-" + std::to_string(index);
 }
 
@@ -50,12 +50,12 @@
   std::vector<std::uint64_t> running;
   std::uint64_t id = 0;
   for (auto _ : state) {
-    pollenring::AdmissionRequest ticket;
-    ticket.id = ++id;
-    ticket.workspace = Name(id % workspaces);
-    ticket.deadline = clock.Now() + std::chrono::seconds{2};
-    ticket.sub_priority = 0.5;
-    for (const auto started : admission.Offer(ticket).start) {
+    pollenring::AdmissionRequest request;
+    request.id = ++id;
+    request.workspace = WorkspaceName(id % workspaces);
+    request.deadline = clock.Now() + std::chrono::seconds{2};
+    request.sub_priority = 0.5;
+    for (const auto started : admission.Offer(request).start) {
       running.push_back(started);
     }
     if (running.size() >= 8) {
@@ -63,7 +63,7 @@
       running.pop_back();
       for (const auto started : next.start) running.push_back(started);
     }
-    clock.Advance(kStep);
+    clock.Advance(kClockStep);
   }
 }
 BENCHMARK(BM_Admission)->Arg(8)->Arg(128)->Arg(2000);
@@ -111,7 +111,7 @@
   const auto workspaces = static_cast<std::size_t>(state.range(0));
   std::size_t i = 0;
   for (auto _ : state) {
-    borrower.Charge(Name(++i % workspaces),
+    borrower.Charge(WorkspaceName(++i % workspaces),
                     pollenring::WaitLimit::Until(pollenring::Time::max()),
                     [](const pollenring::ChargeResult &) {});
     if (lender.waiting) {
@@ -119,7 +119,7 @@
       const auto reply = lender.reply;
       borrower.HandleReply(reply);
     }
-    clock.Advance(kStep);
+    clock.Advance(kClockStep);
   }
 }
 BENCHMARK(BM_ShareCharge)->Arg(8)->Arg(128)->Arg(2000);
@@ -133,7 +133,7 @@
   pollenring::BorrowRequest request;
   pollenring::BorrowReply reply;
   for (auto _ : state) {
-    request.workspace = Name(++i % workspaces);
+    request.workspace = WorkspaceName(++i % workspaces);
     request.borrower = i % 4000;
     request.loan = i;
     request.want = 1;
@@ -141,7 +141,7 @@
     reply = lender.Lend(request, {request.workspace, 1e6, 1e6, {}}, {0, 3},
                         clock.Now() + std::chrono::seconds{2});
     benchmark::DoNotOptimize(reply);
-    clock.Advance(kStep);
+    clock.Advance(kClockStep);
   }
   // Largest encoding: borrowers are identified by 64-bit numbers.
   request.borrower = ~std::uint64_t{};
@@ -151,7 +151,7 @@
 BENCHMARK(BM_ShareLoan)->Arg(8)->Arg(128)->Arg(2000);
 
 /*! @brief Counts and discards sent gossip. */
-class CountingObserver final : public pollenring::MembershipDelegate {
+class CountingDelegate final : public pollenring::MembershipDelegate {
  public:
   void SendGossip(NodeId /*to*/, const pollenring::Gossip &gossip) override {
     ++this->messages;
@@ -170,9 +170,9 @@
 void BM_MembershipPeriod(benchmark::State &state) {
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{1};
-  CountingObserver observer;
+  CountingDelegate delegate;
   pollenring::Membership membership{
-      MakeMember(0, 540), {}, clock, random, observer};
+      MakeMember(0, 540), {}, clock, random, delegate};
   const auto size = static_cast<std::size_t>(state.range(0));
   std::vector<Member> members;
   for (std::size_t i = 1; i < size; ++i) members.push_back(MakeMember(i, 540));
@@ -182,8 +182,8 @@
     membership.Tick();
     membership.Merge(members);
   }
-  observer.messages = 0;
-  observer.bytes = 0;
+  delegate.messages = 0;
+  delegate.bytes = 0;
   for (auto _ : state) {
     clock.Advance(std::chrono::milliseconds{300});
     membership.Tick();
@@ -193,8 +193,8 @@
     membership.Receive(gossip);
   }
   state.counters["bytes_per_message"] = benchmark::Counter(
-      static_cast<double>(observer.bytes) /
-      static_cast<double>(std::max<std::uint64_t>(1, observer.messages)));
+      static_cast<double>(delegate.bytes) /
+      static_cast<double>(std::max<std::uint64_t>(1, delegate.messages)));
 }
 BENCHMARK(BM_MembershipPeriod)->Arg(100)->Arg(1000)->Arg(4000);
 
@@ -207,9 +207,9 @@
   for (std::size_t i = 1; i < size; ++i) members.push_back(MakeMember(i, 540));
   const std::string packed = pollenring::Pack(members);
   for (auto _ : state) {
-    CountingObserver observer;
+    CountingDelegate delegate;
     pollenring::Membership membership{
-        MakeMember(0, 540), {}, clock, random, observer};
+        MakeMember(0, 540), {}, clock, random, delegate};
     membership.Merge(*pollenring::Unpack<std::vector<Member>>(packed));
   }
   state.counters["bytes"] =
@@ -221,8 +221,8 @@
 void BM_MembershipDiffer(benchmark::State &state) {
   ManualClock clock{std::chrono::hours{1}};
   SeededRandom random{1};
-  CountingObserver observer;
-  pollenring::Membership own{MakeMember(0, 540), {}, clock, random, observer};
+  CountingDelegate delegate;
+  pollenring::Membership own{MakeMember(0, 540), {}, clock, random, delegate};
   const auto size = static_cast<std::size_t>(state.range(0));
   std::vector<Member> members;
   for (std::size_t i = 1; i < size; ++i) members.push_back(MakeMember(i, 540));
@@ -243,24 +243,24 @@
   ManualClock clock{std::chrono::hours{1}};
   pollenring::Witness witness{1, {}, clock};
   const auto slots = static_cast<pollenring::SlotId>(state.range(0));
-  pollenring::WitnessQuery ask;
-  ask.process = 1;
-  ask.epoch = pollenring::kEpochsPerRow;
+  pollenring::WitnessQuery query;
+  query.process = 1;
+  query.epoch = pollenring::kEpochsPerRow;
   // Largest encoding: nodes and processes have 64-bit numbers.
   const pollenring::ProcessRef other{~std::uint64_t{}, ~std::uint64_t{}};
-  ask.sender = other;
-  ask.sent_us = clock.Now().count();
-  ask.active_row = {{ask.epoch, other, {5, other}}, 1, 1'800'000'000};
-  pollenring::WitnessReply answer;
+  query.sender = other;
+  query.sent_us = clock.Now().count();
+  query.active_row = {{query.epoch, other, {5, other}}, 1, 1'800'000'000};
+  pollenring::WitnessReply reply;
   for (auto _ : state) {
-    ask.slot = (ask.slot + 1) % slots;
-    answer = witness.HandleQuery(ask);
-    benchmark::DoNotOptimize(answer);
+    query.slot = (query.slot + 1) % slots;
+    reply = witness.HandleQuery(query);
+    benchmark::DoNotOptimize(reply);
   }
   state.counters["ask_bytes"] =
-      benchmark::Counter(static_cast<double>(pollenring::Pack(ask).size()));
+      benchmark::Counter(static_cast<double>(pollenring::Pack(query).size()));
   state.counters["answer_bytes"] =
-      benchmark::Counter(static_cast<double>(pollenring::Pack(answer).size()));
+      benchmark::Counter(static_cast<double>(pollenring::Pack(reply).size()));
 }
 BENCHMARK(BM_WitnessPromise)->Arg(4)->Arg(64)->Arg(1024);
 
@@ -305,7 +305,7 @@
 void BM_EnvelopeFrame(benchmark::State &state) {
   pollenring::CallEnvelope envelope;
   envelope.root_id = "01a23e17-f120-7738-8fc6-c2d2b9936849";
-  envelope.workspace = Name(7);
+  envelope.workspace = WorkspaceName(7);
   envelope.service = "service-1";
   envelope.path = "/week";
   const std::string body(static_cast<std::size_t>(state.range(0)), 'x');
--- a/tools/pollenring-load/driver.cc
+++ b/tools/pollenring-load/driver.cc
@@ -16,9 +16,9 @@
 using pollenring::HttpResponse;
 using pollenring::Time;
 
-constexpr int kFailedFrom = 400;
+constexpr int kMinErrorStatus = 400;
 constexpr Duration kControlTimeout = std::chrono::seconds{2};
-constexpr std::size_t kMostNotRun = 100'000;
+constexpr std::size_t kMaxNotExecutedIds = 100'000;
 
 }  // namespace
 
@@ -28,28 +28,28 @@
       loop{loop},
       client{client},
       random{scenario.seed},
-      measures{scenario} {}
+      metrics{scenario} {}
 
 void Driver::Start() {
-  this->started = this->loop.GetClock().Now();
+  this->start_time = this->loop.GetClock().Now();
   for (std::size_t i = 0; i < this->scenario.callers.size(); ++i) {
-    this->Next(i, Time{0});
+    this->ScheduleNext(i, Time{0});
   }
   if (this->scenario.trigger_to > Duration{0}) {
     this->loop.After(this->scenario.trigger_from,
-                     [this] { this->SetLatencies(true); });
+                     [this] { this->SetTargetLatencies(true); });
     this->loop.After(this->scenario.trigger_to,
-                     [this] { this->SetLatencies(false); });
+                     [this] { this->SetTargetLatencies(false); });
   }
   this->loop.After(this->scenario.length + this->scenario.timeout,
                    [this] { this->loop.Stop(); });
 }
 
 Time Driver::Elapsed() const {
-  return this->loop.GetClock().Now() - this->started;
+  return this->loop.GetClock().Now() - this->start_time;
 }
 
-void Driver::Next(std::size_t index, Time now) {
+void Driver::ScheduleNext(std::size_t index, Time now) {
   const Caller &caller = this->scenario.callers[index];
   if (now >= this->scenario.length) return;
   const bool surging =
@@ -60,56 +60,58 @@
   // Arrivals are scheduled absolutely, so a late loop adds no drift.
   const Duration wait = std::max(Duration{0}, at - this->Elapsed());
   this->loop.After(wait, [this, index, at] {
-    auto wish = std::make_shared<Wish>();
-    wish->caller = index;
-    wish->id = pollenring::MintRequestId(this->loop.GetClock().WallNow(),
-                                         this->random);
-    wish->wanted = this->Elapsed();
-    wish->tries_left = this->scenario.retries;
+    auto pending = std::make_shared<PendingRequest>();
+    pending->caller = index;
+    pending->id = pollenring::MintRequestId(this->loop.GetClock().WallNow(),
+                                            this->random);
+    pending->requested_at = this->Elapsed();
+    pending->retries_left = this->scenario.retries;
     if (at < this->scenario.length) {
-      this->measures.Wanted(index, wish->wanted);
-      this->Try(wish);
+      this->metrics.RecordRequest(index, pending->requested_at);
+      this->SendAttempt(pending);
     }
-    this->Next(index, at);
+    this->ScheduleNext(index, at);
   });
 }
 
-void Driver::Try(const WishPtr &wish) {
-  const Caller &caller = this->scenario.callers[wish->caller];
+void Driver::SendAttempt(const PendingRequestPtr &pending) {
+  const Caller &caller = this->scenario.callers[pending->caller];
   pollenring::HttpRequest request;
   request.method = caller.method;
   request.path = caller.path;
   request.body = caller.body;
   request.headers.push_back({"pollenring-key", caller.key});
-  request.headers.push_back({"pollenring-request-id", wish->id});
+  request.headers.push_back({"pollenring-request-id", pending->id});
   request.headers.push_back({"pollenring-workspace", caller.workspace});
-  const Time left = this->Elapsed();
-  const bool within = this->measures.TryLeaves(wish->caller, left);
+  const Time sent_at = this->Elapsed();
+  const bool within_rate =
+      this->metrics.RecordAttemptStart(pending->caller, sent_at);
   const auto &nodes = this->scenario.nodes;
   const auto &node = nodes[this->random.Index(nodes.size())];
-  this->client.Call(node, request, this->scenario.timeout,
-                    [this, wish, left, within](HttpClient::Reply reply) {
-                      this->Ended(wish, left, within, std::move(reply));
-                    });
+  this->client.Call(
+      node, request, this->scenario.timeout,
+      [this, pending, sent_at, within_rate](HttpClient::Reply reply) {
+        this->AttemptEnded(pending, sent_at, within_rate, std::move(reply));
+      });
 }
 
-void Driver::Ended(const WishPtr &wish, Time left, bool within,
-                   HttpClient::Reply reply) {
-  TryResult result = TryResult::kFailed;
+void Driver::AttemptEnded(const PendingRequestPtr &pending, Time sent_at,
+                          bool within_rate, HttpClient::Reply reply) {
+  AttemptResult result = AttemptResult::kFailed;
   std::string reason;
   if (const auto *response = std::get_if<HttpResponse>(&reply)) {
     reason = std::string{FindHeader(response->headers, "pollenring-reason")};
     const auto outcome = FindHeader(response->headers, "pollenring-outcome");
-    const bool refused = outcome == "not-run";
-    if (refused && this->said_not_run.size() < kMostNotRun) {
-      this->said_not_run.push_back(wish->id);
+    const bool not_executed = outcome == "not-run";
+    if (not_executed && this->not_executed_ids.size() < kMaxNotExecutedIds) {
+      this->not_executed_ids.push_back(pending->id);
     }
-    if (response->status < kFailedFrom) {
-      result = TryResult::kWhole;
+    if (response->status < kMinErrorStatus) {
+      result = AttemptResult::kSucceeded;
     } else if (reason == "over-rate" || reason == "no-share") {
-      result = TryResult::kRefusedRate;
-    } else if (refused) {
-      result = TryResult::kRefusedOther;
+      result = AttemptResult::kRateLimited;
+    } else if (not_executed) {
+      result = AttemptResult::kRejected;
     } else if (reason.empty()) {
       reason = "status " + std::to_string(response->status);
     }
@@ -117,20 +119,23 @@
     reason = std::string{pollenring::kCallErrorNames.Name(
         std::get<pollenring::CallError>(reply))};
   }
-  this->measures.TryEnded(wish->caller, left, within, result, reason);
+  this->metrics.RecordAttemptEnd(pending->caller, sent_at, within_rate, result,
+                                 reason);
   const Time now = this->Elapsed();
-  if (result == TryResult::kWhole) {
-    this->measures.Whole(wish->caller, now, now - wish->wanted);
+  if (result == AttemptResult::kSucceeded) {
+    this->metrics.RecordSuccess(pending->caller, now,
+                                now - pending->requested_at);
     return;
   }
-  const bool late = now - wish->wanted >= this->scenario.timeout;
-  if (wish->tries_left == 0 || late || now >= this->scenario.length) return;
-  --wish->tries_left;
+  const bool late = now - pending->requested_at >= this->scenario.timeout;
+  if (pending->retries_left == 0 || late || now >= this->scenario.length)
+    return;
+  --pending->retries_left;
   this->loop.After(this->scenario.retry_pause,
-                   [this, wish] { this->Try(wish); });
+                   [this, pending] { this->SendAttempt(pending); });
 }
 
-void Driver::SetLatencies(bool slow) {
+void Driver::SetTargetLatencies(bool slow) {
   for (const auto &target : this->scenario.slow) {
     const double latency = slow ? target.latency_ms : target.normal_ms;
     const nlohmann::json json{{"latency_ms", latency}};
--- a/tools/pollenring-load/driver.h
+++ b/tools/pollenring-load/driver.h
@@ -4,7 +4,7 @@
 #include <memory>
 #include <string>
 
-#include "measures.h"
+#include "metrics.h"
 #include "pollenring/core/random.h"
 #include "pollenring/net/http_client.h"
 #include "pollenring/net/loop.h"
@@ -24,39 +24,42 @@
   Driver(const Scenario &scenario, pollenring::Loop &loop,
          pollenring::HttpClient &client);
 
-  [[nodiscard]] const Measures &Get() const noexcept { return this->measures; }
+  [[nodiscard]] const Metrics &GetMetrics() const noexcept {
+    return this->metrics;
+  }
 
   /*! @brief Request ids of responses with outcome "not-run". */
-  [[nodiscard]] const std::vector<std::string> &SaidNotRun() const noexcept {
-    return this->said_not_run;
+  [[nodiscard]] const std::vector<std::string> &NotExecutedIds()
+      const noexcept {
+    return this->not_executed_ids;
   }
 
   /*! @brief Schedules the first requests and the trigger. */
   void Start();
 
  private:
-  struct Wish {
+  struct PendingRequest {
     std::size_t caller{};
     std::string id;
-    pollenring::Time wanted{};
-    int tries_left{};
+    pollenring::Time requested_at{};
+    int retries_left{};
   };
-  using WishPtr = std::shared_ptr<Wish>;
+  using PendingRequestPtr = std::shared_ptr<PendingRequest>;
 
-  void Next(std::size_t caller, pollenring::Time now);
-  void Try(const WishPtr &wish);
-  void Ended(const WishPtr &wish, pollenring::Time left, bool within,
-             pollenring::HttpClient::Reply reply);
-  void SetLatencies(bool slow);
+  void ScheduleNext(std::size_t caller, pollenring::Time now);
+  void SendAttempt(const PendingRequestPtr &pending);
+  void AttemptEnded(const PendingRequestPtr &pending, pollenring::Time sent_at,
+                    bool within_rate, pollenring::HttpClient::Reply reply);
+  void SetTargetLatencies(bool slow);
   [[nodiscard]] pollenring::Time Elapsed() const;
 
   const Scenario &scenario;
   pollenring::Loop &loop;
   pollenring::HttpClient &client;
   pollenring::SeededRandom random;
-  Measures measures;
-  pollenring::Time started{};
-  std::vector<std::string> said_not_run;
+  Metrics metrics;
+  pollenring::Time start_time{};
+  std::vector<std::string> not_executed_ids;
 };
 
 }  // namespace load
--- a/tools/pollenring-load/main.cc
+++ b/tools/pollenring-load/main.cc
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr int kBadUsage = 2;
-constexpr std::size_t kMaxAnswerBytes = std::size_t{32} * 1024 * 1024;
+constexpr int kExitUsage = 2;
+constexpr std::size_t kMaxResponseBytes = std::size_t{32} * 1024 * 1024;
 
 void PrintTable(const nlohmann::json &report) {
   const auto row = [](const char *name, double value, const char *unit) {
@@ -21,21 +21,21 @@
               << std::setw(10) << std::fixed << std::setprecision(3) << value
               << ' ' << unit << '\n';
   };
-  const auto figure = [&](const char *key) { return report.value(key, 0.0); };
+  const auto metric = [&](const char *key) { return report.value(key, 0.0); };
   std::cout << "measure, as callers saw it\n";
-  row("requests wanted", figure("wanted"), "");
-  row("whole requests answered", figure("whole"), "");
-  row("goodput before the trigger", figure("goodput_before"), "/s");
-  row("goodput during the trigger", figure("goodput_in_trigger"), "/s");
-  row("goodput after the trigger", figure("goodput_after"), "/s");
-  row("recovery to 95 % (-1: not in time)", figure("recovery_s"), "s");
-  row("worst-served workspace, of its entitlement", figure("worst_served"), "");
+  row("requests wanted", metric("wanted"), "");
+  row("whole requests answered", metric("whole"), "");
+  row("goodput before the trigger", metric("goodput_before"), "/s");
+  row("goodput during the trigger", metric("goodput_in_trigger"), "/s");
+  row("goodput after the trigger", metric("goodput_after"), "/s");
+  row("recovery to 95 % (-1: not in time)", metric("recovery_s"), "s");
+  row("worst-served workspace, of its entitlement", metric("worst_served"), "");
   row("refused for rate though within it",
-      figure("rate_refused_within_part") * 100, "%");
+      metric("rate_refused_within_part") * 100, "%");
   row("refused for any reason though within rate",
-      figure("refused_within_part") * 100, "%");
-  row("latency, median", figure("latency_p50_ms"), "ms");
-  row("latency, 99th percentile", figure("latency_p99_ms"), "ms");
+      metric("refused_within_part") * 100, "%");
+  row("latency, median", metric("latency_p50_ms"), "ms");
+  row("latency, 99th percentile", metric("latency_p99_ms"), "ms");
 }
 
 }  // namespace
@@ -53,7 +53,7 @@
     const auto arguments = options.parse(argc, argv);
     if (arguments.count("help") > 0 || arguments.count("scenario") == 0) {
       std::cout << options.help() << '\n';
-      return arguments.count("help") > 0 ? EXIT_SUCCESS : kBadUsage;
+      return arguments.count("help") > 0 ? EXIT_SUCCESS : kExitUsage;
     }
     const auto path = arguments["scenario"].as<std::string>();
     std::ifstream stream{path};
@@ -63,26 +63,26 @@
     const auto scenario = load::ReadScenario({path, text.str()}, diagnostics);
     for (const auto &diagnostic : diagnostics)
       std::cerr << diagnostic.Format() << '\n';
-    if (!diagnostics.empty()) return kBadUsage;
+    if (!diagnostics.empty()) return kExitUsage;
     std::signal(SIGPIPE, SIG_IGN);
     const pollenring::SystemClock clock;
     pollenring::Loop loop{clock};
-    pollenring::HttpClient client{loop, {kMaxAnswerBytes}};
+    pollenring::HttpClient client{loop, {kMaxResponseBytes}};
     load::Driver driver{scenario, loop, client};
     std::cout << "seed " << scenario.seed << '\n';
     driver.Start();
     loop.Run();
-    nlohmann::json report = driver.Get().Report();
+    nlohmann::json report = driver.GetMetrics().Report();
     PrintTable(report);
     const auto out = arguments["json"].as<std::string>();
     if (!out.empty()) {
-      report["said_not_run"] = driver.SaidNotRun();
+      report["said_not_run"] = driver.NotExecutedIds();
       std::ofstream{out} << report.dump(1) << '\n';
     }
     std::cout << std::flush;
     std::_Exit(EXIT_SUCCESS);
   } catch (const cxxopts::exceptions::exception &error) {
     std::cerr << "pollenring-load: " << error.what() << "; see --help\n";
-    return kBadUsage;
+    return kExitUsage;
   }
 }
--- a/tools/pollenring-load/scenario.cc
+++ b/tools/pollenring-load/scenario.cc
@@ -16,7 +16,7 @@
          Diagnostics &diagnostics)
       : table{table}, file{file}, diagnostics{diagnostics} {}
 
-  void Report(std::string_view key, const std::string &message) {
+  void ReportError(std::string_view key, const std::string &message) {
     const toml::node *node = this->table.get(key);
     const auto &begin =
         (node == nullptr ? this->table.source() : node->source()).begin;
@@ -24,43 +24,43 @@
         {{this->file, begin.line, begin.column}, message});
   }
 
-  void Text(std::string_view key, std::string &value) {
+  void ReadText(std::string_view key, std::string &value) {
     if (!this->table.contains(key)) return;
-    const auto given = this->table[key].value_exact<std::string>();
-    if (given) value = *given;
-    if (!given) this->Report(key, "must be a text");
+    const auto parsed = this->table[key].value_exact<std::string>();
+    if (parsed) value = *parsed;
+    if (!parsed) this->ReportError(key, "must be a text");
   }
 
-  void Number(std::string_view key, double &value) {
+  void ReadNumber(std::string_view key, double &value) {
     if (!this->table.contains(key)) return;
-    const auto given = this->table[key].value<double>();
-    if (given) value = *given;
-    if (!given) this->Report(key, "must be a number");
+    const auto parsed = this->table[key].value<double>();
+    if (parsed) value = *parsed;
+    if (!parsed) this->ReportError(key, "must be a number");
   }
 
   void ReadDuration(std::string_view key, Duration &value) {
     std::string text;
-    this->Text(key, text);
+    this->ReadText(key, text);
     if (text.empty()) return;
-    const auto span = pollenring::ParseDuration(text);
-    if (span) value = *span;
-    if (!span) this->Report(key, "needs a unit, such as \"2s\"");
+    const auto duration = pollenring::ParseDuration(text);
+    if (duration) value = *duration;
+    if (!duration) this->ReportError(key, "needs a unit, such as \"2s\"");
   }
 
-  void Rate(std::string_view key, double &value) {
+  void ReadRate(std::string_view key, double &value) {
     std::string text;
-    this->Text(key, text);
+    this->ReadText(key, text);
     if (text.empty()) return;
     const auto rate = pollenring::ParseRate(text);
     if (rate) value = *rate;
-    if (!rate) this->Report(key, "needs a unit, such as \"50/s\"");
+    if (!rate) this->ReportError(key, "needs a unit, such as \"50/s\"");
   }
 
-  [[nodiscard]] Address Where(std::string_view key) {
+  [[nodiscard]] Address ReadAddress(std::string_view key) {
     std::string text;
-    this->Text(key, text);
+    this->ReadText(key, text);
     const auto address = Address::Parse(text);
-    if (!address) this->Report(key, "must be an address");
+    if (!address) this->ReportError(key, "must be an address");
     return address.value_or(Address{});
   }
 
@@ -72,23 +72,23 @@
 
 [[nodiscard]] Caller ReadCaller(Reader reader) {
   Caller caller;
-  reader.Text("workspace", caller.workspace);
-  reader.Text("key", caller.key);
-  reader.Rate("rate", caller.rate);
-  reader.Number("burst", caller.burst);
-  reader.Rate("demand", caller.demand);
-  reader.Number("surge", caller.surge);
-  reader.Text("method", caller.method);
-  reader.Text("path", caller.path);
-  reader.Text("body", caller.body);
+  reader.ReadText("workspace", caller.workspace);
+  reader.ReadText("key", caller.key);
+  reader.ReadRate("rate", caller.rate);
+  reader.ReadNumber("burst", caller.burst);
+  reader.ReadRate("demand", caller.demand);
+  reader.ReadNumber("surge", caller.surge);
+  reader.ReadText("method", caller.method);
+  reader.ReadText("path", caller.path);
+  reader.ReadText("body", caller.body);
   return caller;
 }
 
 [[nodiscard]] SlowTarget ReadSlow(Reader reader) {
   SlowTarget slow;
-  slow.address = reader.Where("address");
-  reader.Number("latency_ms", slow.latency_ms);
-  reader.Number("normal_ms", slow.normal_ms);
+  slow.address = reader.ReadAddress("address");
+  reader.ReadNumber("latency_ms", slow.latency_ms);
+  reader.ReadNumber("normal_ms", slow.normal_ms);
   return slow;
 }
 
@@ -114,32 +114,34 @@
       if (address) scenario.nodes.push_back(*address);
     }
   }
-  if (scenario.nodes.empty()) reader.Report("nodes", "must list addresses");
+  if (scenario.nodes.empty())
+    reader.ReportError("nodes", "must list addresses");
   reader.ReadDuration("length", scenario.length);
   reader.ReadDuration("trigger_from", scenario.trigger_from);
   reader.ReadDuration("trigger_to", scenario.trigger_to);
   reader.ReadDuration("timeout", scenario.timeout);
   reader.ReadDuration("retry_pause", scenario.retry_pause);
-  reader.Rate("capacity", scenario.capacity);
+  reader.ReadRate("capacity", scenario.capacity);
   double number = scenario.retries;
-  reader.Number("retries", number);
+  reader.ReadNumber("retries", number);
   scenario.retries = static_cast<int>(number);
   number = static_cast<double>(scenario.seed);
-  reader.Number("seed", number);
+  reader.ReadNumber("seed", number);
   scenario.seed = static_cast<std::uint64_t>(number);
-  const auto each = [&](const char *name, auto read) {
+  const auto for_each_table = [&](const char *name, auto read_table) {
     const auto *array = root[name].as_array();
     if (array == nullptr) return;
     for (const auto &item : *array) {
       const auto *table = item.as_table();
-      if (table != nullptr) read(Reader{*table, file.name, diagnostics});
+      if (table != nullptr) read_table(Reader{*table, file.name, diagnostics});
     }
   };
-  each("caller", [&](const Reader &item) {
+  for_each_table("caller", [&](const Reader &item) {
     scenario.callers.push_back(ReadCaller(item));
   });
-  each("slow",
-       [&](const Reader &item) { scenario.slow.push_back(ReadSlow(item)); });
+  for_each_table("slow", [&](const Reader &item) {
+    scenario.slow.push_back(ReadSlow(item));
+  });
   return scenario;
 }
 
--- a/tools/pollenring-standin/main.cc
+++ b/tools/pollenring-standin/main.cc
@@ -12,16 +12,17 @@
 
 using pollenring::Address;
 
-constexpr int kBadUsage = 2;
+constexpr int kExitUsage = 2;
 constexpr std::size_t kMaxAnswerBytes = std::size_t{17} * 1024 * 1024;
-constexpr pollenring::Duration kSignalCheck = std::chrono::milliseconds{50};
+constexpr pollenring::Duration kSignalPollPeriod =
+    std::chrono::milliseconds{50};
 
 volatile std::sig_atomic_t stop_requested = 0;
 
 void OnSignal(int /*number*/) { stop_requested = 1; }
 
-[[nodiscard]] std::vector<std::string> Split(const std::string &text,
-                                             char separator) {
+[[nodiscard]] std::vector<std::string> SplitText(const std::string &text,
+                                                 char separator) {
   std::vector<std::string> parts;
   std::istringstream stream{text};
   std::string part;
@@ -29,18 +30,18 @@
   return parts;
 }
 
-[[nodiscard]] Address ToAddress(const std::string &text) {
+[[nodiscard]] Address ParseAddress(const std::string &text) {
   const auto address = Address::Parse(text);
   if (address) return *address;
   std::cerr << "pollenring-standin: '" << text << "' is no address\n";
-  std::exit(kBadUsage);
+  std::exit(kExitUsage);
 }
 
 /*! @brief Reads `service:/path,service:/path`. */
 [[nodiscard]] std::vector<standin::Downstream> ReadCalls(
     const std::string &text) {
   std::vector<standin::Downstream> calls;
-  for (const auto &part : Split(text, ',')) {
+  for (const auto &part : SplitText(text, ',')) {
     const auto colon = part.find(':');
     if (colon == std::string::npos) continue;
     calls.push_back({part.substr(0, colon), part.substr(colon + 1)});
@@ -52,11 +53,11 @@
 [[nodiscard]] std::map<std::string, std::vector<Address>> ReadDirect(
     const std::string &text) {
   std::map<std::string, std::vector<Address>> direct;
-  for (const auto &part : Split(text, ',')) {
+  for (const auto &part : SplitText(text, ',')) {
     const auto equals = part.find('=');
     if (equals == std::string::npos) continue;
-    for (const auto &address : Split(part.substr(equals + 1), '+')) {
-      direct[part.substr(0, equals)].push_back(ToAddress(address));
+    for (const auto &address : SplitText(part.substr(equals + 1), '+')) {
+      direct[part.substr(0, equals)].push_back(ParseAddress(address));
     }
   }
   return direct;
@@ -75,7 +76,7 @@
         platform.Handle(request, std::move(responder));
       }};
   server.Open();
-  loop.Every(kSignalCheck, [&loop] {
+  loop.Every(kSignalPollPeriod, [&loop] {
     if (stop_requested != 0) loop.Stop();
   });
   loop.Run();
@@ -96,7 +97,7 @@
         target.Handle(std::move(request), std::move(responder));
       }};
   server.Open();
-  loop.Every(kSignalCheck, [&target] {
+  loop.Every(kSignalPollPeriod, [&target] {
     if (stop_requested != 0) target.Drain();
   });
   target.Start();
@@ -143,7 +144,7 @@
     if (arguments.count("help") > 0 || arguments.count("role") == 0 ||
         arguments.count("listen") == 0) {
       std::cout << options.help() << '\n';
-      return arguments.count("help") > 0 ? EXIT_SUCCESS : kBadUsage;
+      return arguments.count("help") > 0 ? EXIT_SUCCESS : kExitUsage;
     }
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGTERM, OnSignal);
@@ -151,16 +152,16 @@
     const auto text = [&](const char *name) {
       return arguments[name].as<std::string>();
     };
-    const Address listen = ToAddress(text("listen"));
+    const Address listen = ParseAddress(text("listen"));
     if (text("role") == "platform") return RunPlatform(listen);
     if (text("role") != "target") {
       std::cerr << "pollenring-standin: role must be platform or target\n";
-      return kBadUsage;
+      return kExitUsage;
     }
     standin::TargetOptions target;
     target.service = text("service");
     target.address = listen;
-    if (!text("node").empty()) target.node = ToAddress(text("node"));
+    if (!text("node").empty()) target.node = ParseAddress(text("node"));
     target.secret = text("secret");
     target.slots = arguments["slots"].as<std::uint32_t>();
     target.latency_ms = arguments["latency-ms"].as<double>();
@@ -174,6 +175,6 @@
     return RunTarget(target);
   } catch (const cxxopts::exceptions::exception &error) {
     std::cerr << "pollenring-standin: " << error.what() << "; see --help\n";
-    return kBadUsage;
+    return kExitUsage;
   }
 }
--- a/tools/pollenring-standin/platform.cc
+++ b/tools/pollenring-standin/platform.cc
@@ -14,12 +14,12 @@
 
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
-constexpr int kMissing = 404;
+constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
 constexpr int kUnavailable = 503;
 constexpr std::string_view kObjectPrefix = "/objects/";
 
-[[nodiscard]] HttpResponse Answer(int status, const Json &json) {
+[[nodiscard]] HttpResponse JsonResponse(int status, const Json &json) {
   return {status, {{"content-type", "application/json"}}, json.dump()};
 }
 
@@ -33,17 +33,17 @@
                       std::shared_ptr<pollenring::Responder> responder) {
   if (request.path == "/control") {
     this->Control(request.body);
-    responder->Send(Answer(kOk, Json{{"reads", this->table.Reads()},
-                                     {"writes", this->table.Writes()}}));
+    responder->Send(JsonResponse(kOk, Json{{"reads", this->table.Reads()},
+                                           {"writes", this->table.Writes()}}));
     return;
   }
   if (this->down) {
-    responder->Send(Answer(kUnavailable, Json{{"error", "down"}}));
+    responder->Send(JsonResponse(kUnavailable, Json{{"error", "down"}}));
     return;
   }
   HttpResponse response = this->Perform(request);
   // The write takes effect but its response is dropped: the caller times out.
-  if (this->lose_answers && IsWrite(request)) {
+  if (this->drop_responses && IsWrite(request)) {
     this->loop.After(std::chrono::seconds{30}, [responder] {});
     return;
   }
@@ -60,20 +60,20 @@
   const Json json = Json::parse(body, nullptr, false);
   if (!json.is_object()) return;
   this->down = json.value("down", this->down);
-  this->lose_answers = json.value("lose_answers", this->lose_answers);
+  this->drop_responses = json.value("lose_answers", this->drop_responses);
   const auto slow_ms = json.value("slow_ms", this->delay.count() / 1000);
   this->delay = std::chrono::milliseconds{slow_ms};
 }
 
 HttpResponse Platform::Perform(const HttpRequest &request) {
-  const bool object =
+  const bool is_object_request =
       request.path.compare(0, kObjectPrefix.size(), kObjectPrefix) == 0;
   try {
-    if (object) return this->Object(request);
+    if (is_object_request) return this->Object(request);
     if (request.path == "/table/write") return this->Write(request.body);
     return this->Read(request);
   } catch (const Json::exception &error) {
-    return Answer(kBadRequest, Json{{"error", error.what()}});
+    return JsonResponse(kBadRequest, Json{{"error", error.what()}});
   }
 }
 
@@ -93,7 +93,7 @@
   this->table.Write(conditions, puts, [&response](Table::Written written) {
     const auto result = std::get<pollenring::WriteResult>(written);
     const bool done = result == pollenring::WriteResult::kWritten;
-    response = Answer(done ? kOk : kConflict, Json{{"written", done}});
+    response = JsonResponse(done ? kOk : kConflict, Json{{"written", done}});
   });
   return response;
 }
@@ -101,8 +101,8 @@
 HttpResponse Platform::Read(const HttpRequest &request) {
   const Json json = Json::parse(request.body);
   Json rows = Json::array();
-  const auto collect = [&rows](Table::Rows found) {
-    for (const auto &row : std::get<std::vector<Row>>(found)) {
+  const auto collect = [&rows](Table::Rows result) {
+    for (const auto &row : std::get<std::vector<Row>>(result)) {
       rows.push_back(
           {{"key", row.key}, {"version", row.version}, {"value", row.value}});
     }
@@ -112,7 +112,7 @@
   } else {
     this->table.Read(json.at("keys").get<std::vector<std::string>>(), collect);
   }
-  return Answer(kOk, rows);
+  return JsonResponse(kOk, rows);
 }
 
 HttpResponse Platform::Object(const HttpRequest &request) {
@@ -121,7 +121,7 @@
   if (request.method == "PUT") {
     this->objects.Put(name, request.body,
                       [&response](pollenring::ObjectStore::Stored) {
-                        response = Answer(kOk, Json{{"stored", true}});
+                        response = JsonResponse(kOk, Json{{"stored", true}});
                       });
     return response;
   }
@@ -130,7 +130,7 @@
       response = {kOk, {}, std::move(*content)};
       return;
     }
-    response = Answer(kMissing, Json{{"error", "no such object"}});
+    response = JsonResponse(kNotFound, Json{{"error", "no such object"}});
   });
   return response;
 }
--- a/tools/pollenring-standin/platform.h
+++ b/tools/pollenring-standin/platform.h
@@ -41,7 +41,7 @@
   pollenring::MemoryObjectStore objects;
   pollenring::Duration delay{};
   bool down{};
-  bool lose_answers{};
+  bool drop_responses{};
 };
 
 }  // namespace standin
--- a/tools/pollenring-standin/target.cc
+++ b/tools/pollenring-standin/target.cc
@@ -18,13 +18,13 @@
 constexpr int kOk = 200;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
-constexpr int kFailedFrom = 400;
+constexpr int kMinErrorStatus = 400;
 constexpr Duration kAnnouncePeriod = std::chrono::milliseconds{500};
 constexpr Duration kCallTimeout = std::chrono::seconds{5};
-constexpr Duration kNoDeadline = std::chrono::seconds{10};
-constexpr Duration kDrainNotice = std::chrono::seconds{3};
+constexpr Duration kDefaultDeadline = std::chrono::seconds{10};
+constexpr Duration kDrainNoticePeriod = std::chrono::seconds{3};
 /*! @brief Constant fraction of the service time; the rest is exponential. */
-constexpr double kFixedPart = 0.5;
+constexpr double kConstantFraction = 0.5;
 
 }  // namespace
 
@@ -34,7 +34,7 @@
       loop{loop},
       client{client},
       random{this->options.seed},
-      started{loop.GetClock().Now()} {}
+      start_time{loop.GetClock().Now()} {}
 
 void Target::Start() {
   if (!this->options.direct.empty() || this->options.node.port == 0) return;
@@ -43,8 +43,8 @@
 }
 
 void Target::Announce() {
-  const Duration age = this->loop.GetClock().Now() - this->started;
-  const bool cold = age < this->options.cold_start;
+  const Duration uptime = this->loop.GetClock().Now() - this->start_time;
+  const bool cold = uptime < this->options.cold_start;
   const char *state = this->draining ? "draining" : cold ? "cold" : "warm";
   const Json json{{"service", this->options.service},
                   {"slots", this->options.slots},
@@ -61,7 +61,7 @@
 void Target::Drain() {
   if (std::exchange(this->draining, true)) return;
   this->Announce();
-  this->loop.After(kDrainNotice, [this] {
+  this->loop.After(kDrainNoticePeriod, [this] {
     this->loop.Every(std::chrono::milliseconds{20}, [this] {
       if (this->running == 0 && this->waiting.empty()) this->loop.Stop();
     });
@@ -86,10 +86,10 @@
       FindHeader(work->request.headers, "pollenring-deadline-ms");
   const Duration left =
       deadline.empty()
-          ? kNoDeadline
+          ? kDefaultDeadline
           : std::chrono::milliseconds{std::atol(std::string{deadline}.c_str())};
   work->deadline = this->loop.GetClock().Now() + left;
-  this->Record(*work);
+  this->RecordArrival(*work);
   const std::size_t load = this->running + this->waiting.size();
   if (this->options.fixed_limit > 0 && load >= this->options.fixed_limit) {
     work->responder->Send({kUnavailable, {}, "limit"});
@@ -97,10 +97,10 @@
   }
   std::weak_ptr<Work> weak = work;
   work->responder->OnCancel([this, weak](pollenring::CallerDisconnect) {
-    const auto held = weak.lock();
-    if (!held || this->options.keeps_calls) return;
-    held->gone = true;
-    this->client.Cancel(held->call);
+    const auto locked = weak.lock();
+    if (!locked || this->options.continues_after_disconnect) return;
+    locked->caller_disconnected = true;
+    this->client.Cancel(locked->call);
   });
   if (this->running < this->options.slots) {
     this->Begin(work);
@@ -109,7 +109,7 @@
   this->waiting.push_back(work);
 }
 
-void Target::Record(const Work &work) {
+void Target::RecordArrival(const Work &work) {
   ++this->runs;
   const HttpRequest &request = work.request;
   const std::string id{FindHeader(request.headers, "pollenring-request-id")};
@@ -117,13 +117,15 @@
   const std::string workspace{
       FindHeader(request.headers, "pollenring-workspace")};
   this->arrivals[workspace].push_back(this->loop.GetClock().Now().count());
-  const auto holds = [](const std::string &text, const std::string &what) {
-    return text.find(what) != std::string::npos;
+  const auto contains = [](const std::string &text, const std::string &marker) {
+    return text.find(marker) != std::string::npos;
   };
-  for (const auto &what : this->forbidden) {
-    bool seen = holds(request.path, what) || holds(request.body, what);
+  for (const auto &marker : this->forbidden) {
+    bool seen =
+        contains(request.path, marker) || contains(request.body, marker);
     for (const auto &header : request.headers) {
-      seen = seen || holds(header.value, what) || holds(header.name, what);
+      seen = seen || contains(header.value, marker) ||
+             contains(header.name, marker);
     }
     if (seen) ++this->forbidden_seen;
   }
@@ -142,13 +144,13 @@
 
 Duration Target::ServiceTime() {
   const double varying = -std::log(1.0 - this->random.Fraction());
-  const double factor = kFixedPart + (1 - kFixedPart) * varying;
+  const double factor = kConstantFraction + (1 - kConstantFraction) * varying;
   return Duration{
       static_cast<std::int64_t>(this->options.latency_ms * 1000 * factor)};
 }
 
-void Target::CallNext(const WorkPtr &work, int tries_left) {
-  if (work->gone) {
+void Target::CallNext(const WorkPtr &work, int retries_left) {
+  if (work->caller_disconnected) {
     this->Finish(work, kBadGateway, "gone");
     return;
   }
@@ -166,15 +168,15 @@
   }
   const Downstream &next = this->options.downstream[work->next_call];
   HttpRequest request{"GET", "/" + next.service + next.path, {}, {}};
-  const auto pass = [&](const char *name) {
+  const auto forward = [&](const char *name) {
     const auto value = FindHeader(work->request.headers, name);
     if (!value.empty()) request.headers.push_back({name, std::string{value}});
   };
-  pass("pollenring-context");
+  forward("pollenring-context");
   if (!this->options.direct.empty()) {
     request.path = next.path;
-    pass("pollenring-request-id");
-    pass("pollenring-workspace");
+    forward("pollenring-request-id");
+    forward("pollenring-workspace");
   }
   const Duration left = work->deadline - this->loop.GetClock().Now();
   if (left <= Duration{0}) {
@@ -182,38 +184,39 @@
     return;
   }
   work->call = this->client.Call(
-      this->PeerFor(next.service), request, left,
-      [this, work, tries_left](HttpClient::Reply reply) {
+      this->AddressFor(next.service), request, left,
+      [this, work, retries_left](HttpClient::Reply reply) {
         const auto *response = std::get_if<HttpResponse>(&reply);
-        const bool good = response != nullptr && response->status < kFailedFrom;
-        if (good) {
+        const bool succeeded =
+            response != nullptr && response->status < kMinErrorStatus;
+        if (succeeded) {
           ++work->next_call;
           this->CallNext(work, this->options.naive_retries);
           return;
         }
-        if (tries_left > 0 && !work->gone) {
-          this->CallNext(work, tries_left - 1);
+        if (retries_left > 0 && !work->caller_disconnected) {
+          this->CallNext(work, retries_left - 1);
           return;
         }
         this->Finish(work, kBadGateway, "downstream failed");
       });
 }
 
-pollenring::Address Target::PeerFor(const std::string &service) {
+pollenring::Address Target::AddressFor(const std::string &service) {
   const auto found = this->options.direct.find(service);
   if (found == this->options.direct.end()) return this->options.node;
   return found->second[this->random.Index(found->second.size())];
 }
 
 void Target::Finish(const WorkPtr &work, int status, std::string body) {
-  if (status == kOk && !work->gone) ++this->completed;
-  if (status != kOk || work->gone) ++this->wasted;
+  if (status == kOk && !work->caller_disconnected) ++this->completed;
+  if (status != kOk || work->caller_disconnected) ++this->wasted;
   work->responder->Send({status, {}, std::move(body)});
   --this->running;
   while (!this->waiting.empty() && this->running < this->options.slots) {
     const WorkPtr next = this->waiting.front();
     this->waiting.pop_front();
-    if (next->gone) continue;
+    if (next->caller_disconnected) continue;
     this->Begin(next);
   }
 }
@@ -222,8 +225,8 @@
   const Json json = Json::parse(body, nullptr, false);
   if (!json.is_object()) return;
   this->options.latency_ms = json.value("latency_ms", this->options.latency_ms);
-  this->options.keeps_calls =
-      json.value("keeps_calls", this->options.keeps_calls);
+  this->options.continues_after_disconnect =
+      json.value("keeps_calls", this->options.continues_after_disconnect);
   this->options.slots = json.value("slots", this->options.slots);
   if (json.contains("forbidden")) {
     this->forbidden = json["forbidden"].get<std::vector<std::string>>();
--- a/tools/pollenring-standin/target.h
+++ b/tools/pollenring-standin/target.h
@@ -30,10 +30,10 @@
   std::string secret;
   std::uint32_t slots{8};
   double latency_ms{5};
-  bool keeps_calls{}; /*!< Continues after its caller disconnects. */
+  bool continues_after_disconnect{};
   std::vector<Downstream> downstream;
   std::map<std::string, std::vector<pollenring::Address>> direct;
-  int naive_retries{};       /*!< Retries per call; for `direct`. */
+  int naive_retries{};       /*!< Retries per downstream call. */
   std::size_t fixed_limit{}; /*!< Rejects at this load; 0: no limit. */
   pollenring::Duration cold_start{};
   std::uint64_t seed{1};
@@ -71,7 +71,7 @@
     pollenring::HttpRequest request;
     std::shared_ptr<pollenring::Responder> responder;
     std::size_t next_call{};
-    bool gone{};
+    bool caller_disconnected{};
     pollenring::Time deadline{};
     pollenring::HttpClient::CallId call{};
   };
@@ -80,11 +80,11 @@
   void Announce();
   void Control(const std::string &body);
   [[nodiscard]] std::string Report() const;
-  void Record(const Work &work);
+  void RecordArrival(const Work &work);
   void Begin(const WorkPtr &work);
-  void CallNext(const WorkPtr &work, int tries_left);
+  void CallNext(const WorkPtr &work, int retries_left);
   void Finish(const WorkPtr &work, int status, std::string body);
-  [[nodiscard]] pollenring::Address PeerFor(const std::string &service);
+  [[nodiscard]] pollenring::Address AddressFor(const std::string &service);
   [[nodiscard]] pollenring::Duration ServiceTime();
 
   TargetOptions options;
@@ -101,7 +101,7 @@
   std::vector<std::string> forbidden;
   std::uint64_t forbidden_seen{};
   bool draining{};
-  pollenring::Time started;
+  pollenring::Time start_time;
 };
 
 }  // namespace standin
--- a/tools/pollenring/commands.cc
+++ b/tools/pollenring/commands.cc
@@ -25,9 +25,9 @@
 constexpr int kAccepted = 202;
 constexpr int kConflict = 409;
 constexpr int kUnavailable = 503;
-constexpr std::size_t kKeyBytes = 32;
-constexpr std::size_t kDigestLength = 64;
-constexpr std::string_view kKeyStart = "prk_";
+constexpr std::size_t kApiKeyBytes = 32;
+constexpr std::size_t kDigestHexDigits = 64;
+constexpr std::string_view kApiKeyPrefix = "prk_";
 
 /*! @brief Reads the given files and, recursively, the TOML files of folders. */
 [[nodiscard]] std::vector<pollenring::SourceFile> ReadFiles(
@@ -59,7 +59,7 @@
   return files;
 }
 
-[[nodiscard]] std::optional<Documents> Load(
+[[nodiscard]] std::optional<Documents> LoadContracts(
     const CommonOptions &common, const std::vector<std::string> &paths) {
   Diagnostics diagnostics;
   const auto files = ReadFiles(paths, diagnostics);
@@ -82,10 +82,9 @@
   return std::nullopt;
 }
 
-[[nodiscard]] std::optional<OperatorAnswer> Ask(const CommonOptions &common,
-                                                const std::string &method,
-                                                const std::string &path,
-                                                const Json &body = nullptr) {
+[[nodiscard]] std::optional<OperatorResponse> SendRequest(
+    const CommonOptions &common, const std::string &method,
+    const std::string &path, const Json &body = nullptr) {
   const auto address = pollenring::Address::Parse(common.node);
   if (!address) {
     std::cerr << "pollenring: --node needs the address of an operator port, "
@@ -93,22 +92,22 @@
     return std::nullopt;
   }
   const OperatorClient client{*address, common.secret};
-  auto answer = client.Call(method, path, body);
-  if (!answer) {
+  auto response = client.Call(method, path, body);
+  if (!response) {
     std::cerr << "pollenring: no answer from " << common.node
               << "; try another node. Whether a change was made shows in "
                  "'pollenring audit'\n";
   }
-  return answer;
+  return response;
 }
 
 /*! @brief Prints the error of a refused request and maps it to an exit code. */
-[[nodiscard]] ExitCode Refused(const OperatorAnswer &answer) {
-  const std::string why =
-      answer.body.is_object() ? answer.body.value("error", "refused") : "";
-  std::cerr << "pollenring: " << why << '\n';
-  return answer.status == kUnavailable ? ExitCode::kUnreachable
-                                       : ExitCode::kRefused;
+[[nodiscard]] ExitCode ReportRefusal(const OperatorResponse &response) {
+  const std::string reason =
+      response.body.is_object() ? response.body.value("error", "refused") : "";
+  std::cerr << "pollenring: " << reason << '\n';
+  return response.status == kUnavailable ? ExitCode::kUnreachable
+                                         : ExitCode::kRefused;
 }
 
 void PrintChange(std::ostream &out, const Json &change) {
@@ -123,20 +122,21 @@
 }
 
 /*! @brief Prints the result of a change and maps it to an exit code. */
-[[nodiscard]] ExitCode TellCommit(const CommonOptions &common,
-                                  const OperatorAnswer &answer) {
-  const Json &body = answer.body;
-  if (!body.is_object() || !body.contains("result")) return Refused(answer);
+[[nodiscard]] ExitCode ReportCommit(const CommonOptions &common,
+                                    const OperatorResponse &response) {
+  const Json &body = response.body;
+  if (!body.is_object() || !body.contains("result"))
+    return ReportRefusal(response);
   if (common.json) std::cout << body.dump(2) << '\n';
   const std::string result = body.value("result", "");
   const auto version = body.value("version", 0ULL);
   std::ostream &out = common.json ? std::cerr : std::cout;
-  if (answer.status == kOk) {
+  if (response.status == kOk) {
     out << (result == "unchanged" ? "unchanged" : "accepted") << ", version "
         << version << '\n';
     return ExitCode::kOk;
   }
-  if (answer.status == kAccepted) {
+  if (response.status == kAccepted) {
     out << "committed as version " << version
         << ", but not yet confirmed in zone(s):";
     for (const auto &zone : body.value("unconfirmed_zones", Json::array())) {
@@ -146,7 +146,7 @@
            "'pollenring status'\n";
     return ExitCode::kUnconfirmed;
   }
-  if (answer.status == kConflict) {
+  if (response.status == kConflict) {
     out << "not changed: another operator came first. Since your base:\n";
     for (const auto &other : body.value("others", Json::array())) {
       out << "version " << other.value("version", 0ULL) << " by "
@@ -165,42 +165,42 @@
   return ExitCode::kUnreachable;
 }
 
-struct InForce {
+struct ActiveConfig {
   std::uint64_t version{};
   Documents documents;
 };
 
-[[nodiscard]] std::optional<InForce> Fetch(const CommonOptions &common,
-                                           ExitCode &code) {
-  const auto answer = Ask(common, "GET", "/config");
-  if (!answer) {
+[[nodiscard]] std::optional<ActiveConfig> FetchActiveConfig(
+    const CommonOptions &common, ExitCode &code) {
+  const auto response = SendRequest(common, "GET", "/config");
+  if (!response) {
     code = ExitCode::kUnreachable;
     return std::nullopt;
   }
-  if (answer->status != kOk) {
-    code = Refused(*answer);
+  if (response->status != kOk) {
+    code = ReportRefusal(*response);
     return std::nullopt;
   }
-  return InForce{answer->body.at("version").get<std::uint64_t>(),
-                 answer->body.at("documents").get<Documents>()};
+  return ActiveConfig{response->body.at("version").get<std::uint64_t>(),
+                      response->body.at("documents").get<Documents>()};
 }
 
 [[nodiscard]] ExitCode ChangeKey(const CommonOptions &common,
                                  const std::string &digest,
                                  const std::string &workspace) {
-  const auto answer = Ask(common, "POST", "/keys",
-                          Json{{"author", common.author},
-                               {"digest", digest},
-                               {"workspace", workspace}});
-  if (!answer) return ExitCode::kUnreachable;
-  return TellCommit(common, *answer);
+  const auto response = SendRequest(common, "POST", "/keys",
+                                    Json{{"author", common.author},
+                                         {"digest", digest},
+                                         {"workspace", workspace}});
+  if (!response) return ExitCode::kUnreachable;
+  return ReportCommit(common, *response);
 }
 
 }  // namespace
 
 ExitCode Check(const CommonOptions &common,
                const std::vector<std::string> &paths) {
-  const auto documents = Load(common, paths);
+  const auto documents = LoadContracts(common, paths);
   if (!documents) return ExitCode::kFindings;
   if (common.json) {
     std::cout << Json{{"findings", Json::array()}}.dump(2) << '\n';
@@ -212,30 +212,30 @@
 
 ExitCode Publish(const CommonOptions &common,
                  const std::vector<std::string> &paths) {
-  const auto documents = Load(common, paths);
+  const auto documents = LoadContracts(common, paths);
   if (!documents) return ExitCode::kFindings;
   ExitCode code = ExitCode::kOk;
-  const auto in_force = Fetch(common, code);
-  if (!in_force) return code;
-  const auto answer = Ask(common, "POST", "/publish",
-                          Json{{"author", common.author},
-                               {"base_version", in_force->version},
-                               {"documents", *documents}});
-  if (!answer) return ExitCode::kUnconfirmed;
-  return TellCommit(common, *answer);
+  const auto active = FetchActiveConfig(common, code);
+  if (!active) return code;
+  const auto response = SendRequest(common, "POST", "/publish",
+                                    Json{{"author", common.author},
+                                         {"base_version", active->version},
+                                         {"documents", *documents}});
+  if (!response) return ExitCode::kUnconfirmed;
+  return ReportCommit(common, *response);
 }
 
 ExitCode Diff(const CommonOptions &common,
               const std::vector<std::string> &paths) {
-  const auto documents = Load(common, paths);
+  const auto documents = LoadContracts(common, paths);
   if (!documents) return ExitCode::kFindings;
   ExitCode code = ExitCode::kOk;
-  const auto in_force = Fetch(common, code);
-  if (!in_force) return code;
+  const auto active = FetchActiveConfig(common, code);
+  if (!active) return code;
   pollenring::ConfigChange change;
-  change.version = in_force->version + 1;
+  change.version = active->version + 1;
   change.documents = pollenring::DiffDocuments(
-      in_force->documents, *documents,
+      active->documents, *documents,
       {pollenring::kContractPrefix, pollenring::kWorkspacePrefix});
   const Json json = Json::parse(change.ToJson());
   if (common.json) {
@@ -243,16 +243,16 @@
     return ExitCode::kOk;
   }
   std::cout << change.documents.size() << " change(s) against version "
-            << in_force->version << '\n';
+            << active->version << '\n';
   PrintChange(std::cout, json);
   return ExitCode::kOk;
 }
 
 ExitCode Status(const CommonOptions &common) {
-  const auto answer = Ask(common, "GET", "/status");
-  if (!answer) return ExitCode::kUnreachable;
-  if (answer->status != kOk) return Refused(*answer);
-  const Json &body = answer->body;
+  const auto response = SendRequest(common, "GET", "/status");
+  if (!response) return ExitCode::kUnreachable;
+  if (response->status != kOk) return ReportRefusal(*response);
+  const Json &body = response->body;
   if (common.json) {
     std::cout << body.dump(2) << '\n';
     return ExitCode::kOk;
@@ -287,7 +287,7 @@
 
 ExitCode IssueKey(const CommonOptions &common, const std::string &workspace) {
   const std::string key =
-      std::string{kKeyStart} + pollenring::RandomHex(kKeyBytes);
+      std::string{kApiKeyPrefix} + pollenring::RandomHex(kApiKeyBytes);
   const auto code = ChangeKey(common, pollenring::Sha256Hex(key), workspace);
   const bool issued = code == ExitCode::kOk || code == ExitCode::kUnconfirmed;
   if (!issued) return code;
@@ -301,9 +301,10 @@
 }
 
 ExitCode WithdrawKey(const CommonOptions &common, const std::string &key) {
-  const bool is_key = key.compare(0, kKeyStart.size(), kKeyStart) == 0;
-  const std::string digest = is_key ? pollenring::Sha256Hex(key) : key;
-  if (digest.size() != kDigestLength) {
+  const bool is_api_key =
+      key.compare(0, kApiKeyPrefix.size(), kApiKeyPrefix) == 0;
+  const std::string digest = is_api_key ? pollenring::Sha256Hex(key) : key;
+  if (digest.size() != kDigestHexDigits) {
     std::cerr << "pollenring: give the key itself or its digest from "
                  "'pollenring keys list'\n";
     return ExitCode::kUsage;
@@ -313,11 +314,11 @@
 
 ExitCode ListKeys(const CommonOptions &common) {
   ExitCode code = ExitCode::kOk;
-  const auto in_force = Fetch(common, code);
-  if (!in_force) return code;
+  const auto active = FetchActiveConfig(common, code);
+  if (!active) return code;
   const std::string prefix{pollenring::kKeyPrefix};
   Json list = Json::array();
-  for (const auto &[name, workspace] : in_force->documents) {
+  for (const auto &[name, workspace] : active->documents) {
     if (name.compare(0, prefix.size(), prefix) != 0) continue;
     const std::string digest = name.substr(prefix.size());
     if (!common.json) std::cout << digest << "  " << workspace << '\n';
@@ -328,14 +329,14 @@
 }
 
 ExitCode Audit(const CommonOptions &common) {
-  const auto answer = Ask(common, "GET", "/audit");
-  if (!answer) return ExitCode::kUnreachable;
-  if (answer->status != kOk) return Refused(*answer);
+  const auto response = SendRequest(common, "GET", "/audit");
+  if (!response) return ExitCode::kUnreachable;
+  if (response->status != kOk) return ReportRefusal(*response);
   if (common.json) {
-    std::cout << answer->body.dump(2) << '\n';
+    std::cout << response->body.dump(2) << '\n';
     return ExitCode::kOk;
   }
-  for (const auto &entry : answer->body.value("entries", Json::array())) {
+  for (const auto &entry : response->body.value("entries", Json::array())) {
     std::cout << entry.value("wall_ms", 0LL) << "  version "
               << entry.value("version", 0ULL) << "  "
               << entry.value("author", "") << "  "
@@ -349,9 +350,9 @@
 }
 
 ExitCode Drain(const CommonOptions &common) {
-  const auto answer = Ask(common, "POST", "/drain", Json::object());
-  if (!answer) return ExitCode::kUnreachable;
-  if (answer->status != kAccepted) return Refused(*answer);
+  const auto response = SendRequest(common, "POST", "/drain", Json::object());
+  if (!response) return ExitCode::kUnreachable;
+  if (response->status != kAccepted) return ReportRefusal(*response);
   std::cout << "the node leaves; it ends once nothing is in progress\n";
   return ExitCode::kOk;
 }
--- a/tools/pollenring/main.cc
+++ b/tools/pollenring/main.cc
@@ -16,20 +16,20 @@
   const char *name;
   const char *arguments;
   const char *help;
-  std::size_t fewest;
+  std::size_t min_arguments;
   std::function<ExitCode(const CommonOptions &, const Arguments &)> run;
 };
 
 [[nodiscard]] ExitCode RunKeys(const CommonOptions &common,
                                const Arguments &arguments) {
-  const std::string &what = arguments.front();
-  if (what == "list") return cli::ListKeys(common);
+  const std::string &action = arguments.front();
+  if (action == "list") return cli::ListKeys(common);
   if (arguments.size() < 2) {
-    std::cerr << "pollenring: keys " << what << " needs an argument\n";
+    std::cerr << "pollenring: keys " << action << " needs an argument\n";
     return ExitCode::kUsage;
   }
-  if (what == "issue") return cli::IssueKey(common, arguments[1]);
-  if (what == "withdraw") return cli::WithdrawKey(common, arguments[1]);
+  if (action == "issue") return cli::IssueKey(common, arguments[1]);
+  if (action == "withdraw") return cli::WithdrawKey(common, arguments[1]);
   std::cerr << "pollenring: keys issue WORKSPACE | withdraw KEY | list\n";
   return ExitCode::kUsage;
 }
@@ -73,7 +73,7 @@
                "confirmed in every zone.\n";
 }
 
-[[nodiscard]] std::string FromEnvironment(const char *name) {
+[[nodiscard]] std::string EnvironmentOrEmpty(const char *name) {
   const char *value = std::getenv(name);
   return value == nullptr ? "" : value;
 }
@@ -84,11 +84,11 @@
   options.positional_help(command.arguments);
   options.add_options()("node", "Operator port of a node",
                         cxxopts::value<std::string>()->default_value(
-                            FromEnvironment("POLLENRING_NODE")))(
+                            EnvironmentOrEmpty("POLLENRING_NODE")))(
       "secret", "Operators' secret; better given as POLLENRING_OPERATOR_SECRET",
       cxxopts::value<std::string>()->default_value(""))(
       "author", "Who makes the change, for the audit trail",
-      cxxopts::value<std::string>()->default_value(FromEnvironment("USER")))(
+      cxxopts::value<std::string>()->default_value(EnvironmentOrEmpty("USER")))(
       "json", "Print JSON")("h,help", "Print this help")(
       "arguments", "", cxxopts::value<Arguments>()->default_value(""));
   options.parse_positional({"arguments"});
@@ -101,7 +101,7 @@
   common.node = parsed["node"].as<std::string>();
   common.secret = parsed["secret"].as<std::string>();
   if (common.secret.empty()) {
-    common.secret = FromEnvironment("POLLENRING_OPERATOR_SECRET");
+    common.secret = EnvironmentOrEmpty("POLLENRING_OPERATOR_SECRET");
   }
   common.author = parsed["author"].as<std::string>();
   if (common.author.empty()) common.author = "unknown";
@@ -110,7 +110,7 @@
   if (parsed.count("arguments") > 0) {
     arguments = parsed["arguments"].as<Arguments>();
   }
-  if (arguments.size() < command.fewest) {
+  if (arguments.size() < command.min_arguments) {
     std::cerr << "pollenring: " << command.name << " needs "
               << command.arguments << "; see --help\n";
     return static_cast<int>(ExitCode::kUsage);
--- a/tools/pollenring/operator_client.h
+++ b/tools/pollenring/operator_client.h
@@ -10,7 +10,7 @@
 namespace cli {
 
 /*! @brief Response of an operator port. */
-struct OperatorAnswer {
+struct OperatorResponse {
   int status{};
   nlohmann::json body;
 };
@@ -33,7 +33,7 @@
    * @param body JSON body; null for none.
    * @return The response; empty if the call failed.
    */
-  [[nodiscard]] std::optional<OperatorAnswer> Call(
+  [[nodiscard]] std::optional<OperatorResponse> Call(
       const std::string &method, const std::string &path,
       const nlohmann::json &body = nullptr) const;
 
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -22,9 +22,10 @@
 using pollenring::Diagnostics;
 using pollenring::Settings;
 
-constexpr int kBadUsage = 2;
-constexpr int kCantStart = 1;
-constexpr pollenring::Duration kSignalCheck = std::chrono::milliseconds{50};
+constexpr int kExitUsage = 2;
+constexpr int kExitStartupFailed = 1;
+constexpr pollenring::Duration kSignalPollPeriod =
+    std::chrono::milliseconds{50};
 
 volatile std::sig_atomic_t stop_requested = 0;
 volatile std::sig_atomic_t reload_requested = 0;
@@ -55,21 +56,21 @@
 
 /*! @brief Reads the settings again and logs whether they are valid. All of them
  * concern sockets, so a change takes effect at the next start only. */
-void CheckReload(const std::string &path, const Settings &in_force) {
+void CheckReload(const std::string &path, const Settings &active) {
   const auto text = ReadFile(path);
   Diagnostics diagnostics;
   Settings settings;
   if (text) settings = pollenring::ReadSettings({path, *text}, diagnostics);
   const bool readable = text && diagnostics.empty();
-  const bool same = readable && settings.callers == in_force.callers &&
-                    settings.nodes == in_force.nodes &&
-                    settings.platform == in_force.platform;
+  const bool same_addresses = readable && settings.callers == active.callers &&
+                              settings.nodes == active.nodes &&
+                              settings.platform == active.platform;
   LogEvent(
       readable ? pollenring::LogLevel::kInfo : pollenring::LogLevel::kWarning,
       "reload",
       {{"readable", readable},
        {"findings", diagnostics.size()},
-       {"same_addresses", same}});
+       {"same_addresses", same_addresses}});
 }
 
 /*! @brief Runs a node until its drain has completed; noexcept, so an uncaught
@@ -78,7 +79,7 @@
 [[noreturn]] void RunLoop(pollenring::Loop &loop, Node &node,
                           const Settings &settings,
                           const std::string &path) noexcept {
-  loop.Every(kSignalCheck, [&] {
+  loop.Every(kSignalPollPeriod, [&] {
     if (stop_requested != 0) node.Leave();
     if (std::exchange(reload_requested, 0) != 0) CheckReload(path, settings);
     pollenring::FlushLog();
@@ -91,14 +92,14 @@
   std::_Exit(EXIT_SUCCESS);
 }
 
-void RunByContracts(const Settings &settings, const std::string &path,
-                    pollenring::Loop &loop, pollenring::Random &random) {
+void RunContractRouting(const Settings &settings, const std::string &path,
+                        pollenring::Loop &loop, pollenring::Random &random) {
   pollenring::Node node{settings, loop, random};
   RunLoop(loop, node, settings, path);
 }
 
-void RunByHosts(const Settings &settings, const std::string &path,
-                pollenring::Loop &loop, pollenring::Random &random) {
+void RunHostRouting(const Settings &settings, const std::string &path,
+                    pollenring::Loop &loop, pollenring::Random &random) {
   pollenring::HttpClient client{loop, {pollenring::kMaxBodyBytes}};
   pollenring::StoreClient store_client{client, settings.platform};
   pollenring::platform::Store store{store_client};
@@ -123,15 +124,15 @@
   std::signal(SIGHUP, OnSignal);
   try {
     if (settings.routes == pollenring::RouteForm::kHost) {
-      RunByHosts(settings, path, loop, random);
+      RunHostRouting(settings, path, loop, random);
     }
-    RunByContracts(settings, path, loop, random);
+    RunContractRouting(settings, path, loop, random);
   } catch (const std::runtime_error &error) {
     LogEvent(pollenring::LogLevel::kError, "can't start",
              {{"why", error.what()}});
     pollenring::FlushLog();
   }
-  return kCantStart;
+  return kExitStartupFailed;
 }
 
 }  // namespace
@@ -149,7 +150,7 @@
     arguments = options.parse(argc, argv);
   } catch (const cxxopts::exceptions::exception &error) {
     std::cerr << "pollenringd: " << error.what() << "; see --help\n";
-    return kBadUsage;
+    return kExitUsage;
   }
   if (arguments.count("help") > 0) {
     std::cout << options.help() << '\n';
@@ -157,20 +158,20 @@
   }
   if (arguments.count("settings") == 0) {
     std::cerr << "pollenringd: --settings FILE is required; see --help\n";
-    return kBadUsage;
+    return kExitUsage;
   }
   const auto path = arguments["settings"].as<std::string>();
   const auto text = ReadFile(path);
   if (!text) {
     std::cerr << "pollenringd: can't read " << path << '\n';
-    return kBadUsage;
+    return kExitUsage;
   }
   Diagnostics diagnostics;
   const Settings settings =
       pollenring::ReadSettings({path, *text}, diagnostics);
   for (const auto &diagnostic : diagnostics)
     std::cerr << diagnostic.Format() << '\n';
-  if (!diagnostics.empty()) return kBadUsage;
+  if (!diagnostics.empty()) return kExitUsage;
   if (arguments.count("check") > 0) return EXIT_SUCCESS;
   const bool verbose = arguments.count("verbose") > 0;
   pollenring::SetUpLog("pollenringd", verbose ? pollenring::LogLevel::kDebug
