Reword help texts and errors of the tools

Help texts said that a change is put into force, that a node leaves or that a target calls itself cold, which is not how operators name these. They now use activate, drain, local node and service time. No test or script matches the old texts; flags, exit codes, JSON keys and results on standard output are unchanged.

--- a/tools/pollenring-load/main.cc
+++ b/tools/pollenring-load/main.cc
@@ -42,7 +42,7 @@
 
 int main(int argc, char **argv) {
   cxxopts::Options options{"pollenring-load",
-                           "Open-loop callers with hard retries, for tests "
+                           "Open-loop load generator with retries, for tests "
                            "and measurements only."};
   options.add_options()("s,scenario", "Scenario file (TOML)",
                         cxxopts::value<std::string>())(
--- a/tools/pollenring-load/scenario.cc
+++ b/tools/pollenring-load/scenario.cc
@@ -28,7 +28,7 @@
     if (!this->table.contains(key)) return;
     const auto parsed = this->table[key].value_exact<std::string>();
     if (parsed) value = *parsed;
-    if (!parsed) this->ReportError(key, "must be a text");
+    if (!parsed) this->ReportError(key, "must be a string");
   }
 
   void ReadNumber(std::string_view key, double &value) {
--- a/tools/pollenring-standin/main.cc
+++ b/tools/pollenring-standin/main.cc
@@ -33,7 +33,7 @@
 [[nodiscard]] Address ParseAddress(const std::string &text) {
   const auto address = Address::Parse(text);
   if (address) return *address;
-  std::cerr << "pollenring-standin: '" << text << "' is no address\n";
+  std::cerr << "pollenring-standin: '" << text << "' is not an address\n";
   std::exit(kExitUsage);
 }
 
@@ -109,33 +109,33 @@
 
 int main(int argc, char **argv) {
   cxxopts::Options options{"pollenring-standin",
-                           "A small platform or a target, for tests and the "
+                           "Simulated platform or target, for tests and the "
                            "quick start only."};
   options.positional_help("platform|target");
   options.add_options()("role", "platform or target",
                         cxxopts::value<std::string>())(
-      "listen", "Own address", cxxopts::value<std::string>())(
-      "node", "Target port of the node beside this target",
+      "listen", "Address to listen on", cxxopts::value<std::string>())(
+      "node", "Target port of the local node",
       cxxopts::value<std::string>()->default_value(""))(
       "secret", "Secret for announcements",
       cxxopts::value<std::string>()->default_value(""))(
       "service", "Service of this target",
       cxxopts::value<std::string>()->default_value("service"))(
-      "slots", "Requests it runs at once",
+      "slots", "Requests run concurrently",
       cxxopts::value<std::uint32_t>()->default_value("8"))(
-      "latency-ms", "Mean time of a request",
+      "latency-ms", "Mean service time of a request",
       cxxopts::value<double>()->default_value("5"))(
-      "calls", "Calls for each request: service:/path,...",
+      "calls", "Downstream calls of each request: service:/path,...",
       cxxopts::value<std::string>()->default_value(""))(
-      "direct", "Call without nodes: service=address+address,...",
+      "direct", "Call targets directly: service=address+address,...",
       cxxopts::value<std::string>()->default_value(""))(
-      "naive-retries", "Retries per call without nodes",
+      "naive-retries", "Retries of each downstream call",
       cxxopts::value<int>()->default_value("0"))(
-      "fixed-limit", "Refuse above this many requests; 0 for no limit",
+      "fixed-limit", "Limit of running and queued requests; 0 for no limit",
       cxxopts::value<std::size_t>()->default_value("0"))(
-      "cold-start-ms", "Time in which it calls itself cold",
+      "cold-start-ms", "Time after start in which it announces itself as cold",
       cxxopts::value<std::int64_t>()->default_value("0"))(
-      "seed", "Seed of its latencies",
+      "seed", "Seed of the random service times",
       cxxopts::value<std::uint64_t>()->default_value("1"))("h,help",
                                                            "Print this help");
   options.parse_positional({"role"});
--- a/tools/pollenring/commands.cc
+++ b/tools/pollenring/commands.cc
@@ -87,16 +87,16 @@
     const std::string &path, const Json &body = nullptr) {
   const auto address = pollenring::Address::Parse(common.node);
   if (!address) {
-    std::cerr << "pollenring: --node needs the address of an operator port, "
+    std::cerr << "pollenring: --node must be the address of an operator port, "
                  "such as 127.0.0.1:7003\n";
     return std::nullopt;
   }
   const OperatorClient client{*address, common.secret};
   auto response = client.Call(method, path, body);
   if (!response) {
-    std::cerr << "pollenring: no answer from " << common.node
-              << "; try another node. Whether a change was made shows in "
-                 "'pollenring audit'\n";
+    std::cerr << "pollenring: no response from " << common.node
+              << "; try another node. 'pollenring audit' shows whether a "
+                 "change was made\n";
   }
   return response;
 }
@@ -305,8 +305,8 @@
       key.compare(0, kApiKeyPrefix.size(), kApiKeyPrefix) == 0;
   const std::string digest = is_api_key ? pollenring::Sha256Hex(key) : key;
   if (digest.size() != kDigestHexDigits) {
-    std::cerr << "pollenring: give the key itself or its digest from "
-                 "'pollenring keys list'\n";
+    std::cerr << "pollenring: keys withdraw needs a key or its digest as shown "
+                 "by 'pollenring keys list'\n";
     return ExitCode::kUsage;
   }
   return ChangeKey(common, digest, {});
--- a/tools/pollenring/main.cc
+++ b/tools/pollenring/main.cc
@@ -39,21 +39,22 @@
       {"check", "FILE|FOLDER...", "Check contract files; report all findings.",
        1, cli::Check},
       {"publish", "FILE|FOLDER...",
-       "Check contract files and put them into force as one version.", 1,
-       cli::Publish},
+       "Check contract files and activate them as one configuration version.",
+       1, cli::Publish},
       {"diff", "FILE|FOLDER...", "Show what publishing would change.", 1,
        cli::Diff},
-      {"status", "", "Show a node and what it knows of the others.", 0,
+      {"status", "", "Show the state of a node and its view of the members.", 0,
        [](const CommonOptions &common, const Arguments &) {
          return cli::Status(common);
        }},
       {"keys", "issue WORKSPACE | withdraw KEY-OR-DIGEST | list",
-       "Issue, withdraw or list callers' keys.", 1, RunKeys},
-      {"audit", "", "Show who changed what, refused attempts included.", 0,
+       "Issue, withdraw or list keys of callers.", 1, RunKeys},
+      {"audit", "", "Show the audit trail, including refused changes.", 0,
        [](const CommonOptions &common, const Arguments &) {
          return cli::Audit(common);
        }},
-      {"drain", "", "Make a node leave; it finishes what is in progress.", 0,
+      {"drain", "",
+       "Drain a node: it finishes requests in progress, then exits.", 0,
        [](const CommonOptions &common, const Arguments &) {
          return cli::Drain(common);
        }},
@@ -67,10 +68,12 @@
     std::cout << "  " << command.name << ' ' << command.arguments << "\n      "
               << command.help << '\n';
   }
-  std::cout << "\nEach command has --help. Exit codes: 0 done, 1 refused, 2 "
-               "wrong usage,\n3 findings, 4 another operator came first, 5 no "
-               "answer (nothing changed),\n6 committed or unknown, not "
-               "confirmed in every zone.\n";
+  std::cout
+      << "\nRun a command with --help for its options. Exit codes: 0 "
+         "success, 1 refused,\n2 usage error, 3 findings, 4 conflict with "
+         "another operator's change, 5 node or\nplatform unreachable "
+         "(nothing changed), 6 committed or unknown, not confirmed in\n"
+         "every zone.\n";
 }
 
 [[nodiscard]] std::string EnvironmentOrEmpty(const char *name) {
@@ -85,9 +88,10 @@
   options.add_options()("node", "Operator port of a node",
                         cxxopts::value<std::string>()->default_value(
                             EnvironmentOrEmpty("POLLENRING_NODE")))(
-      "secret", "Operators' secret; better given as POLLENRING_OPERATOR_SECRET",
+      "secret",
+      "Operators' secret; prefer the variable POLLENRING_OPERATOR_SECRET",
       cxxopts::value<std::string>()->default_value(""))(
-      "author", "Who makes the change, for the audit trail",
+      "author", "Author recorded in the audit trail",
       cxxopts::value<std::string>()->default_value(EnvironmentOrEmpty("USER")))(
       "json", "Print JSON")("h,help", "Print this help")(
       "arguments", "", cxxopts::value<Arguments>()->default_value(""));
@@ -135,6 +139,6 @@
       return static_cast<int>(ExitCode::kUsage);
     }
   }
-  std::cerr << "pollenring: no command '" << name << "'; see --help\n";
+  std::cerr << "pollenring: unknown command '" << name << "'; see --help\n";
   return static_cast<int>(ExitCode::kUsage);
 }
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -139,12 +139,12 @@
 
 int main(int argc, char **argv) {
   cxxopts::Options options{"pollenringd",
-                           "The process beside a target: serves callers, "
-                           "forwards calls, protects its target."};
+                           "Overload control daemon local to a target: "
+                           "admits, sheds, routes and retries calls."};
   options.add_options()("s,settings", "Settings file (TOML)",
                         cxxopts::value<std::string>())(
-      "check", "Check the settings and end")("v,verbose", "Log details")(
-      "h,help", "Print this help");
+      "check", "Check the settings and exit")(
+      "v,verbose", "Enable debug logging")("h,help", "Print this help");
   cxxopts::ParseResult arguments;
   try {
     arguments = options.parse(argc, argv);
