Rename the log event of a failed start

The daemon logged "can't start" when it could not open its sockets or read what it needs at startup. The event is named startup failed, like the other events of a subject and a state. Its level and its field are unchanged, and no test or script matches the old name.

--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -128,7 +128,7 @@
     }
     RunContractRouting(settings, path, loop, random);
   } catch (const std::runtime_error &error) {
-    LogEvent(pollenring::LogLevel::kError, "can't start",
+    LogEvent(pollenring::LogLevel::kError, "startup failed",
              {{"why", error.what()}});
     pollenring::FlushLog();
   }
