Shorten two comments of the stand-in target and cluster script

The brief of the stand-in target spilled onto a line of its own, and the comment of wait_members read as if exactly that number of targets were awaited, while the script accepts more. Both are corrected; no code token and no command differs from the parent commit.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -55,8 +55,8 @@
   eval "TARGET_PID_$1=$!"
 }
 
-# wait_members INDEX COUNT: waits until the node sees COUNT targets and every
-# slot has a holder
+# wait_members INDEX COUNT: waits until the node sees COUNT targets or more and
+# every slot has a holder
 wait_members() {
   local i seen
   for i in $(seq 150); do
--- a/tools/pollenring-standin/target.h
+++ b/tools/pollenring-standin/target.h
@@ -39,8 +39,7 @@
   std::uint64_t seed{1};
 };
 
-/*! @brief Simulated target with slots, a queue, latency and downstream calls.
- */
+/*! @brief Simulated target with slots, queue, latency and downstream calls. */
 class Target {
  public:
   /**
