--- a/examples/embed_admission.cc
+++ b/examples/embed_admission.cc
@@ -16,8 +16,8 @@
                                      : pollenring::Importance::kLow;
     request.deadline = clock.Now() + std::chrono::seconds{1};
     const auto actions = admission.Offer(request);
-    for (const auto started : actions.start) {
-      std::cout << "start " << started << '\n';
+    for (const auto started_id : actions.start) {
+      std::cout << "start " << started_id << '\n';
     }
     for (const auto &shed : actions.shed) {
       std::cout << "shed " << shed.id << ": "
--- a/tools/pollenring-bench/forms.cc
+++ b/tools/pollenring-bench/encodings.cc
@@ -14,7 +14,7 @@
 using pollenring::Member;
 using pollenring::WireVersion;
 
-/*! @brief A record whose fields have short names. */
+/*! @brief Member record encoded with short field names. */
 struct NamedMember {
   struct Target {
     std::string service;
@@ -41,7 +41,7 @@
                      MSGPACK_NVP("i", slots), MSGPACK_NVP("j", wire))
 };
 
-/*! @brief A datagram of gossip whose fields have short names. */
+/*! @brief Gossip datagram encoded with short field names. */
 struct NamedGossip {
   struct Zones {
     std::uint64_t revision{};
@@ -66,14 +66,14 @@
                      MSGPACK_NVP("i", wire))
 };
 
-/*! @brief A header whose fields have short names. */
+/*! @brief Header encoded with short field names. */
 struct NamedHeader {
   std::string name;
   std::string value;
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", name), MSGPACK_NVP("b", value))
 };
 
-/*! @brief A call whose fields have short names. */
+/*! @brief Call envelope encoded with short field names. */
 struct NamedEnvelope : CallEnvelope {
   std::vector<NamedHeader> headers;
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("a", root_id), MSGPACK_NVP("b", workspace),
@@ -91,8 +91,8 @@
                      MSGPACK_NVP("u", retries))
 };
 
-template <typename Some>
-void FillMember(Some &member) {
+template <typename Record>
+void FillMember(Record &member) {
   member.id = 0x7f2a'0101'1b5aU;
   member.process = ~std::uint64_t{};
   member.incarnation = 1'796'000'000'123U;
@@ -105,9 +105,9 @@
   member.wire = 3;
 }
 
-template <typename Some>
-[[nodiscard]] Some MakeGossip(std::size_t updates) {
-  Some gossip;
+template <typename Record>
+[[nodiscard]] Record MakeGossip(std::size_t updates) {
+  Record gossip;
   gossip.from = 0x7f2a'0102'1b5aU;
   gossip.sequence = 70'000;
   gossip.config_version = 12;
@@ -120,9 +120,9 @@
   return gossip;
 }
 
-template <typename Some>
-[[nodiscard]] Some MakeEnvelope() {
-  Some envelope;
+template <typename Record>
+[[nodiscard]] Record MakeEnvelope() {
+  Record envelope;
   envelope.root_id = "01a23e17-f120-7738-8fc6-c2d2b9936849";
   envelope.workspace = "book-club";
   envelope.service = "planner";
@@ -141,7 +141,7 @@
   return envelope;
 }
 
-/*! @brief Packs and unpacks a value, and counts its bytes. */
+/*! @brief Encodes and decodes a value; reports its encoded size. */
 template <typename Value>
 void Measure(benchmark::State &state, const Value &value, WireVersion version) {
   std::size_t bytes = 0;
--- a/tools/pollenring-standin/main.cc
+++ b/tools/pollenring-standin/main.cc
@@ -12,16 +12,17 @@
 
 using pollenring::Address;
 
-constexpr int kBadUsage = 2;
+constexpr int kExitUsage = 2;
 constexpr std::size_t kMaxAnswerBytes = std::size_t{17} * 1024 * 1024;
-constexpr pollenring::Duration kSignalCheck = std::chrono::milliseconds{50};
+constexpr pollenring::Duration kSignalPollPeriod =
+    std::chrono::milliseconds{50};
 
 volatile std::sig_atomic_t stop_requested = 0;
 
 void OnSignal(int /*number*/) { stop_requested = 1; }
 
-[[nodiscard]] std::vector<std::string> Split(const std::string &text,
-                                             char separator) {
+[[nodiscard]] std::vector<std::string> SplitText(const std::string &text,
+                                                 char separator) {
   std::vector<std::string> parts;
   std::istringstream stream{text};
   std::string part;
@@ -29,18 +30,18 @@
   return parts;
 }
 
-[[nodiscard]] Address ToAddress(const std::string &text) {
+[[nodiscard]] Address ParseAddress(const std::string &text) {
   const auto address = Address::Parse(text);
   if (address) return *address;
-  std::cerr << "pollenring-standin: '" << text << "' is no address\n";
-  std::exit(kBadUsage);
+  std::cerr << "pollenring-standin: '" << text << "' is not an address\n";
+  std::exit(kExitUsage);
 }
 
 /*! @brief Reads `service:/path,service:/path`. */
 [[nodiscard]] std::vector<standin::Downstream> ReadCalls(
     const std::string &text) {
   std::vector<standin::Downstream> calls;
-  for (const auto &part : Split(text, ',')) {
+  for (const auto &part : SplitText(text, ',')) {
     const auto colon = part.find(':');
     if (colon == std::string::npos) continue;
     calls.push_back({part.substr(0, colon), part.substr(colon + 1)});
@@ -52,11 +53,11 @@
 [[nodiscard]] std::map<std::string, std::vector<Address>> ReadDirect(
     const std::string &text) {
   std::map<std::string, std::vector<Address>> direct;
-  for (const auto &part : Split(text, ',')) {
+  for (const auto &part : SplitText(text, ',')) {
     const auto equals = part.find('=');
     if (equals == std::string::npos) continue;
-    for (const auto &address : Split(part.substr(equals + 1), '+')) {
-      direct[part.substr(0, equals)].push_back(ToAddress(address));
+    for (const auto &address : SplitText(part.substr(equals + 1), '+')) {
+      direct[part.substr(0, equals)].push_back(ParseAddress(address));
     }
   }
   return direct;
@@ -75,7 +76,7 @@
         platform.Handle(request, std::move(responder));
       }};
   server.Open();
-  loop.Every(kSignalCheck, [&loop] {
+  loop.Every(kSignalPollPeriod, [&loop] {
     if (stop_requested != 0) loop.Stop();
   });
   loop.Run();
@@ -96,7 +97,7 @@
         target.Handle(std::move(request), std::move(responder));
       }};
   server.Open();
-  loop.Every(kSignalCheck, [&target] {
+  loop.Every(kSignalPollPeriod, [&target] {
     if (stop_requested != 0) target.Drain();
   });
   target.Start();
@@ -108,33 +109,33 @@
 
 int main(int argc, char **argv) {
   cxxopts::Options options{"pollenring-standin",
-                           "A small platform or a target, for tests and the "
+                           "Simulated platform or target, for tests and the "
                            "quick start only."};
   options.positional_help("platform|target");
   options.add_options()("role", "platform or target",
                         cxxopts::value<std::string>())(
-      "listen", "Own address", cxxopts::value<std::string>())(
-      "node", "Target port of the node beside this target",
+      "listen", "Address to listen on", cxxopts::value<std::string>())(
+      "node", "Target port of the local node",
       cxxopts::value<std::string>()->default_value(""))(
       "secret", "Secret for announcements",
       cxxopts::value<std::string>()->default_value(""))(
       "service", "Service of this target",
       cxxopts::value<std::string>()->default_value("service"))(
-      "slots", "Requests it runs at once",
+      "slots", "Requests run concurrently",
       cxxopts::value<std::uint32_t>()->default_value("8"))(
-      "latency-ms", "Mean time of a request",
+      "latency-ms", "Mean service time of a request",
       cxxopts::value<double>()->default_value("5"))(
-      "calls", "Calls for each request: service:/path,...",
+      "calls", "Downstream calls of each request: service:/path,...",
       cxxopts::value<std::string>()->default_value(""))(
-      "direct", "Call without nodes: service=address+address,...",
+      "direct", "Call targets directly: service=address+address,...",
       cxxopts::value<std::string>()->default_value(""))(
-      "naive-retries", "Retries per call without nodes",
+      "naive-retries", "Retries of each downstream call",
       cxxopts::value<int>()->default_value("0"))(
-      "fixed-limit", "Refuse above this many requests; 0 for no limit",
+      "fixed-limit", "Limit of running and queued requests; 0 for no limit",
       cxxopts::value<std::size_t>()->default_value("0"))(
-      "cold-start-ms", "Time in which it calls itself cold",
+      "cold-start-ms", "Time after start in which it announces itself as cold",
       cxxopts::value<std::int64_t>()->default_value("0"))(
-      "seed", "Seed of its latencies",
+      "seed", "Seed of the random service times",
       cxxopts::value<std::uint64_t>()->default_value("1"))("h,help",
                                                            "Print this help");
   options.parse_positional({"role"});
@@ -143,7 +144,7 @@
     if (arguments.count("help") > 0 || arguments.count("role") == 0 ||
         arguments.count("listen") == 0) {
       std::cout << options.help() << '\n';
-      return arguments.count("help") > 0 ? EXIT_SUCCESS : kBadUsage;
+      return arguments.count("help") > 0 ? EXIT_SUCCESS : kExitUsage;
     }
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGTERM, OnSignal);
@@ -151,16 +152,16 @@
     const auto text = [&](const char *name) {
       return arguments[name].as<std::string>();
     };
-    const Address listen = ToAddress(text("listen"));
+    const Address listen = ParseAddress(text("listen"));
     if (text("role") == "platform") return RunPlatform(listen);
     if (text("role") != "target") {
       std::cerr << "pollenring-standin: role must be platform or target\n";
-      return kBadUsage;
+      return kExitUsage;
     }
     standin::TargetOptions target;
     target.service = text("service");
     target.address = listen;
-    if (!text("node").empty()) target.node = ToAddress(text("node"));
+    if (!text("node").empty()) target.node = ParseAddress(text("node"));
     target.secret = text("secret");
     target.slots = arguments["slots"].as<std::uint32_t>();
     target.latency_ms = arguments["latency-ms"].as<double>();
@@ -174,6 +175,6 @@
     return RunTarget(target);
   } catch (const cxxopts::exceptions::exception &error) {
     std::cerr << "pollenring-standin: " << error.what() << "; see --help\n";
-    return kBadUsage;
+    return kExitUsage;
   }
 }
--- a/tools/pollenring-standin/target.h
+++ b/tools/pollenring-standin/target.h
@@ -16,53 +16,51 @@
 
 namespace standin {
 
-/*! @brief A call that a target makes for each request. */
+/*! @brief Downstream call made for each request. */
 struct Downstream {
   std::string service;
   std::string path;
 };
 
-/*! @brief How a target behaves. */
+/*! @brief Configuration of a target. */
 struct TargetOptions {
   std::string service;
   pollenring::Address address;
-  pollenring::Address node; /*!< The node beside it; unused when direct. */
+  pollenring::Address node; /*!< Its local node; unused with `direct`. */
   std::string secret;
   std::uint32_t slots{8};
   double latency_ms{5};
-  bool keeps_calls{}; /*!< Goes on when its caller has gone. */
+  bool continues_after_disconnect{};
   std::vector<Downstream> downstream;
   std::map<std::string, std::vector<pollenring::Address>> direct;
-  int naive_retries{};       /*!< Used without a node only. */
-  std::size_t fixed_limit{}; /*!< Refuse above it; 0 for no limit. */
+  int naive_retries{};       /*!< Retries per downstream call. */
+  std::size_t fixed_limit{}; /*!< Rejects at this load; 0: no limit. */
   pollenring::Duration cold_start{};
   std::uint64_t seed{1};
 };
 
-/**
- * @brief A target with slots, a queue, a latency and calls to other services.
- */
+/*! @brief Simulated target with slots, queue, latency and downstream calls. */
 class Target {
  public:
   /**
-   * @brief Starts idle.
-   * @param options Behaviour.
-   * @param loop The loop.
-   * @param client Client for its own calls.
+   * @brief Constructs an idle target.
+   * @param options Configuration.
+   * @param loop Event loop; stopped once drained.
+   * @param client Client for announcements and downstream calls.
    */
   Target(TargetOptions options, pollenring::Loop &loop,
          pollenring::HttpClient &client);
 
-  /*! @brief Announces itself again and again. */
+  /*! @brief Starts periodic announcements to its node. */
   void Start();
 
-  /*! @brief Drains: tells the node, finishes its requests, ends the loop. */
+  /*! @brief Announces draining, finishes its requests, stops the loop. */
   void Drain();
 
   /**
-   * @brief Takes one request.
+   * @brief Handles one request.
    * @param request The request.
-   * @param responder Receives its answer.
+   * @param responder Receives the response.
    */
   void Handle(pollenring::HttpRequest request,
               std::shared_ptr<pollenring::Responder> responder);
@@ -72,7 +70,7 @@
     pollenring::HttpRequest request;
     std::shared_ptr<pollenring::Responder> responder;
     std::size_t next_call{};
-    bool gone{};
+    bool caller_disconnected{};
     pollenring::Time deadline{};
     pollenring::HttpClient::CallId call{};
   };
@@ -81,11 +79,11 @@
   void Announce();
   void Control(const std::string &body);
   [[nodiscard]] std::string Report() const;
-  void Record(const Work &work);
+  void RecordArrival(const Work &work);
   void Begin(const WorkPtr &work);
-  void CallNext(const WorkPtr &work, int tries_left);
+  void CallNext(const WorkPtr &work, int retries_left);
   void Finish(const WorkPtr &work, int status, std::string body);
-  [[nodiscard]] pollenring::Address PeerFor(const std::string &service);
+  [[nodiscard]] pollenring::Address AddressFor(const std::string &service);
   [[nodiscard]] pollenring::Duration ServiceTime();
 
   TargetOptions options;
@@ -102,7 +100,7 @@
   std::vector<std::string> forbidden;
   std::uint64_t forbidden_seen{};
   bool draining{};
-  pollenring::Time started;
+  pollenring::Time start_time;
 };
 
 }  // namespace standin
--- a/tools/pollenring/main.cc
+++ b/tools/pollenring/main.cc
@@ -16,20 +16,20 @@
   const char *name;
   const char *arguments;
   const char *help;
-  std::size_t fewest;
+  std::size_t min_arguments;
   std::function<ExitCode(const CommonOptions &, const Arguments &)> run;
 };
 
 [[nodiscard]] ExitCode RunKeys(const CommonOptions &common,
                                const Arguments &arguments) {
-  const std::string &what = arguments.front();
-  if (what == "list") return cli::ListKeys(common);
+  const std::string &action = arguments.front();
+  if (action == "list") return cli::ListKeys(common);
   if (arguments.size() < 2) {
-    std::cerr << "pollenring: keys " << what << " needs an argument\n";
+    std::cerr << "pollenring: keys " << action << " needs an argument\n";
     return ExitCode::kUsage;
   }
-  if (what == "issue") return cli::IssueKey(common, arguments[1]);
-  if (what == "withdraw") return cli::WithdrawKey(common, arguments[1]);
+  if (action == "issue") return cli::IssueKey(common, arguments[1]);
+  if (action == "withdraw") return cli::WithdrawKey(common, arguments[1]);
   std::cerr << "pollenring: keys issue WORKSPACE | withdraw KEY | list\n";
   return ExitCode::kUsage;
 }
@@ -39,21 +39,22 @@
       {"check", "FILE|FOLDER...", "Check contract files; report all findings.",
        1, cli::Check},
       {"publish", "FILE|FOLDER...",
-       "Check contract files and put them into force as one version.", 1,
-       cli::Publish},
+       "Check contract files and activate them as one configuration version.",
+       1, cli::Publish},
       {"diff", "FILE|FOLDER...", "Show what publishing would change.", 1,
        cli::Diff},
-      {"status", "", "Show a node and what it knows of the others.", 0,
+      {"status", "", "Show the state of a node and its view of the members.", 0,
        [](const CommonOptions &common, const Arguments &) {
          return cli::Status(common);
        }},
       {"keys", "issue WORKSPACE | withdraw KEY-OR-DIGEST | list",
-       "Issue, withdraw or list callers' keys.", 1, RunKeys},
-      {"audit", "", "Show who changed what, refused attempts included.", 0,
+       "Issue, withdraw or list keys of callers.", 1, RunKeys},
+      {"audit", "", "Show the audit trail, including refused changes.", 0,
        [](const CommonOptions &common, const Arguments &) {
          return cli::Audit(common);
        }},
-      {"drain", "", "Make a node leave; it finishes what is in progress.", 0,
+      {"drain", "",
+       "Drain a node: it finishes requests in progress, then exits.", 0,
        [](const CommonOptions &common, const Arguments &) {
          return cli::Drain(common);
        }},
@@ -67,13 +68,15 @@
     std::cout << "  " << command.name << ' ' << command.arguments << "\n      "
               << command.help << '\n';
   }
-  std::cout << "\nEach command has --help. Exit codes: 0 done, 1 refused, 2 "
-               "wrong usage,\n3 findings, 4 another operator came first, 5 no "
-               "answer (nothing changed),\n6 committed or unknown, not "
-               "confirmed in every zone.\n";
+  std::cout
+      << "\nRun a command with --help for its options. Exit codes: 0 "
+         "success, 1 refused,\n2 usage error, 3 findings, 4 conflict with "
+         "another operator's change, 5 node or\nplatform unreachable "
+         "(nothing changed), 6 committed or unknown, not confirmed in\n"
+         "every zone.\n";
 }
 
-[[nodiscard]] std::string FromEnvironment(const char *name) {
+[[nodiscard]] std::string EnvironmentOrEmpty(const char *name) {
   const char *value = std::getenv(name);
   return value == nullptr ? "" : value;
 }
@@ -84,11 +87,12 @@
   options.positional_help(command.arguments);
   options.add_options()("node", "Operator port of a node",
                         cxxopts::value<std::string>()->default_value(
-                            FromEnvironment("POLLENRING_NODE")))(
-      "secret", "Operators' secret; better given as POLLENRING_OPERATOR_SECRET",
+                            EnvironmentOrEmpty("POLLENRING_NODE")))(
+      "secret",
+      "Operators' secret; prefer the variable POLLENRING_OPERATOR_SECRET",
       cxxopts::value<std::string>()->default_value(""))(
-      "author", "Who makes the change, for the audit trail",
-      cxxopts::value<std::string>()->default_value(FromEnvironment("USER")))(
+      "author", "Author recorded in the audit trail",
+      cxxopts::value<std::string>()->default_value(EnvironmentOrEmpty("USER")))(
       "json", "Print JSON")("h,help", "Print this help")(
       "arguments", "", cxxopts::value<Arguments>()->default_value(""));
   options.parse_positional({"arguments"});
@@ -101,7 +105,7 @@
   common.node = parsed["node"].as<std::string>();
   common.secret = parsed["secret"].as<std::string>();
   if (common.secret.empty()) {
-    common.secret = FromEnvironment("POLLENRING_OPERATOR_SECRET");
+    common.secret = EnvironmentOrEmpty("POLLENRING_OPERATOR_SECRET");
   }
   common.author = parsed["author"].as<std::string>();
   if (common.author.empty()) common.author = "unknown";
@@ -110,7 +114,7 @@
   if (parsed.count("arguments") > 0) {
     arguments = parsed["arguments"].as<Arguments>();
   }
-  if (arguments.size() < command.fewest) {
+  if (arguments.size() < command.min_arguments) {
     std::cerr << "pollenring: " << command.name << " needs "
               << command.arguments << "; see --help\n";
     return static_cast<int>(ExitCode::kUsage);
@@ -135,6 +139,6 @@
       return static_cast<int>(ExitCode::kUsage);
     }
   }
-  std::cerr << "pollenring: no command '" << name << "'; see --help\n";
+  std::cerr << "pollenring: unknown command '" << name << "'; see --help\n";
   return static_cast<int>(ExitCode::kUsage);
 }
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -22,9 +22,10 @@
 using pollenring::Diagnostics;
 using pollenring::Settings;
 
-constexpr int kBadUsage = 2;
-constexpr int kCantStart = 1;
-constexpr pollenring::Duration kSignalCheck = std::chrono::milliseconds{50};
+constexpr int kExitUsage = 2;
+constexpr int kExitStartupFailed = 1;
+constexpr pollenring::Duration kSignalPollPeriod =
+    std::chrono::milliseconds{50};
 
 volatile std::sig_atomic_t stop_requested = 0;
 volatile std::sig_atomic_t reload_requested = 0;
@@ -53,32 +54,32 @@
             {"nodes", settings.nodes.Format()}});
 }
 
-/*! @brief Reads the settings again and tells what became of them; all of them
- * name sockets, so a change takes effect at the next start. */
-void CheckReload(const std::string &path, const Settings &in_force) {
+/*! @brief Reads the settings again and logs whether they are valid. All of them
+ * concern sockets, so a change takes effect at the next start only. */
+void CheckReload(const std::string &path, const Settings &active) {
   const auto text = ReadFile(path);
   Diagnostics diagnostics;
   Settings settings;
   if (text) settings = pollenring::ReadSettings({path, *text}, diagnostics);
   const bool readable = text && diagnostics.empty();
-  const bool same = readable && settings.callers == in_force.callers &&
-                    settings.nodes == in_force.nodes &&
-                    settings.platform == in_force.platform;
+  const bool same_addresses = readable && settings.callers == active.callers &&
+                              settings.nodes == active.nodes &&
+                              settings.platform == active.platform;
   LogEvent(
       readable ? pollenring::LogLevel::kInfo : pollenring::LogLevel::kWarning,
       "reload",
       {{"readable", readable},
        {"findings", diagnostics.size()},
-       {"same_addresses", same}});
+       {"same_addresses", same_addresses}});
 }
 
-/*! @brief Runs a node until it has left; an error that nothing has caught by
- * then ends the process. */
+/*! @brief Runs a node until its drain has completed; noexcept, so an uncaught
+ * error terminates the process. */
 template <typename Node>
 [[noreturn]] void RunLoop(pollenring::Loop &loop, Node &node,
                           const Settings &settings,
                           const std::string &path) noexcept {
-  loop.Every(kSignalCheck, [&] {
+  loop.Every(kSignalPollPeriod, [&] {
     if (stop_requested != 0) node.Leave();
     if (std::exchange(reload_requested, 0) != 0) CheckReload(path, settings);
     pollenring::FlushLog();
@@ -87,18 +88,18 @@
   loop.Run();
   LogEvent(pollenring::LogLevel::kInfo, "stopped");
   pollenring::FlushLog();
-  // Parts refer to each other; the process's end takes them all together.
+  // Skips destructors, since components refer to each other.
   std::_Exit(EXIT_SUCCESS);
 }
 
-void RunByContracts(const Settings &settings, const std::string &path,
-                    pollenring::Loop &loop, pollenring::Random &random) {
+void RunContractRouting(const Settings &settings, const std::string &path,
+                        pollenring::Loop &loop, pollenring::Random &random) {
   pollenring::Node node{settings, loop, random};
   RunLoop(loop, node, settings, path);
 }
 
-void RunByHosts(const Settings &settings, const std::string &path,
-                pollenring::Loop &loop, pollenring::Random &random) {
+void RunHostRouting(const Settings &settings, const std::string &path,
+                    pollenring::Loop &loop, pollenring::Random &random) {
   pollenring::HttpClient client{loop, {pollenring::kMaxBodyBytes}};
   pollenring::StoreClient store_client{client, settings.platform};
   pollenring::platform::Store store{store_client};
@@ -123,33 +124,33 @@
   std::signal(SIGHUP, OnSignal);
   try {
     if (settings.routes == pollenring::RouteForm::kHost) {
-      RunByHosts(settings, path, loop, random);
+      RunHostRouting(settings, path, loop, random);
     }
-    RunByContracts(settings, path, loop, random);
+    RunContractRouting(settings, path, loop, random);
   } catch (const std::runtime_error &error) {
-    LogEvent(pollenring::LogLevel::kError, "can't start",
+    LogEvent(pollenring::LogLevel::kError, "startup failed",
              {{"why", error.what()}});
     pollenring::FlushLog();
   }
-  return kCantStart;
+  return kExitStartupFailed;
 }
 
 }  // namespace
 
 int main(int argc, char **argv) {
   cxxopts::Options options{"pollenringd",
-                           "The process beside a target: serves callers, "
-                           "forwards calls, protects its target."};
+                           "Overload control daemon local to a target: "
+                           "admits, sheds, routes and retries calls."};
   options.add_options()("s,settings", "Settings file (TOML)",
                         cxxopts::value<std::string>())(
-      "check", "Check the settings and end")("v,verbose", "Log details")(
-      "h,help", "Print this help");
+      "check", "Check the settings and exit")(
+      "v,verbose", "Enable debug logging")("h,help", "Print this help");
   cxxopts::ParseResult arguments;
   try {
     arguments = options.parse(argc, argv);
   } catch (const cxxopts::exceptions::exception &error) {
     std::cerr << "pollenringd: " << error.what() << "; see --help\n";
-    return kBadUsage;
+    return kExitUsage;
   }
   if (arguments.count("help") > 0) {
     std::cout << options.help() << '\n';
@@ -157,20 +158,20 @@
   }
   if (arguments.count("settings") == 0) {
     std::cerr << "pollenringd: --settings FILE is required; see --help\n";
-    return kBadUsage;
+    return kExitUsage;
   }
   const auto path = arguments["settings"].as<std::string>();
   const auto text = ReadFile(path);
   if (!text) {
     std::cerr << "pollenringd: can't read " << path << '\n';
-    return kBadUsage;
+    return kExitUsage;
   }
   Diagnostics diagnostics;
   const Settings settings =
       pollenring::ReadSettings({path, *text}, diagnostics);
   for (const auto &diagnostic : diagnostics)
     std::cerr << diagnostic.Format() << '\n';
-  if (!diagnostics.empty()) return kBadUsage;
+  if (!diagnostics.empty()) return kExitUsage;
   if (arguments.count("check") > 0) return EXIT_SUCCESS;
   const bool verbose = arguments.count("verbose") > 0;
   pollenring::SetUpLog("pollenringd", verbose ? pollenring::LogLevel::kDebug
