Reword comments of the test support

Comments spoke of telling, calm and surroundings where the field says report, undisturbed and dependencies, so a newcomer had to guess.

--- a/test/support/cluster.cc
+++ b/test/support/cluster.cc
@@ -159,7 +159,7 @@
           const Json status = this->Status(node);
           if (!status.is_object()) return false;
           if (status.value("slots_without_holder", 1) != 0) return false;
-          // Alone a node has no witness but itself, so nobody to succeed it.
+          // A single node has no witness but itself, so nobody can take over.
           const bool alone = nodes.size() == 1;
           const auto fragile = status.value("slots_without_witness", 1);
           if (fragile != 0 && !alone) return false;
--- a/test/support/cluster.h
+++ b/test/support/cluster.h
@@ -24,40 +24,43 @@
   std::string calls;
 };
 
-/*! @brief Real processes on loopback addresses, started and ended by a test. */
+/*! @brief Real processes on loopback addresses, owned by a test. */
 class Cluster {
  public:
   /**
    * @brief Starts the platform.
-   * @param net Third number of the addresses; one per test.
+   * @param net Third octet of the addresses, unique per test.
    */
   explicit Cluster(int net);
   Cluster(const Cluster &) = delete;
   Cluster &operator=(const Cluster &) = delete;
   ~Cluster();
 
-  /*! @brief Starts a node. @param index From 1. @param zone Its zone. */
+  /*! @brief Starts a node. @param index From 1. @param zone Availability zone.
+   */
   void StartNode(int index, const std::string &zone);
 
-  /*! @brief Starts the target beside a node. */
+  /*! @brief Starts the target local to a node. */
   void StartTarget(int index, const TargetSpec &spec);
 
   void StartPlatform();
   void Signal(const std::string &process, int signal);
-  /*! @brief Waits for a process to end. @return Its exit code, if in time. */
+  /*! @brief Waits for a process to end. @return Its exit code, or nothing after
+   * the limit. */
   [[nodiscard]] std::optional<int> AwaitEnd(const std::string &process,
                                             std::chrono::seconds limit);
 
-  /*! @brief Waits until nodes see targets, slots have holders, and nodes agree
-   * on the version. */
+  /*! @brief Waits until all nodes list all targets, all slots have holders and
+   * witnesses, and all nodes have the same configuration version. */
   [[nodiscard]] bool AwaitReady(const std::vector<int> &nodes, int targets);
 
-  /*! @brief Waits until a condition holds, running the loop meanwhile. */
+  /*! @brief Runs the loop until a condition holds. @return False after the
+   * limit. */
   [[nodiscard]] bool Await(const std::function<bool()> &condition,
                            std::chrono::milliseconds limit);
   void Run(std::chrono::milliseconds length);
 
-  /*! @brief Performs a request and waits for its answer. */
+  /*! @brief Sends a request and waits for the response. */
   [[nodiscard]] std::optional<pollenring::HttpResponse> Call(
       const pollenring::Address &to, const pollenring::HttpRequest &request,
       std::chrono::milliseconds timeout = std::chrono::seconds{8});
@@ -75,9 +78,10 @@
   void ControlPlatform(const nlohmann::json &body);
   void ControlTarget(int target, const nlohmann::json &body);
 
-  /*! @brief Publishes documents through a node. @return Its status code. */
+  /*! @brief Publishes documents through a node. @return HTTP status, or 0
+   * without a response. */
   int Publish(int node, const std::map<std::string, std::string> &documents);
-  /*! @brief Issues a key. @return The key. */
+  /*! @brief Issues a key for a workspace. @return The key, empty on failure. */
   std::string IssueKey(int node, const std::string &workspace);
   int WithdrawKey(int node, const std::string &key);
 
@@ -99,10 +103,11 @@
   std::map<std::string, pid_t> processes;
 };
 
-/*! @brief Contracts of a three-deep graph: front, middle, back; and orders. */
+/*! @brief Contracts of the chain front, middle, back, and of orders. */
 [[nodiscard]] std::map<std::string, std::string> GraphDocuments();
 
-/*! @brief Starts three nodes with front, middle and back, and three more. */
+/*! @brief Starts six nodes with two targets each of front and middle, and one
+ * each of back and orders. */
 void StartGraph(Cluster &cluster);
 
 }  // namespace support
--- a/test/support/daemon.h
+++ b/test/support/daemon.h
@@ -15,10 +15,11 @@
 
 namespace support {
 
-/*! @brief One daemon as its own process, for routes that are found by host. */
+/*! @brief One daemon process that routes by host. */
 class Daemon {
  public:
-  /*! @brief Starts it. @param settings Its settings. */
+  /*! @brief Starts the process. @param settings Settings to write to its file.
+   */
   explicit Daemon(const pollenring::Settings &settings) {
     std::string pattern =
         (std::filesystem::temp_directory_path() / "pollenring-XXXXXX").string();
@@ -61,13 +62,13 @@
     std::filesystem::remove_all(this->folder);
   }
 
-  /*! @brief Whether its process has ended. @return So. */
+  /*! @return True if the process has ended. */
   [[nodiscard]] bool Ended() {
     if (!this->ended) this->ended = waitpid(this->pid, nullptr, WNOHANG) != 0;
     return this->ended;
   }
 
-  /*! @brief What it has printed so far. @return The lines. */
+  /*! @return Standard output and standard error up to this point. */
   [[nodiscard]] std::string Log() const {
     std::ifstream file{this->folder + "/log"};
     return {std::istreambuf_iterator<char>{file}, {}};
--- a/test/support/endless_peer.h
+++ b/test/support/endless_peer.h
@@ -15,10 +15,10 @@
 
 namespace support {
 
-/*! @brief A server that sends bytes without end on its one connection. */
+/*! @brief A server that sends bytes endlessly on its only connection. */
 class EndlessPeer {
  public:
-  /*! @param head Sent once. @param piece Sent again and again. */
+  /*! @param head Sent once. @param piece Sent repeatedly afterwards. */
   EndlessPeer(std::string head, std::string piece)
       : head{std::move(head)},
         piece{std::move(piece)},
@@ -46,7 +46,8 @@
     return this->address;
   }
 
-  /*! @brief Waits until the caller has closed the connection. @return So. */
+  /*! @brief Waits up to 2 s for the client to close the connection.
+   * @return True if it was closed. */
   [[nodiscard]] bool Closed() {
     return this->closed.get_future().wait_for(std::chrono::seconds{2}) ==
            std::future_status::ready;
--- a/test/support/fake_network.h
+++ b/test/support/fake_network.h
@@ -14,7 +14,7 @@
 using pollenring::Duration;
 using pollenring::Time;
 
-/*! @brief A clock that runs a little too fast or too slow. */
+/*! @brief A clock with constant drift and offset. */
 class DriftingClock final : public pollenring::Clock {
  public:
   DriftingClock(const pollenring::Clock &truth, double speed, Duration offset)
@@ -35,7 +35,7 @@
   Duration offset;
 };
 
-/*! @brief Delivers events late, twice, out of order or never. */
+/*! @brief A simulated network that delays, duplicates, reorders and drops. */
 class FakeNetwork {
  public:
   FakeNetwork(pollenring::ManualClock &truth, pollenring::Random &random)
@@ -71,7 +71,7 @@
            Duration{static_cast<std::int64_t>(this->random.Index(width))};
   }
 
-  /*! @brief Moves time forward and runs what falls due. */
+  /*! @brief Advances the clock and runs all events due by then. */
   void RunUntil(Time until) {
     while (!this->events.empty() && this->events.begin()->first <= until) {
       auto node = this->events.extract(this->events.begin());
--- a/test/support/faulty_codecs.h
+++ b/test/support/faulty_codecs.h
@@ -13,21 +13,22 @@
 
 namespace support {
 
-/*! @brief Identifier of a request whose answer can't be handled. */
+/*! @brief Request id whose response makes the target codec throw. */
 inline constexpr const char *kFailsInside = "fails-inside";
-/*! @brief Identifier of a request whose answer shows a rule broken. */
+/*! @brief Request id whose response violates an invariant. */
 inline constexpr const char *kBreaksRule = "breaks-rule";
 
-/*! @brief Identifier of a request whose answer can't be written. */
+/*! @brief Request id whose successful response can't be encoded. */
 inline constexpr const char *kUnwritable = "unwritable";
-/*! @brief Identifier of a request that can't be answered in any way. */
+/*! @brief Request id for which no response can be encoded, not even an error.
+ */
 inline constexpr const char *kUnanswerable = "unanswerable";
-/*! @brief Identifier of a request that can't be written for a target. */
+/*! @brief Request id that can't be encoded for a target. */
 inline constexpr const char *kUnsendable = "unsendable";
-/*! @brief Begins identifiers of requests whose answers can't be passed on. */
+/*! @brief Prefix of request ids whose responses can't be forwarded. */
 inline constexpr std::string_view kUnpassable = "unpassable";
 
-/*! @brief The platform's codec, with errors in reading some answers. */
+/*! @brief The platform's target codec; throws for the request ids above. */
 class FaultyTargets final : public pollenring::TargetCodec {
  public:
   void AddHeaders(const pollenring::TargetCall &call,
@@ -63,7 +64,7 @@
   pollenring::platform::HttpTargetCodec sound;
 };
 
-/*! @brief The platform's codec, unable to write some answers. */
+/*! @brief The platform's caller codec; throws for the request ids above. */
 class FaultyCallers final : public pollenring::CallerCodec {
  public:
   [[nodiscard]] pollenring::CallerRequest Decode(
--- a/test/support/fleet_journal.cc
+++ b/test/support/fleet_journal.cc
@@ -19,7 +19,7 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 
-/*! @brief Whether a status promises that a request never runs. */
+/*! @return True if a status guarantees that the request is never executed. */
 [[nodiscard]] bool IsPromise(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
@@ -92,7 +92,7 @@
   RunsById by_id;
   for (const auto &run : this->runs) by_id[run.id].push_back(&run);
   for (const auto &[id, call] : this->calls) {
-    // The last ones are still waiting when the run ends.
+    // The last calls are still pending when the run ends.
     if (call.ended == Time{}) continue;
     this->JudgeAnswer(id, call, by_id, found);
     this->JudgeRoute(id, call, found);
@@ -130,7 +130,8 @@
     found.push_back({FleetRule::kRefused, call.sent, told});
   }
   if (call.error && !pollenring::WasNotSent(*call.error)) {
-    // A request that crosses the node's close and is not passed on may be lost.
+    // A request sent while the node closes the connection, and not forwarded,
+    // may be lost.
     const bool read = ran > 0 || call.ended - call.sent > kLossSlack;
     if (read && !this->Excused(call)) {
       found.push_back({FleetRule::kLost, call.sent,
--- a/test/support/fleet_journal.h
+++ b/test/support/fleet_journal.h
@@ -13,22 +13,21 @@
 
 namespace support {
 
-/*! @brief The rules that a fleet is judged by. */
+/*! @brief Rules that a fleet must not violate. */
 enum class FleetRule {
-  kLost,    /*!< A request was read, and its connection brought no answer. */
-  kTwice,   /*!< An unsafe request ran more than once. */
-  kRefused, /*!< An unsafe request was refused and runs. */
-  kQuota,   /*!< A workspace got more than its rate. */
-  kEvac,    /*!< A request reached a withdrawn zone's target. */
-  kConfig,  /*!< An older configuration is in force. */
-  kMixed,   /*!< An answer belongs to another request. */
-  kUnasked, /*!< A target was told of another caller, workspace or deadline. */
-  kMember,  /*!< A living member is missing. */
-  kCall,    /*!< In a calm fleet a call was not served. */
-  kEnd      /*!< A process ended by itself, or didn't start or end in time. */
+  kLost,    /*!< A request was read but got no response. */
+  kTwice,   /*!< A non-idempotent request ran more than once. */
+  kRefused, /*!< A non-idempotent request ran though it was rejected. */
+  kQuota,   /*!< A workspace exceeded its rate limit. */
+  kEvac,    /*!< A request reached a target in a withdrawn zone. */
+  kConfig,  /*!< An outdated configuration is active. */
+  kMixed,   /*!< A response belongs to another request. */
+  kUnasked, /*!< A target got a wrong caller, workspace or deadline. */
+  kMember,  /*!< A live member is missing from a member list. */
+  kCall,    /*!< A call was not served while nothing was disturbed. */
+  kEnd      /*!< A process exited, or didn't start or stop in time. */
 };
 
-/*! @brief Names of the rules. */
 inline constexpr pollenring::EnumTable<FleetRule, 11> kFleetRuleNames{{{
     {FleetRule::kLost, "LOST"},
     {FleetRule::kTwice, "TWICE"},
@@ -43,102 +42,108 @@
     {FleetRule::kEnd, "END"},
 }}};
 
-/*! @brief One broken rule. */
+/*! @brief One violation of a rule. */
 struct Breach {
   FleetRule rule{};
   pollenring::Time at{};
   std::string what;
 };
 
-/*! @brief Why a node is not in touch. */
+/*! @brief Why a node is disturbed. */
 enum class Trouble { kStart, kStop, kKill, kPause };
 
-/*! @brief What a request of the load expects. */
+/*! @brief Expected outcome of a request. */
 enum class Expected { kServed, kMayBeRefused, kRouteThere, kRouteGone };
 
-/*! @brief One request of a caller and what became of it. */
+/*! @brief One request of a caller and its outcome. */
 struct FleetCall {
-  int entry{};                /*!< Number of the node that it was sent to. */
-  std::string build;          /*!< Of that node. */
-  std::string caller_service; /*!< Beside that node. */
+  int entry{};                /*!< Node that it was sent to, from 1. */
+  std::string build;          /*!< Build of that node. */
+  std::string caller_service; /*!< Service local to that node. */
   std::string service;
   std::string workspace;
   bool unsafe{};
   Expected expected{Expected::kServed};
   pollenring::Time sent{};
-  pollenring::Time ended{}; /*!< 0 while it waits. */
-  int status{};             /*!< 0 without an answer. */
+  pollenring::Time ended{}; /*!< 0 while pending. */
+  int status{};             /*!< 0 without a response. */
   std::optional<pollenring::CallError> error;
   std::string body;
 };
 
-/*! @brief One request that a target began to work on. */
+/*! @brief One request that a target started to execute. */
 struct FleetRun {
   std::string id;
-  int node{};        /*!< Number of the node beside the target. */
-  std::string build; /*!< Of that node. */
+  int node{};        /*!< Node local to the target, from 1. */
+  std::string build; /*!< Build of that node. */
   pollenring::Time at{};
   std::string workspace;
   std::string caller_service;
   std::int64_t deadline_ms{};
 };
 
-/*! @brief A workspace's limit. */
+/*! @brief Rate limit of a workspace. */
 struct FleetQuota {
   std::string workspace;
   double rate_per_s{};
   double burst{};
 };
 
-/*! @brief What callers, targets and the operator saw, and who was disturbed. */
+/*! @brief Records calls, executions, disturbances and operator changes, and
+ * checks them against the rules. */
 class FleetJournal {
  public:
   static constexpr pollenring::Duration kContact = std::chrono::seconds{3};
   static constexpr pollenring::Duration kConfigApply = std::chrono::seconds{2};
   static constexpr pollenring::Duration kEvacuation = std::chrono::seconds{5};
-  /*! @brief What each caller states as its time. */
+  /*! @brief Deadline that each caller sends. */
   static constexpr pollenring::Duration kDeadline =
       std::chrono::milliseconds{1400};
 
-  /*! @brief Begins with nothing seen. @param quota The limit that is watched.
-   * @param blind_builds Builds that know nothing of withdrawn zones. */
+  /*! @param quota Rate limit to check.
+   * @param blind_builds Builds without support for withdrawn zones. */
   FleetJournal(FleetQuota quota, std::set<std::string> blind_builds);
 
-  /*! @brief Tells that a node is disturbed from now until `Settled`. */
+  /*! @brief Records that a node is disturbed until `Settled`. */
   void Disturbed(int node, Trouble why, pollenring::Time at);
-  /*! @brief Tells that what disturbed a node is over. */
+  /*! @brief Records that a node's disturbances have ended. */
   void Settled(int node, pollenring::Time at);
-  /*! @brief Tells that the operator changed something. */
+  /*! @brief Records a change by the operator. */
   void Changed(pollenring::Time at) { this->changes.push_back(at); }
-  /*! @brief Tells that a zone's nodes are withdrawn, or given back. */
+  /*! @brief Records that a zone's nodes are withdrawn or restored. */
   void Withdrawn(const std::set<int> &nodes, bool withdrawn,
                  pollenring::Time at);
 
   void Begin(const std::string &id, FleetCall call);
-  /*! @brief The call of an id. @return It; it must have begun. */
+  /*! @brief Finds a call. @return The call of an id; it must have begun. */
   [[nodiscard]] FleetCall &CallOf(const std::string &id) {
     return this->calls.at(id);
   }
   void Ran(FleetRun run) { this->runs.push_back(std::move(run)); }
   void Broke(FleetRule rule, pollenring::Time at, std::string what);
 
-  /*! @brief Whether a node was undisturbed all the while. @return So. */
+  /*! @return True if a node was undisturbed for the complete interval. */
   [[nodiscard]] bool Calm(int node, pollenring::Time from,
                           pollenring::Time to) const;
-  /*! @brief Whether all nodes were, with no zone withdrawn. @return So. */
+  /*! @return True if no node was disturbed, no zone withdrawn and nothing
+   * changed in the interval. */
   [[nodiscard]] bool AllCalm(pollenring::Time from, pollenring::Time to) const;
 
-  /*! @brief Applies the rules to all that was seen. @return What broke them. */
+  /*! @brief Checks all records against the rules. @return Violations by time.
+   */
   [[nodiscard]] std::vector<Breach> Judge() const;
 
-  /*! @brief Calls served in calm, from nodes of one build by targets beside
-   * nodes of another. @return Their count for each pair. */
+  /*! @brief Counts undisturbed served calls by build of the entry node and
+   * build of the node local to the target. @return Count for each pair of
+   * builds. */
   [[nodiscard]] std::map<std::pair<std::string, std::string>, int> Crossings()
       const;
 
-  /*! @brief Nodes whose callers were served in calm, and the nodes beside
-   * whose targets they were. @param from Calls sent since then count. @return
-   * Pairs of numbers. */
+  /*! @brief Finds which nodes' callers reached which nodes' targets
+   * undisturbed.
+   * @param from Executions before it are ignored. @return Pairs of node
+   * numbers.
+   */
   [[nodiscard]] std::set<std::pair<int, int>> Reached(
       pollenring::Time from) const;
 
@@ -164,7 +169,7 @@
                   std::vector<Breach> &found) const;
   void JudgeRun(const FleetRun &run, std::vector<Breach> &found) const;
   void JudgeQuota(std::vector<Breach> &found) const;
-  /*! @brief The call of a run that was served in calm. @return It, or null. */
+  /*! @return The call of a run if served undisturbed, otherwise null. */
   [[nodiscard]] const FleetCall *ServedInCalm(const FleetRun &run) const;
   [[nodiscard]] bool Excused(const FleetCall &call) const;
   [[nodiscard]] bool KnowsZones(const std::string &build) const {
--- a/test/support/fleet_journal_test.cc
+++ b/test/support/fleet_journal_test.cc
@@ -14,11 +14,11 @@
 using support::FleetRun;
 using support::Trouble;
 
-/*! @brief A journal with calls that were served as they should be. */
+/*! @brief A journal with helpers that record calls and executions. */
 struct Seen : FleetJournal {
   Seen() : FleetJournal{{"tiny", 2, 2}, {"blind"}} {}
 
-  /*! @brief A call that began at 100 s and took 20 ms. */
+  /*! @brief Records a call sent at 100 s that took 20 ms. */
   FleetCall &Call(const std::string &id, int status, bool unsafe = false) {
     FleetCall call;
     call.entry = 1;
@@ -66,7 +66,7 @@
   CHECK_FALSE(seen.Finds(FleetRule::kTwice));
   seen.Run("a", 3);
   CHECK(seen.Finds(FleetRule::kTwice));
-  // It runs later than its refusal.
+  // It runs 4 s after it was rejected.
   seen.Call("b", 503, true);
   CHECK_FALSE(seen.Finds(FleetRule::kRefused));
   seen.Run("b", 2, "new", 104s);
@@ -93,7 +93,7 @@
   const auto calm = [](Seen &) {};
   CHECK(lost(true, 20ms, calm));
   CHECK(lost(false, 300ms, calm));
-  // It crossed the end of its connection.
+  // It was sent while the connection was being closed.
   CHECK_FALSE(lost(false, 20ms, calm));
   CHECK(lost(true, 20ms, [](Seen &s) { s.Disturbed(1, Trouble::kStop, 99s); }));
   CHECK_FALSE(
@@ -142,7 +142,7 @@
   CHECK_FALSE(seen.Finds(FleetRule::kConfig));
   seen.Call("c", 404).expected = Expected::kRouteThere;
   CHECK(seen.Finds(FleetRule::kConfig));
-  // (2 a second for 5 s and 2) and a tenth, and 20.
+  // Limit: (2/s for 5 s, plus a burst of 2), plus 10 %, plus 20: 33.2.
   Seen rate;
   for (int i = 0; i < 34; ++i) {
     const std::string id = "t" + std::to_string(i);
--- a/test/support/golden_values.h
+++ b/test/support/golden_values.h
@@ -1,8 +1,8 @@
 #ifndef POLLENRING_TEST_SUPPORT_GOLDEN_VALUES_H_
 #define POLLENRING_TEST_SUPPORT_GOLDEN_VALUES_H_
 
-// Under today's names; test/golden/landed_values.h has the same values under
-// the names of the landings.
+// test/golden/landed_values.h has the same values under the member names of
+// the landed versions.
 
 #include <string>
 #include <vector>
@@ -30,7 +30,7 @@
   return member;
 }
 
-/*! @brief An answer to a probe, with one record in it. */
+/*! @brief A probe acknowledgement with one record. */
 [[nodiscard]] inline pollenring::Gossip GoldenGossip() {
   pollenring::Gossip gossip;
   gossip.kind = pollenring::GossipKind::kAck;
@@ -45,7 +45,7 @@
   return gossip;
 }
 
-/*! @brief Digests of all parts. */
+/*! @brief Digests of all partitions. */
 [[nodiscard]] inline pollenring::PartitionDigests GoldenDigests() {
   pollenring::PartitionDigests digests{};
   std::uint64_t next = 1;
@@ -53,7 +53,8 @@
   return digests;
 }
 
-/*! @brief What a node answers that holds other records. */
+/*! @brief Reply to a digest request, with the digests and a differing record.
+ */
 [[nodiscard]] inline pollenring::DigestReply GoldenRecords() {
   pollenring::DigestReply records;
   records.digests = GoldenDigests();
@@ -88,7 +89,7 @@
   return envelope;
 }
 
-/*! @brief An answer with all fields. @param reason Its reason. */
+/*! @brief A reply with all fields. */
 [[nodiscard]] inline pollenring::CallReply GoldenReply(
     pollenring::Reason reason) {
   pollenring::CallReply reply;
@@ -106,7 +107,7 @@
   return reply;
 }
 
-/*! @brief A request for share. */
+/*! @brief A request to borrow a share. */
 [[nodiscard]] inline pollenring::BorrowRequest GoldenBorrow() {
   pollenring::BorrowRequest request;
   request.slot = 5;
@@ -121,7 +122,7 @@
   return request;
 }
 
-/*! @brief A loan. */
+/*! @brief A granted loan. */
 [[nodiscard]] inline pollenring::BorrowReply GoldenLoan() {
   pollenring::BorrowReply reply;
   reply.slot = 5;
--- a/test/support/late_reader.h
+++ b/test/support/late_reader.h
@@ -16,7 +16,8 @@
 
 namespace support {
 
-/*! @brief Answers one request at once and reads on after a pause. */
+/*! @brief A server that responds to one request immediately, but reads the rest
+ * only after a pause. */
 class LateReader {
  public:
   explicit LateReader(std::chrono::milliseconds pause)
@@ -54,7 +55,7 @@
       const std::string answer =
           "HTTP/1.1 200 OK\r\nmark: own\r\ncontent-length: 0\r\n\r\n";
       send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
-      // Nothing is read while this lasts.
+      // Reads nothing during the pause.
       poll(nullptr, 0, static_cast<int>(pause.count()));
       while (recv(fd, buffer.data(), buffer.size(), 0) > 0) {
       }
--- a/test/support/lease_node.h
+++ b/test/support/lease_node.h
@@ -12,7 +12,7 @@
 
 namespace support {
 
-/*! @brief One process of the world. */
+/*! @brief One simulated node process. */
 struct LeaseWorld::Node final : pollenring::SlotDirectory,
                                 pollenring::SlotDelegate,
                                 pollenring::ShareDelegate {
@@ -32,8 +32,8 @@
     return this->world.truth.Now() < this->frozen_until;
   }
 
-  /*! @brief Runs an event at the process, once it is not frozen; a process
-   * that has ended never sees it. */
+  /*! @brief Runs an event at this process, after any freeze; drops it if the
+   * process has ended. */
   void Deliver(const std::function<void(Node &)> &event) const {
     Deliver(this->world, this->index, this->self.process, event);
   }
@@ -51,7 +51,7 @@
     event(*node);
   }
 
-  /*! @brief Sends an event to whatever process runs at a node. */
+  /*! @brief Sends an event to the process that runs at a node on arrival. */
   void SendTo(int to, const std::function<void(Node &)> &event) {
     LeaseWorld &shared = this->world;
     shared.network.Send(this->index, to, [&shared, to, event] {
@@ -60,7 +60,7 @@
     });
   }
 
-  /*! @brief Runs an event here after a table call's delay. */
+  /*! @brief Runs an event at this process after the delay of a table call. */
   void Later(const std::function<void(Node &)> &event) {
     LeaseWorld &shared = this->world;
     const int own = this->index;
@@ -115,7 +115,7 @@
     }
     const bool there = ZoneOf(this->self.node) == preferred;
     const std::size_t later = preferred_lives && !there ? 1 : 0;
-    // Witnesses of a lost holder go first.
+    // Witnesses of a lost holder rank first.
     const std::size_t turns = this->world.had_holder.count(slot) > 0 ? 4 : 0;
     return turns + later + this->world.random.Index(2);
   }
@@ -166,7 +166,7 @@
     const std::string key = pollenring::SlotRowKey(slot);
     const int own = this->index;
     const auto process = this->self.process;
-    // A write takes effect late, and its answer may be lost.
+    // A write takes effect after a delay, and its response may be lost.
     const bool unanswered = shared.random.Chance(shared.faults.unanswered);
     const Duration delay =
         shared.network.Delay() * (unanswered ? shared.faults.late_writes : 1);
@@ -222,7 +222,7 @@
         slot, pollenring::ShareLender{first, this->clock});
     const auto left = this->inherited.find(slot);
     if (left == this->inherited.end()) return;
-    // Also from a predecessor that has resigned, if it was the last one.
+    // Also valid if the predecessor resigned and was the previous holder.
     const bool last = before.epoch == left->second.epoch &&
                       before.holder == left->second.holder;
     if (origin == pollenring::SlotOrigin::kHandedOver || last) {
@@ -286,7 +286,8 @@
   pollenring::SlotKeeper keeper;
   pollenring::ShareBorrower borrower;
   std::map<SlotId, pollenring::ShareLender> lenders;
-  /*! @brief What a predecessor has left, and the row that it left it with. */
+  /*! @brief Bucket contents of a predecessor, and epoch and holder of its row.
+   */
   struct Left {
     std::uint64_t epoch{};
     ProcessRef holder;
--- a/test/support/lease_world.cc
+++ b/test/support/lease_world.cc
@@ -76,7 +76,7 @@
   for (const auto &node : this->nodes) {
     if (!node || node == successor || node->Frozen()) continue;
     if (node->keeper.Held(slot) == nullptr) continue;
-    // Without the table only a witness can succeed.
+    // Resign works only while the table is down, with a witness as successor.
     if (!node->keeper.Resign(slot, successor->self)) {
       node->keeper.HandOverTo(slot, successor->self);
     }
@@ -118,7 +118,7 @@
   for (SlotId slot = 0; slot < this->slots; ++slot) {
     int holders = 0;
     for (const auto &node : this->nodes) {
-      // A frozen holder wakes at any moment and then uses what it may use.
+      // A frozen holder counts: it may resume at any time and use its lease.
       if (node && node->keeper.Valid(slot)) ++holders;
     }
     pollenring::Require(holders <= 1, "a slot has at most one valid holder");
--- a/test/support/lease_world.h
+++ b/test/support/lease_world.h
@@ -21,25 +21,27 @@
 using pollenring::SlotId;
 using pollenring::SlotRow;
 
-/*! @brief What may happen to a world, each as a chance per second. */
+/*! @brief Faults to inject, as probabilities per second unless noted. */
 struct WorldFaults {
   double crash{};
   double freeze{};
   double table_down{};
   double lose_answers{};
   double cut{};
-  double wrong_suspicion{}; /*!< Chance that a living holder is thought dead. */
-  double long_suspicion{};  /*!< The same, for seconds on end. */
-  double give{};            /*!< A holder gives a slot to another node. */
-  double unanswered{0.02};  /*!< Part of writes that end late, unanswered. */
-  double unreadable{};      /*!< Part of reads without an answer. */
-  int late_writes{300};     /*!< By how much late ones are later than others. */
+  double wrong_suspicion{}; /*!< Probability per check that a live holder is
+                               suspected. */
+  double long_suspicion{};  /*!< The same, for up to 9 s. */
+  double give{};            /*!< A holder hands a slot over to another node. */
+  double unanswered{
+      0.02}; /*!< Fraction of writes that are late and get no response. */
+  double unreadable{};  /*!< Fraction of reads that fail. */
+  int late_writes{300}; /*!< Factor on the delay of late writes. */
 };
 
-/*! @brief Everything that may go wrong, often. @return The faults. */
+/*! @return Fault rates under which most kinds of fault are frequent. */
 [[nodiscard]] WorldFaults AllFaults();
 
-/*! @brief Whole requests that were charged, checked against a contract. */
+/*! @brief Checks granted charges against a workspace's rate and burst. */
 class RateCheck {
  public:
   RateCheck(double rate, double burst, double drift)
@@ -62,7 +64,8 @@
   Time last{};
 };
 
-/*! @brief Nodes with leases and shares over a bad network and a bad table. */
+/*! @brief Simulated nodes with leases and shares over a faulty network and
+ * table. */
 class LeaseWorld {
  public:
   static constexpr double kSkew = 0.004;
@@ -75,22 +78,23 @@
 
   struct Node;
 
-  /*! @brief Charges a request of the workspace at a node. */
+  /*! @brief Charges one request to a workspace at a node. */
   void Charge(int index, const std::string &workspace,
               std::function<void(bool)> done);
 
   void Step();
   void Run(std::uint64_t steps);
 
-  /*! @brief Ends all faults but the few unanswered writes. */
+  /*! @brief Ends all faults except the default fraction of unanswered writes.
+   */
   void Calm();
 
   [[nodiscard]] bool Up(int index) const;
   void Crash(int index);
   void Boot(int index);
   void Freeze(int index, Duration length);
-  /*! @brief Lets a slot's holder, if any, give it to another node.
-   * @return Whether it is being given. */
+  /*! @brief Lets a slot's holder, if any, hand it over to a random node.
+   * @return True if a handover was started. */
   bool Give(SlotId slot);
   [[nodiscard]] std::size_t HeldSlots() const;
   [[nodiscard]] std::string Describe() const;
--- a/test/support/member_fleet.h
+++ b/test/support/member_fleet.h
@@ -19,7 +19,7 @@
 using pollenring::NodeId;
 using pollenring::SeededRandom;
 
-/*! @brief Many memberships over a bad network. */
+/*! @brief Simulated nodes that gossip membership over a faulty network. */
 class MemberFleet {
  public:
   MemberFleet(int size, std::uint64_t seed)
@@ -106,16 +106,16 @@
     return static_cast<int>(this->nodes.size());
   }
 
-  /*! @brief A node's membership. @return It, or null while it is down. */
+  /*! @return A node's membership, or null while the node is down. */
   [[nodiscard]] Membership *At(int index) const {
     const auto &node = this->nodes[static_cast<std::size_t>(index)];
     return node ? &node->membership : nullptr;
   }
 
-  /*! @brief Ends a node without a word. */
+  /*! @brief Ends a node without notifying its peers. */
   void Kill(int index) { this->nodes[static_cast<std::size_t>(index)].reset(); }
 
-  /*! @brief Starts a node, again perhaps. */
+  /*! @brief Starts or restarts a node. */
   void Boot(int index) {
     auto &slot = this->nodes[static_cast<std::size_t>(index)];
     slot = std::make_unique<Node>(*this, index, ++this->incarnation);
@@ -140,7 +140,8 @@
     return record == nullptr ? MemberState::kDead : record->state;
   }
 
-  /*! @brief Counts pairs of live nodes of which one misjudges the other. */
+  /*! @brief Counts pairs in which a live node has the wrong liveness state of
+   * another node. */
   [[nodiscard]] int Misjudged() const {
     int count = 0;
     const auto size = static_cast<int>(this->nodes.size());
--- a/test/support/mesh_fleet.h
+++ b/test/support/mesh_fleet.h
@@ -12,7 +12,7 @@
 using pollenring::HttpRequest;
 using pollenring::HttpResponse;
 
-/*! @brief Two routes to one deep service; one may run only once. */
+/*! @brief Two routes to the deep service, one of them non-idempotent. */
 inline constexpr const char *kConfig = R"({"version":"r3","routes":[
   {"name":"read","host":"a.example","prefix":"/read/","kind":"idempotent",
    "timeout_ms":1500,"target_latency_ms":500,"priority":1,"attempts":2,
@@ -24,21 +24,21 @@
   "tenants":[{"name":"club","api_keys":["key-of-the-club"],
   "rate_per_s":1000,"burst":1000}]})";
 
-/*! @brief A text with its first match replaced. */
+/*! @brief Replaces the first match in a text. */
 [[nodiscard]] inline std::string Replaced(std::string text,
                                           const std::string &what,
                                           const std::string &by) {
   return text.replace(text.find(what), what.size(), by);
 }
 
-/*! @brief Headers of a caller with the club's key. */
+/*! @brief Request headers with the key of tenant "club". */
 [[nodiscard]] inline pollenring::HttpHeaders Headers(const std::string &id) {
   return {{"x-pollenring-attempt-id", id},
           {"x-pollenring-deadline-ms", "1400"},
           {"authorization", "Token key-of-the-club"}};
 }
 
-/*! @brief A target's own answer. */
+/*! @brief A response with the headers that prove it comes from the target. */
 [[nodiscard]] inline HttpResponse Signed(const HttpRequest &request,
                                          int status) {
   return {
@@ -53,7 +53,7 @@
           std::string{FindHeader(request.headers, "x-pollenring-tenant")}};
 }
 
-/*! @brief A front and two deep targets, once requests are served. */
+/*! @brief One front and two deep targets, ready to serve requests. */
 struct MeshFleet : MeshWorld {
   MeshFleet(int net, const Endpoint &deep) : MeshWorld{net} {
     this->Store().PutConfig(kConfig);
--- a/test/support/mesh_world.cc
+++ b/test/support/mesh_world.cc
@@ -24,7 +24,7 @@
   return text;
 }
 
-/*! @brief A field of the path's query; keys here need no escapes. */
+/*! @brief Finds a query parameter; keys in these tests need no unescaping. */
 [[nodiscard]] std::string Query(const std::string &path,
                                 const std::string &name) {
   const auto at = path.find(name + '=');
@@ -92,7 +92,7 @@
   for (const auto &[key, row] : this->rows) {
     const bool inside = key.first == table && row.version > after &&
                         key.second >= from && (to.empty() || key.second < to);
-    // Only a feed tells of rows that are gone.
+    // Only the feed reports deleted rows.
     if (!inside || (row.dropped && after == 0)) continue;
     Json item{{"table_name", key.first},
               {"part", ""},
@@ -178,7 +178,8 @@
 }
 
 MeshWorld::MeshWorld(int net) : net{net} {
-  // As the daemon does: a write to a closed connection is an error, no end.
+  // As in the daemon: a write to a closed connection must return an error, not
+  // end the process.
   std::signal(SIGPIPE, SIG_IGN);
   this->store = std::make_unique<StoreStandIn>(this->loop, this->At(250, 7900));
 }
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -21,41 +21,41 @@
 
 namespace support {
 
-/*! @brief A stand-in of the users' store, as their protocol describes it. */
+/*! @brief A fake of the users' store that implements its HTTP protocol. */
 class StoreStandIn {
  public:
   StoreStandIn(pollenring::Loop &loop, const pollenring::Address &address);
 
-  /*! @brief Writes the operator's document. @param json Its text. */
+  /*! @brief Writes the operator's configuration document. */
   void PutConfig(const std::string &json);
 
-  /*! @brief Writes a row of the product's own. */
+  /*! @brief Writes a row of pollenring's own table. */
   void Put(const std::string &key, const std::string &value);
 
-  /*! @brief Whether a row of the product's own has a key that begins so. */
+  /*! @return True if a key of pollenring's own table has the prefix. */
   [[nodiscard]] bool Has(const std::string &prefix) const;
 
-  /*! @brief Withdraws a zone, or gives it back. */
+  /*! @brief Withdraws or restores a zone. */
   void Withdraw(const std::string &zone, bool withdrawn);
 
-  /*! @brief Whether calls are answered with 503. @param down So. */
+  /*! @param down True to respond to all calls with 503. */
   void SetDown(bool down) { this->down = down; }
 
-  /*! @brief Answers all calls with a text; with nothing, as it should. */
+  /*! @brief Responds to all calls with this text, or normally without one. */
   void SetNonsense(std::optional<std::string> text) {
     this->nonsense = std::move(text);
   }
 
-  /*! @brief Whether watches are never answered. @param silent So. */
+  /*! @param silent True to leave watches without a response. */
   void SetSilent(bool silent) { this->silent = silent; }
 
-  /*! @brief Forgets all changes up to now. */
+  /*! @brief Compacts the history up to the current version. */
   void DropHistory() { this->oldest = this->version; }
 
  private:
   struct StoredRow {
     std::uint64_t version{};
-    std::string value; /*!< In base64, as it was sent. */
+    std::string value; /*!< Base64, as received. */
     bool dropped{};
   };
   using Key = std::pair<std::string, std::string>;
@@ -90,61 +90,63 @@
   pollenring::HttpServer server;
 };
 
-/*! @brief Nodes, targets and a store in one process, on loopback. */
+/*! @brief Nodes, targets and a store on loopback, in the test's process. */
 class MeshWorld {
  public:
   using Endpoint =
       std::function<pollenring::HttpResponse(const pollenring::HttpRequest &)>;
 
-  /*! @brief Starts the store. @param net Third number of the addresses. */
+  /*! @brief Starts the store. @param net Third octet of the addresses. */
   explicit MeshWorld(int net);
 
-  /*! @brief Starts a node and its target. @param seeds Numbers of the nodes
-   * that it is told of. @return Its number, from 1. */
+  /*! @brief Starts a node and its target. @param seeds Numbers of its seed
+   * nodes. @return Its number, from 1. */
   int Start(const std::string &service, Endpoint endpoint,
             const std::string &region = "r",
             const std::vector<int> &seeds = {});
 
-  /*! @brief How long each target takes from now on. @param delay It. */
+  /*! @brief Sets the response time of all targets. */
   void SetAnswerDelay(pollenring::Duration delay) {
     this->answer_delay = delay;
   }
 
-  /*! @brief Sends the heartbeat of a node's target. @param state Its state.
-   * @param cold_left How long it stays cold. @param started_at_ms Its start.
-   * @return The answer's status. */
+  /*! @brief Sends a heartbeat of a node's target.
+   * @param cold_left Remaining cold start. @param started_at_ms Start time.
+   * @return HTTP status, or 0 without a response. */
   int Beat(int index, const std::string &state = "ready",
            std::chrono::milliseconds cold_left = {}, int started_at_ms = 5);
 
-  /*! @brief Tells a node that its target leaves, as targets do that report
-   * nothing before. @return The answer's status. */
+  /*! @brief Deregisters a node's target without a preceding draining heartbeat.
+   * @return HTTP status, or 0 without a response. */
   int Depart(int index);
 
-  /*! @brief Stops a node's target; its connections are refused. */
+  /*! @brief Closes the port of a node's target; connections are then refused.
+   */
   void StopTarget(int index);
 
-  /*! @brief Performs a request at a node's port for callers. */
+  /*! @brief Sends a request to a node's caller port and waits for the response.
+   * @return The response, with status 0 if there was none. */
   [[nodiscard]] pollenring::HttpResponse Call(
       int index, const std::string &method, const std::string &path,
       pollenring::HttpHeaders headers, const std::string &host = "a.example");
 
-  /*! @brief Performs one among others. @param done Given the answer, or status
-   * 0 when there is none. */
+  /*! @brief Sends a request without waiting. @param done Receives the response,
+   * with status 0 if there was none. */
   void BeginCall(int index, const std::string &path,
                  pollenring::HttpHeaders headers,
                  std::function<void(pollenring::HttpResponse)> done);
 
-  /*! @brief Sends a call to the node beside a target, as another node does.
-   * @param version Form of the call. @return Its reply, or nothing when none
-   * came in that form. */
+  /*! @brief Sends a call to a target's node, as another node does.
+   * @param version Wire version. @return The reply, or nothing if none came in
+   * that version. */
   [[nodiscard]] std::optional<pollenring::CallReply> CallNode(
       int index, const pollenring::CallEnvelope &envelope,
       pollenring::WireVersion version = pollenring::kNewestWire);
 
-  /*! @brief Status of a node's ready address. */
+  /*! @return HTTP status of a node's readiness port. */
   [[nodiscard]] int Ready(int index);
 
-  /*! @brief What a node's operator port answers. @param path Its path. */
+  /*! @return Response body of a node's operator port. */
   [[nodiscard]] std::string Operate(int index, const std::string &path);
 
   [[nodiscard]] bool Await(const std::function<bool()> &condition,
--- a/test/support/mixed_fleet.cc
+++ b/test/support/mixed_fleet.cc
@@ -28,15 +28,15 @@
 constexpr Duration kWatch = 50ms;
 constexpr Duration kLoadTick = 20ms;
 constexpr Duration kGrace = 6s;
-/*! @brief How long a target stays the only one of its service. */
+/*! @brief How long each target is the only one of its service. */
 constexpr Duration kAlone = 1500ms;
 constexpr Duration kBack = 1s;
 constexpr Duration kMostToStart = 10s;
 constexpr int kStore = 250;
 constexpr const char *kHost = "a.example";
 
-/*! @brief Its rate is under what callers ask, over what one share of two
- * fleets would be. */
+/*! @brief The rate is below the callers' demand and above the share that one of
+ * two separate fleets would have. */
 const FleetQuota kTiny{"tiny", 40, 20};
 
 [[nodiscard]] std::filesystem::path ProgramFolder() {
@@ -123,7 +123,7 @@
 }
 
 std::string MixedFleet::NextConfig() {
-  // Each version takes one route away and adds one.
+  // Each version removes one route and adds one.
   const int version = ++this->config_version;
   Json routes = Json::array();
   const auto add = [&routes](const std::string &name, const char *service,
@@ -155,7 +155,7 @@
 }
 
 std::string MixedFleet::WriteSettings(const FleetNode &node, bool first) {
-  // Nothing that a landed build refuses as unknown.
+  // Only settings that all landed builds accept.
   const auto at = [&](int port) {
     return this->AddressOf(node.number, port).Format();
   };
@@ -184,7 +184,7 @@
     const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     dup2(out, 1);
     dup2(out, 2);
-    // Sockets of the store and the targets are the test's alone.
+    // The child must not inherit sockets of the store and the targets.
     close_range(3, ~0U, 0);
     execl(build.program.c_str(), "pollenringd", "--settings", settings.c_str(),
           nullptr);
--- a/test/support/mixed_fleet.h
+++ b/test/support/mixed_fleet.h
@@ -25,64 +25,66 @@
   std::string program; /*!< Path of its pollenringd. */
 };
 
-/*! @brief The build of the sources under test. @return It. */
+/*! @return The build of the sources under test. */
 [[nodiscard]] Build NewBuild();
 
-/*! @brief A landed build, made by scripts/build_version.sh. @param commit Its
- * commit, seven digits. @return It; the program may be missing. */
+/*! @brief A landed build, made by scripts/build_version.sh. @param commit
+ * Commit, seven digits. @return The build; its program may be missing. */
 [[nodiscard]] Build LandedBuild(const std::string &commit);
 
-/*! @brief Real nodes of several builds under load, with the store, the targets
- * and the callers in the test. Processes are ended by their ids. */
+/*! @brief Daemons of several builds under load; store, targets and callers run
+ * in the test's process. Daemons are signalled by process id. */
 class MixedFleet {
  public:
-  /*! @brief Two targets' services, three zones; one node for each pair. */
+  /*! @brief One node for each pair of two services and three zones. */
   static constexpr int kNodes = 6;
   static constexpr int kZones = 3;
 
-  /*! @brief Starts the store and the targets. @param net Third number of the
-   * addresses. @param blind_builds Builds that don't know of withdrawn zones.
+  /*! @brief Starts the store and the targets. @param net Third octet of the
+   * addresses. @param blind_builds Builds without support for withdrawn zones.
    */
   MixedFleet(int net, std::uint64_t seed, std::set<std::string> blind_builds);
   MixedFleet(const MixedFleet &) = delete;
   MixedFleet &operator=(const MixedFleet &) = delete;
   ~MixedFleet();
 
-  /*! @brief Starts a node. @param first Whether the whole system starts. */
+  /*! @brief Starts a node. @param first True if the complete fleet starts. */
   void Start(int node, const Build &build, bool first);
-  /*! @brief Waits until a node says it is ready; a breach if it doesn't. */
+  /*! @brief Waits until a node is ready; records a violation if it isn't in
+   * time. */
   void AwaitReady(int node);
-  /*! @brief Stops a node as planned and waits for its end. */
+  /*! @brief Drains a node with SIGTERM and waits for its exit. */
   void Stop(int node);
   void Kill(int node);
   void Pause(int node);
   void Resume(int node);
-  /*! @brief Gives the target beside a node a new incarnation. */
+  /*! @brief Starts a new instance of the target local to a node. */
   void RestartTarget(int node);
-  /*! @brief Leaves each service one target in turn, so that all calls must
-   * reach it; the others leave as planned and start again. */
+  /*! @brief For each zone in turn, drains the targets of all other zones, so
+   * that all calls must reach those left, then restarts the drained ones. */
   void LeaveOneInTurn();
 
-  /*! @brief Begins the callers' load. */
   void BeginLoad();
-  /*! @brief Sends more slow calls at once than the targets of a node's service
-   * have slots, a third of them to the node itself. */
+  /*! @brief Sends twice as many slow calls at once as the targets of a node's
+   * service have slots; at least a third enter at the node itself. */
   void Burst(int node);
   void Run(pollenring::Duration length);
 
-  /*! @brief Writes the next configuration, waits for it and asks all nodes. */
+  /*! @brief Writes the next configuration, waits until it must be active and
+   * sends calls to its changed routes at all nodes. */
   void ChangeConfig();
-  /*! @brief Withdraws a zone or gives it back. @param zone From 0. */
+  /*! @brief Withdraws or restores a zone. @param zone From 0. */
   void Withdraw(int zone, bool withdrawn);
 
-  /*! @brief Checks that each node's callers reach each target in calm; landed
-   * builds don't tell what members they see. @param from Since then. */
+  /*! @brief Checks that each node's callers reached each target undisturbed, as
+   * landed builds don't report their members. @param from Start of the check.
+   */
   void CheckReached(pollenring::Time from);
 
   [[nodiscard]] pollenring::Time Now() const { return this->clock.Now(); }
   [[nodiscard]] FleetJournal &Journal() { return this->journal; }
   [[nodiscard]] pollenring::Random &GetRandom() { return this->random; }
-  /*! @brief Time since the fleet was made. @return It in milliseconds. */
+  /*! @return Milliseconds since the fleet was created. */
   [[nodiscard]] std::int64_t SinceBegin(pollenring::Time at) const;
   [[nodiscard]] static const char *ServiceOf(int node);
 
@@ -92,24 +94,24 @@
     std::string zone;
     std::string build;
     pid_t pid{};     /*!< 0 while no process runs. */
-    bool starting{}; /*!< Not ready for the first time. */
+    bool starting{}; /*!< Until it is first ready. */
     bool stopping{};
-    bool taken_in{}; /*!< Callers send to it. */
-    int misses{};    /*!< Questions for readiness in a row without a 200. */
+    bool taken_in{}; /*!< True while callers send to it. */
+    int misses{};    /*!< Consecutive failed readiness checks. */
     std::unique_ptr<pollenring::HttpServer> target;
     int incarnation{1};
-    bool draining{};                /*!< What its target says of itself. */
-    pollenring::Time ready_since{}; /*!< Its target, if it isn't. */
+    bool draining{};                /*!< State that its target reports. */
+    pollenring::Time ready_since{}; /*!< Of its target, unless draining. */
     int sequence{};
   };
 
-  /*! @brief A kind of request that callers send. */
+  /*! @brief One kind of request in the callers' load. */
   struct Load {
     std::string method;
     std::string path;
     std::string service;
-    std::string workspace; /*!< Empty for a call without a key. */
-    double per_s;          /*!< At each node. */
+    std::string workspace; /*!< Empty for calls without a key. */
+    double per_s;          /*!< Rate at each node. */
     Expected expected;
   };
 
@@ -118,7 +120,7 @@
   }
   [[nodiscard]] pollenring::Address AddressOf(int node, int port) const;
   [[nodiscard]] static std::string InstanceOf(const FleetNode &node);
-  /*! @brief Notes that a node's process has ended. */
+  /*! @brief Clears the state of a node whose process has ended. */
   static void Forget(FleetNode &node);
   [[nodiscard]] std::string WriteSettings(const FleetNode &node, bool first);
   [[nodiscard]] std::string NextConfig();
--- a/test/support/mixed_fleet_load.cc
+++ b/test/support/mixed_fleet_load.cc
@@ -1,5 +1,4 @@
-// What the test does for a fleet's surroundings: targets, heartbeats,
-// questions and callers.
+// The dependencies of a mixed fleet: targets, heartbeats, probes and callers.
 #include <fmt/format.h>
 #include <sys/wait.h>
 
@@ -87,7 +86,7 @@
                    {{"state", node.draining ? "draining" : "ready"},
                     {"sequence", ++node.sequence},
                     {"cold_left_ms", 0}}}};
-  // One that isn't acknowledged is followed by the next.
+  // An unacknowledged heartbeat is not retried; the next one follows.
   this->platform.Call(
       this->AddressOf(node.number, 7001),
       {"POST", "/Instances.Heartbeat/" + InstanceOf(node), {}, body.dump(), {}},
@@ -120,7 +119,7 @@
                       {"GET", "/status", {}, {}, {}}, kPlatformWaits,
                       [this, &node, asked](const HttpClient::Reply &reply) {
                         const auto *answer = std::get_if<HttpResponse>(&reply);
-                        // Some landed builds have no such page.
+                        // Some landed builds do not have this page.
                         if (answer == nullptr || answer->status != kOk) return;
                         this->JudgeMembers(node.number, answer->body, asked);
                       });
--- a/test/support/raw_bytes.h
+++ b/test/support/raw_bytes.h
@@ -11,8 +11,8 @@
 
 namespace support {
 
-/*! @brief Sends bytes to a port and closes. @param to Port. @param type Of the
- * socket: a stream or datagrams. @param bytes They. */
+/*! @brief Sends bytes to an address and closes the socket.
+ * @param type SOCK_STREAM or SOCK_DGRAM. */
 inline void SendBytes(const pollenring::Address &to, int type,
                       const std::string &bytes) {
   const int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
--- a/test/support/raw_peer.h
+++ b/test/support/raw_peer.h
@@ -19,12 +19,12 @@
 
 /*! @brief What a peer does with one connection. */
 struct PeerScript {
-  /*! @brief Sent in turn, each after one more request's head has arrived. */
+  /*! @brief Sent in order, each after the head of one more request. */
   std::vector<std::string> answers;
   PeerEnd end{PeerEnd::kKeep};
 };
 
-/*! @brief A server of raw bytes; plays one script a connection, in order. */
+/*! @brief A raw TCP server that runs one script per connection, in order. */
 class RawPeer {
  public:
   explicit RawPeer(std::vector<PeerScript> scripts)
@@ -53,7 +53,7 @@
     return this->address;
   }
 
-  /*! @brief Connections accepted so far. @return The count. */
+  /*! @return Number of connections accepted so far. */
   [[nodiscard]] int Accepted() const noexcept { return this->accepted; }
 
  private:
--- a/test/support/seeds.h
+++ b/test/support/seeds.h
@@ -8,9 +8,8 @@
 namespace support {
 
 /**
- * @brief Seeds of a randomised run: fixed ones, or the one in POLLENRING_SEED.
+ * @brief Seeds of a randomised run: 1 to count, or the one in POLLENRING_SEED.
  * @param count Number of fixed seeds.
- * @return The seeds.
  */
 [[nodiscard]] inline std::vector<std::uint64_t> Seeds(std::uint64_t count) {
   if (const char *given = std::getenv("POLLENRING_SEED")) {
@@ -22,9 +21,9 @@
 }
 
 /**
- * @brief Length of a randomised run, times POLLENRING_LONGER if given.
- * @param steps Ordinary length.
- * @return Steps.
+ * @brief Length of a randomised run, multiplied by POLLENRING_LONGER if set.
+ * @param steps Default number of steps.
+ * @return Number of steps to run.
  */
 [[nodiscard]] inline std::uint64_t Steps(std::uint64_t steps) {
   const char *factor = std::getenv("POLLENRING_LONGER");
--- a/test/support/stream.h
+++ b/test/support/stream.h
@@ -11,14 +11,14 @@
 
 namespace support {
 
-/*! @brief Starts the graph of six nodes and publishes its contracts. */
+/*! @brief Starts the six nodes of the graph and publishes its contracts. */
 inline void Prepare(Cluster &cluster) {
   StartGraph(cluster);
   REQUIRE(cluster.AwaitReady({1, 2, 3, 4, 5, 6}, 6));
   REQUIRE(cluster.Publish(1, GraphDocuments()) == 200);
 }
 
-/*! @brief Requests in the background, at a steady pace. */
+/*! @brief Sends requests in the background at a fixed interval. */
 class Stream {
  public:
   Stream(Cluster &cluster, std::vector<int> nodes, std::string key,
@@ -67,7 +67,7 @@
             return;
           }
           const auto error = std::get<pollenring::CallError>(reply);
-          // A node that has left refuses connections: callers take the next.
+          // A drained node refuses connections; callers try the next node.
           if (pollenring::WasNotSent(error) && connects_left > 0) {
             this->Try(connects_left - 1);
             return;
@@ -86,7 +86,7 @@
   bool stopped{};
 };
 
-/*! @brief Results as text. @param results Counts by answer. @return It. */
+/*! @brief Formats results. @param results Counts by response. */
 [[nodiscard]] inline std::string Describe(
     const std::map<std::string, int> &results) {
   std::string text;
