--- a/test/pollenring/lease/slot_keeper_test.cc
+++ b/test/pollenring/lease/slot_keeper_test.cc
@@ -26,7 +26,7 @@
     INFO("seed " << seed);
     LeaseWorld world{5, 4, seed, support::AllFaults()};
     world.Run(support::Steps(kStepsPerSeed));
-    world.Calm();
+    world.EndFaults();
     world.Run(8000);
     INFO(world.Describe());
     CHECK(world.HeldSlots() == 4);
@@ -39,15 +39,15 @@
     WorldFaults faults;
     faults.crash = 0.2;
     faults.freeze = 0.3;
-    faults.cut = 1;
-    faults.wrong_suspicion = 0.02;
-    faults.unanswered = 0.5;
-    faults.unreadable = 0.8;
+    faults.partition = 1;
+    faults.false_suspicion = 0.02;
+    faults.timed_out_writes = 0.5;
+    faults.failed_reads = 0.8;
     // With more nodes than witnesses, two rows of a slot may have disjoint
     // sets.
     LeaseWorld world{13, 3, seed, faults};
     world.Run(support::Steps(kStepsPerSeed * 2));
-    world.Calm();
+    world.EndFaults();
     world.Run(8000);
     INFO(world.Describe());
     CHECK(world.HeldSlots() == 3);
@@ -60,16 +60,16 @@
     WorldFaults faults;
     faults.crash = 0.3;
     faults.freeze = 0.3;
-    faults.cut = 0.5;
-    faults.give = 0.5;
+    faults.partition = 0.5;
+    faults.handover = 0.5;
     faults.long_suspicion = 0.0002;
     // Later than the promises to the process that sent them.
-    faults.unanswered = 0.5;
-    faults.late_writes = 3000;
-    faults.unreadable = 0.5;
+    faults.timed_out_writes = 0.5;
+    faults.late_write_factor = 3000;
+    faults.failed_reads = 0.5;
     LeaseWorld world{6, 3, seed, faults};
     world.Run(support::Steps(kStepsPerSeed));
-    world.Calm();
+    world.EndFaults();
     world.Run(8000);
     INFO(world.Describe());
     CHECK(world.HeldSlots() == 3);
@@ -136,14 +136,14 @@
   for (const auto seed : support::Seeds(6)) {
     INFO("seed " << seed);
     WorldFaults faults;
-    faults.unanswered = 0;
+    faults.timed_out_writes = 0;
     LeaseWorld world{5, 4, seed, faults};
     world.network.loss = 0;
     world.Run(2000);
     REQUIRE(world.HeldSlots() == 4);
     world.table.Faults().down = true;
     // The first attempt to hand a slot over detects the outage.
-    for (SlotId slot = 0; slot < 4; ++slot) world.Give(slot);
+    for (SlotId slot = 0; slot < 4; ++slot) world.HandOver(slot);
     world.Run(40);
     const auto holder_of = [&](SlotId slot) {
       int holder = -1;
@@ -157,7 +157,7 @@
       const int before = holder_of(slot);
       REQUIRE(before >= 0);
       for (int i = 0; i < 100 && holder_of(slot) == before; ++i) {
-        world.Give(slot);
+        world.HandOver(slot);
         world.Run(1);
       }
       CHECK(holder_of(slot) != before);
@@ -190,13 +190,13 @@
     WorldFaults faults;
     // A write in doubt leaves its slot without a holder until the table
     // responds.
-    faults.unanswered = 0;
+    faults.timed_out_writes = 0;
     LeaseWorld world{5, 4, seed, faults};
     world.network.loss = 0;
     world.Run(2000);
     REQUIRE(world.HeldSlots() == 4);
     world.table.Faults().down = true;
-    for (SlotId slot = 0; slot < 4; ++slot) world.Give(slot);
+    for (SlotId slot = 0; slot < 4; ++slot) world.HandOver(slot);
     std::size_t steps_without = 0;
     for (int i = 0; i < 4000; ++i) {
       world.Step();
@@ -208,7 +208,7 @@
     // Holders read the table again before they hand over.
     world.Run(400);
     for (SlotId slot = 0; slot < 4; ++slot) {
-      if (!world.Give(slot)) continue;
+      if (!world.HandOver(slot)) continue;
       // From its write on the successor may hold the slot, so the previous
       // holder may not.
       const auto gives = [&] {
--- a/test/pollenring/membership/membership_test.cc
+++ b/test/pollenring/membership/membership_test.cc
@@ -85,11 +85,11 @@
   MemberFleet fleet{12, 6};
   fleet.Run(std::chrono::seconds{10});
   for (int i = 0; i < 6; ++i) {
-    for (int j = 6; j < 12; ++j) fleet.network.cuts.insert({i, j});
+    for (int j = 6; j < 12; ++j) fleet.network.partitions.insert({i, j});
   }
   fleet.Run(std::chrono::seconds{20});
   CHECK(fleet.StateSeen(0, 9) == MemberState::kDead);
-  fleet.network.cuts.clear();
+  fleet.network.partitions.clear();
   fleet.Run(std::chrono::seconds{40});
   CHECK(fleet.Misjudged() == 0);
 }
--- a/test/pollenring/membership/store_watcher_role_test.cc
+++ b/test/pollenring/membership/store_watcher_role_test.cc
@@ -141,7 +141,7 @@
   MemberFleet fleet{12, 2};
   Watchers watchers{fleet};
   watchers.Run(10s);
-  for (int i = 1; i < 12; ++i) fleet.network.cuts.insert({0, i});
+  for (int i = 1; i < 12; ++i) fleet.network.partitions.insert({0, i});
   watchers.Run(4s);
   const pollenring::PeerVersions versions;
   const StoreWatcherRole duty{*fleet.At(0), versions, StoreWatcherOptions{},
--- a/test/pollenring/mesh/mesh_daemon_test.cc
+++ b/test/pollenring/mesh/mesh_daemon_test.cc
@@ -110,7 +110,7 @@
   [[nodiscard]] std::uint64_t Connects() const {
     return this->client.Connects();
   }
-  [[nodiscard]] support::StoreStandIn &Store() { return this->store; }
+  [[nodiscard]] support::FakeStore &Store() { return this->store; }
   [[nodiscard]] support::Daemon &Process() { return this->daemon; }
   void Hold(bool given) { this->holds = given; }
 
@@ -142,7 +142,7 @@
   HttpClient client{loop, {std::size_t{1} << 20U}};
   std::vector<std::pair<HttpRequest, std::shared_ptr<pollenring::Responder>>>
       held;
-  support::StoreStandIn store;
+  support::FakeStore store;
   pollenring::HttpServer target;
   support::Daemon daemon;
 };
--- a/test/pollenring/mesh/mesh_node_faults_test.cc
+++ b/test/pollenring/mesh/mesh_node_faults_test.cc
@@ -56,11 +56,11 @@
   REQUIRE(second);
   CHECK(second->reason == pollenring::Reason::kZoneWithdrawn);
   CHECK(served["i-3"] == before);
-  const auto status = world.Operate(1, "/status");
+  const auto status = world.GetOperatorPage(1, "/status");
   CHECK(status.find(R"("zone":"z1"}])") != std::string::npos);
   CHECK(status.find(R"("zones_withdrawn":[{"for_s":)") != std::string::npos);
-  CHECK(world.Operate(1, "/metrics").find("pollenring_zones_withdrawn 1") !=
-        std::string::npos);
+  CHECK(world.GetOperatorPage(1, "/metrics")
+            .find("pollenring_zones_withdrawn 1") != std::string::npos);
   // With both zones withdrawn, requests are refused as not executed.
   world.Store().Withdraw("z0", true);
   world.Run(500ms);
@@ -71,7 +71,7 @@
   world.Store().SetDown(true);
   world.Run(300ms);
   world.Store().Withdraw("z1", false);
-  world.Store().DropHistory();
+  world.Store().CompactHistory();
   world.Store().SetDown(false);
   CHECK(world.Await(
       [&] {
@@ -148,12 +148,12 @@
        R"({"rows":[{"key":"config","row_version":99,"value":"e30="}],
            "row_version":99})"}) {
     CAPTURE(text);
-    world.Store().SetNonsense(text);
+    world.Store().SetFixedResponse(text);
     world.Run(700ms);
     for (int i = 1; i <= 3; ++i) REQUIRE(world.Beat(i) == 200);
     CHECK(world.Call(1, "GET", "/read/1", Headers("n")).status == 200);
   }
-  world.Store().SetNonsense(std::nullopt);
+  world.Store().SetFixedResponse(std::nullopt);
 }
 
 TEST_CASE("mesh: malformed input at any port ends no node") {
@@ -196,7 +196,7 @@
 
 TEST_CASE("mesh: a planned stop under load aborts no request") {
   World world{18, [](const HttpRequest &r) { return Signed(r, 200); }};
-  world.SetAnswerDelay(15ms);
+  world.SetResponseDelay(15ms);
   std::map<int, int> statuses;
   int open = 0;
   const auto send = [&](int node, int number) {
@@ -308,7 +308,7 @@
                                    "\"service\":\"deep\"",
                                    "\"service\":\"left\""));
   REQUIRE(world.Await([&] { return world.Ready(4) == 200; }, 8s));
-  REQUIRE(world.Depart(4) == 200);
+  REQUIRE(world.Deregister(4) == 200);
   // A heartbeat sent before the deregistration.
   REQUIRE(world.Beat(4) == 200);
   world.Run(500ms);
@@ -331,7 +331,8 @@
   world.Start("front", answer, "r", {4});
   world.Start("back", answer, "r", {3});
   const auto known = [&world](int index) {
-    const auto status = nlohmann::json::parse(world.Operate(index, "/status"));
+    const auto status =
+        nlohmann::json::parse(world.GetOperatorPage(index, "/status"));
     return status.at("members").size();
   };
   REQUIRE(world.Await([&] { return known(1) == 2 && known(3) == 2; }, 3s));
--- a/test/pollenring/mesh/mesh_node_test.cc
+++ b/test/pollenring/mesh/mesh_node_test.cc
@@ -109,11 +109,11 @@
   const std::string next =
       Replaced(Replaced(kConfig, "r3", "r9"), "/read/", "/moved/");
   // A watch without a reply ends by the node's own timeout.
-  world.Store().SetSilent(silent);
+  world.Store().SetWatchesUnresponsive(silent);
   world.Run(50ms);
   world.Store().PutConfig(next);
   if (silent) world.Run(1500ms);
-  world.Store().SetSilent(false);
+  world.Store().SetWatchesUnresponsive(false);
   CHECK(world.Await(
       [&] {
         return world.Call(1, "GET", "/moved/1", Headers("m")).status == 200;
@@ -130,7 +130,7 @@
     "again") {
   World world{7, [](const HttpRequest &r) { return Signed(r, 200); }};
   world.Store().PutConfig(Replaced(kConfig, "r3", "r4"));
-  world.Store().DropHistory();
+  world.Store().CompactHistory();
   world.Run(100ms);
   world.Store().PutConfig(
       Replaced(Replaced(kConfig, "r3", "r9"), "/read/", "/moved/"));
--- a/test/pollenring/mesh/mixed_builds_test.cc
+++ b/test/pollenring/mesh/mixed_builds_test.cc
@@ -10,10 +10,10 @@
 namespace {
 
 using namespace std::chrono_literals;
-using support::Breach;
 using support::Build;
 using support::FleetJournal;
 using support::MixedFleet;
+using support::Violation;
 
 /*! @brief Length of an undisturbed period, after the contact time. */
 constexpr pollenring::Duration kUndisturbed = 2500ms;
@@ -22,15 +22,15 @@
 constexpr pollenring::Duration kPauseTime = 4s;
 constexpr pollenring::Duration kDownTime = 1s;
 constexpr pollenring::Duration kExtraWithdrawal = 1500ms;
-/*! @brief Number of breaches printed per rule. */
+/*! @brief Number of violations printed per rule. */
 constexpr std::size_t kMaxPrinted = 6;
 
 /*! @brief A fleet whose nodes are replaced with nodes of another build. */
 class Replacement {
  public:
   Replacement(int net, std::uint64_t seed, Build before, Build after,
-              std::set<std::string> blind_builds)
-      : fleet{net, seed, std::move(blind_builds)},
+              std::set<std::string> builds_without_withdrawal)
+      : fleet{net, seed, std::move(builds_without_withdrawal)},
         before{std::move(before)},
         after{std::move(after)} {}
 
@@ -85,7 +85,7 @@
       if (what == 3) this->WithdrawOne();
     }
     this->RunUndisturbed();
-    this->fleet.LeaveOneInTurn();
+    this->fleet.LeaveOneZoneInTurn();
     this->fleet.CheckReached(from);
   }
 
@@ -94,15 +94,16 @@
     this->RunUndisturbed();
   }
 
-  /*! @brief Describes breaches of the rules, a limited number per rule. */
+  /*! @brief Describes violations, a limited number per rule. */
   [[nodiscard]] std::string Report() {
     std::map<std::string_view, std::size_t> counts;
     std::string text;
-    for (const Breach &breach : this->fleet.Journal().Judge()) {
-      const auto name = support::kFleetRuleNames.Name(breach.rule);
+    for (const Violation &violation : this->fleet.Journal().FindViolations()) {
+      const auto name = support::kFleetRuleNames.Name(violation.rule);
       if (++counts[name] > kMaxPrinted) continue;
-      text += std::to_string(this->fleet.SinceBegin(breach.at)) + " ms " +
-              std::string{name} + ": " + breach.what + "\n";
+      text +=
+          std::to_string(this->fleet.MillisecondsSinceCreation(violation.at)) +
+          " ms " + std::string{name} + ": " + violation.what + "\n";
     }
     for (const auto &[name, count] : counts) {
       text += std::string{name} + " " + std::to_string(count) + " times\n";
@@ -198,13 +199,14 @@
 
 /*! @brief Upgrades from an earlier build to the new one and rolls back. */
 void CheckUpgrade(int net, const std::string &commit,
-                  const std::set<std::string> &blind_builds) {
+                  const std::set<std::string> &builds_without_withdrawal) {
   const Build landed = support::LandedBuild(commit);
   INFO("needs scripts/build_version.sh " << commit);
   REQUIRE(std::filesystem::exists(landed.program));
   for (const std::uint64_t seed : support::Seeds(1)) {
     WARN("seed " << seed);
-    Replacement run{net, seed, landed, support::NewBuild(), blind_builds};
+    Replacement run{net, seed, landed, support::NewBuild(),
+                    builds_without_withdrawal};
     run.Begin();
     run.ReplaceByService(support::NewBuild(), [&run] { run.Disturb(); });
     run.ReplaceByTurns(landed, [&run] { run.ChangeConfig(); });
--- a/test/pollenring/mesh/slot_ring_test.cc
+++ b/test/pollenring/mesh/slot_ring_test.cc
@@ -96,12 +96,12 @@
     // A third of the nodes is cut off, each isolated from all others.
     for (int i = 0; i < 20; ++i) {
       for (int j = 0; j < 60; ++j) {
-        if (i != j) fleet.network.cuts.insert({i, j});
+        if (i != j) fleet.network.partitions.insert({i, j});
       }
     }
     rings.Run(8s);
     CHECK(rings.MostLent() <= 1.01);
-    fleet.network.cuts.clear();
+    fleet.network.partitions.clear();
     rings.Run(60s);
     CHECK(rings.MostLent() == Approx(1));
     CHECK(rings.Lent(0) == Approx(1));
--- a/test/pollenring/net/http_client_test.cc
+++ b/test/pollenring/net/http_client_test.cc
@@ -36,7 +36,7 @@
 
   HttpClient::Reply Call(const RawPeer &peer, const std::string &id = "own",
                          const std::string &body = {}) {
-    return this->Call(peer.Where(), id, body);
+    return this->Call(peer.ListenAddress(), id, body);
   }
 
   HttpClient::Reply Call(const pollenring::Address &to,
@@ -200,8 +200,9 @@
   for (std::size_t size = 100'000; size < 6'000'000; size += size / 4) {
     const support::LateReader peer{300ms};
     Caller caller;
-    REQUIRE(std::holds_alternative<HttpResponse>(caller.Call(peer.Where())));
-    caller.Start(peer.Where(), std::string(size, 'x'));
+    REQUIRE(std::holds_alternative<HttpResponse>(
+        caller.Call(peer.ListenAddress())));
+    caller.Start(peer.ListenAddress(), std::string(size, 'x'));
     caller.Run(600ms);
   }
   SUCCEED();
@@ -219,7 +220,7 @@
   CAPTURE(piece.substr(0, 40));
   support::EndlessPeer peer{{}, piece};
   Caller caller;
-  const auto reply = caller.Call(peer.Where());
+  const auto reply = caller.Call(peer.ListenAddress());
   CHECK(std::holds_alternative<CallError>(reply));
   CHECK(caller.MostHeld() <= kMaxBody);
   CHECK(peer.Closed());
@@ -230,7 +231,7 @@
                             "HTTP/1.1 200 OK\r\nmark: other\r\n"
                             "content-length: 0\r\n\r\n"};
   Caller caller;
-  const auto reply = caller.Call(peer.Where());
+  const auto reply = caller.Call(peer.ListenAddress());
   // Fails before the time-out.
   REQUIRE(std::holds_alternative<CallError>(reply));
   CHECK(std::get<CallError>(reply) == CallError::kInvalidResponse);
@@ -252,7 +253,7 @@
   support::EndlessPeer peer{trailers ? head + "0\r\n" : head,
                             trailers ? std::string{"x-t: 1\r\n"} : piece};
   Caller caller;
-  const auto reply = caller.Call(peer.Where());
+  const auto reply = caller.Call(peer.ListenAddress());
   CHECK(std::holds_alternative<CallError>(reply));
   CHECK(caller.MostHeld() <= 2 * kMaxBody);
   CHECK(peer.Closed());
@@ -264,7 +265,7 @@
   for (int i = 0; i < 6; ++i) {
     peers.push_back(std::make_unique<support::EndlessPeer>(
         "HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'b')));
-    caller.Start(peers.back()->Where(), "x");
+    caller.Start(peers.back()->ListenAddress(), "x");
   }
   caller.Run(1s);
   CHECK(caller.MostHeld() <= kMaxHeld + kMaxBody);
--- a/test/pollenring/node/target_executor_test.cc
+++ b/test/pollenring/node/target_executor_test.cc
@@ -66,7 +66,7 @@
                 pollenring::TargetState state = pollenring::TargetState::kWarm,
                 pollenring::Duration cold_for = {}) {
     this->executor.Announce(
-        {{"deep", 1, state}, at.Where(), instance, cold_for});
+        {{"deep", 1, state}, at.ListenAddress(), instance, cold_for});
   }
 
   void Serve() {
--- a/test/pollenring/share/share_test.cc
+++ b/test/pollenring/share/share_test.cc
@@ -32,7 +32,7 @@
   int count = whole;
   if (world.random.Chance(chance - whole)) ++count;
   for (int i = 0; i < count; ++i) {
-    if (!world.Up(node)) return;
+    if (!world.IsUp(node)) return;
     ++demand.charges;
     world.Charge(node, demand.workspace, [&demand](bool granted) {
       if (granted) ++demand.granted;
--- a/test/support/cluster.cc
+++ b/test/support/cluster.cc
@@ -25,8 +25,8 @@
 
 constexpr const char *kOperatorSecret = "operator-secret-of-tests";
 constexpr const char *kTargetSecret = "target-secret-of-tests!";
-constexpr std::size_t kMaxAnswer = std::size_t{40} * 1024 * 1024;
-constexpr int kPlatform = 250;
+constexpr std::size_t kMaxResponseBytes = std::size_t{40} * 1024 * 1024;
+constexpr int kPlatformIndex = 250;
 
 [[nodiscard]] std::string ProgramFolder() {
   return std::filesystem::read_symlink("/proc/self/exe").parent_path();
@@ -35,7 +35,7 @@
 }  // namespace
 
 Cluster::Cluster(int net)
-    : loop{clock}, client{loop, {kMaxAnswer}}, random{7}, net{net} {
+    : loop{clock}, client{loop, {kMaxResponseBytes}}, random{7}, net{net} {
   std::signal(SIGPIPE, SIG_IGN);
   std::string pattern =
       (std::filesystem::temp_directory_path() / "pollenring-XXXXXX").string();
@@ -58,7 +58,7 @@
 }
 
 void Cluster::Start(const std::string &name,
-                    const std::vector<std::string> &words) {
+                    const std::vector<std::string> &arguments) {
   const pid_t pid = fork();
   if (pid == 0) {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -66,20 +66,21 @@
     const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     dup2(fd, 2);
     dup2(fd, 1);
-    std::vector<char *> arguments;
-    for (const auto &word : words) {
-      arguments.push_back(const_cast<char *>(word.c_str()));
+    std::vector<char *> argv;
+    for (const auto &argument : arguments) {
+      argv.push_back(const_cast<char *>(argument.c_str()));
     }
-    arguments.push_back(nullptr);
-    execv(arguments[0], arguments.data());
+    argv.push_back(nullptr);
+    execv(argv[0], argv.data());
     _exit(127);
   }
   this->processes[name] = pid;
 }
 
 void Cluster::StartPlatform() {
-  this->Start("platform", {ProgramFolder() + "/pollenring-standin", "platform",
-                           "--listen", this->At(kPlatform, 7900).Format()});
+  this->Start("platform",
+              {ProgramFolder() + "/pollenring-standin", "platform", "--listen",
+               this->At(kPlatformIndex, 7900).Format()});
 }
 
 void Cluster::StartNode(int index, const std::string &zone) {
@@ -95,7 +96,7 @@
       << "\"\n[secrets]\nnodes = \"node-secret-of-the-tests\"\n"
       << "operators = \"" << kOperatorSecret << "\"\ntargets = \""
       << kTargetSecret << "\"\n[platform]\naddress = \""
-      << this->At(kPlatform, 7900).Format() << "\"\n";
+      << this->At(kPlatformIndex, 7900).Format() << "\"\n";
   this->Start(name, {ProgramFolder() + "/pollenringd", "--settings", path});
 }
 
@@ -181,10 +182,11 @@
 std::optional<HttpResponse> Cluster::Call(const Address &to,
                                           const HttpRequest &request,
                                           std::chrono::milliseconds timeout) {
-  std::optional<HttpResponse> answer;
+  std::optional<HttpResponse> response;
   bool ended = false;
   this->client.Call(to, request, timeout, [&](HttpClient::Reply reply) {
-    if (auto *got = std::get_if<HttpResponse>(&reply)) answer = std::move(*got);
+    if (auto *received = std::get_if<HttpResponse>(&reply))
+      response = std::move(*received);
     ended = true;
     this->loop.Stop();
   });
@@ -192,7 +194,7 @@
     this->loop.Resume();
     this->loop.Run();
   }
-  return answer;
+  return response;
 }
 
 std::optional<HttpResponse> Cluster::Get(int node, const std::string &path,
@@ -225,57 +227,57 @@
 }
 
 Json Cluster::Status(int node) {
-  const auto answer = this->Operator(node, "GET", "/status");
-  if (!answer) return nullptr;
-  return Json::parse(answer->body, nullptr, false);
+  const auto response = this->Operator(node, "GET", "/status");
+  if (!response) return nullptr;
+  return Json::parse(response->body, nullptr, false);
 }
 
 Json Cluster::Report(int target) {
-  const auto answer =
+  const auto response =
       this->Call(this->At(target, 8000), {"GET", "/.standin/report", {}, {}});
-  if (!answer) return Json::object();
-  return Json::parse(answer->body, nullptr, false);
+  if (!response) return Json::object();
+  return Json::parse(response->body, nullptr, false);
 }
 
 void Cluster::ControlPlatform(const Json &body) {
-  const auto answer = this->Call(this->At(kPlatform, 7900),
-                                 {"POST", "/control", {}, body.dump()});
-  static_cast<void>(answer);
+  const auto response = this->Call(this->At(kPlatformIndex, 7900),
+                                   {"POST", "/control", {}, body.dump()});
+  static_cast<void>(response);
 }
 
 void Cluster::ControlTarget(int target, const Json &body) {
-  const auto answer = this->Call(
+  const auto response = this->Call(
       this->At(target, 8000), {"POST", "/.standin/control", {}, body.dump()});
-  static_cast<void>(answer);
+  static_cast<void>(response);
 }
 
 int Cluster::Publish(int node,
                      const std::map<std::string, std::string> &documents) {
   const auto base = this->Status(node).value("config_version", 0ULL);
-  const auto answer = this->Operator(node, "POST", "/publish",
-                                     Json{{"author", "test"},
-                                          {"base_version", base},
-                                          {"documents", documents}});
-  return answer ? answer->status : 0;
+  const auto response = this->Operator(node, "POST", "/publish",
+                                       Json{{"author", "test"},
+                                            {"base_version", base},
+                                            {"documents", documents}});
+  return response ? response->status : 0;
 }
 
 std::string Cluster::IssueKey(int node, const std::string &workspace) {
   const std::string key = "prk_" + pollenring::RandomHex(32);
-  const auto answer =
+  const auto response =
       this->Operator(node, "POST", "/keys",
                      Json{{"author", "test"},
                           {"digest", pollenring::Sha256Hex(key)},
                           {"workspace", workspace}});
-  return answer && answer->status == 200 ? key : "";
+  return response && response->status == 200 ? key : "";
 }
 
 int Cluster::WithdrawKey(int node, const std::string &key) {
-  const auto answer =
+  const auto response =
       this->Operator(node, "POST", "/keys",
                      Json{{"author", "test"},
                           {"digest", pollenring::Sha256Hex(key)},
                           {"workspace", ""}});
-  return answer ? answer->status : 0;
+  return response ? response->status : 0;
 }
 
 std::map<std::string, std::string> GraphDocuments() {
--- a/test/support/cluster.h
+++ b/test/support/cluster.h
@@ -96,7 +96,8 @@
   pollenring::SeededRandom random;
 
  private:
-  void Start(const std::string &name, const std::vector<std::string> &words);
+  void Start(const std::string &name,
+             const std::vector<std::string> &arguments);
 
   int net;
   std::string folder;
--- a/test/support/endless_peer.h
+++ b/test/support/endless_peer.h
@@ -31,7 +31,7 @@
     listen(this->listener, 1);
     getsockname(this->listener, reinterpret_cast<sockaddr *>(&native), &size);
     this->address = pollenring::Address::From(native);
-    this->thread = std::thread{[this] { this->Play(); }};
+    this->thread = std::thread{[this] { this->Serve(); }};
   }
   EndlessPeer(const EndlessPeer &) = delete;
   EndlessPeer &operator=(const EndlessPeer &) = delete;
@@ -42,7 +42,7 @@
     close(this->listener);
   }
 
-  [[nodiscard]] const pollenring::Address &Where() const noexcept {
+  [[nodiscard]] const pollenring::Address &ListenAddress() const noexcept {
     return this->address;
   }
 
@@ -54,17 +54,19 @@
   }
 
  private:
-  void Play() {
+  void Serve() {
     const int fd = accept(this->listener, nullptr, nullptr);
     if (fd < 0) return;
-    const timeval patience{0, 100'000};
-    setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof(patience));
+    const timeval send_timeout{0, 100'000};
+    setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &send_timeout,
+               sizeof(send_timeout));
     send(fd, this->head.data(), this->head.size(), MSG_NOSIGNAL);
     while (!this->stop) {
       const auto sent =
           send(fd, this->piece.data(), this->piece.size(), MSG_NOSIGNAL);
-      const bool waits = sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-      if (sent >= 0 || waits) continue;
+      const bool would_block =
+          sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+      if (sent >= 0 || would_block) continue;
       this->closed.set_value();
       break;
     }
--- a/test/support/fake_network.h
+++ b/test/support/fake_network.h
@@ -42,18 +42,19 @@
       : truth{truth}, random{random} {}
 
   double loss{0.05};
-  double repeat{0.05};
-  Duration shortest{200};
-  Duration longest{3000};
-  std::set<std::pair<int, int>> cuts;
-
-  [[nodiscard]] bool Cut(int from, int to) const {
-    return this->cuts.count({from, to}) > 0 || this->cuts.count({to, from}) > 0;
+  double duplication{0.05};
+  Duration min_delay{200};
+  Duration max_delay{3000};
+  std::set<std::pair<int, int>> partitions;
+
+  [[nodiscard]] bool Partitioned(int from, int to) const {
+    return this->partitions.count({from, to}) > 0 ||
+           this->partitions.count({to, from}) > 0;
   }
 
   void Send(int from, int to, const std::function<void()> &deliver) {
-    if (this->Cut(from, to)) return;
-    const int copies = this->random.Chance(this->repeat) ? 2 : 1;
+    if (this->Partitioned(from, to)) return;
+    const int copies = this->random.Chance(this->duplication) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
       if (this->random.Chance(this->loss)) continue;
       this->At(this->truth.Now() + this->Delay(), deliver);
@@ -65,9 +66,9 @@
   }
 
   [[nodiscard]] Duration Delay() {
-    const auto width =
-        static_cast<std::size_t>((this->longest - this->shortest).count() + 1);
-    return this->shortest +
+    const auto width = static_cast<std::size_t>(
+        (this->max_delay - this->min_delay).count() + 1);
+    return this->min_delay +
            Duration{static_cast<std::int64_t>(this->random.Index(width))};
   }
 
--- a/test/support/faulty_codecs.h
+++ b/test/support/faulty_codecs.h
@@ -14,77 +14,80 @@
 namespace support {
 
 /*! @brief Request id whose response makes the target codec throw. */
-inline constexpr const char *kFailsInside = "fails-inside";
+inline constexpr const char *kHandlingFails = "fails-inside";
 /*! @brief Request id whose response violates an invariant. */
-inline constexpr const char *kBreaksRule = "breaks-rule";
+inline constexpr const char *kViolatesInvariant = "breaks-rule";
 
 /*! @brief Request id whose successful response can't be encoded. */
-inline constexpr const char *kUnwritable = "unwritable";
+inline constexpr const char *kResponseNotEncodable = "unwritable";
 /*! @brief Request id for which no response can be encoded, not even an error.
  */
-inline constexpr const char *kUnanswerable = "unanswerable";
+inline constexpr const char *kNoResponseEncodable = "unanswerable";
 /*! @brief Request id that can't be encoded for a target. */
-inline constexpr const char *kUnsendable = "unsendable";
+inline constexpr const char *kRequestNotEncodable = "unsendable";
 /*! @brief Prefix of request ids whose responses can't be forwarded. */
-inline constexpr std::string_view kUnpassable = "unpassable";
+inline constexpr std::string_view kResponseNotForwardable = "unpassable";
 
 /*! @brief The platform's target codec; throws for the request ids above. */
-class FaultyTargets final : public pollenring::TargetCodec {
+class FaultyTargetCodec final : public pollenring::TargetCodec {
  public:
   void AddHeaders(const pollenring::TargetCall &call,
                   pollenring::HttpRequest &request) const override {
-    if (call.envelope.root_id == kUnsendable) {
+    if (call.envelope.root_id == kRequestNotEncodable) {
       throw std::out_of_range{"a request that can't be written"};
     }
-    this->sound.AddHeaders(call, request);
+    this->codec.AddHeaders(call, request);
   }
   [[nodiscard]] pollenring::CorrelationHeader CorrelationHeaderOf(
       const pollenring::CallEnvelope &envelope) const override {
-    return this->sound.CorrelationHeaderOf(envelope);
+    return this->codec.CorrelationHeaderOf(envelope);
   }
   [[nodiscard]] pollenring::ResponseSignals Read(
       const pollenring::CallEnvelope &envelope,
-      const pollenring::HttpResponse &answer) const override {
-    if (envelope.root_id == kFailsInside) {
+      const pollenring::HttpResponse &response) const override {
+    if (envelope.root_id == kHandlingFails) {
       throw std::out_of_range{"an answer that can't be handled"};
     }
-    pollenring::Require(envelope.root_id != kBreaksRule, "a rule of the test");
-    return this->sound.Read(envelope, answer);
+    pollenring::Require(envelope.root_id != kViolatesInvariant,
+                        "a rule of the test");
+    return this->codec.Read(envelope, response);
   }
   [[nodiscard]] std::vector<pollenring::WireHeader> ForwardableResponseHeaders(
       const pollenring::HttpHeaders &headers) const override {
     const auto id = pollenring::FindHeader(headers, "x-pollenring-attempt-id");
-    if (id.substr(0, kUnpassable.size()) == kUnpassable) {
+    if (id.substr(0, kResponseNotForwardable.size()) ==
+        kResponseNotForwardable) {
       throw std::out_of_range{"an answer that can't be passed on"};
     }
-    return this->sound.ForwardableResponseHeaders(headers);
+    return this->codec.ForwardableResponseHeaders(headers);
   }
 
  private:
-  pollenring::platform::HttpTargetCodec sound;
+  pollenring::platform::HttpTargetCodec codec;
 };
 
 /*! @brief The platform's caller codec; throws for the request ids above. */
-class FaultyCallers final : public pollenring::CallerCodec {
+class FaultyCallerCodec final : public pollenring::CallerCodec {
  public:
   [[nodiscard]] pollenring::CallerRequest Decode(
       const pollenring::HttpHeaders &headers) const override {
-    return this->sound.Decode(headers);
+    return this->codec.Decode(headers);
   }
   [[nodiscard]] pollenring::HttpResponse Encode(
       const pollenring::CallReply &reply, std::string body,
       const std::string &id) const override {
-    if (id == kUnwritable && reply.reason == pollenring::Reason::kNone) {
+    if (id == kResponseNotEncodable &&
+        reply.reason == pollenring::Reason::kNone) {
       throw std::out_of_range{"an answer that can't be written"};
     }
-    if (id == kUnanswerable) {
+    if (id == kNoResponseEncodable) {
       throw std::out_of_range{"no answer can be written"};
     }
-    return this->sound.Encode(reply, std::move(body), id);
+    return this->codec.Encode(reply, std::move(body), id);
   }
 
  private:
-  pollenring::platform::HttpCallerCodec sound;
+  pollenring::platform::HttpCallerCodec codec;
 };
 
 }  // namespace support
--- a/test/support/fleet_journal.cc
+++ b/test/support/fleet_journal.cc
@@ -10,17 +10,17 @@
 using pollenring::Duration;
 using pollenring::Time;
 
-constexpr Time kOpen = Time::max();
-constexpr Duration kLossSlack = 200ms;
+constexpr Time kOngoing = Time::max();
+constexpr Duration kCloseRaceTime = 200ms;
 constexpr Duration kQuotaWindow = 5s;
-constexpr double kQuotaOver = 0.1;
+constexpr double kQuotaTolerance = 0.1;
 constexpr double kQuotaSlack = 20;
 constexpr std::int64_t kDeadlineSlackMs = 500;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 
 /*! @return True if a status guarantees that the request is never executed. */
-[[nodiscard]] bool IsPromise(int status) {
+[[nodiscard]] bool ImpliesNotExecuted(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
@@ -37,47 +37,49 @@
 
 }  // namespace
 
-FleetJournal::FleetJournal(FleetQuota quota, std::set<std::string> blind_builds)
-    : quota{std::move(quota)}, blind_builds{std::move(blind_builds)} {}
+FleetJournal::FleetJournal(FleetQuota quota,
+                           std::set<std::string> builds_without_withdrawal)
+    : quota{std::move(quota)},
+      builds_without_withdrawal{std::move(builds_without_withdrawal)} {}
 
-void FleetJournal::Disturbed(int node, Trouble why, Time at) {
-  this->disturbances.push_back({node, why, at, kOpen});
+void FleetJournal::BeginDisturbance(int node, DisturbanceCause cause, Time at) {
+  this->disturbances.push_back({node, cause, at, kOngoing});
 }
 
-void FleetJournal::Settled(int node, Time at) {
+void FleetJournal::EndDisturbances(int node, Time at) {
   for (auto &disturbance : this->disturbances) {
-    if (disturbance.node != node || disturbance.to != kOpen) continue;
+    if (disturbance.node != node || disturbance.to != kOngoing) continue;
     disturbance.to = at;
   }
 }
 
-void FleetJournal::Withdrawn(const std::set<int> &nodes, bool withdrawn,
-                             Time at) {
+void FleetJournal::RecordWithdrawal(const std::set<int> &nodes, bool withdrawn,
+                                    Time at) {
   if (withdrawn) {
-    this->withdrawals.push_back({nodes, at, kOpen});
+    this->withdrawals.push_back({nodes, at, kOngoing});
     return;
   }
   this->withdrawals.back().to = at;
 }
 
-void FleetJournal::Begin(const std::string &id, FleetCall call) {
+void FleetJournal::RecordCall(const std::string &id, FleetCall call) {
   this->calls.emplace(id, std::move(call));
 }
 
-void FleetJournal::Broke(FleetRule rule, Time at, std::string what) {
-  this->breaches.push_back({rule, at, std::move(what)});
+void FleetJournal::RecordViolation(FleetRule rule, Time at, std::string what) {
+  this->violations.push_back({rule, at, std::move(what)});
 }
 
-bool FleetJournal::Calm(int node, Time from, Time to) const {
+bool FleetJournal::Undisturbed(int node, Time from, Time to) const {
   return std::none_of(this->disturbances.begin(), this->disturbances.end(),
                       [&](const Disturbance &d) {
                         return d.node == node && d.from <= to && d.to >= from;
                       });
 }
 
-bool FleetJournal::AllCalm(Time from, Time to) const {
-  const auto overlaps = [&](const auto &span) {
-    return span.from <= to && span.to >= from;
+bool FleetJournal::AllUndisturbed(Time from, Time to) const {
+  const auto overlaps = [&](const auto &interval) {
+    return interval.from <= to && interval.to >= from;
   };
   return std::none_of(this->disturbances.begin(), this->disturbances.end(),
                       overlaps) &&
@@ -87,18 +89,18 @@
                       [&](Time at) { return at >= from && at <= to; });
 }
 
-std::vector<Breach> FleetJournal::Judge() const {
-  std::vector<Breach> found = this->breaches;
+std::vector<Violation> FleetJournal::FindViolations() const {
+  std::vector<Violation> found = this->violations;
   RunsById by_id;
   for (const auto &run : this->runs) by_id[run.id].push_back(&run);
   for (const auto &[id, call] : this->calls) {
     // The last calls are still pending when the run ends.
     if (call.ended == Time{}) continue;
-    this->JudgeAnswer(id, call, by_id, found);
-    this->JudgeRoute(id, call, found);
+    this->CheckResponse(id, call, by_id, found);
+    this->CheckRoute(id, call, found);
   }
-  for (const auto &run : this->runs) this->JudgeRun(run, found);
-  this->JudgeQuota(found);
+  for (const auto &run : this->runs) this->CheckRun(run, found);
+  this->CheckQuota(found);
   std::sort(
       found.begin(), found.end(),
       [](const auto &left, const auto &right) { return left.at < right.at; });
@@ -106,62 +108,64 @@
 }
 
 bool FleetJournal::Excused(const FleetCall &call) const {
-  return std::any_of(this->disturbances.begin(), this->disturbances.end(),
-                     [&call](const Disturbance &d) {
-                       const bool unplanned =
-                           d.why == Trouble::kKill || d.why == Trouble::kPause;
-                       return unplanned && d.node == call.entry &&
-                              d.from <= call.ended &&
-                              (d.to == kOpen || d.to + kContact >= call.sent);
-                     });
+  return std::any_of(
+      this->disturbances.begin(), this->disturbances.end(),
+      [&call](const Disturbance &d) {
+        const bool unplanned = d.cause == DisturbanceCause::kKill ||
+                               d.cause == DisturbanceCause::kPause;
+        return unplanned && d.node == call.entry && d.from <= call.ended &&
+               (d.to == kOngoing || d.to + kContact >= call.sent);
+      });
 }
 
-void FleetJournal::JudgeAnswer(const std::string &id, const FleetCall &call,
-                               const RunsById &by_id,
-                               std::vector<Breach> &found) const {
+void FleetJournal::CheckResponse(const std::string &id, const FleetCall &call,
+                                 const RunsById &by_id,
+                                 std::vector<Violation> &found) const {
   const auto at = by_id.find(id);
   const std::size_t ran = at == by_id.end() ? 0 : at->second.size();
-  const std::string told = Describe(id, call);
+  const std::string description = Describe(id, call);
   if (call.unsafe && ran > 1) {
     found.push_back({FleetRule::kTwice, call.sent,
-                     told + ", ran " + std::to_string(ran) + " times"});
+                     description + ", ran " + std::to_string(ran) + " times"});
   }
-  if (call.unsafe && ran > 0 && IsPromise(call.status)) {
-    found.push_back({FleetRule::kRefused, call.sent, told});
+  if (call.unsafe && ran > 0 && ImpliesNotExecuted(call.status)) {
+    found.push_back({FleetRule::kRefused, call.sent, description});
   }
   if (call.error && !pollenring::WasNotSent(*call.error)) {
     // A request sent while the node closes the connection, and not forwarded,
     // may be lost.
-    const bool read = ran > 0 || call.ended - call.sent > kLossSlack;
+    const bool read = ran > 0 || call.ended - call.sent > kCloseRaceTime;
     if (read && !this->Excused(call)) {
-      found.push_back({FleetRule::kLost, call.sent,
-                       told + ", ran " + std::to_string(ran) + " times"});
+      found.push_back(
+          {FleetRule::kLost, call.sent,
+           description + ", ran " + std::to_string(ran) + " times"});
     }
   }
   if (call.status == kOk && call.body != id) {
-    found.push_back({FleetRule::kMixed, call.sent, told});
+    found.push_back({FleetRule::kMixed, call.sent, description});
   }
-  const bool calm = this->AllCalm(call.sent - kContact, call.ended);
-  if (calm && call.expected == Expected::kServed && call.status != kOk) {
-    found.push_back({FleetRule::kCall, call.sent, told});
+  const bool undisturbed =
+      this->AllUndisturbed(call.sent - kContact, call.ended);
+  if (undisturbed && call.expected == Expected::kServed && call.status != kOk) {
+    found.push_back({FleetRule::kCall, call.sent, description});
   }
 }
 
-void FleetJournal::JudgeRoute(const std::string &id, const FleetCall &call,
-                              std::vector<Breach> &found) const {
-  if (!this->Calm(call.entry, call.sent - kContact, call.ended)) return;
+void FleetJournal::CheckRoute(const std::string &id, const FleetCall &call,
+                              std::vector<Violation> &found) const {
+  if (!this->Undisturbed(call.entry, call.sent - kContact, call.ended)) return;
   if (call.status == 0) return;
   const bool missing =
-      call.expected == Expected::kRouteThere && call.status == kNotFound;
+      call.expected == Expected::kRoutePresent && call.status == kNotFound;
   const bool kept =
-      call.expected == Expected::kRouteGone && call.status != kNotFound;
+      call.expected == Expected::kRouteAbsent && call.status != kNotFound;
   if (missing || kept) {
     found.push_back({FleetRule::kConfig, call.sent, Describe(id, call)});
   }
 }
 
-void FleetJournal::JudgeRun(const FleetRun &run,
-                            std::vector<Breach> &found) const {
+void FleetJournal::CheckRun(const FleetRun &run,
+                            std::vector<Violation> &found) const {
   const std::string where =
       " beside node " + std::to_string(run.node) + " (" + run.build + ")";
   const auto sent = this->calls.find(run.id);
@@ -192,18 +196,20 @@
     if (run.at <= withdrawal.from + kEvacuation || run.at >= withdrawal.to) {
       continue;
     }
-    const bool told = (this->KnowsZones(call.build) &&
-                       this->Calm(call.entry, run.at - kContact, run.at)) ||
-                      (this->KnowsZones(run.build) &&
-                       this->Calm(run.node, run.at - kContact, run.at));
-    if (told) found.push_back({FleetRule::kEvac, run.at, run.id + from});
+    const bool aware =
+        (this->SupportsWithdrawal(call.build) &&
+         this->Undisturbed(call.entry, run.at - kContact, run.at)) ||
+        (this->SupportsWithdrawal(run.build) &&
+         this->Undisturbed(run.node, run.at - kContact, run.at));
+    if (aware) found.push_back({FleetRule::kEvac, run.at, run.id + from});
   }
 }
 
-void FleetJournal::JudgeQuota(std::vector<Breach> &found) const {
+void FleetJournal::CheckQuota(std::vector<Violation> &found) const {
   const double window = std::chrono::duration<double>{kQuotaWindow}.count();
-  const double most =
-      (this->quota.rate_per_s * window + this->quota.burst) * (1 + kQuotaOver) +
+  const double max_runs =
+      (this->quota.rate_per_s * window + this->quota.burst) *
+          (1 + kQuotaTolerance) +
       kQuotaSlack;
   struct Arrival {
     Time at{};
@@ -234,24 +240,25 @@
     worst = inside;
     worst_at = arrivals[last].at;
   }
-  if (static_cast<double>(worst) <= most) return;
+  if (static_cast<double>(worst) <= max_runs) return;
   found.push_back({FleetRule::kQuota, worst_at,
                    this->quota.workspace + " got " + std::to_string(worst) +
-                       " in 5 s, at most " + std::to_string(most)});
+                       " in 5 s, at most " + std::to_string(max_runs)});
 }
 
-const FleetCall *FleetJournal::ServedInCalm(const FleetRun &run) const {
+const FleetCall *FleetJournal::ServedUndisturbed(const FleetRun &run) const {
   const auto sent = this->calls.find(run.id);
   if (sent == this->calls.end() || sent->second.status != kOk) return nullptr;
   const FleetCall &call = sent->second;
-  return this->AllCalm(call.sent - kContact, call.ended) ? &call : nullptr;
+  return this->AllUndisturbed(call.sent - kContact, call.ended) ? &call
+                                                                : nullptr;
 }
 
 std::map<std::pair<std::string, std::string>, int> FleetJournal::Crossings()
     const {
   std::map<std::pair<std::string, std::string>, int> counts;
   for (const auto &run : this->runs) {
-    const FleetCall *call = this->ServedInCalm(run);
+    const FleetCall *call = this->ServedUndisturbed(run);
     if (call != nullptr) ++counts[{call->build, run.build}];
   }
   return counts;
@@ -261,7 +268,7 @@
   std::set<std::pair<int, int>> pairs;
   for (const auto &run : this->runs) {
     if (run.at < from) continue;
-    const FleetCall *call = this->ServedInCalm(run);
+    const FleetCall *call = this->ServedUndisturbed(run);
     if (call != nullptr) pairs.insert({call->entry, run.node});
   }
   return pairs;
--- a/test/support/fleet_journal.h
+++ b/test/support/fleet_journal.h
@@ -43,17 +43,17 @@
 }}};
 
 /*! @brief One violation of a rule. */
-struct Breach {
+struct Violation {
   FleetRule rule{};
   pollenring::Time at{};
   std::string what;
 };
 
 /*! @brief Why a node is disturbed. */
-enum class Trouble { kStart, kStop, kKill, kPause };
+enum class DisturbanceCause { kStart, kStop, kKill, kPause };
 
 /*! @brief Expected outcome of a request. */
-enum class Expected { kServed, kMayBeRefused, kRouteThere, kRouteGone };
+enum class Expected { kServed, kMayBeRefused, kRoutePresent, kRouteAbsent };
 
 /*! @brief One request of a caller and its outcome. */
 struct FleetCall {
@@ -101,37 +101,40 @@
       std::chrono::milliseconds{1400};
 
   /*! @param quota Rate limit to check.
-   * @param blind_builds Builds without support for withdrawn zones. */
-  FleetJournal(FleetQuota quota, std::set<std::string> blind_builds);
+   * @param builds_without_withdrawal Builds without support for withdrawn
+   * zones. */
+  FleetJournal(FleetQuota quota,
+               std::set<std::string> builds_without_withdrawal);
 
-  /*! @brief Records that a node is disturbed until `Settled`. */
-  void Disturbed(int node, Trouble why, pollenring::Time at);
+  /*! @brief Records that a node is disturbed until `EndDisturbances`. */
+  void BeginDisturbance(int node, DisturbanceCause cause, pollenring::Time at);
   /*! @brief Records that a node's disturbances have ended. */
-  void Settled(int node, pollenring::Time at);
+  void EndDisturbances(int node, pollenring::Time at);
   /*! @brief Records a change by the operator. */
-  void Changed(pollenring::Time at) { this->changes.push_back(at); }
+  void RecordChange(pollenring::Time at) { this->changes.push_back(at); }
   /*! @brief Records that a zone's nodes are withdrawn or restored. */
-  void Withdrawn(const std::set<int> &nodes, bool withdrawn,
-                 pollenring::Time at);
+  void RecordWithdrawal(const std::set<int> &nodes, bool withdrawn,
+                        pollenring::Time at);
 
-  void Begin(const std::string &id, FleetCall call);
+  void RecordCall(const std::string &id, FleetCall call);
   /*! @brief Finds a call. @return The call of an id; it must have begun. */
   [[nodiscard]] FleetCall &CallOf(const std::string &id) {
     return this->calls.at(id);
   }
-  void Ran(FleetRun run) { this->runs.push_back(std::move(run)); }
-  void Broke(FleetRule rule, pollenring::Time at, std::string what);
+  void RecordRun(FleetRun run) { this->runs.push_back(std::move(run)); }
+  void RecordViolation(FleetRule rule, pollenring::Time at, std::string what);
 
   /*! @return True if a node was undisturbed for the complete interval. */
-  [[nodiscard]] bool Calm(int node, pollenring::Time from,
-                          pollenring::Time to) const;
+  [[nodiscard]] bool Undisturbed(int node, pollenring::Time from,
+                                 pollenring::Time to) const;
   /*! @return True if no node was disturbed, no zone withdrawn and nothing
    * changed in the interval. */
-  [[nodiscard]] bool AllCalm(pollenring::Time from, pollenring::Time to) const;
+  [[nodiscard]] bool AllUndisturbed(pollenring::Time from,
+                                    pollenring::Time to) const;
 
   /*! @brief Checks all records against the rules. @return Violations by time.
    */
-  [[nodiscard]] std::vector<Breach> Judge() const;
+  [[nodiscard]] std::vector<Violation> FindViolations() const;
 
   /*! @brief Counts undisturbed served calls by build of the entry node and
    * build of the node local to the target. @return Count for each pair of
@@ -152,7 +155,7 @@
  private:
   struct Disturbance {
     int node{};
-    Trouble why{};
+    DisturbanceCause cause{};
     pollenring::Time from{};
     pollenring::Time to{};
   };
@@ -163,27 +166,28 @@
   };
   using RunsById = std::map<std::string, std::vector<const FleetRun *>>;
 
-  void JudgeAnswer(const std::string &id, const FleetCall &call,
-                   const RunsById &by_id, std::vector<Breach> &found) const;
-  void JudgeRoute(const std::string &id, const FleetCall &call,
-                  std::vector<Breach> &found) const;
-  void JudgeRun(const FleetRun &run, std::vector<Breach> &found) const;
-  void JudgeQuota(std::vector<Breach> &found) const;
+  void CheckResponse(const std::string &id, const FleetCall &call,
+                     const RunsById &by_id,
+                     std::vector<Violation> &found) const;
+  void CheckRoute(const std::string &id, const FleetCall &call,
+                  std::vector<Violation> &found) const;
+  void CheckRun(const FleetRun &run, std::vector<Violation> &found) const;
+  void CheckQuota(std::vector<Violation> &found) const;
   /*! @return The call of a run if served undisturbed, otherwise null. */
-  [[nodiscard]] const FleetCall *ServedInCalm(const FleetRun &run) const;
+  [[nodiscard]] const FleetCall *ServedUndisturbed(const FleetRun &run) const;
   [[nodiscard]] bool Excused(const FleetCall &call) const;
-  [[nodiscard]] bool KnowsZones(const std::string &build) const {
-    return this->blind_builds.count(build) == 0;
+  [[nodiscard]] bool SupportsWithdrawal(const std::string &build) const {
+    return this->builds_without_withdrawal.count(build) == 0;
   }
 
   FleetQuota quota;
-  std::set<std::string> blind_builds;
+  std::set<std::string> builds_without_withdrawal;
   std::vector<Disturbance> disturbances;
   std::vector<Withdrawal> withdrawals;
   std::vector<pollenring::Time> changes;
   std::map<std::string, FleetCall> calls;
   std::vector<FleetRun> runs;
-  std::vector<Breach> breaches;
+  std::vector<Violation> violations;
 };
 
 }  // namespace support
--- a/test/support/late_reader.h
+++ b/test/support/late_reader.h
@@ -30,7 +30,7 @@
     listen(this->listener, 1);
     getsockname(this->listener, reinterpret_cast<sockaddr *>(&native), &size);
     this->address = pollenring::Address::From(native);
-    this->thread = std::thread{[this, pause] { this->Play(pause); }};
+    this->thread = std::thread{[this, pause] { this->Serve(pause); }};
   }
   LateReader(const LateReader &) = delete;
   LateReader &operator=(const LateReader &) = delete;
@@ -40,21 +40,22 @@
     close(this->listener);
   }
 
-  [[nodiscard]] const pollenring::Address &Where() const noexcept {
+  [[nodiscard]] const pollenring::Address &ListenAddress() const noexcept {
     return this->address;
   }
 
  private:
-  void Play(std::chrono::milliseconds pause) const {
+  void Serve(std::chrono::milliseconds pause) const {
     const int fd = accept(this->listener, nullptr, nullptr);
     if (fd < 0) return;
-    const timeval longest{1, 0};
-    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &longest, sizeof(longest));
+    const timeval receive_timeout{1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &receive_timeout,
+               sizeof(receive_timeout));
     std::array<char, 65536> buffer{};
     if (recv(fd, buffer.data(), buffer.size(), 0) > 0) {
-      const std::string answer =
+      const std::string response =
           "HTTP/1.1 200 OK\r\nmark: own\r\ncontent-length: 0\r\n\r\n";
-      send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
+      send(fd, response.data(), response.size(), MSG_NOSIGNAL);
       // Reads nothing during the pause.
       poll(nullptr, 0, static_cast<int>(pause.count()));
       while (recv(fd, buffer.data(), buffer.size(), 0) > 0) {
--- a/test/support/lease_node.h
+++ b/test/support/lease_node.h
@@ -61,7 +61,7 @@
   }
 
   /*! @brief Runs an event at this process after the delay of a table call. */
-  void Later(const std::function<void(Node &)> &event) {
+  void RunAfterDelay(const std::function<void(Node &)> &event) {
     LeaseWorld &shared = this->world;
     const int own = this->index;
     const auto process = this->self.process;
@@ -97,27 +97,29 @@
       this->suspicion_ends[slot] =
           now + std::chrono::milliseconds{this->world.random.Index(9000)};
     }
-    const auto long_one = this->suspicion_ends.find(slot);
-    const bool wrong =
-        (long_one != this->suspicion_ends.end() && now < long_one->second) ||
-        this->world.random.Chance(faults.wrong_suspicion);
+    const auto suspicion = this->suspicion_ends.find(slot);
+    const bool suspected =
+        (suspicion != this->suspicion_ends.end() && now < suspicion->second) ||
+        this->world.random.Chance(faults.false_suspicion);
     const Node &node = *this->world.nodes[static_cast<std::size_t>(*holder)];
-    const bool reachable = !this->world.network.Cut(this->index, *holder);
-    return !wrong && reachable && !node.Frozen();
+    const bool reachable =
+        !this->world.network.Partitioned(this->index, *holder);
+    return !suspected && reachable && !node.Frozen();
   }
   [[nodiscard]] std::optional<std::size_t> Rank(SlotId slot) const override {
     const auto third = std::min<SlotId>(2, slot * 3 / this->world.slots);
     const std::string preferred = ZoneOf(third);
-    bool preferred_lives = false;
+    bool preferred_alive = false;
     for (const auto &node : this->world.nodes) {
-      const bool lives = node && !node->Frozen();
-      if (lives && ZoneOf(node->self.node) == preferred) preferred_lives = true;
+      const bool alive = node && !node->Frozen();
+      if (alive && ZoneOf(node->self.node) == preferred) preferred_alive = true;
     }
-    const bool there = ZoneOf(this->self.node) == preferred;
-    const std::size_t later = preferred_lives && !there ? 1 : 0;
+    const bool in_preferred = ZoneOf(this->self.node) == preferred;
+    const std::size_t zone_penalty = preferred_alive && !in_preferred ? 1 : 0;
     // Witnesses of a lost holder rank first.
-    const std::size_t turns = this->world.had_holder.count(slot) > 0 ? 4 : 0;
-    return turns + later + this->world.random.Index(2);
+    const std::size_t takeover_penalty =
+        this->world.had_holder.count(slot) > 0 ? 4 : 0;
+    return takeover_penalty + zone_penalty + this->world.random.Index(2);
   }
   [[nodiscard]] std::vector<ProcessRef> WitnessesFor(
       const ProcessRef &holder) const override {
@@ -125,7 +127,7 @@
     std::vector<pollenring::WitnessCandidate> candidates;
     for (const auto &node : this->world.nodes) {
       if (!node || node->self == holder || node->Frozen()) continue;
-      if (this->world.network.Cut(this->index, node->index)) continue;
+      if (this->world.network.Partitioned(this->index, node->index)) continue;
       candidates.push_back({node->self, ZoneOf(node->self.node), "region",
                             this->world.random.Bits()});
     }
@@ -140,13 +142,14 @@
   }
 
   void ReadRow(SlotId slot) override {
-    if (this->world.random.Chance(this->world.faults.unreadable)) {
-      this->Later([slot](Node &node) { node.keeper.RowUnreadable(slot); });
+    if (this->world.random.Chance(this->world.faults.failed_reads)) {
+      this->RunAfterDelay(
+          [slot](Node &node) { node.keeper.RowUnreadable(slot); });
       return;
     }
     this->world.table.Read(
         {pollenring::SlotRowKey(slot)}, [&](pollenring::Table::Rows rows) {
-          this->Later([slot, rows](Node &node) {
+          this->RunAfterDelay([slot, rows](Node &node) {
             const auto *found =
                 std::get_if<std::vector<pollenring::Row>>(&rows);
             if (found == nullptr) {
@@ -167,9 +170,9 @@
     const int own = this->index;
     const auto process = this->self.process;
     // A write takes effect after a delay, and its response may be lost.
-    const bool unanswered = shared.random.Chance(shared.faults.unanswered);
-    const Duration delay =
-        shared.network.Delay() * (unanswered ? shared.faults.late_writes : 1);
+    const bool timed_out = shared.random.Chance(shared.faults.timed_out_writes);
+    const Duration delay = shared.network.Delay() *
+                           (timed_out ? shared.faults.late_write_factor : 1);
     shared.network.At(shared.truth.Now() + delay, [=, &shared] {
       shared.table.Write(
           {{key, version}}, {{key, text}},
@@ -184,31 +187,32 @@
                        pollenring::StorageError::kUnavailable) {
               result = pollenring::RowWrite::kUnavailable;
             }
-            if (unanswered) return;
+            if (timed_out) return;
             Deliver(shared, own, process, [slot, result](Node &node) {
               node.keeper.RowWritten(slot, result);
             });
           });
     });
-    if (!unanswered) return;
-    this->Later([slot](Node &node) {
+    if (!timed_out) return;
+    this->RunAfterDelay([slot](Node &node) {
       node.keeper.RowWritten(slot, pollenring::RowWrite::kUnknown);
     });
   }
 
   void SendQuery(const ProcessRef &ref,
-                 const pollenring::WitnessQuery &ask) override {
+                 const pollenring::WitnessQuery &query) override {
     const int to = static_cast<int>(ref.node) - 1;
     const int own = this->index;
     if (to == own) {
-      const auto answer = this->witness.HandleQuery(ask);
-      this->Later([=](Node &node) { node.keeper.HandleReply(ref, answer); });
+      const auto reply = this->witness.HandleQuery(query);
+      this->RunAfterDelay(
+          [=](Node &node) { node.keeper.HandleReply(ref, reply); });
       return;
     }
     this->SendTo(to, [=](Node &other) {
-      const auto answer = other.witness.HandleQuery(ask);
+      const auto reply = other.witness.HandleQuery(query);
       other.SendTo(own,
-                   [=](Node &node) { node.keeper.HandleReply(ref, answer); });
+                   [=](Node &node) { node.keeper.HandleReply(ref, reply); });
     });
   }
 
@@ -220,15 +224,15 @@
         origin == pollenring::SlotOrigin::kTakenOver && before.epoch == 0;
     const auto added = this->lenders.emplace(
         slot, pollenring::ShareLender{first, this->clock});
-    const auto left = this->inherited.find(slot);
-    if (left == this->inherited.end()) return;
+    const auto inheritance = this->inherited.find(slot);
+    if (inheritance == this->inherited.end()) return;
     // Also valid if the predecessor resigned and was the previous holder.
-    const bool last = before.epoch == left->second.epoch &&
-                      before.holder == left->second.holder;
+    const bool last = before.epoch == inheritance->second.epoch &&
+                      before.holder == inheritance->second.holder;
     if (origin == pollenring::SlotOrigin::kHandedOver || last) {
-      added.first->second.Inherit(left->second.contents);
+      added.first->second.Inherit(inheritance->second.contents);
     }
-    this->inherited.erase(left);
+    this->inherited.erase(inheritance);
   }
   void WitnessesChanged(SlotId /*slot*/, const SlotRow & /*row*/) override {}
   void Lost(SlotId slot) override { this->lenders.erase(slot); }
@@ -288,12 +292,12 @@
   std::map<SlotId, pollenring::ShareLender> lenders;
   /*! @brief Bucket contents of a predecessor, and epoch and holder of its row.
    */
-  struct Left {
+  struct Inheritance {
     std::uint64_t epoch{};
     ProcessRef holder;
     std::map<std::string, pollenring::BucketState> contents;
   };
-  std::map<SlotId, Left> inherited;
+  std::map<SlotId, Inheritance> inherited;
   Time frozen_until{};
   mutable std::map<SlotId, Time> suspicion_ends;
 };
--- a/test/support/lease_world.cc
+++ b/test/support/lease_world.cc
@@ -11,10 +11,10 @@
   faults.crash = 0.1;
   faults.freeze = 0.2;
   faults.table_down = 0.02;
-  faults.lose_answers = 0.1;
-  faults.cut = 0.2;
-  faults.wrong_suspicion = 0.01;
-  faults.give = 0.3;
+  faults.lose_responses = 0.1;
+  faults.partition = 0.2;
+  faults.false_suspicion = 0.01;
+  faults.handover = 0.3;
   return faults;
 }
 
@@ -42,9 +42,9 @@
   for (std::uint64_t i = 0; i < steps; ++i) this->Step();
 }
 
-void LeaseWorld::Calm() {
-  this->calm = true;
-  this->network.cuts.clear();
+void LeaseWorld::EndFaults() {
+  this->faults_ended = true;
+  this->network.partitions.clear();
   this->table.Faults() = {};
   this->faults = WorldFaults{};
 }
@@ -53,7 +53,7 @@
   this->nodes[static_cast<std::size_t>(index)].reset();
 }
 
-bool LeaseWorld::Up(int index) const {
+bool LeaseWorld::IsUp(int index) const {
   const auto &node = this->nodes[static_cast<std::size_t>(index)];
   return node && !node->Frozen();
 }
@@ -68,11 +68,11 @@
   if (node) node->frozen_until = this->truth.Now() + length;
 }
 
-bool LeaseWorld::Give(SlotId slot) {
+bool LeaseWorld::HandOver(SlotId slot) {
   const std::size_t size = this->nodes.size();
   const auto &successor = this->nodes[this->random.Index(size)];
   if (!successor) return false;
-  bool given = false;
+  bool started = false;
   for (const auto &node : this->nodes) {
     if (!node || node == successor || node->Frozen()) continue;
     if (node->keeper.Held(slot) == nullptr) continue;
@@ -80,9 +80,9 @@
     if (!node->keeper.Resign(slot, successor->self)) {
       node->keeper.HandOverTo(slot, successor->self);
     }
-    given = true;
+    started = true;
   }
-  return given;
+  return started;
 }
 
 void LeaseWorld::Tick(std::size_t index) {
@@ -132,14 +132,14 @@
       workspace, pollenring::WaitLimit::Until(Time::max()),
       [this, workspace, done](const pollenring::ChargeResult &result) {
         if (result.granted) {
-          this->checks.at(workspace).Charged(this->truth.Now());
+          this->checks.at(workspace).RecordCharge(this->truth.Now());
         }
         done(result.granted);
       });
 }
 
 void LeaseWorld::Disturb() {
-  if (this->calm) return;
+  if (this->faults_ended) return;
   const auto size = this->nodes.size();
   const auto pick = [&] { return static_cast<int>(this->random.Index(size)); };
   if (this->Happens(this->faults.crash)) {
@@ -154,8 +154,8 @@
           }
         });
   }
-  if (this->Happens(this->faults.give)) {
-    this->Give(static_cast<SlotId>(this->random.Index(this->slots)));
+  if (this->Happens(this->faults.handover)) {
+    this->HandOver(static_cast<SlotId>(this->random.Index(this->slots)));
   }
   if (this->Happens(this->faults.freeze)) {
     this->Freeze(pick(), std::chrono::milliseconds{this->random.Index(9000)});
@@ -166,18 +166,18 @@
                          std::chrono::milliseconds{this->random.Index(20000)},
                      [this] { this->table.Faults().down = false; });
   }
-  if (this->Happens(this->faults.lose_answers)) {
+  if (this->Happens(this->faults.lose_responses)) {
     this->table.Faults().lose_write_responses = true;
     this->network.At(
         this->truth.Now() + std::chrono::milliseconds{this->random.Index(5000)},
         [this] { this->table.Faults().lose_write_responses = false; });
   }
-  if (this->Happens(this->faults.cut)) {
-    const auto cut = std::make_pair(pick(), pick());
-    this->network.cuts.insert(cut);
+  if (this->Happens(this->faults.partition)) {
+    const auto partition = std::make_pair(pick(), pick());
+    this->network.partitions.insert(partition);
     this->network.At(
         this->truth.Now() + std::chrono::milliseconds{this->random.Index(8000)},
-        [this, cut] { this->network.cuts.erase(cut); });
+        [this, partition] { this->network.partitions.erase(partition); });
   }
 }
 
--- a/test/support/lease_world.h
+++ b/test/support/lease_world.h
@@ -26,16 +26,14 @@
   double crash{};
   double freeze{};
   double table_down{};
-  double lose_answers{};
-  double cut{};
-  double wrong_suspicion{}; /*!< Probability per check that a live holder is
-                               suspected. */
+  double lose_responses{};
+  double partition{};
+  double false_suspicion{}; /*!< Per check of a live holder. */
   double long_suspicion{};  /*!< The same, for up to 9 s. */
-  double give{};            /*!< A holder hands a slot over to another node. */
-  double unanswered{
-      0.02}; /*!< Fraction of writes that are late and get no response. */
-  double unreadable{};  /*!< Fraction of reads that fail. */
-  int late_writes{300}; /*!< Factor on the delay of late writes. */
+  double handover{};        /*!< A holder hands a slot over to another node. */
+  double timed_out_writes{0.02}; /*!< Fraction that is late, no response. */
+  double failed_reads{};         /*!< Fraction of reads that fail. */
+  int late_write_factor{300};    /*!< Factor on the delay of late writes. */
 };
 
 /*! @return Fault rates under which most kinds of fault are frequent. */
@@ -47,7 +45,7 @@
   RateCheck(double rate, double burst, double drift)
       : rate{rate * (1 + drift)}, burst{burst}, level{burst} {}
 
-  void Charged(Time at) {
+  void RecordCharge(Time at) {
     const auto elapsed = static_cast<double>((at - this->last).count());
     this->level =
         std::min(this->burst, this->level + this->rate * elapsed / 1e6);
@@ -85,17 +83,17 @@
   void Step();
   void Run(std::uint64_t steps);
 
-  /*! @brief Ends all faults except the default fraction of unanswered writes.
+  /*! @brief Ends all faults except the default fraction of timed-out writes.
    */
-  void Calm();
+  void EndFaults();
 
-  [[nodiscard]] bool Up(int index) const;
+  [[nodiscard]] bool IsUp(int index) const;
   void Crash(int index);
   void Boot(int index);
   void Freeze(int index, Duration length);
   /*! @brief Lets a slot's holder, if any, hand it over to a random node.
    * @return True if a handover was started. */
-  bool Give(SlotId slot);
+  bool HandOver(SlotId slot);
   [[nodiscard]] std::size_t HeldSlots() const;
   [[nodiscard]] std::string Describe() const;
 
@@ -109,7 +107,7 @@
   std::map<std::string, RateCheck> checks;
   std::vector<std::unique_ptr<Node>> nodes;
   std::set<SlotId> had_holder;
-  bool calm{};
+  bool faults_ended{};
 
  private:
   void Tick(std::size_t index);
--- a/test/support/member_fleet.h
+++ b/test/support/member_fleet.h
@@ -32,10 +32,13 @@
     Node(MemberFleet &fleet, int index, std::uint64_t incarnation)
         : fleet{fleet},
           index{index},
-          membership{
-              Make(index, incarnation), {}, fleet.clock, fleet.random, *this} {}
+          membership{MakeSelf(index, incarnation),
+                     {},
+                     fleet.clock,
+                     fleet.random,
+                     *this} {}
 
-    static Member Make(int index, std::uint64_t incarnation) {
+    static Member MakeSelf(int index, std::uint64_t incarnation) {
       Member self;
       self.id = static_cast<NodeId>(index + 1);
       self.incarnation = incarnation;
@@ -72,10 +75,10 @@
         if (!node || node->frozen) return;
         const auto theirs = node->membership.Differing(digests);
         shared.network.Send(receiver, own, [&shared, own, receiver, theirs] {
-          auto &asker = shared.nodes[static_cast<std::size_t>(own)];
-          if (!asker || asker->frozen) return;
-          const auto mine = asker->membership.Differing(theirs.digests);
-          asker->membership.Merge(theirs.records);
+          auto &requester = shared.nodes[static_cast<std::size_t>(own)];
+          if (!requester || requester->frozen) return;
+          const auto mine = requester->membership.Differing(theirs.digests);
+          requester->membership.Merge(theirs.records);
           shared.network.Send(own, receiver, [&shared, receiver, mine] {
             auto &peer = shared.nodes[static_cast<std::size_t>(receiver)];
             if (peer && !peer->frozen) peer->membership.Merge(mine.records);
@@ -89,14 +92,14 @@
     Membership membership;
     pollenring::WithdrawnZones zones;
     bool frozen{};
-    std::vector<Gossip> held;
+    std::vector<Gossip> queued;
   };
 
   void Deliver(int index, const Gossip &gossip) {
     auto &node = this->nodes[static_cast<std::size_t>(index)];
     if (!node) return;
     if (node->frozen) {
-      node->held.push_back(gossip);
+      node->queued.push_back(gossip);
       return;
     }
     node->membership.Receive(gossip);
@@ -148,9 +151,9 @@
     for (int i = 0; i < size; ++i) {
       if (!this->nodes[static_cast<std::size_t>(i)]) continue;
       for (int j = 0; j < size; ++j) {
-        const bool lives = this->nodes[static_cast<std::size_t>(j)] != nullptr;
+        const bool alive = this->nodes[static_cast<std::size_t>(j)] != nullptr;
         const bool seen = this->StateSeen(i, j) != MemberState::kDead;
-        if (lives != seen) ++count;
+        if (alive != seen) ++count;
       }
     }
     return count;
--- a/test/support/mesh_world.cc
+++ b/test/support/mesh_world.cc
@@ -35,7 +35,7 @@
 
 }  // namespace
 
-StoreStandIn::StoreStandIn(pollenring::Loop &loop, const Address &address)
+FakeStore::FakeStore(pollenring::Loop &loop, const Address &address)
     : loop{loop},
       server{loop, address, pollenring::HttpServerLimits{},
              [this](const HttpRequest &request,
@@ -45,17 +45,17 @@
   this->server.Open();
 }
 
-void StoreStandIn::PutConfig(const std::string &json) {
+void FakeStore::PutConfig(const std::string &json) {
   this->rows[{"op", "config"}] = {++this->version, Base64(json)};
   this->Notify();
 }
 
-void StoreStandIn::Put(const std::string &key, const std::string &value) {
+void FakeStore::Put(const std::string &key, const std::string &value) {
   this->rows[{"pollenring", key}] = {++this->version, Base64(value)};
   this->Notify();
 }
 
-bool StoreStandIn::Has(const std::string &prefix) const {
+bool FakeStore::Has(const std::string &prefix) const {
   return std::any_of(this->rows.begin(), this->rows.end(),
                      [&prefix](const auto &entry) {
                        return entry.first.first == "pollenring" &&
@@ -63,21 +63,21 @@
                      });
 }
 
-void StoreStandIn::Withdraw(const std::string &zone, bool withdrawn) {
+void FakeStore::Withdraw(const std::string &zone, bool withdrawn) {
   this->rows[{"op", "evacuate/" + zone}] = {++this->version, Base64("{}"),
                                             !withdrawn};
   this->Notify();
 }
 
-void StoreStandIn::Handle(
+void FakeStore::Handle(
     const HttpRequest &request,
     const std::shared_ptr<pollenring::Responder> &responder) {
   if (this->down) {
     responder->Send({503, {}, {}});
     return;
   }
-  if (this->nonsense) {
-    responder->Send({200, {}, *this->nonsense});
+  if (this->fixed_response) {
+    responder->Send({200, {}, *this->fixed_response});
     return;
   }
   if (request.path.rfind("/rows-get", 0) == 0) this->Get(request, *responder);
@@ -85,21 +85,21 @@
   if (request.path.rfind("/rows-feed", 0) == 0) this->Feed(request, responder);
 }
 
-std::string StoreStandIn::Rows(const std::string &table, std::uint64_t after,
-                               const std::string &from,
-                               const std::string &to) const {
+std::string FakeStore::Rows(const std::string &table, std::uint64_t after,
+                            const std::string &from,
+                            const std::string &to) const {
   Json found = Json::array();
   for (const auto &[key, row] : this->rows) {
     const bool inside = key.first == table && row.version > after &&
                         key.second >= from && (to.empty() || key.second < to);
     // Only the feed reports deleted rows.
-    if (!inside || (row.dropped && after == 0)) continue;
+    if (!inside || (row.deleted && after == 0)) continue;
     Json item{{"table_name", key.first},
               {"part", ""},
               {"key", key.second},
               {"row_version", row.version}};
-    if (row.dropped) item["is_deleted"] = true;
-    if (!row.dropped) item["value"] = row.value;
+    if (row.deleted) item["is_deleted"] = true;
+    if (!row.deleted) item["value"] = row.value;
     found.push_back(std::move(item));
   }
   if (after > 0 && found.empty()) return {};
@@ -110,8 +110,8 @@
       .dump();
 }
 
-void StoreStandIn::Get(const HttpRequest &request,
-                       pollenring::Responder &responder) const {
+void FakeStore::Get(const HttpRequest &request,
+                    pollenring::Responder &responder) const {
   const std::string &path = request.path;
   responder.Send({200,
                   {},
@@ -119,14 +119,14 @@
                              Query(path, "target"))});
 }
 
-void StoreStandIn::Transact(const HttpRequest &request,
-                            pollenring::Responder &responder) {
+void FakeStore::Transact(const HttpRequest &request,
+                         pollenring::Responder &responder) {
   const Json body = Json::parse(request.body);
   for (const auto &item : body["precondition"]) {
     const auto found = this->rows.find({item["table_name"], item["key"]});
-    const std::uint64_t there =
+    const std::uint64_t current =
         found == this->rows.end() ? 0 : found->second.version;
-    if (there != item["row_version"].get<std::uint64_t>()) {
+    if (current != item["row_version"].get<std::uint64_t>()) {
       responder.Send({412, {}, "{}"});
       return;
     }
@@ -140,9 +140,8 @@
   this->Notify();
 }
 
-void StoreStandIn::Feed(
-    const HttpRequest &request,
-    const std::shared_ptr<pollenring::Responder> &responder) {
+void FakeStore::Feed(const HttpRequest &request,
+                     const std::shared_ptr<pollenring::Responder> &responder) {
   const std::uint64_t after = std::stoull(Query(request.path, "after"));
   if (after < this->oldest) {
     responder->Send({410, {}, {}});
@@ -154,7 +153,7 @@
       std::chrono::milliseconds{std::stoll(Query(request.path, "wait_ms"))};
   this->loop.After(wait, [this, weak = std::weak_ptr{responder}] {
     const auto held = weak.lock();
-    if (!held || this->silent) return;
+    if (!held || this->watches_unresponsive) return;
     held->Send(
         {200,
          {},
@@ -163,8 +162,8 @@
   this->Notify();
 }
 
-void StoreStandIn::Notify() {
-  if (this->silent) return;
+void FakeStore::Notify() {
+  if (this->watches_unresponsive) return;
   std::vector<Watch> kept;
   for (auto &watch : this->watches) {
     const std::string found = this->Rows(watch.table, watch.after, {}, {});
@@ -181,7 +180,7 @@
   // As in the daemon: a write to a closed connection must return an error, not
   // end the process.
   std::signal(SIGPIPE, SIG_IGN);
-  this->store = std::make_unique<StoreStandIn>(this->loop, this->At(250, 7900));
+  this->store = std::make_unique<FakeStore>(this->loop, this->At(250, 7900));
 }
 
 Address MeshWorld::At(int index, int port) const {
@@ -213,14 +212,14 @@
       [this, endpoint = std::move(endpoint)](
           const HttpRequest &request,
           const std::shared_ptr<pollenring::Responder> &responder) {
-        HttpResponse answer = endpoint(request);
-        if (this->answer_delay <= pollenring::Duration{0}) {
-          responder->Send(std::move(answer));
+        HttpResponse response = endpoint(request);
+        if (this->response_delay <= pollenring::Duration{0}) {
+          responder->Send(std::move(response));
           return;
         }
-        this->loop.After(this->answer_delay,
-                         [responder, answer = std::move(answer)]() mutable {
-                           responder->Send(std::move(answer));
+        this->loop.After(this->response_delay,
+                         [responder, response = std::move(response)]() mutable {
+                           responder->Send(std::move(response));
                          });
       });
   member->target->Open();
@@ -249,20 +248,20 @@
                    {{"state", state},
                     {"sequence", ++member.sequence},
                     {"cold_left_ms", cold_left.count()}}}};
-  const auto answer = this->Ask(
+  const auto response = this->Request(
       this->At(index, 7001), {"POST",
                               "/Instances.Heartbeat/i-" + std::to_string(index),
                               {},
                               body.dump(),
                               {}});
-  return answer ? answer->status : 0;
+  return response ? response->status : 0;
 }
 
-int MeshWorld::Depart(int index) {
-  const auto answer = this->Ask(
+int MeshWorld::Deregister(int index) {
+  const auto response = this->Request(
       this->At(index, 7001),
       {"POST", "/Instances.Deregister/i-" + std::to_string(index), {}, {}, {}});
-  return answer ? answer->status : 0;
+  return response ? response->status : 0;
 }
 
 void MeshWorld::StopTarget(int index) {
@@ -273,9 +272,9 @@
                              const std::string &path,
                              pollenring::HttpHeaders headers,
                              const std::string &host) {
-  const auto answer = this->Ask(this->At(index, 7000),
-                                {method, path, std::move(headers), {}, host});
-  return answer.value_or(HttpResponse{});
+  const auto response = this->Request(
+      this->At(index, 7000), {method, path, std::move(headers), {}, host});
+  return response.value_or(HttpResponse{});
 }
 
 void MeshWorld::BeginCall(int index, const std::string &path,
@@ -300,8 +299,8 @@
         if (auto *text = std::get_if<std::string>(&given)) {
           auto framed =
               pollenring::Unframe<pollenring::CallReply>(std::move(*text));
-          const bool alike = framed && framed->version == version;
-          if (alike) reply = std::move(framed->head);
+          const bool same_version = framed && framed->version == version;
+          if (same_version) reply = std::move(framed->head);
         }
         done = true;
       });
@@ -310,29 +309,29 @@
 }
 
 int MeshWorld::Ready(int index) {
-  const auto answer =
-      this->Ask(this->At(index, 7004), {"GET", "/readiness", {}, {}, {}});
-  return answer ? answer->status : 0;
+  const auto response =
+      this->Request(this->At(index, 7004), {"GET", "/readiness", {}, {}, {}});
+  return response ? response->status : 0;
 }
 
-std::string MeshWorld::Operate(int index, const std::string &path) {
-  const auto answer =
-      this->Ask(this->At(index, 7003), {"GET", path, {}, {}, {}});
-  return answer ? answer->body : std::string{};
+std::string MeshWorld::GetOperatorPage(int index, const std::string &path) {
+  const auto response =
+      this->Request(this->At(index, 7003), {"GET", path, {}, {}, {}});
+  return response ? response->body : std::string{};
 }
 
-std::optional<HttpResponse> MeshWorld::Ask(const Address &to,
-                                           const HttpRequest &request) {
-  std::optional<HttpResponse> answer;
+std::optional<HttpResponse> MeshWorld::Request(const Address &to,
+                                               const HttpRequest &request) {
+  std::optional<HttpResponse> response;
   bool done = false;
   this->client.Call(to, request, 3s, [&](pollenring::HttpClient::Reply reply) {
-    if (auto *response = std::get_if<HttpResponse>(&reply)) {
-      answer = std::move(*response);
+    if (auto *received = std::get_if<HttpResponse>(&reply)) {
+      response = std::move(*received);
     }
     done = true;
   });
   static_cast<void>(this->Await([&done] { return done; }, 4s));
-  return answer;
+  return response;
 }
 
 bool MeshWorld::Await(const std::function<bool()> &condition,
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -22,9 +22,9 @@
 namespace support {
 
 /*! @brief A fake of the users' store that implements its HTTP protocol. */
-class StoreStandIn {
+class FakeStore {
  public:
-  StoreStandIn(pollenring::Loop &loop, const pollenring::Address &address);
+  FakeStore(pollenring::Loop &loop, const pollenring::Address &address);
 
   /*! @brief Writes the operator's configuration document. */
   void PutConfig(const std::string &json);
@@ -42,21 +42,23 @@
   void SetDown(bool down) { this->down = down; }
 
   /*! @brief Responds to all calls with this text, or normally without one. */
-  void SetNonsense(std::optional<std::string> text) {
-    this->nonsense = std::move(text);
+  void SetFixedResponse(std::optional<std::string> text) {
+    this->fixed_response = std::move(text);
   }
 
-  /*! @param silent True to leave watches without a response. */
-  void SetSilent(bool silent) { this->silent = silent; }
+  /*! @param unresponsive True to leave watches without a response. */
+  void SetWatchesUnresponsive(bool unresponsive) {
+    this->watches_unresponsive = unresponsive;
+  }
 
   /*! @brief Compacts the history up to the current version. */
-  void DropHistory() { this->oldest = this->version; }
+  void CompactHistory() { this->oldest = this->version; }
 
  private:
   struct StoredRow {
     std::uint64_t version{};
     std::string value; /*!< Base64, as received. */
-    bool dropped{};
+    bool deleted{};
   };
   using Key = std::pair<std::string, std::string>;
   struct Watch {
@@ -84,8 +86,8 @@
   std::uint64_t version{1};
   std::uint64_t oldest{};
   bool down{};
-  bool silent{};
-  std::optional<std::string> nonsense;
+  bool watches_unresponsive{};
+  std::optional<std::string> fixed_response;
   pollenring::Loop &loop;
   pollenring::HttpServer server;
 };
@@ -106,8 +108,8 @@
             const std::vector<int> &seeds = {});
 
   /*! @brief Sets the response time of all targets. */
-  void SetAnswerDelay(pollenring::Duration delay) {
-    this->answer_delay = delay;
+  void SetResponseDelay(pollenring::Duration delay) {
+    this->response_delay = delay;
   }
 
   /*! @brief Sends a heartbeat of a node's target.
@@ -118,7 +120,7 @@
 
   /*! @brief Deregisters a node's target without a preceding draining heartbeat.
    * @return HTTP status, or 0 without a response. */
-  int Depart(int index);
+  int Deregister(int index);
 
   /*! @brief Closes the port of a node's target; connections are then refused.
    */
@@ -147,7 +149,7 @@
   [[nodiscard]] int Ready(int index);
 
   /*! @return Response body of a node's operator port. */
-  [[nodiscard]] std::string Operate(int index, const std::string &path);
+  [[nodiscard]] std::string GetOperatorPage(int index, const std::string &path);
 
   [[nodiscard]] bool Await(const std::function<bool()> &condition,
                            pollenring::Duration limit);
@@ -156,7 +158,7 @@
   /*! @brief Address of one of a node's ports. */
   [[nodiscard]] pollenring::Address At(int index, int port) const;
 
-  [[nodiscard]] StoreStandIn &Store() { return *this->store; }
+  [[nodiscard]] FakeStore &Store() { return *this->store; }
   [[nodiscard]] pollenring::MeshNode &Node(int index) {
     return *this->nodes.at(static_cast<std::size_t>(index - 1))->node;
   }
@@ -175,21 +177,21 @@
     int sequence{};
   };
 
-  [[nodiscard]] std::optional<pollenring::HttpResponse> Ask(
+  [[nodiscard]] std::optional<pollenring::HttpResponse> Request(
       const pollenring::Address &to, const pollenring::HttpRequest &request);
 
   int net;
-  pollenring::Duration answer_delay{};
+  pollenring::Duration response_delay{};
   pollenring::SystemClock clock;
   pollenring::Loop loop{clock};
   pollenring::SeededRandom random{11};
   pollenring::HttpClient client{loop, {std::size_t{1} << 20U}};
   pollenring::LinkClient link{loop, kSecret, std::size_t{1} << 20U};
   pollenring::platform::JsonPolicyCodec policies;
-  FaultyCallers callers;
-  FaultyTargets targets;
+  FaultyCallerCodec callers;
+  FaultyTargetCodec targets;
   pollenring::platform::HttpHeartbeatCodec heartbeats;
-  std::unique_ptr<StoreStandIn> store;
+  std::unique_ptr<FakeStore> store;
   std::vector<std::unique_ptr<Member>> nodes;
 };
 
--- a/test/support/mixed_fleet.cc
+++ b/test/support/mixed_fleet.cc
@@ -22,22 +22,22 @@
 using pollenring::HttpRequest;
 using pollenring::Time;
 
-constexpr Duration kBeat = 400ms;
-constexpr Duration kReadyQuestion = 1s;
-constexpr Duration kStatusQuestion = 250ms;
-constexpr Duration kWatch = 50ms;
-constexpr Duration kLoadTick = 20ms;
-constexpr Duration kGrace = 6s;
+constexpr Duration kHeartbeatInterval = 400ms;
+constexpr Duration kReadinessInterval = 1s;
+constexpr Duration kStatusInterval = 250ms;
+constexpr Duration kProcessCheckInterval = 50ms;
+constexpr Duration kLoadInterval = 20ms;
+constexpr Duration kStopTimeout = 6s;
 /*! @brief How long each target is the only one of its service. */
-constexpr Duration kAlone = 1500ms;
-constexpr Duration kBack = 1s;
-constexpr Duration kMostToStart = 10s;
-constexpr int kStore = 250;
+constexpr Duration kSoleTargetTime = 1500ms;
+constexpr Duration kRecoveryTime = 1s;
+constexpr Duration kMaxStartTime = 10s;
+constexpr int kStoreIndex = 250;
 constexpr const char *kHost = "a.example";
 
 /*! @brief The rate is below the callers' demand and above the share that one of
  * two separate fleets would have. */
-const FleetQuota kTiny{"tiny", 40, 20};
+const FleetQuota kTinyQuota{"tiny", 40, 20};
 
 [[nodiscard]] std::filesystem::path ProgramFolder() {
   return std::filesystem::read_symlink("/proc/self/exe").parent_path();
@@ -60,12 +60,12 @@
 }
 
 MixedFleet::MixedFleet(int net, std::uint64_t seed,
-                       std::set<std::string> blind_builds)
+                       std::set<std::string> builds_without_withdrawal)
     : net{net},
       folder{MakeFolder()},
       random{seed},
-      journal{kTiny, std::move(blind_builds)},
-      store{loop, this->AddressOf(kStore, 7900)} {
+      journal{kTinyQuota, std::move(builds_without_withdrawal)},
+      store{loop, this->AddressOf(kStoreIndex, 7900)} {
   std::signal(SIGPIPE, SIG_IGN);
   this->store.PutConfig(this->NextConfig());
   this->nodes.resize(kNodes);
@@ -82,18 +82,18 @@
     node.target->Open();
   }
   const auto each = [this](Duration period,
-                           void (MixedFleet::*ask)(FleetNode &)) {
-    this->loop.Every(period, [this, ask] {
+                           void (MixedFleet::*check)(FleetNode &)) {
+    this->loop.Every(period, [this, check] {
       for (auto &node : this->nodes) {
-        if (node.pid != 0) (this->*ask)(node);
+        if (node.pid != 0) (this->*check)(node);
       }
     });
   };
-  each(kBeat, &MixedFleet::Beat);
-  each(kReadyQuestion, &MixedFleet::AskReady);
-  each(kStatusQuestion, &MixedFleet::AskStatus);
-  this->loop.Every(kWatch, [this] { this->WatchProcesses(); });
-  this->loop.Every(kLoadTick, [this] { this->SendLoad(); });
+  each(kHeartbeatInterval, &MixedFleet::SendHeartbeat);
+  each(kReadinessInterval, &MixedFleet::CheckReadiness);
+  each(kStatusInterval, &MixedFleet::CheckStatus);
+  this->loop.Every(kProcessCheckInterval, [this] { this->WatchProcesses(); });
+  this->loop.Every(kLoadInterval, [this] { this->SendLoad(); });
 }
 
 MixedFleet::~MixedFleet() {
@@ -110,8 +110,8 @@
   return node <= kNodes / 2 ? "deep" : "orders";
 }
 
-std::int64_t MixedFleet::SinceBegin(Time at) const {
-  return (at - this->began) / 1ms;
+std::int64_t MixedFleet::MillisecondsSinceCreation(Time at) const {
+  return (at - this->created_at) / 1ms;
 }
 
 Address MixedFleet::AddressOf(int node, int port) const {
@@ -143,10 +143,10 @@
   add("write", "orders", "non_idempotent", false);
   add(fmt::format("news-{}", version), "deep", "idempotent", true);
   const Json tenants{{{"name", "club"}, {"api_keys", {"key-of-club"}}},
-                     {{"name", kTiny.workspace},
-                      {"api_keys", {"key-of-" + kTiny.workspace}},
-                      {"rate_per_s", kTiny.rate_per_s},
-                      {"burst", kTiny.burst}}};
+                     {{"name", kTinyQuota.workspace},
+                      {"api_keys", {"key-of-" + kTinyQuota.workspace}},
+                      {"rate_per_s", kTinyQuota.rate_per_s},
+                      {"burst", kTinyQuota.burst}}};
   return Json{{"version", fmt::format("r{}", 3 * version)},
               {"routes", routes},
               {"services", {{{"name", "deep"}}, {{"name", "orders"}}}},
@@ -159,7 +159,7 @@
   const auto at = [&](int port) {
     return this->AddressOf(node.number, port).Format();
   };
-  const std::string store_at = this->AddressOf(kStore, 7900).Format();
+  const std::string store_at = this->AddressOf(kStoreIndex, 7900).Format();
   const std::string path = fmt::format("{}/{}.toml", this->folder, node.number);
   std::ofstream{path} << fmt::format(
       "[node]\nroutes = \"host\"\nzone = \"{}\"\nregion = \"r\"\n"
@@ -190,19 +190,19 @@
           nullptr);
     _exit(127);
   }
-  this->journal.Disturbed(number, Trouble::kStart, this->Now());
+  this->journal.BeginDisturbance(number, DisturbanceCause::kStart, this->Now());
   node.pid = pid;
   node.build = build.name;
   node.starting = true;
-  node.misses = 0;
+  node.failed_checks = 0;
 }
 
 void MixedFleet::AwaitReady(int number) {
   const FleetNode &node = this->At(number);
   const bool ready =
-      this->Await([&node] { return !node.starting; }, kMostToStart);
+      this->Await([&node] { return !node.starting; }, kMaxStartTime);
   if (ready) return;
-  this->journal.Broke(
+  this->journal.RecordViolation(
       FleetRule::kEnd, this->Now(),
       fmt::format("node {} ({}) does not get ready", number, node.build));
 }
@@ -210,46 +210,49 @@
 void MixedFleet::Stop(int number) {
   FleetNode &node = this->At(number);
   if (node.pid == 0) return;
-  this->journal.Disturbed(number, Trouble::kStop, this->Now());
+  this->journal.BeginDisturbance(number, DisturbanceCause::kStop, this->Now());
   node.stopping = true;
   kill(node.pid, SIGTERM);
   int status = 0;
   const bool ended = this->Await(
-      [&] { return waitpid(node.pid, &status, WNOHANG) == node.pid; }, kGrace);
+      [&] { return waitpid(node.pid, &status, WNOHANG) == node.pid; },
+      kStopTimeout);
   if (!ended) {
-    this->journal.Broke(FleetRule::kEnd, this->Now(),
-                        fmt::format("node {} ({}) still runs after its grace",
-                                    number, node.build));
+    this->journal.RecordViolation(
+        FleetRule::kEnd, this->Now(),
+        fmt::format("node {} ({}) still runs after its grace", number,
+                    node.build));
     kill(node.pid, SIGKILL);
     waitpid(node.pid, &status, 0);
   } else if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) {
-    this->journal.Broke(FleetRule::kEnd, this->Now(),
-                        fmt::format("node {} ({}) ended with status {}", number,
-                                    node.build, status));
+    this->journal.RecordViolation(
+        FleetRule::kEnd, this->Now(),
+        fmt::format("node {} ({}) ended with status {}", number, node.build,
+                    status));
   }
-  Forget(node);
+  ClearProcess(node);
 }
 
-void MixedFleet::Forget(FleetNode &node) {
+void MixedFleet::ClearProcess(FleetNode &node) {
   node.pid = 0;
   node.stopping = false;
   node.starting = false;
-  node.taken_in = false;
+  node.in_rotation = false;
 }
 
 void MixedFleet::Kill(int number) {
   FleetNode &node = this->At(number);
   if (node.pid == 0) return;
-  this->journal.Disturbed(number, Trouble::kKill, this->Now());
+  this->journal.BeginDisturbance(number, DisturbanceCause::kKill, this->Now());
   kill(node.pid, SIGKILL);
   waitpid(node.pid, nullptr, 0);
-  Forget(node);
+  ClearProcess(node);
 }
 
 void MixedFleet::Pause(int number) {
   FleetNode &node = this->At(number);
   if (node.pid == 0) return;
-  this->journal.Disturbed(number, Trouble::kPause, this->Now());
+  this->journal.BeginDisturbance(number, DisturbanceCause::kPause, this->Now());
   kill(node.pid, SIGSTOP);
 }
 
@@ -257,7 +260,7 @@
   const FleetNode &node = this->At(number);
   if (node.pid == 0) return;
   kill(node.pid, SIGCONT);
-  this->journal.Settled(number, this->Now());
+  this->journal.EndDisturbances(number, this->Now());
 }
 
 void MixedFleet::RestartTarget(int number) {
@@ -268,21 +271,21 @@
   node.ready_since = this->Now();
 }
 
-void MixedFleet::LeaveOneInTurn() {
+void MixedFleet::LeaveOneZoneInTurn() {
   for (int zone = 0; zone < kZones; ++zone) {
     const std::string stays = "z" + std::to_string(zone);
     for (auto &node : this->nodes) node.draining = node.zone != stays;
-    this->journal.Changed(this->Now());
-    this->Run(FleetJournal::kContact + kAlone);
+    this->journal.RecordChange(this->Now());
+    this->Run(FleetJournal::kContact + kSoleTargetTime);
     for (auto &node : this->nodes) {
       if (node.draining) this->RestartTarget(node.number);
     }
-    this->journal.Changed(this->Now());
-    this->Run(kBack);
+    this->journal.RecordChange(this->Now());
+    this->Run(kRecoveryTime);
   }
 }
 
-void MixedFleet::BeginLoad() { this->loaded = true; }
+void MixedFleet::BeginLoad() { this->load_enabled = true; }
 
 void MixedFleet::Run(Duration length) {
   bool over = false;
@@ -309,12 +312,13 @@
   const std::string gone = fmt::format("/news-{}/", this->config_version);
   this->store.PutConfig(this->NextConfig());
   const std::string there = fmt::format("/news-{}/", this->config_version);
-  this->journal.Changed(this->Now());
+  this->journal.RecordChange(this->Now());
   this->Run(FleetJournal::kConfigApply);
   for (const auto &node : this->nodes) {
     if (node.pid == 0) continue;
-    this->Send({"GET", gone, "deep", "", 0, Expected::kRouteGone}, node.number);
-    this->Send({"GET", there, "deep", "", 0, Expected::kRouteThere},
+    this->Send({"GET", gone, "deep", "", 0, Expected::kRouteAbsent},
+               node.number);
+    this->Send({"GET", there, "deep", "", 0, Expected::kRoutePresent},
                node.number);
   }
 }
@@ -326,7 +330,7 @@
     if (node.zone == name) inside.insert(node.number);
   }
   this->store.Withdraw(name, withdrawn);
-  this->journal.Withdrawn(inside, withdrawn, this->Now());
+  this->journal.RecordWithdrawal(inside, withdrawn, this->Now());
 }
 
 void MixedFleet::CheckReached(Time from) {
@@ -334,7 +338,7 @@
   for (const auto &entry : this->nodes) {
     for (const auto &other : this->nodes) {
       if (pairs.count({entry.number, other.number}) > 0) continue;
-      this->journal.Broke(
+      this->journal.RecordViolation(
           FleetRule::kMember, this->Now(),
           fmt::format("no call of node {} ({}) reached the target of node {} "
                       "({}) in calm",
--- a/test/support/mixed_fleet.h
+++ b/test/support/mixed_fleet.h
@@ -41,9 +41,10 @@
   static constexpr int kZones = 3;
 
   /*! @brief Starts the store and the targets. @param net Third octet of the
-   * addresses. @param blind_builds Builds without support for withdrawn zones.
-   */
-  MixedFleet(int net, std::uint64_t seed, std::set<std::string> blind_builds);
+   * addresses. @param builds_without_withdrawal Builds without support for
+   * withdrawn zones. */
+  MixedFleet(int net, std::uint64_t seed,
+             std::set<std::string> builds_without_withdrawal);
   MixedFleet(const MixedFleet &) = delete;
   MixedFleet &operator=(const MixedFleet &) = delete;
   ~MixedFleet();
@@ -62,7 +63,7 @@
   void RestartTarget(int node);
   /*! @brief For each zone in turn, drains the targets of all other zones, so
    * that all calls must reach those left, then restarts the drained ones. */
-  void LeaveOneInTurn();
+  void LeaveOneZoneInTurn();
 
   void BeginLoad();
   /*! @brief Sends twice as many slow calls at once as the targets of a node's
@@ -85,7 +86,8 @@
   [[nodiscard]] FleetJournal &Journal() { return this->journal; }
   [[nodiscard]] pollenring::Random &GetRandom() { return this->random; }
   /*! @return Milliseconds since the fleet was created. */
-  [[nodiscard]] std::int64_t SinceBegin(pollenring::Time at) const;
+  [[nodiscard]] std::int64_t MillisecondsSinceCreation(
+      pollenring::Time at) const;
   [[nodiscard]] static const char *ServiceOf(int node);
 
  private:
@@ -96,8 +98,8 @@
     pid_t pid{};     /*!< 0 while no process runs. */
     bool starting{}; /*!< Until it is first ready. */
     bool stopping{};
-    bool taken_in{}; /*!< True while callers send to it. */
-    int misses{};    /*!< Consecutive failed readiness checks. */
+    bool in_rotation{};  /*!< True while callers send to it. */
+    int failed_checks{}; /*!< Consecutive failed readiness checks. */
     std::unique_ptr<pollenring::HttpServer> target;
     int incarnation{1};
     bool draining{};                /*!< State that its target reports. */
@@ -121,16 +123,16 @@
   [[nodiscard]] pollenring::Address AddressOf(int node, int port) const;
   [[nodiscard]] static std::string InstanceOf(const FleetNode &node);
   /*! @brief Clears the state of a node whose process has ended. */
-  static void Forget(FleetNode &node);
+  static void ClearProcess(FleetNode &node);
   [[nodiscard]] std::string WriteSettings(const FleetNode &node, bool first);
   [[nodiscard]] std::string NextConfig();
 
   void Serve(FleetNode &node, const pollenring::HttpRequest &request,
              const std::shared_ptr<pollenring::Responder> &responder);
-  void Beat(FleetNode &node);
-  void AskReady(FleetNode &node);
-  void AskStatus(FleetNode &node);
-  void JudgeMembers(int node, const std::string &body, pollenring::Time asked);
+  void SendHeartbeat(FleetNode &node);
+  void CheckReadiness(FleetNode &node);
+  void CheckStatus(FleetNode &node);
+  void CheckMembers(int node, const std::string &body, pollenring::Time asked);
   void WatchProcesses();
   void SendLoad();
   void Send(const Load &load, int node);
@@ -140,15 +142,15 @@
   int net;
   std::string folder;
   int config_version{};
-  bool loaded{};
+  bool load_enabled{};
   pollenring::SystemClock clock;
-  pollenring::Time began{clock.Now()};
+  pollenring::Time created_at{clock.Now()};
   pollenring::Loop loop{clock};
   pollenring::SeededRandom random;
   pollenring::HttpClient callers{loop, {std::size_t{1} << 20U}};
   pollenring::HttpClient platform{loop, {std::size_t{1} << 20U}};
   FleetJournal journal;
-  StoreStandIn store;
+  FakeStore store;
   std::vector<FleetNode> nodes;
 };
 
--- a/test/support/mixed_fleet_load.cc
+++ b/test/support/mixed_fleet_load.cc
@@ -21,17 +21,17 @@
 using pollenring::HttpResponse;
 using pollenring::Time;
 
-constexpr Duration kLoadTick = 20ms;
-constexpr Duration kAnswer = 15ms;
-constexpr Duration kSlowAnswer = 500ms;
-constexpr Duration kCallerWaits = 3s;
-constexpr Duration kPlatformWaits = 1s;
-constexpr int kMostMisses = 2;
-constexpr int kSlots = 16;
-constexpr int kBurst = 2 * kSlots * MixedFleet::kZones;
+constexpr Duration kLoadInterval = 20ms;
+constexpr Duration kResponseTime = 15ms;
+constexpr Duration kSlowResponseTime = 500ms;
+constexpr Duration kCallerTimeout = 3s;
+constexpr Duration kPlatformTimeout = 1s;
+constexpr int kMaxFailedChecks = 2;
+constexpr int kTargetSlots = 16;
+constexpr int kBurstCalls = 2 * kTargetSlots * MixedFleet::kZones;
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
-constexpr const char *kSlowEnd = "slow";
+constexpr const char *kSlowSuffix = "slow";
 
 [[nodiscard]] std::int64_t ToNumber(std::string_view text) {
   std::int64_t number{};
@@ -59,14 +59,14 @@
          {}});
     return;
   }
-  this->journal.Ran(
+  this->journal.RecordRun(
       {id, node.number, node.build, this->Now(),
        std::string{FindHeader(request.headers, "x-pollenring-tenant")},
        std::string{FindHeader(request.headers, "x-pollenring-caller-service")},
        ToNumber(FindHeader(request.headers, "x-pollenring-deadline-ms"))});
-  const Duration takes =
-      EndsWith(request.path, kSlowEnd) ? kSlowAnswer : kAnswer;
-  this->loop.After(takes, [responder, id] {
+  const Duration response_time =
+      EndsWith(request.path, kSlowSuffix) ? kSlowResponseTime : kResponseTime;
+  this->loop.After(response_time, [responder, id] {
     responder->Send({kOk,
                      {{"x-pollenring-attempt-id", id},
                       {"x-pollenring-response-stamp", "stamp"}},
@@ -74,14 +74,14 @@
   });
 }
 
-void MixedFleet::Beat(FleetNode &node) {
+void MixedFleet::SendHeartbeat(FleetNode &node) {
   const Json body{{"address", this->AddressOf(node.number, 8000).Format()},
                   {"born", node.incarnation},
                   {"info",
                    {{"service", ServiceOf(node.number)},
                     {"zone", node.zone},
                     {"version", "v1"},
-                    {"slots", kSlots}}},
+                    {"slots", kTargetSlots}}},
                   {"status",
                    {{"state", node.draining ? "draining" : "ready"},
                     {"sequence", ++node.sequence},
@@ -90,50 +90,51 @@
   this->platform.Call(
       this->AddressOf(node.number, 7001),
       {"POST", "/Instances.Heartbeat/" + InstanceOf(node), {}, body.dump(), {}},
-      kPlatformWaits, [](const HttpClient::Reply & /*reply*/) {});
+      kPlatformTimeout, [](const HttpClient::Reply & /*reply*/) {});
 }
 
-void MixedFleet::AskReady(FleetNode &node) {
+void MixedFleet::CheckReadiness(FleetNode &node) {
   const pid_t pid = node.pid;
-  this->platform.Call(this->AddressOf(node.number, 7004),
-                      {"GET", "/readiness", {}, {}, {}}, kPlatformWaits,
-                      [this, &node, pid](const HttpClient::Reply &reply) {
-                        if (node.pid != pid) return;
-                        const auto *answer = std::get_if<HttpResponse>(&reply);
-                        if (answer == nullptr || answer->status != kOk) {
-                          if (++node.misses >= kMostMisses)
-                            node.taken_in = false;
-                          return;
-                        }
-                        node.misses = 0;
-                        node.taken_in = true;
-                        if (!node.starting) return;
-                        node.starting = false;
-                        this->journal.Settled(node.number, this->Now());
-                      });
+  this->platform.Call(
+      this->AddressOf(node.number, 7004), {"GET", "/readiness", {}, {}, {}},
+      kPlatformTimeout, [this, &node, pid](const HttpClient::Reply &reply) {
+        if (node.pid != pid) return;
+        const auto *response = std::get_if<HttpResponse>(&reply);
+        if (response == nullptr || response->status != kOk) {
+          if (++node.failed_checks >= kMaxFailedChecks)
+            node.in_rotation = false;
+          return;
+        }
+        node.failed_checks = 0;
+        node.in_rotation = true;
+        if (!node.starting) return;
+        node.starting = false;
+        this->journal.EndDisturbances(node.number, this->Now());
+      });
 }
 
-void MixedFleet::AskStatus(FleetNode &node) {
+void MixedFleet::CheckStatus(FleetNode &node) {
   const Time asked = this->Now();
-  this->platform.Call(this->AddressOf(node.number, 7003),
-                      {"GET", "/status", {}, {}, {}}, kPlatformWaits,
-                      [this, &node, asked](const HttpClient::Reply &reply) {
-                        const auto *answer = std::get_if<HttpResponse>(&reply);
-                        // Some landed builds do not have this page.
-                        if (answer == nullptr || answer->status != kOk) return;
-                        this->JudgeMembers(node.number, answer->body, asked);
-                      });
+  this->platform.Call(
+      this->AddressOf(node.number, 7003), {"GET", "/status", {}, {}, {}},
+      kPlatformTimeout, [this, &node, asked](const HttpClient::Reply &reply) {
+        const auto *response = std::get_if<HttpResponse>(&reply);
+        // Some landed builds do not have this page.
+        if (response == nullptr || response->status != kOk) return;
+        this->CheckMembers(node.number, response->body, asked);
+      });
 }
 
-void MixedFleet::JudgeMembers(int number, const std::string &body, Time asked) {
+void MixedFleet::CheckMembers(int number, const std::string &body, Time asked) {
   const Time from = asked - FleetJournal::kContact;
-  const auto calm = [&](const FleetNode &node) {
-    return node.pid != 0 && this->journal.Calm(node.number, from, this->Now());
+  const auto undisturbed = [&](const FleetNode &node) {
+    return node.pid != 0 &&
+           this->journal.Undisturbed(node.number, from, this->Now());
   };
-  if (!calm(this->At(number))) return;
+  if (!undisturbed(this->At(number))) return;
   const Json status = Json::parse(body);
   for (const auto &other : this->nodes) {
-    if (!calm(other)) continue;
+    if (!undisturbed(other)) continue;
     const std::string address = this->AddressOf(other.number, 7002).Format();
     std::string seen = "missing";
     for (const auto &member : status.at("members")) {
@@ -143,7 +144,7 @@
       if (ready && member.at("targets").empty()) seen += " without its target";
     }
     if (seen == "alive") continue;
-    this->journal.Broke(
+    this->journal.RecordViolation(
         FleetRule::kMember, asked,
         fmt::format("at node {} ({}), node {} ({}) is {}", number,
                     this->At(number).build, other.number, other.build, seen));
@@ -155,16 +156,16 @@
     if (node.pid == 0 || node.stopping) continue;
     int status = 0;
     if (waitpid(node.pid, &status, WNOHANG) != node.pid) continue;
-    this->journal.Broke(
+    this->journal.RecordViolation(
         FleetRule::kEnd, this->Now(),
         fmt::format("node {} ({}) ended by itself with status {}", node.number,
                     node.build, status));
-    Forget(node);
+    ClearProcess(node);
   }
 }
 
 void MixedFleet::SendLoad() {
-  if (!this->loaded) return;
+  if (!this->load_enabled) return;
   const std::array<Load, 5> loads{{
       {"GET", "/read/1", "deep", "club", 8, Expected::kServed},
       {"GET", "/read/slow", "deep", "club", 1, Expected::kServed},
@@ -172,9 +173,9 @@
       {"POST", "/write/slow", "orders", "club", 1, Expected::kServed},
       {"GET", "/read/2", "deep", "tiny", 18, Expected::kMayBeRefused},
   }};
-  const double tick_s = std::chrono::duration<double>{kLoadTick}.count();
+  const double tick_s = std::chrono::duration<double>{kLoadInterval}.count();
   for (const auto &node : this->nodes) {
-    if (!node.taken_in) continue;
+    if (!node.in_rotation) continue;
     for (const auto &load : loads) {
       if (!this->random.Chance(load.per_s * tick_s)) continue;
       this->Send(load, node.number);
@@ -191,10 +192,10 @@
                   "club",
                   0,
                   Expected::kMayBeRefused};
-  for (int i = 0; i < kBurst; ++i) {
+  for (int i = 0; i < kBurstCalls; ++i) {
     const int any = 1 + static_cast<int>(this->random.Index(kNodes));
     const int entry = i % 3 == 0 ? number : any;
-    if (this->At(entry).taken_in) this->Send(load, entry);
+    if (this->At(entry).in_rotation) this->Send(load, entry);
   }
 }
 
@@ -209,7 +210,7 @@
   call.unsafe = load.method == "POST";
   call.expected = load.expected;
   call.sent = this->Now();
-  this->journal.Begin(id, std::move(call));
+  this->journal.RecordCall(id, std::move(call));
   pollenring::HttpHeaders headers{
       {"x-pollenring-attempt-id", id},
       {"x-pollenring-deadline-ms",
@@ -220,16 +221,16 @@
   this->callers.Call(
       this->AddressOf(number, 7000),
       {load.method, load.path, std::move(headers), {}, "a.example"},
-      kCallerWaits, [this, id](const HttpClient::Reply &reply) {
+      kCallerTimeout, [this, id](const HttpClient::Reply &reply) {
         FleetCall &ended = this->journal.CallOf(id);
         ended.ended = this->Now();
         if (const auto *error = std::get_if<CallError>(&reply)) {
           ended.error = *error;
           return;
         }
-        const auto &answer = std::get<HttpResponse>(reply);
-        ended.status = answer.status;
-        ended.body = answer.body.substr(0, answer.body.find('\n'));
+        const auto &response = std::get<HttpResponse>(reply);
+        ended.status = response.status;
+        ended.body = response.body.substr(0, response.body.find('\n'));
       });
 }
 
--- a/test/support/raw_peer.h
+++ b/test/support/raw_peer.h
@@ -20,7 +20,7 @@
 /*! @brief What a peer does with one connection. */
 struct PeerScript {
   /*! @brief Sent in order, each after the head of one more request. */
-  std::vector<std::string> answers;
+  std::vector<std::string> responses;
   PeerEnd end{PeerEnd::kKeep};
 };
 
@@ -38,7 +38,7 @@
     listen(this->listener, 8);
     getsockname(this->listener, reinterpret_cast<sockaddr *>(&native), &size);
     this->address = pollenring::Address::From(native);
-    this->thread = std::thread{[this] { this->Play(); }};
+    this->thread = std::thread{[this] { this->Serve(); }};
   }
   RawPeer(const RawPeer &) = delete;
   RawPeer &operator=(const RawPeer &) = delete;
@@ -49,7 +49,7 @@
     for (const int fd : this->kept) close(fd);
   }
 
-  [[nodiscard]] const pollenring::Address &Where() const noexcept {
+  [[nodiscard]] const pollenring::Address &ListenAddress() const noexcept {
     return this->address;
   }
 
@@ -57,28 +57,28 @@
   [[nodiscard]] int Accepted() const noexcept { return this->accepted; }
 
  private:
-  void Play() {
+  void Serve() {
     for (const auto &script : this->scripts) {
       const int fd = accept(this->listener, nullptr, nullptr);
       if (fd < 0) return;
       ++this->accepted;
-      std::string seen;
-      for (const auto &answer : script.answers) {
-        if (!ReadHead(fd, seen)) break;
-        send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
+      std::string received;
+      for (const auto &response : script.responses) {
+        if (!ReadHead(fd, received)) break;
+        send(fd, response.data(), response.size(), MSG_NOSIGNAL);
       }
       End(fd, script.end);
     }
   }
 
-  static bool ReadHead(int fd, std::string &seen) {
-    while (seen.find("\r\n\r\n") == std::string::npos) {
+  static bool ReadHead(int fd, std::string &received) {
+    while (received.find("\r\n\r\n") == std::string::npos) {
       char buffer[4096];
       const auto size = recv(fd, buffer, sizeof(buffer), 0);
       if (size <= 0) return false;
-      seen.append(buffer, static_cast<std::size_t>(size));
+      received.append(buffer, static_cast<std::size_t>(size));
     }
-    seen.erase(0, seen.find("\r\n\r\n") + 4);
+    received.erase(0, received.find("\r\n\r\n") + 4);
     return true;
   }
 
@@ -88,8 +88,9 @@
       return;
     }
     if (end == PeerEnd::kReset) {
-      const linger now{1, 0};
-      setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+      const linger reset_on_close{1, 0};
+      setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset_on_close,
+                 sizeof(reset_on_close));
     }
     close(fd);
   }
--- a/test/support/stream.h
+++ b/test/support/stream.h
@@ -22,18 +22,18 @@
 class Stream {
  public:
   Stream(Cluster &cluster, std::vector<int> nodes, std::string key,
-         std::chrono::milliseconds gap)
+         std::chrono::milliseconds interval)
       : cluster{cluster},
         nodes{std::move(nodes)},
         key{std::move(key)},
-        gap{gap} {
+        interval{interval} {
     this->Next();
   }
 
   void Stop() {
     this->stopped = true;
-    const bool ended = this->cluster.Await([this] { return this->open == 0; },
-                                           std::chrono::seconds{20});
+    const bool ended = this->cluster.Await(
+        [this] { return this->pending == 0; }, std::chrono::seconds{20});
     REQUIRE(ended);
   }
 
@@ -45,24 +45,24 @@
   void Next() {
     if (this->stopped) return;
     this->Try(3);
-    this->cluster.loop.After(this->gap, [this] { this->Next(); });
+    this->cluster.loop.After(this->interval, [this] { this->Next(); });
   }
 
   void Try(int connects_left) {
-    const int node = this->nodes[this->turn++ % this->nodes.size()];
-    ++this->open;
+    const int node = this->nodes[this->next_node++ % this->nodes.size()];
+    ++this->pending;
     this->cluster.client.Call(
         this->cluster.Callers(node),
         {"GET", "/front/week", {{"pollenring-key", this->key}}, {}},
         std::chrono::seconds{6},
         [this, connects_left](pollenring::HttpClient::Reply reply) {
-          --this->open;
-          if (const auto *answer =
+          --this->pending;
+          if (const auto *response =
                   std::get_if<pollenring::HttpResponse>(&reply)) {
-            (answer->status == 200 ? this->good : this->bad) += 1;
+            (response->status == 200 ? this->good : this->bad) += 1;
             const auto reason =
-                pollenring::FindHeader(answer->headers, "pollenring-reason");
-            ++this->results[std::to_string(answer->status) + ' ' +
+                pollenring::FindHeader(response->headers, "pollenring-reason");
+            ++this->results[std::to_string(response->status) + ' ' +
                             std::string{reason}];
             return;
           }
@@ -80,9 +80,9 @@
   Cluster &cluster;
   std::vector<int> nodes;
   std::string key;
-  std::chrono::milliseconds gap;
-  std::size_t turn{};
-  int open{};
+  std::chrono::milliseconds interval;
+  std::size_t next_node{};
+  int pending{};
   bool stopped{};
 };
 
