Reword texts and test titles of the test support

Violation texts and titles such as 'got', 'in calm' or 'broken promise' were hard to read in a failing report. They say subject and limit in plain terms; no test matches the old texts, and all assertions stay as they are.

--- a/test/support/faulty_codecs.h
+++ b/test/support/faulty_codecs.h
@@ -34,7 +34,7 @@
   void AddHeaders(const pollenring::TargetCall &call,
                   pollenring::HttpRequest &request) const override {
     if (call.envelope.root_id == kRequestNotEncodable) {
-      throw std::out_of_range{"a request that can't be written"};
+      throw std::out_of_range{"request can't be encoded"};
     }
     this->codec.AddHeaders(call, request);
   }
@@ -46,10 +46,10 @@
       const pollenring::CallEnvelope &envelope,
       const pollenring::HttpResponse &response) const override {
     if (envelope.root_id == kHandlingFails) {
-      throw std::out_of_range{"an answer that can't be handled"};
+      throw std::out_of_range{"response can't be handled"};
     }
     pollenring::Require(envelope.root_id != kViolatesInvariant,
-                        "a rule of the test");
+                        "invariant of the test");
     return this->codec.Read(envelope, response);
   }
   [[nodiscard]] std::vector<pollenring::WireHeader> ForwardableResponseHeaders(
@@ -57,7 +57,7 @@
     const auto id = pollenring::FindHeader(headers, "x-pollenring-attempt-id");
     if (id.substr(0, kResponseNotForwardable.size()) ==
         kResponseNotForwardable) {
-      throw std::out_of_range{"an answer that can't be passed on"};
+      throw std::out_of_range{"response can't be forwarded"};
     }
     return this->codec.ForwardableResponseHeaders(headers);
   }
@@ -78,10 +78,10 @@
       const std::string &id) const override {
     if (id == kResponseNotEncodable &&
         reply.reason == pollenring::Reason::kNone) {
-      throw std::out_of_range{"an answer that can't be written"};
+      throw std::out_of_range{"response can't be encoded"};
     }
     if (id == kNoResponseEncodable) {
-      throw std::out_of_range{"no answer can be written"};
+      throw std::out_of_range{"no response can be encoded"};
     }
     return this->codec.Encode(reply, std::move(body), id);
   }
--- a/test/support/fleet_journal.cc
+++ b/test/support/fleet_journal.cc
@@ -166,8 +166,8 @@
 
 void FleetJournal::CheckRun(const FleetRun &run,
                             std::vector<Violation> &found) const {
-  const std::string where =
-      " beside node " + std::to_string(run.node) + " (" + run.build + ")";
+  const std::string where = " at the target of node " +
+                            std::to_string(run.node) + " (" + run.build + ")";
   const auto sent = this->calls.find(run.id);
   if (sent == this->calls.end()) {
     found.push_back(
@@ -178,18 +178,20 @@
   const std::string from = " from node " + std::to_string(call.entry) + " (" +
                            call.build + ")" + where;
   if (run.workspace != call.workspace) {
-    found.push_back({FleetRule::kUnasked, run.at,
-                     run.id + " as workspace '" + run.workspace + "'" + from});
+    found.push_back(
+        {FleetRule::kUnasked, run.at,
+         run.id + " with workspace '" + run.workspace + "'" + from});
   }
   if (run.caller_service != call.caller_service) {
-    found.push_back({FleetRule::kUnasked, run.at,
-                     run.id + " as from '" + run.caller_service + "'" + from});
+    found.push_back(
+        {FleetRule::kUnasked, run.at,
+         run.id + " with caller service '" + run.caller_service + "'" + from});
   }
   if (run.deadline_ms <= 0 ||
       run.deadline_ms > kDeadline / 1ms + kDeadlineSlackMs) {
-    found.push_back(
-        {FleetRule::kUnasked, run.at,
-         run.id + " with " + std::to_string(run.deadline_ms) + " ms" + from});
+    found.push_back({FleetRule::kUnasked, run.at,
+                     run.id + " with a deadline of " +
+                         std::to_string(run.deadline_ms) + " ms" + from});
   }
   for (const auto &withdrawal : this->withdrawals) {
     if (withdrawal.nodes.count(run.node) == 0) continue;
@@ -242,8 +244,8 @@
   }
   if (static_cast<double>(worst) <= max_runs) return;
   found.push_back({FleetRule::kQuota, worst_at,
-                   this->quota.workspace + " got " + std::to_string(worst) +
-                       " in 5 s, at most " + std::to_string(max_runs)});
+                   this->quota.workspace + " ran " + std::to_string(worst) +
+                       " requests in 5 s, limit " + std::to_string(max_runs)});
 }
 
 const FleetCall *FleetJournal::ServedUndisturbed(const FleetRun &run) const {
--- a/test/support/fleet_journal.h
+++ b/test/support/fleet_journal.h
@@ -25,7 +25,7 @@
   kUnasked, /*!< A target got a wrong caller, workspace or deadline. */
   kMember,  /*!< A live member is missing from a member list. */
   kCall,    /*!< A call was not served while nothing was disturbed. */
-  kEnd      /*!< A process exited, or didn't start or stop in time. */
+  kEnd /*!< A process ended unexpectedly, or didn't start or stop in time. */
 };
 
 inline constexpr pollenring::EnumTable<FleetRule, 11> kFleetRuleNames{{{
--- a/test/support/fleet_journal_test.cc
+++ b/test/support/fleet_journal_test.cc
@@ -48,7 +48,7 @@
 
 }  // namespace
 
-TEST_CASE("fleet journal: a call that is served once breaks nothing") {
+TEST_CASE("fleet journal: a call served once violates no rule") {
   TestJournal journal;
   journal.Call("a", 200);
   journal.Run("a");
@@ -60,7 +60,7 @@
       std::map<std::pair<std::string, std::string>, int>{{{"new", "new"}, 2}});
 }
 
-TEST_CASE("fleet journal: each broken promise to a caller is found") {
+TEST_CASE("fleet journal: duplicate runs and wrong responses are violations") {
   TestJournal journal;
   journal.Call("a", 200, true);
   journal.Run("a");
@@ -81,7 +81,7 @@
   CHECK(journal.Finds(FleetRule::kUnasked));
 }
 
-TEST_CASE("fleet journal: a call without its answer is lost") {
+TEST_CASE("fleet journal: a call without a response is lost") {
   const auto lost = [](bool ran, pollenring::Duration took, auto disturb) {
     TestJournal journal;
     FleetCall &call = journal.Call("a", 0);
@@ -107,7 +107,7 @@
   }));
 }
 
-TEST_CASE("fleet journal: what is not served counts in a calm fleet") {
+TEST_CASE("fleet journal: unserved calls count only in an undisturbed fleet") {
   const auto counts = [](auto disturb) {
     TestJournal journal;
     journal.Call("a", 503);
@@ -128,8 +128,8 @@
 }
 
 TEST_CASE(
-    "fleet journal: a withdrawn zone's targets get nothing from those "
-    "that know") {
+    "fleet journal: withdrawn targets get no calls from builds that support "
+    "withdrawal") {
   const auto found = [](const char *entry, const char *beside,
                         pollenring::Time at) {
     TestJournal journal;
@@ -144,7 +144,7 @@
   CHECK_FALSE(found("new", "new", 94s));
 }
 
-TEST_CASE("fleet journal: routes and rates are held against their bounds") {
+TEST_CASE("fleet journal: stale routes and exceeded rates are violations") {
   TestJournal journal;
   journal.Call("a", 404).expected = Expected::kRouteAbsent;
   journal.Call("b", 200).expected = Expected::kRoutePresent;
--- a/test/support/mixed_fleet.cc
+++ b/test/support/mixed_fleet.cc
@@ -204,7 +204,7 @@
   if (ready) return;
   this->journal.RecordViolation(
       FleetRule::kEnd, this->Now(),
-      fmt::format("node {} ({}) does not get ready", number, node.build));
+      fmt::format("node {} ({}) was not ready in time", number, node.build));
 }
 
 void MixedFleet::Stop(int number) {
@@ -220,15 +220,15 @@
   if (!ended) {
     this->journal.RecordViolation(
         FleetRule::kEnd, this->Now(),
-        fmt::format("node {} ({}) still runs after its grace", number,
+        fmt::format("node {} ({}) did not exit in time after SIGTERM", number,
                     node.build));
     kill(node.pid, SIGKILL);
     waitpid(node.pid, &status, 0);
   } else if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) {
     this->journal.RecordViolation(
         FleetRule::kEnd, this->Now(),
-        fmt::format("node {} ({}) ended with status {}", number, node.build,
-                    status));
+        fmt::format("node {} ({}) ended with status {} after SIGTERM", number,
+                    node.build, status));
   }
   ClearProcess(node);
 }
@@ -340,8 +340,9 @@
       if (pairs.count({entry.number, other.number}) > 0) continue;
       this->journal.RecordViolation(
           FleetRule::kMember, this->Now(),
-          fmt::format("no call of node {} ({}) reached the target of node {} "
-                      "({}) in calm",
+          fmt::format("no undisturbed call of node {} ({}) reached the target "
+                      "of node {} "
+                      "({})",
                       entry.number, entry.build, other.number, other.build));
     }
   }
--- a/test/support/mixed_fleet_load.cc
+++ b/test/support/mixed_fleet_load.cc
@@ -158,8 +158,8 @@
     if (waitpid(node.pid, &status, WNOHANG) != node.pid) continue;
     this->journal.RecordViolation(
         FleetRule::kEnd, this->Now(),
-        fmt::format("node {} ({}) ended by itself with status {}", node.number,
-                    node.build, status));
+        fmt::format("node {} ({}) ended unexpectedly with status {}",
+                    node.number, node.build, status));
     ClearProcess(node);
   }
 }
