--- a/test/support/endless_peer.h
+++ b/test/support/endless_peer.h
@@ -15,10 +15,10 @@
 
 namespace support {
 
-/*! @brief A server that sends bytes without end on its one connection. */
+/*! @brief A server that sends bytes endlessly on its only connection. */
 class EndlessPeer {
  public:
-  /*! @param head Sent once. @param piece Sent again and again. */
+  /*! @param head Sent once. @param piece Sent repeatedly afterwards. */
   EndlessPeer(std::string head, std::string piece)
       : head{std::move(head)},
         piece{std::move(piece)},
@@ -31,7 +31,7 @@
     listen(this->listener, 1);
     getsockname(this->listener, reinterpret_cast<sockaddr *>(&native), &size);
     this->address = pollenring::Address::From(native);
-    this->thread = std::thread{[this] { this->Play(); }};
+    this->thread = std::thread{[this] { this->Serve(); }};
   }
   EndlessPeer(const EndlessPeer &) = delete;
   EndlessPeer &operator=(const EndlessPeer &) = delete;
@@ -42,28 +42,31 @@
     close(this->listener);
   }
 
-  [[nodiscard]] const pollenring::Address &Where() const noexcept {
+  [[nodiscard]] const pollenring::Address &ListenAddress() const noexcept {
     return this->address;
   }
 
-  /*! @brief Waits until the caller has closed the connection. @return So. */
+  /*! @brief Waits up to 2 s for the client to close the connection.
+   * @return True if it was closed. */
   [[nodiscard]] bool Closed() {
     return this->closed.get_future().wait_for(std::chrono::seconds{2}) ==
            std::future_status::ready;
   }
 
  private:
-  void Play() {
+  void Serve() {
     const int fd = accept(this->listener, nullptr, nullptr);
     if (fd < 0) return;
-    const timeval patience{0, 100'000};
-    setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof(patience));
+    const timeval send_timeout{0, 100'000};
+    setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &send_timeout,
+               sizeof(send_timeout));
     send(fd, this->head.data(), this->head.size(), MSG_NOSIGNAL);
     while (!this->stop) {
       const auto sent =
           send(fd, this->piece.data(), this->piece.size(), MSG_NOSIGNAL);
-      const bool waits = sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-      if (sent >= 0 || waits) continue;
+      const bool would_block =
+          sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+      if (sent >= 0 || would_block) continue;
       this->closed.set_value();
       break;
     }
--- a/test/support/fake_network.h
+++ b/test/support/fake_network.h
@@ -14,7 +14,7 @@
 using pollenring::Duration;
 using pollenring::Time;
 
-/*! @brief A clock that runs a little too fast or too slow. */
+/*! @brief A clock with constant drift and offset. */
 class DriftingClock final : public pollenring::Clock {
  public:
   DriftingClock(const pollenring::Clock &truth, double speed, Duration offset)
@@ -35,25 +35,26 @@
   Duration offset;
 };
 
-/*! @brief Delivers events late, twice, out of order or never. */
+/*! @brief A simulated network that delays, duplicates, reorders and drops. */
 class FakeNetwork {
  public:
   FakeNetwork(pollenring::ManualClock &truth, pollenring::Random &random)
       : truth{truth}, random{random} {}
 
   double loss{0.05};
-  double repeat{0.05};
-  Duration shortest{200};
-  Duration longest{3000};
-  std::set<std::pair<int, int>> cuts;
-
-  [[nodiscard]] bool Cut(int from, int to) const {
-    return this->cuts.count({from, to}) > 0 || this->cuts.count({to, from}) > 0;
+  double duplication{0.05};
+  Duration min_delay{200};
+  Duration max_delay{3000};
+  std::set<std::pair<int, int>> partitions;
+
+  [[nodiscard]] bool Partitioned(int from, int to) const {
+    return this->partitions.count({from, to}) > 0 ||
+           this->partitions.count({to, from}) > 0;
   }
 
   void Send(int from, int to, const std::function<void()> &deliver) {
-    if (this->Cut(from, to)) return;
-    const int copies = this->random.Chance(this->repeat) ? 2 : 1;
+    if (this->Partitioned(from, to)) return;
+    const int copies = this->random.Chance(this->duplication) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
       if (this->random.Chance(this->loss)) continue;
       this->At(this->truth.Now() + this->Delay(), deliver);
@@ -65,13 +66,13 @@
   }
 
   [[nodiscard]] Duration Delay() {
-    const auto width =
-        static_cast<std::size_t>((this->longest - this->shortest).count() + 1);
-    return this->shortest +
+    const auto width = static_cast<std::size_t>(
+        (this->max_delay - this->min_delay).count() + 1);
+    return this->min_delay +
            Duration{static_cast<std::int64_t>(this->random.Index(width))};
   }
 
-  /*! @brief Moves time forward and runs what falls due. */
+  /*! @brief Advances the clock and runs all events due by then. */
   void RunUntil(Time until) {
     while (!this->events.empty() && this->events.begin()->first <= until) {
       auto node = this->events.extract(this->events.begin());
--- a/test/support/late_reader.h
+++ b/test/support/late_reader.h
@@ -29,7 +29,7 @@
     listen(this->listener, 1);
     getsockname(this->listener, reinterpret_cast<sockaddr *>(&native), &size);
     this->address = pollenring::Address::From(native);
-    this->thread = std::thread{[this, pause] { this->Play(pause); }};
+    this->thread = std::thread{[this, pause] { this->Serve(pause); }};
   }
   LateReader(const LateReader &) = delete;
   LateReader &operator=(const LateReader &) = delete;
@@ -39,16 +39,17 @@
     close(this->listener);
   }
 
-  [[nodiscard]] const pollenring::Address &Where() const noexcept {
+  [[nodiscard]] const pollenring::Address &ListenAddress() const noexcept {
     return this->address;
   }
 
  private:
-  void Play(std::chrono::milliseconds pause) const {
+  void Serve(std::chrono::milliseconds pause) const {
     const int fd = accept(this->listener, nullptr, nullptr);
     if (fd < 0) return;
-    const timeval longest{1, 0};
-    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &longest, sizeof(longest));
+    const timeval receive_timeout{1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &receive_timeout,
+               sizeof(receive_timeout));
     std::array<char, 65536> buffer{};
     if (recv(fd, buffer.data(), buffer.size(), 0) > 0) {
       const std::string response =
--- a/test/support/member_fleet.h
+++ b/test/support/member_fleet.h
@@ -32,10 +32,13 @@
     Node(MemberFleet &fleet, int index, std::uint64_t incarnation)
         : fleet{fleet},
           index{index},
-          membership{
-              Make(index, incarnation), {}, fleet.clock, fleet.random, *this} {}
+          membership{MakeSelf(index, incarnation),
+                     {},
+                     fleet.clock,
+                     fleet.random,
+                     *this} {}
 
-    static Member Make(int index, std::uint64_t incarnation) {
+    static Member MakeSelf(int index, std::uint64_t incarnation) {
       Member self;
       self.id = static_cast<NodeId>(index + 1);
       self.incarnation = incarnation;
@@ -89,14 +92,14 @@
     Membership membership;
     pollenring::WithdrawnZones zones;
     bool frozen{};
-    std::vector<Gossip> held;
+    std::vector<Gossip> queued;
   };
 
   void Deliver(int index, const Gossip &gossip) {
     auto &node = this->nodes[static_cast<std::size_t>(index)];
     if (!node) return;
     if (node->frozen) {
-      node->held.push_back(gossip);
+      node->queued.push_back(gossip);
       return;
     }
     node->membership.Receive(gossip);
@@ -147,9 +150,9 @@
     for (int i = 0; i < size; ++i) {
       if (!this->nodes[static_cast<std::size_t>(i)]) continue;
       for (int j = 0; j < size; ++j) {
-        const bool lives = this->nodes[static_cast<std::size_t>(j)] != nullptr;
+        const bool alive = this->nodes[static_cast<std::size_t>(j)] != nullptr;
         const bool seen = this->StateSeen(i, j) != MemberState::kDead;
-        if (lives != seen) ++count;
+        if (alive != seen) ++count;
       }
     }
     return count;
