Follow a renamed member of the membership fleet in its test

MemberFleet::Node::held became queued with the tests' support, and one use in the membership test kept the former name, so that the tests did not compile. held -> queued; the messages that the test delivers late are the same.

--- a/test/pollenring/membership/membership_test.cc
+++ b/test/pollenring/membership/membership_test.cc
@@ -56,7 +56,7 @@
   CHECK(fleet.StateSeen(0, 4) == MemberState::kDead);
   CHECK(fleet.StateSeen(0, 8) == MemberState::kDead);
   fleet.nodes[4]->frozen = false;
-  for (const auto &gossip : fleet.nodes[4]->held) {
+  for (const auto &gossip : fleet.nodes[4]->queued) {
     fleet.nodes[4]->membership.Receive(gossip);
   }
   fleet.Run(std::chrono::seconds{20});
