Config propagation: a test of changes after connections went silent

The fleet of seeded worlds can now silence connections. Per connection the first fetch is given up after 800 ms, the second finds the link's ping without a reply within 100 ms, and the third uses a new connection, as link_client.cc and policy_follower.cc have it. Datagrams pass.

--- a/test/pollenring/membership/config_propagation_test.cc
+++ b/test/pollenring/membership/config_propagation_test.cc
@@ -143,3 +143,26 @@
     }
   }
 }
+
+TEST_CASE(
+    "config propagation: a change reaches nodes whose connections went silent "
+    "before it in time") {
+  for (const int size : {16, 87, 194}) {
+    for (const double fraction : {0.7, 1.0}) {
+      for (const auto seed : support::Seeds(2)) {
+        CAPTURE(size, fraction, seed);
+        WatchedFleet fleet{size, seed};
+        fleet.Run(8s);
+        fleet.Sever(fraction);
+        // Longer than the time after which disturbed nodes are in touch.
+        fleet.Run(4500ms);
+        for (int i = 0; i < 3; ++i) {
+          fleet.Change();
+          fleet.Run(ApplyWithin(size));
+          CHECK(Late(fleet, {}) == 0);
+          fleet.Run(700ms);
+        }
+      }
+    }
+  }
+}
--- a/test/support/watched_fleet.cc
+++ b/test/support/watched_fleet.cc
@@ -11,6 +11,8 @@
 constexpr auto kStoreDelay = 8ms;
 constexpr auto kFetchDelay = 10ms;
 constexpr auto kTimeout = 800ms;
+/*! @brief Period in which a link notices that its last ping had no reply. */
+constexpr auto kLivenessCheck = 100ms;
 
 }  // namespace
 
@@ -66,6 +68,26 @@
   }
 }
 
+void WatchedFleet::Sever(double fraction) {
+  for (int i = 0; i < this->members.Size(); ++i) {
+    for (int j = 0; j < this->members.Size(); ++j) {
+      if (this->members.random.Chance(fraction))
+        this->silent[{i, j}] = Silence::kUnnoticed;
+    }
+  }
+}
+
+std::chrono::milliseconds WatchedFleet::TimeToFail(int index, int peer) {
+  const auto found = this->silent.find({index, peer});
+  if (found == this->silent.end()) return 0ms;
+  // The link sends a ping with the first call, whose timeout comes before the
+  // ping's; the second call finds the ping without a reply.
+  if (std::exchange(found->second, Silence::kGivenUp) == Silence::kUnnoticed)
+    return kTimeout;
+  this->silent.erase(found);
+  return kLivenessCheck;
+}
+
 std::set<int> WatchedFleet::Designated() const {
   std::set<int> designated;
   for (int i = 0; i < this->members.Size(); ++i) {
@@ -146,10 +168,13 @@
 
 void WatchedFleet::FetchFrom(int index, int peer) {
   if (std::exchange(this->At(index).fetching, true)) return;
-  const bool reachable =
-      this->Running(peer) && !this->members.network.Partitioned(index, peer);
+  const auto time_to_fail = this->TimeToFail(index, peer);
+  const bool reachable = this->Running(peer) &&
+                         !this->members.network.Partitioned(index, peer) &&
+                         time_to_fail == 0ms;
+  const auto failed_after = time_to_fail > 0ms ? time_to_fail : kTimeout;
   const std::uint64_t version = this->At(peer).version;
-  this->After(index, reachable ? kFetchDelay : kTimeout,
+  this->After(index, reachable ? kFetchDelay : failed_after,
               [this, index, reachable, version] {
                 this->At(index).fetching = false;
                 if (reachable && this->Running(index))
--- a/test/support/watched_fleet.h
+++ b/test/support/watched_fleet.h
@@ -1,6 +1,7 @@
 #ifndef POLLENRING_TEST_SUPPORT_WATCHED_FLEET_H_
 #define POLLENRING_TEST_SUPPORT_WATCHED_FLEET_H_
 
+#include <map>
 #include <set>
 #include <vector>
 
@@ -30,6 +31,10 @@
   /*! @brief Separates a node from all others, but not from the store. */
   void Isolate(int index);
 
+  /*! @brief Silences a fraction of the connections between nodes for good;
+   * nothing is closed, and datagrams still pass. */
+  void Sever(double fraction);
+
   /*! @return Nodes that are designated watchers. */
   [[nodiscard]] std::set<int> Designated() const;
 
@@ -73,7 +78,14 @@
   void After(int index, std::chrono::milliseconds delay,
              std::function<void()> event);
 
+  /*! @brief State of a silent connection: unnoticed, or given up once. */
+  enum class Silence { kUnnoticed, kGivenUp };
+
+  [[nodiscard]] std::chrono::milliseconds TimeToFail(int index, int peer);
+
   std::vector<Node> nodes;
+  /*! @brief Silent connections, by client and server. */
+  std::map<std::pair<int, int>, Silence> silent;
   pollenring::PeerVersions wire; /*!< All run the same build. */
   std::uint64_t stored{1};
   std::uint64_t steps{};
