Crashes of targets: fingerprints of requests, and a log line for each end

Neither logs nor metrics could tell the hypotheses apart: whether requests that are alike end target after target, and with how many others on it a request ended.

- A request has a fingerprint, a keyed digest of its workspace (of the calling service where no key was shown), method, host, path and body.
It is in the ingress node's line for each request.
- The node beside a target tells a target that ended from a broken response: a connection that ends before its response is followed by a connect probe, which sends nothing; a refused one, or another instance that announces itself, means that it has ended.
It logs 'target ended with requests' and counts pollenring_target_crashes_total.
A draining target counts for nothing.

No decision changes: nothing reads the fingerprint yet. Tests: 'fingerprint: ...', 'target executor: a target that ends with its requests is told from a broken response'.

--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -26,6 +26,7 @@
 #include "pollenring/node/share_service.h"
 #include "pollenring/node/target_codec.h"
 #include "pollenring/node/target_executor.h"
+#include "pollenring/quarantine/fingerprint.h"
 #include "pollenring/routing/router.h"
 #include "pollenring/wire/peer_wire.h"
 
@@ -101,6 +102,7 @@
   Router router;
   DownstreamLevels levels;
   ColdPolicy cold_policy;
+  RequestFingerprinter fingerprints;
   TargetExecutor executor;
   TrafficRetryBudget retry_budget;
   Dispatcher dispatcher;
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -10,6 +10,7 @@
 #include "pollenring/log/log.h"
 #include "pollenring/node/headers.h"
 #include "pollenring/node/limits.h"
+#include "pollenring/node/request_identity.h"
 #include "pollenring/retry/backoff.h"
 
 namespace pollenring {
@@ -82,6 +83,7 @@
   std::string route;
   std::string service;
   std::string workspace;
+  Fingerprint fingerprint{};
   std::uint64_t version{};
   Time started{};
   Time deadline{};
@@ -127,6 +129,8 @@
   }
   entry->envelope.headers = std::move(caller.headers);
   entry->body = std::move(request.body);
+  entry->fingerprint =
+      this->parts.fingerprints.Of(IdentityOf(entry->envelope, entry->body));
   entry->responder->OnCancel([this, entry](CallerDisconnect disconnect) {
     entry->disconnected = true;
     this->loop.Cancel(entry->timer);
@@ -382,6 +386,7 @@
        {"node", reply.served_by == 0 ? std::string{}
                                      : AddressOf(reply.served_by).Format()},
        {"workspace", entry.workspace},
+       {"fingerprint", FormatFingerprint(entry.fingerprint)},
        {"status", reply.status},
        {"outcome", kOutcomeNames.Name(reply.outcome)},
        {"reason", kReasonNames.Name(reply.reason)},
--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -15,6 +15,7 @@
 #include "pollenring/node/dispatcher.h"
 #include "pollenring/node/downstream_levels.h"
 #include "pollenring/node/gates.h"
+#include "pollenring/quarantine/fingerprint.h"
 
 namespace pollenring {
 
@@ -26,6 +27,7 @@
   Dispatcher &dispatcher;
   TargetExecutor &executor;
   DownstreamLevels &levels;
+  const RequestFingerprinter &fingerprints;
   Random &random;
   Metrics &metrics;
 };
--- a/src/pollenring/node/node.h
+++ b/src/pollenring/node/node.h
@@ -83,6 +83,7 @@
   OnceService once;
   Router router;
   ContextCodec codec;
+  RequestFingerprinter fingerprints;
   DownstreamLevels levels;
   NoColdStartLimits cold_start_limits;
   TargetExecutor executor;
--- a/src/pollenring/node/target_executor.cc
+++ b/src/pollenring/node/target_executor.cc
@@ -8,6 +8,7 @@
 #include "pollenring/log/log.h"
 #include "pollenring/node/headers.h"
 #include "pollenring/node/limits.h"
+#include "pollenring/node/request_identity.h"
 #include "pollenring/retry/backoff.h"
 
 namespace pollenring {
@@ -41,6 +42,7 @@
                                const TargetCodec &codec,
                                const AdmissionOptions &options,
                                const ColdStartLimits &cold_start_limits,
+                               const RequestFingerprinter &fingerprints,
                                DownstreamLevels &levels, Random &random,
                                Metrics &metrics, TargetsChanged changed,
                                TargetLeaves leaves)
@@ -49,6 +51,7 @@
       codec{codec},
       options{options},
       cold_start_limits{cold_start_limits},
+      fingerprints{fingerprints},
       levels{levels},
       random{random},
       metrics{metrics},
@@ -65,6 +68,7 @@
   call.served.deadline = now + Duration{envelope.remaining_us};
   call.served.root_started = now - Duration{envelope.root_age_us};
   call.served.allowance = RetryAllowance{envelope.retries};
+  call.served.fingerprint = this->fingerprints.Of(IdentityOf(envelope, body));
   call.served.envelope = std::move(envelope);
   call.body = std::move(body);
   call.done = std::move(done);
@@ -161,8 +165,11 @@
     const bool connect_refused = *error == CallError::kConnectRefused;
     const bool not_sent = connect_refused || *error == CallError::kNotConnected;
     if (not_sent) admission.RecordRejected(id);
+    Binding &binding = this->bindings.at(service);
     // Its process has ended; the next one at this address starts cold.
-    if (connect_refused) this->AssumeCold(this->bindings.at(service));
+    if (connect_refused) this->AssumeCold(binding);
+    if (*error == CallError::kInvalidResponse)
+      this->RecordLostCall(binding, found->second.served.fingerprint);
     const AdmissionActions next = admission.Cancel(id);
     const SubCallCancels cancels =
         std::exchange(found->second.served.sub_call_cancels, {});
--- a/src/pollenring/node/target_executor.h
+++ b/src/pollenring/node/target_executor.h
@@ -22,6 +22,7 @@
 #include "pollenring/node/parent_finder.h"
 #include "pollenring/node/target_codec.h"
 #include "pollenring/node/wire.h"
+#include "pollenring/quarantine/fingerprint.h"
 #include "pollenring/retry/allowance.h"
 
 namespace pollenring {
@@ -93,6 +94,7 @@
 struct ServedCall {
   std::uint64_t id{};
   CallEnvelope envelope;
+  Fingerprint fingerprint{};
   std::string context;
   Time deadline{};
   Time root_started{};
@@ -128,6 +130,7 @@
    * @param codec Encodes calls and decodes responses.
    * @param options Limits of admission.
    * @param cold_start_limits Cold-start limits.
+   * @param fingerprints Computes what makes calls alike.
    * @param levels Admission levels of services; replies carry them.
    * @param random Randomness.
    * @param metrics Metrics.
@@ -137,6 +140,7 @@
   TargetExecutor(Loop &loop, HttpClient &client, const TargetCodec &codec,
                  const AdmissionOptions &options,
                  const ColdStartLimits &cold_start_limits,
+                 const RequestFingerprinter &fingerprints,
                  DownstreamLevels &levels, Random &random, Metrics &metrics,
                  TargetsChanged changed, TargetLeaves leaves = {});
 
@@ -240,12 +244,19 @@
   void Tick();
 
  private:
+  /*! @brief A call whose connection ended before its response. */
+  struct LostCall {
+    Fingerprint fingerprint{};
+    Time at{};
+  };
   struct Binding {
     Announcement announcement;
     std::unique_ptr<Admission> admission;
     Time last_seen;
     Time assumed_cold_at{}; /*!< When it was last assumed cold. */
     bool cold_end_known{};  /*!< The time at which it is warm is known. */
+    std::vector<LostCall> lost_calls; /*!< Until their cause is known. */
+    bool probing{};
   };
   struct Call {
     ServedCall served;
@@ -259,6 +270,12 @@
   void Offer(Binding &binding, const AdmissionRequest &request);
   void Perform(const AdmissionActions &actions);
   void AssumeCold(Binding &binding);
+  /*! @brief Records that a connection ended before its response, and finds out
+   * whether the target has ended. */
+  void RecordLostCall(Binding &binding, Fingerprint fingerprint);
+  void ProbeTarget(const std::string &service, const std::string &instance);
+  /*! @brief Records that the target ended while the lost calls ran. */
+  void RecordEnd(Binding &binding);
   /*! @brief Records what a response states about its target.
    * @param sent When its request was sent. */
   void RecordTargetState(Binding &binding, const ResponseSignals &signals,
@@ -288,6 +305,7 @@
   const TargetCodec &codec;
   AdmissionOptions options;
   const ColdStartLimits &cold_start_limits;
+  const RequestFingerprinter &fingerprints;
   DownstreamLevels &levels;
   Random &random;
   Metrics &metrics;
--- a/src/pollenring/node/target_executor_targets.cc
+++ b/src/pollenring/node/target_executor_targets.cc
@@ -30,6 +30,7 @@
   if (is_new) {
     if (found != this->bindings.end()) {
       waiting = found->second.admission->TakeWaiting();
+      this->RecordEnd(found->second);
     }
     Binding binding;
     binding.admission = std::make_unique<Admission>(
--- /dev/null
+++ b/src/pollenring/quarantine/fwd.h
@@ -0,0 +1,10 @@
+#ifndef POLLENRING_QUARANTINE_FWD_H_
+#define POLLENRING_QUARANTINE_FWD_H_
+
+namespace pollenring {
+
+class RequestFingerprinter;
+
+}  // namespace pollenring
+
+#endif  // POLLENRING_QUARANTINE_FWD_H_
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -174,6 +174,7 @@
   pollenring::LinkClient link{loop, "secret", kMaxBytes};
   pollenring::ContextCodec codec;
   NeverCold cold_start_limits;
+  pollenring::RequestFingerprinter fingerprints{"secret"};
   pollenring::DownstreamLevels levels{{}, clock};
   pollenring::SeededRandom random{5};
   pollenring::Metrics metrics{clock};
@@ -184,6 +185,7 @@
       codec,
       {},
       cold_start_limits,
+      fingerprints,
       levels,
       random,
       metrics,
--- a/test/pollenring/node/target_executor_test.cc
+++ b/test/pollenring/node/target_executor_test.cc
@@ -92,6 +92,7 @@
   pollenring::HttpClient client{loop, {std::size_t{1} << 20U}};
   pollenring::ContextCodec codec;
   FewWhenCold cold_start_limits;
+  pollenring::RequestFingerprinter fingerprints{"secret"};
   pollenring::DownstreamLevels levels{{}, clock};
   pollenring::SeededRandom random{5};
   pollenring::Metrics metrics{clock};
@@ -101,6 +102,7 @@
       codec,
       OneAtATime(),
       cold_start_limits,
+      fingerprints,
       levels,
       random,
       metrics,
@@ -205,3 +207,26 @@
     CHECK(bench.replies[i].retry_after_us > 0);
   }
 }
+
+TEST_CASE(
+    "target executor: a target that ends with its requests is told from a "
+    "broken response") {
+  auto peer = std::make_unique<RawPeer>(std::vector<support::PeerScript>{
+      {{"HTTP/1.1 2"}, support::PeerEnd::kReset},
+      {{"HTTP/1.1 2"}, support::PeerEnd::kKeep}});
+  Bench bench;
+  bench.Announce(*peer, "i-1");
+  bench.Serve();
+  bench.Run(100ms);
+  REQUIRE(bench.replies.size() == 1);
+  CHECK(bench.replies[0].outcome == Outcome::kUnknown);
+  CHECK(bench.metrics.Read("pollenring_target_crashes_total") == 0);
+  bench.Announce(*peer, "i-1");
+  bench.Serve();
+  bench.Run(100ms);
+  // The port is closed with the connection.
+  peer.reset();
+  bench.Run(300ms);
+  CHECK(bench.replies.size() == 2);
+  CHECK(bench.metrics.Read("pollenring_target_crashes_total") == 1);
+}
