--- a/test/support/mesh_world.cc
+++ b/test/support/mesh_world.cc
@@ -273,7 +273,7 @@
                     {"cold_left_ms", cold_left.count()}}}};
   const auto response = this->Request(
       this->At(index, 7001), {"POST",
-                              "/Instances.Heartbeat/i-" + std::to_string(index),
+                              "/Instances.Heartbeat/" + member.Instance(index),
                               {},
                               body.dump(),
                               {}});
@@ -287,6 +287,12 @@
   return response ? response->status : 0;
 }
 
+void MeshWorld::RenewInstance(int index) {
+  Member &member = *this->nodes.at(static_cast<std::size_t>(index - 1));
+  ++member.renewals;
+  member.sequence = 0;
+}
+
 void MeshWorld::StopTarget(int index) {
   this->nodes.at(static_cast<std::size_t>(index - 1))->target->Close();
 }
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -137,6 +137,9 @@
    * @return HTTP status, or 0 without a response. */
   int Deregister(int index);
 
+  /*! @brief Lets a node's target announce itself as another instance. */
+  void RenewInstance(int index);
+
   /*! @brief Closes the port of a node's target; connections are then refused.
    */
   void StopTarget(int index);
@@ -173,6 +176,7 @@
   /*! @brief Address of one of a node's ports. */
   [[nodiscard]] pollenring::Address At(int index, int port) const;
 
+  [[nodiscard]] pollenring::Loop &GetLoop() { return this->loop; }
   [[nodiscard]] FakeStore &Store() { return *this->store; }
   [[nodiscard]] pollenring::MeshNode &Node(int index) {
     return *this->nodes.at(static_cast<std::size_t>(index - 1))->node;
@@ -190,6 +194,13 @@
     std::unique_ptr<pollenring::HttpServer> target;
     std::string service;
     int sequence{};
+    int renewals{};
+
+    [[nodiscard]] std::string Instance(int index) const {
+      std::string instance = "i-" + std::to_string(index);
+      if (this->renewals > 0) instance += "." + std::to_string(this->renewals);
+      return instance;
+    }
   };
 
   [[nodiscard]] std::optional<pollenring::HttpResponse> Request(
