Quarantine: a request that crashes its targets is found and blocked

What callers saw: one request ended target after target; all others that ran there, or found no target, failed (docs/incidents/crashing-requests.md).

Cause: nothing remembered requests beyond their attempts. Each end of a target counted as some failed calls, at the node that saw it; the next copy ran at another target, as did the retry of the first.

What changes, and why it works: - The node beside a target that ended reports which requests ran there. Each is blamed in equal parts; where some were suspect before, these alone share it. - Reports travel with gossip, told to four peers at once and by these likewise, and in the reply to the failed call, which waits 10 ms for the verdict. Each has an identifier, so that it counts once. - A suspect is sent to the one target that all nodes choose for it by its fingerprint, and runs there one at a time. Another crash then blames it alone, and a bystander completes and is no longer suspect. - From a blame of 1.5 in two incidents on it is refused as 'not run' at every ingress node and beside every target, for a minute, twice as long after each further crash, at most an hour; then one request is tried. - Crashes within 200 ms share their blame, as a rack's power ends many targets at once. Draining targets count for nothing, nor what has completed lately. - Operators see and release requests (/status, /quarantine/release/...).

--- a/src/pollenring/core/outcome.h
+++ b/src/pollenring/core/outcome.h
@@ -43,11 +43,12 @@
   kTargetBusy,
   kWarmingUp,     /*!< The target is at its cold-start limit. */
   kZoneWithdrawn, /*!< The target's zone is withdrawn. */
-  kTargetLimited  /*!< The target is at the rate that it states. */
+  kTargetLimited, /*!< The target is at the rate that it states. */
+  kQuarantined    /*!< Requests like it have crashed their targets. */
 };
 
 /*! @brief Names of the reasons in responses and logs. */
-inline constexpr EnumTable<Reason, 23> kReasonNames{{{
+inline constexpr EnumTable<Reason, 24> kReasonNames{{{
     {Reason::kNone, "none"},
     {Reason::kMalformed, "malformed"},
     {Reason::kNoRoute, "no-route"},
@@ -71,6 +72,7 @@
     {Reason::kWarmingUp, "warming-up"},
     {Reason::kZoneWithdrawn, "zone-withdrawn"},
     {Reason::kTargetLimited, "target-limited"},
+    {Reason::kQuarantined, "quarantined"},
 }}};
 
 }  // namespace pollenring
--- a/src/pollenring/membership/membership.cc
+++ b/src/pollenring/membership/membership.cc
@@ -96,6 +96,8 @@
   }
   this->delegate.PeerConfigVersion(gossip.from, gossip.config_version);
   this->delegate.PeerZoneWithdrawals(gossip.zones);
+  if (!gossip.crash_reports.empty())
+    this->delegate.PeerCrashReports(gossip.crash_reports);
   // The peer's store contact counts only if this node holds at least the
   // configuration that the peer has, and the peer knows of the store's era.
   const bool config_is_current = gossip.config_version <= this->config_version;
@@ -291,6 +293,7 @@
   gossip.digest = this->CombinedDigest();
   gossip.zones = this->zones;
   gossip.updates = this->TakeUpdates();
+  gossip.crash_reports = this->delegate.TakeCrashReports();
   this->delegate.SendGossip(to, gossip);
 }
 
--- a/src/pollenring/membership/membership.h
+++ b/src/pollenring/membership/membership.h
@@ -12,6 +12,7 @@
 #include "pollenring/core/clock.h"
 #include "pollenring/core/random.h"
 #include "pollenring/membership/member.h"
+#include "pollenring/quarantine/crash_report.h"
 
 namespace pollenring {
 
@@ -44,7 +45,8 @@
   ZoneWithdrawals zones;         /*!< The newest known to the sender. */
   std::vector<Member> updates;
   std::uint8_t wire{}; /*!< Newest wire version of the sender, or 0. */
-  bool is_retry{};     /*!< Not encoded; marks the retry of a probe. */
+  std::vector<CrashReport> crash_reports;
+  bool is_retry{}; /*!< Not encoded; marks the retry of a probe. */
 };
 
 template <>
@@ -56,7 +58,7 @@
         Field{1, value.kind}, Field{2, value.from}, Field{3, value.sequence},
         Field{4, value.config_version}, Field{5, value.store_age_ms},
         Field{6, value.digest}, Field{7, value.zones}, Field{8, value.updates},
-        Field{9, value.wire});
+        Field{9, value.wire}, Field{10, value.crash_reports});
   }
 };
 
@@ -164,6 +166,12 @@
   /*! @brief A peer reports which zones are withdrawn. @param withdrawals Its
    * report. */
   virtual void PeerZoneWithdrawals(const ZoneWithdrawals &withdrawals) = 0;
+
+  /*! @brief Reports to attach to a datagram. @return The reports. */
+  [[nodiscard]] virtual std::vector<CrashReport> TakeCrashReports() = 0;
+
+  /*! @brief A peer reports crashes. @param reports Its reports. */
+  virtual void PeerCrashReports(const std::vector<CrashReport> &reports) = 0;
 };
 
 /*! @brief Timing of failure detection. */
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -27,6 +27,7 @@
 #include "pollenring/node/target_codec.h"
 #include "pollenring/node/target_executor.h"
 #include "pollenring/quarantine/fingerprint.h"
+#include "pollenring/quarantine/quarantine.h"
 #include "pollenring/routing/router.h"
 #include "pollenring/wire/peer_wire.h"
 
@@ -81,7 +82,9 @@
                        const std::shared_ptr<Responder> &responder);
   void HandleReady(const std::shared_ptr<Responder> &responder);
   void HandleOperator(const HttpRequest &request,
-                      const std::shared_ptr<Responder> &responder) const;
+                      const std::shared_ptr<Responder> &responder);
+  void HandleRelease(const HttpRequest &request,
+                     const std::shared_ptr<Responder> &responder);
   [[nodiscard]] nlohmann::json Status() const;
   void CheckDrained();
   [[nodiscard]] bool Ready() const;
@@ -95,6 +98,7 @@
   PeerWire wire;
   LinkClient link;
   Bus bus;
+  Quarantine quarantine;
   MemberService members;
   PolicyFollower policy;
   SlotRing ring;
--- a/src/pollenring/mesh/mesh_node_status.cc
+++ b/src/pollenring/mesh/mesh_node_status.cc
@@ -1,6 +1,8 @@
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
+#include "pollenring/log/log.h"
 #include "pollenring/mesh/mesh_node.h"
 #include "pollenring/node/describe_members.h"
 
@@ -8,7 +10,35 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kMethodNotAllowed = 405;
+constexpr std::string_view kReleasePath{"/quarantine/release/"};
+/*! @brief Requests in quarantine that the status lists. */
+constexpr std::size_t kMaxListed = 64;
+
+[[nodiscard]] double Seconds(Duration duration) {
+  return std::chrono::duration<double>{duration}.count();
+}
+
+/*! @brief Lists the requests in quarantine, those with most blame first. */
+[[nodiscard]] nlohmann::json Describe(
+    std::vector<QuarantinedRequest> requests) {
+  std::sort(requests.begin(), requests.end(),
+            [](const auto &a, const auto &b) { return a.blame > b.blame; });
+  if (requests.size() > kMaxListed) requests.resize(kMaxListed);
+  nlohmann::json described = nlohmann::json::array();
+  for (const auto &request : requests) {
+    described.push_back(
+        {{"fingerprint", FormatFingerprint(request.fingerprint)},
+         {"standing", kStandingNames.Name(request.standing)},
+         {"crashes", request.crashes},
+         {"blame", request.blame},
+         {"age_s", Seconds(request.age)},
+         {"blocked_for_s", Seconds(request.blocked_for)}});
+  }
+  return described;
+}
 
 }  // namespace
 
@@ -43,9 +73,35 @@
   });
 }
 
-void MeshNode::HandleOperator(
-    const HttpRequest &request,
-    const std::shared_ptr<Responder> &responder) const {
+void MeshNode::HandleRelease(const HttpRequest &request,
+                             const std::shared_ptr<Responder> &responder) {
+  if (request.method != "POST") {
+    responder->Send({kMethodNotAllowed, {}, "release takes POST\n"});
+    return;
+  }
+  const auto fingerprint =
+      ParseFingerprint(request.path.substr(kReleasePath.size()));
+  if (!fingerprint) {
+    responder->Send({kBadRequest, {}, "a fingerprint has 16 hex digits\n"});
+    return;
+  }
+  if (!this->quarantine.Release(*fingerprint)) {
+    responder->Send({kNotFound, {}, "not in quarantine\n"});
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "request released by the operator",
+           {{"fingerprint", FormatFingerprint(*fingerprint)}});
+  responder->Send({kOk, {}, "released\n"});
+}
+
+void MeshNode::HandleOperator(const HttpRequest &request,
+                              const std::shared_ptr<Responder> &responder) {
+  const bool releases =
+      request.path.compare(0, kReleasePath.size(), kReleasePath) == 0;
+  if (releases) {
+    this->HandleRelease(request, responder);
+    return;
+  }
   if (request.path == "/status") {
     responder->Send({kOk,
                      {{"content-type", "application/json"}},
@@ -79,6 +135,7 @@
       {"requests", this->metrics.Read("pollenring_requests_total")},
       {"refusals", this->metrics.Read("pollenring_refusals_total")},
       {"zones_withdrawn", std::move(zones)},
+      {"quarantine", Describe(this->quarantine.Requests())},
       {"members", DescribeMembers(this->members.Get(), this->wire.versions)}};
 }
 
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -131,6 +131,7 @@
   entry->body = std::move(request.body);
   entry->fingerprint =
       this->parts.fingerprints.Of(IdentityOf(entry->envelope, entry->body));
+  entry->envelope.fingerprint = entry->fingerprint;
   entry->responder->OnCancel([this, entry](CallerDisconnect disconnect) {
     entry->disconnected = true;
     this->loop.Cancel(entry->timer);
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -35,6 +35,8 @@
       return CallVerdict::kShed;
     case Reason::kTargetBusy:
       return CallVerdict::kFaulty;
+    case Reason::kQuarantined:
+      return CallVerdict::kAnswered;
     default:
       return reply.status >= kFirstServerError ? CallVerdict::kFaulty
                                                : CallVerdict::kAnswered;
@@ -57,14 +59,16 @@
 
 Dispatcher::Dispatcher(NodeId self, Loop &loop, LinkClient &link,
                        PeerWire &wire, Router &router, TargetExecutor &executor,
-                       RetryBudget &budget, const DispatchOptions &options,
-                       Random &random, Metrics &metrics)
+                       Quarantine &quarantine, RetryBudget &budget,
+                       const DispatchOptions &options, Random &random,
+                       Metrics &metrics)
     : self{self},
       loop{loop},
       link{link},
       wire{wire},
       router{router},
       executor{executor},
+      quarantine{quarantine},
       budget{budget},
       options{options},
       random{random},
@@ -100,8 +104,17 @@
         {});
     return;
   }
-  const auto node = this->router.Choose(job.envelope.service, job.tried,
-                                        job.envelope.regions);
+  const Fingerprint fingerprint = job.envelope.fingerprint;
+  const Standing standing = this->quarantine.StandingOf(fingerprint);
+  if (standing == Standing::kBlocked) {
+    const Duration blocked_for = this->quarantine.BlockedFor(fingerprint);
+    this->Finish(id,
+                 Refusal(Outcome::kNotRun, Reason::kQuarantined,
+                         blocked_for + jittered_retry_after),
+                 {});
+    return;
+  }
+  const auto node = this->ChooseNode(job, standing);
   const bool has_targets = this->router.TargetCount(job.envelope.service) > 0;
   if (!node && has_targets && job.redirects_left > 0) {
     this->AttemptLater(id, job);
@@ -126,6 +139,18 @@
   this->Send(id, job);
 }
 
+std::optional<NodeId> Dispatcher::ChooseNode(const Job &job,
+                                             Standing standing) {
+  const CallEnvelope &envelope = job.envelope;
+  if (standing == Standing::kSuspect) {
+    // All nodes send it to one target, which runs one at a time.
+    const auto node = this->router.ChooseByKey(
+        envelope.service, envelope.fingerprint, job.tried, envelope.regions);
+    if (node) return node;
+  }
+  return this->router.Choose(envelope.service, job.tried, envelope.regions);
+}
+
 void Dispatcher::AttemptLater(std::uint64_t id, Job &job) {
   // All that are left have been tried; a link to one may be coming up.
   --job.redirects_left;
@@ -254,6 +279,7 @@
                         latency);
   this->LogEjectionChanges();
   reply.served_by = job.node;
+  this->quarantine.Learn(reply.crash_reports);
   job.allowance.Return(job.slice,
                        std::clamp(reply.retries_unspent, 0, job.slice));
   for (auto &entry : reply.levels) {
--- a/src/pollenring/node/dispatcher.h
+++ b/src/pollenring/node/dispatcher.h
@@ -16,6 +16,7 @@
 #include "pollenring/node/gates.h"
 #include "pollenring/node/target_executor.h"
 #include "pollenring/node/wire.h"
+#include "pollenring/quarantine/quarantine.h"
 #include "pollenring/retry/allowance.h"
 #include "pollenring/retry/budget.h"
 #include "pollenring/routing/router.h"
@@ -64,14 +65,16 @@
    * @param wire Wire versions of other nodes.
    * @param router Chooses targets.
    * @param executor Runs calls on the target local to this node.
+   * @param quarantine Requests that crash their targets.
    * @param budget Limits retries.
    * @param options Which calls are retried.
    * @param random Source of jitter.
    * @param metrics Receives counts.
    */
   Dispatcher(NodeId self, Loop &loop, LinkClient &link, PeerWire &wire,
-             Router &router, TargetExecutor &executor, RetryBudget &budget,
-             const DispatchOptions &options, Random &random, Metrics &metrics);
+             Router &router, TargetExecutor &executor, Quarantine &quarantine,
+             RetryBudget &budget, const DispatchOptions &options,
+             Random &random, Metrics &metrics);
 
   /**
    * @brief Performs a call.
@@ -121,6 +124,8 @@
   };
 
   void Attempt(std::uint64_t id);
+  [[nodiscard]] std::optional<NodeId> ChooseNode(const Job &job,
+                                                 Standing standing);
   void AttemptLater(std::uint64_t id, Job &job);
   void ChargeAgain(std::uint64_t id, Job &job);
   void Send(std::uint64_t id, Job &job);
@@ -143,6 +148,7 @@
   PeerWire &wire;
   Router &router;
   TargetExecutor &executor;
+  Quarantine &quarantine;
   RetryBudget &budget;
   DispatchOptions options;
   Random &random;
--- a/src/pollenring/node/headers.cc
+++ b/src/pollenring/node/headers.cc
@@ -16,7 +16,7 @@
   int status;
 };
 
-constexpr std::array<ReasonStatus, 22> kStatuses{{
+constexpr std::array<ReasonStatus, 23> kStatuses{{
     {Reason::kMalformed, 400},     {Reason::kNoRoute, 404},
     {Reason::kKeyRefused, 401},    {Reason::kCallerRefused, 403},
     {Reason::kRateLimited, 429},   {Reason::kNoShare, 503},
@@ -28,6 +28,7 @@
     {Reason::kIdExpired, 409},     {Reason::kCancelled, 503},
     {Reason::kTargetBusy, 503},    {Reason::kWarmingUp, 503},
     {Reason::kTargetLimited, 503}, {Reason::kZoneWithdrawn, 503},
+    {Reason::kQuarantined, 503},
 }};
 
 [[nodiscard]] int StatusOf(Reason reason) noexcept {
--- a/src/pollenring/node/member_service.cc
+++ b/src/pollenring/node/member_service.cc
@@ -31,6 +31,8 @@
 /*! @brief Age until which checks are more frequent: nodes that start together
  * may form groups that don't know of one another. */
 constexpr Duration kEarlyAge = std::chrono::seconds{15};
+/*! @brief Peers told at once of a crash of a target; each tells as many. */
+constexpr std::size_t kCrashReportFanout = 4;
 constexpr Duration kAloneAfter = std::chrono::milliseconds{1500};
 constexpr Duration kJoinTimeout = std::chrono::seconds{1};
 
@@ -38,12 +40,14 @@
 
 MemberService::MemberService(Member self, std::vector<Address> seeds,
                              Loop &loop, Bus &bus, LinkClient &link,
-                             Table &table, Random &random, bool first_start)
+                             Table &table, Quarantine &quarantine,
+                             Random &random, bool first_start)
     : seeds{std::move(seeds)},
       loop{loop},
       bus{bus},
       link{link},
       table{table},
+      quarantine{quarantine},
       random{random},
       membership{std::move(self), MembershipOptions{}, loop.GetClock(), random,
                  *this},
@@ -70,6 +74,10 @@
       [this](NodeId from, const Gossip &gossip, WireVersion version) {
         this->Receive(from, gossip, version);
       });
+  this->quarantine.OnCrashReport([this] {
+    if (std::exchange(this->spreading, true)) return;
+    this->loop.Post([this] { this->SpreadCrashReports(); });
+  });
   this->loop.Every(kTickPeriod, [this] { this->membership.Tick(); });
   if (!this->first_start) {
     this->Bootstrap();
@@ -234,6 +242,7 @@
 std::string MemberService::ReplyToJoin(const Address &from,
                                        const std::string &body) {
   const WireVersion version = this->MergeRecords(from, body);
+  this->quarantine.RepeatReports();
   return Encode(this->membership.Snapshot(), version);
 }
 
@@ -321,6 +330,28 @@
   return records->version;
 }
 
+std::vector<CrashReport> MemberService::TakeCrashReports() {
+  return this->quarantine.TakeReports(this->membership.Members().size());
+}
+
+void MemberService::PeerCrashReports(const std::vector<CrashReport> &reports) {
+  for (const auto &report : reports) this->quarantine.Merge(report);
+}
+
+void MemberService::SpreadCrashReports() {
+  this->spreading = false;
+  std::vector<NodeId> peers;
+  for (const auto &[id, member] : this->membership.Members()) {
+    if (member.state < MemberState::kSuspect) peers.push_back(id);
+  }
+  for (std::size_t i = 0; i < kCrashReportFanout && !peers.empty(); ++i) {
+    const std::size_t drawn = this->random.Index(peers.size());
+    this->membership.Contact(peers[drawn]);
+    peers[drawn] = peers.back();
+    peers.pop_back();
+  }
+}
+
 void MemberService::PeerConfigVersion(NodeId peer, std::uint64_t version) {
   for (const auto &listener : this->version_listeners) listener(peer, version);
 }
--- a/src/pollenring/node/member_service.h
+++ b/src/pollenring/node/member_service.h
@@ -12,6 +12,7 @@
 #include "pollenring/membership/store_watcher_role.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/bus.h"
+#include "pollenring/quarantine/quarantine.h"
 #include "pollenring/storage/storage.h"
 
 namespace pollenring {
@@ -31,12 +32,13 @@
    * @param bus Datagrams to other nodes.
    * @param link Client for streams to other nodes.
    * @param table The platform's table.
+   * @param quarantine Its reports travel with gossip.
    * @param random Source of jitter and choices.
    * @param first_start Whether all nodes start together, for the first time.
    */
   MemberService(Member self, std::vector<Address> seeds, Loop &loop, Bus &bus,
-                LinkClient &link, Table &table, Random &random,
-                bool first_start = false);
+                LinkClient &link, Table &table, Quarantine &quarantine,
+                Random &random, bool first_start = false);
 
   [[nodiscard]] Membership &Get() noexcept { return this->membership; }
   [[nodiscard]] const Membership &Get() const noexcept {
@@ -81,6 +83,8 @@
   void PeerConfigVersion(NodeId peer, std::uint64_t version) override;
   void PeerZoneWithdrawals(const ZoneWithdrawals &withdrawals) override;
   void RecordsDiffer(NodeId peer) override;
+  [[nodiscard]] std::vector<CrashReport> TakeCrashReports() override;
+  void PeerCrashReports(const std::vector<CrashReport> &reports) override;
 
  private:
   [[nodiscard]] std::string ReplyToJoin(const Address &from,
@@ -104,12 +108,15 @@
   [[nodiscard]] Duration BootstrapPause();
   void Register(std::uint64_t version, std::vector<NodeId> listed);
   [[nodiscard]] bool Alone() const;
+  /*! @brief Sends new crash reports to some peers, which do likewise. */
+  void SpreadCrashReports();
 
   std::vector<Address> seeds;
   Loop &loop;
   Bus &bus;
   LinkClient &link;
   Table &table;
+  Quarantine &quarantine;
   Random &random;
   Membership membership;
   StoreWatcherRole watcher_role;
@@ -119,6 +126,7 @@
   std::vector<ZonesListener> zones_listeners;
   Time started{};
   bool joined{};
+  bool spreading{}; /*!< Crash reports are about to be sent. */
   std::optional<WireVersion> reply_version; /*!< Of the probe being handled. */
 };
 
--- a/src/pollenring/node/node.h
+++ b/src/pollenring/node/node.h
@@ -76,6 +76,7 @@
   HttpTable table;
   HttpObjectStore objects;
   Bus bus;
+  Quarantine quarantine;
   MemberService members;
   ConfigService config;
   SlotService slots;
--- a/src/pollenring/node/target_executor.cc
+++ b/src/pollenring/node/target_executor.cc
@@ -43,15 +43,16 @@
                                const AdmissionOptions &options,
                                const ColdStartLimits &cold_start_limits,
                                const RequestFingerprinter &fingerprints,
-                               DownstreamLevels &levels, Random &random,
-                               Metrics &metrics, TargetsChanged changed,
-                               TargetLeaves leaves)
+                               Quarantine &quarantine, DownstreamLevels &levels,
+                               Random &random, Metrics &metrics,
+                               TargetsChanged changed, TargetLeaves leaves)
     : loop{loop},
       client{client},
       codec{codec},
       options{options},
       cold_start_limits{cold_start_limits},
       fingerprints{fingerprints},
+      quarantine{quarantine},
       levels{levels},
       random{random},
       metrics{metrics},
@@ -68,7 +69,9 @@
   call.served.deadline = now + Duration{envelope.remaining_us};
   call.served.root_started = now - Duration{envelope.root_age_us};
   call.served.allowance = RetryAllowance{envelope.retries};
-  call.served.fingerprint = this->fingerprints.Of(IdentityOf(envelope, body));
+  call.soft_deadline = now + Duration{envelope.soft_deadline_us};
+  if (envelope.fingerprint == 0)
+    envelope.fingerprint = this->fingerprints.Of(IdentityOf(envelope, body));
   call.served.envelope = std::move(envelope);
   call.body = std::move(body);
   call.done = std::move(done);
@@ -78,18 +81,24 @@
     this->Refuse(id, Outcome::kNotRun, Reason::kNoTarget);
     return id;
   }
+  if (this->HoldBack(call)) return id;
+  this->Offer(found->second, this->ToAdmission(call));
+  return id;
+}
+
+AdmissionRequest TargetExecutor::ToAdmission(const Call &call) const {
+  const CallEnvelope &envelope = call.served.envelope;
   AdmissionRequest request;
-  request.id = id;
-  request.importance = stored.importance;
-  request.sub_priority = stored.sub_priority;
-  request.weight = stored.weight;
-  request.depth = stored.depth;
+  request.id = call.served.id;
+  request.importance = envelope.importance;
+  request.sub_priority = envelope.sub_priority;
+  request.weight = envelope.weight;
+  request.depth = envelope.depth;
   request.root_started = call.served.root_started;
-  request.workspace = stored.workspace;
+  request.workspace = envelope.workspace;
   request.deadline = call.served.deadline;
-  request.soft_deadline = now + Duration{stored.soft_deadline_us};
-  this->Offer(found->second, request);
-  return id;
+  request.soft_deadline = call.soft_deadline;
+  return request;
 }
 
 void TargetExecutor::Perform(const AdmissionActions &actions) {
@@ -168,12 +177,18 @@
     Binding &binding = this->bindings.at(service);
     // Its process has ended; the next one at this address starts cold.
     if (connect_refused) this->AssumeCold(binding);
-    if (*error == CallError::kInvalidResponse)
-      this->RecordLostCall(binding, found->second.served.fingerprint);
+    const bool lost = *error == CallError::kInvalidResponse;
+    if (lost) {
+      this->RecordLostCall(binding, found->second.served.envelope.fingerprint);
+    }
     const AdmissionActions next = admission.Cancel(id);
     const SubCallCancels cancels =
         std::exchange(found->second.served.sub_call_cancels, {});
-    this->Refuse(id, not_sent ? Outcome::kNotRun : Outcome::kUnknown, reason);
+    if (lost) {
+      this->RefuseLost(id, reason);
+    } else {
+      this->Refuse(id, not_sent ? Outcome::kNotRun : Outcome::kUnknown, reason);
+    }
     this->Perform(next);
     this->CancelSubCalls(cancels);
     return;
@@ -201,6 +216,10 @@
     this->Perform(next);
     return;
   }
+  if (verdict.outcome == Outcome::kRan) {
+    this->quarantine.RecordCompletion(
+        found->second.served.envelope.fingerprint);
+  }
   this->Finish(id, std::move(call_reply), std::move(response.body));
   this->Perform(next);
 }
@@ -253,6 +272,7 @@
   this->parents.Remove(id, this->loop.GetClock().Now());
   Done done = std::move(found->second.done);
   this->calls.erase(found);
+  this->EndTrial(id);
   this->loop.Post([done = std::move(done), reply = std::move(reply),
                    body = std::move(body)]() mutable {
     done(std::move(reply), std::move(body));
@@ -293,6 +313,7 @@
   this->contexts.erase(found->second.served.context);
   this->parents.Remove(id, this->loop.GetClock().Now());
   this->calls.erase(found);
+  this->EndTrial(id);
   const auto binding = this->bindings.find(service);
   if (binding != this->bindings.end()) {
     this->Perform(binding->second.admission->Cancel(id));
--- a/src/pollenring/node/target_executor.h
+++ b/src/pollenring/node/target_executor.h
@@ -2,6 +2,7 @@
 #define POLLENRING_NODE_TARGET_EXECUTOR_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -23,6 +24,7 @@
 #include "pollenring/node/target_codec.h"
 #include "pollenring/node/wire.h"
 #include "pollenring/quarantine/fingerprint.h"
+#include "pollenring/quarantine/quarantine.h"
 #include "pollenring/retry/allowance.h"
 
 namespace pollenring {
@@ -94,7 +96,6 @@
 struct ServedCall {
   std::uint64_t id{};
   CallEnvelope envelope;
-  Fingerprint fingerprint{};
   std::string context;
   Time deadline{};
   Time root_started{};
@@ -131,6 +132,7 @@
    * @param options Limits of admission.
    * @param cold_start_limits Cold-start limits.
    * @param fingerprints Computes what makes calls alike.
+   * @param quarantine Requests that crash their targets.
    * @param levels Admission levels of services; replies carry them.
    * @param random Randomness.
    * @param metrics Metrics.
@@ -141,8 +143,9 @@
                  const AdmissionOptions &options,
                  const ColdStartLimits &cold_start_limits,
                  const RequestFingerprinter &fingerprints,
-                 DownstreamLevels &levels, Random &random, Metrics &metrics,
-                 TargetsChanged changed, TargetLeaves leaves = {});
+                 Quarantine &quarantine, DownstreamLevels &levels,
+                 Random &random, Metrics &metrics, TargetsChanged changed,
+                 TargetLeaves leaves = {});
 
   /**
    * @brief Handles an announcement of the target.
@@ -263,11 +266,22 @@
     std::string body;
     Done done;
     HttpClient::CallId http{};
+    Time soft_deadline{};
     Time sent{};
     bool running{};
   };
 
+  [[nodiscard]] AdmissionRequest ToAdmission(const Call &call) const;
   void Offer(Binding &binding, const AdmissionRequest &request);
+  /*! @brief Refuses a call in quarantine, or lets it wait for the trial in
+   * progress. @return True if it did. */
+  [[nodiscard]] bool HoldBack(const Call &call);
+  void EndTrial(std::uint64_t id);
+  /*! @brief Starts, refuses or lets pass calls that wait for a trial. */
+  void ReviewTrials();
+  /*! @brief Ends a call whose connection was lost, once it is known whether the
+   * target has ended too. */
+  void RefuseLost(std::uint64_t id, Reason reason);
   void Perform(const AdmissionActions &actions);
   void AssumeCold(Binding &binding);
   /*! @brief Records that a connection ended before its response, and finds out
@@ -306,6 +320,7 @@
   AdmissionOptions options;
   const ColdStartLimits &cold_start_limits;
   const RequestFingerprinter &fingerprints;
+  Quarantine &quarantine;
   DownstreamLevels &levels;
   Random &random;
   Metrics &metrics;
@@ -315,6 +330,8 @@
   std::map<std::string, Binding> bindings;
   std::unordered_map<std::uint64_t, Call> calls;
   std::unordered_map<std::string, std::uint64_t> contexts;
+  std::uint64_t trial{}; /*!< The suspect that runs; 0 for none. */
+  std::deque<std::uint64_t> waiting_trials;
   ParentFinder parents;
   std::uint64_t last_id{};
   Time load_logged{};
--- a/src/pollenring/node/target_executor_crashes.cc
+++ b/src/pollenring/node/target_executor_crashes.cc
@@ -2,7 +2,10 @@
 
 #include "pollenring/log/log.h"
 #include "pollenring/net/connect_probe.h"
+#include "pollenring/node/headers.h"
+#include "pollenring/node/limits.h"
 #include "pollenring/node/target_executor.h"
+#include "pollenring/retry/backoff.h"
 
 namespace pollenring {
 namespace {
@@ -14,6 +17,11 @@
  * earlier ones had another cause. */
 constexpr Duration kMaxEndSpread = std::chrono::milliseconds{50};
 constexpr Duration kProbeTimeout = std::chrono::milliseconds{100};
+/*! @brief Delay of replies to lost calls, in which the probe has its result: a
+ * request sent again before would run as if nothing had happened. */
+constexpr Duration kLostReplyDelay = 2 * kSettleTime;
+/*! @brief Suspects that wait for the one that runs. */
+constexpr std::size_t kMaxWaitingTrials = 128;
 /*! @brief Time for which lost calls are kept, as another instance may announce
  * itself that was up again before the probe. */
 constexpr Duration kLostCallLifetime = std::chrono::seconds{5};
@@ -37,6 +45,75 @@
   });
 }
 
+void TargetExecutor::RefuseLost(std::uint64_t id, Reason reason) {
+  this->loop.After(kLostReplyDelay, [this, id, reason] {
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end()) return;
+    CallReply reply = Refusal(Outcome::kUnknown, reason,
+                              WithJitter(kDefaultRetryAfter, this->random));
+    reply.crash_reports =
+        this->quarantine.ReportsOf(found->second.served.envelope.fingerprint);
+    this->Finish(id, std::move(reply), {});
+  });
+}
+
+bool TargetExecutor::HoldBack(const Call &call) {
+  const std::uint64_t id = call.served.id;
+  const Fingerprint fingerprint = call.served.envelope.fingerprint;
+  const Standing standing = this->quarantine.StandingOf(fingerprint);
+  if (standing == Standing::kNormal) return false;
+  if (standing == Standing::kSuspect) {
+    if (this->trial == 0) {
+      this->trial = id;
+      return false;
+    }
+    if (this->waiting_trials.size() < kMaxWaitingTrials) {
+      this->waiting_trials.push_back(id);
+      return true;
+    }
+  }
+  this->metrics.Count("pollenring_quarantined_total",
+                      {"standing", std::string{kStandingNames.Name(standing)}});
+  CallReply reply = Refusal(Outcome::kNotRun, Reason::kQuarantined,
+                            this->quarantine.BlockedFor(fingerprint) +
+                                WithJitter(kDefaultRetryAfter, this->random));
+  reply.crash_reports = this->quarantine.ReportsOf(fingerprint);
+  this->Finish(id, std::move(reply), {});
+  return true;
+}
+
+void TargetExecutor::EndTrial(std::uint64_t id) {
+  if (this->trial == id) {
+    this->trial = 0;
+    if (!this->waiting_trials.empty())
+      this->loop.Post([this] { this->ReviewTrials(); });
+    return;
+  }
+  auto &waiting = this->waiting_trials;
+  waiting.erase(std::remove(waiting.begin(), waiting.end(), id), waiting.end());
+}
+
+void TargetExecutor::ReviewTrials() {
+  const Time now = this->loop.GetClock().Now();
+  // Those that still have to wait queue up again.
+  for (const std::uint64_t id : std::exchange(this->waiting_trials, {})) {
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end()) continue;
+    const Call &call = found->second;
+    if (call.served.deadline <= now) {
+      this->Refuse(id, Outcome::kNotRun, Reason::kDeadline);
+      continue;
+    }
+    const auto binding = this->bindings.find(call.served.envelope.service);
+    if (binding == this->bindings.end()) {
+      this->Refuse(id, Outcome::kNotRun, Reason::kNoTarget);
+      continue;
+    }
+    if (this->HoldBack(call)) continue;
+    this->Offer(binding->second, this->ToAdmission(call));
+  }
+}
+
 void TargetExecutor::ProbeTarget(const std::string &service,
                                  const std::string &instance) {
   const auto find = [this, service, instance]() -> Binding * {
@@ -70,6 +147,10 @@
                               return end - call.at > kMaxEndSpread;
                             }),
              lost.end());
+  std::vector<Fingerprint> running;
+  running.reserve(lost.size());
+  for (const LostCall &call : lost) running.push_back(call.fingerprint);
+  this->quarantine.RecordCrash(std::move(running));
   this->metrics.Count("pollenring_target_crashes_total");
   LogEvent(LogLevel::kWarning, "target ended with requests",
            {{"service", announcement.target.service},
--- a/src/pollenring/node/wire.h
+++ b/src/pollenring/node/wire.h
@@ -13,6 +13,8 @@
 #include "pollenring/core/outcome.h"
 #include "pollenring/membership/member.h"
 #include "pollenring/net/http_message.h"
+#include "pollenring/quarantine/crash_report.h"
+#include "pollenring/quarantine/fingerprint.h"
 #include "pollenring/routing/load_report.h"
 #include "pollenring/wire/codec.h"
 #include "pollenring/wire/forms.h"
@@ -48,15 +50,16 @@
   static constexpr Importance kUnknown = Importance::kNormal;
 };
 
-/*! @brief V1 has no cold or limited targets nor withdrawn zones: it tries
- * another target as after an overload, or as after a reply from a draining
- * node. */
+/*! @brief V1 has no cold or limited targets, quarantine nor withdrawn zones: it
+ * tries another target as after an overload, or as after a reply from a
+ * draining node. */
 template <>
 struct Substitute<Reason, WireVersion::kV1> {
   [[nodiscard]] static Reason Write(Reason reason) noexcept {
     if (reason == Reason::kWarmingUp) return Reason::kOverload;
     if (reason == Reason::kTargetLimited) return Reason::kOverload;
     if (reason == Reason::kZoneWithdrawn) return Reason::kLeaving;
+    if (reason == Reason::kQuarantined) return Reason::kOverload;
     return reason;
   }
 };
@@ -109,6 +112,7 @@
   std::int64_t root_age_us{};
   std::int64_t soft_deadline_us{}; /*!< Until the call's soft deadline. */
   std::int32_t retries{};
+  Fingerprint fingerprint{}; /*!< Does not travel; 0 until it is computed. */
 };
 
 template <>
@@ -240,7 +244,8 @@
   std::vector<AdmissionLevel> levels;
   std::vector<CallPathReport>
       call_path_reports; /*!< Of other requests that the node has seen. */
-  NodeId served_by{};    /*!< Does not travel; known where the call was sent. */
+  std::vector<CrashReport> crash_reports; /*!< Of requests like it. */
+  NodeId served_by{}; /*!< Does not travel; known where the call was sent. */
 };
 
 template <>
@@ -252,7 +257,8 @@
         Field{1, value.outcome}, Field{2, value.reason}, Field{3, value.status},
         Field{4, value.headers}, Field{5, value.retries_unspent},
         Field{6, value.retry_after_us}, Field{7, value.load},
-        Field{8, value.levels}, Field{9, value.call_path_reports});
+        Field{8, value.levels}, Field{9, value.call_path_reports},
+        Field{10, value.crash_reports});
   }
 };
 
--- a/src/pollenring/quarantine/fwd.h
+++ b/src/pollenring/quarantine/fwd.h
@@ -3,7 +3,9 @@
 
 namespace pollenring {
 
+class Quarantine;
 class RequestFingerprinter;
+struct CrashReport;
 
 }  // namespace pollenring
 
--- a/src/pollenring/routing/router.cc
+++ b/src/pollenring/routing/router.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "pollenring/core/hash.h"
+
 namespace pollenring {
 namespace {
 
@@ -115,6 +117,27 @@
   return best->node;
 }
 
+std::optional<NodeId> Router::ChooseByKey(
+    const std::string &name, std::uint64_t key,
+    const std::vector<NodeId> &avoid,
+    const std::vector<std::string> &regions) const {
+  const auto found = this->services.find(name);
+  if (found == this->services.end()) return std::nullopt;
+  const Constraints constraints{avoid, regions};
+  std::optional<NodeId> chosen;
+  std::uint64_t highest = 0;
+  for (const auto &level : found->second.usable) {
+    for (const Endpoint *endpoint : level) {
+      const std::uint64_t weight = HashNumber(endpoint->node, key);
+      const bool higher = !chosen || weight > highest;
+      if (!higher || !constraints.Allows(*endpoint)) continue;
+      chosen = endpoint->node;
+      highest = weight;
+    }
+  }
+  return chosen;
+}
+
 std::optional<NodeId> Router::NextDueEjected(const Service &service,
                                              const Constraints &constraints) {
   const std::vector<NodeId> none;
--- a/src/pollenring/routing/router.h
+++ b/src/pollenring/routing/router.h
@@ -99,6 +99,20 @@
       const std::string &service, const std::vector<NodeId> &avoid,
       const std::vector<std::string> &regions = {});
 
+  /**
+   * @brief Chooses the target that all nodes choose for a key, by rendezvous
+   * hashing, as far as they know of the same targets.
+   * @param service The service.
+   * @param key The key.
+   * @param avoid Nodes that the request has already tried.
+   * @param regions Regions where it may run; empty for any.
+   * @return The target's node, or nothing if none is left.
+   */
+  [[nodiscard]] std::optional<NodeId> ChooseByKey(
+      const std::string &service, std::uint64_t key,
+      const std::vector<NodeId> &avoid,
+      const std::vector<std::string> &regions = {}) const;
+
   /**
    * @brief Checks if a service has a warm target.
    * @param service The service.
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -177,6 +177,7 @@
   pollenring::RequestFingerprinter fingerprints{"secret"};
   pollenring::DownstreamLevels levels{{}, clock};
   pollenring::SeededRandom random{5};
+  pollenring::Quarantine quarantine{{}, clock, random};
   pollenring::Metrics metrics{clock};
   pollenring::Router router{"a", "r", {}, clock, random};
   pollenring::TargetExecutor executor{
@@ -186,14 +187,16 @@
       {},
       cold_start_limits,
       fingerprints,
+      quarantine,
       levels,
       random,
       metrics,
       [](const std::vector<pollenring::Target> &) {}};
   NoRetryBound budget;
   pollenring::PeerWire wire{clock, metrics};
-  pollenring::Dispatcher dispatcher{1,        loop,   link, wire,   router,
-                                    executor, budget, {},   random, metrics};
+  pollenring::Dispatcher dispatcher{1,      loop,     link,       wire,
+                                    router, executor, quarantine, budget,
+                                    {},     random,   metrics};
   std::array<std::unique_ptr<LinkServer>, kNodes> servers;
   std::vector<int> reached;
   bool nonsense{}; /*!< Whether the nodes' answers can't be read. */
--- a/test/pollenring/node/member_service_test.cc
+++ b/test/pollenring/node/member_service_test.cc
@@ -49,12 +49,14 @@
 struct CurrentNode {
   CurrentNode(pollenring::Loop &loop, const Address &address,
               std::vector<Address> seeds)
-      : metrics{loop.GetClock()},
+      : quarantine{{}, loop.GetClock(), this->random},
+        metrics{loop.GetClock()},
         wire{loop.GetClock(), this->metrics},
         link{loop, kSecret, kMaxBytes},
         bus{loop, address, kSecret, this->wire},
-        service{Self(address), std::move(seeds), loop,        this->bus,
-                this->link,    this->table,      this->random},
+        service{Self(address),    std::move(seeds), loop,
+                this->bus,        this->link,       this->table,
+                this->quarantine, this->random},
         server{loop, address, kSecret, kMaxBytes,
                [this](const std::string &path, const std::string &body,
                       const std::shared_ptr<pollenring::LinkResponder> &to) {
@@ -72,6 +74,7 @@
   }
 
   pollenring::SeededRandom random{3};
+  pollenring::Quarantine quarantine;
   pollenring::Metrics metrics;
   pollenring::PeerWire wire;
   pollenring::LinkClient link;
--- a/test/pollenring/node/target_executor_test.cc
+++ b/test/pollenring/node/target_executor_test.cc
@@ -95,6 +95,7 @@
   pollenring::RequestFingerprinter fingerprints{"secret"};
   pollenring::DownstreamLevels levels{{}, clock};
   pollenring::SeededRandom random{5};
+  pollenring::Quarantine quarantine{{}, clock, random};
   pollenring::Metrics metrics{clock};
   pollenring::TargetExecutor executor{
       loop,
@@ -103,6 +104,7 @@
       OneAtATime(),
       cold_start_limits,
       fingerprints,
+      quarantine,
       levels,
       random,
       metrics,
--- a/test/pollenring/wire/golden_test.cc
+++ b/test/pollenring/wire/golden_test.cc
@@ -50,6 +50,14 @@
     this->members.front().wire = wire;
     this->records.records.front().wire = wire;
     this->gossip.zones.era = kEra;
+    this->gossip.crash_reports = {support::GoldenCrashReport()};
+    this->reply.crash_reports = {support::GoldenCrashReport()};
+  }
+
+  /*! @brief Drops what builds before the quarantine don't report. */
+  void DropCrashReports() {
+    this->gossip.crash_reports.clear();
+    this->reply.crash_reports.clear();
   }
 
   static constexpr std::uint64_t kEra = 5;
@@ -143,9 +151,16 @@
 TEST_CASE("golden: messages of 4278493 are decoded") {
   Values values;
   values.gossip.zones.era = 0;
+  values.DropCrashReports();
   CheckNumbered("4278493", values);
 }
 
+TEST_CASE("golden: messages of 158171f are decoded") {
+  Values values;
+  values.DropCrashReports();
+  CheckNumbered("158171f", values);
+}
+
 TEST_CASE("golden: messages of this build match the stored ones") {
   CheckWritten("v3", WireVersion::kV3);
   CheckNumbered("v3", Values{});
--- a/test/support/crash_world.cc
+++ b/test/support/crash_world.cc
@@ -58,10 +58,13 @@
 void CrashWorld::Send(const std::string &path) {
   const int nodes = static_cast<int>(this->targets.size()) + 1;
   const int index = kFront + this->sent++ % nodes;
-  this->world.BeginCall(index, path, Headers("r" + std::to_string(this->sent)),
-                        [this, path](const HttpResponse &response) {
-                          ++this->results[path][response.status];
-                        });
+  this->world.BeginCall(
+      index, path, Headers("r" + std::to_string(this->sent)),
+      [this, path](const HttpResponse &response) {
+        ++this->results[path][response.status];
+        if (response.body.find("quarantined") != std::string::npos)
+          ++this->quarantined[path];
+      });
 }
 
 int CrashWorld::Crashes() const {
--- a/test/support/crash_world.h
+++ b/test/support/crash_world.h
@@ -31,6 +31,7 @@
   MeshWorld world;
   std::vector<std::unique_ptr<CrashingTarget>> targets;
   std::map<std::string, std::map<int, int>> results; /*!< Statuses by path. */
+  std::map<std::string, int> quarantined; /*!< Refused for it, by path. */
 
  private:
   void Announce(bool all);
--- a/test/support/golden_values.h
+++ b/test/support/golden_values.h
@@ -45,6 +45,18 @@
   return gossip;
 }
 
+/*! @brief A report of a crash under two requests. */
+[[nodiscard]] inline pollenring::CrashReport GoldenCrashReport() {
+  pollenring::CrashReport report;
+  report.id = 0x1111'2222'3333'4444U;
+  report.crash = 0x5555'6666'7777'8888U;
+  report.kind = pollenring::CrashReportKind::kCrash;
+  report.age_ms = 1200;
+  report.blame_milli = 500;
+  report.requests = {0x9999'aaaa'bbbb'ccccU, 3};
+  return report;
+}
+
 /*! @brief Digests of all partitions. */
 [[nodiscard]] inline pollenring::PartitionDigests GoldenDigests() {
   pollenring::PartitionDigests digests{};
--- a/test/support/member_fleet.h
+++ b/test/support/member_fleet.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "pollenring/membership/membership.h"
+#include "pollenring/quarantine/quarantine.h"
 #include "support/fake_network.h"
 
 namespace support {
@@ -68,6 +69,14 @@
         this->membership.SetZones(withdrawals);
     }
 
+    std::vector<pollenring::CrashReport> TakeCrashReports() override {
+      return this->quarantine.TakeReports(this->membership.Members().size());
+    }
+    void PeerCrashReports(
+        const std::vector<pollenring::CrashReport> &reports) override {
+      for (const auto &report : reports) this->quarantine.Merge(report);
+    }
+
     void RecordsDiffer(NodeId peer) override {
       ++this->fleet.exchanges;
       MemberFleet &shared = this->fleet;
@@ -95,6 +104,7 @@
     int index;
     Membership membership;
     pollenring::WithdrawnZones zones;
+    pollenring::Quarantine quarantine{{}, fleet.clock, fleet.random};
     bool frozen{};
     std::vector<Gossip> queued;
   };
--- a/test/support/mesh_world.cc
+++ b/test/support/mesh_world.cc
@@ -349,6 +349,12 @@
   return response ? response->body : std::string{};
 }
 
+int MeshWorld::PostToOperator(int index, const std::string &path) {
+  const auto response =
+      this->Request(this->At(index, 7003), {"POST", path, {}, {}, {}});
+  return response ? response->status : 0;
+}
+
 std::optional<HttpResponse> MeshWorld::Request(const Address &to,
                                                const HttpRequest &request) {
   std::optional<HttpResponse> response;
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -169,6 +169,9 @@
   /*! @return Response body of a node's operator port. */
   [[nodiscard]] std::string GetOperatorPage(int index, const std::string &path);
 
+  /*! @return HTTP status of a command to a node's operator port. */
+  [[nodiscard]] int PostToOperator(int index, const std::string &path);
+
   [[nodiscard]] bool Await(const std::function<bool()> &condition,
                            pollenring::Duration limit);
   void Run(pollenring::Duration length);
--- a/tools/pollenring-bench/main.cc
+++ b/tools/pollenring-bench/main.cc
@@ -161,6 +161,12 @@
   void RecordsDiffer(NodeId /*peer*/) override {}
   void PeerZoneWithdrawals(
       const pollenring::ZoneWithdrawals & /*word*/) override {}
+  [[nodiscard]] std::vector<pollenring::CrashReport> TakeCrashReports()
+      override {
+    return {};
+  }
+  void PeerCrashReports(
+      const std::vector<pollenring::CrashReport> & /*reports*/) override {}
   void PeerConfigVersion(NodeId /*peer*/, std::uint64_t /*version*/) override {}
   std::uint64_t messages{};
   std::uint64_t bytes{};
