Quarantine: run several suspects at a time where many wait

What callers would see: after a crash of a target with hundreds of slots, for whatever cause, all requests that ran there are suspect. One at a time at each of the other targets they would miss their deadlines: 300 requests of 190 ms at four targets take 14 s.

For every eight suspects that wait at a target one more runs at a time, and one that has run for a second holds up no other. A further crash still blames few of them. Test: 'target executor: the suspects of a large target run few at a time, and all in time', 300 suspects of 20 ms at one target in 1.2 s, 6 s one by one.

--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -143,7 +143,7 @@
                                              Standing standing) {
   const CallEnvelope &envelope = job.envelope;
   if (standing == Standing::kSuspect) {
-    // All nodes send it to one target, which runs one at a time.
+    // All nodes send it to one target, which runs few suspects at a time.
     const auto node = this->router.ChooseByKey(
         envelope.service, envelope.fingerprint, job.tried, envelope.regions);
     if (node) return node;
--- a/src/pollenring/node/target_executor.h
+++ b/src/pollenring/node/target_executor.h
@@ -276,6 +276,7 @@
   /*! @brief Refuses a call in quarantine, or lets it wait for the trial in
    * progress. @return True if it did. */
   [[nodiscard]] bool HoldBack(const Call &call);
+  [[nodiscard]] bool MayStartTrial() const;
   void EndTrial(std::uint64_t id);
   /*! @brief Starts, refuses or lets pass calls that wait for a trial. */
   void ReviewTrials();
@@ -330,7 +331,7 @@
   std::map<std::string, Binding> bindings;
   std::unordered_map<std::uint64_t, Call> calls;
   std::unordered_map<std::string, std::uint64_t> contexts;
-  std::uint64_t trial{}; /*!< The suspect that runs; 0 for none. */
+  std::map<std::uint64_t, Time> trials; /*!< Suspects that run, by start. */
   std::deque<std::uint64_t> waiting_trials;
   ParentFinder parents;
   std::uint64_t last_id{};
--- a/src/pollenring/node/target_executor_crashes.cc
+++ b/src/pollenring/node/target_executor_crashes.cc
@@ -20,8 +20,14 @@
 /*! @brief Delay of replies to lost calls, in which the probe has its result: a
  * request sent again before would run as if nothing had happened. */
 constexpr Duration kLostReplyDelay = 2 * kSettleTime;
-/*! @brief Suspects that wait for the one that runs. */
-constexpr std::size_t kMaxWaitingTrials = 128;
+/*! @brief Maximum number of suspects that wait for those that run. */
+constexpr std::size_t kMaxWaitingTrials = 512;
+/*! @brief While so many wait, one more of them runs at a time: the requests of
+ * a target with hundreds of slots would miss their deadlines one by one. */
+constexpr std::size_t kSuspectsPerTrial = 8;
+/*! @brief Time after which a suspect that still runs does not hold up others.
+ */
+constexpr Duration kTrialTime = std::chrono::seconds{1};
 /*! @brief Time for which lost calls are kept, as another instance may announce
  * itself that was up again before the probe. */
 constexpr Duration kLostCallLifetime = std::chrono::seconds{5};
@@ -63,8 +69,8 @@
   const Standing standing = this->quarantine.StandingOf(fingerprint);
   if (standing == Standing::kNormal) return false;
   if (standing == Standing::kSuspect) {
-    if (this->trial == 0) {
-      this->trial = id;
+    if (this->MayStartTrial()) {
+      this->trials.emplace(id, this->loop.GetClock().Now());
       return false;
     }
     if (this->waiting_trials.size() < kMaxWaitingTrials) {
@@ -82,9 +88,18 @@
   return true;
 }
 
+bool TargetExecutor::MayStartTrial() const {
+  const Time now = this->loop.GetClock().Now();
+  const auto running = std::count_if(
+      this->trials.begin(), this->trials.end(),
+      [now](const auto &trial) { return now - trial.second < kTrialTime; });
+  const std::size_t allowed =
+      1 + this->waiting_trials.size() / kSuspectsPerTrial;
+  return static_cast<std::size_t>(running) < allowed;
+}
+
 void TargetExecutor::EndTrial(std::uint64_t id) {
-  if (this->trial == id) {
-    this->trial = 0;
+  if (this->trials.erase(id) > 0) {
     if (!this->waiting_trials.empty())
       this->loop.Post([this] { this->ReviewTrials(); });
     return;
--- a/src/pollenring/quarantine/quarantine.h
+++ b/src/pollenring/quarantine/quarantine.h
@@ -20,7 +20,7 @@
 /*! @brief Whether requests of a fingerprint may run. */
 enum class Standing {
   kNormal,
-  kSuspect, /*!< One at a time. */
+  kSuspect, /*!< Few at a time. */
   kBlocked
 };
 
@@ -69,8 +69,8 @@
  *
  * All requests that run at a target end with it, and one of them may be the
  * cause. Each crash blames them in equal parts, or only those that were suspect
- * before. Suspects run one at a time, so that a further crash under one blames
- * it alone; one that completes is no longer suspect. Reports of all nodes are
+ * before. Suspects run a few at a time, so that a further crash blames few of
+ * them; one that completes is no longer suspect. Reports of all nodes are
  * merged; each has an identifier and counts once.
  */
 class Quarantine {
--- a/test/pollenring/node/target_executor_test.cc
+++ b/test/pollenring/node/target_executor_test.cc
@@ -11,6 +11,7 @@
 #include "pollenring/net/http_client.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/downstream_levels.h"
+#include "support/crashing_target.h"
 #include "support/raw_peer.h"
 
 namespace {
@@ -69,8 +70,9 @@
         {{"deep", 1, state}, at.ListenAddress(), instance, cold_for});
   }
 
-  void Serve() {
+  void Serve(pollenring::Fingerprint fingerprint = 0) {
     pollenring::CallEnvelope envelope;
+    envelope.fingerprint = fingerprint;
     envelope.service = "deep";
     envelope.method = "GET";
     envelope.path = "/";
@@ -232,3 +234,29 @@
   CHECK(bench.replies.size() == 2);
   CHECK(bench.metrics.Read("pollenring_target_crashes_total") == 1);
 }
+
+TEST_CASE(
+    "target executor: the suspects of a large target run few at a time, and "
+    "all in time") {
+  constexpr int kSuspects = 300;
+  const auto at = *pollenring::Address::Parse("127.42.64.1:8000");
+  Bench bench;
+  support::CrashingTarget target{bench.loop, at, {20ms, 400ms, {}}};
+  bench.executor.Announce(
+      {{"deep", 341, pollenring::TargetState::kWarm}, at, "i-1", {}});
+  std::vector<pollenring::Fingerprint> suspects;
+  for (int i = 1; i <= kSuspects; ++i) suspects.push_back(i);
+  bench.quarantine.RecordCrash(suspects);
+  std::size_t most = 0;
+  for (const auto suspect : suspects) bench.Serve(suspect);
+  for (int i = 0; i < 60; ++i) {
+    bench.Run(20ms);
+    most = std::max(most, bench.executor.RunningCount());
+  }
+  CHECK(most <= 1 + kSuspects / 8);
+  REQUIRE(bench.replies.size() == kSuspects);
+  for (const auto &reply : bench.replies) CHECK(reply.outcome == Outcome::kRan);
+  for (const auto suspect : suspects)
+    CHECK(bench.quarantine.StandingOf(suspect) ==
+          pollenring::Standing::kNormal);
+}
