Quarantine: copies that crash several targets at once are blamed fully

Cause, from a play with all logs: crashes within 200 ms share their blame, as a rack's power would explain them, so a request that was in all three counted as little as one that was in one of them; and with three suspects at a time, the next crashes found 3, 5 and 11 of them on the target, which shared the blame again.

A fingerprint that is in several crashes of one incident is now blamed by the fraction of these that it is in: a rack has each bystander in one. One suspect more runs for sixteen that wait, instead of eight. Test: 'quarantine: copies of a request that crash several targets at once...', red with the former blame. The other cases of crashing targets pass.

--- a/src/pollenring/node/target_executor_crashes.cc
+++ b/src/pollenring/node/target_executor_crashes.cc
@@ -24,7 +24,7 @@
 constexpr std::size_t kMaxWaitingTrials = 512;
 /*! @brief While so many wait, one more of them runs at a time: the requests of
  * a target with hundreds of slots would miss their deadlines one by one. */
-constexpr std::size_t kSuspectsPerTrial = 8;
+constexpr std::size_t kSuspectsPerTrial = 16;
 /*! @brief Time after which a suspect that still runs does not hold up others.
  */
 constexpr Duration kTrialTime = std::chrono::seconds{1};
--- a/src/pollenring/quarantine/quarantine.cc
+++ b/src/pollenring/quarantine/quarantine.cc
@@ -42,11 +42,15 @@
   while (it != entry.crashes.end()) {
     const Time start = it->at;
     double blame = 0;
+    double crashes = 0;
     for (; it != entry.crashes.end(); ++it) {
       if (it->at - start > this->options.same_incident) break;
       blame += it->blame;
+      ++crashes;
     }
-    // What ends several targets at once is hardly a request of one of them.
+    // What ends several targets at once is hardly a request of one of them,
+    // but may well be one that ran at several.
+    if (crashes > 1) blame = std::max(blame, crashes);
     judgement.blame += std::min(1.0, blame / this->CrashesAround(start));
     ++judgement.incidents;
   }
--- a/test/pollenring/quarantine/quarantine_test.cc
+++ b/test/pollenring/quarantine/quarantine_test.cc
@@ -108,6 +108,26 @@
     CHECK(bench.Of(bystander) == Standing::kSuspect);
 }
 
+TEST_CASE(
+    "quarantine: copies of a request that crash several targets at once are "
+    "told from a rack") {
+  Bench bench;
+  for (const Fingerprint first : {100, 200, 300}) {
+    bench.quarantine.RecordCrash(WithGuilty(Range(first, first + 20)));
+    bench.clock.Advance(15ms);
+  }
+  CHECK(bench.Of(kGuilty) == Standing::kSuspect);
+  bench.clock.Advance(500ms);
+  // It runs with two other suspects, which have completed since.
+  bench.quarantine.RecordCrash({kGuilty, 101, 202});
+  bench.quarantine.RecordCompletion(101);
+  bench.quarantine.RecordCompletion(202);
+  bench.clock.Advance(300ms);
+  bench.quarantine.RecordCrash(WithGuilty({103, 204}));
+  CHECK(bench.Of(kGuilty) == Standing::kBlocked);
+  CHECK(bench.Of(103) == Standing::kSuspect);
+}
+
 TEST_CASE("quarantine: a blocked request is tried again, and released by it") {
   Bench bench;
   bench.Crash({kGuilty});
