Review case 1: a planned stop cuts off answers that clients still read

Cause: the drain counts a request as ended once its answer is handed to the HTTP library, and the process leaves with _Exit.

--- /dev/null
+++ b/review/standin/clients.cc
@@ -0,0 +1,134 @@
+#include "clients.h"
+
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <cctype>
+#include <cstdint>
+#include <thread>
+#include <vector>
+
+namespace review {
+namespace {
+
+/*! @brief Size of a slow client's receive buffer. */
+constexpr int kSlowReceiveBuffer = 64 * 1024;
+constexpr int kReadIntervalMs = 20;
+
+enum class Ending { kComplete, kCut, kOther };
+
+/*! @brief Reads the length that a message's head states; 0 if it has none. */
+std::size_t ContentLength(std::string head) {
+  std::transform(head.begin(), head.end(), head.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  const auto at = head.find("content-length:");
+  return at == std::string::npos ? 0 : std::stoul(head.substr(at + 15));
+}
+
+/*! @brief Runs one download. @param id Its attempt identifier. */
+Ending Download(const Downloads &what, const std::string &id,
+                const Record &record) {
+  const bool slow = what.bytes_per_ms > 0;
+  const int fd = Connect(what.node, slow ? kSlowReceiveBuffer : 0);
+  if (fd < 0) {
+    record.Line("client " + id + " can't connect");
+    return Ending::kOther;
+  }
+  const timeval timeout{what.deadline_ms / 1000 + 1, 0};
+  setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+  std::string request =
+      "GET " + what.path + "?bytes=" + std::to_string(what.bytes) +
+      " HTTP/1.1\r\nHost: " + what.host + "\r\nX-Pollenring-Attempt-Id: " + id +
+      "\r\nX-Pollenring-Deadline-Ms: " + std::to_string(what.deadline_ms) +
+      "\r\n";
+  if (!what.key.empty()) request += "Authorization: Token " + what.key + "\r\n";
+  const std::int64_t started = NowMs();
+  WriteAll(fd, request + "\r\n");
+  record.Line("client " + id + " sent " + what.path);
+  std::string received;
+  std::size_t head = std::string::npos;
+  std::size_t expected = 0;
+  std::int64_t answered = 0;
+  std::vector<char> bytes(
+      slow ? static_cast<std::size_t>(what.bytes_per_ms * kReadIntervalMs)
+           : std::size_t{1} << 20U);
+  for (;;) {
+    const auto size = recv(fd, bytes.data(), bytes.size(), 0);
+    if (size <= 0) break;
+    received.append(bytes.data(), static_cast<std::size_t>(size));
+    if (head == std::string::npos) {
+      head = received.find("\r\n\r\n");
+      if (head != std::string::npos) {
+        answered = NowMs();
+        expected = ContentLength(received.substr(0, head)) + head + 4;
+        record.Line("client " + id + " got " +
+                    received.substr(0, received.find("\r\n")) + " after " +
+                    std::to_string(NowMs() - started) + " ms");
+      }
+    }
+    if (head != std::string::npos && received.size() >= expected) break;
+    if (!slow || head == std::string::npos) continue;
+    const auto due =
+        static_cast<std::int64_t>(received.size()) / what.bytes_per_ms;
+    SleepMs(std::max<std::int64_t>(0, answered + due - NowMs()));
+  }
+  close(fd);
+  const std::int64_t took = NowMs() - started;
+  const std::string spent = " after " + std::to_string(took) + " ms, " +
+                            std::to_string(received.size()) + " of " +
+                            std::to_string(expected) + " bytes";
+  const bool success = received.compare(0, 12, "HTTP/1.1 200") == 0;
+  if (success && received.size() >= expected &&
+      expected >= what.bytes + head + 4) {
+    record.Line("client " + id + " has its whole answer" + spent);
+    return Ending::kComplete;
+  }
+  if (!success && head != std::string::npos) {
+    record.Line("client " + id + " was refused" + spent);
+    return Ending::kOther;
+  }
+  if (took >= what.deadline_ms) {
+    record.Line("client " + id + " reached its deadline" + spent);
+    return Ending::kOther;
+  }
+  record.Line("client " + id + " LOST: connection ended" + spent);
+  return Ending::kCut;
+}
+
+}  // namespace
+
+int AwaitReady(const Endpoint &ready, int within_ms) {
+  const std::int64_t until = NowMs() + within_ms;
+  while (NowMs() < until) {
+    const auto response =
+        Ask(ready, "GET /readiness HTTP/1.1\r\nHost: ready\r\n\r\n", 500);
+    if (response && response->first.find(" 200") != std::string::npos) return 0;
+    SleepMs(50);
+  }
+  return 2;
+}
+
+int RunDownloads(const Downloads &downloads, const Record &record) {
+  std::atomic<int> cut{0};
+  std::atomic<int> other{0};
+  std::vector<std::thread> clients;
+  for (int i = 0; i < downloads.count; ++i) {
+    clients.emplace_back([&, i] {
+      SleepMs(static_cast<std::int64_t>(i) * downloads.stagger_ms);
+      const Ending ending =
+          Download(downloads, downloads.prefix + std::to_string(i), record);
+      if (ending == Ending::kCut) ++cut;
+      if (ending == Ending::kOther) ++other;
+    });
+  }
+  for (auto &client : clients) client.join();
+  if (cut > 0) return 1;
+  return other > 0 ? 2 : 0;
+}
+
+}  // namespace review
--- /dev/null
+++ b/review/standin/clients.h
@@ -0,0 +1,37 @@
+#ifndef REVIEW_STANDIN_CLIENTS_H_
+#define REVIEW_STANDIN_CLIENTS_H_
+
+#include <cstddef>
+#include <string>
+
+#include "http.h"
+
+namespace review {
+
+/*! @brief Polls the readiness of a node. @return 0 once it is ready, else 2. */
+int AwaitReady(const Endpoint &ready, int within_ms);
+
+/*! @brief Downloads by clients that read at a steady rate. */
+struct Downloads {
+  Endpoint node;
+  std::string host;
+  std::string path;
+  std::string key;
+  std::string prefix; /*!< Of the attempt identifiers. */
+  std::size_t bytes{};
+  int count{1};
+  int stagger_ms{};
+  int deadline_ms{};
+  int bytes_per_ms{}; /*!< 0: as fast as possible. */
+};
+
+/**
+ * @brief Runs downloads, one connection each.
+ * @return 0 if all ended with a complete answer; 1 if a connection ended
+ * without one although its endpoint had answered; 2 otherwise.
+ */
+int RunDownloads(const Downloads &downloads, const Record &record);
+
+}  // namespace review
+
+#endif  // REVIEW_STANDIN_CLIENTS_H_
