Review case 2: answers to slow readers exceed the node's memory

Cause: answers that clients still read are counted nowhere, and requests are taken however many bytes are held.

--- a/review/standin/clients.cc
+++ b/review/standin/clients.cc
@@ -8,7 +8,10 @@
 #include <array>
 #include <atomic>
 #include <cctype>
+#include <csignal>
 #include <cstdint>
+#include <fstream>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -113,6 +116,33 @@
   return 2;
 }
 
+int EnforceMemory(int pid, int mb, const Record &record) {
+  constexpr std::int64_t kKbPerMb = 1024;
+  std::int64_t peak = 0;
+  for (std::int64_t i = 0;; ++i) {
+    std::ifstream status{"/proc/" + std::to_string(pid) + "/status"};
+    std::int64_t resident = -1;
+    for (std::string line; std::getline(status, line);) {
+      if (line.compare(0, 6, "VmRSS:") == 0)
+        resident = std::stoll(line.substr(6)) / kKbPerMb;
+    }
+    if (resident < 0) return 0;
+    peak = std::max(peak, resident);
+    if (i % 50 == 0)
+      record.Line("platform: process " + std::to_string(pid) + " holds " +
+                  std::to_string(resident) + " MB, at most " +
+                  std::to_string(peak));
+    if (resident > mb) {
+      record.Line("platform: process " + std::to_string(pid) + " holds " +
+                  std::to_string(resident) + " MB, over its limit of " +
+                  std::to_string(mb) + ": killed");
+      kill(pid, SIGKILL);
+      return 0;
+    }
+    SleepMs(20);
+  }
+}
+
 int RunDownloads(const Downloads &downloads, const Record &record) {
   std::atomic<int> cut{0};
   std::atomic<int> other{0};
--- a/review/standin/clients.h
+++ b/review/standin/clients.h
@@ -11,6 +11,10 @@
 /*! @brief Polls the readiness of a node. @return 0 once it is ready, else 2. */
 int AwaitReady(const Endpoint &ready, int within_ms);
 
+/*! @brief Kills a process that exceeds its memory limit, as the platform does.
+ * @return 0 once the process has ended. */
+int EnforceMemory(int pid, int mb, const Record &record);
+
 /*! @brief Downloads by clients that read at a steady rate. */
 struct Downloads {
   Endpoint node;
@@ -23,6 +27,7 @@
   int stagger_ms{};
   int deadline_ms{};
   int bytes_per_ms{}; /*!< 0: as fast as possible. */
+  bool kept{};        /*!< Each connection has had an answer before. */
 };
 
 /**
--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -66,6 +66,9 @@
   }
   if (role == "await-ready")
     return review::AwaitReady(options.At("ready"), options.Number("within-ms"));
+  if (role == "memory-limit")
+    return review::EnforceMemory(options.Number("pid"), options.Number("mb"),
+                                 record);
   if (role == "downloads") {
     review::Downloads downloads;
     downloads.node = options.At("node");
@@ -78,6 +81,7 @@
     downloads.stagger_ms = options.Number("stagger-ms");
     downloads.deadline_ms = options.Number("deadline-ms", 5000);
     downloads.bytes_per_ms = options.Number("bytes-per-ms");
+    downloads.kept = options.Number("kept") != 0;
     return review::RunDownloads(downloads, record);
   }
   std::cerr << "unknown role " << role << '\n';
