--- a/review/standin/clients.cc
+++ b/review/standin/clients.cc
@@ -208,6 +208,59 @@
   return other > 0 ? 2 : 0;
 }
 
+int RunPipelined(const Pipelined &pipelined, const Record &record) {
+  std::atomic<int> lost{0};
+  std::atomic<int> other{0};
+  std::vector<std::thread> clients;
+  for (int i = 0; i < pipelined.count; ++i) {
+    clients.emplace_back([&, i] {
+      const int fd = Connect(pipelined.node);
+      if (fd < 0) {
+        ++other;
+        return;
+      }
+      const timeval timeout{pipelined.deadline_ms / 1000 + 1, 0};
+      setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+      std::string requests;
+      std::vector<std::string> ids;
+      for (const char *suffix : {"a", "b"}) {
+        ids.push_back(pipelined.prefix + std::to_string(i) + suffix);
+        requests += "GET " + pipelined.path +
+                    " HTTP/1.1\r\nHost: " + pipelined.host +
+                    "\r\nX-Pollenring-Attempt-Id: " + ids.back() +
+                    "\r\nX-Pollenring-Deadline-Ms: " +
+                    std::to_string(pipelined.deadline_ms) + "\r\n\r\n";
+      }
+      WriteAll(fd, requests);
+      const std::int64_t sent = NowMs();
+      record.Line("client sent " + ids[0] + " and " + ids[1]);
+      Reader reader{fd};
+      for (const std::string &id : ids) {
+        const auto response = reader.Next();
+        const std::int64_t took = NowMs() - sent;
+        if (response) {
+          record.Line("client got " + response->first + " for " + id +
+                      " after " + std::to_string(took) +
+                      " ms, Connection: " + response->Header("connection"));
+          continue;
+        }
+        const bool late =
+            took > pipelined.slack_ms && took < pipelined.deadline_ms;
+        (late ? lost : other).fetch_add(1);
+        record.Line("client " + id + (late ? " LOST" : "") +
+                    ": connection ended after " + std::to_string(took) +
+                    " ms without an answer");
+        break;
+      }
+      close(fd);
+    });
+  }
+  for (auto &client : clients) client.join();
+  record.Line("clients: " + std::to_string(lost) + " lost");
+  if (lost > 0) return 1;
+  return other > 0 ? 2 : 0;
+}
+
 int RunUploads(const Uploads &uploads, const Record &record) {
   constexpr int kAllowed = 3;
   std::vector<int> sockets;
--- a/review/standin/clients.h
+++ b/review/standin/clients.h
@@ -56,6 +56,24 @@
  */
 int RunUploads(const Uploads &uploads, const Record &record);
 
+/*! @brief Two requests in a row on one connection, sent at once. */
+struct Pipelined {
+  Endpoint node;
+  std::string host;
+  std::string path;
+  std::string prefix; /*!< Of the attempt identifiers. */
+  int count{1};       /*!< Of connections. */
+  int deadline_ms{};
+  int slack_ms{}; /*!< A close later than this loses a request. */
+};
+
+/**
+ * @brief Sends pairs of requests and awaits their answers.
+ * @return 0 if all were answered; 1 if a connection ended without an answer
+ * later than the slack after the last byte was sent; 2 otherwise.
+ */
+int RunPipelined(const Pipelined &pipelined, const Record &record);
+
 }  // namespace review
 
 #endif  // REVIEW_STANDIN_CLIENTS_H_
--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -48,7 +48,7 @@
 int main(int argc, char **argv) {
   if (argc < 2) {
     std::cerr << "review-standin store|endpoint|await-ready|memory-limit|"
-                 "downloads|uploads ...\n";
+                 "downloads|uploads|pipelined ...\n";
     return 2;
   }
   std::signal(SIGPIPE, SIG_IGN);
@@ -97,6 +97,17 @@
     uploads.deadline_ms = options.Number("deadline-ms", 5000);
     return review::RunUploads(uploads, record);
   }
+  if (role == "pipelined") {
+    review::Pipelined pipelined;
+    pipelined.node = options.At("node");
+    pipelined.host = options.Text("host");
+    pipelined.path = options.Text("path");
+    pipelined.prefix = options.Text("prefix");
+    pipelined.count = options.Number("count", 1);
+    pipelined.deadline_ms = options.Number("deadline-ms", 5000);
+    pipelined.slack_ms = options.Number("slack-ms", 200);
+    return review::RunPipelined(pipelined, record);
+  }
   std::cerr << "unknown role " << role << '\n';
   return 2;
 }
