--- a/review/standin/clients.cc
+++ b/review/standin/clients.cc
@@ -275,7 +275,8 @@
   std::vector<std::thread> clients;
   for (int i = 0; i < uploads.count; ++i) {
     clients.emplace_back([&, i] {
-      SleepMs(static_cast<std::int64_t>(i) * uploads.stagger_ms);
+      const int pause = i < uploads.first ? 0 : uploads.pause_ms;
+      SleepMs(static_cast<std::int64_t>(i) * uploads.stagger_ms + pause);
       const Ending ending =
           Upload(uploads, uploads.prefix + std::to_string(i),
                  sockets[static_cast<std::size_t>(i)], record);
--- a/review/standin/clients.h
+++ b/review/standin/clients.h
@@ -45,6 +45,8 @@
   std::string prefix; /*!< Of the attempt identifiers. */
   std::size_t bytes{};
   int count{1};
+  int first{}; /*!< Sent before the pause. */
+  int pause_ms{};
   int stagger_ms{};
   int deadline_ms{};
 };
--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -93,6 +93,8 @@
     uploads.prefix = options.Text("prefix");
     uploads.bytes = static_cast<std::size_t>(options.Number("bytes"));
     uploads.count = options.Number("count", 1);
+    uploads.first = options.Number("first");
+    uploads.pause_ms = options.Number("pause-ms");
     uploads.stagger_ms = options.Number("stagger-ms");
     uploads.deadline_ms = options.Number("deadline-ms", 5000);
     return review::RunUploads(uploads, record);
