--- a/review/standin/clients.cc
+++ b/review/standin/clients.cc
@@ -33,25 +33,47 @@
   return at == std::string::npos ? 0 : std::stoul(head.substr(at + 15));
 }
 
-/*! @brief Runs one download. @param id Its attempt identifier. */
-Ending Download(const Downloads &what, const std::string &id,
+/*! @brief Formats the request of a download. */
+std::string DownloadRequest(const Downloads &what, const std::string &id,
+                            std::size_t bytes) {
+  std::string request =
+      "GET " + what.path + "?bytes=" + std::to_string(bytes) +
+      " HTTP/1.1\r\nHost: " + what.host + "\r\nX-Pollenring-Attempt-Id: " + id +
+      "\r\nX-Pollenring-Deadline-Ms: " + std::to_string(what.deadline_ms) +
+      "\r\n";
+  if (!what.key.empty()) request += "Authorization: Token " + what.key + "\r\n";
+  return request + "\r\n";
+}
+
+/*! @brief Connects for a download; a kept connection gets a small answer first.
+ * @return The socket, or -1. */
+int ConnectForDownload(const Downloads &what, const std::string &id) {
+  constexpr std::size_t kFirstBytes = 100;
+  const int fd =
+      Connect(what.node, what.bytes_per_ms > 0 ? kSlowReceiveBuffer : 0);
+  if (fd < 0 || !what.kept) return fd;
+  const timeval timeout{5, 0};
+  setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+  WriteAll(fd, DownloadRequest(what, id + "-first", kFirstBytes));
+  const auto response = Reader{fd}.Next();
+  if (response && response->first.find(" 200") != std::string::npos) return fd;
+  close(fd);
+  return -1;
+}
+
+/*! @brief Runs one download. @param id Its attempt identifier.
+ * @param fd The connection. */
+Ending Download(const Downloads &what, const std::string &id, int fd,
                 const Record &record) {
   const bool slow = what.bytes_per_ms > 0;
-  const int fd = Connect(what.node, slow ? kSlowReceiveBuffer : 0);
   if (fd < 0) {
     record.Line("client " + id + " can't connect");
     return Ending::kOther;
   }
   const timeval timeout{what.deadline_ms / 1000 + 1, 0};
   setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
-  std::string request =
-      "GET " + what.path + "?bytes=" + std::to_string(what.bytes) +
-      " HTTP/1.1\r\nHost: " + what.host + "\r\nX-Pollenring-Attempt-Id: " + id +
-      "\r\nX-Pollenring-Deadline-Ms: " + std::to_string(what.deadline_ms) +
-      "\r\n";
-  if (!what.key.empty()) request += "Authorization: Token " + what.key + "\r\n";
   const std::int64_t started = NowMs();
-  WriteAll(fd, request + "\r\n");
+  WriteAll(fd, DownloadRequest(what, id, what.bytes));
   record.Line("client " + id + " sent " + what.path);
   std::string received;
   std::size_t head = std::string::npos;
@@ -193,12 +215,26 @@
 int RunDownloads(const Downloads &downloads, const Record &record) {
   std::atomic<int> cut{0};
   std::atomic<int> other{0};
+  std::vector<int> kept(
+      downloads.kept ? static_cast<std::size_t>(downloads.count) : 0, -1);
+  std::vector<std::thread> connecting;
+  for (std::size_t i = 0; i < kept.size(); ++i) {
+    connecting.emplace_back([&, i] {
+      SleepMs(static_cast<std::int64_t>(i) * downloads.stagger_ms);
+      kept[i] =
+          ConnectForDownload(downloads, downloads.prefix + std::to_string(i));
+    });
+  }
+  for (auto &thread : connecting) thread.join();
+  if (std::count(kept.begin(), kept.end(), -1) > 0) return 2;
   std::vector<std::thread> clients;
   for (int i = 0; i < downloads.count; ++i) {
     clients.emplace_back([&, i] {
       SleepMs(static_cast<std::int64_t>(i) * downloads.stagger_ms);
-      const Ending ending =
-          Download(downloads, downloads.prefix + std::to_string(i), record);
+      const std::string id = downloads.prefix + std::to_string(i);
+      const int fd = downloads.kept ? kept[static_cast<std::size_t>(i)]
+                                    : ConnectForDownload(downloads, id);
+      const Ending ending = Download(downloads, id, fd, record);
       if (ending == Ending::kCut) ++cut;
       if (ending == Ending::kOther) ++other;
     });
