--- a/test/support/daemon.h
+++ b/test/support/daemon.h
@@ -3,6 +3,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -18,9 +19,13 @@
 /*! @brief One daemon process that routes by host. */
 class Daemon {
  public:
-  /*! @brief Starts the process. @param settings Settings to write to its file.
+  /**
+   * @brief Starts the process.
+   * @param settings Settings to write to its file.
+   * @param max_descriptors Limit on its descriptors; 0 for the test's own.
    */
-  explicit Daemon(const pollenring::Settings &settings) {
+  explicit Daemon(const pollenring::Settings &settings,
+                  std::size_t max_descriptors = 0) {
     std::string pattern =
         (std::filesystem::temp_directory_path() / "pollenring-XXXXXX").string();
     this->folder = mkdtemp(pattern.data());
@@ -48,6 +53,10 @@
     const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     dup2(fd, STDOUT_FILENO);
     dup2(fd, STDERR_FILENO);
+    if (max_descriptors > 0) {
+      const rlimit limit{max_descriptors, max_descriptors};
+      setrlimit(RLIMIT_NOFILE, &limit);
+    }
     execl(program.c_str(), program.c_str(), "--settings", path.c_str(),
           static_cast<char *>(nullptr));
     _exit(127);
@@ -62,6 +71,9 @@
     std::filesystem::remove_all(this->folder);
   }
 
+  /*! @brief Sends a signal to the process. */
+  void Signal(int number) const { kill(this->pid, number); }
+
   /*! @return True if the process has ended. */
   [[nodiscard]] bool Ended() {
     if (!this->ended) this->ended = waitpid(this->pid, nullptr, WNOHANG) != 0;
