A node out of descriptors takes connections again

Those of callers that fell silent, or that were opened in a burst, stay for five minutes. Once the process had no descriptor left, accept failed, OnAccept ended as if nobody were there, and the loop came back to it at once, without end. Calls to targets lacked descriptors too, and were taken for dead targets. The class: a process-wide resource that each part takes as if it were alone, and whose want looks like the absence of work.

Now each role has its part of the descriptors, read from the system; the soft limit is raised to the hard one. A role whose part is used up evicts its longest idle connection, never one with a request in progress. Where none is idle, the connection is closed at once, so that its caller can try another node; without any descriptor a reserve one is spent on that. Errors of single connections don't end the turn. The same holds for links between nodes, for outgoing connections and for all listeners.

--- a/src/pollenring/link/link_client.cc
+++ b/src/pollenring/link/link_client.cc
@@ -1,10 +1,12 @@
 #include "pollenring/link/link_client.h"
 
 #include <cerrno>
+#include <optional>
 #include <utility>
 #include <vector>
 
 #include "pollenring/link/session.h"
+#include "pollenring/net/descriptors.h"
 #include "pollenring/net/h2o_api.h"
 #include "pollenring/net/loop.h"
 
@@ -30,21 +32,28 @@
   Connection(LinkClient &owner, const Address &peer)
       : Session{owner.loop, Role::kClient, owner.max_body_bytes},
         owner{owner},
-        entry{owner.loop.Connections(), ConnectionRole::kOutgoing},
         peer{peer} {}
 
   void Connect() {
     this->opened_at = this->GetLoop().GetClock().Now();
+    ConnectionTable &table = this->GetLoop().Connections();
+    if (!table.MakeRoom(ConnectionRole::kOutgoing)) {
+      this->Close();
+      return;
+    }
     sockaddr_in native = this->peer.Native();
     this->connecting = h2o_socket_connect(
         this->GetLoop().Native(), reinterpret_cast<sockaddr *>(&native),
         sizeof(native), &Connection::OnConnect);
     if (this->connecting == nullptr) {
-      this->owner.loop.Connections().RecordFailure(ConnectionRole::kOutgoing,
-                                                   errno);
+      const int error = errno;
+      table.RecordFailure(ConnectionRole::kOutgoing, error);
+      // The next message finds room.
+      if (IsExhaustion(error)) table.Evict(ConnectionRole::kOutgoing, 1);
       this->Close();
       return;
     }
+    this->entry.emplace(table, ConnectionRole::kOutgoing);
     this->connecting->data = this;
   }
 
@@ -166,7 +175,7 @@
   }
 
   LinkClient &owner;
-  OpenConnection entry;
+  std::optional<OpenConnection> entry;
   Address peer;
   h2o_socket_t *connecting{};
   bool connected{};
--- a/src/pollenring/link/link_server.cc
+++ b/src/pollenring/link/link_server.cc
@@ -1,8 +1,10 @@
 #include "pollenring/link/link_server.h"
 
+#include <algorithm>
 #include <chrono>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 #include "pollenring/core/hash.h"
 #include "pollenring/link/session.h"
@@ -19,7 +21,7 @@
 
 }  // namespace
 
-class LinkServer::Impl {
+class LinkServer::Impl final : public IdleConnections {
  public:
   class Connection;
   class StreamResponder;
@@ -34,8 +36,13 @@
                                               H2O_SOCKET_FLAG_DONT_READ);
     this->listener->data = this;
     h2o_socket_read_start(this->listener, &Impl::OnAccept);
+    loop.Connections().Register(ConnectionRole::kNodes, *this);
   }
 
+  ~Impl() override { this->loop.Connections().Unregister(*this); }
+
+  std::size_t CloseIdle(std::size_t count) override;
+
   static void OnAccept(h2o_socket_t *listener, const char *error);
 
   Loop &loop;
@@ -107,6 +114,11 @@
                            });
   }
 
+  /*! @brief Whether no message is in progress. @return True if none is. */
+  [[nodiscard]] bool Idle() const {
+    return this->OpenStreams() == 0 && !HasUnread(*this->accepted);
+  }
+
   void Reply(std::int32_t stream_id, std::string body) {
     this->responders.erase(stream_id);
     this->SubmitResponse(stream_id, std::move(body));
@@ -198,6 +210,22 @@
                 });
 }
 
+std::size_t LinkServer::Impl::CloseIdle(std::size_t count) {
+  std::vector<std::shared_ptr<Connection>> idle;
+  for (const auto &connection : this->connections) {
+    if (connection->Idle()) idle.push_back(connection);
+  }
+  const std::size_t closed = std::min(count, idle.size());
+  const auto last = idle.begin() + static_cast<std::ptrdiff_t>(closed);
+  std::partial_sort(idle.begin(), last, idle.end(),
+                    [](const auto &a, const auto &b) {
+                      return a->LastReceived() < b->LastReceived();
+                    });
+  // Peers connect again with their next message.
+  for (auto it = idle.begin(); it != last; ++it) (*it)->Close();
+  return closed;
+}
+
 LinkServer::LinkServer(Loop &loop, const Address &address, std::string secret,
                        std::size_t max_body_bytes, Handler handler)
     : impl{std::make_unique<Impl>(loop, address, std::move(secret),
--- a/src/pollenring/link/session.h
+++ b/src/pollenring/link/session.h
@@ -35,6 +35,16 @@
   /*! @brief Ends the connection and all its streams. */
   void Close();
 
+  /*! @brief Last contact with the peer. @return The time. */
+  [[nodiscard]] Time LastReceived() const noexcept {
+    return this->last_received;
+  }
+
+  /*! @brief Messages and replies that are not complete. @return The count. */
+  [[nodiscard]] std::size_t OpenStreams() const noexcept {
+    return this->streams.size();
+  }
+
  protected:
   /*! @brief Data received and to be sent on one stream. */
   struct Stream {
@@ -79,11 +89,6 @@
   /*! @brief Sends an HTTP/2 PING. */
   void Ping();
 
-  /*! @brief Last contact with the peer. @return The time. */
-  [[nodiscard]] Time LastReceived() const noexcept {
-    return this->last_received;
-  }
-
   [[nodiscard]] Loop &GetLoop() const noexcept { return this->loop; }
   [[nodiscard]] nghttp2_session *Native() const noexcept {
     return this->native;
--- a/src/pollenring/net/accept.cc
+++ b/src/pollenring/net/accept.cc
@@ -5,6 +5,7 @@
 
 #include <cerrno>
 
+#include "pollenring/net/descriptors.h"
 #include "pollenring/net/h2o_api.h"
 #include "pollenring/net/loop.h"
 
@@ -35,7 +36,16 @@
       const int error = errno;
       if (error == EAGAIN || error == EWOULDBLOCK) return;
       connections.RecordFailure(role, error);
-      return;
+      // Otherwise the error is that of one connection.
+      if (!IsExhaustion(error)) continue;
+      if (connections.Evict(role, kMaxAcceptsPerTurn) > 0) return;
+      if (!loop.Reserve().RefuseOne(h2o_socket_get_fd(listener))) return;
+      connections.RecordRefusal(role);
+      continue;
+    }
+    if (!connections.MakeRoom(role)) {
+      h2o_socket_close(sock);
+      continue;
     }
     take(sock, {connections, role, TimeWaited(sock)});
   }
--- a/src/pollenring/net/accept.h
+++ b/src/pollenring/net/accept.h
@@ -13,7 +13,7 @@
 
 /**
  * @brief Accepts the connections that wait at a listener, a bounded number per
- * turn.
+ * turn. Those for which there is no room are closed at once.
  * @param listener The listener's socket.
  * @param loop The loop that accounts for connections.
  * @param role Role of the connections.
--- a/src/pollenring/net/connection_table.cc
+++ b/src/pollenring/net/connection_table.cc
@@ -12,9 +12,91 @@
 constexpr Duration kLogInterval = std::chrono::seconds{1};
 /*! @brief Wait for `accept` that is worth a log line. */
 constexpr Duration kLongWait = std::chrono::milliseconds{500};
+/*! @brief Descriptors for all that is no connection: listeners, files, the
+ * event queue, probes of targets, and closed connections of the current turn.
+ */
+constexpr std::size_t kOtherDescriptors = 32;
+constexpr std::size_t kMinCapacity = 4;
+
+/*! @brief Part of the descriptors that a role may use, in percent. */
+struct CapacityPart {
+  ConnectionRole role;
+  std::size_t percent;
+};
+
+constexpr std::array<CapacityPart, kConnectionRoles> kCapacityParts{{
+    {ConnectionRole::kCallers, 40},
+    {ConnectionRole::kNodes, 25},
+    {ConnectionRole::kTargets, 2},
+    {ConnectionRole::kReadiness, 2},
+    {ConnectionRole::kOperators, 2},
+    {ConnectionRole::kOutgoing, 29},
+}};
 
 }  // namespace
 
+ConnectionTable::ConnectionTable(const Clock &clock,
+                                 std::size_t max_descriptors)
+    : clock{clock} {
+  const std::size_t usable =
+      std::max(max_descriptors, 2 * kOtherDescriptors) - kOtherDescriptors;
+  for (const auto &part : kCapacityParts) {
+    this->capacities[static_cast<std::size_t>(part.role)] =
+        std::max(kMinCapacity, usable * part.percent / 100);
+  }
+}
+
+void ConnectionTable::Register(ConnectionRole role, IdleConnections &idle) {
+  this->registered.push_back({role, &idle});
+}
+
+void ConnectionTable::Unregister(const IdleConnections &idle) {
+  auto &all = this->registered;
+  all.erase(std::remove_if(
+                all.begin(), all.end(),
+                [&idle](const auto &entry) { return entry.idle == &idle; }),
+            all.end());
+}
+
+bool ConnectionTable::MakeRoom(ConnectionRole role) {
+  const std::size_t open = this->Counts(role).open;
+  if (open < this->Capacity(role)) return true;
+  // Evicted connections end later in the turn, so that a few may be open beyond
+  // the capacity.
+  if (this->EvictOf(role, 1) > 0) return true;
+  this->RecordRefusal(role);
+  return false;
+}
+
+std::size_t ConnectionTable::Evict(ConnectionRole role, std::size_t count) {
+  std::size_t evicted = this->EvictOf(role, count);
+  for (const auto &part : kCapacityParts) {
+    if (evicted >= count) break;
+    if (part.role == role) continue;
+    evicted += this->EvictOf(part.role, count - evicted);
+  }
+  return evicted;
+}
+
+std::size_t ConnectionTable::EvictOf(ConnectionRole role, std::size_t count) {
+  std::size_t evicted = 0;
+  for (const auto &entry : this->registered) {
+    if (entry.role != role || evicted >= count) continue;
+    evicted += entry.idle->CloseIdle(count - evicted);
+  }
+  if (evicted == 0) return 0;
+  ConnectionCounts &of_role = this->counts[static_cast<std::size_t>(role)];
+  of_role.evicted += evicted;
+  if (!this->MayLog()) return evicted;
+  LogEvent(LogLevel::kInfo, "idle connections evicted",
+           {{"role", kConnectionRoleNames.Name(role)},
+            {"evicted", of_role.evicted},
+            {"open_of_role", of_role.open},
+            {"capacity", this->Capacity(role)},
+            {"left_out", std::exchange(this->left_out, 0)}});
+  return evicted;
+}
+
 void ConnectionTable::Add(ConnectionRole role, Duration waited) {
   ConnectionCounts &of_role = this->counts[static_cast<std::size_t>(role)];
   ++of_role.opened;
@@ -29,7 +111,8 @@
 }
 
 void ConnectionTable::Remove(ConnectionRole role) {
-  --this->counts[static_cast<std::size_t>(role)].open;
+  ConnectionCounts &of_role = this->counts[static_cast<std::size_t>(role)];
+  --of_role.open;
 }
 
 void ConnectionTable::RecordFailure(ConnectionRole role, int error) {
@@ -45,6 +128,18 @@
             {"left_out", std::exchange(this->left_out, 0)}});
 }
 
+void ConnectionTable::RecordRefusal(ConnectionRole role) {
+  ConnectionCounts &of_role = this->counts[static_cast<std::size_t>(role)];
+  ++of_role.refused;
+  if (!this->MayLog()) return;
+  LogEvent(LogLevel::kWarning, "connection refused for want of room",
+           {{"role", kConnectionRoleNames.Name(role)},
+            {"refused", of_role.refused},
+            {"open_of_role", of_role.open},
+            {"capacity", this->Capacity(role)},
+            {"left_out", std::exchange(this->left_out, 0)}});
+}
+
 std::size_t ConnectionTable::Open() const noexcept {
   std::size_t open = 0;
   for (const auto &of_role : this->counts) open += of_role.open;
--- a/src/pollenring/net/connection_table.h
+++ b/src/pollenring/net/connection_table.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <utility>
+#include <vector>
 
 #include "pollenring/core/clock.h"
 #include "pollenring/core/enum_table.h"
@@ -35,25 +36,94 @@
         {ConnectionRole::kOutgoing, "outgoing"},
     }}};
 
+/*! @brief Descriptors of a process without a limit. */
+inline constexpr std::size_t kUnlimitedDescriptors = std::size_t{1} << 30U;
+
 /*! @brief Connections of one role since the process started. */
 struct ConnectionCounts {
   std::size_t open{};
   std::size_t peak{};
   std::uint64_t opened{};
+  std::uint64_t evicted{}; /*!< Idle ones, closed for room. */
+  std::uint64_t refused{}; /*!< Closed at once, as there was no room. */
   /*! @brief Longest wait of a connection or its first bytes for `accept`. */
   Duration longest_wait{};
   /*! @brief Failed calls of `accept` or `connect`, by error number. */
   std::map<int, std::uint64_t> failures;
 };
 
-/*! @brief Accounts for the connections of a process; does no I/O. */
+/*! @brief Connections that can be closed to make room for others. */
+class IdleConnections {
+ public:
+  IdleConnections() = default;
+  IdleConnections(const IdleConnections &) = delete;
+  IdleConnections &operator=(const IdleConnections &) = delete;
+  virtual ~IdleConnections() = default;
+
+  /**
+   * @brief Closes the connections that have been idle the longest; never one
+   * with a request in progress.
+   * @param count Maximum number to close.
+   * @return The number closed.
+   */
+  virtual std::size_t CloseIdle(std::size_t count) = 0;
+};
+
+/**
+ * @brief Accounts for the connections of a process and shares its descriptors
+ * among their roles; does no I/O.
+ *
+ * Each role has a part of the descriptors, so that none can take those that
+ * another needs: callers those of calls to targets, or the reverse. A role
+ * that has used up its part makes room by closing its idle connections.
+ */
 class ConnectionTable {
  public:
   /**
    * @brief Creates an empty table.
-   * @param clock Clock that bounds the log lines.
+   * @param clock Clock of the times.
+   * @param max_descriptors Descriptors that the process may open.
+   */
+  ConnectionTable(const Clock &clock, std::size_t max_descriptors);
+
+  /**
+   * @brief Maximum number of open connections.
+   * @param role Role of the connections.
+   * @return The number.
+   */
+  [[nodiscard]] std::size_t Capacity(ConnectionRole role) const noexcept {
+    return this->capacities[static_cast<std::size_t>(role)];
+  }
+
+  /**
+   * @brief Registers connections that may be closed for room.
+   * @param role Their role.
+   * @param idle Closes them; must be unregistered before its end.
    */
-  explicit ConnectionTable(const Clock &clock) : clock{clock} {}
+  void Register(ConnectionRole role, IdleConnections &idle);
+
+  /**
+   * @brief Removes a registration.
+   * @param idle What was registered.
+   */
+  void Unregister(const IdleConnections &idle);
+
+  /**
+   * @brief Makes room for one more connection; evicts an idle one of the same
+   * role if the role has used up its part.
+   * @param role Role of the connection.
+   * @return False if there is no room; counted as a refusal.
+   */
+  [[nodiscard]] bool MakeRoom(ConnectionRole role);
+
+  /**
+   * @brief Evicts idle connections of any role, for when the system has no
+   * descriptor left.
+   * @param role Role that needs room; its own are evicted first.
+   * @param count Maximum number to evict.
+   * @return The number evicted.
+   */
+  std::size_t Evict(ConnectionRole role, std::size_t count);
 
   /**
    * @brief Records a connection that was accepted or opened.
@@ -75,6 +145,12 @@
    */
   void RecordFailure(ConnectionRole role, int error);
 
+  /**
+   * @brief Records a connection that was closed at once for want of room.
+   * @param role Its role.
+   */
+  void RecordRefusal(ConnectionRole role);
+
   /**
    * @brief Reads the counts of a role.
    * @param role The role.
@@ -89,10 +165,18 @@
   [[nodiscard]] std::size_t Open() const noexcept;
 
  private:
+  struct Registration {
+    ConnectionRole role;
+    IdleConnections *idle;
+  };
+
+  std::size_t EvictOf(ConnectionRole role, std::size_t count);
   [[nodiscard]] bool MayLog();
 
   const Clock &clock;
+  std::array<std::size_t, kConnectionRoles> capacities{};
   std::array<ConnectionCounts, kConnectionRoles> counts{};
+  std::vector<Registration> registered;
   Time logged_at{};
   std::uint64_t left_out{};
 };
--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "pollenring/net/descriptors.h"
 #include "pollenring/net/h2o_api.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/net/response_parser.h"
@@ -53,7 +54,7 @@
 
 }  // namespace
 
-class HttpClient::Impl {
+class HttpClient::Impl final : public IdleConnections {
  public:
   Impl(Loop &loop, const HttpClientLimits &limits)
       : loop{loop}, limits{limits} {
@@ -61,6 +62,20 @@
     loop.Every(kIdleSweepInterval, [this, weak_alive] {
       if (!weak_alive.expired()) this->DropIdle();
     });
+    loop.Connections().Register(ConnectionRole::kOutgoing, *this);
+  }
+
+  ~Impl() override { this->loop.Connections().Unregister(*this); }
+
+  std::size_t CloseIdle(std::size_t count) override {
+    std::size_t closed = 0;
+    for (; closed < count; ++closed) {
+      Connection *first = this->FirstToExpire();
+      if (first == nullptr) break;
+      this->RemoveIdle(*first);
+      this->Destroy(*first);
+    }
+    return closed;
   }
 
   CallId Start(const Address &to, const HttpRequest &request, Duration timeout,
@@ -144,6 +159,10 @@
   }
 
   void Connect(CallId id, Pending &call) {
+    if (!this->loop.Connections().MakeRoom(ConnectionRole::kOutgoing)) {
+      this->Finish(id, CallError::kNotConnected);
+      return;
+    }
     auto owned = std::make_unique<Connection>(this->loop.Connections());
     Connection &connection = *owned;
     connection.owner = this;
@@ -151,11 +170,8 @@
     connection.call = id;
     call.connection = &connection;
     sockaddr_in native = call.to.Native();
-    connection.sock = h2o_socket_connect(this->loop.Native(),
-                                         reinterpret_cast<sockaddr *>(&native),
-                                         sizeof(native), &Impl::OnConnect);
+    connection.sock = this->Open(native);
     if (connection.sock == nullptr) {
-      this->loop.Connections().RecordFailure(ConnectionRole::kOutgoing, errno);
       call.connection = nullptr;
       this->Finish(id, CallError::kNotConnected);
       return;
@@ -170,6 +186,22 @@
     this->connections.emplace(&connection, std::move(owned));
   }
 
+  h2o_socket_t *Open(sockaddr_in &native) {
+    const auto open = [&] {
+      return h2o_socket_connect(this->loop.Native(),
+                                reinterpret_cast<sockaddr *>(&native),
+                                sizeof(native), &Impl::OnConnect);
+    };
+    h2o_socket_t *sock = open();
+    if (sock != nullptr) return sock;
+    const int error = errno;
+    ConnectionTable &table = this->loop.Connections();
+    table.RecordFailure(ConnectionRole::kOutgoing, error);
+    const bool retry =
+        IsExhaustion(error) && table.Evict(ConnectionRole::kOutgoing, 1) > 0;
+    return retry ? open() : nullptr;
+  }
+
   static void OnConnect(h2o_socket_t *sock, const char *error) {
     auto *connection = static_cast<Connection *>(sock->data);
     Impl *self = connection->owner;
@@ -350,6 +382,19 @@
     }
   }
 
+  /*! @brief The idle connection that its peer closes first, or null. */
+  [[nodiscard]] Connection *FirstToExpire() const {
+    Connection *first = nullptr;
+    for (const auto &[to, pool] : this->idle) {
+      for (Connection *pooled : pool) {
+        const bool earlier =
+            first == nullptr || pooled->idle_until < first->idle_until;
+        if (earlier) first = pooled;
+      }
+    }
+    return first;
+  }
+
   void RemoveIdle(Connection &connection) {
     auto &pool = this->idle[connection.to];
     pool.erase(std::remove(pool.begin(), pool.end(), &connection), pool.end());
--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -12,6 +12,7 @@
 #include "pollenring/net/h2o_api.h"
 #include "pollenring/net/hang_up.h"
 #include "pollenring/net/loop.h"
+#include "pollenring/net/server_connections.h"
 
 namespace pollenring {
 namespace {
@@ -164,6 +165,7 @@
       : loop{loop},
         address{address},
         role{limits.role},
+        connections{loop.GetClock(), loop.Connections(), limits.role},
         handler{std::move(handler)},
         bound_fd{BindTcp(address)} {
     h2o_config_init(&this->config);
@@ -238,24 +240,38 @@
   }
 
   void Take(h2o_socket_t *sock, OpenConnection entry) {
-    sock->on_close.data = new OpenConnection{std::move(entry)};
-    sock->on_close.cb = [](void *data) {
-      delete static_cast<OpenConnection *>(data);
-    };
+    this->connections.Add(sock, std::move(entry));
     h2o_accept(&this->accept, sock);
   }
 
+  /*! @brief What lives in the memory of a request until h2o frees it. */
+  struct RequestSlot {
+    Impl *owner;
+    std::shared_ptr<H2oResponder> responder;
+    std::shared_ptr<ServerConnections::Connection> connection;
+  };
+
   static int OnRequest(h2o_handler_t *handler, h2o_req_t *req) {
     Impl *self = reinterpret_cast<HandlerSlot *>(handler)->owner;
     auto responder = std::make_shared<H2oResponder>(
         req, self->loop, &self->in_progress, &self->draining);
-    void *memory = h2o_mem_alloc_shared(
-        &req->pool, sizeof(std::shared_ptr<H2oResponder>), [](void *slot) {
-          auto *held = static_cast<std::shared_ptr<H2oResponder> *>(slot);
-          (*held)->Disposed();
-          held->~shared_ptr();
+    auto connection = self->connections.BeginRequest(
+        *req->conn->callbacks->get_socket(req->conn));
+    const bool closing = connection == nullptr;
+    void *memory =
+        h2o_mem_alloc_shared(&req->pool, sizeof(RequestSlot), [](void *memory) {
+          auto *slot = static_cast<RequestSlot *>(memory);
+          slot->responder->Disposed();
+          if (slot->connection)
+            slot->owner->connections.EndRequest(slot->connection);
+          slot->~RequestSlot();
         });
-    new (memory) std::shared_ptr<H2oResponder>{responder};
+    new (memory) RequestSlot{self, responder, std::move(connection)};
+    // Its response couldn't be sent any more.
+    if (closing) {
+      responder->EndAbandoned(kServiceUnavailable);
+      return 0;
+    }
     // After a stall the backlog holds connections whose callers have given up.
     if (req->version < kHttp2Version && responder->HungUp()) {
       responder->EndAbandoned(kServiceUnavailable);
@@ -305,6 +321,7 @@
   Loop &loop;
   Address address;
   ConnectionRole role;
+  ServerConnections connections;
   std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
   std::deque<Waiting> waiting;
   Handler handler;
--- a/src/pollenring/net/loop.cc
+++ b/src/pollenring/net/loop.cc
@@ -26,8 +26,10 @@
 
 }  // namespace
 
-Loop::Loop(const Clock &clock)
-    : clock{clock}, connections{clock}, native{h2o_evloop_create()} {}
+Loop::Loop(const Clock &clock, std::size_t max_descriptors)
+    : clock{clock},
+      connections{clock, max_descriptors},
+      native{h2o_evloop_create()} {}
 
 Loop::TimerId Loop::After(Duration delay, Task task) {
   const TimerId id = ++this->last_timer;
--- a/src/pollenring/net/loop.h
+++ b/src/pollenring/net/loop.h
@@ -13,6 +13,7 @@
 
 #include "pollenring/core/clock.h"
 #include "pollenring/net/connection_table.h"
+#include "pollenring/net/descriptors.h"
 
 struct st_h2o_evloop_t;
 
@@ -47,8 +48,10 @@
   /**
    * @brief Creates the loop.
    * @param clock Clock that timers follow.
+   * @param max_descriptors Descriptors that the process may open.
    */
-  explicit Loop(const Clock &clock);
+  explicit Loop(const Clock &clock,
+                std::size_t max_descriptors = kUnlimitedDescriptors);
   Loop(const Loop &) = delete;
   Loop &operator=(const Loop &) = delete;
   ~Loop() = default;
@@ -96,8 +99,8 @@
    */
   template <typename Handling>
   bool Contain(std::string_view event, Handling &&handling) {
-    const Time started = this->clock.Now();
     const bool nested = std::exchange(this->in_event, true);
+    const Time started = nested ? Time{} : this->clock.Now();
     bool handled = true;
     try {
       handling();
@@ -131,6 +134,9 @@
     return this->connections;
   }
 
+  /*! @brief Refuses connections when no descriptor is left. @return It. */
+  [[nodiscard]] ReserveDescriptor &Reserve() noexcept { return this->reserve; }
+
   /*! @brief The longest turn so far. @return Its length and main event. */
   [[nodiscard]] const LongestTurn &Longest() const noexcept {
     return this->longest_turn;
@@ -164,6 +170,7 @@
 
   const Clock &clock;
   ConnectionTable connections;
+  ReserveDescriptor reserve;
   st_h2o_evloop_t *native;
   std::map<DueKey, Task> timers;
   std::unordered_map<TimerId, Time> due_times;
--- /dev/null
+++ b/src/pollenring/net/server_connections.h
@@ -0,0 +1,66 @@
+#ifndef POLLENRING_NET_SERVER_CONNECTIONS_H_
+#define POLLENRING_NET_SERVER_CONNECTIONS_H_
+
+#include <list>
+#include <memory>
+
+#include "pollenring/core/clock.h"
+#include "pollenring/net/connection_table.h"
+
+struct st_h2o_socket_t;
+
+namespace pollenring {
+
+/*! @brief The connections that a server has accepted, with those that have no
+ * request in progress in the order in which they became idle. */
+class ServerConnections final : public IdleConnections {
+ public:
+  class Connection;
+
+  /**
+   * @brief Creates the set and registers it.
+   * @param clock Clock of idle times.
+   * @param table Table of the process.
+   * @param role Role of the connections.
+   */
+  ServerConnections(const Clock &clock, ConnectionTable &table,
+                    ConnectionRole role);
+  ~ServerConnections() override;
+
+  /**
+   * @brief Follows a connection until its socket is closed.
+   * @param sock The socket.
+   * @param entry Its entry in the table.
+   */
+  void Add(st_h2o_socket_t *sock, OpenConnection entry);
+
+  /**
+   * @brief Records that a request is in progress.
+   * @param sock Socket of the request.
+   * @return The connection, for `EndRequest`; null if it is being closed, and
+   * the request must not be handled.
+   */
+  [[nodiscard]] std::shared_ptr<Connection> BeginRequest(st_h2o_socket_t &sock);
+
+  /**
+   * @brief Records that a request's response has been sent, or never will be.
+   * @param connection Connection of the request.
+   */
+  void EndRequest(const std::shared_ptr<Connection> &connection);
+
+  std::size_t CloseIdle(std::size_t count) override;
+
+ private:
+  using IdleList = std::list<Connection *>;
+
+  void Remove(Connection &connection);
+  [[nodiscard]] bool MayClose(const Connection &connection) const;
+
+  const Clock &clock;
+  ConnectionTable &table;
+  IdleList idle; /*!< The longest idle first. */
+};
+
+}  // namespace pollenring
+
+#endif  // POLLENRING_NET_SERVER_CONNECTIONS_H_
--- a/src/pollenring/node/describe_connections.cc
+++ b/src/pollenring/node/describe_connections.cc
@@ -35,6 +35,12 @@
     metrics.Gauge(
         "pollenring_connections_opened",
         [&counts] { return static_cast<double>(counts.opened); }, label);
+    metrics.Gauge(
+        "pollenring_connections_evicted",
+        [&counts] { return static_cast<double>(counts.evicted); }, label);
+    metrics.Gauge(
+        "pollenring_connections_refused",
+        [&counts] { return static_cast<double>(counts.refused); }, label);
     metrics.Gauge(
         "pollenring_connections_failed",
         [&counts] { return static_cast<double>(FailuresOf(counts)); }, label);
@@ -58,6 +64,9 @@
         {"open", counts.open},
         {"peak", counts.peak},
         {"opened", counts.opened},
+        {"capacity", loop.Connections().Capacity(row.value)},
+        {"evicted", counts.evicted},
+        {"refused", counts.refused},
         {"longest_accept_wait_s", Seconds(counts.longest_wait)},
         {"failures", std::move(failures)}};
   }
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -13,6 +13,7 @@
 #include "pollenring/log/log.h"
 #include "pollenring/log/process_end.h"
 #include "pollenring/mesh/mesh_node.h"
+#include "pollenring/net/descriptors.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/limits.h"
 #include "pollenring/node/node.h"
@@ -115,7 +116,7 @@
 
 [[nodiscard]] int Run(const Settings &settings, const std::string &path) {
   const pollenring::SystemClock clock;
-  pollenring::Loop loop{clock};
+  pollenring::Loop loop{clock, pollenring::RaiseDescriptorLimit()};
   pollenring::SeededRandom random{
       (std::uint64_t{std::random_device{}()} << 32U) | std::random_device{}()};
   std::signal(SIGPIPE, SIG_IGN);
