A node that can take no caller says that it isn't ready

What callers saw: readiness answered 200 while no connection could be taken, so that balancers went on sending new callers to the node.

Cause: MeshNode::Ready looked at draining, membership and the version of the configuration; it knew nothing of the listener.

It now also asks whether the callers' port is open and whether callers could be taken lately: not ready once all were refused for half a second and no connection has ended, and ready again when one ends, or when nobody was refused for a second, so that a node which has room again does not wait for a caller that never comes. A fleet that returns under load doesn't become unready by it: refusals begin where all of a node's connections for callers have a request in progress or arriving.

--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -329,7 +329,10 @@
 }
 
 bool MeshNode::Ready() const {
-  return !this->draining && this->members.Joined() &&
+  const bool takes_connections =
+      this->caller_server.IsOpen() &&
+      this->loop.Connections().Accepting(ConnectionRole::kCallers);
+  return takes_connections && !this->draining && this->members.Joined() &&
          this->policy.Active().Version() > 0;
 }
 
@@ -341,6 +344,8 @@
               {"joined", this->members.Joined()},
               {"leaving", this->draining},
               {"open", this->caller_server.IsOpen()},
+              {"accepting",
+               this->loop.Connections().Accepting(ConnectionRole::kCallers)},
               {"connections", this->loop.Connections().Open()}});
   }
   responder->Send({ready ? kOk : kUnavailable, {}, {}});
--- a/src/pollenring/net/connection_table.cc
+++ b/src/pollenring/net/connection_table.cc
@@ -12,6 +12,11 @@
 constexpr Duration kLogInterval = std::chrono::seconds{1};
 /*! @brief Wait for `accept` that is worth a log line. */
 constexpr Duration kLongWait = std::chrono::milliseconds{500};
+/*! @brief Time without room after which a role doesn't accept. Shorter spans
+ * are normal while connections turn over. */
+constexpr Duration kFullGrace = std::chrono::milliseconds{500};
+/*! @brief Time without a refusal after which a full role is tried again. */
+constexpr Duration kRetryInterval = std::chrono::seconds{1};
 /*! @brief Descriptors for all that is no connection: listeners, files, the
  * event queue, probes of targets, and closed connections of the current turn.
  */
@@ -97,9 +102,18 @@
   return evicted;
 }
 
+bool ConnectionTable::Accepting(ConnectionRole role) const {
+  const ConnectionCounts &of_role = this->Counts(role);
+  if (of_role.full_since == Time{}) return true;
+  const Time now = this->clock.Now();
+  return now - of_role.full_since < kFullGrace ||
+         now - of_role.refused_at >= kRetryInterval;
+}
+
 void ConnectionTable::Add(ConnectionRole role, Duration waited) {
   ConnectionCounts &of_role = this->counts[static_cast<std::size_t>(role)];
   ++of_role.opened;
+  of_role.full_since = {};
   of_role.peak = std::max(of_role.peak, ++of_role.open);
   of_role.longest_wait = std::max(of_role.longest_wait, waited);
   if (waited < kLongWait || !this->MayLog()) return;
@@ -113,6 +127,7 @@
 void ConnectionTable::Remove(ConnectionRole role) {
   ConnectionCounts &of_role = this->counts[static_cast<std::size_t>(role)];
   --of_role.open;
+  of_role.full_since = {};
 }
 
 void ConnectionTable::RecordFailure(ConnectionRole role, int error) {
@@ -131,6 +146,8 @@
 void ConnectionTable::RecordRefusal(ConnectionRole role) {
   ConnectionCounts &of_role = this->counts[static_cast<std::size_t>(role)];
   ++of_role.refused;
+  of_role.refused_at = this->clock.Now();
+  if (of_role.full_since == Time{}) of_role.full_since = of_role.refused_at;
   if (!this->MayLog()) return;
   LogEvent(LogLevel::kWarning, "connection refused for want of room",
            {{"role", kConnectionRoleNames.Name(role)},
--- a/src/pollenring/net/connection_table.h
+++ b/src/pollenring/net/connection_table.h
@@ -48,6 +48,9 @@
   std::uint64_t refused{}; /*!< Closed at once, as there was no room. */
   /*! @brief Longest wait of a connection or its first bytes for `accept`. */
   Duration longest_wait{};
+  /*! @brief First refusal since one was taken or ended; zero without any. */
+  Time full_since{};
+  Time refused_at{}; /*!< Last refusal. */
   /*! @brief Failed calls of `accept` or `connect`, by error number. */
   std::map<int, std::uint64_t> failures;
 };
@@ -125,6 +128,14 @@
    */
   std::size_t Evict(ConnectionRole role, std::size_t count);
 
+  /**
+   * @brief Whether new connections can be taken.
+   * @param role Their role.
+   * @return False if for some time all were refused and none has ended; true
+   * again when none has been refused for a while, so that another may try.
+   */
+  [[nodiscard]] bool Accepting(ConnectionRole role) const;
+
   /**
    * @brief Records a connection that was accepted or opened.
    * @param role Its role.
--- a/test/pollenring/net/connection_table_test.cc
+++ b/test/pollenring/net/connection_table_test.cc
@@ -77,6 +77,34 @@
   CHECK(outgoing.open.size() == 1);
 }
 
+TEST_CASE("connection table: a full role accepts again once one has ended") {
+  ManualClock clock{1s};
+  ConnectionTable table{clock, 128};
+  FakeConnections callers{table, ConnectionRole::kCallers};
+  callers.Open(table.Capacity(ConnectionRole::kCallers));
+  const auto refuse = [&] {
+    REQUIRE_FALSE(table.MakeRoom(ConnectionRole::kCallers));
+  };
+  refuse();
+  CHECK(table.Accepting(ConnectionRole::kCallers));
+  for (int i = 0; i < 6; ++i) {
+    clock.Advance(100ms);
+    refuse();
+  }
+  CHECK_FALSE(table.Accepting(ConnectionRole::kCallers));
+  CHECK(table.Accepting(ConnectionRole::kNodes));
+  SECTION("one has ended") {
+    callers.open.pop_back();
+    CHECK(table.Accepting(ConnectionRole::kCallers));
+  }
+  SECTION("nobody tries any more") {
+    clock.Advance(1s);
+    CHECK(table.Accepting(ConnectionRole::kCallers));
+    refuse();
+    CHECK_FALSE(table.Accepting(ConnectionRole::kCallers));
+  }
+}
+
 TEST_CASE("connection table: failures are counted by error") {
   const ManualClock clock;
   ConnectionTable table{clock, 128};
