Connections whose peers have vanished end

What callers saw: nothing by itself; it is one way in which a node's connections add up until new ones are refused.

Cause: a connection whose peer lost power, or was cut off, never gets a close. Callers' connections stayed for the five minutes of the idle bound, and links between nodes, which have none, for ever.

The system now probes accepted connections that are idle (15 s, then three probes 5 s apart). TCP_USER_TIMEOUT was weighed and left out: it would also end connections whose callers read slowly. No test waits for a peer to vanish, as that needs a second host.

--- a/src/pollenring/net/descriptors.cc
+++ b/src/pollenring/net/descriptors.cc
@@ -1,6 +1,8 @@
 #include "pollenring/net/descriptors.h"
 
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -13,11 +15,18 @@
 
 /*! @brief Enough for any node; more would only cost memory. */
 constexpr rlim_t kMaxDescriptors = 65536;
+constexpr int kKeepAliveIdleS = 15;
+constexpr int kKeepAliveIntervalS = 5;
+constexpr int kKeepAliveProbes = 3;
 
 [[nodiscard]] int OpenReserve() noexcept {
   return open("/dev/null", O_RDONLY | O_CLOEXEC);
 }
 
+void SetOption(int fd, int level, int option, int value) noexcept {
+  setsockopt(fd, level, option, &value, sizeof(value));
+}
+
 }  // namespace
 
 std::size_t RaiseDescriptorLimit() {
@@ -36,6 +45,13 @@
          error == ENOMEM;
 }
 
+void KeepAlive(int fd) noexcept {
+  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
 ReserveDescriptor::ReserveDescriptor() : fd{OpenReserve()} {}
 
 ReserveDescriptor::~ReserveDescriptor() {
--- a/src/pollenring/net/descriptors.h
+++ b/src/pollenring/net/descriptors.h
@@ -20,6 +20,13 @@
  */
 [[nodiscard]] bool IsExhaustion(int error) noexcept;
 
+/**
+ * @brief Makes the system probe idle connections, so that those whose peers
+ * have vanished end.
+ * @param fd A socket; those accepted from a listener inherit the setting.
+ */
+void KeepAlive(int fd) noexcept;
+
 /**
  * @brief A descriptor kept for the moment in which there is no other left: a
  * waiting connection is then refused instead of left in the backlog.
--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "pollenring/net/accept.h"
+#include "pollenring/net/descriptors.h"
 #include "pollenring/net/h2o_api.h"
 #include "pollenring/net/hang_up.h"
 #include "pollenring/net/loop.h"
@@ -143,6 +144,7 @@
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const int on = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  KeepAlive(fd);
   const sockaddr_in native = address.Native();
   const bool bound = bind(fd, reinterpret_cast<const sockaddr *>(&native),
                           sizeof(native)) == 0;
--- a/test/pollenring/net/http_server_test.cc
+++ b/test/pollenring/net/http_server_test.cc
@@ -1,6 +1,7 @@
 #include "pollenring/net/http_server.h"
 
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -240,3 +241,23 @@
   CHECK(got.size() - head - 4 >= body.size());
   close(fd);
 }
+
+TEST_CASE("http server: connections of callers that vanish don't stay") {
+  const Address address = *Address::Parse("127.42.1.9:7100");
+  const int listener = pollenring::ListenTcp(address);
+  const int caller = SendRequest(address, "/");
+  const int accepted = accept(listener, nullptr, nullptr);
+  REQUIRE(accepted >= 0);
+  const auto option = [accepted](int level, int name) {
+    int value = 0;
+    socklen_t size = sizeof(value);
+    REQUIRE(getsockopt(accepted, level, name, &value, &size) == 0);
+    return value;
+  };
+  CHECK(option(SOL_SOCKET, SO_KEEPALIVE) == 1);
+  const int found_after_s =
+      option(IPPROTO_TCP, TCP_KEEPIDLE) +
+      option(IPPROTO_TCP, TCP_KEEPINTVL) * option(IPPROTO_TCP, TCP_KEEPCNT);
+  CHECK(found_after_s <= 30);
+  for (const int fd : {listener, caller, accepted}) close(fd);
+}
