--- a/test/pollenring/net/http_client_test.cc
+++ b/test/pollenring/net/http_client_test.cc
@@ -130,6 +130,45 @@
   CHECK(IsBroken(caller.Call(broken)));
 }
 
+TEST_CASE(
+    "http client: a response cut by a reset during the upload is not "
+    "complete") {
+  // The failed write takes the socket's error, and the next read sees the end
+  // of the stream.
+  const std::string cut =
+      GENERATE(std::string{"HTTP/1.1 200 OK\r\nmark: own\r\n\r\npart of"},
+               std::string{"HTTP/1.1 200 OK\r\nmark: own\r\n\r\n"},
+               std::string{"HTTP/1.1 200 OK\r\nmark: own\r\n"
+                           "connection: close\r\n\r\npart of"});
+  const PeerEnd end = GENERATE(PeerEnd::kReset, PeerEnd::kHalfCloseReset);
+  const auto pause = GENERATE(0ms, 5ms, 40ms);
+  CAPTURE(cut, pause.count());
+  // Larger than the kernel's buffers, so that its write is not over.
+  const std::string upload(std::size_t{24} << 20U, 'u');
+  RawPeer peer{{{{cut}, end, pause}}};
+  Caller caller;
+  CHECK(IsBroken(caller.Call(peer, "own", upload)));
+}
+
+TEST_CASE("http client: an orderly end before the upload is read is awaited") {
+  const std::string bytes = "HTTP/1.1 200 OK\r\nmark: own\r\n\r\nall of it";
+  const std::string upload(std::size_t{24} << 20U, 'u');
+  RawPeer peer{{{{bytes}, PeerEnd::kHalfClose, 20ms}}};
+  Caller caller;
+  CHECK(BodyOf(caller.Call(peer, "own", upload)) == "all of it");
+}
+
+TEST_CASE("http client: a response with an invalid head fails the call") {
+  const std::string bytes =
+      GENERATE(std::string{"HTTP/1.1 000 -\r\nmark: own\r\n"},
+               std::string{"HTTP/1.1 200 OK\r\nmark: own\r\nx y: 1\r\n"},
+               std::string{"HTTP/1.1 200 OK\r\nmark: own\r\nx\x01: 1\r\n"}) +
+      "content-length: 2\r\n\r\nok" + Answer("own", "behind it");
+  RawPeer peer{{{{bytes}, PeerEnd::kKeep}}};
+  Caller caller;
+  CHECK(IsBroken(caller.Call(peer)));
+}
+
 TEST_CASE("http client: a surplus response is dropped with its connection") {
   RawPeer peer{{{{Answer("own", "first") + Answer("own", "second")}, {}},
                 {{Answer("own", "third")}, {}}}};
--- a/test/support/raw_peer.h
+++ b/test/support/raw_peer.h
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <chrono>
 #include <string>
 #include <thread>
 #include <vector>
@@ -15,13 +16,21 @@
 namespace support {
 
 /*! @brief How a peer ends a connection. */
-enum class PeerEnd { kKeep, kClose, kReset };
+enum class PeerEnd {
+  kKeep,
+  kClose,
+  kReset,
+  kHalfClose,     /*!< Ends its side, then reads to the end of the request. */
+  kHalfCloseReset /*!< Ends its side, then resets without reading. */
+};
 
 /*! @brief What a peer does with one connection. */
 struct PeerScript {
   /*! @brief Sent in order, each after the head of one more request. */
   std::vector<std::string> responses;
   PeerEnd end{PeerEnd::kKeep};
+  /*! @brief Pause before the end, and before a reset behind a half-close. */
+  std::chrono::milliseconds pause{0};
 };
 
 /*! @brief A raw TCP server that runs one script per connection, in order. */
@@ -67,7 +76,8 @@
         if (!ReadHead(fd, received)) break;
         send(fd, response.data(), response.size(), MSG_NOSIGNAL);
       }
-      End(fd, script.end);
+      std::this_thread::sleep_for(script.pause);
+      this->End(fd, script);
     }
   }
 
@@ -82,12 +92,25 @@
     return true;
   }
 
-  void End(int fd, PeerEnd end) {
-    if (end == PeerEnd::kKeep) {
+  void End(int fd, const PeerScript &script) {
+    if (script.end == PeerEnd::kKeep) {
       this->kept.push_back(fd);
       return;
     }
-    if (end == PeerEnd::kReset) {
+    const bool half_close = script.end == PeerEnd::kHalfClose ||
+                            script.end == PeerEnd::kHalfCloseReset;
+    if (half_close) shutdown(fd, SHUT_WR);
+    if (script.end == PeerEnd::kHalfClose) {
+      char buffer[65536];
+      while (recv(fd, buffer, sizeof(buffer), 0) > 0) {
+      }
+    }
+    if (script.end == PeerEnd::kHalfCloseReset) {
+      std::this_thread::sleep_for(script.pause);
+    }
+    const bool resets =
+        script.end == PeerEnd::kReset || script.end == PeerEnd::kHalfCloseReset;
+    if (resets) {
       const linger reset_on_close{1, 0};
       setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset_on_close,
                  sizeof(reset_on_close));
