Responses that break off or whose head is invalid are never complete

Cause: a failed write of a long request takes the socket's error, the next read sees an orderly end, and a body without a length was completed by it. The end of a connection now counts only once the request is written without an error. Invalid heads came from http-parser, whose packaged build accepts blanks in names, codings other than chunked, statuses 000 to 199, bare line feeds and repeated lengths. Boost.Beast's parser (libboost-dev, already used) replaces it behind the same interface, with the checks that it leaves to its users; the one definition of a complete response stands in response_parser.h.

Weighed: checks behind http-parser (it has consumed the bytes), picohttpparser (takes bare line feeds, knows no chunks or lengths). Readers: HttpClient serves calls to targets, the store, both tools and the command line; streams between nodes are complete only with END_STREAM (nghttp2), and framed lengths are checked. Idle connections and serialization move to files of their own.

--- a/src/pollenring/mesh/mesh_node_status.cc
+++ b/src/pollenring/mesh/mesh_node_status.cc
@@ -66,6 +66,15 @@
   this->metrics.Gauge("pollenring_answers_held_bytes", [this] {
     return static_cast<double>(this->parts.client.BufferedBytes());
   });
+  for (const auto &row : kResponseFaultNames.rows) {
+    if (row.value == ResponseFault::kNone) continue;
+    this->metrics.Gauge(
+        "pollenring_broken_responses",
+        [this, fault = row.value] {
+          return static_cast<double>(this->parts.client.BrokenResponses(fault));
+        },
+        {"reason", std::string{row.name}});
+  }
   this->metrics.Gauge("pollenring_connects", [this] {
     return static_cast<double>(this->parts.client.Connects());
   });
--- /dev/null
+++ b/src/pollenring/net/client_connection.cc
@@ -0,0 +1,88 @@
+#include "pollenring/net/client_connection.h"
+
+#include <algorithm>
+
+namespace pollenring::internal {
+namespace {
+
+/*! @brief Idle connections kept per peer; exceeds any target's slots. */
+constexpr std::size_t kPoolCapacity = 1024;
+/*! @brief Time an idle connection is kept if the peer states none; most servers
+ * close after 5 s. */
+constexpr Duration kDefaultIdleTimeout = std::chrono::seconds{4};
+/*! @brief Fraction of the peer's idle time-out during which a connection is
+ * reused; the rest allows for network latency and late timers. */
+constexpr double kIdleTimeoutFraction = 0.8;
+
+}  // namespace
+
+bool IdlePool::Add(ClientConnection &connection, Time now,
+                   Duration stated_timeout) {
+  auto &pool = this->idle[connection.to];
+  if (pool.size() >= kPoolCapacity) return false;
+  const Duration idle_timeout =
+      stated_timeout > Duration{0}
+          ? Duration{static_cast<std::int64_t>(
+                static_cast<double>(stated_timeout.count()) *
+                kIdleTimeoutFraction)}
+          : kDefaultIdleTimeout;
+  connection.idle_until = now + idle_timeout;
+  pool.push_back(&connection);
+  return true;
+}
+
+ClientConnection *IdlePool::Take(const Address &to) {
+  const auto found = this->idle.find(to);
+  if (found == this->idle.end() || found->second.empty()) return nullptr;
+  ClientConnection *connection = found->second.back();
+  found->second.pop_back();
+  return connection;
+}
+
+void IdlePool::Remove(const ClientConnection &connection) {
+  auto &pool = this->idle[connection.to];
+  pool.erase(std::remove(pool.begin(), pool.end(), &connection), pool.end());
+}
+
+std::vector<ClientConnection *> IdlePool::TakeExpired(Time now) {
+  std::vector<ClientConnection *> expired;
+  for (auto &[to, pool] : this->idle) {
+    const auto first_expired = std::partition(
+        pool.begin(), pool.end(), [now](const ClientConnection *pooled) {
+          return pooled->idle_until > now;
+        });
+    expired.insert(expired.end(), first_expired, pool.end());
+    pool.erase(first_expired, pool.end());
+  }
+  return expired;
+}
+
+ClientConnection *IdlePool::FirstToExpire() const {
+  ClientConnection *first = nullptr;
+  for (const auto &[to, pool] : this->idle) {
+    for (ClientConnection *pooled : pool) {
+      const bool earlier =
+          first == nullptr || pooled->idle_until < first->idle_until;
+      if (earlier) first = pooled;
+    }
+  }
+  return first;
+}
+
+std::string SerializeRequest(const Address &to, const HttpRequest &request) {
+  std::string head = request.method + " " + request.path + " HTTP/1.1\r\n";
+  head += "host: " + (request.host.empty() ? to.Format() : request.host);
+  head += "\r\n";
+  for (const auto &header : request.headers) {
+    if (IsFraming(header.name)) continue;
+    head += header.name + ": " + header.value + "\r\n";
+  }
+  const bool has_body = !request.body.empty() || request.method == "POST" ||
+                        request.method == "PUT" || request.method == "PATCH";
+  if (has_body) {
+    head += "content-length: " + std::to_string(request.body.size()) + "\r\n";
+  }
+  return head + "\r\n" + request.body;
+}
+
+}  // namespace pollenring::internal
--- /dev/null
+++ b/src/pollenring/net/client_connection.h
@@ -0,0 +1,94 @@
+#ifndef POLLENRING_NET_CLIENT_CONNECTION_H_
+#define POLLENRING_NET_CLIENT_CONNECTION_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "pollenring/core/clock.h"
+#include "pollenring/net/address.h"
+#include "pollenring/net/connection_table.h"
+#include "pollenring/net/http_message.h"
+#include "pollenring/net/response_parser.h"
+
+struct st_h2o_socket_t;
+
+namespace pollenring::internal {
+
+/*! @brief A connection of an HTTP client, which carries one call at a time. */
+struct ClientConnection {
+  explicit ClientConnection(ConnectionTable &table)
+      : entry{table, ConnectionRole::kOutgoing} {}
+
+  OpenConnection entry;
+  void *owner{};
+  Address to;
+  st_h2o_socket_t *sock{};
+  std::optional<ResponseParser> parser;
+  std::uint64_t call{}; /*!< 0 while idle. */
+  Time idle_until{};
+  std::uint64_t connect_timer{};
+  bool writing{};
+  bool write_failed{};
+  /*! @brief The peer ended its side while the request was being written. */
+  bool ended{};
+  bool not_reusable{};          /*!< Carried another request's response. */
+  int foreign_responses{};      /*!< To other requests, in the current call. */
+  std::size_t buffered_bytes{}; /*!< Of the current response. */
+};
+
+/*! @brief The idle connections of a client, by peer; owns none of them. */
+class IdlePool {
+ public:
+  /**
+   * @brief Adds a connection whose response is complete.
+   * @param connection The connection.
+   * @param now Time.
+   * @param stated_timeout Idle time-out that the peer states; 0 for none.
+   * @return False if enough are kept for this peer; close the connection.
+   */
+  [[nodiscard]] bool Add(ClientConnection &connection, Time now,
+                         Duration stated_timeout);
+
+  /**
+   * @brief Removes the connection that was used last.
+   * @param to Its peer.
+   * @return The connection, which may have expired, or null.
+   */
+  [[nodiscard]] ClientConnection *Take(const Address &to);
+
+  /**
+   * @brief Removes a connection.
+   * @param connection The connection.
+   */
+  void Remove(const ClientConnection &connection);
+
+  /**
+   * @brief Removes the connections whose peers may close them.
+   * @param now Time.
+   * @return The connections, to be closed.
+   */
+  [[nodiscard]] std::vector<ClientConnection *> TakeExpired(Time now);
+
+  /*! @brief The connection that its peer closes first. @return It, or null. */
+  [[nodiscard]] ClientConnection *FirstToExpire() const;
+
+ private:
+  std::map<Address, std::vector<ClientConnection *>> idle;
+};
+
+/**
+ * @brief Serializes a request, with framing headers.
+ * @param to The peer, named as host if the request names none.
+ * @param request The request.
+ * @return Its bytes.
+ */
+[[nodiscard]] std::string SerializeRequest(const Address &to,
+                                           const HttpRequest &request);
+
+}  // namespace pollenring::internal
+
+#endif  // POLLENRING_NET_CLIENT_CONNECTION_H_
--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -1,13 +1,13 @@
 #include "pollenring/net/http_client.h"
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstring>
-#include <map>
-#include <optional>
 #include <unordered_map>
-#include <vector>
 
+#include "pollenring/log/log.h"
+#include "pollenring/net/client_connection.h"
 #include "pollenring/net/descriptors.h"
 #include "pollenring/net/h2o_api.h"
 #include "pollenring/net/loop.h"
@@ -18,15 +18,8 @@
 
 using internal::ResponseParser;
 using internal::ResponseState;
+using Connection = internal::ClientConnection;
 
-/*! @brief Idle connections kept per peer; exceeds any target's slots. */
-constexpr std::size_t kPoolCapacity = 1024;
-/*! @brief Time an idle connection is kept if the peer states none; most servers
- * close after 5 s. */
-constexpr Duration kDefaultIdleTimeout = std::chrono::seconds{4};
-/*! @brief Fraction of the peer's idle time-out during which a connection is
- * reused; the rest allows for network latency and late timers. */
-constexpr double kIdleTimeoutFraction = 0.8;
 /*! @brief Responses to other requests that one call skips; a peer that sends
  * more has lost track of its requests. */
 constexpr int kMaxForeignResponses = 4;
@@ -35,23 +28,6 @@
  * lost SYN is retransmitted after 1 s. */
 constexpr Duration kConnectTimeout = std::chrono::milliseconds{1500};
 
-[[nodiscard]] std::string Serialize(const Address &to,
-                                    const HttpRequest &request) {
-  std::string head = request.method + " " + request.path + " HTTP/1.1\r\n";
-  head += "host: " + (request.host.empty() ? to.Format() : request.host);
-  head += "\r\n";
-  for (const auto &header : request.headers) {
-    if (internal::IsFraming(header.name)) continue;
-    head += header.name + ": " + header.value + "\r\n";
-  }
-  const bool has_body = !request.body.empty() || request.method == "POST" ||
-                        request.method == "PUT" || request.method == "PATCH";
-  if (has_body) {
-    head += "content-length: " + std::to_string(request.body.size()) + "\r\n";
-  }
-  return head + "\r\n" + request.body;
-}
-
 }  // namespace
 
 class HttpClient::Impl final : public IdleConnections {
@@ -70,9 +46,9 @@
   std::size_t CloseIdle(std::size_t count) override {
     std::size_t closed = 0;
     for (; closed < count; ++closed) {
-      Connection *first = this->FirstToExpire();
+      Connection *first = this->idle.FirstToExpire();
       if (first == nullptr) break;
-      this->RemoveIdle(*first);
+      this->idle.Remove(*first);
       this->Destroy(*first);
     }
     return closed;
@@ -83,7 +59,7 @@
     const CallId id = ++this->last_id;
     Pending &call = this->calls[id];
     call.to = to;
-    call.output = Serialize(to, request);
+    call.output = internal::SerializeRequest(to, request);
     call.head_only = request.method == "HEAD";
     call.correlation = std::move(correlation);
     call.done = std::move(done);
@@ -109,26 +85,12 @@
     return this->buffered_bytes;
   }
 
- private:
-  struct Connection {
-    explicit Connection(ConnectionTable &table)
-        : entry{table, ConnectionRole::kOutgoing} {}
-
-    OpenConnection entry;
-    Impl *owner{};
-    Address to;
-    h2o_socket_t *sock{};
-    std::optional<ResponseParser> parser;
-    CallId call{}; /*!< 0 while idle. */
-    Time idle_until{};
-    Loop::TimerId connect_timer{};
-    bool writing{};
-    /*! @brief A response to another request was received, or a write failed. */
-    bool not_reusable{};
-    int foreign_responses{}; /*!< To other requests, in the current call. */
-    std::size_t buffered_bytes{}; /*!< Of the current response. */
-  };
+  [[nodiscard]] std::uint64_t BrokenResponses(
+      ResponseFault fault) const noexcept {
+    return this->broken_responses[static_cast<std::size_t>(fault)];
+  }
 
+ private:
   struct Pending {
     Address to;
     std::string output;
@@ -141,19 +103,13 @@
   };
 
   bool Reuse(CallId id, Pending &call) {
-    const auto found = this->idle.find(call.to);
-    if (found == this->idle.end()) return false;
-    auto &pool = found->second;
     const Time now = this->loop.GetClock().Now();
-    while (!pool.empty()) {
-      Connection *connection = pool.back();
-      pool.pop_back();
-      if (connection->idle_until <= now) {
-        this->Destroy(*connection);
-        continue;
+    while (Connection *connection = this->idle.Take(call.to)) {
+      if (connection->idle_until > now) {
+        this->Send(id, call, *connection);
+        return true;
       }
-      this->Send(id, call, *connection);
-      return true;
+      this->Destroy(*connection);
     }
     return false;
   }
@@ -204,7 +160,7 @@
 
   static void OnConnect(h2o_socket_t *sock, const char *error) {
     auto *connection = static_cast<Connection *>(sock->data);
-    Impl *self = connection->owner;
+    auto *self = static_cast<Impl *>(connection->owner);
     self->loop.Cancel(connection->connect_timer);
     if (error != nullptr) {
       self->Fail(*connection, CallError::kConnectRefused);
@@ -220,6 +176,7 @@
     connection.call = id;
     connection.parser.emplace(call.head_only, this->limits.max_body_bytes);
     connection.writing = true;
+    connection.write_failed = false;
     connection.foreign_responses = 0;
     call.connection = &connection;
     call.sent = true;
@@ -231,13 +188,16 @@
   static void OnWritten(h2o_socket_t *sock, const char *error) {
     auto *connection = static_cast<Connection *>(sock->data);
     connection->writing = false;
+    connection->write_failed = error != nullptr;
     // The peer may have responded before; that response is read first.
-    if (error != nullptr) connection->not_reusable = true;
+    if (!connection->ended) return;
+    auto *self = static_cast<Impl *>(connection->owner);
+    self->loop.Contain("answer", [&] { self->HandleEnd(*connection); });
   }
 
   static void OnRead(h2o_socket_t *sock, const char *error) {
     auto *connection = static_cast<Connection *>(sock->data);
-    Impl *self = connection->owner;
+    auto *self = static_cast<Impl *>(connection->owner);
     // A call whose response can't be handled ends at its time-out.
     self->loop.Contain("answer", [&] { self->Read(*connection, error); });
   }
@@ -245,7 +205,7 @@
   void Read(Connection &connection, const char *error) {
     if (connection.call == 0) {
       // Connection end, or bytes that belong to no request.
-      this->RemoveIdle(connection);
+      this->idle.Remove(connection);
       this->Destroy(connection);
       return;
     }
@@ -254,36 +214,72 @@
     while (used < (*input)->size) {
       used += connection.parser->Feed((*input)->bytes + used,
                                       (*input)->size - used);
-      if (connection.parser->State() == ResponseState::kPartial) continue;
+      if (connection.parser->State() == ResponseState::kPartial) break;
       if (!this->SkipForeign(connection)) break;
     }
     const bool stray = used < (*input)->size;
-    h2o_buffer_consume(input, (*input)->size);
-    if (error == h2o_socket_error_closed) connection.parser->End();
+    h2o_buffer_consume(input, used);
     this->SetBufferedBytes(connection, connection.parser->BufferedBytes());
     if (connection.foreign_responses > kMaxForeignResponses) {
-      this->Fail(connection, CallError::kInvalidResponse);
+      this->FailBroken(connection, ResponseFault::kForeign);
+      return;
+    }
+    const bool partial = connection.parser->State() == ResponseState::kPartial;
+    if (partial && error == h2o_socket_error_closed) {
+      // A reset fails the write and then reads like an orderly end; which of
+      // them it was is known when the write is over.
+      connection.ended = true;
+      h2o_socket_read_stop(connection.sock);
+      if (!connection.writing) this->HandleEnd(connection);
+      return;
+    }
+    if (partial && error != nullptr) {
+      this->FailBroken(connection, ResponseFault::kReset);
+      return;
+    }
+    this->HandleParsed(connection, stray || error != nullptr);
+  }
+
+  /*! @brief Handles the end of a connection whose request is written. */
+  void HandleEnd(Connection &connection) {
+    if (connection.write_failed) {
+      this->FailBroken(connection, ResponseFault::kReset);
       return;
     }
+    connection.parser->End();
+    this->HandleParsed(connection, true);
+  }
+
+  /*! @brief Ends the call if its response is complete or unusable.
+   * @param ended Whether the connection can't carry another response. */
+  void HandleParsed(Connection &connection, bool ended) {
     switch (connection.parser->State()) {
       case ResponseState::kComplete:
-        this->Complete(connection, stray || error != nullptr);
+        this->Complete(connection, ended);
         return;
       case ResponseState::kTooLarge:
         this->Fail(connection, CallError::kResponseTooLarge);
         return;
       case ResponseState::kInvalid:
-        this->Fail(connection, CallError::kInvalidResponse);
+        this->FailBroken(connection, connection.parser->Fault());
         return;
       case ResponseState::kPartial:
-        if (error != nullptr) {
-          this->Fail(connection, CallError::kInvalidResponse);
-          return;
-        }
         this->EnforceBufferLimit();
     }
   }
 
+  void FailBroken(Connection &connection, ResponseFault fault) {
+    ++this->broken_responses[static_cast<std::size_t>(fault)];
+    if (MayLogRequest(LogLevel::kWarning)) {
+      LogEvent(LogLevel::kWarning, "broken response",
+               {{"peer", connection.to.Format()},
+                {"id", this->calls.at(connection.call).correlation.value},
+                {"reason", kResponseFaultNames.Name(fault)},
+                {"body_bytes", connection.parser->BufferedBytes()}});
+    }
+    this->Fail(connection, CallError::kInvalidResponse);
+  }
+
   /*! @brief Skips a response that belongs to another request. @return True if
    * skipped. */
   bool SkipForeign(Connection &connection) {
@@ -322,25 +318,17 @@
     const CallId id = connection.call;
     ResponseParser &parser = *connection.parser;
     const bool reusable = !ended && !connection.not_reusable &&
-                          !connection.writing && parser.KeepsAlive();
+                          !connection.writing && !connection.write_failed &&
+                          parser.KeepsAlive();
     HttpResponse response = std::move(parser.Response());
     const Duration stated_timeout = parser.IdleTimeout();
     this->calls.at(id).connection = nullptr;
     connection.call = 0;
     this->SetBufferedBytes(connection, 0);
-    auto &pool = this->idle[connection.to];
-    if (reusable && pool.size() < kPoolCapacity) {
-      const Duration idle_timeout =
-          stated_timeout > Duration{0}
-              ? Duration{static_cast<std::int64_t>(
-                    static_cast<double>(stated_timeout.count()) *
-                    kIdleTimeoutFraction)}
-              : kDefaultIdleTimeout;
-      connection.idle_until = this->loop.GetClock().Now() + idle_timeout;
-      pool.push_back(&connection);
-    } else {
-      this->Destroy(connection);
-    }
+    const bool kept =
+        reusable &&
+        this->idle.Add(connection, this->loop.GetClock().Now(), stated_timeout);
+    if (!kept) this->Destroy(connection);
     this->Finish(id, std::move(response));
   }
 
@@ -373,31 +361,8 @@
 
   void DropIdle() {
     const Time now = this->loop.GetClock().Now();
-    for (auto &[to, pool] : this->idle) {
-      const auto first_expired = std::partition(
-          pool.begin(), pool.end(),
-          [now](const Connection *pooled) { return pooled->idle_until > now; });
-      for (auto it = first_expired; it != pool.end(); ++it) this->Destroy(**it);
-      pool.erase(first_expired, pool.end());
-    }
-  }
-
-  /*! @brief The idle connection that its peer closes first, or null. */
-  [[nodiscard]] Connection *FirstToExpire() const {
-    Connection *first = nullptr;
-    for (const auto &[to, pool] : this->idle) {
-      for (Connection *pooled : pool) {
-        const bool earlier =
-            first == nullptr || pooled->idle_until < first->idle_until;
-        if (earlier) first = pooled;
-      }
-    }
-    return first;
-  }
-
-  void RemoveIdle(Connection &connection) {
-    auto &pool = this->idle[connection.to];
-    pool.erase(std::remove(pool.begin(), pool.end(), &connection), pool.end());
+    for (Connection *expired : this->idle.TakeExpired(now))
+      this->Destroy(*expired);
   }
 
   void Drop(Connection &connection) {
@@ -415,10 +380,11 @@
   Loop &loop;
   HttpClientLimits limits;
   std::size_t buffered_bytes{};
+  std::array<std::uint64_t, kResponseFaults> broken_responses{};
   std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
   std::unordered_map<const Connection *, std::unique_ptr<Connection>>
       connections;
-  std::map<Address, std::vector<Connection *>> idle;
+  internal::IdlePool idle;
   std::unordered_map<CallId, Pending> calls;
   CallId last_id{};
   std::uint64_t connects{};
@@ -441,6 +407,10 @@
   return this->impl->BufferedBytes();
 }
 
+std::uint64_t HttpClient::BrokenResponses(ResponseFault fault) const noexcept {
+  return this->impl->BrokenResponses(fault);
+}
+
 void HttpClient::Cancel(CallId id) { this->impl->Cancel(id); }
 
 std::uint64_t HttpClient::Connects() const noexcept {
--- a/src/pollenring/net/http_client.h
+++ b/src/pollenring/net/http_client.h
@@ -12,6 +12,7 @@
 #include "pollenring/core/result.h"
 #include "pollenring/net/address.h"
 #include "pollenring/net/http_message.h"
+#include "pollenring/net/response_parser.h"
 
 namespace pollenring {
 
@@ -62,7 +63,8 @@
  * @brief An HTTP/1.1 client for complete messages, with pooled connections.
  *
  * A connection that carried bytes beyond its one response is not reused.
- * A response without a length is complete only if its connection ends orderly.
+ * A response without a length is complete only if its connection ends orderly,
+ * after the whole request has been written; `ResponseParser` defines the rest.
  */
 class HttpClient {
  public:
@@ -103,6 +105,14 @@
   /*! @brief Buffered bytes of incomplete responses. @return The sum. */
   [[nodiscard]] std::size_t BufferedBytes() const noexcept;
 
+  /**
+   * @brief Responses that were unusable so far.
+   * @param fault What made them so.
+   * @return The count.
+   */
+  [[nodiscard]] std::uint64_t BrokenResponses(
+      ResponseFault fault) const noexcept;
+
   /*! @brief Connections opened so far. @return The count. */
   [[nodiscard]] std::uint64_t Connects() const noexcept;
 
--- a/src/pollenring/net/response_parser.cc
+++ b/src/pollenring/net/response_parser.cc
@@ -1,21 +1,28 @@
 #include "pollenring/net/response_parser.h"
 
 #include <algorithm>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/basic_parser.hpp>
 #include <cctype>
 #include <charconv>
+#include <functional>
+#include <limits>
 #include <utility>
 
 namespace pollenring::internal {
 namespace {
 
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using boost::beast::string_view;
+
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 constexpr std::string_view kTimeoutField = "timeout=";
-/*! @brief Maximum total header size of a response; same as h2o's limit. */
-constexpr std::size_t kMaxHeadBytes = std::size_t{100} * 1024;
-
-[[nodiscard]] ResponseParser &Self(http_parser *native) {
-  return *static_cast<ResponseParser *>(native->data);
-}
+/*! @brief Maximum total size of headers and trailers of a response; same as
+ * h2o's limit. */
+constexpr std::uint32_t kMaxHeadBytes = 100 * 1024;
 
 [[nodiscard]] Duration ParseIdleTimeout(std::string_view value) {
   const auto at = value.find(kTimeoutField);
@@ -26,6 +33,21 @@
   return std::chrono::seconds{seconds};
 }
 
+/*! @brief Whether an interim response may precede a final one here; no request
+ * asks for a switch of protocols. */
+[[nodiscard]] constexpr bool IsInterim(int status) noexcept {
+  return status == 100 || status == 102 || status == 103;
+}
+
+[[nodiscard]] ResponseFault FaultOf(const error_code &error) {
+  if (error == http::error::bad_status) return ResponseFault::kInvalidStatus;
+  const bool framing = error == http::error::bad_content_length ||
+                       error == http::error::bad_transfer_encoding ||
+                       error == http::error::bad_chunk ||
+                       error == http::error::bad_chunk_extension;
+  return framing ? ResponseFault::kCoding : ResponseFault::kInvalidHead;
+}
+
 }  // namespace
 
 bool IsFraming(std::string_view name) noexcept {
@@ -35,114 +57,190 @@
          name == "trailer" || name == "proxy-connection";
 }
 
-struct ResponseParser::Callbacks {
-  static int OnField(http_parser *native, const char *at, std::size_t size) {
-    ResponseParser &self = Self(native);
-    if (self.in_value) self.StoreHeader();
-    self.name.append(at, size);
-    return 0;
+/**
+ * @brief Boost.Beast's parser with the checks that it leaves to its users: the
+ * range of the status, codings, repeated lengths, folded values, the size of
+ * the head.
+ */
+class ResponseParser::Native final : public http::basic_parser<false> {
+ public:
+  explicit Native(ResponseParser &owner) : owner{owner} {
+    this->header_limit(kMaxHeadBytes);
+    this->body_limit(std::numeric_limits<std::uint64_t>::max());
+    // Bytes behind the head are parsed in the same call.
+    this->eager(true);
+    this->skip(owner.head_only);
   }
 
-  static int OnValue(http_parser *native, const char *at, std::size_t size) {
-    ResponseParser &self = Self(native);
-    self.in_value = true;
-    self.value.append(at, size);
-    return 0;
+  /*! @brief Parses bytes. @return Bytes consumed. */
+  std::size_t Parse(const char *bytes, std::size_t size, error_code &error) {
+    this->input = {bytes, size};
+    return this->put(boost::asio::const_buffer{bytes, size}, error);
   }
 
-  static int OnHeadersComplete(http_parser *native) {
-    ResponseParser &self = Self(native);
-    if (self.in_value) self.StoreHeader();
-    self.response.status = static_cast<int>(native->status_code);
-    return self.head_only ? 1 : 0;
+  [[nodiscard]] bool Interim() const noexcept { return this->interim; }
+
+ private:
+  void on_request_impl(http::verb /*method*/, string_view /*method_text*/,
+                       string_view /*target*/, int /*version*/,
+                       error_code & /*error*/) override {}
+
+  void on_response_impl(int code, string_view /*reason*/, int /*version*/,
+                        error_code &error) override {
+    this->interim = IsInterim(code);
+    const bool final = code >= kFirstFinalStatus && code <= kLastStatus;
+    if (!final && !this->interim) {
+      error = http::error::bad_status;
+      return;
+    }
+    this->owner.response.status = code;
   }
 
-  static int OnBody(http_parser *native, const char *at, std::size_t size) {
-    ResponseParser &self = Self(native);
-    if (self.response.body.size() + size > self.max_body_bytes) {
-      self.state = ResponseState::kTooLarge;
-      return 1;
+  void on_field_impl(http::field field, string_view name, string_view value,
+                     error_code &error) override {
+    this->head_bytes += name.size() + value.size();
+    // The parser unfolds into a buffer of its own.
+    const std::less<const char *> before;
+    const bool folded =
+        before(value.data(), this->input.data()) ||
+        before(this->input.data() + this->input.size(), value.data());
+    if (folded || this->head_bytes > kMaxHeadBytes) {
+      error = http::error::bad_field;
+      return;
+    }
+    if (this->in_trailer) return;
+    if (field == http::field::content_length && ++this->lengths > 1) {
+      error = http::error::bad_content_length;
+      return;
+    }
+    const bool is_list = value.find(',') != string_view::npos;
+    if (field == http::field::content_length && is_list) {
+      error = http::error::bad_content_length;
+      return;
     }
-    self.response.body.append(at, size);
-    return 0;
+    if (field == http::field::transfer_encoding &&
+        !boost::beast::iequals(value, "chunked")) {
+      error = http::error::bad_transfer_encoding;
+      return;
+    }
+    this->owner.StoreField({name.data(), name.size()},
+                           {value.data(), value.size()});
   }
 
-  static int OnComplete(http_parser *native) {
-    ResponseParser &self = Self(native);
-    http_parser_pause(native, 1);
-    if (self.response.status < kFirstFinalStatus) return 0;
-    self.keeps_alive = http_should_keep_alive(native) != 0;
-    self.state = ResponseState::kComplete;
-    return 0;
+  void on_header_impl(error_code &error) override {
+    this->in_trailer = true;
+    if (this->interim && (this->lengths > 0 || this->chunked())) {
+      error = http::error::bad_content_length;
+      return;
+    }
+    const auto length = this->content_length();
+    const bool too_large = !this->interim && length &&
+                           *length > this->owner.max_body_bytes &&
+                           !this->owner.head_only;
+    if (!too_large) return;
+    this->owner.state = ResponseState::kTooLarge;
+    error = http::error::body_limit;
   }
 
-  static const http_parser_settings &Settings() {
-    static const http_parser_settings table = [] {
-      http_parser_settings settings;
-      http_parser_settings_init(&settings);
-      settings.on_header_field = &OnField;
-      settings.on_header_value = &OnValue;
-      settings.on_headers_complete = &OnHeadersComplete;
-      settings.on_body = &OnBody;
-      settings.on_message_complete = &OnComplete;
-      return settings;
-    }();
-    return table;
+  void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
+                         error_code & /*error*/) override {}
+
+  std::size_t on_body_impl(string_view body, error_code &error) override {
+    std::string &stored = this->owner.response.body;
+    if (stored.size() + body.size() > this->owner.max_body_bytes) {
+      this->owner.state = ResponseState::kTooLarge;
+      error = http::error::body_limit;
+      return 0;
+    }
+    stored.append(body.data(), body.size());
+    return body.size();
+  }
+
+  void on_chunk_header_impl(std::uint64_t /*size*/, string_view /*extensions*/,
+                            error_code & /*error*/) override {}
+
+  std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, string_view body,
+                                 error_code &error) override {
+    return this->on_body_impl(body, error);
   }
+
+  void on_finish_impl(error_code & /*error*/) override {}
+
+  ResponseParser &owner;
+  std::string_view input;
+  std::size_t head_bytes{};
+  int lengths{};
+  bool interim{};
+  bool in_trailer{};
 };
 
 ResponseParser::ResponseParser(bool head_only, std::size_t max_body_bytes)
     : head_only{head_only}, max_body_bytes{max_body_bytes} {
-  http_parser_set_max_header_size(kMaxHeadBytes);
   this->Reset();
 }
 
+ResponseParser::~ResponseParser() = default;
+
 void ResponseParser::Reset() {
-  http_parser_init(&this->native, HTTP_RESPONSE);
-  this->native.data = this;
-  this->in_value = false;
+  this->native = std::make_unique<Native>(*this);
   this->idle_timeout = Duration{0};
   this->response = HttpResponse{};
 }
 
-void ResponseParser::StoreHeader() {
-  std::string header_name = std::exchange(this->name, {});
-  std::string header_value = std::exchange(this->value, {});
-  this->in_value = false;
+void ResponseParser::Fail(ResponseFault given) {
+  if (this->state != ResponseState::kPartial) return;
+  this->state = ResponseState::kInvalid;
+  this->fault = given;
+}
+
+void ResponseParser::StoreField(std::string_view name, std::string_view value) {
+  std::string lower{name};
   std::transform(
-      header_name.begin(), header_name.end(), header_name.begin(),
+      lower.begin(), lower.end(), lower.begin(),
       [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-  if (header_name == "keep-alive") {
-    this->idle_timeout = ParseIdleTimeout(header_value);
-  }
-  if (IsFraming(header_name)) return;
-  this->response.headers.push_back(
-      {std::move(header_name), std::move(header_value)});
+  if (lower == "keep-alive") this->idle_timeout = ParseIdleTimeout(value);
+  if (IsFraming(lower)) return;
+  this->response.headers.push_back({std::move(lower), std::string{value}});
 }
 
 std::size_t ResponseParser::Feed(const char *bytes, std::size_t size) {
   std::size_t used = 0;
   while (used < size && this->state == ResponseState::kPartial) {
-    used += http_parser_execute(&this->native, &Callbacks::Settings(),
-                                bytes + used, size - used);
-    const auto error = HTTP_PARSER_ERRNO(&this->native);
-    if (this->state != ResponseState::kPartial) return used;
-    if (error == HPE_PAUSED) {
-      // Interim response; the final one follows.
-      this->Reset();
-      continue;
+    error_code error;
+    const std::size_t parsed =
+        this->native->Parse(bytes + used, size - used, error);
+    used += parsed;
+    const bool needs_more = error == http::error::need_more;
+    if (error && !needs_more) {
+      this->Fail(FaultOf(error));
+      return used;
     }
-    const bool failed = error != HPE_OK || this->native.upgrade != 0;
-    if (failed) this->state = ResponseState::kInvalid;
+    if (this->native->is_done()) {
+      if (this->native->Interim()) {
+        this->Reset();
+        continue;
+      }
+      this->keeps_alive = this->native->keep_alive();
+      this->state = ResponseState::kComplete;
+      return used;
+    }
+    if (needs_more || parsed == 0) return used;
   }
   return used;
 }
 
 void ResponseParser::End() {
   if (this->state != ResponseState::kPartial) return;
-  http_parser_execute(&this->native, &Callbacks::Settings(), nullptr, 0);
-  if (this->state == ResponseState::kPartial)
-    this->state = ResponseState::kInvalid;
+  error_code error = http::error::partial_message;
+  if (this->native->is_header_done() && !this->native->Interim()) {
+    this->native->put_eof(error);
+  }
+  if (error || !this->native->is_done()) {
+    this->Fail(ResponseFault::kTruncated);
+    return;
+  }
+  this->keeps_alive = false;
+  this->state = ResponseState::kComplete;
 }
 
 }  // namespace pollenring::internal
--- a/src/pollenring/net/response_parser.h
+++ b/src/pollenring/net/response_parser.h
@@ -1,15 +1,44 @@
 #ifndef POLLENRING_NET_RESPONSE_PARSER_H_
 #define POLLENRING_NET_RESPONSE_PARSER_H_
 
-#include <http_parser.h>
-
 #include <cstddef>
+#include <memory>
 #include <string>
+#include <string_view>
 
 #include "pollenring/core/clock.h"
 #include "pollenring/core/enum_table.h"
 #include "pollenring/net/http_message.h"
 
+namespace pollenring {
+
+/*! @brief What made a response unusable. */
+enum class ResponseFault {
+  kNone,
+  kReset,         /*!< The connection failed. */
+  kTruncated,     /*!< The connection ended orderly before the response. */
+  kInvalidHead,   /*!< Not HTTP/1.x, or an invalid header field. */
+  kInvalidStatus, /*!< Not a status that a response may have here. */
+  kCoding,        /*!< Invalid framing, or a coding that isn't understood. */
+  kForeign        /*!< Only responses to other requests. */
+};
+
+inline constexpr std::size_t kResponseFaults = 7;
+
+/*! @brief Names of the faults, for logs and metrics. */
+inline constexpr EnumTable<ResponseFault, kResponseFaults> kResponseFaultNames{
+    {{
+        {ResponseFault::kNone, "none"},
+        {ResponseFault::kReset, "reset"},
+        {ResponseFault::kTruncated, "truncated"},
+        {ResponseFault::kInvalidHead, "invalid-head"},
+        {ResponseFault::kInvalidStatus, "invalid-status"},
+        {ResponseFault::kCoding, "coding"},
+        {ResponseFault::kForeign, "foreign"},
+    }}};
+
+}  // namespace pollenring
+
 namespace pollenring::internal {
 
 /*! @brief Progress of a response. */
@@ -28,7 +57,20 @@
     {ResponseState::kTooLarge, "too large"},
 }}};
 
-/*! @brief Parses one HTTP/1.1 response incrementally. */
+/**
+ * @brief Parses one HTTP/1.x response incrementally and strictly.
+ *
+ * A response is complete and valid if
+ * - its version is 1.0 or 1.1 and its status has three digits, 200 to 599;
+ *   interim responses 100, 102 and 103 before it are skipped, others are
+ *   invalid;
+ * - header names are tokens and values hold no control byte but tab (RFC 9110,
+ *   5.6.2 and 5.5); folded values are invalid;
+ * - at most one Content-Length states its body's size, or Transfer-Encoding is
+ *   `chunked` and nothing else, never both;
+ * - a body with neither ends with the connection, orderly: `End` must be called
+ *   only if nothing failed on it before, the write of the request included.
+ */
 class ResponseParser {
  public:
   /**
@@ -39,10 +81,13 @@
   ResponseParser(bool head_only, std::size_t max_body_bytes);
   ResponseParser(const ResponseParser &) = delete;
   ResponseParser &operator=(const ResponseParser &) = delete;
-  ~ResponseParser() = default;
+  ~ResponseParser();
 
   /**
    * @brief Parses bytes; stops after the last byte of the response.
+   *
+   * Bytes that were not consumed while the response is partial have to be given
+   * again, together with those that follow them.
    * @param bytes The bytes.
    * @param size Their number.
    * @return Bytes consumed.
@@ -54,6 +99,9 @@
 
   [[nodiscard]] ResponseState State() const noexcept { return this->state; }
 
+  /*! @brief Why the response is invalid. */
+  [[nodiscard]] ResponseFault Fault() const noexcept { return this->fault; }
+
   /*! @brief Whether the peer keeps the connection open after this response. */
   [[nodiscard]] bool KeepsAlive() const noexcept { return this->keeps_alive; }
 
@@ -71,20 +119,19 @@
   [[nodiscard]] HttpResponse &Response() noexcept { return this->response; }
 
  private:
-  struct Callbacks;
+  class Native;
 
   void Reset();
-  void StoreHeader();
+  void StoreField(std::string_view name, std::string_view value);
+  void Fail(ResponseFault given);
 
-  http_parser native{};
+  std::unique_ptr<Native> native;
   bool head_only;
   std::size_t max_body_bytes;
   ResponseState state{ResponseState::kPartial};
+  ResponseFault fault{ResponseFault::kNone};
   bool keeps_alive{};
-  bool in_value{};
   Duration idle_timeout{};
-  std::string name;
-  std::string value;
   HttpResponse response;
 };
 
--- a/test/pollenring/net/http_client_test.cc
+++ b/test/pollenring/net/http_client_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <memory>
 #include <optional>
 
@@ -29,6 +30,8 @@
 class Caller {
  public:
   Caller() {
+    // A write to a connection that was reset raises it; daemons ignore it.
+    std::signal(SIGPIPE, SIG_IGN);
     this->loop.Every(1ms, [this] {
       this->most_held = std::max(this->most_held, this->client.BufferedBytes());
     });
