--- a/src/pollenring/net/client_connection.cc
+++ b/src/pollenring/net/client_connection.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "pollenring/log/log.h"
+
 namespace pollenring::internal {
 namespace {
 
@@ -69,6 +71,16 @@
   return first;
 }
 
+void LogBrokenResponse(const ClientConnection &connection,
+                       const std::string &id, ResponseFault fault) {
+  if (!MayLogRequest(LogLevel::kWarning)) return;
+  LogEvent(LogLevel::kWarning, "broken response",
+           {{"peer", connection.to.Format()},
+            {"id", id},
+            {"reason", kResponseFaultNames.Name(fault)},
+            {"body_bytes", connection.parser->BufferedBytes()}});
+}
+
 std::string SerializeRequest(const Address &to, const HttpRequest &request) {
   std::string head = request.method + " " + request.path + " HTTP/1.1\r\n";
   head += "host: " + (request.host.empty() ? to.Format() : request.host);
--- a/src/pollenring/net/client_connection.h
+++ b/src/pollenring/net/client_connection.h
@@ -80,6 +80,15 @@
   std::map<Address, std::vector<ClientConnection *>> idle;
 };
 
+/**
+ * @brief Logs an unusable response, within the line budget of requests.
+ * @param connection Connection that it was read from.
+ * @param id Identifier of the request; may be empty.
+ * @param fault What made it unusable.
+ */
+void LogBrokenResponse(const ClientConnection &connection,
+                       const std::string &id, ResponseFault fault);
+
 /**
  * @brief Serializes a request, with framing headers.
  * @param to The peer, named as host if the request names none.
--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -6,7 +6,6 @@
 #include <cstring>
 #include <unordered_map>
 
-#include "pollenring/log/log.h"
 #include "pollenring/net/client_connection.h"
 #include "pollenring/net/descriptors.h"
 #include "pollenring/net/h2o_api.h"
@@ -74,21 +73,12 @@
     this->loop.Cancel(found->second.timer);
     Connection *connection = found->second.connection;
     this->calls.erase(found);
-    if (connection != nullptr) this->Drop(*connection);
+    if (connection != nullptr) this->Destroy(*connection);
   }
 
-  [[nodiscard]] std::uint64_t Connects() const noexcept {
-    return this->connects;
-  }
-
-  [[nodiscard]] std::size_t BufferedBytes() const noexcept {
-    return this->buffered_bytes;
-  }
-
-  [[nodiscard]] std::uint64_t BrokenResponses(
-      ResponseFault fault) const noexcept {
-    return this->broken_responses[static_cast<std::size_t>(fault)];
-  }
+  std::size_t buffered_bytes{};
+  std::uint64_t connects{};
+  std::array<std::uint64_t, kResponseFaults> broken_responses{};
 
  private:
   struct Pending {
@@ -270,13 +260,8 @@
 
   void FailBroken(Connection &connection, ResponseFault fault) {
     ++this->broken_responses[static_cast<std::size_t>(fault)];
-    if (MayLogRequest(LogLevel::kWarning)) {
-      LogEvent(LogLevel::kWarning, "broken response",
-               {{"peer", connection.to.Format()},
-                {"id", this->calls.at(connection.call).correlation.value},
-                {"reason", kResponseFaultNames.Name(fault)},
-                {"body_bytes", connection.parser->BufferedBytes()}});
-    }
+    internal::LogBrokenResponse(
+        connection, this->calls.at(connection.call).correlation.value, fault);
     this->Fail(connection, CallError::kInvalidResponse);
   }
 
@@ -365,11 +350,6 @@
       this->Destroy(*expired);
   }
 
-  void Drop(Connection &connection) {
-    this->loop.Cancel(connection.connect_timer);
-    this->Destroy(connection);
-  }
-
   void Destroy(Connection &connection) {
     this->loop.Cancel(connection.connect_timer);
     this->SetBufferedBytes(connection, 0);
@@ -379,15 +359,12 @@
 
   Loop &loop;
   HttpClientLimits limits;
-  std::size_t buffered_bytes{};
-  std::array<std::uint64_t, kResponseFaults> broken_responses{};
   std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
   std::unordered_map<const Connection *, std::unique_ptr<Connection>>
       connections;
   internal::IdlePool idle;
   std::unordered_map<CallId, Pending> calls;
   CallId last_id{};
-  std::uint64_t connects{};
 };
 
 HttpClient::HttpClient(Loop &loop, const HttpClientLimits &limits)
@@ -404,17 +381,17 @@
 }
 
 std::size_t HttpClient::BufferedBytes() const noexcept {
-  return this->impl->BufferedBytes();
+  return this->impl->buffered_bytes;
 }
 
 std::uint64_t HttpClient::BrokenResponses(ResponseFault fault) const noexcept {
-  return this->impl->BrokenResponses(fault);
+  return this->impl->broken_responses[static_cast<std::size_t>(fault)];
 }
 
 void HttpClient::Cancel(CallId id) { this->impl->Cancel(id); }
 
 std::uint64_t HttpClient::Connects() const noexcept {
-  return this->impl->Connects();
+  return this->impl->connects;
 }
 
 }  // namespace pollenring
--- a/test/pollenring/link/link_server_test.cc
+++ b/test/pollenring/link/link_server_test.cc
@@ -135,3 +135,26 @@
   CHECK(answered == 3);
   CHECK(lost == 1);
 }
+
+TEST_CASE("link: a reply over the limit is never complete") {
+  // Its last bytes may arrive in the read in which the stream is reset.
+  const pollenring::SystemClock clock;
+  Loop loop{clock};
+  const Address address = *Address::Parse("127.42.2.4:7100");
+  const LinkServer server{
+      loop, address, "secret", kMaxBodyBytes,
+      [](const std::string & /*path*/, const std::string & /*body*/,
+         const std::shared_ptr<LinkResponder> &responder) {
+        responder->Send(std::string(2000, 'r'));
+      }};
+  LinkClient client{loop, "secret", 1000};
+  int replies = 0;
+  int errors = 0;
+  client.Call(address, "x", "y", 1s, [&](const LinkClient::Reply &reply) {
+    ++(std::holds_alternative<std::string>(reply) ? replies : errors);
+  });
+  loop.After(200ms, [&loop] { loop.Stop(); });
+  loop.Run();
+  CHECK(replies == 0);
+  CHECK(errors == 1);
+}
--- a/tools/pollenring/main.cc
+++ b/tools/pollenring/main.cc
@@ -1,4 +1,5 @@
 #include <array>
+#include <csignal>
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <functional>
@@ -125,6 +126,8 @@
 }  // namespace
 
 int main(int argc, char **argv) {
+  // A node may end the connection while a request is being written.
+  std::signal(SIGPIPE, SIG_IGN);
   const std::string name = argc > 1 ? argv[1] : "--help";
   if (name == "--help" || name == "-h" || name == "help") {
     PrintUsage();
