--- a/test/pollenring/wire/golden_test.cc
+++ b/test/pollenring/wire/golden_test.cc
@@ -52,8 +52,12 @@
     this->gossip.zones.era = kEra;
     this->gossip.crash_reports = {support::GoldenCrashReport()};
     this->reply.crash_reports = {support::GoldenCrashReport()};
+    this->reply.failures = {support::GoldenServiceFailure()};
   }
 
+  /*! @brief Drops what builds before it don't report of failing services. */
+  void DropFailures() { this->reply.failures.clear(); }
+
   /*! @brief Drops what builds before the quarantine don't report. */
   void DropCrashReports() {
     this->gossip.crash_reports.clear();
@@ -152,15 +156,23 @@
   Values values;
   values.gossip.zones.era = 0;
   values.DropCrashReports();
+  values.DropFailures();
   CheckNumbered("4278493", values);
 }
 
 TEST_CASE("golden: messages of 158171f are decoded") {
   Values values;
   values.DropCrashReports();
+  values.DropFailures();
   CheckNumbered("158171f", values);
 }
 
+TEST_CASE("golden: messages of f8d91c8 are decoded") {
+  Values values;
+  values.DropFailures();
+  CheckNumbered("f8d91c8", values);
+}
+
 TEST_CASE("golden: messages of this build match the stored ones") {
   CheckWritten("v3", WireVersion::kV3);
   CheckNumbered("v3", Values{});
--- a/test/support/golden_values.h
+++ b/test/support/golden_values.h
@@ -57,6 +57,19 @@
   return report;
 }
 
+/*! @brief A report of calls that do not succeed. */
+[[nodiscard]] inline pollenring::ServiceFailure GoldenServiceFailure() {
+  pollenring::ServiceFailure report;
+  report.service = "planner";
+  report.failed_milli = 550;
+  report.samples = 120;
+  report.age_ms = 40;
+  report.calls_milli = 4'000;
+  report.retried_from_milli = 1'950;
+  report.makes_no_calls = true;
+  return report;
+}
+
 /*! @brief Digests of all partitions. */
 [[nodiscard]] inline pollenring::PartitionDigests GoldenDigests() {
   pollenring::PartitionDigests digests{};
