--- a/src/pollenring/node/target_codec.h
+++ b/src/pollenring/node/target_codec.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "pollenring/admission/target_load.h"
 #include "pollenring/core/outcome.h"
 #include "pollenring/net/http_client.h"
 #include "pollenring/net/http_message.h"
@@ -31,6 +32,8 @@
   /*! @brief Requests per second that the target takes from all nodes
    * together; empty if it states none. */
   std::optional<double> rate_limit;
+  std::optional<TargetLoad> load; /*!< Empty if it reports none. */
+  bool invalid_load{};            /*!< It reports an implausible load. */
 };
 
 /*! @brief Result of classifying a target's response. */
