A target's knee and the speed of its work are learned from its responses

TargetCapacity keeps the mean own time of each kind, the slowness now and the times by utilization, and gives a limit below the knee. Admission uses it where a response has carried a fourth value, and sends the times of the call's kind with each reply (LoadReport fields 4 to 6).

--- a/src/pollenring/admission/admission.cc
+++ b/src/pollenring/admission/admission.cc
@@ -15,6 +15,7 @@
 
 /*! @brief Decay time of the offered rate; equal to that of the levels. */
 constexpr Duration kOfferedDecayTime = std::chrono::milliseconds{500};
+constexpr double kPercent = 100;
 
 [[nodiscard]] std::unique_ptr<LevelControl> MakeLevels(
     const AdmissionOptions &options, const Clock &clock) {
@@ -37,13 +38,14 @@
     : options{options},
       clock{clock},
       limit{slots, options.limit, clock},
+      capacity{slots, clock},
       cold_limiter{clock},
       rate_limiter{options.rate_limit, clock},
       levels{MakeLevels(options, clock)},
       queue{MakeQueue(options.order)} {}
 
-LoadReport Admission::Report() const noexcept {
-  double limit = this->limit.Current();
+LoadReport Admission::Report(std::string_view kind) const {
+  double limit = this->Limit();
   if (this->rate_limiter.Stated()) {
     // What runs at a time at that rate, so that callers send the rest
     // elsewhere.
@@ -52,9 +54,17 @@
     const double at_rate = this->rate_limiter.PerSecond() * seconds;
     limit = std::min(limit, std::max(1.0, std::ceil(at_rate)));
   }
-  return {
-      static_cast<std::uint32_t>(this->running.size() + this->queue->Size()),
-      static_cast<std::uint32_t>(limit)};
+  LoadReport report;
+  report.in_progress =
+      static_cast<std::uint32_t>(this->running.size() + this->queue->Size());
+  report.limit = static_cast<std::uint32_t>(limit);
+  if (!this->capacity.Active() || kind.empty()) return report;
+  const KindTime time = this->capacity.TimeOf(kind);
+  report.service_us = static_cast<std::uint32_t>(std::llround(time.us));
+  report.kind_samples = time.samples;
+  report.slowness = static_cast<std::uint32_t>(
+      std::max(1LL, std::llround(this->capacity.Slowness() * kPercent)));
+  return report;
 }
 
 void Admission::SetColdStartLimit(const ColdStartLimit &cold_limit) {
@@ -64,6 +74,8 @@
 
 void Admission::SetColdUntil(Time until) {
   this->cold_limiter.SetColdUntil(until);
+  // The times of a cold target say nothing about a warm one.
+  if (this->ColdFor() > Duration{0}) this->capacity.Reset();
   this->ResetLevelsIfColdChanged();
 }
 
@@ -111,7 +123,8 @@
 }
 
 AdmissionActions Admission::Finish(std::uint64_t id, Duration time_in_sub_calls,
-                                   bool refused_by_target) {
+                                   bool refused_by_target,
+                                   std::string_view served_kind) {
   AdmissionActions actions;
   const auto found = this->running.find(id);
   if (found == this->running.end()) return actions;
@@ -120,6 +133,11 @@
       std::max(Duration{0}, total_time - time_in_sub_calls);
   this->limit.Sample(own_time, total_time, found->second.running_at_start,
                      refused_by_target);
+  const bool was_warm = found->second.started >= this->cold_limiter.ColdUntil();
+  if (!served_kind.empty() && was_warm) {
+    this->capacity.RecordServed(served_kind, own_time,
+                                found->second.running_at_start);
+  }
   this->running.erase(found);
   this->StartWaiting(actions);
   return actions;
@@ -153,7 +171,7 @@
 
 void Admission::StartWaiting(AdmissionActions &actions) {
   this->ShedLate(actions);
-  while (static_cast<int>(this->running.size()) < this->limit.Current() &&
+  while (static_cast<int>(this->running.size()) < this->Limit() &&
          this->cold_limiter.HasRoom() && this->rate_limiter.HasToken()) {
     const auto next = this->queue->Pop();
     if (!next) return;
@@ -231,7 +249,7 @@
   const Duration typical = this->limit.TypicalTime();
   if (typical <= Duration{0}) return state;
   const double seconds = std::chrono::duration<double>{typical}.count();
-  state.capacity = static_cast<double>(this->limit.Current()) / seconds;
+  state.capacity = static_cast<double>(this->Limit()) / seconds;
   const double delay =
       static_cast<double>(this->queue->Size()) / state.capacity;
   state.delay = std::chrono::duration_cast<Duration>(
@@ -243,11 +261,11 @@
   const Duration typical = this->limit.TypicalTime();
   if (typical <= Duration{0}) {
     return std::max(this->options.min_queue_size,
-                    static_cast<std::size_t>(this->limit.Current()));
+                    static_cast<std::size_t>(this->Limit()));
   }
   const double turns = static_cast<double>(this->options.queue_time.count()) /
                        static_cast<double>(typical.count());
-  const auto wanted = static_cast<std::size_t>(this->limit.Current() * turns);
+  const auto wanted = static_cast<std::size_t>(this->Limit() * turns);
   return std::clamp(wanted, this->options.min_queue_size,
                     this->options.max_queue_size);
 }
--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "pollenring/admission/level_control.h"
 #include "pollenring/admission/offered_load_level.h"
 #include "pollenring/admission/request_queue.h"
+#include "pollenring/admission/target_capacity.h"
 #include "pollenring/admission/target_rate_limiter.h"
 #include "pollenring/core/outcome.h"
 #include "pollenring/routing/load_report.h"
@@ -79,8 +81,32 @@
   Admission(std::uint32_t slots, const AdmissionOptions &options,
             const Clock &clock);
 
-  /*! @brief Load, for the routing of callers. @return The report. */
-  [[nodiscard]] LoadReport Report() const noexcept;
+  /**
+   * @brief Load, for the routing of callers.
+   * @param kind Kind of the request whose reply carries it.
+   * @return The report.
+   */
+  [[nodiscard]] LoadReport Report(std::string_view kind = {}) const;
+
+  /*! @brief What is known of the target's capacity. @return It. */
+  [[nodiscard]] const TargetCapacity &Capacity() const noexcept {
+    return this->capacity;
+  }
+
+  /*! @brief Requests that may run at once. @return The limit. */
+  [[nodiscard]] int Limit() const noexcept {
+    return this->capacity.Active() ? this->capacity.Limit()
+                                   : this->limit.Current();
+  }
+
+  /**
+   * @brief Records the load that a response reports; ignored while the target
+   * is cold.
+   * @param load The load.
+   */
+  void RecordLoad(const TargetLoad &load) {
+    if (this->ColdFor() <= Duration{0}) this->capacity.RecordLoad(load);
+  }
 
   /**
    * @brief Priority below which a workspace's roots are to be refused early.
@@ -153,11 +179,13 @@
    * @param id The request.
    * @param time_in_sub_calls Part of its time spent waiting for sub-calls.
    * @param refused_by_target True if the target itself shed it.
+   * @param served_kind Its kind if it was served successfully, else empty.
    * @return What to start and what to shed.
    */
   [[nodiscard]] AdmissionActions Finish(std::uint64_t id,
                                         Duration time_in_sub_calls,
-                                        bool refused_by_target);
+                                        bool refused_by_target,
+                                        std::string_view served_kind = {});
 
   /**
    * @brief Records that a started request did not reach the target or was
@@ -210,6 +238,7 @@
   AdmissionOptions options;
   const Clock &clock;
   ConcurrencyLimit limit;
+  TargetCapacity capacity;
   ColdStartLimiter cold_limiter;
   TargetRateLimiter rate_limiter;
   bool was_cold{};
--- a/src/pollenring/admission/admission_all.h
+++ b/src/pollenring/admission/admission_all.h
@@ -6,5 +6,7 @@
 #include "pollenring/admission/concurrency_limit.h"
 #include "pollenring/admission/fair_queue.h"
 #include "pollenring/admission/shed_levels.h"
+#include "pollenring/admission/target_capacity.h"
+#include "pollenring/admission/target_load.h"
 
 #endif  // POLLENRING_ADMISSION_ADMISSION_ALL_H_
--- a/src/pollenring/admission/cold_start_limiter.h
+++ b/src/pollenring/admission/cold_start_limiter.h
@@ -56,6 +56,9 @@
   /*! @brief Remaining cold time of the target. @return It, 0 if warm. */
   [[nodiscard]] Duration ColdFor() const noexcept;
 
+  /*! @brief End of the last cold period. @return It. */
+  [[nodiscard]] Time ColdUntil() const noexcept { return this->cold_until; }
+
   /*! @brief The limit as a rate. @return Requests per second. */
   [[nodiscard]] double PerSecond() const noexcept {
     return this->limit.PerSecond();
--- a/src/pollenring/admission/fwd.h
+++ b/src/pollenring/admission/fwd.h
@@ -8,9 +8,12 @@
 class ConcurrencyLimit;
 class FairQueue;
 class ShedLevels;
+class TargetCapacity;
 struct ColdStartHeadroom;
 struct ColdStartLimit;
 struct AdmissionRequest;
+struct KindTime;
+struct TargetLoad;
 
 }  // namespace pollenring
 
--- a/src/pollenring/node/target_executor.cc
+++ b/src/pollenring/node/target_executor.cc
@@ -17,6 +17,7 @@
 /*! @brief Mean delay of retries after a target is warm. */
 constexpr Duration kRetryAfterWarm = std::chrono::milliseconds{100};
 constexpr std::size_t kContextBytes = 16;
+constexpr int kFirstClientError = 400;
 /*! @brief Maximum levels of other targets forwarded with a reply; some 25 bytes
  * each, and none while nothing sheds. */
 constexpr std::size_t kMaxReplyLevels = 16;
@@ -209,8 +210,13 @@
   // May throw, so it comes first: an error after Finish would lose the requests
   // that start next.
   call_reply.headers = this->codec.ForwardableResponseHeaders(response.headers);
+  // The time of a failure says nothing about the target's speed.
+  const bool served =
+      verdict.outcome == Outcome::kRan && response.status < kFirstClientError;
   const AdmissionActions next = admission.Finish(
-      id, found->second.served.time_in_sub_calls, verdict.shed);
+      id, found->second.served.time_in_sub_calls, verdict.shed,
+      served ? std::string_view{found->second.served.envelope.route}
+             : std::string_view{});
   if (verdict.reason != Reason::kNone) {
     this->Refuse(id, verdict.outcome, verdict.reason);
     this->Perform(next);
@@ -289,7 +295,7 @@
   const auto found = this->bindings.find(envelope.service);
   if (found == this->bindings.end()) return;
   const Admission &admission = *found->second.admission;
-  reply.load = admission.Report();
+  reply.load = admission.Report(envelope.route);
   reply.load.cold_ms = static_cast<std::uint32_t>(
       std::chrono::ceil<std::chrono::milliseconds>(admission.ColdFor())
           .count());
--- a/src/pollenring/node/target_executor_targets.cc
+++ b/src/pollenring/node/target_executor_targets.cc
@@ -100,6 +100,10 @@
                                        const ResponseSignals &signals,
                                        Time sent) {
   if (signals.wrong_instance || signals.uncorrelated) return;
+  if (signals.invalid_load) {
+    this->metrics.Count("pollenring_invalid_load_reports_total");
+  }
+  if (signals.load) binding.admission->RecordLoad(*signals.load);
   const bool newly_leaving =
       signals.leaving &&
       binding.announcement.target.state != TargetState::kDraining;
--- a/src/pollenring/routing/load_report.h
+++ b/src/pollenring/routing/load_report.h
@@ -13,6 +13,10 @@
   std::uint32_t in_progress{}; /*!< Running and queued requests. */
   std::uint32_t limit{};       /*!< Requests that may run at once. */
   std::uint32_t cold_ms{};     /*!< Remaining cold time; 0 if warm. */
+  /*! @brief Usual own time of the call's kind there; 0 while unknown. */
+  std::uint32_t service_us{};
+  std::uint32_t slowness{100};  /*!< Time of work now, in percent of usual. */
+  std::uint32_t kind_samples{}; /*!< Requests that `service_us` rests on. */
 };
 
 template <>
@@ -21,7 +25,9 @@
   template <typename Value>
   [[nodiscard]] static auto Fields(Value &value) {
     return std::make_tuple(Field{1, value.in_progress}, Field{2, value.limit},
-                           Field{3, value.cold_ms});
+                           Field{3, value.cold_ms}, Field{4, value.service_us},
+                           Field{5, value.slowness},
+                           Field{6, value.kind_samples});
   }
 };
 
