--- a/test/pollenring/wire/golden_test.cc
+++ b/test/pollenring/wire/golden_test.cc
@@ -52,10 +52,22 @@
     this->gossip.zones.era = kEra;
     this->gossip.crash_reports = {support::GoldenCrashReport()};
     this->reply.crash_reports = {support::GoldenCrashReport()};
+    this->reply.load.service_us = 48'000;
+    this->reply.load.slowness = 130;
+    this->reply.load.kind_samples = 1'000;
+  }
+
+  /*! @brief Drops what builds before the learned capacity don't report. */
+  void DropKindTimes() {
+    const pollenring::LoadReport unset;
+    this->reply.load.service_us = unset.service_us;
+    this->reply.load.slowness = unset.slowness;
+    this->reply.load.kind_samples = unset.kind_samples;
   }
 
   /*! @brief Drops what builds before the quarantine don't report. */
   void DropCrashReports() {
+    this->DropKindTimes();
     this->gossip.crash_reports.clear();
     this->reply.crash_reports.clear();
   }
@@ -161,6 +173,12 @@
   CheckNumbered("158171f", values);
 }
 
+TEST_CASE("golden: messages of b6901d2 are decoded") {
+  Values values;
+  values.DropKindTimes();
+  CheckNumbered("b6901d2", values);
+}
+
 TEST_CASE("golden: messages of this build match the stored ones") {
   CheckWritten("v3", WireVersion::kV3);
   CheckNumbered("v3", Values{});
