Calls go where they are expected to end soonest

Under the least-latency policy, where replies carry times of kinds: expected time by kind and target, slowness by age of its report, queueing by utilization, zone. Without such reports the cost is unchanged.

--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -148,7 +148,9 @@
         envelope.service, envelope.fingerprint, job.tried, envelope.regions);
     if (node) return node;
   }
-  return this->router.Choose(envelope.service, job.tried, envelope.regions);
+  const Duration objective = job.soft_deadline - this->loop.GetClock().Now();
+  return this->router.Choose(envelope.service, job.tried, envelope.regions,
+                             {envelope.route, objective});
 }
 
 void Dispatcher::AttemptLater(std::uint64_t id, Job &job) {
@@ -276,7 +278,7 @@
                                ? this->loop.GetClock().Now() - job.sent
                                : Duration{0};
   this->router.Finished(job.envelope.service, job.node, VerdictOf(reply), load,
-                        latency);
+                        latency, job.envelope.route);
   this->LogEjectionChanges();
   reply.served_by = job.node;
   this->quarantine.Learn(reply.crash_reports);
--- a/src/pollenring/routing/fwd.h
+++ b/src/pollenring/routing/fwd.h
@@ -3,9 +3,12 @@
 
 namespace pollenring {
 
+class KindTimes;
 class Router;
+struct CallTraits;
 struct LoadReport;
 struct RouterOptions;
+struct TargetSpeed;
 enum class CallVerdict;
 
 }  // namespace pollenring
--- a/src/pollenring/routing/router.cc
+++ b/src/pollenring/routing/router.cc
@@ -13,18 +13,9 @@
 constexpr double kTimeWeight = 0.1;
 /*! @brief Weight of one call's outcome in the fault rate. */
 constexpr double kFaultWeight = 0.1;
-/*! @brief Time in which an unconfirmed fault rate decays to a third, so that a
- * recovered target is tried again. */
-constexpr Duration kFaultDecayTime = std::chrono::seconds{3};
-/*! @brief Cost of a failed call in call durations; a request makes about ten
- * calls, and one failure wastes them all. */
-constexpr double kFaultCost = 12;
 /*! @brief How long a target advertised as cold is assumed to be; its replies
  * report the remaining time. */
 constexpr Duration kAssumedColdTime = std::chrono::seconds{3};
-/*! @brief Maximum number of targets to compare; of more, this many are drawn
- * at random. */
-constexpr std::size_t kMaxCompared = 8;
 
 }  // namespace
 
@@ -91,7 +82,8 @@
 
 std::optional<NodeId> Router::Choose(const std::string &name,
                                      const std::vector<NodeId> &avoid,
-                                     const std::vector<std::string> &regions) {
+                                     const std::vector<std::string> &regions,
+                                     const CallTraits &call) {
   const auto found = this->services.find(name);
   if (found == this->services.end()) return std::nullopt;
   Service &service = found->second;
@@ -100,7 +92,7 @@
     return trial->node;
   }
   if (this->options.order == LoadBalancingPolicy::kLeastLatency) {
-    const Endpoint *cheapest = this->LowestCost(service, constraints);
+    const Endpoint *cheapest = this->LowestCost(service, constraints, call);
     if (cheapest != nullptr) return cheapest->node;
     return NextDueEjected(service, constraints);
   }
@@ -168,7 +160,7 @@
 
 void Router::Finished(const std::string &name, NodeId node, CallVerdict verdict,
                       const std::optional<LoadReport> &report,
-                      Duration response_time) {
+                      Duration response_time, std::string_view kind) {
   const auto found = this->services.find(name);
   if (found == this->services.end()) return;
   Service &service = found->second;
@@ -176,16 +168,7 @@
   if (held == service.endpoints.end()) return;
   Endpoint &endpoint = *held->second;
   if (endpoint.in_progress > 0) --endpoint.in_progress;
-  if (report) {
-    endpoint.limit = std::max<double>(1.0, report->limit);
-    endpoint.reported = report->in_progress;
-    endpoint.in_progress_at_report = endpoint.in_progress;
-    const bool was_cold = this->IsCold(endpoint);
-    endpoint.cold_until =
-        this->clock.Now() + std::chrono::milliseconds{report->cold_ms};
-    // Response times of a cold target don't apply once it is warm.
-    if (was_cold && report->cold_ms == 0) endpoint.response_time_us = 0;
-  }
+  if (report) this->RecordReport(service, endpoint, *report, kind);
   if (response_time > Duration{0}) {
     const auto us = static_cast<double>(response_time.count());
     if (endpoint.response_time_us == 0) endpoint.response_time_us = us;
@@ -219,78 +202,6 @@
                                    : Locality::kSameRegion;
 }
 
-double Router::RampFraction(const Endpoint &endpoint) const noexcept {
-  if (this->IsCold(endpoint)) return this->options.ramp_floor;
-  if (endpoint.ramp_from == Time{}) return 1.0;
-  const double age =
-      static_cast<double>((this->clock.Now() - endpoint.ramp_from).count()) /
-      static_cast<double>(this->options.ramp.count());
-  return std::clamp(age, this->options.ramp_floor, 1.0);
-}
-
-double Router::Utilization(const Endpoint &endpoint) const noexcept {
-  const int since_report =
-      endpoint.in_progress - endpoint.in_progress_at_report;
-  const double load =
-      std::max<double>(endpoint.in_progress, endpoint.reported + since_report);
-  const double room =
-      std::max(1.0, endpoint.limit * this->RampFraction(endpoint));
-  return load / room;
-}
-
-double Router::FaultRate(const Endpoint &endpoint) const noexcept {
-  const auto age = static_cast<double>(
-      (this->clock.Now() - endpoint.fault_updated_at).count());
-  return endpoint.fault_rate *
-         std::exp(-age / static_cast<double>(kFaultDecayTime.count()));
-}
-
-double Router::Cost(const Endpoint &endpoint,
-                    double unknown_us) const noexcept {
-  const double time =
-      endpoint.response_time_us > 0 ? endpoint.response_time_us : unknown_us;
-  const double beyond = std::max(0.0, this->Utilization(endpoint) - 1);
-  const double far = endpoint.locality == Locality::kSameZone
-                         ? 0
-                         : static_cast<double>(this->options.zone_cost.count());
-  // Own calls in progress are known at once, the reported load later.
-  return time * (1 + endpoint.in_progress / std::max(1.0, endpoint.limit)) *
-             (1 + 2 * beyond) * (1 + kFaultCost * this->FaultRate(endpoint)) /
-             this->RampFraction(endpoint) +
-         far;
-}
-
-const Router::Endpoint *Router::LowestCost(const Service &service,
-                                           const Constraints &constraints) {
-  std::vector<const Endpoint *> candidates;
-  for (const auto &level : service.usable) {
-    for (const Endpoint *endpoint : level) {
-      if (constraints.Allows(*endpoint)) candidates.push_back(endpoint);
-    }
-  }
-  while (candidates.size() > kMaxCompared) {
-    candidates[this->random.Index(candidates.size())] = candidates.back();
-    candidates.pop_back();
-  }
-  // A target without a measured time is assumed as fast as the fastest.
-  double shortest = 0;
-  for (const Endpoint *endpoint : candidates) {
-    const double time = endpoint->response_time_us;
-    if (time > 0 && (shortest == 0 || time < shortest)) shortest = time;
-  }
-  const Endpoint *best = nullptr;
-  double least = 0;
-  for (const Endpoint *endpoint : candidates) {
-    // Many nodes choose at once; noise spreads them over near-equal targets.
-    const double cost =
-        this->Cost(*endpoint, shortest) * (1 + 0.2 * this->random.Fraction());
-    if (best != nullptr && cost >= least) continue;
-    best = endpoint;
-    least = cost;
-  }
-  return best;
-}
-
 Router::Endpoint *Router::Sample(const std::vector<Endpoint *> &from,
                                  const Constraints &constraints) {
   if (from.empty()) return nullptr;
--- a/src/pollenring/routing/router.h
+++ b/src/pollenring/routing/router.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -14,6 +15,7 @@
 #include "pollenring/core/clock.h"
 #include "pollenring/core/random.h"
 #include "pollenring/membership/member.h"
+#include "pollenring/routing/kind_times.h"
 #include "pollenring/routing/load_report.h"
 
 namespace pollenring {
@@ -54,12 +56,21 @@
   Duration zone_cost{std::chrono::milliseconds{3}};
 };
 
+/*! @brief Properties of a call that its target depends on. */
+struct CallTraits {
+  std::string_view kind; /*!< Its route; empty if unknown. */
+  Duration objective{};  /*!< Time until its response is late. */
+};
+
 /**
  * @brief Chooses the target of a call.
  *
  * The nearest availability zone is preferred while a target there has capacity;
  * of a few random targets the least loaded is chosen. A failing target is
  * ejected, probed by one call at a time, and ramped up once it responds.
+ *
+ * Where targets report the times of kinds, `kLeastLatency` chooses the target
+ * at which a call is expected to end soonest; see docs/design/placement.md.
  */
 class Router {
  public:
@@ -93,11 +104,13 @@
    * @param service The service.
    * @param avoid Nodes that the request has already tried.
    * @param regions Regions where it may run; empty for any.
+   * @param call Properties of the call.
    * @return The target's node, or nothing if none is left.
    */
   [[nodiscard]] std::optional<NodeId> Choose(
       const std::string &service, const std::vector<NodeId> &avoid,
-      const std::vector<std::string> &regions = {});
+      const std::vector<std::string> &regions = {},
+      const CallTraits &call = {});
 
   /**
    * @brief Chooses the target that all nodes choose for a key, by rendezvous
@@ -134,10 +147,12 @@
    * @param verdict Its outcome.
    * @param report Load reported with the reply, if any.
    * @param response_time Response time of the target; 0 without a response.
+   * @param kind Kind of the call; empty if unknown.
    */
   void Finished(const std::string &service, NodeId node, CallVerdict verdict,
                 const std::optional<LoadReport> &report,
-                Duration response_time = Duration{0});
+                Duration response_time = Duration{0},
+                std::string_view kind = {});
 
   /*! @brief Takes the changes since the last call. @return The changes. */
   [[nodiscard]] std::vector<EjectionChange> TakeChanges() {
@@ -173,6 +188,10 @@
     double fault_rate{};       /*!< Smoothed fraction of its calls that fail. */
     Time fault_updated_at{};   /*!< When fault_rate last changed. */
     std::size_t index{};       /*!< In its list of `usable`. */
+    TargetSpeed speed;         /*!< By its reports of kind times. */
+    double slowness{1};        /*!< Time of work by its last report. */
+    double others{};           /*!< Smoothed calls of others in progress. */
+    Time reported_at{};        /*!< Of the last report of a kind time. */
   };
 
   /*! @brief Which targets a request may use. */
@@ -187,6 +206,15 @@
     std::unordered_map<NodeId, std::unique_ptr<Endpoint>> endpoints;
     std::array<std::vector<Endpoint *>, kLocalityLevels> usable;
     std::multimap<Time, NodeId> ejected; /*!< By time of the next trial. */
+    KindTimes times;                     /*!< Empty if none are reported. */
+  };
+
+  /*! @brief A target that is compared for one call. */
+  struct Candidate {
+    const Endpoint *endpoint{};
+    double fresh{};    /*!< Weight of its last report. */
+    double load{};     /*!< Utilization by its last report. */
+    double own_load{}; /*!< Utilization by own calls. */
   };
 
   [[nodiscard]] Locality LocalityOf(const Member &member) const noexcept;
@@ -195,7 +223,20 @@
   [[nodiscard]] double Cost(const Endpoint &endpoint,
                             double unknown_us) const noexcept;
   [[nodiscard]] const Endpoint *LowestCost(const Service &service,
-                                           const Constraints &constraints);
+                                           const Constraints &constraints,
+                                           const CallTraits &call);
+  void RecordReport(Service &service, Endpoint &endpoint,
+                    const LoadReport &report, std::string_view kind);
+  /*! @brief Weight of a target's last report by its age. */
+  [[nodiscard]] double ReportWeight(const Endpoint &endpoint) const noexcept;
+  void AddCandidates(const std::vector<Endpoint *> &level,
+                     const Constraints &constraints, std::size_t count,
+                     std::vector<Candidate> &candidates);
+  /*! @brief The target at which the call is expected to end soonest. */
+  [[nodiscard]] const Endpoint *SoonestEnd(const Service &service,
+                                           const Constraints &constraints,
+                                           const CallTraits &call,
+                                           double typical_us);
   [[nodiscard]] double RampFraction(const Endpoint &endpoint) const noexcept;
   [[nodiscard]] Endpoint *Sample(const std::vector<Endpoint *> &from,
                                  const Constraints &constraints);
@@ -222,6 +263,7 @@
   std::unordered_map<std::string, Service> services;
   std::unordered_map<NodeId, std::vector<std::string>> services_by_node;
   std::vector<EjectionChange> changes;
+  std::vector<Candidate> candidates; /*!< Kept for its memory. */
 };
 
 }  // namespace pollenring
