--- a/src/pollenring/node/target_executor_reports.cc
+++ b/src/pollenring/node/target_executor_reports.cc
@@ -75,7 +75,7 @@
   const auto found = this->bindings.find(envelope.service);
   if (found == this->bindings.end()) return;
   const Admission &admission = *found->second.admission;
-  reply.load = admission.Report();
+  reply.load = admission.Report(envelope.route);
   reply.load.cold_ms = static_cast<std::uint32_t>(
       std::chrono::ceil<std::chrono::milliseconds>(admission.ColdFor())
           .count());
--- a/test/pollenring/wire/golden_test.cc
+++ b/test/pollenring/wire/golden_test.cc
@@ -53,6 +53,17 @@
     this->gossip.crash_reports = {support::GoldenCrashReport()};
     this->reply.crash_reports = {support::GoldenCrashReport()};
     this->reply.failures = {support::GoldenServiceFailure()};
+    this->reply.load.service_us = 48'000;
+    this->reply.load.slowness = 130;
+    this->reply.load.kind_samples = 1'000;
+  }
+
+  /*! @brief Drops what builds before the learned capacity don't report. */
+  void DropKindTimes() {
+    const pollenring::LoadReport unset;
+    this->reply.load.service_us = unset.service_us;
+    this->reply.load.slowness = unset.slowness;
+    this->reply.load.kind_samples = unset.kind_samples;
   }
 
   /*! @brief Drops what builds before it don't report of failing services. */
@@ -60,6 +71,7 @@
 
   /*! @brief Drops what builds before the quarantine don't report. */
   void DropCrashReports() {
+    this->DropKindTimes();
     this->gossip.crash_reports.clear();
     this->reply.crash_reports.clear();
   }
@@ -170,6 +182,7 @@
 TEST_CASE("golden: messages of f8d91c8 are decoded") {
   Values values;
   values.DropFailures();
+  values.DropKindTimes();
   CheckNumbered("f8d91c8", values);
 }
 
