Red tests: callers that exceed a node's limits end its process

Cause: bodies that stop short of their end, unread responses, endless heads and idle HTTP/2 streams keep memory without a common bound. Change: real daemons with 64 MB (RLIMIT_DATA) and 256 descriptors meet crowds that offer more than that. Each test checks the process, its resident size, its descriptors and two ordinary requests while the crowd's connections are open.

--- a/test/support/daemon.h
+++ b/test/support/daemon.h
@@ -10,7 +10,9 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <string>
+#include <system_error>
 
 #include "pollenring/node/settings.h"
 
@@ -23,9 +25,11 @@
    * @brief Starts the process.
    * @param settings Settings to write to its file.
    * @param max_descriptors Limit on its descriptors; 0 for the test's own.
+   * @param max_memory Limit on its writable memory in bytes, beyond which its
+   * allocations fail as on a VM of that size; 0 for the test's own.
    */
   explicit Daemon(const pollenring::Settings &settings,
-                  std::size_t max_descriptors = 0) {
+                  std::size_t max_descriptors = 0, std::size_t max_memory = 0) {
     std::string pattern =
         (std::filesystem::temp_directory_path() / "pollenring-XXXXXX").string();
     this->folder = mkdtemp(pattern.data());
@@ -57,6 +61,10 @@
       const rlimit limit{max_descriptors, max_descriptors};
       setrlimit(RLIMIT_NOFILE, &limit);
     }
+    if (max_memory > 0) {
+      const rlimit limit{max_memory, max_memory};
+      setrlimit(RLIMIT_DATA, &limit);
+    }
     execl(program.c_str(), program.c_str(), "--settings", path.c_str(),
           static_cast<char *>(nullptr));
     _exit(127);
@@ -80,6 +88,23 @@
     return this->ended;
   }
 
+  /*! @return Resident memory in bytes; 0 once the process has ended. */
+  [[nodiscard]] std::size_t ResidentBytes() const {
+    std::ifstream file{"/proc/" + std::to_string(this->pid) + "/statm"};
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+  }
+
+  /*! @return Open descriptors; 0 once the process has ended. */
+  [[nodiscard]] std::size_t Descriptors() const {
+    std::error_code error;
+    const std::filesystem::directory_iterator files{
+        "/proc/" + std::to_string(this->pid) + "/fd", error};
+    return static_cast<std::size_t>(std::distance(begin(files), end(files)));
+  }
+
   /*! @return Standard output and standard error up to this point. */
   [[nodiscard]] std::string Log() const {
     std::ifstream file{this->folder + "/log"};
--- a/test/support/daemon_world.h
+++ b/test/support/daemon_world.h
@@ -25,6 +25,8 @@
 
 inline constexpr const char *kDaemonSecret = "secret-of-the-daemon-test";
 inline constexpr pollenring::SlotId kDaemonSlots = 32;
+/*! @brief Path whose response has the size set by `SetLongBytes`. */
+inline constexpr const char *kLongPath = "/read/long";
 
 /*! @brief A daemon with a store and a target that can delay its responses. */
 class DaemonWorld {
@@ -33,8 +35,10 @@
    * @brief Starts the store, the target and the daemon.
    * @param net Third octet of the addresses.
    * @param max_descriptors Limit on the daemon's descriptors; 0 for none.
+   * @param max_memory Limit on the daemon's memory in bytes; 0 for none.
    */
-  explicit DaemonWorld(int net, std::size_t max_descriptors = 0)
+  explicit DaemonWorld(int net, std::size_t max_descriptors = 0,
+                       std::size_t max_memory = 0)
       : net{net},
         store{this->loop, this->At(250, 7900)},
         target{this->loop, this->At(1, 8000), pollenring::HttpServerLimits{},
@@ -43,7 +47,7 @@
                  this->held.emplace_back(request, responder);
                  if (!this->holds) this->Release();
                }},
-        daemon{this->MakeSettings(), max_descriptors} {
+        daemon{this->MakeSettings(), max_descriptors, max_memory} {
     this->store.PutConfig(kConfig);
     this->target.Open();
     const nlohmann::json beat{
@@ -126,7 +130,10 @@
   /*! @brief Responds to all requests held by the target. */
   void Release() {
     for (auto &[request, responder] : std::exchange(this->held, {})) {
-      responder->Send(Signed(request, 200));
+      HttpResponse response = Signed(request, 200);
+      if (request.path == kLongPath)
+        response.body.assign(this->long_bytes, 'x');
+      responder->Send(std::move(response));
     }
   }
 
@@ -149,6 +156,8 @@
   [[nodiscard]] FakeStore &Store() { return this->store; }
   [[nodiscard]] Daemon &Process() { return this->daemon; }
   void Hold(bool given) { this->holds = given; }
+  /*! @brief Sets the size of the response to `kLongPath`. */
+  void SetLongBytes(std::size_t given) { this->long_bytes = given; }
 
   /*! @brief Address of one of the ports. @param index 1 for the daemon. */
   [[nodiscard]] pollenring::Address At(int index, int port) const {
@@ -175,6 +184,7 @@
 
   int net;
   bool holds{};
+  std::size_t long_bytes{};
   pollenring::SystemClock clock;
   pollenring::Loop loop{clock};
   pollenring::HttpClient client{loop, {std::size_t{1} << 20U}};
