Budget of buffers: pause, then evict, by progress for what is held

Cause: a node's bodies and buffers had no common bound. Change: an account by role and connection, without I/O. Connections over an equal share wait under pressure, except for the one that progresses best; above the maximum, the least progress for the most bytes is evicted.

--- a/src/pollenring/net/buffer_budget.h
+++ b/src/pollenring/net/buffer_budget.h
@@ -177,6 +177,7 @@
                       std::size_t before, std::size_t after);
   void UpdatePressure();
   void ChooseLeader();
+  [[nodiscard]] std::vector<Eviction> MakeRoom();
   void Pause(Connection &connection);
   void Resume(Connection &connection);
   [[nodiscard]] bool IsOver(const Connection &connection) const noexcept;
@@ -188,6 +189,8 @@
   const Clock &clock;
   std::size_t request_room;
   Connections connections;
+  std::array<std::size_t, kBufferRoles> shared{};
+  std::size_t shared_bytes{};
   std::size_t holding{};       /*!< Connections with bytes, not evicted. */
   std::size_t evicted_bytes{}; /*!< Of evicted connections still open. */
   ConnectionId last_id{};
