HTTP/1.1 callers are served by the node's own connection class

Cause: h2o runs the requests of a connection one after the other (a pipelining caller waits for the sum of its requests), keeps bodies where they can't be accounted for, and reads a socket until it is empty. Change: Http1Connection on h2o's sockets with Beast's basic_parser<true>. GET and HEAD without a body run side by side, up to 16 of a connection, and are answered in order; other requests run alone, and nothing behind a waiting one is read. Refusals (400, 408, 413, 417, 431, 503) close the connection after up to 1 s in which input is dropped. Bytes are reported to BufferBudget; its evictions become 503 or a reset. HTTP/2 is recognised by its preface and passed to h2o with the bytes read. request_timeout is replaced by header_timeout (30 s).

--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -42,7 +42,6 @@
 [[nodiscard]] HttpServerLimits MakeCallerLimits() {
   HttpServerLimits limits;
   limits.max_body_bytes = kMaxBodyBytes;
-  limits.request_timeout = kCallerIdleTimeout;
   limits.idle_timeout = kCallerIdleTimeout;
   return limits;
 }
--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -1,17 +1,17 @@
 #include "pollenring/net/http_server.h"
 
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <deque>
 #include <stdexcept>
 #include <utility>
 
 #include "pollenring/net/accept.h"
 #include "pollenring/net/descriptors.h"
 #include "pollenring/net/h2o_api.h"
-#include "pollenring/net/hang_up.h"
+#include "pollenring/net/http1_server.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/net/server_connections.h"
 
@@ -19,12 +19,8 @@
 namespace {
 
 constexpr int kListenBacklog = 1024;
-constexpr int kHttp2Version = 0x200;
 constexpr int kServiceUnavailable = 503;
 constexpr int kBadGateway = 502;
-/*! @brief Age at which a request's connection is checked for a hang-up, and the
- * interval between checks. */
-constexpr Duration kHangUpCheckInterval = std::chrono::milliseconds{100};
 
 [[nodiscard]] std::string ToString(const h2o_iovec_t &text) {
   return {text.base, text.len};
@@ -44,12 +40,11 @@
   return request;
 }
 
-/*! @brief An h2o request that awaits its response. */
+/*! @brief A request of HTTP/2 that awaits its response. */
 class H2oResponder final : public Responder {
  public:
-  H2oResponder(h2o_req_t *req, Loop &loop, std::size_t *in_progress,
-               const bool *draining)
-      : req{req}, loop{loop}, in_progress{in_progress}, draining{draining} {
+  H2oResponder(h2o_req_t *req, Loop &loop, std::size_t *in_progress)
+      : req{req}, loop{loop}, in_progress{in_progress} {
     ++*this->in_progress;
   }
 
@@ -62,8 +57,6 @@
     this->cancelled = nullptr;
     target->res.status = response.status;
     target->res.reason = "-";
-    if (*this->draining && !HasPipelinedRequest(*target))
-      target->http1_is_persistent = 0;
     target->res.content_length = response.body.size();
     for (const auto &header : response.headers) AddHeader(target, header);
     static h2o_generator_t done{nullptr, nullptr};
@@ -79,24 +72,6 @@
     this->cancelled = std::move(callback);
   }
 
-  [[nodiscard]] bool Ended() const noexcept { return this->req == nullptr; }
-
-  /*! @brief Whether the caller has closed its side of the connection. */
-  [[nodiscard]] bool HungUp() const {
-    h2o_conn_t *connection = this->req->conn;
-    return pollenring::HungUp(*connection->callbacks->get_socket(connection));
-  }
-
-  /*! @brief Ends a request whose caller has hung up. @param status Status for a
-   * caller that still reads. */
-  void EndAbandoned(int status) {
-    auto callback = std::move(this->cancelled);
-    this->req->http1_is_persistent = 0;
-    this->Send({status, {}, {}});
-    if (!callback) return;
-    this->loop.Contain("hang-up", [&] { callback(CallerDisconnect::kHungUp); });
-  }
-
   /*! @brief Called when h2o frees the request. */
   void Disposed() {
     if (this->req == nullptr) return;
@@ -109,13 +84,6 @@
   }
 
  private:
-  /*! @brief Whether the caller has pipelined another request behind this one.
-   */
-  [[nodiscard]] static bool HasPipelinedRequest(const h2o_req_t &req) {
-    if (req.version >= kHttp2Version) return false;
-    return HasUnread(*req.conn->callbacks->get_socket(req.conn));
-  }
-
   static void AddHeader(h2o_req_t *req, const HttpHeader &header) {
     const h2o_iovec_t name =
         h2o_strdup(&req->pool, header.name.data(), header.name.size());
@@ -134,7 +102,6 @@
   h2o_req_t *req;
   Loop &loop;
   std::size_t *in_progress;
-  const bool *draining;
   Cancelled cancelled;
 };
 
@@ -169,10 +136,11 @@
         role{limits.role},
         connections{loop.GetClock(), loop.Connections(), limits.role},
         handler{std::move(handler)},
-        bound_fd{BindTcp(address)} {
+        bound_fd{BindTcp(address)},
+        http1{loop, limits, this->connections, this->handler,
+              [this](h2o_socket_t *sock) { this->AcceptHttp2(sock); }} {
     h2o_config_init(&this->config);
     this->config.max_request_entity_size = limits.max_body_bytes;
-    this->config.http1.req_timeout = ToMs(limits.request_timeout);
     this->config.http2.idle_timeout = ToMs(limits.idle_timeout);
     this->config.server_name = h2o_iovec_init("", 0);
     h2o_hostconf_t *host = h2o_config_register_host(
@@ -185,14 +153,10 @@
     h2o_context_init(&this->context, loop.Native(), &this->config);
     this->accept.ctx = &this->context;
     this->accept.hosts = this->config.hosts;
-    const std::weak_ptr<bool> weak_alive = this->alive;
-    loop.Every(kHangUpCheckInterval, [this, weak_alive] {
-      if (!weak_alive.expired()) this->EndAbandonedRequests();
-    });
   }
 
   [[nodiscard]] std::size_t InProgress() const noexcept {
-    return this->in_progress;
+    return this->in_progress + this->http1.InProgress();
   }
 
   [[nodiscard]] bool IsOpen() const noexcept {
@@ -211,7 +175,7 @@
     h2o_socket_read_start(this->listener, &Impl::OnAccept);
   }
 
-  void Drain() { this->draining = true; }
+  void Drain() { this->http1.Drain(); }
 
   void Close() {
     if (this->bound_fd >= 0) close(std::exchange(this->bound_fd, -1));
@@ -219,6 +183,7 @@
     h2o_socket_read_stop(this->listener);
     h2o_socket_close(this->listener);
     this->listener = nullptr;
+    this->http1.Drain();
     h2o_context_request_shutdown(&this->context);
   }
 
@@ -243,7 +208,13 @@
 
   void Take(h2o_socket_t *sock, OpenConnection entry) {
     this->connections.Add(sock, std::move(entry));
-    h2o_accept(&this->accept, sock);
+    this->http1.Accept(sock);
+  }
+
+  void AcceptHttp2(h2o_socket_t *sock) {
+    timeval now{};
+    gettimeofday(&now, nullptr);
+    h2o_http2_accept(&this->accept, sock, now);
   }
 
   /*! @brief What lives in the memory of a request until h2o frees it. */
@@ -255,8 +226,8 @@
 
   static int OnRequest(h2o_handler_t *handler, h2o_req_t *req) {
     Impl *self = reinterpret_cast<HandlerSlot *>(handler)->owner;
-    auto responder = std::make_shared<H2oResponder>(
-        req, self->loop, &self->in_progress, &self->draining);
+    auto responder =
+        std::make_shared<H2oResponder>(req, self->loop, &self->in_progress);
     auto connection = self->connections.BeginRequest(
         *req->conn->callbacks->get_socket(req->conn));
     const bool closing = connection == nullptr;
@@ -271,15 +242,9 @@
     new (memory) RequestSlot{self, responder, std::move(connection)};
     // Its response couldn't be sent any more.
     if (closing) {
-      responder->EndAbandoned(kServiceUnavailable);
-      return 0;
-    }
-    // After a stall the backlog holds connections whose callers have given up.
-    if (req->version < kHttp2Version && responder->HungUp()) {
-      responder->EndAbandoned(kServiceUnavailable);
+      responder->Send({kServiceUnavailable, {}, {}});
       return 0;
     }
-    self->Watch(*req, responder);
     const bool handled = self->loop.Contain("request", [self, req, responder] {
       self->handler(CopyRequest(*req), responder);
     });
@@ -288,52 +253,18 @@
     return 0;
   }
 
-  void Watch(const h2o_req_t &req,
-             const std::shared_ptr<H2oResponder> &responder) {
-    // HTTP/2 itself reports cancelled requests.
-    if (req.version >= kHttp2Version) return;
-    this->waiting.push_back({responder, this->loop.GetClock().Now()});
-  }
-
-  void EndAbandonedRequests() {
-    const Time oldest = this->loop.GetClock().Now() - kHangUpCheckInterval;
-    std::deque<Waiting> kept;
-    for (auto &entry : std::exchange(this->waiting, {})) {
-      const auto responder = entry.responder.lock();
-      if (!responder || responder->Ended()) continue;
-      if (entry.since > oldest || !responder->HungUp()) {
-        kept.push_back(std::move(entry));
-        continue;
-      }
-      // 502, since the request may have been executed.
-      responder->EndAbandoned(kBadGateway);
-    }
-    // Requests that arrived during the checks are younger.
-    for (auto &entry : this->waiting) kept.push_back(std::move(entry));
-    this->waiting = std::move(kept);
-  }
-
-  /*! @brief An HTTP/1.1 request, whose connection must be polled for a hang-up.
-   */
-  struct Waiting {
-    std::weak_ptr<H2oResponder> responder;
-    Time since{};
-  };
-
   Loop &loop;
   Address address;
   ConnectionRole role;
   ServerConnections connections;
-  std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
-  std::deque<Waiting> waiting;
   Handler handler;
   int bound_fd{-1}; /*!< Descriptor until `Open` listens on it, then -1. */
   h2o_globalconf_t config{};
   h2o_context_t context{};
   h2o_accept_ctx_t accept{};
   h2o_socket_t *listener{};
-  std::size_t in_progress{};
-  bool draining{};
+  std::size_t in_progress{}; /*!< Of HTTP/2. */
+  internal::Http1Server http1;
 };
 
 HttpServer::HttpServer(Loop &loop, const Address &address,
--- a/src/pollenring/net/http_server.h
+++ b/src/pollenring/net/http_server.h
@@ -13,6 +13,7 @@
 
 namespace pollenring {
 
+class BufferBudget;
 class Loop;
 
 /*! @brief How a caller's disconnect before its response was detected. */
@@ -53,10 +54,22 @@
 
 /*! @brief Limits that a server enforces on its clients. */
 struct HttpServerLimits {
-  std::size_t max_body_bytes{std::size_t{17} * 1024 * 1024};
-  Duration request_timeout{std::chrono::seconds{10}};
+  std::size_t max_body_bytes{std::size_t{64} * 1024 * 1024};
+  std::size_t max_head_bytes{std::size_t{64} * 1024};
+  std::size_t max_fields{200}; /*!< Header fields and trailers. */
+  /*! @brief Time for a request's head, and between two parts of its body. */
+  Duration header_timeout{std::chrono::seconds{30}};
   Duration idle_timeout{std::chrono::seconds{60}};
+  /*! @brief Requests of an HTTP/1.1 connection that have been read and whose
+   * responses have not been written. */
+  std::size_t max_pipelined{16};
+  /*! @brief Unwritten response bytes of an HTTP/1.1 connection from which no
+   * further request is read. */
+  std::size_t max_unwritten_bytes{std::size_t{1024} * 1024};
   ConnectionRole role{ConnectionRole::kCallers}; /*!< Whom it serves. */
+  /*! @brief Null for no limit. Outlives the server, which acts on all its
+   * evictions: no other server may share it. */
+  BufferBudget *buffers{};
 
   /**
    * @brief Default limits of a server.
--- a/src/pollenring/net/server_connections.cc
+++ b/src/pollenring/net/server_connections.cc
@@ -28,6 +28,7 @@
   Time idle_since;
   std::size_t requests{};
   bool closing{};
+  bool arriving{};
   IdleList::iterator place; /*!< Valid without requests, unless closing. */
 };
 
@@ -74,6 +75,11 @@
   connection->place = this->idle.insert(this->idle.end(), connection.get());
 }
 
+void ServerConnections::SetArriving(h2o_socket_t &sock, bool arriving) {
+  (*static_cast<std::shared_ptr<Connection> *>(sock.on_close.data))->arriving =
+      arriving;
+}
+
 std::size_t ServerConnections::CloseIdle(std::size_t count) {
   std::size_t closed = 0;
   for (auto it = this->idle.begin();
@@ -93,8 +99,9 @@
 }
 
 bool ServerConnections::MayClose(const Connection &connection) const {
-  const bool arriving =
-      connection.sock->input->size > 0 || HasUnread(*connection.sock);
+  const bool arriving = connection.arriving ||
+                        connection.sock->input->size > 0 ||
+                        HasUnread(*connection.sock);
   return !arriving ||
          this->clock.Now() - connection.idle_since > kMaxArrivalTime;
 }
--- a/src/pollenring/net/server_connections.h
+++ b/src/pollenring/net/server_connections.h
@@ -48,6 +48,14 @@
    */
   void EndRequest(const std::shared_ptr<Connection> &connection);
 
+  /**
+   * @brief Records whether a part of a request has been read; such a connection
+   * is not idle yet.
+   * @param sock The connection's socket.
+   * @param arriving Whether a part of a request is waiting for the rest.
+   */
+  static void SetArriving(st_h2o_socket_t &sock, bool arriving);
+
   std::size_t CloseIdle(std::size_t count) override;
 
  private:
