Retries of whole roots: rank by asked and earned retries, with a reserve

A call whose retry is denied spoils its root, so denied calls count for the retries they would have asked for, and the level uses 0.8 of what is earned.

--- a/src/pollenring/retry/budget.cc
+++ b/src/pollenring/retry/budget.cc
@@ -53,10 +53,14 @@
 
 bool TrafficRetryBudget::Spend(const std::string &service, double priority) {
   Account &account = this->AccountOf(service);
-  account.rank.RecordAsked(priority, account.as_of);
-  const double level =
-      account.rank.Level(std::max(0.0, account.balance), account.as_of);
-  if (priority < level) return false;
+  const bool granted = this->Grant(account, priority);
+  account.rank.RecordAsked(priority, granted, account.as_of);
+  return granted;
+}
+
+bool TrafficRetryBudget::Grant(Account &account, double priority) {
+  const double saved = std::max(0.0, account.balance);
+  if (priority < account.rank.Level(saved, account.as_of)) return false;
   if (account.balance >= 1) {
     account.balance -= 1;
     return true;
--- a/src/pollenring/retry/budget.h
+++ b/src/pollenring/retry/budget.h
@@ -140,6 +140,7 @@
   };
 
   [[nodiscard]] Account &AccountOf(const std::string &service);
+  [[nodiscard]] bool Grant(Account &account, double priority);
 
   TrafficRetryOptions options;
   const Clock &clock;
--- a/src/pollenring/retry/retry_rank.cc
+++ b/src/pollenring/retry/retry_rank.cc
@@ -8,14 +8,17 @@
 namespace {
 
 /*! @brief Time constant of the decay of all counts. */
-constexpr Duration kDecayTime = std::chrono::seconds{1};
+constexpr Duration kDecayTime = std::chrono::seconds{2};
 /*! @brief Interval of updates of the level. */
 constexpr Duration kUpdateInterval = std::chrono::milliseconds{50};
 /*! @brief Fraction of the wanted change that one update applies. */
-constexpr double kStep = 0.3;
-/*! @brief Retries that a call below the level would ask for if the first were
- * granted: 1 / (1 - p) at p = 0.5. Those above it ask for all of them. */
+constexpr double kStep = 0.2;
+/*! @brief Retries that a call whose first one is not granted would have asked
+ * for: 1 / (1 - p) at p = 0.5. Granted ones ask for all of them. */
 constexpr double kRepeats = 2;
+/*! @brief Fraction of the earned retries that the level uses. The rest is a
+ * reserve for calls above it: one that is not retried spoils its root. */
+constexpr double kUsedFraction = 0.8;
 
 }  // namespace
 
@@ -27,13 +30,11 @@
   for (double &count : this->asked) count *= kept;
 }
 
-void RetryRank::RecordAsked(double priority, Time now) {
+void RetryRank::RecordAsked(double priority, bool granted, Time now) {
   this->Decay(now);
   const double place = std::max(0.0, priority * kBinsPerImportance);
   const std::size_t bin = std::min(static_cast<std::size_t>(place), kBins - 1);
-  const double bin_end =
-      static_cast<double>(bin + 1) / static_cast<double>(kBinsPerImportance);
-  this->asked[bin] += bin_end <= this->level ? kRepeats : 1;
+  this->asked[bin] += granted ? 1 : kRepeats;
 }
 
 void RetryRank::RecordEarned(double retries, Time now) {
@@ -59,7 +60,8 @@
   if (now - this->updated < kUpdateInterval) return this->level;
   this->updated = now;
   this->Decay(now);
-  const double fitting = this->FittingLevel(this->earned + saved);
+  const double fitting =
+      this->FittingLevel(kUsedFraction * this->earned + saved);
   this->level += kStep * (fitting - this->level);
   if (fitting <= 0 && this->level < 1.0 / kBinsPerImportance) this->level = 0;
   return this->level;
--- a/src/pollenring/retry/retry_rank.h
+++ b/src/pollenring/retry/retry_rank.h
@@ -22,9 +22,10 @@
   /**
    * @brief Counts a failed call for which a retry is asked.
    * @param priority Its priority.
+   * @param granted Whether it is retried.
    * @param now Time.
    */
-  void RecordAsked(double priority, Time now);
+  void RecordAsked(double priority, bool granted, Time now);
 
   /**
    * @brief Counts earned retries.
