Placement draws by capacity where reports of load are old; capacity for operators

Nodes that choose by old reports of load all take the same target. With their age, calls are drawn at random instead, by the water level that loads all targets as is best for their mean utilization. The announced, learned and used capacity, relative time, slowness and age are on /status and, of the node's own target, as metrics; changes are logged once in 10 s at most.

--- a/src/pollenring/mesh/mesh_node_status.cc
+++ b/src/pollenring/mesh/mesh_node_status.cc
@@ -15,7 +15,7 @@
 constexpr int kNotFound = 404;
 constexpr int kMethodNotAllowed = 405;
 constexpr std::string_view kReleasePath{"/quarantine/release/"};
-/*! @brief Requests in quarantine that the status lists. */
+/*! @brief Entries of each list in the status. */
 constexpr std::size_t kMaxListed = 64;
 
 [[nodiscard]] double Seconds(Duration duration) {
@@ -41,6 +41,43 @@
   return described;
 }
 
+/*! @brief Capacity of the targets here. */
+[[nodiscard]] nlohmann::json Describe(
+    const std::vector<CapacityView> &capacities) {
+  nlohmann::json described = nlohmann::json::array();
+  for (const auto &view : capacities) {
+    described.push_back({{"service", view.service},
+                         {"announced", view.announced},
+                         {"reported", view.reported},
+                         {"limit", view.limit},
+                         {"used", view.used},
+                         {"learned", view.learned},
+                         {"slowness", view.slowness},
+                         {"age_s", Seconds(view.age)}});
+  }
+  return described;
+}
+
+/*! @brief Targets that report times of kinds, those of most time first. */
+[[nodiscard]] nlohmann::json Describe(std::vector<PlacementView> placements) {
+  std::sort(
+      placements.begin(), placements.end(), [](const auto &a, const auto &b) {
+        return a.relative_time * a.slowness > b.relative_time * b.slowness;
+      });
+  if (placements.size() > kMaxListed) placements.resize(kMaxListed);
+  nlohmann::json described = nlohmann::json::array();
+  for (const auto &view : placements) {
+    described.push_back({{"service", view.service},
+                         {"node", AddressOf(view.node).Format()},
+                         {"relative_time", view.relative_time},
+                         {"slowness", view.slowness},
+                         {"utilization", view.utilization},
+                         {"limit", view.limit},
+                         {"age_s", Seconds(view.age)}});
+  }
+  return described;
+}
+
 }  // namespace
 
 void MeshNode::RegisterMetrics() {
@@ -63,6 +100,26 @@
   this->metrics.Gauge("pollenring_target_cold_seconds", [this] {
     return std::chrono::duration<double>{this->executor.ColdFor()}.count();
   });
+  const auto capacity = [this](const char *name, auto read) {
+    this->metrics.Gauge(name, [this, read] {
+      double sum = 0;
+      for (const auto &view : this->executor.Capacities()) sum += read(view);
+      return sum;
+    });
+  };
+  capacity("pollenring_target_slots", [](const CapacityView &view) {
+    return static_cast<double>(view.announced);
+  });
+  capacity("pollenring_target_limit", [](const CapacityView &view) {
+    return static_cast<double>(view.limit);
+  });
+  this->metrics.Gauge("pollenring_target_slowness_ratio", [this] {
+    double slowest = 0;
+    for (const auto &view : this->executor.Capacities()) {
+      slowest = std::max(slowest, view.slowness);
+    }
+    return slowest;
+  });
   this->metrics.Gauge("pollenring_answers_held_bytes", [this] {
     return static_cast<double>(this->parts.client.BufferedBytes());
   });
@@ -147,6 +204,8 @@
       {"refusals", this->metrics.Read("pollenring_refusals_total")},
       {"zones_withdrawn", std::move(zones)},
       {"connections", DescribeConnections(this->loop)},
+      {"capacity", Describe(this->executor.Capacities())},
+      {"placement", Describe(this->router.Placements())},
       {"quarantine", Describe(this->quarantine.Requests())},
       {"members", DescribeMembers(this->members.Get(), this->wire.versions)}};
 }
--- a/src/pollenring/node/target_executor.h
+++ b/src/pollenring/node/target_executor.h
@@ -89,6 +89,18 @@
   }
 };
 
+/*! @brief Capacity of a target, as its node sees it. */
+struct CapacityView {
+  std::string service;
+  std::uint32_t announced{}; /*!< Slots, by its announcement. */
+  std::uint32_t reported{};  /*!< Slots, by its responses; 0 if none. */
+  int limit{};               /*!< Requests that may run at once. */
+  std::size_t used{};        /*!< Requests running. */
+  bool learned{};            /*!< The limit and slowness are learned. */
+  double slowness{1};        /*!< Time of work now, relative to the usual. */
+  Duration age{};            /*!< Of the last measured request. */
+};
+
 /*! @brief Cancellation of each sub-call in progress, by its handle. */
 using SubCallCancels = std::map<std::uint64_t, std::function<void()>>;
 
@@ -235,6 +247,9 @@
   /*! @brief Requests running at the announced targets. @return The sum. */
   [[nodiscard]] std::size_t RunningCount() const noexcept;
 
+  /*! @brief Capacity of the announced targets. @return One entry each. */
+  [[nodiscard]] std::vector<CapacityView> Capacities() const;
+
   /*! @brief Time until all targets here are warm. @return It, or 0. */
   [[nodiscard]] Duration ColdFor() const noexcept;
 
@@ -260,6 +275,9 @@
     bool cold_end_known{};  /*!< The time at which it is warm is known. */
     std::vector<LostCall> lost_calls; /*!< Until their cause is known. */
     bool probing{};
+    int logged_limit{}; /*!< 0 until capacity is logged. */
+    double logged_slowness{1};
+    Time capacity_logged{};
   };
   struct Call {
     ServedCall served;
@@ -313,6 +331,8 @@
                                       const std::string &instance) const;
   void CancelSubCalls(const SubCallCancels &cancels);
   void LogLoad();
+  /*! @brief Logs a change of the learned capacity that matters. */
+  void LogCapacity(Binding &binding);
   void AttachLoad(const ServedCall &served, CallReply &reply) const;
 
   Loop &loop;
--- a/src/pollenring/node/target_executor_targets.cc
+++ b/src/pollenring/node/target_executor_targets.cc
@@ -13,6 +13,10 @@
 constexpr Duration kAnnouncementLifetime = std::chrono::seconds{6};
 /*! @brief Minimum time between two log lines on target load. */
 constexpr Duration kLoadLogPeriod = std::chrono::seconds{1};
+/*! @brief Minimum time between two log lines on the capacity of a target. */
+constexpr Duration kCapacityLogPeriod = std::chrono::seconds{10};
+/*! @brief Change of slowness that is logged; a knee makes 1.3. */
+constexpr double kLoggedChange = 1.25;
 /*! @brief Maximum delivery delay of an announcement that was sent before a
  * sign of a restart. */
 constexpr Duration kMaxAnnouncementDelay = std::chrono::milliseconds{300};
@@ -214,6 +218,47 @@
   }
 }
 
+std::vector<CapacityView> TargetExecutor::Capacities() const {
+  std::vector<CapacityView> views;
+  for (const auto &[service, binding] : this->bindings) {
+    const TargetCapacity &capacity = binding.admission->Capacity();
+    CapacityView view;
+    view.service = service;
+    view.announced = binding.announcement.target.slots;
+    view.reported = capacity.ReportedSlots();
+    view.limit = binding.admission->Limit();
+    view.used = binding.admission->Running();
+    view.learned = capacity.Active();
+    view.slowness = capacity.Slowness();
+    if (view.learned) view.age = capacity.Age();
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
+void TargetExecutor::LogCapacity(Binding &binding) {
+  const TargetCapacity &capacity = binding.admission->Capacity();
+  if (!capacity.Active()) return;
+  const Time now = this->loop.GetClock().Now();
+  if (now - binding.capacity_logged < kCapacityLogPeriod) return;
+  const double slowness = capacity.Slowness();
+  const int limit = capacity.Limit();
+  const bool slower = slowness > binding.logged_slowness * kLoggedChange;
+  const bool faster = slowness * kLoggedChange < binding.logged_slowness;
+  if (limit == binding.logged_limit && !slower && !faster) return;
+  binding.capacity_logged = now;
+  LogEvent(LogLevel::kInfo, "target capacity",
+           {{"service", binding.announcement.target.service},
+            {"instance", binding.announcement.instance},
+            {"announced", binding.announcement.target.slots},
+            {"limit", limit},
+            {"before", binding.logged_limit},
+            {"running", binding.admission->Running()},
+            {"slowness_percent", std::llround(slowness * 100)}});
+  binding.logged_limit = limit;
+  binding.logged_slowness = slowness;
+}
+
 void TargetExecutor::Tick() {
   this->LogLoad();
   if (!this->waiting_trials.empty()) this->ReviewTrials();
@@ -221,6 +266,7 @@
   bool changed = false;
   for (auto &[service, binding] : this->bindings) {
     this->Perform(binding.admission->Tick());
+    this->LogCapacity(binding);
     TargetState &state = binding.announcement.target.state;
     const bool warm = binding.admission->ColdFor() <= Duration{0};
     if (state == TargetState::kCold && binding.cold_end_known && warm) {
--- a/src/pollenring/routing/router.h
+++ b/src/pollenring/routing/router.h
@@ -56,6 +56,17 @@
   Duration zone_cost{std::chrono::milliseconds{3}};
 };
 
+/*! @brief What is known of a target that reports times of kinds. */
+struct PlacementView {
+  std::string service;
+  NodeId node{};
+  double relative_time{1}; /*!< Usual time of work, relative to others. */
+  double slowness{1};      /*!< Time of work by its last report. */
+  double utilization{};
+  double limit{};
+  Duration age{}; /*!< Of the last report. */
+};
+
 /*! @brief Properties of a call that its target depends on. */
 struct CallTraits {
   std::string_view kind; /*!< Its route; empty if unknown. */
@@ -159,6 +170,10 @@
     return std::exchange(this->changes, {});
   }
 
+  /*! @brief Describes the targets that report times of kinds.
+   * @return One entry each. */
+  [[nodiscard]] std::vector<PlacementView> Placements() const;
+
   /**
    * @brief Counts the targets of a service that accept new work.
    * @param service The service.
@@ -213,8 +228,12 @@
   struct Candidate {
     const Endpoint *endpoint{};
     double fresh{};    /*!< Weight of its last report. */
+    double recent{};   /*!< Weight of the load in it. */
     double load{};     /*!< Utilization by its last report. */
-    double own_load{}; /*!< Utilization by own calls. */
+    double us{};       /*!< Expected time with a free slot. */
+    double capacity{}; /*!< Calls that it serves per microsecond. */
+    double zone_us{};  /*!< Cost of its zone. */
+    double share{};    /*!< Of the calls, by capacity. */
   };
 
   [[nodiscard]] Locality LocalityOf(const Member &member) const noexcept;
@@ -232,6 +251,14 @@
   void AddCandidates(const std::vector<Endpoint *> &level,
                      const Constraints &constraints, std::size_t count,
                      std::vector<Candidate> &candidates);
+  void CollectCandidates(const Service &service, const Constraints &constraints,
+                         const CallTraits &call, double typical_us);
+  /*! @brief The candidate of least cost by its present load. */
+  [[nodiscard]] const Endpoint *LeastCost();
+  /*! @brief Draws a candidate so that the nodes together load all as is best
+   * for a mean utilization. */
+  [[nodiscard]] const Endpoint *DrawByCapacity(double load);
+  [[nodiscard]] double ZoneCost(const Candidate &candidate, double load) const;
   /*! @brief The target at which the call is expected to end soonest. */
   [[nodiscard]] const Endpoint *SoonestEnd(const Service &service,
                                            const Constraints &constraints,
--- a/src/pollenring/routing/router_cost.cc
+++ b/src/pollenring/routing/router_cost.cc
@@ -23,8 +23,12 @@
 /*! @brief Age at which a report counts half, and not at all. */
 constexpr Duration kHalfReportAge = std::chrono::seconds{1};
 constexpr Duration kMaxReportAge = std::chrono::seconds{3};
+/*! @brief A load of this age counts a twelfth; of a fifteenth of it, in full.
+ */
+constexpr Duration kLoadLifetime = std::chrono::seconds{1};
+constexpr double kRecentGain = 1.3;
 /*! @brief Utilization from which a target costs more. */
-constexpr double kBusy = 0.6;
+constexpr double kBusy = 0.8;
 /*! @brief Utilization at which it costs 1 + kBusyCost times as much. */
 constexpr double kNearlyFull = 0.95;
 constexpr double kBusyCost = 2.5;
@@ -36,6 +40,11 @@
 constexpr double kZoneBusy = 0.75;
 /*! @brief Fraction of the time to the objective that callers don't notice. */
 constexpr double kUnnoticedFraction = 0.03;
+/*! @brief Cost of full utilization where its reports are old; higher, as there
+ * is no telling which target has become slower since. */
+constexpr double kDrawCost = 20;
+/*! @brief Steps that find the level of load within 1 %. */
+constexpr int kBisections = 10;
 /*! @brief Noise in the costs, as many nodes choose at once. */
 constexpr double kNoise = 0.2;
 
@@ -164,36 +173,33 @@
     candidate.fresh = this->ReportWeight(*endpoint);
     const double room =
         std::max(1.0, endpoint->limit * this->RampFraction(*endpoint));
-    candidate.own_load = endpoint->in_progress / room;
     candidate.load = (endpoint->in_progress + endpoint->others) / room;
+    const double age = Micros(this->clock.Now() - endpoint->reported_at);
+    const double turns = 1 + age / Micros(kLoadLifetime);
+    candidate.recent =
+        std::min(1.0, kRecentGain / (turns * turns * turns * turns));
     candidates.push_back(candidate);
     --count;
   }
 }
 
-const Router::Endpoint *Router::SoonestEnd(const Service &service,
-                                           const Constraints &constraints,
-                                           const CallTraits &call,
-                                           double typical_us) {
+void Router::CollectCandidates(const Service &service,
+                               const Constraints &constraints,
+                               const CallTraits &call, double typical_us) {
   std::vector<Candidate> &candidates = this->candidates;
   candidates.clear();
-  const auto &near = service.usable[0];
-  this->AddCandidates(near, constraints, kMaxCompared - kMaxComparedFar,
-                      candidates);
+  this->AddCandidates(service.usable[0], constraints,
+                      kMaxCompared - kMaxComparedFar, candidates);
   for (std::size_t i = 1; i < kLocalityLevels; ++i) {
     const std::size_t left = kMaxCompared - candidates.size();
     const std::size_t count =
         candidates.empty() ? left : std::min(left, kMaxComparedFar);
     this->AddCandidates(service.usable[i], constraints, count, candidates);
   }
-  double load = 0;
-  double weight = 0;
   double response_us = 0;
   double responses = 0;
   double least_factor = 0;
   for (const Candidate &each : candidates) {
-    load += each.fresh * each.load;
-    weight += each.fresh;
     const Endpoint &endpoint = *each.endpoint;
     if (!endpoint.speed.known) continue;
     const double factor = endpoint.speed.factor;
@@ -203,12 +209,9 @@
     ++responses;
   }
   if (least_factor == 0) least_factor = 1;
-  const double mean_load = weight > 0 ? load / weight : 0;
   const double zone_us = std::max(Micros(this->options.zone_cost),
                                   kUnnoticedFraction * Micros(call.objective));
-  const Endpoint *best = nullptr;
-  double least = 0;
-  for (const Candidate &each : candidates) {
+  for (Candidate &each : candidates) {
     const Endpoint &endpoint = *each.endpoint;
     double factor = least_factor;
     if (endpoint.speed.known) {
@@ -217,27 +220,102 @@
       // Its node reports no times; own times tell how much slower it is.
       factor = endpoint.response_time_us * responses / response_us;
     }
-    const double slowness = 1 + each.fresh * (endpoint.slowness - 1);
-    const double used = each.fresh * each.load +
-                        (1 - each.fresh) * std::max(each.own_load, mean_load);
-    const double time = typical_us * factor * slowness *
-                        (1 + kFaultCost * this->FaultRate(endpoint)) /
-                        this->RampFraction(endpoint);
-    const double busy = std::max(0.0, used - kBusy) / (kNearlyFull - kBusy);
-    const double full = std::max(0.0, used - kNearlyFull) * kFullCost;
-    const bool far = endpoint.locality != Locality::kSameZone;
-    const double zone =
-        far ? 1
-            : std::clamp((used - kZoneBusy) / (kNearlyFull - kZoneBusy), 0.0,
-                         1.0);
-    const double cost = (time * (1 + kBusyCost * std::min(1.0, busy * busy)) +
-                         full * (typical_us + zone_us) + zone * zone_us) *
-                        (1 + kNoise * this->random.Fraction());
+    const double ramp = this->RampFraction(endpoint);
+    each.us = typical_us * factor * (1 + each.fresh * (endpoint.slowness - 1)) *
+              (1 + kFaultCost * this->FaultRate(endpoint)) / ramp;
+    each.capacity = endpoint.limit * ramp / each.us;
+    each.zone_us = endpoint.locality == Locality::kSameZone ? 0 : zone_us;
+  }
+}
+
+const Router::Endpoint *Router::SoonestEnd(const Service &service,
+                                           const Constraints &constraints,
+                                           const CallTraits &call,
+                                           double typical_us) {
+  this->CollectCandidates(service, constraints, call, typical_us);
+  double load = 0;
+  double recent = 0;
+  double capacity = 0;
+  for (const Candidate &each : this->candidates) {
+    load += each.load * each.capacity;
+    recent += each.recent * each.capacity;
+    capacity += each.capacity;
+  }
+  if (capacity <= 0) return nullptr;
+  // Load changes within the time of a call, so an old report of it would send
+  // all nodes to the same target.
+  if (this->random.Chance(recent / capacity)) return this->LeastCost();
+  return this->DrawByCapacity(load / capacity);
+}
+
+const Router::Endpoint *Router::LeastCost() {
+  const Endpoint *best = nullptr;
+  double least = 0;
+  for (const Candidate &each : this->candidates) {
+    const double busy =
+        std::clamp((each.load - kBusy) / (kNearlyFull - kBusy), 0.0, 1.0);
+    const double full = std::max(0.0, each.load - kNearlyFull) * kFullCost;
+    // A busy target of the own zone is no better than one of another.
+    const double zone_us = this->ZoneCost(each, each.load);
+    const double cost =
+        (each.us * (1 + kBusyCost * busy * busy + full) + zone_us) *
+        (1 + kNoise * this->random.Fraction());
     if (best != nullptr && cost >= least) continue;
-    best = &endpoint;
+    best = each.endpoint;
     least = cost;
   }
   return best;
 }
 
+double Router::ZoneCost(const Candidate &candidate, double load) const {
+  const double preferred =
+      1 - std::clamp((load - kZoneBusy) / (kNearlyFull - kZoneBusy), 0.0, 1.0);
+  return candidate.zone_us * preferred;
+}
+
+const Router::Endpoint *Router::DrawByCapacity(double load) {
+  // Finds the cost at which the load that each target takes up to that cost
+  // adds up to the load of all.
+  double low = 0;
+  double high = 0;
+  for (const Candidate &each : this->candidates) {
+    high = std::max(high, each.us + each.zone_us);
+  }
+  high *= 1 + kDrawCost;
+  const double wanted = std::min(load, kNearlyFull);
+  double sum = 0;
+  for (int i = 0; i < kBisections; ++i) {
+    const double cost = (low + high) / 2;
+    double capacity = 0;
+    sum = 0;
+    for (Candidate &each : this->candidates) {
+      const double us = each.us + this->ZoneCost(each, load);
+      const double beyond = std::max(0.0, cost / us - 1) / kDrawCost;
+      each.share = std::min(1.0, std::cbrt(beyond)) * each.capacity;
+      sum += each.share;
+      capacity += each.capacity;
+    }
+    (sum < wanted * capacity ? low : high) = cost;
+  }
+  double draw = this->random.Fraction() * sum;
+  for (const Candidate &each : this->candidates) {
+    draw -= each.share;
+    if (draw < 0) return each.endpoint;
+  }
+  return this->LeastCost();
+}
+
+std::vector<PlacementView> Router::Placements() const {
+  std::vector<PlacementView> views;
+  for (const auto &[name, service] : this->services) {
+    for (const auto &[node, endpoint] : service.endpoints) {
+      if (!endpoint->speed.known) continue;
+      views.push_back({name, node, endpoint->speed.factor, endpoint->slowness,
+                       this->Utilization(*endpoint), endpoint->limit,
+                       this->clock.Now() - endpoint->reported_at});
+    }
+  }
+  return views;
+}
+
 }  // namespace pollenring
--- a/test/platform/codecs_test.cc
+++ b/test/platform/codecs_test.cc
@@ -122,6 +122,33 @@
   CHECK_FALSE(rate(bad));
 }
 
+// Guards against admission and routing by reports that can't be true.
+TEST_CASE("platform: the load that a response reports is read") {
+  const auto read = [](const std::string &text) {
+    const HttpResponse response{200, {{"x-pollenring-server-load", text}}, {}};
+    return HttpTargetCodec{}.Read(CallEnvelope{}, response);
+  };
+  const auto full = read("3,1, 54,130").load;
+  REQUIRE(full);
+  CHECK(full->running == 3);
+  CHECK(full->waiting == 1);
+  CHECK(full->slots == 54);
+  CHECK(full->slowness == 130);
+  CHECK(full->states_slowness);
+  const auto former = read("3,0,54").load;
+  REQUIRE(former);
+  CHECK(former->slowness == 100);
+  CHECK_FALSE(former->states_slowness);
+  CHECK_FALSE(read("").invalid_load);
+  const std::string bad =
+      GENERATE("3,0", "3,0,0", "-1,0,54", "3,0,54,0", "3,0,54,10001",
+               "3,0,54,-5", "3,0,1000001", "nan,0,54", "3,0,54,100,1", "many",
+               "3,0,54,1e999", "3,0,54,fast", ",");
+  CAPTURE(bad);
+  CHECK_FALSE(read(bad).load);
+  CHECK(read(bad).invalid_load);
+}
+
 TEST_CASE("platform: neither keys nor forged headers reach a target") {
   const auto caller =
       HttpCallerCodec{}.Decode({{"authorization", "Token secret"},
