Callers' buffers are charged to the budget; settings of the memory limit (partial)

Cause: bodies and unread responses had no common bound. Change: [limits] memory_mb and buffer_share, detected when unset; what h2o keeps for a connection is charged, pauses and evictions are carried out.

--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -7,6 +7,7 @@
 #include "pollenring/mesh/drain_times.h"
 #include "pollenring/node/headers.h"
 #include "pollenring/node/limits.h"
+#include "pollenring/node/memory_limit.h"
 #include "pollenring/retry/backoff.h"
 
 namespace pollenring {
@@ -39,9 +40,10 @@
  * admitted upstream; the level ends the overload before the queue is full. */
 constexpr Duration kMaxQueueTime = std::chrono::milliseconds{400};
 
-[[nodiscard]] HttpServerLimits MakeCallerLimits() {
+[[nodiscard]] HttpServerLimits MakeCallerLimits(BufferBudget *budget) {
   HttpServerLimits limits;
   limits.max_body_bytes = kMaxBodyBytes;
+  if (budget != nullptr) limits = CallerLimitsFor(*budget);
   limits.request_timeout = kCallerIdleTimeout;
   limits.idle_timeout = kCallerIdleTimeout;
   return limits;
@@ -132,7 +134,8 @@
       outbound{parts.loop, given.target_service,
                OutboundParts{this->policy, parts.callers, this->shares,
                              this->dispatcher, this->executor, this->levels,
-                             this->fingerprints, parts.random, this->metrics}},
+                             this->fingerprints, parts.random, this->metrics,
+                             parts.budget}},
       heartbeats{parts.loop.GetClock()},
       deregistrations{given.nodes.Packed(), parts.table},
       link_server{parts.loop, given.nodes, given.node_secret, kMaxFrameBytes,
@@ -141,7 +144,7 @@
                     this->HandleLink(path, std::move(body), responder);
                   }},
       caller_server{
-          parts.loop, given.callers, MakeCallerLimits(),
+          parts.loop, given.callers, MakeCallerLimits(parts.budget),
           [this](HttpRequest request, std::shared_ptr<Responder> responder) {
             this->outbound.Handle(std::move(request), std::move(responder));
           }},
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -16,6 +16,7 @@
 #include "pollenring/mesh/policy_follower.h"
 #include "pollenring/mesh/slot_ring.h"
 #include "pollenring/metrics/metrics.h"
+#include "pollenring/net/buffer_budget.h"
 #include "pollenring/net/http_client.h"
 #include "pollenring/net/http_server.h"
 #include "pollenring/net/loop.h"
@@ -44,6 +45,7 @@
   const TargetCodec &targets;
   const HeartbeatCodec &heartbeats;
   Random &random;
+  BufferBudget *budget{}; /*!< Of bodies and buffers; null for no limit. */
 };
 
 /**
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -68,15 +68,6 @@
 
 /*! @brief A request and its state. */
 struct Outbound::Entry {
-  Entry(std::size_t &total, std::size_t size) : total{total}, size{size} {
-    this->total += this->size;
-  }
-  Entry(const Entry &) = delete;
-  Entry &operator=(const Entry &) = delete;
-  ~Entry() { this->total -= this->size; }
-
-  std::size_t &total;
-  std::size_t size;
   CallEnvelope envelope;
   std::string body;
   std::string id;
@@ -106,7 +97,7 @@
 
 void Outbound::Handle(HttpRequest request,
                       std::shared_ptr<Responder> responder) {
-  auto entry = std::make_shared<Entry>(this->body_bytes, request.body.size());
+  auto entry = std::make_shared<Entry>();
   entry->responder = std::move(responder);
   entry->started = this->loop.GetClock().Now();
   this->parts.metrics.Count("pollenring_requests_total");
@@ -116,7 +107,7 @@
     this->Refuse(entry, Reason::kLeaving, kDefaultRetryAfter);
     return;
   }
-  if (this->body_bytes > kBodyBudgetBytes) {
+  if (this->parts.budget != nullptr && !this->parts.budget->AdmitRequest()) {
     this->Refuse(entry, Reason::kOverload, kDefaultRetryAfter);
     return;
   }
--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -10,6 +10,7 @@
 #include "pollenring/mesh/codecs.h"
 #include "pollenring/mesh/policy_follower.h"
 #include "pollenring/metrics/metrics.h"
+#include "pollenring/net/buffer_budget.h"
 #include "pollenring/net/http_server.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/dispatcher.h"
@@ -30,6 +31,7 @@
   const RequestFingerprinter &fingerprints;
   Random &random;
   Metrics &metrics;
+  BufferBudget *budget{}; /*!< Of bodies and buffers; null for no limit. */
 };
 
 /**
@@ -58,11 +60,6 @@
   /*! @brief Refuses all further requests, as the process is about to end. */
   void Close() noexcept { this->closed = true; }
 
-  /*! @brief Total body size of requests in progress. @return Bytes. */
-  [[nodiscard]] std::size_t BodyBytes() const noexcept {
-    return this->body_bytes;
-  }
-
  private:
   struct Entry;
   using EntryPtr = std::shared_ptr<Entry>;
@@ -90,7 +87,6 @@
   std::string service;
   OutboundParts parts;
   std::unordered_map<std::string, double> splits; /*!< In [0, 1), by route. */
-  std::size_t body_bytes{};
   bool closed{};
 };
 
--- a/src/pollenring/net/buffer_budget.cc
+++ b/src/pollenring/net/buffer_budget.cc
@@ -87,6 +87,13 @@
   if (waits) this->Pause(connection);
 }
 
+void BufferBudget::RecordWritten(ConnectionId id, std::size_t bytes) {
+  const auto found = this->connections.find(id);
+  if (found == this->connections.end()) return;
+  found->second.progress += bytes;
+  this->CreditProgress(found->second, false);
+}
+
 void BufferBudget::SetShared(BufferRole role, std::size_t bytes) {
   std::size_t &held = this->shared[IndexOf(role)];
   this->shared_bytes = this->shared_bytes - held + bytes;
@@ -192,11 +199,13 @@
   const bool response_begins =
       role == BufferRole::kToCallers && before == 0 && grew;
   const bool request_complete = role == BufferRole::kReceiving && after == 0;
+  this->CreditProgress(connection, response_begins || request_complete);
+}
+
+void BufferBudget::CreditProgress(Connection &connection, bool at_once) {
   const std::size_t enough =
       std::min(kProgressBytes, connection.total / kProgressDivisor);
-  if (connection.progress <= enough && !response_begins && !request_complete) {
-    return;
-  }
+  if (connection.progress <= enough && !at_once) return;
   connection.progress = 0;
   connection.progressed_at = this->clock.Now();
   connection.paused_at = connection.progressed_at;
--- a/src/pollenring/net/buffer_budget.h
+++ b/src/pollenring/net/buffer_budget.h
@@ -115,6 +115,13 @@
    */
   void Set(ConnectionId id, BufferRole role, std::size_t bytes);
 
+  /**
+   * @brief Records that part of a response was written, whose buffer remains.
+   * @param id The connection; ignored if it is not open.
+   * @param bytes Bytes written.
+   */
+  void RecordWritten(ConnectionId id, std::size_t bytes);
+
   /**
    * @brief Sets the bytes that belong to no caller's connection.
    * @param role What they are kept for.
@@ -175,6 +182,7 @@
   void Add(BufferRole role, std::size_t before, std::size_t after);
   void RecordProgress(Connection &connection, BufferRole role,
                       std::size_t before, std::size_t after);
+  void CreditProgress(Connection &connection, bool at_once);
   void UpdatePressure();
   void ChooseLeader();
   [[nodiscard]] std::vector<Eviction> MakeRoom();
--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -7,6 +7,7 @@
 #include <unordered_map>
 
 #include "pollenring/log/log.h"
+#include "pollenring/net/buffer_budget.h"
 #include "pollenring/net/client_connection.h"
 #include "pollenring/net/descriptors.h"
 #include "pollenring/net/h2o_api.h"
@@ -300,6 +301,9 @@
     this->buffered_bytes += bytes;
     this->buffered_bytes -= connection.buffered_bytes;
     connection.buffered_bytes = bytes;
+    if (this->limits.budget == nullptr) return;
+    this->limits.budget->SetShared(BufferRole::kFromTargets,
+                                   this->buffered_bytes);
   }
 
   /*! @brief Fails the call with the most buffered bytes if the total exceeds
--- a/src/pollenring/net/http_client.h
+++ b/src/pollenring/net/http_client.h
@@ -16,6 +16,7 @@
 
 namespace pollenring {
 
+class BufferBudget;
 class Loop;
 
 /*! @brief Why a call got no complete response. */
@@ -50,6 +51,7 @@
   /*! @brief Of all incomplete responses; beyond it, the call with the most
    * buffered bytes fails. */
   std::size_t max_buffered_bytes{std::size_t{32} * 1024 * 1024};
+  BufferBudget *budget{}; /*!< Charged with them; null for none. */
 };
 
 /*! @brief A request header that the response echoes; a response with another
--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "pollenring/net/accept.h"
+#include "pollenring/net/connection_buffers.h"
 #include "pollenring/net/descriptors.h"
 #include "pollenring/net/h2o_api.h"
 #include "pollenring/net/hang_up.h"
@@ -21,6 +22,8 @@
 constexpr int kListenBacklog = 1024;
 constexpr int kHttp2Version = 0x200;
 constexpr int kServiceUnavailable = 503;
+/*! @brief Part of a response that is passed to h2o at once. */
+constexpr std::size_t kSliceBytes = std::size_t{256} * 1024;
 constexpr int kBadGateway = 502;
 /*! @brief Age at which a request's connection is checked for a hang-up, and the
  * interval between checks. */
@@ -49,8 +52,16 @@
  public:
   H2oResponder(h2o_req_t *req, Loop &loop, std::size_t *in_progress,
                const bool *draining)
-      : req{req}, loop{loop}, in_progress{in_progress}, draining{draining} {
+      : generator{{&H2oResponder::OnWritten, nullptr}, this},
+        req{req},
+        loop{loop},
+        in_progress{in_progress},
+        draining{draining},
+        buffers{ServerConnections::BuffersOf(
+            *req->conn->callbacks->get_socket(req->conn))},
+        copied{req->entity.len} {
     ++*this->in_progress;
+    if (this->buffers) this->buffers->BeginRequest(this->copied);
   }
 
   ~H2oResponder() override { this->Finish(); }
@@ -66,13 +77,10 @@
       target->http1_is_persistent = 0;
     target->res.content_length = response.body.size();
     for (const auto &header : response.headers) AddHeader(target, header);
-    static h2o_generator_t done{nullptr, nullptr};
-    h2o_start_response(target, &done);
-    char *copy = static_cast<char *>(
-        h2o_mem_alloc_pool(&target->pool, response.body.size() + 1));
-    std::copy(response.body.begin(), response.body.end(), copy);
-    h2o_iovec_t body{copy, response.body.size()};
-    h2o_send(target, &body, 1, H2O_SEND_STATE_FINAL);
+    this->body = std::move(response.body);
+    if (this->buffers) this->buffers->BeginResponse(this->body.size());
+    h2o_start_response(target, &this->generator.base);
+    this->SendSlice(target);
   }
 
   void OnCancel(Cancelled callback) override {
@@ -99,6 +107,11 @@
 
   /*! @brief Called when h2o frees the request. */
   void Disposed() {
+    if (this->buffers) {
+      this->buffers->EndResponse(this->body.size());
+      this->buffers->EndRequest(this->copied);
+    }
+    this->body = {};
     if (this->req == nullptr) return;
     this->Finish();
     if (!this->cancelled) return;
@@ -109,6 +122,31 @@
   }
 
  private:
+  struct Generator {
+    h2o_generator_t base;
+    H2oResponder *owner;
+  };
+
+  static void OnWritten(h2o_generator_t *base, h2o_req_t *req) {
+    H2oResponder *self = reinterpret_cast<Generator *>(base)->owner;
+    if (self->buffers) self->buffers->Written(kSliceBytes);
+    self->SendSlice(req);
+  }
+
+  /*! @brief Passes the next part of the body to h2o, which refers to it. Parts
+   * show whether the caller reads. */
+  void SendSlice(h2o_req_t *target) {
+    const std::size_t remaining = this->body.size() - this->sent;
+    const bool whole = target->method.len == 4;  // HEAD, without a body.
+    const std::size_t size =
+        whole ? remaining : std::min(remaining, kSliceBytes);
+    h2o_iovec_t slice{this->body.data() + this->sent, size};
+    this->sent += size;
+    const bool last = this->sent == this->body.size();
+    h2o_send(target, &slice, 1,
+             last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+  }
+
   /*! @brief Whether the caller has pipelined another request behind this one.
    */
   [[nodiscard]] static bool HasPipelinedRequest(const h2o_req_t &req) {
@@ -131,11 +169,16 @@
     --*this->in_progress;
   }
 
+  Generator generator;
   h2o_req_t *req;
   Loop &loop;
   std::size_t *in_progress;
   const bool *draining;
   Cancelled cancelled;
+  std::shared_ptr<ConnectionBuffers> buffers; /*!< Null without a budget. */
+  std::size_t copied; /*!< Body of the request, kept by h2o and the handler. */
+  std::string body;   /*!< Of the response, until h2o frees the request. */
+  std::size_t sent{};
 };
 
 }  // namespace
@@ -168,6 +211,7 @@
         address{address},
         role{limits.role},
         connections{loop.GetClock(), loop.Connections(), limits.role},
+        buffers{loop, limits.budget},
         handler{std::move(handler)},
         bound_fd{BindTcp(address)} {
     h2o_config_init(&this->config);
@@ -242,8 +286,10 @@
   }
 
   void Take(h2o_socket_t *sock, OpenConnection entry) {
-    this->connections.Add(sock, std::move(entry));
+    const auto followed = this->buffers.Follow(sock);
+    this->connections.Add(sock, std::move(entry), followed);
     h2o_accept(&this->accept, sock);
+    if (followed) followed->Update();
   }
 
   /*! @brief What lives in the memory of a request until h2o frees it. */
@@ -324,6 +370,7 @@
   Address address;
   ConnectionRole role;
   ServerConnections connections;
+  ServerBuffers buffers;
   std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
   std::deque<Waiting> waiting;
   Handler handler;
--- a/src/pollenring/net/http_server.h
+++ b/src/pollenring/net/http_server.h
@@ -13,6 +13,7 @@
 
 namespace pollenring {
 
+class BufferBudget;
 class Loop;
 
 /*! @brief How a caller's disconnect before its response was detected. */
@@ -57,6 +58,7 @@
   Duration request_timeout{std::chrono::seconds{10}};
   Duration idle_timeout{std::chrono::seconds{60}};
   ConnectionRole role{ConnectionRole::kCallers}; /*!< Whom it serves. */
+  BufferBudget *budget{}; /*!< Of bodies and buffers; null for none. */
 
   /**
    * @brief Default limits of a server.
--- a/src/pollenring/net/server_connections.cc
+++ b/src/pollenring/net/server_connections.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "pollenring/net/connection_buffers.h"
 #include "pollenring/net/h2o_api.h"
 #include "pollenring/net/hang_up.h"
 
@@ -28,6 +29,7 @@
   Time idle_since;
   std::size_t requests{};
   bool closing{};
+  std::shared_ptr<ConnectionBuffers> buffers;
   IdleList::iterator place; /*!< Valid without requests, unless closing. */
 };
 
@@ -39,10 +41,12 @@
 
 ServerConnections::~ServerConnections() { this->table.Unregister(*this); }
 
-void ServerConnections::Add(h2o_socket_t *sock, OpenConnection entry) {
+void ServerConnections::Add(h2o_socket_t *sock, OpenConnection entry,
+                            std::shared_ptr<ConnectionBuffers> buffers) {
   using Held = std::shared_ptr<Connection>;
   auto connection = std::make_shared<Connection>(*this, sock, std::move(entry),
                                                  this->clock.Now());
+  connection->buffers = std::move(buffers);
   connection->place = this->idle.insert(this->idle.end(), connection.get());
   sock->on_close.data = new Held{std::move(connection)};
   sock->on_close.cb = [](void *data) {
@@ -53,11 +57,18 @@
 
 void ServerConnections::Remove(Connection &connection) {
   connection.sock = nullptr;
+  if (connection.buffers) connection.buffers->Closed();
   if (connection.requests > 0 || connection.closing) return;
   this->idle.erase(connection.place);
   connection.closing = true;
 }
 
+std::shared_ptr<ConnectionBuffers> ServerConnections::BuffersOf(
+    const h2o_socket_t &sock) {
+  return (*static_cast<std::shared_ptr<Connection> *>(sock.on_close.data))
+      ->buffers;
+}
+
 std::shared_ptr<ServerConnections::Connection> ServerConnections::BeginRequest(
     h2o_socket_t &sock) {
   auto connection =
--- a/src/pollenring/net/server_connections.h
+++ b/src/pollenring/net/server_connections.h
@@ -11,6 +11,8 @@
 
 namespace pollenring {
 
+class ConnectionBuffers;
+
 /*! @brief The connections that a server has accepted, with those that have no
  * request in progress in the order in which they became idle. */
 class ServerConnections final : public IdleConnections {
@@ -31,8 +33,15 @@
    * @brief Follows a connection until its socket is closed.
    * @param sock The socket.
    * @param entry Its entry in the table.
+   * @param buffers Its charges; null without a budget.
    */
-  void Add(st_h2o_socket_t *sock, OpenConnection entry);
+  void Add(st_h2o_socket_t *sock, OpenConnection entry,
+           std::shared_ptr<ConnectionBuffers> buffers);
+
+  /*! @brief Charges of a connection. @param sock Its socket. @return Them, or
+   * null without a budget. */
+  [[nodiscard]] static std::shared_ptr<ConnectionBuffers> BuffersOf(
+      const st_h2o_socket_t &sock);
 
   /**
    * @brief Records that a request is in progress.
--- a/src/pollenring/node/ingress.cc
+++ b/src/pollenring/node/ingress.cc
@@ -39,16 +39,6 @@
 
 /*! @brief State of a request of an external caller. */
 struct Ingress::Root {
-  Root(std::size_t &held_bytes, std::size_t size)
-      : held_bytes{held_bytes}, size{size} {
-    this->held_bytes += this->size;
-  }
-  Root(const Root &) = delete;
-  Root &operator=(const Root &) = delete;
-  ~Root() { this->held_bytes -= this->size; }
-
-  std::size_t &held_bytes;
-  std::size_t size;
   CallEnvelope envelope;
   std::string body;
   std::string workspace;
@@ -70,11 +60,11 @@
 
 void Ingress::Handle(HttpRequest request,
                      std::shared_ptr<Responder> responder) {
-  auto root = std::make_shared<Root>(this->body_bytes, request.body.size());
+  auto root = std::make_shared<Root>();
   root->responder = std::move(responder);
   root->started = this->loop.GetClock().Now();
   this->parts.metrics.Count("pollenring_requests_total");
-  if (this->body_bytes > kBodyBudgetBytes) {
+  if (this->parts.budget != nullptr && !this->parts.budget->AdmitRequest()) {
     this->Refuse(root, Outcome::kNotRun, Reason::kOverload);
     return;
   }
--- a/src/pollenring/node/ingress.h
+++ b/src/pollenring/node/ingress.h
@@ -8,6 +8,7 @@
 #include "pollenring/config/ledger.h"
 #include "pollenring/core/random.h"
 #include "pollenring/metrics/metrics.h"
+#include "pollenring/net/buffer_budget.h"
 #include "pollenring/net/http_server.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/dispatcher.h"
@@ -39,6 +40,7 @@
   DownstreamLevels &levels;
   Random &random;
   Metrics &metrics;
+  BufferBudget *budget{}; /*!< Of bodies and buffers; null for no limit. */
 };
 
 /**
@@ -80,7 +82,6 @@
 
   Loop &loop;
   IngressParts parts;
-  std::size_t body_bytes{};
 };
 
 }  // namespace pollenring
--- a/src/pollenring/node/limits.h
+++ b/src/pollenring/node/limits.h
@@ -14,9 +14,6 @@
 inline constexpr std::size_t kMaxFrameBytes =
     kMaxBodyBytes + std::size_t{256} * 1024;
 
-/*! @brief Maximum total size of the bodies that a node holds at once. */
-inline constexpr std::size_t kBodyBudgetBytes = std::size_t{128} * 1024 * 1024;
-
 /*! @brief Maximum total size of header names and values of a request. */
 inline constexpr std::size_t kMaxHeaderBytes = std::size_t{32} * 1024;
 
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -9,6 +9,7 @@
 #include "pollenring/node/handover.h"
 #include "pollenring/node/headers.h"
 #include "pollenring/node/limits.h"
+#include "pollenring/node/memory_limit.h"
 #include "pollenring/retry/backoff.h"
 
 namespace pollenring {
@@ -51,7 +52,8 @@
       loop{loop},
       random{random},
       metrics{loop.GetClock()},
-      client{loop, {kMaxBodyBytes}},
+      budget{BudgetFor(given.limits), loop.GetClock()},
+      client{loop, ClientLimitsFor(this->budget)},
       wire{loop.GetClock(), this->metrics},
       link{loop, given.node_secret, kMaxFrameBytes},
       table{this->client, given.platform},
@@ -97,7 +99,8 @@
                  this->metrics},
       ingress{loop,
               {this->config.Ledger(), this->config, this->shares, this->once,
-               this->dispatcher, this->levels, random, this->metrics}},
+               this->dispatcher, this->levels, random, this->metrics,
+               &this->budget}},
       target_port{loop,           given.target_secret, this->config.Ledger(),
                   this->executor, this->dispatcher,    this->levels,
                   random},
@@ -114,7 +117,7 @@
                                      std::move(responder));
                   }},
       caller_server{
-          loop, given.callers, HttpServerLimits{kMaxBodyBytes},
+          loop, given.callers, CallerLimitsFor(this->budget),
           [this](HttpRequest request, std::shared_ptr<Responder> responder) {
             this->ingress.Handle(std::move(request), std::move(responder));
           }},
--- a/src/pollenring/node/node.h
+++ b/src/pollenring/node/node.h
@@ -8,6 +8,7 @@
 #include "pollenring/link/link_client.h"
 #include "pollenring/link/link_server.h"
 #include "pollenring/metrics/metrics.h"
+#include "pollenring/net/buffer_budget.h"
 #include "pollenring/net/http_client.h"
 #include "pollenring/net/http_server.h"
 #include "pollenring/net/loop.h"
@@ -70,6 +71,7 @@
   Loop &loop;
   Random &random;
   Metrics metrics;
+  BufferBudget budget;
   HttpClient client;
   PeerWire wire;
   LinkClient link;
--- a/src/pollenring/node/settings.cc
+++ b/src/pollenring/node/settings.cc
@@ -14,6 +14,10 @@
 constexpr std::int64_t kMaxSlots = 16384;
 constexpr double kMinGraceSeconds = 0.5;
 constexpr double kMaxGraceSeconds = 3600;
+constexpr std::uint64_t kMinMemoryMb = 32;
+constexpr std::uint64_t kMaxMemoryMb = std::uint64_t{1} << 24U;
+constexpr double kMinBufferShare = 0.1;
+constexpr double kMaxBufferShare = 0.8;
 
 /*! @brief Reads settings; reports errors with their source locations. */
 class SettingsReader {
@@ -106,6 +110,24 @@
     return fallback;
   }
 
+  void ReadLimits(MemoryLimits &limits) {
+    const toml::table *table = this->Section("limits");
+    if (table == nullptr) return;
+    if (const toml::node *node = table->get("memory_mb")) {
+      const double value = node->value<double>().value_or(0);
+      const bool valid = value >= kMinMemoryMb && value <= kMaxMemoryMb;
+      if (valid) limits.memory_mb = static_cast<std::uint64_t>(value);
+      if (!valid)
+        this->Report(*node, "'memory_mb' must be from 32 to 16777216");
+    }
+    if (const toml::node *node = table->get("buffer_share")) {
+      const double value = node->value<double>().value_or(0);
+      const bool valid = value >= kMinBufferShare && value <= kMaxBufferShare;
+      if (valid) limits.buffer_share = value;
+      if (!valid) this->Report(*node, "'buffer_share' must be from 0.1 to 0.8");
+    }
+  }
+
   [[nodiscard]] RouteForm ReadRouteForm() {
     const toml::table *table = this->Section("node");
     const toml::node *node = table == nullptr ? nullptr : table->get("routes");
@@ -194,8 +216,8 @@
     return settings;
   }
   for (const auto &[key, value] : root) {
-    constexpr std::array<std::string_view, 5> kSections{
-        "node", "listen", "secrets", "platform", "target"};
+    constexpr std::array<std::string_view, 6> kSections{
+        "node", "listen", "secrets", "platform", "target", "limits"};
     const bool known = std::find(kSections.begin(), kSections.end(),
                                  key.str()) != kSections.end();
     if (known && value.is_table()) continue;
@@ -211,6 +233,8 @@
   reader.RejectUnknownKeys("target", {"service", "cold_over", "cold_slack"});
   reader.RejectUnknownKeys("secrets", {"nodes", "operators", "targets"});
   reader.RejectUnknownKeys("platform", {"address"});
+  reader.RejectUnknownKeys("limits", {"memory_mb", "buffer_share"});
+  reader.ReadLimits(settings.limits);
   settings.routes = reader.ReadRouteForm();
   settings.zone = reader.ReadText("node", "zone");
   settings.region = reader.ReadText("node", "region");
--- a/src/pollenring/node/settings.h
+++ b/src/pollenring/node/settings.h
@@ -1,6 +1,7 @@
 #ifndef POLLENRING_NODE_SETTINGS_H_
 #define POLLENRING_NODE_SETTINGS_H_
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,12 @@
     {RouteForm::kHost, "host"},
 }}};
 
+/*! @brief Memory that a node may use. */
+struct MemoryLimits {
+  std::uint64_t memory_mb{}; /*!< Of its VM; 0 to detect it. */
+  double buffer_share{0.55}; /*!< Part of it for bodies and buffers. */
+};
+
 /*! @brief Settings of one node. */
 struct Settings {
   static constexpr Duration kDefaultGrace = std::chrono::seconds{6};
@@ -47,6 +54,7 @@
   ColdStartHeadroom
       cold_start_headroom;       /*!< Of the local target; host routes only. */
   Duration grace{kDefaultGrace}; /*!< SIGTERM to SIGKILL; host routes only. */
+  MemoryLimits limits;
   bool first_start{}; /*!< The whole system starts for the first time. */
 };
 
--- a/test/pollenring/contract/contract_test.cc
+++ b/test/pollenring/contract/contract_test.cc
@@ -136,3 +136,30 @@
     CHECK(reported(wrong));
   }
 }
+
+TEST_CASE("settings: the memory limits are optional and validated") {
+  const auto read = [](const std::string &limits, Diagnostics &diagnostics) {
+    return pollenring::ReadSettings({"n.toml", "[limits]\n" + limits},
+                                    diagnostics);
+  };
+  const auto reported = [](const Diagnostics &diagnostics) {
+    return std::any_of(
+        diagnostics.begin(), diagnostics.end(), [](const auto &diagnostic) {
+          return diagnostic.message.find("must be from") != std::string::npos;
+        });
+  };
+  Diagnostics diagnostics;
+  CHECK(read("", diagnostics).limits.memory_mb == 0);
+  CHECK(read("", diagnostics).limits.buffer_share == 0.55);
+  CHECK(read("memory_mb = 160\n", diagnostics).limits.memory_mb == 160);
+  CHECK(read("memory_mb = 512.0\n", diagnostics).limits.memory_mb == 512);
+  CHECK(read("buffer_share = 0.4\n", diagnostics).limits.buffer_share == 0.4);
+  CHECK_FALSE(reported(diagnostics));
+  for (const std::string bad :
+       {"memory_mb = 0", "memory_mb = \"160\"", "memory_mb = nan",
+        "memory_mb = 1e12", "buffer_share = 0.9", "buffer_share = 0"}) {
+    Diagnostics wrong;
+    CHECK(read(bad + "\n", wrong).limits.buffer_share == 0.55);
+    CHECK(reported(wrong));
+  }
+}
--- a/test/support/daemon.h
+++ b/test/support/daemon.h
@@ -47,7 +47,8 @@
                         << settings.target_service
                         << "\"\n[secrets]\nnodes = \"" << settings.node_secret
                         << "\"\n[platform]\naddress = \""
-                        << settings.platform.Format() << "\"\n";
+                        << settings.platform.Format() << "\"\n"
+                        << Limits(max_memory);
     const std::string program =
         std::filesystem::read_symlink("/proc/self/exe").parent_path() /
         "pollenringd";
@@ -112,6 +113,11 @@
   }
 
  private:
+  [[nodiscard]] static std::string Limits(std::size_t max_memory) {
+    if (max_memory == 0) return {};
+    return "[limits]\nmemory_mb = " + std::to_string(max_memory >> 20U) + "\n";
+  }
+
   std::string folder;
   pid_t pid{};
   bool ended{};
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -1,3 +1,5 @@
+#include <malloc.h>
+
 #include <csignal>
 #include <cstdlib>
 #include <cxxopts.hpp>
@@ -16,6 +18,7 @@
 #include "pollenring/net/descriptors.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/limits.h"
+#include "pollenring/node/memory_limit.h"
 #include "pollenring/node/node.h"
 
 namespace {
@@ -25,6 +28,8 @@
 
 constexpr int kExitUsage = 2;
 constexpr int kExitStartupFailed = 1;
+/*! @brief Size from which a buffer has pages of its own. */
+constexpr int kMmapThreshold = 256 * 1024;
 constexpr pollenring::Duration kSignalPollPeriod =
     std::chrono::milliseconds{50};
 
@@ -101,7 +106,9 @@
 
 void RunHostRouting(const Settings &settings, const std::string &path,
                     pollenring::Loop &loop, pollenring::Random &random) {
-  pollenring::HttpClient client{loop, {pollenring::kMaxBodyBytes}};
+  pollenring::BufferBudget budget{pollenring::BudgetFor(settings.limits),
+                                  loop.GetClock()};
+  pollenring::HttpClient client{loop, pollenring::ClientLimitsFor(budget)};
   pollenring::StoreClient store_client{client, settings.platform};
   pollenring::platform::Store store{store_client};
   const pollenring::platform::JsonPolicyCodec policies;
@@ -110,11 +117,14 @@
   const pollenring::platform::HttpHeartbeatCodec heartbeats;
   pollenring::MeshNode node{settings,
                             {loop, client, store, store, policies, callers,
-                             targets, heartbeats, random}};
+                             targets, heartbeats, random, &budget}};
   RunLoop(loop, node, settings, path);
 }
 
 [[nodiscard]] int Run(const Settings &settings, const std::string &path) {
+  // A fixed threshold returns large buffers to the system as they are freed;
+  // by default it grows, and they fragment the heap instead.
+  mallopt(M_MMAP_THRESHOLD, kMmapThreshold);
   const pollenring::SystemClock clock;
   pollenring::Loop loop{clock, pollenring::RaiseDescriptorLimit()};
   pollenring::SeededRandom random{
