--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -76,7 +76,7 @@
 
 void Outbound::Handle(HttpRequest request,
                       std::shared_ptr<Responder> responder) {
-  auto entry = std::make_shared<Entry>(this->body_bytes, request.body.size());
+  auto entry = std::make_shared<Entry>();
   entry->responder = std::move(responder);
   entry->started = this->loop.GetClock().Now();
   this->parts.metrics.Count("pollenring_requests_total");
@@ -86,7 +86,7 @@
     this->Refuse(entry, Reason::kLeaving, kDefaultRetryAfter);
     return;
   }
-  if (this->body_bytes > kBodyBudgetBytes) {
+  if (this->parts.budget != nullptr && !this->parts.budget->AdmitRequest()) {
     this->Refuse(entry, Reason::kOverload, kDefaultRetryAfter);
     return;
   }
--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -11,6 +11,7 @@
 #include "pollenring/mesh/codecs.h"
 #include "pollenring/mesh/policy_follower.h"
 #include "pollenring/metrics/metrics.h"
+#include "pollenring/net/buffer_budget.h"
 #include "pollenring/net/http_server.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/node/dispatcher.h"
@@ -31,6 +32,7 @@
   const RequestFingerprinter &fingerprints;
   Random &random;
   Metrics &metrics;
+  BufferBudget *budget{}; /*!< Of bodies and buffers; null for no limit. */
 };
 
 /**
@@ -59,11 +61,6 @@
   /*! @brief Refuses all further requests, as the process is about to end. */
   void Close() noexcept { this->closed = true; }
 
-  /*! @brief Total body size of requests in progress. @return Bytes. */
-  [[nodiscard]] std::size_t BodyBytes() const noexcept {
-    return this->body_bytes;
-  }
-
  private:
   struct Entry;
   using EntryPtr = std::shared_ptr<Entry>;
@@ -94,7 +91,6 @@
   std::string service;
   OutboundParts parts;
   std::unordered_map<std::string, double> splits; /*!< In [0, 1), by route. */
-  std::size_t body_bytes{};
   bool closed{};
 };
 
--- a/src/pollenring/mesh/outbound_entry.h
+++ b/src/pollenring/mesh/outbound_entry.h
@@ -1,7 +1,6 @@
 #ifndef POLLENRING_MESH_OUTBOUND_ENTRY_H_
 #define POLLENRING_MESH_OUTBOUND_ENTRY_H_
 
-#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -12,15 +11,6 @@
 
 /*! @brief A request and its state. */
 struct Outbound::Entry {
-  Entry(std::size_t &total, std::size_t size) : total{total}, size{size} {
-    this->total += this->size;
-  }
-  Entry(const Entry &) = delete;
-  Entry &operator=(const Entry &) = delete;
-  ~Entry() { this->total -= this->size; }
-
-  std::size_t &total;
-  std::size_t size;
   CallEnvelope envelope;
   std::string body;
   std::string id;
--- a/src/pollenring/net/http1_connection.cc
+++ b/src/pollenring/net/http1_connection.cc
@@ -34,8 +34,8 @@
       parser{{server.limits.max_head_bytes, server.limits.max_fields,
               server.limits.max_body_bytes}},
       active_at{server.loop.GetClock().Now()} {
-  if (server.limits.buffers != nullptr)
-    this->budget_id = server.limits.buffers->Open();
+  if (server.limits.budget != nullptr)
+    this->budget_id = server.limits.budget->Open();
   sock->data = this;
   // Reads are bounded here; h2o would read until the socket is empty.
   h2o_socket_dont_read(sock, 1);
--- a/src/pollenring/net/http1_connection_lifetime.cc
+++ b/src/pollenring/net/http1_connection_lifetime.cc
@@ -51,7 +51,7 @@
   } else {
     reads = reads && this->MayParse() &&
             (this->budget_id == 0 ||
-             this->server.limits.buffers->MayRead(this->budget_id));
+             this->server.limits.budget->MayRead(this->budget_id));
   }
   if (reads && !this->reading) {
     // The caller isn't charged with the time in which nothing was read.
@@ -79,7 +79,7 @@
     if (bytes[i] == this->reported[i]) continue;
     if (bytes[i] > this->reported[i]) this->server.ScheduleEnforce();
     this->reported[i] = bytes[i];
-    this->server.limits.buffers->Set(this->budget_id, kRoles[i], bytes[i]);
+    this->server.limits.budget->Set(this->budget_id, kRoles[i], bytes[i]);
   }
 }
 
--- a/src/pollenring/net/http1_server.cc
+++ b/src/pollenring/net/http1_server.cc
@@ -17,12 +17,13 @@
 Http1Server::Http1Server(Loop &loop, const HttpServerLimits &limits,
                          ServerConnections &connections,
                          const HttpServer::Handler &handler,
-                         TakeHttp2 take_http2)
+                         TakeHttp2 take_http2, std::function<void()> enforce)
     : loop{loop},
       limits{limits},
       sockets{connections},
       handler{handler},
-      take_http2{std::move(take_http2)} {
+      take_http2{std::move(take_http2)},
+      enforce{std::move(enforce)} {
   const std::weak_ptr<bool> weak_alive = this->alive;
   loop.Every(kSweepInterval, [this, weak_alive] {
     if (!weak_alive.expired()) this->Sweep();
@@ -44,7 +45,7 @@
 void Http1Server::Remove(Http1Connection &connection) {
   if (connection.BudgetId() != 0) {
     this->by_budget_id.erase(connection.BudgetId());
-    this->limits.buffers->Close(connection.BudgetId());
+    this->limits.budget->Close(connection.BudgetId());
   }
   if (this->removed.empty()) {
     this->loop.Post([this, weak_alive = std::weak_ptr<bool>{this->alive}] {
@@ -58,20 +59,19 @@
 void Http1Server::ScheduleEnforce() {
   if (std::exchange(this->enforce_scheduled, true)) return;
   this->loop.Post([this, weak_alive = std::weak_ptr<bool>{this->alive}] {
-    if (!weak_alive.expired()) this->Enforce();
+    if (weak_alive.expired()) return;
+    this->enforce_scheduled = false;
+    this->enforce();
   });
 }
 
-void Http1Server::Enforce() {
-  this->enforce_scheduled = false;
-  for (const Eviction &eviction : this->limits.buffers->Enforce()) {
-    const auto found = this->by_budget_id.find(eviction.id);
-    if (found == this->by_budget_id.end()) continue;
-    if (eviction.reason == EvictionReason::kReceiving) {
-      found->second->EvictReceiving();
-    } else {
-      found->second->Reset();
-    }
+void Http1Server::Evict(const Eviction &eviction) {
+  const auto found = this->by_budget_id.find(eviction.id);
+  if (found == this->by_budget_id.end()) return;
+  if (eviction.reason == EvictionReason::kReceiving) {
+    found->second->EvictReceiving();
+  } else {
+    found->second->Reset();
   }
 }
 
@@ -81,7 +81,7 @@
     Http1Connection &connection = **it++;
     connection.Sweep(now);
   }
-  if (this->limits.buffers != nullptr) this->Enforce();
+  if (this->limits.budget != nullptr) this->enforce();
 }
 
 }  // namespace pollenring::internal
--- a/src/pollenring/net/http1_server.h
+++ b/src/pollenring/net/http1_server.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "pollenring/core/clock.h"
+#include "pollenring/net/buffer_budget.h"
 #include "pollenring/net/http1_connection.h"
 #include "pollenring/net/http_server.h"
 #include "pollenring/net/server_connections.h"
@@ -37,10 +38,12 @@
    * @param connections The accepted sockets.
    * @param handler Called with each complete request.
    * @param take_http2 Takes the connections of HTTP/2.
+   * @param enforce Carries out what the buffer budget decides.
    */
   Http1Server(Loop &loop, const HttpServerLimits &limits,
               ServerConnections &connections,
-              const HttpServer::Handler &handler, TakeHttp2 take_http2);
+              const HttpServer::Handler &handler, TakeHttp2 take_http2,
+              std::function<void()> enforce);
   Http1Server(const Http1Server &) = delete;
   Http1Server &operator=(const Http1Server &) = delete;
   ~Http1Server();
@@ -54,6 +57,13 @@
   /*! @brief Closes connections behind their responses from now on. */
   void Drain() noexcept { this->draining = true; }
 
+  /**
+   * @brief Carries out an eviction; ignored if the connection isn't one of
+   * HTTP/1.x.
+   * @param eviction The eviction.
+   */
+  void Evict(const Eviction &eviction);
+
   /*! @brief Complete requests without a response. @return The count. */
   [[nodiscard]] std::size_t InProgress() const noexcept {
     return this->in_progress;
@@ -66,7 +76,6 @@
   void Remove(Http1Connection &connection);
   /*! @brief Lets the budget decide at the end of the turn. */
   void ScheduleEnforce();
-  void Enforce();
   void Sweep();
 
   Loop &loop;
@@ -74,6 +83,7 @@
   ServerConnections &sockets;
   const HttpServer::Handler &handler;
   TakeHttp2 take_http2;
+  std::function<void()> enforce;
   std::shared_ptr<bool> alive{std::make_shared<bool>(true)};
   Http1Connection::List connections;
   Http1Connection::List removed; /*!< Closed in this turn. */
--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -6,6 +6,7 @@
 #include <cstring>
 #include <unordered_map>
 
+#include "pollenring/net/buffer_budget.h"
 #include "pollenring/net/client_connection.h"
 #include "pollenring/net/descriptors.h"
 #include "pollenring/net/h2o_api.h"
@@ -285,6 +286,9 @@
     this->buffered_bytes += bytes;
     this->buffered_bytes -= connection.buffered_bytes;
     connection.buffered_bytes = bytes;
+    if (this->limits.budget == nullptr) return;
+    this->limits.budget->SetShared(BufferRole::kFromTargets,
+                                   this->buffered_bytes);
   }
 
   /*! @brief Fails the call with the most buffered bytes if the total exceeds
--- a/src/pollenring/net/http_server.h
+++ b/src/pollenring/net/http_server.h
@@ -67,9 +67,9 @@
    * further request is read. */
   std::size_t max_unwritten_bytes{std::size_t{1024} * 1024};
   ConnectionRole role{ConnectionRole::kCallers}; /*!< Whom it serves. */
-  /*! @brief Null for no limit. Outlives the server, which acts on all its
-   * evictions: no other server may share it. */
-  BufferBudget *buffers{};
+  /*! @brief Of bodies and buffers; null for none. Outlives the server, which
+   * acts on all its evictions: no other server may share it. */
+  BufferBudget *budget{};
 
   /**
    * @brief Default limits of a server.
--- a/src/pollenring/net/server_connections.cc
+++ b/src/pollenring/net/server_connections.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "pollenring/net/connection_buffers.h"
 #include "pollenring/net/h2o_api.h"
 #include "pollenring/net/hang_up.h"
 
@@ -29,6 +30,7 @@
   std::size_t requests{};
   bool closing{};
   bool arriving{};
+  std::shared_ptr<ConnectionBuffers> buffers;
   IdleList::iterator place; /*!< Valid without requests, unless closing. */
 };
 
@@ -54,11 +56,24 @@
 
 void ServerConnections::Remove(Connection &connection) {
   connection.sock = nullptr;
+  if (connection.buffers) connection.buffers->Closed();
   if (connection.requests > 0 || connection.closing) return;
   this->idle.erase(connection.place);
   connection.closing = true;
 }
 
+void ServerConnections::SetBuffers(h2o_socket_t &sock,
+                                   std::shared_ptr<ConnectionBuffers> buffers) {
+  (*static_cast<std::shared_ptr<Connection> *>(sock.on_close.data))->buffers =
+      std::move(buffers);
+}
+
+std::shared_ptr<ConnectionBuffers> ServerConnections::BuffersOf(
+    const h2o_socket_t &sock) {
+  return (*static_cast<std::shared_ptr<Connection> *>(sock.on_close.data))
+      ->buffers;
+}
+
 std::shared_ptr<ServerConnections::Connection> ServerConnections::BeginRequest(
     h2o_socket_t &sock) {
   auto connection =
--- a/src/pollenring/net/server_connections.h
+++ b/src/pollenring/net/server_connections.h
@@ -11,6 +11,8 @@
 
 namespace pollenring {
 
+class ConnectionBuffers;
+
 /*! @brief The connections that a server has accepted, with those that have no
  * request in progress in the order in which they became idle. */
 class ServerConnections final : public IdleConnections {
@@ -34,6 +36,16 @@
    */
   void Add(st_h2o_socket_t *sock, OpenConnection entry);
 
+  /*! @brief Attaches the charges of a connection. @param sock Its socket.
+   * @param buffers The charges; null without a budget. */
+  static void SetBuffers(st_h2o_socket_t &sock,
+                         std::shared_ptr<ConnectionBuffers> buffers);
+
+  /*! @brief Charges of a connection. @param sock Its socket. @return Them, or
+   * null without a budget. */
+  [[nodiscard]] static std::shared_ptr<ConnectionBuffers> BuffersOf(
+      const st_h2o_socket_t &sock);
+
   /**
    * @brief Records that a request is in progress.
    * @param sock Socket of the request.
--- a/test/pollenring/net/http1_connection_test.cc
+++ b/test/pollenring/net/http1_connection_test.cc
@@ -260,7 +260,7 @@
   const pollenring::SystemClock clock;
   pollenring::BufferBudget budget{{200'000, 50'000}, clock};
   pollenring::HttpServerLimits limits;
-  limits.buffers = &budget;
+  limits.budget = &budget;
   World world{limits};
   SECTION("bodies that never end") {
     std::string body = "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n";
