Callers' buffers: room before the handler, target reads bounded, metrics

Cause: a request was refused though stalled callers could be evicted for it; a read from a target could take its whole kernel buffer, and idle connections to targets kept buffers of their largest response. Change: the budget is enforced when a request is complete; reads from targets are bounded; /metrics and /status show bytes by role, paused, evicted, refused.

--- a/src/pollenring/mesh/mesh_node_status.cc
+++ b/src/pollenring/mesh/mesh_node_status.cc
@@ -82,6 +82,9 @@
     return static_cast<double>(this->bus.BytesSent());
   });
   RegisterConnectionMetrics(this->metrics, this->loop);
+  if (this->parts.budget != nullptr) {
+    RegisterBufferMetrics(this->metrics, *this->parts.budget);
+  }
 }
 
 void MeshNode::HandleRelease(const HttpRequest &request,
@@ -147,6 +150,9 @@
       {"refusals", this->metrics.Read("pollenring_refusals_total")},
       {"zones_withdrawn", std::move(zones)},
       {"connections", DescribeConnections(this->loop)},
+      {"buffers", this->parts.budget == nullptr
+                      ? nlohmann::json::object()
+                      : DescribeBuffers(*this->parts.budget)},
       {"quarantine", Describe(this->quarantine.Requests())},
       {"members", DescribeMembers(this->members.Get(), this->wire.versions)}};
 }
--- a/src/pollenring/net/connection_buffers.cc
+++ b/src/pollenring/net/connection_buffers.cc
@@ -64,10 +64,19 @@
   if (this->budget->Counts().paused > 0) this->Apply();
 }
 
-void ServerBuffers::Apply() {
+void ServerBuffers::Apply(const ConnectionBuffers *busy) {
   for (const Eviction &eviction : this->budget->Enforce()) {
     const auto found = this->open.find(eviction.id);
-    if (found != this->open.end()) found->second->Evict(eviction.reason);
+    if (found == this->open.end()) continue;
+    if (found->second != busy) {
+      found->second->Evict(eviction.reason);
+      continue;
+    }
+    this->loop.Post([weak = busy->weak_from_this(), reason = eviction.reason] {
+      const auto evicted =
+          std::const_pointer_cast<ConnectionBuffers>(weak.lock());
+      if (evicted) evicted->Evict(reason);
+    });
   }
   this->LogEvictions();
   const BufferCounts &counts = this->budget->Counts();
@@ -120,7 +129,8 @@
   ++this->requests;
   this->copied += bytes;
   this->Charge();
-  this->owner.ScheduleApply();
+  // Makes room before the handler refuses for want of it.
+  this->owner.Apply(this);
 }
 
 void ConnectionBuffers::EndRequest(std::size_t bytes) {
--- a/src/pollenring/net/connection_buffers.h
+++ b/src/pollenring/net/connection_buffers.h
@@ -46,7 +46,9 @@
  private:
   friend class ConnectionBuffers;
 
-  void Apply();
+  /*! @brief Carries out the budget's decisions. @param busy A connection in
+   * one of h2o's callbacks, which must not be closed in it; null for none. */
+  void Apply(const ConnectionBuffers *busy = nullptr);
   void ScheduleApply();
   void LogEvictions();
   void Sweep();
--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -24,6 +24,9 @@
 /*! @brief Responses to other requests that one call skips; a peer that sends
  * more has lost track of its requests. */
 constexpr int kMaxForeignResponses = 4;
+/*! @brief Bytes that one read may add, which h2o reads at once without limit;
+ * responses of many targets arrive in the same turn. */
+constexpr int kReadBytes = 256 * 1024;
 constexpr Duration kIdleSweepInterval = std::chrono::seconds{1};
 /*! @brief Maximum wait for a connection; peers are milliseconds away, and a
  * lost SYN is retransmitted after 1 s. */
@@ -167,6 +170,10 @@
       self->Fail(*connection, CallError::kConnectRefused);
       return;
     }
+    if (self->limits.budget != nullptr) {
+      setsockopt(h2o_socket_get_fd(sock), SOL_SOCKET, SO_RCVBUF, &kReadBytes,
+                 sizeof(kReadBytes));
+    }
     self->loop.Contain("connect", [&] {
       self->Send(connection->call, self->calls.at(connection->call),
                  *connection);
@@ -329,6 +336,9 @@
     this->calls.at(id).connection = nullptr;
     connection.call = 0;
     this->SetBufferedBytes(connection, 0);
+    // An idle connection would keep the buffer of its largest response.
+    h2o_buffer_dispose(&connection.sock->input);
+    h2o_buffer_init(&connection.sock->input, &h2o_socket_buffer_prototype);
     const bool kept =
         reusable &&
         this->idle.Add(connection, this->loop.GetClock().Now(), stated_timeout);
--- a/src/pollenring/node/describe_connections.cc
+++ b/src/pollenring/node/describe_connections.cc
@@ -4,6 +4,7 @@
 #include <system_error>
 
 #include "pollenring/metrics/metrics.h"
+#include "pollenring/net/buffer_budget.h"
 #include "pollenring/net/loop.h"
 
 namespace pollenring {
@@ -75,4 +76,46 @@
           {"longest_turn_event", loop.Longest().event}};
 }
 
+void RegisterBufferMetrics(Metrics &metrics, const BufferBudget &budget) {
+  const BufferCounts &counts = budget.Counts();
+  for (const auto &row : kBufferRoleNames.rows) {
+    const std::size_t &bytes =
+        counts.bytes[static_cast<std::size_t>(row.value)];
+    metrics.Gauge("pollenring_buffer_bytes",
+                  [&bytes] { return static_cast<double>(bytes); },
+                  {"role", std::string{row.name}});
+  }
+  for (const auto &row : kEvictionReasonNames.rows) {
+    const std::uint64_t &evicted =
+        counts.evicted[static_cast<std::size_t>(row.value)];
+    metrics.Gauge("pollenring_buffer_evictions",
+                  [&evicted] { return static_cast<double>(evicted); },
+                  {"reason", std::string{row.name}});
+  }
+  metrics.Gauge("pollenring_buffer_bytes_peak",
+                [&counts] { return static_cast<double>(counts.peak); });
+  metrics.Gauge("pollenring_buffer_paused",
+                [&counts] { return static_cast<double>(counts.paused); });
+  metrics.Gauge("pollenring_buffer_refusals",
+                [&counts] { return static_cast<double>(counts.refused); });
+}
+
+nlohmann::json DescribeBuffers(const BufferBudget &budget) {
+  const BufferCounts &counts = budget.Counts();
+  nlohmann::json roles = nlohmann::json::object();
+  for (const auto &row : kBufferRoleNames.rows) {
+    roles[std::string{row.name}] =
+        counts.bytes[static_cast<std::size_t>(row.value)];
+  }
+  nlohmann::json evicted = nlohmann::json::object();
+  for (const auto &row : kEvictionReasonNames.rows) {
+    evicted[std::string{row.name}] =
+        counts.evicted[static_cast<std::size_t>(row.value)];
+  }
+  return {{"bytes", std::move(roles)},     {"total", counts.total},
+          {"peak", counts.peak},           {"max", budget.MaxBytes()},
+          {"paused", counts.paused},       {"pauses", counts.pauses},
+          {"evicted", std::move(evicted)}, {"refused", counts.refused}};
+}
+
 }  // namespace pollenring
--- a/src/pollenring/node/describe_connections.h
+++ b/src/pollenring/node/describe_connections.h
@@ -5,6 +5,7 @@
 
 namespace pollenring {
 
+class BufferBudget;
 class Loop;
 class Metrics;
 
@@ -22,6 +23,20 @@
  */
 [[nodiscard]] nlohmann::json DescribeConnections(Loop &loop);
 
+/**
+ * @brief Registers gauges of what bodies and buffers hold.
+ * @param metrics The registry.
+ * @param budget Their budget, which outlives the registry.
+ */
+void RegisterBufferMetrics(Metrics &metrics, const BufferBudget &budget);
+
+/**
+ * @brief Describes what bodies and buffers hold, for operators.
+ * @param budget Their budget.
+ * @return An object with bytes by role and what was paused, evicted, refused.
+ */
+[[nodiscard]] nlohmann::json DescribeBuffers(const BufferBudget &budget);
+
 }  // namespace pollenring
 
 #endif  // POLLENRING_NODE_DESCRIBE_CONNECTIONS_H_
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -172,6 +172,7 @@
     return static_cast<double>(this->bus.BytesSent());
   });
   RegisterConnectionMetrics(this->metrics, this->loop);
+  RegisterBufferMetrics(this->metrics, this->budget);
 }
 
 void Node::OpenWhenReady() {
--- a/test/pollenring/node/hostile_callers_test.cc
+++ b/test/pollenring/node/hostile_callers_test.cc
@@ -144,6 +144,7 @@
    * repeated, as callers do. */
   [[nodiscard]] bool Serves(const std::string &head, std::size_t body) {
     for (int attempt = 0; attempt < 8; ++attempt) {
+      if (this->Process().Ended()) return false;
       this->Beat();
       ScriptedCaller ordinary{this->At(1, 7000),
                               {head, std::string(65536, 'o'), body, 100000}};
