--- a/src/pollenring/net/connection_buffers.cc
+++ b/src/pollenring/net/connection_buffers.cc
@@ -24,7 +24,10 @@
 /*! @brief Bytes that one read may add, as a part of the budget. All callers may
  * send at once, so that a read must be small against what remains beside the
  * budget; the maximum carries 200 Mbit/s over 20 ms. */
-constexpr std::size_t kReadDivisor = 128;
+constexpr std::size_t kReadDivisor = 256;
+/*! @brief What a request allocates beside its body, in h2o's pool and in the
+ * handler's copies of its head. */
+constexpr std::size_t kRequestBytes = std::size_t{16} * 1024;
 constexpr std::size_t kMinRead = std::size_t{64} * 1024;
 constexpr std::size_t kMaxRead = std::size_t{512} * 1024;
 
@@ -198,7 +201,7 @@
 void ConnectionBuffers::Charge() {
   if (this->sock == nullptr) return;
   std::size_t receiving = InputBytes(*this->sock);
-  std::size_t held = this->copied;
+  std::size_t held = this->copied + this->requests * kRequestBytes;
   if (this->http2) {
     // h2o keeps each body too.
     receiving += this->http2->Bytes();
