--- a/src/pollenring/net/connection_buffers.cc
+++ b/src/pollenring/net/connection_buffers.cc
@@ -64,7 +64,7 @@
     const auto found = this->open.find(id);
     if (found != this->open.end()) found->second->Update();
   }
-  if (this->budget->Counts().paused > 0) this->Apply();
+  this->Apply();
 }
 
 void ServerBuffers::Apply(const ConnectionBuffers *busy) {
--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -22,8 +22,7 @@
 constexpr int kListenBacklog = 1024;
 constexpr int kHttp2Version = 0x200;
 constexpr int kServiceUnavailable = 503;
-/*! @brief Part of a response that is passed to h2o at once. */
-constexpr std::size_t kSliceBytes = std::size_t{256} * 1024;
+constexpr std::size_t kSliceBytes = 256 * 1024; /*!< Passed to h2o at once. */
 constexpr int kBadGateway = 502;
 /*! @brief Age at which a request's connection is checked for a hang-up, and the
  * interval between checks. */
@@ -63,7 +62,6 @@
     ++*this->in_progress;
     if (this->buffers) this->buffers->BeginRequest(this->copied);
   }
-
   ~H2oResponder() override { this->Finish(); }
 
   void Send(HttpResponse response) override {
@@ -136,10 +134,8 @@
   /*! @brief Passes the next part of the body to h2o, which refers to it. Parts
    * show whether the caller reads. */
   void SendSlice(h2o_req_t *target) {
-    const std::size_t remaining = this->body.size() - this->sent;
-    const bool whole = ToString(target->method) == "HEAD";
-    const std::size_t size =
-        whole ? remaining : std::min(remaining, kSliceBytes);
+    std::size_t size = this->body.size() - this->sent;
+    if (ToString(target->method) != "HEAD") size = std::min(size, kSliceBytes);
     h2o_iovec_t slice{this->body.data() + this->sent, size};
     this->sent += size;
     const bool last = this->sent == this->body.size();
