--- a/src/pollenring/mesh/mesh_node_status.cc
+++ b/src/pollenring/mesh/mesh_node_status.cc
@@ -139,6 +139,9 @@
     return static_cast<double>(this->bus.BytesSent());
   });
   RegisterConnectionMetrics(this->metrics, this->loop);
+  if (this->parts.budget != nullptr) {
+    RegisterBufferMetrics(this->metrics, *this->parts.budget);
+  }
 }
 
 void MeshNode::HandleRelease(const HttpRequest &request,
@@ -206,6 +209,9 @@
       {"connections", DescribeConnections(this->loop)},
       {"capacity", Describe(this->executor.Capacities())},
       {"placement", Describe(this->router.Placements())},
+      {"buffers", this->parts.budget == nullptr
+                      ? nlohmann::json::object()
+                      : DescribeBuffers(*this->parts.budget)},
       {"quarantine", Describe(this->quarantine.Requests())},
       {"members", DescribeMembers(this->members.Get(), this->wire.versions)}};
 }
--- a/src/pollenring/net/connection_buffers.cc
+++ b/src/pollenring/net/connection_buffers.cc
@@ -24,7 +24,10 @@
 /*! @brief Bytes that one read may add, as a part of the budget. All callers may
  * send at once, so that a read must be small against what remains beside the
  * budget; the maximum carries 200 Mbit/s over 20 ms. */
-constexpr std::size_t kReadDivisor = 128;
+constexpr std::size_t kReadDivisor = 256;
+/*! @brief What a request allocates beside its body, in h2o's pool and in the
+ * handler's copies of its head. */
+constexpr std::size_t kRequestBytes = std::size_t{16} * 1024;
 constexpr std::size_t kMinRead = std::size_t{64} * 1024;
 constexpr std::size_t kMaxRead = std::size_t{512} * 1024;
 
@@ -62,17 +65,25 @@
     const auto found = this->open.find(id);
     if (found != this->open.end()) found->second->Update();
   }
-  if (this->budget->Counts().paused > 0) this->Apply();
+  this->Apply();
 }
 
-void ServerBuffers::Apply() {
+void ServerBuffers::Apply(const ConnectionBuffers *busy) {
   for (const Eviction &eviction : this->budget->Enforce()) {
     const auto found = this->open.find(eviction.id);
-    if (found != this->open.end()) {
-      found->second->Evict(eviction.reason);
-    } else {
+    if (found == this->open.end()) {
       this->evict_other(eviction);
+      continue;
+    }
+    if (found->second != busy) {
+      found->second->Evict(eviction.reason);
+      continue;
     }
+    this->loop.Post([weak = busy->weak_from_this(), reason = eviction.reason] {
+      const auto evicted =
+          std::const_pointer_cast<ConnectionBuffers>(weak.lock());
+      if (evicted) evicted->Evict(reason);
+    });
   }
   this->LogEvictions();
   const BufferCounts &counts = this->budget->Counts();
@@ -125,7 +136,8 @@
   ++this->requests;
   this->copied += bytes;
   this->Charge();
-  this->owner.ScheduleApply();
+  // Makes room before the handler refuses for want of it.
+  this->owner.Apply(this);
 }
 
 void ConnectionBuffers::EndRequest(std::size_t bytes) {
@@ -193,7 +205,7 @@
 void ConnectionBuffers::Charge() {
   if (this->sock == nullptr) return;
   std::size_t receiving = InputBytes(*this->sock);
-  std::size_t held = this->copied;
+  std::size_t held = this->copied + this->requests * kRequestBytes;
   if (this->http2) {
     // h2o keeps each body too.
     receiving += this->http2->Bytes();
--- a/src/pollenring/net/connection_buffers.h
+++ b/src/pollenring/net/connection_buffers.h
@@ -46,8 +46,10 @@
   [[nodiscard]] std::shared_ptr<ConnectionBuffers> Follow(
       st_h2o_socket_t *sock);
 
-  /*! @brief Carries out what the budget decides, for all its connections. */
-  void Apply();
+  /*! @brief Carries out the budget's decisions, for all its connections.
+   * @param busy A connection in one of h2o's callbacks, which must not be
+   * closed in it; null for none. */
+  void Apply(const ConnectionBuffers *busy = nullptr);
 
  private:
   friend class ConnectionBuffers;
