--- a/test/pollenring/routing/placement_test.cc
+++ b/test/pollenring/routing/placement_test.cc
@@ -353,9 +353,9 @@
   }
 
   void Report(NodeId node, const std::string &kind, std::uint32_t us,
-              std::uint32_t slowness = 100) {
+              std::uint32_t slowness = 100, std::uint32_t load = 10) {
     LoadReport report;
-    report.in_progress = 10;
+    report.in_progress = load;
     report.limit = 100;
     report.service_us = us;
     report.slowness = slowness;
@@ -416,6 +416,18 @@
   CHECK(first < 75);
 }
 
+// Guards against all nodes choosing the target that was idle a while ago.
+TEST_CASE("placement: an old report of load draws few calls") {
+  TwoTargets world;
+  world.Report(1, "light", 20'000, 100, 10);
+  world.Report(2, "light", 20'000, 100, 95);
+  CHECK(world.First() == 100);
+  world.clock.Advance(3s);
+  const int first = world.First();
+  CHECK(first > 25);
+  CHECK(first < 75);
+}
+
 // Guards against bytes between zones for which callers gain nothing.
 TEST_CASE("placement: another zone is used for a gain that callers notice") {
   TwoTargets world{{"a", "b"}};
