--- a/src/pollenring/retry/budget.cc
+++ b/src/pollenring/retry/budget.cc
@@ -9,9 +9,10 @@
 
 /*! @brief Time for which a report that targets make no calls holds. */
 constexpr Duration kLeafLifetime = std::chrono::seconds{10};
-/*! @brief Decay of savings at such services. Refused roots lower the traffic
- * while earlier savings are spent: at 0.3 of it, 0.15 + 0.015 / 0.3 is 0.2. */
-constexpr Duration kLeafSavingsDecay = std::chrono::seconds{1};
+/*! @brief Seconds of earnings that can be saved at such services. Refused roots
+ * lower the traffic while earlier savings are spent: at 0.3 of it, the retries
+ * are 0.15 + 0.015 / 0.3 = 0.2 of the requests in 10 s. */
+constexpr double kLeafSavingsSeconds = 1;
 
 }  // namespace
 
@@ -20,14 +21,16 @@
   Account &account = this->accounts[service];
   const Time now = this->clock.Now();
   const auto age = static_cast<double>((now - account.as_of).count());
-  const bool leaf = now < account.leaf_until;
-  const Duration savings_decay =
-      leaf ? kLeafSavingsDecay : this->options.savings_decay;
-  const Duration decay =
-      account.balance > 0 ? savings_decay : this->options.debt_decay;
+  account.as_of = now;
+  if (now < account.leaf_until && account.balance > 0) {
+    const double most = account.rank.EarnedPerSecond(now) * kLeafSavingsSeconds;
+    account.balance = std::min(account.balance, most);
+    return account;
+  }
+  const Duration decay = account.balance > 0 ? this->options.savings_decay
+                                             : this->options.debt_decay;
   const auto time_constant = static_cast<double>(decay.count());
   account.balance *= std::exp(-age / time_constant);
-  account.as_of = now;
   return account;
 }
 
--- a/src/pollenring/retry/retry_rank.cc
+++ b/src/pollenring/retry/retry_rank.cc
@@ -43,6 +43,11 @@
   this->earned += retries;
 }
 
+double RetryRank::EarnedPerSecond(Time now) {
+  if (now - this->as_of > kUpdateInterval) this->Decay(now);
+  return this->earned / std::chrono::duration<double>{kDecayTime}.count();
+}
+
 double RetryRank::FittingLevel(double available) const {
   double left = available;
   for (std::size_t bin = kBins; bin-- > 0;) {
--- a/src/pollenring/retry/retry_rank.h
+++ b/src/pollenring/retry/retry_rank.h
@@ -34,6 +34,13 @@
    */
   void RecordEarned(double retries, Time now);
 
+  /**
+   * @brief Retries earned per second.
+   * @param now Time.
+   * @return The rate, exponentially smoothed.
+   */
+  [[nodiscard]] double EarnedPerSecond(Time now);
+
   /**
    * @brief Priority from which calls are retried.
    * @param saved Retries saved up.
