--- a/src/pollenring/admission/admission.h
+++ b/src/pollenring/admission/admission.h
@@ -62,6 +62,8 @@
   std::size_t max_queue_size{1024};
   /*! @brief Multiple of the queue size while only critical requests wait. */
   std::size_t critical_queue_factor{16};
+  /*! @brief Learn the target's capacity from its reports of load. */
+  bool learns_capacity{true};
 };
 
 /**
@@ -105,7 +107,9 @@
    * @param load The load.
    */
   void RecordLoad(const TargetLoad &load) {
-    if (this->ColdFor() <= Duration{0}) this->capacity.RecordLoad(load);
+    const bool learns =
+        this->options.learns_capacity && this->ColdFor() <= Duration{0};
+    if (learns) this->capacity.RecordLoad(load);
   }
 
   /**
--- a/src/pollenring/admission/completion_chance.cc
+++ b/src/pollenring/admission/completion_chance.cc
@@ -148,6 +148,7 @@
 std::vector<ServiceFailure> CompletionChance::Reports(
     const std::string &service, const std::string &route,
     std::size_t max_count) {
+  if (!this->reports) return {};
   const bool healthy_too = ++this->replies % kHealthyInterval == 0;
   const Time now = this->clock.Now();
   std::vector<ServiceFailure> reports;
--- a/src/pollenring/admission/completion_chance.h
+++ b/src/pollenring/admission/completion_chance.h
@@ -57,8 +57,14 @@
  */
 class CompletionChance {
  public:
-  /*! @brief Starts without data. @param clock Clock. */
-  explicit CompletionChance(const Clock &clock) : clock{clock} {}
+  /**
+   * @brief Starts without data.
+   * @param clock Clock.
+   * @param reports Whether replies report failures; without reports no root is
+   * refused.
+   */
+  explicit CompletionChance(const Clock &clock, bool reports = true)
+      : clock{clock}, reports{reports} {}
 
   /**
    * @brief Counts the result of a call to the local target.
@@ -185,6 +191,7 @@
   void RemoveUnused(Time now);
 
   const Clock &clock;
+  bool reports;
   std::unordered_map<std::string, FailureFraction> local;
   std::unordered_map<std::string, std::vector<CalleeCalls>> callees;
   std::unordered_map<std::string, Service> services;
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -5,6 +5,7 @@
 
 #include "pollenring/log/log.h"
 #include "pollenring/mesh/drain_times.h"
+#include "pollenring/mesh/mesh_options.h"
 #include "pollenring/node/headers.h"
 #include "pollenring/node/limits.h"
 #include "pollenring/node/memory_limit.h"
@@ -20,9 +21,6 @@
 /*! @brief Time for peers to learn that a node drains; gossip takes one second
  * in a few hundred nodes. */
 constexpr Duration kPeerServeTime = std::chrono::milliseconds{1200};
-/*! @brief Maximum idle time of a client connection; above any limit that
- * operators set for their clients. */
-constexpr Duration kCallerIdleTimeout = std::chrono::minutes{5};
 /*! @brief Interval between log lines with all counters. */
 constexpr Duration kMetricsLogInterval = std::chrono::seconds{10};
 constexpr int kOk = 200;
@@ -32,39 +30,6 @@
 /*! @brief Time over which all nodes write to a store that lost their rows. */
 constexpr Duration kStoreAgainSpread = std::chrono::seconds{2};
 
-/*! @brief Requests per second to a target of which nothing is known yet, as
- * after a restart of its node; its first response states its limit. */
-constexpr double kInitialTargetRate = 20;
-
-/*! @brief Maximum queue of the local target, as run time. Its requests were
- * admitted upstream; the level ends the overload before the queue is full. */
-constexpr Duration kMaxQueueTime = std::chrono::milliseconds{400};
-
-[[nodiscard]] HttpServerLimits MakeCallerLimits(BufferBudget *budget) {
-  HttpServerLimits limits;
-  limits.max_body_bytes = kMaxBodyBytes;
-  if (budget != nullptr) limits = CallerLimitsFor(*budget);
-  limits.idle_timeout = kCallerIdleTimeout;
-  return limits;
-}
-
-[[nodiscard]] RouterOptions MakeRouterOptions() {
-  RouterOptions options;
-  options.order = LoadBalancingPolicy::kLeastLatency;
-  return options;
-}
-
-[[nodiscard]] AdmissionOptions MakeAdmissionOptions() {
-  AdmissionOptions options;
-  // Targets announce their slots; some never respond to calls beyond them.
-  options.limit.fixed = true;
-  options.level_trigger = LevelTrigger::kOfferedLoad;
-  options.order = QueueOrder::kSoftDeadline;
-  options.queue_time = kMaxQueueTime;
-  options.rate_limit.initial_rate = kInitialTargetRate;
-  return options;
-}
-
 }  // namespace
 
 Member MeshNode::MakeSelf(const Settings &settings, const MeshParts &parts) {
@@ -105,13 +70,13 @@
              this->members.Get().Self().process},
       router{given.zone, given.region, MakeRouterOptions(),
              parts.loop.GetClock(), parts.random},
-      levels{DownstreamLevelOptions{}, parts.loop.GetClock()},
+      levels{MakeLevelOptions(given.features), parts.loop.GetClock()},
       cold_policy{this->policy, given.cold_start_headroom},
       fingerprints{given.node_secret},
       executor{parts.loop,
                parts.client,
                parts.targets,
-               MakeAdmissionOptions(),
+               MakeAdmissionOptions(given.features),
                this->cold_policy,
                this->fingerprints,
                this->quarantine,
@@ -124,7 +89,8 @@
                [this](const std::string &instance) {
                  this->RecordLeaving(instance);
                }},
-      retry_budget{TrafficRetryOptions{}, parts.loop.GetClock(), parts.random},
+      retry_budget{MakeRetryOptions(given.features), parts.loop.GetClock(),
+                   parts.random},
       dispatcher{
           given.nodes.Packed(), parts.loop,         this->link,
           this->wire,           this->router,       this->executor,
--- a/src/pollenring/net/client_connection.cc
+++ b/src/pollenring/net/client_connection.cc
@@ -1,8 +1,12 @@
 #include "pollenring/net/client_connection.h"
 
 #include <algorithm>
+#include <cerrno>
 
 #include "pollenring/log/log.h"
+#include "pollenring/net/descriptors.h"
+#include "pollenring/net/h2o_api.h"
+#include "pollenring/net/loop.h"
 
 namespace pollenring::internal {
 namespace {
@@ -71,6 +75,24 @@
   return first;
 }
 
+h2o_socket_t *OpenSocket(Loop &loop, const Address &to,
+                         h2o_socket_cb connected) {
+  sockaddr_in native = to.Native();
+  const auto open = [&] {
+    return h2o_socket_connect(loop.Native(),
+                              reinterpret_cast<sockaddr *>(&native),
+                              sizeof(native), connected);
+  };
+  h2o_socket_t *sock = open();
+  if (sock != nullptr) return sock;
+  const int error = errno;
+  ConnectionTable &table = loop.Connections();
+  table.RecordFailure(ConnectionRole::kOutgoing, error);
+  const bool retry =
+      IsExhaustion(error) && table.Evict(ConnectionRole::kOutgoing, 1) > 0;
+  return retry ? open() : nullptr;
+}
+
 void LogBrokenResponse(const ClientConnection &connection,
                        const std::string &id, ResponseFault fault) {
   if (!MayLogRequest(LogLevel::kWarning)) return;
--- a/src/pollenring/net/client_connection.h
+++ b/src/pollenring/net/client_connection.h
@@ -16,6 +16,10 @@
 
 struct st_h2o_socket_t;
 
+namespace pollenring {
+class Loop;
+}  // namespace pollenring
+
 namespace pollenring::internal {
 
 /*! @brief A connection of an HTTP client, which carries one call at a time. */
@@ -80,6 +84,18 @@
   std::map<Address, std::vector<ClientConnection *>> idle;
 };
 
+/**
+ * @brief Starts a connection; evicts an idle one if the process has no
+ * descriptor left.
+ * @param loop The loop.
+ * @param to The peer.
+ * @param connected Called once the connection is established or has failed.
+ * @return The socket, or null.
+ */
+[[nodiscard]] st_h2o_socket_t *OpenSocket(Loop &loop, const Address &to,
+                                          void (*connected)(st_h2o_socket_t *,
+                                                            const char *));
+
 /**
  * @brief Logs an unusable response, within the line budget of requests.
  * @param connection Connection that it was read from.
--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -119,8 +119,8 @@
     connection.to = call.to;
     connection.call = id;
     call.connection = &connection;
-    sockaddr_in native = call.to.Native();
-    connection.sock = this->Open(native);
+    connection.sock =
+        internal::OpenSocket(this->loop, call.to, &Impl::OnConnect);
     if (connection.sock == nullptr) {
       call.connection = nullptr;
       this->Finish(id, CallError::kNotConnected);
@@ -136,22 +136,6 @@
     this->connections.emplace(&connection, std::move(owned));
   }
 
-  h2o_socket_t *Open(sockaddr_in &native) {
-    const auto open = [&] {
-      return h2o_socket_connect(this->loop.Native(),
-                                reinterpret_cast<sockaddr *>(&native),
-                                sizeof(native), &Impl::OnConnect);
-    };
-    h2o_socket_t *sock = open();
-    if (sock != nullptr) return sock;
-    const int error = errno;
-    ConnectionTable &table = this->loop.Connections();
-    table.RecordFailure(ConnectionRole::kOutgoing, error);
-    const bool retry =
-        IsExhaustion(error) && table.Evict(ConnectionRole::kOutgoing, 1) > 0;
-    return retry ? open() : nullptr;
-  }
-
   static void OnConnect(h2o_socket_t *sock, const char *error) {
     auto *connection = static_cast<Connection *>(sock->data);
     auto *self = static_cast<Impl *>(connection->owner);
--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -21,7 +21,8 @@
 
 constexpr int kListenBacklog = 1024;
 constexpr int kServiceUnavailable = 503;
-constexpr std::size_t kSliceBytes = 256 * 1024; /*!< Passed to h2o at once. */
+constexpr std::size_t kSliceBytes =
+    std::size_t{256} * 1024; /*!< Passed to h2o at once. */
 constexpr int kBadGateway = 502;
 
 [[nodiscard]] std::string ToString(const h2o_iovec_t &text) {
--- a/src/pollenring/node/downstream_levels.h
+++ b/src/pollenring/node/downstream_levels.h
@@ -19,6 +19,8 @@
   Duration lifetime{std::chrono::milliseconds{1500}};
   /*! @brief Whether each workspace has its own levels. */
   bool per_workspace{};
+  /*! @brief Whether replies report services that fail. */
+  bool reports_failures{true};
 };
 
 /*! @brief The service with the highest admission level on a call path. */
@@ -47,7 +49,7 @@
   DownstreamLevels(const DownstreamLevelOptions &options, const Clock &clock)
       : options{options},
         clock{clock},
-        completion{clock},
+        completion{clock, options.reports_failures},
         last_sweep{clock.Now()} {}
 
   /*! @brief What is known of services that fail. @return It. */
--- a/src/pollenring/node/settings.cc
+++ b/src/pollenring/node/settings.cc
@@ -216,8 +216,9 @@
     return settings;
   }
   for (const auto &[key, value] : root) {
-    constexpr std::array<std::string_view, 6> kSections{
-        "node", "listen", "secrets", "platform", "target", "limits"};
+    constexpr std::array<std::string_view, 7> kSections{
+        "node",   "listen", "secrets", "platform",
+        "target", "limits", "features"};
     const bool known = std::find(kSections.begin(), kSections.end(),
                                  key.str()) != kSections.end();
     if (known && value.is_table()) continue;
@@ -235,6 +236,11 @@
   reader.RejectUnknownKeys("platform", {"address"});
   reader.RejectUnknownKeys("limits", {"memory_mb", "buffer_share"});
   reader.ReadLimits(settings.limits);
+  reader.RejectUnknownKeys("features", {"learned_capacity", "whole_requests"});
+  settings.features.learned_capacity =
+      reader.ReadFlag("features", "learned_capacity");
+  settings.features.whole_requests =
+      reader.ReadFlag("features", "whole_requests");
   settings.routes = reader.ReadRouteForm();
   settings.zone = reader.ReadText("node", "zone");
   settings.region = reader.ReadText("node", "region");
--- a/src/pollenring/node/settings.h
+++ b/src/pollenring/node/settings.h
@@ -32,6 +32,15 @@
   double buffer_share{0.55}; /*!< Part of it for bodies and buffers. */
 };
 
+/*! @brief Parts that a deployment asks for; host routes only. */
+struct Features {
+  /*! @brief Learn what a target takes from its reports of load, and place work
+   * by it. */
+  bool learned_capacity{};
+  /*! @brief Refuse roots that would fail inside, and retry whole ones first. */
+  bool whole_requests{};
+};
+
 /*! @brief Settings of one node. */
 struct Settings {
   static constexpr Duration kDefaultGrace = std::chrono::seconds{6};
@@ -55,6 +64,7 @@
       cold_start_headroom;       /*!< Of the local target; host routes only. */
   Duration grace{kDefaultGrace}; /*!< SIGTERM to SIGKILL; host routes only. */
   MemoryLimits limits;
+  Features features;
   bool first_start{}; /*!< The whole system starts for the first time. */
 };
 
--- a/src/pollenring/retry/budget.cc
+++ b/src/pollenring/retry/budget.cc
@@ -35,7 +35,8 @@
 }
 
 void TrafficRetryBudget::RecordFirstCall(const std::string &service,
-                                         bool /*answered*/) {
+                                         bool answered) {
+  if (!this->options.ranked && !answered) return;
   Account &account = this->AccountOf(service);
   const bool leaf = account.as_of < account.leaf_until;
   const double earned =
@@ -69,7 +70,9 @@
 
 bool TrafficRetryBudget::Grant(Account &account, double priority) {
   const double saved = std::max(0.0, account.balance);
-  if (priority < account.rank.Level(saved, account.as_of)) return false;
+  const bool outranked = this->options.ranked &&
+                         priority < account.rank.Level(saved, account.as_of);
+  if (outranked) return false;
   if (account.balance >= 1) {
     account.balance -= 1;
     return true;
--- a/src/pollenring/retry/budget.h
+++ b/src/pollenring/retry/budget.h
@@ -90,6 +90,9 @@
    * 0.165 of its requests, below the bound of 0.2.
    */
   double leaf_retry_ratio{0.15};
+  /*! @brief Retry the calls with the highest priority first, and earn by calls
+   * that were rejected too. */
+  bool ranked{true};
   /**
    * @brief Time constant of the decay of savings. In a chain of four services
    * that start to fail together, each one spends its savings.
