HTTP/2 connections that are handed over are counted from their preface on

Cause: the counter began with the first read that it saw, but h2o reads the bytes that were handed over before that, so idle streams and their heads were never charged and the process ran out of memory.

--- a/src/pollenring/net/connection_buffers.cc
+++ b/src/pollenring/net/connection_buffers.cc
@@ -202,6 +202,12 @@
   this->http2->Feed({input.bytes + input.size - added, added});
 }
 
+void ConnectionBuffers::BeginHttp2() {
+  const h2o_buffer_t &input = *this->sock->input;
+  this->http2.emplace();
+  this->http2->Feed({input.bytes, input.size});
+}
+
 void ConnectionBuffers::Charge() {
   if (this->sock == nullptr) return;
   std::size_t receiving = InputBytes(*this->sock);
--- a/src/pollenring/net/connection_buffers.h
+++ b/src/pollenring/net/connection_buffers.h
@@ -78,6 +78,10 @@
  public:
   ConnectionBuffers(ServerBuffers &owner, st_h2o_socket_t *sock);
 
+  /*! @brief Counts HTTP/2 from the preface on, which is in the input buffer; to
+   * be called before h2o reads it. */
+  void BeginHttp2();
+
   /*! @brief Called when the socket is closed. */
   void Closed();
 
--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -261,6 +261,7 @@
     // Its bytes were charged as those of an HTTP/1.1 connection until now.
     const auto followed = this->buffers.Follow(sock);
     ServerConnections::SetBuffers(*sock, followed);
+    if (followed) followed->BeginHttp2();
     timeval now{};
     gettimeofday(&now, nullptr);
     h2o_http2_accept(&this->accept, sock, now);
