--- a/review/standins-2/harness.cc
+++ b/review/standins-2/harness.cc
@@ -470,9 +470,9 @@
     }
     {
       const std::lock_guard<std::mutex> lock{this->mutex};
-      ++this->runs[id];
+      ++this->arrivals[id];
     }
-    this->record.Line("endpoint " + this->options.instance + ": runs " + id +
+    this->record.Line("endpoint " + this->options.instance + ": gets " + id +
                       " " + request->Method() + " " + request->Path());
     if (!this->work(fd, *request)) return;
   }
@@ -494,10 +494,10 @@
   return text + "\r\n" + body;
 }
 
-int AppEndpoint::Runs(const std::string &id) {
+int AppEndpoint::Arrivals(const std::string &id) {
   const std::lock_guard<std::mutex> lock{this->mutex};
-  const auto found = this->runs.find(id);
-  return found == this->runs.end() ? 0 : found->second;
+  const auto found = this->arrivals.find(id);
+  return found == this->arrivals.end() ? 0 : found->second;
 }
 
 Daemon::Daemon(Options given)
@@ -534,8 +534,9 @@
                           << this->options.store.Text()
                           << "\"\n\n[platform]\naddress = \""
                           << this->options.store.Text() << "\"\n";
-  this->pid = fork();
-  if (this->pid == 0) {
+  this->options.first_start = false;
+  const pid_t started = fork();
+  if (started == 0) {
     setenv("POLLENRING_CONFIG", settings.c_str(), 1);
     const int log =
         open((name + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
@@ -545,8 +546,9 @@
           settings.c_str(), nullptr);
     std::_Exit(kExitCannotRun);
   }
+  this->pid = started;
   const std::lock_guard<std::mutex> lock{pids_mutex};
-  pids.push_back(this->pid);
+  pids.push_back(started);
 }
 
 void Daemon::Signal(int number) const {
@@ -557,7 +559,8 @@
   if (this->pid <= 0) return false;
   if (waitpid(this->pid, nullptr, WNOHANG) == 0) return true;
   const std::lock_guard<std::mutex> lock{pids_mutex};
-  pids.erase(std::remove(pids.begin(), pids.end(), this->pid), pids.end());
+  pids.erase(std::remove(pids.begin(), pids.end(), this->pid.load()),
+             pids.end());
   this->pid = -1;
   return false;
 }
@@ -566,15 +569,20 @@
   return WaitUntil(ms, [this] { return !this->Running(); });
 }
 
-double Daemon::PeakMb() const {
+double Daemon::StatusMb(std::string_view field) const {
   std::ifstream file{"/proc/" + std::to_string(this->pid) + "/status"};
   std::string line;
   while (std::getline(file, line)) {
-    if (line.rfind("VmHWM:", 0) == 0) return std::atof(Word(line, 1).c_str()) / 1024;
+    if (line.rfind(field, 0) == 0)
+      return std::atof(Word(line, 1).c_str()) / 1024;
   }
   return 0;
 }
 
+double Daemon::ResidentMb() const { return this->StatusMb("VmRSS:"); }
+
+double Daemon::PeakMb() const { return this->StatusMb("VmHWM:"); }
+
 bool Daemon::Ready() const {
   const int fd = Connect(this->ReadyAddress());
   if (fd < 0) return false;
--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -191,8 +191,8 @@
   [[nodiscard]] std::string Answer(const Message &request, int status,
                                    const std::string &body) const;
 
-  /*! @brief Requests begun, by their id. */
-  [[nodiscard]] int Runs(const std::string &id);
+  /*! @brief How often a request arrived. */
+  [[nodiscard]] int Arrivals(const std::string &id);
   [[nodiscard]] int Acknowledged() const noexcept { return this->acknowledged; }
   [[nodiscard]] const Options &Settings() const noexcept {
     return this->options;
@@ -208,7 +208,7 @@
   std::int64_t born;
   std::atomic<int> acknowledged{0};
   std::mutex mutex;
-  std::map<std::string, int> runs;
+  std::map<std::string, int> arrivals;
   std::unique_ptr<Server> server;
 };
 
@@ -230,13 +230,17 @@
   Daemon(const Daemon &) = delete;
   Daemon &operator=(const Daemon &) = delete;
 
+  /*! @brief Starts it; all but the first start are no first start of the
+   * whole system. */
   void Start();
   void Signal(int number) const;
   /*! @brief Waits for its end. @return Whether it ended in time. */
   bool WaitForEnd(double ms);
   /*! @brief Whether it runs. */
   [[nodiscard]] bool Running();
-  /*! @brief Peak resident memory in MB, as the kernel counts it; 0 if gone. */
+  /*! @brief Resident memory in MiB, as the kernel counts it; 0 if it ended. */
+  [[nodiscard]] double ResidentMb() const;
+  /*! @brief Highest `ResidentMb` since the start of the process. */
   [[nodiscard]] double PeakMb() const;
   /*! @brief Whether its readiness check gives 200. */
   [[nodiscard]] bool Ready() const;
@@ -247,9 +251,11 @@
   [[nodiscard]] Endpoint4 App() const;
 
  private:
+  [[nodiscard]] double StatusMb(std::string_view field) const;
+
   Options options;
   std::string ip;
-  pid_t pid{-1};
+  std::atomic<pid_t> pid{-1};
 };
 
 /*! @brief Waits until a condition holds. @return Whether it did. */
