--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -1,10 +1,10 @@
-// A node is stopped as planned while a client still reads a long response.
+// An endpoint rejects a request and sends that answer a second time, late.
 
 #include <unistd.h>
 
-#include <atomic>
 #include <csignal>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "../standins-2/harness.h"
 
@@ -15,30 +15,32 @@
 using review::Message;
 using review::Record;
 
-constexpr double kGraceMs = 6000;
-constexpr std::size_t kBodyBytes = std::size_t{12} * 1024 * 1024;
-/*! @brief Pace of the reader: the body takes 5.7 s. */
-constexpr double kBytesPerSecond = 2.2e6;
-constexpr int kDeadlineMs = 12000;
-constexpr int kReceiveBuffer = 65536;
+constexpr int kRequests = 600;
+/*! @brief Every so many requests, one is rejected once: five in all. */
+constexpr int kRejectEvery = 120;
+/*! @brief Rejections whose answer is sent twice: 3 of 605 answers. */
+constexpr int kDoubled = 3;
+constexpr double kWorkMs = 8;
+constexpr int kDeadlineMs = 5000;
+constexpr double kContactMs = 3000;
 
 [[nodiscard]] std::string Configuration() {
   using Json = nlohmann::json;
-  const Json route{{"name", "r-editions"},  {"host", "editions.example"},
-                   {"prefix", "/edition/"}, {"kind", "download"},
-                   {"timeout_ms", 12000},   {"target_latency_ms", 8000},
-                   {"priority", 2},         {"service", "library"},
+  const Json route{{"name", "r-meetings"},  {"host", "meetings.example"},
+                   {"prefix", "/meeting/"}, {"kind", "non_idempotent"},
+                   {"timeout_ms", 5000},    {"target_latency_ms", 1500},
+                   {"priority", 0},         {"service", "gather"},
                    {"attempts", 2},         {"allow_anonymous", false}};
   const auto service = [](const char *name) {
     return Json{{"name", name},
                 {"health_path", "/health"},
-                {"max_connections", 400},
+                {"max_connections", 634},
                 {"protocol", "h1"},
                 {"tls", false}};
   };
   return Json{{"version", "r7"},
               {"routes", {route}},
-              {"services", {service("library"), service("shelf")}},
+              {"services", {service("gather"), service("shelf")}},
               {"limits",
                {{"max_header_bytes", 16384},
                 {"max_body_bytes", 67108864},
@@ -47,6 +49,47 @@
       .dump();
 }
 
+[[nodiscard]] std::string IdOf(int index) {
+  return "m" + std::to_string(index);
+}
+
+/*! @brief What the endpoint remembers of its rejections. */
+class Rejections {
+ public:
+  /*! @brief Whether to reject this arrival. */
+  [[nodiscard]] bool Rejects(const std::string &id) {
+    const std::lock_guard<std::mutex> lock{this->mutex};
+    for (int i = kRejectEvery / 2; i < kRequests; i += kRejectEvery) {
+      if (id == IdOf(i)) return this->rejected.insert(id).second;
+    }
+    return false;
+  }
+
+  /*! @brief Keeps the answer for a second sending on this connection. */
+  void Keep(int fd, const std::string &answer) {
+    const std::lock_guard<std::mutex> lock{this->mutex};
+    if (!review::Trouble() || this->doubled == kDoubled) return;
+    ++this->doubled;
+    this->kept[fd] = answer;
+  }
+
+  /*! @brief The answer to send before the next one on this connection. */
+  [[nodiscard]] std::string Take(int fd) {
+    const std::lock_guard<std::mutex> lock{this->mutex};
+    const auto found = this->kept.find(fd);
+    if (found == this->kept.end()) return {};
+    std::string answer = std::move(found->second);
+    this->kept.erase(found);
+    return answer;
+  }
+
+ private:
+  std::mutex mutex;
+  std::set<std::string> rejected;
+  std::map<int, std::string> kept;
+  int doubled{};
+};
+
 }  // namespace
 
 int main(int argc, char **argv) {
@@ -59,84 +102,92 @@
   store.Put("op", "config", Configuration());
 
   Daemon front{{1, "ke-a", "shelf", folder, store_address}};
-  Daemon back{{2, "ke-b", "library", folder, store_address}};
+  Daemon back{{2, "ke-b", "gather", folder, store_address}};
   front.Start();
   back.Start();
 
-  const std::string body(kBodyBytes, 'e');
-  const auto answer = [&](AppEndpoint *&endpoint) {
-    return [&](int fd, const Message &request) {
-      const bool sent =
-          review::SendAll(fd, endpoint->Answer(request, 200, body));
-      record.Line("endpoint: whole answer to " +
-                  request.Header("x-pollenring-attempt-id") +
-                  (sent ? " sent" : " not taken"));
-      return sent;
-    };
-  };
-  AppEndpoint *library_pointer = nullptr;
-  AppEndpoint *shelf_pointer = nullptr;
-  AppEndpoint library{
-      {"library", "ke-b", "i-library-1", 16, back.App(), back.Control()},
+  Rejections rejections;
+  std::mutex runs_mutex;
+  std::map<std::string, int> runs;
+  AppEndpoint *gather_pointer = nullptr;
+  AppEndpoint gather{
+      {"gather", "ke-b", "i-gather-1", 89, back.App(), back.Control()},
       record,
-      answer(library_pointer)};
-  library_pointer = &library;
+      [&](int fd, const Message &request) {
+        const std::string id = request.Header("x-pollenring-attempt-id");
+        const std::string extra = rejections.Take(fd);
+        if (!extra.empty()) {
+          record.Line("endpoint: sends an earlier answer once more, as " + id +
+                      " waits for its own");
+          if (!review::SendAll(fd, extra)) return false;
+        }
+        if (rejections.Rejects(id)) {
+          record.Line("endpoint: rejects " + id + ", not executed");
+          std::string answer =
+              "HTTP/1.1 503 Service Unavailable\r\nx-pollenring-attempt-id: " +
+              id +
+              "\r\nx-pollenring-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+          rejections.Keep(fd, answer);
+          return review::SendAll(fd, answer);
+        }
+        {
+          const std::lock_guard<std::mutex> lock{runs_mutex};
+          ++runs[id];
+        }
+        review::SleepMs(kWorkMs);
+        record.Line("endpoint: has run " + id);
+        return review::SendAll(fd,
+                               gather_pointer->Answer(request, 200, "booked"));
+      }};
+  gather_pointer = &gather;
+  AppEndpoint *shelf_pointer = nullptr;
   AppEndpoint shelf{
-      {"shelf", "ke-a", "i-shelf-1", 16, front.App(), front.Control()},
+      {"shelf", "ke-a", "i-shelf-1", 60, front.App(), front.Control()},
       record,
-      answer(shelf_pointer)};
+      [&](int fd, const Message &request) {
+        return review::SendAll(fd, shelf_pointer->Answer(request, 200, "page"));
+      }};
   shelf_pointer = &shelf;
 
   const bool up = review::WaitUntil(15000, [&] {
-    return front.Ready() && back.Ready() && library.Acknowledged() > 0 &&
+    return front.Ready() && back.Ready() && gather.Acknowledged() > 0 &&
            shelf.Acknowledged() > 0;
   });
   if (!up) {
     record.Line("the deployment did not come up");
     review::Exit(review::kExitCannotRun);
   }
-  // Planned work only counts when nothing was disturbed for `contact_ms`.
-  review::SleepMs(3500);
-
-  const int fd = review::Connect(front.Outbound(), kReceiveBuffer);
-  const double sent_at = review::NowMs();
-  const bool sent =
-      fd >= 0 && review::SendAll(
-                     fd, review::RequestText("GET", "editions.example",
-                                             "/edition/42", "a1", kDeadlineMs));
-  if (!sent) review::Exit(review::kExitCannotRun);
-  record.Line("client: sent a1");
+  review::SleepMs(kContactMs);
+
+  std::map<std::string, int> statuses;
+  const int fd = review::Connect(front.Outbound());
   review::Reader reader{fd};
-  std::atomic<bool> ended{false};
-  std::thread stopper{[&] {
-    if (!review::Trouble()) return;
-    review::SleepMs(300);
-    record.Line("platform: SIGTERM to the client's node");
-    const double stopped_at = review::NowMs();
-    front.Signal(SIGTERM);
-    if (front.WaitForEnd(kGraceMs)) {
-      record.Line("platform: the node ended by itself " +
-                  std::to_string(review::NowMs() - stopped_at) +
-                  " ms after SIGTERM");
-      return;
-    }
-    record.Line("platform: SIGKILL after grace_s");
-    front.Signal(SIGKILL);
-  }};
-  const auto response = reader.Read(sent_at + kDeadlineMs, kBytesPerSecond);
-  ended = true;
-  record.Line("client: " + std::to_string(reader.Received()) + " of " +
-              std::to_string(reader.Announced()) + " bytes after " +
-              std::to_string(review::NowMs() - sent_at) + " ms" +
-              (reader.Ended() ? ", connection ended" : ""));
-  stopper.join();
-  if (library.Runs("a1") == 0) {
-    record.Line("the request never reached the endpoint");
-    review::Exit(review::kExitCannotRun);
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string id = IdOf(i);
+    const bool sent = review::SendAll(
+        fd, review::RequestText("POST", "meetings.example", "/meeting/7", id,
+                                kDeadlineMs, "seats=12"));
+    const auto answer =
+        sent ? reader.Read(review::NowMs() + kDeadlineMs + 500) : std::nullopt;
+    statuses[id] = answer ? answer->Status() : 0;
+    record.Line("client: " + id + ": " + std::to_string(statuses[id]));
+    if (!answer) break;
+  }
+  review::SleepMs(500);
+  bool broken = false;
+  const std::lock_guard<std::mutex> lock{runs_mutex};
+  for (const auto &[id, status] : statuses) {
+    const int count = runs[id];
+    const bool twice = count > 1;
+    const bool refused = count > 0 && (status == 503 || status == 429);
+    if (twice)
+      record.Line("TWICE: " + id + " has run " + std::to_string(count) +
+                  " times");
+    if (refused)
+      record.Line("REFUSED: " + id + " was answered " + std::to_string(status) +
+                  " and has run");
+    broken = broken || twice || refused;
   }
-  const bool whole = response && response->Status() == 200 &&
-                     response->body.size() == kBodyBytes;
-  record.Line(whole ? "held: the answer is complete"
-                    : "LOST: the connection ended without a complete answer");
-  review::Exit(whole ? review::kExitHeld : review::kExitBroken);
+  if (!broken) record.Line("held: no request has run twice");
+  review::Exit(broken ? review::kExitBroken : review::kExitHeld);
 }
