--- a/review/standins-2/harness.cc
+++ b/review/standins-2/harness.cc
@@ -425,37 +425,49 @@
 }
 
 void AppEndpoint::Beat() {
-  for (int sequence = 1;; ++sequence) {
+  while (this->beats) {
     const double begun = NowMs();
-    const Json json{
-        {"address", this->options.address.Text()},
-        {"born", this->born},
-        {"info",
-         {{"service", this->options.service},
-          {"version", "v1"},
-          {"zone", this->options.zone},
-          {"slots", this->options.slots}}},
-        {"status",
-         {{"state", "ready"}, {"sequence", sequence}, {"cold_left_ms", 0}}}};
-    const int fd = Connect(this->options.control);
-    if (fd >= 0) {
-      const std::string body = json.dump();
-      const bool sent = SendAll(
-          fd, "POST /Instances.Heartbeat/" + this->options.instance +
-                  " HTTP/1.1\r\nhost: " + this->options.control.Text() +
-                  "\r\ncontent-type: application/json\r\ncontent-length: " +
-                  std::to_string(body.size()) + "\r\n\r\n" + body);
-      Reader reader{fd};
-      const auto answer =
-          sent ? reader.Read(NowMs() + kHeartbeatTimeoutMs) : std::nullopt;
-      if (answer && answer->Status() == 200) ++this->acknowledged;
-      close(fd);
-    }
+    if (this->SendBeat(++this->sequence)) ++this->acknowledged;
     const bool early = this->acknowledged == 0;
     SleepMs(begun + (early ? 200 : kHeartbeatMs) - NowMs());
   }
 }
 
+bool AppEndpoint::SendBeat(int number) {
+  const Json json{
+      {"address", this->options.address.Text()},
+      {"born", this->born},
+      {"info",
+       {{"service", this->options.service},
+        {"version", "v1"},
+        {"zone", this->options.zone},
+        {"slots", this->options.slots}}},
+      {"status",
+       {{"state", "ready"}, {"sequence", number}, {"cold_left_ms", 0}}}};
+  return this->Post("/Instances.Heartbeat/" + this->options.instance,
+                    json.dump());
+}
+
+bool AppEndpoint::Deregister() {
+  return this->Post("/Instances.Deregister/" + this->options.instance,
+                    Json{{"born", this->born}}.dump());
+}
+
+bool AppEndpoint::Post(const std::string &path, const std::string &body) {
+  const int fd = Connect(this->options.control);
+  if (fd < 0) return false;
+  const bool sent =
+      SendAll(fd, "POST " + path +
+                      " HTTP/1.1\r\nhost: " + this->options.control.Text() +
+                      "\r\ncontent-type: application/json\r\ncontent-length: " +
+                      std::to_string(body.size()) + "\r\n\r\n" + body);
+  Reader reader{fd};
+  const auto answer =
+      sent ? reader.Read(NowMs() + kHeartbeatTimeoutMs) : std::nullopt;
+  close(fd);
+  return answer && answer->Status() == 200;
+}
+
 void AppEndpoint::Serve(int fd) {
   Reader reader{fd};
   while (auto request = reader.Read(NowMs() + 120000)) {
--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -187,6 +187,16 @@
 
   AppEndpoint(Options options, Record &record, Work work);
 
+  /*! @brief Stops the regular heartbeats. */
+  void StopBeats() { this->beats = false; }
+  /*! @brief Sends a heartbeat; a late one bears an older sequence.
+   * @return Whether it was acknowledged. */
+  bool SendBeat(int sequence);
+  /*! @brief Deregisters it. @return Whether that was acknowledged. */
+  bool Deregister();
+  /*! @brief Sequence of the last regular heartbeat. */
+  [[nodiscard]] int LastSequence() const noexcept { return this->sequence; }
+
   /*! @brief A complete answer with what the protocol asks for. */
   [[nodiscard]] std::string Answer(const Message &request, int status,
                                    const std::string &body) const;
@@ -201,11 +211,14 @@
  private:
   void Beat();
   void Serve(int fd);
+  [[nodiscard]] bool Post(const std::string &path, const std::string &body);
 
   Options options;
   Record &record;
   Work work;
   std::int64_t born;
+  std::atomic<bool> beats{true};
+  std::atomic<int> sequence{0};
   std::atomic<int> acknowledged{0};
   std::mutex mutex;
   std::map<std::string, int> arrivals;
