--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -2,7 +2,10 @@
 
 #include <unistd.h>
 
+#include <array>
+#include <atomic>
 #include <csignal>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -15,11 +18,12 @@
 using review::Message;
 using review::Record;
 
-constexpr int kRequests = 600;
-/*! @brief Every so many requests, one is rejected once: five in all. */
-constexpr int kRejectEvery = 120;
-/*! @brief Rejections whose answer is sent twice: 3 of 605 answers. */
-constexpr int kDoubled = 3;
+constexpr int kRequests = 1500;
+/*! @brief One of so many requests is rejected once by each endpoint. */
+constexpr int kRejectEvery = 250;
+constexpr int kTargets = 3;
+/*! @brief Endpoints that send rejections twice: two of the four in all. */
+constexpr int kFaulty = 2;
 constexpr double kWorkMs = 8;
 constexpr int kDeadlineMs = 5000;
 constexpr double kContactMs = 3000;
@@ -53,7 +57,7 @@
   return "m" + std::to_string(index);
 }
 
-/*! @brief What the endpoint remembers of its rejections. */
+/*! @brief What an endpoint remembers of its rejections. */
 class Rejections {
  public:
   /*! @brief Whether to reject this arrival. */
@@ -68,8 +72,6 @@
   /*! @brief Keeps the answer for a second sending on this connection. */
   void Keep(int fd, const std::string &answer) {
     const std::lock_guard<std::mutex> lock{this->mutex};
-    if (!review::Trouble() || this->doubled == kDoubled) return;
-    ++this->doubled;
     this->kept[fd] = answer;
   }
 
@@ -87,7 +89,6 @@
   std::mutex mutex;
   std::set<std::string> rejected;
   std::map<int, std::string> kept;
-  int doubled{};
 };
 
 }  // namespace
@@ -102,44 +103,57 @@
   store.Put("op", "config", Configuration());
 
   Daemon front{{1, "ke-a", "shelf", folder, store_address}};
-  Daemon back{{2, "ke-b", "gather", folder, store_address}};
   front.Start();
-  back.Start();
-
-  Rejections rejections;
+  std::array<std::unique_ptr<Daemon>, kTargets> backs;
+  std::array<std::unique_ptr<AppEndpoint>, kTargets> targets;
+  std::array<Rejections, kTargets> rejections;
   std::mutex runs_mutex;
   std::map<std::string, int> runs;
-  AppEndpoint *gather_pointer = nullptr;
-  AppEndpoint gather{
-      {"gather", "ke-b", "i-gather-1", 89, back.App(), back.Control()},
-      record,
-      [&](int fd, const Message &request) {
-        const std::string id = request.Header("x-pollenring-attempt-id");
-        const std::string extra = rejections.Take(fd);
-        if (!extra.empty()) {
-          record.Line("endpoint: sends an earlier answer once more, as " + id +
-                      " waits for its own");
-          if (!review::SendAll(fd, extra)) return false;
-        }
-        if (rejections.Rejects(id)) {
-          record.Line("endpoint: rejects " + id + ", not executed");
-          std::string answer =
-              "HTTP/1.1 503 Service Unavailable\r\nx-pollenring-attempt-id: " +
-              id +
-              "\r\nx-pollenring-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
-          rejections.Keep(fd, answer);
-          return review::SendAll(fd, answer);
-        }
-        {
-          const std::lock_guard<std::mutex> lock{runs_mutex};
-          ++runs[id];
-        }
-        review::SleepMs(kWorkMs);
-        record.Line("endpoint: has run " + id);
-        return review::SendAll(fd,
-                               gather_pointer->Answer(request, 200, "booked"));
-      }};
-  gather_pointer = &gather;
+  std::atomic<int> answers{0};
+  std::atomic<int> doubled{0};
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    const char *zone = i == 0 ? "ke-a" : "ke-b";
+    backs[i] = std::make_unique<Daemon>(Daemon::Options{
+        static_cast<int>(i) + 2, zone, "gather", folder, store_address});
+    backs[i]->Start();
+    const std::string name = "i-gather-" + std::to_string(i);
+    targets[i] = std::make_unique<AppEndpoint>(
+        AppEndpoint::Options{"gather", zone, name, 89, backs[i]->App(),
+                             backs[i]->Control()},
+        record, [&, i, name](int fd, const Message &request) {
+          const std::string id = request.Header("x-pollenring-attempt-id");
+          const std::string extra = rejections[i].Take(fd);
+          if (!extra.empty()) {
+            ++doubled;
+            record.Line("endpoint " + name +
+                        ": sends an earlier answer once more, as " + id +
+                        " waits for its own");
+            if (!review::SendAll(fd, extra)) return false;
+          }
+          ++answers;
+          if (rejections[i].Rejects(id)) {
+            record.Line("endpoint " + name + ": rejects " + id +
+                        ", not executed");
+            const std::string answer =
+                "HTTP/1.1 503 Service Unavailable\r\n"
+                "x-pollenring-attempt-id: " +
+                id +
+                "\r\nx-pollenring-not-executed: 1\r\n"
+                "content-length: 0\r\n\r\n";
+            const bool faulty = i < kFaulty && review::Trouble();
+            if (faulty) rejections[i].Keep(fd, answer);
+            return review::SendAll(fd, answer);
+          }
+          {
+            const std::lock_guard<std::mutex> lock{runs_mutex};
+            ++runs[id];
+          }
+          review::SleepMs(kWorkMs);
+          record.Line("endpoint " + name + ": has run " + id);
+          return review::SendAll(fd,
+                                 targets[i]->Answer(request, 200, "booked"));
+        });
+  }
   AppEndpoint *shelf_pointer = nullptr;
   AppEndpoint shelf{
       {"shelf", "ke-a", "i-shelf-1", 60, front.App(), front.Control()},
@@ -150,8 +164,10 @@
   shelf_pointer = &shelf;
 
   const bool up = review::WaitUntil(15000, [&] {
-    return front.Ready() && back.Ready() && gather.Acknowledged() > 0 &&
-           shelf.Acknowledged() > 0;
+    for (std::size_t i = 0; i < kTargets; ++i) {
+      if (!backs[i]->Ready() || targets[i]->Acknowledged() == 0) return false;
+    }
+    return front.Ready() && shelf.Acknowledged() > 0;
   });
   if (!up) {
     record.Line("the deployment did not come up");
@@ -188,6 +204,8 @@
                   " and has run");
     broken = broken || twice || refused;
   }
+  record.Line("endpoints: " + std::to_string(doubled) + " of " +
+              std::to_string(answers) + " answers were sent twice");
   if (!broken) record.Line("held: no request has run twice");
   review::Exit(broken ? review::kExitBroken : review::kExitHeld);
 }
