--- a/review/standins-2/harness.cc
+++ b/review/standins-2/harness.cc
@@ -35,6 +35,7 @@
 
 std::mutex pids_mutex;
 std::vector<pid_t> pids;
+std::string temporary_folder; /*!< Removed at the end. */
 
 [[nodiscard]] sockaddr_in Native(const Endpoint4 &at) {
   sockaddr_in native{};
@@ -635,6 +636,9 @@
       waitpid(pid, nullptr, 0);
     }
   }
+  std::error_code ignored;
+  if (!temporary_folder.empty())
+    std::filesystem::remove_all(temporary_folder, ignored);
   std::_Exit(code);
 }
 
@@ -642,6 +646,7 @@
   std::string path =
       std::filesystem::temp_directory_path() / "pollenring-review-XXXXXX";
   if (mkdtemp(path.data()) == nullptr) Exit(kExitCannotRun);
+  temporary_folder = path;
   return path;
 }
 
