--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -77,7 +77,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   Record record{argv[1]};
   const std::string folder = review::TemporaryFolder();
-  const review::Endpoint4 store_address{review::MachineIp(250), 8545};
+  const review::Endpoint4 store_address{
+      review::MachineIp(250), review::FreePort(review::MachineIp(250))};
   review::Store store{store_address, record};
   store.Put("op", "config", Configuration());
 
--- a/review/standins-2/harness.cc
+++ b/review/standins-2/harness.cc
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -32,8 +33,14 @@
 constexpr double kHeartbeatMs = 1500;
 constexpr double kHeartbeatTimeoutMs = 1000;
 constexpr std::size_t kReadBytes = 65536;
+/*! @brief A run is over before the 120 s that a script may take. */
+constexpr double kMaxRunMs = 110000;
+constexpr int kFirstPort = 8540;
+constexpr int kLastPort = 9540;
+constexpr int kPortsOfNode = 6;
 
 std::mutex pids_mutex;
+std::atomic<bool> ending{false};
 std::vector<pid_t> pids;
 std::string temporary_folder; /*!< Removed at the end. */
 
@@ -45,6 +52,30 @@
   return native;
 }
 
+/*! @brief Whether a port takes a TCP and a UDP socket. */
+[[nodiscard]] bool IsFree(const Endpoint4 &at) {
+  const sockaddr_in native = Native(at);
+  for (const int type : {SOCK_STREAM, SOCK_DGRAM}) {
+    const int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+    const bool bound = bind(fd, reinterpret_cast<const sockaddr *>(&native),
+                            sizeof(native)) == 0;
+    close(fd);
+    if (!bound) return false;
+  }
+  return true;
+}
+
+/*! @brief First of some free ports in a row. */
+[[nodiscard]] std::uint16_t FreePorts(const std::string &ip, int count) {
+  for (int first = kFirstPort; first < kLastPort; first += count) {
+    bool free = true;
+    for (int i = 0; i < count && free; ++i)
+      free = IsFree({ip, static_cast<std::uint16_t>(first + i)});
+    if (free) return static_cast<std::uint16_t>(first);
+  }
+  Exit(kExitCannotRun);
+}
+
 [[nodiscard]] std::string Lower(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
     return static_cast<char>(std::tolower(c));
@@ -157,6 +188,8 @@
          std::to_string(index);
 }
 
+std::uint16_t FreePort(const std::string &ip) { return FreePorts(ip, 1); }
+
 int Listen(const Endpoint4 &at) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
@@ -514,16 +547,24 @@
 }
 
 Daemon::Daemon(Options given)
-    : options{std::move(given)}, ip{MachineIp(this->options.machine)} {}
+    : options{std::move(given)},
+      ip{MachineIp(this->options.machine)},
+      port{FreePorts(this->ip, kPortsOfNode)} {}
 
 Daemon::~Daemon() {
   if (this->pid > 0) kill(this->pid, SIGKILL);
 }
 
-Endpoint4 Daemon::Outbound() const { return {this->ip, 8548}; }
-Endpoint4 Daemon::Control() const { return {this->ip, 8540}; }
-Endpoint4 Daemon::ReadyAddress() const { return {this->ip, 8546}; }
-Endpoint4 Daemon::App() const { return {this->ip, 8547}; }
+Endpoint4 Daemon::Control() const { return {this->ip, this->port}; }
+Endpoint4 Daemon::ReadyAddress() const {
+  return {this->ip, static_cast<std::uint16_t>(this->port + 1)};
+}
+Endpoint4 Daemon::App() const {
+  return {this->ip, static_cast<std::uint16_t>(this->port + 2)};
+}
+Endpoint4 Daemon::Outbound() const {
+  return {this->ip, static_cast<std::uint16_t>(this->port + 3)};
+}
 
 void Daemon::Start() {
   const std::string name =
@@ -538,8 +579,9 @@
                           << this->Outbound().Text() << "\"\ntargets = \""
                           << this->Control().Text() << "\"\nready = \""
                           << this->ReadyAddress().Text() << "\"\nnodes = \""
-                          << this->ip << ":7000\"\noperators = \"" << this->ip
-                          << ":7003\"\n\n[target]\nservice = \""
+                          << this->ip << ":" << this->port + 4
+                          << "\"\noperators = \"" << this->ip << ":"
+                          << this->port + 5 << "\"\n\n[target]\nservice = \""
                           << this->options.service
                           << "\"\n\n[limits]\nmemory_mb = "
                           << this->options.memory_mb
@@ -550,6 +592,8 @@
   this->options.first_start = false;
   const pid_t started = fork();
   if (started == 0) {
+    // It ends with the driver, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     setenv("POLLENRING_CONFIG", settings.c_str(), 1);
     const int log =
         open((name + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
@@ -628,7 +672,10 @@
   return text + "\r\n" + body;
 }
 
+bool Ending() { return ending; }
+
 void Exit(int code) {
+  ending = true;
   {
     const std::lock_guard<std::mutex> lock{pids_mutex};
     for (const pid_t pid : pids) {
@@ -647,6 +694,10 @@
       std::filesystem::temp_directory_path() / "pollenring-review-XXXXXX";
   if (mkdtemp(path.data()) == nullptr) Exit(kExitCannotRun);
   temporary_folder = path;
+  std::thread{[] {
+    SleepMs(kMaxRunMs);
+    Exit(kExitCannotRun);
+  }}.detach();
   return path;
 }
 
--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -59,6 +59,9 @@
 /*! @brief A loopback address of this run for machine `index`. */
 [[nodiscard]] std::string MachineIp(int index);
 
+/*! @brief A port of an address that is free now. */
+[[nodiscard]] std::uint16_t FreePort(const std::string &ip);
+
 /*! @brief Listens. @return The descriptor; ends the process with 2 if the
  * address is taken. */
 [[nodiscard]] int Listen(const Endpoint4 &at);
@@ -268,6 +271,7 @@
 
   Options options;
   std::string ip;
+  std::uint16_t port; /*!< First of its six ports, free at the start. */
   std::atomic<pid_t> pid{-1};
 };
 
@@ -284,6 +288,9 @@
 /*! @brief Ends all daemons that still run and exits, without destructors. */
 [[noreturn]] void Exit(int code);
 
+/*! @brief Whether `Exit` has begun. */
+[[nodiscard]] bool Ending();
+
 /*! @brief A new folder below the system's temporary one. */
 [[nodiscard]] std::string TemporaryFolder();
 
