A request that is sent again uses another connection to its target

Cause: a response is matched by its connection and by the identifier that the target echoes. Two sendings of a request share the identifier, and the pool hands out the connection used last, so a late copy of the first rejection was taken for the response to the second sending, which was still running. A trace (trial) shows the 503 on the same connection 175 us and 86 us after the second sending, while the target ran it for 8 ms more; no response was skipped, none was missing. Change: a connection remembers the requests that it has carried for as long as they may be sent again, and carries none of them twice. A copy then meets another identifier or an idle connection, and either drops the connection. Debug level logs which response was taken for which sending.

--- a/src/pollenring/net/client_connection.cc
+++ b/src/pollenring/net/client_connection.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <iterator>
 
 #include "pollenring/log/log.h"
 #include "pollenring/net/descriptors.h"
@@ -20,8 +21,23 @@
  * reused; the rest allows for network latency and late timers. */
 constexpr double kIdleTimeoutFraction = 0.8;
 
+/*! @brief How late after its time-out a request may be sent again: a node that
+ * forwards it is given up after 1.1 s of silence. */
+constexpr Duration kMaxResendDelay = std::chrono::seconds{2};
+
 }  // namespace
 
+void ClientConnection::Begin(std::uint64_t id, std::string_view correlation,
+                             Time now, Time until) {
+  this->call = id;
+  this->sent_at = now;
+  this->writing = true;
+  this->write_failed = false;
+  this->foreign_responses = 0;
+  if (correlation.empty()) return;
+  this->carried.Add(correlation, now, until + kMaxResendDelay);
+}
+
 bool IdlePool::Add(ClientConnection &connection, Time now,
                    Duration stated_timeout) {
   auto &pool = this->idle[connection.to];
@@ -37,11 +53,20 @@
   return true;
 }
 
-ClientConnection *IdlePool::Take(const Address &to) {
+ClientConnection *IdlePool::Take(const Address &to,
+                                 std::string_view correlation, Time now) {
   const auto found = this->idle.find(to);
-  if (found == this->idle.end() || found->second.empty()) return nullptr;
-  ClientConnection *connection = found->second.back();
-  found->second.pop_back();
+  if (found == this->idle.end()) return nullptr;
+  auto &pool = found->second;
+  const auto usable =
+      std::find_if(pool.rbegin(), pool.rend(),
+                   [correlation, now](const ClientConnection *pooled) {
+                     return correlation.empty() ||
+                            !pooled->carried.MayContain(correlation, now);
+                   });
+  if (usable == pool.rend()) return nullptr;
+  ClientConnection *connection = *usable;
+  pool.erase(std::next(usable).base());
   return connection;
 }
 
@@ -93,6 +118,18 @@
   return retry ? open() : nullptr;
 }
 
+void LogResponse(ClientConnection &connection, const std::string &id,
+                 Time now) {
+  if (!MayLogRequest(LogLevel::kDebug)) return;
+  LogEvent(LogLevel::kDebug, "response",
+           {{"peer", connection.to.Format()},
+            {"connection", connection.number},
+            {"id", id},
+            {"status", connection.parser->Response().status},
+            {"skipped", connection.foreign_responses},
+            {"wait_us", (now - connection.sent_at).count()}});
+}
+
 void LogBrokenResponse(const ClientConnection &connection,
                        const std::string &id, ResponseFault fault) {
   if (!MayLogRequest(LogLevel::kWarning)) return;
--- a/src/pollenring/net/client_connection.h
+++ b/src/pollenring/net/client_connection.h
@@ -6,11 +6,13 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "pollenring/core/clock.h"
 #include "pollenring/net/address.h"
 #include "pollenring/net/connection_table.h"
+#include "pollenring/net/correlation_history.h"
 #include "pollenring/net/http_message.h"
 #include "pollenring/net/response_parser.h"
 
@@ -27,12 +29,25 @@
   explicit ClientConnection(ConnectionTable &table)
       : entry{table, ConnectionRole::kOutgoing} {}
 
+  /**
+   * @brief Prepares for the next call, whose request is written now.
+   * @param id The call.
+   * @param correlation Correlation value of its request; may be empty.
+   * @param now Time.
+   * @param until When the call times out.
+   */
+  void Begin(std::uint64_t id, std::string_view correlation, Time now,
+             Time until);
+
   OpenConnection entry;
+  std::uint64_t number{}; /*!< Tells connections apart in logs. */
   void *owner{};
   Address to;
   st_h2o_socket_t *sock{};
   std::optional<ResponseParser> parser;
-  std::uint64_t call{}; /*!< 0 while idle. */
+  std::uint64_t call{};       /*!< 0 while idle. */
+  Time sent_at{};             /*!< When the current call was sent. */
+  CorrelationHistory carried; /*!< Requests, the current one included. */
   Time idle_until{};
   std::uint64_t connect_timer{};
   bool writing{};
@@ -58,11 +73,16 @@
                          Duration stated_timeout);
 
   /**
-   * @brief Removes the connection that was used last.
+   * @brief Removes the connection that was used last, of those that have not
+   * carried a request before.
    * @param to Its peer.
+   * @param correlation Correlation value of the request; empty for none, which
+   * suits any connection.
+   * @param now Time.
    * @return The connection, which may have expired, or null.
    */
-  [[nodiscard]] ClientConnection *Take(const Address &to);
+  [[nodiscard]] ClientConnection *Take(const Address &to,
+                                       std::string_view correlation, Time now);
 
   /**
    * @brief Removes a connection.
@@ -96,6 +116,15 @@
                                           void (*connected)(st_h2o_socket_t *,
                                                             const char *));
 
+/**
+ * @brief Logs which response was taken for a call, on debug level and within
+ * the line budget of requests.
+ * @param connection Connection that it was read from.
+ * @param id Identifier of the request; may be empty.
+ * @param now Time.
+ */
+void LogResponse(ClientConnection &connection, const std::string &id, Time now);
+
 /**
  * @brief Logs an unusable response, within the line budget of requests.
  * @param connection Connection that it was read from.
--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -65,6 +65,7 @@
     call.output = internal::SerializeRequest(to, request);
     call.head_only = request.method == "HEAD";
     call.correlation = std::move(correlation);
+    call.until = this->loop.GetClock().Now() + timeout;
     call.done = std::move(done);
     call.timer = this->loop.After(timeout, [this, id] { this->Expire(id); });
     if (!this->Reuse(id, call)) this->Connect(id, call);
@@ -89,6 +90,7 @@
     Address to;
     std::string output;
     CorrelationHeader correlation;
+    Time until{}; /*!< When it times out. */
     bool head_only{};
     bool sent{};
     Done done;
@@ -98,7 +100,9 @@
 
   bool Reuse(CallId id, Pending &call) {
     const Time now = this->loop.GetClock().Now();
-    while (Connection *connection = this->idle.Take(call.to)) {
+    const std::string &correlation = call.correlation.value;
+    while (Connection *connection =
+               this->idle.Take(call.to, correlation, now)) {
       if (connection->idle_until > now) {
         this->Send(id, call, *connection);
         return true;
@@ -126,7 +130,7 @@
       this->Finish(id, CallError::kNotConnected);
       return;
     }
-    ++this->connects;
+    connection.number = ++this->connects;
     connection.sock->data = &connection;
     connection.connect_timer = this->loop.After(kConnectTimeout, [this, id] {
       const auto found = this->calls.find(id);
@@ -155,11 +159,9 @@
   }
 
   void Send(CallId id, Pending &call, Connection &connection) {
-    connection.call = id;
+    connection.Begin(id, call.correlation.value, this->loop.GetClock().Now(),
+                     call.until);
     connection.parser.emplace(call.head_only, this->limits.max_body_bytes);
-    connection.writing = true;
-    connection.write_failed = false;
-    connection.foreign_responses = 0;
     call.connection = &connection;
     call.sent = true;
     h2o_iovec_t output = h2o_iovec_init(call.output.data(), call.output.size());
@@ -297,6 +299,8 @@
   void Complete(Connection &connection, bool ended) {
     const CallId id = connection.call;
     ResponseParser &parser = *connection.parser;
+    internal::LogResponse(connection, this->calls.at(id).correlation.value,
+                          this->loop.GetClock().Now());
     const bool reusable = !ended && !connection.not_reusable &&
                           !connection.writing && !connection.write_failed &&
                           parser.KeepsAlive();
--- a/src/pollenring/net/http_client.h
+++ b/src/pollenring/net/http_client.h
@@ -54,8 +54,13 @@
   BufferBudget *budget{}; /*!< Charged with them; null for none. */
 };
 
-/*! @brief A request header that the response echoes; a response with another
- * value belongs to another request. */
+/**
+ * @brief A request header that the response echoes.
+ *
+ * A response with another value belongs to another request. One with the same
+ * value may belong to an earlier sending of the request, so each sending uses a
+ * connection of its own.
+ */
 struct CorrelationHeader {
   std::string name; /*!< In lower case; empty for no check. */
   std::string value;
