A response that names no request ends its connection

Callers would see: a request that ran is answered 503 or runs twice. Cause: a response without the echoed identifier is matched by its connection alone, and a rejection without one counts as "not executed". The connection went back to the pool, where a late copy of that rejection looks like the response to any later request. Change: such a response is still taken, as it came where the response was expected, but its connection carries no further request. Test: "http client: a late copy of an unidentified rejection..." failed before ("full" instead of "has run", one connection instead of two) and passes.

--- a/src/pollenring/net/client_connection.h
+++ b/src/pollenring/net/client_connection.h
@@ -54,7 +54,8 @@
   bool write_failed{};
   /*! @brief The peer ended its side while the request was being written. */
   bool ended{};
-  bool not_reusable{};          /*!< Carried another request's response. */
+  /*! @brief Carried a response of another request, or of an unnamed one. */
+  bool not_reusable{};
   int foreign_responses{};      /*!< To other requests, in the current call. */
   std::size_t buffered_bytes{}; /*!< Of the current response. */
 };
--- a/src/pollenring/net/http_client.cc
+++ b/src/pollenring/net/http_client.cc
@@ -100,9 +100,8 @@
 
   bool Reuse(CallId id, Pending &call) {
     const Time now = this->loop.GetClock().Now();
-    const std::string &correlation = call.correlation.value;
     while (Connection *connection =
-               this->idle.Take(call.to, correlation, now)) {
+               this->idle.Take(call.to, call.correlation.value, now)) {
       if (connection->idle_until > now) {
         this->Send(id, call, *connection);
         return true;
@@ -267,8 +266,10 @@
     if (call.correlation.name.empty()) return false;
     const auto received = FindHeader(connection.parser->Response().headers,
                                      call.correlation.name);
-    if (received.empty() || received == call.correlation.value) return false;
+    if (received == call.correlation.value) return false;
     connection.not_reusable = true;
+    // A copy of it would look like the response to any later request.
+    if (received.empty()) return false;
     if (++connection.foreign_responses > kMaxForeignResponses) return false;
     connection.parser.emplace(call.head_only, this->limits.max_body_bytes);
     return true;
--- a/test/pollenring/net/http_client_test.cc
+++ b/test/pollenring/net/http_client_test.cc
@@ -213,6 +213,22 @@
   CHECK(peer.Accepted() == 2);
 }
 
+TEST_CASE(
+    "http client: a late copy of an unidentified rejection is no response to "
+    "another request") {
+  // Guards against: a request that has run is taken as rejected, because the
+  // copy names no request.
+  const std::string rejection =
+      "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 4\r\n\r\nfull";
+  RawPeer peer{{{{rejection, rejection + Answer("next", "on one connection")},
+                 {}},
+                {{Answer("next", "has run")}, {}}}};
+  Caller caller;
+  CHECK(BodyOf(caller.Call(peer)) == "full");
+  CHECK(BodyOf(caller.Call(peer, "next")) == "has run");
+  CHECK(peer.Accepted() == 2);
+}
+
 TEST_CASE("http client: a kept-alive connection is reused") {
   RawPeer peer{{{{Answer("own", "first"), Answer("next", "second")}, {}}}};
   Caller caller;
