A planned stop answers the requests that still wait

Cause: MeshNode::CheckDrained stopped the loop at the limit of the drain, whatever was in progress, and nothing answered what was left. A crash (no "stopped") and a miscounted drain (in_progress 0) are ruled out.

Change: before the limit, requests that have reached no target are withdrawn from their queues, also from those of other nodes, by an HTTP/2 extension frame that older nodes ignore, and are refused as not run. What is left at the limit is answered as of unknown outcome, or as not run where it never left the node. It works because every request that the node has read is held by Outbound until it is answered, and the process now ends after that.

--- a/src/pollenring/link/link_client.cc
+++ b/src/pollenring/link/link_client.cc
@@ -98,6 +98,8 @@
     if (now - this->pinged_at > kPingTimeout) this->Close();
   }
 
+  using Session::SubmitWithdrawal;
+
   void Drop(std::int32_t stream_id) {
     this->calls_by_stream.erase(stream_id);
     this->Reset(stream_id, NGHTTP2_CANCEL);
@@ -226,6 +228,18 @@
 
 void LinkClient::Cancel(CallId id) { this->Abandon(id, false); }
 
+void LinkClient::Withdraw(CallId id) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end()) return;
+  const auto connection = found->second.connection.lock();
+  if (!connection || connection->Closed()) return;
+  if (connection->DropWaiting(id)) {
+    this->Finish(id, LinkError::kNotSent);
+    return;
+  }
+  connection->SubmitWithdrawal(found->second.stream_id);
+}
+
 void LinkClient::Finish(CallId id, Reply reply) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) return;
--- a/src/pollenring/link/link_client.h
+++ b/src/pollenring/link/link_client.h
@@ -54,6 +54,15 @@
    */
   void Cancel(CallId id);
 
+  /**
+   * @brief Asks the peer to reply at once to a call that it has not begun.
+   *
+   * `done` is called as usual: with that reply, or with that of a call that has
+   * begun. The request may be lost, so it may be repeated.
+   * @param id The call's handle; ignored if the call has ended.
+   */
+  void Withdraw(CallId id);
+
  private:
   class Connection;
   struct Pending {
--- a/src/pollenring/link/link_server.cc
+++ b/src/pollenring/link/link_server.cc
@@ -66,13 +66,23 @@
     this->cancelled = std::move(callback);
   }
 
+  void OnWithdraw(Withdrawn callback) override {
+    this->withdrawn = std::move(callback);
+  }
+
   [[nodiscard]] Address Peer() const override { return this->peer; }
 
   /*! @brief Whether a reply is still awaited. @return True if it is. */
   [[nodiscard]] bool Open() const noexcept { return this->open; }
 
+  void Withdraw() const {
+    // The callback may send the reply, which drops it.
+    if (const Withdrawn callback = this->withdrawn) callback();
+  }
+
   void Ended(Loop &loop) {
     this->open = false;
+    this->withdrawn = nullptr;
     if (auto callback = std::exchange(this->cancelled, nullptr)) {
       loop.Contain("cancellation", callback);
     }
@@ -86,6 +96,7 @@
   std::int32_t stream_id;
   Address peer;
   Cancelled cancelled;
+  Withdrawn withdrawn;
   bool open{true};
 };
 
@@ -169,6 +180,17 @@
     if (responder) responder->Ended(this->owner.loop);
   }
 
+  void OnWithdraw(std::int32_t stream_id) override {
+    const auto found = this->responders.find(stream_id);
+    if (found == this->responders.end()) return;
+    // Deferred like the message itself, so that it has been handled by then.
+    this->owner.loop.Post([&loop = this->owner.loop, weak = found->second] {
+      const auto responder = weak.lock();
+      if (!responder) return;
+      loop.Contain("withdrawal", [&responder] { responder->Withdraw(); });
+    });
+  }
+
   void OnClosed() override {
     this->owner.connections.erase(
         std::static_pointer_cast<Connection>(shared_from_this()));
@@ -185,6 +207,7 @@
 void LinkServer::Impl::StreamResponder::Send(std::string body) {
   if (!std::exchange(this->open, false)) return;
   this->cancelled = nullptr;
+  this->withdrawn = nullptr;
   const auto held = this->connection.lock();
   if (!held || held->Closed()) return;
   held->Reply(this->stream_id, std::move(body));
@@ -193,6 +216,7 @@
 void LinkServer::Impl::StreamResponder::Fail() {
   if (!std::exchange(this->open, false)) return;
   this->cancelled = nullptr;
+  this->withdrawn = nullptr;
   const auto held = this->connection.lock();
   if (!held || held->Closed()) return;
   held->ResetReply(this->stream_id);
--- a/src/pollenring/link/link_server.h
+++ b/src/pollenring/link/link_server.h
@@ -15,6 +15,7 @@
 class LinkResponder {
  public:
   using Cancelled = std::function<void()>;
+  using Withdrawn = std::function<void()>;
 
   LinkResponder() = default;
   LinkResponder(const LinkResponder &) = delete;
@@ -33,6 +34,13 @@
    */
   virtual void OnCancel(Cancelled cancelled) = 0;
 
+  /**
+   * @brief Registers a callback for the peer's request to reply at once if the
+   * message has not been acted on.
+   * @param withdrawn Called any number of times, never after `Send`.
+   */
+  virtual void OnWithdraw(Withdrawn withdrawn) = 0;
+
   /*! @brief Address of the peer. @return The peer's host and the port of its
    * connection. */
   [[nodiscard]] virtual Address Peer() const = 0;
--- a/src/pollenring/link/session.cc
+++ b/src/pollenring/link/session.cc
@@ -16,6 +16,9 @@
 constexpr std::uint32_t kMaxConcurrentStreams = 100'000;
 constexpr std::size_t kMaxWriteBytes = std::size_t{256} * 1024;
 constexpr std::string_view kSecretHeader = "pr-secret";
+/*! @brief Type of the frame that withdraws a message; it has no payload. Types
+ * from 0xf0 on are for private use (RFC 7540, 11.2). */
+constexpr std::uint8_t kWithdrawFrame = 0xf0;
 
 [[nodiscard]] nghttp2_nv Field(std::string_view name, std::string_view value) {
   return {reinterpret_cast<std::uint8_t *>(const_cast<char *>(name.data())),
@@ -55,6 +58,10 @@
 
   static int OnFrame(nghttp2_session * /*native*/, const nghttp2_frame *frame,
                      void *user) {
+    if (frame->hd.type == kWithdrawFrame) {
+      Self(user)->OnWithdraw(frame->hd.stream_id);
+      return 0;
+    }
     const bool carries_message =
         frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
     if (!carries_message) return 0;
@@ -65,6 +72,20 @@
     return 0;
   }
 
+  static ssize_t PackWithdrawal(nghttp2_session * /*native*/,
+                                std::uint8_t * /*buffer*/, std::size_t /*size*/,
+                                const nghttp2_frame * /*frame*/,
+                                void * /*user*/) {
+    return 0;
+  }
+
+  static int UnpackWithdrawal(nghttp2_session * /*native*/, void **payload,
+                              const nghttp2_frame_hd * /*header*/,
+                              void * /*user*/) {
+    *payload = nullptr;
+    return 0;
+  }
+
   static int OnStreamClose(nghttp2_session * /*native*/, std::int32_t stream_id,
                            std::uint32_t code, void *user) {
     Session *self = Self(user);
@@ -101,11 +122,19 @@
                                                        &Callbacks::OnFrame);
   nghttp2_session_callbacks_set_on_stream_close_callback(
       callbacks, &Callbacks::OnStreamClose);
+  nghttp2_session_callbacks_set_pack_extension_callback(
+      callbacks, &Callbacks::PackWithdrawal);
+  nghttp2_session_callbacks_set_unpack_extension_callback(
+      callbacks, &Callbacks::UnpackWithdrawal);
+  nghttp2_option *options = nullptr;
+  nghttp2_option_new(&options);
+  nghttp2_option_set_user_recv_extension_type(options, kWithdrawFrame);
   if (role == Role::kClient) {
-    nghttp2_session_client_new(&this->native, callbacks, this);
+    nghttp2_session_client_new2(&this->native, callbacks, this, options);
   } else {
-    nghttp2_session_server_new(&this->native, callbacks, this);
+    nghttp2_session_server_new2(&this->native, callbacks, this, options);
   }
+  nghttp2_option_del(options);
   nghttp2_session_callbacks_del(callbacks);
 }
 
@@ -172,6 +201,12 @@
   this->ScheduleFlush();
 }
 
+void Session::SubmitWithdrawal(std::int32_t stream_id) {
+  nghttp2_submit_extension(this->native, kWithdrawFrame, NGHTTP2_FLAG_NONE,
+                           stream_id, nullptr);
+  this->ScheduleFlush();
+}
+
 void Session::Ping() {
   nghttp2_submit_ping(this->native, NGHTTP2_FLAG_NONE, nullptr);
   this->ScheduleFlush();
--- a/src/pollenring/link/session.h
+++ b/src/pollenring/link/session.h
@@ -74,6 +74,9 @@
   virtual void OnStreamEnd(std::int32_t stream_id, Stream &stream,
                            bool refused) = 0;
 
+  /*! @brief Called when the peer withdraws its message on a stream. */
+  virtual void OnWithdraw(std::int32_t /*stream_id*/) {}
+
   /*! @brief Called once after the connection has ended. */
   virtual void OnClosed() {}
 
@@ -84,6 +87,11 @@
                                            std::string body);
   void SubmitResponse(std::int32_t stream_id, std::string body);
   void Reset(std::int32_t stream_id, std::uint32_t code);
+
+  /*! @brief Withdraws the message that was sent on a stream, which stays open
+   * for its reply. Peers that don't know this frame ignore it (RFC 9113, 5.5).
+   * @param stream_id The stream. */
+  void SubmitWithdrawal(std::int32_t stream_id);
   void ScheduleFlush();
 
   /*! @brief Sends an HTTP/2 PING. */
--- a/src/pollenring/mesh/drain_times.cc
+++ b/src/pollenring/mesh/drain_times.cc
@@ -16,7 +16,11 @@
 DrainTimes DrainTimesFor(Duration grace) noexcept {
   const Duration max_duration = std::max(grace / 2, grace - kFinalWriteTime);
   // The requests accepted last need time to complete.
-  return {std::min(kClientMoveTime, max_duration * 3 / 5), max_duration};
+  const Duration accept_until = std::min(kClientMoveTime, max_duration * 3 / 5);
+  // They have half of that time to reach a target, and half to run there.
+  const Duration withdraw_from = (accept_until + max_duration) / 2;
+  return {accept_until, withdraw_from, max_duration,
+          (max_duration + grace) / 2};
 }
 
 }  // namespace pollenring
--- a/src/pollenring/mesh/drain_times.h
+++ b/src/pollenring/mesh/drain_times.h
@@ -8,8 +8,12 @@
 /*! @brief Phases of a planned stop, measured from its start. */
 struct DrainTimes {
   Duration accept_until; /*!< Requests of callers are accepted until then. */
-  Duration
-      max_duration; /*!< The process ends then, even with calls in progress. */
+  /*! @brief Requests that have not reached a target are refused from then. */
+  Duration withdraw_from;
+  /*! @brief Requests still in progress are answered then, as of unknown
+   * outcome. */
+  Duration max_duration;
+  Duration end; /*!< The process ends then, even with unwritten responses. */
 };
 
 /**
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -248,6 +248,7 @@
         responder->Send(Frame(reply, answer, version));
       });
   responder->OnCancel([this, id] { this->executor.CallerDisconnected(id); });
+  responder->OnWithdraw([this, id] { this->executor.Withdraw(id); });
 }
 
 void MeshNode::HandleHeartbeat(const HttpRequest &request,
@@ -338,14 +339,21 @@
   const Duration elapsed = this->DrainElapsed();
   const DrainTimes times = DrainTimesFor(this->settings.grace);
   const bool accepting = elapsed < times.accept_until;
-  const bool timed_out = elapsed >= times.max_duration;
   if (!accepting) {
     this->caller_server.Close();
     this->outbound.Close();
   }
+  if (elapsed >= times.withdraw_from) {
+    this->dispatcher.Withdraw();
+    this->executor.WithdrawAll();
+  }
+  if (elapsed >= times.max_duration) this->outbound.RespondToAll();
+  const bool timed_out = elapsed >= times.end;
   if (timed_out || (!accepting && this->InProgress() == 0)) {
     LogEvent(LogLevel::kInfo, "drain completed",
-             {{"in_progress", this->InProgress()}});
+             {{"unanswered", this->caller_server.InProgress()},
+              {"dispatched", this->dispatcher.InProgress()},
+              {"at_target", this->executor.InProgress()}});
     this->loop.After(kDrainCheckInterval, [this] { this->loop.Stop(); });
     return;
   }
--- a/src/pollenring/mesh/outbound.cc
+++ b/src/pollenring/mesh/outbound.cc
@@ -102,8 +102,10 @@
   entry->fingerprint =
       this->parts.fingerprints.Of(IdentityOf(entry->envelope, entry->body));
   entry->envelope.fingerprint = entry->fingerprint;
+  this->entries.insert(entry);
   entry->responder->OnCancel([this, entry](CallerDisconnect disconnect) {
     entry->disconnected = true;
+    this->entries.erase(entry);
     this->loop.Cancel(entry->timer);
     this->RecordDisconnect(*entry, disconnect, false);
   });
@@ -262,7 +264,7 @@
 }
 
 void Outbound::Send(const EntryPtr &entry, const RenewCharge &renew) {
-  if (entry->disconnected) return;
+  if (entry->disconnected || entry->responded) return;
   entry->call = this->parts.dispatcher.Call(
       std::move(entry->envelope), std::move(entry->body),
       {entry->deadline, entry->attempts, this->loop.GetClock().Now(), renew},
@@ -279,6 +281,7 @@
         this->Respond(entry, std::move(reply), std::move(body));
       });
   entry->responder->OnCancel([this, entry](CallerDisconnect disconnect) {
+    this->entries.erase(entry);
     this->loop.Cancel(entry->timer);
     this->parts.executor.EndSubCall(entry->parent);
     this->RecordDisconnect(*entry, disconnect, true);
@@ -299,6 +302,28 @@
                                   [this, entry] { this->FailOverdue(entry); });
 }
 
+void Outbound::RespondToAll() {
+  const auto open = this->entries;
+  for (const auto &entry : open) {
+    this->loop.Contain("last response",
+                       [this, &entry] { this->RespondLast(entry); });
+  }
+}
+
+void Outbound::RespondLast(const EntryPtr &entry) {
+  const bool sent = entry->call != 0;
+  const bool in_progress = this->parts.dispatcher.Cancel(entry->call);
+  // The reply to a call that has ended is on its way here.
+  if (sent && !in_progress) return;
+  this->parts.executor.EndSubCall(entry->parent);
+  const Duration retry_after =
+      WithJitter(kDefaultRetryAfter, this->parts.random);
+  this->Respond(entry,
+                Refusal(sent ? Outcome::kUnknown : Outcome::kNotRun,
+                        Reason::kLeaving, retry_after),
+                {});
+}
+
 void Outbound::FailOverdue(const EntryPtr &entry) {
   // A process that lags may not have handled replies already received.
   const Time now = this->loop.GetClock().Now();
@@ -329,6 +354,7 @@
   this->RecordResult(*entry, reply);
   entry->responder->Send(std::move(response));
   entry->responded = true;
+  this->entries.erase(entry);
   this->loop.Cancel(entry->timer);
 }
 
--- a/src/pollenring/mesh/outbound.h
+++ b/src/pollenring/mesh/outbound.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "pollenring/core/random.h"
 #include "pollenring/mesh/codecs.h"
@@ -61,6 +62,13 @@
   /*! @brief Refuses all further requests, as the process is about to end. */
   void Close() noexcept { this->closed = true; }
 
+  /**
+   * @brief Responds to all requests in progress, as the process ends.
+   *
+   * Only those that were not sent are reported as not run.
+   */
+  void RespondToAll();
+
  private:
   struct Entry;
   using EntryPtr = std::shared_ptr<Entry>;
@@ -82,6 +90,7 @@
    * this node. @param entry The request. @param until When to respond. */
   void ScheduleOverdue(const EntryPtr &entry, Time until);
   void FailOverdue(const EntryPtr &entry);
+  void RespondLast(const EntryPtr &entry);
   void Respond(const EntryPtr &entry, CallReply reply, std::string body);
   void RecordResult(const Entry &entry, const CallReply &reply);
   void RecordDisconnect(const Entry &entry, CallerDisconnect disconnect,
@@ -91,6 +100,7 @@
   std::string service;
   OutboundParts parts;
   std::unordered_map<std::string, double> splits; /*!< In [0, 1), by route. */
+  std::unordered_set<EntryPtr> entries;           /*!< Without a response. */
   bool closed{};
 };
 
--- a/src/pollenring/node/dispatcher.cc
+++ b/src/pollenring/node/dispatcher.cc
@@ -84,6 +84,10 @@
 
 void Dispatcher::Attempt(std::uint64_t id) {
   Job &job = this->jobs.at(id);
+  if (this->IsWithdrawn(job)) {
+    this->FinishNotRun(id, Reason::kLeaving);
+    return;
+  }
   const Duration jittered_retry_after =
       WithJitter(kDefaultRetryAfter, this->random);
   if (job.bounds.deadline <= this->loop.GetClock().Now()) {
@@ -236,6 +240,7 @@
                         reply.outcome == Outcome::kNotRun &&
                         reply.reason == Reason::kLinkLost;
   if (!mismatch || job.redirects_left == 0) return false;
+  if (this->IsWithdrawn(job)) return false;
   --job.redirects_left;
   this->wire.versions.DecodeFailed(job.node, version);
   return true;
@@ -312,13 +317,13 @@
   });
 }
 
-void Dispatcher::Cancel(std::uint64_t id) {
+bool Dispatcher::Cancel(std::uint64_t id) {
   const auto found = this->jobs.find(id);
-  if (found == this->jobs.end()) return;
+  if (found == this->jobs.end()) return false;
   const Job &job = found->second;
   if (job.waiting) {
     this->jobs.erase(found);
-    return;
+    return true;
   }
   if (job.node == this->self) {
     this->executor.CallerDisconnected(job.call);
@@ -328,6 +333,7 @@
   this->router.Finished(job.envelope.service, job.node, CallVerdict::kAnswered,
                         std::nullopt);
   this->jobs.erase(found);
+  return true;
 }
 
 }  // namespace pollenring
--- a/src/pollenring/node/dispatcher.h
+++ b/src/pollenring/node/dispatcher.h
@@ -88,10 +88,21 @@
                      Done done);
 
   /**
-   * @brief Drops a call whose caller has disconnected.
+   * @brief Drops a call whose response is of no use any more.
    * @param id Handle of the call; ignored if the call has ended.
+   * @return True if the call was in progress.
    */
-  void Cancel(std::uint64_t id);
+  bool Cancel(std::uint64_t id);
+
+  /**
+   * @brief Ends the callers' calls that have not reached a target, as not run,
+   * and starts no further attempt for them, because this node leaves.
+   *
+   * Targets' nodes are asked to give back what waits there; they reply soon. A
+   * message may be lost, so this may be repeated. Calls of the local target
+   * wait on, as their failure would waste the request that makes them.
+   */
+  void Withdraw();
 
   /*! @brief Calls without a reply yet. @return The count. */
   [[nodiscard]] std::size_t InProgress() const noexcept {
@@ -127,6 +138,8 @@
   [[nodiscard]] std::optional<NodeId> ChooseNode(const Job &job,
                                                  Standing standing);
   void AttemptLater(std::uint64_t id, Job &job);
+  [[nodiscard]] bool IsWithdrawn(const Job &job) const noexcept;
+  void FinishNotRun(std::uint64_t id, Reason reason);
   void ChargeAgain(std::uint64_t id, Job &job);
   void Send(std::uint64_t id, Job &job);
   void HandleLinkReply(std::uint64_t id, std::uint64_t attempt,
@@ -157,6 +170,7 @@
   Random &random;
   Metrics &metrics;
   std::unordered_map<std::uint64_t, Job> jobs;
+  bool withdrawn{}; /*!< Callers' calls start no attempt any more. */
   std::uint64_t last_id{};
 };
 
--- a/src/pollenring/node/dispatcher_retry.cc
+++ b/src/pollenring/node/dispatcher_retry.cc
@@ -2,6 +2,9 @@
 #include "pollenring/core/invariant.h"
 #include "pollenring/log/log.h"
 #include "pollenring/node/dispatcher.h"
+#include "pollenring/node/headers.h"
+#include "pollenring/node/limits.h"
+#include "pollenring/retry/backoff.h"
 
 namespace pollenring {
 namespace {
@@ -52,6 +55,7 @@
 }
 
 bool Dispatcher::ShouldRetry(Job &job, const CallReply &reply) {
+  if (this->IsWithdrawn(job)) return false;
   if (reply.outcome == Outcome::kRan) {
     const bool failed = this->options.retries_failures &&
                         job.envelope.idempotent &&
@@ -95,4 +99,33 @@
   return true;
 }
 
+void Dispatcher::Withdraw() {
+  this->withdrawn = true;
+  std::vector<std::uint64_t> ids;
+  ids.reserve(this->jobs.size());
+  for (const auto &[id, job] : this->jobs) ids.push_back(id);
+  for (const std::uint64_t id : ids) {
+    const Job &job = this->jobs.at(id);
+    if (!this->IsWithdrawn(job)) continue;
+    if (job.waiting) {
+      this->FinishNotRun(id, Reason::kLeaving);
+    } else if (job.node == this->self) {
+      this->executor.Withdraw(job.call);
+    } else {
+      this->link.Withdraw(job.call);
+    }
+  }
+}
+
+bool Dispatcher::IsWithdrawn(const Job &job) const noexcept {
+  return this->withdrawn && job.envelope.depth == 0;
+}
+
+void Dispatcher::FinishNotRun(std::uint64_t id, Reason reason) {
+  this->Finish(id,
+               Refusal(Outcome::kNotRun, reason,
+                       WithJitter(kDefaultRetryAfter, this->random)),
+               {});
+}
+
 }  // namespace pollenring
--- a/src/pollenring/node/target_executor.cc
+++ b/src/pollenring/node/target_executor.cc
@@ -307,6 +307,25 @@
   this->Cancel(id);
 }
 
+void TargetExecutor::Withdraw(std::uint64_t id) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end() || found->second.running) return;
+  const auto binding =
+      this->bindings.find(found->second.served.envelope.service);
+  AdmissionActions next;
+  if (binding != this->bindings.end())
+    next = binding->second.admission->Cancel(id);
+  this->Refuse(id, Outcome::kNotRun, Reason::kLeaving);
+  this->Perform(next);
+}
+
+void TargetExecutor::WithdrawAll() {
+  std::vector<std::uint64_t> ids;
+  ids.reserve(this->calls.size());
+  for (const auto &[id, call] : this->calls) ids.push_back(id);
+  for (const std::uint64_t id : ids) this->Withdraw(id);
+}
+
 void TargetExecutor::CancelSubCalls(const SubCallCancels &cancels) {
   // Sub-calls of a cancelled call are of no use.
   for (const auto &[call, cancel] : cancels) {
--- a/src/pollenring/node/target_executor.h
+++ b/src/pollenring/node/target_executor.h
@@ -205,6 +205,16 @@
    */
   void CallerDisconnected(std::uint64_t id);
 
+  /**
+   * @brief Refuses a call that has not been sent to the target; it has not run
+   * and won't.
+   * @param id The call's handle; one that was sent or has ended is ignored.
+   */
+  void Withdraw(std::uint64_t id);
+
+  /*! @brief Refuses all calls that have not been sent to the target. */
+  void WithdrawAll();
+
   /**
    * @brief Finds the request that a context header identifies.
    * @param context The header's value.
--- a/test/pollenring/link/link_server_test.cc
+++ b/test/pollenring/link/link_server_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -158,3 +159,66 @@
   CHECK(replies == 0);
   CHECK(errors == 1);
 }
+
+TEST_CASE(
+    "link server: a withdrawn message that waits gets its reply at once") {
+  const pollenring::SystemClock clock;
+  Loop loop{clock};
+  const Address address = *Address::Parse("127.42.3.1:7100");
+  std::vector<std::shared_ptr<LinkResponder>> waiting;
+  const LinkServer server{
+      loop, address, "secret", kMaxBodyBytes,
+      [&waiting](const std::string &path, const std::string & /*body*/,
+                 const std::shared_ptr<LinkResponder> &responder) {
+        waiting.push_back(responder);
+        // A message that has begun stays, however often it is withdrawn.
+        if (path == "begun") return;
+        responder->OnWithdraw([responder = std::weak_ptr{responder}] {
+          responder.lock()->Send("not begun");
+        });
+      }};
+  LinkClient client{loop, "secret", kMaxBodyBytes};
+  const auto run = [&loop] {
+    loop.After(50ms, [&loop] { loop.Stop(); });
+    loop.Resume();
+    loop.Run();
+  };
+  std::vector<std::string> replies;
+  const auto call = [&](const std::string &path) {
+    return client.Call(
+        address, path, "x", 5s,
+        [&replies, path](const LinkClient::Reply &reply) {
+          const auto *text = std::get_if<std::string>(&reply);
+          replies.push_back(path + ": " + (text == nullptr ? "lost" : *text));
+        });
+  };
+  const auto queued = call("queued");
+  const auto begun = call("begun");
+  run();
+  REQUIRE(waiting.size() == 2);
+  for (int i = 0; i < 2; ++i) {
+    client.Withdraw(queued);
+    client.Withdraw(begun);
+    run();
+  }
+  CHECK(replies == std::vector<std::string>{"queued: not begun"});
+  waiting[1]->Send("done");
+  run();
+  CHECK(replies.back() == "begun: done");
+}
+
+TEST_CASE("link client: a message withdrawn before it was sent is not sent") {
+  const pollenring::SystemClock clock;
+  Loop loop{clock};
+  LinkClient client{loop, "secret", kMaxBodyBytes};
+  std::optional<pollenring::LinkError> error;
+  // The connection isn't established before the loop runs.
+  const auto id = client.Call(*Address::Parse("127.42.4.1:7100"), "call", "x",
+                              5s, [&error](const LinkClient::Reply &reply) {
+                                error = std::get<pollenring::LinkError>(reply);
+                              });
+  client.Withdraw(id);
+  loop.After(50ms, [&loop] { loop.Stop(); });
+  loop.Run();
+  CHECK(error == pollenring::LinkError::kNotSent);
+}
--- a/test/pollenring/mesh/drain_times_test.cc
+++ b/test/pollenring/mesh/drain_times_test.cc
@@ -10,7 +10,9 @@
     "requests") {
   const auto usual = DrainTimesFor(6s);
   CHECK(usual.accept_until == 2800ms);
+  CHECK(usual.withdraw_from == 4100ms);
   CHECK(usual.max_duration == 5400ms);
+  CHECK(usual.end == 5700ms);
   const auto longer = DrainTimesFor(10s);
   CHECK(longer.accept_until == 2800ms);
   CHECK(longer.max_duration == 9400ms);
@@ -24,6 +26,10 @@
     const auto times = DrainTimesFor(grace);
     CHECK(times.max_duration < grace);
     CHECK(times.accept_until < times.max_duration);
+    CHECK(times.accept_until < times.withdraw_from);
+    CHECK(times.withdraw_from < times.max_duration);
+    CHECK(times.max_duration < times.end);
+    CHECK(times.end < grace);
     CHECK(times.accept_until > 0ms);
   }
 }
--- a/test/pollenring/node/dispatcher_test.cc
+++ b/test/pollenring/node/dispatcher_test.cc
@@ -125,6 +125,7 @@
     envelope.method = "GET";
     envelope.path = "/";
     envelope.idempotent = false;
+    envelope.depth = this->depth;
     envelope.soft_deadline_us = 5'000'000;
     pollenring::CallBounds bounds;
     bounds.deadline = this->clock.Now() + 5s;
@@ -206,6 +207,7 @@
                                     {},     random,   metrics};
   std::array<std::unique_ptr<LinkServer>, kNodes> servers;
   std::vector<int> reached;
+  int depth{};     /*!< Of calls. */
   bool nonsense{}; /*!< Whether the nodes' answers can't be read. */
   std::optional<WireVersion> only_version; /*!< Which the nodes read alone. */
   std::vector<CallReply> replies;
@@ -282,3 +284,32 @@
   CHECK(bench.replies[0].outcome == Outcome::kUnknown);
   CHECK(bench.metrics.Read("pollenring_unreadable_total") == 1);
 }
+
+TEST_CASE("dispatcher: a node that leaves sends nothing again") {
+  Bench bench{28};
+  bench.loop.After(5ms, [&bench] { bench.dispatcher.Withdraw(); });
+  bench.CallAndLose(10ms, {true, Reason::kNone, {}});
+  REQUIRE(bench.replies.size() == 1);
+  // The node that was lost may have run it.
+  CHECK(bench.replies[0].outcome == Outcome::kUnknown);
+  CHECK(bench.reached.size() == 1);
+}
+
+TEST_CASE("dispatcher: a node that leaves starts its target's calls") {
+  Bench bench{30};
+  bench.dispatcher.Withdraw();
+  bench.depth = 1;
+  bench.CallSingleVersion(WireVersion::kV3, WireVersion::kV3);
+  REQUIRE(bench.replies.size() == 1);
+  CHECK(bench.replies[0].status == 200);
+}
+
+TEST_CASE("dispatcher: a node that leaves starts no call of a caller") {
+  Bench bench{29};
+  bench.dispatcher.Withdraw();
+  bench.CallSingleVersion(WireVersion::kV3, WireVersion::kV3);
+  REQUIRE(bench.replies.size() == 1);
+  CHECK(bench.replies[0].outcome == Outcome::kNotRun);
+  CHECK(bench.replies[0].reason == Reason::kLeaving);
+  CHECK(bench.reached.empty());
+}
--- a/test/support/mesh_world.cc
+++ b/test/support/mesh_world.cc
@@ -229,6 +229,7 @@
   settings.node_secret = kSecret;
   settings.target_service = service;
   settings.first_start = true;
+  settings.grace = this->grace;
   for (const int seed : seeds) settings.seeds.push_back(this->At(seed, 7002));
   member->target = std::make_unique<pollenring::HttpServer>(
       this->loop, this->At(index, 8000), pollenring::HttpServerLimits{},
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -127,6 +127,9 @@
     this->response_delay = delay;
   }
 
+  /*! @brief Sets the grace period of the nodes that are started next. */
+  void SetGrace(pollenring::Duration given) { this->grace = given; }
+
   /*! @brief Sends a heartbeat of a node's target.
    * @param cold_left Remaining cold start. @param started_at_ms Start time.
    * @return HTTP status, or 0 without a response. */
@@ -210,6 +213,7 @@
       const pollenring::Address &to, const pollenring::HttpRequest &request);
 
   int net;
+  pollenring::Duration grace{pollenring::Settings::kDefaultGrace};
   pollenring::Duration response_delay{};
   pollenring::SystemClock clock;
   pollenring::Loop loop{clock};
