A planned stop ends after the responses are written

Cause: the drain counted a request until its response was handed to the connection, not until it was written.

Evidence: logs "drain completed" with in_progress 0 while it holds the responses.

Change: HttpServer and LinkServer count unwritten responses, and the drain waits for them until its last phase. It works because the process ends only when the kernel has all bytes, or when the grace period nearly has passed.

What is counted, also for HTTP/2 and for replies to other nodes: "http server: a response is unwritten...", "link server: a reply is unwritten...".

--- a/src/pollenring/link/link_server.cc
+++ b/src/pollenring/link/link_server.cc
@@ -43,6 +43,8 @@
 
   std::size_t CloseIdle(std::size_t count) override;
 
+  [[nodiscard]] std::size_t Unwritten() const;
+
   static void OnAccept(h2o_socket_t *listener, const char *error);
 
   Loop &loop;
@@ -130,8 +132,15 @@
     return this->OpenStreams() == 0 && !HasUnread(*this->accepted);
   }
 
+  /*! @brief Replies not taken by the kernel. @return The count. */
+  [[nodiscard]] std::size_t Unwritten() const noexcept {
+    // The last frames of a reply may still be written when its stream ends.
+    return this->replying.size() + (this->IsWriting() ? 1 : 0);
+  }
+
   void Reply(std::int32_t stream_id, std::string body) {
     this->responders.erase(stream_id);
+    this->replying.insert(stream_id);
     this->SubmitResponse(stream_id, std::move(body));
   }
 
@@ -173,6 +182,7 @@
 
   void OnStreamEnd(std::int32_t stream_id, Stream & /*stream*/,
                    bool /*refused*/) override {
+    this->replying.erase(stream_id);
     const auto found = this->responders.find(stream_id);
     if (found == this->responders.end()) return;
     const auto responder = found->second.lock();
@@ -202,6 +212,7 @@
   Address peer;
   bool authenticated{};
   std::unordered_map<std::int32_t, std::weak_ptr<StreamResponder>> responders;
+  std::unordered_set<std::int32_t> replying; /*!< Streams with a reply. */
 };
 
 void LinkServer::Impl::StreamResponder::Send(std::string body) {
@@ -250,6 +261,13 @@
   return closed;
 }
 
+std::size_t LinkServer::Impl::Unwritten() const {
+  std::size_t count = 0;
+  for (const auto &connection : this->connections)
+    count += connection->Unwritten();
+  return count;
+}
+
 LinkServer::LinkServer(Loop &loop, const Address &address, std::string secret,
                        std::size_t max_body_bytes, Handler handler)
     : impl{std::make_unique<Impl>(loop, address, std::move(secret),
@@ -257,4 +275,6 @@
 
 LinkServer::~LinkServer() = default;
 
+std::size_t LinkServer::Unwritten() const { return this->impl->Unwritten(); }
+
 }  // namespace pollenring
--- a/src/pollenring/link/link_server.h
+++ b/src/pollenring/link/link_server.h
@@ -67,6 +67,10 @@
   LinkServer &operator=(const LinkServer &) = delete;
   ~LinkServer();
 
+  /*! @brief Replies that peers have not read so far that the kernel holds the
+   * rest. @return The count. */
+  [[nodiscard]] std::size_t Unwritten() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl;
--- a/src/pollenring/link/session.h
+++ b/src/pollenring/link/session.h
@@ -94,6 +94,10 @@
   void SubmitWithdrawal(std::int32_t stream_id);
   void ScheduleFlush();
 
+  /*! @brief Whether the kernel has not taken all frames that were made.
+   * @return True if some are left. */
+  [[nodiscard]] bool IsWriting() const noexcept { return this->writing; }
+
   /*! @brief Sends an HTTP/2 PING. */
   void Ping();
 
--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -349,9 +349,13 @@
   }
   if (elapsed >= times.max_duration) this->outbound.RespondToAll();
   const bool timed_out = elapsed >= times.end;
-  if (timed_out || (!accepting && this->InProgress() == 0)) {
+  const std::size_t unwritten =
+      this->caller_server.Unwritten() + this->link_server.Unwritten();
+  const bool finished = this->InProgress() == 0 && unwritten == 0;
+  if (timed_out || (!accepting && finished)) {
     LogEvent(LogLevel::kInfo, "drain completed",
              {{"unanswered", this->caller_server.InProgress()},
+              {"unwritten", unwritten},
               {"dispatched", this->dispatcher.InProgress()},
               {"at_target", this->executor.InProgress()}});
     this->loop.After(kDrainCheckInterval, [this] { this->loop.Stop(); });
--- a/src/pollenring/net/http1_connection.cc
+++ b/src/pollenring/net/http1_connection.cc
@@ -214,6 +214,7 @@
   exchange.cancelled = nullptr;
   exchange.response_bytes = exchange.ResponseBytes();
   this->response_bytes += exchange.response_bytes;
+  ++this->server.unwritten;
   if (exchange.entry == nullptr) return;
   this->request_bytes -= exchange.request_bytes;
   --this->server.in_progress;
@@ -319,6 +320,7 @@
     this->queue.pop_front();
     exchange->connection = nullptr;
     this->response_bytes -= exchange->response_bytes;
+    --this->server.unwritten;
     if (exchange->entry != nullptr)
       this->server.sockets.EndRequest(exchange->entry);
   }
--- a/src/pollenring/net/http1_connection_lifetime.cc
+++ b/src/pollenring/net/http1_connection_lifetime.cc
@@ -169,7 +169,7 @@
     exchange->connection = nullptr;
     const bool unanswered = exchange->state == ExchangeState::kWaiting ||
                             exchange->state == ExchangeState::kRunning;
-    if (unanswered) --this->server.in_progress;
+    --(unanswered ? this->server.in_progress : this->server.unwritten);
     if (exchange->cancelled)
       callbacks.push_back(std::exchange(exchange->cancelled, nullptr));
     if (exchange->entry != nullptr)
--- a/src/pollenring/net/http1_server.h
+++ b/src/pollenring/net/http1_server.h
@@ -69,6 +69,12 @@
     return this->in_progress;
   }
 
+  /*! @brief Responses that have not been written completely. @return The
+   * count. */
+  [[nodiscard]] std::size_t Unwritten() const noexcept {
+    return this->unwritten;
+  }
+
  private:
   friend class Http1Connection;
 
@@ -90,6 +96,7 @@
   std::unordered_map<std::uint64_t, Http1Connection *> by_budget_id;
   std::array<char, kReadBytes> buffer{}; /*!< For one read at a time. */
   std::size_t in_progress{};
+  std::size_t unwritten{};
   bool draining{};
   bool enforce_scheduled{};
 };
--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -205,6 +205,10 @@
     return this->in_progress + this->http1.InProgress();
   }
 
+  [[nodiscard]] std::size_t Unwritten() const noexcept {
+    return this->http2_requests - this->in_progress + this->http1.Unwritten();
+  }
+
   [[nodiscard]] bool IsOpen() const noexcept {
     return this->listener != nullptr;
   }
@@ -286,10 +290,12 @@
         h2o_mem_alloc_shared(&req->pool, sizeof(RequestSlot), [](void *memory) {
           auto *slot = static_cast<RequestSlot *>(memory);
           slot->responder->Disposed();
+          --slot->owner->http2_requests;
           if (slot->connection)
             slot->owner->connections.EndRequest(slot->connection);
           slot->~RequestSlot();
         });
+    ++self->http2_requests;
     new (memory) RequestSlot{self, responder, std::move(connection)};
     // Its response couldn't be sent any more.
     if (closing) {
@@ -315,7 +321,8 @@
   h2o_context_t context{};
   h2o_accept_ctx_t accept{};
   h2o_socket_t *listener{};
-  std::size_t in_progress{}; /*!< Of HTTP/2. */
+  std::size_t in_progress{};    /*!< Of HTTP/2. */
+  std::size_t http2_requests{}; /*!< Until their responses are written. */
   internal::Http1Server http1;
 };
 
@@ -329,6 +336,10 @@
   return this->impl->InProgress();
 }
 
+std::size_t HttpServer::Unwritten() const noexcept {
+  return this->impl->Unwritten();
+}
+
 bool HttpServer::IsOpen() const noexcept { return this->impl->IsOpen(); }
 
 void HttpServer::Open() { this->impl->Open(); }
--- a/test/pollenring/link/link_server_test.cc
+++ b/test/pollenring/link/link_server_test.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "pollenring/link/link_client.h"
@@ -222,3 +223,45 @@
   loop.Run();
   CHECK(error == pollenring::LinkError::kNotSent);
 }
+
+TEST_CASE("link server: a reply is unwritten until its peer has read it") {
+  // Guards against a process that ends, as it seems to owe nothing, while a
+  // peer still receives a long reply.
+  const bool disconnects = GENERATE(false, true);
+  const pollenring::SystemClock clock;
+  Loop loop{clock};
+  Loop peer_loop{clock};
+  const Address address =
+      *Address::Parse(disconnects ? "127.42.2.5:7101" : "127.42.2.5:7100");
+  constexpr std::size_t kLong = std::size_t{32} << 20U;
+  const LinkServer server{
+      loop, address, "secret", kMaxBodyBytes,
+      [](const std::string & /*path*/, const std::string & /*body*/,
+         const std::shared_ptr<LinkResponder> &responder) {
+        responder->Send(std::string(kLong, 'x'));
+      }};
+  auto client = std::make_unique<LinkClient>(peer_loop, "secret", kLong);
+  const auto run = [](Loop &which, pollenring::Duration length) {
+    which.After(length, [&which] { which.Stop(); });
+    which.Resume();
+    which.Run();
+  };
+  std::size_t received = 0;
+  client->Call(address, "long", "x", 5s,
+               [&received](const LinkClient::Reply &reply) {
+                 if (const auto *body = std::get_if<std::string>(&reply))
+                   received = body->size();
+               });
+  run(peer_loop, 20ms);
+  CHECK(server.Unwritten() == 0);
+  run(loop, 100ms);
+  CHECK(server.Unwritten() > 0);
+  if (disconnects) client.reset();
+  for (int i = 0; i < 500 && server.Unwritten() > 0; ++i) {
+    run(peer_loop, 5ms);
+    run(loop, 5ms);
+  }
+  CHECK(server.Unwritten() == 0);
+  run(peer_loop, 20ms);
+  CHECK(received == (disconnects ? 0 : kLong));
+}
--- a/test/pollenring/mesh/mesh_daemon_planned_stop_test.cc
+++ b/test/pollenring/mesh/mesh_daemon_planned_stop_test.cc
@@ -74,3 +74,30 @@
     CHECK(statuses(*request) == std::vector<int>{503});
   CHECK(statuses(pipelined) == std::vector<int>{502, 503});
 }
+
+TEST_CASE("mesh daemon: a planned stop ends after the responses are written") {
+  // Guards against: a response that its caller reads slowly is cut off in the
+  // middle, although the grace period has not passed.
+  constexpr std::size_t kLong = std::size_t{8} << 20U;
+  DaemonWorld world{95};
+  AllowTime(world);
+  world.SetLongBytes(kLong);
+  OpenRequest slow{world.At(1, 7000),
+                   "GET " + std::string{support::kLongPath} +
+                       " HTTP/1.1\r\nhost: a.example\r\n"
+                       "authorization: Token key-of-the-club\r\n"
+                       "x-pollenring-attempt-id: slow\r\n"
+                       "x-pollenring-deadline-ms: 9000\r\n\r\n",
+                   4096};
+  REQUIRE(world.Await([&] { return slow.Read(1000) && slow.Size() > 0; }));
+  world.Process().Signal(SIGTERM);
+  // Beyond the time in which the daemon accepts requests.
+  static_cast<void>(
+      world.Await([&] { return world.Process().Ended(); }, 3300ms));
+  CHECK_FALSE(world.Process().Ended());
+  REQUIRE(world.Await([&] { return !slow.Read(); }));
+  INFO(world.Process().Log());
+  CHECK(slow.Statuses() == std::vector<int>{200});
+  CHECK(slow.Size() > kLong);
+  CHECK(world.Await([&] { return world.Process().Ended(); }, 3s));
+}
--- a/test/pollenring/net/http1_connection_test.cc
+++ b/test/pollenring/net/http1_connection_test.cc
@@ -1,6 +1,5 @@
 #include "pollenring/net/http1_connection.h"
 
-#include <nghttp2/nghttp2.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -12,6 +11,7 @@
 #include "pollenring/net/buffer_budget.h"
 #include "pollenring/net/http_server.h"
 #include "support/http1_world.h"
+#include "support/http2_caller.h"
 
 namespace {
 
@@ -308,45 +308,62 @@
 TEST_CASE("http1 connection: HTTP/2 is served on the same port") {
   // Guards against a preface that is lost or answered as HTTP/1.1.
   World world{{}, true};
-  std::string body;
-  nghttp2_session_callbacks *callbacks = nullptr;
-  nghttp2_session_callbacks_new(&callbacks);
-  nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
-      callbacks, [](nghttp2_session *, std::uint8_t, std::int32_t,
-                    const std::uint8_t *data, std::size_t size, void *user) {
-        static_cast<std::string *>(user)->append(
-            reinterpret_cast<const char *>(data), size);
-        return 0;
-      });
-  nghttp2_session *session = nullptr;
-  nghttp2_session_client_new(&session, callbacks, &body);
-  nghttp2_submit_settings(session, NGHTTP2_FLAG_NONE, nullptr, 0);
-  const auto field = [](const char *name, const char *value) {
-    return nghttp2_nv{
-        reinterpret_cast<std::uint8_t *>(const_cast<char *>(name)),
-        reinterpret_cast<std::uint8_t *>(const_cast<char *>(value)),
-        std::char_traits<char>::length(name),
-        std::char_traits<char>::length(value), NGHTTP2_NV_FLAG_NONE};
-  };
-  const std::vector<nghttp2_nv> fields{
-      field(":method", "GET"), field(":scheme", "http"),
-      field(":authority", "a"), field(":path", "/two")};
-  nghttp2_submit_request(session, nullptr, fields.data(), fields.size(),
-                         nullptr, nullptr);
-  const std::uint8_t *bytes = nullptr;
-  std::string output;
-  for (ssize_t size = 1; size > 0;
-       output.append(reinterpret_cast<const char *>(bytes),
-                     static_cast<std::size_t>(size)))
-    size = nghttp2_session_mem_send(session, &bytes);
+  support::Http2Caller caller;
+  const std::string output = caller.Get("/two");
   // The preface arrives in two pieces.
   world.Give(output.substr(0, 10));
   world.Run();
   world.Give(output.substr(10));
-  const std::string got = world.Take(30ms);
-  nghttp2_session_mem_recv(
-      session, reinterpret_cast<const std::uint8_t *>(got.data()), got.size());
-  CHECK(body == "/two");
-  nghttp2_session_del(session);
-  nghttp2_session_callbacks_del(callbacks);
+  static_cast<void>(caller.Read(world.Take(30ms)));
+  CHECK(caller.body == "/two");
+}
+
+TEST_CASE("http server: a response is unwritten until its caller has read it") {
+  // Guards against a process that ends, as it seems to owe nothing, while a
+  // caller still reads slowly.
+  const std::string response(std::size_t{32} << 20U, 'x');
+  World world;
+  const auto answer = [&] {
+    world.Run();
+    REQUIRE(world.requests.size() == 1);
+    CHECK(world.server.Unwritten() == 0);
+    world.Answer(0, response);
+    world.Run();
+    CHECK(world.server.InProgress() == 0);
+    CHECK(world.server.Unwritten() == 1);
+  };
+  const auto disconnect = [&world] {
+    close(world.fd);
+    world.open.pop_back();
+    world.Run(150ms);
+  };
+  SECTION("HTTP/1.1, read") {
+    world.Give(Get("/1"));
+    answer();
+    for (int i = 0; i < 200 && world.server.Unwritten() > 0; ++i) world.Take();
+    CHECK(world.server.Unwritten() == 0);
+  }
+  SECTION("HTTP/1.1, disconnected") {
+    world.Give(Get("/1"));
+    answer();
+    disconnect();
+    CHECK(world.server.Unwritten() == 0);
+  }
+  SECTION("HTTP/2, read") {
+    support::Http2Caller caller;
+    world.Give(caller.Get("/1"));
+    answer();
+    for (int i = 0; i < 2000 && world.server.Unwritten() > 0; ++i)
+      world.Give(caller.Read(world.Take(1ms)));
+    CHECK(world.server.Unwritten() == 0);
+    static_cast<void>(caller.Read(world.Take()));
+    CHECK(caller.body.size() == response.size());
+  }
+  SECTION("HTTP/2, disconnected") {
+    support::Http2Caller caller;
+    world.Give(caller.Get("/1"));
+    answer();
+    disconnect();
+    CHECK(world.server.Unwritten() == 0);
+  }
 }
