Requests that a connection has carried are found by hash

Cause: a connection was searched entry by entry for each request, and it remembers requests for as long as they may be sent again: thousands on a busy connection with long deadlines. Read in the code, not measured.

Change: a map by hash, and the order of the requests for forgetting them.

--- a/src/pollenring/net/correlation_history.cc
+++ b/src/pollenring/net/correlation_history.cc
@@ -7,18 +7,24 @@
 namespace pollenring::internal {
 
 void CorrelationHistory::Add(std::string_view value, Time now, Time until) {
-  while (!this->entries.empty() && this->entries.front().until <= now) {
-    this->entries.pop_front();
+  while (!this->hashes.empty()) {
+    const auto oldest = this->until_by_hash.find(this->hashes.front());
+    if (oldest->second > now) break;
+    this->until_by_hash.erase(oldest);
+    this->hashes.pop_front();
+  }
+  const std::uint64_t hash = Hash64(value);
+  const auto [known, added] = this->until_by_hash.emplace(hash, until);
+  if (added) {
+    this->hashes.push_back(hash);
+  } else {
+    known->second = std::max(known->second, until);
   }
-  this->entries.push_back({Hash64(value), until});
 }
 
 bool CorrelationHistory::MayContain(std::string_view value, Time now) const {
-  const std::uint64_t hash = Hash64(value);
-  return std::any_of(this->entries.begin(), this->entries.end(),
-                     [hash, now](const Entry &entry) {
-                       return entry.hash == hash && entry.until > now;
-                     });
+  const auto found = this->until_by_hash.find(Hash64(value));
+  return found != this->until_by_hash.end() && found->second > now;
 }
 
 }  // namespace pollenring::internal
--- a/src/pollenring/net/correlation_history.h
+++ b/src/pollenring/net/correlation_history.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <string_view>
+#include <unordered_map>
 
 #include "pollenring/core/clock.h"
 
@@ -35,12 +36,8 @@
   [[nodiscard]] bool MayContain(std::string_view value, Time now) const;
 
  private:
-  struct Entry {
-    std::uint64_t hash{};
-    Time until{};
-  };
-
-  std::deque<Entry> entries;
+  std::unordered_map<std::uint64_t, Time> until_by_hash;
+  std::deque<std::uint64_t> hashes; /*!< In the order of their requests. */
 };
 
 }  // namespace pollenring::internal
