--- a/test/pollenring/net/http_client_test.cc
+++ b/test/pollenring/net/http_client_test.cc
@@ -220,9 +220,9 @@
   // copy names no request.
   const std::string rejection =
       "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 4\r\n\r\nfull";
-  RawPeer peer{{{{rejection, rejection + Answer("next", "on one connection")},
-                 {}},
-                {{Answer("next", "has run")}, {}}}};
+  RawPeer peer{
+      {{{rejection, rejection + Answer("next", "on one connection")}, {}},
+       {{Answer("next", "has run")}, {}}}};
   Caller caller;
   CHECK(BodyOf(caller.Call(peer)) == "full");
   CHECK(BodyOf(caller.Call(peer, "next")) == "has run");
