--- a/src/pollenring/link/link_server.h
+++ b/src/pollenring/link/link_server.h
@@ -67,8 +67,8 @@
   LinkServer &operator=(const LinkServer &) = delete;
   ~LinkServer();
 
-  /*! @brief Replies that peers have not read so far that the kernel holds the
-   * rest. @return The count. */
+  /*! @brief Replies that the kernel has not taken completely, as peers read
+   * slowly. @return The count. */
   [[nodiscard]] std::size_t Unwritten() const;
 
  private:
--- a/src/pollenring/net/http_server.h
+++ b/src/pollenring/net/http_server.h
@@ -105,8 +105,8 @@
   /*! @brief Requests without a response yet. @return The count. */
   [[nodiscard]] std::size_t InProgress() const noexcept;
 
-  /*! @brief Responses that callers have not read so far that the kernel holds
-   * the rest. @return The count. */
+  /*! @brief Responses that the kernel has not taken completely, as callers
+   * read slowly. @return The count. */
   [[nodiscard]] std::size_t Unwritten() const noexcept;
 
   /*! @brief Whether connections are accepted. @return True if they are. */
