A start waits for addresses that are still in use

Cause: each of the daemon's six sockets was bound once. An address in use, even for a moment, ended the process at once with "can't bind", without the error, the setting or an exit code of its own; with it one of four nodes, and so the whole start.

Change: listeners are opened in net/listen.h, which states transport, address and errno (ListenError) and asks a ListenRetry after a failure. pollenringd waits for an address in use, with a line for each try, for at most its grace period, as the predecessor on the VM ends by then; a stop ends the wait. Other errors end the start at once. The process ends with 3 and one line that names the setting, the address, errno and the time waited.

--- a/src/pollenring/link/link_server.cc
+++ b/src/pollenring/link/link_server.cc
@@ -11,7 +11,7 @@
 #include "pollenring/net/accept.h"
 #include "pollenring/net/h2o_api.h"
 #include "pollenring/net/hang_up.h"
-#include "pollenring/net/http_server.h"
+#include "pollenring/net/listen.h"
 #include "pollenring/net/loop.h"
 
 namespace pollenring {
@@ -32,8 +32,9 @@
         secret{std::move(secret)},
         max_body_bytes{max_body_bytes},
         handler{std::move(handler)} {
-    this->listener = h2o_evloop_socket_create(loop.Native(), ListenTcp(address),
-                                              H2O_SOCKET_FLAG_DONT_READ);
+    this->listener = h2o_evloop_socket_create(
+        loop.Native(), ListenTcp(address, loop.GetListenRetry()),
+        H2O_SOCKET_FLAG_DONT_READ);
     this->listener->data = this;
     h2o_socket_read_start(this->listener, &Impl::OnAccept);
     loop.Connections().Register(ConnectionRole::kNodes, *this);
--- a/src/pollenring/link/link_server.h
+++ b/src/pollenring/link/link_server.h
@@ -59,7 +59,7 @@
    * @param secret Secret that all nodes share.
    * @param max_body_bytes Maximum size of an accepted message.
    * @param handler Called with each complete message.
-   * @throws std::runtime_error when the address can't be bound.
+   * @throws ListenError when the address can't be bound.
    */
   LinkServer(Loop &loop, const Address &address, std::string secret,
              std::size_t max_body_bytes, Handler handler);
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -60,7 +60,7 @@
    * @brief Binds all ports and joins the fleet.
    * @param settings Settings.
    * @param parts Dependencies.
-   * @throws std::runtime_error when a port can't be bound.
+   * @throws ListenError when a port can't be bound.
    */
   MeshNode(const Settings &settings, const MeshParts &parts);
 
--- a/src/pollenring/net/http_server.cc
+++ b/src/pollenring/net/http_server.cc
@@ -5,7 +5,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <stdexcept>
 #include <utility>
 
 #include "pollenring/net/accept.h"
@@ -13,13 +12,13 @@
 #include "pollenring/net/descriptors.h"
 #include "pollenring/net/h2o_api.h"
 #include "pollenring/net/http1_server.h"
+#include "pollenring/net/listen.h"
 #include "pollenring/net/loop.h"
 #include "pollenring/net/server_connections.h"
 
 namespace pollenring {
 namespace {
 
-constexpr int kListenBacklog = 1024;
 constexpr int kServiceUnavailable = 503;
 constexpr std::size_t kSliceBytes =
     std::size_t{256} * 1024; /*!< Passed to h2o at once. */
@@ -146,26 +145,6 @@
 
 }  // namespace
 
-int BindTcp(const Address &address) {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  KeepAlive(fd);
-  const sockaddr_in native = address.Native();
-  const bool bound = bind(fd, reinterpret_cast<const sockaddr *>(&native),
-                          sizeof(native)) == 0;
-  if (bound) return fd;
-  close(fd);
-  throw std::runtime_error{"can't bind " + address.Format()};
-}
-
-int ListenTcp(const Address &address) {
-  const int fd = BindTcp(address);
-  if (listen(fd, kListenBacklog) == 0) return fd;
-  close(fd);
-  throw std::runtime_error{"can't listen on " + address.Format()};
-}
-
 class HttpServer::Impl {
  public:
   Impl(Loop &loop, const Address &address, const HttpServerLimits &limits,
@@ -178,7 +157,7 @@
             loop, limits.budget,
             [this](const Eviction &eviction) { this->http1.Evict(eviction); }},
         handler{std::move(handler)},
-        bound_fd{BindTcp(address)},
+        bound_fd{BindTcp(address, loop.GetListenRetry())},
         http1{loop,
               limits,
               this->connections,
@@ -215,9 +194,7 @@
 
   void Open() {
     if (this->bound_fd < 0) return;
-    if (listen(this->bound_fd, kListenBacklog) != 0) {
-      throw std::runtime_error{"can't listen on " + this->address.Format()};
-    }
+    StartListening(this->bound_fd, this->address, this->loop.GetListenRetry());
     this->listener = h2o_evloop_socket_create(this->loop.Native(),
                                               std::exchange(this->bound_fd, -1),
                                               H2O_SOCKET_FLAG_DONT_READ);
--- a/src/pollenring/net/http_server.h
+++ b/src/pollenring/net/http_server.h
@@ -94,7 +94,7 @@
    * @param address Address to bind.
    * @param limits Limits enforced on clients.
    * @param handler Called with each complete request.
-   * @throws std::runtime_error when the address can't be bound.
+   * @throws ListenError when the address can't be bound.
    */
   HttpServer(Loop &loop, const Address &address, const HttpServerLimits &limits,
              Handler handler);
@@ -114,7 +114,7 @@
 
   /**
    * @brief Starts accepting connections; no effect after `Close`.
-   * @throws std::runtime_error when the address can't be listened on.
+   * @throws ListenError when the address can't be listened on.
    */
   void Open();
 
@@ -129,22 +129,6 @@
   std::unique_ptr<Impl> impl;
 };
 
-/**
- * @brief Binds a TCP socket.
- * @param address Address to bind.
- * @return The descriptor.
- * @throws std::runtime_error when the address can't be bound.
- */
-[[nodiscard]] int BindTcp(const Address &address);
-
-/**
- * @brief Binds a TCP socket and listens on it.
- * @param address Address to bind.
- * @return The descriptor.
- * @throws std::runtime_error when the address can't be listened on.
- */
-[[nodiscard]] int ListenTcp(const Address &address);
-
 }  // namespace pollenring
 
 #endif  // POLLENRING_NET_HTTP_SERVER_H_
--- a/src/pollenring/net/loop.cc
+++ b/src/pollenring/net/loop.cc
@@ -26,9 +26,11 @@
 
 }  // namespace
 
-Loop::Loop(const Clock &clock, std::size_t max_descriptors)
+Loop::Loop(const Clock &clock, std::size_t max_descriptors,
+           ListenRetry *listen_retry)
     : clock{clock},
       connections{clock, max_descriptors},
+      listen_retry{listen_retry},
       native{h2o_evloop_create()} {}
 
 Loop::TimerId Loop::After(Duration delay, Task task) {
--- a/src/pollenring/net/loop.h
+++ b/src/pollenring/net/loop.h
@@ -19,6 +19,8 @@
 
 namespace pollenring {
 
+class ListenRetry;
+
 /*! @brief An exception that escaped from the handling of one event. */
 struct ContainedError {
   std::string event;         /*!< Kind of the event. */
@@ -49,9 +51,12 @@
    * @brief Creates the loop.
    * @param clock Clock that timers follow.
    * @param max_descriptors Descriptors that the process may open.
+   * @param listen_retry Asked when an address can't be listened on; null to
+   * fail at once.
    */
   explicit Loop(const Clock &clock,
-                std::size_t max_descriptors = kUnlimitedDescriptors);
+                std::size_t max_descriptors = kUnlimitedDescriptors,
+                ListenRetry *listen_retry = nullptr);
   Loop(const Loop &) = delete;
   Loop &operator=(const Loop &) = delete;
   ~Loop() = default;
@@ -137,6 +142,11 @@
   /*! @brief Refuses connections when no descriptor is left. @return It. */
   [[nodiscard]] ReserveDescriptor &Reserve() noexcept { return this->reserve; }
 
+  /*! @brief Whether listeners try again. @return It, or null. */
+  [[nodiscard]] ListenRetry *GetListenRetry() const noexcept {
+    return this->listen_retry;
+  }
+
   /*! @brief The longest turn so far. @return Its length and main event. */
   [[nodiscard]] const LongestTurn &Longest() const noexcept {
     return this->longest_turn;
@@ -171,6 +181,7 @@
   const Clock &clock;
   ConnectionTable connections;
   ReserveDescriptor reserve;
+  ListenRetry *listen_retry;
   st_h2o_evloop_t *native;
   std::map<DueKey, Task> timers;
   std::unordered_map<TimerId, Time> due_times;
--- a/src/pollenring/net/udp_socket.cc
+++ b/src/pollenring/net/udp_socket.cc
@@ -1,13 +1,12 @@
 #include "pollenring/net/udp_socket.h"
 
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <array>
-#include <stdexcept>
 
 #include "pollenring/core/hash.h"
 #include "pollenring/net/h2o_api.h"
+#include "pollenring/net/listen.h"
 #include "pollenring/net/loop.h"
 
 namespace pollenring {
@@ -24,13 +23,7 @@
     : loop{loop},
       secret{std::move(secret)},
       receive{std::move(receive)},
-      fd{socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)} {
-  const sockaddr_in native = address.Native();
-  if (bind(this->fd, reinterpret_cast<const sockaddr *>(&native),
-           sizeof(native)) != 0) {
-    close(this->fd);
-    throw std::runtime_error{"can't bind UDP " + address.Format()};
-  }
+      fd{BindUdp(address, loop.GetListenRetry())} {
   this->sock = h2o_evloop_socket_create(loop.Native(), this->fd,
                                         H2O_SOCKET_FLAG_DONT_READ);
   this->sock->data = this;
--- a/src/pollenring/net/udp_socket.h
+++ b/src/pollenring/net/udp_socket.h
@@ -24,7 +24,7 @@
    * @param address Own address.
    * @param secret Key of the tag; datagrams with a wrong tag are dropped.
    * @param receive Called with sender and content of each datagram.
-   * @throws std::runtime_error when the address can't be bound.
+   * @throws ListenError when the address can't be bound.
    */
   UdpSocket(Loop &loop, const Address &address, std::string secret,
             Receive receive);
--- a/src/pollenring/node/node.h
+++ b/src/pollenring/node/node.h
@@ -39,7 +39,7 @@
    * @param settings Settings.
    * @param loop The loop.
    * @param random Randomness.
-   * @throws std::runtime_error when a port can't be bound.
+   * @throws ListenError when a port can't be bound.
    */
   Node(const Settings &settings, Loop &loop, Random &random);
 
--- a/test/pollenring/net/http_server_test.cc
+++ b/test/pollenring/net/http_server_test.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "pollenring/net/http_client.h"
+#include "pollenring/net/listen.h"
 #include "pollenring/net/loop.h"
 
 namespace {
--- a/test/support/daemon.h
+++ b/test/support/daemon.h
@@ -7,10 +7,12 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <optional>
 #include <string>
 #include <system_error>
 
@@ -37,7 +39,9 @@
     const std::string log = this->folder + "/log";
     std::ofstream{path} << "[node]\nroutes = \"host\"\nzone = \""
                         << settings.zone << "\"\nregion = \"" << settings.region
-                        << "\"\nfirst_start = true\n[listen]\ncallers = \""
+                        << "\"\nfirst_start = true\ngrace_s = "
+                        << std::chrono::duration<double>{settings.grace}.count()
+                        << "\n[listen]\ncallers = \""
                         << settings.callers.Format() << "\"\ntargets = \""
                         << settings.targets.Format() << "\"\nready = \""
                         << settings.ready.Format() << "\"\nnodes = \""
@@ -85,10 +89,18 @@
 
   /*! @return True if the process has ended. */
   [[nodiscard]] bool Ended() {
-    if (!this->ended) this->ended = waitpid(this->pid, nullptr, WNOHANG) != 0;
+    if (!this->ended)
+      this->ended = waitpid(this->pid, &this->status, WNOHANG) != 0;
     return this->ended;
   }
 
+  /*! @return Exit code of the process; nothing while it runs, or if a signal
+   * ended it. */
+  [[nodiscard]] std::optional<int> ExitCode() {
+    if (!this->Ended() || !WIFEXITED(this->status)) return std::nullopt;
+    return WEXITSTATUS(this->status);
+  }
+
   /*! @return Resident memory in bytes; 0 once the process has ended. */
   [[nodiscard]] std::size_t ResidentBytes() const {
     std::ifstream file{"/proc/" + std::to_string(this->pid) + "/statm"};
@@ -120,6 +132,7 @@
 
   std::string folder;
   pid_t pid{};
+  int status{};
   bool ended{};
 };
 
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -1,5 +1,6 @@
 #include <malloc.h>
 
+#include <cerrno>
 #include <csignal>
 #include <cstdlib>
 #include <cxxopts.hpp>
@@ -7,6 +8,8 @@
 #include <iostream>
 #include <random>
 #include <sstream>
+#include <system_error>
+#include <thread>
 #include <utility>
 
 #include "platform/codecs.h"
@@ -17,17 +20,18 @@
 #include "pollenring/mesh/mesh_node.h"
 #include "pollenring/net/descriptors.h"
 #include "pollenring/net/loop.h"
+#include "pollenring/node/address_wait.h"
 #include "pollenring/node/limits.h"
 #include "pollenring/node/memory_limit.h"
 #include "pollenring/node/node.h"
+#include "pollenring/node/start_failure.h"
 
 namespace {
 
 using pollenring::Diagnostics;
 using pollenring::Settings;
+using pollenring::StartFailure;
 
-constexpr int kExitUsage = 2;
-constexpr int kExitStartupFailed = 1;
 /*! @brief Size from which a buffer has pages of its own. */
 constexpr int kMmapThreshold = 256 * 1024;
 constexpr pollenring::Duration kSignalPollPeriod =
@@ -98,14 +102,18 @@
   std::_Exit(EXIT_SUCCESS);
 }
 
-void RunContractRouting(const Settings &settings, const std::string &path,
-                        pollenring::Loop &loop, pollenring::Random &random) {
+[[noreturn]] void RunContractRouting(const Settings &settings,
+                                     const std::string &path,
+                                     pollenring::Loop &loop,
+                                     pollenring::Random &random) {
   pollenring::Node node{settings, loop, random};
   RunLoop(loop, node, settings, path);
 }
 
-void RunHostRouting(const Settings &settings, const std::string &path,
-                    pollenring::Loop &loop, pollenring::Random &random) {
+[[noreturn]] void RunHostRouting(const Settings &settings,
+                                 const std::string &path,
+                                 pollenring::Loop &loop,
+                                 pollenring::Random &random) {
   pollenring::BufferBudget budget{pollenring::BudgetFor(settings.limits),
                                   loop.GetClock()};
   pollenring::HttpClient client{loop, pollenring::ClientLimitsFor(budget)};
@@ -125,30 +133,50 @@
   // A fixed threshold returns large buffers to the system as they are freed;
   // by default it grows, and they fragment the heap instead.
   mallopt(M_MMAP_THRESHOLD, kMmapThreshold);
-  const pollenring::SystemClock clock;
-  pollenring::Loop loop{clock, pollenring::RaiseDescriptorLimit()};
-  pollenring::SeededRandom random{
-      (std::uint64_t{std::random_device{}()} << 32U) | std::random_device{}()};
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGTERM, OnSignal);
   std::signal(SIGINT, OnSignal);
   std::signal(SIGHUP, OnSignal);
+  const pollenring::SystemClock clock;
+  pollenring::AddressWait address_wait{
+      settings, clock,
+      [](pollenring::Duration pause) { std::this_thread::sleep_for(pause); },
+      [] { return stop_requested != 0; }};
   try {
+    pollenring::Loop loop{clock, pollenring::RaiseDescriptorLimit(),
+                          &address_wait};
+    pollenring::SeededRandom random{
+        (std::uint64_t{std::random_device{}()} << 32U) |
+        std::random_device{}()};
     if (settings.routes == pollenring::RouteForm::kHost) {
       RunHostRouting(settings, path, loop, random);
     }
     RunContractRouting(settings, path, loop, random);
-  } catch (const std::runtime_error &error) {
-    LogEvent(pollenring::LogLevel::kError, "startup failed",
-             {{"why", error.what()}});
-    pollenring::FlushLog();
+  } catch (const pollenring::ListenError &error) {
+    if (stop_requested != 0) {
+      LogEvent(pollenring::LogLevel::kInfo, "stopped");
+      pollenring::FlushLog();
+      return EXIT_SUCCESS;
+    }
+    nlohmann::json fields = DescribeListenError(error, settings);
+    fields["why"] = error.what();
+    fields["waited_ms"] = address_wait.Waited().count() / 1000;
+    return LogStartFailure(StartFailure::kAddress, std::move(fields));
+  } catch (const std::exception &error) {
+    return LogStartFailure(StartFailure::kOther, {{"why", error.what()}});
   }
-  return kExitStartupFailed;
+}
+
+/*! @brief Reports a wrong command line. @return The exit code. */
+[[nodiscard]] int FailUsage(const std::string &why) {
+  std::cerr << "pollenringd: " << why << "; see --help\n";
+  return ExitCodeOf(StartFailure::kUsage);
 }
 
 }  // namespace
 
 int main(int argc, char **argv) {
+  pollenring::SetUpLog("pollenringd", pollenring::LogLevel::kInfo);
   cxxopts::Options options{"pollenringd",
                            "Overload control daemon local to a target: "
                            "admits, sheds, routes and retries calls."};
@@ -160,33 +188,32 @@
   try {
     arguments = options.parse(argc, argv);
   } catch (const cxxopts::exceptions::exception &error) {
-    std::cerr << "pollenringd: " << error.what() << "; see --help\n";
-    return kExitUsage;
+    return FailUsage(error.what());
   }
   if (arguments.count("help") > 0) {
     std::cout << options.help() << '\n';
     return EXIT_SUCCESS;
   }
   if (arguments.count("settings") == 0) {
-    std::cerr << "pollenringd: --settings FILE is required; see --help\n";
-    return kExitUsage;
+    return FailUsage("--settings FILE is required");
   }
   const auto path = arguments["settings"].as<std::string>();
   const auto text = ReadFile(path);
   if (!text) {
     std::cerr << "pollenringd: can't read " << path << '\n';
-    return kExitUsage;
+    return ExitCodeOf(StartFailure::kSettings);
   }
   Diagnostics diagnostics;
   const Settings settings =
       pollenring::ReadSettings({path, *text}, diagnostics);
   for (const auto &diagnostic : diagnostics)
     std::cerr << diagnostic.Format() << '\n';
-  if (!diagnostics.empty()) return kExitUsage;
-  if (arguments.count("check") > 0) return EXIT_SUCCESS;
-  const bool verbose = arguments.count("verbose") > 0;
-  pollenring::SetUpLog("pollenringd", verbose ? pollenring::LogLevel::kDebug
-                                              : pollenring::LogLevel::kInfo);
+  const bool valid = diagnostics.empty();
+  if (arguments.count("check") > 0)
+    return valid ? EXIT_SUCCESS : ExitCodeOf(StartFailure::kSettings);
+  if (!valid) return ExitCodeOf(StartFailure::kSettings);
+  if (arguments.count("verbose") > 0)
+    pollenring::SetUpLog("pollenringd", pollenring::LogLevel::kDebug);
   pollenring::LogProcessEnd();
   return Run(settings, path);
 }
