A start that fails names its reason in the log

What operators saw: a process with wrong settings, an unreadable file or a wrong command line ended with 2 and wrote the reason on standard error only, not as a line of the log. Where the two streams go to different places, or only the log is kept, nothing said why the node was missing.

Change: one line `startup failed` on standard output, with `reason` (usage, settings, address, other), the exit code, and the findings or the system's error. Standard error and `--check` are as before.

--- a/test/pollenring/mesh/mesh_daemon_start_test.cc
+++ b/test/pollenring/mesh/mesh_daemon_start_test.cc
@@ -104,3 +104,18 @@
   REQUIRE(world.Await([&] { return daemon.Ended(); }, 1s));
   CHECK(daemon.ExitCode() == 0);
 }
+
+TEST_CASE("mesh daemon: invalid settings are named in the log") {
+  // Guards against: findings that are on standard error only.
+  StartWorld world{130};
+  pollenring::Settings settings = world.MakeSettings(1);
+  settings.node_secret = "short";
+  Daemon &daemon = world.Start(settings);
+  REQUIRE(world.Await([&] { return daemon.Ended(); }, 3s));
+  CHECK(daemon.ExitCode() == 2);
+  const auto failures = EventsOf(daemon, "startup failed");
+  REQUIRE(failures.size() == 1);
+  CHECK(failures.front().value("reason", "") == "settings");
+  CHECK(failures.front()["findings"].dump().find("16 characters") !=
+        std::string::npos);
+}
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -170,7 +170,7 @@
 /*! @brief Reports a wrong command line. @return The exit code. */
 [[nodiscard]] int FailUsage(const std::string &why) {
   std::cerr << "pollenringd: " << why << "; see --help\n";
-  return ExitCodeOf(StartFailure::kUsage);
+  return LogStartFailure(StartFailure::kUsage, {{"why", why}});
 }
 
 }  // namespace
@@ -200,8 +200,10 @@
   const auto path = arguments["settings"].as<std::string>();
   const auto text = ReadFile(path);
   if (!text) {
-    std::cerr << "pollenringd: can't read " << path << '\n';
-    return ExitCodeOf(StartFailure::kSettings);
+    const std::string why =
+        "can't read " + path + ": " + std::generic_category().message(errno);
+    std::cerr << "pollenringd: " << why << '\n';
+    return LogStartFailure(StartFailure::kSettings, {{"why", why}});
   }
   Diagnostics diagnostics;
   const Settings settings =
@@ -211,7 +213,10 @@
   const bool valid = diagnostics.empty();
   if (arguments.count("check") > 0)
     return valid ? EXIT_SUCCESS : ExitCodeOf(StartFailure::kSettings);
-  if (!valid) return ExitCodeOf(StartFailure::kSettings);
+  if (!valid) {
+    return LogStartFailure(StartFailure::kSettings,
+                           DescribeFindings(diagnostics));
+  }
   if (arguments.count("verbose") > 0)
     pollenring::SetUpLog("pollenringd", pollenring::LogLevel::kDebug);
   pollenring::LogProcessEnd();
