A start waits for a store that is slow

What callers saw: no node becomes ready while the store takes more than 0.8 s for a call, for as long as it does so. Cause: every call of the store ended after 800 ms, whatever had happened to those before, and was repeated with the same limit, so that none ever completed. Nothing said that calls timed out.

Change: StoreTimeout. Until a configuration is in force, a time-out doubles the limit, to 3.2 s at most, as a VM without the store for 3 s counts as out of contact. A response sets the limit to twice the time that it took, and never below the usual 800 ms, so a store that is down is found out as soon as before. `store call timed out` names the call, how long it took and the next limit, at most once a second.

--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -194,10 +194,13 @@
 }
 
 void MeshNode::ApplyPolicy() {
+  const bool configured = this->policy.Active().Version() > 0;
+  if (configured && this->parts.store_timeout != nullptr)
+    this->parts.store_timeout->EndStart();
   if (!this->deregistrations_loaded) return;
   const WithdrawnZones &zones = this->policy.Zones();
   // Cold-start limits are unknown before the configuration too.
-  if (!zones.HasRevision() || this->policy.Active().Version() == 0) return;
+  if (!zones.HasRevision() || !configured) return;
   this->executor.UpdateColdStartLimits();
   const bool withdrawn = zones.Contains(this->settings.zone);
   this->executor.SetAvailability(withdrawn ? TargetAvailability::kWithdrawn
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -30,6 +30,7 @@
 #include "pollenring/quarantine/fingerprint.h"
 #include "pollenring/quarantine/quarantine.h"
 #include "pollenring/routing/router.h"
+#include "pollenring/storage/store_timeout.h"
 #include "pollenring/wire/peer_wire.h"
 
 namespace pollenring {
@@ -46,6 +47,8 @@
   const HeartbeatCodec &heartbeats;
   Random &random;
   BufferBudget *budget{}; /*!< Of bodies and buffers; null for no limit. */
+  /*! @brief Told when a configuration is in force; null for none. */
+  StoreTimeout *store_timeout{};
 };
 
 /**
--- a/test/support/mesh_world.cc
+++ b/test/support/mesh_world.cc
@@ -98,6 +98,17 @@
 void FakeStore::Handle(
     const HttpRequest &request,
     const std::shared_ptr<pollenring::Responder> &responder) {
+  if (this->delay <= pollenring::Duration{0}) {
+    this->Serve(request, responder);
+    return;
+  }
+  this->loop.After(this->delay, [this, request, responder] {
+    this->Serve(request, responder);
+  });
+}
+
+void FakeStore::Serve(const HttpRequest &request,
+                      const std::shared_ptr<pollenring::Responder> &responder) {
   if (this->down) {
     responder->Send({503, {}, {}});
     return;
@@ -250,14 +261,15 @@
   member->client = std::make_unique<pollenring::HttpClient>(
       this->loop, pollenring::HttpClientLimits{std::size_t{1} << 24U});
   member->store_client = std::make_unique<pollenring::StoreClient>(
-      *member->client, settings.platform);
+      *member->client, settings.platform, member->store_timeout, this->clock);
   member->store =
       std::make_unique<pollenring::platform::Store>(*member->store_client);
   member->node = std::make_unique<pollenring::MeshNode>(
       settings,
       pollenring::MeshParts{this->loop, *member->client, *member->store,
                             *member->store, this->policies, this->callers,
-                            this->targets, this->heartbeats, this->random});
+                            this->targets, this->heartbeats, this->random,
+                            nullptr, &member->store_timeout});
   this->nodes.push_back(std::move(member));
   return index;
 }
--- a/test/support/mesh_world.h
+++ b/test/support/mesh_world.h
@@ -41,6 +41,9 @@
   /*! @param down True to respond to all calls with 503. */
   void SetDown(bool down) { this->down = down; }
 
+  /*! @brief Handles each call late by this time. */
+  void SetDelay(pollenring::Duration given) { this->delay = given; }
+
   /*! @brief Responds to all calls with this text, or normally without one. */
   void SetFixedResponse(std::optional<std::string> text) {
     this->fixed_response = std::move(text);
@@ -78,6 +81,8 @@
 
   void Handle(const pollenring::HttpRequest &request,
               const std::shared_ptr<pollenring::Responder> &responder);
+  void Serve(const pollenring::HttpRequest &request,
+             const std::shared_ptr<pollenring::Responder> &responder);
   void Get(const pollenring::HttpRequest &request,
            pollenring::Responder &responder) const;
   void Transact(const pollenring::HttpRequest &request,
@@ -102,6 +107,7 @@
   std::uint64_t oldest{};
   bool down{};
   bool watches_unresponsive{};
+  pollenring::Duration delay{};
   std::optional<std::string> fixed_response;
   pollenring::Loop &loop;
   pollenring::HttpServer server;
@@ -194,6 +200,7 @@
   struct Member {
     pollenring::Settings settings;
     std::unique_ptr<pollenring::HttpClient> client;
+    pollenring::StoreTimeout store_timeout;
     std::unique_ptr<pollenring::StoreClient> store_client;
     std::unique_ptr<pollenring::platform::Store> store;
     std::unique_ptr<pollenring::MeshNode> node;
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -117,15 +117,18 @@
   pollenring::BufferBudget budget{pollenring::BudgetFor(settings.limits),
                                   loop.GetClock()};
   pollenring::HttpClient client{loop, pollenring::ClientLimitsFor(budget)};
-  pollenring::StoreClient store_client{client, settings.platform};
+  pollenring::StoreTimeout store_timeout;
+  pollenring::StoreClient store_client{client, settings.platform, store_timeout,
+                                       loop.GetClock()};
   pollenring::platform::Store store{store_client};
   const pollenring::platform::JsonPolicyCodec policies;
   const pollenring::platform::HttpCallerCodec callers;
   const pollenring::platform::HttpTargetCodec targets;
   const pollenring::platform::HttpHeartbeatCodec heartbeats;
-  pollenring::MeshNode node{settings,
-                            {loop, client, store, store, policies, callers,
-                             targets, heartbeats, random, &budget}};
+  pollenring::MeshNode node{
+      settings,
+      {loop, client, store, store, policies, callers, targets, heartbeats,
+       random, &budget, &store_timeout}};
   RunLoop(loop, node, settings, path);
 }
 
