A node that isn't ready says what it waits for

What operators saw: a deployment that doesn't come up left no line between `started` and its end, and the readiness port a 503 without a body, so that a missing configuration, peers that don't reply and callers that can't be accepted looked alike.

Change: Readiness tracks five conditions (configuration, membership, caller listener, descriptors, staying) and since when each is missing. A node that isn't ready writes one line `waiting` a second with their names and ages, the members that it knows and the store's silence; the body of the readiness port's 503 says the same. `ready` and `not ready` carry these fields in place of the five flags that they had.

--- a/src/pollenring/mesh/mesh_node.cc
+++ b/src/pollenring/mesh/mesh_node.cc
@@ -23,9 +23,10 @@
 constexpr Duration kPeerServeTime = std::chrono::milliseconds{1200};
 /*! @brief Interval between log lines with all counters. */
 constexpr Duration kMetricsLogInterval = std::chrono::seconds{10};
+/*! @brief Interval between log lines on what the node waits for. */
+constexpr Duration kReadinessLogInterval = std::chrono::seconds{1};
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
-constexpr int kUnavailable = 503;
 
 /*! @brief Time over which all nodes write to a store that lost their rows. */
 constexpr Duration kStoreAgainSpread = std::chrono::seconds{2};
@@ -103,6 +104,7 @@
                              parts.budget}},
       heartbeats{parts.loop.GetClock()},
       deregistrations{given.nodes.Packed(), parts.table},
+      readiness{parts.loop.GetClock()},
       link_server{parts.loop, given.nodes, given.node_secret, kMaxFrameBytes,
                   [this](const std::string &path, std::string body,
                          std::shared_ptr<LinkResponder> responder) {
@@ -162,6 +164,7 @@
   this->loop.Every(kMetricsLogInterval, [this] {
     LogEvent(LogLevel::kInfo, "metrics snapshot", this->metrics.Counters());
   });
+  this->loop.Every(kReadinessLogInterval, [this] { this->LogWaiting(); });
   this->RegisterMetrics();
 }
 
@@ -300,29 +303,6 @@
   responder->Send({kOk, {{"content-type", "application/json"}}, "{}"});
 }
 
-bool MeshNode::Ready() const {
-  const bool takes_connections =
-      this->caller_server.IsOpen() &&
-      this->loop.Connections().Accepting(ConnectionRole::kCallers);
-  return takes_connections && !this->draining && this->members.Joined() &&
-         this->policy.Active().Version() > 0;
-}
-
-void MeshNode::HandleReady(const std::shared_ptr<Responder> &responder) {
-  const bool ready = this->Ready();
-  if (std::exchange(this->was_ready, ready) != ready) {
-    LogEvent(LogLevel::kInfo, ready ? "ready" : "not ready",
-             {{"version", this->policy.Active().Version()},
-              {"joined", this->members.Joined()},
-              {"leaving", this->draining},
-              {"open", this->caller_server.IsOpen()},
-              {"accepting",
-               this->loop.Connections().Accepting(ConnectionRole::kCallers)},
-              {"connections", this->loop.Connections().Open()}});
-  }
-  responder->Send({ready ? kOk : kUnavailable, {}, {}});
-}
-
 Duration MeshNode::DrainElapsed() const {
   if (!this->draining) return Duration{0};
   return this->loop.GetClock().Now() - this->drain_started_at;
--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -14,6 +14,7 @@
 #include "pollenring/mesh/heartbeat_filter.h"
 #include "pollenring/mesh/outbound.h"
 #include "pollenring/mesh/policy_follower.h"
+#include "pollenring/mesh/readiness.h"
 #include "pollenring/mesh/slot_ring.h"
 #include "pollenring/metrics/metrics.h"
 #include "pollenring/net/buffer_budget.h"
@@ -90,9 +91,15 @@
                       const std::shared_ptr<Responder> &responder);
   void HandleRelease(const HttpRequest &request,
                      const std::shared_ptr<Responder> &responder);
-  [[nodiscard]] nlohmann::json Status() const;
+  [[nodiscard]] nlohmann::json Status();
   void CheckDrained();
-  [[nodiscard]] bool Ready() const;
+  [[nodiscard]] bool IsMet(ReadinessCondition condition) const;
+  /*! @brief Checks all conditions. @return True if the node takes callers. */
+  [[nodiscard]] bool CheckReadiness();
+  /*! @brief What the node waits for. @return Fields of a log line, or a
+   * response. */
+  [[nodiscard]] nlohmann::json DescribeWaiting() const;
+  void LogWaiting();
   [[nodiscard]] Duration DrainElapsed() const;
   [[nodiscard]] std::size_t InProgress() const;
 
@@ -119,6 +126,7 @@
   HeartbeatFilter heartbeats;
   DeregistrationLog deregistrations;
   bool deregistrations_loaded{};
+  Readiness readiness;
   LinkServer link_server;
   HttpServer caller_server;
   HttpServer heartbeat_server;
--- a/src/pollenring/mesh/mesh_node_status.cc
+++ b/src/pollenring/mesh/mesh_node_status.cc
@@ -14,6 +14,7 @@
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kMethodNotAllowed = 405;
+constexpr int kUnavailable = 503;
 constexpr std::string_view kReleasePath{"/quarantine/release/"};
 /*! @brief Entries of each list in the status. */
 constexpr std::size_t kMaxListed = 64;
@@ -80,6 +81,57 @@
 
 }  // namespace
 
+bool MeshNode::IsMet(ReadinessCondition condition) const {
+  switch (condition) {
+    case ReadinessCondition::kConfiguration:
+      return this->policy.Active().Version() > 0;
+    case ReadinessCondition::kMembership:
+      return this->members.Joined();
+    case ReadinessCondition::kCallerListener:
+      return this->caller_server.IsOpen();
+    case ReadinessCondition::kDescriptors:
+      return this->loop.Connections().Accepting(ConnectionRole::kCallers);
+    case ReadinessCondition::kStaying:
+      return !this->draining;
+  }
+  return false;
+}
+
+bool MeshNode::CheckReadiness() {
+  for (const auto &row : kReadinessConditionNames.rows)
+    this->readiness.Set(row.value, this->IsMet(row.value));
+  return this->readiness.Ready();
+}
+
+nlohmann::json MeshNode::DescribeWaiting() const {
+  const Duration silence = this->policy.TimeSinceStoreContact();
+  return {{"waiting_for", this->readiness.Unmet()},
+          {"members", this->members.Get().Members().size()},
+          {"store_silent_ms", silence.count() / 1000},
+          {"connections", this->loop.Connections().Open()}};
+}
+
+void MeshNode::LogWaiting() {
+  if (this->CheckReadiness() || this->draining) return;
+  LogEvent(LogLevel::kInfo, "waiting", this->DescribeWaiting());
+}
+
+void MeshNode::HandleReady(const std::shared_ptr<Responder> &responder) {
+  const bool ready = this->CheckReadiness();
+  if (std::exchange(this->was_ready, ready) != ready) {
+    nlohmann::json fields = this->DescribeWaiting();
+    fields["version"] = this->policy.Active().Version();
+    LogEvent(LogLevel::kInfo, ready ? "ready" : "not ready", std::move(fields));
+  }
+  if (ready) {
+    responder->Send({kOk, {}, {}});
+    return;
+  }
+  responder->Send({kUnavailable,
+                   {{"content-type", "application/json"}},
+                   this->DescribeWaiting().dump()});
+}
+
 void MeshNode::RegisterMetrics() {
   this->metrics.Gauge("pollenring_in_progress", [this] {
     return static_cast<double>(this->InProgress());
@@ -188,7 +240,7 @@
                    this->metrics.Expose()});
 }
 
-nlohmann::json MeshNode::Status() const {
+nlohmann::json MeshNode::Status() {
   nlohmann::json zones = nlohmann::json::array();
   for (const auto &[zone, since] : this->policy.WithdrawnSince()) {
     const Duration age = this->loop.GetClock().Now() - since;
@@ -201,7 +253,7 @@
       {"config_version", this->policy.Active().Version()},
       {"fresh", this->policy.Active().Version() > 0},
       {"leaving", this->draining},
-      {"open_for_callers", this->Ready()},
+      {"open_for_callers", this->CheckReadiness()},
       {"in_progress", this->InProgress()},
       {"requests", this->metrics.Read("pollenring_requests_total")},
       {"refusals", this->metrics.Read("pollenring_refusals_total")},
