Readiness is logged without being asked, in both forms

Cause: `ready` and `not ready` were logged only when something asked the readiness port, and nodes with contract routes logged nothing until they accepted callers. A start by hand, with nobody asking, left no line.

Change: the check of each second records the change too; Node uses the same Readiness for its configuration and membership and writes the same `waiting` line. `started` names all addresses and the platform's. Readiness moves from mesh/ to node/, which both forms use. No decision changes: nodes with contract routes open under the same two conditions as before.

--- a/src/pollenring/mesh/mesh_node.h
+++ b/src/pollenring/mesh/mesh_node.h
@@ -14,7 +14,6 @@
 #include "pollenring/mesh/heartbeat_filter.h"
 #include "pollenring/mesh/outbound.h"
 #include "pollenring/mesh/policy_follower.h"
-#include "pollenring/mesh/readiness.h"
 #include "pollenring/mesh/slot_ring.h"
 #include "pollenring/metrics/metrics.h"
 #include "pollenring/net/buffer_budget.h"
@@ -24,6 +23,7 @@
 #include "pollenring/node/bus.h"
 #include "pollenring/node/dispatcher.h"
 #include "pollenring/node/member_service.h"
+#include "pollenring/node/readiness.h"
 #include "pollenring/node/settings.h"
 #include "pollenring/node/share_service.h"
 #include "pollenring/node/target_codec.h"
@@ -96,6 +96,8 @@
   [[nodiscard]] bool IsMet(ReadinessCondition condition) const;
   /*! @brief Checks all conditions. @return True if the node takes callers. */
   [[nodiscard]] bool CheckReadiness();
+  /*! @brief As `CheckReadiness`; logs a change. */
+  [[nodiscard]] bool RecordReadiness();
   /*! @brief What the node waits for. @return Fields of a log line, or a
    * response. */
   [[nodiscard]] nlohmann::json DescribeWaiting() const;
--- a/src/pollenring/mesh/mesh_node_status.cc
+++ b/src/pollenring/mesh/mesh_node_status.cc
@@ -111,19 +111,22 @@
           {"connections", this->loop.Connections().Open()}};
 }
 
+bool MeshNode::RecordReadiness() {
+  const bool ready = this->CheckReadiness();
+  if (std::exchange(this->was_ready, ready) == ready) return ready;
+  nlohmann::json fields = this->DescribeWaiting();
+  fields["version"] = this->policy.Active().Version();
+  LogEvent(LogLevel::kInfo, ready ? "ready" : "not ready", std::move(fields));
+  return ready;
+}
+
 void MeshNode::LogWaiting() {
-  if (this->CheckReadiness() || this->draining) return;
+  if (this->RecordReadiness() || this->draining) return;
   LogEvent(LogLevel::kInfo, "waiting", this->DescribeWaiting());
 }
 
 void MeshNode::HandleReady(const std::shared_ptr<Responder> &responder) {
-  const bool ready = this->CheckReadiness();
-  if (std::exchange(this->was_ready, ready) != ready) {
-    nlohmann::json fields = this->DescribeWaiting();
-    fields["version"] = this->policy.Active().Version();
-    LogEvent(LogLevel::kInfo, ready ? "ready" : "not ready", std::move(fields));
-  }
-  if (ready) {
+  if (this->RecordReadiness()) {
     responder->Send({kOk, {}, {}});
     return;
   }
--- a/src/pollenring/node/node.cc
+++ b/src/pollenring/node/node.cc
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr Duration kReadyCheckPeriod = std::chrono::milliseconds{20};
+/*! @brief Interval between log lines on what the node waits for. */
+constexpr Duration kReadinessLogInterval = std::chrono::seconds{1};
 constexpr Duration kExecutorTickPeriod = std::chrono::milliseconds{20};
 /*! @brief Time for callers and nodes to learn that a node drains. */
 constexpr Duration kDrainAcceptTime = std::chrono::milliseconds{2500};
@@ -60,6 +62,7 @@
       objects{this->client, given.platform},
       bus{loop, given.nodes, given.node_secret, this->wire},
       quarantine{QuarantineOptions{}, loop.GetClock(), random},
+      readiness{loop.GetClock()},
       members{MakeSelf(given, loop.GetClock(), random),
               given.seeds,
               loop,
@@ -155,7 +158,13 @@
     if (error.invariant_violated) this->Leave();
   });
   this->loop.Every(kExecutorTickPeriod, [this] { this->executor.Tick(); });
+  // The others follow from these two here.
+  for (const auto condition :
+       {ReadinessCondition::kCallerListener, ReadinessCondition::kDescriptors,
+        ReadinessCondition::kStaying})
+    this->readiness.Set(condition, true);
   this->OpenWhenReady();
+  this->loop.Every(kReadinessLogInterval, [this] { this->LogWaiting(); });
   this->metrics.Gauge("pollenring_in_progress", [this] {
     return static_cast<double>(this->InProgress());
   });
@@ -178,10 +187,11 @@
 void Node::OpenWhenReady() {
   // A caller whose connection is refused tries another node; a node without
   // configuration would respond that the route does not exist.
-  const bool ready =
-      this->members.Joined() && this->config.Ledger().Version() > 0;
   if (this->draining) return;
-  if (!ready) {
+  this->readiness.Set(ReadinessCondition::kMembership, this->members.Joined());
+  this->readiness.Set(ReadinessCondition::kConfiguration,
+                      this->config.Ledger().Version() > 0);
+  if (!this->readiness.Ready()) {
     this->loop.After(kReadyCheckPeriod, [this] { this->OpenWhenReady(); });
     return;
   }
@@ -190,6 +200,13 @@
            {{"version", this->config.Ledger().Version()}});
 }
 
+void Node::LogWaiting() const {
+  if (this->readiness.Ready() || this->draining) return;
+  LogEvent(LogLevel::kInfo, "waiting",
+           {{"waiting_for", this->readiness.Unmet()},
+            {"members", this->members.Get().Members().size()}});
+}
+
 void Node::HandleLink(const std::string &path, std::string body,
                       std::shared_ptr<LinkResponder> responder) {
   if (path == "call") {
--- a/src/pollenring/node/node.h
+++ b/src/pollenring/node/node.h
@@ -19,6 +19,7 @@
 #include "pollenring/node/member_service.h"
 #include "pollenring/node/once_service.h"
 #include "pollenring/node/operator_port.h"
+#include "pollenring/node/readiness.h"
 #include "pollenring/node/settings.h"
 #include "pollenring/node/share_service.h"
 #include "pollenring/node/slot_service.h"
@@ -59,6 +60,7 @@
                                        const Clock &clock, Random &random);
   void Start();
   void OpenWhenReady();
+  void LogWaiting() const;
   void HandleLink(const std::string &path, std::string body,
                   std::shared_ptr<LinkResponder> responder);
   void HandleCall(std::string body, std::shared_ptr<LinkResponder> responder);
@@ -79,6 +81,7 @@
   HttpObjectStore objects;
   Bus bus;
   Quarantine quarantine;
+  Readiness readiness;
   MemberService members;
   ConfigService config;
   SlotService slots;
--- a/src/pollenring/mesh/readiness.cc
+++ b/src/pollenring/node/readiness.cc
@@ -1,4 +1,4 @@
-#include "pollenring/mesh/readiness.h"
+#include "pollenring/node/readiness.h"
 
 #include <algorithm>
 
--- a/src/pollenring/mesh/readiness.h
+++ b/src/pollenring/node/readiness.h
@@ -1,5 +1,5 @@
-#ifndef POLLENRING_MESH_READINESS_H_
-#define POLLENRING_MESH_READINESS_H_
+#ifndef POLLENRING_NODE_READINESS_H_
+#define POLLENRING_NODE_READINESS_H_
 
 #include <array>
 #include <cstddef>
@@ -66,4 +66,4 @@
 
 }  // namespace pollenring
 
-#endif  // POLLENRING_MESH_READINESS_H_
+#endif  // POLLENRING_NODE_READINESS_H_
--- a/tools/pollenringd/main.cc
+++ b/tools/pollenringd/main.cc
@@ -61,7 +61,10 @@
            {{"zone", settings.zone},
             {"routes", pollenring::kRouteFormNames.Name(settings.routes)},
             {"callers", settings.callers.Format()},
-            {"nodes", settings.nodes.Format()}});
+            {"targets", settings.targets.Format()},
+            {"nodes", settings.nodes.Format()},
+            {"operators", settings.operators.Format()},
+            {"platform", settings.platform.Format()}});
 }
 
 /*! @brief Reads the settings again and logs whether they are valid. All of them
