--- a/test/support/crashing_target.cc
+++ b/test/support/crashing_target.cc
@@ -3,9 +3,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <stdexcept>
 #include <utility>
 
+#include "pollenring/net/listen.h"
+
 namespace support {
 namespace {
 
@@ -31,16 +32,7 @@
 }
 
 void CrashingTarget::Open() {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  const sockaddr_in native = this->address.Native();
-  if (bind(fd, reinterpret_cast<const sockaddr *>(&native), sizeof(native)) !=
-          0 ||
-      listen(fd, SOMAXCONN) != 0) {
-    close(fd);
-    throw std::runtime_error{"can't bind " + this->address.Format()};
-  }
+  const int fd = pollenring::ListenTcp(this->address);
   this->listener = h2o_evloop_socket_create(this->loop.Native(), fd,
                                             H2O_SOCKET_FLAG_DONT_READ);
   this->listener->data = this;
