--- a/test/pollenring/mesh/mesh_daemon_start_test.cc
+++ b/test/pollenring/mesh/mesh_daemon_start_test.cc
@@ -82,6 +82,7 @@
 }
 
 TEST_CASE("mesh daemon: an address of another VM ends the start at once") {
+  // Guards against: a wait for an address that no process will free.
   StartWorld world{128};
   pollenring::Settings settings = world.MakeSettings(1);
   settings.operators = *pollenring::Address::Parse("192.0.2.1:7003");
@@ -95,6 +96,7 @@
 }
 
 TEST_CASE("mesh daemon: a stop while an address is in use ends it") {
+  // Guards against: a daemon that can't be stopped until its wait is over.
   StartWorld world{129};
   const HeldAddress held{world.At(1, 7000), SOCK_STREAM};
   Daemon &daemon = world.Start(world.MakeSettings(1));
--- a/test/support/mesh_world.cc
+++ b/test/support/mesh_world.cc
@@ -98,13 +98,9 @@
 void FakeStore::Handle(
     const HttpRequest &request,
     const std::shared_ptr<pollenring::Responder> &responder) {
-  if (this->delay <= pollenring::Duration{0}) {
-    this->Serve(request, responder);
-    return;
-  }
-  this->loop.After(this->delay, [this, request, responder] {
-    this->Serve(request, responder);
-  });
+  const auto serve = [=] { this->Serve(request, responder); };
+  if (this->delay <= pollenring::Duration{0}) return serve();
+  this->loop.After(this->delay, serve);
 }
 
 void FakeStore::Serve(const HttpRequest &request,
