--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 out=build/review-3
 mkdir -p "$out"
-for name in drain_case; do
+for name in memory_case drain_case; do
   g++ -std=c++17 -O2 -Wall -Wextra -pthread -Ireview/standins-3 \
     review/standins-3/http.cc review/standins-3/fleet.cc \
     "review/standins-3/$name.cc" -o "$out/$name"
