--- a/review/standins-3/drain_case.cc
+++ b/review/standins-3/drain_case.cc
@@ -3,6 +3,8 @@
 //
 // Variant `twice`: the endpoint had left once before under the same id.
 // Variant `store`: the store is unavailable while the daemon starts again.
+// Variant `write`: it is unavailable when the endpoint leaves, and back long
+// before the daemon is killed.
 
 #include <cstdlib>
 #include <memory>
@@ -13,7 +15,7 @@
 namespace review {
 namespace {
 
-enum class Variant { kTwice, kStore };
+enum class Variant { kTwice, kStore, kWrite };
 
 constexpr char kId[] = "i-7f3a91c2";
 constexpr char kOtherId[] = "i-02d9e6b4";
@@ -40,9 +42,11 @@
 constexpr int kBeatMs = 1500;
 // The disruptions.
 constexpr int kBeatDelayMs = 2300;
+constexpr int kLongBeatDelayMs = 3000;
 constexpr int kKillAfterMs = 500;
 constexpr int kDownMs = 500;
 constexpr int kStoreDownMs = 2000;
+constexpr int kCalmMs = 1000;
 constexpr int kCountedMs = 3000;
 constexpr Millis kIdleTimeout{60'000};
 
@@ -191,10 +195,16 @@
   record.Line("endpoint first sends a heartbeat that will be late, sequence " +
               std::to_string(late_sequence));
   Pause(300);
+  const bool write_fails = trouble && variant == Variant::kWrite;
+  if (write_fails) {
+    store.SetDown(true);
+    record.Line("the store is unavailable");
+    Pause(500);
+  }
   const int acknowledged = deregister();
   const std::int64_t left_at = record.Now();
   std::thread late_beat{[&] {
-    Pause(kBeatDelayMs - 300);
+    Pause(variant == Variant::kWrite ? kLongBeatDelayMs : kBeatDelayMs - 300);
     const int status =
         Heartbeat(first, kId, app.born, "ready", late_sequence, kSlots);
     record.Line("the late heartbeat arrives, answer " + std::to_string(status));
@@ -202,6 +212,11 @@
   std::int64_t calm_from = left_at;
   if (trouble) {
     Pause(kKillAfterMs);
+    if (write_fails) {
+      store.SetDown(false);
+      record.Line("the store is back");
+      Pause(kCalmMs);
+    }
     const bool store_fails = variant == Variant::kStore;
     if (store_fails) {
       store.SetDown(true);
@@ -253,8 +268,10 @@
 
 int main(int argc, char **argv) {
   using review::Variant;
-  const bool store = argc > 2 && std::string{argv[2]} == "store";
-  const Variant variant = store ? Variant::kStore : Variant::kTwice;
+  const std::string name = argc > 2 ? argv[2] : "twice";
+  const Variant variant = name == "store"   ? Variant::kStore
+                          : name == "write" ? Variant::kWrite
+                                            : Variant::kTwice;
   return review::Run(argc, argv,
                      [variant](const std::string &record_path, bool trouble) {
                        review::Play(variant, record_path, trouble);
