Review case 14: a heartbeat of another writer makes a leaving be ignored

Cause: the daemon takes a heartbeat that lacks fields for a newer start of the endpoint, and then acknowledges and ignores the endpoint's own heartbeats, also those that say `draining`.

--- a/review/run-3.sh
+++ b/review/run-3.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-TMPDIR=$folder timeout 118 "build/review-3/$2" "review/$1/record.txt" "${@:3}"
+TMPDIR=$folder timeout 118 "target/review-3/$2" "review/$1/record.txt" "${@:3}"
 result=$?
 [ "$result" -le 2 ] || result=2
 exit "$result"
--- a/review/standins-3/drain_case.cc
+++ b/review/standins-3/drain_case.cc
@@ -3,8 +3,8 @@
 //
 // Variant `twice`: the endpoint had left once before under the same id.
 // Variant `store`: the store is unavailable while the daemon starts again.
-// Variant `write`: it is unavailable when the endpoint leaves, and back long
-// before the daemon is killed.
+// Variant `writer`: no daemon is killed; a heartbeat of another writer arrives,
+// which lacks fields, before the endpoint drains.
 
 #include <cstdlib>
 #include <memory>
@@ -15,7 +15,7 @@
 namespace review {
 namespace {
 
-enum class Variant { kTwice, kStore, kWrite };
+enum class Variant { kTwice, kStore, kWriter };
 
 constexpr char kId[] = "i-7f3a91c2";
 constexpr char kOtherId[] = "i-02d9e6b4";
@@ -42,11 +42,9 @@
 constexpr int kBeatMs = 1500;
 // The disruptions.
 constexpr int kBeatDelayMs = 2300;
-constexpr int kLongBeatDelayMs = 3000;
 constexpr int kKillAfterMs = 500;
 constexpr int kDownMs = 500;
 constexpr int kStoreDownMs = 2000;
-constexpr int kCalmMs = 1000;
 constexpr int kCountedMs = 3000;
 constexpr Millis kIdleTimeout{60'000};
 
@@ -110,6 +108,21 @@
   std::atomic<int> runs{0};
 };
 
+/*! @brief Sends a heartbeat as another writer may send it: under the id of an
+ * endpoint, with a start time of its own, and without version, zone and cold
+ * time. @return The status. */
+int SendPartialHeartbeat(const Machine &to) {
+  const std::string json =
+      R"({"address":")" + to.App().Format() + R"(","born":)" +
+      std::to_string(UnixMs()) + R"(,"info":{"service":")" + to.service +
+      R"(","slots":181},"status":{"state":"ready",)" + R"("sequence":1}})";
+  Message request{
+      "POST", std::string{"/Instances.Heartbeat/"} + kId, 0, {}, json};
+  request.headers["content-type"] = "application/json";
+  return Call(to.Control(), request, to.Control().Format(), Millis{1000})
+      .status;
+}
+
 void Play(Variant variant, const std::string &record_path, bool trouble) {
   Record record{record_path};
   const std::string net = FindFreeNet();
@@ -191,32 +204,37 @@
     record.Line("endpoint first starts again under its id");
   }
   beat_for(2, "ready");
+  if (variant == Variant::kWriter && trouble) {
+    record.Line("a heartbeat of another writer arrives, answer " +
+                std::to_string(SendPartialHeartbeat(first)));
+  }
   const std::uint64_t late_sequence = ++app.sequence;
-  record.Line("endpoint first sends a heartbeat that will be late, sequence " +
-              std::to_string(late_sequence));
-  Pause(300);
-  const bool write_fails = trouble && variant == Variant::kWrite;
-  if (write_fails) {
-    store.SetDown(true);
-    record.Line("the store is unavailable");
-    Pause(500);
+  if (variant != Variant::kWriter) {
+    record.Line(
+        "endpoint first sends a heartbeat that will be late, sequence " +
+        std::to_string(late_sequence));
   }
-  const int acknowledged = deregister();
+  Pause(300);
+  const bool drains = variant == Variant::kWriter;
+  const int acknowledged = drains ? app.Beat("draining") : deregister();
   const std::int64_t left_at = record.Now();
+  std::thread draining_beats{[&] {
+    while (drains && app.alive) {
+      Pause(kBeatMs);
+      if (app.alive) app.Beat("draining");
+    }
+  }};
   std::thread late_beat{[&] {
-    Pause(variant == Variant::kWrite ? kLongBeatDelayMs : kBeatDelayMs - 300);
+    if (drains) return;
+    Pause(kBeatDelayMs - 300);
     const int status =
         Heartbeat(first, kId, app.born, "ready", late_sequence, kSlots);
     record.Line("the late heartbeat arrives, answer " + std::to_string(status));
   }};
   std::int64_t calm_from = left_at;
-  if (trouble) {
+  const bool restarts = trouble && !drains;
+  if (restarts) {
     Pause(kKillAfterMs);
-    if (write_fails) {
-      store.SetDown(false);
-      record.Line("the store is back");
-      Pause(kCalmMs);
-    }
     const bool store_fails = variant == Variant::kStore;
     if (store_fails) {
       store.SetDown(true);
@@ -233,7 +251,8 @@
     calm_from = record.Now();
   }
   const std::int64_t counted_from =
-      std::max(left_at + kDrainMs, trouble ? calm_from + kContactMs : left_at) +
+      std::max(left_at + kDrainMs,
+               restarts ? calm_from + kContactMs : left_at) +
       300;
   Pause(static_cast<int>(counted_from - record.Now()));
   record.Line("counted from here on: all machines are in touch, and " +
@@ -255,6 +274,7 @@
               std::to_string(lost - lost_before));
   playing = false;
   late_beat.join();
+  draining_beats.join();
   other_beats.join();
   for (auto &client : clients) client.join();
   first_node.Kill();
@@ -269,9 +289,9 @@
 int main(int argc, char **argv) {
   using review::Variant;
   const std::string name = argc > 2 ? argv[2] : "twice";
-  const Variant variant = name == "store"   ? Variant::kStore
-                          : name == "write" ? Variant::kWrite
-                                            : Variant::kTwice;
+  const Variant variant = name == "store"    ? Variant::kStore
+                          : name == "writer" ? Variant::kWriter
+                                             : Variant::kTwice;
   return review::Run(argc, argv,
                      [variant](const std::string &record_path, bool trouble) {
                        review::Play(variant, record_path, trouble);
